--- /dev/null
+++ b/src/audit.rs
@@ -0,0 +1,1 @@
+//! The audit trail of changes and orders.
--- /dev/null
+++ b/src/console.rs
@@ -0,0 +1,1 @@
+//! The operators' console of forms.
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,1 @@
+//! The callers' HTTP interface.
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,1 @@
+//! Shares per team, queues and deadlines.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The binary.
+fn main() {}
--- /dev/null
+++ b/src/membership.rs
@@ -0,0 +1,1 @@
+//! Which nodes there are and which of them are suspected.
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,1 @@
+//! Wires the parts of one node together and runs it.
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,1 @@
+//! Command line and settings.
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,1 @@
+//! Streams between nodes.
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,1 @@
+//! Which hosts to hold and which models to load.
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform's log, host list, cloud API and weight store.
--- /dev/null
+++ b/src/retries.rs
@@ -0,0 +1,1 @@
+//! Retry budgets and strikes against requests that kill upstreams.
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,1 @@
+//! Which upstream a request goes to.
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/src/upstreams.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines and plain services.
--- /dev/null
+++ b/stand_ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems.
