feature: Decide a request's fate by its home and witness

Cause: a claim in the log for each request would take 14,000 appends a second against several hundred. Change: an id names the one incarnation that may dispatch it and the one that consents to it; the witness settles ids without consent as never run. Tokens are taken by position and attempt. Ruled out: ids that name only a home, where every id of a dead home ends as unknown. Measured: an exhaustive search over home, witness, lost answers, pauses and a settling third node finds no state that runs twice or runs after not_run.

--- /dev/null
+++ b/src/requests/record.rs
@@ -0,0 +1,345 @@
+//! What a node holds of one request: the answer so far, its outcome, and who waits for it.
+
+use std::sync::Arc;
+
+use bincode::{Decode, Encode};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::{Assembler, Call, Outcome, RequestId, Verdict};
+use crate::keys::HostKey;
+use crate::time::TimeMs;
+
+/// Tokens handed out at once at the most, so that one reader does not hold the lock for long.
+const CHUNK_TOKENS: usize = 256;
+
+/// Where an attempt runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Place {
+    /// The attempt's number.
+    pub attempt: u32,
+    /// The host that runs it.
+    pub host: HostKey,
+    /// Where that host listens.
+    pub address: std::net::SocketAddr,
+}
+
+/// Consecutive tokens of an answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Chunk {
+    /// The position of the first token.
+    pub from: u64,
+    /// The tokens.
+    pub tokens: Vec<String>,
+}
+
+/// What a reader finds when it looks.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reading {
+    /// Tokens from the reader's position on.
+    Tokens(Chunk),
+    /// Nothing more will come.
+    End(Outcome),
+    /// Nothing new yet.
+    Pending,
+}
+
+/// What a controller asks of the task that runs a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Stop and end as cancelled.
+    Cancel,
+    /// Go on elsewhere, computing the prompt and the tokens so far again.
+    Recompute {
+        /// Where to.
+        target: HostKey,
+    },
+    /// Take the KV cache along to another host.
+    Export {
+        /// Where to.
+        target: HostKey,
+    },
+    /// Leave the task to the node that takes over; the record stays.
+    HandOver,
+}
+
+/// One request on this node.
+#[derive(Debug)]
+pub struct Record {
+    /// Its id.
+    pub id: RequestId,
+    /// What it asks for.
+    pub call: Arc<Call>,
+    /// Tells resends from other calls under the same id.
+    pub fingerprint: u64,
+    state: Mutex<State>,
+    changed: Notify,
+    ordered: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    answer: Assembler,
+    outcome: Option<Outcome>,
+    ended_at_ms: Option<TimeMs>,
+    place: Option<Place>,
+    attempts: u32,
+    /// Attempts that may have started; while there is one, `not_run` cannot be said.
+    may_have_started: u32,
+    order: Option<Order>,
+}
+
+/// A record as nodes pass it to each other.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Copy {
+    /// The id.
+    pub id: RequestId,
+    /// What it asks for.
+    pub call: Call,
+    /// The answer from some position on.
+    pub chunk: Chunk,
+    /// Where it runs.
+    pub place: Option<Place>,
+    /// Attempts so far.
+    pub attempts: u32,
+    /// Whether an attempt may have started.
+    pub dispatched: bool,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+}
+
+impl Record {
+    /// A request that has just come in.
+    #[must_use]
+    pub fn new(id: RequestId, call: Call) -> Self {
+        let fingerprint = call.fingerprint();
+        Self {
+            id,
+            call: Arc::new(call),
+            fingerprint,
+            state: Mutex::default(),
+            changed: Notify::new(),
+            ordered: Notify::new(),
+        }
+    }
+
+    /// A request that another node had; `now` stamps its end if it has one.
+    #[must_use]
+    pub fn from_copy(copy: Copy, now: TimeMs) -> Self {
+        let record = Self::new(copy.id, copy.call.clone());
+        record.merge(&copy, now);
+        record
+    }
+
+    /// Takes over what another node knows beyond this record.
+    pub fn merge(&self, copy: &Copy, now: TimeMs) {
+        let mut state = self.state.lock();
+        if state.outcome.is_some() {
+            return;
+        }
+        state.answer.extend_from(
+            copy.chunk.from,
+            copy.chunk.tokens.iter().map(String::as_str),
+        );
+        state.may_have_started = state.may_have_started.max(u32::from(copy.dispatched));
+        if copy.attempts >= state.attempts {
+            state.attempts = copy.attempts;
+            state.place = copy.place;
+        }
+        state.outcome.clone_from(&copy.outcome);
+        state.ended_at_ms = copy.outcome.as_ref().map(|_outcome| now);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// The record with its answer from `from` on.
+    #[must_use]
+    pub fn copy(&self, from: u64) -> Copy {
+        let state = self.state.lock();
+        Copy {
+            id: self.id,
+            call: Call::clone(&self.call),
+            chunk: Chunk {
+                from,
+                tokens: state.answer.tokens_from(from).map(String::from).collect(),
+            },
+            place: state.place,
+            attempts: state.attempts,
+            dispatched: state.may_have_started > 0,
+            outcome: state.outcome.clone(),
+        }
+    }
+
+    /// Numbers the next attempt and notes where it is about to run.
+    ///
+    /// From here on the request counts as dispatched; [`Record::attempt_not_started`] takes that
+    /// back where the upstream provably did not start it.
+    pub fn begin_attempt(&self, host: HostKey, address: std::net::SocketAddr) -> Place {
+        let mut state = self.state.lock();
+        state.attempts += 1;
+        let place = Place {
+            attempt: state.attempts,
+            host,
+            address,
+        };
+        state.answer.open(place.attempt);
+        state.place = Some(place);
+        state.may_have_started += 1;
+        place
+    }
+
+    /// Lets an attempt that another node began go on here.
+    pub fn resume_attempt(&self, place: Place) {
+        let mut state = self.state.lock();
+        state.answer.open(place.attempt);
+        state.place = Some(place);
+        state.may_have_started = state.may_have_started.max(1);
+    }
+
+    /// Notes that an attempt provably did not start.
+    pub fn attempt_not_started(&self, attempt: u32) {
+        let mut state = self.state.lock();
+        state.answer.close(attempt);
+        state.place = None;
+        state.may_have_started = state.may_have_started.saturating_sub(1);
+    }
+
+    /// Lets no more tokens of an attempt in.
+    pub fn close_attempt(&self, attempt: u32) {
+        let mut state = self.state.lock();
+        state.answer.close(attempt);
+        if state.place.is_some_and(|place| place.attempt == attempt) {
+            state.place = None;
+        }
+    }
+
+    /// Offers a token of an attempt; wakes readers if it is taken.
+    pub fn offer(&self, attempt: u32, position: u64, token: &str) -> Verdict {
+        let verdict = self.state.lock().answer.offer(attempt, position, token);
+        if verdict == Verdict::Taken {
+            self.changed.notify_waiters();
+        }
+        verdict
+    }
+
+    /// Ends the request; the first outcome stays. Tells whether this was the first.
+    pub fn end(&self, outcome: Outcome, now: TimeMs) -> bool {
+        let mut state = self.state.lock();
+        let first = state.outcome.is_none();
+        if first {
+            state.outcome = Some(outcome);
+            state.ended_at_ms = Some(now);
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        first
+    }
+
+    /// What is to be read from `position` on.
+    #[must_use]
+    pub fn read(&self, position: u64) -> Reading {
+        let state = self.state.lock();
+        let tokens: Vec<_> = state
+            .answer
+            .tokens_from(position)
+            .take(CHUNK_TOKENS)
+            .map(String::from)
+            .collect();
+        match &state.outcome {
+            _ if !tokens.is_empty() => Reading::Tokens(Chunk {
+                from: position,
+                tokens,
+            }),
+            Some(outcome) => Reading::End(outcome.clone()),
+            None => Reading::Pending,
+        }
+    }
+
+    /// Waits until there is something to read from `position` on.
+    pub async fn next(&self, position: u64) -> Reading {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            // Registered before looking: a token taken in between would wake nobody otherwise, and
+            // the reader would sleep until the one after.
+            changed.as_mut().enable();
+            match self.read(position) {
+                Reading::Pending => changed.await,
+                reading => return reading,
+            }
+        }
+    }
+
+    /// Waits for the outcome.
+    pub async fn ended(&self) -> Outcome {
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            match self.outcome() {
+                Some(outcome) => return outcome,
+                None => changed.await,
+            }
+        }
+    }
+
+    /// How it ended, if it has.
+    #[must_use]
+    pub fn outcome(&self) -> Option<Outcome> {
+        self.state.lock().outcome.clone()
+    }
+
+    /// When it ended.
+    #[must_use]
+    pub fn ended_at_ms(&self) -> Option<TimeMs> {
+        self.state.lock().ended_at_ms
+    }
+
+    /// The answer so far, as one text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        self.state.lock().answer.text().to_owned()
+    }
+
+    /// The position that the answer needs next.
+    #[must_use]
+    pub fn next_position(&self) -> u64 {
+        self.state.lock().answer.next_position()
+    }
+
+    /// Where it runs, if it does.
+    #[must_use]
+    pub fn place(&self) -> Option<Place> {
+        self.state.lock().place
+    }
+
+    /// Whether an attempt may have started.
+    #[must_use]
+    pub fn is_dispatched(&self) -> bool {
+        self.state.lock().may_have_started > 0
+    }
+
+    /// Asks something of the task that runs it; a newer order replaces one not yet taken.
+    pub fn order(&self, order: Order) {
+        let mut state = self.state.lock();
+        state.order = match state.order {
+            Some(Order::Cancel) => Some(Order::Cancel),
+            _ => Some(order),
+        };
+        drop(state);
+        self.ordered.notify_one();
+    }
+
+    /// Waits for an order; for the one task that runs the request.
+    pub async fn next_order(&self) -> Order {
+        loop {
+            if let Some(order) = self.state.lock().order.take() {
+                return order;
+            }
+            self.ordered.notified().await;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/requests/witness.rs
@@ -0,0 +1,240 @@
+//! What a witness knows about requests of other homes, and what it may say about them.
+//!
+//! A home dispatches a non-idempotent request only with its witness's consent. The witness may
+//! therefore settle an id to which it has not consented as never running, without hearing from the
+//! home: a home that is paused or cut off and comes back is refused consent. Where it has
+//! consented, it never says `not_run` again.
+
+use parking_lot::Mutex;
+
+use super::id::ID_VALIDITY_MS;
+use super::record::{Copy, Place};
+use super::{Outcome, RequestId};
+use crate::time::TimeMs;
+
+/// Shards of the table.
+const SHARDS: usize = 64;
+
+/// How long an entry is kept, counted from the id's minting.
+///
+/// Longer than [`ID_VALIDITY_MS`] by more than clocks differ: a settled id that is forgotten while
+/// it could still be consented to would run after the caller was told `not_run`.
+const KEEP_MS: u64 = 2 * ID_VALIDITY_MS;
+
+/// What a home is about to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
+pub struct Intent {
+    /// The request.
+    pub id: RequestId,
+    /// Where the attempt is to run.
+    pub place: Place,
+}
+
+/// What is known of a request whose home cannot be reached.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Settlement {
+    /// It did not run and never will: consent is refused from now on.
+    NotRun,
+    /// It ended, and this is how.
+    Ended(Box<Copy>),
+    /// The home may have dispatched it; here is what it told.
+    MayRun {
+        /// Where, if the home said so.
+        place: Option<Place>,
+        /// The newest copy of the record.
+        copy: Option<Box<Copy>>,
+    },
+}
+
+/// What a witness holds.
+#[derive(Debug)]
+pub struct Witness {
+    shards: Vec<Mutex<Vec<Witnessed>>>,
+}
+
+#[derive(Debug)]
+struct Witnessed {
+    id: RequestId,
+    settled: bool,
+    consented: Option<Place>,
+    copy: Option<Box<Copy>>,
+}
+
+impl Default for Witness {
+    fn default() -> Self {
+        Self {
+            shards: (0..SHARDS).map(|_shard| Mutex::default()).collect(),
+        }
+    }
+}
+
+impl Witness {
+    /// Decides whether the home may dispatch.
+    pub fn consent(&self, intent: &Intent, now: TimeMs) -> bool {
+        let mut shard = self.shard(&intent.id).lock();
+        match shard.binary_search_by_key(&intent.id, |entry| entry.id) {
+            Ok(index) if shard[index].settled => false,
+            Ok(index) => {
+                shard[index].consented = Some(intent.place);
+                true
+            }
+            // An id without an entry that is past its validity may have been settled and forgotten.
+            Err(_) if !intent.id.may_start(now) => false,
+            Err(index) => {
+                shard.insert(index, Witnessed::new(intent.id).with_consent(intent.place));
+                true
+            }
+        }
+    }
+
+    /// Keeps what a home tells about a request.
+    pub fn keep(&self, copy: Copy) {
+        let mut shard = self.shard(&copy.id).lock();
+        match shard.binary_search_by_key(&copy.id, |entry| entry.id) {
+            Ok(index) => shard[index].take(copy),
+            Err(index) => {
+                let mut entry = Witnessed::new(copy.id);
+                entry.take(copy);
+                shard.insert(index, entry);
+            }
+        }
+    }
+
+    /// Says what is known of a non-idempotent request, and rules out what has not been consented to.
+    pub fn settle(&self, id: RequestId) -> Settlement {
+        let mut shard = self.shard(&id).lock();
+        let index = match shard.binary_search_by_key(&id, |entry| entry.id) {
+            Ok(index) => index,
+            Err(index) => {
+                shard.insert(index, Witnessed::new(id));
+                index
+            }
+        };
+        let entry = &mut shard[index];
+        entry.settled |= entry.is_untouched();
+        entry.settlement()
+    }
+
+    /// Says what is known of a request without ruling anything out.
+    #[must_use]
+    pub fn look(&self, id: &RequestId) -> Option<Settlement> {
+        let shard = self.shard(id).lock();
+        let index = shard.binary_search_by_key(id, |entry| entry.id).ok()?;
+        Some(shard[index].settlement())
+    }
+
+    /// Forgets ids that are too old to matter; returns how many.
+    pub fn expire(&self, now: TimeMs) -> usize {
+        let mut gone = 0;
+        for shard in &self.shards {
+            let mut shard = shard.lock();
+            let before = shard.len();
+            shard.retain(|entry| now.since(entry.id.issued_at_ms) < KEEP_MS);
+            gone += before - shard.len();
+        }
+        gone
+    }
+
+    /// How many ids it holds.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.shards.iter().map(|shard| shard.lock().len()).sum()
+    }
+
+    /// Whether it holds none.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn shard(&self, id: &RequestId) -> &Mutex<Vec<Witnessed>> {
+        &self.shards[id.sequence as usize % SHARDS]
+    }
+}
+
+impl Witnessed {
+    fn new(id: RequestId) -> Self {
+        Self {
+            id,
+            settled: false,
+            consented: None,
+            copy: None,
+        }
+    }
+
+    fn with_consent(self, place: Place) -> Self {
+        Self {
+            consented: Some(place),
+            ..self
+        }
+    }
+
+    /// Whether nothing says that the home got as far as dispatching.
+    fn is_untouched(&self) -> bool {
+        let copy_says_so = self
+            .copy
+            .as_ref()
+            .is_some_and(|copy| copy.dispatched || copy.call.idempotent);
+        let ended = self
+            .copy
+            .as_ref()
+            .is_some_and(|copy| copy.outcome.is_some());
+        self.consented.is_none() && !copy_says_so && !ended
+    }
+
+    fn settlement(&self) -> Settlement {
+        match &self.copy {
+            Some(copy) if copy.outcome.is_some() => Settlement::Ended(copy.clone()),
+            _ if self.settled => Settlement::NotRun,
+            copy => {
+                let place = copy.as_ref().and_then(|copy| copy.place).or(self.consented);
+                Settlement::MayRun {
+                    place,
+                    copy: copy.clone(),
+                }
+            }
+        }
+    }
+
+    /// Joins a copy that may be older than the one held, or carry only the newest tokens.
+    fn take(&mut self, new: Copy) {
+        let Some(held) = &mut self.copy else {
+            self.copy = Some(Box::new(new));
+            return;
+        };
+        if held.outcome.is_some() {
+            return;
+        }
+        let known = held.chunk.from + held.chunk.tokens.len() as u64;
+        if new.chunk.from <= known {
+            let skip = usize::try_from(known - new.chunk.from).unwrap_or(usize::MAX);
+            held.chunk
+                .tokens
+                .extend(new.chunk.tokens.into_iter().skip(skip));
+        }
+        held.dispatched |= new.dispatched;
+        held.outcome = new.outcome;
+        if new.attempts >= held.attempts {
+            held.attempts = new.attempts;
+            held.place = new.place;
+        }
+    }
+}
+
+/// Whether an outcome may be told to callers as the whole truth by a witness.
+///
+/// An answer counts only with all of its tokens: a copy of the outcome can arrive although a copy
+/// of some tokens was lost, and the caller would get a shorter answer than the model gave.
+#[must_use]
+pub fn is_whole(copy: &Copy) -> bool {
+    match &copy.outcome {
+        Some(Outcome::Completed { tokens, .. }) => {
+            copy.chunk.from == 0 && copy.chunk.tokens.len() as u64 == *tokens
+        }
+        Some(_) => true,
+        None => false,
+    }
+}
+
+#[cfg(test)]
+mod tests;
