--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -83,6 +83,14 @@
     pub failing_since_ms: Option<TimeMs>,
 }
 
+impl HostRow {
+    /// Whether it may be given new work.
+    #[must_use]
+    pub fn may_get_work(&self) -> bool {
+        self.state == HostState::Live && self.failing_since_ms.is_none()
+    }
+}
+
 /// State that collectors write and controllers read.
 #[derive(Debug, Default)]
 pub struct Blackboard {
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,1 +1,3 @@
 //! Wires the parts of one node together and runs it.
+
+pub mod messages;
--- /dev/null
+++ b/src/node/messages.rs
@@ -0,0 +1,140 @@
+//! The messages that nodes exchange.
+
+use bincode::{Decode, Encode};
+
+use crate::keys::Incarnation;
+use crate::requests::record::{Chunk, Copy};
+use crate::requests::{Call, Outcome, RequestId};
+use crate::time::TimeMs;
+
+/// What a node asks of another.
+#[derive(Clone, Debug, Encode, Decode)]
+pub enum Request {
+    /// To an id's home: run the call unless the id is known, and stream its answer.
+    Submit {
+        /// The id.
+        id: RequestId,
+        /// The call.
+        call: Box<Call>,
+        /// The first position wanted.
+        from: u64,
+    },
+    /// To an id's home: stream the answer of a request that is known.
+    Attach {
+        /// The id.
+        id: RequestId,
+        /// The first position wanted.
+        from: u64,
+    },
+    /// To an id's witness, where its home cannot be reached: say what is known, and go on with the
+    /// request if that is harmless.
+    Settle {
+        /// The id.
+        id: RequestId,
+        /// The call, if the caller has sent it again.
+        call: Option<Box<Call>>,
+        /// The first position wanted.
+        from: u64,
+    },
+    /// To an id's home: stop it.
+    Cancel {
+        /// The id.
+        id: RequestId,
+    },
+    /// To a witness: keep these, and consent to the dispatch of those that ask for it.
+    Witness {
+        /// The incarnation that is meant; another one at its address must not consent for it.
+        witness: Incarnation,
+        /// What to keep.
+        told: Vec<Told>,
+    },
+    /// To a witness, from a home that leaves: take over these requests.
+    Inherit {
+        /// The incarnation that is meant.
+        heir: Incarnation,
+        /// The home that leaves.
+        home: Incarnation,
+        /// Its records that name the heir as witness.
+        copies: Vec<Copy>,
+        /// Whether the home dispatches nothing more under any id that names the heir.
+        farewell: bool,
+    },
+    /// The newest configuration, if it is newer than this revision.
+    Newest {
+        /// The revision that the asker has.
+        than: u64,
+    },
+    /// A newer configuration.
+    Configuration {
+        /// Its revision.
+        revision: u64,
+        /// The document as its operator wrote it.
+        text: String,
+    },
+    /// Hosts that are about to go.
+    Notices(Vec<HostNotice>),
+}
+
+/// One record that a home tells its witness about.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Told {
+    /// The record.
+    pub copy: Copy,
+    /// Whether the home asks for consent to dispatch.
+    pub wants_consent: bool,
+}
+
+/// A host that is about to go.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct HostNotice {
+    /// The platform's name for it.
+    pub host: String,
+    /// When it goes.
+    pub leave_at_ms: TimeMs,
+}
+
+/// What a node answers first.
+#[derive(Clone, Debug, Encode, Decode)]
+pub enum Reply {
+    /// The answer follows as items.
+    Stream,
+    /// There is no such request here.
+    NoSuchRequest,
+    /// The id is in use for another call.
+    OtherCall,
+    /// Another incarnation was meant: the one asked for is gone.
+    WrongNode,
+    /// For each record told, whether it is kept and, where asked for, consented to.
+    Consents(Vec<bool>),
+    /// The newest configuration, if it is newer.
+    Newest(Option<(u64, String)>),
+    /// Done.
+    Done,
+}
+
+/// What follows in a stream.
+#[derive(Clone, Debug, Encode, Decode)]
+pub enum Item {
+    /// Tokens of the answer.
+    Tokens(Chunk),
+    /// How the request ended; nothing follows.
+    End(Outcome),
+}
+
+impl Request {
+    /// A short name for metrics and logs.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit { .. } => "submit",
+            Self::Attach { .. } => "attach",
+            Self::Settle { .. } => "settle",
+            Self::Cancel { .. } => "cancel",
+            Self::Witness { .. } => "witness",
+            Self::Inherit { .. } => "inherit",
+            Self::Newest { .. } => "newest",
+            Self::Configuration { .. } => "configuration",
+            Self::Notices(_) => "notices",
+        }
+    }
+}
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,16 +1,29 @@
 //! The life of a request, from its id to its recorded outcome.
 
+pub mod answer;
 pub mod assembler;
 pub mod call;
+pub mod completion;
+pub mod core;
+pub mod dispatch;
+pub mod follow;
+pub mod handover;
 pub mod id;
+pub mod lanes;
+pub mod links;
 pub mod outcome;
 pub mod record;
 pub mod records;
+pub mod service_call;
+pub mod settle;
 pub mod witness;
 
+pub use self::core::Core;
 pub use assembler::{Assembler, Verdict};
 pub use call::{Call, Work};
+pub use follow::{Follow, Step};
 pub use id::{RequestId, TeamTag};
+pub use links::Links;
 pub use outcome::{NotRun, Outcome};
 pub use record::Record;
 pub use records::Records;
--- a/src/requests/call.rs
+++ b/src/requests/call.rs
@@ -47,6 +47,15 @@
 }
 
 impl Call {
+    /// Roughly the size of the call between nodes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        match &self.work {
+            Work::Completion { prompt, .. } => prompt.len(),
+            Work::Service { path, body, .. } => path.len() + body.len(),
+        }
+    }
+
     /// A hash of what the call asks for, to tell a resend from another call under the same id.
     ///
     /// The seed and the deadline are left out: a node draws them anew for each arrival.
--- /dev/null
+++ b/src/requests/core.rs
@@ -0,0 +1,242 @@
+//! The request core of one node: what it holds and who may decide about an id.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+
+use parking_lot::RwLock;
+use tokio::sync::oneshot;
+use tokio_util::task::TaskTracker;
+
+use super::id::{Draft, IdKey};
+use super::lanes::Lanes;
+use super::links::Links;
+use super::outcome::Reason;
+use super::records::Entry;
+use super::witness::Witness;
+use super::{Call, Outcome, Record, Records, RequestId, TeamTag, Work};
+use crate::blackboard::Blackboard;
+use crate::keys::Incarnation;
+use crate::node::messages::Told;
+use crate::time::{Clock, TimeMs};
+
+/// When a caller may come back after a refusal that passes by itself.
+pub const RETRY_SOON_MS: u64 = 500;
+
+/// By which right a node works on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Right {
+    /// It is the id's home, and asks the witness before a non-idempotent dispatch.
+    Home,
+    /// The home has left for good and named this node, its witness, as heir.
+    Heir,
+    /// The home cannot be reached and the request is idempotent, so that a second run is allowed.
+    Adopter,
+    /// The home cannot be reached; only a stream that runs already may be read.
+    Reader,
+}
+
+/// Whether a node takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It does.
+    Serving,
+    /// It finishes what it has and is left out of `/v1/entries`.
+    Leaving,
+    /// It has handed everything over and dispatches nothing.
+    Left,
+}
+
+/// The request core of one node.
+#[derive(Debug)]
+pub struct Core<L: Links> {
+    /// This run of this node.
+    pub own: Incarnation,
+    /// The node's clock.
+    pub clock: Clock,
+    /// The shared state.
+    pub blackboard: Arc<Blackboard>,
+    /// Requests that this node works on.
+    pub records: Records,
+    /// Requests of other homes.
+    pub witness: Witness,
+    /// Model engines.
+    pub engines: L::Engines,
+    /// Plain services.
+    pub services: L::Services,
+    /// The other nodes.
+    pub peers: Arc<L::Peers>,
+    /// Tasks that run requests.
+    pub tasks: TaskTracker,
+    id_key: IdKey,
+    lanes: Lanes<L>,
+    bequests: RwLock<Vec<Incarnation>>,
+    phase: AtomicU8,
+    minted: AtomicU32,
+}
+
+/// What a core is made of.
+#[derive(Debug)]
+pub struct Parts<L: Links> {
+    /// See [`Core::own`].
+    pub own: Incarnation,
+    /// See [`Core::clock`].
+    pub clock: Clock,
+    /// See [`Core::blackboard`].
+    pub blackboard: Arc<Blackboard>,
+    /// See [`Core::engines`].
+    pub engines: L::Engines,
+    /// See [`Core::services`].
+    pub services: L::Services,
+    /// See [`Core::peers`].
+    pub peers: Arc<L::Peers>,
+    /// Signs request ids.
+    pub id_key: IdKey,
+}
+
+impl<L: Links> Core<L> {
+    /// A core that holds nothing yet.
+    #[must_use]
+    pub fn new(parts: Parts<L>) -> Self {
+        Self {
+            own: parts.own,
+            clock: parts.clock,
+            blackboard: parts.blackboard,
+            records: Records::default(),
+            witness: Witness::default(),
+            engines: parts.engines,
+            services: parts.services,
+            lanes: Lanes::new(Arc::clone(&parts.peers)),
+            peers: parts.peers,
+            tasks: TaskTracker::new(),
+            id_key: parts.id_key,
+            bequests: RwLock::default(),
+            phase: AtomicU8::new(0),
+            minted: AtomicU32::new(0),
+        }
+    }
+
+    /// Mints an id for a home and its witness.
+    pub fn mint(
+        &self,
+        home: Incarnation,
+        witness: Incarnation,
+        team: TeamTag,
+        now: TimeMs,
+    ) -> RequestId {
+        let sequence = self.minted.fetch_add(1, Ordering::Relaxed);
+        let draft = Draft { issued_at_ms: now, home, witness, minter: self.own, sequence };
+        self.id_key.mint(draft, team)
+    }
+
+    /// Whether this fleet minted the id for this team.
+    #[must_use]
+    pub fn verifies(&self, id: &RequestId, team: &str) -> bool {
+        self.id_key.verifies(id, TeamTag::of(team))
+    }
+
+    /// Whether the node takes requests.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Serving,
+            1 => Phase::Leaving,
+            _ => Phase::Left,
+        }
+    }
+
+    /// Moves on to a later phase; there is no way back.
+    pub fn advance(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Whether this node is the id's home and still dispatches.
+    #[must_use]
+    pub fn is_home(&self, id: &RequestId) -> bool {
+        id.home == self.own && self.phase() != Phase::Left
+    }
+
+    /// Notes that a home has left for good.
+    pub fn inherit_from(&self, home: Incarnation) {
+        let mut bequests = self.bequests.write();
+        if let Err(index) = bequests.binary_search(&home) {
+            bequests.insert(index, home);
+        }
+    }
+
+    /// Whether a home has left for good and said so.
+    #[must_use]
+    pub fn has_inherited(&self, home: Incarnation) -> bool {
+        self.bequests.read().binary_search(&home).is_ok()
+    }
+
+    /// Takes a call in under its id, and starts it if it is new.
+    pub fn enter(self: &Arc<Self>, id: RequestId, call: &Call, right: Right) -> Entry {
+        let entry = self.records.enter(id, call, self.clock.now());
+        if let Entry::New(record) = &entry {
+            self.start(Arc::clone(record), right);
+        }
+        entry
+    }
+
+    /// Runs a record to its end in a task of its own.
+    ///
+    /// The task belongs to the node, not to the connection that brought the call: a caller whose
+    /// connection breaks finds the answer when it asks again.
+    pub fn start(self: &Arc<Self>, record: Arc<Record>, right: Right) {
+        let core = Arc::clone(self);
+        self.tasks.spawn(async move {
+            let outcome = match &record.call.work {
+                Work::Completion { .. } => {
+                    super::completion::run(Arc::clone(&core), Arc::clone(&record), right).await
+                }
+                Work::Service { .. } => {
+                    super::service_call::run(Arc::clone(&core), Arc::clone(&record), right).await
+                }
+            };
+            match outcome {
+                Some(outcome) => core.finish(&record, outcome),
+                None => record.mark_moved(),
+            }
+        });
+    }
+
+    /// Records how a request ended, here and at its witness.
+    pub fn finish(&self, record: &Record, outcome: Outcome) {
+        let name = outcome.name();
+        if record.end(outcome, self.clock.now()) {
+            metrics::counter!("teaselline_requests_ended_total", "outcome" => name).increment(1);
+            log::debug!(id:% = record.id, team = record.call.team.as_str(), outcome = name; "request ended");
+            if record.is_dispatched() {
+                drop(self.tell(record, 0, false));
+            }
+        }
+    }
+
+    /// Tells the witness what this home knows, with the answer from `from` on.
+    ///
+    /// The receiver closes without an answer if the witness does not give one.
+    pub fn tell(&self, record: &Record, from: u64, wants_consent: bool) -> oneshot::Receiver<bool> {
+        let told = Told { copy: record.copy(from), wants_consent };
+        match record.id.witness {
+            witness if witness == self.own => {
+                let (answer, answered) = oneshot::channel();
+                // This node is heir or adopter: it holds the record itself and asks nobody.
+                drop(answer.send(true));
+                answered
+            }
+            witness => self.lanes.tell(witness, told),
+        }
+    }
+
+    /// Drops what has outlived its id.
+    pub fn expire(&self, now: TimeMs) {
+        self.records.expire(now);
+        self.witness.expire(now);
+    }
+
+    /// The refusal of a call when no configuration is in force.
+    #[must_use]
+    pub fn not_configured() -> Outcome {
+        Outcome::not_run(Reason::NotConfigured, RETRY_SOON_MS)
+    }
+}
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -40,6 +40,8 @@
     Tokens(Chunk),
     /// Nothing more will come.
     End(Outcome),
+    /// Another node has taken the request over.
+    Moved,
     /// Nothing new yet.
     Pending,
 }
@@ -87,6 +89,7 @@
     /// Attempts that may have started; while there is one, `not_run` cannot be said.
     may_have_started: u32,
     order: Option<Order>,
+    moved: bool,
 }
 
 /// A record as nodes pass it to each other.
@@ -251,6 +254,7 @@
                 tokens,
             }),
             Some(outcome) => Reading::End(outcome.clone()),
+            None if state.moved => Reading::Moved,
             None => Reading::Pending,
         }
     }
@@ -283,6 +287,12 @@
         }
     }
 
+    /// Sends readers on to the node that has taken the request over.
+    pub fn mark_moved(&self) {
+        self.state.lock().moved = true;
+        self.changed.notify_waiters();
+    }
+
     /// How it ended, if it has.
     #[must_use]
     pub fn outcome(&self) -> Option<Outcome> {
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 
 use super::id::ID_VALIDITY_MS;
-use super::record::{Copy, Place};
+use super::record::Copy;
 use super::{Outcome, RequestId};
 use crate::time::TimeMs;
 
@@ -21,15 +21,6 @@
 /// it could still be consented to would run after the caller was told `not_run`.
 const KEEP_MS: u64 = 2 * ID_VALIDITY_MS;
 
-/// What a home is about to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, bincode::Encode, bincode::Decode)]
-pub struct Intent {
-    /// The request.
-    pub id: RequestId,
-    /// Where the attempt is to run.
-    pub place: Place,
-}
-
 /// What is known of a request whose home cannot be reached.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Settlement {
@@ -37,13 +28,8 @@
     NotRun,
     /// It ended, and this is how.
     Ended(Box<Copy>),
-    /// The home may have dispatched it; here is what it told.
-    MayRun {
-        /// Where, if the home said so.
-        place: Option<Place>,
-        /// The newest copy of the record.
-        copy: Option<Box<Copy>>,
-    },
+    /// The home may have dispatched it; this is what it told.
+    MayRun(Option<Box<Copy>>),
 }
 
 /// What a witness holds.
@@ -56,7 +42,7 @@
 struct Witnessed {
     id: RequestId,
     settled: bool,
-    consented: Option<Place>,
+    consented: bool,
     copy: Option<Box<Copy>>,
 }
 
@@ -69,19 +55,21 @@
 }
 
 impl Witness {
-    /// Decides whether the home may dispatch.
-    pub fn consent(&self, intent: &Intent, now: TimeMs) -> bool {
-        let mut shard = self.shard(&intent.id).lock();
-        match shard.binary_search_by_key(&intent.id, |entry| entry.id) {
+    /// Decides whether the home may dispatch what it tells about, and keeps it if so.
+    pub fn consent(&self, told: Copy, now: TimeMs) -> bool {
+        let mut shard = self.shard(&told.id).lock();
+        match shard.binary_search_by_key(&told.id, |entry| entry.id) {
             Ok(index) if shard[index].settled => false,
             Ok(index) => {
-                shard[index].consented = Some(intent.place);
+                shard[index].consent(told);
                 true
             }
             // An id without an entry that is past its validity may have been settled and forgotten.
-            Err(_) if !intent.id.may_start(now) => false,
+            Err(_) if !told.id.may_start(now) => false,
             Err(index) => {
-                shard.insert(index, Witnessed::new(intent.id).with_consent(intent.place));
+                let mut entry = Witnessed::new(told.id);
+                entry.consent(told);
+                shard.insert(index, entry);
                 true
             }
         }
@@ -157,7 +145,7 @@
         Self {
             id,
             settled: false,
-            consented: None,
+            consented: false,
             copy: None,
         }
     }
@@ -179,7 +167,7 @@
             .copy
             .as_ref()
             .is_some_and(|copy| copy.outcome.is_some());
-        self.consented.is_none() && !copy_says_so && !ended
+        !self.consented && !copy_says_so && !ended
     }
 
     fn settlement(&self) -> Settlement {
