feature: Call engines and plain services, and choose among upstreams

The request path needs clients whose errors tell apart what did not start, what was refused and what was lost, and a first pure choice over the blackboard.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -4,6 +4,8 @@
 //! hold up the choice among others. Keys of the document may change meaning from one revision to
 //! the next; rows therefore keep the platform's names and are resolved again on a new revision.
 
+pub mod upstreams;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,6 +15,8 @@
 use crate::keys::{ClassKey, DomainKey, HostKey, PoolKey};
 use crate::time::TimeMs;
 
+pub use upstreams::{UpstreamRow, UpstreamTable};
+
 /// Shards of the host table; a power of two.
 const HOST_SHARDS: usize = 16;
 
@@ -88,6 +92,8 @@
 pub struct Blackboard {
     in_force: RwLock<Option<Arc<InForce>>>,
     hosts: [Mutex<Vec<HostRow>>; HOST_SHARDS],
+    /// What this node has learnt of upstreams by calling them.
+    pub upstreams: UpstreamTable,
 }
 
 impl Blackboard {
--- /dev/null
+++ b/src/routing/score.rs
@@ -0,0 +1,110 @@
+//! What it costs to send a request to a candidate, in milliseconds of waiting or their worth.
+
+use super::{Candidate, RouteAsk};
+use crate::document::checked::Measure;
+
+/// Worth of one millisecond over the target for the first token.
+///
+/// Within the target price and cache decide; beyond it, hardly anything but time does.
+const LATE_WEIGHT: f64 = 8.0;
+/// Worth of the dearest host's price above the cheapest's, as a share of the first-token target.
+const PRICE_SHARE_OF_TARGET: f64 = 0.25;
+/// Worth of a millisecond of computing tokens that another host has cached, beside the wait.
+const RECOMPUTE_WEIGHT: f64 = 1.0;
+/// Worth of a full host against an empty one, as a share of the first-token target.
+///
+/// Streams that run together slow each other's tokens even where none waits.
+const CROWDING_SHARE_OF_TARGET: f64 = 0.1;
+/// Added for a host that serves another kind of work first.
+const OUT_OF_ROLE_SHARE_OF_TARGET: f64 = 1.0;
+
+/// What the deployment favours.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Of money, from 0 to 1.
+    pub cost: f64,
+    /// Of tokens computed again, from 0 to 1.
+    pub recomputed_tokens: f64,
+}
+
+impl From<Measure> for Weights {
+    fn from(measure: Measure) -> Self {
+        Self {
+            cost: measure.cost_weight,
+            recomputed_tokens: measure.recomputed_tokens_weight,
+        }
+    }
+}
+
+/// The lowest and the highest price among the hosts that may be chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PriceRange {
+    /// The lowest.
+    pub lowest: f64,
+    /// The highest.
+    pub highest: f64,
+}
+
+impl PriceRange {
+    /// The range over these hosts.
+    #[must_use]
+    pub fn over<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Self {
+        let start = Self {
+            lowest: f64::INFINITY,
+            highest: f64::NEG_INFINITY,
+        };
+        candidates.fold(start, |range, candidate| Self {
+            lowest: range.lowest.min(candidate.price_per_hour),
+            highest: range.highest.max(candidate.price_per_hour),
+        })
+    }
+
+    /// Where a price lies in the range, from 0 to 1.
+    fn place(&self, price_per_hour: f64) -> f64 {
+        let width = self.highest - self.lowest;
+        if width > 0.0 {
+            (price_per_hour - self.lowest) / width
+        } else {
+            0.0
+        }
+    }
+}
+
+/// How long the request would wait before its prompt is computed.
+#[must_use]
+pub fn expected_wait_ms(candidate: &Candidate, ask: &RouteAsk<'_>) -> f64 {
+    let slots = f64::from(candidate.slots.max(1));
+    let must_end = (candidate.streams_ahead + 1.0 - slots).max(0.0);
+    must_end * ask.service_ms / slots + candidate.prefill_backlog_ms
+}
+
+/// How long computing the prompt tokens that are not cached would take.
+#[must_use]
+pub fn expected_prefill_ms(candidate: &Candidate, ask: &RouteAsk<'_>) -> f64 {
+    let uncached_tokens = (tokens(ask.prompt_tokens) - candidate.cached_tokens).max(0.0);
+    uncached_tokens * 1_000.0 / candidate.prefill_tokens_per_second.max(1.0)
+}
+
+/// The cost of a candidate; lower is better.
+#[must_use]
+pub fn score(candidate: &Candidate, ask: &RouteAsk<'_>, prices: PriceRange) -> f64 {
+    let target_ms = tokens(ask.first_token_ms);
+    let prefill_ms = expected_prefill_ms(candidate, ask);
+    let first_token_ms = expected_wait_ms(candidate, ask) + prefill_ms;
+    let late_ms = (first_token_ms - target_ms).max(0.0);
+    let filled = candidate.streams_ahead / f64::from(candidate.slots.max(1));
+    let price = prices.place(candidate.price_per_hour);
+    let role = if candidate.in_role { 0.0 } else { 1.0 };
+    first_token_ms
+        + LATE_WEIGHT * late_ms
+        + RECOMPUTE_WEIGHT * ask.weights.recomputed_tokens * prefill_ms
+        + target_ms
+            * (PRICE_SHARE_OF_TARGET * ask.weights.cost * price
+                + CROWDING_SHARE_OF_TARGET * filled.min(1.0)
+                + OUT_OF_ROLE_SHARE_OF_TARGET * role)
+}
+
+pub(super) fn tokens(count: u64) -> f64 {
+    // Prompts and targets lie far below 2^32.
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/src/upstreams/engine/tests.rs
@@ -0,0 +1,201 @@
+//! The engine client against engines that answer, refuse, break off and fall silent.
+
+use std::net::SocketAddr;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::upstreams::{
+    Delivery, EngineClient, EngineEvent, Engines, EventStream, Finish, LostCause, NotRunReason,
+    Patience, StartStream, UpstreamError,
+};
+
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+const TOKEN: &str =
+    "id: 0\nevent: token\ndata: {\"attempt\":\"a\",\"position\":0,\"token\":\"x\"}\n\n";
+const DONE: &str = "event: done\ndata: {\"attempt\":\"a\",\"tokens\":1,\"finish\":\"stop\"}\n\n";
+
+fn client() -> EngineClient {
+    EngineClient::new(Patience::default())
+}
+
+fn start(delivery: Delivery) -> StartStream<'static> {
+    StartStream {
+        attempt: "a",
+        model: "m",
+        prompt: "p",
+        prefix: "",
+        position: 0,
+        max_tokens: 1,
+        priority: 5,
+        seed: 0,
+        import: None,
+        delivery,
+    }
+}
+
+/// Serves one connection: reads a request, writes `answer`, then closes or stays open.
+async fn engine(answer: String, close: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_request(&mut stream).await;
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        if !close {
+            std::future::pending::<()>().await;
+        }
+    });
+    address
+}
+
+async fn read_request(stream: &mut TcpStream) {
+    let mut buffer = [0; 4096];
+    assert!(stream.read(&mut buffer).await.unwrap() > 0);
+}
+
+fn answer(status: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+async fn start_error(answer: String, close: bool) -> UpstreamError {
+    let address = engine(answer, close).await;
+    let started = client().start(address, &start(Delivery::AtMostOnce)).await;
+    started.expect_err("the engine gives no stream")
+}
+
+#[tokio::test]
+async fn a_stream_gives_its_events_and_ends() {
+    let address = engine([STREAM_HEAD, TOKEN, DONE].concat(), true).await;
+    let start = start(Delivery::Repeatable);
+    let mut events = client().start(address, &start).await.unwrap();
+    let token = events.next().await.unwrap().unwrap();
+    assert!(matches!(token, EngineEvent::Token { position: 0, .. }));
+    let done = events.next().await.unwrap().unwrap();
+    let finish = Finish::Stop;
+    assert!(matches!(done, EngineEvent::Done { finish: held, .. } if held == finish));
+    assert!(events.next().await.is_none());
+}
+
+#[tokio::test]
+async fn only_the_engines_own_word_proves_that_nothing_ran() {
+    let not_run = r#"{"outcome":"not_run","error":"queue_full"}"#;
+    let status = "503 Service Unavailable";
+    let error = start_error(answer(status, not_run), false).await;
+    assert!(matches!(
+        error,
+        UpstreamError::NotRun(NotRunReason::QueueFull)
+    ));
+    assert!(error.is_not_started() && error.is_refused() && !error.is_lost());
+    for (status, body) in [
+        (status, ""),
+        (status, r#"{"outcome":"unknown"}"#),
+        ("500 Internal Server Error", not_run),
+    ] {
+        let error = start_error(answer(status, body), false).await;
+        assert!(!error.is_not_started(), "{status} {body}");
+    }
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_not_started() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let error = client().start(address, &start(Delivery::AtMostOnce)).await;
+    assert!(error.unwrap_err().is_not_started());
+}
+
+// Symptom: a deposit is paid twice. Sequence: the engine takes the request, then its connection
+// closes before a word of the answer; the node sends the request elsewhere. Cause: a connection
+// that closed early was taken for one that was never used.
+#[tokio::test]
+async fn a_connection_that_closes_without_an_answer_may_have_started() {
+    for delivery in [Delivery::AtMostOnce, Delivery::Repeatable] {
+        let address = engine(String::new(), true).await;
+        let error = client().start(address, &start(delivery)).await.unwrap_err();
+        assert!(error.is_lost() && !error.is_not_started());
+    }
+}
+
+// Symptom: a deposit is paid twice. Sequence: a pooled connection is reused, the engine takes the
+// second request and closes. Cause: the HTTP client sends a request again by itself if a reused
+// connection closes under it.
+#[tokio::test]
+async fn a_reused_connection_that_closes_is_lost_and_not_used_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let served = tokio::spawn(async move {
+        let (mut first, _) = listener.accept().await.unwrap();
+        read_request(&mut first).await;
+        let load = answer("200 OK", "{\"models\":[],\"role\":\"batch\"}");
+        first.write_all(load.as_bytes()).await.unwrap();
+        read_request(&mut first).await;
+        drop(first);
+        let second = tokio::time::timeout(std::time::Duration::from_millis(200), listener.accept());
+        second.await.is_ok()
+    });
+    let client = client();
+    client.state(address).await.unwrap();
+    let error = client.start(address, &start(Delivery::Repeatable)).await;
+    assert!(error.unwrap_err().is_lost());
+    assert!(!served.await.unwrap(), "the request was sent a second time");
+}
+
+// Symptom: a caller waits until its deadline for an answer that had begun. Sequence: the host's
+// cable is cut in the middle of a stream, no end of the connection arrives. Cause: nobody measures
+// how long the stream has been silent.
+#[tokio::test]
+async fn a_silent_stream_is_lost() {
+    let address = engine([STREAM_HEAD, TOKEN].concat(), false).await;
+    let start = start(Delivery::Repeatable);
+    let mut events = client().start(address, &start).await.unwrap();
+    events.next().await.unwrap().unwrap();
+    events.set_silence_ms(50);
+    let error = events.next().await.unwrap().unwrap_err();
+    assert!(matches!(
+        error,
+        UpstreamError::Lost(LostCause::Silent { waited_ms: 50 })
+    ));
+    assert!(events.next().await.is_none());
+}
+
+// Symptom: a caller gets half an answer as if it were whole. Sequence: the engine's process dies
+// after some tokens, its connection closes. Cause: the end of the connection was taken for the end
+// of the stream.
+#[tokio::test]
+async fn a_stream_without_its_last_event_is_lost() {
+    let address = engine([STREAM_HEAD, TOKEN].concat(), true).await;
+    let start = start(Delivery::Repeatable);
+    let mut events = client().start(address, &start).await.unwrap();
+    events.next().await.unwrap().unwrap();
+    assert!(events.next().await.unwrap().unwrap_err().is_lost());
+}
+
+#[tokio::test]
+async fn an_engine_that_does_not_answer_may_have_started() {
+    let address = engine(String::new(), false).await;
+    let impatient = EngineClient::new(Patience {
+        answer_ms: 50,
+        ..Patience::default()
+    });
+    let start = start(Delivery::AtMostOnce);
+    let error = impatient.start(address, &start).await.unwrap_err();
+    assert!(error.is_lost() && !error.is_not_started());
+}
+
+#[tokio::test]
+async fn old_fencing_numbers_and_unknown_attempts_are_told_apart() {
+    let body = r#"{"error":"stale_fencing","newest":7}"#;
+    let address = engine(answer("409 Conflict", body), false).await;
+    let order = crate::upstreams::Order::SetRole {
+        role: crate::upstreams::Role::Batch,
+    };
+    let error = client().order(address, &order, 3).await.unwrap_err();
+    assert!(matches!(error, UpstreamError::StaleFencing { newest: 7 }));
+    let body = r#"{"error":"unknown_attempt"}"#;
+    let address = engine(answer("404 Not Found", body), false).await;
+    let error = client().attach(address, "a", 0).await.unwrap_err();
+    assert!(matches!(error, UpstreamError::UnknownAttempt));
+}
--- /dev/null
+++ b/src/upstreams/http.rs
@@ -0,0 +1,157 @@
+//! One HTTP exchange with an upstream, with failures told apart by what was sent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use tokio::time::timeout;
+
+use super::Delivery;
+use super::error::{LostCause, UpstreamError};
+
+/// Read and write buffer of one connection; also the largest response head taken.
+///
+/// Ten thousand open streams hold as many connections, so the bound is what keeps a node's memory
+/// in its limit when upstreams send faster than callers read.
+const CONNECTION_BUFFER_BYTES: usize = 32 * 1024;
+/// Idle connections kept for each upstream.
+const IDLE_CONNECTIONS_PER_UPSTREAM: usize = 16;
+/// Below the usual idle timeouts of servers, so that seldom a connection is closed under a call.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Probes on connections that carry nothing: with three retries a dead peer shows in about 8 s.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(5);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 3;
+/// Largest answer to a call that is read as a whole.
+const ANSWER_LIMIT_BYTES: usize = 16 * 1024 * 1024;
+
+/// How long a client waits in each part of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// For a connection.
+    pub connect_ms: u64,
+    /// For the head of an answer after the call was sent.
+    pub answer_ms: u64,
+    /// For the next byte of a stream.
+    pub silence_ms: u64,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Self {
+            connect_ms: 500,
+            answer_ms: 10_000,
+            silence_ms: 10_000,
+        }
+    }
+}
+
+/// Sends requests over pooled or fresh connections.
+#[derive(Clone, Debug)]
+pub(super) struct HttpClient {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    fresh: Client<HttpConnector, Full<Bytes>>,
+    pub(super) patience: Patience,
+}
+
+impl HttpClient {
+    pub(super) fn new(patience: Patience) -> Self {
+        Self {
+            pooled: client(patience, IDLE_CONNECTIONS_PER_UPSTREAM),
+            fresh: client(patience, 0),
+            patience,
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        delivery: Delivery,
+        answer_ms: u64,
+    ) -> Result<Response<Incoming>, UpstreamError> {
+        let client = match delivery {
+            Delivery::Repeatable => &self.pooled,
+            Delivery::AtMostOnce => &self.fresh,
+        };
+        // The connector's own timeout ends first, so that running out of time here means that the
+        // request was sent.
+        let waited_ms = self.patience.connect_ms.saturating_add(answer_ms);
+        match timeout(Duration::from_millis(waited_ms), client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(cause)) if cause.is_connect() => {
+                Err(UpstreamError::Unreachable { address, cause })
+            }
+            Ok(Err(cause)) => Err(UpstreamError::Lost(LostCause::Connection(cause))),
+            Err(_elapsed) => Err(UpstreamError::Lost(LostCause::Silent { waited_ms })),
+        }
+    }
+
+    /// Reads a whole answer of bounded size.
+    pub(super) async fn collect(
+        &self,
+        response: Response<Incoming>,
+    ) -> Result<(StatusCode, Bytes), UpstreamError> {
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect();
+        let waited_ms = self.patience.answer_ms;
+        let read = timeout(Duration::from_millis(waited_ms), body)
+            .await
+            .map_err(|_elapsed| LostCause::Silent { waited_ms })
+            .map_err(UpstreamError::Lost)?;
+        match read {
+            Ok(body) => Ok((status, body.to_bytes())),
+            Err(cause) if cause.is::<LengthLimitError>() => {
+                Err(UpstreamError::Lost(LostCause::TooLarge {
+                    limit_bytes: ANSWER_LIMIT_BYTES,
+                }))
+            }
+            Err(cause) => Err(UpstreamError::Lost(
+                cause
+                    .downcast::<hyper::Error>()
+                    .map_or(LostCause::Truncated, |cause| LostCause::Body(*cause)),
+            )),
+        }
+    }
+}
+
+/// A request for a path at an upstream.
+pub(super) fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, UpstreamError> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build()?;
+    let request = Request::builder().method(method).uri(uri);
+    Ok(request.body(Full::new(body))?)
+}
+
+fn client(patience: Patience, idle_connections: usize) -> Client<HttpConnector, Full<Bytes>> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(patience.connect_ms)));
+    connector.set_keepalive(Some(KEEPALIVE_TIME));
+    connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle_connections)
+        .http1_max_buf_size(CONNECTION_BUFFER_BYTES)
+        // The client would send a request again by itself when a reused connection closes. Whether
+        // a request runs again is for the request core alone to decide.
+        .retry_canceled_requests(false)
+        .build(connector)
+}
--- /dev/null
+++ b/src/upstreams/service.rs
@@ -0,0 +1,100 @@
+//! The HTTP client of plain services.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, StatusCode};
+
+use super::error::{NotRunReason, UpstreamError};
+use super::http::{HttpClient, request};
+use super::{Delivery, Patience, PlainServices};
+
+/// Header that carries the attempt's unique text.
+const ATTEMPT: &str = "attempt";
+/// Header that says that a call did not start.
+const OUTCOME: &str = "outcome";
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// Names this attempt; unique, of characters that a header takes.
+    pub attempt: &'a str,
+    /// The path with its leading slash.
+    pub path: &'a str,
+    /// The body's media type, if the caller gave one.
+    pub content_type: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+    /// Whether making the call twice would do harm.
+    pub delivery: Delivery,
+    /// How long to wait for the answer.
+    pub timeout_ms: u64,
+}
+
+/// The result of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceAnswer {
+    /// The body's media type, if the service gave one.
+    pub content_type: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Calls plain services over HTTP.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    http: HttpClient,
+}
+
+impl ServiceClient {
+    /// A client with its own pool of connections.
+    #[must_use]
+    pub fn new(patience: Patience) -> Self {
+        Self {
+            http: HttpClient::new(patience),
+        }
+    }
+}
+
+impl PlainServices for ServiceClient {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        call: &ServiceCall<'_>,
+    ) -> Result<ServiceAnswer, UpstreamError> {
+        let mut request = request(Method::POST, address, call.path, call.body.clone())?;
+        let attempt = HeaderValue::from_str(call.attempt).map_err(http::Error::from)?;
+        request.headers_mut().insert(ATTEMPT, attempt);
+        if let Some(content_type) = &call.content_type {
+            let headers = request.headers_mut();
+            headers.insert(CONTENT_TYPE, content_type.clone());
+        }
+        let sent = self
+            .http
+            .send(address, request, call.delivery, call.timeout_ms);
+        let mut response = sent.await?;
+        let not_run = response.headers().get(OUTCOME).map(HeaderValue::as_bytes)
+            == Some(b"not_run".as_slice());
+        match response.status() {
+            StatusCode::OK => {
+                let content_type = response.headers_mut().remove(CONTENT_TYPE);
+                let (_, body) = self.http.collect(response).await?;
+                Ok(ServiceAnswer { content_type, body })
+            }
+            StatusCode::SERVICE_UNAVAILABLE if not_run => {
+                Err(UpstreamError::NotRun(NotRunReason::Other))
+            }
+            status => Err(UpstreamError::Rejected { status }),
+        }
+    }
+
+    async fn health(&self, address: SocketAddr) -> Result<bool, UpstreamError> {
+        let request = request(Method::GET, address, "/healthz", Bytes::new())?;
+        let answer_ms = self.http.patience.answer_ms;
+        let sent = self
+            .http
+            .send(address, request, Delivery::Repeatable, answer_ms);
+        Ok(sent.await?.status() == StatusCode::OK)
+    }
+}
