feature: Read and check the configuration document

Cause: operators write one JSON document; the rest of the system needs it checked as a whole. Conclusion: Document::parse and TryFrom<&RawDocument> are ready to be wired.

--- /dev/null
+++ b/src/document/check.rs
@@ -0,0 +1,94 @@
+//! Checks a raw document as a whole and resolves its names; lists every fault with its path.
+
+mod parts;
+mod reader;
+
+use super::checked::Document;
+use super::faults::{DocumentFaults, FaultKind, FaultPath};
+use super::raw::RawDocument;
+use reader::Reader;
+
+impl Document {
+    /// Reads and checks a document from JSON text.
+    ///
+    /// # Errors
+    ///
+    /// If anything in it is wrong; every fault is listed with its path.
+    pub fn parse(text: &str) -> Result<Self, DocumentFaults> {
+        Self::try_from(&RawDocument::read(text)?)
+    }
+}
+
+impl TryFrom<&RawDocument> for Document {
+    type Error = DocumentFaults;
+
+    fn try_from(raw: &RawDocument) -> Result<Self, DocumentFaults> {
+        let mut reader = Reader::default();
+        let document = read_all(&mut reader, raw);
+        match reader.into_faults() {
+            faults if faults.is_empty() => Ok(document),
+            faults => Err(DocumentFaults { faults }),
+        }
+    }
+}
+
+/// Reads every part. A part with a fault holds placeholders; the caller drops the whole then.
+fn read_all(reader: &mut Reader, raw: &RawDocument) -> Document {
+    let root = FaultPath::root();
+    let mut document = Document {
+        deployment: reader.label(&root.field("deployment"), &raw.deployment),
+        measure: parts::measure(reader, &raw.measure),
+        failure_domains: parts::failure_domains(reader, &raw.failure_domains),
+        host_classes: parts::host_classes(reader, &raw.host_classes),
+        models: parts::models(reader, &raw.models),
+        pools: Vec::new(),
+        latency_classes: parts::latency_classes(reader, &raw.latency_classes),
+        teams: Vec::new(),
+        operators: parts::operators(reader, &raw.operators),
+    };
+    document.pools = parts::pools(reader, &raw.pools, &document);
+    document.teams = parts::teams(reader, &raw.teams, &document);
+    check_tokens(reader, raw);
+    check_models_served(reader, raw, &document);
+    document
+}
+
+/// Two teams with one token could not be told apart, and an operator's token that is also a
+/// team's would let callers change the document.
+fn check_tokens(reader: &mut Reader, raw: &RawDocument) {
+    let teams = raw.teams.iter().enumerate().map(|(index, team)| {
+        let path = FaultPath::root().field("teams").index(index);
+        (team.token_sha256.shown(), path.field("token_sha256"))
+    });
+    let operators = raw.operators.iter().enumerate().map(|(index, operator)| {
+        let path = FaultPath::root().field("operators").index(index);
+        (operator.token_sha256.shown(), path.field("token_sha256"))
+    });
+    let mut seen: Vec<(String, FaultPath)> = Vec::new();
+    for (hash, path) in teams.chain(operators) {
+        let hash = hash.to_ascii_lowercase();
+        match seen.binary_search_by(|(held, _)| held.cmp(&hash)) {
+            _ if hash.is_empty() => {}
+            Ok(index) => {
+                let earlier = seen[index].1.clone();
+                reader.fault(path, FaultKind::DuplicateToken { earlier });
+            }
+            Err(index) => seen.insert(index, (hash, path)),
+        }
+    }
+}
+
+/// A model that nothing serves would be accepted from callers and never answered.
+fn check_models_served(reader: &mut Reader, raw: &RawDocument, document: &Document) {
+    for (index, model) in raw.models.iter().enumerate() {
+        let name = model.name.shown();
+        let served = match document.find_model(&name) {
+            Some(key) => document.pools.iter().any(|pool| pool.serves(key)),
+            None => true,
+        };
+        if !served {
+            let path = FaultPath::root().field("models").index(index);
+            reader.fault(path, FaultKind::UnservedModel);
+        }
+    }
+}
--- /dev/null
+++ b/src/document/tests.rs
@@ -0,0 +1,21 @@
+//! Tests of the document's checks that need no sample file.
+
+use super::Document;
+
+const KITAGAWA: &str = include_str!("../../sample_configs/valid/kitagawa.json");
+
+#[test]
+fn arenas_are_sorted_and_references_resolved() {
+    let document = Document::parse(KITAGAWA).unwrap();
+    let names: Vec<&str> = (document.failure_domains.iter())
+        .map(|domain| domain.name.as_str())
+        .collect();
+    let sorted = ["ishikari-hall", "otaru-vault", "sapporo-lab", "yoichi-annex"];
+    assert_eq!(names, sorted);
+    let archive = document.team(document.find_team("archive").unwrap());
+    let class = document.latency_class(archive.default_latency_class);
+    assert_eq!(class.name, "interactive");
+    let pool = document.pool(document.find_pool("frame-models").unwrap());
+    let otaru = document.find_failure_domain("otaru-vault").unwrap();
+    assert!(pool.hosts.contains(&(otaru, 5)));
+}
