feature: Read the settings and start the binary

Cause: nodes and client commands take their settings from flags and environment variables. Change: clap definitions by topic, checked Settings that list every fault, JSON log lines, and a thin main that checks documents and generates completions and manual pages. Conclusion: serve is wired to a stub until the node exists.

--- a/src/document/check/parts.rs
+++ b/src/document/check/parts.rs
@@ -46,10 +46,7 @@
 }
 
 /// Failure domains.
-pub(super) fn failure_domains(
-    reader: &mut Reader,
-    raw: &[RawFailureDomain],
-) -> Vec<FailureDomain> {
+pub(super) fn failure_domains(reader: &mut Reader, raw: &[RawFailureDomain]) -> Vec<FailureDomain> {
     let list = named_list(reader, "failure_domains", raw.iter().map(|raw| &raw.name));
     let mut domains = Vec::with_capacity(raw.len());
     for (index, raw) in raw.iter().enumerate() {
@@ -126,7 +123,10 @@
     let adapters = at("adapters");
     for (index, first) in repeats(raw.adapters.iter()) {
         let earlier = adapters.index(first);
-        reader.fault(adapters.index(index), FaultKind::DuplicateReference { earlier });
+        reader.fault(
+            adapters.index(index),
+            FaultKind::DuplicateReference { earlier },
+        );
     }
     let mut names = Vec::with_capacity(raw.adapters.len());
     for (index, adapter) in raw.adapters.iter().enumerate() {
@@ -184,8 +184,7 @@
             let find = |name: &str| document.find_model(name);
             PoolKind::Engine {
                 models: reader.references(&models, &engine.models, "models", find),
-                checks_orders: reader
-                    .boolean(&path.field("checks_orders"), &engine.checks_orders),
+                checks_orders: reader.boolean(&path.field("checks_orders"), &engine.checks_orders),
             }
         }
         RawPoolKind::Service(service) => {
@@ -193,11 +192,7 @@
             let timeout_ms = path.field("timeout_ms");
             PoolKind::Service {
                 idempotent: reader.boolean(&path.field("idempotent"), &service.idempotent),
-                timeout_ms: reader.integer(
-                    &timeout_ms,
-                    &service.timeout_ms,
-                    1..=MOST_DURATION_MS,
-                ),
+                timeout_ms: reader.integer(&timeout_ms, &service.timeout_ms, 1..=MOST_DURATION_MS),
             }
         }
     }
--- a/src/document/check/reader.rs
+++ b/src/document/check/reader.rs
@@ -89,23 +89,17 @@
         };
         match number.as_u64().map(T::try_from) {
             Some(Ok(read)) if range.contains(&read) => return read,
-            Some(_) => self.fault(path.clone(), out_of_range),
             None if number.is_f64() => {
                 let expected = ScalarKind::Integer;
                 self.fault(path.clone(), FaultKind::WrongKind { expected });
             }
-            None => self.fault(path.clone(), out_of_range),
+            _ => self.fault(path.clone(), out_of_range),
         }
         T::default()
     }
 
     /// Any finite number within bounds.
-    pub fn number(
-        &mut self,
-        path: &FaultPath,
-        value: &Scalar,
-        range: RangeInclusive<f64>,
-    ) -> f64 {
+    pub fn number(&mut self, path: &FaultPath, value: &Scalar, range: RangeInclusive<f64>) -> f64 {
         let read = match &value.0 {
             Value::Number(number) => number.as_f64().unwrap_or(f64::NAN),
             other => {
@@ -225,9 +219,9 @@
 }
 
 fn is_name(text: &str) -> bool {
-    let allowed = |byte: &u8| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-');
+    let allowed = |byte| matches!(byte, b'a'..=b'z' | b'0'..=b'9' | b'.' | b'_' | b'-');
     let begins_well = (text.bytes().next()).is_some_and(|byte| byte.is_ascii_alphanumeric());
-    begins_well && text.len() <= MOST_NAME_BYTES && text.as_bytes().iter().all(|b| allowed(b))
+    begins_well && text.len() <= MOST_NAME_BYTES && text.bytes().all(allowed)
 }
 
 fn is_label(text: &str) -> bool {
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -10,7 +10,12 @@
     let names: Vec<&str> = (document.failure_domains.iter())
         .map(|domain| domain.name.as_str())
         .collect();
-    let sorted = ["ishikari-hall", "otaru-vault", "sapporo-lab", "yoichi-annex"];
+    let sorted = [
+        "ishikari-hall",
+        "otaru-vault",
+        "sapporo-lab",
+        "yoichi-annex",
+    ];
     assert_eq!(names, sorted);
     let archive = document.team(document.find_team("archive").unwrap());
     let class = document.latency_class(archive.default_latency_class);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod audit;
 pub mod blackboard;
+pub mod client;
 pub mod console;
 pub mod document;
 pub mod entry;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,77 @@
-//! The binary.
-fn main() {}
+//! The binary: reads the settings and runs what they ask for.
+
+use std::io;
+use std::process::ExitCode;
+
+use miette::Diagnostic;
+use teaselline::client::commands;
+use teaselline::options::arguments::{self, EXIT_CODE_USAGE};
+use teaselline::options::{Action, ServeSettings, Settings};
+use teaselline::telemetry;
+use thiserror::Error;
+use tokio::runtime;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+#[derive(Debug, Error, Diagnostic)]
+enum ServeError {
+    #[error("cannot start the worker threads")]
+    Runtime(#[source] io::Error),
+    #[error("the node is not wired yet")]
+    NotWired,
+}
+
+fn main() -> ExitCode {
+    let matches = arguments::command().get_matches();
+    let settings = match Settings::try_from(&matches) {
+        Ok(settings) => settings,
+        Err(faults) => return report(faults, EXIT_CODE_USAGE),
+    };
+    telemetry::init_logging(settings.log_level);
+    match settings.action {
+        Action::Serve(settings) => serve(*settings),
+        action => command(action),
+    }
+}
+
+fn serve(settings: ServeSettings) -> ExitCode {
+    let ended = match start_runtime(settings.threads) {
+        Ok(runtime) => runtime.block_on(run_node(settings)),
+        Err(error) => Err(ServeError::Runtime(error)),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(error, 1),
+    }
+}
+
+fn command(action: Action) -> ExitCode {
+    match commands::run(action) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.exit_code();
+            report(error, code)
+        }
+    }
+}
+
+/// Stands in until the node is wired.
+async fn run_node(settings: ServeSettings) -> Result<(), ServeError> {
+    tokio::task::yield_now().await;
+    log::error!(name = settings.name; "the node is not wired yet");
+    Err(ServeError::NotWired)
+}
+
+fn start_runtime(threads: usize) -> io::Result<runtime::Runtime> {
+    runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+}
+
+/// Prints what went wrong and gives the exit code.
+fn report(error: impl Diagnostic + Send + Sync + 'static, code: u8) -> ExitCode {
+    eprintln!("{:?}", miette::Report::new(error));
+    ExitCode::from(code)
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,1 +1,15 @@
-//! Command line and settings.
+//! Command line and settings: arguments as given, then checked as a whole.
+
+pub mod arguments;
+pub mod generate;
+mod reader;
+pub mod secret;
+pub mod serve;
+pub mod settings;
+
+pub use secret::Secret;
+pub use serve::ServeSettings;
+pub use settings::{Action, ClientSettings, Settings, SettingsFault, SettingsFaults};
+
+#[cfg(test)]
+mod tests;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,1 +1,5 @@
 //! Logs and metrics.
+
+mod logging;
+
+pub use logging::init_logging;
