--- a/src/document/check/parts.rs
+++ b/src/document/check/parts.rs
@@ -8,9 +8,9 @@
 use crate::document::faults::{FaultKind, FaultPath};
 use crate::document::raw::{
     RawFailureDomain, RawHostClass, RawLatencyClass, RawMeasure, RawModel, RawOperator, RawPool,
-    RawPoolHosts, RawPoolKind, RawTeam,
+    RawPoolHosts, RawPoolKind, RawTeam, Scalar,
 };
-use crate::keys::{DomainKey, LatencyKey, ModelKey};
+use crate::keys::{DomainKey, LatencyKey};
 
 /// How far from 1 the weights may add up, for decimal fractions.
 const WEIGHTS_TOLERANCE: f64 = 1e-9;
@@ -308,21 +308,10 @@
     operators
 }
 
-impl Pool {
-    /// Whether its upstreams serve this model.
-    #[must_use]
-    pub fn serves(&self, model: ModelKey) -> bool {
-        match &self.kind {
-            PoolKind::Engine { models, .. } => models.binary_search(&model).is_ok(),
-            PoolKind::Service { .. } => false,
-        }
-    }
-}
-
 fn named_list<'a>(
     reader: &mut Reader,
     field: &str,
-    names: impl ExactSizeIterator<Item = &'a crate::document::raw::Scalar>,
+    names: impl ExactSizeIterator<Item = &'a Scalar>,
 ) -> FaultPath {
     let list = FaultPath::root().field(field);
     reader.entry_count(&list, names.len());
--- a/src/document/checked.rs
+++ b/src/document/checked.rs
@@ -205,3 +205,14 @@
     );
     arena!(teams, Team, TeamKey, team, find_team);
 }
+
+impl Pool {
+    /// Whether its upstreams serve this model.
+    #[must_use]
+    pub fn serves(&self, model: ModelKey) -> bool {
+        match &self.kind {
+            PoolKind::Engine { models, .. } => models.binary_search(&model).is_ok(),
+            PoolKind::Service { .. } => false,
+        }
+    }
+}
--- a/src/document/faults.rs
+++ b/src/document/faults.rs
@@ -220,7 +220,7 @@
     help("Correct each place that is listed; nothing of the document has been applied.")
 )]
 pub struct DocumentFaults {
-    /// The faults, in the order of the document.
+    /// The faults, in the order in which they were found.
     #[related]
     pub faults: Vec<Fault>,
 }
--- a/src/document/shape.rs
+++ b/src/document/shape.rs
@@ -9,33 +9,68 @@
     RawOperator, RawPool, RawTeam, Scalar,
 };
 
+/// Fields whose value is a list, sorted.
+const LIST_FIELDS: [&str; 9] = [
+    "adapters",
+    "failure_domains",
+    "host_classes",
+    "hosts",
+    "latency_classes",
+    "models",
+    "operators",
+    "pools",
+    "teams",
+];
+
 /// Reads a document.
 pub(super) fn read(text: &str) -> Result<RawDocument, DocumentFaults> {
     let value: Value = serde_json::from_str(text).map_err(|error| {
         let reason = error.to_string();
         DocumentFaults::one(FaultPath::root(), FaultKind::Syntax { reason })
     })?;
-    RawDocument::deserialize_value(&value).map_err(|whole| {
-        let faults = match faults_by_entry(&value) {
-            faults if faults.is_empty() => vec![whole],
-            faults => faults,
-        };
-        DocumentFaults { faults }
-    })
+    let mut faults = Vec::new();
+    find_stray_lists(&FaultPath::root(), &value, &mut faults);
+    // Read from the text, not from `value`, which keeps the last of two fields with one name: an
+    // operator who pasted a part twice would see one of them gone without a word.
+    match serde_json::from_str::<RawDocument>(text) {
+        Ok(document) if faults.is_empty() => Ok(document),
+        Ok(_) => Err(DocumentFaults { faults }),
+        Err(error) => {
+            faults.extend(faults_by_entry(&value));
+            if faults.is_empty() {
+                faults.push(shape(FaultPath::root(), error.to_string()));
+            }
+            Err(DocumentFaults { faults })
+        }
+    }
 }
 
-impl RawDocument {
-    fn deserialize_value(value: &Value) -> Result<Self, Fault> {
-        parse(FaultPath::root(), value)
+/// Finds lists where an object or a single value belongs.
+///
+/// serde takes a list for a struct and fills the fields in their order. A document written so
+/// would be accepted, and change its meaning when a field is added; so it is refused here.
+fn find_stray_lists(path: &FaultPath, value: &Value, faults: &mut Vec<Fault>) {
+    match value {
+        Value::Array(_) => faults.push(shape(path.clone(), "a list does not belong here")),
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                let path = path.field(name);
+                match value {
+                    Value::Array(items) if LIST_FIELDS.binary_search(&name.as_str()).is_ok() => {
+                        for (index, item) in items.iter().enumerate() {
+                            find_stray_lists(&path.index(index), item, faults);
+                        }
+                    }
+                    other => find_stray_lists(&path, other, faults),
+                }
+            }
+        }
+        _ => {}
     }
 }
 
 fn parse<T: DeserializeOwned>(path: FaultPath, value: &Value) -> Result<T, Fault> {
-    T::deserialize(value).map_err(|error| {
-        let reason = error.to_string();
-        let kind = FaultKind::Shape { reason };
-        Fault { path, kind }
-    })
+    T::deserialize(value).map_err(|error| shape(path, error.to_string()))
 }
 
 fn faults_by_entry(document: &Value) -> Vec<Fault> {
@@ -55,7 +90,7 @@
             "latency_classes" => entries::<RawLatencyClass>(&path, value),
             "teams" => entries::<RawTeam>(&path, value),
             "operators" => entries::<RawOperator>(&path, value),
-            _ => vec![unknown_section(path)],
+            _ => vec![shape(path, "a document has no such part")],
         });
     }
     faults
@@ -72,8 +107,8 @@
     }
 }
 
-fn unknown_section(path: FaultPath) -> Fault {
-    let reason = String::from("a document has no such part");
+fn shape(path: FaultPath, reason: impl Into<String>) -> Fault {
+    let reason = reason.into();
     let kind = FaultKind::Shape { reason };
     Fault { path, kind }
 }
--- a/src/document/tests.rs
+++ b/src/document/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the document's checks that need no sample file.
 
 use super::Document;
+use super::faults::{Fault, FaultKind, FaultPath};
+use super::raw::{RawDocument, RawFailureDomain};
 
 const KITAGAWA: &str = include_str!("../../sample_configs/valid/kitagawa.json");
 
@@ -24,3 +26,20 @@
     let otaru = document.find_failure_domain("otaru-vault").unwrap();
     assert!(pool.hosts.contains(&(otaru, 5)));
 }
+
+#[test]
+fn a_list_may_not_outgrow_its_keys() {
+    let mut raw = RawDocument::read(KITAGAWA).unwrap();
+    let domain = raw.failure_domains[0].clone();
+    raw.failure_domains.extend((0..65_536).map(|number| {
+        let name = format!("domain-{number}").into();
+        RawFailureDomain {
+            name,
+            ..domain.clone()
+        }
+    }));
+    let faults = Document::try_from(&raw).unwrap_err().faults;
+    let path = FaultPath::root().field("failure_domains");
+    let kind = FaultKind::TooMany { most: 65_535 };
+    assert_eq!(faults, vec![Fault { path, kind }]);
+}
