bug: Refuse lists that outgrow their keys before names are looked up

Cause: a list of more than 65,535 entries made the check panic while it resolved references. Change: lengths are checked first.

--- a/src/document/check.rs
+++ b/src/document/check.rs
@@ -24,6 +24,12 @@
 
     fn try_from(raw: &RawDocument) -> Result<Self, DocumentFaults> {
         let mut reader = Reader::default();
+        check_lengths(&mut reader, raw);
+        if reader.has_faults() {
+            return Err(DocumentFaults {
+                faults: reader.into_faults(),
+            });
+        }
         let document = read_all(&mut reader, raw);
         match reader.into_faults() {
             faults if faults.is_empty() => Ok(document),
@@ -32,6 +38,23 @@
     }
 }
 
+/// Positions in a longer list have no key, so nothing in it can be resolved; one would see a panic
+/// while names are looked up.
+fn check_lengths(reader: &mut Reader, raw: &RawDocument) {
+    let lengths = [
+        ("failure_domains", raw.failure_domains.len()),
+        ("host_classes", raw.host_classes.len()),
+        ("models", raw.models.len()),
+        ("pools", raw.pools.len()),
+        ("latency_classes", raw.latency_classes.len()),
+        ("teams", raw.teams.len()),
+        ("operators", raw.operators.len()),
+    ];
+    for (list, length) in lengths {
+        reader.length(&FaultPath::root().field(list), length);
+    }
+}
+
 /// Reads every part. A part with a fault holds placeholders; the caller drops the whole then.
 fn read_all(reader: &mut Reader, raw: &RawDocument) -> Document {
     let root = FaultPath::root();
--- a/src/document/check/parts.rs
+++ b/src/document/check/parts.rs
@@ -204,7 +204,7 @@
     raw: &[RawPoolHosts],
     document: &Document,
 ) -> Vec<(DomainKey, u16)> {
-    reader.entry_count(path, raw.len());
+    reader.not_empty(path, raw.len());
     for (index, first) in repeats(raw.iter().map(|raw| &raw.failure_domain)) {
         let earlier = path.index(first);
         let repeated = path.index(index).field("failure_domain");
@@ -314,7 +314,7 @@
     names: impl ExactSizeIterator<Item = &'a Scalar>,
 ) -> FaultPath {
     let list = FaultPath::root().field(field);
-    reader.entry_count(&list, names.len());
+    reader.not_empty(&list, names.len());
     reader.unique_names(&list, names);
     list
 }
--- a/src/document/check/reader.rs
+++ b/src/document/check/reader.rs
@@ -34,6 +34,11 @@
         self.faults
     }
 
+    /// Whether there are any.
+    pub fn has_faults(&self) -> bool {
+        !self.faults.is_empty()
+    }
+
     /// Notes a fault.
     pub fn fault(&mut self, path: FaultPath, kind: FaultKind) {
         self.faults.push(Fault { path, kind });
@@ -127,15 +132,18 @@
         [0; 32]
     }
 
-    /// A list with an entry at least and no more than there are keys.
-    pub fn entry_count(&mut self, path: &FaultPath, count: usize) {
-        match count {
-            0 => self.fault(path.clone(), FaultKind::Empty),
-            1..=MOST_ENTRIES => {}
-            _ => {
-                let most = MOST_ENTRIES;
-                self.fault(path.clone(), FaultKind::TooMany { most });
-            }
+    /// A list with no more entries than there are keys.
+    pub fn length(&mut self, path: &FaultPath, count: usize) {
+        if count > MOST_ENTRIES {
+            let most = MOST_ENTRIES;
+            self.fault(path.clone(), FaultKind::TooMany { most });
+        }
+    }
+
+    /// A list with an entry at least.
+    pub fn not_empty(&mut self, path: &FaultPath, count: usize) {
+        if count == 0 {
+            self.fault(path.clone(), FaultKind::Empty);
         }
     }
 
@@ -156,7 +164,7 @@
         list: &'static str,
         find: impl Fn(&str) -> Option<K>,
     ) -> Vec<K> {
-        self.entry_count(path, names.len());
+        self.not_empty(path, names.len());
         for (index, first) in repeats(names.iter()) {
             let earlier = path.index(first);
             self.fault(path.index(index), FaultKind::DuplicateReference { earlier });
