--- a/src/peers/keepalive.rs
+++ b/src/peers/keepalive.rs
@@ -1,17 +1,19 @@
 //! When to ask a silent peer whether it is alive, and when to give it up.
 
-/// A peer is asked once it has been silent for this part of the silence that it is allowed.
-const ASK_AFTER: u64 = 4;
+/// A used connection is looked at this often within the silence that is allowed.
+const LOOKS: u64 = 8;
+
+/// Looks without a sign of life after which the peer is asked for one.
+const LOOKS_BEFORE_ASKING: u64 = 2;
 
 /// Decides over one connection; all times are milliseconds since the connection was made.
 #[derive(Debug)]
 pub(super) struct Keepalive {
     silence_timeout_ms: u64,
-    /// Silence before this doesn't count.
-    counts_from_ms: u64,
-    /// When [`Keepalive::step`] asked to be called again.
-    due_ms: u64,
-    asked_ms: Option<u64>,
+    looked_ms: u64,
+    heard_ms: u64,
+    silent_ms: u64,
+    asked: bool,
     idle: bool,
 }
 
@@ -32,9 +34,10 @@
     pub(super) fn new(silence_timeout_ms: u64) -> Self {
         Self {
             silence_timeout_ms,
-            counts_from_ms: 0,
-            due_ms: 0,
-            asked_ms: None,
+            looked_ms: 0,
+            heard_ms: 0,
+            silent_ms: 0,
+            asked: false,
             idle: true,
         }
     }
@@ -44,36 +47,35 @@
     /// An unused connection is left alone: asking on each of 339 of them twice a second would by
     /// itself cost more than a node may spend on control.
     ///
-    /// When this node itself was paused, the peer's bytes lie unread in the socket while this timer
-    /// runs out. One would see every stream of a resumed node fail at once. So a call that comes
-    /// far too late starts the silence anew.
+    /// When this node itself was paused, the peer's bytes lie unread in the socket when its timer
+    /// fires. One would see every stream of a resumed node fail at once. Silence is therefore added
+    /// up over looks, and a look that comes late adds no more than two that came in time: between
+    /// asking and giving up there were always several chances to read the answer.
     pub(super) fn step(&mut self, now_ms: u64, heard_ms: u64, used: bool) -> Step {
         let was_idle = std::mem::replace(&mut self.idle, !used);
-        if !used {
-            return Step::Idle;
-        }
-        let ask_after_ms = self.silence_timeout_ms / ASK_AFTER;
-        let late = now_ms > self.due_ms.saturating_add(ask_after_ms);
-        if was_idle || late {
-            self.counts_from_ms = now_ms;
-            self.asked_ms = None;
-        }
-        let silent_from_ms = heard_ms.max(self.counts_from_ms);
-        let silent_ms = now_ms.saturating_sub(silent_from_ms);
-        let asked = self.asked_ms.is_some_and(|asked| asked >= silent_from_ms);
-        let step = match silent_ms {
-            ms if ms >= self.silence_timeout_ms => return Step::GiveUp,
-            ms if ms < ask_after_ms => Step::Wait(ask_after_ms - ms),
-            ms if asked => Step::Wait(self.silence_timeout_ms - ms),
-            ms => {
-                self.asked_ms = Some(now_ms);
-                Step::Ask(self.silence_timeout_ms - ms)
-            }
+        let look_ms = (self.silence_timeout_ms / LOOKS).max(1);
+        let since_look_ms = now_ms.saturating_sub(self.looked_ms).min(2 * look_ms);
+        // Compared with what was known, not with the time of the last look: the answer may come
+        // within the millisecond in which it is asked for.
+        let heard = heard_ms != self.heard_ms;
+        self.heard_ms = heard_ms;
+        self.looked_ms = now_ms;
+        self.silent_ms = match self.silent_ms {
+            _ if !used || was_idle || heard => 0,
+            silent_ms => silent_ms + since_look_ms,
         };
-        let (Step::Wait(ms) | Step::Ask(ms)) = step else {
-            return step;
-        };
-        self.due_ms = now_ms + ms;
-        step
+        self.asked &= self.silent_ms > 0;
+        match self.silent_ms {
+            _ if !used => Step::Idle,
+            ms if ms >= self.silence_timeout_ms => Step::GiveUp,
+            ms if ms >= LOOKS_BEFORE_ASKING * look_ms && !self.asked => {
+                self.asked = true;
+                Step::Ask(look_ms)
+            }
+            _ => Step::Wait(look_ms),
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -278,10 +278,13 @@
 
 #[tokio::test]
 async fn a_slow_handler_on_a_live_connection_is_not_taken_for_silence() {
-    let settings = Settings::default().with_silence_timeout_ms(100);
+    let settings = Settings::default().with_silence_timeout_ms(200);
     let node = node_behind(None, settings).await;
     let peers = connections(key()).with_settings(settings);
-    let error = peers.call(node.address, Ask::Hang, 600).await.unwrap_err();
+    let error = peers
+        .call(node.address, Ask::Hang, 1_000)
+        .await
+        .unwrap_err();
     assert!(error.is_timed_out(), "{error:?}");
 }
 
