feature: Read the platform's log, cloud and configuration

Cause: nodes need the configuration, the host list and notices from the platform, whose answers can be lost after they took effect.

--- /dev/null
+++ b/src/platform/follower/tests.rs
@@ -0,0 +1,94 @@
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::{Fold, Followed, Follower, Gap};
+use crate::platform::fakes::FakeLog;
+use crate::platform::log::{Log, NewRecord, Record};
+use crate::time::{Clock, TimeMs};
+
+const STREAM: &str = "configuration";
+
+#[derive(Debug, Default)]
+struct Seen {
+    offsets: Vec<u64>,
+    gaps: Vec<(u64, u64)>,
+}
+
+impl Fold for Seen {
+    fn apply(&mut self, record: &Record) {
+        self.offsets.push(record.offset);
+    }
+
+    fn skip(&mut self, gap: &Gap) {
+        self.gaps.push((gap.wanted, gap.first));
+    }
+}
+
+async fn append(log: &FakeLog, sequence: u64) {
+    let record = NewRecord {
+        writer: "w".to_owned(),
+        sequence,
+        payload: String::new(),
+    };
+    log.append(STREAM, &record).await.expect("the log is up");
+}
+
+fn follow(log: &FakeLog) -> (Arc<Followed<Seen>>, tokio::task::JoinHandle<()>) {
+    let followed = Followed::new(Seen::default());
+    let reader = Follower::new(
+        Arc::new(log.clone()),
+        STREAM,
+        Arc::clone(&followed),
+        Clock::new(),
+        SmallRng::seed_from_u64(1),
+    );
+    let task = tokio::spawn(reader.wait_ms(50).run());
+    (followed, task)
+}
+
+/// Symptom: a node shows old state and does not say so. The log is out for a while and records
+/// come after it. Cause: reads fail; the follower must take up where it stopped.
+#[tokio::test]
+async fn goes_on_after_an_outage_where_it_stopped() {
+    let log = FakeLog::new();
+    append(&log, 1).await;
+    let (followed, task) = follow(&log);
+    followed.wait_applied(1).await;
+    log.set_out(true);
+    tokio::time::sleep(std::time::Duration::from_millis(120)).await;
+    let stale_from = followed.caught_up_as_of_ms();
+    log.set_out(false);
+    append(&log, 2).await;
+    followed.wait_applied(2).await;
+    task.abort();
+    assert_eq!(followed.with(|seen| seen.offsets.clone()), [1, 2]);
+    assert!(stale_from.is_some());
+}
+
+/// Symptom: state is wrong after a long outage. The log forgot records before they were read.
+/// Cause: limited retention; the fold must hear of the gap before the next record.
+#[tokio::test]
+async fn tells_the_fold_of_records_that_are_gone() {
+    let log = FakeLog::new();
+    for sequence in 1..=5 {
+        append(&log, sequence).await;
+    }
+    log.expire_before(STREAM, 4);
+    let (followed, task) = follow(&log);
+    followed.wait_applied(5).await;
+    task.abort();
+    let seen = followed.with(std::mem::take);
+    assert_eq!((seen.gaps, seen.offsets), (vec![(1, 4)], vec![4, 5]));
+}
+
+#[tokio::test]
+async fn is_not_caught_up_before_the_first_answer() {
+    let log = FakeLog::new();
+    log.set_out(true);
+    let (followed, task) = follow(&log);
+    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    task.abort();
+    assert_eq!(followed.stale_ms(TimeMs(u64::MAX)), None);
+}
--- /dev/null
+++ b/src/platform/http/tests.rs
@@ -0,0 +1,95 @@
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use url::Url;
+
+use super::{CallError, JsonClient, LostCause};
+
+/// Serves one connection: reads the request, writes `answer` and closes.
+async fn answer_once(answer: &'static str) -> JsonClient {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client comes");
+        let mut request = Vec::new();
+        while !request.ends_with(b"\"question\"") {
+            let read = stream.read_buf(&mut request).await.expect("a request");
+            assert!(read > 0, "the client sends the whole request");
+        }
+        stream.write_all(answer.as_bytes()).await.expect("a reader");
+    });
+    client(&format!("http://{address}/"))
+}
+
+fn client(base: &str) -> JsonClient {
+    let base = Url::parse(base).expect("a URL");
+    JsonClient::new(base).answer_timeout_ms(2_000)
+}
+
+async fn post(client: &JsonClient) -> CallError {
+    let url = client.url(&["v1", "purchases"]);
+    let answer = client.post::<u32>(&url, &"question").await;
+    answer.expect_err("the call fails")
+}
+
+#[tokio::test]
+async fn a_refused_connection_took_no_effect() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    drop(listener);
+    let error = post(&client(&format!("http://{address}"))).await;
+    assert!(matches!(error, CallError::NotSent { .. }));
+    assert!(!error.is_unknown());
+}
+
+/// Symptom: a host is bought twice. The cloud takes the order and dies before it answers. Cause:
+/// the client takes the closed connection for a refusal.
+#[tokio::test]
+async fn a_connection_closed_after_sending_may_have_taken_effect() {
+    let error = post(&answer_once("").await).await;
+    assert!(matches!(
+        error,
+        CallError::Lost {
+            source: LostCause::Connection(_),
+            ..
+        }
+    ));
+    assert!(error.is_unknown());
+}
+
+#[tokio::test]
+async fn a_body_that_breaks_off_may_have_taken_effect() {
+    let client = answer_once("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n12").await;
+    let error = post(&client).await;
+    assert!(matches!(
+        error,
+        CallError::Lost {
+            source: LostCause::Body(_),
+            ..
+        }
+    ));
+}
+
+#[tokio::test]
+async fn a_refusal_says_why_and_when_to_come_back() {
+    let client = answer_once(
+        "HTTP/1.1 429 Too Many Requests\r\ncontent-length: 38\r\n\r\n\
+         {\"error\":\"rate\",\"retry_after_ms\":1500}",
+    )
+    .await;
+    let error = post(&client).await;
+    assert_eq!(error.retry_after_ms(), Some(1_500));
+    assert_eq!(error.status().map(|status| status.as_u16()), Some(429));
+    assert!(!error.is_unknown());
+}
+
+#[tokio::test]
+async fn a_gateway_s_refusal_may_have_taken_effect() {
+    let client = answer_once("HTTP/1.1 504 Gateway Timeout\r\ncontent-length: 0\r\n\r\n").await;
+    assert!(post(&client).await.is_unknown());
+}
+
+#[test]
+fn path_segments_are_encoded() {
+    let url = client("http://10.0.0.7:8400/").url(&["v1", "hosts", "a/b c"]);
+    assert_eq!(url.as_str(), "http://10.0.0.7:8400/v1/hosts/a%2Fb%20c");
+}
