feature: Plan the streams of hosts under notice

Cause: an announced reclaim must cut no stream and should compute few tokens again. Change: a pure plan lets streams finish, moves KV caches within the notice, or computes the context ahead on a target and switches shortly before the host leaves.

--- /dev/null
+++ b/src/reclaim/tests.rs
@@ -0,0 +1,206 @@
+//! Tests of single decisions.
+
+use super::*;
+use crate::keys::{DomainKey, HostKey, Incarnation, ModelKey};
+
+const NOW: TimeMs = TimeMs(1_000_000);
+const LEAVING: HostKey = HostKey(1);
+const KV_BYTES_PER_TOKEN: u64 = 100_000;
+
+fn notice(leave_in_ms: u64) -> Notice {
+    Notice {
+        host: LEAVING,
+        domain: DomainKey(0),
+        leave_at_ms: NOW.after(leave_in_ms),
+        kv_bytes_per_second: 1e9,
+        streams_in_all: 0,
+    }
+}
+
+fn stream(key: u32, prompt_tokens: u32, remaining_tokens_max: u32) -> StreamOnHost {
+    StreamOnHost {
+        stream: StreamKey(key),
+        host: LEAVING,
+        model: ModelKey(0),
+        prompt_tokens,
+        generated_tokens: 0,
+        remaining_tokens_max,
+        tokens_per_second: 20.0,
+        priority: 7,
+        idempotent: true,
+        kv_bytes: u64::from(prompt_tokens) * KV_BYTES_PER_TOKEN,
+        cached_on: None,
+        progress: Progress::Running,
+    }
+}
+
+fn target(host: u64, domain: u16, free_slots: u32) -> Target {
+    Target {
+        host: HostKey(host),
+        domain: DomainKey(domain),
+        models: vec![ModelKey(0)],
+        free_slots,
+        queued: 0,
+        kv_tokens_free: 1_000_000,
+        kv_bytes_per_second: 1e9,
+        prefill_tokens_per_second: 10_000.0,
+    }
+}
+
+fn actions(notices: &[Notice], streams: &[StreamOnHost], targets: &[Target]) -> Vec<Move> {
+    let view = ReclaimView {
+        node: Incarnation(7),
+        notices,
+        streams,
+        targets,
+        settings: Settings::default(),
+    };
+    let plan = plan(&view, NOW);
+    plan.moves.iter().map(|decided| decided.action).collect()
+}
+
+#[test]
+fn a_stream_that_ends_in_time_stays() {
+    let moves = actions(
+        &[notice(10_000)],
+        &[stream(0, 100, 100)],
+        &[target(2, 1, 4)],
+    );
+    assert_eq!(moves, [Move::Finish]);
+}
+
+#[test]
+fn a_cache_that_fits_the_link_moves_at_once() {
+    let moves = actions(
+        &[notice(10_000)],
+        &[stream(0, 4_000, 2_000)],
+        &[target(2, 1, 4)],
+    );
+    let expected = Move::Export {
+        target: HostKey(2),
+        start_at_ms: NOW,
+        // 400 ms out, 400 ms in, 20 ms of overhead, and half of that as slack.
+        give_up_at_ms: NOW.after(820 + 410),
+    };
+    assert_eq!(moves, [expected]);
+}
+
+#[test]
+fn exports_queue_on_the_link_and_the_rest_is_recomputed() {
+    let streams: Vec<_> = (0..6).map(|key| stream(key, 4_000, 2_000)).collect();
+    let targets = [target(2, 1, 4), target(3, 2, 4)];
+    let moves = actions(&[notice(2_000)], &streams, &targets);
+    let exports = moves.iter().filter(|m| matches!(m, Move::Export { .. }));
+    let recomputes = moves.iter().filter_map(|m| match m {
+        Move::Recompute {
+            warm_at_ms: Some(warm_at_ms),
+            start_at_ms,
+            queued: false,
+            ..
+        } => Some((*warm_at_ms, *start_at_ms)),
+        _ => None,
+    });
+    let recomputes: Vec<_> = recomputes.collect();
+    // 1,800 ms hold three exports of 400 ms, each followed by its import of 420 ms.
+    assert_eq!((exports.count(), recomputes.len()), (3, 3));
+    for (warm_at_ms, start_at_ms) in recomputes {
+        assert_eq!(start_at_ms, NOW.after(2_000 - 200 - 150));
+        assert!(warm_at_ms < start_at_ms.after(0) && start_at_ms.since(warm_at_ms) >= 400);
+    }
+}
+
+#[test]
+fn a_link_shared_with_other_nodes_is_used_by_share() {
+    let shared = Notice {
+        streams_in_all: 4,
+        ..notice(2_000)
+    };
+    let moves = actions(&[shared], &[stream(0, 4_000, 2_000)], &[target(2, 1, 8)]);
+    // A quarter of the link moves the cache in 1,600 ms: too long to stand still.
+    assert!(matches!(moves[0], Move::Recompute { .. }), "{moves:?}");
+}
+
+#[test]
+fn a_call_that_may_not_run_twice_is_exported_before_others_or_runs_out() {
+    let once = StreamOnHost {
+        idempotent: false,
+        ..stream(9, 4_000, 2_000)
+    };
+    let streams = [stream(0, 4_000, 2_000), once];
+    let moves = actions(&[notice(1_100)], &streams, &[target(2, 1, 4)]);
+    assert!(matches!(moves[0], Move::Recompute { .. }), "{moves:?}");
+    assert!(matches!(
+        moves[1],
+        Move::Export {
+            start_at_ms: NOW,
+            ..
+        }
+    ));
+    let moves = actions(&[notice(600)], &streams, &[target(2, 1, 4)]);
+    assert_eq!(moves[1], Move::RunOut);
+}
+
+#[test]
+fn batch_waits_when_interactive_work_needs_the_room() {
+    let batch = StreamOnHost {
+        priority: 1,
+        ..stream(0, 1_000, 2_000)
+    };
+    let streams = [batch, stream(1, 1_000, 2_000), stream(2, 1_000, 2_000)];
+    let moves = actions(&[notice(10_000)], &streams, &[target(2, 1, 1)]);
+    assert!(matches!(moves[0], Move::Wait { .. }), "{moves:?}");
+    let placed = |m: &Move| {
+        matches!(
+            m,
+            Move::Export { .. } | Move::Recompute { queued: false, .. }
+        )
+    };
+    let queued = |m: &Move| matches!(m, Move::Recompute { queued: true, .. });
+    assert_eq!(moves.iter().filter(|m| placed(m)).count(), 1);
+    assert_eq!(moves.iter().filter(|m| queued(m)).count(), 1);
+}
+
+#[test]
+fn an_export_that_hangs_is_given_up_in_time() {
+    // Symptom: a stream stands still until its host is gone. Sequence: its export is asked for,
+    // the engine never ends it. Cause: nobody looked whether the export took longer than planned.
+    let hanging = |started_ms_ago| StreamOnHost {
+        progress: Progress::Exporting {
+            target: HostKey(2),
+            started_at_ms: TimeMs(NOW.0 - started_ms_ago),
+        },
+        ..stream(0, 4_000, 2_000)
+    };
+    let targets = [target(2, 1, 4)];
+    let moves = actions(&[notice(10_000)], &[hanging(1_000)], &targets);
+    assert!(matches!(moves[0], Move::Export { .. }), "{moves:?}");
+    let moves = actions(&[notice(10_000)], &[hanging(1_300)], &targets);
+    let at_once = Move::Recompute {
+        target: HostKey(2),
+        warm_at_ms: None,
+        start_at_ms: NOW,
+        queued: false,
+    };
+    assert_eq!(moves, [at_once]);
+}
+
+#[test]
+fn a_domain_in_a_wave_is_the_last_resort() {
+    let second = Notice {
+        host: HostKey(5),
+        ..notice(10_000)
+    };
+    let targets = [target(2, 0, 50), target(3, 1, 1), target(5, 0, 50)];
+    let streams = [stream(0, 1_000, 2_000), stream(1, 1_000, 2_000)];
+    let moves = actions(&[notice(10_000), second], &streams, &targets);
+    let mut hosts: Vec<HostKey> = moves.iter().filter_map(target_of).collect();
+    hosts.sort_unstable();
+    assert_eq!(hosts, [HostKey(2), HostKey(3)]);
+}
+
+fn target_of(action: &Move) -> Option<HostKey> {
+    match action {
+        Move::Export { target, .. } | Move::Recompute { target, .. } => Some(*target),
+        Move::Finish | Move::Wait { .. } | Move::RunOut => None,
+    }
+}
