test: Check properties of reclaim plans, and share scarce room by rank

Cause: 40 nodes with one stale view put 13 streams on a target with 10 slots although a fifth of all slots was free, since each rounded its part of the room at random.

--- a/src/reclaim/rates.rs
+++ b/src/reclaim/rates.rs
@@ -35,12 +35,6 @@
     count as f64
 }
 
-/// A number in `0.0..1.0` from the top bits of a hash.
-#[must_use]
-pub(super) fn unit(hash: u64) -> f64 {
-    float(hash >> 12) / float(1 << 52)
-}
-
 /// A well-mixed hash of two words (the finalizer of `SplitMix64`).
 #[must_use]
 pub(super) fn mix(a: u64, b: u64) -> u64 {
--- a/src/reclaim/room.rs
+++ b/src/reclaim/room.rs
@@ -1,7 +1,7 @@
 //! Room on the hosts that take streams over, and which of them a stream looks at.
 
 use super::links::SourceLinks;
-use super::rates::{float, mix, unit, whole};
+use super::rates::{float, mix, whole};
 use super::view::{ReclaimView, StreamOnHost, Target};
 use crate::keys::{DomainKey, HostKey, ModelKey};
 use crate::time::TimeMs;
@@ -9,6 +9,9 @@
 /// Targets that a stream draws before it takes the best of them.
 const DRAWS: u64 = 6;
 
+/// Its multiples spread most evenly over 0 to 1.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+
 /// Hosts under notice from which on a failure domain may be in a wave.
 const WAVE_HOSTS_MIN: usize = 2;
 
@@ -65,12 +68,13 @@
 impl<'a> Room<'a> {
     pub(super) fn new(view: &'a ReclaimView<'a>, links: &SourceLinks<'_>) -> Self {
         let waves = domains_in_wave(view);
-        let rows = view.targets.iter().map(|target| {
+        let turns = turns(view.node_rank, view.nodes);
+        let rows = view.targets.iter().zip(turns).map(|(target, turn)| {
             let slots = f64::from(target.free_slots) * links.part;
             Row {
                 under_notice: view.notice(target.host).is_some(),
                 in_wave: waves.binary_search(&target.domain).is_ok(),
-                part_slots: round_by_hash(slots, mix(view.node.0, target.host.0)),
+                part_slots: round_by_turn(slots, turn),
                 part_kv_tokens: whole(float(target.kv_tokens_free) * links.part),
                 slots: target.free_slots,
                 kv_tokens: target.kv_tokens_free,
@@ -261,12 +265,23 @@
     waves.map(|group| group[0]).collect()
 }
 
-/// Rounds down or up by a hash, so that over many nodes the sum is right.
+/// This node's turn on each target, from 0 to 1, evenly spread over targets and over nodes.
+///
+/// Steps of the golden ratio spread a node's turns over targets, its rank spreads the nodes' turns
+/// on one target.
+fn turns(node_rank: u32, nodes: u32) -> impl Iterator<Item = f64> {
+    let first = f64::from(node_rank) / f64::from(nodes.max(1));
+    (0_u32..).map(move |index| (first + f64::from(index) * GOLDEN_RATIO).fract())
+}
+
+/// Rounds down or up by turn, so that over all nodes the sum is right.
 ///
-/// With a ninth of four slots each, nine nodes that all round down use none of them.
-fn round_by_hash(amount: f64, hash: u64) -> u32 {
+/// With a ninth of four slots each, nine nodes that all round down use none of them; rounding at
+/// random gives some targets to too many nodes. Either way one would see full and empty targets
+/// side by side after a wave.
+fn round_by_turn(amount: f64, turn: f64) -> u32 {
     let below = amount.floor();
-    let up = u64::from(unit(hash) < amount - below);
+    let up = u64::from(turn < amount - below);
     u32::try_from(whole(below) + up).unwrap_or(u32::MAX)
 }
 
--- a/src/reclaim/tests.rs
+++ b/src/reclaim/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of single decisions.
 
+mod properties;
+
 use super::*;
 use crate::keys::{DomainKey, HostKey, Incarnation, ModelKey};
 
@@ -50,6 +52,8 @@
 fn actions(notices: &[Notice], streams: &[StreamOnHost], targets: &[Target]) -> Vec<Move> {
     let view = ReclaimView {
         node: Incarnation(7),
+        node_rank: 0,
+        nodes: 1,
         notices,
         streams,
         targets,
@@ -204,3 +208,32 @@
         Move::Finish | Move::Wait { .. } | Move::RunOut => None,
     }
 }
+
+#[test]
+fn nodes_with_the_same_view_do_not_herd_on_one_target() {
+    // Symptom: after a wave one host has a long queue while others are empty. Sequence: many nodes
+    // plan from the same load reports, each for its own streams. Cause: all take the best target.
+    let notices = [Notice {
+        streams_in_all: 320,
+        ..notice(10_000)
+    }];
+    let streams: Vec<_> = (0..8).map(|key| stream(key, 1_000, 2_000)).collect();
+    let targets: Vec<_> = (0..40).map(|host| target(100 + host, 1, 10)).collect();
+    let mut booked = vec![0_u32; targets.len()];
+    for node in 0..40_u32 {
+        let view = ReclaimView {
+            node: Incarnation(u64::from(node)),
+            node_rank: node,
+            nodes: 40,
+            notices: &notices,
+            streams: &streams,
+            targets: &targets,
+            settings: Settings::default(),
+        };
+        let plan = plan(&view, NOW);
+        let hosts = plan.moves.iter().filter_map(|m| target_of(&m.action));
+        hosts.for_each(|host| booked[usize::try_from(host.0 - 100).expect("small")] += 1);
+    }
+    assert_eq!(booked.iter().sum::<u32>(), 320);
+    assert!(booked.iter().all(|streams| *streams <= 10), "{booked:?}");
+}
--- a/src/reclaim/view.rs
+++ b/src/reclaim/view.rs
@@ -151,8 +151,13 @@
 /// What a plan is made from.
 #[derive(Clone, Copy, Debug)]
 pub struct ReclaimView<'a> {
-    /// This node; it decides which part of scarce room is this node's.
+    /// This node; it makes its draws differ from those of other nodes.
     pub node: Incarnation,
+    /// This node's place among the live nodes in the order of incarnations, from 0; it decides
+    /// which part of scarce room is this node's. Nodes that count differently only share worse.
+    pub node_rank: u32,
+    /// The live nodes, this one included.
+    pub nodes: u32,
     /// Hosts under notice, sorted by host; kept until none of this node's streams is left on them.
     pub notices: &'a [Notice],
     /// Streams of this node; those on hosts without notice are passed over.
