feature: Add stand-ins for engine, plain service, log and cloud

The tests, examples and measurements need the outside systems in-process, with their faults switched at run time and with a record of what was executed.

--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Stand-ins for the outside systems.
+//! Stand-ins for the outside systems of `docs/design/protocols.md`, for tests and measurements.
+//!
+//! Each one is an HTTP/1.1 server inside the calling process. Its handle changes the faults at run
+//! time and tells what was executed; dropping the handle stops the server and cuts its connections.
+
+pub mod cloud;
+pub mod engine;
+pub mod log;
+mod number;
+mod server;
+pub mod service;
+
+pub use cloud::{Cloud, CloudSettings};
+pub use engine::{Engine, EngineSettings};
+pub use log::{Log, LogSettings};
+pub use server::now_ms;
+pub use service::{Service, ServiceSettings};
--- /dev/null
+++ b/stand_ins/tests/stand_ins/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the stand-ins over their protocols.
+
+mod client;
+mod cloud;
+mod engine;
+mod log;
+mod service;
