feature: Run requests through attempts, moves, losses and handover

Cause: a request has to survive the loss of its upstream, its home and its caller's connection. Change: the request core: home, witness, heir and adopter; follow an answer over nodes by position.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -83,16 +83,6 @@
     pub load: LoadReport,
     /// Streams that this node has open on it.
     pub open_here: u32,
-    /// When this node last failed to reach it, until it answers again.
-    pub failing_since_ms: Option<TimeMs>,
-}
-
-impl HostRow {
-    /// Whether it may be given new work.
-    #[must_use]
-    pub fn may_get_work(&self) -> bool {
-        self.state == HostState::Live && self.failing_since_ms.is_none()
-    }
 }
 
 /// State that collectors write and controllers read.
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -39,7 +39,12 @@
             Request::Settle { id, call, from } => self.answer_settle(id, call.as_deref(), from),
             Request::Cancel { id } => self.answer_cancel(&id),
             Request::Witness { witness, told } => Answer::Reply(self.answer_witness(witness, told)),
-            Request::Inherit { heir, home, copies, farewell } if heir == self.own => {
+            Request::Inherit {
+                heir,
+                home,
+                copies,
+                farewell,
+            } if heir == self.own => {
                 self.inherit(home, copies, farewell);
                 Answer::Reply(Reply::Done)
             }
@@ -96,8 +101,14 @@
         }
         let now = self.clock.now();
         let keep = |told: Told| match told {
-            Told { copy, wants_consent: true } => self.witness.consent(copy, now),
-            Told { copy, wants_consent: false } => {
+            Told {
+                copy,
+                wants_consent: true,
+            } => self.witness.consent(copy, now),
+            Told {
+                copy,
+                wants_consent: false,
+            } => {
                 self.witness.keep(copy);
                 true
             }
--- a/src/requests/call.rs
+++ b/src/requests/call.rs
@@ -72,7 +72,7 @@
                 model,
                 prompt,
                 max_tokens,
-                seed: _,
+                ..
             } => {
                 feed(b"completion");
                 feed(model.as_bytes());
--- /dev/null
+++ b/src/requests/completion.rs
@@ -0,0 +1,561 @@
+//! Runs one model request through its attempts, moves and losses to a whole answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::core::{Core, Right};
+use super::dispatch::{Tried, delivery, latency_class, no_upstream, past_deadline};
+use super::links::Links;
+use super::outcome::{Doubt, Failure, Finish};
+use super::record::{Order, Place};
+use super::{Outcome, Record, Verdict, Work};
+use crate::keys::HostKey;
+use crate::routing::NoRoute;
+use crate::upstreams::{
+    self, Delivery, EngineEvent, Engines, EventStream, Import, StartStream, UpstreamError,
+};
+
+/// Between two tries to reach the engine of a stream that broke.
+const REATTACH_PAUSE_MS: u64 = 100;
+
+/// Tries to reach it while the request may go elsewhere instead.
+const REATTACH_TRIES: u32 = 2;
+
+/// Tries to reach it where there is nowhere else to go.
+const LAST_REATTACH_TRIES: u32 = 50;
+
+/// Pause before looking for a host again while none may be given the stream.
+const NO_ROUTE_PAUSE_MS: u64 = 100;
+
+/// How often the witness is told of new tokens.
+///
+/// It needs them only if home and upstream are lost together; the upstream itself keeps the rest.
+const TELL_TOKENS: u64 = 64;
+
+/// Runs a record to its outcome, or to `None` when another node has taken it over.
+pub(super) async fn run<L: Links>(
+    core: Arc<Core<L>>,
+    record: Arc<Record>,
+    right: Right,
+) -> Option<Outcome> {
+    let run = Run {
+        core,
+        record,
+        right,
+        tried: Tried::default(),
+        told: 0,
+        active: None,
+        next: None,
+    };
+    run.drive().await
+}
+
+type Events<L> = <<L as Links>::Engines as Engines>::Events;
+
+/// An attempt that streams.
+struct Attempt<E> {
+    place: Place,
+    name: String,
+    events: E,
+}
+
+struct Run<L: Links> {
+    core: Arc<Core<L>>,
+    record: Arc<Record>,
+    right: Right,
+    tried: Tried,
+    /// The position up to which the witness has been told.
+    told: u64,
+    active: Option<Attempt<Events<L>>>,
+    /// The attempt that is to take over from the active one.
+    next: Option<Attempt<Events<L>>>,
+}
+
+/// Whether to go on.
+enum Flow {
+    Go,
+    End(Outcome),
+    Moved,
+}
+
+/// What woke the run.
+enum Wake {
+    Order(Order),
+    Active(Option<Result<EngineEvent, UpstreamError>>),
+    Next(Option<Result<EngineEvent, UpstreamError>>),
+    Deadline,
+}
+
+impl<L: Links> Run<L> {
+    async fn drive(mut self) -> Option<Outcome> {
+        loop {
+            let flow = match &self.active {
+                None => self.begin().await,
+                Some(_) => match self.wake().await {
+                    Wake::Order(order) => self.obey(order).await,
+                    Wake::Active(event) => self.on_active(event).await,
+                    Wake::Next(event) => self.on_next(event).await,
+                    Wake::Deadline => Flow::End(past_deadline(&self.record)),
+                },
+            };
+            match flow {
+                Flow::Go => {}
+                Flow::End(outcome) => {
+                    self.stop_streams().await;
+                    return Some(outcome);
+                }
+                Flow::Moved => {
+                    self.leave_streams();
+                    return None;
+                }
+            }
+        }
+    }
+
+    async fn wake(&mut self) -> Wake {
+        let left_ms = self.core.clock.now().until(self.record.call.deadline_ms);
+        let deadline = tokio::time::sleep(Duration::from_millis(left_ms));
+        tokio::select! {
+            biased;
+            order = self.record.next_order() => Wake::Order(order),
+            event = next_event(&mut self.next) => Wake::Next(event),
+            event = next_event(&mut self.active) => Wake::Active(event),
+            () = deadline => Wake::Deadline,
+        }
+    }
+
+    /// Gets a stream going where there is none: the one that runs already, or a new one.
+    async fn begin(&mut self) -> Flow {
+        if self.core.clock.now() >= self.record.call.deadline_ms {
+            return Flow::End(past_deadline(&self.record));
+        }
+        if let Some(place) = self.record.place() {
+            return self.reattach(place).await;
+        }
+        if self.right == Right::Reader {
+            return Flow::End(Outcome::Unknown(Doubt::HomeGone));
+        }
+        match self.core.choose(&self.record, &self.tried) {
+            Ok(choice) => {
+                let place = self.record.begin_attempt(choice.host, choice.address);
+                let flow = self.start(place, choice.prefill_ms, None).await;
+                if self.active.is_none() {
+                    self.tried.note(choice.host, Some(choice.domain));
+                }
+                flow
+            }
+            Err(no_route) => self.no_route(no_route).await,
+        }
+    }
+
+    /// An accepted stream waits for a host; a request that has not been dispatched is refused.
+    async fn no_route(&mut self, no_route: NoRoute) -> Flow {
+        if !self.record.is_dispatched() || !self.record.call.idempotent {
+            return Flow::End(no_upstream(&self.record, no_route));
+        }
+        self.tried.clear();
+        tokio::select! {
+            order = self.record.next_order() => self.obey(order).await,
+            () = tokio::time::sleep(Duration::from_millis(NO_ROUTE_PAUSE_MS)) => Flow::Go,
+        }
+    }
+
+    async fn start(&mut self, place: Place, prefill_ms: f64, import: Option<&str>) -> Flow {
+        if import.is_none()
+            && let Err(outcome) = self.core.obtain_right(&self.record, self.right).await
+        {
+            self.record.attempt_not_started(place.attempt);
+            return Flow::End(outcome);
+        }
+        self.tell();
+        match self.open(place, prefill_ms, import).await {
+            Ok(attempt) => {
+                self.active = Some(attempt);
+                Flow::Go
+            }
+            Err(error) => self.not_opened(place, error).await,
+        }
+    }
+
+    /// Starts the stream of an attempt at its engine, from the tokens held.
+    async fn open(
+        &self,
+        place: Place,
+        prefill_ms: f64,
+        import: Option<&str>,
+    ) -> Result<Attempt<Events<L>>, UpstreamError> {
+        let record = &self.record;
+        let Work::Completion {
+            model,
+            prompt,
+            max_tokens,
+            seed,
+        } = &record.call.work
+        else {
+            return Err(UpstreamError::UnknownAttempt);
+        };
+        let in_force = self.core.blackboard.in_force();
+        let priority = in_force.map_or(0, |in_force| latency_class(&in_force, record).priority);
+        let name = record.id.attempt(place.attempt);
+        let (prefix, position) = record.text_and_position();
+        let start = StartStream {
+            attempt: &name,
+            model,
+            prompt,
+            prefix: &prefix,
+            position,
+            max_tokens: u64::from(*max_tokens),
+            priority,
+            seed: *seed,
+            import,
+            delivery: delivery(record),
+        };
+        let events = self.core.engines.start(place.address, &start).await?;
+        let now = self.core.clock.now();
+        self.core.note_open(place, prefill_ms, now);
+        metrics::counter!("teaselline_attempts_total").increment(1);
+        Ok(Attempt {
+            place,
+            name,
+            events,
+        })
+    }
+
+    async fn not_opened(&mut self, place: Place, error: UpstreamError) -> Flow {
+        self.core.note_failure(place, &error, self.core.clock.now());
+        match error {
+            error if error.is_not_started() => {
+                self.record.attempt_not_started(place.attempt);
+                Flow::Go
+            }
+            error if error.is_lost() => self.reattach(place).await,
+            // The engine lives and turns the call down, not as "not run": it is the call's fault.
+            _ if delivery(&self.record) == Delivery::AtMostOnce => {
+                Flow::End(Outcome::Failed(Failure::Upstream))
+            }
+            UpstreamError::Rejected { status } if status.is_client_error() => {
+                Flow::End(Outcome::Failed(Failure::Upstream))
+            }
+            _ => {
+                self.record.close_attempt(place.attempt);
+                Flow::Go
+            }
+        }
+    }
+
+    /// Finds a stream again that runs at an engine, after its connection broke.
+    async fn reattach(&mut self, place: Place) -> Flow {
+        let tries = match (self.right, self.record.call.idempotent) {
+            (Right::Reader, _) | (_, false) => LAST_REATTACH_TRIES,
+            _ => REATTACH_TRIES,
+        };
+        let name = self.record.id.attempt(place.attempt);
+        for _try in 0..tries {
+            if self.core.clock.now() >= self.record.call.deadline_ms {
+                break;
+            }
+            let from = self.record.next_position();
+            match self.core.engines.attach(place.address, &name, from).await {
+                Ok(events) => {
+                    self.record.resume_attempt(place);
+                    self.core.note_open(place, 0.0, self.core.clock.now());
+                    self.active = Some(Attempt {
+                        place,
+                        name,
+                        events,
+                    });
+                    return Flow::Go;
+                }
+                Err(UpstreamError::UnknownAttempt) => break,
+                Err(error) => self.core.note_failure(place, &error, self.core.clock.now()),
+            }
+            tokio::time::sleep(Duration::from_millis(REATTACH_PAUSE_MS)).await;
+        }
+        self.lost(place)
+    }
+
+    /// The attempt cannot be read any more.
+    fn lost(&mut self, place: Place) -> Flow {
+        self.record.close_attempt(place.attempt);
+        let domain = self.core.blackboard.with_host(place.host, |row| row.domain);
+        self.tried.note(place.host, domain);
+        match self.right {
+            Right::Reader => Flow::End(Outcome::Unknown(Doubt::HomeGone)),
+            _ if !self.record.call.idempotent => Flow::End(Outcome::Unknown(Doubt::UpstreamLost)),
+            _ => Flow::Go,
+        }
+    }
+
+    async fn on_active(&mut self, event: Option<Result<EngineEvent, UpstreamError>>) -> Flow {
+        let mut event = event;
+        loop {
+            if let Some(flow) = self.take(event).await {
+                return flow;
+            }
+            match self
+                .active
+                .as_mut()
+                .and_then(|active| active.events.next_ready())
+            {
+                Some(ready) => event = Some(ready),
+                None => break,
+            }
+        }
+        self.tell_progress();
+        Flow::Go
+    }
+
+    /// Takes one event of the active attempt; gives what follows from it beyond a token taken.
+    async fn take(&mut self, event: Option<Result<EngineEvent, UpstreamError>>) -> Option<Flow> {
+        match event {
+            Some(Ok(EngineEvent::Token {
+                attempt: name,
+                position,
+                text,
+            })) => {
+                let active = self.active.as_ref()?;
+                match offer(&self.record, active, &name, position, &text) {
+                    Verdict::Taken | Verdict::Duplicate | Verdict::Foreign => None,
+                    Verdict::Gap => Some(self.reread().await),
+                    Verdict::Diverged => Some(self.abandon().await),
+                }
+            }
+            Some(Ok(EngineEvent::Done { tokens, finish, .. })) => {
+                Some(self.done(tokens, finish).await)
+            }
+            Some(Ok(EngineEvent::Error { message, .. })) => {
+                log::info!(id:% = self.record.id, message = message.as_str(); "an engine failed");
+                Some(Flow::End(Outcome::Failed(Failure::Upstream)))
+            }
+            Some(Err(error)) => Some(self.broke(&error).await),
+            None => Some(self.reread().await),
+        }
+    }
+
+    /// The successor streams: it takes over, and the old attempt is stopped.
+    async fn on_next(&mut self, event: Option<Result<EngineEvent, UpstreamError>>) -> Flow {
+        let Some(Ok(EngineEvent::Token { .. })) = &event else {
+            // It failed before its first token; the old attempt goes on.
+            if let Some(next) = self.next.take() {
+                self.record.close_attempt(next.place.attempt);
+                self.core.note_close(next.place, self.core.clock.now());
+            }
+            return Flow::Go;
+        };
+        if let Some(old) = self.active.take() {
+            self.stop(old).await;
+        }
+        self.active = self.next.take();
+        if let Some(active) = &self.active {
+            self.record.resume_attempt(active.place);
+        }
+        self.tell();
+        self.on_active(event).await
+    }
+
+    async fn obey(&mut self, order: Order) -> Flow {
+        match order {
+            Order::Cancel => Flow::End(Outcome::Cancelled),
+            Order::HandOver => Flow::Moved,
+            Order::Recompute { target } => self.recompute(target).await,
+            Order::Export { target } => self.export(target).await,
+        }
+    }
+
+    /// Starts a successor while the old attempt still streams.
+    async fn recompute(&mut self, target: HostKey) -> Flow {
+        let address = self.core.blackboard.with_host(target, |row| row.address);
+        let Some(address) = address.filter(|_address| self.record.call.idempotent) else {
+            return Flow::Go;
+        };
+        if let Some(old) = self.next.take() {
+            self.stop(old).await;
+        }
+        let place = self.record.begin_attempt(target, address);
+        match self.open(place, 0.0, None).await {
+            Ok(attempt) => self.next = Some(attempt),
+            Err(error) => {
+                self.core.note_failure(place, &error, self.core.clock.now());
+                self.record.close_attempt(place.attempt);
+            }
+        }
+        Flow::Go
+    }
+
+    /// Takes the KV cache along; the stream pauses meanwhile.
+    async fn export(&mut self, target: HostKey) -> Flow {
+        let address = self.core.blackboard.with_host(target, |row| row.address);
+        let (Some(address), Some(active)) = (address, &self.active) else {
+            return Flow::Go;
+        };
+        let source = active.place.address;
+        let export = match self.core.engines.export(source, &active.name).await {
+            Ok(export) => export,
+            // The stream goes on where it is; the controller decides anew.
+            Err(error) => {
+                log::info!(id:% = self.record.id, error:% = error; "an export failed");
+                return Flow::Go;
+            }
+        };
+        self.read_up_to(export.position).await;
+        let Some(old) = self.active.take() else {
+            return Flow::Go;
+        };
+        self.core.note_close(old.place, self.core.clock.now());
+        let import = Import {
+            handle: export.handle,
+            source,
+            bytes: export.bytes,
+        };
+        let imported = self.core.engines.import(address, &import).await;
+        self.record.close_attempt(old.place.attempt);
+        match imported {
+            Ok(handle) => {
+                let place = self.record.begin_attempt(target, address);
+                self.start(place, 0.0, Some(&handle)).await
+            }
+            Err(error) => {
+                log::info!(id:% = self.record.id, error:% = error; "an import failed");
+                self.lost(old.place)
+            }
+        }
+    }
+
+    /// Reads the tokens that an exported stream had generated before it paused.
+    async fn read_up_to(&mut self, position: u64) {
+        while self.record.next_position() < position {
+            let Some(active) = self.active.as_mut() else {
+                return;
+            };
+            match active.events.next().await {
+                Some(Ok(EngineEvent::Token {
+                    attempt: name,
+                    position,
+                    text,
+                })) => {
+                    offer(&self.record, active, &name, position, &text);
+                }
+                Some(Ok(_) | Err(_)) | None => return,
+            }
+        }
+    }
+
+    async fn done(&mut self, tokens: u64, finish: upstreams::Finish) -> Flow {
+        let finish = match finish {
+            upstreams::Finish::Stop => Finish::Stop,
+            upstreams::Finish::Length => Finish::Length,
+            // Another node that took the request over has stopped or moved this attempt.
+            upstreams::Finish::Cancelled | upstreams::Finish::Exported => {
+                return self.abandon().await;
+            }
+        };
+        // An end that arrives without all tokens would give the caller a shortened answer.
+        if tokens != self.record.next_position() {
+            return self.reread().await;
+        }
+        if let Some(active) = self.active.take() {
+            self.core.note_answer(active.place);
+            self.core.note_close(active.place, self.core.clock.now());
+        }
+        Flow::End(Outcome::Completed { tokens, finish })
+    }
+
+    /// Reads the active attempt again from the next position.
+    async fn reread(&mut self) -> Flow {
+        let Some(active) = self.active.take() else {
+            return Flow::Go;
+        };
+        self.core.note_close(active.place, self.core.clock.now());
+        self.reattach(active.place).await
+    }
+
+    async fn broke(&mut self, error: &UpstreamError) -> Flow {
+        let Some(active) = self.active.take() else {
+            return Flow::Go;
+        };
+        let now = self.core.clock.now();
+        self.core.note_failure(active.place, error, now);
+        self.core.note_close(active.place, now);
+        if let Some(next) = self.next.take() {
+            self.record.close_attempt(active.place.attempt);
+            self.record.resume_attempt(next.place);
+            self.active = Some(next);
+            return Flow::Go;
+        }
+        self.reattach(active.place).await
+    }
+
+    /// Gives the active attempt up; an idempotent request starts another from the tokens held.
+    async fn abandon(&mut self) -> Flow {
+        let Some(active) = self.active.take() else {
+            return Flow::Go;
+        };
+        let place = active.place;
+        self.stop(active).await;
+        self.lost(place)
+    }
+
+    async fn stop(&self, attempt: Attempt<Events<L>>) {
+        self.record.close_attempt(attempt.place.attempt);
+        self.core.note_close(attempt.place, self.core.clock.now());
+        // A failed cancel costs tokens and nothing else.
+        if let Err(error) = self
+            .core
+            .engines
+            .cancel(attempt.place.address, &attempt.name)
+            .await
+        {
+            log::debug!(error:% = error; "a cancel failed");
+        }
+    }
+
+    async fn stop_streams(&mut self) {
+        for attempt in [self.active.take(), self.next.take()].into_iter().flatten() {
+            self.stop(attempt).await;
+        }
+    }
+
+    fn leave_streams(&mut self) {
+        let now = self.core.clock.now();
+        for attempt in [self.active.take(), self.next.take()].into_iter().flatten() {
+            self.core.note_close(attempt.place, now);
+        }
+    }
+
+    fn tell_progress(&mut self) {
+        if self.record.next_position() >= self.told + TELL_TOKENS {
+            self.tell();
+        }
+    }
+
+    /// Tells the witness where the request runs and what is new of its answer.
+    fn tell(&mut self) {
+        let from = self.told;
+        self.told = self.record.next_position();
+        drop(self.core.tell(&self.record, from, false));
+    }
+}
+
+async fn next_event<E: EventStream>(
+    attempt: &mut Option<Attempt<E>>,
+) -> Option<Result<EngineEvent, UpstreamError>> {
+    match attempt {
+        Some(attempt) => attempt.events.next().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Offers a token, unless it belongs to another attempt than the stream it came on.
+fn offer<E>(
+    record: &Record,
+    attempt: &Attempt<E>,
+    name: &str,
+    position: u64,
+    text: &str,
+) -> Verdict {
+    if name == attempt.name {
+        record.offer(attempt.place.attempt, position, text)
+    } else {
+        Verdict::Foreign
+    }
+}
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -124,7 +124,13 @@
         now: TimeMs,
     ) -> RequestId {
         let sequence = self.minted.fetch_add(1, Ordering::Relaxed);
-        let draft = Draft { issued_at_ms: now, home, witness, minter: self.own, sequence };
+        let draft = Draft {
+            issued_at_ms: now,
+            home,
+            witness,
+            minter: self.own,
+            sequence,
+        };
         self.id_key.mint(draft, team)
     }
 
@@ -216,7 +222,10 @@
     ///
     /// The receiver closes without an answer if the witness does not give one.
     pub fn tell(&self, record: &Record, from: u64, wants_consent: bool) -> oneshot::Receiver<bool> {
-        let told = Told { copy: record.copy(from), wants_consent };
+        let told = Told {
+            copy: record.copy(from),
+            wants_consent,
+        };
         match record.id.witness {
             witness if witness == self.own => {
                 let (answer, answered) = oneshot::channel();
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -2,15 +2,21 @@
 
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
 use super::core::{Core, RETRY_SOON_MS, Right};
 use super::links::Links;
-use super::outcome::Reason;
+use super::outcome::{Failure, Reason};
 use super::record::Place;
-use super::{Outcome, Record};
-use crate::blackboard::HostRow;
-use crate::document::checked::PoolKind;
-use crate::keys::HostKey;
-use crate::requests::Work;
+use super::{Outcome, Record, Work};
+use crate::blackboard::InForce;
+use crate::document::checked::LatencyClass;
+use crate::keys::{DomainKey, HostKey};
+use crate::routing::candidates::Need;
+use crate::routing::{Choice, NoRoute, RouteAsk, Weights, choose, gather};
+use crate::time::TimeMs;
+use crate::upstreams::{Delivery, Role, UpstreamError};
 
 /// How long a home waits for its witness's consent.
 ///
@@ -18,63 +24,214 @@
 /// id names another.
 const CONSENT_MS: u64 = 1_000;
 
+/// Latency classes below this priority are batch work.
+const INTERACTIVE_PRIORITY: u8 = 3;
+
+/// Bytes of a prompt that stand for the conversation or the text that it goes on from.
+const AFFINITY_BYTES: usize = 1_024;
+
+/// Time that a request is taken to occupy an upstream until there is a better estimate.
+const SERVICE_MS: f64 = 5_000.0;
+
+/// Bytes of UTF-8 in one prompt token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Weights while no document is in force.
+const EVEN_WEIGHTS: Weights = Weights {
+    cost: 0.5,
+    recomputed_tokens: 0.5,
+};
+
+/// Hosts that a request has been tried on.
+#[derive(Debug, Default)]
+pub(super) struct Tried {
+    hosts: Vec<HostKey>,
+    domains: Vec<DomainKey>,
+}
+
+impl Tried {
+    /// Notes that an attempt on the chosen host came to nothing.
+    pub(super) fn note(&mut self, host: HostKey, domain: Option<DomainKey>) {
+        if let Err(index) = self.hosts.binary_search(&host) {
+            self.hosts.insert(index, host);
+        }
+        if let Some((domain, Err(index))) =
+            domain.map(|domain| (domain, self.domains.binary_search(&domain)))
+        {
+            self.domains.insert(index, domain);
+        }
+    }
+
+    /// Lets all hosts be tried again.
+    pub(super) fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// The latency class of a record in the document in force, or the first class.
+pub(super) fn latency_class<'a>(in_force: &'a InForce, record: &Record) -> &'a LatencyClass {
+    let document = &in_force.document;
+    let key = document
+        .find_latency_class(&record.call.latency_class)
+        .unwrap_or(0.into());
+    document.latency_class(key)
+}
+
+/// What repeating the record's call would do.
+pub(super) fn delivery(record: &Record) -> Delivery {
+    if record.call.idempotent {
+        Delivery::Repeatable
+    } else {
+        Delivery::AtMostOnce
+    }
+}
+
 impl<L: Links> Core<L> {
-    /// The hosts that could run a record's work and are not ruled out.
-    pub(super) fn candidates(&self, record: &Record, tried: &[HostKey]) -> Vec<HostRow> {
-        let Some(in_force) = self.blackboard.in_force() else { return Vec::new() };
-        let document = &in_force.document;
-        let serves = |row: &HostRow| match (&record.call.work, &document.pool(row.pool).kind) {
-            (Work::Completion { model, .. }, PoolKind::Engine { models, .. }) => document
-                .find_model(model)
-                .is_some_and(|model| models.binary_search(&model).is_ok()),
-            (Work::Service { service, .. }, PoolKind::Service { .. }) => {
-                document.pool(row.pool).name == *service
-            }
-            _ => false,
+    /// Chooses a host for the next attempt.
+    pub(super) fn choose(&self, record: &Record, tried: &Tried) -> Result<Choice, NoRoute> {
+        let now = self.clock.now();
+        let Some(in_force) = self.blackboard.in_force() else {
+            return choose(&[], &ask(record, tried, None), now, &mut rng(record));
         };
-        let mut found = Vec::new();
-        self.blackboard.visit_hosts(|row| {
-            if serves(row) && !tried.contains(&row.key) && row.may_get_work() {
-                found.push(row.clone());
+        let class = latency_class(&in_force, record);
+        let view = match &record.call.work {
+            Work::Completion { model, .. } => {
+                let role = match class.priority {
+                    priority if priority < INTERACTIVE_PRIORITY => Role::Batch,
+                    _ => Role::Interactive,
+                };
+                gather(
+                    &self.blackboard,
+                    &in_force.document,
+                    Need::Model { model, role },
+                    now,
+                )
             }
-        });
-        found
+            Work::Service { service, .. } => match in_force.document.find_pool(service) {
+                Some(pool) => gather(
+                    &self.blackboard,
+                    &in_force.document,
+                    Need::Service { pool },
+                    now,
+                ),
+                None => Vec::new(),
+            },
+        };
+        let ask = ask(record, tried, Some(&in_force));
+        let choice = choose(&view, &ask, now, &mut rng(record))?;
+        if choice.probe {
+            self.blackboard
+                .upstreams
+                .with(choice.host, |row| row.health.note_probe(now));
+        }
+        Ok(choice)
     }
 
-    /// Obtains the right to start an attempt at a place.
+    /// Obtains the right to start an attempt that has been begun on the record.
     ///
     /// # Errors
     ///
-    /// The outcome, if the witness refuses or does not answer: nothing has been started.
+    /// The outcome, if the witness refuses or does not answer, or if the deadline has passed
+    /// meanwhile: nothing has been started.
     pub(super) async fn obtain_right(&self, record: &Record, right: Right) -> Result<(), Outcome> {
         if record.call.idempotent || right != Right::Home {
-            drop(self.tell(record, 0, false));
             return Ok(());
         }
         let consent = self.tell(record, 0, true);
         let patience = Duration::from_millis(CONSENT_MS);
-        match tokio::time::timeout(patience, consent).await {
+        let consent = tokio::time::timeout(patience, consent).await;
+        match consent {
+            // A process that was paused here comes back long after the caller was told `unknown`.
+            _ if self.clock.now() >= record.call.deadline_ms => {
+                Err(Outcome::not_run(Reason::Deadline, 0))
+            }
             Ok(Ok(true)) => Ok(()),
             Ok(Ok(false)) => Err(Outcome::not_run(Reason::Settled, RETRY_SOON_MS)),
-            Ok(Err(_)) | Err(_) => {
-                Err(Outcome::not_run(Reason::WitnessUnreachable, RETRY_SOON_MS))
-            }
+            Ok(Err(_)) | Err(_) => Err(Outcome::not_run(Reason::WitnessUnreachable, RETRY_SOON_MS)),
         }
     }
 
-    /// Notes that a host could not be reached, so that it gets no new work for a while.
-    pub(super) fn note_host_failure(&self, host: HostKey) {
-        let now = self.clock.now();
-        self.blackboard.with_host(host, |row| row.failing_since_ms = Some(now));
+    /// Notes what a failed call says about its host.
+    pub(super) fn note_failure(&self, place: Place, error: &UpstreamError, now: TimeMs) {
+        if error.is_host_failure() {
+            self.blackboard
+                .upstreams
+                .with(place.host, |row| row.health.note_failure(now));
+        }
+        log::info!(error:% = error, address:% = place.address; "an upstream call failed");
     }
 
-    /// Notes that a stream was opened on or left a host.
-    pub(super) fn note_open(&self, place: Place, opened: bool) {
+    /// Notes that a host answered.
+    pub(super) fn note_answer(&self, place: Place) {
+        self.blackboard
+            .upstreams
+            .with(place.host, |row| row.health.note_answer());
+    }
+
+    /// Notes that a stream was opened on a host.
+    pub(super) fn note_open(&self, place: Place, prefill_ms: f64, now: TimeMs) {
+        self.blackboard
+            .with_host(place.host, |row| row.open_here += 1);
+        self.blackboard
+            .upstreams
+            .with(place.host, |row| row.sent.note_open(prefill_ms, now));
+    }
+
+    /// Notes that a stream has left a host.
+    pub(super) fn note_close(&self, place: Place, now: TimeMs) {
         self.blackboard.with_host(place.host, |row| {
-            row.open_here = match opened {
-                true => row.open_here + 1,
-                false => row.open_here.saturating_sub(1),
-            };
+            row.open_here = row.open_here.saturating_sub(1);
         });
+        self.blackboard
+            .upstreams
+            .with(place.host, |row| row.sent.note_close(now));
+    }
+}
+
+/// The end of a request whose deadline has passed.
+pub(super) fn past_deadline(record: &Record) -> Outcome {
+    if record.is_dispatched() {
+        Outcome::Failed(Failure::Deadline)
+    } else {
+        Outcome::not_run(Reason::Deadline, 0)
+    }
+}
+
+/// The end of a request for which no host is left.
+pub(super) fn no_upstream(record: &Record, no_route: NoRoute) -> Outcome {
+    if record.is_dispatched() {
+        Outcome::Failed(Failure::RetryBudget)
+    } else {
+        Outcome::not_run(Reason::NoUpstream, no_route.retry_after_ms)
     }
 }
+
+fn ask<'a>(record: &Record, tried: &'a Tried, in_force: Option<&InForce>) -> RouteAsk<'a> {
+    let (prompt_bytes, affinity) = match &record.call.work {
+        Work::Completion { prompt, .. } => {
+            let start = &prompt.as_bytes()[..prompt.len().min(AFFINITY_BYTES)];
+            (prompt.len() as u64, twox_hash::XxHash3_64::oneshot(start))
+        }
+        Work::Service { .. } => (0, record.fingerprint),
+    };
+    let class = in_force.map(|in_force| latency_class(in_force, record));
+    RouteAsk {
+        prompt_tokens: prompt_bytes.div_ceil(BYTES_PER_TOKEN) + record.next_position(),
+        affinity,
+        first_token_ms: class.map_or(1, |class| class.first_token_ms),
+        service_ms: SERVICE_MS,
+        delivery: delivery(record),
+        tried: &tried.hosts,
+        failed_domains: &tried.domains,
+        weights: in_force.map_or(EVEN_WEIGHTS, |in_force| {
+            Weights::from(in_force.document.measure)
+        }),
+    }
+}
+
+/// Randomness that differs between requests and attempts, and repeats with the same id.
+fn rng(record: &Record) -> SmallRng {
+    let id = &record.id;
+    let seed = id.issued_at_ms.0 ^ id.home.0.rotate_left(17) ^ u64::from(id.sequence) << 32;
+    SmallRng::seed_from_u64(seed ^ u64::from(record.attempts()))
+}
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -71,7 +71,14 @@
     /// Follows a request from a position; with the call, the request is started if it is new.
     #[must_use]
     pub fn new(core: Arc<Core<L>>, id: RequestId, call: Option<Call>, position: u64) -> Self {
-        Self { core, id, call, position, source: Source::None, breaks: 0 }
+        Self {
+            core,
+            id,
+            call,
+            position,
+            source: Source::None,
+            breaks: 0,
+        }
     }
 
     /// Waits for the next step; after anything but tokens there is none.
@@ -172,7 +179,15 @@
             };
         }
         let call = call.map(Box::new);
-        self.open(self.id.witness, Request::Settle { id: self.id, call, from: self.position }).await
+        self.open(
+            self.id.witness,
+            Request::Settle {
+                id: self.id,
+                call,
+                from: self.position,
+            },
+        )
+        .await
     }
 
     /// The id's home is this node.
@@ -186,9 +201,7 @@
         match self.core.enter(self.id, call, Right::Home) {
             Entry::New(record) | Entry::Known(record) => Found::Source(Source::Here(record)),
             Entry::OtherCall => Found::Last(Step::OtherCall),
-            Entry::Expired => {
-                Found::Last(Step::End(Outcome::Unknown(Doubt::RecordExpired)))
-            }
+            Entry::Expired => Found::Last(Step::End(Outcome::Unknown(Doubt::RecordExpired))),
         }
     }
 
--- a/src/requests/lanes.rs
+++ b/src/requests/lanes.rs
@@ -44,7 +44,10 @@
     /// Lanes over these peers.
     #[must_use]
     pub fn new(peers: Arc<L::Peers>) -> Self {
-        Self { peers, lanes: Mutex::default() }
+        Self {
+            peers,
+            lanes: Mutex::default(),
+        }
     }
 
     /// Tells a witness; the answer comes through the receiver, which closes without one if the
@@ -92,8 +95,10 @@
     let idle = Duration::from_millis(IDLE_MS);
     while let Ok(Some(first)) = tokio::time::timeout(idle, letters.recv()).await {
         let batch = gather(first, &mut letters).await;
-        let (told, answers): (Vec<_>, Vec<_>) =
-            batch.into_iter().map(|letter| (letter.told, letter.answer)).unzip();
+        let (told, answers): (Vec<_>, Vec<_>) = batch
+            .into_iter()
+            .map(|letter| (letter.told, letter.answer))
+            .unzip();
         let request = Request::Witness { witness, told };
         if let Ok(Reply::Consents(consents)) = peers.call(witness, request).await {
             for (answer, consent) in answers.into_iter().zip(consents) {
@@ -113,7 +118,10 @@
         let next = if urgent {
             letters.try_recv().ok()
         } else {
-            tokio::time::timeout_at(until, letters.recv()).await.ok().flatten()
+            tokio::time::timeout_at(until, letters.recv())
+                .await
+                .ok()
+                .flatten()
         };
         let Some(letter) = next else { break };
         bytes += size_bytes(&letter);
--- a/src/requests/links.rs
+++ b/src/requests/links.rs
@@ -1,7 +1,6 @@
 //! What the request core needs from outside, so that tests can put fakes in its place.
 
-use std::fmt;
-use std::future::Future;
+use std::fmt::Debug;
 
 use crate::keys::Incarnation;
 use crate::node::messages::{Item, Reply, Request};
@@ -45,11 +44,11 @@
 }
 
 /// Everything outside the request core.
-pub trait Links: Send + Sync + 'static {
+pub trait Links: Debug + Send + Sync + 'static {
     /// Model engines.
-    type Engines: Engines;
+    type Engines: Engines + Debug;
     /// Plain services.
-    type Services: PlainServices;
+    type Services: PlainServices + Debug;
     /// The other nodes.
-    type Peers: Peers + fmt::Debug;
+    type Peers: Peers + Debug;
 }
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -128,9 +128,9 @@
 
     /// A request that another node had; `now` stamps its end if it has one.
     #[must_use]
-    pub fn from_copy(copy: Copy, now: TimeMs) -> Self {
+    pub fn from_copy(copy: &Copy, now: TimeMs) -> Self {
         let record = Self::new(copy.id, copy.call.clone());
-        record.merge(&copy, now);
+        record.merge(copy, now);
         record
     }
 
@@ -311,6 +311,26 @@
         self.state.lock().answer.text().to_owned()
     }
 
+    /// The answer so far and the position that it needs next, seen at one moment.
+    #[must_use]
+    pub fn text_and_position(&self) -> (String, u64) {
+        let state = self.state.lock();
+        (state.answer.text().to_owned(), state.answer.next_position())
+    }
+
+    /// Whether no task of this node works on it any more.
+    #[must_use]
+    pub fn has_stopped(&self) -> bool {
+        let state = self.state.lock();
+        state.moved || state.outcome.is_some()
+    }
+
+    /// Attempts so far.
+    #[must_use]
+    pub fn attempts(&self) -> u32 {
+        self.state.lock().attempts
+    }
+
     /// The position that the answer needs next.
     #[must_use]
     pub fn next_position(&self) -> u64 {
--- a/src/requests/record/tests.rs
+++ b/src/requests/record/tests.rs
@@ -67,7 +67,7 @@
     let place = home.begin_attempt(HostKey(1), address());
     home.offer(place.attempt, 0, "a");
     home.offer(place.attempt, 1, "b");
-    let heir = Record::from_copy(home.copy(0), TimeMs(5));
+    let heir = Record::from_copy(&home.copy(0), TimeMs(5));
     assert_eq!(heir.text(), "ab");
     assert_eq!(heir.place(), Some(place));
     assert!(heir.is_dispatched());
--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -4,22 +4,22 @@
 
 use bytes::Bytes;
 
-use super::core::{Core, RETRY_SOON_MS, Right};
+use super::core::{Core, Right};
+use super::dispatch::{Tried, delivery, no_upstream, past_deadline};
 use super::links::Links;
-use super::outcome::{Doubt, Failure, Reason};
+use super::outcome::{Doubt, Failure};
 use super::record::Place;
 use super::{Outcome, Record, Work};
 use crate::document::checked::PoolKind;
-use crate::keys::HostKey;
-use crate::upstreams::{Delivery, PlainServices, ServiceCall, UpstreamError};
+use crate::upstreams::{PlainServices, ServiceCall};
 
 /// What one attempt came to.
 enum Attempted {
     End(Outcome),
     /// It provably did not start.
-    NotStarted(HostKey),
-    /// It may have run; an idempotent call may run again.
-    Lost(HostKey),
+    NotStarted,
+    /// It may have run.
+    Lost,
 }
 
 /// Runs a record to its outcome.
@@ -28,65 +28,68 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
-    let mut tried = Vec::new();
+    let mut tried = Tried::default();
     loop {
         if core.clock.now() >= record.call.deadline_ms {
             return Some(past_deadline(&record));
         }
-        let Some(host) = super::completion::choose(&core, &record, &tried) else {
-            return Some(no_upstream(&record));
+        let choice = match core.choose(&record, &tried) {
+            Ok(choice) => choice,
+            Err(no_route) => return Some(no_upstream(&record, no_route)),
         };
-        let place = record.begin_attempt(host.key, host.address);
+        let place = record.begin_attempt(choice.host, choice.address);
         if let Err(outcome) = core.obtain_right(&record, right).await {
-            return Some(outcome);
-        }
-        // The wait for consent may have outlasted the caller, in a paused process by hours.
-        if core.clock.now() >= record.call.deadline_ms {
             record.attempt_not_started(place.attempt);
-            return Some(past_deadline(&record));
+            return Some(outcome);
         }
-        core.note_open(place, true);
+        core.note_open(place, 0.0, core.clock.now());
         let attempted = attempt(&core, &record, place).await;
-        core.note_open(place, false);
+        core.note_close(place, core.clock.now());
         match attempted {
             Attempted::End(outcome) => return Some(outcome),
-            Attempted::NotStarted(host) => {
-                record.attempt_not_started(place.attempt);
-                tried.push(host);
-            }
-            Attempted::Lost(host) if record.call.idempotent => tried.push(host),
-            Attempted::Lost(_) => return Some(Outcome::Unknown(Doubt::UpstreamLost)),
+            Attempted::NotStarted => record.attempt_not_started(place.attempt),
+            Attempted::Lost if record.call.idempotent => record.close_attempt(place.attempt),
+            Attempted::Lost => return Some(Outcome::Unknown(Doubt::UpstreamLost)),
         }
+        tried.note(choice.host, Some(choice.domain));
     }
 }
 
 async fn attempt<L: Links>(core: &Core<L>, record: &Record, place: Place) -> Attempted {
-    let Work::Service { path, body, service } = &record.call.work else {
+    let Work::Service {
+        path,
+        body,
+        service,
+    } = &record.call.work
+    else {
         return Attempted::End(Outcome::Failed(Failure::Upstream));
     };
-    let delivery = if record.call.idempotent { Delivery::Repeatable } else { Delivery::AtMostOnce };
     let call = ServiceCall {
         attempt: &record.id.attempt(place.attempt),
-        path,
+        path: &format!("/{path}"),
         content_type: None,
         body: Bytes::copy_from_slice(body),
-        delivery,
+        delivery: delivery(record),
         timeout_ms: timeout_ms(core, service, record),
     };
-    match core.services.call(place.address, &call).await {
-        Ok(answer) => Attempted::End(Outcome::Answered { status: 200, body: answer.body.to_vec() }),
-        Err(error) if error.is_not_started() => {
-            if matches!(error, UpstreamError::Unreachable { .. }) {
-                core.note_host_failure(place.host);
-            }
-            Attempted::NotStarted(place.host)
+    let answered = core.services.call(place.address, &call).await;
+    match answered {
+        Ok(answer) => {
+            core.note_answer(place);
+            Attempted::End(Outcome::Answered {
+                status: 200,
+                body: answer.body.to_vec(),
+            })
         }
-        Err(error) if error.is_lost() => {
-            core.note_host_failure(place.host);
-            Attempted::Lost(place.host)
+        Err(error) => {
+            core.note_failure(place, &error, core.clock.now());
+            match error {
+                error if error.is_not_started() => Attempted::NotStarted,
+                error if error.is_lost() => Attempted::Lost,
+                // The service says that it failed: it ran, and it is not ours to run it again.
+                _ => Attempted::End(Outcome::Failed(Failure::Upstream)),
+            }
         }
-        // The service answered that it failed: it ran, and running it again is not ours to decide.
-        Err(_) => Attempted::End(Outcome::Failed(Failure::Upstream)),
     }
 }
 
@@ -102,19 +105,3 @@
     });
     configured_ms.map_or(left_ms, |timeout_ms| timeout_ms.min(left_ms))
 }
-
-/// The end of a request whose deadline has passed.
-pub(super) fn past_deadline(record: &Record) -> Outcome {
-    match record.is_dispatched() {
-        true => Outcome::Failed(Failure::Deadline),
-        false => Outcome::not_run(Reason::Deadline, 0),
-    }
-}
-
-/// The end of a request for which no host is left.
-pub(super) fn no_upstream(record: &Record) -> Outcome {
-    match record.is_dispatched() {
-        true => Outcome::Failed(Failure::RetryBudget),
-        false => Outcome::not_run(Reason::NoUpstream, RETRY_SOON_MS),
-    }
-}
--- a/src/requests/settle.rs
+++ b/src/requests/settle.rs
@@ -91,7 +91,9 @@
     }
 
     fn hold(self: &Arc<Self>, copy: Copy, right: Option<Right>) -> Settled {
-        let (record, new) = self.records.adopt(Record::from_copy(copy, self.clock.now()));
+        let (record, new) = self
+            .records
+            .adopt(Record::from_copy(&copy, self.clock.now()));
         if let (true, Some(right)) = (new, right) {
             self.start(Arc::clone(&record), right);
         }
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -56,6 +56,7 @@
 
 impl Witness {
     /// Decides whether the home may dispatch what it tells about, and keeps it if so.
+    #[must_use] 
     pub fn consent(&self, told: Copy, now: TimeMs) -> bool {
         let mut shard = self.shard(&told.id).lock();
         match shard.binary_search_by_key(&told.id, |entry| entry.id) {
@@ -89,6 +90,7 @@
     }
 
     /// Says what is known of a non-idempotent request, and rules out what has not been consented to.
+    #[must_use] 
     pub fn settle(&self, id: RequestId) -> Settlement {
         let mut shard = self.shard(&id).lock();
         let index = match shard.binary_search_by_key(&id, |entry| entry.id) {
@@ -112,6 +114,7 @@
     }
 
     /// Forgets ids that are too old to matter; returns how many.
+    #[must_use] 
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
         for shard in &self.shards {
@@ -150,11 +153,9 @@
         }
     }
 
-    fn with_consent(self, place: Place) -> Self {
-        Self {
-            consented: Some(place),
-            ..self
-        }
+    fn consent(&mut self, told: Copy) {
+        self.consented = true;
+        self.take(told);
     }
 
     /// Whether nothing says that the home got as far as dispatching.
@@ -174,13 +175,7 @@
         match &self.copy {
             Some(copy) if copy.outcome.is_some() => Settlement::Ended(copy.clone()),
             _ if self.settled => Settlement::NotRun,
-            copy => {
-                let place = copy.as_ref().and_then(|copy| copy.place).or(self.consented);
-                Settlement::MayRun {
-                    place,
-                    copy: copy.clone(),
-                }
-            }
+            copy => Settlement::MayRun(copy.clone()),
         }
     }
 
--- a/src/requests/witness/tests.rs
+++ b/src/requests/witness/tests.rs
@@ -18,13 +18,22 @@
     IdKey::derive(b"k").mint(draft, TeamTag(1))
 }
 
-fn intent() -> Intent {
-    let place = Place {
-        attempt: 1,
-        host: HostKey(1),
-        address: ([127, 0, 0, 1], 9).into(),
+fn intent() -> Copy {
+    let work = Work::Service {
+        service: "claims".to_owned(),
+        path: "deposits".to_owned(),
+        body: b"keg 7".to_vec(),
     };
-    Intent { id: id(), place }
+    let call = Call {
+        team: "haulers".to_owned(),
+        idempotent: false,
+        latency_class: "interactive".to_owned(),
+        deadline_ms: TimeMs(9_000),
+        work,
+    };
+    let record = Record::new(id(), call);
+    record.begin_attempt(HostKey(1), ([127, 0, 0, 1], 9).into());
+    record.copy(0)
 }
 
 #[test]
@@ -54,10 +63,7 @@
 fn consent_rules_out_not_run() {
     let witness = Witness::default();
     assert!(witness.consent(intent(), TimeMs(1)));
-    assert!(matches!(
-        witness.settle(id()),
-        Settlement::MayRun(Some(_))
-    ));
+    assert!(matches!(witness.settle(id()), Settlement::MayRun(Some(_))));
 }
 
 /// A message that is under way, or a step that a party can take next.
@@ -129,12 +135,9 @@
                 next.answers_under_way.push(granted);
                 next.answers_under_way.sort_unstable();
             }
-            Step::AnswerArrives => match next.answers_under_way.pop() {
-                Some(true) => next.home_may_run = true,
-                _ => {
-                    next.home_ended = true;
-                    next.told_not_run = true;
-                }
+            Step::AnswerArrives => if let Some(true) = next.answers_under_way.pop() { next.home_may_run = true } else {
+                next.home_ended = true;
+                next.told_not_run = true;
             },
             Step::AnswerLost => {
                 next.answers_under_way.pop();
--- a/src/upstreams.rs
+++ b/src/upstreams.rs
@@ -37,7 +37,7 @@
 }
 
 /// Events of one stream, in the order in which the engine sent them.
-pub trait EventStream: Send + 'static {
+pub trait EventStream: Send + Sync + 'static {
     /// The next event, or `None` after the last one or after an error.
     fn next(&mut self) -> impl Future<Output = Option<Result<EngineEvent, UpstreamError>>> + Send;
 
