--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,1 +1,18 @@
 //! The callers' HTTP interface.
+//!
+//! [`accept`] serves connections within bounds and ends them gracefully; [`routes`] names the
+//! calls; the other modules each answer one kind of call.
+
+pub mod accept;
+mod authorize;
+mod bodies;
+mod completions;
+mod entries;
+mod operators;
+mod refusal;
+pub mod routes;
+mod services;
+mod sse;
+mod state;
+
+pub use accept::{Bounds, serve};
--- /dev/null
+++ b/src/entry/operators.rs
@@ -0,0 +1,238 @@
+//! The operators' calls: configuration, status, metrics and health.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::refusal::{Refusal, json, whole};
+use super::routes::Asked;
+use super::{authorize, bodies};
+use crate::blackboard::HostState;
+use crate::membership::Member;
+use crate::node::Node;
+use crate::node::change::{ChangeError, Proposal};
+use crate::requests::core::Phase;
+
+#[derive(Serialize)]
+struct InForceBody<'a> {
+    revision: u64,
+    document: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct ChangeBody<'a> {
+    base_revision: u64,
+    #[serde(borrow)]
+    document: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct FaultBody {
+    path: String,
+    message: String,
+}
+
+#[derive(Serialize)]
+struct Faults {
+    faults: Vec<FaultBody>,
+}
+
+#[derive(Serialize)]
+struct Stale {
+    error: &'static str,
+    in_force: u64,
+}
+
+#[derive(Serialize)]
+struct Unavailable {
+    error: &'static str,
+    outcome: &'static str,
+}
+
+/// `GET /v1/configuration`: the document in force, for operators.
+pub(super) async fn configuration(asked: Asked) -> Response<Body> {
+    let Some(in_force) = asked.node.core.blackboard.in_force() else {
+        return Refusal::NotConfigured.response();
+    };
+    if let Err(refusal) = authorize::operator(&in_force.document, &asked.headers) {
+        return refusal.response();
+    }
+    match serde_json::from_str::<&RawValue>(&in_force.text) {
+        Ok(document) => {
+            json(StatusCode::OK, &InForceBody { revision: in_force.revision, document })
+        }
+        Err(_) => json(StatusCode::INTERNAL_SERVER_ERROR, &"the document is not JSON"),
+    }
+}
+
+/// `POST /v1/configuration`: proposes a document on top of a revision.
+pub(super) async fn change(asked: Asked) -> Response<Body> {
+    let node = Arc::clone(&asked.node);
+    let in_force = node.core.blackboard.in_force();
+    // The first document names the operators; until it is there, whoever reaches a node sets it.
+    let operator = match &in_force {
+        Some(in_force) => match authorize::operator(&in_force.document, &asked.headers) {
+            Ok(operator) => operator.name.clone(),
+            Err(refusal) => return refusal.response(),
+        },
+        None => "first".to_owned(),
+    };
+    let body = match bodies::read(asked.body, asked.bounds.max_body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal.response(),
+    };
+    let Ok(ChangeBody { base_revision, document }) = serde_json::from_slice(&body) else {
+        return Refusal::BodyMalformed.response();
+    };
+    let document = document.get().to_owned();
+    match node.propose(Proposal { base_revision, operator, document }).await {
+        Ok(revision) => json(StatusCode::OK, &Accepted { revision }),
+        Err(error) => refused(&error),
+    }
+}
+
+fn refused(error: &ChangeError) -> Response<Body> {
+    match error {
+        ChangeError::Faults(faults) => {
+            let faults = faults.faults().iter().map(|fault| FaultBody {
+                path: fault.path.to_string(),
+                message: fault.kind.to_string(),
+            });
+            json(StatusCode::UNPROCESSABLE_ENTITY, &Faults { faults: faults.collect() })
+        }
+        ChangeError::Stale { in_force } => {
+            json(StatusCode::CONFLICT, &Stale { error: "stale_base", in_force: *in_force })
+        }
+        ChangeError::NotTaken(_) => unavailable("not_run"),
+        ChangeError::Unknown => unavailable("unknown"),
+    }
+}
+
+fn unavailable(outcome: &'static str) -> Response<Body> {
+    json(StatusCode::SERVICE_UNAVAILABLE, &Unavailable { error: "log_unavailable", outcome })
+}
+
+#[derive(Serialize)]
+struct Status {
+    name: String,
+    incarnation: String,
+    phase: &'static str,
+    revision: u64,
+    log_stale_ms: Option<u64>,
+    requests: usize,
+    witnessed: usize,
+    nodes: Vec<Member>,
+    upstreams: Vec<HostStatus>,
+}
+
+#[derive(Serialize)]
+struct HostStatus {
+    host: String,
+    address: String,
+    failure_domain: String,
+    host_class: String,
+    pool: String,
+    state: &'static str,
+    leave_at_ms: Option<u64>,
+    running: u32,
+    queued: u32,
+    open_here: u32,
+}
+
+/// `GET /v1/status`: what this node knows, for operators.
+pub(super) async fn status(asked: Asked) -> Response<Body> {
+    let node = &asked.node;
+    let in_force = node.core.blackboard.in_force();
+    if let Some(in_force) = &in_force
+        && let Err(refusal) = authorize::operator(&in_force.document, &asked.headers)
+    {
+        return refusal.response();
+    }
+    let now = node.core.clock.now();
+    let status = Status {
+        name: node.name.clone(),
+        incarnation: node.core.own.to_string(),
+        phase: phase(node.core.phase()),
+        revision: node.revision(),
+        log_stale_ms: node.configuration.stale_ms(now),
+        requests: node.core.records.len(),
+        witnessed: node.core.witness.len(),
+        nodes: node.directory.members(),
+        upstreams: hosts(node),
+    };
+    json(StatusCode::OK, &status)
+}
+
+fn phase(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Serving => "serving",
+        Phase::Leaving => "leaving",
+        Phase::Left => "left",
+    }
+}
+
+fn hosts(node: &Node) -> Vec<HostStatus> {
+    let Some(in_force) = node.core.blackboard.in_force() else { return Vec::new() };
+    let document = &in_force.document;
+    let mut hosts = Vec::new();
+    node.core.blackboard.visit_hosts(|row| {
+        let (state, leave_at_ms) = match row.state {
+            HostState::Live => ("live", None),
+            HostState::Leaving { leave_at_ms } => ("leaving", Some(leave_at_ms.0)),
+        };
+        // Rows are resolved again shortly after a new revision; until then a key may be too large.
+        let name = |name: Option<&str>| name.unwrap_or_default().to_owned();
+        hosts.push(HostStatus {
+            host: row.name.clone(),
+            address: row.address.to_string(),
+            failure_domain: name(
+                document.failure_domains.get(row.domain.index()).map(|found| found.name.as_str()),
+            ),
+            host_class: name(
+                document.host_classes.get(row.class.index()).map(|found| found.name.as_str()),
+            ),
+            pool: name(document.pools.get(row.pool.index()).map(|found| found.name.as_str())),
+            state,
+            leave_at_ms,
+            running: row.load.running,
+            queued: row.load.queued,
+            open_here: row.open_here,
+        });
+    });
+    hosts.sort_unstable_by(|a, b| a.host.cmp(&b.host));
+    hosts
+}
+
+/// `GET /metrics`: the metrics in Prometheus's text form.
+pub(super) async fn metrics(asked: Asked) -> Response<Body> {
+    let mut response = Response::new(whole(asked.node.metrics.render()));
+    let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+/// `GET /healthz`: whether the process works.
+pub(super) async fn health(_asked: Asked) -> Response<Body> {
+    json(StatusCode::OK, &"ok")
+}
+
+/// `GET /readyz`: whether the node takes requests.
+pub(super) async fn ready(asked: Asked) -> Response<Body> {
+    let node = &asked.node;
+    match (node.core.blackboard.in_force(), node.core.phase()) {
+        (None, _) => json(StatusCode::SERVICE_UNAVAILABLE, &"no configuration"),
+        (Some(_), Phase::Serving) => json(StatusCode::OK, &"ready"),
+        (Some(_), Phase::Leaving | Phase::Left) => {
+            json(StatusCode::SERVICE_UNAVAILABLE, &"leaving")
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/refusal.rs
@@ -0,0 +1,187 @@
+//! Refusals and outcomes as callers see them: JSON with a typed `outcome`.
+
+use gotham::helpers::http::Body;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+
+use crate::requests::outcome::{Doubt, Failure, Finish, Reason};
+use crate::requests::{Outcome, RequestId};
+
+/// When a caller may ask again what became of a request.
+const ASK_AGAIN_MS: u64 = 1_000;
+
+/// A request that was turned away before it became one of ours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum Refusal {
+    #[error("the bearer token names no team or operator of the configuration")]
+    NoToken,
+    #[error("there is no such request")]
+    NoSuchRequest,
+    #[error("the id is in use for another call")]
+    OtherCall,
+    #[error("the body is larger than this node takes")]
+    BodyTooLarge,
+    #[error("the body ended before it was whole")]
+    BodyCut,
+    #[error("the body is not valid JSON of the expected form, in UTF-8")]
+    BodyMalformed,
+    #[error("a header has a value that is not understood")]
+    Header,
+    #[error("the configuration has no such model, service or latency class")]
+    NoSuchTarget,
+    #[error("the prompt is empty or max_tokens is out of range")]
+    OutOfRange,
+    #[error("no configuration is in force")]
+    NotConfigured,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    outcome: &'a str,
+    reason: &'a str,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::NoToken => StatusCode::UNAUTHORIZED,
+            Self::NoSuchRequest => StatusCode::NOT_FOUND,
+            Self::OtherCall => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyCut | Self::BodyMalformed | Self::Header | Self::OutOfRange => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::NoSuchTarget => StatusCode::NOT_FOUND,
+            Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    fn reason(self) -> &'static str {
+        match self {
+            Self::NoToken => "no_token",
+            Self::NoSuchRequest => "no_such_request",
+            Self::OtherCall => "id_in_use",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyCut => "body_cut",
+            Self::BodyMalformed => "body_malformed",
+            Self::Header => "header",
+            Self::NoSuchTarget => "no_such_target",
+            Self::OutOfRange => "out_of_range",
+            Self::NotConfigured => "not_configured",
+        }
+    }
+
+    /// The response that says so.
+    pub fn response(self) -> Response<Body> {
+        let body = RefusalBody {
+            outcome: "not_run",
+            reason: self.reason(),
+            message: self.to_string(),
+            retry_after_ms: (self == Self::NotConfigured).then_some(ASK_AGAIN_MS),
+        };
+        json(self.status(), &body)
+    }
+}
+
+/// A JSON response.
+pub(super) fn json(status: StatusCode, body: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(whole(bytes));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// A body that is there already.
+pub(super) fn whole(bytes: impl Into<bytes::Bytes>) -> Body {
+    Body::new(Full::new(bytes.into()).map_err(|never| match never {}))
+}
+
+/// What is said of an outcome other than an answer.
+#[derive(Debug, Serialize)]
+pub(super) struct OutcomeBody {
+    id: String,
+    outcome: &'static str,
+    reason: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl OutcomeBody {
+    pub fn new(id: &RequestId, outcome: &Outcome) -> Self {
+        let retry_after_ms = match outcome {
+            Outcome::NotRun(not_run) => Some(not_run.retry_after_ms),
+            Outcome::Unknown(_) => Some(ASK_AGAIN_MS),
+            _ => None,
+        };
+        Self { id: id.to_string(), outcome: outcome.name(), reason: reason(outcome), retry_after_ms }
+    }
+}
+
+/// The response for an outcome other than an answer.
+pub(super) fn outcome(id: &RequestId, outcome: &Outcome) -> Response<Body> {
+    let body = OutcomeBody::new(id, outcome);
+    let mut response = json(status(outcome), &body);
+    if let Some(retry_after_ms) = body.retry_after_ms {
+        let seconds = HeaderValue::from(retry_after_ms.div_ceil(1_000));
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn status(outcome: &Outcome) -> StatusCode {
+    match outcome {
+        Outcome::Completed { .. } | Outcome::Answered { .. } => StatusCode::OK,
+        Outcome::NotRun(not_run) if not_run.reason == Reason::Overloaded => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        Outcome::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Failed(_) => StatusCode::BAD_GATEWAY,
+        Outcome::Cancelled => StatusCode::CONFLICT,
+    }
+}
+
+fn reason(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Completed { .. } | Outcome::Answered { .. } => "answered",
+        Outcome::NotRun(not_run) => not_run_reason(not_run.reason),
+        Outcome::Unknown(Doubt::UpstreamLost) => "upstream_lost",
+        Outcome::Unknown(Doubt::HomeGone) => "home_gone",
+        Outcome::Unknown(Doubt::NobodyAnswers) => "nobody_answers",
+        Outcome::Unknown(Doubt::RecordExpired) => "record_expired",
+        Outcome::Failed(Failure::KillsUpstreams) => "kills_upstreams",
+        Outcome::Failed(Failure::Upstream) => "upstream",
+        Outcome::Failed(Failure::Deadline) => "deadline",
+        Outcome::Failed(Failure::RetryBudget) => "retry_budget",
+        Outcome::Cancelled => "cancelled",
+    }
+}
+
+fn not_run_reason(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Overloaded => "overloaded",
+        Reason::NoUpstream => "no_upstream",
+        Reason::Deadline => "deadline",
+        Reason::IdExpired => "id_expired",
+        Reason::WitnessUnreachable => "witness_unreachable",
+        Reason::Settled => "settled",
+        Reason::LogUnavailable => "log_unavailable",
+        Reason::NotConfigured => "not_configured",
+        Reason::Cancelled => "cancelled",
+        Reason::RetryBudget => "retry_budget",
+    }
+}
+
+/// The word for a model's reason to stop.
+pub(super) fn finish(finish: Finish) -> &'static str {
+    match finish {
+        Finish::Stop => "stop",
+        Finish::Length => "length",
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,7 +7,7 @@
 use teaselline::client::commands;
 use teaselline::options::arguments::{self, EXIT_CODE_USAGE};
 use teaselline::options::{Action, ServeSettings, Settings};
-use teaselline::telemetry;
+use teaselline::{node, telemetry};
 use thiserror::Error;
 use tokio::runtime;
 
@@ -18,8 +18,9 @@
 enum ServeError {
     #[error("cannot start the worker threads")]
     Runtime(#[source] io::Error),
-    #[error("the node is not wired yet")]
-    NotWired,
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Node(node::RunError),
 }
 
 fn main() -> ExitCode {
@@ -37,7 +38,7 @@
 
 fn serve(settings: ServeSettings) -> ExitCode {
     let ended = match start_runtime(settings.threads) {
-        Ok(runtime) => runtime.block_on(run_node(settings)),
+        Ok(runtime) => runtime.block_on(node::run(settings)).map_err(ServeError::Node),
         Err(error) => Err(ServeError::Runtime(error)),
     };
     match ended {
@@ -56,13 +57,6 @@
     }
 }
 
-/// Stands in until the node is wired.
-async fn run_node(settings: ServeSettings) -> Result<(), ServeError> {
-    tokio::task::yield_now().await;
-    log::error!(name = settings.name; "the node is not wired yet");
-    Err(ServeError::NotWired)
-}
-
 fn start_runtime(threads: usize) -> io::Result<runtime::Runtime> {
     runtime::Builder::new_multi_thread()
         .worker_threads(threads)
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,3 +1,92 @@
 //! Wires the parts of one node together and runs it.
 
+pub mod change;
+mod collect_configuration;
+mod collect_hosts;
+mod collect_load;
+pub mod directory;
+mod handler;
+pub mod hosts;
+pub mod links;
 pub mod messages;
+mod moves;
+mod run;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::Notify;
+
+pub use directory::Directory;
+use hosts::HostBook;
+pub use links::{NodeLinks, NodePeers};
+pub use run::{RunError, Started, run, start};
+
+use crate::document::Document;
+use crate::platform::cloud::HttpCloud;
+use crate::platform::configuration::Configuration;
+use crate::platform::follower::Followed;
+use crate::platform::log::HttpLog;
+use crate::requests::core::Phase;
+use crate::requests::{Core, RequestId, TeamTag};
+
+/// Checks a document's text, for the configuration's fold.
+pub type CheckDocument = fn(&str) -> Option<Document>;
+
+/// The parts of one running node.
+#[derive(Debug)]
+pub struct Node {
+    /// The request core.
+    pub core: Arc<Core<NodeLinks>>,
+    /// The nodes that this one knows.
+    pub directory: Arc<Directory>,
+    /// The configuration, as the log and the peers tell it.
+    pub configuration: Arc<Followed<Configuration<CheckDocument>>>,
+    /// The platform's log.
+    pub log: Arc<HttpLog>,
+    /// The platform's host list and cloud API.
+    pub cloud: Arc<HttpCloud>,
+    /// What the platform said about hosts.
+    pub hosts: Mutex<HostBook>,
+    /// Wakes what depends on the document.
+    pub revision_changed: Notify,
+    /// Wakes what depends on notices.
+    pub notices_changed: Notify,
+    /// Wakes what depends on which nodes there are.
+    pub members_changed: Notify,
+    /// Callers whose answers are followed from this node.
+    pub callers: AtomicUsize,
+    /// The name of this node in its settings.
+    pub name: String,
+    /// Reads the metrics.
+    pub metrics: metrics_exporter_prometheus::PrometheusHandle,
+}
+
+impl Node {
+    /// The addresses that callers should use, best first.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.directory.entries(self.core.clock.now(), &mut SmallRng::from_os_rng())
+    }
+
+    /// Callers whose answers are followed from this node.
+    #[must_use]
+    pub fn open_callers(&self) -> usize {
+        self.callers.load(Ordering::Relaxed)
+    }
+
+    /// Mints an id whose home is this node, or another one if this node is leaving.
+    #[must_use]
+    pub fn mint_here(&self, team: &str) -> RequestId {
+        let home = match self.core.phase() {
+            Phase::Serving => self.core.own,
+            Phase::Leaving | Phase::Left => self.directory.any_live().unwrap_or(self.core.own),
+        };
+        let witness = self.directory.witness(home).unwrap_or(home);
+        self.core.mint(home, witness, TeamTag::of(team), self.core.clock.now())
+    }
+}
--- /dev/null
+++ b/src/node/collect_configuration.rs
@@ -0,0 +1,99 @@
+//! Brings accepted revisions into force, from the log and from peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use super::Node;
+use super::messages::{Reply, Request};
+use crate::blackboard::InForce;
+use crate::platform::configuration::Snapshot;
+use crate::requests::links::Peers;
+
+/// Between two questions to a peer for a newer revision.
+///
+/// The log and the peers' pushes bring revisions at once; asking repairs what both have missed.
+const ASK_INTERVAL_MS: u64 = 2_000;
+
+/// Puts in force what the log's follower accepts, until `shutdown`.
+pub(super) async fn follow(node: Arc<Node>, shutdown: CancellationToken) {
+    let mut applied = node.configuration.watch_applied();
+    loop {
+        if node.bring_into_force() {
+            push(&node);
+        }
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            changed = applied.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Asks peers in turn for a newer revision, until `shutdown`.
+pub(super) async fn ask_peers(node: Arc<Node>, shutdown: CancellationToken) {
+    let mut turn = 0_usize;
+    loop {
+        let others = node.directory.others();
+        if let Some(member) = turn.checked_rem(others.len()).and_then(|index| others.get(index)) {
+            let than = node.revision();
+            let asked = node.core.peers.call(member.incarnation, Request::Newest { than });
+            if let Ok(Reply::Newest(Some(snapshot))) = asked.await {
+                node.adopt_configuration(&snapshot);
+            }
+        }
+        turn = turn.wrapping_add(1);
+        // A node without a document asks often: it refuses all callers until it has one.
+        let pause_ms = if node.revision() == 0 { ASK_INTERVAL_MS / 10 } else { ASK_INTERVAL_MS };
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
+        }
+    }
+}
+
+fn push(node: &Arc<Node>) {
+    let Some(snapshot) = node.configuration.with(|fold| fold.snapshot()) else { return };
+    for member in node.directory.others() {
+        let (node, snapshot) = (Arc::clone(node), snapshot.clone());
+        tokio::spawn(async move {
+            // A peer that does not answer asks later, or reads the log.
+            drop(node.core.peers.call(member.incarnation, Request::Configuration(snapshot)).await);
+        });
+    }
+}
+
+impl Node {
+    /// The revision in force on this node, 0 if there is none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.core.blackboard.in_force().map_or(0, |in_force| in_force.revision)
+    }
+
+    /// Takes a snapshot that a peer hands over.
+    pub(super) fn adopt_configuration(&self, snapshot: &Snapshot) {
+        if self.configuration.with(|fold| fold.adopt(snapshot)) {
+            self.bring_into_force();
+        }
+    }
+
+    /// Puts the newest revision held in force; tells whether it was newer.
+    fn bring_into_force(&self) -> bool {
+        let held = self.configuration.with(|fold| {
+            fold.held().map(|held| InForce {
+                revision: held.snapshot.revision,
+                document: Clone::clone(&*held.checked),
+                text: held.snapshot.document.clone(),
+            })
+        });
+        let Some(new) = held.filter(|new| new.revision > self.revision()) else { return false };
+        let revision = new.revision;
+        let newer = self.core.blackboard.put_in_force(new);
+        if newer {
+            log::info!(revision = revision; "a configuration is in force");
+            metrics::gauge!("teaselline_configuration_revision").set(revision as f64);
+            self.revision_changed.notify_one();
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/src/node/collect_hosts.rs
@@ -0,0 +1,108 @@
+//! Collects the host list and the notices of hosts that are about to go.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use super::Node;
+use super::hosts::KnownNotice;
+use super::messages::{HostNotice, Request};
+use crate::blackboard::HostState;
+use crate::keys::HostKey;
+use crate::platform::cloud::Cloud;
+use crate::requests::links::Peers;
+
+/// Between two looks at the host list.
+const LIST_INTERVAL_MS: u64 = 1_000;
+
+/// How long the cloud may hold the answer back when there is no notice.
+const NOTICE_WAIT_MS: u64 = 1_000;
+
+/// Pause after the cloud did not answer.
+const FAILURE_PAUSE_MS: u64 = 250;
+
+/// Keeps the host table up to date until `shutdown`.
+pub(super) async fn collect_list(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        match (node.cloud.hosts().await, node.core.blackboard.in_force()) {
+            (Ok(list), Some(in_force)) => {
+                let now = node.core.clock.now();
+                let blackboard = &node.core.blackboard;
+                node.hosts.lock().apply(blackboard, &in_force.document, &list, now);
+            }
+            (Ok(_), None) => {}
+            // Hosts known stay in use: a platform that is down says nothing about them.
+            (Err(error), _) => log::info!(error:% = error; "the host list cannot be read"),
+        }
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = node.revision_changed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(LIST_INTERVAL_MS)) => {}
+        }
+    }
+}
+
+/// Takes notices from the cloud and passes new ones on to the peers, until `shutdown`.
+///
+/// Each node asks the cloud itself and tells the others, so that a node cut off from either still
+/// learns of the notice from the other within its two seconds.
+pub(super) async fn collect_notices(node: Arc<Node>, shutdown: CancellationToken) {
+    let mut from = 0;
+    loop {
+        let asked = tokio::select! {
+            () = shutdown.cancelled() => return,
+            asked = node.cloud.notices(from, NOTICE_WAIT_MS) => asked,
+        };
+        match asked {
+            Ok(page) => {
+                from = page.next;
+                let notices: Vec<_> = page
+                    .notices
+                    .into_iter()
+                    .map(|notice| HostNotice { host: notice.host, leave_at_ms: notice.leave_at_ms })
+                    .collect();
+                let new = node.take_notices(&notices);
+                pass_on(&node, new);
+            }
+            Err(error) => {
+                log::info!(error:% = error; "notices cannot be read");
+                tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+fn pass_on(node: &Arc<Node>, notices: Vec<HostNotice>) {
+    if notices.is_empty() {
+        return;
+    }
+    for member in node.directory.others() {
+        let (node, notices) = (Arc::clone(node), notices.clone());
+        tokio::spawn(async move {
+            // A peer that does not answer asks the cloud itself.
+            drop(node.core.peers.call(member.incarnation, Request::Notices(notices)).await);
+        });
+    }
+}
+
+impl Node {
+    /// Marks the hosts as leaving; gives the notices that were new.
+    pub(super) fn take_notices(&self, notices: &[HostNotice]) -> Vec<HostNotice> {
+        let mut new = Vec::new();
+        for notice in notices {
+            let host = HostKey::of(&notice.host);
+            let known = KnownNotice { host, leave_at_ms: notice.leave_at_ms };
+            if self.hosts.lock().note(known) {
+                let state = HostState::Leaving { leave_at_ms: notice.leave_at_ms };
+                self.core.blackboard.with_host(host, |row| row.state = state);
+                log::info!(host = notice.host.as_str(), leave_at_ms = notice.leave_at_ms.0; "a host is about to go");
+                new.push(notice.clone());
+            }
+        }
+        if !new.is_empty() {
+            self.notices_changed.notify_one();
+        }
+        new
+    }
+}
--- /dev/null
+++ b/src/node/collect_load.rs
@@ -0,0 +1,68 @@
+//! Collects the load reports of the upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tokio_util::sync::CancellationToken;
+
+use super::Node;
+use crate::blackboard::LoadReport;
+use crate::document::checked::PoolKind;
+use crate::keys::HostKey;
+use crate::upstreams::{Engines, Load};
+
+/// Between two rounds.
+const INTERVAL_MS: u64 = 500;
+
+/// Reports asked for at once.
+const AT_ONCE: usize = 16;
+
+/// Asks all engines for their load, round after round, until `shutdown`.
+pub(super) async fn collect(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        let engines = engines(&node);
+        let reports = futures::stream::iter(engines)
+            .map(|(key, address)| {
+                let node = Arc::clone(&node);
+                async move { (key, node.core.engines.load(address).await) }
+            })
+            .buffer_unordered(AT_ONCE);
+        tokio::pin!(reports);
+        while let Some((key, report)) = reports.next().await {
+            if let Ok(load) = report {
+                take(&node, key, &load);
+            }
+        }
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = tokio::time::sleep(Duration::from_millis(INTERVAL_MS)) => {}
+        }
+    }
+}
+
+fn engines(node: &Node) -> Vec<(HostKey, std::net::SocketAddr)> {
+    let Some(in_force) = node.core.blackboard.in_force() else { return Vec::new() };
+    let mut engines = Vec::new();
+    node.core.blackboard.visit_hosts(|row| {
+        let pool = in_force.document.pools.get(row.pool.index());
+        if pool.is_some_and(|pool| matches!(pool.kind, PoolKind::Engine { .. })) {
+            engines.push((row.key, row.address));
+        }
+    });
+    engines
+}
+
+fn take(node: &Node, key: HostKey, load: &Load) {
+    node.core.blackboard.with_host(key, |row| {
+        row.load = LoadReport {
+            as_of_ms: load.as_of_ms,
+            running: load.running,
+            queued: load.queued,
+            slots: load.slots,
+            tokens_per_second: load.tokens_per_second,
+            kv_tokens_used: load.kv_tokens_used,
+            kv_tokens_capacity: load.kv_tokens_capacity,
+        };
+    });
+}
--- /dev/null
+++ b/src/node/handler.rs
@@ -0,0 +1,39 @@
+//! Answers the requests of other nodes.
+
+use std::sync::Arc;
+
+use super::Node;
+use super::links::Fleet;
+use super::messages::{Reply, Request};
+use crate::keys::Incarnation;
+use crate::peers::{Answer, Handler};
+use crate::requests::answer::Answer as CoreAnswer;
+
+/// The node, as peers see it.
+#[derive(Debug)]
+pub(super) struct PeerHandler(pub Arc<Node>);
+
+impl Handler for PeerHandler {
+    type Protocol = Fleet;
+
+    async fn handle(&self, _from: Incarnation, request: Request) -> Answer<Fleet> {
+        let node = &self.0;
+        match node.core.answer(request) {
+            Ok(CoreAnswer::Reply(reply)) => Answer::Reply(reply),
+            Ok(CoreAnswer::Stream(items)) => Answer::Stream(Reply::Stream, items),
+            Err(Request::Newest { than }) => {
+                let held = node.configuration.with(|fold| fold.snapshot());
+                Answer::Reply(Reply::Newest(held.filter(|held| held.revision > than)))
+            }
+            Err(Request::Configuration(snapshot)) => {
+                node.adopt_configuration(&snapshot);
+                Answer::Reply(Reply::Done)
+            }
+            Err(Request::Notices(notices)) => {
+                node.take_notices(&notices);
+                Answer::Reply(Reply::Done)
+            }
+            Err(_) => Answer::Reply(Reply::WrongNode),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/links.rs
@@ -0,0 +1,102 @@
+//! Binds the request core to the real engines, services and peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::Directory;
+use super::messages::{Item, Reply, Request};
+use crate::keys::Incarnation;
+use crate::membership::MemberState;
+use crate::peers::{Connections, Items, PeerError, Protocol};
+use crate::requests::links::{ItemStream, Links, Peers, Unreachable};
+use crate::upstreams::{EngineClient, ServiceClient};
+
+/// How long a peer may take for a reply.
+const REPLY_MS: u64 = 3_000;
+
+/// The protocol between nodes.
+#[derive(Debug)]
+pub struct Fleet;
+
+impl Protocol for Fleet {
+    type Request = Request;
+    type Reply = Reply;
+    type Item = Item;
+
+    fn kind(request: &Request) -> &'static str {
+        request.kind()
+    }
+}
+
+/// The links of a real node.
+#[derive(Debug)]
+pub struct NodeLinks;
+
+impl Links for NodeLinks {
+    type Engines = EngineClient;
+    type Services = ServiceClient;
+    type Peers = NodePeers;
+}
+
+/// The other nodes, reached by what the directory says of them.
+#[derive(Debug)]
+pub struct NodePeers {
+    connections: Connections<Fleet>,
+    directory: Arc<Directory>,
+}
+
+impl NodePeers {
+    /// Peers over these connections.
+    #[must_use]
+    pub fn new(connections: Connections<Fleet>, directory: Arc<Directory>) -> Self {
+        Self { connections, directory }
+    }
+
+    fn address(&self, to: Incarnation) -> Result<SocketAddr, Unreachable> {
+        match self.directory.get(to) {
+            Some(member) if member.state == MemberState::Gone => Err(Unreachable::Gone),
+            Some(member) => Ok(member.peer_address),
+            None => Err(Unreachable::Silent),
+        }
+    }
+}
+
+impl Peers for NodePeers {
+    type Items = NodeItems;
+
+    async fn call(&self, to: Incarnation, request: Request) -> Result<Reply, Unreachable> {
+        let address = self.address(to)?;
+        let reply = self.connections.call(address, request, REPLY_MS).await;
+        reply.map_err(|error| unreachable(&error, to))
+    }
+
+    async fn open(
+        &self,
+        to: Incarnation,
+        request: Request,
+    ) -> Result<(Reply, NodeItems), Unreachable> {
+        let address = self.address(to)?;
+        let opened = self.connections.open(address, request, REPLY_MS).await;
+        let (reply, items) = opened.map_err(|error| unreachable(&error, to))?;
+        Ok((reply, NodeItems { items, from: to }))
+    }
+}
+
+/// Items that a node streams.
+#[derive(Debug)]
+pub struct NodeItems {
+    items: Items<Fleet>,
+    from: Incarnation,
+}
+
+impl ItemStream for NodeItems {
+    async fn next(&mut self) -> Option<Result<Item, Unreachable>> {
+        let item = self.items.next().await?;
+        Some(item.map_err(|error| unreachable(&error, self.from)))
+    }
+}
+
+fn unreachable(error: &PeerError, peer: Incarnation) -> Unreachable {
+    log::info!(error:% = error, peer:% = peer; "a peer does not answer");
+    Unreachable::Silent
+}
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -3,6 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::keys::Incarnation;
+use crate::platform::configuration::Snapshot;
 use crate::requests::record::{Chunk, Copy};
 use crate::requests::{Call, Outcome, RequestId};
 use crate::time::TimeMs;
@@ -65,12 +66,7 @@
         than: u64,
     },
     /// A newer configuration.
-    Configuration {
-        /// Its revision.
-        revision: u64,
-        /// The document as its operator wrote it.
-        text: String,
-    },
+    Configuration(Snapshot),
     /// Hosts that are about to go.
     Notices(Vec<HostNotice>),
 }
@@ -107,7 +103,7 @@
     /// For each record told, whether it is kept and, where asked for, consented to.
     Consents(Vec<bool>),
     /// The newest configuration, if it is newer.
-    Newest(Option<(u64, String)>),
+    Newest(Option<Snapshot>),
     /// Done.
     Done,
 }
@@ -133,7 +129,7 @@
             Self::Witness { .. } => "witness",
             Self::Inherit { .. } => "inherit",
             Self::Newest { .. } => "newest",
-            Self::Configuration { .. } => "configuration",
+            Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
         }
     }
--- /dev/null
+++ b/src/node/moves.rs
@@ -0,0 +1,214 @@
+//! Moves this node's streams off hosts that are about to go, as `reclaim` plans it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio_util::sync::CancellationToken;
+
+use super::Node;
+use crate::blackboard::{HostRow, HostState, InForce};
+use crate::keys::HostKey;
+use crate::membership::Member;
+use crate::reclaim::{
+    Move, Notice, Progress, ReclaimView, Settings, StreamKey, StreamMove, StreamOnHost, Target, plan,
+};
+use crate::requests::record::Order;
+use crate::requests::{Record, Work};
+use crate::time::TimeMs;
+
+/// Longest time between two plans while streams are on hosts under notice.
+const REPLAN_MS: u64 = 200;
+
+/// Between two looks for streams on such hosts while there are none.
+const LOOK_MS: u64 = 500;
+
+/// Bytes of UTF-8 in one prompt token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Plans and gives the orders, until `shutdown`.
+pub(super) async fn control(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        let now = node.core.clock.now();
+        let pause_ms = match node.core.blackboard.in_force() {
+            Some(in_force) => Scene::look(&node, &in_force).act(&node, now),
+            None => LOOK_MS,
+        };
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = node.notices_changed.notified() => {}
+            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
+        }
+    }
+}
+
+/// What a plan is made from, read off the blackboard.
+struct Scene {
+    notices: Vec<Notice>,
+    records: Vec<Arc<Record>>,
+    streams: Vec<StreamOnHost>,
+    targets: Vec<Target>,
+    node_rank: u32,
+    nodes: u32,
+}
+
+impl Scene {
+    fn look(node: &Node, in_force: &InForce) -> Self {
+        let mut hosts = Vec::new();
+        node.core.blackboard.visit_hosts(|row| hosts.push(row.clone()));
+        hosts.sort_unstable_by_key(|row| row.key);
+        let notices: Vec<_> =
+            hosts.iter().filter_map(|row| notice(row, in_force)).collect();
+        let on_notice = |host: HostKey| notices.binary_search_by_key(&host, |n| n.host).is_ok();
+        let records = match notices.is_empty() {
+            true => Vec::new(),
+            false => node.core.records.select(|record| {
+                record.outcome().is_none()
+                    && record.place().is_some_and(|place| on_notice(place.host))
+            }),
+        };
+        let streams: Vec<_> = (0..)
+            .zip(&records)
+            .filter_map(|(index, record)| stream(index, record, &hosts, in_force))
+            .collect();
+        let targets = match streams.is_empty() {
+            true => Vec::new(),
+            false => hosts.iter().filter_map(|row| target(row, in_force)).collect(),
+        };
+        let mut live: Vec<_> = node.directory.members();
+        live.retain(Member::is_live);
+        let rank = live.binary_search_by_key(&node.core.own, |member| member.incarnation);
+        Self {
+            notices,
+            records,
+            streams,
+            targets,
+            node_rank: rank.ok().and_then(|rank| u32::try_from(rank).ok()).unwrap_or(0),
+            nodes: u32::try_from(live.len().max(1)).unwrap_or(1),
+        }
+    }
+
+    /// Plans, gives the orders that are due, and tells when to look again.
+    fn act(&self, node: &Node, now: TimeMs) -> u64 {
+        if self.streams.is_empty() {
+            return LOOK_MS;
+        }
+        let view = ReclaimView {
+            node: node.core.own,
+            node_rank: self.node_rank,
+            nodes: self.nodes,
+            notices: &self.notices,
+            streams: &self.streams,
+            targets: &self.targets,
+            settings: Settings::default(),
+        };
+        let plan = plan(&view, now);
+        for StreamMove { stream, action } in &plan.moves {
+            if let Some(record) = self.records.get(stream.0 as usize) {
+                order(record, *action, now);
+            }
+        }
+        let starts = plan.moves.iter().filter_map(|planned| starts_at(planned.action, now));
+        let look_again = plan.look_again_at_ms.into_iter().chain(starts).min();
+        look_again.map_or(REPLAN_MS, |at| now.until(at).clamp(10, REPLAN_MS))
+    }
+}
+
+/// Gives the order if its time has come; a later plan gives the others.
+fn order(record: &Record, action: Move, now: TimeMs) {
+    match action {
+        Move::Export { target, start_at_ms, .. } if start_at_ms <= now => {
+            if record.progress() == Progress::Running {
+                record.set_progress(Progress::Exporting { target, started_at_ms: now });
+                record.order(Order::Export { target });
+            }
+        }
+        Move::Recompute { target, start_at_ms, .. } if start_at_ms <= now => {
+            record.order(Order::Recompute { target });
+        }
+        Move::Recompute { target, warm_at_ms: Some(warm_at_ms), .. } if warm_at_ms <= now => {
+            record.set_progress(Progress::Warmed { target });
+            record.order(Order::Warm { target });
+        }
+        _ => {}
+    }
+}
+
+/// The next time at which a move has something to do.
+fn starts_at(action: Move, now: TimeMs) -> Option<TimeMs> {
+    let times = match action {
+        Move::Export { start_at_ms, .. } => [Some(start_at_ms), None],
+        Move::Recompute { start_at_ms, warm_at_ms, .. } => [Some(start_at_ms), warm_at_ms],
+        Move::Wait { again_at_ms } => [Some(again_at_ms), None],
+        Move::Finish | Move::RunOut => [None, None],
+    };
+    times.into_iter().flatten().filter(|at| *at > now).min()
+}
+
+fn notice(row: &HostRow, in_force: &InForce) -> Option<Notice> {
+    let HostState::Leaving { leave_at_ms } = row.state else { return None };
+    let class = in_force.document.host_classes.get(row.class.index())?;
+    Some(Notice {
+        host: row.key,
+        domain: row.domain,
+        leave_at_ms,
+        kv_bytes_per_second: class.kv_bytes_per_second,
+        streams_in_all: row.load.running.max(row.open_here),
+    })
+}
+
+fn stream(
+    index: u32,
+    record: &Record,
+    hosts: &[HostRow],
+    in_force: &InForce,
+) -> Option<StreamOnHost> {
+    let document = &in_force.document;
+    let Work::Completion { model, prompt, max_tokens, .. } = &record.call.work else {
+        return None;
+    };
+    let place = record.place()?;
+    let row = &hosts[hosts.binary_search_by_key(&place.host, |row| row.key).ok()?];
+    let class = document.host_classes.get(row.class.index())?;
+    let model = document.find_model(model)?;
+    let generated_tokens = u32::try_from(record.next_position()).unwrap_or(u32::MAX);
+    let prompt_tokens =
+        u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
+    let latency = document.find_latency_class(&record.call.latency_class);
+    let context_tokens = u64::from(prompt_tokens) + u64::from(generated_tokens);
+    Some(StreamOnHost {
+        stream: StreamKey(index),
+        host: place.host,
+        model,
+        prompt_tokens,
+        generated_tokens,
+        remaining_tokens_max: max_tokens.saturating_sub(generated_tokens),
+        tokens_per_second: class.tokens_per_second / f64::from(class.slots.max(1)),
+        priority: latency.map_or(0, |key| document.latency_class(key).priority),
+        idempotent: record.call.idempotent,
+        kv_bytes: context_tokens * document.model(model).kv_bytes_per_token,
+        cached_on: None,
+        progress: record.progress(),
+    })
+}
+
+fn target(row: &HostRow, in_force: &InForce) -> Option<Target> {
+    let document = &in_force.document;
+    let crate::document::checked::PoolKind::Engine { models, .. } =
+        &document.pools.get(row.pool.index())?.kind
+    else {
+        return None;
+    };
+    let class = document.host_classes.get(row.class.index())?;
+    let slots = if row.load.slots > 0 { row.load.slots } else { class.slots };
+    let in_use = row.load.running.max(row.open_here);
+    (row.state == HostState::Live).then(|| Target {
+        host: row.key,
+        domain: row.domain,
+        models: models.clone(),
+        free_slots: slots.saturating_sub(in_use),
+        queued: row.load.queued,
+        kv_tokens_free: class.kv_tokens_capacity.saturating_sub(row.load.kv_tokens_used),
+        kv_bytes_per_second: class.kv_bytes_per_second,
+        prefill_tokens_per_second: class.prefill_tokens_per_second,
+    })
+}
--- /dev/null
+++ b/src/node/run.rs
@@ -0,0 +1,363 @@
+//! Starts a node's parts and ends them in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use miette::Diagnostic;
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::handler::PeerHandler;
+use super::links::{NodeLinks, NodePeers};
+use super::{
+    CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
+};
+use crate::blackboard::Blackboard;
+use crate::document::Document;
+use crate::entry::{self, Bounds};
+use crate::keys::Incarnation;
+use crate::membership::{
+    Member, MemberLoad, MemberState, Membership, RowTooLarge, Settings as MembershipSettings, View,
+};
+use crate::options::ServeSettings;
+use crate::peers::{Connections, FleetKey, KeyError, Server};
+use crate::platform::cloud::HttpCloud;
+use crate::platform::configuration::{Configuration, STREAM};
+use crate::platform::follower::{Followed, Follower};
+use crate::platform::log::HttpLog;
+use crate::requests::Core;
+use crate::requests::core::{Parts, Phase};
+use crate::requests::id::IdKey;
+use crate::time::Clock;
+use crate::upstreams::{EngineClient, Patience, ServiceClient};
+
+/// Between two rounds of forgetting what has expired.
+const EXPIRE_INTERVAL_MS: u64 = 5_000;
+
+/// How long callers may go on using an address that `/v1/entries` no longer names.
+const ENTRIES_TTL_MS: u64 = 5_000;
+
+/// Why a node cannot start or go on.
+#[derive(Debug, thiserror::Error, Diagnostic)]
+pub enum RunError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        #[source]
+        source: io::Error,
+    },
+    /// The fleet key cannot be used.
+    #[error("the fleet key cannot be used")]
+    Key(#[from] KeyError),
+    /// What the node says of itself does not fit into a datagram.
+    #[error("the node's name, failure domain and region are too long")]
+    Row(#[from] RowTooLarge),
+    /// Signals cannot be received.
+    #[error("signals cannot be received")]
+    Signals(#[source] io::Error),
+}
+
+/// A node that runs.
+#[derive(Debug)]
+pub struct Started {
+    /// Its parts.
+    pub node: Arc<Node>,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
+    /// Where peers open streams.
+    pub peer_address: SocketAddr,
+    /// Where it takes heartbeats.
+    pub heartbeat_address: SocketAddr,
+    membership: Arc<Membership>,
+    shutdown: CancellationToken,
+    callers_shutdown: CancellationToken,
+    tasks: TaskTracker,
+    drain_timeout_ms: u64,
+}
+
+/// Runs a node until a signal asks it to stop, then stops it as planned.
+///
+/// # Errors
+///
+/// If the node cannot start.
+pub async fn run(settings: ServeSettings) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(RunError::Signals)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(RunError::Signals)?;
+    let started = start(settings).await?;
+    log::info!(
+        callers:% = started.caller_address,
+        peers:% = started.peer_address,
+        heartbeats:% = started.heartbeat_address,
+        incarnation:% = started.node.core.own;
+        "the node runs"
+    );
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    started.stop().await;
+    Ok(())
+}
+
+/// Starts a node.
+///
+/// # Errors
+///
+/// If a setting cannot be used or an address cannot be listened on.
+pub async fn start(settings: ServeSettings) -> Result<Started, RunError> {
+    let clock = Clock::new();
+    let mut rng = SmallRng::from_os_rng();
+    let own = Incarnation(rng.random());
+    let callers = listen(settings.listen).await?;
+    let peers = listen(settings.peer_listen).await?;
+    let heartbeats = UdpSocket::bind(settings.heartbeat_listen)
+        .await
+        .map_err(|source| RunError::Listen { address: settings.heartbeat_listen, source })?;
+    let settings = with_bound_ports(settings, &callers, &peers, &heartbeats);
+    let key = FleetKey::try_from(settings.fleet_key.expose_bytes())?;
+    let member = member(own, &settings, &clock);
+    let view =
+        View::new(member, settings.seeds.clone(), key.clone(), MembershipSettings::default())?;
+    let membership = Arc::new(Membership::new(view, clock));
+    let directory = Arc::new(Directory::new(Arc::clone(&membership)));
+    let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
+    let started = Started {
+        caller_address: settings.advertise,
+        peer_address: settings.peer_advertise,
+        heartbeat_address: settings.heartbeat_advertise,
+        membership,
+        shutdown: CancellationToken::new(),
+        callers_shutdown: CancellationToken::new(),
+        tasks: TaskTracker::new(),
+        drain_timeout_ms: settings.drain_timeout_ms,
+        node,
+    };
+    started.spawn_membership(heartbeats);
+    started.spawn_peer_server(peers, key, settings.peer_advertise);
+    started.spawn_collectors(rng);
+    started.spawn_callers(callers, bounds(&settings));
+    Ok(started)
+}
+
+impl Started {
+    /// Stops as planned: nothing is cut, what cannot finish in time is handed over.
+    pub async fn stop(&self) {
+        log::info!("the node is leaving");
+        let core = &self.node.core;
+        core.advance(Phase::Leaving);
+        self.membership.leave();
+        self.node.directory.refresh();
+        let now = core.clock.now();
+        let until_ms = now.after(self.drain_timeout_ms);
+        // Callers that were told this address may go on using it for a while.
+        let grace_ms = ENTRIES_TTL_MS.min(self.drain_timeout_ms / 2);
+        tokio::time::sleep(std::time::Duration::from_millis(grace_ms)).await;
+        core.leave(until_ms).await;
+        self.callers_shutdown.cancel();
+        self.finish_callers(until_ms).await;
+        self.shutdown.cancel();
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
+    /// Ends at once, as a crash would; for tests.
+    pub fn abandon(&self) {
+        self.callers_shutdown.cancel();
+        self.shutdown.cancel();
+    }
+
+    /// Waits for callers whose answers are still being followed from here.
+    async fn finish_callers(&self, until_ms: crate::time::TimeMs) {
+        let left_ms = self.node.core.clock.now().until(until_ms).max(1_000);
+        let limit = std::time::Duration::from_millis(left_ms);
+        let served = async {
+            while self.node.open_callers() > 0 {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        };
+        if tokio::time::timeout(limit, served).await.is_err() {
+            log::warn!(open = self.node.open_callers(); "callers are left to resume elsewhere");
+        }
+    }
+
+    fn spawn_membership(&self, socket: UdpSocket) {
+        let (node, membership) = (Arc::clone(&self.node), Arc::clone(&self.membership));
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move {
+            let load = || MemberLoad {
+                open_streams: u32::try_from(node.open_callers()).unwrap_or(u32::MAX),
+                waiting: 0,
+                cpu_permille: 0,
+            };
+            let on_event = |event| {
+                log::info!(event:? = event; "membership changed");
+                node.members_changed.notify_one();
+            };
+            if let Err(error) = membership.run(socket, load, on_event, shutdown).await {
+                log::error!(error:% = error; "heartbeats have ended");
+            }
+        });
+        let (node, shutdown) = (Arc::clone(&self.node), self.shutdown.clone());
+        self.tasks.spawn(async move {
+            loop {
+                tokio::select! {
+                    () = shutdown.cancelled() => return,
+                    () = node.members_changed.notified() => node.directory.refresh(),
+                }
+            }
+        });
+    }
+
+    fn spawn_peer_server(&self, listener: TcpListener, key: FleetKey, advertised: SocketAddr) {
+        let server = Server::new(key)
+            .with_clock(self.node.core.clock)
+            .with_advertised_address(advertised);
+        let handler = Arc::new(PeerHandler(Arc::clone(&self.node)));
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move { server.serve(listener, handler, shutdown).await });
+    }
+
+    fn spawn_collectors(&self, rng: SmallRng) {
+        let node = &self.node;
+        let token = || self.shutdown.clone();
+        self.tasks.spawn(collect_hosts::collect_list(Arc::clone(node), token()));
+        self.tasks.spawn(collect_hosts::collect_notices(Arc::clone(node), token()));
+        self.tasks.spawn(collect_load::collect(Arc::clone(node), token()));
+        self.tasks.spawn(collect_configuration::follow(Arc::clone(node), token()));
+        self.tasks.spawn(collect_configuration::ask_peers(Arc::clone(node), token()));
+        self.tasks.spawn(moves::control(Arc::clone(node), token()));
+        self.tasks.spawn(expire(Arc::clone(node), token()));
+        let followed = Arc::clone(&node.configuration);
+        let clock = node.core.clock;
+        let follower = Follower::new(Arc::clone(&node.log), STREAM, followed, clock, rng);
+        let shutdown = token();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = shutdown.cancelled() => {}
+                () = follower.run() => {}
+            }
+        });
+    }
+
+    fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
+        let node = Arc::clone(&self.node);
+        let shutdown = self.callers_shutdown.clone();
+        self.tasks.spawn(entry::serve(listener, node, bounds, shutdown));
+    }
+}
+
+async fn expire(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        node.core.expire(node.core.clock.now());
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = tokio::time::sleep(std::time::Duration::from_millis(EXPIRE_INTERVAL_MS)) => {}
+        }
+    }
+}
+
+fn assemble(
+    settings: &ServeSettings,
+    own: Incarnation,
+    clock: Clock,
+    key: &FleetKey,
+    directory: &Arc<Directory>,
+) -> Node {
+    let connections = Connections::new(key.clone(), own).with_clock(clock);
+    let core = Core::<NodeLinks>::new(Parts {
+        own,
+        clock,
+        blackboard: Arc::new(Blackboard::default()),
+        engines: EngineClient::new(Patience::default()),
+        services: ServiceClient::new(Patience::default()),
+        peers: Arc::new(NodePeers::new(connections, Arc::clone(directory))),
+        id_key: IdKey::derive(settings.fleet_key.expose_bytes()),
+    });
+    let check: CheckDocument = |text| Document::parse(text).ok();
+    Node {
+        core: Arc::new(core),
+        directory: Arc::clone(directory),
+        configuration: Followed::new(Configuration::new(check)),
+        log: Arc::new(HttpLog::new(settings.log_url.clone())),
+        cloud: Arc::new(HttpCloud::new(settings.cloud_url.clone())),
+        hosts: Mutex::default(),
+        revision_changed: Notify::new(),
+        notices_changed: Notify::new(),
+        members_changed: Notify::new(),
+        callers: std::sync::atomic::AtomicUsize::new(0),
+        name: settings.name.clone(),
+        metrics: metrics(),
+    }
+}
+
+fn member(own: Incarnation, settings: &ServeSettings, clock: &Clock) -> Member {
+    Member {
+        incarnation: own,
+        name: settings.name.clone(),
+        started_ms: clock.now(),
+        caller_address: settings.advertise,
+        peer_address: settings.peer_advertise,
+        heartbeat_address: settings.heartbeat_advertise,
+        domain_name: settings.failure_domain.clone(),
+        region: settings.region.clone(),
+        state: MemberState::Alive,
+        load: MemberLoad::default(),
+        version: 0,
+    }
+}
+
+/// Puts the ports that the system chose in place of port 0.
+fn with_bound_ports(
+    settings: ServeSettings,
+    callers: &TcpListener,
+    peers: &TcpListener,
+    heartbeats: &UdpSocket,
+) -> ServeSettings {
+    let bound = (callers.local_addr(), peers.local_addr(), heartbeats.local_addr());
+    match bound {
+        (Ok(callers), Ok(peers), Ok(heartbeats)) => {
+            settings.with_bound(callers, peers, heartbeats)
+        }
+        _ => settings,
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| RunError::Listen { address, source })
+}
+
+fn bounds(settings: &ServeSettings) -> Bounds {
+    Bounds {
+        max_connections: settings.max_connections,
+        max_body_bytes: settings.max_body_bytes,
+        max_header_bytes: settings.max_header_bytes,
+        header_read_timeout_ms: settings.header_read_timeout_ms,
+    }
+}
+
+/// The process's metrics; several nodes in one process share them.
+fn metrics() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Another recorder may have been installed by a program that embeds the node.
+        if metrics::set_global_recorder(recorder).is_err() {
+            log::info!("the process has a metrics recorder already");
+        }
+        handle
+    };
+    HANDLE.get_or_init(install).clone()
+}
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -10,6 +10,7 @@
 use super::record::{Order, Place};
 use super::{Outcome, Record, Verdict, Work};
 use crate::keys::HostKey;
+use crate::reclaim::Progress;
 use crate::routing::NoRoute;
 use crate::upstreams::{
     self, Delivery, EngineEvent, Engines, EventStream, Import, StartStream, UpstreamError,
@@ -184,32 +185,11 @@
         prefill_ms: f64,
         import: Option<&str>,
     ) -> Result<Attempt<Events<L>>, UpstreamError> {
-        let record = &self.record;
-        let Work::Completion {
-            model,
-            prompt,
-            max_tokens,
-            seed,
-        } = &record.call.work
-        else {
-            return Err(UpstreamError::UnknownAttempt);
-        };
-        let in_force = self.core.blackboard.in_force();
-        let priority = in_force.map_or(0, |in_force| latency_class(&in_force, record).priority);
-        let name = record.id.attempt(place.attempt);
-        let (prefix, position) = record.text_and_position();
-        let start = StartStream {
-            attempt: &name,
-            model,
-            prompt,
-            prefix: &prefix,
-            position,
-            max_tokens: u64::from(*max_tokens),
-            priority,
-            seed: *seed,
-            import,
-            delivery: delivery(record),
-        };
+        let name = self.record.id.attempt(place.attempt);
+        let (prefix, position) = self.record.text_and_position();
+        let start = start_stream(&self.record, &name, &prefix, position, self.priority())
+            .ok_or(UpstreamError::UnknownAttempt)?;
+        let start = StartStream { import, ..start };
         let events = self.core.engines.start(place.address, &start).await?;
         let now = self.core.clock.now();
         self.core.note_open(place, prefill_ms, now);
@@ -358,6 +338,7 @@
             Order::Cancel => Flow::End(Outcome::Cancelled),
             Order::HandOver => Flow::Moved,
             Order::Recompute { target } => self.recompute(target).await,
+            Order::Warm { target } => self.warm(target).await,
             Order::Export { target } => self.export(target).await,
         }
     }
@@ -382,6 +363,30 @@
         Flow::Go
     }
 
+    /// Has the target compute what the stream will need there; its one token is dropped.
+    async fn warm(&mut self, target: HostKey) -> Flow {
+        let address = self.core.blackboard.with_host(target, |row| row.address);
+        let (Some(address), Some(active)) = (address, &self.active) else { return Flow::Go };
+        let name = format!("{}-warm", active.name);
+        let (record, core) = (Arc::clone(&self.record), Arc::clone(&self.core));
+        let priority = self.priority();
+        tokio::spawn(async move {
+            let (prefix, position) = record.text_and_position();
+            let Some(start) = start_stream(&record, &name, &prefix, position, priority) else { return };
+            let start = StartStream { max_tokens: position + 1, ..start };
+            match core.engines.start(address, &start).await {
+                Ok(mut events) => while let Some(Ok(_token)) = events.next().await {},
+                Err(error) => log::info!(error:% = error; "a target was not warmed"),
+            }
+        });
+        Flow::Go
+    }
+
+    fn priority(&self) -> u8 {
+        let in_force = self.core.blackboard.in_force();
+        in_force.map_or(0, |in_force| latency_class(&in_force, &self.record).priority)
+    }
+
     /// Takes the KV cache along; the stream pauses meanwhile.
     async fn export(&mut self, target: HostKey) -> Flow {
         let address = self.core.blackboard.with_host(target, |row| row.address);
@@ -394,6 +399,7 @@
             // The stream goes on where it is; the controller decides anew.
             Err(error) => {
                 log::info!(id:% = self.record.id, error:% = error; "an export failed");
+                self.record.set_progress(Progress::ExportFailed);
                 return Flow::Go;
             }
         };
@@ -559,3 +565,28 @@
         Verdict::Foreign
     }
 }
+
+/// What an engine is asked for; `None` for work that is not for engines.
+fn start_stream<'a>(
+    record: &'a Record,
+    attempt: &'a str,
+    prefix: &'a str,
+    position: u64,
+    priority: u8,
+) -> Option<StartStream<'a>> {
+    let Work::Completion { model, prompt, max_tokens, seed } = &record.call.work else {
+        return None;
+    };
+    Some(StartStream {
+        attempt,
+        model,
+        prompt,
+        prefix,
+        position,
+        max_tokens: u64::from(*max_tokens),
+        priority,
+        seed: *seed,
+        import: None,
+        delivery: delivery(record),
+    })
+}
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -9,14 +9,15 @@
 
 use super::id::{Draft, IdKey};
 use super::lanes::Lanes;
-use super::links::Links;
+use super::links::{Links, Peers};
 use super::outcome::Reason;
+use super::record::Order;
 use super::records::Entry;
 use super::witness::Witness;
 use super::{Call, Outcome, Record, Records, RequestId, TeamTag, Work};
 use crate::blackboard::Blackboard;
 use crate::keys::Incarnation;
-use crate::node::messages::Told;
+use crate::node::messages::{Reply, Request, Told};
 use crate::time::{Clock, TimeMs};
 
 /// When a caller may come back after a refusal that passes by itself.
@@ -230,17 +231,34 @@
             witness if witness == self.own => {
                 let (answer, answered) = oneshot::channel();
                 // This node is heir or adopter: it holds the record itself and asks nobody.
-                drop(answer.send(true));
+                if answer.send(true).is_err() {
+                    log::trace!("nobody waits for the consent");
+                }
                 answered
             }
             witness => self.lanes.tell(witness, told),
         }
     }
 
+    /// Stops a request wherever it is; tells whether there is one.
+    pub async fn cancel(&self, id: RequestId) -> bool {
+        if let Some(record) = self.records.get(&id) {
+            record.order(Order::Cancel);
+            return true;
+        }
+        for node in [id.home, id.witness].into_iter().filter(|node| *node != self.own) {
+            if let Ok(Reply::Done) = self.peers.call(node, Request::Cancel { id }).await {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Drops what has outlived its id.
     pub fn expire(&self, now: TimeMs) {
-        self.records.expire(now);
-        self.witness.expire(now);
+        let records = self.records.expire(now);
+        let witnessed = self.witness.expire(now);
+        log::trace!(records = records, witnessed = witnessed; "expired");
     }
 
     /// The refusal of a call when no configuration is in force.
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -8,6 +8,7 @@
 
 use super::{Assembler, Call, Outcome, RequestId, Verdict};
 use crate::keys::HostKey;
+use crate::reclaim::Progress;
 use crate::time::TimeMs;
 
 /// Tokens handed out at once at the most, so that one reader does not hold the lock for long.
@@ -56,6 +57,11 @@
         /// Where to.
         target: HostKey,
     },
+    /// Compute the prompt and the tokens so far into the target's prefix cache, and stay.
+    Warm {
+        /// Where.
+        target: HostKey,
+    },
     /// Take the KV cache along to another host.
     Export {
         /// Where to.
@@ -90,6 +96,7 @@
     may_have_started: u32,
     order: Option<Order>,
     moved: bool,
+    progress: Progress,
 }
 
 /// A record as nodes pass it to each other.
@@ -180,6 +187,7 @@
     pub fn begin_attempt(&self, host: HostKey, address: std::net::SocketAddr) -> Place {
         let mut state = self.state.lock();
         state.attempts += 1;
+        state.progress = Progress::Running;
         let place = Place {
             attempt: state.attempts,
             host,
@@ -349,6 +357,17 @@
         self.state.lock().may_have_started > 0
     }
 
+    /// How far a move off its host has got.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        self.state.lock().progress
+    }
+
+    /// Notes how far a move off its host has got.
+    pub fn set_progress(&self, progress: Progress) {
+        self.state.lock().progress = progress;
+    }
+
     /// Asks something of the task that runs it; a newer order replaces one not yet taken.
     pub fn order(&self, order: Order) {
         let mut state = self.state.lock();
