feature: Client commands and a caller that sees its request to its end

Cause: operators and callers need the node's API from the command line, tests and measurements. Change: config apply/show, status, audit and request over hyper-util; Caller with a pure policy for what follows a broken connection, not_run and unknown. Conclusion: the caller takes a new id only where the first provably did not run or may be repeated.

--- a/src/client.rs
+++ b/src/client.rs
@@ -1,4 +1,20 @@
-//! What the program does as a client of a node: operators' commands and callers' requests.
+//! What the program does as a client of nodes: operators' commands and callers' requests.
+//!
+//! [`Caller`] sends one request and sees it to its end. What it does next after each event is
+//! decided by [`policy`], which does no I/O; which node it asks is decided by [`entries`].
 
+pub mod caller;
 pub mod commands;
+pub mod entries;
+pub mod events;
+pub mod http;
 pub mod input;
+pub mod operator;
+pub mod policy;
+mod reading;
+pub mod table;
+pub mod wire;
+
+pub use caller::{Call, CallContent, Caller, Report};
+pub use operator::Operator;
+pub use policy::End;
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -1,17 +1,26 @@
 //! Carries out each subcommand but `serve`.
 
-use std::io;
+use std::io::{self, Write};
 
+use bytes::Bytes;
 use miette::Diagnostic;
+use serde_json::Value;
 use thiserror::Error;
 
+use super::caller::{Call, CallContent, Caller, Report};
 use super::input::{self, InputError};
+use super::operator::{Operator, OperatorError};
+use super::policy::End;
+use super::table;
 use crate::document::{Document, DocumentFaults};
 use crate::options::arguments::EXIT_CODE_USAGE;
-use crate::options::{Action, generate};
+use crate::options::settings::{Input, RequestContent, RequestSettings};
+use crate::options::{Action, ClientSettings, generate};
 
 /// Exit code for everything that is no fault of the settings or the document.
 const EXIT_CODE_FAILURE: u8 = 1;
+/// Exit code of `request` when it cannot be told whether the request ran.
+const EXIT_CODE_UNKNOWN: u8 = 3;
 
 /// Why a subcommand failed.
 #[derive(Debug, Error, Diagnostic)]
@@ -27,9 +36,60 @@
     /// Standard output could not be written, or no subcommand has this manual page.
     #[error("cannot write to standard output")]
     Output(#[from] io::Error),
-    /// The subcommand cannot run here.
-    #[error("this subcommand is not built yet")]
-    NotBuilt,
+    /// A node did not do what was asked.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Operator(#[from] OperatorError),
+    /// The request has no answer.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Unanswered(#[from] Unanswered),
+    /// `serve` is no client command.
+    #[error("a node is not run as a client command")]
+    NotAClientCommand,
+}
+
+/// A request that ended without an answer.
+#[derive(Clone, Debug, PartialEq, Error, Diagnostic)]
+pub enum Unanswered {
+    /// It did not run.
+    #[error("not run: {reason}")]
+    #[diagnostic(help("Nothing has been done; send it again whenever you like."))]
+    NotRun {
+        /// Why.
+        reason: String,
+    },
+    /// It may have run.
+    #[error("unknown: {reason}")]
+    #[diagnostic(help(
+        "It may have run, and is not run again under its id. Ask for its state with `teaselline request --id {id}`."
+    ))]
+    Unknown {
+        /// Its id.
+        id: String,
+        /// Why.
+        reason: String,
+    },
+    /// It ran and failed, or was cancelled.
+    #[error("failed: {reason}")]
+    Failed {
+        /// Why.
+        reason: String,
+    },
+    /// The call itself is at fault.
+    #[error("the node rejects the call with {status}: {message}")]
+    Rejected {
+        /// The node's status.
+        status: u16,
+        /// What the node says.
+        message: String,
+    },
+    /// The plain service answered with an error.
+    #[error("the service answered with status {status}")]
+    ServiceStatus {
+        /// The status.
+        status: u16,
+    },
 }
 
 impl CommandError {
@@ -38,7 +98,9 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             Self::Input(_) | Self::Document(_) => EXIT_CODE_USAGE,
-            Self::Output(_) | Self::NotBuilt => EXIT_CODE_FAILURE,
+            Self::Operator(error) if error.is_invalid_document() => EXIT_CODE_USAGE,
+            Self::Unanswered(Unanswered::Unknown { .. }) => EXIT_CODE_UNKNOWN,
+            _ => EXIT_CODE_FAILURE,
         }
     }
 }
@@ -48,17 +110,172 @@
 /// # Errors
 ///
 /// If an input is at fault or the node does not do what it was asked.
-pub fn run(action: Action) -> Result<(), CommandError> {
+pub async fn run(action: Action) -> Result<(), CommandError> {
     match action {
-        Action::ConfigCheck { file } => {
-            Document::parse(&input::read_text(&file)?)?;
-            println!("The document is valid.");
+        Action::Serve(_) => Err(CommandError::NotAClientCommand),
+        Action::ConfigCheck { file } => check(&file),
+        Action::ConfigApply {
+            client,
+            file,
+            base_revision,
+        } => apply(client, &file, base_revision).await,
+        Action::ConfigShow { client } => show(client).await,
+        Action::Status { client, json } => status(client, json).await,
+        Action::Audit { client, from } => audit(client, from).await,
+        Action::Request { client, request } => send(client, request).await,
+        Action::Completions { shell } => {
+            generate::completions(shell, &mut io::stdout());
+            Ok(())
         }
-        Action::Completions { shell } => generate::completions(shell, &mut io::stdout()),
         Action::ManualPage { subcommand } => {
-            generate::manual_page(&subcommand, &mut io::stdout())?;
+            Ok(generate::manual_page(&subcommand, &mut io::stdout())?)
+        }
+    }
+}
+
+fn check(file: &Input) -> Result<(), CommandError> {
+    Document::parse(&input::read_text(file)?)?;
+    Ok(writeln!(io::stdout(), "The document is valid.")?)
+}
+
+/// Checks the document here first: what is wrong with it is then told without a node.
+async fn apply(
+    client: ClientSettings,
+    file: &Input,
+    base_revision: u64,
+) -> Result<(), CommandError> {
+    let text = input::read_text(file)?;
+    Document::parse(&text)?;
+    let document = serde_json::from_str(&text).map_err(io::Error::from)?;
+    let revision = Operator::new(client).apply(base_revision, document).await?;
+    Ok(writeln!(io::stdout(), "Revision {revision} is in force.")?)
+}
+
+async fn show(client: ClientSettings) -> Result<(), CommandError> {
+    let configuration = Operator::new(client).configuration().await?;
+    writeln!(
+        io::stderr(),
+        "Revision {} is in force.",
+        configuration.revision
+    )?;
+    Ok(writeln!(io::stdout(), "{:#}", configuration.document)?)
+}
+
+async fn status(client: ClientSettings, json: bool) -> Result<(), CommandError> {
+    let status = Operator::new(client).status().await?;
+    let text = if json {
+        format!("{status:#}\n")
+    } else {
+        table::render(&status)
+    };
+    Ok(write!(io::stdout(), "{text}")?)
+}
+
+/// Prints the trail page by page, up to its end.
+async fn audit(client: ClientSettings, mut from: u64) -> Result<(), CommandError> {
+    let operator = Operator::new(client);
+    loop {
+        let page = operator.audit(from).await?;
+        let records = page.get("records").and_then(Value::as_array);
+        let next = page.get("next").and_then(Value::as_u64);
+        match (records, next) {
+            (Some(records), Some(next)) if !records.is_empty() && next > from => {
+                write!(io::stdout(), "{}", table::rows_as_table(records))?;
+                from = next;
+            }
+            (Some(_), _) => return Ok(()),
+            (None, _) => {
+                return Ok(write!(io::stdout(), "{}", table::render(&page))?);
+            }
+        }
+    }
+}
+
+async fn send(client: ClientSettings, request: RequestSettings) -> Result<(), CommandError> {
+    let caller = Caller::new(&client.node_urls, client.token)
+        .with_limits(request.attempts, request.attempts);
+    let mut out = io::stdout();
+    let mut written = Ok(());
+    let print = |_position: u64, token: &str| {
+        let printed = out.write_all(token.as_bytes()).and_then(|()| out.flush());
+        written = std::mem::replace(&mut written, Ok(())).and(printed);
+    };
+    let report = match request.content {
+        RequestContent::Resume { id } => caller.resume(&id, 0, print).await,
+        RequestContent::Completion {
+            model,
+            prompt,
+            max_tokens,
+            latency_class,
+        } => {
+            let content = CallContent::Completion {
+                model,
+                prompt: input::read_text(&prompt)?,
+                max_tokens,
+                latency_class,
+            };
+            let call = with_rules(content, request.idempotent, request.idempotency_key);
+            caller.call(&call, print).await
+        }
+        RequestContent::Service { name, path, body } => {
+            let body = Bytes::from(input::read_bytes(&body)?);
+            let content = CallContent::Service { name, path, body };
+            let call = with_rules(content, request.idempotent, request.idempotency_key);
+            caller.call(&call, print).await
+        }
+    };
+    written?;
+    print_end(report)
+}
+
+fn with_rules(content: CallContent, idempotent: Option<bool>, key: Option<String>) -> Call {
+    Call {
+        content,
+        idempotent,
+        idempotency_key: key,
+    }
+}
+
+/// Prints the id and what is left to print, or says why there is no answer.
+fn print_end(report: Report) -> Result<(), CommandError> {
+    let id = report.ids.last().cloned().unwrap_or_default();
+    match report.end {
+        End::Completed { tokens, finish } => {
+            writeln!(io::stdout())?;
+            Ok(writeln!(
+                io::stderr(),
+                "id {id}: {tokens} tokens, finish {finish}"
+            )?)
+        }
+        End::Answered { status, body } => {
+            io::stdout().write_all(&body)?;
+            writeln!(io::stderr(), "id {id}: status {status}")?;
+            match status {
+                200..=299 => Ok(()),
+                status => Err(Unanswered::ServiceStatus { status }.into()),
+            }
+        }
+        end => Err(unanswered(end, id).into()),
+    }
+}
+
+fn unanswered(end: End, id: String) -> Unanswered {
+    let not_run = end.is_not_run();
+    let unknown = end.is_unknown();
+    let reason = match end {
+        End::Rejected(rejection) => {
+            return Unanswered::Rejected {
+                status: rejection.status,
+                message: rejection.message,
+            };
         }
-        _ => return Err(CommandError::NotBuilt),
+        End::Refused(refusal) => refusal.shown_reason().to_owned(),
+        End::Unsent => String::from("no node could be reached"),
+        _ => String::from("the connections failed too often"),
+    };
+    match (not_run, unknown) {
+        (true, _) => Unanswered::NotRun { reason },
+        (_, true) => Unanswered::Unknown { id, reason },
+        _ => Unanswered::Failed { reason },
     }
-    Ok(())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -14,6 +14,11 @@
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
+/// Threads of every subcommand but `serve`.
+const CLIENT_THREADS: usize = 1;
+/// Exit code of a node that could not run.
+const EXIT_CODE_FAILURE: u8 = 1;
+
 #[derive(Debug, Error, Diagnostic)]
 enum ServeError {
     #[error("cannot start the worker threads")]
@@ -42,12 +47,16 @@
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
-        Err(error) => report(error, 1),
+        Err(error) => report(error, EXIT_CODE_FAILURE),
     }
 }
 
 fn command(action: Action) -> ExitCode {
-    match commands::run(action) {
+    let runtime = match start_runtime(CLIENT_THREADS) {
+        Ok(runtime) => runtime,
+        Err(error) => return report(ServeError::Runtime(error), EXIT_CODE_FAILURE),
+    };
+    match runtime.block_on(commands::run(action)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let code = error.exit_code();
