feature: Append so that one intent gives one record

Cause: the log does not deduplicate, and an answer can be lost after the record took effect. Change: a pure flight decides on append, reading back by writer and sequence, waiting and giving up; group commit shares one record among many entries; a token bucket bounds a node's appends and keeps a part for urgent ones.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -4,6 +4,7 @@
 //! read by folds, which are pure: records in, state out.
 
 pub mod backoff;
+pub mod budget;
 pub mod cloud;
 pub mod configuration;
 #[doc(hidden)]
@@ -11,3 +12,4 @@
 pub mod follower;
 pub mod http;
 pub mod log;
+pub mod writer;
--- a/src/platform/fakes/log.rs
+++ b/src/platform/fakes/log.rs
@@ -76,6 +76,7 @@
     streams: Vec<Stream>,
     faults: VecDeque<AppendFault>,
     out: bool,
+    unreadable: bool,
     now_ms: TimeMs,
 }
 
@@ -119,6 +120,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Lets reads fail, or no longer.
+    pub fn set_unreadable(&self, unreadable: bool) {
+        self.state.lock().unreadable = unreadable;
+    }
+
     /// Lets the coming appends meet these faults, one each.
     pub fn add_faults(&self, faults: impl IntoIterator<Item = AppendFault>) {
         self.state.lock().faults.extend(faults);
@@ -185,7 +191,7 @@
 
     fn try_read(&self, stream: &str, from: u64, limit: u32) -> Result<Page, CallError> {
         let mut state = self.state.lock();
-        if state.out {
+        if state.out || state.unreadable {
             return Err(refused());
         }
         Ok(state.stream(stream).page(from, limit))
