feature: Add the weight store, fault proxies, a whole site and its history

A deployment's stand-ins start from one plain description, purchased hosts included, and the history of all executions tells doubled work and recomputed tokens.

--- a/stand_ins/src/cloud.rs
+++ b/stand_ins/src/cloud.rs
@@ -13,8 +13,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{mpsc, watch};
 
+use self::state::State;
 pub use self::state::{HostRecord, HostSpec, LeaveReason, Notice, Price, PurchaseRecord};
-use self::state::{State, Step};
 use crate::server::{Server, sleep_until_ms};
 
 /// What a cloud is like.
@@ -224,16 +224,13 @@
 
 impl Shared {
     fn end(&self, host: &str) {
-        let step = self.state.lock().end(host, crate::now_ms());
-        self.emit(step);
+        let event = self.state.lock().end(host, crate::now_ms());
+        if let Some(event) = event {
+            self.emit(event);
+        }
     }
 
-    fn emit(&self, step: Step) {
-        let event = match step {
-            Step::Nothing => return,
-            Step::Start(spec) => HostEvent::Start(spec),
-            Step::Stop { host } => HostEvent::Stop { host },
-        };
+    fn emit(&self, event: HostEvent) {
         // Without an owner there is no process to start or stop.
         drop(self.events.send(event));
     }
--- a/stand_ins/src/cloud/http.rs
+++ b/stand_ins/src/cloud/http.rs
@@ -10,8 +10,8 @@
 use tokio::time::Instant;
 
 use super::{
-    Shared,
-    state::{HostSpec, PurchaseBody, Step},
+    HostEvent, Shared,
+    state::{HostSpec, PurchaseBody},
 };
 use crate::server::{self, Answer, Call, Cut, Handler, empty, error, ok};
 
@@ -97,7 +97,7 @@
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
             if shared.state.lock().is_held(&spec.host) {
-                shared.emit(Step::Start(spec));
+                shared.emit(HostEvent::Start(spec));
             }
         });
     }
--- a/stand_ins/src/cloud/state.rs
+++ b/stand_ins/src/cloud/state.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use serde_json::json;
 
-use super::Reclaim;
+use super::{HostEvent, Reclaim};
 use crate::number::float;
 
 const HOUR_MS: f64 = 3_600_000.0;
@@ -71,8 +72,15 @@
     pub noticed_ms: Option<u64>,
     /// When it was gone.
     pub gone_ms: Option<u64>,
+    /// When it leaves, as announced.
+    pub leave_at_ms: Option<u64>,
     /// What it has cost so far.
     pub cost: f64,
+    /// From when the list shows it.
+    live_ms: u64,
+    /// Up to when `cost` counts, and the price from then on.
+    priced_ms: u64,
+    price_per_hour: f64,
 }
 
 /// A purchase that took effect.
@@ -95,78 +103,41 @@
     pub pool: String,
 }
 
-/// An entry of the host list.
-#[derive(Debug, Serialize)]
-pub(super) struct ListedHost<'a> {
-    host: &'a str,
-    address: SocketAddr,
-    failure_domain: &'a str,
-    host_class: &'a str,
-    pool: &'a str,
-    state: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    leave_at_ms: Option<u64>,
-}
-
-/// What the owner of the hosts has to do next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Step {
-    Nothing,
-    Start(HostSpec),
-    Stop { host: String },
-}
-
-#[derive(Debug)]
-struct Host {
-    spec: HostSpec,
-    started: Option<Started>,
-    held_ms: u64,
-    /// When it was noticed, and when it leaves.
-    leaving: Option<(u64, u64)>,
-    gone_ms: Option<u64>,
-    /// Cost up to `priced_ms`, and the price from then on.
-    cost: f64,
-    priced_ms: u64,
-    price_per_hour: f64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Started {
-    address: SocketAddr,
-    at_ms: u64,
-}
-
 #[derive(Debug)]
 pub(super) struct State {
     prices: Vec<Price>,
-    hosts: Vec<Host>,
+    hosts: Vec<HostRecord>,
     notices: Vec<Notice>,
     purchases: Vec<(String, String)>,
 }
 
-impl Host {
+impl HostRecord {
     fn cost_at(&self, now_ms: u64) -> f64 {
         let until_ms = self.gone_ms.unwrap_or(now_ms).max(self.priced_ms);
         self.cost + float(until_ms - self.priced_ms) / HOUR_MS * self.price_per_hour
     }
 
-    fn listed(&self, as_of_ms: u64) -> Option<ListedHost<'_>> {
-        let started = self.started.filter(|started| started.at_ms <= as_of_ms)?;
-        if self.gone_ms.is_some_and(|gone_ms| gone_ms <= as_of_ms) {
+    fn listed(&self, as_of_ms: u64) -> Option<serde_json::Value> {
+        let address = self.address?;
+        if self.live_ms > as_of_ms || self.gone_ms.is_some_and(|gone_ms| gone_ms <= as_of_ms) {
             return None;
         }
-        let leaving = self
-            .leaving
-            .filter(|(noticed_ms, _)| *noticed_ms <= as_of_ms);
-        Some(ListedHost {
-            host: &self.spec.host,
-            address: started.address,
-            failure_domain: &self.spec.failure_domain,
-            host_class: &self.spec.host_class,
-            pool: &self.spec.pool,
-            state: if leaving.is_some() { "leaving" } else { "live" },
-            leave_at_ms: leaving.map(|(_, leave_at_ms)| leave_at_ms),
-        })
+        let mut listed = json!({
+            "host": self.spec.host,
+            "address": address,
+            "failure_domain": self.spec.failure_domain,
+            "host_class": self.spec.host_class,
+            "pool": self.spec.pool,
+            "state": "live",
+        });
+        if self
+            .noticed_ms
+            .is_some_and(|noticed_ms| noticed_ms <= as_of_ms)
+        {
+            listed["state"] = "leaving".into();
+            listed["leave_at_ms"] = self.leave_at_ms.into();
+        }
+        Some(listed)
     }
 }
 
@@ -181,12 +152,13 @@
     }
 
     pub fn register(&mut self, spec: HostSpec, address: SocketAddr, now_ms: u64) {
-        self.hold(spec, Some(Started { address, at_ms: 0 }), now_ms);
+        let host = self.hold(spec, now_ms);
+        (host.address, host.live_ms) = (Some(address), 0);
     }
 
     pub fn started(&mut self, host: &str, address: SocketAddr, at_ms: u64) {
         if let Some(host) = self.find(host) {
-            host.started = Some(Started { address, at_ms });
+            (host.address, host.live_ms) = (Some(address), at_ms);
         }
     }
 
@@ -236,7 +208,7 @@
             pool: body.pool,
         };
         self.purchases.push((body.purchase, spec.host.clone()));
-        self.hold(spec.clone(), None, now_ms);
+        self.hold(spec.clone(), now_ms);
         spec
     }
 
@@ -244,7 +216,7 @@
         let record = |(purchase, name): &(String, String)| {
             let host = self.hosts.iter().find(|host| host.spec.host == *name);
             let state = match host {
-                Some(host) if host.gone_ms.is_none() && host.started.is_some() => "live",
+                Some(host) if host.gone_ms.is_none() && host.address.is_some() => "live",
                 Some(host) if host.gone_ms.is_none() => "starting",
                 _ => "ended",
             };
@@ -265,27 +237,29 @@
         reason: LeaveReason,
         now_ms: u64,
     ) -> Vec<String> {
-        let prices = &self.prices;
+        let Self {
+            prices,
+            hosts,
+            notices,
+            ..
+        } = self;
         let is_reclaimable = |spec: &HostSpec| {
-            prices.iter().any(|price| {
-                price.reclaimable
-                    && price.host_class == spec.host_class
-                    && price.failure_domain == spec.failure_domain
-            })
+            find_price(prices, &spec.host_class, &spec.failure_domain)
+                .is_some_and(|it| it.reclaimable)
         };
         let is_meant = |spec: &HostSpec| match reclaim {
             Reclaim::Domain(domain) => spec.failure_domain == *domain && is_reclaimable(spec),
             Reclaim::Hosts(hosts) => hosts.contains(&spec.host),
         };
         let mut noticed = Vec::new();
-        for host in self.hosts.iter_mut().filter(|host| host.gone_ms.is_none()) {
+        for host in hosts.iter_mut().filter(|host| host.gone_ms.is_none()) {
             if !is_meant(&host.spec) {
                 continue;
             }
-            host.leaving = Some((now_ms, leave_at_ms));
-            let sequence = self.notices.len() as u64;
+            (host.noticed_ms, host.leave_at_ms) = (Some(now_ms), Some(leave_at_ms));
+            let sequence = notices.len() as u64;
             let name = host.spec.host.clone();
-            self.notices.push(Notice {
+            notices.push(Notice {
                 sequence,
                 host: name.clone(),
                 leave_at_ms,
@@ -305,20 +279,16 @@
     }
 
     /// Ends a host; nothing happens if it is gone already.
-    pub fn end(&mut self, host: &str, now_ms: u64) -> Step {
-        match self.find(host) {
-            Some(found) if found.gone_ms.is_none() => {
-                found.gone_ms = Some(now_ms);
-                Step::Stop {
-                    host: host.to_owned(),
-                }
-            }
-            _ => Step::Nothing,
-        }
+    pub fn end(&mut self, host: &str, now_ms: u64) -> Option<HostEvent> {
+        let found = self.find(host).filter(|found| found.gone_ms.is_none())?;
+        found.gone_ms = Some(now_ms);
+        Some(HostEvent::Stop {
+            host: host.to_owned(),
+        })
     }
 
     /// The list as it was at `as_of_ms`.
-    pub fn list(&self, as_of_ms: u64) -> Vec<ListedHost<'_>> {
+    pub fn list(&self, as_of_ms: u64) -> Vec<serde_json::Value> {
         self.hosts
             .iter()
             .filter_map(|host| host.listed(as_of_ms))
@@ -326,38 +296,44 @@
     }
 
     pub fn records(&self, now_ms: u64) -> Vec<HostRecord> {
-        let record = |host: &Host| HostRecord {
-            spec: host.spec.clone(),
-            address: host.started.map(|started| started.address),
-            held_ms: host.held_ms,
-            noticed_ms: host.leaving.map(|(noticed_ms, _)| noticed_ms),
-            gone_ms: host.gone_ms,
+        let record = |host: &HostRecord| HostRecord {
             cost: host.cost_at(now_ms),
+            ..host.clone()
         };
         self.hosts.iter().map(record).collect()
     }
 
-    fn hold(&mut self, spec: HostSpec, started: Option<Started>, now_ms: u64) {
+    fn hold(&mut self, spec: HostSpec, now_ms: u64) -> &mut HostRecord {
         let price = self.price(&spec.host_class, &spec.failure_domain);
         let price_per_hour = price.map_or(0.0, |price| price.price_per_hour);
-        self.hosts.push(Host {
+        self.hosts.push_mut(HostRecord {
             spec,
-            started,
+            address: None,
             held_ms: now_ms,
-            leaving: None,
+            noticed_ms: None,
             gone_ms: None,
+            leave_at_ms: None,
             cost: 0.0,
+            live_ms: now_ms,
             priced_ms: now_ms,
             price_per_hour,
-        });
+        })
     }
 
     fn price(&self, host_class: &str, failure_domain: &str) -> Option<&Price> {
-        let mut prices = self.prices.iter();
-        prices.find(|it| it.host_class == host_class && it.failure_domain == failure_domain)
+        find_price(&self.prices, host_class, failure_domain)
     }
 
-    fn find(&mut self, host: &str) -> Option<&mut Host> {
+    fn find(&mut self, host: &str) -> Option<&mut HostRecord> {
         self.hosts.iter_mut().find(|it| it.spec.host == host)
     }
 }
+
+fn find_price<'a>(
+    prices: &'a [Price],
+    host_class: &str,
+    failure_domain: &str,
+) -> Option<&'a Price> {
+    let mut prices = prices.iter();
+    prices.find(|it| it.host_class == host_class && it.failure_domain == failure_domain)
+}
--- a/stand_ins/src/engine.rs
+++ b/stand_ins/src/engine.rs
@@ -23,7 +23,7 @@
 pub use self::{
     cache::{BLOCK_BYTES, BLOCK_TOKENS, CacheEvent, CacheEventKind, blocks},
     load::Load,
-    orders::{LoadedModel, OrderRecord},
+    orders::{LoadedModel, Order, OrderBody, OrderRecord},
     stream::{Execution, Finish},
     text::{STOP_MARK, answer_tokens, expected_answer, prompt_tokens, token_text},
 };
@@ -267,10 +267,7 @@
     #[must_use]
     pub fn executions(&self) -> Vec<Execution> {
         let executed = self.shared.executed.lock();
-        executed
-            .iter()
-            .filter_map(|stream| stream.execution())
-            .collect()
+        executed.iter().map(|stream| stream.execution()).collect()
     }
 
     /// Every order that arrived, over all lives.
--- a/stand_ins/src/engine/orders.rs
+++ b/stand_ins/src/engine/orders.rs
@@ -64,16 +64,6 @@
     pub version: String,
 }
 
-/// The answer of `GET /v1/state`.
-#[derive(Clone, Debug, Serialize)]
-pub(crate) struct EngineState {
-    models: Vec<LoadedModel>,
-    adapters: Vec<String>,
-    role: String,
-    newest_fencing: u64,
-    loading: Vec<LoadedModel>,
-}
-
 #[derive(Debug)]
 pub(crate) struct Orders {
     checks: bool,
@@ -128,20 +118,19 @@
         Ok(())
     }
 
-    pub fn state(&self, now_ms: u64) -> EngineState {
-        let some = |ready: bool| {
-            let models = self
-                .models
-                .iter()
-                .filter(move |(_, at_ms)| (*at_ms <= now_ms) == ready);
-            models.map(|(model, _)| model.clone()).collect()
+    /// The answer of `GET /v1/state`.
+    pub fn state(&self, now_ms: u64) -> serde_json::Value {
+        let is_ready = |(_, ready_ms): &&(LoadedModel, u64)| *ready_ms <= now_ms;
+        let (ready, loading): (Vec<_>, Vec<_>) = self.models.iter().partition(is_ready);
+        let models = |some: Vec<&(LoadedModel, u64)>| -> Vec<_> {
+            some.into_iter().map(|(model, _)| model.clone()).collect()
         };
-        EngineState {
-            models: some(true),
-            adapters: self.adapters.clone(),
-            role: self.role.clone(),
-            newest_fencing: self.newest_fencing,
-            loading: some(false),
-        }
+        serde_json::json!({
+            "models": models(ready),
+            "adapters": self.adapters,
+            "role": self.role,
+            "newest_fencing": self.newest_fencing,
+            "loading": models(loading),
+        })
     }
 }
--- a/stand_ins/src/engine/schedule.rs
+++ b/stand_ins/src/engine/schedule.rs
@@ -102,9 +102,9 @@
             job.prefill_left -= share;
             let left = whole(job.prefill_left.max(0.0).ceil());
             let stream = &job.stream;
-            stream.advance(|progress| {
-                progress.computed_tokens =
-                    (stream.prompt_tokens - progress.cached_tokens).saturating_sub(left);
+            stream.advance(|ran| {
+                ran.computed_tokens =
+                    (stream.prompt_tokens - ran.cached_tokens).saturating_sub(left);
             });
             if job.is_decoding() {
                 // The prefill's last step gives the first token.
@@ -136,10 +136,10 @@
             let (fresh, is_whole) = if due == 0 {
                 (0, job.stream.position() >= limit)
             } else {
-                job.stream.advance(|progress| {
-                    let fresh = due.min(limit.saturating_sub(progress.end));
-                    progress.end += fresh;
-                    (fresh, progress.end >= limit)
+                job.stream.advance(|ran| {
+                    let fresh = due.min(limit.saturating_sub(ran.end()));
+                    ran.generated_tokens += fresh;
+                    (fresh, ran.end() >= limit)
                 })
             };
             self.generated_tokens += fresh;
@@ -175,9 +175,9 @@
                 .min(total);
             job.prefill_left = float(total - cached);
             job.fraction = if job.is_decoding() { 1.0 } else { 0.0 };
-            job.stream.advance(|progress| {
-                progress.started_ms = Some(now_ms);
-                progress.cached_tokens = cached;
+            job.stream.advance(|ran| {
+                ran.started_ms = now_ms;
+                ran.cached_tokens = cached;
             });
             admitted.push(Arc::clone(&job.stream));
             self.running.push(job);
--- a/stand_ins/src/engine/stream.rs
+++ b/stand_ins/src/engine/stream.rs
@@ -34,6 +34,24 @@
     Error,
 }
 
+impl Execution {
+    /// The position after its last token.
+    #[must_use]
+    pub fn end(&self) -> u64 {
+        self.position + self.generated_tokens
+    }
+
+    /// Prompt tokens that an earlier attempt had computed: all, where there was a prefix.
+    #[must_use]
+    pub fn recomputed_tokens(&self) -> u64 {
+        if self.position > 0 {
+            self.computed_tokens
+        } else {
+            0
+        }
+    }
+}
+
 impl Finish {
     fn text(self) -> &'static str {
         match self {
@@ -65,30 +83,21 @@
     pub cached_tokens: u64,
     /// Of these, how many were computed.
     pub computed_tokens: u64,
-    /// Of the computed, how many an earlier attempt had computed: all, where there was a prefix.
-    pub recomputed_tokens: u64,
     /// Tokens generated.
     pub generated_tokens: u64,
     /// How it ended; `None` while it runs or if the engine died.
     pub finish: Option<Finish>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Progress {
-    /// The position after the last token.
-    pub end: u64,
-    pub started_ms: Option<u64>,
-    pub ended_ms: Option<u64>,
-    pub cached_tokens: u64,
-    pub computed_tokens: u64,
-    pub finish: Option<Finish>,
+    pub ran: Execution,
     readers: Vec<Waker>,
 }
 
 #[derive(Debug)]
 pub(crate) struct Stream {
     pub attempt: String,
-    pub prompt_hash: u64,
     pub key: TextKey,
     /// The position it began at.
     pub start: u64,
@@ -100,24 +109,35 @@
 
 impl Stream {
     pub fn new(attempt: String, prompt: &str, seed: u64, start: u64, prompt_tokens: u64) -> Self {
+        let ran = Execution {
+            attempt: attempt.clone(),
+            prompt_hash: twox_hash::XxHash3_64::oneshot(prompt.as_bytes()),
+            position: start,
+            started_ms: 0,
+            ended_ms: None,
+            prompt_tokens,
+            cached_tokens: 0,
+            computed_tokens: 0,
+            generated_tokens: 0,
+            finish: None,
+        };
         Self {
             quoted: serde_json::Value::from(attempt.as_str()).to_string(),
             attempt,
-            prompt_hash: twox_hash::XxHash3_64::oneshot(prompt.as_bytes()),
             key: TextKey::new(prompt, seed),
             start,
             prompt_tokens,
             progress: Mutex::new(Progress {
-                end: start,
-                ..Progress::default()
+                ran,
+                readers: Vec::new(),
             }),
         }
     }
 
-    /// Changes the progress and wakes the readers.
-    pub fn advance<R>(&self, change: impl FnOnce(&mut Progress) -> R) -> R {
+    /// Changes what has run and wakes the readers.
+    pub fn advance<R>(&self, change: impl FnOnce(&mut Execution) -> R) -> R {
         let mut progress = self.progress.lock();
-        let result = change(&mut progress);
+        let result = change(&mut progress.ran);
         let readers = std::mem::take(&mut progress.readers);
         drop(progress);
         readers.into_iter().for_each(Waker::wake);
@@ -126,41 +146,25 @@
 
     /// Ends the stream unless it has ended.
     pub fn end(&self, finish: Finish, now_ms: u64) {
-        self.advance(|progress| {
-            if progress.finish.is_none() {
-                progress.finish = Some(finish);
-                progress.ended_ms = Some(now_ms);
+        self.advance(|ran| {
+            if ran.finish.is_none() {
+                ran.finish = Some(finish);
+                ran.ended_ms = Some(now_ms);
             }
         });
     }
 
     pub fn ended_ms(&self) -> Option<u64> {
-        self.progress.lock().ended_ms
+        self.progress.lock().ran.ended_ms
     }
 
+    /// The position after the last token.
     pub fn position(&self) -> u64 {
-        self.progress.lock().end
+        self.progress.lock().ran.end()
     }
 
-    pub fn execution(&self) -> Option<Execution> {
-        let progress = self.progress.lock();
-        Some(Execution {
-            attempt: self.attempt.clone(),
-            prompt_hash: self.prompt_hash,
-            position: self.start,
-            started_ms: progress.started_ms?,
-            ended_ms: progress.ended_ms,
-            prompt_tokens: self.prompt_tokens,
-            cached_tokens: progress.cached_tokens,
-            computed_tokens: progress.computed_tokens,
-            recomputed_tokens: if self.start > 0 {
-                progress.computed_tokens
-            } else {
-                0
-            },
-            generated_tokens: progress.end - self.start,
-            finish: progress.finish,
-        })
+    pub fn execution(&self) -> Execution {
+        self.progress.lock().ran.clone()
     }
 
     /// The token events from `from` up to `end`.
@@ -179,7 +183,7 @@
         }
     }
 
-    fn write_end(&self, out: &mut BytesMut, progress: &Progress, finish: Finish) {
+    fn write_end(&self, out: &mut BytesMut, ran: &Execution, finish: Finish) {
         let quoted = &self.quoted;
         let written = match finish {
             Finish::Error => write!(
@@ -190,9 +194,9 @@
                 out,
                 "event: done\ndata: {{\"attempt\":{quoted},\"tokens\":{},\
                  \"cached_prompt_tokens\":{},\"computed_prompt_tokens\":{},\"finish\":\"{}\"}}\n\n",
-                progress.end,
-                progress.cached_tokens,
-                progress.computed_tokens,
+                ran.end(),
+                ran.cached_tokens,
+                ran.computed_tokens,
                 finish.text()
             ),
         };
@@ -234,8 +238,8 @@
         }
         let stream = Arc::clone(&self.stream);
         let mut progress = stream.progress.lock();
-        let until = progress.end.min(self.next + MAX_EVENTS_PER_FRAME);
-        let finish = progress.finish.filter(|_| until >= progress.end);
+        let until = progress.ran.end().min(self.next + MAX_EVENTS_PER_FRAME);
+        let finish = progress.ran.finish.filter(|_| until >= progress.ran.end());
         if *self.paused.borrow() || (until <= self.next && finish.is_none()) {
             if !progress
                 .readers
@@ -249,7 +253,7 @@
         let mut out = BytesMut::new();
         if let Some(finish) = finish {
             stream.write_tokens(&mut out, self.next, until.max(self.next));
-            stream.write_end(&mut out, &progress, finish);
+            stream.write_end(&mut out, &progress.ran, finish);
             self.ended = true;
         } else {
             drop(progress);
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -5,13 +5,22 @@
 
 pub mod cloud;
 pub mod engine;
+pub mod history;
 pub mod log;
 mod number;
+pub mod proxy;
+mod rate;
 mod server;
 pub mod service;
+pub mod site;
+pub mod weights;
 
 pub use cloud::{Cloud, CloudSettings};
 pub use engine::{Engine, EngineSettings};
+pub use history::History;
 pub use log::{Log, LogSettings};
+pub use proxy::{ProxySettings, TcpProxy, UdpProxy};
 pub use server::now_ms;
 pub use service::{Service, ServiceSettings};
+pub use site::{Site, SiteSettings};
+pub use weights::{Weights, WeightsSettings};
--- a/stand_ins/src/log.rs
+++ b/stand_ins/src/log.rs
@@ -17,7 +17,10 @@
 use serde_json::json;
 use tokio::{sync::watch, time::Instant};
 
-use crate::server::{Answer, Call, Cut, Handler, Server, error, ok};
+use crate::{
+    rate::Bucket,
+    server::{Answer, Call, Cut, Handler, Server, error, ok},
+};
 
 const DEFAULT_LIMIT: u64 = 1000;
 const MAX_WAIT_MS: u64 = 60_000;
@@ -88,11 +91,13 @@
 }
 
 /// A record.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogRecord {
     /// Its place in the stream, from 1.
+    #[serde(skip_deserializing)]
     pub offset: u64,
     /// When it was appended.
+    #[serde(skip_deserializing)]
     pub at_ms: u64,
     /// Who appended it.
     pub writer: String,
@@ -120,8 +125,7 @@
 #[derive(Debug)]
 struct State {
     streams: HashMap<String, Records>,
-    tokens: f64,
-    refilled: Instant,
+    bucket: Bucket,
     rng: SmallRng,
     refused: u64,
     lost_answers: u64,
@@ -133,13 +137,6 @@
     last: u64,
 }
 
-#[derive(Debug, Deserialize)]
-struct AppendBody {
-    writer: String,
-    sequence: u64,
-    payload: String,
-}
-
 impl Log {
     /// Starts a log service.
     ///
@@ -153,8 +150,7 @@
     pub async fn start(settings: LogSettings) -> io::Result<Self> {
         let state = State {
             streams: HashMap::new(),
-            tokens: settings.knobs.burst,
-            refilled: Instant::now(),
+            bucket: Bucket::new(settings.knobs.appends_per_second, settings.knobs.burst),
             rng: SmallRng::seed_from_u64(settings.seed),
             refused: 0,
             lost_answers: 0,
@@ -242,17 +238,18 @@
     }
 
     fn append(&self, stream: &str, call: &Call, knobs: &LogKnobs) -> Answer {
-        let body: AppendBody = match call.json() {
-            Ok(body) => body,
+        let record: LogRecord = match call.json() {
+            Ok(record) => record,
             Err(malformed) => return Ok(malformed.answer()),
         };
         let mut state = self.state.lock();
-        if !state.take_token(knobs) {
+        state.bucket.set(knobs.appends_per_second, knobs.burst);
+        if state.bucket.take().is_err() {
             state.refused += 1;
             return Ok(error(StatusCode::TOO_MANY_REQUESTS, "rate"));
         }
         let records = state.streams.entry(stream.to_owned()).or_default();
-        let offset = records.append(body, crate::now_ms());
+        let offset = records.append(record, crate::now_ms());
         records.expire(knobs, crate::now_ms());
         let is_lost = state
             .rng
@@ -299,17 +296,6 @@
 }
 
 impl State {
-    fn take_token(&mut self, knobs: &LogKnobs) -> bool {
-        let passed = self.refilled.elapsed().as_secs_f64();
-        self.refilled = Instant::now();
-        self.tokens = (self.tokens + passed * knobs.appends_per_second).min(knobs.burst);
-        let is_allowed = self.tokens >= 1.0;
-        if is_allowed {
-            self.tokens -= 1.0;
-        }
-        is_allowed
-    }
-
     fn page(&mut self, stream: &str, from: u64, limit: u64, knobs: &LogKnobs) -> Page {
         let Some(records) = self.streams.get_mut(stream) else {
             return Page {
@@ -347,21 +333,15 @@
             .map_or(self.last + 1, |record| record.offset)
     }
 
-    fn append(&mut self, body: AppendBody, at_ms: u64) -> u64 {
+    fn append(&mut self, record: LogRecord, at_ms: u64) -> u64 {
         self.last += 1;
-        let AppendBody {
-            writer,
-            sequence,
-            payload,
-        } = body;
+        let offset = self.last;
         self.kept.push_back(LogRecord {
-            offset: self.last,
+            offset,
             at_ms,
-            writer,
-            sequence,
-            payload,
+            ..record
         });
-        self.last
+        offset
     }
 
     fn expire(&mut self, knobs: &LogKnobs, now_ms: u64) {
--- a/stand_ins/src/server.rs
+++ b/stand_ins/src/server.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
-    net::{TcpListener, TcpSocket},
+    net::{TcpListener, TcpSocket, TcpStream},
     task::{JoinHandle, JoinSet},
 };
 
@@ -164,18 +164,25 @@
     socket.listen(BACKLOG)
 }
 
+/// The next connection, without delayed writes.
+pub(crate) async fn accept_one(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) if socket.set_nodelay(true).is_ok() => return socket,
+            // The caller has gone away meanwhile.
+            Ok(_) => {}
+            // Out of file descriptors, accepting at once again would spin.
+            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
+        }
+    }
+}
+
 async fn accept<H: Handler>(listener: TcpListener, handler: Arc<H>) {
     // Aborting this task drops the set, which aborts every connection in it.
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok((socket, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY).await;
-            continue;
-        };
-        if socket.set_nodelay(true).is_err() {
-            continue;
-        }
+        let socket = accept_one(&listener).await;
         let handler = Arc::clone(&handler);
         connections.spawn(async move {
             let serve = service_fn(move |request| respond(Arc::clone(&handler), request));
--- a/stand_ins/tests/stand_ins/engine.rs
+++ b/stand_ins/tests/stand_ins/engine.rs
@@ -59,7 +59,7 @@
     let execution = &engine.executions()[0];
     // 9 bytes of prompt and 100 of prefix are 28 tokens, none of which was cached.
     assert_eq!(
-        (execution.recomputed_tokens, execution.generated_tokens),
+        (execution.recomputed_tokens(), execution.generated_tokens),
         (28, 15)
     );
 }
@@ -169,3 +169,136 @@
     let load = call(engine.address(), "GET", "/v1/load", "").await.unwrap();
     assert_eq!(load.json()["leaving"], true);
 }
+
+#[tokio::test]
+async fn a_higher_priority_leaves_the_queue_first() {
+    let settings = EngineSettings { slots: 1, ..fast() };
+    let engine = Engine::start(settings).await.unwrap();
+    engine.change(|knobs| knobs.speed = 1e-3);
+    let with = |attempt: &str, priority: u64| {
+        body(attempt, attempt, "", 0, 50)
+            .replace("\"priority\":5", &format!("\"priority\":{priority}"))
+    };
+    let bodies = [with("a.1", 9), with("b.1", 1), with("c.1", 5)];
+    tokio::join!(
+        stream(&engine, &bodies[0]),
+        stream(&engine, &bodies[1]),
+        stream(&engine, &bodies[2]),
+        async {
+            while engine.load().unwrap().queued < 2 {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+            engine.change(|knobs| knobs.speed = 1.0);
+        }
+    );
+    let order: Vec<_> = engine
+        .executions()
+        .into_iter()
+        .map(|it| it.attempt)
+        .collect();
+    let first = order[0].clone();
+    let rest: Vec<_> = ["a.1", "c.1", "b.1"]
+        .into_iter()
+        .filter(|it| *it != first)
+        .collect();
+    assert_eq!(order[1..], rest);
+}
+
+// Symptom: two holders of a lease order an engine about. Sequence: one is paused past its lease,
+// another takes it and orders, the first goes on. Cause: the first does not know of the second.
+#[tokio::test]
+async fn only_an_engine_that_checks_refuses_an_old_fencing_number() {
+    for checks_orders in [true, false] {
+        let engine = Engine::start(EngineSettings {
+            checks_orders,
+            ..fast()
+        })
+        .await
+        .unwrap();
+        let mut statuses = Vec::new();
+        for fencing in [7, 6] {
+            let order = json!({ "kind": "set_role", "role": format!("role-{fencing}") });
+            let body = json!({ "order": order, "fencing": fencing }).to_string();
+            let answer = call(engine.address(), "POST", "/v1/orders", &body)
+                .await
+                .unwrap();
+            statuses.push(answer.status);
+        }
+        assert_eq!(
+            statuses,
+            if checks_orders {
+                [200, 409]
+            } else {
+                [200, 200]
+            }
+        );
+        let state = call(engine.address(), "GET", "/v1/state", "")
+            .await
+            .unwrap()
+            .json();
+        assert_eq!(
+            state["role"],
+            if checks_orders { "role-7" } else { "role-6" }
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_moved_cache_spares_the_prefill() {
+    let (from, to) = (
+        Engine::start(fast()).await.unwrap(),
+        Engine::start(fast()).await.unwrap(),
+    );
+    from.change(|knobs| knobs.speed = 0.001);
+    let prompt = "ledger ".repeat(4);
+    let endless = body("r.1", &prompt, "", 0, 1_000_000);
+    let (part, kv) = tokio::join!(stream(&from, &endless), async {
+        loop {
+            let kv = call(from.address(), "POST", "/v1/kv/r.1/export", "")
+                .await
+                .unwrap();
+            if kv.status == 200 {
+                return kv.json();
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    });
+    let part = part.unwrap();
+    assert_eq!(part.last_event()["finish"], "exported");
+    assert_eq!(part.last_event()["tokens"], kv["position"]);
+    let import = json!({ "handle": kv["handle"], "source": from.address(), "bytes": kv["bytes"] });
+    let answer = call(to.address(), "POST", "/v1/kv/import", &import.to_string())
+        .await
+        .unwrap();
+    assert_eq!(answer.status, 200);
+    let position = kv["position"].as_u64().unwrap();
+    let rest = body("r.2", &prompt, &part.text(), position, position + 5);
+    let import = format!("\"import\":{},\"model\"", kv["handle"]);
+    let rest = stream(&to, &rest.replace("\"model\"", &import))
+        .await
+        .unwrap();
+    assert_eq!(rest.last_event()["computed_prompt_tokens"], 0);
+    assert_eq!(
+        part.text() + &rest.text(),
+        expected_answer(&prompt, 7, position + 5)
+    );
+    from.kill();
+    let import = json!({ "handle": kv["handle"], "source": from.address(), "bytes": 1 });
+    let gone = call(to.address(), "POST", "/v1/kv/import", &import.to_string())
+        .await
+        .unwrap();
+    assert_eq!(gone.status, 502);
+}
+
+#[tokio::test]
+async fn a_paused_engine_goes_on_where_it_stood() {
+    let engine = Engine::start(fast()).await.unwrap();
+    engine.pause(true);
+    let body = body("r.1", "x", "", 0, 9);
+    let (answer, ()) = tokio::join!(stream(&engine, &body), async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        assert!(engine.executions().is_empty());
+        engine.pause(false);
+    });
+    assert_eq!(answer.unwrap().text(), expected_answer("x", 7, 9));
+}
--- a/stand_ins/tests/stand_ins/main.rs
+++ b/stand_ins/tests/stand_ins/main.rs
@@ -4,4 +4,6 @@
 mod cloud;
 mod engine;
 mod log;
+mod proxy;
 mod service;
+mod site;
