--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -119,7 +119,10 @@
 > {
     service_fn(move |request: Request<Incoming>| {
         let mut state = State::from_request(request, peer);
-        state.put(Shared { node: Arc::clone(&node), bounds });
+        state.put(Shared {
+            node: Arc::clone(&node),
+            bounds,
+        });
         let router = Arc::clone(&router);
         async move {
             let answered = call_handler(router, AssertUnwindSafe(state)).await;
--- a/src/entry/authorize.rs
+++ b/src/entry/authorize.rs
@@ -19,7 +19,11 @@
     document: &'a Document,
     headers: &HeaderMap,
 ) -> Result<&'a Operator, Refusal> {
-    find(&document.operators, |operator| &operator.token_sha256, headers)
+    find(
+        &document.operators,
+        |operator| &operator.token_sha256,
+        headers,
+    )
 }
 
 /// Compares with every entry in constant time, so that timing tells nothing about any token.
@@ -40,5 +44,8 @@
 }
 
 fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
-    headers.get(AUTHORIZATION)?.as_bytes().strip_prefix(b"Bearer ")
+    headers
+        .get(AUTHORIZATION)?
+        .as_bytes()
+        .strip_prefix(b"Bearer ")
 }
--- a/src/entry/bodies.rs
+++ b/src/entry/bodies.rs
@@ -50,10 +50,7 @@
 }
 
 /// The first position that the caller has not seen.
-pub(super) fn next_position(
-    headers: &HeaderMap,
-    from: Option<String>,
-) -> Result<u64, Refusal> {
+pub(super) fn next_position(headers: &HeaderMap, from: Option<String>) -> Result<u64, Refusal> {
     let last = text(headers, LAST_EVENT_ID)?;
     match (last, from) {
         (Some(last), _) => {
@@ -67,5 +64,8 @@
 
 /// A header's value as text.
 pub(super) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
-    headers.get(name).map(|value| value.to_str().map_err(|_bytes| Refusal::Header)).transpose()
+    headers
+        .get(name)
+        .map(|value| value.to_str().map_err(|_bytes| Refusal::Header))
+        .transpose()
 }
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -70,7 +70,12 @@
 }
 
 async fn check(asked: Asked) -> Result<(Identified, bool), Refusal> {
-    let in_force = asked.node.core.blackboard.in_force().ok_or(Refusal::NotConfigured)?;
+    let in_force = asked
+        .node
+        .core
+        .blackboard
+        .in_force()
+        .ok_or(Refusal::NotConfigured)?;
     let document = &in_force.document;
     let team = authorize::team(document, &asked.headers)?;
     let idempotent = bodies::idempotent(&asked.headers)?.unwrap_or(true);
@@ -82,20 +87,29 @@
     if raw.prompt.is_empty() || !(1..=MAX_TOKENS).contains(&max_tokens) {
         return Err(Refusal::OutOfRange);
     }
-    document.find_model(&raw.model).ok_or(Refusal::NoSuchTarget)?;
+    document
+        .find_model(&raw.model)
+        .ok_or(Refusal::NoSuchTarget)?;
     let id = identify(&asked.node, given, &team.name)?;
     let now = asked.node.core.clock.now();
-    let (latency_class, deadline_ms) =
-        deadline(document, team, raw.latency_class.as_deref(), now)?;
+    let (latency_class, deadline_ms) = deadline(document, team, raw.latency_class.as_deref(), now)?;
     let work = Work::Completion {
         model: raw.model,
         prompt: raw.prompt,
         max_tokens,
         // The same for every resend under the id, so that any node goes on with the same answer.
-        seed: raw.seed.unwrap_or_else(|| u64::from(id.sequence) ^ id.issued_at_ms.0 << 24),
+        seed: raw
+            .seed
+            .unwrap_or_else(|| u64::from(id.sequence) ^ id.issued_at_ms.0 << 24),
     };
     let team = team.name.clone();
-    let call = Call { team, idempotent, latency_class, deadline_ms, work };
+    let call = Call {
+        team,
+        idempotent,
+        latency_class,
+        deadline_ms,
+        work,
+    };
     Ok((Identified { id, call }, raw.stream))
 }
 
@@ -107,7 +121,9 @@
     now: TimeMs,
 ) -> Result<(String, TimeMs), Refusal> {
     let key = match named {
-        Some(name) => document.find_latency_class(name).ok_or(Refusal::NoSuchTarget)?,
+        Some(name) => document
+            .find_latency_class(name)
+            .ok_or(Refusal::NoSuchTarget)?,
         None => team.default_latency_class,
     };
     let class = document.latency_class(key);
--- a/src/entry/entries.rs
+++ b/src/entry/entries.rs
@@ -28,14 +28,23 @@
 
 /// Answers the call; ids need a team's token, addresses do not.
 pub(super) async fn entries(asked: Asked) -> Response<Body> {
-    let wanted = asked.parameter("ids").and_then(|ids| ids.parse::<usize>().ok()).unwrap_or(0);
+    let wanted = asked
+        .parameter("ids")
+        .and_then(|ids| ids.parse::<usize>().ok())
+        .unwrap_or(0);
     let ids = match ids(&asked, wanted.min(MAX_IDS)) {
         Ok(ids) => ids,
         Err(refusal) => return refusal.response(),
     };
     let addresses = asked.node.entries();
-    let entries = addresses.into_iter().map(|address| Entry { address: address.to_string() });
-    let body = Entries { entries: entries.collect(), ttl_ms: ENTRIES_TTL_MS, ids };
+    let entries = addresses.into_iter().map(|address| Entry {
+        address: address.to_string(),
+    });
+    let body = Entries {
+        entries: entries.collect(),
+        ttl_ms: ENTRIES_TTL_MS,
+        ids,
+    };
     json(StatusCode::OK, &body)
 }
 
@@ -43,7 +52,14 @@
     if wanted == 0 {
         return Ok(Vec::new());
     }
-    let in_force = asked.node.core.blackboard.in_force().ok_or(Refusal::NotConfigured)?;
+    let in_force = asked
+        .node
+        .core
+        .blackboard
+        .in_force()
+        .ok_or(Refusal::NotConfigured)?;
     let team = authorize::team(&in_force.document, &asked.headers)?;
-    Ok((0..wanted).map(|_id| asked.node.mint_here(&team.name).to_string()).collect())
+    Ok((0..wanted)
+        .map(|_id| asked.node.mint_here(&team.name).to_string())
+        .collect())
 }
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -67,10 +67,17 @@
         return refusal.response();
     }
     match serde_json::from_str::<&RawValue>(&in_force.text) {
-        Ok(document) => {
-            json(StatusCode::OK, &InForceBody { revision: in_force.revision, document })
-        }
-        Err(_) => json(StatusCode::INTERNAL_SERVER_ERROR, &"the document is not JSON"),
+        Ok(document) => json(
+            StatusCode::OK,
+            &InForceBody {
+                revision: in_force.revision,
+                document,
+            },
+        ),
+        Err(_) => json(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            &"the document is not JSON",
+        ),
     }
 }
 
@@ -90,11 +97,22 @@
         Ok(body) => body,
         Err(refusal) => return refusal.response(),
     };
-    let Ok(ChangeBody { base_revision, document }) = serde_json::from_slice(&body) else {
+    let Ok(ChangeBody {
+        base_revision,
+        document,
+    }) = serde_json::from_slice(&body)
+    else {
         return Refusal::BodyMalformed.response();
     };
     let document = document.get().to_owned();
-    match node.propose(Proposal { base_revision, operator, document }).await {
+    match node
+        .propose(Proposal {
+            base_revision,
+            operator,
+            document,
+        })
+        .await
+    {
         Ok(revision) => json(StatusCode::OK, &Accepted { revision }),
         Err(error) => refused(&error),
     }
@@ -103,22 +121,37 @@
 fn refused(error: &ChangeError) -> Response<Body> {
     match error {
         ChangeError::Faults(faults) => {
-            let faults = faults.faults().iter().map(|fault| FaultBody {
+            let faults = faults.faults.iter().map(|fault| FaultBody {
                 path: fault.path.to_string(),
                 message: fault.kind.to_string(),
             });
-            json(StatusCode::UNPROCESSABLE_ENTITY, &Faults { faults: faults.collect() })
-        }
-        ChangeError::Stale { in_force } => {
-            json(StatusCode::CONFLICT, &Stale { error: "stale_base", in_force: *in_force })
+            json(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                &Faults {
+                    faults: faults.collect(),
+                },
+            )
         }
+        ChangeError::Stale { in_force } => json(
+            StatusCode::CONFLICT,
+            &Stale {
+                error: "stale_base",
+                in_force: *in_force,
+            },
+        ),
         ChangeError::NotTaken(_) => unavailable("not_run"),
         ChangeError::Unknown => unavailable("unknown"),
     }
 }
 
 fn unavailable(outcome: &'static str) -> Response<Body> {
-    json(StatusCode::SERVICE_UNAVAILABLE, &Unavailable { error: "log_unavailable", outcome })
+    json(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &Unavailable {
+            error: "log_unavailable",
+            outcome,
+        },
+    )
 }
 
 #[derive(Serialize)]
@@ -181,7 +214,9 @@
 }
 
 fn hosts(node: &Node) -> Vec<HostStatus> {
-    let Some(in_force) = node.core.blackboard.in_force() else { return Vec::new() };
+    let Some(in_force) = node.core.blackboard.in_force() else {
+        return Vec::new();
+    };
     let document = &in_force.document;
     let mut hosts = Vec::new();
     node.core.blackboard.visit_hosts(|row| {
@@ -195,12 +230,23 @@
             host: row.name.clone(),
             address: row.address.to_string(),
             failure_domain: name(
-                document.failure_domains.get(row.domain.index()).map(|found| found.name.as_str()),
+                document
+                    .failure_domains
+                    .get(row.domain.index())
+                    .map(|found| found.name.as_str()),
             ),
             host_class: name(
-                document.host_classes.get(row.class.index()).map(|found| found.name.as_str()),
+                document
+                    .host_classes
+                    .get(row.class.index())
+                    .map(|found| found.name.as_str()),
+            ),
+            pool: name(
+                document
+                    .pools
+                    .get(row.pool.index())
+                    .map(|found| found.name.as_str()),
             ),
-            pool: name(document.pools.get(row.pool.index()).map(|found| found.name.as_str())),
             state,
             leave_at_ms,
             running: row.load.running,
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -93,7 +93,9 @@
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let mut response = Response::new(whole(bytes));
     *response.status_mut() = status;
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -119,7 +121,12 @@
             Outcome::Unknown(_) => Some(ASK_AGAIN_MS),
             _ => None,
         };
-        Self { id: id.to_string(), outcome: outcome.name(), reason: reason(outcome), retry_after_ms }
+        Self {
+            id: id.to_string(),
+            outcome: outcome.name(),
+            reason: reason(outcome),
+            retry_after_ms,
+        }
     }
 }
 
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -35,14 +35,20 @@
 impl Asked {
     /// The path's segments.
     pub fn segments(&self) -> Vec<&str> {
-        self.uri.path().split('/').filter(|segment| !segment.is_empty()).collect()
+        self.uri
+            .path()
+            .split('/')
+            .filter(|segment| !segment.is_empty())
+            .collect()
     }
 
     /// A parameter of the query.
     pub fn parameter(&self, name: &str) -> Option<String> {
         let query = self.uri.query().unwrap_or_default();
         let mut pairs = url::form_urlencoded::parse(query.as_bytes());
-        pairs.find(|(key, _)| key == name).map(|(_, value)| value.into_owned())
+        pairs
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| value.into_owned())
     }
 }
 
@@ -50,17 +56,39 @@
 #[must_use]
 pub fn router() -> Router {
     build_simple_router(|route| {
-        route.get("/v1/entries").to_async(|state| handle(state, entries::entries));
-        route.post("/v1/completions").to_async(|state| handle(state, completions::complete));
-        route.post("/v1/services/*").to_async(|state| handle(state, services::call));
-        route.get("/v1/requests/:id").to_async(|state| handle(state, state::read));
-        route.delete("/v1/requests/:id").to_async(|state| handle(state, state::cancel));
-        route.get("/v1/configuration").to_async(|state| handle(state, operators::configuration));
-        route.post("/v1/configuration").to_async(|state| handle(state, operators::change));
-        route.get("/v1/status").to_async(|state| handle(state, operators::status));
-        route.get("/metrics").to_async(|state| handle(state, operators::metrics));
-        route.get("/healthz").to_async(|state| handle(state, operators::health));
-        route.get("/readyz").to_async(|state| handle(state, operators::ready));
+        route
+            .get("/v1/entries")
+            .to_async(|state| handle(state, entries::entries));
+        route
+            .post("/v1/completions")
+            .to_async(|state| handle(state, completions::complete));
+        route
+            .post("/v1/services/*")
+            .to_async(|state| handle(state, services::call));
+        route
+            .get("/v1/requests/:id")
+            .to_async(|state| handle(state, state::read));
+        route
+            .delete("/v1/requests/:id")
+            .to_async(|state| handle(state, state::cancel));
+        route
+            .get("/v1/configuration")
+            .to_async(|state| handle(state, operators::configuration));
+        route
+            .post("/v1/configuration")
+            .to_async(|state| handle(state, operators::change));
+        route
+            .get("/v1/status")
+            .to_async(|state| handle(state, operators::status));
+        route
+            .get("/metrics")
+            .to_async(|state| handle(state, operators::metrics));
+        route
+            .get("/healthz")
+            .to_async(|state| handle(state, operators::health));
+        route
+            .get("/readyz")
+            .to_async(|state| handle(state, operators::ready));
     })
 }
 
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -28,7 +28,12 @@
 }
 
 async fn check(asked: Asked) -> Result<Identified, Refusal> {
-    let in_force = asked.node.core.blackboard.in_force().ok_or(Refusal::NotConfigured)?;
+    let in_force = asked
+        .node
+        .core
+        .blackboard
+        .in_force()
+        .ok_or(Refusal::NotConfigured)?;
     let document = &in_force.document;
     let team = authorize::team(document, &asked.headers)?;
     let given = bodies::request_id(&asked.headers)?;
@@ -37,16 +42,35 @@
     let service = (*segments.get(PATH_FROM - 1).ok_or(Refusal::NoSuchTarget)?).to_owned();
     let path = segments.get(PATH_FROM..).unwrap_or_default().join("/");
     let pool = document.find_pool(&service).ok_or(Refusal::NoSuchTarget)?;
-    let PoolKind::Service { idempotent: configured, .. } = document.pool(pool).kind else {
+    let PoolKind::Service {
+        idempotent: configured,
+        ..
+    } = document.pool(pool).kind
+    else {
         return Err(Refusal::NoSuchTarget);
     };
     // A caller may mark a call non-idempotent; it cannot unmark what the operators have marked.
     let idempotent = configured && said.unwrap_or(true);
-    let body = bodies::read(asked.body, asked.bounds.max_body_bytes).await?.to_vec();
+    let body = bodies::read(asked.body, asked.bounds.max_body_bytes)
+        .await?
+        .to_vec();
     let id = identify(&asked.node, given, &team.name)?;
     let now = asked.node.core.clock.now();
     let (latency_class, deadline_ms) = deadline(document, team, None, now)?;
-    let work = Work::Service { service, path, body };
+    let work = Work::Service {
+        service,
+        path,
+        body,
+    };
     let team = team.name.clone();
-    Ok(Identified { id, call: Call { team, idempotent, latency_class, deadline_ms, work } })
+    Ok(Identified {
+        id,
+        call: Call {
+            team,
+            idempotent,
+            latency_class,
+            deadline_ms,
+            work,
+        },
+    })
 }
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -28,7 +28,11 @@
 }
 
 /// Streams what follows; the first step is there already, so that a refusal can have its status.
-pub(super) fn stream<L: Links>(first: Step, mut follow: Follow<L>, id: RequestId) -> Response<Body> {
+pub(super) fn stream<L: Links>(
+    first: Step,
+    mut follow: Follow<L>,
+    id: RequestId,
+) -> Response<Body> {
     let events = async_stream::stream! {
         let mut step = first;
         loop {
@@ -53,8 +57,18 @@
 fn write_step(text: &mut String, step: &Step, id: &RequestId) {
     match step {
         Step::Tokens(chunk) => write_tokens(text, chunk),
-        Step::End(Outcome::Completed { tokens, finish: reason }) => {
-            write_event(text, "done", &DoneData { tokens: *tokens, finish: finish(*reason) });
+        Step::End(Outcome::Completed {
+            tokens,
+            finish: reason,
+        }) => {
+            write_event(
+                text,
+                "done",
+                &DoneData {
+                    tokens: *tokens,
+                    finish: finish(*reason),
+                },
+            );
         }
         Step::End(outcome) => write_event(text, "error", &OutcomeBody::new(id, outcome)),
         Step::NoSuchRequest | Step::OtherCall => text.push_str("event: error\ndata: {}\n\n"),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -42,16 +42,25 @@
     };
     let found = asked.node.core.cancel(id).await;
     match found {
-        true => {
-            json(StatusCode::ACCEPTED, &Cancelling { id: id.to_string(), outcome: "cancelling" })
-        }
+        true => json(
+            StatusCode::ACCEPTED,
+            &Cancelling {
+                id: id.to_string(),
+                outcome: "cancelling",
+            },
+        ),
         false => Refusal::NoSuchRequest.response(),
     }
 }
 
 /// The id and the position, if the id is one of the team's.
 fn check(asked: &Asked) -> Result<(RequestId, u64), Refusal> {
-    let in_force = asked.node.core.blackboard.in_force().ok_or(Refusal::NotConfigured)?;
+    let in_force = asked
+        .node
+        .core
+        .blackboard
+        .in_force()
+        .ok_or(Refusal::NotConfigured)?;
     let team = authorize::team(&in_force.document, &asked.headers)?;
     let segments = asked.segments();
     let id = segments.last().and_then(|id| id.parse::<RequestId>().ok());
--- a/src/main.rs
+++ b/src/main.rs
@@ -43,7 +43,9 @@
 
 fn serve(settings: ServeSettings) -> ExitCode {
     let ended = match start_runtime(settings.threads) {
-        Ok(runtime) => runtime.block_on(node::run(settings)).map_err(ServeError::Node),
+        Ok(runtime) => runtime
+            .block_on(node::run(settings))
+            .map_err(ServeError::Node),
         Err(error) => Err(ServeError::Runtime(error)),
     };
     match ended {
--- a/src/node.rs
+++ b/src/node.rs
@@ -70,7 +70,8 @@
     /// The addresses that callers should use, best first.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
-        self.directory.entries(self.core.clock.now(), &mut SmallRng::from_os_rng())
+        self.directory
+            .entries(self.core.clock.now(), &mut SmallRng::from_os_rng())
     }
 
     /// Callers whose answers are followed from this node.
@@ -87,6 +88,7 @@
             Phase::Leaving | Phase::Left => self.directory.any_live().unwrap_or(self.core.own),
         };
         let witness = self.directory.witness(home).unwrap_or(home);
-        self.core.mint(home, witness, TeamTag::of(team), self.core.clock.now())
+        self.core
+            .mint(home, witness, TeamTag::of(team), self.core.clock.now())
     }
 }
--- a/src/node/change.rs
+++ b/src/node/change.rs
@@ -63,7 +63,11 @@
         };
         let payload = serde_json::to_string(&Entry::Change(change)).unwrap_or_default();
         let writer = format!("{}-configuration", self.core.own);
-        let record = NewRecord { writer, sequence: number, payload };
+        let record = NewRecord {
+            writer,
+            sequence: number,
+            payload,
+        };
         match self.log.append(STREAM, &record).await {
             Ok(_) => {}
             // It may be in the log all the same: the verdict is waited for as if it were.
--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -35,16 +35,26 @@
     let mut turn = 0_usize;
     loop {
         let others = node.directory.others();
-        if let Some(member) = turn.checked_rem(others.len()).and_then(|index| others.get(index)) {
+        if let Some(member) = turn
+            .checked_rem(others.len())
+            .and_then(|index| others.get(index))
+        {
             let than = node.revision();
-            let asked = node.core.peers.call(member.incarnation, Request::Newest { than });
+            let asked = node
+                .core
+                .peers
+                .call(member.incarnation, Request::Newest { than });
             if let Ok(Reply::Newest(Some(snapshot))) = asked.await {
                 node.adopt_configuration(&snapshot);
             }
         }
         turn = turn.wrapping_add(1);
         // A node without a document asks often: it refuses all callers until it has one.
-        let pause_ms = if node.revision() == 0 { ASK_INTERVAL_MS / 10 } else { ASK_INTERVAL_MS };
+        let pause_ms = if node.revision() == 0 {
+            ASK_INTERVAL_MS / 10
+        } else {
+            ASK_INTERVAL_MS
+        };
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
@@ -53,12 +63,19 @@
 }
 
 fn push(node: &Arc<Node>) {
-    let Some(snapshot) = node.configuration.with(|fold| fold.snapshot()) else { return };
+    let Some(snapshot) = node.configuration.with(|fold| fold.snapshot()) else {
+        return;
+    };
     for member in node.directory.others() {
         let (node, snapshot) = (Arc::clone(node), snapshot.clone());
         tokio::spawn(async move {
             // A peer that does not answer asks later, or reads the log.
-            drop(node.core.peers.call(member.incarnation, Request::Configuration(snapshot)).await);
+            drop(
+                node.core
+                    .peers
+                    .call(member.incarnation, Request::Configuration(snapshot))
+                    .await,
+            );
         });
     }
 }
@@ -67,7 +84,10 @@
     /// The revision in force on this node, 0 if there is none.
     #[must_use]
     pub fn revision(&self) -> u64 {
-        self.core.blackboard.in_force().map_or(0, |in_force| in_force.revision)
+        self.core
+            .blackboard
+            .in_force()
+            .map_or(0, |in_force| in_force.revision)
     }
 
     /// Takes a snapshot that a peer hands over.
@@ -86,7 +106,9 @@
                 text: held.snapshot.document.clone(),
             })
         });
-        let Some(new) = held.filter(|new| new.revision > self.revision()) else { return false };
+        let Some(new) = held.filter(|new| new.revision > self.revision()) else {
+            return false;
+        };
         let revision = new.revision;
         let newer = self.core.blackboard.put_in_force(new);
         if newer {
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -29,7 +29,9 @@
             (Ok(list), Some(in_force)) => {
                 let now = node.core.clock.now();
                 let blackboard = &node.core.blackboard;
-                node.hosts.lock().apply(blackboard, &in_force.document, &list, now);
+                node.hosts
+                    .lock()
+                    .apply(blackboard, &in_force.document, &list, now);
             }
             (Ok(_), None) => {}
             // Hosts known stay in use: a platform that is down says nothing about them.
@@ -60,7 +62,10 @@
                 let notices: Vec<_> = page
                     .notices
                     .into_iter()
-                    .map(|notice| HostNotice { host: notice.host, leave_at_ms: notice.leave_at_ms })
+                    .map(|notice| HostNotice {
+                        host: notice.host,
+                        leave_at_ms: notice.leave_at_ms,
+                    })
                     .collect();
                 let new = node.take_notices(&notices);
                 pass_on(&node, new);
@@ -81,7 +86,12 @@
         let (node, notices) = (Arc::clone(node), notices.clone());
         tokio::spawn(async move {
             // A peer that does not answer asks the cloud itself.
-            drop(node.core.peers.call(member.incarnation, Request::Notices(notices)).await);
+            drop(
+                node.core
+                    .peers
+                    .call(member.incarnation, Request::Notices(notices))
+                    .await,
+            );
         });
     }
 }
@@ -92,10 +102,17 @@
         let mut new = Vec::new();
         for notice in notices {
             let host = HostKey::of(&notice.host);
-            let known = KnownNotice { host, leave_at_ms: notice.leave_at_ms };
+            let known = KnownNotice {
+                host,
+                leave_at_ms: notice.leave_at_ms,
+            };
             if self.hosts.lock().note(known) {
-                let state = HostState::Leaving { leave_at_ms: notice.leave_at_ms };
-                self.core.blackboard.with_host(host, |row| row.state = state);
+                let state = HostState::Leaving {
+                    leave_at_ms: notice.leave_at_ms,
+                };
+                self.core
+                    .blackboard
+                    .with_host(host, |row| row.state = state);
                 log::info!(host = notice.host.as_str(), leave_at_ms = notice.leave_at_ms.0; "a host is about to go");
                 new.push(notice.clone());
             }
--- a/src/node/collect_load.rs
+++ b/src/node/collect_load.rs
@@ -42,7 +42,9 @@
 }
 
 fn engines(node: &Node) -> Vec<(HostKey, std::net::SocketAddr)> {
-    let Some(in_force) = node.core.blackboard.in_force() else { return Vec::new() };
+    let Some(in_force) = node.core.blackboard.in_force() else {
+        return Vec::new();
+    };
     let mut engines = Vec::new();
     node.core.blackboard.visit_hosts(|row| {
         let pool = in_force.document.pools.get(row.pool.index());
--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -37,8 +37,12 @@
     #[must_use]
     pub fn new(membership: Arc<Membership>) -> Self {
         let own = membership.with(|view| view.own().incarnation);
-        let directory =
-            Self { own, membership, copy: RwLock::default(), turn: AtomicU64::new(0) };
+        let directory = Self {
+            own,
+            membership,
+            copy: RwLock::default(),
+            turn: AtomicU64::new(0),
+        };
         directory.refresh();
         directory
     }
@@ -50,7 +54,10 @@
                 .filter_map(|sequence| view.witness(self.own, sequence))
                 .collect();
             own_witnesses.dedup();
-            View { members: view.members().to_vec(), own_witnesses }
+            View {
+                members: view.members().to_vec(),
+                own_witnesses,
+            }
         });
         *self.copy.write() = copy;
     }
@@ -60,7 +67,9 @@
     pub fn get(&self, incarnation: Incarnation) -> Option<Member> {
         let copy = self.copy.read();
         let members = &copy.members;
-        let index = members.binary_search_by_key(&incarnation, |member| member.incarnation).ok()?;
+        let index = members
+            .binary_search_by_key(&incarnation, |member| member.incarnation)
+            .ok()?;
         Some(members[index].clone())
     }
 
@@ -74,16 +83,17 @@
     #[must_use]
     pub fn others(&self) -> Vec<Member> {
         let copy = self.copy.read();
-        let asked = |member: &&Member| {
-            member.incarnation != self.own && member.state != MemberState::Gone
-        };
+        let asked =
+            |member: &&Member| member.incarnation != self.own && member.state != MemberState::Gone;
         copy.members.iter().filter(asked).cloned().collect()
     }
 
     /// The addresses that callers should use, best first.
     #[must_use]
     pub fn entries(&self, now: TimeMs, rng: &mut SmallRng) -> Vec<SocketAddr> {
-        let entries = self.membership.with(|view| view.entries(now, rng, ENTRIES_LIMIT));
+        let entries = self
+            .membership
+            .with(|view| view.entries(now, rng, ENTRIES_LIMIT));
         entries.into_iter().map(|entry| entry.address).collect()
     }
 
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -33,7 +33,10 @@
 impl HostBook {
     /// Notes a notice; tells whether it is new or earlier than what was known.
     pub fn note(&mut self, notice: KnownNotice) -> bool {
-        match self.notices.binary_search_by_key(&notice.host, |known| known.host) {
+        match self
+            .notices
+            .binary_search_by_key(&notice.host, |known| known.host)
+        {
             Ok(index) if self.notices[index].leave_at_ms <= notice.leave_at_ms => false,
             Ok(index) => {
                 self.notices[index] = notice;
@@ -51,12 +54,12 @@
     pub fn state(&self, host: HostKey, listed: &ListedHost, now: TimeMs) -> HostState {
         let known = self.notices.binary_search_by_key(&host, |known| known.host);
         match (known, listed.state, listed.leave_at_ms) {
-            (Ok(index), _, _) => {
-                HostState::Leaving { leave_at_ms: self.notices[index].leave_at_ms }
-            }
-            (Err(_), ListedState::Leaving, leave_at_ms) => {
-                HostState::Leaving { leave_at_ms: leave_at_ms.unwrap_or(now) }
-            }
+            (Ok(index), _, _) => HostState::Leaving {
+                leave_at_ms: self.notices[index].leave_at_ms,
+            },
+            (Err(_), ListedState::Leaving, leave_at_ms) => HostState::Leaving {
+                leave_at_ms: leave_at_ms.unwrap_or(now),
+            },
             (Err(_), ListedState::Live, _) => HostState::Live,
         }
     }
@@ -69,14 +72,18 @@
         list: &HostList,
         now: TimeMs,
     ) {
-        let mut listed: Vec<_> =
-            list.hosts.iter().map(|host| (HostKey::of(&host.host), host)).collect();
+        let mut listed: Vec<_> = list
+            .hosts
+            .iter()
+            .map(|host| (HostKey::of(&host.host), host))
+            .collect();
         listed.sort_unstable_by_key(|(key, _)| *key);
         for (key, host) in &listed {
             self.apply_one(blackboard, document, *key, host, now);
         }
         self.forget(blackboard, &listed, now);
-        self.notices.retain(|notice| now.since(notice.leave_at_ms) < KEEP_NOTICE_MS);
+        self.notices
+            .retain(|notice| now.since(notice.leave_at_ms) < KEEP_NOTICE_MS);
     }
 
     fn apply_one(
@@ -144,7 +151,9 @@
 fn earlier(held: HostState, new: HostState) -> HostState {
     match (held, new) {
         (HostState::Leaving { leave_at_ms: held }, HostState::Leaving { leave_at_ms: new }) => {
-            HostState::Leaving { leave_at_ms: held.min(new) }
+            HostState::Leaving {
+                leave_at_ms: held.min(new),
+            }
         }
         (HostState::Leaving { .. }, HostState::Live) => held,
         (HostState::Live, new) => new,
--- a/src/node/hosts/tests.rs
+++ b/src/node/hosts/tests.rs
@@ -18,11 +18,19 @@
     // Sequence: the notice arrives; the host list, seconds behind, still shows the host as live.
     // Cause: the list taken for newer than the notice.
     let mut book = HostBook::default();
-    let notice = KnownNotice { host: HostKey::of("h-1"), leave_at_ms: TimeMs(5_000) };
+    let notice = KnownNotice {
+        host: HostKey::of("h-1"),
+        leave_at_ms: TimeMs(5_000),
+    };
     assert!(book.note(notice));
     assert!(!book.note(notice));
     let state = book.state(notice.host, &listed(ListedState::Live), TimeMs(1_000));
-    assert_eq!(state, HostState::Leaving { leave_at_ms: TimeMs(5_000) });
+    assert_eq!(
+        state,
+        HostState::Leaving {
+            leave_at_ms: TimeMs(5_000)
+        }
+    );
     assert_eq!(earlier(state, HostState::Live), state);
 }
 
@@ -30,8 +38,19 @@
 fn an_earlier_notice_replaces_a_later_one() {
     let mut book = HostBook::default();
     let host = HostKey::of("h-1");
-    assert!(book.note(KnownNotice { host, leave_at_ms: TimeMs(9_000) }));
-    assert!(book.note(KnownNotice { host, leave_at_ms: TimeMs(2_000) }));
+    assert!(book.note(KnownNotice {
+        host,
+        leave_at_ms: TimeMs(9_000)
+    }));
+    assert!(book.note(KnownNotice {
+        host,
+        leave_at_ms: TimeMs(2_000)
+    }));
     let state = book.state(host, &listed(ListedState::Leaving), TimeMs(0));
-    assert_eq!(state, HostState::Leaving { leave_at_ms: TimeMs(2_000) });
+    assert_eq!(
+        state,
+        HostState::Leaving {
+            leave_at_ms: TimeMs(2_000)
+        }
+    );
 }
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -49,7 +49,10 @@
     /// Peers over these connections.
     #[must_use]
     pub fn new(connections: Connections<Fleet>, directory: Arc<Directory>) -> Self {
-        Self { connections, directory }
+        Self {
+            connections,
+            directory,
+        }
     }
 
     fn address(&self, to: Incarnation) -> Result<SocketAddr, Unreachable> {
--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -10,7 +10,8 @@
 use crate::keys::HostKey;
 use crate::membership::Member;
 use crate::reclaim::{
-    Move, Notice, Progress, ReclaimView, Settings, StreamKey, StreamMove, StreamOnHost, Target, plan,
+    Move, Notice, Progress, ReclaimView, Settings, StreamKey, StreamMove, StreamOnHost, Target,
+    plan,
 };
 use crate::requests::record::Order;
 use crate::requests::{Record, Work};
@@ -54,10 +55,14 @@
 impl Scene {
     fn look(node: &Node, in_force: &InForce) -> Self {
         let mut hosts = Vec::new();
-        node.core.blackboard.visit_hosts(|row| hosts.push(row.clone()));
+        node.core
+            .blackboard
+            .visit_hosts(|row| hosts.push(row.clone()));
         hosts.sort_unstable_by_key(|row| row.key);
-        let notices: Vec<_> =
-            hosts.iter().filter_map(|row| notice(row, in_force)).collect();
+        let notices: Vec<_> = hosts
+            .iter()
+            .filter_map(|row| notice(row, in_force))
+            .collect();
         let on_notice = |host: HostKey| notices.binary_search_by_key(&host, |n| n.host).is_ok();
         let records = match notices.is_empty() {
             true => Vec::new(),
@@ -72,7 +77,10 @@
             .collect();
         let targets = match streams.is_empty() {
             true => Vec::new(),
-            false => hosts.iter().filter_map(|row| target(row, in_force)).collect(),
+            false => hosts
+                .iter()
+                .filter_map(|row| target(row, in_force))
+                .collect(),
         };
         let mut live: Vec<_> = node.directory.members();
         live.retain(Member::is_live);
@@ -82,7 +90,10 @@
             records,
             streams,
             targets,
-            node_rank: rank.ok().and_then(|rank| u32::try_from(rank).ok()).unwrap_or(0),
+            node_rank: rank
+                .ok()
+                .and_then(|rank| u32::try_from(rank).ok())
+                .unwrap_or(0),
             nodes: u32::try_from(live.len().max(1)).unwrap_or(1),
         }
     }
@@ -107,7 +118,10 @@
                 order(record, *action, now);
             }
         }
-        let starts = plan.moves.iter().filter_map(|planned| starts_at(planned.action, now));
+        let starts = plan
+            .moves
+            .iter()
+            .filter_map(|planned| starts_at(planned.action, now));
         let look_again = plan.look_again_at_ms.into_iter().chain(starts).min();
         look_again.map_or(REPLAN_MS, |at| now.until(at).clamp(10, REPLAN_MS))
     }
@@ -116,16 +130,31 @@
 /// Gives the order if its time has come; a later plan gives the others.
 fn order(record: &Record, action: Move, now: TimeMs) {
     match action {
-        Move::Export { target, start_at_ms, .. } if start_at_ms <= now => {
+        Move::Export {
+            target,
+            start_at_ms,
+            ..
+        } if start_at_ms <= now => {
             if record.progress() == Progress::Running {
-                record.set_progress(Progress::Exporting { target, started_at_ms: now });
+                record.set_progress(Progress::Exporting {
+                    target,
+                    started_at_ms: now,
+                });
                 record.order(Order::Export { target });
             }
         }
-        Move::Recompute { target, start_at_ms, .. } if start_at_ms <= now => {
+        Move::Recompute {
+            target,
+            start_at_ms,
+            ..
+        } if start_at_ms <= now => {
             record.order(Order::Recompute { target });
         }
-        Move::Recompute { target, warm_at_ms: Some(warm_at_ms), .. } if warm_at_ms <= now => {
+        Move::Recompute {
+            target,
+            warm_at_ms: Some(warm_at_ms),
+            ..
+        } if warm_at_ms <= now => {
             record.set_progress(Progress::Warmed { target });
             record.order(Order::Warm { target });
         }
@@ -137,7 +166,11 @@
 fn starts_at(action: Move, now: TimeMs) -> Option<TimeMs> {
     let times = match action {
         Move::Export { start_at_ms, .. } => [Some(start_at_ms), None],
-        Move::Recompute { start_at_ms, warm_at_ms, .. } => [Some(start_at_ms), warm_at_ms],
+        Move::Recompute {
+            start_at_ms,
+            warm_at_ms,
+            ..
+        } => [Some(start_at_ms), warm_at_ms],
         Move::Wait { again_at_ms } => [Some(again_at_ms), None],
         Move::Finish | Move::RunOut => [None, None],
     };
@@ -145,7 +178,9 @@
 }
 
 fn notice(row: &HostRow, in_force: &InForce) -> Option<Notice> {
-    let HostState::Leaving { leave_at_ms } = row.state else { return None };
+    let HostState::Leaving { leave_at_ms } = row.state else {
+        return None;
+    };
     let class = in_force.document.host_classes.get(row.class.index())?;
     Some(Notice {
         host: row.key,
@@ -163,16 +198,23 @@
     in_force: &InForce,
 ) -> Option<StreamOnHost> {
     let document = &in_force.document;
-    let Work::Completion { model, prompt, max_tokens, .. } = &record.call.work else {
+    let Work::Completion {
+        model,
+        prompt,
+        max_tokens,
+        ..
+    } = &record.call.work
+    else {
         return None;
     };
     let place = record.place()?;
-    let row = &hosts[hosts.binary_search_by_key(&place.host, |row| row.key).ok()?];
+    let row = &hosts[hosts
+        .binary_search_by_key(&place.host, |row| row.key)
+        .ok()?];
     let class = document.host_classes.get(row.class.index())?;
     let model = document.find_model(model)?;
     let generated_tokens = u32::try_from(record.next_position()).unwrap_or(u32::MAX);
-    let prompt_tokens =
-        u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
+    let prompt_tokens = u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX);
     let latency = document.find_latency_class(&record.call.latency_class);
     let context_tokens = u64::from(prompt_tokens) + u64::from(generated_tokens);
     Some(StreamOnHost {
@@ -199,7 +241,11 @@
         return None;
     };
     let class = document.host_classes.get(row.class.index())?;
-    let slots = if row.load.slots > 0 { row.load.slots } else { class.slots };
+    let slots = if row.load.slots > 0 {
+        row.load.slots
+    } else {
+        class.slots
+    };
     let in_use = row.load.running.max(row.open_here);
     (row.state == HostState::Live).then(|| Target {
         host: row.key,
@@ -207,7 +253,9 @@
         models: models.clone(),
         free_slots: slots.saturating_sub(in_use),
         queued: row.load.queued,
-        kv_tokens_free: class.kv_tokens_capacity.saturating_sub(row.load.kv_tokens_used),
+        kv_tokens_free: class
+            .kv_tokens_capacity
+            .saturating_sub(row.load.kv_tokens_used),
         kv_bytes_per_second: class.kv_bytes_per_second,
         prefill_tokens_per_second: class.prefill_tokens_per_second,
     })
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -32,6 +32,7 @@
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::{Configuration, STREAM};
 use crate::platform::follower::{Followed, Follower};
+use crate::platform::http::JsonClient;
 use crate::platform::log::HttpLog;
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
@@ -123,12 +124,19 @@
     let peers = listen(settings.peer_listen).await?;
     let heartbeats = UdpSocket::bind(settings.heartbeat_listen)
         .await
-        .map_err(|source| RunError::Listen { address: settings.heartbeat_listen, source })?;
+        .map_err(|source| RunError::Listen {
+            address: settings.heartbeat_listen,
+            source,
+        })?;
     let settings = with_bound_ports(settings, &callers, &peers, &heartbeats);
     let key = FleetKey::try_from(settings.fleet_key.expose_bytes())?;
     let member = member(own, &settings, &clock);
-    let view =
-        View::new(member, settings.seeds.clone(), key.clone(), MembershipSettings::default())?;
+    let view = View::new(
+        member,
+        settings.seeds.clone(),
+        key.clone(),
+        MembershipSettings::default(),
+    )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
     let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
@@ -225,22 +233,28 @@
             .with_advertised_address(advertised);
         let handler = Arc::new(PeerHandler(Arc::clone(&self.node)));
         let shutdown = self.shutdown.clone();
-        self.tasks.spawn(async move { server.serve(listener, handler, shutdown).await });
+        self.tasks
+            .spawn(async move { server.serve(listener, handler, shutdown).await });
     }
 
     fn spawn_collectors(&self, rng: SmallRng) {
         let node = &self.node;
         let token = || self.shutdown.clone();
-        self.tasks.spawn(collect_hosts::collect_list(Arc::clone(node), token()));
-        self.tasks.spawn(collect_hosts::collect_notices(Arc::clone(node), token()));
-        self.tasks.spawn(collect_load::collect(Arc::clone(node), token()));
-        self.tasks.spawn(collect_configuration::follow(Arc::clone(node), token()));
-        self.tasks.spawn(collect_configuration::ask_peers(Arc::clone(node), token()));
+        self.tasks
+            .spawn(collect_hosts::collect_list(Arc::clone(node), token()));
+        self.tasks
+            .spawn(collect_hosts::collect_notices(Arc::clone(node), token()));
+        self.tasks
+            .spawn(collect_load::collect(Arc::clone(node), token()));
+        self.tasks
+            .spawn(collect_configuration::follow(Arc::clone(node), token()));
+        self.tasks
+            .spawn(collect_configuration::ask_peers(Arc::clone(node), token()));
         self.tasks.spawn(moves::control(Arc::clone(node), token()));
         self.tasks.spawn(expire(Arc::clone(node), token()));
-        let followed = Arc::clone(&node.configuration);
+        let configuration = Arc::clone(&node.configuration);
         let clock = node.core.clock;
-        let follower = Follower::new(Arc::clone(&node.log), STREAM, followed, clock, rng);
+        let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
         let shutdown = token();
         self.tasks.spawn(async move {
             tokio::select! {
@@ -253,7 +267,8 @@
     fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
         let node = Arc::clone(&self.node);
         let shutdown = self.callers_shutdown.clone();
-        self.tasks.spawn(entry::serve(listener, node, bounds, shutdown));
+        self.tasks
+            .spawn(entry::serve(listener, node, bounds, shutdown));
     }
 }
 
@@ -289,8 +304,8 @@
         core: Arc::new(core),
         directory: Arc::clone(directory),
         configuration: Followed::new(Configuration::new(check)),
-        log: Arc::new(HttpLog::new(settings.log_url.clone())),
-        cloud: Arc::new(HttpCloud::new(settings.cloud_url.clone())),
+        log: Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone()))),
+        cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
         notices_changed: Notify::new(),
@@ -305,7 +320,7 @@
     Member {
         incarnation: own,
         name: settings.name.clone(),
-        started_ms: clock.now(),
+        epoch: 0,
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
         heartbeat_address: settings.heartbeat_advertise,
@@ -324,11 +339,13 @@
     peers: &TcpListener,
     heartbeats: &UdpSocket,
 ) -> ServeSettings {
-    let bound = (callers.local_addr(), peers.local_addr(), heartbeats.local_addr());
+    let bound = (
+        callers.local_addr(),
+        peers.local_addr(),
+        heartbeats.local_addr(),
+    );
     match bound {
-        (Ok(callers), Ok(peers), Ok(heartbeats)) => {
-            settings.with_bound(callers, peers, heartbeats)
-        }
+        (Ok(callers), Ok(peers), Ok(heartbeats)) => settings.with_bound(callers, peers, heartbeats),
         _ => settings,
     }
 }
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -366,14 +366,21 @@
     /// Has the target compute what the stream will need there; its one token is dropped.
     async fn warm(&mut self, target: HostKey) -> Flow {
         let address = self.core.blackboard.with_host(target, |row| row.address);
-        let (Some(address), Some(active)) = (address, &self.active) else { return Flow::Go };
+        let (Some(address), Some(active)) = (address, &self.active) else {
+            return Flow::Go;
+        };
         let name = format!("{}-warm", active.name);
         let (record, core) = (Arc::clone(&self.record), Arc::clone(&self.core));
         let priority = self.priority();
         tokio::spawn(async move {
             let (prefix, position) = record.text_and_position();
-            let Some(start) = start_stream(&record, &name, &prefix, position, priority) else { return };
-            let start = StartStream { max_tokens: position + 1, ..start };
+            let Some(start) = start_stream(&record, &name, &prefix, position, priority) else {
+                return;
+            };
+            let start = StartStream {
+                max_tokens: position + 1,
+                ..start
+            };
             match core.engines.start(address, &start).await {
                 Ok(mut events) => while let Some(Ok(_token)) = events.next().await {},
                 Err(error) => log::info!(error:% = error; "a target was not warmed"),
@@ -384,7 +391,9 @@
 
     fn priority(&self) -> u8 {
         let in_force = self.core.blackboard.in_force();
-        in_force.map_or(0, |in_force| latency_class(&in_force, &self.record).priority)
+        in_force.map_or(0, |in_force| {
+            latency_class(&in_force, &self.record).priority
+        })
     }
 
     /// Takes the KV cache along; the stream pauses meanwhile.
@@ -574,7 +583,13 @@
     position: u64,
     priority: u8,
 ) -> Option<StartStream<'a>> {
-    let Work::Completion { model, prompt, max_tokens, seed } = &record.call.work else {
+    let Work::Completion {
+        model,
+        prompt,
+        max_tokens,
+        seed,
+    } = &record.call.work
+    else {
         return None;
     };
     Some(StartStream {
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -246,7 +246,10 @@
             record.order(Order::Cancel);
             return true;
         }
-        for node in [id.home, id.witness].into_iter().filter(|node| *node != self.own) {
+        for node in [id.home, id.witness]
+            .into_iter()
+            .filter(|node| *node != self.own)
+        {
             if let Ok(Reply::Done) = self.peers.call(node, Request::Cancel { id }).await {
                 return true;
             }
--- a/src/requests/id.rs
+++ b/src/requests/id.rs
@@ -145,6 +145,14 @@
         now.since(self.issued_at_ms) < ID_VALIDITY_MS
     }
 
+    /// The seed of a request that gives none.
+    ///
+    /// The same for every resend under the id, so that any node goes on with the same answer.
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        u64::from(self.sequence) ^ (self.issued_at_ms.0 << 24)
+    }
+
     /// The text that names the `number`th attempt of this request to upstreams.
     #[must_use]
     pub fn attempt(&self, number: u32) -> String {
--- a/src/requests/links.rs
+++ b/src/requests/links.rs
@@ -18,7 +18,7 @@
 }
 
 /// Items that a peer streams.
-pub trait ItemStream: Send + 'static {
+pub trait ItemStream: Send + Sync + 'static {
     /// The next item, an error if the stream broke, or `None` after its end.
     fn next(&mut self) -> impl Future<Output = Option<Result<Item, Unreachable>>> + Send;
 }
--- a/src/requests/records.rs
+++ b/src/requests/records.rs
@@ -57,7 +57,7 @@
     ///
     /// Looking and making are one step under the shard's lock: two copies of one request that
     /// arrive together would run twice otherwise.
-    #[must_use] 
+    #[must_use]
     pub fn enter(&self, id: RequestId, call: &Call, now: TimeMs) -> Entry {
         let mut shard = self.shard(&id).lock();
         match shard.binary_search_by_key(&id, |record| record.id) {
@@ -95,7 +95,7 @@
     }
 
     /// Forgets what has ended and whose id can no longer start; returns how many.
-    #[must_use] 
+    #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
         for shard in &self.shards {
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -56,7 +56,7 @@
 
 impl Witness {
     /// Decides whether the home may dispatch what it tells about, and keeps it if so.
-    #[must_use] 
+    #[must_use]
     pub fn consent(&self, told: Copy, now: TimeMs) -> bool {
         let mut shard = self.shard(&told.id).lock();
         match shard.binary_search_by_key(&told.id, |entry| entry.id) {
@@ -90,7 +90,7 @@
     }
 
     /// Says what is known of a non-idempotent request, and rules out what has not been consented to.
-    #[must_use] 
+    #[must_use]
     pub fn settle(&self, id: RequestId) -> Settlement {
         let mut shard = self.shard(&id).lock();
         let index = match shard.binary_search_by_key(&id, |entry| entry.id) {
@@ -114,7 +114,7 @@
     }
 
     /// Forgets ids that are too old to matter; returns how many.
-    #[must_use] 
+    #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
         for shard in &self.shards {
--- a/src/requests/witness/tests.rs
+++ b/src/requests/witness/tests.rs
@@ -135,10 +135,14 @@
                 next.answers_under_way.push(granted);
                 next.answers_under_way.sort_unstable();
             }
-            Step::AnswerArrives => if let Some(true) = next.answers_under_way.pop() { next.home_may_run = true } else {
-                next.home_ended = true;
-                next.told_not_run = true;
-            },
+            Step::AnswerArrives => {
+                if let Some(true) = next.answers_under_way.pop() {
+                    next.home_may_run = true
+                } else {
+                    next.home_ended = true;
+                    next.told_not_run = true;
+                }
+            }
             Step::AnswerLost => {
                 next.answers_under_way.pop();
             }
