refactor: Share the seeded chance, keep an engine's port while it starts

Symptom: an engine could fail to start when another process took its free port between the probe and the bind. Cause: the port was found by a listener that was closed again. The engine now serves on that first listener. An outage also ends long polls now; before, a follower noticed only at the end of its wait.

--- a/stand_ins/src/cloud.rs
+++ b/stand_ins/src/cloud.rs
@@ -10,12 +10,14 @@
 };
 
 use parking_lot::Mutex;
-use rand::{SeedableRng, rngs::SmallRng};
 use tokio::sync::{mpsc, watch};
 
 use self::state::State;
 pub use self::state::{HostRecord, HostSpec, LeaveReason, Notice, Price, PurchaseRecord};
-use crate::server::{Server, sleep_until_ms};
+use crate::{
+    chance::Chance,
+    server::{Server, sleep_until_ms},
+};
 
 /// What a cloud is like.
 #[derive(Clone, Debug)]
@@ -93,7 +95,7 @@
     this: Weak<Shared>,
     state: Mutex<State>,
     knobs: Mutex<CloudKnobs>,
-    rng: Mutex<SmallRng>,
+    chance: Chance,
     events: mpsc::UnboundedSender<HostEvent>,
     /// Counts notices, for those who wait for one.
     noticed: watch::Sender<u64>,
@@ -115,7 +117,7 @@
             this: Weak::clone(this),
             state: Mutex::new(State::new(settings.prices)),
             knobs: Mutex::new(settings.knobs),
-            rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
+            chance: Chance::new(settings.seed),
             events: sender,
             noticed: watch::Sender::new(0),
         });
--- a/stand_ins/src/cloud/http.rs
+++ b/stand_ins/src/cloud/http.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::Full;
-use rand::Rng;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -55,6 +54,10 @@
         let mut noticed = self.noticed.subscribe();
         loop {
             let page = self.state.lock().notices(from).to_vec();
+            // An outage that begins during a long poll ends it, as it would a real one.
+            if self.knobs.lock().outage {
+                return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "outage"));
+            }
             if !page.is_empty() || Instant::now() >= until {
                 let next = page.last().map_or(from, |notice| notice.sequence + 1);
                 return Ok(ok(&json!({ "next": next, "notices": page })));
@@ -76,14 +79,14 @@
         }
         let is_exhausted = knobs.exhausted_domains.contains(&body.failure_domain)
             && state.is_reclaimable(&body.host_class, &body.failure_domain);
-        if is_exhausted || self.happens(knobs.refuse_probability) {
+        if is_exhausted || self.chance.happens(knobs.refuse_probability) {
             return Ok(error(StatusCode::CONFLICT, "no_capacity"));
         }
         let spec = state.purchase(body, crate::now_ms());
         drop(state);
         let answer = json!({ "host": spec.host });
         self.start_later(spec, knobs.start_delay_ms);
-        if self.happens(knobs.lose_answer_probability) {
+        if self.chance.happens(knobs.lose_answer_probability) {
             return Err(Cut);
         }
         Ok(server::json(StatusCode::CREATED, &answer))
@@ -101,8 +104,4 @@
             }
         });
     }
-
-    fn happens(&self, probability: f64) -> bool {
-        self.rng.lock().random_bool(probability.clamp(0.0, 1.0))
-    }
 }
--- a/stand_ins/src/engine.rs
+++ b/stand_ins/src/engine.rs
@@ -18,7 +18,7 @@
 };
 
 use parking_lot::Mutex;
-use tokio::{sync::watch, task::JoinHandle};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 pub use self::{
     cache::{BLOCK_BYTES, BLOCK_TOKENS, CacheEvent, CacheEventKind, blocks},
@@ -176,12 +176,16 @@
     /// # Errors
     ///
     /// If its address cannot be listened on.
+    #[expect(
+        clippy::unused_async,
+        reason = "it needs a running runtime, which async callers have"
+    )]
     pub async fn start(settings: EngineSettings) -> io::Result<Self> {
-        let address = settings.address;
         let knobs = Mutex::new(settings.knobs.clone());
-        let mut shared = Shared {
+        let listener = crate::server::listen(settings.address)?;
+        let shared = Shared {
             settings,
-            address,
+            address: listener.local_addr()?,
             knobs,
             paused: Arc::new(watch::Sender::new(false)),
             life: Mutex::new(None),
@@ -189,14 +193,10 @@
             orders: Mutex::default(),
             deaths: Mutex::default(),
         };
-        // The port has to be known before the first life begins, and stays the same in all of them.
-        let listener = crate::server::listen(address)?;
-        shared.address = listener.local_addr()?;
-        drop(listener);
         let engine = Self {
             shared: Arc::new(shared),
         };
-        engine.restart().await?;
+        engine.live(listener)?;
         Ok(engine)
     }
 
@@ -232,19 +232,24 @@
     /// If the address cannot be listened on.
     pub async fn restart(&self) -> io::Result<()> {
         self.kill();
-        let shared = &self.shared;
-        let core = Arc::new(Core::new(&shared.settings));
-        let handler = Arc::new(Http::new(Arc::clone(&core), Arc::clone(shared)));
         // The listener of the last life closes only when the runtime gets to its task.
         let mut attempts = 0;
-        let server = loop {
-            match Server::start(shared.address, Arc::clone(&handler)) {
-                Ok(server) => break server,
+        let listener = loop {
+            match crate::server::listen(self.address()) {
+                Ok(listener) => break listener,
                 Err(fault) if attempts == REBIND_ATTEMPTS => return Err(fault),
                 Err(_) => attempts += 1,
             }
             tokio::time::sleep(REBIND_PAUSE).await;
         };
+        self.live(listener)
+    }
+
+    fn live(&self, listener: TcpListener) -> io::Result<()> {
+        let shared = &self.shared;
+        let core = Arc::new(Core::new(&shared.settings));
+        let handler = Arc::new(Http::new(Arc::clone(&core), Arc::clone(shared)));
+        let server = Server::serve(listener, handler)?;
         let scheduler = tokio::spawn(schedule::run(Arc::clone(&core), Arc::clone(shared)));
         *shared.life.lock() = Some(Life {
             core,
--- a/stand_ins/src/engine/cache.rs
+++ b/stand_ins/src/engine/cache.rs
@@ -5,11 +5,11 @@
     hash::Hasher,
 };
 
-use rand::{Rng, rngs::SmallRng};
 use serde::Serialize;
 use twox_hash::XxHash3_64;
 
 use super::text::TOKEN_BYTES;
+use crate::chance::Chance;
 
 /// Bytes of text that a block covers.
 pub const BLOCK_BYTES: usize = 256;
@@ -63,11 +63,11 @@
     events: VecDeque<CacheEvent>,
     next_sequence: u64,
     gap_probability: f64,
-    rng: SmallRng,
+    chance: Chance,
 }
 
 impl PrefixCache {
-    pub fn new(capacity_tokens: u64, gap_probability: f64, rng: SmallRng) -> Self {
+    pub fn new(capacity_tokens: u64, gap_probability: f64, chance: Chance) -> Self {
         Self {
             capacity_blocks: usize::try_from(capacity_tokens / BLOCK_TOKENS).unwrap_or(usize::MAX),
             stamps: HashMap::new(),
@@ -76,7 +76,7 @@
             events: VecDeque::new(),
             next_sequence: 0,
             gap_probability,
-            rng,
+            chance,
         }
     }
 
@@ -140,7 +140,7 @@
     fn record(&mut self, kind: CacheEventKind, block: u64, as_of_ms: u64) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        if self.rng.random_bool(self.gap_probability) {
+        if self.chance.happens(self.gap_probability) {
             return;
         }
         if self.events.len() == MAX_EVENTS {
--- a/stand_ins/src/engine/core.rs
+++ b/stand_ins/src/engine/core.rs
@@ -8,7 +8,6 @@
 };
 
 use parking_lot::Mutex;
-use rand::{SeedableRng, rngs::SmallRng};
 use serde::Deserialize;
 use tokio::sync::Notify;
 
@@ -21,7 +20,7 @@
     stream::{Finish, Stream},
     text::{answer_tokens, prompt_tokens},
 };
-use crate::number::float;
+use crate::{chance::Chance, number::float};
 
 /// The body of `POST /v1/streams`.
 #[derive(Debug, Deserialize)]
@@ -118,7 +117,6 @@
 
 impl Core {
     pub fn new(settings: &EngineSettings) -> Self {
-        let rng = SmallRng::seed_from_u64(settings.seed);
         let state = State {
             streams: HashMap::new(),
             refused: HashSet::new(),
@@ -128,7 +126,7 @@
             cache: PrefixCache::new(
                 settings.cache_tokens_capacity,
                 settings.cache_event_gap_probability,
-                rng,
+                Chance::new(settings.seed),
             ),
             kv: KvStore::default(),
             orders: Orders::new(settings),
--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each one is an HTTP/1.1 server inside the calling process. Its handle changes the faults at run
 //! time and tells what was executed; dropping the handle stops the server and cuts its connections.
 
+mod chance;
 pub mod cloud;
 pub mod engine;
 pub mod history;
--- a/stand_ins/src/log.rs
+++ b/stand_ins/src/log.rs
@@ -12,12 +12,15 @@
 use http::StatusCode;
 use http_body_util::Full;
 use parking_lot::Mutex;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use tokio::{sync::watch, time::Instant};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep_until},
+};
 
 use crate::{
+    chance::Chance,
     rate::Bucket,
     server::{Answer, Call, Cut, Handler, Server, error, ok},
 };
@@ -116,6 +119,7 @@
 
 #[derive(Debug)]
 struct Store {
+    chance: Chance,
     knobs: watch::Sender<LogKnobs>,
     state: Mutex<State>,
     /// Counts appends, for those who wait for one.
@@ -126,7 +130,6 @@
 struct State {
     streams: HashMap<String, Records>,
     bucket: Bucket,
-    rng: SmallRng,
     refused: u64,
     lost_answers: u64,
 }
@@ -151,11 +154,11 @@
         let state = State {
             streams: HashMap::new(),
             bucket: Bucket::new(settings.knobs.appends_per_second, settings.knobs.burst),
-            rng: SmallRng::seed_from_u64(settings.seed),
             refused: 0,
             lost_answers: 0,
         };
         let store = Arc::new(Store {
+            chance: Chance::new(settings.seed),
             knobs: watch::Sender::new(settings.knobs),
             state: Mutex::new(state),
             appended: watch::Sender::new(0),
@@ -251,9 +254,7 @@
         let records = state.streams.entry(stream.to_owned()).or_default();
         let offset = records.append(record, crate::now_ms());
         records.expire(knobs, crate::now_ms());
-        let is_lost = state
-            .rng
-            .random_bool(knobs.lose_answer_probability.clamp(0.0, 1.0));
+        let is_lost = self.chance.happens(knobs.lose_answer_probability);
         state.lost_answers += u64::from(is_lost);
         drop(state);
         self.appended.send_modify(|count| *count += 1);
@@ -271,7 +272,7 @@
             limit => limit,
         };
         let from = call.query("from");
-        let mut appended = self.appended.subscribe();
+        let (mut appended, mut changed) = (self.appended.subscribe(), self.knobs.subscribe());
         loop {
             let page = self.state.lock().page(stream, from, limit, knobs);
             if !page.records.is_empty() || Instant::now() >= until {
@@ -282,8 +283,12 @@
                 return Ok(error(StatusCode::SERVICE_UNAVAILABLE, "outage"));
             }
             self.until_answering().await;
-            // On either end of the wait the page is read again.
-            drop(tokio::time::timeout_at(until, appended.changed()).await);
+            // However the wait ends, the page is read again.
+            tokio::select! {
+                _ = appended.changed() => {}
+                _ = changed.changed() => {}
+                () = sleep_until(until) => {}
+            }
         }
     }
 }
--- a/stand_ins/src/proxy.rs
+++ b/stand_ins/src/proxy.rs
@@ -9,10 +9,10 @@
     time::Duration,
 };
 
-use parking_lot::Mutex;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{sync::watch, time::Instant};
 
+use crate::chance::Chance;
+
 pub use self::{tcp::TcpProxy, udp::UdpProxy};
 
 /// What a proxy is like.
@@ -81,14 +81,14 @@
 #[derive(Debug)]
 struct Faults {
     knobs: watch::Sender<ProxyKnobs>,
-    rng: Mutex<SmallRng>,
+    chance: Chance,
 }
 
 impl Faults {
     fn new(settings: &ProxySettings) -> Arc<Self> {
         Arc::new(Self {
             knobs: watch::Sender::new(settings.knobs),
-            rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
+            chance: Chance::new(settings.seed),
         })
     }
 
@@ -105,10 +105,6 @@
                 .await,
         );
     }
-
-    fn happens(&self, probability: f64) -> bool {
-        self.rng.lock().random_bool(probability.clamp(0.0, 1.0))
-    }
 }
 
 impl Way {
--- a/stand_ins/src/proxy/tcp.rs
+++ b/stand_ins/src/proxy/tcp.rs
@@ -128,7 +128,7 @@
             let mut chunk = BytesMut::with_capacity(CHUNK_BYTES);
             let length = from.read_buf(&mut chunk).await?;
             let direction = faults.direction(way);
-            if length > 0 && faults.happens(direction.cut_probability) {
+            if length > 0 && faults.chance.happens(direction.cut_probability) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             // An empty chunk stands for the end.
--- a/stand_ins/src/proxy/udp.rs
+++ b/stand_ins/src/proxy/udp.rs
@@ -122,7 +122,7 @@
     way: Way,
 ) {
     let direction = faults.direction(way);
-    if direction.silent || faults.happens(direction.drop_probability) {
+    if direction.silent || faults.chance.happens(direction.drop_probability) {
         return;
     }
     if direction.delay_ms > 0 {
--- a/stand_ins/src/server.rs
+++ b/stand_ins/src/server.rs
@@ -136,7 +136,11 @@
 impl Server {
     /// Listens on `address`, where port 0 means a free one.
     pub fn start<H: Handler>(address: SocketAddr, handler: Arc<H>) -> io::Result<Self> {
-        let listener = listen(address)?;
+        Self::serve(listen(address)?, handler)
+    }
+
+    /// Serves on a listener.
+    pub fn serve<H: Handler>(listener: TcpListener, handler: Arc<H>) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let task = tokio::spawn(accept(listener, handler));
         Ok(Self { address, task })
--- a/stand_ins/src/service.rs
+++ b/stand_ins/src/service.rs
@@ -11,11 +11,13 @@
 use http::{HeaderValue, Response, StatusCode};
 use http_body_util::Full;
 use parking_lot::Mutex;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 use twox_hash::XxHash3_64;
 
-use crate::server::{Answer, Call, Cut, Handler, Server, empty, error, ok};
+use crate::{
+    chance::Chance,
+    server::{Answer, Call, Cut, Handler, Server, empty, error, ok},
+};
 
 /// What a plain service is like.
 #[derive(Clone, Debug)]
@@ -97,7 +99,7 @@
 #[derive(Debug)]
 struct Calls {
     knobs: Mutex<ServiceKnobs>,
-    rng: Mutex<SmallRng>,
+    chance: Chance,
     executions: Mutex<Vec<ServiceExecution>>,
 }
 
@@ -114,7 +116,7 @@
     pub async fn start(settings: ServiceSettings) -> io::Result<Self> {
         let calls = Arc::new(Calls {
             knobs: Mutex::new(settings.knobs),
-            rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
+            chance: Chance::new(settings.seed),
             executions: Mutex::default(),
         });
         let server = Server::start(settings.address, Arc::clone(&calls))?;
@@ -166,10 +168,7 @@
 
 impl Calls {
     async fn call(&self, call: &Call, knobs: ServiceKnobs) -> Answer {
-        let is_hit = self
-            .rng
-            .lock()
-            .random_bool(knobs.fault_probability.clamp(0.0, 1.0));
+        let is_hit = self.chance.happens(knobs.fault_probability);
         let fault = if is_hit {
             knobs.fault
         } else {
--- a/stand_ins/tests/stand_ins/engine.rs
+++ b/stand_ins/tests/stand_ins/engine.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use teaselline_stand_ins::engine::{Engine, EngineSettings, Finish, expected_answer};
+use teaselline_stand_ins::engine::{BLOCK_TOKENS, Engine, EngineSettings, Finish, expected_answer};
 
 use crate::client::{Answer, call};
 
@@ -302,3 +302,58 @@
     });
     assert_eq!(answer.unwrap().text(), expected_answer("x", 7, 9));
 }
+
+#[tokio::test]
+async fn cache_events_come_late_and_with_gaps_and_a_full_cache_evicts() {
+    let gaps = EngineSettings {
+        cache_tokens_capacity: 2 * BLOCK_TOKENS,
+        cache_event_gap_probability: 0.5,
+        ..fast()
+    };
+    let engine = Engine::start(gaps).await.unwrap();
+    engine.change(|knobs| knobs.cache_event_lag_ms = 600_000);
+    for n in 0..20 {
+        let prompt = format!("{n:<600}");
+        stream(&engine, &body(&format!("r.{n}"), &prompt, "", 0, 1))
+            .await
+            .unwrap();
+    }
+    let first = stream(&engine, &body("again.1", &format!("{:<600}", 0), "", 0, 1))
+        .await
+        .unwrap();
+    assert_eq!(first.last_event()["cached_prompt_tokens"], 0);
+    let at = engine.address();
+    let early = call(at, "GET", "/v1/cache/events?from=0", "")
+        .await
+        .unwrap()
+        .json();
+    assert_eq!(early, json!({ "next": 0, "events": [] }));
+    engine.change(|knobs| knobs.cache_event_lag_ms = 0);
+    let events = call(at, "GET", "/v1/cache/events?from=0", "")
+        .await
+        .unwrap()
+        .json();
+    let events = events["events"].as_array().unwrap();
+    let last = events.last().unwrap()["sequence"].as_u64().unwrap();
+    assert!(events.len() > 10 && (events.len() as u64) < last);
+    assert!(events.iter().any(|event| event["kind"] == "evicted"));
+}
+
+#[tokio::test]
+async fn a_load_report_lags() {
+    let engine = Engine::start(EngineSettings::default()).await.unwrap();
+    engine.change(|knobs| knobs.load_lag_ms = 600_000);
+    let body = body("r.1", "x", "", 0, 1_000_000);
+    let answer = stream(&engine, &body);
+    let (_cut, ()) = tokio::join!(answer, async {
+        while engine.load().unwrap().running == 0 {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        let load = call(engine.address(), "GET", "/v1/load", "")
+            .await
+            .unwrap()
+            .json();
+        assert_eq!((&load["running"], &load["slots"]), (&json!(0), &json!(32)));
+        engine.kill();
+    });
+}
--- a/stand_ins/tests/stand_ins/log.rs
+++ b/stand_ins/tests/stand_ins/log.rs
@@ -1,9 +1,10 @@
 //! The log's offsets, limits and losses.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde_json::json;
 use teaselline_stand_ins::log::{Log, LogSettings, Outage};
+use tokio::time::timeout;
 
 use crate::client::{Answer, call};
 
@@ -60,3 +61,24 @@
     log.change(|knobs| knobs.outage = Outage::Refuse);
     assert_eq!(call(at, "GET", RECORDS, "").await.unwrap().status, 503);
 }
+
+// Symptom: a follower sits out an outage without noticing. Sequence: it polls, the outage begins,
+// nothing is appended. Cause: the poll waits for an append only.
+#[tokio::test]
+async fn an_outage_ends_a_long_poll_and_a_hang_delays_calls() {
+    let log = Log::start(LogSettings::default()).await.unwrap();
+    let at = log.address();
+    let path = format!("{RECORDS}?from=1&wait_ms=60000");
+    let (page, ()) = tokio::join!(call(at, "GET", &path, ""), async {
+        tokio::time::sleep(Duration::from_millis(30)).await;
+        log.change(|knobs| knobs.outage = Outage::Refuse);
+    });
+    assert_eq!(page.unwrap().status, 503);
+    log.change(|knobs| knobs.outage = Outage::Hang);
+    let mut appended = std::pin::pin!(append(at, 1));
+    timeout(Duration::from_millis(30), &mut appended)
+        .await
+        .unwrap_err();
+    log.change(|knobs| knobs.outage = Outage::None);
+    assert_eq!(appended.await.unwrap().status, 200);
+}
