test: Drive the client commands and the caller against scripted nodes

Cause: what a caller does after broken streams, refusals and lost answers needs proof. Conclusion: a lost change is read back and never sent twice; an early end of a stream is not taken.

--- a/src/client.rs
+++ b/src/client.rs
@@ -12,6 +12,8 @@
 pub mod operator;
 pub mod policy;
 mod reading;
+#[cfg(test)]
+mod scripted;
 pub mod table;
 pub mod wire;
 
--- a/src/client/caller.rs
+++ b/src/client/caller.rs
@@ -433,3 +433,6 @@
     let port = url.port_or_known_default()?;
     Some(Authority::from(format!("{host}:{port}")))
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/client/operator.rs
+++ b/src/client/operator.rs
@@ -293,3 +293,6 @@
         body: body.chars().take(MOST_SHOWN_CHARS).collect(),
     }
 }
+
+#[cfg(test)]
+mod tests;
