bug: Keep the id of a call that a node finds nowhere

Cause: a refusal as not_run with reason no_such_request made the caller take a new id, while the first call could still reach its home and run. A service's own answer could pass for a refusal, a bad token was sent eight times, and the answer of a service could not be read by its id. Change: statuses are read before the JSON; no_such_request keeps the id.

--- a/src/client.rs
+++ b/src/client.rs
@@ -3,6 +3,7 @@
 //! [`Caller`] sends one request and sees it to its end. What it does next after each event is
 //! decided by [`policy`], which does no I/O; which node it asks is decided by [`entries`].
 
+pub mod call;
 pub mod caller;
 pub mod commands;
 pub mod entries;
@@ -17,6 +18,7 @@
 pub mod table;
 pub mod wire;
 
-pub use caller::{Call, CallContent, Caller, Report};
+pub use call::{Call, CallContent};
+pub use caller::{Caller, Report};
 pub use operator::Operator;
 pub use policy::End;
--- a/src/client/caller.rs
+++ b/src/client/caller.rs
@@ -1,5 +1,6 @@
 //! Sends one request as a caller and sees it to its end, whatever happens to nodes on the way.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,79 +11,18 @@
 use rand::rngs::SmallRng;
 use url::Url;
 
+use super::call::{Call, CallContent, Sending};
 use super::entries::{Authority, EntryBook};
 use super::http::{Http, HttpError};
-use super::policy::{self, Attempt, End, Event, Limits, Progress, Step};
-use super::reading::{self, EVENT_STREAM, Received};
-use super::wire::{Completion, Entries, IDEMPOTENCY_KEY, IDEMPOTENT, LAST_EVENT_ID, REQUEST_ID};
+use super::policy::{self, Attempt, End, Event, Limits, Progress, Rejection, Step};
+use super::reading::{self, EVENT_STREAM, Question, Received};
+use super::wire::{Entries, IDEMPOTENCY_KEY, IDEMPOTENT, LAST_EVENT_ID, REQUEST_ID};
 use crate::options::Secret;
 use crate::time::Clock;
 
 /// How long a node may take to say which nodes to use.
 const ENTRIES_PATIENCE_MS: u64 = 2_000;
 
-/// One call of a caller.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// What is asked.
-    pub content: CallContent,
-    /// Whether it may run more than once; the document decides if none.
-    pub idempotent: Option<bool>,
-    /// The caller's own key.
-    pub idempotency_key: Option<String>,
-}
-
-impl Call {
-    /// A call about which the document decides whether it may run more than once.
-    #[must_use]
-    pub fn new(content: CallContent) -> Self {
-        Self {
-            content,
-            idempotent: None,
-            idempotency_key: None,
-        }
-    }
-
-    /// Says whether it may run more than once.
-    #[must_use]
-    pub fn with_idempotent(mut self, idempotent: bool) -> Self {
-        self.idempotent = Some(idempotent);
-        self
-    }
-
-    /// Gives it a key of the caller's own.
-    #[must_use]
-    pub fn with_idempotency_key(mut self, key: impl Into<String>) -> Self {
-        self.idempotency_key = Some(key.into());
-        self
-    }
-}
-
-/// What is asked.
-#[derive(Clone, Debug)]
-pub enum CallContent {
-    /// Tokens of a model.
-    Completion {
-        /// The model's name.
-        model: String,
-        /// The prompt.
-        prompt: String,
-        /// The most tokens.
-        max_tokens: u32,
-        /// The latency class, if not the team's own.
-        latency_class: Option<String>,
-    },
-    /// An answer of a plain service.
-    Service {
-        /// The service's name.
-        name: String,
-        /// The path under it.
-        path: String,
-        /// The body.
-        body: Bytes,
-    },
-}
-
 /// How a call went.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
@@ -171,12 +111,13 @@
     pub async fn call(&self, call: &Call, on_token: impl FnMut(u64, &str)) -> Report {
         let repeatable = call.idempotent == Some(true);
         let progress = Progress::new(self.limits(), repeatable);
-        let sending = Sending {
-            method_path: path(&call.content),
-            body: body(&call.content),
-            call,
+        let sending = Sending::new(call);
+        let received = Received {
+            is_whole: matches!(call.content, CallContent::Service { .. }),
+            ..Received::default()
         };
-        self.run(Some(&sending), None, 0, progress, on_token).await
+        self.run(Some(&sending), None, received, progress, on_token)
+            .await
     }
 
     /// Reads the answer of an earlier call from a position on.
@@ -188,7 +129,11 @@
     ) -> Report {
         let progress = Progress::resuming(self.limits());
         let id = Some(id.to_owned());
-        self.run(None, id, from_position, progress, on_token).await
+        let received = Received {
+            next_position: from_position,
+            ..Received::default()
+        };
+        self.run(None, id, received, progress, on_token).await
     }
 
     fn limits(&self) -> Limits {
@@ -203,41 +148,31 @@
         &self,
         sending: Option<&Sending<'_>>,
         mut id: Option<String>,
-        next_position: u64,
+        mut received: Received,
         mut progress: Progress,
         mut on_token: impl FnMut(u64, &str),
     ) -> Report {
-        let mut received = Received {
-            next_position,
-            has_news: false,
-        };
         let mut ids: Vec<String> = id.iter().cloned().collect();
-        let mut what = if sending.is_some() {
-            Attempt::Send
-        } else {
-            Attempt::Resume
+        let mut what = match sending {
+            Some(_) => Attempt::Send,
+            None => Attempt::Resume,
         };
         let mut attempts = 0;
         let mut avoid = None;
         loop {
             attempts += 1;
-            if id.is_none() {
-                id = self.new_id().await;
-                ids.extend(id.clone());
-            }
-            let aim = self.pick(avoid.as_ref()).await;
-            let event = match (&id, &aim) {
-                (Some(id), Some(aim)) => {
-                    let request = match (what, sending) {
-                        (Attempt::Send | Attempt::SendUnderNewId, Some(sending)) => {
-                            self.sending(aim, id, sending)
-                        }
-                        _ => self.resuming(aim, id, received.next_position),
+            let event = match self.prepare(&mut id, &mut ids, avoid.as_ref()).await {
+                Err(event) => event,
+                Ok(aim) => {
+                    let question = match (what, sending) {
+                        (Attempt::Send | Attempt::SendUnderNewId, Some(sending)) => Some(sending),
+                        _ => None,
                     };
-                    self.attempt(aim, request, &mut received, &mut on_token)
+                    let id = id.as_deref().unwrap_or_default();
+                    avoid = Some(Arc::clone(&aim));
+                    self.attempt(&aim, id, question, &mut received, &mut on_token)
                         .await
                 }
-                _ => Event::Unsent,
             };
             if std::mem::take(&mut received.has_news) {
                 progress.note_news();
@@ -264,27 +199,51 @@
                         id = None;
                     }
                     what = next;
-                    avoid = aim;
                     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
                 }
             }
         }
     }
 
+    /// Sees that there is an id, and finds the node to use next.
+    async fn prepare(
+        &self,
+        id: &mut Option<String>,
+        ids: &mut Vec<String>,
+        avoid: Option<&Authority>,
+    ) -> Result<Authority, Event> {
+        if id.is_none() {
+            let new = self.new_id().await?;
+            ids.push(new.clone());
+            *id = Some(new);
+        }
+        if self.book.lock().is_stale(self.clock.now()) {
+            self.ask_entries(0).await.map_err(Event::Rejected)?;
+        }
+        let aim = self.book.lock().pick(avoid, self.clock.now());
+        aim.ok_or(Event::Unsent)
+    }
+
     async fn attempt(
         &self,
         aim: &Authority,
-        request: Result<Request<Full<Bytes>>, http::Error>,
+        id: &str,
+        sending: Option<&Sending<'_>>,
         received: &mut Received,
         on_token: &mut impl FnMut(u64, &str),
     ) -> Event {
+        let (question, request) = match sending {
+            Some(sending) => (Question::Call, self.sending(aim, id, sending)),
+            None => (Question::Resumption, self.resuming(aim, id, received)),
+        };
         let sent = match request {
             Ok(request) => self.http.send(request, self.patience_ms).await,
             Err(error) => Err(HttpError::Unwritable(error)),
         };
         let event = match sent {
             Ok(response) => {
-                reading::read_answer(response, received, self.patience_ms, on_token).await
+                let patience_ms = self.patience_ms;
+                reading::read_answer(question, response, received, patience_ms, on_token).await
             }
             Err(error) => reading::failed(&error),
         };
@@ -296,34 +255,34 @@
         event
     }
 
-    /// The node to use next; asks for a new list first if there is no usable one.
-    async fn pick(&self, avoid: Option<&Authority>) -> Option<Authority> {
-        if self.book.lock().is_stale(self.clock.now()) {
-            self.ask_entries(0).await;
-        }
-        self.book.lock().pick(avoid, self.clock.now())
-    }
-
-    async fn new_id(&self) -> Option<String> {
+    async fn new_id(&self) -> Result<String, Event> {
         let held = self.book.lock().take_id(self.clock.now());
-        if held.is_some() {
-            return held;
+        if let Some(id) = held {
+            return Ok(id);
         }
-        self.ask_entries(self.ids_per_ask).await;
-        self.book.lock().take_id(self.clock.now())
+        let asked = self.ask_entries(self.ids_per_ask).await;
+        asked.map_err(Event::Rejected)?;
+        let got = self.book.lock().take_id(self.clock.now());
+        got.ok_or(Event::Unsent)
     }
 
-    /// Asks the known nodes in turn which nodes to use, until one answers.
-    async fn ask_entries(&self, ids: u32) {
+    /// Asks the known nodes in turn which nodes to use, until one answers; fails if one finds the
+    /// token at fault, since the others will too.
+    async fn ask_entries(&self, ids: u32) -> Result<(), Rejection> {
         let known = self.book.lock().to_ask(self.clock.now());
         for authority in known {
             let request = self.get(&authority, &format!("/v1/entries?ids={ids}"));
             let answer = match request.body(Full::default()) {
-                Ok(request) => self.http.fetch(request, ENTRIES_PATIENCE_MS).await,
-                Err(error) => Err(HttpError::Unwritable(error)),
+                Ok(request) => self.http.fetch(request, ENTRIES_PATIENCE_MS).await.ok(),
+                Err(_) => None,
             };
-            let list = (answer.ok())
-                .filter(|answer| answer.status.is_success())
+            match &answer {
+                Some(answer) if answer.status.is_client_error() => {
+                    return Err(reading::rejection(answer));
+                }
+                _ => {}
+            }
+            let list = (answer.filter(|answer| answer.status.is_success()))
                 .and_then(|answer| serde_json::from_slice::<Entries>(&answer.body).ok());
             let now = self.clock.now();
             let mut book = self.book.lock();
@@ -331,11 +290,12 @@
                 Some(list) => {
                     book.note_answer(&authority);
                     book.take_list(&list, now);
-                    return;
+                    return Ok(());
                 }
                 None => book.note_failure(&authority, now),
             }
         }
+        Ok(())
     }
 
     fn sending(
@@ -345,9 +305,8 @@
         sending: &Sending<'_>,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let mut request = self
-            .request(Method::POST, aim, &sending.method_path)
-            .header(REQUEST_ID, id)
-            .header(header::ACCEPT, EVENT_STREAM);
+            .request(Method::POST, aim, &sending.path)
+            .header(REQUEST_ID, id);
         if let Some(idempotent) = sending.call.idempotent {
             request = request.header(IDEMPOTENT, if idempotent { "true" } else { "false" });
         }
@@ -355,7 +314,8 @@
             request = request.header(IDEMPOTENCY_KEY, key);
         }
         if matches!(sending.call.content, CallContent::Completion { .. }) {
-            request = request.header(header::CONTENT_TYPE, "application/json");
+            request = (request.header(header::CONTENT_TYPE, "application/json"))
+                .header(header::ACCEPT, EVENT_STREAM);
         }
         request.body(Full::new(sending.body.clone()))
     }
@@ -364,12 +324,13 @@
         &self,
         aim: &Authority,
         id: &str,
-        next_position: u64,
+        received: &Received,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
-        let mut request = self
-            .get(aim, &format!("/v1/requests/{id}"))
-            .header(header::ACCEPT, EVENT_STREAM);
-        if let Some(last) = next_position.checked_sub(1) {
+        let mut request = self.get(aim, &format!("/v1/requests/{id}"));
+        if !received.is_whole {
+            request = request.header(header::ACCEPT, EVENT_STREAM);
+        }
+        if let Some(last) = received.next_position.checked_sub(1) {
             request = request.header(LAST_EVENT_ID, last);
         }
         request.body(Full::default())
@@ -390,44 +351,6 @@
     }
 }
 
-/// A call as it is sent, over and over if need be.
-struct Sending<'a> {
-    method_path: String,
-    body: Bytes,
-    call: &'a Call,
-}
-
-fn path(content: &CallContent) -> String {
-    match content {
-        CallContent::Completion { .. } => String::from("/v1/completions"),
-        CallContent::Service { name, path, .. } => {
-            format!("/v1/services/{name}/{}", path.trim_start_matches('/'))
-        }
-    }
-}
-
-fn body(content: &CallContent) -> Bytes {
-    match content {
-        CallContent::Completion {
-            model,
-            prompt,
-            max_tokens,
-            latency_class,
-        } => {
-            let completion = Completion {
-                model: model.clone(),
-                prompt: prompt.clone(),
-                max_tokens: *max_tokens,
-                stream: true,
-                latency_class: latency_class.clone(),
-            };
-            // Texts and numbers always become JSON.
-            Bytes::from(serde_json::to_vec(&completion).unwrap_or_default())
-        }
-        CallContent::Service { body, .. } => body.clone(),
-    }
-}
-
 fn authority(url: &Url) -> Option<Authority> {
     let host = url.host_str()?;
     let port = url.port_or_known_default()?;
--- a/src/client/caller/tests.rs
+++ b/src/client/caller/tests.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use url::Url;
 
-use super::{Call, CallContent, Caller, Report};
+use super::{Caller, Report};
+use crate::client::call::{Call, CallContent};
 use crate::client::policy::End;
 use crate::client::scripted::{Asked, json, node};
 use crate::client::wire::RefusalOutcome;
@@ -144,3 +146,78 @@
     let (report, _) = call(&[&address], report_on_reel()).await;
     assert_eq!(report.end, End::Unsent);
 }
+
+/// Symptom: a deposit is paid twice. Sequence: the call's connection breaks while the node that
+/// took it is paused; another node finds the id nowhere and says `not_run`; the caller sends the
+/// call under a new id; the paused node goes on and passes the first call to its home. Cause:
+/// reading "no such request" as "never runs".
+#[tokio::test]
+async fn an_id_found_nowhere_is_sent_again_and_not_replaced() {
+    let script = |count| match count {
+        0 => events(&[], "", true),
+        1 => {
+            let nowhere = r#"{"outcome":"not_run","reason":"no_such_request","message":"none"}"#;
+            json("404 Not Found", nowhere)
+        }
+        _ => events(&[(0, "a")], &done(1), false),
+    };
+    let asked = Asked::default();
+    let address = node(&asked, script).await;
+    let (report, _) = call(&[&address], report_on_reel()).await;
+    assert!(report.end.is_answer());
+    assert_eq!(report.ids, ["id-0"]);
+}
+
+#[tokio::test]
+async fn the_answer_of_a_service_may_look_like_a_refusal() {
+    let body = r#"{"outcome":"not_run","reason":"the reel was not run"}"#;
+    let script = |_| {
+        json(
+            "200 OK",
+            r#"{"outcome":"not_run","reason":"the reel was not run"}"#,
+        )
+    };
+    let asked = Asked::default();
+    let address = node(&asked, script).await;
+    let lookup = Call::new(CallContent::Service {
+        name: String::from("catalogue"),
+        path: String::from("reels/7"),
+        body: Bytes::new(),
+    });
+    let (report, _) = call(&[&address], lookup).await;
+    let body = Bytes::from(body);
+    assert_eq!(report.end, End::Answered { status: 200, body });
+}
+
+#[tokio::test]
+async fn a_bad_token_is_told_at_once() {
+    let script = |_| {
+        json(
+            "401 Unauthorized",
+            r#"{"outcome":"not_run","reason":"no_token"}"#,
+        )
+    };
+    let asked = Asked::default();
+    let address = node(&asked, script).await;
+    let (report, _) = call(&[&address], report_on_reel()).await;
+    assert!(matches!(report.end, End::Rejected(rejection) if rejection.status == 401));
+    assert_eq!(report.attempts, 1);
+}
+
+#[tokio::test]
+async fn the_answer_of_a_service_is_found_by_its_id() {
+    let script = |count| match count {
+        0 => events(
+            &[],
+            "event: error\ndata: {\"outcome\":\"answered\"}\n\n",
+            false,
+        ),
+        _ => json("200 OK", "whole"),
+    };
+    let asked = Asked::default();
+    let address = node(&asked, script).await;
+    let caller = Caller::new(&[Url::parse(&format!("http://{address}")).unwrap()], None);
+    let report = caller.resume("id-9", 0, |_, _| {}).await;
+    let body = Bytes::from("whole");
+    assert_eq!(report.end, End::Answered { status: 200, body });
+}
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -7,7 +7,8 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use super::caller::{Call, CallContent, Caller, Report};
+use super::call::{Call, CallContent};
+use super::caller::{Caller, Report};
 use super::input::{self, InputError};
 use super::operator::{Operator, OperatorError};
 use super::policy::End;
--- a/src/client/policy.rs
+++ b/src/client/policy.rs
@@ -36,7 +36,7 @@
         /// Whether the node had begun to answer.
         accepted: bool,
     },
-    /// The request is known and has not ended; the answer is not to be had as a stream.
+    /// The request is known; its answer has to be asked for again.
     Running {
         /// When to ask again.
         retry_after_ms: Option<u64>,
--- a/src/client/reading.rs
+++ b/src/client/reading.rs
@@ -19,6 +19,9 @@
 /// The longest part of an unexpected answer that is shown.
 const MOST_SHOWN_CHARS: usize = 300;
 
+/// The reason of a node that finds the id nowhere.
+const NO_SUCH_REQUEST: &str = "no_such_request";
+
 /// What has come of an answer, over all attempts.
 #[derive(Debug, Default)]
 pub(super) struct Received {
@@ -26,6 +29,17 @@
     pub next_position: u64,
     /// Whether anything new came in the latest attempt.
     pub has_news: bool,
+    /// Whether the answer is not made of tokens and has to be asked for as a whole.
+    pub is_whole: bool,
+}
+
+/// What a node was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Question {
+    /// To run a call.
+    Call,
+    /// For the answer of a call sent before.
+    Resumption,
 }
 
 /// The state of a request that has not ended.
@@ -35,8 +49,20 @@
     retry_after_ms: Option<u64>,
 }
 
+/// The data of an `error` event.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum EndData {
+    Refused(Refusal),
+    /// A plain service's answer, which has no tokens.
+    Other {
+        outcome: String,
+    },
+}
+
 /// Reads the answer to a call or a resumption.
 pub(super) async fn read_answer(
+    question: Question,
     response: Response<Incoming>,
     received: &mut Received,
     patience_ms: u64,
@@ -49,7 +75,7 @@
         return read_stream(response, received, patience_ms, on_token).await;
     }
     match read_whole(response, patience_ms).await {
-        Ok(answer) => whole(&answer),
+        Ok(answer) => whole(question, &answer),
         Err(_) => Event::Broken { accepted: true },
     }
 }
@@ -62,20 +88,40 @@
     }
 }
 
-fn whole(answer: &Answer) -> Event {
-    let outcome = answer.headers.get(OUTCOME);
-    let refusal = serde_json::from_slice::<Refusal>(&answer.body);
-    match (answer.status, refusal) {
-        _ if outcome.is_some_and(|value| value == ANSWERED) => answered(answer),
-        (_, Ok(refusal)) => Event::Refused(refusal),
-        (StatusCode::ACCEPTED, _) => running(answer),
-        (status, _) if status.is_success() => answered(answer),
-        (StatusCode::NOT_FOUND, _) => Event::NoSuchRequest,
-        (status, _) if status.is_server_error() => Event::Broken { accepted: false },
+fn whole(question: Question, answer: &Answer) -> Event {
+    let refusal = serde_json::from_slice::<Refusal>(&answer.body).ok();
+    let reason = refusal.as_ref().map_or("", Refusal::shown_reason);
+    match answer.status {
+        _ if answer
+            .headers
+            .get(OUTCOME)
+            .is_some_and(|value| value == ANSWERED) =>
+        {
+            answered(answer)
+        }
+        StatusCode::ACCEPTED => running(answer),
+        // A service's own answer may look like a refusal; its status tells them apart.
+        status if status.is_success() => answered(answer),
+        // That an id is found nowhere is no refusal: the call may still be on its way to the home
+        // and run when it arrives, so that a new id could be a second run.
+        StatusCode::NOT_FOUND if question == Question::Resumption => match reason {
+            NO_SUCH_REQUEST | "" => Event::NoSuchRequest,
+            _ => rejected(answer),
+        },
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::CONFLICT => refused(refusal, answer),
+        status if status.is_server_error() => refused(refusal, answer),
         _ => rejected(answer),
     }
 }
 
+fn refused(refusal: Option<Refusal>, answer: &Answer) -> Event {
+    match refusal {
+        Some(refusal) => Event::Refused(refusal),
+        None if answer.status.is_server_error() => Event::Broken { accepted: false },
+        None => rejected(answer),
+    }
+}
+
 fn answered(answer: &Answer) -> Event {
     Event::Answered {
         status: answer.status.as_u16(),
@@ -91,11 +137,16 @@
 }
 
 fn rejected(answer: &Answer) -> Event {
+    Event::Rejected(rejection(answer))
+}
+
+/// What a node says of a call at fault.
+pub(super) fn rejection(answer: &Answer) -> Rejection {
     let text = String::from_utf8_lossy(&answer.body);
-    Event::Rejected(Rejection {
+    Rejection {
         status: answer.status.as_u16(),
         message: text.chars().take(MOST_SHOWN_CHARS).collect(),
-    })
+    }
 }
 
 async fn read_stream(
@@ -158,9 +209,15 @@
             }),
             _ => Taken::Unfit,
         },
-        "error" => match serde_json::from_str::<Refusal>(&event.data) {
-            Ok(refusal) => Taken::End(Event::Refused(refusal)),
-            Err(_) => Taken::Unfit,
+        "error" => match serde_json::from_str::<EndData>(&event.data) {
+            Ok(EndData::Refused(refusal)) => Taken::End(Event::Refused(refusal)),
+            Ok(EndData::Other { outcome }) if outcome == ANSWERED => {
+                received.is_whole = true;
+                Taken::End(Event::Running {
+                    retry_after_ms: Some(0),
+                })
+            }
+            _ => Taken::Unfit,
         },
         _ => Taken::Token,
     }
