--- /dev/null
+++ b/src/requests/service_call.rs
@@ -0,0 +1,107 @@
+//! Runs one call to a plain service.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::core::{Core, Right};
+use super::dispatch::{Tried, delivery, no_upstream, past_deadline};
+use super::links::Links;
+use super::outcome::{Doubt, Failure};
+use super::record::Place;
+use super::{Outcome, Record, Work};
+use crate::document::checked::PoolKind;
+use crate::upstreams::{PlainServices, ServiceCall};
+
+/// What one attempt came to.
+enum Attempted {
+    End(Outcome),
+    /// It provably did not start.
+    NotStarted,
+    /// It may have run.
+    Lost,
+}
+
+/// Runs a record to its outcome.
+pub(super) async fn run<L: Links>(
+    core: Arc<Core<L>>,
+    record: Arc<Record>,
+    right: Right,
+) -> Option<Outcome> {
+    let mut tried = Tried::default();
+    loop {
+        if core.clock.now() >= record.call.deadline_ms {
+            return Some(past_deadline(&record));
+        }
+        let choice = match core.choose(&record, &tried) {
+            Ok(choice) => choice,
+            Err(no_route) => return Some(no_upstream(&record, no_route)),
+        };
+        let place = record.begin_attempt(choice.host, choice.address);
+        if let Err(outcome) = core.obtain_right(&record, right).await {
+            record.attempt_not_started(place.attempt);
+            return Some(outcome);
+        }
+        core.note_open(place, 0.0, core.clock.now());
+        let attempted = attempt(&core, &record, place).await;
+        core.note_close(place, core.clock.now());
+        match attempted {
+            Attempted::End(outcome) => return Some(outcome),
+            Attempted::NotStarted => record.attempt_not_started(place.attempt),
+            Attempted::Lost if record.call.idempotent => record.close_attempt(place.attempt),
+            Attempted::Lost => return Some(Outcome::Unknown(Doubt::UpstreamLost)),
+        }
+        tried.note(choice.host, Some(choice.domain));
+    }
+}
+
+async fn attempt<L: Links>(core: &Core<L>, record: &Record, place: Place) -> Attempted {
+    let Work::Service {
+        path,
+        body,
+        service,
+    } = &record.call.work
+    else {
+        return Attempted::End(Outcome::Failed(Failure::Upstream));
+    };
+    let call = ServiceCall {
+        attempt: &record.id.attempt(place.attempt),
+        path: &format!("/{path}"),
+        content_type: None,
+        body: Bytes::copy_from_slice(body),
+        delivery: delivery(record),
+        timeout_ms: timeout_ms(core, service, record),
+    };
+    let answered = core.services.call(place.address, &call).await;
+    match answered {
+        Ok(answer) => {
+            core.note_answer(place);
+            Attempted::End(Outcome::Answered {
+                status: 200,
+                body: answer.body.to_vec(),
+            })
+        }
+        Err(error) => {
+            core.note_failure(place, &error, core.clock.now());
+            match error {
+                error if error.is_not_started() => Attempted::NotStarted,
+                error if error.is_lost() => Attempted::Lost,
+                // The service says that it failed: it ran, and it is not ours to run it again.
+                _ => Attempted::End(Outcome::Failed(Failure::Upstream)),
+            }
+        }
+    }
+}
+
+fn timeout_ms<L: Links>(core: &Core<L>, service: &str, record: &Record) -> u64 {
+    let left_ms = core.clock.now().until(record.call.deadline_ms).max(1);
+    let in_force = core.blackboard.in_force();
+    let configured_ms = in_force.and_then(|in_force| {
+        let pool = in_force.document.find_pool(service)?;
+        match in_force.document.pool(pool).kind {
+            PoolKind::Service { timeout_ms, .. } => Some(timeout_ms),
+            PoolKind::Engine { .. } => None,
+        }
+    });
+    configured_ms.map_or(left_ms, |timeout_ms| timeout_ms.min(left_ms))
+}
