feature: Decide which hosts to hold and which models to load

Cause: an operator changes one document; hosts, models and cost have to follow by themselves. Change: a pure decide compares what a deployment holds with the cheapest mix of failure domains and classes that serves the forecast after the loss of any one failure domain, and gives level-triggered orders: buys named by lease and counter, drains, loads at the weight store's rate.

--- /dev/null
+++ b/src/placement/forecast.rs
@@ -0,0 +1,194 @@
+//! The demand to be ready for.
+//!
+//! The present level is carried on along the shape of the past days. A node that has not seen a
+//! day yet, as after the lease has moved, carries on the present trend instead.
+
+use std::collections::VecDeque;
+
+use super::view::Demand;
+use crate::reclaim::rates::float;
+use crate::time::TimeMs;
+
+const DAY_MS: u64 = 24 * 3_600_000;
+
+/// Length of one piece of the day's shape.
+const PIECE_MS: u64 = 900_000;
+
+/// Pieces of a day.
+const PIECES: usize = 96;
+
+/// How much a new day counts in the shape.
+const NEW_DAY_WEIGHT: f64 = 0.5;
+
+/// How far back the present level and trend look.
+const RECENT_MS: u64 = 1_800_000;
+
+/// The newest samples that make the present level.
+const LEVEL_MS: u64 = 300_000;
+
+/// Growth that a trend is believed at most.
+const TREND_MAX: f64 = 1.5;
+
+/// Steps in which the time ahead is looked at.
+const STEP_MS: u64 = 300_000;
+
+/// What 95 in 100 normal samples stay below, above their mean: 1.645 standard deviations, where
+/// the median step between two samples is 0.954 of one.
+const SPREAD_PER_STEP: f64 = 1.645 / 0.954;
+
+/// What of a rise is foreseen at least, as a part of the level.
+const MARGIN_MIN: f64 = 0.02;
+
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at_ms: TimeMs,
+    demand: Demand,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Piece {
+    /// Streams on earlier days; `None` before the first.
+    before: Option<f64>,
+    /// Sum and count of today's samples.
+    sum: f64,
+    count: f64,
+    /// The day that the sum belongs to.
+    day: u64,
+}
+
+/// What past demand tells of the demand to come.
+#[derive(Clone, Debug)]
+pub struct Forecast {
+    pieces: Vec<Piece>,
+    recent: VecDeque<Sample>,
+}
+
+impl Default for Forecast {
+    fn default() -> Self {
+        Self {
+            pieces: vec![Piece::default(); PIECES],
+            recent: VecDeque::new(),
+        }
+    }
+}
+
+impl Forecast {
+    /// Takes a sample in; one a minute is enough.
+    pub fn observe(&mut self, demand: Demand, now: TimeMs) {
+        self.recent.push_back(Sample { at_ms: now, demand });
+        while self
+            .recent
+            .front()
+            .is_some_and(|sample| now.since(sample.at_ms) > RECENT_MS)
+        {
+            self.recent.pop_front();
+        }
+        self.pieces[piece_at(now)].observe(demand.streams, now.0 / DAY_MS);
+    }
+
+    /// The highest demand from `back_ms` ago until `ahead_ms` from now, for 95 samples in 100.
+    ///
+    /// `None` before the first sample.
+    #[must_use]
+    pub fn peak(&self, back_ms: u64, ahead_ms: u64, now: TimeMs) -> Option<Demand> {
+        let level = self.level(LEVEL_MS, now)?;
+        let steps = (0..=ahead_ms.div_ceil(STEP_MS)).map(|step| (step * STEP_MS).min(ahead_ms));
+        let growth = steps.map(|ms| self.growth(level.streams, ms, now));
+        let growth = growth.fold(1.0, f64::max);
+        let ahead = level.scaled(growth * (1.0 + self.spread(now)));
+        let window = LEVEL_MS.min(back_ms);
+        let backs = (0..=back_ms / LEVEL_MS.max(1)).map(|step| step * LEVEL_MS);
+        let past = backs
+            .filter_map(|ago_ms| self.level(window.max(1), TimeMs(now.0.saturating_sub(ago_ms))));
+        Some(past.fold(ahead, |most, demand| most.larger(&demand)))
+    }
+
+    fn level(&self, window_ms: u64, until_ms: TimeMs) -> Option<Demand> {
+        let recent = self.recent.iter();
+        let in_window = recent
+            .filter(|sample| sample.at_ms <= until_ms && until_ms.since(sample.at_ms) < window_ms);
+        let (sum, count) = in_window.fold((Demand::default(), 0.0), |(sum, count), sample| {
+            (sum.plus(&sample.demand), count + 1.0)
+        });
+        (count > 0.0).then(|| sum.scaled(1.0 / count))
+    }
+
+    /// Demand in `ahead_ms`, as a multiple of the present level.
+    fn growth(&self, level: f64, ahead_ms: u64, now: TimeMs) -> f64 {
+        let then = self.shape(now.after(ahead_ms));
+        match (self.shape(now), then) {
+            (Some(present), Some(then)) if present > 0.0 => then / present,
+            _ => self.trend(level, ahead_ms, now),
+        }
+    }
+
+    /// The shape of past days, straight between the middles of its pieces.
+    fn shape(&self, at: TimeMs) -> Option<f64> {
+        let from_middle = at.0 + DAY_MS - PIECE_MS / 2;
+        let part = float(from_middle % PIECE_MS) / float(PIECE_MS);
+        let first = piece_at(TimeMs(from_middle));
+        let day = at.0 / DAY_MS;
+        let low = self.pieces[first].shape(day)?;
+        let high = self.pieces[(first + 1) % PIECES].shape(day)?;
+        Some(low + (high - low) * part)
+    }
+
+    fn trend(&self, level: f64, ahead_ms: u64, now: TimeMs) -> f64 {
+        let earlier = self.recent.front();
+        let earlier = earlier.filter(|sample| now.since(sample.at_ms) > LEVEL_MS);
+        let Some(earlier) = earlier.filter(|_| level > 0.0) else {
+            return 1.0;
+        };
+        let before = self.level(LEVEL_MS, earlier.at_ms.after(LEVEL_MS - 1));
+        let rise = level - before.unwrap_or(earlier.demand).streams;
+        let passed_ms = float(now.since(earlier.at_ms));
+        (1.0 + rise / level * float(ahead_ms) / passed_ms).clamp(1.0, TREND_MAX)
+    }
+
+    /// What samples rise above the level, as a part of it.
+    ///
+    /// Steps between samples rather than the samples, so that a steady rise is no spread, and their
+    /// median, so that one jump is none.
+    fn spread(&self, now: TimeMs) -> f64 {
+        let newest = self.recent.iter();
+        let newest = newest.filter(|sample| now.since(sample.at_ms) < LEVEL_MS * 3);
+        let newest: Vec<f64> = newest.map(|sample| sample.demand.streams).collect();
+        let level = newest.iter().sum::<f64>() / float(len(&newest).max(1));
+        let steps = newest.windows(2).map(|pair| (pair[1] - pair[0]).abs());
+        let mut steps: Vec<f64> = steps.collect();
+        steps.sort_by(f64::total_cmp);
+        match steps.get(steps.len() / 2) {
+            Some(step) if level > 0.0 => (step * SPREAD_PER_STEP / level).max(MARGIN_MIN),
+            _ => MARGIN_MIN,
+        }
+    }
+}
+
+impl Piece {
+    fn observe(&mut self, streams: f64, day: u64) {
+        if self.day != day {
+            self.before = self.shape(day);
+            (self.sum, self.count, self.day) = (0.0, 0.0, day);
+        }
+        self.sum += streams;
+        self.count += 1.0;
+    }
+
+    /// Streams by the days before `day`.
+    fn shape(&self, day: u64) -> Option<f64> {
+        let is_past = self.day != day && self.count > 0.0;
+        let newest = is_past.then(|| self.sum / self.count);
+        match (newest, self.before) {
+            (Some(newest), Some(before)) => Some(before + (newest - before) * NEW_DAY_WEIGHT),
+            (newest, before) => newest.or(before),
+        }
+    }
+}
+
+fn piece_at(time: TimeMs) -> usize {
+    usize::try_from(time.0 % DAY_MS / PIECE_MS).unwrap_or(0) % PIECES
+}
+
+fn len(samples: &[f64]) -> u64 {
+    u64::try_from(samples.len()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/placement/hosts.rs
@@ -0,0 +1,297 @@
+//! Which hosts to buy, drain and give back.
+
+use super::mix::{Mix, cheapest};
+use super::order::Order;
+use super::purchase::PurchaseId;
+use super::stock::Stock;
+use super::view::{Demand, Host, PlacementView, Stage};
+use crate::document::checked::Pool;
+use crate::keys::{ClassKey, DomainKey};
+use crate::time::TimeMs;
+
+/// After this a purchase without an answer is asked for again, by the same name.
+const ASK_AGAIN_MS: u64 = 2_000;
+
+/// Starts of one class in one failure domain that are asked for at once.
+const STARTS_AT_ONCE: u32 = 16;
+
+/// Part of a pool's hosts that are drained at once, as one in so many.
+const DRAINING_DIVISOR: usize = 10;
+
+/// How long after the order every node knows that a host takes no new work.
+const DRAIN_KNOWN_MS: u64 = 5_000;
+
+/// How long after it was taken the lease buys nothing new, unless the purchases were listed later.
+///
+/// A predecessor's last purchase may still be on its way; it has taken effect or failed by then.
+const PREDECESSOR_MS: u64 = 2_000;
+
+/// Orders hosts for all pools; tells whether each pool has what it is meant to have.
+pub(super) fn decide(
+    view: &PlacementView<'_>,
+    stocks: &[Stock<'_>],
+    now: TimeMs,
+    orders: &mut Vec<Order>,
+) -> bool {
+    repeat(view, now, orders);
+    let mut buyer = Buyer::new(view);
+    let mut all_served = true;
+    for stock in stocks {
+        let wanted = Wanted::of(stock, now);
+        let lacking = wanted.lacking(stock);
+        all_served &= lacking.is_empty();
+        buyer.buy(stock, &lacking, orders);
+        drain(stock, &wanted, now, orders);
+        let silent = stock.silent.iter();
+        orders.extend(silent.map(|host| Order::GiveBack { host: host.host }));
+    }
+    all_served
+}
+
+/// Asks again for purchases whose answers were lost.
+pub(super) fn repeat(view: &PlacementView<'_>, now: TimeMs, orders: &mut Vec<Order>) {
+    let due = view.asks.iter().filter(|ask| {
+        let mut purchases = view.purchases.iter();
+        let listed = purchases.any(|purchase| purchase.id == ask.id);
+        !listed && now.since(ask.asked_at_ms) >= ASK_AGAIN_MS
+    });
+    orders.extend(due.map(|ask| Order::Buy { purchase: ask.id }));
+}
+
+/// Drains and gives back hosts that were bought for something the document no longer has.
+pub(super) fn drain_strangers(view: &PlacementView<'_>, now: TimeMs, orders: &mut Vec<Order>) {
+    for stranger in view.strangers {
+        let host = stranger.host;
+        let empty_at_ms = (stranger.running == 0).then_some(stranger.load_as_of_ms);
+        let drained = stranger
+            .draining_since_ms
+            .is_some_and(|since_ms| is_drained(view, since_ms, empty_at_ms, now));
+        orders.push(if drained {
+            Order::GiveBack { host }
+        } else {
+            Order::Drain { host }
+        });
+    }
+}
+
+/// How many hosts a pool is meant to hold.
+#[derive(Debug)]
+struct Wanted {
+    /// By failure domain and class, to be ready until a host bought now serves.
+    lead: Vec<(DomainKey, ClassKey, u32)>,
+    /// The same for a longer while.
+    keep: Vec<(DomainKey, ClassKey, u32)>,
+    /// What the hosts that serve must be able to serve, before one is drained.
+    demand: Option<(Demand, Demand)>,
+}
+
+impl Wanted {
+    fn of(stock: &Stock<'_>, now: TimeMs) -> Self {
+        if let Some((lead, keep)) = stock.demand.lead.zip(stock.demand.keep) {
+            // Nothing that is to be bought may be surplus at once by the longer view.
+            let keep = lead.larger(&keep);
+            Self {
+                lead: by_mix(stock, &lead, now),
+                keep: by_mix(stock, &keep, now),
+                demand: Some((lead, keep)),
+            }
+        } else {
+            let fixed = by_document(stock, now);
+            Self {
+                lead: fixed.clone(),
+                keep: fixed,
+                demand: None,
+            }
+        }
+    }
+
+    /// What has to be bought.
+    fn lacking(&self, stock: &Stock<'_>) -> Vec<(DomainKey, ClassKey, u32)> {
+        let lacking = self.lead.iter().map(|(domain, class, wanted)| {
+            let hosts = wanted.saturating_sub(stock.held(*domain, *class));
+            (*domain, *class, hosts)
+        });
+        lacking.filter(|(_, _, hosts)| *hosts > 0).collect()
+    }
+
+    /// Hosts of a class in a failure domain that neither view needs.
+    fn surplus(&self, domain: DomainKey, class: ClassKey, held: u32) -> u32 {
+        let wanted = |mix: &[(DomainKey, ClassKey, u32)]| {
+            let found = mix.iter().find(|row| (row.0, row.1) == (domain, class));
+            found.map_or(0, |row| row.2)
+        };
+        held.saturating_sub(wanted(&self.lead).max(wanted(&self.keep)))
+    }
+}
+
+fn by_mix(stock: &Stock<'_>, demand: &Demand, now: TimeMs) -> Vec<(DomainKey, ClassKey, u32)> {
+    let offers = stock.offers(demand, now);
+    let Mix { hosts, .. } = cheapest(&offers, &stock.need());
+    let wanted = offers.iter().zip(hosts);
+    wanted
+        .map(|(offer, hosts)| (offer.domain, offer.class, hosts))
+        .collect()
+}
+
+/// The document's counts, each of the cheapest class that can be started, after those held.
+fn by_document(stock: &Stock<'_>, now: TimeMs) -> Vec<(DomainKey, ClassKey, u32)> {
+    let mut offers = stock.offers(&Demand::default(), now);
+    let discount = stock.view.settings.stay_discount;
+    let price = |offer: &super::mix::Offer| {
+        let kept = if offer.held > 0 { 1.0 - discount } else { 1.0 };
+        offer.price_per_hour * kept
+    };
+    offers.sort_by(|a, b| price(a).total_cmp(&price(b)));
+    let Pool { hosts, .. } = stock.pool;
+    let wanted = hosts.iter().flat_map(|(domain, count)| {
+        let here = offers.iter().filter(|offer| offer.domain == *domain);
+        let taken = here.scan(u32::from(*count), |left, offer| {
+            let hosts = offer.limit.min(*left);
+            *left -= hosts;
+            Some((offer.domain, offer.class, hosts))
+        });
+        taken.collect::<Vec<_>>()
+    });
+    wanted.collect()
+}
+
+/// Names purchases one after the other.
+struct Buyer<'a> {
+    view: &'a PlacementView<'a>,
+    counter: u32,
+    may_buy: bool,
+}
+
+impl<'a> Buyer<'a> {
+    /// Buys only once it is known what earlier holders of the lease bought.
+    fn new(view: &'a PlacementView<'a>) -> Self {
+        let known_from_ms = view.lease.since_ms.after(PREDECESSOR_MS);
+        Self {
+            view,
+            counter: view.purchases_asked,
+            may_buy: view
+                .purchases_listed_at_ms
+                .is_some_and(|listed_at_ms| listed_at_ms >= known_from_ms),
+        }
+    }
+
+    fn buy(
+        &mut self,
+        stock: &Stock<'_>,
+        lacking: &[(DomainKey, ClassKey, u32)],
+        orders: &mut Vec<Order>,
+    ) {
+        for (domain, class, hosts) in lacking.iter().filter(|_| self.may_buy) {
+            let starts = (*hosts).min(self.starts_at_once(*domain, *class));
+            for _ in 0..starts {
+                let purchase = PurchaseId {
+                    pool: stock.key(),
+                    class: *class,
+                    domain: *domain,
+                    fencing: self.view.lease.fencing,
+                    counter: self.counter,
+                };
+                orders.push(Order::Buy { purchase });
+                // Another failure domain's controller has its own lease and counts on its own.
+                self.counter += u32::from(self.view.domains.binary_search(domain).is_ok());
+            }
+        }
+    }
+
+    /// Starts worth asking for now: few after a refusal, and less those not answered yet.
+    fn starts_at_once(&self, domain: DomainKey, class: ClassKey) -> u32 {
+        let refusals = self.view.refusals;
+        let refused = refusals
+            .binary_search_by_key(&(class, domain), |r| (r.class, r.domain))
+            .is_ok_and(|index| refusals[index].in_a_row > 0);
+        let asks = self.view.asks.iter();
+        let open = asks.filter(|ask| (ask.id.domain, ask.id.class) == (domain, class));
+        let open = u32::try_from(open.count()).unwrap_or(u32::MAX);
+        let at_once = if refused { 1 } else { STARTS_AT_ONCE };
+        at_once.saturating_sub(open)
+    }
+}
+
+/// Drains surplus hosts and gives back those that are empty.
+///
+/// A host is drained only while the others that serve now are enough without it. So a move to
+/// other classes first waits for the new hosts to serve, and callers notice no dip.
+fn drain(stock: &Stock<'_>, wanted: &Wanted, now: TimeMs, orders: &mut Vec<Order>) {
+    let mut serving: Vec<&Host> = stock.hosts.clone();
+    serving.retain(|host| stock.serves(host));
+    let draining = stock.hosts.iter();
+    let draining = draining.filter(|host| matches!(host.stage, Stage::Draining { .. }));
+    let at_once = serving.len().div_ceil(DRAINING_DIVISOR);
+    let mut left = at_once.saturating_sub(draining.count());
+    for held in stock.all_held() {
+        let surplus = wanted.surplus(held.domain, held.class, held.hosts);
+        let mut hosts: Vec<&Host> = stock.hosts.clone();
+        hosts.retain(|host| (host.domain, host.class) == (held.domain, held.class));
+        hosts.sort_by_key(|host| (drain_rank(host.stage), host.running, host.host));
+        let surplus = usize::try_from(surplus).unwrap_or(usize::MAX);
+        for host in hosts.into_iter().take(surplus) {
+            let without = serving
+                .iter()
+                .copied()
+                .filter(|other| other.host != host.host);
+            match host.stage {
+                Stage::Starting { .. } => orders.push(Order::GiveBack { host: host.host }),
+                Stage::Draining { since_ms } if is_enough(stock, wanted, without.clone(), true) => {
+                    let empty_at_ms = (host.running == 0).then_some(host.load_as_of_ms);
+                    orders.push(if is_drained(stock.view, since_ms, empty_at_ms, now) {
+                        Order::GiveBack { host: host.host }
+                    } else {
+                        Order::Drain { host: host.host }
+                    });
+                }
+                Stage::Live if left > 0 && is_enough(stock, wanted, without.clone(), false) => {
+                    left -= 1;
+                    serving.retain(|other| other.host != host.host);
+                    orders.push(Order::Drain { host: host.host });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Hosts that are drained already go first, then those that do not serve yet.
+fn drain_rank(stage: Stage) -> u8 {
+    match stage {
+        Stage::Draining { .. } => 0,
+        Stage::Starting { .. } => 1,
+        Stage::Live | Stage::Leaving | Stage::GivenBack => 2,
+    }
+}
+
+/// Whether hosts are enough; to begin a drain the longer view counts, to go on the shorter.
+fn is_enough<'a>(
+    stock: &Stock<'_>,
+    wanted: &Wanted,
+    hosts: impl Iterator<Item = &'a Host> + Clone,
+    begun: bool,
+) -> bool {
+    let domains = stock.pool.hosts.len();
+    match &wanted.demand {
+        Some((lead, _)) if begun => stock.served_part(hosts, lead).is_enough(domains),
+        Some((_, keep)) => stock.served_part(hosts, keep).is_enough(domains),
+        None => {
+            let meant: usize = stock.pool.hosts.iter().map(|(_, n)| usize::from(*n)).sum();
+            hosts.count() >= meant
+        }
+    }
+}
+
+/// Whether a host may be given back.
+///
+/// A report from before every node knew of the drain may show an empty host that work is still on
+/// its way to; the platform would cut it. Only a later report counts.
+fn is_drained(
+    view: &PlacementView<'_>,
+    since_ms: TimeMs,
+    empty_at_ms: Option<TimeMs>,
+    now: TimeMs,
+) -> bool {
+    let empty = empty_at_ms.is_some_and(|at_ms| at_ms >= since_ms.after(DRAIN_KNOWN_MS));
+    empty || now.since(since_ms) >= view.settings.drain_max_ms
+}
--- /dev/null
+++ b/src/placement/models.rs
@@ -0,0 +1,164 @@
+//! Which models to load and unload where, at the weight store's rate.
+
+use super::order::Order;
+use super::stock::Stock;
+use super::view::{Host, ModelVersion, PlacementView, Stage};
+use crate::document::checked::Model;
+use crate::keys::ModelKey;
+use crate::reclaim::rates::{float, whole};
+use crate::time::TimeMs;
+
+/// How far ahead loads are handed to the weight store.
+const AHEAD_SECONDS: f64 = 10.0;
+
+/// Part of a pool's hosts that load another version at once, as one in so many.
+const ROLLED_AT_ONCE_DIVISOR: usize = 4;
+
+/// A load that a host lacks.
+#[derive(Clone, Copy, Debug)]
+struct Missing {
+    host: usize,
+    model: ModelKey,
+    /// Whether it serves the model in another version meanwhile.
+    rolls: bool,
+    /// Bytes that the host lacks until it serves.
+    until_serving_bytes: u64,
+}
+
+/// Orders loads and unloads for all pools.
+pub(super) fn decide(
+    view: &PlacementView<'_>,
+    stocks: &[Stock<'_>],
+    now: TimeMs,
+    orders: &mut Vec<Order>,
+) {
+    let engines = stocks.iter().filter(|stock| !stock.models().is_empty());
+    let hosts: Vec<(&Stock<'_>, &Host)> = engines
+        .flat_map(|stock| stock.hosts.iter().map(move |host| (stock, *host)))
+        .filter(|(_, host)| host.stage == Stage::Live && host.failing_since_ms.is_none())
+        .collect();
+    orders.extend(hosts.iter().flat_map(|(stock, host)| needless(stock, host)));
+    let mut missing: Vec<Missing> = hosts
+        .iter()
+        .enumerate()
+        .flat_map(|(index, (stock, host))| missing_on(index, stock, host))
+        .collect();
+    // Closest to serving first: a host brings nothing until its last model is there.
+    missing.sort_by_key(|load| {
+        let host = hosts[load.host].1.host;
+        (load.rolls, load.until_serving_bytes, host, load.model)
+    });
+    let mut pace = Pace::new(view, &hosts, now);
+    let mut rolling: Vec<usize> = Vec::new();
+    for load in missing {
+        let (stock, host) = hosts[load.host];
+        let rolled_max = stock.hosts.len().div_ceil(ROLLED_AT_ONCE_DIVISOR);
+        let same_pool = |index: &&usize| hosts[**index].0.key() == stock.key();
+        let in_hand = rolling_now(stock) + rolling.iter().filter(same_pool).count();
+        if load.rolls && in_hand >= rolled_max {
+            continue;
+        }
+        if !pace.admits(view.document.model(load.model).weights_bytes) {
+            break;
+        }
+        rolling.extend(load.rolls.then_some(load.host));
+        orders.push(Order::Load {
+            host: host.host,
+            model: load.model,
+        });
+    }
+}
+
+/// Hosts of a pool that load another version of a model that they serve.
+fn rolling_now(stock: &Stock<'_>) -> usize {
+    let rolls = |host: &&&Host| {
+        let mut loading = host.models.iter().filter(|model| model.loading);
+        loading.any(|model| {
+            let mut others = host.models.iter().filter(|other| !other.loading);
+            others.any(|other| other.model == model.model)
+        })
+    };
+    stock.hosts.iter().filter(rolls).count()
+}
+
+/// Versions on a host that can go: of no model of the pool, or followed by the present version.
+fn needless(stock: &Stock<'_>, host: &Host) -> Vec<Order> {
+    let wanted = |model: &Option<ModelKey>| model.filter(|m| stock.models().contains(m));
+    let loaded = host.models.iter().filter(|held| !held.loading);
+    let needless = loaded.filter(|held| match wanted(&held.model) {
+        None => true,
+        Some(model) => {
+            let present = present_version(stock.view.document.model(model));
+            let mut others = host.models.iter();
+            held.version != present && others.any(|o| !o.loading && o.version == present)
+        }
+    });
+    let orders = needless.map(|held| Order::Unload {
+        host: host.host,
+        version: held.version,
+    });
+    orders.collect()
+}
+
+fn missing_on(index: usize, stock: &Stock<'_>, host: &Host) -> Vec<Missing> {
+    let document = stock.view.document;
+    let holds = |version: ModelVersion| host.models.iter().any(|held| held.version == version);
+    let serves = |model: ModelKey| {
+        let mut loaded = host.models.iter().filter(|held| !held.loading);
+        loaded.any(|held| held.model == Some(model))
+    };
+    let models = stock.models().iter().copied();
+    let to_load = models.filter(|model| !holds(present_version(document.model(*model))));
+    let to_load: Vec<ModelKey> = to_load.collect();
+    let lacking = to_load.iter().filter(|model| !serves(**model));
+    let until_serving_bytes = lacking
+        .map(|model| document.model(*model).weights_bytes)
+        .sum();
+    let missing = to_load.into_iter().map(|model| Missing {
+        host: index,
+        model,
+        rolls: serves(model),
+        until_serving_bytes,
+    });
+    missing.collect()
+}
+
+fn present_version(model: &Model) -> ModelVersion {
+    ModelVersion::of(&model.name, &model.version)
+}
+
+/// What may still be handed to the weight store.
+struct Pace {
+    closed: bool,
+    idle: bool,
+    bytes_left: u64,
+}
+
+impl Pace {
+    /// Counts what is being loaded against the store's rate.
+    ///
+    /// Loads beyond the rate would only wait there, each slowed by all others, and after a wave no
+    /// host would serve until nearly all do. A few at a time serve one after the other.
+    fn new(view: &PlacementView<'_>, hosts: &[(&Stock<'_>, &Host)], now: TimeMs) -> Self {
+        let loading = hosts.iter().flat_map(|(_, host)| &host.models);
+        let loading = loading.filter(|model| model.loading);
+        let loading = loading.filter_map(|held| held.model);
+        let open_bytes: u64 = loading.map(|m| view.document.model(m).weights_bytes).sum();
+        let ahead_bytes = whole(view.weight_store.bytes_per_second * AHEAD_SECONDS);
+        Self {
+            closed: now < view.weight_store.closed_until_ms,
+            idle: open_bytes == 0,
+            bytes_left: ahead_bytes.saturating_sub(open_bytes),
+        }
+    }
+
+    /// Whether a load fits; one always does while none is under way, however large.
+    fn admits(&mut self, bytes: u64) -> bool {
+        let admitted = !self.closed && (self.idle || float(bytes) <= float(self.bytes_left));
+        if admitted {
+            self.idle = false;
+            self.bytes_left = self.bytes_left.saturating_sub(bytes);
+        }
+        admitted
+    }
+}
--- /dev/null
+++ b/src/placement/stock.rs
@@ -0,0 +1,265 @@
+//! What a pool holds and what it could hold.
+
+use super::mix::{Need, Offer, after_worst_loss};
+use super::view::{Demand, Host, PlacementView, PoolDemand, PurchaseState, Stage};
+use crate::document::checked::{HostClass, Pool, PoolKind};
+use crate::keys::{ClassKey, DomainKey, ModelKey, PoolKey};
+use crate::time::TimeMs;
+
+/// Part of a failure domain's hosts that fail at once, from which on the link to it is the cause.
+const PARTED_MIN: f64 = 0.5;
+
+/// Hosts of one class in one failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Held {
+    pub(super) domain: DomainKey,
+    pub(super) class: ClassKey,
+    /// Serving, starting, draining, or bought and not seen yet.
+    pub(super) hosts: u32,
+}
+
+/// What a pool holds.
+#[derive(Debug)]
+pub(super) struct Stock<'a> {
+    pub(super) view: &'a PlacementView<'a>,
+    pub(super) demand: &'a PoolDemand,
+    pub(super) pool: &'a Pool,
+    /// Its hosts that count on staying: not leaving, given back or silent.
+    pub(super) hosts: Vec<&'a Host>,
+    /// Its hosts that have been silent for too long.
+    pub(super) silent: Vec<&'a Host>,
+    /// By failure domain and class.
+    held: Vec<Held>,
+}
+
+impl<'a> Stock<'a> {
+    pub(super) fn new(view: &'a PlacementView<'a>, demand: &'a PoolDemand, now: TimeMs) -> Self {
+        let in_pool = view.hosts.iter().filter(|host| host.pool == demand.pool);
+        let staying = in_pool.filter(|h| !matches!(h.stage, Stage::Leaving | Stage::GivenBack));
+        let (silent, hosts) = staying.partition(|host| is_silent(view, host, now));
+        let mut stock = Self {
+            view,
+            demand,
+            pool: view.document.pool(demand.pool),
+            hosts,
+            silent,
+            held: Vec::new(),
+        };
+        stock.count();
+        stock
+    }
+
+    /// The pool's key.
+    pub(super) fn key(&self) -> PoolKey {
+        self.demand.pool
+    }
+
+    /// Models that its hosts serve.
+    pub(super) fn models(&self) -> &'a [ModelKey] {
+        match &self.pool.kind {
+            PoolKind::Engine { models, .. } => models,
+            PoolKind::Service { .. } => &[],
+        }
+    }
+
+    /// Hosts of a class in a failure domain.
+    pub(super) fn held(&self, domain: DomainKey, class: ClassKey) -> u32 {
+        let found = self
+            .held
+            .binary_search_by_key(&(domain, class), |held| (held.domain, held.class));
+        found.map_or(0, |index| self.held[index].hosts)
+    }
+
+    /// All that it holds, by failure domain and class.
+    pub(super) fn all_held(&self) -> &[Held] {
+        &self.held
+    }
+
+    /// Whether a host is up with every model of the pool in some version.
+    pub(super) fn serves(&self, host: &Host) -> bool {
+        let loaded = |model: &ModelKey| {
+            let models = host.models.iter();
+            let mut loaded = models.filter(|held| !held.loading);
+            loaded.any(|held| held.model == Some(*model))
+        };
+        host.stage == Stage::Live
+            && host.failing_since_ms.is_none()
+            && self.models().iter().all(loaded)
+    }
+
+    /// What the pool's classes offer in its failure domains, measured by a demand.
+    pub(super) fn offers(&self, demand: &Demand, now: TimeMs) -> Vec<Offer> {
+        let domains = self.pool.hosts.iter().map(|(domain, _)| *domain);
+        let offers = domains.flat_map(|domain| {
+            let classes = self.pool.host_classes.iter();
+            classes.map(move |class| self.offer(domain, *class, demand, now))
+        });
+        offers.collect()
+    }
+
+    fn offer(&self, domain: DomainKey, class: ClassKey, demand: &Demand, now: TimeMs) -> Offer {
+        let row = self.view.document.host_class(class);
+        let held = self.held(domain, class);
+        let limit = if self.may_start(domain, class, now) {
+            u32::MAX
+        } else {
+            held
+        };
+        Offer {
+            domain,
+            class,
+            price_per_hour: self.view.price_per_hour(class, domain),
+            capacity: self.capacity(row, demand),
+            reclaimable: row.reclaimable,
+            held,
+            limit,
+        }
+    }
+
+    /// Whether a start is worth asking for.
+    ///
+    /// A class that is being reclaimed in a failure domain is short there. Buying it again would
+    /// get hosts that are refused or taken away next; one would see starts and notices follow each
+    /// other. It is left alone while its hosts leave, and after refusals for a growing time.
+    fn may_start(&self, domain: DomainKey, class: ClassKey, now: TimeMs) -> bool {
+        let refusals = self.view.refusals;
+        let refusal = refusals.binary_search_by_key(&(class, domain), |r| (r.class, r.domain));
+        let refused = refusal.is_ok_and(|index| now < refusals[index].again_at_ms());
+        let reclaimable = self.view.document.host_class(class).reclaimable;
+        let mut hosts = self.view.hosts.iter();
+        let leaving = reclaimable
+            && hosts.any(|host| {
+                (host.domain, host.class, host.stage) == (domain, class, Stage::Leaving)
+            });
+        !refused && !leaving
+    }
+
+    /// The part of a demand that one host of a class serves within the latency target.
+    pub(super) fn capacity(&self, class: &HostClass, demand: &Demand) -> f64 {
+        let part = |rate: f64, needed: f64| {
+            if needed > 0.0 {
+                rate * self.view.settings.utilisation_max / needed
+            } else {
+                f64::INFINITY
+            }
+        };
+        let streams = part(f64::from(class.slots), demand.streams);
+        let tokens = part(class.tokens_per_second, demand.tokens_per_second);
+        let prefill = part(
+            class.prefill_tokens_per_second,
+            demand.prefill_tokens_per_second,
+        );
+        // Without any demand a single host is more than enough.
+        streams.min(tokens).min(prefill).min(1.0)
+    }
+
+    /// What a mix must serve.
+    pub(super) fn need(&self) -> Need {
+        let settings = &self.view.settings;
+        let classes = self.pool.host_classes.iter();
+        let mut rows = classes.map(|class| self.view.document.host_class(*class));
+        let offers_on_demand = rows.any(|class| !class.reclaimable);
+        Need {
+            after_loss: 1.0,
+            on_demand: if offers_on_demand {
+                settings.on_demand_part_min
+            } else {
+                0.0
+            },
+            stay_discount: settings.stay_discount,
+        }
+    }
+
+    /// The part of a demand that some hosts serve, in all and after the worst loss.
+    pub(super) fn served_part<'b>(
+        &self,
+        hosts: impl Iterator<Item = &'b Host> + Clone,
+        demand: &Demand,
+    ) -> Served {
+        let parts = hosts.map(|host| {
+            let class = self.view.document.host_class(host.class);
+            (host.domain, self.capacity(class, demand))
+        });
+        Served {
+            in_all: parts.clone().map(|(_, part)| part).sum(),
+            after_loss: after_worst_loss(parts),
+        }
+    }
+
+    fn count(&mut self) {
+        let hosts = self.hosts.iter().map(|host| (host.domain, host.class));
+        let mut all: Vec<(DomainKey, ClassKey)> = hosts.chain(self.unseen()).collect();
+        all.sort_unstable();
+        let groups = all.chunk_by(|a, b| a == b);
+        let held = groups.map(|group| Held {
+            domain: group[0].0,
+            class: group[0].1,
+            hosts: u32::try_from(group.len()).unwrap_or(u32::MAX),
+        });
+        self.held = held.collect();
+    }
+
+    /// Hosts that were bought, or may have been, and that the host list does not show yet.
+    ///
+    /// The host list lags and answers get lost. If only listed hosts counted, each decision until
+    /// then would buy again for the same need; one would see several times the hosts needed after
+    /// every wave.
+    fn unseen(&self) -> impl Iterator<Item = (DomainKey, ClassKey)> + use<'a, '_> {
+        let purchases = self.view.purchases.iter();
+        let listed = purchases.filter(|purchase| {
+            purchase.state != PurchaseState::Ended && self.view.host(purchase.host).is_none()
+        });
+        let asks = self.view.asks.iter().filter(|ask| {
+            let mut purchases = self.view.purchases.iter();
+            !purchases.any(|purchase| purchase.id == ask.id)
+        });
+        let ids = listed.map(|p| p.id).chain(asks.map(|ask| ask.id));
+        let pool = self.key();
+        ids.filter(move |id| id.pool == pool)
+            .map(|id| (id.domain, id.class))
+    }
+}
+
+/// Parts of a demand that are served.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Served {
+    pub(super) in_all: f64,
+    pub(super) after_loss: f64,
+}
+
+impl Served {
+    /// Whether the demand is served, after a loss too where the pool has several failure domains.
+    pub(super) fn is_enough(self, domains: usize) -> bool {
+        let part = if domains > 1 {
+            self.after_loss
+        } else {
+            self.in_all
+        };
+        part >= 1.0 - 1e-9
+    }
+}
+
+/// Whether a host has been silent for so long that it is to be replaced.
+///
+/// If half of a failure domain is silent, the link to it is rather to blame than its hosts. Giving
+/// all of them back would turn a parted link into a lost failure domain; they are kept.
+fn is_silent(view: &PlacementView<'_>, host: &Host, now: TimeMs) -> bool {
+    let started_ms = match host.stage {
+        Stage::Starting { since_ms } => Some(since_ms),
+        _ => None,
+    };
+    let Some(silent_since_ms) = host.failing_since_ms.or(started_ms) else {
+        return false;
+    };
+    now.since(silent_since_ms) >= view.settings.silent_max_ms
+        && (started_ms.is_some() || !is_parted(view, host.domain))
+}
+
+fn is_parted(view: &PlacementView<'_>, domain: DomainKey) -> bool {
+    let hosts = view.hosts.iter().filter(|host| host.domain == domain);
+    let (failing, all) = hosts.fold((0_u32, 0_u32), |(failing, all), host| {
+        let fails = u32::from(host.failing_since_ms.is_some());
+        (failing + fails, all + 1)
+    });
+    all > 1 && f64::from(failing) >= PARTED_MIN * f64::from(all)
+}
--- /dev/null
+++ b/src/placement/tests.rs
@@ -0,0 +1,7 @@
+//! Tests of placement.
+
+mod demands;
+mod failures;
+mod mixes;
+mod purchases;
+mod world;
--- /dev/null
+++ b/src/placement/tests/demands.rs
@@ -0,0 +1,72 @@
+//! The forecast.
+
+use super::super::*;
+
+const MINUTE_MS: u64 = 60_000;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+
+fn streams(streams: f64) -> Demand {
+    Demand {
+        streams,
+        ..Demand::default()
+    }
+}
+
+/// 100 at midnight, 300 at noon.
+fn by_hour(at: TimeMs) -> f64 {
+    let minutes = u32::try_from(at.0 / MINUTE_MS % 1_440).expect("a day's minutes");
+    200.0 - 100.0 * (f64::from(minutes) / 1_440.0 * std::f64::consts::TAU).cos()
+}
+
+fn observed(minutes: u64) -> (Forecast, TimeMs) {
+    let mut forecast = Forecast::default();
+    for minute in 0..=minutes {
+        let at = TimeMs(minute * MINUTE_MS);
+        forecast.observe(streams(by_hour(at)), at);
+    }
+    (forecast, TimeMs(minutes * MINUTE_MS))
+}
+
+fn peak(forecast: &Forecast, back_ms: u64, ahead_ms: u64, now: TimeMs) -> f64 {
+    let demand = forecast.peak(back_ms, ahead_ms, now);
+    demand.expect("samples were observed").streams
+}
+
+#[test]
+fn without_samples_there_is_no_forecast() {
+    assert_eq!(Forecast::default().peak(0, HOUR_MS, TimeMs(0)), None);
+}
+
+#[test]
+fn a_second_day_is_foreseen_from_the_first() {
+    let (forecast, now) = observed(24 * 60 + 6 * 60);
+    let foreseen = peak(&forecast, 0, HOUR_MS, now);
+    let actual = by_hour(now.after(HOUR_MS));
+    assert!(
+        (1.0..1.08).contains(&(foreseen / actual)),
+        "{foreseen} {actual}"
+    );
+}
+
+#[test]
+fn a_first_rise_is_foreseen_from_its_trend() {
+    let (forecast, now) = observed(6 * 60);
+    let foreseen = peak(&forecast, 0, 30 * MINUTE_MS, now);
+    let actual = by_hour(now.after(30 * MINUTE_MS));
+    assert!(
+        (0.99..1.15).contains(&(foreseen / actual)),
+        "{foreseen} {actual}"
+    );
+}
+
+#[test]
+fn a_fall_lowers_the_peak_only_after_a_while() {
+    let (mut forecast, now) = observed(12 * 60);
+    let mut at = now;
+    for _ in 0..10 {
+        at = at.after(MINUTE_MS);
+        forecast.observe(streams(50.0), at);
+    }
+    assert!(peak(&forecast, 20 * MINUTE_MS, 0, at) > 290.0);
+    assert!(peak(&forecast, 0, 0, at) < 60.0);
+}
--- /dev/null
+++ b/src/placement/tests/world.rs
@@ -0,0 +1,405 @@
+//! A small cloud that carries orders out, with the faults that a test asks for.
+
+use super::super::*;
+use crate::document::Document;
+use crate::document::checked::{FailureDomain, HostClass, Measure, Model, Pool, PoolKind};
+use crate::keys::{ClassKey, DomainKey, HostKey, ModelKey, PoolKey};
+
+pub(super) const NOW: TimeMs = TimeMs(1_000_000_000);
+pub(super) const STEP_MS: u64 = 1_000;
+pub(super) const KEEP_STEPS: usize = 600;
+pub(super) const START_MS: u64 = 60_000;
+pub(super) const LOAD_MS: u64 = 5_000;
+pub(super) const MODEL: ModelKey = ModelKey(0);
+
+/// Classes of [`document`], in key order.
+pub(super) const ON_DEMAND: ClassKey = ClassKey(0);
+pub(super) const SPOT: ClassKey = ClassKey(1);
+pub(super) const SPOT_OF_B: ClassKey = ClassKey(2);
+
+fn class(name: &str, reclaimable: bool, price_per_hour: f64) -> HostClass {
+    HostClass {
+        name: name.to_owned(),
+        provider: name.to_owned(),
+        reclaimable,
+        price_per_hour,
+        slots: 10,
+        tokens_per_second: 1_000.0,
+        prefill_tokens_per_second: 10_000.0,
+        kv_tokens_capacity: 100_000,
+        kv_bytes_per_second: 1e9,
+    }
+}
+
+/// Four failure domains and one pool of engines, which starts on a provider's spot hosts.
+pub(super) fn document() -> Document {
+    let domains = ["a", "b", "c", "d"];
+    Document {
+        deployment: "test".to_owned(),
+        measure: Measure {
+            cost_weight: 0.5,
+            recomputed_tokens_weight: 0.5,
+        },
+        failure_domains: domains
+            .map(|name| FailureDomain {
+                name: name.to_owned(),
+                region: "r".to_owned(),
+            })
+            .to_vec(),
+        host_classes: vec![
+            class("a-on-demand", false, 3.0),
+            class("a-spot", true, 1.0),
+            class("b-spot", true, 1.0),
+        ],
+        models: vec![Model {
+            name: "m".to_owned(),
+            version: "1".to_owned(),
+            adapters: Vec::new(),
+            weights_bytes: 10_000_000_000,
+            kv_bytes_per_token: 100_000,
+        }],
+        pools: vec![Pool {
+            name: "models".to_owned(),
+            kind: PoolKind::Engine {
+                models: vec![MODEL],
+                checks_orders: true,
+            },
+            hosts: (0..4).map(|domain| (DomainKey(domain), 3)).collect(),
+            host_classes: vec![ON_DEMAND, SPOT],
+        }],
+        latency_classes: Vec::new(),
+        teams: Vec::new(),
+        operators: Vec::new(),
+    }
+}
+
+/// A host as it is, whatever the lagging list says.
+#[derive(Clone, Debug)]
+pub(super) struct Real {
+    pub(super) purchase: PurchaseId,
+    pub(super) host: HostKey,
+    pub(super) bought_at_ms: TimeMs,
+    pub(super) leave_at_ms: Option<TimeMs>,
+    pub(super) ended_at_ms: Option<TimeMs>,
+    pub(super) models: Vec<(LoadedModel, TimeMs)>,
+    pub(super) draining_since_ms: Option<TimeMs>,
+}
+
+/// Faults of the cloud.
+#[derive(Debug, Default)]
+pub(super) struct Faults {
+    /// Classes whose starts are refused, by failure domain.
+    pub(super) refused: Vec<(ClassKey, DomainKey)>,
+    /// One in so many answers is lost after it took effect.
+    pub(super) lost_one_in: Option<usize>,
+    /// How long the host list is behind.
+    pub(super) list_lag_ms: u64,
+}
+
+/// A cloud with one controller.
+#[derive(Debug)]
+pub(super) struct World {
+    pub(super) now: TimeMs,
+    pub(super) document: Document,
+    pub(super) streams: f64,
+    /// Streams at each step.
+    recent: Vec<f64>,
+    pub(super) prices: Vec<Price>,
+    pub(super) hosts: Vec<Real>,
+    pub(super) asks: Vec<Ask>,
+    pub(super) refusals: Vec<Refusal>,
+    pub(super) faults: Faults,
+    pub(super) lease: Lease,
+    pub(super) asked: u32,
+    pub(super) answers: usize,
+    pub(super) refused_starts: u32,
+    pub(super) orders: Vec<Order>,
+    pub(super) weights_bytes_per_second: f64,
+}
+
+impl World {
+    pub(super) fn new(streams: f64) -> Self {
+        Self {
+            now: NOW,
+            document: document(),
+            streams,
+            recent: Vec::new(),
+            prices: Vec::new(),
+            hosts: Vec::new(),
+            asks: Vec::new(),
+            refusals: Vec::new(),
+            faults: Faults::default(),
+            lease: Lease {
+                fencing: 7,
+                since_ms: TimeMs(NOW.0 - 60_000),
+                ends_at_ms: TimeMs(u64::MAX),
+                log_reachable: true,
+            },
+            asked: 0,
+            answers: 0,
+            refused_starts: 0,
+            orders: Vec::new(),
+            weights_bytes_per_second: 1e12,
+        }
+    }
+
+    /// Runs the controller for a while.
+    pub(super) fn run(&mut self, duration_ms: u64) {
+        self.run_checked(duration_ms, |_| ());
+    }
+
+    /// Runs the controller for a while, looking at the world after each step.
+    pub(super) fn run_checked(&mut self, duration_ms: u64, mut check: impl FnMut(&Self)) {
+        let end_ms = self.now.after(duration_ms);
+        while self.now < end_ms {
+            self.now = self.now.after(STEP_MS);
+            self.end_hosts();
+            self.recent.push(self.streams);
+            self.orders = self.decide();
+            self.carry_out();
+            check(self);
+        }
+    }
+
+    /// Hosts that are paid for.
+    pub(super) fn alive(&self) -> Vec<&Real> {
+        let hosts = self.hosts.iter();
+        hosts.filter(|host| host.ended_at_ms.is_none()).collect()
+    }
+
+    /// Hosts of a class that are paid for.
+    pub(super) fn alive_of(&self, class: ClassKey) -> usize {
+        let alive = self.alive();
+        alive
+            .iter()
+            .filter(|host| host.purchase.class == class)
+            .count()
+    }
+
+    /// Streams that the hosts up with the model, and taking work, can run, after the worst loss.
+    pub(super) fn slots_after_loss(&self) -> f64 {
+        let serving = self.alive().into_iter().filter(|host| {
+            let mut models = host.models.iter();
+            let loaded = models.any(|(_, loaded_at_ms)| *loaded_at_ms <= self.now);
+            loaded && host.draining_since_ms.is_none() && host.leave_at_ms.is_none()
+        });
+        mix::after_worst_loss(serving.map(|host| (host.purchase.domain, 10.0)))
+    }
+
+    /// Gives notice to all reclaimable hosts of a failure domain.
+    pub(super) fn reclaim(&mut self, domain: DomainKey, notice_ms: u64) {
+        let leave_at_ms = self.now.after(notice_ms);
+        let document = &self.document;
+        let hosts = self.hosts.iter_mut().filter(|host| {
+            host.ended_at_ms.is_none()
+                && host.purchase.domain == domain
+                && document.host_class(host.purchase.class).reclaimable
+        });
+        hosts.for_each(|host| host.leave_at_ms = Some(leave_at_ms));
+    }
+
+    fn end_hosts(&mut self) {
+        let now = self.now;
+        for host in &mut self.hosts {
+            if host.leave_at_ms.is_some_and(|at_ms| at_ms <= now) {
+                host.ended_at_ms = host.ended_at_ms.or(Some(now));
+            }
+        }
+    }
+
+    fn decide(&self) -> Vec<Order> {
+        let demand = |streams| Demand {
+            streams,
+            ..Demand::default()
+        };
+        let newest = self.recent.iter().rev().take(KEEP_STEPS);
+        let keep = newest.copied().fold(0.0, f64::max);
+        let pools = [PoolDemand {
+            pool: PoolKey(0),
+            lead: Some(demand(self.streams)),
+            keep: Some(demand(keep)),
+            batch_part: 0.0,
+        }];
+        let domains: Vec<DomainKey> = (0..4).map(DomainKey).collect();
+        let mut hosts: Vec<Host> = self
+            .hosts
+            .iter()
+            .filter_map(|real| self.seen(real))
+            .collect();
+        hosts.sort_by_key(|host| host.host);
+        let purchases: Vec<Purchase> = self.hosts.iter().map(purchase).collect();
+        let view = PlacementView {
+            document: &self.document,
+            lease: self.lease,
+            purchases_asked: self.asked,
+            domains: &domains,
+            prices: &self.prices,
+            hosts: &hosts,
+            strangers: &[],
+            purchases: &purchases,
+            purchases_listed_at_ms: Some(self.now),
+            asks: &self.asks,
+            refusals: &self.refusals,
+            pools: &pools,
+            weight_store: WeightStore {
+                bytes_per_second: self.weights_bytes_per_second,
+                closed_until_ms: TimeMs(0),
+            },
+            settings: Settings::default(),
+        };
+        decide(&view, self.now)
+    }
+
+    /// A host as the lagging list and the purchases' list show it.
+    fn seen(&self, real: &Real) -> Option<Host> {
+        let listed_at_ms = TimeMs(self.now.0 - self.faults.list_lag_ms);
+        let ended_long_ago = real.ended_at_ms.is_some_and(|at_ms| at_ms <= listed_at_ms);
+        let is_up = self.now >= real.bought_at_ms.after(START_MS);
+        let listed = real.bought_at_ms <= listed_at_ms && !ended_long_ago;
+        let stage = match real {
+            _ if real.ended_at_ms.is_some() => Stage::GivenBack,
+            _ if real.leave_at_ms.is_some() => Stage::Leaving,
+            _ if !is_up => Stage::Starting {
+                since_ms: real.bought_at_ms,
+            },
+            Real {
+                draining_since_ms: Some(since_ms),
+                ..
+            } => Stage::Draining {
+                since_ms: *since_ms,
+            },
+            _ => Stage::Live,
+        };
+        let models = real.models.iter().map(|(model, loaded_at_ms)| LoadedModel {
+            loading: *loaded_at_ms > self.now,
+            ..*model
+        });
+        listed.then(|| Host {
+            host: real.host,
+            domain: real.purchase.domain,
+            class: real.purchase.class,
+            pool: real.purchase.pool,
+            stage,
+            running: 0,
+            load_as_of_ms: self.now,
+            failing_since_ms: None,
+            models: models.collect(),
+            role: None,
+        })
+    }
+
+    fn carry_out(&mut self) {
+        let orders = self.orders.clone();
+        for host in &mut self.hosts {
+            let drain = Order::Drain { host: host.host };
+            let given_back = Order::GiveBack { host: host.host };
+            let drained = orders.contains(&drain)
+                || host.draining_since_ms.is_some() && orders.contains(&given_back);
+            let since_ms = host.draining_since_ms.unwrap_or(self.now);
+            host.draining_since_ms = drained.then_some(since_ms);
+        }
+        for order in &orders {
+            match order {
+                Order::Buy { purchase } => self.buy(*purchase),
+                Order::GiveBack { host } => {
+                    let now = self.now;
+                    let real = self.real(*host);
+                    real.ended_at_ms = real.ended_at_ms.or(Some(now));
+                }
+                Order::Load { host, model } => self.load(*host, *model),
+                Order::Unload { host, version } => {
+                    let models = &mut self.real(*host).models;
+                    models.retain(|(held, _)| held.version != *version);
+                }
+                Order::Drain { .. } | Order::SetRole { .. } => {}
+            }
+        }
+    }
+
+    fn load(&mut self, host: HostKey, model: ModelKey) {
+        let row = self.document.model(model);
+        let loaded = LoadedModel {
+            version: ModelVersion::of(&row.name, &row.version),
+            model: Some(model),
+            loading: true,
+        };
+        let loaded_at_ms = self.now.after(LOAD_MS);
+        self.real(host).models.push((loaded, loaded_at_ms));
+    }
+
+    fn buy(&mut self, id: PurchaseId) {
+        if !self.asks.iter().any(|ask| ask.id == id) {
+            self.asked += 1;
+        }
+        self.asks.retain(|ask| ask.id != id);
+        if self.faults.refused.contains(&(id.class, id.domain)) {
+            self.refuse(id);
+            return;
+        }
+        // A known name buys nothing new.
+        if !self.hosts.iter().any(|host| host.purchase == id) {
+            let bought = self.hosts.len();
+            self.hosts.push(Real {
+                purchase: id,
+                host: HostKey::of(&bought.to_string()),
+                bought_at_ms: self.now,
+                leave_at_ms: None,
+                ended_at_ms: None,
+                models: Vec::new(),
+                draining_since_ms: None,
+            });
+        }
+        self.answers += 1;
+        let lost = self.faults.lost_one_in;
+        if lost.is_some_and(|one_in| self.answers.is_multiple_of(one_in)) {
+            self.asks.push(Ask {
+                id,
+                asked_at_ms: self.now,
+            });
+        } else {
+            self.refusals
+                .retain(|refusal| (refusal.class, refusal.domain) != (id.class, id.domain));
+        }
+    }
+
+    fn refuse(&mut self, id: PurchaseId) {
+        self.refused_starts += 1;
+        let key = (id.class, id.domain);
+        match self
+            .refusals
+            .binary_search_by_key(&key, |r| (r.class, r.domain))
+        {
+            Ok(index) => {
+                self.refusals[index].in_a_row += 1;
+                self.refusals[index].last_at_ms = self.now;
+            }
+            Err(index) => {
+                let refusal = Refusal {
+                    class: id.class,
+                    domain: id.domain,
+                    in_a_row: 1,
+                    last_at_ms: self.now,
+                };
+                self.refusals.insert(index, refusal);
+            }
+        }
+    }
+
+    fn real(&mut self, host: HostKey) -> &mut Real {
+        let mut hosts = self.hosts.iter_mut();
+        let found = hosts.find(|real| real.host == host);
+        found.expect("orders name known hosts")
+    }
+}
+
+fn purchase(real: &Real) -> Purchase {
+    Purchase {
+        id: real.purchase,
+        host: real.host,
+        state: if real.ended_at_ms.is_some() {
+            PurchaseState::Ended
+        } else {
+            PurchaseState::Live
+        },
+    }
+}
--- a/src/reclaim.rs
+++ b/src/reclaim.rs
@@ -8,7 +8,7 @@
 mod decision;
 mod links;
 mod planner;
-mod rates;
+pub(crate) mod rates;
 mod room;
 #[cfg(test)]
 mod tests;
--- a/src/reclaim/rates.rs
+++ b/src/reclaim/rates.rs
@@ -4,7 +4,7 @@
 ///
 /// A rate of zero or less gives `u64::MAX`: it is never done.
 #[must_use]
-pub(super) fn duration_ms(amount: f64, per_second: f64) -> u64 {
+pub(crate) fn duration_ms(amount: f64, per_second: f64) -> u64 {
     if per_second > 0.0 {
         whole(amount / per_second * 1_000.0)
     } else if amount > 0.0 {
@@ -21,7 +21,7 @@
     reason = "a float cast saturates, and a negative amount counts as none"
 )]
 #[must_use]
-pub(super) fn whole(amount: f64) -> u64 {
+pub(crate) fn whole(amount: f64) -> u64 {
     amount.ceil() as u64
 }
 
@@ -31,13 +31,13 @@
     reason = "an estimate needs no more than 52 bits"
 )]
 #[must_use]
-pub(super) fn float(count: u64) -> f64 {
+pub(crate) fn float(count: u64) -> f64 {
     count as f64
 }
 
 /// A well-mixed hash of two words (the finalizer of `SplitMix64`).
 #[must_use]
-pub(super) fn mix(a: u64, b: u64) -> u64 {
+pub(crate) fn mix(a: u64, b: u64) -> u64 {
     let mut z = a ^ b.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
