--- a/src/placement/hosts.rs
+++ b/src/placement/hosts.rs
@@ -90,9 +90,14 @@
         if let Some((lead, keep)) = stock.demand.lead.zip(stock.demand.keep) {
             // Nothing that is to be bought may be surplus at once by the longer view.
             let keep = lead.larger(&keep);
+            let by_lead = by_mix(stock, &lead, now);
             Self {
-                lead: by_mix(stock, &lead, now),
-                keep: by_mix(stock, &keep, now),
+                keep: if keep == lead {
+                    by_lead.clone()
+                } else {
+                    by_mix(stock, &keep, now)
+                },
+                lead: by_lead,
                 demand: Some((lead, keep)),
             }
         } else {
--- a/src/placement/mix.rs
+++ b/src/placement/mix.rs
@@ -124,6 +124,8 @@
     need: Need,
     /// Cheapest capacity first.
     segments: Vec<Segment>,
+    /// Offers by the price of a host.
+    dearest_first: Vec<usize>,
 }
 
 impl<'a> Search<'a> {
@@ -142,7 +144,13 @@
             .collect();
         // Stable, so that of one offer the hosts held already come first.
         segments.sort_by(|a, b| a.price_per_capacity.total_cmp(&b.price_per_capacity));
+        let mut dearest_first: Vec<usize> = (0..offers.len()).collect();
+        dearest_first.sort_by(|a, b| {
+            let price = |offer: &usize| offers[*offer].price_per_hour;
+            price(b).total_cmp(&price(a))
+        });
         Self {
+            dearest_first,
             domains: domains.collect(),
             domain_count: keys.len(),
             offers,
@@ -249,12 +257,7 @@
         if !self.meets_need() {
             return;
         }
-        let mut offers: Vec<usize> = (0..self.hosts.len()).collect();
-        offers.sort_by(|a, b| {
-            let price = |offer: &usize| self.search.offers[*offer].price_per_hour;
-            price(b).total_cmp(&price(a))
-        });
-        for offer in offers {
+        for offer in self.search.dearest_first.iter().copied() {
             while self.hosts[offer] > 0 {
                 self.remove(offer);
                 if !self.meets_need() {
--- a/src/placement/tests/failures.rs
+++ b/src/placement/tests/failures.rs
@@ -33,6 +33,7 @@
     world.faults.refused = vec![(SPOT, DomainKey(0))];
     world.run(5 * MINUTE_MS);
     assert!(world.slots_after_loss() * 0.85 >= STREAMS);
+    world.step_ms = 10 * STEP_MS;
     world.run(60 * MINUTE_MS);
     assert!(world.refused_starts <= 24, "{}", world.refused_starts);
     assert_eq!(
@@ -80,6 +81,7 @@
     world.run(5 * MINUTE_MS);
     assert!(world.slots_after_loss() * 0.85 >= 150.0);
     world.faults.refused.clear();
+    world.step_ms = 10 * STEP_MS;
     world.run(120 * MINUTE_MS);
     assert!(world.slots_after_loss() * 0.85 >= 150.0);
 }
@@ -140,6 +142,7 @@
                 price_per_hour: 1.0 + swing * 0.03 * f64::from(domain),
             })
             .to_vec();
+        world.step_ms = 10 * STEP_MS;
         world.run(MINUTE_MS);
     }
     assert!(world.hosts.len() <= 16, "{} bought", world.hosts.len());
@@ -150,6 +153,7 @@
     let mut world = settled();
     world.streams = 42.0;
     let mut drained_before = true;
+    world.step_ms = 10 * STEP_MS;
     world.run_checked(60 * MINUTE_MS, |world| {
         for host in world
             .hosts
@@ -170,6 +174,7 @@
     // provider's class, old hosts go before new ones serve. Cause: counts instead of serving hosts.
     let mut world = settled();
     world.document.pools[0].host_classes = vec![ON_DEMAND, SPOT_OF_B];
+    world.step_ms = 10 * STEP_MS;
     world.run_checked(120 * MINUTE_MS, |world| {
         assert!(world.slots_after_loss() * 0.85 >= STREAMS);
     });
