--- a/src/placement/tests/failures.rs
+++ b/src/placement/tests/failures.rs
@@ -2,7 +2,7 @@
 
 use super::super::*;
 use super::world::*;
-use crate::keys::DomainKey;
+use crate::keys::{DomainKey, HostKey};
 
 const STREAMS: f64 = 85.0;
 const MINUTE_MS: u64 = 60_000;
@@ -99,6 +99,10 @@
     world.lease.since_ms = world.now;
     world.asked = 0;
     world.asks.clear();
+    // Before the purchases are listed nothing is known of them.
+    world.faults.no_purchases_list = true;
+    world.run(10 * STEP_MS);
+    world.faults.no_purchases_list = false;
     world.run(5 * MINUTE_MS);
     assert_eq!(world.hosts.len(), 14);
 }
@@ -221,3 +225,80 @@
     assert_eq!(most_at_once, 2);
     assert!(world.slots_after_loss() * 0.85 >= STREAMS);
 }
+
+#[test]
+fn a_silent_host_is_replaced_but_a_parted_failure_domain_is_kept() {
+    // Symptom: a parted link costs all hosts behind it. Sequence: a failure domain can't be reached
+    // for a quarter of an hour. Cause: each of its hosts is taken to be dead, as a single one is.
+    let mut world = settled();
+    let since_ms = world.now;
+    let lost = world.hosts[0].host;
+    world.hosts[0].failing_since_ms = Some(since_ms);
+    world.run(15 * MINUTE_MS);
+    assert!(world.hosts[0].ended_at_ms.is_some(), "{lost:?}");
+    assert_eq!(world.alive().len(), 14);
+    let parted = |host: &&mut Real| host.purchase.domain == DomainKey(1);
+    for host in world.hosts.iter_mut().filter(parted) {
+        host.failing_since_ms = Some(since_ms);
+    }
+    let bought = world.hosts.len();
+    world.run(15 * MINUTE_MS);
+    assert_eq!((world.alive().len(), world.hosts.len()), (14, bought));
+}
+
+#[test]
+fn a_host_of_a_class_that_is_gone_from_the_document_is_drained_and_given_back() {
+    // Symptom: a host on the bill that no page shows. Sequence: an operator takes a class out of
+    // the document while hosts of it are held. Cause: nothing in the document names them any more.
+    let mut world = settled();
+    let host = HostKey(99);
+    let stranger = Stranger {
+        host,
+        running: 0,
+        load_as_of_ms: world.now,
+        draining_since_ms: None,
+    };
+    world.strangers = vec![stranger];
+    world.run(STEP_MS);
+    assert_eq!(world.orders, [Order::Drain { host }]);
+    world.strangers[0].draining_since_ms = Some(world.now);
+    world.run(STEP_MS);
+    assert_eq!(
+        world.orders,
+        [Order::Drain { host }],
+        "the report is from before the drain"
+    );
+    world.strangers[0].load_as_of_ms = world.now.after(10_000);
+    let end_ms = world.now.after(10_000);
+    world.now = end_ms;
+    world.run(STEP_MS);
+    assert_eq!(world.orders, [Order::GiveBack { host }]);
+}
+
+#[test]
+fn batch_work_gets_its_part_of_the_hosts_and_none_in_need() {
+    let mut world = settled();
+    world.batch_part = 0.3;
+    world.run(MINUTE_MS);
+    let batch = |world: &World| {
+        let alive = world.alive();
+        alive.iter().filter(|host| host.role == Role::Batch).count()
+    };
+    assert_eq!(batch(&world), 4);
+    world.streams = 150.0;
+    world.run(STEP_MS);
+    assert_eq!(batch(&world), 0);
+}
+
+#[test]
+fn a_pool_without_a_forecast_holds_the_documents_counts() {
+    let mut world = World::new(STREAMS);
+    world.has_forecast = false;
+    world.run(5 * MINUTE_MS);
+    for domain in (0..4).map(DomainKey) {
+        let alive = world.alive();
+        let here = alive.iter().filter(|host| host.purchase.domain == domain);
+        assert_eq!(here.count(), 3);
+    }
+    assert_eq!(world.alive_of(SPOT), 12);
+}
--- a/src/placement/tests/world.rs
+++ b/src/placement/tests/world.rs
@@ -83,6 +83,8 @@
     pub(super) ended_at_ms: Option<TimeMs>,
     pub(super) models: Vec<(LoadedModel, TimeMs)>,
     pub(super) draining_since_ms: Option<TimeMs>,
+    pub(super) failing_since_ms: Option<TimeMs>,
+    pub(super) role: Role,
 }
 
 /// Faults of the cloud.
@@ -94,6 +96,8 @@
     pub(super) lost_one_in: Option<usize>,
     /// How long the host list is behind.
     pub(super) list_lag_ms: u64,
+    /// Purchases can't be listed.
+    pub(super) no_purchases_list: bool,
 }
 
 /// A cloud with one controller.
@@ -115,6 +119,9 @@
     pub(super) answers: usize,
     pub(super) refused_starts: u32,
     pub(super) orders: Vec<Order>,
+    pub(super) batch_part: f64,
+    pub(super) has_forecast: bool,
+    pub(super) strangers: Vec<Stranger>,
     pub(super) weights_bytes_per_second: f64,
 }
 
@@ -141,6 +148,9 @@
             answers: 0,
             refused_starts: 0,
             orders: Vec::new(),
+            batch_part: 0.0,
+            has_forecast: true,
+            strangers: Vec::new(),
             weights_bytes_per_second: 1e12,
         }
     }
@@ -218,9 +228,9 @@
         let keep = newest.copied().fold(0.0, f64::max);
         let pools = [PoolDemand {
             pool: PoolKey(0),
-            lead: Some(demand(self.streams)),
-            keep: Some(demand(keep)),
-            batch_part: 0.0,
+            lead: self.has_forecast.then(|| demand(self.streams)),
+            keep: self.has_forecast.then(|| demand(keep)),
+            batch_part: self.batch_part,
         }];
         let domains: Vec<DomainKey> = (0..4).map(DomainKey).collect();
         let mut hosts: Vec<Host> = self
@@ -229,7 +239,8 @@
             .filter_map(|real| self.seen(real))
             .collect();
         hosts.sort_by_key(|host| host.host);
-        let purchases: Vec<Purchase> = self.hosts.iter().map(purchase).collect();
+        let listed = self.hosts.iter().filter(|_| !self.faults.no_purchases_list);
+        let purchases: Vec<Purchase> = listed.map(purchase).collect();
         let view = PlacementView {
             document: &self.document,
             lease: self.lease,
@@ -237,9 +248,9 @@
             domains: &domains,
             prices: &self.prices,
             hosts: &hosts,
-            strangers: &[],
+            strangers: &self.strangers,
             purchases: &purchases,
-            purchases_listed_at_ms: Some(self.now),
+            purchases_listed_at_ms: (!self.faults.no_purchases_list).then_some(self.now),
             asks: &self.asks,
             refusals: &self.refusals,
             pools: &pools,
@@ -284,9 +295,9 @@
             stage,
             running: 0,
             load_as_of_ms: self.now,
-            failing_since_ms: None,
+            failing_since_ms: real.failing_since_ms,
             models: models.collect(),
-            role: None,
+            role: Some(real.role),
         })
     }
 
@@ -303,6 +314,7 @@
         for order in &orders {
             match order {
                 Order::Buy { purchase } => self.buy(*purchase),
+                Order::GiveBack { host } if self.is_stranger(*host) => {}
                 Order::GiveBack { host } => {
                     let now = self.now;
                     let real = self.real(*host);
@@ -313,7 +325,8 @@
                     let models = &mut self.real(*host).models;
                     models.retain(|(held, _)| held.version != *version);
                 }
-                Order::Drain { .. } | Order::SetRole { .. } => {}
+                Order::SetRole { host, role } => self.real(*host).role = *role,
+                Order::Drain { .. } => {}
             }
         }
     }
@@ -349,6 +362,8 @@
                 ended_at_ms: None,
                 models: Vec::new(),
                 draining_since_ms: None,
+                failing_since_ms: None,
+                role: Role::Interactive,
             });
         }
         self.answers += 1;
@@ -387,6 +402,10 @@
         }
     }
 
+    fn is_stranger(&self, host: HostKey) -> bool {
+        self.strangers.iter().any(|stranger| stranger.host == host)
+    }
+
     fn real(&mut self, host: HostKey) -> &mut Real {
         let mut hosts = self.hosts.iter_mut();
         let found = hosts.find(|real| real.host == host);
