--- a/examples/local_site.rs
+++ b/examples/local_site.rs
@@ -139,8 +139,8 @@
         let hosts = site.cloud.announce_reclaim(&reclaim, NOTICE_MS);
         println!("notice for {} hosts", hosts.len());
     };
-    let (seen, ()) = tokio::join!(running, reclaim);
-    let tally = load::check(&seen, &site.history());
+    let (calls_seen, ()) = tokio::join!(running, reclaim);
+    let tally = load::check(&calls_seen, &site.history());
     println!("answered            {}", tally.answered);
     println!("not run             {}", tally.not_run);
     println!("unknown             {}", tally.unknown);
--- a/src/entry/bodies.rs
+++ b/src/entry/bodies.rs
@@ -11,9 +11,6 @@
 /// Names the request.
 pub(super) const REQUEST_ID: &str = "request-id";
 
-/// The caller's own key for a request.
-pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
 /// Whether the call may run more than once.
 const IDEMPOTENT: &str = "idempotent";
 
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -59,9 +59,10 @@
     match check(asked).await {
         Ok((Identified { id, call }, streamed)) => {
             let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
-            let response = match streamed {
-                true => stream(follow, id).await,
-                false => whole(&mut follow, id).await,
+            let response = if streamed {
+                stream(follow, id).await
+            } else {
+                whole(&mut follow, id).await
             };
             with_id(response, &id)
         }
@@ -97,10 +98,7 @@
         model: raw.model,
         prompt: raw.prompt,
         max_tokens,
-        // The same for every resend under the id, so that any node goes on with the same answer.
-        seed: raw
-            .seed
-            .unwrap_or_else(|| u64::from(id.sequence) ^ id.issued_at_ms.0 << 24),
+        seed: raw.seed.unwrap_or_else(|| id.seed()),
     };
     let team = team.name.clone();
     let call = Call {
--- a/src/entry/entries.rs
+++ b/src/entry/entries.rs
@@ -16,7 +16,8 @@
 
 #[derive(Serialize)]
 struct Entries {
-    entries: Vec<Entry>,
+    #[serde(rename = "entries")]
+    addresses: Vec<Entry>,
     ttl_ms: u64,
     ids: Vec<String>,
 }
@@ -37,11 +38,14 @@
         Err(refusal) => return refusal.response(),
     };
     let addresses = asked.node.entries();
-    let entries = addresses.into_iter().map(|address| Entry {
-        address: address.to_string(),
-    });
+    let addresses = addresses
+        .into_iter()
+        .map(|address| Entry {
+            address: address.to_string(),
+        })
+        .collect();
     let body = Entries {
-        entries: entries.collect(),
+        addresses,
         ttl_ms: ENTRIES_TTL_MS,
         ids,
     };
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -50,13 +50,12 @@
     fn status(self) -> StatusCode {
         match self {
             Self::NoToken => StatusCode::UNAUTHORIZED,
-            Self::NoSuchRequest => StatusCode::NOT_FOUND,
+            Self::NoSuchRequest | Self::NoSuchTarget => StatusCode::NOT_FOUND,
             Self::OtherCall => StatusCode::UNPROCESSABLE_ENTITY,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyCut | Self::BodyMalformed | Self::Header | Self::OutOfRange => {
                 StatusCode::BAD_REQUEST
             }
-            Self::NoSuchTarget => StatusCode::NOT_FOUND,
             Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -1,7 +1,6 @@
 //! A request's answer as server-sent events, each with its token's position as id.
 
 use std::convert::Infallible;
-use std::fmt::Write;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -77,13 +76,16 @@
 
 fn write_tokens(text: &mut String, chunk: &Chunk) {
     for (position, token) in (chunk.from..).zip(&chunk.tokens) {
-        // Writing to a string does not fail.
-        drop(writeln!(text, "id: {position}"));
+        text.push_str("id: ");
+        text.push_str(&position.to_string());
+        text.push('\n');
         write_event(text, "token", &TokenData { position, token });
     }
 }
 
 fn write_event(text: &mut String, kind: &str, data: &impl Serialize) {
     let json = serde_json::to_string(data).unwrap_or_default();
-    drop(write!(text, "event: {kind}\ndata: {json}\n\n"));
+    for part in ["event: ", kind, "\ndata: ", &json, "\n\n"] {
+        text.push_str(part);
+    }
 }
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -24,9 +24,10 @@
     match check(&asked) {
         Ok((id, from)) => {
             let mut follow = Follow::new(Arc::clone(&asked.node.core), id, None, from);
-            let response = match wants_events(&asked.headers) || from > 0 {
-                true => stream(follow, id).await,
-                false => whole(&mut follow, id).await,
+            let response = if wants_events(&asked.headers) || from > 0 {
+                stream(follow, id).await
+            } else {
+                whole(&mut follow, id).await
             };
             with_id(response, &id)
         }
@@ -41,15 +42,14 @@
         Err(refusal) => return refusal.response(),
     };
     let found = asked.node.core.cancel(id).await;
-    match found {
-        true => json(
-            StatusCode::ACCEPTED,
-            &Cancelling {
-                id: id.to_string(),
-                outcome: "cancelling",
-            },
-        ),
-        false => Refusal::NoSuchRequest.response(),
+    if found {
+        let cancelling = Cancelling {
+            id: id.to_string(),
+            outcome: "cancelling",
+        };
+        json(StatusCode::ACCEPTED, &cancelling)
+    } else {
+        Refusal::NoSuchRequest.response()
     }
 }
 
--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -113,7 +113,7 @@
         let newer = self.core.blackboard.put_in_force(new);
         if newer {
             log::info!(revision = revision; "a configuration is in force");
-            metrics::gauge!("teaselline_configuration_revision").set(revision as f64);
+            metrics::counter!("teaselline_configuration_revision").absolute(revision);
             self.revision_changed.notify_one();
         }
         newer
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -68,7 +68,7 @@
                     })
                     .collect();
                 let new = node.take_notices(&notices);
-                pass_on(&node, new);
+                pass_on(&node, &new);
             }
             Err(error) => {
                 log::info!(error:% = error; "notices cannot be read");
@@ -78,12 +78,12 @@
     }
 }
 
-fn pass_on(node: &Arc<Node>, notices: Vec<HostNotice>) {
+fn pass_on(node: &Arc<Node>, notices: &[HostNotice]) {
     if notices.is_empty() {
         return;
     }
     for member in node.directory.others() {
-        let (node, notices) = (Arc::clone(node), notices.clone());
+        let (node, notices) = (Arc::clone(node), notices.to_vec());
         tokio::spawn(async move {
             // A peer that does not answer asks the cloud itself.
             drop(
--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -64,23 +64,25 @@
             .filter_map(|row| notice(row, in_force))
             .collect();
         let on_notice = |host: HostKey| notices.binary_search_by_key(&host, |n| n.host).is_ok();
-        let records = match notices.is_empty() {
-            true => Vec::new(),
-            false => node.core.records.select(|record| {
+        let records = if notices.is_empty() {
+            Vec::new()
+        } else {
+            node.core.records.select(|record| {
                 record.outcome().is_none()
                     && record.place().is_some_and(|place| on_notice(place.host))
-            }),
+            })
         };
         let streams: Vec<_> = (0..)
             .zip(&records)
             .filter_map(|(index, record)| stream(index, record, &hosts, in_force))
             .collect();
-        let targets = match streams.is_empty() {
-            true => Vec::new(),
-            false => hosts
+        let targets = if streams.is_empty() {
+            Vec::new()
+        } else {
+            hosts
                 .iter()
                 .filter_map(|row| target(row, in_force))
-                .collect(),
+                .collect()
         };
         let mut live: Vec<_> = node.directory.members();
         live.retain(Member::is_live);
@@ -134,14 +136,12 @@
             target,
             start_at_ms,
             ..
-        } if start_at_ms <= now => {
-            if record.progress() == Progress::Running {
-                record.set_progress(Progress::Exporting {
-                    target,
-                    started_at_ms: now,
-                });
-                record.order(Order::Export { target });
-            }
+        } if start_at_ms <= now && record.progress() == Progress::Running => {
+            record.set_progress(Progress::Exporting {
+                target,
+                started_at_ms: now,
+            });
+            record.order(Order::Export { target });
         }
         Move::Recompute {
             target,
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -130,7 +130,7 @@
         })?;
     let settings = with_bound_ports(settings, &callers, &peers, &heartbeats);
     let key = FleetKey::try_from(settings.fleet_key.expose_bytes())?;
-    let member = member(own, &settings, &clock);
+    let member = member(own, &settings);
     let view = View::new(
         member,
         settings.seeds.clone(),
@@ -316,7 +316,7 @@
     }
 }
 
-fn member(own: Incarnation, settings: &ServeSettings, clock: &Clock) -> Member {
+fn member(own: Incarnation, settings: &ServeSettings) -> Member {
     Member {
         incarnation: own,
         name: settings.name.clone(),
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -338,7 +338,7 @@
             Order::Cancel => Flow::End(Outcome::Cancelled),
             Order::HandOver => Flow::Moved,
             Order::Recompute { target } => self.recompute(target).await,
-            Order::Warm { target } => self.warm(target).await,
+            Order::Warm { target } => self.warm(target),
             Order::Export { target } => self.export(target).await,
         }
     }
@@ -364,7 +364,7 @@
     }
 
     /// Has the target compute what the stream will need there; its one token is dropped.
-    async fn warm(&mut self, target: HostKey) -> Flow {
+    fn warm(&mut self, target: HostKey) -> Flow {
         let address = self.core.blackboard.with_host(target, |row| row.address);
         let (Some(address), Some(active)) = (address, &self.active) else {
             return Flow::Go;
--- a/src/requests/handover.rs
+++ b/src/requests/handover.rs
@@ -24,18 +24,18 @@
     /// Takes over the requests of a home that leaves; this node is their witness.
     pub(super) fn inherit(self: &Arc<Self>, home: Incarnation, copies: Vec<Copy>, farewell: bool) {
         for copy in copies {
-            self.inherit_one(copy);
+            self.inherit_one(&copy);
         }
         if farewell {
             self.inherit_from(home);
         }
     }
 
-    fn inherit_one(self: &Arc<Self>, copy: Copy) {
+    fn inherit_one(self: &Arc<Self>, copy: &Copy) {
         let running = copy.outcome.is_none();
         let (record, new) = self
             .records
-            .adopt(Record::from_copy(&copy, self.clock.now()));
+            .adopt(Record::from_copy(copy, self.clock.now()));
         // A copy that is sent again, because the reply to the first was lost, starts nothing.
         if new && running {
             self.start(record, Right::Heir);
--- a/src/requests/lanes.rs
+++ b/src/requests/lanes.rs
@@ -102,8 +102,9 @@
         let request = Request::Witness { witness, told };
         if let Ok(Reply::Consents(consents)) = peers.call(witness, request).await {
             for (answer, consent) in answers.into_iter().zip(consents) {
-                // A request that no longer waits has dropped its receiver.
-                drop(answer.send(consent));
+                if answer.send(consent).is_err() {
+                    log::trace!("a request no longer waits for its witness");
+                }
             }
         }
     }
--- a/src/requests/settle.rs
+++ b/src/requests/settle.rs
@@ -53,12 +53,13 @@
                 Entry::OtherCall => Settled::OtherCall,
                 Entry::Expired => Settled::End(Outcome::Unknown(Doubt::RecordExpired)),
             },
-            (Decision::Inherit, None) => Settled::End(Outcome::Unknown(Doubt::HomeGone)),
-            (Decision::Keep(copy), _) => self.hold(*copy, None),
-            (Decision::Adopt(Some(copy)), _) => self.hold(*copy, Some(Right::Adopter)),
+            (Decision::Keep(copy), _) => self.hold(&copy, None),
+            (Decision::Adopt(Some(copy)), _) => self.hold(&copy, Some(Right::Adopter)),
             (Decision::Adopt(None), Some(call)) => self.adopt_call(id, call),
-            (Decision::Adopt(None), None) => Settled::End(Outcome::Unknown(Doubt::HomeGone)),
-            (Decision::Read(copy), _) => self.hold(*copy, Some(Right::Reader)),
+            (Decision::Inherit | Decision::Adopt(None), None) => {
+                Settled::End(Outcome::Unknown(Doubt::HomeGone))
+            }
+            (Decision::Read(copy), _) => self.hold(&copy, Some(Right::Reader)),
             (Decision::Say(outcome), _) => Settled::End(outcome),
         }
     }
@@ -90,10 +91,10 @@
         }
     }
 
-    fn hold(self: &Arc<Self>, copy: Copy, right: Option<Right>) -> Settled {
+    fn hold(self: &Arc<Self>, copy: &Copy, right: Option<Right>) -> Settled {
         let (record, new) = self
             .records
-            .adopt(Record::from_copy(&copy, self.clock.now()));
+            .adopt(Record::from_copy(copy, self.clock.now()));
         if let (true, Some(right)) = (new, right) {
             self.start(Arc::clone(&record), right);
         }
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -61,7 +61,15 @@
 }
 
 fn site_pool(document: &Document, pool: &Pool) -> SitePool {
-    let class = document.host_class(pool.host_classes[0]);
+    let classes = || {
+        pool.host_classes
+            .iter()
+            .map(|class| document.host_class(*class))
+    };
+    let class = classes()
+        .find(|class| class.reclaimable)
+        .or_else(|| classes().next());
+    let class = class.expect("a pool has a class");
     let kind = match &pool.kind {
         CheckedKind::Engine {
             models,
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use teaselline::client::caller::{Call, CallContent, Caller};
+use teaselline::client::call::{Call, CallContent};
+use teaselline::client::caller::Caller;
 use teaselline::client::policy::End;
 use teaselline::requests::RequestId;
 use teaselline_stand_ins::engine::expected_answer;
@@ -196,8 +197,8 @@
             },
         ) => {
             let id = seen.ids.last().and_then(|id| id.parse::<RequestId>().ok());
-            let seed = id.map_or(0, |id| id.seed());
-            seen.text != expected_answer(prompt, seed, u64::from(*max_tokens))
+            let sampled = id.map_or(0, |id| id.seed());
+            seen.text != expected_answer(prompt, sampled, u64::from(*max_tokens))
         }
         (
             End::Answered { body, .. },
