--- a/src/requests/witness/tests.rs
+++ b/src/requests/witness/tests.rs
@@ -137,7 +137,7 @@
             }
             Step::AnswerArrives => {
                 if let Some(true) = next.answers_under_way.pop() {
-                    next.home_may_run = true
+                    next.home_may_run = true;
                 } else {
                     next.home_ended = true;
                     next.told_not_run = true;
