--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -8,7 +8,12 @@
 use thiserror::Error;
 
 /// Every experiment, by name.
-pub const EXPERIMENTS: &[Experiment] = &[path::EXPERIMENT];
+pub const EXPERIMENTS: &[Experiment] = &[
+    path::EXPERIMENT,
+    path::LATENCY,
+    path::THROUGHPUT,
+    path::MEMORY,
+];
 
 /// One experiment.
 #[derive(Clone, Copy, Debug)]
