--- a/src/requests/witness/tests.rs
+++ b/src/requests/witness/tests.rs
@@ -54,7 +54,7 @@
     // Sequence: the witness forgets the settled id by its age; the home resumes and asks consent.
     // Cause: an absent entry taken for one never settled.
     let witness = Witness::default();
-    witness.settle(id());
+    assert_eq!(witness.settle(id()), Settlement::NotRun);
     assert_eq!(witness.expire(TimeMs(KEEP_MS)), 1);
     assert!(!witness.consent(intent(), TimeMs(KEEP_MS)));
 }
@@ -80,6 +80,10 @@
 }
 
 /// All of the small system's state.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is one independent fact of the model"
+)]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct World {
     consented: bool,
@@ -171,7 +175,7 @@
             assert!(witness.consent(intent(), TimeMs(1)));
         }
         if self.settled {
-            witness.settle(id());
+            assert_eq!(witness.settle(id()), Settlement::NotRun);
         }
         witness
     }
