feature: Bound retries and quarantine requests that kill their upstreams

Cause: a failing pool multiplied its own load, and one request could take down host after host. Change: the request core asks the retry budget before another attempt, counts strikes at unannounced deaths, runs a suspect only on the one host that all nodes pick, with its owner's leave, and refuses it after two deaths. Strikes travel between nodes every 100 ms.

--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -113,6 +113,7 @@
                 self.core
                     .blackboard
                     .with_host(host, |row| row.state = state);
+                self.core.suspicion.note_announced(host, notice.leave_at_ms);
                 log::info!(host = notice.host.as_str(), leave_at_ms = notice.leave_at_ms.0; "a host is about to go");
                 new.push(notice.clone());
             }
--- a/src/node/directory.rs
+++ b/src/node/directory.rs
@@ -97,6 +97,14 @@
         entries.into_iter().map(|entry| entry.address).collect()
     }
 
+    /// The live nodes, this one included.
+    #[must_use]
+    pub fn live(&self) -> Vec<Incarnation> {
+        let copy = self.copy.read();
+        let live = copy.members.iter().filter(|member| member.is_live());
+        live.map(|member| member.incarnation).collect()
+    }
+
     /// A live node other than this one.
     #[must_use]
     pub fn any_live(&self) -> Option<Incarnation> {
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -67,6 +67,10 @@
 impl Peers for NodePeers {
     type Items = NodeItems;
 
+    fn live(&self) -> Vec<Incarnation> {
+        self.directory.live()
+    }
+
     async fn call(&self, to: Incarnation, request: Request) -> Result<Reply, Unreachable> {
         let address = self.address(to)?;
         let reply = self.connections.call(address, request, REPLY_MS).await;
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -5,7 +5,9 @@
 use crate::keys::Incarnation;
 use crate::platform::configuration::Snapshot;
 use crate::requests::record::{Chunk, Copy};
+use crate::requests::suspicion::QuarantineEnd;
 use crate::requests::{Call, Outcome, RequestId};
+use crate::retries::{QuarantineAnswer, QuarantineAsk, StrikeReport};
 use crate::time::TimeMs;
 
 /// What a node asks of another.
@@ -69,6 +71,17 @@
     Configuration(Snapshot),
     /// Hosts that are about to go.
     Notices(Vec<HostNotice>),
+    /// Requests that were present when upstreams died.
+    Strikes(StrikeReport),
+    /// To the owner of a host: whether a suspect may run on it.
+    Quarantine(QuarantineAsk),
+    /// To the owner of a host: a suspect's attempt on it has ended.
+    Release {
+        /// What was asked for.
+        ask: QuarantineAsk,
+        /// How it ended.
+        end: QuarantineEnd,
+    },
 }
 
 /// One record that a home tells its witness about.
@@ -104,6 +117,8 @@
     Consents(Vec<bool>),
     /// The newest configuration, if it is newer.
     Newest(Option<Snapshot>),
+    /// Whether the suspect may run.
+    Quarantine(QuarantineAnswer),
     /// Done.
     Done,
 }
@@ -131,6 +146,9 @@
             Self::Newest { .. } => "newest",
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
+            Self::Strikes(_) => "strikes",
+            Self::Quarantine(_) => "quarantine",
+            Self::Release { .. } => "release",
         }
     }
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -37,12 +37,18 @@
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
 use crate::requests::id::IdKey;
+use crate::requests::suspicion;
 use crate::time::Clock;
 use crate::upstreams::{EngineClient, Patience, ServiceClient};
 
 /// Between two rounds of forgetting what has expired.
 const EXPIRE_INTERVAL_MS: u64 = 5_000;
 
+/// Between two looks for strikes to pass on.
+///
+/// Well below the time for which a suspect waits for news of other deaths.
+const STRIKES_INTERVAL_MS: u64 = 100;
+
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
@@ -252,6 +258,7 @@
             .spawn(collect_configuration::ask_peers(Arc::clone(node), token()));
         self.tasks.spawn(moves::control(Arc::clone(node), token()));
         self.tasks.spawn(expire(Arc::clone(node), token()));
+        self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         let configuration = Arc::clone(&node.configuration);
         let clock = node.core.clock;
         let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
@@ -272,6 +279,17 @@
     }
 }
 
+/// Passes on what is new about requests that kill, until `shutdown`.
+async fn tell_strikes(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        suspicion::tell_strikes(&node.core).await;
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = tokio::time::sleep(std::time::Duration::from_millis(STRIKES_INTERVAL_MS)) => {}
+        }
+    }
+}
+
 async fn expire(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
         node.core.expire(node.core.clock.now());
@@ -298,6 +316,7 @@
         services: ServiceClient::new(Patience::default()),
         peers: Arc::new(NodePeers::new(connections, Arc::clone(directory))),
         id_key: IdKey::derive(settings.fleet_key.expose_bytes()),
+        fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
     });
     let check: CheckDocument = |text| Document::parse(text).ok();
     Node {
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -16,6 +16,7 @@
 pub mod records;
 pub mod service_call;
 pub mod settle;
+pub mod suspicion;
 pub mod witness;
 
 pub use self::core::Core;
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -49,6 +49,18 @@
                 Answer::Reply(Reply::Done)
             }
             Request::Inherit { .. } => Answer::Reply(Reply::WrongNode),
+            Request::Strikes(report) => {
+                self.suspicion.merge(&report, self.clock.now());
+                Answer::Reply(Reply::Done)
+            }
+            Request::Quarantine(ask) => {
+                let answer = self.suspicion.ask(ask, self.clock.now());
+                Answer::Reply(Reply::Quarantine(answer))
+            }
+            Request::Release { ask, end } => {
+                self.suspicion.release(&ask, end, self.clock.now());
+                Answer::Reply(Reply::Done)
+            }
             other => return Err(other),
         };
         Ok(answer)
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -4,14 +4,17 @@
 use std::time::Duration;
 
 use super::core::{Core, Right};
-use super::dispatch::{Tried, delivery, latency_class, no_upstream, past_deadline};
+use super::dispatch::{Failed, Tried, delivery, denied, latency_class, no_upstream, past_deadline};
 use super::links::Links;
 use super::outcome::{Doubt, Failure, Finish};
 use super::record::{Order, Place};
+use super::suspicion::{Leave, QuarantineEnd, has_passed};
 use super::{Outcome, Record, Verdict, Work};
 use crate::keys::HostKey;
 use crate::reclaim::Progress;
-use crate::routing::NoRoute;
+use crate::retries::{QuarantineAsk, Retry};
+use crate::routing::{Candidate, NoRoute};
+use crate::time::TimeMs;
 use crate::upstreams::{
     self, Delivery, EngineEvent, Engines, EventStream, Import, StartStream, UpstreamError,
 };
@@ -47,6 +50,9 @@
         told: 0,
         active: None,
         next: None,
+        failed: None,
+        failures: 0,
+        quarantine: None,
     };
     run.drive().await
 }
@@ -70,6 +76,11 @@
     active: Option<Attempt<Events<L>>>,
     /// The attempt that is to take over from the active one.
     next: Option<Attempt<Events<L>>>,
+    /// The newest failure, until the retry budget has been asked about it.
+    failed: Option<Failed>,
+    failures: u32,
+    /// Leave to run as a suspect, with the position at which the attempt began.
+    quarantine: Option<(QuarantineAsk, u64)>,
 }
 
 /// Whether to go on.
@@ -103,6 +114,12 @@
                 Flow::Go => {}
                 Flow::End(outcome) => {
                     self.stop_streams().await;
+                    let end = if outcome.is_answer() {
+                        QuarantineEnd::Passed
+                    } else {
+                        QuarantineEnd::Abandoned
+                    };
+                    self.end_quarantine(end).await;
                     return Some(outcome);
                 }
                 Flow::Moved => {
@@ -136,16 +153,66 @@
         if self.right == Right::Reader {
             return Flow::End(Outcome::Unknown(Doubt::HomeGone));
         }
-        match self.core.choose(&self.record, &self.tried) {
-            Ok(choice) => {
-                let place = self.record.begin_attempt(choice.host, choice.address);
-                let flow = self.start(place, choice.prefill_ms, None).await;
-                if self.active.is_none() {
-                    self.tried.note(choice.host, Some(choice.domain));
+        if let Some(flow) = self.ask_for_retry().await {
+            return flow;
+        }
+        let view = self.core.view(&self.record);
+        match self.core.leave_to_start(&self.record, &view).await {
+            Leave::Refuse => Flow::End(Outcome::Failed(Failure::KillsUpstreams)),
+            Leave::Wait(until_ms) => self.pause_until(until_ms).await,
+            Leave::Only(ask) => self.start_in_quarantine(ask, &view).await,
+            Leave::Anywhere => match self.core.choose(&self.record, &view, &self.tried) {
+                Ok(choice) => {
+                    let place = self.record.begin_attempt(choice.host, choice.address);
+                    let flow = self.start(place, choice.prefill_ms, None).await;
+                    if self.active.is_none() {
+                        self.tried.note(choice.host, Some(choice.domain));
+                    }
+                    flow
                 }
-                flow
-            }
-            Err(no_route) => self.no_route(no_route).await,
+                Err(no_route) => self.no_route(no_route).await,
+            },
+        }
+    }
+
+    /// Asks the retry budget after a failed attempt; gives what follows unless it grants one now.
+    async fn ask_for_retry(&mut self) -> Option<Flow> {
+        let failed = self.failed.take()?;
+        match self.core.may_retry(&self.record, &failed) {
+            Retry::Now => None,
+            Retry::At(at_ms) => Some(self.pause_until(at_ms).await),
+            Retry::No(reason) => Some(Flow::End(denied(&self.record, reason))),
+        }
+    }
+
+    async fn start_in_quarantine(&mut self, ask: QuarantineAsk, view: &[Candidate]) -> Flow {
+        let host = view.iter().find(|candidate| candidate.host == ask.host);
+        let Some(address) = host.map(|candidate| candidate.address) else {
+            self.core
+                .end_quarantine(ask, QuarantineEnd::Abandoned)
+                .await;
+            return Flow::Go;
+        };
+        let place = self.record.begin_attempt(ask.host, address);
+        self.quarantine = Some((ask, self.record.next_position()));
+        self.start(place, 0.0, None).await
+    }
+
+    /// Gives the host of a suspect back, if this is one.
+    async fn end_quarantine(&mut self, end: QuarantineEnd) {
+        if let Some((ask, _began_at)) = self.quarantine.take() {
+            self.core.end_quarantine(ask, end).await;
+        }
+    }
+
+    async fn pause_until(&mut self, until_ms: TimeMs) -> Flow {
+        let now = self.core.clock.now();
+        let pause_ms = now
+            .until(until_ms)
+            .min(now.until(self.record.call.deadline_ms));
+        tokio::select! {
+            order = self.record.next_order() => self.obey(order).await,
+            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => Flow::Go,
         }
     }
 
@@ -155,10 +222,8 @@
             return Flow::End(no_upstream(&self.record, no_route));
         }
         self.tried.clear();
-        tokio::select! {
-            order = self.record.next_order() => self.obey(order).await,
-            () = tokio::time::sleep(Duration::from_millis(NO_ROUTE_PAUSE_MS)) => Flow::Go,
-        }
+        let until_ms = self.core.clock.now().after(NO_ROUTE_PAUSE_MS);
+        self.pause_until(until_ms).await
     }
 
     async fn start(&mut self, place: Place, prefill_ms: f64, import: Option<&str>) -> Flow {
@@ -206,6 +271,8 @@
         match error {
             error if error.is_not_started() => {
                 self.record.attempt_not_started(place.attempt);
+                self.end_quarantine(QuarantineEnd::Abandoned).await;
+                self.note_failed(place, error);
                 Flow::Go
             }
             error if error.is_lost() => self.reattach(place).await,
@@ -216,13 +283,24 @@
             UpstreamError::Rejected { status } if status.is_client_error() => {
                 Flow::End(Outcome::Failed(Failure::Upstream))
             }
-            _ => {
+            error => {
                 self.record.close_attempt(place.attempt);
+                self.end_quarantine(QuarantineEnd::Abandoned).await;
+                self.note_failed(place, error);
                 Flow::Go
             }
         }
     }
 
+    fn note_failed(&mut self, place: Place, error: UpstreamError) {
+        self.failures += 1;
+        self.failed = Some(Failed {
+            error,
+            host: place.host,
+            count: self.failures,
+        });
+    }
+
     /// Finds a stream again that runs at an engine, after its connection broke.
     async fn reattach(&mut self, place: Place) -> Flow {
         let tries = match (self.right, self.record.call.idempotent) {
@@ -230,6 +308,7 @@
             _ => REATTACH_TRIES,
         };
         let name = self.record.id.attempt(place.attempt);
+        let mut last = UpstreamError::UnknownAttempt;
         for _try in 0..tries {
             if self.core.clock.now() >= self.record.call.deadline_ms {
                 break;
@@ -247,10 +326,20 @@
                     return Flow::Go;
                 }
                 Err(UpstreamError::UnknownAttempt) => break,
-                Err(error) => self.core.note_failure(place, &error, self.core.clock.now()),
+                Err(error) => {
+                    self.core.note_failure(place, &error, self.core.clock.now());
+                    last = error;
+                }
             }
             tokio::time::sleep(Duration::from_millis(REATTACH_PAUSE_MS)).await;
         }
+        let died = match &last {
+            UpstreamError::Unreachable { .. } => self.core.note_death(place),
+            _ => None,
+        };
+        self.end_quarantine(died.map_or(QuarantineEnd::Abandoned, QuarantineEnd::Died))
+            .await;
+        self.note_failed(place, last);
         self.lost(place)
     }
 
@@ -281,7 +370,16 @@
                 None => break,
             }
         }
+        // A stream that gets on starts its count of failures anew: a long report may lose more hosts
+        // in its hours than a short request may be tried.
+        self.failures = 0;
         self.tell_progress();
+        let passed = |(_, began_at): &(QuarantineAsk, u64)| {
+            has_passed(*began_at, self.record.next_position())
+        };
+        if self.quarantine.as_ref().is_some_and(passed) {
+            self.end_quarantine(QuarantineEnd::Passed).await;
+        }
         Flow::Go
     }
 
@@ -470,6 +568,7 @@
         }
         if let Some(active) = self.active.take() {
             self.core.note_answer(active.place);
+            self.core.note_success(&self.record, active.place.host);
             self.core.note_close(active.place, self.core.clock.now());
         }
         Flow::End(Outcome::Completed { tokens, finish })
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -18,6 +18,8 @@
 use crate::blackboard::Blackboard;
 use crate::keys::Incarnation;
 use crate::node::messages::{Reply, Request, Told};
+use crate::requests::suspicion::Suspicion;
+use crate::retries::RetryBudgets;
 use crate::time::{Clock, TimeMs};
 
 /// When a caller may come back after a refusal that passes by itself.
@@ -66,6 +68,10 @@
     pub services: L::Services,
     /// The other nodes.
     pub peers: Arc<L::Peers>,
+    /// What is known of requests that kill their upstreams.
+    pub suspicion: Suspicion,
+    /// Retries that teams may still make.
+    pub budgets: RetryBudgets,
     /// Tasks that run requests.
     pub tasks: TaskTracker,
     id_key: IdKey,
@@ -92,6 +98,8 @@
     pub peers: Arc<L::Peers>,
     /// Signs request ids.
     pub id_key: IdKey,
+    /// The seed of content fingerprints.
+    pub fleet_seed: u64,
 }
 
 impl<L: Links> Core<L> {
@@ -108,6 +116,8 @@
             services: parts.services,
             lanes: Lanes::new(Arc::clone(&parts.peers)),
             peers: parts.peers,
+            suspicion: Suspicion::new(parts.fleet_seed),
+            budgets: RetryBudgets::default(),
             tasks: TaskTracker::new(),
             id_key: parts.id_key,
             bequests: RwLock::default(),
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -7,14 +7,15 @@
 
 use super::core::{Core, RETRY_SOON_MS, Right};
 use super::links::Links;
-use super::outcome::{Failure, Reason};
+use super::outcome::{Doubt, Failure, Reason};
 use super::record::Place;
 use super::{Outcome, Record, Work};
 use crate::blackboard::InForce;
 use crate::document::checked::LatencyClass;
-use crate::keys::{DomainKey, HostKey};
+use crate::keys::{DomainKey, HostKey, PoolKey, TeamKey};
+use crate::retries::{Denied, Retry, RetryAsk};
 use crate::routing::candidates::Need;
-use crate::routing::{Choice, NoRoute, RouteAsk, Weights, choose, gather};
+use crate::routing::{Candidate, Choice, NoRoute, RouteAsk, Weights, choose, gather};
 use crate::time::TimeMs;
 use crate::upstreams::{Delivery, Role, UpstreamError};
 
@@ -42,6 +43,31 @@
     recomputed_tokens: 0.5,
 };
 
+/// The newest attempt of a request that failed.
+#[derive(Debug)]
+pub(super) struct Failed {
+    /// How.
+    pub error: UpstreamError,
+    /// Where.
+    pub host: HostKey,
+    /// Attempts that have failed so far, this one included.
+    pub count: u32,
+}
+
+/// The end of a request that may not be tried again.
+pub(super) fn denied(record: &Record, denied: Denied) -> Outcome {
+    match denied {
+        Denied::MayHaveRun => Outcome::Unknown(Doubt::UpstreamLost),
+        Denied::DeadlineNear => past_deadline(record),
+        Denied::AttemptsSpent | Denied::BudgetSpent if record.is_dispatched() => {
+            Outcome::Failed(Failure::RetryBudget)
+        }
+        Denied::AttemptsSpent | Denied::BudgetSpent => {
+            Outcome::not_run(Reason::RetryBudget, RETRY_SOON_MS)
+        }
+    }
+}
+
 /// Hosts that a request has been tried on.
 #[derive(Debug, Default)]
 pub(super) struct Tried {
@@ -87,38 +113,40 @@
 }
 
 impl<L: Links> Core<L> {
-    /// Chooses a host for the next attempt.
-    pub(super) fn choose(&self, record: &Record, tried: &Tried) -> Result<Choice, NoRoute> {
-        let now = self.clock.now();
+    /// The hosts that could run a record's work.
+    pub(super) fn view(&self, record: &Record) -> Vec<Candidate> {
         let Some(in_force) = self.blackboard.in_force() else {
-            return choose(&[], &ask(record, tried, None), now, &mut rng(record));
+            return Vec::new();
         };
-        let class = latency_class(&in_force, record);
-        let view = match &record.call.work {
+        let document = &in_force.document;
+        let now = self.clock.now();
+        match &record.call.work {
             Work::Completion { model, .. } => {
-                let role = match class.priority {
+                let role = match latency_class(&in_force, record).priority {
                     priority if priority < INTERACTIVE_PRIORITY => Role::Batch,
                     _ => Role::Interactive,
                 };
-                gather(
-                    &self.blackboard,
-                    &in_force.document,
-                    Need::Model { model, role },
-                    now,
-                )
+                let need = Need::Model { model, role };
+                gather(&self.blackboard, document, need, now)
             }
-            Work::Service { service, .. } => match in_force.document.find_pool(service) {
-                Some(pool) => gather(
-                    &self.blackboard,
-                    &in_force.document,
-                    Need::Service { pool },
-                    now,
-                ),
+            Work::Service { service, .. } => match document.find_pool(service) {
+                Some(pool) => gather(&self.blackboard, document, Need::Service { pool }, now),
                 None => Vec::new(),
             },
-        };
-        let ask = ask(record, tried, Some(&in_force));
-        let choice = choose(&view, &ask, now, &mut rng(record))?;
+        }
+    }
+
+    /// Chooses a host for the next attempt.
+    pub(super) fn choose(
+        &self,
+        record: &Record,
+        view: &[Candidate],
+        tried: &Tried,
+    ) -> Result<Choice, NoRoute> {
+        let now = self.clock.now();
+        let in_force = self.blackboard.in_force();
+        let ask = ask(record, tried, in_force.as_deref());
+        let choice = choose(view, &ask, now, &mut rng(record))?;
         if choice.probe {
             self.blackboard
                 .upstreams
@@ -127,6 +155,37 @@
         Ok(choice)
     }
 
+    /// Whether a request may make another attempt after one that failed.
+    pub(super) fn may_retry(&self, record: &Record, failed: &Failed) -> Retry {
+        let now = self.clock.now();
+        let Some((team, pool)) = self.budget_of(record, failed.host) else {
+            return Retry::Now;
+        };
+        let ask = RetryAsk {
+            error: &failed.error,
+            delivery: delivery(record),
+            attempts: failed.count,
+            in_progress: record.next_position() > 0,
+            deadline_ms: record.call.deadline_ms,
+            expected_ms: 0,
+        };
+        self.budgets.may_retry(team, pool, &ask, now)
+    }
+
+    /// Notes that a request succeeded on a host, which pays for retries.
+    pub(super) fn note_success(&self, record: &Record, host: HostKey) {
+        if let Some((team, pool)) = self.budget_of(record, host) {
+            self.budgets.note_success(team, pool, self.clock.now());
+        }
+    }
+
+    fn budget_of(&self, record: &Record, host: HostKey) -> Option<(TeamKey, PoolKey)> {
+        let in_force = self.blackboard.in_force()?;
+        let team = in_force.document.find_team(&record.call.team)?;
+        let pool = self.blackboard.with_host(host, |row| row.pool)?;
+        Some((team, pool))
+    }
+
     /// Obtains the right to start an attempt that has been begun on the record.
     ///
     /// # Errors
--- a/src/requests/links.rs
+++ b/src/requests/links.rs
@@ -28,6 +28,9 @@
     /// What a stream is read from.
     type Items: ItemStream;
 
+    /// The live nodes, this one included.
+    fn live(&self) -> Vec<Incarnation>;
+
     /// One request and its reply.
     fn call(
         &self,
--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -5,21 +5,21 @@
 use bytes::Bytes;
 
 use super::core::{Core, Right};
-use super::dispatch::{Tried, delivery, no_upstream, past_deadline};
+use super::dispatch::{Failed, Tried, delivery, denied, no_upstream, past_deadline};
 use super::links::Links;
-use super::outcome::{Doubt, Failure};
+use super::outcome::Failure;
 use super::record::Place;
 use super::{Outcome, Record, Work};
 use crate::document::checked::PoolKind;
-use crate::upstreams::{PlainServices, ServiceCall};
+use crate::retries::Retry;
+use crate::time::TimeMs;
+use crate::upstreams::{PlainServices, ServiceCall, UpstreamError};
 
 /// What one attempt came to.
 enum Attempted {
     End(Outcome),
-    /// It provably did not start.
-    NotStarted,
-    /// It may have run.
-    Lost,
+    /// It gave no result; the error tells whether it may have run.
+    Failed(UpstreamError),
 }
 
 /// Runs a record to its outcome.
@@ -29,11 +29,12 @@
     right: Right,
 ) -> Option<Outcome> {
     let mut tried = Tried::default();
+    let mut failures = 0;
     loop {
         if core.clock.now() >= record.call.deadline_ms {
             return Some(past_deadline(&record));
         }
-        let choice = match core.choose(&record, &tried) {
+        let choice = match core.choose(&record, &core.view(&record), &tried) {
             Ok(choice) => choice,
             Err(no_route) => return Some(no_upstream(&record, no_route)),
         };
@@ -45,11 +46,25 @@
         core.note_open(place, 0.0, core.clock.now());
         let attempted = attempt(&core, &record, place).await;
         core.note_close(place, core.clock.now());
-        match attempted {
+        let error = match attempted {
             Attempted::End(outcome) => return Some(outcome),
-            Attempted::NotStarted => record.attempt_not_started(place.attempt),
-            Attempted::Lost if record.call.idempotent => record.close_attempt(place.attempt),
-            Attempted::Lost => return Some(Outcome::Unknown(Doubt::UpstreamLost)),
+            Attempted::Failed(error) => error,
+        };
+        if error.is_not_started() {
+            record.attempt_not_started(place.attempt);
+        } else {
+            record.close_attempt(place.attempt);
+        }
+        failures += 1;
+        let failed = Failed {
+            error,
+            host: choice.host,
+            count: failures,
+        };
+        match core.may_retry(&record, &failed) {
+            Retry::Now => {}
+            Retry::At(at) => sleep_until(&core, at).await,
+            Retry::No(reason) => return Some(denied(&record, reason)),
         }
         tried.note(choice.host, Some(choice.domain));
     }
@@ -76,6 +91,7 @@
     match answered {
         Ok(answer) => {
             core.note_answer(place);
+            core.note_success(record, place.host);
             Attempted::End(Outcome::Answered {
                 status: 200,
                 body: answer.body.to_vec(),
@@ -84,8 +100,7 @@
         Err(error) => {
             core.note_failure(place, &error, core.clock.now());
             match error {
-                error if error.is_not_started() => Attempted::NotStarted,
-                error if error.is_lost() => Attempted::Lost,
+                error if error.is_not_started() || error.is_lost() => Attempted::Failed(error),
                 // The service says that it failed: it ran, and it is not ours to run it again.
                 _ => Attempted::End(Outcome::Failed(Failure::Upstream)),
             }
@@ -105,3 +120,8 @@
     });
     configured_ms.map_or(left_ms, |timeout_ms| timeout_ms.min(left_ms))
 }
+
+async fn sleep_until<L: Links>(core: &Core<L>, at_ms: TimeMs) {
+    let pause_ms = core.clock.now().until(at_ms);
+    tokio::time::sleep(std::time::Duration::from_millis(pause_ms)).await;
+}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -49,6 +49,14 @@
     pub price_per_hour: f64,
 }
 
+impl Candidate {
+    /// Whether a request that names the host alone may be sent to it.
+    #[must_use]
+    pub fn may_be_tried(&self) -> bool {
+        self.has_model && matches!(self.standing, Standing::Open | Standing::Probe)
+    }
+}
+
 /// What a request asks of routing.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteAsk<'a> {
--- a/tests/support/deployment.rs
+++ b/tests/support/deployment.rs
@@ -7,6 +7,7 @@
 
 use teaselline::document::Document;
 use teaselline::document::checked::{Pool, PoolKind as CheckedKind};
+use teaselline::membership::Member;
 use teaselline::node::{self, RunError, Started};
 use teaselline::options::{Secret, ServeSettings};
 use teaselline_stand_ins::engine::EngineSettings;
@@ -152,7 +153,7 @@
             let mut known = 0;
             started.node.core.blackboard.visit_hosts(|_row| known += 1);
             let others = started.node.directory.members().into_iter();
-            let live = others.filter(|member| member.is_live()).count();
+            let live = others.filter(Member::is_live).count();
             started.node.revision() >= revision && live >= nodes.len() && known >= hosts
         });
         if ready {
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -172,14 +172,9 @@
         let is_doubled = |id: &String| doubled.contains(id.as_str());
         tally.doubled += u64::from(once && seen.ids.iter().any(is_doubled));
         // All ids but the last were left because the node said that they did not run.
-        let refused = match seen.end.is_not_run() {
-            true => &seen.ids[..],
-            false => &seen.ids[..seen.ids.len().saturating_sub(1)],
-        };
-        let not_run_but_ran = refused
-            .iter()
-            .filter(|id| ran.contains(id.as_str()))
-            .count();
+        let left = usize::from(!seen.end.is_not_run());
+        let refused = seen.ids.iter().take(seen.ids.len().saturating_sub(left));
+        let not_run_but_ran = refused.filter(|id| ran.contains(id.as_str())).count();
         tally.not_run_but_ran += not_run_but_ran as u64;
     }
     tally.first_token_p95_ms = p95(seen.iter().filter_map(|seen| seen.first_token));
