feature: Add the operators' console of forms

Cause: operators drive the system by changing one document, and through forms. Change: pure pages and form parsing: one description of the fields writes and reads the form, faults stand beside their fields, a race is joined and shown with both versions, sessions are signed cookies that any node verifies, posts of other sites are refused, and a live page. Conclusion: the node has to wire respond and conclude.

--- /dev/null
+++ b/src/console/editor.rs
@@ -0,0 +1,255 @@
+//! The page on which operators fill in the document.
+
+mod writer;
+
+use http::StatusCode;
+use serde_json::Value;
+
+use super::difference::{Change, Conflict, changes};
+use super::fields;
+use super::page::{Page, Response, hidden, note};
+use super::respond::Route;
+use super::session::Session;
+use crate::document::{Fault, RawDocument};
+use writer::Writer;
+
+/// The longest value that is shown in a difference.
+const MOST_SHOWN_CHARS: usize = 200;
+
+/// What the page shows.
+#[derive(Clone, Debug)]
+pub struct Editor {
+    /// The revision that is changed; 0 if there is none.
+    pub base_revision: u64,
+    /// That revision's document.
+    pub base: RawDocument,
+    /// What has been typed.
+    pub document: RawDocument,
+    /// What is wrong with it.
+    pub faults: Vec<Fault>,
+    /// Places that another operator has changed differently.
+    pub conflicts: Vec<Conflict>,
+    /// What is said above the form.
+    pub notice: Notice,
+}
+
+/// What is said above the form.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// Nothing has been typed yet.
+    Fresh,
+    /// An entry has been added or removed.
+    Edited,
+    /// It has been checked.
+    Checked,
+    /// It is in force.
+    Accepted,
+    /// Another operator's change came first, and has been joined with this one.
+    Raced {
+        /// The revision that this one was made from.
+        made_from: u64,
+    },
+    /// The log could not be reached, and nothing has been accepted.
+    NotAccepted,
+    /// It cannot be told whether the change has been accepted.
+    Unknown,
+    /// The post did not come from a page of the session.
+    NotOurs,
+}
+
+impl Editor {
+    /// A form that shows a revision as it is.
+    #[must_use]
+    pub fn fresh(base_revision: u64, base: RawDocument) -> Self {
+        Self {
+            base_revision,
+            document: base.clone(),
+            base,
+            faults: Vec::new(),
+            conflicts: Vec::new(),
+            notice: Notice::Fresh,
+        }
+    }
+
+    /// The page.
+    #[must_use]
+    pub fn page(&self, session: &Session) -> Response {
+        let mut page = Page::begin("Document", Some(session), None);
+        self.write_notice(&mut page);
+        self.write_faults(&mut page);
+        self.write_conflicts(&mut page);
+        let changes = changes(&self.base, &self.document);
+        self.write_changes(&mut page, &changes);
+        self.write_form(&mut page, session, &changes);
+        Response::page(self.status(), page.end())
+    }
+
+    fn status(&self) -> StatusCode {
+        match self.notice {
+            Notice::Raced { .. } => StatusCode::CONFLICT,
+            Notice::NotAccepted | Notice::Unknown => StatusCode::SERVICE_UNAVAILABLE,
+            Notice::NotOurs => StatusCode::FORBIDDEN,
+            Notice::Checked if !self.faults.is_empty() => StatusCode::UNPROCESSABLE_ENTITY,
+            _ => StatusCode::OK,
+        }
+    }
+
+    fn write_notice(&self, page: &mut Page) {
+        let revision = self.base_revision;
+        let html = &mut page.html;
+        match self.notice {
+            Notice::Fresh if revision == 0 => note(html, "good", "No document is in force yet."),
+            Notice::Fresh => note(html, "good", &format!("Revision {revision} is in force.")),
+            Notice::Accepted => note(
+                html,
+                "good",
+                &format!("Your change has been accepted; revision {revision} is in force."),
+            ),
+            Notice::Edited => {}
+            Notice::Checked if self.faults.is_empty() => {
+                note(
+                    html,
+                    "good",
+                    "The document is valid. Nothing has been applied yet.",
+                );
+            }
+            Notice::Checked => note(html, "bad", "The document has faults; nothing is applied."),
+            Notice::Raced { made_from } => note(
+                html,
+                "bad",
+                &format!(
+                    "Revision {revision} has replaced revision {made_from}, from which you began. \
+                     Your changes stand below on top of it, and nothing is applied yet."
+                ),
+            ),
+            Notice::NotAccepted => note(
+                html,
+                "bad",
+                "The log cannot be reached; your change has not been accepted. Apply it again later.",
+            ),
+            Notice::Unknown => note(
+                html,
+                "bad",
+                "The log did not say whether your change has been accepted. Apply it again: it is \
+                 accepted once at most, and you are told if it has been.",
+            ),
+            Notice::NotOurs => note(
+                html,
+                "bad",
+                "This was not sent from a page of your session; nothing is applied. Check it and \
+                 send it again.",
+            ),
+        }
+    }
+
+    fn write_faults(&self, page: &mut Page) {
+        if self.faults.is_empty() {
+            return;
+        }
+        let html = &mut page.html;
+        html.open("section", &[("aria-labelledby", "faults")]);
+        let title = format!("Faults ({})", self.faults.len());
+        html.element("h2", &[("id", "faults")], &title);
+        html.open("ul", &[]);
+        for fault in &self.faults {
+            html.open("li", &[]);
+            let target = format!("#{}", fault.path.as_str());
+            html.element("a", &[("href", &target)], &fault.path.to_string());
+            html.text(&format!(": {}", fault.kind));
+            html.close("li");
+        }
+        html.close("ul");
+        html.close("section");
+    }
+
+    fn write_conflicts(&self, page: &mut Page) {
+        if self.conflicts.is_empty() {
+            return;
+        }
+        let in_force = format!("Revision {}", self.base_revision);
+        let columns = ["Place", in_force.as_str(), "Yours, kept below"];
+        let rows = self.conflicts.iter().map(|conflict| {
+            let path = conflict.path.to_string();
+            vec![
+                path,
+                shown(conflict.theirs.as_ref()),
+                shown(conflict.mine.as_ref()),
+            ]
+        });
+        let rows: Vec<_> = rows.collect();
+        page.html.table("Changed by both of you", &columns, &rows);
+    }
+
+    fn write_changes(&self, page: &mut Page, changes: &[Change]) {
+        if changes.is_empty() {
+            return;
+        }
+        let in_force = match self.base_revision {
+            0 => String::from("Nothing in force"),
+            revision => format!("Revision {revision}"),
+        };
+        let columns = ["Place", in_force.as_str(), "Yours"];
+        let rows = changes.iter().map(|change| {
+            let (before, after) = (change.before.as_ref(), change.after.as_ref());
+            vec![change.path.clone(), shown(before), shown(after)]
+        });
+        let rows: Vec<_> = rows.collect();
+        page.html
+            .table("What your document changes", &columns, &rows);
+    }
+
+    fn write_form(&self, page: &mut Page, session: &Session, changes: &[Change]) {
+        let action = Route::Change.path();
+        let html = &mut page.html;
+        html.open(
+            "form",
+            &[
+                ("method", "post"),
+                ("action", action),
+                ("autocomplete", "off"),
+            ],
+        );
+        // The first button is the one that the return key presses: it must not apply or remove.
+        let check = [("type", "submit"), ("name", "action"), ("value", "check")];
+        let hidden_check = [
+            check[0],
+            check[1],
+            check[2],
+            ("class", "first"),
+            ("tabindex", "-1"),
+        ];
+        html.element("button", &hidden_check, "Check");
+        hidden(html, "form_token", &session.form_token);
+        hidden(html, "base_revision", &self.base_revision.to_string());
+        hidden(html, "base_document", &self.base.to_text());
+        let mut document = self.document.clone();
+        fields::document(&mut Writer::new(html, self), &mut document);
+        html.open("div", &[("class", "actions")]);
+        html.element("button", &check, "Check and show the difference");
+        let checked = matches!(
+            self.notice,
+            Notice::Checked | Notice::Raced { .. } | Notice::NotAccepted | Notice::Unknown
+        );
+        if checked && self.faults.is_empty() && !changes.is_empty() {
+            let apply = [("type", "submit"), ("name", "action"), ("value", "apply")];
+            html.element("button", &apply, "Put in force");
+        }
+        html.close("div");
+        html.close("form");
+    }
+}
+
+fn shown(value: Option<&Value>) -> String {
+    let text = match value {
+        None => String::from("–"),
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    };
+    match text.char_indices().nth(MOST_SHOWN_CHARS) {
+        Some((end, _)) => format!("{}…", &text[..end]),
+        None => text,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/console/respond/tests.rs
@@ -0,0 +1,341 @@
+//! Tests of the console's requests, from the sign-in to the verdict.
+
+use http::header::{COOKIE, HOST, ORIGIN};
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use url::form_urlencoded::Serializer;
+
+use super::{Proposal, Reply, Request, Route, Verdict, View, conclude, respond};
+use crate::blackboard::InForce;
+use crate::console::{LiveView, Response, session};
+use crate::document::{Document, RawDocument};
+use crate::peers::FleetKey;
+use crate::time::TimeMs;
+
+const KITAGAWA: &str = include_str!("../../../sample_configs/valid/kitagawa.json");
+const NOW: TimeMs = TimeMs(1_700_000_000_000);
+
+fn key() -> FleetKey {
+    FleetKey::try_from(&b"the key of the fleet"[..]).unwrap()
+}
+
+fn in_force(revision: u64, raw: &RawDocument) -> InForce {
+    InForce {
+        revision,
+        document: Document::try_from(raw).unwrap(),
+        text: raw.to_text(),
+    }
+}
+
+fn kitagawa() -> RawDocument {
+    RawDocument::read(KITAGAWA).unwrap()
+}
+
+/// Headers of a signed-in browser's post from `origin`.
+fn headers(origin: &'static str) -> HeaderMap {
+    let document = Document::parse(KITAGAWA).unwrap();
+    let cookie = session::sign_in("operator-kobayashi-sample", Some(&document), &key(), NOW);
+    let cookie = HeaderValue::from_str(cookie.unwrap().split(';').next().unwrap()).unwrap();
+    let mut headers = HeaderMap::new();
+    headers.insert(COOKIE, cookie);
+    headers.insert(HOST, HeaderValue::from_static("10.0.0.7:8080"));
+    headers.insert(ORIGIN, HeaderValue::from_static(origin));
+    headers
+}
+
+const OWN: &str = "http://10.0.0.7:8080";
+
+fn ask(route: Route, headers: &HeaderMap, body: &[u8], in_force: Option<&InForce>) -> Reply {
+    let live = LiveView::default();
+    let view = View {
+        in_force,
+        live: &live,
+        trail: &[],
+    };
+    respond(
+        Request {
+            route,
+            headers,
+            body,
+        },
+        view,
+        &key(),
+        NOW,
+    )
+}
+
+fn page(reply: Reply) -> Response {
+    match reply {
+        Reply::Page(page) => page,
+        Reply::Propose(_) => panic!("a proposal"),
+    }
+}
+
+/// A post of the form with these changes to the sample, made from `base`.
+fn post(action: &str, base_revision: u64, base: &RawDocument, typed: &[(&str, &str)]) -> Vec<u8> {
+    let document = Document::parse(KITAGAWA).unwrap();
+    let session = session::session(&headers(OWN), Some(&document), &key(), NOW).unwrap();
+    let mut body = Serializer::new(String::new());
+    body.append_pair("action", action)
+        .append_pair("form_token", &session.form_token)
+        .append_pair("base_revision", &base_revision.to_string())
+        .append_pair("base_document", &base.to_text());
+    for (name, value) in form_of(base) {
+        let typed = typed.iter().find(|(field, _)| *field == name);
+        body.append_pair(&name, typed.map_or(&value, |(_, value)| *value));
+    }
+    body.finish().into_bytes()
+}
+
+/// The form's fields of a document, from its JSON.
+fn form_of(document: &RawDocument) -> Vec<(String, String)> {
+    fn walk(path: &str, value: &serde_json::Value, fields: &mut Vec<(String, String)>) {
+        use serde_json::Value;
+        match value {
+            Value::Object(object) if path.ends_with("kind") => {
+                let (kind, inner) = object.iter().next().unwrap();
+                fields.push((path.to_owned(), kind.clone()));
+                walk(&format!("{path}.{kind}"), inner, fields);
+            }
+            Value::Object(object) => {
+                for (name, value) in object {
+                    let path = if path.is_empty() {
+                        name.clone()
+                    } else {
+                        format!("{path}.{name}")
+                    };
+                    walk(&path, value, fields);
+                }
+            }
+            Value::Array(items) if items.iter().all(Value::is_object) => {
+                for (index, item) in items.iter().enumerate() {
+                    walk(&format!("{path}[{index}]"), item, fields);
+                }
+            }
+            Value::Array(items) => {
+                fields.extend(
+                    items
+                        .iter()
+                        .map(|item| (path.to_owned(), item.as_str().unwrap().to_owned())),
+                );
+            }
+            Value::String(text) => fields.push((path.to_owned(), text.clone())),
+            other => fields.push((path.to_owned(), other.to_string())),
+        }
+    }
+    let mut fields = Vec::new();
+    walk("", &serde_json::to_value(document).unwrap(), &mut fields);
+    // Adapters are one field of words.
+    let adapters: Vec<_> = fields
+        .extract_if(.., |(name, _)| name.ends_with("adapters"))
+        .collect();
+    let words: Vec<&str> = adapters.iter().map(|(_, word)| word.as_str()).collect();
+    fields.push((String::from("models[0].adapters"), words.join(", ")));
+    fields
+}
+
+fn proposal(reply: Reply) -> Proposal {
+    match reply {
+        Reply::Propose(proposal) => *proposal,
+        Reply::Page(page) => panic!("a page with {}: {}", page.status, page.body),
+    }
+}
+
+#[test]
+fn each_route_has_its_own_method_and_path() {
+    assert_eq!(Route::of(&Method::GET, "/console"), Some(Route::Live));
+    assert_eq!(
+        Route::of(&Method::GET, "/console/document"),
+        Some(Route::Document)
+    );
+    assert_eq!(
+        Route::of(&Method::POST, "/console/document"),
+        Some(Route::Change)
+    );
+    assert_eq!(Route::of(&Method::POST, "/console/trail"), None);
+    assert_eq!(Route::of(&Method::DELETE, "/console"), None);
+}
+
+#[test]
+fn nothing_is_shown_without_a_session() {
+    let in_force = in_force(3, &kitagawa());
+    let nobody = HeaderMap::new();
+    for route in [Route::Live, Route::Document, Route::Trail, Route::SignOut] {
+        let page = page(ask(route, &nobody, b"", Some(&in_force)));
+        assert_eq!(page.location.as_deref(), Some("/console/sign-in"));
+        assert!(page.body.is_empty());
+    }
+    let body = post("apply", 3, &kitagawa(), &[]);
+    let page = page(ask(Route::Change, &nobody, &body, Some(&in_force)));
+    assert_eq!(page.status, StatusCode::UNAUTHORIZED);
+}
+
+#[test]
+fn a_sign_in_leads_to_the_document() {
+    let in_force = in_force(3, &kitagawa());
+    let mut from_here = HeaderMap::new();
+    from_here.insert(HOST, HeaderValue::from_static("10.0.0.7:8080"));
+    from_here.insert(ORIGIN, HeaderValue::from_static(OWN));
+    let token = b"token=operator-kobayashi-sample";
+    let signed_in = page(ask(Route::SignIn, &from_here, token, Some(&in_force)));
+    assert_eq!(signed_in.location.as_deref(), Some("/console/document"));
+    let cookie = signed_in.cookie.unwrap();
+    assert!(cookie.contains("HttpOnly") && cookie.contains("SameSite=Strict"));
+    let refused = page(ask(Route::SignIn, &from_here, b"token=no", Some(&in_force)));
+    assert_eq!(
+        (refused.status, refused.cookie),
+        (StatusCode::UNAUTHORIZED, None)
+    );
+    let shown = page(ask(Route::Document, &headers(OWN), b"", Some(&in_force)));
+    assert!(shown.body.contains("Revision 3 is in force."));
+}
+
+#[test]
+fn a_valid_change_is_proposed_as_it_was_typed() {
+    let in_force = in_force(3, &kitagawa());
+    let body = post("apply", 3, &kitagawa(), &[("teams[0].weight", "6.5")]);
+    let proposal = proposal(ask(Route::Change, &headers(OWN), &body, Some(&in_force)));
+    let mut expected = kitagawa();
+    expected.teams[0].weight = 6.5.into();
+    assert_eq!(RawDocument::read(&proposal.text).unwrap(), expected);
+    assert_eq!(proposal.base_revision, 3);
+    assert_eq!(proposal.session.operator, "kobayashi");
+}
+
+#[test]
+fn an_invalid_change_is_never_proposed() {
+    let in_force = in_force(3, &kitagawa());
+    let body = post("apply", 3, &kitagawa(), &[("teams[0].weight", "lots")]);
+    let page = page(ask(Route::Change, &headers(OWN), &body, Some(&in_force)));
+    assert_eq!(page.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert!(page.body.contains("value=\"lots\""));
+}
+
+/// Symptom: a document that no operator wrote is in force. Sequence: an operator who is signed in
+/// opens a page of another site, which posts the form. Cause: the cookie alone being taken as proof.
+#[test]
+fn a_post_from_another_site_or_without_the_forms_token_proposes_nothing() {
+    let in_force = in_force(3, &kitagawa());
+    let body = post("apply", 3, &kitagawa(), &[("teams[0].weight", "6.5")]);
+    let elsewhere = headers("http://elsewhere.example");
+    let other_site = page(ask(Route::Change, &elsewhere, &body, Some(&in_force)));
+    assert_eq!(other_site.status, StatusCode::FORBIDDEN);
+    let text = String::from_utf8(body).unwrap();
+    let without = text.replace("form_token=", "form_token=0");
+    let no_token = page(ask(
+        Route::Change,
+        &headers(OWN),
+        without.as_bytes(),
+        Some(&in_force),
+    ));
+    assert_eq!(no_token.status, StatusCode::FORBIDDEN);
+    assert!(
+        no_token.body.contains("value=\"6.5\""),
+        "what was typed is lost"
+    );
+}
+
+/// Symptom: of two operators at work at once, one loses what was typed or undoes the other's change
+/// unseen. Sequence: both open revision 3; one change becomes revision 4; then the other applies.
+/// Cause: taking the later form whole, or refusing it with an empty page.
+#[test]
+fn a_race_shows_both_and_loses_nothing_typed() {
+    let mut theirs = kitagawa();
+    theirs.teams[0].weight = 8.0.into();
+    theirs.teams[1].max_waiting = 77.into();
+    let newer = in_force(4, &theirs);
+    let typed = [("teams[0].weight", "6.5"), ("teams[2].max_waiting", "88")];
+    let body = post("apply", 3, &kitagawa(), &typed);
+
+    let before = in_force(3, &kitagawa());
+    let proposal = proposal(ask(Route::Change, &headers(OWN), &body, Some(&before)));
+    let live = LiveView::default();
+    let view = View {
+        in_force: Some(&newer),
+        live: &live,
+        trail: &[],
+    };
+    let at_the_log = conclude(&proposal, Verdict::Stale, view);
+    let at_the_node = page(ask(Route::Change, &headers(OWN), &body, Some(&newer)));
+
+    for page in [at_the_log, at_the_node] {
+        assert_eq!(page.status, StatusCode::CONFLICT);
+        for shown in [
+            "value=\"6.5\"",
+            "value=\"77\"",
+            "value=\"88\"",
+            "Revision 4 has 8.0",
+        ] {
+            assert!(page.body.contains(shown), "{shown}");
+        }
+        assert!(page.body.contains("name=\"base_revision\" value=\"4\""));
+        assert!(page.body.contains("Put in force"));
+    }
+}
+
+#[test]
+fn each_verdict_is_told_and_keeps_the_form() {
+    let before = in_force(3, &kitagawa());
+    let body = post("apply", 3, &kitagawa(), &[("teams[0].weight", "6.5")]);
+    let proposal = proposal(ask(Route::Change, &headers(OWN), &body, Some(&before)));
+    let live = LiveView::default();
+    let view = View {
+        in_force: Some(&before),
+        live: &live,
+        trail: &[],
+    };
+    let faults = Document::parse("{}").unwrap_err();
+    let cases = [
+        (
+            Verdict::Accepted { revision: 4 },
+            StatusCode::OK,
+            "revision 4 is in force",
+        ),
+        (
+            Verdict::NotAccepted,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "has not been accepted",
+        ),
+        (
+            Verdict::Unknown,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "did not say",
+        ),
+        (
+            Verdict::Invalid(faults),
+            StatusCode::UNPROCESSABLE_ENTITY,
+            "has faults",
+        ),
+    ];
+    for (verdict, status, told) in cases {
+        let page = conclude(&proposal, verdict, view);
+        assert_eq!(page.status, status);
+        assert!(page.body.contains(told), "{told}");
+        assert!(page.body.contains("value=\"6.5\""));
+    }
+}
+
+#[test]
+fn entries_can_be_added_and_removed() {
+    let in_force = in_force(3, &kitagawa());
+    let added = post("add teams", 3, &kitagawa(), &[]);
+    let page_with = page(ask(Route::Change, &headers(OWN), &added, Some(&in_force)));
+    assert!(page_with.body.contains("id=\"teams[5].name\""));
+    let removed = post("remove teams[0]", 3, &kitagawa(), &[]);
+    let page_without = page(ask(Route::Change, &headers(OWN), &removed, Some(&in_force)));
+    assert!(!page_without.body.contains("id=\"teams[4].name\""));
+    assert!(
+        page_without.body.contains("teams[archive]"),
+        "the difference is not shown"
+    );
+}
+
+#[test]
+fn every_answer_forbids_scripts_and_frames() {
+    let page = page(ask(Route::SignInForm, &HeaderMap::new(), b"", None));
+    let policy = page
+        .headers()
+        .find(|(name, _)| *name == "content-security-policy");
+    let (_, policy) = policy.unwrap();
+    assert!(policy.contains("default-src 'none'") && policy.contains("frame-ancestors 'none'"));
+    assert!(!policy.contains("script-src"));
+}
--- a/src/document.rs
+++ b/src/document.rs
@@ -7,6 +7,7 @@
 pub mod check;
 pub mod checked;
 pub mod faults;
+pub(crate) mod hex;
 pub mod raw;
 mod shape;
 
--- a/src/document/check/reader.rs
+++ b/src/document/check/reader.rs
@@ -8,6 +8,7 @@
 use serde_json::Value;
 
 use crate::document::faults::{Fault, FaultKind, FaultPath, ScalarKind};
+use crate::document::hex::from_hex;
 use crate::document::raw::Scalar;
 
 /// The longest name, in bytes; it fits a header, a URL segment and a metric label.
@@ -124,7 +125,7 @@
         let Some(text) = self.text(path, value) else {
             return [0; 32];
         };
-        match sha256_from_hex(&text) {
+        match from_hex(&text).and_then(|bytes| bytes.try_into().ok()) {
             None => self.fault(path.clone(), FaultKind::TokenHash),
             Some(EMPTY_SHA256) => self.fault(path.clone(), FaultKind::EmptyToken),
             Some(hash) => return hash,
@@ -238,20 +239,6 @@
     printable && length <= MOST_LABEL_CHARS && !text.trim().is_empty()
 }
 
-fn sha256_from_hex(text: &str) -> Option<[u8; 32]> {
-    let digits = text.as_bytes();
-    if digits.len() != 64 {
-        return None;
-    }
-    let mut hash = [0; 32];
-    for (byte, pair) in hash.iter_mut().zip(digits.chunks_exact(2)) {
-        let high = char::from(pair[0]).to_digit(16)?;
-        let low = char::from(pair[1]).to_digit(16)?;
-        *byte = u8::try_from(high * 16 + low).ok()?;
-    }
-    Some(hash)
-}
-
 #[expect(
     clippy::cast_precision_loss,
     reason = "a bound that is shown to people may be rounded"
