--- a/src/membership/choose.rs
+++ b/src/membership/choose.rs
@@ -123,9 +123,10 @@
     /// within one heartbeat to the same node.
     fn draw(&self, index: usize, rng: &mut SmallRng) -> f64 {
         let own_domain = self.tracks[self.own_index()].domain;
-        let preference = match self.tracks[index].domain == own_domain {
-            true => OWN_DOMAIN_PREFERENCE,
-            false => 1.0,
+        let preference = if self.tracks[index].domain == own_domain {
+            OWN_DOMAIN_PREFERENCE
+        } else {
+            1.0
         };
         let uniform: f64 = 1.0 - rng.random::<f64>();
         -uniform.ln() / (preference * share(self.members[index].load))
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -82,14 +82,13 @@
         wanted: &mut Vec<Incarnation>,
     ) {
         match message {
-            Message::Heartbeat => {}
+            Message::Heartbeat | Message::Answer(None) => {}
             Message::Join(row) => {
                 wanted.clear();
                 self.merge_row(now, row);
                 self.send_all_rows(sender, from);
             }
             Message::Probe(origin) => self.send(sender, Message::Answer(origin)),
-            Message::Answer(None) => {}
             Message::Answer(Some(origin)) => {
                 self.send_if_known(origin, Message::Heard(from));
             }
