--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -95,7 +95,12 @@
     let calls: Vec<_> = (0..load.calls)
         .map(|index| call(load, index, &mut rng))
         .collect();
-    let permits = Arc::new(tokio::sync::Semaphore::new(load.at_once));
+    run_calls(caller, calls, load.at_once).await
+}
+
+/// Makes these calls, up to `at_once` at a time, and returns what was seen of each.
+pub async fn run_calls(caller: Arc<Caller>, calls: Vec<Call>, at_once: usize) -> Vec<Seen> {
+    let permits = Arc::new(tokio::sync::Semaphore::new(at_once));
     let mut running = tokio::task::JoinSet::new();
     for call in calls {
         let (caller, permits) = (Arc::clone(&caller), Arc::clone(&permits));
