feature: Serve the console and protect the first document

Cause: the console's pure functions were not reachable, and anybody could apply the first document. Change: /console on every node; the first document needs the fleet key as its bearer token.

--- a/src/entry/authorize.rs
+++ b/src/entry/authorize.rs
@@ -8,6 +8,7 @@
 use super::refusal::Refusal;
 use crate::document::Document;
 use crate::document::checked::{Operator, Team};
+use crate::options::Secret;
 
 /// The team whose token the request carries.
 pub(super) fn team<'a>(document: &'a Document, headers: &HeaderMap) -> Result<&'a Team, Refusal> {
@@ -26,6 +27,11 @@
     )
 }
 
+/// Whether the request carries the fleet's secret.
+pub(super) fn has_fleet_key(secret: &Secret, headers: &HeaderMap) -> bool {
+    bearer(headers).is_some_and(|token| token.ct_eq(secret.expose_bytes()).into())
+}
+
 /// Compares with every entry in constant time, so that timing tells nothing about any token.
 fn find<'a, T>(
     entries: &'a [T],
--- /dev/null
+++ b/src/entry/console.rs
@@ -0,0 +1,177 @@
+//! Serves the operators' console.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::header::HeaderName;
+use http::{HeaderValue, Method, Response, StatusCode};
+
+use super::bodies;
+use super::refusal::whole;
+use super::routes::Asked;
+use crate::blackboard::{HostState, InForce};
+use crate::console::live::{LiveNode, LiveUpstream};
+use crate::console::{
+    LiveView, Proposal, Reply, Request, Response as Page, Route, TrailRow, Verdict, View, conclude,
+    respond,
+};
+use crate::node::Node;
+use crate::node::change::{self, ChangeError};
+
+/// `GET /console…`
+pub(super) async fn read(asked: Asked) -> Response<Body> {
+    serve(Method::GET, asked).await
+}
+
+/// `POST /console…`
+pub(super) async fn post(asked: Asked) -> Response<Body> {
+    serve(Method::POST, asked).await
+}
+
+async fn serve(method: Method, asked: Asked) -> Response<Body> {
+    let Some(route) = Route::of(&method, asked.uri.path()) else {
+        let mut response = Response::new(Body::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    let body = match bodies::read(asked.body, asked.bounds.max_body_bytes).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal.response(),
+    };
+    let node = asked.node;
+    let request = Request {
+        route,
+        headers: &asked.headers,
+        body: &body,
+    };
+    let seen = Seen::of(&node, route);
+    let reply = respond(request, seen.view(), &node.key, node.core.clock.now());
+    let page = match reply {
+        Reply::Page(page) => page,
+        Reply::Propose(proposal) => propose(&node, &proposal).await,
+    };
+    response(&page)
+}
+
+async fn propose(node: &Arc<Node>, proposal: &Proposal) -> Page {
+    let proposed = node
+        .propose(change::Proposal {
+            base_revision: proposal.base_revision,
+            operator: proposal.session.operator.clone(),
+            document: proposal.text.clone(),
+        })
+        .await;
+    let verdict = match proposed {
+        Ok(revision) => Verdict::Accepted { revision },
+        Err(ChangeError::Stale { .. }) => Verdict::Stale,
+        Err(ChangeError::Faults(faults)) => Verdict::Invalid(faults),
+        Err(ChangeError::NotTaken(_)) => Verdict::NotAccepted,
+        Err(ChangeError::Unknown) => Verdict::Unknown,
+    };
+    conclude(proposal, verdict, Seen::of(node, Route::Document).view())
+}
+
+/// What a page shows, read off the node.
+struct Seen {
+    in_force: Option<Arc<InForce>>,
+    live: LiveView,
+    trail: Vec<TrailRow>,
+}
+
+impl Seen {
+    fn of(node: &Node, route: Route) -> Self {
+        Self {
+            in_force: node.core.blackboard.in_force(),
+            live: match route {
+                Route::Live => live(node),
+                _ => LiveView::default(),
+            },
+            trail: Vec::new(),
+        }
+    }
+
+    fn view(&self) -> View<'_> {
+        View {
+            in_force: self.in_force.as_deref(),
+            live: &self.live,
+            trail: &self.trail,
+        }
+    }
+}
+
+fn live(node: &Node) -> LiveView {
+    let now_ms = node.core.clock.now();
+    let nodes = node.directory.members().into_iter().map(|member| LiveNode {
+        name: member.name,
+        address: member.caller_address.to_string(),
+        failure_domain: member.domain_name,
+        state: format!("{:?}", member.state).to_lowercase(),
+        open_streams: member.load.open_streams,
+    });
+    LiveView {
+        now_ms,
+        node: node.name.clone(),
+        revision: node.revision(),
+        log_silent_ms: node.log_silent_ms(now_ms),
+        nodes: nodes.collect(),
+        upstreams: upstreams(node),
+        ..LiveView::default()
+    }
+}
+
+fn upstreams(node: &Node) -> Vec<LiveUpstream> {
+    let Some(in_force) = node.core.blackboard.in_force() else {
+        return Vec::new();
+    };
+    let document = &in_force.document;
+    let now = node.core.clock.now();
+    let mut rows = Vec::new();
+    node.core.blackboard.visit_hosts(|row| {
+        // Rows are resolved again shortly after a new revision; until then a key may be too large.
+        let named = (
+            document.pools.get(row.pool.index()),
+            document.failure_domains.get(row.domain.index()),
+            document.host_classes.get(row.class.index()),
+        );
+        let (Some(pool), Some(domain), Some(class)) = named else {
+            return;
+        };
+        let standing = node
+            .core
+            .blackboard
+            .upstreams
+            .with(row.key, |row| row.health.standing(now));
+        rows.push(LiveUpstream {
+            host: row.name.clone(),
+            pool: pool.name.clone(),
+            failure_domain: domain.name.clone(),
+            host_class: class.name.clone(),
+            leave_at_ms: match row.state {
+                HostState::Live => None,
+                HostState::Leaving { leave_at_ms } => Some(leave_at_ms),
+            },
+            is_failing: matches!(standing, crate::routing::Standing::Failing { .. }),
+            running: row.load.running,
+            queued: row.load.queued,
+            slots: if row.load.slots > 0 {
+                row.load.slots
+            } else {
+                class.slots
+            },
+        });
+    });
+    rows.sort_unstable_by(|a, b| a.host.cmp(&b.host));
+    rows
+}
+
+fn response(page: &Page) -> Response<Body> {
+    let mut response = Response::new(whole(page.body.clone()));
+    *response.status_mut() = page.status;
+    let fields = response.headers_mut();
+    for (name, value) in page.headers() {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            fields.insert(HeaderName::from_static(name), value);
+        }
+    }
+    response
+}
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -17,6 +17,9 @@
 use crate::node::change::{ChangeError, Proposal};
 use crate::requests::core::Phase;
 
+/// Who applied a document that was applied with the fleet key.
+const FIRST_OPERATOR: &str = "fleet key";
+
 #[derive(Serialize)]
 struct InForceBody<'a> {
     revision: u64,
@@ -85,13 +88,16 @@
 pub(super) async fn change(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
     let in_force = node.core.blackboard.in_force();
-    // The first document names the operators; until it is there, whoever reaches a node sets it.
+    // The first document names the operators; until then whoever holds the fleet key may apply one.
     let operator = match &in_force {
         Some(in_force) => match authorize::operator(&in_force.document, &asked.headers) {
             Ok(operator) => operator.name.clone(),
             Err(refusal) => return refusal.response(),
         },
-        None => "first".to_owned(),
+        None if authorize::has_fleet_key(&node.fleet_secret, &asked.headers) => {
+            FIRST_OPERATOR.to_owned()
+        }
+        None => return Refusal::NoToken.response(),
     };
     let body = match bodies::read(asked.body, asked.bounds.max_body_bytes).await {
         Ok(body) => body,
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Response, Uri};
 
 use super::accept::Bounds;
-use super::{completions, entries, operators, services, state};
+use super::{completions, console, entries, operators, services, state};
 use crate::node::Node;
 
 /// What each handler finds in its state.
@@ -80,6 +80,15 @@
         route
             .get("/v1/status")
             .to_async(|state| handle(state, operators::status));
+        route
+            .get("/console")
+            .to_async(|state| handle(state, console::read));
+        route
+            .get("/console/*")
+            .to_async(|state| handle(state, console::read));
+        route
+            .post("/console/*")
+            .to_async(|state| handle(state, console::post));
         route
             .get("/metrics")
             .to_async(|state| handle(state, operators::metrics));
--- a/src/node.rs
+++ b/src/node.rs
@@ -27,12 +27,18 @@
 pub use run::{RunError, Started, run, start};
 
 use crate::document::Document;
+use crate::options::Secret;
+use crate::peers::FleetKey;
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::Configuration;
 use crate::platform::follower::Followed;
 use crate::platform::log::HttpLog;
 use crate::requests::core::Phase;
 use crate::requests::{Core, RequestId, TeamTag};
+use crate::time::TimeMs;
+
+/// Silence of the log that operators are told about; a long poll may rightly last half of it.
+const LOG_SILENT_MS: u64 = 15_000;
 
 /// Checks a document's text, for the configuration's fold.
 pub type CheckDocument = fn(&str) -> Option<Document>;
@@ -60,6 +66,10 @@
     pub members_changed: Notify,
     /// Callers whose answers are followed from this node.
     pub callers: AtomicUsize,
+    /// The fleet's key.
+    pub key: FleetKey,
+    /// The fleet's secret, with which the first document is applied.
+    pub fleet_secret: Secret,
     /// The name of this node in its settings.
     pub name: String,
     /// Reads the metrics.
@@ -74,6 +84,14 @@
             .entries(self.core.clock.now(), &mut SmallRng::from_os_rng())
     }
 
+    /// For how long the log has been out of reach, if it is.
+    #[must_use]
+    pub fn log_silent_ms(&self, now: TimeMs) -> Option<u64> {
+        self.configuration
+            .stale_ms(now)
+            .filter(|stale_ms| *stale_ms > LOG_SILENT_MS)
+    }
+
     /// Callers whose answers are followed from this node.
     #[must_use]
     pub fn open_callers(&self) -> usize {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -330,6 +330,8 @@
         notices_changed: Notify::new(),
         members_changed: Notify::new(),
         callers: std::sync::atomic::AtomicUsize::new(0),
+        key: key.clone(),
+        fleet_secret: settings.fleet_key.clone(),
         name: settings.name.clone(),
         metrics: metrics(),
     }
