feature: Admit requests by their team's share of the fleet's slots

Cause: one team could fill every slot, and a queue grew without bound. Change: a gate per group of pools that share a model; nodes exchange demand every 250 ms; refusals come before work and at once.

--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -3,6 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::keys::Incarnation;
+use crate::limits::ShareReport;
 use crate::platform::configuration::Snapshot;
 use crate::requests::record::{Chunk, Copy};
 use crate::requests::suspicion::QuarantineEnd;
@@ -73,6 +74,13 @@
     Notices(Vec<HostNotice>),
     /// Requests that were present when upstreams died.
     Strikes(StrikeReport),
+    /// The demand of teams at a node.
+    Shares {
+        /// The node.
+        from: Incarnation,
+        /// The demand.
+        report: ShareReport,
+    },
     /// To the owner of a host: whether a suspect may run on it.
     Quarantine(QuarantineAsk),
     /// To the owner of a host: a suspect's attempt on it has ended.
@@ -147,6 +155,7 @@
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
             Self::Strikes(_) => "strikes",
+            Self::Shares { .. } => "shares",
             Self::Quarantine(_) => "quarantine",
             Self::Release { .. } => "release",
         }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -49,6 +49,9 @@
 /// Well below the time for which a suspect waits for news of other deaths.
 const STRIKES_INTERVAL_MS: u64 = 100;
 
+/// Between two reports of demand to the peers.
+const SHARES_INTERVAL_MS: u64 = 250;
+
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
@@ -211,7 +214,7 @@
         self.tasks.spawn(async move {
             let load = || MemberLoad {
                 open_streams: u32::try_from(node.open_callers()).unwrap_or(u32::MAX),
-                waiting: 0,
+                waiting: node.core.gates.counts().1,
                 cpu_permille: 0,
             };
             let on_event = |event| {
@@ -259,6 +262,7 @@
         self.tasks.spawn(moves::control(Arc::clone(node), token()));
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
+        self.tasks.spawn(share_out(Arc::clone(node), token()));
         let configuration = Arc::clone(&node.configuration);
         let clock = node.core.clock;
         let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
@@ -279,6 +283,21 @@
     }
 }
 
+/// Fits the gates to hosts and demand and tells the peers, until `shutdown`.
+async fn share_out(node: Arc<Node>, shutdown: CancellationToken) {
+    loop {
+        if let Some(in_force) = node.core.blackboard.in_force() {
+            let core = &node.core;
+            core.gates.refresh(&in_force, &core.blackboard, core.clock);
+            core.tell_shares().await;
+        }
+        tokio::select! {
+            () = shutdown.cancelled() => return,
+            () = tokio::time::sleep(std::time::Duration::from_millis(SHARES_INTERVAL_MS)) => {}
+        }
+    }
+}
+
 /// Passes on what is new about requests that kill, until `shutdown`.
 async fn tell_strikes(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,5 +1,6 @@
 //! The life of a request, from its id to its recorded outcome.
 
+pub mod admission;
 pub mod answer;
 pub mod assembler;
 pub mod call;
--- /dev/null
+++ b/src/requests/admission/tests.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+const DOCUMENT: &str = include_str!("../../../sample_configs/valid/kitagawa.json");
+
+#[test]
+fn pools_that_share_a_model_share_a_gate() {
+    let document = Document::parse(DOCUMENT).unwrap();
+    let groups = groups(&document);
+    let group = |name| groups[document.find_pool(name).unwrap().index()];
+    assert_eq!(group("frame-models"), group("frame-models-isles"));
+    assert_ne!(group("frame-models"), group("catalogue"));
+}
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -53,6 +53,10 @@
                 self.suspicion.merge(&report, self.clock.now());
                 Answer::Reply(Reply::Done)
             }
+            Request::Shares { from, report } => {
+                self.gates.merge(from, &report);
+                Answer::Reply(Reply::Done)
+            }
             Request::Quarantine(ask) => {
                 let answer = self.suspicion.ask(ask, self.clock.now());
                 Answer::Reply(Reply::Quarantine(answer))
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
+use super::admission::{Admitted, Gates};
 use super::id::{Draft, IdKey};
 use super::lanes::Lanes;
 use super::links::{Links, Peers};
@@ -70,6 +71,8 @@
     pub peers: Arc<L::Peers>,
     /// What is known of requests that kill their upstreams.
     pub suspicion: Suspicion,
+    /// Lets requests start as their team's share allows.
+    pub gates: Gates,
     /// Retries that teams may still make.
     pub budgets: RetryBudgets,
     /// Tasks that run requests.
@@ -117,6 +120,7 @@
             lanes: Lanes::new(Arc::clone(&parts.peers)),
             peers: parts.peers,
             suspicion: Suspicion::new(parts.fleet_seed),
+            gates: Gates::default(),
             budgets: RetryBudgets::default(),
             tasks: TaskTracker::new(),
             id_key: parts.id_key,
@@ -202,6 +206,11 @@
     pub fn start(self: &Arc<Self>, record: Arc<Record>, right: Right) {
         let core = Arc::clone(self);
         self.tasks.spawn(async move {
+            let pass = match core.admit(&record, right).await {
+                Admitted::Run(pass) => pass,
+                Admitted::End(outcome) => return core.finish(&record, outcome),
+                Admitted::Moved => return record.mark_moved(),
+            };
             let outcome = match &record.call.work {
                 Work::Completion { .. } => {
                     super::completion::run(Arc::clone(&core), Arc::clone(&record), right).await
@@ -210,6 +219,7 @@
                     super::service_call::run(Arc::clone(&core), Arc::clone(&record), right).await
                 }
             };
+            drop(pass);
             match outcome {
                 Some(outcome) => core.finish(&record, outcome),
                 None => record.mark_moved(),
