feature: Membership as a state machine, and its shell on UDP

Nodes have to know each other, leave out those that are silent and learn of leaves at once. A view takes datagrams and the present time in and gives datagrams and events out.

--- /dev/null
+++ b/src/membership/shell.rs
@@ -0,0 +1,135 @@
+//! Runs a [`View`] on a UDP socket.
+
+use std::io;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+
+use super::member::MemberLoad;
+use super::view::{Datagram, Event, Output, View};
+use super::wire::MAX_DATAGRAM_BYTES;
+use crate::time::Clock;
+
+/// One byte more than a datagram may have, so that a longer one is seen to be too long.
+const BUFFER_BYTES: usize = MAX_DATAGRAM_BYTES + 1;
+
+/// A view that is kept true while [`Membership::run`] runs.
+#[derive(Debug)]
+pub struct Membership {
+    view: Mutex<View>,
+    clock: Clock,
+    pending: Mutex<Output>,
+    pending_changed: Notify,
+}
+
+impl Membership {
+    /// A view and the clock that it goes by.
+    #[must_use]
+    pub fn new(view: View, clock: Clock) -> Self {
+        Self {
+            view: Mutex::new(view),
+            clock,
+            pending: Mutex::default(),
+            pending_changed: Notify::new(),
+        }
+    }
+
+    /// Reads or changes the view, under its lock.
+    pub fn with<T>(&self, act: impl FnOnce(&mut View) -> T) -> T {
+        act(&mut self.view.lock())
+    }
+
+    /// Announces at once that this node takes nothing new.
+    pub fn leave(&self) {
+        let output = self.with(|view| view.leave(self.clock.now()));
+        let mut pending = self.pending.lock();
+        pending.datagrams.extend(output.datagrams);
+        pending.events.extend(output.events);
+        drop(pending);
+        self.pending_changed.notify_one();
+    }
+
+    /// Keeps the view true until `shutdown`, then announces the end.
+    ///
+    /// `load` gives this node's load for the next heartbeats; `on_event` is told of changes.
+    ///
+    /// # Errors
+    ///
+    /// If the socket can't be read.
+    pub async fn run(
+        &self,
+        socket: UdpSocket,
+        load: impl Fn() -> MemberLoad + Send,
+        mut on_event: impl FnMut(Event) + Send,
+        shutdown: CancellationToken,
+    ) -> io::Result<()> {
+        let mut rng = SmallRng::from_os_rng();
+        let interval_ms = self.with(|view| view.settings.interval_ms);
+        let mut ticks = tokio::time::interval(Duration::from_millis(interval_ms));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = [0; BUFFER_BYTES];
+        loop {
+            let output = tokio::select! {
+                () = shutdown.cancelled() => break,
+                _ = ticks.tick() => self.with(|view| {
+                    view.set_load(load());
+                    view.tick(self.clock.now(), &mut rng)
+                }),
+                () = self.pending_changed.notified() => std::mem::take(&mut *self.pending.lock()),
+                received = receive(&socket, &mut buffer) => {
+                    let (length, from) = received?;
+                    let bytes = &buffer[..length];
+                    let taken = self.with(|view| view.on_datagram(self.clock.now(), from, bytes));
+                    taken.unwrap_or_else(|error| {
+                        log::debug!(from:%, cause:err = error; "a datagram is dropped");
+                        Output::default()
+                    })
+                }
+            };
+            output.events.into_iter().for_each(&mut on_event);
+            send(&socket, &output.datagrams).await;
+        }
+        let output = self.with(|view| view.end(self.clock.now()));
+        send(&socket, &output.datagrams).await;
+        Ok(())
+    }
+}
+
+/// Receives a datagram; an earlier one that was refused at its receiver is not an error here.
+///
+/// The system reports a port that is closed on the next read. A node whose peer ended would stop
+/// to listen, and one would see it suspected by all.
+async fn receive(
+    socket: &UdpSocket,
+    buffer: &mut [u8],
+) -> io::Result<(usize, std::net::SocketAddr)> {
+    loop {
+        match socket.recv_from(buffer).await {
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+            received => return received,
+        }
+    }
+}
+
+async fn send(socket: &UdpSocket, datagrams: &[Datagram]) {
+    let mut sent_bytes = 0;
+    for datagram in datagrams {
+        match socket.send_to(&datagram.bytes, datagram.to).await {
+            Ok(bytes) => sent_bytes += bytes as u64,
+            // The next heartbeat is the retry.
+            Err(error) => {
+                log::debug!(to:% = datagram.to, cause:err = error; "a datagram is not sent");
+            }
+        }
+    }
+    metrics::counter!("teaselline_membership_sent_bytes_total").increment(sent_bytes);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/membership/shell/tests.rs
@@ -0,0 +1,87 @@
+//! Two views on real sockets.
+
+use std::sync::Arc;
+
+use super::*;
+use crate::keys::Incarnation;
+use crate::membership::{Member, MemberState, Settings};
+use crate::peers::FleetKey;
+
+struct Running {
+    incarnation: Incarnation,
+    membership: Arc<Membership>,
+    shutdown: CancellationToken,
+    done: tokio::task::JoinHandle<io::Result<()>>,
+}
+
+async fn start(number: u64, seeds: Vec<std::net::SocketAddr>) -> (Running, std::net::SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let incarnation = Incarnation(number);
+    let own = Member {
+        incarnation,
+        name: format!("entry-{number}"),
+        epoch: 0,
+        caller_address: address,
+        peer_address: address,
+        heartbeat_address: address,
+        domain_name: "hala-a".to_owned(),
+        region: "bratislava".to_owned(),
+        state: MemberState::Alive,
+        load: MemberLoad::default(),
+        version: 0,
+    };
+    let key = FleetKey::try_from(b"a key for tests, only".as_slice()).unwrap();
+    let settings = Settings {
+        interval_ms: 20,
+        ..Settings::default()
+    };
+    let view = View::new(own, seeds, key, settings).unwrap();
+    let membership = Arc::new(Membership::new(view, Clock::new()));
+    let shutdown = CancellationToken::new();
+    let running = Arc::clone(&membership);
+    let until = shutdown.clone();
+    let load = || MemberLoad {
+        open_streams: 42,
+        ..MemberLoad::default()
+    };
+    let done = tokio::spawn(async move { running.run(socket, load, |_| {}, until).await });
+    let running = Running {
+        incarnation,
+        membership,
+        shutdown,
+        done,
+    };
+    (running, address)
+}
+
+async fn eventually(holds: impl Fn() -> bool) {
+    let waiting = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let bounded = tokio::time::timeout(Duration::from_secs(20), waiting);
+    bounded.await.expect("it never came to hold");
+}
+
+fn sees(node: &Running, other: &Running, state: MemberState) -> bool {
+    let seen = |view: &mut View| view.get(other.incarnation).cloned();
+    let seen = node.membership.with(seen);
+    seen.is_some_and(|seen| seen.state == state && seen.load.open_streams == 42)
+}
+
+#[tokio::test]
+async fn nodes_join_leave_and_end_on_real_sockets() {
+    let (first, address) = start(1, Vec::new()).await;
+    let (mut second, _) = start(2, vec![address]).await;
+    eventually(|| sees(&first, &second, MemberState::Alive)).await;
+    eventually(|| sees(&second, &first, MemberState::Alive)).await;
+    second.membership.leave();
+    eventually(|| sees(&first, &second, MemberState::Leaving)).await;
+    second.shutdown.cancel();
+    (&mut second.done).await.unwrap().unwrap();
+    eventually(|| sees(&first, &second, MemberState::Gone)).await;
+    first.shutdown.cancel();
+    first.done.await.unwrap().unwrap();
+}
--- a/src/peers/codec.rs
+++ b/src/peers/codec.rs
@@ -7,6 +7,11 @@
 /// Largest encoded message.
 pub const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Memory that a message may claim while it is decoded.
+///
+/// The library counts collections by their size in memory, which is larger than on the wire.
+const DECODE_LIMIT_BYTES: usize = 8 * MAX_MESSAGE_BYTES;
+
 /// Size of the length that stands before each frame.
 const LENGTH_BYTES: usize = 4;
 
@@ -34,7 +39,7 @@
 }
 
 fn config() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>()
+    bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>()
 }
 
 /// Encodes a message without a length.
--- /dev/null
+++ b/tests/membership/network.rs
@@ -0,0 +1,282 @@
+//! An in-memory network of views in simulated time, with loss, delay, pauses and partitions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use teaselline::keys::Incarnation;
+use teaselline::membership::{Event, Member, MemberLoad, MemberState, Output, Settings, View};
+use teaselline::peers::FleetKey;
+use teaselline::time::TimeMs;
+
+/// Bytes of the UDP and IP headers around a datagram.
+const HEADERS_BYTES: u64 = 28;
+
+/// One simulated node.
+pub struct Node {
+    pub view: View,
+    pub incarnation: Incarnation,
+    pub address: SocketAddr,
+    pub events: Vec<(TimeMs, Event)>,
+    pub sent_bytes: u64,
+    pub largest_bytes: usize,
+    paused_until_ms: TimeMs,
+    /// Datagrams that arrived during a pause.
+    unread: Vec<(SocketAddr, Vec<u8>)>,
+    group: u8,
+    stopped: bool,
+}
+
+enum Due {
+    Tick(usize),
+    Arrival(SocketAddr, SocketAddr, Vec<u8>),
+}
+
+/// Nodes, and what is on its way between them.
+pub struct Network {
+    pub now: TimeMs,
+    pub nodes: Vec<Node>,
+    pub loss: f64,
+    pub delay_ms: (u64, u64),
+    /// Pairs of nodes that don't reach each other.
+    pub cut: Vec<(SocketAddr, SocketAddr)>,
+    rng: SmallRng,
+    due: BTreeMap<(TimeMs, u64), Due>,
+    /// The newest run at each address.
+    holders: BTreeMap<SocketAddr, usize>,
+    count: u64,
+}
+
+impl Network {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: TimeMs(1_000_000),
+            nodes: Vec::new(),
+            loss: 0.0,
+            delay_ms: (0, 2),
+            cut: Vec::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            due: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            count: 0,
+        }
+    }
+
+    /// A network of `count` nodes over `domains` failure domains, the first three being seeds.
+    pub fn of(seed: u64, count: usize, domains: usize) -> Self {
+        let mut network = Self::new(seed);
+        for number in 0..count {
+            network.start(number, number % domains);
+        }
+        network
+    }
+
+    /// Starts a run of the node with this number; returns its index.
+    pub fn start(&mut self, number: usize, domain: usize) -> usize {
+        let incarnation = Incarnation(self.rng.random());
+        let address = address(number);
+        let own = Member {
+            incarnation,
+            name: format!("entry-{number}"),
+            epoch: 0,
+            caller_address: SocketAddr::new(address.ip(), 80),
+            peer_address: SocketAddr::new(address.ip(), 7_000),
+            heartbeat_address: address,
+            domain_name: format!("domain-{domain}"),
+            region: format!("region-{}", domain / 4),
+            state: MemberState::Alive,
+            load: MemberLoad::default(),
+            version: 0,
+        };
+        let seeds = (0..3).map(self::address).collect();
+        let key = FleetKey::try_from(b"a key for simulations".as_slice()).unwrap();
+        let view = View::new(own, seeds, key, Settings::default()).unwrap();
+        let index = self.nodes.len();
+        self.nodes.push(Node {
+            view,
+            incarnation,
+            address,
+            events: Vec::new(),
+            sent_bytes: 0,
+            largest_bytes: 0,
+            paused_until_ms: TimeMs::default(),
+            unread: Vec::new(),
+            group: 0,
+            stopped: false,
+        });
+        self.holders.insert(address, index);
+        let phase_ms = self.rng.random_range(0..200);
+        self.schedule(self.now.after(phase_ms), Due::Tick(index));
+        index
+    }
+
+    /// The node's process ends without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].stopped = true;
+    }
+
+    /// The node's process does nothing for a while; what arrives meanwhile waits in its socket.
+    pub fn pause(&mut self, index: usize, duration_ms: u64) {
+        self.nodes[index].paused_until_ms = self.now.after(duration_ms);
+    }
+
+    /// Only nodes of the same group reach each other.
+    pub fn set_group(&mut self, index: usize, group: u8) {
+        self.nodes[index].group = group;
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        let output = self.nodes[index].view.leave(self.now);
+        self.take(index, output);
+    }
+
+    pub fn end(&mut self, index: usize) {
+        let output = self.nodes[index].view.end(self.now);
+        self.take(index, output);
+        self.kill(index);
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, duration_ms: u64) {
+        let until = self.now.after(duration_ms);
+        while let Some(entry) = self.due.first_entry() {
+            if entry.key().0 > until {
+                break;
+            }
+            self.now = entry.key().0;
+            match entry.remove() {
+                Due::Tick(index) => self.tick(index),
+                Due::Arrival(from, to, bytes) => self.arrive(from, to, bytes),
+            }
+        }
+        self.now = until;
+    }
+
+    /// Lets time pass until `holds`; returns how long it took.
+    ///
+    /// # Panics
+    ///
+    /// If it doesn't hold within `limit_ms`.
+    pub fn run_until(&mut self, limit_ms: u64, holds: impl Fn(&Self) -> bool) -> u64 {
+        let start = self.now;
+        while !holds(self) {
+            assert!(
+                self.now.since(start) < limit_ms,
+                "it does not hold after {limit_ms} ms"
+            );
+            self.run(50);
+        }
+        self.now.since(start)
+    }
+
+    /// Whether the node at `index` sees the run of the node at `of` in this state.
+    pub fn sees(&self, index: usize, of: usize, state: MemberState) -> bool {
+        let seen = self.nodes[index].view.get(self.nodes[of].incarnation);
+        seen.is_some_and(|member| member.state == state)
+    }
+
+    /// Whether each running node sees exactly the running ones as live.
+    pub fn agrees(&self) -> bool {
+        let mut running: Vec<Incarnation> = self
+            .running()
+            .map(|index| self.nodes[index].incarnation)
+            .collect();
+        running.sort_unstable();
+        self.running().all(|index| {
+            let live = self.nodes[index]
+                .view
+                .live()
+                .map(|member| member.incarnation);
+            live.eq(running.iter().copied())
+        })
+    }
+
+    /// How many events of running nodes since `since` are suspicions.
+    pub fn suspicions(&self, since: TimeMs) -> usize {
+        let events = self.nodes.iter().flat_map(|node| &node.events);
+        let recent = events.filter(|(at, _)| *at >= since);
+        recent
+            .filter(|(_, event)| matches!(event, Event::Suspected(_)))
+            .count()
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.nodes.len()).filter(|index| !self.nodes[*index].stopped)
+    }
+
+    fn tick(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.stopped {
+            return;
+        }
+        if node.paused_until_ms > self.now {
+            let resumed = node.paused_until_ms;
+            self.schedule(resumed, Due::Tick(index));
+            return;
+        }
+        let output = node.view.tick(self.now, &mut self.rng);
+        let unread = std::mem::take(&mut node.unread);
+        self.take(index, output);
+        for (from, bytes) in unread {
+            self.read(index, from, &bytes);
+        }
+        self.schedule(self.now.after(200), Due::Tick(index));
+    }
+
+    fn arrive(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let Some(index) = self.running_at(to) else {
+            return;
+        };
+        if self.nodes[index].paused_until_ms > self.now {
+            self.nodes[index].unread.push((from, bytes));
+        } else {
+            self.read(index, from, &bytes);
+        }
+    }
+
+    fn running_at(&self, address: SocketAddr) -> Option<usize> {
+        let holder = self.holders.get(&address).copied();
+        holder.filter(|index| !self.nodes[*index].stopped)
+    }
+
+    fn read(&mut self, index: usize, from: SocketAddr, bytes: &[u8]) {
+        let output = self.nodes[index]
+            .view
+            .on_datagram(self.now, from, bytes)
+            .unwrap();
+        self.take(index, output);
+    }
+
+    fn take(&mut self, index: usize, output: Output) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.events
+            .extend(output.events.into_iter().map(|event| (now, event)));
+        let (from, group) = (node.address, node.group);
+        for datagram in output.datagrams {
+            let node = &mut self.nodes[index];
+            node.sent_bytes += datagram.bytes.len() as u64 + HEADERS_BYTES;
+            node.largest_bytes = node.largest_bytes.max(datagram.bytes.len());
+            let receiver = self.holders.get(&datagram.to);
+            let same_group = receiver.is_some_and(|other| self.nodes[*other].group == group);
+            let cut = !same_group || self.cut.contains(&(from, datagram.to));
+            if cut || self.rng.random::<f64>() < self.loss {
+                continue;
+            }
+            let delay_ms = self.rng.random_range(self.delay_ms.0..=self.delay_ms.1);
+            let arrival = Due::Arrival(from, datagram.to, datagram.bytes);
+            self.schedule(now.after(delay_ms), arrival);
+        }
+    }
+
+    fn schedule(&mut self, at: TimeMs, due: Due) {
+        self.count += 1;
+        self.due.insert((at, self.count), due);
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    let [high, low] = u16::try_from(number).unwrap().to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7_001))
+}
