feature: Heartbeats at long intervals to the rest of the region carry loads

Outside its own failure domain a node knew the load of those few only that it watches, and took the others for idle when it ordered entries. It now hears each node of its region every 5 s, and takes the mean for nodes whose load it does not know.

--- a/src/membership/choose.rs
+++ b/src/membership/choose.rs
@@ -12,6 +12,9 @@
 use crate::keys::Incarnation;
 use crate::time::TimeMs;
 
+/// A load heard longer ago says nothing of the present one.
+const LOAD_FRESH_MS: u64 = 15_000;
+
 /// Over how many witnesses the requests of one home are spread.
 const WITNESSES_PER_HOME: u64 = 4;
 
@@ -53,13 +56,12 @@
             MemberState::Gone => isolated && !self.tracks[*index].ended,
             MemberState::Leaving => false,
         });
+        let average = self.average_share(now);
         let mut ordered: Vec<(u8, f64, usize)> = candidates
             .map(|index| {
-                (
-                    self.group(now, index, isolated),
-                    self.draw(index, rng),
-                    index,
-                )
+                let share = self.fresh_share(now, index).unwrap_or(average);
+                let place = self.draw(index, share, rng);
+                (self.group(now, index, isolated), place, index)
             })
             .collect();
         ordered.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
@@ -121,7 +123,7 @@
     /// Ordering by `-ln(u) / weight` draws without replacement in proportion to the weights
     /// (Efraimidis and Spirakis, 2006). Ordering by load itself would send all callers that ask
     /// within one heartbeat to the same node.
-    fn draw(&self, index: usize, rng: &mut SmallRng) -> f64 {
+    fn draw(&self, index: usize, share: f64, rng: &mut SmallRng) -> f64 {
         let own_domain = self.tracks[self.own_index()].domain;
         let preference = if self.tracks[index].domain == own_domain {
             OWN_DOMAIN_PREFERENCE
@@ -129,7 +131,23 @@
             1.0
         };
         let uniform: f64 = 1.0 - rng.random::<f64>();
-        -uniform.ln() / (preference * share(self.members[index].load))
+        -uniform.ln() / (preference * share)
+    }
+
+    /// The share of callers that a node should get by its load, if that is known.
+    fn fresh_share(&self, now: TimeMs, index: usize) -> Option<f64> {
+        let load_ms = self.tracks[index].load_ms?;
+        (now.since(load_ms) <= LOAD_FRESH_MS).then(|| share(self.members[index].load))
+    }
+
+    /// The mean over the nodes whose load is known, taken for the others.
+    ///
+    /// Taken for idle, nodes of which nothing is known would draw all callers.
+    fn average_share(&self, now: TimeMs) -> f64 {
+        let alive = self.indices(|state| state == MemberState::Alive);
+        let known = alive.filter_map(|index| self.fresh_share(now, index));
+        let (count, sum) = known.fold((0.0, 0.0), |(count, sum), share| (count + 1.0, sum + share));
+        if count > 0.0 { sum / count } else { 1.0 }
     }
 }
 
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -23,6 +23,8 @@
     pub far_watchers: usize,
     /// Intervals between heartbeats to nodes of the own domain that are no watchers.
     pub domain_intervals: u64,
+    /// Intervals between heartbeats to nodes of the own region in other domains.
+    pub region_intervals: u64,
 }
 
 impl Default for Settings {
@@ -37,6 +39,7 @@
             near_watchers: 3,
             far_watchers: 2,
             domain_intervals: 5,
+            region_intervals: 25,
         }
     }
 }
--- a/src/membership/shell.rs
+++ b/src/membership/shell.rs
@@ -78,8 +78,9 @@
             let output = tokio::select! {
                 () = shutdown.cancelled() => break,
                 _ = ticks.tick() => self.with(|view| {
-                    view.set_load(load());
-                    view.tick(self.clock.now(), &mut rng)
+                    let now = self.clock.now();
+                    view.set_load(now, load());
+                    view.tick(now, &mut rng)
                 }),
                 () = self.pending_changed.notified() => std::mem::take(&mut *self.pending.lock()),
                 received = receive(&socket, &mut buffer) => {
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -55,6 +55,7 @@
         }
         self.tracks[index].sequence = packet.sequence;
         self.tracks[index].heard_ms = now;
+        self.tracks[index].load_ms = Some(now);
         self.members[index].load = packet.load;
         self.heard_any_ms = now;
         self.lift_doubts(now);
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -50,6 +50,8 @@
 pub(super) struct Track {
     /// When the member was last heard, directly or through another that asked for this node.
     pub heard_ms: TimeMs,
+    /// When its load was last heard.
+    pub load_ms: Option<TimeMs>,
     /// When its state last changed here.
     pub changed_ms: TimeMs,
     /// When it was last told what is said of it.
@@ -98,6 +100,7 @@
 }
 
 /// What follows from a tick or a datagram.
+#[must_use]
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
     /// To be sent.
@@ -185,9 +188,10 @@
     }
 
     /// Sets the load that heartbeats carry from now on.
-    pub fn set_load(&mut self, load: MemberLoad) {
+    pub fn set_load(&mut self, now: TimeMs, load: MemberLoad) {
         let own = self.own_index();
         self.members[own].load = load;
+        self.tracks[own].load_ms = Some(now);
     }
 
     /// Sets where to look for nodes that aren't known, for example from the platform's host list.
@@ -343,6 +347,7 @@
     pub(super) fn new(member: &Member, now: TimeMs) -> Self {
         Self {
             heard_ms: now,
+            load_ms: None,
             changed_ms: now,
             told_ms: TimeMs::default(),
             sequence: 0,
--- a/src/membership/watch.rs
+++ b/src/membership/watch.rs
@@ -164,41 +164,48 @@
         }
     }
 
-    /// Sends heartbeats to the watchers, and now and then to the rest of the own domain.
+    /// Sends heartbeats to the watchers, and now and then to the rest of the own region.
     ///
     /// Those others don't watch, but want to know the load.
     pub(super) fn send_heartbeats(&mut self) {
         for watcher in self.links.watchers.clone() {
             self.send_heartbeat(watcher);
         }
-        let own_domain = self.tracks[self.own_index()].domain;
-        let turn = self.ticks % self.settings.domain_intervals;
-        let others: Vec<Incarnation> = self
-            .indices(|state| state == MemberState::Alive)
-            .filter(|index| self.tracks[*index].domain == own_domain)
-            .map(|index| self.members[index].incarnation)
-            .filter(|other| other.0 % self.settings.domain_intervals == turn)
-            .filter(|other| *other != self.own && !self.links.watchers.contains(other))
-            .collect();
-        for other in others {
+        for other in self.region(|incarnation, intervals| {
+            // Spread over the intervals, so that no tick sends to all.
+            incarnation.0 % intervals == self.ticks % intervals
+        }) {
             self.send_heartbeat(other);
         }
     }
 
     /// Tells all that hear from this node anyway, at once.
     pub(super) fn send_to_all_links(&mut self) {
-        let own_domain = self.tracks[self.own_index()].domain;
-        let near: Vec<Incarnation> = self
-            .indices(|state| state == MemberState::Alive)
-            .filter(|index| self.tracks[*index].domain == own_domain)
-            .map(|index| self.members[index].incarnation)
-            .filter(|other| !self.links.watchers.contains(other))
-            .collect();
-        for other in [self.links.watchers.clone(), near].concat() {
+        let region = self.region(|_, _| true);
+        for other in [self.links.watchers.clone(), region].concat() {
             self.send_heartbeat(other);
         }
     }
 
+    /// The nodes of the own region that don't watch this node, for which `is_due` holds, given
+    /// after how many intervals they are sent a heartbeat.
+    fn region(&self, is_due: impl Fn(Incarnation, u64) -> bool) -> Vec<Incarnation> {
+        let own = self.tracks[self.own_index()];
+        let others = self.indices(|state| state == MemberState::Alive);
+        let near = others.filter(|index| self.tracks[*index].region == own.region);
+        let due = near.filter(|index| {
+            let intervals = if self.tracks[*index].domain == own.domain {
+                self.settings.domain_intervals
+            } else {
+                self.settings.region_intervals
+            };
+            is_due(self.members[*index].incarnation, intervals)
+        });
+        due.map(|index| self.members[index].incarnation)
+            .filter(|other| *other != self.own && !self.links.watchers.contains(other))
+            .collect()
+    }
+
     fn send_heartbeat(&mut self, to: Incarnation) {
         if let Some(index) = self.find(to) {
             let to = self.members[index].heartbeat_address;
--- a/tests/membership/faults.rs
+++ b/tests/membership/faults.rs
@@ -208,7 +208,8 @@
         waiting: 16,
         open_streams: 1_000,
     };
-    network.nodes[4].view.set_load(busy);
+    let now = network.now;
+    network.nodes[4].view.set_load(now, busy);
     network.run(1_000);
     let mut rng = SmallRng::seed_from_u64(7);
     let mut first = [0; 9];
--- a/tests/membership/scale.rs
+++ b/tests/membership/scale.rs
@@ -75,3 +75,22 @@
     assert!(steady.1 < BUDGET_BYTES_PER_SECOND);
     assert!(largest <= MAX_DATAGRAM_BYTES);
 }
+
+#[test]
+fn the_cost_levels_off_with_the_size_of_the_fleet() {
+    let sizes = [(2, 2), (9, 4), (12, 4), (13, 4), (60, 6), (120, 9)];
+    for (nodes, domains) in sizes {
+        let mut network = Network::of(9, nodes, domains);
+        network.run_until(30_000, Network::agrees);
+        network.run(5_000);
+        let (mean, max) = rates(&mut network, 10_000);
+        println!(
+            "{{\"experiment\":\"membership\",\"nodes\":{nodes},\"domains\":{domains},\
+             \"steady_bytes_per_second_mean\":{mean},\"steady_bytes_per_second_max\":{max}}}"
+        );
+        assert!(
+            max < BUDGET_BYTES_PER_SECOND,
+            "{max} B/s with {nodes} nodes"
+        );
+    }
+}
