test: Drive real nodes in processes behind fault proxies

A fleet of processes over stand-ins: each node's peer and heartbeat traffic goes through a proxy of its own, whose address it advertises; nodes are killed, paused and asked to stop by signals to their own process ids. First tests: a killed home, a paused home, a cut-off witness, ids that are forged, expired or another team's.

--- a/examples/local_site.rs
+++ b/examples/local_site.rs
@@ -7,14 +7,17 @@
 mod deployment;
 #[path = "../tests/support/load.rs"]
 mod load;
+#[path = "../tests/support/site.rs"]
+mod site;
 
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use deployment::{site_settings, start_nodes, url, wait_until_ready};
+use deployment::{start_nodes, wait_until_ready};
 use load::Load;
+use site::{site_settings, url};
 use teaselline::client::caller::Caller;
 use teaselline::document::Document;
 use teaselline::node::Started;
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,18 @@
+//! Drives the real binary, in processes behind fault proxies, against stand-ins.
+
+#[path = "../support/fleet.rs"]
+mod fleet;
+#[path = "../support/process.rs"]
+mod process;
+#[path = "../support/site.rs"]
+mod site;
+#[path = "../support/trial.rs"]
+mod trial;
+
+mod crashes;
+mod ids;
+mod partitions;
+mod stops;
+
+/// The nodes' binary.
+const BINARY: &str = env!("CARGO_BIN_EXE_teaselline");
--- /dev/null
+++ b/tests/support/fleet.rs
@@ -0,0 +1,232 @@
+//! A fleet of real processes over stand-ins, and a plain HTTP caller.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use teaselline::client::http::{Answer, Http, HttpError};
+use teaselline::document::Document;
+use teaselline_stand_ins::site::Site;
+
+use crate::process::{Launch, Process};
+use crate::site::site_settings;
+use crate::trial;
+
+/// How long a fleet may take to be ready on a busy machine.
+const READY_TRIES: u32 = 1_200;
+
+/// Pause between two looks at whether it is.
+const READY_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a node may take for an answer in set-up.
+const ASK_PATIENCE_MS: u64 = 5_000;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    /// The binary of the nodes.
+    pub binary: PathBuf,
+    /// Nodes, in failure domains in turn.
+    pub nodes: usize,
+    /// The deadline of calls.
+    pub deadline_ms: u64,
+    /// How long a planned stop may take.
+    pub drain_timeout_ms: u64,
+}
+
+impl FleetSettings {
+    /// Three nodes of this binary.
+    pub fn new(binary: impl Into<PathBuf>) -> Self {
+        Self {
+            binary: binary.into(),
+            nodes: 3,
+            deadline_ms: 10_000,
+            drain_timeout_ms: 10_000,
+        }
+    }
+}
+
+/// Nodes in processes of their own, over stand-ins in this process.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The stand-ins.
+    pub site: Site,
+    settings: FleetSettings,
+    nodes: Mutex<Vec<Arc<Process>>>,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until each node knows the document, the others and all hosts.
+    ///
+    /// # Errors
+    ///
+    /// If a part cannot be started or the fleet does not get ready.
+    pub async fn start(settings: FleetSettings) -> io::Result<Self> {
+        let text = trial::document(settings.deadline_ms);
+        let document = Document::parse(&text).map_err(io::Error::other)?;
+        let site = Site::start(site_settings(&document)).await?;
+        let fleet = Self {
+            site,
+            settings,
+            nodes: Mutex::default(),
+        };
+        for index in 0..fleet.settings.nodes {
+            fleet.start_node(index).await?;
+        }
+        fleet.configure(&text).await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts the `index`th node, in place of one that has ended if there was one.
+    ///
+    /// # Errors
+    ///
+    /// If the process cannot be started.
+    pub async fn start_node(&self, index: usize) -> io::Result<Arc<Process>> {
+        let seeds: Vec<_> = self.nodes().iter().map(|node| node.heartbeats).collect();
+        let launch = Launch {
+            binary: &self.settings.binary,
+            site: &self.site,
+            index,
+            seeds: &seeds,
+            drain_timeout_ms: self.settings.drain_timeout_ms,
+        };
+        let process = Arc::new(Process::start(&launch).await?);
+        let mut nodes = self.nodes.lock();
+        match nodes.get_mut(index) {
+            Some(place) => *place = Arc::clone(&process),
+            None => nodes.push(Arc::clone(&process)),
+        }
+        Ok(process)
+    }
+
+    /// The nodes of the moment.
+    pub fn nodes(&self) -> Vec<Arc<Process>> {
+        self.nodes.lock().clone()
+    }
+
+    /// One of the nodes of the moment.
+    pub fn node(&self, index: usize) -> Arc<Process> {
+        Arc::clone(&self.nodes.lock()[index])
+    }
+
+    async fn configure(&self, document: &str) -> io::Result<()> {
+        let document: Value = serde_json::from_str(document).map_err(io::Error::other)?;
+        let body = json!({ "base_revision": 0, "document": document }).to_string();
+        let http = Client::new("");
+        let answer = http
+            .send(
+                Method::POST,
+                self.node(0).callers,
+                "/v1/configuration",
+                &[],
+                body,
+            )
+            .await
+            .map_err(io::Error::other)?;
+        if answer.status.is_success() {
+            return Ok(());
+        }
+        let refusal = String::from_utf8_lossy(&answer.body).into_owned();
+        Err(io::Error::other(refusal))
+    }
+
+    /// Waits until each node that runs knows the document, the others and all hosts.
+    ///
+    /// # Errors
+    ///
+    /// If that does not come about.
+    pub async fn wait_until_ready(&self) -> io::Result<()> {
+        let client = Client::new(trial::OPERATOR_TOKEN);
+        for _try in 0..READY_TRIES {
+            let nodes = self.nodes();
+            let mut ready = true;
+            for node in &nodes {
+                let status = client.get(node.callers, "/v1/status").await;
+                ready &= status.is_ok_and(|status| self.is_ready(&status, nodes.len()));
+            }
+            if ready {
+                return Ok(());
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    }
+
+    fn is_ready(&self, status: &Answer, nodes: usize) -> bool {
+        let status: Value = serde_json::from_slice(&status.body).unwrap_or_default();
+        let members = status["nodes"].as_array().map_or(&[][..], Vec::as_slice);
+        let alive = members.iter().filter(|member| member["state"] == "alive");
+        let hosts = status["upstreams"].as_array().map_or(0, Vec::len);
+        status["revision"].as_u64() > Some(0)
+            && alive.count() >= nodes
+            && hosts >= self.site.upstreams().len()
+    }
+}
+
+/// Sends single requests to single nodes.
+#[derive(Clone, Debug)]
+pub struct Client {
+    http: Http,
+    token: &'static str,
+    patience_ms: u64,
+}
+
+impl Client {
+    /// A client with this token, or none if it is empty.
+    pub fn new(token: &'static str) -> Self {
+        Self {
+            http: Http::new(),
+            token,
+            patience_ms: ASK_PATIENCE_MS,
+        }
+    }
+
+    /// Waits so long for a head and for a body.
+    pub fn with_patience_ms(mut self, patience_ms: u64) -> Self {
+        self.patience_ms = patience_ms;
+        self
+    }
+
+    /// `GET path` at a node.
+    pub async fn get(&self, at: SocketAddr, path: &str) -> Result<Answer, HttpError> {
+        self.send(Method::GET, at, path, &[], "").await
+    }
+
+    /// One request to one node.
+    pub async fn send(
+        &self,
+        method: Method,
+        at: SocketAddr,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, HttpError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{at}{path}"));
+        if !self.token.is_empty() {
+            request = request.header("authorization", format!("Bearer {}", self.token));
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body.into()))?;
+        self.http.fetch(request, self.patience_ms).await
+    }
+
+    /// An id that this node mints, with itself as home.
+    pub async fn id(&self, at: SocketAddr) -> Option<String> {
+        let answer = self.get(at, "/v1/entries?ids=1").await.ok()?;
+        let entries: Value = serde_json::from_slice(&answer.body).ok()?;
+        Some(entries["ids"][0].as_str()?.to_owned())
+    }
+}
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -172,9 +172,11 @@
         let is_doubled = |id: &String| doubled.contains(id.as_str());
         tally.doubled += u64::from(once && seen.ids.iter().any(is_doubled));
         // All ids but the last were left because the node said that they did not run.
-        let refused = match seen.end.is_not_run() {
-            true => &seen.ids[..],
-            false => &seen.ids[..seen.ids.len().saturating_sub(1)],
+        let left = seen.ids.len().saturating_sub(1);
+        let refused = if seen.end.is_not_run() {
+            seen.ids.as_slice()
+        } else {
+            &seen.ids[..left]
         };
         let not_run_but_ran = refused
             .iter()
