bug: Do not run a claim again at the heir of a stopped home

Cause: a planned stop hands running calls over when its time is up. Change: a dispatched non-idempotent call ends as unknown at the heir; the home that is still waiting for its answer keeps answering until it ends.

--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -28,6 +28,10 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
+    // The home that left may be waiting for the answer still; a second run is not ours to start.
+    if record.is_dispatched() && !record.call.idempotent {
+        return Some(Outcome::Unknown(Doubt::HomeGone));
+    }
     let mut tried = Tried::default();
     loop {
         if core.clock.now() >= record.call.deadline_ms {
