bug: Tell calls under one id apart by seed and by whether they may repeat

Cause: the fingerprint left both out. A caller that sent a call as non-idempotent and again as idempotent under the same id could have the second adopted by a node that cannot reach the first one's home: two runs. A call with another seed got the first one's answer.

--- a/src/requests/call.rs
+++ b/src/requests/call.rs
@@ -58,7 +58,9 @@
 
     /// A hash of what the call asks for, to tell a resend from another call under the same id.
     ///
-    /// The seed and the deadline are left out: a node draws them anew for each arrival.
+    /// The deadline is left out, which a node draws anew for each arrival. Whether the call may run
+    /// more than once is part of it: a node that cannot reach the home would otherwise run a call
+    /// again on the word of a resend that the first call did not give.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
         let mut hasher = twox_hash::XxHash3_64::new();
@@ -67,17 +69,19 @@
             std::hash::Hasher::write(&mut hasher, part);
         };
         feed(self.team.as_bytes());
+        feed(&[u8::from(self.idempotent)]);
         match &self.work {
             Work::Completion {
                 model,
                 prompt,
                 max_tokens,
-                ..
+                seed,
             } => {
                 feed(b"completion");
                 feed(model.as_bytes());
                 feed(prompt.as_bytes());
                 feed(&max_tokens.to_le_bytes());
+                feed(&seed.to_le_bytes());
             }
             Work::Service {
                 service,
--- a/tests/integration/ids.rs
+++ b/tests/integration/ids.rs
@@ -137,3 +137,39 @@
     }
     assert!(fleet.site.history().ran.is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_id_serves_one_call_only() {
+    // Symptom: a caller that mixes its ids up gets the answer to another of its calls.
+    // Sequence: two calls that differ in one thing are sent under one id, to different nodes.
+    // Cause: a thing that tells calls apart and is not compared.
+    let fleet = Fleet::start(FleetSettings::new(BINARY)).await.unwrap();
+    let client = Client::new(trial::TOKEN);
+    let send = async |at, id: &str, idempotent: &str, path: &str, body: &str| {
+        let headers = [("request-id", id), ("idempotent", idempotent)];
+        let answer = client.send(Method::POST, at, path, &headers, body.to_owned());
+        answer.await.unwrap().status
+    };
+    let first = completion("a letter");
+    let seeded = json!({ "model": trial::MODEL, "prompt": "a letter", "max_tokens": 4, "seed": 7 });
+    let others = [
+        ("false", COMPLETIONS, completion("another letter")),
+        ("false", COMPLETIONS, seeded.to_string()),
+        ("true", COMPLETIONS, first.clone()),
+        ("false", CLAIMS, first.clone()),
+    ];
+    for (idempotent, path, body) in others {
+        let id = client.id(fleet.node(0).callers).await.unwrap();
+        let ran = send(fleet.node(0).callers, &id, "false", COMPLETIONS, &first).await;
+        assert_eq!(ran, StatusCode::OK);
+        for node in fleet.nodes() {
+            let status = send(node.callers, &id, idempotent, path, &body).await;
+            assert_eq!(
+                status,
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "{idempotent} {path} {body}"
+            );
+        }
+    }
+    assert_eq!(fleet.site.history().ran.len(), 4);
+}
