--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -7,7 +7,7 @@
 use super::core::{Core, Right};
 use super::dispatch::{Failed, Tried, delivery, denied, no_upstream, past_deadline};
 use super::links::Links;
-use super::outcome::Failure;
+use super::outcome::{Doubt, Failure};
 use super::record::Place;
 use super::{Outcome, Record, Work};
 use crate::document::checked::PoolKind;
@@ -28,6 +28,10 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
+    // The home that left may be waiting for the answer still; a second run is not ours to start.
+    if record.is_dispatched() && !record.call.idempotent {
+        return Some(Outcome::Unknown(Doubt::HomeGone));
+    }
     let mut tried = Tried::default();
     let mut failures = 0;
     loop {
