--- a/src/membership/merge.rs
+++ b/src/membership/merge.rs
@@ -109,10 +109,17 @@
 
     /// Ends runs that can't go on beside `incarnation`, or `incarnation` beside them.
     fn settle_rivals(&mut self, now: TimeMs, incarnation: Incarnation) {
-        let all: Vec<Incarnation> = self.members.iter().map(|held| held.incarnation).collect();
-        for other in all {
-            self.settle(now, incarnation, other);
-            self.settle(now, other, incarnation);
+        let Some(this) = self.get(incarnation) else {
+            return;
+        };
+        let is_rival = |other: &&Member| {
+            let same_address = other.heartbeat_address == this.heartbeat_address;
+            other.incarnation != incarnation && (same_address || other.name == this.name)
+        };
+        let rivals = self.members.iter().filter(is_rival);
+        for rival in rivals.map(|rival| rival.incarnation).collect::<Vec<_>>() {
+            self.settle(now, incarnation, rival);
+            self.settle(now, rival, incarnation);
         }
     }
 
@@ -131,7 +138,7 @@
             win.name == lose.name && win.is_live() && lose.state == MemberState::Suspected;
         let epoch = lose.epoch;
         match same_address {
-            _ if winner == loser || !both_here || loser == self.own => {}
+            _ if !both_here || loser == self.own => {}
             true if winner == self.own && win.epoch <= epoch => {
                 self.outlast(now, epoch);
                 self.end_run(now, loser);
--- a/src/membership/view.rs
+++ b/src/membership/view.rs
@@ -36,6 +36,8 @@
     pub(super) wanted: Vec<(Incarnation, TimeMs)>,
     pub(super) ticks: u64,
     pub(super) heard_any_ms: TimeMs,
+    /// Whether any member is doubted.
+    pub(super) doubting: bool,
     pub(super) next_sync_ms: TimeMs,
     pub(super) output: Output,
     ticked_ms: Option<TimeMs>,
@@ -48,6 +50,8 @@
 pub(super) struct Track {
     /// When the member was last heard, directly or through another that asked for this node.
     pub heard_ms: TimeMs,
+    /// When its load was last heard.
+    pub load_ms: Option<TimeMs>,
     /// When its state last changed here.
     pub changed_ms: TimeMs,
     /// When it was last told what is said of it.
@@ -96,6 +100,7 @@
 }
 
 /// What follows from a tick or a datagram.
+#[must_use]
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Output {
     /// To be sent.
@@ -142,6 +147,7 @@
             wanted: Vec::new(),
             ticks: 0,
             heard_any_ms: TimeMs::default(),
+            doubting: false,
             next_sync_ms: TimeMs::default(),
             output: Output::default(),
             ticked_ms: None,
@@ -182,9 +188,10 @@
     }
 
     /// Sets the load that heartbeats carry from now on.
-    pub fn set_load(&mut self, load: MemberLoad) {
+    pub fn set_load(&mut self, now: TimeMs, load: MemberLoad) {
         let own = self.own_index();
         self.members[own].load = load;
+        self.tracks[own].load_ms = Some(now);
     }
 
     /// Sets where to look for nodes that aren't known, for example from the platform's host list.
@@ -340,6 +347,7 @@
     pub(super) fn new(member: &Member, now: TimeMs) -> Self {
         Self {
             heard_ms: now,
+            load_ms: None,
             changed_ms: now,
             told_ms: TimeMs::default(),
             sequence: 0,
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -1,5 +1,6 @@
 //! The life of a request, from its id to its recorded outcome.
 
+pub mod admission;
 pub mod answer;
 pub mod assembler;
 pub mod call;
@@ -16,6 +17,7 @@
 pub mod records;
 pub mod service_call;
 pub mod settle;
+pub mod suspicion;
 pub mod witness;
 
 pub use self::core::Core;
