bug: Wait for a fleet's first answer before measuring

Cause: the first document now needs the fleet's key, and requests are admitted only once a node knows its engines' slots; the measurement was refused or broke. Change: the operator's token is the fleet's key, and each node streams one token before the clock starts.

--- a/examples/measure/fleet.rs
+++ b/examples/measure/fleet.rs
@@ -14,6 +14,7 @@
 
 use self::document::Shape;
 use self::process::{NodeProcess, NodeSettings};
+use self::wire::{Connection, StreamCall};
 use super::Failure;
 
 /// How often a fleet is looked at until it is ready.
@@ -117,7 +118,7 @@
     async fn wait_until_ready(&self, node: SocketAddr) -> Result<(), Failure> {
         for _try in 0..READY_TRIES {
             let status = wire::call(node, "GET", "/v1/status", "").await;
-            if status.is_ok_and(|status| self.is_whole(&status)) {
+            if status.is_ok_and(|status| self.is_whole(&status)) && serves(node).await {
                 return Ok(());
             }
             tokio::time::sleep(READY_PAUSE).await;
@@ -133,3 +134,16 @@
             && count("upstreams") >= self.shape.engines
     }
 }
+
+/// Whether a node admits a request and streams its answer.
+async fn serves(node: SocketAddr) -> bool {
+    let call = StreamCall {
+        prompt: "Is the catalogue open?".to_owned(),
+        max_tokens: 1,
+    };
+    let streamed = async {
+        let mut connection = Connection::to(node).await?;
+        connection.stream(&wire::node_request(&call)).await
+    };
+    streamed.await.is_ok()
+}
--- a/examples/measure/fleet/document.rs
+++ b/examples/measure/fleet/document.rs
@@ -13,8 +13,8 @@
 pub const MODEL: &str = "model";
 /// The first team's token.
 pub const TEAM_TOKEN: &str = "team-token";
-/// The operator's token.
-pub const OPERATOR_TOKEN: &str = "operator-token";
+/// The operator's token, and the fleet's key: the first document needs the one, the rest the other.
+pub const FLEET_KEY: &str = "a fleet key for measurements only";
 
 /// How much there is of everything.
 #[derive(Clone, Copy, Debug)]
@@ -68,7 +68,7 @@
             }],
             "teams": teams.collect::<Vec<_>>(),
             "operators": [{
-                "name": "operator", "token_sha256": sha256_hex(OPERATOR_TOKEN)
+                "name": "operator", "token_sha256": sha256_hex(FLEET_KEY)
             }]
         })
     }
--- a/examples/measure/fleet/process.rs
+++ b/examples/measure/fleet/process.rs
@@ -10,11 +10,9 @@
 
 use serde_json::Value;
 
+use super::document::FLEET_KEY;
 use crate::experiments::Failure;
 
-/// The fleet key of all experiments.
-const FLEET_KEY: &str = "a fleet key for measurements only";
-
 /// What the node logs when it listens.
 const RUNS: &str = "the node runs";
 
--- a/examples/measure/fleet/wire.rs
+++ b/examples/measure/fleet/wire.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use super::document::{MODEL, OPERATOR_TOKEN, TEAM_TOKEN};
+use super::document::{FLEET_KEY, MODEL, TEAM_TOKEN};
 use crate::experiments::Failure;
 
 /// Room for what one read takes in.
@@ -110,7 +110,7 @@
 
 /// Makes one call of an operator and gives the body of its answer.
 pub async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> Result<String, Failure> {
-    let head = format!("authorization: Bearer {OPERATOR_TOKEN}\r\nconnection: close\r\n");
+    let head = format!("authorization: Bearer {FLEET_KEY}\r\nconnection: close\r\n");
     let mut socket = TcpStream::connect(to).await?;
     socket
         .write_all(&request(method, path, &head, body))
