perf: One deadline timer a run, and events written without detours

Cause: each token set and cleared a timer, and each event passed through two strings of its own. Change: the run holds one timer for its deadline; events are written straight into one buffer of the chunk's size.

--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -1,6 +1,7 @@
 //! A request's answer as server-sent events, each with its token's position as id.
 
 use std::convert::Infallible;
+use std::io::Write;
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -14,6 +15,9 @@
 use crate::requests::record::Chunk;
 use crate::requests::{Follow, Links, Outcome, RequestId, Step};
 
+/// What a token's event takes, as most tokens are.
+const EVENT_BYTES: usize = 96;
+
 #[derive(Serialize)]
 struct TokenData<'a> {
     position: u64,
@@ -35,10 +39,10 @@
     let events = async_stream::stream! {
         let mut step = first;
         loop {
-            let mut text = String::new();
             let last = !matches!(step, Step::Tokens(_));
-            write_step(&mut text, &step, &id);
-            yield Ok::<_, Infallible>(Frame::data(Bytes::from(text)));
+            let mut out = Vec::with_capacity(room_bytes(&step));
+            write_step(&mut out, &step, &id);
+            yield Ok::<_, Infallible>(Frame::data(Bytes::from(out)));
             if last {
                 break;
             }
@@ -53,15 +57,23 @@
     response
 }
 
-fn write_step(text: &mut String, step: &Step, id: &RequestId) {
+/// Room for a step, so that writing it seldom moves what is written.
+fn room_bytes(step: &Step) -> usize {
+    match step {
+        Step::Tokens(chunk) => chunk.tokens.len() * EVENT_BYTES,
+        Step::End(_) | Step::NoSuchRequest | Step::OtherCall => 2 * EVENT_BYTES,
+    }
+}
+
+fn write_step(out: &mut Vec<u8>, step: &Step, id: &RequestId) {
     match step {
-        Step::Tokens(chunk) => write_tokens(text, chunk),
+        Step::Tokens(chunk) => write_tokens(out, chunk),
         Step::End(Outcome::Completed {
             tokens,
             finish: reason,
         }) => {
             write_event(
-                text,
+                out,
                 "done",
                 &DoneData {
                     tokens: *tokens,
@@ -69,23 +81,22 @@
                 },
             );
         }
-        Step::End(outcome) => write_event(text, "error", &OutcomeBody::new(id, outcome)),
-        Step::NoSuchRequest | Step::OtherCall => text.push_str("event: error\ndata: {}\n\n"),
+        Step::End(outcome) => write_event(out, "error", &OutcomeBody::new(id, outcome)),
+        Step::NoSuchRequest | Step::OtherCall => out.extend(b"event: error\ndata: {}\n\n"),
     }
 }
 
-fn write_tokens(text: &mut String, chunk: &Chunk) {
+fn write_tokens(out: &mut Vec<u8>, chunk: &Chunk) {
     for (position, token) in (chunk.from..).zip(&chunk.tokens) {
-        text.push_str("id: ");
-        text.push_str(&position.to_string());
-        text.push('\n');
-        write_event(text, "token", &TokenData { position, token });
+        write!(out, "id: {position}\n").expect("a vector grows as needed");
+        write_event(out, "token", &TokenData { position, token });
     }
 }
 
-fn write_event(text: &mut String, kind: &str, data: &impl Serialize) {
-    let json = serde_json::to_string(data).unwrap_or_default();
-    for part in ["event: ", kind, "\ndata: ", &json, "\n\n"] {
-        text.push_str(part);
+fn write_event(out: &mut Vec<u8>, kind: &str, data: &impl Serialize) {
+    for part in ["event: ", kind, "\ndata: "] {
+        out.extend(part.as_bytes());
     }
+    serde_json::to_writer(&mut *out, data).expect("event data have a JSON form");
+    out.extend(b"\n\n");
 }
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -1,8 +1,11 @@
 //! Runs one model request through its attempts, moves and losses to a whole answer.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Sleep;
+
 use super::core::{Core, Right};
 use super::dispatch::{Failed, Tried, delivery, denied, latency_class, no_upstream, past_deadline};
 use super::links::Links;
@@ -42,7 +45,9 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
+    let left_ms = core.clock.now().until(record.call.deadline_ms);
     let run = Run {
+        deadline: Box::pin(tokio::time::sleep(Duration::from_millis(left_ms))),
         core,
         record,
         right,
@@ -70,6 +75,8 @@
     core: Arc<Core<L>>,
     record: Arc<Record>,
     right: Right,
+    /// One timer for the whole run: setting one for each token costs more than taking the token.
+    deadline: Pin<Box<Sleep>>,
     tried: Tried,
     /// The position up to which the witness has been told.
     told: u64,
@@ -131,14 +138,12 @@
     }
 
     async fn wake(&mut self) -> Wake {
-        let left_ms = self.core.clock.now().until(self.record.call.deadline_ms);
-        let deadline = tokio::time::sleep(Duration::from_millis(left_ms));
         tokio::select! {
             biased;
             order = self.record.next_order() => Wake::Order(order),
             event = next_event(&mut self.next) => Wake::Next(event),
             event = next_event(&mut self.active) => Wake::Active(event),
-            () = deadline => Wake::Deadline,
+            () = &mut self.deadline => Wake::Deadline,
         }
     }
 
