perf: Tell HTTP/2 by looking at the socket before reading it

Change: the first bytes are peeked at in the socket, and the connection is served by hyper's own server of that protocol; one that does not begin in time is closed.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 mod authorize;
 mod bodies;
 mod completions;
+mod connection;
 mod console;
 mod entries;
 mod operators;
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -16,13 +16,12 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use super::connection::{Connection, builders};
 use super::routes::Shared;
 use crate::node::Node;
 
@@ -50,7 +49,7 @@
     shutdown: CancellationToken,
 ) {
     let router = Arc::new(super::routes::router());
-    let connections = builder(bounds);
+    let builders = Arc::new(builders(bounds));
     let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(bounds.max_connections));
     loop {
@@ -71,12 +70,15 @@
         };
         prepare(&socket);
         let answer = answer(Arc::clone(&router), Arc::clone(&node), peer, bounds);
-        let served = connections.serve_connection(TokioIo::new(socket), answer);
-        let served = graceful.watch(served.into_owned());
+        let connection = Connection {
+            socket,
+            builders: Arc::clone(&builders),
+            patience: Duration::from_millis(bounds.header_read_timeout_ms),
+            watcher: graceful.watcher(),
+            shutdown: shutdown.clone(),
+        };
         tokio::spawn(async move {
-            if let Err(error) = served.await {
-                log::debug!(error:% = error; "a connection ended early");
-            }
+            connection.serve(answer).await;
             drop(permit);
         });
     }
@@ -84,21 +86,6 @@
     graceful.shutdown().await;
 }
 
-fn builder(bounds: Bounds) -> Builder<TokioExecutor> {
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(bounds.header_read_timeout_ms))
-        .max_buf_size(bounds.max_header_bytes.max(8 * 1024));
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .keep_alive_interval(Some(Duration::from_secs(10)))
-        .max_header_list_size(u32::try_from(bounds.max_header_bytes).unwrap_or(u32::MAX));
-    builder
-}
-
 /// Tokens are small and must leave at once.
 fn prepare(socket: &TcpStream) {
     if let Err(error) = socket.set_nodelay(true) {
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -88,7 +88,7 @@
 
 fn write_tokens(out: &mut Vec<u8>, chunk: &Chunk) {
     for (position, token) in (chunk.from..).zip(&chunk.tokens) {
-        write!(out, "id: {position}\n").expect("a vector grows as needed");
+        writeln!(out, "id: {position}").expect("a vector grows as needed");
         write_event(out, "token", &TokenData { position, token });
     }
 }
