feature: Claim idempotency keys through the log

Cause: a caller's own key can reach any node, so only the log's order can say which request may run. The first read of a stream no longer waits for a record.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -5,6 +5,7 @@
 
 pub mod backoff;
 pub mod budget;
+pub mod claims;
 pub mod cloud;
 pub mod configuration;
 #[doc(hidden)]
@@ -12,4 +13,5 @@
 pub mod follower;
 pub mod http;
 pub mod log;
+pub mod rendezvous;
 pub mod writer;
--- a/src/platform/configuration/tests.rs
+++ b/src/platform/configuration/tests.rs
@@ -50,6 +50,7 @@
         wanted,
         first,
         first_at_ms: Some(TimeMs(first * 1_000)),
+        met_ms: TimeMs(first * 1_000),
     }
 }
 
--- a/src/platform/follower.rs
+++ b/src/platform/follower.rs
@@ -4,7 +4,6 @@
 //! took it. It says how stale the fold may be, and tells the fold of records that it missed.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use ::log::{info, warn};
@@ -33,6 +32,8 @@
     pub first: u64,
     /// When the log took the record at `first`, if there is one.
     pub first_at_ms: Option<TimeMs>,
+    /// When the gap was met, by this node's clock.
+    pub met_ms: TimeMs,
 }
 
 /// State that is made of a stream's records.
@@ -51,12 +52,20 @@
     }
 }
 
+/// How far a follower has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The offset of the newest record that the fold has taken in.
+    pub applied: u64,
+    /// A time at which the fold held all that the log did, if there was one yet.
+    pub caught_up_as_of_ms: Option<TimeMs>,
+}
+
 /// A fold that a follower keeps up to date.
 #[derive(Debug)]
 pub struct Followed<F> {
     fold: Mutex<F>,
-    applied: watch::Sender<u64>,
-    caught_up_as_of_ms: AtomicU64,
+    progress: watch::Sender<Progress>,
 }
 
 impl<F: Fold> Followed<F> {
@@ -65,8 +74,7 @@
     pub fn new(fold: F) -> Arc<Self> {
         Arc::new(Self {
             fold: Mutex::new(fold),
-            applied: watch::Sender::new(0),
-            caught_up_as_of_ms: AtomicU64::new(0),
+            progress: watch::Sender::new(Progress::default()),
         })
     }
 
@@ -75,66 +83,89 @@
         act(&mut self.fold.lock())
     }
 
-    /// The offset of the newest record that the fold has taken in.
+    /// How far the follower has come.
     #[must_use]
-    pub fn applied(&self) -> u64 {
-        *self.applied.borrow()
+    pub fn progress(&self) -> Progress {
+        *self.progress.borrow()
     }
 
-    /// Watches [`Self::applied`].
+    /// Watches [`Self::progress`].
     #[must_use]
-    pub fn watch_applied(&self) -> watch::Receiver<u64> {
-        self.applied.subscribe()
+    pub fn watch(&self) -> watch::Receiver<Progress> {
+        self.progress.subscribe()
     }
 
-    /// Waits until the fold has taken in the record at `offset`.
+    /// Waits until the progress is as wanted.
     ///
     /// # Panics
     ///
     /// Never: the sender lives as long as `self`.
-    pub async fn wait_applied(&self, offset: u64) {
-        let mut applied = self.applied.subscribe();
-        let reached = applied.wait_for(|applied| *applied >= offset).await;
+    pub async fn wait_for(&self, wanted: impl FnMut(&Progress) -> bool) {
+        let mut progress = self.progress.subscribe();
+        let reached = progress.wait_for(wanted).await;
         reached.expect("the sender is held by self");
     }
 
-    /// A time at which the fold held all that the log did, if there was one yet.
-    #[must_use]
-    pub fn caught_up_as_of_ms(&self) -> Option<TimeMs> {
-        match self.caught_up_as_of_ms.load(Ordering::Acquire) {
-            0 => None,
-            at_ms => Some(TimeMs(at_ms)),
-        }
+    /// Waits until the fold has taken in the record at `offset`.
+    pub async fn wait_applied(&self, offset: u64) {
+        self.wait_for(|progress| progress.applied >= offset).await;
+    }
+
+    /// Waits until the fold has once held all that the log did.
+    pub async fn wait_caught_up(&self) {
+        self.wait_for(|progress| progress.caught_up_as_of_ms.is_some())
+            .await;
     }
 
     /// How long ago the fold was last known to hold all that the log did.
     #[must_use]
     pub fn stale_ms(&self, now: TimeMs) -> Option<u64> {
-        self.caught_up_as_of_ms().map(|as_of| now.since(as_of))
+        let as_of = self.progress().caught_up_as_of_ms;
+        as_of.map(|as_of| now.since(as_of))
     }
 
-    /// Takes in a page that was asked for at offset `from`; tells where to go on.
-    fn take(&self, from: u64, page: &Page) -> u64 {
+    /// Takes in a page; tells where to go on.
+    fn take(&self, page: &Page, read: &Read) -> u64 {
         let mut fold = self.fold.lock();
-        if let Some(gap) = gap_before(from, page) {
+        if let Some(gap) = read.gap_before(page) {
             fold.skip(&gap);
         }
-        for record in page.records.iter().filter(|record| record.offset >= from) {
+        let wanted = |record: &&Record| record.offset >= read.from;
+        for record in page.records.iter().filter(wanted) {
             fold.apply(record);
         }
-        let next = page.next.max(from).max(fold.resume_from());
+        let next = page.next.max(read.from).max(fold.resume_from());
         drop(fold);
-        self.applied.send_replace(next - 1);
+        // Of a full page one cannot tell whether it was the last. What the log held when it was
+        // asked is certain; what it held when it answered is not.
+        let caught_up = page.records.len() < read.limit as usize;
+        self.progress.send_modify(|progress| {
+            progress.applied = next - 1;
+            if caught_up {
+                progress.caught_up_as_of_ms = Some(read.asked_ms);
+            }
+        });
         next
     }
 }
 
-fn gap_before(from: u64, page: &Page) -> Option<Gap> {
-    (page.first > from).then(|| Gap {
-        wanted: from,
-        first: page.first,
-        first_at_ms: page.records.first().map(|record| record.at_ms),
-    })
+/// What was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    from: u64,
+    limit: u32,
+    asked_ms: TimeMs,
+}
+
+impl Read {
+    fn gap_before(&self, page: &Page) -> Option<Gap> {
+        (page.first > self.from).then(|| Gap {
+            wanted: self.from,
+            first: page.first,
+            first_at_ms: page.records.first().map(|record| record.at_ms),
+            met_ms: self.asked_ms,
+        })
+    }
 }
 
 /// Reads a stream for as long as it runs.
@@ -179,6 +210,13 @@
         self
     }
 
+    /// Sets how many records one read asks for.
+    #[must_use]
+    pub fn page_limit(mut self, page_limit: u32) -> Self {
+        self.page_limit = page_limit.max(1);
+        self
+    }
+
     /// Sets a pause after each read, which bounds the reads a second of a busy stream.
     #[must_use]
     pub fn between_reads_ms(mut self, between_reads_ms: u64) -> Self {
@@ -191,15 +229,20 @@
         let mut backoff = Backoff::new(BACKOFF_FIRST_MS, BACKOFF_MOST_MS);
         let mut from = 1;
         loop {
-            from = self.followed.with(|fold| fold.resume_from()).max(from);
-            let asked_ms = self.clock.now();
-            let read = self
-                .log
-                .read(&self.stream, from, self.page_limit, self.wait_ms);
-            let pause_ms = match read.await {
+            let read = Read {
+                from: self.followed.with(|fold| fold.resume_from()).max(from),
+                limit: self.page_limit,
+                asked_ms: self.clock.now(),
+            };
+            // Until it has caught up once it does not wait, or a quiet stream would keep all who
+            // need its state waiting for the length of a poll.
+            let caught_up = self.followed.progress().caught_up_as_of_ms.is_some();
+            let wait_ms = if caught_up { self.wait_ms } else { 0 };
+            let page = self.log.read(&self.stream, read.from, read.limit, wait_ms);
+            let pause_ms = match page.await {
                 Ok(page) => {
                     self.note_success(&mut backoff);
-                    from = self.take(from, &page, asked_ms);
+                    from = self.take(&page, &read);
                     self.between_reads_ms
                 }
                 Err(error) => self.note_failure(&error, &mut backoff),
@@ -210,19 +253,11 @@
         }
     }
 
-    fn take(&self, from: u64, page: &Page, asked_ms: TimeMs) -> u64 {
-        if page.first > from && from > 1 {
-            warn!(stream = self.stream, wanted = from, first = page.first; "records are gone");
+    fn take(&self, page: &Page, read: &Read) -> u64 {
+        if page.first > read.from && read.from > 1 {
+            warn!(stream = self.stream, wanted = read.from, first = page.first; "records are gone");
         }
-        let next = self.followed.take(from, page);
-        // Of a full page one cannot tell whether it was the last. What the log held when it was
-        // asked is certain; what it held when it answered is not.
-        if page.records.len() < self.page_limit as usize {
-            let at_ms = asked_ms.0.max(1);
-            let held = &self.followed.caught_up_as_of_ms;
-            held.fetch_max(at_ms, Ordering::AcqRel);
-        }
-        next
+        self.followed.take(page, read)
     }
 
     fn note_success(&self, backoff: &mut Backoff) {
--- a/src/platform/follower/tests.rs
+++ b/src/platform/follower/tests.rs
@@ -58,13 +58,14 @@
     followed.wait_applied(1).await;
     log.set_out(true);
     tokio::time::sleep(std::time::Duration::from_millis(120)).await;
-    let stale_from = followed.caught_up_as_of_ms();
+    let before = followed.progress();
     log.set_out(false);
     append(&log, 2).await;
     followed.wait_applied(2).await;
     task.abort();
     assert_eq!(followed.with(|seen| seen.offsets.clone()), [1, 2]);
-    assert!(stale_from.is_some());
+    assert_eq!(before.applied, 1);
+    assert!(followed.progress().caught_up_as_of_ms > before.caught_up_as_of_ms);
 }
 
 /// Symptom: state is wrong after a long outage. The log forgot records before they were read.
--- /dev/null
+++ b/src/platform/rendezvous/tests.rs
@@ -0,0 +1,30 @@
+use super::{choose, rank_of};
+use crate::keys::Incarnation;
+
+fn nodes(count: u64) -> Vec<Incarnation> {
+    (0..count).map(Incarnation).collect()
+}
+
+#[test]
+fn ranks_agree_with_choices() {
+    let nodes = nodes(9);
+    for rank in 0..9 {
+        let chosen = choose(b"claims-03", &nodes, rank).expect("there are nine");
+        assert_eq!(rank_of(b"claims-03", &nodes, chosen), rank);
+    }
+    assert_eq!(rank_of(b"claims-03", &nodes, Incarnation(99)), 9);
+    assert_eq!(choose(b"claims-03", &nodes, 9), None);
+}
+
+#[test]
+fn only_the_tasks_of_a_node_that_leaves_move() {
+    let before = nodes(20);
+    let after: Vec<Incarnation> = before.iter().copied().filter(|node| node.0 != 7).collect();
+    for task in 0_u32..200 {
+        let task = task.to_le_bytes();
+        let chosen = choose(&task, &before, 0).expect("there are nodes");
+        if chosen != Incarnation(7) {
+            assert_eq!(choose(&task, &after, 0), Some(chosen));
+        }
+    }
+}
