feature: Submit configuration changes and renew them in time

Cause: operators race and lose answers, and the log forgets old records. Change: a keeper that submits a change and waits for the log's verdict, tells unresolved from refused, publishes the newest revision, adopts what peers hand over, and renews the document between a third and a half of the retention.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,10 +9,13 @@
 use crate::time::TimeMs;
 
 mod fold;
+mod keeper;
+pub mod renewal;
 #[cfg(test)]
 mod tests;
 
 pub use fold::{ChangeOutcome, Checker, Configuration, Held};
+pub use keeper::{ConfigurationKeeper, ConfigurationTask, NewChange, SubmitError};
 
 /// The stream that holds the configuration.
 pub const STREAM: &str = "configuration";
--- a/src/platform/configuration/fold.rs
+++ b/src/platform/configuration/fold.rs
@@ -16,7 +16,7 @@
 /// Turns a document's text into its checked form.
 pub trait Checker: Send + 'static {
     /// The checked form.
-    type Checked: Send + Sync + 'static;
+    type Checked: std::fmt::Debug + Send + Sync + 'static;
 
     /// Checks a document; `None` if it has a fault.
     fn check(&self, document: &str) -> Option<Self::Checked>;
@@ -25,7 +25,7 @@
 impl<F, T> Checker for F
 where
     F: Fn(&str) -> Option<T> + Send + 'static,
-    T: Send + Sync + 'static,
+    T: std::fmt::Debug + Send + Sync + 'static,
 {
     type Checked = T;
 
@@ -107,6 +107,12 @@
         }
     }
 
+    /// Whether a document has no fault.
+    #[must_use]
+    pub fn is_valid(&self, document: &str) -> bool {
+        self.checker.check(document).is_some()
+    }
+
     /// The newest revision that could be read here.
     #[must_use]
     pub fn held(&self) -> Option<&Held<C::Checked>> {
--- /dev/null
+++ b/src/platform/configuration/keeper.rs
@@ -0,0 +1,339 @@
+//! Follows the configuration, submits changes and renews what is in force.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+
+use super::renewal::{Renewals, renewal_due_ms};
+use super::{Change, ChangeOutcome, Checker, Configuration, Entry, STREAM, Snapshot};
+use crate::keys::Incarnation;
+use crate::platform::budget::{AppendBudget, Urgency};
+use crate::platform::follower::{Followed, Follower};
+use crate::platform::log::Log;
+use crate::platform::writer::{Appender, WriteError};
+use crate::time::{Clock, TimeMs};
+
+/// What the log is taken to keep if the settings do not say.
+const RETENTION_MS: u64 = 60 * 60 * 1_000;
+const POLL_MS: u64 = 10_000;
+/// Documents are large, so a page holds few.
+const PAGE_RECORDS: u32 = 32;
+const LOOK_AGAIN_MS: u64 = 1_000;
+const RENEW_WITHIN_MS: u64 = 30_000;
+
+/// A change that an operator wants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NewChange {
+    /// The revision that it was made from; 0 if there was none.
+    pub base_revision: u64,
+    /// Who made it.
+    pub operator: String,
+    /// The new document.
+    pub document: String,
+}
+
+/// Why a change is not in force.
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
+pub enum SubmitError {
+    /// Another change came first.
+    #[error("revision {current} is in force, and the change was made from another one")]
+    #[diagnostic(
+        code(configuration::stale),
+        help("look at what revision {current} changed, and make the change again from there")
+    )]
+    Stale {
+        /// The revision in force.
+        current: u64,
+    },
+    /// The document has a fault.
+    #[error("the document has a fault")]
+    #[diagnostic(
+        code(configuration::invalid),
+        help("`teaselline config check` lists the faults")
+    )]
+    Invalid,
+    /// This node does not know the revision in force.
+    #[error("this node does not know yet which revision is in force")]
+    #[diagnostic(
+        code(configuration::unsettled),
+        help("try again, here or at another node")
+    )]
+    Unsettled,
+    /// The log did not take the change.
+    #[error("the log did not take the change")]
+    #[diagnostic(
+        code(configuration::not_written),
+        help("nothing has changed; try again when the log is back")
+    )]
+    NotWritten(#[source] WriteError),
+    /// The change may be in force or come into force.
+    #[error("it could not be found out in time whether the change is in force")]
+    #[diagnostic(
+        code(configuration::unresolved),
+        help("look for change {change_id} in the audit trail before you try again")
+    )]
+    Unresolved {
+        /// Names the change.
+        change_id: String,
+        /// What went wrong, if it is known.
+        #[source]
+        source: Option<WriteError>,
+    },
+}
+
+impl SubmitError {
+    /// Whether another operator's change came first.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        matches!(self, Self::Stale { .. })
+    }
+
+    /// Whether the change may still come into force.
+    #[must_use]
+    pub fn is_unresolved(&self) -> bool {
+        matches!(self, Self::Unresolved { .. })
+    }
+}
+
+/// What each append takes one of.
+#[derive(Debug)]
+struct Drawn {
+    rng: SmallRng,
+    number: u64,
+}
+
+/// The configuration as this node sees it.
+#[derive(Debug)]
+pub struct ConfigurationKeeper<L, C: Checker> {
+    followed: Arc<Followed<Configuration<C>>>,
+    log: Arc<L>,
+    drawn: Mutex<Drawn>,
+    budget: Arc<AppendBudget>,
+    me: Incarnation,
+    clock: Clock,
+    retention_ms: u64,
+    revision: watch::Sender<u64>,
+}
+
+impl<L: Log, C: Checker> ConfigurationKeeper<L, C> {
+    /// The configuration as `me` sees it, and the task that keeps it.
+    ///
+    /// The log is known to keep records for `retention_ms`, or an hour if that is `None`.
+    #[must_use]
+    pub fn new(
+        log: Arc<L>,
+        me: Incarnation,
+        clock: Clock,
+        budget: Arc<AppendBudget>,
+        retention_ms: Option<u64>,
+        checker: C,
+        mut rng: SmallRng,
+    ) -> (Arc<Self>, ConfigurationTask<L, C>) {
+        let followed = Followed::new(Configuration::new(checker));
+        let [read_rng, write_rng] = [(); 2].map(|()| SmallRng::from_rng(&mut rng));
+        let reader = Follower::new(
+            Arc::clone(&log),
+            STREAM,
+            Arc::clone(&followed),
+            clock,
+            read_rng,
+        );
+        let keeper = Arc::new(Self {
+            followed,
+            log,
+            drawn: Mutex::new(Drawn {
+                rng: write_rng,
+                number: 0,
+            }),
+            budget,
+            me,
+            clock,
+            retention_ms: retention_ms.unwrap_or(RETENTION_MS),
+            revision: watch::Sender::new(0),
+        });
+        let task = ConfigurationTask {
+            keeper: Arc::clone(&keeper),
+            reader: reader.wait_ms(POLL_MS).page_limit(PAGE_RECORDS),
+            rng,
+        };
+        (keeper, task)
+    }
+
+    /// The fold and how far it has come.
+    #[must_use]
+    pub fn followed(&self) -> &Arc<Followed<Configuration<C>>> {
+        &self.followed
+    }
+
+    /// Watches the newest revision held here; 0 before there is one.
+    #[must_use]
+    pub fn watch_revision(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    /// Takes over what a peer hands over; tells whether it brought a newer revision.
+    pub fn adopt(&self, snapshot: &Snapshot) -> bool {
+        let newer = self.followed.with(|fold| fold.adopt(snapshot));
+        self.publish();
+        newer
+    }
+
+    /// Submits a change and waits until the log's order has decided on it; tells its revision.
+    ///
+    /// # Errors
+    ///
+    /// A [`SubmitError`]; only an unresolved one leaves open whether the change is in force.
+    pub async fn submit(&self, new: NewChange, deadline_ms: TimeMs) -> Result<u64, SubmitError> {
+        self.check(&new)?;
+        let mut appender = self.appender();
+        let change_id = appender.writer().to_owned();
+        let entry = Entry::Change(Change {
+            change_id: change_id.clone(),
+            base_revision: new.base_revision,
+            operator: new.operator,
+            document: new.document,
+        });
+        let source = match append(&mut appender, &entry, deadline_ms).await {
+            Ok(offset) => {
+                self.wait_applied(offset, deadline_ms).await;
+                None
+            }
+            Err(error) if error.is_not_taken() => return Err(SubmitError::NotWritten(error)),
+            Err(error) => Some(error),
+        };
+        match self.followed.with(|fold| fold.outcome(&change_id)) {
+            Some(ChangeOutcome::Accepted { revision }) => Ok(revision),
+            Some(ChangeOutcome::Stale { current }) => Err(SubmitError::Stale { current }),
+            Some(ChangeOutcome::Invalid) => Err(SubmitError::Invalid),
+            None => Err(SubmitError::Unresolved { change_id, source }),
+        }
+    }
+
+    /// Refuses what cannot be accepted before anything is written.
+    fn check(&self, new: &NewChange) -> Result<(), SubmitError> {
+        self.followed.with(|fold| match fold.revision() {
+            None => Err(SubmitError::Unsettled),
+            Some(current) if current > new.base_revision => Err(SubmitError::Stale { current }),
+            Some(_) if !fold.is_valid(&new.document) => Err(SubmitError::Invalid),
+            Some(_) => Ok(()),
+        })
+    }
+
+    /// An appender with a name of its own, so that no append waits for another one's answer.
+    fn appender(&self) -> Appender<L> {
+        let (number, rng) = {
+            let mut drawn = self.drawn.lock();
+            drawn.number += 1;
+            (drawn.number, SmallRng::from_rng(&mut drawn.rng))
+        };
+        let name = format!("{}/configuration/{number}", self.me);
+        let mut appender = Appender::new(Arc::clone(&self.log), STREAM, name, self.clock, rng);
+        appender.note_tail(self.followed.progress().applied + 1);
+        appender
+    }
+
+    async fn wait_applied(&self, offset: u64, deadline_ms: TimeMs) {
+        let left = Duration::from_millis(self.clock.now().until(deadline_ms));
+        let applied = self.followed.wait_applied(offset);
+        // If the time runs out there is no outcome yet, which the caller sees.
+        drop(tokio::time::timeout(left, applied).await);
+    }
+
+    fn publish(&self) {
+        let revision = self
+            .followed
+            .with(|fold| fold.held().map_or(0, |held| held.snapshot.revision));
+        self.revision.send_if_modified(|held| {
+            let newer = *held < revision;
+            *held = revision.max(*held);
+            newer
+        });
+    }
+
+    /// Appends a renewal if one is due; tells when to look again.
+    async fn renew(&self, known_since_ms: TimeMs, draw: f64) -> bool {
+        let now = self.clock.now();
+        let renewal = self.followed.with(|fold| {
+            let due_ms = renewal_due_ms(Renewals {
+                retention_ms: self.retention_ms,
+                renewed_at_ms: fold.renewed_at_ms(),
+                known_since_ms,
+                draw,
+            });
+            (due_ms <= now).then(|| fold.renewal()).flatten()
+        });
+        let Some(renewal) = renewal else {
+            return false;
+        };
+        if self.budget.take(Urgency::Deferrable, now).is_err() {
+            return false;
+        }
+        let revision = renewal.revision;
+        let deadline_ms = now.after(RENEW_WITHIN_MS);
+        let entry = Entry::Renewal(renewal);
+        match append(&mut self.appender(), &entry, deadline_ms).await {
+            Ok(offset) => {
+                log::info!(revision, offset; "the configuration is renewed");
+                self.wait_applied(offset, deadline_ms).await;
+            }
+            Err(error) => log::warn!(revision, error:% = error; "the configuration is not renewed"),
+        }
+        true
+    }
+}
+
+async fn append<L: Log>(
+    appender: &mut Appender<L>,
+    entry: &Entry,
+    deadline_ms: TimeMs,
+) -> Result<u64, WriteError> {
+    let payload = serde_json::to_string(entry).expect("entries have a JSON form");
+    appender.append(payload, deadline_ms).await
+}
+
+/// Keeps the configuration of a [`ConfigurationKeeper`].
+#[derive(Debug)]
+pub struct ConfigurationTask<L, C: Checker> {
+    keeper: Arc<ConfigurationKeeper<L, C>>,
+    reader: Follower<L, Configuration<C>>,
+    rng: SmallRng,
+}
+
+impl<L: Log, C: Checker> ConfigurationTask<L, C> {
+    /// Runs for ever; stop it by dropping the future.
+    pub async fn run(self) {
+        let Self {
+            keeper,
+            reader,
+            rng,
+        } = self;
+        let publish = async {
+            let mut progress = keeper.followed.watch();
+            loop {
+                keeper.publish();
+                // The sender lives as long as the keeper.
+                drop(progress.changed().await);
+            }
+        };
+        tokio::join!(reader.run(), publish, renew(&keeper, rng));
+    }
+}
+
+async fn renew<L: Log, C: Checker>(keeper: &ConfigurationKeeper<L, C>, mut rng: SmallRng) {
+    let mut draw = rng.random();
+    let mut known_since_ms = None;
+    loop {
+        tokio::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)).await;
+        let known = keeper.followed.with(|fold| fold.revision().is_some());
+        known_since_ms = known.then(|| known_since_ms.unwrap_or_else(|| keeper.clock.now()));
+        if let Some(since_ms) = known_since_ms
+            && keeper.renew(since_ms, draw).await
+        {
+            draw = rng.random();
+        }
+    }
+}
--- a/src/platform/configuration/tests.rs
+++ b/src/platform/configuration/tests.rs
@@ -1,3 +1,5 @@
+mod keeper;
+
 use super::{Change, ChangeOutcome, Configuration, Entry, Snapshot};
 use crate::platform::follower::{Fold, Gap};
 use crate::platform::log::Record;
--- a/src/platform/writer.rs
+++ b/src/platform/writer.rs
@@ -90,6 +90,12 @@
         self.clock
     }
 
+    /// The writer's name.
+    #[must_use]
+    pub fn writer(&self) -> &str {
+        &self.writer
+    }
+
     /// Learns that the stream reached `offset` before the next record; shortens reading back.
     pub fn note_tail(&mut self, offset: u64) {
         self.tail = self.tail.max(offset);
