--- a/src/platform.rs
+++ b/src/platform.rs
@@ -15,4 +15,5 @@
 pub mod leases;
 pub mod log;
 pub mod rendezvous;
+pub mod weights;
 pub mod writer;
--- /dev/null
+++ b/src/platform/weights/tests.rs
@@ -0,0 +1,23 @@
+use http::StatusCode;
+
+use super::TicketError;
+use crate::platform::http::CallError;
+
+fn refused(status: StatusCode, retry_after_ms: Option<u64>) -> TicketError {
+    TicketError::from(CallError::Refused {
+        peer: "store".to_owned(),
+        status,
+        reason: String::new(),
+        retry_after_ms,
+    })
+}
+
+#[test]
+fn a_refusal_over_the_rate_says_when_to_come_back() {
+    let over = refused(StatusCode::TOO_MANY_REQUESTS, Some(2_500));
+    assert_eq!(over.retry_after_ms(), Some(2_500));
+    let silent = refused(StatusCode::TOO_MANY_REQUESTS, None);
+    assert_eq!(silent.retry_after_ms(), Some(super::RETRY_AFTER_MS));
+    let out = refused(StatusCode::SERVICE_UNAVAILABLE, None);
+    assert!(matches!(out, TicketError::Call(_)));
+}
