feature: Buy hosts so that none is bought twice or forgotten

Cause: the cloud's answer can be lost after it took effect, and the buyer can die after its order. Change: purchase ids that name lease, fencing number and count; reading back before an order is repeated; the list of purchases as the truth for the next holder. The decision is the one that appends use, now shared in flight.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 #[doc(hidden)]
 pub mod fakes;
+pub mod flight;
 pub mod follower;
 pub mod http;
 pub mod leases;
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -9,6 +9,7 @@
 use crate::platform::http::CallError;
 use crate::time::TimeMs;
 
+pub mod buying;
 mod http;
 
 pub use http::HttpCloud;
--- /dev/null
+++ b/src/platform/cloud/buying/tests.rs
@@ -0,0 +1,82 @@
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::{BuyError, ForeignId, PurchaseId, buy, running};
+use crate::platform::cloud::{Cloud, NewPurchase};
+use crate::platform::fakes::{FakeCloud, OrderFault};
+use crate::platform::leases::Fencing;
+use crate::time::Clock;
+
+fn id(buyer: &str, fencing: u64, number: u64) -> PurchaseId {
+    PurchaseId {
+        buyer: buyer.to_owned(),
+        fencing: Fencing(fencing),
+        number,
+    }
+}
+
+async fn order(cloud: &FakeCloud, id: &PurchaseId, left_ms: u64) -> Result<String, BuyError> {
+    let order = NewPurchase {
+        purchase: id.to_string(),
+        host_class: "gpu-small".to_owned(),
+        failure_domain: "hala-a".to_owned(),
+        pool: "engines".to_owned(),
+    };
+    let clock = Clock::new();
+    let mut rng = SmallRng::seed_from_u64(1);
+    buy(cloud, &order, clock.now().after(left_ms), clock, &mut rng).await
+}
+
+/// Symptom: a host is bought twice, or one is paid for and never used. The cloud took the order, and
+/// its answer was lost; another time the order was lost. Cause: neither is seen from the answer.
+#[tokio::test]
+async fn lost_answers_buy_one_host() {
+    let cloud = FakeCloud::new();
+    cloud.add_faults([OrderFault::LostAnswer]);
+    let first = order(&cloud, &id("hala-a", 7, 1), 10_000).await;
+    assert_eq!(first.ok().as_deref(), Some("h-1"));
+    assert_eq!(cloud.orders(), 1, "the purchase is read back, not repeated");
+
+    cloud.add_faults([OrderFault::LostCall, OrderFault::Refused]);
+    let second = order(&cloud, &id("hala-a", 7, 2), 10_000).await;
+    assert_eq!(second.ok().as_deref(), Some("h-2"));
+    assert_eq!(cloud.purchases().await.map_or(0, |held| held.len()), 2);
+}
+
+#[tokio::test]
+async fn a_refused_start_is_told_at_once() {
+    let cloud = FakeCloud::new();
+    cloud.add_faults([OrderFault::NoCapacity]);
+    let refused = order(&cloud, &id("hala-a", 7, 1), 10_000).await;
+    assert!(refused.is_err_and(|error| error.is_no_capacity()));
+    assert_eq!(cloud.orders(), 1);
+}
+
+/// Symptom: hosts run that nobody uses. The buyer died after its order, and the next holder of the
+/// lease knows nothing of it. Cause: what was bought stands only in the cloud's list.
+#[tokio::test]
+async fn the_next_holder_finds_what_was_bought_before() {
+    let cloud = FakeCloud::new();
+    for (buyer, fencing) in [("hala-a", 7), ("hala-b", 3), ("hala-a", 9)] {
+        let bought = order(&cloud, &id(buyer, fencing, 1), 10_000).await;
+        bought.expect("the cloud is well");
+    }
+    cloud.give_back("h-3").await.expect("the cloud is well");
+    let listed = cloud.purchases().await.expect("the cloud is well");
+    let found: Vec<(u64, &str)> = running(&listed, "hala-a")
+        .map(|(id, purchase)| (id.fencing.0, purchase.host.as_str()))
+        .collect();
+    assert_eq!(found, [(7, "h-1")]);
+}
+
+#[test]
+fn ids_are_read_as_they_are_written() {
+    let written = id("placement/hala#a", 12, 3);
+    assert_eq!(
+        PurchaseId::try_from(written.to_string().as_str()),
+        Ok(written)
+    );
+    for foreign in ["", "h-1", "a#b", "a#1#x", "1#2"] {
+        assert_eq!(PurchaseId::try_from(foreign), Err(ForeignId));
+    }
+}
--- a/src/platform/fakes.rs
+++ b/src/platform/fakes.rs
@@ -1,5 +1,27 @@
 //! Platform systems in memory, with the faults that the real ones have.
 
+mod cloud;
 mod log;
 
+pub use cloud::{FakeCloud, OrderFault};
 pub use log::{AppendFault, FakeLog};
+
+use http::StatusCode;
+
+use crate::platform::http::{CallError, LostCause};
+
+fn refused() -> CallError {
+    CallError::Refused {
+        peer: "fake".to_owned(),
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        reason: "out".to_owned(),
+        retry_after_ms: None,
+    }
+}
+
+fn lost() -> CallError {
+    CallError::Lost {
+        peer: "fake".to_owned(),
+        source: LostCause::Timeout { timeout_ms: 0 },
+    }
+}
--- /dev/null
+++ b/src/platform/fakes/cloud.rs
@@ -0,0 +1,143 @@
+//! A cloud in memory, with refused starts and lost answers.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use super::{lost, refused};
+use crate::platform::cloud::{
+    Cloud, CloudError, HostList, NewPurchase, Notice, Notices, Price, Purchase, PurchaseState,
+};
+use crate::time::TimeMs;
+
+/// What happens to one order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderFault {
+    /// It takes effect, and its answer is lost.
+    LostAnswer,
+    /// It takes no effect, and its answer is lost.
+    LostCall,
+    /// There is no capacity.
+    NoCapacity,
+    /// It is refused.
+    Refused,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    hosts: Option<HostList>,
+    notices: Vec<Notice>,
+    purchases: Vec<Purchase>,
+    prices: Vec<Price>,
+    faults: VecDeque<OrderFault>,
+    orders: u64,
+}
+
+impl State {
+    fn buy(&mut self, order: &NewPurchase) -> String {
+        let known = |held: &&Purchase| held.purchase == order.purchase;
+        if let Some(held) = self.purchases.iter().find(known) {
+            return held.host.clone();
+        }
+        let host = format!("h-{}", self.purchases.len() + 1);
+        self.purchases.push(Purchase {
+            purchase: order.purchase.clone(),
+            host: host.clone(),
+            state: PurchaseState::Starting,
+        });
+        host
+    }
+}
+
+/// A cloud in memory; clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct FakeCloud {
+    state: Arc<Mutex<State>>,
+}
+
+impl FakeCloud {
+    /// A cloud without hosts.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the host list.
+    pub fn set_hosts(&self, hosts: HostList) {
+        self.state.lock().hosts = Some(hosts);
+    }
+
+    /// Sets the prices.
+    pub fn set_prices(&self, prices: Vec<Price>) {
+        self.state.lock().prices = prices;
+    }
+
+    /// Announces that a host leaves.
+    pub fn add_notice(&self, notice: Notice) {
+        self.state.lock().notices.push(notice);
+    }
+
+    /// Lets the coming orders meet these faults, one each.
+    pub fn add_faults(&self, faults: impl IntoIterator<Item = OrderFault>) {
+        self.state.lock().faults.extend(faults);
+    }
+
+    /// How often an order reached the cloud.
+    #[must_use]
+    pub fn orders(&self) -> u64 {
+        self.state.lock().orders
+    }
+}
+
+impl Cloud for FakeCloud {
+    async fn hosts(&self) -> Result<HostList, CloudError> {
+        let hosts = self.state.lock().hosts.clone();
+        Ok(hosts.unwrap_or(HostList {
+            as_of_ms: TimeMs(0),
+            hosts: Vec::new(),
+        }))
+    }
+
+    async fn notices(&self, from: u64, _wait_ms: u64) -> Result<Notices, CloudError> {
+        let state = self.state.lock();
+        let newer = state
+            .notices
+            .iter()
+            .filter(|notice| notice.sequence >= from);
+        let notices: Vec<Notice> = newer.cloned().collect();
+        let next = notices.last().map_or(from, |notice| notice.sequence + 1);
+        Ok(Notices { next, notices })
+    }
+
+    async fn buy(&self, order: &NewPurchase) -> Result<String, CloudError> {
+        let mut state = self.state.lock();
+        state.orders += 1;
+        match state.faults.pop_front() {
+            None => Ok(state.buy(order)),
+            Some(OrderFault::LostAnswer) => {
+                state.buy(order);
+                Err(lost().into())
+            }
+            Some(OrderFault::LostCall) => Err(lost().into()),
+            Some(OrderFault::NoCapacity) => Err(CloudError::NoCapacity),
+            Some(OrderFault::Refused) => Err(refused().into()),
+        }
+    }
+
+    async fn purchases(&self) -> Result<Vec<Purchase>, CloudError> {
+        Ok(self.state.lock().purchases.clone())
+    }
+
+    async fn give_back(&self, host: &str) -> Result<(), CloudError> {
+        let mut state = self.state.lock();
+        for purchase in state.purchases.iter_mut().filter(|held| held.host == host) {
+            purchase.state = PurchaseState::Ended;
+        }
+        Ok(())
+    }
+
+    async fn prices(&self) -> Result<Vec<Price>, CloudError> {
+        Ok(self.state.lock().prices.clone())
+    }
+}
--- a/src/platform/fakes/log.rs
+++ b/src/platform/fakes/log.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::StatusCode;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::platform::http::{CallError, LostCause};
+use super::{lost, refused};
+use crate::platform::http::CallError;
 use crate::platform::log::{AppendError, Log, NewRecord, Page, ReadError, Record};
 use crate::time::TimeMs;
 
@@ -198,22 +198,6 @@
     }
 }
 
-fn refused() -> CallError {
-    CallError::Refused {
-        peer: "fake".to_owned(),
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        reason: "out".to_owned(),
-        retry_after_ms: None,
-    }
-}
-
-fn lost() -> CallError {
-    CallError::Lost {
-        peer: "fake".to_owned(),
-        source: LostCause::Timeout { timeout_ms: 0 },
-    }
-}
-
 impl Log for FakeLog {
     async fn append(&self, stream: &str, record: &NewRecord) -> Result<u64, AppendError> {
         let appended = self.try_append(stream, record);
--- a/src/platform/writer/flight.rs
+++ b/src/platform/flight.rs
@@ -1,4 +1,6 @@
-//! What to do next about one append.
+//! What to do next about a call that must take effect once and whose answer may be lost.
+//!
+//! Appends to the log and purchases from the cloud go this way.
 
 use rand::rngs::SmallRng;
 
@@ -13,26 +15,21 @@
 pub enum Event {
     /// Nothing yet.
     Started,
-    /// The record is in the stream.
-    Appended {
-        /// Its offset.
-        offset: u64,
-    },
-    /// The log refused the append.
+    /// The call was refused.
     NotTaken {
-        /// When it wants to be asked again.
+        /// When the platform wants to be asked again.
         retry_after_ms: Option<u64>,
     },
-    /// The append was sent and not answered.
+    /// The call was sent and not answered.
     AnswerLost,
-    /// The stream was read in part, and the record was not there.
+    /// The platform's state was read in part, and there was no effect of the call in it.
     NotYetFound {
         /// Where to read on.
         next: u64,
     },
-    /// The stream was read to its end, and the record was not there.
+    /// The platform's state was read to its end, and there was no effect of the call in it.
     NotThere,
-    /// The stream could not be read.
+    /// The platform's state could not be read.
     ReadFailed,
     /// The wait is over.
     Waited,
@@ -41,9 +38,9 @@
 /// What to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
-    /// Append the record.
-    Append,
-    /// Look for the record in the stream.
+    /// Make the call.
+    Call,
+    /// Look for the effect of the call.
     ReadBack {
         /// The offset to start at.
         from: u64,
@@ -53,31 +50,26 @@
         /// For how long.
         wait_ms: u64,
     },
-    /// The record is in the stream.
-    Done {
-        /// Its offset.
-        offset: u64,
-    },
     /// Time is up.
     GiveUp(Failure),
 }
 
-/// What is known of a record that was given up.
+/// What is known of a call that was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// It was not made.
+    /// It took no effect and will not.
     NotTaken,
-    /// It may have been made.
+    /// It may have taken effect, or may still.
     Unresolved,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AfterWait {
-    Append,
+    Call,
     ReadBack,
 }
 
-/// The state of one append.
+/// The state of one call.
 #[derive(Clone, Debug)]
 pub struct Flight {
     tail: u64,
@@ -88,35 +80,34 @@
 }
 
 impl Flight {
-    /// An append to a stream whose offsets before `tail` were taken earlier.
+    /// A call whose effect can only show from `tail` on.
     #[must_use]
     pub fn new(tail: u64, deadline_ms: TimeMs) -> Self {
         Self {
             tail,
             deadline_ms,
             maybe_taken: false,
-            after_wait: AfterWait::Append,
+            after_wait: AfterWait::Call,
             backoff: Backoff::new(BACKOFF_FIRST_MS, BACKOFF_MOST_MS),
         }
     }
 
-    /// The same for a record that an earlier flight may have brought in.
+    /// The same for a call that an earlier flight may have made.
     #[must_use]
     pub fn maybe_taken(mut self) -> Self {
         self.maybe_taken = true;
         self
     }
 
-    /// Decides what to do after `event`.
+    /// Decides what to do after `event`, as long as the effect has not shown.
     ///
-    /// After a lost answer it reads back before it appends again; else a record whose answer alone
-    /// was lost would be made twice, and one would see doubled entries after each slow spell of
-    /// the log.
+    /// After a lost answer it reads back before it calls again; else a call whose answer alone was
+    /// lost would take effect twice, and one would see doubled records after each slow spell of
+    /// the platform.
     pub fn next_step(&mut self, event: Event, now: TimeMs, rng: &mut SmallRng) -> Step {
         self.maybe_taken |= event == Event::AnswerLost;
         let expired = now >= self.deadline_ms;
         match event {
-            Event::Appended { offset } => Step::Done { offset },
             _ if expired && self.maybe_taken => Step::GiveUp(Failure::Unresolved),
             _ if expired => Step::GiveUp(Failure::NotTaken),
             Event::Started if self.maybe_taken => Step::ReadBack { from: self.tail },
@@ -124,14 +115,14 @@
             Event::NotYetFound { next } => Step::ReadBack { from: next },
             Event::NotTaken { retry_after_ms } => {
                 let asked_ms = retry_after_ms.unwrap_or(0);
-                self.wait_before(AfterWait::Append, asked_ms, now, rng)
+                self.wait_before(AfterWait::Call, asked_ms, now, rng)
             }
-            Event::NotThere => self.wait_before(AfterWait::Append, 0, now, rng),
+            Event::NotThere => self.wait_before(AfterWait::Call, 0, now, rng),
             Event::ReadFailed => self.wait_before(AfterWait::ReadBack, 0, now, rng),
             Event::Waited if self.after_wait == AfterWait::ReadBack => {
                 Step::ReadBack { from: self.tail }
             }
-            Event::Started | Event::Waited => Step::Append,
+            Event::Started | Event::Waited => Step::Call,
         }
     }
 
--- a/src/platform/writer.rs
+++ b/src/platform/writer.rs
@@ -2,7 +2,7 @@
 //!
 //! The log does not deduplicate, and its answer can be lost after the record took effect. An
 //! [`Appender`] therefore gives each record a sequence number of its writer and, when an answer is
-//! lost, looks for that number in the stream before it appends again ([`flight`] decides).
+//! lost, looks for that number in the stream before it appends again ([`Flight`] decides).
 //!
 //! A lost append can still land after the stream was found to lack it. The second append carries
 //! the same number, so that a fold can tell the repetition; the folds of this crate are all
@@ -13,18 +13,16 @@
 
 use rand::rngs::SmallRng;
 
-use crate::platform::log::{AppendError, Log, NewRecord, Page};
+use crate::platform::flight::{Event, Failure, Flight, Step};
+use crate::platform::log::{AppendError, Log, NewRecord, Page, Record};
 use crate::time::{Clock, TimeMs};
 
-pub mod flight;
 mod group;
 #[cfg(test)]
 mod tests;
 
 pub use group::{GroupWriter, WriterTask};
 
-use flight::{Event, Failure, Flight, Step};
-
 const READ_BACK_LIMIT: u32 = 500;
 
 /// Why something was not written.
@@ -148,16 +146,12 @@
         let mut cause = None;
         loop {
             let now = self.clock.now();
-            event = match flight.next_step(event, now, &mut self.rng) {
-                Step::Append => self.try_append(&record, &mut cause).await,
+            let found = match flight.next_step(event, now, &mut self.rng) {
+                Step::Call => self.try_append(&record, &mut cause).await,
                 Step::ReadBack { from } => self.read_back(&record, from).await,
                 Step::Wait { wait_ms } => {
                     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-                    Event::Waited
-                }
-                Step::Done { offset } => {
-                    self.note_tail(offset + 1);
-                    return Ok(offset);
+                    Err(Event::Waited)
                 }
                 Step::GiveUp(Failure::NotTaken) => {
                     self.sequence -= 1;
@@ -167,13 +161,25 @@
                     return Err(WriteError::Unresolved { source: cause });
                 }
             };
+            match found {
+                Ok(offset) => {
+                    self.note_tail(offset + 1);
+                    return Ok(offset);
+                }
+                Err(next) => event = next,
+            }
         }
     }
 
-    async fn try_append(&self, record: &NewRecord, cause: &mut Option<Arc<AppendError>>) -> Event {
-        match self.log.append(&self.stream, record).await {
-            Ok(offset) => Event::Appended { offset },
-            Err(error) => {
+    async fn try_append(
+        &self,
+        record: &NewRecord,
+        cause: &mut Option<Arc<AppendError>>,
+    ) -> Result<u64, Event> {
+        self.log
+            .append(&self.stream, record)
+            .await
+            .map_err(|error| {
                 let event = match &error {
                     AppendError::Unknown { .. } => Event::AnswerLost,
                     AppendError::NotTaken { retry_after_ms, .. } => Event::NotTaken {
@@ -182,26 +188,22 @@
                 };
                 *cause = Some(Arc::new(error));
                 event
-            }
-        }
+            })
     }
 
-    async fn read_back(&self, record: &NewRecord, from: u64) -> Event {
+    async fn read_back(&self, record: &NewRecord, from: u64) -> Result<u64, Event> {
         let read = self.log.read(&self.stream, from, READ_BACK_LIMIT, 0).await;
-        read.map_or(Event::ReadFailed, |page| look_for(record, &page))
+        let page = read.map_err(|_outage| Event::ReadFailed)?;
+        look_for(record, &page)
     }
 }
 
-fn look_for(record: &NewRecord, page: &Page) -> Event {
-    let same = |held: &&crate::platform::log::Record| {
-        held.sequence == record.sequence && held.writer == record.writer
-    };
+fn look_for(record: &NewRecord, page: &Page) -> Result<u64, Event> {
+    let same = |held: &&Record| held.sequence == record.sequence && held.writer == record.writer;
     let full = page.records.len() >= READ_BACK_LIMIT as usize;
     match page.records.iter().find(same) {
-        Some(held) => Event::Appended {
-            offset: held.offset,
-        },
-        None if full => Event::NotYetFound { next: page.next },
-        None => Event::NotThere,
+        Some(held) => Ok(held.offset),
+        None if full => Err(Event::NotYetFound { next: page.next }),
+        None => Err(Event::NotThere),
     }
 }
--- a/src/platform/writer/tests.rs
+++ b/src/platform/writer/tests.rs
@@ -4,10 +4,10 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::flight::{Event, Failure, Flight, Step};
 use super::{Appender, GroupWriter};
 use crate::platform::budget::AppendBudget;
 use crate::platform::fakes::{AppendFault, FakeLog};
+use crate::platform::flight::{Event, Failure, Flight, Step};
 use crate::time::{Clock, TimeMs};
 
 const STREAM: &str = "audit";
@@ -109,12 +109,12 @@
         retry_after_ms: None,
     };
     let mut never_sent = Flight::new(7, TimeMs(1_000));
-    assert_eq!(step(&mut never_sent, Event::Started, 0), Step::Append);
+    assert_eq!(step(&mut never_sent, Event::Started, 0), Step::Call);
     let given_up = step(&mut never_sent, refused, 1_000);
     assert_eq!(given_up, Step::GiveUp(Failure::NotTaken));
 
     let mut lost = Flight::new(7, TimeMs(1_000));
-    assert_eq!(step(&mut lost, Event::Started, 0), Step::Append);
+    assert_eq!(step(&mut lost, Event::Started, 0), Step::Call);
     let look = Step::ReadBack { from: 7 };
     assert_eq!(step(&mut lost, Event::AnswerLost, 10), look);
     let pause = step(&mut lost, Event::ReadFailed, 20);
@@ -125,7 +125,7 @@
         step(&mut lost, Event::NotThere, 40),
         Step::Wait { .. }
     ));
-    assert_eq!(step(&mut lost, Event::Waited, 50), Step::Append);
+    assert_eq!(step(&mut lost, Event::Waited, 50), Step::Call);
     let given_up = step(&mut lost, refused, 1_000);
     assert_eq!(given_up, Step::GiveUp(Failure::Unresolved));
 }
