--- a/src/placement/tests/failures.rs
+++ b/src/placement/tests/failures.rs
@@ -58,6 +58,54 @@
     assert_eq!(names.len(), 14);
 }
 
+#[test]
+fn a_purchase_that_arrives_late_is_not_bought_twice() {
+    // Symptom: two hosts for one need. Sequence: a purchase hangs on its way, the controller asks
+    // again, both arrive. Cause: the second ask has a name of its own.
+    let mut world = World::new(STREAMS);
+    world.faults.ask_delay_ms = 5_000;
+    world.run(5 * MINUTE_MS);
+    assert_eq!(world.hosts.len(), 14);
+}
+
+#[test]
+fn a_predecessors_last_purchases_are_waited_for() {
+    // Symptom: twice the hosts after the lease moved. Sequence: the holder's purchases are on
+    // their way when its lease passes on. Cause: the successor lists purchases before they arrive.
+    let mut world = World::new(STREAMS);
+    world.faults.ask_delay_ms = 1_500;
+    world.run(STEP_MS);
+    assert_eq!(world.hosts.len(), 0);
+    world.lease.fencing = 8;
+    world.lease.since_ms = world.now;
+    world.asked = 0;
+    world.asks.clear();
+    world.faults.ask_delay_ms = 0;
+    world.run(5 * MINUTE_MS);
+    assert_eq!(world.hosts.len(), 14);
+}
+
+#[test]
+fn hosts_under_notice_are_replaced_at_once_and_elsewhere() {
+    // Symptom: short of hosts after the wave, and starts refused. Sequence: a failure domain's spot
+    // hosts get notice. Cause: they count until they are gone, and are bought again where they go.
+    let mut world = settled();
+    world.reclaim(DomainKey(0), MINUTE_MS);
+    let leaving = world
+        .alive()
+        .iter()
+        .filter(|host| host.leave_at_ms.is_some())
+        .count();
+    assert!(leaving > 0);
+    let bought = world.hosts.len();
+    world.run(30 * STEP_MS);
+    assert!(world.hosts.len() >= bought + leaving);
+    let again = world.hosts[bought..].iter();
+    let again =
+        again.filter(|host| (host.purchase.class, host.purchase.domain) == (SPOT, DomainKey(0)));
+    assert_eq!(again.count(), 0);
+}
+
 #[test]
 fn a_lagging_host_list_causes_no_purchase() {
     // Symptom: several times the hosts needed. Sequence: hosts are bought, the list does not show
--- a/src/placement/tests/world.rs
+++ b/src/placement/tests/world.rs
@@ -94,6 +94,8 @@
     pub(super) refused: Vec<(ClassKey, DomainKey)>,
     /// One in so many answers is lost after it took effect.
     pub(super) lost_one_in: Option<usize>,
+    /// How long a purchase takes to reach the cloud; it is not answered then.
+    pub(super) ask_delay_ms: u64,
     /// How long the host list is behind.
     pub(super) list_lag_ms: u64,
     /// Purchases can't be listed.
@@ -112,6 +114,8 @@
     pub(super) prices: Vec<Price>,
     pub(super) hosts: Vec<Real>,
     pub(super) asks: Vec<Ask>,
+    /// Purchases on their way to the cloud.
+    on_the_way: Vec<(PurchaseId, TimeMs)>,
     pub(super) refusals: Vec<Refusal>,
     pub(super) faults: Faults,
     pub(super) lease: Lease,
@@ -136,6 +140,7 @@
             prices: Vec::new(),
             hosts: Vec::new(),
             asks: Vec::new(),
+            on_the_way: Vec::new(),
             refusals: Vec::new(),
             faults: Faults::default(),
             lease: Lease {
@@ -166,6 +171,7 @@
         while self.now < end_ms {
             self.now = self.now.after(self.step_ms);
             self.end_hosts();
+            self.deliver();
             self.recent.push(self.streams);
             self.orders = self.decide();
             self.carry_out();
@@ -347,10 +353,36 @@
             self.asked += 1;
         }
         self.asks.retain(|ask| ask.id != id);
-        if self.faults.refused.contains(&(id.class, id.domain)) {
+        self.answers += 1;
+        let lost = self.faults.lost_one_in;
+        let lost = lost.is_some_and(|one_in| self.answers.is_multiple_of(one_in));
+        if lost || self.faults.ask_delay_ms > 0 {
+            self.asks.push(Ask {
+                id,
+                asked_at_ms: self.now,
+            });
+        }
+        let arrives_at_ms = self.now.after(self.faults.ask_delay_ms);
+        self.on_the_way.push((id, arrives_at_ms));
+        self.deliver();
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let arrived = self.on_the_way.extract_if(.., |(_, at_ms)| *at_ms <= now);
+        for (id, _) in arrived.collect::<Vec<_>>() {
+            self.start(id);
+        }
+    }
+
+    fn start(&mut self, id: PurchaseId) {
+        let key = (id.class, id.domain);
+        if self.faults.refused.contains(&key) {
             self.refuse(id);
             return;
         }
+        self.refusals
+            .retain(|refusal| (refusal.class, refusal.domain) != key);
         // A known name buys nothing new.
         if !self.hosts.iter().any(|host| host.purchase == id) {
             let bought = self.hosts.len();
@@ -366,17 +398,6 @@
                 role: Role::Interactive,
             });
         }
-        self.answers += 1;
-        let lost = self.faults.lost_one_in;
-        if lost.is_some_and(|one_in| self.answers.is_multiple_of(one_in)) {
-            self.asks.push(Ask {
-                id,
-                asked_at_ms: self.now,
-            });
-        } else {
-            self.refusals
-                .retain(|refusal| (refusal.class, refusal.domain) != (id.class, id.domain));
-        }
     }
 
     fn refuse(&mut self, id: PurchaseId) {
