--- /dev/null
+++ b/examples/measure/experiments.rs
@@ -0,0 +1,47 @@
+//! The experiments, and what they have in common.
+
+mod cost;
+mod decisions;
+
+mod report;
+
+use thiserror::Error;
+
+/// Every experiment, by name.
+pub const EXPERIMENTS: &[Experiment] = &[cost::EXPERIMENT, decisions::EXPERIMENT];
+
+/// One experiment.
+#[derive(Clone, Copy, Debug)]
+pub struct Experiment {
+    /// The name on the command line.
+    pub name: &'static str,
+    /// One sentence about it.
+    pub about: &'static str,
+    /// Runs it and prints its lines.
+    pub run: fn(&Arguments) -> Result<(), Failure>,
+}
+
+/// What an experiment is run with.
+#[derive(Clone, Copy, Debug)]
+pub struct Arguments {
+    /// The seed of the first run.
+    pub seed: u64,
+    /// How many runs.
+    pub runs: u32,
+}
+
+impl Arguments {
+    /// The seeds of the runs.
+    pub fn seeds(&self) -> impl Iterator<Item = u64> + use<> {
+        let first = self.seed;
+        (0..u64::from(self.runs)).map(move |run| first.wrapping_add(run))
+    }
+}
+
+/// Why an experiment failed.
+#[derive(Debug, Error)]
+pub enum Failure {
+    /// Something that it reads or writes failed.
+    #[error("an experiment's input or output failed")]
+    Io(#[from] std::io::Error),
+}
--- a/src/placement/hosts.rs
+++ b/src/placement/hosts.rs
@@ -1,6 +1,6 @@
 //! Which hosts to buy, drain and give back.
 
-use super::mix::{Mix, cheapest};
+use super::mix::{Capacity, Mix, cheapest};
 use super::order::Order;
 use super::purchase::PurchaseId;
 use super::stock::Stock;
@@ -18,6 +18,9 @@
 /// Part of a pool's hosts that are drained at once, as one in so many.
 const DRAINING_DIVISOR: usize = 10;
 
+/// What summing up parts may leave short of the whole.
+const ROUNDING: f64 = 1e-9;
+
 /// How long after the order every node knows that a host takes no new work.
 const DRAIN_KNOWN_MS: u64 = 5_000;
 
@@ -222,44 +225,125 @@
 /// A host is drained only while the others that serve now are enough without it. So a move to
 /// other classes first waits for the new hosts to serve, and callers notice no dip.
 fn drain(stock: &Stock<'_>, wanted: &Wanted, now: TimeMs, orders: &mut Vec<Order>) {
-    let mut serving: Vec<&Host> = stock.hosts.clone();
-    serving.retain(|host| stock.serves(host));
+    let mut serving = Serving::new(stock, wanted);
     let draining = stock.hosts.iter();
     let draining = draining.filter(|host| matches!(host.stage, Stage::Draining { .. }));
-    let at_once = serving.len().div_ceil(DRAINING_DIVISOR);
+    let at_once = serving.hosts.div_ceil(DRAINING_DIVISOR);
     let mut left = at_once.saturating_sub(draining.count());
-    for held in stock.all_held() {
-        let surplus = wanted.surplus(held.domain, held.class, held.hosts);
-        let mut hosts: Vec<&Host> = stock.hosts.clone();
-        hosts.retain(|host| (host.domain, host.class) == (held.domain, held.class));
-        hosts.sort_by_key(|host| (drain_rank(host.stage), host.running, host.host));
-        let surplus = usize::try_from(surplus).unwrap_or(usize::MAX);
-        for host in hosts.into_iter().take(surplus) {
-            let without = serving
-                .iter()
-                .copied()
-                .filter(|other| other.host != host.host);
-            match host.stage {
-                Stage::Starting { .. } => orders.push(Order::GiveBack { host: host.host }),
-                Stage::Draining { since_ms } if is_enough(stock, wanted, without.clone(), true) => {
-                    let empty_at_ms = (host.running == 0).then_some(host.load_as_of_ms);
-                    orders.push(if is_drained(stock.view, since_ms, empty_at_ms, now) {
-                        Order::GiveBack { host: host.host }
-                    } else {
-                        Order::Drain { host: host.host }
-                    });
-                }
-                Stage::Live if left > 0 && is_enough(stock, wanted, without.clone(), false) => {
-                    left -= 1;
-                    serving.retain(|other| other.host != host.host);
-                    orders.push(Order::Drain { host: host.host });
-                }
-                _ => {}
+    for host in surplus_hosts(stock, wanted) {
+        match host.stage {
+            Stage::Starting { .. } => orders.push(Order::GiveBack { host: host.host }),
+            Stage::Draining { since_ms } if serving.is_enough_for_lead() => {
+                let empty_at_ms = (host.running == 0).then_some(host.load_as_of_ms);
+                orders.push(if is_drained(stock.view, since_ms, empty_at_ms, now) {
+                    Order::GiveBack { host: host.host }
+                } else {
+                    Order::Drain { host: host.host }
+                });
             }
+            Stage::Live if left > 0 && serving.give_up(host) => {
+                left -= 1;
+                orders.push(Order::Drain { host: host.host });
+            }
+            _ => {}
         }
     }
 }
 
+/// The hosts that are not needed, of each offer those to go first.
+fn surplus_hosts<'a>(stock: &Stock<'a>, wanted: &Wanted) -> Vec<&'a Host> {
+    let mut hosts = stock.hosts.clone();
+    hosts.sort_by_key(|host| {
+        let rank = drain_rank(host.stage);
+        (host.domain, host.class, rank, host.running, host.host)
+    });
+    let by_offer = hosts.chunk_by(|a, b| (a.domain, a.class) == (b.domain, b.class));
+    let surplus = by_offer.flat_map(|hosts| {
+        let (domain, class) = (hosts[0].domain, hosts[0].class);
+        let surplus = wanted.surplus(domain, class, stock.held(domain, class));
+        let surplus = usize::try_from(surplus).unwrap_or(usize::MAX);
+        hosts.iter().copied().take(surplus)
+    });
+    surplus.collect()
+}
+
+/// What the hosts that serve now can do.
+struct Serving<'a, 'b> {
+    stock: &'a Stock<'b>,
+    demand: Option<(Demand, Demand)>,
+    for_lead: Capacity,
+    for_keep: Capacity,
+    hosts: usize,
+}
+
+impl<'a, 'b> Serving<'a, 'b> {
+    fn new(stock: &'a Stock<'b>, wanted: &Wanted) -> Self {
+        let mut serving = Self {
+            stock,
+            demand: wanted.demand,
+            for_lead: Capacity::default(),
+            for_keep: Capacity::default(),
+            hosts: 0,
+        };
+        for host in stock.hosts.iter().filter(|host| stock.serves(host)) {
+            serving.add(host, 1.0);
+            serving.hosts += 1;
+        }
+        serving
+    }
+
+    /// Whether hosts that drain already are not needed after all; the shorter view counts.
+    fn is_enough_for_lead(&self) -> bool {
+        match self.demand {
+            Some(_) => self.is_enough(&self.for_lead),
+            None => self.hosts >= self.meant(),
+        }
+    }
+
+    /// Takes a host out if the others are enough for the longer view; tells whether they are.
+    fn give_up(&mut self, host: &Host) -> bool {
+        if !self.stock.serves(host) {
+            return self.is_enough_for_lead();
+        }
+        self.add(host, -1.0);
+        self.hosts -= 1;
+        let enough = match self.demand {
+            Some(_) => self.is_enough(&self.for_keep),
+            None => self.hosts >= self.meant(),
+        };
+        if !enough {
+            self.add(host, 1.0);
+            self.hosts += 1;
+        }
+        enough
+    }
+
+    fn add(&mut self, host: &Host, sign: f64) {
+        if let Some((lead, keep)) = &self.demand {
+            let part = self.stock.capacity_of(host, lead);
+            self.for_lead.add(host.domain, sign * part);
+            let part = self.stock.capacity_of(host, keep);
+            self.for_keep.add(host.domain, sign * part);
+        }
+    }
+
+    /// Whether the demand is served, after a loss too where the pool has several failure domains.
+    fn is_enough(&self, capacity: &Capacity) -> bool {
+        let served = if self.stock.pool.hosts.len() > 1 {
+            capacity.after_worst_loss()
+        } else {
+            capacity.total()
+        };
+        served >= 1.0 - ROUNDING
+    }
+
+    /// Hosts that the document means the pool to have.
+    fn meant(&self) -> usize {
+        let hosts = self.stock.pool.hosts.iter();
+        hosts.map(|(_, count)| usize::from(*count)).sum()
+    }
+}
+
 /// Hosts that are drained already go first, then those that do not serve yet.
 fn drain_rank(stage: Stage) -> u8 {
     match stage {
@@ -269,24 +353,6 @@
     }
 }
 
-/// Whether hosts are enough; to begin a drain the longer view counts, to go on the shorter.
-fn is_enough<'a>(
-    stock: &Stock<'_>,
-    wanted: &Wanted,
-    hosts: impl Iterator<Item = &'a Host> + Clone,
-    begun: bool,
-) -> bool {
-    let domains = stock.pool.hosts.len();
-    match &wanted.demand {
-        Some((lead, _)) if begun => stock.served_part(hosts, lead).is_enough(domains),
-        Some((_, keep)) => stock.served_part(hosts, keep).is_enough(domains),
-        None => {
-            let meant: usize = stock.pool.hosts.iter().map(|(_, n)| usize::from(*n)).sum();
-            hosts.count() >= meant
-        }
-    }
-}
-
 /// Whether a host may be given back.
 ///
 /// A report from before every node knew of the drain may show an empty host that work is still on
--- a/src/placement/mix.rs
+++ b/src/placement/mix.rs
@@ -17,7 +17,10 @@
 /// Results that are improved by exchanging single hosts.
 const IMPROVED_MAX: usize = 6;
 
-/// Exchanges that are tried for one result; it matters where hosts are few and soon tried.
+/// Hosts up to which exchanges are tried; above, one host more or less is not worth the time.
+const SMALL_MAX: u32 = 200;
+
+/// Exchanges that are tried for one result.
 const TRIES_MAX: u32 = 2_000;
 
 /// What rounding may leave a capacity short of the demand by.
@@ -73,7 +76,8 @@
     }
     found.sort_by(Holding::compare);
     found.truncate(IMPROVED_MAX);
-    for holding in &mut found {
+    let is_small = |holding: &&mut Holding<'_>| holding.hosts.iter().sum::<u32>() <= SMALL_MAX;
+    for holding in found.iter_mut().filter(is_small) {
         holding.exchange();
     }
     let best = found.into_iter().min_by(Holding::compare);
@@ -92,18 +96,43 @@
     }
 }
 
-/// Capacity left after the worst loss of one failure domain.
-#[must_use]
-pub fn after_worst_loss(capacity: impl Iterator<Item = (DomainKey, f64)>) -> f64 {
-    let mut by_domain: Vec<(DomainKey, f64)> = Vec::new();
-    for (domain, capacity) in capacity {
-        match by_domain.binary_search_by_key(&domain, |held| held.0) {
-            Ok(index) => by_domain[index].1 += capacity,
-            Err(index) => by_domain.insert(index, (domain, capacity)),
+/// Capacity summed up by failure domain.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Capacity {
+    by_domain: Vec<(DomainKey, f64)>,
+}
+
+impl Capacity {
+    /// Adds capacity in a failure domain; a negative amount takes it away.
+    pub fn add(&mut self, domain: DomainKey, amount: f64) {
+        match self.by_domain.binary_search_by_key(&domain, |held| held.0) {
+            Ok(index) => self.by_domain[index].1 += amount,
+            Err(index) => self.by_domain.insert(index, (domain, amount)),
+        }
+    }
+
+    /// All of it.
+    #[must_use]
+    pub fn total(&self) -> f64 {
+        self.by_domain.iter().map(|held| held.1).sum()
+    }
+
+    /// What is left after the worst loss of one failure domain.
+    #[must_use]
+    pub fn after_worst_loss(&self) -> f64 {
+        let largest = self.by_domain.iter().map(|held| held.1);
+        self.total() - largest.fold(0.0, f64::max)
+    }
+}
+
+impl FromIterator<(DomainKey, f64)> for Capacity {
+    fn from_iter<I: IntoIterator<Item = (DomainKey, f64)>>(iter: I) -> Self {
+        let mut capacity = Self::default();
+        for (domain, amount) in iter {
+            capacity.add(domain, amount);
         }
+        capacity
     }
-    let total: f64 = by_domain.iter().map(|held| held.1).sum();
-    total - by_domain.iter().map(|held| held.1).fold(0.0, f64::max)
 }
 
 /// Hosts of one offer that cost the same: those held already, or more.
@@ -228,9 +257,12 @@
             .hosts_up_to
             .saturating_sub(self.hosts[segment.offer]);
         let hosts = u32::try_from(whole(fit.min(wanted))).unwrap_or(u32::MAX);
-        for _ in 0..hosts.min(left) {
-            self.add(segment.offer);
-        }
+        // All hosts of a segment cost the same.
+        let hosts = hosts.min(left);
+        let price = self.price_of(segment.offer, segment.hosts_up_to);
+        self.cost += price * f64::from(hosts);
+        self.hosts[segment.offer] += hosts;
+        self.count(segment.offer, f64::from(hosts));
     }
 
     fn add(&mut self, offer: usize) {
--- a/src/placement/models.rs
+++ b/src/placement/models.rs
@@ -3,7 +3,6 @@
 use super::order::Order;
 use super::stock::Stock;
 use super::view::{Host, ModelVersion, PlacementView, Stage};
-use crate::document::checked::Model;
 use crate::keys::ModelKey;
 use crate::reclaim::rates::{float, whole};
 use crate::time::TimeMs;
@@ -32,16 +31,24 @@
     now: TimeMs,
     orders: &mut Vec<Order>,
 ) {
+    let models = view.document.models.iter();
+    let present: Vec<ModelVersion> = models
+        .map(|model| ModelVersion::of(&model.name, &model.version))
+        .collect();
     let engines = stocks.iter().filter(|stock| !stock.models().is_empty());
     let hosts: Vec<(&Stock<'_>, &Host)> = engines
         .flat_map(|stock| stock.hosts.iter().map(move |host| (stock, *host)))
         .filter(|(_, host)| host.stage == Stage::Live && host.failing_since_ms.is_none())
         .collect();
-    orders.extend(hosts.iter().flat_map(|(stock, host)| needless(stock, host)));
+    orders.extend(
+        hosts
+            .iter()
+            .flat_map(|(stock, host)| needless(stock, host, &present)),
+    );
     let mut missing: Vec<Missing> = hosts
         .iter()
         .enumerate()
-        .flat_map(|(index, (stock, host))| missing_on(index, stock, host))
+        .flat_map(|(index, (stock, host))| missing_on(index, stock, host, &present))
         .collect();
     // Closest to serving first: a host brings nothing until its last model is there.
     missing.sort_by_key(|load| {
@@ -82,13 +89,13 @@
 }
 
 /// Versions on a host that can go: of no model of the pool, or followed by the present version.
-fn needless(stock: &Stock<'_>, host: &Host) -> Vec<Order> {
+fn needless(stock: &Stock<'_>, host: &Host, present: &[ModelVersion]) -> Vec<Order> {
     let wanted = |model: &Option<ModelKey>| model.filter(|m| stock.models().contains(m));
     let loaded = host.models.iter().filter(|held| !held.loading);
     let needless = loaded.filter(|held| match wanted(&held.model) {
         None => true,
         Some(model) => {
-            let present = present_version(stock.view.document.model(model));
+            let present = present[model.index()];
             let mut others = host.models.iter();
             held.version != present && others.any(|o| !o.loading && o.version == present)
         }
@@ -100,7 +107,12 @@
     orders.collect()
 }
 
-fn missing_on(index: usize, stock: &Stock<'_>, host: &Host) -> Vec<Missing> {
+fn missing_on(
+    index: usize,
+    stock: &Stock<'_>,
+    host: &Host,
+    present: &[ModelVersion],
+) -> Vec<Missing> {
     let document = stock.view.document;
     let holds = |version: ModelVersion| host.models.iter().any(|held| held.version == version);
     let serves = |model: ModelKey| {
@@ -108,7 +120,7 @@
         loaded.any(|held| held.model == Some(model))
     };
     let models = stock.models().iter().copied();
-    let to_load = models.filter(|model| !holds(present_version(document.model(*model))));
+    let to_load = models.filter(|model| !holds(present[model.index()]));
     let to_load: Vec<ModelKey> = to_load.collect();
     let lacking = to_load.iter().filter(|model| !serves(**model));
     let until_serving_bytes = lacking
@@ -123,10 +135,6 @@
     missing.collect()
 }
 
-fn present_version(model: &Model) -> ModelVersion {
-    ModelVersion::of(&model.name, &model.version)
-}
-
 /// What may still be handed to the weight store.
 struct Pace {
     closed: bool,
--- a/src/placement/roles.rs
+++ b/src/placement/roles.rs
@@ -39,8 +39,11 @@
 /// Hosts for batch work: its part, but none while the pool is short.
 fn batch_hosts(stock: &Stock<'_>, hosts: &[&Host]) -> usize {
     let demand = stock.demand.lead.unwrap_or_default();
-    let served = stock.served_part(hosts.iter().copied(), &demand);
-    if hosts.len() < DIVIDED_MIN || served.in_all < 1.0 {
+    let served: f64 = hosts
+        .iter()
+        .map(|host| stock.capacity_of(host, &demand))
+        .sum();
+    if hosts.len() < DIVIDED_MIN || served < 1.0 {
         return 0;
     }
     let exact = float(u64::try_from(hosts.len()).unwrap_or(u64::MAX)) * stock.demand.batch_part;
--- a/src/placement/stock.rs
+++ b/src/placement/stock.rs
@@ -1,6 +1,6 @@
 //! What a pool holds and what it could hold.
 
-use super::mix::{Need, Offer, after_worst_loss};
+use super::mix::{Need, Offer};
 use super::view::{Demand, Host, PlacementView, PoolDemand, PurchaseState, Stage};
 use crate::document::checked::{HostClass, Pool, PoolKind};
 use crate::keys::{ClassKey, DomainKey, ModelKey, PoolKey};
@@ -30,6 +30,8 @@
     pub(super) silent: Vec<&'a Host>,
     /// By failure domain and class.
     held: Vec<Held>,
+    /// Where hosts of any pool are under notice, in order.
+    leaving: Vec<(DomainKey, ClassKey)>,
 }
 
 impl<'a> Stock<'a> {
@@ -44,6 +46,7 @@
             hosts,
             silent,
             held: Vec::new(),
+            leaving: leaving(view),
         };
         stock.count();
         stock
@@ -70,11 +73,6 @@
         found.map_or(0, |index| self.held[index].hosts)
     }
 
-    /// All that it holds, by failure domain and class.
-    pub(super) fn all_held(&self) -> &[Held] {
-        &self.held
-    }
-
     /// Whether a host is up with every model of the pool in some version.
     pub(super) fn serves(&self, host: &Host) -> bool {
         let loaded = |model: &ModelKey| {
@@ -126,16 +124,12 @@
         let refusal = refusals.binary_search_by_key(&(class, domain), |r| (r.class, r.domain));
         let refused = refusal.is_ok_and(|index| now < refusals[index].again_at_ms());
         let reclaimable = self.view.document.host_class(class).reclaimable;
-        let mut hosts = self.view.hosts.iter();
-        let leaving = reclaimable
-            && hosts.any(|host| {
-                (host.domain, host.class, host.stage) == (domain, class, Stage::Leaving)
-            });
-        !refused && !leaving
+        let leaving = self.leaving.binary_search(&(domain, class)).is_ok();
+        !(refused || reclaimable && leaving)
     }
 
     /// The part of a demand that one host of a class serves within the latency target.
-    pub(super) fn capacity(&self, class: &HostClass, demand: &Demand) -> f64 {
+    fn capacity(&self, class: &HostClass, demand: &Demand) -> f64 {
         let part = |rate: f64, needed: f64| {
             if needed > 0.0 {
                 rate * self.view.settings.utilisation_max / needed
@@ -170,20 +164,9 @@
         }
     }
 
-    /// The part of a demand that some hosts serve, in all and after the worst loss.
-    pub(super) fn served_part<'b>(
-        &self,
-        hosts: impl Iterator<Item = &'b Host> + Clone,
-        demand: &Demand,
-    ) -> Served {
-        let parts = hosts.map(|host| {
-            let class = self.view.document.host_class(host.class);
-            (host.domain, self.capacity(class, demand))
-        });
-        Served {
-            in_all: parts.clone().map(|(_, part)| part).sum(),
-            after_loss: after_worst_loss(parts),
-        }
+    /// The part of a demand that one host serves.
+    pub(super) fn capacity_of(&self, host: &Host, demand: &Demand) -> f64 {
+        self.capacity(self.view.document.host_class(host.class), demand)
     }
 
     fn count(&mut self) {
@@ -220,25 +203,6 @@
     }
 }
 
-/// Parts of a demand that are served.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Served {
-    pub(super) in_all: f64,
-    pub(super) after_loss: f64,
-}
-
-impl Served {
-    /// Whether the demand is served, after a loss too where the pool has several failure domains.
-    pub(super) fn is_enough(self, domains: usize) -> bool {
-        let part = if domains > 1 {
-            self.after_loss
-        } else {
-            self.in_all
-        };
-        part >= 1.0 - 1e-9
-    }
-}
-
 /// Whether a host has been silent for so long that it is to be replaced.
 ///
 /// If half of a failure domain is silent, the link to it is rather to blame than its hosts. Giving
@@ -263,3 +227,12 @@
     });
     all > 1 && f64::from(failing) >= PARTED_MIN * f64::from(all)
 }
+
+fn leaving(view: &PlacementView<'_>) -> Vec<(DomainKey, ClassKey)> {
+    let hosts = view.hosts.iter();
+    let leaving = hosts.filter(|host| host.stage == Stage::Leaving);
+    let mut leaving: Vec<_> = leaving.map(|host| (host.domain, host.class)).collect();
+    leaving.sort_unstable();
+    leaving.dedup();
+    leaving
+}
--- a/src/placement/tests/mixes.rs
+++ b/src/placement/tests/mixes.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::super::mix::{Need, Offer, after_worst_loss, cheapest};
+use super::super::mix::{Capacity, Need, Offer, cheapest};
 use crate::keys::{ClassKey, DomainKey};
 
 const HELD_MAX: u32 = 4;
@@ -45,7 +45,8 @@
         .zip(hosts)
         .filter(|(offer, _)| !offer.reclaimable);
     let on_demand: f64 = on_demand.map(capacity).sum();
-    after_worst_loss(by_domain) >= need.after_loss - 1e-9 && on_demand >= need.on_demand - 1e-9
+    by_domain.collect::<Capacity>().after_worst_loss() >= need.after_loss - 1e-9
+        && on_demand >= need.on_demand - 1e-9
 }
 
 /// The cost of the cheapest mix, by trying all of them.
--- a/src/placement/tests/world.rs
+++ b/src/placement/tests/world.rs
@@ -201,7 +201,8 @@
             let loaded = models.any(|(_, loaded_at_ms)| *loaded_at_ms <= self.now);
             loaded && host.draining_since_ms.is_none() && host.leave_at_ms.is_none()
         });
-        mix::after_worst_loss(serving.map(|host| (host.purchase.domain, 10.0)))
+        let capacity = serving.map(|host| (host.purchase.domain, 10.0));
+        capacity.collect::<mix::Capacity>().after_worst_loss()
     }
 
     /// Gives notice to all reclaimable hosts of a failure domain.
--- a/src/reclaim/room.rs
+++ b/src/reclaim/room.rs
@@ -45,12 +45,23 @@
     compute_ms: u64,
 }
 
-/// The targets that serve one model, with their free slots summed up for weighted draws.
+/// The targets that serve one model.
 #[derive(Debug)]
 struct ModelTargets {
     model: ModelKey,
+    /// All of them.
     members: Vec<usize>,
-    slots_up_to: Vec<u64>,
+    /// Those outside failure domains in a wave, by this node's part of their free slots.
+    by_part: Draws,
+    /// The same by all their free slots.
+    by_slots: Draws,
+}
+
+/// Targets with their weights summed up, for weighted draws.
+#[derive(Debug)]
+struct Draws {
+    targets: Vec<usize>,
+    weight_up_to: Vec<u64>,
 }
 
 /// Room on the targets, less what this plan has given away.
@@ -197,8 +208,8 @@
     }
 
     fn scan(&self, model: usize, hash: u64, stream: &StreamOnHost, tier: Tier) -> Option<usize> {
-        let members = &self.models[model].members;
-        let (before, after) = members.split_at(below(hash, members.len()));
+        let targets = self.models[model].targets(tier);
+        let (before, after) = targets.split_at(below(hash, targets.len()));
         let mut from_there = after.iter().chain(before).copied();
         from_there.find(|index| self.fits(*index, stream, tier))
     }
@@ -225,31 +236,60 @@
             !row.under_notice && target.models.binary_search(&model).is_ok()
         });
         let members: Vec<usize> = serve.map(|(index, _)| index).collect();
-        let slots = members.iter().scan(0, |sum, index| {
-            let row = &rows[*index];
-            *sum += if row.in_wave { 0 } else { u64::from(row.slots) };
-            Some(*sum)
-        });
+        let quiet = members
+            .iter()
+            .copied()
+            .filter(|index| !rows[*index].in_wave);
         Self {
             model,
-            slots_up_to: slots.collect(),
+            by_part: Draws::new(quiet.clone(), |index| rows[index].part_slots),
+            by_slots: Draws::new(quiet, |index| rows[index].slots),
             members,
         }
     }
 
+    /// The targets that may fit a tier.
+    fn targets(&self, tier: Tier) -> &[usize] {
+        match tier {
+            Tier::Part => &self.by_part.targets,
+            Tier::Contended => &self.by_slots.targets,
+            Tier::InWave | Tier::Queued => &self.members,
+        }
+    }
+
     fn draw(&self, hash: u64, tier: Tier) -> Option<usize> {
-        let slots = self.slots_up_to.last().copied().unwrap_or(0);
         match tier {
-            Tier::Part | Tier::Contended if slots > 0 => {
-                let drawn = hash % slots;
-                let position = self.slots_up_to.partition_point(|sum| *sum <= drawn);
-                self.members.get(position).copied()
+            Tier::Part => self.by_part.draw(hash),
+            Tier::Contended => self.by_slots.draw(hash),
+            Tier::InWave | Tier::Queued => {
+                let members = &self.members;
+                members.get(below(hash, members.len())).copied()
             }
-            _ => self.members.get(below(hash, self.members.len())).copied(),
         }
     }
 }
 
+impl Draws {
+    fn new(targets: impl Iterator<Item = usize>, weight: impl Fn(usize) -> u32) -> Self {
+        let targets: Vec<usize> = targets.filter(|index| weight(*index) > 0).collect();
+        let sums = targets.iter().scan(0, |sum, index| {
+            *sum += u64::from(weight(*index));
+            Some(*sum)
+        });
+        Self {
+            weight_up_to: sums.collect(),
+            targets,
+        }
+    }
+
+    fn draw(&self, hash: u64) -> Option<usize> {
+        let in_all = *self.weight_up_to.last()?;
+        let drawn = hash % in_all;
+        let position = self.weight_up_to.partition_point(|sum| *sum <= drawn);
+        self.targets.get(position).copied()
+    }
+}
+
 fn domains_in_wave(view: &ReclaimView<'_>) -> Vec<DomainKey> {
     let mut noticed: Vec<DomainKey> = view.notices.iter().map(|notice| notice.domain).collect();
     noticed.sort_unstable();
