--- a/src/platform/configuration/tests.rs
+++ b/src/platform/configuration/tests.rs
@@ -1,3 +1,5 @@
+mod keeper;
+
 use super::{Change, ChangeOutcome, Configuration, Entry, Snapshot};
 use crate::platform::follower::{Fold, Gap};
 use crate::platform::log::Record;
@@ -50,6 +52,7 @@
         wanted,
         first,
         first_at_ms: Some(TimeMs(first * 1_000)),
+        met_ms: TimeMs(first * 1_000),
     }
 }
 
