--- a/src/peers.rs
+++ b/src/peers.rs
@@ -13,6 +13,7 @@
 mod keepalive;
 mod key;
 mod link;
+mod sending;
 mod server;
 mod settings;
 mod traffic;
--- a/src/peers/codec.rs
+++ b/src/peers/codec.rs
@@ -99,3 +99,6 @@
         _ => Err(CodecError::TooLarge { length_bytes }),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/peers/credentials.rs
+++ b/src/peers/credentials.rs
@@ -162,3 +162,6 @@
         _ => None,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/peers/credentials/tests.rs
@@ -0,0 +1,86 @@
+//! Credentials that are accepted and credentials that are not.
+
+use super::*;
+
+const NOW: TimeMs = TimeMs(1_700_000_000_000);
+
+fn key() -> FleetKey {
+    FleetKey::try_from(b"a key for tests, only".as_slice()).unwrap()
+}
+
+fn receiver() -> SocketAddr {
+    "[::1]:7000".parse().unwrap()
+}
+
+fn request(path: &str) -> http::request::Parts {
+    let credentials = Credentials {
+        from: Incarnation(9),
+        to: receiver(),
+        sent_ms: NOW,
+        body: digest(b"body"),
+    };
+    let tag = credentials.tag(&key(), "/echo");
+    let mut request = http::Request::new(());
+    *request.uri_mut() = format!("http://{}{path}", receiver()).parse().unwrap();
+    credentials.write(&tag, request.headers_mut());
+    request.into_parts().0
+}
+
+fn check(request: &http::request::Parts, now: TimeMs) -> Result<Credentials, CredentialsError> {
+    Credentials::check(request, &key(), receiver(), now).map(|(credentials, _)| credentials)
+}
+
+#[test]
+fn the_sender_of_a_fitting_request_is_known() {
+    let credentials = check(&request("/echo"), NOW).unwrap();
+    assert_eq!(credentials.from, Incarnation(9));
+    assert!(credentials.fits(b"body"));
+    assert!(!credentials.fits(b"another body"));
+}
+
+#[test]
+fn old_and_early_requests_are_refused() {
+    let request = request("/echo");
+    for now in [NOW.after(60_000), TimeMs(NOW.0 - 60_000)] {
+        check(&request, now).unwrap();
+    }
+    for now in [NOW.after(60_001), TimeMs(NOW.0 - 60_001)] {
+        assert_eq!(check(&request, now), Err(CredentialsError::OutsideWindow));
+    }
+}
+
+#[test]
+fn a_request_for_another_node_is_refused() {
+    let other = "[::1]:7001".parse().unwrap();
+    let checked = Credentials::check(&request("/echo"), &key(), other, NOW);
+    assert_eq!(checked, Err(CredentialsError::WrongReceiver));
+}
+
+#[test]
+fn what_was_changed_on_the_way_is_refused() {
+    assert_eq!(
+        check(&request("/run"), NOW),
+        Err(CredentialsError::WrongTag)
+    );
+    let body = to_hex(&digest(b"another body"));
+    for (name, value) in [(FROM, "10"), (SENT, "1700000000001"), (BODY, &body)] {
+        let mut changed = request("/echo");
+        changed
+            .headers
+            .insert(name, HeaderValue::from_str(value).unwrap());
+        assert_eq!(check(&changed, NOW), Err(CredentialsError::WrongTag));
+    }
+    let mut bare = request("/echo");
+    bare.headers.remove(TAG);
+    assert_eq!(check(&bare, NOW), Err(CredentialsError::Malformed));
+}
+
+#[test]
+fn a_reply_is_proved_for_its_own_request_only() {
+    let mut headers = HeaderMap::new();
+    let tag = [1; TAG_BYTES];
+    prove_reply(&key(), &tag, &mut headers);
+    assert!(reply_is_proved(&key(), &tag, &headers));
+    assert!(!reply_is_proved(&key(), &[2; TAG_BYTES], &headers));
+    assert!(!reply_is_proved(&key(), &tag, &HeaderMap::new()));
+}
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use h2::server::SendResponse;
-use h2::{Reason, RecvStream, SendStream};
+use h2::{Reason, RecvStream};
 use http::{Request, Response, StatusCode};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc};
@@ -17,6 +17,7 @@
 use super::credentials::{self, Credentials};
 use super::key::{FleetKey, Tag};
 use super::link::{Life, Metered};
+use super::sending::{send, send_items};
 use super::settings::Settings;
 use super::traffic::{KindTraffic, Traffic};
 use super::{Protocol, codec};
@@ -35,12 +36,6 @@
 /// loses its callers, and one would see all their other streams break.
 const MAX_CANCELLED_STREAMS: usize = 16_384;
 
-/// Items are put together up to this size before they are sent.
-const BATCH_BYTES: usize = 16 * 1024;
-
-/// Items are taken from the handler's channel up to this number at once.
-const BATCH_ITEMS: usize = 256;
-
 /// How long to wait before accepting again when the system has no more sockets to give.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -176,7 +171,7 @@
                 }
             };
             let Ok(permit) = Arc::clone(&shared.connections).try_acquire_owned() else {
-                log::warn!("too many connections from peers; one is closed");
+                metrics::counter!("teaselline_peer_connections_refused_total").increment(1);
                 continue;
             };
             let connection = Arc::clone(&shared).connection(socket, shutdown.clone());
@@ -271,7 +266,9 @@
         let (credentials, tag) = match checked {
             Ok(checked) => checked,
             Err(error) => {
-                log::warn!(cause:err = error; "a request with wrong credentials is refused");
+                // Strangers can cause this as often as they like, so it is counted, not warned of.
+                metrics::counter!("teaselline_peer_credentials_refused_total").increment(1);
+                log::debug!(cause:err = error; "a request with wrong credentials is refused");
                 refuse(&mut respond, StatusCode::UNAUTHORIZED, None);
                 return;
             }
@@ -356,76 +353,6 @@
     }
 }
 
-/// The caller went away while it was being answered.
-struct CallerGone;
-
-async fn send_items<T: bincode::Encode>(
-    sending: &mut SendStream<Bytes>,
-    mut items: mpsc::Receiver<T>,
-    mut frames: BytesMut,
-    traffic: &KindTraffic,
-) {
-    let mut batch = Vec::with_capacity(BATCH_ITEMS);
-    loop {
-        tokio::select! {
-            biased;
-            _ = std::future::poll_fn(|cx| sending.poll_reset(cx)) => return,
-            _ = items.recv_many(&mut batch, BATCH_ITEMS) => {}
-        }
-        let last = batch.is_empty();
-        for item in batch.drain(..) {
-            if let Err(error) = codec::encode_frame(&item, &mut frames) {
-                log::error!(kind = traffic.kind, cause:err = error; "an item can't be encoded");
-                sending.send_reset(Reason::INTERNAL_ERROR);
-                return;
-            }
-            traffic.sent(1, 0);
-            if frames.len() >= BATCH_BYTES {
-                let chunk = frames.split().freeze();
-                traffic.sent(0, chunk.len());
-                if send(sending, chunk, false).await.is_err() {
-                    return;
-                }
-            }
-        }
-        let chunk = frames.split().freeze();
-        traffic.sent(0, chunk.len());
-        if last {
-            // Whether the caller is still there makes no difference at the end.
-            let _ = send(sending, chunk, true).await;
-            return;
-        }
-        if !chunk.is_empty() && send(sending, chunk, false).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Sends bytes as fast as the caller takes them.
-async fn send(
-    sending: &mut SendStream<Bytes>,
-    mut bytes: Bytes,
-    end_of_stream: bool,
-) -> Result<(), CallerGone> {
-    while sending.capacity() < bytes.len() {
-        sending.reserve_capacity(bytes.len());
-        // A reset by the caller also ends this wait.
-        let granted = std::future::poll_fn(|cx| sending.poll_capacity(cx)).await;
-        let granted = match granted {
-            Some(Ok(granted)) => granted.min(bytes.len()),
-            Some(Err(_)) | None => return Err(CallerGone),
-        };
-        if granted < bytes.len() {
-            let part = bytes.split_to(granted);
-            sending
-                .send_data(part, false)
-                .map_err(|_reset| CallerGone)?;
-        }
-    }
-    let sent = sending.send_data(bytes, end_of_stream);
-    sent.map_err(|_reset| CallerGone)
-}
-
 /// Reads a request's body, which must have the size of a message.
 async fn read(mut body: RecvStream) -> Result<Bytes, StatusCode> {
     let mut whole = BytesMut::new();
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -43,6 +43,7 @@
 #[derive(Debug, Default)]
 struct Echo {
     hanging: AtomicUsize,
+    counting: Arc<AtomicUsize>,
     handled: AtomicUsize,
 }
 
@@ -64,12 +65,15 @@
             Ask::Echo(text) => Answer::Reply(text),
             Ask::Count(to) => {
                 let (sender, receiver) = mpsc::channel(16);
+                let counting = Arc::clone(&self.counting);
+                counting.fetch_add(1, SeqCst);
                 tokio::spawn(async move {
                     for item in 0..to {
                         if sender.send(item).await.is_err() {
-                            return;
+                            break;
                         }
                     }
+                    counting.fetch_sub(1, SeqCst);
                 });
                 Answer::Stream("counting".to_owned(), receiver)
             }
@@ -324,6 +328,73 @@
     echo(&peers, first.address, "").await.unwrap();
 }
 
+#[tokio::test]
+async fn a_stream_that_is_dropped_closes_its_handlers_channel() {
+    // Symptom: a node goes on making tokens that nobody reads.
+    // Sequence: a caller drops a stream half way.
+    // Cause: the producer's channel stays open.
+    let node = node().await;
+    let peers = connections(key());
+    let (_, mut items) = peers
+        .open(node.address, Ask::Count(u64::MAX), TIMEOUT_MS)
+        .await
+        .unwrap();
+    assert_eq!(items.next().await.unwrap().unwrap(), 0);
+    assert_eq!(node.handler.counting.load(SeqCst), 1);
+    drop(items);
+    eventually(|| node.handler.counting.load(SeqCst) == 0).await;
+}
+
+#[tokio::test]
+async fn streams_beyond_the_bound_are_refused_before_the_handler() {
+    let node = node_behind(None, Settings::default().with_max_streams(1)).await;
+    let peers = connections(key());
+    let other = connections(key());
+    let held = peers.open(node.address, Ask::Count(u64::MAX), TIMEOUT_MS);
+    let (_, items) = held.await.unwrap();
+    let error = echo(&other, node.address, "").await.unwrap_err();
+    assert!(error.is_not_handled(), "{error:?}");
+    assert_eq!(node.handler.handled.load(SeqCst), 1);
+    drop(items);
+    eventually(|| node.handler.counting.load(SeqCst) == 0).await;
+    echo(&other, node.address, "").await.unwrap();
+}
+
+#[tokio::test]
+async fn calls_beyond_the_callers_bound_wait_and_are_not_sent() {
+    let node = node().await;
+    let peers = connections(key()).with_settings(Settings::default().with_max_streams(1));
+    let held = peers.open(node.address, Ask::Count(u64::MAX), TIMEOUT_MS);
+    let (_, items) = held.await.unwrap();
+    let error = peers.call(node.address, Ask::Hang, 50).await.unwrap_err();
+    assert!(error.is_not_sent(), "{error:?}");
+    assert_eq!(node.handler.handled.load(SeqCst), 1);
+    drop(items);
+    echo(&peers, node.address, "").await.unwrap();
+}
+
+#[tokio::test]
+async fn slow_streams_do_not_hold_up_others() {
+    // Symptom: one caller that reads slowly stops the streams of all others between two nodes.
+    // Sequence: many streams are open whose items nobody reads; another one is read.
+    // Cause: unread bytes fill the window that all streams of a connection share.
+    let node = node().await;
+    let peers = connections(key());
+    let mut unread = Vec::new();
+    for _ in 0..40 {
+        let opened = peers.open(node.address, Ask::Count(u64::MAX), TIMEOUT_MS);
+        unread.push(opened.await.unwrap());
+    }
+    let (_, mut items) = peers
+        .open(node.address, Ask::Count(50_000), TIMEOUT_MS)
+        .await
+        .unwrap();
+    let reading = async { while items.next().await.is_some_and(|item| item.is_ok()) {} };
+    let bounded = tokio::time::timeout(Duration::from_secs(30), reading);
+    bounded.await.expect("the stream is held up");
+    assert_eq!(node.handler.counting.load(SeqCst), unread.len());
+}
+
 #[tokio::test]
 async fn shutdown_finishes_open_streams() {
     // Symptom: a planned stop cuts streams.
