--- a/src/membership/links.rs
+++ b/src/membership/links.rs
@@ -70,3 +70,6 @@
     let chosen = from.iter().take(count);
     chosen.map(|other| other.incarnation).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/membership/sync.rs
+++ b/src/membership/sync.rs
@@ -55,6 +55,7 @@
         }
         self.tracks[index].sequence = packet.sequence;
         self.tracks[index].heard_ms = now;
+        self.tracks[index].load_ms = Some(now);
         self.members[index].load = packet.load;
         self.heard_any_ms = now;
         self.lift_doubts(now);
@@ -82,14 +83,13 @@
         wanted: &mut Vec<Incarnation>,
     ) {
         match message {
-            Message::Heartbeat => {}
+            Message::Heartbeat | Message::Answer(None) => {}
             Message::Join(row) => {
                 wanted.clear();
                 self.merge_row(now, row);
                 self.send_all_rows(sender, from);
             }
             Message::Probe(origin) => self.send(sender, Message::Answer(origin)),
-            Message::Answer(None) => {}
             Message::Answer(Some(origin)) => {
                 self.send_if_known(origin, Message::Heard(from));
             }
--- a/src/membership/wire.rs
+++ b/src/membership/wire.rs
@@ -10,6 +10,11 @@
 /// Largest datagram; it passes unfragmented wherever 1,280 bytes do.
 pub const MAX_DATAGRAM_BYTES: usize = 1_200;
 
+/// Memory that the content of a datagram may claim while it is decoded.
+///
+/// The library counts collections by their size in memory, which is larger than on the wire.
+const DECODE_LIMIT_BYTES: usize = 64 * 1024;
+
 /// Bytes of the tag that a datagram carries.
 const TAG_BYTES: usize = 8;
 
@@ -147,5 +152,8 @@
 }
 
 fn config() -> impl bincode::config::Config {
-    bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>()
+    bincode::config::standard().with_limit::<DECODE_LIMIT_BYTES>()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio_util::task::TaskTracker;
 
+use super::admission::{Admitted, Gates};
 use super::id::{Draft, IdKey};
 use super::lanes::Lanes;
 use super::links::{Links, Peers};
@@ -18,6 +19,8 @@
 use crate::blackboard::Blackboard;
 use crate::keys::Incarnation;
 use crate::node::messages::{Reply, Request, Told};
+use crate::requests::suspicion::Suspicion;
+use crate::retries::RetryBudgets;
 use crate::time::{Clock, TimeMs};
 
 /// When a caller may come back after a refusal that passes by itself.
@@ -66,6 +69,12 @@
     pub services: L::Services,
     /// The other nodes.
     pub peers: Arc<L::Peers>,
+    /// What is known of requests that kill their upstreams.
+    pub suspicion: Suspicion,
+    /// Lets requests start as their team's share allows.
+    pub gates: Gates,
+    /// Retries that teams may still make.
+    pub budgets: RetryBudgets,
     /// Tasks that run requests.
     pub tasks: TaskTracker,
     id_key: IdKey,
@@ -92,6 +101,8 @@
     pub peers: Arc<L::Peers>,
     /// Signs request ids.
     pub id_key: IdKey,
+    /// The seed of content fingerprints.
+    pub fleet_seed: u64,
 }
 
 impl<L: Links> Core<L> {
@@ -108,6 +119,9 @@
             services: parts.services,
             lanes: Lanes::new(Arc::clone(&parts.peers)),
             peers: parts.peers,
+            suspicion: Suspicion::new(parts.fleet_seed),
+            gates: Gates::default(),
+            budgets: RetryBudgets::default(),
             tasks: TaskTracker::new(),
             id_key: parts.id_key,
             bequests: RwLock::default(),
@@ -192,6 +206,11 @@
     pub fn start(self: &Arc<Self>, record: Arc<Record>, right: Right) {
         let core = Arc::clone(self);
         self.tasks.spawn(async move {
+            let pass = match core.admit(&record, right).await {
+                Admitted::Run(pass) => pass,
+                Admitted::End(outcome) => return core.finish(&record, outcome),
+                Admitted::Moved => return record.mark_moved(),
+            };
             let outcome = match &record.call.work {
                 Work::Completion { .. } => {
                     super::completion::run(Arc::clone(&core), Arc::clone(&record), right).await
@@ -200,6 +219,7 @@
                     super::service_call::run(Arc::clone(&core), Arc::clone(&record), right).await
                 }
             };
+            drop(pass);
             match outcome {
                 Some(outcome) => core.finish(&record, outcome),
                 None => record.mark_moved(),
--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -7,6 +7,8 @@
 #[path = "support/load.rs"]
 #[expect(dead_code, reason = "the mixed load is for other tests")]
 mod load;
+#[path = "support/site.rs"]
+mod site;
 #[path = "support/streams.rs"]
 mod streams;
 
--- a/tests/moving/trial.rs
+++ b/tests/moving/trial.rs
@@ -12,8 +12,9 @@
 use teaselline_stand_ins::history::History;
 use teaselline_stand_ins::site::Site;
 
-use crate::deployment::{node_settings, site_settings, start_nodes, url, wait_until_ready};
+use crate::deployment::{node_settings, start_nodes, wait_until_ready};
 use crate::load::{self, Seen, Tally};
+use crate::site::{site_settings, url};
 
 const DOCUMENT: &str = include_str!("../../sample_configs/valid/kitagawa.json");
 const TOKEN: &str = "team-archive-sample";
