bug: Hand requests over where the witness of their ids is gone as well

Symptom: with three nodes replaced one after another under sixty long streams, 35 ended as unknown. Cause: a node that leaves handed its requests only to the witness that their ids name, which a rolling restart has replaced by then, and it handed on only those whose home it was itself, not those that it had inherited. Readers were also woken before the heir knew of the request, and an asker whose stream came from the node that had left asked that node again for ever. Change: what is held is handed over by home and witness; where the witness is gone the heir is the first live node by rendezvous hashing of the two, and those who look for the request work out the same order. A request that an heir may have taken without saying so goes to the next one to be read only. Readers are woken once the heir has answered. A node that ends breaks its streams off between two tokens, so that callers read on elsewhere.

--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -46,6 +46,13 @@
     finish: &'a str,
 }
 
+#[derive(Serialize)]
+struct Running<'a> {
+    id: String,
+    outcome: &'a str,
+    retry_after_ms: u64,
+}
+
 /// A call with the id under which it runs.
 #[derive(Debug)]
 pub(super) struct Identified {
@@ -147,10 +154,21 @@
         Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
         Step::OtherCall => Refusal::OtherCall.response(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
+        Step::Elsewhere => running(id),
         first => sse::stream(first, follow, id),
     }
 }
 
+/// Asks the caller to look for the answer at another node, since this one ends.
+fn running(id: RequestId) -> Response<Body> {
+    let running = Running {
+        id: id.to_string(),
+        outcome: "running",
+        retry_after_ms: 0,
+    };
+    refusal::json(StatusCode::ACCEPTED, &running)
+}
+
 /// Waits for the whole answer of a request.
 pub(super) async fn whole(follow: &mut Follow<NodeLinks>, id: RequestId) -> Response<Body> {
     let (tokens, last) = follow.whole().await;
@@ -158,6 +176,7 @@
         Step::End(outcome) => ended(id, &tokens.concat(), &outcome),
         Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
         Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response(),
+        Step::Elsewhere => running(id),
     }
 }
 
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -34,7 +34,9 @@
 ) -> Response<Body> {
     let events = async_stream::stream! {
         let mut step = first;
-        loop {
+        // Where the rest is elsewhere, the stream breaks off between two tokens and the caller asks
+        // another node for what is missing.
+        while step != Step::Elsewhere {
             let mut text = String::new();
             let last = !matches!(step, Step::Tokens(_));
             write_step(&mut text, &step, &id);
@@ -70,7 +72,9 @@
             );
         }
         Step::End(outcome) => write_event(text, "error", &OutcomeBody::new(id, outcome)),
-        Step::NoSuchRequest | Step::OtherCall => text.push_str("event: error\ndata: {}\n\n"),
+        Step::NoSuchRequest | Step::OtherCall | Step::Elsewhere => {
+            text.push_str("event: error\ndata: {}\n\n");
+        }
     }
 }
 
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -52,15 +52,18 @@
         /// What to keep.
         told: Vec<Told>,
     },
-    /// To a witness, from a home that leaves: take over these requests.
+    /// From a node that leaves: take over these requests.
     Inherit {
         /// The incarnation that is meant.
         heir: Incarnation,
-        /// The home that leaves.
+        /// The home that their ids name.
         home: Incarnation,
-        /// Its records that name the heir as witness.
-        copies: Vec<Copy>,
-        /// Whether the home dispatches nothing more under any id that names the heir.
+        /// The witness that their ids name.
+        witness: Incarnation,
+        /// The requests.
+        requests: Vec<Bequest>,
+        /// Whether the heir has been given all requests of this home and witness that any node has
+        /// worked on, and nobody else starts one.
         farewell: bool,
     },
     /// The newest configuration, if it is newer than this revision.
@@ -92,6 +95,15 @@
     },
 }
 
+/// One request that a node that leaves hands over.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Bequest {
+    /// What the node knows of it.
+    pub copy: Copy,
+    /// Whether it is certain that nobody else works on it.
+    pub alone: bool,
+}
+
 /// One record that a home tells its witness about.
 #[derive(Clone, Debug, Encode, Decode)]
 pub struct Told {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -52,6 +52,9 @@
 /// Between two reports of demand to the peers.
 const SHARES_INTERVAL_MS: u64 = 250;
 
+/// How long connections may take to end once nothing more is sent on them.
+const END_TIMEOUT_MS: u64 = 1_000;
+
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
@@ -183,13 +186,22 @@
         core.leave(until_ms).await;
         self.callers_shutdown.cancel();
         self.finish_callers(until_ms).await;
+        core.ended.cancel();
         self.shutdown.cancel();
         self.tasks.close();
-        self.tasks.wait().await;
+        // A caller that reads nothing would hold its connection, and the node, for ever.
+        let limit = std::time::Duration::from_millis(END_TIMEOUT_MS);
+        if tokio::time::timeout(limit, self.tasks.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("connections are cut");
+        }
     }
 
     /// Ends at once, as a crash would; for tests.
     pub fn abandon(&self) {
+        self.node.core.ended.cancel();
         self.callers_shutdown.cancel();
         self.shutdown.cancel();
     }
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 
 use super::core::{Core, Phase, Right};
+use super::handover::Estate;
 use super::links::Links;
 use super::record::{Order, Reading};
 use super::records::Entry;
@@ -42,10 +43,12 @@
             Request::Inherit {
                 heir,
                 home,
-                copies,
+                witness,
+                requests,
                 farewell,
-            } if heir == self.own => {
-                self.inherit(home, copies, farewell);
+            } if heir == self.own && self.phase() == Phase::Serving => {
+                let estate = Estate { home, witness };
+                self.inherit(estate, requests, farewell);
                 Answer::Reply(Reply::Done)
             }
             Request::Inherit { .. } => Answer::Reply(Reply::WrongNode),
@@ -83,6 +86,8 @@
 
     fn answer_attach(&self, id: &RequestId, from: u64) -> Answer {
         match self.records.get(id) {
+            // Its stream would break at once, and the asker would come back here for ever.
+            Some(record) if record.is_moved() => Answer::Reply(Reply::WrongNode),
             Some(record) => stream(record, from),
             None if self.is_home(id) => Answer::Reply(Reply::NoSuchRequest),
             None => Answer::Reply(Reply::WrongNode),
@@ -90,7 +95,7 @@
     }
 
     fn answer_settle(self: &Arc<Self>, id: RequestId, call: Option<&Call>, from: u64) -> Answer {
-        if id.witness != self.own {
+        if !self.may_settle(&id) {
             return Answer::Reply(Reply::WrongNode);
         }
         match self.settle(id, call) {
@@ -102,11 +107,11 @@
 
     fn answer_cancel(&self, id: &RequestId) -> Answer {
         let reply = match self.records.get(id) {
-            Some(record) => {
+            Some(record) if !record.is_moved() => {
                 record.order(Order::Cancel);
                 Reply::Done
             }
-            None => Reply::NoSuchRequest,
+            _ => Reply::NoSuchRequest,
         };
         Answer::Reply(reply)
     }
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 
-use parking_lot::RwLock;
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::admission::{Admitted, Gates};
+use super::handover::{Estate, Estates};
 use super::id::{Draft, IdKey};
 use super::lanes::Lanes;
 use super::links::{Links, Peers};
@@ -79,7 +80,9 @@
     pub tasks: TaskTracker,
     id_key: IdKey,
     lanes: Lanes<L>,
-    bequests: RwLock<Vec<Incarnation>>,
+    /// Cancelled when the node ends; callers are to ask another one.
+    pub ended: CancellationToken,
+    pub(super) estates: Estates,
     phase: AtomicU8,
     minted: AtomicU32,
 }
@@ -124,7 +127,8 @@
             budgets: RetryBudgets::default(),
             tasks: TaskTracker::new(),
             id_key: parts.id_key,
-            bequests: RwLock::default(),
+            ended: CancellationToken::new(),
+            estates: Estates::default(),
             phase: AtomicU8::new(0),
             minted: AtomicU32::new(0),
         }
@@ -176,20 +180,6 @@
         id.home == self.own && self.phase() != Phase::Left
     }
 
-    /// Notes that a home has left for good.
-    pub fn inherit_from(&self, home: Incarnation) {
-        let mut bequests = self.bequests.write();
-        if let Err(index) = bequests.binary_search(&home) {
-            bequests.insert(index, home);
-        }
-    }
-
-    /// Whether a home has left for good and said so.
-    #[must_use]
-    pub fn has_inherited(&self, home: Incarnation) -> bool {
-        self.bequests.read().binary_search(&home).is_ok()
-    }
-
     /// Takes a call in under its id, and starts it if it is new.
     pub fn enter(self: &Arc<Self>, id: RequestId, call: &Call, right: Right) -> Entry {
         let entry = self.records.enter(id, call, self.clock.now());
@@ -205,11 +195,14 @@
     /// connection breaks finds the answer when it asks again.
     pub fn start(self: &Arc<Self>, record: Arc<Record>, right: Right) {
         let core = Arc::clone(self);
+        if right == Right::Reader {
+            record.mark_reads_only();
+        }
         self.tasks.spawn(async move {
             let pass = match core.admit(&record, right).await {
                 Admitted::Run(pass) => pass,
                 Admitted::End(outcome) => return core.finish(&record, outcome),
-                Admitted::Moved => return record.mark_moved(),
+                Admitted::Moved => return record.mark_stopped(),
             };
             let outcome = match &record.call.work {
                 Work::Completion { .. } => {
@@ -222,7 +215,7 @@
             drop(pass);
             match outcome {
                 Some(outcome) => core.finish(&record, outcome),
-                None => record.mark_moved(),
+                None => record.mark_stopped(),
             }
         });
     }
@@ -262,14 +255,13 @@
 
     /// Stops a request wherever it is; tells whether there is one.
     pub async fn cancel(&self, id: RequestId) -> bool {
-        if let Some(record) = self.records.get(&id) {
+        if let Some(record) = self.records.get(&id).filter(|record| !record.is_moved()) {
             record.order(Order::Cancel);
             return true;
         }
-        for node in [id.home, id.witness]
-            .into_iter()
-            .filter(|node| *node != self.own)
-        {
+        let named = [id.home, id.witness].into_iter();
+        let named = named.filter(|node| *node != self.own);
+        for node in named.chain(self.successors(Estate::of(&id))) {
             if let Ok(Reply::Done) = self.peers.call(node, Request::Cancel { id }).await {
                 return true;
             }
@@ -281,6 +273,7 @@
     pub fn expire(&self, now: TimeMs) {
         let records = self.records.expire(now);
         let witnessed = self.witness.expire(now);
+        self.estates.expire(now);
         log::trace!(records = records, witnessed = witnessed; "expired");
     }
 
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -6,7 +6,8 @@
 
 use std::sync::Arc;
 
-use super::core::{Core, RETRY_SOON_MS, Right};
+use super::core::{Core, Phase, RETRY_SOON_MS, Right};
+use super::handover::Estate;
 use super::links::{ItemStream, Links, Peers, Unreachable};
 use super::outcome::{Doubt, Reason};
 use super::record::{Chunk, Reading};
@@ -32,6 +33,8 @@
     NoSuchRequest,
     /// The id is in use for another call.
     OtherCall,
+    /// This node ends; another one has the rest.
+    Elsewhere,
 }
 
 /// Follows one request.
@@ -83,6 +86,15 @@
 
     /// Waits for the next step; after anything but tokens there is none.
     pub async fn next(&mut self) -> Step {
+        let ended = self.core.ended.clone();
+        tokio::select! {
+            biased;
+            step = self.step() => step,
+            () = ended.cancelled() => Step::Elsewhere,
+        }
+    }
+
+    async fn step(&mut self) -> Step {
         loop {
             let step = match &mut self.source {
                 Source::Here(record) => match record.next(self.position).await {
@@ -153,6 +165,10 @@
                 Found::Nobody => {}
                 found => return found,
             }
+            match self.ask_successors().await {
+                Found::Nobody => {}
+                found => return found,
+            }
         }
         self.last_resort()
     }
@@ -161,6 +177,10 @@
         if self.core.is_home(&self.id) {
             return self.enter_here();
         }
+        if self.id.home == self.core.own {
+            // It has left and handed its requests over.
+            return Found::Nobody;
+        }
         let (id, from) = (self.id, self.position);
         let request = match self.call.clone().map(Box::new) {
             Some(call) => Request::Submit { id, call, from },
@@ -169,25 +189,39 @@
         self.open(self.id.home, request).await
     }
 
+    /// Asks the witness, or settles the request here if this node may.
     async fn ask_witness(&self) -> Found<L> {
-        let call = self.call.clone();
-        if self.id.witness == self.core.own {
-            return match self.core.settle(self.id, call.as_ref()) {
+        if self.core.may_settle(&self.id) {
+            return match self.core.settle(self.id, self.call.as_ref()) {
                 Settled::Here(record) => Found::Source(Source::Here(record)),
                 Settled::OtherCall => Found::Last(Step::OtherCall),
                 Settled::End(outcome) => Found::Last(Step::End(outcome)),
             };
         }
-        let call = call.map(Box::new);
-        self.open(
-            self.id.witness,
-            Request::Settle {
-                id: self.id,
-                call,
-                from: self.position,
-            },
-        )
-        .await
+        match self.id.witness {
+            witness if witness == self.core.own => Found::Nobody,
+            witness => self.ask_to_settle(witness).await,
+        }
+    }
+
+    /// Asks those who may have taken the request over from a witness that is gone.
+    async fn ask_successors(&self) -> Found<L> {
+        for successor in self.core.successors(Estate::of(&self.id)) {
+            match self.ask_to_settle(successor).await {
+                Found::Nobody => {}
+                found => return found,
+            }
+        }
+        Found::Nobody
+    }
+
+    async fn ask_to_settle(&self, node: crate::keys::Incarnation) -> Found<L> {
+        let request = Request::Settle {
+            id: self.id,
+            call: self.call.clone().map(Box::new),
+            from: self.position,
+        };
+        self.open(node, request).await
     }
 
     /// The id's home is this node.
@@ -220,6 +254,8 @@
     /// about by this node may still reach them through others, so nothing may be ruled out.
     fn last_resort(&self) -> Found<L> {
         match &self.call {
+            // This node runs nothing more itself.
+            _ if self.core.phase() == Phase::Left => Found::Nobody,
             Some(call) if call.idempotent => match self.core.adopt_call(self.id, call) {
                 Settled::Here(record) => Found::Source(Source::Here(record)),
                 Settled::OtherCall => Found::Last(Step::OtherCall),
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -95,7 +95,12 @@
     /// Attempts that may have started; while there is one, `not_run` cannot be said.
     may_have_started: u32,
     order: Option<Order>,
+    /// No task of this node works on it any more.
+    stopped: bool,
+    /// Another node has taken it over.
     moved: bool,
+    /// This node may read what runs, and start nothing.
+    reads_only: bool,
     progress: Progress,
 }
 
@@ -295,12 +300,36 @@
         }
     }
 
+    /// Notes that no task of this node works on it any more; its readers wait.
+    pub fn mark_stopped(&self) {
+        self.state.lock().stopped = true;
+    }
+
     /// Sends readers on to the node that has taken the request over.
     pub fn mark_moved(&self) {
         self.state.lock().moved = true;
         self.changed.notify_waiters();
     }
 
+    /// Whether another node has taken it over before it ended here.
+    #[must_use]
+    pub fn is_moved(&self) -> bool {
+        let state = self.state.lock();
+        state.moved && state.outcome.is_none()
+    }
+
+    /// Notes that this node may read what runs, and start nothing.
+    pub fn mark_reads_only(&self) {
+        self.state.lock().reads_only = true;
+    }
+
+    /// Whether this node alone may start it anew, and no task of it does so any more.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        let state = self.state.lock();
+        !state.reads_only && (state.stopped || state.outcome.is_some())
+    }
+
     /// How it ended, if it has.
     #[must_use]
     pub fn outcome(&self) -> Option<Outcome> {
@@ -330,7 +359,7 @@
     #[must_use]
     pub fn has_stopped(&self) -> bool {
         let state = self.state.lock();
-        state.moved || state.outcome.is_some()
+        state.stopped || state.outcome.is_some()
     }
 
     /// Attempts so far.
--- a/src/requests/settle.rs
+++ b/src/requests/settle.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::core::{Core, RETRY_SOON_MS, Right};
+use super::core::{Core, Phase, RETRY_SOON_MS, Right};
 use super::links::Links;
 use super::outcome::{Doubt, Reason};
 use super::record::Copy;
@@ -37,7 +37,15 @@
 }
 
 impl<L: Links> Core<L> {
-    /// Settles a request whose home the asker cannot reach; this node is its witness.
+    /// Whether this node may settle a request: as its witness, as heir of the two, or because it
+    /// works on it.
+    #[must_use]
+    pub fn may_settle(&self, id: &RequestId) -> bool {
+        let holds = || self.records.get(id).is_some_and(|held| !held.is_moved());
+        self.phase() != Phase::Left && (id.witness == self.own || self.has_inherited(id) || holds())
+    }
+
+    /// Settles a request whose home the asker cannot reach; see [`Core::may_settle`].
     pub fn settle(self: &Arc<Self>, id: RequestId, call: Option<&Call>) -> Settled {
         match self.records.get(&id) {
             Some(record) if call.is_some_and(|call| call.fingerprint() != record.fingerprint) => {
@@ -46,8 +54,12 @@
             Some(record) => return Settled::Here(record),
             None => {}
         }
-        let inherited = self.has_inherited(id.home);
-        match (self.decide(&id, call, inherited), call) {
+        let decision = if id.witness == self.own {
+            self.decide(&id, call, self.has_inherited(&id))
+        } else {
+            self.decide_as_successor(&id, call)
+        };
+        match (decision, call) {
             (Decision::Inherit, Some(call)) => match self.enter(id, call, Right::Heir) {
                 Entry::New(record) | Entry::Known(record) => Settled::Here(record),
                 Entry::OtherCall => Settled::OtherCall,
@@ -91,6 +103,21 @@
         }
     }
 
+    /// Decides about a request that its home, which has left, never worked on.
+    ///
+    /// The witness may have told a caller that a non-idempotent one never runs, and is gone. So it
+    /// never does.
+    fn decide_as_successor(&self, id: &RequestId, call: Option<&Call>) -> Decision {
+        match call {
+            _ if !id.may_start(self.clock.now()) => {
+                Decision::Say(Outcome::Unknown(Doubt::RecordExpired))
+            }
+            Some(call) if call.idempotent => Decision::Adopt(None),
+            Some(_) => Decision::Say(Outcome::not_run(Reason::Settled, RETRY_SOON_MS)),
+            None => Decision::Say(Outcome::Unknown(Doubt::HomeGone)),
+        }
+    }
+
     fn hold(self: &Arc<Self>, copy: &Copy, right: Option<Right>) -> Settled {
         let (record, new) = self
             .records
--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -3,9 +3,9 @@
 //! Nodes and stand-ins run in this process over real sockets.
 
 #[path = "support/deployment.rs"]
+#[expect(dead_code, reason = "these trials start their nodes one by one")]
 mod deployment;
 #[path = "support/load.rs"]
-#[expect(dead_code, reason = "the mixed load is for other tests")]
 mod load;
 #[path = "support/site.rs"]
 mod site;
--- a/tests/moving/trial.rs
+++ b/tests/moving/trial.rs
@@ -6,19 +6,24 @@
 use teaselline::client::call::Call;
 use teaselline::client::caller::Caller;
 use teaselline::document::Document;
-use teaselline::node::{self, Started};
 use teaselline::node::change::Proposal;
+use teaselline::node::{self, Started};
 use teaselline::options::Secret;
 use teaselline_stand_ins::history::History;
 use teaselline_stand_ins::site::Site;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
-use crate::deployment::{node_settings, start_nodes, wait_until_ready};
-use crate::load::{self, Seen, Tally};
+use crate::deployment::{node_settings, wait_until_ready};
+use crate::load::{self, Load, Seen, Tally};
 use crate::site::{site_settings, url};
 
 const DOCUMENT: &str = include_str!("../../sample_configs/valid/kitagawa.json");
 const TOKEN: &str = "team-archive-sample";
 
+/// How long a planned stop may take.
+const DRAIN_TIMEOUT_MS: u64 = 4_000;
+
 /// Looks for something to have come about, and the pause between two.
 const TRIES: u32 = 1_200;
 const PAUSE: Duration = Duration::from_millis(25);
@@ -43,35 +48,42 @@
         let site = Site::start(site_settings(&document))
             .await
             .expect("a site starts");
-        let nodes = start_nodes(&document, &site, count)
-            .await
-            .expect("nodes start");
+        let mut trial = Self {
+            hosts: site.upstreams().len(),
+            site,
+            nodes: Vec::new(),
+            started: 0,
+        };
+        for _node in 0..count {
+            trial.start_node(&document).await;
+        }
         let proposal = Proposal {
             base_revision: 0,
             operator: "kobayashi".to_owned(),
             document: DOCUMENT.to_owned(),
         };
-        let revision = nodes[0].node.propose(proposal).await.expect("in force");
-        let hosts = site.upstreams().len();
-        assert!(wait_until_ready(&nodes, revision, hosts).await);
-        Self {
-            site,
-            nodes,
-            started: count,
-            hosts,
-        }
+        let proposed = trial.nodes[0].node.propose(proposal).await;
+        let revision = proposed.expect("the document is accepted");
+        assert!(wait_until_ready(&trial.nodes, revision, trial.hosts).await);
+        trial
     }
 
     /// Starts a new node, and once all know it stops the node that has run longest.
     pub async fn replace_oldest(&mut self) {
-        let document = document();
+        self.start_node(&document()).await;
+        let revision = self.nodes[0].node.revision();
+        assert!(wait_until_ready(&self.nodes, revision, self.hosts).await);
+        self.nodes.remove(0).stop().await;
+    }
+
+    async fn start_node(&mut self, document: &Document) {
         let seeds = self.nodes.iter().map(|node| node.heartbeat_address);
+        let settings = node_settings(document, &self.site, self.started)
+            .with_seeds(seeds.collect::<Vec<_>>())
+            .with_drain_timeout_ms(DRAIN_TIMEOUT_MS);
+        let started = node::start(settings).await;
+        self.nodes.push(started.expect("a node starts"));
         self.started += 1;
-        let settings = node_settings(&document, &self.site, self.started).with_seeds(seeds.collect::<Vec<_>>());
-        self.nodes.push(node::start(settings).await.expect("a node starts"));
-        let (revision, hosts) = (self.nodes[0].node.revision(), self.hosts);
-        assert!(wait_until_ready(&self.nodes, revision, hosts).await);
-        self.nodes.remove(0).stop().await;
     }
 
     /// A caller that knows all nodes.
@@ -84,12 +96,6 @@
         Arc::new(Caller::new(&urls, Some(Secret::new(TOKEN))).with_seed(1))
     }
 
-    /// Begins the calls all at once.
-    pub fn begin(&self, calls: Vec<Call>) -> tokio::task::JoinHandle<Vec<Seen>> {
-        let at_once = calls.len();
-        tokio::spawn(load::run_calls(self.caller(), calls, at_once))
-    }
-
     /// Waits until `count` streams have a token.
     pub async fn until_streaming(&self, count: usize) {
         let has_token = |history: &History| {
@@ -113,6 +119,57 @@
     }
 }
 
+/// Begins the calls all at once.
+pub fn begin(caller: &Arc<Caller>, calls: Vec<Call>) -> JoinHandle<Vec<Seen>> {
+    let at_once = calls.len();
+    tokio::spawn(load::run_calls(Arc::clone(caller), calls, at_once))
+}
+
+/// Makes short mixed calls without a break until told to stop.
+pub fn keep_calling(caller: &Arc<Caller>) -> KeepCalling {
+    let (caller, stop) = (Arc::clone(caller), CancellationToken::new());
+    let stopped = stop.clone();
+    let task = tokio::spawn(async move {
+        let mut seen = Vec::new();
+        for seed in 0.. {
+            if stopped.is_cancelled() {
+                break;
+            }
+            seen.extend(load::run(Arc::clone(&caller), &short_calls(seed)).await);
+        }
+        seen
+    });
+    KeepCalling { task, stop }
+}
+
+/// Short calls that go on.
+#[derive(Debug)]
+pub struct KeepCalling {
+    task: JoinHandle<Vec<Seen>>,
+    stop: CancellationToken,
+}
+
+impl KeepCalling {
+    /// Stops after the calls of the moment and gives what was seen.
+    pub async fn stop(self) -> Vec<Seen> {
+        self.stop.cancel();
+        self.task.await.expect("callers do not panic")
+    }
+}
+
+fn short_calls(seed: u64) -> Load {
+    Load {
+        calls: 20,
+        at_once: 10,
+        service_part: 0.3,
+        non_idempotent_part: 0.5,
+        model: "splice-lookup".to_owned(),
+        service: "catalogue".to_owned(),
+        tokens: (8, 40),
+        seed,
+    }
+}
+
 impl Drop for Trial {
     fn drop(&mut self) {
         for node in &self.nodes {
--- a/tests/moving/waves.rs
+++ b/tests/moving/waves.rs
@@ -3,7 +3,7 @@
 use teaselline_stand_ins::cloud::Reclaim;
 
 use crate::streams::Streams;
-use crate::trial::Trial;
+use crate::trial::{Trial, begin};
 
 const OTARU: &str = "otaru-vault";
 
@@ -25,7 +25,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_wave_with_ten_seconds_notice_loses_nothing() {
     let trial = Trial::start(3).await;
-    let running = trial.begin(long_streams(60).calls());
+    let running = begin(&trial.caller(), long_streams(60).calls());
     trial.until_streaming(60).await;
     let reclaim = Reclaim::Domain(OTARU.to_owned());
     let hosts = trial.site.cloud.announce_reclaim(&reclaim, 10_000);
