bug: Let non-idempotent streams survive a reclaim that the links cannot carry

Symptom: 120 streams, of which 60 in 100 are non-idempotent, over two domains that leave on two seconds' notice: 48 ended as unknown. Cause: a stream that may not run twice was moved by export or not at all, and the links carry a part of the caches only. Change: such a stream is stopped, read up to the position at which its engine says that it stopped, and goes on elsewhere from there, the target's cache computed ahead. No position is generated twice. The same word of the engine lets a stream go on after an import that failed or an export whose answer was lost. An export that the controller has given up no longer holds the stream until its answer comes; a successor that fails leaves the stream in the next plan; late orders are dropped; a readers' copy moves nothing; consent is asked for once, so that a stream that moves is not refused as not run. Caches are computed ahead without generating a token, under attempt names that the history counts. The property that such a call is never recomputed becomes: it never runs in two places, and is given up only where no host serves its model.

--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -150,10 +150,22 @@
         } if start_at_ms <= now => {
             record.order(Order::Recompute { target });
         }
+        Move::Resume {
+            target,
+            start_at_ms,
+            ..
+        } if start_at_ms <= now => {
+            record.order(Order::Resume { target });
+        }
         Move::Recompute {
             target,
             warm_at_ms: Some(warm_at_ms),
             ..
+        }
+        | Move::Resume {
+            target,
+            warm_at_ms: Some(warm_at_ms),
+            ..
         } if warm_at_ms <= now => {
             record.set_progress(Progress::Warmed { target });
             record.order(Order::Warm { target });
@@ -170,6 +182,11 @@
             start_at_ms,
             warm_at_ms,
             ..
+        }
+        | Move::Resume {
+            start_at_ms,
+            warm_at_ms,
+            ..
         } => [Some(start_at_ms), warm_at_ms],
         Move::Wait { again_at_ms } => [Some(again_at_ms), None],
         Move::Finish | Move::RunOut => [None, None],
--- a/src/reclaim/planner.rs
+++ b/src/reclaim/planner.rs
@@ -106,8 +106,7 @@
     /// Keeps an export that can still succeed.
     ///
     /// An export that hangs holds the stream still; one would see a silence up to the host's end.
-    /// Past its time it is given up, and an idempotent stream is computed elsewhere at once. A
-    /// stream that may not run twice has no other way and keeps waiting while its host lives.
+    /// Past its time it is given up, and the stream is computed elsewhere at once.
     fn keep_export(
         &mut self,
         stream: &StreamOnHost,
@@ -117,11 +116,7 @@
         let notice = *self.view.notice(stream.host)?;
         let place = self.room.find(target)?;
         let times = self.export_times(stream, place, started_at_ms, started_at_ms)?;
-        let give_up_at_ms = if stream.idempotent {
-            times.give_up_at_ms()
-        } else {
-            notice.leave_at_ms
-        };
+        let give_up_at_ms = times.give_up_at_ms();
         if self.now >= give_up_at_ms || self.now >= notice.leave_at_ms {
             return None;
         }
@@ -194,8 +189,7 @@
                     give_up_at_ms: times.give_up_at_ms(),
                 })
             }
-            None if stream.idempotent => None,
-            None => Some(Move::RunOut),
+            None => None,
         };
         self.moves[index].is_some()
     }
@@ -205,7 +199,7 @@
             stream.progress,
             Progress::ExportFailed | Progress::Exporting { .. }
         );
-        if has_failed && stream.idempotent {
+        if has_failed {
             return None;
         }
         let end_ms = self.end_ms(self.view.notice(stream.host)?);
@@ -213,7 +207,7 @@
             Progress::Exported => self.now,
             _ => self.links.of(stream.host)?.free_at_ms,
         };
-        let silence_max_ms = if stream.idempotent && self.is_interactive(stream) {
+        let silence_max_ms = if self.is_interactive(stream) {
             self.view.settings.silence_max_ms
         } else {
             u64::MAX
@@ -263,7 +257,7 @@
     fn recompute(&mut self, index: usize) -> Move {
         let stream = &self.view.streams[index];
         let interactive = self.is_interactive(stream);
-        let tiers: &[Tier] = match (interactive, self.scarce) {
+        let tiers: &[Tier] = match (interactive || !stream.idempotent, self.scarce) {
             (true, _) => &[Tier::Part, Tier::Contended, Tier::InWave, Tier::Queued],
             (false, false) => &[Tier::Part, Tier::Contended],
             (false, true) => &[Tier::Part],
@@ -279,17 +273,30 @@
             })
         });
         let Some((place, tier)) = found else {
-            return Move::Wait {
-                again_at_ms: self.now.after(LOOK_AGAIN_MS),
+            let again_at_ms = self.now.after(LOOK_AGAIN_MS);
+            return if stream.idempotent {
+                Move::Wait { again_at_ms }
+            } else {
+                Move::RunOut
             };
         };
         self.room.book(place, stream, tier);
         let (warm_at_ms, start_at_ms) = self.recompute_times(stream, place, held.is_some());
-        Move::Recompute {
-            target: self.room.target(place).host,
-            warm_at_ms,
-            start_at_ms,
-            queued: tier == Tier::Queued,
+        let (target, queued) = (self.room.target(place).host, tier == Tier::Queued);
+        if stream.idempotent {
+            Move::Recompute {
+                target,
+                warm_at_ms,
+                start_at_ms,
+                queued,
+            }
+        } else {
+            Move::Resume {
+                target,
+                warm_at_ms,
+                start_at_ms,
+                queued,
+            }
         }
     }
 
@@ -390,6 +397,11 @@
             warm_at_ms,
             start_at_ms,
             ..
+        }
+        | Move::Resume {
+            warm_at_ms,
+            start_at_ms,
+            ..
         } => [warm_at_ms, Some(start_at_ms)],
         Move::Wait { again_at_ms } => [Some(again_at_ms), None],
     }
--- a/src/reclaim/tests.rs
+++ b/src/reclaim/tests.rs
@@ -125,7 +125,7 @@
 }
 
 #[test]
-fn a_call_that_may_not_run_twice_is_exported_before_others_or_runs_out() {
+fn a_call_that_may_not_run_twice_is_exported_before_others_or_stopped_before_it_goes_on() {
     let once = StreamOnHost {
         idempotent: false,
         ..stream(9, 4_000, 2_000)
@@ -141,6 +141,8 @@
         }
     ));
     let moves = actions(&[notice(600)], &streams, &[target(2, 1, 4)]);
+    assert!(matches!(moves[1], Move::Resume { .. }), "{moves:?}");
+    let moves = actions(&[notice(600)], &[stream(0, 4_000, 2_000), once], &[]);
     assert_eq!(moves[1], Move::RunOut);
 }
 
@@ -204,7 +206,9 @@
 
 fn target_of(action: &Move) -> Option<HostKey> {
     match action {
-        Move::Export { target, .. } | Move::Recompute { target, .. } => Some(*target),
+        Move::Export { target, .. }
+        | Move::Recompute { target, .. }
+        | Move::Resume { target, .. } => Some(*target),
         Move::Finish | Move::Wait { .. } | Move::RunOut => None,
     }
 }
--- a/src/requests/admission.rs
+++ b/src/requests/admission.rs
@@ -179,7 +179,10 @@
                     }
                     Order::HandOver => return Admitted::Moved,
                     // It is on no host that it could be moved from.
-                    Order::Recompute { .. } | Order::Warm { .. } | Order::Export { .. } => {}
+                    Order::Recompute { .. }
+                    | Order::Resume { .. }
+                    | Order::Warm { .. }
+                    | Order::Export { .. } => {}
                 },
             }
         }
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -10,6 +10,7 @@
 use super::record::{Order, Place};
 use super::suspicion::{Leave, QuarantineEnd, has_passed};
 use super::{Outcome, Record, Verdict, Work};
+use crate::blackboard::{HostRow, HostState};
 use crate::keys::HostKey;
 use crate::reclaim::Progress;
 use crate::retries::{QuarantineAsk, Retry};
@@ -36,6 +37,12 @@
 /// It needs them only if home and upstream are lost together; the upstream itself keeps the rest.
 const TELL_TOKENS: u64 = 64;
 
+/// Attempts with this number and above compute ahead and generate nothing.
+const FIRST_WARM_ATTEMPT: u32 = 1 << 24;
+
+/// Times that one attempt may be computed ahead under names of their own.
+const WARMS_PER_ATTEMPT: u32 = 64;
+
 /// Runs a record to its outcome, or to `None` when another node has taken it over.
 pub(super) async fn run<L: Links>(
     core: Arc<Core<L>>,
@@ -52,6 +59,9 @@
         next: None,
         failed: None,
         failures: 0,
+        resume_on: None,
+        has_right: false,
+        warmed: 0,
         quarantine: None,
     };
     run.drive().await
@@ -79,6 +89,12 @@
     /// The newest failure, until the retry budget has been asked about it.
     failed: Option<Failed>,
     failures: u32,
+    /// Where a stream that its engine was asked to stop is to go on.
+    resume_on: Option<HostKey>,
+    /// Whether the right to start it has been obtained; it is never taken back.
+    has_right: bool,
+    /// Targets that were asked to compute ahead.
+    warmed: u32,
     /// Leave to run as a suspect, with the position at which the attempt began.
     quarantine: Option<(QuarantineAsk, u64)>,
 }
@@ -218,7 +234,7 @@
 
     /// An accepted stream waits for a host; a request that has not been dispatched is refused.
     async fn no_route(&mut self, no_route: NoRoute) -> Flow {
-        if !self.record.is_dispatched() || !self.record.call.idempotent {
+        if !self.record.is_dispatched() {
             return Flow::End(no_upstream(&self.record, no_route));
         }
         self.tried.clear();
@@ -227,11 +243,14 @@
     }
 
     async fn start(&mut self, place: Place, prefill_ms: f64, import: Option<&str>) -> Flow {
-        if import.is_none()
-            && let Err(outcome) = self.core.obtain_right(&self.record, self.right).await
-        {
-            self.record.attempt_not_started(place.attempt);
-            return Flow::End(outcome);
+        // Asked once: a witness that is gone by the time a stream moves would have a request refused
+        // as not run that has run for long.
+        if !self.has_right {
+            if let Err(outcome) = self.core.obtain_right(&self.record, self.right).await {
+                self.record.attempt_not_started(place.attempt);
+                return Flow::End(outcome);
+            }
+            self.has_right = true;
         }
         self.tell();
         match self.open(place, prefill_ms, import).await {
@@ -415,13 +434,13 @@
         let Some(Ok(EngineEvent::Token { .. })) = &event else {
             // It failed before its first token; the old attempt goes on.
             if let Some(next) = self.next.take() {
-                self.record.close_attempt(next.place.attempt);
                 self.core.note_close(next.place, self.core.clock.now());
+                self.stay(next.place);
             }
             return Flow::Go;
         };
         if let Some(old) = self.active.take() {
-            self.stop(old).await;
+            self.stop_aside(old);
         }
         self.active = self.next.take();
         if let Some(active) = &self.active {
@@ -431,16 +450,42 @@
         self.on_active(event).await
     }
 
+    /// A successor came to nothing.
+    ///
+    /// The record names the old attempt's place again. Left at no place, the stream would be in no
+    /// later plan, and would stand still from the end of its host until it has begun anew.
+    fn stay(&mut self, successor: Place) {
+        self.record.close_attempt(successor.attempt);
+        if let Some(active) = &self.active {
+            self.record.resume_attempt(active.place);
+        }
+    }
+
     async fn obey(&mut self, order: Order) -> Flow {
         match order {
             Order::Cancel => Flow::End(Outcome::Cancelled),
             Order::HandOver => Flow::Moved,
-            Order::Recompute { target } => self.recompute(target).await,
             Order::Warm { target } => self.warm(target),
+            // A late order, for a stream that has been moved; or no order for this node to carry out.
+            _ if !self.is_to_move() => Flow::Go,
+            Order::Recompute { target } => self.recompute(target).await,
+            Order::Resume { target } => self.stop_and_resume(target).await,
             Order::Export { target } => self.export(target).await,
         }
     }
 
+    /// Whether the stream is on a host that leaves, has no successor yet on one that stays, and may
+    /// be started elsewhere by this node.
+    fn is_to_move(&self) -> bool {
+        let stays = |attempt: &Attempt<Events<L>>| {
+            let host = attempt.place.host;
+            let state = self.core.blackboard.with_host(host, |row| row.state);
+            state == Some(HostState::Live)
+        };
+        let moved = [&self.active, &self.next].into_iter().flatten().any(stays);
+        self.right != Right::Reader && !moved
+    }
+
     /// Starts a successor while the old attempt still streams.
     async fn recompute(&mut self, target: HostKey) -> Flow {
         let address = self.core.blackboard.with_host(target, |row| row.address);
@@ -448,26 +493,49 @@
             return Flow::Go;
         };
         if let Some(old) = self.next.take() {
-            self.stop(old).await;
+            self.stop_aside(old);
         }
         let place = self.record.begin_attempt(target, address);
         match self.open(place, 0.0, None).await {
             Ok(attempt) => self.next = Some(attempt),
             Err(error) => {
                 self.core.note_failure(place, &error, self.core.clock.now());
-                self.record.close_attempt(place.attempt);
+                self.stay(place);
             }
         }
         Flow::Go
     }
 
-    /// Has the target compute what the stream will need there; its one token is dropped.
+    /// Stops the stream; what its engine generated before is read to its end, and then it goes on.
+    ///
+    /// The engine's word that it has stopped, and at which position, is what makes it certain that
+    /// no token is generated twice.
+    async fn stop_and_resume(&mut self, target: HostKey) -> Flow {
+        let Some(active) = &self.active else {
+            return Flow::Go;
+        };
+        let stopped = self
+            .core
+            .engines
+            .cancel(active.place.address, &active.name)
+            .await;
+        match stopped {
+            Ok(()) => self.resume_on = Some(target),
+            // It may run on; the controller decides anew.
+            Err(error) => log::info!(id:% = self.record.id, error:% = error; "a stop failed"),
+        }
+        Flow::Go
+    }
+
+    /// Has the target compute what the stream will need there, and generate nothing.
     fn warm(&mut self, target: HostKey) -> Flow {
         let address = self.core.blackboard.with_host(target, |row| row.address);
         let (Some(address), Some(active)) = (address, &self.active) else {
             return Flow::Go;
         };
-        let name = format!("{}-warm", active.name);
+        self.warmed += 1;
+        let attempt = active.place.attempt.saturating_mul(WARMS_PER_ATTEMPT) + self.warmed;
+        let name = self.record.id.attempt(FIRST_WARM_ATTEMPT + attempt);
         let (record, core) = (Arc::clone(&self.record), Arc::clone(&self.core));
         let priority = self.priority();
         tokio::spawn(async move {
@@ -476,11 +544,11 @@
                 return;
             };
             let start = StartStream {
-                max_tokens: position + 1,
+                max_tokens: position,
                 ..start
             };
             match core.engines.start(address, &start).await {
-                Ok(mut events) => while let Some(Ok(_token)) = events.next().await {},
+                Ok(mut events) => while let Some(Ok(_event)) = events.next().await {},
                 Err(error) => log::info!(error:% = error; "a target was not warmed"),
             }
         });
@@ -501,7 +569,17 @@
             return Flow::Go;
         };
         let source = active.place.address;
-        let export = match self.core.engines.export(source, &active.name).await {
+        let exported = tokio::select! {
+            exported = self.core.engines.export(source, &active.name) => exported,
+            // The controller has given the export up. Waiting on would leave the stream where it
+            // stands until its host is gone.
+            order = self.record.next_order() => {
+                self.record.set_progress(Progress::ExportFailed);
+                self.record.order(order);
+                return Flow::Go;
+            }
+        };
+        let export = match exported {
             Ok(export) => export,
             // The stream goes on where it is; the controller decides anew.
             Err(error) => {
@@ -511,6 +589,11 @@
             }
         };
         self.read_up_to(export.position).await;
+        if self.record.next_position() < export.position {
+            // The tokens that are missing are read again; the engine's word that the stream was
+            // exported then leads on.
+            return self.reread().await;
+        }
         let Some(old) = self.active.take() else {
             return Flow::Go;
         };
@@ -527,9 +610,10 @@
                 let place = self.record.begin_attempt(target, address);
                 self.start(place, 0.0, Some(&handle)).await
             }
+            // Its engine has stopped and all its tokens are here, so that it goes on without.
             Err(error) => {
                 log::info!(id:% = self.record.id, error:% = error; "an import failed");
-                self.lost(old.place)
+                Flow::Go
             }
         }
     }
@@ -554,18 +638,17 @@
     }
 
     async fn done(&mut self, tokens: u64, finish: upstreams::Finish) -> Flow {
+        // An end that arrives without all tokens would give the caller a shortened answer.
+        if tokens != self.record.next_position() {
+            return self.reread().await;
+        }
         let finish = match finish {
             upstreams::Finish::Stop => Finish::Stop,
             upstreams::Finish::Length => Finish::Length,
-            // Another node that took the request over has stopped or moved this attempt.
             upstreams::Finish::Cancelled | upstreams::Finish::Exported => {
-                return self.abandon().await;
+                return self.stopped().await;
             }
         };
-        // An end that arrives without all tokens would give the caller a shortened answer.
-        if tokens != self.record.next_position() {
-            return self.reread().await;
-        }
         if let Some(active) = self.active.take() {
             self.core.note_answer(active.place);
             self.core.note_success(&self.record, active.place.host);
@@ -574,6 +657,38 @@
         Flow::End(Outcome::Completed { tokens, finish })
     }
 
+    /// The engine says that the attempt was stopped or exported, and all its tokens are here.
+    ///
+    /// It will generate no more, so the stream goes on elsewhere, also if it may not run twice. A
+    /// node that may only read leaves that to the one that had it stopped.
+    async fn stopped(&mut self) -> Flow {
+        let Some(old) = self.active.take() else {
+            return Flow::Go;
+        };
+        self.core.note_close(old.place, self.core.clock.now());
+        if self.right == Right::Reader {
+            return self.lost(old.place);
+        }
+        self.record.close_attempt(old.place.attempt);
+        if let Some(next) = self.next.take() {
+            self.record.resume_attempt(next.place);
+            self.active = Some(next);
+            return Flow::Go;
+        }
+        let target = self.resume_on.take().and_then(|target| {
+            let live = |row: &mut HostRow| (row.state == HostState::Live).then_some(row.address);
+            let address = self.core.blackboard.with_host(target, live)??;
+            Some((target, address))
+        });
+        match target {
+            Some((target, address)) => {
+                let place = self.record.begin_attempt(target, address);
+                self.start(place, 0.0, None).await
+            }
+            None => Flow::Go,
+        }
+    }
+
     /// Reads the active attempt again from the next position.
     async fn reread(&mut self) -> Flow {
         let Some(active) = self.active.take() else {
@@ -623,6 +738,20 @@
         }
     }
 
+    /// Stops an attempt without waiting for its engine, which may be about to go.
+    fn stop_aside(&self, attempt: Attempt<Events<L>>) {
+        self.record.close_attempt(attempt.place.attempt);
+        self.core.note_close(attempt.place, self.core.clock.now());
+        let core = Arc::clone(&self.core);
+        tokio::spawn(async move {
+            let Attempt { place, name, .. } = attempt;
+            // A failed cancel costs tokens and nothing else.
+            if let Err(error) = core.engines.cancel(place.address, &name).await {
+                log::debug!(error:% = error; "a cancel failed");
+            }
+        });
+    }
+
     async fn stop_streams(&mut self) {
         for attempt in [self.active.take(), self.next.take()].into_iter().flatten() {
             self.stop(attempt).await;
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -57,6 +57,11 @@
         /// Where to.
         target: HostKey,
     },
+    /// Stop, and only then go on elsewhere, computing the prompt and the tokens so far again.
+    Resume {
+        /// Where to.
+        target: HostKey,
+    },
     /// Compute the prompt and the tokens so far into the target's prefix cache, and stay.
     Warm {
         /// Where.
