--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -3,15 +3,17 @@
 //! Nodes and stand-ins run in this process over real sockets.
 
 #[path = "support/deployment.rs"]
+#[expect(dead_code, reason = "these trials start their nodes one by one")]
 mod deployment;
 #[path = "support/load.rs"]
-#[expect(dead_code, reason = "the mixed load is for other tests")]
 mod load;
 #[path = "support/site.rs"]
 mod site;
 #[path = "support/streams.rs"]
 mod streams;
 
+#[path = "moving/stops.rs"]
+mod stops;
 #[path = "moving/trial.rs"]
 mod trial;
 #[path = "moving/waves.rs"]
