--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -12,6 +12,9 @@
 
 use experiments::{Arguments, EXPERIMENTS, Experiment};
 
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 const SEED_DEFAULT: &str = "1";
 const RUNS_DEFAULT: &str = "3";
 
--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -2,13 +2,21 @@
 
 mod cost;
 mod decisions;
-
+mod fleet;
+mod path;
 mod report;
 
 use thiserror::Error;
 
 /// Every experiment, by name.
-pub const EXPERIMENTS: &[Experiment] = &[cost::EXPERIMENT, decisions::EXPERIMENT];
+pub const EXPERIMENTS: &[Experiment] = &[
+    cost::EXPERIMENT,
+    decisions::EXPERIMENT,
+    path::EXPERIMENT,
+    path::LATENCY,
+    path::THROUGHPUT,
+    path::MEMORY,
+];
 
 /// One experiment.
 #[derive(Clone, Copy, Debug)]
@@ -44,4 +52,21 @@
     /// Something that it reads or writes failed.
     #[error("an experiment's input or output failed")]
     Io(#[from] std::io::Error),
+    /// The node's binary has not been built.
+    #[error("there is no teaselline binary; build it with `cargo build --release`")]
+    NoBinary,
+    /// A node or a fleet does not get ready.
+    #[error("the nodes do not get ready")]
+    NotReady,
+    /// A connection or a stream ended early.
+    #[error("a connection broke or a stream was not whole")]
+    Broken,
+    /// A call was refused.
+    #[error("a call was refused: {status} {body}")]
+    Refused {
+        /// The status line.
+        status: String,
+        /// The body.
+        body: String,
+    },
 }
--- a/examples/measure/report.rs
+++ b/examples/measure/report.rs
@@ -32,7 +32,7 @@
         let spread = json!({
             "runs": sorted.len(),
             "minimum": sorted.first(),
-            "median": sorted.get(sorted.len() / 2),
+            "median": median(&sorted),
             "maximum": sorted.last(),
         });
         self.with(name, spread)
@@ -44,6 +44,11 @@
     }
 }
 
+/// The middle of sorted values.
+pub fn median(sorted: &[f64]) -> Option<f64> {
+    sorted.get(sorted.len() / 2).copied()
+}
+
 /// A straight line through points, by least squares.
 #[derive(Clone, Copy, Debug)]
 pub struct Fit {
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -121,7 +121,8 @@
     async fn configure(&self, document: &str) -> io::Result<()> {
         let document: Value = serde_json::from_str(document).map_err(io::Error::other)?;
         let body = json!({ "base_revision": 0, "document": document }).to_string();
-        let http = Client::new("");
+        // Before there are operators, the fleet key applies the first document.
+        let http = Client::new(crate::site::FLEET_KEY);
         let answer = http
             .send(
                 Method::POST,
