--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,11 +1,12 @@
 //! Drives the real binary, in processes behind fault proxies, against stand-ins.
 
+#[path = "../support/deployment.rs"]
+#[expect(dead_code, reason = "nodes run in processes of their own here")]
+mod deployment;
 #[path = "../support/fleet.rs"]
 mod fleet;
 #[path = "../support/process.rs"]
 mod process;
-#[path = "../support/site.rs"]
-mod site;
 #[path = "../support/trial.rs"]
 mod trial;
 
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -95,7 +95,12 @@
     let calls: Vec<_> = (0..load.calls)
         .map(|index| call(load, index, &mut rng))
         .collect();
-    let permits = Arc::new(tokio::sync::Semaphore::new(load.at_once));
+    run_calls(caller, calls, load.at_once).await
+}
+
+/// Makes these calls, up to `at_once` at a time, and returns what was seen of each.
+pub async fn run_calls(caller: Arc<Caller>, calls: Vec<Call>, at_once: usize) -> Vec<Seen> {
+    let permits = Arc::new(tokio::sync::Semaphore::new(at_once));
     let mut running = tokio::task::JoinSet::new();
     for call in calls {
         let (caller, permits) = (Arc::clone(&caller), Arc::clone(&permits));
@@ -172,16 +177,9 @@
         let is_doubled = |id: &String| doubled.contains(id.as_str());
         tally.doubled += u64::from(once && seen.ids.iter().any(is_doubled));
         // All ids but the last were left because the node said that they did not run.
-        let left = seen.ids.len().saturating_sub(1);
-        let refused = if seen.end.is_not_run() {
-            seen.ids.as_slice()
-        } else {
-            &seen.ids[..left]
-        };
-        let not_run_but_ran = refused
-            .iter()
-            .filter(|id| ran.contains(id.as_str()))
-            .count();
+        let left = usize::from(!seen.end.is_not_run());
+        let refused = seen.ids.iter().take(seen.ids.len().saturating_sub(left));
+        let not_run_but_ran = refused.filter(|id| ran.contains(id.as_str())).count();
         tally.not_run_but_ran += not_run_but_ran as u64;
     }
     tally.first_token_p95_ms = p95(seen.iter().filter_map(|seen| seen.first_token));
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -14,7 +14,7 @@
 use teaselline_stand_ins::proxy::{Direction, ProxySettings, TcpProxy, UdpProxy};
 use teaselline_stand_ins::site::Site;
 
-use crate::site::{FLEET_KEY, url};
+use crate::deployment::{FLEET_KEY, url};
 use crate::trial;
 
 /// How long a process may take to start on a busy machine.
