test: Check seeded schedules of faults against what callers were told

Callers send claims, completions and idempotent calls under ids, to several nodes at once, while nodes are killed, paused and cut off, the log is out and services cut. After all is well again each id is sent once more; then the stand-ins' records are compared with every word that callers heard. Callers that run a call again under a new id show that the check finds doubled runs.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,7 @@
 //! Drives the real binary, in processes behind fault proxies, against stand-ins.
 
+#[path = "../support/at_most_once.rs"]
+mod at_most_once;
 #[path = "../support/deployment.rs"]
 #[expect(dead_code, reason = "nodes run in processes of their own here")]
 mod deployment;
@@ -7,12 +9,17 @@
 mod fleet;
 #[path = "../support/process.rs"]
 mod process;
+#[path = "../support/schedules.rs"]
+mod schedules;
+#[path = "../support/storm.rs"]
+mod storm;
 #[path = "../support/trial.rs"]
 mod trial;
 
 mod crashes;
 mod ids;
 mod partitions;
+mod resends;
 mod stops;
 
 /// The nodes' binary.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -125,7 +125,7 @@
     pub fn pause(&self) {
         self.signal("STOP");
         let id = self.child.lock().id();
-        while !stands_still(id) {
+        while !self.has_ended() && !stands_still(id) {
             std::thread::sleep(SIGNAL_PAUSE);
         }
     }
@@ -172,8 +172,12 @@
     }
 
     fn signal(&self, name: &str) {
-        let child = self.child.lock();
-        // By the id of our own child, which is not given to another process before it is waited for.
+        let mut child = self.child.lock();
+        // The id of a child that has not been waited for is given to no other process; that of one
+        // that has may be, and the signal would reach a stranger.
+        if !matches!(child.try_wait(), Ok(None)) {
+            return;
+        }
         let sent = Command::new("kill")
             .args(["-s", name, &child.id().to_string()])
             .status();
