--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -18,7 +18,7 @@
 
 /// Puts in force what the log's follower accepts, until `shutdown`.
 pub(super) async fn follow(node: Arc<Node>, shutdown: CancellationToken) {
-    let mut applied = node.configuration.watch_applied();
+    let mut applied = node.configuration.watch();
     loop {
         if node.bring_into_force() {
             push(&node);
@@ -90,6 +90,14 @@
             .map_or(0, |in_force| in_force.revision)
     }
 
+    /// Fits the gates to the document in force and to the hosts that take work.
+    pub(super) fn refresh_gates(&self) {
+        if let Some(in_force) = self.core.blackboard.in_force() {
+            let core = &self.core;
+            core.gates.refresh(&in_force, &core.blackboard, core.clock);
+        }
+    }
+
     /// Takes a snapshot that a peer hands over.
     pub(super) fn adopt_configuration(&self, snapshot: &Snapshot) {
         if self.configuration.with(|fold| fold.adopt(snapshot)) {
@@ -114,6 +122,7 @@
         if newer {
             log::info!(revision = revision; "a configuration is in force");
             metrics::counter!("teaselline_configuration_revision").absolute(revision);
+            self.refresh_gates();
             self.revision_changed.notify_one();
         }
         newer
--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -7,8 +7,6 @@
 mod deployment;
 #[path = "support/load.rs"]
 mod load;
-#[path = "support/site.rs"]
-mod site;
 #[path = "support/streams.rs"]
 mod streams;
 
--- a/tests/moving/trial.rs
+++ b/tests/moving/trial.rs
@@ -14,9 +14,8 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::deployment::{node_settings, wait_until_ready};
+use crate::deployment::{node_settings, site_settings, url, wait_until_ready};
 use crate::load::{self, Load, Seen, Tally};
-use crate::site::{site_settings, url};
 
 const DOCUMENT: &str = include_str!("../../sample_configs/valid/kitagawa.json");
 const TOKEN: &str = "team-archive-sample";
