feature: Announce a request's id first, and tell when a race left nothing to apply

Cause: who loses the client process in the middle of an answer needs the id; an operator whose change took effect unseen could not tell; the tables' columns stood in the order of the alphabet. Change: request prints its id before it sends; the race page says when the revision in force holds all changes or is not seen yet; tables begin with names and flatten inner objects; config show keeps the order of the fields.

--- a/src/client/caller.rs
+++ b/src/client/caller.rs
@@ -109,6 +109,21 @@
     /// Sends a call and sees it to its end; `on_token` gets each token once, in order, with its
     /// position.
     pub async fn call(&self, call: &Call, on_token: impl FnMut(u64, &str)) -> Report {
+        self.call_under(None, call, on_token).await
+    }
+
+    /// An id for [`Caller::call_under`], if a node gives one.
+    pub async fn take_id(&self) -> Option<String> {
+        self.new_id().await.ok()
+    }
+
+    /// Like [`Caller::call`], under an id that the caller has; one is asked for if it has none.
+    pub async fn call_under(
+        &self,
+        id: Option<String>,
+        call: &Call,
+        on_token: impl FnMut(u64, &str),
+    ) -> Report {
         let repeatable = call.idempotent == Some(true);
         let progress = Progress::new(self.limits(), repeatable);
         let sending = Sending::new(call);
@@ -116,7 +131,7 @@
             is_whole: matches!(call.content, CallContent::Service { .. }),
             ..Received::default()
         };
-        self.run(Some(&sending), None, received, progress, on_token)
+        self.run(Some(&sending), id, received, progress, on_token)
             .await
     }
 
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use miette::Diagnostic;
+use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
 
@@ -13,7 +14,7 @@
 use super::operator::{Operator, OperatorError};
 use super::policy::End;
 use super::table;
-use crate::document::{Document, DocumentFaults};
+use crate::document::{Document, DocumentFaults, RawDocument};
 use crate::options::arguments::EXIT_CODE_USAGE;
 use crate::options::settings::{Input, RequestContent, RequestSettings};
 use crate::options::{Action, ClientSettings, generate};
@@ -159,7 +160,12 @@
         "Revision {} is in force.",
         configuration.revision
     )?;
-    Ok(writeln!(io::stdout(), "{:#}", configuration.document)?)
+    // In the order of the fields' definition, which JSON objects do not keep.
+    let text = match RawDocument::deserialize(&configuration.document) {
+        Ok(document) => document.to_text(),
+        Err(_) => format!("{:#}", configuration.document),
+    };
+    Ok(writeln!(io::stdout(), "{text}")?)
 }
 
 async fn status(client: ClientSettings, json: bool) -> Result<(), CommandError> {
@@ -216,19 +222,31 @@
                 latency_class,
             };
             let call = with_rules(content, request.idempotent, request.idempotency_key);
-            caller.call(&call, print).await
+            let id = announced_id(&caller).await?;
+            caller.call_under(id, &call, print).await
         }
         RequestContent::Service { name, path, body } => {
             let body = Bytes::from(input::read_bytes(&body)?);
             let content = CallContent::Service { name, path, body };
             let call = with_rules(content, request.idempotent, request.idempotency_key);
-            caller.call(&call, print).await
+            let id = announced_id(&caller).await?;
+            caller.call_under(id, &call, print).await
         }
     };
     written?;
     print_end(report)
 }
 
+/// Gets an id and prints it before anything is sent: whoever loses this process while the answer
+/// comes needs the id to ask for the rest.
+async fn announced_id(caller: &Caller) -> io::Result<Option<String>> {
+    let id = caller.take_id().await;
+    if let Some(id) = &id {
+        writeln!(io::stderr(), "id {id}")?;
+    }
+    Ok(id)
+}
+
 fn with_rules(content: CallContent, idempotent: Option<bool>, key: Option<String>) -> Call {
     Call {
         content,
@@ -250,7 +268,7 @@
         }
         End::Answered { status, body } => {
             io::stdout().write_all(&body)?;
-            writeln!(io::stderr(), "id {id}: status {status}")?;
+            writeln!(io::stderr(), "status {status}, id {id}")?;
             match status {
                 200..=299 => Ok(()),
                 status => Err(Unanswered::ServiceStatus { status }.into()),
--- a/src/client/table.rs
+++ b/src/client/table.rs
@@ -2,6 +2,8 @@
 
 use serde_json::{Map, Value};
 
+/// Columns that come first, in this order.
+const FIRST_COLUMNS: [&str; 6] = ["offset", "at_ms", "name", "host", "state", "address"];
 /// Space between columns.
 const GAP: &str = "  ";
 
@@ -31,7 +33,9 @@
 /// A table of rows, whose columns are all fields that any row has.
 #[must_use]
 pub fn rows_as_table(rows: &[Value]) -> String {
-    let objects: Vec<&Map<String, Value>> = rows.iter().filter_map(Value::as_object).collect();
+    let objects: Vec<Map<String, Value>> = (rows.iter().filter_map(Value::as_object))
+        .map(flat)
+        .collect();
     if objects.len() < rows.len() {
         return rows
             .iter()
@@ -41,7 +45,7 @@
     let columns = columns(&objects);
     let mut lines: Vec<Vec<String>> = Vec::with_capacity(rows.len() + 1);
     lines.push(columns.iter().map(|name| (*name).to_owned()).collect());
-    for object in objects {
+    for object in &objects {
         let line = columns
             .iter()
             .map(|name| object.get(*name).map(cell).unwrap_or_default());
@@ -50,13 +54,35 @@
     aligned(&lines)
 }
 
-fn columns<'a>(objects: &[&'a Map<String, Value>]) -> Vec<&'a str> {
+/// An object whose inner objects' fields are its own, as `outer.inner`.
+fn flat(object: &Map<String, Value>) -> Map<String, Value> {
+    let mut fields = Map::new();
+    for (name, value) in object {
+        match value {
+            Value::Object(inner) => {
+                let inner = inner.iter();
+                fields.extend(inner.map(|(key, value)| (format!("{name}.{key}"), value.clone())));
+            }
+            other => {
+                fields.insert(name.clone(), other.clone());
+            }
+        }
+    }
+    fields
+}
+
+fn columns(objects: &[Map<String, Value>]) -> Vec<&str> {
     let mut columns: Vec<&str> = Vec::new();
-    for name in objects.iter().flat_map(|object| object.keys()) {
+    for name in objects.iter().flat_map(Map::keys) {
         if !columns.contains(&name.as_str()) {
             columns.push(name);
         }
     }
+    let rank = |name: &str| {
+        let first = FIRST_COLUMNS.iter().position(|first| *first == name);
+        first.unwrap_or(FIRST_COLUMNS.len())
+    };
+    columns.sort_by_key(|name| rank(name));
     columns
 }
 
--- a/src/console/editor.rs
+++ b/src/console/editor.rs
@@ -49,6 +49,8 @@
         /// The revision that this one was made from.
         made_from: u64,
     },
+    /// Another operator's change came first, and this node has not seen it yet.
+    RaceUnseen,
     /// The log could not be reached, and nothing has been accepted.
     NotAccepted,
     /// It cannot be told whether the change has been accepted.
@@ -86,7 +88,7 @@
 
     fn status(&self) -> StatusCode {
         match self.notice {
-            Notice::Raced { .. } => StatusCode::CONFLICT,
+            Notice::Raced { .. } | Notice::RaceUnseen => StatusCode::CONFLICT,
             Notice::NotAccepted | Notice::Unknown => StatusCode::SERVICE_UNAVAILABLE,
             Notice::NotOurs => StatusCode::FORBIDDEN,
             Notice::Checked if !self.faults.is_empty() => StatusCode::UNPROCESSABLE_ENTITY,
@@ -122,6 +124,11 @@
                      Your changes stand below on top of it, and nothing is applied yet."
                 ),
             ),
+            Notice::RaceUnseen => note(
+                html,
+                "bad",
+                "Another change came first, and is not known here yet. Check again to see both.",
+            ),
             Notice::NotAccepted => note(
                 html,
                 "bad",
@@ -181,8 +188,13 @@
     }
 
     fn write_changes(&self, page: &mut Page, changes: &[Change]) {
-        if changes.is_empty() {
-            return;
+        match (changes.is_empty(), self.notice) {
+            (true, Notice::Raced { .. }) => {
+                let text = "It holds everything that you changed; there is nothing left to apply.";
+                return note(&mut page.html, "good", text);
+            }
+            (true, _) => return,
+            (false, _) => {}
         }
         let in_force = match self.base_revision {
             0 => String::from("Nothing in force"),
--- a/src/console/respond.rs
+++ b/src/console/respond.rs
@@ -169,7 +169,10 @@
             editor.base = proposal.typed.clone();
             editor.notice = Notice::Accepted;
         }
-        Verdict::Stale => editor = raced(&editor, view),
+        Verdict::Stale if in_force(view).0 > proposal.base_revision => {
+            editor = raced(&editor, view);
+        }
+        Verdict::Stale => editor.notice = Notice::RaceUnseen,
         Verdict::Invalid(faults) => editor.faults = faults.faults,
         Verdict::NotAccepted => editor.notice = Notice::NotAccepted,
         Verdict::Unknown => editor.notice = Notice::Unknown,
--- a/src/console/respond/tests.rs
+++ b/src/console/respond/tests.rs
@@ -272,6 +272,19 @@
     }
 }
 
+/// Symptom: an operator applies a change twice, or takes it for lost. Sequence: the log's answer is
+/// lost after the change took effect; the operator applies the form again.
+#[test]
+fn a_change_that_is_in_force_already_is_told_so() {
+    let mut applied = kitagawa();
+    applied.teams[0].weight = 6.5.into();
+    let newer = in_force(4, &applied);
+    let body = post("apply", 3, &kitagawa(), &[("teams[0].weight", "6.5")]);
+    let page = page(ask(Route::Change, &headers(OWN), &body, Some(&newer)));
+    assert!(page.body.contains("holds everything that you changed"));
+    assert!(!page.body.contains("Put in force"));
+}
+
 #[test]
 fn each_verdict_is_told_and_keeps_the_form() {
     let before = in_force(3, &kitagawa());
