--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -263,7 +263,7 @@
             writeln!(io::stdout())?;
             Ok(writeln!(
                 io::stderr(),
-                "id {id}: {tokens} tokens, finish {finish}"
+                "{tokens} tokens, finish {finish}, id {id}"
             )?)
         }
         End::Answered { status, body } => {
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -2,16 +2,26 @@
 
 use std::net::SocketAddr;
 
+use clap::Command;
+use clap::builder::Resettable;
+
 use super::settings::{Input, RequestContent, SettingsFaultKind, variable};
 use super::{Action, Settings, SettingsFaults, arguments};
 
+/// Settings from arguments alone: variables of whoever runs the tests must not count.
 fn settings(arguments: &[&str]) -> Result<Settings, SettingsFaults> {
-    let matches = arguments::command()
+    let matches = without_variables(arguments::command())
         .try_get_matches_from(arguments)
         .unwrap();
     Settings::try_from(&matches)
 }
 
+fn without_variables(command: Command) -> Command {
+    command
+        .mut_args(|argument| argument.env(Resettable::Reset))
+        .mut_subcommands(without_variables)
+}
+
 #[test]
 fn the_command_line_is_consistent() {
     arguments::command().debug_assert();
