feature: Drop answers after five minutes, and count open callers

A witness forgot running reports 20 minutes after minting. A planned stop waited for no caller, as nobody counted them. A 404 said not_run although a late copy could still run, and a service's own 503 could be taken for the node's. Change: answers and prompts go after 5 minutes, outcome and fingerprint stay; a witness keeps what may still run; callers are counted while they read; answers of services carry an Outcome header.

--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -12,10 +12,13 @@
 use super::{authorize, sse};
 use crate::document::Document;
 use crate::document::checked::Team;
-use crate::node::{Node, NodeLinks};
+use crate::node::{Node, NodeLinks, OpenCaller};
 use crate::requests::{Call, Follow, Outcome, RequestId, Step, Work};
 use crate::time::TimeMs;
 
+/// Tells a service's answer, whatever its status, from what this node says.
+const OUTCOME: &str = "outcome";
+
 /// Most tokens that one request may ask for.
 const MAX_TOKENS: u32 = 1_000_000;
 
@@ -65,9 +68,10 @@
     let node = Arc::clone(&asked.node);
     match check(asked).await {
         Ok((Identified { id, call }, streamed)) => {
+            let caller = node.open_caller();
             let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
             let response = if streamed {
-                stream(follow, id).await
+                stream(follow, id, caller).await
             } else {
                 whole(&mut follow, id).await
             };
@@ -149,13 +153,17 @@
 }
 
 /// Streams a request, with the status of its first step.
-pub(super) async fn stream(mut follow: Follow<NodeLinks>, id: RequestId) -> Response<Body> {
+pub(super) async fn stream(
+    mut follow: Follow<NodeLinks>,
+    id: RequestId,
+    caller: OpenCaller,
+) -> Response<Body> {
     match follow.next().await {
         Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
         Step::OtherCall => Refusal::OtherCall.response(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
         Step::Elsewhere => running(id),
-        first => sse::stream(first, follow, id),
+        first => sse::stream(first, follow, id, caller),
     }
 }
 
@@ -196,6 +204,10 @@
         Outcome::Answered { status, body } => {
             let mut response = Response::new(refusal::whole(body.clone()));
             *response.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::OK);
+            // A service's own 404 or 503 could be taken for a refusal of ours otherwise.
+            response
+                .headers_mut()
+                .insert(OUTCOME, HeaderValue::from_static(outcome.name()));
             response
         }
         other => refusal::outcome(&id, other),
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -39,7 +39,8 @@
 
 #[derive(Serialize)]
 struct RefusalBody<'a> {
-    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<&'a str>,
     reason: &'a str,
     message: String,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -75,10 +76,18 @@
         }
     }
 
+    /// Whether the request may run or have run all the same.
+    ///
+    /// A late copy of it may still reach its home, or it ran as another team's; a caller who took
+    /// this for `not_run` and sent it under a new id could double it.
+    fn says_nothing_of_runs(self) -> bool {
+        matches!(self, Self::NoSuchRequest | Self::OtherCall)
+    }
+
     /// The response that says so.
     pub fn response(self) -> Response<Body> {
         let body = RefusalBody {
-            outcome: "not_run",
+            outcome: (!self.says_nothing_of_runs()).then_some("not_run"),
             reason: self.reason(),
             message: self.to_string(),
             retry_after_ms: (self == Self::NotConfigured).then_some(ASK_AGAIN_MS),
@@ -165,6 +174,7 @@
         Outcome::Failed(Failure::Upstream) => "upstream",
         Outcome::Failed(Failure::Deadline) => "deadline",
         Outcome::Failed(Failure::RetryBudget) => "retry_budget",
+        Outcome::Failed(Failure::AnswerExpired) => "answer_expired",
         Outcome::Cancelled => "cancelled",
     }
 }
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -20,6 +20,7 @@
     let node = Arc::clone(&asked.node);
     match check(asked).await {
         Ok(Identified { id, call }) => {
+            let _caller = node.open_caller();
             let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
             with_id(whole(&mut follow, id).await, &id)
         }
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use super::refusal::{OutcomeBody, finish};
+use crate::node::OpenCaller;
 use crate::requests::record::Chunk;
 use crate::requests::{Follow, Links, Outcome, RequestId, Step};
 
@@ -31,8 +32,11 @@
     first: Step,
     mut follow: Follow<L>,
     id: RequestId,
+    caller: OpenCaller,
 ) -> Response<Body> {
     let events = async_stream::stream! {
+        // Held for as long as the caller reads.
+        let _caller = caller;
         let mut step = first;
         // Where the rest is elsewhere, the stream breaks off between two tokens and the caller asks
         // another node for what is missing.
--- a/src/node.rs
+++ b/src/node.rs
@@ -76,7 +76,26 @@
     pub metrics: metrics_exporter_prometheus::PrometheusHandle,
 }
 
+/// Counts one caller whose answer is followed from this node, while it is held.
+///
+/// A planned stop waits until none is held: it would cut the answers short otherwise.
+#[derive(Debug)]
+pub struct OpenCaller(Arc<Node>);
+
+impl Drop for OpenCaller {
+    fn drop(&mut self) {
+        self.0.callers.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Node {
+    /// Counts a caller until the result is dropped.
+    #[must_use]
+    pub fn open_caller(self: &Arc<Self>) -> OpenCaller {
+        self.callers.fetch_add(1, Ordering::AcqRel);
+        OpenCaller(Arc::clone(self))
+    }
+
     /// The addresses that callers should use, best first.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -130,7 +130,7 @@
                 copy,
                 wants_consent: false,
             } => {
-                self.witness.keep(copy);
+                self.witness.keep(copy, now);
                 true
             }
         };
--- a/src/requests/call.rs
+++ b/src/requests/call.rs
@@ -47,6 +47,14 @@
 }
 
 impl Call {
+    /// Drops what the call asks for, but for its kind.
+    pub fn shed(&mut self) {
+        match &mut self.work {
+            Work::Completion { prompt, .. } => *prompt = String::new(),
+            Work::Service { body, .. } => *body = Vec::new(),
+        }
+    }
+
     /// Roughly the size of the call between nodes.
     #[must_use]
     pub fn size_bytes(&self) -> usize {
--- a/src/requests/outcome.rs
+++ b/src/requests/outcome.rs
@@ -96,6 +96,8 @@
     Deadline,
     /// Every attempt was lost and the retry budget is used up.
     RetryBudget,
+    /// It was answered, and the answer is no longer kept.
+    AnswerExpired,
 }
 
 impl Outcome {
@@ -111,6 +113,18 @@
         }
     }
 
+    /// The outcome once the answer itself is dropped.
+    ///
+    /// An answer's outcome without its tokens would read as an empty answer.
+    #[must_use]
+    pub fn shed(self) -> Self {
+        if self.is_answer() {
+            Self::Failed(Failure::AnswerExpired)
+        } else {
+            self
+        }
+    }
+
     /// A refusal before work.
     #[must_use]
     pub fn not_run(reason: Reason, retry_after_ms: u64) -> Self {
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -14,6 +14,12 @@
 /// Tokens handed out at once at the most, so that one reader does not hold the lock for long.
 const CHUNK_TOKENS: usize = 256;
 
+/// How long after its end an answer is kept for callers who come back for it.
+///
+/// The outcome is kept for as long as the id could start; kept as long, the answers of a busy node
+/// would not fit into its memory.
+pub const KEEP_ANSWER_MS: u64 = 5 * 60 * 1000;
+
 /// Where an attempt runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Place {
@@ -128,7 +134,51 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Copy {
+    /// Drops the call's content and the answer; keeps that it ended, and how.
+    pub fn shed(&mut self) {
+        self.call.shed();
+        self.chunk = Chunk::default();
+        self.outcome = self.outcome.take().map(Outcome::shed);
+    }
+}
+
 impl Record {
+    /// The record without its call's content and its answer.
+    ///
+    /// Whoever reads the record at this moment goes on with the whole one.
+    #[must_use]
+    pub fn shed(&self) -> Self {
+        let mut call = Call::clone(&self.call);
+        call.shed();
+        let state = self.state.lock();
+        let shed = State {
+            outcome: state.outcome.clone().map(Outcome::shed),
+            ended_at_ms: state.ended_at_ms,
+            attempts: state.attempts,
+            may_have_started: state.may_have_started,
+            ..State::default()
+        };
+        Self {
+            id: self.id,
+            call: Arc::new(call),
+            fingerprint: self.fingerprint,
+            state: Mutex::new(shed),
+            changed: Notify::new(),
+            ordered: Notify::new(),
+        }
+    }
+
+    /// Whether its answer is still held.
+    #[must_use]
+    pub fn holds_answer(&self) -> bool {
+        self.state
+            .lock()
+            .outcome
+            .as_ref()
+            .is_some_and(Outcome::is_answer)
+    }
+
     /// A request that has just come in.
     #[must_use]
     pub fn new(id: RequestId, call: Call) -> Self {
--- a/src/requests/records.rs
+++ b/src/requests/records.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 
 use super::id::ID_VALIDITY_MS;
+use super::record::KEEP_ANSWER_MS;
 use super::{Call, Record, RequestId};
 use crate::time::TimeMs;
 
@@ -94,7 +95,8 @@
         found
     }
 
-    /// Forgets what has ended and whose id can no longer start; returns how many.
+    /// Forgets what has ended and whose id can no longer start, and drops answers that have been
+    /// kept long enough; returns how many it forgot.
     #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
@@ -102,6 +104,9 @@
             let mut shard = shard.lock();
             let before = shard.len();
             shard.retain(|record| !has_expired(record, now));
+            for record in shard.iter_mut().filter(|record| is_to_shed(record, now)) {
+                *record = Arc::new(record.shed());
+            }
             gone += before - shard.len();
         }
         gone
@@ -124,6 +129,11 @@
     }
 }
 
+fn is_to_shed(record: &Record, now: TimeMs) -> bool {
+    let ended = record.ended_at_ms();
+    ended.is_some_and(|at| now.since(at) >= KEEP_ANSWER_MS) && record.holds_answer()
+}
+
 fn has_expired(record: &Record, now: TimeMs) -> bool {
     let keep_ms = ID_VALIDITY_MS + KEEP_AFTER_VALIDITY_MS;
     let ended = record
@@ -131,3 +141,6 @@
         .is_some_and(|at| now.since(at) >= KEEP_AFTER_VALIDITY_MS);
     ended && now.since(record.id.issued_at_ms) >= keep_ms
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 
 use super::id::ID_VALIDITY_MS;
-use super::record::Copy;
+use super::record::{Copy, KEEP_ANSWER_MS};
 use super::{Outcome, RequestId};
 use crate::time::TimeMs;
 
@@ -44,6 +44,7 @@
     settled: bool,
     consented: bool,
     copy: Option<Box<Copy>>,
+    ended_at_ms: Option<TimeMs>,
 }
 
 impl Default for Witness {
@@ -62,14 +63,14 @@
         match shard.binary_search_by_key(&told.id, |entry| entry.id) {
             Ok(index) if shard[index].settled => false,
             Ok(index) => {
-                shard[index].consent(told);
+                shard[index].consent(told, now);
                 true
             }
             // An id without an entry that is past its validity may have been settled and forgotten.
             Err(_) if !told.id.may_start(now) => false,
             Err(index) => {
                 let mut entry = Witnessed::new(told.id);
-                entry.consent(told);
+                entry.consent(told, now);
                 shard.insert(index, entry);
                 true
             }
@@ -77,13 +78,13 @@
     }
 
     /// Keeps what a home tells about a request.
-    pub fn keep(&self, copy: Copy) {
+    pub fn keep(&self, copy: Copy, now: TimeMs) {
         let mut shard = self.shard(&copy.id).lock();
         match shard.binary_search_by_key(&copy.id, |entry| entry.id) {
-            Ok(index) => shard[index].take(copy),
+            Ok(index) => shard[index].take(copy, now),
             Err(index) => {
                 let mut entry = Witnessed::new(copy.id);
-                entry.take(copy);
+                entry.take(copy, now);
                 shard.insert(index, entry);
             }
         }
@@ -113,14 +114,16 @@
         Some(shard[index].settlement())
     }
 
-    /// Forgets ids that are too old to matter; returns how many.
+    /// Forgets ids that are too old to matter and answers that have been kept long enough; returns
+    /// how many ids it forgot.
     #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
         for shard in &self.shards {
             let mut shard = shard.lock();
             let before = shard.len();
-            shard.retain(|entry| now.since(entry.id.issued_at_ms) < KEEP_MS);
+            shard.retain(|entry| !entry.has_expired(now));
+            shard.iter_mut().for_each(|entry| entry.shed(now));
             gone += before - shard.len();
         }
         gone
@@ -150,12 +153,33 @@
             settled: false,
             consented: false,
             copy: None,
+            ended_at_ms: None,
         }
     }
 
-    fn consent(&mut self, told: Copy) {
+    fn consent(&mut self, told: Copy, now: TimeMs) {
         self.consented = true;
-        self.take(told);
+        self.take(told, now);
+    }
+
+    /// Whether the id can neither start nor still run.
+    ///
+    /// A report that takes hours outlives its id's validity; forgotten while it runs, it would be
+    /// lost with its home.
+    fn has_expired(&self, now: TimeMs) -> bool {
+        let runs = |copy: &Copy| copy.outcome.is_none() && now < copy.call.deadline_ms;
+        let may_run = self.copy.as_deref().is_some_and(runs);
+        !may_run && now.since(self.id.issued_at_ms) >= KEEP_MS
+    }
+
+    /// Drops an answer that has been kept long enough; its outcome stays.
+    fn shed(&mut self, now: TimeMs) {
+        let old = self
+            .ended_at_ms
+            .is_some_and(|at| now.since(at) >= KEEP_ANSWER_MS);
+        if let (true, Some(copy)) = (old, &mut self.copy) {
+            copy.shed();
+        }
     }
 
     /// Whether nothing says that the home got as far as dispatching.
@@ -180,7 +204,10 @@
     }
 
     /// Joins a copy that may be older than the one held, or carry only the newest tokens.
-    fn take(&mut self, new: Copy) {
+    fn take(&mut self, new: Copy, now: TimeMs) {
+        if self.ended_at_ms.is_none() && new.outcome.is_some() {
+            self.ended_at_ms = Some(now);
+        }
         let Some(held) = &mut self.copy else {
             self.copy = Some(Box::new(new));
             return;
--- a/src/requests/witness/tests.rs
+++ b/src/requests/witness/tests.rs
@@ -209,3 +209,16 @@
     assert!(states.iter().any(|world| world.runs == 1));
     assert!(states.iter().any(|world| world.settled && world.home_ended));
 }
+
+#[test]
+fn a_report_that_takes_hours_keeps_its_standby() {
+    // Symptom: a long report is lost with its home, twenty minutes after it began.
+    // Sequence: the report runs on; the witness forgets it by the age of its id; the home dies.
+    // Cause: an entry's age counted from its minting although the request still runs.
+    let witness = Witness::default();
+    let mut told = intent();
+    told.call.deadline_ms = TimeMs(10 * KEEP_MS);
+    witness.keep(told, TimeMs(1));
+    assert_eq!(witness.expire(TimeMs(2 * KEEP_MS)), 0);
+    assert_eq!(witness.expire(TimeMs(10 * KEEP_MS)), 1);
+}
