bug: Tell a notice again until the peer has it, and wait for no silent peer without need

Symptom 1: a node that is cut off from the cloud, and whose peers' connections are reset just when they pass a notice on, sends work to leaving hosts until it reaches the cloud again. Cause: a notice was told once. Change: it is told until the peer answers or is gone. Symptom 2: nodes that are cut off from each other start about one call a second between three of them, all of them idempotent. Cause: a call whose id names another node waited out three rounds of silent home and witness before it ran here. Change: an idempotent call does not wait for nodes that have not been heard lately, and asks round once.

--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -9,9 +9,9 @@
 use super::hosts::KnownNotice;
 use super::messages::{HostNotice, Request};
 use crate::blackboard::HostState;
-use crate::keys::HostKey;
+use crate::keys::{HostKey, Incarnation};
 use crate::platform::cloud::Cloud;
-use crate::requests::links::Peers;
+use crate::requests::links::{Peers, Unreachable};
 
 /// Between two looks at the host list.
 const LIST_INTERVAL_MS: u64 = 1_000;
@@ -19,7 +19,10 @@
 /// How long the cloud may hold the answer back when there is no notice.
 const NOTICE_WAIT_MS: u64 = 1_000;
 
-/// Pause after the cloud did not answer.
+/// Tries to tell a peer of a notice; with the pauses, as long as notices run at the most.
+const TELL_TRIES: u32 = 120;
+
+/// Pause after the cloud or a peer did not answer.
 const FAILURE_PAUSE_MS: u64 = 250;
 
 /// Keeps the host table up to date until `shutdown`.
@@ -84,15 +87,23 @@
     }
     for member in node.directory.others() {
         let (node, notices) = (Arc::clone(node), notices.to_vec());
-        tokio::spawn(async move {
-            // A peer that does not answer asks the cloud itself.
-            drop(
-                node.core
-                    .peers
-                    .call(member.incarnation, Request::Notices(notices))
-                    .await,
-            );
-        });
+        tokio::spawn(async move { tell(&node, member.incarnation, &notices).await });
+    }
+}
+
+/// Tells a peer, again and again until it answers or is gone.
+///
+/// A connection that breaks just then is otherwise enough for a peer that is cut off from the cloud
+/// to go on sending work to hosts that are about to go, and to leave its streams on them.
+async fn tell(node: &Node, peer: Incarnation, notices: &[HostNotice]) {
+    for _try in 0..TELL_TRIES {
+        let request = Request::Notices(notices.to_vec());
+        match node.core.peers.call(peer, request).await {
+            Ok(_) | Err(Unreachable::Gone) => return,
+            Err(Unreachable::Silent) => {
+                tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+            }
+        }
     }
 }
 
--- a/src/node/links.rs
+++ b/src/node/links.rs
@@ -71,6 +71,14 @@
         self.directory.live()
     }
 
+    fn is_silent(&self, node: Incarnation) -> bool {
+        let state = self.directory.get(node).map(|member| member.state);
+        matches!(
+            state,
+            None | Some(MemberState::Suspected | MemberState::Gone)
+        )
+    }
+
     async fn call(&self, to: Incarnation, request: Request) -> Result<Reply, Unreachable> {
         let address = self.address(to)?;
         let reply = self.connections.call(address, request, REPLY_MS).await;
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -153,7 +153,8 @@
     }
 
     async fn find(&mut self) -> Found<L> {
-        for round in 0..ROUNDS {
+        let rounds = if self.may_run_again() { 1 } else { ROUNDS };
+        for round in 0..rounds {
             if round > 0 {
                 tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
             }
@@ -239,7 +240,17 @@
         }
     }
 
+    /// Whether one more run does no harm, and the call is here to run it.
+    fn may_run_again(&self) -> bool {
+        self.call.as_ref().is_some_and(|call| call.idempotent)
+    }
+
     async fn open(&self, to: crate::keys::Incarnation, request: Request) -> Found<L> {
+        // A call that may run here as well does not wait for a node that has gone silent. Nodes that
+        // are cut off from all others would answer no call in time otherwise.
+        if self.may_run_again() && self.core.peers.is_silent(to) {
+            return Found::Nobody;
+        }
         match self.core.peers.open(to, request).await {
             Ok((Reply::Stream, items)) => Found::Source(Source::There(items)),
             Ok((Reply::NoSuchRequest, _)) => Found::Last(Step::NoSuchRequest),
--- a/src/requests/links.rs
+++ b/src/requests/links.rs
@@ -31,6 +31,9 @@
     /// The live nodes, this one included.
     fn live(&self) -> Vec<Incarnation>;
 
+    /// Whether nothing has been heard of a node lately.
+    fn is_silent(&self, node: Incarnation) -> bool;
+
     /// One request and its reply.
     fn call(
         &self,
