--- a/src/node/change.rs
+++ b/src/node/change.rs
@@ -78,7 +78,7 @@
     }
 
     async fn verdict(&self, change_id: &str) -> Result<u64, ChangeError> {
-        let mut applied = self.configuration.watch_applied();
+        let mut applied = self.configuration.watch();
         let patience = tokio::time::sleep(Duration::from_millis(VERDICT_MS));
         tokio::pin!(patience);
         loop {
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -35,6 +35,8 @@
                 node.hosts
                     .lock()
                     .apply(blackboard, &in_force.document, &list, now);
+                // Without room for the hosts just found, the first calls would be refused.
+                node.refresh_gates();
             }
             (Ok(_), None) => {}
             // Hosts known stay in use: a platform that is down says nothing about them.
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -298,11 +298,8 @@
 /// Fits the gates to hosts and demand and tells the peers, until `shutdown`.
 async fn share_out(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
-        if let Some(in_force) = node.core.blackboard.in_force() {
-            let core = &node.core;
-            core.gates.refresh(&in_force, &core.blackboard, core.clock);
-            core.tell_shares().await;
-        }
+        node.refresh_gates();
+        node.core.tell_shares().await;
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(SHARES_INTERVAL_MS)) => {}
@@ -372,7 +369,6 @@
     Member {
         incarnation: own,
         name: settings.name.clone(),
-        epoch: 0,
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
         heartbeat_address: settings.heartbeat_advertise,
--- a/tests/integration/ids.rs
+++ b/tests/integration/ids.rs
@@ -8,8 +8,8 @@
 use teaselline::time::{Clock, TimeMs};
 
 use crate::BINARY;
+use crate::deployment::FLEET_KEY;
 use crate::fleet::{Client, Fleet, FleetSettings};
-use crate::site::FLEET_KEY;
 use crate::trial;
 
 const CLAIMS: &str = "/v1/services/claims/deposits";
--- a/tests/membership/network.rs
+++ b/tests/membership/network.rs
@@ -74,12 +74,16 @@
 
     /// Starts a run of the node with this number; returns its index.
     pub fn start(&mut self, number: usize, domain: usize) -> usize {
+        self.start_at(number, number, domain)
+    }
+
+    /// Starts a run of the node with this number at the address of the node with another.
+    pub fn start_at(&mut self, number: usize, address_number: usize, domain: usize) -> usize {
         let incarnation = Incarnation(self.rng.random());
-        let address = address(number);
+        let address = address(address_number);
         let own = Member {
             incarnation,
             name: format!("entry-{number}"),
-            epoch: 0,
             caller_address: SocketAddr::new(address.ip(), 80),
             peer_address: SocketAddr::new(address.ip(), 7_000),
             heartbeat_address: address,
@@ -192,13 +196,14 @@
         })
     }
 
-    /// How many events of running nodes since `since` are suspicions.
-    pub fn suspicions(&self, since: TimeMs) -> usize {
+    /// How many suspicions that `counts` there have been at all nodes since `since`.
+    pub fn suspicions(&self, since: TimeMs, counts: impl Fn(&Event) -> bool) -> usize {
         let events = self.nodes.iter().flat_map(|node| &node.events);
-        let recent = events.filter(|(at, _)| *at >= since);
-        recent
-            .filter(|(_, event)| matches!(event, Event::Suspected(_)))
-            .count()
+        let recent = events
+            .filter(|(at, _)| *at >= since)
+            .map(|(_, event)| event);
+        let suspicions = recent.filter(|event| matches!(event, Event::Suspected(_)));
+        suspicions.filter(|event| counts(event)).count()
     }
 
     pub fn running(&self) -> impl Iterator<Item = usize> {
--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -12,11 +12,11 @@
 mod load;
 #[path = "support/runtimes.rs"]
 mod runtimes;
-#[path = "support/site.rs"]
-mod site;
 #[path = "support/streams.rs"]
 mod streams;
 
+#[path = "moving/crashes.rs"]
+mod crashes;
 #[path = "moving/leaving.rs"]
 mod leaving;
 #[path = "moving/stops.rs"]
--- a/tests/moving/trial.rs
+++ b/tests/moving/trial.rs
@@ -14,9 +14,9 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
+use crate::deployment::{site_settings, url};
 use crate::load::{self, Load, Seen, Tally};
 use crate::runtimes::{self, RuntimeNode, configure, team_token, wait_until_ready};
-use crate::site::{site_settings, url};
 
 const DOCUMENT: &str = include_str!("../../sample_configs/valid/kitagawa.json");
 
@@ -105,6 +105,21 @@
         until("streams to have tokens", || has_token(&self.site.history())).await;
     }
 
+    /// Waits until `count` streams have come to a position.
+    pub async fn until_position(&self, count: usize, position: u64) {
+        let is_there = |history: &History| {
+            let streams = history.ran.iter().filter_map(|ran| ran.stream.as_ref());
+            streams.filter(|stream| stream.end() >= position).count() >= count
+        };
+        until("streams to get on", || is_there(&self.site.history())).await;
+    }
+
+    /// Waits until the first stream has been moved off its host.
+    pub async fn until_moving(&self) {
+        let has_moved = |history: &History| history.ran.iter().any(|ran| ran.number > 1);
+        until("a stream to move", || has_moved(&self.site.history())).await;
+    }
+
     /// What the callers saw, checked against what ran.
     pub fn check(&self, seen: &[Seen]) -> Tally {
         load::check(seen, &self.site.history())
--- a/tests/support/runtimes.rs
+++ b/tests/support/runtimes.rs
@@ -16,8 +16,7 @@
 use teaselline_stand_ins::site::Site;
 use tokio::runtime::Runtime;
 
-use crate::deployment::node_settings;
-use crate::site::url;
+use crate::deployment::{node_settings, url};
 
 /// Threads of one node.
 const THREADS: usize = 2;
