--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,17 +3,21 @@
 //! [`candidates`] reads the blackboard into a view, [`choose`] decides on that view alone.
 //! `docs/design/routing.md` gives the ways that were weighed and the measurements.
 
+pub mod cache;
 pub mod candidates;
+pub mod chain;
 pub mod choose;
 pub mod health;
 pub mod load;
 pub mod score;
 
-pub use candidates::gather;
+pub use cache::{CacheView, PromptView};
+pub use candidates::{Need, gather};
+pub use chain::{Chain, prompt_tokens};
 pub use choose::{Choice, NoRoute, choose};
 pub use health::{Health, Standing};
 pub use load::SentSince;
-pub use score::Weights;
+pub use score::{RoutePolicy, Weights};
 
 use std::net::SocketAddr;
 
@@ -54,6 +58,8 @@
 pub struct RouteAsk<'a> {
     /// Tokens of the prompt and of what has been generated so far.
     pub prompt_tokens: u64,
+    /// Tokens at the front of the prompt that many different prompts share.
+    pub shared_tokens: u64,
     /// Names the part of the prompt that tells it from others; requests that share it look for
     /// their upstream in the same place.
     pub affinity: u64,
@@ -69,4 +75,6 @@
     pub failed_domains: &'a [DomainKey],
     /// What the deployment favours.
     pub weights: Weights,
+    /// How much each part of the cost counts.
+    pub policy: RoutePolicy,
 }
--- /dev/null
+++ b/src/routing/chain/tests.rs
@@ -0,0 +1,21 @@
+//! The chain against the protocol's own definition.
+
+use super::{BLOCK_BYTES, Chain, MOST_BLOCKS, prompt_tokens};
+
+#[test]
+fn each_block_is_the_hash_of_all_bytes_up_to_it() {
+    let prompt: Vec<u8> = (0..1_000_u32).map(|byte| (byte * 7 % 251) as u8).collect();
+    let chain = Chain::of(&prompt);
+    let expected: Vec<_> = (1..=3)
+        .map(|k| twox_hash::XxHash3_64::oneshot(&prompt[..k * BLOCK_BYTES]))
+        .collect();
+    assert_eq!(chain.blocks(), expected);
+}
+
+#[test]
+fn short_and_huge_prompts_have_bounded_chains() {
+    assert!(Chain::of(b"").blocks().is_empty());
+    assert!(Chain::of(&[1; BLOCK_BYTES - 1]).blocks().is_empty());
+    assert_eq!(Chain::of(&vec![1; 1 << 20]).blocks().len(), MOST_BLOCKS);
+    assert_eq!(prompt_tokens(b"12345"), 2);
+}
--- a/src/routing/choose.rs
+++ b/src/routing/choose.rs
@@ -5,21 +5,13 @@
 use rand::rngs::SmallRng;
 use thiserror::Error;
 
-use super::score::{PriceRange, expected_prefill_ms, expected_wait_ms, score};
+use super::chain::BLOCK_TOKENS;
+use super::score::{self, PriceRange, expected_prefill_ms, expected_wait_ms};
 use super::{Candidate, RouteAsk, Standing};
 use crate::keys::{DomainKey, HostKey};
 use crate::time::TimeMs;
 use crate::upstreams::Delivery;
 
-/// Hosts with most of the prompt cached that are looked at.
-const CACHED_LOOKS: usize = 2;
-/// Hosts that the request's affinity names that are looked at.
-const AFFINITY_LOOKS: usize = 2;
-/// Hosts drawn at random that are looked at.
-///
-/// Nodes decide on the same late load reports. Were each to look at all hosts, all would choose the
-/// one that was idle two seconds ago; a few random ones each keep their choices apart.
-const RANDOM_LOOKS: usize = 2;
 /// Wait that is suggested when no host serves the request now.
 const NO_HOST_RETRY_MS: u64 = 1_000;
 
@@ -99,7 +91,7 @@
     let prices = PriceRange::over(open.iter().copied());
     let best = shortlist(&open, ask, rng)
         .into_iter()
-        .map(|host| (score(host, ask, prices), host))
+        .map(|host| (score::score(host, ask, prices), host))
         .min_by(|left, right| left.0.total_cmp(&right.0))
         .map(|(_, host)| host)
         .ok_or_else(|| no_route(view, now))?;
@@ -134,19 +126,23 @@
     ask: &RouteAsk<'_>,
     rng: &mut SmallRng,
 ) -> Vec<&'a Candidate> {
-    let mut list = Vec::with_capacity(CACHED_LOOKS + AFFINITY_LOOKS + RANDOM_LOOKS);
-    for _ in 0..RANDOM_LOOKS {
+    let policy = &ask.policy;
+    let looks = policy.cached_looks + policy.affinity_looks + policy.random_looks;
+    let mut list = Vec::with_capacity(looks);
+    for _ in 0..policy.random_looks {
         list.push(open[rng.random_range(0..open.len())]);
     }
-    let by_affinity = top(open, AFFINITY_LOOKS, |host| {
+    let by_affinity = top(open, policy.affinity_looks, |host| {
         affinity_rank(host.host, ask.affinity)
     });
     list.extend(by_affinity);
     let cached = open.iter().copied().filter(|host| host.cached_tokens > 0.0);
     let cached: Vec<_> = cached.collect();
-    list.extend(top(&cached, CACHED_LOOKS, |host| {
-        OrderedTokens(host.cached_tokens)
-    }));
+    // What many hosts hold alike says nothing about where to go; chance decides between them.
+    let by_cache = top(&cached, policy.cached_looks, |host| {
+        (whole_blocks(host.cached_tokens), rng.random::<u32>())
+    });
+    list.extend(by_cache);
     list
 }
 
@@ -154,7 +150,7 @@
 fn top<'a, R: Ord>(
     hosts: &[&'a Candidate],
     count: usize,
-    rank: impl Fn(&Candidate) -> R,
+    mut rank: impl FnMut(&Candidate) -> R,
 ) -> Vec<&'a Candidate> {
     let mut best: Vec<(R, &Candidate)> = Vec::with_capacity(count + 1);
     for host in hosts {
@@ -176,21 +172,13 @@
     mixed ^ (mixed >> 32)
 }
 
-#[derive(PartialEq)]
-struct OrderedTokens(f64);
-
-impl Eq for OrderedTokens {}
-
-impl PartialOrd for OrderedTokens {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for OrderedTokens {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range of u32 first"
+)]
+fn whole_blocks(tokens: f64) -> u32 {
+    (tokens / score::tokens(BLOCK_TOKENS)).clamp(0.0, f64::from(u32::MAX)) as u32
 }
 
 fn no_route(view: &[Candidate], now: TimeMs) -> NoRoute {
--- a/src/routing/choose/tests.rs
+++ b/src/routing/choose/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{NoRouteReason, choose};
 use crate::keys::{DomainKey, HostKey};
-use crate::routing::{Candidate, RouteAsk, Standing, Weights};
+use crate::routing::{Candidate, RouteAsk, RoutePolicy, Standing, Weights};
 use crate::time::TimeMs;
 use crate::upstreams::Delivery;
 
@@ -31,6 +31,7 @@
 fn ask() -> RouteAsk<'static> {
     RouteAsk {
         prompt_tokens: 1_000,
+        shared_tokens: 0,
         affinity: 7,
         first_token_ms: 750,
         service_ms: 4_000.0,
@@ -41,6 +42,7 @@
             cost: 0.5,
             recomputed_tokens: 0.5,
         },
+        policy: RoutePolicy::default(),
     }
 }
 
--- a/src/routing/score.rs
+++ b/src/routing/score.rs
@@ -3,21 +3,6 @@
 use super::{Candidate, RouteAsk};
 use crate::document::checked::Measure;
 
-/// Worth of one millisecond over the target for the first token.
-///
-/// Within the target price and cache decide; beyond it, hardly anything but time does.
-const LATE_WEIGHT: f64 = 8.0;
-/// Worth of the dearest host's price above the cheapest's, as a share of the first-token target.
-const PRICE_SHARE_OF_TARGET: f64 = 0.25;
-/// Worth of a millisecond of computing tokens that another host has cached, beside the wait.
-const RECOMPUTE_WEIGHT: f64 = 1.0;
-/// Worth of a full host against an empty one, as a share of the first-token target.
-///
-/// Streams that run together slow each other's tokens even where none waits.
-const CROWDING_SHARE_OF_TARGET: f64 = 0.1;
-/// Added for a host that serves another kind of work first.
-const OUT_OF_ROLE_SHARE_OF_TARGET: f64 = 1.0;
-
 /// What the deployment favours.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Weights {
@@ -36,6 +21,57 @@
     }
 }
 
+/// How much each part of the cost counts, and how many hosts are compared.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoutePolicy {
+    /// Worth of one millisecond over the target for the first token.
+    ///
+    /// Within the target price and cache decide; beyond it, hardly anything but time does.
+    pub late_weight: f64,
+    /// Worth of the dearest host's price above the cheapest's, as a share of the target.
+    pub price_share_of_target: f64,
+    /// Worth of a millisecond of computing tokens that are not cached, beside the wait.
+    pub recompute_weight: f64,
+    /// Worth of a millisecond of computing the part that only this prompt has, beside the former.
+    ///
+    /// That part belongs to a conversation that will grow. Computed on another host, it leaves a
+    /// copy that nobody uses and that takes the room of another; a shared part computed there
+    /// serves others too. Bramas (2019, doi:10.7717/peerj-cs.190) weighs data to be written above
+    /// data only read for this reason.
+    pub extended_weight: f64,
+    /// Worth of a full host against an empty one, as a share of the target.
+    ///
+    /// Streams that run together slow each other's tokens even where none waits.
+    pub crowding_share_of_target: f64,
+    /// Added for a host that serves another kind of work first, as a share of the target.
+    pub out_of_role_share_of_target: f64,
+    /// Hosts with most of the prompt cached that are compared.
+    pub cached_looks: usize,
+    /// Hosts that the request's affinity names that are compared.
+    pub affinity_looks: usize,
+    /// Hosts drawn at random that are compared.
+    ///
+    /// Nodes decide on the same late load reports. Were each to compare all hosts, all would choose
+    /// the one that was idle two seconds ago; a few random ones each keep their choices apart.
+    pub random_looks: usize,
+}
+
+impl Default for RoutePolicy {
+    fn default() -> Self {
+        Self {
+            late_weight: 8.0,
+            price_share_of_target: 0.25,
+            recompute_weight: 1.0,
+            extended_weight: 1.0,
+            crowding_share_of_target: 0.1,
+            out_of_role_share_of_target: 1.0,
+            cached_looks: 2,
+            affinity_looks: 2,
+            random_looks: 2,
+        }
+    }
+}
+
 /// The lowest and the highest price among the hosts that may be chosen.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PriceRange {
@@ -85,6 +121,13 @@
     uncached_tokens * 1_000.0 / candidate.prefill_tokens_per_second.max(1.0)
 }
 
+/// How long of that goes to the part of the prompt that no others share.
+fn extended_prefill_ms(candidate: &Candidate, ask: &RouteAsk<'_>) -> f64 {
+    let known_tokens = candidate.cached_tokens.max(tokens(ask.shared_tokens));
+    let uncached_tokens = (tokens(ask.prompt_tokens) - known_tokens).max(0.0);
+    uncached_tokens * 1_000.0 / candidate.prefill_tokens_per_second.max(1.0)
+}
+
 /// The cost of a candidate; lower is better.
 #[must_use]
 pub fn score(candidate: &Candidate, ask: &RouteAsk<'_>, prices: PriceRange) -> f64 {
@@ -95,13 +138,15 @@
     let filled = candidate.streams_ahead / f64::from(candidate.slots.max(1));
     let price = prices.place(candidate.price_per_hour);
     let role = if candidate.in_role { 0.0 } else { 1.0 };
+    let policy = &ask.policy;
     first_token_ms
-        + LATE_WEIGHT * late_ms
-        + RECOMPUTE_WEIGHT * ask.weights.recomputed_tokens * prefill_ms
+        + policy.late_weight * late_ms
+        + policy.recompute_weight * ask.weights.recomputed_tokens * prefill_ms
+        + policy.extended_weight * extended_prefill_ms(candidate, ask)
         + target_ms
-            * (PRICE_SHARE_OF_TARGET * ask.weights.cost * price
-                + CROWDING_SHARE_OF_TARGET * filled.min(1.0)
-                + OUT_OF_ROLE_SHARE_OF_TARGET * role)
+            * (policy.price_share_of_target * ask.weights.cost * price
+                + policy.crowding_share_of_target * filled.min(1.0)
+                + policy.out_of_role_share_of_target * role)
 }
 
 pub(super) fn tokens(count: u64) -> f64 {
