--- a/src/blackboard/upstreams.rs
+++ b/src/blackboard/upstreams.rs
@@ -20,6 +20,8 @@
     pub role: Role,
     /// What this node sent to it lately.
     pub sent: SentSince,
+    /// What other nodes sent to it lately, as they tell.
+    pub sent_by_peers: SentSince,
     /// How this node's calls to it went.
     pub health: Health,
 }
@@ -31,6 +33,7 @@
             models: None,
             role: Role::default(),
             sent: SentSince::default(),
+            sent_by_peers: SentSince::default(),
             health: Health::default(),
         }
     }
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// Prompt computing that this node has sent there and that is not done yet.
     pub prefill_backlog_ms: f64,
+    /// How much longer than expected first tokens take there now, as this node has seen.
+    pub excess_ms: f64,
     /// Prompt tokens that it computes when nothing is cached.
     pub prefill_tokens_per_second: f64,
     /// Tokens of the prompt that it is expected to have cached.
@@ -63,6 +65,10 @@
     /// Names the part of the prompt that tells it from others; requests that share it look for
     /// their upstream in the same place.
     pub affinity: u64,
+    /// Names the part of the prompt that many different prompts share, if there is one.
+    ///
+    /// When hosts that have it cached are busy, all nodes compute it again on the same few others.
+    pub shared_affinity: Option<u64>,
     /// Target for the first token.
     pub first_token_ms: u64,
     /// How long one request takes on an upstream, on average.
--- a/src/routing/cache.rs
+++ b/src/routing/cache.rs
@@ -35,6 +35,8 @@
 pub struct PromptView {
     /// Names the part of the prompt that tells it from others; see `RouteAsk::affinity`.
     pub affinity: u64,
+    /// Names the part that many different prompts share; see `RouteAsk::shared_affinity`.
+    pub shared_affinity: Option<u64>,
     /// Tokens at the front that many different prompts share.
     pub shared_tokens: u64,
     /// Tokens believed cached, by host, sorted by host.
@@ -115,6 +117,7 @@
         let telling = blocks.get(after_common).or(blocks.last());
         PromptView {
             affinity: telling.copied().unwrap_or_default(),
+            shared_affinity: after_common.checked_sub(1).map(|last| blocks[last]),
             shared_tokens: common * BLOCK_TOKENS,
             cached,
         }
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -72,7 +72,9 @@
 ) -> Candidate {
     let class = document.host_class(row.class);
     let reported = f64::from(row.load.running) + f64::from(row.load.queued);
-    let since = f64::from(learnt.sent.balance_since(row.load.as_of_ms));
+    let own = learnt.sent.balance_since(row.load.as_of_ms);
+    let peers = learnt.sent_by_peers.balance_since(row.load.as_of_ms);
+    let since = f64::from(own.saturating_add(peers));
     let slots = [row.load.slots, class.slots, DEFAULT_SLOTS];
     let (has_model, in_role) = match need {
         Need::Model { model, role } => (learnt.has_model(model), learnt.role == role),
@@ -91,6 +93,7 @@
         streams_ahead: (reported + since).max(f64::from(row.open_here)),
         slots: slots.into_iter().find(|slots| *slots > 0).unwrap_or(1),
         prefill_backlog_ms: learnt.sent.prefill_backlog_ms(now),
+        excess_ms: learnt.sent.excess_ms(now),
         prefill_tokens_per_second: class.prefill_tokens_per_second,
         cached_tokens: 0.0,
         price_per_hour: class.price_per_hour,
--- a/src/routing/choose.rs
+++ b/src/routing/choose.rs
@@ -127,15 +127,22 @@
     rng: &mut SmallRng,
 ) -> Vec<&'a Candidate> {
     let policy = &ask.policy;
-    let looks = policy.cached_looks + policy.affinity_looks + policy.random_looks;
+    let looks =
+        policy.cached_looks + policy.affinity_looks + policy.shared_looks + policy.random_looks;
     let mut list = Vec::with_capacity(looks);
     for _ in 0..policy.random_looks {
         list.push(open[rng.random_range(0..open.len())]);
     }
-    let by_affinity = top(open, policy.affinity_looks, |host| {
-        affinity_rank(host.host, ask.affinity)
-    });
-    list.extend(by_affinity);
+    let affinities = [
+        (Some(ask.affinity), policy.affinity_looks),
+        (ask.shared_affinity, policy.shared_looks),
+    ];
+    for (affinity, looks) in affinities {
+        let Some(affinity) = affinity else {
+            continue;
+        };
+        list.extend(top(open, looks, |host| affinity_rank(host.host, affinity)));
+    }
     let cached = open.iter().copied().filter(|host| host.cached_tokens > 0.0);
     let cached: Vec<_> = cached.collect();
     // What many hosts hold alike says nothing about where to go; chance decides between them.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -7,6 +7,11 @@
 /// Buckets kept: 4 s, twice the lag of load reports that the design expects.
 const BUCKETS: usize = 32;
 
+/// Weight of the newest first token.
+const EXCESS_STEP: f64 = 0.5;
+/// Over so long what a first token told fades.
+const EXCESS_FADES_MS: f64 = 2_000.0;
+
 /// Streams opened and closed lately, and prompt computing still to be done.
 ///
 /// A load report is late, so the streams that this node opened and closed after the report's time
@@ -19,6 +24,9 @@
     newest_bucket: u64,
     prefill_ms: f64,
     prefill_as_of_ms: TimeMs,
+    // How much longer than expected first tokens took, and when that was last seen.
+    excess_ms: f64,
+    excess_as_of_ms: TimeMs,
 }
 
 impl Default for SentSince {
@@ -28,6 +36,8 @@
             newest_bucket: 0,
             prefill_ms: 0.0,
             prefill_as_of_ms: TimeMs(0),
+            excess_ms: 0.0,
+            excess_as_of_ms: TimeMs(0),
         }
     }
 }
@@ -40,11 +50,33 @@
         self.prefill_as_of_ms = now;
     }
 
+    /// Notes how long a first token took beyond the time that its prompt was expected to take.
+    ///
+    /// A first token tells of this moment what the host's report tells only later, other nodes'
+    /// requests included.
+    pub fn note_first_token(&mut self, excess_ms: f64, now: TimeMs) {
+        let held_ms = self.excess_ms(now);
+        self.excess_ms = held_ms + (excess_ms.max(0.0) - held_ms) * EXCESS_STEP;
+        self.excess_as_of_ms = now;
+    }
+
+    /// How much longer than expected first tokens take there now.
+    #[must_use]
+    pub fn excess_ms(&self, now: TimeMs) -> f64 {
+        let age_ms = millis(now.since(self.excess_as_of_ms));
+        self.excess_ms * (-age_ms / EXCESS_FADES_MS).exp()
+    }
+
     /// Notes a stream that has ended.
     pub fn note_close(&mut self, now: TimeMs) {
         self.add(-1, now);
     }
 
+    /// Notes streams that another node opened less those that it closed, at a time of its own.
+    pub fn note_net(&mut self, net: i16, at_ms: TimeMs) {
+        self.add(net, at_ms);
+    }
+
     /// Streams opened less streams closed after `as_of_ms`.
     #[must_use]
     pub fn balance_since(&self, as_of_ms: TimeMs) -> i32 {
--- a/src/routing/score.rs
+++ b/src/routing/score.rs
@@ -49,6 +49,8 @@
     pub cached_looks: usize,
     /// Hosts that the request's affinity names that are compared.
     pub affinity_looks: usize,
+    /// Hosts that the affinity of its shared part names that are compared.
+    pub shared_looks: usize,
     /// Hosts drawn at random that are compared.
     ///
     /// Nodes decide on the same late load reports. Were each to compare all hosts, all would choose
@@ -67,6 +69,7 @@
             out_of_role_share_of_target: 1.0,
             cached_looks: 2,
             affinity_looks: 2,
+            shared_looks: 2,
             random_looks: 2,
         }
     }
@@ -111,7 +114,8 @@
 pub fn expected_wait_ms(candidate: &Candidate, ask: &RouteAsk<'_>) -> f64 {
     let slots = f64::from(candidate.slots.max(1));
     let must_end = (candidate.streams_ahead + 1.0 - slots).max(0.0);
-    must_end * ask.service_ms / slots + candidate.prefill_backlog_ms
+    let queued_ms = must_end * ask.service_ms / slots + candidate.prefill_backlog_ms;
+    queued_ms.max(candidate.excess_ms)
 }
 
 /// How long computing the prompt tokens that are not cached would take.
--- a/tests/routing_quality.rs
+++ b/tests/routing_quality.rs
@@ -32,6 +32,7 @@
 const HOSTS: usize = 18;
 const NODES: usize = 9;
 const LOAD_EVERY_MS: u64 = 250;
+const EXCHANGE_EVERY_MS: u64 = 200;
 const EVENTS_EVERY_MS: u64 = 500;
 const EVENTS_LATE_MS: u64 = 1_000;
 const EVENTS_LOST: f64 = 0.1;
@@ -41,9 +42,11 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Ask { caller: usize },
+    FirstToken { host: usize, request: usize },
     End { host: usize, request: usize },
     Loads,
     CacheEvents,
+    Exchange,
 }
 
 struct Open {
@@ -109,6 +112,7 @@
         }
         simulation.schedule(TimeMs(0), Event::Loads);
         simulation.schedule(TimeMs(0), Event::CacheEvents);
+        simulation.schedule(TimeMs(0), Event::Exchange);
         simulation
     }
 
@@ -129,9 +133,11 @@
             }
             match event {
                 Event::Ask { caller } => self.ask(caller, now),
+                Event::FirstToken { host, request } => self.first_token(host, request, now),
                 Event::End { host, request } => self.end(host, request, now),
                 Event::Loads => self.loads(now),
                 Event::CacheEvents => self.cache_events(now),
+                Event::Exchange => self.exchange(now),
             }
         }
         self.outcome()
@@ -204,14 +210,24 @@
             self.first_tokens_ms.push(waited_ms);
         }
         let request = started.job.request;
+        self.schedule(started.first_token_ms, Event::FirstToken { host, request });
         self.schedule(started.ends_ms, Event::End { host, request });
     }
 
+    fn first_token(&mut self, host: usize, request: usize, now: TimeMs) {
+        if let Policy::Product(_) = self.policy {
+            let open = &self.open[&request];
+            let took_ms = now.since(open.turn.at_ms);
+            let node = &self.nodes[open.turn.node];
+            node.note_first_token(host, &open.chosen, took_ms, now);
+        }
+    }
+
     fn end(&mut self, host: usize, request: usize, now: TimeMs) {
         self.engines[host].running -= 1;
         let open = self.open.remove(&request).unwrap();
         if let Policy::Product(_) = self.policy {
-            let node = &self.nodes[open.turn.node];
+            let node = &mut self.nodes[open.turn.node];
             node.note_done(host, &open.turn, &open.chosen, open.cached_tokens, now);
         }
         self.start(host, now);
@@ -234,6 +250,16 @@
         self.schedule(now.after(LOAD_EVERY_MS), Event::Loads);
     }
 
+    fn exchange(&mut self, now: TimeMs) {
+        let sent: Vec<_> = self.nodes.iter_mut().map(Node::take_net).collect();
+        for (from, net) in sent.iter().enumerate() {
+            for (_, to) in self.nodes.iter().enumerate().filter(|(to, _)| *to != from) {
+                to.put_net(net, now);
+            }
+        }
+        self.schedule(now.after(EXCHANGE_EVERY_MS), Event::Exchange);
+    }
+
     fn cache_events(&mut self, now: TimeMs) {
         for (host, engine) in self.engines.iter().enumerate() {
             let unread = &engine.events[self.events_read[host]..];
@@ -273,29 +299,101 @@
 fn prefix_table() {
     let base = Workload::default();
     for (name, workload, lag) in [
-        ("400", Workload { conversations: 400, ..base }, 500),
-        ("520", Workload { conversations: 520, ..base }, 2000),
-        ("burst", Workload { conversations: 220, burst_every_ms: 12_000, ..base }, 2000),
-        ("longshared", Workload { conversations: 400, instruction_tokens: 4096, instructions: 20, ..base }, 2000),
-        ("questions", Workload { conversations: 400, questions: 0.9, document_tokens: 8192, documents: 60, ..base }, 2000),
+        (
+            "400",
+            Workload {
+                conversations: 400,
+                ..base
+            },
+            500,
+        ),
+        (
+            "520",
+            Workload {
+                conversations: 520,
+                ..base
+            },
+            2000,
+        ),
+        (
+            "burst",
+            Workload {
+                conversations: 220,
+                burst_every_ms: 12_000,
+                ..base
+            },
+            2000,
+        ),
+        (
+            "longshared",
+            Workload {
+                conversations: 400,
+                instruction_tokens: 4096,
+                instructions: 20,
+                ..base
+            },
+            2000,
+        ),
+        (
+            "questions",
+            Workload {
+                conversations: 400,
+                questions: 0.9,
+                document_tokens: 8192,
+                documents: 60,
+                ..base
+            },
+            2000,
+        ),
     ] {
-    for seed in 0..2 {
-        println!("{name} seed {seed}");
-        for (name, policy) in [
-            ("round robin", Policy::RoundRobin),
-            ("least load", Policy::LeastLoad),
-            ("hashing", Policy::Hashing),
-            ("product", product()),
-            ("product ext 0", Policy::Product(RoutePolicy { extended_weight: 0.0, ..RoutePolicy::default() })),
-            ("product ext 3", Policy::Product(RoutePolicy { extended_weight: 3.0, ..RoutePolicy::default() })),
-            ("product aff 3 r 1", Policy::Product(RoutePolicy { affinity_looks: 3, random_looks: 1, ..RoutePolicy::default() })),
-            ("product cached 4", Policy::Product(RoutePolicy { cached_looks: 4, ..RoutePolicy::default() })),
-            ("product all", Policy::Product(RoutePolicy { affinity_looks: HOSTS, ..RoutePolicy::default() })),
-            ("perfect knowledge", Policy::Perfect),
-            ("perfect load", Policy::PerfectLoad),
-        ] {
-            print(name, simulate(policy, workload, lag, seed));
+        for seed in 0..2 {
+            println!("{name} seed {seed}");
+            for (name, policy) in [
+                ("round robin", Policy::RoundRobin),
+                ("least load", Policy::LeastLoad),
+                ("hashing", Policy::Hashing),
+                ("product", product()),
+                (
+                    "product ext 0",
+                    Policy::Product(RoutePolicy {
+                        extended_weight: 0.0,
+                        ..RoutePolicy::default()
+                    }),
+                ),
+                (
+                    "product ext 3",
+                    Policy::Product(RoutePolicy {
+                        extended_weight: 3.0,
+                        ..RoutePolicy::default()
+                    }),
+                ),
+                (
+                    "product aff 3 r 1",
+                    Policy::Product(RoutePolicy {
+                        affinity_looks: 3,
+                        random_looks: 1,
+                        ..RoutePolicy::default()
+                    }),
+                ),
+                (
+                    "product cached 4",
+                    Policy::Product(RoutePolicy {
+                        cached_looks: 4,
+                        ..RoutePolicy::default()
+                    }),
+                ),
+                (
+                    "product all",
+                    Policy::Product(RoutePolicy {
+                        affinity_looks: HOSTS,
+                        ..RoutePolicy::default()
+                    }),
+                ),
+                ("perfect knowledge", Policy::Perfect),
+                ("perfect load", Policy::PerfectLoad),
+            ] {
+                print(name, simulate(policy, workload, lag, seed));
+            }
         }
     }
-    }
 }
--- a/tests/routing_quality/policies.rs
+++ b/tests/routing_quality/policies.rs
@@ -14,7 +14,7 @@
 use teaselline::time::TimeMs;
 use teaselline::upstreams::{Delivery, Role};
 
-use super::engines::{CACHE_BLOCKS, Engine, PREFILL_TOKENS_PER_SECOND, SLOTS};
+use super::engines::{CACHE_BLOCKS, Engine, PREFILL_TOKENS_PER_SECOND, SLOTS, TOKEN_MS};
 use super::workload::Turn;
 
 pub const FIRST_TOKEN_MS: u64 = 750;
@@ -39,6 +39,7 @@
     blackboard: Blackboard,
     cache: CacheView,
     next: usize,
+    net: Vec<i16>,
 }
 
 pub fn host_key(index: usize) -> HostKey {
@@ -73,6 +74,7 @@
             blackboard,
             cache,
             next: 0,
+            net: vec![0; hosts],
         }
     }
 
@@ -118,7 +120,7 @@
     }
 
     fn product(
-        &self,
+        &mut self,
         policy: RoutePolicy,
         document: &Document,
         hosts: usize,
@@ -140,16 +142,47 @@
         self.blackboard.upstreams.with(choice.host, |row| {
             row.sent.note_open(choice.prefill_ms, turn.at_ms);
         });
+        let host = (0..hosts).find(|index| host_key(*index) == choice.host);
+        let host = host.unwrap();
+        self.net[host] += 1;
         Chosen {
-            host: (0..hosts)
-                .find(|index| host_key(*index) == choice.host)
-                .unwrap(),
+            host,
             expected_cached_tokens: choice.cached_tokens,
+            expected_ms: choice.prefill_ms,
         }
     }
 
-    pub fn note_done(&self, host: usize, turn: &Turn, chosen: &Chosen, cached: u64, now: TimeMs) {
+    /// What it sent since the last time, by host.
+    pub fn take_net(&mut self) -> Vec<i16> {
+        let empty = vec![0; self.net.len()];
+        std::mem::replace(&mut self.net, empty)
+    }
+
+    pub fn put_net(&self, net: &[i16], at_ms: TimeMs) {
+        for (host, net) in net.iter().enumerate().filter(|(_, net)| **net != 0) {
+            self.blackboard.upstreams.with(host_key(host), |row| {
+                row.sent_by_peers.note_net(*net, at_ms);
+            });
+        }
+    }
+
+    pub fn note_first_token(&self, host: usize, chosen: &Chosen, took_ms: u64, now: TimeMs) {
+        let excess_ms = took_ms as f64 - chosen.expected_ms - TOKEN_MS as f64;
+        self.blackboard.upstreams.with(host_key(host), |row| {
+            row.sent.note_first_token(excess_ms, now);
+        });
+    }
+
+    pub fn note_done(
+        &mut self,
+        host: usize,
+        turn: &Turn,
+        chosen: &Chosen,
+        cached: u64,
+        now: TimeMs,
+    ) {
         let key = host_key(host);
+        self.net[host] -= 1;
         let chain = Chain::from_blocks(turn.blocks.clone());
         self.cache
             .note_done(key, &chain, chosen.expected_cached_tokens, cached);
@@ -163,6 +196,7 @@
 pub struct Chosen {
     pub host: usize,
     expected_cached_tokens: f64,
+    expected_ms: f64,
 }
 
 impl Chosen {
@@ -170,6 +204,7 @@
         Self {
             host,
             expected_cached_tokens: 0.0,
+            expected_ms: 0.0,
         }
     }
 }
@@ -179,6 +214,7 @@
         prompt_tokens: turn.prompt_tokens,
         shared_tokens: prompt.shared_tokens,
         affinity: prompt.affinity,
+        shared_affinity: prompt.shared_affinity,
         first_token_ms: FIRST_TOKEN_MS,
         service_ms: SERVICE_MS,
         delivery: Delivery::Repeatable,
@@ -207,6 +243,7 @@
             streams_ahead: f64::from(engine.running) + engine.queue.len() as f64,
             slots: SLOTS,
             prefill_backlog_ms: engine.prefill_free_ms.saturating_sub(turn.at_ms.0) as f64,
+            excess_ms: 0.0,
             prefill_tokens_per_second: PREFILL_TOKENS_PER_SECOND,
             cached_tokens: (engine.cache.cached_blocks(&turn.blocks) * BLOCK_TOKENS) as f64,
             price_per_hour: 1.0,
@@ -214,6 +251,7 @@
         .collect();
     let prompt = PromptView {
         affinity: turn.key,
+        shared_affinity: None,
         shared_tokens: 0,
         cached: Vec::new(),
     };
