--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -83,8 +83,6 @@
     pub load: LoadReport,
     /// Streams that this node has open on it.
     pub open_here: u32,
-    /// When this node last failed to reach it, until it answers again.
-    pub failing_since_ms: Option<TimeMs>,
 }
 
 /// State that collectors write and controllers read.
