feature: Route by what engines have cached

Cause: requests went to engines without regard to cached prefixes. Change: the request core looks a prompt's blocks up in the cache view, which cache events, sends and the engines' own counts of cached tokens keep true; the choice weighs them.

--- a/src/blackboard.rs
+++ b/src/blackboard.rs
@@ -13,6 +13,7 @@
 
 use crate::document::Document;
 use crate::keys::{ClassKey, DomainKey, HostKey, PoolKey};
+use crate::routing::cache::CacheView;
 use crate::time::TimeMs;
 
 pub use upstreams::{UpstreamRow, UpstreamTable};
@@ -92,6 +93,8 @@
     hosts: [Mutex<Vec<HostRow>>; HOST_SHARDS],
     /// What this node has learnt of upstreams by calling them.
     pub upstreams: UpstreamTable,
+    /// What engines are believed to have cached.
+    pub caches: CacheView,
 }
 
 impl Blackboard {
--- a/src/blackboard/upstreams.rs
+++ b/src/blackboard/upstreams.rs
@@ -24,6 +24,8 @@
     pub sent_by_peers: SentSince,
     /// How this node's calls to it went.
     pub health: Health,
+    /// The number of the next cache event to ask for.
+    pub next_cache_event: u64,
 }
 
 impl UpstreamRow {
@@ -35,6 +37,7 @@
             sent: SentSince::default(),
             sent_by_peers: SentSince::default(),
             health: Health::default(),
+            next_cache_event: 0,
         }
     }
 
--- a/src/node/collect_load.rs
+++ b/src/node/collect_load.rs
@@ -25,7 +25,10 @@
         let reports = futures::stream::iter(engines)
             .map(|(key, address)| {
                 let node = Arc::clone(&node);
-                async move { (key, node.core.engines.load(address).await) }
+                async move {
+                    collect_cache_events(&node, key, address).await;
+                    (key, node.core.engines.load(address).await)
+                }
             })
             .buffer_unordered(AT_ONCE);
         tokio::pin!(reports);
@@ -41,6 +44,22 @@
     }
 }
 
+/// Takes in what an engine has cached and evicted since the last time.
+async fn collect_cache_events(node: &Node, key: HostKey, address: std::net::SocketAddr) {
+    let from = node
+        .core
+        .blackboard
+        .upstreams
+        .with(key, |row| row.next_cache_event);
+    if let Ok(page) = node.core.engines.cache_events(address, from).await {
+        node.core
+            .blackboard
+            .upstreams
+            .with(key, |row| row.next_cache_event = page.next);
+        node.core.blackboard.caches.apply(key, &page.events);
+    }
+}
+
 fn engines(node: &Node) -> Vec<(HostKey, std::net::SocketAddr)> {
     let Some(in_force) = node.core.blackboard.in_force() else {
         return Vec::new();
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -140,6 +140,7 @@
                 Some((_, since)) if now.since(*since) >= KEEP_UNLISTED_MS => {
                     blackboard.remove_host(key);
                     blackboard.upstreams.remove(key);
+                    blackboard.caches.forget(key);
                 }
                 Some(_) => {}
             }
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use super::core::{Core, Right};
-use super::dispatch::{Failed, Tried, delivery, denied, latency_class, no_upstream, past_deadline};
+use super::dispatch::{
+    Failed, Tried, chain, delivery, denied, latency_class, no_upstream, past_deadline,
+};
 use super::links::Links;
 use super::outcome::{Doubt, Failure, Finish};
 use super::record::{Order, Place};
@@ -14,6 +16,7 @@
 use crate::keys::HostKey;
 use crate::reclaim::Progress;
 use crate::retries::{QuarantineAsk, Retry};
+use crate::routing::chain::Chain;
 use crate::routing::{Candidate, NoRoute};
 use crate::time::TimeMs;
 use crate::upstreams::{
@@ -49,6 +52,7 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
+    let chain = chain(&record);
     let run = Run {
         core,
         record,
@@ -63,6 +67,8 @@
         has_right: false,
         warmed: 0,
         quarantine: None,
+        chain,
+        expected_cached_tokens: 0.0,
     };
     run.drive().await
 }
@@ -97,6 +103,10 @@
     warmed: u32,
     /// Leave to run as a suspect, with the position at which the attempt began.
     quarantine: Option<(QuarantineAsk, u64)>,
+    /// The blocks of the prompt.
+    chain: Chain,
+    /// Tokens that the host chosen was believed to have cached.
+    expected_cached_tokens: f64,
 }
 
 /// Whether to go on.
@@ -172,17 +182,24 @@
         if let Some(flow) = self.ask_for_retry().await {
             return flow;
         }
-        let view = self.core.view(&self.record);
-        match self.core.leave_to_start(&self.record, &view).await {
+        let view = self.core.view(&self.record, &self.chain);
+        match self
+            .core
+            .leave_to_start(&self.record, &view.candidates)
+            .await
+        {
             Leave::Refuse => Flow::End(Outcome::Failed(Failure::KillsUpstreams)),
             Leave::Wait(until_ms) => self.pause_until(until_ms).await,
-            Leave::Only(ask) => self.start_in_quarantine(ask, &view).await,
+            Leave::Only(ask) => self.start_in_quarantine(ask, &view.candidates).await,
             Leave::Anywhere => match self.core.choose(&self.record, &view, &self.tried) {
                 Ok(choice) => {
                     let place = self.record.begin_attempt(choice.host, choice.address);
                     let flow = self.start(place, choice.prefill_ms, None).await;
                     if self.active.is_none() {
                         self.tried.note(choice.host, Some(choice.domain));
+                    } else {
+                        self.expected_cached_tokens = choice.cached_tokens;
+                        self.note_sent(choice.host);
                     }
                     flow
                 }
@@ -191,6 +208,23 @@
         }
     }
 
+    /// Notes that the host will have the prompt cached.
+    fn note_sent(&self, host: HostKey) {
+        let caches = &self.core.blackboard.caches;
+        caches.note_sent(host, &self.chain, self.expected_cached_tokens);
+    }
+
+    /// Notes what the engine says it had cached, so that a wrong belief is mended.
+    fn note_cached(&self, host: HostKey, cached_tokens: u64) {
+        let caches = &self.core.blackboard.caches;
+        caches.note_done(
+            host,
+            &self.chain,
+            self.expected_cached_tokens,
+            cached_tokens,
+        );
+    }
+
     /// Asks the retry budget after a failed attempt; gives what follows unless it grants one now.
     async fn ask_for_retry(&mut self) -> Option<Flow> {
         let failed = self.failed.take()?;
@@ -417,7 +451,15 @@
                     Verdict::Diverged => Some(self.abandon().await),
                 }
             }
-            Some(Ok(EngineEvent::Done { tokens, finish, .. })) => {
+            Some(Ok(EngineEvent::Done {
+                tokens,
+                finish,
+                cached_prompt_tokens,
+                ..
+            })) => {
+                if let Some(active) = &self.active {
+                    self.note_cached(active.place.host, cached_prompt_tokens);
+                }
                 Some(self.done(tokens, finish).await)
             }
             Some(Ok(EngineEvent::Error { message, .. })) => {
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -14,7 +14,10 @@
 use crate::document::checked::LatencyClass;
 use crate::keys::{DomainKey, HostKey, PoolKey, TeamKey};
 use crate::retries::{Denied, Retry, RetryAsk};
+use crate::routing::cache::PromptView;
 use crate::routing::candidates::Need;
+use crate::routing::chain::{Chain, prompt_tokens};
+use crate::routing::score::RoutePolicy;
 use crate::routing::{Candidate, Choice, NoRoute, RouteAsk, Weights, choose, gather};
 use crate::time::TimeMs;
 use crate::upstreams::{Delivery, Role, UpstreamError};
@@ -28,21 +31,32 @@
 /// Latency classes below this priority are batch work.
 const INTERACTIVE_PRIORITY: u8 = 3;
 
-/// Bytes of a prompt that stand for the conversation or the text that it goes on from.
-const AFFINITY_BYTES: usize = 1_024;
-
 /// Time that a request is taken to occupy an upstream until there is a better estimate.
 const SERVICE_MS: f64 = 5_000.0;
 
-/// Bytes of UTF-8 in one prompt token.
-const BYTES_PER_TOKEN: u64 = 4;
-
 /// Weights while no document is in force.
 const EVEN_WEIGHTS: Weights = Weights {
     cost: 0.5,
     recomputed_tokens: 0.5,
 };
 
+/// What a choice is made from.
+#[derive(Debug)]
+pub(super) struct View {
+    /// The hosts that could run the work.
+    pub candidates: Vec<Candidate>,
+    /// What is believed of the prompt.
+    pub prompt: PromptView,
+}
+
+/// The blocks of a record's prompt; none for a call to a plain service.
+pub(super) fn chain(record: &Record) -> Chain {
+    match &record.call.work {
+        Work::Completion { prompt, .. } => Chain::of(prompt.as_bytes()),
+        Work::Service { .. } => Chain::default(),
+    }
+}
+
 /// The newest attempt of a request that failed.
 #[derive(Debug)]
 pub(super) struct Failed {
@@ -113,8 +127,18 @@
 }
 
 impl<L: Links> Core<L> {
-    /// The hosts that could run a record's work.
-    pub(super) fn view(&self, record: &Record) -> Vec<Candidate> {
+    /// The hosts that could run a record's work, and what of its prompt they have cached.
+    pub(super) fn view(&self, record: &Record, chain: &Chain) -> View {
+        let mut prompt = self.blackboard.caches.look_up(chain);
+        let mut candidates = self.candidates(record);
+        match &record.call.work {
+            Work::Completion { .. } => prompt.fill(&mut candidates),
+            Work::Service { .. } => prompt.affinity = record.fingerprint,
+        }
+        View { candidates, prompt }
+    }
+
+    fn candidates(&self, record: &Record) -> Vec<Candidate> {
         let Some(in_force) = self.blackboard.in_force() else {
             return Vec::new();
         };
@@ -140,13 +164,13 @@
     pub(super) fn choose(
         &self,
         record: &Record,
-        view: &[Candidate],
+        view: &View,
         tried: &Tried,
     ) -> Result<Choice, NoRoute> {
         let now = self.clock.now();
         let in_force = self.blackboard.in_force();
-        let ask = ask(record, tried, in_force.as_deref());
-        let choice = choose(view, &ask, now, &mut rng(record))?;
+        let ask = ask(record, &view.prompt, tried, in_force.as_deref());
+        let choice = choose(&view.candidates, &ask, now, &mut rng(record))?;
         if choice.probe {
             self.blackboard
                 .upstreams
@@ -265,18 +289,22 @@
     }
 }
 
-fn ask<'a>(record: &Record, tried: &'a Tried, in_force: Option<&InForce>) -> RouteAsk<'a> {
-    let (prompt_bytes, affinity) = match &record.call.work {
-        Work::Completion { prompt, .. } => {
-            let start = &prompt.as_bytes()[..prompt.len().min(AFFINITY_BYTES)];
-            (prompt.len() as u64, twox_hash::XxHash3_64::oneshot(start))
-        }
-        Work::Service { .. } => (0, record.fingerprint),
+fn ask<'a>(
+    record: &Record,
+    prompt: &PromptView,
+    tried: &'a Tried,
+    in_force: Option<&InForce>,
+) -> RouteAsk<'a> {
+    let prompt_tokens = match &record.call.work {
+        Work::Completion { prompt, .. } => prompt_tokens(prompt.as_bytes()),
+        Work::Service { .. } => 0,
     };
     let class = in_force.map(|in_force| latency_class(in_force, record));
     RouteAsk {
-        prompt_tokens: prompt_bytes.div_ceil(BYTES_PER_TOKEN) + record.next_position(),
-        affinity,
+        prompt_tokens: prompt_tokens + record.next_position(),
+        shared_tokens: prompt.shared_tokens,
+        affinity: prompt.affinity,
+        shared_affinity: prompt.shared_affinity,
         first_token_ms: class.map_or(1, |class| class.first_token_ms),
         service_ms: SERVICE_MS,
         delivery: delivery(record),
@@ -285,6 +313,7 @@
         weights: in_force.map_or(EVEN_WEIGHTS, |in_force| {
             Weights::from(in_force.document.measure)
         }),
+        policy: RoutePolicy::default(),
     }
 }
 
--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::core::{Core, Right};
-use super::dispatch::{Failed, Tried, delivery, denied, no_upstream, past_deadline};
+use super::dispatch::{Failed, Tried, chain, delivery, denied, no_upstream, past_deadline};
 use super::links::Links;
 use super::outcome::{Doubt, Failure};
 use super::record::Place;
@@ -32,13 +32,14 @@
     if record.is_dispatched() && !record.call.idempotent {
         return Some(Outcome::Unknown(Doubt::HomeGone));
     }
+    let chain = chain(&record);
     let mut tried = Tried::default();
     let mut failures = 0;
     loop {
         if core.clock.now() >= record.call.deadline_ms {
             return Some(past_deadline(&record));
         }
-        let choice = match core.choose(&record, &core.view(&record), &tried) {
+        let choice = match core.choose(&record, &core.view(&record, &chain), &tried) {
             Ok(choice) => choice,
             Err(no_route) => return Some(no_upstream(&record, no_route)),
         };
--- a/tests/routing_quality/policies.rs
+++ b/tests/routing_quality/policies.rs
@@ -67,7 +67,6 @@
                 state: HostState::Live,
                 load: LoadReport::default(),
                 open_here: 0,
-                failing_since_ms: None,
             });
         }
         Self {
