--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -1,14 +1,17 @@
 //! The experiments, and what they have in common.
 
-mod path;
-
+mod cost;
+mod decisions;
 mod fleet;
+mod path;
 mod report;
 
 use thiserror::Error;
 
 /// Every experiment, by name.
 pub const EXPERIMENTS: &[Experiment] = &[
+    cost::EXPERIMENT,
+    decisions::EXPERIMENT,
     path::EXPERIMENT,
     path::LATENCY,
     path::THROUGHPUT,
--- a/src/blackboard/upstreams.rs
+++ b/src/blackboard/upstreams.rs
@@ -20,8 +20,12 @@
     pub role: Role,
     /// What this node sent to it lately.
     pub sent: SentSince,
+    /// What other nodes sent to it lately, as they tell.
+    pub sent_by_peers: SentSince,
     /// How this node's calls to it went.
     pub health: Health,
+    /// The number of the next cache event to ask for.
+    pub next_cache_event: u64,
 }
 
 impl UpstreamRow {
@@ -31,7 +35,9 @@
             models: None,
             role: Role::default(),
             sent: SentSince::default(),
+            sent_by_peers: SentSince::default(),
             health: Health::default(),
+            next_cache_event: 0,
         }
     }
 
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -12,10 +12,13 @@
 use super::{authorize, sse};
 use crate::document::Document;
 use crate::document::checked::Team;
-use crate::node::{Node, NodeLinks};
+use crate::node::{Node, NodeLinks, OpenCaller};
 use crate::requests::{Call, Follow, Outcome, RequestId, Step, Work};
 use crate::time::TimeMs;
 
+/// Tells a service's answer, whatever its status, from what this node says.
+const OUTCOME: &str = "outcome";
+
 /// Most tokens that one request may ask for.
 const MAX_TOKENS: u32 = 1_000_000;
 
@@ -46,6 +49,13 @@
     finish: &'a str,
 }
 
+#[derive(Serialize)]
+struct Running<'a> {
+    id: String,
+    outcome: &'a str,
+    retry_after_ms: u64,
+}
+
 /// A call with the id under which it runs.
 #[derive(Debug)]
 pub(super) struct Identified {
@@ -58,9 +68,10 @@
     let node = Arc::clone(&asked.node);
     match check(asked).await {
         Ok((Identified { id, call }, streamed)) => {
+            let caller = node.open_caller();
             let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
             let response = if streamed {
-                stream(follow, id).await
+                stream(follow, id, caller).await
             } else {
                 whole(&mut follow, id).await
             };
@@ -142,15 +153,30 @@
 }
 
 /// Streams a request, with the status of its first step.
-pub(super) async fn stream(mut follow: Follow<NodeLinks>, id: RequestId) -> Response<Body> {
+pub(super) async fn stream(
+    mut follow: Follow<NodeLinks>,
+    id: RequestId,
+    caller: OpenCaller,
+) -> Response<Body> {
     match follow.next().await {
         Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
         Step::OtherCall => Refusal::OtherCall.response(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
-        first => sse::stream(first, follow, id),
+        Step::Elsewhere => running(id),
+        first => sse::stream(first, follow, id, caller),
     }
 }
 
+/// Asks the caller to look for the answer at another node, since this one ends.
+fn running(id: RequestId) -> Response<Body> {
+    let running = Running {
+        id: id.to_string(),
+        outcome: "running",
+        retry_after_ms: 0,
+    };
+    refusal::json(StatusCode::ACCEPTED, &running)
+}
+
 /// Waits for the whole answer of a request.
 pub(super) async fn whole(follow: &mut Follow<NodeLinks>, id: RequestId) -> Response<Body> {
     let (tokens, last) = follow.whole().await;
@@ -158,6 +184,7 @@
         Step::End(outcome) => ended(id, &tokens.concat(), &outcome),
         Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
         Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response(),
+        Step::Elsewhere => running(id),
     }
 }
 
@@ -177,6 +204,10 @@
         Outcome::Answered { status, body } => {
             let mut response = Response::new(refusal::whole(body.clone()));
             *response.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::OK);
+            // A service's own 404 or 503 could be taken for a refusal of ours otherwise.
+            response
+                .headers_mut()
+                .insert(OUTCOME, HeaderValue::from_static(outcome.name()));
             response
         }
         other => refusal::outcome(&id, other),
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use super::refusal::{OutcomeBody, finish};
+use crate::node::OpenCaller;
 use crate::requests::record::Chunk;
 use crate::requests::{Follow, Links, Outcome, RequestId, Step};
 
@@ -35,10 +36,15 @@
     first: Step,
     mut follow: Follow<L>,
     id: RequestId,
+    caller: OpenCaller,
 ) -> Response<Body> {
     let events = async_stream::stream! {
+        // Held for as long as the caller reads.
+        let _caller = caller;
         let mut step = first;
-        loop {
+        // Where the rest is elsewhere, the stream breaks off between two tokens and the caller asks
+        // another node for what is missing.
+        while step != Step::Elsewhere {
             let last = !matches!(step, Step::Tokens(_));
             let mut out = Vec::with_capacity(room_bytes(&step));
             write_step(&mut out, &step, &id);
@@ -61,7 +67,7 @@
 fn room_bytes(step: &Step) -> usize {
     match step {
         Step::Tokens(chunk) => chunk.tokens.len() * EVENT_BYTES,
-        Step::End(_) | Step::NoSuchRequest | Step::OtherCall => 2 * EVENT_BYTES,
+        Step::End(_) | Step::NoSuchRequest | Step::OtherCall | Step::Elsewhere => 2 * EVENT_BYTES,
     }
 }
 
@@ -82,7 +88,9 @@
             );
         }
         Step::End(outcome) => write_event(out, "error", &OutcomeBody::new(id, outcome)),
-        Step::NoSuchRequest | Step::OtherCall => out.extend(b"event: error\ndata: {}\n\n"),
+        Step::NoSuchRequest | Step::OtherCall | Step::Elsewhere => {
+            out.extend(b"event: error\ndata: {}\n\n");
+        }
     }
 }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -52,6 +52,9 @@
 /// Between two reports of demand to the peers.
 const SHARES_INTERVAL_MS: u64 = 250;
 
+/// How long connections may take to end once nothing more is sent on them.
+const END_TIMEOUT_MS: u64 = 1_000;
+
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
@@ -183,13 +186,22 @@
         core.leave(until_ms).await;
         self.callers_shutdown.cancel();
         self.finish_callers(until_ms).await;
+        core.ended.cancel();
         self.shutdown.cancel();
         self.tasks.close();
-        self.tasks.wait().await;
+        // A caller that reads nothing would hold its connection, and the node, for ever.
+        let limit = std::time::Duration::from_millis(END_TIMEOUT_MS);
+        if tokio::time::timeout(limit, self.tasks.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("connections are cut");
+        }
     }
 
     /// Ends at once, as a crash would; for tests.
     pub fn abandon(&self) {
+        self.node.core.ended.cancel();
         self.callers_shutdown.cancel();
         self.shutdown.cancel();
     }
@@ -286,11 +298,8 @@
 /// Fits the gates to hosts and demand and tells the peers, until `shutdown`.
 async fn share_out(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
-        if let Some(in_force) = node.core.blackboard.in_force() {
-            let core = &node.core;
-            core.gates.refresh(&in_force, &core.blackboard, core.clock);
-            core.tell_shares().await;
-        }
+        node.refresh_gates();
+        node.core.tell_shares().await;
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(SHARES_INTERVAL_MS)) => {}
@@ -360,7 +369,6 @@
     Member {
         incarnation: own,
         name: settings.name.clone(),
-        epoch: 0,
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
         heartbeat_address: settings.heartbeat_advertise,
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -6,7 +6,8 @@
 
 use std::sync::Arc;
 
-use super::core::{Core, RETRY_SOON_MS, Right};
+use super::core::{Core, Phase, RETRY_SOON_MS, Right};
+use super::handover::Estate;
 use super::links::{ItemStream, Links, Peers, Unreachable};
 use super::outcome::{Doubt, Reason};
 use super::record::{Chunk, Reading};
@@ -32,6 +33,8 @@
     NoSuchRequest,
     /// The id is in use for another call.
     OtherCall,
+    /// This node ends; another one has the rest.
+    Elsewhere,
 }
 
 /// Follows one request.
@@ -83,6 +86,15 @@
 
     /// Waits for the next step; after anything but tokens there is none.
     pub async fn next(&mut self) -> Step {
+        let ended = self.core.ended.clone();
+        tokio::select! {
+            biased;
+            step = self.step() => step,
+            () = ended.cancelled() => Step::Elsewhere,
+        }
+    }
+
+    async fn step(&mut self) -> Step {
         loop {
             let step = match &mut self.source {
                 Source::Here(record) => match record.next(self.position).await {
@@ -141,7 +153,8 @@
     }
 
     async fn find(&mut self) -> Found<L> {
-        for round in 0..ROUNDS {
+        let rounds = if self.may_run_again() { 1 } else { ROUNDS };
+        for round in 0..rounds {
             if round > 0 {
                 tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
             }
@@ -153,6 +166,10 @@
                 Found::Nobody => {}
                 found => return found,
             }
+            match self.ask_successors().await {
+                Found::Nobody => {}
+                found => return found,
+            }
         }
         self.last_resort()
     }
@@ -161,6 +178,10 @@
         if self.core.is_home(&self.id) {
             return self.enter_here();
         }
+        if self.id.home == self.core.own {
+            // It has left and handed its requests over.
+            return Found::Nobody;
+        }
         let (id, from) = (self.id, self.position);
         let request = match self.call.clone().map(Box::new) {
             Some(call) => Request::Submit { id, call, from },
@@ -169,25 +190,39 @@
         self.open(self.id.home, request).await
     }
 
+    /// Asks the witness, or settles the request here if this node may.
     async fn ask_witness(&self) -> Found<L> {
-        let call = self.call.clone();
-        if self.id.witness == self.core.own {
-            return match self.core.settle(self.id, call.as_ref()) {
+        if self.core.may_settle(&self.id) {
+            return match self.core.settle(self.id, self.call.as_ref()) {
                 Settled::Here(record) => Found::Source(Source::Here(record)),
                 Settled::OtherCall => Found::Last(Step::OtherCall),
                 Settled::End(outcome) => Found::Last(Step::End(outcome)),
             };
         }
-        let call = call.map(Box::new);
-        self.open(
-            self.id.witness,
-            Request::Settle {
-                id: self.id,
-                call,
-                from: self.position,
-            },
-        )
-        .await
+        match self.id.witness {
+            witness if witness == self.core.own => Found::Nobody,
+            witness => self.ask_to_settle(witness).await,
+        }
+    }
+
+    /// Asks those who may have taken the request over from a witness that is gone.
+    async fn ask_successors(&self) -> Found<L> {
+        for successor in self.core.successors(Estate::of(&self.id)) {
+            match self.ask_to_settle(successor).await {
+                Found::Nobody => {}
+                found => return found,
+            }
+        }
+        Found::Nobody
+    }
+
+    async fn ask_to_settle(&self, node: crate::keys::Incarnation) -> Found<L> {
+        let request = Request::Settle {
+            id: self.id,
+            call: self.call.clone().map(Box::new),
+            from: self.position,
+        };
+        self.open(node, request).await
     }
 
     /// The id's home is this node.
@@ -205,7 +240,17 @@
         }
     }
 
+    /// Whether one more run does no harm, and the call is here to run it.
+    fn may_run_again(&self) -> bool {
+        self.call.as_ref().is_some_and(|call| call.idempotent)
+    }
+
     async fn open(&self, to: crate::keys::Incarnation, request: Request) -> Found<L> {
+        // A call that may run here as well does not wait for a node that has gone silent. Nodes that
+        // are cut off from all others would answer no call in time otherwise.
+        if self.may_run_again() && self.core.peers.is_silent(to) {
+            return Found::Nobody;
+        }
         match self.core.peers.open(to, request).await {
             Ok((Reply::Stream, items)) => Found::Source(Source::There(items)),
             Ok((Reply::NoSuchRequest, _)) => Found::Last(Step::NoSuchRequest),
@@ -220,6 +265,8 @@
     /// about by this node may still reach them through others, so nothing may be ruled out.
     fn last_resort(&self) -> Found<L> {
         match &self.call {
+            // This node runs nothing more itself.
+            _ if self.core.phase() == Phase::Left => Found::Nobody,
             Some(call) if call.idempotent => match self.core.adopt_call(self.id, call) {
                 Settled::Here(record) => Found::Source(Source::Here(record)),
                 Settled::OtherCall => Found::Last(Step::OtherCall),
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -14,6 +14,12 @@
 /// Tokens handed out at once at the most, so that one reader does not hold the lock for long.
 const CHUNK_TOKENS: usize = 256;
 
+/// How long after its end an answer is kept for callers who come back for it.
+///
+/// The outcome is kept for as long as the id could start; kept as long, the answers of a busy node
+/// would not fit into its memory.
+pub const KEEP_ANSWER_MS: u64 = 5 * 60 * 1000;
+
 /// Where an attempt runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Place {
@@ -57,6 +63,11 @@
         /// Where to.
         target: HostKey,
     },
+    /// Stop, and only then go on elsewhere, computing the prompt and the tokens so far again.
+    Resume {
+        /// Where to.
+        target: HostKey,
+    },
     /// Compute the prompt and the tokens so far into the target's prefix cache, and stay.
     Warm {
         /// Where.
@@ -95,7 +106,12 @@
     /// Attempts that may have started; while there is one, `not_run` cannot be said.
     may_have_started: u32,
     order: Option<Order>,
+    /// No task of this node works on it any more.
+    stopped: bool,
+    /// Another node has taken it over.
     moved: bool,
+    /// This node may read what runs, and start nothing.
+    reads_only: bool,
     progress: Progress,
 }
 
@@ -118,7 +134,51 @@
     pub outcome: Option<Outcome>,
 }
 
+impl Copy {
+    /// Drops the call's content and the answer; keeps that it ended, and how.
+    pub fn shed(&mut self) {
+        self.call.shed();
+        self.chunk = Chunk::default();
+        self.outcome = self.outcome.take().map(Outcome::shed);
+    }
+}
+
 impl Record {
+    /// The record without its call's content and its answer.
+    ///
+    /// Whoever reads the record at this moment goes on with the whole one.
+    #[must_use]
+    pub fn shed(&self) -> Self {
+        let mut call = Call::clone(&self.call);
+        call.shed();
+        let state = self.state.lock();
+        let shed = State {
+            outcome: state.outcome.clone().map(Outcome::shed),
+            ended_at_ms: state.ended_at_ms,
+            attempts: state.attempts,
+            may_have_started: state.may_have_started,
+            ..State::default()
+        };
+        Self {
+            id: self.id,
+            call: Arc::new(call),
+            fingerprint: self.fingerprint,
+            state: Mutex::new(shed),
+            changed: Notify::new(),
+            ordered: Notify::new(),
+        }
+    }
+
+    /// Whether its answer is still held.
+    #[must_use]
+    pub fn holds_answer(&self) -> bool {
+        self.state
+            .lock()
+            .outcome
+            .as_ref()
+            .is_some_and(Outcome::is_answer)
+    }
+
     /// A request that has just come in.
     #[must_use]
     pub fn new(id: RequestId, call: Call) -> Self {
@@ -295,12 +355,36 @@
         }
     }
 
+    /// Notes that no task of this node works on it any more; its readers wait.
+    pub fn mark_stopped(&self) {
+        self.state.lock().stopped = true;
+    }
+
     /// Sends readers on to the node that has taken the request over.
     pub fn mark_moved(&self) {
         self.state.lock().moved = true;
         self.changed.notify_waiters();
     }
 
+    /// Whether another node has taken it over before it ended here.
+    #[must_use]
+    pub fn is_moved(&self) -> bool {
+        let state = self.state.lock();
+        state.moved && state.outcome.is_none()
+    }
+
+    /// Notes that this node may read what runs, and start nothing.
+    pub fn mark_reads_only(&self) {
+        self.state.lock().reads_only = true;
+    }
+
+    /// Whether this node alone may start it anew, and no task of it does so any more.
+    #[must_use]
+    pub fn is_free(&self) -> bool {
+        let state = self.state.lock();
+        !state.reads_only && (state.stopped || state.outcome.is_some())
+    }
+
     /// How it ended, if it has.
     #[must_use]
     pub fn outcome(&self) -> Option<Outcome> {
@@ -330,7 +414,7 @@
     #[must_use]
     pub fn has_stopped(&self) -> bool {
         let state = self.state.lock();
-        state.moved || state.outcome.is_some()
+        state.stopped || state.outcome.is_some()
     }
 
     /// Attempts so far.
--- a/src/routing/choose/tests.rs
+++ b/src/routing/choose/tests.rs
@@ -5,7 +5,7 @@
 
 use super::{NoRouteReason, choose};
 use crate::keys::{DomainKey, HostKey};
-use crate::routing::{Candidate, RouteAsk, Standing, Weights};
+use crate::routing::{Candidate, RouteAsk, RoutePolicy, Standing, Weights};
 use crate::time::TimeMs;
 use crate::upstreams::Delivery;
 
@@ -22,6 +22,7 @@
         streams_ahead: 0.0,
         slots: 8,
         prefill_backlog_ms: 0.0,
+        excess_ms: 0.0,
         prefill_tokens_per_second: 4_000.0,
         cached_tokens: 0.0,
         price_per_hour: 1.0,
@@ -31,7 +32,9 @@
 fn ask() -> RouteAsk<'static> {
     RouteAsk {
         prompt_tokens: 1_000,
+        shared_tokens: 0,
         affinity: 7,
+        shared_affinity: None,
         first_token_ms: 750,
         service_ms: 4_000.0,
         delivery: Delivery::Repeatable,
@@ -41,6 +44,7 @@
             cost: 0.5,
             recomputed_tokens: 0.5,
         },
+        policy: RoutePolicy::default(),
     }
 }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -15,8 +15,8 @@
 use teaselline::document::Document;
 use teaselline_stand_ins::site::Site;
 
+use crate::deployment::{FLEET_KEY, site_settings};
 use crate::process::{Launch, Process};
-use crate::site::site_settings;
 use crate::trial;
 
 /// How long a fleet may take to be ready on a busy machine.
@@ -121,8 +121,8 @@
     async fn configure(&self, document: &str) -> io::Result<()> {
         let document: Value = serde_json::from_str(document).map_err(io::Error::other)?;
         let body = json!({ "base_revision": 0, "document": document }).to_string();
-        let http = Client::new("");
-        let answer = http
+        let client = Client::new(FLEET_KEY);
+        let answer = client
             .send(
                 Method::POST,
                 self.node(0).callers,
@@ -181,7 +181,7 @@
 }
 
 impl Client {
-    /// A client with this token, or none if it is empty.
+    /// A client with this token.
     pub fn new(token: &'static str) -> Self {
         Self {
             http: Http::new(),
@@ -212,10 +212,8 @@
     ) -> Result<Answer, HttpError> {
         let mut request = Request::builder()
             .method(method)
-            .uri(format!("http://{at}{path}"));
-        if !self.token.is_empty() {
-            request = request.header("authorization", format!("Bearer {}", self.token));
-        }
+            .uri(format!("http://{at}{path}"))
+            .header("authorization", format!("Bearer {}", self.token));
         for (name, value) in headers {
             request = request.header(*name, *value);
         }
