perf: Box the steps that a running stream seldom takes

Cause: a task is as large as its largest step, and a run's was 4.3 KB, nearly all of it for starting, moving and ending a stream. Change: those steps are boxed; waiting for a token and taking it are not.

--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -134,25 +134,27 @@
 impl<L: Links> Run<L> {
     async fn drive(mut self) -> Option<Outcome> {
         loop {
+            // What a stream seldom does is boxed: a task is as large as its largest step, and a node
+            // holds ten thousand of them, nearly all of which wait for the next token.
             let flow = match &self.active {
-                None => self.begin().await,
+                None => Box::pin(self.begin()).await,
                 Some(_) => match self.wake().await {
-                    Wake::Order(order) => self.obey(order).await,
+                    Wake::Order(order) => Box::pin(self.obey(order)).await,
                     Wake::Active(event) => self.on_active(event).await,
-                    Wake::Next(event) => self.on_next(event).await,
+                    Wake::Next(event) => Box::pin(self.on_next(event)).await,
                     Wake::Deadline => Flow::End(past_deadline(&self.record)),
                 },
             };
             match flow {
                 Flow::Go => {}
                 Flow::End(outcome) => {
-                    self.stop_streams().await;
+                    Box::pin(self.stop_streams()).await;
                     let end = if outcome.is_answer() {
                         QuarantineEnd::Passed
                     } else {
                         QuarantineEnd::Abandoned
                     };
-                    self.end_quarantine(end).await;
+                    Box::pin(self.end_quarantine(end)).await;
                     return Some(outcome);
                 }
                 Flow::Moved => {
@@ -436,7 +438,7 @@
             has_passed(*began_at, self.record.next_position())
         };
         if self.quarantine.as_ref().is_some_and(passed) {
-            self.end_quarantine(QuarantineEnd::Passed).await;
+            Box::pin(self.end_quarantine(QuarantineEnd::Passed)).await;
         }
         Flow::Go
     }
@@ -452,8 +454,8 @@
                 let active = self.active.as_ref()?;
                 match offer(&self.record, active, &name, position, &text) {
                     Verdict::Taken | Verdict::Duplicate | Verdict::Foreign => None,
-                    Verdict::Gap => Some(self.reread().await),
-                    Verdict::Diverged => Some(self.abandon().await),
+                    Verdict::Gap => Some(Box::pin(self.reread()).await),
+                    Verdict::Diverged => Some(Box::pin(self.abandon()).await),
                 }
             }
             Some(Ok(EngineEvent::Done {
@@ -465,14 +467,14 @@
                 if let Some(active) = &self.active {
                     self.note_cached(active.place.host, cached_prompt_tokens);
                 }
-                Some(self.done(tokens, finish).await)
+                Some(Box::pin(self.done(tokens, finish)).await)
             }
             Some(Ok(EngineEvent::Error { message, .. })) => {
                 log::info!(id:% = self.record.id, message = message.as_str(); "an engine failed");
                 Some(Flow::End(Outcome::Failed(Failure::Upstream)))
             }
-            Some(Err(error)) => Some(self.broke(&error).await),
-            None => Some(self.reread().await),
+            Some(Err(error)) => Some(Box::pin(self.broke(&error)).await),
+            None => Some(Box::pin(self.reread()).await),
         }
     }
 
