feature: Keep the configuration by its keeper in the running node

Cause: the node appended a change once and never renewed the document, so a lost answer had to be guessed at and the log would have forgotten the document after its retention. Anyone could read /v1/status of a node without a document.

--- a/src/entry/console.rs
+++ b/src/entry/console.rs
@@ -66,7 +66,7 @@
         Err(ChangeError::Stale { .. }) => Verdict::Stale,
         Err(ChangeError::Faults(faults)) => Verdict::Invalid(faults),
         Err(ChangeError::NotTaken(_)) => Verdict::NotAccepted,
-        Err(ChangeError::Unknown) => Verdict::Unknown,
+        Err(ChangeError::Unknown(_)) => Verdict::Unknown,
     };
     conclude(proposal, verdict, Seen::of(node, Route::Document).view())
 }
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -4,14 +4,14 @@
 
 use gotham::helpers::http::Body;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 use super::refusal::{Refusal, json, whole};
 use super::routes::Asked;
 use super::{authorize, bodies};
-use crate::blackboard::HostState;
+use crate::blackboard::{HostState, InForce};
 use crate::membership::Member;
 use crate::node::Node;
 use crate::node::change::{ChangeError, Proposal};
@@ -84,20 +84,33 @@
     }
 }
 
+/// The operator who asks.
+///
+/// The first document names the operators; until then whoever holds the fleet key stands for one.
+pub(super) fn operator_or_first(
+    node: &Node,
+    in_force: Option<&InForce>,
+    headers: &HeaderMap,
+) -> Result<String, Refusal> {
+    match in_force {
+        Some(in_force) => {
+            let operator = authorize::operator(&in_force.document, headers)?;
+            Ok(operator.name.clone())
+        }
+        None if authorize::has_fleet_key(&node.fleet_secret, headers) => {
+            Ok(FIRST_OPERATOR.to_owned())
+        }
+        None => Err(Refusal::NoToken),
+    }
+}
+
 /// `POST /v1/configuration`: proposes a document on top of a revision.
 pub(super) async fn change(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
     let in_force = node.core.blackboard.in_force();
-    // The first document names the operators; until then whoever holds the fleet key may apply one.
-    let operator = match &in_force {
-        Some(in_force) => match authorize::operator(&in_force.document, &asked.headers) {
-            Ok(operator) => operator.name.clone(),
-            Err(refusal) => return refusal.response(),
-        },
-        None if authorize::has_fleet_key(&node.fleet_secret, &asked.headers) => {
-            FIRST_OPERATOR.to_owned()
-        }
-        None => return Refusal::NoToken.response(),
+    let operator = match operator_or_first(&node, in_force.as_deref(), &asked.headers) {
+        Ok(operator) => operator,
+        Err(refusal) => return refusal.response(),
     };
     let body = match bodies::read(asked.body, asked.bounds.max_body_bytes).await {
         Ok(body) => body,
@@ -146,7 +159,7 @@
             },
         ),
         ChangeError::NotTaken(_) => unavailable("not_run"),
-        ChangeError::Unknown => unavailable("unknown"),
+        ChangeError::Unknown(_) => unavailable("unknown"),
     }
 }
 
@@ -191,9 +204,7 @@
 pub(super) async fn status(asked: Asked) -> Response<Body> {
     let node = &asked.node;
     let in_force = node.core.blackboard.in_force();
-    if let Some(in_force) = &in_force
-        && let Err(refusal) = authorize::operator(&in_force.document, &asked.headers)
-    {
+    if let Err(refusal) = operator_or_first(node, in_force.as_deref(), &asked.headers) {
         return refusal.response();
     }
     let now = node.core.clock.now();
@@ -202,7 +213,7 @@
         incarnation: node.core.own.to_string(),
         phase: phase(node.core.phase()),
         revision: node.revision(),
-        log_stale_ms: node.configuration.stale_ms(now),
+        log_stale_ms: node.configuration.followed().stale_ms(now),
         requests: node.core.records.len(),
         witnessed: node.core.witness.len(),
         nodes: node.directory.members(),
--- a/src/node.rs
+++ b/src/node.rs
@@ -29,9 +29,9 @@
 use crate::document::Document;
 use crate::options::Secret;
 use crate::peers::FleetKey;
+use crate::platform::budget::AppendBudget;
 use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::Configuration;
-use crate::platform::follower::Followed;
+use crate::platform::configuration::ConfigurationKeeper;
 use crate::platform::log::HttpLog;
 use crate::requests::core::Phase;
 use crate::requests::{Core, RequestId, TeamTag};
@@ -51,9 +51,11 @@
     /// The nodes that this one knows.
     pub directory: Arc<Directory>,
     /// The configuration, as the log and the peers tell it.
-    pub configuration: Arc<Followed<Configuration<CheckDocument>>>,
+    pub configuration: Arc<ConfigurationKeeper<HttpLog, CheckDocument>>,
     /// The platform's log.
     pub log: Arc<HttpLog>,
+    /// How often this node may append to the log, in all its roles.
+    pub budget: Arc<AppendBudget>,
     /// The platform's host list and cloud API.
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
@@ -88,6 +90,7 @@
     #[must_use]
     pub fn log_silent_ms(&self, now: TimeMs) -> Option<u64> {
         self.configuration
+            .followed()
             .stale_ms(now)
             .filter(|stale_ms| *stale_ms > LOG_SILENT_MS)
     }
--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -16,16 +16,16 @@
 /// The log and the peers' pushes bring revisions at once; asking repairs what both have missed.
 const ASK_INTERVAL_MS: u64 = 2_000;
 
-/// Puts in force what the log's follower accepts, until `shutdown`.
+/// Puts in force what the log or a peer brings, until `shutdown`.
 pub(super) async fn follow(node: Arc<Node>, shutdown: CancellationToken) {
-    let mut applied = node.configuration.watch();
+    let mut revision = node.configuration.watch_revision();
     loop {
         if node.bring_into_force() {
             push(&node);
         }
         tokio::select! {
             () = shutdown.cancelled() => return,
-            changed = applied.changed() => if changed.is_err() { return },
+            changed = revision.changed() => if changed.is_err() { return },
         }
     }
 }
@@ -63,7 +63,7 @@
 }
 
 fn push(node: &Arc<Node>) {
-    let Some(snapshot) = node.configuration.with(|fold| fold.snapshot()) else {
+    let Some(snapshot) = node.configuration.followed().with(|fold| fold.snapshot()) else {
         return;
     };
     for member in node.directory.others() {
@@ -100,14 +100,14 @@
 
     /// Takes a snapshot that a peer hands over.
     pub(super) fn adopt_configuration(&self, snapshot: &Snapshot) {
-        if self.configuration.with(|fold| fold.adopt(snapshot)) {
+        if self.configuration.adopt(snapshot) {
             self.bring_into_force();
         }
     }
 
     /// Puts the newest revision held in force; tells whether it was newer.
     fn bring_into_force(&self) -> bool {
-        let held = self.configuration.with(|fold| {
+        let held = self.configuration.followed().with(|fold| {
             fold.held().map(|held| InForce {
                 revision: held.snapshot.revision,
                 document: Clone::clone(&*held.checked),
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -22,7 +22,7 @@
             Ok(CoreAnswer::Reply(reply)) => Answer::Reply(reply),
             Ok(CoreAnswer::Stream(items)) => Answer::Stream(Reply::Stream, items),
             Err(Request::Newest { than }) => {
-                let held = node.configuration.with(|fold| fold.snapshot());
+                let held = node.configuration.followed().with(|fold| fold.snapshot());
                 Answer::Reply(Reply::Newest(held.filter(|held| held.revision > than)))
             }
             Err(Request::Configuration(snapshot)) => {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -29,9 +29,9 @@
 };
 use crate::options::ServeSettings;
 use crate::peers::{Connections, FleetKey, KeyError, Server};
+use crate::platform::budget::AppendBudget;
 use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::{Configuration, STREAM};
-use crate::platform::follower::{Followed, Follower};
+use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
 use crate::platform::http::JsonClient;
 use crate::platform::log::HttpLog;
 use crate::requests::Core;
@@ -58,6 +58,17 @@
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
+/// What one node may append to the log.
+///
+/// All claims of the fleet together need 80 appends a second, which one node alone may have to make.
+const APPENDS_PER_SECOND: f64 = 100.0;
+
+/// Appends that a node may make at once.
+const APPENDS_BURST: f64 = 100.0;
+
+/// Keeps the configuration of a node.
+type KeptConfiguration = ConfigurationTask<HttpLog, CheckDocument>;
+
 /// Why a node cannot start or go on.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum RunError {
@@ -151,7 +162,8 @@
     )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
-    let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
+    let (node, keeping) = assemble(&settings, own, clock, &key, &directory, &mut rng);
+    let node = Arc::new(node);
     let started = Started {
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
@@ -165,7 +177,7 @@
     };
     started.spawn_membership(heartbeats);
     started.spawn_peer_server(peers, key, settings.peer_advertise);
-    started.spawn_collectors(rng);
+    started.spawn_collectors(keeping);
     started.spawn_callers(callers, bounds(&settings));
     Ok(started)
 }
@@ -258,7 +270,7 @@
             .spawn(async move { server.serve(listener, handler, shutdown).await });
     }
 
-    fn spawn_collectors(&self, rng: SmallRng) {
+    fn spawn_collectors(&self, configuration: KeptConfiguration) {
         let node = &self.node;
         let token = || self.shutdown.clone();
         self.tasks
@@ -275,14 +287,11 @@
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         self.tasks.spawn(share_out(Arc::clone(node), token()));
-        let configuration = Arc::clone(&node.configuration);
-        let clock = node.core.clock;
-        let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
         let shutdown = token();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = shutdown.cancelled() => {}
-                () = follower.run() => {}
+                () = configuration.run() => {}
             }
         });
     }
@@ -334,7 +343,8 @@
     clock: Clock,
     key: &FleetKey,
     directory: &Arc<Directory>,
-) -> Node {
+    rng: &mut SmallRng,
+) -> (Node, KeptConfiguration) {
     let connections = Connections::new(key.clone(), own).with_clock(clock);
     let core = Core::<NodeLinks>::new(Parts {
         own,
@@ -347,11 +357,27 @@
         fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
     });
     let check: CheckDocument = |text| Document::parse(text).ok();
-    Node {
+    let log = Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone())));
+    let budget = Arc::new(AppendBudget::new(
+        APPENDS_PER_SECOND,
+        APPENDS_BURST,
+        clock.now(),
+    ));
+    let (configuration, keeping) = ConfigurationKeeper::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        settings.log_retention_ms,
+        check,
+        SmallRng::from_rng(rng),
+    );
+    let node = Node {
         core: Arc::new(core),
         directory: Arc::clone(directory),
-        configuration: Followed::new(Configuration::new(check)),
-        log: Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone()))),
+        configuration,
+        log,
+        budget,
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
@@ -362,7 +388,8 @@
         fleet_secret: settings.fleet_key.clone(),
         name: settings.name.clone(),
         metrics: metrics(),
-    }
+    };
+    (node, keeping)
 }
 
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -103,6 +103,9 @@
             .value_name("URL")
             .value_hint(ValueHint::Url)
             .help("Reaches the platform's log service here."),
+        flag("log-retention-ms", "TEASELLINE_LOG_RETENTION_MS", PLATFORM)
+            .value_name("MILLISECONDS")
+            .help("Relies on the log service to keep records for this long, at least a minute. Without it an hour is assumed for renewing the configuration, and nothing for idempotency keys."),
         flag("cloud-url", "TEASELLINE_CLOUD_URL", PLATFORM)
             .value_name("URL")
             .value_hint(ValueHint::Url)
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -132,6 +132,16 @@
         }
     }
 
+    /// A whole number that may be left out.
+    pub fn optional_integer(
+        &mut self,
+        flag: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        self.optional_text(flag)?;
+        Some(self.integer(flag, range))
+    }
+
     pub fn integer_u32(&mut self, flag: &'static str, range: RangeInclusive<u64>) -> u32 {
         u32::try_from(self.integer(flag, range)).unwrap_or(u32::MAX)
     }
--- a/src/options/serve.rs
+++ b/src/options/serve.rs
@@ -1,6 +1,7 @@
 //! The settings of a node.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use url::Url;
 
@@ -25,6 +26,9 @@
 /// The shortest time for headers to arrive.
 const LEAST_HEADER_READ_TIMEOUT_MS: u64 = 100;
 
+/// Retentions that can be relied on, from a minute to a year.
+const LOG_RETENTION_MS: RangeInclusive<u64> = 60_000..=365 * 24 * 60 * 60 * 1_000;
+
 /// The settings of a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServeSettings {
@@ -56,6 +60,8 @@
     pub weights_url: Url,
     /// Proves to other nodes that this one belongs to them.
     pub fleet_key: Secret,
+    /// How long the log keeps records, at least.
+    pub log_retention_ms: Option<u64>,
     /// Worker threads.
     pub threads: usize,
     /// Connections of callers at once.
@@ -96,6 +102,7 @@
             cloud_url: nowhere.clone(),
             weights_url: nowhere,
             fleet_key: Secret::new("a fleet key for tests only"),
+            log_retention_ms: None,
             threads: 2,
             max_connections: 16_384,
             max_body_bytes: 4 << 20,
@@ -161,6 +168,13 @@
         self
     }
 
+    /// Relies on the log to keep records for this long.
+    #[must_use]
+    pub fn with_log_retention_ms(mut self, log_retention_ms: Option<u64>) -> Self {
+        self.log_retention_ms = log_retention_ms;
+        self
+    }
+
     /// Runs this many worker threads.
     #[must_use]
     pub fn with_threads(mut self, threads: usize) -> Self {
@@ -233,6 +247,7 @@
         let log_url = reader.url("log-url");
         let cloud_url = reader.url("cloud-url");
         let weights_url = reader.url("weights-url");
+        let log_retention_ms = reader.optional_integer("log-retention-ms", LOG_RETENTION_MS);
         let fleet_key = reader.environment_key("fleet-key", LEAST_FLEET_KEY_BYTES);
         let settings = Self::new(listen, peer_listen, heartbeat_listen)
             .with_advertised(advertise, peer_advertise, heartbeat_advertise)
@@ -240,6 +255,7 @@
             .with_place(region, failure_domain)
             .with_seeds(seeds)
             .with_fleet_key(fleet_key)
+            .with_log_retention_ms(log_retention_ms)
             .read_limits(reader);
         match (log_url, cloud_url, weights_url) {
             (Some(log), Some(cloud), Some(weights)) => settings.with_platform(log, cloud, weights),
