feature: Run a call under a caller's Idempotency-Key once

Cause: a key that is sent to any node has no home, so two nodes would each run it.

Change: non-idempotent calls with a key are claimed in the log by the node chosen for the key, which mints the id with itself as home and starts the call if the claim comes first. Whoever loses follows the id that holds the key; a holder that certainly never runs is superseded. An unresolved claim is ruled out by a record before its caller is told not_run. Idempotent calls ignore the key.

A change that a peer handed over before the log was read had no outcome on the node that submitted it; its operator was told that nothing is known.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,6 +9,7 @@
 mod completions;
 mod console;
 mod entries;
+mod keyed;
 mod operators;
 mod refusal;
 pub mod routes;
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -9,10 +9,11 @@
 use super::bodies::{self, REQUEST_ID};
 use super::refusal::{self, Refusal};
 use super::routes::Asked;
-use super::{authorize, sse};
+use super::{authorize, keyed, sse};
 use crate::document::Document;
 use crate::document::checked::Team;
 use crate::node::{Node, NodeLinks};
+use crate::platform::claims::ClaimKey;
 use crate::requests::{Call, Follow, Outcome, RequestId, Step, Work};
 use crate::time::TimeMs;
 
@@ -58,14 +59,27 @@
 pub(super) struct Identified {
     pub id: RequestId,
     pub call: Call,
+    /// The caller's own key, under which another id may run.
+    pub key: Option<ClaimKey>,
+}
+
+impl Identified {
+    /// Follows the call under its id, or under the one that holds its key.
+    pub async fn follow(self, node: &Arc<Node>) -> (RequestId, Follow<NodeLinks>) {
+        if let Some(key) = self.key {
+            return keyed::follow(node, key, self.call).await;
+        }
+        let core = Arc::clone(&node.core);
+        (self.id, Follow::new(core, self.id, Some(self.call), 0))
+    }
 }
 
 /// Answers the call.
 pub(super) async fn complete(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
     match check(asked).await {
-        Ok((Identified { id, call }, streamed)) => {
-            let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
+        Ok((identified, streamed)) => {
+            let (id, mut follow) = identified.follow(&node).await;
             let response = if streamed {
                 stream(follow, id).await
             } else {
@@ -98,6 +112,7 @@
     document
         .find_model(&raw.model)
         .ok_or(Refusal::NoSuchTarget)?;
+    let key = keyed::key(&asked.headers, &team.name, idempotent)?;
     let id = identify(&asked.node, given, &team.name)?;
     let now = asked.node.core.clock.now();
     let (latency_class, deadline_ms) = deadline(document, team, raw.latency_class.as_deref(), now)?;
@@ -105,7 +120,9 @@
         model: raw.model,
         prompt: raw.prompt,
         max_tokens,
-        seed: raw.seed.unwrap_or_else(|| id.seed()),
+        seed: raw
+            .seed
+            .unwrap_or_else(|| key.map_or_else(|| id.seed(), ClaimKey::seed)),
     };
     let team = team.name.clone();
     let call = Call {
@@ -115,7 +132,7 @@
         deadline_ms,
         work,
     };
-    Ok((Identified { id, call }, raw.stream))
+    Ok((Identified { id, call, key }, raw.stream))
 }
 
 /// The latency class of a call and the time at which it is given up.
--- /dev/null
+++ b/src/entry/keyed.rs
@@ -0,0 +1,66 @@
+//! Answers calls that carry their caller's own `Idempotency-Key`.
+//!
+//! Keys matter for calls that must not run twice. An idempotent call may run again by its nature, so
+//! its key is not looked at, and costs the log nothing.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+
+use super::bodies;
+use super::refusal::Refusal;
+use crate::node::{Node, NodeLinks};
+use crate::platform::claims::ClaimKey;
+use crate::requests::keyed::{ClaimAsk, Claimed, Next, after_lost};
+use crate::requests::{Call, Follow, Outcome, RequestId};
+
+/// Carries the caller's own key.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// The longest key.
+const MOST_KEY_BYTES: usize = 256;
+
+/// The key of a call, if it has one that matters.
+pub(super) fn key(
+    headers: &HeaderMap,
+    team: &str,
+    idempotent: bool,
+) -> Result<Option<ClaimKey>, Refusal> {
+    match bodies::text(headers, IDEMPOTENCY_KEY)? {
+        Some(key) if key.is_empty() || key.len() > MOST_KEY_BYTES => Err(Refusal::Header),
+        Some(key) if !idempotent => Ok(Some(ClaimKey::of(team, key))),
+        Some(_) | None => Ok(None),
+    }
+}
+
+/// Follows the request that holds the key, which is started if it is new.
+pub(super) async fn follow(
+    node: &Arc<Node>,
+    key: ClaimKey,
+    call: Call,
+) -> (RequestId, Follow<NodeLinks>) {
+    let follow = |id| Follow::new(Arc::clone(&node.core), id, Some(call.clone()), 0);
+    let said = |id, outcome| (id, follow(id).ahead_of(outcome));
+    let mut ask = ClaimAsk {
+        key,
+        call: call.clone(),
+        supersedes: None,
+    };
+    let mut round = 0;
+    loop {
+        let holder = match node.claim(&ask).await {
+            Claimed::Won(id) => return (id, follow(id)),
+            Claimed::NotRun(id, not_run) => return said(id, Outcome::NotRun(not_run)),
+            Claimed::Unknown(id, doubt) => return said(id, Outcome::Unknown(doubt)),
+            Claimed::Lost(holder) => holder,
+        };
+        let mut following = follow(holder);
+        let first = following.peek().await;
+        match after_lost(&holder, first, round, node.core.clock.now()) {
+            Next::Answer => return (holder, following),
+            Next::Say(doubt) => return said(holder, Outcome::Unknown(doubt)),
+            Next::Supersede => ask.supersedes = Some(holder),
+        }
+        round += 1;
+    }
+}
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -8,9 +8,9 @@
 use super::completions::{Identified, deadline, identify, whole, with_id};
 use super::refusal::Refusal;
 use super::routes::Asked;
-use super::{authorize, bodies};
+use super::{authorize, bodies, keyed};
 use crate::document::checked::PoolKind;
-use crate::requests::{Call, Follow, Work};
+use crate::requests::{Call, Work};
 
 /// Segments before the path below the service: `v1`, `services` and its name.
 const PATH_FROM: usize = 3;
@@ -19,8 +19,8 @@
 pub(super) async fn call(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
     match check(asked).await {
-        Ok(Identified { id, call }) => {
-            let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
+        Ok(identified) => {
+            let (id, mut follow) = identified.follow(&node).await;
             with_id(whole(&mut follow, id).await, &id)
         }
         Err(refusal) => refusal.response(),
@@ -54,6 +54,7 @@
     let body = bodies::read(asked.body, asked.bounds.max_body_bytes)
         .await?
         .to_vec();
+    let key = keyed::key(&asked.headers, &team.name, idempotent)?;
     let id = identify(&asked.node, given, &team.name)?;
     let now = asked.node.core.clock.now();
     let (latency_class, deadline_ms) = deadline(document, team, None, now)?;
@@ -72,5 +73,6 @@
             deadline_ms,
             work,
         },
+        key,
     })
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,7 @@
 //! Wires the parts of one node together and runs it.
 
 pub mod change;
+mod claims;
 mod collect_configuration;
 mod collect_hosts;
 mod collect_load;
@@ -30,6 +31,7 @@
 use crate::options::Secret;
 use crate::peers::FleetKey;
 use crate::platform::budget::AppendBudget;
+use crate::platform::claims::Claimer;
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::ConfigurationKeeper;
 use crate::platform::log::HttpLog;
@@ -56,6 +58,8 @@
     pub log: Arc<HttpLog>,
     /// How often this node may append to the log, in all its roles.
     pub budget: Arc<AppendBudget>,
+    /// Claims callers' idempotency keys.
+    pub claimer: Claimer<HttpLog>,
     /// The platform's host list and cloud API.
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -25,6 +25,10 @@
                 let held = node.configuration.followed().with(|fold| fold.snapshot());
                 Answer::Reply(Reply::Newest(held.filter(|held| held.revision > than)))
             }
+            Err(Request::Claim(ask)) => {
+                let claimed = node.claim_here(*ask).await;
+                Answer::Reply(claimed.map_or(Reply::WrongNode, Reply::Claimed))
+            }
             Err(Request::Configuration(snapshot)) => {
                 node.adopt_configuration(&snapshot);
                 Answer::Reply(Reply::Done)
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -5,6 +5,7 @@
 use crate::keys::Incarnation;
 use crate::limits::ShareReport;
 use crate::platform::configuration::Snapshot;
+use crate::requests::keyed::{ClaimAsk, Claimed};
 use crate::requests::record::{Chunk, Copy};
 use crate::requests::suspicion::QuarantineEnd;
 use crate::requests::{Call, Outcome, RequestId};
@@ -66,6 +67,8 @@
         /// worked on, and nobody else starts one.
         farewell: bool,
     },
+    /// Claim a key, and start the call if the claim wins.
+    Claim(Box<ClaimAsk>),
     /// The newest configuration, if it is newer than this revision.
     Newest {
         /// The revision that the asker has.
@@ -135,6 +138,8 @@
     WrongNode,
     /// For each record told, whether it is kept and, where asked for, consented to.
     Consents(Vec<bool>),
+    /// What came of a claim.
+    Claimed(Claimed),
     /// The newest configuration, if it is newer.
     Newest(Option<Snapshot>),
     /// Whether the suspect may run.
@@ -163,6 +168,7 @@
             Self::Cancel { .. } => "cancel",
             Self::Witness { .. } => "witness",
             Self::Inherit { .. } => "inherit",
+            Self::Claim(_) => "claim",
             Self::Newest { .. } => "newest",
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -30,6 +30,7 @@
 use crate::options::ServeSettings;
 use crate::peers::{Connections, FleetKey, KeyError, Server};
 use crate::platform::budget::AppendBudget;
+use crate::platform::claims::Claimer;
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
 use crate::platform::http::JsonClient;
@@ -329,7 +330,9 @@
 
 async fn expire(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
-        node.core.expire(node.core.clock.now());
+        let now = node.core.clock.now();
+        node.core.expire(now);
+        node.claimer.stop_idle(now);
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(EXPIRE_INTERVAL_MS)) => {}
@@ -372,12 +375,20 @@
         check,
         SmallRng::from_rng(rng),
     );
+    let claimer = Claimer::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        SmallRng::from_rng(rng),
+    );
     let node = Node {
         core: Arc::new(core),
         directory: Arc::clone(directory),
         configuration,
         log,
         budget,
+        claimer: claimer.retention_ms(settings.log_retention_ms.unwrap_or_default()),
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
--- a/src/platform/claims.rs
+++ b/src/platform/claims.rs
@@ -86,6 +86,15 @@
         )
     }
 
+    /// The seed of a call under this key that gives none.
+    ///
+    /// The same for every resend, which would be another call otherwise.
+    #[must_use]
+    pub fn seed(self) -> u64 {
+        let [_, _, _, _, _, _, _, _, low @ ..] = self.0.to_be_bytes();
+        u64::from_be_bytes(low)
+    }
+
     /// The partition that holds the key.
     #[must_use]
     pub fn partition(self) -> u8 {
--- a/src/platform/configuration/tests.rs
+++ b/src/platform/configuration/tests.rs
@@ -95,6 +95,17 @@
     );
 }
 
+/// Symptom: an operator is told that it is not known what became of the first document, although it
+/// is in force. The node appends it; a peer reads it first and hands it over; the node then skips
+/// the record. Cause: only records give outcomes.
+#[test]
+fn a_change_that_a_peer_hands_over_first_has_its_outcome() {
+    let mut fold = fold();
+    assert!(fold.adopt(&snapshot(1, 1, "a")));
+    let accepted = ChangeOutcome::Accepted { revision: 1 };
+    assert_eq!(fold.outcome("change-1"), Some(accepted));
+}
+
 #[test]
 fn a_faulty_document_is_never_in_force() {
     let mut fold = fold();
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod handover;
 pub mod id;
+pub mod keyed;
 pub mod lanes;
 pub mod links;
 pub mod outcome;
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -46,6 +46,8 @@
     position: u64,
     source: Source<L>,
     breaks: u32,
+    /// The next step, if it is known already.
+    ahead: Option<Step>,
 }
 
 enum Source<L: Links> {
@@ -81,11 +83,28 @@
             position,
             source: Source::None,
             breaks: 0,
+            ahead: None,
         }
     }
 
+    /// Says that the request has ended so, without asking anybody.
+    #[must_use]
+    pub fn ahead_of(mut self, outcome: Outcome) -> Self {
+        self.ahead = Some(Step::End(outcome));
+        self
+    }
+
+    /// Waits for the next step and leaves it to be taken.
+    pub async fn peek(&mut self) -> &Step {
+        let step = self.next().await;
+        self.ahead.insert(step)
+    }
+
     /// Waits for the next step; after anything but tokens there is none.
     pub async fn next(&mut self) -> Step {
+        if let Some(step) = self.ahead.take() {
+            return step;
+        }
         let ended = self.core.ended.clone();
         tokio::select! {
             biased;
--- /dev/null
+++ b/src/requests/keyed/tests.rs
@@ -0,0 +1,61 @@
+use super::super::id::{Draft, IdKey};
+use super::*;
+use crate::keys::Incarnation;
+use crate::requests::TeamTag;
+
+fn id(issued_at_ms: u64) -> RequestId {
+    let draft = Draft {
+        issued_at_ms: TimeMs(issued_at_ms),
+        home: Incarnation(1),
+        witness: Incarnation(2),
+        minter: Incarnation(1),
+        sequence: 1,
+    };
+    IdKey::derive(b"a key of these tests").mint(draft, TeamTag::of("pubs"))
+}
+
+fn refused() -> Step {
+    Step::End(Outcome::NotRun(not_run(Reason::Settled, 500)))
+}
+
+#[test]
+fn only_a_holder_that_never_runs_is_superseded() {
+    let now = TimeMs(1_000_000);
+    let holder = id(999_000);
+    assert_eq!(after_lost(&holder, &refused(), 0, now), Next::Supersede);
+    let others = [
+        Step::End(Outcome::Unknown(Doubt::HomeGone)),
+        Step::End(Outcome::Cancelled),
+        Step::OtherCall,
+        Step::Elsewhere,
+    ];
+    for first in others {
+        assert_eq!(after_lost(&holder, &first, 0, now), Next::Answer);
+    }
+    assert_eq!(
+        after_lost(&holder, &refused(), CLAIM_ROUNDS - 1, now),
+        Next::Answer
+    );
+}
+
+#[test]
+fn the_word_of_those_who_may_have_forgotten_is_not_trusted() {
+    // Symptom: a call runs twice, a quarter of an hour apart.
+    // Sequence: a call runs; its home dies; its witness forgets it; the key is sent again.
+    // Cause: a witness without an entry says that the id never ran.
+    let now = TimeMs(10_000_000);
+    let holder = id(now.0 - CLAIM_TTL_MS - CLOCK_SKEW_MS);
+    let next = after_lost(&holder, &refused(), 0, now);
+    assert_eq!(next, Next::Say(Doubt::RecordExpired));
+}
+
+#[test]
+fn after_a_silent_claimer_nothing_is_said_not_to_have_run() {
+    let refusal = not_run(Reason::LogUnavailable, LOG_RETRY_MS);
+    let claimed = Claimed::NotRun(id(1), refusal);
+    assert_eq!(with_doubt(claimed.clone(), false), claimed);
+    let doubted = with_doubt(claimed, true);
+    assert_eq!(doubted, Claimed::Unknown(id(1), Doubt::NobodyAnswers));
+    let won = Claimed::Won(id(1));
+    assert_eq!(with_doubt(won.clone(), true), won);
+}
