--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -13,14 +13,17 @@
 use deployment::{site_settings, start_nodes, wait_until_ready};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
-use serde_json::Value;
+use serde_json::{Value, json};
 use teaselline::client::http::{Answer, Http};
 use teaselline::document::Document;
 use teaselline::node::Started;
 use teaselline::node::change::Proposal;
-use teaselline::platform::claims::{ClaimKey, choose_claimer};
+use teaselline::platform::claims::{ClaimError, ClaimKey, PARTITIONS, choose_claimer, stream};
+use teaselline::platform::log::{Log, NewRecord};
+use teaselline::requests::keyed::Claimed;
+use teaselline::requests::{Call, TeamTag, Work};
 use teaselline_stand_ins::log::Outage;
-use teaselline_stand_ins::service::service_answer;
+use teaselline_stand_ins::service::{ServiceFault, service_answer};
 use teaselline_stand_ins::site::{Site, Upstream};
 use tokio::task::JoinSet;
 use twox_hash::XxHash3_64;
@@ -262,3 +265,91 @@
     assert_eq!(trial.runs("claim"), 1);
     assert!(trial.site.history().doubled().is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_whose_call_did_not_run_may_be_sent_again() {
+    // Symptom: a call is refused for a quarter of an hour, although it never ran.
+    // Sequence: all hosts refuse a call as not run; they take work again; the key is sent again to
+    // all nodes at once.
+    // Cause: the refused request goes on holding the key, or each node supersedes it for itself.
+    let trial = Trial::start().await;
+    let refuse = |fault| {
+        for (_, upstream) in trial.site.upstreams() {
+            if let Upstream::Service(service) = &*upstream {
+                service.change(|knobs| (knobs.fault, knobs.fault_probability) = (fault, 1.0));
+            }
+        }
+    };
+    refuse(ServiceFault::NotRun);
+    let refused = trial.send(0, "k", "claim").await;
+    assert_eq!(said(&refused)["outcome"], "not_run", "{refused:?}");
+    refuse(ServiceFault::None);
+    let answers = trial.send_to_all("k", "claim").await;
+    for answer in &answers {
+        assert!(is_answer(answer, "claim"), "{answer:?}");
+        assert_eq!(id(answer), id(&answers[0]));
+    }
+    assert_eq!(trial.runs("claim"), 1);
+    assert!(!trial.site.history().has_run(id(&refused)));
+    let claims = claims_records(&trial.site);
+    let superseding = claims
+        .iter()
+        .filter(|claim| claim["supersedes"] == id(&refused));
+    assert!(superseding.count() > 0, "{claims:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_that_lands_after_it_was_ruled_out_never_runs() {
+    // Symptom: a call runs after its caller was told that it did not, or its key is lost.
+    // Sequence: the answer to a claim's append is lost and the log cannot be read; the caller is
+    // refused; the append lands; the key is sent again to all nodes at once.
+    // Cause: whoever loses against the late claim starts the call under its id.
+    let trial = Trial::start().await;
+    let (key, body) = (trial.key_claimed_by(0), "late");
+    let core = &trial.nodes[0].node.core;
+    let now = core.clock.now();
+    let (home, witness) = (core.own, trial.nodes[1].node.core.own);
+    let late = core.mint(home, witness, TeamTag::of(trial::TEAM), now);
+    let call = Call {
+        team: trial::TEAM.to_owned(),
+        idempotent: false,
+        latency_class: "clerk".to_owned(),
+        deadline_ms: now.after(DEADLINE_MS),
+        work: Work::Service {
+            service: trial::CLAIMS.to_owned(),
+            path: "file".to_owned(),
+            body: body.as_bytes().to_vec(),
+        },
+    };
+    let unresolved = Err(ClaimError::Unresolved(None));
+    let refused = core.conclude_claim(late, &call, unresolved);
+    assert!(matches!(refused, Claimed::NotRun(id, _) if id == late));
+
+    let key_hash = ClaimKey::of(trial::TEAM, &key);
+    let claim = json!([{ "key": key_hash, "id": late.to_string() }]);
+    let record = NewRecord {
+        writer: "a late append".to_owned(),
+        sequence: 1,
+        payload: claim.to_string(),
+    };
+    let log = &trial.nodes[0].node.log;
+    log.append(&stream(key_hash.partition()), &record)
+        .await
+        .unwrap();
+
+    let answers = trial.send_to_all(&key, body).await;
+    for answer in &answers {
+        assert!(is_answer(answer, body), "{answer:?}");
+        assert_eq!(id(answer), id(&answers[0]));
+    }
+    assert_eq!(trial.runs(body), 1);
+    assert!(!trial.site.history().has_run(&late.to_string()));
+}
+
+/// Every claim in the log.
+fn claims_records(site: &Site) -> Vec<Value> {
+    let streams = (0..PARTITIONS).map(stream);
+    let records = streams.flat_map(|stream| site.log.records(&stream));
+    let claims = records.map(|record| serde_json::from_str::<Vec<Value>>(&record.payload).unwrap());
+    claims.flatten().collect()
+}
