feature: Write and show the audit trail

Cause: the recorder stood beside the node and nothing was recorded; the client and the console had a page for a trail that no node told.

Change: changes of the configuration, notices, planned stops, and requests set apart or refused for killing upstreams are recorded; GET /v1/audit and the console read the trail from the log.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -61,6 +61,8 @@
     ClearHost,
     /// A request's content was refused, for upstreams died of it.
     BlockContent,
+    /// A request was let onto one host alone, for an upstream died of it.
+    QuarantineContent,
     /// A node was stopped as planned.
     StopNode,
     /// Entries of the trail were lost before they were written.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,6 +4,7 @@
 //! calls; the other modules each answer one kind of call.
 
 pub mod accept;
+mod audit;
 mod authorize;
 mod bodies;
 mod completions;
@@ -16,5 +17,6 @@
 mod services;
 mod sse;
 mod state;
+mod time;
 
 pub use accept::{Bounds, serve};
--- a/src/entry/console.rs
+++ b/src/entry/console.rs
@@ -4,20 +4,25 @@
 
 use gotham::helpers::http::Body;
 use http::header::HeaderName;
-use http::{HeaderValue, Method, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode};
 
 use super::bodies;
 use super::refusal::whole;
 use super::routes::Asked;
+use super::time::utc;
+use crate::audit::{self, Actor};
 use crate::blackboard::{HostState, InForce};
 use crate::console::live::{LiveNode, LiveUpstream};
 use crate::console::{
     LiveView, Proposal, Reply, Request, Response as Page, Route, TrailRow, Verdict, View, conclude,
-    respond,
+    respond, session,
 };
 use crate::node::Node;
 use crate::node::change::{self, ChangeError};
 
+/// Rows of the page of the trail.
+const TRAIL_ROWS: usize = 500;
+
 /// `GET /console…`
 pub(super) async fn read(asked: Asked) -> Response<Body> {
     serve(Method::GET, asked).await
@@ -44,7 +49,10 @@
         headers: &asked.headers,
         body: &body,
     };
-    let seen = Seen::of(&node, route);
+    let mut seen = Seen::of(&node, route);
+    if route == Route::Trail && is_operator(&node, &seen, &asked.headers) {
+        seen.trail = trail(&node).await;
+    }
     let reply = respond(request, seen.view(), &node.key, node.core.clock.now());
     let page = match reply {
         Reply::Page(page) => page,
@@ -99,6 +107,48 @@
     }
 }
 
+/// Whether a session of an operator asks; for nobody else the log is read.
+fn is_operator(node: &Node, seen: &Seen, headers: &HeaderMap) -> bool {
+    let document = seen.in_force.as_ref().map(|in_force| &in_force.document);
+    session::session(headers, document, &node.key, node.core.clock.now()).is_some()
+}
+
+/// The newest entries of the audit trail, newest first.
+async fn trail(node: &Node) -> Vec<TrailRow> {
+    match audit::read_trail(&*node.log, TRAIL_ROWS).await {
+        Ok(trail) => trail.entries().rev().map(trail_row).collect(),
+        Err(error) => {
+            log::info!(error:% = error; "the audit trail cannot be read");
+            let unread = TrailRow {
+                what: String::from("The trail cannot be read while the log is out of reach."),
+                ..TrailRow::default()
+            };
+            vec![unread]
+        }
+    }
+}
+
+fn trail_row(entry: &audit::Entry) -> TrailRow {
+    let who = match &entry.actor {
+        Actor::Operator(name) => name.clone(),
+        Actor::Controller(role) => format!("{role} of node {}", entry.node),
+    };
+    TrailRow {
+        at: utc(entry.at_ms),
+        who,
+        what: format!("{} {}", word(&entry.act), entry.target),
+        revision: entry.revision.map(|it| it.to_string()).unwrap_or_default(),
+        fencing: entry.fencing.map(|it| it.0.to_string()).unwrap_or_default(),
+        outcome: [word(&entry.outcome), entry.detail.clone()].join(" "),
+    }
+}
+
+/// The name of an act or outcome as the log has it, in words.
+fn word(name: &impl serde::Serialize) -> String {
+    let name = serde_json::to_value(name).unwrap_or_default();
+    name.as_str().unwrap_or_default().replace('_', " ")
+}
+
 fn live(node: &Node) -> LiveView {
     let now_ms = node.core.clock.now();
     let nodes = node.directory.members().into_iter().map(|member| LiveNode {
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, Response, Uri};
 
 use super::accept::Bounds;
-use super::{completions, console, entries, operators, services, state};
+use super::{audit, completions, console, entries, operators, services, state};
 use crate::node::Node;
 
 /// What each handler finds in its state.
@@ -80,6 +80,9 @@
         route
             .get("/v1/status")
             .to_async(|state| handle(state, operators::status));
+        route
+            .get("/v1/audit")
+            .to_async(|state| handle(state, audit::trail));
         route
             .get("/console")
             .to_async(|state| handle(state, console::read));
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! Wires the parts of one node together and runs it.
 
+mod audit;
 pub mod change;
 mod claims;
 mod collect_configuration;
@@ -27,6 +28,7 @@
 pub use links::{NodeLinks, NodePeers};
 pub use run::{RunError, Started, run, start};
 
+use crate::audit::Recorder;
 use crate::document::Document;
 use crate::options::Secret;
 use crate::peers::FleetKey;
@@ -60,6 +62,8 @@
     pub budget: Arc<AppendBudget>,
     /// Claims callers' idempotency keys.
     pub claimer: Claimer<HttpLog>,
+    /// Takes entries of the audit trail.
+    pub audit: Recorder,
     /// The platform's host list and cloud API.
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
--- /dev/null
+++ b/src/node/audit.rs
@@ -0,0 +1,80 @@
+//! What this node puts into the audit trail.
+
+use super::Node;
+use super::change::ChangeError;
+use super::messages::HostNotice;
+use crate::audit::{Act, Actor, Entry, Outcome};
+use crate::requests::suspicion::Measure;
+
+/// The role under which notices are taken.
+const NOTICES: &str = "notices";
+/// The role under which the node itself starts and stops.
+const NODE: &str = "node";
+/// The role under which requests that kill upstreams are set apart and refused.
+const SUSPICION: &str = "suspicion";
+
+impl Node {
+    /// Records what became of an operator's change.
+    pub(super) fn record_change(
+        &self,
+        operator: String,
+        base_revision: u64,
+        changed: &Result<u64, ChangeError>,
+    ) {
+        let outcome = match changed {
+            Ok(_) => Outcome::Done,
+            Err(ChangeError::Faults(_) | ChangeError::Stale { .. }) => Outcome::Refused,
+            Err(ChangeError::NotTaken(_)) => Outcome::Failed,
+            Err(ChangeError::Unknown(_)) => Outcome::Unknown,
+        };
+        let detail = match changed {
+            Ok(_) => format!("made from revision {base_revision}"),
+            Err(error) => format!("made from revision {base_revision}: {error}"),
+        };
+        let actor = Actor::Operator(operator);
+        let entry = self.entry(actor, Act::ChangeConfiguration, "configuration", outcome);
+        let entry = match changed {
+            Ok(revision) => entry.revision(*revision),
+            Err(_) => entry.revision(self.revision()),
+        };
+        self.audit.record(entry.detail(&detail));
+    }
+
+    /// Records notices that this node had from the platform itself.
+    ///
+    /// What peers pass on is recorded where it came from.
+    pub(super) fn record_notices(&self, notices: &[HostNotice]) {
+        for notice in notices {
+            let actor = Actor::Controller(NOTICES.to_owned());
+            let entry = self.entry(actor, Act::ClearHost, &notice.host, Outcome::Done);
+            let detail = format!("it goes at {} ms", notice.leave_at_ms.0);
+            let entry = entry.revision(self.revision()).detail(&detail);
+            self.audit.record(entry);
+        }
+    }
+
+    /// Records that this node is asked to stop.
+    pub(super) fn record_stop(&self) {
+        let actor = Actor::Controller(NODE.to_owned());
+        let entry = self.entry(actor, Act::StopNode, &self.name, Outcome::Done);
+        self.audit.record(entry.revision(self.revision()));
+    }
+
+    /// Records what was done here about requests that kill upstreams.
+    pub(super) fn record_measures(&self) {
+        for (id, measure) in self.core.suspicion.take_measures() {
+            let act = match measure {
+                Measure::Quarantined => Act::QuarantineContent,
+                Measure::Refused => Act::BlockContent,
+            };
+            let actor = Actor::Controller(SUSPICION.to_owned());
+            let entry = self.entry(actor, act, &id.to_string(), Outcome::Done);
+            self.audit.record(entry.revision(self.revision()));
+        }
+    }
+
+    fn entry(&self, actor: Actor, act: Act, target: &str, outcome: Outcome) -> Entry {
+        let now = self.core.clock.now();
+        Entry::new(now, self.core.own, actor, act, target, outcome)
+    }
+}
--- a/src/node/change.rs
+++ b/src/node/change.rs
@@ -57,6 +57,13 @@
     ///
     /// See [`ChangeError`]; nothing is half applied.
     pub async fn propose(&self, proposal: Proposal) -> Result<u64, ChangeError> {
+        let (operator, base) = (proposal.operator.clone(), proposal.base_revision);
+        let changed = self.submit(proposal).await;
+        self.record_change(operator, base, &changed);
+        changed
+    }
+
+    async fn submit(&self, proposal: Proposal) -> Result<u64, ChangeError> {
         Document::parse(&proposal.document).map_err(ChangeError::Faults)?;
         let change = NewChange {
             base_revision: proposal.base_revision,
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -70,6 +70,7 @@
                     })
                     .collect();
                 let new = node.take_notices(&notices);
+                node.record_notices(&new);
                 pass_on(&node, &new);
             }
             Err(error) => {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -20,6 +20,7 @@
 use super::{
     CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
 };
+use crate::audit::{self, Recorder, RecorderTask};
 use crate::blackboard::Blackboard;
 use crate::document::Document;
 use crate::entry::{self, Bounds};
@@ -35,6 +36,7 @@
 use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
 use crate::platform::http::JsonClient;
 use crate::platform::log::HttpLog;
+use crate::platform::writer::Appender;
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
 use crate::requests::id::IdKey;
@@ -67,8 +69,11 @@
 /// Appends that a node may make at once.
 const APPENDS_BURST: f64 = 100.0;
 
-/// Keeps the configuration of a node.
-type KeptConfiguration = ConfigurationTask<HttpLog, CheckDocument>;
+/// Tasks that write to the log, made together with the node.
+struct LogTasks {
+    configuration: ConfigurationTask<HttpLog, CheckDocument>,
+    audit: RecorderTask<HttpLog>,
+}
 
 /// Why a node cannot start or go on.
 #[derive(Debug, thiserror::Error, Diagnostic)]
@@ -163,7 +168,7 @@
     )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
-    let (node, keeping) = assemble(&settings, own, clock, &key, &directory, &mut rng);
+    let (node, log_tasks) = assemble(&settings, own, clock, &key, &directory, &mut rng);
     let node = Arc::new(node);
     let started = Started {
         caller_address: settings.advertise,
@@ -178,7 +183,8 @@
     };
     started.spawn_membership(heartbeats);
     started.spawn_peer_server(peers, key, settings.peer_advertise);
-    started.spawn_collectors(keeping);
+    started.spawn_collectors();
+    started.spawn_log_tasks(log_tasks);
     started.spawn_callers(callers, bounds(&settings));
     Ok(started)
 }
@@ -187,6 +193,7 @@
     /// Stops as planned: nothing is cut, what cannot finish in time is handed over.
     pub async fn stop(&self) {
         log::info!("the node is leaving");
+        self.node.record_stop();
         let core = &self.node.core;
         core.advance(Phase::Leaving);
         self.membership.leave();
@@ -271,7 +278,7 @@
             .spawn(async move { server.serve(listener, handler, shutdown).await });
     }
 
-    fn spawn_collectors(&self, configuration: KeptConfiguration) {
+    fn spawn_collectors(&self) {
         let node = &self.node;
         let token = || self.shutdown.clone();
         self.tasks
@@ -288,13 +295,17 @@
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         self.tasks.spawn(share_out(Arc::clone(node), token()));
-        let shutdown = token();
+    }
+
+    fn spawn_log_tasks(&self, tasks: LogTasks) {
+        let shutdown = self.shutdown.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = shutdown.cancelled() => {}
-                () = configuration.run() => {}
+                () = tasks.configuration.run() => {}
             }
         });
+        self.tasks.spawn(tasks.audit.run(self.shutdown.clone()));
     }
 
     fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
@@ -321,6 +332,7 @@
 async fn tell_strikes(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
         suspicion::tell_strikes(&node.core).await;
+        node.record_measures();
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(STRIKES_INTERVAL_MS)) => {}
@@ -347,7 +359,7 @@
     key: &FleetKey,
     directory: &Arc<Directory>,
     rng: &mut SmallRng,
-) -> (Node, KeptConfiguration) {
+) -> (Node, LogTasks) {
     let connections = Connections::new(key.clone(), own).with_clock(clock);
     let core = Core::<NodeLinks>::new(Parts {
         own,
@@ -375,6 +387,14 @@
         check,
         SmallRng::from_rng(rng),
     );
+    let appender = Appender::new(
+        Arc::clone(&log),
+        audit::STREAM,
+        format!("{own}/audit"),
+        clock,
+        SmallRng::from_rng(rng),
+    );
+    let (audit, recording) = Recorder::new(own, appender, Arc::clone(&budget));
     let claimer = Claimer::new(
         Arc::clone(&log),
         own,
@@ -388,6 +408,7 @@
         configuration,
         log,
         budget,
+        audit,
         claimer: claimer.retention_ms(settings.log_retention_ms.unwrap_or_default()),
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
         hosts: Mutex::default(),
@@ -400,7 +421,11 @@
         name: settings.name.clone(),
         metrics: metrics(),
     };
-    (node, keeping)
+    let tasks = LogTasks {
+        configuration: keeping,
+        audit: recording,
+    };
+    (node, tasks)
 }
 
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
--- a/src/requests/suspicion.rs
+++ b/src/requests/suspicion.rs
@@ -4,6 +4,7 @@
 //! all nodes pick for it, with leave from the node that owns this host. After two deaths it is
 //! refused everywhere, under whatever id its caller sends it.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -11,7 +12,7 @@
 use super::core::Core;
 use super::links::{Links, Peers};
 use super::record::Place;
-use super::{Record, Work};
+use super::{Record, RequestId, Work};
 use crate::blackboard::HostState;
 use crate::keys::{HostKey, Incarnation};
 use crate::node::messages::{Reply, Request};
@@ -25,14 +26,36 @@
 /// When to ask again while the owner of a host does not answer, or no host may be used.
 const ASK_AGAIN_MS: u64 = 250;
 
+/// Measures that are remembered, so that each is noted once.
+const MEASURES_NOTED: usize = 256;
+
 /// What this node knows of requests that kill.
 #[derive(Debug, Default)]
 pub struct Suspicion {
     strikes: Mutex<Strikes>,
     quarantine: Mutex<Quarantine>,
+    measures: Mutex<Measures>,
     fleet_seed: u64,
 }
 
+/// What was done about a request that is suspected of killing its upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measure {
+    /// It may run on one host alone.
+    Quarantined,
+    /// It is refused.
+    Refused,
+}
+
+/// Measures taken here, for the audit trail.
+///
+/// A caller may send the same content again and again; it is noted once while it is remembered.
+#[derive(Debug, Default)]
+struct Measures {
+    new: Vec<(RequestId, Measure)>,
+    noted: VecDeque<(Fingerprint, Measure)>,
+}
+
 /// Whether a request may start an attempt now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Leave {
@@ -105,6 +128,23 @@
         }
     }
 
+    /// What was done since the last call.
+    pub fn take_measures(&self) -> Vec<(RequestId, Measure)> {
+        std::mem::take(&mut self.measures.lock().new)
+    }
+
+    fn note(&self, fingerprint: Fingerprint, id: RequestId, measure: Measure) {
+        let mut measures = self.measures.lock();
+        if measures.noted.contains(&(fingerprint, measure)) {
+            return;
+        }
+        if measures.noted.len() == MEASURES_NOTED {
+            measures.noted.pop_front();
+        }
+        measures.noted.push_back((fingerprint, measure));
+        measures.new.push((id, measure));
+    }
+
     fn fingerprint(&self, record: &Record) -> Option<Fingerprint> {
         match &record.call.work {
             Work::Completion { model, prompt, .. } => {
@@ -123,12 +163,22 @@
             return Leave::Anywhere;
         };
         let verdict = self.suspicion.strikes.lock().verdict(fingerprint, now);
-        match verdict {
+        let leave = match verdict {
             Verdict::Clear => Leave::Anywhere,
             Verdict::Convicted => Leave::Refuse,
             Verdict::Suspect { not_before_ms } if not_before_ms > now => Leave::Wait(not_before_ms),
             Verdict::Suspect { .. } => self.ask_owner(fingerprint, view, now).await,
+        };
+        match leave {
+            Leave::Refuse => self
+                .suspicion
+                .note(fingerprint, record.id, Measure::Refused),
+            Leave::Only(_) => self
+                .suspicion
+                .note(fingerprint, record.id, Measure::Quarantined),
+            Leave::Anywhere | Leave::Wait(_) => {}
         }
+        leave
     }
 
     async fn ask_owner(&self, fingerprint: Fingerprint, view: &[Candidate], now: TimeMs) -> Leave {
