--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,6 +18,7 @@
 
 mod crashes;
 mod ids;
+mod keys;
 mod partitions;
 mod resends;
 mod stops;
