--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -1,5 +1,6 @@
 //! The experiments, and what they have in common.
 
+mod config;
 mod cost;
 mod decisions;
 mod fleet;
@@ -10,6 +11,7 @@
 
 /// Every experiment, by name.
 pub const EXPERIMENTS: &[Experiment] = &[
+    config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
     path::EXPERIMENT,
--- a/src/entry/audit.rs
+++ b/src/entry/audit.rs
@@ -57,10 +57,16 @@
 }
 
 fn part(from: u64, page: &Page) -> Part {
-    let records = page.records.iter().filter(|record| record.offset >= from);
+    let records = page.records.iter().enumerate();
+    // A record whose append lost its answer may stand there twice, under one number.
+    let records = records.filter(|(index, record)| {
+        let same =
+            |other: &Record| (&other.writer, other.sequence) == (&record.writer, record.sequence);
+        record.offset >= from && !page.records[..*index].iter().any(same)
+    });
     Part {
         next: page.next,
-        records: records.flat_map(rows).collect(),
+        records: records.flat_map(|(_, record)| rows(record)).collect(),
     }
 }
 
--- a/src/node/audit.rs
+++ b/src/node/audit.rs
@@ -4,6 +4,7 @@
 use super::change::ChangeError;
 use super::messages::HostNotice;
 use crate::audit::{Act, Actor, Entry, Outcome};
+use crate::platform::configuration::SubmitError;
 use crate::requests::suspicion::Measure;
 
 /// The role under which notices are taken.
@@ -29,6 +30,9 @@
         };
         let detail = match changed {
             Ok(_) => format!("made from revision {base_revision}"),
+            Err(ChangeError::Unknown(SubmitError::Unresolved { change_id, .. })) => {
+                format!("made from revision {base_revision}: change {change_id} is unresolved")
+            }
             Err(error) => format!("made from revision {base_revision}: {error}"),
         };
         let actor = Actor::Operator(operator);
