--- a/examples/measure/config.rs
+++ b/examples/measure/config.rs
@@ -45,6 +45,8 @@
 #[derive(Debug)]
 struct Seen {
     applied_ms: Vec<f64>,
+    /// The first change after the outage, which is not among the others.
+    after_outage_ms: f64,
     reversions: u64,
 }
 
@@ -63,6 +65,7 @@
                 .filter_map(|run| pick(&run.applied_ms))
                 .collect()
         };
+        let after_outage: Vec<_> = runs.iter().map(|run| run.after_outage_ms).collect();
         let reversions: u64 = runs.iter().map(|run| run.reversions).sum();
         Line::new("config", &format!("{nodes} nodes"))
             .with("seed", arguments.seed)
@@ -72,6 +75,7 @@
                 "all_applied_longest_ms",
                 &of(|sorted| sorted.last().copied()),
             )
+            .with_spread("first_after_outage_ms", &after_outage)
             .with("reversions", reversions)
             .print()?;
     }
@@ -103,7 +107,7 @@
     }
     let reversions = Arc::new(AtomicU64::new(0));
     let watching = tokio::spawn(watch(Arc::clone(&nodes), Arc::clone(&reversions)));
-    let mut applied_ms = Vec::new();
+    let (mut applied_ms, mut after_outage_ms) = (Vec::new(), 0.0);
     for number in 0..2 * CHANGES {
         if number == CHANGES {
             site.log.change(|knobs| knobs.outage = Outage::Refuse);
@@ -111,7 +115,11 @@
             site.log.change(|knobs| knobs.outage = Outage::None);
         }
         let node = usize::try_from(number).unwrap_or_default() % count;
-        applied_ms.push(run.change(node).await?);
+        let took_ms = run.change(node).await?;
+        match number {
+            CHANGES => after_outage_ms = took_ms,
+            _ => applied_ms.push(took_ms),
+        }
     }
     watching.abort();
     for node in nodes.iter() {
@@ -119,6 +127,7 @@
     }
     Ok(Seen {
         applied_ms,
+        after_outage_ms,
         reversions: reversions.load(Ordering::Relaxed),
     })
 }
--- a/src/requests/suspicion.rs
+++ b/src/requests/suspicion.rs
@@ -329,3 +329,6 @@
         });
     futures::future::join_all(told).await;
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -13,6 +13,7 @@
 use teaselline::document::Document;
 use teaselline::node::change::{ChangeError, Proposal};
 use teaselline::node::{self, Started};
+use teaselline::platform::configuration::STREAM;
 use teaselline_stand_ins::log::Outage;
 use teaselline_stand_ins::site::Site;
 
@@ -20,6 +21,9 @@
 const TRIES: u32 = 1_200;
 const PAUSE: Duration = Duration::from_millis(25);
 
+/// How long the log keeps records where it forgets them.
+const RETENTION_MS: u64 = 8_000;
+
 /// A document that differs from others by its deadline.
 fn text(deadline_ms: u64) -> String {
     trial::document(deadline_ms)
@@ -155,3 +159,44 @@
     assert!(newest.iter().all(|newest| *newest == third), "{newest:?}");
     assert!(nodes.iter().all(|node| deadline_in_force(node) == 13_000));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_outlives_the_records_that_brought_it() {
+    // Symptom: after a day without changes, a fleet that was replaced node by node has no document.
+    // Sequence: the log forgets the change; all nodes end; a node starts that knows none of them.
+    // Cause: the document is written once, and the log does not keep records for ever.
+    let text = text(10_000);
+    let document = Document::parse(&text).unwrap();
+    let site = Site::start(site_settings(&document)).await.unwrap();
+    let hosts = site.upstreams().len();
+    site.log.change(|knobs| knobs.retained_ms = RETENTION_MS);
+    let mut nodes: Vec<Started> = Vec::new();
+    for index in 0..2 {
+        let seeds: Vec<_> = nodes.iter().map(|node| node.heartbeat_address).collect();
+        let settings = node_settings(&document, &site, index)
+            .with_seeds(seeds)
+            .with_log_retention_ms(Some(RETENTION_MS));
+        nodes.push(node::start(settings).await.unwrap());
+    }
+    let revision = propose(&nodes[0], 0, 10_000).await.unwrap();
+    assert!(wait_until_ready(&nodes, revision, hosts).await);
+
+    let mut kept = site.log.records(STREAM);
+    for _try in 0..TRIES {
+        if kept.iter().all(|record| record.offset > revision) {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+        // The log drops old records when a stream is written or read.
+        kept = site.log.records(STREAM);
+    }
+    assert!(!kept.is_empty());
+    assert!(kept.iter().all(|record| record.offset > revision));
+    for node in &nodes {
+        node.abandon();
+    }
+    let settings = node_settings(&document, &site, 2).with_log_retention_ms(Some(RETENTION_MS));
+    let new = [node::start(settings).await.unwrap()];
+    assert!(wait_until_ready(&new, revision, hosts).await);
+    assert_eq!(new[0].node.revision(), revision);
+}
