--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -39,7 +39,8 @@
 
 #[derive(Serialize)]
 struct RefusalBody<'a> {
-    outcome: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    outcome: Option<&'a str>,
     reason: &'a str,
     message: String,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -75,35 +76,39 @@
         }
     }
 
-    /// What is said of a request that names itself by an id or a key.
+    /// What is said of runs, of a request that names itself by an id or a key or does not.
     ///
-    /// It may have come to another node before, which has another document or other limits and runs
-    /// it: `not_run` would have its caller send it again under a new id, and it would run twice.
-    /// Only a call that no node of the fleet takes did certainly not run.
-    fn outcome_of_named(self) -> &'static str {
+    /// One with a name may have come to another node before, which has another document or other
+    /// limits and runs it: `not_run` would have its caller send it again under a new id, and it
+    /// would run twice. Only a call that no node of the fleet takes did certainly not run. Of an id
+    /// that is not known, or is in use, nothing is said: a late copy may still reach its home.
+    fn outcome(self, named: bool) -> Option<&'static str> {
         match self {
-            Self::BodyMalformed | Self::Header | Self::OutOfRange => "not_run",
+            Self::NoSuchRequest | Self::OtherCall => None,
             Self::NoToken
-            | Self::NoSuchRequest
-            | Self::OtherCall
             | Self::BodyTooLarge
             | Self::BodyCut
             | Self::NoSuchTarget
-            | Self::NotConfigured => "unknown",
+            | Self::NotConfigured
+                if named =>
+            {
+                Some("unknown")
+            }
+            _ => Some("not_run"),
         }
     }
 
     /// The response to a request that names itself by an id or a key.
     pub fn response_to_named(self) -> Response<Body> {
-        self.response_with(self.outcome_of_named())
+        self.response_with(self.outcome(true))
     }
 
-    /// The response to a request that has come to this node for the first time.
+    /// The response to a request without a name, which can have come to this node only.
     pub fn response(self) -> Response<Body> {
-        self.response_with("not_run")
+        self.response_with(self.outcome(false))
     }
 
-    fn response_with(self, outcome: &'static str) -> Response<Body> {
+    fn response_with(self, outcome: Option<&'static str>) -> Response<Body> {
         let body = RefusalBody {
             outcome,
             reason: self.reason(),
@@ -192,6 +197,7 @@
         Outcome::Failed(Failure::Upstream) => "upstream",
         Outcome::Failed(Failure::Deadline) => "deadline",
         Outcome::Failed(Failure::RetryBudget) => "retry_budget",
+        Outcome::Failed(Failure::AnswerExpired) => "answer_expired",
         Outcome::Cancelled => "cancelled",
     }
 }
