--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -80,6 +80,7 @@
 /// Answers the call.
 pub(super) async fn complete(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
+    let named = bodies::is_named(&asked.headers);
     match check(asked).await {
         Ok((identified, streamed)) => {
             let caller = node.open_caller();
@@ -91,6 +92,7 @@
             };
             with_id(response, &id)
         }
+        Err(refusal) if named => refusal.response_to_named(),
         Err(refusal) => refusal.response(),
     }
 }
@@ -176,8 +178,8 @@
     caller: OpenCaller,
 ) -> Response<Body> {
     match follow.next().await {
-        Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
-        Step::OtherCall => Refusal::OtherCall.response(),
+        Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
+        Step::OtherCall => Refusal::OtherCall.response_to_named(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
         Step::Elsewhere => running(id),
         first => sse::stream(first, follow, id, caller),
@@ -199,8 +201,8 @@
     let (tokens, last) = follow.whole().await;
     match last {
         Step::End(outcome) => ended(id, &tokens.concat(), &outcome),
-        Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
-        Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response(),
+        Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
+        Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response_to_named(),
         Step::Elsewhere => running(id),
     }
 }
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -18,12 +18,14 @@
 /// Answers the call.
 pub(super) async fn call(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
+    let named = bodies::is_named(&asked.headers);
     match check(asked).await {
         Ok(identified) => {
             let _caller = node.open_caller();
             let (id, mut follow) = identified.follow(&node).await;
             with_id(whole(&mut follow, id).await, &id)
         }
+        Err(refusal) if named => refusal.response_to_named(),
         Err(refusal) => refusal.response(),
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -20,6 +20,7 @@
 mod ids;
 mod keys;
 mod partitions;
+mod refusals;
 mod resends;
 mod stops;
 
