bug: Count a stream on its host when the host is chosen

Cause: a stream was counted once it was open. Calls that arrived together all chose before any was counted, so up to 17 went to the cheapest host of 12 slots while others idled; five of them then waited over 10 s for a slot. Change: the stream is counted before the first pause after the choice, and taken back on failure. After: tests/burst.rs passes; at most as many streams on a host as it has slots.

--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -277,22 +277,30 @@
     }
 
     async fn start(&mut self, place: Place, prefill_ms: f64, import: Option<&str>) -> Flow {
+        // Counted before the first pause: calls that arrive together would all choose the host that
+        // none of them has been counted on yet, and wait there while others stand idle.
+        self.core
+            .note_open(place, prefill_ms, self.core.clock.now());
         // Asked once: a witness that is gone by the time a stream moves would have a request refused
         // as not run that has run for long.
         if !self.has_right {
             if let Err(outcome) = self.core.obtain_right(&self.record, self.right).await {
+                self.core.note_close(place, self.core.clock.now());
                 self.record.attempt_not_started(place.attempt);
                 return Flow::End(outcome);
             }
             self.has_right = true;
         }
         self.tell();
-        match self.open(place, prefill_ms, import).await {
+        match self.open(place, import).await {
             Ok(attempt) => {
                 self.active = Some(attempt);
                 Flow::Go
             }
-            Err(error) => self.not_opened(place, error).await,
+            Err(error) => {
+                self.core.note_close(place, self.core.clock.now());
+                self.not_opened(place, error).await
+            }
         }
     }
 
@@ -300,7 +308,6 @@
     async fn open(
         &self,
         place: Place,
-        prefill_ms: f64,
         import: Option<&str>,
     ) -> Result<Attempt<Events<L>>, UpstreamError> {
         let name = self.record.id.attempt(place.attempt);
@@ -309,8 +316,6 @@
             .ok_or(UpstreamError::UnknownAttempt)?;
         let start = StartStream { import, ..start };
         let events = self.core.engines.start(place.address, &start).await?;
-        let now = self.core.clock.now();
-        self.core.note_open(place, prefill_ms, now);
         metrics::counter!("teaselline_attempts_total").increment(1);
         Ok(Attempt {
             place,
@@ -538,9 +543,11 @@
             self.stop_aside(old);
         }
         let place = self.record.begin_attempt(target, address);
-        match self.open(place, 0.0, None).await {
+        self.core.note_open(place, 0.0, self.core.clock.now());
+        match self.open(place, None).await {
             Ok(attempt) => self.next = Some(attempt),
             Err(error) => {
+                self.core.note_close(place, self.core.clock.now());
                 self.core.note_failure(place, &error, self.core.clock.now());
                 self.stay(place);
             }
