bug: Keep the word given as not run, also of idempotent calls and by lone homes

Change: the own table is asked like any witness; an idempotent refusal needs the witness's word, and without it ends as unknown; only the witness or an heir takes calls over; letting in and leaving are decided under one lock; an old id without an entry is unknown. Outcomes are told again when a message to the witness was lost, also those of not run.

--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -193,6 +193,7 @@
         Outcome::Unknown(Doubt::HomeGone) => "home_gone",
         Outcome::Unknown(Doubt::NobodyAnswers) => "nobody_answers",
         Outcome::Unknown(Doubt::RecordExpired) => "record_expired",
+        Outcome::Unknown(Doubt::MayRunElsewhere) => "may_run_elsewhere",
         Outcome::Failed(Failure::KillsUpstreams) => "kills_upstreams",
         Outcome::Failed(Failure::Upstream) => "upstream",
         Outcome::Failed(Failure::Deadline) => "deadline",
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -104,13 +104,41 @@
     pub alone: bool,
 }
 
-/// One record that a home tells its witness about.
+/// What a home tells its witness of one request.
 #[derive(Clone, Debug, Encode, Decode)]
-pub struct Told {
-    /// The record.
-    pub copy: Copy,
-    /// Whether the home asks for consent to dispatch.
-    pub wants_consent: bool,
+pub enum Told {
+    /// What has become of it, to be kept.
+    Keep(Copy),
+    /// That it is about to be dispatched, for consent.
+    Consent(Copy),
+    /// That it is about to be refused as not run, though it is idempotent: nobody is to take it over.
+    RuleOut(RequestId),
+}
+
+impl Told {
+    /// Whether the home waits for the answer.
+    #[must_use]
+    pub fn wants_answer(&self) -> bool {
+        !matches!(self, Self::Keep(_))
+    }
+
+    /// Whether it says how the request ended, which is told once only.
+    #[must_use]
+    pub fn is_outcome(&self) -> bool {
+        matches!(self, Self::Keep(copy) if copy.outcome.is_some())
+    }
+
+    /// Roughly its size.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Keep(copy) | Self::Consent(copy) => {
+                let tokens: usize = copy.chunk.tokens.iter().map(String::len).sum();
+                tokens + copy.call.size_bytes()
+            }
+            Self::RuleOut(_) => size_of::<RequestId>(),
+        }
+    }
 }
 
 /// A host that is about to go.
@@ -133,7 +161,7 @@
     OtherCall,
     /// Another incarnation was meant: the one asked for is gone.
     WrongNode,
-    /// For each record told, whether it is kept and, where asked for, consented to.
+    /// For each request told, whether it is kept and, where asked for, consented to or ruled out.
     Consents(Vec<bool>),
     /// The newest configuration, if it is newer.
     Newest(Option<Snapshot>),
--- a/src/requests/answer.rs
+++ b/src/requests/answer.rs
@@ -81,6 +81,7 @@
             Entry::New(record) | Entry::Known(record) => stream(record, from),
             Entry::OtherCall => Answer::Reply(Reply::OtherCall),
             Entry::Expired => ended(Outcome::Unknown(Doubt::RecordExpired)),
+            Entry::Closed => Answer::Reply(Reply::WrongNode),
         }
     }
 
@@ -101,6 +102,7 @@
         match self.settle(id, call) {
             Settled::Here(record) => stream(record, from),
             Settled::OtherCall => Answer::Reply(Reply::OtherCall),
+            Settled::Elsewhere => Answer::Reply(Reply::WrongNode),
             Settled::End(outcome) => ended(outcome),
         }
     }
@@ -120,21 +122,21 @@
         if witness != self.own || self.phase() == Phase::Left {
             return Reply::WrongNode;
         }
+        let told = told.into_iter().map(|told| self.witnessed(told));
+        Reply::Consents(told.collect())
+    }
+
+    /// Takes in what a home tells its witness, which is this node; tells whether it agrees.
+    pub(super) fn witnessed(&self, told: Told) -> bool {
         let now = self.clock.now();
-        let keep = |told: Told| match told {
-            Told {
-                copy,
-                wants_consent: true,
-            } => self.witness.consent(copy, now),
-            Told {
-                copy,
-                wants_consent: false,
-            } => {
+        match told {
+            Told::Consent(copy) => self.witness.consent(copy, now),
+            Told::RuleOut(id) => self.witness.rule_out(id, now),
+            Told::Keep(copy) => {
                 self.witness.keep(copy, now);
                 true
             }
-        };
-        Reply::Consents(told.into_iter().map(keep).collect())
+        }
     }
 }
 
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -12,6 +12,7 @@
 use super::{Outcome, Record, Verdict, Work};
 use crate::blackboard::{HostRow, HostState};
 use crate::keys::HostKey;
+use crate::node::messages::Told;
 use crate::reclaim::Progress;
 use crate::retries::{QuarantineAsk, Retry};
 use crate::routing::{Candidate, NoRoute};
@@ -775,7 +776,8 @@
     fn tell(&mut self) {
         let from = self.told;
         self.told = self.record.next_position();
-        drop(self.core.tell(&self.record, from, false));
+        let told = Told::Keep(self.record.copy(from));
+        drop(self.core.tell(&self.record.id, told));
     }
 }
 
--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+use std::time::Duration;
 
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
@@ -12,7 +13,7 @@
 use super::id::{Draft, IdKey};
 use super::lanes::Lanes;
 use super::links::{Links, Peers};
-use super::outcome::Reason;
+use super::outcome::{Doubt, Reason};
 use super::record::Order;
 use super::records::Entry;
 use super::witness::Witness;
@@ -27,6 +28,11 @@
 /// When a caller may come back after a refusal that passes by itself.
 pub const RETRY_SOON_MS: u64 = 500;
 
+/// How long a home waits for its witness to rule a refused request out.
+///
+/// A refusal is to come at once; without the witness's word it says less.
+const RULE_OUT_MS: u64 = 250;
+
 /// By which right a node works on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Right {
@@ -182,7 +188,8 @@
 
     /// Takes a call in under its id, and starts it if it is new.
     pub fn enter(self: &Arc<Self>, id: RequestId, call: &Call, right: Right) -> Entry {
-        let entry = self.records.enter(id, call, self.clock.now());
+        let is_open = || self.phase() != Phase::Left;
+        let entry = self.records.enter(id, call, self.clock.now(), is_open);
         if let Entry::New(record) = &entry {
             self.start(Arc::clone(record), right);
         }
@@ -201,7 +208,10 @@
         self.tasks.spawn(async move {
             let pass = match core.admit(&record, right).await {
                 Admitted::Run(pass) => pass,
-                Admitted::End(outcome) => return core.finish(&record, outcome),
+                Admitted::End(outcome) => {
+                    let outcome = core.confirm(&record, outcome, right).await;
+                    return core.finish(&record, outcome);
+                }
                 Admitted::Moved => return record.mark_stopped(),
             };
             let outcome = match &record.call.work {
@@ -214,7 +224,10 @@
             };
             drop(pass);
             match outcome {
-                Some(outcome) => core.finish(&record, outcome),
+                Some(outcome) => {
+                    let outcome = core.confirm(&record, outcome, right).await;
+                    core.finish(&record, outcome);
+                }
                 None => record.mark_stopped(),
             }
         });
@@ -226,26 +239,22 @@
         if record.end(outcome, self.clock.now()) {
             metrics::counter!("teaselline_requests_ended_total", "outcome" => name).increment(1);
             log::debug!(id:% = record.id, team = record.call.team.as_str(), outcome = name; "request ended");
-            if record.is_dispatched() {
-                drop(self.tell(record, 0, false));
+            // The witness has heard of the first attempt, and takes the request for one that may run.
+            if record.attempts() > 0 {
+                drop(self.tell(&record.id, Told::Keep(record.copy(0))));
             }
         }
     }
 
-    /// Tells the witness what this home knows, with the answer from `from` on.
+    /// Tells a request's witness something.
     ///
     /// The receiver closes without an answer if the witness does not give one.
-    pub fn tell(&self, record: &Record, from: u64, wants_consent: bool) -> oneshot::Receiver<bool> {
-        let told = Told {
-            copy: record.copy(from),
-            wants_consent,
-        };
-        match record.id.witness {
+    pub(super) fn tell(&self, id: &RequestId, told: Told) -> oneshot::Receiver<bool> {
+        match id.witness {
             witness if witness == self.own => {
                 let (answer, answered) = oneshot::channel();
-                // This node is heir or adopter: it holds the record itself and asks nobody.
-                if answer.send(true).is_err() {
-                    log::trace!("nobody waits for the consent");
+                if answer.send(self.tell_own_witness(told)).is_err() {
+                    log::trace!("nobody waits for the witness");
                 }
                 answered
             }
@@ -253,6 +262,39 @@
         }
     }
 
+    /// Asks the table of this node, which is the witness itself.
+    ///
+    /// A home without another live node is its own witness. What it settled for a caller counts
+    /// there too: a copy of the call that comes late would run although it was refused as not run.
+    fn tell_own_witness(&self, told: Told) -> bool {
+        match told {
+            // This node holds the record itself.
+            Told::Keep(_) => true,
+            asked => self.witnessed(asked),
+        }
+    }
+
+    /// Makes sure that a request refused as not run is run by nobody else either.
+    ///
+    /// Of a non-idempotent request that is certain: only this node may run it. An idempotent one may
+    /// have been taken over while this node could not be reached.
+    async fn confirm(&self, record: &Record, outcome: Outcome, right: Right) -> Outcome {
+        let refused = matches!(outcome, Outcome::NotRun(_));
+        match right {
+            _ if !refused || !record.call.idempotent => outcome,
+            Right::Home if self.rule_out(record).await => outcome,
+            _ => Outcome::Unknown(Doubt::MayRunElsewhere),
+        }
+    }
+
+    async fn rule_out(&self, record: &Record) -> bool {
+        let told = self.tell(&record.id, Told::RuleOut(record.id));
+        let patience = Duration::from_millis(RULE_OUT_MS);
+        let ruled_out = tokio::time::timeout(patience, told).await;
+        // Whoever takes this node's requests over may have been given this one without its outcome.
+        matches!(ruled_out, Ok(Ok(true))) && self.phase() != Phase::Left
+    }
+
     /// Stops a request wherever it is; tells whether there is one.
     pub async fn cancel(&self, id: RequestId) -> bool {
         if let Some(record) = self.records.get(&id).filter(|record| !record.is_moved()) {
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::blackboard::InForce;
 use crate::document::checked::LatencyClass;
 use crate::keys::{DomainKey, HostKey, PoolKey, TeamKey};
+use crate::node::messages::Told;
 use crate::retries::{Denied, Retry, RetryAsk};
 use crate::routing::candidates::Need;
 use crate::routing::{Candidate, Choice, NoRoute, RouteAsk, Weights, choose, gather};
@@ -196,7 +197,7 @@
         if record.call.idempotent || right != Right::Home {
             return Ok(());
         }
-        let consent = self.tell(record, 0, true);
+        let consent = self.tell(&record.id, Told::Consent(record.copy(0)));
         let patience = Duration::from_millis(CONSENT_MS);
         let consent = tokio::time::timeout(patience, consent).await;
         match consent {
--- a/src/requests/follow.rs
+++ b/src/requests/follow.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use super::core::{Core, Phase, RETRY_SOON_MS, Right};
+use super::core::{Core, RETRY_SOON_MS, Right};
 use super::handover::Estate;
 use super::links::{ItemStream, Links, Peers, Unreachable};
 use super::outcome::{Doubt, Reason};
@@ -170,7 +170,9 @@
                 found => return found,
             }
         }
-        self.last_resort()
+        // An idempotent call could run here. But its home may have refused it as not run, and the
+        // caller, who may send it again under a new id, would have two words on one id.
+        Found::Nobody
     }
 
     async fn ask_home(&self) -> Found<L> {
@@ -195,6 +197,7 @@
             return match self.core.settle(self.id, self.call.as_ref()) {
                 Settled::Here(record) => Found::Source(Source::Here(record)),
                 Settled::OtherCall => Found::Last(Step::OtherCall),
+                Settled::Elsewhere => Found::Nobody,
                 Settled::End(outcome) => Found::Last(Step::End(outcome)),
             };
         }
@@ -236,6 +239,7 @@
             Entry::New(record) | Entry::Known(record) => Found::Source(Source::Here(record)),
             Entry::OtherCall => Found::Last(Step::OtherCall),
             Entry::Expired => Found::Last(Step::End(Outcome::Unknown(Doubt::RecordExpired))),
+            Entry::Closed => Found::Nobody,
         }
     }
 
@@ -247,23 +251,6 @@
             Ok(_) | Err(Unreachable::Gone | Unreachable::Silent) => Found::Nobody,
         }
     }
-
-    /// Neither home nor witness answers.
-    ///
-    /// An idempotent call may run once more, here. A call that neither of the two has been asked
-    /// about by this node may still reach them through others, so nothing may be ruled out.
-    fn last_resort(&self) -> Found<L> {
-        match &self.call {
-            // This node runs nothing more itself.
-            _ if self.core.phase() == Phase::Left => Found::Nobody,
-            Some(call) if call.idempotent => match self.core.adopt_call(self.id, call) {
-                Settled::Here(record) => Found::Source(Source::Here(record)),
-                Settled::OtherCall => Found::Last(Step::OtherCall),
-                Settled::End(outcome) => Found::Last(Step::End(outcome)),
-            },
-            _ => Found::Nobody,
-        }
-    }
 }
 
 /// The refusal of a call for which no node could be found to witness it.
--- a/src/requests/handover.rs
+++ b/src/requests/handover.rs
@@ -11,11 +11,13 @@
 use parking_lot::RwLock;
 use twox_hash::XxHash3_64;
 
-use super::core::{Core, Phase, Right};
+use super::core::{Core, Phase, RETRY_SOON_MS, Right};
 use super::id::ID_VALIDITY_MS;
 use super::links::{Links, Peers, Unreachable};
-use super::record::Order;
-use super::{Record, RequestId, Work};
+use super::outcome::Reason;
+use super::record::{Copy, Order};
+use super::witness::Settlement;
+use super::{Outcome, Record, RequestId, Work};
 use crate::keys::Incarnation;
 use crate::node::messages::{Bequest, Reply, Request};
 use crate::time::TimeMs;
@@ -173,8 +175,27 @@
             .records
             .adopt(Record::from_copy(copy, self.clock.now()));
         // A copy that is sent again, because the reply to the first was lost, starts nothing.
-        if new && copy.outcome.is_none() {
-            self.start(record, right);
+        match copy.outcome {
+            None if new && self.is_ruled_out(copy) => {
+                self.finish(&record, Outcome::not_run(Reason::Settled, RETRY_SOON_MS));
+            }
+            None if new => self.start(record, right),
+            _ => {}
+        }
+    }
+
+    /// Whether a request that its home never dispatched was, or may have been, told to never run.
+    ///
+    /// While the home could not be reached, its witness may have said so to a caller. Started by the
+    /// heir all the same, the request would run after `not_run`.
+    fn is_ruled_out(&self, copy: &Copy) -> bool {
+        let now = self.clock.now();
+        match copy.id.witness {
+            _ if copy.dispatched => false,
+            witness if witness == self.own => {
+                self.witness.take_over(copy.id, now) == Settlement::NotRun
+            }
+            _ => !copy.call.idempotent,
         }
     }
 
@@ -186,8 +207,6 @@
         self.advance(Phase::Leaving);
         self.finish_service_calls(until_ms).await;
         self.advance(Phase::Left);
-        // A call that was let in just before is in the table by then.
-        tokio::time::sleep(Duration::from_millis(PAUSE_MS / 10)).await;
         self.stop_tasks(until_ms).await;
         let handovers = self.handovers().into_iter();
         join_all(handovers.map(|handover| self.hand_over(handover))).await;
--- a/src/requests/lanes.rs
+++ b/src/requests/lanes.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
-use super::links::{Links, Peers};
+use super::links::{Links, Peers, Unreachable};
 use crate::keys::Incarnation;
 use crate::node::messages::{Reply, Request, Told};
 
@@ -25,6 +25,12 @@
 /// After this long with nothing to tell, a lane ends.
 const IDLE_MS: u64 = 30_000;
 
+/// Pause before outcomes are told again that the witness may not have heard.
+const AGAIN_MS: u64 = 250;
+
+/// Messages in a row that were not answered, before outcomes are given up.
+const MOST_FAILURES: u32 = 10;
+
 /// Records that may wait in one lane; beyond that a home works without its standby.
 const LANE_RECORDS: usize = 16 * 1024;
 
@@ -92,27 +98,85 @@
     witness: Incarnation,
     mut letters: mpsc::Receiver<Letter>,
 ) {
-    let idle = Duration::from_millis(IDLE_MS);
-    while let Ok(Some(first)) = tokio::time::timeout(idle, letters.recv()).await {
-        let batch = gather(first, &mut letters).await;
-        let (told, answers): (Vec<_>, Vec<_>) = batch
+    let mut untold = Untold::default();
+    loop {
+        let first = tokio::time::timeout(untold.patience(), letters.recv()).await;
+        let batch = match first {
+            Ok(Some(first)) => gather(first, &mut letters).await,
+            Err(_) if !untold.is_empty() => Vec::new(),
+            Ok(None) | Err(_) => return,
+        };
+        let (new, answers): (Vec<_>, Vec<_>) = batch
             .into_iter()
             .map(|letter| (letter.told, letter.answer))
             .unzip();
-        let request = Request::Witness { witness, told };
-        if let Ok(Reply::Consents(consents)) = peers.call(witness, request).await {
-            for (answer, consent) in answers.into_iter().zip(consents) {
-                if answer.send(consent).is_err() {
-                    log::trace!("a request no longer waits for its witness");
+        let (known, told) = untold.join(new);
+        match peers
+            .call(witness, Request::Witness { witness, told })
+            .await
+        {
+            Ok(Reply::Consents(consents)) => {
+                untold.clear();
+                let consents = consents.into_iter().skip(known);
+                for (answer, consent) in answers.into_iter().zip(consents) {
+                    if answer.send(consent).is_err() {
+                        log::trace!("a request no longer waits for its witness");
+                    }
                 }
             }
+            Err(Unreachable::Silent) => untold.note_failure(),
+            Ok(_) | Err(Unreachable::Gone) => untold.clear(),
         }
     }
 }
 
+/// Outcomes that a witness may not have heard of yet.
+///
+/// Lost with one message, an outcome would be told by nobody once the home is gone, and the caller
+/// would be told `unknown` of a request whose answer there was.
+#[derive(Debug, Default)]
+struct Untold {
+    outcomes: Vec<Told>,
+    failures: u32,
+}
+
+impl Untold {
+    fn is_empty(&self) -> bool {
+        self.outcomes.is_empty()
+    }
+
+    /// How long to wait for more to tell.
+    fn patience(&self) -> Duration {
+        Duration::from_millis(if self.is_empty() { IDLE_MS } else { AGAIN_MS })
+    }
+
+    /// Puts what was not heard before what is new; gives how much that is, and all of it.
+    fn join(&mut self, new: Vec<Told>) -> (usize, Vec<Told>) {
+        let known = self.outcomes.len();
+        let mut all = self.outcomes.clone();
+        let outcomes = new.iter().filter(|told| told.is_outcome());
+        self.outcomes.extend(outcomes.cloned());
+        all.extend(new);
+        (known, all)
+    }
+
+    fn note_failure(&mut self) {
+        self.failures += 1;
+        if self.failures >= MOST_FAILURES || self.outcomes.len() > BATCH_RECORDS {
+            let lost = self.outcomes.len() as u64;
+            metrics::counter!("teaselline_standby_dropped_total").increment(lost);
+            self.clear();
+        }
+    }
+
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+}
+
 async fn gather(first: Letter, letters: &mut mpsc::Receiver<Letter>) -> Vec<Letter> {
-    let mut bytes = size_bytes(&first);
-    let mut urgent = first.told.wants_consent;
+    let mut bytes = first.told.size_bytes();
+    let mut urgent = first.told.wants_answer();
     let mut batch = vec![first];
     let until = tokio::time::Instant::now() + Duration::from_millis(GATHER_MS);
     while batch.len() < BATCH_RECORDS && bytes < BATCH_BYTES {
@@ -125,15 +189,9 @@
                 .flatten()
         };
         let Some(letter) = next else { break };
-        bytes += size_bytes(&letter);
-        urgent |= letter.told.wants_consent;
+        bytes += letter.told.size_bytes();
+        urgent |= letter.told.wants_answer();
         batch.push(letter);
     }
     batch
 }
-
-fn size_bytes(letter: &Letter) -> usize {
-    let copy = &letter.told.copy;
-    let tokens: usize = copy.chunk.tokens.iter().map(String::len).sum();
-    tokens + copy.call.size_bytes()
-}
--- a/src/requests/outcome.rs
+++ b/src/requests/outcome.rs
@@ -83,6 +83,8 @@
     NobodyAnswers,
     /// The id is so old that its record is gone.
     RecordExpired,
+    /// It is refused here, and another node may have taken it over meanwhile.
+    MayRunElsewhere,
 }
 
 /// Why a request failed.
--- a/src/requests/records.rs
+++ b/src/requests/records.rs
@@ -29,6 +29,8 @@
     OtherCall,
     /// There is none, and the id is too old to start.
     Expired,
+    /// There is none, and no more are let in.
+    Closed,
 }
 
 /// The requests that a node holds.
@@ -54,17 +56,26 @@
         Some(Arc::clone(&shard[index]))
     }
 
-    /// The record of an id, made from `call` if there is none.
+    /// The record of an id, made from `call` if there is none and `is_open` holds.
     ///
-    /// Looking and making are one step under the shard's lock: two copies of one request that
+    /// `is_open` is asked under the shard's lock: a node that leaves first says that it does and then
+    /// looks at every shard, so that it either sees a call or has not let it in. One let in unseen
+    /// would run here and at the heir. Looking and making are one step under the shard's lock: two copies of one request that
     /// arrive together would run twice otherwise.
     #[must_use]
-    pub fn enter(&self, id: RequestId, call: &Call, now: TimeMs) -> Entry {
+    pub fn enter(
+        &self,
+        id: RequestId,
+        call: &Call,
+        now: TimeMs,
+        is_open: impl FnOnce() -> bool,
+    ) -> Entry {
         let mut shard = self.shard(&id).lock();
         match shard.binary_search_by_key(&id, |record| record.id) {
             Ok(index) if shard[index].fingerprint != call.fingerprint() => Entry::OtherCall,
             Ok(index) => Entry::Known(Arc::clone(&shard[index])),
             Err(_) if !id.may_start(now) => Entry::Expired,
+            Err(_) if !is_open() => Entry::Closed,
             Err(index) => {
                 let record = Arc::new(Record::new(id, call.clone()));
                 shard.insert(index, Arc::clone(&record));
--- a/src/requests/records/tests.rs
+++ b/src/requests/records/tests.rs
@@ -33,7 +33,7 @@
 }
 
 fn answered(records: &Records) {
-    let Entry::New(record) = records.enter(id(), &call("reel 3"), TimeMs(0)) else {
+    let Entry::New(record) = records.enter(id(), &call("reel 3"), TimeMs(0), || true) else {
         panic!("the id is new");
     };
     let place = record.begin_attempt(HostKey(1), ([127, 0, 0, 1], 9).into());
@@ -55,7 +55,8 @@
     let records = Records::default();
     answered(&records);
     assert_eq!(records.expire(TimeMs(10 + KEEP_ANSWER_MS)), 0);
-    let Entry::Known(record) = records.enter(id(), &call("reel 3"), TimeMs(10 + KEEP_ANSWER_MS))
+    let Entry::Known(record) =
+        records.enter(id(), &call("reel 3"), TimeMs(10 + KEEP_ANSWER_MS), || true)
     else {
         panic!("the id is known");
     };
@@ -63,7 +64,7 @@
         record.read(0),
         Reading::End(Outcome::Failed(Failure::AnswerExpired))
     );
-    let other = records.enter(id(), &call("reel 4"), TimeMs(10 + KEEP_ANSWER_MS));
+    let other = records.enter(id(), &call("reel 4"), TimeMs(10 + KEEP_ANSWER_MS), || true);
     assert!(
         matches!(other, Entry::OtherCall),
         "the fingerprint outlives the prompt"
@@ -78,7 +79,19 @@
     let late = TimeMs(ID_VALIDITY_MS + KEEP_AFTER_VALIDITY_MS);
     assert_eq!(records.expire(late), 1);
     assert!(matches!(
-        records.enter(id(), &call("reel 3"), late),
+        records.enter(id(), &call("reel 3"), late, || true),
         Entry::Expired
     ));
 }
+
+#[test]
+fn a_node_that_has_left_lets_no_new_call_in() {
+    // Symptom: a claim runs at a node that has left, and at its heir.
+    // Sequence: a thread finds that the node still takes calls and is held up; the node leaves and
+    // hands over what it sees; the thread goes on and lets the call in.
+    // Cause: leaving and letting in decided at two moments.
+    let records = Records::default();
+    let closed = records.enter(id(), &call("reel 3"), TimeMs(0), || false);
+    assert!(matches!(closed, Entry::Closed));
+    assert!(records.is_empty());
+}
--- a/src/requests/service_call.rs
+++ b/src/requests/service_call.rs
@@ -29,7 +29,8 @@
     right: Right,
 ) -> Option<Outcome> {
     // The home that left may be waiting for the answer still; a second run is not ours to start.
-    if record.is_dispatched() && !record.call.idempotent {
+    let may_run = record.is_dispatched() && !record.call.idempotent;
+    if may_run || right == Right::Reader {
         return Some(Outcome::Unknown(Doubt::HomeGone));
     }
     let mut tried = Tried::default();
--- a/src/requests/settle.rs
+++ b/src/requests/settle.rs
@@ -17,6 +17,8 @@
     Here(Arc<Record>),
     /// The id is in use for another call.
     OtherCall,
+    /// This node has left, and another one decides.
+    Elsewhere,
     /// This is all that can be said.
     End(Outcome),
 }
@@ -64,6 +66,7 @@
                 Entry::New(record) | Entry::Known(record) => Settled::Here(record),
                 Entry::OtherCall => Settled::OtherCall,
                 Entry::Expired => Settled::End(Outcome::Unknown(Doubt::RecordExpired)),
+                Entry::Closed => Settled::Elsewhere,
             },
             (Decision::Keep(copy), _) => self.hold(&copy, None),
             (Decision::Adopt(Some(copy)), _) => self.hold(&copy, Some(Right::Adopter)),
@@ -76,8 +79,8 @@
         }
     }
 
-    /// Runs an idempotent call although neither its home nor its witness can be reached.
-    pub fn adopt_call(self: &Arc<Self>, id: RequestId, call: &Call) -> Settled {
+    /// Runs an idempotent call in place of its home.
+    fn adopt_call(self: &Arc<Self>, id: RequestId, call: &Call) -> Settled {
         let (record, new) = self.records.adopt(Record::new(id, call.clone()));
         if new {
             self.start(Arc::clone(&record), Right::Adopter);
@@ -86,14 +89,22 @@
     }
 
     fn decide(&self, id: &RequestId, call: Option<&Call>, inherited: bool) -> Decision {
+        let now = self.clock.now();
         let idempotent = call.map(|call| call.idempotent);
         let settlement = match idempotent {
             // Only the caller's word that the call is non-idempotent lets the id be ruled out: an
             // idempotent one is dispatched without consent, so that no entry proves nothing.
-            Some(false) if !inherited => self.witness.settle(*id),
-            _ => self.witness.look(id).unwrap_or(Settlement::MayRun(None)),
+            Some(false) if !inherited => self.witness.settle(*id, now),
+            Some(_) => self.witness.take_over(*id, now),
+            None => match self.witness.look(id) {
+                Some(Settlement::MayRun(Some(copy))) if copy.call.idempotent => {
+                    self.witness.take_over(*id, now)
+                }
+                known => known.unwrap_or(Settlement::MayRun(None)),
+            },
         };
         match settlement {
+            Settlement::Forgotten => Decision::Say(Outcome::Unknown(Doubt::RecordExpired)),
             Settlement::NotRun => Decision::Say(Outcome::not_run(Reason::Settled, RETRY_SOON_MS)),
             Settlement::Ended(copy) if is_whole(&copy) => Decision::Keep(copy),
             Settlement::Ended(copy) | Settlement::MayRun(Some(copy)) => go_on(copy),
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -30,6 +30,8 @@
     Ended(Box<Copy>),
     /// The home may have dispatched it; this is what it told.
     MayRun(Option<Box<Copy>>),
+    /// Nothing is known of it, and it is so old that this may have been forgotten.
+    Forgotten,
 }
 
 /// What a witness holds.
@@ -41,7 +43,10 @@
 #[derive(Debug)]
 struct Witnessed {
     id: RequestId,
+    /// It never runs.
     settled: bool,
+    /// This node, which is the witness, may run it.
+    taken_over: bool,
     consented: bool,
     copy: Option<Box<Copy>>,
     ended_at_ms: Option<TimeMs>,
@@ -92,18 +97,62 @@
 
     /// Says what is known of a non-idempotent request, and rules out what has not been consented to.
     #[must_use]
-    pub fn settle(&self, id: RequestId) -> Settlement {
+    pub fn settle(&self, id: RequestId, now: TimeMs) -> Settlement {
+        let settle = |entry: &mut Witnessed| {
+            entry.settled |= entry.is_untouched();
+            entry.settlement()
+        };
+        self.with_entry(id, now, settle)
+            .unwrap_or(Settlement::Forgotten)
+    }
+
+    /// Says what is known of a request that this node is to run in its home's place, and no longer
+    /// agrees that it never runs.
+    ///
+    /// For an idempotent request, or one whose home has left for good.
+    #[must_use]
+    pub fn take_over(&self, id: RequestId, now: TimeMs) -> Settlement {
+        let take_over = |entry: &mut Witnessed| {
+            entry.taken_over |= !entry.settled;
+            entry.settlement()
+        };
+        self.with_entry(id, now, take_over)
+            .unwrap_or(Settlement::Forgotten)
+    }
+
+    /// Agrees that an idempotent request never runs, which its home is about to say.
+    ///
+    /// The home needs no consent to start such a request, and others need none to take it over: if
+    /// each acted by itself, a caller could be told `not_run` by one and get an answer from another.
+    #[must_use]
+    pub fn rule_out(&self, id: RequestId, now: TimeMs) -> bool {
+        let rule_out = |entry: &mut Witnessed| {
+            entry.settled |= !entry.taken_over;
+            entry.settled
+        };
+        self.with_entry(id, now, rule_out).unwrap_or(false)
+    }
+
+    /// Acts on the entry of an id, which is made if there is none and the id may still start.
+    ///
+    /// An id without an entry that is past its validity may have had one, now forgotten: a claim
+    /// that ran a while ago would be taken for one that never came.
+    fn with_entry<T>(
+        &self,
+        id: RequestId,
+        now: TimeMs,
+        act: impl FnOnce(&mut Witnessed) -> T,
+    ) -> Option<T> {
         let mut shard = self.shard(&id).lock();
         let index = match shard.binary_search_by_key(&id, |entry| entry.id) {
             Ok(index) => index,
+            Err(_) if !id.may_start(now) => return None,
             Err(index) => {
                 shard.insert(index, Witnessed::new(id));
                 index
             }
         };
-        let entry = &mut shard[index];
-        entry.settled |= entry.is_untouched();
-        entry.settlement()
+        Some(act(&mut shard[index]))
     }
 
     /// Says what is known of a request without ruling anything out.
@@ -151,6 +200,7 @@
         Self {
             id,
             settled: false,
+            taken_over: false,
             consented: false,
             copy: None,
             ended_at_ms: None,
@@ -192,7 +242,7 @@
             .copy
             .as_ref()
             .is_some_and(|copy| copy.outcome.is_some());
-        !self.consented && !copy_says_so && !ended
+        !self.consented && !self.taken_over && !copy_says_so && !ended
     }
 
     fn settlement(&self) -> Settlement {
--- a/tests/integration/partitions.rs
+++ b/tests/integration/partitions.rs
@@ -3,6 +3,14 @@
 use http::{Method, StatusCode};
 use serde_json::Value;
 
+use teaselline::keys::Incarnation;
+use teaselline::node::links::Fleet as FleetProtocol;
+use teaselline::node::messages::{Item, Reply, Request};
+use teaselline::peers::{Connections, FleetKey};
+use teaselline::requests::id::{Draft, IdKey};
+use teaselline::requests::{Call, Outcome, TeamTag, Work};
+use teaselline::time::Clock;
+
 use crate::BINARY;
 use crate::fleet::{Client, Fleet, FleetSettings};
 use crate::process::Cut;
@@ -40,3 +48,49 @@
     assert!(!fleet.site.history().has_run(&id));
     assert_eq!(again.status, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_that_is_its_own_witness_keeps_the_word_that_it_gave_as_witness() {
+    // Symptom: a deposit is paid twice, once under an id that was refused as not run.
+    // Sequence: a home without live peers mints an id with itself as witness; a copy of the claim
+    // comes late; a node that got no answer for it has the id settled by the same node meanwhile.
+    // Cause: a home that does not ask its witness when that is itself.
+    let fleet = Fleet::start(FleetSettings::new(BINARY)).await.unwrap();
+    let (client, home) = (Client::new(trial::TOKEN), fleet.node(0));
+    let now = Clock::new().now();
+    let draft = Draft {
+        issued_at_ms: now,
+        home: home.incarnation,
+        witness: home.incarnation,
+        minter: home.incarnation,
+        sequence: 1 << 30,
+    };
+    let key = IdKey::derive(fleet.key.as_bytes());
+    let id = key.mint(draft, TeamTag::of(trial::TEAM));
+    let call = Call {
+        team: trial::TEAM.to_owned(),
+        idempotent: false,
+        latency_class: "clerk".to_owned(),
+        deadline_ms: now.after(60_000),
+        work: Work::Service {
+            service: trial::CLAIMS.to_owned(),
+            path: "deposits".to_owned(),
+            body: b"keg 10".to_vec(),
+        },
+    };
+    let key = FleetKey::try_from(fleet.key.as_bytes()).unwrap();
+    let peers = Connections::<FleetProtocol>::new(key, Incarnation(7));
+    let call = Some(Box::new(call));
+    let settle = Request::Settle { id, call, from: 0 };
+    let (reply, mut items) = peers.open(home.peers, settle, 60_000).await.unwrap();
+    assert!(matches!(reply, Reply::Stream));
+    let said = items.next().await.unwrap().unwrap();
+    assert!(matches!(said, Item::End(Outcome::NotRun(_))), "{said:?}");
+    let id = id.to_string();
+    let headers = [("request-id", id.as_str())];
+    let path = "/v1/services/claims/deposits";
+    let late = client.send(Method::POST, home.callers, path, &headers, "keg 10");
+    let refusal: Value = serde_json::from_slice(&late.await.unwrap().body).unwrap();
+    assert_eq!(refusal["outcome"], "not_run");
+    assert!(!fleet.site.history().has_run(&id));
+}
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -34,6 +34,8 @@
 pub struct Process {
     /// Where callers reach it, without a proxy.
     pub callers: SocketAddr,
+    /// Where peers are told to connect: at its proxy.
+    pub peers: SocketAddr,
     /// Where peers are told to send heartbeats: at its proxy.
     pub heartbeats: SocketAddr,
     /// Its incarnation.
@@ -112,6 +114,7 @@
         let incarnation = u64::from_str_radix(&field("incarnation"), 16);
         Ok(Self {
             callers,
+            peers: peers_proxy.address(),
             heartbeats: heartbeats_proxy.address(),
             incarnation: Incarnation(incarnation.map_err(io::Error::other)?),
             child,
