--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,6 +8,7 @@
 mod authorize;
 mod bodies;
 mod completions;
+mod connection;
 mod console;
 mod entries;
 mod keyed;
