feature: Hold hosts and models by a controller under leases

Cause: placement decided what to hold, but no node carried it out; leases existed and nobody took them; nodes did not know which models an engine has.

Change: each node wants the leases placement/<domain> for which it is among the first three live nodes. Once a second the holder reads hosts, purchases, prices, engine states and load, decides, and carries the orders out; the lease is asked for before each act, and its fencing number goes with each order. Purchases keep their name until they are listed or refused. Drained hosts and refused starts are told to all nodes with each round and lapse if not repeated. Loads need a ticket of the weight store. Every node asks engines for their state, by which routing knows models and roles. Nothing is decided before the host list has been read under the revision in force. Leases are shown by /v1/status and the console.

--- a/src/blackboard/upstreams.rs
+++ b/src/blackboard/upstreams.rs
@@ -4,6 +4,7 @@
 
 use crate::keys::HostKey;
 use crate::routing::{Health, SentSince};
+use crate::time::TimeMs;
 use crate::upstreams::Role;
 
 /// Shards of the table; a power of two.
@@ -24,6 +25,8 @@
     pub sent_by_peers: SentSince,
     /// How this node's calls to it went.
     pub health: Health,
+    /// Until when it is to get no new work, as placement has said.
+    pub drained_until_ms: Option<TimeMs>,
     /// The number of the next cache event to ask for.
     pub next_cache_event: u64,
 }
@@ -37,10 +40,17 @@
             sent: SentSince::default(),
             sent_by_peers: SentSince::default(),
             health: Health::default(),
+            drained_until_ms: None,
             next_cache_event: 0,
         }
     }
 
+    /// Whether placement lets it run empty.
+    #[must_use]
+    pub fn is_drained(&self, now: TimeMs) -> bool {
+        self.drained_until_ms.is_some_and(|until_ms| now < until_ms)
+    }
+
     /// Whether it has a model, as far as is known.
     ///
     /// An engine that has not been asked yet is taken to have what its pool serves: it refuses with
--- a/src/entry/console.rs
+++ b/src/entry/console.rs
@@ -10,7 +10,7 @@
 use super::refusal::whole;
 use super::routes::Asked;
 use crate::blackboard::{HostState, InForce};
-use crate::console::live::{LiveNode, LiveUpstream};
+use crate::console::live::{LiveLease, LiveNode, LiveUpstream};
 use crate::console::{
     LiveView, Proposal, Reply, Request, Response as Page, Route, TrailRow, Verdict, View, conclude,
     respond,
@@ -115,10 +115,23 @@
         log_silent_ms: node.log_silent_ms(now_ms),
         nodes: nodes.collect(),
         upstreams: upstreams(node),
+        leases: leases(node),
         ..LiveView::default()
     }
 }
 
+fn leases(node: &Node) -> Vec<LiveLease> {
+    let leases = node.leases.list().into_iter().map(|lease| LiveLease {
+        holder: lease
+            .holder
+            .map_or_else(|| "uncertain".to_owned(), |holder| node.name_of(holder)),
+        name: lease.name,
+        fencing: lease.fencing.0,
+        ends_at_ms: lease.ends_ms,
+    });
+    leases.collect()
+}
+
 fn upstreams(node: &Node) -> Vec<LiveUpstream> {
     let Some(in_force) = node.core.blackboard.in_force() else {
         return Vec::new();
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -171,6 +171,15 @@
     witnessed: usize,
     nodes: Vec<Member>,
     upstreams: Vec<HostStatus>,
+    leases: Vec<LeaseStatus>,
+}
+
+#[derive(Serialize)]
+struct LeaseStatus {
+    name: String,
+    holder: Option<String>,
+    fencing: u64,
+    ends_at_ms: u64,
 }
 
 #[derive(Serialize)]
@@ -207,10 +216,21 @@
         witnessed: node.core.witness.len(),
         nodes: node.directory.members(),
         upstreams: hosts(node),
+        leases: leases(node),
     };
     json(StatusCode::OK, &status)
 }
 
+fn leases(node: &Node) -> Vec<LeaseStatus> {
+    let leases = node.leases.list().into_iter().map(|lease| LeaseStatus {
+        holder: lease.holder.map(|holder| node.name_of(holder)),
+        name: lease.name,
+        fencing: lease.fencing.0,
+        ends_at_ms: lease.ends_ms.0,
+    });
+    leases.collect()
+}
+
 fn phase(phase: Phase) -> &'static str {
     match phase {
         Phase::Serving => "serving",
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,6 +10,7 @@
 pub mod links;
 pub mod messages;
 mod moves;
+pub mod placement_control;
 mod run;
 
 use std::net::SocketAddr;
@@ -24,15 +25,19 @@
 pub use directory::Directory;
 use hosts::HostBook;
 pub use links::{NodeLinks, NodePeers};
+use placement_control::PlacementBook;
 pub use run::{RunError, Started, run, start};
 
 use crate::document::Document;
+use crate::keys::Incarnation;
 use crate::options::Secret;
 use crate::peers::FleetKey;
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::Configuration;
 use crate::platform::follower::Followed;
+use crate::platform::leases::Leases;
 use crate::platform::log::HttpLog;
+use crate::platform::weights::HttpWeightStore;
 use crate::requests::core::Phase;
 use crate::requests::{Core, RequestId, TeamTag};
 use crate::time::TimeMs;
@@ -58,6 +63,12 @@
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
     pub hosts: Mutex<HostBook>,
+    /// The weight store.
+    pub weights: Arc<HttpWeightStore>,
+    /// The leases, of which placement takes one for each failure domain.
+    pub leases: Arc<Leases>,
+    /// What is known for the placement of hosts and models.
+    pub placement: Mutex<PlacementBook>,
     /// Wakes what depends on the document.
     pub revision_changed: Notify,
     /// Wakes what depends on notices.
@@ -111,6 +122,13 @@
             .filter(|stale_ms| *stale_ms > LOG_SILENT_MS)
     }
 
+    /// The name of a node, or its incarnation if it is not known any more.
+    #[must_use]
+    pub fn name_of(&self, node: Incarnation) -> String {
+        let member = self.directory.get(node);
+        member.map_or_else(|| node.to_string(), |member| member.name)
+    }
+
     /// Callers whose answers are followed from this node.
     #[must_use]
     pub fn open_callers(&self) -> usize {
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -35,6 +35,7 @@
                 node.hosts
                     .lock()
                     .apply(blackboard, &in_force.document, &list, now);
+                node.placement.lock().note_list(in_force.revision);
                 // Without room for the hosts just found, the first calls would be refused.
                 node.refresh_gates();
             }
@@ -83,7 +84,7 @@
     }
 }
 
-fn pass_on(node: &Arc<Node>, notices: &[HostNotice]) {
+pub(super) fn pass_on(node: &Arc<Node>, notices: &[HostNotice]) {
     if notices.is_empty() {
         return;
     }
--- a/src/node/handler.rs
+++ b/src/node/handler.rs
@@ -33,6 +33,10 @@
                 node.take_notices(&notices);
                 Answer::Reply(Reply::Done)
             }
+            Err(Request::Placement(news)) => {
+                node.take_placement_news(&news);
+                Answer::Reply(Reply::Done)
+            }
             Err(_) => Answer::Reply(Reply::WrongNode),
         }
     }
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -2,7 +2,7 @@
 
 use bincode::{Decode, Encode};
 
-use crate::keys::Incarnation;
+use crate::keys::{HostKey, Incarnation};
 use crate::limits::ShareReport;
 use crate::platform::configuration::Snapshot;
 use crate::requests::record::{Chunk, Copy};
@@ -75,6 +75,8 @@
     Configuration(Snapshot),
     /// Hosts that are about to go.
     Notices(Vec<HostNotice>),
+    /// Hosts that are to get no new work, and starts that were refused.
+    Placement(PlacementNews),
     /// Requests that were present when upstreams died.
     Strikes(StrikeReport),
     /// The demand of teams at a node.
@@ -122,6 +124,30 @@
     pub leave_at_ms: TimeMs,
 }
 
+/// What the holder of a failure domain's lease on placement tells the others, again and again.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PlacementNews {
+    /// The failure domain.
+    pub domain: String,
+    /// The fencing number of the lease; an older holder's word no longer counts.
+    pub fencing: u64,
+    /// All hosts of it that are to get no new work, with since when.
+    pub drains: Vec<(HostKey, TimeMs)>,
+    /// Starts in it that were refused.
+    pub refusals: Vec<RefusedStart>,
+}
+
+/// Refused starts of a class of hosts since its last start.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RefusedStart {
+    /// The class.
+    pub host_class: String,
+    /// Refusals in a row.
+    pub in_a_row: u32,
+    /// The newest of them.
+    pub last_at_ms: TimeMs,
+}
+
 /// What a node answers first.
 #[derive(Clone, Debug, Encode, Decode)]
 pub enum Reply {
@@ -166,6 +192,7 @@
             Self::Newest { .. } => "newest",
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
+            Self::Placement(_) => "placement",
             Self::Strikes(_) => "strikes",
             Self::Shares { .. } => "shares",
             Self::Quarantine(_) => "quarantine",
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -19,6 +19,7 @@
 use super::links::{NodeLinks, NodePeers};
 use super::{
     CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
+    placement_control,
 };
 use crate::blackboard::Blackboard;
 use crate::document::Document;
@@ -29,11 +30,14 @@
 };
 use crate::options::ServeSettings;
 use crate::peers::{Connections, FleetKey, KeyError, Server};
+use crate::platform::budget::AppendBudget;
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::{Configuration, STREAM};
 use crate::platform::follower::{Followed, Follower};
 use crate::platform::http::JsonClient;
+use crate::platform::leases::{Leases, LeasesTask};
 use crate::platform::log::HttpLog;
+use crate::platform::weights::HttpWeightStore;
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
 use crate::requests::id::IdKey;
@@ -55,6 +59,12 @@
 /// How long connections may take to end once nothing more is sent on them.
 const END_TIMEOUT_MS: u64 = 1_000;
 
+/// Appends that a node may spend on its leases; each lease takes 0.2 a second.
+const LEASE_APPENDS_PER_SECOND: f64 = 4.0;
+
+/// Appends for leases that a node may make at once.
+const LEASE_APPENDS_BURST: f64 = 16.0;
+
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
@@ -151,7 +161,8 @@
     )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
-    let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
+    let (node, leases_task) = assemble(&settings, own, clock, &key, &directory);
+    let node = Arc::new(node);
     let started = Started {
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
@@ -166,6 +177,7 @@
     started.spawn_membership(heartbeats);
     started.spawn_peer_server(peers, key, settings.peer_advertise);
     started.spawn_collectors(rng);
+    started.spawn_placement(leases_task);
     started.spawn_callers(callers, bounds(&settings));
     Ok(started)
 }
@@ -287,6 +299,21 @@
         });
     }
 
+    fn spawn_placement(&self, leases: LeasesTask<HttpLog>) {
+        let node = &self.node;
+        let collector = placement_control::collect_states(Arc::clone(node), self.shutdown.clone());
+        self.tasks.spawn(collector);
+        let controller = placement_control::control(Arc::clone(node), self.shutdown.clone());
+        self.tasks.spawn(controller);
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = shutdown.cancelled() => {}
+                () = leases.run() => {}
+            }
+        });
+    }
+
     fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
         let node = Arc::clone(&self.node);
         let shutdown = self.callers_shutdown.clone();
@@ -334,7 +361,7 @@
     clock: Clock,
     key: &FleetKey,
     directory: &Arc<Directory>,
-) -> Node {
+) -> (Node, LeasesTask<HttpLog>) {
     let connections = Connections::new(key.clone(), own).with_clock(clock);
     let core = Core::<NodeLinks>::new(Parts {
         own,
@@ -347,12 +374,26 @@
         fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
     });
     let check: CheckDocument = |text| Document::parse(text).ok();
-    Node {
+    let log = Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone())));
+    let budget = AppendBudget::new(LEASE_APPENDS_PER_SECOND, LEASE_APPENDS_BURST, clock.now());
+    let (leases, leases_task) = Leases::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::new(budget),
+        SmallRng::from_os_rng(),
+    );
+    let node = Node {
         core: Arc::new(core),
         directory: Arc::clone(directory),
         configuration: Followed::new(Configuration::new(check)),
-        log: Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone()))),
+        log,
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
+        weights: Arc::new(HttpWeightStore::new(JsonClient::new(
+            settings.weights_url.clone(),
+        ))),
+        leases,
+        placement: Mutex::default(),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
         notices_changed: Notify::new(),
@@ -362,7 +403,8 @@
         fleet_secret: settings.fleet_key.clone(),
         name: settings.name.clone(),
         metrics: metrics(),
-    }
+    };
+    (node, leases_task)
 }
 
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
--- a/src/platform/configuration/fold.rs
+++ b/src/platform/configuration/fold.rs
@@ -187,6 +187,10 @@
     /// unknown then, until the next renewal.
     fn take_over(&mut self, snapshot: &Snapshot) {
         self.hold(snapshot);
+        // Its record may be skipped from now on, and its operator may be waiting here.
+        let revision = snapshot.revision;
+        let accepted = ChangeOutcome::Accepted { revision };
+        self.note_outcome(snapshot.change_id.clone(), accepted);
         let next = self.applied + 1;
         let (covered_from, undecided) = match &mut self.basis {
             Basis::Known { .. } => (next, VecDeque::new()),
--- a/src/routing/candidates.rs
+++ b/src/routing/candidates.rs
@@ -86,6 +86,7 @@
         domain: row.domain,
         standing: match row.state {
             HostState::Leaving { .. } => Standing::Leaving,
+            HostState::Live if learnt.is_drained(now) => Standing::Leaving,
             HostState::Live => learnt.health.standing(now),
         },
         has_model,
