--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,8 @@
 //! Wires the parts of one node together and runs it.
 
+mod audit;
 pub mod change;
+mod claims;
 mod collect_configuration;
 mod collect_hosts;
 mod collect_load;
@@ -28,13 +30,15 @@
 use placement_control::PlacementBook;
 pub use run::{RunError, Started, run, start};
 
+use crate::audit::Recorder;
 use crate::document::Document;
 use crate::keys::Incarnation;
 use crate::options::Secret;
 use crate::peers::FleetKey;
+use crate::platform::budget::AppendBudget;
+use crate::platform::claims::Claimer;
 use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::Configuration;
-use crate::platform::follower::Followed;
+use crate::platform::configuration::ConfigurationKeeper;
 use crate::platform::leases::Leases;
 use crate::platform::log::HttpLog;
 use crate::platform::weights::HttpWeightStore;
@@ -56,9 +60,15 @@
     /// The nodes that this one knows.
     pub directory: Arc<Directory>,
     /// The configuration, as the log and the peers tell it.
-    pub configuration: Arc<Followed<Configuration<CheckDocument>>>,
+    pub configuration: Arc<ConfigurationKeeper<HttpLog, CheckDocument>>,
     /// The platform's log.
     pub log: Arc<HttpLog>,
+    /// How often this node may append to the log, in all its roles.
+    pub budget: Arc<AppendBudget>,
+    /// Claims callers' idempotency keys.
+    pub claimer: Claimer<HttpLog>,
+    /// Takes entries of the audit trail.
+    pub audit: Recorder,
     /// The platform's host list and cloud API.
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
@@ -118,6 +128,7 @@
     #[must_use]
     pub fn log_silent_ms(&self, now: TimeMs) -> Option<u64> {
         self.configuration
+            .followed()
             .stale_ms(now)
             .filter(|stale_ms| *stale_ms > LOG_SILENT_MS)
     }
--- a/src/node/placement_control/acts.rs
+++ b/src/node/placement_control/acts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::memory::Tenure;
+use crate::audit::{self, Actor, Entry, Outcome};
 use crate::keys::HostKey;
 use crate::node::Node;
 use crate::placement::{ModelVersion, PurchaseId};
@@ -48,6 +49,7 @@
         look_at: Option<SocketAddr>,
     },
     Order {
+        name: String,
         address: SocketAddr,
         order: Order,
     },
@@ -136,6 +138,7 @@
     let (kind, outcome) = (act.kind(), done.name());
     metrics::counter!("teaselline_placement_acts_total", "act" => kind, "outcome" => outcome)
         .increment(1);
+    record(node, under, &act, done);
     log::info!(
         lease = under.lease.as_str(), fencing = under.fencing.0, act:? = act, outcome = outcome;
         "an act of placement"
@@ -143,6 +146,31 @@
     done
 }
 
+/// Puts what was done into the audit trail; what was not begun leaves no trace.
+fn record(node: &Node, under: &Under, act: &Act, done: Done) {
+    let (what, target) = match act {
+        Act::Buy { purchase, .. } => (audit::Act::BuyHost, &purchase.purchase),
+        Act::GiveBack { name, .. } => (audit::Act::GiveBackHost, name),
+        Act::Order { name, order, .. } => match order {
+            Order::LoadModel { .. } | Order::LoadAdapter { .. } => (audit::Act::Load, name),
+            Order::UnloadModel { .. } => (audit::Act::Unload, name),
+            Order::SetRole { .. } => (audit::Act::SetRole, name),
+        },
+        Act::Ticket { .. } => return,
+    };
+    let outcome = match done {
+        Done::LeaseOver | Done::Busy => return,
+        Done::SoldOut { .. } | Done::Stale => Outcome::Refused,
+        Done::Failed => Outcome::Unknown,
+        _ => Outcome::Done,
+    };
+    let actor = Actor::Controller(under.lease.clone());
+    let now = node.core.clock.now();
+    let entry = Entry::new(now, node.core.own, actor, what, target, outcome);
+    let entry = entry.revision(node.revision()).fencing(under.fencing);
+    node.audit.record(entry.detail(done.name()));
+}
+
 async fn attempt(node: &Node, fencing: Fencing, act: &Act) -> Done {
     match act {
         Act::Buy { id, purchase } => buy(node, *id, purchase).await,
@@ -151,7 +179,7 @@
             name,
             look_at,
         } => give_back(node, *host, name, *look_at).await,
-        Act::Order { address, order } => give_order(node, *address, order, fencing).await,
+        Act::Order { address, order, .. } => give_order(node, *address, order, fencing).await,
         Act::Ticket {
             host,
             version,
--- a/src/node/placement_control/orders.rs
+++ b/src/node/placement_control/orders.rs
@@ -185,8 +185,15 @@
     }
 
     fn order(&mut self, host: HostKey, order: upstreams::Order) {
-        if let Some(address) = self.scene.named(host).and_then(|named| named.address) {
-            self.acts.push(Act::Order { address, order });
+        let Some(named) = self.scene.named(host) else {
+            return;
+        };
+        if let Some(address) = named.address {
+            self.acts.push(Act::Order {
+                name: named.name.clone(),
+                address,
+                order,
+            });
         }
     }
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -18,7 +18,9 @@
 
 mod crashes;
 mod ids;
+mod keys;
 mod partitions;
+mod refusals;
 mod resends;
 mod stops;
 
