--- a/src/requests/keyed.rs
+++ b/src/requests/keyed.rs
@@ -101,13 +101,13 @@
         let in_time = self.clock.now().since(id.issued_at_ms) < START_WITHIN_MS;
         match claimed {
             Ok(ClaimOutcome::Won) if in_time => self.start_claimed(id, call),
-            Ok(ClaimOutcome::Won) => self.rule_out(id, call, Reason::IdExpired),
+            Ok(ClaimOutcome::Won) => self.rule_out_claim(id, call, Reason::IdExpired),
             Ok(ClaimOutcome::Lost { winner }) => match winner.parse() {
                 Ok(winner) if self.verifies(&winner, &call.team) => Claimed::Lost(winner),
                 _ => Claimed::Unknown(id, Doubt::NobodyAnswers),
             },
             Err(error) if error.is_not_taken() => Claimed::NotRun(id, refusal(&error)),
-            Err(_) => self.rule_out(id, call, Reason::LogUnavailable),
+            Err(_) => self.rule_out_claim(id, call, Reason::LogUnavailable),
         }
     }
 
@@ -118,13 +118,14 @@
         }
         match self.enter(id, call, Right::Home) {
             // Whoever lost against this id may have brought its call first, or another one.
-            Entry::New(_) | Entry::Known(_) | Entry::OtherCall => Claimed::Won(id),
+            // If this node has just left, the asker finds the heir, who starts the call.
+            Entry::New(_) | Entry::Known(_) | Entry::OtherCall | Entry::Closed => Claimed::Won(id),
             Entry::Expired => Claimed::NotRun(id, not_run(Reason::IdExpired, RETRY_SOON_MS)),
         }
     }
 
     /// Makes sure that an id never runs, unless it does already.
-    fn rule_out(&self, id: RequestId, call: &Call, reason: Reason) -> Claimed {
+    fn rule_out_claim(&self, id: RequestId, call: &Call, reason: Reason) -> Claimed {
         if self.phase() == Phase::Left {
             return Claimed::Unknown(id, Doubt::HomeGone);
         }
