--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod path;
 mod report;
+mod slopes;
 
 use thiserror::Error;
 
@@ -18,6 +19,7 @@
     path::LATENCY,
     path::THROUGHPUT,
     path::MEMORY,
+    slopes::EXPERIMENT,
 ];
 
 /// One experiment.
