--- a/src/entry/bodies.rs
+++ b/src/entry/bodies.rs
@@ -12,7 +12,7 @@
 pub(super) const REQUEST_ID: &str = "request-id";
 
 /// Names the request by a key of its caller's own.
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
+pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// Whether the call may run more than once.
 const IDEMPOTENT: &str = "idempotent";
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -7,16 +7,13 @@
 
 use http::HeaderMap;
 
-use super::bodies;
+use super::bodies::{self, IDEMPOTENCY_KEY};
 use super::refusal::Refusal;
 use crate::node::{Node, NodeLinks};
 use crate::platform::claims::ClaimKey;
 use crate::requests::keyed::{ClaimAsk, Claimed, Next, after_lost};
 use crate::requests::{Call, Follow, Outcome, RequestId};
 
-/// Carries the caller's own key.
-const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
 /// The longest key.
 const MOST_KEY_BYTES: usize = 256;
 
