--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -19,6 +19,7 @@
 use super::links::{NodeLinks, NodePeers};
 use super::{
     CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
+    placement_control,
 };
 use crate::audit::{self, Recorder, RecorderTask};
 use crate::blackboard::Blackboard;
@@ -35,7 +36,9 @@
 use crate::platform::cloud::HttpCloud;
 use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
 use crate::platform::http::JsonClient;
+use crate::platform::leases::{Leases, LeasesTask};
 use crate::platform::log::HttpLog;
+use crate::platform::weights::HttpWeightStore;
 use crate::platform::writer::Appender;
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
@@ -73,6 +76,7 @@
 struct LogTasks {
     configuration: ConfigurationTask<HttpLog, CheckDocument>,
     audit: RecorderTask<HttpLog>,
+    leases: LeasesTask<HttpLog>,
 }
 
 /// Why a node cannot start or go on.
@@ -295,6 +299,10 @@
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         self.tasks.spawn(share_out(Arc::clone(node), token()));
+        let states = placement_control::collect_states(Arc::clone(node), token());
+        self.tasks.spawn(states);
+        let placement = placement_control::control(Arc::clone(node), token());
+        self.tasks.spawn(placement);
     }
 
     fn spawn_log_tasks(&self, tasks: LogTasks) {
@@ -305,6 +313,13 @@
                 () = tasks.configuration.run() => {}
             }
         });
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = shutdown.cancelled() => {}
+                () = tasks.leases.run() => {}
+            }
+        });
         self.tasks.spawn(tasks.audit.run(self.shutdown.clone()));
     }
 
@@ -402,6 +417,13 @@
         Arc::clone(&budget),
         SmallRng::from_rng(rng),
     );
+    let (leases, leasing) = Leases::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        SmallRng::from_rng(rng),
+    );
     let node = Node {
         core: Arc::new(core),
         directory: Arc::clone(directory),
@@ -411,6 +433,11 @@
         audit,
         claimer: claimer.retention_ms(settings.log_retention_ms.unwrap_or_default()),
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
+        weights: Arc::new(HttpWeightStore::new(JsonClient::new(
+            settings.weights_url.clone(),
+        ))),
+        leases,
+        placement: Mutex::default(),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
         notices_changed: Notify::new(),
@@ -424,6 +451,7 @@
     let tasks = LogTasks {
         configuration: keeping,
         audit: recording,
+        leases: leasing,
     };
     (node, tasks)
 }
