--- a/src/node.rs
+++ b/src/node.rs
@@ -1,5 +1,6 @@
 //! Wires the parts of one node together and runs it.
 
+mod assemble;
 mod audit;
 pub mod change;
 mod claims;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,50 +2,31 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use miette::Diagnostic;
-use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::assemble::{LogTasks, assemble};
 use super::handler::PeerHandler;
-use super::links::{NodeLinks, NodePeers};
 use super::{
-    CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
-    placement_control,
+    Directory, Node, collect_configuration, collect_hosts, collect_load, moves, placement_control,
 };
-use crate::audit::{self, Recorder, RecorderTask};
-use crate::blackboard::Blackboard;
-use crate::document::Document;
 use crate::entry::{self, Bounds};
 use crate::keys::Incarnation;
 use crate::membership::{
     Member, MemberLoad, MemberState, Membership, RowTooLarge, Settings as MembershipSettings, View,
 };
 use crate::options::ServeSettings;
-use crate::peers::{Connections, FleetKey, KeyError, Server};
-use crate::platform::budget::AppendBudget;
-use crate::platform::claims::Claimer;
-use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
-use crate::platform::http::JsonClient;
-use crate::platform::leases::{Leases, LeasesTask};
-use crate::platform::log::HttpLog;
-use crate::platform::weights::HttpWeightStore;
-use crate::platform::writer::Appender;
-use crate::requests::Core;
-use crate::requests::core::{Parts, Phase};
-use crate::requests::id::IdKey;
+use crate::peers::{FleetKey, KeyError, Server};
+use crate::requests::core::Phase;
 use crate::requests::suspicion;
 use crate::time::Clock;
-use crate::upstreams::{EngineClient, Patience, ServiceClient};
 
 /// Between two rounds of forgetting what has expired.
 const EXPIRE_INTERVAL_MS: u64 = 5_000;
@@ -64,21 +45,6 @@
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
-/// What one node may append to the log.
-///
-/// All claims of the fleet together need 80 appends a second, which one node alone may have to make.
-const APPENDS_PER_SECOND: f64 = 100.0;
-
-/// Appends that a node may make at once.
-const APPENDS_BURST: f64 = 100.0;
-
-/// Tasks that write to the log, made together with the node.
-struct LogTasks {
-    configuration: ConfigurationTask<HttpLog, CheckDocument>,
-    audit: RecorderTask<HttpLog>,
-    leases: LeasesTask<HttpLog>,
-}
-
 /// Why a node cannot start or go on.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum RunError {
@@ -367,95 +333,6 @@
     }
 }
 
-fn assemble(
-    settings: &ServeSettings,
-    own: Incarnation,
-    clock: Clock,
-    key: &FleetKey,
-    directory: &Arc<Directory>,
-    rng: &mut SmallRng,
-) -> (Node, LogTasks) {
-    let connections = Connections::new(key.clone(), own).with_clock(clock);
-    let core = Core::<NodeLinks>::new(Parts {
-        own,
-        clock,
-        blackboard: Arc::new(Blackboard::default()),
-        engines: EngineClient::new(Patience::default()),
-        services: ServiceClient::new(Patience::default()),
-        peers: Arc::new(NodePeers::new(connections, Arc::clone(directory))),
-        id_key: IdKey::derive(settings.fleet_key.expose_bytes()),
-        fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
-    });
-    let check: CheckDocument = |text| Document::parse(text).ok();
-    let log = Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone())));
-    let budget = Arc::new(AppendBudget::new(
-        APPENDS_PER_SECOND,
-        APPENDS_BURST,
-        clock.now(),
-    ));
-    let (configuration, keeping) = ConfigurationKeeper::new(
-        Arc::clone(&log),
-        own,
-        clock,
-        Arc::clone(&budget),
-        settings.log_retention_ms,
-        check,
-        SmallRng::from_rng(rng),
-    );
-    let appender = Appender::new(
-        Arc::clone(&log),
-        audit::STREAM,
-        format!("{own}/audit"),
-        clock,
-        SmallRng::from_rng(rng),
-    );
-    let (audit, recording) = Recorder::new(own, appender, Arc::clone(&budget));
-    let claimer = Claimer::new(
-        Arc::clone(&log),
-        own,
-        clock,
-        Arc::clone(&budget),
-        SmallRng::from_rng(rng),
-    );
-    let (leases, leasing) = Leases::new(
-        Arc::clone(&log),
-        own,
-        clock,
-        Arc::clone(&budget),
-        SmallRng::from_rng(rng),
-    );
-    let node = Node {
-        core: Arc::new(core),
-        directory: Arc::clone(directory),
-        configuration,
-        log,
-        budget,
-        audit,
-        claimer: claimer.retention_ms(settings.log_retention_ms.unwrap_or_default()),
-        cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
-        weights: Arc::new(HttpWeightStore::new(JsonClient::new(
-            settings.weights_url.clone(),
-        ))),
-        leases,
-        placement: Mutex::default(),
-        hosts: Mutex::default(),
-        revision_changed: Notify::new(),
-        notices_changed: Notify::new(),
-        members_changed: Notify::new(),
-        callers: std::sync::atomic::AtomicUsize::new(0),
-        key: key.clone(),
-        fleet_secret: settings.fleet_key.clone(),
-        name: settings.name.clone(),
-        metrics: metrics(),
-    };
-    let tasks = LogTasks {
-        configuration: keeping,
-        audit: recording,
-        leases: leasing,
-    };
-    (node, tasks)
-}
-
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
     Member {
         incarnation: own,
@@ -502,18 +379,3 @@
         header_read_timeout_ms: settings.header_read_timeout_ms,
     }
 }
-
-/// The process's metrics; several nodes in one process share them.
-fn metrics() -> PrometheusHandle {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Another recorder may have been installed by a program that embeds the node.
-        if metrics::set_global_recorder(recorder).is_err() {
-            log::info!("the process has a metrics recorder already");
-        }
-        handle
-    };
-    HANDLE.get_or_init(install).clone()
-}
