--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 #[path = "../support/trial.rs"]
 mod trial;
 
+mod bodies;
 mod crashes;
 mod ids;
 mod partitions;
--- a/tests/support/at_most_once.rs
+++ b/tests/support/at_most_once.rs
@@ -9,6 +9,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
+use teaselline::client::caller::Caller;
+use teaselline::options::Secret;
 use teaselline::requests::RequestId;
 use teaselline_stand_ins::engine::expected_answer;
 use teaselline_stand_ins::history::History;
@@ -16,9 +18,10 @@
 use teaselline_stand_ins::site::Upstream;
 use tokio::time::Instant;
 
+use crate::deployment::url;
 use crate::fleet::{Client, Fleet, FleetSettings};
 use crate::schedules::{DEADLINE_MS, Schedule, WINDOW_MS};
-use crate::storm::{Callers, Content, Manner, SERVICE_PATH, Seen, Told, Word, send};
+use crate::storm::{Callers, Content, Manner, PATIENCE_MS, SERVICE_PATH, Seen, Told, Word, send};
 use crate::trial;
 
 /// Calls in one schedule.
@@ -27,6 +30,13 @@
 /// Time between a plain service's effect and its answer, at most.
 const SERVICE_DELAY_MS: u64 = 150;
 
+/// Part of the calls that the product's own caller makes.
+const STREAMED_PART: f64 = 0.4;
+
+/// Failures in a row and new ids after which the product's own caller gives up.
+const STREAM_FAILURES: u32 = 30;
+const STREAM_RESENDS: u32 = 6;
+
 /// How long callers go on sending again after the last call was made.
 const GIVE_UP_AFTER_MS: u64 = 8_000;
 
@@ -127,8 +137,15 @@
 
 async fn make_calls(fleet: &Arc<Fleet>, manner: Manner, seed: u64, start: Instant) -> Vec<Seen> {
     let mut rng = SmallRng::seed_from_u64(!seed);
+    let urls: Vec<_> = fleet.nodes().iter().map(|node| url(node.callers)).collect();
+    let streaming = Caller::new(&urls, Some(Secret::new(trial::TOKEN)))
+        .with_seed(seed)
+        .with_patience_ms(PATIENCE_MS)
+        .with_limits(STREAM_FAILURES, STREAM_RESENDS)
+        .with_give_up_after_ms(GIVE_UP_AFTER_MS);
     let callers = Callers {
         fleet: Arc::clone(fleet),
+        streaming: Arc::new(streaming),
         manner,
         give_up_at: start + Duration::from_millis(WINDOW_MS + GIVE_UP_AFTER_MS),
     };
@@ -137,8 +154,12 @@
         let content = Content::new(&mut rng, index);
         let at = start + Duration::from_millis(rng.random_range(0..WINDOW_MS));
         let (callers, seed) = (callers.clone(), rng.random());
+        let streams = manner == Manner::SameId && rng.random_bool(STREAMED_PART);
         running.spawn(async move {
             tokio::time::sleep_until(at).await;
+            if streams {
+                return callers.stream(content).await;
+            }
             callers.make(content, seed).await
         });
     }
@@ -226,18 +247,21 @@
 }
 
 fn is_wrong(call: &Seen, told: &Told, word: &Word) -> bool {
-    let Word::Answered(text) = word else {
-        return false;
-    };
-    match &call.content {
+    let expected = match &call.content {
         Content::Service { body, .. } => {
-            *text != service_answer(&format!("/{SERVICE_PATH}"), body.as_bytes())
+            service_answer(&format!("/{SERVICE_PATH}"), body.as_bytes())
         }
         Content::Completion {
             prompt, max_tokens, ..
         } => {
             let sampled = told.id.parse::<RequestId>().map_or(0, |id| id.seed());
-            *text != expected_answer(prompt, sampled, u64::from(*max_tokens))
+            expected_answer(prompt, sampled, u64::from(*max_tokens))
         }
+    };
+    match word {
+        Word::Answered(text) => *text != expected,
+        // Tokens of another request, or out of place, show in any part of an answer.
+        Word::Part(text) => !expected.starts_with(text),
+        _ => false,
     }
 }
--- a/tests/support/storm.rs
+++ b/tests/support/storm.rs
@@ -10,14 +10,18 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
+use teaselline::client::call::{Call, CallContent};
+use teaselline::client::caller::Caller;
 use teaselline::client::http::{Answer, HttpError};
+use teaselline::client::policy::End;
+use teaselline::client::wire::RefusalOutcome;
 use tokio::time::Instant;
 
 use crate::fleet::{Client, Fleet};
 use crate::trial;
 
 /// How long a caller waits for one node.
-const PATIENCE_MS: u64 = 4_000;
+pub const PATIENCE_MS: u64 = 4_000;
 
 /// How long a naive caller waits for one node.
 const NAIVE_PATIENCE_MS: u64 = 1_000;
@@ -107,6 +111,26 @@
     }
 }
 
+impl From<Content> for CallContent {
+    fn from(content: Content) -> Self {
+        match content {
+            Content::Service { name, body } => Self::Service {
+                name: name.to_owned(),
+                path: SERVICE_PATH.to_owned(),
+                body: Bytes::from(body),
+            },
+            Content::Completion {
+                prompt, max_tokens, ..
+            } => Self::Completion {
+                model: trial::MODEL.to_owned(),
+                prompt,
+                max_tokens,
+                latency_class: None,
+            },
+        }
+    }
+}
+
 /// What one node said of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Word {
@@ -118,6 +142,8 @@
     Unknown(String),
     /// It ran and failed.
     Failed,
+    /// The tokens that came, from the first one on.
+    Part(String),
     /// The node does not know it; only said when it was asked for and not sent.
     NoSuchRequest,
     /// Something that no node should say here.
@@ -158,6 +184,8 @@
 pub struct Callers {
     /// The nodes.
     pub fleet: Arc<Fleet>,
+    /// The product's own caller, which streams answers and resumes them elsewhere.
+    pub streaming: Arc<Caller>,
     /// What they do when a call is not answered.
     pub manner: Manner,
     /// When they stop sending calls again.
@@ -190,6 +218,40 @@
         Seen { content, told }
     }
 
+    /// Makes a call as the product's own caller does, and resumes its stream where it breaks.
+    pub async fn stream(self, content: Content) -> Seen {
+        let (idempotent, sent) = (content.is_idempotent(), content.clone());
+        let call = Call::new(sent.into()).with_idempotent(idempotent);
+        let mut heard = String::new();
+        let on_token = |_position: u64, token: &str| heard.push_str(token);
+        let report = self.streaming.call(&call, on_token).await;
+        // An id was left only where a node said that it did not run, or where that does no harm.
+        let left = || match idempotent {
+            true => Word::Unknown("left for a new id".to_owned()),
+            false => Word::NotRun("left for a new id".to_owned()),
+        };
+        let told = report.ids.into_iter().map(|id| Told {
+            id,
+            words: vec![left()],
+        });
+        let mut told: Vec<_> = told.collect();
+        let last = match report.end {
+            End::Completed { .. } => Word::Answered(heard.clone()),
+            End::Answered { body, .. } => Word::Answered(text(&body)),
+            End::Refused(refusal) => match refusal.outcome {
+                RefusalOutcome::NotRun => Word::NotRun(refusal.shown_reason().to_owned()),
+                RefusalOutcome::Unknown => Word::Unknown(refusal.shown_reason().to_owned()),
+                RefusalOutcome::Failed | RefusalOutcome::Cancelled => Word::Failed,
+            },
+            End::Rejected(rejection) => Word::Unexpected(rejection.status, rejection.message),
+            End::Unsent | End::GaveUp => Word::Silence,
+        };
+        if let Some(told) = told.last_mut() {
+            told.words = vec![Word::Part(heard), last];
+        }
+        Seen { content, told }
+    }
+
     async fn new_id(&self, rng: &mut SmallRng) -> Option<String> {
         while Instant::now() < self.give_up_at {
             let client = Client::new(trial::TOKEN).with_patience_ms(NAIVE_PATIENCE_MS);
@@ -276,7 +338,6 @@
         return Word::Silence;
     };
     let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-    let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
     let reason = || body["reason"].as_str().unwrap_or_default().to_owned();
     match (answer.status, body["outcome"].as_str()) {
         (StatusCode::OK, Some("answered")) if body["id"] == id => {
@@ -291,6 +352,10 @@
     }
 }
 
+fn text(bytes: &Bytes) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
 async fn pause(rng: &mut SmallRng, least_ms: u64, most_ms: u64) {
     let pause_ms = rng.random_range(least_ms..=most_ms);
     tokio::time::sleep(Duration::from_millis(pause_ms)).await;
