--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -2,9 +2,10 @@
 
 use bincode::{Decode, Encode};
 
-use crate::keys::Incarnation;
+use crate::keys::{HostKey, Incarnation};
 use crate::limits::ShareReport;
 use crate::platform::configuration::Snapshot;
+use crate::requests::keyed::{ClaimAsk, Claimed};
 use crate::requests::record::{Chunk, Copy};
 use crate::requests::suspicion::QuarantineEnd;
 use crate::requests::{Call, Outcome, RequestId};
@@ -66,6 +67,8 @@
         /// worked on, and nobody else starts one.
         farewell: bool,
     },
+    /// Claim a key, and start the call if the claim wins.
+    Claim(Box<ClaimAsk>),
     /// The newest configuration, if it is newer than this revision.
     Newest {
         /// The revision that the asker has.
@@ -75,6 +78,8 @@
     Configuration(Snapshot),
     /// Hosts that are about to go.
     Notices(Vec<HostNotice>),
+    /// Hosts that are to get no new work, and starts that were refused.
+    Placement(PlacementNews),
     /// Requests that were present when upstreams died.
     Strikes(StrikeReport),
     /// The demand of teams at a node.
@@ -150,6 +155,30 @@
     pub leave_at_ms: TimeMs,
 }
 
+/// What the holder of a failure domain's lease on placement tells the others, again and again.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PlacementNews {
+    /// The failure domain.
+    pub domain: String,
+    /// The fencing number of the lease; an older holder's word no longer counts.
+    pub fencing: u64,
+    /// All hosts of it that are to get no new work, with since when.
+    pub drains: Vec<(HostKey, TimeMs)>,
+    /// Starts in it that were refused.
+    pub refusals: Vec<RefusedStart>,
+}
+
+/// Refused starts of a class of hosts since its last start.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RefusedStart {
+    /// The class.
+    pub host_class: String,
+    /// Refusals in a row.
+    pub in_a_row: u32,
+    /// The newest of them.
+    pub last_at_ms: TimeMs,
+}
+
 /// What a node answers first.
 #[derive(Clone, Debug, Encode, Decode)]
 pub enum Reply {
@@ -163,6 +192,8 @@
     WrongNode,
     /// For each request told, whether it is kept and, where asked for, consented to or ruled out.
     Consents(Vec<bool>),
+    /// What came of a claim.
+    Claimed(Claimed),
     /// The newest configuration, if it is newer.
     Newest(Option<Snapshot>),
     /// Whether the suspect may run.
@@ -191,9 +222,11 @@
             Self::Cancel { .. } => "cancel",
             Self::Witness { .. } => "witness",
             Self::Inherit { .. } => "inherit",
+            Self::Claim(_) => "claim",
             Self::Newest { .. } => "newest",
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
+            Self::Placement(_) => "placement",
             Self::Strikes(_) => "strikes",
             Self::Shares { .. } => "shares",
             Self::Quarantine(_) => "quarantine",
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -19,7 +19,9 @@
 use super::links::{NodeLinks, NodePeers};
 use super::{
     CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
+    placement_control,
 };
+use crate::audit::{self, Recorder, RecorderTask};
 use crate::blackboard::Blackboard;
 use crate::document::Document;
 use crate::entry::{self, Bounds};
@@ -29,11 +31,15 @@
 };
 use crate::options::ServeSettings;
 use crate::peers::{Connections, FleetKey, KeyError, Server};
+use crate::platform::budget::AppendBudget;
+use crate::platform::claims::Claimer;
 use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::{Configuration, STREAM};
-use crate::platform::follower::{Followed, Follower};
+use crate::platform::configuration::{ConfigurationKeeper, ConfigurationTask};
 use crate::platform::http::JsonClient;
+use crate::platform::leases::{Leases, LeasesTask};
 use crate::platform::log::HttpLog;
+use crate::platform::weights::HttpWeightStore;
+use crate::platform::writer::Appender;
 use crate::requests::Core;
 use crate::requests::core::{Parts, Phase};
 use crate::requests::id::IdKey;
@@ -58,6 +64,21 @@
 /// How long callers may go on using an address that `/v1/entries` no longer names.
 const ENTRIES_TTL_MS: u64 = 5_000;
 
+/// What one node may append to the log.
+///
+/// All claims of the fleet together need 80 appends a second, which one node alone may have to make.
+const APPENDS_PER_SECOND: f64 = 100.0;
+
+/// Appends that a node may make at once.
+const APPENDS_BURST: f64 = 100.0;
+
+/// Tasks that write to the log, made together with the node.
+struct LogTasks {
+    configuration: ConfigurationTask<HttpLog, CheckDocument>,
+    audit: RecorderTask<HttpLog>,
+    leases: LeasesTask<HttpLog>,
+}
+
 /// Why a node cannot start or go on.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum RunError {
@@ -151,7 +172,8 @@
     )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
-    let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
+    let (node, log_tasks) = assemble(&settings, own, clock, &key, &directory, &mut rng);
+    let node = Arc::new(node);
     let started = Started {
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
@@ -165,7 +187,8 @@
     };
     started.spawn_membership(heartbeats);
     started.spawn_peer_server(peers, key, settings.peer_advertise);
-    started.spawn_collectors(rng);
+    started.spawn_collectors();
+    started.spawn_log_tasks(log_tasks);
     started.spawn_callers(callers, bounds(&settings));
     Ok(started)
 }
@@ -174,6 +197,7 @@
     /// Stops as planned: nothing is cut, what cannot finish in time is handed over.
     pub async fn stop(&self) {
         log::info!("the node is leaving");
+        self.node.record_stop();
         let core = &self.node.core;
         core.advance(Phase::Leaving);
         self.membership.leave();
@@ -258,7 +282,7 @@
             .spawn(async move { server.serve(listener, handler, shutdown).await });
     }
 
-    fn spawn_collectors(&self, rng: SmallRng) {
+    fn spawn_collectors(&self) {
         let node = &self.node;
         let token = || self.shutdown.clone();
         self.tasks
@@ -275,16 +299,28 @@
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         self.tasks.spawn(share_out(Arc::clone(node), token()));
-        let configuration = Arc::clone(&node.configuration);
-        let clock = node.core.clock;
-        let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
-        let shutdown = token();
+        let states = placement_control::collect_states(Arc::clone(node), token());
+        self.tasks.spawn(states);
+        let placement = placement_control::control(Arc::clone(node), token());
+        self.tasks.spawn(placement);
+    }
+
+    fn spawn_log_tasks(&self, tasks: LogTasks) {
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = shutdown.cancelled() => {}
+                () = tasks.configuration.run() => {}
+            }
+        });
+        let shutdown = self.shutdown.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = shutdown.cancelled() => {}
-                () = follower.run() => {}
+                () = tasks.leases.run() => {}
             }
         });
+        self.tasks.spawn(tasks.audit.run(self.shutdown.clone()));
     }
 
     fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
@@ -311,6 +347,7 @@
 async fn tell_strikes(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
         suspicion::tell_strikes(&node.core).await;
+        node.record_measures();
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(STRIKES_INTERVAL_MS)) => {}
@@ -320,7 +357,9 @@
 
 async fn expire(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
-        node.core.expire(node.core.clock.now());
+        let now = node.core.clock.now();
+        node.core.expire(now);
+        node.claimer.stop_idle(now);
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(EXPIRE_INTERVAL_MS)) => {}
@@ -334,7 +373,8 @@
     clock: Clock,
     key: &FleetKey,
     directory: &Arc<Directory>,
-) -> Node {
+    rng: &mut SmallRng,
+) -> (Node, LogTasks) {
     let connections = Connections::new(key.clone(), own).with_clock(clock);
     let core = Core::<NodeLinks>::new(Parts {
         own,
@@ -347,12 +387,57 @@
         fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
     });
     let check: CheckDocument = |text| Document::parse(text).ok();
-    Node {
+    let log = Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone())));
+    let budget = Arc::new(AppendBudget::new(
+        APPENDS_PER_SECOND,
+        APPENDS_BURST,
+        clock.now(),
+    ));
+    let (configuration, keeping) = ConfigurationKeeper::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        settings.log_retention_ms,
+        check,
+        SmallRng::from_rng(rng),
+    );
+    let appender = Appender::new(
+        Arc::clone(&log),
+        audit::STREAM,
+        format!("{own}/audit"),
+        clock,
+        SmallRng::from_rng(rng),
+    );
+    let (audit, recording) = Recorder::new(own, appender, Arc::clone(&budget));
+    let claimer = Claimer::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        SmallRng::from_rng(rng),
+    );
+    let (leases, leasing) = Leases::new(
+        Arc::clone(&log),
+        own,
+        clock,
+        Arc::clone(&budget),
+        SmallRng::from_rng(rng),
+    );
+    let node = Node {
         core: Arc::new(core),
         directory: Arc::clone(directory),
-        configuration: Followed::new(Configuration::new(check)),
-        log: Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone()))),
+        configuration,
+        log,
+        budget,
+        audit,
+        claimer: claimer.retention_ms(settings.log_retention_ms.unwrap_or_default()),
         cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
+        weights: Arc::new(HttpWeightStore::new(JsonClient::new(
+            settings.weights_url.clone(),
+        ))),
+        leases,
+        placement: Mutex::default(),
         hosts: Mutex::default(),
         revision_changed: Notify::new(),
         notices_changed: Notify::new(),
@@ -362,7 +447,13 @@
         fleet_secret: settings.fleet_key.clone(),
         name: settings.name.clone(),
         metrics: metrics(),
-    }
+    };
+    let tasks = LogTasks {
+        configuration: keeping,
+        audit: recording,
+        leases: leasing,
+    };
+    (node, tasks)
 }
 
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -3,17 +3,21 @@
 //! [`candidates`] reads the blackboard into a view, [`choose`] decides on that view alone.
 //! `docs/design/routing.md` gives the ways that were weighed and the measurements.
 
+pub mod cache;
 pub mod candidates;
+pub mod chain;
 pub mod choose;
 pub mod health;
 pub mod load;
 pub mod score;
 
-pub use candidates::gather;
+pub use cache::{CacheView, PromptView};
+pub use candidates::{Need, gather};
+pub use chain::{Chain, prompt_tokens};
 pub use choose::{Choice, NoRoute, choose};
 pub use health::{Health, Standing};
 pub use load::SentSince;
-pub use score::Weights;
+pub use score::{RoutePolicy, Weights};
 
 use std::net::SocketAddr;
 
@@ -41,6 +45,8 @@
     pub slots: u32,
     /// Prompt computing that this node has sent there and that is not done yet.
     pub prefill_backlog_ms: f64,
+    /// How much longer than expected first tokens take there now, as this node has seen.
+    pub excess_ms: f64,
     /// Prompt tokens that it computes when nothing is cached.
     pub prefill_tokens_per_second: f64,
     /// Tokens of the prompt that it is expected to have cached.
@@ -62,9 +68,15 @@
 pub struct RouteAsk<'a> {
     /// Tokens of the prompt and of what has been generated so far.
     pub prompt_tokens: u64,
+    /// Tokens at the front of the prompt that many different prompts share.
+    pub shared_tokens: u64,
     /// Names the part of the prompt that tells it from others; requests that share it look for
     /// their upstream in the same place.
     pub affinity: u64,
+    /// Names the part of the prompt that many different prompts share, if there is one.
+    ///
+    /// When hosts that have it cached are busy, all nodes compute it again on the same few others.
+    pub shared_affinity: Option<u64>,
     /// Target for the first token.
     pub first_token_ms: u64,
     /// How long one request takes on an upstream, on average.
@@ -77,4 +89,6 @@
     pub failed_domains: &'a [DomainKey],
     /// What the deployment favours.
     pub weights: Weights,
+    /// How much each part of the cost counts.
+    pub policy: RoutePolicy,
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod bodies;
 mod crashes;
 mod ids;
+mod keys;
 mod partitions;
 mod refusals;
 mod resends;
