--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -282,12 +282,12 @@
         let refused = matches!(outcome, Outcome::NotRun(_));
         match right {
             _ if !refused || !record.call.idempotent => outcome,
-            Right::Home if self.rule_out(record).await => outcome,
+            Right::Home if self.ask_to_rule_out(record).await => outcome,
             _ => Outcome::Unknown(Doubt::MayRunElsewhere),
         }
     }
 
-    async fn rule_out(&self, record: &Record) -> bool {
+    async fn ask_to_rule_out(&self, record: &Record) -> bool {
         let told = self.tell(&record.id, Told::RuleOut(record.id));
         let patience = Duration::from_millis(RULE_OUT_MS);
         let ruled_out = tokio::time::timeout(patience, told).await;
--- a/src/requests/keyed.rs
+++ b/src/requests/keyed.rs
@@ -112,26 +112,23 @@
     }
 
     fn start_claimed(self: &Arc<Self>, id: RequestId, call: &Call) -> Claimed {
-        // If this node has left, the asker finds the heir, who starts the call.
-        if self.phase() == Phase::Left {
-            return Claimed::Won(id);
-        }
         match self.enter(id, call, Right::Home) {
-            // Whoever lost against this id may have brought its call first, or another one.
-            Entry::New(_) | Entry::Known(_) | Entry::OtherCall => Claimed::Won(id),
+            // Whoever lost against this id may have brought its call first, or another one. If this
+            // node has left, the asker finds the heir, who starts the call.
+            Entry::New(_) | Entry::Known(_) | Entry::OtherCall | Entry::Closed => Claimed::Won(id),
             Entry::Expired => Claimed::NotRun(id, not_run(Reason::IdExpired, RETRY_SOON_MS)),
         }
     }
 
     /// Makes sure that an id never runs, unless it does already.
     fn rule_out(&self, id: RequestId, call: &Call, reason: Reason) -> Claimed {
-        if self.phase() == Phase::Left {
-            return Claimed::Unknown(id, Doubt::HomeGone);
-        }
         let never = not_run(reason, LOG_RETRY_MS);
         let record = Record::new(id, call.clone());
         record.end(Outcome::NotRun(never), self.clock.now());
         match self.records.adopt(record) {
+            // Asked after it is in the table: a node that leaves looks there once it has said so,
+            // and hands the record over unless it looked before.
+            _ if self.phase() == Phase::Left => Claimed::Unknown(id, Doubt::HomeGone),
             (_, true) => Claimed::NotRun(id, never),
             // Whoever lost against it has brought its call, and it runs.
             (_, false) => Claimed::Won(id),
--- a/tests/support/at_most_once.rs
+++ b/tests/support/at_most_once.rs
@@ -17,11 +17,14 @@
 use teaselline_stand_ins::service::service_answer;
 use teaselline_stand_ins::site::Upstream;
 use tokio::time::Instant;
+use twox_hash::XxHash3_64;
 
 use crate::deployment::url;
 use crate::fleet::{Client, Fleet, FleetSettings};
 use crate::schedules::{DEADLINE_MS, Schedule, WINDOW_MS};
-use crate::storm::{Callers, Content, Manner, PATIENCE_MS, SERVICE_PATH, Seen, Told, Word, send};
+use crate::storm::{
+    Callers, Content, Manner, PATIENCE_MS, SERVICE_PATH, Seen, Told, Word, send, send_keyed,
+};
 use crate::trial;
 
 /// Calls in one schedule.
@@ -132,7 +135,11 @@
         Manner::SameId => hear_last_words(&fleet, calls).await,
         Manner::RunAgain => calls,
     };
-    Ok(check(&calls, &fleet.site.history(), seed))
+    let ran = Ran {
+        history: fleet.site.history(),
+        claims: claims_by_body(&fleet),
+    };
+    Ok(check(&calls, &ran, seed))
 }
 
 async fn make_calls(fleet: &Arc<Fleet>, manner: Manner, seed: u64, start: Instant) -> Vec<Seen> {
@@ -154,7 +161,8 @@
         let content = Content::new(&mut rng, index);
         let at = start + Duration::from_millis(rng.random_range(0..WINDOW_MS));
         let (callers, seed) = (callers.clone(), rng.random());
-        let streams = manner == Manner::SameId && rng.random_bool(STREAMED_PART);
+        let by_id = manner == Manner::SameId && !content.is_keyed();
+        let streams = rng.random_bool(STREAMED_PART) && by_id;
         running.spawn(async move {
             tokio::time::sleep_until(at).await;
             if streams {
@@ -174,9 +182,15 @@
     for (index, mut call) in calls.into_iter().enumerate() {
         let nodes = fleet.nodes();
         running.spawn(async move {
+            let at = nodes[index % nodes.len()].callers;
+            if call.content.is_keyed() {
+                let client = Client::new(trial::TOKEN);
+                call.told
+                    .push(send_keyed(client, at, call.content.clone()).await);
+                return call;
+            }
             for told in &mut call.told {
                 let client = Client::new(trial::TOKEN).with_patience_ms(LAST_PATIENCE_MS);
-                let at = nodes[index % nodes.len()].callers;
                 let word = send(client, at, call.content.clone(), told.id.clone()).await;
                 told.words.push(word);
             }
@@ -186,10 +200,31 @@
     running.join_all().await
 }
 
+/// Everything that ran.
+#[derive(Debug)]
+pub struct Ran {
+    history: History,
+    /// How often plain services ran each body, by its hash; no two calls have the same.
+    claims: BTreeMap<u64, u64>,
+}
+
+fn claims_by_body(fleet: &Fleet) -> BTreeMap<u64, u64> {
+    let mut claims = BTreeMap::new();
+    for (_host, upstream) in fleet.site.upstreams() {
+        if let Upstream::Service(service) = &*upstream {
+            for execution in service.executions() {
+                *claims.entry(execution.body_hash).or_default() += 1;
+            }
+        }
+    }
+    claims
+}
+
 /// Checks what callers were told against what ran.
-pub fn check(calls: &[Seen], history: &History, seed: u64) -> Tally {
-    let doubled: BTreeSet<_> = history.doubled().into_iter().collect();
-    let ran: BTreeSet<_> = history.ran.iter().map(|ran| ran.request.as_str()).collect();
+pub fn check(calls: &[Seen], all: &Ran, seed: u64) -> Tally {
+    let doubled: BTreeSet<_> = all.history.doubled().into_iter().collect();
+    let ran = all.history.ran.iter().map(|ran| ran.request.as_str());
+    let ran: BTreeSet<_> = ran.collect();
     let mut tally = Tally::default();
     for call in calls {
         let mut fault = |count: &mut u64, what: &str| {
@@ -198,7 +233,13 @@
         };
         tally.calls += 1;
         let ids = || call.told.iter().map(|told| told.id.as_str());
-        let runs = ids().filter(|id| ran.contains(id)).count();
+        let runs = match &call.content {
+            Content::Service { body, .. } => {
+                let hash = XxHash3_64::oneshot(body.as_bytes());
+                all.claims.get(&hash).copied().unwrap_or_default()
+            }
+            Content::Completion { .. } => ids().filter(|id| ran.contains(id)).count() as u64,
+        };
         let is_doubled = runs > 1 || ids().any(|id| doubled.contains(id));
         if is_doubled && !call.content.is_idempotent() {
             fault(&mut tally.doubled, "doubled");
@@ -236,14 +277,22 @@
 
 /// The most that was said of a call under its last id; `None` if it never had one.
 fn last_word(call: &Seen) -> Option<&Word> {
-    let words = &call.told.last()?.words;
+    let keyed = call.content.is_keyed();
+    // Under a key all answers are of one call, whatever ids stood for it.
+    let words: Vec<_> = if keyed {
+        call.told.iter().flat_map(|told| &told.words).collect()
+    } else {
+        call.told.last()?.words.iter().collect()
+    };
     let rank = |word: &&Word| match word {
-        Word::Answered(_) => 4,
-        Word::NotRun(_) | Word::Failed => 3,
-        Word::Unknown(_) => 2,
+        Word::Answered(_) => 5,
+        Word::Failed => 4,
+        Word::NotRun(_) if !keyed => 4,
+        Word::Unknown(_) => 3,
+        Word::NotRun(_) => 2,
         _ => 1,
     };
-    words.iter().max_by_key(rank)
+    words.into_iter().max_by_key(rank)
 }
 
 fn is_wrong(call: &Seen, told: &Told, word: &Word) -> bool {
--- a/tests/support/storm.rs
+++ b/tests/support/storm.rs
@@ -16,6 +16,7 @@
 use teaselline::client::policy::End;
 use teaselline::client::wire::RefusalOutcome;
 use tokio::time::Instant;
+use twox_hash::XxHash3_64;
 
 use crate::fleet::{Client, Fleet};
 use crate::trial;
@@ -48,6 +49,8 @@
         name: &'static str,
         /// The body.
         body: String,
+        /// Whether it is sent under a key of the caller's own, in place of an id.
+        keyed: bool,
     },
     /// Tokens of the model.
     Completion {
@@ -69,13 +72,15 @@
         let subject = SUBJECTS.choose(rng).copied().unwrap_or_default();
         let text = format!("{subject} no. {index}");
         match rng.random_range(0..100) {
-            0..45 => Self::Service {
+            roll @ 0..45 => Self::Service {
                 name: trial::CLAIMS,
                 body: text,
+                keyed: roll >= 30,
             },
             45..55 => Self::Service {
                 name: trial::TRACKING,
                 body: text,
+                keyed: false,
             },
             roll => Self::Completion {
                 prompt: text,
@@ -93,6 +98,11 @@
         }
     }
 
+    /// Whether it is sent under a key of the caller's own.
+    pub fn is_keyed(&self) -> bool {
+        matches!(self, Self::Service { keyed: true, .. })
+    }
+
     fn path(&self) -> String {
         match self {
             Self::Service { name, .. } => format!("/v1/services/{name}/{SERVICE_PATH}"),
@@ -114,7 +124,7 @@
 impl From<Content> for CallContent {
     fn from(content: Content) -> Self {
         match content {
-            Content::Service { name, body } => Self::Service {
+            Content::Service { name, body, .. } => Self::Service {
                 name: name.to_owned(),
                 path: SERVICE_PATH.to_owned(),
                 body: Bytes::from(body),
@@ -196,6 +206,10 @@
     /// Makes a call and sees it to its end, or until it is time to give up.
     pub async fn make(self, content: Content, seed: u64) -> Seen {
         let mut rng = SmallRng::seed_from_u64(seed);
+        if content.is_keyed() && self.manner == Manner::SameId {
+            let told = self.send_keyed_until_told(&content, &mut rng).await;
+            return Seen { content, told };
+        }
         let mut told = Vec::new();
         while told.len() < MOST_IDS && Instant::now() < self.give_up_at {
             let Some(id) = self.new_id(&mut rng).await else {
@@ -226,9 +240,12 @@
         let on_token = |_position: u64, token: &str| heard.push_str(token);
         let report = self.streaming.call(&call, on_token).await;
         // An id was left only where a node said that it did not run, or where that does no harm.
-        let left = || match idempotent {
-            true => Word::Unknown("left for a new id".to_owned()),
-            false => Word::NotRun("left for a new id".to_owned()),
+        let left = || {
+            let reason = "left for a new id".to_owned();
+            if idempotent {
+                return Word::Unknown(reason);
+            }
+            Word::NotRun(reason)
         };
         let told = report.ids.into_iter().map(|id| Told {
             id,
@@ -296,6 +313,32 @@
         }
     }
 
+    /// Sends a call under its key, to several nodes at once, until it is answered.
+    ///
+    /// A key that was refused as not run may be sent again: the refusal is of the id that stood for
+    /// it that time.
+    async fn send_keyed_until_told(&self, content: &Content, rng: &mut SmallRng) -> Vec<Told> {
+        let mut told = Vec::new();
+        loop {
+            let mut wave = tokio::task::JoinSet::new();
+            for _ in 0..rng.random_range(1..=3) {
+                let (at, content) = (self.some_node(rng), content.clone());
+                let delay = Duration::from_millis(rng.random_range(0..300));
+                wave.spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    send_keyed(Client::new(trial::TOKEN), at, content).await
+                });
+            }
+            told.extend(wave.join_all().await);
+            let is_over = |word: &Word| matches!(word, Word::Answered(_) | Word::Failed);
+            let words = told.iter().flat_map(|told| &told.words);
+            if words.into_iter().any(is_over) || Instant::now() >= self.give_up_at {
+                return told;
+            }
+            pause(rng, 100, 600).await;
+        }
+    }
+
     fn some_node(&self, rng: &mut SmallRng) -> SocketAddr {
         let nodes = self.fleet.nodes();
         nodes.choose(rng).expect("a fleet has nodes").callers
@@ -327,6 +370,24 @@
     word(answer, &id)
 }
 
+/// Sends a call under its key to one node.
+pub async fn send_keyed(client: Client, at: SocketAddr, content: Content) -> Told {
+    let client = client.with_patience_ms(PATIENCE_MS);
+    let (path, body) = (content.path(), content.body());
+    // Bodies differ, so that each can be its own key.
+    let key = XxHash3_64::oneshot(body.as_bytes()).to_string();
+    let headers = [("idempotency-key", key.as_str()), ("idempotent", "false")];
+    let answer = client.send(Method::POST, at, &path, &headers, body).await;
+    let id = answer.as_ref().ok().and_then(id_of).unwrap_or_default();
+    let words = vec![word(answer, &id)];
+    Told { id, words }
+}
+
+/// The id that an answer names, empty if none.
+fn id_of(answer: &Answer) -> Option<String> {
+    Some(answer.headers.get("request-id")?.to_str().ok()?.to_owned())
+}
+
 /// Asks one node for the answer of a call.
 async fn ask(client: Client, at: SocketAddr, id: String) -> Word {
     let answer = client.get(at, &format!("/v1/requests/{id}")).await;
