--- a/examples/measure/config.rs
+++ b/examples/measure/config.rs
@@ -5,11 +5,6 @@
 //! millisecond. In the middle of each run the log is out for a while; a revision that a node goes
 //! back from at any time counts as a reversion.
 
-#[path = "../../tests/support/deployment.rs"]
-mod deployment;
-#[path = "../../tests/support/trial.rs"]
-mod trial;
-
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -20,9 +15,9 @@
 use teaselline_stand_ins::log::{LogSettings, Outage};
 use teaselline_stand_ins::site::{Site, SiteSettings};
 
-use self::deployment::{site_settings, start_nodes, wait_until_ready};
+use super::deployment::{site_settings, start_nodes, wait_until_ready};
 use super::report::{Line, median};
-use super::{Arguments, Experiment, Failure};
+use super::{Arguments, Experiment, Failure, trial};
 
 /// The experiment.
 pub const EXPERIMENT: Experiment = Experiment {
--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -1,16 +1,24 @@
 //! The experiments, and what they have in common.
 
+mod at_most_once;
 mod config;
 mod cost;
 mod decisions;
+#[path = "../../tests/support/deployment.rs"]
+mod deployment;
 mod fleet;
 mod path;
 mod report;
+#[path = "../../tests/support/trial.rs"]
+mod trial;
+
+use std::path::PathBuf;
 
 use thiserror::Error;
 
 /// Every experiment, by name.
 pub const EXPERIMENTS: &[Experiment] = &[
+    at_most_once::EXPERIMENT,
     config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
@@ -60,6 +68,9 @@
     /// A node or a fleet does not get ready.
     #[error("the nodes do not get ready")]
     NotReady,
+    /// Something ran twice, was lost or was wrong.
+    #[error("a promise was broken; the messages above tell which")]
+    PromiseBroken,
     /// A connection or a stream ended early.
     #[error("a connection broke or a stream was not whole")]
     Broken,
@@ -72,3 +83,13 @@
         body: String,
     },
 }
+
+/// The binary that was built beside this example.
+pub fn built_binary() -> Result<PathBuf, Failure> {
+    let example = std::env::current_exe()?;
+    let built = example.parent().and_then(|examples| examples.parent());
+    let binary = built.map(|built| built.join("teaselline"));
+    binary
+        .filter(|binary| binary.is_file())
+        .ok_or(Failure::NoBinary)
+}
--- a/examples/measure/fleet/process.rs
+++ b/examples/measure/fleet/process.rs
@@ -3,7 +3,6 @@
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
 use std::time::Duration;
@@ -11,7 +10,7 @@
 use serde_json::Value;
 
 use super::document::FLEET_KEY;
-use crate::experiments::Failure;
+use crate::experiments::{Failure, built_binary};
 
 /// What the node logs when it listens.
 const RUNS: &str = "the node runs";
@@ -131,7 +130,7 @@
 }
 
 fn command(settings: &NodeSettings) -> Result<Command, Failure> {
-    let mut command = Command::new(binary()?);
+    let mut command = Command::new(built_binary()?);
     let any_port = "127.0.0.1:0";
     let seeds: Vec<_> = settings.seeds.iter().map(ToString::to_string).collect();
     command
@@ -153,16 +152,6 @@
     Ok(command)
 }
 
-/// The binary that was built beside this example.
-fn binary() -> Result<PathBuf, Failure> {
-    let example = std::env::current_exe()?;
-    let built = example.parent().and_then(|examples| examples.parent());
-    let binary = built.map(|built| built.join("teaselline"));
-    binary
-        .filter(|binary| binary.is_file())
-        .ok_or(Failure::NoBinary)
-}
-
 fn address(record: &Value, field: &str) -> Result<SocketAddr, Failure> {
     let text = record[field].as_str();
     text.and_then(|text| text.parse().ok())
--- a/tests/support/at_most_once.rs
+++ b/tests/support/at_most_once.rs
@@ -19,13 +19,13 @@
 use tokio::time::Instant;
 use twox_hash::XxHash3_64;
 
-use crate::deployment::url;
-use crate::fleet::{Client, Fleet, FleetSettings};
-use crate::schedules::{DEADLINE_MS, Schedule, WINDOW_MS};
-use crate::storm::{
+use super::deployment::url;
+use super::fleet::{Client, Fleet, FleetSettings};
+use super::schedules::{DEADLINE_MS, Schedule, WINDOW_MS};
+use super::storm::{
     Callers, Content, Manner, PATIENCE_MS, SERVICE_PATH, Seen, Told, Word, send, send_keyed,
 };
-use crate::trial;
+use super::trial;
 
 /// Calls in one schedule.
 const CALLS: usize = 80;
@@ -77,6 +77,7 @@
     #[serde(skip)]
     pub unknowns: Vec<String>,
     /// Messages about what is wrong.
+    #[serde(skip)]
     pub faults: Vec<String>,
 }
 
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -16,9 +16,9 @@
 use teaselline::document::Document;
 use teaselline_stand_ins::site::Site;
 
-use crate::deployment::site_settings;
-use crate::process::{Launch, Process};
-use crate::trial;
+use super::deployment::site_settings;
+use super::process::{Launch, Process};
+use super::trial;
 
 /// How long a fleet may take to be ready on a busy machine.
 const READY_TRIES: u32 = 1_200;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -14,8 +14,8 @@
 use teaselline_stand_ins::proxy::{Direction, ProxySettings, TcpProxy, UdpProxy};
 use teaselline_stand_ins::site::Site;
 
-use crate::deployment::url;
-use crate::trial;
+use super::deployment::url;
+use super::trial;
 
 /// How long a process may take to start on a busy machine.
 const START_PATIENCE: Duration = Duration::from_secs(30);
--- a/tests/support/schedules.rs
+++ b/tests/support/schedules.rs
@@ -12,8 +12,8 @@
 use teaselline_stand_ins::site::Upstream;
 use tokio::time::Instant;
 
-use crate::fleet::Fleet;
-use crate::process::{Cut, Process};
+use super::fleet::Fleet;
+use super::process::{Cut, Process};
 
 /// How long faults begin and calls are made.
 pub const WINDOW_MS: u64 = 5_000;
--- a/tests/support/storm.rs
+++ b/tests/support/storm.rs
@@ -18,8 +18,8 @@
 use tokio::time::Instant;
 use twox_hash::XxHash3_64;
 
-use crate::fleet::{Client, Fleet};
-use crate::trial;
+use super::fleet::{Client, Fleet};
+use super::trial;
 
 /// How long a caller waits for one node.
 pub const PATIENCE_MS: u64 = 4_000;
