test: Measure a move from one provider to another under load

Cause: that callers don't notice a whole move was not measured. Change: experiment migrate makes one change of the document under load; the controller carries it out, against old hosts given back in the moment of the change.

--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -4,6 +4,7 @@
 mod cost;
 mod decisions;
 mod fleet;
+mod migrate;
 mod path;
 mod report;
 
@@ -14,6 +15,7 @@
     config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
+    migrate::EXPERIMENT,
     path::EXPERIMENT,
     path::LATENCY,
     path::THROUGHPUT,
