--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -1,8 +1,11 @@
 //! Runs one model request through its attempts, moves and losses to a whole answer.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Sleep;
+
 use super::core::{Core, Right};
 use super::dispatch::{
     Failed, Tried, chain, delivery, denied, latency_class, no_upstream, past_deadline,
@@ -14,6 +17,7 @@
 use super::{Outcome, Record, Verdict, Work};
 use crate::blackboard::{HostRow, HostState};
 use crate::keys::HostKey;
+use crate::node::messages::Told;
 use crate::reclaim::Progress;
 use crate::retries::{QuarantineAsk, Retry};
 use crate::routing::chain::Chain;
@@ -52,8 +56,10 @@
     record: Arc<Record>,
     right: Right,
 ) -> Option<Outcome> {
+    let left_ms = core.clock.now().until(record.call.deadline_ms);
     let chain = chain(&record);
     let run = Run {
+        deadline: Box::pin(tokio::time::sleep(Duration::from_millis(left_ms))),
         core,
         record,
         right,
@@ -86,6 +92,8 @@
     core: Arc<Core<L>>,
     record: Arc<Record>,
     right: Right,
+    /// One timer for the whole run: setting one for each token costs more than taking the token.
+    deadline: Pin<Box<Sleep>>,
     tried: Tried,
     /// The position up to which the witness has been told.
     told: u64,
@@ -157,14 +165,12 @@
     }
 
     async fn wake(&mut self) -> Wake {
-        let left_ms = self.core.clock.now().until(self.record.call.deadline_ms);
-        let deadline = tokio::time::sleep(Duration::from_millis(left_ms));
         tokio::select! {
             biased;
             order = self.record.next_order() => Wake::Order(order),
             event = next_event(&mut self.next) => Wake::Next(event),
             event = next_event(&mut self.active) => Wake::Active(event),
-            () = deadline => Wake::Deadline,
+            () = &mut self.deadline => Wake::Deadline,
         }
     }
 
@@ -277,22 +283,30 @@
     }
 
     async fn start(&mut self, place: Place, prefill_ms: f64, import: Option<&str>) -> Flow {
+        // Counted before the first pause: calls that arrive together would all choose the host that
+        // none of them has been counted on yet, and wait there while others stand idle.
+        self.core
+            .note_open(place, prefill_ms, self.core.clock.now());
         // Asked once: a witness that is gone by the time a stream moves would have a request refused
         // as not run that has run for long.
         if !self.has_right {
             if let Err(outcome) = self.core.obtain_right(&self.record, self.right).await {
+                self.core.note_close(place, self.core.clock.now());
                 self.record.attempt_not_started(place.attempt);
                 return Flow::End(outcome);
             }
             self.has_right = true;
         }
         self.tell();
-        match self.open(place, prefill_ms, import).await {
+        match self.open(place, import).await {
             Ok(attempt) => {
                 self.active = Some(attempt);
                 Flow::Go
             }
-            Err(error) => self.not_opened(place, error).await,
+            Err(error) => {
+                self.core.note_close(place, self.core.clock.now());
+                self.not_opened(place, error).await
+            }
         }
     }
 
@@ -300,7 +314,6 @@
     async fn open(
         &self,
         place: Place,
-        prefill_ms: f64,
         import: Option<&str>,
     ) -> Result<Attempt<Events<L>>, UpstreamError> {
         let name = self.record.id.attempt(place.attempt);
@@ -309,8 +322,6 @@
             .ok_or(UpstreamError::UnknownAttempt)?;
         let start = StartStream { import, ..start };
         let events = self.core.engines.start(place.address, &start).await?;
-        let now = self.core.clock.now();
-        self.core.note_open(place, prefill_ms, now);
         metrics::counter!("teaselline_attempts_total").increment(1);
         Ok(Attempt {
             place,
@@ -538,9 +549,11 @@
             self.stop_aside(old);
         }
         let place = self.record.begin_attempt(target, address);
-        match self.open(place, 0.0, None).await {
+        self.core.note_open(place, 0.0, self.core.clock.now());
+        match self.open(place, None).await {
             Ok(attempt) => self.next = Some(attempt),
             Err(error) => {
+                self.core.note_close(place, self.core.clock.now());
                 self.core.note_failure(place, &error, self.core.clock.now());
                 self.stay(place);
             }
@@ -817,7 +830,8 @@
     fn tell(&mut self) {
         let from = self.told;
         self.told = self.record.next_position();
-        drop(self.core.tell(&self.record, from, false));
+        let told = Told::Keep(self.record.copy(from));
+        drop(self.core.tell(&self.record.id, told));
     }
 }
 
