--- a/examples/measure/config.rs
+++ b/examples/measure/config.rs
@@ -6,9 +6,9 @@
 //! back from at any time counts as a reversion.
 
 #[path = "../../tests/support/deployment.rs"]
-mod deployment;
+pub mod deployment;
 #[path = "../../tests/support/trial.rs"]
-mod trial;
+pub mod trial;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/examples/measure/migrate.rs
+++ b/examples/measure/migrate.rs
@@ -5,12 +5,8 @@
 //! the rest to the controller; `at once` gives the old hosts back in the moment of the change, as a
 //! script that does not wait for the new hosts would.
 
-#[path = "../../tests/support/deployment.rs"]
-mod deployment;
 #[path = "../../tests/support/load.rs"]
 mod load;
-#[path = "../../tests/support/trial.rs"]
-mod trial;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,8 +21,9 @@
 use teaselline_stand_ins::site::Site;
 use tokio_util::sync::CancellationToken;
 
-use self::deployment::{site_settings, start_nodes, url, wait_until_ready};
 use self::load::{Load, Seen, Tally};
+use super::config::deployment::{site_settings, start_nodes, url, wait_until_ready};
+use super::config::trial;
 use super::report::Line;
 use super::{Arguments, Experiment, Failure};
 
@@ -104,6 +101,7 @@
         .with("lost", sum(|tally| tally.lost))
         .with("wrong", sum(|tally| tally.wrong))
         .with("doubled", sum(|tally| tally.doubled))
+        .with("broken", runs.iter().any(|run| run.tally.is_broken()))
         .with("tokens_recomputed", sum(|tally| tally.tokens_recomputed))
         .with("first_token_target_ms", 500)
         .with_spread(
