--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -7,6 +7,7 @@
 #[path = "../../tests/support/deployment.rs"]
 mod deployment;
 mod fleet;
+mod migrate;
 mod path;
 mod report;
 mod slopes;
@@ -23,6 +24,7 @@
     config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
+    migrate::EXPERIMENT,
     path::EXPERIMENT,
     path::LATENCY,
     path::THROUGHPUT,
