--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -76,18 +76,41 @@
         }
     }
 
-    /// Whether the request may run or have run all the same.
+    /// What is said of runs, of a request that names itself by an id or a key or does not.
     ///
-    /// A late copy of it may still reach its home, or it ran as another team's; a caller who took
-    /// this for `not_run` and sent it under a new id could double it.
-    fn says_nothing_of_runs(self) -> bool {
-        matches!(self, Self::NoSuchRequest | Self::OtherCall)
+    /// One with a name may have come to another node before, which has another document or other
+    /// limits and runs it: `not_run` would have its caller send it again under a new id, and it
+    /// would run twice. Only a call that no node of the fleet takes did certainly not run. Of an id
+    /// that is not known, or is in use, nothing is said: a late copy may still reach its home.
+    fn outcome(self, named: bool) -> Option<&'static str> {
+        match self {
+            Self::NoSuchRequest | Self::OtherCall => None,
+            Self::NoToken
+            | Self::BodyTooLarge
+            | Self::BodyCut
+            | Self::NoSuchTarget
+            | Self::NotConfigured
+                if named =>
+            {
+                Some("unknown")
+            }
+            _ => Some("not_run"),
+        }
     }
 
-    /// The response that says so.
+    /// The response to a request that names itself by an id or a key.
+    pub fn response_to_named(self) -> Response<Body> {
+        self.response_with(self.outcome(true))
+    }
+
+    /// The response to a request without a name, which can have come to this node only.
     pub fn response(self) -> Response<Body> {
+        self.response_with(self.outcome(false))
+    }
+
+    fn response_with(self, outcome: Option<&'static str>) -> Response<Body> {
         let body = RefusalBody {
-            outcome: (!self.says_nothing_of_runs()).then_some("not_run"),
+            outcome,
             reason: self.reason(),
             message: self.to_string(),
             retry_after_ms: (self == Self::NotConfigured).then_some(ASK_AGAIN_MS),
@@ -170,6 +193,7 @@
         Outcome::Unknown(Doubt::HomeGone) => "home_gone",
         Outcome::Unknown(Doubt::NobodyAnswers) => "nobody_answers",
         Outcome::Unknown(Doubt::RecordExpired) => "record_expired",
+        Outcome::Unknown(Doubt::MayRunElsewhere) => "may_run_elsewhere",
         Outcome::Failed(Failure::KillsUpstreams) => "kills_upstreams",
         Outcome::Failed(Failure::Upstream) => "upstream",
         Outcome::Failed(Failure::Deadline) => "deadline",
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,6 +1,9 @@
 //! Wires the parts of one node together and runs it.
 
+mod assemble;
+mod audit;
 pub mod change;
+mod claims;
 mod collect_configuration;
 mod collect_hosts;
 mod collect_load;
@@ -10,6 +13,7 @@
 pub mod links;
 pub mod messages;
 mod moves;
+pub mod placement_control;
 mod run;
 
 use std::net::SocketAddr;
@@ -24,15 +28,21 @@
 pub use directory::Directory;
 use hosts::HostBook;
 pub use links::{NodeLinks, NodePeers};
+use placement_control::PlacementBook;
 pub use run::{RunError, Started, run, start};
 
+use crate::audit::Recorder;
 use crate::document::Document;
+use crate::keys::Incarnation;
 use crate::options::Secret;
 use crate::peers::FleetKey;
+use crate::platform::budget::AppendBudget;
+use crate::platform::claims::Claimer;
 use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::Configuration;
-use crate::platform::follower::Followed;
+use crate::platform::configuration::ConfigurationKeeper;
+use crate::platform::leases::Leases;
 use crate::platform::log::HttpLog;
+use crate::platform::weights::HttpWeightStore;
 use crate::requests::core::Phase;
 use crate::requests::{Core, RequestId, TeamTag};
 use crate::time::TimeMs;
@@ -51,13 +61,25 @@
     /// The nodes that this one knows.
     pub directory: Arc<Directory>,
     /// The configuration, as the log and the peers tell it.
-    pub configuration: Arc<Followed<Configuration<CheckDocument>>>,
+    pub configuration: Arc<ConfigurationKeeper<HttpLog, CheckDocument>>,
     /// The platform's log.
     pub log: Arc<HttpLog>,
+    /// How often this node may append to the log, in all its roles.
+    pub budget: Arc<AppendBudget>,
+    /// Claims callers' idempotency keys.
+    pub claimer: Claimer<HttpLog>,
+    /// Takes entries of the audit trail.
+    pub audit: Recorder,
     /// The platform's host list and cloud API.
     pub cloud: Arc<HttpCloud>,
     /// What the platform said about hosts.
     pub hosts: Mutex<HostBook>,
+    /// The weight store.
+    pub weights: Arc<HttpWeightStore>,
+    /// The leases, of which placement takes one for each failure domain.
+    pub leases: Arc<Leases>,
+    /// What is known for the placement of hosts and models.
+    pub placement: Mutex<PlacementBook>,
     /// Wakes what depends on the document.
     pub revision_changed: Notify,
     /// Wakes what depends on notices.
@@ -107,10 +129,18 @@
     #[must_use]
     pub fn log_silent_ms(&self, now: TimeMs) -> Option<u64> {
         self.configuration
+            .followed()
             .stale_ms(now)
             .filter(|stale_ms| *stale_ms > LOG_SILENT_MS)
     }
 
+    /// The name of a node, or its incarnation if it is not known any more.
+    #[must_use]
+    pub fn name_of(&self, node: Incarnation) -> String {
+        let member = self.directory.get(node);
+        member.map_or_else(|| node.to_string(), |member| member.name)
+    }
+
     /// Callers whose answers are followed from this node.
     #[must_use]
     pub fn open_callers(&self) -> usize {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,44 +2,31 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use miette::Diagnostic;
-use parking_lot::Mutex;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::assemble::{LogTasks, assemble};
 use super::handler::PeerHandler;
-use super::links::{NodeLinks, NodePeers};
 use super::{
-    CheckDocument, Directory, Node, collect_configuration, collect_hosts, collect_load, moves,
+    Directory, Node, collect_configuration, collect_hosts, collect_load, moves, placement_control,
 };
-use crate::blackboard::Blackboard;
-use crate::document::Document;
 use crate::entry::{self, Bounds};
 use crate::keys::Incarnation;
 use crate::membership::{
     Member, MemberLoad, MemberState, Membership, RowTooLarge, Settings as MembershipSettings, View,
 };
 use crate::options::ServeSettings;
-use crate::peers::{Connections, FleetKey, KeyError, Server};
-use crate::platform::cloud::HttpCloud;
-use crate::platform::configuration::{Configuration, STREAM};
-use crate::platform::follower::{Followed, Follower};
-use crate::platform::http::JsonClient;
-use crate::platform::log::HttpLog;
-use crate::requests::Core;
-use crate::requests::core::{Parts, Phase};
-use crate::requests::id::IdKey;
+use crate::peers::{FleetKey, KeyError, Server};
+use crate::requests::core::Phase;
 use crate::requests::suspicion;
 use crate::time::Clock;
-use crate::upstreams::{EngineClient, Patience, ServiceClient};
 
 /// Between two rounds of forgetting what has expired.
 const EXPIRE_INTERVAL_MS: u64 = 5_000;
@@ -151,7 +138,8 @@
     )?;
     let membership = Arc::new(Membership::new(view, clock));
     let directory = Arc::new(Directory::new(Arc::clone(&membership)));
-    let node = Arc::new(assemble(&settings, own, clock, &key, &directory));
+    let (node, log_tasks) = assemble(&settings, own, clock, &key, &directory, &mut rng);
+    let node = Arc::new(node);
     let started = Started {
         caller_address: settings.advertise,
         peer_address: settings.peer_advertise,
@@ -165,7 +153,8 @@
     };
     started.spawn_membership(heartbeats);
     started.spawn_peer_server(peers, key, settings.peer_advertise);
-    started.spawn_collectors(rng);
+    started.spawn_collectors();
+    started.spawn_log_tasks(log_tasks);
     started.spawn_callers(callers, bounds(&settings));
     Ok(started)
 }
@@ -174,6 +163,7 @@
     /// Stops as planned: nothing is cut, what cannot finish in time is handed over.
     pub async fn stop(&self) {
         log::info!("the node is leaving");
+        self.node.record_stop();
         let core = &self.node.core;
         core.advance(Phase::Leaving);
         self.membership.leave();
@@ -258,7 +248,7 @@
             .spawn(async move { server.serve(listener, handler, shutdown).await });
     }
 
-    fn spawn_collectors(&self, rng: SmallRng) {
+    fn spawn_collectors(&self) {
         let node = &self.node;
         let token = || self.shutdown.clone();
         self.tasks
@@ -275,16 +265,28 @@
         self.tasks.spawn(expire(Arc::clone(node), token()));
         self.tasks.spawn(tell_strikes(Arc::clone(node), token()));
         self.tasks.spawn(share_out(Arc::clone(node), token()));
-        let configuration = Arc::clone(&node.configuration);
-        let clock = node.core.clock;
-        let follower = Follower::new(Arc::clone(&node.log), STREAM, configuration, clock, rng);
-        let shutdown = token();
+        let states = placement_control::collect_states(Arc::clone(node), token());
+        self.tasks.spawn(states);
+        let placement = placement_control::control(Arc::clone(node), token());
+        self.tasks.spawn(placement);
+    }
+
+    fn spawn_log_tasks(&self, tasks: LogTasks) {
+        let shutdown = self.shutdown.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = shutdown.cancelled() => {}
+                () = tasks.configuration.run() => {}
+            }
+        });
+        let shutdown = self.shutdown.clone();
         self.tasks.spawn(async move {
             tokio::select! {
                 () = shutdown.cancelled() => {}
-                () = follower.run() => {}
+                () = tasks.leases.run() => {}
             }
         });
+        self.tasks.spawn(tasks.audit.run(self.shutdown.clone()));
     }
 
     fn spawn_callers(&self, listener: TcpListener, bounds: Bounds) {
@@ -311,6 +313,7 @@
 async fn tell_strikes(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
         suspicion::tell_strikes(&node.core).await;
+        node.record_measures();
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(STRIKES_INTERVAL_MS)) => {}
@@ -320,7 +323,9 @@
 
 async fn expire(node: Arc<Node>, shutdown: CancellationToken) {
     loop {
-        node.core.expire(node.core.clock.now());
+        let now = node.core.clock.now();
+        node.core.expire(now);
+        node.claimer.stop_idle(now);
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = tokio::time::sleep(std::time::Duration::from_millis(EXPIRE_INTERVAL_MS)) => {}
@@ -328,43 +333,6 @@
     }
 }
 
-fn assemble(
-    settings: &ServeSettings,
-    own: Incarnation,
-    clock: Clock,
-    key: &FleetKey,
-    directory: &Arc<Directory>,
-) -> Node {
-    let connections = Connections::new(key.clone(), own).with_clock(clock);
-    let core = Core::<NodeLinks>::new(Parts {
-        own,
-        clock,
-        blackboard: Arc::new(Blackboard::default()),
-        engines: EngineClient::new(Patience::default()),
-        services: ServiceClient::new(Patience::default()),
-        peers: Arc::new(NodePeers::new(connections, Arc::clone(directory))),
-        id_key: IdKey::derive(settings.fleet_key.expose_bytes()),
-        fleet_seed: suspicion::fleet_seed(settings.fleet_key.expose_bytes()),
-    });
-    let check: CheckDocument = |text| Document::parse(text).ok();
-    Node {
-        core: Arc::new(core),
-        directory: Arc::clone(directory),
-        configuration: Followed::new(Configuration::new(check)),
-        log: Arc::new(HttpLog::new(JsonClient::new(settings.log_url.clone()))),
-        cloud: Arc::new(HttpCloud::new(JsonClient::new(settings.cloud_url.clone()))),
-        hosts: Mutex::default(),
-        revision_changed: Notify::new(),
-        notices_changed: Notify::new(),
-        members_changed: Notify::new(),
-        callers: std::sync::atomic::AtomicUsize::new(0),
-        key: key.clone(),
-        fleet_secret: settings.fleet_key.clone(),
-        name: settings.name.clone(),
-        metrics: metrics(),
-    }
-}
-
 fn member(own: Incarnation, settings: &ServeSettings) -> Member {
     Member {
         incarnation: own,
@@ -411,18 +379,3 @@
         header_read_timeout_ms: settings.header_read_timeout_ms,
     }
 }
-
-/// The process's metrics; several nodes in one process share them.
-fn metrics() -> PrometheusHandle {
-    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
-    let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
-        let handle = recorder.handle();
-        // Another recorder may have been installed by a program that embeds the node.
-        if metrics::set_global_recorder(recorder).is_err() {
-            log::info!("the process has a metrics recorder already");
-        }
-        handle
-    };
-    HANDLE.get_or_init(install).clone()
-}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,9 +16,12 @@
 #[path = "../support/trial.rs"]
 mod trial;
 
+mod bodies;
 mod crashes;
 mod ids;
+mod keys;
 mod partitions;
+mod refusals;
 mod resends;
 mod stops;
 
