--- a/src/requests/lanes.rs
+++ b/src/requests/lanes.rs
@@ -195,3 +195,6 @@
     }
     batch
 }
+
+#[cfg(test)]
+mod tests;
