--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -7,8 +7,10 @@
 #[path = "../../tests/support/deployment.rs"]
 mod deployment;
 mod fleet;
+mod migrate;
 mod path;
 mod report;
+mod slopes;
 #[path = "../../tests/support/trial.rs"]
 mod trial;
 
@@ -22,10 +24,12 @@
     config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
+    migrate::EXPERIMENT,
     path::EXPERIMENT,
     path::LATENCY,
     path::THROUGHPUT,
     path::MEMORY,
+    slopes::EXPERIMENT,
 ];
 
 /// One experiment.
