--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -5,6 +5,8 @@
 #[path = "support/deployment.rs"]
 #[expect(dead_code, reason = "these trials start their nodes one by one")]
 mod deployment;
+#[path = "support/load.rs"]
+mod load;
 #[path = "support/trial.rs"]
 mod trial;
 
@@ -14,5 +16,7 @@
 mod leases;
 #[path = "placement/levels.rs"]
 mod levels;
+#[path = "placement/moves.rs"]
+mod moves;
 #[path = "placement/site.rs"]
 mod site;
