--- a/src/node/placement_control/book.rs
+++ b/src/node/placement_control/book.rs
@@ -140,3 +140,6 @@
             .map(|(news, _)| news)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/placement_control/demand.rs
+++ b/src/node/placement_control/demand.rs
@@ -196,3 +196,6 @@
 pub(super) fn is_leaving(row: &HostRow) -> bool {
     matches!(row.state, HostState::Leaving { .. })
 }
+
+#[cfg(test)]
+mod tests;
