--- a/examples/measure/migrate.rs
+++ b/examples/measure/migrate.rs
@@ -22,9 +22,9 @@
 use tokio_util::sync::CancellationToken;
 
 use self::load::{Load, Seen, Tally};
-use super::config::deployment::{site_settings, start_nodes, url, wait_until_ready};
-use super::config::trial;
+use super::deployment::{site_settings, start_nodes, url, wait_until_ready};
 use super::report::Line;
+use super::trial;
 use super::{Arguments, Experiment, Failure};
 
 /// The experiment.
--- a/src/requests/keyed.rs
+++ b/src/requests/keyed.rs
@@ -101,38 +101,34 @@
         let in_time = self.clock.now().since(id.issued_at_ms) < START_WITHIN_MS;
         match claimed {
             Ok(ClaimOutcome::Won) if in_time => self.start_claimed(id, call),
-            Ok(ClaimOutcome::Won) => self.rule_out_claim(id, call, Reason::IdExpired),
+            Ok(ClaimOutcome::Won) => self.rule_out(id, call, Reason::IdExpired),
             Ok(ClaimOutcome::Lost { winner }) => match winner.parse() {
                 Ok(winner) if self.verifies(&winner, &call.team) => Claimed::Lost(winner),
                 _ => Claimed::Unknown(id, Doubt::NobodyAnswers),
             },
             Err(error) if error.is_not_taken() => Claimed::NotRun(id, refusal(&error)),
-            Err(_) => self.rule_out_claim(id, call, Reason::LogUnavailable),
+            Err(_) => self.rule_out(id, call, Reason::LogUnavailable),
         }
     }
 
     fn start_claimed(self: &Arc<Self>, id: RequestId, call: &Call) -> Claimed {
-        // If this node has left, the asker finds the heir, who starts the call.
-        if self.phase() == Phase::Left {
-            return Claimed::Won(id);
-        }
         match self.enter(id, call, Right::Home) {
-            // Whoever lost against this id may have brought its call first, or another one.
-            // If this node has just left, the asker finds the heir, who starts the call.
+            // Whoever lost against this id may have brought its call first, or another one. If this
+            // node has left, the asker finds the heir, who starts the call.
             Entry::New(_) | Entry::Known(_) | Entry::OtherCall | Entry::Closed => Claimed::Won(id),
             Entry::Expired => Claimed::NotRun(id, not_run(Reason::IdExpired, RETRY_SOON_MS)),
         }
     }
 
     /// Makes sure that an id never runs, unless it does already.
-    fn rule_out_claim(&self, id: RequestId, call: &Call, reason: Reason) -> Claimed {
-        if self.phase() == Phase::Left {
-            return Claimed::Unknown(id, Doubt::HomeGone);
-        }
+    fn rule_out(&self, id: RequestId, call: &Call, reason: Reason) -> Claimed {
         let never = not_run(reason, LOG_RETRY_MS);
         let record = Record::new(id, call.clone());
         record.end(Outcome::NotRun(never), self.clock.now());
         match self.records.adopt(record) {
+            // Asked after it is in the table: a node that leaves looks there once it has said so,
+            // and hands the record over unless it looked before.
+            _ if self.phase() == Phase::Left => Claimed::Unknown(id, Doubt::HomeGone),
             (_, true) => Claimed::NotRun(id, never),
             // Whoever lost against it has brought its call, and it runs.
             (_, false) => Claimed::Won(id),
