--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -7,10 +7,14 @@
 #[path = "../../tests/support/deployment.rs"]
 mod deployment;
 mod fleet;
+mod killer;
 mod migrate;
+mod overload;
 mod path;
 mod report;
+mod retry_storm;
 mod slopes;
+mod storms;
 #[path = "../../tests/support/trial.rs"]
 mod trial;
 
@@ -24,6 +28,9 @@
     config::EXPERIMENT,
     cost::EXPERIMENT,
     decisions::EXPERIMENT,
+    killer::EXPERIMENT,
+    overload::EXPERIMENT,
+    retry_storm::EXPERIMENT,
     migrate::EXPERIMENT,
     path::EXPERIMENT,
     path::LATENCY,
--- a/src/client/policy.rs
+++ b/src/client/policy.rs
@@ -166,7 +166,7 @@
 /// How far a call has come.
 #[expect(
     clippy::struct_excessive_bools,
-    reason = "four facts that each may hold without the others"
+    reason = "facts that each may hold without the others"
 )]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
@@ -175,6 +175,8 @@
     resumes_only: bool,
     sent: bool,
     accepted: bool,
+    /// Whether part of the answer has come.
+    heard: bool,
     failures: u32,
     resends: u32,
     unknown_asks: u32,
@@ -190,6 +192,7 @@
             resumes_only: false,
             sent: false,
             accepted: false,
+            heard: false,
             failures: 0,
             resends: 0,
             unknown_asks: 0,
@@ -233,6 +236,16 @@
             Event::Refused(refusal) if refusal.outcome == RefusalOutcome::Unknown => {
                 self.accepted = true;
                 self.unknown_asks += 1;
+                if matches!(
+                    step,
+                    Step::Try {
+                        what: Attempt::Send,
+                        ..
+                    }
+                ) {
+                    self.resends += 1;
+                    self.unknown_asks = 0;
+                }
             }
             _ => {}
         }
@@ -253,6 +266,7 @@
 
     /// Notes that something new of the answer came.
     pub fn note_news(&mut self) {
+        self.heard = true;
         self.failures = 0;
         self.unknown_asks = 0;
     }
@@ -300,7 +314,8 @@
     let limits = &progress.limits;
     let may_send = !late && !progress.resumes_only && progress.resends < limits.resends;
     match refusal.outcome {
-        RefusalOutcome::NotRun if may_send => Step::Try {
+        // Another id is another answer: its tokens do not go on from those that have come.
+        RefusalOutcome::NotRun if may_send && !progress.heard => Step::Try {
             what: Attempt::SendUnderNewId,
             pause_ms: jittered(asked_pause_ms(refusal.retry_after_ms, FIRST_PAUSE_MS), rng),
         },
@@ -309,7 +324,11 @@
             pause_ms: asked_pause_ms(refusal.retry_after_ms, UNKNOWN_PAUSE_MS),
         },
         RefusalOutcome::Unknown if may_send && progress.repeatable => Step::Try {
-            what: Attempt::SendUnderNewId,
+            what: if progress.heard {
+                Attempt::Send
+            } else {
+                Attempt::SendUnderNewId
+            },
             pause_ms: jittered(FIRST_PAUSE_MS, rng),
         },
         _ => Step::End(End::Refused(refusal.clone())),
--- a/src/client/policy/tests.rs
+++ b/src/client/policy/tests.rs
@@ -170,3 +170,30 @@
         );
     }
 }
+
+#[test]
+fn a_call_of_which_tokens_have_come_keeps_its_id() {
+    // Symptom: an answer that begins with two tokens of another one.
+    // Sequence: tokens of a stream come; its home dies and the outcome is unknown; the caller sends
+    // the repeatable call under a new id and goes on from the position reached.
+    // Cause: another id is sampled with another seed, so its answer does not go on from there.
+    let mut progress = Progress::new(LIMITS, true);
+    progress.note_news();
+    let mut resends = 0;
+    loop {
+        match next(&mut progress, &refused(RefusalOutcome::Unknown, None)) {
+            Step::Try {
+                what: Attempt::Send,
+                ..
+            } => resends += 1,
+            Step::Try { what, .. } => assert_eq!(what, Attempt::Resume),
+            Step::End(end) => {
+                assert!(matches!(end, End::Refused(_)), "{end:?}");
+                break;
+            }
+        }
+    }
+    assert_eq!(resends, LIMITS.resends);
+    let step = next(&mut progress, &refused(RefusalOutcome::NotRun, None));
+    assert!(matches!(step, Step::End(_)), "{step:?}");
+}
