--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -8,6 +8,8 @@
 use super::Node;
 use super::messages::{Reply, Request};
 use crate::blackboard::InForce;
+use crate::keys::Incarnation;
+use crate::membership::Member;
 use crate::platform::configuration::Snapshot;
 use crate::requests::links::Peers;
 
@@ -16,6 +18,12 @@
 /// The log and the peers' pushes bring revisions at once; asking repairs what both have missed.
 const ASK_INTERVAL_MS: u64 = 2_000;
 
+/// Up to so many other nodes, a revision is handed to all of them.
+const SMALL_FLEET: usize = 12;
+
+/// Nodes of a larger fleet to which each node hands a revision.
+const HANDED_TO: usize = 3;
+
 /// Puts in force what the log or a peer brings, until `shutdown`.
 pub(super) async fn follow(node: Arc<Node>, shutdown: CancellationToken) {
     let mut revision = node.configuration.watch_revision();
@@ -66,7 +74,7 @@
     let Some(snapshot) = node.configuration.followed().with(|fold| fold.snapshot()) else {
         return;
     };
-    for member in node.directory.others() {
+    for member in chosen(node.core.own, snapshot.revision, node.directory.others()) {
         let (node, snapshot) = (Arc::clone(node), snapshot.clone());
         tokio::spawn(async move {
             // A peer that does not answer asks later, or reads the log.
@@ -80,6 +88,24 @@
     }
 }
 
+/// The peers to hand a revision to: all of a small fleet, else a few that differ from node to node.
+///
+/// Each node that learns of a revision hands it on once. Were each to tell all, a change would cost
+/// the square of the fleet in documents; told to three, it still reaches all in a few rounds, and
+/// nodes that are missed read the log or ask.
+fn chosen(own: Incarnation, revision: u64, mut others: Vec<Member>) -> Vec<Member> {
+    if others.len() > SMALL_FLEET {
+        others.sort_by_cached_key(|member| {
+            let pair = [own.0, member.incarnation.0, revision]
+                .map(u64::to_be_bytes)
+                .concat();
+            twox_hash::XxHash3_64::oneshot(&pair)
+        });
+        others.truncate(HANDED_TO);
+    }
+    others
+}
+
 impl Node {
     /// The revision in force on this node, 0 if there is none.
     #[must_use]
@@ -99,9 +125,9 @@
     }
 
     /// Takes a snapshot that a peer hands over.
-    pub(super) fn adopt_configuration(&self, snapshot: &Snapshot) {
-        if self.configuration.adopt(snapshot) {
-            self.bring_into_force();
+    pub(super) fn adopt_configuration(self: &Arc<Self>, snapshot: &Snapshot) {
+        if self.configuration.adopt(snapshot) && self.bring_into_force() {
+            push(self);
         }
     }
 
@@ -128,3 +154,6 @@
         newer
     }
 }
+
+#[cfg(test)]
+mod tests;
