feature: Count what control sends and receives

Cause: a node may spend 19 KB a second on control, and only heartbeats and messages between nodes were counted, without what HTTP/2 adds. Change: bytes and calls to the platform and the engines by call, bytes on the peers' wires, messages by kind and datagrams are metrics.

--- a/src/membership/shell.rs
+++ b/src/membership/shell.rs
@@ -119,10 +119,13 @@
 }
 
 async fn send(socket: &UdpSocket, datagrams: &[Datagram]) {
-    let mut sent_bytes = 0;
+    let (mut sent_bytes, mut sent_datagrams) = (0, 0);
     for datagram in datagrams {
         match socket.send_to(&datagram.bytes, datagram.to).await {
-            Ok(bytes) => sent_bytes += bytes as u64,
+            Ok(bytes) => {
+                sent_bytes += bytes as u64;
+                sent_datagrams += 1;
+            }
             // The next heartbeat is the retry.
             Err(error) => {
                 log::debug!(to:% = datagram.to, cause:err = error; "a datagram is not sent");
@@ -130,6 +133,7 @@
         }
     }
     metrics::counter!("teaselline_membership_sent_bytes_total").increment(sent_bytes);
+    metrics::counter!("teaselline_membership_sent_datagrams_total").increment(sent_datagrams);
 }
 
 #[cfg(test)]
--- a/src/peers/link.rs
+++ b/src/peers/link.rs
@@ -164,6 +164,8 @@
     socket: T,
     life: Arc<Life>,
     traffic: Arc<Traffic>,
+    sent_metric: metrics::Counter,
+    received_metric: metrics::Counter,
 }
 
 impl<T> Metered<T> {
@@ -173,6 +175,8 @@
             socket,
             life,
             traffic,
+            sent_metric: metrics::counter!("teaselline_peer_wire_sent_bytes_total"),
+            received_metric: metrics::counter!("teaselline_peer_wire_received_bytes_total"),
         }
     }
 
@@ -180,6 +184,7 @@
         if let Poll::Ready(Ok(bytes)) = written {
             let counter = &self.traffic.wire_sent_bytes;
             counter.fetch_add(*bytes as u64, Relaxed);
+            self.sent_metric.increment(*bytes as u64);
         }
     }
 }
@@ -196,6 +201,7 @@
         if bytes > 0 {
             let counter = &self.traffic.wire_received_bytes;
             counter.fetch_add(bytes as u64, Relaxed);
+            self.received_metric.increment(bytes as u64);
             let now_ms = self.life.now_ms().max(NEVER + 1);
             self.life.heard_ms.store(now_ms, Relaxed);
         }
--- a/src/peers/traffic.rs
+++ b/src/peers/traffic.rs
@@ -33,6 +33,7 @@
     pub sent_bytes: AtomicU64,
     /// Bytes of messages received.
     pub received_bytes: AtomicU64,
+    sent_messages_metric: Counter,
     sent_metric: Counter,
     received_metric: Counter,
 }
@@ -73,6 +74,10 @@
             received_messages: AtomicU64::new(0),
             sent_bytes: AtomicU64::new(0),
             received_bytes: AtomicU64::new(0),
+            sent_messages_metric: metrics::counter!(
+                "teaselline_peer_sent_messages_total",
+                "kind" => kind
+            ),
             sent_metric: metrics::counter!("teaselline_peer_sent_bytes_total", "kind" => kind),
             received_metric: metrics::counter!(
                 "teaselline_peer_received_bytes_total",
@@ -84,6 +89,7 @@
     pub(super) fn sent(&self, messages: usize, bytes: usize) {
         self.sent_messages.fetch_add(messages as u64, Relaxed);
         self.sent_bytes.fetch_add(bytes as u64, Relaxed);
+        self.sent_messages_metric.increment(messages as u64);
         self.sent_metric.increment(bytes as u64);
     }
 
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -16,6 +16,8 @@
 use serde::de::DeserializeOwned;
 use url::Url;
 
+use crate::telemetry::control::{self, Side};
+
 #[cfg(test)]
 mod tests;
 
@@ -227,12 +229,14 @@
     }
 
     async fn exchange(&self, method: Method, url: &Url, body: Bytes) -> Result<Bytes, CallError> {
+        let body_bytes = body.len();
         let request = Request::builder()
             .method(method)
             .uri(url.as_str())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
             .expect("a parsed URL is a URI");
+        let call = control::count_request(Side::Platform, &request, body_bytes);
         let answer = self.client.request(request).await.map_err(|source| {
             if source.is_connect() {
                 let peer = self.peer.clone();
@@ -241,7 +245,10 @@
             self.lost(LostCause::Connection(source))
         })?;
         let status = answer.status();
+        let head_bytes = control::head_bytes(&answer);
         let body = self.body(answer.into_body()).await;
+        let body_bytes = body.as_ref().map_or(0, Bytes::len);
+        control::count_answer(Side::Platform, call, head_bytes + body_bytes);
         match body {
             _ if !status.is_success() => Err(self.refused(status, &body.unwrap_or_default())),
             body => body,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Logs and metrics.
 
+pub mod control;
 mod logging;
 
 pub use logging::init_logging;
--- a/src/upstreams/engine.rs
+++ b/src/upstreams/engine.rs
@@ -12,6 +12,7 @@
 use super::http::{HttpClient, request};
 use super::wire::{CacheEvents, EngineState, Export, Import, Load, Order, StartStream};
 use super::{Delivery, Engines, Events, Patience};
+use crate::telemetry::control::{self, Side};
 
 /// Calls model engines over HTTP.
 #[derive(Clone, Debug)]
@@ -74,14 +75,19 @@
         path: &str,
         body: Bytes,
     ) -> Result<Bytes, UpstreamError> {
+        let body_bytes = body.len();
         let request = request(method, address, path, body)?;
+        let call = control::count_request(Side::Engine, &request, body_bytes);
         let patience = self.http.patience;
         let sent = self
             .http
             .send(address, request, Delivery::Repeatable, patience.answer_ms);
         let response = sent.await?;
         if response.status().is_success() {
-            return self.http.collect(response).await.map(|(_, body)| body);
+            let head_bytes = control::head_bytes(&response);
+            let (_, body) = self.http.collect(response).await?;
+            control::count_answer(Side::Engine, call, head_bytes + body.len());
+            return Ok(body);
         }
         Err(self.refusal(response).await)
     }
