perf: Keep starting hosts through a wave, foresee the horizon's spread, pace loads by the store

Cause: a wave took 10 minutes to make up for, since hosts that were starting were given back for others that a refusal made look cheaper; demand rose past the forecast, whose level lagged by half its window; loads were paced by what was open rather than by the store's rate. Change: a starting host is given back only if what serves is enough for longer; one start is tried after a refusal and the mix buys the rest elsewhere; level and spread are those of the horizon; loads under way are worked off at the store's rate. One mix instead of two decides on surplus.

--- a/examples/measure/cost.rs
+++ b/examples/measure/cost.rs
@@ -79,6 +79,14 @@
         line(&scale, "hindsight_bound", arguments)
             .with_spread("cost_per_1k_answered", &quotients(&bounds, &answered))
             .print()?;
+        let whole: Vec<f64> = days
+            .iter()
+            .map(|day| bound::cost_of_whole_hosts(&document, day))
+            .collect();
+        line(&scale, "hindsight_whole_hosts", arguments)
+            .with_spread("cost_per_1k_answered", &quotients(&whole, &answered))
+            .with_spread("cost_to_bound", &quotients(&whole, &bounds))
+            .print()?;
         for (side, name) in SIDES {
             let outcomes: Vec<Outcome> = days
                 .iter()
--- a/examples/measure/cost/bound.rs
+++ b/examples/measure/cost/bound.rs
@@ -8,11 +8,44 @@
 
 use teaselline::document::Document;
 use teaselline::placement::Settings;
+use teaselline::placement::mix::{self, Need};
 
-use super::day::{Day, STEP_SECONDS, steps};
+use super::day::{Day, minutes};
 
 const SEARCH_STEPS: u32 = 30;
 
+/// The cost of the best mixes of whole hosts that are found, step by step, as if hosts could be
+/// bought and given back at once. It shows what of the distance to the bound is rounding.
+pub fn cost_of_whole_hosts(document: &Document, day: &Day) -> f64 {
+    let settings = Settings::default();
+    let need = Need {
+        after_loss: 1.0,
+        on_demand: settings.on_demand_part_min,
+        stay_discount: 0.0,
+    };
+    let costs = minutes().map(|at| {
+        let offers = day.prices(at).iter().map(|price| {
+            let class = document.host_class(price.class);
+            let slots = f64::from(class.slots) * settings.utilisation_max;
+            mix::Offer {
+                domain: price.domain,
+                class: price.class,
+                price_per_hour: price.price_per_hour,
+                capacity: slots / day.streams(at),
+                reclaimable: class.reclaimable,
+                held: 0,
+                limit: u32::MAX,
+            }
+        });
+        let offers: Vec<mix::Offer> = offers.collect();
+        let hosts = mix::cheapest(&offers, &need).hosts;
+        let paid = offers.iter().zip(hosts);
+        let paid = paid.map(|(offer, hosts)| offer.price_per_hour * f64::from(hosts));
+        paid.sum::<f64>() / 60.0
+    });
+    costs.sum()
+}
+
 struct Offer {
     domain: usize,
     on_demand: bool,
@@ -21,8 +54,7 @@
 
 /// The bound for the day that counts.
 pub fn cost(document: &Document, day: &Day) -> f64 {
-    let steps = steps();
-    let costs = steps.map(|at| {
+    let costs = minutes().map(|at| {
         let offers: Vec<Offer> = day
             .prices(at)
             .iter()
@@ -38,8 +70,7 @@
         let settings = Settings::default();
         let streams = day.streams(at) / settings.utilisation_max;
         let on_demand = streams * settings.on_demand_part_min;
-        per_hour(&offers, document.failure_domains.len(), streams, on_demand) * STEP_SECONDS
-            / 3_600.0
+        per_hour(&offers, document.failure_domains.len(), streams, on_demand) / 60.0
     });
     costs.sum()
 }
--- a/examples/measure/cost/cloud.rs
+++ b/examples/measure/cost/cloud.rs
@@ -31,13 +31,13 @@
 const DRAIN_MS: u64 = 2 * MINUTE_MS;
 
 /// How often a policy decides.
-const DECIDE_MS: u64 = 30_000;
+const DECIDE_MS: u64 = 15_000;
 
 /// Until a host bought now serves, and two decisions.
 const LEAD_MS: u64 = START_MS + LOAD_MS + 2 * DECIDE_MS;
 
 /// How long a policy looks back and ahead before it gives a host back.
-const KEEP_MS: u64 = 15 * MINUTE_MS;
+const KEEP_MS: u64 = 5 * MINUTE_MS;
 
 const WEIGHTS_BYTES_PER_SECOND: f64 = 50e9;
 
@@ -409,7 +409,7 @@
     let model = machine.load_at_ms.map(|_| LoadedModel {
         version,
         model: Some(ModelKey(0)),
-        loading: !machine.is_loaded(now),
+        loading_since_ms: machine.load_at_ms.filter(|_| !machine.is_loaded(now)),
     });
     Host {
         host: machine.host,
--- a/examples/measure/cost/day.rs
+++ b/examples/measure/cost/day.rs
@@ -90,6 +90,11 @@
     all_steps().filter(|at| counts(*at))
 }
 
+/// Minutes of the day that counts; load and prices change with them.
+pub fn minutes() -> impl Iterator<Item = TimeMs> {
+    steps().filter(|at| at.0.is_multiple_of(MINUTE_MS))
+}
+
 /// Steps of both days.
 pub fn all_steps() -> impl Iterator<Item = TimeMs> {
     (0..2 * DAY_MS / STEP_MS).map(|step| TimeMs(step * STEP_MS))
--- a/examples/measure/decisions/fleet.rs
+++ b/examples/measure/decisions/fleet.rs
@@ -127,7 +127,7 @@
                 models: vec![LoadedModel {
                     version: ModelVersion::of("model", "1"),
                     model: Some(ModelKey(0)),
-                    loading: false,
+                    loading_since_ms: None,
                 }],
                 role: Some(Role::Interactive),
             });
--- a/src/placement/forecast.rs
+++ b/src/placement/forecast.rs
@@ -24,7 +24,7 @@
 const RECENT_MS: u64 = 1_800_000;
 
 /// The newest samples that make the present level.
-const LEVEL_MS: u64 = 300_000;
+const LEVEL_MS: u64 = 120_000;
 
 /// Growth that a trend is believed at most.
 const TREND_MAX: f64 = 1.5;
@@ -32,9 +32,8 @@
 /// Steps in which the time ahead is looked at.
 const STEP_MS: u64 = 300_000;
 
-/// What 95 in 100 normal samples stay below, above their mean: 1.645 standard deviations, where
-/// the median step between two samples is 0.954 of one.
-const SPREAD_PER_STEP: f64 = 1.645 / 0.954;
+/// What 95 in 100 normal values stay below, by the median of their distance from the middle.
+const SPREAD_PER_MEDIAN: f64 = 1.645 / 0.6745;
 
 /// What of a rise is foreseen at least, as a part of the level.
 const MARGIN_MIN: f64 = 0.02;
@@ -95,7 +94,7 @@
         let steps = (0..=ahead_ms.div_ceil(STEP_MS)).map(|step| (step * STEP_MS).min(ahead_ms));
         let growth = steps.map(|ms| self.growth(level.streams, ms, now));
         let growth = growth.fold(1.0, f64::max);
-        let ahead = level.scaled(growth * (1.0 + self.spread(now)));
+        let ahead = level.scaled(growth * (1.0 + self.spread(ahead_ms, now)));
         let window = LEVEL_MS.min(back_ms);
         let backs = (0..=back_ms / LEVEL_MS.max(1)).map(|step| step * LEVEL_MS);
         let past = backs
@@ -114,11 +113,14 @@
     }
 
     /// Demand in `ahead_ms`, as a multiple of the present level.
+    ///
+    /// The level is that of the middle of its window, which the demand has left behind by now.
     fn growth(&self, level: f64, ahead_ms: u64, now: TimeMs) -> f64 {
+        let middle = TimeMs(now.0.saturating_sub(LEVEL_MS / 2));
         let then = self.shape(now.after(ahead_ms));
-        match (self.shape(now), then) {
+        match (self.shape(middle), then) {
             (Some(present), Some(then)) if present > 0.0 => then / present,
-            _ => self.trend(level, ahead_ms, now),
+            _ => self.trend(level, ahead_ms + LEVEL_MS / 2, now),
         }
     }
 
@@ -145,21 +147,26 @@
         (1.0 + rise / level * float(ahead_ms) / passed_ms).clamp(1.0, TREND_MAX)
     }
 
-    /// What samples rise above the level, as a part of it.
+    /// What demand rises above its course in `ahead_ms`, as a part of the level.
     ///
-    /// Steps between samples rather than the samples, so that a steady rise is no spread, and their
-    /// median, so that one jump is none.
-    fn spread(&self, now: TimeMs) -> f64 {
-        let newest = self.recent.iter();
-        let newest = newest.filter(|sample| now.since(sample.at_ms) < LEVEL_MS * 3);
-        let newest: Vec<f64> = newest.map(|sample| sample.demand.streams).collect();
-        let level = newest.iter().sum::<f64>() / float(len(&newest).max(1));
-        let steps = newest.windows(2).map(|pair| (pair[1] - pair[0]).abs());
-        let mut steps: Vec<f64> = steps.collect();
-        steps.sort_by(f64::total_cmp);
-        match steps.get(steps.len() / 2) {
-            Some(step) if level > 0.0 => (step * SPREAD_PER_STEP / level).max(MARGIN_MIN),
-            _ => MARGIN_MIN,
+    /// Taken from how far the samples moved in as long, less the middle of these moves, so that a
+    /// steady rise is no spread, and by medians, so that one jump is none.
+    fn spread(&self, ahead_ms: u64, now: TimeMs) -> f64 {
+        let samples: Vec<f64> = self.recent.iter().map(|s| s.demand.streams).collect();
+        let passed_ms = self
+            .recent
+            .front()
+            .map_or(0, |first| now.since(first.at_ms));
+        let lag = lag(samples.len(), ahead_ms, passed_ms);
+        let level = samples.iter().sum::<f64>() / float(len(&samples).max(1));
+        let later = samples.iter().skip(lag);
+        let moves: Vec<f64> = later.zip(&samples).map(|(to, from)| to - from).collect();
+        let course = median(moves.clone());
+        let off_course = moves.iter().map(|by| (by - course).abs()).collect();
+        if level > 0.0 {
+            (median(off_course) * SPREAD_PER_MEDIAN / level).max(MARGIN_MIN)
+        } else {
+            MARGIN_MIN
         }
     }
 }
@@ -189,6 +196,19 @@
     usize::try_from(time.0 % DAY_MS / PIECE_MS).unwrap_or(0) % PIECES
 }
 
+/// Samples that `ahead_ms` spans, but at most half of those there are.
+fn lag(samples: usize, ahead_ms: u64, passed_ms: u64) -> usize {
+    let steps = u64::try_from(samples.saturating_sub(1)).unwrap_or(u64::MAX);
+    let spanned = (steps * ahead_ms).checked_div(passed_ms).unwrap_or(0);
+    let spanned = spanned.clamp(1, (steps / 2).max(1));
+    usize::try_from(spanned).unwrap_or(usize::MAX)
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
+
 fn len(samples: &[f64]) -> u64 {
     u64::try_from(samples.len()).unwrap_or(u64::MAX)
 }
--- a/src/placement/hosts.rs
+++ b/src/placement/hosts.rs
@@ -3,7 +3,7 @@
 use super::mix::{Capacity, Mix, cheapest};
 use super::order::Order;
 use super::purchase::PurchaseId;
-use super::stock::Stock;
+use super::stock::{Held, Stock};
 use super::view::{Demand, Host, PlacementView, Stage};
 use crate::document::checked::Pool;
 use crate::keys::{ClassKey, DomainKey};
@@ -13,7 +13,7 @@
 const ASK_AGAIN_MS: u64 = 2_000;
 
 /// Starts of one class in one failure domain that are asked for at once.
-const STARTS_AT_ONCE: u32 = 16;
+const STARTS_AT_ONCE: u32 = 32;
 
 /// Part of a pool's hosts that are drained at once, as one in so many.
 const DRAINING_DIVISOR: usize = 10;
@@ -81,68 +81,57 @@
 #[derive(Debug)]
 struct Wanted {
     /// By failure domain and class, to be ready until a host bought now serves.
-    lead: Vec<(DomainKey, ClassKey, u32)>,
-    /// The same for a longer while.
-    keep: Vec<(DomainKey, ClassKey, u32)>,
-    /// What the hosts that serve must be able to serve, before one is drained.
+    hosts: Vec<Held>,
+    /// What the hosts that serve must be able to serve: that goes on drains, and that begins one.
     demand: Option<(Demand, Demand)>,
 }
 
 impl Wanted {
     fn of(stock: &Stock<'_>, now: TimeMs) -> Self {
-        if let Some((lead, keep)) = stock.demand.lead.zip(stock.demand.keep) {
-            // Nothing that is to be bought may be surplus at once by the longer view.
-            let keep = lead.larger(&keep);
-            let by_lead = by_mix(stock, &lead, now);
-            Self {
-                keep: if keep == lead {
-                    by_lead.clone()
-                } else {
-                    by_mix(stock, &keep, now)
-                },
-                lead: by_lead,
-                demand: Some((lead, keep)),
-            }
-        } else {
-            let fixed = by_document(stock, now);
-            Self {
-                lead: fixed.clone(),
-                keep: fixed,
-                demand: None,
-            }
+        let demand = stock.demand.lead.zip(stock.demand.keep);
+        // What is bought for the shorter view must not be surplus by the longer one.
+        let demand = demand.map(|(lead, keep)| (lead, lead.larger(&keep)));
+        Self {
+            hosts: match &demand {
+                Some((lead, _)) => by_mix(stock, lead, now),
+                None => by_document(stock, now),
+            },
+            demand,
         }
     }
 
     /// What has to be bought.
-    fn lacking(&self, stock: &Stock<'_>) -> Vec<(DomainKey, ClassKey, u32)> {
-        let lacking = self.lead.iter().map(|(domain, class, wanted)| {
-            let hosts = wanted.saturating_sub(stock.held(*domain, *class));
-            (*domain, *class, hosts)
+    fn lacking(&self, stock: &Stock<'_>) -> Vec<Held> {
+        let lacking = self.hosts.iter().map(|wanted| Held {
+            hosts: wanted
+                .hosts
+                .saturating_sub(stock.held(wanted.domain, wanted.class)),
+            ..*wanted
         });
-        lacking.filter(|(_, _, hosts)| *hosts > 0).collect()
+        lacking.filter(|row| row.hosts > 0).collect()
     }
 
-    /// Hosts of a class in a failure domain that neither view needs.
+    /// Hosts of a class in a failure domain that the mix does not have.
     fn surplus(&self, domain: DomainKey, class: ClassKey, held: u32) -> u32 {
-        let wanted = |mix: &[(DomainKey, ClassKey, u32)]| {
-            let found = mix.iter().find(|row| (row.0, row.1) == (domain, class));
-            found.map_or(0, |row| row.2)
-        };
-        held.saturating_sub(wanted(&self.lead).max(wanted(&self.keep)))
+        let mut rows = self.hosts.iter();
+        let wanted = rows.find(|row| (row.domain, row.class) == (domain, class));
+        held.saturating_sub(wanted.map_or(0, |row| row.hosts))
     }
 }
 
-fn by_mix(stock: &Stock<'_>, demand: &Demand, now: TimeMs) -> Vec<(DomainKey, ClassKey, u32)> {
+fn by_mix(stock: &Stock<'_>, demand: &Demand, now: TimeMs) -> Vec<Held> {
     let offers = stock.offers(demand, now);
     let Mix { hosts, .. } = cheapest(&offers, &stock.need());
-    let wanted = offers.iter().zip(hosts);
-    wanted
-        .map(|(offer, hosts)| (offer.domain, offer.class, hosts))
-        .collect()
+    let wanted = offers.iter().zip(hosts).map(|(offer, hosts)| Held {
+        domain: offer.domain,
+        class: offer.class,
+        hosts,
+    });
+    wanted.collect()
 }
 
 /// The document's counts, each of the cheapest class that can be started, after those held.
-fn by_document(stock: &Stock<'_>, now: TimeMs) -> Vec<(DomainKey, ClassKey, u32)> {
+fn by_document(stock: &Stock<'_>, now: TimeMs) -> Vec<Held> {
     let mut offers = stock.offers(&Demand::default(), now);
     let discount = stock.view.settings.stay_discount;
     let price = |offer: &super::mix::Offer| {
@@ -156,7 +145,11 @@
         let taken = here.scan(u32::from(*count), |left, offer| {
             let hosts = offer.limit.min(*left);
             *left -= hosts;
-            Some((offer.domain, offer.class, hosts))
+            Some(Held {
+                domain: offer.domain,
+                class: offer.class,
+                hosts,
+            })
         });
         taken.collect::<Vec<_>>()
     });
@@ -183,40 +176,30 @@
         }
     }
 
-    fn buy(
-        &mut self,
-        stock: &Stock<'_>,
-        lacking: &[(DomainKey, ClassKey, u32)],
-        orders: &mut Vec<Order>,
-    ) {
-        for (domain, class, hosts) in lacking.iter().filter(|_| self.may_buy) {
-            let starts = (*hosts).min(self.starts_at_once(*domain, *class));
+    fn buy(&mut self, stock: &Stock<'_>, lacking: &[Held], orders: &mut Vec<Order>) {
+        for row in lacking.iter().filter(|_| self.may_buy) {
+            let starts = row.hosts.min(self.starts_at_once(row.domain, row.class));
             for _ in 0..starts {
                 let purchase = PurchaseId {
                     pool: stock.key(),
-                    class: *class,
-                    domain: *domain,
+                    class: row.class,
+                    domain: row.domain,
                     fencing: self.view.lease.fencing,
                     counter: self.counter,
                 };
                 orders.push(Order::Buy { purchase });
                 // Another failure domain's controller has its own lease and counts on its own.
-                self.counter += u32::from(self.view.domains.binary_search(domain).is_ok());
+                self.counter += u32::from(self.view.domains.binary_search(&row.domain).is_ok());
             }
         }
     }
 
-    /// Starts worth asking for now: few after a refusal, and less those not answered yet.
+    /// Starts worth asking for now, less those not answered yet.
     fn starts_at_once(&self, domain: DomainKey, class: ClassKey) -> u32 {
-        let refusals = self.view.refusals;
-        let refused = refusals
-            .binary_search_by_key(&(class, domain), |r| (r.class, r.domain))
-            .is_ok_and(|index| refusals[index].in_a_row > 0);
         let asks = self.view.asks.iter();
         let open = asks.filter(|ask| (ask.id.domain, ask.id.class) == (domain, class));
         let open = u32::try_from(open.count()).unwrap_or(u32::MAX);
-        let at_once = if refused { 1 } else { STARTS_AT_ONCE };
-        at_once.saturating_sub(open)
+        STARTS_AT_ONCE.saturating_sub(open)
     }
 }
 
@@ -228,11 +211,16 @@
     let mut serving = Serving::new(stock, wanted);
     let draining = stock.hosts.iter();
     let draining = draining.filter(|host| matches!(host.stage, Stage::Draining { .. }));
-    let at_once = serving.hosts.div_ceil(DRAINING_DIVISOR);
+    let at_once = stock.hosts.len().div_ceil(DRAINING_DIVISOR);
     let mut left = at_once.saturating_sub(draining.count());
     for host in surplus_hosts(stock, wanted) {
         match host.stage {
-            Stage::Starting { .. } => orders.push(Order::GiveBack { host: host.host }),
+            // The mix changes with each refusal and each swing of the demand. A host that starts
+            // may be surplus by this mix and needed by the next; given back for that, hardly one
+            // would come to serve during a wave.
+            Stage::Starting { .. } if serving.is_enough_for_keep() => {
+                orders.push(Order::GiveBack { host: host.host });
+            }
             Stage::Draining { since_ms } if serving.is_enough_for_lead() => {
                 let empty_at_ms = (host.running == 0).then_some(host.load_as_of_ms);
                 orders.push(if is_drained(stock.view, since_ms, empty_at_ms, now) {
@@ -250,7 +238,7 @@
     }
 }
 
-/// The hosts that are not needed, of each offer those to go first.
+/// The hosts that are not in the mix, those to go first in front: drained ones, then by price.
 fn surplus_hosts<'a>(stock: &Stock<'a>, wanted: &Wanted) -> Vec<&'a Host> {
     let mut hosts = stock.hosts.clone();
     hosts.sort_by_key(|host| {
@@ -264,7 +252,13 @@
         let surplus = usize::try_from(surplus).unwrap_or(usize::MAX);
         hosts.iter().copied().take(surplus)
     });
-    surplus.collect()
+    let mut surplus: Vec<&Host> = surplus.collect();
+    let price = |host: &Host| stock.view.price_per_hour(host.class, host.domain);
+    surplus.sort_by(|a, b| {
+        let rank = drain_rank(a.stage).cmp(&drain_rank(b.stage));
+        rank.then(price(b).total_cmp(&price(a)))
+    });
+    surplus
 }
 
 /// What the hosts that serve now can do.
@@ -273,7 +267,6 @@
     demand: Option<(Demand, Demand)>,
     for_lead: Capacity,
     for_keep: Capacity,
-    hosts: usize,
 }
 
 impl<'a, 'b> Serving<'a, 'b> {
@@ -283,64 +276,60 @@
             demand: wanted.demand,
             for_lead: Capacity::default(),
             for_keep: Capacity::default(),
-            hosts: 0,
         };
         for host in stock.hosts.iter().filter(|host| stock.serves(host)) {
             serving.add(host, 1.0);
-            serving.hosts += 1;
         }
         serving
     }
 
-    /// Whether hosts that drain already are not needed after all; the shorter view counts.
+    /// Whether hosts that drain already are not needed after all.
     fn is_enough_for_lead(&self) -> bool {
-        match self.demand {
-            Some(_) => self.is_enough(&self.for_lead),
-            None => self.hosts >= self.meant(),
-        }
+        self.is_enough(&self.for_lead)
+    }
+
+    /// Whether more than what serves is not needed for longer.
+    fn is_enough_for_keep(&self) -> bool {
+        self.is_enough(&self.for_keep)
     }
 
-    /// Takes a host out if the others are enough for the longer view; tells whether they are.
+    /// Takes a host out if the others are enough for longer; tells whether they are.
     fn give_up(&mut self, host: &Host) -> bool {
         if !self.stock.serves(host) {
-            return self.is_enough_for_lead();
+            return self.is_enough_for_keep();
         }
         self.add(host, -1.0);
-        self.hosts -= 1;
-        let enough = match self.demand {
-            Some(_) => self.is_enough(&self.for_keep),
-            None => self.hosts >= self.meant(),
-        };
+        let enough = self.is_enough_for_keep();
         if !enough {
             self.add(host, 1.0);
-            self.hosts += 1;
         }
         enough
     }
 
     fn add(&mut self, host: &Host, sign: f64) {
-        if let Some((lead, keep)) = &self.demand {
-            let part = self.stock.capacity_of(host, lead);
-            self.for_lead.add(host.domain, sign * part);
-            let part = self.stock.capacity_of(host, keep);
-            self.for_keep.add(host.domain, sign * part);
-        }
+        // Without a forecast hosts are counted.
+        let parts = self.demand.map_or((1.0, 1.0), |(lead, keep)| {
+            let part_of = |demand| self.stock.capacity_of(host, demand);
+            (part_of(&lead), part_of(&keep))
+        });
+        self.for_lead.add(host.domain, sign * parts.0);
+        self.for_keep.add(host.domain, sign * parts.1);
     }
 
     /// Whether the demand is served, after a loss too where the pool has several failure domains.
     fn is_enough(&self, capacity: &Capacity) -> bool {
-        let served = if self.stock.pool.hosts.len() > 1 {
-            capacity.after_worst_loss()
-        } else {
-            capacity.total()
+        let (served, needed) = match self.demand {
+            None => (capacity.total(), self.meant()),
+            Some(_) if self.stock.pool.hosts.len() > 1 => (capacity.after_worst_loss(), 1.0),
+            Some(_) => (capacity.total(), 1.0),
         };
-        served >= 1.0 - ROUNDING
+        served >= needed - ROUNDING
     }
 
     /// Hosts that the document means the pool to have.
-    fn meant(&self) -> usize {
+    fn meant(&self) -> f64 {
         let hosts = self.stock.pool.hosts.iter();
-        hosts.map(|(_, count)| usize::from(*count)).sum()
+        hosts.map(|(_, count)| f64::from(*count)).sum()
     }
 }
 
--- a/src/placement/models.rs
+++ b/src/placement/models.rs
@@ -4,7 +4,7 @@
 use super::stock::Stock;
 use super::view::{Host, ModelVersion, PlacementView, Stage};
 use crate::keys::ModelKey;
-use crate::reclaim::rates::{float, whole};
+use crate::reclaim::rates::float;
 use crate::time::TimeMs;
 
 /// How far ahead loads are handed to the weight store.
@@ -79,9 +79,9 @@
 /// Hosts of a pool that load another version of a model that they serve.
 fn rolling_now(stock: &Stock<'_>) -> usize {
     let rolls = |host: &&&Host| {
-        let mut loading = host.models.iter().filter(|model| model.loading);
+        let mut loading = host.models.iter().filter(|model| model.is_loading());
         loading.any(|model| {
-            let mut others = host.models.iter().filter(|other| !other.loading);
+            let mut others = host.models.iter().filter(|other| !other.is_loading());
             others.any(|other| other.model == model.model)
         })
     };
@@ -91,13 +91,13 @@
 /// Versions on a host that can go: of no model of the pool, or followed by the present version.
 fn needless(stock: &Stock<'_>, host: &Host, present: &[ModelVersion]) -> Vec<Order> {
     let wanted = |model: &Option<ModelKey>| model.filter(|m| stock.models().contains(m));
-    let loaded = host.models.iter().filter(|held| !held.loading);
+    let loaded = host.models.iter().filter(|held| !held.is_loading());
     let needless = loaded.filter(|held| match wanted(&held.model) {
         None => true,
         Some(model) => {
             let present = present[model.index()];
             let mut others = host.models.iter();
-            held.version != present && others.any(|o| !o.loading && o.version == present)
+            held.version != present && others.any(|o| !o.is_loading() && o.version == present)
         }
     });
     let orders = needless.map(|held| Order::Unload {
@@ -116,7 +116,7 @@
     let document = stock.view.document;
     let holds = |version: ModelVersion| host.models.iter().any(|held| held.version == version);
     let serves = |model: ModelKey| {
-        let mut loaded = host.models.iter().filter(|held| !held.loading);
+        let mut loaded = host.models.iter().filter(|held| !held.is_loading());
         loaded.any(|held| held.model == Some(model))
     };
     let models = stock.models().iter().copied();
@@ -135,37 +135,54 @@
     missing.collect()
 }
 
-/// What may still be handed to the weight store.
+/// The loads that the weight store has not got to yet.
 struct Pace {
     closed: bool,
-    idle: bool,
-    bytes_left: u64,
+    bytes_per_second: f64,
+    waiting_bytes: f64,
 }
 
 impl Pace {
-    /// Counts what is being loaded against the store's rate.
+    /// Works off the loads under way at the store's rate, in the order that they began.
     ///
     /// Loads beyond the rate would only wait there, each slowed by all others, and after a wave no
-    /// host would serve until nearly all do. A few at a time serve one after the other.
+    /// host would serve until nearly all do. Handed over at the rate, they serve one by one.
     fn new(view: &PlacementView<'_>, hosts: &[(&Stock<'_>, &Host)], now: TimeMs) -> Self {
-        let loading = hosts.iter().flat_map(|(_, host)| &host.models);
-        let loading = loading.filter(|model| model.loading);
-        let loading = loading.filter_map(|held| held.model);
-        let open_bytes: u64 = loading.map(|m| view.document.model(m).weights_bytes).sum();
-        let ahead_bytes = whole(view.weight_store.bytes_per_second * AHEAD_SECONDS);
-        Self {
+        let bytes_per_second = view.weight_store.bytes_per_second;
+        let loads = hosts.iter().flat_map(|(_, host)| &host.models);
+        let loads = loads.filter_map(|held| {
+            let bytes = view.document.model(held.model?).weights_bytes;
+            Some((held.loading_since_ms?, bytes))
+        });
+        let mut loads: Vec<(TimeMs, u64)> = loads.collect();
+        loads.sort_unstable();
+        let mut pace = Self {
             closed: now < view.weight_store.closed_until_ms,
-            idle: open_bytes == 0,
-            bytes_left: ahead_bytes.saturating_sub(open_bytes),
+            bytes_per_second,
+            waiting_bytes: 0.0,
+        };
+        let mut at_ms = TimeMs(0);
+        for (since_ms, bytes) in loads {
+            pace.work_off(since_ms.since(at_ms));
+            pace.waiting_bytes += float(bytes);
+            at_ms = since_ms;
         }
+        pace.work_off(now.since(at_ms));
+        pace
+    }
+
+    fn work_off(&mut self, passed_ms: u64) {
+        let done_bytes = self.bytes_per_second * float(passed_ms) / 1_000.0;
+        self.waiting_bytes = (self.waiting_bytes - done_bytes).max(0.0);
     }
 
-    /// Whether a load fits; one always does while none is under way, however large.
+    /// Whether a load fits; one always does while none waits, however large.
     fn admits(&mut self, bytes: u64) -> bool {
-        let admitted = !self.closed && (self.idle || float(bytes) <= float(self.bytes_left));
+        let with_it = self.waiting_bytes + float(bytes);
+        let fits = with_it <= self.bytes_per_second * AHEAD_SECONDS || self.waiting_bytes <= 0.0;
+        let admitted = fits && !self.closed;
         if admitted {
-            self.idle = false;
-            self.bytes_left = self.bytes_left.saturating_sub(bytes);
+            self.waiting_bytes = with_it;
         }
         admitted
     }
--- a/src/placement/stock.rs
+++ b/src/placement/stock.rs
@@ -77,7 +77,7 @@
     pub(super) fn serves(&self, host: &Host) -> bool {
         let loaded = |model: &ModelKey| {
             let models = host.models.iter();
-            let mut loaded = models.filter(|held| !held.loading);
+            let mut loaded = models.filter(|held| !held.is_loading());
             loaded.any(|held| held.model == Some(*model))
         };
         host.stage == Stage::Live
@@ -98,11 +98,7 @@
     fn offer(&self, domain: DomainKey, class: ClassKey, demand: &Demand, now: TimeMs) -> Offer {
         let row = self.view.document.host_class(class);
         let held = self.held(domain, class);
-        let limit = if self.may_start(domain, class, now) {
-            u32::MAX
-        } else {
-            held
-        };
+        let limit = held.saturating_add(self.starts_max(domain, class, now));
         Offer {
             domain,
             class,
@@ -114,18 +110,25 @@
         }
     }
 
-    /// Whether a start is worth asking for.
+    /// Starts that are worth asking for.
     ///
     /// A class that is being reclaimed in a failure domain is short there. Buying it again would
     /// get hosts that are refused or taken away next; one would see starts and notices follow each
-    /// other. It is left alone while its hosts leave, and after refusals for a growing time.
-    fn may_start(&self, domain: DomainKey, class: ClassKey, now: TimeMs) -> bool {
+    /// other. It is left alone while its hosts leave, and after refusals for a growing time. Then
+    /// one start is tried, so that the mix counts on no more before one has succeeded.
+    fn starts_max(&self, domain: DomainKey, class: ClassKey, now: TimeMs) -> u32 {
         let refusals = self.view.refusals;
-        let refusal = refusals.binary_search_by_key(&(class, domain), |r| (r.class, r.domain));
-        let refused = refusal.is_ok_and(|index| now < refusals[index].again_at_ms());
+        let refusal = refusals
+            .binary_search_by_key(&(class, domain), |r| (r.class, r.domain))
+            .map(|index| refusals[index]);
         let reclaimable = self.view.document.host_class(class).reclaimable;
         let leaving = self.leaving.binary_search(&(domain, class)).is_ok();
-        !(refused || reclaimable && leaving)
+        match refusal {
+            _ if reclaimable && leaving => 0,
+            Ok(refusal) if now < refusal.again_at_ms() => 0,
+            Ok(refusal) if refusal.in_a_row > 0 => 1,
+            _ => u32::MAX,
+        }
     }
 
     /// The part of a demand that one host of a class serves within the latency target.
--- a/src/placement/tests/failures.rs
+++ b/src/placement/tests/failures.rs
@@ -126,8 +126,10 @@
     world.run(3 * STEP_MS);
     world.reclaim(DomainKey(0), 10_000);
     world.faults.refused = vec![(SPOT, DomainKey(0)), (ON_DEMAND, DomainKey(0))];
-    world.run(5 * MINUTE_MS);
+    // Hosts that start elsewhere are not given back for others that look cheaper meanwhile.
+    world.run(START_MS + LOAD_MS + 20 * STEP_MS);
     assert!(world.slots_after_loss() * 0.85 >= 150.0);
+    world.run(3 * MINUTE_MS);
     world.faults.refused.clear();
     world.step_ms = 10 * STEP_MS;
     world.run(120 * MINUTE_MS);
--- a/src/placement/tests/world.rs
+++ b/src/placement/tests/world.rs
@@ -291,7 +291,7 @@
             _ => Stage::Live,
         };
         let models = real.models.iter().map(|(model, loaded_at_ms)| LoadedModel {
-            loading: *loaded_at_ms > self.now,
+            loading_since_ms: model.loading_since_ms.filter(|_| *loaded_at_ms > self.now),
             ..*model
         });
         listed.then(|| Host {
@@ -343,7 +343,7 @@
         let loaded = LoadedModel {
             version: ModelVersion::of(&row.name, &row.version),
             model: Some(model),
-            loading: true,
+            loading_since_ms: Some(self.now),
         };
         let loaded_at_ms = self.now.after(LOAD_MS);
         self.real(host).models.push((loaded, loaded_at_ms));
--- a/src/placement/view.rs
+++ b/src/placement/view.rs
@@ -29,8 +29,16 @@
     pub version: ModelVersion,
     /// The model, if the document has one of that name.
     pub model: Option<ModelKey>,
+    /// Since when it is being loaded; `None` once it is there.
+    pub loading_since_ms: Option<TimeMs>,
+}
+
+impl LoadedModel {
     /// Whether it is still being loaded.
-    pub loading: bool,
+    #[must_use]
+    pub fn is_loading(&self) -> bool {
+        self.loading_since_ms.is_some()
+    }
 }
 
 /// Where a host stands between purchase and end.
@@ -259,7 +267,7 @@
         Self {
             utilisation_max: 0.85,
             on_demand_part_min: 0.3,
-            stay_discount: 0.1,
+            stay_discount: 0.15,
             drain_max_ms: 600_000,
             silent_max_ms: 600_000,
         }
