--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -1,14 +1,36 @@
 //! The experiments, and what they have in common.
 
+mod at_most_once;
+mod config;
 mod cost;
 mod decisions;
-
+#[path = "../../tests/support/deployment.rs"]
+mod deployment;
+mod fleet;
+mod migrate;
+mod path;
 mod report;
+mod slopes;
+#[path = "../../tests/support/trial.rs"]
+mod trial;
+
+use std::path::PathBuf;
 
 use thiserror::Error;
 
 /// Every experiment, by name.
-pub const EXPERIMENTS: &[Experiment] = &[cost::EXPERIMENT, decisions::EXPERIMENT];
+pub const EXPERIMENTS: &[Experiment] = &[
+    at_most_once::EXPERIMENT,
+    config::EXPERIMENT,
+    cost::EXPERIMENT,
+    decisions::EXPERIMENT,
+    migrate::EXPERIMENT,
+    path::EXPERIMENT,
+    path::LATENCY,
+    path::THROUGHPUT,
+    path::MEMORY,
+    slopes::EXPERIMENT,
+];
 
 /// One experiment.
 #[derive(Clone, Copy, Debug)]
@@ -44,4 +66,34 @@
     /// Something that it reads or writes failed.
     #[error("an experiment's input or output failed")]
     Io(#[from] std::io::Error),
+    /// The node's binary has not been built.
+    #[error("there is no teaselline binary; build it with `cargo build --release`")]
+    NoBinary,
+    /// A node or a fleet does not get ready.
+    #[error("the nodes do not get ready")]
+    NotReady,
+    /// Something ran twice, was lost or was wrong.
+    #[error("a promise was broken; the messages above tell which")]
+    PromiseBroken,
+    /// A connection or a stream ended early.
+    #[error("a connection broke or a stream was not whole")]
+    Broken,
+    /// A call was refused.
+    #[error("a call was refused: {status} {body}")]
+    Refused {
+        /// The status line.
+        status: String,
+        /// The body.
+        body: String,
+    },
+}
+
+/// The binary that was built beside this example.
+pub fn built_binary() -> Result<PathBuf, Failure> {
+    let example = std::env::current_exe()?;
+    let built = example.parent().and_then(|examples| examples.parent());
+    let binary = built.map(|built| built.join("teaselline"));
+    binary
+        .filter(|binary| binary.is_file())
+        .ok_or(Failure::NoBinary)
 }
--- /dev/null
+++ b/src/entry/sse.rs
@@ -0,0 +1,110 @@
+//! A request's answer as server-sent events, each with its token's position as id.
+
+use std::convert::Infallible;
+use std::io::Write;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderValue, Response};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use serde::Serialize;
+
+use super::refusal::{OutcomeBody, finish};
+use crate::node::OpenCaller;
+use crate::requests::record::Chunk;
+use crate::requests::{Follow, Links, Outcome, RequestId, Step};
+
+/// What a token's event takes, as most tokens are.
+const EVENT_BYTES: usize = 96;
+
+#[derive(Serialize)]
+struct TokenData<'a> {
+    position: u64,
+    token: &'a str,
+}
+
+#[derive(Serialize)]
+struct DoneData<'a> {
+    tokens: u64,
+    finish: &'a str,
+}
+
+/// Streams what follows; the first step is there already, so that a refusal can have its status.
+pub(super) fn stream<L: Links>(
+    first: Step,
+    mut follow: Follow<L>,
+    id: RequestId,
+    caller: OpenCaller,
+) -> Response<Body> {
+    let events = async_stream::stream! {
+        // Held for as long as the caller reads.
+        let _caller = caller;
+        let mut step = first;
+        // Where the rest is elsewhere, the stream breaks off between two tokens and the caller asks
+        // another node for what is missing.
+        while step != Step::Elsewhere {
+            let last = !matches!(step, Step::Tokens(_));
+            let mut out = Vec::with_capacity(room_bytes(&step));
+            write_step(&mut out, &step, &id);
+            yield Ok::<_, Infallible>(Frame::data(Bytes::from(out)));
+            if last {
+                break;
+            }
+            step = follow.next().await;
+        }
+    };
+    let body = BodyExt::map_err(StreamBody::new(events), |never| match never {});
+    let mut response = Response::new(Body::new(body));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+/// Room for a step, so that writing it seldom moves what is written.
+fn room_bytes(step: &Step) -> usize {
+    match step {
+        Step::Tokens(chunk) => chunk.tokens.len() * EVENT_BYTES,
+        Step::End(_) | Step::NoSuchRequest | Step::OtherCall | Step::Elsewhere => 2 * EVENT_BYTES,
+    }
+}
+
+fn write_step(out: &mut Vec<u8>, step: &Step, id: &RequestId) {
+    match step {
+        Step::Tokens(chunk) => write_tokens(out, chunk),
+        Step::End(Outcome::Completed {
+            tokens,
+            finish: reason,
+        }) => {
+            write_event(
+                out,
+                "done",
+                &DoneData {
+                    tokens: *tokens,
+                    finish: finish(*reason),
+                },
+            );
+        }
+        Step::End(outcome) => write_event(out, "error", &OutcomeBody::new(id, outcome)),
+        Step::NoSuchRequest | Step::OtherCall | Step::Elsewhere => {
+            out.extend(b"event: error\ndata: {}\n\n");
+        }
+    }
+}
+
+fn write_tokens(out: &mut Vec<u8>, chunk: &Chunk) {
+    for (position, token) in (chunk.from..).zip(&chunk.tokens) {
+        writeln!(out, "id: {position}").expect("a vector grows as needed");
+        write_event(out, "token", &TokenData { position, token });
+    }
+}
+
+fn write_event(out: &mut Vec<u8>, kind: &str, data: &impl Serialize) {
+    for part in ["event: ", kind, "\ndata: "] {
+        out.extend(part.as_bytes());
+    }
+    serde_json::to_writer(&mut *out, data).expect("event data have a JSON form");
+    out.extend(b"\n\n");
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,2 +1,82 @@
-//! The binary.
-fn main() {}
+//! The binary: reads the settings and runs what they ask for.
+
+use std::io;
+use std::process::ExitCode;
+
+use miette::Diagnostic;
+use teaselline::client::commands;
+use teaselline::options::arguments::{self, EXIT_CODE_USAGE};
+use teaselline::options::{Action, ServeSettings, Settings};
+use teaselline::{node, telemetry};
+use thiserror::Error;
+use tokio::runtime;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Threads of every subcommand but `serve`.
+const CLIENT_THREADS: usize = 1;
+/// Exit code of a node that could not run.
+const EXIT_CODE_FAILURE: u8 = 1;
+
+#[derive(Debug, Error, Diagnostic)]
+enum ServeError {
+    #[error("cannot start the worker threads")]
+    Runtime(#[source] io::Error),
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Node(node::RunError),
+}
+
+fn main() -> ExitCode {
+    let matches = arguments::command().get_matches();
+    let settings = match Settings::try_from(&matches) {
+        Ok(settings) => settings,
+        Err(faults) => return report(faults, EXIT_CODE_USAGE),
+    };
+    telemetry::init_logging(settings.log_level);
+    match settings.action {
+        Action::Serve(settings) => serve(*settings),
+        action => command(action),
+    }
+}
+
+fn serve(settings: ServeSettings) -> ExitCode {
+    let ended = match start_runtime(settings.threads) {
+        Ok(runtime) => runtime
+            .block_on(node::run(settings))
+            .map_err(ServeError::Node),
+        Err(error) => Err(ServeError::Runtime(error)),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(error, EXIT_CODE_FAILURE),
+    }
+}
+
+fn command(action: Action) -> ExitCode {
+    let runtime = match start_runtime(CLIENT_THREADS) {
+        Ok(runtime) => runtime,
+        Err(error) => return report(ServeError::Runtime(error), EXIT_CODE_FAILURE),
+    };
+    match runtime.block_on(commands::run(action)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            let code = error.exit_code();
+            report(error, code)
+        }
+    }
+}
+
+fn start_runtime(threads: usize) -> io::Result<runtime::Runtime> {
+    runtime::Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+}
+
+/// Prints what went wrong and gives the exit code.
+fn report(error: impl Diagnostic + Send + Sync + 'static, code: u8) -> ExitCode {
+    eprintln!("{:?}", miette::Report::new(error));
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/src/requests/service_call.rs
@@ -0,0 +1,133 @@
+//! Runs one call to a plain service.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::core::{Core, Right};
+use super::dispatch::{Failed, Tried, chain, delivery, denied, no_upstream, past_deadline};
+use super::links::Links;
+use super::outcome::{Doubt, Failure};
+use super::record::Place;
+use super::{Outcome, Record, Work};
+use crate::document::checked::PoolKind;
+use crate::retries::Retry;
+use crate::time::TimeMs;
+use crate::upstreams::{PlainServices, ServiceCall, UpstreamError};
+
+/// What one attempt came to.
+enum Attempted {
+    End(Outcome),
+    /// It gave no result; the error tells whether it may have run.
+    Failed(UpstreamError),
+}
+
+/// Runs a record to its outcome.
+pub(super) async fn run<L: Links>(
+    core: Arc<Core<L>>,
+    record: Arc<Record>,
+    right: Right,
+) -> Option<Outcome> {
+    // The home that left may be waiting for the answer still; a second run is not ours to start.
+    let may_run = record.is_dispatched() && !record.call.idempotent;
+    if may_run || right == Right::Reader {
+        return Some(Outcome::Unknown(Doubt::HomeGone));
+    }
+    let chain = chain(&record);
+    let mut tried = Tried::default();
+    let mut failures = 0;
+    loop {
+        if core.clock.now() >= record.call.deadline_ms {
+            return Some(past_deadline(&record));
+        }
+        let choice = match core.choose(&record, &core.view(&record, &chain), &tried) {
+            Ok(choice) => choice,
+            Err(no_route) => return Some(no_upstream(&record, no_route)),
+        };
+        let place = record.begin_attempt(choice.host, choice.address);
+        if let Err(outcome) = core.obtain_right(&record, right).await {
+            record.attempt_not_started(place.attempt);
+            return Some(outcome);
+        }
+        core.note_open(place, 0.0, core.clock.now());
+        let attempted = attempt(&core, &record, place).await;
+        core.note_close(place, core.clock.now());
+        let error = match attempted {
+            Attempted::End(outcome) => return Some(outcome),
+            Attempted::Failed(error) => error,
+        };
+        if error.is_not_started() {
+            record.attempt_not_started(place.attempt);
+        } else {
+            record.close_attempt(place.attempt);
+        }
+        failures += 1;
+        let failed = Failed {
+            error,
+            host: choice.host,
+            count: failures,
+        };
+        match core.may_retry(&record, &failed) {
+            Retry::Now => {}
+            Retry::At(at) => sleep_until(&core, at).await,
+            Retry::No(reason) => return Some(denied(&record, reason)),
+        }
+        tried.note(choice.host, Some(choice.domain));
+    }
+}
+
+async fn attempt<L: Links>(core: &Core<L>, record: &Record, place: Place) -> Attempted {
+    let Work::Service {
+        path,
+        body,
+        service,
+    } = &record.call.work
+    else {
+        return Attempted::End(Outcome::Failed(Failure::Upstream));
+    };
+    let call = ServiceCall {
+        attempt: &record.id.attempt(place.attempt),
+        path: &format!("/{path}"),
+        content_type: None,
+        body: Bytes::copy_from_slice(body),
+        delivery: delivery(record),
+        timeout_ms: timeout_ms(core, service, record),
+    };
+    let answered = core.services.call(place.address, &call).await;
+    match answered {
+        Ok(answer) => {
+            core.note_answer(place);
+            core.note_success(record, place.host);
+            Attempted::End(Outcome::Answered {
+                status: 200,
+                body: answer.body.to_vec(),
+            })
+        }
+        Err(error) => {
+            core.note_failure(place, &error, core.clock.now());
+            match error {
+                error if error.is_not_started() || error.is_lost() => Attempted::Failed(error),
+                // The service says that it failed: it ran, and it is not ours to run it again.
+                _ => Attempted::End(Outcome::Failed(Failure::Upstream)),
+            }
+        }
+    }
+}
+
+fn timeout_ms<L: Links>(core: &Core<L>, service: &str, record: &Record) -> u64 {
+    let left_ms = core.clock.now().until(record.call.deadline_ms).max(1);
+    let in_force = core.blackboard.in_force();
+    let configured_ms = in_force.and_then(|in_force| {
+        let pool = in_force.document.find_pool(service)?;
+        match in_force.document.pool(pool).kind {
+            PoolKind::Service { timeout_ms, .. } => Some(timeout_ms),
+            PoolKind::Engine { .. } => None,
+        }
+    });
+    configured_ms.map_or(left_ms, |timeout_ms| timeout_ms.min(left_ms))
+}
+
+async fn sleep_until<L: Links>(core: &Core<L>, at_ms: TimeMs) {
+    let pause_ms = core.clock.now().until(at_ms);
+    tokio::time::sleep(std::time::Duration::from_millis(pause_ms)).await;
+}
