refactor: Tell placement since when a model is loading

Cause: LoadedModel now carries the time, by which loads are paced; the wiring has none yet. Change: the wiring gives the present time for loads under way, so that all their bytes count as waiting, as before. Conclusion: tighter than needed until the wiring remembers when a load began.

--- a/src/node/placement_control/scene.rs
+++ b/src/node/placement_control/scene.rs
@@ -178,7 +178,7 @@
             None => Some(now),
         },
         models: asked
-            .map(|asked| models(document, asked))
+            .map(|asked| models(document, asked, now))
             .unwrap_or_default(),
         role: said
             .filter(|_| reports_load(pool))
@@ -195,17 +195,18 @@
         .collect()
 }
 
-fn models(document: &Document, asked: &Asked) -> Vec<LoadedModel> {
+/// A load counts as begun now for as long as it goes on, which paces loads more than is needed.
+fn models(document: &Document, asked: &Asked, now: TimeMs) -> Vec<LoadedModel> {
     let Some(said) = &asked.said else {
         return Vec::new();
     };
-    let known = |held: &Loaded, loading| LoadedModel {
+    let known = |held: &Loaded, loading_since_ms| LoadedModel {
         version: ModelVersion::of(&held.model, &held.version),
         model: document.find_model(&held.model),
-        loading,
+        loading_since_ms,
     };
-    let loaded = said.models.iter().map(|held| known(held, false));
-    let loading = said.loading.iter().map(|held| known(held, true));
+    let loaded = said.models.iter().map(|held| known(held, None));
+    let loading = said.loading.iter().map(|held| known(held, Some(now)));
     loaded.chain(loading).collect()
 }
 
