bug: Answer idempotent calls of whose id nobody can say anything, under another id

Cause: since a node no longer runs another home's call under its id, a node that can ask neither home nor witness answered unknown at once also to calls that may repeat. Change: it runs them under an id of its own, which the answer names. And the caller took a new id, with another seed, for a call that had been answered in part, and would have joined two answers; it no longer does.

--- a/src/client/policy.rs
+++ b/src/client/policy.rs
@@ -166,7 +166,7 @@
 /// How far a call has come.
 #[expect(
     clippy::struct_excessive_bools,
-    reason = "four facts that each may hold without the others"
+    reason = "five facts that each may hold without the others"
 )]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
@@ -175,6 +175,8 @@
     resumes_only: bool,
     sent: bool,
     accepted: bool,
+    /// Part of the answer has come. A new id would go on with another answer.
+    answered_in_part: bool,
     failures: u32,
     resends: u32,
     unknown_asks: u32,
@@ -190,6 +192,7 @@
             resumes_only: false,
             sent: false,
             accepted: false,
+            answered_in_part: false,
             failures: 0,
             resends: 0,
             unknown_asks: 0,
@@ -253,6 +256,7 @@
 
     /// Notes that something new of the answer came.
     pub fn note_news(&mut self) {
+        self.answered_in_part = true;
         self.failures = 0;
         self.unknown_asks = 0;
     }
@@ -298,7 +302,8 @@
 
 fn after_refusal(progress: &Progress, refusal: &Refusal, late: bool, rng: &mut SmallRng) -> Step {
     let limits = &progress.limits;
-    let may_send = !late && !progress.resumes_only && progress.resends < limits.resends;
+    let is_new = !progress.resumes_only && !progress.answered_in_part;
+    let may_send = !late && is_new && progress.resends < limits.resends;
     match refusal.outcome {
         RefusalOutcome::NotRun if may_send => Step::Try {
             what: Attempt::SendUnderNewId,
--- a/src/client/policy/tests.rs
+++ b/src/client/policy/tests.rs
@@ -133,6 +133,21 @@
     assert!(end.is_unknown());
 }
 
+/// Symptom: an answer whose beginning and end are of two runs. Sequence: tokens come, home and witness
+/// are lost, and the call goes on under a new id from the position reached. Cause: a new id, and with
+/// it another seed, for a call that has been answered in part.
+#[test]
+fn a_call_that_is_answered_in_part_never_gets_a_new_id() {
+    for outcome in [RefusalOutcome::Unknown, RefusalOutcome::NotRun] {
+        let mut progress = Progress::new(LIMITS, true);
+        progress.note_news();
+        for _ in 0..=UNKNOWN_ASKS {
+            let step = next(&mut progress, &refused(outcome, None));
+            assert_ne!(attempt(&step), Some(Attempt::SendUnderNewId));
+        }
+    }
+}
+
 #[test]
 fn an_unknown_end_is_repeated_where_that_does_no_harm() {
     let mut progress = Progress::new(LIMITS, true);
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -14,6 +14,8 @@
 use crate::document::checked::Team;
 use crate::node::{Node, NodeLinks, OpenCaller};
 use crate::platform::claims::ClaimKey;
+use crate::requests::core::Phase;
+use crate::requests::outcome::Doubt;
 use crate::requests::{Call, Follow, Outcome, RequestId, Step, Work};
 use crate::time::TimeMs;
 
@@ -68,12 +70,24 @@
 
 impl Identified {
     /// Follows the call under its id, or under the one that holds its key.
+    ///
+    /// An idempotent call of whose id nobody can say anything runs here, under an id of this node's:
+    /// under its own, its home may have refused it as not run.
     pub async fn follow(self, node: &Arc<Node>) -> (RequestId, Follow<NodeLinks>) {
         if let Some(key) = self.key {
             return keyed::follow(node, key, self.call).await;
         }
-        let core = Arc::clone(&node.core);
-        (self.id, Follow::new(core, self.id, Some(self.call), 0))
+        let follow = |id, call| Follow::new(Arc::clone(&node.core), id, Some(call), 0);
+        if !self.call.idempotent || node.core.is_home(&self.id) {
+            return (self.id, follow(self.id, self.call));
+        }
+        let mut under_own_id = follow(self.id, self.call.clone());
+        let nobody = Step::End(Outcome::Unknown(Doubt::NobodyAnswers));
+        if *under_own_id.peek().await != nobody || node.core.phase() != Phase::Serving {
+            return (self.id, under_own_id);
+        }
+        let id = node.mint_here(&self.call.team);
+        (id, follow(id, self.call))
     }
 }
 
--- a/tests/integration/partitions.rs
+++ b/tests/integration/partitions.rs
@@ -94,3 +94,26 @@
     assert_eq!(refusal["outcome"], "not_run");
     assert!(!fleet.site.history().has_run(&id));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_idempotent_call_is_answered_by_a_node_that_can_ask_nobody() {
+    // Symptom: a node that is cut off from the others answers none of the calls that reach it.
+    // Sequence: home and witness of the call's id are out of reach.
+    // Cause: an id taken for the only one under which a call may run, though it may run again.
+    let fleet = Fleet::start(FleetSettings::new(BINARY)).await.unwrap();
+    let client = Client::new(trial::TOKEN).with_patience_ms(60_000);
+    let id = client.id(fleet.node(0).callers).await.unwrap();
+    for node in fleet.nodes() {
+        node.cut_off(HEARS_NOTHING);
+        node.reset_connections();
+    }
+    let alone = fleet.node(1);
+    let headers = [("request-id", id.as_str())];
+    let path = "/v1/services/tracking/deposits";
+    let answer = client.send(Method::POST, alone.callers, path, &headers, "keg 11");
+    let answer = answer.await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(!fleet.site.history().has_run(&id));
+    let named = answer.headers["request-id"].to_str().unwrap();
+    assert!(fleet.site.history().has_run(named));
+}
