--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -3,8 +3,20 @@
 //! Each experiment runs its sides in one run and prints one JSON line per side. To add one, write
 //! `measure/<name>.rs` and name it in `measure/experiments.rs`.
 
+#[path = "../tests/support/calling.rs"]
+mod calling;
+#[path = "../tests/support/deployment.rs"]
+mod deployment;
 #[path = "measure/experiments.rs"]
 mod experiments;
+#[path = "../tests/support/load.rs"]
+mod load;
+#[path = "../tests/support/runtimes.rs"]
+mod runtimes;
+#[path = "../tests/support/stage.rs"]
+mod stage;
+#[path = "../tests/support/streams.rs"]
+mod streams;
 
 use std::process::ExitCode;
 
--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod fleet;
 mod path;
+mod reclaim_wave;
 mod report;
 
 use thiserror::Error;
@@ -16,6 +17,7 @@
     path::LATENCY,
     path::THROUGHPUT,
     path::MEMORY,
+    reclaim_wave::EXPERIMENT,
 ];
 
 /// One experiment.
--- a/tests/moving.rs
+++ b/tests/moving.rs
@@ -2,6 +2,8 @@
 //!
 //! Nodes and stand-ins run in this process over real sockets.
 
+#[path = "support/calling.rs"]
+mod calling;
 #[path = "support/deployment.rs"]
 #[expect(
     dead_code,
@@ -12,6 +14,8 @@
 mod load;
 #[path = "support/runtimes.rs"]
 mod runtimes;
+#[path = "support/stage.rs"]
+mod stage;
 #[path = "support/streams.rs"]
 mod streams;
 
--- a/tests/moving/crashes.rs
+++ b/tests/moving/crashes.rs
@@ -2,8 +2,9 @@
 
 use teaselline_stand_ins::cloud::Reclaim;
 
+use crate::calling::begin;
 use crate::streams::Streams;
-use crate::trial::{Trial, begin};
+use crate::trial::Trial;
 
 /// Streams in a trial.
 const COUNT: usize = 60;
--- a/tests/moving/leaving.rs
+++ b/tests/moving/leaving.rs
@@ -4,8 +4,10 @@
 
 use teaselline_stand_ins::cloud::Reclaim;
 
+use crate::calling::{idempotent_calls, keep_calling};
 use crate::runtimes::RuntimeNode;
-use crate::trial::{Trial, caller_of, idempotent_calls, keep_calling, knows_leaving, until};
+use crate::stage::{caller_of, knows_leaving, until};
+use crate::trial::Trial;
 
 /// Longer than anything that these tests wait for.
 const NOTICE_MS: u64 = 120_000;
--- a/tests/moving/stops.rs
+++ b/tests/moving/stops.rs
@@ -1,7 +1,8 @@
 //! Planned stops of nodes.
 
+use crate::calling::{begin, keep_calling, mixed_calls};
 use crate::streams::Streams;
-use crate::trial::{Trial, begin, keep_calling, mixed_calls};
+use crate::trial::Trial;
 
 // Symptom: after a rolling restart some callers hear `unknown`, or their stream ends half-way.
 // Sequence: a request's witness stops and is replaced; its home stops later, while it still runs.
@@ -23,7 +24,7 @@
     trial.until_streaming(60).await;
     let short = keep_calling(&caller, &mixed_calls());
     for _node in 0..3 {
-        trial.replace_oldest().await;
+        trial.replace_oldest().await.expect("a node starts");
     }
     assert!(!running.is_finished(), "streams outlast all the stops");
     let mut seen = short.stop().await;
--- a/tests/moving/waves.rs
+++ b/tests/moving/waves.rs
@@ -4,8 +4,9 @@
 
 use teaselline_stand_ins::cloud::Reclaim;
 
+use crate::calling::begin;
 use crate::streams::Streams;
-use crate::trial::{Trial, begin};
+use crate::trial::Trial;
 
 const OTARU: &str = "otaru-vault";
 const SAPPORO: &str = "sapporo-lab";
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -39,12 +39,25 @@
 /// A call that was made, and what the caller saw.
 #[derive(Clone, Debug)]
 pub struct Seen {
-    call: Call,
-    ids: Vec<String>,
-    end: End,
-    text: String,
-    first_token: Option<Duration>,
-    longest_silence: Duration,
+    /// The call.
+    pub call: Call,
+    /// The ids that it was sent under; the last one ended so.
+    pub ids: Vec<String>,
+    /// How it ended.
+    pub end: End,
+    /// The text of the tokens that came.
+    pub text: String,
+    /// Time to the first token.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub pauses: Vec<Duration>,
+}
+
+impl Seen {
+    /// The longest time between two tokens.
+    pub fn longest_silence(&self) -> Duration {
+        self.pauses.iter().copied().max().unwrap_or_default()
+    }
 }
 
 /// What came of a load, after the check.
@@ -70,6 +83,8 @@
     pub tokens_recomputed: u64,
     /// Time to the first token, of 95 in 100.
     pub first_token_p95_ms: f64,
+    /// Time between two tokens, of 95 in 100.
+    pub between_tokens_p95_ms: f64,
     /// Longest pause within a stream, of 95 in 100.
     pub silence_p95_ms: f64,
 }
@@ -136,12 +151,12 @@
 async fn make(caller: &Caller, call: Call) -> Seen {
     let start = Instant::now();
     let (mut text, mut first_token, mut last) = (String::new(), None, None::<Instant>);
-    let mut longest_silence = Duration::ZERO;
+    let mut pauses = Vec::new();
     let report = caller
         .call(&call, |_position, token| {
             first_token.get_or_insert_with(|| start.elapsed());
             if let Some(last) = last.replace(Instant::now()) {
-                longest_silence = longest_silence.max(last.elapsed());
+                pauses.push(last.elapsed());
             }
             text.push_str(token);
         })
@@ -152,7 +167,7 @@
         end: report.end,
         text,
         first_token,
-        longest_silence,
+        pauses,
     }
 }
 
@@ -184,7 +199,8 @@
     }
     tally.first_token_p95_ms = p95(seen.iter().filter_map(|seen| seen.first_token));
     let silences = seen.iter().filter(|seen| seen.first_token.is_some());
-    tally.silence_p95_ms = p95(silences.map(|seen| seen.longest_silence));
+    tally.silence_p95_ms = p95(silences.map(Seen::longest_silence));
+    tally.between_tokens_p95_ms = p95(seen.iter().flat_map(|seen| seen.pauses.iter().copied()));
     tally
 }
 
@@ -211,7 +227,8 @@
     }
 }
 
-fn p95(durations: impl Iterator<Item = Duration>) -> f64 {
+/// The time that 95 in 100 do not exceed, in milliseconds.
+pub fn p95(durations: impl Iterator<Item = Duration>) -> f64 {
     let mut sorted: Vec<_> = durations.collect();
     sorted.sort_unstable();
     let index = (sorted.len() * 95 / 100).min(sorted.len().saturating_sub(1));
