--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -9,13 +9,17 @@
 use super::bodies::{self, REQUEST_ID};
 use super::refusal::{self, Refusal};
 use super::routes::Asked;
-use super::{authorize, sse};
+use super::{authorize, keyed, sse};
 use crate::document::Document;
 use crate::document::checked::Team;
-use crate::node::{Node, NodeLinks};
+use crate::node::{Node, NodeLinks, OpenCaller};
+use crate::platform::claims::ClaimKey;
 use crate::requests::{Call, Follow, Outcome, RequestId, Step, Work};
 use crate::time::TimeMs;
 
+/// Tells a service's answer, whatever its status, from what this node says.
+const OUTCOME: &str = "outcome";
+
 /// Most tokens that one request may ask for.
 const MAX_TOKENS: u32 = 1_000_000;
 
@@ -58,21 +62,37 @@
 pub(super) struct Identified {
     pub id: RequestId,
     pub call: Call,
+    /// The caller's own key, under which another id may run.
+    pub key: Option<ClaimKey>,
+}
+
+impl Identified {
+    /// Follows the call under its id, or under the one that holds its key.
+    pub async fn follow(self, node: &Arc<Node>) -> (RequestId, Follow<NodeLinks>) {
+        if let Some(key) = self.key {
+            return keyed::follow(node, key, self.call).await;
+        }
+        let core = Arc::clone(&node.core);
+        (self.id, Follow::new(core, self.id, Some(self.call), 0))
+    }
 }
 
 /// Answers the call.
 pub(super) async fn complete(asked: Asked) -> Response<Body> {
     let node = Arc::clone(&asked.node);
+    let named = bodies::is_named(&asked.headers);
     match check(asked).await {
-        Ok((Identified { id, call }, streamed)) => {
-            let mut follow = Follow::new(Arc::clone(&node.core), id, Some(call), 0);
+        Ok((identified, streamed)) => {
+            let caller = node.open_caller();
+            let (id, mut follow) = identified.follow(&node).await;
             let response = if streamed {
-                stream(follow, id).await
+                stream(follow, id, caller).await
             } else {
                 whole(&mut follow, id).await
             };
             with_id(response, &id)
         }
+        Err(refusal) if named => refusal.response_to_named(),
         Err(refusal) => refusal.response(),
     }
 }
@@ -98,6 +118,7 @@
     document
         .find_model(&raw.model)
         .ok_or(Refusal::NoSuchTarget)?;
+    let key = keyed::key(&asked.headers, &team.name, idempotent)?;
     let id = identify(&asked.node, given, &team.name)?;
     let now = asked.node.core.clock.now();
     let (latency_class, deadline_ms) = deadline(document, team, raw.latency_class.as_deref(), now)?;
@@ -105,7 +126,9 @@
         model: raw.model,
         prompt: raw.prompt,
         max_tokens,
-        seed: raw.seed.unwrap_or_else(|| id.seed()),
+        seed: raw
+            .seed
+            .unwrap_or_else(|| key.map_or_else(|| id.seed(), ClaimKey::seed)),
     };
     let team = team.name.clone();
     let call = Call {
@@ -115,7 +138,7 @@
         deadline_ms,
         work,
     };
-    Ok((Identified { id, call }, raw.stream))
+    Ok((Identified { id, call, key }, raw.stream))
 }
 
 /// The latency class of a call and the time at which it is given up.
@@ -149,13 +172,17 @@
 }
 
 /// Streams a request, with the status of its first step.
-pub(super) async fn stream(mut follow: Follow<NodeLinks>, id: RequestId) -> Response<Body> {
+pub(super) async fn stream(
+    mut follow: Follow<NodeLinks>,
+    id: RequestId,
+    caller: OpenCaller,
+) -> Response<Body> {
     match follow.next().await {
-        Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
-        Step::OtherCall => Refusal::OtherCall.response(),
+        Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
+        Step::OtherCall => Refusal::OtherCall.response_to_named(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
         Step::Elsewhere => running(id),
-        first => sse::stream(first, follow, id),
+        first => sse::stream(first, follow, id, caller),
     }
 }
 
@@ -174,8 +201,8 @@
     let (tokens, last) = follow.whole().await;
     match last {
         Step::End(outcome) => ended(id, &tokens.concat(), &outcome),
-        Step::NoSuchRequest => Refusal::NoSuchRequest.response(),
-        Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response(),
+        Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
+        Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response_to_named(),
         Step::Elsewhere => running(id),
     }
 }
@@ -196,6 +223,10 @@
         Outcome::Answered { status, body } => {
             let mut response = Response::new(refusal::whole(body.clone()));
             *response.status_mut() = StatusCode::from_u16(*status).unwrap_or(StatusCode::OK);
+            // A service's own 404 or 503 could be taken for a refusal of ours otherwise.
+            response
+                .headers_mut()
+                .insert(OUTCOME, HeaderValue::from_static(outcome.name()));
             response
         }
         other => refusal::outcome(&id, other),
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -23,15 +23,16 @@
 pub(super) async fn read(asked: Asked) -> Response<Body> {
     match check(&asked) {
         Ok((id, from)) => {
+            let caller = asked.node.open_caller();
             let mut follow = Follow::new(Arc::clone(&asked.node.core), id, None, from);
             let response = if wants_events(&asked.headers) || from > 0 {
-                stream(follow, id).await
+                stream(follow, id, caller).await
             } else {
                 whole(&mut follow, id).await
             };
             with_id(response, &id)
         }
-        Err(refusal) => refusal.response(),
+        Err(refusal) => refusal.response_to_named(),
     }
 }
 
@@ -39,7 +40,7 @@
 pub(super) async fn cancel(asked: Asked) -> Response<Body> {
     let (id, _from) = match check(&asked) {
         Ok(checked) => checked,
-        Err(refusal) => return refusal.response(),
+        Err(refusal) => return refusal.response_to_named(),
     };
     let found = asked.node.core.cancel(id).await;
     if found {
@@ -49,7 +50,7 @@
         };
         json(StatusCode::ACCEPTED, &cancelling)
     } else {
-        Refusal::NoSuchRequest.response()
+        Refusal::NoSuchRequest.response_to_named()
     }
 }
 
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -2,9 +2,10 @@
 
 use bincode::{Decode, Encode};
 
-use crate::keys::Incarnation;
+use crate::keys::{HostKey, Incarnation};
 use crate::limits::ShareReport;
 use crate::platform::configuration::Snapshot;
+use crate::requests::keyed::{ClaimAsk, Claimed};
 use crate::requests::record::{Chunk, Copy};
 use crate::requests::suspicion::QuarantineEnd;
 use crate::requests::{Call, Outcome, RequestId};
@@ -66,6 +67,8 @@
         /// worked on, and nobody else starts one.
         farewell: bool,
     },
+    /// Claim a key, and start the call if the claim wins.
+    Claim(Box<ClaimAsk>),
     /// The newest configuration, if it is newer than this revision.
     Newest {
         /// The revision that the asker has.
@@ -75,6 +78,8 @@
     Configuration(Snapshot),
     /// Hosts that are about to go.
     Notices(Vec<HostNotice>),
+    /// Hosts that are to get no new work, and starts that were refused.
+    Placement(PlacementNews),
     /// Requests that were present when upstreams died.
     Strikes(StrikeReport),
     /// The demand of teams at a node.
@@ -104,13 +109,41 @@
     pub alone: bool,
 }
 
-/// One record that a home tells its witness about.
+/// What a home tells its witness of one request.
 #[derive(Clone, Debug, Encode, Decode)]
-pub struct Told {
-    /// The record.
-    pub copy: Copy,
-    /// Whether the home asks for consent to dispatch.
-    pub wants_consent: bool,
+pub enum Told {
+    /// What has become of it, to be kept.
+    Keep(Copy),
+    /// That it is about to be dispatched, for consent.
+    Consent(Copy),
+    /// That it is about to be refused as not run, though it is idempotent: nobody is to take it over.
+    RuleOut(RequestId),
+}
+
+impl Told {
+    /// Whether the home waits for the answer.
+    #[must_use]
+    pub fn wants_answer(&self) -> bool {
+        !matches!(self, Self::Keep(_))
+    }
+
+    /// Whether it says how the request ended, which is told once only.
+    #[must_use]
+    pub fn is_outcome(&self) -> bool {
+        matches!(self, Self::Keep(copy) if copy.outcome.is_some())
+    }
+
+    /// Roughly its size.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        match self {
+            Self::Keep(copy) | Self::Consent(copy) => {
+                let tokens: usize = copy.chunk.tokens.iter().map(String::len).sum();
+                tokens + copy.call.size_bytes()
+            }
+            Self::RuleOut(_) => size_of::<RequestId>(),
+        }
+    }
 }
 
 /// A host that is about to go.
@@ -122,6 +155,30 @@
     pub leave_at_ms: TimeMs,
 }
 
+/// What the holder of a failure domain's lease on placement tells the others, again and again.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct PlacementNews {
+    /// The failure domain.
+    pub domain: String,
+    /// The fencing number of the lease; an older holder's word no longer counts.
+    pub fencing: u64,
+    /// All hosts of it that are to get no new work, with since when.
+    pub drains: Vec<(HostKey, TimeMs)>,
+    /// Starts in it that were refused.
+    pub refusals: Vec<RefusedStart>,
+}
+
+/// Refused starts of a class of hosts since its last start.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct RefusedStart {
+    /// The class.
+    pub host_class: String,
+    /// Refusals in a row.
+    pub in_a_row: u32,
+    /// The newest of them.
+    pub last_at_ms: TimeMs,
+}
+
 /// What a node answers first.
 #[derive(Clone, Debug, Encode, Decode)]
 pub enum Reply {
@@ -133,8 +190,10 @@
     OtherCall,
     /// Another incarnation was meant: the one asked for is gone.
     WrongNode,
-    /// For each record told, whether it is kept and, where asked for, consented to.
+    /// For each request told, whether it is kept and, where asked for, consented to or ruled out.
     Consents(Vec<bool>),
+    /// What came of a claim.
+    Claimed(Claimed),
     /// The newest configuration, if it is newer.
     Newest(Option<Snapshot>),
     /// Whether the suspect may run.
@@ -163,9 +222,11 @@
             Self::Cancel { .. } => "cancel",
             Self::Witness { .. } => "witness",
             Self::Inherit { .. } => "inherit",
+            Self::Claim(_) => "claim",
             Self::Newest { .. } => "newest",
             Self::Configuration(_) => "configuration",
             Self::Notices(_) => "notices",
+            Self::Placement(_) => "placement",
             Self::Strikes(_) => "strikes",
             Self::Shares { .. } => "shares",
             Self::Quarantine(_) => "quarantine",
--- a/src/requests/records.rs
+++ b/src/requests/records.rs
@@ -5,6 +5,7 @@
 use parking_lot::Mutex;
 
 use super::id::ID_VALIDITY_MS;
+use super::record::KEEP_ANSWER_MS;
 use super::{Call, Record, RequestId};
 use crate::time::TimeMs;
 
@@ -28,6 +29,8 @@
     OtherCall,
     /// There is none, and the id is too old to start.
     Expired,
+    /// There is none, and no more are let in.
+    Closed,
 }
 
 /// The requests that a node holds.
@@ -53,17 +56,26 @@
         Some(Arc::clone(&shard[index]))
     }
 
-    /// The record of an id, made from `call` if there is none.
+    /// The record of an id, made from `call` if there is none and `is_open` holds.
     ///
-    /// Looking and making are one step under the shard's lock: two copies of one request that
+    /// `is_open` is asked under the shard's lock: a node that leaves first says that it does and then
+    /// looks at every shard, so that it either sees a call or has not let it in. One let in unseen
+    /// would run here and at the heir. Looking and making are one step under the shard's lock: two copies of one request that
     /// arrive together would run twice otherwise.
     #[must_use]
-    pub fn enter(&self, id: RequestId, call: &Call, now: TimeMs) -> Entry {
+    pub fn enter(
+        &self,
+        id: RequestId,
+        call: &Call,
+        now: TimeMs,
+        is_open: impl FnOnce() -> bool,
+    ) -> Entry {
         let mut shard = self.shard(&id).lock();
         match shard.binary_search_by_key(&id, |record| record.id) {
             Ok(index) if shard[index].fingerprint != call.fingerprint() => Entry::OtherCall,
             Ok(index) => Entry::Known(Arc::clone(&shard[index])),
             Err(_) if !id.may_start(now) => Entry::Expired,
+            Err(_) if !is_open() => Entry::Closed,
             Err(index) => {
                 let record = Arc::new(Record::new(id, call.clone()));
                 shard.insert(index, Arc::clone(&record));
@@ -94,7 +106,8 @@
         found
     }
 
-    /// Forgets what has ended and whose id can no longer start; returns how many.
+    /// Forgets what has ended and whose id can no longer start, and drops answers that have been
+    /// kept long enough; returns how many it forgot.
     #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
@@ -102,6 +115,9 @@
             let mut shard = shard.lock();
             let before = shard.len();
             shard.retain(|record| !has_expired(record, now));
+            for record in shard.iter_mut().filter(|record| is_to_shed(record, now)) {
+                *record = Arc::new(record.shed());
+            }
             gone += before - shard.len();
         }
         gone
@@ -124,6 +140,11 @@
     }
 }
 
+fn is_to_shed(record: &Record, now: TimeMs) -> bool {
+    let ended = record.ended_at_ms();
+    ended.is_some_and(|at| now.since(at) >= KEEP_ANSWER_MS) && record.holds_answer()
+}
+
 fn has_expired(record: &Record, now: TimeMs) -> bool {
     let keep_ms = ID_VALIDITY_MS + KEEP_AFTER_VALIDITY_MS;
     let ended = record
@@ -131,3 +152,6 @@
         .is_some_and(|at| now.since(at) >= KEEP_AFTER_VALIDITY_MS);
     ended && now.since(record.id.issued_at_ms) >= keep_ms
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/requests/witness.rs
+++ b/src/requests/witness.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 
 use super::id::ID_VALIDITY_MS;
-use super::record::Copy;
+use super::record::{Copy, KEEP_ANSWER_MS};
 use super::{Outcome, RequestId};
 use crate::time::TimeMs;
 
@@ -30,6 +30,8 @@
     Ended(Box<Copy>),
     /// The home may have dispatched it; this is what it told.
     MayRun(Option<Box<Copy>>),
+    /// Nothing is known of it, and it is so old that this may have been forgotten.
+    Forgotten,
 }
 
 /// What a witness holds.
@@ -41,9 +43,13 @@
 #[derive(Debug)]
 struct Witnessed {
     id: RequestId,
+    /// It never runs.
     settled: bool,
+    /// This node, which is the witness, may run it.
+    taken_over: bool,
     consented: bool,
     copy: Option<Box<Copy>>,
+    ended_at_ms: Option<TimeMs>,
 }
 
 impl Default for Witness {
@@ -62,14 +68,14 @@
         match shard.binary_search_by_key(&told.id, |entry| entry.id) {
             Ok(index) if shard[index].settled => false,
             Ok(index) => {
-                shard[index].consent(told);
+                shard[index].consent(told, now);
                 true
             }
             // An id without an entry that is past its validity may have been settled and forgotten.
             Err(_) if !told.id.may_start(now) => false,
             Err(index) => {
                 let mut entry = Witnessed::new(told.id);
-                entry.consent(told);
+                entry.consent(told, now);
                 shard.insert(index, entry);
                 true
             }
@@ -77,13 +83,13 @@
     }
 
     /// Keeps what a home tells about a request.
-    pub fn keep(&self, copy: Copy) {
+    pub fn keep(&self, copy: Copy, now: TimeMs) {
         let mut shard = self.shard(&copy.id).lock();
         match shard.binary_search_by_key(&copy.id, |entry| entry.id) {
-            Ok(index) => shard[index].take(copy),
+            Ok(index) => shard[index].take(copy, now),
             Err(index) => {
                 let mut entry = Witnessed::new(copy.id);
-                entry.take(copy);
+                entry.take(copy, now);
                 shard.insert(index, entry);
             }
         }
@@ -91,18 +97,62 @@
 
     /// Says what is known of a non-idempotent request, and rules out what has not been consented to.
     #[must_use]
-    pub fn settle(&self, id: RequestId) -> Settlement {
+    pub fn settle(&self, id: RequestId, now: TimeMs) -> Settlement {
+        let settle = |entry: &mut Witnessed| {
+            entry.settled |= entry.is_untouched();
+            entry.settlement()
+        };
+        self.with_entry(id, now, settle)
+            .unwrap_or(Settlement::Forgotten)
+    }
+
+    /// Says what is known of a request that this node is to run in its home's place, and no longer
+    /// agrees that it never runs.
+    ///
+    /// For an idempotent request, or one whose home has left for good.
+    #[must_use]
+    pub fn take_over(&self, id: RequestId, now: TimeMs) -> Settlement {
+        let take_over = |entry: &mut Witnessed| {
+            entry.taken_over |= !entry.settled;
+            entry.settlement()
+        };
+        self.with_entry(id, now, take_over)
+            .unwrap_or(Settlement::Forgotten)
+    }
+
+    /// Agrees that an idempotent request never runs, which its home is about to say.
+    ///
+    /// The home needs no consent to start such a request, and others need none to take it over: if
+    /// each acted by itself, a caller could be told `not_run` by one and get an answer from another.
+    #[must_use]
+    pub fn rule_out(&self, id: RequestId, now: TimeMs) -> bool {
+        let rule_out = |entry: &mut Witnessed| {
+            entry.settled |= !entry.taken_over;
+            entry.settled
+        };
+        self.with_entry(id, now, rule_out).unwrap_or(false)
+    }
+
+    /// Acts on the entry of an id, which is made if there is none and the id may still start.
+    ///
+    /// An id without an entry that is past its validity may have had one, now forgotten: a claim
+    /// that ran a while ago would be taken for one that never came.
+    fn with_entry<T>(
+        &self,
+        id: RequestId,
+        now: TimeMs,
+        act: impl FnOnce(&mut Witnessed) -> T,
+    ) -> Option<T> {
         let mut shard = self.shard(&id).lock();
         let index = match shard.binary_search_by_key(&id, |entry| entry.id) {
             Ok(index) => index,
+            Err(_) if !id.may_start(now) => return None,
             Err(index) => {
                 shard.insert(index, Witnessed::new(id));
                 index
             }
         };
-        let entry = &mut shard[index];
-        entry.settled |= entry.is_untouched();
-        entry.settlement()
+        Some(act(&mut shard[index]))
     }
 
     /// Says what is known of a request without ruling anything out.
@@ -113,14 +163,16 @@
         Some(shard[index].settlement())
     }
 
-    /// Forgets ids that are too old to matter; returns how many.
+    /// Forgets ids that are too old to matter and answers that have been kept long enough; returns
+    /// how many ids it forgot.
     #[must_use]
     pub fn expire(&self, now: TimeMs) -> usize {
         let mut gone = 0;
         for shard in &self.shards {
             let mut shard = shard.lock();
             let before = shard.len();
-            shard.retain(|entry| now.since(entry.id.issued_at_ms) < KEEP_MS);
+            shard.retain(|entry| !entry.has_expired(now));
+            shard.iter_mut().for_each(|entry| entry.shed(now));
             gone += before - shard.len();
         }
         gone
@@ -148,14 +200,36 @@
         Self {
             id,
             settled: false,
+            taken_over: false,
             consented: false,
             copy: None,
+            ended_at_ms: None,
         }
     }
 
-    fn consent(&mut self, told: Copy) {
+    fn consent(&mut self, told: Copy, now: TimeMs) {
         self.consented = true;
-        self.take(told);
+        self.take(told, now);
+    }
+
+    /// Whether the id can neither start nor still run.
+    ///
+    /// A report that takes hours outlives its id's validity; forgotten while it runs, it would be
+    /// lost with its home.
+    fn has_expired(&self, now: TimeMs) -> bool {
+        let runs = |copy: &Copy| copy.outcome.is_none() && now < copy.call.deadline_ms;
+        let may_run = self.copy.as_deref().is_some_and(runs);
+        !may_run && now.since(self.id.issued_at_ms) >= KEEP_MS
+    }
+
+    /// Drops an answer that has been kept long enough; its outcome stays.
+    fn shed(&mut self, now: TimeMs) {
+        let old = self
+            .ended_at_ms
+            .is_some_and(|at| now.since(at) >= KEEP_ANSWER_MS);
+        if let (true, Some(copy)) = (old, &mut self.copy) {
+            copy.shed();
+        }
     }
 
     /// Whether nothing says that the home got as far as dispatching.
@@ -168,7 +242,7 @@
             .copy
             .as_ref()
             .is_some_and(|copy| copy.outcome.is_some());
-        !self.consented && !copy_says_so && !ended
+        !self.consented && !self.taken_over && !copy_says_so && !ended
     }
 
     fn settlement(&self) -> Settlement {
@@ -180,7 +254,10 @@
     }
 
     /// Joins a copy that may be older than the one held, or carry only the newest tokens.
-    fn take(&mut self, new: Copy) {
+    fn take(&mut self, new: Copy, now: TimeMs) {
+        if self.ended_at_ms.is_none() && new.outcome.is_some() {
+            self.ended_at_ms = Some(now);
+        }
         let Some(held) = &mut self.copy else {
             self.copy = Some(Box::new(new));
             return;
