--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -120,6 +120,7 @@
             let known = KnownNotice {
                 host,
                 leave_at_ms: notice.leave_at_ms,
+                noted_at_ms: self.core.clock.now(),
             };
             if self.hosts.lock().note(known) {
                 let state = HostState::Leaving {
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -21,6 +21,8 @@
     pub host: HostKey,
     /// When it goes.
     pub leave_at_ms: TimeMs,
+    /// When this node first heard of it.
+    pub noted_at_ms: TimeMs,
 }
 
 /// Notices that are known, and hosts that the list has ceased to show.
@@ -49,6 +51,13 @@
         }
     }
 
+    /// When this node first heard that a host leaves.
+    #[must_use]
+    pub fn noted_at_ms(&self, host: HostKey) -> Option<TimeMs> {
+        let known = self.notices.binary_search_by_key(&host, |known| known.host);
+        known.ok().map(|index| self.notices[index].noted_at_ms)
+    }
+
     /// The state that a host has, by the list and by what was announced.
     #[must_use]
     pub fn state(&self, host: HostKey, listed: &ListedHost, now: TimeMs) -> HostState {
--- a/src/node/hosts/tests.rs
+++ b/src/node/hosts/tests.rs
@@ -21,6 +21,7 @@
     let notice = KnownNotice {
         host: HostKey::of("h-1"),
         leave_at_ms: TimeMs(5_000),
+        noted_at_ms: TimeMs(0),
     };
     assert!(book.note(notice));
     assert!(!book.note(notice));
@@ -40,11 +41,13 @@
     let host = HostKey::of("h-1");
     assert!(book.note(KnownNotice {
         host,
-        leave_at_ms: TimeMs(9_000)
+        leave_at_ms: TimeMs(9_000),
+        noted_at_ms: TimeMs(0),
     }));
     assert!(book.note(KnownNotice {
         host,
-        leave_at_ms: TimeMs(2_000)
+        leave_at_ms: TimeMs(2_000),
+        noted_at_ms: TimeMs(0),
     }));
     let state = book.state(host, &listed(ListedState::Leaving), TimeMs(0));
     assert_eq!(
--- a/src/node/moves.rs
+++ b/src/node/moves.rs
@@ -61,7 +61,7 @@
         hosts.sort_unstable_by_key(|row| row.key);
         let notices: Vec<_> = hosts
             .iter()
-            .filter_map(|row| notice(row, in_force))
+            .filter_map(|row| notice(node, row, in_force))
             .collect();
         let on_notice = |host: HostKey| notices.binary_search_by_key(&host, |n| n.host).is_ok();
         let records = if notices.is_empty() {
@@ -135,13 +135,14 @@
         Move::Export {
             target,
             start_at_ms,
+            stays,
             ..
         } if start_at_ms <= now && record.progress() == Progress::Running => {
             record.set_progress(Progress::Exporting {
                 target,
                 started_at_ms: now,
             });
-            record.order(Order::Export { target });
+            record.order(Order::Export { target, stays });
         }
         Move::Recompute {
             target,
@@ -194,7 +195,7 @@
     times.into_iter().flatten().filter(|at| *at > now).min()
 }
 
-fn notice(row: &HostRow, in_force: &InForce) -> Option<Notice> {
+fn notice(node: &Node, row: &HostRow, in_force: &InForce) -> Option<Notice> {
     let HostState::Leaving { leave_at_ms } = row.state else {
         return None;
     };
@@ -202,9 +203,15 @@
     Some(Notice {
         host: row.key,
         domain: row.domain,
+        noted_at_ms: node
+            .hosts
+            .lock()
+            .noted_at_ms(row.key)
+            .unwrap_or_else(|| node.core.clock.now()),
         leave_at_ms,
         kv_bytes_per_second: class.kv_bytes_per_second,
         streams_in_all: row.load.running.max(row.open_here),
+        queued: row.load.queued,
     })
 }
 
--- a/src/reclaim/decision.rs
+++ b/src/reclaim/decision.rs
@@ -17,6 +17,11 @@
         start_at_ms: TimeMs,
         /// When to give the export up and plan again.
         give_up_at_ms: TimeMs,
+        /// Whether it goes on at its host, from the exported cache, while the target takes it in.
+        ///
+        /// It stands still for the export alone then, and the target computes the few tokens that
+        /// were generated meanwhile.
+        stays: bool,
     },
     /// Compute prompt and tokens so far on the target and go on there.
     ///
--- a/src/reclaim/planner.rs
+++ b/src/reclaim/planner.rs
@@ -22,6 +22,9 @@
 /// Least time that an export may take longer than planned.
 const EXPORT_SLACK_MIN_MS: u64 = 100;
 
+/// Time that a target takes a cache in for, from which on the stream goes on at its host meanwhile.
+const STAY_MIN_MS: u64 = 100;
+
 /// When an export would be through.
 #[derive(Clone, Copy, Debug)]
 struct ExportTimes {
@@ -29,15 +32,22 @@
     start_at_ms: TimeMs,
     exported_at_ms: TimeMs,
     done_at_ms: TimeMs,
+    /// Whether the stream goes on at its host while the target takes its cache in.
+    stays: bool,
 }
 
 impl ExportTimes {
+    /// How long the stream stands still.
     fn silence_ms(self) -> u64 {
-        self.done_at_ms.since(self.start_at_ms)
+        match self.stays {
+            true => self.exported_at_ms.since(self.start_at_ms),
+            false => self.done_at_ms.since(self.start_at_ms),
+        }
     }
 
     fn give_up_at_ms(self) -> TimeMs {
-        let slack_ms = (self.silence_ms() / 2).max(EXPORT_SLACK_MIN_MS);
+        let needed_ms = self.done_at_ms.since(self.start_at_ms);
+        let slack_ms = (needed_ms / 2).max(EXPORT_SLACK_MIN_MS);
         self.done_at_ms.after(slack_ms)
     }
 }
@@ -93,6 +103,10 @@
                     target,
                     started_at_ms,
                 } => self.keep_export(stream, target, started_at_ms),
+                Progress::Carrying {
+                    target,
+                    started_at_ms,
+                } => self.keep_import(stream, target, started_at_ms),
                 _ => None,
             };
             match kept {
@@ -126,6 +140,34 @@
             target,
             start_at_ms: started_at_ms,
             give_up_at_ms,
+            stays: times.stays,
+        })
+    }
+
+    /// Keeps an import that can still end in time.
+    fn keep_import(
+        &mut self,
+        stream: &StreamOnHost,
+        target: HostKey,
+        started_at_ms: TimeMs,
+    ) -> Option<Move> {
+        let leave_at_ms = self.view.notice(stream.host)?.leave_at_ms;
+        let place = self.room.find(target)?;
+        let rate = self.room.import_bytes_per_second(place);
+        let import_ms = transfer_ms(stream, started_at_ms, started_at_ms, rate);
+        let done_at_ms = started_at_ms.after(import_ms).after(self.overhead_ms(true));
+        let give_up_at_ms = done_at_ms.after((import_ms / 2).max(EXPORT_SLACK_MIN_MS));
+        if self.now >= give_up_at_ms.min(leave_at_ms) {
+            return None;
+        }
+        let link_free_at_ms = self.room.link_free_at_ms(place);
+        *link_free_at_ms = (*link_free_at_ms).max(done_at_ms);
+        self.room.book(place, stream, Tier::Contended);
+        Some(Move::Export {
+            target,
+            start_at_ms: started_at_ms,
+            give_up_at_ms,
+            stays: true,
         })
     }
 
@@ -140,7 +182,10 @@
     }
 
     fn ends_in_time(&self, stream: &StreamOnHost) -> bool {
-        let runs = matches!(stream.progress, Progress::Running | Progress::Warmed { .. });
+        let runs = matches!(
+            stream.progress,
+            Progress::Running | Progress::Warmed { .. } | Progress::Carrying { .. }
+        );
         let Some(notice) = self.view.notice(stream.host) else {
             return false;
         };
@@ -187,6 +232,7 @@
                     target: self.room.target(times.place).host,
                     start_at_ms: times.start_at_ms,
                     give_up_at_ms: times.give_up_at_ms(),
+                    stays: times.stays,
                 })
             }
             None => None,
@@ -197,7 +243,7 @@
     fn best_export(&mut self, stream: &StreamOnHost, tier: Tier) -> Option<ExportTimes> {
         let has_failed = matches!(
             stream.progress,
-            Progress::ExportFailed | Progress::Exporting { .. }
+            Progress::ExportFailed | Progress::Exporting { .. } | Progress::Carrying { .. }
         );
         if has_failed {
             return None;
@@ -228,8 +274,8 @@
         sized_at_ms: TimeMs,
         start_at_ms: TimeMs,
     ) -> Option<ExportTimes> {
-        let overhead_ms = self.view.settings.export_overhead_ms;
         let bytes_per_second = self.links.of(stream.host)?.bytes_per_second;
+        let queued = self.view.notice(stream.host)?.queued;
         let export_ms = match stream.progress {
             Progress::Exported => 0,
             _ => transfer_ms(stream, sized_at_ms, start_at_ms, bytes_per_second),
@@ -238,14 +284,25 @@
         let import_rate = self.room.import_bytes_per_second(place);
         let import_ms = transfer_ms(stream, sized_at_ms, start_at_ms, import_rate);
         let import_at_ms = exported_at_ms.max(*self.room.link_free_at_ms(place));
+        let carried_ms = exported_at_ms.until(import_at_ms.after(import_ms));
+        // Where streams wait, one of them takes the slot that the export leaves free.
+        let stays = queued == 0 && export_ms > 0 && carried_ms >= STAY_MIN_MS;
         Some(ExportTimes {
             place,
             start_at_ms,
             exported_at_ms,
-            done_at_ms: import_at_ms.after(import_ms).after(overhead_ms),
+            done_at_ms: import_at_ms.after(import_ms).after(self.overhead_ms(stays)),
+            stays,
         })
     }
 
+    /// What an export takes besides the bytes.
+    fn overhead_ms(&self, stays: bool) -> u64 {
+        let settings = self.view.settings;
+        let switch_ms = if stays { settings.switch_lead_ms } else { 0 };
+        settings.export_overhead_ms + switch_ms
+    }
+
     fn occupy(&mut self, stream: &StreamOnHost, times: ExportTimes) {
         if let Some(link) = self.links.of(stream.host) {
             link.free_at_ms = link.free_at_ms.max(times.exported_at_ms);
@@ -323,7 +380,10 @@
         place: usize,
         warmed: bool,
     ) -> (Option<TimeMs>, TimeMs) {
-        let streams = matches!(stream.progress, Progress::Running | Progress::Warmed { .. });
+        let streams = matches!(
+            stream.progress,
+            Progress::Running | Progress::Warmed { .. } | Progress::Carrying { .. }
+        );
         let end_ms = self.view.notice(stream.host).map(|n| self.end_ms(n));
         let left_ms = end_ms.map_or(0, |end_ms| self.now.until(end_ms));
         let switch_in_ms = left_ms.saturating_sub(self.view.settings.switch_lead_ms);
--- a/src/reclaim/view.rs
+++ b/src/reclaim/view.rs
@@ -14,12 +14,16 @@
     pub host: HostKey,
     /// Its failure domain.
     pub domain: DomainKey,
+    /// When this node first heard of it; nodes hear of it at about the same time.
+    pub noted_at_ms: TimeMs,
     /// When it is gone.
     pub leave_at_ms: TimeMs,
     /// Link over which KV caches leave it, shared by the streams of all nodes.
     pub kv_bytes_per_second: f64,
     /// Streams of all nodes on it, by its newest load report.
     pub streams_in_all: u32,
+    /// Streams waiting on it, by the same report.
+    pub queued: u32,
 }
 
 /// A host that holds part of a stream's tokens in its prefix cache.
@@ -46,6 +50,13 @@
     },
     /// Its KV cache was exported, but no target has taken it in.
     Exported,
+    /// Its KV cache was exported and is on its way in; meanwhile it goes on at its host.
+    Carrying {
+        /// Where it goes.
+        target: HostKey,
+        /// When the target was asked to take it in.
+        started_at_ms: TimeMs,
+    },
     /// The export failed; the stream may stand still.
     ExportFailed,
     /// A target has begun to compute its tokens into the prefix cache.
@@ -154,7 +165,8 @@
     /// This node; it makes its draws differ from those of other nodes.
     pub node: Incarnation,
     /// This node's place among the live nodes in the order of incarnations, from 0; it decides
-    /// which part of scarce room is this node's. Nodes that count differently only share worse.
+    /// which part of scarce room is this node's, and when its turn is on a link. Nodes that count
+    /// differently only share worse.
     pub node_rank: u32,
     /// The live nodes, this one included.
     pub nodes: u32,
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -77,6 +77,8 @@
     Export {
         /// Where to.
         target: HostKey,
+        /// Whether to go on meanwhile, from the exported cache, at the host that it is taken from.
+        stays: bool,
     },
     /// Leave the task to the node that takes over; the record stays.
     HandOver,
