perf: Let a stream go on at its host while the target takes its cache in, and take turns on links

Cause: a stream stood still while its cache was out and in, so that those of long contexts were computed anew to keep the silence short; and each node planned with its part of a link's rate, by which every transfer took a multiple of its time. Change: after the export the stream goes on at its host from the exported cache, the target takes it in meanwhile, and computes the few tokens generated since. Nodes take turns on a link, each at its whole rate, in an order that differs from host to host. The moving of streams has a module of its own.

--- a/src/reclaim/planner.rs
+++ b/src/reclaim/planner.rs
@@ -6,7 +6,7 @@
 use super::links::{SourceLinks, transfer_ms};
 use super::rates::{duration_ms, float, whole};
 use super::room::{Room, Tier};
-use super::view::{Notice, Progress, ReclaimView, StreamOnHost};
+use super::view::{Notice, Progress, ReclaimView, Settings, StreamOnHost};
 use crate::keys::HostKey;
 use crate::time::TimeMs;
 
@@ -39,9 +39,21 @@
 impl ExportTimes {
     /// How long the stream stands still.
     fn silence_ms(self) -> u64 {
-        match self.stays {
-            true => self.exported_at_ms.since(self.start_at_ms),
-            false => self.done_at_ms.since(self.start_at_ms),
+        let until_ms = if self.stays {
+            self.exported_at_ms
+        } else {
+            self.done_at_ms
+        };
+        until_ms.since(self.start_at_ms)
+    }
+
+    /// The same for a stream that stands still until the target has its cache.
+    fn without_stay(self, settings: Settings) -> Self {
+        let saved_ms = overhead_ms(settings, self.stays) - overhead_ms(settings, false);
+        Self {
+            done_at_ms: TimeMs(self.done_at_ms.0 - saved_ms),
+            stays: false,
+            ..self
         }
     }
 
@@ -52,6 +64,12 @@
     }
 }
 
+/// What an export takes besides the bytes.
+fn overhead_ms(settings: Settings, stays: bool) -> u64 {
+    let switch_ms = if stays { settings.switch_lead_ms } else { 0 };
+    settings.export_overhead_ms + switch_ms
+}
+
 /// One plan in the making.
 #[derive(Debug)]
 pub(super) struct Planner<'a> {
@@ -155,7 +173,9 @@
         let place = self.room.find(target)?;
         let rate = self.room.import_bytes_per_second(place);
         let import_ms = transfer_ms(stream, started_at_ms, started_at_ms, rate);
-        let done_at_ms = started_at_ms.after(import_ms).after(self.overhead_ms(true));
+        let done_at_ms = started_at_ms
+            .after(import_ms)
+            .after(overhead_ms(self.view.settings, true));
         let give_up_at_ms = done_at_ms.after((import_ms / 2).max(EXPORT_SLACK_MIN_MS));
         if self.now >= give_up_at_ms.min(leave_at_ms) {
             return None;
@@ -259,11 +279,14 @@
             u64::MAX
         };
         let candidates = self.room.candidates(stream, tier).into_iter();
-        let timed =
-            candidates.filter_map(|place| self.export_times(stream, place, self.now, free_at_ms));
+        let timed = candidates.filter_map(|place| {
+            let staying = self.export_times(stream, place, self.now, free_at_ms)?;
+            Some([staying.without_stay(self.view.settings), staying])
+        });
         let fitting = timed
+            .flatten()
             .filter(|times| times.done_at_ms <= end_ms && times.silence_ms() <= silence_max_ms);
-        fitting.min_by_key(|times| times.done_at_ms)
+        fitting.min_by_key(|times| (times.silence_ms(), times.done_at_ms))
     }
 
     /// The times of an export whose cache has its present size at `sized_at_ms`.
@@ -291,18 +314,13 @@
             place,
             start_at_ms,
             exported_at_ms,
-            done_at_ms: import_at_ms.after(import_ms).after(self.overhead_ms(stays)),
+            done_at_ms: import_at_ms
+                .after(import_ms)
+                .after(overhead_ms(self.view.settings, stays)),
             stays,
         })
     }
 
-    /// What an export takes besides the bytes.
-    fn overhead_ms(&self, stays: bool) -> u64 {
-        let settings = self.view.settings;
-        let switch_ms = if stays { settings.switch_lead_ms } else { 0 };
-        settings.export_overhead_ms + switch_ms
-    }
-
     fn occupy(&mut self, stream: &StreamOnHost, times: ExportTimes) {
         if let Some(link) = self.links.of(stream.host) {
             link.free_at_ms = link.free_at_ms.max(times.exported_at_ms);
--- a/src/reclaim/tests.rs
+++ b/src/reclaim/tests.rs
@@ -13,9 +13,11 @@
     Notice {
         host: LEAVING,
         domain: DomainKey(0),
+        noted_at_ms: NOW,
         leave_at_ms: NOW.after(leave_in_ms),
         kv_bytes_per_second: 1e9,
         streams_in_all: 0,
+        queued: 0,
     }
 }
 
@@ -83,12 +85,26 @@
     let expected = Move::Export {
         target: HostKey(2),
         start_at_ms: NOW,
-        // 400 ms out, 400 ms in, 20 ms of overhead, and half of that as slack.
-        give_up_at_ms: NOW.after(820 + 410),
+        // 400 ms out, 400 ms in, 170 ms to ask and to switch, and half of that as slack.
+        give_up_at_ms: NOW.after(970 + 485),
+        stays: true,
     };
     assert_eq!(moves, [expected]);
 }
 
+#[test]
+fn a_stream_stays_where_it_was_exported_only_while_nobody_waits_for_its_slot() {
+    let busy = Notice {
+        queued: 1,
+        ..notice(10_000)
+    };
+    let moves = actions(&[busy], &[stream(0, 4_000, 2_000)], &[target(2, 1, 4)]);
+    assert!(matches!(moves[0], Move::Export { stays: false, .. }));
+    // Standing still until a cache of half a second is out and in takes too long.
+    let moves = actions(&[busy], &[stream(0, 5_000, 2_000)], &[target(2, 1, 4)]);
+    assert!(matches!(moves[0], Move::Recompute { .. }), "{moves:?}");
+}
+
 #[test]
 fn exports_queue_on_the_link_and_the_rest_is_recomputed() {
     let streams: Vec<_> = (0..6).map(|key| stream(key, 4_000, 2_000)).collect();
@@ -105,7 +121,7 @@
         _ => None,
     });
     let recomputes: Vec<_> = recomputes.collect();
-    // 1,800 ms hold three exports of 400 ms, each followed by its import of 420 ms.
+    // 1,800 ms hold three exports of 400 ms, each followed by its import of 400 ms and a switch.
     assert_eq!((exports.count(), recomputes.len()), (3, 3));
     for (warm_at_ms, start_at_ms) in recomputes {
         assert_eq!(start_at_ms, NOW.after(2_000 - 200 - 150));
@@ -114,14 +130,36 @@
 }
 
 #[test]
-fn a_link_shared_with_other_nodes_is_used_by_share() {
-    let shared = Notice {
+fn nodes_take_turns_on_a_link() {
+    // Symptom: streams stand still for as long as the exports of all nodes take together.
+    // Sequence: four nodes hear of a notice and export their streams from the host at once.
+    // Cause: nodes that share the link at one time and not one after another.
+    let shared = [Notice {
         streams_in_all: 4,
-        ..notice(2_000)
-    };
-    let moves = actions(&[shared], &[stream(0, 4_000, 2_000)], &[target(2, 1, 8)]);
-    // A quarter of the link moves the cache in 1,600 ms: too long to stand still.
-    assert!(matches!(moves[0], Move::Recompute { .. }), "{moves:?}");
+        ..notice(10_000)
+    }];
+    let streams = [stream(0, 4_000, 2_000)];
+    let starts = (0..4).map(|node_rank| {
+        let view = ReclaimView {
+            node: Incarnation(u64::from(node_rank)),
+            node_rank,
+            nodes: 4,
+            notices: &shared,
+            streams: &streams,
+            targets: &[target(2, 1, 8)],
+            settings: Settings::default(),
+        };
+        match plan(&view, NOW).moves[0].action {
+            Move::Export { start_at_ms, .. } => start_at_ms,
+            other => panic!("{other:?}"),
+        }
+    });
+    let mut starts: Vec<_> = starts.collect();
+    starts.sort_unstable();
+    assert_eq!(starts[0], NOW);
+    for pair in starts.windows(2) {
+        assert!(pair[1].since(pair[0]) >= 400, "{starts:?}");
+    }
 }
 
 #[test]
@@ -180,7 +218,7 @@
     let targets = [target(2, 1, 4)];
     let moves = actions(&[notice(10_000)], &[hanging(1_000)], &targets);
     assert!(matches!(moves[0], Move::Export { .. }), "{moves:?}");
-    let moves = actions(&[notice(10_000)], &[hanging(1_300)], &targets);
+    let moves = actions(&[notice(10_000)], &[hanging(1_500)], &targets);
     let at_once = Move::Recompute {
         target: HostKey(2),
         warm_at_ms: None,
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -1,9 +1,12 @@
 //! Runs one model request through its attempts, moves and losses to a whole answer.
 
+mod moves;
+
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::oneshot;
 use tokio::time::Sleep;
 
 use super::core::{Core, Right};
@@ -15,16 +18,14 @@
 use super::record::{Order, Place};
 use super::suspicion::{Leave, QuarantineEnd, has_passed};
 use super::{Outcome, Record, Verdict, Work};
-use crate::blackboard::{HostRow, HostState};
 use crate::keys::HostKey;
 use crate::node::messages::Told;
-use crate::reclaim::Progress;
 use crate::retries::{QuarantineAsk, Retry};
 use crate::routing::chain::Chain;
 use crate::routing::{Candidate, NoRoute};
 use crate::time::TimeMs;
 use crate::upstreams::{
-    self, Delivery, EngineEvent, Engines, EventStream, Import, StartStream, UpstreamError,
+    self, Delivery, EngineEvent, Engines, EventStream, StartStream, UpstreamError,
 };
 
 /// Between two tries to reach the engine of a stream that broke.
@@ -44,12 +45,6 @@
 /// It needs them only if home and upstream are lost together; the upstream itself keeps the rest.
 const TELL_TOKENS: u64 = 64;
 
-/// Attempts with this number and above compute ahead and generate nothing.
-const FIRST_WARM_ATTEMPT: u32 = 1 << 24;
-
-/// Times that one attempt may be computed ahead under names of their own.
-const WARMS_PER_ATTEMPT: u32 = 64;
-
 /// Runs a record to its outcome, or to `None` when another node has taken it over.
 pub(super) async fn run<L: Links>(
     core: Arc<Core<L>>,
@@ -70,6 +65,8 @@
         failed: None,
         failures: 0,
         resume_on: None,
+        imported: None,
+        carried: None,
         has_right: false,
         warmed: 0,
         quarantine: None,
@@ -105,6 +102,10 @@
     failures: u32,
     /// Where a stream that its engine was asked to stop is to go on.
     resume_on: Option<HostKey>,
+    /// The cache that the target of `resume_on` has taken in.
+    imported: Option<String>,
+    /// A target that is taking the stream's cache in.
+    carried: Option<Carried>,
     /// Whether the right to start it has been obtained; it is never taken back.
     has_right: bool,
     /// Targets that were asked to compute ahead.
@@ -117,6 +118,12 @@
     expected_cached_tokens: f64,
 }
 
+/// What came of an import, unless its task ended without a word.
+type Imported = Option<Result<String, UpstreamError>>;
+
+/// A target, and what will come of the import there.
+type Carried = (HostKey, oneshot::Receiver<Result<String, UpstreamError>>);
+
 /// Whether to go on.
 enum Flow {
     Go,
@@ -129,6 +136,7 @@
     Order(Order),
     Active(Option<Result<EngineEvent, UpstreamError>>),
     Next(Option<Result<EngineEvent, UpstreamError>>),
+    Imported(HostKey, Imported),
     Deadline,
 }
 
@@ -141,6 +149,7 @@
                     Wake::Order(order) => self.obey(order).await,
                     Wake::Active(event) => self.on_active(event).await,
                     Wake::Next(event) => self.on_next(event).await,
+                    Wake::Imported(target, imported) => self.on_imported(target, imported).await,
                     Wake::Deadline => Flow::End(past_deadline(&self.record)),
                 },
             };
@@ -169,6 +178,9 @@
             biased;
             order = self.record.next_order() => Wake::Order(order),
             event = next_event(&mut self.next) => Wake::Next(event),
+            (target, imported) = next_import(&mut self.carried) => {
+                Wake::Imported(target, imported)
+            }
             event = next_event(&mut self.active) => Wake::Active(event),
             () = &mut self.deadline => Wake::Deadline,
         }
@@ -482,134 +494,6 @@
         }
     }
 
-    /// The successor streams: it takes over, and the old attempt is stopped.
-    async fn on_next(&mut self, event: Option<Result<EngineEvent, UpstreamError>>) -> Flow {
-        let Some(Ok(EngineEvent::Token { .. })) = &event else {
-            // It failed before its first token; the old attempt goes on.
-            if let Some(next) = self.next.take() {
-                self.core.note_close(next.place, self.core.clock.now());
-                self.stay(next.place);
-            }
-            return Flow::Go;
-        };
-        if let Some(old) = self.active.take() {
-            self.stop_aside(old);
-        }
-        self.active = self.next.take();
-        if let Some(active) = &self.active {
-            self.record.resume_attempt(active.place);
-        }
-        self.tell();
-        self.on_active(event).await
-    }
-
-    /// A successor came to nothing.
-    ///
-    /// The record names the old attempt's place again. Left at no place, the stream would be in no
-    /// later plan, and would stand still from the end of its host until it has begun anew.
-    fn stay(&mut self, successor: Place) {
-        self.record.close_attempt(successor.attempt);
-        if let Some(active) = &self.active {
-            self.record.resume_attempt(active.place);
-        }
-    }
-
-    async fn obey(&mut self, order: Order) -> Flow {
-        match order {
-            Order::Cancel => Flow::End(Outcome::Cancelled),
-            Order::HandOver => Flow::Moved,
-            Order::Warm { target } => self.warm(target),
-            // A late order, for a stream that has been moved; or no order for this node to carry out.
-            _ if !self.is_to_move() => Flow::Go,
-            Order::Recompute { target } => self.recompute(target).await,
-            Order::Resume { target } => self.stop_and_resume(target).await,
-            Order::Export { target } => self.export(target).await,
-        }
-    }
-
-    /// Whether the stream is on a host that leaves, has no successor yet on one that stays, and may
-    /// be started elsewhere by this node.
-    fn is_to_move(&self) -> bool {
-        let stays = |attempt: &Attempt<Events<L>>| {
-            let host = attempt.place.host;
-            let state = self.core.blackboard.with_host(host, |row| row.state);
-            state == Some(HostState::Live)
-        };
-        let moved = [&self.active, &self.next].into_iter().flatten().any(stays);
-        self.right != Right::Reader && !moved
-    }
-
-    /// Starts a successor while the old attempt still streams.
-    async fn recompute(&mut self, target: HostKey) -> Flow {
-        let address = self.core.blackboard.with_host(target, |row| row.address);
-        let Some(address) = address.filter(|_address| self.record.call.idempotent) else {
-            return Flow::Go;
-        };
-        if let Some(old) = self.next.take() {
-            self.stop_aside(old);
-        }
-        let place = self.record.begin_attempt(target, address);
-        self.core.note_open(place, 0.0, self.core.clock.now());
-        match self.open(place, None).await {
-            Ok(attempt) => self.next = Some(attempt),
-            Err(error) => {
-                self.core.note_close(place, self.core.clock.now());
-                self.core.note_failure(place, &error, self.core.clock.now());
-                self.stay(place);
-            }
-        }
-        Flow::Go
-    }
-
-    /// Stops the stream; what its engine generated before is read to its end, and then it goes on.
-    ///
-    /// The engine's word that it has stopped, and at which position, is what makes it certain that
-    /// no token is generated twice.
-    async fn stop_and_resume(&mut self, target: HostKey) -> Flow {
-        let Some(active) = &self.active else {
-            return Flow::Go;
-        };
-        let stopped = self
-            .core
-            .engines
-            .cancel(active.place.address, &active.name)
-            .await;
-        match stopped {
-            Ok(()) => self.resume_on = Some(target),
-            // It may run on; the controller decides anew.
-            Err(error) => log::info!(id:% = self.record.id, error:% = error; "a stop failed"),
-        }
-        Flow::Go
-    }
-
-    /// Has the target compute what the stream will need there, and generate nothing.
-    fn warm(&mut self, target: HostKey) -> Flow {
-        let address = self.core.blackboard.with_host(target, |row| row.address);
-        let (Some(address), Some(active)) = (address, &self.active) else {
-            return Flow::Go;
-        };
-        self.warmed += 1;
-        let attempt = active.place.attempt.saturating_mul(WARMS_PER_ATTEMPT) + self.warmed;
-        let name = self.record.id.attempt(FIRST_WARM_ATTEMPT + attempt);
-        let (record, core) = (Arc::clone(&self.record), Arc::clone(&self.core));
-        let priority = self.priority();
-        tokio::spawn(async move {
-            let (prefix, position) = record.text_and_position();
-            let Some(start) = start_stream(&record, &name, &prefix, position, priority) else {
-                return;
-            };
-            let start = StartStream {
-                max_tokens: position,
-                ..start
-            };
-            match core.engines.start(address, &start).await {
-                Ok(mut events) => while let Some(Ok(_event)) = events.next().await {},
-                Err(error) => log::info!(error:% = error; "a target was not warmed"),
-            }
-        });
-        Flow::Go
-    }
-
     fn priority(&self) -> u8 {
         let in_force = self.core.blackboard.in_force();
         in_force.map_or(0, |in_force| {
@@ -617,81 +501,6 @@
         })
     }
 
-    /// Takes the KV cache along; the stream pauses meanwhile.
-    async fn export(&mut self, target: HostKey) -> Flow {
-        let address = self.core.blackboard.with_host(target, |row| row.address);
-        let (Some(address), Some(active)) = (address, &self.active) else {
-            return Flow::Go;
-        };
-        let source = active.place.address;
-        let exported = tokio::select! {
-            exported = self.core.engines.export(source, &active.name) => exported,
-            // The controller has given the export up. Waiting on would leave the stream where it
-            // stands until its host is gone.
-            order = self.record.next_order() => {
-                self.record.set_progress(Progress::ExportFailed);
-                self.record.order(order);
-                return Flow::Go;
-            }
-        };
-        let export = match exported {
-            Ok(export) => export,
-            // The stream goes on where it is; the controller decides anew.
-            Err(error) => {
-                log::info!(id:% = self.record.id, error:% = error; "an export failed");
-                self.record.set_progress(Progress::ExportFailed);
-                return Flow::Go;
-            }
-        };
-        self.read_up_to(export.position).await;
-        if self.record.next_position() < export.position {
-            // The tokens that are missing are read again; the engine's word that the stream was
-            // exported then leads on.
-            return self.reread().await;
-        }
-        let Some(old) = self.active.take() else {
-            return Flow::Go;
-        };
-        self.core.note_close(old.place, self.core.clock.now());
-        let import = Import {
-            handle: export.handle,
-            source,
-            bytes: export.bytes,
-        };
-        let imported = self.core.engines.import(address, &import).await;
-        self.record.close_attempt(old.place.attempt);
-        match imported {
-            Ok(handle) => {
-                let place = self.record.begin_attempt(target, address);
-                self.start(place, 0.0, Some(&handle)).await
-            }
-            // Its engine has stopped and all its tokens are here, so that it goes on without.
-            Err(error) => {
-                log::info!(id:% = self.record.id, error:% = error; "an import failed");
-                Flow::Go
-            }
-        }
-    }
-
-    /// Reads the tokens that an exported stream had generated before it paused.
-    async fn read_up_to(&mut self, position: u64) {
-        while self.record.next_position() < position {
-            let Some(active) = self.active.as_mut() else {
-                return;
-            };
-            match active.events.next().await {
-                Some(Ok(EngineEvent::Token {
-                    attempt: name,
-                    position,
-                    text,
-                })) => {
-                    offer(&self.record, active, &name, position, &text);
-                }
-                Some(Ok(_) | Err(_)) | None => return,
-            }
-        }
-    }
-
     async fn done(&mut self, tokens: u64, finish: upstreams::Finish) -> Flow {
         // An end that arrives without all tokens would give the caller a shortened answer.
         if tokens != self.record.next_position() {
@@ -712,38 +521,6 @@
         Flow::End(Outcome::Completed { tokens, finish })
     }
 
-    /// The engine says that the attempt was stopped or exported, and all its tokens are here.
-    ///
-    /// It will generate no more, so the stream goes on elsewhere, also if it may not run twice. A
-    /// node that may only read leaves that to the one that had it stopped.
-    async fn stopped(&mut self) -> Flow {
-        let Some(old) = self.active.take() else {
-            return Flow::Go;
-        };
-        self.core.note_close(old.place, self.core.clock.now());
-        if self.right == Right::Reader {
-            return self.lost(old.place);
-        }
-        self.record.close_attempt(old.place.attempt);
-        if let Some(next) = self.next.take() {
-            self.record.resume_attempt(next.place);
-            self.active = Some(next);
-            return Flow::Go;
-        }
-        let target = self.resume_on.take().and_then(|target| {
-            let live = |row: &mut HostRow| (row.state == HostState::Live).then_some(row.address);
-            let address = self.core.blackboard.with_host(target, live)??;
-            Some((target, address))
-        });
-        match target {
-            Some((target, address)) => {
-                let place = self.record.begin_attempt(target, address);
-                self.start(place, 0.0, None).await
-            }
-            None => Flow::Go,
-        }
-    }
-
     /// Reads the active attempt again from the next position.
     async fn reread(&mut self) -> Flow {
         let Some(active) = self.active.take() else {
@@ -793,20 +570,6 @@
         }
     }
 
-    /// Stops an attempt without waiting for its engine, which may be about to go.
-    fn stop_aside(&self, attempt: Attempt<Events<L>>) {
-        self.record.close_attempt(attempt.place.attempt);
-        self.core.note_close(attempt.place, self.core.clock.now());
-        let core = Arc::clone(&self.core);
-        tokio::spawn(async move {
-            let Attempt { place, name, .. } = attempt;
-            // A failed cancel costs tokens and nothing else.
-            if let Err(error) = core.engines.cancel(place.address, &name).await {
-                log::debug!(error:% = error; "a cancel failed");
-            }
-        });
-    }
-
     async fn stop_streams(&mut self) {
         for attempt in [self.active.take(), self.next.take()].into_iter().flatten() {
             self.stop(attempt).await;
@@ -844,6 +607,15 @@
     }
 }
 
+async fn next_import(carried: &mut Option<Carried>) -> (HostKey, Imported) {
+    let Some((target, receiver)) = carried else {
+        return std::future::pending().await;
+    };
+    let (target, imported) = (*target, receiver.await.ok());
+    *carried = None;
+    (target, imported)
+}
+
 /// Offers a token, unless it belongs to another attempt than the stream it came on.
 fn offer<E>(
     record: &Record,
