--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -3,8 +3,26 @@
 //! Each experiment runs its sides in one run and prints one JSON line per side. To add one, write
 //! `measure/<name>.rs` and name it in `measure/experiments.rs`.
 
+#[path = "../tests/support/calling.rs"]
+#[expect(
+    dead_code,
+    reason = "calls without a break are for the tests of planned stops"
+)]
+mod calling;
+#[path = "../tests/support/deployment.rs"]
+mod deployment;
 #[path = "measure/experiments.rs"]
 mod experiments;
+#[path = "../tests/support/load.rs"]
+mod load;
+#[path = "../tests/support/runtimes.rs"]
+#[expect(dead_code, reason = "some faults are for the tests only")]
+mod runtimes;
+#[path = "../tests/support/stage.rs"]
+#[expect(dead_code, reason = "some faults are for the tests only")]
+mod stage;
+#[path = "../tests/support/streams.rs"]
+mod streams;
 
 use std::process::ExitCode;
 
--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -4,13 +4,12 @@
 mod config;
 mod cost;
 mod decisions;
-#[path = "../../tests/support/deployment.rs"]
-mod deployment;
 mod fleet;
 mod killer;
 mod migrate;
 mod overload;
 mod path;
+mod reclaim_wave;
 mod report;
 mod retry_storm;
 mod slopes;
@@ -20,6 +19,7 @@
 
 use std::path::PathBuf;
 
+use crate::deployment;
 use thiserror::Error;
 
 /// Every experiment, by name.
@@ -37,6 +37,7 @@
     path::THROUGHPUT,
     path::MEMORY,
     slopes::EXPERIMENT,
+    reclaim_wave::EXPERIMENT,
 ];
 
 /// One experiment.
--- a/examples/measure/migrate.rs
+++ b/examples/measure/migrate.rs
@@ -5,9 +5,6 @@
 //! the rest to the controller; `at once` gives the old hosts back in the moment of the change, as a
 //! script that does not wait for the new hosts would.
 
-#[path = "../../tests/support/load.rs"]
-mod load;
-
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,11 +18,11 @@
 use teaselline_stand_ins::site::Site;
 use tokio_util::sync::CancellationToken;
 
-use self::load::{Load, Seen, Tally};
 use super::deployment::{site_settings, start_nodes, url, wait_until_ready};
 use super::report::Line;
 use super::trial;
 use super::{Arguments, Experiment, Failure};
+use crate::load::{self, Load, Seen, Tally};
 
 /// The experiment.
 pub const EXPERIMENT: Experiment = Experiment {
--- a/src/reclaim/planner.rs
+++ b/src/reclaim/planner.rs
@@ -6,7 +6,7 @@
 use super::links::{SourceLinks, transfer_ms};
 use super::rates::{duration_ms, float, whole};
 use super::room::{Room, Tier};
-use super::view::{Notice, Progress, ReclaimView, StreamOnHost};
+use super::view::{Notice, Progress, ReclaimView, Settings, StreamOnHost};
 use crate::keys::HostKey;
 use crate::time::TimeMs;
 
@@ -22,6 +22,9 @@
 /// Least time that an export may take longer than planned.
 const EXPORT_SLACK_MIN_MS: u64 = 100;
 
+/// Time that a target takes a cache in for, from which on the stream goes on at its host meanwhile.
+const STAY_MIN_MS: u64 = 100;
+
 /// When an export would be through.
 #[derive(Clone, Copy, Debug)]
 struct ExportTimes {
@@ -29,19 +32,44 @@
     start_at_ms: TimeMs,
     exported_at_ms: TimeMs,
     done_at_ms: TimeMs,
+    /// Whether the stream goes on at its host while the target takes its cache in.
+    stays: bool,
 }
 
 impl ExportTimes {
+    /// How long the stream stands still.
     fn silence_ms(self) -> u64 {
-        self.done_at_ms.since(self.start_at_ms)
+        let until_ms = if self.stays {
+            self.exported_at_ms
+        } else {
+            self.done_at_ms
+        };
+        until_ms.since(self.start_at_ms)
+    }
+
+    /// The same for a stream that stands still until the target has its cache.
+    fn without_stay(self, settings: Settings) -> Self {
+        let saved_ms = overhead_ms(settings, self.stays) - overhead_ms(settings, false);
+        Self {
+            done_at_ms: TimeMs(self.done_at_ms.0 - saved_ms),
+            stays: false,
+            ..self
+        }
     }
 
     fn give_up_at_ms(self) -> TimeMs {
-        let slack_ms = (self.silence_ms() / 2).max(EXPORT_SLACK_MIN_MS);
+        let needed_ms = self.done_at_ms.since(self.start_at_ms);
+        let slack_ms = (needed_ms / 2).max(EXPORT_SLACK_MIN_MS);
         self.done_at_ms.after(slack_ms)
     }
 }
 
+/// What an export takes besides the bytes.
+fn overhead_ms(settings: Settings, stays: bool) -> u64 {
+    let switch_ms = if stays { settings.switch_lead_ms } else { 0 };
+    settings.export_overhead_ms + switch_ms
+}
+
 /// One plan in the making.
 #[derive(Debug)]
 pub(super) struct Planner<'a> {
@@ -93,6 +121,10 @@
                     target,
                     started_at_ms,
                 } => self.keep_export(stream, target, started_at_ms),
+                Progress::Carrying {
+                    target,
+                    started_at_ms,
+                } => self.keep_import(stream, target, started_at_ms),
                 _ => None,
             };
             match kept {
@@ -126,6 +158,36 @@
             target,
             start_at_ms: started_at_ms,
             give_up_at_ms,
+            stays: times.stays,
+        })
+    }
+
+    /// Keeps an import that can still end in time.
+    fn keep_import(
+        &mut self,
+        stream: &StreamOnHost,
+        target: HostKey,
+        started_at_ms: TimeMs,
+    ) -> Option<Move> {
+        let leave_at_ms = self.view.notice(stream.host)?.leave_at_ms;
+        let place = self.room.find(target)?;
+        let rate = self.room.import_bytes_per_second(place);
+        let import_ms = transfer_ms(stream, started_at_ms, started_at_ms, rate);
+        let done_at_ms = started_at_ms
+            .after(import_ms)
+            .after(overhead_ms(self.view.settings, true));
+        let give_up_at_ms = done_at_ms.after((import_ms / 2).max(EXPORT_SLACK_MIN_MS));
+        if self.now >= give_up_at_ms.min(leave_at_ms) {
+            return None;
+        }
+        let link_free_at_ms = self.room.link_free_at_ms(place);
+        *link_free_at_ms = (*link_free_at_ms).max(done_at_ms);
+        self.room.book(place, stream, Tier::Contended);
+        Some(Move::Export {
+            target,
+            start_at_ms: started_at_ms,
+            give_up_at_ms,
+            stays: true,
         })
     }
 
@@ -140,7 +202,10 @@
     }
 
     fn ends_in_time(&self, stream: &StreamOnHost) -> bool {
-        let runs = matches!(stream.progress, Progress::Running | Progress::Warmed { .. });
+        let runs = matches!(
+            stream.progress,
+            Progress::Running | Progress::Warmed { .. } | Progress::Carrying { .. }
+        );
         let Some(notice) = self.view.notice(stream.host) else {
             return false;
         };
@@ -187,6 +252,7 @@
                     target: self.room.target(times.place).host,
                     start_at_ms: times.start_at_ms,
                     give_up_at_ms: times.give_up_at_ms(),
+                    stays: times.stays,
                 })
             }
             None => None,
@@ -197,7 +263,7 @@
     fn best_export(&mut self, stream: &StreamOnHost, tier: Tier) -> Option<ExportTimes> {
         let has_failed = matches!(
             stream.progress,
-            Progress::ExportFailed | Progress::Exporting { .. }
+            Progress::ExportFailed | Progress::Exporting { .. } | Progress::Carrying { .. }
         );
         if has_failed {
             return None;
@@ -213,11 +279,14 @@
             u64::MAX
         };
         let candidates = self.room.candidates(stream, tier).into_iter();
-        let timed =
-            candidates.filter_map(|place| self.export_times(stream, place, self.now, free_at_ms));
+        let timed = candidates.filter_map(|place| {
+            let staying = self.export_times(stream, place, self.now, free_at_ms)?;
+            Some([staying.without_stay(self.view.settings), staying])
+        });
         let fitting = timed
+            .flatten()
             .filter(|times| times.done_at_ms <= end_ms && times.silence_ms() <= silence_max_ms);
-        fitting.min_by_key(|times| times.done_at_ms)
+        fitting.min_by_key(|times| (times.silence_ms(), times.done_at_ms))
     }
 
     /// The times of an export whose cache has its present size at `sized_at_ms`.
@@ -228,8 +297,8 @@
         sized_at_ms: TimeMs,
         start_at_ms: TimeMs,
     ) -> Option<ExportTimes> {
-        let overhead_ms = self.view.settings.export_overhead_ms;
         let bytes_per_second = self.links.of(stream.host)?.bytes_per_second;
+        let queued = self.view.notice(stream.host)?.queued;
         let export_ms = match stream.progress {
             Progress::Exported => 0,
             _ => transfer_ms(stream, sized_at_ms, start_at_ms, bytes_per_second),
@@ -238,11 +307,17 @@
         let import_rate = self.room.import_bytes_per_second(place);
         let import_ms = transfer_ms(stream, sized_at_ms, start_at_ms, import_rate);
         let import_at_ms = exported_at_ms.max(*self.room.link_free_at_ms(place));
+        let carried_ms = exported_at_ms.until(import_at_ms.after(import_ms));
+        // Where streams wait, one of them takes the slot that the export leaves free.
+        let stays = queued == 0 && export_ms > 0 && carried_ms >= STAY_MIN_MS;
         Some(ExportTimes {
             place,
             start_at_ms,
             exported_at_ms,
-            done_at_ms: import_at_ms.after(import_ms).after(overhead_ms),
+            done_at_ms: import_at_ms
+                .after(import_ms)
+                .after(overhead_ms(self.view.settings, stays)),
+            stays,
         })
     }
 
@@ -323,7 +398,10 @@
         place: usize,
         warmed: bool,
     ) -> (Option<TimeMs>, TimeMs) {
-        let streams = matches!(stream.progress, Progress::Running | Progress::Warmed { .. });
+        let streams = matches!(
+            stream.progress,
+            Progress::Running | Progress::Warmed { .. } | Progress::Carrying { .. }
+        );
         let end_ms = self.view.notice(stream.host).map(|n| self.end_ms(n));
         let left_ms = end_ms.map_or(0, |end_ms| self.now.until(end_ms));
         let switch_in_ms = left_ms.saturating_sub(self.view.settings.switch_lead_ms);
