--- a/examples/measure/cost.rs
+++ b/examples/measure/cost.rs
@@ -10,13 +10,11 @@
 mod day;
 
 use serde_json::json;
-use teaselline::document::checked::{
-    Document, FailureDomain, HostClass, Measure, Model, Pool, PoolKind,
-};
-use teaselline::keys::{ClassKey, DomainKey, ModelKey};
+use teaselline::document::Document;
+use teaselline::document::checked::HostClass;
 
 use super::report::Line;
-use super::{Arguments, Experiment, Failure};
+use super::{Arguments, Experiment, Failure, one_pool};
 use cloud::{Outcome, Site};
 use day::Day;
 
@@ -137,42 +135,11 @@
         kv_tokens_capacity: 200_000,
         kv_bytes_per_second: 1e9,
     };
-    Document {
-        deployment: "cost".to_owned(),
-        measure: Measure {
-            cost_weight: 0.5,
-            recomputed_tokens_weight: 0.5,
-        },
-        failure_domains: (0..domains)
-            .map(|domain| FailureDomain {
-                name: format!("domain-{domain:02}"),
-                region: "region".to_owned(),
-            })
-            .collect(),
-        host_classes: vec![
-            class("on-demand-large", false, 4.0, 16),
-            class("on-demand-small", false, 2.2, 8),
-            class("spot-large", true, 1.6, 16),
-            class("spot-small", true, 0.8, 8),
-        ],
-        models: vec![Model {
-            name: "model".to_owned(),
-            version: "1".to_owned(),
-            adapters: Vec::new(),
-            weights_bytes: 16_000_000_000,
-            kv_bytes_per_token: 100_000,
-        }],
-        pools: vec![Pool {
-            name: "models".to_owned(),
-            kind: PoolKind::Engine {
-                models: vec![ModelKey(0)],
-                checks_orders: true,
-            },
-            hosts: (0..domains).map(|domain| (DomainKey(domain), 1)).collect(),
-            host_classes: (0..4).map(ClassKey).collect(),
-        }],
-        latency_classes: Vec::new(),
-        teams: Vec::new(),
-        operators: Vec::new(),
-    }
+    let classes = vec![
+        class("on-demand-large", false, 4.0, 16),
+        class("on-demand-small", false, 2.2, 8),
+        class("spot-large", true, 1.6, 16),
+        class("spot-small", true, 0.8, 8),
+    ];
+    one_pool::document(domains, classes)
 }
--- a/examples/measure/decisions/fleet.rs
+++ b/examples/measure/decisions/fleet.rs
@@ -3,7 +3,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use teaselline::document::Document;
-use teaselline::document::checked::{FailureDomain, HostClass, Measure, Model, Pool, PoolKind};
+use teaselline::document::checked::HostClass;
 use teaselline::keys::{ClassKey, DomainKey, HostKey, ModelKey, PoolKey};
 use teaselline::placement::{
     Demand, Host, Lease, LoadedModel, ModelVersion, Order, PlacementView, PoolDemand, Price,
@@ -11,6 +11,8 @@
 };
 use teaselline::time::TimeMs;
 
+use super::super::one_pool;
+
 const DOMAINS: u16 = 18;
 const CLASSES: u16 = 8;
 const NOW: TimeMs = TimeMs(1_000_000_000);
@@ -157,39 +159,7 @@
         kv_tokens_capacity: 200_000,
         kv_bytes_per_second: 1e9,
     };
-    Document {
-        deployment: "decisions".to_owned(),
-        measure: Measure {
-            cost_weight: 0.5,
-            recomputed_tokens_weight: 0.5,
-        },
-        failure_domains: (0..DOMAINS)
-            .map(|domain| FailureDomain {
-                name: format!("domain-{domain:02}"),
-                region: format!("region-{}", domain % 5),
-            })
-            .collect(),
-        host_classes: (0..CLASSES).map(class).collect(),
-        models: vec![Model {
-            name: "model".to_owned(),
-            version: "1".to_owned(),
-            adapters: Vec::new(),
-            weights_bytes: 16_000_000_000,
-            kv_bytes_per_token: 100_000,
-        }],
-        pools: vec![Pool {
-            name: "models".to_owned(),
-            kind: PoolKind::Engine {
-                models: vec![ModelKey(0)],
-                checks_orders: true,
-            },
-            hosts: (0..DOMAINS).map(|domain| (DomainKey(domain), 1)).collect(),
-            host_classes: (0..CLASSES).map(ClassKey).collect(),
-        }],
-        latency_classes: Vec::new(),
-        teams: Vec::new(),
-        operators: Vec::new(),
-    }
+    one_pool::document(DOMAINS, (0..CLASSES).map(class).collect())
 }
 
 fn prices(rng: &mut SmallRng, document: &Document) -> Vec<Price> {
--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod fleet;
 mod migrate;
+mod one_pool;
 mod path;
 mod report;
 mod slopes;
