--- a/examples/measure/experiments.rs
+++ b/examples/measure/experiments.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod killer;
 mod migrate;
+mod one_pool;
 mod overload;
 mod path;
 mod reclaim_wave;
