refactor: Move what decides out of src/platform into src/coordination

Cause: src/platform/ is to hold the adapter to the operators' platform and only that; what stood there (claims, leases, the configuration's fold, the writer, budgets) decides. Change: the folder is renamed and its paths with it; no line of logic differs.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -16,8 +16,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::leases::Fencing;
 use crate::keys::Incarnation;
-use crate::platform::leases::Fencing;
 use crate::time::TimeMs;
 
 mod recorder;
--- a/src/audit/recorder.rs
+++ b/src/audit/recorder.rs
@@ -8,10 +8,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Act, Actor, Entry, INTERVAL_MS, Outcome};
+use crate::coordination::budget::{AppendBudget, Urgency};
+use crate::coordination::log::Log;
+use crate::coordination::writer::Appender;
 use crate::keys::Incarnation;
-use crate::platform::budget::{AppendBudget, Urgency};
-use crate::platform::log::Log;
-use crate::platform::writer::Appender;
 use crate::time::{Clock, TimeMs};
 
 /// Entries that wait for the log; about 2 MB at most.
--- a/src/audit/tests.rs
+++ b/src/audit/tests.rs
@@ -5,11 +5,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Act, Actor, Entry, Outcome, Recorder, RecorderTask, TEXT_LIMIT_BYTES, read_trail};
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::fakes::{AppendFault, FakeLog};
+use crate::coordination::leases::Fencing;
+use crate::coordination::writer::Appender;
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::fakes::{AppendFault, FakeLog};
-use crate::platform::leases::Fencing;
-use crate::platform::writer::Appender;
 use crate::time::{Clock, TimeMs};
 
 const ME: Incarnation = Incarnation(0xc0de);
--- a/src/audit/trail.rs
+++ b/src/audit/trail.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use super::{Entry, STREAM};
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::{Log, ReadError, Record};
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::{Log, ReadError, Record};
 
 const PAGE_RECORDS: u32 = 200;
 /// Writers whose newest sequence number is remembered.
--- a/src/platform/claims.rs
+++ b/src/coordination/claims.rs
@@ -33,8 +33,8 @@
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
 
+use crate::coordination::rendezvous;
 use crate::keys::Incarnation;
-use crate::platform::rendezvous;
 
 mod claimer;
 mod table;
--- a/src/platform/claims/claimer.rs
+++ b/src/coordination/claims/claimer.rs
@@ -14,11 +14,11 @@
     CLAIM_TTL_MS, CLOCK_SKEW_MS, Claim, ClaimOutcome, MOST_HELD, PARTITIONS, START_WITHIN_MS,
     interval_ms, stream,
 };
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::follower::{Followed, Follower};
+use crate::coordination::log::Log;
+use crate::coordination::writer::{Appender, GroupWriter, WriteError};
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::follower::{Followed, Follower};
-use crate::platform::log::Log;
-use crate::platform::writer::{Appender, GroupWriter, WriteError};
 use crate::time::{Clock, TimeMs};
 
 /// A partition that nobody claimed in for this long is no longer read.
--- a/src/platform/claims/table.rs
+++ b/src/coordination/claims/table.rs
@@ -18,8 +18,8 @@
 use rustc_hash::FxHashMap;
 
 use super::{CLAIM_TTL_MS, CLOCK_SKEW_MS, Claim, ClaimKey, WRITERS_WINDOW_MS};
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::time::TimeMs;
 
 /// What is known of a key.
--- a/src/platform/claims/tests.rs
+++ b/src/coordination/claims/tests.rs
@@ -3,9 +3,9 @@
 mod views;
 
 use super::{CLAIM_TTL_MS, Claim, ClaimKey, ClaimTable, Holder, choose_claimer, interval_ms};
+use crate::coordination::follower::Fold;
+use crate::coordination::log::Record;
 use crate::keys::Incarnation;
-use crate::platform::follower::Fold;
-use crate::platform::log::Record;
 use crate::time::TimeMs;
 
 const KEY: ClaimKey = ClaimKey(7);
--- a/src/platform/claims/tests/every_order.rs
+++ b/src/coordination/claims/tests/every_order.rs
@@ -10,9 +10,9 @@
 use rustc_hash::FxHashSet;
 
 use super::{claim, record};
-use crate::platform::claims::claimer::{Preview, outcome, outcome_unwritten, preview};
-use crate::platform::claims::{Claim, ClaimOutcome, ClaimTable};
-use crate::platform::follower::Fold;
+use crate::coordination::claims::claimer::{Preview, outcome, outcome_unwritten, preview};
+use crate::coordination::claims::{Claim, ClaimOutcome, ClaimTable};
+use crate::coordination::follower::Fold;
 use crate::time::TimeMs;
 
 const NOW: TimeMs = TimeMs(1_000_000);
--- a/src/platform/claims/tests/log_faults.rs
+++ b/src/coordination/claims/tests/log_faults.rs
@@ -6,10 +6,10 @@
 use rand::rngs::SmallRng;
 
 use super::{KEY, claim};
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::claims::{ClaimOutcome, Claimer, stream};
+use crate::coordination::fakes::{AppendFault, FakeLog};
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::claims::{ClaimOutcome, Claimer, stream};
-use crate::platform::fakes::{AppendFault, FakeLog};
 use crate::time::{Clock, TimeMs};
 
 fn claimer(log: &FakeLog, node: u64) -> Claimer<FakeLog> {
@@ -71,8 +71,8 @@
         .await
         .expect("the log is up");
     log.set_out(true);
-    let other = crate::platform::claims::Claim {
-        key: crate::platform::claims::ClaimKey(KEY.0 + 1),
+    let other = crate::coordination::claims::Claim {
+        key: crate::coordination::claims::ClaimKey(KEY.0 + 1),
         ..claim("b", None)
     };
     let refused = node.claim(other, soon(50)).await;
@@ -91,8 +91,8 @@
 async fn a_claim_that_may_still_land_is_unresolved() {
     let log = log();
     let node = claimer(&log, 1);
-    let warm = crate::platform::claims::Claim {
-        key: crate::platform::claims::ClaimKey(KEY.0 + 1),
+    let warm = crate::coordination::claims::Claim {
+        key: crate::coordination::claims::ClaimKey(KEY.0 + 1),
         ..claim("warm", None)
     };
     node.claim(warm, soon(10_000)).await.expect("the log is up");
--- a/src/platform/claims/tests/views.rs
+++ b/src/coordination/claims/tests/views.rs
@@ -4,9 +4,9 @@
 use rand::{Rng, SeedableRng};
 
 use super::{CLAIM_TTL_MS, Claim, KEY, claim, record};
-use crate::platform::claims::{CLOCK_SKEW_MS, ClaimTable, Holder};
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
+use crate::coordination::claims::{CLOCK_SKEW_MS, ClaimTable, Holder};
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::time::TimeMs;
 
 /// Claims of one key at random distances, some of which supersede some earlier one.
--- a/src/platform/cloud.rs
+++ b/src/coordination/cloud.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::http::CallError;
+use crate::coordination::http::CallError;
 use crate::time::TimeMs;
 
 pub mod buying;
--- a/src/platform/cloud/buying.rs
+++ b/src/coordination/cloud/buying.rs
@@ -11,8 +11,8 @@
 use rand::rngs::SmallRng;
 
 use super::{Cloud, CloudError, NewPurchase, Purchase, PurchaseState};
-use crate::platform::flight::{Event, Failure, Flight, Step};
-use crate::platform::leases::Fencing;
+use crate::coordination::flight::{Event, Failure, Flight, Step};
+use crate::coordination::leases::Fencing;
 use crate::time::{Clock, TimeMs};
 
 #[cfg(test)]
--- a/src/platform/cloud/buying/tests.rs
+++ b/src/coordination/cloud/buying/tests.rs
@@ -2,9 +2,9 @@
 use rand::rngs::SmallRng;
 
 use super::{BuyError, ForeignId, PurchaseId, buy, running};
-use crate::platform::cloud::{Cloud, NewPurchase};
-use crate::platform::fakes::{FakeCloud, OrderFault};
-use crate::platform::leases::Fencing;
+use crate::coordination::cloud::{Cloud, NewPurchase};
+use crate::coordination::fakes::{FakeCloud, OrderFault};
+use crate::coordination::leases::Fencing;
 use crate::time::Clock;
 
 fn id(buyer: &str, fencing: u64, number: u64) -> PurchaseId {
--- a/src/platform/cloud/http.rs
+++ b/src/coordination/cloud/http.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 use super::{Cloud, CloudError, HostList, NewPurchase, Notices, Price, Purchase};
-use crate::platform::http::JsonClient;
+use crate::coordination::http::JsonClient;
 
 /// The cloud behind its HTTP interface.
 #[derive(Clone, Debug)]
--- a/src/platform/configuration/fold.rs
+++ b/src/coordination/configuration/fold.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use super::{Change, Entry, Snapshot};
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::time::TimeMs;
 
 /// Outcomes that are kept for operators who ask for them.
--- a/src/platform/configuration/keeper.rs
+++ b/src/coordination/configuration/keeper.rs
@@ -10,11 +10,11 @@
 
 use super::renewal::{Renewals, renewal_due_ms};
 use super::{Change, ChangeOutcome, Checker, Configuration, Entry, STREAM, Snapshot};
+use crate::coordination::budget::{AppendBudget, Urgency};
+use crate::coordination::follower::{Followed, Follower};
+use crate::coordination::log::Log;
+use crate::coordination::writer::{Appender, WriteError};
 use crate::keys::Incarnation;
-use crate::platform::budget::{AppendBudget, Urgency};
-use crate::platform::follower::{Followed, Follower};
-use crate::platform::log::Log;
-use crate::platform::writer::{Appender, WriteError};
 use crate::time::{Clock, TimeMs};
 
 /// What the log is taken to keep if the settings do not say.
--- a/src/platform/configuration/tests.rs
+++ b/src/coordination/configuration/tests.rs
@@ -1,8 +1,8 @@
 mod keeper;
 
 use super::{Change, ChangeOutcome, Configuration, Entry, Snapshot};
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::time::TimeMs;
 
 type Check = fn(&str) -> Option<String>;
--- a/src/platform/configuration/tests/keeper.rs
+++ b/src/coordination/configuration/tests/keeper.rs
@@ -6,11 +6,11 @@
 use rand::rngs::SmallRng;
 use tokio::task::JoinHandle;
 
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::configuration::renewal::{Renewals, renewal_due_ms};
+use crate::coordination::configuration::{ConfigurationKeeper, NewChange, STREAM, SubmitError};
+use crate::coordination::fakes::{AppendFault, FakeLog};
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::configuration::renewal::{Renewals, renewal_due_ms};
-use crate::platform::configuration::{ConfigurationKeeper, NewChange, STREAM, SubmitError};
-use crate::platform::fakes::{AppendFault, FakeLog};
 use crate::time::{Clock, TimeMs};
 
 type Check = fn(&str) -> Option<String>;
@@ -45,7 +45,7 @@
     let mut revisions = keeper.watch_revision();
     let reached = revisions.wait_for(|held| *held >= revision).await;
     reached.expect("the keeper lives");
-    let held = |fold: &mut crate::platform::configuration::Configuration<Check>| {
+    let held = |fold: &mut crate::coordination::configuration::Configuration<Check>| {
         fold.held().map(|held| held.checked.as_str().to_owned())
     };
     keeper
--- a/src/platform/fakes.rs
+++ b/src/coordination/fakes.rs
@@ -8,7 +8,7 @@
 
 use http::StatusCode;
 
-use crate::platform::http::{CallError, LostCause};
+use crate::coordination::http::{CallError, LostCause};
 
 fn refused() -> CallError {
     CallError::Refused {
--- a/src/platform/fakes/cloud.rs
+++ b/src/coordination/fakes/cloud.rs
@@ -6,7 +6,7 @@
 use parking_lot::Mutex;
 
 use super::{lost, refused};
-use crate::platform::cloud::{
+use crate::coordination::cloud::{
     Cloud, CloudError, HostList, NewPurchase, Notice, Notices, Price, Purchase, PurchaseState,
 };
 use crate::time::TimeMs;
--- a/src/platform/fakes/log.rs
+++ b/src/coordination/fakes/log.rs
@@ -8,8 +8,8 @@
 use tokio::sync::Notify;
 
 use super::{lost, refused};
-use crate::platform::http::CallError;
-use crate::platform::log::{AppendError, Log, NewRecord, Page, ReadError, Record};
+use crate::coordination::http::CallError;
+use crate::coordination::log::{AppendError, Log, NewRecord, Page, ReadError, Record};
 use crate::time::TimeMs;
 
 /// What happens to one append.
--- a/src/platform/flight.rs
+++ b/src/coordination/flight.rs
@@ -4,7 +4,7 @@
 
 use rand::rngs::SmallRng;
 
-use crate::platform::backoff::Backoff;
+use crate::coordination::backoff::Backoff;
 use crate::time::TimeMs;
 
 const BACKOFF_FIRST_MS: u64 = 50;
--- a/src/platform/follower.rs
+++ b/src/coordination/follower.rs
@@ -11,8 +11,8 @@
 use rand::rngs::SmallRng;
 use tokio::sync::watch;
 
-use crate::platform::backoff::Backoff;
-use crate::platform::log::{Log, Page, ReadError, Record};
+use crate::coordination::backoff::Backoff;
+use crate::coordination::log::{Log, Page, ReadError, Record};
 use crate::time::{Clock, TimeMs};
 
 #[cfg(test)]
--- a/src/platform/follower/tests.rs
+++ b/src/coordination/follower/tests.rs
@@ -4,8 +4,8 @@
 use rand::rngs::SmallRng;
 
 use super::{Fold, Followed, Follower, Gap};
-use crate::platform::fakes::FakeLog;
-use crate::platform::log::{Log, NewRecord, Record};
+use crate::coordination::fakes::FakeLog;
+use crate::coordination::log::{Log, NewRecord, Record};
 use crate::time::{Clock, TimeMs};
 
 const STREAM: &str = "configuration";
--- a/src/platform/leases/keeper.rs
+++ b/src/coordination/leases/keeper.rs
@@ -10,11 +10,11 @@
 use rand::rngs::SmallRng;
 
 use super::{Action, DURATION_MS, Fencing, Lease, LeaseEntry, LeaseTable, STREAM, Tenure, View};
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::follower::{Followed, Follower};
+use crate::coordination::log::Log;
+use crate::coordination::writer::{Appender, GroupWriter, WriterTask};
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::follower::{Followed, Follower};
-use crate::platform::log::Log;
-use crate::platform::writer::{Appender, GroupWriter, WriterTask};
 use crate::time::{Clock, TimeMs};
 
 /// Each lease's record is read within this time, and the stream at most so often.
@@ -181,7 +181,7 @@
     }
 }
 
-fn note(written: &Result<u64, crate::platform::writer::WriteError>) {
+fn note(written: &Result<u64, crate::coordination::writer::WriteError>) {
     if let Err(error) = written {
         metrics::counter!("teaselline_lease_write_failures_total").increment(1);
         log::debug!(error:% = error; "a lease record was not written");
--- a/src/platform/leases/table.rs
+++ b/src/coordination/leases/table.rs
@@ -9,9 +9,9 @@
 //! unknown holder until a renewal settles it or every possible holder's time is over.
 
 use super::{Fencing, LeaseEntry, LeaseRequest, MOST_DURATION_MS};
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::keys::Incarnation;
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
 use crate::time::TimeMs;
 
 /// Names that are remembered; those that ended first go first.
--- a/src/platform/leases/tests.rs
+++ b/src/coordination/leases/tests.rs
@@ -10,11 +10,11 @@
     Action, DURATION_MS, Fencing, LeaseEntry, LeaseRequest, LeaseTable, Leases, MOST_DURATION_MS,
     Tenure, View,
 };
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::fakes::FakeLog;
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::log::Record;
 use crate::keys::Incarnation;
-use crate::platform::budget::AppendBudget;
-use crate::platform::fakes::FakeLog;
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::log::Record;
 use crate::time::{Clock, TimeMs};
 
 const NAME: &str = "placement/hala-a";
--- a/src/platform/leases/tests/schedules.rs
+++ b/src/coordination/leases/tests/schedules.rs
@@ -4,10 +4,10 @@
 use rand::{Rng, SeedableRng};
 
 use super::NAME;
+use crate::coordination::follower::{Fold, Gap};
+use crate::coordination::leases::{Action, Fencing, LeaseEntry, LeaseTable, Tenure, View};
+use crate::coordination::log::Record;
 use crate::keys::Incarnation;
-use crate::platform::follower::{Fold, Gap};
-use crate::platform::leases::{Action, Fencing, LeaseEntry, LeaseTable, Tenure, View};
-use crate::platform::log::Record;
 use crate::time::TimeMs;
 
 const STEP_MS: u64 = 100;
--- a/src/platform/log.rs
+++ b/src/coordination/log.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::http::{CallError, LostCause};
+use crate::coordination::http::{CallError, LostCause};
 use crate::time::TimeMs;
 
 mod http;
--- a/src/platform/log/http.rs
+++ b/src/coordination/log/http.rs
@@ -3,7 +3,7 @@
 use serde::Deserialize;
 
 use super::{AppendError, Log, NewRecord, Page, ReadError};
-use crate::platform::http::JsonClient;
+use crate::coordination::http::JsonClient;
 
 /// The platform's log behind its HTTP interface.
 #[derive(Clone, Debug)]
--- a/src/platform/weights.rs
+++ b/src/coordination/weights.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::http::{CallError, JsonClient};
+use crate::coordination::http::{CallError, JsonClient};
 use crate::time::TimeMs;
 
 #[cfg(test)]
--- a/src/platform/weights/tests.rs
+++ b/src/coordination/weights/tests.rs
@@ -1,7 +1,7 @@
 use http::StatusCode;
 
 use super::TicketError;
-use crate::platform::http::CallError;
+use crate::coordination::http::CallError;
 
 fn refused(status: StatusCode, retry_after_ms: Option<u64>) -> TicketError {
     TicketError::from(CallError::Refused {
--- a/src/platform/writer.rs
+++ b/src/coordination/writer.rs
@@ -13,8 +13,8 @@
 
 use rand::rngs::SmallRng;
 
-use crate::platform::flight::{Event, Failure, Flight, Step};
-use crate::platform::log::{AppendError, Log, NewRecord, Page, Record};
+use crate::coordination::flight::{Event, Failure, Flight, Step};
+use crate::coordination::log::{AppendError, Log, NewRecord, Page, Record};
 use crate::time::{Clock, TimeMs};
 
 mod group;
--- a/src/platform/writer/group.rs
+++ b/src/coordination/writer/group.rs
@@ -11,8 +11,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::{Appender, WriteError};
-use crate::platform::budget::{AppendBudget, Urgency};
-use crate::platform::log::Log;
+use crate::coordination::budget::{AppendBudget, Urgency};
+use crate::coordination::log::Log;
 use crate::time::{Clock, TimeMs};
 
 const INTERVAL_MS: u64 = 200;
--- a/src/platform/writer/tests.rs
+++ b/src/coordination/writer/tests.rs
@@ -5,9 +5,9 @@
 use rand::rngs::SmallRng;
 
 use super::{Appender, GroupWriter};
-use crate::platform::budget::AppendBudget;
-use crate::platform::fakes::{AppendFault, FakeLog};
-use crate::platform::flight::{Event, Failure, Flight, Step};
+use crate::coordination::budget::AppendBudget;
+use crate::coordination::fakes::{AppendFault, FakeLog};
+use crate::coordination::flight::{Event, Failure, Flight, Step};
 use crate::time::{Clock, TimeMs};
 
 const STREAM: &str = "audit";
--- a/src/entry/audit.rs
+++ b/src/entry/audit.rs
@@ -8,7 +8,7 @@
 use super::refusal::{Refusal, json};
 use super::routes::Asked;
 use crate::audit::{Entry, STREAM};
-use crate::platform::log::{Log, Page, Record};
+use crate::coordination::log::{Log, Page, Record};
 
 /// Records of the log in one answer; each holds the entries of some seconds of one node.
 const PAGE_RECORDS: u32 = 200;
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -9,8 +9,8 @@
 
 use super::bodies::{self, IDEMPOTENCY_KEY};
 use super::refusal::Refusal;
+use crate::coordination::claims::ClaimKey;
 use crate::node::{Node, NodeLinks};
-use crate::platform::claims::ClaimKey;
 use crate::requests::keyed::{ClaimAsk, Claimed, Next, after_lost};
 use crate::requests::{Call, Follow, Outcome, RequestId};
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,6 @@
 //! teaselline serves language models on reclaimable hosts.
 //!
-//! Collecting and deciding are kept apart: collectors (`platform`, `upstreams`, `membership`,
+//! Collecting and deciding are kept apart: collectors (`coordination`, `upstreams`, `membership`,
 //! `peers`) fill the [`blackboard`], controllers read it and decide with pure functions that take
 //! the present time as an argument, and thin shells carry the decisions out. `docs/design/README.md`
 //! maps each matter to the file that decides it.
@@ -9,6 +9,7 @@
 pub mod blackboard;
 pub mod client;
 pub mod console;
+pub mod coordination;
 pub mod document;
 pub mod entry;
 pub mod keys;
@@ -18,7 +19,6 @@
 pub mod options;
 pub mod peers;
 pub mod placement;
-pub mod platform;
 pub mod reclaim;
 pub mod requests;
 pub mod retries;
--- a/src/node/audit.rs
+++ b/src/node/audit.rs
@@ -4,7 +4,7 @@
 use super::change::ChangeError;
 use super::messages::HostNotice;
 use crate::audit::{Act, Actor, Entry, Outcome};
-use crate::platform::configuration::SubmitError;
+use crate::coordination::configuration::SubmitError;
 use crate::requests::suspicion::Measure;
 
 /// The role under which notices are taken.
--- a/src/node/change.rs
+++ b/src/node/change.rs
@@ -1,8 +1,8 @@
 //! Proposes a change of the document and tells what became of it.
 
 use super::Node;
+use crate::coordination::configuration::{NewChange, SubmitError};
 use crate::document::{Document, DocumentFaults};
-use crate::platform::configuration::{NewChange, SubmitError};
 
 /// How long an operator waits for the log's verdict.
 const VERDICT_MS: u64 = 10_000;
--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -4,7 +4,7 @@
 
 use super::Node;
 use super::messages::{Reply, Request};
-use crate::platform::claims::{Claim, choose_claimer};
+use crate::coordination::claims::{Claim, choose_claimer};
 use crate::requests::core::Phase;
 use crate::requests::keyed::{ClaimAsk, Claimed, LOG_RETRY_MS, with_doubt};
 use crate::requests::links::{Peers, Unreachable};
--- a/src/node/collect_configuration.rs
+++ b/src/node/collect_configuration.rs
@@ -8,9 +8,9 @@
 use super::Node;
 use super::messages::{Reply, Request};
 use crate::blackboard::InForce;
+use crate::coordination::configuration::Snapshot;
 use crate::keys::Incarnation;
 use crate::membership::Member;
-use crate::platform::configuration::Snapshot;
 use crate::requests::links::Peers;
 
 /// Between two questions to a peer for a newer revision.
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -9,8 +9,8 @@
 use super::hosts::KnownNotice;
 use super::messages::{HostNotice, Request};
 use crate::blackboard::HostState;
+use crate::coordination::cloud::Cloud;
 use crate::keys::{HostKey, Incarnation};
-use crate::platform::cloud::Cloud;
 use crate::requests::links::{Peers, Unreachable};
 
 /// Between two looks at the host list.
--- a/src/node/hosts.rs
+++ b/src/node/hosts.rs
@@ -1,9 +1,9 @@
 //! What the platform says about hosts, joined into the blackboard.
 
 use crate::blackboard::{Blackboard, HostRow, HostState, LoadReport};
+use crate::coordination::cloud::{HostList, ListedHost, ListedState};
 use crate::document::Document;
 use crate::keys::HostKey;
-use crate::platform::cloud::{HostList, ListedHost, ListedState};
 use crate::time::TimeMs;
 
 /// How long a host that left the list keeps its row, because the list lags both ways.
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -2,9 +2,9 @@
 
 use bincode::{Decode, Encode};
 
+use crate::coordination::configuration::Snapshot;
 use crate::keys::{HostKey, Incarnation};
 use crate::limits::ShareReport;
-use crate::platform::configuration::Snapshot;
 use crate::requests::Chunk;
 use crate::requests::keyed::{ClaimAsk, Claimed};
 use crate::requests::record::Copy;
--- a/src/node/placement_control/acts.rs
+++ b/src/node/placement_control/acts.rs
@@ -5,12 +5,12 @@
 
 use super::memory::Tenure;
 use crate::audit::{self, Actor, Entry, Outcome};
+use crate::coordination::cloud::{Cloud, NewPurchase};
+use crate::coordination::leases::Fencing;
+use crate::coordination::weights::{NewLoad, WeightStore};
 use crate::keys::HostKey;
 use crate::node::Node;
 use crate::placement::{ModelVersion, PurchaseId};
-use crate::platform::cloud::{Cloud, NewPurchase};
-use crate::platform::leases::Fencing;
-use crate::platform::weights::{NewLoad, WeightStore};
 use crate::time::TimeMs;
 use crate::upstreams::{Engines, Order, UpstreamError};
 
--- a/src/node/placement_control/control.rs
+++ b/src/node/placement_control/control.rs
@@ -12,6 +12,9 @@
 use super::scene::{self, Scene};
 use super::strangers;
 use crate::blackboard::{HostRow, InForce};
+use crate::coordination::cloud::Cloud;
+use crate::coordination::leases::Fencing;
+use crate::coordination::rendezvous;
 use crate::document::Document;
 use crate::keys::{DomainKey, HostKey};
 use crate::membership::Member;
@@ -20,9 +23,6 @@
 use crate::placement::{
     Lease, Order, PlacementView, Settings, WeightStore as WeightStoreRate, decide,
 };
-use crate::platform::cloud::Cloud;
-use crate::platform::leases::Fencing;
-use crate::platform::rendezvous;
 use crate::requests::core::Phase;
 use crate::time::TimeMs;
 
--- a/src/node/placement_control/memory.rs
+++ b/src/node/placement_control/memory.rs
@@ -1,10 +1,10 @@
 //! What the controller remembers between its rounds.
 
 use super::demand::Demands;
+use crate::coordination::cloud::{Price, Purchase, PurchaseState};
+use crate::coordination::leases::Fencing;
 use crate::keys::HostKey;
 use crate::placement::{Ask, ModelVersion, PurchaseId};
-use crate::platform::cloud::{Price, Purchase, PurchaseState};
-use crate::platform::leases::Fencing;
 use crate::time::TimeMs;
 
 /// How long a host that was given back is not given back once more.
--- a/src/node/placement_control/orders.rs
+++ b/src/node/placement_control/orders.rs
@@ -5,12 +5,12 @@
 use super::memory::{Memory, Tenure};
 use super::scene::Scene;
 use crate::blackboard::{HostRow, HostState};
+use crate::coordination::cloud::NewPurchase;
+use crate::coordination::weights::NewLoad;
 use crate::document::Document;
 use crate::keys::{DomainKey, HostKey, ModelKey};
 use crate::node::messages::HostNotice;
 use crate::placement::{Host, ModelVersion, Order, PurchaseId, Role, Stage};
-use crate::platform::cloud::NewPurchase;
-use crate::platform::weights::NewLoad;
 use crate::time::TimeMs;
 use crate::upstreams::{self, Loaded};
 
--- a/src/node/placement_control/scene.rs
+++ b/src/node/placement_control/scene.rs
@@ -6,6 +6,7 @@
 use super::demand::{is_leaving, reports_load};
 use super::memory::Memory;
 use crate::blackboard::HostRow;
+use crate::coordination::cloud;
 use crate::document::Document;
 use crate::document::checked::PoolKind;
 use crate::keys::HostKey;
@@ -13,7 +14,6 @@
     Host, LoadedModel, ModelVersion, Price, Purchase, PurchaseId, PurchaseState, Refusal, Role,
     Stage, Stranger,
 };
-use crate::platform::cloud;
 use crate::time::TimeMs;
 use crate::upstreams::{self, Loaded};
 
--- a/src/node/placement_control/strangers.rs
+++ b/src/node/placement_control/strangers.rs
@@ -1,11 +1,11 @@
 //! Looks at hosts that were bought for something that the document no longer names.
 
 use super::memory::Memory;
+use crate::coordination::cloud::{Cloud, PurchaseState};
 use crate::document::Document;
 use crate::keys::HostKey;
 use crate::node::Node;
 use crate::placement::PurchaseId;
-use crate::platform::cloud::{Cloud, PurchaseState};
 use crate::upstreams::Engines;
 
 /// Asks each such host for its load; routing has forgotten it, but streams may be left on it.
--- a/src/requests/keyed.rs
+++ b/src/requests/keyed.rs
@@ -13,7 +13,7 @@
 use super::outcome::{Doubt, NotRun, Reason};
 use super::records::Entry;
 use super::{Call, Outcome, Record, RequestId, Step};
-use crate::platform::claims::{
+use crate::coordination::claims::{
     CLAIM_TTL_MS, CLOCK_SKEW_MS, ClaimError, ClaimKey, ClaimOutcome, START_WITHIN_MS,
 };
 use crate::time::TimeMs;
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use deployment::{node_settings, site_settings, start_nodes, wait_until_ready};
+use teaselline::coordination::configuration::STREAM;
 use teaselline::document::Document;
 use teaselline::node::change::{ChangeError, Proposal};
 use teaselline::node::{self, Started};
-use teaselline::platform::configuration::STREAM;
 use teaselline_stand_ins::log::Outage;
 use teaselline_stand_ins::site::Site;
 
