--- a/examples/local_site.rs
+++ b/examples/local_site.rs
@@ -61,7 +61,10 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let matches = command().get_matches();
-    teaselline::telemetry::init_logging(log::LevelFilter::Error);
+    teaselline::telemetry::init_logging(
+        log::LevelFilter::Error,
+        teaselline::telemetry::Output::Stderr,
+    );
     let calls = matches.get_one("calls").copied().unwrap_or(400);
     let seed = matches.get_one("seed").copied().unwrap_or(1);
     let Ok(document) = Document::parse(DOCUMENT) else {
--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -114,7 +114,7 @@
 /// If an input is at fault or the node does not do what it was asked.
 pub async fn run(action: Action) -> Result<(), CommandError> {
     match action {
-        Action::Serve(_) => Err(CommandError::NotAClientCommand),
+        Action::Serve(_) | Action::Gateway { .. } => Err(CommandError::NotAClientCommand),
         Action::ConfigCheck { file } => check(&file),
         Action::ConfigApply {
             client,
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,36 @@
+//! The role that runs on the operators' platform: it stands between callers and upstreams.
+//!
+//! All nodes are the same and keep nothing on disk. What must last or be agreed on goes through
+//! the platform's store; what only has to be known soon is told in datagrams. Decisions are pure
+//! functions of what is known and the present time; `state` holds what is known, collectors
+//! (`follow`, `gossip`) fill it, `exchange` and `duties` act on it.
+
+mod budget;
+pub(crate) mod call;
+pub(crate) mod catalog;
+mod channels;
+mod choose;
+mod clock;
+pub(crate) mod duties;
+mod events;
+mod exchange;
+mod follow;
+mod gossip;
+mod health;
+mod inbound;
+mod info;
+mod lease;
+pub(crate) mod num;
+mod peers;
+mod prefixes;
+mod quota;
+mod refusal;
+mod run;
+pub(crate) mod settings;
+mod sizing;
+mod state;
+mod strikes;
+pub(crate) mod upstreams;
+mod usage;
+
+pub use run::{GatewayError, run};
--- /dev/null
+++ b/src/gateway/choose.rs
@@ -0,0 +1,192 @@
+//! Which upstream gets a request.
+//!
+//! Requests to model engines go where the shared part of their prompt lies, unless waiting there
+//! costs more than reading it again elsewhere; requests to plain services go where the fewest
+//! wait. All nodes prefer the same engine for a part without asking each other: the one with the
+//! highest hash of part and upstream.
+
+use std::hash::Hasher;
+
+use twox_hash::XxHash3_64;
+
+use super::call::Prompt;
+use super::num;
+use super::prefixes::Prefixes;
+use super::upstreams::{Upstream, UpstreamKey, UpstreamTable};
+use crate::time::TimeMs;
+
+/// Prompt tokens that an engine reads in a millisecond, at a guess: the slower of the two engine
+/// types in use reads 38, the faster 57.
+const READ_TOKENS_PER_MS: f64 = 45.0;
+
+/// First token of an empty prompt on an idle engine.
+const FIRST_TOKEN_MS: f64 = 30.0;
+
+/// Added to each token step by each other request of a batch, as a part of an idle step.
+///
+/// A step of 3.8 to 4.6 ms grows by 0.09 to 0.15 ms with each request.
+const CROWDING_PER_REQUEST: f64 = 0.03;
+
+/// How long a request holds its slot, about; what a request beyond the last slot waits for.
+const SLOT_HELD_MS: f64 = 1_000.0;
+
+/// How much more a token counts that some upstream has read before.
+///
+/// Reading it again delays all requests of that engine's batch, not only this one.
+const READ_AGAIN_WEIGHT: f64 = 2.0;
+
+/// Part of a shared prompt that is expected to be missing where all nodes send it by preference,
+/// if this node has not sent it there itself.
+const PREFERRED_MISSING: f64 = 0.3;
+
+/// Milliseconds that a share of failures of 1 counts for.
+const FAILURE_MS: f64 = 3_000.0;
+
+/// A plain call takes about this long until the first answer has shown it.
+const PLAIN_CALL_MS: f64 = 30.0;
+
+/// Requests that a plain service takes at once, if it does not say.
+const PLAIN_SLOTS: u32 = 4;
+
+/// Milliseconds that a call into another failure domain counts for, next to its delay.
+const OTHER_DOMAIN_MS: f64 = 2.0;
+
+/// What is asked of the choice.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ask<'a> {
+    pub pool: &'a str,
+    pub prompt: Option<&'a Prompt>,
+    /// The failure domain of this node.
+    pub failure_domain: &'a str,
+    /// Upstreams that have had the request.
+    pub excluded: &'a [UpstreamKey],
+    /// Evenly spread; holds apart nodes that see the same loads.
+    pub draw: u64,
+}
+
+/// An upstream and what is expected of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Choice {
+    pub upstream: UpstreamKey,
+    /// Until the first token or the answer.
+    pub expected_ms: f64,
+    /// Prompt tokens that it has to read.
+    pub unread_tokens: u64,
+    /// Requests that it runs at once, and those that are there.
+    pub slots: u32,
+    pub running: u32,
+}
+
+/// The upstream that is expected to answer first, counting what is read again.
+///
+/// Upstreams that are paused are taken only if there are no others.
+#[must_use]
+pub(crate) fn choose(
+    table: &UpstreamTable,
+    prefixes: &Prefixes,
+    ask: &Ask<'_>,
+    now: TimeMs,
+) -> Option<Choice> {
+    let candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
+        .filter(|(key, upstream)| {
+            upstream.announced.pool == ask.pool
+                && upstream.takes_work(now)
+                && !ask.excluded.contains(key)
+        })
+        .collect();
+    let is_sound = |upstream: &Upstream| !upstream.health.is_paused(now);
+    let any_sound = candidates.iter().any(|(_key, upstream)| is_sound(upstream));
+    let preferred = ask.prompt.and_then(|prompt| preferred(&candidates, prompt));
+    let mut best: Option<(f64, Choice)> = None;
+    for (key, upstream) in candidates {
+        if any_sound && !is_sound(upstream) {
+            continue;
+        }
+        let choice = match ask.prompt {
+            Some(prompt) => expect_engine(key, upstream, prompt, preferred, prefixes, now),
+            None => expect_plain(key, upstream),
+        };
+        let penalty_ms = penalty(upstream, ask, now) + jitter(ask.draw, upstream.tag);
+        let read_again = num::real(choice.unread_tokens) / READ_TOKENS_PER_MS;
+        let score = choice.expected_ms + penalty_ms + read_again * (READ_AGAIN_WEIGHT - 1.0);
+        if best.is_none_or(|(least, _choice)| score < least) {
+            best = Some((score, choice));
+        }
+    }
+    best.map(|(_score, choice)| choice)
+}
+
+/// The upstream at which all nodes expect the shared part of a prompt.
+fn preferred(candidates: &[(UpstreamKey, &Upstream)], prompt: &Prompt) -> Option<UpstreamKey> {
+    let part = prompt.shared()?.id;
+    let ranked = candidates.iter().max_by_key(|(_key, upstream)| {
+        let mut hasher = XxHash3_64::new();
+        hasher.write_u64(part);
+        hasher.write_u64(upstream.tag);
+        hasher.finish()
+    });
+    ranked.map(|(key, _upstream)| *key)
+}
+
+fn expect_engine(
+    key: UpstreamKey,
+    upstream: &Upstream,
+    prompt: &Prompt,
+    preferred: Option<UpstreamKey>,
+    prefixes: &Prefixes,
+    now: TimeMs,
+) -> Choice {
+    let shared_tokens = num::real(prompt.shared_tokens());
+    let missing = match prompt.shared() {
+        Some(part) if prefixes.holds(part.id, key, now) => 0.0,
+        Some(_part) if preferred == Some(key) => PREFERRED_MISSING,
+        _ => 1.0,
+    };
+    let unread_tokens = num::real(prompt.own_tokens()) + missing * shared_tokens;
+    let running = upstream.running();
+    let slots = upstream.announced.slots.max(1);
+    let crowding = 1.0 + CROWDING_PER_REQUEST * f64::from(running);
+    let waiting_tokens = num::real(upstream.unread_tokens()) + unread_tokens;
+    let queue_ms = SLOT_HELD_MS * f64::from((running + 1).saturating_sub(slots)) / f64::from(slots);
+    Choice {
+        upstream: key,
+        expected_ms: FIRST_TOKEN_MS * crowding + waiting_tokens / READ_TOKENS_PER_MS + queue_ms,
+        unread_tokens: num::whole(unread_tokens),
+        slots,
+        running,
+    }
+}
+
+fn expect_plain(key: UpstreamKey, upstream: &Upstream) -> Choice {
+    let slots = match upstream.announced.slots {
+        0 => PLAIN_SLOTS,
+        slots => slots,
+    };
+    let took_ms = upstream.health.took_ms().unwrap_or(PLAIN_CALL_MS);
+    let running = upstream.running();
+    // Answers slow down while an upstream is busy; a request beyond the last slot waits for one.
+    let crowding = 1.0 + f64::from(running) / f64::from(slots);
+    let waiting = f64::from((running + 1).saturating_sub(slots)) / f64::from(slots);
+    Choice {
+        upstream: key,
+        expected_ms: took_ms * (crowding + waiting),
+        unread_tokens: 0,
+        slots,
+        running,
+    }
+}
+
+fn penalty(upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> f64 {
+    let failures_ms = FAILURE_MS * upstream.health.failure_share(now);
+    if upstream.announced.failure_domain == ask.failure_domain {
+        failures_ms
+    } else {
+        failures_ms + OTHER_DOMAIN_MS
+    }
+}
+
+/// Up to two milliseconds, so that equal upstreams are not all taken in the same order.
+fn jitter(draw: u64, tag: u64) -> f64 {
+    let mixed = (draw ^ tag).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 54;
+    num::real(mixed) / 512.0
+}
--- /dev/null
+++ b/src/gateway/exchange/attempt.rs
@@ -0,0 +1,524 @@
+//! Sends a request to one upstream after the other, as far as it may be.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+
+use super::admit::Plan;
+use super::story::Story;
+use crate::gateway::budget;
+use crate::gateway::call::Prompt;
+use crate::gateway::choose::{self, Ask, Choice};
+use crate::gateway::clock;
+use crate::gateway::health::Outcome;
+use crate::gateway::num;
+use crate::gateway::peers::Message;
+use crate::gateway::refusal::Refusal;
+use crate::gateway::state::Gateway;
+use crate::gateway::strikes::Strike;
+use crate::gateway::upstreams::{UpstreamKey, tag};
+use crate::platform::headers::{self, Added, AnswerHead};
+use crate::time::TimeMs;
+
+/// Largest answer that is not a stream.
+const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Upstreams that are tried in vain, without one that may have run the request.
+///
+/// Each takes up to a connect timeout; after so many, the others are as unlikely to take it.
+const MOST_VAIN: usize = 4;
+
+/// An idempotent call without an answer for this many times its target is given up and sent to
+/// another upstream: well after nearly all answers, and early enough for a second one in time.
+const PATIENCE_TARGETS: f64 = 1.8;
+
+/// The least patience: a plain call of the slowest upstream takes about 100 ms.
+const LEAST_PATIENCE_MS: u64 = 200;
+
+/// A stream's first token may wait for other prompts; starting over costs reading the prompt again.
+const STREAM_PATIENCE_MS: u64 = 900;
+
+/// When callers come back to a pool that turned them away: a plain call's place is free in a
+/// few tens of milliseconds.
+const PLAIN_RETRY_MS: u64 = 80;
+
+/// When callers come back to engines that turned them away.
+const ENGINE_RETRY_MS: u64 = 400;
+
+/// What has been tried with one request.
+#[derive(Debug, Default)]
+pub(super) struct Trial {
+    /// Upstreams that must not get it again.
+    excluded: Vec<UpstreamKey>,
+    /// Upstreams that got it, run or not.
+    sends: u32,
+    /// Upstreams that may have run it.
+    runs: u32,
+    /// Upstreams that could not be reached or did not take it.
+    vain: usize,
+}
+
+impl Trial {
+    /// Upstreams that may have run the request.
+    pub fn runs(&self) -> u32 {
+        self.runs
+    }
+
+    /// How a request ends that is not sent again.
+    pub fn unanswered(&self, plan: &Plan, now: TimeMs) -> Refusal {
+        let is_late = now >= plan.limit_at;
+        match self.runs {
+            0 if is_late => Refusal::NotSentInTime,
+            0 => Refusal::NoUpstream {
+                retry_after_ms: retry_after_ms(plan),
+            },
+            _ if is_late => Refusal::AnswerTimeout,
+            _ => Refusal::NoAnswer,
+        }
+    }
+}
+
+fn retry_after_ms(plan: &Plan) -> u64 {
+    match plan.head.prompt {
+        Some(_) => ENGINE_RETRY_MS,
+        None => PLAIN_RETRY_MS,
+    }
+}
+
+/// The head of an upstream's answer, and its body to come.
+#[derive(Debug)]
+pub(super) struct Arrived {
+    pub response: Response<Incoming>,
+    pub answer: AnswerHead,
+    pub running: Running,
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// A request that an upstream has, counted until it ends.
+#[derive(Debug)]
+pub(super) struct Running {
+    node: Arc<Gateway>,
+    pub upstream: UpstreamKey,
+    pub upstream_tag: u64,
+    pub sent_at: TimeMs,
+    unread_tokens: u64,
+}
+
+impl Running {
+    fn new(node: &Arc<Gateway>, choice: &Choice, upstream_tag: u64, now: TimeMs) -> Self {
+        if let Some(upstream) = node.upstreams.lock().get_mut(choice.upstream) {
+            upstream.own.running += 1;
+            upstream.own.unread_tokens += choice.unread_tokens;
+        }
+        Self {
+            node: Arc::clone(node),
+            upstream: choice.upstream,
+            upstream_tag,
+            sent_at: now,
+            unread_tokens: choice.unread_tokens,
+        }
+    }
+
+    /// The prompt has been read: its first token came.
+    pub fn note_first_token(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.own.unread_tokens -= unread_tokens;
+        }
+    }
+
+    /// Notes how the upstream fared with it.
+    pub fn note(&self, outcome: Outcome, now: TimeMs) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.health.note(outcome, now);
+        }
+    }
+
+    /// Notes that the upstream broke off, and tells the peers: it may be the request that did it.
+    pub fn note_broken(&self, content: u64, now: TimeMs) {
+        self.note(Outcome::Broken, now);
+        let strike = Strike {
+            content,
+            upstream: self.upstream_tag,
+        };
+        if self.node.strikes.lock().note(strike, now) {
+            self.node.tell_peers(Message::Strike(strike));
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.own.running -= 1;
+            upstream.own.unread_tokens -= self.unread_tokens;
+        }
+    }
+}
+
+/// How one send ended before an answer that counts.
+enum Vain {
+    /// The upstream did not get the request, or said that it did not run it.
+    NotRun(&'static str, String),
+    /// It may have run the request.
+    MayHaveRun(&'static str, String),
+}
+
+/// Sends a request until an upstream answers it.
+///
+/// With `resume_after`, the upstream is asked to go on behind that event.
+pub(super) async fn send(
+    node: &Arc<Gateway>,
+    plan: &Plan,
+    trial: &mut Trial,
+    resume_after: Option<u64>,
+    story: &mut Story,
+) -> Result<Arrived, Refusal> {
+    loop {
+        let now = clock::now();
+        let choice = next(node, plan, trial, now)?;
+        let sent = send_once(node, plan, trial, &choice, resume_after, story).await;
+        let now = clock::now();
+        let (reason, detail) = match sent {
+            Ok(arrived) => return Ok(arrived),
+            Err(Vain::NotRun(reason, detail)) => {
+                trial.vain += 1;
+                (reason, detail)
+            }
+            Err(Vain::MayHaveRun(reason, detail)) => {
+                trial.runs += 1;
+                (reason, detail)
+            }
+        };
+        trial.excluded.push(choice.upstream);
+        story.attempt_failed(reason, &detail, now);
+        if trial.runs > 0 && !plan.may_repeat(trial) {
+            return Err(trial.unanswered(plan, now));
+        }
+    }
+}
+
+/// The upstream that gets the request next, if it may be sent at all.
+fn next(node: &Gateway, plan: &Plan, trial: &Trial, now: TimeMs) -> Result<Choice, Refusal> {
+    if now >= plan.limit_at || trial.vain >= MOST_VAIN {
+        return Err(trial.unanswered(plan, now));
+    }
+    if node.strikes.lock().is_blocked(plan.content, now) {
+        return Err(Refusal::Breaking);
+    }
+    let settings = node.settings();
+    let ask = Ask {
+        pool: &plan.pool,
+        prompt: plan.head.prompt.as_ref(),
+        failure_domain: &settings.failure_domain,
+        excluded: &trial.excluded,
+        draw: plan.draw,
+    };
+    let choice = {
+        let upstreams = node.upstreams.lock();
+        let prefixes = node.prefixes.lock();
+        choose::choose(&upstreams, &prefixes, &ask, now)
+    };
+    let choice = choice.ok_or_else(|| trial.unanswered(plan, now))?;
+    let left_ms = now.until(plan.limit_at);
+    let is_first = trial.sends == 0;
+    match is_first {
+        true if budget::is_too_late(left_ms, choice.expected_ms) => {
+            let retry_after_ms = retry_after_ms(plan);
+            Err(Refusal::Saturated { retry_after_ms })
+        }
+        true => {
+            let budget = node.repeat_budget(now);
+            node.repeats
+                .lock()
+                .of(&plan.pool)
+                .note_request(&budget, now);
+            Ok(choice)
+        }
+        false => {
+            let budget = node.repeat_budget(now);
+            if node.repeats.lock().of(&plan.pool).take(&budget, now) {
+                Ok(choice)
+            } else {
+                Err(trial.unanswered(plan, now))
+            }
+        }
+    }
+}
+
+async fn send_once(
+    node: &Arc<Gateway>,
+    plan: &Plan,
+    trial: &mut Trial,
+    choice: &Choice,
+    resume_after: Option<u64>,
+    story: &mut Story,
+) -> Result<Arrived, Vain> {
+    let key = choice.upstream;
+    let target = {
+        let upstreams = node.upstreams.lock();
+        let upstream = upstreams.get(key);
+        upstream.map(|upstream| (upstream.announced.address, upstream.announced.id.clone()))
+    };
+    let Some((address, id)) = target else {
+        return Err(Vain::NotRun("upstream_gone", String::new()));
+    };
+    let mut running = Running::new(node, choice, tag(&id), clock::now());
+    story.sent(&id);
+    let may_repeat = plan.route().may_repeat();
+    // A kept channel may turn out to be closed; a new one is opened then.
+    let mut sent = None;
+    while sent.is_none() {
+        let opened = node
+            .channels
+            .open(key, address, may_repeat, clock::now())
+            .await;
+        let mut channel = opened.map_err(|error| {
+            if let Some(upstream) = node.upstreams.lock().get_mut(key) {
+                upstream.health.note_unreachable(clock::now());
+            }
+            Vain::NotRun("unreachable", error.to_string())
+        })?;
+        running.sent_at = clock::now();
+        let request = request(plan, &id, resume_after, running.sent_at);
+        let Some(request) = request else {
+            return Err(Vain::NotRun("unsendable", String::new()));
+        };
+        let patience = Duration::from_millis(patience_ms(plan, trial, running.sent_at));
+        let answer = channel.sender.try_send_request(request);
+        match tokio::time::timeout(patience, answer).await {
+            Ok(Ok(response)) => sent = Some((channel.sender, response)),
+            Ok(Err(mut error)) if error.message().is_some() => {
+                drop(error.take_message());
+                if !channel.is_reused {
+                    return Err(Vain::NotRun(
+                        "channel_closed",
+                        error.into_error().to_string(),
+                    ));
+                }
+            }
+            Ok(Err(error)) => {
+                trial.sends += 1;
+                running.note_broken(plan.content, clock::now());
+                return Err(Vain::MayHaveRun("broken", error.into_error().to_string()));
+            }
+            Err(_elapsed) => {
+                trial.sends += 1;
+                running.note(Outcome::Broken, clock::now());
+                return Err(Vain::MayHaveRun("silent", String::new()));
+            }
+        }
+    }
+    trial.sends += 1;
+    if let Some(part) = plan.head.prompt.as_ref().and_then(Prompt::shared) {
+        node.prefixes.lock().note(part.id, key, clock::now());
+    }
+    let Some((sender, response)) = sent else {
+        return Err(Vain::NotRun("channel_closed", String::new()));
+    };
+    judge(node, plan, running, sender, response)
+}
+
+/// Checks that an answer is the request's own and says that it ran.
+fn judge(
+    node: &Arc<Gateway>,
+    plan: &Plan,
+    running: Running,
+    sender: SendRequest<Full<Bytes>>,
+    response: Response<Incoming>,
+) -> Result<Arrived, Vain> {
+    let now = clock::now();
+    let answer = headers::read_answer(response.headers());
+    let status = response.status();
+    let is_own = answer.request_id.as_deref() == Some(plan.head.id.as_str());
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => {
+            running.note(Outcome::Refused, now);
+            Err(Vain::NotRun("other_upstream", status.to_string()))
+        }
+        _ if answer.is_not_run => {
+            running.note(Outcome::Refused, now);
+            keep(node, &running, sender, &answer);
+            Err(Vain::NotRun("not_run", status.to_string()))
+        }
+        // An answer to an earlier request of the channel: this one's may follow, or may not.
+        _ if !is_own => {
+            running.note(Outcome::Broken, now);
+            Err(Vain::MayHaveRun("other_answer", status.to_string()))
+        }
+        _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
+            running.note(Outcome::Broken, now);
+            Err(Vain::MayHaveRun("unproved_answer", status.to_string()))
+        }
+        _ => Ok(Arrived {
+            response,
+            answer,
+            running,
+            sender,
+        }),
+    }
+}
+
+fn keep(node: &Gateway, running: &Running, sender: SendRequest<Full<Bytes>>, answer: &AnswerHead) {
+    if !answer.closes {
+        let idle_timeout_ms = answer.idle_timeout_ms;
+        (node.channels).keep(running.upstream, sender, idle_timeout_ms, clock::now());
+    }
+}
+
+/// How long an upstream may take until its answer begins.
+fn patience_ms(plan: &Plan, trial: &Trial, now: TimeMs) -> u64 {
+    let left_ms = now.until(plan.limit_at);
+    let route = plan.route();
+    if !route.may_repeat() || trial.runs + 1 >= route.max_upstreams {
+        return left_ms;
+    }
+    let targets_ms = num::whole(num::real(route.target_ms) * PATIENCE_TARGETS);
+    let least_ms = if route.is_stream {
+        STREAM_PATIENCE_MS
+    } else {
+        LEAST_PATIENCE_MS
+    };
+    targets_ms.max(least_ms).min(left_ms)
+}
+
+fn request(
+    plan: &Plan,
+    upstream_id: &str,
+    resume_after: Option<u64>,
+    now: TimeMs,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::new(Full::new(plan.body.clone()));
+    *request.method_mut() = plan.method.clone();
+    *request.uri_mut() = plan.uri.clone();
+    *request.headers_mut() = plan.headers.clone();
+    let added = Added {
+        upstream_id,
+        time_left_ms: now.until(plan.limit_at),
+        team: plan.team().map(|team| team.name.as_str()),
+        urgency: plan.head.prompt.is_some().then_some(plan.urgency),
+        resume_after,
+    };
+    headers::add(request.headers_mut(), &added);
+    (added.time_left_ms > 0).then_some(request)
+}
+
+impl Arrived {
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    pub fn headers(&self) -> &HeaderMap {
+        self.response.headers()
+    }
+
+    /// Takes the body apart from what has to be kept until its end.
+    pub fn into_stream(self) -> (Incoming, Rest) {
+        let rest = Rest {
+            running: self.running,
+            sender: self.sender,
+            answer: self.answer,
+        };
+        (self.response.into_body(), rest)
+    }
+
+    /// Reads the whole body; none if it broke off.
+    pub async fn collect(
+        self,
+        node: &Gateway,
+        plan: &Plan,
+        trial: &mut Trial,
+        story: &mut Story,
+    ) -> Option<Bytes> {
+        let status = self.status();
+        let (body, mut rest) = self.into_stream();
+        trial.runs += 1;
+        count_begun(node, plan, begun_at(rest.running.sent_at, clock::now()));
+        let left = Duration::from_millis(clock::now().until(plan.limit_at));
+        let whole = Limited::new(body, MAX_WHOLE_BYTES).collect();
+        let whole = tokio::time::timeout(left, whole).await;
+        let now = clock::now();
+        rest.running.note_first_token();
+        match whole {
+            Ok(Ok(body)) => {
+                story.first(now);
+                rest.ended(node, status, plan, now);
+                Some(body.to_bytes())
+            }
+            Ok(Err(error)) => {
+                rest.running.note(Outcome::Broken, now);
+                trial.excluded.push(rest.running.upstream);
+                story.attempt_failed("body_broken", &error.to_string(), now);
+                None
+            }
+            Err(_elapsed) => {
+                rest.running.note(Outcome::Broken, now);
+                story.attempt_failed("body_timeout", "", now);
+                None
+            }
+        }
+    }
+}
+
+/// What is kept of an answer until its body ends.
+#[derive(Debug)]
+pub(super) struct Rest {
+    pub running: Running,
+    sender: SendRequest<Full<Bytes>>,
+    answer: AnswerHead,
+}
+
+impl Rest {
+    /// The body was read to its end: the channel can carry another request.
+    pub fn ended(self, node: &Gateway, status: StatusCode, plan: &Plan, now: TimeMs) {
+        let took_ms = now.since(self.running.sent_at);
+        let outcome = if status.is_server_error() {
+            Outcome::Failed
+        } else {
+            Outcome::Good { took_ms }
+        };
+        // A stream's time to its first event has been noted when that came.
+        if !plan.route().is_stream || status.is_server_error() {
+            self.running.note(outcome, now);
+        }
+        if !status.is_server_error() {
+            node.strikes.lock().clear(plan.content);
+        }
+        keep(node, &self.running, self.sender, &self.answer);
+    }
+}
+
+impl Trial {
+    /// Notes that a stream began to run at an upstream.
+    pub fn note_run(&mut self) {
+        self.runs += 1;
+    }
+
+    /// Notes that an upstream must not get the request again.
+    pub fn exclude(&mut self, upstream: UpstreamKey) {
+        self.excluded.push(upstream);
+    }
+}
+
+/// Work of a plain call, on average; what lies between its begin and its answer.
+const PLAIN_WORK_MS: u64 = 30;
+
+/// When an upstream probably began with a plain call that it has answered.
+fn begun_at(sent_at: TimeMs, answered_at: TimeMs) -> TimeMs {
+    TimeMs(answered_at.0.saturating_sub(PLAIN_WORK_MS)).max(sent_at)
+}
+
+/// Counts a request that began to run toward its team's usage.
+pub(super) fn count_begun(node: &Gateway, plan: &Plan, at: TimeMs) {
+    if let Some(team) = plan.team() {
+        let now = clock::now();
+        let ago_ms = now.since(at);
+        let time_of_day = TimeMs(node.time_of_day(now).0.saturating_sub(ago_ms));
+        node.usage.lock().count(tag(&team.name), time_of_day);
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange/story.rs
@@ -0,0 +1,125 @@
+//! What is logged and counted of one request.
+
+use http::StatusCode;
+
+use crate::gateway::clock;
+use crate::gateway::refusal::Refusal;
+use crate::time::TimeMs;
+
+/// Collects what decided about a request and writes one line when it ends.
+#[derive(Debug)]
+pub(super) struct Story {
+    received_at: TimeMs,
+    request_id: Option<String>,
+    route: String,
+    team: Option<String>,
+    configuration_version: u64,
+    upstream: String,
+    sends: u32,
+    first_ms: Option<u64>,
+    is_told: bool,
+}
+
+impl Story {
+    pub fn new(received_at: TimeMs) -> Self {
+        Self {
+            received_at,
+            request_id: None,
+            route: String::new(),
+            team: None,
+            configuration_version: 0,
+            upstream: String::new(),
+            sends: 0,
+            first_ms: None,
+            is_told: false,
+        }
+    }
+
+    pub fn request_id(&self) -> Option<&str> {
+        self.request_id.as_deref()
+    }
+
+    pub fn identify(&mut self, id: &str) {
+        self.request_id = Some(id.to_owned());
+    }
+
+    pub fn routed(&mut self, route: &str, team: Option<&str>, configuration_version: u64) {
+        route.clone_into(&mut self.route);
+        self.team = team.map(str::to_owned);
+        self.configuration_version = configuration_version;
+    }
+
+    /// The request goes to an upstream.
+    pub fn sent(&mut self, upstream: &str) {
+        upstream.clone_into(&mut self.upstream);
+        self.sends += 1;
+    }
+
+    /// An attempt failed; says why, for those that are not the last too.
+    pub fn attempt_failed(&self, reason: &'static str, detail: &str, now: TimeMs) {
+        metrics::counter!("teaselline_attempts_failed_total", "reason" => reason).increment(1);
+        log::info!(
+            event = "attempt_failed",
+            request_id = self.request_id.as_deref().unwrap_or_default(),
+            route = self.route.as_str(),
+            upstream = self.upstream.as_str(),
+            send = self.sends,
+            after_ms = now.since(self.received_at),
+            reason,
+            detail;
+            "an upstream gave no answer"
+        );
+    }
+
+    /// The first event or the answer came.
+    pub fn first(&mut self, now: TimeMs) {
+        self.first_ms = Some(now.since(self.received_at));
+    }
+
+    pub fn answered(&mut self, status: StatusCode, now: TimeMs) {
+        self.tell("answered", status.as_str(), now);
+    }
+
+    pub fn refused(&mut self, refusal: &Refusal, now: TimeMs) {
+        let outcome = match refusal {
+            Refusal::NoAnswer | Refusal::AnswerTimeout => "failed",
+            _ => "refused",
+        };
+        self.tell(outcome, refusal.word(), now);
+    }
+
+    pub fn broken_off(&mut self, reason: &'static str, now: TimeMs) {
+        self.tell("broken_off", reason, now);
+    }
+
+    fn tell(&mut self, outcome: &'static str, reason: &str, now: TimeMs) {
+        self.is_told = true;
+        metrics::counter!("teaselline_requests_total", "outcome" => outcome, "reason" => reason.to_owned())
+            .increment(1);
+        let took_ms = now.since(self.received_at);
+        metrics::histogram!("teaselline_answer_ms").record(super::super::num::real(took_ms));
+        log::info!(
+            event = "request_ended",
+            request_id = self.request_id.as_deref().unwrap_or_default(),
+            outcome,
+            reason,
+            route = self.route.as_str(),
+            team = self.team.as_deref().unwrap_or_default(),
+            upstream = self.upstream.as_str(),
+            sends = self.sends,
+            first_ms:? = self.first_ms,
+            took_ms,
+            configuration_version = self.configuration_version;
+            "a request ended"
+        );
+    }
+}
+
+impl Drop for Story {
+    /// A request whose answer is dropped before its end was left by its caller.
+    fn drop(&mut self) {
+        if !self.is_told {
+            self.tell("caller_left", "channel_closed", clock::now());
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,279 @@
+//! Follows the store: the operators' configuration and the announcements of upstreams.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::clock;
+use super::peers::Message;
+use super::state::{Gateway, UpstreamsView};
+use super::upstreams::{Announced, Change};
+use crate::platform::store::{CONFIGURATION_KEY, Keyed, Records, StoreError, Topic};
+use crate::platform::{documents, upstreams};
+use crate::time::TimeMs;
+
+/// A read of the configuration waits this long for a change.
+///
+/// Each node confirms in this way that its configuration is current, well within the bound on
+/// revoked keys, at half a call a second; a change ends the wait at once.
+const CONFIGURATION_WAIT_MS: u64 = 2_000;
+
+/// Between two tries while the store does not answer.
+const RETRY_MS: u64 = 250;
+
+/// The node that reads announcements for all reads this often.
+///
+/// An upstream that leaves gets work for up to this long and the way to the peers; the bound is
+/// two seconds or more.
+const READER_INTERVAL_MS: u64 = 450;
+
+/// A node that has heard nothing from the reader for this long reads by itself.
+const SILENT_READER_MS: u64 = 1_000;
+
+/// Between two looks whether to read announcements.
+const LOOK_INTERVAL_MS: u64 = 100;
+
+/// Follows the configuration for as long as the node runs.
+pub(crate) async fn configuration(node: Arc<Gateway>) {
+    let mut from = None;
+    let mut wait_ms = 0;
+    loop {
+        let read = match from {
+            None => newest_configuration(&node).await,
+            Some(from) => next_configuration(&node, from, wait_ms).await,
+        };
+        node.note_store(read.is_ok() || is_answer(&read), clock::now());
+        match read {
+            Ok(next) => {
+                from = Some(next);
+                wait_ms = CONFIGURATION_WAIT_MS;
+            }
+            Err(StoreError::Deleted { first }) => {
+                log::info!(event = "history_lost", topic = "configuration", first; "records were deleted before they were read");
+                from = None;
+            }
+            Err(error) => {
+                log::debug!(error:err = error; "the configuration was not read");
+                wait_ms = 0;
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+fn is_answer<T>(read: &Result<T, StoreError>) -> bool {
+    matches!(read, Err(StoreError::Deleted { .. }))
+}
+
+async fn newest_configuration(node: &Gateway) -> Result<u64, StoreError> {
+    let asked_at = clock::now();
+    let newest = node.store.newest(Topic::Configuration).await?;
+    for item in newest.items {
+        take_configuration(node, &item);
+    }
+    node.in_force.write().current_at = asked_at;
+    Ok(newest.end)
+}
+
+async fn next_configuration(node: &Gateway, from: u64, wait_ms: u64) -> Result<u64, StoreError> {
+    let asked_at = clock::now();
+    let records = node.store.read(Topic::Configuration, from, wait_ms).await?;
+    for body in &records.bodies {
+        match Keyed::read(body.clone()) {
+            Ok(item) => take_configuration(node, &item),
+            Err(error) => {
+                log::error!(error:err = error; "a record of the configuration's topic is passed over");
+            }
+        }
+    }
+    let next = records.next();
+    if next >= records.end {
+        // Without a record the store has waited before it answered.
+        let waited_ms = if records.bodies.is_empty() {
+            wait_ms
+        } else {
+            0
+        };
+        let current_at = asked_at.after(waited_ms).min(clock::now());
+        let mut in_force = node.in_force.write();
+        in_force.current_at = in_force.current_at.max(current_at);
+    }
+    Ok(next)
+}
+
+/// Puts a configuration in force if it is newer; versions never go back.
+fn take_configuration(node: &Gateway, item: &Keyed) {
+    let Some(text) = item
+        .value
+        .as_ref()
+        .filter(|_text| item.key == CONFIGURATION_KEY)
+    else {
+        return;
+    };
+    match documents::parse(text) {
+        Ok(catalog) => {
+            let mut in_force = node.in_force.write();
+            let before = in_force.catalog.version;
+            if catalog.version > before {
+                log::info!(
+                    event = "configuration_changed",
+                    before,
+                    version = catalog.version,
+                    routes = catalog.routes.len(),
+                    teams = catalog.teams.len();
+                    "a configuration is in force"
+                );
+                in_force.catalog = Arc::new(catalog);
+            }
+        }
+        Err(error) => {
+            log::error!(event = "configuration_rejected", error:err = error; "a configuration cannot be read; the one before stays");
+        }
+    }
+}
+
+/// Follows the announcements of upstreams for as long as the node runs.
+pub(crate) async fn upstreams(node: Arc<Gateway>) {
+    loop {
+        if is_read_due(&node, clock::now()) {
+            let read = read_upstreams(&node).await;
+            node.note_store(read.is_ok(), clock::now());
+            if let Err(error) = read {
+                log::debug!(error:err = error; "the upstreams were not read");
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
+    }
+}
+
+/// Whether this node should read announcements now.
+///
+/// One node reads for all and passes on what it read, since each read costs; the others read only
+/// if they hear nothing from it.
+fn is_read_due(node: &Gateway, now: TimeMs) -> bool {
+    let age_ms = now.since(node.upstreams_view.lock().read_at);
+    let is_reader = node.peers.lock().is_first(node.reaches_store(), now);
+    let due_ms = if is_reader {
+        READER_INTERVAL_MS
+    } else {
+        SILENT_READER_MS
+    };
+    age_ms >= due_ms
+}
+
+async fn read_upstreams(node: &Gateway) -> Result<(), StoreError> {
+    let from = node.upstreams_view.lock().end;
+    let asked_at = clock::now();
+    if from == 0 {
+        return newest_upstreams(node).await;
+    }
+    match node.store.read(Topic::Upstreams, from, 0).await {
+        Ok(records) => {
+            let changes = changes(&records);
+            let changes = take_changes(node, changes, clock::now());
+            let to = records.next();
+            let read_at = if to >= records.end {
+                asked_at
+            } else {
+                TimeMs(0)
+            };
+            reached(node, to, read_at);
+            node.tell_peers(Message::Upstreams { from, to, changes });
+            Ok(())
+        }
+        Err(StoreError::Deleted { first }) => {
+            log::info!(event = "history_lost", topic = "upstreams", first; "records were deleted before they were read");
+            newest_upstreams(node).await
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn newest_upstreams(node: &Gateway) -> Result<(), StoreError> {
+    let asked_at = clock::now();
+    let newest = node.store.newest(Topic::Upstreams).await?;
+    let announced: Vec<Announced> = newest.items.iter().filter_map(announced).collect();
+    let now = clock::now();
+    let was_away = node.store_was_away(now);
+    node.upstreams.lock().replace(announced, was_away, now);
+    reached(node, newest.end, asked_at);
+    Ok(())
+}
+
+fn reached(node: &Gateway, end: u64, read_at: TimeMs) {
+    let mut view = node.upstreams_view.lock();
+    *view = UpstreamsView {
+        end: view.end.max(end),
+        read_at: view.read_at.max(read_at),
+    };
+}
+
+fn changes(records: &Records) -> Vec<Change> {
+    let items = (records.bodies.iter()).filter_map(|body| match Keyed::read(body.clone()) {
+        Ok(item) => Some(item),
+        Err(error) => {
+            log::error!(error:err = error; "a record of the upstreams' topic is passed over");
+            None
+        }
+    });
+    items
+        .filter_map(|item| match &item.value {
+            None => Some(Change::Removed { id: item.key }),
+            Some(_value) => announced(&item).map(Change::Present),
+        })
+        .collect()
+}
+
+fn announced(item: &Keyed) -> Option<Announced> {
+    let value = item.value.as_ref()?;
+    match upstreams::parse(&item.key, value) {
+        Ok(announced) => Some(announced),
+        Err(error) => {
+            log::error!(upstream = item.key.as_str(), error:err = error; "an announcement is passed over");
+            None
+        }
+    }
+}
+
+/// Takes in changes; gives those that changed anything.
+pub(crate) fn take_changes(node: &Gateway, changes: Vec<Change>, now: TimeMs) -> Vec<Change> {
+    let was_away = node.store_was_away(now);
+    let mut table = node.upstreams.lock();
+    let mut real = Vec::new();
+    for change in changes {
+        let is_known = match &change {
+            Change::Present(announced) => {
+                let known = table.find(&announced.id).and_then(|key| table.get(key));
+                known.is_some_and(|known| !known.is_removed && known.announced == *announced)
+            }
+            Change::Removed { id } => {
+                let known = table.find(id).and_then(|key| table.get(key));
+                known.is_none_or(|known| known.is_removed)
+            }
+        };
+        if !is_known {
+            log_change(&change);
+            table.apply(change.clone(), was_away, now);
+            real.push(change);
+        }
+    }
+    real
+}
+
+fn log_change(change: &Change) {
+    match change {
+        Change::Present(announced) => log::info!(
+            event = "upstream_changed",
+            upstream = announced.id.as_str(),
+            pool = announced.pool.as_str(),
+            failure_domain = announced.failure_domain.as_str(),
+            phase:? = announced.phase,
+            reclaimable = announced.is_reclaimable,
+            leaves_in_ms:? = announced.leaves_in_ms;
+            "an upstream announced a change"
+        ),
+        Change::Removed { id } => {
+            log::info!(event = "upstream_removed", upstream = id.as_str(); "an upstream's announcement is gone");
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,273 @@
+//! Sends and receives the datagrams between nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use super::clock;
+use super::follow;
+use super::num;
+use super::peers::{FORGET_MS, Member, Message, Pulse};
+use super::state::Gateway;
+use crate::platform::store::Topic;
+use crate::time::TimeMs;
+
+/// Largest datagram: what UDP carries over IPv4.
+const MAX_DATAGRAM_BYTES: usize = 65_000;
+
+/// Between two pulses to each peer, for few peers.
+const PULSE_INTERVAL_MS: u64 = 200;
+
+/// Time that each peer adds to the interval, so that a node sends at most about 80 pulses a second.
+const PULSE_INTERVAL_PER_PEER_MS: u64 = 12;
+
+/// Between two looks at the store for nodes that are not known.
+const DISCOVERY_INTERVAL_MS: u64 = 1_000;
+
+/// Looks at the store after the start, for nodes that start at the same time.
+const DISCOVERY_LOOKS: u32 = 3;
+
+/// Exchanges datagrams for as long as the node runs.
+pub(crate) async fn run(
+    node: Arc<Gateway>,
+    socket: UdpSocket,
+    mut messages: mpsc::Receiver<Message>,
+) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut pulses = tokio::time::interval(Duration::from_millis(PULSE_INTERVAL_MS));
+    pulses.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut pulsed_at = TimeMs(0);
+    let mut was_stopping = false;
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, _from)) => take(&node, &buffer[..length], clock::now()),
+                Err(error) => log::debug!(error:err = error; "a datagram was not received"),
+            },
+            message = messages.recv() => match message {
+                Some(message) => send_to_all(&node, &socket, &message).await,
+                None => return,
+            },
+            _tick = pulses.tick() => {
+                let now = clock::now();
+                let is_stopping = node.is_stopping();
+                let is_due = now.since(pulsed_at) >= interval_ms(&node);
+                if is_due || is_stopping != was_stopping {
+                    pulsed_at = now;
+                    was_stopping = is_stopping;
+                    let pulse = Message::Pulse(Box::new(pulse(&node, now)));
+                    send_to_all(&node, &socket, &pulse).await;
+                    expire(&node, now);
+                }
+            }
+            () = node.stopping.cancelled(), if !was_stopping => {
+                was_stopping = true;
+                let pulse = Message::Pulse(Box::new(pulse(&node, clock::now())));
+                send_to_all(&node, &socket, &pulse).await;
+            }
+        }
+    }
+}
+
+fn interval_ms(node: &Gateway) -> u64 {
+    let peers = node.peers.lock().iter().count() as u64;
+    PULSE_INTERVAL_MS.max(peers * PULSE_INTERVAL_PER_PEER_MS)
+}
+
+fn expire(node: &Gateway, now: TimeMs) {
+    node.peers.lock().forget(now);
+    node.quotas.lock().forget_peers(FORGET_MS, now);
+    let mut upstreams = node.upstreams.lock();
+    upstreams.forget_gone(now);
+    let silent: Vec<u64> = {
+        let peers = node.peers.lock();
+        let heard: Vec<u64> = peers
+            .heard(now)
+            .map(|peer| peer.member.incarnation)
+            .collect();
+        let all = peers.iter().map(|peer| peer.member.incarnation);
+        all.filter(|incarnation| !heard.contains(incarnation))
+            .collect()
+    };
+    // What a peer that is away had running has ended or is not known.
+    for incarnation in silent {
+        upstreams.set_peer_loads(incarnation, &[]);
+    }
+    node.channels
+        .close_idle(|key| upstreams.get(key).is_some(), now);
+}
+
+fn pulse(node: &Gateway, now: TimeMs) -> Pulse {
+    let view = *node.upstreams_view.lock();
+    let peers = node.peers.lock();
+    let known: Vec<&Member> = peers.heard(now).map(|peer| &peer.member).collect();
+    let also = match known.len() {
+        0 => None,
+        count => Some(known[rand::rng().random_range(0..count)].clone()),
+    };
+    let member = peers.own().clone();
+    drop(peers);
+    Pulse {
+        member,
+        also,
+        is_ready: node.is_ready(now),
+        is_stopping: node.is_stopping(),
+        reaches_store: node.reaches_store(),
+        configuration_version: node.in_force.read().catalog.version,
+        upstreams_end: view.end,
+        upstreams_age_ms: now.since(view.read_at),
+        time_of_day_ms: clock::time_of_day().0,
+        loads: node.upstreams.lock().own_loads(),
+        usage: node.usage.lock().own_rows(),
+        admitted: node.quotas.lock().own_totals(),
+        lease: node.lease.lock().announced(now),
+    }
+}
+
+async fn send_to_all(node: &Gateway, socket: &UdpSocket, message: &Message) {
+    let encoded = match bincode::encode_to_vec(message, bincode::config::standard()) {
+        Ok(encoded) if encoded.len() <= MAX_DATAGRAM_BYTES => encoded,
+        Ok(encoded) => {
+            log::error!(bytes = encoded.len(); "a message to the peers is too long");
+            return;
+        }
+        Err(error) => {
+            log::error!(error:err = error; "a message to the peers cannot be encoded");
+            return;
+        }
+    };
+    let addresses: Vec<SocketAddr> = {
+        let peers = node.peers.lock();
+        peers.iter().map(|peer| peer.member.gossip).collect()
+    };
+    for address in addresses {
+        if let Err(error) = socket.send_to(&encoded, address).await {
+            log::debug!(error:err = error, peer:% = address; "a datagram was not sent");
+        }
+    }
+}
+
+fn take(node: &Gateway, datagram: &[u8], now: TimeMs) {
+    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    let message = match bincode::decode_from_slice::<Message, _>(datagram, config) {
+        Ok((message, _length)) => message,
+        Err(error) => {
+            metrics::counter!("teaselline_datagrams_malformed_total").increment(1);
+            log::debug!(error:err = error; "a datagram cannot be read");
+            return;
+        }
+    };
+    match message {
+        Message::Pulse(pulse) => take_pulse(node, &pulse, now),
+        Message::Upstreams { from, to, changes } => {
+            let mut view = *node.upstreams_view.lock();
+            // What was missed in between is read from the store.
+            if view.end >= from && view.end > 0 {
+                follow::take_changes(node, changes, now);
+                view.end = view.end.max(to);
+                view.read_at = view.read_at.max(now);
+                *node.upstreams_view.lock() = view;
+            } else {
+                node.upstreams_view.lock().read_at = TimeMs(0);
+            }
+        }
+        Message::Strike(strike) => {
+            node.strikes.lock().note(strike, now);
+        }
+    }
+}
+
+fn take_pulse(node: &Gateway, pulse: &Pulse, now: TimeMs) {
+    let incarnation = pulse.member.incarnation;
+    {
+        let mut peers = node.peers.lock();
+        peers.note_pulse(pulse, now);
+        if let Some(also) = &pulse.also {
+            peers.introduce(also.clone(), now);
+        }
+    }
+    node.upstreams
+        .lock()
+        .set_peer_loads(incarnation, &pulse.loads);
+    node.usage.lock().note_peer(incarnation, &pulse.usage);
+    node.quotas
+        .lock()
+        .note_peer(incarnation, &pulse.admitted, now);
+    if let Some((end, token)) = pulse.lease {
+        let holder = super::lease::Holder {
+            node: pulse.member.name.clone(),
+            incarnation,
+        };
+        node.lease.lock().heard_end(end, &holder, token, now);
+    }
+}
+
+/// Makes this node known in the store and learns of the others there.
+pub(crate) async fn discover(node: Arc<Gateway>) {
+    let mut is_announced = false;
+    let mut looks = 0;
+    loop {
+        if !is_announced {
+            is_announced = announce(&node).await;
+        }
+        let is_alone = node.peers.lock().heard(clock::now()).next().is_none();
+        if looks < DISCOVERY_LOOKS || is_alone {
+            looks += u32::from(look(&node).await);
+        }
+        let pause_ms = num::real(DISCOVERY_INTERVAL_MS) * rand::rng().random_range(0.8..1.2);
+        tokio::time::sleep(Duration::from_millis(num::whole(pause_ms))).await;
+    }
+}
+
+async fn announce(node: &Gateway) -> bool {
+    let member = node.peers.lock().own().clone();
+    let encoded = match bincode::encode_to_vec(&member, bincode::config::standard()) {
+        Ok(encoded) => encoded,
+        Err(error) => {
+            log::error!(error:err = error; "this node's record cannot be encoded");
+            return false;
+        }
+    };
+    let put = node.store.put(Topic::Nodes, &member.name, &encoded).await;
+    if let Err(error) = &put {
+        log::debug!(error:% = error; "this node is not announced yet");
+    }
+    put.is_ok()
+}
+
+async fn look(node: &Gateway) -> bool {
+    let newest = match node.store.newest(Topic::Nodes).await {
+        Ok(newest) => newest,
+        Err(error) => {
+            log::debug!(error:err = error; "the other nodes are not known yet");
+            return false;
+        }
+    };
+    let now = clock::now();
+    for item in newest.items {
+        let Some(value) = item.value else { continue };
+        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+        match bincode::decode_from_slice::<Member, _>(&value, config) {
+            Ok((member, _length)) => node.peers.lock().introduce(member, now),
+            Err(error) => {
+                log::error!(node = item.key.as_str(), error:err = error; "a node's record is passed over");
+            }
+        }
+    }
+    true
+}
+
+/// Opens the socket for datagrams.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub(crate) async fn listen(address: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(address).await
+}
--- /dev/null
+++ b/src/gateway/info.rs
@@ -0,0 +1,166 @@
+//! What a node tells about itself: whether it is ready, where callers should connect, its metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use gotham::helpers::http::response::create_response;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::service::call_handler;
+use gotham::state::{FromState, State, StateData};
+use http::{Response, StatusCode, Uri};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::clock;
+use super::state::Gateway;
+use crate::platform::directory::{
+    DOMAIN_PARAMETER, METRICS_PATH, MOST_ADDRESSES, READY_PATH, RESOLVE_PATH, addresses,
+};
+use crate::time::TimeMs;
+
+/// How long callers keep an answer: short, since they go on to use a node that is gone until then,
+/// and some keep it three times as long.
+const TTL_MS: u64 = 2_000;
+
+/// Fewest addresses that a caller gets, so that one lost node does not leave it without any.
+const FEWEST_ADDRESSES: usize = 3;
+
+/// What handlers need.
+#[derive(Clone, Debug)]
+struct Shared {
+    node: Arc<Gateway>,
+    metrics: PrometheusHandle,
+}
+
+impl StateData for Shared {}
+
+/// Serves the calls about a node on one address for as long as it runs.
+pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, metrics: PrometheusHandle) {
+    let router = Arc::new(router());
+    let shared = Shared { node, metrics };
+    loop {
+        match listener.accept().await {
+            Ok((socket, from)) => serve_one(socket, from, &router, &shared),
+            Err(error) => log::warn!(error:err = error; "a channel was not accepted"),
+        }
+    }
+}
+
+fn serve_one(socket: TcpStream, from: SocketAddr, router: &Arc<Router>, shared: &Shared) {
+    let router = Arc::clone(router);
+    let shared = shared.clone();
+    let service = service_fn(move |request| {
+        let mut state = State::from_request(request, from);
+        state.put(shared.clone());
+        let router = Arc::clone(&router);
+        async move {
+            let answered = call_handler(router, AssertUnwindSafe(state)).await;
+            Ok::<_, Infallible>(answered.unwrap_or_else(|error| {
+                log::error!(error:% = error; "a handler failed");
+                let mut response = Response::new(Body::default());
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                response
+            }))
+        }
+    });
+    tokio::spawn(async move {
+        let served = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+        if let Err(error) = served.await {
+            log::debug!(error:err = error; "a channel about this node ended early");
+        }
+    });
+}
+
+fn router() -> Router {
+    build_simple_router(|route| {
+        route.get(READY_PATH).to(ready);
+        route.get(RESOLVE_PATH).to(resolve);
+        route.get(METRICS_PATH).to(metrics);
+    })
+}
+
+fn ready(state: State) -> (State, Response<Body>) {
+    let is_ready = Shared::borrow_from(&state).node.is_ready(clock::now());
+    let status = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let response = create_response(&state, status, mime::TEXT_PLAIN, "");
+    (state, response)
+}
+
+fn resolve(state: State) -> (State, Response<Body>) {
+    let node = Arc::clone(&Shared::borrow_from(&state).node);
+    let uri = Uri::borrow_from(&state);
+    let failure_domain = parameter(uri.query().unwrap_or_default(), DOMAIN_PARAMETER);
+    let ready = ready_addresses(&node, &failure_domain, clock::now());
+    let ttl_ms = TTL_MS.min(node.settings().bounds.directory_ttl_max_ms);
+    let response = match addresses(&ready, ttl_ms) {
+        Ok(body) if !ready.is_empty() => {
+            create_response(&state, StatusCode::OK, mime::APPLICATION_JSON, body)
+        }
+        Ok(_none) => create_response(
+            &state,
+            StatusCode::SERVICE_UNAVAILABLE,
+            mime::TEXT_PLAIN,
+            "",
+        ),
+        Err(error) => {
+            log::error!(error:err = error; "addresses cannot be encoded");
+            create_response(
+                &state,
+                StatusCode::INTERNAL_SERVER_ERROR,
+                mime::TEXT_PLAIN,
+                "",
+            )
+        }
+    };
+    (state, response)
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let pairs = url::form_urlencoded::parse(query.as_bytes());
+    let mut values = pairs.filter(|(given, _value)| given == name);
+    values
+        .next()
+        .map(|(_name, value)| value.into_owned())
+        .unwrap_or_default()
+}
+
+/// Nodes that take requests: those of the caller's own failure domain, and others if they are few.
+fn ready_addresses(node: &Gateway, failure_domain: &str, now: TimeMs) -> Vec<SocketAddr> {
+    let mut ready: Vec<(bool, SocketAddr)> = Vec::new();
+    let peers = node.peers.lock();
+    for peer in peers
+        .heard(now)
+        .filter(|peer| peer.is_ready && !peer.is_stopping)
+    {
+        let is_near = peer.member.failure_domain == failure_domain;
+        ready.push((is_near, peer.member.callers));
+    }
+    if node.is_ready(now) {
+        let own = peers.own();
+        ready.push((own.failure_domain == failure_domain, own.callers));
+    }
+    let near = ready.iter().filter(|(is_near, _address)| *is_near).count();
+    ready
+        .into_iter()
+        .filter(|(is_near, _address)| *is_near || near < FEWEST_ADDRESSES)
+        .map(|(_is_near, address)| address)
+        .take(MOST_ADDRESSES)
+        .collect()
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let text = Shared::borrow_from(&state).metrics.render();
+    let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN, text);
+    (state, response)
+}
--- /dev/null
+++ b/src/gateway/lease.rs
@@ -0,0 +1,232 @@
+//! Who has the duties that one node has at a time, as the log of duties tells it.
+//!
+//! A node takes the lease by appending to the log on the condition that it ends where the node has
+//! read to; of several only one succeeds. The record's offset is the fencing token. The holder
+//! renews by further records. Another node may take over once the newest record has been known to
+//! it for the length of a lease: the holder counts from before it sent that record, so that its
+//! lease has ended by then on any clock that runs at the same rate.
+
+use bincode::{Decode, Encode};
+
+use super::duties::Report;
+use crate::time::TimeMs;
+
+/// Kept of the holder's own view of its lease for the way of a call that it sends at the end.
+const HOLDER_MARGIN_MS: u64 = 400;
+
+/// Added to the wait before another node takes over, for clocks that run at slightly other rates.
+const TAKEOVER_MARGIN_MS: u64 = 100;
+
+/// A record of the log of duties.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum Entry {
+    /// A node takes the lease, or renews it.
+    Hold { holder: Holder },
+    /// The holder gives the lease up.
+    Release { holder: Holder },
+    /// The holder settles what is reported for a window, before it reports it.
+    Settle { holder: Holder, report: Report },
+}
+
+/// One run of one node.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Holder {
+    pub node: String,
+    /// New at each start.
+    pub incarnation: u64,
+}
+
+impl Entry {
+    fn holder(&self) -> &Holder {
+        match self {
+            Self::Hold { holder } | Self::Release { holder } | Self::Settle { holder, .. } => {
+                holder
+            }
+        }
+    }
+}
+
+/// What one node has read of the log.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    own: Holder,
+    duration_ms: u64,
+    /// Where the log ends, as far as is known.
+    end: u64,
+    /// Up to where its records have been read; what lies between has only been heard of.
+    read_to: u64,
+    /// When this node first knew of that end.
+    end_known_at: TimeMs,
+    /// Whether the log has been read at all.
+    is_read: bool,
+    holder: Option<Held>,
+    /// What has been settled, newest last.
+    settled: Vec<Report>,
+    /// This node's lease ends then.
+    own_until: TimeMs,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Held {
+    holder: Holder,
+    /// Offset of the record with which it took the lease.
+    token: u64,
+    is_released: bool,
+}
+
+/// Settled reports that are kept: those that may still be sent again.
+const KEPT_REPORTS: usize = 8;
+
+impl Lease {
+    /// A view that has read nothing yet.
+    #[must_use]
+    pub fn new(own: Holder, lease_ms: u64) -> Self {
+        Self {
+            own,
+            duration_ms: lease_ms,
+            end: 0,
+            read_to: 0,
+            end_known_at: TimeMs(0),
+            is_read: false,
+            holder: None,
+            settled: Vec::new(),
+            own_until: TimeMs(0),
+        }
+    }
+
+    /// This run of this node.
+    pub fn own(&self) -> &Holder {
+        &self.own
+    }
+
+    /// Where the next record goes.
+    pub fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Where to read on.
+    pub fn read_end(&self) -> u64 {
+        self.read_to
+    }
+
+    /// The fencing token, while this node may act on its lease.
+    pub fn token(&self, now: TimeMs) -> Option<u64> {
+        let held = self.holder.as_ref()?;
+        let is_own = held.holder == self.own && !held.is_released;
+        (is_own && now < self.own_until).then_some(held.token)
+    }
+
+    /// Whether the newest record makes this node the holder, be its lease still valid or not.
+    pub fn is_own(&self) -> bool {
+        (self.holder.as_ref()).is_some_and(|held| held.holder == self.own && !held.is_released)
+    }
+
+    /// Who holds it by the newest record.
+    pub fn holder(&self) -> Option<&Holder> {
+        (self.holder.as_ref())
+            .filter(|held| !held.is_released)
+            .map(|held| &held.holder)
+    }
+
+    /// Whether this node may try to take the lease.
+    pub fn may_take(&self, now: TimeMs) -> bool {
+        match &self.holder {
+            _ if !self.is_read || self.read_to < self.end => false,
+            Some(held) if held.is_released => true,
+            _ => now.since(self.end_known_at) >= self.duration_ms + TAKEOVER_MARGIN_MS,
+        }
+    }
+
+    /// Whether this node should renew its lease.
+    pub fn is_renewal_due(&self, now: TimeMs) -> bool {
+        self.is_own() && now.until(self.own_until) < self.duration_ms * 6 / 10
+    }
+
+    /// What has been settled, newest last.
+    pub fn settled(&self) -> &[Report] {
+        &self.settled
+    }
+
+    /// Takes in a record that was read at its offset.
+    pub fn read(&mut self, offset: u64, entry: Entry, now: TimeMs) {
+        if offset < self.read_to {
+            return;
+        }
+        self.apply(offset, entry);
+        self.read_to = offset + 1;
+        self.reached(offset + 1, now);
+    }
+
+    /// Takes in that the log has been read to its end.
+    pub fn read_to(&mut self, end: u64, now: TimeMs) {
+        self.is_read = true;
+        self.read_to = self.read_to.max(end);
+        self.reached(end, now);
+    }
+
+    /// Takes in that records before this offset have been deleted unread.
+    pub fn skip_to(&mut self, first: u64) {
+        self.read_to = self.read_to.max(first);
+    }
+
+    /// Takes in that the log is at least this long, from a peer; what the records say is not
+    /// known, but that they exist is.
+    pub fn heard_end(&mut self, end: u64, holder: &Holder, token: u64, now: TimeMs) {
+        if end > self.end && !self.is_own() {
+            let held = Held {
+                holder: holder.clone(),
+                token,
+                is_released: false,
+            };
+            self.holder = Some(held);
+            self.reached(end, now);
+        }
+    }
+
+    /// Takes in that an append of this node succeeded; `sent_at` is from before it was sent.
+    pub fn appended(&mut self, offset: u64, entry: Entry, sent_at: TimeMs, now: TimeMs) {
+        let holds = !matches!(entry, Entry::Release { .. });
+        self.apply(offset, entry);
+        self.read_to = offset + 1;
+        self.reached(offset + 1, now);
+        if holds {
+            self.own_until = sent_at.after(self.duration_ms.saturating_sub(HOLDER_MARGIN_MS));
+        }
+    }
+
+    /// Gives the lease up at once: another node has acted with a higher token.
+    pub fn lose(&mut self) {
+        self.own_until = TimeMs(0);
+        self.is_read = false;
+    }
+
+    /// The record behind which a successor finds this node's token, for peers.
+    pub fn announced(&self, now: TimeMs) -> Option<(u64, u64)> {
+        self.token(now).map(|token| (self.end, token))
+    }
+
+    fn apply(&mut self, offset: u64, entry: Entry) {
+        let holder = entry.holder().clone();
+        let token = match &self.holder {
+            Some(held) if held.holder == holder && !held.is_released => held.token,
+            _ => offset,
+        };
+        self.holder = Some(Held {
+            holder,
+            token,
+            is_released: matches!(entry, Entry::Release { .. }),
+        });
+        if let Entry::Settle { report, .. } = entry {
+            self.settled.push(report);
+            let surplus = self.settled.len().saturating_sub(KEPT_REPORTS);
+            self.settled.drain(..surplus);
+        }
+    }
+
+    fn reached(&mut self, end: u64, now: TimeMs) {
+        if end > self.end || self.end_known_at == TimeMs(0) {
+            self.end = end;
+            self.end_known_at = now;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/num.rs
@@ -0,0 +1,22 @@
+//! Conversions between whole numbers and floating point that saturate and say so in one place.
+
+/// The nearest whole number, zero for what is negative or not a number.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "such a cast saturates, and not-a-number becomes zero"
+)]
+pub(crate) fn whole(value: f64) -> u64 {
+    value.round() as u64
+}
+
+/// A whole number as floating point; exact below 2^53.
+#[must_use]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts, tokens and milliseconds stay far below 2^53"
+)]
+pub(crate) fn real(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,231 @@
+//! What nodes tell each other in datagrams, and what this node knows of its peers.
+//!
+//! Each node sends each other a pulse some times a second: that it lives, what it has running and
+//! admitted, and how far it has read the store. Pulses hold whole counts, so that a lost one costs
+//! nothing but time. Changes that must not wait are sent at once besides.
+
+use std::net::SocketAddr;
+
+use bincode::{Decode, Encode};
+
+use super::lease::Holder;
+use super::strikes::Strike;
+use super::upstreams::{Change, Load};
+use super::usage;
+use crate::time::TimeMs;
+
+/// A peer that has been silent for longer is taken to be away: three pulses.
+pub(crate) const SILENT_MS: u64 = 1_000;
+
+/// A peer that has been silent for longer is forgotten.
+///
+/// It still counts toward the parts of limits until then, since it may serve on unheard; it cannot
+/// serve longer than its configuration stays fresh, which is some seconds.
+pub(crate) const FORGET_MS: u64 = 20_000;
+
+/// One node's whereabouts.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Member {
+    pub name: String,
+    /// New at each start.
+    pub incarnation: u64,
+    pub gossip: SocketAddr,
+    pub callers: SocketAddr,
+    pub failure_domain: String,
+}
+
+/// A datagram between nodes.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) enum Message {
+    Pulse(Box<Pulse>),
+    /// Changes of upstreams, read from one offset up to another.
+    Upstreams {
+        from: u64,
+        to: u64,
+        changes: Vec<Change>,
+    },
+    Strike(Strike),
+}
+
+/// What a node says of itself some times a second.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct Pulse {
+    pub member: Member,
+    /// Another member, so that all come to know each other.
+    pub also: Option<Member>,
+    /// Whether it takes requests.
+    pub is_ready: bool,
+    /// Whether it is about to end.
+    pub is_stopping: bool,
+    /// Whether the store answers it.
+    pub reaches_store: bool,
+    pub configuration_version: u64,
+    /// How far it has read the announcements of upstreams, and how long ago that was all.
+    pub upstreams_end: u64,
+    pub upstreams_age_ms: u64,
+    /// Its time of day, in Unix milliseconds.
+    pub time_of_day_ms: u64,
+    /// Requests it has running, by upstream.
+    pub loads: Vec<(u64, Load)>,
+    /// Requests it saw begin, by window and team.
+    pub usage: Vec<usage::Row>,
+    /// What it admitted since its start, by team.
+    pub admitted: Vec<(u64, f64)>,
+    /// If it has the duties: where their log ends, and its fencing token.
+    pub lease: Option<(u64, u64)>,
+}
+
+/// What is known of one peer.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub member: Member,
+    /// When its last pulse came; zero if none has.
+    pub heard_at: TimeMs,
+    /// When it was first told of.
+    known_since: TimeMs,
+    pub is_ready: bool,
+    pub is_stopping: bool,
+    pub reaches_store: bool,
+    pub upstreams_end: u64,
+    pub upstreams_read_at: TimeMs,
+    /// Its time of day less this node's running time.
+    pub day_offset_ms: i128,
+}
+
+/// All peers, sorted by name.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    own: Member,
+    peers: Vec<Peer>,
+}
+
+impl Peers {
+    /// A node that knows no other yet.
+    #[must_use]
+    pub fn new(own: Member) -> Self {
+        Self {
+            own,
+            peers: Vec::new(),
+        }
+    }
+
+    /// This node's own whereabouts.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// All peers, heard or not.
+    pub fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.iter()
+    }
+
+    /// Peers that have been heard a moment ago.
+    pub fn heard(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+        (self.peers.iter()).filter(move |peer| is_heard(peer, now))
+    }
+
+    /// Takes in that a node exists, from the store or from another node.
+    pub fn introduce(&mut self, member: Member, now: TimeMs) {
+        if member.name == self.own.name {
+            return;
+        }
+        let found = (self.peers).binary_search_by(|peer| peer.member.name.cmp(&member.name));
+        match found {
+            // What a peer says of itself is newer than what others say of it.
+            Ok(place) if is_heard(&self.peers[place], now) => {}
+            Ok(place) if self.peers[place].member == member => {}
+            Ok(place) => self.peers[place] = Peer::new(member, now),
+            Err(place) => self.peers.insert(place, Peer::new(member, now)),
+        }
+    }
+
+    /// Takes in a pulse.
+    pub fn note_pulse(&mut self, pulse: &Pulse, now: TimeMs) {
+        let member = &pulse.member;
+        if member.name == self.own.name {
+            return;
+        }
+        let found = (self.peers).binary_search_by(|peer| peer.member.name.cmp(&member.name));
+        let place = found.unwrap_or_else(|place| {
+            log::info!(peer = member.name.as_str(); "a peer was heard for the first time");
+            self.peers.insert(place, Peer::new(member.clone(), now));
+            place
+        });
+        let peer = &mut self.peers[place];
+        peer.member = member.clone();
+        peer.heard_at = now;
+        peer.is_ready = pulse.is_ready;
+        peer.is_stopping = pulse.is_stopping;
+        peer.reaches_store = pulse.reaches_store;
+        peer.upstreams_end = pulse.upstreams_end;
+        peer.upstreams_read_at = TimeMs(now.0.saturating_sub(pulse.upstreams_age_ms));
+        peer.day_offset_ms = i128::from(pulse.time_of_day_ms) - i128::from(now.0);
+    }
+
+    /// Forgets peers that have been silent for long.
+    pub fn forget(&mut self, now: TimeMs) {
+        self.peers.retain(|peer| {
+            let since = peer.heard_at.max(peer.known_since);
+            now.since(since) < FORGET_MS
+        });
+    }
+
+    /// How many nodes there are and how many of them are heard, this one included.
+    pub fn audience(&self, now: TimeMs) -> super::quota::Audience {
+        let serving = self.peers.iter().filter(|peer| !peer.is_stopping);
+        let known = serving.filter(|peer| peer.heard_at > TimeMs(0)).count();
+        let heard = self.heard(now).filter(|peer| !peer.is_stopping).count();
+        super::quota::Audience {
+            known: u32::try_from(known + 1).unwrap_or(u32::MAX),
+            heard: u32::try_from(heard + 1).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Whether this node is the first by name of those that could do a task for all.
+    ///
+    /// `can` tells whether this node could.
+    pub fn is_first(&self, can: bool, now: TimeMs) -> bool {
+        let first = (self.heard(now))
+            .find(|peer| peer.reaches_store && !peer.is_stopping)
+            .map(|peer| peer.member.name.as_str());
+        can && first.is_none_or(|first| self.own.name.as_str() < first)
+    }
+
+    /// Whether the run of a node that holds the duties is heard and not about to end.
+    pub fn is_alive(&self, holder: &Holder, now: TimeMs) -> bool {
+        self.heard(now)
+            .any(|peer| peer.member.incarnation == holder.incarnation && !peer.is_stopping)
+    }
+
+    /// The time of day that most nodes agree on.
+    ///
+    /// The time of day of single hosts may jump by seconds; usage is counted by true time. The
+    /// median of all nodes follows only if half of them jump together.
+    pub fn agreed_time_of_day(&self, own_time_of_day: TimeMs, now: TimeMs) -> TimeMs {
+        let mut offsets: Vec<i128> = self.heard(now).map(|peer| peer.day_offset_ms).collect();
+        offsets.push(i128::from(own_time_of_day.0) - i128::from(now.0));
+        offsets.sort_unstable();
+        let offset = offsets[offsets.len() / 2];
+        TimeMs(u64::try_from(i128::from(now.0) + offset).unwrap_or(0))
+    }
+}
+
+fn is_heard(peer: &Peer, now: TimeMs) -> bool {
+    peer.heard_at > TimeMs(0) && now.since(peer.heard_at) < SILENT_MS
+}
+
+impl Peer {
+    fn new(member: Member, now: TimeMs) -> Self {
+        Self {
+            member,
+            heard_at: TimeMs(0),
+            known_since: now,
+            is_ready: false,
+            is_stopping: false,
+            reaches_store: false,
+            upstreams_end: 0,
+            upstreams_read_at: TimeMs(0),
+            day_offset_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/quota.rs
@@ -0,0 +1,214 @@
+//! What teams may use, counted over all nodes.
+//!
+//! Each node keeps the whole bucket of each team: it takes out what it admits itself at once and
+//! what others admitted when it hears of it. A bucket may fall below zero and then admits nothing
+//! until it is refilled, so that what was admitted before the news came is paid back.
+//!
+//! A node that hears nothing from some of its peers cannot know what they admit. It then refills
+//! its bucket only by the part of the nodes that it hears; the others do the same, so that all
+//! parts together never exceed the limit.
+
+use super::catalog::{Team, Unit};
+use super::num;
+use super::upstreams::tag;
+use crate::time::TimeMs;
+
+/// Time over which a peer's rate is averaged: two of its reports.
+const RATE_SPAN_MS: f64 = 500.0;
+
+/// Longest time for which a peer's rate is taken to go on unheard.
+const EXTRAPOLATED_MS: u64 = 1_000;
+
+/// Longest time after which a refused caller is told to come back.
+const LONGEST_RETRY_MS: u64 = 3_000;
+
+/// Shortest time after which a refused caller is told to come back.
+const SHORTEST_RETRY_MS: u64 = 100;
+
+/// How many nodes there are and how many of them are heard, this one included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Audience {
+    pub known: u32,
+    pub heard: u32,
+}
+
+impl Audience {
+    /// The part of the fleet's limits that the nodes that hear each other may use.
+    fn share(self) -> f64 {
+        f64::from(self.heard.max(1)) / f64::from(self.known.max(self.heard).max(1))
+    }
+}
+
+/// Whether a request is within its team's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admission {
+    Admitted,
+    /// It is not; there is room again after this time.
+    Over {
+        retry_after_ms: u64,
+    },
+}
+
+/// What a team's limit counts of a request with these tokens.
+#[must_use]
+pub(crate) fn cost(unit: Unit, tokens: Option<u64>) -> f64 {
+    match unit {
+        Unit::Requests => 1.0,
+        Unit::Tokens { plain_tokens } => num::real(tokens.unwrap_or(plain_tokens)),
+    }
+}
+
+/// The buckets of all teams.
+#[derive(Debug, Default)]
+pub(crate) struct Quotas {
+    /// Sorted by team.
+    buckets: Vec<Bucket>,
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    team: u64,
+    level: f64,
+    filled_at: TimeMs,
+    /// All that this node has admitted since its start.
+    own_total: f64,
+    /// Sorted by the peer's incarnation.
+    peers: Vec<PeerUse>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerUse {
+    incarnation: u64,
+    total: f64,
+    heard_at: TimeMs,
+    rate_per_ms: f64,
+}
+
+impl Quotas {
+    /// Admits a request if its team's bucket allows, and takes its cost out.
+    pub fn admit(&mut self, team: &Team, cost: f64, audience: Audience, now: TimeMs) -> Admission {
+        let Some(rate_per_s) = team.rate_per_s else {
+            return Admission::Admitted;
+        };
+        let rate_per_s = rate_per_s * audience.share();
+        let bucket = self.bucket(tag(&team.name), team.burst, now);
+        bucket.refill(rate_per_s, team.burst, now);
+        let level = bucket.level - bucket.unheard(now);
+        if level > 0.0 {
+            bucket.level -= cost;
+            bucket.own_total += cost;
+            return Admission::Admitted;
+        }
+        // Room for one request of this size again.
+        let missing = cost.min(team.burst) - level;
+        let wait_ms = num::whole(missing * 1_000.0 / rate_per_s.max(f64::MIN_POSITIVE));
+        Admission::Over {
+            retry_after_ms: wait_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS),
+        }
+    }
+
+    /// Gives back the cost of a request that did not run.
+    pub fn give_back(&mut self, team: &Team, cost: f64, now: TimeMs) {
+        if team.rate_per_s.is_some() {
+            let bucket = self.bucket(tag(&team.name), team.burst, now);
+            bucket.level += cost;
+            bucket.own_total -= cost;
+        }
+    }
+
+    /// What this node has admitted of each team, for its peers.
+    pub fn own_totals(&self) -> Vec<(u64, f64)> {
+        (self.buckets.iter())
+            .filter(|bucket| bucket.own_total != 0.0)
+            .map(|bucket| (bucket.team, bucket.own_total))
+            .collect()
+    }
+
+    /// Takes in what a peer has admitted since its start.
+    ///
+    /// `burst` of a team that is not in the catalog yet is not known; its bucket starts empty of
+    /// what was admitted and full otherwise when the catalog names it.
+    pub fn note_peer(&mut self, incarnation: u64, totals: &[(u64, f64)], now: TimeMs) {
+        for (team, total) in totals {
+            let place = self
+                .buckets
+                .binary_search_by_key(team, |bucket| bucket.team);
+            if let Ok(place) = place {
+                self.buckets[place].note_peer(incarnation, *total, now);
+            }
+        }
+    }
+
+    /// Forgets peers that have not been heard for a long time.
+    pub fn forget_peers(&mut self, forget_ms: u64, now: TimeMs) {
+        for bucket in &mut self.buckets {
+            bucket
+                .peers
+                .retain(|peer| now.since(peer.heard_at) < forget_ms);
+        }
+    }
+
+    fn bucket(&mut self, team: u64, burst: f64, now: TimeMs) -> &mut Bucket {
+        let found = self
+            .buckets
+            .binary_search_by_key(&team, |bucket| bucket.team);
+        let place = found.unwrap_or_else(|place| {
+            let bucket = Bucket {
+                team,
+                level: burst,
+                filled_at: now,
+                own_total: 0.0,
+                peers: Vec::new(),
+            };
+            self.buckets.insert(place, bucket);
+            place
+        });
+        &mut self.buckets[place]
+    }
+}
+
+impl Bucket {
+    fn refill(&mut self, rate_per_s: f64, burst: f64, now: TimeMs) {
+        let gained = rate_per_s * num::real(now.since(self.filled_at)) / 1_000.0;
+        self.level = (self.level + gained).min(burst);
+        self.filled_at = now;
+    }
+
+    /// What peers have probably admitted since their last reports.
+    fn unheard(&self, now: TimeMs) -> f64 {
+        let parts = self.peers.iter().map(|peer| {
+            let silent_ms = now.since(peer.heard_at).min(EXTRAPOLATED_MS);
+            peer.rate_per_ms * num::real(silent_ms)
+        });
+        parts.sum()
+    }
+
+    fn note_peer(&mut self, incarnation: u64, total: f64, now: TimeMs) {
+        let found = self
+            .peers
+            .binary_search_by_key(&incarnation, |peer| peer.incarnation);
+        match found {
+            Ok(place) => {
+                let peer = &mut self.peers[place];
+                let gained = total - peer.total;
+                let passed_ms = num::real(now.since(peer.heard_at).max(1));
+                let weight = (passed_ms / RATE_SPAN_MS).min(1.0);
+                peer.rate_per_ms += weight * (gained.max(0.0) / passed_ms - peer.rate_per_ms);
+                peer.total = total;
+                peer.heard_at = now;
+                self.level -= gained;
+            }
+            // What it admitted before it was first heard is in the past; what was admitted in the
+            // last moments is taken out with the next report.
+            Err(place) => self.peers.insert(
+                place,
+                PeerUse {
+                    incarnation,
+                    total,
+                    heard_at: now,
+                    rate_per_ms: 0.0,
+                },
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,225 @@
+//! What one node knows and holds; collectors fill it, the request path and the duties read it.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::budget::{RepeatBudget, RepeatsByPool};
+use super::catalog::{Catalog, InForce};
+use super::channels::Channels;
+use super::clock;
+use super::lease::{Holder, Lease};
+use super::peers::{Member, Message, Peers};
+use super::prefixes::Prefixes;
+use super::quota::Quotas;
+use super::settings::NodeSettings;
+use super::strikes::Strikes;
+use super::upstreams::UpstreamTable;
+use super::usage::UsageBook;
+use crate::platform::store::Store;
+use crate::time::TimeMs;
+
+/// Messages to peers that wait to be sent; more than this at once is a fault elsewhere.
+const OUTBOX_MESSAGES: usize = 256;
+
+/// How current the view of upstreams is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct UpstreamsView {
+    /// Up to where the announcements have been read; zero if never.
+    pub end: u64,
+    /// When there was nothing beyond that.
+    pub read_at: TimeMs,
+}
+
+/// Whether the store answers this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct StoreContact {
+    pub answered_at: TimeMs,
+    /// The first failure since the last answer.
+    pub failing_since: Option<TimeMs>,
+    /// When an answer came after failures.
+    pub back_at: TimeMs,
+}
+
+/// The state of one node.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    pub settings: RwLock<Arc<NodeSettings>>,
+    /// New at each start.
+    pub incarnation: u64,
+    pub store: Store,
+    pub in_force: RwLock<InForce>,
+    pub upstreams: Mutex<UpstreamTable>,
+    pub upstreams_view: Mutex<UpstreamsView>,
+    pub store_contact: Mutex<StoreContact>,
+    pub prefixes: Mutex<Prefixes>,
+    pub quotas: Mutex<Quotas>,
+    pub repeats: Mutex<RepeatsByPool>,
+    pub strikes: Mutex<Strikes>,
+    pub usage: Mutex<UsageBook>,
+    pub peers: Mutex<Peers>,
+    pub lease: Mutex<Lease>,
+    pub channels: Channels,
+    /// Requests that are being answered.
+    pub in_flight: AtomicUsize,
+    /// Set when the node has been told to stop.
+    pub stopping: CancellationToken,
+    /// Whether the node was ready when it last looked, to log changes.
+    pub was_ready: AtomicBool,
+    outbox: mpsc::Sender<Message>,
+}
+
+/// A store that failed for longer than this was away; what lapsed meanwhile may come back.
+const AWAY_MS: u64 = 1_500;
+
+/// For this long after the store is back, removals are taken as lapses.
+const LAPSES_MS: u64 = 2_500;
+
+impl Gateway {
+    /// A node that knows nothing yet, and the messages that it will want sent.
+    #[must_use]
+    pub fn new(settings: NodeSettings, incarnation: u64) -> (Arc<Self>, mpsc::Receiver<Message>) {
+        let (outbox, messages) = mpsc::channel(OUTBOX_MESSAGES);
+        let member = Member {
+            name: settings.name.clone(),
+            incarnation,
+            gossip: settings.gossip_listen,
+            callers: settings.caller_listen,
+            failure_domain: settings.failure_domain.clone(),
+        };
+        let holder = Holder {
+            node: settings.name.clone(),
+            incarnation,
+        };
+        let node = Self {
+            incarnation,
+            store: Store::new(settings.store_address),
+            in_force: RwLock::default(),
+            upstreams: Mutex::default(),
+            upstreams_view: Mutex::default(),
+            store_contact: Mutex::default(),
+            prefixes: Mutex::default(),
+            quotas: Mutex::default(),
+            repeats: Mutex::default(),
+            strikes: Mutex::default(),
+            usage: Mutex::new(UsageBook::new(incarnation, settings.bounds.usage_window_ms)),
+            peers: Mutex::new(Peers::new(member)),
+            lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
+            channels: Channels::default(),
+            in_flight: AtomicUsize::new(0),
+            stopping: CancellationToken::new(),
+            was_ready: AtomicBool::new(false),
+            outbox,
+            settings: RwLock::new(Arc::new(settings)),
+        };
+        (Arc::new(node), messages)
+    }
+
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<NodeSettings> {
+        Arc::clone(&self.settings.read())
+    }
+
+    /// The configuration in force.
+    pub fn catalog(&self) -> Arc<Catalog> {
+        Arc::clone(&self.in_force.read().catalog)
+    }
+
+    /// Whether this node should get requests.
+    pub fn is_ready(&self, now: TimeMs) -> bool {
+        let revoke_ms = self.settings().bounds.revoke_ms;
+        let is_current = {
+            let in_force = self.in_force.read();
+            in_force.is_known() && in_force.is_fresh(revoke_ms, now)
+        };
+        let knows_upstreams = self.upstreams_view.lock().read_at > TimeMs(0);
+        is_current && knows_upstreams && !self.is_stopping()
+    }
+
+    /// Whether this node has been told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.is_cancelled()
+    }
+
+    /// Whether the store answered this node when it last asked.
+    pub fn reaches_store(&self) -> bool {
+        let contact = self.store_contact.lock();
+        contact.failing_since.is_none() && contact.answered_at > TimeMs(0)
+    }
+
+    /// Takes in whether a call to the store was answered.
+    pub fn note_store(&self, answered: bool, now: TimeMs) {
+        let mut contact = self.store_contact.lock();
+        match (answered, contact.failing_since) {
+            (true, Some(since)) => {
+                log::info!(event = "dependency_regained", dependency = "store", away_ms = now.since(since); "the store answers again");
+                if now.since(since) > AWAY_MS {
+                    contact.back_at = now;
+                }
+                contact.failing_since = None;
+                contact.answered_at = now;
+            }
+            (true, None) => contact.answered_at = now,
+            (false, None) => {
+                log::warn!(event = "dependency_lost", dependency = "store"; "the store does not answer");
+                contact.failing_since = Some(now);
+            }
+            (false, Some(_since)) => {}
+        }
+    }
+
+    /// Whether removals of upstreams may only be lapses while the store was away.
+    pub fn store_was_away(&self, now: TimeMs) -> bool {
+        let contact = self.store_contact.lock();
+        let is_failing = (contact.failing_since).is_some_and(|since| now.since(since) > AWAY_MS);
+        is_failing || (contact.back_at > TimeMs(0) && now.since(contact.back_at) < LAPSES_MS)
+    }
+
+    /// Has a message sent to all peers at once.
+    pub fn tell_peers(&self, message: Message) {
+        if let Err(error) = self.outbox.try_send(message) {
+            log::warn!(error:% = error; "a message to the peers was dropped");
+        }
+    }
+
+    /// The budget for sending requests to a second upstream.
+    pub fn repeat_budget(&self, now: TimeMs) -> RepeatBudget {
+        let bounds = self.settings().bounds;
+        RepeatBudget {
+            ratio: bounds.retry_ratio,
+            window_ms: bounds.retry_window_ms,
+            slack: bounds.retry_slack,
+            nodes: self.peers.lock().audience(now).known,
+        }
+    }
+
+    /// The time of day that most nodes agree on.
+    pub fn time_of_day(&self, now: TimeMs) -> TimeMs {
+        self.peers
+            .lock()
+            .agreed_time_of_day(clock::time_of_day(), now)
+    }
+
+    /// Counts a request while it is being answered.
+    pub fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight {
+            node: Arc::clone(self),
+        }
+    }
+}
+
+/// A request that is being answered.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    node: Arc<Gateway>,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/gateway/upstreams.rs
@@ -0,0 +1,312 @@
+//! The upstreams that this node knows, what they announced, and how they have fared.
+
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+use bincode::{Decode, Encode};
+use twox_hash::XxHash3_64;
+
+use super::health::Health;
+use crate::time::TimeMs;
+
+/// An upstream's place in the table; never stands for another upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct UpstreamKey {
+    place: u32,
+    generation: u32,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum Phase {
+    Ready,
+    /// It finishes what it has and goes.
+    Leaving,
+}
+
+/// What an upstream said of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Announced {
+    /// New at each start of the upstream.
+    pub id: String,
+    pub pool: String,
+    pub address: SocketAddr,
+    pub failure_domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    pub phase: Phase,
+    /// It is slower than usual for a while after its start.
+    pub is_warming: bool,
+    /// The platform may take it away.
+    pub is_reclaimable: bool,
+    /// Time left when it announced that it goes, if it knows.
+    pub leaves_in_ms: Option<u64>,
+}
+
+/// A change of what is announced.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum Change {
+    /// It is there, as announced.
+    Present(Announced),
+    /// Its announcement was removed.
+    Removed {
+        /// The upstream's id.
+        id: String,
+    },
+}
+
+/// Requests of one node at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Load {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens of those whose first token has not come.
+    pub unread_tokens: u64,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Upstream {
+    pub announced: Announced,
+    /// Names it among nodes in a few bytes.
+    pub tag: u64,
+    /// Its announcement is gone; it is kept until its requests end.
+    pub is_removed: bool,
+    /// Removed by a store that had just been away; it may only have been unable to announce itself.
+    pub doubtful_until: TimeMs,
+    pub own: Load,
+    pub peers: Load,
+    /// What each peer has running there, sorted by the peer's incarnation.
+    peer_rows: Vec<(u64, Load)>,
+    pub health: Health,
+}
+
+impl Upstream {
+    /// Whether it may get new work.
+    pub fn takes_work(&self, now: TimeMs) -> bool {
+        match self.announced.phase {
+            Phase::Leaving => false,
+            Phase::Ready if self.is_removed => now < self.doubtful_until,
+            Phase::Ready => true,
+        }
+    }
+
+    /// Requests running there, of all nodes.
+    pub fn running(&self) -> u32 {
+        self.own.running + self.peers.running
+    }
+
+    /// Prompt tokens waiting there, of all nodes.
+    pub fn unread_tokens(&self) -> u64 {
+        self.own.unread_tokens + self.peers.unread_tokens
+    }
+}
+
+/// All upstreams by key and by id.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamTable {
+    arena: Vec<Slot>,
+    /// Sorted by id.
+    by_id: Vec<(String, UpstreamKey)>,
+    /// Sorted by tag.
+    by_tag: Vec<(u64, UpstreamKey)>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    generation: u32,
+    upstream: Option<Upstream>,
+}
+
+/// How long an upstream whose announcement lapsed while the store was away goes on getting work.
+///
+/// The store removes what could not announce itself in time; a live upstream is back within about
+/// two seconds. Taking all of them out at once would leave nothing to serve with for that long.
+pub(crate) const LAPSE_GRACE_MS: u64 = 1_700;
+
+impl UpstreamTable {
+    /// Takes in a change; gives the key if the upstream is known now.
+    ///
+    /// `store_was_away` says that the store has only just come back.
+    pub fn apply(
+        &mut self,
+        change: Change,
+        store_was_away: bool,
+        now: TimeMs,
+    ) -> Option<UpstreamKey> {
+        match change {
+            Change::Present(announced) => Some(self.present(announced)),
+            Change::Removed { id } => {
+                let key = self.find(&id)?;
+                let upstream = self.get_mut(key)?;
+                upstream.is_removed = true;
+                upstream.doubtful_until = if store_was_away {
+                    now.after(LAPSE_GRACE_MS)
+                } else {
+                    TimeMs(0)
+                };
+                Some(key)
+            }
+        }
+    }
+
+    /// Takes in the whole of what is announced; what is not among it is removed.
+    pub fn replace(&mut self, all: Vec<Announced>, store_was_away: bool, now: TimeMs) {
+        let mut ids: Vec<String> = all.iter().map(|announced| announced.id.clone()).collect();
+        ids.sort_unstable();
+        let lost: Vec<String> = (self.iter())
+            .filter(|(_key, upstream)| !upstream.is_removed)
+            .map(|(_key, upstream)| upstream.announced.id.clone())
+            .filter(|id| ids.binary_search(id).is_err())
+            .collect();
+        for id in lost {
+            self.apply(Change::Removed { id }, store_was_away, now);
+        }
+        for announced in all {
+            self.present(announced);
+        }
+    }
+
+    fn present(&mut self, announced: Announced) -> UpstreamKey {
+        if let Some(key) = self.find(&announced.id)
+            && let Some(upstream) = self.get_mut(key)
+        {
+            upstream.announced = announced;
+            upstream.is_removed = false;
+            return key;
+        }
+        let id = announced.id.clone();
+        let tag = tag(&id);
+        let key = self.insert(Upstream {
+            announced,
+            tag,
+            is_removed: false,
+            doubtful_until: TimeMs(0),
+            own: Load::default(),
+            peers: Load::default(),
+            peer_rows: Vec::new(),
+            health: Health::default(),
+        });
+        let place = self.by_id.partition_point(|(other, _key)| *other < id);
+        self.by_id.insert(place, (id, key));
+        let place = self.by_tag.partition_point(|(other, _key)| *other < tag);
+        self.by_tag.insert(place, (tag, key));
+        key
+    }
+
+    fn insert(&mut self, upstream: Upstream) -> UpstreamKey {
+        let free = self.arena.iter().position(|slot| slot.upstream.is_none());
+        let place = free.unwrap_or_else(|| {
+            self.arena.push(Slot {
+                generation: 0,
+                upstream: None,
+            });
+            self.arena.len() - 1
+        });
+        let slot = &mut self.arena[place];
+        slot.generation += 1;
+        slot.upstream = Some(upstream);
+        UpstreamKey {
+            place: u32::try_from(place).unwrap_or(u32::MAX),
+            generation: slot.generation,
+        }
+    }
+
+    /// Forgets upstreams that are gone and have nothing running.
+    pub fn forget_gone(&mut self, now: TimeMs) {
+        let gone: Vec<UpstreamKey> = (self.iter())
+            .filter(|(_key, upstream)| upstream.is_removed && upstream.own.running == 0)
+            .filter(|(_key, upstream)| now >= upstream.doubtful_until)
+            .map(|(key, _upstream)| key)
+            .collect();
+        for key in &gone {
+            if let Some(slot) = self.arena.get_mut(key.place as usize) {
+                slot.upstream = None;
+            }
+        }
+        self.by_id.retain(|(_id, key)| !gone.contains(key));
+        self.by_tag.retain(|(_tag, key)| !gone.contains(key));
+    }
+
+    /// The upstream with this id.
+    pub fn find(&self, id: &str) -> Option<UpstreamKey> {
+        let found = self
+            .by_id
+            .binary_search_by(|(other, _key)| other.as_str().cmp(id));
+        found.ok().map(|place| self.by_id[place].1)
+    }
+
+    /// The upstream of a key, unless it has been forgotten.
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        let slot = self.arena.get(key.place as usize)?;
+        (slot.generation == key.generation)
+            .then_some(slot.upstream.as_ref())
+            .flatten()
+    }
+
+    /// As [`UpstreamTable::get`], to change it.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        let slot = self.arena.get_mut(key.place as usize)?;
+        (slot.generation == key.generation)
+            .then_some(slot.upstream.as_mut())
+            .flatten()
+    }
+
+    /// All upstreams, those that are gone included.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.arena.iter().enumerate().filter_map(|(place, slot)| {
+            let key = UpstreamKey {
+                place: u32::try_from(place).unwrap_or(u32::MAX),
+                generation: slot.generation,
+            };
+            slot.upstream.as_ref().map(|upstream| (key, upstream))
+        })
+    }
+
+    /// This node's own load by upstream, for its peers.
+    pub fn own_loads(&self) -> Vec<(u64, Load)> {
+        (self.iter())
+            .filter(|(_key, upstream)| upstream.own.running > 0)
+            .map(|(_key, upstream)| (upstream.tag, upstream.own))
+            .collect()
+    }
+
+    /// Takes in what a peer has running, in place of what it said before.
+    pub fn set_peer_loads(&mut self, peer: u64, loads: &[(u64, Load)]) {
+        for slot in &mut self.arena {
+            if let Some(upstream) = &mut slot.upstream {
+                upstream.peer_rows.retain(|(other, _load)| *other != peer);
+            }
+        }
+        for (tag, load) in loads {
+            let found = self.by_tag.binary_search_by_key(tag, |(tag, _key)| *tag);
+            let Ok(place) = found else { continue };
+            let key = self.by_tag[place].1;
+            if let Some(upstream) = self.get_mut(key) {
+                upstream.peer_rows.push((peer, *load));
+            }
+        }
+        for slot in &mut self.arena {
+            if let Some(upstream) = &mut slot.upstream {
+                upstream.peers = sum(&upstream.peer_rows);
+            }
+        }
+    }
+}
+
+fn sum(rows: &[(u64, Load)]) -> Load {
+    let running = rows.iter().map(|(_peer, load)| load.running).sum();
+    let unread_tokens = rows.iter().map(|(_peer, load)| load.unread_tokens).sum();
+    Load {
+        running,
+        unread_tokens,
+    }
+}
+
+/// A short name for a longer one, the same on every node.
+#[must_use]
+pub(crate) fn tag(name: &str) -> u64 {
+    let mut hasher = XxHash3_64::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,15 @@
 //! The binary: reads the settings and runs what they ask for.
 
 use std::io;
+use std::path::Path;
 use std::process::ExitCode;
 
 use miette::Diagnostic;
 use teaselline::client::commands;
 use teaselline::options::arguments::{self, EXIT_CODE_USAGE};
 use teaselline::options::{Action, ServeSettings, Settings};
-use teaselline::{node, telemetry};
+use teaselline::telemetry::Output;
+use teaselline::{gateway, node, telemetry};
 use thiserror::Error;
 use tokio::runtime;
 
@@ -26,6 +28,9 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Node(node::RunError),
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Gateway(gateway::GatewayError),
 }
 
 fn main() -> ExitCode {
@@ -34,9 +39,14 @@
         Ok(settings) => settings,
         Err(faults) => return report(faults, EXIT_CODE_USAGE),
     };
-    telemetry::init_logging(settings.log_level);
+    let output = match settings.action {
+        Action::Gateway { .. } => Output::Stdout,
+        _ => Output::Stderr,
+    };
+    telemetry::init_logging(settings.log_level, output);
     match settings.action {
         Action::Serve(settings) => serve(*settings),
+        Action::Gateway { settings_file } => run_gateway(&settings_file),
         action => command(action),
     }
 }
@@ -54,6 +64,22 @@
     }
 }
 
+/// Runs a gateway on one thread: its hosts give it a part of one core, and a second thread would
+/// only add wake-ups.
+fn run_gateway(settings_file: &Path) -> ExitCode {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let ended = match runtime {
+        Ok(runtime) => runtime
+            .block_on(gateway::run(settings_file))
+            .map_err(ServeError::Gateway),
+        Err(error) => Err(ServeError::Runtime(error)),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => report(error, EXIT_CODE_FAILURE),
+    }
+}
+
 fn command(action: Action) -> ExitCode {
     let runtime = match start_runtime(CLIENT_THREADS) {
         Ok(runtime) => runtime,
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -32,6 +32,7 @@
                 .help("Writes log records of this level and above: off, error, warn, info, debug or trace."),
         )
         .subcommand(serve())
+        .subcommand(gateway())
         .subcommand(config())
         .subcommand(status())
         .subcommand(audit())
@@ -48,6 +49,17 @@
         .args(serve_limits())
 }
 
+fn gateway() -> Command {
+    Command::new("gateway")
+        .about("Runs one node on the operators' platform.")
+        .arg(
+            flag("settings", "TEASELLINE_SETTINGS", PLATFORM)
+                .value_name("FILE")
+                .value_hint(ValueHint::FilePath)
+                .help("Reads what the platform tells this node from this file, and again when it changes."),
+        )
+}
+
 fn serve_addresses() -> Vec<Arg> {
     vec![
         flag("listen", "TEASELLINE_LISTEN", ADDRESSES)
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -32,6 +32,11 @@
 pub enum Action {
     /// Run a node.
     Serve(Box<ServeSettings>),
+    /// Run a node on the operators' platform.
+    Gateway {
+        /// What the platform tells the node.
+        settings_file: PathBuf,
+    },
     /// Check a document without a node.
     ConfigCheck {
         /// The document.
@@ -252,6 +257,11 @@
     let mut reader = Reader::new(matches, faults);
     let action = match name {
         "serve" => Action::Serve(Box::new(ServeSettings::read(&mut reader))),
+        "gateway" => Action::Gateway {
+            settings_file: PathBuf::from(
+                reader.text("settings", "the file with the platform's settings"),
+            ),
+        },
         "status" => Action::Status {
             client: client(&mut reader),
             json: matches.get_flag("json"),
--- /dev/null
+++ b/src/platform/documents.rs
@@ -0,0 +1,268 @@
+//! Decodes the operators' configuration record.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::gateway::catalog::{
+    CallerLimits, Catalog, Engine, Pool, Repeat, Route, Scaling, Team, TeamKey, Unit,
+};
+use crate::gateway::num;
+
+/// Tokens that a request without a count stands for, where the document does not say.
+const PLAIN_TOKENS: u64 = 1;
+
+/// Why a configuration record cannot be used.
+#[derive(Debug, Error)]
+pub(crate) enum DocumentError {
+    /// A field is missing or of the wrong kind.
+    #[error("the field `{field}` cannot be read: {source}")]
+    Field {
+        /// Path of the field.
+        field: String,
+        /// What was found.
+        source: serde_json::Error,
+    },
+    /// A route leads nowhere.
+    #[error("route `{route}` names no service")]
+    NoTarget {
+        /// The route's name.
+        route: String,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawDocument {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RawRoute>,
+    #[serde(default)]
+    services: Vec<RawService>,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    kind: String,
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: Option<f64>,
+    #[serde(default)]
+    priority: f64,
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<RawShare>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+    gap_aim_ms: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawShare {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawService {
+    name: String,
+    #[serde(default)]
+    max_connections: Option<usize>,
+    engine: Option<RawEngine>,
+    scaling: Option<RawScaling>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawEngine {
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    kv_capacity: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawScaling {
+    min: u32,
+    max: u32,
+    #[serde(default)]
+    boot_s: f64,
+    spot_price: Option<f64>,
+    #[serde(default)]
+    zone_prices: BTreeMap<String, f64>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawLimits {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<usize>,
+    header_timeout_ms: Option<u64>,
+    idle_timeout_ms: Option<u64>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawTenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<f64>,
+    unit: Option<String>,
+    plain_tokens: Option<f64>,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// Reads a configuration record.
+///
+/// # Errors
+///
+/// If it is not a document of the expected form.
+pub(crate) fn parse(text: &[u8]) -> Result<Catalog, DocumentError> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let raw: RawDocument =
+        serde_path_to_error::deserialize(&mut json).map_err(|error| DocumentError::Field {
+            field: error.path().to_string(),
+            source: error.into_inner(),
+        })?;
+    Catalog::try_from(raw)
+}
+
+impl TryFrom<RawDocument> for Catalog {
+    type Error = DocumentError;
+
+    fn try_from(raw: RawDocument) -> Result<Self, DocumentError> {
+        let mut routes = (raw.routes.into_iter())
+            .map(Route::try_from)
+            .collect::<Result<Vec<_>, _>>()?;
+        routes.sort_by(|a, b| (&a.host, &a.path_prefix).cmp(&(&b.host, &b.path_prefix)));
+        let mut pools: Vec<Pool> = raw.services.into_iter().map(Pool::from).collect();
+        pools.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut tenants = raw.tenants;
+        tenants.sort_by(|a, b| a.name.cmp(&b.name));
+        let mut keys: Vec<(String, TeamKey)> = (tenants.iter().enumerate())
+            .flat_map(|(place, tenant)| {
+                let keys = tenant.api_keys.iter().cloned();
+                keys.map(move |key| (key, TeamKey(place)))
+            })
+            .collect();
+        keys.sort();
+        Ok(Self {
+            version: raw.version,
+            routes,
+            pools,
+            teams: tenants.into_iter().map(Team::from).collect(),
+            keys,
+            limits: CallerLimits::from(raw.limits),
+        })
+    }
+}
+
+impl TryFrom<RawRoute> for Route {
+    type Error = DocumentError;
+
+    fn try_from(raw: RawRoute) -> Result<Self, DocumentError> {
+        let single = raw.service.map(|service| (service, 1));
+        let split = raw.traffic_split.into_iter();
+        let mut targets: Vec<(String, u64)> = split
+            .map(|share| (share.service, num::whole(share.weight * 1_000.0)))
+            .filter(|(_service, weight)| *weight > 0)
+            .collect();
+        if targets.is_empty() {
+            targets.extend(single);
+        }
+        if targets.is_empty() {
+            return Err(DocumentError::NoTarget { route: raw.name });
+        }
+        let timeout_ms = num::whole(raw.timeout_ms);
+        Ok(Self {
+            name: raw.name,
+            host: raw.host.to_ascii_lowercase(),
+            path_prefix: raw.path_prefix,
+            // Any other kind is taken as the one that allows least.
+            repeat: match raw.kind.as_str() {
+                "idempotent" => Repeat::Idempotent,
+                _ => Repeat::AtMostOnce,
+            },
+            is_stream: raw.kind == "streaming",
+            is_resumable: raw.kind == "streaming" && raw.resumable,
+            timeout_ms,
+            target_ms: raw.target_latency_ms.map_or(timeout_ms, num::whole),
+            gap_target_ms: raw.gap_aim_ms.map(num::whole),
+            priority: priority(raw.priority),
+            max_upstreams: raw.max_attempts.unwrap_or(1).max(1),
+            is_public: raw.public,
+            targets,
+        })
+    }
+}
+
+impl From<RawService> for Pool {
+    fn from(raw: RawService) -> Self {
+        Self {
+            name: raw.name,
+            max_channels: raw.max_connections.unwrap_or(usize::MAX),
+            engine: raw.engine.map(|engine| Engine {
+                slots: engine.slots.max(1),
+                cache_tokens: num::whole(engine.kv_capacity),
+            }),
+            scaling: raw.scaling.map(|scaling| Scaling {
+                least: scaling.min,
+                most: scaling.max,
+                boot_ms: num::whole(scaling.boot_s * 1_000.0),
+                reclaimable_price: scaling.spot_price,
+                domain_prices: scaling.zone_prices.into_iter().collect(),
+            }),
+        }
+    }
+}
+
+impl From<RawTenant> for Team {
+    fn from(raw: RawTenant) -> Self {
+        let plain_tokens = raw.plain_tokens.map_or(PLAIN_TOKENS, num::whole);
+        Self {
+            name: raw.name,
+            priority: raw.priority.map(priority),
+            unit: match raw.unit.as_deref() {
+                Some("tokens") => Unit::Tokens { plain_tokens },
+                _ => Unit::Requests,
+            },
+            rate_per_s: (raw.rate_per_s > 0.0).then_some(raw.rate_per_s),
+            burst: raw.burst,
+        }
+    }
+}
+
+impl From<RawLimits> for CallerLimits {
+    fn from(raw: RawLimits) -> Self {
+        let usual = Self::default();
+        Self {
+            max_header_bytes: raw.max_header_bytes.unwrap_or(usual.max_header_bytes),
+            max_body_bytes: raw.max_body_bytes.unwrap_or(usual.max_body_bytes),
+            header_timeout_ms: raw.header_timeout_ms.unwrap_or(usual.header_timeout_ms),
+            idle_timeout_ms: raw.idle_timeout_ms.unwrap_or(usual.idle_timeout_ms),
+        }
+    }
+}
+
+fn priority(given: f64) -> u8 {
+    u8::try_from(num::whole(given)).unwrap_or(u8::MAX)
+}
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,262 @@
+//! Headers of the platform's protocol, decoded once into what they say.
+
+use http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, RETRY_AFTER, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+use crate::gateway::call::{CallHead, Malformed, Part, Prompt};
+use crate::gateway::num;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-attempt-id");
+const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Proof of the server that an answer is its own.
+const ANSWER_SEAL: HeaderName = HeaderName::from_static("server-seal");
+const TEAM: HeaderName = HeaderName::from_static("tenant");
+const EXPECTED_UPSTREAM: HeaderName = HeaderName::from_static("expect-instance");
+const NOT_RUN: HeaderName = HeaderName::from_static("not-executed");
+const MODEL: HeaderName = HeaderName::from_static("model");
+/// Prompt tokens and the most output tokens.
+const TOKENS: HeaderName = HeaderName::from_static("token-count");
+const URGENCY: HeaderName = HeaderName::from_static("request-urgency");
+const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Headers that concern one channel only.
+const OF_CHANNEL: [HeaderName; 9] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-authenticate"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Headers that this program alone sets towards servers; what callers send in them is dropped.
+///
+/// A caller could otherwise speak for another team or steer a server's memory.
+const OF_SYSTEM: [HeaderName; 11] = [
+    DEADLINE,
+    TEAM,
+    EXPECTED_UPSTREAM,
+    URGENCY,
+    HeaderName::from_static("hold"),
+    HeaderName::from_static("pin-ms"),
+    HeaderName::from_static("kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+    HeaderName::from_static("expect-version"),
+    HeaderName::from_static("proxy-authorization"),
+];
+
+/// Reads what a caller's request says of itself.
+///
+/// # Errors
+///
+/// If it has no id, or a header cannot be read.
+pub(crate) fn read_call(headers: &HeaderMap) -> Result<CallHead, Malformed> {
+    let id = text(headers, &REQUEST_ID).ok_or(Malformed::NoId)?;
+    let host = text(headers, &HOST).ok_or(Malformed::NoHost)?;
+    let host = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+    Ok(CallHead {
+        id: id.to_owned(),
+        host: host.to_ascii_lowercase(),
+        time_left_ms: number(headers, &DEADLINE)?,
+        key: read_key(headers),
+        prompt: read_prompt(headers)?,
+        resume_after: number(headers, &LAST_EVENT_ID)?,
+    })
+}
+
+/// The key of a caller, if it sent one in the form that is asked for.
+fn read_key(headers: &HeaderMap) -> Option<String> {
+    let given = text(headers, &AUTHORIZATION)?;
+    let (scheme, key) = given.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then(|| key.trim().to_owned())
+}
+
+fn read_prompt(headers: &HeaderMap) -> Result<Option<Prompt>, Malformed> {
+    let Some(tokens) = text(headers, &TOKENS) else {
+        return Ok(None);
+    };
+    let (input, output) = tokens.split_once(',').ok_or(Malformed::Tokens)?;
+    let input_tokens = whole(input).ok_or(Malformed::Tokens)?;
+    let max_output_tokens = whole(output).ok_or(Malformed::Tokens)?;
+    let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
+    let parts = parts.split(',').filter(|part| !part.is_empty());
+    Ok(Some(Prompt {
+        model: text(headers, &MODEL).unwrap_or_default().to_owned(),
+        input_tokens,
+        max_output_tokens,
+        expected_output_tokens: number(headers, &LENGTH_HINT)?,
+        parts: parts.map(read_part).collect::<Result<_, _>>()?,
+    }))
+}
+
+fn read_part(part: &str) -> Result<Part, Malformed> {
+    let (id, tokens) = part.trim().split_once(':').ok_or(Malformed::Parts)?;
+    Ok(Part {
+        id: u64::from_str_radix(id, 16).map_err(|_not_hexadecimal| Malformed::Parts)?,
+        tokens: whole(tokens).ok_or(Malformed::Parts)?,
+    })
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+/// A whole number; fractions are rounded.
+fn whole(text: &str) -> Option<u64> {
+    let text = text.trim();
+    let parsed = text.parse().ok();
+    parsed.or_else(|| {
+        text.parse()
+            .ok()
+            .filter(|number| *number >= 0.0)
+            .map(num::whole)
+    })
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Malformed> {
+    match text(headers, name) {
+        None => Ok(None),
+        Some(given) => match whole(given) {
+            Some(number) => Ok(Some(number)),
+            None => Err(Malformed::Number(name.clone())),
+        },
+    }
+}
+
+/// What is added to a request on its way to one upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Added<'a> {
+    pub upstream_id: &'a str,
+    pub time_left_ms: u64,
+    pub team: Option<&'a str>,
+    /// 0 comes first, 9 last.
+    pub urgency: Option<u8>,
+    /// The last event that the caller has.
+    pub resume_after: Option<u64>,
+}
+
+/// A caller's headers without those that go no further than this node.
+#[must_use]
+pub(crate) fn forwardable(headers: &HeaderMap, hides_key: bool) -> HeaderMap {
+    let named = named_by_connection(headers);
+    let mut forwarded = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let stays = OF_CHANNEL.contains(name)
+            || OF_SYSTEM.contains(name)
+            || named.iter().any(|other| other == name.as_str())
+            || (hides_key && *name == AUTHORIZATION);
+        if !stays {
+            forwarded.append(name.clone(), value.clone());
+        }
+    }
+    forwarded
+}
+
+/// Adds what one upstream is told beyond what the caller said.
+pub(crate) fn add(headers: &mut HeaderMap, added: &Added<'_>) {
+    set(headers, EXPECTED_UPSTREAM, added.upstream_id);
+    headers.insert(DEADLINE, HeaderValue::from(added.time_left_ms));
+    if let Some(team) = added.team {
+        set(headers, TEAM, team);
+    }
+    if let Some(urgency) = added.urgency {
+        headers.insert(URGENCY, HeaderValue::from(u16::from(urgency)));
+    }
+    if let Some(event) = added.resume_after {
+        headers.insert(LAST_EVENT_ID, HeaderValue::from(event));
+    }
+}
+
+fn set(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => drop(headers.insert(name, value)),
+        Err(error) => {
+            log::error!(header:% = name, error:err = error; "a name cannot stand in a header");
+        }
+    }
+}
+
+fn named_by_connection(headers: &HeaderMap) -> Vec<String> {
+    let lines = headers.get_all(CONNECTION).iter();
+    let texts = lines.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        // A caller must not strip its request of the id by naming it here.
+        .filter(|name| *name != REQUEST_ID.as_str())
+        .collect()
+}
+
+/// What an upstream's answer says of itself.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each says whether one header is there"
+)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AnswerHead {
+    /// The request that it answers, where it says so.
+    pub request_id: Option<String>,
+    /// Whether it bears the upstream's proof.
+    pub is_sealed: bool,
+    /// The upstream says that it did not run the request.
+    pub is_not_run: bool,
+    /// The upstream closes the channel after this answer.
+    pub closes: bool,
+    /// The upstream closes the channel when it has been idle this long.
+    pub idle_timeout_ms: Option<u64>,
+    /// Its body is not what the upstream made.
+    pub is_encoded: bool,
+}
+
+/// Reads the head of an upstream's answer.
+#[must_use]
+pub(crate) fn read_answer(headers: &HeaderMap) -> AnswerHead {
+    let keep_alive = text(headers, &KEEP_ALIVE).unwrap_or_default();
+    let timeout_s = keep_alive
+        .split(',')
+        .filter_map(|word| word.trim().strip_prefix("timeout="))
+        .find_map(whole);
+    AnswerHead {
+        request_id: text(headers, &REQUEST_ID).map(str::to_owned),
+        is_sealed: headers.contains_key(ANSWER_SEAL),
+        is_not_run: headers.contains_key(NOT_RUN),
+        closes: named_by_connection(headers)
+            .iter()
+            .any(|word| word == "close"),
+        idle_timeout_ms: timeout_s.map(|seconds| seconds * 1_000),
+        is_encoded: headers.contains_key(CONTENT_ENCODING),
+    }
+}
+
+/// An upstream's headers as they go to the caller.
+#[must_use]
+pub(crate) fn returnable(headers: &HeaderMap) -> HeaderMap {
+    forwardable(headers, false)
+}
+
+/// Headers of an answer of our own.
+pub(crate) fn own_answer(
+    headers: &mut HeaderMap,
+    request_id: Option<&str>,
+    retry_after_ms: Option<u64>,
+) {
+    if let Some(id) = request_id {
+        set(headers, REQUEST_ID, id);
+    }
+    if let Some(after_ms) = retry_after_ms {
+        let seconds = format!("{:.3}", num::real(after_ms) / 1_000.0);
+        set(headers, RETRY_AFTER, &seconds);
+    }
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,202 @@
+//! The settings file that the platform writes for each process.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::{fs, io};
+
+use miette::Diagnostic;
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::gateway::settings::{Bounds, NodeSettings};
+
+/// Why the settings cannot be used.
+#[derive(Debug, Error, Diagnostic)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("cannot read the settings file {path}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        #[source]
+        source: io::Error,
+    },
+    /// The file is not the JSON that is expected.
+    #[error("the settings field `{field}` cannot be read")]
+    Field {
+        /// Path of the field.
+        field: String,
+        /// What was found.
+        #[source]
+        source: serde_json::Error,
+    },
+    /// A field has a value of no use.
+    #[error("the settings field `{field}` must be {expected}")]
+    Value {
+        /// Path of the field.
+        field: &'static str,
+        /// What it must be.
+        expected: &'static str,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawSettings {
+    node: String,
+    ip: IpAddr,
+    zone: String,
+    region: String,
+    #[serde(default)]
+    zones: BTreeMap<String, String>,
+    listen: RawListen,
+    port_range: Vec<u16>,
+    #[serde(default)]
+    bootstrap: bool,
+    #[serde(default)]
+    bounds: RawBounds,
+    platform: RawAddress,
+    cloud: Option<RawAddress>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawListen {
+    front: SocketAddr,
+    readiness: SocketAddr,
+    directory: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawAddress {
+    address: SocketAddr,
+}
+
+/// The bounds that this program goes by; the defaults are those of the smaller installations.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct RawBounds {
+    drain_ms: u64,
+    grace_s: f64,
+    revoke_ms: u64,
+    retry_budget_ratio: f64,
+    budget_window_s: f64,
+    budget_slack: f64,
+    lease_ms: u64,
+    usage_window_s: f64,
+    usage_late_s: f64,
+    #[serde(rename = "ttl_max_s")]
+    ttl_max_s: f64,
+    contact_ms: u64,
+}
+
+impl Default for RawBounds {
+    fn default() -> Self {
+        Self {
+            drain_ms: 2_000,
+            grace_s: 8.0,
+            revoke_ms: 5_000,
+            retry_budget_ratio: 0.2,
+            budget_window_s: 10.0,
+            budget_slack: 50.0,
+            lease_ms: 3_000,
+            usage_window_s: 5.0,
+            usage_late_s: 10.0,
+            ttl_max_s: 5.0,
+            contact_ms: 3_000,
+        }
+    }
+}
+
+/// Reads and checks the settings file.
+///
+/// # Errors
+///
+/// If it cannot be read, is not JSON of the expected form, or a value cannot be used.
+pub(crate) fn read(path: &Path) -> Result<NodeSettings, SettingsError> {
+    let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    parse(&text)
+}
+
+/// Reads the text of a settings file; unknown fields are passed over.
+///
+/// # Errors
+///
+/// As [`read`].
+pub(crate) fn parse(text: &str) -> Result<NodeSettings, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let raw: RawSettings =
+        serde_path_to_error::deserialize(&mut json).map_err(|error| SettingsError::Field {
+            field: error.path().to_string(),
+            source: error.into_inner(),
+        })?;
+    NodeSettings::try_from(raw)
+}
+
+impl TryFrom<RawSettings> for NodeSettings {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawSettings) -> Result<Self, SettingsError> {
+        let (first_port, last_port) = match raw.port_range.as_slice() {
+            [first, last] if first + 1 < *last => (*first, *last),
+            _ => {
+                return Err(SettingsError::Value {
+                    field: "portRange",
+                    expected: "a first and a last port, at least two apart",
+                });
+            }
+        };
+        let bounds = Bounds::try_from(raw.bounds)?;
+        Ok(Self {
+            name: raw.node,
+            failure_domain: raw.zone,
+            region: raw.region,
+            domain_regions: raw.zones.into_iter().collect(),
+            caller_listen: raw.listen.front,
+            readiness_listen: raw.listen.readiness,
+            directory_listen: raw.listen.directory,
+            gossip_listen: SocketAddr::new(raw.ip, first_port),
+            // `deploy/system.toml` names the same port.
+            metrics_listen: SocketAddr::new(raw.ip, last_port),
+            is_first_start: raw.bootstrap,
+            store_address: raw.platform.address,
+            cloud_address: raw.cloud.map(|cloud| cloud.address),
+            bounds,
+        })
+    }
+}
+
+impl TryFrom<RawBounds> for Bounds {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawBounds) -> Result<Self, SettingsError> {
+        Ok(Self {
+            drain_ms: raw.drain_ms,
+            grace_ms: milliseconds(raw.grace_s, "bounds.graceS")?,
+            revoke_ms: raw.revoke_ms,
+            retry_ratio: raw.retry_budget_ratio,
+            retry_window_ms: milliseconds(raw.budget_window_s, "bounds.budgetWindowS")?,
+            retry_slack: raw.budget_slack,
+            lease_ms: raw.lease_ms,
+            usage_window_ms: milliseconds(raw.usage_window_s, "bounds.usageWindowS")?,
+            usage_late_ms: milliseconds(raw.usage_late_s, "bounds.usageLateS")?,
+            directory_ttl_max_ms: milliseconds(raw.ttl_max_s, "bounds.ttl_max_s")?,
+            contact_ms: raw.contact_ms,
+        })
+    }
+}
+
+/// Milliseconds of a span that is given in seconds, above zero and below a day.
+fn milliseconds(seconds: f64, field: &'static str) -> Result<u64, SettingsError> {
+    match seconds {
+        span if span > 0.0 && span < 86_400.0 => Ok(crate::gateway::num::whole(span * 1_000.0)),
+        _ => Err(SettingsError::Value {
+            field,
+            expected: "a number of seconds above zero",
+        }),
+    }
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,390 @@
+//! The platform's store: an append-only log with topics, some of which keep the newest record of
+//! each key.
+
+use std::net::SocketAddr;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::http::{Answer, Call, CallError, Client};
+
+/// A call that the store should answer at once takes 4 ms, and some 250 ms when the store is slow.
+const CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// Allowed for the way there and back of a read that waits.
+const WAIT_MARGIN_MS: u64 = 800;
+
+/// Bytes of the length before each record.
+const LENGTH_BYTES: usize = 4;
+
+/// Bytes of the two offsets at the start of an answer with records.
+const OFFSETS_BYTES: usize = 16;
+
+/// Most kilobytes of records in one answer.
+const READ_KB: u32 = 1_024;
+
+/// What the records of a topic are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Topic {
+    /// The operators' configuration, newest record by key.
+    Configuration,
+    /// Announcements of upstreams, newest record by key.
+    Upstreams,
+    /// Announcements of this system's nodes, newest record by key.
+    Nodes,
+    /// Lease and reports of the duties that one node has at a time.
+    Duties,
+}
+
+impl Topic {
+    /// The topic's name and the prefix of its calls' query.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "keyed.op",
+            Self::Upstreams => "keyed.servers",
+            Self::Nodes => "keyed.status",
+            Self::Duties => "duties",
+        }
+    }
+}
+
+/// The key of the operators' configuration within its topic.
+pub(crate) const CONFIGURATION_KEY: &str = "config";
+
+/// Why the store did not do what it was asked.
+#[derive(Debug, Error)]
+pub(crate) enum StoreError {
+    /// There is no answer.
+    #[error(transparent)]
+    Call(#[from] CallError),
+    /// The store refused; nothing was done.
+    #[error("the store refused the call with status {status}")]
+    Refused {
+        /// The status.
+        status: StatusCode,
+    },
+    /// The records asked for have been deleted.
+    #[error("records before offset {first} have been deleted")]
+    Deleted {
+        /// The first that is still there.
+        first: u64,
+    },
+    /// The partition does not end where the append expected it to.
+    #[error("the partition ends at offset {end}")]
+    NotAtEnd {
+        /// Where it ends.
+        end: u64,
+    },
+    /// The answer is not of the expected form.
+    #[error("the store's answer cannot be read: {what}")]
+    Malformed {
+        /// What is wrong.
+        what: &'static str,
+    },
+}
+
+impl StoreError {
+    /// Whether the call had no effect and never will have.
+    pub fn is_without_effect(&self) -> bool {
+        matches!(
+            self,
+            Self::Refused { .. }
+                | Self::NotAtEnd { .. }
+                | Self::Deleted { .. }
+                | Self::Call(CallError::Connect { .. })
+        )
+    }
+}
+
+/// Records of a partition in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Records {
+    /// Offset of the first record of `bodies`.
+    pub from: u64,
+    /// Where the partition ends.
+    pub end: u64,
+    pub bodies: Vec<Bytes>,
+}
+
+impl Records {
+    /// The offset after the last record read.
+    pub fn next(&self) -> u64 {
+        self.from + self.bodies.len() as u64
+    }
+}
+
+/// A record of a keyed topic; without a value, the key is no longer there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Keyed {
+    pub key: String,
+    pub value: Option<Bytes>,
+}
+
+/// The newest record of each key, and where to read on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Newest {
+    pub items: Vec<Keyed>,
+    pub end: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawNewest {
+    items: Vec<RawItem>,
+    #[serde(default)]
+    truncated: bool,
+    end: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawItem {
+    key: String,
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawEnd {
+    end: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawFirst {
+    first: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawAppended {
+    offset: u64,
+}
+
+/// The store at its address.
+#[derive(Debug)]
+pub(crate) struct Store {
+    client: Client,
+}
+
+impl Store {
+    /// The store at an address; nothing is sent yet.
+    #[must_use]
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: Client::new(address),
+        }
+    }
+
+    /// Reads records from an offset on, waiting up to `wait_ms` for the first.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer or refuses, or the records have been deleted.
+    pub async fn read(&self, topic: Topic, from: u64, wait_ms: u64) -> Result<Records, StoreError> {
+        let name = topic.name();
+        let path = format!(
+            "/api/log-read?topic={name}&part=0&from={from}&waitMs={wait_ms}&maxKb={READ_KB}"
+        );
+        let timeout_ms = match wait_ms {
+            0 => CALL_TIMEOUT_MS,
+            wait_ms => wait_ms + WAIT_MARGIN_MS,
+        };
+        let answer = self.get(&path, timeout_ms).await?;
+        match answer.status {
+            StatusCode::OK => read_records(from, answer.body),
+            StatusCode::GONE => {
+                let first: RawFirst = json(&answer, "no first offset")?;
+                Err(StoreError::Deleted { first: first.first })
+            }
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+
+    /// Reads the newest record of each key.
+    ///
+    /// What is written meanwhile may be missing; reading on from `end` gives it.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer or refuses.
+    pub async fn newest(&self, topic: Topic) -> Result<Newest, StoreError> {
+        let name = topic.name();
+        let mut newest = Newest {
+            items: Vec::new(),
+            end: 0,
+        };
+        let mut after = String::new();
+        loop {
+            let path = match after.as_str() {
+                "" => format!("/api/log-newest?topic={name}&part=0"),
+                after => format!("/api/log-newest?topic={name}&part=0&after={after}"),
+            };
+            let answer = self.get(&path, CALL_TIMEOUT_MS).await?;
+            if answer.status != StatusCode::OK {
+                let status = answer.status;
+                return Err(StoreError::Refused { status });
+            }
+            let page: RawNewest = json(&answer, "not a page of records")?;
+            // Later pages may already hold what came after the first was made.
+            if after.is_empty() {
+                newest.end = page.end;
+            }
+            let Some(last) = page.items.last().map(|item| item.key.clone()) else {
+                return Ok(newest);
+            };
+            for item in page.items {
+                newest.items.push(Keyed::try_from(item)?);
+            }
+            if !page.truncated {
+                return Ok(newest);
+            }
+            after = last;
+        }
+    }
+
+    /// Appends a record; with `at`, only if the partition ends there.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not answer or refuses, or the partition ends elsewhere. Unless the error
+    /// says that it is without effect, the record may be there or may yet come.
+    pub async fn append(
+        &self,
+        topic: Topic,
+        record: &[u8],
+        at: Option<u64>,
+    ) -> Result<u64, StoreError> {
+        let name = topic.name();
+        let path = match at {
+            Some(at) => format!("/api/log-append?topic={name}&part=0&at={at}"),
+            None => format!("/api/log-append?topic={name}&part=0"),
+        };
+        let mut body = BytesMut::with_capacity(LENGTH_BYTES + record.len());
+        let length = u32::try_from(record.len()).map_err(|_too_long| StoreError::Malformed {
+            what: "the record to append is too long",
+        })?;
+        body.put_u32(length);
+        body.put_slice(record);
+        let call = Call {
+            method: Method::POST,
+            path: &path,
+            headers: Vec::new(),
+            body: body.freeze(),
+            timeout_ms: CALL_TIMEOUT_MS,
+        };
+        let answer = self.client.call(call).await?;
+        match answer.status {
+            StatusCode::OK => {
+                let appended: RawAppended = json(&answer, "no offset")?;
+                Ok(appended.offset)
+            }
+            StatusCode::PRECONDITION_FAILED => {
+                let end: RawEnd = json(&answer, "no end")?;
+                Err(StoreError::NotAtEnd { end: end.end })
+            }
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+
+    /// Writes the newest record of a key.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::append`].
+    pub async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+        let length = u8::try_from(key.len()).map_err(|_too_long| StoreError::Malformed {
+            what: "the key to write is too long",
+        })?;
+        let mut record = BytesMut::with_capacity(1 + key.len() + value.len());
+        record.put_u8(length);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.append(topic, &record, None).await
+    }
+
+    async fn get(&self, path: &str, timeout_ms: u64) -> Result<Answer, StoreError> {
+        let call = Call {
+            method: Method::GET,
+            path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout_ms,
+        };
+        Ok(self.client.call(call).await?)
+    }
+}
+
+fn json<T: for<'a> Deserialize<'a>>(answer: &Answer, what: &'static str) -> Result<T, StoreError> {
+    serde_json::from_slice(&answer.body).map_err(|error| {
+        log::warn!(error:err = error, status = answer.status.as_u16(); "an answer of the store is not of its form");
+        StoreError::Malformed { what }
+    })
+}
+
+/// Reads an answer with records: two offsets, then each record behind its length.
+fn read_records(from: u64, mut body: Bytes) -> Result<Records, StoreError> {
+    if body.len() < OFFSETS_BYTES {
+        let what = "the offsets are missing";
+        return Err(StoreError::Malformed { what });
+    }
+    let end = body.get_u64();
+    let _first = body.get_u64();
+    let mut bodies = Vec::new();
+    while body.len() >= LENGTH_BYTES {
+        let length = usize::try_from(body.get_u32()).unwrap_or(usize::MAX);
+        if length > body.len() {
+            let what = "a record is shorter than its length";
+            return Err(StoreError::Malformed { what });
+        }
+        bodies.push(body.split_to(length));
+    }
+    if body.is_empty() {
+        return Ok(Records { from, end, bodies });
+    }
+    let what = "bytes follow the last record";
+    Err(StoreError::Malformed { what })
+}
+
+impl Keyed {
+    /// Reads a record of a keyed topic: the key's length, the key, and the value.
+    ///
+    /// # Errors
+    ///
+    /// If it is shorter than it says, or the key is not text.
+    pub fn read(mut record: Bytes) -> Result<Self, StoreError> {
+        let malformed = StoreError::Malformed {
+            what: "a keyed record is cut short",
+        };
+        if record.is_empty() {
+            return Err(malformed);
+        }
+        let length = usize::from(record.get_u8());
+        if length > record.len() {
+            return Err(malformed);
+        }
+        let key = record.split_to(length);
+        let key = std::str::from_utf8(&key).map_err(|_not_text| StoreError::Malformed {
+            what: "a key is not text",
+        })?;
+        Ok(Self {
+            key: key.to_owned(),
+            value: (!record.is_empty()).then_some(record),
+        })
+    }
+}
+
+impl TryFrom<RawItem> for Keyed {
+    type Error = StoreError;
+
+    fn try_from(raw: RawItem) -> Result<Self, StoreError> {
+        let value = BASE64
+            .decode(raw.value)
+            .map_err(|_not_base64| StoreError::Malformed {
+                what: "a value is not base64",
+            })?;
+        Ok(Self {
+            key: raw.key,
+            value: (!value.is_empty()).then(|| value.into()),
+        })
+    }
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -3,4 +3,4 @@
 pub mod control;
 mod logging;
 
-pub use logging::init_logging;
+pub use logging::{Output, init_logging};
--- a/src/telemetry/logging.rs
+++ b/src/telemetry/logging.rs
@@ -1,4 +1,4 @@
-//! Log records as JSON, one a line, on standard error.
+//! Log records as JSON, one a line.
 
 use std::io::{self, Write};
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -10,11 +10,24 @@
 /// Fields of the record itself, which no key-value may take the place of.
 const OWN_FIELDS: [&str; 4] = ["at_ms", "level", "target", "message"];
 
-/// Sends log records of `level` and above to standard error; later calls change nothing.
-pub fn init_logging(level: LevelFilter) {
+/// Where log records go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// Sends log records of `level` and above to `output`; later calls change nothing.
+pub fn init_logging(level: LevelFilter, output: Output) {
+    let target = match output {
+        Output::Stdout => env_logger::Target::Stdout,
+        Output::Stderr => env_logger::Target::Stderr,
+    };
     let started = env_logger::Builder::new()
         .filter_level(level)
-        .target(env_logger::Target::Stderr)
+        .target(target)
         .format(|out, record| write_line(out, record, unix_ms()))
         .try_init();
     if started.is_err() {
