--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -10,7 +10,7 @@
 use crate::time::TimeMs;
 
 /// Reclaimable upstreams wanted in each domain, as a part of the most allowed there.
-const RECLAIMABLE_PART: f64 = 0.6;
+const RECLAIMABLE_PART: f64 = 1.0;
 
 /// Fewest upstreams wanted over all domains, as a part of the reclaimable ones wanted.
 ///
@@ -99,7 +99,7 @@
     ordered: &Ordered,
     now: TimeMs,
 ) -> Vec<Order> {
-    let wanted = wanted(scaling, standing, now < ordered.dry_until);
+    let wanted = wanted(scaling, standing);
     let mut orders = Vec::new();
     for (place, (domain, reclaimable, on_demand)) in wanted.into_iter().enumerate() {
         let there = &standing[place];
@@ -123,7 +123,7 @@
 }
 
 /// For each domain, how many reclaimable and how many on-demand upstreams are wanted.
-fn wanted(scaling: &Scaling, standing: &[Standing], is_dry: bool) -> Vec<(String, u32, u32)> {
+fn wanted(scaling: &Scaling, standing: &[Standing]) -> Vec<(String, u32, u32)> {
     let has_reclaimable = scaling.reclaimable_price.is_some();
     let part = f64::from(scaling.most) * RECLAIMABLE_PART;
     let each = u32::try_from(super::num::whole(part.ceil())).unwrap_or(scaling.most);
@@ -156,7 +156,6 @@
         on_demand[*place] += bought;
         missing -= bought;
     }
-    let _ = is_dry;
     (standing.iter().zip(on_demand))
         .map(|(domain, on_demand)| {
             let room = scaling.most.saturating_sub(domain.on_demand.max(on_demand));
