--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 pub(crate) mod settings;
 mod sizing;
 mod state;
+mod stopping;
 mod strikes;
 pub(crate) mod upstreams;
 mod usage;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -104,3 +104,6 @@
 pub(crate) fn is_too_late(left_ms: u64, expected_ms: f64) -> bool {
     num::real(left_ms) < expected_ms
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -224,3 +224,6 @@
 /// A request that is accepted at the last moment still has to be read and sent; links and
 /// scheduling take tens of milliseconds on a small host.
 const FRESHNESS_MARGIN_MS: u64 = 300;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/catalog/tests.rs
@@ -0,0 +1,92 @@
+use super::*;
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: prefix.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        repeat: Repeat::AtMostOnce,
+        is_stream: false,
+        is_resumable: false,
+        timeout_ms: 1_000,
+        target_ms: 150,
+        gap_target_ms: None,
+        priority: 1,
+        max_upstreams: 1,
+        is_public: false,
+        targets: vec![("a".to_owned(), 90), ("b".to_owned(), 10)],
+    }
+}
+
+fn catalog() -> Catalog {
+    Catalog {
+        version: 3,
+        routes: vec![
+            route("a.example", "/"),
+            route("a.example", "/reels/"),
+            route("a.example", "/reels/old/"),
+            route("b.example", "/reels/"),
+        ],
+        keys: vec![
+            ("key-1".to_owned(), TeamKey(0)),
+            ("key-2".to_owned(), TeamKey(1)),
+        ],
+        ..Catalog::default()
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let catalog = catalog();
+    let name = |host, path| {
+        let key = catalog.route_of(host, path);
+        key.map(|key| catalog.route(key).name.clone())
+    };
+    assert_eq!(
+        name("a.example", "/reels/old/7").as_deref(),
+        Some("/reels/old/")
+    );
+    assert_eq!(
+        name("a.example", "/reels/older").as_deref(),
+        Some("/reels/")
+    );
+    assert_eq!(name("a.example", "/reels").as_deref(), Some("/"));
+    assert_eq!(name("b.example", "/other"), None);
+    assert_eq!(name("c.example", "/reels/"), None);
+}
+
+#[test]
+fn keys_are_found_whole_only() {
+    assert_eq!(catalog().team_of("key-2"), Some(TeamKey(1)));
+    assert_eq!(catalog().team_of("key-"), None);
+    assert_eq!(catalog().team_of(""), None);
+}
+
+#[test]
+fn targets_follow_their_weights() {
+    let route = route("a.example", "/");
+    let to_b = (0..1_000).filter(|draw| route.target(*draw) == "b").count();
+    assert_eq!(to_b, 100);
+}
+
+/// Symptom: a request runs with a key that was taken away six seconds before.
+/// Sequence: the store stops answering one node; an operator takes a key away; the node goes on
+/// with the configuration that it has.
+/// Cause: a configuration was taken to be current for as long as nothing newer came.
+#[test]
+fn a_configuration_that_was_not_confirmed_in_time_is_not_fresh() {
+    let in_force = InForce {
+        catalog: std::sync::Arc::new(catalog()),
+        current_at: TimeMs(10_000),
+    };
+    assert!(in_force.is_fresh(5_000, TimeMs(14_600)));
+    assert!(!in_force.is_fresh(5_000, TimeMs(14_700)));
+    assert!(!in_force.is_fresh(5_000, TimeMs(60_000)));
+}
+
+#[test]
+fn a_node_that_never_read_a_configuration_has_no_fresh_one() {
+    let in_force = InForce::default();
+    assert!(!in_force.is_known());
+    assert!(!in_force.is_fresh(5_000, TimeMs(1)));
+}
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -106,3 +106,6 @@
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -115,6 +115,9 @@
     story.routed(&found.name, team_name, catalog.version);
     let left_ms = head.time_left_ms.unwrap_or(found.timeout_ms);
     let limit_at = received_at.after(left_ms.min(found.timeout_ms));
+    if !node.accepts(found.is_stream, clock::now()) {
+        return Err(Refusal::Stopping);
+    }
     let body = read_body(body, catalog.limits.max_body_bytes, limit_at).await?;
     let content = strikes::content(path, head.key.as_deref(), &body);
     let now = clock::now();
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -101,3 +101,6 @@
         self.took_ms
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -230,3 +230,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -29,6 +29,8 @@
     UnknownKey,
     #[error("the team is over its limit")]
     OverLimit { retry_after_ms: u64 },
+    #[error("this node is stopping")]
+    Stopping,
     #[error("no upstream takes the request")]
     NoUpstream { retry_after_ms: u64 },
     #[error("it cannot be answered in time")]
@@ -46,6 +48,9 @@
 /// When a caller is told to come back after what passes by itself in a moment.
 const MOMENT_MS: u64 = 250;
 
+/// When a caller is told to come back that only has to take another node.
+const ELSEWHERE_MS: u64 = 20;
+
 impl Refusal {
     /// The status that the caller gets.
     pub fn status(&self) -> StatusCode {
@@ -58,6 +63,7 @@
             Self::OverLimit { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::StaleConfiguration
+            | Self::Stopping
             | Self::NoUpstream { .. }
             | Self::Saturated { .. }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
@@ -77,6 +83,8 @@
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(MOMENT_MS)
             }
+            // Another node takes it at once.
+            Self::Stopping => Some(ELSEWHERE_MS),
             _ => None,
         }
     }
@@ -93,6 +101,7 @@
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::OverLimit { .. } => "over_limit",
+            Self::Stopping => "stopping",
             Self::NoUpstream { .. } => "no_upstream",
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -16,16 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::state::Gateway;
+use super::stopping::Stop;
 use super::{clock, duties, follow, gossip, inbound, info};
 use crate::platform::settings::{self, SettingsError};
-use crate::time::TimeMs;
-
-/// After it was told to stop, a node goes on accepting requests for this long at least: callers
-/// keep an answer of the directory for up to three times its time to live, most of them once.
-const LEAST_STAY_MS: u64 = 3_500;
-
-/// Kept of the grace for closing channels before the platform kills the process.
-const GRACE_MARGIN_MS: u64 = 600;
 
 /// How long channels may take to end once nothing more is answered on them.
 const END_TIMEOUT_MS: u64 = 300;
@@ -125,22 +118,20 @@
 
 /// Leaves the directory, answers what comes, and ends when nothing is left or the grace is over.
 async fn stop(node: &Gateway, end: CancellationToken) {
-    let told_at = clock::now();
-    log::info!(event = "stopping", in_flight = node.in_flight.load(Ordering::Relaxed); "this node was told to stop");
+    let in_flight = || node.in_flight.load(Ordering::Relaxed);
+    log::info!(event = "stopping", in_flight = in_flight(); "this node was told to stop");
+    let stop = Stop {
+        told_at: clock::now(),
+        grace_ms: node.settings().bounds.grace_ms,
+    };
+    *node.stop.lock() = Some(stop);
     node.stopping.cancel();
-    let grace_ms = node.settings().bounds.grace_ms;
-    let last_at = told_at.after(grace_ms.saturating_sub(GRACE_MARGIN_MS));
-    while !may_end(node, told_at, last_at, clock::now()) {
+    while !stop.is_over(in_flight(), clock::now()) {
         tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
     }
     end.cancel();
 }
 
-fn may_end(node: &Gateway, told_at: TimeMs, last_at: TimeMs, now: TimeMs) -> bool {
-    let is_idle = node.in_flight.load(Ordering::Relaxed) == 0;
-    now >= last_at || (is_idle && now.since(told_at) >= LEAST_STAY_MS)
-}
-
 /// Takes in changed settings; wrong ones leave those before in force.
 fn reload(node: &Gateway, settings_file: &Path) {
     match settings::read(settings_file) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
 use super::settings::NodeSettings;
+use super::stopping::Stop;
 use super::strikes::Strikes;
 use super::upstreams::UpstreamTable;
 use super::usage::UsageBook;
@@ -66,6 +67,8 @@
     /// Requests that are being answered.
     pub in_flight: AtomicUsize,
     /// Set when the node has been told to stop.
+    pub stop: Mutex<Option<Stop>>,
+    /// Cancelled at the same time, to wake what waits.
     pub stopping: CancellationToken,
     /// Whether the node was ready when it last looked, to log changes.
     pub was_ready: AtomicBool,
@@ -110,6 +113,7 @@
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: Channels::default(),
             in_flight: AtomicUsize::new(0),
+            stop: Mutex::new(None),
             stopping: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
             outbox,
@@ -150,6 +154,12 @@
         contact.failing_since.is_none() && contact.answered_at > TimeMs(0)
     }
 
+    /// Whether a request that has just been read is answered here, be the node stopping or not.
+    pub fn accepts(&self, is_stream: bool, now: TimeMs) -> bool {
+        let stop = *self.stop.lock();
+        stop.is_none_or(|stop| stop.accepts(is_stream, now))
+    }
+
     /// Takes in whether a call to the store was answered.
     pub fn note_store(&self, answered: bool, now: TimeMs) {
         let mut contact = self.store_contact.lock();
--- a/src/gateway/strikes.rs
+++ b/src/gateway/strikes.rs
@@ -78,3 +78,6 @@
             .count()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -102,3 +102,6 @@
         &mut self.rows[place].1
     }
 }
+
+#[cfg(test)]
+mod tests;
