--- a/stand_ins/src/lib.rs
+++ b/stand_ins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod history;
 pub mod log;
 mod number;
+pub mod operators;
 pub mod proxy;
 mod rate;
 mod server;
--- /dev/null
+++ b/stand_ins/src/operators.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for the operators' platform: its store, its interface for duties, its upstreams and
+//! its callers, and nodes run as processes against them.
+
+pub mod caller;
+pub mod cloud;
+pub mod deployment;
+pub mod node;
+pub mod store;
+pub mod upstream;
+
+pub use caller::{Asked, Ended};
+pub use cloud::Cloud;
+pub use deployment::Deployment;
+pub use node::Node;
+pub use store::Store;
+pub use upstream::{Fault, Run, Upstream};
--- /dev/null
+++ b/stand_ins/src/operators/deployment.rs
@@ -0,0 +1,242 @@
+//! A small installation: the store, the interface for duties, upstreams, and nodes as processes.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::process;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use super::caller::{Asked, Ended};
+use super::cloud::Cloud;
+use super::node::{Launch, Node};
+use super::store::{OpenDoor, Store};
+use super::upstream::{Run, Upstream, UpstreamSettings};
+
+/// The host that callers name.
+pub const HOST: &str = "films.example";
+/// The key of the first team, and that of the second.
+pub const KEYS: [&str; 2] = ["key-archive", "key-studio"];
+/// The names of the teams.
+pub const TEAMS: [&str; 2] = ["archive", "studio"];
+
+/// Between two looks whether something has come about.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// How long a node may take until it is ready on a busy machine.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Sets installations of one test process apart.
+static INSTALLATIONS: AtomicU16 = AtomicU16::new(0);
+
+/// The installation; dropping it ends all of it.
+#[derive(Debug)]
+pub struct Deployment {
+    /// The nodes.
+    pub nodes: Vec<Node>,
+    /// The store's door for each node.
+    pub doors: Vec<OpenDoor>,
+    /// The store.
+    pub store: Store,
+    /// The interface for duties.
+    pub cloud: Cloud,
+    /// Upstreams of both services.
+    pub upstreams: Vec<Upstream>,
+    /// What upstreams have run.
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    folder: TempDir,
+}
+
+/// What an installation is made of.
+#[derive(Clone, Debug)]
+pub struct DeploymentSettings<'a> {
+    /// The program.
+    pub binary: &'a Path,
+    /// Nodes.
+    pub nodes: usize,
+    /// Upstreams of each service.
+    pub upstreams: usize,
+    /// The grace of a planned stop, in seconds.
+    pub grace_s: u64,
+    /// Windows of usage, in seconds.
+    pub usage_window_s: f64,
+}
+
+impl Deployment {
+    /// Starts an installation and waits until all nodes are ready.
+    ///
+    /// # Errors
+    ///
+    /// If a part of it cannot be started or a node does not become ready.
+    pub async fn start(settings: DeploymentSettings<'_>) -> io::Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let store = Store::default();
+        store.put("keyed.op", "config", &document(1).to_string());
+        let cloud = Cloud::start()?;
+        let mut deployment = Self {
+            nodes: Vec::new(),
+            doors: Vec::new(),
+            store,
+            cloud,
+            upstreams: Vec::new(),
+            runs: Arc::default(),
+            folder,
+        };
+        for place in 0..settings.upstreams {
+            deployment.add_upstream("desk", &format!("desk-{place}"))?;
+            deployment.add_upstream("pool", &format!("pool-{place}"))?;
+        }
+        let installation = INSTALLATIONS.fetch_add(1, Ordering::Relaxed);
+        for place in 0..settings.nodes {
+            let door = deployment.store.open()?;
+            let launch = Launch {
+                binary: settings.binary.to_owned(),
+                name: format!("node-{place}"),
+                ip: address(installation, place),
+                zone: format!("zone-{}", place % 2),
+                zones: vec![String::from("zone-0"), String::from("zone-1")],
+                store: door.address(),
+                cloud: deployment.cloud.address(),
+                grace_s: settings.grace_s,
+                usage_window_s: settings.usage_window_s,
+                folder: deployment.folder.path().to_owned(),
+            };
+            deployment.doors.push(door);
+            deployment.nodes.push(Node::start(launch)?);
+        }
+        for place in 0..settings.nodes {
+            if !deployment.wait_until_ready(place).await {
+                let log = deployment.nodes[place].log().join("\n");
+                return Err(io::Error::other(log));
+            }
+        }
+        Ok(deployment)
+    }
+
+    /// Starts one more upstream.
+    ///
+    /// # Errors
+    ///
+    /// If no port is free.
+    pub fn add_upstream(&mut self, service: &str, id: &str) -> io::Result<()> {
+        let settings = UpstreamSettings {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: format!("zone-{}", self.upstreams.len() / 2 % 2),
+        };
+        let upstream = Upstream::start(settings, &self.store, &self.runs)?;
+        self.upstreams.push(upstream);
+        Ok(())
+    }
+
+    /// Puts a version of the configuration into the store.
+    pub fn configure(&self, document: &Value) {
+        self.store.put("keyed.op", "config", &document.to_string());
+    }
+
+    /// Waits until a node says that it is ready and hears all others.
+    pub async fn wait_until_ready(&self, place: usize) -> bool {
+        let count = self.nodes.len();
+        let until = tokio::time::Instant::now() + READY_PATIENCE;
+        while tokio::time::Instant::now() < until {
+            let is_ready = get(self.nodes[place].readiness(), "/api/ready")
+                .await
+                .status()
+                == Some(200);
+            if is_ready && self.addresses(place).await.len() == count {
+                return true;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        false
+    }
+
+    /// The addresses that a node's directory gives.
+    pub async fn addresses(&self, place: usize) -> Vec<String> {
+        let path = format!("/api/resolve?name={HOST}&region=r&zone=elsewhere");
+        let answer = get(self.nodes[place].directory(), &path).await;
+        let body: Value = serde_json::from_str(answer.body()).unwrap_or_default();
+        let addresses = body["addresses"].as_array().cloned().unwrap_or_default();
+        let addresses = addresses.iter().filter_map(Value::as_str);
+        addresses.map(str::to_owned).collect()
+    }
+
+    /// What upstreams ran of a request.
+    #[must_use]
+    pub fn runs_of(&self, request: &str) -> Vec<Run> {
+        let runs = self.runs.lock();
+        let of_request = runs.iter().filter(|run| run.request == request);
+        of_request.cloned().collect()
+    }
+}
+
+/// Asks a node about itself.
+pub async fn get(address: std::net::SocketAddr, path: &str) -> Ended {
+    let asked = Asked {
+        method: "GET",
+        path: path.to_owned(),
+        deadline_ms: 1_000,
+        ..asked("info", "")
+    };
+    asked.send(address).await
+}
+
+/// A call on one of the routes: `once`, `again`, `stream` or `stream-on`.
+#[must_use]
+pub fn asked(id: &str, route: &str) -> Asked {
+    Asked {
+        method: if route == "again" { "GET" } else { "POST" },
+        host: HOST.to_owned(),
+        path: format!("/{route}/x"),
+        id: id.to_owned(),
+        key: KEYS[0].to_owned(),
+        deadline_ms: 3_000,
+        body: String::new(),
+        extra: String::new(),
+    }
+}
+
+/// An address of its own for each node, apart from those of other test processes.
+fn address(installation: u16, place: usize) -> Ipv4Addr {
+    let process = u8::try_from(process::id() % 250).unwrap_or(0) + 2;
+    let installation = u8::try_from(installation % 256).unwrap_or(0);
+    let host = u8::try_from(place).unwrap_or(0) + 2;
+    Ipv4Addr::new(127, process, installation, host)
+}
+
+/// A version of the configuration.
+#[must_use]
+pub fn document(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
+            "timeoutMs": 2500, "targetLatencyMs": 200, "priority": 1, "service": service,
+            "maxAttempts": if kind == "idempotent" || resumable { 2 } else { 1 },
+            "public": false, "sticky": false, "resumable": resumable, "gapAimMs": 300,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("once", "non_idempotent", "desk", false),
+            route("again", "idempotent", "desk", false),
+            route("stream", "streaming", "pool", false),
+            route("stream-on", "streaming", "pool", true),
+        ],
+        "services": [
+            {"name": "desk", "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false},
+            {"name": "pool", "healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": false,
+             "scaling": {"min": 1, "max": 4, "bootS": 1.0, "spotPrice": 0.2, "zonePrices": {"zone-0": 1.0, "zone-1": 0.8}}},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100_000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "tenants": [
+            {"name": TEAMS[0], "apiKeys": [KEYS[0]], "unit": "requests", "ratePerS": 10_000, "burst": 10_000},
+            {"name": TEAMS[1], "apiKeys": [KEYS[1]], "unit": "requests", "ratePerS": 20, "burst": 20},
+        ],
+    })
+}
--- /dev/null
+++ b/stand_ins/src/operators/node.rs
@@ -0,0 +1,208 @@
+//! One node as a process of its own, told what it needs by a settings file.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use parking_lot::Mutex;
+
+/// Ports are the same for all nodes; each has an address of its own.
+const CALLERS_PORT: u16 = 8_221;
+const READINESS_PORT: u16 = 8_224;
+const DIRECTORY_PORT: u16 = 8_220;
+const INNER_PORTS: [u16; 2] = [7_600, 7_615];
+
+/// Between two looks at a process.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What a node is started with.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// The program.
+    pub binary: PathBuf,
+    /// Names the node.
+    pub name: String,
+    /// Its own loopback address.
+    pub ip: Ipv4Addr,
+    /// Where it stands.
+    pub zone: String,
+    /// All zones.
+    pub zones: Vec<String>,
+    /// The store's door for this node.
+    pub store: SocketAddr,
+    /// The interface for duties.
+    pub cloud: SocketAddr,
+    /// The time between being told to stop and being killed, in seconds.
+    pub grace_s: u64,
+    /// Windows of usage, in seconds.
+    pub usage_window_s: f64,
+    /// The folder for its settings file.
+    pub folder: PathBuf,
+}
+
+/// A node that runs; dropping it kills it.
+#[derive(Debug)]
+pub struct Node {
+    /// What it was started with.
+    pub launch: Launch,
+    child: Mutex<Child>,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl Node {
+    /// Starts a node; it may not listen yet.
+    ///
+    /// # Errors
+    ///
+    /// If its settings cannot be written or the program cannot be run.
+    pub fn start(launch: Launch) -> io::Result<Self> {
+        let file = launch.folder.join(format!("{}.json", launch.name));
+        fs::write(&file, settings(&launch).to_string())?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let child = spawn(&launch.binary, &file, &log)?;
+        Ok(Self {
+            launch,
+            child: Mutex::new(child),
+            log,
+        })
+    }
+
+    /// Where callers reach it.
+    #[must_use]
+    pub fn callers(&self) -> SocketAddr {
+        (self.launch.ip, CALLERS_PORT).into()
+    }
+
+    /// Where its readiness is asked.
+    #[must_use]
+    pub fn readiness(&self) -> SocketAddr {
+        (self.launch.ip, READINESS_PORT).into()
+    }
+
+    /// Where callers ask for addresses.
+    #[must_use]
+    pub fn directory(&self) -> SocketAddr {
+        (self.launch.ip, DIRECTORY_PORT).into()
+    }
+
+    /// The file that it reads its settings from.
+    #[must_use]
+    pub fn settings_file(&self) -> PathBuf {
+        self.launch
+            .folder
+            .join(format!("{}.json", self.launch.name))
+    }
+
+    /// Sends it a signal.
+    ///
+    /// # Errors
+    ///
+    /// If it has ended.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let id = i32::try_from(self.child.lock().id()).map_err(io::Error::other)?;
+        kill(Pid::from_raw(id), signal).map_err(io::Error::other)
+    }
+
+    /// How it ended, if it has.
+    #[must_use]
+    pub fn ended(&self) -> Option<ExitStatus> {
+        self.child.lock().try_wait().ok().flatten()
+    }
+
+    /// Waits until it has ended, for this long at most.
+    pub async fn wait_for_end(&self, at_most: Duration) -> Option<ExitStatus> {
+        let until = tokio::time::Instant::now() + at_most;
+        while tokio::time::Instant::now() < until {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        None
+    }
+
+    /// Starts it again after it ended, at the same address.
+    ///
+    /// # Errors
+    ///
+    /// If the program cannot be run.
+    pub fn restart(&self) -> io::Result<()> {
+        let mut child = self.child.lock();
+        drop(child.kill());
+        drop(child.wait());
+        *child = spawn(&self.launch.binary, &self.settings_file(), &self.log)?;
+        Ok(())
+    }
+
+    /// What it has logged.
+    #[must_use]
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().clone()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let mut child = self.child.lock();
+        // It may have ended by itself.
+        drop(child.kill());
+        drop(child.wait());
+    }
+}
+
+fn spawn(binary: &Path, settings: &Path, log: &Arc<Mutex<Vec<String>>>) -> io::Result<Child> {
+    let mut child = Command::new(binary)
+        .arg("gateway")
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    if let Some(out) = child.stdout.take() {
+        follow(out, Arc::clone(log));
+    }
+    if let Some(errors) = child.stderr.take() {
+        follow(errors, Arc::clone(log));
+    }
+    Ok(child)
+}
+
+fn follow(out: impl io::Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
+    std::thread::spawn(move || {
+        for line in BufReader::new(out).lines().map_while(Result::ok) {
+            log.lock().push(line);
+        }
+    });
+}
+
+/// The settings file as the platform writes it.
+#[must_use]
+pub fn settings(launch: &Launch) -> serde_json::Value {
+    let address = |port| SocketAddr::from((launch.ip, port)).to_string();
+    let zones: serde_json::Map<_, _> = (launch.zones.iter())
+        .map(|zone| (zone.clone(), "r".into()))
+        .collect();
+    serde_json::json!({
+        "node": launch.name, "role": "gateway", "class": "front", "ip": launch.ip.to_string(),
+        "zone": launch.zone, "region": "r", "zones": zones,
+        "listen": {
+            "front": address(CALLERS_PORT), "readiness": address(READINESS_PORT),
+            "directory": address(DIRECTORY_PORT),
+        },
+        "portRange": INNER_PORTS, "bootstrap": true,
+        "bounds": {
+            "drainMs": 2000, "graceS": launch.grace_s, "revokeMs": 5000, "leaseMs": 3000,
+            "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetSlack": 50,
+            "usageWindowS": launch.usage_window_s, "usageLateS": 10, "ttl_max_s": 5, "contactMs": 3000,
+        },
+        "platform": {"address": launch.store.to_string()},
+        "cloud": {"address": launch.cloud.to_string()},
+    })
+}
--- /dev/null
+++ b/stand_ins/src/operators/store.rs
@@ -0,0 +1,277 @@
+//! The store: topics of records with offsets, some of which keep the newest record of each key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::{future, io};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http::{Response, StatusCode};
+use http_body_util::Full;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::sync::watch;
+
+use crate::server::{Answer, Call, Cut, Handler, Server, empty, error, ok};
+
+/// How a door of the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Door {
+    /// It serves.
+    #[default]
+    Open,
+    /// It refuses each call.
+    Refusing,
+    /// It takes calls and never answers.
+    Silent,
+    /// It closes the channel of each call.
+    Resetting,
+    /// It carries out each append and loses the answer.
+    LosingAnswers,
+}
+
+/// The store; its doors are addresses with faults of their own.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    topics: Mutex<BTreeMap<String, Topic>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            topics: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    first: u64,
+    records: Vec<Bytes>,
+    newest: BTreeMap<String, (Bytes, u64)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, record: Bytes, is_keyed: bool) -> u64 {
+        let offset = self.end();
+        if is_keyed {
+            let mut rest = record.clone();
+            let length = usize::from(rest.get_u8());
+            let key = String::from_utf8_lossy(&rest.split_to(length)).into_owned();
+            if rest.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, (rest, offset));
+            }
+        }
+        self.records.push(record);
+        offset
+    }
+}
+
+/// One address of the store; dropping it closes it.
+#[derive(Debug)]
+pub struct OpenDoor {
+    server: Server,
+    state: Arc<Mutex<Door>>,
+}
+
+impl OpenDoor {
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes how it behaves, from the next call on.
+    pub fn set(&self, door: Door) {
+        *self.state.lock() = door;
+    }
+}
+
+#[derive(Debug)]
+struct Behind {
+    shared: Arc<Shared>,
+    state: Arc<Mutex<Door>>,
+}
+
+impl Store {
+    /// Opens an address of the store.
+    ///
+    /// # Errors
+    ///
+    /// If no port is free.
+    pub fn open(&self) -> io::Result<OpenDoor> {
+        let state = Arc::new(Mutex::new(Door::Open));
+        let behind = Behind {
+            shared: Arc::clone(&self.shared),
+            state: Arc::clone(&state),
+        };
+        let server = Server::start(([127, 0, 0, 1], 0).into(), Arc::new(behind))?;
+        Ok(OpenDoor { server, state })
+    }
+
+    /// Writes the newest record of a key; an empty value drops the key.
+    ///
+    /// # Panics
+    ///
+    /// If the key has more than 255 bytes.
+    pub fn put(&self, topic: &str, key: &str, value: &str) {
+        let mut record = BytesMut::new();
+        record.put_u8(u8::try_from(key.len()).expect("short keys"));
+        record.put_slice(key.as_bytes());
+        record.put_slice(value.as_bytes());
+        let appended = self.shared.append(topic, None, vec![record.freeze()]);
+        debug_assert!(appended.is_ok(), "only conditional appends can fail");
+    }
+
+    /// Forgets the records of a topic, but for the newest of each key.
+    pub fn forget_history(&self, topic: &str) {
+        let mut topics = self.shared.topics.lock();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+
+    /// How many records a topic has had.
+    #[must_use]
+    pub fn end(&self, topic: &str) -> u64 {
+        self.shared.topics.lock().get(topic).map_or(0, Topic::end)
+    }
+}
+
+impl Shared {
+    fn append(&self, name: &str, at: Option<u64>, records: Vec<Bytes>) -> Result<u64, u64> {
+        let mut topics = self.topics.lock();
+        let topic = topics.entry(name.to_owned()).or_default();
+        if at.is_some_and(|at| at != topic.end()) {
+            return Err(topic.end());
+        }
+        let offset = topic.end();
+        for record in records {
+            topic.append(record, name.starts_with("keyed."));
+        }
+        drop(topics);
+        self.changed.send_modify(|changes| *changes += 1);
+        Ok(offset)
+    }
+
+    async fn read(&self, name: &str, from: u64, wait: Duration) -> Response<Full<Bytes>> {
+        let mut changes = self.changed.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            changes.mark_unchanged();
+            if let Some(answer) = self.records(name, from, wait.is_zero()) {
+                return answer;
+            }
+            let news = tokio::time::timeout_at(until, changes.changed()).await;
+            if news.is_err() {
+                let answer = self.records(name, from, true);
+                return answer.unwrap_or_else(|| empty(StatusCode::OK));
+            }
+        }
+    }
+
+    fn records(&self, name: &str, from: u64, even_if_empty: bool) -> Option<Response<Full<Bytes>>> {
+        let topics = self.topics.lock();
+        let nothing = Topic::default();
+        let topic = topics.get(name).unwrap_or(&nothing);
+        if from < topic.first {
+            let first = json!({ "first": topic.first });
+            return Some(crate::server::json(StatusCode::GONE, &first));
+        }
+        let skipped = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+        let records = topic.records.get(skipped..).unwrap_or_default();
+        if records.is_empty() && !even_if_empty {
+            return None;
+        }
+        let mut body = BytesMut::new();
+        body.put_u64(topic.end());
+        body.put_u64(topic.first);
+        for record in records {
+            body.put_u32(u32::try_from(record.len()).expect("short records"));
+            body.put_slice(record);
+        }
+        Some(Response::new(Full::new(body.freeze())))
+    }
+
+    fn newest(&self, name: &str) -> Response<Full<Bytes>> {
+        let topics = self.topics.lock();
+        let nothing = Topic::default();
+        let topic = topics.get(name).unwrap_or(&nothing);
+        let items: Vec<_> = (topic.newest.iter())
+            .map(|(key, (value, offset))| {
+                json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        ok(&json!({ "items": items, "truncated": false, "end": topic.end() }))
+    }
+}
+
+impl Handler for Behind {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, call: Call) -> Answer {
+        let door = *self.state.lock();
+        match door {
+            Door::Open | Door::LosingAnswers => {}
+            Door::Refusing => return Ok(empty(StatusCode::SERVICE_UNAVAILABLE)),
+            Door::Silent => future::pending().await,
+            Door::Resetting => return Err(Cut),
+        }
+        let name = text(&call, "topic");
+        let (method, path) = call.route();
+        match (method, path.as_slice()) {
+            ("GET", ["api", "log-read"]) => {
+                let wait = Duration::from_millis(call.query("waitMs"));
+                Ok(self.shared.read(&name, call.query("from"), wait).await)
+            }
+            ("GET", ["api", "log-newest"]) => Ok(self.shared.newest(&name)),
+            ("POST", ["api", "log-append"]) => {
+                let at = (!text(&call, "at").is_empty()).then(|| call.query("at"));
+                let appended = self.shared.append(&name, at, records(call.body.clone()));
+                match appended {
+                    _ if door == Door::LosingAnswers => future::pending().await,
+                    Ok(offset) => Ok(ok(&json!({ "offset": offset, "end": offset + 1 }))),
+                    Err(end) => {
+                        let end = json!({ "end": end });
+                        Ok(crate::server::json(StatusCode::PRECONDITION_FAILED, &end))
+                    }
+                }
+            }
+            _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+}
+
+fn text(call: &Call, name: &str) -> String {
+    let pairs = call.head.uri.query().unwrap_or_default().split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _value)| *key == name);
+    found
+        .map(|(_key, value)| value.to_owned())
+        .unwrap_or_default()
+}
+
+fn records(mut body: Bytes) -> Vec<Bytes> {
+    let mut records = Vec::new();
+    while body.len() >= 4 {
+        let length = usize::try_from(body.get_u32()).expect("short records");
+        records.push(body.split_to(length));
+    }
+    records
+}
--- /dev/null
+++ b/stand_ins/src/operators/upstream.rs
@@ -0,0 +1,417 @@
+//! An upstream: it announces itself in the store, answers plain calls and streams, and fails as
+//! it is told. It writes its answers byte by byte itself, since most of its faults are not HTTP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, JoinSet};
+
+use super::store::Store;
+use crate::server::{accept_one, listen, now_ms};
+
+/// Between two announcements.
+const BEAT_MS: u64 = 400;
+
+/// Work of a plain call, and between two events of a stream.
+const WORK_MS: u64 = 10;
+
+/// A body that holds this crashes the upstream that runs it.
+pub const KILLER: &str = "kill-the-upstream";
+
+/// How an upstream answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// As it should.
+    #[default]
+    None,
+    /// It runs each second request and resets the channel without an answer.
+    LosesAnswers,
+    /// It sends a second answer some milliseconds after each.
+    AnswersTwice,
+    /// It runs requests and never answers.
+    Silent,
+    /// It answers with a failure.
+    Fails,
+    /// It does not run requests and says so.
+    Sheds,
+    /// It breaks streams off within their third event, and plain answers within their body.
+    BreaksOff,
+    /// It answers without a length and resets the channel in the middle.
+    UnframedReset,
+}
+
+/// A request that an upstream began to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The upstream.
+    pub upstream: String,
+    /// The request's id.
+    pub request: String,
+    /// Path and query.
+    pub path: String,
+    /// The team that it was told.
+    pub team: Option<String>,
+    /// The event behind which it went on.
+    pub resumed_after: Option<u64>,
+    /// When, in Unix milliseconds.
+    pub at_ms: u64,
+    /// When its channel was closed before the answer was out.
+    pub left_at_ms: Option<u64>,
+}
+
+/// An upstream; dropping it crashes it.
+#[derive(Debug)]
+pub struct Upstream {
+    core: Arc<Core>,
+    serve: JoinHandle<()>,
+    beat: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct Core {
+    id: String,
+    service: String,
+    zone: String,
+    address: SocketAddr,
+    store: Store,
+    fault: Mutex<Fault>,
+    state: Mutex<&'static str>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    requests: Mutex<u64>,
+    has_crashed: Mutex<bool>,
+}
+
+/// What an upstream is.
+#[derive(Clone, Debug)]
+pub struct UpstreamSettings {
+    /// New at each start.
+    pub id: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Where it stands.
+    pub zone: String,
+}
+
+impl Upstream {
+    /// Starts an upstream that announces itself; what it runs goes into `runs`.
+    ///
+    /// # Errors
+    ///
+    /// If no port is free.
+    pub fn start(
+        settings: UpstreamSettings,
+        store: &Store,
+        runs: &Arc<Mutex<Vec<Run>>>,
+    ) -> io::Result<Self> {
+        let listener = listen(([127, 0, 0, 1], 0).into())?;
+        let core = Arc::new(Core {
+            id: settings.id,
+            service: settings.service,
+            zone: settings.zone,
+            address: listener.local_addr()?,
+            store: store.clone(),
+            fault: Mutex::default(),
+            state: Mutex::new("ready"),
+            runs: Arc::clone(runs),
+            requests: Mutex::default(),
+            has_crashed: Mutex::default(),
+        });
+        let accepting = Arc::clone(&core);
+        let serve = tokio::spawn(async move {
+            let mut channels = JoinSet::new();
+            while !*accepting.has_crashed.lock() {
+                let socket = accept_one(&listener).await;
+                let core = Arc::clone(&accepting);
+                channels.spawn(async move { drop(core.channel(socket).await) });
+            }
+        });
+        core.announce(0);
+        let beating = Arc::clone(&core);
+        let beat = tokio::spawn(async move {
+            for seq in 1.. {
+                tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+                if *beating.has_crashed.lock() {
+                    return;
+                }
+                beating.announce(seq);
+            }
+        });
+        Ok(Self { core, serve, beat })
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.core.id
+    }
+
+    /// Changes how it answers.
+    pub fn set(&self, fault: Fault) {
+        *self.core.fault.lock() = fault;
+    }
+
+    /// Announces that it leaves; it goes on answering.
+    pub fn drain(&self) {
+        *self.core.state.lock() = "draining";
+        self.core.announce(1_000_000);
+    }
+
+    /// Removes its announcement, as the store does after silence.
+    pub fn lapse(&self) {
+        self.core.store.put("keyed.servers", &self.core.id, "");
+    }
+
+    /// Whether a request has crashed it.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        *self.core.has_crashed.lock()
+    }
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.serve.abort();
+        self.beat.abort();
+        self.core.store.put("keyed.servers", &self.core.id, "");
+    }
+}
+
+#[derive(Debug)]
+struct Received {
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Received {
+    fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        headers
+            .find(|(given, _value)| given.eq_ignore_ascii_case(name))
+            .map(|(_name, value)| value.as_str())
+    }
+}
+
+impl Core {
+    fn announce(&self, seq: u64) {
+        let value = serde_json::json!({
+            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "version": "v1", "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
+        });
+        self.store
+            .put("keyed.servers", &self.id, &value.to_string());
+    }
+
+    async fn channel(&self, mut socket: TcpStream) -> io::Result<()> {
+        let mut buffer = Vec::new();
+        while let Some(request) = receive(&mut socket, &mut buffer).await? {
+            if *self.has_crashed.lock() {
+                return reset(socket);
+            }
+            if !self.answer(&mut socket, &request).await? {
+                return reset(socket);
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a request; tells whether the channel stays open.
+    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<bool> {
+        let id = request.header("request-attempt-id").unwrap_or_default();
+        let is_other = request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != self.id);
+        let fault = *self.fault.lock();
+        if is_other {
+            socket
+                .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
+                .await?;
+            return Ok(true);
+        }
+        if fault == Fault::Sheds {
+            let head =
+                b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
+            socket.write_all(head).await?;
+            return Ok(true);
+        }
+        let place = self.begin(request, id);
+        let number = {
+            let mut requests = self.requests.lock();
+            *requests += 1;
+            *requests
+        };
+        if request
+            .body
+            .windows(KILLER.len())
+            .any(|part| part == KILLER.as_bytes())
+        {
+            *self.has_crashed.lock() = true;
+            return Ok(false);
+        }
+        let worked = self.work(socket, place, WORK_MS).await?;
+        match fault {
+            _ if !worked => Ok(false),
+            Fault::Silent => {
+                self.work(socket, place, 60_000).await?;
+                Ok(false)
+            }
+            Fault::LosesAnswers if number.is_multiple_of(2) => Ok(false),
+            Fault::Fails => {
+                let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
+                socket.write_all(format!("{head}fail").as_bytes()).await?;
+                Ok(true)
+            }
+            _ if request.path.contains("stream") => {
+                self.stream(socket, request, place, fault).await
+            }
+            Fault::BreaksOff => {
+                let head = self.head("200 OK", id, "content-length: 40\r\n");
+                socket.write_all(format!("{head}half").as_bytes()).await?;
+                Ok(false)
+            }
+            Fault::UnframedReset => {
+                let head = self.head("200 OK", id, "");
+                socket.write_all(format!("{head}half").as_bytes()).await?;
+                tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
+                Ok(false)
+            }
+            _ => {
+                let body = format!("{} {} for {id}", request.method, request.path);
+                let length = format!("content-length: {}\r\n", body.len());
+                let answer = format!("{}{body}", self.head("200 OK", id, &length));
+                socket.write_all(answer.as_bytes()).await?;
+                if fault == Fault::AnswersTwice {
+                    tokio::time::sleep(Duration::from_millis(3)).await;
+                    socket.write_all(answer.as_bytes()).await?;
+                }
+                Ok(true)
+            }
+        }
+    }
+
+    async fn stream(
+        &self,
+        socket: &mut TcpStream,
+        request: &Received,
+        place: usize,
+        fault: Fault,
+    ) -> io::Result<bool> {
+        let id = request.header("request-attempt-id").unwrap_or_default();
+        let number = |name| {
+            request
+                .header(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
+        let after = number("last-event-id").unwrap_or(0);
+        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
+        socket
+            .write_all(self.head("200 OK", id, extra).as_bytes())
+            .await?;
+        for event in after + 1..=10 {
+            let text = format!("id: {event}\ndata: {event} of {id}\n\n");
+            if fault == Fault::BreaksOff && event == 3 {
+                let half = &text[..text.len() / 2];
+                socket.write_all(chunk(half).as_bytes()).await?;
+                return Ok(false);
+            }
+            socket.write_all(chunk(&text).as_bytes()).await?;
+            if !self.work(socket, place, WORK_MS * 3).await? {
+                return Ok(false);
+            }
+        }
+        socket.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+
+    fn head(&self, status: &str, id: &str, extra: &str) -> String {
+        format!(
+            "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{extra}\r\n",
+            self.id
+        )
+    }
+
+    fn begin(&self, request: &Received, id: &str) -> usize {
+        let mut runs = self.runs.lock();
+        runs.push(Run {
+            upstream: self.id.clone(),
+            request: id.to_owned(),
+            path: request.path.clone(),
+            team: request.header("tenant").map(str::to_owned),
+            resumed_after: request
+                .header("last-event-id")
+                .and_then(|text| text.parse().ok()),
+            at_ms: now_ms(),
+            left_at_ms: None,
+        });
+        runs.len() - 1
+    }
+
+    /// Works for a while; tells whether the channel was still open at the end.
+    async fn work(&self, socket: &mut TcpStream, place: usize, work_ms: u64) -> io::Result<bool> {
+        let mut byte = [0];
+        let closed = tokio::time::timeout(Duration::from_millis(work_ms), socket.peek(&mut byte));
+        let is_closed = match closed.await {
+            Err(_elapsed) => false,
+            Ok(Ok(length)) => length == 0,
+            Ok(Err(_error)) => true,
+        };
+        if is_closed {
+            self.runs.lock()[place].left_at_ms = Some(now_ms());
+        }
+        Ok(!is_closed)
+    }
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+fn reset(socket: TcpStream) -> io::Result<()> {
+    // Closing with nothing to linger for sends a reset.
+    socket.set_zero_linger()?;
+    drop(socket);
+    Ok(())
+}
+
+/// Reads one request; none at the end of the channel.
+async fn receive(socket: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Received>> {
+    let end = loop {
+        if let Some(end) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
+            break end;
+        }
+        if socket.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    buffer.drain(..end + 4);
+    let mut lines = head.lines();
+    let mut first = lines.next().unwrap_or_default().split(' ');
+    let headers: Vec<(String, String)> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
+        .collect();
+    let mut request = Received {
+        method: first.next().unwrap_or_default().to_owned(),
+        path: first.next().unwrap_or_default().to_owned(),
+        headers,
+        body: Vec::new(),
+    };
+    let length = request
+        .header("content-length")
+        .and_then(|text| text.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buffer.len() < length {
+        if socket.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    request.body = buffer.drain(..length).collect();
+    Ok(Some(request))
+}
--- /dev/null
+++ b/tests/platform/duties.rs
@@ -0,0 +1,175 @@
+//! The duties that one node has at a time.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use teaselline_stand_ins::operators::Deployment;
+use teaselline_stand_ins::operators::deployment::asked;
+use teaselline_stand_ins::operators::store::Door;
+
+use super::support::{deployment, eventually, send};
+
+async fn call_for(deployment: &Deployment, prefix: &str, span: Duration) {
+    let until = tokio::time::Instant::now() + span;
+    let mut place = 0;
+    while tokio::time::Instant::now() < until {
+        let node = place % deployment.nodes.len();
+        if deployment.nodes[node].ended().is_none() {
+            send(
+                deployment,
+                node,
+                &asked(&format!("{prefix}-{place}"), "once"),
+            )
+            .await;
+        }
+        place += 1;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
+
+fn holder(deployment: &Deployment) -> Option<usize> {
+    let calls = deployment.cloud.calls();
+    let last = calls.iter().rev().find(|call| call.is_accepted)?;
+    let mut names = deployment
+        .nodes
+        .iter()
+        .map(|node| node.launch.name.as_str());
+    names.position(|name| name == last.holder)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_is_reported_once_and_upstreams_are_ordered() {
+    let deployment = deployment(2, 1).await;
+    call_for(&deployment, "usage", Duration::from_secs(4)).await;
+    eventually("three windows are reported", async || {
+        deployment.cloud.reports().len() >= 3
+    })
+    .await;
+    let reports = deployment.cloud.reports();
+    assert!(
+        reports.values().all(|different| different.len() == 1),
+        "{reports:?}"
+    );
+    let ordered = deployment.cloud.calls().iter().any(|call| {
+        matches!(
+            call.duty,
+            teaselline_stand_ins::operators::cloud::Duty::Scale { spot: true, .. }
+        )
+    });
+    assert!(ordered, "reclaimable upstreams are ordered");
+    // Windows whose neighbours were reported too are complete.
+    let runs = u64::try_from(deployment.runs.lock().len()).expect("few");
+    let counted: u64 = reports
+        .values()
+        .flat_map(|different| different[0].values())
+        .sum();
+    assert!(
+        counted <= runs && counted * 2 >= runs,
+        "{counted} of {runs}"
+    );
+}
+
+/// Symptom: a window's usage is reported twice with different counts.
+/// Sequence: the node that reports is killed between two windows, again and again; another takes
+/// over and reports what it has counted itself.
+/// Cause: what was reported was not kept before it was sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_successor_never_reports_other_counts() {
+    let deployment = deployment(3, 1).await;
+    for round in 0..2 {
+        eventually("a node has the duties", async || {
+            holder(&deployment).is_some()
+        })
+        .await;
+        call_for(
+            &deployment,
+            &format!("kill-{round}"),
+            Duration::from_millis(2_500),
+        )
+        .await;
+        let killed = holder(&deployment).expect("a holder");
+        let before = deployment.cloud.calls().len();
+        deployment.nodes[killed]
+            .signal(Signal::SIGKILL)
+            .expect("it runs");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.nodes[killed].restart().expect("it starts");
+        call_for(
+            &deployment,
+            &format!("after-{round}"),
+            Duration::from_secs(2),
+        )
+        .await;
+        eventually("another call is made", async || {
+            deployment.cloud.calls().len() > before
+        })
+        .await;
+    }
+    let reports = deployment.cloud.reports();
+    assert!(
+        reports.values().all(|different| different.len() == 1),
+        "{reports:?}"
+    );
+    check_tokens(&deployment);
+}
+
+/// Symptom: two nodes act on a duty with the same token.
+/// Sequence: the holder's answers from the store are lost, so that it cannot know whether it still
+/// has the lease; another takes over.
+/// Cause: an append without an answer was taken to have failed, or to have succeeded.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_of_the_store_make_no_second_holder() {
+    let deployment = deployment(3, 1).await;
+    eventually("a node has the duties", async || {
+        holder(&deployment).is_some()
+    })
+    .await;
+    let first = holder(&deployment).expect("a holder");
+    deployment.doors[first].set(Door::LosingAnswers);
+    call_for(&deployment, "lost", Duration::from_secs(6)).await;
+    deployment.doors[first].set(Door::Open);
+    call_for(&deployment, "found", Duration::from_secs(3)).await;
+    check_tokens(&deployment);
+    let reports = deployment.cloud.reports();
+    assert!(
+        reports.values().all(|different| different.len() == 1),
+        "{reports:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_was_paused_does_not_act_on_its_old_lease() {
+    let deployment = deployment(3, 1).await;
+    eventually("a node has the duties", async || {
+        holder(&deployment).is_some()
+    })
+    .await;
+    let paused = holder(&deployment).expect("a holder");
+    deployment.nodes[paused]
+        .signal(Signal::SIGSTOP)
+        .expect("it runs");
+    eventually("another has the duties", async || {
+        holder(&deployment).is_some_and(|holder| holder != paused)
+    })
+    .await;
+    deployment.nodes[paused]
+        .signal(Signal::SIGCONT)
+        .expect("it is there");
+    call_for(&deployment, "woken", Duration::from_secs(3)).await;
+    check_tokens(&deployment);
+}
+
+/// Each token belongs to one node, and no call was refused for a lower one.
+fn check_tokens(deployment: &Deployment) {
+    let calls = deployment.cloud.calls();
+    let mut holders: Vec<(u64, &str)> = calls
+        .iter()
+        .map(|call| (call.token, call.holder.as_str()))
+        .collect();
+    holders.sort_unstable();
+    holders.dedup();
+    let mut tokens: Vec<u64> = holders.iter().map(|(token, _holder)| *token).collect();
+    tokens.dedup();
+    assert_eq!(tokens.len(), holders.len(), "{holders:?}");
+    assert!(calls.iter().all(|call| call.is_accepted), "{calls:?}");
+}
--- /dev/null
+++ b/tests/platform/leaving.rs
@@ -0,0 +1,114 @@
+//! Upstreams and nodes that go.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use teaselline_stand_ins::operators::deployment::asked;
+use teaselline_stand_ins::operators::store::Door;
+
+use super::support::{deployment, eventually, send};
+
+/// Symptom: requests reach an upstream two seconds after it has said that it leaves.
+/// Sequence: the store turns one node away; an upstream announces that it leaves; the node does
+/// not learn of it.
+/// Cause: each node went by its own reading of the store alone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_the_store_turns_away_learns_from_its_peers_who_leaves() {
+    let deployment = deployment(3, 2).await;
+    deployment.doors[2].set(Door::Refusing);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let leaving = &deployment.upstreams[0];
+    assert!(leaving.id().starts_with("desk"));
+    leaving.drain();
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+    for place in 0..30 {
+        let id = format!("drain-{place}");
+        let ended = send(&deployment, place % 3, &asked(&id, "once")).await;
+        assert_eq!(ended.status(), Some(200), "{ended:?}");
+        assert_ne!(
+            deployment.runs_of(&id)[0].upstream,
+            leaving.id(),
+            "node {}",
+            place % 3
+        );
+    }
+}
+
+/// Symptom: a planned stop cuts requests.
+/// Sequence: a node is told to stop while streams run and calls come.
+/// Cause: the process ended with its listener.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_request() {
+    let deployment = deployment(2, 2).await;
+    let node = deployment.nodes[0].callers();
+    let mut calls = Vec::new();
+    for place in 0..40 {
+        let route = if place % 2 == 0 { "stream" } else { "once" };
+        let call = asked(&format!("stop-{place}"), route);
+        calls.push(tokio::spawn(async move { (call.send(node).await, call) }));
+        if place == 10 {
+            deployment.nodes[0]
+                .signal(Signal::SIGTERM)
+                .expect("it runs");
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for call in calls {
+        let (ended, call) = call.await.expect("a call");
+        assert_eq!(ended.status(), Some(200), "{call:?}: {ended:?}");
+    }
+    eventually("the directory names the other node only", async || {
+        deployment.addresses(1).await == [deployment.nodes[1].callers().to_string()]
+    })
+    .await;
+    let status = deployment.nodes[0]
+        .wait_for_end(Duration::from_secs(8))
+        .await;
+    assert!(status.expect("it ended").success());
+}
+
+/// Symptom: a stream that a stopping node accepted is cut.
+/// Sequence: the node is told to stop; a caller with an old answer of the directory sends a stream
+/// shortly before the node ends.
+/// Cause: a stopping node accepted requests until its end.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_node_refuses_what_it_could_not_finish() {
+    let deployment = deployment(1, 1).await;
+    // A stream that goes on keeps the node from ending before its grace is over.
+    deployment.upstreams[1].set(teaselline_stand_ins::operators::Fault::Silent);
+    let node = deployment.nodes[0].callers();
+    let keeping = tokio::spawn(async move { asked("keeping", "stream").send(node).await });
+    eventually("it runs", async || {
+        !deployment.runs_of("keeping").is_empty()
+    })
+    .await;
+    deployment.nodes[0]
+        .signal(Signal::SIGTERM)
+        .expect("it runs");
+    tokio::time::sleep(Duration::from_millis(2_700)).await;
+    let late = send(&deployment, 0, &asked("late", "stream")).await;
+    if late != teaselline_stand_ins::operators::Ended::Refused {
+        assert!(late.says_not_run(), "{late:?}");
+    }
+    assert_eq!(deployment.runs_of("late"), []);
+    drop(keeping.await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_node_leaves_the_directory_and_comes_back() {
+    let deployment = deployment(2, 1).await;
+    deployment.nodes[1]
+        .signal(Signal::SIGKILL)
+        .expect("it runs");
+    eventually("it is gone from the directory", async || {
+        deployment.addresses(0).await.len() == 1
+    })
+    .await;
+    deployment.nodes[1].restart().expect("it starts");
+    eventually("it is back", async || {
+        deployment.addresses(0).await.len() == 2
+    })
+    .await;
+    let ended = send(&deployment, 1, &asked("back", "once")).await;
+    assert_eq!(ended.status(), Some(200), "{ended:?}");
+}
