--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -18,6 +18,7 @@
 use crate::options::arguments::EXIT_CODE_USAGE;
 use crate::options::settings::{Input, RequestContent, RequestSettings};
 use crate::options::{Action, ClientSettings, generate};
+use crate::telemetry;
 
 /// Exit code for everything that is no fault of the settings or the document.
 const EXIT_CODE_FAILURE: u8 = 1;
@@ -46,6 +47,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Unanswered(#[from] Unanswered),
+    /// The logs say nothing of the request.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    NoStory(#[from] telemetry::explain::NoStory),
     /// `serve` is no client command.
     #[error("a node is not run as a client command")]
     NotAClientCommand,
@@ -107,6 +112,18 @@
     }
 }
 
+/// Prints the story of a request.
+fn explain(id: &str, logs: &[Input]) -> Result<(), CommandError> {
+    let mut text = String::new();
+    for log in logs {
+        text.push_str(&input::read_text(log)?);
+        text.push('\n');
+    }
+    let story = telemetry::explain::explain(id, &text)?;
+    write!(io::stdout(), "{story}")?;
+    Ok(())
+}
+
 /// Carries out a subcommand.
 ///
 /// # Errors
@@ -125,6 +142,7 @@
         Action::Status { client, json } => status(client, json).await,
         Action::Audit { client, from } => audit(client, from).await,
         Action::Request { client, request } => send(client, request).await,
+        Action::Explain { id, logs } => explain(&id, &logs),
         Action::Completions { shell } => {
             generate::completions(shell, &mut io::stdout());
             Ok(())
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -14,7 +14,6 @@
 use crate::gateway::call::CallHead;
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
-use crate::gateway::peers::Message;
 use crate::gateway::quota::{self, Admission};
 use crate::gateway::refusal::Refusal;
 use crate::gateway::state::Gateway;
@@ -163,19 +162,10 @@
     let tokens = tokens.map(|prompt| prompt.input_tokens + prompt.max_output_tokens);
     let cost = quota::cost(team.unit, tokens);
     let audience = node.peers.lock().audience(now);
-    let mut quotas = node.quotas.lock();
-    match quotas.admit(team, cost, audience, now) {
-        Admission::Admitted => {}
-        Admission::Over { retry_after_ms } => return Err(Refusal::OverLimit { retry_after_ms }),
+    match node.quotas.lock().admit(team, cost, audience, now) {
+        Admission::Admitted => Ok(cost),
+        Admission::Over { retry_after_ms } => Err(Refusal::OverLimit { retry_after_ms }),
     }
-    if let Some((team, total)) = quotas.urgent(team, audience, now) {
-        node.tell_peers(Message::Admitted {
-            incarnation: node.incarnation,
-            team,
-            total,
-        });
-    }
-    Ok(cost)
 }
 
 async fn read_body(body: Incoming, max_bytes: usize, limit_at: TimeMs) -> Result<Bytes, Refusal> {
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::admit::Plan;
-use super::story::Story;
+use super::story::{Inputs, Story};
 use crate::gateway::budget;
 use crate::gateway::call::Prompt;
 use crate::gateway::choose::{self, Ask, Choice};
@@ -269,7 +269,18 @@
         return Err(Vain::NotRun("upstream_gone", String::new()));
     };
     let mut running = Running::new(node, choice, tag(&id), clock::now());
-    story.sent(&id);
+    let now = clock::now();
+    story.sent(
+        &id,
+        Inputs {
+            expected_ms: choice.expected_ms,
+            running: choice.running,
+            slots: choice.slots,
+            unread_tokens: choice.unread_tokens,
+            upstreams_age_ms: now.since(node.upstreams_view.lock().read_at),
+            configuration_age_ms: now.since(node.in_force.read().current_at),
+        },
+    );
     let may_repeat = plan.route().may_repeat();
     // A kept channel may turn out to be closed; a new one is opened then.
     let mut sent = None;
--- a/src/gateway/exchange/story.rs
+++ b/src/gateway/exchange/story.rs
@@ -6,6 +6,21 @@
 use crate::gateway::refusal::Refusal;
 use crate::time::TimeMs;
 
+/// What a choice of upstream was made from.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Inputs {
+    /// Until the first token or the answer.
+    pub expected_ms: f64,
+    /// Requests that were there, of all nodes, and those that it runs at once.
+    pub running: u32,
+    pub slots: u32,
+    /// Prompt tokens that it had to read.
+    pub unread_tokens: u64,
+    /// How old the view of upstreams was, and the configuration.
+    pub upstreams_age_ms: u64,
+    pub configuration_age_ms: u64,
+}
+
 /// Collects what decided about a request and writes one line when it ends.
 #[derive(Debug)]
 pub(super) struct Story {
@@ -15,6 +30,7 @@
     team: Option<String>,
     configuration_version: u64,
     upstream: String,
+    inputs: Inputs,
     sends: u32,
     first_ms: Option<u64>,
     is_told: bool,
@@ -29,6 +45,7 @@
             team: None,
             configuration_version: 0,
             upstream: String::new(),
+            inputs: Inputs::default(),
             sends: 0,
             first_ms: None,
             is_told: false,
@@ -50,8 +67,9 @@
     }
 
     /// The request goes to an upstream.
-    pub fn sent(&mut self, upstream: &str) {
+    pub fn sent(&mut self, upstream: &str, inputs: Inputs) {
         upstream.clone_into(&mut self.upstream);
+        self.inputs = inputs;
         self.sends += 1;
     }
 
@@ -63,6 +81,10 @@
             request_id = self.request_id.as_deref().unwrap_or_default(),
             route = self.route.as_str(),
             upstream = self.upstream.as_str(),
+            expected_ms = self.inputs.expected_ms,
+            upstream_running = self.inputs.running,
+            upstream_slots = self.inputs.slots,
+            upstreams_age_ms = self.inputs.upstreams_age_ms,
             send = self.sends,
             after_ms = now.since(self.received_at),
             reason,
@@ -106,8 +128,14 @@
             route = self.route.as_str(),
             team = self.team.as_deref().unwrap_or_default(),
             upstream = self.upstream.as_str(),
+            expected_ms = self.inputs.expected_ms,
+            upstream_running = self.inputs.running,
+            upstream_slots = self.inputs.slots,
+            unread_tokens = self.inputs.unread_tokens,
+            upstreams_age_ms = self.inputs.upstreams_age_ms,
+            configuration_age_ms = self.inputs.configuration_age_ms,
             sends = self.sends,
-            first_ms:? = self.first_ms,
+            first_ms = self.first_ms,
             took_ms,
             configuration_version = self.configuration_version;
             "a request ended"
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -57,10 +57,12 @@
             _tick = pulses.tick() => {
                 let now = clock::now();
                 let is_stopping = node.is_stopping();
+                if interval_ms(&node) > PULSE_INTERVAL_MS * 2 {
+                    exchange_admitted(&node, &socket, now).await;
+                }
                 let is_due = now.since(pulsed_at) >= interval_ms(&node);
                 if is_due || is_stopping != was_stopping {
                     pulsed_at = now;
-                    node.quotas.lock().note_told(now);
                     was_stopping = is_stopping;
                     let pulse = Message::Pulse(Box::new(pulse(&node, now)));
                     send_to_all(&node, &socket, &pulse).await;
@@ -132,6 +134,14 @@
 }
 
 async fn send_to_all(node: &Gateway, socket: &UdpSocket, message: &Message) {
+    let addresses: Vec<SocketAddr> = {
+        let peers = node.peers.lock();
+        peers.iter().map(|peer| peer.member.gossip).collect()
+    };
+    send_to(socket, message, &addresses).await;
+}
+
+async fn send_to(socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
     let encoded = match bincode::encode_to_vec(message, bincode::config::standard()) {
         Ok(encoded) if encoded.len() <= MAX_DATAGRAM_BYTES => encoded,
         Ok(encoded) => {
@@ -143,13 +153,9 @@
             return;
         }
     };
-    let addresses: Vec<SocketAddr> = {
-        let peers = node.peers.lock();
-        peers.iter().map(|peer| peer.member.gossip).collect()
-    };
     for address in addresses {
-        if let Err(error) = socket.send_to(&encoded, address).await {
-            log::debug!(error:err = error, peer:% = address; "a datagram was not sent");
+        if let Err(error) = socket.send_to(&encoded, *address).await {
+            log::debug!(error:err = error, peer:% = *address; "a datagram was not sent");
         }
     }
 }
@@ -178,21 +184,46 @@
                 node.upstreams_view.lock().read_at = TimeMs(0);
             }
         }
-        Message::Admitted {
-            incarnation,
-            team,
-            total,
-        } => {
-            let catalog = node.catalog();
-            let totals = [(team, total)];
-            (node.quotas.lock()).note_peer(incarnation, &totals, &catalog.teams, now);
-        }
+        Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
         }
     }
 }
 
+fn take_admitted(node: &Gateway, team: u64, totals: &[(u64, f64)], now: TimeMs) {
+    let catalog = node.catalog();
+    let mut quotas = node.quotas.lock();
+    for (incarnation, total) in totals
+        .iter()
+        .filter(|(peer, _total)| *peer != node.incarnation)
+    {
+        quotas.note_peer(*incarnation, &[(team, *total)], &catalog.teams, now);
+    }
+}
+
+/// Tells the collectors of all teams what this node has admitted, and passes on what it collects.
+async fn exchange_admitted(node: &Gateway, socket: &UdpSocket, now: TimeMs) {
+    for team in &node.catalog().teams {
+        let tag = super::upstreams::tag(&team.name);
+        let collector = node.peers.lock().collector(tag, now);
+        if let Some(address) = collector {
+            let untold = node.quotas.lock().untold(team, now);
+            if let Some(total) = untold {
+                let totals = vec![(node.incarnation, total)];
+                let message = Message::Admitted { team: tag, totals };
+                send_to(socket, &message, &[address]).await;
+            }
+            continue;
+        }
+        let totals = (node.quotas.lock()).collected(team, node.incarnation, now);
+        if !totals.is_empty() {
+            let message = Message::Admitted { team: tag, totals };
+            send_to_all(node, socket, &message).await;
+        }
+    }
+}
+
 fn take_pulse(node: &Gateway, pulse: &Pulse, now: TimeMs) {
     let incarnation = pulse.member.incarnation;
     {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -45,11 +45,11 @@
         changes: Vec<Change>,
     },
     Strike(Strike),
-    /// What a node has admitted of one team since its start, told between two pulses.
+    /// What nodes have admitted of one team since their starts, by incarnation; told between two
+    /// pulses to the team's collector, and by it to all.
     Admitted {
-        incarnation: u64,
         team: u64,
-        total: f64,
+        totals: Vec<(u64, f64)>,
     },
 }
 
@@ -197,6 +197,17 @@
         can && first.is_none_or(|first| self.own.name.as_str() < first)
     }
 
+    /// The peer that collects what nodes admit of a team; none if this node does.
+    ///
+    /// All nodes that hear the same peers choose the same one.
+    pub fn collector(&self, team: u64, now: TimeMs) -> Option<SocketAddr> {
+        let rank = |name: &str| super::upstreams::tag(name) ^ team;
+        let rank = |member: &Member| rank(&member.name).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let peers = self.heard(now).filter(|peer| !peer.is_stopping);
+        let first = peers.min_by_key(|peer| rank(&peer.member))?;
+        (rank(&first.member) < rank(&self.own)).then_some(first.member.gossip)
+    }
+
     /// Whether the run of a node that holds the duties is heard and not about to end.
     pub fn is_alive(&self, holder: &Holder, now: TimeMs) -> bool {
         self.heard(now)
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -16,22 +16,14 @@
 /// Time over which a peer's rate is averaged: several of its reports.
 const RATE_SPAN_MS: f64 = 1_000.0;
 
-/// Part of a team's rate that a node may use untold.
-///
-/// At a team's limit each of many nodes admits a request a second or less; if none of them were
-/// told, they would be a second's worth together.
-const UNTOLD_RATE_PART: f64 = 0.3;
-
-/// Longest time for which a peer's rate is taken to go on unheard; what goes beyond its even part
-/// is told at once.
+/// Longest time for which a peer's rate is taken to go on unheard: about what news takes, between
+/// pulses of few nodes and through the collector of many.
 const EXTRAPOLATED_MS: u64 = 300;
 
-/// Part of a team's burst that all nodes together may admit unheard beyond its rate.
+/// A team whose bucket is emptier than this part of its burst is near its limit.
 ///
-/// With pulses a second apart, 87 nodes admitted several seconds' worth of a team's rate before
-/// they heard of each other; telling at once what goes beyond a node's even part holds that to
-/// about a quarter of a second's worth and costs nothing while teams stay within their limits.
-const UNTOLD_PART: f64 = 0.25;
+/// A team that stays within its rate has a full bucket but for single requests.
+const NEAR_PART: f64 = 0.75;
 
 /// Longest time after which a refused caller is told to come back.
 const LONGEST_RETRY_MS: u64 = 3_000;
@@ -88,9 +80,10 @@
     filled_at: TimeMs,
     /// All that this node has admitted since its start.
     own_total: f64,
-    /// What of that the peers have been told, and when.
+    /// What of that the team's collector has been told.
     told_total: f64,
-    told_at: TimeMs,
+    /// Totals by incarnation that this node has passed on as the team's collector.
+    passed_on: Vec<(u64, f64)>,
     /// Sorted by the peer's incarnation.
     peers: Vec<PeerUse>,
 }
@@ -112,11 +105,7 @@
         let rate_per_s = rate_per_s * audience.share();
         let bucket = self.bucket(tag(&team.name), team.burst, now);
         bucket.refill(rate_per_s, team.burst, now);
-        let untold_of_peers = match audience.heard {
-            0 | 1 => 0.0,
-            _ => team.burst * UNTOLD_PART / 2.0,
-        };
-        let level = bucket.level - bucket.unheard(now) - untold_of_peers;
+        let level = bucket.level - bucket.unheard(now);
         if level > 0.0 {
             bucket.level -= cost;
             bucket.own_total += cost;
@@ -134,35 +123,45 @@
     pub fn give_back(&mut self, team: &Team, cost: f64, now: TimeMs) {
         if team.rate_per_s.is_some() {
             let bucket = self.bucket(tag(&team.name), team.burst, now);
+            // Totals only grow, so that an older one which comes late can be told from a newer; the
+            // peers go on counting this request, which is a small part of a limit.
             bucket.level += cost;
-            bucket.own_total -= cost;
         }
     }
 
-    /// What the peers must be told at once: a team's total, if what they have not been told goes
-    /// beyond this node's even part of the team's rate since then.
-    pub fn urgent(&mut self, team: &Team, audience: Audience, now: TimeMs) -> Option<(u64, f64)> {
-        let rate_per_s = team.rate_per_s?;
+    /// What a team's collector passes on: the totals of nodes that have changed since it last did,
+    /// if the team is near its limit.
+    ///
+    /// While a team is far from its limit nobody has to hurry.
+    pub fn collected(&mut self, team: &Team, own: u64, now: TimeMs) -> Vec<(u64, f64)> {
+        let Some(rate_per_s) = team.rate_per_s else {
+            return Vec::new();
+        };
         let bucket = self.bucket(tag(&team.name), team.burst, now);
-        let untold = bucket.own_total - bucket.told_total;
-        let since_s = num::real(now.since(bucket.told_at)) / 1_000.0;
-        let nodes = f64::from(audience.heard.max(1));
-        let is_urgent =
-            untold > (UNTOLD_PART * team.burst + UNTOLD_RATE_PART * rate_per_s * since_s) / nodes;
-        if !is_urgent {
-            return None;
+        bucket.refill(rate_per_s, team.burst, now);
+        if bucket.level > team.burst * NEAR_PART {
+            return Vec::new();
         }
-        bucket.told_total = bucket.own_total;
-        bucket.told_at = now;
-        Some((bucket.team, bucket.own_total))
+        let own = (own, bucket.own_total);
+        let peers = bucket
+            .peers
+            .iter()
+            .map(|peer| (peer.incarnation, peer.total));
+        let all: Vec<(u64, f64)> = peers.chain([own]).collect();
+        let passed_on = std::mem::take(&mut bucket.passed_on);
+        let changed = all.iter().filter(|row| !passed_on.contains(row));
+        let changed = changed.copied().collect();
+        bucket.passed_on = all;
+        changed
     }
 
-    /// Notes that the peers are told all totals.
-    pub fn note_told(&mut self, now: TimeMs) {
-        for bucket in &mut self.buckets {
-            bucket.told_total = bucket.own_total;
-            bucket.told_at = now;
-        }
+    /// What a team's collector has to be told: this node's total, if it has changed.
+    pub fn untold(&mut self, team: &Team, now: TimeMs) -> Option<f64> {
+        team.rate_per_s?;
+        let bucket = self.bucket(tag(&team.name), team.burst, now);
+        let is_new = bucket.own_total > bucket.told_total;
+        bucket.told_total = bucket.own_total;
+        is_new.then_some(bucket.own_total)
     }
 
     /// What this node has admitted of each team, for its peers.
@@ -219,7 +218,7 @@
                 filled_at: now,
                 own_total: 0.0,
                 told_total: 0.0,
-                told_at: now,
+                passed_on: Vec::new(),
                 peers: Vec::new(),
             };
             self.buckets.insert(place, bucket);
@@ -252,11 +251,12 @@
         match found {
             Ok(place) => {
                 let peer = &mut self.peers[place];
-                let gained = total - peer.total;
+                // An older report that comes late gains nothing.
+                let gained = (total - peer.total).max(0.0);
                 let passed_ms = num::real(now.since(peer.heard_at).max(1));
                 let weight = (passed_ms / RATE_SPAN_MS).min(1.0);
-                peer.rate_per_ms += weight * (gained.max(0.0) / passed_ms - peer.rate_per_ms);
-                peer.total = total;
+                peer.rate_per_ms += weight * (gained / passed_ms - peer.rate_per_ms);
+                peer.total += gained;
                 peer.heard_at = now;
                 self.level -= gained;
             }
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -37,6 +37,7 @@
         .subcommand(status())
         .subcommand(audit())
         .subcommand(request())
+        .subcommand(explain())
         .subcommand(generate())
 }
 
@@ -215,6 +216,24 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells the story of one request from the logs of any number of nodes.")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("Explains the request with this id."),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .value_hint(ValueHint::FilePath)
+                .help("Reads these files of log lines; without any, or for -, standard input."),
+        )
+}
+
 fn request() -> Command {
     Command::new("request")
         .about("Sends one request as a caller, prints its answer as it comes, and resumes it on another node when a connection breaks.")
--- a/src/options/reader.rs
+++ b/src/options/reader.rs
@@ -78,6 +78,21 @@
         })
     }
 
+    /// Files, or standard input for `-` and if none is given.
+    pub fn files(&self, flag: &str) -> Vec<Input> {
+        let given = self.matches.get_many::<String>(flag).into_iter().flatten();
+        let mut files: Vec<Input> = given
+            .map(|path| match path.as_str() {
+                STANDARD_INPUT => Input::Standard,
+                _ => Input::File(PathBuf::from(path)),
+            })
+            .collect();
+        if files.is_empty() {
+            files.push(Input::Standard);
+        }
+        files
+    }
+
     pub fn optional_address(&mut self, flag: &'static str) -> Option<SocketAddr> {
         let text = self.optional_text(flag)?;
         self.parse(flag, &text, "an IP address and port, such as 10.0.0.7:8080")
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -77,6 +77,13 @@
         /// What to send.
         request: RequestSettings,
     },
+    /// Tell the story of a request from logs.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// The logs; never empty.
+        logs: Vec<Input>,
+    },
     /// Write completions for a shell.
     Completions {
         /// The shell.
@@ -270,6 +277,10 @@
             client: client(&mut reader),
             from: reader.integer("from", 0..=u64::MAX),
         },
+        "explain" => Action::Explain {
+            id: reader.text("id", "the id of a request"),
+            logs: reader.files("logs"),
+        },
         "request" => Action::Request {
             client: client(&mut reader),
             request: request(&mut reader)?,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,6 +1,9 @@
 //! Logs and metrics.
 
 pub mod control;
+pub mod explain;
+mod limits;
 mod logging;
+mod queue;
 
 pub use logging::{Output, init_logging};
