--- a/stand_ins/src/operators.rs
+++ b/stand_ins/src/operators.rs
@@ -5,6 +5,7 @@
 pub mod cloud;
 pub mod deployment;
 pub mod node;
+pub mod soak;
 pub mod store;
 pub mod upstream;
 
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -17,6 +17,7 @@
 use super::node::{Launch, Node};
 use super::store::{OpenDoor, Store};
 use super::upstream::{Run, Upstream, UpstreamSettings};
+use crate::proxy::{ProxySettings, TcpProxy};
 
 /// The host that callers name.
 pub const HOST: &str = "films.example";
@@ -41,6 +42,10 @@
     pub nodes: Vec<Node>,
     /// The store's door for each node.
     pub doors: Vec<OpenDoor>,
+    /// Proxies between each node and its door, if there are any.
+    pub store_proxies: Vec<TcpProxy>,
+    /// Proxies before upstreams by their ids, if there are any.
+    pub upstream_proxies: Vec<(String, TcpProxy)>,
     /// The store.
     pub store: Store,
     /// The interface for duties.
@@ -49,6 +54,7 @@
     pub upstreams: Vec<Upstream>,
     /// What upstreams have run.
     pub runs: Arc<Mutex<Vec<Run>>>,
+    is_proxied: bool,
     folder: TempDir,
 }
 
@@ -65,6 +71,8 @@
     pub grace_s: u64,
     /// Windows of usage, in seconds.
     pub usage_window_s: f64,
+    /// Leads what nodes say to the store and to upstreams through proxies.
+    pub is_proxied: bool,
 }
 
 impl Deployment {
@@ -81,6 +89,9 @@
         let mut deployment = Self {
             nodes: Vec::new(),
             doors: Vec::new(),
+            store_proxies: Vec::new(),
+            upstream_proxies: Vec::new(),
+            is_proxied: settings.is_proxied,
             store,
             cloud,
             upstreams: Vec::new(),
@@ -88,19 +99,29 @@
             folder,
         };
         for place in 0..settings.upstreams {
-            deployment.add_upstream("desk", &format!("desk-{place}"))?;
-            deployment.add_upstream("pool", &format!("pool-{place}"))?;
+            deployment
+                .add_upstream("desk", &format!("desk-{place}"))
+                .await?;
+            deployment
+                .add_upstream("pool", &format!("pool-{place}"))
+                .await?;
         }
         let installation = INSTALLATIONS.fetch_add(1, Ordering::Relaxed);
         for place in 0..settings.nodes {
             let door = deployment.store.open()?;
+            let mut store = door.address();
+            if settings.is_proxied {
+                let proxy = TcpProxy::start(ProxySettings::new(store)).await?;
+                store = proxy.address();
+                deployment.store_proxies.push(proxy);
+            }
             let launch = Launch {
                 binary: settings.binary.to_owned(),
                 name: format!("node-{place}"),
                 ip: address(installation, place),
                 zone: format!("zone-{}", place % 2),
                 zones: vec![String::from("zone-0"), String::from("zone-1")],
-                store: door.address(),
+                store,
                 cloud: deployment.cloud.address(),
                 grace_s: settings.grace_s,
                 usage_window_s: settings.usage_window_s,
@@ -123,13 +144,18 @@
     /// # Errors
     ///
     /// If no port is free.
-    pub fn add_upstream(&mut self, service: &str, id: &str) -> io::Result<()> {
+    pub async fn add_upstream(&mut self, service: &str, id: &str) -> io::Result<()> {
         let settings = UpstreamSettings {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: format!("zone-{}", self.upstreams.len() / 2 % 2),
         };
         let upstream = Upstream::start(settings, &self.store, &self.runs)?;
+        if self.is_proxied {
+            let proxy = TcpProxy::start(ProxySettings::new(upstream.address())).await?;
+            upstream.announce_as(proxy.address());
+            self.upstream_proxies.push((id.to_owned(), proxy));
+        }
         self.upstreams.push(upstream);
         Ok(())
     }
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -77,7 +77,7 @@
     id: String,
     service: String,
     zone: String,
-    address: SocketAddr,
+    address: Mutex<SocketAddr>,
     store: Store,
     fault: Mutex<Fault>,
     state: Mutex<&'static str>,
@@ -113,7 +113,7 @@
             id: settings.id,
             service: settings.service,
             zone: settings.zone,
-            address: listener.local_addr()?,
+            address: Mutex::new(listener.local_addr()?),
             store: store.clone(),
             fault: Mutex::default(),
             state: Mutex::new("ready"),
@@ -150,6 +150,18 @@
         &self.core.id
     }
 
+    /// Where it listens, or is announced to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        *self.core.address.lock()
+    }
+
+    /// Announces another address, such as that of a proxy before it.
+    pub fn announce_as(&self, address: SocketAddr) {
+        *self.core.address.lock() = address;
+        self.core.announce(500_000);
+    }
+
     /// Changes how it answers.
     pub fn set(&self, fault: Fault) {
         *self.core.fault.lock() = fault;
@@ -201,7 +213,7 @@
 impl Core {
     fn announce(&self, seq: u64) {
         let value = serde_json::json!({
-            "service": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "service": self.service, "address": self.address.lock().to_string(), "zone": self.zone,
             "version": "v1", "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
         });
         self.store
--- a/tests/platform/store.rs
+++ b/tests/platform/store.rs
@@ -41,7 +41,8 @@
     deployment.doors[0].set(Door::Refusing);
     tokio::time::sleep(Duration::from_millis(300)).await;
     deployment.upstreams[0].drain();
-    deployment.add_upstream("desk", "desk-new").expect("a port");
+    let added = deployment.add_upstream("desk", "desk-new").await;
+    added.expect("a port");
     deployment.configure(&document(2));
     for topic in ["keyed.servers", "keyed.op", "duties"] {
         deployment.store.forget_history(topic);
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,31 @@
+//! A short seeded soak, and the seeds that ever showed a fault.
+
+use std::path::Path;
+use std::time::Duration;
+
+use teaselline_stand_ins::operators::soak::{self, SoakSettings};
+
+async fn soak(seed: u64, seconds: u64) {
+    let settings = SoakSettings {
+        binary: Path::new(env!("CARGO_BIN_EXE_teaselline")),
+        seed,
+        span: Duration::from_secs(seconds),
+        nodes: 3,
+    };
+    let outcome = soak::run(settings).await.expect("the installation starts");
+    assert!(
+        outcome.broken.is_empty(),
+        "seed {seed}\nfaults:\n{}\nbroken:\n{}",
+        outcome.faults.join("\n"),
+        outcome.broken.join("\n")
+    );
+    assert!(
+        outcome.ended.get("200").is_some_and(|count| *count > 20),
+        "{outcome:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_short_soak_breaks_no_promise() {
+    soak(1, 8).await;
+}
