--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,8 +24,8 @@
 /// Between two pulses to each peer, for few peers.
 const PULSE_INTERVAL_MS: u64 = 200;
 
-/// Time that each peer adds to the interval, so that a node sends at most about 80 pulses a second.
-const PULSE_INTERVAL_PER_PEER_MS: u64 = 12;
+/// Time that each peer adds to the interval, so that a node sends at most about 170 pulses a second.
+const PULSE_INTERVAL_PER_PEER_MS: u64 = 6;
 
 /// Between two looks at the store for nodes that are not known.
 const DISCOVERY_INTERVAL_MS: u64 = 1_000;
@@ -126,6 +126,7 @@
         upstreams_end: view.end,
         upstreams_age_ms: now.since(view.read_at),
         time_of_day_ms: clock::time_of_day().0,
+        interval_ms: interval_ms(node),
         loads: node.upstreams.lock().own_loads(),
         usage: node.usage.lock().own_rows(),
         admitted: node.quotas.lock().own_totals(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -14,8 +14,14 @@
 use super::usage;
 use crate::time::TimeMs;
 
-/// A peer that has been silent for longer is taken to be away: three pulses.
-pub(crate) const SILENT_MS: u64 = 1_000;
+/// A peer that has been silent for longer is taken to be away, for few nodes: five pulses.
+const LEAST_SILENT_MS: u64 = 1_000;
+
+/// Pulses that a peer may miss before it is taken to be away, for many nodes.
+///
+/// With 87 nodes pulses are half a second apart. A peer that counted as away between two pulses
+/// would be left out of limits and of the choice of who reads for all, again and again.
+const SILENT_PULSES: u64 = 3;
 
 /// A peer that has been silent for longer is forgotten.
 ///
@@ -71,6 +77,8 @@
     pub upstreams_age_ms: u64,
     /// Its time of day, in Unix milliseconds.
     pub time_of_day_ms: u64,
+    /// How long until its next pulse.
+    pub interval_ms: u64,
     /// Requests it has running, by upstream.
     pub loads: Vec<(u64, Load)>,
     /// Requests it saw begin, by window and team.
@@ -89,6 +97,8 @@
     pub heard_at: TimeMs,
     /// When it was first told of.
     known_since: TimeMs,
+    /// Between two of its pulses.
+    interval_ms: u64,
     pub is_ready: bool,
     pub is_stopping: bool,
     pub reaches_store: bool,
@@ -160,6 +170,7 @@
         let peer = &mut self.peers[place];
         peer.member = member.clone();
         peer.heard_at = now;
+        peer.interval_ms = pulse.interval_ms;
         peer.is_ready = pulse.is_ready;
         peer.is_stopping = pulse.is_stopping;
         peer.reaches_store = pulse.reaches_store;
@@ -228,7 +239,8 @@
 }
 
 fn is_heard(peer: &Peer, now: TimeMs) -> bool {
-    peer.heard_at > TimeMs(0) && now.since(peer.heard_at) < SILENT_MS
+    let silent_ms = LEAST_SILENT_MS.max(peer.interval_ms * SILENT_PULSES);
+    peer.heard_at > TimeMs(0) && now.since(peer.heard_at) < silent_ms
 }
 
 impl Peer {
@@ -237,6 +249,7 @@
             member,
             heard_at: TimeMs(0),
             known_since: now,
+            interval_ms: 0,
             is_ready: false,
             is_stopping: false,
             reaches_store: false,
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -22,6 +22,7 @@
         upstreams_end: 0,
         upstreams_age_ms: 0,
         time_of_day_ms,
+        interval_ms: 200,
         loads: Vec::new(),
         usage: Vec::new(),
         admitted: Vec::new(),
@@ -45,6 +46,20 @@
     assert_eq!(peers.iter().count(), 0);
 }
 
+/// Symptom: teams are refused far below their limits, and all nodes read what one should read.
+/// Sequence: 87 nodes send pulses a second apart; each takes the others for away just before the
+/// next pulse comes.
+/// Cause: the time after which a peer is away did not follow the time between pulses.
+#[test]
+fn a_peer_whose_pulses_are_rare_is_heard_between_them() {
+    let mut peers = Peers::new(member("b", 1));
+    let mut rare = pulse("a", 0);
+    rare.interval_ms = 1_030;
+    peers.note_pulse(&rare, TimeMs(1_000));
+    assert_eq!(peers.heard(TimeMs(2_100)).count(), 1);
+    assert_eq!(peers.heard(TimeMs(4_200)).count(), 0);
+}
+
 /// Symptom: nodes that are cut off from each other admit the whole of a limit each.
 /// Sequence: a peer falls silent; it is forgotten at once.
 /// Cause: a silent peer was taken to admit nothing.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod calm;
 mod configuration;
 mod duties;
+mod explained;
 mod input;
 mod leaving;
 mod store;
