bug: Tell changes of upstreams again for a while

A node that the store turned away had only the datagram of the reading node, which can be lost; every later one began behind the change, and the node could not read what it had missed. Change: each message holds the changes of the last 1.6 s.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -24,6 +24,7 @@
 mod peers;
 mod prefixes;
 mod quota;
+mod recent;
 mod refusal;
 mod run;
 pub(crate) mod settings;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -177,8 +177,8 @@
             } else {
                 TimeMs(0)
             };
-            reached(node, to, read_at);
-            node.tell_peers(Message::Upstreams { from, to, changes });
+            note_reading(node, from, to, changes, read_at);
+            tell_recent(node);
             Ok(())
         }
         Err(StoreError::Deleted { first }) => {
@@ -200,6 +200,26 @@
     Ok(())
 }
 
+/// Takes in that announcements have been read from one offset up to another.
+pub(crate) fn note_reading(
+    node: &Gateway,
+    from: u64,
+    to: u64,
+    changes: Vec<Change>,
+    read_at: TimeMs,
+) {
+    node.recent.lock().note(from, to, changes, clock::now());
+    reached(node, to, read_at);
+}
+
+/// Tells the peers what has changed in the last moments.
+fn tell_recent(node: &Gateway) {
+    let recent = node.recent.lock().all();
+    if let Some((from, to, changes)) = recent {
+        node.tell_peers(Message::Upstreams { from, to, changes });
+    }
+}
+
 fn reached(node: &Gateway, end: u64, read_at: TimeMs) {
     let mut view = node.upstreams_view.lock();
     *view = UpstreamsView {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -15,6 +15,7 @@
 use super::num;
 use super::peers::{FORGET_MS, Member, Message, Pulse};
 use super::state::Gateway;
+use super::upstreams::Change;
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
 
@@ -173,18 +174,7 @@
     };
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
-        Message::Upstreams { from, to, changes } => {
-            let mut view = *node.upstreams_view.lock();
-            // What was missed in between is read from the store.
-            if view.end >= from && view.end > 0 {
-                follow::take_changes(node, changes, now);
-                view.end = view.end.max(to);
-                view.read_at = view.read_at.max(now);
-                *node.upstreams_view.lock() = view;
-            } else {
-                node.upstreams_view.lock().read_at = TimeMs(0);
-            }
-        }
+        Message::Upstreams { from, to, changes } => take_upstreams(node, from, to, changes, now),
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
@@ -192,6 +182,21 @@
     }
 }
 
+/// Takes in what another node has read of the announcements of upstreams.
+fn take_upstreams(node: &Gateway, from: u64, to: u64, changes: Vec<Change>, now: TimeMs) {
+    let end = node.upstreams_view.lock().end;
+    match end {
+        // What was missed in between is read from the store.
+        _ if end < from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
+        // This node has read further itself.
+        _ if end > to => {}
+        _ => {
+            let changes = follow::take_changes(node, changes, now);
+            follow::note_reading(node, end, to, changes, now);
+        }
+    }
+}
+
 fn take_admitted(node: &Gateway, team: u64, totals: &[(u64, f64)], now: TimeMs) {
     let catalog = node.catalog();
     let mut quotas = node.quotas.lock();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::peers::{Member, Message, Peers};
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
+use super::recent::Recent;
 use super::settings::NodeSettings;
 use super::stopping::Stop;
 use super::strikes::Strikes;
@@ -55,6 +56,8 @@
     pub in_force: RwLock<InForce>,
     pub upstreams: Mutex<UpstreamTable>,
     pub upstreams_view: Mutex<UpstreamsView>,
+    /// Changes of upstreams that peers are told again.
+    pub recent: Mutex<Recent>,
     pub store_contact: Mutex<StoreContact>,
     pub prefixes: Mutex<Prefixes>,
     pub quotas: Mutex<Quotas>,
@@ -103,6 +106,7 @@
             in_force: RwLock::default(),
             upstreams: Mutex::default(),
             upstreams_view: Mutex::default(),
+            recent: Mutex::default(),
             store_contact: Mutex::default(),
             prefixes: Mutex::default(),
             quotas: Mutex::default(),
