perf: Agree on a second engine for each shared part, and weigh reading again higher

Change: all nodes expect a part at a first and a second engine; a token read again counts three times instead of twice.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -33,11 +33,14 @@
 /// How much more a token counts that some upstream has read before.
 ///
 /// Reading it again delays all requests of that engine's batch, not only this one.
-const READ_AGAIN_WEIGHT: f64 = 2.0;
+const READ_AGAIN_WEIGHT: f64 = 3.0;
 
-/// Part of a shared prompt that is expected to be missing where all nodes send it by preference,
-/// if this node has not sent it there itself.
-const PREFERRED_MISSING: f64 = 0.3;
+/// Parts of a shared prompt that are expected to be missing at its first and its second engine by
+/// preference, if this node has not sent it there itself.
+///
+/// What does not find room at the first goes to the second on all nodes alike; if each node chose
+/// by load alone, one part would be read by many engines.
+const PREFERRED_MISSING: [f64; 2] = [0.3, 0.6];
 
 /// Milliseconds that a share of failures of 1 counts for.
 const FAILURE_MS: f64 = 3_000.0;
@@ -97,7 +100,8 @@
     let is_sound =
         |upstream: &Upstream| !upstream.health.is_paused(now) && !upstream.is_silent(now);
     let any_sound = candidates.iter().any(|(_key, upstream)| is_sound(upstream));
-    let preferred = ask.prompt.and_then(|prompt| preferred(&candidates, prompt));
+    let preferred = ask.prompt.map(|prompt| preferred(&candidates, prompt));
+    let preferred = preferred.unwrap_or_default();
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
         if any_sound && !is_sound(upstream) {
@@ -117,30 +121,39 @@
     best.map(|(_score, choice)| choice)
 }
 
-/// The upstream at which all nodes expect the shared part of a prompt.
-fn preferred(candidates: &[(UpstreamKey, &Upstream)], prompt: &Prompt) -> Option<UpstreamKey> {
-    let part = prompt.shared()?.id;
-    let ranked = candidates.iter().max_by_key(|(_key, upstream)| {
+/// The two upstreams at which all nodes expect the shared part of a prompt, the first one first.
+fn preferred(candidates: &[(UpstreamKey, &Upstream)], prompt: &Prompt) -> [Option<UpstreamKey>; 2] {
+    let Some(part) = prompt.shared() else {
+        return [None; 2];
+    };
+    let mut ranked = [(0, None); 2];
+    for (key, upstream) in candidates {
         let mut hasher = XxHash3_64::new();
-        hasher.write_u64(part);
+        hasher.write_u64(part.id);
         hasher.write_u64(upstream.tag);
-        hasher.finish()
-    });
-    ranked.map(|(key, _upstream)| *key)
+        let rank = hasher.finish();
+        match rank {
+            _ if rank > ranked[0].0 => ranked = [(rank, Some(*key)), ranked[0]],
+            _ if rank > ranked[1].0 => ranked[1] = (rank, Some(*key)),
+            _ => {}
+        }
+    }
+    ranked.map(|(_rank, key)| key)
 }
 
 fn expect_engine(
     key: UpstreamKey,
     upstream: &Upstream,
     prompt: &Prompt,
-    preferred: Option<UpstreamKey>,
+    preferred: [Option<UpstreamKey>; 2],
     prefixes: &Prefixes,
     now: TimeMs,
 ) -> Choice {
     let shared_tokens = num::real(prompt.shared_tokens());
     let missing = match prompt.shared() {
         Some(part) if prefixes.holds(part.id, key, now) => 0.0,
-        Some(_part) if preferred == Some(key) => PREFERRED_MISSING,
+        Some(_part) if preferred[0] == Some(key) => PREFERRED_MISSING[0],
+        Some(_part) if preferred[1] == Some(key) => PREFERRED_MISSING[1],
         _ => 1.0,
     };
     let unread_tokens = num::real(prompt.own_tokens()) + missing * shared_tokens;
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -187,3 +187,33 @@
     });
     assert_eq!(to_grey.count(), 0);
 }
+
+/// Symptom: after a wave of reclaims the same shared parts are read by engine after engine.
+/// Sequence: half of the engines go; the first choice of a part is busy; each node sends the part
+/// to the engine that seems least busy to it.
+/// Cause: nodes agreed on one engine for a part only, not on where to go from there.
+#[test]
+fn all_nodes_turn_to_the_same_second_engine() {
+    let mut seconds = Vec::new();
+    for busy in [20, 40] {
+        let mut table = table(12);
+        let prompt = prompt(5);
+        let ask = ask("engines", Some(&prompt), &[]);
+        let first = choose(&table, &Prefixes::default(), &ask, NOW).expect("some");
+        table.get_mut(first.upstream).expect("there").own = Load {
+            running: busy,
+            unread_tokens: 120_000,
+        };
+        // Loads that nodes see differently, but not by much.
+        let other = table.find("e7").expect("there");
+        table.get_mut(other).expect("there").own.running = busy % 7;
+        let second = choose(&table, &Prefixes::default(), &ask, NOW).expect("some");
+        assert_ne!(second.upstream, first.upstream);
+        assert!(
+            second.unread_tokens < 17_000,
+            "it is expected to have read the part"
+        );
+        seconds.push(second.upstream);
+    }
+    assert_eq!(seconds[0], seconds[1]);
+}
