bug: Start limits empty, so that a restart gives no burst

All processes are killed at 13 s while a team is at its limit; every node started with full buckets and gave it its burst of 0.27 million again. Change: a bucket fills up from the node's start.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -77,6 +77,8 @@
 pub(crate) struct Quotas {
     /// Sorted by team.
     buckets: Vec<Bucket>,
+    /// When this node started; a bucket of that moment would be empty.
+    started_at: TimeMs,
     /// Peers that have been heard, whether they admitted anything or not; sorted.
     heard: Vec<(u64, TimeMs)>,
 }
@@ -105,13 +107,25 @@
 }
 
 impl Quotas {
+    /// The buckets of a node that starts now: they are empty and fill up.
+    ///
+    /// What teams used before is not known. If all nodes are killed at once while a team is at its
+    /// limit, buckets that start full would give it its whole burst again.
+    #[must_use]
+    pub fn new(started_at: TimeMs) -> Self {
+        Self {
+            started_at,
+            ..Self::default()
+        }
+    }
+
     /// Admits a request if its team's bucket allows, and takes its cost out.
     pub fn admit(&mut self, team: &Team, cost: f64, audience: Audience, now: TimeMs) -> Admission {
         let Some(rate_per_s) = team.rate_per_s else {
             return Admission::Admitted;
         };
         let rate_per_s = rate_per_s * audience.share();
-        let bucket = self.bucket(tag(&team.name), team.burst, now);
+        let bucket = self.bucket(team, now);
         bucket.refill(rate_per_s, team.burst, now);
         let reserve = if audience.known > MANY_NODES {
             team.burst * MANY_NODES_RESERVE_PART
@@ -135,7 +149,7 @@
     /// Gives back the cost of a request that did not run.
     pub fn give_back(&mut self, team: &Team, cost: f64, now: TimeMs) {
         if team.rate_per_s.is_some() {
-            let bucket = self.bucket(tag(&team.name), team.burst, now);
+            let bucket = self.bucket(team, now);
             // Totals only grow, so that an older one which comes late can be told from a newer; the
             // peers go on counting this request, which is a small part of a limit.
             bucket.level += cost;
@@ -150,7 +164,7 @@
         let Some(rate_per_s) = team.rate_per_s else {
             return Vec::new();
         };
-        let bucket = self.bucket(tag(&team.name), team.burst, now);
+        let bucket = self.bucket(team, now);
         bucket.refill(rate_per_s, team.burst, now);
         if bucket.level > team.burst * NEAR_PART {
             return Vec::new();
@@ -171,7 +185,7 @@
     /// What a team's collector has to be told: this node's total, if it has changed.
     pub fn untold(&mut self, team: &Team, now: TimeMs) -> Option<f64> {
         team.rate_per_s?;
-        let bucket = self.bucket(tag(&team.name), team.burst, now);
+        let bucket = self.bucket(team, now);
         let is_new = bucket.own_total > bucket.told_total;
         bucket.told_total = bucket.own_total;
         is_new.then_some(bucket.own_total)
@@ -203,7 +217,7 @@
             let tag = tag(&team.name);
             let total = totals.iter().find(|(team, _total)| *team == tag);
             if let Some((_team, total)) = total {
-                let bucket = self.bucket(tag, team.burst, now);
+                let bucket = self.bucket(team, now);
                 bucket.note_peer(incarnation, *total, was_heard, now);
             }
         }
@@ -220,14 +234,16 @@
         }
     }
 
-    fn bucket(&mut self, team: u64, burst: f64, now: TimeMs) -> &mut Bucket {
+    fn bucket(&mut self, team: &Team, now: TimeMs) -> &mut Bucket {
+        let tag = tag(&team.name);
         let found = self
             .buckets
-            .binary_search_by_key(&team, |bucket| bucket.team);
+            .binary_search_by_key(&tag, |bucket| bucket.team);
         let place = found.unwrap_or_else(|place| {
+            let filled = num::real(now.since(self.started_at)) / 1_000.0;
             let bucket = Bucket {
-                team,
-                level: burst,
+                team: tag,
+                level: (team.rate_per_s.unwrap_or(0.0) * filled).min(team.burst),
                 filled_at: now,
                 own_total: 0.0,
                 told_total: 0.0,
--- a/src/gateway/quota/tests.rs
+++ b/src/gateway/quota/tests.rs
@@ -3,6 +3,16 @@
 /// A node without peers has the whole limit to itself.
 const ALL: Audience = Audience { known: 1, heard: 1 };
 
+/// A time long after the node's start.
+fn at(ms: u64) -> TimeMs {
+    TimeMs(100_000 + ms)
+}
+
+/// The buckets of a node that has run for long: they are full.
+fn long_running() -> Quotas {
+    Quotas::new(TimeMs(0))
+}
+
 fn team(rate_per_s: f64, burst: f64) -> Team {
     Team {
         name: "archive".to_owned(),
@@ -25,18 +35,18 @@
 #[test]
 fn a_team_may_use_its_burst_and_then_its_rate() {
     let team = team(1_000.0, 5_000.0);
-    let mut quotas = Quotas::default();
-    assert!((drain(&mut quotas, &team, 100.0, ALL, TimeMs(1_000)) - 5_000.0).abs() < 1.0);
-    let later = drain(&mut quotas, &team, 100.0, ALL, TimeMs(2_000));
+    let mut quotas = long_running();
+    assert!((drain(&mut quotas, &team, 100.0, ALL, at(1_000)) - 5_000.0).abs() < 1.0);
+    let later = drain(&mut quotas, &team, 100.0, ALL, at(2_000));
     assert!((later - 1_000.0).abs() <= 100.0, "{later}");
 }
 
 #[test]
 fn a_refused_caller_is_told_when_there_is_room() {
     let team = team(1_000.0, 5_000.0);
-    let mut quotas = Quotas::default();
-    drain(&mut quotas, &team, 500.0, ALL, TimeMs(1_000));
-    let refused = quotas.admit(&team, 500.0, ALL, TimeMs(1_000));
+    let mut quotas = long_running();
+    drain(&mut quotas, &team, 500.0, ALL, at(1_000));
+    let refused = quotas.admit(&team, 500.0, ALL, at(1_000));
     assert_eq!(
         refused,
         Admission::Over {
@@ -44,7 +54,7 @@
         }
     );
     assert_eq!(
-        quotas.admit(&team, 500.0, ALL, TimeMs(1_500)),
+        quotas.admit(&team, 500.0, ALL, at(1_500)),
         Admission::Admitted
     );
 }
@@ -53,10 +63,10 @@
 fn a_team_without_a_limit_is_never_refused() {
     let mut unlimited = team(1.0, 1.0);
     unlimited.rate_per_s = None;
-    let mut quotas = Quotas::default();
+    let mut quotas = long_running();
     for _ in 0..1_000 {
         assert_eq!(
-            quotas.admit(&unlimited, 1e9, ALL, TimeMs(1)),
+            quotas.admit(&unlimited, 1e9, ALL, at(1)),
             Admission::Admitted
         );
     }
@@ -65,11 +75,11 @@
 #[test]
 fn a_request_that_did_not_run_gives_its_cost_back() {
     let team = team(1_000.0, 1_000.0);
-    let mut quotas = Quotas::default();
-    drain(&mut quotas, &team, 1_000.0, ALL, TimeMs(1));
-    quotas.give_back(&team, 1_000.0, TimeMs(1));
+    let mut quotas = long_running();
+    drain(&mut quotas, &team, 1_000.0, ALL, at(1));
+    quotas.give_back(&team, 1_000.0, at(1));
     assert_eq!(
-        quotas.admit(&team, 1_000.0, ALL, TimeMs(1)),
+        quotas.admit(&team, 1_000.0, ALL, at(1)),
         Admission::Admitted
     );
 }
@@ -81,13 +91,13 @@
 fn nodes_together_admit_no_more_than_the_limit_and_what_the_news_takes() {
     let team = team(100_000.0, 100_000.0);
     let nodes = 3_u64;
-    let mut quotas: Vec<Quotas> = (0..nodes).map(|_| Quotas::default()).collect();
+    let mut quotas: Vec<Quotas> = (0..nodes).map(|_| long_running()).collect();
     let mut admitted = 0.0;
     let cost = 5_000.0;
     let audience = Audience { known: 3, heard: 3 };
     // 150 requests a second to each node are more than twenty times the limit.
     for now_ms in (0..10_000).step_by(20) {
-        let now = TimeMs(1_000 + now_ms);
+        let now = at(1_000 + now_ms);
         for quotas in &mut quotas {
             for _ in 0..3 {
                 if quotas.admit(&team, cost, audience, now) == Admission::Admitted {
@@ -115,12 +125,12 @@
 #[test]
 fn nodes_that_hear_only_a_part_of_the_others_use_only_their_part() {
     let team = team(90_000.0, 1_000.0);
-    let mut quotas = Quotas::default();
+    let mut quotas = long_running();
     let alone = Audience { known: 9, heard: 1 };
-    drain(&mut quotas, &team, 100.0, alone, TimeMs(1_000));
+    drain(&mut quotas, &team, 100.0, alone, at(1_000));
     let mut admitted = 0.0;
     for now_ms in (1_010..=2_000).step_by(10) {
-        admitted += drain(&mut quotas, &team, 100.0, alone, TimeMs(now_ms));
+        admitted += drain(&mut quotas, &team, 100.0, alone, at(now_ms));
     }
     assert!(admitted <= 90_000.0 / 9.0 + 200.0, "{admitted}");
     assert!(admitted >= 90_000.0 / 9.0 * 0.9, "{admitted}");
@@ -129,18 +139,15 @@
 #[test]
 fn what_a_new_peer_admitted_in_the_past_is_not_taken_out() {
     let team = team(1_000.0, 1_000.0);
-    let mut quotas = Quotas::default();
-    quotas.admit(&team, 1.0, ALL, TimeMs(1));
+    let mut quotas = long_running();
+    quotas.admit(&team, 1.0, ALL, at(1));
     quotas.note_peer(
         4,
         &[(tag("archive"), 1e9)],
         std::slice::from_ref(&team),
-        TimeMs(2),
-    );
-    assert_eq!(
-        quotas.admit(&team, 1.0, ALL, TimeMs(3)),
-        Admission::Admitted
+        at(2),
     );
+    assert_eq!(quotas.admit(&team, 1.0, ALL, at(3)), Admission::Admitted);
 }
 
 /// Symptom: a team's limit is exceeded in the first seconds of its requests.
@@ -149,15 +156,15 @@
 #[test]
 fn what_a_known_peer_admitted_of_a_new_team_is_taken_out() {
     let team = team(1_000.0, 1_000.0);
-    let mut quotas = Quotas::default();
-    quotas.note_peer(4, &[], &[], TimeMs(1));
+    let mut quotas = long_running();
+    quotas.note_peer(4, &[], &[], at(1));
     quotas.note_peer(
         4,
         &[(tag("archive"), 5_000.0)],
         std::slice::from_ref(&team),
-        TimeMs(3),
+        at(3),
     );
-    let refused = quotas.admit(&team, 1.0, ALL, TimeMs(4));
+    let refused = quotas.admit(&team, 1.0, ALL, at(4));
     assert!(matches!(refused, Admission::Over { .. }));
 }
 
@@ -180,10 +187,10 @@
         known: nodes,
         heard: nodes,
     };
-    let mut quotas: Vec<Quotas> = (0..nodes).map(|_| Quotas::default()).collect();
+    let mut quotas: Vec<Quotas> = (0..nodes).map(|_| long_running()).collect();
     for quotas in &mut quotas {
         for peer in 0..nodes {
-            quotas.note_peer(u64::from(peer), &[], &[], TimeMs(9_900));
+            quotas.note_peer(u64::from(peer), &[], &[], at(9_900));
         }
     }
     // The first node collects for the team.
@@ -192,7 +199,7 @@
     let cost = 17_000.0;
     let teams = std::slice::from_ref(&team);
     for now_ms in (0..8_000_u64).step_by(50) {
-        let now = TimeMs(10_000 + now_ms);
+        let now = at(10_000 + now_ms);
         // Six times what the limit allows: some 630 requests a second.
         for step in 0..32 {
             let place = usize::try_from((now_ms * 7 + step * 31) % 87).expect("small");
@@ -229,12 +236,12 @@
 fn a_report_that_comes_late_takes_nothing_out_twice() {
     let team = team(1_000.0, 10_000.0);
     let teams = std::slice::from_ref(&team);
-    let mut quotas = Quotas::default();
-    quotas.note_peer(4, &[], &[], TimeMs(1));
+    let mut quotas = long_running();
+    quotas.note_peer(4, &[], &[], at(1));
     for total in [3_000.0, 6_000.0, 3_000.0, 6_000.0] {
-        quotas.note_peer(4, &[(tag("archive"), total)], teams, TimeMs(2));
+        quotas.note_peer(4, &[(tag("archive"), total)], teams, at(2));
     }
-    let left = drain(&mut quotas, &team, 100.0, ALL, TimeMs(2));
+    let left = drain(&mut quotas, &team, 100.0, ALL, at(2));
     assert!((left - 4_000.0).abs() <= 100.0, "{left}");
 }
 
@@ -242,18 +249,24 @@
 fn a_collector_passes_on_what_has_changed_of_teams_near_their_limits() {
     let team = team(1_000.0, 10_000.0);
     let teams = std::slice::from_ref(&team);
-    let mut quotas = Quotas::default();
-    quotas.note_peer(4, &[], &[], TimeMs(1));
-    quotas.note_peer(4, &[(tag("archive"), 1_000.0)], teams, TimeMs(2));
-    assert_eq!(
-        quotas.collected(&team, 9, TimeMs(2)),
-        [],
-        "far from its limit"
-    );
-    quotas.note_peer(4, &[(tag("archive"), 8_000.0)], teams, TimeMs(3));
-    assert_eq!(
-        quotas.collected(&team, 9, TimeMs(3)),
-        [(4, 8_000.0), (9, 0.0)]
-    );
-    assert_eq!(quotas.collected(&team, 9, TimeMs(4)), []);
+    let mut quotas = long_running();
+    quotas.note_peer(4, &[], &[], at(1));
+    quotas.note_peer(4, &[(tag("archive"), 1_000.0)], teams, at(2));
+    assert_eq!(quotas.collected(&team, 9, at(2)), [], "far from its limit");
+    quotas.note_peer(4, &[(tag("archive"), 8_000.0)], teams, at(3));
+    assert_eq!(quotas.collected(&team, 9, at(3)), [(4, 8_000.0), (9, 0.0)]);
+    assert_eq!(quotas.collected(&team, 9, at(4)), []);
+}
+
+/// Symptom: a team gets a burst more than its limit in the seconds around a kill of all nodes.
+/// Sequence: a team is at its limit; all processes are killed at once and start again.
+/// Cause: buckets started full.
+#[test]
+fn a_restart_gives_no_burst() {
+    let team = team(1_000.0, 5_000.0);
+    let mut quotas = Quotas::new(TimeMs(50_000));
+    let first = drain(&mut quotas, &team, 100.0, ALL, TimeMs(50_100));
+    assert!(first <= 200.0, "{first}");
+    let second = drain(&mut quotas, &team, 100.0, ALL, TimeMs(51_100));
+    assert!((second - 1_000.0).abs() <= 100.0, "{second}");
 }
