--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod info;
 mod lease;
 pub(crate) mod num;
+mod patience;
 mod peers;
 mod prefixes;
 mod quota;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -226,4 +226,4 @@
 const FRESHNESS_MARGIN_MS: u64 = 300;
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/src/gateway/catalog/tests.rs
+++ b/src/gateway/catalog/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn route(host: &str, prefix: &str) -> Route {
+pub(in crate::gateway) fn route(host: &str, prefix: &str) -> Route {
     Route {
         name: prefix.to_owned(),
         host: host.to_owned(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,7 +3,9 @@
 mod admit;
 mod attempt;
 mod events;
+mod running;
 mod story;
+mod trial;
 
 use std::sync::Arc;
 
@@ -15,9 +17,10 @@
 use hyper::body::{Frame, Incoming};
 
 use self::admit::Plan;
-use self::attempt::{Arrived, Trial};
+use self::attempt::Arrived;
 use self::events::BrokenOff;
 use self::story::Story;
+use self::trial::Trial;
 use super::clock;
 use super::refusal::Refusal;
 use super::state::Gateway;
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -9,8 +9,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::attempt::Trial;
 use super::story::Story;
+use super::trial::Trial;
 use crate::gateway::call::CallHead;
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -10,95 +10,24 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::admit::Plan;
+use super::running::Running;
 use super::story::{Inputs, Story};
+use super::trial::{Trial, retry_after_ms};
 use crate::gateway::budget;
 use crate::gateway::call::Prompt;
 use crate::gateway::choose::{self, Ask, Choice};
 use crate::gateway::clock;
 use crate::gateway::health::Outcome;
-use crate::gateway::num;
-use crate::gateway::peers::Message;
+use crate::gateway::patience;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::state::Gateway;
-use crate::gateway::strikes::Strike;
-use crate::gateway::upstreams::{UpstreamKey, tag};
+use crate::gateway::upstreams::tag;
 use crate::platform::headers::{self, Added, AnswerHead};
 use crate::time::TimeMs;
 
 /// Largest answer that is not a stream.
 const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
 
-/// Upstreams that are tried in vain, without one that may have run the request.
-///
-/// Each takes up to a connect timeout; after so many, the others are as unlikely to take it.
-const MOST_VAIN: usize = 4;
-
-/// An idempotent call without an answer for this many times its target is given up and sent to
-/// another upstream: well after nearly all answers, and early enough for a second one in time.
-const PATIENCE_TARGETS: f64 = 1.8;
-
-/// The least patience: a plain call of the slowest upstream takes about 100 ms.
-const LEAST_PATIENCE_MS: u64 = 200;
-
-/// The last upstream that may get an idempotent call has this many times its target.
-///
-/// Its caller can still ask again itself in the time that is left then; held to the end, the call
-/// would be lost (53 of 68 lost catalogue queries of one recorded day).
-const LAST_PATIENCE_TARGETS: f64 = 3.0;
-
-/// The least patience with the last upstream.
-const LEAST_LAST_PATIENCE_MS: u64 = 400;
-
-/// A stream's first token may wait for other prompts; starting over costs reading the prompt again.
-const STREAM_PATIENCE_MS: u64 = 900;
-
-/// When callers come back to a pool that turned them away: a plain call's place is free in a
-/// few tens of milliseconds.
-const PLAIN_RETRY_MS: u64 = 80;
-
-/// When callers come back to engines that turned them away.
-const ENGINE_RETRY_MS: u64 = 400;
-
-/// What has been tried with one request.
-#[derive(Debug, Default)]
-pub(super) struct Trial {
-    /// Upstreams that must not get it again.
-    excluded: Vec<UpstreamKey>,
-    /// Upstreams that got it, run or not.
-    sends: u32,
-    /// Upstreams that may have run it.
-    runs: u32,
-    /// Upstreams that could not be reached or did not take it.
-    vain: usize,
-}
-
-impl Trial {
-    /// Upstreams that may have run the request.
-    pub fn runs(&self) -> u32 {
-        self.runs
-    }
-
-    /// How a request ends that is not sent again.
-    pub fn unanswered(&self, plan: &Plan, now: TimeMs) -> Refusal {
-        let is_late = now >= plan.limit_at;
-        match self.runs {
-            0 if is_late => Refusal::NotSentInTime,
-            0 => Refusal::NoUpstream {
-                retry_after_ms: retry_after_ms(plan),
-            },
-            _ if is_late => Refusal::AnswerTimeout,
-            _ => Refusal::NoAnswer,
-        }
-    }
-}
-
-fn retry_after_ms(plan: &Plan) -> u64 {
-    match plan.head.prompt {
-        Some(_) => ENGINE_RETRY_MS,
-        None => PLAIN_RETRY_MS,
-    }
-}
-
 /// The head of an upstream's answer, and its body to come.
 #[derive(Debug)]
 pub(super) struct Arrived {
@@ -108,75 +37,6 @@
     sender: SendRequest<Full<Bytes>>,
 }
 
-/// A request that an upstream has, counted until it ends.
-#[derive(Debug)]
-pub(super) struct Running {
-    node: Arc<Gateway>,
-    pub upstream: UpstreamKey,
-    pub upstream_tag: u64,
-    pub sent_at: TimeMs,
-    unread_tokens: u64,
-}
-
-impl Running {
-    fn new(node: &Arc<Gateway>, choice: &Choice, upstream_tag: u64, now: TimeMs) -> Self {
-        if let Some(upstream) = node.upstreams.lock().get_mut(choice.upstream) {
-            upstream.own.running += 1;
-            upstream.note_sent(now);
-            upstream.own.unread_tokens += choice.unread_tokens;
-        }
-        Self {
-            node: Arc::clone(node),
-            upstream: choice.upstream,
-            upstream_tag,
-            sent_at: now,
-            unread_tokens: choice.unread_tokens,
-        }
-    }
-
-    /// The prompt has been read: its first token came.
-    pub fn note_first_token(&mut self) {
-        let unread_tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
-            upstream.own.unread_tokens -= unread_tokens;
-        }
-    }
-
-    /// Notes how the upstream fared with it.
-    pub fn note(&self, outcome: Outcome, now: TimeMs) {
-        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
-            upstream.health.note(outcome, now);
-            if outcome != Outcome::Broken {
-                upstream.note_sign(now);
-            }
-        }
-    }
-
-    /// Notes that the upstream broke off, and tells the peers: it may be the request that did it.
-    pub fn note_broken(&self, content: u64, now: TimeMs) {
-        self.note(Outcome::Broken, now);
-        let strike = Strike {
-            content,
-            upstream: self.upstream_tag,
-        };
-        if self.node.strikes.lock().note(strike, now) {
-            self.node.tell_peers(Message::Strike(strike));
-        }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
-            upstream.own.running -= 1;
-            upstream.own.unread_tokens -= self.unread_tokens;
-            if upstream.own.running == 0 {
-                upstream.waited_since = None;
-            }
-        }
-    }
-}
-
 /// How one send ended before an answer that counts.
 enum Vain {
     /// The upstream did not get the request, or said that it did not run it.
@@ -203,17 +63,17 @@
         let (reason, detail) = match sent {
             Ok(arrived) => return Ok(arrived),
             Err(Vain::NotRun(reason, detail)) => {
-                trial.vain += 1;
+                trial.note_vain();
                 (reason, detail)
             }
             Err(Vain::MayHaveRun(reason, detail)) => {
-                trial.runs += 1;
+                trial.note_run();
                 (reason, detail)
             }
         };
-        trial.excluded.push(choice.upstream);
+        trial.exclude(choice.upstream);
         story.attempt_failed(reason, &detail, now);
-        if trial.runs > 0 && !plan.may_repeat(trial) {
+        if trial.runs() > 0 && !plan.may_repeat(trial) {
             return Err(trial.unanswered(plan, now));
         }
     }
@@ -221,7 +81,7 @@
 
 /// The upstream that gets the request next, if it may be sent at all.
 fn next(node: &Gateway, plan: &Plan, trial: &Trial, now: TimeMs) -> Result<Choice, Refusal> {
-    if now >= plan.limit_at || trial.vain >= MOST_VAIN {
+    if now >= plan.limit_at || trial.is_vain() {
         return Err(trial.unanswered(plan, now));
     }
     if node.strikes.lock().is_blocked(plan.content, now) {
@@ -232,7 +92,7 @@
         pool: &plan.pool,
         prompt: plan.head.prompt.as_ref(),
         failure_domain: &settings.failure_domain,
-        excluded: &trial.excluded,
+        excluded: trial.excluded(),
         draw: plan.draw,
     };
     let choice = {
@@ -242,7 +102,7 @@
     };
     let choice = choice.ok_or_else(|| trial.unanswered(plan, now))?;
     let left_ms = now.until(plan.limit_at);
-    let is_first = trial.sends == 0;
+    let is_first = trial.sends() == 0;
     match is_first {
         true if budget::is_too_late(left_ms, choice.expected_ms) => {
             let retry_after_ms = retry_after_ms(plan);
@@ -316,7 +176,7 @@
         let Some(request) = request else {
             return Err(Vain::NotRun("unsendable", String::new()));
         };
-        let patience = Duration::from_millis(patience_ms(plan, trial, running.sent_at));
+        let patience = Duration::from_millis(patience(plan, trial, running.sent_at));
         let answer = channel.sender.try_send_request(request);
         match tokio::time::timeout(patience, answer).await {
             Ok(Ok(response)) => sent = Some((channel.sender, response)),
@@ -330,18 +190,18 @@
                 }
             }
             Ok(Err(error)) => {
-                trial.sends += 1;
+                trial.note_send();
                 running.note_broken(plan.content, clock::now());
                 return Err(Vain::MayHaveRun("broken", error.into_error().to_string()));
             }
             Err(_elapsed) => {
-                trial.sends += 1;
+                trial.note_send();
                 running.note(Outcome::Broken, clock::now());
                 return Err(Vain::MayHaveRun("silent", String::new()));
             }
         }
     }
-    trial.sends += 1;
+    trial.note_send();
     if let Some(part) = plan.head.prompt.as_ref().and_then(Prompt::shared) {
         node.prefixes.lock().note(part.id, key, clock::now());
     }
@@ -398,20 +258,9 @@
     }
 }
 
-/// How long an upstream may take until its answer begins.
-fn patience_ms(plan: &Plan, trial: &Trial, now: TimeMs) -> u64 {
-    let left_ms = now.until(plan.limit_at);
-    let route = plan.route();
-    let is_last = trial.runs + 1 >= route.max_upstreams;
-    let (targets, least_ms) = match route.is_stream {
-        _ if !route.may_repeat() => return left_ms,
-        true if is_last => return left_ms,
-        true => (PATIENCE_TARGETS, STREAM_PATIENCE_MS),
-        false if is_last => (LAST_PATIENCE_TARGETS, LEAST_LAST_PATIENCE_MS),
-        false => (PATIENCE_TARGETS, LEAST_PATIENCE_MS),
-    };
-    let targets_ms = num::whole(num::real(route.target_ms) * targets);
-    targets_ms.max(least_ms).min(left_ms)
+fn patience(plan: &Plan, trial: &Trial, now: TimeMs) -> u64 {
+    let is_last = trial.runs() + 1 >= plan.route().max_upstreams;
+    patience::until_head_ms(plan.route(), is_last, now.until(plan.limit_at))
 }
 
 fn request(
@@ -464,7 +313,7 @@
     ) -> Option<Bytes> {
         let status = self.status();
         let (body, mut rest) = self.into_stream();
-        trial.runs += 1;
+        trial.note_run();
         count_begun(node, plan, begun_at(rest.running.sent_at, clock::now()));
         let left = Duration::from_millis(clock::now().until(plan.limit_at));
         let whole = Limited::new(body, MAX_WHOLE_BYTES).collect();
@@ -479,7 +328,7 @@
             }
             Ok(Err(error)) => {
                 rest.running.note(Outcome::Broken, now);
-                trial.excluded.push(rest.running.upstream);
+                trial.exclude(rest.running.upstream);
                 story.attempt_failed("body_broken", &error.to_string(), now);
                 None
             }
@@ -520,18 +369,6 @@
     }
 }
 
-impl Trial {
-    /// Notes that a stream began to run at an upstream.
-    pub fn note_run(&mut self) {
-        self.runs += 1;
-    }
-
-    /// Notes that an upstream must not get the request again.
-    pub fn exclude(&mut self, upstream: UpstreamKey) {
-        self.excluded.push(upstream);
-    }
-}
-
 /// Work of a plain call, on average; what lies between its begin and its answer.
 const PLAIN_WORK_MS: u64 = 30;
 
--- a/src/gateway/exchange/events.rs
+++ b/src/gateway/exchange/events.rs
@@ -11,26 +11,17 @@
 use thiserror::Error;
 
 use super::admit::Plan;
-use super::attempt::{self, Arrived, Rest, Trial};
+use super::attempt::{self, Arrived, Rest};
 use super::story::Story;
+use super::trial::Trial;
 use crate::gateway::clock;
 use crate::gateway::events::{Events, Flaw, Splitter};
 use crate::gateway::health::Outcome;
+use crate::gateway::patience;
 use crate::gateway::state::{Gateway, InFlight};
 use crate::platform::headers;
 use crate::time::TimeMs;
 
-/// A pause this many times as long as the longest that is in time means that nothing more comes.
-///
-/// Callers leave after eight; half of that leaves time to go on elsewhere.
-const GAP_PATIENCE: u64 = 4;
-
-/// The patience between events of routes that state no pause.
-const UNSTATED_GAP_MS: u64 = 1_500;
-
-/// The least patience before a stream's first event; see `STREAM_PATIENCE_MS` of attempts.
-const FIRST_PATIENCE_MS: u64 = 1_200;
-
 /// A stream that the caller must be able to see has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the stream broke off: {reason}")]
@@ -123,12 +114,8 @@
 ) -> Option<Opened> {
     let headers = headers::returnable(arrived.headers());
     let mut source = Source::new(arrived, plan.head.resume_after);
-    let patience_ms = if plan.route().is_resumable && trial.runs() + 1 < plan.route().max_upstreams
-    {
-        FIRST_PATIENCE_MS.max(plan.route().target_ms * 2)
-    } else {
-        u64::MAX
-    };
+    let is_last = trial.runs() + 1 >= plan.route().max_upstreams;
+    let patience_ms = patience::until_first_event_ms(plan.route(), is_last);
     let next = source.next(patience_ms, plan.limit_at).await;
     let now = clock::now();
     source.rest.running.note_first_token();
@@ -171,7 +158,7 @@
         let Opened { plan, mut source, mut trial, first, .. } = opened;
         yield Frame::data(first.bytes);
         loop {
-            let patience_ms = gap_patience_ms(&plan);
+            let patience_ms = patience::between_events_ms(plan.route());
             let reason = match source.next(patience_ms, plan.limit_at).await {
                 Next::Events(events) => {
                     yield Frame::data(events.bytes);
@@ -196,14 +183,6 @@
     }
 }
 
-fn gap_patience_ms(plan: &Plan) -> u64 {
-    match plan.route().gap_target_ms {
-        _ if !plan.route().is_resumable => u64::MAX,
-        Some(gap_ms) => gap_ms * GAP_PATIENCE,
-        None => UNSTATED_GAP_MS,
-    }
-}
-
 /// Goes on with a broken stream at another upstream, if it may.
 async fn go_on(
     node: &Arc<Gateway>,
--- /dev/null
+++ b/src/gateway/exchange/running.rs
@@ -0,0 +1,80 @@
+//! A request at an upstream: counted there until it ends, and what it tells of the upstream.
+
+use std::sync::Arc;
+
+use crate::gateway::choose::Choice;
+use crate::gateway::health::Outcome;
+use crate::gateway::peers::Message;
+use crate::gateway::state::Gateway;
+use crate::gateway::strikes::Strike;
+use crate::gateway::upstreams::UpstreamKey;
+use crate::time::TimeMs;
+
+/// A request that an upstream has, counted until it ends.
+#[derive(Debug)]
+pub(super) struct Running {
+    node: Arc<Gateway>,
+    pub upstream: UpstreamKey,
+    pub upstream_tag: u64,
+    pub sent_at: TimeMs,
+    unread_tokens: u64,
+}
+
+impl Running {
+    pub fn new(node: &Arc<Gateway>, choice: &Choice, upstream_tag: u64, now: TimeMs) -> Self {
+        if let Some(upstream) = node.upstreams.lock().get_mut(choice.upstream) {
+            upstream.own.running += 1;
+            upstream.note_sent(now);
+            upstream.own.unread_tokens += choice.unread_tokens;
+        }
+        Self {
+            node: Arc::clone(node),
+            upstream: choice.upstream,
+            upstream_tag,
+            sent_at: now,
+            unread_tokens: choice.unread_tokens,
+        }
+    }
+
+    /// The prompt has been read: its first token came.
+    pub fn note_first_token(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.own.unread_tokens -= unread_tokens;
+        }
+    }
+
+    /// Notes how the upstream fared with it.
+    pub fn note(&self, outcome: Outcome, now: TimeMs) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.health.note(outcome, now);
+            if outcome != Outcome::Broken {
+                upstream.note_sign(now);
+            }
+        }
+    }
+
+    /// Notes that the upstream broke off, and tells the peers: it may be the request that did it.
+    pub fn note_broken(&self, content: u64, now: TimeMs) {
+        self.note(Outcome::Broken, now);
+        let strike = Strike {
+            content,
+            upstream: self.upstream_tag,
+        };
+        if self.node.strikes.lock().note(strike, now) {
+            self.node.tell_peers(Message::Strike(strike));
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.own.running -= 1;
+            upstream.own.unread_tokens -= self.unread_tokens;
+            if upstream.own.running == 0 {
+                upstream.waited_since = None;
+            }
+        }
+    }
+}
