--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -155,7 +155,10 @@
 ///
 /// The store removes what could not announce itself in time; a live upstream is back within about
 /// two seconds. Taking all of them out at once would leave nothing to serve with for that long.
-pub(crate) const LAPSE_GRACE_MS: u64 = 1_700;
+///
+/// The grace and the way of a removal to this node, up to 550 ms, stay below the 2,000 ms within
+/// which an upstream that has left must get nothing new: the removal may be a real one.
+pub(crate) const LAPSE_GRACE_MS: u64 = 1_200;
 
 impl UpstreamTable {
     /// Takes in a change; gives the key if the upstream is known now.
