refactor: Drop what pulses carried and nobody read, and read the configuration once

Cause: since changes of upstreams are relayed by messages of their own, a pulse's configuration version, end and age of announcements were sent, kept and never read; admit took the lock on the configuration twice. Change: the fields are gone; freshness is judged on the copy that is used. No decision differs. Measured: clippy, 96 unit tests of the gateway, 35 process tests pass.

--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -93,11 +93,8 @@
     if !in_force.is_known() {
         return Err(Refusal::NoConfiguration);
     }
+    let is_fresh = in_force.is_fresh(settings.bounds.revoke_ms, received_at);
     let catalog = in_force.catalog;
-    let is_fresh = node
-        .in_force
-        .read()
-        .is_fresh(settings.bounds.revoke_ms, received_at);
     let path = parts.uri.path();
     let route = catalog.route_of(&head.host, path);
     let (route, team) = match route.map(|key| (key, catalog.route(key))) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -108,7 +108,6 @@
 }
 
 fn pulse(node: &Gateway, now: TimeMs) -> Pulse {
-    let view = *node.upstreams_view.lock();
     let peers = node.peers.lock();
     let known: Vec<&Member> = peers.heard(now).map(|peer| &peer.member).collect();
     let also = match known.len() {
@@ -123,9 +122,6 @@
         is_ready: node.is_ready(now),
         is_stopping: node.is_stopping(),
         reaches_store: node.reaches_store(),
-        configuration_version: node.in_force.read().catalog.version,
-        upstreams_end: view.end,
-        upstreams_age_ms: now.since(view.read_at),
         time_of_day_ms: clock::time_of_day().0,
         interval_ms: interval_ms(node),
         loads: node.upstreams.lock().own_loads(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! What nodes tell each other in datagrams, and what this node knows of its peers.
 //!
-//! Each node sends each other a pulse some times a second: that it lives, what it has running and
-//! admitted, and how far it has read the store. Pulses hold whole counts, so that a lost one costs
+//! Each node sends each other a pulse some times a second: that it lives, and what it has running and
+//! admitted. Pulses hold whole counts, so that a lost one costs
 //! nothing but time. Changes that must not wait are sent at once besides.
 
 use std::net::SocketAddr;
@@ -73,10 +73,6 @@
     pub is_stopping: bool,
     /// Whether the store answers it.
     pub reaches_store: bool,
-    pub configuration_version: u64,
-    /// How far it has read the announcements of upstreams, and how long ago that was all.
-    pub upstreams_end: u64,
-    pub upstreams_age_ms: u64,
     /// Its time of day, in Unix milliseconds.
     pub time_of_day_ms: u64,
     /// How long until its next pulse.
@@ -104,8 +100,6 @@
     pub is_ready: bool,
     pub is_stopping: bool,
     pub reaches_store: bool,
-    pub upstreams_end: u64,
-    pub upstreams_read_at: TimeMs,
     /// Its time of day less this node's running time.
     pub day_offset_ms: i128,
 }
@@ -176,8 +170,6 @@
         peer.is_ready = pulse.is_ready;
         peer.is_stopping = pulse.is_stopping;
         peer.reaches_store = pulse.reaches_store;
-        peer.upstreams_end = pulse.upstreams_end;
-        peer.upstreams_read_at = TimeMs(now.0.saturating_sub(pulse.upstreams_age_ms));
         peer.day_offset_ms = i128::from(pulse.time_of_day_ms) - i128::from(now.0);
     }
 
@@ -255,8 +247,6 @@
             is_ready: false,
             is_stopping: false,
             reaches_store: false,
-            upstreams_end: 0,
-            upstreams_read_at: TimeMs(0),
             day_offset_ms: 0,
         }
     }
