feature: Gauges, and histograms by route and kind, on the gateway's metrics address

Cause: an on-call engineer saw counters and one histogram; nothing told of the lease, of upstreams by state, of what was left of limits, nor which route was late. Change: gauges computed at a scrape; histograms of first token, pause, expected and whole answer by route (32 at most) and kind, with buckets; calls to the store by outcome. Histograms are drained every two seconds: without a scrape they grew for as long as the node ran. Tests: three with real processes, two of the decisions.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 mod events;
 mod exchange;
 mod follow;
+mod gauges;
 mod gossip;
 mod health;
 mod inbound;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -39,26 +39,24 @@
 
     /// Takes a repeat out of the budget, if there is one.
     pub fn take(&mut self, budget: &RepeatBudget, now: TimeMs) -> bool {
-        self.step(budget, now);
-        let requests: f64 = self
-            .steps
-            .iter()
-            .map(|(_start, requests, _repeats)| requests)
-            .sum();
-        let repeats: f64 = self
-            .steps
-            .iter()
-            .map(|(_start, _requests, repeats)| repeats)
-            .sum();
-        let slack = budget.slack / f64::from(budget.nodes.max(1));
-        let allowed = USED_PART * (budget.ratio * requests + slack);
-        let is_left = repeats + 1.0 <= allowed;
+        let is_left = self.left(budget, now) >= 1.0;
         if is_left {
             self.step(budget, now).2 += 1.0;
         }
         is_left
     }
 
+    /// Repeats that are left in the window that ends now.
+    pub fn left(&mut self, budget: &RepeatBudget, now: TimeMs) -> f64 {
+        self.step(budget, now);
+        let steps = self.steps.iter();
+        let (requests, repeats) = steps.fold((0.0, 0.0), |sum, (_start, requests, repeats)| {
+            (sum.0 + requests, sum.1 + repeats)
+        });
+        let slack = budget.slack / f64::from(budget.nodes.max(1));
+        USED_PART * (budget.ratio * requests + slack) - repeats
+    }
+
     fn step(&mut self, budget: &RepeatBudget, now: TimeMs) -> &mut (u64, f64, f64) {
         let step_ms = (budget.window_ms / STEPS).max(1);
         let start = now.0 - now.0 % step_ms;
--- a/src/gateway/exchange/admit.rs
+++ b/src/gateway/exchange/admit.rs
@@ -115,7 +115,8 @@
     };
     let found = catalog.route(route);
     let team_name = team.map(|team| catalog.team(team).name.as_str());
-    story.routed(&found.name, team_name, catalog.version);
+    let label = node.route_labels.lock().of(&found.name);
+    story.routed(found, label, team_name, catalog.version);
     let left_ms = head.time_left_ms.unwrap_or(found.timeout_ms);
     let limit_at = received_at.after(left_ms.min(found.timeout_ms));
     if !node.accepts(found.is_stream, clock::now()) {
--- a/src/gateway/exchange/events.rs
+++ b/src/gateway/exchange/events.rs
@@ -161,6 +161,7 @@
             let patience_ms = patience::between_events_ms(plan.route());
             let reason = match source.next(patience_ms, plan.limit_at).await {
                 Next::Events(events) => {
+                    story.event(clock::now());
                     yield Frame::data(events.bytes);
                     continue;
                 }
--- a/src/gateway/exchange/story.rs
+++ b/src/gateway/exchange/story.rs
@@ -1,8 +1,11 @@
 //! What is logged and counted of one request.
 
 use http::StatusCode;
+use metrics::{Histogram, Key, Label, Metadata};
 
+use crate::gateway::catalog::Route;
 use crate::gateway::clock;
+use crate::gateway::num;
 use crate::gateway::refusal::Refusal;
 use crate::time::TimeMs;
 
@@ -22,18 +25,58 @@
     pub configuration_age_ms: u64,
 }
 
+/// The histograms of one request's route; looked up once, since a stream has many events.
+struct Measures {
+    first_token: Histogram,
+    pause: Histogram,
+    expected: Histogram,
+    answer: Histogram,
+}
+
+impl Measures {
+    fn new(route: String, kind: &'static str) -> Self {
+        let labels = [
+            Label::new("route", route),
+            Label::from_static_parts("kind", kind),
+        ];
+        let of = |name: &'static str| {
+            let key = Key::from_parts(name, labels.to_vec());
+            metrics::with_recorder(|recorder| recorder.register_histogram(&key, &METADATA))
+        };
+        Self {
+            first_token: of("teaselline_first_token_ms"),
+            pause: of("teaselline_pause_ms"),
+            expected: of("teaselline_expected_ms"),
+            answer: of("teaselline_answer_ms"),
+        }
+    }
+}
+
+impl std::fmt::Debug for Measures {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Measures")
+    }
+}
+
+/// Where the histograms come from, for recorders that filter by it.
+static METADATA: Metadata<'static> =
+    Metadata::new(module_path!(), metrics::Level::INFO, Some(module_path!()));
+
 /// Collects what decided about a request and writes one line when it ends.
 #[derive(Debug)]
 pub(super) struct Story {
     received_at: TimeMs,
     request_id: Option<String>,
     route: String,
+    measures: Measures,
     team: Option<String>,
     configuration_version: u64,
     upstream: String,
     inputs: Inputs,
     sends: u32,
     first_ms: Option<u64>,
+    /// When the newest event of a stream came.
+    event_at: TimeMs,
     is_told: bool,
 }
 
@@ -43,12 +86,14 @@
             received_at,
             request_id: None,
             route: String::new(),
+            measures: Measures::new(String::new(), "none"),
             team: None,
             configuration_version: 0,
             upstream: String::new(),
             inputs: Inputs::default(),
             sends: 0,
             first_ms: None,
+            event_at: received_at,
             is_told: false,
         }
     }
@@ -61,8 +106,17 @@
         self.request_id = Some(id.to_owned());
     }
 
-    pub fn routed(&mut self, route: &str, team: Option<&str>, configuration_version: u64) {
-        route.clone_into(&mut self.route);
+    /// The request's route is known; `label` stands for it in metrics.
+    pub fn routed(
+        &mut self,
+        route: &Route,
+        label: String,
+        team: Option<&str>,
+        configuration_version: u64,
+    ) {
+        route.name.clone_into(&mut self.route);
+        let kind = if route.is_stream { "stream" } else { "plain" };
+        self.measures = Measures::new(label, kind);
         self.team = team.map(str::to_owned);
         self.configuration_version = configuration_version;
     }
@@ -70,6 +124,7 @@
     /// The request goes to an upstream.
     pub fn sent(&mut self, upstream: &str, inputs: Inputs) {
         upstream.clone_into(&mut self.upstream);
+        self.measures.expected.record(inputs.expected_ms);
         self.inputs = inputs;
         self.sends += 1;
     }
@@ -96,7 +151,17 @@
 
     /// The first event or the answer came.
     pub fn first(&mut self, now: TimeMs) {
-        self.first_ms = Some(now.since(self.received_at));
+        let first_ms = now.since(self.received_at);
+        self.first_ms = Some(first_ms);
+        self.event_at = now;
+        self.measures.first_token.record(num::real(first_ms));
+    }
+
+    /// Another event of a stream came.
+    pub fn event(&mut self, now: TimeMs) {
+        let pause_ms = now.since(self.event_at);
+        self.event_at = now;
+        self.measures.pause.record(num::real(pause_ms));
     }
 
     pub fn answered(&mut self, status: StatusCode, now: TimeMs) {
@@ -120,7 +185,7 @@
         metrics::counter!("teaselline_requests_total", "outcome" => outcome, "reason" => reason.to_owned())
             .increment(1);
         let took_ms = now.since(self.received_at);
-        metrics::histogram!("teaselline_answer_ms").record(super::super::num::real(took_ms));
+        self.measures.answer.record(num::real(took_ms));
         log::info!(
             event = "request_ended",
             request_id = self.request_id.as_deref().unwrap_or_default(),
--- /dev/null
+++ b/src/gateway/gauges.rs
@@ -0,0 +1,163 @@
+//! Gauges of a node's state, set when its metrics are asked for.
+//!
+//! Nothing is computed between two scrapes: a node that nobody scrapes pays nothing for them.
+
+use metrics::gauge;
+
+use super::num;
+use super::state::Gateway;
+use super::upstreams::{Phase, Upstream};
+use crate::time::TimeMs;
+
+/// What an upstream is to this node at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Ready,
+    /// It fails or cannot be reached, and is left alone for a moment.
+    Paused,
+    /// It has given no sign for longer than it should need.
+    Silent,
+    Leaving,
+    /// Its announcement is gone; requests still run there.
+    Removed,
+}
+
+impl State {
+    const ALL: [Self; 5] = [
+        Self::Ready,
+        Self::Paused,
+        Self::Silent,
+        Self::Leaving,
+        Self::Removed,
+    ];
+
+    fn of(upstream: &Upstream, now: TimeMs) -> Self {
+        match upstream.announced.phase {
+            _ if upstream.is_removed => Self::Removed,
+            Phase::Leaving => Self::Leaving,
+            Phase::Ready if upstream.health.is_paused(now) => Self::Paused,
+            Phase::Ready if upstream.is_silent(now) => Self::Silent,
+            Phase::Ready => Self::Ready,
+        }
+    }
+
+    fn word(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Paused => "paused",
+            Self::Silent => "silent",
+            Self::Leaving => "leaving",
+            Self::Removed => "removed",
+        }
+    }
+}
+
+/// Sets all gauges to what holds now.
+pub(crate) fn publish(node: &Gateway, now: TimeMs) {
+    publish_views(node, now);
+    publish_peers(node, now);
+    publish_upstreams(node, now);
+    publish_limits(node, now);
+}
+
+fn publish_views(node: &Gateway, now: TimeMs) {
+    let (version, configuration_age_ms) = {
+        let in_force = node.in_force.read();
+        (in_force.catalog.version, now.since(in_force.current_at))
+    };
+    let upstreams_age_ms = now.since(node.upstreams_view.lock().read_at);
+    let token = node.lease.lock().token(now);
+    gauge!("teaselline_configuration_version").set(num::real(version));
+    gauge!("teaselline_configuration_age_ms").set(num::real(configuration_age_ms));
+    gauge!("teaselline_upstreams_age_ms").set(num::real(upstreams_age_ms));
+    gauge!("teaselline_ready").set(flag(node.is_ready(now)));
+    gauge!("teaselline_store_answers").set(flag(node.reaches_store()));
+    gauge!("teaselline_lease_held").set(flag(token.is_some()));
+    gauge!("teaselline_fencing_token").set(token.map_or(0.0, num::real));
+    let in_flight = node.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+    gauge!("teaselline_requests_in_flight").set(num::real(in_flight as u64));
+}
+
+fn publish_peers(node: &Gateway, now: TimeMs) {
+    let audience = node.peers.lock().audience(now);
+    gauge!("teaselline_nodes", "state" => "known").set(f64::from(audience.known));
+    gauge!("teaselline_nodes", "state" => "heard").set(f64::from(audience.heard));
+}
+
+fn publish_upstreams(node: &Gateway, now: TimeMs) {
+    let catalog = node.catalog();
+    let upstreams = node.upstreams.lock();
+    for pool in &catalog.pools {
+        let of_pool = || {
+            let upstreams = upstreams.iter().map(|(_key, upstream)| upstream);
+            upstreams.filter(|upstream| upstream.announced.pool == pool.name)
+        };
+        for state in State::ALL {
+            let count = of_pool()
+                .filter(|upstream| State::of(upstream, now) == state)
+                .count();
+            gauge!("teaselline_upstreams", "pool" => pool.name.clone(), "state" => state.word())
+                .set(num::real(count as u64));
+        }
+        let running: u32 = of_pool().map(|upstream| upstream.own.running).sum();
+        gauge!("teaselline_requests_at_upstreams", "pool" => pool.name.clone())
+            .set(f64::from(running));
+    }
+}
+
+fn publish_limits(node: &Gateway, now: TimeMs) {
+    let catalog = node.catalog();
+    let budget = node.repeat_budget(now);
+    let mut repeats = node.repeats.lock();
+    for pool in &catalog.pools {
+        let left = repeats.of(&pool.name).left(&budget, now);
+        gauge!("teaselline_repeats_left", "pool" => pool.name.clone()).set(left);
+    }
+    drop(repeats);
+    let quotas = node.quotas.lock();
+    for team in &catalog.teams {
+        if let Some(part) = quotas.left_part(team) {
+            gauge!("teaselline_limit_left_part", "team" => team.name.clone()).set(part);
+        }
+    }
+    drop(quotas);
+    let breaking = node.strikes.lock().blocked(now);
+    gauge!("teaselline_contents_blocked").set(num::real(breaking as u64));
+}
+
+fn flag(holds: bool) -> f64 {
+    f64::from(u8::from(holds))
+}
+
+/// Names of routes that stand in metrics, as many as there may be.
+///
+/// Each label of a histogram costs memory for as long as the node runs, and a configuration may
+/// bring hundreds of routes.
+#[derive(Debug, Default)]
+pub(crate) struct RouteLabels {
+    /// Sorted.
+    names: Vec<String>,
+}
+
+/// Most routes with metrics of their own; each has three histograms of 13 buckets.
+const MOST_ROUTE_LABELS: usize = 32;
+
+/// The label of all routes beyond those.
+const OTHER_ROUTES: &str = "other";
+
+impl RouteLabels {
+    /// The label of a route.
+    pub fn of(&mut self, route: &str) -> String {
+        match self.names.binary_search_by(|name| name.as_str().cmp(route)) {
+            Ok(_place) => route.to_owned(),
+            Err(place) if self.names.len() < MOST_ROUTE_LABELS => {
+                self.names.insert(place, route.to_owned());
+                route.to_owned()
+            }
+            Err(_place) => OTHER_ROUTES.to_owned(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/gauges/tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+use crate::gateway::health::Outcome;
+use crate::gateway::upstreams::tests::announced;
+use crate::gateway::upstreams::{Change, UpstreamTable};
+
+const NOW: TimeMs = TimeMs(10_000);
+
+#[test]
+fn each_upstream_counts_in_one_state() {
+    let mut table = UpstreamTable::default();
+    for id in ["ready", "paused", "leaving", "removed"] {
+        table.apply(Change::Present(announced(id, "pool", "d")), false, NOW);
+    }
+    let key = |table: &UpstreamTable, id: &str| table.find(id).expect("there");
+    let paused = key(&table, "paused");
+    for _failure in 0..3 {
+        let health = &mut table.get_mut(paused).expect("there").health;
+        health.note(Outcome::Broken, NOW);
+    }
+    let leaving = key(&table, "leaving");
+    table.get_mut(leaving).expect("there").announced.phase = Phase::Leaving;
+    let id = "removed".to_owned();
+    table.apply(Change::Removed { id }, false, NOW);
+    for id in ["ready", "paused", "leaving", "removed"] {
+        let upstream = table.get(key(&table, id)).expect("there");
+        assert_eq!(State::of(upstream, NOW).word(), id);
+    }
+}
+
+/// Symptom: a node's memory grows with each version of the configuration.
+/// Sequence: versions bring hundreds of routes with new names.
+/// Cause: every route got histograms of its own for good.
+#[test]
+fn routes_beyond_the_first_share_a_label() {
+    let mut labels = RouteLabels::default();
+    for route in 0..500 {
+        labels.of(&format!("r-{route:03}"));
+    }
+    assert_eq!(labels.names.len(), MOST_ROUTE_LABELS);
+    assert_eq!(labels.of("r-000"), "r-000", "a label stays what it was");
+    assert_eq!(labels.of("r-499"), OTHER_ROUTES);
+}
--- a/src/gateway/info.rs
+++ b/src/gateway/info.rs
@@ -21,6 +21,7 @@
 
 use super::clock;
 use super::directory::{self, Candidate};
+use super::gauges;
 use super::state::Gateway;
 use crate::platform::directory::{
     DOMAIN_PARAMETER, METRICS_PATH, MOST_ADDRESSES, READY_PATH, RESOLVE_PATH, addresses,
@@ -154,7 +155,9 @@
 }
 
 fn metrics(state: State) -> (State, Response<Body>) {
-    let text = Shared::borrow_from(&state).metrics.render();
+    let shared = Shared::borrow_from(&state);
+    gauges::publish(&shared.node, clock::now());
+    let text = shared.metrics.render();
     let response = create_response(&state, StatusCode::OK, mime::TEXT_PLAIN, text);
     (state, response)
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -163,6 +163,18 @@
         }
     }
 
+    /// What was left of a team's limit when it last asked, as a part of its burst; below zero if it
+    /// was overdrawn.
+    pub fn left_part(&self, team: &Team) -> Option<f64> {
+        let tag = tag(&team.name);
+        let found = self
+            .buckets
+            .binary_search_by_key(&tag, |bucket| bucket.team);
+        let bucket = &self.buckets[found.ok()?];
+        team.rate_per_s
+            .map(|_limited| bucket.level / team.burst.max(1.0))
+    }
+
     /// Gives back the cost of a request that did not run.
     pub fn give_back(&mut self, team: &Team, cost: f64, now: TimeMs) {
         if team.rate_per_s.is_some() {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -29,6 +29,13 @@
 /// Between two looks at the settings file, which may change without a signal.
 const SETTINGS_INTERVAL_MS: u64 = 2_000;
 
+/// Upper ends of the buckets of all histograms, in milliseconds.
+///
+/// Dense between a plain call and the objectives of streams, which lie at 150 to 2,000 ms.
+const BUCKETS_MS: [f64; 12] = [
+    10.0, 25.0, 50.0, 100.0, 150.0, 250.0, 500.0, 800.0, 1_200.0, 2_000.0, 5_000.0, 10_000.0,
+];
+
 /// Why a node cannot start.
 #[derive(Debug, Error, Diagnostic)]
 pub enum GatewayError {
@@ -60,7 +67,9 @@
 /// If the settings cannot be used or an address cannot be listened on.
 pub async fn run(settings_file: &Path) -> Result<(), GatewayError> {
     let read = settings::read(settings_file)?;
-    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let metrics = PrometheusBuilder::new()
+        .set_buckets(&BUCKETS_MS)?
+        .install_recorder()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
     let callers = listen(read.caller_listen).await?;
@@ -98,6 +107,9 @@
             _tick = looks.tick() => {
                 reload(&node, settings_file);
                 note_readiness(&node);
+                // What histograms were given piles up until then; where nobody scrapes, a node would
+                // lose some 200 MB a day to it.
+                metrics.run_upkeep();
             }
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::catalog::{Catalog, InForce};
 use super::channels::Channels;
 use super::clock;
+use super::gauges::RouteLabels;
 use super::lease::{Holder, Lease};
 use super::peers::{Member, Message, Peers};
 use super::prefixes::Prefixes;
@@ -67,6 +68,8 @@
     pub peers: Mutex<Peers>,
     pub lease: Mutex<Lease>,
     pub channels: Channels,
+    /// Routes that stand in metrics.
+    pub route_labels: Mutex<RouteLabels>,
     /// Requests that are being answered.
     pub in_flight: AtomicUsize,
     /// Set when the node has been told to stop.
@@ -117,6 +120,7 @@
             peers: Mutex::new(Peers::new(member)),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: Channels::default(),
+            route_labels: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
--- a/src/gateway/strikes.rs
+++ b/src/gateway/strikes.rs
@@ -71,6 +71,17 @@
         self.count(content, now) >= UPSTREAMS_UNTIL_BLOCKED
     }
 
+    /// How many contents are not sent any more.
+    pub fn blocked(&self, now: TimeMs) -> usize {
+        let mut contents: Vec<u64> = (self.noted.iter())
+            .map(|(strike, _at)| strike.content)
+            .filter(|content| self.is_blocked(*content, now))
+            .collect();
+        contents.sort_unstable();
+        contents.dedup();
+        contents.len()
+    }
+
     /// Upstreams that broke off under this content lately.
     pub fn count(&self, content: u64, now: TimeMs) -> usize {
         (self.noted.iter())
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -63,6 +63,19 @@
     Request(#[from] http::Error),
 }
 
+impl CallError {
+    /// What went wrong, as one word for metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Connect { .. } => "unreachable",
+            Self::Timeout { .. } => "timeout",
+            Self::Channel { .. } => "channel_broken",
+            Self::Body { .. } => "answer_broken",
+            Self::Request(_) => "unsendable",
+        }
+    }
+}
+
 /// An answer of the platform.
 #[derive(Clone, Debug)]
 pub(crate) struct Answer {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -189,7 +189,7 @@
             0 => CALL_TIMEOUT_MS,
             wait_ms => wait_ms + WAIT_MARGIN_MS,
         };
-        let answer = self.get(&path, timeout_ms).await?;
+        let answer = self.get("read", &path, timeout_ms).await?;
         match answer.status {
             StatusCode::OK => read_records(from, answer.body),
             StatusCode::GONE => {
@@ -219,7 +219,7 @@
                 "" => format!("/api/log-newest?topic={name}&part=0"),
                 after => format!("/api/log-newest?topic={name}&part=0&after={after}"),
             };
-            let answer = self.get(&path, CALL_TIMEOUT_MS).await?;
+            let answer = self.get("newest", &path, CALL_TIMEOUT_MS).await?;
             if answer.status != StatusCode::OK {
                 let status = answer.status;
                 return Err(StoreError::Refused { status });
@@ -272,7 +272,7 @@
             body: body.freeze(),
             timeout_ms: CALL_TIMEOUT_MS,
         };
-        let answer = self.client.call(call).await?;
+        let answer = self.call("append", call).await?;
         match answer.status {
             StatusCode::OK => {
                 let appended: RawAppended = json(&answer, "no offset")?;
@@ -302,7 +302,12 @@
         self.append(topic, &record, None).await
     }
 
-    async fn get(&self, path: &str, timeout_ms: u64) -> Result<Answer, StoreError> {
+    async fn get(
+        &self,
+        name: &'static str,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<Answer, StoreError> {
         let call = Call {
             method: Method::GET,
             path,
@@ -310,7 +315,19 @@
             body: Bytes::new(),
             timeout_ms,
         };
-        Ok(self.client.call(call).await?)
+        self.call(name, call).await
+    }
+
+    /// Makes a call and counts how it ended.
+    async fn call(&self, name: &'static str, call: Call<'_>) -> Result<Answer, StoreError> {
+        let answered = self.client.call(call).await;
+        let outcome = match &answered {
+            Ok(answer) => answer.status.as_str().to_owned(),
+            Err(error) => error.word().to_owned(),
+        };
+        metrics::counter!("teaselline_store_calls_total", "call" => name, "outcome" => outcome)
+            .increment(1);
+        Ok(answered?)
     }
 }
 
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -91,6 +91,12 @@
         (self.launch.ip, DIRECTORY_PORT).into()
     }
 
+    /// Where its metrics are served.
+    #[must_use]
+    pub fn metrics(&self) -> SocketAddr {
+        (self.launch.ip, INNER_PORTS[1]).into()
+    }
+
     /// The file that it reads its settings from.
     #[must_use]
     pub fn settings_file(&self) -> PathBuf {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,5 +7,6 @@
 mod explained;
 mod input;
 mod leaving;
+mod metered;
 mod store;
 mod support;
