--- a/examples/local_site.rs
+++ b/examples/local_site.rs
@@ -1,13 +1,17 @@
 //! Runs a whole site in one process: stand-ins, three nodes, a short load and a reclaim.
 //!
 //! Exits with 1 if anything was lost, doubled or wrong. With `--keep` it goes on running and prints
-//! the addresses, for `teaselline request`, `teaselline status`, the console and curl.
+//! the addresses, for `teaselline request`, `teaselline status`, the console and curl. With
+//! `--platform` it is an installation of the operators' platform, with nodes as processes.
 
 #[path = "../tests/support/deployment.rs"]
 mod deployment;
 #[path = "../tests/support/load.rs"]
 mod load;
+#[path = "local_site/platform.rs"]
+mod platform;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +46,19 @@
                 .action(ArgAction::SetTrue)
                 .help("Goes on running after the load and prints the addresses."),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .action(ArgAction::SetTrue)
+                .help("Runs nodes of the gateway against stand-ins of the operators' platform."),
+        )
+        .arg(
+            Arg::new("binary")
+                .long("binary")
+                .value_parser(value_parser!(PathBuf))
+                .default_value("target/release/teaselline")
+                .help("The program whose nodes are run with --platform."),
+        )
         .arg(
             Arg::new("calls")
                 .long("calls")
@@ -67,6 +84,10 @@
     );
     let calls = matches.get_one("calls").copied().unwrap_or(400);
     let seed = matches.get_one("seed").copied().unwrap_or(1);
+    if matches.get_flag("platform") {
+        let binary: Option<&PathBuf> = matches.get_one("binary");
+        return exercise_platform(binary, calls, seed, matches.get_flag("keep")).await;
+    }
     let Ok(document) = Document::parse(DOCUMENT) else {
         eprintln!("the sample document has faults");
         return ExitCode::from(2);
@@ -102,6 +123,32 @@
     }
 }
 
+async fn exercise_platform(
+    binary: Option<&PathBuf>,
+    calls: usize,
+    seed: u64,
+    keeps: bool,
+) -> ExitCode {
+    let Some(binary) = binary.filter(|binary| binary.exists()) else {
+        eprintln!("build the program first: cargo build --release");
+        return ExitCode::from(2);
+    };
+    let ask = platform::Ask {
+        binary,
+        calls,
+        seed,
+        keeps,
+    };
+    match platform::run(ask).await {
+        Ok(false) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the installation cannot start: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn configure(site: &Site, nodes: &[Started]) -> bool {
     let proposal = Proposal {
         base_revision: 0,
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -44,6 +44,8 @@
     pub doors: Vec<OpenDoor>,
     /// Proxies between each node and its door, if there are any.
     pub store_proxies: Vec<TcpProxy>,
+    /// Proxies between callers and each node, if there are any.
+    pub caller_proxies: Vec<TcpProxy>,
     /// Proxies before upstreams by their ids, if there are any.
     pub upstream_proxies: Vec<(String, TcpProxy)>,
     /// The store.
@@ -71,7 +73,7 @@
     pub grace_s: u64,
     /// Windows of usage, in seconds.
     pub usage_window_s: f64,
-    /// Leads what nodes say to the store and to upstreams through proxies.
+    /// Leads what nodes say to the store, to upstreams and to callers through proxies.
     pub is_proxied: bool,
 }
 
@@ -90,6 +92,7 @@
             nodes: Vec::new(),
             doors: Vec::new(),
             store_proxies: Vec::new(),
+            caller_proxies: Vec::new(),
             upstream_proxies: Vec::new(),
             is_proxied: settings.is_proxied,
             store,
@@ -128,7 +131,12 @@
                 folder: deployment.folder.path().to_owned(),
             };
             deployment.doors.push(door);
-            deployment.nodes.push(Node::start(launch)?);
+            let node = Node::start(launch)?;
+            if settings.is_proxied {
+                let proxy = TcpProxy::start(ProxySettings::new(node.callers())).await?;
+                deployment.caller_proxies.push(proxy);
+            }
+            deployment.nodes.push(node);
         }
         for place in 0..settings.nodes {
             if !deployment.wait_until_ready(place).await {
