--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 mod health;
 mod inbound;
 mod info;
+mod labels;
 mod lease;
 pub(crate) mod num;
 mod patience;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -119,14 +119,10 @@
         }
         let choice = match ask.prompt {
             Some(prompt) => {
+                let source = sources.iter().find(|source| source.upstream != key);
                 let believed = Believed {
                     missing_part: missing(prompt, key, preferred, prefixes, now),
-                    copy: ask.copy_tokens_per_ms.zip(
-                        sources
-                            .iter()
-                            .find(|source| source.upstream != key)
-                            .copied(),
-                    ),
+                    copy: ask.copy_tokens_per_ms.zip(source.copied()),
                 };
                 expect_engine(key, upstream, prompt, believed)
             }
--- a/src/gateway/exchange/story.rs
+++ b/src/gateway/exchange/story.rs
@@ -68,7 +68,8 @@
     received_at: TimeMs,
     request_id: Option<String>,
     route: String,
-    measures: Measures,
+    /// None until its route is known.
+    measures: Option<Measures>,
     team: Option<String>,
     configuration_version: u64,
     upstream: String,
@@ -86,7 +87,7 @@
             received_at,
             request_id: None,
             route: String::new(),
-            measures: Measures::new(String::new(), "none"),
+            measures: None,
             team: None,
             configuration_version: 0,
             upstream: String::new(),
@@ -116,7 +117,7 @@
     ) {
         route.name.clone_into(&mut self.route);
         let kind = if route.is_stream { "stream" } else { "plain" };
-        self.measures = Measures::new(label, kind);
+        self.measures = Some(Measures::new(label, kind));
         self.team = team.map(str::to_owned);
         self.configuration_version = configuration_version;
     }
@@ -124,7 +125,9 @@
     /// The request goes to an upstream.
     pub fn sent(&mut self, upstream: &str, inputs: Inputs) {
         upstream.clone_into(&mut self.upstream);
-        self.measures.expected.record(inputs.expected_ms);
+        if let Some(measures) = &self.measures {
+            measures.expected.record(inputs.expected_ms);
+        }
         self.inputs = inputs;
         self.sends += 1;
     }
@@ -154,14 +157,18 @@
         let first_ms = now.since(self.received_at);
         self.first_ms = Some(first_ms);
         self.event_at = now;
-        self.measures.first_token.record(num::real(first_ms));
+        if let Some(measures) = &self.measures {
+            measures.first_token.record(num::real(first_ms));
+        }
     }
 
     /// Another event of a stream came.
     pub fn event(&mut self, now: TimeMs) {
         let pause_ms = now.since(self.event_at);
         self.event_at = now;
-        self.measures.pause.record(num::real(pause_ms));
+        if let Some(measures) = &self.measures {
+            measures.pause.record(num::real(pause_ms));
+        }
     }
 
     pub fn answered(&mut self, status: StatusCode, now: TimeMs) {
@@ -185,7 +192,9 @@
         metrics::counter!("teaselline_requests_total", "outcome" => outcome, "reason" => reason.to_owned())
             .increment(1);
         let took_ms = now.since(self.received_at);
-        self.measures.answer.record(num::real(took_ms));
+        if let Some(measures) = &self.measures {
+            measures.answer.record(num::real(took_ms));
+        }
         log::info!(
             event = "request_ended",
             request_id = self.request_id.as_deref().unwrap_or_default(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,7 +11,7 @@
 use super::catalog::{Catalog, InForce};
 use super::channels::Channels;
 use super::clock;
-use super::gauges::RouteLabels;
+use super::labels::RouteLabels;
 use super::lease::{Holder, Lease};
 use super::peers::{Member, Message, Peers};
 use super::prefixes::Prefixes;
