--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -42,6 +42,14 @@
     }
 }
 
+/// Asks for an engine of a pool whose engines copy 597 tokens in a millisecond.
+fn copying(prompt: &Prompt) -> Ask<'_> {
+    Ask {
+        copy_tokens_per_ms: Some(597.0),
+        ..ask("engines", Some(prompt), &[])
+    }
+}
+
 #[test]
 fn all_nodes_send_a_shared_part_to_the_same_engine() {
     let (first, second) = (table(12), table(12));
@@ -232,10 +240,7 @@
     let mut table = table(12);
     let prompt = prompt(5);
     let mut prefixes = Prefixes::default();
-    let ask = Ask {
-        copy_tokens_per_ms: Some(597.0),
-        ..ask("engines", Some(&prompt), &[])
-    };
+    let ask = copying(&prompt);
     let first = choose(&table, &prefixes, &ask, NOW).expect("some").upstream;
     prefixes.note(5, first, NOW);
     table.get_mut(first).expect("there").announced.phase = Phase::Leaving;
@@ -260,10 +265,7 @@
     let mut table = table(12);
     let prompt = prompt(5);
     let mut prefixes = Prefixes::default();
-    let ask = Ask {
-        copy_tokens_per_ms: Some(597.0),
-        ..ask("engines", Some(&prompt), &[])
-    };
+    let ask = copying(&prompt);
     let first = choose(&table, &prefixes, &ask, NOW).expect("some").upstream;
     prefixes.note(5, first, NOW);
     let load = |unread_tokens| Load {
