--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -178,7 +178,7 @@
                 TimeMs(0)
             };
             note_reading(node, from, to, changes, read_at);
-            tell_recent(node);
+            tell_recent(node, read_at);
             Ok(())
         }
         Err(StoreError::Deleted { first }) => {
@@ -213,13 +213,31 @@
 }
 
 /// Tells the peers what has changed in the last moments.
-fn tell_recent(node: &Gateway) {
+fn tell_recent(node: &Gateway, read_at: TimeMs) {
+    let now = clock::now();
+    let read_at_day_ms = (node.time_of_day(now).0).saturating_sub(now.since(read_at));
     let recent = node.recent.lock().all();
     if let Some((from, to, changes)) = recent {
-        node.tell_peers(Message::Upstreams { from, to, changes });
+        node.tell_peers(Message::Upstreams {
+            from,
+            to,
+            changes,
+            read_at_day_ms,
+        });
     }
 }
 
+/// When a peer asked the store for what it tells, on this node's clock.
+///
+/// News may wait for seconds at the link of a small host. Taken for as old as its way is short, it
+/// would keep this node from reading the store itself, and upstreams that left meanwhile would go on
+/// getting work. A time of day that is ahead of this node's counts as now.
+#[must_use]
+pub(crate) fn read_at(read_at_day_ms: u64, day_now: TimeMs, now: TimeMs) -> TimeMs {
+    let age_ms = day_now.0.saturating_sub(read_at_day_ms);
+    TimeMs(now.0.saturating_sub(age_ms))
+}
+
 fn reached(node: &Gateway, end: u64, read_at: TimeMs) {
     let mut view = node.upstreams_view.lock();
     *view = UpstreamsView {
@@ -297,3 +315,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -170,7 +170,15 @@
     };
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
-        Message::Upstreams { from, to, changes } => take_upstreams(node, from, to, changes, now),
+        Message::Upstreams {
+            from,
+            to,
+            changes,
+            read_at_day_ms,
+        } => {
+            let read_at = follow::read_at(read_at_day_ms, node.time_of_day(now), now);
+            take_upstreams(node, from, to, changes, read_at, now);
+        }
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
@@ -179,7 +187,14 @@
 }
 
 /// Takes in what another node has read of the announcements of upstreams.
-fn take_upstreams(node: &Gateway, from: u64, to: u64, changes: Vec<Change>, now: TimeMs) {
+fn take_upstreams(
+    node: &Gateway,
+    from: u64,
+    to: u64,
+    changes: Vec<Change>,
+    read_at: TimeMs,
+    now: TimeMs,
+) {
     let end = node.upstreams_view.lock().end;
     match end {
         // What was missed in between is read from the store.
@@ -188,7 +203,7 @@
         _ if end > to => {}
         _ => {
             let changes = follow::take_changes(node, changes, now);
-            follow::note_reading(node, end, to, changes, now);
+            follow::note_reading(node, end, to, changes, read_at);
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -51,6 +51,9 @@
         from: u64,
         to: u64,
         changes: Vec<Change>,
+        /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
+        /// milliseconds.
+        read_at_day_ms: u64,
     },
     Strike(Strike),
     /// What nodes have admitted of one team since their starts, by incarnation; told between two
