bug: An upstream that starts again under its id is another one; malformed records name none

Cause: a server may start again under the id that it had, with its count begun anew. The table took it for the one that it was: its health, loads, cached parts and kept channels were believed to go on, and requests that its crash had lost without a reset waited out their whole time. A record of another writer counted wherever it could be read in part, one unreadable item hid a whole page of the store, and any bytes that happened to decode were a node or an entry of the duties.

Change: an incarnation is (id, born). A new one gets a key and a tag of its own; what waits for the old one is told and treated as perhaps run; pulses name incarnations; a record of an earlier start, or an earlier one of the same start, changes nothing. Records without a start are foreign where most of their pool tell theirs. Missing fields, other types, unknown states, records over 64 KiB, trailing bytes and nodes under another key are passed over, counted and logged with a bounded reason; one that turned bad takes its upstream out.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -6,6 +6,7 @@
 use bincode::{Decode, Encode};
 
 use super::clock;
+use super::follow;
 use super::lease::Entry;
 use super::sizing::{self, Ordered, Standing};
 use super::state::Gateway;
@@ -177,10 +178,14 @@
                 for (offset, body) in (records.from..).zip(&records.bodies) {
                     let config = bincode::config::standard();
                     match bincode::decode_from_slice::<Entry, _>(body, config) {
-                        Ok((entry, _length)) => lease.read(offset, entry, now),
-                        Err(error) => {
-                            log::error!(error:err = error, offset; "a record of the duties is passed over");
+                        Ok((entry, length)) if length == body.len() => {
+                            lease.read(offset, entry, now);
                         }
+                        Ok(_longer) => {
+                            let reason = "more follows than a record holds";
+                            follow::note_malformed(Topic::Duties, "", &reason);
+                        }
+                        Err(error) => follow::note_malformed(Topic::Duties, "", &error),
                     }
                 }
                 from = records.next();
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -145,8 +145,10 @@
     let Some((address, id)) = target else {
         return Err(Vain::NotRun("upstream_gone", String::new()));
     };
-    let mut running = Running::new(node, choice, tag(&id), clock::now());
     let now = clock::now();
+    let Some(mut running) = Running::new(node, choice, now) else {
+        return Err(Vain::NotRun("upstream_gone", String::new()));
+    };
     story.sent(
         &id,
         Inputs {
@@ -180,7 +182,14 @@
         };
         let patience = Duration::from_millis(patience(plan, trial, running.sent_at));
         let answer = channel.sender.try_send_request(request);
-        match tokio::time::timeout(patience, answer).await {
+        let answered = tokio::select! {
+            answered = tokio::time::timeout(patience, answer) => answered,
+            () = running.until_restart() => {
+                trial.note_send();
+                return Err(Vain::MayHaveRun("upstream_restarted", String::new()));
+            }
+        };
+        match answered {
             Ok(Ok(response)) => sent = Some((channel.sender, response)),
             Ok(Err(mut error)) if error.message().is_some() => {
                 drop(error.take_message());
@@ -321,7 +330,15 @@
         count_begun(node, plan, begun_at(rest.running.sent_at, clock::now()));
         let left = Duration::from_millis(clock::now().until(plan.limit_at));
         let whole = Limited::new(body, MAX_WHOLE_BYTES).collect();
-        let whole = tokio::time::timeout(left, whole).await;
+        let restart = rest.running.until_restart();
+        let whole = tokio::select! {
+            whole = tokio::time::timeout(left, whole) => whole,
+            () = restart => {
+                trial.exclude(rest.running.upstream);
+                story.attempt_failed("upstream_restarted", "within the body", clock::now());
+                return None;
+            }
+        };
         let now = clock::now();
         rest.running.note_first_token();
         match whole {
--- a/src/gateway/exchange/events.rs
+++ b/src/gateway/exchange/events.rs
@@ -77,8 +77,14 @@
         loop {
             let left_ms = clock::now().until(limit_at);
             let wait_ms = patience_ms.min(left_ms);
+            let restart = self.rest.running.until_restart();
             let frame = tokio::time::timeout(Duration::from_millis(wait_ms), self.body.frame());
-            let frame = match frame.await {
+            let frame = tokio::select! {
+                biased;
+                frame = frame => frame,
+                () = restart => return Next::Broken("upstream_restarted"),
+            };
+            let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_error))) => return Next::Broken("stream_broken"),
                 Ok(None) if self.splitter.is_within_event() => {
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tokio_util::sync::CancellationToken;
+
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
 use crate::gateway::peers::Message;
@@ -15,25 +17,38 @@
 pub(super) struct Running {
     node: Arc<Gateway>,
     pub upstream: UpstreamKey,
-    pub upstream_tag: u64,
+    /// Names the start of the upstream that has it.
+    upstream_tag: u64,
+    /// Cancelled when that upstream is known to have started again.
+    restarted: CancellationToken,
     pub sent_at: TimeMs,
     unread_tokens: u64,
 }
 
 impl Running {
-    pub fn new(node: &Arc<Gateway>, choice: &Choice, upstream_tag: u64, now: TimeMs) -> Self {
-        if let Some(upstream) = node.upstreams.lock().get_mut(choice.upstream) {
-            upstream.own.running += 1;
-            upstream.note_sent(now);
-            upstream.own.unread_tokens += choice.unread_tokens;
-        }
-        Self {
+    /// Counts a request at the upstream of a choice; none if that is not known any more.
+    pub fn new(node: &Arc<Gateway>, choice: &Choice, now: TimeMs) -> Option<Self> {
+        let mut upstreams = node.upstreams.lock();
+        let upstream = upstreams.get_mut(choice.upstream)?;
+        upstream.own.running += 1;
+        upstream.note_sent(now);
+        upstream.own.unread_tokens += choice.unread_tokens;
+        Some(Self {
             node: Arc::clone(node),
             upstream: choice.upstream,
-            upstream_tag,
+            upstream_tag: upstream.tag,
+            restarted: upstream.restarted.clone(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
-        }
+        })
+    }
+
+    /// Waits until the upstream is known to have started again: nothing more comes of the request.
+    ///
+    /// An upstream that crashes behind a cut resets no channel; without this its requests wait out
+    /// their patience, and those that may run once their whole time.
+    pub fn until_restart(&self) -> impl Future<Output = ()> + use<> {
+        self.restarted.clone().cancelled_owned()
     }
 
     /// The prompt has been read: its first token came.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the store: the operators' configuration and the announcements of upstreams.
 
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -29,6 +30,9 @@
 /// A node that has heard nothing from the reader for this long reads by itself.
 const SILENT_READER_MS: u64 = 1_000;
 
+/// A reason for passing a record over is cut to this length in the log.
+const LONGEST_REASON_BYTES: usize = 200;
+
 /// Between two looks whether to read announcements.
 const LOOK_INTERVAL_MS: u64 = 100;
 
@@ -80,9 +84,7 @@
     for body in &records.bodies {
         match Keyed::read(body.clone()) {
             Ok(item) => take_configuration(node, &item),
-            Err(error) => {
-                log::error!(error:err = error; "a record of the configuration's topic is passed over");
-            }
+            Err(error) => note_malformed(Topic::Configuration, "", &error),
         }
     }
     let next = records.next();
@@ -126,6 +128,7 @@
             }
         }
         Err(error) => {
+            note_malformed(Topic::Configuration, &item.key, &error);
             log::error!(event = "configuration_rejected", error:err = error; "a configuration cannot be read; the one before stays");
         }
     }
@@ -192,11 +195,22 @@
 async fn newest_upstreams(node: &Gateway) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.newest(Topic::Upstreams).await?;
-    let announced: Vec<Announced> = newest.items.iter().filter_map(announced).collect();
+    let read = newest.items.iter().map(announced);
+    let announced: Vec<Announced> = (read)
+        .filter_map(|change| match change {
+            Change::Present(announced) => Some(announced),
+            Change::Removed { .. } | Change::Unreadable { .. } => None,
+        })
+        .collect();
     let now = clock::now();
     let was_away = node.store_was_away(now);
     node.upstreams.lock().replace(announced, was_away, now);
-    reached(node, newest.end, asked_at);
+    // The snapshot may be older than what peers have told meanwhile, which it has just replaced:
+    // without reading on from its own end, an upstream that left in between would get work again.
+    *node.upstreams_view.lock() = UpstreamsView {
+        end: newest.end,
+        read_at: asked_at,
+    };
     Ok(())
 }
 
@@ -250,49 +264,58 @@
     let items = (records.bodies.iter()).filter_map(|body| match Keyed::read(body.clone()) {
         Ok(item) => Some(item),
         Err(error) => {
-            log::error!(error:err = error; "a record of the upstreams' topic is passed over");
+            note_malformed(Topic::Upstreams, "", &error);
             None
         }
     });
-    items
-        .filter_map(|item| match &item.value {
-            None => Some(Change::Removed { id: item.key }),
-            Some(_value) => announced(&item).map(Change::Present),
-        })
-        .collect()
+    items.map(|item| announced(&item)).collect()
 }
 
-fn announced(item: &Keyed) -> Option<Announced> {
-    let value = item.value.as_ref()?;
+/// What one record says of its upstream.
+fn announced(item: &Keyed) -> Change {
+    let id = item.key.clone();
+    let Some(value) = &item.value else {
+        return Change::Removed { id };
+    };
     match upstreams::parse(&item.key, value) {
-        Ok(announced) => Some(announced),
+        Ok(announced) => Change::Present(announced),
         Err(error) => {
-            log::error!(upstream = item.key.as_str(), error:err = error; "an announcement is passed over");
-            None
+            note_malformed(Topic::Upstreams, &item.key, &error);
+            Change::Unreadable { id }
         }
     }
 }
 
+/// Counts and logs a record that cannot be used; it may come from another writer.
+pub(crate) fn note_malformed(topic: Topic, key: &str, error: &impl Display) {
+    metrics::counter!("teaselline_records_malformed_total", "topic" => topic.word()).increment(1);
+    let mut reason = error.to_string();
+    // A reason may quote what it found, up to a whole record.
+    let end = reason.floor_char_boundary(LONGEST_REASON_BYTES);
+    reason.truncate(end);
+    log::warn!(event = "record_malformed", topic = topic.word(), key, reason = reason.as_str(); "a record is passed over");
+}
+
 /// Takes in changes; gives those that changed anything.
 pub(crate) fn take_changes(node: &Gateway, changes: Vec<Change>, now: TimeMs) -> Vec<Change> {
     let was_away = node.store_was_away(now);
     let mut table = node.upstreams.lock();
     let mut real = Vec::new();
     for change in changes {
-        let is_known = match &change {
-            Change::Present(announced) => {
-                let known = table.find(&announced.id).and_then(|key| table.get(key));
-                known.is_some_and(|known| !known.is_removed && known.announced == *announced)
-            }
-            Change::Removed { id } => {
-                let known = table.find(id).and_then(|key| table.get(key));
-                known.is_none_or(|known| known.is_removed)
-            }
-        };
+        if let Change::Present(announced) = &change
+            && table.is_foreign(announced)
+        {
+            let reason = "it does not say when it started, as its pool does";
+            note_malformed(Topic::Upstreams, &announced.id, &reason);
+        }
+        let is_known = table.is_known(&change);
         if !is_known {
             log_change(&change);
-            table.apply(change.clone(), was_away, now);
-            real.push(change);
+            real.push(change.clone());
+        }
+        // A record that differs in its number only counts toward the order of those to come.
+        if !is_known || matches!(change, Change::Present(_)) {
+            table.apply(change, was_away, now);
         }
     }
     real
@@ -307,10 +330,11 @@
             failure_domain = announced.failure_domain.as_str(),
             phase:? = announced.phase,
             reclaimable = announced.is_reclaimable,
-            leaves_in_ms:? = announced.leaves_in_ms;
+            leaves_in_ms:? = announced.leaves_in_ms,
+            born_ms:? = announced.born_ms;
             "an upstream announced a change"
         ),
-        Change::Removed { id } => {
+        Change::Removed { id } | Change::Unreadable { id } => {
             log::info!(event = "upstream_removed", upstream = id.as_str(); "an upstream's announcement is gone");
         }
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -311,10 +311,16 @@
         let Some(value) = item.value else { continue };
         let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         match bincode::decode_from_slice::<Member, _>(&value, config) {
-            Ok((member, _length)) => node.peers.lock().introduce(member, now),
-            Err(error) => {
-                log::error!(node = item.key.as_str(), error:err = error; "a node's record is passed over");
+            // A record of another writer may happen to be of this form; a node writes under its own
+            // name, and nothing behind.
+            Ok((member, length)) if member.name == item.key && length == value.len() => {
+                node.peers.lock().introduce(member, now);
             }
+            Ok(_other) => {
+                let reason = "it is not the record of the node that its key names";
+                follow::note_malformed(Topic::Nodes, &item.key, &reason);
+            }
+            Err(error) => follow::note_malformed(Topic::Nodes, &item.key, &error),
         }
     }
     true
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
+use tokio_util::sync::CancellationToken;
 use twox_hash::XxHash3_64;
 
 use super::health::Health;
@@ -27,8 +28,12 @@
 /// What an upstream said of itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Announced {
-    /// New at each start of the upstream.
+    /// May be the one that an earlier start had; see [`Announced::born_ms`].
     pub id: String,
+    /// Unix milliseconds of its start; none where upstreams get a new id at each start.
+    pub born_ms: Option<u64>,
+    /// Counts what it has written since its start.
+    pub sequence: u64,
     pub pool: String,
     pub address: SocketAddr,
     pub failure_domain: String,
@@ -43,6 +48,48 @@
     pub leaves_in_ms: Option<u64>,
 }
 
+/// How a record relates to the one that is known under the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Succession {
+    /// The same start of the upstream says more.
+    Newer,
+    /// Another start of it, which holds and knows nothing of before.
+    Restarted,
+    /// An earlier start, or an earlier record of the same one, that was written late.
+    Late,
+}
+
+impl Announced {
+    /// Whether another record differs in its number only.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            sequence: other.sequence,
+            ..self.clone()
+        };
+        renumbered == *other
+    }
+
+    /// Names this start of the upstream among nodes in a few bytes.
+    pub fn tag(&self) -> u64 {
+        match self.born_ms {
+            Some(born_ms) => tag(&format!("{}@{born_ms}", self.id)),
+            None => tag(&self.id),
+        }
+    }
+
+    /// How a record that comes now relates to this one; `is_removed` says that this one was removed.
+    fn succession(&self, next: &Self, is_removed: bool) -> Succession {
+        match (self.born_ms, next.born_ms) {
+            (Some(known_ms), Some(born_ms)) if born_ms < known_ms => Succession::Late,
+            (known_ms, born_ms) if known_ms != born_ms => Succession::Restarted,
+            _ if next.sequence >= self.sequence => Succession::Newer,
+            // Without its start, a number that begins anew is all that tells of a restart.
+            (None, _) if is_removed => Succession::Restarted,
+            _ => Succession::Late,
+        }
+    }
+}
+
 /// A change of what is announced.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) enum Change {
@@ -53,6 +100,21 @@
         /// The upstream's id.
         id: String,
     },
+    /// Its announcement was overwritten by what names no upstream.
+    Unreadable {
+        /// The upstream's id.
+        id: String,
+    },
+}
+
+impl Change {
+    /// The id of the upstream that it is about.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Present(announced) => &announced.id,
+            Self::Removed { id } | Self::Unreadable { id } => id,
+        }
+    }
 }
 
 /// Requests of one node at one upstream.
@@ -68,8 +130,10 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Upstream {
     pub announced: Announced,
-    /// Names it among nodes in a few bytes.
+    /// Names this start of it among nodes in a few bytes.
     pub tag: u64,
+    /// Cancelled when it is known to have started again: what it ran is gone.
+    pub restarted: CancellationToken,
     /// Its announcement is gone; it is kept until its requests end.
     pub is_removed: bool,
     /// Removed by a store that had just been away; it may only have been unable to announce itself.
@@ -171,19 +235,58 @@
         now: TimeMs,
     ) -> Option<UpstreamKey> {
         match change {
+            Change::Present(announced) if self.is_foreign(&announced) => {
+                self.remove(&announced.id, TimeMs(0))
+            }
             Change::Present(announced) => Some(self.present(announced)),
-            Change::Removed { id } => {
-                let key = self.find(&id)?;
-                let upstream = self.get_mut(key)?;
-                upstream.is_removed = true;
-                upstream.doubtful_until = if store_was_away {
-                    now.after(LAPSE_GRACE_MS)
-                } else {
-                    TimeMs(0)
-                };
-                Some(key)
+            Change::Removed { id } if store_was_away => self.remove(&id, now.after(LAPSE_GRACE_MS)),
+            Change::Removed { id } | Change::Unreadable { id } => self.remove(&id, TimeMs(0)),
+        }
+    }
+
+    /// Whether a change says nothing that is not known, or comes late.
+    pub fn is_known(&self, change: &Change) -> bool {
+        let known = self.find(change.id()).and_then(|key| self.get(key));
+        match (change, known) {
+            (Change::Present(announced), _) if self.is_foreign(announced) => false,
+            (Change::Present(_), None) => false,
+            (Change::Present(announced), Some(known)) => {
+                let succession = known.announced.succession(announced, known.is_removed);
+                let is_same = !known.is_removed && known.announced.says_the_same(announced);
+                is_same || succession == Succession::Late
+            }
+            (Change::Removed { .. } | Change::Unreadable { .. }, known) => {
+                known.is_none_or(|known| known.is_removed)
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &str, doubtful_until: TimeMs) -> Option<UpstreamKey> {
+        let key = self.find(id)?;
+        let upstream = self.get_mut(key)?;
+        upstream.is_removed = true;
+        upstream.doubtful_until = doubtful_until;
+        Some(key)
+    }
+
+    /// Whether a record does not say when its upstream started although most of its pool do.
+    ///
+    /// Other writers may leave such a record under any key. Upstreams of one pool are alike, so that
+    /// the pool's other records show what a true one holds; one odd record alone outvotes nobody.
+    pub fn is_foreign(&self, announced: &Announced) -> bool {
+        if announced.born_ms.is_some() {
+            return false;
+        }
+        let mut pool_size = 0;
+        let mut with_start = 0;
+        for (_key, upstream) in self.iter() {
+            let is_other = upstream.announced.id != announced.id;
+            if is_other && !upstream.is_removed && upstream.announced.pool == announced.pool {
+                pool_size += 1;
+                with_start += u32::from(upstream.announced.born_ms.is_some());
             }
         }
+        with_start * 2 > pool_size
     }
 
     /// Takes in the whole of what is announced; what is not among it is removed.
@@ -198,8 +301,11 @@
         for id in lost {
             self.apply(Change::Removed { id }, store_was_away, now);
         }
-        for announced in all {
-            self.present(announced);
+        let (with_start, without): (Vec<_>, Vec<_>) = all
+            .into_iter()
+            .partition(|announced| announced.born_ms.is_some());
+        for announced in with_start.into_iter().chain(without) {
+            self.apply(Change::Present(announced), store_was_away, now);
         }
     }
 
@@ -207,15 +313,22 @@
         if let Some(key) = self.find(&announced.id)
             && let Some(upstream) = self.get_mut(key)
         {
-            upstream.announced = announced;
-            upstream.is_removed = false;
-            return key;
+            match (upstream.announced).succession(&announced, upstream.is_removed) {
+                Succession::Newer => {
+                    upstream.announced = announced;
+                    upstream.is_removed = false;
+                    return key;
+                }
+                Succession::Late => return key,
+                Succession::Restarted => self.retire(key),
+            }
         }
         let id = announced.id.clone();
-        let tag = tag(&id);
+        let tag = announced.tag();
         let key = self.insert(Upstream {
             announced,
             tag,
+            restarted: CancellationToken::new(),
             is_removed: false,
             doubtful_until: TimeMs(0),
             own: Load::default(),
@@ -230,6 +343,20 @@
         key
     }
 
+    /// Sets a start of an upstream apart after which it has started again.
+    ///
+    /// The new start gets a key of its own: the old one's health, loads, cached parts and channels
+    /// would be taken for its own, requests would go to a cache that is empty, and those that wait
+    /// for the old one would wait for as long as they may.
+    fn retire(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.get_mut(key) {
+            upstream.is_removed = true;
+            upstream.doubtful_until = TimeMs(0);
+            upstream.restarted.cancel();
+        }
+        self.by_id.retain(|(_id, other)| *other != key);
+    }
+
     fn insert(&mut self, upstream: Upstream) -> UpstreamKey {
         let free = self.arena.iter().position(|slot| slot.upstream.is_none());
         let place = free.unwrap_or_else(|| {
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -3,6 +3,8 @@
 pub(in crate::gateway) fn announced(id: &str, pool: &str, domain: &str) -> Announced {
     Announced {
         id: id.to_owned(),
+        born_ms: None,
+        sequence: 0,
         pool: pool.to_owned(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         failure_domain: domain.to_owned(),
@@ -169,3 +171,138 @@
     upstream.note_sign(TimeMs(1_500));
     assert!(!upstream.is_silent(TimeMs(9_000)), "nothing is waited for");
 }
+
+fn born(id: &str, born_ms: u64, sequence: u64) -> Announced {
+    Announced {
+        born_ms: Some(born_ms),
+        sequence,
+        ..announced(id, "pool", "d")
+    }
+}
+
+/// Symptom: requests wait for an upstream that has forgotten them, or go where a prompt is believed
+/// to be cached and is not; an upstream that is well again is left alone.
+/// Sequence: an upstream crashes and starts again under its id; its count of records begins anew.
+/// Cause: all that was believed of it hung on its id.
+#[test]
+fn an_upstream_that_started_again_is_another_one() {
+    let mut table = UpstreamTable::default();
+    let old = (table.apply(Change::Present(born("a", 100, 9)), false, TimeMs(1))).expect("known");
+    let old_tag = table.get(old).expect("there").tag;
+    let upstream = table.get_mut(old).expect("there");
+    upstream.own.running = 1;
+    upstream.health.note_unreachable(TimeMs(1));
+    table.set_peer_loads(
+        7,
+        &[(
+            old_tag,
+            Load {
+                running: 3,
+                unread_tokens: 50,
+            },
+        )],
+    );
+    let restarted = table.get(old).expect("there").restarted.clone();
+
+    let new = (table.apply(Change::Present(born("a", 200, 1)), false, TimeMs(2))).expect("known");
+    assert_ne!(old, new);
+    assert_eq!(table.find("a"), Some(new));
+    assert!(
+        restarted.is_cancelled(),
+        "what waits for the old start is told"
+    );
+    assert!(
+        !table
+            .get(old)
+            .expect("its request has not ended")
+            .takes_work(TimeMs(2))
+    );
+    let upstream = table.get(new).expect("there");
+    assert!(upstream.takes_work(TimeMs(2)));
+    assert_eq!(upstream.running(), 0);
+    assert!(!upstream.health.is_paused(TimeMs(2)));
+    assert!(!upstream.restarted.is_cancelled());
+
+    // A pulse that names the old start says nothing of the new one.
+    table.set_peer_loads(
+        7,
+        &[(
+            old_tag,
+            Load {
+                running: 5,
+                unread_tokens: 50,
+            },
+        )],
+    );
+    assert_eq!(table.get(new).expect("there").running(), 0);
+    table.get_mut(old).expect("there").own.running = 0;
+    table.forget_gone(TimeMs(3));
+    assert!(table.get(old).is_none());
+    assert_eq!(table.find("a"), Some(new));
+}
+
+/// Symptom: an upstream that leaves gets work, or one that started again is taken for its old start.
+/// Sequence: a record that was written earlier arrives after a later one.
+/// Cause: the record that came last counted.
+#[test]
+fn a_record_that_comes_late_changes_nothing() {
+    let mut table = UpstreamTable::default();
+    let mut leaving = born("a", 200, 5);
+    leaving.phase = Phase::Leaving;
+    let key = (table.apply(Change::Present(leaving), false, TimeMs(1))).expect("known");
+    for late in [born("a", 100, 50), born("a", 200, 4)] {
+        let change = Change::Present(late);
+        assert!(table.is_known(&change));
+        assert_eq!(table.apply(change, false, TimeMs(2)), Some(key));
+        assert!(!table.get(key).expect("there").takes_work(TimeMs(2)));
+    }
+    let later = Change::Present(born("a", 200, 6));
+    assert!(!table.is_known(&later));
+}
+
+/// Symptom: an upstream that is gone, or was never there, gets work.
+/// Sequence: another writer puts a record under an upstream's key or a key of its own.
+/// Cause: each record that can be read in part counted.
+#[test]
+fn what_other_writers_leave_takes_out_its_key_and_nothing_else() {
+    let mut table = UpstreamTable::default();
+    for id in ["a", "b", "c"] {
+        table.apply(Change::Present(born(id, 100, 1)), false, TimeMs(1));
+    }
+    let without_start = announced("b", "pool", "d");
+    table.apply(Change::Present(without_start), false, TimeMs(2));
+    table.apply(Change::Unreadable { id: "c".to_owned() }, true, TimeMs(2));
+    table.apply(
+        Change::Present(announced("x", "pool", "d")),
+        false,
+        TimeMs(2),
+    );
+    let works = |table: &UpstreamTable, id: &str| {
+        let key = table.find(id);
+        key.is_some_and(|key| table.get(key).expect("there").takes_work(TimeMs(3)))
+    };
+    assert!(works(&table, "a"));
+    assert!(!works(&table, "b"));
+    assert!(!works(&table, "c"));
+    assert!(!works(&table, "x"));
+    for id in ["b", "c"] {
+        table.apply(Change::Present(born(id, 100, 2)), false, TimeMs(4));
+        assert!(works(&table, id), "its own next record brings it back");
+    }
+}
+
+#[test]
+fn where_no_upstream_tells_its_start_none_needs_to() {
+    let mut table = table(&["a", "b"]);
+    let odd = Change::Present(born("x", 100, 1));
+    table.apply(odd, false, TimeMs(2));
+    table.apply(
+        Change::Present(announced("c", "pool", "d")),
+        false,
+        TimeMs(2),
+    );
+    for id in ["a", "b", "c"] {
+        let key = table.find(id).expect("there");
+        assert!(table.get(key).expect("there").takes_work(TimeMs(3)));
+    }
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{Method, StatusCode};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -41,6 +42,16 @@
 }
 
 impl Topic {
+    /// What its records are about, for logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Upstreams => "upstreams",
+            Self::Nodes => "nodes",
+            Self::Duties => "duties",
+        }
+    }
+
     /// The topic's name and the prefix of its calls' query.
     fn name(self) -> &'static str {
         match self {
@@ -133,7 +144,7 @@
 
 #[derive(Debug, Deserialize)]
 struct RawNewest {
-    items: Vec<RawItem>,
+    items: Vec<serde_json::Value>,
     #[serde(default)]
     truncated: bool,
     end: u64,
@@ -217,7 +228,10 @@
         loop {
             let path = match after.as_str() {
                 "" => format!("/api/log-newest?topic={name}&part=0"),
-                after => format!("/api/log-newest?topic={name}&part=0&after={after}"),
+                after => {
+                    let after = utf8_percent_encode(after, NON_ALPHANUMERIC);
+                    format!("/api/log-newest?topic={name}&part=0&after={after}")
+                }
             };
             let answer = self.get("newest", &path, CALL_TIMEOUT_MS).await?;
             if answer.status != StatusCode::OK {
@@ -229,16 +243,21 @@
             if after.is_empty() {
                 newest.end = page.end;
             }
-            let Some(last) = page.items.last().map(|item| item.key.clone()) else {
-                return Ok(newest);
-            };
+            let last = page.items.last().and_then(|item| item.get("key"));
+            let last = last.and_then(|key| key.as_str()).map(str::to_owned);
+            // One record that cannot be read must not hide the others.
             for item in page.items {
-                newest.items.push(Keyed::try_from(item)?);
+                match Keyed::try_from(item) {
+                    Ok(item) => newest.items.push(item),
+                    Err(error) => {
+                        log::warn!(event = "record_malformed", topic = topic.word(), key = "", reason:% = error; "a record is passed over");
+                    }
+                }
             }
-            if !page.truncated {
-                return Ok(newest);
+            match last {
+                Some(last) if page.truncated => after = last,
+                _ => return Ok(newest),
             }
-            after = last;
         }
     }
 
@@ -390,10 +409,14 @@
     }
 }
 
-impl TryFrom<RawItem> for Keyed {
+impl TryFrom<serde_json::Value> for Keyed {
     type Error = StoreError;
 
-    fn try_from(raw: RawItem) -> Result<Self, StoreError> {
+    fn try_from(raw: serde_json::Value) -> Result<Self, StoreError> {
+        let raw: RawItem =
+            serde_json::from_value(raw).map_err(|_other_form| StoreError::Malformed {
+                what: "an item has no key or no value",
+            })?;
         let value = BASE64
             .decode(raw.value)
             .map_err(|_not_base64| StoreError::Malformed {
--- a/src/platform/upstreams.rs
+++ b/src/platform/upstreams.rs
@@ -8,12 +8,30 @@
 use crate::gateway::num;
 use crate::gateway::upstreams::{Announced, Phase};
 
-/// Why an announcement cannot be used.
+/// Longest record that is read: a true one has some 300 bytes, and a megabyte of other text would
+/// cost a small host some milliseconds at each reading.
+const MOST_BYTES: usize = 64 * 1024;
+
+/// Why an announcement names no upstream; it may come from another writer.
 #[derive(Debug, Error)]
-#[error("the field `{field}` of an upstream's record cannot be read: {source}")]
-pub(crate) struct AnnouncementError {
-    field: String,
-    source: serde_json::Error,
+pub(crate) enum AnnouncementError {
+    /// A field is missing or of another type, or the whole is not a record.
+    #[error("the field `{field}` of an upstream's record cannot be read: {source}")]
+    Field {
+        /// Path of the field.
+        field: String,
+        /// What was found.
+        source: serde_json::Error,
+    },
+    /// The state is none that upstreams have.
+    #[error("an upstream's record names an unknown state")]
+    State,
+    /// It is longer than any true one.
+    #[error("an upstream's record has {bytes} bytes")]
+    TooLong {
+        /// Its length.
+        bytes: usize,
+    },
 }
 
 #[derive(Debug, Deserialize)]
@@ -22,9 +40,13 @@
     service: String,
     address: SocketAddr,
     zone: String,
-    #[serde(default)]
     slots: u32,
     state: String,
+    /// Counts what the server has written; begins anew when it starts again.
+    seq: u64,
+    /// Unix milliseconds of the server's start, always whole.
+    #[serde(default, deserialize_with = "stated")]
+    born: Option<u64>,
     #[serde(default)]
     cold_remaining_ms: f64,
     #[serde(default)]
@@ -33,29 +55,45 @@
     leaves_ms: Option<f64>,
 }
 
+/// A field that may be missing but, if it is there, must have a value.
+fn stated<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    u64::deserialize(deserializer).map(Some)
+}
+
 /// Reads the record of the server with this id.
 ///
 /// # Errors
 ///
 /// If it is not of the expected form.
 pub(crate) fn parse(id: &str, text: &[u8]) -> Result<Announced, AnnouncementError> {
+    if text.len() > MOST_BYTES {
+        let bytes = text.len();
+        return Err(AnnouncementError::TooLong { bytes });
+    }
     let mut json = serde_json::Deserializer::from_slice(text);
     let raw: RawServer =
-        serde_path_to_error::deserialize(&mut json).map_err(|error| AnnouncementError {
+        serde_path_to_error::deserialize(&mut json).map_err(|error| AnnouncementError::Field {
             field: error.path().to_string(),
             source: error.into_inner(),
         })?;
+    json.end().map_err(|source| AnnouncementError::Field {
+        field: ".".to_owned(),
+        source,
+    })?;
+    let phase = match raw.state.as_str() {
+        "ready" => Phase::Ready,
+        "draining" => Phase::Leaving,
+        _ => return Err(AnnouncementError::State),
+    };
     Ok(Announced {
         id: id.to_owned(),
+        born_ms: raw.born,
+        sequence: raw.seq,
         pool: raw.service,
         address: raw.address,
         failure_domain: raw.zone,
         slots: raw.slots,
-        // Any state but the usual one gets no new work.
-        phase: match raw.state.as_str() {
-            "ready" => Phase::Ready,
-            _ => Phase::Leaving,
-        },
+        phase,
         is_warming: raw.cold_remaining_ms > 0.0,
         is_reclaimable: raw.spot,
         leaves_in_ms: raw.leaves_ms.map(num::whole),
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -83,6 +83,12 @@
     store: Store,
     fault: Mutex<Fault>,
     state: Mutex<&'static str>,
+    /// When it started last, in Unix milliseconds.
+    born_ms: Mutex<u64>,
+    /// Announcements since then.
+    announced: Mutex<u64>,
+    /// What another writer puts in place of each of its records.
+    overwritten: Mutex<Option<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
     requests: Mutex<u64>,
     has_crashed: Mutex<bool>,
@@ -119,6 +125,9 @@
             store: store.clone(),
             fault: Mutex::default(),
             state: Mutex::new("ready"),
+            born_ms: Mutex::new(now_ms()),
+            announced: Mutex::default(),
+            overwritten: Mutex::default(),
             runs: Arc::clone(runs),
             requests: Mutex::default(),
             has_crashed: Mutex::default(),
@@ -132,15 +141,15 @@
                 channels.spawn(async move { drop(core.channel(socket).await) });
             }
         });
-        core.announce(0);
+        core.announce();
         let beating = Arc::clone(&core);
         let beat = tokio::spawn(async move {
-            for seq in 1.. {
+            loop {
                 tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
                 if *beating.has_crashed.lock() {
                     return;
                 }
-                beating.announce(seq);
+                beating.announce();
             }
         });
         Ok(Self { core, serve, beat })
@@ -161,7 +170,7 @@
     /// Announces another address, such as that of a proxy before it.
     pub fn announce_as(&self, address: SocketAddr) {
         *self.core.address.lock() = address;
-        self.core.announce(500_000);
+        self.core.announce();
     }
 
     /// Changes how it answers.
@@ -172,7 +181,22 @@
     /// Announces that it leaves; it goes on answering.
     pub fn drain(&self) {
         *self.core.state.lock() = "draining";
-        self.core.announce(1_000_000);
+        self.core.announce();
+    }
+
+    /// Starts again under its id: its count begins anew, and what it ran is gone without a sign.
+    pub fn restart(&self) {
+        let mut born_ms = self.core.born_ms.lock();
+        *born_ms = now_ms().max(*born_ms + 1);
+        drop(born_ms);
+        *self.core.announced.lock() = 0;
+        self.core.announce();
+    }
+
+    /// Has something else stand under its key from now on, as another writer may put it there.
+    pub fn overwrite(&self, value: &str) {
+        *self.core.overwritten.lock() = Some(value.to_owned());
+        self.core.announce();
     }
 
     /// Removes its announcement, as the store does after silence.
@@ -213,13 +237,20 @@
 }
 
 impl Core {
-    fn announce(&self, seq: u64) {
+    fn announce(&self) {
+        let seq = {
+            let mut announced = self.announced.lock();
+            *announced += 1;
+            *announced
+        };
         let value = serde_json::json!({
             "service": self.service, "address": self.address.lock().to_string(), "zone": self.zone,
             "version": "v1", "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
+            "born": *self.born_ms.lock(),
         });
-        self.store
-            .put("keyed.servers", &self.id, &value.to_string());
+        let overwritten = self.overwritten.lock().clone();
+        let value = overwritten.unwrap_or_else(|| value.to_string());
+        self.store.put("keyed.servers", &self.id, &value);
     }
 
     async fn channel(&self, mut socket: TcpStream) -> io::Result<()> {
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -157,3 +157,48 @@
     assert_ne!(after[0].upstream, before[0].upstream);
     assert_eq!(after[0].copied_from, Some(own), "{after:?}");
 }
+
+/// Symptom: a call waits out its whole time, and a stream breaks off.
+/// Sequence: an upstream crashes behind a cut, so that no channel is reset, and starts again under
+/// its id; its count of records begins anew.
+/// Cause: the node took it for the one that it had been and went on waiting.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_at_an_upstream_that_started_again_do_not_wait_for_it() {
+    let deployment = deployment(2, 1).await;
+    for upstream in &deployment.upstreams {
+        upstream.set(teaselline_stand_ins::operators::Fault::Silent);
+    }
+    let node = deployment.nodes[0].callers();
+    let waiting = tokio::spawn(async move { asked("lost", "once").send(node).await });
+    eventually("it runs", async || !deployment.runs_of("lost").is_empty()).await;
+    for upstream in &deployment.upstreams {
+        upstream.set(teaselline_stand_ins::operators::Fault::None);
+        upstream.restart();
+    }
+    let ended = waiting.await.expect("a call");
+    assert_eq!(ended.status(), Some(502), "it may have run: {ended:?}");
+    for node in 0..2 {
+        let id = format!("anew-{node}");
+        let ended = send(&deployment, node, &asked(&id, "once")).await;
+        assert_eq!(ended.status(), Some(200), "{ended:?}");
+    }
+    assert_eq!(deployment.runs_of("lost").len(), 1, "it runs once at most");
+}
+
+/// Symptom: calls go to an upstream whose record another writer has replaced.
+/// Sequence: the record of one of two upstreams is overwritten with what cannot be read.
+/// Cause: the last record that could be read went on counting.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_whose_record_was_overwritten_gets_no_work() {
+    let deployment = deployment(1, 2).await;
+    let overwritten = &deployment.upstreams[0];
+    assert!(overwritten.id().starts_with("desk"));
+    overwritten.overwrite("{\"service\":7");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for place in 0..20 {
+        let id = format!("beside-{place}");
+        let ended = send(&deployment, 0, &asked(&id, "once")).await;
+        assert_eq!(ended.status(), Some(200), "{ended:?}");
+        assert_ne!(deployment.runs_of(&id)[0].upstream, overwritten.id());
+    }
+}
