perf: Take a lease that nobody ever held at once

Change: where nothing was ever appended to the log of duties, its reader may take the lease. The append stays conditional, so that of several one wins.

Test: a_lease_that_nobody_ever_held_can_be_taken_at_once; the 300 schedules of lease/tests.rs hold.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -133,6 +133,10 @@
         match &self.holder {
             _ if !self.is_read || self.read_to < self.end => false,
             Some(held) if held.is_released => true,
+            // Nobody has ever appended, so that nobody can believe to hold it. A deployment that
+            // starts for the first time pays for its first upstreams until the first orders: without
+            // the wait they come 4 s sooner.
+            None if self.end == 0 => true,
             _ => now.since(self.end_known_at) >= self.duration_ms + TAKEOVER_MARGIN_MS,
         }
     }
--- a/src/gateway/lease/tests.rs
+++ b/src/gateway/lease/tests.rs
@@ -80,6 +80,21 @@
 /// Symptom: nothing is reported for seconds after each planned stop.
 /// Sequence: the holder stops as planned; the others wait for its lease to end.
 /// Cause: a holder that goes did not say so.
+/// Symptom: a deployment that starts for the first time pays for its first upstreams 4 s longer.
+/// Sequence: all nodes start; none has ever held the lease.
+/// Cause: the first holder waited for the lease of a holder that there cannot be.
+#[test]
+fn a_lease_that_nobody_ever_held_can_be_taken_at_once() {
+    let mut first = lease("a");
+    assert!(!first.may_take(TimeMs(10_000)), "the log has not been read");
+    first.read_to(0, TimeMs(10_000));
+    assert!(first.may_take(TimeMs(10_000)));
+    let mut second = lease("b");
+    second.read(0, hold("a"), TimeMs(10_000));
+    second.read_to(1, TimeMs(10_000));
+    assert!(!second.may_take(TimeMs(10_010)));
+}
+
 #[test]
 fn a_released_lease_can_be_taken_at_once() {
     let mut other = lease("b");
