perf: Insure against the next reclaim before the need is known, and learn sooner

Three domains go between 5 and 17 s; the need is known at 21 s only, since a node sees seven requests a second; the on-demand upstreams that the later start of the lease used to leave there are gone by then. Times to a first token of engines that are more than half full told of their queue and were learned as batch growth (20 ms a request in place of 1).

Change: the risk of the next reclaim counts also while the need is not known; 30 requests in place of 60 until the model counts; nothing is learned from engines that are half full.

Test: the_next_reclaim_is_insured_against_while_domains_go, extended.

--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -48,7 +48,7 @@
             unread_tokens: choice.unread_tokens,
             waiting_tokens: choice.waiting_tokens,
             others_before: choice.running,
-            is_telling: choice.copied_tokens == 0 && choice.running < choice.slots,
+            is_telling: choice.copied_tokens == 0 && choice.running * 2 < choice.slots,
         })
     }
 
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -57,7 +57,7 @@
 const PAUSE_NOISE_MS: f64 = 10.0;
 
 /// Requests until what was learned counts for sizing; before, priors are as good.
-const LEARNED_AFTER: u64 = 60;
+const LEARNED_AFTER: u64 = 30;
 
 /// How long a request holds its slot until any has ended, in ms.
 const PRIOR_HELD_MS: f64 = 1_000.0;
--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -34,6 +34,9 @@
 
 /// After a reclaim, or an order for which there were none, others are expected for this long: four
 /// domains went within 10 s of each other on the worst of the days seen, with none to be had for 14 s.
+///
+/// It counts before the need is known as well: on a day on which three domains go within the first
+/// fourteen seconds, 0.421 of the payoff owed was left without it, 0.506 with it (three seeds).
 const AT_RISK_MS: u64 = 15_000;
 
 /// An order is given again if upstreams are missing for this long beyond their boot.
@@ -238,7 +241,7 @@
         Some(need) => part(need, ON_DEMAND_PART)
             .min(part(all, FLOOR_PART))
             .saturating_sub(there - next_loss),
-        None => part(all, FLOOR_PART).saturating_sub(there),
+        None => part(all, FLOOR_PART).saturating_sub(there - next_loss),
     }
 }
 
--- a/src/gateway/sizing/tests.rs
+++ b/src/gateway/sizing/tests.rs
@@ -161,6 +161,10 @@
     };
     assert_eq!(bought(false), 0, "six are there");
     assert_eq!(bought(true), 3, "three are left if the next domain goes");
+    let unknown: u32 = (wanted(&scaling(), &there, None, true).iter())
+        .map(|(_domain, _count, on_demand)| on_demand)
+        .sum();
+    assert_eq!(unknown, 15, "of 18 before the need is known");
     let mut ordered = Ordered::default();
     let mut going = there.clone();
     going[1].reclaimed = 2;
