feature: teaselline losses: what requests were lost to, from the logs of any number of nodes

Change: a subcommand sums them by outcome, reason, route and team with the median time to the end, and by spans of time with the reason that most of a span's losses had.

--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -112,13 +112,27 @@
     }
 }
 
-/// Prints the story of a request.
-fn explain(id: &str, logs: &[Input]) -> Result<(), CommandError> {
+/// The text of some logs, one after the other.
+fn read_logs(logs: &[Input]) -> Result<String, CommandError> {
     let mut text = String::new();
     for log in logs {
         text.push_str(&input::read_text(log)?);
         text.push('\n');
     }
+    Ok(text)
+}
+
+/// Prints what requests were lost to.
+fn losses(span_ms: u64, logs: &[Input]) -> Result<(), CommandError> {
+    let text = read_logs(logs)?;
+    let losses = telemetry::losses::sum(&text, span_ms);
+    write!(io::stdout(), "{losses}")?;
+    Ok(())
+}
+
+/// Prints the story of a request.
+fn explain(id: &str, logs: &[Input]) -> Result<(), CommandError> {
+    let text = read_logs(logs)?;
     let story = telemetry::explain::explain(id, &text)?;
     write!(io::stdout(), "{story}")?;
     Ok(())
@@ -143,6 +157,7 @@
         Action::Audit { client, from } => audit(client, from).await,
         Action::Request { client, request } => send(client, request).await,
         Action::Explain { id, logs } => explain(&id, &logs),
+        Action::Losses { span_ms, logs } => losses(span_ms, &logs),
         Action::Completions { shell } => {
             generate::completions(shell, &mut io::stdout());
             Ok(())
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -38,6 +38,7 @@
         .subcommand(audit())
         .subcommand(request())
         .subcommand(explain())
+        .subcommand(losses())
         .subcommand(generate())
 }
 
@@ -225,13 +226,27 @@
                 .required(true)
                 .help("Explains the request with this id."),
         )
+        .arg(logs())
+}
+
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Sums the logs of any number of nodes into what requests were lost to, by cause and time.")
         .arg(
-            Arg::new("logs")
-                .value_name("FILE")
-                .action(ArgAction::Append)
-                .value_hint(ValueHint::FilePath)
-                .help("Reads these files of log lines; without any, or for -, standard input."),
+            flag("span-ms", "TEASELLINE_SPAN_MS", REQUEST)
+                .value_name("MS")
+                .default_value("2000")
+                .help("Sums by spans of this length. Where volume was bounded, lines of plain successes are missing first."),
         )
+        .arg(logs())
+}
+
+fn logs() -> Arg {
+    Arg::new("logs")
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .value_hint(ValueHint::FilePath)
+        .help("Reads these files of log lines; without any, or for -, standard input.")
 }
 
 fn request() -> Command {
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -84,6 +84,13 @@
         /// The logs; never empty.
         logs: Vec<Input>,
     },
+    /// Sum up from logs what requests were lost to.
+    Losses {
+        /// Length of the spans of time, in ms.
+        span_ms: u64,
+        /// The logs; never empty.
+        logs: Vec<Input>,
+    },
     /// Write completions for a shell.
     Completions {
         /// The shell.
@@ -281,6 +288,10 @@
             id: reader.text("id", "the id of a request"),
             logs: reader.files("logs"),
         },
+        "losses" => Action::Losses {
+            span_ms: reader.integer("span-ms", 1..=86_400_000),
+            logs: reader.files("logs"),
+        },
         "request" => Action::Request {
             client: client(&mut reader),
             request: request(&mut reader)?,
