--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -3,16 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bincode::{Decode, Encode};
-
-use super::catalog::{Catalog, Pool};
 use super::clock;
 use super::follow;
 use super::lease::Entry;
-use super::need::{self, Peak};
-use super::sizing::{self, Ordered, Standing};
+use super::ordering::{self, Ended};
 use super::state::Gateway;
 use super::upstreams::tag;
+use super::usage::Report;
 use crate::platform::cloud::{Cloud, Holder, Verdict};
 use crate::platform::store::{StoreError, Topic};
 use crate::time::TimeMs;
@@ -30,23 +27,6 @@
 /// Reports of windows that ended longer ago are not sent again after a takeover.
 const WINDOWS_LOOKED_AT: u64 = 3;
 
-/// The usage of one window.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub(crate) struct Report {
-    pub window: u64,
-    /// Requests that began, by the team's name.
-    pub counts: Vec<(String, u64)>,
-}
-
-/// A number of upstreams of one kind that is wanted in one failure domain.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Order {
-    pub pool: String,
-    pub failure_domain: String,
-    pub wanted: u32,
-    pub is_reclaimable: bool,
-}
-
 /// What the holder of the lease remembers between two looks.
 #[derive(Debug, Default)]
 struct Memory {
@@ -55,24 +35,12 @@
     reported: Vec<u64>,
     /// Windows that ended before this time of day may have been settled by others unseen.
     unknown_before: TimeMs,
-    /// What was ordered, by pool.
-    ordered: Vec<(String, Ordered)>,
-    /// What was needed lately, sorted by pool.
-    peaks: Vec<(String, Peak)>,
-    /// The highest of that, in the catalog's order of pools, for those of which it is known.
-    needs: Vec<(String, u32)>,
+    /// What concerns orders of upstreams.
+    orders: ordering::Memory,
     /// Names of teams by tag, also of those that are no longer in the configuration.
     teams: Vec<(u64, String)>,
 }
 
-impl Memory {
-    /// The fewest upstreams that bear what is asked of a pool, if that is known.
-    fn need_of(&self, pool: &str) -> Option<u32> {
-        let found = self.needs.iter().find(|(name, _need)| name == pool);
-        found.map(|(_name, need)| *need)
-    }
-}
-
 /// Takes part in the duties for as long as the node runs.
 pub(crate) async fn run(node: Arc<Gateway>) {
     let Some(address) = node.settings().cloud_address else {
@@ -91,11 +59,14 @@
                 return;
             }
         }
-        note_needs(&node, &mut memory, clock::now());
+        memory.orders.note_needs(&node, clock::now());
         keep_lease(&node, &mut memory).await;
         if node.lease.lock().token(clock::now()).is_some() {
             report_usage(&node, &cloud, &mut memory).await;
-            order_upstreams(&node, &cloud, &mut memory).await;
+            let ordered = ordering::order_upstreams(&node, &cloud, &mut memory.orders).await;
+            if ordered == Ended::Fenced {
+                give_up(&node, "orders").await;
+            }
         }
     }
 }
@@ -320,148 +291,3 @@
     release(node).await;
     node.lease.lock().lose();
 }
-
-/// Orders upstreams where too few or too many are there.
-async fn order_upstreams(node: &Gateway, cloud: &Cloud, memory: &mut Memory) {
-    let catalog = node.catalog();
-    for pool in &catalog.pools {
-        let Some(scaling) = &pool.scaling else {
-            continue;
-        };
-        let now = clock::now();
-        let standing = standing(node, &pool.name, now);
-        let need = memory.need_of(&pool.name);
-        let found = memory
-            .ordered
-            .binary_search_by(|(name, _)| name.cmp(&pool.name));
-        let place = found.unwrap_or_else(|place| {
-            memory
-                .ordered
-                .insert(place, (pool.name.clone(), Ordered::default()));
-            place
-        });
-        let ordered = &mut memory.ordered[place].1;
-        ordered.note_standing(&standing, now);
-        let orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
-        for order in orders {
-            if !give_order(node, cloud, &order, need, ordered).await {
-                return;
-            }
-        }
-    }
-}
-
-/// Gives one order; tells whether this node may go on with others.
-async fn give_order(
-    node: &Gateway,
-    cloud: &Cloud,
-    order: &Order,
-    need: Option<u32>,
-    ordered: &mut Ordered,
-) -> bool {
-    let Some(fencing_token) = node.lease.lock().token(clock::now()) else {
-        return false;
-    };
-    let holder = Holder {
-        node: &node.settings().name,
-        fencing_token,
-    };
-    let given = cloud.order(holder, order).await;
-    let now = clock::now();
-    log::info!(
-        event = "upstreams_ordered",
-        pool = order.pool.as_str(),
-        failure_domain = order.failure_domain.as_str(),
-        wanted = order.wanted,
-        reclaimable = order.is_reclaimable,
-        need,
-        fencing_token,
-        verdict:? = given;
-        "upstreams were ordered"
-    );
-    match given {
-        Ok(Verdict::Accepted) => ordered.note(order, now),
-        Ok(Verdict::Unavailable) => ordered.note_dry(now),
-        Ok(Verdict::Fenced) => {
-            give_up(node, "orders").await;
-            return false;
-        }
-        // It is given again at the next look, or it takes effect late, which does no harm: it
-        // names a number and not a difference.
-        Ok(Verdict::Refused(_)) | Err(_) => return false,
-    }
-    true
-}
-
-/// Upstreams of a pool by failure domain, for all domains that are known.
-fn standing(node: &Gateway, pool: &str, now: TimeMs) -> Vec<Standing> {
-    let settings = node.settings();
-    let mut standing: Vec<Standing> = (settings.domain_regions.iter())
-        .map(|(failure_domain, _region)| Standing {
-            failure_domain: failure_domain.clone(),
-            on_demand: 0,
-            reclaimable: 0,
-            reclaimed: 0,
-        })
-        .collect();
-    for (_key, upstream) in node.upstreams.lock().iter() {
-        if upstream.announced.pool != pool {
-            continue;
-        }
-        let domain = &upstream.announced.failure_domain;
-        let found = standing.binary_search_by(|standing| standing.failure_domain.cmp(domain));
-        let Ok(place) = found else { continue };
-        let counts = &mut standing[place];
-        match upstream.takes_work(now) {
-            true if upstream.announced.is_reclaimable => counts.reclaimable += 1,
-            true => counts.on_demand += 1,
-            false => counts.reclaimed += u32::from(upstream.is_reclaimed()),
-        }
-    }
-    standing
-}
-
-/// Works out what is needed of each pool.
-///
-/// All nodes do so, whether they have the duties or not: the next holder of the lease must know what
-/// was needed in the last moments, else it lets go what the one before kept for a wave.
-fn note_needs(node: &Gateway, memory: &mut Memory, now: TimeMs) {
-    let catalog = node.catalog();
-    memory.needs.clear();
-    for pool in &catalog.pools {
-        let Some(need) = least_engines(node, &catalog, pool, now) else {
-            continue;
-        };
-        let found = (memory.peaks).binary_search_by(|(name, _peak)| name.cmp(&pool.name));
-        let place = found.unwrap_or_else(|place| {
-            let peak = Peak::default();
-            memory.peaks.insert(place, (pool.name.clone(), peak));
-            place
-        });
-        let peak = memory.peaks[place].1.note(need, now);
-        memory.needs.push((pool.name.clone(), peak));
-    }
-}
-
-/// The fewest engines that bear what is asked of a pool, if that is known.
-fn least_engines(node: &Gateway, catalog: &Catalog, pool: &Pool, now: TimeMs) -> Option<u32> {
-    let (engine, scaling) = pool.engine.zip(pool.scaling.as_ref())?;
-    let targets = need::targets(catalog, &pool.name)?;
-    let pace = node.engines.lock().of(&pool.name).pace();
-    if !pace.is_learned {
-        return None;
-    }
-    let audience = node.peers.lock().audience(now);
-    let load = {
-        let demands = node.demands.lock();
-        need::Load {
-            rates: demands.fleet(&pool.name, audience, now),
-            shared_tokens: demands.shared_tokens(&pool.name),
-        }
-    };
-    let domains = u32::try_from(node.settings().domain_regions.len()).unwrap_or(u32::MAX);
-    let most = scaling.most.saturating_mul(domains).max(1);
-    let least = need::least_engines(&load, &pace, &engine, &targets, most);
-    log::debug!(event = "need_worked_out", pool = pool.name.as_str(), least, load:? = load, pace:? = pace; "what is asked of a pool");
-    Some(least)
-}
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -8,7 +8,7 @@
 
 use bincode::{Decode, Encode};
 
-use super::duties::Report;
+use super::usage::Report;
 use crate::time::TimeMs;
 
 /// Kept of the holder's own view of its lease for the way of a call that it sends at the end.
--- /dev/null
+++ b/src/gateway/ordering.rs
@@ -0,0 +1,183 @@
+//! Orders upstreams through the platform, for the node that has the duties.
+
+use super::catalog::{Catalog, Pool};
+use super::clock;
+use super::need::{self, Peak};
+use super::sizing::{self, Order, Ordered, Standing};
+use super::state::Gateway;
+use crate::platform::cloud::{Cloud, Holder, Verdict};
+use crate::time::TimeMs;
+
+/// How giving orders ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ended {
+    /// All that were due have been given, or there are none to be had.
+    Given,
+    /// Some were not; they are due again at the next look.
+    NotGiven,
+    /// Another node has acted with a higher token.
+    Fenced,
+}
+
+/// What is remembered between two looks.
+#[derive(Debug, Default)]
+pub(super) struct Memory {
+    /// What was ordered, sorted by pool.
+    ordered: Vec<(String, Ordered)>,
+    /// What was needed lately, sorted by pool.
+    peaks: Vec<(String, Peak)>,
+    /// The highest of that, for the pools of which it is known.
+    needs: Vec<(String, u32)>,
+}
+
+impl Memory {
+    /// The fewest upstreams that bear what is asked of a pool, if that is known.
+    fn need_of(&self, pool: &str) -> Option<u32> {
+        let found = self.needs.iter().find(|(name, _need)| name == pool);
+        found.map(|(_name, need)| *need)
+    }
+
+    /// Works out what is needed of each pool.
+    ///
+    /// All nodes do so, whether they have the duties or not: the next holder of the lease must know
+    /// what was needed in the last moments, else it lets go what the one before kept for a wave.
+    pub fn note_needs(&mut self, node: &Gateway, now: TimeMs) {
+        let catalog = node.catalog();
+        self.needs.clear();
+        for pool in &catalog.pools {
+            let Some(need) = least_engines(node, &catalog, pool, now) else {
+                continue;
+            };
+            let found = (self.peaks).binary_search_by(|(name, _peak)| name.cmp(&pool.name));
+            let place = found.unwrap_or_else(|place| {
+                let peak = Peak::default();
+                self.peaks.insert(place, (pool.name.clone(), peak));
+                place
+            });
+            let peak = self.peaks[place].1.note(need, now);
+            self.needs.push((pool.name.clone(), peak));
+        }
+    }
+}
+
+/// Orders upstreams where too few or too many are there.
+pub(super) async fn order_upstreams(node: &Gateway, cloud: &Cloud, memory: &mut Memory) -> Ended {
+    let catalog = node.catalog();
+    for pool in &catalog.pools {
+        let Some(scaling) = &pool.scaling else {
+            continue;
+        };
+        let now = clock::now();
+        let standing = standing(node, &pool.name, now);
+        let need = memory.need_of(&pool.name);
+        let found = memory
+            .ordered
+            .binary_search_by(|(name, _)| name.cmp(&pool.name));
+        let place = found.unwrap_or_else(|place| {
+            memory
+                .ordered
+                .insert(place, (pool.name.clone(), Ordered::default()));
+            place
+        });
+        let ordered = &mut memory.ordered[place].1;
+        ordered.note_standing(&standing, now);
+        let orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
+        for order in orders {
+            match give_order(node, cloud, &order, need, ordered).await {
+                Ended::Given => {}
+                ended => return ended,
+            }
+        }
+    }
+    Ended::Given
+}
+
+/// Gives one order.
+async fn give_order(
+    node: &Gateway,
+    cloud: &Cloud,
+    order: &Order,
+    need: Option<u32>,
+    ordered: &mut Ordered,
+) -> Ended {
+    let Some(fencing_token) = node.lease.lock().token(clock::now()) else {
+        return Ended::NotGiven;
+    };
+    let holder = Holder {
+        node: &node.settings().name,
+        fencing_token,
+    };
+    let given = cloud.order(holder, order).await;
+    let now = clock::now();
+    log::info!(
+        event = "upstreams_ordered",
+        pool = order.pool.as_str(),
+        failure_domain = order.failure_domain.as_str(),
+        wanted = order.wanted,
+        reclaimable = order.is_reclaimable,
+        need,
+        fencing_token,
+        verdict:? = given;
+        "upstreams were ordered"
+    );
+    match given {
+        Ok(Verdict::Accepted) => ordered.note(order, now),
+        Ok(Verdict::Unavailable) => ordered.note_dry(now),
+        Ok(Verdict::Fenced) => return Ended::Fenced,
+        // It is given again at the next look, or it takes effect late, which does no harm: it
+        // names a number and not a difference.
+        Ok(Verdict::Refused(_)) | Err(_) => return Ended::NotGiven,
+    }
+    Ended::Given
+}
+
+/// Upstreams of a pool by failure domain, for all domains that are known.
+fn standing(node: &Gateway, pool: &str, now: TimeMs) -> Vec<Standing> {
+    let settings = node.settings();
+    let mut standing: Vec<Standing> = (settings.domain_regions.iter())
+        .map(|(failure_domain, _region)| Standing {
+            failure_domain: failure_domain.clone(),
+            on_demand: 0,
+            reclaimable: 0,
+            reclaimed: 0,
+        })
+        .collect();
+    for (_key, upstream) in node.upstreams.lock().iter() {
+        if upstream.announced.pool != pool {
+            continue;
+        }
+        let domain = &upstream.announced.failure_domain;
+        let found = standing.binary_search_by(|standing| standing.failure_domain.cmp(domain));
+        let Ok(place) = found else { continue };
+        let counts = &mut standing[place];
+        match upstream.takes_work(now) {
+            true if upstream.announced.is_reclaimable => counts.reclaimable += 1,
+            true => counts.on_demand += 1,
+            false => counts.reclaimed += u32::from(upstream.is_reclaimed()),
+        }
+    }
+    standing
+}
+
+/// The fewest engines that bear what is asked of a pool, if that is known.
+fn least_engines(node: &Gateway, catalog: &Catalog, pool: &Pool, now: TimeMs) -> Option<u32> {
+    let (engine, scaling) = pool.engine.zip(pool.scaling.as_ref())?;
+    let targets = need::targets(catalog, &pool.name)?;
+    let pace = node.engines.lock().of(&pool.name).pace();
+    if !pace.is_learned {
+        return None;
+    }
+    let audience = node.peers.lock().audience(now);
+    let load = {
+        let demands = node.demands.lock();
+        need::Load {
+            rates: demands.fleet(&pool.name, audience, now),
+            shared_tokens: demands.shared_tokens(&pool.name),
+        }
+    };
+    let domains = u32::try_from(node.settings().domain_regions.len()).unwrap_or(u32::MAX);
+    let most = scaling.most.saturating_mul(domains).max(1);
+    let least = need::least_engines(&load, &pace, &engine, &targets, most);
+    log::debug!(event = "need_worked_out", pool = pool.name.as_str(), least, load:? = load, pace:? = pace; "what is asked of a pool");
+    Some(least)
+}
--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -8,7 +8,6 @@
 //! back. What is needed follows from the load; until that is known, all that are allowed are taken.
 
 use super::catalog::Scaling;
-use super::duties::Order;
 use super::num;
 use crate::time::TimeMs;
 
@@ -45,6 +44,15 @@
 /// None is ordered of a kind for this long after the platform had none.
 const DRY_MS: u64 = 2_000;
 
+/// A number of upstreams of one kind that is wanted in one failure domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Order {
+    pub pool: String,
+    pub failure_domain: String,
+    pub wanted: u32,
+    pub is_reclaimable: bool,
+}
+
 /// Upstreams of one pool in one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Standing {
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -4,6 +4,14 @@
 
 use crate::time::TimeMs;
 
+/// The usage of one window.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Report {
+    pub window: u64,
+    /// Requests that began, by the team's name.
+    pub counts: Vec<(String, u64)>,
+}
+
 /// Windows that are kept: the running one and those that are due.
 const KEPT_WINDOWS: u64 = 5;
 
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -7,7 +7,8 @@
 use thiserror::Error;
 
 use super::http::{Call, CallError, Client};
-use crate::gateway::duties::{Order, Report};
+use crate::gateway::sizing::Order;
+use crate::gateway::usage::Report;
 
 /// The platform answers in some milliseconds, when slow in some hundred.
 const CALL_TIMEOUT_MS: u64 = 1_500;
