--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -13,11 +13,6 @@
 use super::upstreams::{Upstream, UpstreamKey, UpstreamTable};
 use crate::time::TimeMs;
 
-/// How much more a token counts that some upstream has read before.
-///
-/// Reading it again delays all requests of that engine's batch, not only this one.
-const READ_AGAIN_WEIGHT: f64 = 3.0;
-
 /// How much longer a copied token counts than its reading would take.
 ///
 /// A copy costs some two thirds of reading again and fills a second engine's memory. At 0.4, parts
@@ -79,7 +74,7 @@
     pub running: u32,
 }
 
-/// The upstream that is expected to answer first, counting what is read again.
+/// The upstream that is expected to answer first, counting what is copied.
 ///
 /// Upstreams that are paused or silent are taken only if there are no others.
 #[must_use]
@@ -119,12 +114,8 @@
             None => expect_plain(key, upstream),
         };
         let penalty_ms = penalty(upstream, ask, now) + jitter(ask.draw, upstream.tag);
-        let read_again = num::real(choice.unread_tokens) / ask.pace.read_tokens_per_ms;
         let copied = num::real(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
-        let score = choice.expected_ms
-            + penalty_ms
-            + read_again * (READ_AGAIN_WEIGHT - 1.0)
-            + copied * COPY_WEIGHT;
+        let score = choice.expected_ms + penalty_ms + copied * COPY_WEIGHT;
         if best.is_none_or(|(least, _choice)| score < least) {
             best = Some((score, choice));
         }
