perf: With many nodes, limits are shaped by burst and rate alone

Hypothesis: with more than 30 nodes, where a part of the burst is kept in reserve for what is on its way, a bucket that holds half of the burst refuses clumps that are within the limit.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -94,8 +94,11 @@
 impl Shape {
     /// The bucket of a limit: in no window does it let in more than the rate over that window, the
     /// burst, and a part of what the limit may be exceeded by.
+    ///
+    /// Without a window, and with many nodes, the burst and the rate alone shape it.
     fn new(window: Option<LimitWindow>, rate_per_s: f64, burst: f64, nodes: u32) -> Self {
-        let Some(window) = window else {
+        // With many nodes, what is on its way between them takes all of the tolerance.
+        let Some(window) = window.filter(|_window| nodes <= MANY_NODES) else {
             return Self {
                 capacity: burst,
                 rate_per_s,
@@ -103,12 +106,7 @@
         };
         let window_s = num::real(window.window_ms) / 1_000.0;
         let tolerance = window.overshoot * (rate_per_s * window_s + burst) + window.slack;
-        // With many nodes, what is on its way between them takes all of it.
-        let given = if nodes > MANY_NODES {
-            0.0
-        } else {
-            tolerance * TOLERANCE_PART
-        };
+        let given = tolerance * TOLERANCE_PART;
         let beyond_rate = burst + given;
         Self {
             capacity: beyond_rate * AT_ONCE_PART,
