refactor: One table by pool, one wait that a restart ends, one way to note a malformed record

- budget, pace, demand and ordering each had a sorted table by pool that inserts when asked: by_pool.rs serves all four.
Ordering kept three of them and a list that was cleared each look; it keeps one.
Demands no longer hash the pool's name for each request.
- Three waits each spelled out the end by an upstream's restart, and the one of streams cloned a token for each event: Running::unless_restarted, without a clone.
- The store noted a record that cannot be read beside follow's note_malformed, without its metric: Topic::note_malformed, counted everywhere.
- Whether a record is foreign was asked three times for each change: once, and what peers are told is what was made of it.
- A bucket's capacity was kept beside the shape it follows from; the shape of a team's bucket was worked out in two places.
- explain and losses read lines alike: telemetry::records.
FLOOR_PART bounds from above now: INSURED_PART.

Differences: an item of the store that cannot be read counts in teaselline_records_malformed_total; a record without a start in a pool that tells its starts is logged as malformed only, not also as a change.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! (`follow`, `gossip`) fill it, `exchange` and `duties` act on it.
 
 mod budget;
+mod by_pool;
 pub(crate) mod call;
 pub(crate) mod catalog;
 mod channels;
--- a/src/gateway/budget.rs
+++ b/src/gateway/budget.rs
@@ -75,28 +75,6 @@
     }
 }
 
-/// The repeats of one node by pool.
-#[derive(Debug, Default)]
-pub(crate) struct RepeatsByPool {
-    /// Sorted by the pool's name.
-    pools: Vec<(String, Repeats)>,
-}
-
-impl RepeatsByPool {
-    /// Those of one pool.
-    pub fn of(&mut self, pool: &str) -> &mut Repeats {
-        let found = self
-            .pools
-            .binary_search_by(|(name, _repeats)| name.as_str().cmp(pool));
-        let place = found.unwrap_or_else(|place| {
-            self.pools
-                .insert(place, (pool.to_owned(), Repeats::default()));
-            place
-        });
-        &mut self.pools[place].1
-    }
-}
-
 /// Whether so little time is left that a repeat would not be answered.
 #[must_use]
 pub(crate) fn is_too_late(left_ms: u64, expected_ms: f64) -> bool {
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -6,6 +6,7 @@
 use bincode::{Decode, Encode};
 use rustc_hash::FxHashMap;
 
+use super::by_pool::ByPool;
 use super::num;
 use super::peers::FORGET_MS;
 use super::quota::Audience;
@@ -105,7 +106,7 @@
 /// What this node was asked of one pool.
 #[derive(Clone, Debug, Default)]
 struct PoolDemand {
-    /// Counts by the start of their step, oldest first.
+    /// What was counted in each step by its start, oldest first; not yet divided by any time.
     steps: Vec<(u64, Rates)>,
     parts: Parts,
     parts_before: Parts,
@@ -156,8 +157,7 @@
 /// What is asked of all pools.
 #[derive(Debug, Default)]
 pub(crate) struct Demands {
-    /// Sorted by the pool's tag.
-    own: Vec<(u64, PoolDemand)>,
+    own: ByPool<PoolDemand>,
     /// What peers said last, sorted by incarnation.
     peers: Vec<(u64, TimeMs, Vec<Rates>)>,
 }
@@ -165,7 +165,7 @@
 impl Demands {
     /// Takes in a request to an engine.
     pub fn note_request(&mut self, pool: &str, asked: &Asked, now: TimeMs) {
-        let demand = self.of(tag(pool));
+        let demand = self.own.of(pool);
         let step = demand.step(now);
         step.requests_per_s += 1.0;
         step.read_tokens_per_s += num::real(asked.unread_tokens);
@@ -177,22 +177,13 @@
 
     /// Takes in events of a stream.
     pub fn note_events(&mut self, pool: &str, events: u64, now: TimeMs) {
-        self.of(tag(pool)).step(now).events_per_s += num::real(events);
-    }
-
-    fn of(&mut self, pool: u64) -> &mut PoolDemand {
-        let found = self.own.binary_search_by_key(&pool, |(pool, _)| *pool);
-        let place = found.unwrap_or_else(|place| {
-            self.own.insert(place, (pool, PoolDemand::default()));
-            place
-        });
-        &mut self.own[place].1
+        self.own.of(pool).step(now).events_per_s += num::real(events);
     }
 
     /// This node's own rates, for its peers.
     pub fn own_rates(&self, now: TimeMs) -> Vec<Rates> {
         let rows = self.own.iter().map(|(pool, demand)| Rates {
-            pool: *pool,
+            pool: tag(pool),
             ..demand.rates(now)
         });
         rows.filter(|rates| rates.requests_per_s + rates.events_per_s > 0.0)
@@ -212,14 +203,12 @@
 
     /// What all nodes are asked of a pool; those that are not heard are taken to be like the others.
     pub fn fleet(&self, pool: &str, audience: Audience, now: TimeMs) -> Rates {
+        let own = self.own.get(pool).map(|demand| demand.rates(now));
         let pool = tag(pool);
         let mut sum = Rates {
             pool,
-            ..Rates::default()
+            ..own.unwrap_or_default()
         };
-        for (_pool, demand) in self.own.iter().filter(|(own, _demand)| *own == pool) {
-            sum.add(&demand.rates(now));
-        }
         for (_peer, at, rates) in &self.peers {
             if now.since(*at) < HEARD_MS {
                 (rates.iter().filter(|rates| rates.pool == pool)).for_each(|rates| sum.add(rates));
@@ -231,9 +220,7 @@
 
     /// Tokens of the shared parts of prompts that are in use in a pool.
     pub fn shared_tokens(&self, pool: &str) -> f64 {
-        let pool = tag(pool);
-        let found = self.own.iter().find(|(own, _demand)| *own == pool);
-        found.map_or(0.0, |(_pool, demand)| {
+        self.own.get(pool).map_or(0.0, |demand| {
             demand.parts.tokens().max(demand.parts_before.tokens())
         })
     }
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::clock;
-use super::follow;
 use super::lease::Entry;
 use super::ordering::{self, Ended};
 use super::state::Gateway;
@@ -169,9 +168,9 @@
                         }
                         Ok(_longer) => {
                             let reason = "more follows than a record holds";
-                            follow::note_malformed(Topic::Duties, "", &reason);
+                            Topic::Duties.note_malformed("", &reason);
                         }
-                        Err(error) => follow::note_malformed(Topic::Duties, "", &error),
+                        Err(error) => Topic::Duties.note_malformed("", &error),
                     }
                 }
                 from = records.next();
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -194,12 +194,10 @@
         };
         let patience = Duration::from_millis(patience(plan, trial, running.sent_at));
         let answer = channel.sender.try_send_request(request);
-        let answered = tokio::select! {
-            answered = tokio::time::timeout(patience, answer) => answered,
-            () = running.until_restart() => {
-                trial.note_send();
-                return Err(Vain::MayHaveRun("upstream_restarted", String::new()));
-            }
+        let answer = tokio::time::timeout(patience, answer);
+        let Some(answered) = running.unless_restarted(answer).await else {
+            trial.note_send();
+            return Err(Vain::MayHaveRun("upstream_restarted", String::new()));
         };
         match answered {
             Ok(Ok(response)) => sent = Some((channel.sender, response)),
@@ -342,14 +340,11 @@
         count_begun(node, plan, begun_at(rest.running.sent_at, clock::now()));
         let left = Duration::from_millis(clock::now().until(plan.limit_at));
         let whole = Limited::new(body, MAX_WHOLE_BYTES).collect();
-        let restart = rest.running.until_restart();
-        let whole = tokio::select! {
-            whole = tokio::time::timeout(left, whole) => whole,
-            () = restart => {
-                trial.exclude(rest.running.upstream);
-                story.attempt_failed("upstream_restarted", "within the body", clock::now());
-                return None;
-            }
+        let whole = tokio::time::timeout(left, whole);
+        let Some(whole) = rest.running.unless_restarted(whole).await else {
+            trial.exclude(rest.running.upstream);
+            story.attempt_failed("upstream_restarted", "within the body", clock::now());
+            return None;
         };
         let now = clock::now();
         rest.running.note_first_token();
--- a/src/gateway/exchange/events.rs
+++ b/src/gateway/exchange/events.rs
@@ -104,12 +104,9 @@
         loop {
             let left_ms = clock::now().until(limit_at);
             let wait_ms = patience_ms.min(left_ms);
-            let restart = self.rest.running.until_restart();
             let frame = tokio::time::timeout(Duration::from_millis(wait_ms), self.body.frame());
-            let frame = tokio::select! {
-                biased;
-                frame = frame => frame,
-                () = restart => return Next::Broken("upstream_restarted"),
+            let Some(frame) = self.rest.running.unless_restarted(frame).await else {
+                return Next::Broken("upstream_restarted");
             };
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -52,12 +52,17 @@
         })
     }
 
-    /// Waits until the upstream is known to have started again: nothing more comes of the request.
+    /// Waits for something of the upstream; none if it is known to have started again meanwhile, so
+    /// that nothing more comes of the request.
     ///
     /// An upstream that crashes behind a cut resets no channel; without this its requests wait out
     /// their patience, and those that may run once their whole time.
-    pub fn until_restart(&self) -> impl Future<Output = ()> + use<> {
-        self.restarted.clone().cancelled_owned()
+    pub async fn unless_restarted<T>(&self, awaited: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            outcome = awaited => Some(outcome),
+            () = self.restarted.cancelled() => None,
+        }
     }
 
     /// The prompt has been read: its first token came.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,6 +1,5 @@
 //! Follows the store: the operators' configuration and the announcements of upstreams.
 
-use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,9 +29,6 @@
 /// A node that has heard nothing from the reader for this long reads by itself.
 const SILENT_READER_MS: u64 = 1_000;
 
-/// A reason for passing a record over is cut to this length in the log.
-const LONGEST_REASON_BYTES: usize = 200;
-
 /// Between two looks whether to read announcements.
 const LOOK_INTERVAL_MS: u64 = 100;
 
@@ -84,7 +80,7 @@
     for body in &records.bodies {
         match Keyed::read(body.clone()) {
             Ok(item) => take_configuration(node, &item),
-            Err(error) => note_malformed(Topic::Configuration, "", &error),
+            Err(error) => Topic::Configuration.note_malformed("", &error),
         }
     }
     let next = records.next();
@@ -128,7 +124,7 @@
             }
         }
         Err(error) => {
-            note_malformed(Topic::Configuration, &item.key, &error);
+            Topic::Configuration.note_malformed(&item.key, &error);
             log::error!(event = "configuration_rejected", error:err = error; "a configuration cannot be read; the one before stays");
         }
     }
@@ -264,7 +260,7 @@
     let items = (records.bodies.iter()).filter_map(|body| match Keyed::read(body.clone()) {
         Ok(item) => Some(item),
         Err(error) => {
-            note_malformed(Topic::Upstreams, "", &error);
+            Topic::Upstreams.note_malformed("", &error);
             None
         }
     });
@@ -280,34 +276,26 @@
     match upstreams::parse(&item.key, value) {
         Ok(announced) => Change::Present(announced),
         Err(error) => {
-            note_malformed(Topic::Upstreams, &item.key, &error);
+            Topic::Upstreams.note_malformed(&item.key, &error);
             Change::Unreadable { id }
         }
     }
 }
 
-/// Counts and logs a record that cannot be used; it may come from another writer.
-pub(crate) fn note_malformed(topic: Topic, key: &str, error: &impl Display) {
-    metrics::counter!("teaselline_records_malformed_total", "topic" => topic.word()).increment(1);
-    let mut reason = error.to_string();
-    // A reason may quote what it found, up to a whole record.
-    let end = reason.floor_char_boundary(LONGEST_REASON_BYTES);
-    reason.truncate(end);
-    log::warn!(event = "record_malformed", topic = topic.word(), key, reason = reason.as_str(); "a record is passed over");
-}
-
 /// Takes in changes; gives those that changed anything.
 pub(crate) fn take_changes(node: &Gateway, changes: Vec<Change>, now: TimeMs) -> Vec<Change> {
     let was_away = node.store_was_away(now);
     let mut table = node.upstreams.lock();
     let mut real = Vec::new();
     for change in changes {
-        if let Change::Present(announced) = &change
-            && table.is_foreign(announced)
-        {
-            let reason = "it does not say when it started, as its pool does";
-            note_malformed(Topic::Upstreams, &announced.id, &reason);
-        }
+        let change = match change {
+            Change::Present(announced) if table.is_foreign(&announced) => {
+                let reason = "it does not say when it started, as its pool does";
+                Topic::Upstreams.note_malformed(&announced.id, &reason);
+                Change::Unreadable { id: announced.id }
+            }
+            change => change,
+        };
         let is_known = table.is_known(&change);
         if !is_known {
             log_change(&change);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -320,9 +320,9 @@
             }
             Ok(_other) => {
                 let reason = "it is not the record of the node that its key names";
-                follow::note_malformed(Topic::Nodes, &item.key, &reason);
+                Topic::Nodes.note_malformed(&item.key, &reason);
             }
-            Err(error) => follow::note_malformed(Topic::Nodes, &item.key, &error),
+            Err(error) => Topic::Nodes.note_malformed(&item.key, &error),
         }
     }
     true
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -1,5 +1,6 @@
 //! Orders upstreams through the platform, for the node that has the duties.
 
+use super::by_pool::ByPool;
 use super::catalog::{Catalog, Pool};
 use super::clock;
 use super::need::{self, Peak};
@@ -31,21 +32,19 @@
 pub(super) struct Memory {
     /// When this node first looked.
     first_look_at: Option<TimeMs>,
-    /// What was ordered, sorted by pool.
-    ordered: Vec<(String, Ordered)>,
-    /// What was needed lately, sorted by pool.
-    peaks: Vec<(String, Peak)>,
-    /// The highest of that, for the pools of which it is known.
-    needs: Vec<(String, u32)>,
+    pools: ByPool<PoolMemory>,
 }
 
-impl Memory {
-    /// The fewest upstreams that bear what is asked of a pool, if that is known.
-    fn need_of(&self, pool: &str) -> Option<u32> {
-        let found = self.needs.iter().find(|(name, _need)| name == pool);
-        found.map(|(_name, need)| *need)
-    }
+/// What is remembered of one pool.
+#[derive(Debug, Default)]
+struct PoolMemory {
+    ordered: Ordered,
+    peak: Peak,
+    /// The fewest upstreams that bear what was asked lately, if that is known.
+    need: Option<u32>,
+}
 
+impl Memory {
     /// Whether the upstreams that are there have had the time to say so.
     fn is_settled(&self, now: TimeMs) -> bool {
         let first = self.first_look_at;
@@ -59,19 +58,10 @@
     pub fn note_needs(&mut self, node: &Gateway, now: TimeMs) {
         let catalog = node.catalog();
         self.first_look_at.get_or_insert(now);
-        self.needs.clear();
-        for pool in &catalog.pools {
-            let Some(need) = least_engines(node, &catalog, pool, now) else {
-                continue;
-            };
-            let found = (self.peaks).binary_search_by(|(name, _peak)| name.cmp(&pool.name));
-            let place = found.unwrap_or_else(|place| {
-                let peak = Peak::default();
-                self.peaks.insert(place, (pool.name.clone(), peak));
-                place
-            });
-            let peak = self.peaks[place].1.note(need, now);
-            self.needs.push((pool.name.clone(), peak));
+        for pool in catalog.pools.iter().filter(|pool| pool.scaling.is_some()) {
+            let least = least_engines(node, &catalog, pool, now);
+            let memory = self.pools.of(&pool.name);
+            memory.need = least.map(|least| memory.peak.note(least, now));
         }
     }
 }
@@ -88,17 +78,8 @@
         };
         let now = clock::now();
         let standing = standing(node, &pool.name, now);
-        let need = memory.need_of(&pool.name);
-        let found = memory
-            .ordered
-            .binary_search_by(|(name, _)| name.cmp(&pool.name));
-        let place = found.unwrap_or_else(|place| {
-            memory
-                .ordered
-                .insert(place, (pool.name.clone(), Ordered::default()));
-            place
-        });
-        let ordered = &mut memory.ordered[place].1;
+        let PoolMemory { ordered, need, .. } = memory.pools.of(&pool.name);
+        let need = *need;
         ordered.note_standing(&standing, now);
         let orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
         for order in orders {
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -136,27 +136,5 @@
     }
 }
 
-/// The models of all pools.
-#[derive(Debug, Default)]
-pub(crate) struct EngineModels {
-    /// Sorted by the pool's name.
-    pools: Vec<(String, EngineModel)>,
-}
-
-impl EngineModels {
-    /// The model of one pool.
-    pub fn of(&mut self, pool: &str) -> &mut EngineModel {
-        let found = self
-            .pools
-            .binary_search_by(|(name, _model)| name.as_str().cmp(pool));
-        let place = found.unwrap_or_else(|place| {
-            let model = EngineModel::default();
-            self.pools.insert(place, (pool.to_owned(), model));
-            place
-        });
-        &mut self.pools[place].1
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -39,7 +39,7 @@
 /// payoff owed was left over the same days, with a half and nothing of the tolerance 0.514.
 const AT_ONCE_PART: f64 = 0.5;
 
-/// A team whose bucket is emptier than this part of its burst is near its limit.
+/// A team whose bucket is emptier than this part of what it holds is near its limit.
 ///
 /// A team that stays within its rate has a full bucket but for single requests.
 const NEAR_PART: f64 = 0.85;
@@ -165,8 +165,6 @@
 struct Bucket {
     team: u64,
     level: f64,
-    /// What it holds when it is full.
-    capacity: f64,
     filled_at: TimeMs,
     /// All that this node has admitted since its start.
     own_total: f64,
@@ -240,7 +238,7 @@
         })
     }
 
-    /// What was left of a team's limit when it last asked, as a part of its burst; below zero if it
+    /// What was left of a team's limit when it last asked, as a part of what its bucket holds; below zero if it
     /// was overdrawn.
     pub fn left_part(&self, team: &Team) -> Option<f64> {
         let tag = tag(&team.name);
@@ -248,7 +246,8 @@
             .buckets
             .binary_search_by_key(&tag, |bucket| bucket.team);
         let bucket = &self.buckets[found.ok()?];
-        (team.rate_per_s).map(|_limited| bucket.level / bucket.capacity.max(1.0))
+        let capacity = self.shape(team)?.capacity;
+        Some(bucket.level / capacity.max(1.0))
     }
 
     /// Gives back the cost of a request that did not run.
@@ -266,11 +265,9 @@
     ///
     /// While a team is far from its limit nobody has to hurry.
     pub fn collected(&mut self, team: &Team, own: u64, now: TimeMs) -> Vec<(u64, f64)> {
-        let Some(rate_per_s) = team.rate_per_s else {
+        let Some(shape) = self.shape(team) else {
             return Vec::new();
         };
-        let nodes = u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX);
-        let shape = Shape::new(self.window, rate_per_s, team.burst, nodes);
         let bucket = self.bucket(team, now);
         bucket.refill(shape.rate_per_s, shape.capacity, now);
         if bucket.level > shape.capacity * NEAR_PART {
@@ -341,6 +338,13 @@
         }
     }
 
+    /// How a team's bucket is filled, as far as this node knows the others; none without a limit.
+    fn shape(&self, team: &Team) -> Option<Shape> {
+        let nodes = u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX);
+        let rate_per_s = team.rate_per_s?;
+        Some(Shape::new(self.window, rate_per_s, team.burst, nodes))
+    }
+
     fn bucket(&mut self, team: &Team, now: TimeMs) -> &mut Bucket {
         let tag = tag(&team.name);
         let found = self
@@ -348,13 +352,12 @@
             .binary_search_by_key(&tag, |bucket| bucket.team);
         let place = found.unwrap_or_else(|place| {
             let filled_s = num::real(now.since(self.started_at)) / 1_000.0;
-            let rate_per_s = team.rate_per_s.unwrap_or(0.0);
-            let nodes = u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX);
-            let shape = Shape::new(self.window, rate_per_s, team.burst, nodes);
+            let level = self.shape(team).map_or(0.0, |shape| {
+                (shape.rate_per_s * filled_s).min(shape.capacity)
+            });
             let bucket = Bucket {
                 team: tag,
-                level: (shape.rate_per_s * filled_s).min(shape.capacity),
-                capacity: shape.capacity,
+                level,
                 filled_at: now,
                 own_total: 0.0,
                 told_total: 0.0,
@@ -372,7 +375,6 @@
     fn refill(&mut self, rate_per_s: f64, capacity: f64, now: TimeMs) {
         let gained = rate_per_s * num::real(now.since(self.filled_at)) / 1_000.0;
         self.level = (self.level + gained).min(capacity);
-        self.capacity = capacity;
         self.filled_at = now;
     }
 
--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -17,7 +17,7 @@
 /// With half of the domains reclaimed, half is left. Engines that cannot keep up with all that are
 /// allowed do not earn what more on-demand ones cost: on a day with engines of half the pace, 0.093
 /// of the payoff owed was left without this bound, 0.151 with it (three seeds).
-const FLOOR_PART: f64 = 0.45;
+const INSURED_PART: f64 = 0.45;
 
 /// Failure domains that may be reclaimed before others can be had.
 ///
@@ -247,9 +247,9 @@
     match need {
         _ if scaling.reclaimable_price.is_none() => need.unwrap_or(all),
         Some(need) => part(need, ON_DEMAND_PART)
-            .min(part(all, FLOOR_PART))
+            .min(part(all, INSURED_PART))
             .saturating_sub(there - next_loss),
-        None => part(all, FLOOR_PART).saturating_sub(there - next_loss),
+        None => part(all, INSURED_PART).saturating_sub(there - next_loss),
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,14 +7,15 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::budget::{RepeatBudget, RepeatsByPool};
+use super::budget::{RepeatBudget, Repeats};
+use super::by_pool::ByPool;
 use super::catalog::{Catalog, InForce};
 use super::channels::Channels;
 use super::clock;
 use super::demand::Demands;
 use super::labels::RouteLabels;
 use super::lease::{Holder, Lease};
-use super::pace::EngineModels;
+use super::pace::EngineModel;
 use super::peers::{Member, Message, Peers};
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
@@ -64,11 +65,11 @@
     pub store_contact: Mutex<StoreContact>,
     pub prefixes: Mutex<Prefixes>,
     /// How fast engines are.
-    pub engines: Mutex<EngineModels>,
+    pub engines: Mutex<ByPool<EngineModel>>,
     /// What is asked of them.
     pub demands: Mutex<Demands>,
     pub quotas: Mutex<Quotas>,
-    pub repeats: Mutex<RepeatsByPool>,
+    pub repeats: Mutex<ByPool<Repeats>>,
     pub strikes: Mutex<Strikes>,
     pub usage: Mutex<UsageBook>,
     pub peers: Mutex<Peers>,
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -253,7 +253,6 @@
     pub fn is_known(&self, change: &Change) -> bool {
         let known = self.find(change.id()).and_then(|key| self.get(key));
         match (change, known) {
-            (Change::Present(announced), _) if self.is_foreign(announced) => false,
             (Change::Present(_), None) => false,
             (Change::Present(announced), Some(known)) => {
                 let succession = known.announced.succession(announced, known.is_removed);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store: an append-only log with topics, some of which keep the newest record of
 //! each key.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 
 use base64::Engine as _;
@@ -28,6 +29,9 @@
 /// Most kilobytes of records in one answer.
 const READ_KB: u32 = 1_024;
 
+/// A reason for passing a record over is cut to this length in the log.
+const LONGEST_REASON_BYTES: usize = 200;
+
 /// What the records of a topic are about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Topic {
@@ -43,7 +47,7 @@
 
 impl Topic {
     /// What its records are about, for logs and metrics.
-    pub fn word(self) -> &'static str {
+    fn word(self) -> &'static str {
         match self {
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
@@ -52,6 +56,17 @@
         }
     }
 
+    /// Counts and logs a record that cannot be used; it may come from another writer.
+    pub fn note_malformed(self, key: &str, error: &impl Display) {
+        metrics::counter!("teaselline_records_malformed_total", "topic" => self.word())
+            .increment(1);
+        let mut reason = error.to_string();
+        // A reason may quote what it found, up to a whole record.
+        let end = reason.floor_char_boundary(LONGEST_REASON_BYTES);
+        reason.truncate(end);
+        log::warn!(event = "record_malformed", topic = self.word(), key, reason = reason.as_str(); "a record is passed over");
+    }
+
     /// The topic's name and the prefix of its calls' query.
     fn name(self) -> &'static str {
         match self {
@@ -249,9 +264,7 @@
             for item in page.items {
                 match Keyed::try_from(item) {
                     Ok(item) => newest.items.push(item),
-                    Err(error) => {
-                        log::warn!(event = "record_malformed", topic = topic.word(), key = "", reason:% = error; "a record is passed over");
-                    }
+                    Err(error) => topic.note_malformed("", &error),
                 }
             }
             match last {
--- a/src/telemetry/explain.rs
+++ b/src/telemetry/explain.rs
@@ -57,14 +57,11 @@
 pub fn explain(id: &str, logs: &str) -> Result<Story, NoStory> {
     let mut story = Story::default();
     let mut lines = 0;
-    for line in logs.lines() {
-        let Some(start) = line.find('{') else {
-            continue;
-        };
+    for (source, record) in super::records(logs) {
         lines += 1;
-        match serde_json::from_str::<Map<String, Value>>(&line[start..]) {
+        match serde_json::from_str::<Map<String, Value>>(record) {
             Ok(record) if record.get("request_id").and_then(Value::as_str) == Some(id) => {
-                story.steps.push(step(line[..start].trim(), record));
+                story.steps.push(step(source.trim(), record));
             }
             Ok(_other) => {}
             Err(_torn) => story.torn_lines += 1,
--- a/src/telemetry/losses.rs
+++ b/src/telemetry/losses.rs
@@ -68,11 +68,8 @@
 #[must_use]
 pub fn sum(logs: &str, span_ms: u64) -> Losses {
     let mut losses = Losses::default();
-    for line in logs.lines() {
-        let Some(start) = line.find('{') else {
-            continue;
-        };
-        match serde_json::from_str::<Line>(&line[start..]) {
+    for (_source, record) in super::records(logs) {
+        match serde_json::from_str::<Line>(record) {
             Ok(line) if line.event == "request_ended" => losses.take(line, span_ms.max(1)),
             Ok(_other) => {}
             Err(_torn) => losses.torn_lines += 1,
