perf: One node of each failure domain confirms the configuration; an overdue holder is succeeded

Change: confirm.rs decides who asks the store and whom the others ask; answers of peers are as old as the question plus the age they name, and carry the configuration. contact.rs knows whether the store answers; a failure is forgotten, removals are told with whether the store was away, since most nodes no longer notice. One look for other nodes after one's own record, and a pulse at once. A holder that has not renewed for a lease is overdue.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,6 +12,8 @@
 mod channels;
 mod choose;
 mod clock;
+mod confirm;
+mod contact;
 mod demand;
 mod directory;
 mod duties;
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -1,5 +1,8 @@
 //! The configuration in force: routes, pools, teams and their keys.
 
+use bincode::{Decode, Encode};
+use bytes::Bytes;
+
 use crate::time::TimeMs;
 
 /// A route of the catalog; stands for its place there.
@@ -212,8 +215,27 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct InForce {
     pub catalog: std::sync::Arc<Catalog>,
-    /// The store held nothing newer at this time; zero if never asked.
+    /// The text that the catalog was made of, for peers that missed it.
+    pub document: Bytes,
+    /// Up to where the operators' records have been taken in; zero if never.
+    pub end: u64,
+    /// The store held nothing beyond that at this time; zero if never asked.
     pub current_at: TimeMs,
+    /// Up to where records are known to exist, from peers.
+    pub known_end: u64,
+}
+
+/// What a node says of its configuration when a peer asks.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct Confirmation {
+    /// When it was asked, on the clock of the one that asked; zero if it was not.
+    pub asked_at: TimeMs,
+    /// Up to where it has taken in the operators' records.
+    pub end: u64,
+    /// How long ago the store held nothing beyond that.
+    pub age_ms: u64,
+    /// Its configuration, if the one that asked has not read as far and a datagram holds it.
+    pub document: Option<Vec<u8>>,
 }
 
 impl InForce {
@@ -222,6 +244,51 @@
         self.catalog.version > 0
     }
 
+    /// Whether a peer knows of records that this node has not taken in.
+    pub fn is_behind(&self) -> bool {
+        self.known_end > self.end
+    }
+
+    /// Takes in that the store was asked at a time and its records have been taken in up to an
+    /// offset, beyond which there was nothing.
+    pub fn confirm(&mut self, end: u64, current_at: TimeMs) {
+        self.end = self.end.max(end);
+        self.current_at = self.current_at.max(current_at);
+    }
+
+    /// Takes in what a peer confirms; its document, if any, has been taken in before.
+    ///
+    /// All that this node knows is current if the peer had read no further. The time is that of this
+    /// node's question less the age that the peer named, since a datagram may have waited anywhere.
+    pub fn confirmed_by_peer(&mut self, confirmation: &Confirmation, now: TimeMs) {
+        let is_whole = confirmation.document.is_some() || confirmation.end <= self.end;
+        let current_at = (confirmation.asked_at.0).saturating_sub(confirmation.age_ms);
+        match is_whole {
+            _ if confirmation.asked_at > now => {}
+            true => self.confirm(confirmation.end, TimeMs(current_at)),
+            false => self.known_end = self.known_end.max(confirmation.end),
+        }
+    }
+
+    /// What to answer a peer that has read up to an offset; nothing if this node knows nothing.
+    pub fn confirmation(
+        &self,
+        asked_at: TimeMs,
+        read_to: u64,
+        now: TimeMs,
+    ) -> Option<Confirmation> {
+        if !self.is_known() || self.current_at == TimeMs(0) {
+            return None;
+        }
+        let is_handed_over = read_to < self.end && self.document.len() <= LARGEST_DOCUMENT_BYTES;
+        Some(Confirmation {
+            asked_at,
+            end: self.end,
+            age_ms: now.since(self.current_at),
+            document: is_handed_over.then(|| self.document.to_vec()),
+        })
+    }
+
     /// Whether a key that is accepted now cannot have been taken away for longer than allowed.
     pub fn is_fresh(&self, revoke_ms: u64, now: TimeMs) -> bool {
         let allowed_ms = revoke_ms.saturating_sub(FRESHNESS_MARGIN_MS);
@@ -229,6 +296,10 @@
     }
 }
 
+/// Largest configuration that is handed to a peer: with what stands beside it, it fits into one
+/// datagram of 65,000 bytes. A peer reads a larger one from the store.
+const LARGEST_DOCUMENT_BYTES: usize = 60_000;
+
 /// Kept of the bound on revoked keys for the way of a request to its upstream.
 ///
 /// A request that is accepted at the last moment still has to be read and sent; links and
--- a/src/gateway/catalog/tests.rs
+++ b/src/gateway/catalog/tests.rs
@@ -78,6 +78,7 @@
     let in_force = InForce {
         catalog: std::sync::Arc::new(catalog()),
         current_at: TimeMs(10_000),
+        ..InForce::default()
     };
     assert!(in_force.is_fresh(5_000, TimeMs(14_600)));
     assert!(!in_force.is_fresh(5_000, TimeMs(14_700)));
@@ -90,3 +91,65 @@
     assert!(!in_force.is_known());
     assert!(!in_force.is_fresh(5_000, TimeMs(1)));
 }
+
+fn known(end: u64, current_at: u64) -> InForce {
+    let catalog = Catalog {
+        version: 1,
+        ..catalog()
+    };
+    InForce {
+        catalog: std::sync::Arc::new(catalog),
+        document: Bytes::from_static(b"{}"),
+        end,
+        current_at: TimeMs(current_at),
+        known_end: 0,
+    }
+}
+
+/// Symptom: a key works for eight seconds after it was taken away.
+/// Sequence: a node asks a peer and is frozen for four seconds; the peer's answer waits in its socket;
+/// the key is taken away meanwhile; the node wakes up and reads the answer.
+/// Cause: what a peer confirms was taken to be as new as its arrival.
+#[test]
+fn a_confirmation_that_waited_is_as_old_as_its_question() {
+    let mut node = known(7, 10_000);
+    let answer = known(7, 19_700).confirmation(TimeMs(13_000), 7, TimeMs(20_000));
+    let answer = answer.expect("it is known");
+    assert_eq!((answer.age_ms, &answer.document), (300, &None));
+    node.confirmed_by_peer(&answer, TimeMs(17_000));
+    assert_eq!(node.current_at, TimeMs(12_700));
+}
+
+#[test]
+fn a_peer_that_has_read_further_confirms_only_with_its_document() {
+    let peer = known(9, 20_000);
+    let handed = peer.confirmation(TimeMs(13_000), 7, TimeMs(20_000));
+    let mut handed = handed.expect("it is known");
+    assert!(handed.document.is_some());
+    let mut node = known(7, 10_000);
+    let mut cut = handed.clone();
+    cut.document = None;
+    node.confirmed_by_peer(&cut, TimeMs(13_010));
+    assert!(node.is_behind());
+    assert_eq!((node.end, node.current_at), (7, TimeMs(10_000)));
+    node.confirmed_by_peer(&handed, TimeMs(13_010));
+    assert!(!node.is_behind());
+    assert_eq!((node.end, node.current_at), (9, TimeMs(13_000)));
+    handed.asked_at = TimeMs(90_000);
+    node.confirmed_by_peer(&handed, TimeMs(13_020));
+    assert_eq!(
+        node.current_at,
+        TimeMs(13_000),
+        "it was asked in the future"
+    );
+}
+
+#[test]
+fn a_configuration_too_large_for_a_datagram_is_not_handed_over() {
+    let mut peer = known(9, 20_000);
+    peer.document = Bytes::from(vec![b' '; LARGEST_DOCUMENT_BYTES + 1]);
+    let answer = peer.confirmation(TimeMs(13_000), 7, TimeMs(20_000));
+    assert_eq!(answer.expect("it is known").document, None);
+    let nothing = InForce::default().confirmation(TimeMs(13_000), 0, TimeMs(20_000));
+    assert_eq!(nothing, None);
+}
--- /dev/null
+++ b/src/gateway/contact.rs
@@ -0,0 +1,80 @@
+//! Whether the store answers this node, as far as the node's own calls show.
+
+use super::peers::StoreReach;
+use crate::time::TimeMs;
+
+/// A store that answered within this time counts as answering: nodes that ask it regularly do so
+/// each two seconds or more often, and a slow one takes up to a second.
+const ANSWERED_MS: u64 = 3_500;
+
+/// A failure is forgotten after this time. Nodes ask the store only if they have to, so that one
+/// that was turned away once would count as cut off for good.
+const FAILED_MS: u64 = 10_000;
+
+/// A store that failed for longer than this was away; what lapsed meanwhile may come back.
+const AWAY_MS: u64 = 1_500;
+
+/// For this long after the store is back, removals are taken as lapses.
+const LAPSES_MS: u64 = 2_500;
+
+/// Whether the store answers this node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct StoreContact {
+    pub answered_at: TimeMs,
+    /// The first failure since the last answer.
+    pub failing_since: Option<TimeMs>,
+    /// The last failure; zero if there was none.
+    pub failed_at: TimeMs,
+    /// When an answer came after failures.
+    pub back_at: TimeMs,
+}
+
+impl StoreContact {
+    /// Whether the store answers, as far as this node knows.
+    pub fn reach(&self, now: TimeMs) -> StoreReach {
+        match self.failing_since {
+            Some(_since) if now.since(self.failed_at) < FAILED_MS => StoreReach::Failing,
+            None if self.answered_at > TimeMs(0) && now.since(self.answered_at) < ANSWERED_MS => {
+                StoreReach::Answering
+            }
+            _ => StoreReach::Unasked,
+        }
+    }
+
+    /// Since the store last failed to answer; none if it answered after that.
+    pub fn failed_ms(&self, now: TimeMs) -> Option<u64> {
+        (self.failing_since.is_some()).then(|| now.since(self.failed_at))
+    }
+
+    /// Takes in whether a call was answered.
+    pub fn note(&mut self, answered: bool, now: TimeMs) {
+        match (answered, self.failing_since) {
+            (true, Some(since)) => {
+                log::info!(event = "dependency_regained", dependency = "store", away_ms = now.since(since); "the store answers again");
+                if now.since(since) > AWAY_MS {
+                    self.back_at = now;
+                }
+                self.failing_since = None;
+                self.answered_at = now;
+            }
+            (true, None) => self.answered_at = now,
+            (false, None) => {
+                log::warn!(event = "dependency_lost", dependency = "store"; "the store does not answer");
+                self.failing_since = Some(now);
+                self.failed_at = now;
+            }
+            (false, Some(_since)) => self.failed_at = now,
+        }
+    }
+
+    /// Whether removals of upstreams may only be lapses while the store was away.
+    pub fn was_away(&self, now: TimeMs) -> bool {
+        let is_failing = (self.failing_since).is_some_and(|since| now.since(since) > AWAY_MS);
+        let is_asked = now.since(self.failed_at) < ANSWERED_MS;
+        let is_back = self.back_at > TimeMs(0) && now.since(self.back_at) < LAPSES_MS;
+        (is_failing && is_asked) || is_back
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/contact/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+
+/// Symptom: live upstreams are dropped by nodes long after the store was away, or one that left goes
+/// on getting work.
+/// Sequence: a node asks the store once while it is away, and then not for a minute.
+/// Cause: a store that failed once was taken to be away until it was asked again.
+#[test]
+fn a_failure_is_forgotten_when_nothing_is_asked() {
+    let mut contact = StoreContact::default();
+    contact.note(false, TimeMs(10_000));
+    contact.note(false, TimeMs(12_000));
+    assert_eq!(contact.reach(TimeMs(12_100)), StoreReach::Failing);
+    assert!(contact.was_away(TimeMs(12_100)));
+    assert!(!contact.was_away(TimeMs(16_000)));
+    assert_eq!(contact.reach(TimeMs(22_000)), StoreReach::Unasked);
+}
+
+#[test]
+fn an_answer_counts_for_a_while() {
+    let mut contact = StoreContact::default();
+    assert_eq!(contact.reach(TimeMs(9_000)), StoreReach::Unasked);
+    contact.note(true, TimeMs(10_000));
+    assert_eq!(contact.reach(TimeMs(13_400)), StoreReach::Answering);
+    assert_eq!(contact.reach(TimeMs(13_500)), StoreReach::Unasked);
+    assert_eq!(contact.failed_ms(TimeMs(13_500)), None);
+}
+
+#[test]
+fn removals_may_be_lapses_for_a_moment_after_an_outage() {
+    let mut contact = StoreContact::default();
+    contact.note(false, TimeMs(10_000));
+    contact.note(true, TimeMs(14_000));
+    assert!(contact.was_away(TimeMs(16_400)));
+    assert!(!contact.was_away(TimeMs(16_500)));
+}
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -6,6 +6,7 @@
 use super::clock;
 use super::lease::Entry;
 use super::ordering::{self, Ended};
+use super::peers::StoreReach;
 use super::state::Gateway;
 use super::upstreams::tag;
 use super::usage::Report;
@@ -73,11 +74,12 @@
 /// Renews the lease, or takes it if no other node has it.
 async fn keep_lease(node: &Gateway, memory: &mut Memory) {
     let now = clock::now();
-    let (is_own, is_due, holder) = {
+    let (is_own, is_due, is_overdue, holder) = {
         let lease = node.lease.lock();
         (
             lease.is_own(),
             lease.is_renewal_due(now),
+            lease.is_overdue(now),
             lease.holder().cloned(),
         )
     };
@@ -87,11 +89,11 @@
         }
         return;
     }
-    let can = node.is_ready(now) && node.reaches_store();
+    let can = node.is_ready(now) && node.store_reach(now) == StoreReach::Answering;
     let should = {
         let peers = node.peers.lock();
-        let is_held = holder.is_some_and(|holder| peers.is_alive(&holder, now));
-        !is_held && peers.is_first(can, now)
+        let is_heard = holder.is_some_and(|holder| peers.is_alive(&holder, now));
+        (!is_heard || is_overdue) && peers.is_first(can, now)
     };
     if should && now.since(memory.read_at) >= READ_INTERVAL_MS {
         memory.read_at = now;
@@ -135,6 +137,8 @@
     let at = node.lease.lock().end();
     let sent_at = clock::now();
     let appended = node.store.append(Topic::Duties, &encoded, Some(at)).await;
+    let was_answered = matches!(appended, Ok(_) | Err(StoreError::NotAtEnd { .. }));
+    node.note_store(was_answered, clock::now());
     match appended {
         Ok(offset) => {
             (node.lease.lock()).appended(offset, entry, sent_at, clock::now());
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -3,23 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+
+use super::catalog::Confirmation;
 use super::clock;
-use super::peers::Message;
-use super::state::{Gateway, UpstreamsView};
+use super::confirm::{self, CONFIRM_WAIT_MS, Questions, Reading, Standing};
+use super::peers::{Message, StoreReach};
+use super::state::{Gateway, Recipients, UpstreamsView};
 use super::upstreams::{Announced, Change};
 use crate::platform::store::{CONFIGURATION_KEY, Keyed, Records, StoreError, Topic};
 use crate::platform::{documents, upstreams};
 use crate::time::TimeMs;
 
-/// A read of the configuration waits this long for a change.
-///
-/// Each node confirms in this way that its configuration is current, well within the bound on
-/// revoked keys, at half a call a second; a change ends the wait at once.
-const CONFIGURATION_WAIT_MS: u64 = 2_000;
-
-/// Between two tries while the store does not answer.
-const RETRY_MS: u64 = 250;
-
 /// The node that reads announcements for all reads this often.
 ///
 /// An upstream that leaves gets work for up to this long and the way to the peers; the bound is
@@ -29,52 +24,107 @@
 /// A node that has heard nothing from the reader for this long reads by itself.
 const SILENT_READER_MS: u64 = 1_000;
 
+/// Added to that for each node that comes before this one.
+///
+/// Whoever reads tells the others. Without the steps all nodes would read at once whenever the
+/// reader falls silent, and go on together for as long as the store is away.
+const SILENT_READER_STEP_MS: u64 = 100;
+
+/// Longest such addition. News of an upstream that leaves must have reached each node within the
+/// shortest bound on it, 2 s for a few nodes and 3 s for many.
+const LONGEST_READER_STEPS_MS: u64 = 1_200;
+
 /// Between two looks whether to read announcements.
 const LOOK_INTERVAL_MS: u64 = 100;
 
+/// Between two looks whether to read the configuration or to ask a peer.
+const CONFIRM_LOOK_INTERVAL_MS: u64 = 200;
+
 /// Follows the configuration for as long as the node runs.
 pub(crate) async fn configuration(node: Arc<Gateway>) {
-    let mut from = None;
-    let mut wait_ms = 0;
     loop {
-        let read = match from {
-            None => newest_configuration(&node).await,
-            Some(from) => next_configuration(&node, from, wait_ms).await,
-        };
-        node.note_store(read.is_ok() || is_answer(&read), clock::now());
-        match read {
-            Ok(next) => {
-                from = Some(next);
-                wait_ms = CONFIGURATION_WAIT_MS;
+        let reading = confirm::reading(&standing(&node, clock::now()));
+        let wait_ms = match reading {
+            Reading::Nothing => {
+                tokio::time::sleep(Duration::from_millis(CONFIRM_LOOK_INTERVAL_MS)).await;
+                continue;
             }
+            Reading::Now => 0,
+            Reading::Waiting => CONFIRM_WAIT_MS,
+        };
+        let read_to = node.in_force.read().end;
+        let read = match read_to {
+            0 => newest_configuration(&node).await,
+            from => next_configuration(&node, from, wait_ms).await,
+        };
+        let read = match read {
             Err(StoreError::Deleted { first }) => {
                 log::info!(event = "history_lost", topic = "configuration", first; "records were deleted before they were read");
-                from = None;
-            }
-            Err(error) => {
-                log::debug!(error:err = error; "the configuration was not read");
-                wait_ms = 0;
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                newest_configuration(&node).await
             }
+            read => read,
+        };
+        node.note_store(read.is_ok(), clock::now());
+        if let Err(error) = read {
+            log::debug!(error:err = error; "the configuration was not read");
         }
     }
 }
 
-fn is_answer<T>(read: &Result<T, StoreError>) -> bool {
-    matches!(read, Err(StoreError::Deleted { .. }))
+/// Asks peers whether the configuration is current, for as long as the node runs.
+pub(crate) async fn confirmations(node: Arc<Gateway>) {
+    let mut questions = Questions::default();
+    loop {
+        tokio::time::sleep(Duration::from_millis(CONFIRM_LOOK_INTERVAL_MS)).await;
+        let now = clock::now();
+        let (read_to, age_ms) = {
+            let in_force = node.in_force.read();
+            (in_force.end, now.since(in_force.current_at))
+        };
+        let reach = node.store_reach(now);
+        let asked = {
+            let peers = node.peers.lock();
+            let place = confirm::place(&peers, reach, now);
+            questions.next(&peers, place, age_ms, now)
+        };
+        if let Some(address) = asked {
+            let question = Message::AskConfirmation {
+                asked_at: now,
+                read_to,
+            };
+            node.tell(Recipients::One(address), question);
+        }
+    }
 }
 
-async fn newest_configuration(node: &Gateway) -> Result<u64, StoreError> {
+fn standing(node: &Gateway, now: TimeMs) -> Standing {
+    let (reach, failed_ms) = {
+        let contact = node.store_contact.lock();
+        (contact.reach(now), contact.failed_ms(now))
+    };
+    let place = confirm::place(&node.peers.lock(), reach, now);
+    let in_force = node.in_force.read();
+    let was_confirmed = in_force.current_at > TimeMs(0);
+    Standing {
+        age_ms: was_confirmed.then(|| now.since(in_force.current_at)),
+        place,
+        failed_ms,
+        running_ms: node.running_ms(now),
+        is_behind: in_force.is_behind(),
+    }
+}
+
+async fn newest_configuration(node: &Gateway) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.newest(Topic::Configuration).await?;
     for item in newest.items {
         take_configuration(node, &item);
     }
-    node.in_force.write().current_at = asked_at;
-    Ok(newest.end)
+    confirmed(node, newest.end, asked_at);
+    Ok(())
 }
 
-async fn next_configuration(node: &Gateway, from: u64, wait_ms: u64) -> Result<u64, StoreError> {
+async fn next_configuration(node: &Gateway, from: u64, wait_ms: u64) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let records = node.store.read(Topic::Configuration, from, wait_ms).await?;
     for body in &records.bodies {
@@ -84,29 +134,64 @@
         }
     }
     let next = records.next();
-    if next >= records.end {
-        // Without a record the store has waited before it answered.
-        let waited_ms = if records.bodies.is_empty() {
-            wait_ms
-        } else {
-            0
-        };
-        let current_at = asked_at.after(waited_ms).min(clock::now());
-        let mut in_force = node.in_force.write();
-        in_force.current_at = in_force.current_at.max(current_at);
+    if next < records.end {
+        // More follows: what has been read is taken in, but it was not all.
+        confirmed(node, next, TimeMs(0));
+        return Ok(());
+    }
+    // Without a record the store has waited before it answered.
+    let waited_ms = if records.bodies.is_empty() {
+        wait_ms
+    } else {
+        0
+    };
+    confirmed(node, next, asked_at.after(waited_ms).min(clock::now()));
+    if !records.bodies.is_empty() {
+        hand_over(node);
     }
-    Ok(next)
+    Ok(())
 }
 
-/// Puts a configuration in force if it is newer; versions never go back.
-fn take_configuration(node: &Gateway, item: &Keyed) {
-    let Some(text) = item
-        .value
-        .as_ref()
-        .filter(|_text| item.key == CONFIGURATION_KEY)
-    else {
-        return;
+/// Takes in that the store's records have been read up to an offset.
+fn confirmed(node: &Gateway, end: u64, current_at: TimeMs) {
+    let mut in_force = node.in_force.write();
+    in_force.confirm(end, current_at);
+    if current_at > TimeMs(0) {
+        // What a peer claimed beyond the store's own end does not exist.
+        in_force.known_end = in_force.end;
+    }
+}
+
+/// Hands what has just been read to the peers of this failure domain, which do not wait for it at
+/// the store; one that misses it finds out when it asks.
+fn hand_over(node: &Gateway) {
+    let never_read = 0;
+    let confirmation = {
+        let in_force = node.in_force.read();
+        in_force.confirmation(TimeMs(0), never_read, clock::now())
     };
+    if let Some(confirmation) = confirmation {
+        node.tell(Recipients::Neighbours, Message::Confirmation(confirmation));
+    }
+}
+
+/// Takes in what a peer says of the configuration.
+pub(crate) fn take_confirmation(node: &Gateway, confirmation: &Confirmation, now: TimeMs) {
+    if let Some(document) = &confirmation.document {
+        take_document(node, document);
+    }
+    node.in_force.write().confirmed_by_peer(confirmation, now);
+}
+
+fn take_configuration(node: &Gateway, item: &Keyed) {
+    let text = (item.value.as_ref()).filter(|_text| item.key == CONFIGURATION_KEY);
+    if let Some(text) = text {
+        take_document(node, text);
+    }
+}
+
+/// Puts a configuration in force if it is newer; versions never go back.
+fn take_document(node: &Gateway, text: &[u8]) {
     match documents::parse(text) {
         Ok(catalog) => {
             let mut in_force = node.in_force.write();
@@ -121,10 +206,11 @@
                     "a configuration is in force"
                 );
                 in_force.catalog = Arc::new(catalog);
+                in_force.document = Bytes::copy_from_slice(text);
             }
         }
         Err(error) => {
-            Topic::Configuration.note_malformed(&item.key, &error);
+            Topic::Configuration.note_malformed(CONFIGURATION_KEY, &error);
             log::error!(event = "configuration_rejected", error:err = error; "a configuration cannot be read; the one before stays");
         }
     }
@@ -138,7 +224,6 @@
             node.note_store(read.is_ok(), clock::now());
             if let Err(error) = read {
                 log::debug!(error:err = error; "the upstreams were not read");
-                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
             }
         }
         tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
@@ -151,13 +236,29 @@
 /// if they hear nothing from it.
 fn is_read_due(node: &Gateway, now: TimeMs) -> bool {
     let age_ms = now.since(node.upstreams_view.lock().read_at);
-    let is_reader = node.peers.lock().is_first(node.reaches_store(), now);
-    let due_ms = if is_reader {
-        READER_INTERVAL_MS
-    } else {
-        SILENT_READER_MS
+    let (reach, failed_ms) = {
+        let contact = node.store_contact.lock();
+        (contact.reach(now), contact.failed_ms(now))
+    };
+    let (is_first, before) = {
+        let peers = node.peers.lock();
+        let is_first = peers.is_first(reach == StoreReach::Answering, now);
+        (is_first, peers.before(now))
     };
-    age_ms >= due_ms
+    let is_reader = is_first && confirm::hears_peers(node.running_ms(now));
+    let is_paused = failed_ms.is_some_and(|ago_ms| ago_ms < confirm::pause_ms(before));
+    !is_paused && age_ms >= patience_ms(is_reader, before)
+}
+
+/// How old the view of upstreams may become before a node reads announcements, by the number of
+/// nodes that come before it.
+fn patience_ms(is_reader: bool, before: usize) -> u64 {
+    if is_reader {
+        return READER_INTERVAL_MS;
+    }
+    let before = u64::try_from(before).unwrap_or(u64::MAX);
+    let steps_ms = before.saturating_mul(SILENT_READER_STEP_MS);
+    SILENT_READER_MS + steps_ms.min(LONGEST_READER_STEPS_MS)
 }
 
 async fn read_upstreams(node: &Gateway) -> Result<(), StoreError> {
@@ -169,7 +270,8 @@
     match node.store.read(Topic::Upstreams, from, 0).await {
         Ok(records) => {
             let changes = changes(&records);
-            let changes = take_changes(node, changes, clock::now());
+            let now = clock::now();
+            let changes = take_changes(node, changes, node.store_was_away(now), now);
             let to = records.next();
             let read_at = if to >= records.end {
                 asked_at
@@ -233,6 +335,7 @@
             to,
             changes,
             read_at_day_ms,
+            store_was_away: node.store_was_away(now),
         });
     }
 }
@@ -283,8 +386,14 @@
 }
 
 /// Takes in changes; gives those that changed anything.
-pub(crate) fn take_changes(node: &Gateway, changes: Vec<Change>, now: TimeMs) -> Vec<Change> {
-    let was_away = node.store_was_away(now);
+///
+/// `was_away` says that the store has only just come back, so that removals may be lapses.
+pub(crate) fn take_changes(
+    node: &Gateway,
+    changes: Vec<Change>,
+    was_away: bool,
+    now: TimeMs,
+) -> Vec<Change> {
     let mut table = node.upstreams.lock();
     let mut real = Vec::new();
     for change in changes {
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -5,6 +5,7 @@
 use metrics::gauge;
 
 use super::num;
+use super::peers::StoreReach;
 use super::state::Gateway;
 use super::upstreams::{Phase, Upstream};
 use crate::time::TimeMs;
@@ -71,7 +72,7 @@
     gauge!("teaselline_configuration_age_ms").set(num::real(configuration_age_ms));
     gauge!("teaselline_upstreams_age_ms").set(num::real(upstreams_age_ms));
     gauge!("teaselline_ready").set(flag(node.is_ready(now)));
-    gauge!("teaselline_store_answers").set(flag(node.reaches_store()));
+    gauge!("teaselline_store_answers").set(flag(node.store_reach(now) != StoreReach::Failing));
     gauge!("teaselline_lease_held").set(flag(token.is_some()));
     gauge!("teaselline_fencing_token").set(token.map_or(0.0, num::real));
     let in_flight = node.in_flight.load(std::sync::atomic::Ordering::Relaxed);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,7 @@
 use super::follow;
 use super::num;
 use super::peers::{FORGET_MS, Member, Message, Pulse};
-use super::state::Gateway;
+use super::state::{Gateway, Outgoing, Recipients};
 use super::upstreams::Change;
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
@@ -31,14 +31,11 @@
 /// Between two looks at the store for nodes that are not known.
 const DISCOVERY_INTERVAL_MS: u64 = 1_000;
 
-/// Looks at the store after the start, for nodes that start at the same time.
-const DISCOVERY_LOOKS: u32 = 3;
-
 /// Exchanges datagrams for as long as the node runs.
 pub(crate) async fn run(
     node: Arc<Gateway>,
     socket: UdpSocket,
-    mut messages: mpsc::Receiver<Message>,
+    mut messages: mpsc::Receiver<Outgoing>,
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut pulses = tokio::time::interval(Duration::from_millis(PULSE_INTERVAL_MS));
@@ -48,11 +45,11 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _from)) => take(&node, &buffer[..length], clock::now()),
+                Ok((length, from)) => take(&node, &buffer[..length], from, clock::now()),
                 Err(error) => log::debug!(error:err = error; "a datagram was not received"),
             },
             message = messages.recv() => match message {
-                Some(message) => send_to_all(&node, &socket, &message).await,
+                Some(outgoing) => send(&node, &socket, &outgoing).await,
                 None => return,
             },
             _tick = pulses.tick() => {
@@ -121,7 +118,7 @@
         also,
         is_ready: node.is_ready(now),
         is_stopping: node.is_stopping(),
-        reaches_store: node.reaches_store(),
+        store: node.store_reach(now),
         time_of_day_ms: clock::time_of_day().0,
         interval_ms: interval_ms(node),
         loads: node.upstreams.lock().own_loads(),
@@ -132,6 +129,17 @@
     }
 }
 
+async fn send(node: &Gateway, socket: &UdpSocket, outgoing: &Outgoing) {
+    match outgoing.recipients {
+        Recipients::All => send_to_all(node, socket, &outgoing.message).await,
+        Recipients::Neighbours => {
+            let addresses = node.peers.lock().neighbours(clock::now());
+            send_to(socket, &outgoing.message, &addresses).await;
+        }
+        Recipients::One(address) => send_to(socket, &outgoing.message, &[address]).await,
+    }
+}
+
 async fn send_to_all(node: &Gateway, socket: &UdpSocket, message: &Message) {
     let addresses: Vec<SocketAddr> = {
         let peers = node.peers.lock();
@@ -159,7 +167,7 @@
     }
 }
 
-fn take(node: &Gateway, datagram: &[u8], now: TimeMs) {
+fn take(node: &Gateway, datagram: &[u8], from: SocketAddr, now: TimeMs) {
     let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
     let message = match bincode::decode_from_slice::<Message, _>(datagram, config) {
         Ok((message, _length)) => message,
@@ -176,10 +184,26 @@
             to,
             changes,
             read_at_day_ms,
+            store_was_away,
         } => {
             let read_at = follow::read_at(read_at_day_ms, node.time_of_day(now), now);
-            take_upstreams(node, from, to, changes, read_at, now);
+            let told = Told {
+                from,
+                to,
+                changes,
+                read_at,
+                store_was_away,
+            };
+            take_upstreams(node, told, now);
         }
+        Message::AskConfirmation { asked_at, read_to } => {
+            let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
+            if let Some(confirmation) = confirmation {
+                let answer = Message::Confirmation(confirmation);
+                node.tell(Recipients::One(from), answer);
+            }
+        }
+        Message::Confirmation(confirmation) => follow::take_confirmation(node, &confirmation, now),
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
@@ -187,24 +211,31 @@
     }
 }
 
-/// Takes in what another node has read of the announcements of upstreams.
-fn take_upstreams(
-    node: &Gateway,
+/// What another node has read of the announcements of upstreams.
+struct Told {
     from: u64,
     to: u64,
     changes: Vec<Change>,
+    /// When all up to the end had been read.
     read_at: TimeMs,
-    now: TimeMs,
-) {
+    /// Whether removals may be lapses, as the node that read knows.
+    ///
+    /// Most nodes do not ask the store themselves and have not noticed that it was away; they would
+    /// drop live upstreams that could not announce themselves meanwhile, all of them at once.
+    store_was_away: bool,
+}
+
+fn take_upstreams(node: &Gateway, told: Told, now: TimeMs) {
     let end = node.upstreams_view.lock().end;
     match end {
         // What was missed in between is read from the store.
-        _ if end < from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
+        _ if end < told.from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
         // This node has read further itself.
-        _ if end > to => {}
+        _ if end > told.to => {}
         _ => {
-            let changes = follow::take_changes(node, changes, now);
-            follow::note_reading(node, end, to, changes, read_at);
+            let was_away = told.store_was_away || node.store_was_away(now);
+            let changes = follow::take_changes(node, told.changes, was_away, now);
+            follow::note_reading(node, end, told.to, changes, told.read_at);
         }
     }
 }
@@ -268,16 +299,22 @@
 }
 
 /// Makes this node known in the store and learns of the others there.
+///
+/// One look after this node's own record is there is enough: of two nodes that start at the same
+/// time the later one sees the earlier one's record, and is heard by it.
 pub(crate) async fn discover(node: Arc<Gateway>) {
     let mut is_announced = false;
-    let mut looks = 0;
+    let mut has_looked = false;
     loop {
         if !is_announced {
             is_announced = announce(&node).await;
         }
         let is_alone = node.peers.lock().heard(clock::now()).next().is_none();
-        if looks < DISCOVERY_LOOKS || is_alone {
-            looks += u32::from(look(&node).await);
+        if (is_announced && !has_looked) || is_alone {
+            has_looked |= look(&node).await && is_announced;
+            // The others would hear of this node only with its next pulse, up to a second later.
+            let pulse = pulse(&node, clock::now());
+            node.tell_peers(Message::Pulse(Box::new(pulse)));
         }
         let pause_ms = num::real(DISCOVERY_INTERVAL_MS) * rand::rng().random_range(0.8..1.2);
         tokio::time::sleep(Duration::from_millis(num::whole(pause_ms))).await;
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -137,10 +137,19 @@
             // starts for the first time pays for its first upstreams until the first orders: without
             // the wait they come 4 s sooner.
             None if self.end == 0 => true,
-            _ => now.since(self.end_known_at) >= self.duration_ms + TAKEOVER_MARGIN_MS,
+            _ => self.is_overdue(now),
         }
     }
 
+    /// Whether its holder, as far as is known, has not renewed it for the length of a lease.
+    ///
+    /// A holder that the store turns away is heard by its peers all the while. Taken to hold the
+    /// lease for as long as it lives, it would keep all others from taking over, and nothing would
+    /// be ordered or reported until the store answers it again.
+    pub fn is_overdue(&self, now: TimeMs) -> bool {
+        now.since(self.end_known_at) >= self.duration_ms + TAKEOVER_MARGIN_MS
+    }
+
     /// Whether this node should renew its lease.
     pub fn is_renewal_due(&self, now: TimeMs) -> bool {
         self.is_own() && now.until(self.own_until) < self.duration_ms * 6 / 10
--- a/src/gateway/lease/tests.rs
+++ b/src/gateway/lease/tests.rs
@@ -77,9 +77,27 @@
     assert_eq!(other.end(), 2);
 }
 
-/// Symptom: nothing is reported for seconds after each planned stop.
-/// Sequence: the holder stops as planned; the others wait for its lease to end.
-/// Cause: a holder that goes did not say so.
+/// Symptom: nothing is reported or ordered for as long as the store turns the holder away, 28 s of a
+/// day of 66 s.
+/// Sequence: the store answers all but the holder; the peers hear the holder all the while.
+/// Cause: a holder was taken to have the lease for as long as it lives.
+#[test]
+fn a_holder_that_does_not_renew_is_overdue_although_it_is_heard() {
+    let mut other = lease("b");
+    other.read(0, hold("a"), TimeMs(10_000));
+    other.read_to(1, TimeMs(10_000));
+    for now in (10_000..13_000).step_by(200) {
+        other.heard_end(1, &holder("a"), 0, TimeMs(now));
+        assert!(!other.is_overdue(TimeMs(now)));
+    }
+    assert!(other.is_overdue(TimeMs(13_100)));
+    other.heard_end(2, &holder("a"), 0, TimeMs(13_200));
+    assert!(
+        !other.is_overdue(TimeMs(13_300)),
+        "it has renewed it after all"
+    );
+}
+
 /// Symptom: a deployment that starts for the first time pays for its first upstreams 4 s longer.
 /// Sequence: all nodes start; none has ever held the lease.
 /// Cause: the first holder waited for the lease of a holder that there cannot be.
@@ -95,6 +113,9 @@
     assert!(!second.may_take(TimeMs(10_010)));
 }
 
+/// Symptom: nothing is reported for seconds after each planned stop.
+/// Sequence: the holder stops as planned; the others wait for its lease to end.
+/// Cause: a holder that goes did not say so.
 #[test]
 fn a_released_lease_can_be_taken_at_once() {
     let mut other = lease("b");
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 
 use bincode::{Decode, Encode};
 
+use super::catalog::Confirmation;
 use super::demand::Rates;
 use super::lease::Holder;
 use super::strikes::Strike;
@@ -43,6 +44,17 @@
     pub capacity_per_s: f64,
 }
 
+/// Whether the store answers a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum StoreReach {
+    /// It answered a moment ago.
+    Answering,
+    /// Nothing has been asked of it lately.
+    Unasked,
+    /// It did not answer when it was last asked, a moment ago.
+    Failing,
+}
+
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) enum Message {
@@ -55,7 +67,17 @@
         /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
         /// milliseconds.
         read_at_day_ms: u64,
+        /// Whether the store has only just come back, so that removals may be lapses.
+        store_was_away: bool,
     },
+    /// Asks whether the configuration is current.
+    AskConfirmation {
+        /// On the clock of the one that asks.
+        asked_at: TimeMs,
+        /// Up to where it has taken in the operators' records.
+        read_to: u64,
+    },
+    Confirmation(Confirmation),
     Strike(Strike),
     /// What nodes have admitted of one team since their starts, by incarnation; told between two
     /// pulses to the team's collector, and by it to all.
@@ -76,7 +98,7 @@
     /// Whether it is about to end.
     pub is_stopping: bool,
     /// Whether the store answers it.
-    pub reaches_store: bool,
+    pub store: StoreReach,
     /// Its time of day, in Unix milliseconds.
     pub time_of_day_ms: u64,
     /// How long until its next pulse.
@@ -105,7 +127,7 @@
     interval_ms: u64,
     pub is_ready: bool,
     pub is_stopping: bool,
-    pub reaches_store: bool,
+    pub store: StoreReach,
     /// Its time of day less this node's running time.
     pub day_offset_ms: i128,
 }
@@ -175,7 +197,7 @@
         peer.interval_ms = pulse.interval_ms;
         peer.is_ready = pulse.is_ready;
         peer.is_stopping = pulse.is_stopping;
-        peer.reaches_store = pulse.reaches_store;
+        peer.store = pulse.store;
         peer.day_offset_ms = i128::from(pulse.time_of_day_ms) - i128::from(now.0);
     }
 
@@ -203,11 +225,27 @@
     /// `can` tells whether this node could.
     pub fn is_first(&self, can: bool, now: TimeMs) -> bool {
         let first = (self.heard(now))
-            .find(|peer| peer.reaches_store && !peer.is_stopping)
+            .find(|peer| peer.store == StoreReach::Answering && !peer.is_stopping)
             .map(|peer| peer.member.name.as_str());
         can && first.is_none_or(|first| self.own.name.as_str() < first)
     }
 
+    /// How many peers come before this node by name, of those that could read for all.
+    pub fn before(&self, now: TimeMs) -> usize {
+        (self.heard(now))
+            .filter(|peer| peer.store != StoreReach::Failing && !peer.is_stopping)
+            .filter(|peer| peer.member.name < self.own.name)
+            .count()
+    }
+
+    /// Where the heard peers of this node's failure domain take datagrams.
+    pub fn neighbours(&self, now: TimeMs) -> Vec<SocketAddr> {
+        (self.heard(now))
+            .filter(|peer| peer.member.failure_domain == self.own.failure_domain)
+            .map(|peer| peer.member.gossip)
+            .collect()
+    }
+
     /// The peer that collects what nodes admit of a team; none if this node does.
     ///
     /// All nodes that hear the same peers choose the same one.
@@ -252,11 +290,11 @@
             interval_ms: 0,
             is_ready: false,
             is_stopping: false,
-            reaches_store: false,
+            store: StoreReach::Unasked,
             day_offset_ms: 0,
         }
     }
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-fn member(name: &str, incarnation: u64) -> Member {
+pub(in crate::gateway) fn member(name: &str, incarnation: u64) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
     Member {
         name: name.to_owned(),
@@ -12,13 +12,13 @@
     }
 }
 
-fn pulse(name: &str, time_of_day_ms: u64) -> Pulse {
+pub(in crate::gateway) fn pulse(name: &str, time_of_day_ms: u64) -> Pulse {
     Pulse {
         member: member(name, 5),
         also: None,
         is_ready: true,
         is_stopping: false,
-        reaches_store: true,
+        store: StoreReach::Answering,
         time_of_day_ms,
         interval_ms: 200,
         loads: Vec::new(),
@@ -79,7 +79,7 @@
     peers.note_pulse(&pulse("a", 0), TimeMs(1_000));
     assert!(!peers.is_first(true, TimeMs(1_100)));
     let mut cut = pulse("a", 0);
-    cut.reaches_store = false;
+    cut.store = StoreReach::Failing;
     peers.note_pulse(&cut, TimeMs(1_200));
     assert!(peers.is_first(true, TimeMs(1_300)));
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -96,6 +96,7 @@
     tokio::spawn(gossip::run(Arc::clone(&node), datagrams, messages));
     tokio::spawn(gossip::discover(Arc::clone(&node)));
     tokio::spawn(follow::configuration(Arc::clone(&node)));
+    tokio::spawn(follow::confirmations(Arc::clone(&node)));
     tokio::spawn(follow::upstreams(Arc::clone(&node)));
     let duties = tokio::spawn(duties::run(Arc::clone(&node)));
     let inbound = tokio::spawn(inbound::serve(callers, Arc::clone(&node), end.clone()));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,6 @@
 //! What one node knows and holds; collectors fill it, the request path and the duties read it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -12,11 +13,12 @@
 use super::catalog::{Catalog, InForce};
 use super::channels::Channels;
 use super::clock;
+use super::contact::StoreContact;
 use super::demand::Demands;
 use super::labels::RouteLabels;
 use super::lease::{Holder, Lease};
 use super::pace::EngineModel;
-use super::peers::{Member, Message, Peers};
+use super::peers::{Member, Message, Peers, StoreReach};
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
 use super::recent::Recent;
@@ -40,22 +42,13 @@
     pub read_at: TimeMs,
 }
 
-/// Whether the store answers this node.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct StoreContact {
-    pub answered_at: TimeMs,
-    /// The first failure since the last answer.
-    pub failing_since: Option<TimeMs>,
-    /// When an answer came after failures.
-    pub back_at: TimeMs,
-}
-
 /// The state of one node.
 #[derive(Debug)]
 pub(crate) struct Gateway {
     pub settings: RwLock<Arc<NodeSettings>>,
     /// New at each start.
     pub incarnation: u64,
+    pub started_at: TimeMs,
     pub store: Store,
     pub in_force: RwLock<InForce>,
     pub upstreams: Mutex<UpstreamTable>,
@@ -85,19 +78,31 @@
     pub stopping: CancellationToken,
     /// Whether the node was ready when it last looked, to log changes.
     pub was_ready: AtomicBool,
-    outbox: mpsc::Sender<Message>,
+    outbox: mpsc::Sender<Outgoing>,
 }
 
-/// A store that failed for longer than this was away; what lapsed meanwhile may come back.
-const AWAY_MS: u64 = 1_500;
+/// A message and whom it is for.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub message: Message,
+    pub recipients: Recipients,
+}
 
-/// For this long after the store is back, removals are taken as lapses.
-const LAPSES_MS: u64 = 2_500;
+/// Whom a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Recipients {
+    /// All peers.
+    All,
+    /// The peers of this node's failure domain.
+    Neighbours,
+    /// The node that takes datagrams there.
+    One(SocketAddr),
+}
 
 impl Gateway {
     /// A node that knows nothing yet, and the messages that it will want sent.
     #[must_use]
-    pub fn new(settings: NodeSettings, incarnation: u64) -> (Arc<Self>, mpsc::Receiver<Message>) {
+    pub fn new(settings: NodeSettings, incarnation: u64) -> (Arc<Self>, mpsc::Receiver<Outgoing>) {
         let (outbox, messages) = mpsc::channel(OUTBOX_MESSAGES);
         let member = Member {
             name: settings.name.clone(),
@@ -113,6 +118,7 @@
         };
         let node = Self {
             incarnation,
+            started_at: clock::now(),
             store: Store::new(settings.store_address),
             in_force: RwLock::default(),
             upstreams: Mutex::default(),
@@ -166,10 +172,14 @@
         self.stopping.is_cancelled()
     }
 
-    /// Whether the store answered this node when it last asked.
-    pub fn reaches_store(&self) -> bool {
-        let contact = self.store_contact.lock();
-        contact.failing_since.is_none() && contact.answered_at > TimeMs(0)
+    /// Whether the store answers this node.
+    pub fn store_reach(&self, now: TimeMs) -> StoreReach {
+        self.store_contact.lock().reach(now)
+    }
+
+    /// Since this node started.
+    pub fn running_ms(&self, now: TimeMs) -> u64 {
+        now.since(self.started_at)
     }
 
     /// Whether a request that has just been read is answered here, be the node stopping or not.
@@ -180,35 +190,26 @@
 
     /// Takes in whether a call to the store was answered.
     pub fn note_store(&self, answered: bool, now: TimeMs) {
-        let mut contact = self.store_contact.lock();
-        match (answered, contact.failing_since) {
-            (true, Some(since)) => {
-                log::info!(event = "dependency_regained", dependency = "store", away_ms = now.since(since); "the store answers again");
-                if now.since(since) > AWAY_MS {
-                    contact.back_at = now;
-                }
-                contact.failing_since = None;
-                contact.answered_at = now;
-            }
-            (true, None) => contact.answered_at = now,
-            (false, None) => {
-                log::warn!(event = "dependency_lost", dependency = "store"; "the store does not answer");
-                contact.failing_since = Some(now);
-            }
-            (false, Some(_since)) => {}
-        }
+        self.store_contact.lock().note(answered, now);
     }
 
     /// Whether removals of upstreams may only be lapses while the store was away.
     pub fn store_was_away(&self, now: TimeMs) -> bool {
-        let contact = self.store_contact.lock();
-        let is_failing = (contact.failing_since).is_some_and(|since| now.since(since) > AWAY_MS);
-        is_failing || (contact.back_at > TimeMs(0) && now.since(contact.back_at) < LAPSES_MS)
+        self.store_contact.lock().was_away(now)
     }
 
     /// Has a message sent to all peers at once.
     pub fn tell_peers(&self, message: Message) {
-        if let Err(error) = self.outbox.try_send(message) {
+        self.tell(Recipients::All, message);
+    }
+
+    /// Has a message sent at once.
+    pub fn tell(&self, recipients: Recipients, message: Message) {
+        let outgoing = Outgoing {
+            message,
+            recipients,
+        };
+        if let Err(error) = self.outbox.try_send(outgoing) {
             log::warn!(error:% = error; "a message to the peers was dropped");
         }
     }
--- a/tests/platform/duties.rs
+++ b/tests/platform/duties.rs
@@ -137,6 +137,34 @@
     );
 }
 
+/// Symptom: nothing is ordered and no usage reported for as long as the store turns the holder away.
+/// Sequence: the store serves all nodes but the holder, which refuses it, is silent, or cuts it; the
+/// others hear the holder all the while.
+/// Cause: a holder was taken to have the lease for as long as it is heard.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_the_store_turns_away_is_succeeded() {
+    for door in [Door::Refusing, Door::Silent, Door::Resetting] {
+        let deployment = deployment(3, 1).await;
+        eventually("a node has the duties", async || {
+            holder(&deployment).is_some()
+        })
+        .await;
+        let first = holder(&deployment).expect("a holder");
+        deployment.doors[first].set(door);
+        // A lease of 3 s, its margin, a look and a read; then the successor's first call.
+        let until = tokio::time::Instant::now() + Duration::from_secs(8);
+        while tokio::time::Instant::now() < until && holder(&deployment) == Some(first) {
+            call_for(&deployment, "held", Duration::from_millis(300)).await;
+        }
+        let second = holder(&deployment);
+        assert_ne!(second, Some(first), "{door:?}");
+        deployment.doors[first].set(Door::Open);
+        call_for(&deployment, "back", Duration::from_secs(3)).await;
+        assert_eq!(holder(&deployment), second, "it does not swing back");
+        check_tokens(&deployment);
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_holder_that_was_paused_does_not_act_on_its_old_lease() {
     let deployment = deployment(3, 1).await;
