bug: Count a request toward what is asked of its pool once, however many engines cannot be reached

Cause: attempt::next noted the demand at each first send, also after an engine that could not be connected to, so that more engines were ordered than asked for just while some were gone. It counts with the flag that already guards the count toward repeats (trial/tests.rs: counted once).

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -104,25 +104,19 @@
         choose::choose(&upstreams, &prefixes, &ask, now)
     };
     let choice = choice.ok_or_else(|| trial.unanswered(plan, now))?;
-    if let Some(prompt) = &plan.head.prompt
-        && trial.sends() == 0
-    {
-        let asked = Asked {
-            unread_tokens: choice.unread_tokens,
-            own_tokens: prompt.own_tokens(),
-            shared: prompt.shared().map(|part| (part.id, part.tokens)),
-        };
-        (node.demands.lock()).note_request(&plan.pool, &asked, now);
-    }
     let left_ms = now.until(plan.limit_at);
     let is_first = trial.sends() == 0;
+    let is_new = is_first && trial.take_count();
+    if is_new {
+        note_demand(node, plan, &choice, now);
+    }
     match is_first {
         true if budget::is_too_late(left_ms, choice.expected_ms) => {
             let retry_after_ms = retry_after_ms(plan);
             Err(Refusal::Saturated { retry_after_ms })
         }
         true => {
-            if trial.take_count() {
+            if is_new {
                 let budget = node.repeat_budget(now);
                 let mut repeats = node.repeats.lock();
                 repeats.of(&plan.pool).note_request(&budget, now);
@@ -140,6 +134,19 @@
     }
 }
 
+/// Counts a request to an engine toward what is asked of its pool, also if it is refused.
+fn note_demand(node: &Gateway, plan: &Plan, choice: &Choice, now: TimeMs) {
+    let Some(prompt) = &plan.head.prompt else {
+        return;
+    };
+    let asked = Asked {
+        unread_tokens: choice.unread_tokens,
+        own_tokens: prompt.own_tokens(),
+        shared: prompt.shared().map(|part| (part.id, part.tokens)),
+    };
+    (node.demands.lock()).note_request(&plan.pool, &asked, now);
+}
+
 async fn send_once(
     node: &Arc<Gateway>,
     plan: &Plan,
--- a/src/gateway/exchange/trial.rs
+++ b/src/gateway/exchange/trial.rs
@@ -41,7 +41,8 @@
     /// Tells whether the request has to be counted among its pool's requests, once.
     ///
     /// A first upstream that cannot be reached got nothing, so that the next one is the first again;
-    /// counted for each of them, a request would pay for repeats several times.
+    /// counted for each of them, a request would pay for repeats several times, and more engines would
+    /// be ordered than are asked for, just while some cannot be reached.
     pub fn take_count(&mut self) -> bool {
         !std::mem::replace(&mut self.is_counted, true)
     }
