perf: Sizing goes by what all nodes have learned, and waits until upstreams have announced themselves

At the start fifty on-demand engines were ordered beside 78 that had not all announced themselves after 2.5 s. Demand left out peers whose last pulse was older than 2 s while they still counted as heard.

Change: pulses carry learned paces each 2 s, the middle of all serves sizing, and the choice until a node has learned its own; orders wait until no upstream has announced itself for 1.5 s, 6 s at most; the fleet's demand is scaled by the nodes whose rates are here.

--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -9,7 +9,6 @@
 use super::by_pool::ByPool;
 use super::num;
 use super::peers::FORGET_MS;
-use super::quota::Audience;
 use super::upstreams::tag;
 use crate::time::TimeMs;
 
@@ -19,7 +18,8 @@
 /// Counts are kept in steps of this length.
 const STEP_MS: u64 = 500;
 
-/// What a peer said counts for this long; then the node is gone or cut off.
+/// What a peer said counts for this long; then the node is gone or cut off. With 195 nodes pulses
+/// are 1.2 s apart.
 const HEARD_MS: u64 = 2_000;
 
 /// Shared parts count as in use for one to two of these spans after a request named them.
@@ -201,20 +201,26 @@
         }
     }
 
-    /// What all nodes are asked of a pool; those that are not heard are taken to be like the others.
-    pub fn fleet(&self, pool: &str, audience: Audience, now: TimeMs) -> Rates {
+    /// What all nodes are asked of a pool, of which so many are known; those that have not been heard
+    /// a moment ago are taken to be like the others.
+    ///
+    /// Counted by what has been heard here, and not by who counts as alive: with rare pulses a node
+    /// is alive for longer than what it said counts, and one lost pulse would hide what it is asked.
+    pub fn fleet(&self, pool: &str, known_nodes: u32, now: TimeMs) -> Rates {
         let own = self.own.get(pool).map(|demand| demand.rates(now));
         let pool = tag(pool);
         let mut sum = Rates {
             pool,
             ..own.unwrap_or_default()
         };
+        let mut heard_nodes = 1.0;
         for (_peer, at, rates) in &self.peers {
             if now.since(*at) < HEARD_MS {
+                heard_nodes += 1.0;
                 (rates.iter().filter(|rates| rates.pool == pool)).for_each(|rates| sum.add(rates));
             }
         }
-        let unheard = f64::from(audience.known.max(1)) / f64::from(audience.heard.max(1));
+        let unheard = f64::from(known_nodes) / heard_nodes;
         sum.times(unheard.max(1.0))
     }
 
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -94,7 +94,7 @@
         prompt: plan.head.prompt.as_ref(),
         failure_domain: &settings.failure_domain,
         excluded: trial.excluded(),
-        pace: node.engines.lock().of(&plan.pool).pace(),
+        pace: node.pace(&plan.pool, now),
         copy_tokens_per_ms: plan.copy_tokens_per_ms(),
         draw: plan.draw,
     };
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -28,6 +28,10 @@
 /// Time that each peer adds to the interval, so that a node sends at most about 170 pulses a second.
 const PULSE_INTERVAL_PER_PEER_MS: u64 = 6;
 
+/// Paces are told this often: they change over tens of seconds, and take as much as the rest of a
+/// pulse at a node with few requests.
+const PACES_INTERVAL_MS: u64 = 2_000;
+
 /// Between two looks at the store for nodes that are not known.
 const DISCOVERY_INTERVAL_MS: u64 = 1_000;
 
@@ -41,6 +45,7 @@
     let mut pulses = tokio::time::interval(Duration::from_millis(PULSE_INTERVAL_MS));
     pulses.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut pulsed_at = TimeMs(0);
+    let mut paced_at = TimeMs(0);
     let mut was_stopping = false;
     loop {
         tokio::select! {
@@ -62,8 +67,12 @@
                 if is_due || is_stopping != was_stopping {
                     pulsed_at = now;
                     was_stopping = is_stopping;
-                    let pulse = Message::Pulse(Box::new(pulse(&node, now)));
-                    send_to_all(&node, &socket, &pulse).await;
+                    let mut pulse = pulse(&node, now);
+                    if now.since(paced_at) >= PACES_INTERVAL_MS {
+                        paced_at = now;
+                        pulse.paces = node.learned_paces();
+                    }
+                    send_to_all(&node, &socket, &Message::Pulse(Box::new(pulse))).await;
                     expire(&node, now);
                 }
             }
@@ -84,6 +93,7 @@
 fn expire(node: &Gateway, now: TimeMs) {
     node.peers.lock().forget(now);
     node.quotas.lock().forget_peers(FORGET_MS, now);
+    node.peer_paces.lock().forget(now);
     let mut upstreams = node.upstreams.lock();
     upstreams.forget_gone(now);
     let silent: Vec<u64> = {
@@ -124,6 +134,7 @@
         loads: node.upstreams.lock().own_loads(),
         usage: node.usage.lock().own_rows(),
         admitted: node.quotas.lock().own_totals(),
+        paces: Vec::new(),
         demand: node.demands.lock().own_rates(now),
         lease: node.lease.lock().announced(now),
     }
@@ -287,6 +298,9 @@
         .set_peer_loads(incarnation, &pulse.loads);
     node.usage.lock().note_peer(incarnation, &pulse.usage);
     (node.demands.lock()).note_peer(incarnation, pulse.demand.clone(), now);
+    for (pool, pace) in &pulse.paces {
+        (node.peer_paces.lock()).note(incarnation, *pool, *pace, now);
+    }
     let catalog = node.catalog();
     (node.quotas.lock()).note_peer(incarnation, &pulse.admitted, &catalog.teams, now);
     if let Some((end, token)) = pulse.lease {
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -16,6 +16,14 @@
 /// that were allowed, eleven were ordered where twelve stood.
 const SETTLED_AFTER_MS: u64 = 2_500;
 
+/// No order is given either while upstreams keep announcing themselves: one that stands has done so
+/// within a heartbeat of the one before it, and news takes up to 300 ms more. 78 upstreams took four
+/// seconds; fifty on-demand ones were ordered meanwhile beside those not yet seen.
+const QUIET_MS: u64 = 1_500;
+
+/// The longest that orders wait for that; upstreams that come one by one are no reason to buy none.
+const LONGEST_SETTLING_MS: u64 = 6_000;
+
 /// How giving orders ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Ended {
@@ -30,9 +38,34 @@
 /// What is remembered between two looks.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
+    arrival: Arrival,
+    pools: ByPool<PoolMemory>,
+}
+
+/// How upstreams become known after a node's start.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arrival {
     /// When this node first looked.
     first_look_at: Option<TimeMs>,
-    pools: ByPool<PoolMemory>,
+    /// Most upstreams that were known at once, and since when.
+    known: usize,
+    grew_at: TimeMs,
+    is_over: bool,
+}
+
+impl Arrival {
+    /// Takes in how many upstreams are known.
+    fn note(&mut self, known: usize, now: TimeMs) {
+        let first = *self.first_look_at.get_or_insert(now);
+        if known > self.known {
+            self.known = known;
+            self.grew_at = now;
+        }
+        let is_quiet = now.since(self.grew_at) >= QUIET_MS;
+        let waited_ms = now.since(first);
+        self.is_over |=
+            waited_ms >= LONGEST_SETTLING_MS || (waited_ms >= SETTLED_AFTER_MS && is_quiet);
+    }
 }
 
 /// What is remembered of one pool.
@@ -45,19 +78,13 @@
 }
 
 impl Memory {
-    /// Whether the upstreams that are there have had the time to say so.
-    fn is_settled(&self, now: TimeMs) -> bool {
-        let first = self.first_look_at;
-        first.is_some_and(|first| now.since(first) >= SETTLED_AFTER_MS)
-    }
-
     /// Works out what is needed of each pool.
     ///
     /// All nodes do so, whether they have the duties or not: the next holder of the lease must know
     /// what was needed in the last moments, else it lets go what the one before kept for a wave.
     pub fn note_needs(&mut self, node: &Gateway, now: TimeMs) {
         let catalog = node.catalog();
-        self.first_look_at.get_or_insert(now);
+        self.arrival.note(node.upstreams.lock().iter().count(), now);
         for pool in catalog.pools.iter().filter(|pool| pool.scaling.is_some()) {
             let least = least_engines(node, &catalog, pool, now);
             let memory = self.pools.of(&pool.name);
@@ -68,7 +95,7 @@
 
 /// Orders upstreams where too few or too many are there.
 pub(super) async fn order_upstreams(node: &Gateway, cloud: &Cloud, memory: &mut Memory) -> Ended {
-    if !memory.is_settled(clock::now()) {
+    if !memory.arrival.is_over {
         return Ended::NotGiven;
     }
     let catalog = node.catalog();
@@ -163,15 +190,12 @@
 fn least_engines(node: &Gateway, catalog: &Catalog, pool: &Pool, now: TimeMs) -> Option<u32> {
     let (engine, scaling) = pool.engine.zip(pool.scaling.as_ref())?;
     let targets = need::targets(catalog, &pool.name)?;
-    let pace = node.engines.lock().of(&pool.name).pace();
-    if !pace.is_learned {
-        return None;
-    }
-    let audience = node.peers.lock().audience(now);
+    let pace = node.fleet_pace(&pool.name, now)?;
+    let known_nodes = node.peers.lock().audience(now).known;
     let load = {
         let demands = node.demands.lock();
         need::Load {
-            rates: demands.fleet(&pool.name, audience, now),
+            rates: demands.fleet(&pool.name, known_nodes, now),
             shared_tokens: demands.shared_tokens(&pool.name),
         }
     };
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -6,8 +6,13 @@
 //! on most of them. Observations are weighed down the older they are, so that a slower engine type
 //! is learned within some hundred requests.
 
+use bincode::{Decode, Encode};
+
 use super::fit::{Fit, Prior};
 use super::num;
+use super::peers::FORGET_MS;
+use super::upstreams::tag;
+use crate::time::TimeMs;
 
 /// Prior of the time to the first token of an empty prompt, in ms: the engines in use need 20 to 60.
 const FIRST_MS: Prior = Prior {
@@ -69,7 +74,7 @@
 const NEWEST_WEIGHT: f64 = 0.02;
 
 /// What engines of one pool are taken to do now.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct Pace {
     /// First token of an empty prompt on an idle engine.
     pub first_ms: f64,
@@ -136,5 +141,71 @@
     }
 }
 
+/// What peers have learned of engines.
+///
+/// With hundreds of nodes each sees two or three requests a second, and needs ten seconds until it
+/// knows an engine's pace; the strongest know it within three. Until then all engines that are allowed
+/// are paid for, and a node that takes the duties over would order all of them again.
+#[derive(Debug, Default)]
+pub(crate) struct PeerPaces {
+    /// Sorted by pool and peer.
+    told: Vec<Told>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    pool: u64,
+    /// The peer's incarnation.
+    peer: u64,
+    at: TimeMs,
+    pace: Pace,
+}
+
+impl PeerPaces {
+    /// Takes in what a peer has learned of the engines of a pool.
+    pub fn note(&mut self, peer: u64, pool: u64, pace: Pace, now: TimeMs) {
+        let told = Told {
+            pool,
+            peer,
+            at: now,
+            pace,
+        };
+        let found = (self.told).binary_search_by_key(&(pool, peer), |told| (told.pool, told.peer));
+        match found {
+            Ok(index) => self.told[index] = told,
+            Err(index) => self.told.insert(index, told),
+        }
+    }
+
+    /// Forgets what was told long ago.
+    pub fn forget(&mut self, now: TimeMs) {
+        self.told.retain(|told| now.since(told.at) < FORGET_MS);
+    }
+
+    /// The middle of what peers, and this node if it has, have learned of a pool's engines, figure by
+    /// figure: one node with odd requests, or a foreign datagram, moves it little.
+    pub fn middle(&self, pool: &str, own: Option<Pace>, now: TimeMs) -> Option<Pace> {
+        let pool = tag(pool);
+        let first = self.told.partition_point(|told| told.pool < pool);
+        let of_pool = (self.told[first..].iter()).take_while(|told| told.pool == pool);
+        let recent = of_pool.filter(|told| now.since(told.at) < FORGET_MS);
+        let paces: Vec<Pace> = recent.map(|told| told.pace).chain(own).collect();
+        let middle = |figure: fn(&Pace) -> f64| {
+            let mut figures: Vec<f64> = paces.iter().map(figure).collect();
+            figures.sort_by(f64::total_cmp);
+            figures[figures.len() / 2]
+        };
+        (!paces.is_empty()).then(|| Pace {
+            first_ms: middle(|pace| pace.first_ms),
+            read_tokens_per_ms: middle(|pace| pace.read_tokens_per_ms),
+            crowding_ms: middle(|pace| pace.crowding_ms),
+            pause_ms: middle(|pace| pace.pause_ms),
+            pause_crowding_ms: middle(|pace| pace.pause_crowding_ms),
+            held_ms: middle(|pace| pace.held_ms),
+            is_learned: true,
+        })
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/pace/tests.rs
+++ b/src/gateway/pace/tests.rs
@@ -95,3 +95,46 @@
         assert!(value.is_finite() && value > 0.0, "{pace:?}");
     }
 }
+
+/// Symptom: a node that takes the duties over orders all engines that are allowed.
+/// Sequence: 195 nodes each see two requests a second; the one that takes over has seen twenty.
+/// Cause: each node went by what it had learned itself.
+#[test]
+fn a_node_goes_by_what_its_peers_have_learned() {
+    let mut peers = PeerPaces::default();
+    assert_eq!(peers.middle("p", None, TimeMs(0)), None);
+    for peer in 0..9 {
+        let pace = learned(TYPES[2], 60, peer).pace();
+        peers.note(peer, tag("p"), pace, TimeMs(1_000));
+    }
+    let odd = Pace {
+        read_tokens_per_ms: 1e9,
+        first_ms: 2_000.0,
+        ..learned(TYPES[2], 60, 9).pace()
+    };
+    peers.note(9, tag("p"), odd, TimeMs(1_000));
+    let middle = peers.middle("p", None, TimeMs(1_500)).expect("learned");
+    assert!(
+        (40.0..80.0).contains(&middle.read_tokens_per_ms),
+        "{middle:?}"
+    );
+    assert!(middle.first_ms < 100.0, "{middle:?}");
+    assert_eq!(peers.middle("other", None, TimeMs(1_500)), None);
+    peers.forget(TimeMs(1_000 + FORGET_MS));
+    assert_eq!(peers.middle("p", None, TimeMs(1_000 + FORGET_MS)), None);
+}
+
+#[test]
+fn a_pace_that_is_no_number_does_not_spoil_the_middle() {
+    let mut peers = PeerPaces::default();
+    let sound = learned(TYPES[2], 60, 1).pace();
+    let broken = Pace {
+        read_tokens_per_ms: f64::NAN,
+        ..sound
+    };
+    for (peer, pace) in [sound, sound, broken].into_iter().enumerate() {
+        peers.note(peer as u64, tag("p"), pace, TimeMs(1_000));
+    }
+    let middle = peers.middle("p", None, TimeMs(1_500)).expect("learned");
+    assert!(middle.read_tokens_per_ms.is_finite());
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -11,6 +11,7 @@
 use super::catalog::Confirmation;
 use super::demand::Rates;
 use super::lease::Holder;
+use super::pace::Pace;
 use super::strikes::Strike;
 use super::upstreams::{Change, Load};
 use super::usage;
@@ -109,6 +110,8 @@
     pub usage: Vec<usage::Row>,
     /// What it admitted since its start, by team.
     pub admitted: Vec<(u64, f64)>,
+    /// How fast it has learned that engines are, by pool; not in each pulse.
+    pub paces: Vec<(u64, Pace)>,
     /// What it is asked of engines, by pool.
     pub demand: Vec<Rates>,
     /// If it has the duties: where their log ends, and its fencing token.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -24,6 +24,7 @@
         loads: Vec::new(),
         usage: Vec::new(),
         admitted: Vec::new(),
+        paces: Vec::new(),
         demand: Vec::new(),
         lease: None,
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,7 @@
 use super::demand::Demands;
 use super::labels::RouteLabels;
 use super::lease::{Holder, Lease};
-use super::pace::EngineModel;
+use super::pace::{EngineModel, Pace, PeerPaces};
 use super::peers::{Member, Message, Peers, StoreReach};
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
@@ -25,7 +25,7 @@
 use super::settings::NodeSettings;
 use super::stopping::Stop;
 use super::strikes::Strikes;
-use super::upstreams::UpstreamTable;
+use super::upstreams::{UpstreamTable, tag};
 use super::usage::UsageBook;
 use crate::platform::store::Store;
 use crate::time::TimeMs;
@@ -59,6 +59,8 @@
     pub prefixes: Mutex<Prefixes>,
     /// How fast engines are.
     pub engines: Mutex<ByPool<EngineModel>>,
+    /// How fast peers have learned that they are.
+    pub peer_paces: Mutex<PeerPaces>,
     /// What is asked of them.
     pub demands: Mutex<Demands>,
     pub quotas: Mutex<Quotas>,
@@ -127,6 +129,7 @@
             store_contact: Mutex::default(),
             prefixes: Mutex::default(),
             engines: Mutex::default(),
+            peer_paces: Mutex::default(),
             demands: Mutex::default(),
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
@@ -225,6 +228,33 @@
         }
     }
 
+    /// How fast a pool's engines are: as this node has learned, else as its peers have, else as is
+    /// usual.
+    pub fn pace(&self, pool: &str, now: TimeMs) -> Pace {
+        let own = self.engines.lock().of(pool).pace();
+        if own.is_learned {
+            return own;
+        }
+        let learned = self.peer_paces.lock().middle(pool, None, now);
+        learned.unwrap_or(own)
+    }
+
+    /// How fast a pool's engines are by what all nodes have learned; none if none has.
+    pub fn fleet_pace(&self, pool: &str, now: TimeMs) -> Option<Pace> {
+        let own = self.engines.lock().of(pool).pace();
+        let own = own.is_learned.then_some(own);
+        self.peer_paces.lock().middle(pool, own, now)
+    }
+
+    /// What this node has learned of each pool's engines, for its peers.
+    pub fn learned_paces(&self) -> Vec<(u64, Pace)> {
+        let engines = self.engines.lock();
+        let paces = engines
+            .iter()
+            .map(|(pool, model)| (tag(pool), model.pace()));
+        paces.filter(|(_pool, pace)| pace.is_learned).collect()
+    }
+
     /// The time of day that most nodes agree on.
     pub fn time_of_day(&self, now: TimeMs) -> TimeMs {
         self.peers
