bug: A node's first answer after long silence is no return of the store

Cause: since nodes no longer ask the store all the time, one that was turned away until 11.5 s asked again at 18.99 s; its answer counted as the store's return, and it told all nodes that removals may be lapses. The test plays the sequence; the older one now fails until shortly before the answer, as a node that asks all the while does.

--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -51,7 +51,11 @@
         match (answered, self.failing_since) {
             (true, Some(since)) => {
                 log::info!(event = "dependency_regained", dependency = "store", away_ms = now.since(since); "the store answers again");
-                if now.since(since) > AWAY_MS {
+                // A node that was turned away, and has not asked for a while since, learns nothing of
+                // the store now. Taken for its return, the answer made this node tell all others that
+                // removals may be lapses, and upstreams that had left went on getting work.
+                let was_just_failing = now.since(self.failed_at) < ANSWERED_MS;
+                if was_just_failing && now.since(since) > AWAY_MS {
                     self.back_at = now;
                 }
                 self.failing_since = None;
--- a/src/gateway/contact/tests.rs
+++ b/src/gateway/contact/tests.rs
@@ -29,7 +29,23 @@
 fn removals_may_be_lapses_for_a_moment_after_an_outage() {
     let mut contact = StoreContact::default();
     contact.note(false, TimeMs(10_000));
+    contact.note(false, TimeMs(13_000));
     contact.note(true, TimeMs(14_000));
     assert!(contact.was_away(TimeMs(16_400)));
     assert!(!contact.was_away(TimeMs(16_500)));
 }
+
+/// Symptom: requests reach an upstream 2.1 s after it has left, on a day of a hunt (DRAIN).
+/// Sequence: the store turns a node away until 11.5 s; the node does not ask it again before 19.0 s, by
+/// what peers confirm; an upstream is removed at 17.5 s; the node reads that and tells all others.
+/// Cause: the first answer after the failures was taken for the store's return, and the removal for a
+/// lapse.
+#[test]
+fn an_answer_long_after_a_failure_is_no_return_of_the_store() {
+    let mut contact = StoreContact::default();
+    contact.note(false, TimeMs(8_300));
+    contact.note(false, TimeMs(11_400));
+    contact.note(true, TimeMs(19_000));
+    assert!(!contact.was_away(TimeMs(19_350)));
+    assert_eq!(contact.reach(TimeMs(19_350)), StoreReach::Answering);
+}
--- a/src/gateway/lease/tests.rs
+++ b/src/gateway/lease/tests.rs
@@ -77,8 +77,7 @@
     assert_eq!(other.end(), 2);
 }
 
-/// Symptom: nothing is reported or ordered for as long as the store turns the holder away, 28 s of a
-/// day of 66 s.
+/// Symptom: nothing is reported or ordered for as long as the store turns the holder away.
 /// Sequence: the store answers all but the holder; the peers hear the holder all the while.
 /// Cause: a holder was taken to have the lease for as long as it lives.
 #[test]
