refactor: One order of hashes, one view of staying peers, waiting purchases decided where orders are

- The factor that spreads a hash stood in choose, peers and confirm: upstreams::spread.
- "Heard and not about to end" was spelled out in six places: Peers::staying serves them all.
- What decides whether to read the configuration was worked out a second time for whether to ask a peer: both go by Standing.
- Message::Upstreams was taken apart into a second struct with the same five fields: UpstreamNews is both.
- Purchases that wait for announcements were filtered out of the orders afterwards, by looking each domain up again: the decision knows it (Ordered::note_arriving), Order::is_less is gone.
A test of that decision, which so far had only its timing tested.
- StoreReach stands beside what works it out, in contact.rs.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -10,7 +10,7 @@
 use super::pace::Pace;
 use super::prefixes::Prefixes;
 use super::sources::{self, Source};
-use super::upstreams::{Upstream, UpstreamKey, UpstreamTable};
+use super::upstreams::{Upstream, UpstreamKey, UpstreamTable, spread};
 use crate::time::TimeMs;
 
 /// How much longer a copied token counts than its reading would take.
@@ -225,8 +225,7 @@
 
 /// Up to two milliseconds, so that equal upstreams are not all taken in the same order.
 fn jitter(draw: u64, tag: u64) -> f64 {
-    let mixed = (draw ^ tag).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 54;
-    num::real(mixed) / 512.0
+    num::real(spread(draw ^ tag) >> 54) / 512.0
 }
 
 #[cfg(test)]
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -12,7 +12,9 @@
 use std::cmp::Ordering;
 use std::net::SocketAddr;
 
-use super::peers::{Member, Peer, Peers, StoreReach};
+use super::contact::StoreReach;
+use super::peers::{Member, Peer, Peers};
+use super::upstreams::{spread, tag};
 use crate::time::TimeMs;
 
 /// A read of a confirming node waits this long for a change; a change ends the wait at once.
@@ -50,7 +52,7 @@
 /// where they start together.
 const START_MS: u64 = 1_000;
 
-/// What decides whether a node reads the configuration from the store.
+/// What decides whether a node reads the configuration from the store, or asks a peer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Standing {
     /// Since the configuration was last confirmed; none if it never was.
@@ -127,16 +129,12 @@
 pub(crate) fn place(peers: &Peers, own_reach: StoreReach, now: TimeMs) -> usize {
     let own = (own_reach, peers.own());
     let domain = &peers.own().failure_domain;
-    sound(peers, now)
+    (peers.staying(now))
         .filter(|peer| peer.member.failure_domain == *domain)
         .filter(|peer| by_rank((peer.store, &peer.member), own).is_lt())
         .count()
 }
 
-fn sound(peers: &Peers, now: TimeMs) -> impl Iterator<Item = &Peer> {
-    peers.heard(now).filter(|peer| !peer.is_stopping)
-}
-
 /// What this node has asked its peers.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Questions {
@@ -148,19 +146,13 @@
 impl Questions {
     /// The peer to ask now, if any: first the one that confirms in this failure domain, then, for
     /// as long as no answer helps, those of the others in turn.
-    pub fn next(
-        &mut self,
-        peers: &Peers,
-        own_place: usize,
-        age_ms: u64,
-        now: TimeMs,
-    ) -> Option<SocketAddr> {
+    pub fn next(&mut self, peers: &Peers, standing: &Standing, now: TimeMs) -> Option<SocketAddr> {
         // One that confirms is as old as its wait just before the store's answer comes.
-        let patient_ms = match own_place {
+        let patient_ms = match standing.place {
             0 => CONFIRM_WAIT_MS + ASK_INTERVAL_MS,
             _ => ASK_AGE_MS,
         };
-        if age_ms < patient_ms {
+        if standing.age_ms.is_some_and(|age_ms| age_ms < patient_ms) {
             self.unanswered = 0;
             return None;
         }
@@ -178,7 +170,7 @@
 
 /// The peers that confirm: of each failure domain the first, this node's own domain in front.
 fn confirming(peers: &Peers, now: TimeMs) -> Vec<&Member> {
-    let mut ordered: Vec<&Peer> = sound(peers, now).collect();
+    let mut ordered: Vec<&Peer> = peers.staying(now).collect();
     ordered.sort_by(|a, b| {
         (a.member.failure_domain.cmp(&b.member.failure_domain))
             .then_with(|| by_rank((a.store, &a.member), (b.store, &b.member)))
@@ -187,19 +179,15 @@
     // Nodes of one domain begin at different places, so that the peers of a domain that lost its
     // own do not all ask the same node.
     let own = peers.own();
-    let spread = super::upstreams::tag(&own.name);
+    let own_tag = tag(&own.name);
     let key = |member: &Member| {
         let is_elsewhere = member.failure_domain != own.failure_domain;
-        let mixed = (super::upstreams::tag(&member.name) ^ spread).wrapping_mul(SPREAD);
-        (is_elsewhere, mixed)
+        (is_elsewhere, spread(tag(&member.name) ^ own_tag))
     };
     let mut members: Vec<&Member> = ordered.iter().map(|peer| &peer.member).collect();
     members.sort_by_key(|member| key(member));
     members
 }
 
-/// An odd constant that spreads the bits of a hash: 2 to the 64th over the golden ratio.
-const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway/confirm/tests.rs
+++ b/src/gateway/confirm/tests.rs
@@ -33,6 +33,19 @@
     is_turned_away: bool,
 }
 
+impl Node {
+    fn standing(&self, now: TimeMs) -> Standing {
+        let was_confirmed = self.in_force.current_at > TimeMs(0);
+        Standing {
+            age_ms: was_confirmed.then(|| now.since(self.in_force.current_at)),
+            place: place(&self.peers, self.contact.reach(now), now),
+            failed_ms: self.contact.failed_ms(now),
+            running_ms: now.since(self.started_at),
+            is_behind: self.in_force.is_behind(),
+        }
+    }
+}
+
 /// Nodes, a store and datagrams between them, without a network.
 #[derive(Debug)]
 struct Fleet {
@@ -166,15 +179,7 @@
             }
             Some(_waiting) => {}
             None => {
-                let reach = node.contact.reach(now);
-                let was_confirmed = node.in_force.current_at > TimeMs(0);
-                let standing = Standing {
-                    age_ms: was_confirmed.then(|| now.since(node.in_force.current_at)),
-                    place: super::place(&node.peers, reach, now),
-                    failed_ms: node.contact.failed_ms(now),
-                    running_ms: now.since(node.started_at),
-                    is_behind: node.in_force.is_behind(),
-                };
+                let standing = node.standing(now);
                 let wait_ms = match reading(&standing) {
                     Reading::Nothing => return,
                     Reading::Now => 0,
@@ -189,10 +194,8 @@
     fn ask(&mut self, place: usize) {
         let now = self.now;
         let node = &mut self.nodes[place];
-        let reach = node.contact.reach(now);
-        let own_place = super::place(&node.peers, reach, now);
-        let age_ms = now.since(node.in_force.current_at);
-        let asked = node.questions.next(&node.peers, own_place, age_ms, now);
+        let standing = node.standing(now);
+        let asked = node.questions.next(&node.peers, &standing, now);
         let read_to = node.in_force.end;
         let Some(asked) = asked.map(|address| usize::from(address.port())) else {
             return;
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -1,8 +1,20 @@
 //! Whether the store answers this node, as far as the node's own calls show.
 
-use super::peers::StoreReach;
+use bincode::{Decode, Encode};
+
 use crate::time::TimeMs;
 
+/// Whether the store answers a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) enum StoreReach {
+    /// It answered a moment ago.
+    Answering,
+    /// Nothing has been asked of it lately.
+    Unasked,
+    /// It did not answer when it was last asked, a moment ago.
+    Failing,
+}
+
 /// A store that answered within this time counts as answering: nodes that ask it regularly do so
 /// each two seconds or more often, and a slow one takes up to a second.
 const ANSWERED_MS: u64 = 3_500;
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use super::clock;
+use super::contact::StoreReach;
 use super::lease::Entry;
 use super::ordering::{self, Ended};
-use super::peers::StoreReach;
 use super::state::Gateway;
 use super::upstreams::tag;
 use super::usage::Report;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -8,7 +8,8 @@
 use super::catalog::Confirmation;
 use super::clock;
 use super::confirm::{self, CONFIRM_WAIT_MS, Questions, Reading, Standing};
-use super::peers::{Message, StoreReach};
+use super::contact::StoreReach;
+use super::peers::{Message, UpstreamNews};
 use super::state::{Gateway, Recipients, UpstreamsView};
 use super::upstreams::{Announced, Change};
 use crate::platform::store::{CONFIGURATION_KEY, Keyed, Records, StoreError, Topic};
@@ -77,20 +78,12 @@
     loop {
         tokio::time::sleep(Duration::from_millis(CONFIRM_LOOK_INTERVAL_MS)).await;
         let now = clock::now();
-        let (read_to, age_ms) = {
-            let in_force = node.in_force.read();
-            (in_force.end, now.since(in_force.current_at))
-        };
-        let reach = node.store_reach(now);
-        let asked = {
-            let peers = node.peers.lock();
-            let place = confirm::place(&peers, reach, now);
-            questions.next(&peers, place, age_ms, now)
-        };
+        let standing = standing(&node, now);
+        let asked = questions.next(&node.peers.lock(), &standing, now);
         if let Some(address) = asked {
             let question = Message::AskConfirmation {
                 asked_at: now,
-                read_to,
+                read_to: node.in_force.read().end,
             };
             node.tell(Recipients::One(address), question);
         }
@@ -98,17 +91,14 @@
 }
 
 fn standing(node: &Gateway, now: TimeMs) -> Standing {
-    let (reach, failed_ms) = {
-        let contact = node.store_contact.lock();
-        (contact.reach(now), contact.failed_ms(now))
-    };
-    let place = confirm::place(&node.peers.lock(), reach, now);
+    let contact = *node.store_contact.lock();
+    let place = confirm::place(&node.peers.lock(), contact.reach(now), now);
     let in_force = node.in_force.read();
     let was_confirmed = in_force.current_at > TimeMs(0);
     Standing {
         age_ms: was_confirmed.then(|| now.since(in_force.current_at)),
         place,
-        failed_ms,
+        failed_ms: contact.failed_ms(now),
         running_ms: node.running_ms(now),
         is_behind: in_force.is_behind(),
     }
@@ -236,17 +226,15 @@
 /// if they hear nothing from it.
 fn is_read_due(node: &Gateway, now: TimeMs) -> bool {
     let age_ms = now.since(node.upstreams_view.lock().read_at);
-    let (reach, failed_ms) = {
-        let contact = node.store_contact.lock();
-        (contact.reach(now), contact.failed_ms(now))
-    };
+    let contact = *node.store_contact.lock();
     let (is_first, before) = {
         let peers = node.peers.lock();
-        let is_first = peers.is_first(reach == StoreReach::Answering, now);
+        let is_first = peers.is_first(contact.reach(now) == StoreReach::Answering, now);
         (is_first, peers.before(now))
     };
     let is_reader = is_first && confirm::hears_peers(node.running_ms(now));
-    let is_paused = failed_ms.is_some_and(|ago_ms| ago_ms < confirm::pause_ms(before));
+    let pause_ms = confirm::pause_ms(before);
+    let is_paused = (contact.failed_ms(now)).is_some_and(|ago_ms| ago_ms < pause_ms);
     !is_paused && age_ms >= patience_ms(is_reader, before)
 }
 
@@ -330,13 +318,14 @@
     let read_at_day_ms = (node.time_of_day(now).0).saturating_sub(now.since(read_at));
     let recent = node.recent.lock().all();
     if let Some((from, to, changes)) = recent {
-        node.tell_peers(Message::Upstreams {
+        let news = UpstreamNews {
             from,
             to,
             changes,
             read_at_day_ms,
             store_was_away: node.store_was_away(now),
-        });
+        };
+        node.tell_peers(Message::Upstreams(news));
     }
 }
 
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -4,8 +4,8 @@
 
 use metrics::gauge;
 
+use super::contact::StoreReach;
 use super::num;
-use super::peers::StoreReach;
 use super::state::Gateway;
 use super::upstreams::{Phase, Upstream};
 use crate::time::TimeMs;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,9 +13,8 @@
 use super::clock;
 use super::follow;
 use super::num;
-use super::peers::{FORGET_MS, Member, Message, Pulse};
+use super::peers::{FORGET_MS, Member, Message, Pulse, UpstreamNews};
 use super::state::{Gateway, Outgoing, Recipients};
-use super::upstreams::Change;
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
 
@@ -192,23 +191,7 @@
     };
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
-        Message::Upstreams {
-            from,
-            to,
-            changes,
-            read_at_day_ms,
-            store_was_away,
-        } => {
-            let read_at = follow::read_at(read_at_day_ms, node.time_of_day(now), now);
-            let told = Told {
-                from,
-                to,
-                changes,
-                read_at,
-                store_was_away,
-            };
-            take_upstreams(node, told, now);
-        }
+        Message::Upstreams(news) => take_upstreams(node, news, now),
         Message::AskConfirmation { asked_at, read_to } => {
             let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
             if let Some(confirmation) = confirmation {
@@ -224,31 +207,19 @@
     }
 }
 
-/// What another node has read of the announcements of upstreams.
-struct Told {
-    from: u64,
-    to: u64,
-    changes: Vec<Change>,
-    /// When all up to the end had been read.
-    read_at: TimeMs,
-    /// Whether removals may be lapses, as the node that read knows.
-    ///
-    /// Most nodes do not ask the store themselves and have not noticed that it was away; they would
-    /// drop live upstreams that could not announce themselves meanwhile, all of them at once.
-    store_was_away: bool,
-}
-
-fn take_upstreams(node: &Gateway, told: Told, now: TimeMs) {
+/// Takes in what another node has read of the announcements of upstreams.
+fn take_upstreams(node: &Gateway, news: UpstreamNews, now: TimeMs) {
     let end = node.upstreams_view.lock().end;
     match end {
         // What was missed in between is read from the store.
-        _ if end < told.from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
+        _ if end < news.from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
         // This node has read further itself.
-        _ if end > told.to => {}
+        _ if end > news.to => {}
         _ => {
-            let was_away = told.store_was_away || node.store_was_away(now);
-            let changes = follow::take_changes(node, told.changes, was_away, now);
-            follow::note_reading(node, end, told.to, changes, told.read_at);
+            let read_at = follow::read_at(news.read_at_day_ms, node.time_of_day(now), now);
+            let was_away = news.store_was_away || node.store_was_away(now);
+            let changes = follow::take_changes(node, news.changes, was_away, now);
+            follow::note_reading(node, end, news.to, changes, read_at);
         }
     }
 }
--- a/src/gateway/info.rs
+++ b/src/gateway/info.rs
@@ -138,7 +138,7 @@
 /// The addresses of nodes that take requests, for a caller in this failure domain.
 fn ready_addresses(node: &Gateway, failure_domain: &str, now: TimeMs) -> Vec<SocketAddr> {
     let peers = node.peers.lock();
-    let ready = (peers.heard(now)).filter(|peer| peer.is_ready && !peer.is_stopping);
+    let ready = peers.staying(now).filter(|peer| peer.is_ready);
     let own = node.is_ready(now).then(|| peers.own());
     let candidates: Vec<Candidate> = ready
         .map(|peer| &peer.member)
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -103,7 +103,7 @@
     if !memory.arrival.is_settled {
         return Ended::NotGiven;
     }
-    let may_buy = memory.arrival.is_over;
+    let is_arriving = !memory.arrival.is_over;
     let catalog = node.catalog();
     for pool in &catalog.pools {
         let Some(scaling) = &pool.scaling else {
@@ -114,8 +114,8 @@
         let PoolMemory { ordered, need, .. } = memory.pools.of(&pool.name);
         let need = *need;
         ordered.note_standing(&standing, now);
-        let mut orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
-        orders.retain(|order| may_buy || order.is_reclaimable || order.is_less(&standing));
+        ordered.note_arriving(is_arriving);
+        let orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
         for order in orders {
             match give_order(node, cloud, &order, need, ordered).await {
                 Ended::Given => {}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,11 +9,12 @@
 use bincode::{Decode, Encode};
 
 use super::catalog::Confirmation;
+use super::contact::StoreReach;
 use super::demand::Rates;
 use super::lease::Holder;
 use super::pace::Pace;
 use super::strikes::Strike;
-use super::upstreams::{Change, Load};
+use super::upstreams::{Change, Load, spread, tag};
 use super::usage;
 use crate::time::TimeMs;
 
@@ -45,32 +46,11 @@
     pub capacity_per_s: f64,
 }
 
-/// Whether the store answers a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub(crate) enum StoreReach {
-    /// It answered a moment ago.
-    Answering,
-    /// Nothing has been asked of it lately.
-    Unasked,
-    /// It did not answer when it was last asked, a moment ago.
-    Failing,
-}
-
 /// A datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) enum Message {
     Pulse(Box<Pulse>),
-    /// Changes of upstreams, read from one offset up to another.
-    Upstreams {
-        from: u64,
-        to: u64,
-        changes: Vec<Change>,
-        /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
-        /// milliseconds.
-        read_at_day_ms: u64,
-        /// Whether the store has only just come back, so that removals may be lapses.
-        store_was_away: bool,
-    },
+    Upstreams(UpstreamNews),
     /// Asks whether the configuration is current.
     AskConfirmation {
         /// On the clock of the one that asks.
@@ -88,6 +68,22 @@
     },
 }
 
+/// Changes of upstreams, read from one offset up to another.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct UpstreamNews {
+    pub from: u64,
+    pub to: u64,
+    pub changes: Vec<Change>,
+    /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
+    /// milliseconds.
+    pub read_at_day_ms: u64,
+    /// Whether the store has only just come back, so that removals may be lapses.
+    ///
+    /// Most nodes do not ask the store themselves and have not noticed that it was away; they would
+    /// drop live upstreams that could not announce themselves meanwhile, all of them at once.
+    pub store_was_away: bool,
+}
+
 /// What a node says of itself some times a second.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct Pulse {
@@ -167,6 +163,11 @@
         (self.peers.iter()).filter(move |peer| is_heard(peer, now))
     }
 
+    /// Of these, the peers that are not about to end.
+    pub fn staying(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
+        self.heard(now).filter(|peer| !peer.is_stopping)
+    }
+
     /// Takes in that a node exists, from the store or from another node.
     pub fn introduce(&mut self, member: Member, now: TimeMs) {
         if member.name == self.own.name {
@@ -216,7 +217,7 @@
     pub fn audience(&self, now: TimeMs) -> super::quota::Audience {
         let serving = self.peers.iter().filter(|peer| !peer.is_stopping);
         let known = serving.filter(|peer| peer.heard_at > TimeMs(0)).count();
-        let heard = self.heard(now).filter(|peer| !peer.is_stopping).count();
+        let heard = self.staying(now).count();
         super::quota::Audience {
             known: u32::try_from(known + 1).unwrap_or(u32::MAX),
             heard: u32::try_from(heard + 1).unwrap_or(u32::MAX),
@@ -227,16 +228,16 @@
     ///
     /// `can` tells whether this node could.
     pub fn is_first(&self, can: bool, now: TimeMs) -> bool {
-        let first = (self.heard(now))
-            .find(|peer| peer.store == StoreReach::Answering && !peer.is_stopping)
+        let first = (self.staying(now))
+            .find(|peer| peer.store == StoreReach::Answering)
             .map(|peer| peer.member.name.as_str());
         can && first.is_none_or(|first| self.own.name.as_str() < first)
     }
 
     /// How many peers come before this node by name, of those that could read for all.
     pub fn before(&self, now: TimeMs) -> usize {
-        (self.heard(now))
-            .filter(|peer| peer.store != StoreReach::Failing && !peer.is_stopping)
+        (self.staying(now))
+            .filter(|peer| peer.store != StoreReach::Failing)
             .filter(|peer| peer.member.name < self.own.name)
             .count()
     }
@@ -253,17 +254,15 @@
     ///
     /// All nodes that hear the same peers choose the same one.
     pub fn collector(&self, team: u64, now: TimeMs) -> Option<SocketAddr> {
-        let rank = |name: &str| super::upstreams::tag(name) ^ team;
-        let rank = |member: &Member| rank(&member.name).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-        let peers = self.heard(now).filter(|peer| !peer.is_stopping);
-        let first = peers.min_by_key(|peer| rank(&peer.member))?;
+        let rank = |member: &Member| spread(tag(&member.name) ^ team);
+        let first = self.staying(now).min_by_key(|peer| rank(&peer.member))?;
         (rank(&first.member) < rank(&self.own)).then_some(first.member.gossip)
     }
 
     /// Whether the run of a node that holds the duties is heard and not about to end.
     pub fn is_alive(&self, holder: &Holder, now: TimeMs) -> bool {
-        self.heard(now)
-            .any(|peer| peer.member.incarnation == holder.incarnation && !peer.is_stopping)
+        self.staying(now)
+            .any(|peer| peer.member.incarnation == holder.incarnation)
     }
 
     /// The time of day that most nodes agree on.
--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -61,22 +61,6 @@
     pub is_reclaimable: bool,
 }
 
-impl Order {
-    /// Whether it lets go some of those that are there.
-    pub fn is_less(&self, standing: &[Standing]) -> bool {
-        let mut domains = standing.iter();
-        let there = domains.find(|domain| domain.failure_domain == self.failure_domain);
-        there.is_some_and(|there| {
-            let count = if self.is_reclaimable {
-                there.reclaimable
-            } else {
-                there.on_demand
-            };
-            self.wanted < count
-        })
-    }
-}
-
 /// Upstreams of one pool in one failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Standing {
@@ -96,6 +80,8 @@
     orders: Vec<Given>,
     dry_until: TimeMs,
     at_risk_until: TimeMs,
+    /// Whether upstreams that stand may not have announced themselves yet.
+    is_arriving: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -128,6 +114,11 @@
         self.at_risk_until = now.after(AT_RISK_MS);
     }
 
+    /// Takes in whether upstreams that stand may not have announced themselves yet.
+    pub fn note_arriving(&mut self, is_arriving: bool) {
+        self.is_arriving = is_arriving;
+    }
+
     /// Takes in whether upstreams are being reclaimed.
     pub fn note_standing(&mut self, standing: &[Standing], now: TimeMs) {
         if standing.iter().any(|domain| domain.reclaimed > 0) {
@@ -194,7 +185,13 @@
             // While none can be had, or the next domain may go, what is let go cannot be bought back.
             let is_kept = is_at_risk || ordered.is_releasing(&order, now);
             let is_kept = is_kept && is_reclaimable && there > wanted;
-            if !is_dry && !is_kept && ordered.is_due(&order, there, scaling.boot_ms, now) {
+            // What looks missing may only be late; reclaimable ones are wanted in any case.
+            let is_early = ordered.is_arriving && !is_reclaimable && there <= wanted;
+            if !is_dry
+                && !is_kept
+                && !is_early
+                && ordered.is_due(&order, there, scaling.boot_ms, now)
+            {
                 orders.push(order);
             }
         }
--- a/src/gateway/sizing/tests.rs
+++ b/src/gateway/sizing/tests.rs
@@ -262,3 +262,22 @@
     assert_eq!(least_by_second[..4], [9, 8, 7, 6]);
     assert_eq!(counts, [2; 4], "they do go");
 }
+
+/// Symptom: on-demand upstreams are bought beside those that stand, at a start.
+/// Sequence: half of them have not announced themselves when the first orders are given.
+/// Cause: what had not announced itself counted as missing.
+#[test]
+fn no_on_demand_upstreams_are_bought_while_upstreams_announce_themselves() {
+    let there = standing([(1, 0), (4, 0), (0, 0), (2, 0)]);
+    let mut ordered = Ordered::default();
+    ordered.note_arriving(true);
+    let early = orders("p", &scaling(), &there, None, &ordered, TimeMs(1));
+    assert!(early.iter().all(|order| order.is_reclaimable), "{early:?}");
+    assert!(
+        wanted_of(&early, "a", true).is_some(),
+        "those need not wait"
+    );
+    ordered.note_arriving(false);
+    let later = orders("p", &scaling(), &there, None, &ordered, TimeMs(1));
+    assert!(later.iter().any(|order| !order.is_reclaimable), "{later:?}");
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -484,5 +484,13 @@
     hasher.finish()
 }
 
+/// Spreads the bits of a hash, so that hashes which differ in few bits rank far apart.
+///
+/// The factor is odd: 2 to the 64th over the golden ratio.
+#[must_use]
+pub(crate) fn spread(hash: u64) -> u64 {
+    hash.wrapping_mul(0x9E37_79B9_7F4A_7C15)
+}
+
 #[cfg(test)]
 pub(super) mod tests;
