perf: Few nodes read the announcements of upstreams; the others are told by relays and ask peers

Cause: with 3,000 upstreams the message with the changes of the last moments outgrew a datagram and was dropped; all 300 nodes then read the store by themselves, 875 kB a second each of the 80 MB that it gives to all, ran into their time limit and began anew. A node that missed news counted as one that never read anything. After a kill of all each node read the whole table, 1.5 MB.

A look at all upstreams for each record without a start time is gone from the table.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,8 @@
 //! functions of what is known and the present time; `state` holds what is known, collectors
 //! (`follow`, `gossip`) fill it, `exchange` and `duties` act on it.
 
+mod allowance;
+mod announcements;
 mod budget;
 mod by_pool;
 pub(crate) mod call;
@@ -35,17 +37,22 @@
 mod patience;
 mod peers;
 mod prefixes;
+mod questions;
 mod quota;
+mod rank;
 mod recent;
 mod refusal;
 mod run;
 pub(crate) mod settings;
 pub(crate) mod sizing;
+mod snapshot;
 mod sources;
 mod state;
 mod stopping;
 mod strikes;
+mod upkeep;
 pub(crate) mod upstreams;
 pub(crate) mod usage;
+mod view;
 
 pub use run::{GatewayError, run};
--- /dev/null
+++ b/src/gateway/announcements.rs
@@ -0,0 +1,500 @@
+//! Follows the announcements of upstreams: reads them from the store, hands them on to peers, and
+//! asks peers for what was missed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::contact::StoreReach;
+use super::peers::{Message, UpstreamNews};
+use super::questions::{ASK_INTERVAL_MS, Questions};
+use super::recent::{MESSAGE_CHANGES, Step};
+use super::snapshot::{self, Assembly, Page, Taken, Whole};
+use super::state::{Gateway, Recipients};
+use super::upkeep::{self, Standing};
+use super::upstreams::{Announced, Change};
+use super::{clock, confirm, rank};
+use crate::platform::store::{Keyed, Records, StoreError, Topic};
+use crate::platform::upstreams;
+use crate::time::TimeMs;
+
+/// Between two looks whether to read announcements or to ask a peer.
+const LOOK_INTERVAL_MS: u64 = 100;
+
+/// A table whose next page has not come for this long is begun anew.
+const ASSEMBLY_MS: u64 = 2_000;
+
+/// Records that are taken in at once; a message to peers ends with the last of them.
+const RECORDS_AT_ONCE: usize = 32;
+
+/// Messages in answer to one question; whoever needs more asks again from where they end.
+const ANSWER_MESSAGES: usize = 8;
+
+/// About what one change takes in a message.
+const CHANGE_BYTES: usize = 130;
+
+/// What a message takes beside its changes.
+const MESSAGE_BYTES: usize = 64;
+
+/// Follows the announcements of upstreams for as long as the node runs.
+pub(crate) async fn follow(node: Arc<Gateway>) {
+    let mut questions = Questions::default();
+    loop {
+        let now = clock::now();
+        match upkeep::next_step(&standing(&node, now)) {
+            upkeep::Step::Nothing => questions.note_settled(),
+            // The next page is asked for as soon as one has come.
+            upkeep::Step::AskPeer if is_handed_over(&node, now) => questions.note_progress(now),
+            upkeep::Step::AskPeer => ask(&node, &mut questions, now),
+            upkeep::Step::ReadStore => {
+                let read = read(&node).await;
+                node.note_store(read.is_ok(), clock::now());
+                if let Err(error) = read {
+                    log::debug!(error:err = error; "the upstreams were not read");
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
+    }
+}
+
+fn standing(node: &Gateway, now: TimeMs) -> Standing {
+    let contact = *node.store_contact.lock();
+    let reach = contact.reach(now);
+    let (is_first, place, place_among_known) = {
+        let peers = node.peers.lock();
+        (
+            reach != StoreReach::Failing && rank::place(&peers, reach, now) == 0,
+            rank::place_in_domain(&peers, reach, now),
+            rank::place_among_known(&peers),
+        )
+    };
+    let running_ms = node.running_ms(now);
+    let view = node.upstreams_view.lock();
+    Standing {
+        age_ms: view.age_ms(now),
+        is_reader: is_first && confirm::hears_peers(running_ms),
+        place,
+        place_among_known: view.knows_nodes.then_some(place_among_known),
+        failed_ms: contact.failed_ms(now),
+        running_ms,
+        is_behind: view.is_behind(),
+        page_ms: (view.page_at > TimeMs(0)).then(|| now.since(view.page_at)),
+    }
+}
+
+/// Whether a peer is handing over its table right now.
+fn is_handed_over(node: &Gateway, now: TimeMs) -> bool {
+    let view = node.upstreams_view.lock();
+    view.assembly.is_begun() && now.since(view.page_at) < ASK_INTERVAL_MS
+}
+
+/// Asks a peer for what this node lacks.
+fn ask(node: &Gateway, questions: &mut Questions, now: TimeMs) {
+    {
+        let mut view = node.upstreams_view.lock();
+        // What was begun long ago would be old when it is whole.
+        if now.since(view.page_at) >= ASSEMBLY_MS {
+            view.assembly = Assembly::default();
+        }
+    }
+    let asked = questions.next(&node.peers.lock(), now);
+    if let Some(address) = asked {
+        ask_one(node, address);
+    }
+}
+
+fn ask_one(node: &Gateway, address: SocketAddr) {
+    let question = {
+        let view = node.upstreams_view.lock();
+        Message::AskUpstreams {
+            read_to: view.end,
+            after: view.assembly.after(),
+        }
+    };
+    node.tell(Recipients::One(address), question);
+}
+
+async fn read(node: &Gateway) -> Result<(), StoreError> {
+    let from = node.upstreams_view.lock().end;
+    let asked_at = clock::now();
+    if from == 0 {
+        return read_all(node).await;
+    }
+    match node.store.read(Topic::Upstreams, from, 0).await {
+        Ok(records) => {
+            take_records(node, &records, clock::now());
+            let to = records.next();
+            let read_at = if to >= records.end {
+                asked_at
+            } else {
+                TimeMs(0)
+            };
+            node.upstreams_view.lock().reached(to, read_at);
+            tell(node, from, clock::now());
+            Ok(())
+        }
+        Err(StoreError::Deleted { first }) => {
+            log::info!(event = "history_lost", topic = "upstreams", first; "records were deleted before they were read");
+            read_all(node).await
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn read_all(node: &Gateway) -> Result<(), StoreError> {
+    let asked_at = clock::now();
+    let newest = node.store.newest(Topic::Upstreams).await?;
+    let read = newest.items.iter().map(announced);
+    let announced: Vec<Announced> = (read)
+        .filter_map(|change| match change {
+            Change::Present(announced) => Some(announced),
+            Change::Removed { .. } | Change::Unreadable { .. } => None,
+        })
+        .collect();
+    let whole = Whole {
+        announced,
+        end: newest.end,
+        read_at: asked_at,
+    };
+    replace(node, whole, clock::now());
+    Ok(())
+}
+
+fn replace(node: &Gateway, whole: Whole, now: TimeMs) {
+    let was_away = node.store_was_away(now);
+    (node.upstreams.lock()).replace(whole.announced, was_away, now);
+    (node.upstreams_view.lock()).replaced(whole.end, whole.read_at);
+}
+
+/// Takes in records in the steps in which peers are told of them.
+fn take_records(node: &Gateway, records: &Records, now: TimeMs) {
+    let was_away = node.store_was_away(now);
+    let mut step = Step {
+        from: records.from,
+        to: records.from,
+        changes: Vec::new(),
+    };
+    for bodies in records.bodies.chunks(RECORDS_AT_ONCE) {
+        if step.changes.len() + bodies.len() > MESSAGE_CHANGES {
+            let next = Step {
+                from: step.to,
+                to: step.to,
+                changes: Vec::new(),
+            };
+            let full = std::mem::replace(&mut step, next);
+            node.recent.lock().note(full, now);
+        }
+        let changes = bodies.iter().filter_map(|body| change(body.clone()));
+        let real = take_changes(node, changes.collect(), Origin::Store, was_away, now);
+        step.changes.extend(real);
+        step.to += bodies.len() as u64;
+    }
+    node.recent.lock().note(step, now);
+}
+
+fn change(body: bytes::Bytes) -> Option<Change> {
+    match Keyed::read(body) {
+        Ok(item) => Some(announced(&item)),
+        Err(error) => {
+            Topic::Upstreams.note_malformed("", &error);
+            None
+        }
+    }
+}
+
+/// What one record says of its upstream.
+fn announced(item: &Keyed) -> Change {
+    let id = item.key.clone();
+    let Some(value) = &item.value else {
+        return Change::Removed { id };
+    };
+    match upstreams::parse(&item.key, value) {
+        Ok(announced) => Change::Present(announced),
+        Err(error) => {
+            Topic::Upstreams.note_malformed(&item.key, &error);
+            Change::Unreadable { id }
+        }
+    }
+}
+
+/// Tells the peers what has been read from an offset on: the neighbours, and one node of each other
+/// failure domain that tells its own.
+fn tell(node: &Gateway, since: u64, now: TimeMs) {
+    let steps = node.recent.lock().told(since, now);
+    for news in news(node, steps, now) {
+        let handed_on = UpstreamNews {
+            is_handed_on: true,
+            ..news.clone()
+        };
+        node.tell(Recipients::Neighbours, Message::Upstreams(news));
+        node.tell(
+            Recipients::FirstOfOtherDomains,
+            Message::Upstreams(handed_on),
+        );
+    }
+}
+
+/// Messages of steps; one without changes if there are none.
+fn news(node: &Gateway, mut steps: Vec<Step>, now: TimeMs) -> Vec<UpstreamNews> {
+    let (end, read_at) = {
+        let view = node.upstreams_view.lock();
+        (view.end, view.read_at)
+    };
+    if steps.is_empty() {
+        steps.push(Step {
+            from: end,
+            to: end,
+            changes: Vec::new(),
+        });
+    }
+    let read_at_day_ms = read_at_day_ms(node, read_at, now);
+    let store_was_away = node.store_was_away(now);
+    let news = steps.into_iter().map(|step| UpstreamNews {
+        from: step.from,
+        to: step.to,
+        changes: step.changes,
+        read_at_day_ms: read_at_day_ms.filter(|_day_ms| step.to >= end),
+        store_was_away,
+        is_handed_on: false,
+    });
+    news.collect()
+}
+
+/// When this node had read all announcements, as the time of day that most nodes agree on.
+fn read_at_day_ms(node: &Gateway, read_at: TimeMs, now: TimeMs) -> Option<u64> {
+    let day_ms = node.time_of_day(now).0;
+    (read_at > TimeMs(0)).then(|| day_ms.saturating_sub(now.since(read_at)))
+}
+
+/// When a peer asked the store for what it tells, on this node's clock.
+///
+/// News may wait for seconds at the link of a small host. Taken for as old as its way is short, it
+/// would keep this node from reading the store itself, and upstreams that left meanwhile would go on
+/// getting work. A time of day that is ahead of this node's counts as now.
+#[must_use]
+fn read_at(read_at_day_ms: u64, day_now: TimeMs, now: TimeMs) -> TimeMs {
+    let age_ms = day_now.0.saturating_sub(read_at_day_ms);
+    TimeMs(now.0.saturating_sub(age_ms))
+}
+
+/// Takes in what a peer has read of the announcements of upstreams.
+pub(crate) fn take_news(node: &Gateway, news: UpstreamNews, from: SocketAddr, now: TimeMs) {
+    if news.is_handed_on {
+        let told = UpstreamNews {
+            is_handed_on: false,
+            ..news.clone()
+        };
+        node.tell(Recipients::Neighbours, Message::Upstreams(told));
+    }
+    let (end, was_behind) = {
+        let mut view = node.upstreams_view.lock();
+        let was_behind = view.is_behind();
+        view.known_end = view.known_end.max(news.to);
+        (view.end, was_behind)
+    };
+    match end {
+        // This node has read further itself, or has no table yet that news could change.
+        _ if end > news.to || end == 0 => {}
+        // What was missed in between is asked for; the first to notice it does so at once.
+        _ if end < news.from && was_behind => {}
+        _ if end < news.from => ask_one(node, from),
+        _ => {
+            let read_at = (news.read_at_day_ms)
+                .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
+                .unwrap_or_default();
+            let was_away = news.store_was_away || node.store_was_away(now);
+            let changes = take_changes(node, news.changes, Origin::Peer, was_away, now);
+            let step = Step {
+                from: end,
+                to: news.to,
+                changes,
+            };
+            node.recent.lock().note(step, now);
+            node.upstreams_view.lock().reached(news.to, read_at);
+        }
+    }
+}
+
+/// Answers a peer that asks for announcements.
+pub(crate) fn answer(
+    node: &Gateway,
+    read_to: u64,
+    after: Option<&str>,
+    from: SocketAddr,
+    now: TimeMs,
+) {
+    let end = node.upstreams_view.lock().end;
+    // A peer that has read further is of no help to itself here; a node without a table to nobody.
+    if end == 0 || read_to > end {
+        return;
+    }
+    let steps = match read_to {
+        0 => None,
+        _ if after.is_some() => None,
+        _ if read_to == end => Some(Vec::new()),
+        _ => node.recent.lock().since(read_to),
+    };
+    let messages: Vec<Message> = match steps {
+        Some(mut steps) => {
+            steps.truncate(ANSWER_MESSAGES);
+            let news = news(node, steps, now).into_iter();
+            news.map(Message::Upstreams).collect()
+        }
+        None => vec![Message::UpstreamsPage(page(node, after, now))],
+    };
+    for message in messages {
+        if !node.answers.lock().take(about_bytes(&message), now) {
+            log::debug!(peer:% = from; "a peer that asks for announcements is not answered now");
+            return;
+        }
+        node.tell(Recipients::One(from), message);
+    }
+}
+
+/// About what a message takes.
+fn about_bytes(message: &Message) -> usize {
+    let rows = match message {
+        Message::Upstreams(news) => news.changes.len(),
+        Message::UpstreamsPage(page) => page.announced.len(),
+        _ => 0,
+    };
+    MESSAGE_BYTES + rows * CHANGE_BYTES
+}
+
+fn page(node: &Gateway, after: Option<&str>, now: TimeMs) -> Page {
+    let (announced, is_last) = {
+        let table = node.upstreams.lock();
+        snapshot::page(table.announced_by_id(), after)
+    };
+    let (end, read_at) = {
+        let view = node.upstreams_view.lock();
+        (view.end, view.read_at)
+    };
+    Page {
+        after: after.map(str::to_owned),
+        announced,
+        is_last,
+        end,
+        read_at_day_ms: read_at_day_ms(node, read_at, now),
+    }
+}
+
+/// Takes in a page of a peer's table, and asks the same peer for the next.
+pub(crate) fn take_page(node: &Gateway, page: Page, from: SocketAddr, now: TimeMs) {
+    let read_at = (page.read_at_day_ms)
+        .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
+        .unwrap_or_default();
+    let is_first_table = node.upstreams_view.lock().end == 0;
+    if is_first_table {
+        take_first(node, &page.announced, now);
+    }
+    let taken = {
+        let mut view = node.upstreams_view.lock();
+        let is_wanted = is_first_table || view.is_behind();
+        let taken = if is_wanted {
+            view.assembly.take(page, read_at)
+        } else {
+            Taken::NotNext
+        };
+        if taken != Taken::NotNext {
+            view.page_at = now;
+        }
+        taken
+    };
+    match taken {
+        Taken::NotNext => {}
+        Taken::Next => ask_one(node, from),
+        Taken::Whole(whole) => {
+            log::info!(
+                event = "upstreams_handed_over",
+                upstreams = whole.announced.len(),
+                end = whole.end,
+                age_ms = now.since(whole.read_at),
+                peer:% = from;
+                "a peer handed over the announcements of upstreams"
+            );
+            replace(node, whole, now);
+            // What was announced while the pages came is still missing.
+            ask_one(node, from);
+        }
+    }
+}
+
+/// Serves from a part of the first table while the rest comes.
+fn take_first(node: &Gateway, announced: &[Announced], now: TimeMs) {
+    let mut table = node.upstreams.lock();
+    for announced in announced {
+        table.apply(Change::Present(announced.clone()), false, now);
+    }
+}
+
+/// Where news of a change comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    Store,
+    /// A peer that has read it, and logged it.
+    Peer,
+}
+
+/// Takes in changes; gives those that changed anything.
+///
+/// `was_away` says that the store has only just come back, so that removals may be lapses.
+fn take_changes(
+    node: &Gateway,
+    changes: Vec<Change>,
+    origin: Origin,
+    was_away: bool,
+    now: TimeMs,
+) -> Vec<Change> {
+    let mut table = node.upstreams.lock();
+    let mut real = Vec::new();
+    for change in changes {
+        let change = match change {
+            Change::Present(announced) if table.is_foreign(&announced) => {
+                let reason = "it does not say when it started, as its pool does";
+                Topic::Upstreams.note_malformed(&announced.id, &reason);
+                Change::Unreadable { id: announced.id }
+            }
+            change => change,
+        };
+        let is_known = table.is_known(&change);
+        if !is_known {
+            log_change(&change, origin);
+            real.push(change.clone());
+        }
+        // A record that differs in its number only counts toward the order of those to come.
+        if !is_known || matches!(change, Change::Present(_)) {
+            table.apply(change, was_away, now);
+        }
+    }
+    real
+}
+
+/// Logs a change where it was read; each other node would only repeat it.
+fn log_change(change: &Change, origin: Origin) {
+    let level = match origin {
+        Origin::Store => log::Level::Info,
+        Origin::Peer => log::Level::Debug,
+    };
+    match change {
+        Change::Present(announced) => log::log!(
+            level,
+            event = "upstream_changed",
+            upstream = announced.id.as_str(),
+            pool = announced.pool.as_str(),
+            failure_domain = announced.failure_domain.as_str(),
+            phase:? = announced.phase,
+            reclaimable = announced.is_reclaimable,
+            leaves_in_ms:? = announced.leaves_in_ms,
+            born_ms:? = announced.born_ms;
+            "an upstream announced a change"
+        ),
+        Change::Removed { id } | Change::Unreadable { id } => {
+            log::log!(level, event = "upstream_removed", upstream = id.as_str(); "an upstream's announcement is gone");
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/follow/tests.rs
+++ b/src/gateway/announcements/tests.rs
@@ -1,3 +1,4 @@
+use super::super::upkeep::SILENT_READER_MS;
 use super::*;
 
 /// Symptom: requests reach an upstream three seconds after it has said that it leaves.
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -9,13 +9,7 @@
 //! on one clock each. A datagram that waits at a slow link, or a node that is frozen in between,
 //! makes the confirmation older and never newer than it is.
 
-use std::cmp::Ordering;
-use std::net::SocketAddr;
-
-use super::contact::StoreReach;
-use super::peers::{Member, Peer, Peers};
-use super::upstreams::{spread, tag};
-use crate::time::TimeMs;
+use super::questions::ASK_INTERVAL_MS;
 
 /// A read of a confirming node waits this long for a change; a change ends the wait at once.
 ///
@@ -29,9 +23,6 @@
 /// shortest bound on a configuration, 2 s.
 const ASK_AGE_MS: u64 = 1_000;
 
-/// Between two questions; an answer takes some 10 ms, on a slow host 200 ms.
-const ASK_INTERVAL_MS: u64 = 400;
-
 /// A node whose peers do not help asks the store itself when its confirmation is older than this.
 const READ_AGE_MS: u64 = 3_000;
 
@@ -111,82 +102,15 @@
         .min(LONGEST_RETRY_MS)
 }
 
-/// The order in which nodes of a failure domain come to confirm: those that the store does not turn
-/// away, then the strongest, then by name.
-///
-/// It needs no agreement: nodes that hear the same peers order them alike, and where they differ for a
-/// moment, two confirm.
-fn by_rank(a: (StoreReach, &Member), b: (StoreReach, &Member)) -> Ordering {
-    let failing = |reach: StoreReach| reach == StoreReach::Failing;
-    failing(a.0)
-        .cmp(&failing(b.0))
-        .then(b.1.capacity_per_s.total_cmp(&a.1.capacity_per_s))
-        .then_with(|| a.1.name.cmp(&b.1.name))
-}
-
-/// How many nodes of this node's failure domain come before it.
+/// Whether to ask a peer if the configuration is current.
 #[must_use]
-pub(crate) fn place(peers: &Peers, own_reach: StoreReach, now: TimeMs) -> usize {
-    let own = (own_reach, peers.own());
-    let domain = &peers.own().failure_domain;
-    (peers.staying(now))
-        .filter(|peer| peer.member.failure_domain == *domain)
-        .filter(|peer| by_rank((peer.store, &peer.member), own).is_lt())
-        .count()
-}
-
-/// What this node has asked its peers.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Questions {
-    asked_at: TimeMs,
-    /// Questions since the configuration was last confirmed.
-    unanswered: usize,
-}
-
-impl Questions {
-    /// The peer to ask now, if any: first the one that confirms in this failure domain, then, for
-    /// as long as no answer helps, those of the others in turn.
-    pub fn next(&mut self, peers: &Peers, standing: &Standing, now: TimeMs) -> Option<SocketAddr> {
+pub(crate) fn asks(standing: &Standing) -> bool {
+    let patient_ms = match standing.place {
         // One that confirms is as old as its wait just before the store's answer comes.
-        let patient_ms = match standing.place {
-            0 => CONFIRM_WAIT_MS + ASK_INTERVAL_MS,
-            _ => ASK_AGE_MS,
-        };
-        if standing.age_ms.is_some_and(|age_ms| age_ms < patient_ms) {
-            self.unanswered = 0;
-            return None;
-        }
-        if now.since(self.asked_at) < ASK_INTERVAL_MS {
-            return None;
-        }
-        let asked = confirming(peers, now);
-        let count = asked.len().max(1);
-        let address = asked.get(self.unanswered % count)?.gossip;
-        self.asked_at = now;
-        self.unanswered += 1;
-        Some(address)
-    }
-}
-
-/// The peers that confirm: of each failure domain the first, this node's own domain in front.
-fn confirming(peers: &Peers, now: TimeMs) -> Vec<&Member> {
-    let mut ordered: Vec<&Peer> = peers.staying(now).collect();
-    ordered.sort_by(|a, b| {
-        (a.member.failure_domain.cmp(&b.member.failure_domain))
-            .then_with(|| by_rank((a.store, &a.member), (b.store, &b.member)))
-    });
-    ordered.dedup_by(|a, b| a.member.failure_domain == b.member.failure_domain);
-    // Nodes of one domain begin at different places, so that the peers of a domain that lost its
-    // own do not all ask the same node.
-    let own = peers.own();
-    let own_tag = tag(&own.name);
-    let key = |member: &Member| {
-        let is_elsewhere = member.failure_domain != own.failure_domain;
-        (is_elsewhere, spread(tag(&member.name) ^ own_tag))
+        0 => CONFIRM_WAIT_MS + ASK_INTERVAL_MS,
+        _ => ASK_AGE_MS,
     };
-    let mut members: Vec<&Member> = ordered.iter().map(|peer| &peer.member).collect();
-    members.sort_by_key(|member| key(member));
-    members
+    (standing.age_ms).is_none_or(|age_ms| age_ms >= patient_ms)
 }
 
 #[cfg(test)]
--- a/src/gateway/confirm/tests.rs
+++ b/src/gateway/confirm/tests.rs
@@ -1,10 +1,16 @@
+use std::net::SocketAddr;
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::super::catalog::{Catalog, Confirmation, InForce};
 use super::super::contact::StoreContact;
 use super::super::peers::tests::{member, pulse};
+use super::super::peers::{Member, Peers};
+use super::super::questions::Questions;
+use super::super::rank;
 use super::*;
+use crate::time::TimeMs;
 
 /// How long a key that was taken away may work.
 const REVOKE_MS: u64 = 5_000;
@@ -38,7 +44,7 @@
         let was_confirmed = self.in_force.current_at > TimeMs(0);
         Standing {
             age_ms: was_confirmed.then(|| now.since(self.in_force.current_at)),
-            place: place(&self.peers, self.contact.reach(now), now),
+            place: rank::place_in_domain(&self.peers, self.contact.reach(now), now),
             failed_ms: self.contact.failed_ms(now),
             running_ms: now.since(self.started_at),
             is_behind: self.in_force.is_behind(),
@@ -195,7 +201,11 @@
         let now = self.now;
         let node = &mut self.nodes[place];
         let standing = node.standing(now);
-        let asked = node.questions.next(&node.peers, &standing, now);
+        if !asks(&standing) {
+            node.questions.note_settled();
+            return;
+        }
+        let asked = node.questions.next(&node.peers, now);
         let read_to = node.in_force.end;
         let Some(asked) = asked.map(|address| usize::from(address.port())) else {
             return;
@@ -260,7 +270,7 @@
         places
             .filter(|place| {
                 let node = &self.nodes[*place];
-                super::place(&node.peers, node.contact.reach(self.now), self.now) == 0
+                rank::place_in_domain(&node.peers, node.contact.reach(self.now), self.now) == 0
             })
             .collect()
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -10,10 +10,12 @@
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
+use super::announcements;
 use super::clock;
 use super::follow;
 use super::num;
-use super::peers::{FORGET_MS, Member, Message, Pulse, UpstreamNews};
+use super::peers::{FORGET_MS, Member, Message, Pulse};
+use super::rank;
 use super::state::{Gateway, Outgoing, Recipients};
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
@@ -148,6 +150,17 @@
             let addresses = node.peers.lock().neighbours(clock::now());
             send_to(socket, &outgoing.message, &addresses).await;
         }
+        Recipients::FirstOfOtherDomains => {
+            let addresses = {
+                let peers = node.peers.lock();
+                let domain = &peers.own().failure_domain;
+                (rank::first_of_each_domain(&peers, clock::now()).iter())
+                    .filter(|member| member.failure_domain != *domain)
+                    .map(|member| member.gossip)
+                    .collect::<Vec<_>>()
+            };
+            send_to(socket, &outgoing.message, &addresses).await;
+        }
         Recipients::One(address) => send_to(socket, &outgoing.message, &[address]).await,
     }
 }
@@ -191,7 +204,11 @@
     };
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
-        Message::Upstreams(news) => take_upstreams(node, news, now),
+        Message::Upstreams(news) => announcements::take_news(node, news, from, now),
+        Message::AskUpstreams { read_to, after } => {
+            announcements::answer(node, read_to, after.as_deref(), from, now);
+        }
+        Message::UpstreamsPage(page) => announcements::take_page(node, page, from, now),
         Message::AskConfirmation { asked_at, read_to } => {
             let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
             if let Some(confirmation) = confirmation {
@@ -207,23 +224,6 @@
     }
 }
 
-/// Takes in what another node has read of the announcements of upstreams.
-fn take_upstreams(node: &Gateway, news: UpstreamNews, now: TimeMs) {
-    let end = node.upstreams_view.lock().end;
-    match end {
-        // What was missed in between is read from the store.
-        _ if end < news.from || end == 0 => node.upstreams_view.lock().read_at = TimeMs(0),
-        // This node has read further itself.
-        _ if end > news.to => {}
-        _ => {
-            let read_at = follow::read_at(news.read_at_day_ms, node.time_of_day(now), now);
-            let was_away = news.store_was_away || node.store_was_away(now);
-            let changes = follow::take_changes(node, news.changes, was_away, now);
-            follow::note_reading(node, end, news.to, changes, read_at);
-        }
-    }
-}
-
 fn take_admitted(node: &Gateway, team: u64, totals: &[(u64, f64)], now: TimeMs) {
     let catalog = node.catalog();
     let mut quotas = node.quotas.lock();
@@ -298,7 +298,9 @@
         }
         let is_alone = node.peers.lock().heard(clock::now()).next().is_none();
         if (is_announced && !has_looked) || is_alone {
-            has_looked |= look(&node).await && is_announced;
+            let has_read = look(&node).await;
+            node.upstreams_view.lock().knows_nodes |= has_read;
+            has_looked |= has_read && is_announced;
             // The others would hear of this node only with its next pulse, up to a second later.
             let pulse = pulse(&node, clock::now());
             node.tell_peers(Message::Pulse(Box::new(pulse)));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use super::demand::Rates;
 use super::lease::Holder;
 use super::pace::Pace;
+use super::snapshot::Page;
 use super::strikes::Strike;
 use super::upstreams::{Change, Load, spread, tag};
 use super::usage;
@@ -51,6 +52,14 @@
 pub(crate) enum Message {
     Pulse(Box<Pulse>),
     Upstreams(UpstreamNews),
+    /// Asks for announcements of upstreams.
+    AskUpstreams {
+        /// Up to where the one that asks has read them; zero if it has not.
+        read_to: u64,
+        /// It wants the page of the table behind this id.
+        after: Option<String>,
+    },
+    UpstreamsPage(Page),
     /// Asks whether the configuration is current.
     AskConfirmation {
         /// On the clock of the one that asks.
@@ -75,8 +84,10 @@
     pub to: u64,
     pub changes: Vec<Change>,
     /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
-    /// milliseconds.
-    pub read_at_day_ms: u64,
+    /// milliseconds; none while more is known to follow.
+    pub read_at_day_ms: Option<u64>,
+    /// Whether the one that gets it tells the peers of its failure domain.
+    pub is_handed_on: bool,
     /// Whether the store has only just come back, so that removals may be lapses.
     ///
     /// Most nodes do not ask the store themselves and have not noticed that it was away; they would
@@ -234,14 +245,6 @@
         can && first.is_none_or(|first| self.own.name.as_str() < first)
     }
 
-    /// How many peers come before this node by name, of those that could read for all.
-    pub fn before(&self, now: TimeMs) -> usize {
-        (self.staying(now))
-            .filter(|peer| peer.store != StoreReach::Failing)
-            .filter(|peer| peer.member.name < self.own.name)
-            .count()
-    }
-
     /// Where the heard peers of this node's failure domain take datagrams.
     pub fn neighbours(&self, now: TimeMs) -> Vec<SocketAddr> {
         (self.heard(now))
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 
 use super::state::Gateway;
 use super::stopping::Stop;
-use super::{clock, duties, follow, gossip, inbound, info};
+use super::{announcements, clock, duties, follow, gossip, inbound, info};
 use crate::platform::settings::{self, SettingsError};
 
 /// How long channels may take to end once nothing more is answered on them.
@@ -97,7 +97,7 @@
     tokio::spawn(gossip::discover(Arc::clone(&node)));
     tokio::spawn(follow::configuration(Arc::clone(&node)));
     tokio::spawn(follow::confirmations(Arc::clone(&node)));
-    tokio::spawn(follow::upstreams(Arc::clone(&node)));
+    tokio::spawn(announcements::follow(Arc::clone(&node)));
     let duties = tokio::spawn(duties::run(Arc::clone(&node)));
     let inbound = tokio::spawn(inbound::serve(callers, Arc::clone(&node), end.clone()));
     let mut looks = tokio::time::interval(Duration::from_millis(SETTINGS_INTERVAL_MS));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
+use super::allowance::Allowance;
 use super::budget::{RepeatBudget, Repeats};
 use super::by_pool::ByPool;
 use super::catalog::{Catalog, InForce};
@@ -27,20 +28,12 @@
 use super::strikes::Strikes;
 use super::upstreams::{UpstreamTable, tag};
 use super::usage::UsageBook;
+use super::view::UpstreamsView;
 use crate::platform::store::Store;
 use crate::time::TimeMs;
 
 /// Messages to peers that wait to be sent; more than this at once is a fault elsewhere.
-const OUTBOX_MESSAGES: usize = 256;
-
-/// How current the view of upstreams is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct UpstreamsView {
-    /// Up to where the announcements have been read; zero if never.
-    pub end: u64,
-    /// When there was nothing beyond that.
-    pub read_at: TimeMs,
-}
+const OUTBOX_MESSAGES: usize = 1_024;
 
 /// The state of one node.
 #[derive(Debug)]
@@ -53,7 +46,9 @@
     pub in_force: RwLock<InForce>,
     pub upstreams: Mutex<UpstreamTable>,
     pub upstreams_view: Mutex<UpstreamsView>,
-    /// Changes of upstreams that peers are told again.
+    /// What is answered to peers that ask for announcements.
+    pub answers: Mutex<Allowance>,
+    /// Changes of upstreams for peers that missed them.
     pub recent: Mutex<Recent>,
     pub store_contact: Mutex<StoreContact>,
     pub prefixes: Mutex<Prefixes>,
@@ -97,6 +92,8 @@
     All,
     /// The peers of this node's failure domain.
     Neighbours,
+    /// Of each other failure domain the peer that comes first.
+    FirstOfOtherDomains,
     /// The node that takes datagrams there.
     One(SocketAddr),
 }
@@ -125,6 +122,7 @@
             in_force: RwLock::default(),
             upstreams: Mutex::default(),
             upstreams_view: Mutex::default(),
+            answers: Mutex::new(Allowance::of_link(settings.link_mbps)),
             recent: Mutex::default(),
             store_contact: Mutex::default(),
             prefixes: Mutex::default(),
@@ -166,7 +164,7 @@
             let in_force = self.in_force.read();
             in_force.is_known() && in_force.is_fresh(revoke_ms, now)
         };
-        let knows_upstreams = self.upstreams_view.lock().read_at > TimeMs(0);
+        let knows_upstreams = self.upstreams_view.lock().is_known();
         is_current && knows_upstreams && !self.is_stopping()
     }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -206,6 +206,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamTable {
     arena: Vec<Slot>,
+    /// Places of the arena that hold no upstream.
+    free: Vec<usize>,
+    /// How many of those held say when they started.
+    with_start: usize,
     /// Sorted by id.
     by_id: Vec<(String, UpstreamKey)>,
     /// Sorted by tag.
@@ -278,7 +282,9 @@
     /// Other writers may leave such a record under any key. Upstreams of one pool are alike, so that
     /// the pool's other records show what a true one holds; one odd record alone outvotes nobody.
     pub fn is_foreign(&self, announced: &Announced) -> bool {
-        if announced.born_ms.is_some() {
+        // With thousands of upstreams a look at all of them for each record would take a small host's
+        // whole processor.
+        if announced.born_ms.is_some() || self.with_start == 0 {
             return false;
         }
         let mut pool_size = 0;
@@ -362,14 +368,14 @@
     }
 
     fn insert(&mut self, upstream: Upstream) -> UpstreamKey {
-        let free = self.arena.iter().position(|slot| slot.upstream.is_none());
-        let place = free.unwrap_or_else(|| {
+        let place = self.free.pop().unwrap_or_else(|| {
             self.arena.push(Slot {
                 generation: 0,
                 upstream: None,
             });
             self.arena.len() - 1
         });
+        self.with_start += usize::from(upstream.announced.born_ms.is_some());
         let slot = &mut self.arena[place];
         slot.generation += 1;
         slot.upstream = Some(upstream);
@@ -386,13 +392,28 @@
             .filter(|(_key, upstream)| now >= upstream.doubtful_until)
             .map(|(key, _upstream)| key)
             .collect();
+        if gone.is_empty() {
+            return;
+        }
         for key in &gone {
-            if let Some(slot) = self.arena.get_mut(key.place as usize) {
-                slot.upstream = None;
+            let place = key.place as usize;
+            if let Some(upstream) = self.arena[place].upstream.take() {
+                self.with_start -= usize::from(upstream.announced.born_ms.is_some());
+                self.free.push(place);
             }
         }
-        self.by_id.retain(|(_id, key)| !gone.contains(key));
-        self.by_tag.retain(|(_tag, key)| !gone.contains(key));
+        // The keys come in the order of the arena.
+        let is_gone = |key: &UpstreamKey| gone.binary_search(key).is_ok();
+        self.by_id.retain(|(_id, key)| !is_gone(key));
+        self.by_tag.retain(|(_tag, key)| !is_gone(key));
+    }
+
+    /// What the upstreams that are there have announced, sorted by id.
+    pub fn announced_by_id(&self) -> impl Iterator<Item = &Announced> {
+        (self.by_id.iter())
+            .filter_map(|(_id, key)| self.get(*key))
+            .filter(|upstream| !upstream.is_removed)
+            .map(|upstream| &upstream.announced)
     }
 
     /// The upstream with this id.
