feature: Roll-outs: versions told apart, exposure as a budget, a sequential verdict, decisions under the lease

Cause: nothing told versions of a pool's upstreams apart; a new version got its part of all traffic at once, and no order of a roll-out was read or answered.

Change: the adapter reads orders and versions and writes the status (platform/rollouts.rs). Answers of both versions are compared by route in a sequential test (verdict.rs). The node with the duties decides, in the log of duties first (rolling.rs). Sizing lets nothing go while two versions stand.

With real processes: a failing version is rolled back, a good one succeeds though the holder is killed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,8 @@
 mod rank;
 mod recent;
 mod refusal;
+mod rolling;
+pub(crate) mod rollout;
 mod run;
 pub(crate) mod settings;
 pub(crate) mod sizing;
@@ -53,6 +55,7 @@
 mod upkeep;
 pub(crate) mod upstreams;
 pub(crate) mod usage;
+mod verdict;
 mod view;
 
 pub use run::{GatewayError, run};
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -185,7 +185,8 @@
             let full = std::mem::replace(&mut step, next);
             node.recent.lock().note(full, now);
         }
-        let changes = bodies.iter().filter_map(|body| change(body.clone()));
+        let changes = (step.to..).zip(bodies);
+        let changes = changes.filter_map(|(offset, body)| change(offset, body.clone()));
         let real = take_changes(node, changes.collect(), Origin::Store, was_away, now);
         step.changes.extend(real);
         step.to += bodies.len() as u64;
@@ -193,8 +194,8 @@
     node.recent.lock().note(step, now);
 }
 
-fn change(body: bytes::Bytes) -> Option<Change> {
-    match Keyed::read(body) {
+fn change(offset: u64, body: bytes::Bytes) -> Option<Change> {
+    match Keyed::read(offset, body) {
         Ok(item) => Some(announced(&item)),
         Err(error) => {
             Topic::Upstreams.note_malformed("", &error);
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -3,6 +3,7 @@
 use bincode::{Decode, Encode};
 use bytes::Bytes;
 
+use super::rollout::Order;
 use crate::time::TimeMs;
 
 /// A route of the catalog; stands for its place there.
@@ -236,6 +237,21 @@
     pub age_ms: u64,
     /// Its configuration, if the one that asked has not read as far and a datagram holds it.
     pub document: Option<Vec<u8>>,
+    /// The roll-outs that were ordered, with the document.
+    pub orders: Vec<Order>,
+}
+
+impl Confirmation {
+    /// Adds the orders of roll-outs, if the one that asked has not read as far.
+    #[must_use]
+    pub fn with_orders(self, orders: Vec<Order>) -> Self {
+        let orders = if self.document.is_some() {
+            orders
+        } else {
+            Vec::new()
+        };
+        Self { orders, ..self }
+    }
 }
 
 impl InForce {
@@ -286,6 +302,7 @@
             end: self.end,
             age_ms: now.since(self.current_at),
             document: is_handed_over.then(|| self.document.to_vec()),
+            orders: Vec::new(),
         })
     }
 
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -9,6 +9,7 @@
 use super::num;
 use super::pace::Pace;
 use super::prefixes::Prefixes;
+use super::rollout::Versions;
 use super::sources::{self, Source};
 use super::upstreams::{Upstream, UpstreamKey, UpstreamTable, spread};
 use crate::time::TimeMs;
@@ -48,6 +49,8 @@
     pub failure_domain: &'a str,
     /// Upstreams that have had the request.
     pub excluded: &'a [UpstreamKey],
+    /// Versions that may get it.
+    pub versions: Versions<'a>,
     /// How fast engines of the pool are.
     pub pace: Pace,
     /// How fast engines of the pool copy from each other; none if they cannot.
@@ -84,13 +87,7 @@
     ask: &Ask<'_>,
     now: TimeMs,
 ) -> Option<Choice> {
-    let candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
-        .filter(|(key, upstream)| {
-            upstream.announced.pool == ask.pool
-                && upstream.takes_work(now)
-                && !ask.excluded.contains(key)
-        })
-        .collect();
+    let candidates = candidates(table, ask, now);
     let is_sound =
         |upstream: &Upstream| !upstream.health.is_paused(now) && !upstream.is_silent(now);
     let any_sound = candidates.iter().any(|(_key, upstream)| is_sound(upstream));
@@ -123,6 +120,32 @@
     best.map(|(_score, choice)| choice)
 }
 
+/// Upstreams that may get a request.
+fn candidates<'a>(
+    table: &'a UpstreamTable,
+    ask: &Ask<'_>,
+    now: TimeMs,
+) -> Vec<(UpstreamKey, &'a Upstream)> {
+    let is_allowed = |upstream: &Upstream| match ask.versions {
+        Versions::Any => true,
+        Versions::Without(version) => upstream.announced.version != version,
+        Versions::Only(version) | Versions::Few { version, .. } => {
+            upstream.announced.version == version
+        }
+    };
+    let mut candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
+        .filter(|(_key, upstream)| upstream.announced.pool == ask.pool)
+        .filter(|(_key, upstream)| upstream.takes_work(now) && is_allowed(upstream))
+        .collect();
+    if let Versions::Few { most, .. } = ask.versions {
+        // The same few on all nodes.
+        candidates.sort_unstable_by_key(|(_key, upstream)| spread(upstream.tag));
+        candidates.truncate(most);
+    }
+    candidates.retain(|(key, _upstream)| !ask.excluded.contains(key));
+    candidates
+}
+
 /// The two upstreams at which all nodes expect the shared part of a prompt, the first one first.
 fn preferred(candidates: &[(UpstreamKey, &Upstream)], prompt: &Prompt) -> [Option<UpstreamKey>; 2] {
     match prompt.shared() {
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -43,6 +43,7 @@
         prompt,
         failure_domain: "d",
         excluded,
+        versions: crate::gateway::rollout::Versions::Any,
         pace: pace(),
         copy_tokens_per_ms: None,
         draw: 7,
--- a/src/gateway/choose/tests/wave.rs
+++ b/src/gateway/choose/tests/wave.rs
@@ -73,6 +73,7 @@
             prompt: Some(prompt),
             failure_domain: "a",
             excluded: &[],
+            versions: crate::gateway::rollout::Versions::Any,
             copy_tokens_per_ms: copies.then_some(COPIED_PER_MS),
             draw,
         };
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -7,6 +7,7 @@
 use super::contact::StoreReach;
 use super::lease::Entry;
 use super::ordering::{self, Ended};
+use super::rolling;
 use super::state::Gateway;
 use super::upstreams::tag;
 use super::usage::Report;
@@ -37,6 +38,7 @@
     unknown_before: TimeMs,
     /// What concerns orders of upstreams.
     orders: ordering::Memory,
+    rollouts: rolling::Memory,
     /// Names of teams by tag, also of those that are no longer in the configuration.
     teams: Vec<(u64, String)>,
 }
@@ -63,6 +65,7 @@
         keep_lease(&node, &mut memory).await;
         if node.lease.lock().token(clock::now()).is_some() {
             report_usage(&node, &cloud, &mut memory).await;
+            roll_out(&node, &mut memory).await;
             let ordered = ordering::order_upstreams(&node, &cloud, &mut memory.orders).await;
             if ordered == Ended::Fenced {
                 give_up(&node, "orders").await;
@@ -196,6 +199,19 @@
     }
 }
 
+/// Decides on roll-outs, and tells the operators how they stand.
+async fn roll_out(node: &Gateway, memory: &mut Memory) {
+    rolling::read_decisions(node);
+    for decided in rolling::due(node) {
+        let holder = node.lease.lock().own().clone();
+        let entry = Entry::Decide { holder, decided };
+        if append(node, entry, memory).await {
+            rolling::take(node, decided);
+        }
+    }
+    rolling::tell_operators(node, &mut memory.rollouts).await;
+}
+
 /// Settles and reports the windows that have ended.
 async fn report_usage(node: &Gateway, cloud: &Cloud, memory: &mut Memory) {
     learn_names(node, memory);
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::patience;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::rollout::{Moment, Versions};
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
 use crate::platform::headers::{self, Added, AnswerHead};
@@ -89,16 +90,21 @@
         return Err(Refusal::Breaking);
     }
     let settings = node.settings();
-    let ask = Ask {
-        pool: &plan.pool,
-        prompt: plan.head.prompt.as_ref(),
-        failure_domain: &settings.failure_domain,
-        excluded: trial.excluded(),
-        pace: node.pace(&plan.pool, now),
-        copy_tokens_per_ms: plan.copy_tokens_per_ms(),
-        draw: plan.draw,
-    };
+    let moment = rollout_moment(node, plan, trial, now);
+    let pace = node.pace(&plan.pool, now);
     let choice = {
+        let mut rollouts = node.rollouts.lock();
+        let rollout = moment.as_ref().zip(rollouts.of_mut(&plan.pool));
+        let ask = Ask {
+            pool: &plan.pool,
+            prompt: plan.head.prompt.as_ref(),
+            failure_domain: &settings.failure_domain,
+            excluded: trial.excluded(),
+            versions: rollout.map_or(Versions::Any, |(moment, rollout)| rollout.versions(moment)),
+            pace,
+            copy_tokens_per_ms: plan.copy_tokens_per_ms(),
+            draw: plan.draw,
+        };
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
         choose::choose(&upstreams, &prefixes, &ask, now)
@@ -134,6 +140,25 @@
     }
 }
 
+/// What decides which versions a request may go to; none while nothing is rolled out in its pool.
+fn rollout_moment(node: &Gateway, plan: &Plan, trial: &Trial, now: TimeMs) -> Option<Moment> {
+    let target = {
+        let mut rollouts = node.rollouts.lock();
+        rollouts.of_mut(&plan.pool)?.order.target.clone()
+    };
+    let audience = node.peers.lock().audience(now);
+    let settings = node.settings();
+    let is_fresh = (node.in_force.read()).is_fresh(settings.bounds.revoke_ms, now);
+    Some(Moment {
+        exposure_share: settings.bounds.exposure_share,
+        is_in_touch: is_fresh && audience.hears_most(),
+        standing: node.standing_by_version(&plan.pool, &target, now),
+        day_ms: node.time_of_day(now).0,
+        draw: plan.draw,
+        is_first: trial.sends() == 0,
+    })
+}
+
 /// Counts a request to an engine toward what is asked of its pool, also if it is refused.
 fn note_demand(node: &Gateway, plan: &Plan, choice: &Choice, now: TimeMs) {
     let Some(prompt) = &plan.head.prompt else {
@@ -165,7 +190,7 @@
         return Err(Vain::NotRun("upstream_gone", String::new()));
     };
     let now = clock::now();
-    let Some(mut running) = Running::new(node, choice, now) else {
+    let Some(mut running) = Running::new(node, plan, choice, now) else {
         return Err(Vain::NotRun("upstream_gone", String::new()));
     };
     story.sent(
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -4,12 +4,14 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::admit::Plan;
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
 use crate::gateway::peers::Message;
+use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes::Strike;
-use crate::gateway::upstreams::{Upstream, UpstreamKey};
+use crate::gateway::upstreams::{Upstream, UpstreamKey, tag};
 use crate::time::TimeMs;
 
 /// A request that an upstream has, counted until it ends.
@@ -29,11 +31,15 @@
     pub others_before: u32,
     /// Whether its time to a first token shows how fast the engine reads.
     pub is_telling: bool,
+    /// Names the request's route; its pool and what was expected, for a roll-out that runs there.
+    route: u64,
+    pool: String,
+    expected_ms: f64,
 }
 
 impl Running {
     /// Counts a request at the upstream of a choice; none if that is not known any more.
-    pub fn new(node: &Arc<Gateway>, choice: &Choice, now: TimeMs) -> Option<Self> {
+    pub fn new(node: &Arc<Gateway>, plan: &Plan, choice: &Choice, now: TimeMs) -> Option<Self> {
         let mut upstreams = node.upstreams.lock();
         let upstream = upstreams.get_mut(choice.upstream)?;
         upstream.own.running += 1;
@@ -49,6 +55,13 @@
             waiting_tokens: choice.waiting_tokens,
             others_before: choice.running,
             is_telling: choice.copied_tokens == 0 && choice.running * 2 < choice.slots,
+            route: tag(&plan.route().name),
+            pool: plan.pool.clone(),
+            expected_ms: match plan.head.prompt {
+                Some(_) => choice.expected_ms,
+                // What plain calls take is known from the upstream itself only, which may be slow.
+                None => 1.0,
+            },
         })
     }
 
@@ -82,6 +95,7 @@
 
     /// Notes how the upstream fared with it.
     pub fn note(&self, outcome: Outcome, now: TimeMs) {
+        self.observe(outcome);
         if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
             upstream.health.note(outcome, now);
             if outcome != Outcome::Broken {
@@ -90,6 +104,40 @@
         }
     }
 
+    /// Takes an answer into what is seen of a roll-out in its pool, if there is one.
+    fn observe(&self, outcome: Outcome) {
+        let took_ms = match outcome {
+            Outcome::Good { took_ms } => Some(took_ms),
+            Outcome::Failed | Outcome::Broken => None,
+            // It has not run.
+            Outcome::Refused => return,
+        };
+        let mut rollouts = self.node.rollouts.lock();
+        if !rollouts.is_running(&self.pool) {
+            return;
+        }
+        let Some(rollout) = rollouts.of_mut(&self.pool) else {
+            return;
+        };
+        let upstreams = self.node.upstreams.lock();
+        let Some(upstream) = upstreams.get(self.upstream) else {
+            return;
+        };
+        let answer = Answer {
+            route: self.route,
+            is_new: upstream.announced.version == rollout.order.target,
+            took_ms,
+            expected_ms: self.expected_ms,
+        };
+        drop(upstreams);
+        if rollout.note(&answer) {
+            let observed = rollouts.observed(Some(&self.pool));
+            let message = Message::Observed(self.node.incarnation, observed);
+            drop(rollouts);
+            self.node.tell_peers(message);
+        }
+    }
+
     /// Notes that the upstream broke off, and tells the peers: it may be the request that did it.
     pub fn note_broken(&self, content: u64, now: TimeMs) {
         self.note(Outcome::Broken, now);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -11,9 +11,10 @@
 use super::peers::Message;
 use super::questions::Questions;
 use super::rank;
+use super::rollout::Order;
 use super::state::{Gateway, Recipients};
-use crate::platform::documents;
 use crate::platform::store::{CONFIGURATION_KEY, Keyed, StoreError, Topic};
+use crate::platform::{documents, rollouts};
 use crate::time::TimeMs;
 
 /// Between two looks whether to read the configuration or to ask a peer.
@@ -90,7 +91,7 @@
     let asked_at = clock::now();
     let newest = node.store.newest(Topic::Configuration).await?;
     for item in newest.items {
-        take_configuration(node, &item);
+        take_item(node, &item);
     }
     confirmed(node, newest.end, asked_at);
     Ok(())
@@ -99,9 +100,9 @@
 async fn next_configuration(node: &Gateway, from: u64, wait_ms: u64) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let records = node.store.read(Topic::Configuration, from, wait_ms).await?;
-    for body in &records.bodies {
-        match Keyed::read(body.clone()) {
-            Ok(item) => take_configuration(node, &item),
+    for (offset, body) in (records.from..).zip(&records.bodies) {
+        match Keyed::read(offset, body.clone()) {
+            Ok(item) => take_item(node, &item),
             Err(error) => Topic::Configuration.note_malformed("", &error),
         }
     }
@@ -140,7 +141,8 @@
     let never_read = 0;
     let confirmation = {
         let in_force = node.in_force.read();
-        in_force.confirmation(TimeMs(0), never_read, clock::now())
+        let confirmation = in_force.confirmation(TimeMs(0), never_read, clock::now());
+        confirmation.map(|confirmation| confirmation.with_orders(node.rollouts.lock().orders()))
     };
     if let Some(confirmation) = confirmation {
         node.tell(Recipients::Neighbours, Message::Confirmation(confirmation));
@@ -152,13 +154,39 @@
     if let Some(document) = &confirmation.document {
         take_document(node, document);
     }
+    for order in &confirmation.orders {
+        take_order(node, order.clone());
+    }
     node.in_force.write().confirmed_by_peer(confirmation, now);
 }
 
-fn take_configuration(node: &Gateway, item: &Keyed) {
-    let text = (item.value.as_ref()).filter(|_text| item.key == CONFIGURATION_KEY);
-    if let Some(text) = text {
-        take_document(node, text);
+fn take_item(node: &Gateway, item: &Keyed) {
+    let Some(text) = &item.value else {
+        return;
+    };
+    match rollouts::pool_of(&item.key) {
+        _ if item.key == CONFIGURATION_KEY => take_document(node, text),
+        Some(pool) => match rollouts::parse(pool, item.offset, text) {
+            Ok(order) => take_order(node, order),
+            Err(error) => Topic::Configuration.note_malformed(&item.key, &error),
+        },
+        None => {}
+    }
+}
+
+fn take_order(node: &Gateway, order: Order) {
+    let day_ms = node.time_of_day(clock::now()).0;
+    let (pool, target) = (order.pool.clone(), order.target.clone());
+    let (duration_ms, offset) = (order.duration_ms, order.offset);
+    if node.rollouts.lock().order(order, day_ms) {
+        log::info!(
+            event = "rollout_ordered",
+            pool = pool.as_str(),
+            target = target.as_str(),
+            duration_ms,
+            order = offset;
+            "a pool's traffic is to move to another version"
+        );
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,7 +16,9 @@
 use super::num;
 use super::peers::{FORGET_MS, Member, Message, Pulse};
 use super::rank;
+use super::rollout::Decided;
 use super::state::{Gateway, Outgoing, Recipients};
+use crate::platform::rollouts;
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
 
@@ -126,6 +128,11 @@
     };
     let member = peers.own().clone();
     drop(peers);
+    let lease = node.lease.lock().announced(now);
+    let rollouts = node.rollouts.lock();
+    let observed = rollouts.observed(None);
+    let decided = lease.map(|_lease| rollouts.decided()).unwrap_or_default();
+    drop(rollouts);
     Pulse {
         member,
         also,
@@ -139,7 +146,9 @@
         admitted: node.quotas.lock().own_totals(),
         paces: Vec::new(),
         demand: node.demands.lock().own_rates(now),
-        lease: node.lease.lock().announced(now),
+        lease,
+        observed,
+        decided,
     }
 }
 
@@ -212,10 +221,15 @@
         Message::AskConfirmation { asked_at, read_to } => {
             let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
             if let Some(confirmation) = confirmation {
+                let confirmation = confirmation.with_orders(node.rollouts.lock().orders());
                 let answer = Message::Confirmation(confirmation);
                 node.tell(Recipients::One(from), answer);
             }
         }
+        Message::Decided(decided) => take_decided(node, &decided),
+        Message::Observed(incarnation, observed) => {
+            node.rollouts.lock().note_observed(incarnation, observed);
+        }
         Message::Confirmation(confirmation) => follow::take_confirmation(node, &confirmation, now),
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
@@ -257,6 +271,12 @@
     }
 }
 
+fn take_decided(node: &Gateway, decided: &Decided) {
+    if node.rollouts.lock().note_decided(decided) {
+        log::info!(event = "rollout_stage", order = decided.order, stage:? = decided.stage; "a roll-out has come to another stage");
+    }
+}
+
 fn take_pulse(node: &Gateway, pulse: &Pulse, now: TimeMs) {
     let incarnation = pulse.member.incarnation;
     {
@@ -276,6 +296,12 @@
     }
     let catalog = node.catalog();
     (node.quotas.lock()).note_peer(incarnation, &pulse.admitted, &catalog.teams, now);
+    if !pulse.observed.is_empty() {
+        (node.rollouts.lock()).note_observed(incarnation, pulse.observed.clone());
+    }
+    for decided in &pulse.decided {
+        take_decided(node, decided);
+    }
     if let Some((end, token)) = pulse.lease {
         let holder = super::lease::Holder {
             node: pulse.member.name.clone(),
@@ -337,6 +363,12 @@
     let now = clock::now();
     for item in newest.items {
         let Some(value) = item.value else { continue };
+        if let Some(pool) = rollouts::pool_of(&item.key) {
+            if let Some((order, stage)) = rollouts::ended(&value) {
+                node.rollouts.lock().note_ended(pool, order, stage);
+            }
+            continue;
+        }
         let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
         match bincode::decode_from_slice::<Member, _>(&value, config) {
             // A record of another writer may happen to be of this form; a node writes under its own
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -8,6 +8,7 @@
 
 use bincode::{Decode, Encode};
 
+use super::rollout::Decided;
 use super::usage::Report;
 use crate::time::TimeMs;
 
@@ -26,6 +27,8 @@
     Release { holder: Holder },
     /// The holder settles what is reported for a window, before it reports it.
     Settle { holder: Holder, report: Report },
+    /// The holder decides on a roll-out, before it tells the operators.
+    Decide { holder: Holder, decided: Decided },
 }
 
 /// One run of one node.
@@ -39,9 +42,10 @@
 impl Entry {
     fn holder(&self) -> &Holder {
         match self {
-            Self::Hold { holder } | Self::Release { holder } | Self::Settle { holder, .. } => {
-                holder
-            }
+            Self::Hold { holder }
+            | Self::Release { holder }
+            | Self::Settle { holder, .. }
+            | Self::Decide { holder, .. } => holder,
         }
     }
 }
@@ -62,6 +66,8 @@
     holder: Option<Held>,
     /// What has been settled, newest last.
     settled: Vec<Report>,
+    /// What has been decided of roll-outs, newest last.
+    decided: Vec<Decided>,
     /// This node's lease ends then.
     own_until: TimeMs,
 }
@@ -77,6 +83,9 @@
 /// Settled reports that are kept: those that may still be sent again.
 const KEPT_REPORTS: usize = 8;
 
+/// Decisions on roll-outs that are kept: the last of some pools.
+const KEPT_DECISIONS: usize = 16;
+
 impl Lease {
     /// A view that has read nothing yet.
     #[must_use]
@@ -90,6 +99,7 @@
             is_read: false,
             holder: None,
             settled: Vec::new(),
+            decided: Vec::new(),
             own_until: TimeMs(0),
         }
     }
@@ -160,6 +170,11 @@
         &self.settled
     }
 
+    /// What has been decided of roll-outs, newest last.
+    pub fn decided(&self) -> &[Decided] {
+        &self.decided
+    }
+
     /// Takes in a record that was read at its offset.
     pub fn read(&mut self, offset: u64, entry: Entry, now: TimeMs) {
         if offset < self.read_to {
@@ -229,10 +244,18 @@
             token,
             is_released: matches!(entry, Entry::Release { .. }),
         });
-        if let Entry::Settle { report, .. } = entry {
-            self.settled.push(report);
-            let surplus = self.settled.len().saturating_sub(KEPT_REPORTS);
-            self.settled.drain(..surplus);
+        match entry {
+            Entry::Settle { report, .. } => {
+                self.settled.push(report);
+                let surplus = self.settled.len().saturating_sub(KEPT_REPORTS);
+                self.settled.drain(..surplus);
+            }
+            Entry::Decide { decided, .. } => {
+                self.decided.push(decided);
+                let surplus = self.decided.len().saturating_sub(KEPT_DECISIONS);
+                self.decided.drain(..surplus);
+            }
+            Entry::Hold { .. } | Entry::Release { .. } => {}
         }
     }
 
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -114,6 +114,12 @@
         ordered.note_arriving(is_arriving);
         ordered.note_standing(&standing, now);
         let orders = sizing::orders(&pool.name, scaling, &standing, need, ordered, now);
+        // While two versions stand, what the new one lacks looks like too many of the old; upstreams that
+        // were let go would be missing whichever version stays.
+        let is_rolled_out = node.rollouts.lock().is_running(&pool.name);
+        let orders = orders
+            .into_iter()
+            .filter(|order| !is_rolled_out || !lets_go(order, &standing));
         for order in orders {
             match give_order(node, cloud, &order, need, ordered).await {
                 Ended::Given => {}
@@ -124,6 +130,21 @@
     Ended::Given
 }
 
+/// Whether an order lets upstreams go.
+fn lets_go(order: &Order, standing: &[Standing]) -> bool {
+    let there = standing
+        .iter()
+        .find(|there| there.failure_domain == order.failure_domain);
+    there.is_some_and(|there| {
+        let count = if order.is_reclaimable {
+            there.reclaimable
+        } else {
+            there.on_demand
+        };
+        order.wanted < count
+    })
+}
+
 /// Gives one order.
 async fn give_order(
     node: &Gateway,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,6 +13,7 @@
 use super::demand::Rates;
 use super::lease::Holder;
 use super::pace::Pace;
+use super::rollout::{Decided, Observed};
 use super::snapshot::Page;
 use super::strikes::Strike;
 use super::upstreams::{Change, Load, spread, tag};
@@ -68,6 +69,10 @@
         read_to: u64,
     },
     Confirmation(Confirmation),
+    /// What the node with the duties has decided of a roll-out.
+    Decided(Decided),
+    /// What a node has seen of roll-outs since its start, by its incarnation.
+    Observed(u64, Vec<Observed>),
     Strike(Strike),
     /// What nodes have admitted of one team since their starts, by incarnation; told between two
     /// pulses to the team's collector, and by it to all.
@@ -123,6 +128,10 @@
     pub demand: Vec<Rates>,
     /// If it has the duties: where their log ends, and its fencing token.
     pub lease: Option<(u64, u64)>,
+    /// What it has seen of roll-outs.
+    pub observed: Vec<Observed>,
+    /// What was decided of roll-outs, if it has the duties.
+    pub decided: Vec<Decided>,
 }
 
 /// What is known of one peer.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -27,6 +27,8 @@
         paces: Vec::new(),
         demand: Vec::new(),
         lease: None,
+        observed: Vec::new(),
+        decided: Vec::new(),
     }
 }
 
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -81,6 +81,11 @@
 }
 
 impl Audience {
+    /// Whether this node hears at least half of the fleet.
+    pub fn hears_most(self) -> bool {
+        self.heard * 2 >= self.known
+    }
+
     /// The part of the fleet's limits that the nodes that hear each other may use.
     fn share(self) -> f64 {
         f64::from(self.heard.max(1)) / f64::from(self.known.max(self.heard).max(1))
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -73,6 +73,8 @@
     pub retry_window_ms: u64,
     /// Repeats of a window beyond those that requests pay for, over all nodes.
     pub retry_slack: f64,
+    /// Part of a pool's requests that a bad version may get while it is rolled out.
+    pub exposure_share: f64,
     /// How teams' limits are judged, if the operators say it.
     pub limit_window: Option<LimitWindow>,
     /// A lease is valid this long after its holder asked for it.
--- a/src/gateway/sources/tests.rs
+++ b/src/gateway/sources/tests.rs
@@ -34,6 +34,7 @@
         prompt: Some(&prompt),
         failure_domain: "d",
         excluded: &[],
+        versions: crate::gateway::rollout::Versions::Any,
         copy_tokens_per_ms: Some(597.0),
         draw: 0,
     };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
 use super::recent::Recent;
+use super::rollout::{Rollouts, Standing};
 use super::settings::NodeSettings;
 use super::stopping::Stop;
 use super::strikes::Strikes;
@@ -61,6 +62,7 @@
     pub quotas: Mutex<Quotas>,
     pub repeats: Mutex<ByPool<Repeats>>,
     pub strikes: Mutex<Strikes>,
+    pub rollouts: Mutex<Rollouts>,
     pub usage: Mutex<UsageBook>,
     pub peers: Mutex<Peers>,
     pub lease: Mutex<Lease>,
@@ -132,6 +134,7 @@
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
             strikes: Mutex::default(),
+            rollouts: Mutex::default(),
             usage: Mutex::new(UsageBook::new(incarnation, settings.bounds.usage_window_ms)),
             peers: Mutex::new(Peers::new(member)),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
@@ -244,6 +247,23 @@
         self.peer_paces.lock().middle(pool, own, now)
     }
 
+    /// Upstreams of a pool that take work, by whether they are of a version.
+    pub fn standing_by_version(&self, pool: &str, version: &str, now: TimeMs) -> Standing {
+        let mut standing = Standing::default();
+        for (_key, upstream) in self.upstreams.lock().iter() {
+            let is_new = upstream.announced.version == version;
+            match upstream.announced.pool == pool {
+                true if is_new => standing.new += usize::from(upstream.takes_work(now)),
+                true => {
+                    standing.old += usize::from(upstream.takes_work(now));
+                    standing.old_running += upstream.running();
+                }
+                false => {}
+            }
+        }
+        standing
+    }
+
     /// What this node has learned of each pool's engines, for its peers.
     pub fn learned_paces(&self) -> Vec<(u64, Pace)> {
         let engines = self.engines.lock();
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -35,6 +35,8 @@
     /// Counts what it has written since its start.
     pub sequence: u64,
     pub pool: String,
+    /// Of its software; empty if it does not say.
+    pub version: String,
     pub address: SocketAddr,
     pub failure_domain: String,
     /// Requests that it runs at once.
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -6,6 +6,7 @@
         born_ms: None,
         sequence: 0,
         pool: pool.to_owned(),
+        version: String::new(),
         address: SocketAddr::from(([127, 0, 0, 1], 9_000)),
         failure_domain: domain.to_owned(),
         slots: 8,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 pub(crate) mod documents;
 pub(crate) mod headers;
 pub(crate) mod http;
+pub(crate) mod rollouts;
 pub(crate) mod settings;
 pub(crate) mod store;
 pub(crate) mod upstreams;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -146,6 +146,8 @@
 /// A record of a keyed topic; without a value, the key is no longer there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Keyed {
+    /// Where it lies in its partition.
+    pub offset: u64,
     pub key: String,
     pub value: Option<Bytes>,
 }
@@ -169,6 +171,7 @@
 struct RawItem {
     key: String,
     value: String,
+    offset: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -395,12 +398,12 @@
 }
 
 impl Keyed {
-    /// Reads a record of a keyed topic: the key's length, the key, and the value.
+    /// Reads a record of a keyed topic that lies at an offset: the key's length, the key, and the value.
     ///
     /// # Errors
     ///
     /// If it is shorter than it says, or the key is not text.
-    pub fn read(mut record: Bytes) -> Result<Self, StoreError> {
+    pub fn read(offset: u64, mut record: Bytes) -> Result<Self, StoreError> {
         let malformed = StoreError::Malformed {
             what: "a keyed record is cut short",
         };
@@ -416,6 +419,7 @@
             what: "a key is not text",
         })?;
         Ok(Self {
+            offset,
             key: key.to_owned(),
             value: (!record.is_empty()).then_some(record),
         })
@@ -436,6 +440,7 @@
                 what: "a value is not base64",
             })?;
         Ok(Self {
+            offset: raw.offset,
             key: raw.key,
             value: (!value.is_empty()).then(|| value.into()),
         })
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -31,13 +31,13 @@
 
 #[test]
 fn keyed_records_are_read_with_and_without_a_value() {
-    let with = Keyed::read(Bytes::from_static(b"\x06config{}")).expect("whole");
+    let with = Keyed::read(4, Bytes::from_static(b"\x06config{}")).expect("whole");
     assert_eq!(with.key, "config");
     assert_eq!(with.value.as_deref(), Some(&b"{}"[..]));
-    let without = Keyed::read(Bytes::from_static(b"\x03i-1")).expect("whole");
+    let without = Keyed::read(4, Bytes::from_static(b"\x03i-1")).expect("whole");
     assert_eq!(without.value, None);
-    Keyed::read(Bytes::from_static(b"\x09i-1")).expect_err("cut short");
-    Keyed::read(Bytes::new()).expect_err("nothing there");
+    Keyed::read(4, Bytes::from_static(b"\x09i-1")).expect_err("cut short");
+    Keyed::read(4, Bytes::new()).expect_err("nothing there");
 }
 
 #[test]
@@ -58,6 +58,6 @@
     fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..200)) {
         let bytes = Bytes::from(bytes);
         let _records = read_records(0, bytes.clone());
-        let _keyed = Keyed::read(bytes);
+        let _keyed = Keyed::read(4, bytes);
     }
 }
--- a/src/platform/upstreams.rs
+++ b/src/platform/upstreams.rs
@@ -38,6 +38,9 @@
 #[serde(rename_all = "camelCase")]
 struct RawServer {
     service: String,
+    /// Of the server's software.
+    #[serde(default)]
+    version: String,
     address: SocketAddr,
     zone: String,
     slots: u32,
@@ -90,6 +93,7 @@
         born_ms: raw.born,
         sequence: raw.seq,
         pool: raw.service,
+        version: raw.version,
         address: raw.address,
         failure_domain: raw.zone,
         slots: raw.slots,
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -153,10 +153,25 @@
     ///
     /// If no port is free.
     pub async fn add_upstream(&mut self, service: &str, id: &str) -> io::Result<()> {
+        self.add_upstream_of(service, id, "v1").await
+    }
+
+    /// Starts one more upstream whose software has this version.
+    ///
+    /// # Errors
+    ///
+    /// If no port is free.
+    pub async fn add_upstream_of(
+        &mut self,
+        service: &str,
+        id: &str,
+        version: &str,
+    ) -> io::Result<()> {
         let settings = UpstreamSettings {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: format!("zone-{}", self.upstreams.len() / 2 % 2),
+            version: version.to_owned(),
         };
         let upstream = Upstream::start(settings, &self.store, &self.runs)?;
         if self.is_proxied {
@@ -173,6 +188,22 @@
         self.store.put("keyed.op", "config", &document.to_string());
     }
 
+    /// Orders that a service's traffic moves to another version.
+    pub fn roll_out(&self, service: &str, target: &str, duration_s: f64) {
+        let order = json!({ "service": service, "target": target, "durationS": duration_s });
+        let key = format!("rollout/{service}");
+        self.store.put("keyed.op", &key, &order.to_string());
+    }
+
+    /// What the operators read of a service's roll-out.
+    #[must_use]
+    pub fn rollout_state(&self, service: &str) -> Option<String> {
+        let key = format!("rollout/{service}");
+        let status = self.store.newest("keyed.status", &key)?;
+        let status: Value = serde_json::from_slice(&status).ok()?;
+        status["state"].as_str().map(str::to_owned)
+    }
+
     /// Waits until a node says that it is ready and hears all others.
     pub async fn wait_until_ready(&self, place: usize) -> bool {
         let count = self.nodes.len();
--- a/stand_ins/src/operators/store.rs
+++ b/stand_ins/src/operators/store.rs
@@ -139,6 +139,14 @@
         debug_assert!(appended.is_ok(), "only conditional appends can fail");
     }
 
+    /// The newest record of a key.
+    #[must_use]
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Bytes> {
+        let topics = self.shared.topics.lock();
+        let (value, _offset) = topics.get(topic)?.newest.get(key)?;
+        Some(value.clone())
+    }
+
     /// Forgets the records of a topic, but for the newest of each key.
     pub fn forget_history(&self, topic: &str) {
         let mut topics = self.shared.topics.lock();
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -79,6 +79,7 @@
     id: String,
     service: String,
     zone: String,
+    version: String,
     address: Mutex<SocketAddr>,
     store: Store,
     fault: Mutex<Fault>,
@@ -103,6 +104,8 @@
     pub service: String,
     /// Where it stands.
     pub zone: String,
+    /// The version of its software.
+    pub version: String,
 }
 
 impl Upstream {
@@ -121,6 +124,7 @@
             id: settings.id,
             service: settings.service,
             zone: settings.zone,
+            version: settings.version,
             address: Mutex::new(listener.local_addr()?),
             store: store.clone(),
             fault: Mutex::default(),
@@ -245,7 +249,7 @@
         };
         let value = serde_json::json!({
             "service": self.service, "address": self.address.lock().to_string(), "zone": self.zone,
-            "version": "v1", "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
+            "version": self.version, "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
             "born": *self.born_ms.lock(),
         });
         let overwritten = self.overwritten.lock().clone();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,5 +8,6 @@
 mod input;
 mod leaving;
 mod metered;
+mod rollouts;
 mod store;
 mod support;
