perf: News behind a gap is kept; a guess buys at most 16 spare upstreams a domain

Cause: at 300 nodes and some thousand changes a second, one lost message made a node pass over all that followed and ask for all of it again, on a link that was full; and an unknown need had 3,000 needless upstreams started at once, again after the kill of all.

Change: news behind a gap is kept, bounded, and only the gap is asked for; while the need is unknown, the spare beyond what stood is at most 16 a domain.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use super::contact::StoreReach;
-use super::peers::{Message, UpstreamNews};
+use super::peers::{Asked, Message, UpstreamNews};
 use super::questions::{ASK_INTERVAL_MS, Questions};
 use super::recent::{MESSAGE_CHANGES, Step};
 use super::snapshot::{self, Assembly, Page, Taken, Whole};
@@ -107,10 +107,11 @@
 fn ask_one(node: &Gateway, address: SocketAddr) {
     let question = {
         let view = node.upstreams_view.lock();
-        Message::AskUpstreams {
+        Message::AskUpstreams(Asked {
             read_to: view.end,
+            until: view.gap_end(),
             after: view.assembly.after(),
-        }
+        })
     };
     node.tell(Recipients::One(address), question);
 }
@@ -288,43 +289,55 @@
         };
         node.tell(Recipients::Neighbours, Message::Upstreams(told));
     }
-    let (end, was_behind) = {
+    let (end, has_pending) = {
         let mut view = node.upstreams_view.lock();
-        let was_behind = view.is_behind();
         view.known_end = view.known_end.max(news.to);
-        (view.end, was_behind)
+        (view.end, !view.pending.is_empty())
     };
     match end {
         // This node has read further itself, or has no table yet that news could change.
         _ if end > news.to || end == 0 => {}
-        // What was missed in between is asked for; the first to notice it does so at once.
-        _ if end < news.from && was_behind => {}
-        _ if end < news.from => ask_one(node, from),
+        _ if end < news.from => {
+            node.upstreams_view.lock().keep(news);
+            // The first to notice a gap asks at once; what is lost again is asked for at a look.
+            if !has_pending {
+                ask_one(node, from);
+            }
+        }
         _ => {
-            let read_at = (news.read_at_day_ms)
-                .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
-                .unwrap_or_default();
-            let was_away = news.store_was_away || node.store_was_away(now);
-            let changes = take_changes(node, news.changes, Origin::Peer, was_away, now);
-            let step = Step {
-                from: end,
-                to: news.to,
-                changes,
-            };
-            node.recent.lock().note(step, now);
-            node.upstreams_view.lock().reached(news.to, read_at);
+            follow_on(node, news, now);
+            while let Some(kept) = next_kept(node) {
+                follow_on(node, kept, now);
+            }
         }
     }
 }
 
+fn next_kept(node: &Gateway) -> Option<UpstreamNews> {
+    node.upstreams_view.lock().next_kept()
+}
+
+/// Takes in news that follows what this node has read.
+fn follow_on(node: &Gateway, news: UpstreamNews, now: TimeMs) {
+    let end = node.upstreams_view.lock().end;
+    let read_at = (news.read_at_day_ms)
+        .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
+        .unwrap_or_default();
+    let was_away = news.store_was_away || node.store_was_away(now);
+    let changes = take_changes(node, news.changes, Origin::Peer, was_away, now);
+    let step = Step {
+        from: end,
+        to: news.to,
+        changes,
+    };
+    node.recent.lock().note(step, now);
+    node.upstreams_view.lock().reached(news.to, read_at);
+}
+
 /// Answers a peer that asks for announcements.
-pub(crate) fn answer(
-    node: &Gateway,
-    read_to: u64,
-    after: Option<&str>,
-    from: SocketAddr,
-    now: TimeMs,
-) {
+pub(crate) fn answer(node: &Gateway, asked: &Asked, from: SocketAddr, now: TimeMs) {
+    let Asked { read_to, until, .. } = *asked;
+    let after = asked.after.as_deref();
     let end = node.upstreams_view.lock().end;
     // A peer that has read further is of no help to itself here; a node without a table to nobody.
     if end == 0 || read_to > end {
@@ -338,6 +351,7 @@
     };
     let messages: Vec<Message> = match steps {
         Some(mut steps) => {
+            steps.retain(|step| until.is_none_or(|until| step.from < until));
             steps.truncate(ANSWER_MESSAGES);
             let news = news(node, steps, now).into_iter();
             news.map(Message::Upstreams).collect()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -214,9 +214,7 @@
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
         Message::Upstreams(news) => announcements::take_news(node, news, from, now),
-        Message::AskUpstreams { read_to, after } => {
-            announcements::answer(node, read_to, after.as_deref(), from, now);
-        }
+        Message::AskUpstreams(asked) => announcements::answer(node, &asked, from, now),
         Message::UpstreamsPage(page) => announcements::take_page(node, page, from, now),
         Message::AskConfirmation { asked_at, read_to } => {
             let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -54,12 +54,7 @@
     Pulse(Box<Pulse>),
     Upstreams(UpstreamNews),
     /// Asks for announcements of upstreams.
-    AskUpstreams {
-        /// Up to where the one that asks has read them; zero if it has not.
-        read_to: u64,
-        /// It wants the page of the table behind this id.
-        after: Option<String>,
-    },
+    AskUpstreams(Asked),
     UpstreamsPage(Page),
     /// Asks whether the configuration is current.
     AskConfirmation {
@@ -82,6 +77,17 @@
     },
 }
 
+/// What a node that asks for announcements of upstreams lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Asked {
+    /// Up to where it has read them; zero if it has not.
+    pub read_to: u64,
+    /// It has what lies from here on; none if it lacks all that follows.
+    pub until: Option<u64>,
+    /// It wants the page of the table behind this id.
+    pub after: Option<String>,
+}
+
 /// Changes of upstreams, read from one offset up to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct UpstreamNews {
--- a/src/gateway/sizing.rs
+++ b/src/gateway/sizing.rs
@@ -23,9 +23,10 @@
 /// cheaper insurance against it.
 const LOST_DOMAINS: u32 = 3;
 
-/// While the need is not known, this many times as many reclaimable upstreams as stood are kept: half
-/// of the failure domains may be reclaimed before it is.
-const SPARE_TIMES: u32 = 2;
+/// While the need is not known, twice as many reclaimable upstreams as stood are kept, since half of the
+/// failure domains may be reclaimed before it is, but no more than this beyond those that stood in a
+/// domain: where hundreds stand, a guess that is wrong is dear, and starting them keeps all nodes busy.
+const MOST_SPARE: u32 = 16;
 
 /// On-demand upstreams that insure against the next loss cover this part of the need: they cost some
 /// five times as much as reclaimable ones, and what is needed has room for clumps of requests in it.
@@ -304,7 +305,7 @@
     let left = domains.saturating_sub(LOST_DOMAINS).max(1);
     let all = match need {
         Need::Known(need) => need.saturating_mul(domains).div_ceil(left),
-        Need::AsStood(stood) => stood.saturating_mul(SPARE_TIMES),
+        Need::AsStood(stood) => stood.saturating_add(stood.min(MOST_SPARE.saturating_mul(domains))),
         Need::Unknown => return vec![most; by_price.len()],
     };
     let all = all.clamp(least * domains, most * domains);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,8 +1,12 @@
 //! How current this node's view of the upstreams is.
 
+use super::peers::UpstreamNews;
 use super::snapshot::Assembly;
 use crate::time::TimeMs;
 
+/// Most messages that are kept behind a gap: some seconds' worth.
+const MOST_PENDING: usize = 64;
+
 /// How current the view of upstreams is, and what is being done to bring it up to date.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamsView {
@@ -12,6 +16,8 @@
     pub read_at: TimeMs,
     /// The furthest that a peer said it has read.
     pub known_end: u64,
+    /// News behind a gap, in the order of its offsets; taken in when the gap is filled.
+    pub pending: Vec<UpstreamNews>,
     /// Pages of a table that is being handed over.
     pub assembly: Assembly,
     /// When the last of them came; zero if none did.
@@ -49,8 +55,39 @@
         self.assembly = Assembly::default();
     }
 
+    /// Keeps news for when the gap before it is filled.
+    ///
+    /// While thousands of upstreams come and go, one lost datagram would otherwise make a node pass over
+    /// all that follow it and ask for them again, on a link that is full already.
+    pub fn keep(&mut self, news: UpstreamNews) {
+        let place = self.pending.partition_point(|kept| kept.from < news.from);
+        let is_kept = self
+            .pending
+            .get(place)
+            .is_some_and(|kept| kept.from == news.from);
+        if !is_kept && self.pending.len() < MOST_PENDING {
+            self.pending.insert(place, news);
+        }
+    }
+
+    /// The news that follows what has been read, if it has been kept.
+    pub fn next_kept(&mut self) -> Option<UpstreamNews> {
+        let end = self.end;
+        self.pending.retain(|kept| kept.to > end);
+        let first = self.pending.first()?;
+        (first.from <= end).then(|| self.pending.remove(0))
+    }
+
+    /// Where the gap ends that news waits behind; none if none does.
+    pub fn gap_end(&self) -> Option<u64> {
+        self.pending.first().map(|kept| kept.from)
+    }
+
     /// When this node last read all that there is; none if it never did.
     pub fn age_ms(&self, now: TimeMs) -> Option<u64> {
         self.is_known().then(|| now.since(self.read_at))
     }
 }
+
+#[cfg(test)]
+mod tests;
