--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -1,19 +1,18 @@
-//! Follows the announcements of upstreams: reads them from the store, hands them on to peers, and
-//! asks peers for what was missed.
+//! Follows the announcements of upstreams: reads them from the store, and tells peers what changed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::contact::StoreReach;
-use super::peers::{Asked, Message, UpstreamNews};
-use super::questions::{ASK_INTERVAL_MS, Questions};
+use super::peers::{Message, UpstreamNews};
+use super::questions::Questions;
 use super::recent::{MESSAGE_CHANGES, Step};
-use super::snapshot::{self, Assembly, Page, Taken, Whole};
+use super::snapshot::Whole;
 use super::state::{Gateway, Recipients};
 use super::upkeep::{self, Standing};
 use super::upstreams::{Announced, Change};
-use super::{clock, confirm, rank};
+use super::{clock, confirm, handover, rank};
 use crate::platform::store::{Keyed, Records, StoreError, Topic};
 use crate::platform::upstreams;
 use crate::time::TimeMs;
@@ -21,21 +20,9 @@
 /// Between two looks whether to read announcements or to ask a peer.
 const LOOK_INTERVAL_MS: u64 = 100;
 
-/// A table whose next page has not come for this long is begun anew.
-const ASSEMBLY_MS: u64 = 2_000;
-
 /// Records that are taken in at once; a message to peers ends with the last of them.
 const RECORDS_AT_ONCE: usize = 32;
 
-/// Messages in answer to one question; whoever needs more asks again from where they end.
-const ANSWER_MESSAGES: usize = 8;
-
-/// About what one change takes in a message.
-const CHANGE_BYTES: usize = 130;
-
-/// What a message takes beside its changes.
-const MESSAGE_BYTES: usize = 64;
-
 /// Follows the announcements of upstreams for as long as the node runs.
 pub(crate) async fn follow(node: Arc<Gateway>) {
     let mut questions = Questions::default();
@@ -44,8 +31,10 @@
         match upkeep::next_step(&standing(&node, now)) {
             upkeep::Step::Nothing => questions.note_settled(),
             // The next page is asked for as soon as one has come.
-            upkeep::Step::AskPeer if is_handed_over(&node, now) => questions.note_progress(now),
-            upkeep::Step::AskPeer => ask(&node, &mut questions, now),
+            upkeep::Step::AskPeer if handover::is_handed_over(&node, now) => {
+                questions.note_progress(now);
+            }
+            upkeep::Step::AskPeer => handover::ask(&node, &mut questions, now),
             upkeep::Step::ReadStore => {
                 let read = read(&node).await;
                 node.note_store(read.is_ok(), clock::now());
@@ -83,39 +72,6 @@
     }
 }
 
-/// Whether a peer is handing over its table right now.
-fn is_handed_over(node: &Gateway, now: TimeMs) -> bool {
-    let view = node.upstreams_view.lock();
-    view.assembly.is_begun() && now.since(view.page_at) < ASK_INTERVAL_MS
-}
-
-/// Asks a peer for what this node lacks.
-fn ask(node: &Gateway, questions: &mut Questions, now: TimeMs) {
-    {
-        let mut view = node.upstreams_view.lock();
-        // What was begun long ago would be old when it is whole.
-        if now.since(view.page_at) >= ASSEMBLY_MS {
-            view.assembly = Assembly::default();
-        }
-    }
-    let asked = questions.next(&node.peers.lock(), now);
-    if let Some(address) = asked {
-        ask_one(node, address);
-    }
-}
-
-fn ask_one(node: &Gateway, address: SocketAddr) {
-    let question = {
-        let view = node.upstreams_view.lock();
-        Message::AskUpstreams(Asked {
-            read_to: view.end,
-            until: view.gap_end(),
-            after: view.assembly.after(),
-        })
-    };
-    node.tell(Recipients::One(address), question);
-}
-
 async fn read(node: &Gateway) -> Result<(), StoreError> {
     let from = node.upstreams_view.lock().end;
     let asked_at = clock::now();
@@ -162,7 +118,7 @@
     Ok(())
 }
 
-fn replace(node: &Gateway, whole: Whole, now: TimeMs) {
+pub(super) fn replace(node: &Gateway, whole: Whole, now: TimeMs) {
     let was_away = node.store_was_away(now);
     (node.upstreams.lock()).replace(whole.announced, was_away, now);
     (node.upstreams_view.lock()).replaced(whole.end, whole.read_at);
@@ -238,7 +194,7 @@
 }
 
 /// Messages of steps; one without changes if there are none.
-fn news(node: &Gateway, mut steps: Vec<Step>, now: TimeMs) -> Vec<UpstreamNews> {
+pub(super) fn news(node: &Gateway, mut steps: Vec<Step>, now: TimeMs) -> Vec<UpstreamNews> {
     let (end, read_at) = {
         let view = node.upstreams_view.lock();
         (view.end, view.read_at)
@@ -264,7 +220,7 @@
 }
 
 /// When this node had read all announcements, as the time of day that most nodes agree on.
-fn read_at_day_ms(node: &Gateway, read_at: TimeMs, now: TimeMs) -> Option<u64> {
+pub(super) fn read_at_day_ms(node: &Gateway, read_at: TimeMs, now: TimeMs) -> Option<u64> {
     let day_ms = node.time_of_day(now).0;
     (read_at > TimeMs(0)).then(|| day_ms.saturating_sub(now.since(read_at)))
 }
@@ -275,7 +231,7 @@
 /// would keep this node from reading the store itself, and upstreams that left meanwhile would go on
 /// getting work. A time of day that is ahead of this node's counts as now.
 #[must_use]
-fn read_at(read_at_day_ms: u64, day_now: TimeMs, now: TimeMs) -> TimeMs {
+pub(super) fn read_at(read_at_day_ms: u64, day_now: TimeMs, now: TimeMs) -> TimeMs {
     let age_ms = day_now.0.saturating_sub(read_at_day_ms);
     TimeMs(now.0.saturating_sub(age_ms))
 }
@@ -301,7 +257,7 @@
             node.upstreams_view.lock().keep(news);
             // The first to notice a gap asks at once; what is lost again is asked for at a look.
             if !has_pending {
-                ask_one(node, from);
+                handover::ask_one(node, from);
             }
         }
         _ => {
@@ -334,116 +290,6 @@
     node.upstreams_view.lock().reached(news.to, read_at);
 }
 
-/// Answers a peer that asks for announcements.
-pub(crate) fn answer(node: &Gateway, asked: &Asked, from: SocketAddr, now: TimeMs) {
-    let Asked { read_to, until, .. } = *asked;
-    let after = asked.after.as_deref();
-    let end = node.upstreams_view.lock().end;
-    // A peer that has read further is of no help to itself here; a node without a table to nobody.
-    if end == 0 || read_to > end {
-        return;
-    }
-    let steps = match read_to {
-        0 => None,
-        _ if after.is_some() => None,
-        _ if read_to == end => Some(Vec::new()),
-        _ => node.recent.lock().since(read_to),
-    };
-    let messages: Vec<Message> = match steps {
-        Some(mut steps) => {
-            steps.retain(|step| until.is_none_or(|until| step.from < until));
-            steps.truncate(ANSWER_MESSAGES);
-            let news = news(node, steps, now).into_iter();
-            news.map(Message::Upstreams).collect()
-        }
-        None => vec![Message::UpstreamsPage(page(node, after, now))],
-    };
-    for message in messages {
-        if !node.answers.lock().take(about_bytes(&message), now) {
-            log::debug!(peer:% = from; "a peer that asks for announcements is not answered now");
-            return;
-        }
-        node.tell(Recipients::One(from), message);
-    }
-}
-
-/// About what a message takes.
-fn about_bytes(message: &Message) -> usize {
-    let rows = match message {
-        Message::Upstreams(news) => news.changes.len(),
-        Message::UpstreamsPage(page) => page.announced.len(),
-        _ => 0,
-    };
-    MESSAGE_BYTES + rows * CHANGE_BYTES
-}
-
-fn page(node: &Gateway, after: Option<&str>, now: TimeMs) -> Page {
-    let (announced, is_last) = {
-        let table = node.upstreams.lock();
-        snapshot::page(table.announced_by_id(), after)
-    };
-    let (end, read_at) = {
-        let view = node.upstreams_view.lock();
-        (view.end, view.read_at)
-    };
-    Page {
-        after: after.map(str::to_owned),
-        announced,
-        is_last,
-        end,
-        read_at_day_ms: read_at_day_ms(node, read_at, now),
-    }
-}
-
-/// Takes in a page of a peer's table, and asks the same peer for the next.
-pub(crate) fn take_page(node: &Gateway, page: Page, from: SocketAddr, now: TimeMs) {
-    let read_at = (page.read_at_day_ms)
-        .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
-        .unwrap_or_default();
-    let is_first_table = node.upstreams_view.lock().end == 0;
-    if is_first_table {
-        take_first(node, &page.announced, now);
-    }
-    let taken = {
-        let mut view = node.upstreams_view.lock();
-        let is_wanted = is_first_table || view.is_behind();
-        let taken = if is_wanted {
-            view.assembly.take(page, read_at)
-        } else {
-            Taken::NotNext
-        };
-        if taken != Taken::NotNext {
-            view.page_at = now;
-        }
-        taken
-    };
-    match taken {
-        Taken::NotNext => {}
-        Taken::Next => ask_one(node, from),
-        Taken::Whole(whole) => {
-            log::info!(
-                event = "upstreams_handed_over",
-                upstreams = whole.announced.len(),
-                end = whole.end,
-                age_ms = now.since(whole.read_at),
-                peer:% = from;
-                "a peer handed over the announcements of upstreams"
-            );
-            replace(node, whole, now);
-            // What was announced while the pages came is still missing.
-            ask_one(node, from);
-        }
-    }
-}
-
-/// Serves from a part of the first table while the rest comes.
-fn take_first(node: &Gateway, announced: &[Announced], now: TimeMs) {
-    let mut table = node.upstreams.lock();
-    for announced in announced {
-        table.apply(Change::Present(announced.clone()), false, now);
-    }
-}
-
 /// Where news of a change comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Origin {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,6 +13,7 @@
 use super::announcements;
 use super::clock;
 use super::follow;
+use super::handover;
 use super::num;
 use super::peers::{FORGET_MS, Member, Message, Pulse};
 use super::rank;
@@ -214,8 +215,8 @@
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
         Message::Upstreams(news) => announcements::take_news(node, news, from, now),
-        Message::AskUpstreams(asked) => announcements::answer(node, &asked, from, now),
-        Message::UpstreamsPage(page) => announcements::take_page(node, page, from, now),
+        Message::AskUpstreams(asked) => handover::answer(node, &asked, from, now),
+        Message::UpstreamsPage(page) => handover::take_page(node, page, from, now),
         Message::AskConfirmation { asked_at, read_to } => {
             let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
             if let Some(confirmation) = confirmation {
--- a/src/gateway/rollout/tests.rs
+++ b/src/gateway/rollout/tests.rs
@@ -1,6 +1,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use super::super::rollouts::Rollouts;
 use super::*;
 
 const DURATION_MS: u64 = 20_000;
