bug: A store that peers have read was not away; what turned one node away is no lapse for all

Change: whether the store was away is judged by what peers have read as well. The new test fails without it. KNOWN-RED: waves::two_domains_at_once_with_two_seconds_notice_lose_nothing, once beside much load, not traced.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -279,6 +279,7 @@
     let read_at = (news.read_at_day_ms)
         .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
         .unwrap_or_default();
+    node.store_contact.lock().note_peer_read(read_at);
     let was_away = news.store_was_away || node.store_was_away(now);
     let changes = take_changes(node, news.changes, Origin::Peer, was_away, now);
     let step = Step {
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -39,6 +39,8 @@
     pub failed_at: TimeMs,
     /// When an answer came after failures.
     pub back_at: TimeMs,
+    /// The newest reading of the store that a peer told of; zero if none did.
+    pub peer_read_at: TimeMs,
 }
 
 impl StoreContact {
@@ -67,7 +69,7 @@
                 // the store now. Taken for its return, the answer made this node tell all others that
                 // removals may be lapses, and upstreams that had left went on getting work.
                 let was_just_failing = now.since(self.failed_at) < ANSWERED_MS;
-                if was_just_failing && now.since(since) > AWAY_MS {
+                if was_just_failing && now.since(since) > AWAY_MS && !self.peers_read(now) {
                     self.back_at = now;
                 }
                 self.failing_since = None;
@@ -83,10 +85,24 @@
         }
     }
 
+    /// Takes in that a peer has read the store.
+    pub fn note_peer_read(&mut self, read_at: TimeMs) {
+        self.peer_read_at = self.peer_read_at.max(read_at);
+    }
+
+    /// Whether peers have read the store while it did not answer this node.
+    ///
+    /// A store that turns some nodes away is not away: upstreams announce themselves there all the
+    /// while, and what is removed is gone. Taken for lapses, removals would leave upstreams that have
+    /// left with new work for longer than they may get it, at all nodes that this one tells.
+    fn peers_read(&self, now: TimeMs) -> bool {
+        self.peer_read_at > TimeMs(0) && now.since(self.peer_read_at) < AWAY_MS
+    }
+
     /// Whether removals of upstreams may only be lapses while the store was away.
     pub fn was_away(&self, now: TimeMs) -> bool {
         let is_failing = (self.failing_since).is_some_and(|since| now.since(since) > AWAY_MS);
-        let is_asked = now.since(self.failed_at) < ANSWERED_MS;
+        let is_asked = now.since(self.failed_at) < ANSWERED_MS && !self.peers_read(now);
         let is_back = self.back_at > TimeMs(0) && now.since(self.back_at) < LAPSES_MS;
         (is_failing && is_asked) || is_back
     }
--- a/src/gateway/contact/tests.rs
+++ b/src/gateway/contact/tests.rs
@@ -49,3 +49,36 @@
     assert!(!contact.was_away(TimeMs(19_350)));
     assert_eq!(contact.reach(TimeMs(19_350)), StoreReach::Answering);
 }
+
+/// Symptom: a request reaches an upstream 2.1 s after it has left, on a day of a hunt (DRAIN).
+/// Sequence: the store turns one node away for eight seconds and serves the others, whose news that node
+/// gets all the while; it is answered again, becomes the one that reads for all, reads that an upstream
+/// was removed, and tells all others that removals may be lapses.
+/// Cause: a store that turned one node away was taken to have been away.
+#[test]
+fn a_store_that_served_the_others_was_not_away() {
+    let mut contact = StoreContact::default();
+    contact.note(false, TimeMs(3_300));
+    for ms in (3_500..11_700).step_by(450) {
+        contact.note(false, TimeMs(ms));
+        contact.note_peer_read(TimeMs(ms - 200));
+        assert!(!contact.was_away(TimeMs(ms)), "{ms}");
+    }
+    contact.note(true, TimeMs(11_745));
+    assert!(!contact.was_away(TimeMs(11_800)));
+}
+
+#[test]
+fn a_store_that_nobody_read_was_away() {
+    let mut contact = StoreContact::default();
+    contact.note_peer_read(TimeMs(9_900));
+    contact.note(false, TimeMs(10_000));
+    contact.note(false, TimeMs(13_000));
+    assert!(contact.was_away(TimeMs(13_100)));
+    contact.note(true, TimeMs(14_000));
+    contact.note_peer_read(TimeMs(14_100));
+    assert!(
+        contact.was_away(TimeMs(14_200)),
+        "it has only just come back"
+    );
+}
