bug: A roll-out that has succeeded binds nobody for good

Cause: after success only the target's upstreams were used, also when none of them stands any more or when later ones have another version without an order; then nothing would be served. Found by reading.

Change: without one of the target, and ten seconds after success, any version is used. The new test fails without it. Gateway roll-out tests: passed.

--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -36,6 +36,9 @@
 /// The least time between moving all requests and stopping the old version: requests on their way.
 const LEAST_MOVING_MS: u64 = 2_000;
 
+/// Upstreams of the old version that have stopped may stay announced for this long.
+const STOPPED_MS: u64 = 10_000;
+
 /// An order of the operators.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Order {
@@ -205,7 +208,11 @@
         let target = self.order.target.as_str();
         let is_over = moment.day_ms >= self.decided.began_day_ms + self.order.duration_ms;
         match self.decided.stage {
-            Stage::Moving if moment.standing.new == 0 => Versions::Any,
+            Stage::Moving | Stage::Succeeded if moment.standing.new == 0 => Versions::Any,
+            // Later ones may have other versions without an order.
+            Stage::Succeeded if moment.day_ms >= self.decided.since_day_ms + STOPPED_MS => {
+                Versions::Any
+            }
             Stage::Moving | Stage::Succeeded => Versions::Only(target),
             // The operators have not been told of any end; what there is serves.
             Stage::Observing if is_over && moment.standing.old == 0 => Versions::Any,
--- a/src/gateway/rollout/tests.rs
+++ b/src/gateway/rollout/tests.rs
@@ -280,3 +280,22 @@
         Some(Stage::RolledBack)
     );
 }
+
+/// Symptom: nothing is served although upstreams stand.
+/// Sequence: a roll-out succeeds; later the pool's upstreams are replaced by ones of a third version,
+/// without an order.
+/// Cause: only the version of the last roll-out was used, for good.
+#[test]
+fn a_roll_out_that_has_succeeded_binds_nobody_for_good() {
+    let mut rollouts = Rollouts::default();
+    rollouts.note_ended("pool", 7, Stage::Succeeded);
+    rollouts.order(order(7), DAY);
+    let rollout = rollouts.of_mut("pool").expect("it is ordered");
+    let none_left = Moment {
+        standing: standing(8, 0),
+        ..moment(DAY, 1)
+    };
+    assert_eq!(rollout.versions(&none_left), Versions::Any);
+    let later = moment(DAY + STOPPED_MS, 1);
+    assert_eq!(rollout.versions(&later), Versions::Any);
+}
