bug: News is kept for peers as it was told, not as far as it changed a node's own table

A table that came in pages is ahead of its offset; records behind the offset change nothing there and were left out of what the node tells peers that ask, so that these never heard of them.

Change: news is kept as told; the first reading behind a table in pages is told whole.

Measured: two new tests pass (that they fail on the code before was not run).

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -87,7 +87,7 @@
             } else {
                 TimeMs(0)
             };
-            node.upstreams_view.lock().reached(to, read_at);
+            note_read(node, to, records.end, read_at);
             tell(node, from, clock::now());
             Ok(())
         }
@@ -99,6 +99,13 @@
     }
 }
 
+/// Takes in that records have been read up to an offset, of those up to the end.
+fn note_read(node: &Gateway, to: u64, end: u64, read_at: TimeMs) {
+    let mut view = node.upstreams_view.lock();
+    view.reached(to, read_at);
+    view.is_ahead &= to < end;
+}
+
 async fn read_all(node: &Gateway) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.newest(Topic::Upstreams).await?;
@@ -127,6 +134,7 @@
 /// Takes in records in the steps in which peers are told of them.
 fn take_records(node: &Gateway, records: &Records, now: TimeMs) {
     let was_away = node.store_was_away(now);
+    let is_ahead = node.upstreams_view.lock().is_ahead;
     let mut step = Step {
         from: records.from,
         to: records.from,
@@ -144,8 +152,10 @@
         }
         let changes = (step.to..).zip(bodies);
         let changes = changes.filter_map(|(offset, body)| change(offset, body.clone()));
-        let real = take_changes(node, changes.collect(), Origin::Store, was_away, now);
-        step.changes.extend(real);
+        let changes: Vec<Change> = changes.collect();
+        let told = is_ahead.then(|| changes.clone());
+        let real = take_changes(node, changes, Origin::Store, was_away, now);
+        step.changes.extend(told.unwrap_or(real));
         step.to += bodies.len() as u64;
     }
     node.recent.lock().note(step, now);
@@ -281,12 +291,14 @@
         .unwrap_or_default();
     node.store_contact.lock().note_peer_read(read_at);
     let was_away = news.store_was_away || node.store_was_away(now);
-    let changes = take_changes(node, news.changes, Origin::Peer, was_away, now);
+    // Kept as it was told: what this node knew already, from a table that was ahead of its offset, is
+    // news to a peer that asks it.
     let step = Step {
         from: end,
         to: news.to,
-        changes,
+        changes: news.changes.clone(),
     };
+    take_changes(node, news.changes, Origin::Peer, was_away, now);
     node.recent.lock().note(step, now);
     node.upstreams_view.lock().reached(news.to, read_at);
 }
--- a/src/gateway/announcements/tests.rs
+++ b/src/gateway/announcements/tests.rs
@@ -25,3 +25,82 @@
         "never read, and so due"
     );
 }
+
+/// A node that has not started any of its parts.
+fn node() -> Arc<Gateway> {
+    let text = r#"{
+        "node": "a", "ip": "127.0.0.1", "zone": "d", "region": "r", "portRange": [7000, 7015],
+        "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2", "directory": "127.0.0.1:3"},
+        "platform": {"address": "127.0.0.1:4"}
+    }"#;
+    let settings = crate::platform::settings::parse(text).expect("they are whole");
+    Gateway::new(settings, 1).0
+}
+
+fn leaving(id: &str) -> Announced {
+    let ready = super::super::upstreams::tests::announced(id, "pool", "d");
+    Announced {
+        phase: super::super::upstreams::Phase::Leaving,
+        sequence: ready.sequence + 1,
+        ..ready
+    }
+}
+
+/// Symptom: one node of 303 sends a request to an upstream 5.1 s after it has said that it leaves.
+/// Sequence: a node gets its table in pages, which already say that the upstream leaves; the record
+/// comes again as news behind the table's offset and changes nothing there; a peer that missed the
+/// news asks this node, which tells it all but that.
+/// Cause: what a node told others was what changed its own table.
+#[test]
+fn what_a_table_knew_before_its_offset_is_told_to_peers_all_the_same() {
+    let node = node();
+    let (now, from) = (TimeMs(50_000), SocketAddr::from(([127, 0, 0, 1], 9)));
+    let whole = Whole {
+        announced: vec![leaving("u1")],
+        end: 10,
+        read_at: now,
+    };
+    replace(&node, whole, now);
+    let news = UpstreamNews {
+        from: 10,
+        to: 20,
+        changes: vec![Change::Present(leaving("u1"))],
+        read_at_day_ms: None,
+        store_was_away: false,
+        is_handed_on: false,
+    };
+    take_news(&node, news, from, now);
+    let told = node.recent.lock().since(10).expect("it is known");
+    assert_eq!(told[0].changes, vec![Change::Present(leaving("u1"))]);
+}
+
+/// The same for a node that reads the store: the record lies behind the offset of its table.
+#[test]
+fn what_is_read_behind_a_table_in_pages_is_told_whole_once() {
+    let node = node();
+    let now = TimeMs(50_000);
+    replace(
+        &node,
+        Whole {
+            announced: Vec::new(),
+            end: 10,
+            read_at: now,
+        },
+        now,
+    );
+    let removed = b"\x02u1".as_slice();
+    let records = |from: u64| Records {
+        from,
+        end: from + 1,
+        bodies: vec![bytes::Bytes::from_static(removed)],
+    };
+    take_records(&node, &records(10), now);
+    note_read(&node, 11, 11, now);
+    take_records(&node, &records(11), now);
+    let told = node.recent.lock().since(10).expect("it is known");
+    let all: usize = told.iter().map(|step| step.changes.len()).sum();
+    assert_eq!(
+        all, 1,
+        "told once although it was not known; then only what changes"
+    );
+}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -16,6 +16,11 @@
     pub read_at: TimeMs,
     /// The furthest that a peer said it has read.
     pub known_end: u64,
+    /// Whether the table may hold more than its offset says, as one that was read in pages does.
+    ///
+    /// What this node then reads behind the offset changes nothing for it, but it does for the peers that
+    /// it tells: left out, an upstream that leaves would go on getting work there.
+    pub is_ahead: bool,
     /// News behind a gap, in the order of its offsets; taken in when the gap is filled.
     pub pending: Vec<UpstreamNews>,
     /// Pages of a table that is being handed over.
@@ -53,6 +58,7 @@
         self.read_at = read_at;
         self.known_end = self.known_end.max(end);
         self.assembly = Assembly::default();
+        self.is_ahead = true;
     }
 
     /// Keeps news for when the gap before it is filled.
