feature: Limits that upstreams name are read, logged and counted; nothing decides by them yet

Change: the adapter decodes the header into a typed statement (lowest readable number; what is no finite number of zero or more is unreadable and changes nothing). upstream_limit_named, _ended, _unreadable lines, the gauge teaselline_upstreams_limited, the counter teaselline_sends_total by kind and by whether the upstream had named a limit, upstream_limit_per_s in request_ended. An address that another upstream answers at (421) says nothing. Measured: unit tests of header and table; no decision reads the table.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -54,6 +54,7 @@
 mod state;
 mod stopping;
 mod strikes;
+pub(crate) mod throttle;
 mod upkeep;
 pub(crate) mod upstreams;
 pub(crate) mod usage;
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -193,6 +193,8 @@
     let Some(mut running) = Running::new(node, plan, choice, now) else {
         return Err(Vain::NotRun("upstream_gone", String::new()));
     };
+    let limit_per_s = node.throttles.lock().limit_per_s(running.upstream_tag);
+    count_send(trial, resume_after, limit_per_s.is_some());
     story.sent(
         &id,
         Inputs {
@@ -201,6 +203,7 @@
             slots: choice.slots,
             unread_tokens: choice.unread_tokens,
             copied_tokens: choice.copied_tokens,
+            limit_per_s,
             upstreams_age_ms: now.since(node.upstreams_view.lock().read_at),
             configuration_age_ms: now.since(node.in_force.read().current_at),
         },
@@ -264,6 +267,17 @@
     judge(node, plan, running, sender, response)
 }
 
+/// Counts a send by what it is for, apart for upstreams that have named a limit.
+fn count_send(trial: &Trial, resume_after: Option<u64>, is_limited: bool) {
+    let kind = match (trial.sends(), resume_after) {
+        (0, _) => "first",
+        (_, None) => "repeat",
+        (_, Some(_)) => "resumption",
+    };
+    let limited = if is_limited { "yes" } else { "no" };
+    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
+}
+
 /// Checks that an answer is the request's own and says that it ran.
 fn judge(
     node: &Arc<Gateway>,
@@ -275,6 +289,10 @@
     let now = clock::now();
     let answer = headers::read_answer(response.headers());
     let status = response.status();
+    // Where an address has been given to another upstream, that one answers.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        running.note_limit(answer.limit, now);
+    }
     let is_own = answer.request_id.as_deref() == Some(plan.head.id.as_str());
     match status {
         StatusCode::MISDIRECTED_REQUEST => {
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -11,6 +11,7 @@
 use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes::Strike;
+use crate::gateway::throttle::{Change, StatedLimit};
 use crate::gateway::upstreams::{Upstream, UpstreamKey, tag};
 use crate::time::TimeMs;
 
@@ -20,7 +21,7 @@
     node: Arc<Gateway>,
     pub upstream: UpstreamKey,
     /// Names the start of the upstream that has it.
-    upstream_tag: u64,
+    pub upstream_tag: u64,
     /// Cancelled when that upstream is known to have started again.
     restarted: CancellationToken,
     pub sent_at: TimeMs,
@@ -104,6 +105,25 @@
         }
     }
 
+    /// Takes in what the upstream says of a limit.
+    pub fn note_limit(&self, stated: StatedLimit, now: TimeMs) {
+        let mut throttles = self.node.throttles.lock();
+        let change = throttles.note_answer(self.upstream_tag, stated, self.sent_at, now);
+        drop(throttles);
+        let Some(change) = change else { return };
+        let upstreams = self.node.upstreams.lock();
+        let upstream = upstreams.get(self.upstream);
+        let id = upstream.map_or("", |upstream| upstream.announced.id.as_str());
+        match change {
+            Change::Named(limit_per_s) => {
+                log::info!(event = "upstream_limit_named", upstream = id, limit_per_s; "an upstream names the requests a second that it takes from all nodes");
+            }
+            Change::Ended => {
+                log::info!(event = "upstream_limit_ended", upstream = id; "an upstream no longer names a limit");
+            }
+        }
+    }
+
     /// Takes an answer into what is seen of a roll-out in its pool, if there is one.
     fn observe(&self, outcome: Outcome) {
         let took_ms = match outcome {
--- a/src/gateway/exchange/story.rs
+++ b/src/gateway/exchange/story.rs
@@ -21,6 +21,8 @@
     /// Prompt tokens that it had to read, and those that it could copy from another.
     pub unread_tokens: u64,
     pub copied_tokens: u64,
+    /// Requests a second that it takes from all nodes, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// How old the view of upstreams was, and the configuration.
     pub upstreams_age_ms: u64,
     pub configuration_age_ms: u64,
@@ -216,6 +218,7 @@
             upstream_slots = self.inputs.slots,
             unread_tokens = self.inputs.unread_tokens,
             copied_tokens = self.inputs.copied_tokens,
+            upstream_limit_per_s = self.inputs.limit_per_s,
             upstreams_age_ms = self.inputs.upstreams_age_ms,
             configuration_age_ms = self.inputs.configuration_age_ms,
             sends = self.sends,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -102,6 +102,7 @@
     node.peer_paces.lock().forget(now);
     let mut upstreams = node.upstreams.lock();
     upstreams.forget_gone(now);
+    (node.throttles.lock()).forget_gone(|upstream| upstreams.is_tag_known(upstream));
     let silent: Vec<u64> = {
         let peers = node.peers.lock();
         let heard: Vec<u64> = peers
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -426,6 +426,12 @@
         found.ok().map(|place| self.by_id[place].1)
     }
 
+    /// Whether a start of an upstream is known by this tag.
+    pub fn is_tag_known(&self, tag: u64) -> bool {
+        let found = self.by_tag.binary_search_by_key(&tag, |(tag, _key)| *tag);
+        found.is_ok()
+    }
+
     /// The upstream of a key, unless it has been forgotten.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         let slot = self.arena.get(key.place as usize)?;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::call::{CallHead, Malformed, Part, Prompt};
 use crate::gateway::num;
+use crate::gateway::throttle::StatedLimit;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
@@ -27,6 +28,8 @@
 const LENGTH_HINT: HeaderName = HeaderName::from_static("length-hint");
 /// Another server, from whose memory a server first copies what it lacks of the prompt.
 const COPY_FROM: HeaderName = HeaderName::from_static("kv-fetch");
+/// Requests a second that a server in need takes from all machines together.
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that concern one channel only.
@@ -213,7 +216,7 @@
     clippy::struct_excessive_bools,
     reason = "each says whether one header is there"
 )]
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct AnswerHead {
     /// The request that it answers, where it says so.
     pub request_id: Option<String>,
@@ -227,6 +230,8 @@
     pub idle_timeout_ms: Option<u64>,
     /// Its body is not what the upstream made.
     pub is_encoded: bool,
+    /// What it says of how many requests the upstream takes.
+    pub limit: StatedLimit,
 }
 
 /// Reads the head of an upstream's answer.
@@ -246,9 +251,32 @@
             .any(|word| word == "close"),
         idle_timeout_ms: timeout_s.map(|seconds| seconds * 1_000),
         is_encoded: headers.contains_key(CONTENT_ENCODING),
+        limit: read_limit(headers),
     }
 }
 
+/// The limit that an answer names; the lowest, if it names several.
+fn read_limit(headers: &HeaderMap) -> StatedLimit {
+    let lines = headers.get_all(SERVER_LIMIT).iter();
+    let words = lines.flat_map(|value| value.to_str().unwrap_or("?").split(','));
+    words.fold(StatedLimit::Unnamed, |stated, word| {
+        let limit_per_s: Option<f64> = word.trim().parse().ok();
+        let limit_per_s =
+            limit_per_s.filter(|number| number.is_finite() && !number.is_sign_negative());
+        match (stated, limit_per_s) {
+            (StatedLimit::PerS(least), Some(limit_per_s)) => {
+                StatedLimit::PerS(least.min(limit_per_s))
+            }
+            (_, Some(limit_per_s)) => StatedLimit::PerS(limit_per_s),
+            (StatedLimit::Unnamed, None) => {
+                log::warn!(event = "upstream_limit_unreadable", limit = word; "an upstream names a limit that is no number");
+                StatedLimit::Unreadable
+            }
+            (stated, None) => stated,
+        }
+    })
+}
+
 /// An upstream's headers as they go to the caller.
 #[must_use]
 pub(crate) fn returnable(headers: &HeaderMap) -> HeaderMap {
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -152,3 +152,26 @@
     assert_eq!(value("retry-after"), Some("0.250"));
     assert_eq!(value("request-attempt-id"), Some("9c41"));
 }
+
+#[test]
+fn a_limit_that_an_upstream_names_is_read_as_the_lowest_number_that_can_be() {
+    let limit = |lines: &[&str]| {
+        let pairs: Vec<_> = lines.iter().map(|line| ("server-limit", *line)).collect();
+        read_answer(&headers(&pairs)).limit
+    };
+    assert_eq!(limit(&[]), StatedLimit::Unnamed);
+    assert_eq!(limit(&["1.5"]), StatedLimit::PerS(1.5));
+    assert_eq!(limit(&[" 12 "]), StatedLimit::PerS(12.0));
+    assert_eq!(limit(&["0"]), StatedLimit::PerS(0.0));
+    assert_eq!(limit(&["3", "2"]), StatedLimit::PerS(2.0));
+    assert_eq!(limit(&["3, 2"]), StatedLimit::PerS(2.0));
+    assert_eq!(limit(&["many", "2"]), StatedLimit::PerS(2.0));
+    assert_eq!(limit(&["2", "many"]), StatedLimit::PerS(2.0));
+    for unreadable in ["", "many", "-1", "-0.0", "NaN", "inf", "1/s"] {
+        assert_eq!(
+            limit(&[unreadable]),
+            StatedLimit::Unreadable,
+            "{unreadable}"
+        );
+    }
+}
