test: An upstream that names a limit gets more than that (fails)

Change: a test with five nodes as processes, callers of all kinds, two nodes stopped and started in turn and two changes of the configuration; it sums over each 4 s what reaches a limited upstream from contactMs on.

--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -92,6 +92,10 @@
     overwritten: Mutex<Option<String>>,
     runs: Arc<Mutex<Vec<Run>>>,
     requests: Mutex<u64>,
+    /// What its answers name as the requests a second that it takes from all nodes.
+    limit: Mutex<Option<String>>,
+    /// When each request reached it, in Unix milliseconds, whether it ran or not.
+    arrivals: Mutex<Vec<u64>>,
     has_crashed: Mutex<bool>,
 }
 
@@ -134,6 +138,8 @@
             overwritten: Mutex::default(),
             runs: Arc::clone(runs),
             requests: Mutex::default(),
+            limit: Mutex::default(),
+            arrivals: Mutex::default(),
             has_crashed: Mutex::default(),
         });
         let accepting = Arc::clone(&core);
@@ -182,6 +188,17 @@
         *self.core.fault.lock() = fault;
     }
 
+    /// Has its answers name a limit from now on, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        *self.core.limit.lock() = limit.map(str::to_owned);
+    }
+
+    /// When each request reached it, in Unix milliseconds, whether it ran or not.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<u64> {
+        self.core.arrivals.lock().clone()
+    }
+
     /// Announces that it leaves; it goes on answering.
     pub fn drain(&self) {
         *self.core.state.lock() = "draining";
@@ -263,6 +280,7 @@
             if *self.has_crashed.lock() {
                 return reset(socket);
             }
+            self.arrivals.lock().push(now_ms());
             if !self.answer(&mut socket, &request).await? {
                 return reset(socket);
             }
@@ -284,9 +302,11 @@
             return Ok(true);
         }
         if fault == Fault::Sheds {
-            let head =
-                b"HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\ncontent-length: 0\r\n\r\n";
-            socket.write_all(head).await?;
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
+                self.limit_line()
+            );
+            socket.write_all(head.as_bytes()).await?;
             return Ok(true);
         }
         let place = self.begin(request, id);
@@ -380,11 +400,18 @@
 
     fn head(&self, status: &str, id: &str, extra: &str) -> String {
         format!(
-            "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{extra}\r\n",
-            self.id
+            "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{}{extra}\r\n",
+            self.id,
+            self.limit_line()
         )
     }
 
+    fn limit_line(&self) -> String {
+        let limit = self.limit.lock();
+        let limit = limit.as_deref();
+        limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"))
+    }
+
     fn begin(&self, request: &Received, id: &str) -> usize {
         let mut runs = self.runs.lock();
         runs.push(Run {
--- /dev/null
+++ b/tests/platform/limited.rs
@@ -0,0 +1,124 @@
+//! Upstreams that name how many requests a second they take.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::sys::signal::Signal;
+use tokio::task::JoinSet;
+
+use teaselline_stand_ins::operators::deployment::{asked, document};
+use teaselline_stand_ins::operators::{Deployment, Upstream};
+
+use super::support::{deployment, eventually};
+
+/// Limits bind this long after they were first named, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Spans over which what reaches an upstream is judged, in milliseconds.
+const SPAN_MS: u64 = 4_000;
+
+/// Callers that ask one call after the other at each node, and their pause in between.
+const CALLERS_BY_NODE: usize = 3;
+const PAUSE: Duration = Duration::from_millis(60);
+
+fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.expect("after 1970").as_millis()).expect("it fits")
+}
+
+/// Callers that go on until they are told to stop; then how many calls ended with which status.
+struct Load {
+    is_over: Arc<AtomicBool>,
+    callers: JoinSet<BTreeMap<Option<u16>, usize>>,
+}
+
+impl Load {
+    fn start(deployment: &Deployment) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for caller in 0..deployment.nodes.len() * CALLERS_BY_NODE {
+            let node = deployment.nodes[caller % deployment.nodes.len()].callers();
+            let is_over = Arc::clone(&is_over);
+            let route = ["once", "again", "stream-on"][caller % CALLERS_BY_NODE];
+            callers.spawn(async move {
+                let mut ended = BTreeMap::new();
+                for number in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let call = asked(&format!("l{caller}-{number}"), route);
+                    *ended.entry(call.send(node).await.status()).or_default() += 1;
+                    tokio::time::sleep(PAUSE).await;
+                }
+                ended
+            });
+        }
+        Self { is_over, callers }
+    }
+
+    async fn end(self) -> BTreeMap<Option<u16>, usize> {
+        self.is_over.store(true, Ordering::Relaxed);
+        let mut sum = BTreeMap::new();
+        for ended in self.callers.join_all().await {
+            for (status, count) in ended {
+                *sum.entry(status).or_default() += count;
+            }
+        }
+        sum
+    }
+}
+
+/// Most requests that reached an upstream within a span that begins at `from_ms` or later.
+fn most_in_span(upstream: &Upstream, from_ms: u64) -> usize {
+    let mut arrivals = upstream.arrivals();
+    arrivals.retain(|at_ms| *at_ms >= from_ms);
+    arrivals.sort_unstable();
+    let starts = arrivals.iter().enumerate();
+    let counts = starts.map(|(place, start_ms)| {
+        arrivals[place..].partition_point(|at_ms| at_ms - start_ms < SPAN_MS)
+    });
+    counts.max().unwrap_or(0)
+}
+
+async fn all_are_named(deployment: &Deployment, limited: [usize; 2]) {
+    eventually("the limited upstreams have answered", async || {
+        limited
+            .iter()
+            .all(|place| !deployment.upstreams[*place].arrivals().is_empty())
+    })
+    .await;
+}
+
+/// An upstream that named a limit gets more than that from all nodes together.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_together_keep_the_limit_that_an_upstream_names() {
+    let deployment = deployment(5, 3).await;
+    // One plain service and one that streams.
+    let limited = [0, 1];
+    for place in limited {
+        deployment.upstreams[place].name_limit(Some("1"));
+    }
+    let load = Load::start(&deployment);
+    all_are_named(&deployment, limited).await;
+    let binds_ms = now_ms() + CONTACT_MS;
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+    for (version, place) in [(2, 0), (3, 1)] {
+        deployment.configure(&document(version));
+        let node = &deployment.nodes[place];
+        node.signal(Signal::SIGTERM).expect("it runs");
+        node.wait_for_end(Duration::from_secs(8)).await;
+        node.restart().expect("it starts again");
+        assert!(deployment.wait_until_ready(place).await);
+    }
+    tokio::time::sleep(Duration::from_millis(SPAN_MS)).await;
+    let ended = load.end().await;
+    for place in limited {
+        let upstream = &deployment.upstreams[place];
+        let most = most_in_span(upstream, binds_ms);
+        // One and a half times the limit, and five.
+        assert!(most <= 11, "{} got {most}; {ended:?}", upstream.id());
+    }
+    assert!(ended[&Some(200)] > 300, "{ended:?}");
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod explained;
 mod input;
 mod leaving;
+mod limited;
 mod metered;
 mod rollouts;
 mod store;
