bug: What nodes send to an upstream that names a limit is bounded by it, over all of them

Cause: no node read the limit; an upstream that names one was chosen as before. A bound that many nodes share, made known by the thing itself to some of them, was kept nowhere. Change: each start of an upstream has a throttle. Answers set and end it, by the time at which they were asked for; peers are told at once and in pulses, with the age of what was said. A limit of N a second is divided among floor(N) + 1 nodes by hash, those that hear each other use their part; who comes to send begins with nothing in hand. One place spends, where a request is counted at its upstream, whatever it is sent for. A limited upstream that has not answered for 2 s is asked by its first node with a request that may repeat. Where nothing else can take a request it is refused at once (at_upstream_limit) with the time in which the pool takes the next one.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -40,6 +40,10 @@
 /// Milliseconds that a call into another failure domain counts for, next to its delay.
 const OTHER_DOMAIN_MS: f64 = 2.0;
 
+/// Milliseconds for which an upstream counts less that has to be asked whether it still names a limit: otherwise it
+/// might be passed over for as long as the others are as good.
+const ASKED_MS: f64 = 1_000.0;
+
 /// What is asked of the choice.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Ask<'a> {
@@ -55,6 +59,8 @@
     pub pace: Pace,
     /// How fast engines of the pool copy from each other; none if they cannot.
     pub copy_tokens_per_ms: Option<f64>,
+    /// Whether the request may run more than once.
+    pub may_repeat: bool,
     /// Evenly spread; holds apart nodes that see the same loads.
     pub draw: u64,
 }
@@ -120,22 +126,46 @@
     best.map(|(_score, choice)| choice)
 }
 
+/// Requests a second that the upstreams take which could get a request if they named no limit; none if there are
+/// none.
+#[must_use]
+pub(crate) fn limited_per_s(table: &UpstreamTable, ask: &Ask<'_>, now: TimeMs) -> Option<f64> {
+    let limits = (table.iter())
+        .filter(|(key, upstream)| is_allowed(*key, upstream, ask, now))
+        .filter_map(|(_key, upstream)| upstream.throttle.limit_per_s());
+    limits.fold(None, |sum, limit_per_s| {
+        Some(sum.unwrap_or(0.0) + limit_per_s)
+    })
+}
+
+/// Whether an upstream may get a request, but for its limit.
+fn is_allowed(key: UpstreamKey, upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> bool {
+    upstream.announced.pool == ask.pool
+        && upstream.takes_work(now)
+        && is_of_version(upstream, ask)
+        && !ask.excluded.contains(&key)
+}
+
+fn is_of_version(upstream: &Upstream, ask: &Ask<'_>) -> bool {
+    match ask.versions {
+        Versions::Any => true,
+        Versions::Without(version) => upstream.announced.version != version,
+        Versions::Only(version) | Versions::Few { version, .. } => {
+            upstream.announced.version == version
+        }
+    }
+}
+
 /// Upstreams that may get a request.
 fn candidates<'a>(
     table: &'a UpstreamTable,
     ask: &Ask<'_>,
     now: TimeMs,
 ) -> Vec<(UpstreamKey, &'a Upstream)> {
-    let is_allowed = |upstream: &Upstream| match ask.versions {
-        Versions::Any => true,
-        Versions::Without(version) => upstream.announced.version != version,
-        Versions::Only(version) | Versions::Few { version, .. } => {
-            upstream.announced.version == version
-        }
-    };
     let mut candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
         .filter(|(_key, upstream)| upstream.announced.pool == ask.pool)
-        .filter(|(_key, upstream)| upstream.takes_work(now) && is_allowed(upstream))
+        .filter(|(_key, upstream)| upstream.takes_work(now) && is_of_version(upstream, ask))
+        .filter(|(_key, upstream)| upstream.throttle.takes(now))
         .collect();
     if let Versions::Few { most, .. } = ask.versions {
         // The same few on all nodes.
@@ -239,11 +269,11 @@
 
 fn penalty(upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> f64 {
     let failures_ms = FAILURE_MS * upstream.health.failure_share(now);
-    if upstream.announced.failure_domain == ask.failure_domain {
-        failures_ms
-    } else {
-        failures_ms + OTHER_DOMAIN_MS
-    }
+    let is_asked = ask.may_repeat && upstream.throttle.is_to_be_asked(now);
+    let asked_ms = if is_asked { ASKED_MS } else { 0.0 };
+    let is_near = upstream.announced.failure_domain == ask.failure_domain;
+    let way_ms = if is_near { 0.0 } else { OTHER_DOMAIN_MS };
+    failures_ms + way_ms - asked_ms
 }
 
 /// Up to two milliseconds, so that equal upstreams are not all taken in the same order.
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -46,6 +46,7 @@
         versions: crate::gateway::rollout::Versions::Any,
         pace: pace(),
         copy_tokens_per_ms: None,
+        may_repeat: false,
         draw: 7,
     }
 }
--- a/src/gateway/choose/tests/wave.rs
+++ b/src/gateway/choose/tests/wave.rs
@@ -75,6 +75,8 @@
             excluded: &[],
             versions: crate::gateway::rollout::Versions::Any,
             copy_tokens_per_ms: copies.then_some(COPIED_PER_MS),
+
+            may_repeat: false,
             draw,
         };
         let choice = choose(&self.table, &self.prefixes, &ask, now).expect("some are left");
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -103,18 +103,26 @@
             versions: rollout.map_or(Versions::Any, |(moment, rollout)| rollout.versions(moment)),
             pace,
             copy_tokens_per_ms: plan.copy_tokens_per_ms(),
+            may_repeat: plan.route().may_repeat(),
             draw: plan.draw,
         };
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
-        choose::choose(&upstreams, &prefixes, &ask, now)
+        let choice = choose::choose(&upstreams, &prefixes, &ask, now);
+        choice.ok_or_else(|| choose::limited_per_s(&upstreams, &ask, now))
+    };
+    let choice = match choice {
+        Ok(choice) => choice,
+        Err(Some(limited_per_s)) if trial.sends() == 0 => {
+            return Err(at_limit(node, plan, trial, limited_per_s, now));
+        }
+        Err(_limited_per_s) => return Err(trial.unanswered(plan, now)),
     };
-    let choice = choice.ok_or_else(|| trial.unanswered(plan, now))?;
     let left_ms = now.until(plan.limit_at);
     let is_first = trial.sends() == 0;
     let is_new = is_first && trial.take_count();
     if is_new {
-        note_demand(node, plan, &choice, now);
+        note_demand(node, plan, choice.unread_tokens, now);
     }
     match is_first {
         true if budget::is_too_late(left_ms, choice.expected_ms) => {
@@ -140,6 +148,22 @@
     }
 }
 
+/// The refusal of a request whose pool's upstreams take no more now; it counts toward what is asked all the same.
+fn at_limit(
+    node: &Gateway,
+    plan: &Plan,
+    trial: &mut Trial,
+    limited_per_s: f64,
+    now: TimeMs,
+) -> Refusal {
+    if let Some(prompt) = &plan.head.prompt
+        && trial.take_count()
+    {
+        note_demand(node, plan, prompt.own_tokens(), now);
+    }
+    Refusal::AtUpstreamLimit { limited_per_s }
+}
+
 /// What decides which versions a request may go to; none while nothing is rolled out in its pool.
 fn rollout_moment(node: &Gateway, plan: &Plan, trial: &Trial, now: TimeMs) -> Option<Moment> {
     let target = {
@@ -160,12 +184,12 @@
 }
 
 /// Counts a request to an engine toward what is asked of its pool, also if it is refused.
-fn note_demand(node: &Gateway, plan: &Plan, choice: &Choice, now: TimeMs) {
+fn note_demand(node: &Gateway, plan: &Plan, unread_tokens: u64, now: TimeMs) {
     let Some(prompt) = &plan.head.prompt else {
         return;
     };
     let asked = Asked {
-        unread_tokens: choice.unread_tokens,
+        unread_tokens,
         own_tokens: prompt.own_tokens(),
         shared: prompt.shared().map(|part| (part.id, part.tokens)),
     };
@@ -191,10 +215,9 @@
     };
     let now = clock::now();
     let Some(mut running) = Running::new(node, plan, choice, now) else {
-        return Err(Vain::NotRun("upstream_gone", String::new()));
+        return Err(Vain::NotRun("upstream_not_taking", String::new()));
     };
-    let limit_per_s = node.throttles.lock().limit_per_s(running.upstream_tag);
-    count_send(trial, resume_after, limit_per_s.is_some());
+    count_send(trial, resume_after, running.limit_per_s.is_some());
     story.sent(
         &id,
         Inputs {
@@ -203,7 +226,7 @@
             slots: choice.slots,
             unread_tokens: choice.unread_tokens,
             copied_tokens: choice.copied_tokens,
-            limit_per_s,
+            limit_per_s: running.limit_per_s,
             upstreams_age_ms: now.since(node.upstreams_view.lock().read_at),
             configuration_age_ms: now.since(node.in_force.read().current_at),
         },
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -21,9 +21,11 @@
     node: Arc<Gateway>,
     pub upstream: UpstreamKey,
     /// Names the start of the upstream that has it.
-    pub upstream_tag: u64,
+    upstream_tag: u64,
     /// Cancelled when that upstream is known to have started again.
     restarted: CancellationToken,
+    /// Requests a second that it takes from all nodes, if it names a limit.
+    pub limit_per_s: Option<f64>,
     pub sent_at: TimeMs,
     unread_tokens: u64,
     /// Prompt tokens that were to be read there before its first token, its own included.
@@ -39,10 +41,14 @@
 }
 
 impl Running {
-    /// Counts a request at the upstream of a choice; none if that is not known any more.
+    /// Counts a request at the upstream of a choice and spends it; none if that upstream is not known any more, or
+    /// takes no more of this node now.
     pub fn new(node: &Arc<Gateway>, plan: &Plan, choice: &Choice, now: TimeMs) -> Option<Self> {
         let mut upstreams = node.upstreams.lock();
         let upstream = upstreams.get_mut(choice.upstream)?;
+        if !upstream.throttle.take(now) {
+            return None;
+        }
         upstream.own.running += 1;
         upstream.note_sent(now);
         upstream.own.unread_tokens += choice.unread_tokens;
@@ -51,6 +57,7 @@
             upstream: choice.upstream,
             upstream_tag: upstream.tag,
             restarted: upstream.restarted.clone(),
+            limit_per_s: upstream.throttle.limit_per_s(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
             waiting_tokens: choice.waiting_tokens,
@@ -105,15 +112,16 @@
         }
     }
 
-    /// Takes in what the upstream says of a limit.
+    /// Takes in what the upstream says of a limit, and tells the peers of a change.
     pub fn note_limit(&self, stated: StatedLimit, now: TimeMs) {
-        let mut throttles = self.node.throttles.lock();
-        let change = throttles.note_answer(self.upstream_tag, stated, self.sent_at, now);
-        drop(throttles);
+        let mut upstreams = self.node.upstreams.lock();
+        let Some(upstream) = upstreams.get_mut(self.upstream) else {
+            return;
+        };
+        let change = (upstream.throttle).note_answer(stated, self.sent_at, now);
         let Some(change) = change else { return };
-        let upstreams = self.node.upstreams.lock();
-        let upstream = upstreams.get(self.upstream);
-        let id = upstream.map_or("", |upstream| upstream.announced.id.as_str());
+        let told = upstream.throttle.told(upstream.tag, now);
+        let id = upstream.announced.id.as_str();
         match change {
             Change::Named(limit_per_s) => {
                 log::info!(event = "upstream_limit_named", upstream = id, limit_per_s; "an upstream names the requests a second that it takes from all nodes");
@@ -122,6 +130,10 @@
                 log::info!(event = "upstream_limit_ended", upstream = id; "an upstream no longer names a limit");
             }
         }
+        drop(upstreams);
+        if let Some(told) = told {
+            self.node.tell_peers(Message::Limit(told));
+        }
     }
 
     /// Takes an answer into what is seen of a roll-out in its pool, if there is one.
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -100,11 +100,9 @@
             gauge!("teaselline_upstreams", "pool" => pool.name.clone(), "state" => state.word())
                 .set(num::real(count as u64));
         }
-        let throttles = node.throttles.lock();
         let limited = of_pool()
-            .filter(|upstream| throttles.limit_per_s(upstream.tag).is_some())
+            .filter(|upstream| upstream.throttle.limit_per_s().is_some())
             .count();
-        drop(throttles);
         gauge!("teaselline_upstreams_limited", "pool" => pool.name.clone())
             .set(num::real(limited as u64));
         let running: u32 = of_pool().map(|upstream| upstream.own.running).sum();
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,6 +19,8 @@
 use super::rank;
 use super::rollout::Decided;
 use super::state::{Gateway, Outgoing, Recipients};
+use super::throttle::{Sharers, Told};
+use super::upstreams::tag;
 use crate::platform::rollouts;
 use crate::platform::store::Topic;
 use crate::time::TimeMs;
@@ -36,6 +38,9 @@
 /// pulse at a node with few requests.
 const PACES_INTERVAL_MS: u64 = 2_000;
 
+/// A node that has just started sends nothing to upstreams that name a limit for this long.
+const START_QUIET_MS: u64 = 1_000;
+
 /// Between two looks at the store for nodes that are not known.
 const DISCOVERY_INTERVAL_MS: u64 = 1_000;
 
@@ -64,6 +69,7 @@
             _tick = pulses.tick() => {
                 let now = clock::now();
                 let is_stopping = node.is_stopping();
+                divide_limits(&node, now);
                 if interval_ms(&node) > PULSE_INTERVAL_MS * 2 {
                     exchange_admitted(&node, &socket, now).await;
                 }
@@ -94,6 +100,31 @@
     PULSE_INTERVAL_MS.max(peers * PULSE_INTERVAL_PER_PEER_MS)
 }
 
+/// Works out this node's parts of the limits that upstreams name.
+fn divide_limits(node: &Gateway, now: TimeMs) {
+    // Until two pulses of each peer had the time to come, this node may take itself for the only one.
+    let is_settled = node.running_ms(now) >= START_QUIET_MS.max(interval_ms(node) * 2);
+    let sharers = {
+        let peers = node.peers.lock();
+        let heard = peers.staying(now).map(|peer| tag(&peer.member.name));
+        Sharers {
+            own: tag(&peers.own().name),
+            peers: heard.collect(),
+            share: peers.audience(now).share(),
+            is_sending: is_settled && !node.is_stopping(),
+        }
+    };
+    (node.upstreams.lock()).divide_limits(&sharers, now);
+}
+
+fn take_limit(node: &Gateway, told: &Told, now: TimeMs) {
+    let mut upstreams = node.upstreams.lock();
+    if let Some((upstream, change)) = upstreams.note_told_limit(told, now) {
+        let id = upstream.announced.id.as_str();
+        log::debug!(event = "upstream_limit_heard", upstream = id, change:? = change, age_ms = told.age_ms; "a peer was told of an upstream's limit");
+    }
+}
+
 fn expire(node: &Gateway, now: TimeMs) {
     node.peers.lock().forget(now);
     let audience = node.peers.lock().audience(now);
@@ -102,7 +133,6 @@
     node.peer_paces.lock().forget(now);
     let mut upstreams = node.upstreams.lock();
     upstreams.forget_gone(now);
-    (node.throttles.lock()).forget_gone(|upstream| upstreams.is_tag_known(upstream));
     let silent: Vec<u64> = {
         let peers = node.peers.lock();
         let heard: Vec<u64> = peers
@@ -135,6 +165,10 @@
     let observed = rollouts.observed(None);
     let decided = lease.map(|_lease| rollouts.decided()).unwrap_or_default();
     drop(rollouts);
+    let upstreams = node.upstreams.lock();
+    let loads = upstreams.own_loads();
+    let limits = upstreams.told_limits(now);
+    drop(upstreams);
     Pulse {
         member,
         also,
@@ -143,7 +177,7 @@
         store: node.store_reach(now),
         time_of_day_ms: clock::time_of_day().0,
         interval_ms: interval_ms(node),
-        loads: node.upstreams.lock().own_loads(),
+        loads,
         usage: node.usage.lock().own_rows(),
         admitted: node.quotas.lock().own_totals(),
         paces: Vec::new(),
@@ -151,6 +185,7 @@
         lease,
         observed,
         decided,
+        limits,
     }
 }
 
@@ -231,6 +266,7 @@
             node.rollouts.lock().note_observed(incarnation, observed);
         }
         Message::Confirmation(confirmation) => follow::take_confirmation(node, &confirmation, now),
+        Message::Limit(told) => take_limit(node, &told, now),
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
@@ -252,7 +288,7 @@
 /// Tells the collectors of all teams what this node has admitted, and passes on what it collects.
 async fn exchange_admitted(node: &Gateway, socket: &UdpSocket, now: TimeMs) {
     for team in &node.catalog().teams {
-        let tag = super::upstreams::tag(&team.name);
+        let tag = tag(&team.name);
         let collector = node.peers.lock().collector(tag, now);
         if let Some(address) = collector {
             let untold = node.quotas.lock().untold(team, now);
@@ -302,6 +338,9 @@
     for decided in &pulse.decided {
         take_decided(node, decided);
     }
+    for told in &pulse.limits {
+        take_limit(node, told, now);
+    }
     if let Some((end, token)) = pulse.lease {
         let holder = super::lease::Holder {
             node: pulse.member.name.clone(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use super::rollout::{Decided, Observed};
 use super::snapshot::Page;
 use super::strikes::Strike;
+use super::throttle::Told;
 use super::upstreams::{Change, Load, spread, tag};
 use super::usage;
 use crate::time::TimeMs;
@@ -69,6 +70,8 @@
     /// What a node has seen of roll-outs since its start, by its incarnation.
     Observed(u64, Vec<Observed>),
     Strike(Strike),
+    /// What an upstream told a node of its limit.
+    Limit(Told),
     /// What nodes have admitted of one team since their starts, by incarnation; told between two
     /// pulses to the team's collector, and by it to all.
     Admitted {
@@ -138,6 +141,8 @@
     pub observed: Vec<Observed>,
     /// What was decided of roll-outs, if it has the duties.
     pub decided: Vec<Decided>,
+    /// What upstreams have told it of their limits a moment ago.
+    pub limits: Vec<Told>,
 }
 
 /// What is known of one peer.
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -88,7 +88,7 @@
     }
 
     /// The part of the fleet's limits that the nodes that hear each other may use.
-    fn share(self) -> f64 {
+    pub fn share(self) -> f64 {
         f64::from(self.heard.max(1)) / f64::from(self.known.max(self.heard).max(1))
     }
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -4,6 +4,7 @@
 use thiserror::Error;
 
 use super::call::Malformed;
+use super::num;
 use super::quota::Shortfall;
 
 /// Why a request ends without an upstream's answer.
@@ -34,6 +35,8 @@
     Stopping,
     #[error("no upstream takes the request")]
     NoUpstream { retry_after_ms: u64 },
+    #[error("the pool's upstreams take {limited_per_s} requests a second, and no more now")]
+    AtUpstreamLimit { limited_per_s: f64 },
     #[error("it cannot be answered in time")]
     Saturated { retry_after_ms: u64 },
     #[error("it was not sent in time")]
@@ -49,6 +52,10 @@
 /// When a caller is told to come back after what passes by itself in a moment.
 const MOMENT_MS: u64 = 250;
 
+/// Shortest and longest time after which a caller is told to come back to upstreams that take no more now.
+const SHORTEST_WAIT_MS: u64 = 50;
+const LONGEST_WAIT_MS: u64 = 3_000;
+
 /// When a caller is told to come back that only has to take another node.
 const ELSEWHERE_MS: u64 = 20;
 
@@ -66,6 +73,7 @@
             | Self::StaleConfiguration
             | Self::Stopping
             | Self::NoUpstream { .. }
+            | Self::AtUpstreamLimit { .. }
             | Self::Saturated { .. }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             // It has run, and running it again would do harm.
@@ -82,6 +90,11 @@
             Self::NoUpstream { retry_after_ms } | Self::Saturated { retry_after_ms } => {
                 Some(*retry_after_ms)
             }
+            // When they take the next request of any node.
+            Self::AtUpstreamLimit { limited_per_s } => {
+                let wait_ms = num::whole(1_000.0 / limited_per_s.max(f64::MIN_POSITIVE));
+                Some(wait_ms.clamp(SHORTEST_WAIT_MS, LONGEST_WAIT_MS))
+            }
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(MOMENT_MS)
             }
@@ -113,6 +126,7 @@
             Self::OverLimit(_) => "over_limit",
             Self::Stopping => "stopping",
             Self::NoUpstream { .. } => "no_upstream",
+            Self::AtUpstreamLimit { .. } => "at_upstream_limit",
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
--- a/src/gateway/sources/tests.rs
+++ b/src/gateway/sources/tests.rs
@@ -36,6 +36,7 @@
         excluded: &[],
         versions: crate::gateway::rollout::Versions::Any,
         copy_tokens_per_ms: Some(597.0),
+        may_repeat: false,
         draw: 0,
     };
     let sources = of(table, prefixes, &ask, NOW);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,7 +28,6 @@
 use super::settings::NodeSettings;
 use super::stopping::Stop;
 use super::strikes::Strikes;
-use super::throttle::Throttles;
 use super::upstreams::{UpstreamTable, tag};
 use super::usage::UsageBook;
 use super::view::UpstreamsView;
@@ -64,8 +63,6 @@
     pub quotas: Mutex<Quotas>,
     pub repeats: Mutex<ByPool<Repeats>>,
     pub strikes: Mutex<Strikes>,
-    /// What upstreams take of requests, where they say so.
-    pub throttles: Mutex<Throttles>,
     pub rollouts: Mutex<Rollouts>,
     pub usage: Mutex<UsageBook>,
     pub peers: Mutex<Peers>,
@@ -138,7 +135,6 @@
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
             strikes: Mutex::default(),
-            throttles: Mutex::default(),
             rollouts: Mutex::default(),
             usage: Mutex::new(UsageBook::new(incarnation, settings.bounds.usage_window_ms)),
             peers: Mutex::new(Peers::new(member)),
--- a/src/gateway/throttle/tests.rs
+++ b/src/gateway/throttle/tests.rs
@@ -1,14 +1,40 @@
 use super::*;
 
+mod fleet;
+
 /// An upstream's tag.
 const ENGINE: u64 = 7;
 
+/// This node among so many peers, all of which it hears.
+fn sharers(own: u64, peers: u64) -> Sharers {
+    Sharers {
+        own: own_tag(own),
+        peers: (0..=peers)
+            .filter(|peer| *peer != own)
+            .map(own_tag)
+            .collect(),
+        share: 1.0,
+        is_sending: true,
+    }
+}
+
+fn own_tag(node: u64) -> u64 {
+    crate::gateway::upstreams::tag(&format!("node-{node}"))
+}
+
+/// A throttle that an answer has told of this limit.
+fn limited(limit_per_s: f64) -> Throttle {
+    let mut throttle = Throttle::default();
+    throttle.note_answer(StatedLimit::PerS(limit_per_s), TimeMs(0), TimeMs(1));
+    throttle
+}
+
 #[test]
 fn a_limit_is_known_from_its_naming_until_an_answer_no_longer_names_it() {
-    let mut throttles = Throttles::default();
+    let mut throttle = Throttle::default();
     let mut note =
-        |stated, sent_at, now| throttles.note_answer(ENGINE, stated, TimeMs(sent_at), TimeMs(now));
-    assert_eq!(note(StatedLimit::Unnamed, 0, 10), None);
+        |stated, sent_at, now| throttle.note_answer(stated, TimeMs(sent_at), TimeMs(now));
+    assert_eq!(note(StatedLimit::Unnamed, 1, 10), None);
     assert_eq!(
         note(StatedLimit::PerS(2.0), 10, 20),
         Some(Change::Named(2.0))
@@ -19,33 +45,104 @@
         Some(Change::Named(0.5))
     );
     assert_eq!(note(StatedLimit::Unnamed, 70, 80), Some(Change::Ended));
-    assert_eq!(throttles.limit_per_s(ENGINE), None);
+    assert_eq!(throttle.limit_per_s(), None);
+    assert!(throttle.takes(TimeMs(80)));
 }
 
 #[test]
 fn an_answer_asked_for_before_the_naming_does_not_end_a_limit() {
-    let mut throttles = Throttles::default();
-    throttles.note_answer(ENGINE, StatedLimit::PerS(2.0), TimeMs(10), TimeMs(50));
-    let change = throttles.note_answer(ENGINE, StatedLimit::Unnamed, TimeMs(20), TimeMs(60));
+    let mut throttle = Throttle::default();
+    throttle.note_answer(StatedLimit::PerS(2.0), TimeMs(10), TimeMs(50));
+    let change = throttle.note_answer(StatedLimit::Unnamed, TimeMs(20), TimeMs(60));
     assert_eq!(change, None);
-    assert_eq!(throttles.limit_per_s(ENGINE), Some(2.0));
+    assert_eq!(throttle.limit_per_s(), Some(2.0));
 }
 
 #[test]
 fn an_unreadable_limit_changes_nothing() {
-    let mut throttles = Throttles::default();
-    let mut note =
-        |stated, sent_at, now| throttles.note_answer(ENGINE, stated, TimeMs(sent_at), TimeMs(now));
-    assert_eq!(note(StatedLimit::Unreadable, 0, 10), None);
-    note(StatedLimit::PerS(2.0), 10, 20);
-    assert_eq!(note(StatedLimit::Unreadable, 30, 40), None);
-    assert_eq!(throttles.limit_per_s(ENGINE), Some(2.0));
+    let mut throttle = Throttle::default();
+    let unreadable = StatedLimit::Unreadable;
+    assert_eq!(
+        throttle.note_answer(unreadable, TimeMs(1), TimeMs(10)),
+        None
+    );
+    throttle.note_answer(StatedLimit::PerS(2.0), TimeMs(10), TimeMs(20));
+    assert_eq!(
+        throttle.note_answer(unreadable, TimeMs(30), TimeMs(40)),
+        None
+    );
+    assert_eq!(throttle.limit_per_s(), Some(2.0));
+}
+
+#[test]
+fn of_what_peers_tell_only_what_was_said_later_counts() {
+    let mut throttle = Throttle::default();
+    let told = |limit_per_s, age_ms| Told {
+        upstream: ENGINE,
+        limit_per_s,
+        age_ms,
+    };
+    let now = TimeMs(10_000);
+    assert_eq!(
+        throttle.note_told(&told(Some(2.0), 100), now),
+        Some(Change::Named(2.0))
+    );
+    assert_eq!(throttle.note_told(&told(None, 500), now), None);
+    assert_eq!(throttle.note_told(&told(Some(9.0), 500), now), None);
+    assert_eq!(throttle.limit_per_s(), Some(2.0));
+    // What peers tell is not passed on: it would never grow old.
+    assert_eq!(throttle.told(ENGINE, now), None);
+    assert_eq!(throttle.note_told(&told(None, 0), now), Some(Change::Ended));
+}
+
+#[test]
+fn what_a_node_is_told_goes_to_its_peers_with_its_age() {
+    let throttle = limited(2.0);
+    let told = throttle.told(ENGINE, TimeMs(301)).expect("told");
+    assert_eq!((told.limit_per_s, told.age_ms), (Some(2.0), 300));
+    assert_eq!(throttle.told(ENGINE, TimeMs(TOLD_MS + 1)), None);
+}
+
+#[test]
+fn a_low_limit_is_used_by_few_nodes_and_a_high_one_by_all() {
+    for (limit_per_s, senders) in [(0.2, 1), (1.0, 2), (4.5, 5), (50.0, 9)] {
+        let mut sum_per_s = 0.0;
+        let mut sending = 0;
+        for node in 0..9 {
+            let mut throttle = limited(limit_per_s);
+            throttle.divide(ENGINE, &sharers(node, 8), TimeMs(2));
+            sum_per_s += throttle.rate_per_s;
+            sending += usize::from(throttle.rate_per_s > 0.0);
+        }
+        assert_eq!(sending, senders, "{limit_per_s}");
+        assert!((sum_per_s - limit_per_s).abs() < 1e-9, "{limit_per_s}");
+    }
+}
+
+#[test]
+fn an_upstream_that_takes_none_is_still_asked_now_and_then() {
+    let mut throttle = limited(0.0);
+    throttle.divide(ENGINE, &sharers(0, 0), TimeMs(1));
+    assert!(!throttle.takes(TimeMs(5_000)));
+    assert!(throttle.is_to_be_asked(TimeMs(10_500)));
+}
+
+#[test]
+fn a_node_that_is_about_to_end_or_has_just_started_sends_nothing_to_limited_upstreams() {
+    let mut throttle = limited(10.0);
+    let quiet = Sharers {
+        is_sending: false,
+        ..sharers(0, 0)
+    };
+    throttle.divide(ENGINE, &quiet, TimeMs(1));
+    assert!(!throttle.takes(TimeMs(60_000)));
 }
 
 #[test]
-fn the_limit_of_an_upstream_that_is_gone_is_forgotten() {
-    let mut throttles = Throttles::default();
-    throttles.note_answer(ENGINE, StatedLimit::PerS(2.0), TimeMs(0), TimeMs(1));
-    throttles.forget_gone(|upstream| upstream != ENGINE);
-    assert_eq!(throttles.limit_per_s(ENGINE), None);
+fn a_node_that_comes_to_send_begins_with_nothing_in_hand() {
+    let mut throttle = limited(1.0);
+    throttle.divide(ENGINE, &sharers(0, 0), TimeMs(9_000));
+    assert!(!throttle.take(TimeMs(9_100)));
+    assert!(throttle.take(TimeMs(10_000)));
+    assert!(!throttle.take(TimeMs(10_100)));
 }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -8,6 +8,7 @@
 use twox_hash::XxHash3_64;
 
 use super::health::Health;
+use super::throttle::{Change as LimitChange, Sharers, Throttle, Told};
 use crate::time::TimeMs;
 
 /// An upstream's place in the table; never stands for another upstream.
@@ -145,6 +146,7 @@
     /// Since when this node has waited for any sign of it; none if nothing is waited for.
     pub waited_since: Option<TimeMs>,
     pub health: Health,
+    pub throttle: Throttle,
 }
 
 impl Upstream {
@@ -347,6 +349,7 @@
             peers: Load::default(),
             waited_since: None,
             health: Health::default(),
+            throttle: Throttle::default(),
         });
         let place = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(place, (id, key));
@@ -426,10 +429,32 @@
         found.ok().map(|place| self.by_id[place].1)
     }
 
-    /// Whether a start of an upstream is known by this tag.
-    pub fn is_tag_known(&self, tag: u64) -> bool {
-        let found = self.by_tag.binary_search_by_key(&tag, |(tag, _key)| *tag);
-        found.is_ok()
+    /// What upstreams have told this node of their limits, for its peers.
+    pub fn told_limits(&self, now: TimeMs) -> Vec<Told> {
+        (self.iter())
+            .filter_map(|(_key, upstream)| upstream.throttle.told(upstream.tag, now))
+            .collect()
+    }
+
+    /// Takes in what an upstream told a peer of its limit; tells what it changes, and of which upstream.
+    pub fn note_told_limit(
+        &mut self,
+        told: &Told,
+        now: TimeMs,
+    ) -> Option<(&Upstream, LimitChange)> {
+        let found = (self.by_tag).binary_search_by_key(&told.upstream, |(tag, _key)| *tag);
+        let key = self.by_tag[found.ok()?].1;
+        let upstream = self.get_mut(key)?;
+        let change = upstream.throttle.note_told(told, now)?;
+        Some((upstream, change))
+    }
+
+    /// Works out this node's parts of the limits that upstreams name.
+    pub fn divide_limits(&mut self, sharers: &Sharers, now: TimeMs) {
+        let standing = self.arena.iter_mut();
+        for upstream in standing.filter_map(|slot| slot.upstream.as_mut()) {
+            upstream.throttle.divide(upstream.tag, sharers, now);
+        }
     }
 
     /// The upstream of a key, unless it has been forgotten.
--- a/tests/platform/limited.rs
+++ b/tests/platform/limited.rs
@@ -9,9 +9,9 @@
 use tokio::task::JoinSet;
 
 use teaselline_stand_ins::operators::deployment::{asked, document};
-use teaselline_stand_ins::operators::{Deployment, Upstream};
+use teaselline_stand_ins::operators::{Deployment, Ended, Fault, Upstream};
 
-use super::support::{deployment, eventually};
+use super::support::{deployment, eventually, send};
 
 /// Limits bind this long after they were first named, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
@@ -122,3 +122,72 @@
     }
     assert!(ended[&Some(200)] > 300, "{ended:?}");
 }
+
+/// A limit that is named on refusals only, since the upstream takes nothing, is exceeded.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_together_keep_a_limit_that_is_named_on_refusals() {
+    let deployment = deployment(5, 3).await;
+    let upstream = &deployment.upstreams[0];
+    upstream.name_limit(Some("0"));
+    upstream.set(Fault::Sheds);
+    let load = Load::start(&deployment);
+    all_are_named(&deployment, [0, 0]).await;
+    let binds_ms = now_ms() + CONTACT_MS;
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS + SPAN_MS)).await;
+    let ended = load.end().await;
+    let most = most_in_span(upstream, binds_ms);
+    assert!(most <= 5, "{} got {most}; {ended:?}", upstream.id());
+    assert_eq!(ended.len(), 1, "{ended:?}");
+}
+
+/// An upstream that no longer names a limit is left alone for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_no_longer_names_a_limit_gets_its_part_again() {
+    let deployment = deployment(3, 2).await;
+    let upstream = &deployment.upstreams[0];
+    upstream.name_limit(Some("0.5"));
+    let load = Load::start(&deployment);
+    all_are_named(&deployment, [0, 0]).await;
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+    upstream.name_limit(None);
+    let before = upstream.arrivals().len();
+    eventually("it gets its part again", async || {
+        upstream.arrivals().len() > before + 50
+    })
+    .await;
+    load.end().await;
+}
+
+/// Callers wait in vain for a pool whose upstreams all name limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_limited_upstreams_cannot_take_is_refused_at_once() {
+    let deployment = deployment(2, 2).await;
+    let desks = || (deployment.upstreams.iter()).filter(|one| one.id().starts_with("desk"));
+    desks().for_each(|desk| desk.name_limit(Some("1")));
+    let load = Load::start(&deployment);
+    for desk in desks() {
+        eventually("it has answered", async || !desk.arrivals().is_empty()).await;
+    }
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+    let mut refused = 0;
+    for number in 0..40 {
+        let asked_at_ms = now_ms();
+        let call = asked(&format!("refused-{number}"), "once");
+        let ended = send(&deployment, number % 2, &call).await;
+        if ended.status() == Some(503) {
+            refused += 1;
+            assert!(now_ms() - asked_at_ms < 1_000, "it waited");
+            let Ended::Whole { head, .. } = ended else {
+                unreachable!("it has a status")
+            };
+            // The two take two a second.
+            assert!(
+                head.to_ascii_lowercase().contains("retry-after: 0.500"),
+                "{head}"
+            );
+            assert!(deployment.runs_of(&call.id).is_empty(), "it ran");
+        }
+    }
+    assert!(refused > 30, "{refused}");
+    load.end().await;
+}
