bug: Only an upstream's own proved answer ends its limit; nodes that start are told for a minute

An answer to an earlier request of a channel, or a refusal without the upstream's proof, would have ended a limit that holds; all nodes would then send at once. Most nodes may not send and hear a limit from the few that do; after 10 s a node that had been told stopped telling, so that one that started then knew nothing of the limit until its own first answer.

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -313,10 +313,12 @@
     let answer = headers::read_answer(response.headers());
     let status = response.status();
     // Where an address has been given to another upstream, that one answers.
-    if status != StatusCode::MISDIRECTED_REQUEST {
-        running.note_limit(answer.limit, now);
+    if status != StatusCode::MISDIRECTED_REQUEST
+        && let Some(stated) = answer.limit_for(&plan.head.id)
+    {
+        running.note_limit(stated, now);
     }
-    let is_own = answer.request_id.as_deref() == Some(plan.head.id.as_str());
+    let is_own = answer.is_of(&plan.head.id);
     match status {
         StatusCode::MISDIRECTED_REQUEST => {
             running.note(Outcome::Refused, now);
--- a/src/gateway/throttle.rs
+++ b/src/gateway/throttle.rs
@@ -22,8 +22,9 @@
 /// its limit is found out.
 const UNANSWERED_MS: u64 = 2_000;
 
-/// How long a node goes on telling its peers what it has been told; whoever sends is told again.
-const TOLD_MS: u64 = 10_000;
+/// How long a node goes on telling its peers what it has been told. Nodes that start meanwhile know of a limit
+/// from them alone, since most nodes may not send and are not told again.
+const TOLD_MS: u64 = 60_000;
 
 /// What an answer says of a limit of its upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -277,6 +277,24 @@
     })
 }
 
+impl AnswerHead {
+    /// Whether it is the upstream's own answer to a request.
+    #[must_use]
+    pub(crate) fn is_of(&self, request_id: &str) -> bool {
+        self.request_id.as_deref() == Some(request_id)
+    }
+
+    /// What it says of a limit, as an answer to a request.
+    ///
+    /// A refusal made before the upstream proper, or a late answer to an earlier request of the channel, may
+    /// lack the limit although the upstream names one.
+    #[must_use]
+    pub(crate) fn limit_for(&self, request_id: &str) -> Option<StatedLimit> {
+        let is_proved = self.is_sealed && self.is_of(request_id);
+        (is_proved || self.limit != StatedLimit::Unnamed).then_some(self.limit)
+    }
+}
+
 /// An upstream's headers as they go to the caller.
 #[must_use]
 pub(crate) fn returnable(headers: &HeaderMap) -> HeaderMap {
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -175,3 +175,17 @@
         );
     }
 }
+
+#[test]
+fn only_the_upstream_s_own_answer_says_that_it_names_no_limit() {
+    let answer = |pairs: &[(&'static str, &str)]| read_answer(&headers(pairs)).limit_for("r1");
+    let own = ("request-attempt-id", "r1");
+    let seal = ("server-seal", "s");
+    let limit = ("server-limit", "2");
+    assert_eq!(answer(&[own, seal]), Some(StatedLimit::Unnamed));
+    assert_eq!(answer(&[own]), None);
+    assert_eq!(answer(&[("request-attempt-id", "r0"), seal]), None);
+    for pairs in [&[limit][..], &[limit, own], &[limit, own, seal]] {
+        assert_eq!(answer(pairs), Some(StatedLimit::PerS(2.0)));
+    }
+}
