feature: Sizing counts engines that name a limit for what they take

Cause: an engine in need that takes 1 request a second counted as a whole one; what it does not take falls to the others for as long as it is in need. Change: the need of a pool grows by the part of what each of the fewest engines would get that limited ones do not take. Measured: need::engines_that_name_a_limit_count_for_what_they_take.

--- a/src/gateway/need.rs
+++ b/src/gateway/need.rs
@@ -107,6 +107,23 @@
         && (engine.cache_tokens == 0 || memory <= num::real(engine.cache_tokens) * MOST_MEMORY)
 }
 
+/// The fewest engines, at most `most`, where some that stand name limits, in requests a second from all nodes.
+///
+/// Such an engine counts for the part that it takes of what each of the fewest would get.
+#[must_use]
+pub(crate) fn beside_limited(
+    least: u32,
+    requests_per_s: f64,
+    limits_per_s: impl Iterator<Item = f64>,
+    most: u32,
+) -> u32 {
+    let each_per_s = (requests_per_s / f64::from(least.max(1))).max(f64::MIN_POSITIVE);
+    let missing = limits_per_s.map(|limit_per_s| (1.0 - limit_per_s / each_per_s).max(0.0));
+    let missing = num::whole(missing.sum::<f64>().ceil());
+    let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+    least.saturating_add(missing).min(most)
+}
+
 /// The highest need of the last moments.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peak {
--- a/src/gateway/need/tests.rs
+++ b/src/gateway/need/tests.rs
@@ -87,3 +87,15 @@
     assert_eq!(peak.note(5, TimeMs(1_000 + HOLD_MS)), 6);
     assert_eq!(peak.note(2, TimeMs(4_000 + HOLD_MS)), 5);
 }
+
+#[test]
+fn engines_that_name_a_limit_count_for_what_they_take() {
+    let need = |limits: &[f64]| beside_limited(10, 40.0, limits.iter().copied(), 20);
+    assert_eq!(need(&[]), 10);
+    // Each of ten gets four a second.
+    assert_eq!(need(&[1.0]), 11);
+    assert_eq!(need(&[1.0, 1.0, 1.0, 1.0]), 13);
+    assert_eq!(need(&[4.0, 50.0]), 10);
+    assert_eq!(need(&[0.0; 30]), 20);
+    assert_eq!(beside_limited(1, 0.0, [0.0].into_iter(), 20), 2);
+}
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -228,6 +228,14 @@
     let domains = u32::try_from(node.settings().domain_regions.len()).unwrap_or(u32::MAX);
     let most = scaling.most.saturating_mul(domains).max(1);
     let least = need::least_engines(&load, &pace, &engine, &targets, most);
+    let least = {
+        let upstreams = node.upstreams.lock();
+        let limits_per_s = (upstreams.iter())
+            .filter(|(_key, upstream)| upstream.announced.pool == pool.name)
+            .filter(|(_key, upstream)| upstream.takes_work(now))
+            .filter_map(|(_key, upstream)| upstream.throttle.limit_per_s());
+        need::beside_limited(least, load.rates.requests_per_s, limits_per_s, most)
+    };
     log::debug!(event = "need_worked_out", pool = pool.name.as_str(), least, load:? = load, pace:? = pace; "what is asked of a pool");
     Some(least)
 }
