bug: A node that starts later knows which requests crash upstreams

Callers whose request crashed three upstreams had it crash a fourth. Cause: each break was told to the peers in one datagram and never again. Change: pulses carry the breaks under contents that are not sent any more, with their age; passed on among nodes that come and go they are forgotten a minute after the break as before. A lost datagram is made up for, too.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -169,6 +169,7 @@
     let loads = upstreams.own_loads();
     let limits = upstreams.told_limits(now);
     drop(upstreams);
+    let strikes = node.strikes.lock().of_blocked(now);
     Pulse {
         member,
         also,
@@ -185,6 +186,7 @@
         lease,
         observed,
         decided,
+        strikes,
         limits,
     }
 }
@@ -338,6 +340,9 @@
     for decided in &pulse.decided {
         take_decided(node, decided);
     }
+    for remembered in &pulse.strikes {
+        (node.strikes.lock()).note_remembered(*remembered, now);
+    }
     for told in &pulse.limits {
         take_limit(node, told, now);
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 use super::pace::Pace;
 use super::rollout::{Decided, Observed};
 use super::snapshot::Page;
-use super::strikes::Strike;
+use super::strikes::{Remembered, Strike};
 use super::throttle::Told;
 use super::upstreams::{Change, Load, spread, tag};
 use super::usage;
@@ -141,6 +141,8 @@
     pub observed: Vec<Observed>,
     /// What was decided of roll-outs, if it has the duties.
     pub decided: Vec<Decided>,
+    /// Upstreams that broke off under requests which are not sent any more.
+    pub strikes: Vec<Remembered>,
     /// What upstreams have told it of their limits a moment ago.
     pub limits: Vec<Told>,
 }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -29,6 +29,7 @@
         lease: None,
         observed: Vec::new(),
         decided: Vec::new(),
+        strikes: Vec::new(),
         limits: Vec::new(),
     }
 }
--- a/src/gateway/strikes.rs
+++ b/src/gateway/strikes.rs
@@ -14,6 +14,9 @@
 /// Different upstreams that must break off under a request until it is not sent any more.
 const UPSTREAMS_UNTIL_BLOCKED: usize = 3;
 
+/// Most breaks that a node tells its peers again and again: those of a few dozen requests.
+const MOST_TOLD: usize = 96;
+
 /// How long a break is remembered: a request that kills comes again within seconds.
 const REMEMBERED_MS: u64 = 60_000;
 
@@ -29,6 +32,14 @@
     pub upstream: u64,
 }
 
+/// A break that a node remembers, for its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Remembered {
+    pub strike: Strike,
+    /// Since the upstream broke off.
+    pub age_ms: u64,
+}
+
 /// What stands for a request's content: the same for each repeat of it, from any caller attempt.
 #[must_use]
 pub(crate) fn content(path: &str, key: Option<&str>, body: &[u8]) -> u64 {
@@ -61,6 +72,34 @@
         true
     }
 
+    /// Takes in a break that a peer remembers.
+    pub fn note_remembered(&mut self, remembered: Remembered, now: TimeMs) {
+        if remembered.age_ms < REMEMBERED_MS {
+            self.note(
+                remembered.strike,
+                TimeMs(now.0.saturating_sub(remembered.age_ms)),
+            );
+        }
+    }
+
+    /// The breaks under contents that are not sent any more, the newest last.
+    ///
+    /// Told once only, they would be unknown to a node that starts later, which would have the request crash
+    /// another upstream.
+    pub fn of_blocked(&self, now: TimeMs) -> Vec<Remembered> {
+        let blocked = self.noted.iter().filter(|(strike, at)| {
+            now.since(*at) < REMEMBERED_MS && self.is_blocked(strike.content, now)
+        });
+        let mut told: Vec<Remembered> = blocked
+            .map(|(strike, at)| Remembered {
+                strike: *strike,
+                age_ms: now.since(*at),
+            })
+            .collect();
+        told.drain(..told.len().saturating_sub(MOST_TOLD));
+        told
+    }
+
     /// Takes in that an upstream answered a request of this content.
     pub fn clear(&mut self, content: u64) {
         self.noted.retain(|(strike, _at)| strike.content != content);
--- a/src/gateway/strikes/tests.rs
+++ b/src/gateway/strikes/tests.rs
@@ -56,3 +56,20 @@
     assert_ne!(base, content("/a/k", None, b"b"));
     assert_ne!(base, content("/a/", Some("kb"), b""));
 }
+
+#[test]
+fn what_peers_remember_of_a_blocked_content_keeps_its_age() {
+    let (mut knowing, mut fresh) = (Strikes::default(), Strikes::default());
+    for upstream in 0..3 {
+        knowing.note(strike(1, upstream), TimeMs(1_000));
+    }
+    knowing.note(strike(2, 0), TimeMs(1_000));
+    let told = knowing.of_blocked(TimeMs(31_000));
+    assert_eq!(told.len(), 3);
+    for remembered in told {
+        fresh.note_remembered(remembered, TimeMs(31_000));
+    }
+    assert!(fresh.is_blocked(1, TimeMs(31_000)));
+    // Passed on among nodes that come and go, it would otherwise never be forgotten.
+    assert!(!fresh.is_blocked(1, TimeMs(1_000 + REMEMBERED_MS)));
+}
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -179,6 +179,33 @@
     assert_eq!(innocent.status(), Some(200), "{innocent:?}");
 }
 
+/// A node that starts after the third crash sends the request that crashes upstreams once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_starts_later_knows_which_request_crashes_upstreams() {
+    let deployment = deployment(3, 6).await;
+    let crashed = || {
+        (deployment.upstreams.iter())
+            .filter(|one| one.has_crashed())
+            .count()
+    };
+    let kill = async |place: usize, id: &str| {
+        let mut call = asked(id, "once");
+        KILLER.clone_into(&mut call.body);
+        let ended = send(&deployment, place, &call).await;
+        assert_ne!(ended.status(), Some(200));
+    };
+    for (place, id) in ["kill-0", "kill-1", "kill-2"].into_iter().enumerate() {
+        kill(place % 2, id).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(crashed(), 3);
+    deployment.nodes[2].restart().expect("it starts again");
+    assert!(deployment.wait_until_ready(2).await);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    kill(2, "kill-3").await;
+    assert_eq!(crashed(), 3);
+}
+
 /// Symptom: a call is held until its caller has given up.
 /// Sequence: an upstream runs a call and never answers; the route's time passes.
 /// Cause: only the caller's own time ended the wait.
