bug: A node that has just started shares the budget for repeats with the peers it was told of

Cause: the fixed part of the budget was divided by the nodes that had been heard; one that has just started has heard none and took all of it, at 985 nodes for up to six seconds. Change: it is divided by all nodes that it was told of, from the store or by peers, but for those about to end. Evidence: peers::peers_that_have_only_been_told_of_share_what_all_share: of four nodes one was counted before.

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -131,14 +131,14 @@
         }
         true => {
             if is_new {
-                let budget = node.repeat_budget(now);
+                let budget = node.repeat_budget();
                 let mut repeats = node.repeats.lock();
                 repeats.of(&plan.pool).note_request(&budget, now);
             }
             Ok(choice)
         }
         false => {
-            let budget = node.repeat_budget(now);
+            let budget = node.repeat_budget();
             if node.repeats.lock().of(&plan.pool).take(&budget, now) {
                 Ok(choice)
             } else {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -246,6 +246,14 @@
         });
     }
 
+    /// How many nodes there may be: this one and all that it has been told of, but for those about to end.
+    ///
+    /// A node that has just started has heard few of the others and would take for itself what all share.
+    pub fn told_of(&self) -> u32 {
+        let others = self.peers.iter().filter(|peer| !peer.is_stopping).count();
+        u32::try_from(others + 1).unwrap_or(u32::MAX)
+    }
+
     /// How many nodes there are and how many of them are heard, this one included.
     pub fn audience(&self, now: TimeMs) -> super::quota::Audience {
         let serving = self.peers.iter().filter(|peer| !peer.is_stopping);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -135,3 +135,18 @@
         let _read = bincode::decode_from_slice::<Message, _>(&bytes, config);
     }
 }
+
+/// Each node that has just started takes the whole of the budget for repeats that all share.
+#[test]
+fn peers_that_have_only_been_told_of_share_what_all_share() {
+    let mut peers = Peers::new(member("a", 1));
+    for name in ["b", "c", "d"] {
+        peers.introduce(member(name, 5), TimeMs(900));
+    }
+    assert_eq!(peers.audience(TimeMs(1_000)).known, 1);
+    assert_eq!(peers.told_of(), 4);
+    let mut ending = pulse("b", 0);
+    ending.is_stopping = true;
+    peers.note_pulse(&ending, TimeMs(1_000));
+    assert_eq!(peers.told_of(), 3);
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -220,13 +220,13 @@
     }
 
     /// The budget for sending requests to a second upstream.
-    pub fn repeat_budget(&self, now: TimeMs) -> RepeatBudget {
+    pub fn repeat_budget(&self) -> RepeatBudget {
         let bounds = self.settings().bounds;
         RepeatBudget {
             ratio: bounds.retry_ratio,
             window_ms: bounds.retry_window_ms,
             slack: bounds.retry_slack,
-            nodes: self.peers.lock().audience(now).known,
+            nodes: self.peers.lock().told_of(),
         }
     }
 
