test: The soak ends with upstreams that name a limit while the last faults go on

Change: two seconds before the last fault one upstream of each service names 1 a second; once all nodes serve and contactMs has passed, no span of 4 s may bring it more than 11. What the soak's test and the other test count stands in the stand-in.

--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -17,10 +17,11 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use self::checks::{check_calls, check_duties, check_revoked};
+use self::checks::{check_calls, check_duties, check_limited, check_revoked};
 use self::faults::Faults;
 use super::caller::{Asked, Ended};
 use super::deployment::{Deployment, DeploymentSettings, KEYS, asked};
+use super::upstream::Upstream;
 use crate::proxy::TcpProxy;
 use crate::server::now_ms;
 
@@ -46,6 +47,16 @@
     pub nodes: usize,
 }
 
+/// What upstreams name from shortly before the last fault on, in requests a second, and what may reach each of them
+/// within a span once that binds: one and a half times as much, and five.
+const LIMIT: &str = "1";
+const LIMIT_SPAN_MS: u64 = 4_000;
+const MOST_IN_SPAN: usize = 11;
+
+/// How long before the last fault they begin, and how long after the last one limits do not bind yet.
+const LIMITED_BEFORE_END: Duration = Duration::from_secs(2);
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// What a soak saw.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -95,7 +106,11 @@
     }
     let mut faults = Faults::new(settings.seed);
     let until = Instant::now() + settings.span;
+    let mut limited = Vec::new();
     while Instant::now() < until {
+        if limited.is_empty() && Instant::now() + LIMITED_BEFORE_END > until {
+            limited = limit_one_of_each_service(&deployment);
+        }
         let fault = faults.next(&mut deployment).await?;
         outcome.faults.push(fault);
         tokio::time::sleep(faults.pause()).await;
@@ -107,7 +122,11 @@
             .broken
             .push(String::from("a node does not serve after the last fault"));
     }
+    tokio::time::sleep(CONTACT).await;
+    let binds_ms = now_ms();
+    tokio::time::sleep(Duration::from_millis(LIMIT_SPAN_MS)).await;
     callers.shutdown().await;
+    check_limited(&deployment, &limited, binds_ms, &mut outcome);
     let called = std::mem::take(&mut *called.lock());
     let runs = deployment.runs.lock().clone();
     check_calls(&called, &runs, &mut outcome);
@@ -120,6 +139,19 @@
     Ok(outcome)
 }
 
+/// Has one upstream of each service name a limit; gives their ids.
+fn limit_one_of_each_service(deployment: &Deployment) -> Vec<String> {
+    let upstreams = deployment.upstreams.iter();
+    let standing: Vec<&Upstream> = upstreams.filter(|one| !one.has_crashed()).collect();
+    let first_of = |service: &str| {
+        let mut of_service = standing.iter();
+        of_service.find(|one| one.id().starts_with(service))
+    };
+    let limited = ["desk", "pool"].into_iter().filter_map(first_of);
+    let limited = limited.inspect(|one| one.name_limit(Some(LIMIT)));
+    limited.map(|one| one.id().to_owned()).collect()
+}
+
 async fn call_on(
     caller: usize,
     mut rng: SmallRng,
--- a/stand_ins/src/operators/soak/checks.rs
+++ b/stand_ins/src/operators/soak/checks.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use super::{Called, Outcome};
+use super::{Called, LIMIT, LIMIT_SPAN_MS, MOST_IN_SPAN, Outcome};
 use crate::operators::caller::Asked;
 use crate::operators::cloud::Made;
-use crate::operators::deployment::{KEYS, TEAMS};
+use crate::operators::deployment::{Deployment, KEYS, TEAMS};
 use crate::operators::upstream::Run;
 
 /// A key that was taken away works for no longer than this, as the settings say.
@@ -115,3 +115,22 @@
         }
     }
 }
+
+/// Checks that no more reached upstreams that name a limit than it allows.
+pub(super) fn check_limited(
+    deployment: &Deployment,
+    limited: &[String],
+    binds_ms: u64,
+    outcome: &mut Outcome,
+) {
+    let upstreams = deployment.upstreams.iter();
+    for upstream in upstreams.filter(|one| limited.iter().any(|id| id == one.id())) {
+        let most = upstream.most_in_span(LIMIT_SPAN_MS, binds_ms);
+        if most > MOST_IN_SPAN {
+            let id = upstream.id();
+            outcome.broken.push(format!(
+                "{id} names {LIMIT} a second and got {most} in {LIMIT_SPAN_MS} ms"
+            ));
+        }
+    }
+}
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -199,6 +199,19 @@
         self.core.arrivals.lock().clone()
     }
 
+    /// Most requests that reached it within a span that begins at `from_ms` or later.
+    #[must_use]
+    pub fn most_in_span(&self, span_ms: u64, from_ms: u64) -> usize {
+        let mut arrivals = self.arrivals();
+        arrivals.retain(|at_ms| *at_ms >= from_ms);
+        arrivals.sort_unstable();
+        let starts = arrivals.iter().enumerate();
+        let counts = starts.map(|(place, start_ms)| {
+            arrivals[place..].partition_point(|at_ms| at_ms - start_ms < span_ms)
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Announces that it leaves; it goes on answering.
     pub fn drain(&self) {
         *self.core.state.lock() = "draining";
--- a/tests/platform/limited.rs
+++ b/tests/platform/limited.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 
 use teaselline_stand_ins::operators::deployment::{asked, document};
-use teaselline_stand_ins::operators::{Deployment, Ended, Fault, Upstream};
+use teaselline_stand_ins::operators::{Deployment, Ended, Fault};
 
 use super::support::{deployment, eventually, send};
 
@@ -70,18 +70,6 @@
     }
 }
 
-/// Most requests that reached an upstream within a span that begins at `from_ms` or later.
-fn most_in_span(upstream: &Upstream, from_ms: u64) -> usize {
-    let mut arrivals = upstream.arrivals();
-    arrivals.retain(|at_ms| *at_ms >= from_ms);
-    arrivals.sort_unstable();
-    let starts = arrivals.iter().enumerate();
-    let counts = starts.map(|(place, start_ms)| {
-        arrivals[place..].partition_point(|at_ms| at_ms - start_ms < SPAN_MS)
-    });
-    counts.max().unwrap_or(0)
-}
-
 async fn all_are_named(deployment: &Deployment, limited: [usize; 2]) {
     eventually("the limited upstreams have answered", async || {
         limited
@@ -116,7 +104,7 @@
     let ended = load.end().await;
     for place in limited {
         let upstream = &deployment.upstreams[place];
-        let most = most_in_span(upstream, binds_ms);
+        let most = upstream.most_in_span(SPAN_MS, binds_ms);
         // One and a half times the limit, and five.
         assert!(most <= 11, "{} got {most}; {ended:?}", upstream.id());
     }
@@ -135,7 +123,7 @@
     let binds_ms = now_ms() + CONTACT_MS;
     tokio::time::sleep(Duration::from_millis(CONTACT_MS + SPAN_MS)).await;
     let ended = load.end().await;
-    let most = most_in_span(upstream, binds_ms);
+    let most = upstream.most_in_span(SPAN_MS, binds_ms);
     assert!(most <= 5, "{} got {most}; {ended:?}", upstream.id());
     assert_eq!(ended.len(), 1, "{ended:?}");
 }
