bug: That an upstream's limit has ended is told for a minute and not for good

Each answer of an upstream that had once named a limit renewed what a node was told, so that its row stood in all pulses of all nodes until the upstream was gone. Change: that there is no limit any more is told for a minute after a node came to know it. Measured: throttle::that_a_limit_has_ended_is_told_for_a_while; without the change its last line fails.

--- a/src/gateway/throttle.rs
+++ b/src/gateway/throttle.rs
@@ -90,6 +90,8 @@
     said_at: TimeMs,
     /// When an answer last told this node itself; zero if none did.
     answered_at: TimeMs,
+    /// When this node came to know what it knows.
+    changed_at: TimeMs,
     /// This node's part of the limit, in requests a second.
     rate_per_s: f64,
     /// Requests that this node may send at once, as of `filled_at`.
@@ -145,21 +147,29 @@
     ) -> Option<Change> {
         let before = std::mem::replace(&mut self.limit_per_s, limit_per_s);
         self.said_at = said_at;
-        match (before, limit_per_s) {
-            (None, None) => None,
-            (Some(before), Some(limit_per_s)) if before.to_bits() == limit_per_s.to_bits() => None,
-            (None, Some(limit_per_s)) => {
-                self.set_rate(0.0, now);
+        if before == limit_per_s {
+            return None;
+        }
+        self.changed_at = now;
+        match limit_per_s {
+            Some(limit_per_s) => {
+                if before.is_none() {
+                    self.set_rate(0.0, now);
+                }
                 Some(Change::Named(limit_per_s))
             }
-            (Some(_before), Some(limit_per_s)) => Some(Change::Named(limit_per_s)),
-            (Some(_before), None) => Some(Change::Ended),
+            None => Some(Change::Ended),
         }
     }
 
     /// What this node has been told a moment ago, for its peers.
     pub fn told(&self, upstream: u64, now: TimeMs) -> Option<Told> {
-        let is_told = self.answered_at > TimeMs(0) && now.since(self.answered_at) < TOLD_MS;
+        // That there is no limit any more is news for a while only; each answer says so.
+        let since = match self.limit_per_s {
+            Some(_limit_per_s) => self.answered_at,
+            None => self.changed_at,
+        };
+        let is_told = self.answered_at > TimeMs(0) && now.since(since) < TOLD_MS;
         is_told.then(|| Told {
             upstream,
             limit_per_s: self.limit_per_s,
--- a/src/gateway/throttle/tests.rs
+++ b/src/gateway/throttle/tests.rs
@@ -103,6 +103,20 @@
     assert_eq!(throttle.told(ENGINE, TimeMs(TOLD_MS + 1)), None);
 }
 
+#[test]
+fn that_a_limit_has_ended_is_told_for_a_while() {
+    let mut throttle = limited(2.0);
+    let end = |throttle: &mut Throttle, at_ms| {
+        throttle.note_answer(StatedLimit::Unnamed, TimeMs(at_ms), TimeMs(at_ms + 1))
+    };
+    assert_eq!(end(&mut throttle, 100), Some(Change::Ended));
+    assert_eq!(end(&mut throttle, 50_000), None);
+    let told = throttle.told(ENGINE, TimeMs(51_000)).expect("told");
+    assert_eq!((told.limit_per_s, told.age_ms), (None, 1_000));
+    end(&mut throttle, 70_000);
+    assert_eq!(throttle.told(ENGINE, TimeMs(70_001)), None);
+}
+
 #[test]
 fn a_low_limit_is_used_by_few_nodes_and_a_high_one_by_all() {
     for (limit_per_s, senders) in [(0.2, 1), (1.0, 2), (4.5, 5), (50.0, 9)] {
