bug: All nodes come to send to a limited upstream, by turns

Cause: the same few nodes could send for as long as the fleet stayed as it was. A node to which callers do not bring requests of that pool used its part for nothing; the upstream was not asked again and the end of its limit not seen. Change: who comes first by hash changes every 6 s, or in the time of three requests if that is longer, by the time of day that most nodes agree on. Nothing is divided while no upstream names a limit. The test's callers now come to all nodes (with three nodes and three routes each node got one route): four nodes in place of three, the check as it was.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -102,8 +102,12 @@
 
 /// Works out this node's parts of the limits that upstreams name.
 fn divide_limits(node: &Gateway, now: TimeMs) {
+    if !node.upstreams.lock().names_limits() {
+        return;
+    }
     // Until two pulses of each peer had the time to come, this node may take itself for the only one.
     let is_settled = node.running_ms(now) >= START_QUIET_MS.max(interval_ms(node) * 2);
+    let day_ms = node.time_of_day(now).0;
     let sharers = {
         let peers = node.peers.lock();
         let heard = peers.staying(now).map(|peer| tag(&peer.member.name));
@@ -111,6 +115,7 @@
             own: tag(&peers.own().name),
             peers: heard.collect(),
             share: peers.audience(now).share(),
+            day_ms,
             is_sending: is_settled && !node.is_stopping(),
         }
     };
--- a/src/gateway/throttle.rs
+++ b/src/gateway/throttle.rs
@@ -4,7 +4,7 @@
 //! The load is an upstream in need that takes from less than one request a second to dozens, before one node
 //! or a thousand. Each of a thousand nodes would exceed a low limit with its first request, so that only a
 //! few nodes send at all: one more than the limit has whole requests a second, the same ones by hash on all
-//! nodes that hear the same peers. A node that comes to be one of them begins with nothing in hand.
+//! nodes that hear the same peers, by turns. A node that comes to be one of them begins with nothing in hand.
 
 use bincode::{Decode, Encode};
 
@@ -22,6 +22,14 @@
 /// its limit is found out.
 const UNANSWERED_MS: u64 = 2_000;
 
+/// How long the same nodes send to an upstream; longer if that is less than the time in which it takes so many
+/// requests.
+///
+/// Callers may not come to all nodes. An upstream whose nodes get no requests for it would go unused, and nobody
+/// would find out that it no longer names a limit.
+const TURN_MS: f64 = 6_000.0;
+const TURN_REQUESTS: f64 = 3.0;
+
 /// How long a node goes on telling its peers what it has been told. Nodes that start meanwhile know of a limit
 /// from them alone, since most nodes may not send and are not told again.
 const TOLD_MS: u64 = 60_000;
@@ -66,14 +74,19 @@
     pub peers: Vec<u64>,
     /// The part of the limit that those who hear each other may use.
     pub share: f64,
+    /// The time of day that most nodes agree on, in Unix milliseconds.
+    pub day_ms: u64,
     /// Whether this node may send at all: it has had the time to hear the others, and is not about to end.
     pub is_sending: bool,
 }
 
 impl Sharers {
-    /// How many of these nodes come before this one for an upstream.
-    fn place(&self, upstream: u64) -> usize {
-        let rank = |node: u64| (spread(node ^ upstream), node);
+    /// How many of these nodes come before this one for an upstream that takes so many requests a second.
+    fn place(&self, upstream: u64, limit_per_s: f64) -> usize {
+        let turn_ms = TURN_MS.max(TURN_REQUESTS * 1_000.0 / limit_per_s);
+        let turn = self.day_ms / num::whole(turn_ms);
+        let drawn = spread(upstream ^ spread(turn));
+        let rank = |node: u64| (spread(node ^ drawn), node);
         let own = rank(self.own);
         (self.peers.iter())
             .filter(|peer| rank(**peer) < own)
@@ -186,7 +199,7 @@
         let nodes = sharers.peers.len() + 1;
         let senders = usize::try_from(num::whole(limit_per_s.floor())).unwrap_or(usize::MAX);
         let senders = senders.saturating_add(1).min(nodes);
-        let place = sharers.place(upstream);
+        let place = sharers.place(upstream, limit_per_s);
         let is_sender = sharers.is_sending && place < senders;
         let rate_per_s = if is_sender {
             limit_per_s * sharers.share / num::real(senders as u64)
--- a/src/gateway/throttle/tests.rs
+++ b/src/gateway/throttle/tests.rs
@@ -14,6 +14,7 @@
             .map(own_tag)
             .collect(),
         share: 1.0,
+        day_ms: 0,
         is_sending: true,
     }
 }
@@ -141,6 +142,27 @@
     assert!(throttle.is_to_be_asked(TimeMs(10_500)));
 }
 
+/// An upstream goes unused, and its limit is never seen to end, as its nodes get no requests for it.
+#[test]
+fn all_nodes_come_to_send_by_turns() {
+    for limit_per_s in [0.0, 0.5, 1.0, 4.0] {
+        let mut has_sent = [false; 9];
+        let mut throttles = [limited(limit_per_s); 9];
+        for step in 0..10_000 {
+            let now = TimeMs(step * 200);
+            for (node, throttle) in throttles.iter_mut().enumerate() {
+                let sharers = Sharers {
+                    day_ms: now.0,
+                    ..sharers(node as u64, 8)
+                };
+                throttle.divide(ENGINE, &sharers, now);
+                has_sent[node] |= throttle.take(now);
+            }
+        }
+        assert_eq!(has_sent, [true; 9], "{limit_per_s}");
+    }
+}
+
 #[test]
 fn a_node_that_is_about_to_end_or_has_just_started_sends_nothing_to_limited_upstreams() {
     let mut throttle = limited(10.0);
--- a/src/gateway/throttle/tests/fleet.rs
+++ b/src/gateway/throttle/tests/fleet.rs
@@ -13,6 +13,9 @@
 /// Spans over which what reaches an upstream is judged.
 const SPAN_MS: u64 = 4_000;
 
+/// By how much the clocks of one group of nodes are ahead of those of the one before.
+const CLOCK_STEP_MS: u64 = 100;
+
 /// Nodes that hear of each other equally late.
 const GROUPS: usize = 4;
 
@@ -186,6 +189,8 @@
             } else {
                 *share
             },
+            // Clocks differ a little.
+            day_ms: now.0 + CLOCK_STEP_MS * node.group as u64,
             is_sending: !is_fresh && fate != Some(Fate::Stopped),
         };
         for (upstream, throttle) in node.throttles.iter_mut().enumerate() {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -449,6 +449,12 @@
         Some((upstream, change))
     }
 
+    /// Whether an upstream names a limit.
+    pub fn names_limits(&self) -> bool {
+        self.iter()
+            .any(|(_key, upstream)| upstream.throttle.limit_per_s().is_some())
+    }
+
     /// Works out this node's parts of the limits that upstreams name.
     pub fn divide_limits(&mut self, sharers: &Sharers, now: TimeMs) {
         let standing = self.arena.iter_mut();
--- a/tests/platform/limited.rs
+++ b/tests/platform/limited.rs
@@ -131,7 +131,8 @@
 /// An upstream that no longer names a limit is left alone for good.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_upstream_that_no_longer_names_a_limit_gets_its_part_again() {
-    let deployment = deployment(3, 2).await;
+    // With three, each node would get calls of one route only.
+    let deployment = deployment(4, 2).await;
     let upstream = &deployment.upstreams[0];
     upstream.name_limit(Some("0.5"));
     let load = Load::start(&deployment);
