feature: Logs and counts tell when an upstream asks this node for rest, and what is sent to it all the same

The rest is decoded in the adapter (the longest of several; what is no number of seconds counts as none and is logged; on an answer other than 503 it counts as none), kept for the start of the upstream, and logged once per rest. Nothing decides by it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,6 +43,7 @@
 mod rank;
 mod recent;
 mod refusal;
+pub(crate) mod rest;
 mod rolling;
 pub(crate) mod rollout;
 mod rollouts;
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::patience;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::rest::StatedRest;
 use crate::gateway::rollout::{Moment, Versions};
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
@@ -217,7 +218,7 @@
     let Some(mut running) = Running::new(node, plan, choice, now) else {
         return Err(Vain::NotRun("upstream_not_taking", String::new()));
     };
-    count_send(trial, resume_after, running.limit_per_s.is_some());
+    count_send(trial, resume_after, &running);
     story.sent(
         &id,
         Inputs {
@@ -290,15 +291,18 @@
     judge(node, plan, running, sender, response)
 }
 
-/// Counts a send by what it is for, apart for upstreams that have named a limit.
-fn count_send(trial: &Trial, resume_after: Option<u64>, is_limited: bool) {
+/// Counts a send by what it is for, apart for upstreams that have named a limit or asked for rest.
+fn count_send(trial: &Trial, resume_after: Option<u64>, running: &Running) {
     let kind = match (trial.sends(), resume_after) {
         (0, _) => "first",
         (_, None) => "repeat",
         (_, Some(_)) => "resumption",
     };
-    let limited = if is_limited { "yes" } else { "no" };
-    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
+    let word = |holds| if holds { "yes" } else { "no" };
+    let limited = word(running.limit_per_s.is_some());
+    let resting = word(running.is_resting);
+    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited, "resting" => resting)
+        .increment(1);
 }
 
 /// Checks that an answer is the request's own and says that it ran.
@@ -313,10 +317,8 @@
     let answer = headers::read_answer(response.headers());
     let status = response.status();
     // Where an address has been given to another upstream, that one answers.
-    if status != StatusCode::MISDIRECTED_REQUEST
-        && let Some(stated) = answer.limit_for(&plan.head.id)
-    {
-        running.note_limit(stated, now);
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        note_statements(plan, &running, status, &answer, now);
     }
     let is_own = answer.is_of(&plan.head.id);
     match status {
@@ -347,6 +349,28 @@
     }
 }
 
+/// Takes in what an answer says of its upstream beyond the request.
+fn note_statements(
+    plan: &Plan,
+    running: &Running,
+    status: StatusCode,
+    answer: &AnswerHead,
+    now: TimeMs,
+) {
+    if let Some(stated) = answer.limit_for(&plan.head.id) {
+        running.note_limit(stated, now);
+    }
+    match answer.rest {
+        StatedRest::ForMs(rest_ms) if status == StatusCode::SERVICE_UNAVAILABLE => {
+            running.note_rest(rest_ms, now);
+        }
+        StatedRest::ForMs(rest_ms) => {
+            log::debug!(event = "upstream_rest_passed_over", status = status.as_u16(), rest_ms; "an answer other than 503 names a time to come back");
+        }
+        StatedRest::Unnamed | StatedRest::Unreadable => {}
+    }
+}
+
 fn keep(node: &Gateway, running: &Running, sender: SendRequest<Full<Bytes>>, answer: &AnswerHead) {
     if !answer.closes {
         let idle_timeout_ms = answer.idle_timeout_ms;
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -26,6 +26,8 @@
     restarted: CancellationToken,
     /// Requests a second that it takes from all nodes, if it names a limit.
     pub limit_per_s: Option<f64>,
+    /// Whether it wants nothing of this node now.
+    pub is_resting: bool,
     pub sent_at: TimeMs,
     unread_tokens: u64,
     /// Prompt tokens that were to be read there before its first token, its own included.
@@ -58,6 +60,7 @@
             upstream_tag: upstream.tag,
             restarted: upstream.restarted.clone(),
             limit_per_s: upstream.throttle.limit_per_s(),
+            is_resting: upstream.rest.is_on(now),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
             waiting_tokens: choice.waiting_tokens,
@@ -136,6 +139,17 @@
         }
     }
 
+    /// Takes in that the upstream turned this node away and asked for rest.
+    pub fn note_rest(&self, rest_ms: u64, now: TimeMs) {
+        let mut upstreams = self.node.upstreams.lock();
+        if let Some(upstream) = upstreams.get_mut(self.upstream)
+            && upstream.rest.note(rest_ms, now)
+        {
+            let id = upstream.announced.id.as_str();
+            log::info!(event = "upstream_rest_asked", upstream = id, rest_ms; "an upstream asks this node for rest");
+        }
+    }
+
     /// Takes an answer into what is seen of a roll-out in its pool, if there is one.
     fn observe(&self, outcome: Outcome) {
         let took_ms = match outcome {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -8,6 +8,7 @@
 use twox_hash::XxHash3_64;
 
 use super::health::Health;
+use super::rest::Rest;
 use super::throttle::{Change as LimitChange, Sharers, Throttle, Told};
 use crate::time::TimeMs;
 
@@ -147,6 +148,8 @@
     pub waited_since: Option<TimeMs>,
     pub health: Health,
     pub throttle: Throttle,
+    /// The rest that it has asked of this node.
+    pub rest: Rest,
 }
 
 impl Upstream {
@@ -350,6 +353,7 @@
             waited_since: None,
             health: Health::default(),
             throttle: Throttle::default(),
+            rest: Rest::default(),
         });
         let place = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(place, (id, key));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::call::{CallHead, Malformed, Part, Prompt};
 use crate::gateway::num;
+use crate::gateway::rest::StatedRest;
 use crate::gateway::throttle::StatedLimit;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-attempt-id");
@@ -232,6 +233,8 @@
     pub is_encoded: bool,
     /// What it says of how many requests the upstream takes.
     pub limit: StatedLimit,
+    /// What it says of a rest of the upstream, if it is a refusal that may ask for one.
+    pub rest: StatedRest,
 }
 
 /// Reads the head of an upstream's answer.
@@ -252,28 +255,55 @@
         idle_timeout_ms: timeout_s.map(|seconds| seconds * 1_000),
         is_encoded: headers.contains_key(CONTENT_ENCODING),
         limit: read_limit(headers),
+        rest: read_rest(headers),
     }
 }
 
 /// The limit that an answer names; the lowest, if it names several.
 fn read_limit(headers: &HeaderMap) -> StatedLimit {
-    let lines = headers.get_all(SERVER_LIMIT).iter();
+    let named = numbers(headers, &SERVER_LIMIT);
+    if let Some(word) = named.unreadable {
+        log::warn!(event = "upstream_limit_unreadable", limit = word; "an upstream names a limit that is no number");
+    }
+    match named.numbers.into_iter().reduce(f64::min) {
+        Some(limit_per_s) => StatedLimit::PerS(limit_per_s),
+        None if named.unreadable.is_some() => StatedLimit::Unreadable,
+        None => StatedLimit::Unnamed,
+    }
+}
+
+/// The rest that an answer asks for; the longest, if it names several.
+fn read_rest(headers: &HeaderMap) -> StatedRest {
+    let named = numbers(headers, &RETRY_AFTER);
+    if let Some(word) = named.unreadable {
+        log::warn!(event = "upstream_rest_unreadable", rest = word; "an upstream asks for a rest that is no time in seconds");
+    }
+    match named.numbers.into_iter().reduce(f64::max) {
+        Some(rest_s) => StatedRest::ForMs(num::whole((rest_s * 1_000.0).ceil())),
+        None if named.unreadable.is_some() => StatedRest::Unreadable,
+        None => StatedRest::Unnamed,
+    }
+}
+
+/// What the lines of a header name that should be numbers.
+#[derive(Debug, Default)]
+struct Named<'a> {
+    /// Finite, zero or more.
+    numbers: Vec<f64>,
+    /// The last word that is no such number.
+    unreadable: Option<&'a str>,
+}
+
+fn numbers<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Named<'a> {
+    let lines = headers.get_all(name).iter();
     let words = lines.flat_map(|value| value.to_str().unwrap_or("?").split(','));
-    words.fold(StatedLimit::Unnamed, |stated, word| {
-        let limit_per_s: Option<f64> = word.trim().parse().ok();
-        let limit_per_s =
-            limit_per_s.filter(|number| number.is_finite() && !number.is_sign_negative());
-        match (stated, limit_per_s) {
-            (StatedLimit::PerS(least), Some(limit_per_s)) => {
-                StatedLimit::PerS(least.min(limit_per_s))
-            }
-            (_, Some(limit_per_s)) => StatedLimit::PerS(limit_per_s),
-            (StatedLimit::Unnamed, None) => {
-                log::warn!(event = "upstream_limit_unreadable", limit = word; "an upstream names a limit that is no number");
-                StatedLimit::Unreadable
-            }
-            (stated, None) => stated,
+    words.fold(Named::default(), |mut named, word| {
+        let number = word.trim().parse().ok();
+        match number.filter(|number: &f64| number.is_finite() && !number.is_sign_negative()) {
+            Some(number) => named.numbers.push(number),
+            None => named.unreadable = Some(word),
         }
+        named
     })
 }
 
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -176,6 +176,35 @@
     }
 }
 
+#[test]
+fn a_rest_that_an_upstream_asks_for_is_read_as_the_longest_that_can_be() {
+    let rest = |lines: &[&str]| {
+        let pairs: Vec<_> = lines.iter().map(|line| ("retry-after", *line)).collect();
+        read_answer(&headers(&pairs)).rest
+    };
+    assert_eq!(rest(&[]), StatedRest::Unnamed);
+    assert_eq!(rest(&["3"]), StatedRest::ForMs(3_000));
+    assert_eq!(rest(&[" 0.25 "]), StatedRest::ForMs(250));
+    assert_eq!(rest(&["0.0001"]), StatedRest::ForMs(1));
+    assert_eq!(rest(&["0"]), StatedRest::ForMs(0));
+    assert_eq!(rest(&["7200"]), StatedRest::ForMs(7_200_000));
+    assert_eq!(rest(&["1e300"]), StatedRest::ForMs(u64::MAX));
+    assert_eq!(rest(&["2", "3"]), StatedRest::ForMs(3_000));
+    assert_eq!(rest(&["3, 2"]), StatedRest::ForMs(3_000));
+    assert_eq!(rest(&["soon", "2"]), StatedRest::ForMs(2_000));
+    for unreadable in [
+        "",
+        "soon",
+        "-1",
+        "-0.0",
+        "NaN",
+        "inf",
+        "Thu, 03 Dec 2026 12:00:00 GMT",
+    ] {
+        assert_eq!(rest(&[unreadable]), StatedRest::Unreadable, "{unreadable}");
+    }
+}
+
 #[test]
 fn only_the_upstream_s_own_answer_says_that_it_names_no_limit() {
     let answer = |pairs: &[(&'static str, &str)]| read_answer(&headers(pairs)).limit_for("r1");
