feature: Logs and counts tell when an upstream says in an answer that it leaves, and what is sent to it all the same

The header is decoded in the adapter (what is neither yes nor no counts as yes and is logged), kept for the start of the upstream, and logged once with what its announcement said then. Nothing decides by it yet.

--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -291,7 +291,7 @@
     judge(node, plan, running, sender, response)
 }
 
-/// Counts a send by what it is for, apart for upstreams that have named a limit or asked for rest.
+/// Counts a send by what it is for, apart for upstreams that have named a limit, asked for rest, or said that they leave.
 fn count_send(trial: &Trial, resume_after: Option<u64>, running: &Running) {
     let kind = match (trial.sends(), resume_after) {
         (0, _) => "first",
@@ -301,7 +301,8 @@
     let word = |holds| if holds { "yes" } else { "no" };
     let limited = word(running.limit_per_s.is_some());
     let resting = word(running.is_resting);
-    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited, "resting" => resting)
+    let leaving = word(running.is_leaving);
+    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited, "resting" => resting, "leaving" => leaving)
         .increment(1);
 }
 
@@ -360,6 +361,9 @@
     if let Some(stated) = answer.limit_for(&plan.head.id) {
         running.note_limit(stated, now);
     }
+    if answer.leaves {
+        running.note_leaving();
+    }
     match answer.rest {
         StatedRest::ForMs(rest_ms) if status == StatusCode::SERVICE_UNAVAILABLE => {
             running.note_rest(rest_ms, now);
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -28,6 +28,8 @@
     pub limit_per_s: Option<f64>,
     /// Whether it wants nothing of this node now.
     pub is_resting: bool,
+    /// Whether an answer of it has said that it leaves.
+    pub is_leaving: bool,
     pub sent_at: TimeMs,
     unread_tokens: u64,
     /// Prompt tokens that were to be read there before its first token, its own included.
@@ -61,6 +63,7 @@
             restarted: upstream.restarted.clone(),
             limit_per_s: upstream.throttle.limit_per_s(),
             is_resting: upstream.rest.is_on(now),
+            is_leaving: upstream.said_leaving,
             sent_at: now,
             unread_tokens: choice.unread_tokens,
             waiting_tokens: choice.waiting_tokens,
@@ -150,6 +153,18 @@
         }
     }
 
+    /// Takes in that the upstream says in an answer that it leaves.
+    pub fn note_leaving(&self) {
+        let mut upstreams = self.node.upstreams.lock();
+        if let Some(upstream) = upstreams.get_mut(self.upstream)
+            && !std::mem::replace(&mut upstream.said_leaving, true)
+        {
+            let id = upstream.announced.id.as_str();
+            let phase = upstream.announced.phase;
+            log::info!(event = "upstream_leaving_said", upstream = id, announced:? = phase; "an upstream says in an answer that it leaves");
+        }
+    }
+
     /// Takes an answer into what is seen of a roll-out in its pool, if there is one.
     fn observe(&self, outcome: Outcome) {
         let took_ms = match outcome {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -150,6 +150,8 @@
     pub throttle: Throttle,
     /// The rest that it has asked of this node.
     pub rest: Rest,
+    /// An answer of it has said that it leaves.
+    pub said_leaving: bool,
 }
 
 impl Upstream {
@@ -354,6 +356,7 @@
             health: Health::default(),
             throttle: Throttle::default(),
             rest: Rest::default(),
+            said_leaving: false,
         });
         let place = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(place, (id, key));
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -31,6 +31,8 @@
 const COPY_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 /// Requests a second that a server in need takes from all machines together.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// In all answers of a server that leaves.
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Headers that concern one channel only.
@@ -235,6 +237,8 @@
     pub limit: StatedLimit,
     /// What it says of a rest of the upstream, if it is a refusal that may ask for one.
     pub rest: StatedRest,
+    /// The upstream finishes what it has and goes.
+    pub leaves: bool,
 }
 
 /// Reads the head of an upstream's answer.
@@ -256,6 +260,7 @@
         is_encoded: headers.contains_key(CONTENT_ENCODING),
         limit: read_limit(headers),
         rest: read_rest(headers),
+        leaves: read_leaving(headers),
     }
 }
 
@@ -285,6 +290,23 @@
     }
 }
 
+/// Whether an answer says that its upstream leaves.
+///
+/// What is neither yes nor no counts as yes: a request to an upstream that has left is lost, one that stays is only
+/// passed over.
+fn read_leaving(headers: &HeaderMap) -> bool {
+    let lines = headers.get_all(SERVER_LEAVING).iter();
+    let words = lines.map(|value| value.to_str().unwrap_or("?").trim());
+    words.fold(false, |leaves, word| match word {
+        "0" => leaves,
+        "1" => true,
+        word => {
+            log::warn!(event = "upstream_leaving_unreadable", leaving = word; "an upstream says whether it leaves in words that are not known; it counts as leaving");
+            true
+        }
+    })
+}
+
 /// What the lines of a header name that should be numbers.
 #[derive(Debug, Default)]
 struct Named<'a> {
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -205,6 +205,19 @@
     }
 }
 
+#[test]
+fn an_upstream_leaves_unless_its_answer_says_nothing_or_no() {
+    let leaves = |lines: &[&str]| {
+        let pairs: Vec<_> = lines.iter().map(|line| ("server-leaving", *line)).collect();
+        read_answer(&headers(&pairs)).leaves
+    };
+    assert!(!leaves(&[]));
+    assert!(!leaves(&["0"]));
+    for said in [&["1"][..], &[" 1 "], &["0", "1"], &["true"], &[""]] {
+        assert!(leaves(said), "{said:?}");
+    }
+}
+
 #[test]
 fn only_the_upstream_s_own_answer_says_that_it_names_no_limit() {
     let answer = |pairs: &[(&'static str, &str)]| read_answer(&headers(pairs)).limit_for("r1");
