test: Upstreams that asked a node for rest get requests of it all the same (fails), listed

The stand-in upstream asks for rest and keeps which request reached it when. The load of the tests of limits moved to where both find it.

--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -20,6 +20,9 @@
 /// Work of a plain call, and between two events of a stream.
 const WORK_MS: u64 = 10;
 
+/// A rest that an upstream asks for binds a node this long after the answer.
+const REST_BEGINS_MS: u64 = 500;
+
 /// A body that holds this crashes the upstream that runs it.
 pub const KILLER: &str = "kill-the-upstream";
 
@@ -66,6 +69,17 @@
     pub left_at_ms: Option<u64>,
 }
 
+/// A request that reached an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// The request's id.
+    pub request: String,
+    /// When, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The rest in milliseconds that was asked of whom it turned away, if it did.
+    pub rest_ms: Option<u64>,
+}
+
 /// An upstream; dropping it crashes it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -94,8 +108,12 @@
     requests: Mutex<u64>,
     /// What its answers name as the requests a second that it takes from all nodes.
     limit: Mutex<Option<String>>,
-    /// When each request reached it, in Unix milliseconds, whether it ran or not.
-    arrivals: Mutex<Vec<u64>>,
+    /// The rest that it asks of whom it turns away, in seconds.
+    rest: Mutex<Option<String>>,
+    /// What its answers say of its leaving.
+    leaving: Mutex<Option<String>>,
+    /// Requests that reached it, whether they ran or not.
+    arrivals: Mutex<Vec<Arrival>>,
     has_crashed: Mutex<bool>,
 }
 
@@ -139,6 +157,8 @@
             runs: Arc::clone(runs),
             requests: Mutex::default(),
             limit: Mutex::default(),
+            rest: Mutex::default(),
+            leaving: Mutex::default(),
             arrivals: Mutex::default(),
             has_crashed: Mutex::default(),
         });
@@ -193,10 +213,37 @@
         *self.core.limit.lock() = limit.map(str::to_owned);
     }
 
+    /// Has it ask for so many seconds of rest when it turns requests away, or for none.
+    pub fn ask_for_rest(&self, rest_s: Option<&str>) {
+        *self.core.rest.lock() = rest_s.map(str::to_owned);
+    }
+
+    /// Has its answers say this of its leaving from now on, or nothing; its announcement stays as it is.
+    pub fn say_leaving(&self, leaving: Option<&str>) {
+        *self.core.leaving.lock() = leaving.map(str::to_owned);
+    }
+
     /// When each request reached it, in Unix milliseconds, whether it ran or not.
     #[must_use]
     pub fn arrivals(&self) -> Vec<u64> {
-        self.core.arrivals.lock().clone()
+        let arrivals = self.core.arrivals.lock();
+        arrivals.iter().map(|arrival| arrival.at_ms).collect()
+    }
+
+    /// Most requests of one node that reached it from half a second after it had asked that node for rest until the end
+    /// of that rest; `node_of` tells by a request's id which node got it.
+    #[must_use]
+    pub fn most_in_rest(&self, node_of: impl Fn(&str) -> usize) -> usize {
+        let arrivals = self.core.arrivals.lock();
+        let of_rest = |asked: &Arrival| {
+            let rest_ms = asked.rest_ms.unwrap_or(0);
+            let within = asked.at_ms + REST_BEGINS_MS..asked.at_ms + rest_ms;
+            (arrivals.iter())
+                .filter(|arrival| within.contains(&arrival.at_ms))
+                .filter(|arrival| node_of(&arrival.request) == node_of(&asked.request))
+                .count()
+        };
+        arrivals.iter().map(of_rest).max().unwrap_or(0)
     }
 
     /// Most requests that reached it within a span that begins at `from_ms` or later.
@@ -293,7 +340,7 @@
             if *self.has_crashed.lock() {
                 return reset(socket);
             }
-            self.arrivals.lock().push(now_ms());
+            self.note_arrival(&request);
             if !self.answer(&mut socket, &request).await? {
                 return reset(socket);
             }
@@ -301,6 +348,23 @@
         Ok(())
     }
 
+    fn note_arrival(&self, request: &Received) {
+        let is_turned_away = *self.fault.lock() == Fault::Sheds;
+        let asked = self
+            .rest
+            .lock()
+            .as_deref()
+            .and_then(|rest| rest.parse().ok());
+        let asked = asked.and_then(|rest_s| Duration::try_from_secs_f64(rest_s).ok());
+        let asked = asked.and_then(|rest| u64::try_from(rest.as_millis()).ok());
+        let id = request.header("request-attempt-id").unwrap_or_default();
+        self.arrivals.lock().push(Arrival {
+            request: id.to_owned(),
+            at_ms: now_ms(),
+            rest_ms: asked.filter(|_rest_ms| is_turned_away),
+        });
+    }
+
     /// Answers a request; tells whether the channel stays open.
     async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<bool> {
         let id = request.header("request-attempt-id").unwrap_or_default();
@@ -316,8 +380,9 @@
         }
         if fault == Fault::Sheds {
             let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
-                self.limit_line()
+                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}{}content-length: 0\r\n\r\n",
+                self.said_lines(),
+                line("retry-after", self.rest.lock().as_deref()),
             );
             socket.write_all(head.as_bytes()).await?;
             return Ok(true);
@@ -415,14 +480,15 @@
         format!(
             "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{}{extra}\r\n",
             self.id,
-            self.limit_line()
+            self.said_lines()
         )
     }
 
-    fn limit_line(&self) -> String {
-        let limit = self.limit.lock();
-        let limit = limit.as_deref();
-        limit.map_or_else(String::new, |limit| format!("server-limit: {limit}\r\n"))
+    /// What all its answers say of it.
+    fn said_lines(&self) -> String {
+        let limit = line("server-limit", self.limit.lock().as_deref());
+        let leaving = line("server-leaving", self.leaving.lock().as_deref());
+        limit + &leaving
     }
 
     fn begin(&self, request: &Received, id: &str) -> usize {
@@ -458,6 +524,11 @@
     }
 }
 
+/// A line of a head; nothing without a value.
+fn line(name: &str, value: Option<&str>) -> String {
+    value.map_or_else(String::new, |value| format!("{name}: {value}\r\n"))
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
--- a/tests/platform/limited.rs
+++ b/tests/platform/limited.rs
@@ -1,17 +1,13 @@
 //! Upstreams that name how many requests a second they take.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use tokio::task::JoinSet;
 
 use teaselline_stand_ins::operators::deployment::{asked, document};
-use teaselline_stand_ins::operators::{Deployment, Ended, Fault, Upstream};
+use teaselline_stand_ins::operators::{Ended, Fault};
 
-use super::support::{deployment, eventually, send};
+use super::support::{Load, busiest, deployment, eventually, now_ms, send};
 
 /// Limits bind this long after they were first named, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
@@ -19,68 +15,6 @@
 /// Spans over which what reaches an upstream is judged, in milliseconds.
 const SPAN_MS: u64 = 4_000;
 
-/// Callers that ask one call after the other at each node, and their pause in between.
-const CALLERS_BY_NODE: usize = 3;
-const PAUSE: Duration = Duration::from_millis(60);
-
-fn now_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(now.expect("after 1970").as_millis()).expect("it fits")
-}
-
-/// Callers that go on until they are told to stop; then how many calls ended with which status.
-struct Load {
-    is_over: Arc<AtomicBool>,
-    callers: JoinSet<BTreeMap<Option<u16>, usize>>,
-}
-
-impl Load {
-    fn start(deployment: &Deployment) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let mut callers = JoinSet::new();
-        for caller in 0..deployment.nodes.len() * CALLERS_BY_NODE {
-            let node = deployment.nodes[caller % deployment.nodes.len()].callers();
-            let is_over = Arc::clone(&is_over);
-            let route = ["once", "again", "stream-on"][caller % CALLERS_BY_NODE];
-            callers.spawn(async move {
-                let mut ended = BTreeMap::new();
-                for number in 0.. {
-                    if is_over.load(Ordering::Relaxed) {
-                        break;
-                    }
-                    let call = asked(&format!("l{caller}-{number}"), route);
-                    *ended.entry(call.send(node).await.status()).or_default() += 1;
-                    tokio::time::sleep(PAUSE).await;
-                }
-                ended
-            });
-        }
-        Self { is_over, callers }
-    }
-
-    async fn end(self) -> BTreeMap<Option<u16>, usize> {
-        self.is_over.store(true, Ordering::Relaxed);
-        let mut sum = BTreeMap::new();
-        for ended in self.callers.join_all().await {
-            for (status, count) in ended {
-                *sum.entry(status).or_default() += count;
-            }
-        }
-        sum
-    }
-}
-
-/// The upstream of a service that gets most of the load; nodes may leave one alone that nobody has tried yet.
-async fn busiest<'a>(deployment: &'a Deployment, service: &str) -> &'a Upstream {
-    let of_service = || (deployment.upstreams.iter()).filter(|one| one.id().starts_with(service));
-    eventually("the service gets calls", async || {
-        of_service().any(|one| one.arrivals().len() > 10)
-    })
-    .await;
-    let most = of_service().max_by_key(|one| one.arrivals().len());
-    most.expect("there is one")
-}
-
 /// An upstream that named a limit gets more than that from all nodes together.
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_together_keep_the_limit_that_an_upstream_names() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limited;
 mod metered;
+mod rests;
 mod rollouts;
 mod store;
 mod support;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -1,10 +1,15 @@
 //! What the tests share.
 
+use std::collections::BTreeMap;
 use std::path::Path;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use teaselline_stand_ins::operators::deployment::DeploymentSettings;
-use teaselline_stand_ins::operators::{Asked, Deployment, Ended};
+use tokio::task::JoinSet;
+
+use teaselline_stand_ins::operators::deployment::{DeploymentSettings, asked};
+use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Upstream};
 
 /// How long something may take to come about on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -40,3 +45,75 @@
         tokio::time::sleep(LOOK).await;
     }
 }
+
+/// Callers that ask one call after the other at each node, and their pause in between.
+const CALLERS_BY_NODE: usize = 3;
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// The time of day in Unix milliseconds.
+pub fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(now.expect("after 1970").as_millis()).expect("it fits")
+}
+
+/// Callers that go on until they are told to stop; then how many calls ended with which status.
+pub struct Load {
+    is_over: Arc<AtomicBool>,
+    callers: JoinSet<BTreeMap<Option<u16>, usize>>,
+}
+
+impl Load {
+    /// Begins to ask all nodes.
+    pub fn start(deployment: &Deployment) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for caller in 0..deployment.nodes.len() * CALLERS_BY_NODE {
+            let node = deployment.nodes[caller % deployment.nodes.len()].callers();
+            let is_over = Arc::clone(&is_over);
+            let route = ["once", "again", "stream-on"][caller % CALLERS_BY_NODE];
+            callers.spawn(async move {
+                let mut ended = BTreeMap::new();
+                for number in 0.. {
+                    if is_over.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let call = asked(&format!("l{caller}-{number}"), route);
+                    *ended.entry(call.send(node).await.status()).or_default() += 1;
+                    tokio::time::sleep(PAUSE).await;
+                }
+                ended
+            });
+        }
+        Self { is_over, callers }
+    }
+
+    /// The node that got a call, of so many.
+    pub fn node_of(id: &str, nodes: usize) -> usize {
+        let caller = id.strip_prefix('l').and_then(|rest| rest.split('-').next());
+        let caller: Option<usize> = caller.and_then(|caller| caller.parse().ok());
+        caller.expect("a call of a load") % nodes
+    }
+
+    /// Ends it; gives how many calls ended with which status.
+    pub async fn end(self) -> BTreeMap<Option<u16>, usize> {
+        self.is_over.store(true, Ordering::Relaxed);
+        let mut sum = BTreeMap::new();
+        for ended in self.callers.join_all().await {
+            for (status, count) in ended {
+                *sum.entry(status).or_default() += count;
+            }
+        }
+        sum
+    }
+}
+
+/// The upstream of a service that gets most of the load; nodes may leave one alone that nobody has tried yet.
+pub async fn busiest<'a>(deployment: &'a Deployment, service: &str) -> &'a Upstream {
+    let of_service = || (deployment.upstreams.iter()).filter(|one| one.id().starts_with(service));
+    eventually("the service gets calls", async || {
+        of_service().any(|one| one.arrivals().len() > 10)
+    })
+    .await;
+    let most = of_service().max_by_key(|one| one.arrivals().len());
+    most.expect("there is one")
+}
