--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,5 +11,6 @@
 mod metered;
 mod rests;
 mod rollouts;
+mod said_leaving;
 mod store;
 mod support;
