bug: An upstream that asked a node for rest gets nothing of it until the rest is over

Cause: no node read the rest, and nothing in the choice of an upstream or before a send could have bounded what it got; what was turned away only made the upstream a little less likely to be chosen.

What an upstream's answers say of what it takes is now believed of one start of it in one place (intake.rs), asked by the choice and again by one gate just before each send, whatever that is for: a choice made before the word came meets it too. The limit that an upstream names is spent at the same gate. After a rest a node sends one request first, and more as answers come. If all upstreams of a service rest, callers are told at once when the first wants requests again. A rest is no failure in what is learned of an upstream's health; sizing counts a resting engine for nothing if its rest outlasts the boot of another.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,6 +29,7 @@
 mod health;
 mod inbound;
 mod info;
+mod intake;
 mod labels;
 mod lease;
 mod need;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -126,24 +126,37 @@
     best.map(|(_score, choice)| choice)
 }
 
-/// Requests a second that the upstreams take which could get a request if they named no limit; none if there are
-/// none.
+/// Why upstreams of a pool get no request that they could serve.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum HeldBack {
+    /// All of them rest; the first gets requests again after this time.
+    Resting { left_ms: u64 },
+    /// They name limits, requests a second together, and take no more of this node now.
+    Limited { limited_per_s: f64 },
+}
+
+/// Why the pool's upstreams get no request of this node now, if their own answers are the reason.
 #[must_use]
-pub(crate) fn limited_per_s(table: &UpstreamTable, ask: &Ask<'_>, now: TimeMs) -> Option<f64> {
-    let limits = (table.iter())
-        .filter(|(key, upstream)| is_allowed(*key, upstream, ask, now))
-        .filter_map(|(_key, upstream)| upstream.throttle.limit_per_s());
-    limits.fold(None, |sum, limit_per_s| {
-        Some(sum.unwrap_or(0.0) + limit_per_s)
-    })
+pub(crate) fn held_back(table: &UpstreamTable, ask: &Ask<'_>, now: TimeMs) -> Option<HeldBack> {
+    let (resting, awake): (Vec<_>, Vec<_>) = (table.iter())
+        .filter(|(_key, upstream)| is_of_pool(upstream, ask, now))
+        .partition(|(_key, upstream)| upstream.intake.rest.left_ms(now).is_some());
+    if awake.is_empty() {
+        let left_ms = resting
+            .iter()
+            .filter_map(|(_key, upstream)| upstream.intake.rest.left_ms(now));
+        return left_ms.min().map(|left_ms| HeldBack::Resting { left_ms });
+    }
+    let limits = (awake.iter())
+        .filter(|(key, _upstream)| !ask.excluded.contains(key))
+        .filter_map(|(_key, upstream)| upstream.intake.throttle.limit_per_s());
+    let sum = limits.reduce(|sum, limit_per_s| sum + limit_per_s);
+    sum.map(|limited_per_s| HeldBack::Limited { limited_per_s })
 }
 
-/// Whether an upstream may get a request, but for its limit.
-fn is_allowed(key: UpstreamKey, upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> bool {
-    upstream.announced.pool == ask.pool
-        && upstream.takes_work(now)
-        && is_of_version(upstream, ask)
-        && !ask.excluded.contains(&key)
+/// Whether an upstream may get requests like this one, but for what its answers say.
+fn is_of_pool(upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> bool {
+    upstream.announced.pool == ask.pool && upstream.takes_work(now) && is_of_version(upstream, ask)
 }
 
 fn is_of_version(upstream: &Upstream, ask: &Ask<'_>) -> bool {
@@ -163,9 +176,8 @@
     now: TimeMs,
 ) -> Vec<(UpstreamKey, &'a Upstream)> {
     let mut candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
-        .filter(|(_key, upstream)| upstream.announced.pool == ask.pool)
-        .filter(|(_key, upstream)| upstream.takes_work(now) && is_of_version(upstream, ask))
-        .filter(|(_key, upstream)| upstream.throttle.takes(now))
+        .filter(|(_key, upstream)| is_of_pool(upstream, ask, now))
+        .filter(|(_key, upstream)| upstream.intake.closed(now).is_none())
         .collect();
     if let Versions::Few { most, .. } = ask.versions {
         // The same few on all nodes.
@@ -269,7 +281,7 @@
 
 fn penalty(upstream: &Upstream, ask: &Ask<'_>, now: TimeMs) -> f64 {
     let failures_ms = FAILURE_MS * upstream.health.failure_share(now);
-    let is_asked = ask.may_repeat && upstream.throttle.is_to_be_asked(now);
+    let is_asked = ask.may_repeat && upstream.intake.throttle.is_to_be_asked(now);
     let asked_ms = if is_asked { ASKED_MS } else { 0.0 };
     let is_near = upstream.announced.failure_domain == ask.failure_domain;
     let way_ms = if is_near { 0.0 } else { OTHER_DOMAIN_MS };
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -5,6 +5,7 @@
 use crate::gateway::upstreams::tests::announced;
 use crate::gateway::upstreams::{Change, Load, Phase, tag};
 
+mod held_back;
 mod wave;
 
 /// What is taken of engines before any has answered.
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -15,7 +15,8 @@
 use super::trial::{Trial, retry_after_ms};
 use crate::gateway::budget;
 use crate::gateway::call::Prompt;
-use crate::gateway::choose::{self, Ask, Choice};
+use crate::gateway::channels::Channel;
+use crate::gateway::choose::{self, Ask, Choice, HeldBack};
 use crate::gateway::clock;
 use crate::gateway::demand::Asked;
 use crate::gateway::health::Outcome;
@@ -110,14 +111,19 @@
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
         let choice = choose::choose(&upstreams, &prefixes, &ask, now);
-        choice.ok_or_else(|| choose::limited_per_s(&upstreams, &ask, now))
+        choice.ok_or_else(|| choose::held_back(&upstreams, &ask, now))
     };
     let choice = match choice {
         Ok(choice) => choice,
-        Err(Some(limited_per_s)) if trial.sends() == 0 => {
-            return Err(at_limit(node, plan, trial, limited_per_s, now));
+        Err(Some(HeldBack::Resting { left_ms })) if trial.runs() == 0 => {
+            note_unserved(node, plan, trial, now);
+            return Err(Refusal::UpstreamsResting { left_ms });
         }
-        Err(_limited_per_s) => return Err(trial.unanswered(plan, now)),
+        Err(Some(HeldBack::Limited { limited_per_s })) if trial.sends() == 0 => {
+            note_unserved(node, plan, trial, now);
+            return Err(Refusal::AtUpstreamLimit { limited_per_s });
+        }
+        Err(_held_back) => return Err(trial.unanswered(plan, now)),
     };
     let left_ms = now.until(plan.limit_at);
     let is_first = trial.sends() == 0;
@@ -149,20 +155,13 @@
     }
 }
 
-/// The refusal of a request whose pool's upstreams take no more now; it counts toward what is asked all the same.
-fn at_limit(
-    node: &Gateway,
-    plan: &Plan,
-    trial: &mut Trial,
-    limited_per_s: f64,
-    now: TimeMs,
-) -> Refusal {
+/// Counts a request that no upstream takes now toward what is asked.
+fn note_unserved(node: &Gateway, plan: &Plan, trial: &mut Trial, now: TimeMs) {
     if let Some(prompt) = &plan.head.prompt
         && trial.take_count()
     {
         note_demand(node, plan, prompt.own_tokens(), now);
     }
-    Refusal::AtUpstreamLimit { limited_per_s }
 }
 
 /// What decides which versions a request may go to; none while nothing is rolled out in its pool.
@@ -216,9 +215,9 @@
     };
     let now = clock::now();
     let Some(mut running) = Running::new(node, plan, choice, now) else {
-        return Err(Vain::NotRun("upstream_not_taking", String::new()));
+        return Err(Vain::NotRun("upstream_gone", String::new()));
     };
-    count_send(trial, resume_after, &running);
+    count_send(trial, resume_after, running.limit_per_s.is_some());
     story.sent(
         &id,
         Inputs {
@@ -247,6 +246,11 @@
             Vain::NotRun("unreachable", error.to_string())
         })?;
         running.sent_at = clock::now();
+        if let Err(closed) = running.enter(running.sent_at) {
+            let Channel { sender, .. } = channel;
+            (node.channels).keep(key, sender, None, running.sent_at);
+            return Err(Vain::NotRun(closed.word(), String::new()));
+        }
         let request = request(plan, &id, choice, resume_after, running.sent_at);
         let Some(request) = request else {
             return Err(Vain::NotRun("unsendable", String::new()));
@@ -262,6 +266,7 @@
             Ok(Ok(response)) => sent = Some((channel.sender, response)),
             Ok(Err(mut error)) if error.message().is_some() => {
                 drop(error.take_message());
+                running.leave(clock::now());
                 if !channel.is_reused {
                     return Err(Vain::NotRun(
                         "channel_closed",
@@ -291,19 +296,15 @@
     judge(node, plan, running, sender, response)
 }
 
-/// Counts a send by what it is for, apart for upstreams that have named a limit, asked for rest, or said that they leave.
-fn count_send(trial: &Trial, resume_after: Option<u64>, running: &Running) {
+/// Counts a send by what it is for, apart for upstreams that have named a limit.
+fn count_send(trial: &Trial, resume_after: Option<u64>, is_limited: bool) {
     let kind = match (trial.sends(), resume_after) {
         (0, _) => "first",
         (_, None) => "repeat",
         (_, Some(_)) => "resumption",
     };
-    let word = |holds| if holds { "yes" } else { "no" };
-    let limited = word(running.limit_per_s.is_some());
-    let resting = word(running.is_resting);
-    let leaving = word(running.is_leaving);
-    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited, "resting" => resting, "leaving" => leaving)
-        .increment(1);
+    let limited = if is_limited { "yes" } else { "no" };
+    metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
 }
 
 /// Checks that an answer is the request's own and says that it ran.
@@ -328,7 +329,12 @@
             Err(Vain::NotRun("other_upstream", status.to_string()))
         }
         _ if answer.is_not_run => {
-            running.note(Outcome::Refused, now);
+            let outcome = if asks_rest(status, &answer) {
+                Outcome::Resting
+            } else {
+                Outcome::Refused
+            };
+            running.note(outcome, now);
             keep(node, &running, sender, &answer);
             Err(Vain::NotRun("not_run", status.to_string()))
         }
@@ -341,15 +347,26 @@
             running.note(Outcome::Broken, now);
             Err(Vain::MayHaveRun("unproved_answer", status.to_string()))
         }
-        _ => Ok(Arrived {
-            response,
-            answer,
-            running,
-            sender,
-        }),
+        _ => {
+            if !asks_rest(status, &answer) {
+                running.note_taken();
+            }
+            Ok(Arrived {
+                response,
+                answer,
+                running,
+                sender,
+            })
+        }
     }
 }
 
+/// Whether an answer turns this node away and asks for rest.
+fn asks_rest(status: StatusCode, answer: &AnswerHead) -> bool {
+    let is_asked = matches!(answer.rest, StatedRest::ForMs(1..));
+    is_asked && status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// Takes in what an answer says of its upstream beyond the request.
 fn note_statements(
     plan: &Plan,
@@ -484,10 +501,10 @@
     /// The body was read to its end: the channel can carry another request.
     pub fn ended(self, node: &Gateway, status: StatusCode, plan: &Plan, now: TimeMs) {
         let took_ms = now.since(self.running.sent_at);
-        let outcome = if status.is_server_error() {
-            Outcome::Failed
-        } else {
-            Outcome::Good { took_ms }
+        let outcome = match status {
+            _ if asks_rest(status, &self.answer) => Outcome::Resting,
+            _ if status.is_server_error() => Outcome::Failed,
+            _ => Outcome::Good { took_ms },
         };
         // A stream's time to its first event has been noted when that came.
         if !plan.route().is_stream || status.is_server_error() {
--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -7,6 +7,7 @@
 use super::admit::Plan;
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
+use crate::gateway::intake::Closed;
 use crate::gateway::peers::Message;
 use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
@@ -26,10 +27,6 @@
     restarted: CancellationToken,
     /// Requests a second that it takes from all nodes, if it names a limit.
     pub limit_per_s: Option<f64>,
-    /// Whether it wants nothing of this node now.
-    pub is_resting: bool,
-    /// Whether an answer of it has said that it leaves.
-    pub is_leaving: bool,
     pub sent_at: TimeMs,
     unread_tokens: u64,
     /// Prompt tokens that were to be read there before its first token, its own included.
@@ -45,14 +42,10 @@
 }
 
 impl Running {
-    /// Counts a request at the upstream of a choice and spends it; none if that upstream is not known any more, or
-    /// takes no more of this node now.
+    /// Counts a request at the upstream of a choice; none if that upstream is not known any more.
     pub fn new(node: &Arc<Gateway>, plan: &Plan, choice: &Choice, now: TimeMs) -> Option<Self> {
         let mut upstreams = node.upstreams.lock();
         let upstream = upstreams.get_mut(choice.upstream)?;
-        if !upstream.throttle.take(now) {
-            return None;
-        }
         upstream.own.running += 1;
         upstream.note_sent(now);
         upstream.own.unread_tokens += choice.unread_tokens;
@@ -61,9 +54,7 @@
             upstream: choice.upstream,
             upstream_tag: upstream.tag,
             restarted: upstream.restarted.clone(),
-            limit_per_s: upstream.throttle.limit_per_s(),
-            is_resting: upstream.rest.is_on(now),
-            is_leaving: upstream.said_leaving,
+            limit_per_s: upstream.intake.throttle.limit_per_s(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
             waiting_tokens: choice.waiting_tokens,
@@ -79,6 +70,26 @@
         })
     }
 
+    /// Lets the request through to the upstream; to be asked just before it is sent.
+    ///
+    /// # Errors
+    ///
+    /// If the upstream takes none of this node now.
+    pub fn enter(&self, now: TimeMs) -> Result<(), Closed> {
+        let mut upstreams = self.node.upstreams.lock();
+        match upstreams.get_mut(self.upstream) {
+            Some(upstream) => upstream.intake.enter(now),
+            None => Err(Closed::Gone),
+        }
+    }
+
+    /// Takes back that the request was let through: it has not been sent.
+    pub fn leave(&self, now: TimeMs) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.intake.leave(now);
+        }
+    }
+
     /// Waits for something of the upstream; none if it is known to have started again meanwhile, so
     /// that nothing more comes of the request.
     ///
@@ -124,9 +135,9 @@
         let Some(upstream) = upstreams.get_mut(self.upstream) else {
             return;
         };
-        let change = (upstream.throttle).note_answer(stated, self.sent_at, now);
+        let change = (upstream.intake.throttle).note_answer(stated, self.sent_at, now);
         let Some(change) = change else { return };
-        let told = upstream.throttle.told(upstream.tag, now);
+        let told = upstream.intake.throttle.told(upstream.tag, now);
         let id = upstream.announced.id.as_str();
         match change {
             Change::Named(limit_per_s) => {
@@ -142,11 +153,18 @@
         }
     }
 
+    /// Takes in that the upstream answered otherwise than by turning this node away.
+    pub fn note_taken(&self) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.intake.rest.note_answer(self.sent_at);
+        }
+    }
+
     /// Takes in that the upstream turned this node away and asked for rest.
     pub fn note_rest(&self, rest_ms: u64, now: TimeMs) {
         let mut upstreams = self.node.upstreams.lock();
         if let Some(upstream) = upstreams.get_mut(self.upstream)
-            && upstream.rest.note(rest_ms, now)
+            && upstream.intake.rest.note(rest_ms, now)
         {
             let id = upstream.announced.id.as_str();
             log::info!(event = "upstream_rest_asked", upstream = id, rest_ms; "an upstream asks this node for rest");
@@ -171,7 +189,7 @@
             Outcome::Good { took_ms } => Some(took_ms),
             Outcome::Failed | Outcome::Broken => None,
             // It has not run.
-            Outcome::Refused => return,
+            Outcome::Refused | Outcome::Resting => return,
         };
         let mut rollouts = self.node.rollouts.lock();
         if !rollouts.is_running(&self.pool) {
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -101,10 +101,15 @@
                 .set(num::real(count as u64));
         }
         let limited = of_pool()
-            .filter(|upstream| upstream.throttle.limit_per_s().is_some())
+            .filter(|upstream| upstream.intake.throttle.limit_per_s().is_some())
             .count();
         gauge!("teaselline_upstreams_limited", "pool" => pool.name.clone())
             .set(num::real(limited as u64));
+        let resting = of_pool()
+            .filter(|upstream| upstream.intake.rest.left_ms(now).is_some())
+            .count();
+        gauge!("teaselline_upstreams_resting", "pool" => pool.name.clone())
+            .set(num::real(resting as u64));
         let running: u32 = of_pool().map(|upstream| upstream.own.running).sum();
         gauge!("teaselline_requests_at_upstreams", "pool" => pool.name.clone())
             .set(f64::from(running));
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -34,6 +34,8 @@
     Broken,
     /// It did not take the request.
     Refused,
+    /// It did not take the request and asked for rest: a word about its load, and no failure.
+    Resting,
 }
 
 /// The record of one upstream.
@@ -49,6 +51,9 @@
 impl Health {
     /// Takes in an outcome.
     pub fn note(&mut self, outcome: Outcome, now: TimeMs) {
+        if outcome == Outcome::Resting {
+            return;
+        }
         let failure = match outcome {
             Outcome::Good { took_ms } => {
                 self.failures_in_row = 0;
@@ -67,6 +72,7 @@
                 1.0
             }
             Outcome::Refused => 0.5,
+            Outcome::Resting => 0.0,
         };
         let before = self.failure_share(now);
         self.failure_share = before + NEWEST_WEIGHT * (failure - before);
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -233,7 +233,7 @@
         let limits_per_s = (upstreams.iter())
             .filter(|(_key, upstream)| upstream.announced.pool == pool.name)
             .filter(|(_key, upstream)| upstream.takes_work(now))
-            .filter_map(|(_key, upstream)| upstream.throttle.limit_per_s());
+            .filter_map(|(_key, upstream)| upstream.intake.least_per_s(scaling.boot_ms, now));
         need::beside_limited(least, load.rates.requests_per_s, limits_per_s, most)
     };
     log::debug!(event = "need_worked_out", pool = pool.name.as_str(), least, load:? = load, pace:? = pace; "what is asked of a pool");
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -37,6 +37,8 @@
     NoUpstream { retry_after_ms: u64 },
     #[error("the pool's upstreams take {limited_per_s} requests a second, and no more now")]
     AtUpstreamLimit { limited_per_s: f64 },
+    #[error("the pool's upstreams rest, the first of them for {left_ms} ms more")]
+    UpstreamsResting { left_ms: u64 },
     #[error("it cannot be answered in time")]
     Saturated { retry_after_ms: u64 },
     #[error("it was not sent in time")]
@@ -74,6 +76,7 @@
             | Self::Stopping
             | Self::NoUpstream { .. }
             | Self::AtUpstreamLimit { .. }
+            | Self::UpstreamsResting { .. }
             | Self::Saturated { .. }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             // It has run, and running it again would do harm.
@@ -95,6 +98,7 @@
                 let wait_ms = num::whole(1_000.0 / limited_per_s.max(f64::MIN_POSITIVE));
                 Some(wait_ms.clamp(SHORTEST_WAIT_MS, LONGEST_WAIT_MS))
             }
+            Self::UpstreamsResting { left_ms } => Some(SHORTEST_WAIT_MS.max(*left_ms)),
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(MOMENT_MS)
             }
@@ -127,6 +131,7 @@
             Self::Stopping => "stopping",
             Self::NoUpstream { .. } => "no_upstream",
             Self::AtUpstreamLimit { .. } => "at_upstream_limit",
+            Self::UpstreamsResting { .. } => "upstreams_resting",
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
--- a/src/gateway/throttle.rs
+++ b/src/gateway/throttle.rs
@@ -246,6 +246,14 @@
         is_taken
     }
 
+    /// Takes back that a request was spent.
+    pub fn give_back(&mut self, now: TimeMs) {
+        if self.rate_per_s > 0.0 {
+            self.in_hand = self.in_hand(now) + 1.0;
+            self.filled_at = now;
+        }
+    }
+
     /// Whether this node should find out if the upstream still names a limit.
     pub fn is_to_be_asked(&self, now: TimeMs) -> bool {
         self.is_first
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -8,8 +8,8 @@
 use twox_hash::XxHash3_64;
 
 use super::health::Health;
-use super::rest::Rest;
-use super::throttle::{Change as LimitChange, Sharers, Throttle, Told};
+use super::intake::Intake;
+use super::throttle::{Change as LimitChange, Sharers, Told};
 use crate::time::TimeMs;
 
 /// An upstream's place in the table; never stands for another upstream.
@@ -147,9 +147,8 @@
     /// Since when this node has waited for any sign of it; none if nothing is waited for.
     pub waited_since: Option<TimeMs>,
     pub health: Health,
-    pub throttle: Throttle,
-    /// The rest that it has asked of this node.
-    pub rest: Rest,
+    /// What it takes of this node, as its answers say.
+    pub intake: Intake,
     /// An answer of it has said that it leaves.
     pub said_leaving: bool,
 }
@@ -354,8 +353,7 @@
             peers: Load::default(),
             waited_since: None,
             health: Health::default(),
-            throttle: Throttle::default(),
-            rest: Rest::default(),
+            intake: Intake::default(),
             said_leaving: false,
         });
         let place = self.by_id.partition_point(|(other, _key)| *other < id);
@@ -439,7 +437,7 @@
     /// What upstreams have told this node of their limits, for its peers.
     pub fn told_limits(&self, now: TimeMs) -> Vec<Told> {
         (self.iter())
-            .filter_map(|(_key, upstream)| upstream.throttle.told(upstream.tag, now))
+            .filter_map(|(_key, upstream)| upstream.intake.throttle.told(upstream.tag, now))
             .collect()
     }
 
@@ -452,21 +450,21 @@
         let found = (self.by_tag).binary_search_by_key(&told.upstream, |(tag, _key)| *tag);
         let key = self.by_tag[found.ok()?].1;
         let upstream = self.get_mut(key)?;
-        let change = upstream.throttle.note_told(told, now)?;
+        let change = upstream.intake.throttle.note_told(told, now)?;
         Some((upstream, change))
     }
 
     /// Whether an upstream names a limit.
     pub fn names_limits(&self) -> bool {
         self.iter()
-            .any(|(_key, upstream)| upstream.throttle.limit_per_s().is_some())
+            .any(|(_key, upstream)| upstream.intake.throttle.limit_per_s().is_some())
     }
 
     /// Works out this node's parts of the limits that upstreams name.
     pub fn divide_limits(&mut self, sharers: &Sharers, now: TimeMs) {
         let standing = self.arena.iter_mut();
         for upstream in standing.filter_map(|slot| slot.upstream.as_mut()) {
-            upstream.throttle.divide(upstream.tag, sharers, now);
+            upstream.intake.throttle.divide(upstream.tag, sharers, now);
         }
     }
 
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::intake::Closed;
 
 pub(in crate::gateway) fn announced(id: &str, pool: &str, domain: &str) -> Announced {
     Announced {
@@ -307,3 +308,24 @@
         assert!(table.get(key).expect("there").takes_work(TimeMs(3)));
     }
 }
+
+/// A start of an upstream is left alone since the one before it had asked for rest.
+#[test]
+fn another_start_of_an_upstream_does_not_rest() {
+    let mut table = UpstreamTable::default();
+    let mut first = announced("a", "pool", "d");
+    first.born_ms = Some(1);
+    let key = table.apply(Change::Present(first.clone()), false, TimeMs(1));
+    let upstream = table.get_mut(key.expect("known")).expect("there");
+    upstream.intake.rest.note(3_000, TimeMs(1));
+    first.sequence = 1;
+    let key = table.apply(Change::Present(first.clone()), false, TimeMs(2));
+    let closed = |table: &UpstreamTable, key: Option<UpstreamKey>| {
+        let upstream = table.get(key.expect("known")).expect("there");
+        upstream.intake.closed(TimeMs(3))
+    };
+    assert_eq!(closed(&table, key), Some(Closed::Resting));
+    first.born_ms = Some(2);
+    let key = table.apply(Change::Present(first), false, TimeMs(3));
+    assert_eq!(closed(&table, key), None);
+}
