bug: A plain upstream that answered slowly once, or that nobody has tried, gets its part

Played again with what nodes had logged: the upstream's limit had ended, and it was expected to answer in 22 ms, learned from its first answers on a busy machine, while the other one had come down to 12 ms; it got 1 and 7 requests in 20 s, the other 2,478. What was learned of answer times never faded, and an untried upstream was taken to need 30 ms however quick the others are: a new start of one got nothing either.

What sets an upstream's answer time apart from that of the fastest now fades with the time since its last answer; an untried one is expected to be as quick as the fastest. The new decision test fails on the code before.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -31,7 +31,7 @@
 /// Milliseconds that a share of failures of 1 counts for.
 const FAILURE_MS: f64 = 3_000.0;
 
-/// A plain call takes about this long until the first answer has shown it.
+/// A plain call takes about this long until the first answer of any upstream has shown it.
 const PLAIN_CALL_MS: f64 = 30.0;
 
 /// Requests that a plain service takes at once, if it does not say.
@@ -100,6 +100,8 @@
     let preferred = ask.prompt.map(|prompt| preferred(&candidates, prompt));
     let preferred = preferred.unwrap_or_default();
     let sources = sources::of(table, prefixes, ask, now);
+    let took_ms = (candidates.iter()).filter_map(|(_key, upstream)| upstream.health.took_ms());
+    let least_ms = took_ms.reduce(f64::min).unwrap_or(PLAIN_CALL_MS);
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
         if any_sound && !is_sound(upstream) {
@@ -114,7 +116,7 @@
                 };
                 expect_engine(key, upstream, prompt, believed, &ask.pace)
             }
-            None => expect_plain(key, upstream),
+            None => expect_plain(key, upstream, upstream.health.expected_ms(least_ms, now)),
         };
         let penalty_ms = penalty(upstream, ask, now) + jitter(ask.draw, upstream.tag);
         let copied = num::real(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
@@ -257,12 +259,11 @@
     }
 }
 
-fn expect_plain(key: UpstreamKey, upstream: &Upstream) -> Choice {
+fn expect_plain(key: UpstreamKey, upstream: &Upstream, took_ms: f64) -> Choice {
     let slots = match upstream.announced.slots {
         0 => PLAIN_SLOTS,
         slots => slots,
     };
-    let took_ms = upstream.health.took_ms().unwrap_or(PLAIN_CALL_MS);
     let running = upstream.running();
     // Answers slow down while an upstream is busy; a request beyond the last slot waits for one.
     let crowding = 1.0 + f64::from(running) / f64::from(slots);
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -292,3 +292,31 @@
     assert_ne!(spilled.upstream, first);
     assert_eq!(spilled.source.map(|source| source.upstream), Some(first));
 }
+
+/// An upstream of a plain service that was slow at its first answers gets nothing for as long as the others are quick.
+#[test]
+fn a_plain_upstream_that_was_slow_once_is_tried_again() {
+    let mut table = table(3);
+    for (id, took_ms) in [("p0", 12), ("p1", 24)] {
+        let key = table.find(id).expect("known");
+        let upstream = table.get_mut(key).expect("there");
+        (upstream.health).note(Outcome::Good { took_ms }, NOW);
+    }
+    let prefixes = Prefixes::default();
+    let chosen = |now| {
+        let ids = (0..64).filter_map(|draw| {
+            let ask = Ask {
+                draw: draw << 32,
+                ..ask("plain", None, &[])
+            };
+            let choice = choose(&table, &prefixes, &ask, now)?;
+            Some(table.get(choice.upstream)?.announced.id.clone())
+        });
+        let mut ids: Vec<String> = ids.collect();
+        ids.sort_unstable();
+        ids.dedup();
+        ids
+    };
+    assert_eq!(chosen(NOW), ["p0", "p2"], "nobody has tried the third yet");
+    assert_eq!(chosen(NOW.after(20_000)), ["p0", "p1", "p2"]);
+}
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -23,6 +23,13 @@
 /// requests is tried again.
 const HALF_LIFE_MS: f64 = 3_000.0;
 
+/// Time without an answer after which half of what sets an upstream's answer time apart from that of the fastest is
+/// forgotten.
+///
+/// An upstream that was slow when it was asked last would otherwise get nothing more while others are quick, and nobody
+/// would see that it has become as quick as they are.
+const TIME_HALF_LIFE_MS: f64 = 5_000.0;
+
 /// How a request fared at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -46,6 +53,7 @@
     failure_share: f64,
     noted_at: TimeMs,
     took_ms: Option<f64>,
+    answered_at: TimeMs,
 }
 
 impl Health {
@@ -61,6 +69,7 @@
                 let took_ms = super::num::real(took_ms);
                 let before = self.took_ms.unwrap_or(took_ms);
                 self.took_ms = Some(before + NEWEST_WEIGHT * (took_ms - before));
+                self.answered_at = now;
                 0.0
             }
             Outcome::Failed => 1.0,
@@ -102,6 +111,13 @@
         self.failure_share * 0.5_f64.powf(age_ms / HALF_LIFE_MS)
     }
 
+    /// How long an answer is expected to take, where the fastest upstream of the pool takes `least_ms`.
+    pub fn expected_ms(&self, least_ms: f64, now: TimeMs) -> f64 {
+        let age_ms = super::num::real(now.since(self.answered_at));
+        let beyond_ms = self.took_ms.unwrap_or(least_ms) - least_ms;
+        least_ms + beyond_ms * 0.5_f64.powf(age_ms / TIME_HALF_LIFE_MS)
+    }
+
     /// How long answers take, if any has come.
     pub fn took_ms(&self) -> Option<f64> {
         self.took_ms
