bug: An upstream that says in its answers that it leaves gets nothing new

Cause and class are those of the rest: what an upstream says in its answers was not read, and nothing before a send asked for it.

Whoever gets such an answer, plain, head of a stream, refusal or failure, believes it of that start of the upstream from then on, whatever its announcement says, and tells the peers at once and in its pulses for as long as the announcement says nothing of it; so that nodes that start or lost a datagram know it too. The gate before each send asks for it, and for announcements that came after the choice: a request that waited for its channel no longer goes to an upstream that has announced its leaving meanwhile.

--- a/src/gateway/exchange/running.rs
+++ b/src/gateway/exchange/running.rs
@@ -13,7 +13,7 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes::Strike;
 use crate::gateway::throttle::{Change, StatedLimit};
-use crate::gateway::upstreams::{Upstream, UpstreamKey, tag};
+use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, tag};
 use crate::time::TimeMs;
 
 /// A request that an upstream has, counted until it ends.
@@ -78,7 +78,7 @@
     pub fn enter(&self, now: TimeMs) -> Result<(), Closed> {
         let mut upstreams = self.node.upstreams.lock();
         match upstreams.get_mut(self.upstream) {
-            Some(upstream) => upstream.intake.enter(now),
+            Some(upstream) => upstream.enter(now),
             None => Err(Closed::Gone),
         }
     }
@@ -171,15 +171,21 @@
         }
     }
 
-    /// Takes in that the upstream says in an answer that it leaves.
+    /// Takes in that the upstream says in an answer that it leaves, and tells the peers.
     pub fn note_leaving(&self) {
         let mut upstreams = self.node.upstreams.lock();
-        if let Some(upstream) = upstreams.get_mut(self.upstream)
-            && !std::mem::replace(&mut upstream.said_leaving, true)
-        {
-            let id = upstream.announced.id.as_str();
-            let phase = upstream.announced.phase;
-            log::info!(event = "upstream_leaving_said", upstream = id, announced:? = phase; "an upstream says in an answer that it leaves");
+        let Some(upstream) = upstreams.get_mut(self.upstream) else {
+            return;
+        };
+        if !upstream.intake.note_leaving() {
+            return;
+        }
+        let id = upstream.announced.id.as_str();
+        let announced = upstream.announced.phase;
+        log::info!(event = "upstream_leaving_said", upstream = id, announced:? = announced; "an upstream says in an answer that it leaves");
+        drop(upstreams);
+        if announced == Phase::Ready {
+            self.node.tell_peers(Message::Leaving(self.upstream_tag));
         }
     }
 
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -36,6 +36,7 @@
         match upstream.announced.phase {
             _ if upstream.is_removed => Self::Removed,
             Phase::Leaving => Self::Leaving,
+            Phase::Ready if upstream.intake.is_leaving() => Self::Leaving,
             Phase::Ready if upstream.health.is_paused(now) => Self::Paused,
             Phase::Ready if upstream.is_silent(now) => Self::Silent,
             Phase::Ready => Self::Ready,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -130,6 +130,13 @@
     }
 }
 
+fn take_leaving(node: &Gateway, upstream: u64) {
+    if let Some(upstream) = node.upstreams.lock().note_told_leaving(upstream) {
+        let id = upstream.announced.id.as_str();
+        log::debug!(event = "upstream_leaving_heard", upstream = id; "an upstream told a peer that it leaves");
+    }
+}
+
 fn expire(node: &Gateway, now: TimeMs) {
     node.peers.lock().forget(now);
     let audience = node.peers.lock().audience(now);
@@ -173,6 +180,7 @@
     let upstreams = node.upstreams.lock();
     let loads = upstreams.own_loads();
     let limits = upstreams.told_limits(now);
+    let leaving = upstreams.leaving_unannounced();
     drop(upstreams);
     let strikes = node.strikes.lock().of_blocked(now);
     Pulse {
@@ -193,6 +201,7 @@
         decided,
         strikes,
         limits,
+        leaving,
     }
 }
 
@@ -274,6 +283,7 @@
         }
         Message::Confirmation(confirmation) => follow::take_confirmation(node, &confirmation, now),
         Message::Limit(told) => take_limit(node, &told, now),
+        Message::Leaving(upstream) => take_leaving(node, upstream),
         Message::Admitted { team, totals } => take_admitted(node, team, &totals, now),
         Message::Strike(strike) => {
             node.strikes.lock().note(strike, now);
@@ -351,6 +361,9 @@
     for told in &pulse.limits {
         take_limit(node, told, now);
     }
+    for upstream in &pulse.leaving {
+        take_leaving(node, *upstream);
+    }
     if let Some((end, token)) = pulse.lease {
         let holder = super::lease::Holder {
             node: pulse.member.name.clone(),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -13,11 +13,15 @@
     pub throttle: Throttle,
     /// The rest that it has asked of this node.
     pub rest: Rest,
+    /// Whether it has said that it leaves. It does not come back but with another start.
+    is_leaving: bool,
 }
 
 /// Why an upstream gets nothing of this node now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Closed {
+    /// It has said that it leaves, or its announcement is gone.
+    Leaving,
     /// It has asked this node for rest, or is being tried after one.
     Resting,
     /// This node's part of the limit that it names is used up.
@@ -30,6 +34,7 @@
     /// The reason as one word for logs and metrics.
     pub fn word(self) -> &'static str {
         match self {
+            Self::Leaving => "upstream_leaving",
             Self::Resting => "upstream_resting",
             Self::AtLimit => "upstream_not_taking",
             Self::Gone => "upstream_gone",
@@ -38,9 +43,20 @@
 }
 
 impl Intake {
+    /// Takes in that it says that it leaves; tells whether that is new.
+    pub fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Whether it has said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
     /// Why it takes no request now, if it takes none.
     pub fn closed(&self, now: TimeMs) -> Option<Closed> {
         match self {
+            _ if self.is_leaving => Some(Closed::Leaving),
             _ if self.rest.left_ms(now).is_some() => Some(Closed::Resting),
             _ if !self.throttle.takes(now) => Some(Closed::AtLimit),
             _ => None,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -78,6 +78,8 @@
         team: u64,
         totals: Vec<(u64, f64)>,
     },
+    /// An upstream, by its tag, has said in an answer that it leaves.
+    Leaving(u64),
 }
 
 /// What a node that asks for announcements of upstreams lacks.
@@ -145,6 +147,8 @@
     pub strikes: Vec<Remembered>,
     /// What upstreams have told it of their limits a moment ago.
     pub limits: Vec<Told>,
+    /// Upstreams that have said in answers, and not in their announcements, that they leave.
+    pub leaving: Vec<u64>,
 }
 
 /// What is known of one peer.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -31,6 +31,7 @@
         decided: Vec::new(),
         strikes: Vec::new(),
         limits: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -8,7 +8,7 @@
 use twox_hash::XxHash3_64;
 
 use super::health::Health;
-use super::intake::Intake;
+use super::intake::{Closed, Intake};
 use super::throttle::{Change as LimitChange, Sharers, Told};
 use crate::time::TimeMs;
 
@@ -149,8 +149,6 @@
     pub health: Health,
     /// What it takes of this node, as its answers say.
     pub intake: Intake,
-    /// An answer of it has said that it leaves.
-    pub said_leaving: bool,
 }
 
 impl Upstream {
@@ -158,11 +156,25 @@
     pub fn takes_work(&self, now: TimeMs) -> bool {
         match self.announced.phase {
             Phase::Leaving => false,
+            Phase::Ready if self.intake.is_leaving() => false,
             Phase::Ready if self.is_removed => now < self.doubtful_until,
             Phase::Ready => true,
         }
     }
 
+    /// Lets one request through to it, whatever it is sent for; to be asked just before the send.
+    ///
+    /// # Errors
+    ///
+    /// If it takes none of this node now.
+    pub fn enter(&mut self, now: TimeMs) -> Result<(), Closed> {
+        if self.takes_work(now) {
+            self.intake.enter(now)
+        } else {
+            Err(Closed::Leaving)
+        }
+    }
+
     /// Whether the platform takes it away.
     pub fn is_reclaimed(&self) -> bool {
         self.announced.is_reclaimable && self.announced.leaves_in_ms.is_some()
@@ -354,7 +366,6 @@
             waited_since: None,
             health: Health::default(),
             intake: Intake::default(),
-            said_leaving: false,
         });
         let place = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(place, (id, key));
@@ -441,15 +452,33 @@
             .collect()
     }
 
+    /// Upstreams that have said in answers that they leave, and whose announcements do not say so.
+    pub fn leaving_unannounced(&self) -> Vec<u64> {
+        (self.iter())
+            .filter(|(_key, upstream)| !upstream.is_removed && upstream.intake.is_leaving())
+            .filter(|(_key, upstream)| upstream.announced.phase == Phase::Ready)
+            .map(|(_key, upstream)| upstream.tag)
+            .collect()
+    }
+
+    /// Takes in that an upstream told a peer that it leaves; gives it if that is new.
+    pub fn note_told_leaving(&mut self, tag: u64) -> Option<&Upstream> {
+        let upstream = self.get_mut(self.find_tag(tag)?)?;
+        upstream.intake.note_leaving().then_some(&*upstream)
+    }
+
+    fn find_tag(&self, tag: u64) -> Option<UpstreamKey> {
+        let found = self.by_tag.binary_search_by_key(&tag, |(tag, _key)| *tag);
+        found.ok().map(|place| self.by_tag[place].1)
+    }
+
     /// Takes in what an upstream told a peer of its limit; tells what it changes, and of which upstream.
     pub fn note_told_limit(
         &mut self,
         told: &Told,
         now: TimeMs,
     ) -> Option<(&Upstream, LimitChange)> {
-        let found = (self.by_tag).binary_search_by_key(&told.upstream, |(tag, _key)| *tag);
-        let key = self.by_tag[found.ok()?].1;
-        let upstream = self.get_mut(key)?;
+        let upstream = self.get_mut(self.find_tag(told.upstream)?)?;
         let change = upstream.intake.throttle.note_told(told, now)?;
         Some((upstream, change))
     }
@@ -523,9 +552,9 @@
         }
         let mut rows = Vec::with_capacity(loads.len());
         for (tag, load) in loads {
-            let found = self.by_tag.binary_search_by_key(tag, |(tag, _key)| *tag);
-            let Ok(place) = found else { continue };
-            let key = self.by_tag[place].1;
+            let Some(key) = self.find_tag(*tag) else {
+                continue;
+            };
             if let Some(upstream) = self.get_mut(key) {
                 upstream.peers.running += load.running;
                 upstream.peers.unread_tokens += load.unread_tokens;
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -1,5 +1,4 @@
 use super::*;
-use crate::gateway::intake::Closed;
 
 pub(in crate::gateway) fn announced(id: &str, pool: &str, domain: &str) -> Announced {
     Announced {
@@ -329,3 +328,45 @@
     let key = table.apply(Change::Present(first), false, TimeMs(3));
     assert_eq!(closed(&table, key), None);
 }
+
+/// A choice was made before the upstream's announcement said that it leaves, and a request goes to it afterwards.
+#[test]
+fn what_was_chosen_before_an_upstream_announced_that_it_leaves_meets_that_at_the_gate() {
+    let mut table = table(&["a"]);
+    let mut leaving = announced("a", "pool", "d");
+    let key = table.find("a").expect("known");
+    assert_eq!(table.get_mut(key).expect("there").enter(TimeMs(2)), Ok(()));
+    leaving.phase = Phase::Leaving;
+    table.apply(Change::Present(leaving), false, TimeMs(2));
+    let entered = table.get_mut(key).expect("there").enter(TimeMs(2));
+    assert_eq!(entered, Err(Closed::Leaving));
+}
+
+/// A node that started later sends to an upstream that has told others in answers that it leaves.
+#[test]
+fn what_an_upstream_told_a_peer_of_its_leaving_holds_for_that_start_of_it() {
+    let mut table = UpstreamTable::default();
+    let mut first = announced("a", "pool", "d");
+    first.born_ms = Some(1);
+    let key = table.apply(Change::Present(first.clone()), false, TimeMs(1));
+    assert!(table.note_told_leaving(first.tag()).is_some());
+    assert!(
+        table.note_told_leaving(first.tag()).is_none(),
+        "it is not new"
+    );
+    assert!(
+        table.note_told_leaving(17).is_none(),
+        "nobody is known by that"
+    );
+    assert_eq!(table.leaving_unannounced(), [first.tag()]);
+    // Its announcement may go on as if nothing were.
+    first.sequence = 1;
+    table.apply(Change::Present(first.clone()), false, TimeMs(2));
+    let upstream = table.get(key.expect("known")).expect("there");
+    assert!(!upstream.takes_work(TimeMs(2)));
+    first.born_ms = Some(2);
+    let key = table.apply(Change::Present(first), false, TimeMs(3));
+    let upstream = table.get(key.expect("known")).expect("there");
+    assert!(upstream.takes_work(TimeMs(3)));
+    assert!(table.leaving_unannounced().is_empty());
+}
