feature: Logs and metrics tell the store's era, and from where a node wanted to read what the store does not have

The era is decoded in the adapter from each answer, refusals too; a line and a gauge tell it. Lines about lost history say from where a node wanted to read, and what a peer confirms is logged at level debug. Nothing decides by it yet.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -92,7 +92,7 @@
             Ok(())
         }
         Err(StoreError::Deleted { first }) => {
-            log::info!(event = "history_lost", topic = "upstreams", first; "records were deleted before they were read");
+            log::info!(event = "history_lost", topic = "upstreams", from, first; "records were deleted before they were read");
             read_all(node).await
         }
         Err(error) => Err(error),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -39,7 +39,7 @@
         };
         let read = match read {
             Err(StoreError::Deleted { first }) => {
-                log::info!(event = "history_lost", topic = "configuration", first; "records were deleted before they were read");
+                log::info!(event = "history_lost", topic = "configuration", from = read_to, first; "records were deleted before they were read");
                 newest_configuration(&node).await
             }
             read => read,
@@ -157,6 +157,7 @@
     for order in &confirmation.orders {
         take_order(node, order.clone());
     }
+    log::debug!(event = "configuration_confirmed", end = confirmation.end, age_ms = confirmation.age_ms, version = node.catalog().version; "a peer says how far it has read the configuration");
     node.in_force.write().confirmed_by_peer(confirmation, now);
 }
 
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -72,6 +72,7 @@
     gauge!("teaselline_configuration_version").set(num::real(version));
     gauge!("teaselline_configuration_age_ms").set(num::real(configuration_age_ms));
     gauge!("teaselline_upstreams_age_ms").set(num::real(upstreams_age_ms));
+    gauge!("teaselline_store_era").set(num::real(node.store.era()));
     gauge!("teaselline_ready").set(flag(node.is_ready(now)));
     gauge!("teaselline_store_answers").set(flag(node.store_reach(now) != StoreReach::Failing));
     gauge!("teaselline_lease_held").set(flag(token.is_some()));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::mpsc;
@@ -78,6 +78,8 @@
     pub stopping: CancellationToken,
     /// Whether the node was ready when it last looked, to log changes.
     pub was_ready: AtomicBool,
+    /// The store's era, as this node last knew it.
+    era: AtomicU64,
     outbox: mpsc::Sender<Outgoing>,
 }
 
@@ -145,6 +147,7 @@
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
+            era: AtomicU64::new(0),
             outbox,
             settings: RwLock::new(Arc::new(settings)),
         };
@@ -196,6 +199,12 @@
     /// Takes in whether a call to the store was answered.
     pub fn note_store(&self, answered: bool, now: TimeMs) {
         self.store_contact.lock().note(answered, now);
+        let era = self.store.era();
+        let before = self.era.swap(era, Ordering::Relaxed);
+        if before != era {
+            let read_to = self.in_force.read().end;
+            log::info!(event = "store_era_changed", before, era, read_to; "the store has come back from a copy, or is known for the first time");
+        }
     }
 
     /// Whether removals of upstreams may only be lapses while the store was away.
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -80,6 +80,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Answer {
     pub status: StatusCode,
+    pub headers: HeaderMap,
     pub body: Bytes,
 }
 
@@ -174,6 +175,7 @@
         })?;
         Ok(Answer {
             status: head.status,
+            headers: head.headers,
             body: body.to_bytes(),
         })
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,11 +3,12 @@
 
 use std::fmt::Display;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use http::{Method, StatusCode};
+use http::{HeaderName, Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::Deserialize;
 use thiserror::Error;
@@ -20,6 +21,9 @@
 /// Allowed for the way there and back of a read that waits.
 const WAIT_MARGIN_MS: u64 = 800;
 
+/// In all answers: how often the store has come back from a copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Bytes of the length before each record.
 const LENGTH_BYTES: usize = 4;
 
@@ -193,6 +197,8 @@
 #[derive(Debug)]
 pub(crate) struct Store {
     client: Client,
+    /// The newest era that an answer has named; zero if none did.
+    era: AtomicU64,
 }
 
 impl Store {
@@ -201,9 +207,17 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             client: Client::new(address),
+            era: AtomicU64::new(0),
         }
     }
 
+    /// How often the store has come back from a copy, by the newest answer that says so.
+    ///
+    /// What was written shortly before is gone then, and offsets are given out again.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     /// Reads records from an offset on, waiting up to `wait_ms` for the first.
     ///
     /// # Errors
@@ -362,8 +376,25 @@
         };
         metrics::counter!("teaselline_store_calls_total", "call" => name, "outcome" => outcome)
             .increment(1);
-        Ok(answered?)
+        let answer = answered?;
+        if let Some(era) = era(&answer) {
+            self.era.fetch_max(era, Ordering::Relaxed);
+        }
+        Ok(answer)
+    }
+}
+
+/// The era that an answer names.
+fn era(answer: &Answer) -> Option<u64> {
+    let named = answer.headers.get(ERA)?;
+    let era = named
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if era.is_none() {
+        log::warn!(event = "store_era_unreadable", era:? = named; "an answer of the store names an era that is no number");
     }
+    era
 }
 
 fn json<T: for<'a> Deserialize<'a>>(answer: &Answer, what: &'static str) -> Result<T, StoreError> {
