test: After the store came back from a copy changes are not in force, a key works again, duties end (fail), listed

Three tests with nodes as processes and a stand-in store that keeps copies, comes back from them under another era, and answers a read from an offset that it does not have with 410. What tests of duties share moved to support.rs.

--- a/stand_ins/src/operators/store.rs
+++ b/stand_ins/src/operators/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use std::{future, io};
 
@@ -43,6 +44,14 @@
 struct Shared {
     topics: Mutex<BTreeMap<String, Topic>>,
     changed: watch::Sender<u64>,
+    /// How often it has come back from a copy; named in each answer.
+    era: AtomicU64,
+}
+
+/// What the store held at one moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: BTreeMap<String, Topic>,
 }
 
 impl Default for Shared {
@@ -50,11 +59,12 @@
         Self {
             topics: Mutex::default(),
             changed: watch::Sender::new(0),
+            era: AtomicU64::new(1),
         }
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first: u64,
     records: Vec<Bytes>,
@@ -147,6 +157,21 @@
         Some(value.clone())
     }
 
+    /// What it holds now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.shared.topics.lock().clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        *self.shared.topics.lock() = copy.topics;
+        self.shared.era.fetch_add(1, Ordering::Relaxed);
+        self.shared.changed.send_modify(|changes| *changes += 1);
+    }
+
     /// Forgets the records of a topic, but for the newest of each key.
     pub fn forget_history(&self, topic: &str) {
         let mut topics = self.shared.topics.lock();
@@ -198,7 +223,7 @@
         let topics = self.topics.lock();
         let nothing = Topic::default();
         let topic = topics.get(name).unwrap_or(&nothing);
-        if from < topic.first {
+        if from < topic.first || from > topic.end() {
             let first = json!({ "first": topic.first });
             return Some(crate::server::json(StatusCode::GONE, &first));
         }
@@ -234,6 +259,15 @@
     type Body = Full<Bytes>;
 
     async fn handle(&self, call: Call) -> Answer {
+        let mut answer = self.answer(call).await?;
+        let era = self.shared.era.load(Ordering::Relaxed);
+        answer.headers_mut().insert("store-era", era.into());
+        Ok(answer)
+    }
+}
+
+impl Behind {
+    async fn answer(&self, call: Call) -> Answer {
         let door = *self.state.lock();
         match door {
             Door::Open | Door::LosingAnswers => {}
--- a/tests/platform/duties.rs
+++ b/tests/platform/duties.rs
@@ -3,39 +3,9 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use teaselline_stand_ins::operators::Deployment;
-use teaselline_stand_ins::operators::deployment::asked;
 use teaselline_stand_ins::operators::store::Door;
 
-use super::support::{deployment, eventually, send};
-
-async fn call_for(deployment: &Deployment, prefix: &str, span: Duration) {
-    let until = tokio::time::Instant::now() + span;
-    let mut place = 0;
-    while tokio::time::Instant::now() < until {
-        let node = place % deployment.nodes.len();
-        if deployment.nodes[node].ended().is_none() {
-            send(
-                deployment,
-                node,
-                &asked(&format!("{prefix}-{place}"), "once"),
-            )
-            .await;
-        }
-        place += 1;
-        tokio::time::sleep(Duration::from_millis(30)).await;
-    }
-}
-
-fn holder(deployment: &Deployment) -> Option<usize> {
-    let calls = deployment.cloud.calls();
-    let last = calls.iter().rev().find(|call| call.is_accepted)?;
-    let mut names = deployment
-        .nodes
-        .iter()
-        .map(|node| node.launch.name.as_str());
-    names.position(|name| name == last.holder)
-}
+use super::support::{call_for, check_tokens, deployment, eventually, holder};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn usage_is_reported_once_and_upstreams_are_ordered() {
@@ -186,18 +156,3 @@
     call_for(&deployment, "woken", Duration::from_secs(3)).await;
     check_tokens(&deployment);
 }
-
-/// Each token belongs to one node, and no call was refused for a lower one.
-fn check_tokens(deployment: &Deployment) {
-    let calls = deployment.cloud.calls();
-    let mut holders: Vec<(u64, &str)> = calls
-        .iter()
-        .map(|call| (call.token, call.holder.as_str()))
-        .collect();
-    holders.sort_unstable();
-    holders.dedup();
-    let mut tokens: Vec<u64> = holders.iter().map(|(token, _holder)| *token).collect();
-    tokens.dedup();
-    assert_eq!(tokens.len(), holders.len(), "{holders:?}");
-    assert!(calls.iter().all(|call| call.is_accepted), "{calls:?}");
-}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,4 +13,5 @@
 mod rollouts;
 mod said_leaving;
 mod store;
+mod store_copy;
 mod support;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -117,3 +117,48 @@
     let most = of_service().max_by_key(|one| one.arrivals().len());
     most.expect("there is one")
 }
+
+/// Asks all nodes in turn for a while.
+pub async fn call_for(deployment: &Deployment, prefix: &str, span: Duration) {
+    let until = tokio::time::Instant::now() + span;
+    let mut place = 0;
+    while tokio::time::Instant::now() < until {
+        let node = place % deployment.nodes.len();
+        if deployment.nodes[node].ended().is_none() {
+            send(
+                deployment,
+                node,
+                &asked(&format!("{prefix}-{place}"), "once"),
+            )
+            .await;
+        }
+        place += 1;
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+}
+
+/// The node whose call for a duty was accepted last.
+pub fn holder(deployment: &Deployment) -> Option<usize> {
+    let calls = deployment.cloud.calls();
+    let last = calls.iter().rev().find(|call| call.is_accepted)?;
+    let mut names = deployment
+        .nodes
+        .iter()
+        .map(|node| node.launch.name.as_str());
+    names.position(|name| name == last.holder)
+}
+
+/// Each token belongs to one node, and no call was refused for a lower one.
+pub fn check_tokens(deployment: &Deployment) {
+    let calls = deployment.cloud.calls();
+    let mut holders: Vec<(u64, &str)> = calls
+        .iter()
+        .map(|call| (call.token, call.holder.as_str()))
+        .collect();
+    holders.sort_unstable();
+    holders.dedup();
+    let mut tokens: Vec<u64> = holders.iter().map(|(token, _holder)| *token).collect();
+    tokens.dedup();
+    assert_eq!(tokens.len(), holders.len(), "{holders:?}");
+    assert!(calls.iter().all(|call| call.is_accepted), "{calls:?}");
+}
