bug: An upstream that has left does not come back from a copy of the store

A copy may hold records of upstreams that have left since; where all requests there had ended, nothing was remembered of them, and they would have got work again until their removal is written again. What is remembered of a start that left: its name and its last number, for a minute. One whose record only lapsed may come back with the same record. Both are decision tests; the first failed before.

--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -234,10 +234,24 @@
     by_id: Vec<(String, UpstreamKey)>,
     /// Sorted by tag.
     by_tag: Vec<(u64, UpstreamKey)>,
+    /// Starts of upstreams that have left and are forgotten, oldest first.
+    departed: Vec<Departed>,
     /// What each peer has running, sorted by the peer's incarnation.
     by_peer: Vec<(u64, Vec<(UpstreamKey, Load)>)>,
 }
 
+/// What is remembered of a start of an upstream that has left.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    tag: u64,
+    /// Of its last record.
+    sequence: u64,
+    at: TimeMs,
+}
+
+/// How long that is remembered; a store that comes back from a copy may have it there again, some seconds old.
+const DEPARTED_MS: u64 = 60_000;
+
 #[derive(Debug)]
 struct Slot {
     generation: u32,
@@ -267,6 +281,7 @@
             Change::Present(announced) if self.is_foreign(&announced) => {
                 self.remove(&announced.id, TimeMs(0))
             }
+            Change::Present(announced) if store_was_away && self.has_departed(&announced) => None,
             Change::Present(announced) => Some(self.present(announced)),
             Change::Removed { id } if store_was_away => self.remove(&id, now.after(LAPSE_GRACE_MS)),
             Change::Removed { id } | Change::Unreadable { id } => self.remove(&id, TimeMs(0)),
@@ -297,6 +312,13 @@
         Some(key)
     }
 
+    /// Whether a record is one that its upstream had written before it left.
+    fn has_departed(&self, announced: &Announced) -> bool {
+        let tag = announced.tag();
+        let is_earlier = |departed: &Departed| announced.sequence <= departed.sequence;
+        (self.departed.iter()).any(|departed| departed.tag == tag && is_earlier(departed))
+    }
+
     /// Whether a record does not say when its upstream started although most of its pool do.
     ///
     /// Other writers may leave such a record under any key. Upstreams of one pool are alike, so that
@@ -416,11 +438,20 @@
         if gone.is_empty() {
             return;
         }
+        (self.departed).retain(|departed| now.since(departed.at) < DEPARTED_MS);
         for key in &gone {
             let place = key.place as usize;
             if let Some(upstream) = self.arena[place].upstream.take() {
                 self.with_start -= usize::from(upstream.announced.born_ms.is_some());
                 self.free.push(place);
+                // One whose record only lapsed may come back with the same one.
+                if upstream.doubtful_until == TimeMs(0) {
+                    self.departed.push(Departed {
+                        tag: upstream.tag,
+                        sequence: upstream.announced.sequence,
+                        at: now,
+                    });
+                }
             }
         }
         // The keys come in the order of the arena.
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -370,3 +370,29 @@
     assert!(upstream.takes_work(TimeMs(3)));
     assert!(table.leaving_unannounced().is_empty());
 }
+
+/// Requests go to an upstream that has left: the store came back from a copy in which it is still there.
+#[test]
+fn an_upstream_that_has_left_does_not_come_back_from_a_copy() {
+    let mut table = table(&["a"]);
+    table.apply(removed("a"), false, TimeMs(2));
+    table.forget_gone(TimeMs(3));
+    let earlier = Change::Present(announced("a", "pool", "d"));
+    assert_eq!(table.apply(earlier.clone(), true, TimeMs(4)), None);
+    assert!(table.find("a").is_none());
+    let mut later = announced("a", "pool", "d");
+    later.sequence = 1;
+    let key = table.apply(Change::Present(later), true, TimeMs(5));
+    assert!(key.is_some(), "it has written since");
+}
+
+/// A live upstream that could not announce itself while the store was away is kept out by its own record.
+#[test]
+fn an_upstream_whose_record_lapsed_comes_back_with_the_same_one() {
+    let mut table = table(&["a"]);
+    table.apply(removed("a"), true, TimeMs(2));
+    table.forget_gone(TimeMs(2 + LAPSE_GRACE_MS));
+    assert!(table.find("a").is_none());
+    let same = Change::Present(announced("a", "pool", "d"));
+    assert!(table.apply(same, true, TimeMs(5_000)).is_some());
+}
