--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -38,6 +38,7 @@
 mod pace;
 mod patience;
 mod peers;
+pub(crate) mod place;
 mod prefixes;
 mod questions;
 mod quota;
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -6,6 +6,7 @@
 
 use super::contact::StoreReach;
 use super::peers::{Message, UpstreamNews};
+use super::place::Place;
 use super::questions::Questions;
 use super::recent::{MESSAGE_CHANGES, Step};
 use super::snapshot::Whole;
@@ -13,7 +14,7 @@
 use super::upkeep::{self, Standing};
 use super::upstreams::{Announced, Change};
 use super::{clock, confirm, handover, rank};
-use crate::platform::store::{Keyed, Records, StoreError, Topic};
+use crate::platform::store::{self, Keyed, Records, StoreError, Topic};
 use crate::platform::upstreams;
 use crate::time::TimeMs;
 
@@ -37,7 +38,7 @@
             upkeep::Step::AskPeer => handover::ask(&node, &mut questions, now),
             upkeep::Step::ReadStore => {
                 let read = read(&node).await;
-                node.note_store(read.is_ok(), clock::now());
+                node.note_store(store::is_served(&read), clock::now());
                 if let Err(error) = read {
                     log::debug!(error:err = error; "the upstreams were not read");
                 }
@@ -75,7 +76,7 @@
 async fn read(node: &Gateway) -> Result<(), StoreError> {
     let from = node.upstreams_view.lock().end;
     let asked_at = clock::now();
-    if from == 0 {
+    if from.is_start() {
         return read_all(node).await;
     }
     match node.store.read(Topic::Upstreams, from, 0).await {
@@ -92,7 +93,7 @@
             Ok(())
         }
         Err(StoreError::Deleted { first }) => {
-            log::info!(event = "history_lost", topic = "upstreams", from, first; "records were deleted before they were read");
+            log::info!(event = "history_lost", topic = "upstreams", from:% = from, first; "records were deleted before they were read");
             read_all(node).await
         }
         Err(error) => Err(error),
@@ -100,7 +101,7 @@
 }
 
 /// Takes in that records have been read up to an offset, of those up to the end.
-fn note_read(node: &Gateway, to: u64, end: u64, read_at: TimeMs) {
+fn note_read(node: &Gateway, to: Place, end: Place, read_at: TimeMs) {
     let mut view = node.upstreams_view.lock();
     view.reached(to, read_at);
     view.is_ahead &= to < end;
@@ -150,19 +151,19 @@
             let full = std::mem::replace(&mut step, next);
             node.recent.lock().note(full, now);
         }
-        let changes = (step.to..).zip(bodies);
-        let changes = changes.filter_map(|(offset, body)| change(offset, body.clone()));
+        let changes = step.to.following().zip(bodies);
+        let changes = changes.filter_map(|(place, body)| change(place, body.clone()));
         let changes: Vec<Change> = changes.collect();
         let told = is_ahead.then(|| changes.clone());
         let real = take_changes(node, changes, Origin::Store, was_away, now);
         step.changes.extend(told.unwrap_or(real));
-        step.to += bodies.len() as u64;
+        step.to = step.to.after(bodies.len());
     }
     node.recent.lock().note(step, now);
 }
 
-fn change(offset: u64, body: bytes::Bytes) -> Option<Change> {
-    match Keyed::read(offset, body) {
+fn change(place: Place, body: bytes::Bytes) -> Option<Change> {
+    match Keyed::read(place, body) {
         Ok(item) => Some(announced(&item)),
         Err(error) => {
             Topic::Upstreams.note_malformed("", &error);
@@ -188,7 +189,7 @@
 
 /// Tells the peers what has been read from an offset on: the neighbours, and one node of each other
 /// failure domain that tells its own.
-fn tell(node: &Gateway, since: u64, now: TimeMs) {
+fn tell(node: &Gateway, since: Place, now: TimeMs) {
     let steps = node.recent.lock().told(since, now);
     for news in news(node, steps, now) {
         let handed_on = UpstreamNews {
@@ -255,14 +256,23 @@
         };
         node.tell(Recipients::Neighbours, Message::Upstreams(told));
     }
-    let (end, has_pending) = {
+    let (end, has_pending, is_known) = {
         let mut view = node.upstreams_view.lock();
         view.known_end = view.known_end.max(news.to);
-        (view.end, !view.pending.is_empty())
+        (view.end, !view.pending.is_empty(), view.is_known())
     };
     match end {
-        // This node has read further itself, or has no table yet that news could change.
-        _ if end > news.to || end == 0 => {}
+        // This node has read further itself.
+        _ if end > news.to => {}
+        // The store has come back from a copy, and the table of before is still in use: who leaves must not wait for
+        // the new one to come.
+        _ if end.is_start() && is_known => {
+            let changes = news.changes.clone();
+            node.upstreams_view.lock().keep(news);
+            take_changes(node, changes, Origin::Peer, true, now);
+        }
+        // It has no table yet that news could change.
+        _ if end.is_start() => {}
         _ if end < news.from => {
             node.upstreams_view.lock().keep(news);
             // The first to notice a gap asks at once; what is lost again is asked for at a look.
--- a/src/gateway/announcements/tests.rs
+++ b/src/gateway/announcements/tests.rs
@@ -1,5 +1,6 @@
 use super::super::upkeep::SILENT_READER_MS;
 use super::*;
+use crate::gateway::place::tests::at;
 
 /// Symptom: requests reach an upstream three seconds after it has said that it leaves.
 /// Sequence: the node that reads for all tells its peers; the datagram waits for seconds at a slow
@@ -57,20 +58,20 @@
     let (now, from) = (TimeMs(50_000), SocketAddr::from(([127, 0, 0, 1], 9)));
     let whole = Whole {
         announced: vec![leaving("u1")],
-        end: 10,
+        end: at(10),
         read_at: now,
     };
     replace(&node, whole, now);
     let news = UpstreamNews {
-        from: 10,
-        to: 20,
+        from: at(10),
+        to: at(20),
         changes: vec![Change::Present(leaving("u1"))],
         read_at_day_ms: None,
         store_was_away: false,
         is_handed_on: false,
     };
     take_news(&node, news, from, now);
-    let told = node.recent.lock().since(10).expect("it is known");
+    let told = node.recent.lock().since(at(10)).expect("it is known");
     assert_eq!(told[0].changes, vec![Change::Present(leaving("u1"))]);
 }
 
@@ -83,21 +84,21 @@
         &node,
         Whole {
             announced: Vec::new(),
-            end: 10,
+            end: at(10),
             read_at: now,
         },
         now,
     );
     let removed = b"\x02u1".as_slice();
     let records = |from: u64| Records {
-        from,
-        end: from + 1,
+        from: at(from),
+        end: at(from + 1),
         bodies: vec![bytes::Bytes::from_static(removed)],
     };
     take_records(&node, &records(10), now);
-    note_read(&node, 11, 11, now);
+    note_read(&node, at(11), at(11), now);
     take_records(&node, &records(11), now);
-    let told = node.recent.lock().since(10).expect("it is known");
+    let told = node.recent.lock().since(at(10)).expect("it is known");
     let all: usize = told.iter().map(|step| step.changes.len()).sum();
     assert_eq!(
         all, 1,
--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -41,7 +41,7 @@
 /// A node that has just started has not heard its peers yet, and would take itself for the one that
 /// confirms. Nodes pulse at once when they learn of each other, and all do so within half a second
 /// where they start together.
-const START_MS: u64 = 1_000;
+pub(crate) const START_MS: u64 = 1_000;
 
 /// What decides whether a node reads the configuration from the store, or asks a peer.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +56,9 @@
     pub running_ms: u64,
     /// Whether a peer knows of a newer configuration that it could not hand over.
     pub is_behind: bool,
+    /// Whether a peer has a newer version, or the store came back from a copy that this node has not been shown
+    /// to be level with.
+    pub is_outdated: bool,
 }
 
 /// Whether to read the configuration from the store.
@@ -110,7 +113,7 @@
         0 => CONFIRM_WAIT_MS + ASK_INTERVAL_MS,
         _ => ASK_AGE_MS,
     };
-    (standing.age_ms).is_none_or(|age_ms| age_ms >= patient_ms)
+    standing.is_outdated || (standing.age_ms).is_none_or(|age_ms| age_ms >= patient_ms)
 }
 
 #[cfg(test)]
--- a/src/gateway/confirm/tests.rs
+++ b/src/gateway/confirm/tests.rs
@@ -7,6 +7,7 @@
 use super::super::contact::StoreContact;
 use super::super::peers::tests::{member, pulse};
 use super::super::peers::{Member, Peers};
+use super::super::place::tests::at;
 use super::super::questions::Questions;
 use super::super::rank;
 use super::*;
@@ -48,6 +49,7 @@
             failed_ms: self.contact.failed_ms(now),
             running_ms: now.since(self.started_at),
             is_behind: self.in_force.is_behind(),
+            is_outdated: self.in_force.is_outdated(),
         }
     }
 }
@@ -163,7 +165,7 @@
     }
 
     fn read(&mut self, place: usize) {
-        let (now, store_end) = (self.now, self.store_end);
+        let (now, store_end) = (self.now, at(self.store_end));
         let answers = self.store_answers && !self.nodes[place].is_turned_away;
         let node = &mut self.nodes[place];
         match node.pending {
@@ -206,7 +208,7 @@
             return;
         }
         let asked = node.questions.next(&node.peers, now);
-        let read_to = node.in_force.end;
+        let question = node.in_force.question(now);
         let Some(asked) = asked.map(|address| usize::from(address.port())) else {
             return;
         };
@@ -215,7 +217,7 @@
         if self.nodes[asked].awake_at > there {
             return;
         }
-        let answer = self.nodes[asked].in_force.confirmation(now, read_to, there);
+        let answer = self.nodes[asked].in_force.confirmation(&question, there);
         self.answers
             .extend(answer.map(|answer| (back, place, answer)));
     }
@@ -254,7 +256,7 @@
             self.run(STEP_MS);
             let is_over = self.now.since(acknowledged_at) >= REVOKE_MS;
             let late = (self.nodes.iter())
-                .filter(|node| node.awake_at <= self.now && node.in_force.end < end)
+                .filter(|node| node.awake_at <= self.now && node.in_force.end < at(end))
                 .find(|node| self.is_fresh(node));
             assert!(
                 late.is_none() || !is_over,
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -60,6 +60,11 @@
         (self.failing_since.is_some()).then(|| now.since(self.failed_at))
     }
 
+    /// Takes in that the store has come back from a copy, which may lack what upstreams announced last.
+    pub fn note_return(&mut self, now: TimeMs) {
+        self.back_at = now;
+    }
+
     /// Takes in whether a call was answered.
     pub fn note(&mut self, answered: bool, now: TimeMs) {
         match (answered, self.failing_since) {
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -7,12 +7,13 @@
 use super::contact::StoreReach;
 use super::lease::Entry;
 use super::ordering::{self, Ended};
+use super::place::Place;
 use super::rolling;
 use super::state::Gateway;
 use super::upstreams::tag;
 use super::usage::Report;
 use crate::platform::cloud::{Cloud, Holder, Verdict};
-use crate::platform::store::{StoreError, Topic};
+use crate::platform::store::{self, StoreError, Topic};
 use crate::time::TimeMs;
 
 /// Between two looks at the lease and the duties.
@@ -64,6 +65,7 @@
         memory.orders.note_needs(&node, clock::now());
         keep_lease(&node, &mut memory).await;
         if node.lease.lock().token(clock::now()).is_some() {
+            write_lost(&node, &mut memory).await;
             report_usage(&node, &cloud, &mut memory).await;
             roll_out(&node, &mut memory).await;
             let ordered = ordering::order_upstreams(&node, &cloud, &mut memory.orders).await;
@@ -113,7 +115,7 @@
     if append(node, Entry::Hold { holder }, memory).await && !was_own {
         let now = clock::now();
         let token = node.lease.lock().token(now);
-        log::info!(event = "lease_taken", fencing_token:? = token; "this node has the duties");
+        log::info!(event = "lease_taken", fencing_token:? = token.map(Place::number); "this node has the duties");
     }
 }
 
@@ -140,11 +142,10 @@
     let at = node.lease.lock().end();
     let sent_at = clock::now();
     let appended = node.store.append(Topic::Duties, &encoded, Some(at)).await;
-    let was_answered = matches!(appended, Ok(_) | Err(StoreError::NotAtEnd { .. }));
-    node.note_store(was_answered, clock::now());
+    node.note_store(store::is_served(&appended), clock::now());
     match appended {
-        Ok(offset) => {
-            (node.lease.lock()).appended(offset, entry, sent_at, clock::now());
+        Ok(place) => {
+            (node.lease.lock()).appended(place, entry, sent_at, clock::now());
             true
         }
         // Another node's record is there, or this one's after an answer was lost.
@@ -163,15 +164,17 @@
 async fn read_log(node: &Gateway, memory: &mut Memory) {
     let mut from = node.lease.lock().read_end();
     loop {
-        match node.store.read(Topic::Duties, from, 0).await {
+        let read = node.store.read(Topic::Duties, from, 0).await;
+        let now = clock::now();
+        node.note_era(node.store.era(), 0, now);
+        match read {
             Ok(records) => {
-                let now = clock::now();
                 let mut lease = node.lease.lock();
-                for (offset, body) in (records.from..).zip(&records.bodies) {
+                for (place, body) in records.from.following().zip(&records.bodies) {
                     let config = bincode::config::standard();
                     match bincode::decode_from_slice::<Entry, _>(body, config) {
                         Ok((entry, length)) if length == body.len() => {
-                            lease.read(offset, entry, now);
+                            lease.read(place, entry, now);
                         }
                         Ok(_longer) => {
                             let reason = "more follows than a record holds";
@@ -188,8 +191,9 @@
             }
             Err(StoreError::Deleted { first }) => {
                 memory.unknown_before = node.time_of_day(clock::now());
-                node.lease.lock().skip_to(first);
-                from = first;
+                let mut lease = node.lease.lock();
+                lease.skip_to(first);
+                from = lease.read_end();
             }
             Err(error) => {
                 log::debug!(error:err = error; "the log of duties was not read");
@@ -218,13 +222,14 @@
     let now = clock::now();
     let time_of_day = node.time_of_day(now);
     let late_ms = node.settings().bounds.usage_late_ms;
+    let unseen_before = memory.unknown_before.max(unseen_before(node, now));
     let due: Vec<u64> = {
         let usage = node.usage.lock();
         let newest = usage.window_at(time_of_day);
         (newest.saturating_sub(WINDOWS_LOOKED_AT)..newest)
             .filter(|window| time_of_day >= usage.end_of(*window).after(SETTLE_AFTER_MS))
             .filter(|window| time_of_day < usage.end_of(*window).after(late_ms))
-            .filter(|window| usage.end_of(*window) > memory.unknown_before)
+            .filter(|window| usage.end_of(*window) > unseen_before)
             .filter(|window| !memory.reported.contains(window))
             .collect()
     };
@@ -236,11 +241,11 @@
         };
         let holder = Holder {
             node: &node.settings().name,
-            fencing_token,
+            fencing_token: fencing_token.number(),
         };
         match cloud.report(holder, &report).await {
             Ok(Verdict::Accepted) => {
-                log::info!(event = "usage_reported", window, teams = report.counts.len(), fencing_token; "usage was reported");
+                log::info!(event = "usage_reported", window, teams = report.counts.len(), fencing_token:% = fencing_token; "usage was reported");
                 memory.reported.push(window);
                 let surplus = memory.reported.len().saturating_sub(16);
                 memory.reported.drain(..surplus);
@@ -259,6 +264,29 @@
     }
 }
 
+/// Windows that ended before this time of day may have been reported by a holder of whose reports the store has lost
+/// the records.
+fn unseen_before(node: &Gateway, now: TimeMs) -> TimeMs {
+    let since = node.lease.lock().unseen_before();
+    let ago_ms = since.map(|since| now.since(since));
+    ago_ms.map_or(TimeMs(0), |ago_ms| {
+        TimeMs(node.time_of_day(now).0.saturating_sub(ago_ms))
+    })
+}
+
+/// Writes again what the store has lost of what was settled: it may have been told already.
+async fn write_lost(node: &Gateway, memory: &mut Memory) {
+    loop {
+        let Some(report) = node.lease.lock().lost().cloned() else {
+            return;
+        };
+        let holder = node.lease.lock().own().clone();
+        if !append(node, Entry::Settle { holder, report }, memory).await {
+            return;
+        }
+    }
+}
+
 /// What is reported for a window: as settled before, or settled now.
 ///
 /// Two reports of a window with different counts would charge teams twice. The counts are in the
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,15 +5,16 @@
 
 use bytes::Bytes;
 
-use super::catalog::Confirmation;
+use super::catalog::{Confirmation, Question};
 use super::clock;
 use super::confirm::{self, CONFIRM_WAIT_MS, Reading, Standing};
 use super::peers::Message;
+use super::place::Place;
 use super::questions::Questions;
 use super::rank;
 use super::rollout::Order;
 use super::state::{Gateway, Recipients};
-use crate::platform::store::{CONFIGURATION_KEY, Keyed, StoreError, Topic};
+use crate::platform::store::{self, CONFIGURATION_KEY, Keyed, StoreError, Topic};
 use crate::platform::{documents, rollouts};
 use crate::time::TimeMs;
 
@@ -33,18 +34,19 @@
             Reading::Waiting => CONFIRM_WAIT_MS,
         };
         let read_to = node.in_force.read().end;
-        let read = match read_to {
-            0 => newest_configuration(&node).await,
-            from => next_configuration(&node, from, wait_ms).await,
+        let read = if read_to.is_start() {
+            newest_configuration(&node).await
+        } else {
+            next_configuration(&node, read_to, wait_ms).await
         };
         let read = match read {
             Err(StoreError::Deleted { first }) => {
-                log::info!(event = "history_lost", topic = "configuration", from = read_to, first; "records were deleted before they were read");
+                log::info!(event = "history_lost", topic = "configuration", from:% = read_to, first; "records were deleted before they were read");
                 newest_configuration(&node).await
             }
             read => read,
         };
-        node.note_store(read.is_ok(), clock::now());
+        node.note_store(store::is_served(&read), clock::now());
         if let Err(error) = read {
             log::debug!(error:err = error; "the configuration was not read");
         }
@@ -64,10 +66,7 @@
         }
         let asked = questions.next(&node.peers.lock(), now);
         if let Some(address) = asked {
-            let question = Message::AskConfirmation {
-                asked_at: now,
-                read_to: node.in_force.read().end,
-            };
+            let question = Message::AskConfirmation(node.in_force.read().question(now));
             node.tell(Recipients::One(address), question);
         }
     }
@@ -84,24 +83,32 @@
         failed_ms: contact.failed_ms(now),
         running_ms: node.running_ms(now),
         is_behind: in_force.is_behind(),
+        is_outdated: in_force.is_outdated(),
     }
 }
 
 async fn newest_configuration(node: &Gateway) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.newest(Topic::Configuration).await?;
+    let is_return = {
+        let in_force = node.in_force.read();
+        in_force.is_known() && in_force.end.is_start()
+    };
     for item in newest.items {
         take_item(node, &item);
     }
     confirmed(node, newest.end, asked_at);
+    if is_return {
+        hand_over(node);
+    }
     Ok(())
 }
 
-async fn next_configuration(node: &Gateway, from: u64, wait_ms: u64) -> Result<(), StoreError> {
+async fn next_configuration(node: &Gateway, from: Place, wait_ms: u64) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let records = node.store.read(Topic::Configuration, from, wait_ms).await?;
-    for (offset, body) in (records.from..).zip(&records.bodies) {
-        match Keyed::read(offset, body.clone()) {
+    for (place, body) in records.from.following().zip(&records.bodies) {
+        match Keyed::read(place, body.clone()) {
             Ok(item) => take_item(node, &item),
             Err(error) => Topic::Configuration.note_malformed("", &error),
         }
@@ -125,23 +132,17 @@
     Ok(())
 }
 
-/// Takes in that the store's records have been read up to an offset.
-fn confirmed(node: &Gateway, end: u64, current_at: TimeMs) {
-    let mut in_force = node.in_force.write();
-    in_force.confirm(end, current_at);
-    if current_at > TimeMs(0) {
-        // What a peer claimed beyond the store's own end does not exist.
-        in_force.known_end = in_force.end;
-    }
+/// Takes in that the store's records have been read up to a place.
+fn confirmed(node: &Gateway, end: Place, current_at: TimeMs) {
+    node.in_force.write().confirmed_by_store(end, current_at);
 }
 
 /// Hands what has just been read to the peers of this failure domain, which do not wait for it at
 /// the store; one that misses it finds out when it asks.
 fn hand_over(node: &Gateway) {
-    let never_read = 0;
     let confirmation = {
         let in_force = node.in_force.read();
-        let confirmation = in_force.confirmation(TimeMs(0), never_read, clock::now());
+        let confirmation = in_force.confirmation(&Question::default(), clock::now());
         confirmation.map(|confirmation| confirmation.with_orders(node.rollouts.lock().orders()))
     };
     if let Some(confirmation) = confirmation {
@@ -157,7 +158,7 @@
     for order in &confirmation.orders {
         take_order(node, order.clone());
     }
-    log::debug!(event = "configuration_confirmed", end = confirmation.end, age_ms = confirmation.age_ms, version = node.catalog().version; "a peer says how far it has read the configuration");
+    log::debug!(event = "configuration_confirmed", end:% = confirmation.end, version = confirmation.version, age_ms = confirmation.age_ms; "a peer says how far it has read the configuration");
     node.in_force.write().confirmed_by_peer(confirmation, now);
 }
 
@@ -167,7 +168,7 @@
     };
     match rollouts::pool_of(&item.key) {
         _ if item.key == CONFIGURATION_KEY => take_document(node, text),
-        Some(pool) => match rollouts::parse(pool, item.offset, text) {
+        Some(pool) => match rollouts::parse(pool, item.place, text) {
             Ok(order) => take_order(node, order),
             Err(error) => Topic::Configuration.note_malformed(&item.key, &error),
         },
@@ -178,14 +179,14 @@
 fn take_order(node: &Gateway, order: Order) {
     let day_ms = node.time_of_day(clock::now()).0;
     let (pool, target) = (order.pool.clone(), order.target.clone());
-    let (duration_ms, offset) = (order.duration_ms, order.offset);
+    let (duration_ms, place) = (order.duration_ms, order.place);
     if node.rollouts.lock().order(order, day_ms) {
         log::info!(
             event = "rollout_ordered",
             pool = pool.as_str(),
             target = target.as_str(),
             duration_ms,
-            order = offset;
+            order:% = place;
             "a pool's traffic is to move to another version"
         );
     }
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -76,7 +76,7 @@
     gauge!("teaselline_ready").set(flag(node.is_ready(now)));
     gauge!("teaselline_store_answers").set(flag(node.store_reach(now) != StoreReach::Failing));
     gauge!("teaselline_lease_held").set(flag(token.is_some()));
-    gauge!("teaselline_fencing_token").set(token.map_or(0.0, num::real));
+    gauge!("teaselline_fencing_token").set(token.map_or(0.0, |token| num::real(token.number())));
     let in_flight = node.in_flight.load(std::sync::atomic::Ordering::Relaxed);
     gauge!("teaselline_requests_in_flight").set(num::real(in_flight as u64));
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,6 +16,7 @@
 use super::handover;
 use super::num;
 use super::peers::{FORGET_MS, Member, Message, Pulse};
+use super::place::Place;
 use super::rank;
 use super::rollout::Decided;
 use super::state::{Gateway, Outgoing, Recipients};
@@ -183,12 +184,16 @@
     let leaving = upstreams.leaving_unannounced();
     drop(upstreams);
     let strikes = node.strikes.lock().of_blocked(now);
+    let (era, era_age_ms) = node.era(now);
     Pulse {
         member,
         also,
         is_ready: node.is_ready(now),
         is_stopping: node.is_stopping(),
         store: node.store_reach(now),
+        era,
+        era_age_ms,
+        configuration_version: node.catalog().version,
         time_of_day_ms: clock::time_of_day().0,
         interval_ms: interval_ms(node),
         loads,
@@ -264,13 +269,16 @@
             return;
         }
     };
+    if let Some((era, age_ms)) = message.era() {
+        node.note_era(era, age_ms, now);
+    }
     match message {
         Message::Pulse(pulse) => take_pulse(node, &pulse, now),
         Message::Upstreams(news) => announcements::take_news(node, news, from, now),
         Message::AskUpstreams(asked) => handover::answer(node, &asked, from, now),
         Message::UpstreamsPage(page) => handover::take_page(node, page, from, now),
-        Message::AskConfirmation { asked_at, read_to } => {
-            let confirmation = node.in_force.read().confirmation(asked_at, read_to, now);
+        Message::AskConfirmation(question) => {
+            let confirmation = node.in_force.read().confirmation(&question, now);
             if let Some(confirmation) = confirmation {
                 let confirmation = confirmation.with_orders(node.rollouts.lock().orders());
                 let answer = Message::Confirmation(confirmation);
@@ -326,7 +334,7 @@
 
 fn take_decided(node: &Gateway, decided: &Decided) {
     if node.rollouts.lock().note_decided(decided) {
-        log::info!(event = "rollout_stage", order = decided.order, stage:? = decided.stage; "a roll-out has come to another stage");
+        log::info!(event = "rollout_stage", order:% = decided.order, stage:? = decided.stage; "a roll-out has come to another stage");
     }
 }
 
@@ -335,6 +343,7 @@
     {
         let mut peers = node.peers.lock();
         peers.note_pulse(pulse, now);
+        (node.in_force.write()).note_peer_version(pulse.configuration_version);
         if let Some(also) = &pulse.also {
             peers.introduce(also.clone(), now);
         }
@@ -368,6 +377,7 @@
         let holder = super::lease::Holder {
             node: pulse.member.name.clone(),
             incarnation,
+            era: end.era,
         };
         node.lease.lock().heard_end(end, &holder, token, now);
     }
@@ -378,12 +388,15 @@
 /// One look after this node's own record is there is enough: of two nodes that start at the same
 /// time the later one sees the earlier one's record, and is heard by it.
 pub(crate) async fn discover(node: Arc<Gateway>) {
-    let mut is_announced = false;
+    // The store may have lost this node's record when it came back from a copy.
+    let mut announced_in = None;
     let mut has_looked = false;
     loop {
-        if !is_announced {
-            is_announced = announce(&node).await;
+        let (era, _age_ms) = node.era(clock::now());
+        if announced_in != Some(era) {
+            announced_in = announce(&node).await.map(|place| place.era);
         }
+        let is_announced = announced_in.is_some();
         let is_alone = node.peers.lock().heard(clock::now()).next().is_none();
         if (is_announced && !has_looked) || is_alone {
             let has_read = look(&node).await;
@@ -398,20 +411,21 @@
     }
 }
 
-async fn announce(node: &Gateway) -> bool {
+async fn announce(node: &Gateway) -> Option<Place> {
     let member = node.peers.lock().own().clone();
     let encoded = match bincode::encode_to_vec(&member, bincode::config::standard()) {
         Ok(encoded) => encoded,
         Err(error) => {
             log::error!(error:err = error; "this node's record cannot be encoded");
-            return false;
+            return None;
         }
     };
     let put = node.store.put(Topic::Nodes, &member.name, &encoded).await;
     if let Err(error) = &put {
         log::debug!(error:% = error; "this node is not announced yet");
     }
-    put.is_ok()
+    node.note_era(node.store.era(), 0, clock::now());
+    put.ok()
 }
 
 async fn look(node: &Gateway) -> bool {
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -61,11 +61,11 @@
     let after = asked.after.as_deref();
     let end = node.upstreams_view.lock().end;
     // A peer that has read further is of no help to itself here; a node without a table to nobody.
-    if end == 0 || read_to > end {
+    if end.is_start() || read_to > end {
         return;
     }
     let steps = match read_to {
-        0 => None,
+        _ if read_to.is_start() || read_to.era < end.era => None,
         _ if after.is_some() => None,
         _ if read_to == end => Some(Vec::new()),
         _ => node.recent.lock().since(read_to),
@@ -121,8 +121,11 @@
     let read_at = (page.read_at_day_ms)
         .map(|day_ms| read_at(day_ms, node.time_of_day(now), now))
         .unwrap_or_default();
-    let is_first_table = node.upstreams_view.lock().end == 0;
-    if is_first_table {
+    let (is_first_table, is_known) = {
+        let view = node.upstreams_view.lock();
+        (view.end.is_start(), view.is_known())
+    };
+    if is_first_table && !is_known {
         take_first(node, &page.announced, now);
     }
     let taken = {
@@ -145,7 +148,7 @@
             log::info!(
                 event = "upstreams_handed_over",
                 upstreams = whole.announced.len(),
-                end = whole.end,
+                end:% = whole.end,
                 age_ms = now.since(whole.read_at),
                 peer:% = from;
                 "a peer handed over the announcements of upstreams"
--- a/src/gateway/lease/tests.rs
+++ b/src/gateway/lease/tests.rs
@@ -1,4 +1,7 @@
 use super::*;
+use crate::gateway::place::tests::at;
+
+mod eras;
 
 const LEASE_MS: u64 = 3_000;
 
@@ -6,6 +9,7 @@
     Holder {
         node: node.to_owned(),
         incarnation: tag_of(node),
+        era: 0,
     }
 }
 
@@ -24,19 +28,19 @@
 }
 
 /// Takes the lease of an empty log.
-fn held(node: &str, at: u64) -> Lease {
+fn held(node: &str, at_ms: u64) -> Lease {
     let mut lease = lease(node);
-    lease.read_to(0, TimeMs(at));
-    lease.appended(0, hold(node), TimeMs(at), TimeMs(at + 5));
+    lease.read_to(at(0), TimeMs(at_ms));
+    lease.appended(at(0), hold(node), TimeMs(at_ms), TimeMs(at_ms + 5));
     lease
 }
 
 #[test]
 fn the_token_is_the_offset_at_which_the_lease_was_taken() {
     let mut lease = held("a", 10_000);
-    assert_eq!(lease.token(TimeMs(10_100)), Some(0));
-    lease.appended(1, hold("a"), TimeMs(11_000), TimeMs(11_005));
-    assert_eq!(lease.token(TimeMs(11_100)), Some(0));
+    assert_eq!(lease.token(TimeMs(10_100)), Some(at(0)));
+    lease.appended(at(1), hold("a"), TimeMs(11_000), TimeMs(11_005));
+    assert_eq!(lease.token(TimeMs(11_100)), Some(at(0)));
 }
 
 /// Symptom: two nodes act on a duty at the same time.
@@ -45,7 +49,7 @@
 #[test]
 fn a_holder_that_slept_through_its_lease_does_not_act() {
     let lease = held("a", 10_000);
-    assert_eq!(lease.token(TimeMs(12_500)), Some(0));
+    assert_eq!(lease.token(TimeMs(12_500)), Some(at(0)));
     assert_eq!(lease.token(TimeMs(12_600)), None);
     assert_eq!(lease.token(TimeMs(60_000)), None);
 }
@@ -53,8 +57,8 @@
 #[test]
 fn another_node_takes_over_only_after_the_holder_has_stopped() {
     let mut other = lease("b");
-    other.read(0, hold("a"), TimeMs(10_005));
-    other.read_to(1, TimeMs(10_005));
+    other.read(at(0), hold("a"), TimeMs(10_005));
+    other.read_to(at(1), TimeMs(10_005));
     let holder = held("a", 10_000);
     for now in (10_005..20_000).map(TimeMs) {
         assert!(
@@ -68,13 +72,13 @@
 #[test]
 fn a_renewal_starts_the_wait_again() {
     let mut other = lease("b");
-    other.read(0, hold("a"), TimeMs(10_000));
-    other.read_to(1, TimeMs(10_000));
-    other.read(1, hold("a"), TimeMs(12_000));
-    other.read_to(2, TimeMs(12_000));
+    other.read(at(0), hold("a"), TimeMs(10_000));
+    other.read_to(at(1), TimeMs(10_000));
+    other.read(at(1), hold("a"), TimeMs(12_000));
+    other.read_to(at(2), TimeMs(12_000));
     assert!(!other.may_take(TimeMs(13_500)));
     assert!(other.may_take(TimeMs(15_100)));
-    assert_eq!(other.end(), 2);
+    assert_eq!(other.end(), at(2));
 }
 
 /// Symptom: nothing is reported or ordered for as long as the store turns the holder away.
@@ -83,14 +87,14 @@
 #[test]
 fn a_holder_that_does_not_renew_is_overdue_although_it_is_heard() {
     let mut other = lease("b");
-    other.read(0, hold("a"), TimeMs(10_000));
-    other.read_to(1, TimeMs(10_000));
+    other.read(at(0), hold("a"), TimeMs(10_000));
+    other.read_to(at(1), TimeMs(10_000));
     for now in (10_000..13_000).step_by(200) {
-        other.heard_end(1, &holder("a"), 0, TimeMs(now));
+        other.heard_end(at(1), &holder("a"), at(0), TimeMs(now));
         assert!(!other.is_overdue(TimeMs(now)));
     }
     assert!(other.is_overdue(TimeMs(13_100)));
-    other.heard_end(2, &holder("a"), 0, TimeMs(13_200));
+    other.heard_end(at(2), &holder("a"), at(0), TimeMs(13_200));
     assert!(
         !other.is_overdue(TimeMs(13_300)),
         "it has renewed it after all"
@@ -104,11 +108,11 @@
 fn a_lease_that_nobody_ever_held_can_be_taken_at_once() {
     let mut first = lease("a");
     assert!(!first.may_take(TimeMs(10_000)), "the log has not been read");
-    first.read_to(0, TimeMs(10_000));
+    first.read_to(at(0), TimeMs(10_000));
     assert!(first.may_take(TimeMs(10_000)));
     let mut second = lease("b");
-    second.read(0, hold("a"), TimeMs(10_000));
-    second.read_to(1, TimeMs(10_000));
+    second.read(at(0), hold("a"), TimeMs(10_000));
+    second.read_to(at(1), TimeMs(10_000));
     assert!(!second.may_take(TimeMs(10_010)));
 }
 
@@ -118,25 +122,25 @@
 #[test]
 fn a_released_lease_can_be_taken_at_once() {
     let mut other = lease("b");
-    other.read(0, hold("a"), TimeMs(10_000));
+    other.read(at(0), hold("a"), TimeMs(10_000));
     let release = Entry::Release {
         holder: holder("a"),
     };
-    other.read(1, release, TimeMs(10_500));
-    other.read_to(2, TimeMs(10_500));
+    other.read(at(1), release, TimeMs(10_500));
+    other.read_to(at(2), TimeMs(10_500));
     assert!(other.may_take(TimeMs(10_501)));
     assert_eq!(other.holder(), None);
-    other.appended(2, hold("b"), TimeMs(10_510), TimeMs(10_520));
-    assert_eq!(other.token(TimeMs(10_530)), Some(2));
+    other.appended(at(2), hold("b"), TimeMs(10_510), TimeMs(10_520));
+    assert_eq!(other.token(TimeMs(10_530)), Some(at(2)));
 }
 
 #[test]
 fn a_node_that_has_only_heard_of_records_reads_them_before_it_takes_over() {
     let mut other = lease("b");
-    other.read_to(0, TimeMs(9_000));
-    other.heard_end(5, &holder("a"), 0, TimeMs(10_000));
+    other.read_to(at(0), TimeMs(9_000));
+    other.heard_end(at(5), &holder("a"), at(0), TimeMs(10_000));
     assert!(!other.may_take(TimeMs(20_000)));
-    assert_eq!(other.read_end(), 0);
+    assert_eq!(other.read_end(), at(0));
     let report = Report {
         window: 4,
         counts: vec![("team".to_owned(), 3)],
@@ -145,8 +149,8 @@
         holder: holder("a"),
         report: report.clone(),
     };
-    other.read(4, settle, TimeMs(20_000));
-    other.read_to(5, TimeMs(20_000));
+    other.read(at(4), settle, TimeMs(20_000));
+    other.read_to(at(5), TimeMs(20_000));
     assert!(
         other.may_take(TimeMs(20_000)),
         "the end was known since 10 s"
@@ -168,13 +172,13 @@
     let release = Entry::Release {
         holder: holder("a"),
     };
-    lease.appended(1, release, TimeMs(10_100), TimeMs(10_110));
+    lease.appended(at(1), release, TimeMs(10_100), TimeMs(10_110));
     lease.lose();
     assert_eq!(lease.token(TimeMs(10_120)), None);
-    lease.read_to(2, TimeMs(10_200));
+    lease.read_to(at(2), TimeMs(10_200));
     assert!(lease.may_take(TimeMs(10_200)));
-    lease.appended(2, hold("a"), TimeMs(10_210), TimeMs(10_220));
-    assert_eq!(lease.token(TimeMs(10_230)), Some(2));
+    lease.appended(at(2), hold("a"), TimeMs(10_210), TimeMs(10_220));
+    assert_eq!(lease.token(TimeMs(10_230)), Some(at(2)));
 }
 
 /// Plays three nodes with frozen, delayed and lost steps against one log; at no time may two act,
@@ -188,7 +192,7 @@
         let mut log: Vec<Entry> = Vec::new();
         let mut nodes = [lease("a"), lease("b"), lease("c")];
         let mut awake_at = [0_u64; 3];
-        let mut highest = 0;
+        let mut highest = at(0);
         for now_ms in (1_000..60_000).step_by(50) {
             let now = TimeMs(now_ms);
             for place in 0..nodes.len() {
@@ -201,27 +205,27 @@
                 }
                 let node = &mut nodes[place];
                 if rng.random_bool(0.5) {
-                    let from = usize::try_from(node.read_end()).expect("small");
+                    let from = usize::try_from(node.read_end().offset).expect("small");
                     for (offset, entry) in log.iter().enumerate().skip(from) {
-                        node.read(offset as u64, entry.clone(), now);
+                        node.read(at(offset as u64), entry.clone(), now);
                     }
-                    node.read_to(log.len() as u64, now);
+                    node.read_to(at(log.len() as u64), now);
                 }
                 if node.may_take(now) || node.is_renewal_due(now) {
                     let entry = Entry::Hold {
                         holder: node.own().clone(),
                     };
-                    if node.end() == log.len() as u64 {
+                    if node.end() == at(log.len() as u64) {
                         log.push(entry.clone());
                         let is_answer_lost = rng.random_bool(0.2);
                         if !is_answer_lost {
                             let offset = log.len() as u64 - 1;
-                            node.appended(offset, entry, now, now);
+                            node.appended(at(offset), entry, now, now);
                         }
                     }
                 }
             }
-            let acting: Vec<u64> = nodes.iter().filter_map(|node| node.token(now)).collect();
+            let acting: Vec<Place> = nodes.iter().filter_map(|node| node.token(now)).collect();
             assert!(acting.len() <= 1, "seed {seed}: {acting:?} at {now_ms}");
             for token in acting {
                 assert!(token >= highest, "seed {seed}: {token} after {highest}");
--- a/src/gateway/ordering.rs
+++ b/src/gateway/ordering.rs
@@ -153,9 +153,10 @@
     need: Option<u32>,
     ordered: &mut Ordered,
 ) -> Ended {
-    let Some(fencing_token) = node.lease.lock().token(clock::now()) else {
+    let Some(token) = node.lease.lock().token(clock::now()) else {
         return Ended::NotGiven;
     };
+    let fencing_token = token.number();
     let holder = Holder {
         node: &node.settings().name,
         fencing_token,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,11 +8,12 @@
 
 use bincode::{Decode, Encode};
 
-use super::catalog::Confirmation;
+use super::catalog::{Confirmation, Question};
 use super::contact::StoreReach;
 use super::demand::Rates;
 use super::lease::Holder;
 use super::pace::Pace;
+use super::place::Place;
 use super::rollout::{Decided, Observed};
 use super::snapshot::Page;
 use super::strikes::{Remembered, Strike};
@@ -58,12 +59,7 @@
     AskUpstreams(Asked),
     UpstreamsPage(Page),
     /// Asks whether the configuration is current.
-    AskConfirmation {
-        /// On the clock of the one that asks.
-        asked_at: TimeMs,
-        /// Up to where it has taken in the operators' records.
-        read_to: u64,
-    },
+    AskConfirmation(Question),
     Confirmation(Confirmation),
     /// What the node with the duties has decided of a roll-out.
     Decided(Decided),
@@ -82,13 +78,28 @@
     Leaving(u64),
 }
 
+impl Message {
+    /// The era of the store that its sender knew, and how long it had known of it, if it says so.
+    pub fn era(&self) -> Option<(u64, u64)> {
+        match self {
+            Self::Pulse(pulse) => Some((pulse.era, pulse.era_age_ms)),
+            Self::Upstreams(news) => Some((news.to.era, 0)),
+            Self::UpstreamsPage(page) => Some((page.end.era, 0)),
+            Self::Confirmation(confirmation) => Some((confirmation.end.era, 0)),
+            Self::AskUpstreams(asked) => Some((asked.read_to.era, 0)),
+            Self::AskConfirmation(question) => Some((question.read_to.era, 0)),
+            _ => None,
+        }
+    }
+}
+
 /// What a node that asks for announcements of upstreams lacks.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) struct Asked {
     /// Up to where it has read them; zero if it has not.
-    pub read_to: u64,
+    pub read_to: Place,
     /// It has what lies from here on; none if it lacks all that follows.
-    pub until: Option<u64>,
+    pub until: Option<Place>,
     /// It wants the page of the table behind this id.
     pub after: Option<String>,
 }
@@ -96,8 +107,8 @@
 /// Changes of upstreams, read from one offset up to another.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct UpstreamNews {
-    pub from: u64,
-    pub to: u64,
+    pub from: Place,
+    pub to: Place,
     pub changes: Vec<Change>,
     /// When all up to the end had been read, as the time of day that most nodes agree on, in Unix
     /// milliseconds; none while more is known to follow.
@@ -123,6 +134,11 @@
     pub is_stopping: bool,
     /// Whether the store answers it.
     pub store: StoreReach,
+    /// The store's era, and how long the node has known of it.
+    pub era: u64,
+    pub era_age_ms: u64,
+    /// The version of its configuration.
+    pub configuration_version: u64,
     /// Its time of day, in Unix milliseconds.
     pub time_of_day_ms: u64,
     /// How long until its next pulse.
@@ -138,7 +154,7 @@
     /// What it is asked of engines, by pool.
     pub demand: Vec<Rates>,
     /// If it has the duties: where their log ends, and its fencing token.
-    pub lease: Option<(u64, u64)>,
+    pub lease: Option<(Place, Place)>,
     /// What it has seen of roll-outs.
     pub observed: Vec<Observed>,
     /// What was decided of roll-outs, if it has the duties.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -19,6 +19,9 @@
         is_ready: true,
         is_stopping: false,
         store: StoreReach::Answering,
+        era: 0,
+        era_age_ms: 0,
+        configuration_version: 1,
         time_of_day_ms,
         interval_ms: 200,
         loads: Vec::new(),
@@ -120,6 +123,7 @@
     again.member.incarnation = 6;
     peers.note_pulse(&again, TimeMs(1_500));
     let holder = |incarnation| Holder {
+        era: 0,
         node: "a".to_owned(),
         incarnation,
     };
--- /dev/null
+++ b/src/gateway/place/tests.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+/// A place in the history of a store that has never come back from a copy.
+pub(crate) fn at(offset: u64) -> Place {
+    Place { era: 0, offset }
+}
+
+#[test]
+fn all_of_a_later_era_is_newer_and_has_a_higher_number() {
+    let place = |era, offset| Place { era, offset };
+    let places = [
+        place(0, 7),
+        place(1, 0),
+        place(1, 1),
+        place(1, 90),
+        place(2, 3),
+    ];
+    assert!(places.is_sorted());
+    let numbers = places.map(Place::number);
+    assert!(numbers.is_sorted());
+    assert_eq!(numbers[0], 7);
+}
+
+#[test]
+fn records_follow_each_other() {
+    let from = Place { era: 2, offset: 7 };
+    let following: Vec<u64> = from.following().take(3).map(|place| place.offset).collect();
+    assert_eq!(following, [7, 8, 9]);
+    assert_eq!(from.after(3).era, 2);
+}
--- a/src/gateway/recent.rs
+++ b/src/gateway/recent.rs
@@ -4,6 +4,7 @@
 //! with upstreams that have long left. So each message holds the changes of the last moments, too, as
 //! far as they fit, and a peer that notices a gap asks for what lies in it.
 
+use super::place::Place;
 use super::upstreams::Change;
 use crate::time::TimeMs;
 
@@ -22,10 +23,10 @@
 /// What one reading changed, or a part of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Step {
-    /// The records lie from this offset on.
-    pub from: u64,
-    /// Before this offset.
-    pub to: u64,
+    /// The records lie from here on.
+    pub from: Place,
+    /// Before here.
+    pub to: Place,
     pub changes: Vec<Change>,
 }
 
@@ -50,7 +51,7 @@
 
     /// What to tell all after a reading that began at an offset: what it brought, and what came before
     /// as far as it goes into the same message.
-    pub fn told(&self, since: u64, now: TimeMs) -> Vec<Step> {
+    pub fn told(&self, since: Place, now: TimeMs) -> Vec<Step> {
         let mut first = self.steps.partition_point(|(_at, step)| step.to <= since);
         let changes = |(_at, step): &(TimeMs, Step)| step.changes.len();
         let mut count: usize = self.steps[first..].iter().map(changes).sum();
@@ -66,7 +67,7 @@
     }
 
     /// All that changed from an offset on; none if that is no longer known.
-    pub fn since(&self, read_to: u64) -> Option<Vec<Step>> {
+    pub fn since(&self, read_to: Place) -> Option<Vec<Step>> {
         let first = self.steps.partition_point(|(_at, step)| step.to <= read_to);
         let (_at, oldest) = self.steps.get(first)?;
         (oldest.from <= read_to).then(|| joined(self.steps[first..].iter().map(|(_at, step)| step)))
--- a/src/gateway/recent/tests.rs
+++ b/src/gateway/recent/tests.rs
@@ -1,11 +1,16 @@
 use super::*;
+use crate::gateway::place::tests::at;
 
 fn removed(id: &str) -> Change {
     Change::Removed { id: id.to_owned() }
 }
 
 fn step(from: u64, to: u64, changes: Vec<Change>) -> Step {
-    Step { from, to, changes }
+    Step {
+        from: at(from),
+        to: at(to),
+        changes,
+    }
 }
 
 fn many(count: usize) -> Vec<Change> {
@@ -25,13 +30,13 @@
     recent.note(step(14, 20, Vec::new()), TimeMs(1_450));
     recent.note(step(20, 26, vec![removed("b")]), TimeMs(1_900));
     assert_eq!(
-        recent.told(20, TimeMs(1_900)),
+        recent.told(at(20), TimeMs(1_900)),
         vec![step(10, 26, vec![removed("a"), removed("b")])]
     );
     let later = TimeMs(1_000 + TOLD_MS);
     recent.note(step(26, 30, Vec::new()), later);
     assert_eq!(
-        recent.told(26, later),
+        recent.told(at(26), later),
         vec![step(14, 30, vec![removed("b")])]
     );
 }
@@ -42,10 +47,10 @@
     recent.note(step(10, 14, vec![removed("a")]), TimeMs(1_000));
     recent.note(step(40, 44, vec![removed("b")]), TimeMs(1_100));
     assert_eq!(
-        recent.told(40, TimeMs(1_100)),
+        recent.told(at(40), TimeMs(1_100)),
         vec![step(40, 44, vec![removed("b")])]
     );
-    assert_eq!(recent.since(12), None);
+    assert_eq!(recent.since(at(12)), None);
 }
 
 /// Symptom: no node hears of any change; all read the store, which answers none of them in time.
@@ -58,9 +63,9 @@
     recent.note(step(0, 100, many(90)), TimeMs(1_000));
     recent.note(step(100, 200, many(90)), TimeMs(1_010));
     recent.note(step(200, 300, many(20)), TimeMs(1_020));
-    let told = recent.told(100, TimeMs(1_020));
+    let told = recent.told(at(100), TimeMs(1_020));
     assert_eq!(told.len(), 2, "what was told before is not told again");
-    assert_eq!((told[0].from, told[1].to), (100, 300));
+    assert_eq!((told[0].from, told[1].to), (at(100), at(300)));
     assert!(
         told.iter()
             .all(|step| step.changes.len() <= MESSAGE_CHANGES)
@@ -74,14 +79,14 @@
     recent.note(step(10, 14, vec![removed("a")]), TimeMs(1_000));
     recent.note(step(14, 20, vec![removed("b")]), TimeMs(2_000));
     let all = step(10, 20, vec![removed("a"), removed("b")]);
-    assert_eq!(recent.since(10), Some(vec![all.clone()]));
-    assert_eq!(recent.since(12), Some(vec![all]));
+    assert_eq!(recent.since(at(10)), Some(vec![all.clone()]));
+    assert_eq!(recent.since(at(12)), Some(vec![all]));
     assert_eq!(
-        recent.since(14),
+        recent.since(at(14)),
         Some(vec![step(14, 20, vec![removed("b")])])
     );
-    assert_eq!(recent.since(9), None, "it missed what is not known");
-    assert_eq!(recent.since(20), None, "it missed nothing");
+    assert_eq!(recent.since(at(9)), None, "it missed what is not known");
+    assert_eq!(recent.since(at(20)), None, "it missed nothing");
     recent.note(step(20, 21, Vec::new()), TimeMs(1_000 + KEPT_MS));
-    assert_eq!(recent.since(10), None, "it asks too late");
+    assert_eq!(recent.since(at(10)), None, "it asks too late");
 }
--- a/src/gateway/rolling.rs
+++ b/src/gateway/rolling.rs
@@ -6,6 +6,7 @@
 
 use super::clock;
 use super::peers::Message;
+use super::place::Place;
 use super::rollout::{Decided, Order, Stage, passed_ms};
 use super::state::Gateway;
 use super::verdict;
@@ -15,23 +16,23 @@
 /// What the operators have been told, by pool: the order and the stage.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
-    told: Vec<(String, u64, Stage)>,
+    told: Vec<(String, Place, Stage)>,
 }
 
 impl Memory {
     /// Whether the operators have to be told of a stage; moving is running to them.
     fn is_untold(&self, order: &Order, stage: Stage) -> bool {
         let stage = told_as(stage);
-        !(self.told.iter()).any(|(pool, offset, told)| {
-            *pool == order.pool && *offset == order.offset && *told == stage
+        !(self.told.iter()).any(|(pool, place, told)| {
+            *pool == order.pool && *place == order.place && *told == stage
         })
     }
 
     fn note_told(&mut self, order: &Order, stage: Stage) {
         self.told
-            .retain(|(pool, _offset, _told)| *pool != order.pool);
+            .retain(|(pool, _place, _told)| *pool != order.pool);
         self.told
-            .push((order.pool.clone(), order.offset, told_as(stage)));
+            .push((order.pool.clone(), order.place, told_as(stage)));
     }
 }
 
@@ -77,7 +78,7 @@
             event = "rollout_decided",
             pool = order.pool.as_str(),
             target = order.target.as_str(),
-            order = order.offset,
+            order:% = order.place,
             stage:? = stage,
             verdict:? = verdict::verdict(&sum),
             seen:? = sum,
@@ -117,8 +118,8 @@
         let put = node.store.put(Topic::Nodes, &key, &text).await;
         node.note_store(put.is_ok(), clock::now());
         match put {
-            Ok(_offset) => {
-                log::info!(event = "rollout_told", pool = order.pool.as_str(), order = order.offset, stage:? = stage; "the operators were told of a roll-out");
+            Ok(_place) => {
+                log::info!(event = "rollout_told", pool = order.pool.as_str(), order:% = order.place, stage:? = stage; "the operators were told of a roll-out");
                 memory.note_told(&order, stage);
             }
             // It is told again at the next look; told twice it says the same.
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -11,6 +11,7 @@
 use bincode::{Decode, Encode};
 
 use super::num;
+use super::place::Place;
 use super::upstreams::tag;
 use super::verdict::{self, Seen, Usual, Verdict};
 use crate::time::TimeMs;
@@ -48,7 +49,7 @@
     /// The roll-out is to have ended by then.
     pub duration_ms: u64,
     /// Where it lies among the operators' records; tells orders for one pool apart.
-    pub offset: u64,
+    pub place: Place,
 }
 
 /// How far a roll-out is; later ones come after earlier ones.
@@ -74,8 +75,8 @@
 pub(crate) struct Decided {
     /// Names the pool.
     pub pool: u64,
-    /// The order's offset.
-    pub order: u64,
+    /// The order's place.
+    pub order: Place,
     pub stage: Stage,
     /// When the roll-out began, in Unix milliseconds.
     pub began_day_ms: u64,
@@ -88,7 +89,7 @@
 pub(crate) struct Observed {
     /// Names the pool.
     pub pool: u64,
-    pub order: u64,
+    pub order: Place,
     pub rows: Vec<Seen>,
 }
 
@@ -173,11 +174,34 @@
     moment.exposure_share * EXPOSURE_PART
 }
 
+impl Order {
+    /// Whether it is an earlier order, written again after the store came back from a copy.
+    fn repeats(&self, earlier: &Self) -> bool {
+        self.place.era > earlier.place.era
+            && self.target == earlier.target
+            && self.duration_ms == earlier.duration_ms
+    }
+}
+
 impl Rollout {
+    /// Takes in that its order stands at another place now; tells whether it does.
+    ///
+    /// Taken for a new one, it would begin again, and a version that was found bad would get requests again. The stage
+    /// is decided and told again under the new place: what the store held of it may be gone.
+    pub(super) fn take_repeat(&mut self, order: &Order) -> bool {
+        let is_repeat = order.repeats(&self.order);
+        if is_repeat {
+            self.order.place = order.place;
+            self.decided.order = order.place;
+            self.is_decided &= self.decided.stage.is_end();
+        }
+        is_repeat
+    }
+
     pub(super) fn new(order: Order, day_ms: u64) -> Self {
         let decided = Decided {
             pool: tag(&order.pool),
-            order: order.offset,
+            order: order.place,
             stage: Stage::Observing,
             began_day_ms: day_ms,
             since_day_ms: day_ms,
--- a/src/gateway/rollout/tests.rs
+++ b/src/gateway/rollout/tests.rs
@@ -3,6 +3,7 @@
 
 use super::super::rollouts::Rollouts;
 use super::*;
+use crate::gateway::place::tests::at;
 
 const DURATION_MS: u64 = 20_000;
 const DAY: u64 = 1_796_256_000_000;
@@ -14,7 +15,7 @@
         pool: "pool".to_owned(),
         target: "v2".to_owned(),
         duration_ms: DURATION_MS,
-        offset,
+        place: at(offset),
     }
 }
 
@@ -239,13 +240,13 @@
         began_day_ms: DAY,
         since_day_ms: DAY,
     };
-    assert!(rollouts.note_decided(&decided(7, Stage::RolledBack)));
+    assert!(rollouts.note_decided(&decided(at(7), Stage::RolledBack)));
     assert!(
-        !rollouts.note_decided(&decided(7, Stage::Succeeded)),
+        !rollouts.note_decided(&decided(at(7), Stage::Succeeded)),
         "it has ended"
     );
     assert!(
-        !rollouts.note_decided(&decided(3, Stage::Succeeded)),
+        !rollouts.note_decided(&decided(at(3), Stage::Succeeded)),
         "another order"
     );
     assert!(rollouts.order(order(20), DAY + 99), "it begins anew");
@@ -299,3 +300,37 @@
     let later = moment(DAY + STOPPED_MS, 1);
     assert_eq!(rollout.versions(&later), Versions::Any);
 }
+
+/// A version that was found bad gets requests again: its order is written again after the store came back from a copy.
+#[test]
+fn an_order_that_is_written_again_in_a_later_era_does_not_begin_anew() {
+    let mut rollouts = Rollouts::default();
+    rollouts.order(order(7), DAY);
+    let decided = Decided {
+        pool: tag("pool"),
+        order: at(7),
+        stage: Stage::RolledBack,
+        began_day_ms: DAY,
+        since_day_ms: DAY,
+    };
+    rollouts.note_decided(&decided);
+    let again = Order {
+        place: Place { era: 1, offset: 3 },
+        ..order(7)
+    };
+    assert!(!rollouts.order(again.clone(), DAY + 50));
+    let rollout = rollouts.of_mut("pool").expect("it is known");
+    assert_eq!(
+        rollout.versions(&moment(DAY + 50, 1)),
+        Versions::Without("v2")
+    );
+    assert_eq!(
+        rollout.decided.order, again.place,
+        "told under its new place"
+    );
+    let another = Order {
+        place: Place { era: 1, offset: 9 },
+        ..order(7)
+    };
+    assert!(rollouts.order(another, DAY + 99), "it is ordered once more");
+}
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -7,7 +7,7 @@
 pub(crate) struct Rollouts {
     /// Sorted by pool.
     rollouts: Vec<Rollout>,
-    /// Ends that were read before their orders, by pool and order.
+    /// Ends that were read before their orders, by pool and number of the order's place.
     ended: Vec<(String, u64, Stage)>,
 }
 
@@ -15,16 +15,21 @@
     /// Takes in an order; tells whether it is new.
     pub fn order(&mut self, order: Order, day_ms: u64) -> bool {
         let found = (self.rollouts).binary_search_by(|known| known.order.pool.cmp(&order.pool));
+        if let Ok(place) = found
+            && self.rollouts[place].take_repeat(&order)
+        {
+            return false;
+        }
         let ended = (self.ended.iter())
-            .find(|(pool, offset, _stage)| *pool == order.pool && *offset == order.offset)
-            .map(|(_pool, _offset, stage)| *stage);
+            .find(|(pool, number, _stage)| *pool == order.pool && *number == order.place.number())
+            .map(|(_pool, _number, stage)| *stage);
         let mut rollout = Rollout::new(order, day_ms);
         if let Some(stage) = ended {
             rollout.decided.stage = stage;
             rollout.is_decided = true;
         }
         match found {
-            Ok(place) if self.rollouts[place].order.offset >= rollout.order.offset => false,
+            Ok(place) if self.rollouts[place].order.place >= rollout.order.place => false,
             Ok(place) => {
                 self.rollouts[place] = rollout;
                 true
@@ -41,7 +46,7 @@
         self.ended.retain(|(known, _order, _stage)| known != pool);
         self.ended.push((pool.to_owned(), order, stage));
         if let Some(rollout) = self.of_mut(pool)
-            && rollout.order.offset == order
+            && rollout.order.place.number() == order
             && !rollout.decided.stage.is_end()
         {
             rollout.decided.stage = stage;
@@ -52,7 +57,7 @@
     /// Takes in what the node with the duties has decided; stages never go back.
     pub fn note_decided(&mut self, decided: &Decided) -> bool {
         let found = (self.rollouts.iter_mut()).find(|rollout| {
-            rollout.decided.pool == decided.pool && rollout.order.offset == decided.order
+            rollout.decided.pool == decided.pool && rollout.order.place == decided.order
         });
         let Some(rollout) = found else { return false };
         let before = rollout.decided.stage;
@@ -68,7 +73,7 @@
     pub fn note_observed(&mut self, peer: u64, observed: Vec<Observed>) {
         for observed in observed {
             let found = (self.rollouts.iter_mut()).find(|rollout| {
-                rollout.decided.pool == observed.pool && rollout.order.offset == observed.order
+                rollout.decided.pool == observed.pool && rollout.order.place == observed.order
             });
             let Some(rollout) = found else { continue };
             match rollout
@@ -88,7 +93,7 @@
             .filter(|rollout| pool.is_none_or(|pool| rollout.order.pool == pool))
             .map(|rollout| Observed {
                 pool: rollout.decided.pool,
-                order: rollout.order.offset,
+                order: rollout.order.place,
                 rows: rollout.own.clone(),
             })
             .collect()
--- a/src/gateway/snapshot.rs
+++ b/src/gateway/snapshot.rs
@@ -10,6 +10,7 @@
 
 use bincode::{Decode, Encode};
 
+use super::place::Place;
 use super::upstreams::Announced;
 use crate::time::TimeMs;
 
@@ -24,7 +25,7 @@
     pub announced: Vec<Announced>,
     pub is_last: bool,
     /// Up to where that peer has read the announcements.
-    pub end: u64,
+    pub end: Place,
     /// When it had read all up to there, in Unix milliseconds; none if it has not.
     pub read_at_day_ms: Option<u64>,
 }
@@ -47,7 +48,7 @@
 pub(crate) struct Whole {
     pub announced: Vec<Announced>,
     /// Up to where the announcements have been read.
-    pub end: u64,
+    pub end: Place,
     /// When, on this node's clock.
     pub read_at: TimeMs,
 }
@@ -56,7 +57,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Assembly {
     announced: Vec<Announced>,
-    end: Option<u64>,
+    end: Option<Place>,
     read_at: Option<TimeMs>,
 }
 
@@ -75,7 +76,8 @@
     ///
     /// `read_at` is when the peer had read what it tells, on this node's clock.
     pub fn take(&mut self, page: Page, read_at: TimeMs) -> Taken {
-        if page.after != self.after() {
+        let is_of_era = self.end.is_none_or(|end| end.era == page.end.era);
+        if page.after != self.after() || !is_of_era {
             return Taken::NotNext;
         }
         self.end = Some(self.end.map_or(page.end, |end| end.min(page.end)));
@@ -88,7 +90,7 @@
         let assembled = std::mem::take(self);
         Taken::Whole(Whole {
             announced: assembled.announced,
-            end: assembled.end.unwrap_or(0),
+            end: assembled.end.unwrap_or_default(),
             read_at: assembled.read_at.unwrap_or_default(),
         })
     }
--- a/src/gateway/snapshot/tests.rs
+++ b/src/gateway/snapshot/tests.rs
@@ -1,5 +1,6 @@
 use super::super::upstreams::tests::announced;
 use super::*;
+use crate::gateway::place::tests::at;
 
 fn table(count: usize) -> Vec<Announced> {
     let mut all: Vec<Announced> = (0..count)
@@ -15,7 +16,7 @@
         after,
         announced,
         is_last,
-        end,
+        end: at(end),
         read_at_day_ms: None,
     }
 }
@@ -49,7 +50,7 @@
 fn a_table_is_as_old_as_its_oldest_page() {
     let all = table(300);
     let whole = assembled(&all, |number| 50 - number as u64);
-    assert_eq!((whole.end, whole.read_at), (48, TimeMs(8_998)));
+    assert_eq!((whole.end, whole.read_at), (at(48), TimeMs(8_998)));
 }
 
 #[test]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::mpsc;
@@ -14,6 +14,7 @@
 use super::catalog::{Catalog, InForce};
 use super::channels::Channels;
 use super::clock;
+use super::confirm;
 use super::contact::{StoreContact, StoreReach};
 use super::demand::Demands;
 use super::labels::RouteLabels;
@@ -78,11 +79,19 @@
     pub stopping: CancellationToken,
     /// Whether the node was ready when it last looked, to log changes.
     pub was_ready: AtomicBool,
-    /// The store's era, as this node last knew it.
-    era: AtomicU64,
+    era: Mutex<Era>,
     outbox: mpsc::Sender<Outgoing>,
 }
 
+/// What is known of how often the store has come back from a copy.
+#[derive(Clone, Copy, Debug, Default)]
+struct Era {
+    /// Zero while no answer has named it.
+    era: u64,
+    /// Since when it is known to any node.
+    since: TimeMs,
+}
+
 /// A message and whom it is for.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -119,12 +128,14 @@
         let holder = Holder {
             node: settings.name.clone(),
             incarnation,
+            era: 0,
         };
+        let started_at = clock::now();
         let node = Self {
             incarnation,
-            started_at: clock::now(),
+            started_at,
             store: Store::new(settings.store_address),
-            in_force: RwLock::default(),
+            in_force: RwLock::new(InForce::settling_until(started_at.after(confirm::START_MS))),
             upstreams: Mutex::default(),
             upstreams_view: Mutex::default(),
             answers: Mutex::new(Allowance::of_link(settings.link_mbps)),
@@ -147,7 +158,7 @@
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
-            era: AtomicU64::new(0),
+            era: Mutex::default(),
             outbox,
             settings: RwLock::new(Arc::new(settings)),
         };
@@ -199,12 +210,35 @@
     /// Takes in whether a call to the store was answered.
     pub fn note_store(&self, answered: bool, now: TimeMs) {
         self.store_contact.lock().note(answered, now);
-        let era = self.store.era();
-        let before = self.era.swap(era, Ordering::Relaxed);
-        if before != era {
-            let read_to = self.in_force.read().end;
-            log::info!(event = "store_era_changed", before, era, read_to; "the store has come back from a copy, or is known for the first time");
+        self.note_era(self.store.era(), 0, now);
+    }
+
+    /// The store's era, and how long this node has known of it.
+    pub fn era(&self, now: TimeMs) -> (u64, u64) {
+        let known = *self.era.lock();
+        (known.era, now.since(known.since))
+    }
+
+    /// Takes in the store's era as the store or a peer names it, and how long a peer has known of it.
+    pub fn note_era(&self, era: u64, age_ms: u64, now: TimeMs) {
+        let since = TimeMs(now.0.saturating_sub(age_ms));
+        let mut known = self.era.lock();
+        if era < known.era || (era == known.era && since >= known.since) {
+            return;
+        }
+        let before = std::mem::replace(&mut *known, Era { era, since });
+        let is_first = before.era == 0 && self.settings().is_first_start;
+        self.lease.lock().enter_era(era, since, is_first);
+        if era == before.era {
+            return;
+        }
+        self.store.note_era(era);
+        self.in_force.write().enter_era(era);
+        self.upstreams_view.lock().enter_era(era);
+        if before.era > 0 {
+            self.store_contact.lock().note_return(now);
         }
+        log::info!(event = "store_era_changed", before = before.era, era, age_ms; "the store has come back from a copy, or is known for the first time");
     }
 
     /// Whether removals of upstreams may only be lapses while the store was away.
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,6 +1,7 @@
 //! How current this node's view of the upstreams is.
 
 use super::peers::UpstreamNews;
+use super::place::Place;
 use super::snapshot::Assembly;
 use crate::time::TimeMs;
 
@@ -10,12 +11,12 @@
 /// How current the view of upstreams is, and what is being done to bring it up to date.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UpstreamsView {
-    /// Up to where the announcements have been read; zero if never.
-    pub end: u64,
+    /// Up to where the announcements have been read; the start of an era if none of it was.
+    pub end: Place,
     /// When there was nothing beyond that.
     pub read_at: TimeMs,
     /// The furthest that a peer said it has read.
-    pub known_end: u64,
+    pub known_end: Place,
     /// Whether the table may hold more than its offset says, as one that was read in pages does.
     ///
     /// What this node then reads behind the offset changes nothing for it, but it does for the peers that
@@ -42,8 +43,18 @@
         self.known_end > self.end
     }
 
-    /// Takes in that the announcements have been read up to an offset.
-    pub fn reached(&mut self, end: u64, read_at: TimeMs) {
+    /// Takes in that the store has come back from a copy: nothing of the new history has been read.
+    pub fn enter_era(&mut self, era: u64) {
+        if era > self.end.era {
+            self.end = Place::start_of(era);
+            self.known_end = self.known_end.max(self.end);
+            self.pending.clear();
+            self.assembly = Assembly::default();
+        }
+    }
+
+    /// Takes in that the announcements have been read up to a place.
+    pub fn reached(&mut self, end: Place, read_at: TimeMs) {
         self.end = self.end.max(end);
         self.read_at = self.read_at.max(read_at);
         self.known_end = self.known_end.max(self.end);
@@ -53,7 +64,10 @@
     ///
     /// It may be older than what peers have told meanwhile, which it has replaced: without reading
     /// on from its own end, an upstream that left in between would get work again.
-    pub fn replaced(&mut self, end: u64, read_at: TimeMs) {
+    pub fn replaced(&mut self, end: Place, read_at: TimeMs) {
+        if end.era < self.end.era {
+            return;
+        }
         self.end = end;
         self.read_at = read_at;
         self.known_end = self.known_end.max(end);
@@ -85,7 +99,7 @@
     }
 
     /// Where the gap ends that news waits behind; none if none does.
-    pub fn gap_end(&self) -> Option<u64> {
+    pub fn gap_end(&self) -> Option<Place> {
         self.pending.first().map(|kept| kept.from)
     }
 
--- a/src/platform/rollouts.rs
+++ b/src/platform/rollouts.rs
@@ -4,6 +4,7 @@
 use thiserror::Error;
 
 use crate::gateway::num;
+use crate::gateway::place::Place;
 use crate::gateway::rollout::{Order, Stage};
 
 /// Records of roll-outs have keys that begin so; a pool's name follows.
@@ -39,7 +40,7 @@
 struct RawStatus {
     state: String,
     target: String,
-    /// Offset of the order that it is about; ours, so that an order that comes again is told apart.
+    /// Number of the place of the order that it is about; ours, so that an order that comes again is told apart.
     #[serde(default)]
     order: Option<u64>,
 }
@@ -56,12 +57,12 @@
     format!("{KEY_PREFIX}{pool}")
 }
 
-/// Reads the order that lies under a pool's key at an offset.
+/// Reads the order that lies under a pool's key at a place.
 ///
 /// # Errors
 ///
 /// If it is not of the expected form.
-pub(crate) fn parse(pool: &str, offset: u64, text: &[u8]) -> Result<Order, OrderError> {
+pub(crate) fn parse(pool: &str, place: Place, text: &[u8]) -> Result<Order, OrderError> {
     let raw: RawOrder = serde_json::from_slice(text)?;
     if raw.service != pool {
         return Err(OrderError::Key);
@@ -73,7 +74,7 @@
         pool: raw.service,
         target: raw.target,
         duration_ms: num::whole(raw.duration_s * 1_000.0),
-        offset,
+        place,
     })
 }
 
@@ -86,12 +87,12 @@
         Stage::RolledBack => "rolled_back",
     };
     let target = &order.target;
-    serde_json::json!({ "state": word, "target": target, "order": order.offset })
+    serde_json::json!({ "state": word, "target": target, "order": order.place.number() })
         .to_string()
         .into_bytes()
 }
 
-/// The order's offset and its end, of a status that says that a roll-out has ended.
+/// The number of the order's place and its end, of a status that says that a roll-out has ended.
 #[must_use]
 pub(crate) fn ended(text: &[u8]) -> Option<(u64, Stage)> {
     // Other states and records of other writers tell of no end.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use super::http::{Answer, Call, CallError, Client};
+use crate::gateway::place::Place;
 
 /// A call that the store should answer at once takes 4 ms, and some 250 ms when the store is slow.
 const CALL_TIMEOUT_MS: u64 = 1_000;
@@ -104,10 +105,17 @@
         first: u64,
     },
     /// The partition does not end where the append expected it to.
-    #[error("the partition ends at offset {end}")]
+    #[error("the partition ends at {end}")]
     NotAtEnd {
         /// Where it ends.
-        end: u64,
+        end: Place,
+    },
+    /// The store has come back from a copy: the answer is about another history than the question, or was on its way
+    /// for too long.
+    #[error("the store is in era {era}, the call was about another")]
+    OtherEra {
+        /// The era of the answer.
+        era: u64,
     },
     /// The answer is not of the expected form.
     #[error("the store's answer cannot be read: {what}")]
@@ -130,20 +138,31 @@
     }
 }
 
+/// Whether a call shows that the store serves this node, whatever it answered.
+pub(crate) fn is_served<T>(called: &Result<T, StoreError>) -> bool {
+    match called {
+        Ok(_) => true,
+        Err(error) => matches!(
+            error,
+            StoreError::Deleted { .. } | StoreError::NotAtEnd { .. } | StoreError::OtherEra { .. }
+        ),
+    }
+}
+
 /// Records of a partition in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Records {
-    /// Offset of the first record of `bodies`.
-    pub from: u64,
+    /// Place of the first record of `bodies`.
+    pub from: Place,
     /// Where the partition ends.
-    pub end: u64,
+    pub end: Place,
     pub bodies: Vec<Bytes>,
 }
 
 impl Records {
-    /// The offset after the last record read.
-    pub fn next(&self) -> u64 {
-        self.from + self.bodies.len() as u64
+    /// The place after the last record read.
+    pub fn next(&self) -> Place {
+        self.from.after(self.bodies.len())
     }
 }
 
@@ -151,7 +170,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Keyed {
     /// Where it lies in its partition.
-    pub offset: u64,
+    pub place: Place,
     pub key: String,
     pub value: Option<Bytes>,
 }
@@ -160,7 +179,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Newest {
     pub items: Vec<Keyed>,
-    pub end: u64,
+    pub end: Place,
 }
 
 #[derive(Debug, Deserialize)]
@@ -222,19 +241,29 @@
     ///
     /// # Errors
     ///
-    /// If the store does not answer or refuses, or the records have been deleted.
-    pub async fn read(&self, topic: Topic, from: u64, wait_ms: u64) -> Result<Records, StoreError> {
+    /// If the store does not answer or refuses, or the records are not there or lie in another history.
+    pub async fn read(
+        &self,
+        topic: Topic,
+        from: Place,
+        wait_ms: u64,
+    ) -> Result<Records, StoreError> {
         let name = topic.name();
         let path = format!(
-            "/api/log-read?topic={name}&part=0&from={from}&waitMs={wait_ms}&maxKb={READ_KB}"
+            "/api/log-read?topic={name}&part=0&from={}&waitMs={wait_ms}&maxKb={READ_KB}",
+            from.offset
         );
         let timeout_ms = match wait_ms {
             0 => CALL_TIMEOUT_MS,
             wait_ms => wait_ms + WAIT_MARGIN_MS,
         };
-        let answer = self.get("read", &path, timeout_ms).await?;
+        let (answer, era) = self.get("read", &path, timeout_ms).await?;
+        // The beginning is the same in any era.
+        if era != from.era && !from.is_start() {
+            return Err(StoreError::OtherEra { era });
+        }
         match answer.status {
-            StatusCode::OK => read_records(from, answer.body),
+            StatusCode::OK => read_records(Place { era, ..from }, answer.body),
             StatusCode::GONE => {
                 let first: RawFirst = json(&answer, "no first offset")?;
                 Err(StoreError::Deleted { first: first.first })
@@ -254,7 +283,7 @@
         let name = topic.name();
         let mut newest = Newest {
             items: Vec::new(),
-            end: 0,
+            end: Place::default(),
         };
         let mut after = String::new();
         loop {
@@ -265,7 +294,10 @@
                     format!("/api/log-newest?topic={name}&part=0&after={after}")
                 }
             };
-            let answer = self.get("newest", &path, CALL_TIMEOUT_MS).await?;
+            let (answer, era) = self.get("newest", &path, CALL_TIMEOUT_MS).await?;
+            if !after.is_empty() && era != newest.end.era {
+                return Err(StoreError::OtherEra { era });
+            }
             if answer.status != StatusCode::OK {
                 let status = answer.status;
                 return Err(StoreError::Refused { status });
@@ -273,13 +305,16 @@
             let page: RawNewest = json(&answer, "not a page of records")?;
             // Later pages may already hold what came after the first was made.
             if after.is_empty() {
-                newest.end = page.end;
+                newest.end = Place {
+                    era,
+                    offset: page.end,
+                };
             }
             let last = page.items.last().and_then(|item| item.get("key"));
             let last = last.and_then(|key| key.as_str()).map(str::to_owned);
             // One record that cannot be read must not hide the others.
             for item in page.items {
-                match Keyed::try_from(item) {
+                match Keyed::of_page(era, item) {
                     Ok(item) => newest.items.push(item),
                     Err(error) => topic.note_malformed("", &error),
                 }
@@ -295,17 +330,17 @@
     ///
     /// # Errors
     ///
-    /// If the store does not answer or refuses, or the partition ends elsewhere. Unless the error
-    /// says that it is without effect, the record may be there or may yet come.
+    /// If the store does not answer or refuses, or the partition ends elsewhere or has another history. Unless
+    /// the error says that it is without effect, the record may be there or may yet come.
     pub async fn append(
         &self,
         topic: Topic,
         record: &[u8],
-        at: Option<u64>,
-    ) -> Result<u64, StoreError> {
+        at: Option<Place>,
+    ) -> Result<Place, StoreError> {
         let name = topic.name();
         let path = match at {
-            Some(at) => format!("/api/log-append?topic={name}&part=0&at={at}"),
+            Some(at) => format!("/api/log-append?topic={name}&part=0&at={}", at.offset),
             None => format!("/api/log-append?topic={name}&part=0"),
         };
         let mut body = BytesMut::with_capacity(LENGTH_BYTES + record.len());
@@ -321,15 +356,20 @@
             body: body.freeze(),
             timeout_ms: CALL_TIMEOUT_MS,
         };
-        let answer = self.call("append", call).await?;
+        let (answer, era) = self.call("append", call).await?;
+        // The condition may have held by chance, in a history that has not been read.
+        if at.is_some_and(|at| at.era != era) {
+            return Err(StoreError::OtherEra { era });
+        }
         match answer.status {
             StatusCode::OK => {
-                let appended: RawAppended = json(&answer, "no offset")?;
-                Ok(appended.offset)
+                let RawAppended { offset } = json(&answer, "no offset")?;
+                Ok(Place { era, offset })
             }
             StatusCode::PRECONDITION_FAILED => {
-                let end: RawEnd = json(&answer, "no end")?;
-                Err(StoreError::NotAtEnd { end: end.end })
+                let RawEnd { end: offset } = json(&answer, "no end")?;
+                let end = Place { era, offset };
+                Err(StoreError::NotAtEnd { end })
             }
             status => Err(StoreError::Refused { status }),
         }
@@ -340,7 +380,7 @@
     /// # Errors
     ///
     /// As [`Store::append`].
-    pub async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+    pub async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<Place, StoreError> {
         let length = u8::try_from(key.len()).map_err(|_too_long| StoreError::Malformed {
             what: "the key to write is too long",
         })?;
@@ -356,7 +396,7 @@
         name: &'static str,
         path: &str,
         timeout_ms: u64,
-    ) -> Result<Answer, StoreError> {
+    ) -> Result<(Answer, u64), StoreError> {
         let call = Call {
             method: Method::GET,
             path,
@@ -367,8 +407,8 @@
         self.call(name, call).await
     }
 
-    /// Makes a call and counts how it ended.
-    async fn call(&self, name: &'static str, call: Call<'_>) -> Result<Answer, StoreError> {
+    /// Makes a call and counts how it ended; gives the answer and its era.
+    async fn call(&self, name: &'static str, call: Call<'_>) -> Result<(Answer, u64), StoreError> {
         let answered = self.client.call(call).await;
         let outcome = match &answered {
             Ok(answer) => answer.status.as_str().to_owned(),
@@ -377,10 +417,18 @@
         metrics::counter!("teaselline_store_calls_total", "call" => name, "outcome" => outcome)
             .increment(1);
         let answer = answered?;
-        if let Some(era) = era(&answer) {
-            self.era.fetch_max(era, Ordering::Relaxed);
+        let era = era(&answer).unwrap_or_else(|| self.era());
+        self.note_era(era);
+        // It set out before the store came back from a copy, and says nothing of now.
+        if era < self.era() {
+            return Err(StoreError::OtherEra { era });
         }
-        Ok(answer)
+        Ok((answer, era))
+    }
+
+    /// Takes in an era that the store or a peer has named.
+    pub fn note_era(&self, era: u64) {
+        self.era.fetch_max(era, Ordering::Relaxed);
     }
 }
 
@@ -405,12 +453,15 @@
 }
 
 /// Reads an answer with records: two offsets, then each record behind its length.
-fn read_records(from: u64, mut body: Bytes) -> Result<Records, StoreError> {
+fn read_records(from: Place, mut body: Bytes) -> Result<Records, StoreError> {
     if body.len() < OFFSETS_BYTES {
         let what = "the offsets are missing";
         return Err(StoreError::Malformed { what });
     }
-    let end = body.get_u64();
+    let end = Place {
+        offset: body.get_u64(),
+        ..from
+    };
     let _first = body.get_u64();
     let mut bodies = Vec::new();
     while body.len() >= LENGTH_BYTES {
@@ -429,12 +480,12 @@
 }
 
 impl Keyed {
-    /// Reads a record of a keyed topic that lies at an offset: the key's length, the key, and the value.
+    /// Reads a record of a keyed topic that lies at a place: the key's length, the key, and the value.
     ///
     /// # Errors
     ///
     /// If it is shorter than it says, or the key is not text.
-    pub fn read(offset: u64, mut record: Bytes) -> Result<Self, StoreError> {
+    pub fn read(place: Place, mut record: Bytes) -> Result<Self, StoreError> {
         let malformed = StoreError::Malformed {
             what: "a keyed record is cut short",
         };
@@ -450,17 +501,16 @@
             what: "a key is not text",
         })?;
         Ok(Self {
-            offset,
+            place,
             key: key.to_owned(),
             value: (!record.is_empty()).then_some(record),
         })
     }
 }
 
-impl TryFrom<serde_json::Value> for Keyed {
-    type Error = StoreError;
-
-    fn try_from(raw: serde_json::Value) -> Result<Self, StoreError> {
+impl Keyed {
+    /// Reads an item of a page that the store made in an era.
+    fn of_page(era: u64, raw: serde_json::Value) -> Result<Self, StoreError> {
         let raw: RawItem =
             serde_json::from_value(raw).map_err(|_other_form| StoreError::Malformed {
                 what: "an item has no key or no value",
@@ -471,7 +521,10 @@
                 what: "a value is not base64",
             })?;
         Ok(Self {
-            offset: raw.offset,
+            place: Place {
+                era,
+                offset: raw.offset,
+            },
             key: raw.key,
             value: (!value.is_empty()).then(|| value.into()),
         })
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::place::tests::at;
 
 fn body(end: u64, records: &[&[u8]]) -> Bytes {
     let mut body = BytesMut::new();
@@ -13,9 +14,9 @@
 
 #[test]
 fn records_are_read_with_their_offsets() {
-    let records = read_records(840, body(843, &[b"ab", b"", b"c"])).expect("whole");
-    assert_eq!(records.next(), 843);
-    assert_eq!(records.end, 843);
+    let records = read_records(at(840), body(843, &[b"ab", b"", b"c"])).expect("whole");
+    assert_eq!(records.next(), at(843));
+    assert_eq!(records.end, at(843));
     assert_eq!(records.bodies, [&b"ab"[..], b"", b"c"]);
 }
 
@@ -24,27 +25,27 @@
     let whole = body(2, &[b"abc", b"def"]);
     for length in 0..whole.len() {
         let is_between_records = length == 16 || length == 23;
-        let read = read_records(0, whole.slice(..length));
+        let read = read_records(at(0), whole.slice(..length));
         assert_eq!(read.is_ok(), is_between_records, "{length} bytes");
     }
 }
 
 #[test]
 fn keyed_records_are_read_with_and_without_a_value() {
-    let with = Keyed::read(4, Bytes::from_static(b"\x06config{}")).expect("whole");
+    let with = Keyed::read(at(4), Bytes::from_static(b"\x06config{}")).expect("whole");
     assert_eq!(with.key, "config");
     assert_eq!(with.value.as_deref(), Some(&b"{}"[..]));
-    let without = Keyed::read(4, Bytes::from_static(b"\x03i-1")).expect("whole");
+    let without = Keyed::read(at(4), Bytes::from_static(b"\x03i-1")).expect("whole");
     assert_eq!(without.value, None);
-    Keyed::read(4, Bytes::from_static(b"\x09i-1")).expect_err("cut short");
-    Keyed::read(4, Bytes::new()).expect_err("nothing there");
+    Keyed::read(at(4), Bytes::from_static(b"\x09i-1")).expect_err("cut short");
+    Keyed::read(at(4), Bytes::new()).expect_err("nothing there");
 }
 
 #[test]
 fn refusals_are_without_effect_and_lost_answers_are_not() {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     assert!(StoreError::Refused { status }.is_without_effect());
-    assert!(StoreError::NotAtEnd { end: 4 }.is_without_effect());
+    assert!(StoreError::NotAtEnd { end: at(4) }.is_without_effect());
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let lost = CallError::Timeout {
         address,
@@ -57,7 +58,7 @@
     #[test]
     fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..200)) {
         let bytes = Bytes::from(bytes);
-        let _records = read_records(0, bytes.clone());
-        let _keyed = Keyed::read(4, bytes);
+        let _records = read_records(at(0), bytes.clone());
+        let _keyed = Keyed::read(at(4), bytes);
     }
 }
