bug: A node says how it takes signals before it reads its settings

A SIGHUP that comes before a process could say how it takes it ends it. The listeners for signals were made after the settings had been read and the metrics set up; they come first now, which leaves the time in which a program is loaded.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -66,12 +66,13 @@
 ///
 /// If the settings cannot be used or an address cannot be listened on.
 pub async fn run(settings_file: &Path) -> Result<(), GatewayError> {
+    // Before all else: until then a signal ends the process.
+    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
     let read = settings::read(settings_file)?;
     let metrics = PrometheusBuilder::new()
         .set_buckets(&BUCKETS_MS)?
         .install_recorder()?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
     let callers = listen(read.caller_listen).await?;
     let readiness = listen(read.readiness_listen).await?;
     let directory = listen(read.directory_listen).await?;
