--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -53,6 +53,8 @@
     pub launch: Launch,
     child: Mutex<Child>,
     log: Arc<Mutex<Vec<String>>>,
+    /// When its process was started.
+    started_at: Mutex<Instant>,
 }
 
 impl Node {
@@ -70,6 +72,7 @@
             launch,
             child: Mutex::new(child),
             log,
+            started_at: Mutex::new(Instant::now()),
         })
     }
 
@@ -115,6 +118,12 @@
         kill(Pid::from_raw(id), signal).map_err(io::Error::other)
     }
 
+    /// Since its process was started.
+    #[must_use]
+    pub fn running(&self) -> Duration {
+        self.started_at.lock().elapsed()
+    }
+
     /// How it ended, if it has.
     #[must_use]
     pub fn ended(&self) -> Option<ExitStatus> {
@@ -143,6 +152,7 @@
         drop(child.kill());
         drop(child.wait());
         *child = spawn(&self.launch.binary, &self.settings_file(), &self.log)?;
+        *self.started_at.lock() = Instant::now();
         Ok(())
     }
 
--- a/stand_ins/src/operators/soak/faults.rs
+++ b/stand_ins/src/operators/soak/faults.rs
@@ -1,6 +1,7 @@
 //! Faults from outside, in series that overlap, and how each ends.
 
 use std::io;
+use std::os::unix::process::ExitStatusExt;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
@@ -15,6 +16,9 @@
 use crate::proxy::{Direction, TcpProxy};
 use crate::server::now_ms;
 
+/// A process says how it takes signals within this time of its start on a busy machine, looks at it included.
+const STARTING: Duration = Duration::from_millis(1_500);
+
 /// What is wrong at the moment, and when it ends.
 pub(super) struct Faults {
     rng: SmallRng,
@@ -250,6 +254,28 @@
         Ok(())
     }
 
+    /// Starts processes again that have ended by themselves, as the operators' platform does; tells of those that
+    /// should not have.
+    ///
+    /// A signal that comes before a process could say how it takes it ends it whatever its program is.
+    pub fn restart_ended(&self, deployment: &Deployment) -> io::Result<Vec<String>> {
+        let mut wrong = Vec::new();
+        for (place, node) in deployment.nodes.iter().enumerate() {
+            let is_down = |(_until, undo): &(Instant, Undo)| matches!(undo, Undo::Restart(down) if *down == place);
+            if self.pending.iter().any(is_down) {
+                continue;
+            }
+            let Some(status) = node.ended() else { continue };
+            if status.signal() != Some(Signal::SIGHUP as i32) || node.running() > STARTING {
+                wrong.push(format!(
+                    "the process of node {place} ended by itself: {status}"
+                ));
+            }
+            node.restart()?;
+        }
+        Ok(wrong)
+    }
+
     /// Ends all faults.
     pub fn undo_all(&mut self, deployment: &Deployment) -> io::Result<()> {
         for (_until, undo) in std::mem::take(&mut self.pending) {
