test: The soak has stores that come back from copies, and a calm at its end in which upstreams rest, leave and routes change

Drills of the store run beside all other faults on random numbers of their own, so that seeds keep their other faults. After the last fault one upstream of each service asks for rest, one says that it leaves, and a route changes: what came before must have left nothing behind that breaks these promises.

--- a/examples/local_site/platform.rs
+++ b/examples/local_site/platform.rs
@@ -66,10 +66,12 @@
             for number in 0..share {
                 let route = ["once", "again", "stream", "stream-on"][rng.random_range(0..4)];
                 let asked = asked(&format!("c{caller}-{number}"), route);
+                let node = rng.random_range(0..nodes.len());
                 let sent_at_ms = now_ms();
-                let ended = asked.send(nodes[rng.random_range(0..nodes.len())]).await;
+                let ended = asked.send(nodes[node]).await;
                 called.lock().push(Called {
                     asked,
+                    node,
                     sent_at_ms,
                     ended,
                 });
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use teaselline_stand_ins::operators::soak::{self, SoakSettings};
 
 fn command() -> Command {
@@ -38,6 +38,12 @@
                 .default_value("4")
                 .help("How many nodes."),
         )
+        .arg(
+            Arg::new("drills")
+                .long("drills")
+                .action(ArgAction::SetTrue)
+                .help("Has the store come back from copies meanwhile."),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
@@ -63,6 +69,7 @@
             seed,
             span: Duration::from_secs(number("seconds")),
             nodes,
+            has_drills: matches.get_flag("drills"),
         };
         match soak::run(settings).await {
             Ok(outcome) => {
--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -1,7 +1,9 @@
 //! A randomized soak: real processes under load, faults from outside in series that overlap, and
 //! checks of the promises from what callers and upstreams see.
 
+mod calm;
 pub mod checks;
+mod drills;
 mod faults;
 
 use std::collections::BTreeMap;
@@ -18,6 +20,7 @@
 use tokio::time::Instant;
 
 use self::checks::{check_calls, check_duties, check_limited, check_revoked};
+use self::drills::Drills;
 use self::faults::Faults;
 use super::caller::{Asked, Ended};
 use super::deployment::{Deployment, DeploymentSettings, KEYS, asked};
@@ -45,6 +48,8 @@
     pub span: Duration,
     /// Nodes.
     pub nodes: usize,
+    /// The store comes back from copies meanwhile.
+    pub has_drills: bool,
 }
 
 /// What upstreams name from shortly before the last fault on, in requests a second, and what may reach each of them
@@ -73,6 +78,8 @@
 pub struct Called {
     /// The call.
     pub asked: Asked,
+    /// The node that got it.
+    pub node: usize,
     /// When it was sent, in Unix milliseconds.
     pub sent_at_ms: u64,
     /// How it ended.
@@ -105,6 +112,7 @@
         callers.spawn(call_on(caller, rng, nodes.clone(), Arc::clone(&called)));
     }
     let mut faults = Faults::new(settings.seed);
+    let mut drills = settings.has_drills.then(|| Drills::new(settings.seed));
     let until = Instant::now() + settings.span;
     let mut limited = Vec::new();
     while Instant::now() < until {
@@ -113,22 +121,32 @@
         }
         let fault = faults.next(&mut deployment).await?;
         outcome.faults.push(fault);
+        let drill = drills.as_mut().and_then(|drills| drills.step(&deployment));
+        outcome.faults.extend(drill);
         tokio::time::sleep(faults.pause()).await;
         outcome.broken.extend(faults.restart_ended(&deployment)?);
         faults.undo_due(&deployment)?;
     }
     faults.undo_all(&deployment)?;
+    if let Some(drills) = &mut drills {
+        drills.end(&deployment);
+    }
     outcome.broken.extend(faults.restart_ended(&deployment)?);
     if let Some(lost) = not_recovered(&deployment, faults.revoked_at_ms).await {
         outcome.broken.push(lost);
     }
     tokio::time::sleep(CONTACT).await;
+    let mut saying = calm::begin(&deployment, &limited);
+    saying.settle(&deployment).await;
     let binds_ms = now_ms();
     tokio::time::sleep(Duration::from_millis(LIMIT_SPAN_MS)).await;
+    let is_revoked = faults.revoked_at_ms.is_some();
+    (outcome.broken).extend(calm::change(&deployment, is_revoked).await);
     callers.shutdown().await;
     check_limited(&deployment, &limited, binds_ms, &mut outcome);
     let called = std::mem::take(&mut *called.lock());
     let runs = deployment.runs.lock().clone();
+    outcome.broken.extend(saying.broken(&deployment, &called));
     check_calls(&called, &runs, &mut outcome);
     check_revoked(&called, &runs, faults.revoked_at_ms, &mut outcome);
     check_duties(
@@ -165,11 +183,12 @@
         if rng.random_bool(0.3) {
             KEYS[1].clone_into(&mut asked.key);
         }
-        let node = nodes[rng.random_range(0..nodes.len())];
+        let node = rng.random_range(0..nodes.len());
         let sent_at_ms = now_ms();
-        let ended = asked.send(node).await;
+        let ended = asked.send(nodes[node]).await;
         history.lock().push(Called {
             asked,
+            node,
             sent_at_ms,
             ended,
         });
--- a/stand_ins/src/operators/store.rs
+++ b/stand_ins/src/operators/store.rs
@@ -157,6 +157,14 @@
         Some(value.clone())
     }
 
+    /// The keys of a topic that have a record.
+    #[must_use]
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let topics = self.shared.topics.lock();
+        let newest = topics.get(topic).map(|topic| topic.newest.keys().cloned());
+        newest.map_or_else(Vec::new, Iterator::collect)
+    }
+
     /// What it holds now.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
