--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod gossip;
 mod handover;
 mod health;
+mod in_force;
 mod inbound;
 mod info;
 mod intake;
--- a/src/gateway/confirm/tests.rs
+++ b/src/gateway/confirm/tests.rs
@@ -3,8 +3,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::super::catalog::{Catalog, Confirmation, InForce};
+use super::super::catalog::Catalog;
 use super::super::contact::StoreContact;
+use super::super::in_force::{Confirmation, InForce};
 use super::super::peers::tests::{member, pulse};
 use super::super::peers::{Member, Peers};
 use super::super::place::tests::at;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,6 +1,7 @@
 //! The path of a request: from a caller to an upstream and back.
 
 mod admit;
+mod arrived;
 mod attempt;
 mod events;
 mod running;
@@ -17,7 +18,7 @@
 use hyper::body::{Frame, Incoming};
 
 use self::admit::Plan;
-use self::attempt::Arrived;
+use self::arrived::Arrived;
 use self::events::BrokenOff;
 use self::story::Story;
 use self::trial::Trial;
--- a/src/gateway/exchange/events.rs
+++ b/src/gateway/exchange/events.rs
@@ -11,7 +11,8 @@
 use thiserror::Error;
 
 use super::admit::Plan;
-use super::attempt::{self, Arrived, Rest};
+use super::arrived::{self, Arrived, Remainder};
+use super::attempt;
 use super::story::Story;
 use super::trial::Trial;
 use crate::gateway::clock;
@@ -54,7 +55,7 @@
 /// One upstream's stream.
 struct Source {
     body: Incoming,
-    rest: Rest,
+    rest: Remainder,
     splitter: Splitter,
     /// When its first events came, and the last of them.
     first_at: TimeMs,
@@ -162,7 +163,7 @@
                 let model = engines.of(&plan.pool);
                 model.note_first(running.waiting_tokens, running.others_before, took_ms);
             }
-            attempt::count_begun(node, plan, now);
+            arrived::count_begun(node, plan, now);
             story.first(now);
             return Some(Opened {
                 plan: Arc::clone(plan),
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 
-use super::catalog::{Confirmation, Question};
 use super::clock;
 use super::confirm::{self, CONFIRM_WAIT_MS, Reading, Standing};
+use super::in_force::{Confirmation, Question};
 use super::peers::Message;
 use super::place::Place;
 use super::questions::Questions;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,9 +8,9 @@
 
 use bincode::{Decode, Encode};
 
-use super::catalog::{Confirmation, Question};
 use super::contact::StoreReach;
 use super::demand::Rates;
+use super::in_force::{Confirmation, Question};
 use super::lease::Holder;
 use super::pace::Pace;
 use super::place::Place;
