--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -100,8 +100,7 @@
     let preferred = ask.prompt.map(|prompt| preferred(&candidates, prompt));
     let preferred = preferred.unwrap_or_default();
     let sources = sources::of(table, prefixes, ask, now);
-    let took_ms = (candidates.iter()).filter_map(|(_key, upstream)| upstream.health.took_ms());
-    let least_ms = took_ms.reduce(f64::min).unwrap_or(PLAIN_CALL_MS);
+    let least_ms = least_ms(&candidates, ask);
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
         if any_sound && !is_sound(upstream) {
@@ -190,6 +189,14 @@
     candidates
 }
 
+/// How long the fastest upstream takes for the answer to a plain call.
+fn least_ms(candidates: &[(UpstreamKey, &Upstream)], ask: &Ask<'_>) -> f64 {
+    // What engines take is expected from their pace.
+    let of_plain = candidates.iter().filter(|_candidate| ask.prompt.is_none());
+    let took_ms = of_plain.filter_map(|(_key, upstream)| upstream.health.took_ms());
+    took_ms.reduce(f64::min).unwrap_or(PLAIN_CALL_MS)
+}
+
 /// The two upstreams at which all nodes expect the shared part of a prompt, the first one first.
 fn preferred(candidates: &[(UpstreamKey, &Upstream)], prompt: &Prompt) -> [Option<UpstreamKey>; 2] {
     match prompt.shared() {
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -296,6 +296,7 @@
     /// Gives the lease up at once: another node has acted with a higher token.
     pub fn lose(&mut self) {
         self.own_until = TimeMs(0);
+        self.kept_until = TimeMs(0);
         self.is_read = false;
     }
 
@@ -336,6 +337,10 @@
         if holder.era < place.era && is_held {
             return;
         }
+        // Another has taken it since, after it had ended here.
+        if holder.era == place.era && holder != self.own {
+            self.kept_until = TimeMs(0);
+        }
         let token = match &self.holder {
             Some(held) if held.holder == holder && !held.is_released => held.token,
             _ => place,
--- a/src/gateway/lease/tests/eras.rs
+++ b/src/gateway/lease/tests/eras.rs
@@ -67,6 +67,21 @@
     );
 }
 
+/// A node that held the lease before takes it again at once although another has taken it meanwhile.
+#[test]
+fn a_lease_that_another_has_taken_in_the_new_era_is_not_taken_back_at_once() {
+    let mut lease = held("a", 10_000);
+    lease.enter_era(1, TimeMs(10_050), false);
+    lease.read(place(1, 0), hold_in("b", 1), TimeMs(10_060));
+    lease.read_to(place(1, 1), TimeMs(10_060));
+    assert!(!lease.may_take(TimeMs(10_070)));
+    let mut fenced = held("a", 10_000);
+    fenced.enter_era(1, TimeMs(10_050), false);
+    fenced.lose();
+    fenced.read_to(place(1, 0), TimeMs(10_060));
+    assert!(!fenced.may_take(TimeMs(10_070)));
+}
+
 /// A fencing token comes a second time, or lower than before.
 #[test]
 fn tokens_of_a_later_era_are_higher() {
