bug: A log of duties that ends before what was read is not read again at once, for ever

Found by reading the change again: a store that names no era and goes back would have had the holder read in a loop without a pause, since the place to read on from stayed the same. It is left for the next look, with a line.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -193,6 +193,10 @@
                 memory.unknown_before = node.time_of_day(clock::now());
                 let mut lease = node.lease.lock();
                 lease.skip_to(first);
+                if lease.read_end() == from {
+                    log::warn!(event = "history_lost", topic = "duties", from:% = from, first; "the store lacks records that lie behind its oldest");
+                    return;
+                }
                 from = lease.read_end();
             }
             Err(error) => {
