refactor: Checks and loops that the change wrote more than once have one place each

From reading the whole change again: - whether a call shows that the store serves this node is decided in note_store, which takes how the call ended; three callers asked it themselves, and rolling.rs had been missed: the status of a roll-out that is answered in an older era no longer counts as a failing store. The era that the store named last is taken in by one function in place of three copies; - whether an answer asks for rest was decided in three places; the adapter says it once (asked_rest_ms). A rest of zero is now nothing at all; before it moved the end of an earlier rest to now, which told nobody anything; - upstreams that have left are sorted by name and found by binary search, in place of a look at all of them for each record of a copy; - follow.rs had a function that only called another, health.rs an arm that could not be reached; - in the stand-ins, finding an upstream and setting all doors of the store stood in four and three places.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -14,7 +14,7 @@
 use super::upkeep::{self, Standing};
 use super::upstreams::{Announced, Change};
 use super::{clock, confirm, handover, rank};
-use crate::platform::store::{self, Keyed, Records, StoreError, Topic};
+use crate::platform::store::{Keyed, Records, StoreError, Topic};
 use crate::platform::upstreams;
 use crate::time::TimeMs;
 
@@ -38,7 +38,7 @@
             upkeep::Step::AskPeer => handover::ask(&node, &mut questions, now),
             upkeep::Step::ReadStore => {
                 let read = read(&node).await;
-                node.note_store(store::is_served(&read), clock::now());
+                node.note_store(&read, clock::now());
                 if let Err(error) = read {
                     log::debug!(error:err = error; "the upstreams were not read");
                 }
@@ -100,7 +100,7 @@
     }
 }
 
-/// Takes in that records have been read up to an offset, of those up to the end.
+/// Takes in that records have been read up to a place, of those up to the end.
 fn note_read(node: &Gateway, to: Place, end: Place, read_at: TimeMs) {
     let mut view = node.upstreams_view.lock();
     view.reached(to, read_at);
@@ -187,7 +187,7 @@
     }
 }
 
-/// Tells the peers what has been read from an offset on: the neighbours, and one node of each other
+/// Tells the peers what has been read from a place on: the neighbours, and one node of each other
 /// failure domain that tells its own.
 fn tell(node: &Gateway, since: Place, now: TimeMs) {
     let steps = node.recent.lock().told(since, now);
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -13,7 +13,7 @@
 use super::upstreams::tag;
 use super::usage::Report;
 use crate::platform::cloud::{Cloud, Holder, Verdict};
-use crate::platform::store::{self, StoreError, Topic};
+use crate::platform::store::{StoreError, Topic};
 use crate::time::TimeMs;
 
 /// Between two looks at the lease and the duties.
@@ -142,7 +142,7 @@
     let at = node.lease.lock().end();
     let sent_at = clock::now();
     let appended = node.store.append(Topic::Duties, &encoded, Some(at)).await;
-    node.note_store(store::is_served(&appended), clock::now());
+    node.note_store(&appended, clock::now());
     match appended {
         Ok(place) => {
             (node.lease.lock()).appended(place, entry, sent_at, clock::now());
@@ -166,7 +166,7 @@
     loop {
         let read = node.store.read(Topic::Duties, from, 0).await;
         let now = clock::now();
-        node.note_era(node.store.era(), 0, now);
+        node.note_store_era(now);
         match read {
             Ok(records) => {
                 let mut lease = node.lease.lock();
--- a/src/gateway/exchange/arrived.rs
+++ b/src/gateway/exchange/arrived.rs
@@ -14,7 +14,6 @@
 use super::trial::Trial;
 use crate::gateway::clock;
 use crate::gateway::health::Outcome;
-use crate::gateway::rest::StatedRest;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
 use crate::platform::headers::AnswerHead;
@@ -107,7 +106,7 @@
     pub fn ended(self, node: &Gateway, status: StatusCode, plan: &Plan, now: TimeMs) {
         let took_ms = now.since(self.running.sent_at);
         let outcome = match status {
-            _ if asks_rest(status, &self.answer) => Outcome::Resting,
+            _ if self.answer.asked_rest_ms(status).is_some() => Outcome::Resting,
             _ if status.is_server_error() => Outcome::Failed,
             _ => Outcome::Good { took_ms },
         };
@@ -140,12 +139,6 @@
     }
 }
 
-/// Whether an answer turns this node away and asks for rest.
-pub(super) fn asks_rest(status: StatusCode, answer: &AnswerHead) -> bool {
-    let is_asked = matches!(answer.rest, StatedRest::ForMs(1..));
-    is_asked && status == StatusCode::SERVICE_UNAVAILABLE
-}
-
 /// Keeps the channel of an answer that has been read to its end, if its upstream does.
 pub(super) fn keep(
     node: &Gateway,
--- a/src/gateway/exchange/attempt.rs
+++ b/src/gateway/exchange/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::admit::Plan;
-use super::arrived::{Arrived, asks_rest, keep};
+use super::arrived::{Arrived, keep};
 use super::running::Running;
 use super::story::{Inputs, Story};
 use super::trial::{Trial, retry_after_ms};
@@ -317,10 +317,9 @@
             Err(Vain::NotRun("other_upstream", status.to_string()))
         }
         _ if answer.is_not_run => {
-            let outcome = if asks_rest(status, &answer) {
-                Outcome::Resting
-            } else {
-                Outcome::Refused
+            let outcome = match answer.asked_rest_ms(status) {
+                Some(_rest_ms) => Outcome::Resting,
+                None => Outcome::Refused,
             };
             running.note(outcome, now);
             keep(node, &running, sender, &answer);
@@ -336,7 +335,7 @@
             Err(Vain::MayHaveRun("unproved_answer", status.to_string()))
         }
         _ => {
-            if !asks_rest(status, &answer) {
+            if answer.asked_rest_ms(status).is_none() {
                 running.note_taken();
             }
             Ok(Arrived {
@@ -363,14 +362,14 @@
     if answer.leaves {
         running.note_leaving();
     }
+    if let Some(rest_ms) = answer.asked_rest_ms(status) {
+        running.note_rest(rest_ms, now);
+    }
     match answer.rest {
-        StatedRest::ForMs(rest_ms) if status == StatusCode::SERVICE_UNAVAILABLE => {
-            running.note_rest(rest_ms, now);
-        }
-        StatedRest::ForMs(rest_ms) => {
+        StatedRest::ForMs(rest_ms) if status != StatusCode::SERVICE_UNAVAILABLE => {
             log::debug!(event = "upstream_rest_passed_over", status = status.as_u16(), rest_ms; "an answer other than 503 names a time to come back");
         }
-        StatedRest::Unnamed | StatedRest::Unreadable => {}
+        _ => {}
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,7 +14,7 @@
 use super::rank;
 use super::rollout::Order;
 use super::state::{Gateway, Recipients};
-use crate::platform::store::{self, CONFIGURATION_KEY, Keyed, StoreError, Topic};
+use crate::platform::store::{CONFIGURATION_KEY, Keyed, StoreError, Topic};
 use crate::platform::{documents, rollouts};
 use crate::time::TimeMs;
 
@@ -46,7 +46,7 @@
             }
             read => read,
         };
-        node.note_store(store::is_served(&read), clock::now());
+        node.note_store(&read, clock::now());
         if let Err(error) = read {
             log::debug!(error:err = error; "the configuration was not read");
         }
@@ -97,7 +97,7 @@
     for item in newest.items {
         take_item(node, &item);
     }
-    confirmed(node, newest.end, asked_at);
+    (node.in_force.write()).confirmed_by_store(newest.end, asked_at);
     if is_return {
         hand_over(node);
     }
@@ -116,7 +116,7 @@
     let next = records.next();
     if next < records.end {
         // More follows: what has been read is taken in, but it was not all.
-        confirmed(node, next, TimeMs(0));
+        (node.in_force.write()).confirmed_by_store(next, TimeMs(0));
         return Ok(());
     }
     // Without a record the store has waited before it answered.
@@ -125,18 +125,14 @@
     } else {
         0
     };
-    confirmed(node, next, asked_at.after(waited_ms).min(clock::now()));
+    let current_at = asked_at.after(waited_ms).min(clock::now());
+    (node.in_force.write()).confirmed_by_store(next, current_at);
     if !records.bodies.is_empty() {
         hand_over(node);
     }
     Ok(())
 }
 
-/// Takes in that the store's records have been read up to a place.
-fn confirmed(node: &Gateway, end: Place, current_at: TimeMs) {
-    node.in_force.write().confirmed_by_store(end, current_at);
-}
-
 /// Hands what has just been read to the peers of this failure domain, which do not wait for it at
 /// the store; one that misses it finds out when it asks.
 fn hand_over(node: &Gateway) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -424,7 +424,7 @@
     if let Err(error) = &put {
         log::debug!(error:% = error; "this node is not announced yet");
     }
-    node.note_era(node.store.era(), 0, clock::now());
+    node.note_store_era(clock::now());
     put.ok()
 }
 
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -59,9 +59,6 @@
 impl Health {
     /// Takes in an outcome.
     pub fn note(&mut self, outcome: Outcome, now: TimeMs) {
-        if outcome == Outcome::Resting {
-            return;
-        }
         let failure = match outcome {
             Outcome::Good { took_ms } => {
                 self.failures_in_row = 0;
@@ -81,7 +78,7 @@
                 1.0
             }
             Outcome::Refused => 0.5,
-            Outcome::Resting => 0.0,
+            Outcome::Resting => return,
         };
         let before = self.failure_share(now);
         self.failure_share = before + NEWEST_WEIGHT * (failure - before);
--- a/src/gateway/rolling.rs
+++ b/src/gateway/rolling.rs
@@ -116,7 +116,7 @@
         let key = rollouts::status_key(&order.pool);
         let text = rollouts::status(&order, stage);
         let put = node.store.put(Topic::Nodes, &key, &text).await;
-        node.note_store(put.is_ok(), clock::now());
+        node.note_store(&put, clock::now());
         match put {
             Ok(_place) => {
                 log::info!(event = "rollout_told", pool = order.pool.as_str(), order:% = order.place, stage:? = stage; "the operators were told of a roll-out");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,7 +33,7 @@
 use super::upstreams::{UpstreamTable, tag};
 use super::usage::UsageBook;
 use super::view::UpstreamsView;
-use crate::platform::store::Store;
+use crate::platform::store::{self, Store, StoreError};
 use crate::time::TimeMs;
 
 /// Messages to peers that wait to be sent; more than this at once is a fault elsewhere.
@@ -208,9 +208,16 @@
         stop.is_none_or(|stop| stop.accepts(is_stream, now))
     }
 
-    /// Takes in whether a call to the store was answered.
-    pub fn note_store(&self, answered: bool, now: TimeMs) {
-        self.store_contact.lock().note(answered, now);
+    /// Takes in how a call to the store ended.
+    pub fn note_store<T>(&self, called: &Result<T, StoreError>, now: TimeMs) {
+        self.store_contact
+            .lock()
+            .note(store::is_served(called), now);
+        self.note_store_era(now);
+    }
+
+    /// Takes in the era that the store has named last.
+    pub fn note_store_era(&self, now: TimeMs) {
         self.note_era(self.store.era(), 0, now);
     }
 
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -234,7 +234,7 @@
     by_id: Vec<(String, UpstreamKey)>,
     /// Sorted by tag.
     by_tag: Vec<(u64, UpstreamKey)>,
-    /// Starts of upstreams that have left and are forgotten, oldest first.
+    /// Starts of upstreams that have left and are forgotten, sorted by tag.
     departed: Vec<Departed>,
     /// What each peer has running, sorted by the peer's incarnation.
     by_peer: Vec<(u64, Vec<(UpstreamKey, Load)>)>,
@@ -314,9 +314,8 @@
 
     /// Whether a record is one that its upstream had written before it left.
     fn has_departed(&self, announced: &Announced) -> bool {
-        let tag = announced.tag();
-        let is_earlier = |departed: &Departed| announced.sequence <= departed.sequence;
-        (self.departed.iter()).any(|departed| departed.tag == tag && is_earlier(departed))
+        let found = (self.departed).binary_search_by_key(&announced.tag(), |departed| departed.tag);
+        found.is_ok_and(|place| announced.sequence <= self.departed[place].sequence)
     }
 
     /// Whether a record does not say when its upstream started although most of its pool do.
@@ -446,7 +445,7 @@
                 self.free.push(place);
                 // One whose record only lapsed may come back with the same one.
                 if upstream.doubtful_until == TimeMs(0) {
-                    self.departed.push(Departed {
+                    self.note_departed(Departed {
                         tag: upstream.tag,
                         sequence: upstream.announced.sequence,
                         at: now,
@@ -460,6 +459,14 @@
         self.by_tag.retain(|(_tag, key)| !is_gone(key));
     }
 
+    fn note_departed(&mut self, departed: Departed) {
+        let found = (self.departed).binary_search_by_key(&departed.tag, |known| known.tag);
+        match found {
+            Ok(place) => self.departed[place] = departed,
+            Err(place) => self.departed.insert(place, departed),
+        }
+    }
+
     /// What the upstreams that are there have announced, sorted by id.
     pub fn announced_by_id(&self) -> impl Iterator<Item = &Announced> {
         (self.by_id.iter())
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,7 +6,7 @@
     AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, RETRY_AFTER, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::gateway::call::{CallHead, Malformed, Part, Prompt};
 use crate::gateway::num;
@@ -336,6 +336,17 @@
         self.request_id.as_deref() == Some(request_id)
     }
 
+    /// The rest that it asks of this node, as an answer with a status: only who is turned away is asked for one.
+    #[must_use]
+    pub(crate) fn asked_rest_ms(&self, status: StatusCode) -> Option<u64> {
+        match self.rest {
+            StatedRest::ForMs(rest_ms) if status == StatusCode::SERVICE_UNAVAILABLE => {
+                (rest_ms > 0).then_some(rest_ms)
+            }
+            _ => None,
+        }
+    }
+
     /// What it says of a limit, as an answer to a request.
     ///
     /// A refusal made before the upstream proper, or a late answer to an earlier request of the channel, may
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -15,7 +15,7 @@
 use super::caller::{Asked, Ended};
 use super::cloud::Cloud;
 use super::node::{Launch, Node};
-use super::store::{OpenDoor, Store};
+use super::store::{Door, OpenDoor, Store};
 use super::upstream::{Run, Upstream, UpstreamSettings};
 use crate::proxy::{ProxySettings, TcpProxy};
 
@@ -183,6 +183,19 @@
         Ok(())
     }
 
+    /// Has all doors of the store behave so from the next call on.
+    pub fn set_doors(&self, state: Door) {
+        for door in &self.doors {
+            door.set(state);
+        }
+    }
+
+    /// The upstream with an id.
+    #[must_use]
+    pub fn upstream(&self, id: &str) -> Option<&Upstream> {
+        self.upstreams.iter().find(|one| one.id() == id)
+    }
+
     /// Puts a version of the configuration into the store.
     pub fn configure(&self, document: &Value) {
         self.store.put("keyed.op", "config", &document.to_string());
--- a/stand_ins/src/operators/soak/calm.rs
+++ b/stand_ins/src/operators/soak/calm.rs
@@ -7,7 +7,7 @@
 
 use super::Called;
 use crate::operators::deployment::{Deployment, asked, document};
-use crate::operators::upstream::{Fault, Upstream};
+use crate::operators::upstream::Fault;
 
 /// The rest that an upstream asks for in the calm, and requests of one node that it may get meanwhile.
 const REST_S: &str = "1.5";
@@ -51,7 +51,9 @@
     pub async fn settle(&mut self, deployment: &Deployment) {
         tokio::time::sleep(DRAIN).await;
         for (id, before) in &mut self.leaving {
-            *before = find(deployment, id).map_or(0, |one| one.arrivals().len());
+            *before = deployment
+                .upstream(id)
+                .map_or(0, |one| one.arrivals().len());
         }
     }
 
@@ -67,7 +69,9 @@
         };
         let mut broken = Vec::new();
         for id in &self.resting {
-            let most = find(deployment, id).map_or(0, |one| one.most_in_rest(node_of));
+            let most = deployment
+                .upstream(id)
+                .map_or(0, |one| one.most_in_rest(node_of));
             if most > MOST_IN_REST {
                 broken.push(format!(
                     "{id} asked for {REST_S} s of rest and got {most} of one node"
@@ -75,7 +79,10 @@
             }
         }
         for (id, before) in &self.leaving {
-            let late = find(deployment, id).map_or(0, |one| one.arrivals().len()) - before;
+            let late = deployment
+                .upstream(id)
+                .map_or(0, |one| one.arrivals().len())
+                - before;
             if late > 0 {
                 broken.push(format!(
                     "{id} said that it leaves and got {late} later than it may"
@@ -86,10 +93,6 @@
     }
 }
 
-fn find<'a>(deployment: &'a Deployment, id: &str) -> Option<&'a Upstream> {
-    deployment.upstreams.iter().find(|one| one.id() == id)
-}
-
 /// Changes a route, and tells of nodes on which that is not in force in time; `is_revoked` says that the second team's
 /// key stays taken away.
 pub(super) async fn change(deployment: &Deployment, is_revoked: bool) -> Vec<String> {
--- a/stand_ins/src/operators/soak/drills.rs
+++ b/stand_ins/src/operators/soak/drills.rs
@@ -50,14 +50,14 @@
                 500..4_000,
             ),
             Next::Leave(copy) => {
-                set_doors(deployment, Door::Resetting);
+                deployment.set_doors(Door::Resetting);
                 (Next::Return(copy), "the store goes away", 300..1_500)
             }
             Next::Return(copy) => {
                 let newest = deployment.store.newest("keyed.op", "config");
                 let newest = newest.unwrap_or_default();
                 deployment.store.come_back_from(copy);
-                set_doors(deployment, Door::Open);
+                deployment.set_doors(Door::Open);
                 let document = String::from_utf8_lossy(&newest).into_owned();
                 let told = "the store comes back from the copy";
                 (Next::Rewrite(document), told, 100..1_200)
@@ -89,15 +89,9 @@
     }
 }
 
-fn set_doors(deployment: &Deployment, state: Door) {
-    for door in &deployment.doors {
-        door.set(state);
-    }
-}
-
 fn lapse_gone(deployment: &Deployment) {
     for id in deployment.store.keys("keyed.servers") {
-        if !deployment.upstreams.iter().any(|one| one.id() == id) {
+        if deployment.upstream(&id).is_none() {
             deployment.store.put("keyed.servers", &id, "");
         }
     }
--- a/stand_ins/src/operators/soak/faults.rs
+++ b/stand_ins/src/operators/soak/faults.rs
@@ -127,8 +127,7 @@
                     Fault::BreaksOff,
                 ];
                 let fault = faults[self.rng.random_range(0..faults.len())];
-                let mut found = deployment.upstreams.iter();
-                if let Some(found) = found.find(|other| other.id() == upstream) {
+                if let Some(found) = deployment.upstream(&upstream) {
                     found.set(fault);
                 }
                 self.pending
@@ -319,11 +318,7 @@
             }
         }
         Undo::MendUpstream(id) => {
-            if let Some(upstream) = deployment
-                .upstreams
-                .iter()
-                .find(|upstream| upstream.id() == id)
-            {
+            if let Some(upstream) = deployment.upstream(id) {
                 upstream.set(Fault::None);
             }
         }
--- a/tests/platform/store_copy.rs
+++ b/tests/platform/store_copy.rs
@@ -21,16 +21,10 @@
 const HISTORY_LINES: usize = 4;
 
 async fn come_back_from(deployment: &Deployment, copy: StoreCopy) {
-    deployment
-        .doors
-        .iter()
-        .for_each(|door| door.set(Door::Resetting));
+    deployment.set_doors(Door::Resetting);
     tokio::time::sleep(AWAY).await;
     deployment.store.come_back_from(copy);
-    deployment
-        .doors
-        .iter()
-        .for_each(|door| door.set(Door::Open));
+    deployment.set_doors(Door::Open);
 }
 
 /// A version with another path in place of the first route's.
