--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use super::log_position::LogPosition;
+use super::messages::{Message, UpstreamChanges};
 use super::peer_queries::PeerQueries;
-use super::peers::{Message, UpstreamChanges};
 use super::recent_changes::{ChangeBatch, MAX_CHANGES_PER_MESSAGE};
 use super::snapshot::Snapshot;
 use super::state::{Gateway, Recipients};
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -101,6 +101,8 @@
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Team {
     pub name: String,
+    /// Hash of the name, which identifies the team among nodes.
+    pub tag: u64,
     /// Takes precedence over the route's priority.
     pub priority: Option<u8>,
     /// The unit in which the limit is counted.
--- a/src/gateway/confirmation/tests.rs
+++ b/src/gateway/confirmation/tests.rs
@@ -6,9 +6,10 @@
 use super::super::active_configuration::{ActiveConfiguration, Confirmation};
 use super::super::catalog::Catalog;
 use super::super::log_position::tests::at;
+use super::super::messages::Member;
 use super::super::peer_queries::PeerQueries;
+use super::super::peers::Peers;
 use super::super::peers::tests::{heartbeat, member};
-use super::super::peers::{Member, Peers};
 use super::super::rank;
 use super::super::store_contact::StoreContact;
 use super::*;
@@ -154,7 +155,7 @@
             let mut heartbeat = heartbeat(&node.peers.own().name, 0);
             heartbeat.member = node.peers.own().clone();
             heartbeat.interval_ms = HEARTBEAT_INTERVAL_MS;
-            heartbeat.store = node.contact.availability(self.now);
+            heartbeat.status.store = node.contact.availability(self.now);
             for other in self
                 .nodes
                 .iter_mut()
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -19,8 +19,8 @@
 /// Length of a counting bucket.
 const BUCKET_MS: u64 = 500;
 
-/// Validity of a peer's rates; after this time the node is considered gone or partitioned. With 195
-/// nodes heartbeats are 1.2 s apart.
+/// Validity of a peer's rates; after this time the node is considered gone or partitioned. The rates
+/// of other groups arrive once a second.
 const PEER_RATES_TTL_MS: u64 = 2_000;
 
 /// A shared prefix counts as active for one to two of these windows after a request used it.
@@ -211,12 +211,18 @@
         }
     }
 
+    /// Returns the rates that a peer last reported.
+    pub fn rates_of(&self, incarnation: u64) -> &[Rates] {
+        let found = (self.peers).binary_search_by_key(&incarnation, |(peer, _at, _rates)| *peer);
+        found.map_or(&[], |index| &self.peers[index].2)
+    }
+
     /// Returns the load of all nodes on a pool, extrapolated from the nodes with current rates to
     /// all `known_nodes`.
     ///
     /// The extrapolation uses the number of nodes whose rates arrived recently, and not the number
-    /// of live nodes: with rare heartbeats a node counts as alive for longer than its rates are
-    /// valid, and one lost heartbeat would hide its load.
+    /// of live nodes: a node counts as alive for longer than its rates are valid, and a lost datagram
+    /// would hide its load. Nodes that do not keep the accounts of all know the rates of their group.
     pub fn fleet(&self, pool: &str, known_nodes: u32, now: TimeMs) -> Rates {
         let own = self.own.get(pool).map(|load| load.rates(now));
         let pool = tag(pool);
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -7,7 +7,7 @@
 use super::admission::Plan;
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
-use crate::gateway::peers::Message;
+use crate::gateway::messages::Message;
 use crate::gateway::rollout::Answer;
 use crate::gateway::send_gate::Closed;
 use crate::gateway::state::Gateway;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,39 +1,39 @@
-//! Sends and receives the datagrams between nodes and discovers members in the store.
+//! Sends and receives the datagrams between nodes.
+
+mod discovery;
+mod receive;
+mod statements;
 
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
-use super::announcements;
+pub(crate) use discovery::discover;
+
 use super::clock;
-use super::configuration_sync;
-use super::handover;
-use super::log_position::LogPosition;
-use super::num;
-use super::peers::{Heartbeat, Member, Message, PEER_EXPIRY_MS};
+use super::messages::Message;
+use super::peers::PEER_EXPIRY_MS;
 use super::rank;
-use super::rollout::Decision;
+use super::relay::{self, ALIVE_INTERVAL_MS, REPORT_INTERVAL_MS};
 use super::state::{Gateway, Outgoing, Recipients};
-use super::throttle::{LimitReport, Sharers};
+use super::throttle::Sharers;
 use super::upstreams::tag;
-use crate::platform::rollouts;
-use crate::platform::store::Topic;
 use crate::time::TimeMs;
 
 /// Largest datagram, just below the limit of UDP over IPv4.
 const MAX_DATAGRAM_BYTES: usize = 65_000;
 
-/// Least interval between two heartbeats to each peer.
+/// Least interval between two heartbeats to each node of the group.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
 
-/// Heartbeat interval per peer, so that a node sends at most about 170 heartbeats a second.
-const HEARTBEAT_INTERVAL_PER_PEER_MS: u64 = 6;
+/// Heartbeat interval per node of the group, so that a node sends at most about 83 heartbeats a
+/// second.
+const HEARTBEAT_INTERVAL_PER_PEER_MS: u64 = 12;
 
 /// Interval between two heartbeats that carry engine speeds.
 ///
@@ -41,11 +41,46 @@
 /// rest of a heartbeat.
 const PACES_INTERVAL_MS: u64 = 2_000;
 
+/// Interval between two messages with the accounts of a group.
+const ACCOUNTS_INTERVAL_MS: u64 = 1_000;
+
+/// Most accounts in one datagram; one with many teams takes a kilobyte.
+const MAX_ACCOUNTS_PER_MESSAGE: usize = 32;
+
+/// Most admitted totals in one datagram; each takes some 35 bytes.
+const MAX_TOTALS_PER_MESSAGE: usize = 1_000;
+
+/// Most reports of other groups in one datagram; one of a large group takes three kilobytes.
+const MAX_REPORTS_PER_MESSAGE: usize = 12;
+
 /// Time after its start in which a node sends no requests to upstreams that announce a rate limit.
 const STARTUP_QUIET_MS: u64 = 1_000;
 
-/// Interval between two reads of the member records in the store.
-const DISCOVERY_INTERVAL_MS: u64 = 1_000;
+/// The periodic messages of a node.
+#[derive(Debug, Default)]
+struct Schedule {
+    heartbeat: Timer,
+    paces: Timer,
+    report: Timer,
+    accounts: Timer,
+}
+
+/// Time of the last message of one kind; zero before the first.
+#[derive(Debug, Default)]
+struct Timer {
+    sent_at: TimeMs,
+}
+
+impl Timer {
+    /// Returns whether a message is due now, and if so counts it as sent.
+    fn try_start(&mut self, interval_ms: u64, now: TimeMs) -> bool {
+        let is_due = now.since(self.sent_at) >= interval_ms;
+        if is_due {
+            self.sent_at = now;
+        }
+        is_due
+    }
+}
 
 /// Exchanges datagrams with the peers until the process exits.
 pub(crate) async fn run(
@@ -56,13 +91,14 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     let mut ticks = tokio::time::interval(Duration::from_millis(HEARTBEAT_INTERVAL_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut heartbeat_at = TimeMs(0);
-    let mut paces_sent_at = TimeMs(0);
+    let mut schedule = Schedule::default();
     let mut was_stopping = false;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => handle_datagram(&node, &buffer[..length], from, clock::now()),
+                Ok((length, from)) => {
+                    receive::handle_datagram(&node, &buffer[..length], from, clock::now());
+                }
                 Err(error) => log::debug!(error:err = error; "cannot receive a datagram"),
             },
             message = messages.recv() => match message {
@@ -71,37 +107,151 @@
             },
             _tick = ticks.tick() => {
                 let now = clock::now();
-                let is_stopping = node.is_stopping();
                 divide_limits(&node, now);
-                if heartbeat_interval_ms(&node) > HEARTBEAT_INTERVAL_MS * 2 {
-                    send_admitted_totals(&node, &socket, now).await;
-                }
-                let is_due = now.since(heartbeat_at) >= heartbeat_interval_ms(&node);
-                if is_due || is_stopping != was_stopping {
-                    heartbeat_at = now;
-                    was_stopping = is_stopping;
-                    let mut heartbeat = build_heartbeat(&node, now);
-                    if now.since(paces_sent_at) >= PACES_INTERVAL_MS {
-                        paces_sent_at = now;
-                        heartbeat.paces = node.learned_paces();
-                    }
-                    send_to_all(&node, &socket, &Message::Heartbeat(Box::new(heartbeat))).await;
-                    remove_expired(&node, now);
-                }
+                send_admitted_totals(&node, &socket, now).await;
+                send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
+                send_reports_if_due(&node, &socket, &mut schedule, now).await;
+                send_accounts_if_due(&node, &socket, &mut schedule, now).await;
             }
             () = node.stopping.cancelled(), if !was_stopping => {
                 was_stopping = true;
-                let heartbeat = Message::Heartbeat(Box::new(build_heartbeat(&node, clock::now())));
-                send_to_all(&node, &socket, &heartbeat).await;
+                schedule.heartbeat = Timer::default();
+                schedule.report = Timer::default();
+                let now = clock::now();
+                send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
+                send_reports_if_due(&node, &socket, &mut schedule, now).await;
+            }
+        }
+    }
+}
+
+async fn send_heartbeat_if_due(
+    node: &Gateway,
+    socket: &UdpSocket,
+    schedule: &mut Schedule,
+    now: TimeMs,
+) {
+    if !schedule
+        .heartbeat
+        .try_start(heartbeat_interval_ms(node), now)
+    {
+        return;
+    }
+    let mut heartbeat = statements::build_heartbeat(node, now);
+    if schedule.paces.try_start(PACES_INTERVAL_MS, now) {
+        heartbeat.paces = node.learned_paces();
+    }
+    node.relay.lock().record(&heartbeat.status, now);
+    let addresses = node.peers.lock().group_addresses();
+    send_to(socket, &Message::Heartbeat(Box::new(heartbeat)), &addresses).await;
+    remove_expired(node, now);
+}
+
+/// Sends the report on this group to the others, if this node is its speaker, and passes on the
+/// reports of other groups that it has received.
+async fn send_reports_if_due(
+    node: &Gateway,
+    socket: &UdpSocket,
+    schedule: &mut Schedule,
+    now: TimeMs,
+) {
+    if !schedule.report.try_start(REPORT_INTERVAL_MS, now) {
+        return;
+    }
+    let reach = node.store_reach(now);
+    let deliveries = {
+        let mut peers = node.peers.lock();
+        relay::deliveries(&mut node.relay.lock(), &mut peers, reach, now)
+    };
+    if !deliveries.to_group.is_empty() {
+        let group = node.peers.lock().group_addresses();
+        for reports in deliveries.to_group.chunks(MAX_REPORTS_PER_MESSAGE) {
+            send_to(socket, &Message::GroupReports(reports.to_vec()), &group).await;
+        }
+    }
+    if let Some((report, carriers)) = deliveries.to_carriers {
+        send_to(socket, &Message::GroupReport(report), &carriers).await;
+    }
+}
+
+/// Sends the accounts of this group to the nodes that may perform the duties, if this node is the
+/// speaker of a group among others.
+async fn send_accounts_if_due(
+    node: &Gateway,
+    socket: &UdpSocket,
+    schedule: &mut Schedule,
+    now: TimeMs,
+) {
+    if !schedule.accounts.try_start(ACCOUNTS_INTERVAL_MS, now) {
+        return;
+    }
+    let holder = node.lease.lock().holder().cloned();
+    let keepers = {
+        let reach = node.store_reach(now);
+        let mut peers = node.peers.lock();
+        let speaks = peers.group_count() > 1 && peers.is_speaker(reach, now);
+        if speaks {
+            peers.account_keepers(holder.as_ref(), now)
+        } else {
+            Vec::new()
+        }
+    };
+    if keepers.is_empty() {
+        return;
+    }
+    let accounts = statements::build_accounts(node, now);
+    for accounts in accounts.chunks(MAX_ACCOUNTS_PER_MESSAGE) {
+        send_to(socket, &Message::Accounts(accounts.to_vec()), &keepers).await;
+    }
+}
+
+/// Sends admitted totals to the teams' collectors, and to all nodes where this node is the collector.
+///
+/// Within a single group the heartbeats carry them fast enough.
+async fn send_admitted_totals(node: &Gateway, socket: &UdpSocket, now: TimeMs) {
+    if node.peers.lock().group_count() == 1 {
+        return;
+    }
+    let catalog = node.catalog();
+    let active: Vec<u64> = node.quotas.lock().active_teams().collect();
+    let mut relayed = Vec::new();
+    let mut collected = Vec::new();
+    for team in (catalog.teams.iter()).filter(|team| active.binary_search(&team.tag).is_ok()) {
+        let unreported = node.quotas.lock().take_unreported_total(team, now);
+        let changed = (node.quotas.lock()).take_changed_totals(team, node.incarnation, now);
+        if unreported.is_none() && changed.is_empty() {
+            continue;
+        }
+        match node.peers.lock().quota_collector(team.tag, now) {
+            Some(address) => {
+                let total = unreported.map(|total| (node.incarnation, total));
+                collected.extend(total.map(|total| (address, total)));
             }
+            None => relayed.extend(changed),
         }
     }
+    for (address, total) in collected {
+        send_to(socket, &Message::Admitted(vec![total]), &[address]).await;
+    }
+    for totals in relayed.chunks(MAX_TOTALS_PER_MESSAGE) {
+        send_to_all(node, socket, &Message::Admitted(totals.to_vec())).await;
+    }
 }
 
-/// Returns the interval between two heartbeats to each peer, which grows with the fleet.
+/// Returns the interval between two heartbeats to each node of the group, which grows with the group.
 fn heartbeat_interval_ms(node: &Gateway) -> u64 {
-    let peers = node.peers.lock().iter().count() as u64;
-    HEARTBEAT_INTERVAL_MS.max(peers * HEARTBEAT_INTERVAL_PER_PEER_MS)
+    let mates = node.peers.lock().group_addresses().len() as u64;
+    HEARTBEAT_INTERVAL_MS.max(mates * HEARTBEAT_INTERVAL_PER_PEER_MS)
+}
+
+/// Returns the time within which each node has been heard twice, directly or by its group's report.
+fn settling_ms(node: &Gateway) -> u64 {
+    let heartbeat_ms = heartbeat_interval_ms(node);
+    let report_ms = match node.peers.lock().group_count() {
+        1 => 0,
+        _ => ALIVE_INTERVAL_MS + REPORT_INTERVAL_MS,
+    };
+    (heartbeat_ms + report_ms) * 2
 }
 
 /// Computes this node's share of the rate limits that upstreams announce.
@@ -111,7 +261,7 @@
     }
     // Until two heartbeats of each peer could have arrived, this node may appear to be the only one
     // and would take the whole limit.
-    let is_settled = node.uptime_ms(now) >= STARTUP_QUIET_MS.max(heartbeat_interval_ms(node) * 2);
+    let is_settled = node.uptime_ms(now) >= STARTUP_QUIET_MS.max(settling_ms(node));
     let day_ms = node.agreed_time_of_day(now).0;
     let sharers = {
         let peers = node.peers.lock();
@@ -127,40 +277,20 @@
     (node.upstreams.lock()).update_limit_shares(&sharers, now);
 }
 
-fn apply_limit(node: &Gateway, told: &LimitReport, now: TimeMs) {
-    let mut upstreams = node.upstreams.lock();
-    if let Some((upstream, change)) = upstreams.apply_limit_report(told, now) {
-        let id = upstream.announcement.id.as_str();
-        log::debug!(event = "upstream_limit_heard", upstream = id, change:? = change, age_ms = told.age_ms; "a peer reported a change of an upstream's rate limit");
-    }
-}
-
-fn apply_leaving(node: &Gateway, upstream: u64) {
-    if let Some(upstream) = node.upstreams.lock().apply_leaving_report(upstream) {
-        let id = upstream.announcement.id.as_str();
-        log::debug!(event = "upstream_leaving_heard", upstream = id; "a peer reported that an upstream is leaving");
-    }
-}
-
 /// Removes expired peers, gone upstreams, silent peers' loads and idle connections.
 fn remove_expired(node: &Gateway, now: TimeMs) {
     node.peers.lock().remove_expired(now);
+    node.relay.lock().remove_silent(now);
     let audience = node.peers.lock().visibility(now);
     node.quotas.lock().set_visibility(audience);
     node.quotas.lock().forget_peers(PEER_EXPIRY_MS, now);
     node.peer_paces.lock().forget(now);
-    let mut upstreams = node.upstreams.lock();
-    upstreams.evict_removed(now);
     let silent: Vec<u64> = {
         let peers = node.peers.lock();
-        let heard: Vec<u64> = peers
-            .live(now)
-            .map(|peer| peer.member.incarnation)
-            .collect();
-        let all = peers.iter().map(|peer| peer.member.incarnation);
-        all.filter(|incarnation| !heard.contains(incarnation))
-            .collect()
+        peers.silent_incarnations(now)
     };
+    let mut upstreams = node.upstreams.lock();
+    upstreams.evict_removed(now);
     // The requests of a silent peer have ended or are unknown; its load counts as zero.
     for incarnation in silent {
         upstreams.set_peer_loads(incarnation, &[]);
@@ -169,59 +299,17 @@
         .close_idle(|key| upstreams.get(key).is_some(), now);
 }
 
-/// Builds this node's heartbeat, without engine speeds.
-fn build_heartbeat(node: &Gateway, now: TimeMs) -> Heartbeat {
-    let peers = node.peers.lock();
-    let known: Vec<&Member> = peers.live(now).map(|peer| &peer.member).collect();
-    let introduced = match known.len() {
-        0 => None,
-        count => Some(known[rand::rng().random_range(0..count)].clone()),
-    };
-    let member = peers.own().clone();
-    drop(peers);
-    let lease = node.lease.lock().announced(now);
-    let rollouts = node.rollouts.lock();
-    let observed = rollouts.observations(None);
-    let decided = lease.map(|_lease| rollouts.decisions()).unwrap_or_default();
-    drop(rollouts);
-    let upstreams = node.upstreams.lock();
-    let loads = upstreams.own_loads();
-    let limits = upstreams.limit_reports(now);
-    let leaving = upstreams.leaving_unannounced();
-    drop(upstreams);
-    let strikes = node.strikes.lock().blocked_strikes(now);
-    let (era, era_age_ms) = node.era(now);
-    Heartbeat {
-        member,
-        introduced,
-        is_ready: node.is_ready(now),
-        is_stopping: node.is_stopping(),
-        store: node.store_reach(now),
-        era,
-        era_age_ms,
-        configuration_version: node.catalog().version,
-        time_of_day_ms: clock::time_of_day().0,
-        interval_ms: heartbeat_interval_ms(node),
-        loads,
-        usage: node.usage.lock().own_rows(),
-        admitted: node.quotas.lock().own_totals(),
-        paces: Vec::new(),
-        demand: node.demands.lock().own_rates(now),
-        lease,
-        observed,
-        decided,
-        strikes,
-        limits,
-        leaving,
-    }
-}
-
 async fn send(node: &Gateway, socket: &UdpSocket, outgoing: &Outgoing) {
+    let message = &outgoing.message;
     match outgoing.recipients {
-        Recipients::All => send_to_all(node, socket, &outgoing.message).await,
+        Recipients::All => send_to_all(node, socket, message).await,
+        Recipients::Group => {
+            let addresses = node.peers.lock().group_addresses();
+            send_to(socket, message, &addresses).await;
+        }
         Recipients::SameDomain => {
             let addresses = node.peers.lock().same_domain_addresses(clock::now());
-            send_to(socket, &outgoing.message, &addresses).await;
+            send_to(socket, message, &addresses).await;
         }
         Recipients::OtherDomainLeaders => {
             let addresses = {
@@ -232,28 +320,31 @@
                     .map(|member| member.gossip_address)
                     .collect::<Vec<_>>()
             };
-            send_to(socket, &outgoing.message, &addresses).await;
+            send_to(socket, message, &addresses).await;
         }
-        Recipients::Address(address) => send_to(socket, &outgoing.message, &[address]).await,
+        Recipients::Address(address) => send_to(socket, message, &[address]).await,
     }
 }
 
+/// Sends a message to the nodes of this group, and to one node of each other group, which forwards
+/// it.
 async fn send_to_all(node: &Gateway, socket: &UdpSocket, message: &Message) {
-    let addresses: Vec<SocketAddr> = {
-        let peers = node.peers.lock();
-        peers
-            .iter()
-            .map(|peer| peer.member.gossip_address)
-            .collect()
+    let (group, carriers) = {
+        let mut peers = node.peers.lock();
+        (peers.group_addresses(), peers.carriers(clock::now()))
     };
-    send_to(socket, message, &addresses).await;
+    send_to(socket, message, &group).await;
+    if !carriers.is_empty() {
+        let forwarded = Message::Forward(Box::new(message.clone()));
+        send_to(socket, &forwarded, &carriers).await;
+    }
 }
 
 async fn send_to(socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
     let encoded = match bincode::encode_to_vec(message, bincode::config::standard()) {
         Ok(encoded) if encoded.len() <= MAX_DATAGRAM_BYTES => encoded,
         Ok(encoded) => {
-            log::error!(bytes = encoded.len(); "dropped a message to peers that exceeds the datagram size");
+            log::error!(bytes = encoded.len(), kind = message.kind(); "dropped a message to peers that exceeds the datagram size");
             return;
         }
         Err(error) => {
@@ -261,6 +352,10 @@
             return;
         }
     };
+    let count = addresses.len() as u64;
+    metrics::counter!("teaselline_datagrams_sent_total", "kind" => message.kind()).increment(count);
+    metrics::counter!("teaselline_datagram_bytes_sent_total", "kind" => message.kind())
+        .increment(count * encoded.len() as u64);
     for address in addresses {
         if let Err(error) = socket.send_to(&encoded, *address).await {
             log::debug!(error:err = error, peer:% = *address; "cannot send a datagram to a peer");
@@ -268,217 +363,6 @@
     }
 }
 
-fn handle_datagram(node: &Gateway, datagram: &[u8], from: SocketAddr, now: TimeMs) {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-    let message = match bincode::decode_from_slice::<Message, _>(datagram, config) {
-        Ok((message, _length)) => message,
-        Err(error) => {
-            metrics::counter!("teaselline_datagrams_malformed_total").increment(1);
-            log::debug!(error:err = error; "dropped a datagram that cannot be decoded");
-            return;
-        }
-    };
-    if let Some((era, age_ms)) = message.era() {
-        node.record_era(era, age_ms, now);
-    }
-    match message {
-        Message::Heartbeat(heartbeat) => apply_heartbeat(node, &heartbeat, now),
-        Message::Upstreams(news) => announcements::apply_peer_changes(node, news, from, now),
-        Message::QueryUpstreams(asked) => handover::answer_request(node, &asked, from, now),
-        Message::UpstreamsPage(page) => handover::apply_page(node, page, from, now),
-        Message::QueryConfirmation(question) => {
-            let confirmation = node.in_force.read().confirmation(&question, now);
-            if let Some(confirmation) = confirmation {
-                let confirmation = confirmation.with_orders(node.rollouts.lock().orders());
-                let answer = Message::Confirmation(confirmation);
-                node.send_message(Recipients::Address(from), answer);
-            }
-        }
-        Message::Decided(decided) => apply_decided(node, &decided),
-        Message::Observed(incarnation, observed) => {
-            node.rollouts
-                .lock()
-                .record_observations(incarnation, observed);
-        }
-        Message::Confirmation(confirmation) => {
-            configuration_sync::apply_confirmation(node, &confirmation, now);
-        }
-        Message::Limit(told) => apply_limit(node, &told, now),
-        Message::Leaving(upstream) => apply_leaving(node, upstream),
-        Message::Admitted { team, totals } => apply_admitted(node, team, &totals, now),
-        Message::Strike(strike) => {
-            node.strikes.lock().record(strike, now);
-        }
-    }
-}
-
-fn apply_admitted(node: &Gateway, team: u64, totals: &[(u64, f64)], now: TimeMs) {
-    let catalog = node.catalog();
-    let mut quotas = node.quotas.lock();
-    for (incarnation, total) in totals
-        .iter()
-        .filter(|(peer, _total)| *peer != node.incarnation)
-    {
-        quotas.record_peer(*incarnation, &[(team, *total)], &catalog.teams, now);
-    }
-}
-
-/// Sends admitted totals to the teams' collectors, and to all nodes where this node is the collector.
-async fn send_admitted_totals(node: &Gateway, socket: &UdpSocket, now: TimeMs) {
-    for team in &node.catalog().teams {
-        let tag = tag(&team.name);
-        let collector = node.peers.lock().quota_collector(tag, now);
-        if let Some(address) = collector {
-            let unsent = node.quotas.lock().take_unreported_total(team, now);
-            if let Some(total) = unsent {
-                let totals = vec![(node.incarnation, total)];
-                let message = Message::Admitted { team: tag, totals };
-                send_to(socket, &message, &[address]).await;
-            }
-            continue;
-        }
-        let totals = (node.quotas.lock()).take_changed_totals(team, node.incarnation, now);
-        if !totals.is_empty() {
-            let message = Message::Admitted { team: tag, totals };
-            send_to_all(node, socket, &message).await;
-        }
-    }
-}
-
-fn apply_decided(node: &Gateway, decided: &Decision) {
-    if node.rollouts.lock().apply_decision(decided) {
-        log::info!(event = "rollout_stage", order:% = decided.order, stage:? = decided.stage; "a rollout entered another stage");
-    }
-}
-
-fn apply_heartbeat(node: &Gateway, heartbeat: &Heartbeat, now: TimeMs) {
-    let incarnation = heartbeat.member.incarnation;
-    {
-        let mut peers = node.peers.lock();
-        peers.record_heartbeat(heartbeat, now);
-        (node.in_force.write()).record_peer_version(heartbeat.configuration_version);
-        if let Some(introduced) = &heartbeat.introduced {
-            peers.add_member(introduced.clone(), now);
-        }
-    }
-    node.upstreams
-        .lock()
-        .set_peer_loads(incarnation, &heartbeat.loads);
-    node.usage.lock().record_peer(incarnation, &heartbeat.usage);
-    (node.demands.lock()).record_peer(incarnation, heartbeat.demand.clone(), now);
-    for (pool, pace) in &heartbeat.paces {
-        (node.peer_paces.lock()).record(incarnation, *pool, *pace, now);
-    }
-    let catalog = node.catalog();
-    (node.quotas.lock()).record_peer(incarnation, &heartbeat.admitted, &catalog.teams, now);
-    if !heartbeat.observed.is_empty() {
-        (node.rollouts.lock()).record_observations(incarnation, heartbeat.observed.clone());
-    }
-    for decided in &heartbeat.decided {
-        apply_decided(node, decided);
-    }
-    for remembered in &heartbeat.strikes {
-        (node.strikes.lock()).record_aged(*remembered, now);
-    }
-    for told in &heartbeat.limits {
-        apply_limit(node, told, now);
-    }
-    for upstream in &heartbeat.leaving {
-        apply_leaving(node, *upstream);
-    }
-    if let Some((end, token)) = heartbeat.lease {
-        let holder = super::lease::Holder {
-            node: heartbeat.member.name.clone(),
-            incarnation,
-            era: end.era,
-        };
-        node.lease.lock().record_peer_end(end, &holder, token, now);
-    }
-}
-
-/// Writes this node's member record to the store and reads the records of the others.
-///
-/// One read after the own record is written is enough: of two nodes that start at the same time, the
-/// later one reads the earlier one's record and sends it a heartbeat.
-pub(crate) async fn discover(node: Arc<Gateway>) {
-    // A store that is restored from a copy may have lost this node's record, so the record is written
-    // again in each era.
-    let mut written_in_era = None;
-    let mut has_read_members = false;
-    loop {
-        let (era, _age_ms) = node.era(clock::now());
-        if written_in_era != Some(era) {
-            written_in_era = write_member(&node).await.map(|place| place.era);
-        }
-        let is_written = written_in_era.is_some();
-        let is_alone = node.peers.lock().live(clock::now()).next().is_none();
-        if (is_written && !has_read_members) || is_alone {
-            let has_read = read_members(&node).await;
-            node.upstreams_view.lock().knows_nodes |= has_read;
-            has_read_members |= has_read && is_written;
-            // Without this message the others would learn of this node from its next heartbeat, up
-            // to a second later.
-            let heartbeat = build_heartbeat(&node, clock::now());
-            node.broadcast(Message::Heartbeat(Box::new(heartbeat)));
-        }
-        let delay_ms = num::to_f64(DISCOVERY_INTERVAL_MS) * rand::rng().random_range(0.8..1.2);
-        tokio::time::sleep(Duration::from_millis(num::round_to_u64(delay_ms))).await;
-    }
-}
-
-/// Writes this node's member record; returns its place in the store, or `None` on failure.
-async fn write_member(node: &Gateway) -> Option<LogPosition> {
-    let member = node.peers.lock().own().clone();
-    let encoded = match bincode::encode_to_vec(&member, bincode::config::standard()) {
-        Ok(encoded) => encoded,
-        Err(error) => {
-            log::error!(error:err = error; "cannot encode this node's member record");
-            return None;
-        }
-    };
-    let written = node.store.put(Topic::Nodes, &member.name, &encoded).await;
-    if let Err(error) = &written {
-        log::debug!(error:% = error; "cannot write this node's member record to the store; retrying");
-    }
-    node.record_store_era(clock::now());
-    written.ok()
-}
-
-/// Adds the members and rollout results in the store; returns whether the read succeeded.
-async fn read_members(node: &Gateway) -> bool {
-    let newest = match node.store.read_latest(Topic::Nodes).await {
-        Ok(newest) => newest,
-        Err(error) => {
-            log::debug!(error:err = error; "cannot read the member records from the store; retrying");
-            return false;
-        }
-    };
-    let now = clock::now();
-    for item in newest.items {
-        let Some(value) = item.value else { continue };
-        if let Some(pool) = rollouts::pool_from_key(&item.key) {
-            if let Some((order, stage)) = rollouts::decode_final_status(&value) {
-                node.rollouts.lock().record_end(pool, order, stage);
-            }
-            continue;
-        }
-        let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
-        match bincode::decode_from_slice::<Member, _>(&value, config) {
-            // A record of another writer may decode as a member by chance. A node writes its record
-            // under its own name, without trailing bytes.
-            Ok((member, length)) if member.name == item.key && length == value.len() => {
-                node.peers.lock().add_member(member, now);
-            }
-            Ok(_other) => {
-                let reason = "it is not the record of the node that its key names";
-                Topic::Nodes.report_malformed(&item.key, &reason);
-            }
-            Err(error) => Topic::Nodes.report_malformed(&item.key, &error),
-        }
-    }
-    true
-}
-
 /// Binds the socket for datagrams.
 ///
 /// # Errors
--- a/src/gateway/handover.rs
+++ b/src/gateway/handover.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use super::announcements::{build_messages, install_snapshot, read_at, read_at_day_ms};
+use super::messages::{AnnouncementsQuery, Message};
 use super::peer_queries::{PeerQueries, QUERY_INTERVAL_MS};
-use super::peers::{AnnouncementsQuery, Message};
 use super::snapshot::{self, AddedPage, Page, SnapshotAssembler};
 use super::state::{Gateway, Recipients};
 use super::upstreams::{Announcement, Change};
--- a/src/gateway/peer_queries.rs
+++ b/src/gateway/peer_queries.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::peers::{Member, Peers};
+use super::messages::Member;
+use super::peers::Peers;
 use super::rank;
 use super::upstreams::{spread_bits, tag};
 use crate::time::TimeMs;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,26 +1,14 @@
-//! The messages between nodes and the membership table of a node's peers.
-//!
-//! Each node sends each peer a heartbeat (`Heartbeat`) several times a second with its liveness, its
-//! requests in progress and its admitted totals. Heartbeats hold totals instead of increments, so
-//! that a lost one only delays the update. Urgent changes are also sent immediately, as messages of
-//! their own.
+//! The membership table: which nodes there are, which of them are alive, and their groups.
 
 use std::net::SocketAddr;
 
-use bincode::{Decode, Encode};
-
-use super::active_configuration::{Confirmation, ConfirmationRequest};
-use super::demand::Rates;
+use super::groups::{GroupPosition, Groups};
 use super::lease::Holder;
-use super::log_position::LogPosition;
-use super::pace::Pace;
-use super::rollout::{Decision, Observation};
-use super::snapshot::Page;
+use super::messages::{Heartbeat, Member, Status};
+use super::rank;
+use super::relay::ALIVE_INTERVAL_MS;
 use super::store_contact::StoreAvailability;
-use super::strikes::{AgedStrike, Strike};
-use super::throttle::LimitReport;
-use super::upstreams::{Change, Load, spread_bits, tag};
-use super::usage;
+use super::upstreams::tag;
 use crate::time::TimeMs;
 
 /// Least silence after which a peer is suspected to be down: five heartbeats of a small fleet.
@@ -28,9 +16,9 @@
 
 /// Heartbeat intervals of a peer after which it is suspected to be down, for large fleets.
 ///
-/// With 87 nodes heartbeats are half a second apart. A peer that counted as down between two of
-/// them would repeatedly drop out of the division of limits and of the election of the node that
-/// reads the store for all.
+/// Heartbeats of a large group are half a second apart, and reports on other groups come less often.
+/// A peer that counted as down between two of them would repeatedly drop out of the division of
+/// limits and of the election of the node that reads the store for all.
 const SILENCE_TIMEOUT_INTERVALS: u64 = 3;
 
 /// Silence after which a peer is removed from the table.
@@ -39,162 +27,96 @@
 /// partition. It cannot serve longer than its configuration stays fresh, which is some seconds.
 pub(crate) const PEER_EXPIRY_MS: u64 = 20_000;
 
-/// The identity, addresses and capacity of one node.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub(crate) struct Member {
-    pub name: String,
-    /// Random number, new at each start of the node.
-    pub incarnation: u64,
-    /// Address for datagrams of peers.
-    pub gossip_address: SocketAddr,
-    /// Address on which callers connect.
-    pub caller_address: SocketAddr,
-    pub failure_domain: String,
-    /// Estimated capacity in requests per second, used only to compare nodes.
-    pub capacity_per_s: f64,
-}
+/// Number of nodes that keep the accounts of all nodes, to perform the duties or to take them over.
+const ACCOUNT_KEEPERS: usize = 3;
 
-/// A datagram between nodes.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub(crate) enum Message {
-    Heartbeat(Box<Heartbeat>),
-    Upstreams(UpstreamChanges),
-    /// Requests announcements of upstreams.
-    QueryUpstreams(AnnouncementsQuery),
-    UpstreamsPage(Page),
-    /// Asks a peer whether the configuration is current.
-    QueryConfirmation(ConfirmationRequest),
-    Confirmation(Confirmation),
-    /// A decision on a rollout by the node that holds the duties.
-    Decided(Decision),
-    /// The incarnation of a node and its rollout observations since its start.
-    Observed(u64, Vec<Observation>),
-    Strike(Strike),
-    /// The rate limit that an upstream stated to a node.
-    Limit(LimitReport),
-    /// Totals that nodes admitted for one team since their starts, by incarnation. Sent between two
-    /// heartbeats to the team's collector, which sends them to all nodes.
-    Admitted {
-        team: u64,
-        totals: Vec<(u64, f64)>,
-    },
-    /// The tag of an upstream that stated in a response that it is leaving.
-    Leaving(u64),
-}
+/// Most nodes of a group that pass on the reports of other groups.
+const MAX_CARRIERS: usize = 3;
 
-impl Message {
-    /// Returns the store era that the sender knows and its age in milliseconds, if the message has it.
-    pub fn era(&self) -> Option<(u64, u64)> {
-        match self {
-            Self::Heartbeat(pulse) => Some((pulse.era, pulse.era_age_ms)),
-            Self::Upstreams(news) => Some((news.to.era, 0)),
-            Self::UpstreamsPage(page) => Some((page.end.era, 0)),
-            Self::Confirmation(confirmation) => Some((confirmation.end.era, 0)),
-            Self::QueryUpstreams(asked) => Some((asked.read_to.era, 0)),
-            Self::QueryConfirmation(question) => Some((question.read_to.era, 0)),
-            _ => None,
-        }
-    }
-}
-
-/// A request for the announcements of upstreams that a node lacks.
-#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
-pub(crate) struct AnnouncementsQuery {
-    /// End of the announcements that the node has read; zero if it has read none.
-    pub read_to: LogPosition,
-    /// Start of later announcements that the node has; `None` if it lacks all that follow.
-    pub until: Option<LogPosition>,
-    /// The id after which the requested page of the upstream table begins.
-    pub after: Option<String>,
-}
-
-/// Changes of upstreams, read from the store between two offsets.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub(crate) struct UpstreamChanges {
-    pub from: LogPosition,
-    pub to: LogPosition,
-    pub changes: Vec<Change>,
-    /// When the log had been read to its end, as the fleet's median time of day in Unix
-    /// milliseconds; `None` while further records are known to follow.
-    pub read_at_day_ms: Option<u64>,
-    /// Whether the recipient relays the changes to the peers in its failure domain.
-    pub is_relayed: bool,
-    /// Whether the store was unavailable until just now, so that removals may be expired records.
-    ///
-    /// Most nodes do not read the store themselves and have not noticed the outage. Without this
-    /// flag they would drop all live upstreams that could not announce themselves meanwhile, all at
-    /// once.
-    pub store_was_away: bool,
-}
-
-/// The heartbeat of a node: its full state for its peers, sent several times a second.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub(crate) struct Heartbeat {
-    pub member: Member,
-    /// A random live member, which spreads the membership to all nodes.
-    pub introduced: Option<Member>,
-    /// Whether the node accepts requests.
-    pub is_ready: bool,
-    /// Whether the node is stopping.
-    pub is_stopping: bool,
-    /// Whether the store answers the node.
-    pub store: StoreAvailability,
-    /// The store's era.
-    pub era: u64,
-    /// Time since the era became known.
-    pub era_age_ms: u64,
-    /// The version of the node's configuration.
-    pub configuration_version: u64,
-    /// The node's time of day, in Unix milliseconds.
-    pub time_of_day_ms: u64,
-    /// Time until the node's next heartbeat.
-    pub interval_ms: u64,
-    /// The load that the node puts on each upstream, by the upstream's tag.
-    pub loads: Vec<(u64, Load)>,
-    /// Requests that began to execute, by usage window and team.
-    pub usage: Vec<usage::UsageRow>,
-    /// Quota units that the node admitted since its start, by the team's tag.
-    pub admitted: Vec<(u64, f64)>,
-    /// Measured engine speeds by the pool's tag; most heartbeats omit them.
-    pub paces: Vec<(u64, Pace)>,
-    /// Demand on engines at this node, by pool.
-    pub demand: Vec<Rates>,
-    /// If the node holds the duties: the end of the lease log and its fencing token.
-    pub lease: Option<(LogPosition, LogPosition)>,
-    /// The node's rollout observations.
-    pub observed: Vec<Observation>,
-    /// The rollout decisions, if the node holds the duties.
-    pub decided: Vec<Decision>,
-    /// Upstreams that crashed under requests that are now blocked.
-    pub strikes: Vec<AgedStrike>,
-    /// Rate limits that upstreams stated recently.
-    pub limits: Vec<LimitReport>,
-    /// Upstreams that stated in responses, but not in their announcements, that they are leaving.
-    pub leaving: Vec<u64>,
-}
+/// Share of the capacity of the strongest node of a group from which a node passes on the reports
+/// of other groups. Stronger nodes carry what a weak host's link cannot.
+const MIN_CARRIER_SHARE: f64 = 0.5;
 
 /// The state of one peer as of its last heartbeat.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub member: Member,
-    /// When the last heartbeat arrived; zero if none has.
+    /// When the peer was last reported alive, by its heartbeat or by its group; zero if it never was.
     pub last_heartbeat_at: TimeMs,
     /// When the peer was added to the table.
     added_at: TimeMs,
-    /// Interval between its heartbeats.
+    /// Interval between its heartbeats, or between the reports of its group.
     interval_ms: u64,
+    /// Whether its group has reported it silent and not alive since.
+    is_suspected: bool,
+    /// Sequence number of the last status.
+    sequence: u64,
     pub is_ready: bool,
     pub is_stopping: bool,
     pub store: StoreAvailability,
-    /// The peer's time of day minus this node's monotonic clock at the last heartbeat.
-    pub time_of_day_offset_ms: i128,
+    /// The peer's time of day minus this node's monotonic clock at its last heartbeat; `None`
+    /// without a heartbeat, at a peer of another group.
+    pub time_of_day_offset_ms: Option<i128>,
+    position: GroupPosition,
 }
 
-/// The membership table: all peers of this node, sorted by name.
+/// All peers of this node, sorted by name.
 #[derive(Debug)]
 pub(crate) struct Peers {
     own: Member,
-    peers: Vec<Peer>,
+    own_position: GroupPosition,
+    by_name: Vec<Peer>,
+    /// Computed when first needed after a change of the members.
+    division: Option<Division>,
+}
+
+/// The groups of the known nodes.
+#[derive(Debug)]
+struct Division {
+    /// This node's group.
+    own_group: usize,
+    group_count: usize,
+    /// Group and index of each peer, sorted.
+    by_group: Vec<(usize, usize)>,
+    /// Incarnation and index of each peer, sorted.
+    by_incarnation: Vec<(u64, usize)>,
+}
+
+impl Division {
+    fn new(own_position: GroupPosition, peers: &[Peer]) -> Self {
+        let positions = peers.iter().map(|peer| peer.position);
+        let groups = Groups::divide(positions.chain([own_position]));
+        let mut by_group: Vec<(usize, usize)> = (peers.iter().enumerate())
+            .map(|(index, peer)| (groups.group_of(peer.position), index))
+            .collect();
+        by_group.sort_unstable();
+        let mut by_incarnation: Vec<(u64, usize)> = (peers.iter().enumerate())
+            .map(|(index, peer)| (peer.member.incarnation, index))
+            .collect();
+        by_incarnation.sort_unstable();
+        Self {
+            own_group: groups.group_of(own_position),
+            group_count: groups.count(),
+            by_group,
+            by_incarnation,
+        }
+    }
+
+    /// Returns the indices of the peers in a group.
+    fn peers_of(&self, group: usize) -> impl Iterator<Item = usize> {
+        let first = self
+            .by_group
+            .partition_point(|(other, _index)| *other < group);
+        (self.by_group[first..].iter())
+            .take_while(move |(other, _index)| *other == group)
+            .map(|(_group, index)| *index)
+    }
+
+    fn find(&self, incarnation: u64) -> Option<usize> {
+        let found =
+            (self.by_incarnation).binary_search_by_key(&incarnation, |(peer, _index)| *peer);
+        found.ok().map(|place| self.by_incarnation[place].1)
+    }
 }
 
 impl Peers {
@@ -202,8 +124,10 @@
     #[must_use]
     pub fn new(own: Member) -> Self {
         Self {
+            own_position: GroupPosition::new(&own.failure_domain, &own.name),
             own,
-            peers: Vec::new(),
+            by_name: Vec::new(),
+            division: None,
         }
     }
 
@@ -214,12 +138,12 @@
 
     /// Iterates over all peers, live or silent.
     pub fn iter(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.iter()
+        self.by_name.iter()
     }
 
     /// Iterates over the live peers: those with a recent heartbeat.
     pub fn live(&self, now: TimeMs) -> impl Iterator<Item = &Peer> {
-        (self.peers.iter()).filter(move |peer| is_live(peer, now))
+        (self.by_name.iter()).filter(move |peer| is_live(peer, now))
     }
 
     /// Iterates over the live peers that are not stopping.
@@ -232,44 +156,220 @@
         if member.name == self.own.name {
             return;
         }
-        let found = (self.peers).binary_search_by(|peer| peer.member.name.cmp(&member.name));
+        let found = (self.by_name).binary_search_by(|peer| peer.member.name.cmp(&member.name));
         match found {
             // A live peer's own heartbeats are newer than the records of others about it.
-            Ok(index) if is_live(&self.peers[index], now) => {}
-            Ok(index) if self.peers[index].member == member => {}
-            Ok(index) => self.peers[index] = Peer::new(member, now),
-            Err(index) => self.peers.insert(index, Peer::new(member, now)),
+            Ok(index) if is_live(&self.by_name[index], now) => {}
+            Ok(index) if self.by_name[index].member == member => {}
+            Ok(index) => {
+                self.by_name[index] = Peer::new(member, now);
+                self.division = None;
+            }
+            Err(index) => {
+                self.by_name.insert(index, Peer::new(member, now));
+                self.division = None;
+            }
         }
     }
 
     /// Updates a peer from its heartbeat.
-    pub fn record_heartbeat(&mut self, pulse: &Heartbeat, now: TimeMs) {
-        let member = &pulse.member;
+    pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: TimeMs) {
+        let member = &heartbeat.member;
         if member.name == self.own.name {
             return;
         }
-        let found = (self.peers).binary_search_by(|peer| peer.member.name.cmp(&member.name));
+        let found = (self.by_name).binary_search_by(|peer| peer.member.name.cmp(&member.name));
         let index = found.unwrap_or_else(|index| {
             log::info!(peer = member.name.as_str(); "received a heartbeat of an unknown peer; it is added to the members");
-            self.peers.insert(index, Peer::new(member.clone(), now));
+            self.by_name.insert(index, Peer::new(member.clone(), now));
+            self.division = None;
             index
         });
-        let peer = &mut self.peers[index];
-        peer.member = member.clone();
-        peer.last_heartbeat_at = now;
-        peer.interval_ms = pulse.interval_ms;
-        peer.is_ready = pulse.is_ready;
-        peer.is_stopping = pulse.is_stopping;
-        peer.store = pulse.store;
-        peer.time_of_day_offset_ms = i128::from(pulse.time_of_day_ms) - i128::from(now.0);
+        let peer = &mut self.by_name[index];
+        if peer.member != *member {
+            let is_restarted = peer.member.incarnation != member.incarnation;
+            peer.sequence = if is_restarted { 0 } else { peer.sequence };
+            peer.member = member.clone();
+            self.division = None;
+        }
+        let peer = &mut self.by_name[index];
+        peer.record_alive(heartbeat.interval_ms, now);
+        if heartbeat.status.sequence >= peer.sequence {
+            peer.record_status(&heartbeat.status);
+        }
+        peer.time_of_day_offset_ms = Some(i128::from(heartbeat.time_of_day_ms) - i128::from(now.0));
+    }
+
+    /// Records a status that a peer's group reported; returns whether it is newer than the known one.
+    pub fn record_status(&mut self, status: &Status) -> bool {
+        let Some(index) = self.division().find(status.incarnation) else {
+            return false;
+        };
+        let peer = &mut self.by_name[index];
+        let is_newer = status.sequence > peer.sequence;
+        if is_newer {
+            peer.record_status(status);
+        }
+        is_newer
+    }
+
+    /// Returns the name of the peer with this incarnation.
+    pub fn name_of(&mut self, incarnation: u64) -> Option<&str> {
+        let index = self.division().find(incarnation)?;
+        Some(self.by_name[index].member.name.as_str())
+    }
+
+    /// Returns the incarnations of the peers without a recent heartbeat.
+    pub fn silent_incarnations(&self, now: TimeMs) -> Vec<u64> {
+        (self.by_name.iter())
+            .filter(|peer| !is_live(peer, now))
+            .map(|peer| peer.member.incarnation)
+            .collect()
+    }
+
+    /// Returns the incarnations of the live peers of this node's group.
+    pub fn live_group_incarnations(&mut self, now: TimeMs) -> Vec<u64> {
+        let group = self.division().own_group;
+        let mates: Vec<usize> = self.division().peers_of(group).collect();
+        (mates.into_iter())
+            .map(|index| &self.by_name[index])
+            .filter(|peer| is_live(peer, now))
+            .map(|peer| peer.member.incarnation)
+            .collect()
+    }
+
+    /// Records the peers that their group reported alive; returns the unknown ones.
+    pub fn record_alive(&mut self, alive: &[u64], now: TimeMs) -> Vec<u64> {
+        let mut unknown = Vec::new();
+        for incarnation in alive {
+            match self.division().find(*incarnation) {
+                Some(index) => self.by_name[index].record_alive(ALIVE_INTERVAL_MS, now),
+                None if *incarnation == self.own.incarnation => {}
+                None => unknown.push(*incarnation),
+            }
+        }
+        unknown
+    }
+
+    /// Records the peers that their group suspects to be down. This node's own evidence that a peer
+    /// of its group is alive goes before it.
+    pub fn record_silent(&mut self, silent: &[u64]) {
+        let own_group = self.division().own_group;
+        for incarnation in silent {
+            let division = self.division();
+            let Some(index) = division.find(*incarnation) else {
+                continue;
+            };
+            let is_mate = division.by_group.binary_search(&(own_group, index)).is_ok();
+            self.by_name[index].is_suspected |= !is_mate;
+        }
+    }
+
+    fn division(&mut self) -> &Division {
+        let (own, peers) = (self.own_position, &self.by_name);
+        self.division
+            .get_or_insert_with(|| Division::new(own, peers))
+    }
+
+    /// Returns the member records of these incarnations, as far as they are known.
+    pub fn members(&mut self, incarnations: &[u64]) -> Vec<Member> {
+        let found: Vec<usize> = {
+            let division = self.division();
+            (incarnations.iter())
+                .filter_map(|incarnation| division.find(*incarnation))
+                .collect()
+        };
+        (found.into_iter())
+            .map(|index| self.by_name[index].member.clone())
+            .collect()
+    }
+
+    /// Returns the number of groups into which the known nodes are divided.
+    pub fn group_count(&mut self) -> usize {
+        self.division().group_count
+    }
+
+    /// Returns the datagram addresses of the other nodes of this node's group, live or silent.
+    pub fn group_addresses(&mut self) -> Vec<SocketAddr> {
+        let group = self.division().own_group;
+        let indices: Vec<usize> = self.division().peers_of(group).collect();
+        (indices.into_iter())
+            .map(|index| self.by_name[index].member.gossip_address)
+            .collect()
+    }
+
+    /// Whether this node reports on its group to the others: it ranks first in the group.
+    pub fn is_speaker(&mut self, own_reach: StoreAvailability, now: TimeMs) -> bool {
+        let group = self.division().own_group;
+        let mates: Vec<usize> = self.division().peers_of(group).collect();
+        let own = (own_reach, &self.own);
+        (mates.into_iter())
+            .map(|index| &self.by_name[index])
+            .filter(|peer| is_live(peer, now) && !peer.is_stopping)
+            .all(|peer| rank::cmp_rank(own, (peer.store, &peer.member)).is_lt())
+    }
+
+    /// Returns the address of one node of each other group, which passes on this group's reports.
+    pub fn carriers(&mut self, now: TimeMs) -> Vec<SocketAddr> {
+        let own_group = self.division().own_group;
+        let groups: Vec<Vec<usize>> = {
+            let division = self.division();
+            (0..division.group_count)
+                .filter(|group| *group != own_group)
+                .map(|group| division.peers_of(group).collect())
+                .collect()
+        };
+        let own_tag = tag(&self.own.name);
+        (groups.iter())
+            .filter_map(|group| self.carrier(group, own_tag, now))
+            .collect()
+    }
+
+    /// Returns the carrier of a group for the reports of one speaker.
+    ///
+    /// Among a few strong nodes of the group each speaker selects one by hash, so that they share
+    /// the work. A group of which no node has been heard yet is tried at any of its known nodes.
+    fn carrier(&self, group: &[usize], speaker: u64, now: TimeMs) -> Option<SocketAddr> {
+        let is_active = |peer: &Peer| is_live(peer, now) && !peer.is_stopping;
+        let any_active = group.iter().any(|index| is_active(&self.by_name[*index]));
+        let mut eligible: Vec<&Peer> = (group.iter())
+            .map(|index| &self.by_name[*index])
+            .filter(|peer| !any_active || is_active(peer))
+            .collect();
+        eligible.sort_unstable_by(|a, b| rank::cmp_election(&a.member, &b.member));
+        let strongest = eligible.first()?.member.capacity_per_s;
+        (eligible.iter().take(MAX_CARRIERS))
+            .filter(|peer| peer.member.capacity_per_s >= strongest * MIN_CARRIER_SHARE)
+            .min_by_key(|peer| peer.position.rank_for(speaker))
+            .map(|peer| peer.member.gossip_address)
+    }
+
+    /// Returns the addresses of the nodes that keep the accounts of all nodes: the holder of the
+    /// duties and those that are elected next.
+    pub fn account_keepers(&self, holder: Option<&Holder>, now: TimeMs) -> Vec<SocketAddr> {
+        let mut eligible: Vec<&Peer> = (self.active(now))
+            .filter(|peer| peer.store != StoreAvailability::Failing)
+            .collect();
+        eligible.sort_by(|a, b| rank::cmp_election(&a.member, &b.member));
+        let is_holder = |peer: &&&Peer| {
+            holder.is_some_and(|holder| holder.incarnation == peer.member.incarnation)
+        };
+        let holder = eligible.iter().skip(ACCOUNT_KEEPERS).find(is_holder);
+        (eligible.iter().take(ACCOUNT_KEEPERS).chain(holder))
+            .map(|peer| peer.member.gossip_address)
+            .collect()
     }
 
     /// Removes the peers that have been silent for too long.
     pub fn remove_expired(&mut self, now: TimeMs) {
-        self.peers.retain(|peer| {
+        let count = self.by_name.len();
+        self.by_name.retain(|peer| {
             let since = peer.last_heartbeat_at.max(peer.added_at);
             now.since(since) < PEER_EXPIRY_MS
         });
+        if self.by_name.len() != count {
+            self.division = None;
+        }
     }
 
     /// Returns the number of known nodes that are not stopping, this one included.
@@ -277,7 +377,7 @@
     /// Peers without a heartbeat count too: a node that has just started has heard from few of the
     /// others and would otherwise claim the whole of a shared budget.
     pub fn known_nodes(&self) -> u32 {
-        let others = self.peers.iter().filter(|peer| !peer.is_stopping).count();
+        let others = self.by_name.iter().filter(|peer| !peer.is_stopping).count();
         u32::try_from(others + 1).unwrap_or(u32::MAX)
     }
 
@@ -285,7 +385,7 @@
     ///
     /// Stopping peers are not counted.
     pub fn visibility(&self, now: TimeMs) -> super::quota::FleetVisibility {
-        let serving = self.peers.iter().filter(|peer| !peer.is_stopping);
+        let serving = self.by_name.iter().filter(|peer| !peer.is_stopping);
         let known = serving
             .filter(|peer| peer.last_heartbeat_at > TimeMs(0))
             .count();
@@ -296,20 +396,24 @@
         }
     }
 
-    /// Returns whether this node is elected, as the first eligible one by name, to do a task for all.
+    /// Returns whether this node is elected, as the first eligible one, to do a task for all.
     ///
     /// `can` says whether this node is eligible; a peer is eligible if the store answers it.
     pub fn is_elected(&self, can: bool, now: TimeMs) -> bool {
-        let first = (self.active(now))
-            .find(|peer| peer.store == StoreAvailability::Answering)
-            .map(|peer| peer.member.name.as_str());
-        can && first.is_none_or(|first| self.own.name.as_str() < first)
+        let mut eligible =
+            (self.active(now)).filter(|peer| peer.store == StoreAvailability::Answering);
+        can && eligible.all(|peer| rank::cmp_election(&self.own, &peer.member).is_lt())
+    }
+
+    /// Returns whether a peer is in this node's failure domain.
+    pub fn is_neighbour(&self, peer: &Peer) -> bool {
+        peer.position.is_same_domain(self.own_position)
     }
 
     /// Returns the datagram addresses of the live peers in this node's failure domain.
     pub fn same_domain_addresses(&self, now: TimeMs) -> Vec<SocketAddr> {
         (self.live(now))
-            .filter(|peer| peer.member.failure_domain == self.own.failure_domain)
+            .filter(|peer| self.is_neighbour(peer))
             .map(|peer| peer.member.gossip_address)
             .collect()
     }
@@ -317,11 +421,19 @@
     /// Returns the address of the peer that collects the admitted totals of a team; `None` if this
     /// node does.
     ///
-    /// Nodes with the same live peers select the same collector by rendezvous hashing.
+    /// Nodes with the same live peers select the same one of the strong nodes, by rendezvous hashing.
     pub fn quota_collector(&self, team: u64, now: TimeMs) -> Option<SocketAddr> {
-        let rank = |member: &Member| spread_bits(tag(&member.name) ^ team);
-        let first = self.active(now).min_by_key(|peer| rank(&peer.member))?;
-        (rank(&first.member) < rank(&self.own)).then_some(first.member.gossip_address)
+        let active = || self.active(now).map(|peer| (&peer.member, peer.position));
+        let strongest = (active().map(|(member, _position)| member.capacity_per_s))
+            .fold(self.own.capacity_per_s, f64::max);
+        let is_strong = |member: &Member| member.capacity_per_s >= strongest * MIN_CARRIER_SHARE;
+        let first = active()
+            .filter(|(member, _position)| is_strong(member))
+            .map(|(member, position)| (position.rank_for(team), member.gossip_address))
+            .min()?;
+        let own_rank = self.own_position.rank_for(team);
+        let is_own = is_strong(&self.own) && own_rank < first.0;
+        (!is_own).then_some(first.1)
     }
 
     /// Returns whether the incarnation that holds the duties is live and not stopping.
@@ -337,7 +449,7 @@
     pub fn agreed_time_of_day(&self, own_time_of_day: TimeMs, now: TimeMs) -> TimeMs {
         let mut offsets: Vec<i128> = self
             .live(now)
-            .map(|peer| peer.time_of_day_offset_ms)
+            .filter_map(|peer| peer.time_of_day_offset_ms)
             .collect();
         offsets.push(i128::from(own_time_of_day.0) - i128::from(now.0));
         offsets.sort_unstable();
@@ -349,22 +461,40 @@
 fn is_live(peer: &Peer, now: TimeMs) -> bool {
     let silence_timeout_ms =
         MIN_SILENCE_TIMEOUT_MS.max(peer.interval_ms * SILENCE_TIMEOUT_INTERVALS);
-    peer.last_heartbeat_at > TimeMs(0) && now.since(peer.last_heartbeat_at) < silence_timeout_ms
+    let is_heard = peer.last_heartbeat_at > TimeMs(0) && !peer.is_suspected;
+    is_heard && now.since(peer.last_heartbeat_at) < silence_timeout_ms
 }
 
 impl Peer {
     fn new(member: Member, now: TimeMs) -> Self {
+        let position = GroupPosition::new(&member.failure_domain, &member.name);
         Self {
             member,
             last_heartbeat_at: TimeMs(0),
             added_at: now,
             interval_ms: 0,
+            is_suspected: false,
+            sequence: 0,
             is_ready: false,
             is_stopping: false,
             store: StoreAvailability::NotCalled,
-            time_of_day_offset_ms: 0,
+            time_of_day_offset_ms: None,
+            position,
         }
     }
+
+    fn record_alive(&mut self, interval_ms: u64, now: TimeMs) {
+        self.last_heartbeat_at = now;
+        self.interval_ms = interval_ms;
+        self.is_suspected = false;
+    }
+
+    fn record_status(&mut self, status: &Status) {
+        self.sequence = status.sequence;
+        self.is_ready = status.is_ready;
+        self.is_stopping = status.is_stopping;
+        self.store = status.store;
+    }
 }
 
 #[cfg(test)]
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::messages::Message;
 
 pub(in crate::gateway) fn member(name: &str, incarnation: u64) -> Member {
     let address = SocketAddr::from(([127, 0, 0, 1], 7_000));
@@ -16,25 +17,21 @@
     Heartbeat {
         member: member(name, 5),
         introduced: None,
-        is_ready: true,
-        is_stopping: false,
-        store: StoreAvailability::Answering,
+        status: Status {
+            incarnation: 5,
+            sequence: 1,
+            is_ready: true,
+            store: StoreAvailability::Answering,
+            configuration_version: 1,
+            ..Status::default()
+        },
         era: 0,
         era_age_ms: 0,
-        configuration_version: 1,
         time_of_day_ms,
         interval_ms: 200,
-        loads: Vec::new(),
         usage: Vec::new(),
-        admitted: Vec::new(),
         paces: Vec::new(),
         demand: Vec::new(),
-        lease: None,
-        observed: Vec::new(),
-        decided: Vec::new(),
-        strikes: Vec::new(),
-        limits: Vec::new(),
-        leaving: Vec::new(),
     }
 }
 
@@ -86,7 +83,7 @@
     peers.record_heartbeat(&heartbeat("a", 0), TimeMs(1_000));
     assert!(!peers.is_elected(true, TimeMs(1_100)));
     let mut partitioned = heartbeat("a", 0);
-    partitioned.store = StoreAvailability::Failing;
+    partitioned.status.store = StoreAvailability::Failing;
     peers.record_heartbeat(&partitioned, TimeMs(1_200));
     assert!(peers.is_elected(true, TimeMs(1_300)));
 }
@@ -149,7 +146,7 @@
     assert_eq!(peers.visibility(TimeMs(1_000)).known, 1);
     assert_eq!(peers.known_nodes(), 4);
     let mut stopping = heartbeat("b", 0);
-    stopping.is_stopping = true;
+    stopping.status.is_stopping = true;
     peers.record_heartbeat(&stopping, TimeMs(1_000));
     assert_eq!(peers.known_nodes(), 3);
 }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,7 +1,9 @@
 //! Token buckets that enforce each team's limit across all nodes.
 //!
 //! Each node keeps a complete bucket for each team. It deducts its own admissions at once and the
-//! admissions of its peers when their reports arrive. A bucket may become negative and then admits
+//! admissions of its peers when their reports arrive, in heartbeats and in the reports of groups.
+//! Where a team spends so fast that those would come too late, a node collects its totals and sends
+//! them to all nodes. A bucket may become negative and then admits
 //! nothing until it is refilled, which pays back what was admitted before the reports arrived.
 //!
 //! A node that has lost contact with some of its peers does not know what they admit. It then
@@ -12,10 +14,11 @@
 //! its rate, its burst and a small tolerance. The window, the rate and the burst determine the
 //! bucket parameters.
 
+use bincode::{Decode, Encode};
+
 use super::catalog::{Team, Unit};
 use super::num;
 use super::settings::LimitWindow;
-use super::upstreams::tag;
 use crate::time::TimeMs;
 
 /// Time constant for averaging a peer's admission rate; it spans several reports.
@@ -23,8 +26,7 @@
 
 /// Longest time for which a silent peer's usage is extrapolated from its rate.
 ///
-/// This is about the propagation delay of a report, both through the heartbeats of a small fleet
-/// and through the collector of a large one.
+/// This is about the propagation delay of a report within a group.
 const MAX_EXTRAPOLATION_MS: u64 = 150;
 
 /// Fraction of the operators' tolerance that is granted to the team.
@@ -44,6 +46,17 @@
 /// The bucket of a team that stays within its rate is full except for single requests.
 const NEAR_LIMIT_FRACTION: f64 = 0.85;
 
+/// Time until an admission is known to all groups by their reports.
+const GROUP_REPORT_DELAY_MS: f64 = 1_000.0;
+
+/// Fraction of the operators' tolerance that a team may spend until the groups' reports arrive. The
+/// totals of a team that spends faster are collected and sent to all nodes.
+const UNREPORTED_TOLERANCE_FRACTION: f64 = 0.2;
+
+/// Time for which a node repeats the total of a team after its last admission, for peers that missed
+/// a report.
+const REPORT_RETENTION_MS: u64 = 2_000;
+
 /// Largest number of nodes at which a bucket uses the operators' tolerance.
 ///
 /// In a larger fleet, usage reports take longer. A node that is cut off is detected only after
@@ -123,8 +136,7 @@
             };
         };
         let window_s = num::to_f64(window.window_ms) / 1_000.0;
-        let tolerance = window.overshoot * (rate_per_s * window_s + burst) + window.slack;
-        let team_tolerance = tolerance * TEAM_TOLERANCE_FRACTION;
+        let team_tolerance = window.tolerance(rate_per_s, burst) * TEAM_TOLERANCE_FRACTION;
         let beyond_rate = burst + team_tolerance;
         Self {
             capacity: beyond_rate * BURST_FRACTION,
@@ -171,6 +183,16 @@
     }
 }
 
+/// What a node has admitted of one team since its start.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct AdmittedTotal {
+    /// The team's tag.
+    pub team: u64,
+    /// The total before the recent admissions.
+    pub base: f64,
+    pub total: f64,
+}
+
 /// Token buckets of all teams.
 #[derive(Debug)]
 pub(crate) struct Quotas {
@@ -195,10 +217,17 @@
     own_total: f64,
     /// Part of `own_total` that was reported to the team's collector.
     reported_total: f64,
+    /// The total before the admissions of the present and the previous retention period.
+    base_total: f64,
+    /// The total at the start of the present retention period, and that time.
+    period_total: f64,
+    period_at: TimeMs,
+    /// Time of this node's last admission.
+    admitted_at: TimeMs,
     /// Accumulated admission fraction while the bucket is damped; 1.0 admits one request.
     admission_credit: f64,
     /// Totals by incarnation that this node last relayed as the team's collector.
-    relayed_totals: Vec<(u64, f64)>,
+    relayed_totals: Vec<(u64, AdmittedTotal)>,
     /// Sorted by the peer's incarnation.
     peers: Vec<PeerUsage>,
 }
@@ -206,6 +235,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerUsage {
     incarnation: u64,
+    /// See [`AdmittedTotal::base`].
+    base: f64,
     total: f64,
     reported_at: TimeMs,
     rate_per_ms: f64,
@@ -262,8 +293,7 @@
             capacity * damping_fraction(visibility.known)
         };
         if level > 0.0 && bucket.admits_fraction(level / damped_below.max(1.0)) {
-            bucket.level -= cost;
-            bucket.own_total += cost;
+            bucket.deduct_own(cost, now);
             return Admission::Admitted;
         }
         // Waits for room for one request of this size and for concurrent admissions.
@@ -284,10 +314,9 @@
     /// It is negative if the bucket was overdrawn, and `None` if the team has no bucket or no
     /// limit.
     pub fn remaining_fraction(&self, team: &Team) -> Option<f64> {
-        let tag = tag(&team.name);
         let found = self
             .buckets
-            .binary_search_by_key(&tag, |bucket| bucket.team);
+            .binary_search_by_key(&team.tag, |bucket| bucket.team);
         let bucket = &self.buckets[found.ok()?];
         let capacity = self.parameters(team)?.capacity;
         Some(bucket.level / capacity.max(1.0))
@@ -303,74 +332,107 @@
         }
     }
 
+    /// Returns what this node has admitted of each team with recent admissions, for its peers.
+    pub fn recent_totals(&self, now: TimeMs) -> Vec<AdmittedTotal> {
+        (self.buckets.iter())
+            .filter(|bucket| bucket.own_total != 0.0)
+            .filter(|bucket| now.since(bucket.admitted_at) < REPORT_RETENTION_MS)
+            .map(Bucket::own_admitted)
+            .collect()
+    }
+
     /// Returns the totals, by incarnation, that a team's collector has to relay to all nodes.
     ///
     /// These are the totals that changed since the last call; none while the team is far from its
-    /// limit, where a delay of reports does no harm.
-    pub fn take_changed_totals(&mut self, team: &Team, own: u64, now: TimeMs) -> Vec<(u64, f64)> {
+    /// limit or spends slowly, where a delay of reports does no harm.
+    pub fn take_changed_totals(
+        &mut self,
+        team: &Team,
+        own: u64,
+        now: TimeMs,
+    ) -> Vec<(u64, AdmittedTotal)> {
+        let tolerance = self.tolerance(team);
         let Some((bucket, parameters)) = self.refilled(team, now) else {
             return Vec::new();
         };
-        if bucket.level > parameters.capacity * NEAR_LIMIT_FRACTION {
+        let is_far = bucket.level > parameters.capacity * NEAR_LIMIT_FRACTION;
+        let unreported = bucket.peer_rate_per_ms() * GROUP_REPORT_DELAY_MS;
+        if is_far || unreported < tolerance * UNREPORTED_TOLERANCE_FRACTION {
             return Vec::new();
         }
-        let own = (own, bucket.own_total);
-        let peers = bucket
-            .peers
-            .iter()
-            .map(|peer| (peer.incarnation, peer.total));
-        let all: Vec<(u64, f64)> = peers.chain([own]).collect();
-        let relayed_totals = std::mem::take(&mut bucket.relayed_totals);
-        let changed = all.iter().filter(|row| !relayed_totals.contains(row));
-        let changed = changed.copied().collect();
+        let peers = bucket.peers.iter().map(|peer| {
+            let admitted = AdmittedTotal {
+                team: bucket.team,
+                base: peer.base,
+                total: peer.total,
+            };
+            (peer.incarnation, admitted)
+        });
+        let mut all: Vec<(u64, AdmittedTotal)> =
+            peers.chain([(own, bucket.own_admitted())]).collect();
+        all.sort_unstable_by_key(|(incarnation, _admitted)| *incarnation);
+        let relayed = std::mem::take(&mut bucket.relayed_totals);
+        let is_changed = |(incarnation, admitted): &&(u64, AdmittedTotal)| {
+            let found = relayed.binary_search_by_key(incarnation, |(peer, _admitted)| *peer);
+            found.is_ok_and(|index| relayed[index].1 != *admitted) || found.is_err()
+        };
+        let changed = all.iter().filter(is_changed).copied().collect();
         bucket.relayed_totals = all;
         changed
     }
 
     /// Returns this node's total for the team's collector if it grew since the last call.
-    pub fn take_unreported_total(&mut self, team: &Team, now: TimeMs) -> Option<f64> {
+    pub fn take_unreported_total(&mut self, team: &Team, now: TimeMs) -> Option<AdmittedTotal> {
         team.rate_per_s?;
         let bucket = self.bucket(team, now);
         let is_new = bucket.own_total > bucket.reported_total;
         bucket.reported_total = bucket.own_total;
-        is_new.then_some(bucket.own_total)
+        is_new.then(|| bucket.own_admitted())
     }
 
-    /// Returns the total that this node has admitted for each team, for its peers.
-    pub fn own_totals(&self) -> Vec<(u64, f64)> {
-        (self.buckets.iter())
-            .filter(|bucket| bucket.own_total != 0.0)
-            .map(|bucket| (bucket.team, bucket.own_total))
-            .collect()
+    /// Returns the tags of the teams that have used the service since this node started.
+    pub fn active_teams(&self) -> impl Iterator<Item = u64> {
+        self.buckets.iter().map(|bucket| bucket.team)
+    }
+
+    /// Returns the operators' tolerance for a team, in units of the limit.
+    fn tolerance(&self, team: &Team) -> f64 {
+        let window = self.window.zip(team.rate_per_s);
+        window.map_or(0.0, |(window, rate_per_s)| {
+            window.tolerance(rate_per_s, team.burst)
+        })
+    }
+
+    /// Records that a peer was heard; returns whether it had been heard before.
+    pub fn record_contact(&mut self, incarnation: u64, now: TimeMs) -> bool {
+        let found = (self.heard).binary_search_by_key(&incarnation, |(heard, _at)| *heard);
+        match found {
+            Ok(place) => self.heard[place].1 = now,
+            Err(place) => self.heard.insert(place, (incarnation, now)),
+        }
+        found.is_ok()
     }
 
     /// Deducts what a peer has admitted since its last report.
     ///
-    /// `totals` counts from the peer's start; `teams` are the teams of the catalog.
+    /// `totals` count from the peer's start; `teams` are the teams of the catalog.
     pub fn record_peer(
         &mut self,
         incarnation: u64,
-        totals: &[(u64, f64)],
+        totals: &[AdmittedTotal],
         teams: &[Team],
         now: TimeMs,
     ) {
-        let found = (self.heard).binary_search_by_key(&incarnation, |(heard, _at)| *heard);
-        let was_heard = found.is_ok();
-        match found {
-            Ok(place) => self.heard[place].1 = now,
-            Err(place) => self.heard.insert(place, (incarnation, now)),
-        }
-        for team in teams {
-            let tag = tag(&team.name);
-            let total = totals.iter().find(|(team, _total)| *team == tag);
-            let Some((_team, total)) = total else {
+        let was_heard = self.record_contact(incarnation, now);
+        for admitted in totals {
+            let Some(team) = teams.iter().find(|team| team.tag == admitted.team) else {
                 continue;
             };
             // Refills the bucket before the peer's total is deducted: a full bucket discards what
             // it gains before the report. A refill after the deduction, over the whole time since
             // the last request, would restore what peers have just used.
             if let Some((bucket, _parameters)) = self.refilled(team, now) {
-                bucket.deduct_peer_total(incarnation, *total, was_heard, now);
+                bucket.deduct_peer_total(incarnation, admitted, was_heard, now);
             }
         }
     }
@@ -408,21 +470,24 @@
     }
 
     fn bucket(&mut self, team: &Team, now: TimeMs) -> &mut Bucket {
-        let tag = tag(&team.name);
         let found = self
             .buckets
-            .binary_search_by_key(&tag, |bucket| bucket.team);
+            .binary_search_by_key(&team.tag, |bucket| bucket.team);
         let place = found.unwrap_or_else(|place| {
             let filled_s = num::to_f64(now.since(self.started_at)) / 1_000.0;
             let level = self.parameters(team).map_or(0.0, |parameters| {
                 (parameters.rate_per_s * filled_s).min(parameters.capacity)
             });
             let bucket = Bucket {
-                team: tag,
+                team: team.tag,
                 level,
                 refilled_at: now,
                 own_total: 0.0,
                 reported_total: 0.0,
+                base_total: 0.0,
+                period_total: 0.0,
+                period_at: TimeMs(0),
+                admitted_at: TimeMs(0),
                 admission_credit: 0.0,
                 relayed_totals: Vec::new(),
                 peers: Vec::new(),
@@ -448,12 +513,43 @@
         is_admitted
     }
 
+    /// Deducts what this node admits.
+    fn deduct_own(&mut self, cost: f64, now: TimeMs) {
+        let period_ms = now.since(self.period_at);
+        if period_ms >= REPORT_RETENTION_MS {
+            let is_old = period_ms >= REPORT_RETENTION_MS * 2;
+            self.base_total = if is_old {
+                self.own_total
+            } else {
+                self.period_total
+            };
+            self.period_total = self.own_total;
+            self.period_at = now;
+        }
+        self.level -= cost;
+        self.own_total += cost;
+        self.admitted_at = now;
+    }
+
     fn refill(&mut self, rate_per_s: f64, capacity: f64, now: TimeMs) {
         let gained = rate_per_s * num::to_f64(now.since(self.refilled_at)) / 1_000.0;
         self.level = (self.level + gained).min(capacity);
         self.refilled_at = now;
     }
 
+    fn own_admitted(&self) -> AdmittedTotal {
+        AdmittedTotal {
+            team: self.team,
+            base: self.base_total,
+            total: self.own_total,
+        }
+    }
+
+    /// Returns the rate at which the peers admit, as of their last reports.
+    fn peer_rate_per_ms(&self) -> f64 {
+        self.peers.iter().map(|peer| peer.rate_per_ms).sum()
+    }
+
     /// Returns the estimated cost that peers have admitted since their last reports.
     fn extrapolated_usage(&self, now: TimeMs) -> f64 {
         let parts = self.peers.iter().map(|peer| {
@@ -463,7 +559,14 @@
         parts.sum()
     }
 
-    fn deduct_peer_total(&mut self, incarnation: u64, total: f64, was_heard: bool, now: TimeMs) {
+    fn deduct_peer_total(
+        &mut self,
+        incarnation: u64,
+        admitted: &AdmittedTotal,
+        was_heard: bool,
+        now: TimeMs,
+    ) {
+        let total = admitted.total;
         let found = self
             .peers
             .binary_search_by_key(&incarnation, |peer| peer.incarnation);
@@ -476,21 +579,23 @@
                 let weight = (passed_ms / RATE_AVERAGING_MS).min(1.0);
                 peer.rate_per_ms += weight * (gained / passed_ms - peer.rate_per_ms);
                 peer.total += gained;
+                peer.base = peer.base.max(admitted.base);
                 peer.reported_at = now;
                 self.level -= gained;
             }
             Err(place) => {
                 let peer = PeerUsage {
                     incarnation,
+                    base: admitted.base,
                     total,
                     reported_at: now,
                     rate_per_ms: 0.0,
                 };
                 self.peers.insert(place, peer);
-                // A new peer's total may predate the contact with it and is ignored. A known peer
-                // that had not reported the team has admitted the whole total since.
+                // A new peer's total may predate the contact with it and is ignored. Of a known peer
+                // that had not reported the team lately, only the recent part is certain to be new.
                 if was_heard {
-                    self.level -= total;
+                    self.level -= total - admitted.base;
                 }
             }
         }
--- a/src/gateway/quota/tests.rs
+++ b/src/gateway/quota/tests.rs
@@ -3,6 +3,7 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::*;
+use crate::gateway::upstreams::tag;
 
 /// A fleet of one node, which has the whole limit.
 const ALL: FleetVisibility = FleetVisibility { known: 1, heard: 1 };
@@ -20,6 +21,7 @@
 fn team(rate_per_s: f64, burst: f64) -> Team {
     Team {
         name: "archive".to_owned(),
+        tag: tag("archive"),
         priority: None,
         unit: Unit::Tokens {
             default_tokens: 200,
@@ -29,6 +31,15 @@
     }
 }
 
+/// What a peer reports that has admitted `total`, all of it recently.
+fn recent(total: f64) -> AdmittedTotal {
+    AdmittedTotal {
+        team: tag("archive"),
+        base: 0.0,
+        total,
+    }
+}
+
 /// Sends requests of one cost until the team is over its limit; returns the admitted cost.
 fn drain(
     quotas: &mut Quotas,
@@ -117,7 +128,9 @@
             }
         }
         if now_ms % 200 == 0 {
-            let totals: Vec<_> = quotas.iter().map(Quotas::own_totals).collect();
+            let totals: Vec<_> = (quotas.iter())
+                .map(|quotas| quotas.recent_totals(now))
+                .collect();
             for (place, quotas) in quotas.iter_mut().enumerate() {
                 for (peer, totals) in totals.iter().enumerate().filter(|(peer, _)| *peer != place) {
                     quotas.record_peer(peer as u64, totals, std::slice::from_ref(&team), now);
@@ -153,12 +166,7 @@
     let team = team(1_000.0, 1_000.0);
     let mut quotas = long_running();
     quotas.admit(&team, 1.0, ALL, at(1));
-    quotas.record_peer(
-        4,
-        &[(tag("archive"), 1e9)],
-        std::slice::from_ref(&team),
-        at(2),
-    );
+    quotas.record_peer(4, &[recent(1e9)], std::slice::from_ref(&team), at(2));
     assert_eq!(quotas.admit(&team, 1.0, ALL, at(3)), Admission::Admitted);
 }
 
@@ -171,12 +179,7 @@
     let team = team(1_000.0, 1_000.0);
     let mut quotas = long_running();
     quotas.record_peer(4, &[], &[], at(1));
-    quotas.record_peer(
-        4,
-        &[(tag("archive"), 5_000.0)],
-        std::slice::from_ref(&team),
-        at(3),
-    );
+    quotas.record_peer(4, &[recent(5_000.0)], std::slice::from_ref(&team), at(3));
     let refused = quotas.admit(&team, 1.0, ALL, at(4));
     assert!(matches!(refused, Admission::Over(_)));
 }
@@ -229,14 +232,14 @@
         for place in 1..quotas.len() {
             if let Some(total) = quotas[place].take_unreported_total(&team, now) {
                 reports_sent += 1;
-                quotas[0].record_peer(place as u64, &[(tag("archive"), total)], teams, now);
+                quotas[0].record_peer(place as u64, &[total], teams, now);
             }
         }
         let rows = quotas[0].take_changed_totals(&team, 0, now);
         reports_sent += quotas.len();
         for (place, quotas) in quotas.iter_mut().enumerate().skip(1) {
             for (peer, total) in rows.iter().filter(|(peer, _total)| *peer != place as u64) {
-                quotas.record_peer(*peer, &[(tag("archive"), *total)], teams, now);
+                quotas.record_peer(*peer, &[*total], teams, now);
             }
         }
     }
@@ -255,7 +258,7 @@
     let mut quotas = long_running();
     quotas.record_peer(4, &[], &[], at(1));
     for total in [3_000.0, 6_000.0, 3_000.0, 6_000.0] {
-        quotas.record_peer(4, &[(tag("archive"), total)], teams, at(2));
+        quotas.record_peer(4, &[recent(total)], teams, at(2));
     }
     let left = drain(&mut quotas, &team, 100.0, ALL, at(2));
     assert!((left - 4_000.0).abs() <= 100.0, "{left}");
@@ -267,20 +270,62 @@
     let teams = std::slice::from_ref(&team);
     let mut quotas = long_running();
     quotas.record_peer(4, &[], &[], at(1));
-    quotas.record_peer(4, &[(tag("archive"), 1_000.0)], teams, at(2));
+    quotas.record_peer(4, &[recent(1_000.0)], teams, at(2));
     assert_eq!(
         quotas.take_changed_totals(&team, 9, at(2)),
         [],
         "the team is far from its limit"
     );
-    quotas.record_peer(4, &[(tag("archive"), 8_000.0)], teams, at(3));
+    quotas.record_peer(4, &[recent(8_000.0)], teams, at(3));
     assert_eq!(
         quotas.take_changed_totals(&team, 9, at(3)),
-        [(4, 8_000.0), (9, 0.0)]
+        [(4, recent(8_000.0)), (9, recent(0.0))]
     );
     assert_eq!(quotas.take_changed_totals(&team, 9, at(4)), []);
 }
 
+/// Guards against datagrams to all nodes for each request: of a team with short bursts the reports of
+/// the groups are early enough.
+#[test]
+fn collector_relays_nothing_of_a_team_that_spends_slowly() {
+    let team = team(47_000.0, 47_000.0);
+    let teams = std::slice::from_ref(&team);
+    let mut quotas = Quotas::new(Some(LARGE_WINDOW), TimeMs(0));
+    quotas.record_contact(4, at(1));
+    for second in 1..20 {
+        let total = recent(num::to_f64(second) * 20_000.0);
+        quotas.record_peer(4, &[total], teams, at(second * 1_000));
+        let changed = quotas.take_changed_totals(&team, 9, at(second * 1_000 + 10));
+        assert_eq!(changed, [], "after {second} s");
+    }
+}
+
+#[test]
+fn total_is_reported_until_its_retention_ends() {
+    let team = team(1_000.0, 10_000.0);
+    let mut quotas = long_running();
+    quotas.admit(&team, 1_000.0, ALL, at(0));
+    assert_eq!(quotas.recent_totals(at(1_900)), [recent(1_000.0)]);
+    assert_eq!(quotas.recent_totals(at(2_000)), []);
+}
+
+/// Guards against a team that is refused for long at a node that has just started: the total of a
+/// known peer that reports the team for the first time is mostly older than the contact.
+#[test]
+fn only_the_recent_part_of_a_known_peers_first_total_is_deducted() {
+    let team = team(1_000.0, 10_000.0);
+    let mut peer = long_running();
+    for second in 0..60 {
+        peer.admit(&team, 1_000.0, ALL, at(second * 1_000));
+    }
+    let mut quotas = long_running();
+    quotas.record_contact(4, at(59_000));
+    let totals = peer.recent_totals(at(59_500));
+    quotas.record_peer(4, &totals, std::slice::from_ref(&team), at(59_500));
+    let left = drain(&mut quotas, &team, 100.0, ALL, at(59_500));
+    assert!((5_000.0..=8_000.0).contains(&left), "{left}");
+}
+
 /// Guards against a second burst after a restart of all nodes.
 ///
 /// All processes are killed at once and restart while a team is at its limit. Buckets that start
@@ -346,6 +391,13 @@
     assert!(later <= 80_200.0, "{later}");
 }
 
+/// A window of eight seconds with a tolerance of 10% and another 190,000 units.
+const LARGE_WINDOW: LimitWindow = LimitWindow {
+    window_ms: 8_000,
+    overshoot: 0.1,
+    slack: 190_000.0,
+};
+
 /// A window of eight seconds with a tolerance of 10% and another 1,000 units.
 const WINDOW: LimitWindow = LimitWindow {
     window_ms: 8_000,
@@ -414,7 +466,7 @@
 }
 
 /// Arrival time of a datagram in ms, receiving node and totals by peer.
-type Datagram = (u64, usize, Vec<(u64, f64)>);
+type Datagram = (u64, usize, Vec<(u64, AdmittedTotal)>);
 
 /// Guards against a refill that restores what peers have just used.
 ///
@@ -431,11 +483,6 @@
     const NODES: u64 = 195;
     const DATAGRAM_DELAY_MS: u64 = 60;
     const CHECK_INTERVAL_MS: u64 = 200;
-    const LARGE_WINDOW: LimitWindow = LimitWindow {
-        window_ms: 8_000,
-        overshoot: 0.1,
-        slack: 190_000.0,
-    };
     let team = team(700_000.0, 770_000.0);
     let teams = std::slice::from_ref(&team);
     let visibility = FleetVisibility {
@@ -460,7 +507,7 @@
         let due: Vec<Datagram> = due;
         for (_at_ms, place, rows) in due {
             for (peer, total) in rows.iter().filter(|(peer, _)| *peer != place as u64) {
-                quotas[place].record_peer(*peer, &[(tag("archive"), *total)], teams, now);
+                quotas[place].record_peer(*peer, &[*total], teams, now);
             }
         }
         // About 200 requests a second of 18,000 tokens, from two seconds on.
@@ -511,7 +558,7 @@
     /// Time between two reports of a node to all others.
     report_ms: u64,
     /// Reports in flight: arrival time, sending node and its total.
-    reports: Vec<(u64, usize, f64)>,
+    reports: Vec<(u64, usize, AdmittedTotal)>,
 }
 
 impl FleetSimulation {
@@ -557,7 +604,7 @@
                 let (_at, from, total) = self.reports.remove(0);
                 for (place, quotas) in self.quotas.iter_mut().enumerate() {
                     if place != from {
-                        quotas.record_peer(from as u64, &[(tag("archive"), total)], teams, now);
+                        quotas.record_peer(from as u64, &[total], teams, now);
                     }
                 }
             }
--- a/src/gateway/rank.rs
+++ b/src/gateway/rank.rs
@@ -5,7 +5,8 @@
 
 use std::cmp::Ordering;
 
-use super::peers::{Member, Peer, Peers};
+use super::messages::Member;
+use super::peers::{Peer, Peers};
 use super::store_contact::StoreAvailability;
 use crate::time::TimeMs;
 
@@ -17,15 +18,19 @@
     let is_failing = |reach: StoreAvailability| reach == StoreAvailability::Failing;
     is_failing(a.0)
         .cmp(&is_failing(b.0))
-        .then(b.1.capacity_per_s.total_cmp(&a.1.capacity_per_s))
-        .then_with(|| a.1.name.cmp(&b.1.name))
+        .then_with(|| cmp_election(a.1, b.1))
+}
+
+/// Orders nodes for the election of one node that performs a task for all: by descending capacity,
+/// then by name.
+pub(crate) fn cmp_election(a: &Member, b: &Member) -> Ordering {
+    (b.capacity_per_s.total_cmp(&a.capacity_per_s)).then_with(|| a.name.cmp(&b.name))
 }
 
 /// Returns how many live nodes of this node's failure domain precede it.
 #[must_use]
 pub(crate) fn rank_in_domain(peers: &Peers, own_reach: StoreAvailability, now: TimeMs) -> usize {
-    let domain = &peers.own().failure_domain;
-    let neighbours = (peers.active(now)).filter(|peer| peer.member.failure_domain == *domain);
+    let neighbours = (peers.active(now)).filter(|peer| peers.is_neighbour(peer));
     count_preceding(neighbours, (own_reach, peers.own()))
 }
 
@@ -38,8 +43,7 @@
 /// Returns how many known nodes of this node's failure domain precede it, live or not.
 #[must_use]
 pub(crate) fn rank_among_known(peers: &Peers) -> usize {
-    let domain = &peers.own().failure_domain;
-    let known = (peers.iter()).filter(|peer| peer.member.failure_domain == *domain);
+    let known = (peers.iter()).filter(|peer| peers.is_neighbour(peer));
     known
         .filter(|peer| {
             let reach = StoreAvailability::NotCalled;
--- /dev/null
+++ b/src/gateway/relay/tests.rs
@@ -0,0 +1,86 @@
+mod fleet;
+
+use super::*;
+
+fn status(incarnation: u64, sequence: u64, version: u64) -> Status {
+    Status {
+        incarnation,
+        sequence,
+        configuration_version: version,
+        ..Status::default()
+    }
+}
+
+fn reported(report: &GroupReport) -> Vec<u64> {
+    let statuses = report.statuses.iter();
+    statuses.map(|status| status.incarnation).collect()
+}
+
+/// Guards against reports that grow with what the nodes know instead of with what happens: a status
+/// that did not change is not reported again until its repetition is due.
+#[test]
+fn unchanged_status_is_reported_only_when_its_repetition_is_due() {
+    let mut relay = Relay::default();
+    let start = 10_000;
+    let mut reported_at = Vec::new();
+    for tick in 0..=35 {
+        let now = TimeMs(start + tick * REPORT_INTERVAL_MS);
+        relay.record(&status(7, tick + 1, 1), now);
+        if !relay.take_report(now).statuses.is_empty() {
+            reported_at.push(now.0 - start);
+        }
+    }
+    assert_eq!(reported_at, [0, 3_000, 6_000]);
+}
+
+#[test]
+fn changed_status_is_in_the_next_report() {
+    let mut relay = Relay::default();
+    relay.record(&status(7, 1, 1), TimeMs(10_000));
+    relay.take_report(TimeMs(10_000));
+    relay.record(&status(7, 2, 2), TimeMs(10_200));
+    assert_eq!(reported(&relay.take_report(TimeMs(10_400))), [7]);
+}
+
+/// Guards against a late heartbeat that replaces a newer status.
+#[test]
+fn older_status_is_ignored() {
+    let mut relay = Relay::default();
+    relay.record(&status(7, 2, 2), TimeMs(10_000));
+    relay.record(&status(7, 1, 1), TimeMs(10_010));
+    assert_eq!(
+        relay.take_report(TimeMs(10_100)).statuses,
+        [status(7, 2, 2)]
+    );
+}
+
+/// Guards against requests that are sent to a dead node for seconds: the other groups learn of its
+/// silence from its own group.
+#[test]
+fn silent_node_is_reported_until_all_have_removed_it() {
+    let mut relay = Relay::default();
+    relay.record(&status(7, 1, 1), TimeMs(10_000));
+    assert_eq!(relay.take_report(TimeMs(10_900)).silent, [] as [u64; 0]);
+    assert_eq!(relay.take_report(TimeMs(11_000)).silent, [7]);
+    relay.remove_silent(TimeMs(15_000));
+    assert_eq!(relay.take_report(TimeMs(15_000)), GroupReport::default());
+}
+
+/// Guards against limits and strikes that seem new again at each hop.
+#[test]
+fn reported_strike_has_aged_since_it_was_heard() {
+    use crate::gateway::strikes::{AgedStrike, Strike};
+    let strike = Strike {
+        content: 1,
+        upstream: 2,
+    };
+    let mut struck = status(7, 1, 1);
+    struck.strikes = vec![AgedStrike {
+        strike,
+        age_ms: 300,
+    }];
+    let mut relay = Relay::default();
+    relay.record(&struck, TimeMs(10_000));
+    let report = relay.take_report(TimeMs(10_250));
+    assert_eq!(report.statuses[0].strikes[0].age_ms, 550);
+}
--- a/src/gateway/rollout_decisions.rs
+++ b/src/gateway/rollout_decisions.rs
@@ -7,7 +7,7 @@
 
 use super::clock;
 use super::log_position::LogPosition;
-use super::peers::Message;
+use super::messages::Message;
 use super::rollout::{Decision, Order, Stage, elapsed_ms};
 use super::state::Gateway;
 use super::verdict;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::num;
+
 /// The settings of one node and of its installation.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct NodeSettings {
@@ -58,6 +60,14 @@
     pub slack: f64,
 }
 
+impl LimitWindow {
+    /// Returns the tolerated excess of a window, in units of the quota.
+    pub fn tolerance(&self, rate_per_s: f64, burst: f64) -> f64 {
+        let window_s = num::to_f64(self.window_ms) / 1_000.0;
+        self.overshoot * (rate_per_s * window_s + burst) + self.slack
+    }
+}
+
 /// The operators' bounds on the behaviour of the system.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Bounds {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::mpsc;
@@ -16,12 +16,14 @@
 use super::connections::ConnectionPool;
 use super::demand::DemandTracker;
 use super::lease::{Holder, Lease};
+use super::messages::{Member, Message};
 use super::pace::{EngineModel, Pace, PeerPaces};
-use super::peers::{Member, Message, Peers};
+use super::peers::Peers;
 use super::pool_map::PoolMap;
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
 use super::recent_changes::RecentChanges;
+use super::relay::Relay;
 use super::repeat_budget::{RepeatBudget, Repeats};
 use super::rollout::Standing;
 use super::rollouts::Rollouts;
@@ -68,6 +70,8 @@
     pub rollouts: Mutex<Rollouts>,
     pub usage: Mutex<UsageCounts>,
     pub peers: Mutex<Peers>,
+    /// Statuses to be reported to other groups, and reports of theirs.
+    pub relay: Mutex<Relay>,
     pub lease: Mutex<Lease>,
     pub channels: ConnectionPool,
     /// Routes that have metric labels of their own.
@@ -80,6 +84,8 @@
     pub stopping: CancellationToken,
     /// Readiness at the last check, to log changes.
     pub was_ready: AtomicBool,
+    /// Sequence number of this node's last status.
+    status_sequence: AtomicU64,
     era: Mutex<KnownEra>,
     outbox: mpsc::Sender<Outgoing>,
 }
@@ -105,6 +111,8 @@
 pub(crate) enum Recipients {
     /// All peers.
     All,
+    /// The peers of this node's group.
+    Group,
     /// The peers in this node's failure domain.
     SameDomain,
     /// The first peer by rank of each other failure domain.
@@ -157,6 +165,7 @@
                 settings.bounds.usage_window_ms,
             )),
             peers: Mutex::new(Peers::new(member)),
+            relay: Mutex::default(),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: ConnectionPool::default(),
             route_labels: Mutex::default(),
@@ -164,6 +173,7 @@
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
+            status_sequence: AtomicU64::new(0),
             era: Mutex::default(),
             outbox,
             settings: RwLock::new(Arc::new(settings)),
@@ -338,6 +348,11 @@
             .agreed_time_of_day(clock::time_of_day(), now)
     }
 
+    /// Returns the sequence number of this node's next status.
+    pub fn next_status_sequence(&self) -> u64 {
+        self.status_sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Counts a request as in progress until the returned guard is dropped.
     pub fn track_request(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
--- a/src/gateway/store_contact.rs
+++ b/src/gateway/store_contact.rs
@@ -5,11 +5,12 @@
 use crate::time::TimeMs;
 
 /// The availability of the store to a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub(crate) enum StoreAvailability {
     /// The store answered recently.
     Answering,
     /// The store has not been called recently.
+    #[default]
     NotCalled,
     /// The last call, a short time ago, failed.
     Failing,
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,6 +1,5 @@
 //! The table of known upstreams: announcements, load and health of each.
 
-use std::hash::Hasher;
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
@@ -634,9 +633,7 @@
 /// Hashes a name to 64 bits; equal on every node.
 #[must_use]
 pub(crate) fn tag(name: &str) -> u64 {
-    let mut hasher = XxHash3_64::new();
-    hasher.write(name.as_bytes());
-    hasher.finish()
+    XxHash3_64::oneshot(name.as_bytes())
 }
 
 /// Spreads the bits of a hash, so that hashes that differ in few bits get distant ranks.
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -64,8 +64,16 @@
 
     /// Returns this node's counts of the retained windows, for its peers.
     pub fn own_rows(&self) -> Vec<UsageRow> {
-        (self.rows.iter())
-            .filter(|(incarnation, _row)| *incarnation == self.own)
+        self.rows_of(self.own)
+    }
+
+    /// Returns the counts of one node.
+    pub fn rows_of(&self, node: u64) -> Vec<UsageRow> {
+        let first = self
+            .rows
+            .partition_point(|(incarnation, _row)| *incarnation < node);
+        (self.rows[first..].iter())
+            .take_while(|(incarnation, _row)| *incarnation == node)
             .map(|(_incarnation, row)| *row)
             .collect()
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -1,7 +1,7 @@
 //! Tracks how current this node's table of upstreams is.
 
 use super::log_position::LogPosition;
-use super::peers::UpstreamChanges;
+use super::messages::UpstreamChanges;
 use super::snapshot::SnapshotAssembler;
 use crate::time::TimeMs;
 
--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -9,6 +9,7 @@
     CallerLimits, Catalog, Engine, Pool, RepeatPolicy, Route, Scaling, Team, TeamKey, Unit,
 };
 use crate::gateway::num;
+use crate::gateway::upstreams::tag;
 
 /// Tokens charged for a request without a token count, unless the document sets a number.
 const DEFAULT_PLAIN_TOKENS: u64 = 1;
@@ -251,6 +252,7 @@
             .plain_tokens
             .map_or(DEFAULT_PLAIN_TOKENS, num::round_to_u64);
         Self {
+            tag: tag(&raw.name),
             name: raw.name,
             priority: raw.priority.map(priority),
             unit: match raw.unit.as_deref() {
