feature: A configuration that exceeds a datagram reaches the peers in fragments

Cause: a document with hundreds of teams and routes exceeds 60,000 bytes, and a peer that could not send it had each node read each change from the store: calls and bytes of the store grow with nodes x changes.

Change: messages above a datagram are split and reassembled (fragments); documents up to 1,000,000 bytes are sent to peers.

Measured: configuration_of_hundreds_of_teams_is_sent_to_peers failed before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 mod endpoints;
 mod events;
 mod exchange;
+mod fragments;
 mod gauges;
 mod gossip;
 mod groups;
--- a/src/gateway/active_configuration.rs
+++ b/src/gateway/active_configuration.rs
@@ -52,8 +52,7 @@
     pub version: u64,
     /// Time since the store held no records beyond `end`.
     pub age_ms: u64,
-    /// The peer's configuration document, if the requester has not read as far and it fits into a
-    /// datagram.
+    /// The peer's configuration document, if the requester has not read as far and it is not too large.
     pub document: Option<Vec<u8>>,
     /// The rollouts ordered by operators; sent only with the document.
     pub orders: Vec<Order>,
@@ -194,9 +193,11 @@
     }
 }
 
-/// Largest configuration document sent to a peer: with the other fields it fits into one datagram
-/// of 65,000 bytes. Peers read a larger one from the store.
-const MAX_SENT_DOCUMENT_BYTES: usize = 60_000;
+/// Largest configuration document sent to a peer; peers read a larger one from the store.
+///
+/// If all nodes read each changed document from the store, its calls and bytes would grow with the
+/// nodes.
+const MAX_SENT_DOCUMENT_BYTES: usize = 1_000_000;
 
 /// Part of the bound on revoked keys that is reserved for sending the request to its upstream.
 ///
--- a/src/gateway/active_configuration/tests.rs
+++ b/src/gateway/active_configuration/tests.rs
@@ -86,7 +86,7 @@
 }
 
 #[test]
-fn configuration_too_large_for_a_datagram_is_not_sent() {
+fn configuration_beyond_the_largest_message_is_not_sent() {
     let mut peer = known(9, 20_000);
     peer.document = Bytes::from(vec![b' '; MAX_SENT_DOCUMENT_BYTES + 1]);
     let answer = peer.confirmation(&request_from(at(7)), TimeMs(20_000));
@@ -189,3 +189,14 @@
         "the store lacks the version of the peers"
     );
 }
+
+/// Guards against a fleet in which each node reads each change from the store: a document with
+/// hundreds of teams and routes exceeds a datagram and is sent to the peers all the same.
+#[test]
+fn configuration_of_hundreds_of_teams_is_sent_to_peers() {
+    let mut peer = known(9, 20_000);
+    peer.document = Bytes::from(vec![b' '; 250_000]);
+    let answer = peer.confirmation(&request_from(at(7)), TimeMs(20_000));
+    let document = answer.expect("the configuration is known").document;
+    assert_eq!(document.map(|document| document.len()), Some(250_000));
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
@@ -16,6 +17,7 @@
 pub(crate) use discovery::discover;
 
 use super::clock;
+use super::fragments;
 use super::messages::Message;
 use super::peers::PEER_EXPIRY_MS;
 use super::rank;
@@ -341,23 +343,46 @@
 }
 
 async fn send_to(socket: &UdpSocket, message: &Message, addresses: &[SocketAddr]) {
-    let encoded = match bincode::encode_to_vec(message, bincode::config::standard()) {
-        Ok(encoded) if encoded.len() <= MAX_DATAGRAM_BYTES => encoded,
-        Ok(encoded) => {
-            log::error!(bytes = encoded.len(), kind = message.kind(); "dropped a message to peers that exceeds the datagram size");
-            return;
+    let Some(encoded) = encode(message) else {
+        return;
+    };
+    let datagrams: Vec<Vec<u8>> = if encoded.len() <= MAX_DATAGRAM_BYTES {
+        vec![encoded]
+    } else {
+        let fragments = fragments::split(&encoded, rand::rng().random());
+        if fragments.is_empty() {
+            log::error!(bytes = encoded.len(), kind = message.kind(); "dropped a message to peers that exceeds the largest size");
         }
+        let fragments = fragments.into_iter().map(Message::Fragment);
+        fragments.filter_map(|fragment| encode(&fragment)).collect()
+    };
+    for datagram in datagrams {
+        send_datagram(socket, message.kind(), &datagram, addresses).await;
+    }
+}
+
+fn encode(message: &Message) -> Option<Vec<u8>> {
+    match bincode::encode_to_vec(message, bincode::config::standard()) {
+        Ok(encoded) => Some(encoded),
         Err(error) => {
-            log::error!(error:err = error; "dropped a message to peers that cannot be encoded");
-            return;
+            log::error!(error:err = error, kind = message.kind(); "dropped a message to peers that cannot be encoded");
+            None
         }
-    };
+    }
+}
+
+async fn send_datagram(
+    socket: &UdpSocket,
+    kind: &'static str,
+    datagram: &[u8],
+    addresses: &[SocketAddr],
+) {
     let count = addresses.len() as u64;
-    metrics::counter!("teaselline_datagrams_sent_total", "kind" => message.kind()).increment(count);
-    metrics::counter!("teaselline_datagram_bytes_sent_total", "kind" => message.kind())
-        .increment(count * encoded.len() as u64);
+    metrics::counter!("teaselline_datagrams_sent_total", "kind" => kind).increment(count);
+    metrics::counter!("teaselline_datagram_bytes_sent_total", "kind" => kind)
+        .increment(count * datagram.len() as u64);
     for address in addresses {
-        if let Err(error) = socket.send_to(&encoded, *address).await {
+        if let Err(error) = socket.send_to(datagram, *address).await {
             log::debug!(error:err = error, peer:% = *address; "cannot send a datagram to a peer");
         }
     }
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::MAX_DATAGRAM_BYTES;
 use crate::gateway::announcements;
 use crate::gateway::configuration_sync;
+use crate::gateway::fragments::MAX_MESSAGE_BYTES;
 use crate::gateway::handover;
 use crate::gateway::lease::Holder;
 use crate::gateway::messages::{Account, GroupReport, Heartbeat, Message, Status};
@@ -17,9 +17,9 @@
 /// Most member records in one answer: some ten kilobytes.
 const MAX_ANSWERED_MEMBERS: usize = 100;
 
-/// Decodes and applies a datagram.
+/// Decodes and applies a datagram, or a message that came in fragments.
 pub(super) fn handle_datagram(node: &Gateway, datagram: &[u8], from: SocketAddr, now: TimeMs) {
-    let config = bincode::config::standard().with_limit::<MAX_DATAGRAM_BYTES>();
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
     match bincode::decode_from_slice::<Message, _>(datagram, config) {
         Ok((message, _length)) => {
             metrics::counter!("teaselline_datagrams_received_total", "kind" => message.kind())
@@ -80,6 +80,12 @@
         Message::Strike(strike) => {
             node.strikes.lock().record(strike, now);
         }
+        Message::Fragment(fragment) => {
+            let complete = node.reassembly.lock().add(from, fragment, now);
+            if let Some(encoded) = complete {
+                handle_datagram(node, &encoded, from, now);
+            }
+        }
         Message::Forward(message) if matches!(*message, Message::Forward(_)) => {
             log::debug!(peer:% = from; "dropped a message that was to be forwarded twice");
         }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -12,6 +12,7 @@
 
 use super::active_configuration::{Confirmation, ConfirmationRequest};
 use super::demand::Rates;
+use super::fragments::Fragment;
 use super::log_position::LogPosition;
 use super::pace::Pace;
 use super::quota::AdmittedTotal;
@@ -70,6 +71,8 @@
     Limit(LimitReport),
     /// The tag of an upstream that stated in a response that it is leaving.
     Leaving(u64),
+    /// A part of a message that exceeds a datagram.
+    Fragment(Fragment),
     /// A message that the recipient applies and sends to the other nodes of its group.
     Forward(Box<Message>),
 }
@@ -109,6 +112,7 @@
             Self::Strike(_) => "strike",
             Self::Limit(_) => "limit",
             Self::Leaving(_) => "leaving",
+            Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
         }
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::confirmation;
 use super::connections::ConnectionPool;
 use super::demand::DemandTracker;
+use super::fragments::Reassembly;
 use super::lease::{Holder, Lease};
 use super::messages::{Member, Message};
 use super::pace::{EngineModel, Pace, PeerPaces};
@@ -72,6 +73,8 @@
     pub peers: Mutex<Peers>,
     /// Statuses to be reported to other groups, and reports of theirs.
     pub relay: Mutex<Relay>,
+    /// Messages of peers that exceed a datagram, as far as they have arrived.
+    pub reassembly: Mutex<Reassembly>,
     pub lease: Mutex<Lease>,
     pub channels: ConnectionPool,
     /// Routes that have metric labels of their own.
@@ -166,6 +169,7 @@
             )),
             peers: Mutex::new(Peers::new(member)),
             relay: Mutex::default(),
+            reassembly: Mutex::default(),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: ConnectionPool::default(),
             route_labels: Mutex::default(),
