perf: Two nodes of a failure domain read their first configuration from the store, the others ask peers

Change: a node behind the first two of its failure domain waits 1.5 to 3.5 s for a peer's answer before it reads the store.

--- a/src/gateway/configuration_sync.rs
+++ b/src/gateway/configuration_sync.rs
@@ -75,12 +75,21 @@
 
 fn confirmation_state(node: &Gateway, now: TimeMs) -> ConfirmationState {
     let contact = *node.store_contact.lock();
-    let rank = rank::rank_in_domain(&node.peers.lock(), contact.availability(now), now);
+    let (rank, rank_among_known) = {
+        let peers = node.peers.lock();
+        let reach = contact.availability(now);
+        (
+            rank::rank_in_domain(&peers, reach, now),
+            rank::rank_among_known(&peers),
+        )
+    };
+    let knows_nodes = node.upstreams_view.lock().knows_nodes;
     let in_force = node.in_force.read();
     let was_confirmed = in_force.confirmed_at > TimeMs(0);
     ConfirmationState {
         age_ms: was_confirmed.then(|| now.since(in_force.confirmed_at)),
         rank,
+        rank_among_known: knows_nodes.then_some(rank_among_known),
         failed_ms: contact.failed_ms(now),
         running_ms: node.uptime_ms(now),
         is_behind: in_force.is_behind(),
--- a/src/gateway/confirmation.rs
+++ b/src/gateway/confirmation.rs
@@ -45,6 +45,20 @@
 /// heartbeat at once when they learn of each other, within half a second where they start together.
 pub(crate) const STARTUP_MS: u64 = 1_000;
 
+/// Nodes of a failure domain that read their first configuration from the store; the others ask
+/// peers for it.
+///
+/// If all nodes read it when they start together, the bytes read would grow with the nodes.
+const START_READERS: usize = 2;
+
+/// Uptime from which a node reads its first configuration from the store if no peer has sent it.
+const START_READ_UPTIME_MS: u64 = 1_500;
+
+/// Added to [`START_READ_UPTIME_MS`] for each node of the failure domain that ranks before this one,
+/// and the bound on the sum.
+const START_READ_STEP_MS: u64 = 50;
+const MAX_START_READ_STEPS_MS: u64 = 2_000;
+
 /// The inputs of the decisions whether to read the store and whether to ask a peer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConfirmationState {
@@ -52,6 +66,9 @@
     pub age_ms: Option<u64>,
     /// Number of nodes of the failure domain that rank before this one.
     pub rank: usize,
+    /// Number of known nodes of the failure domain that rank before this one; `None` before this
+    /// node has learned of others.
+    pub rank_among_known: Option<usize>,
     /// Time since the store last failed to answer; `None` if it answered after that.
     pub failed_ms: Option<u64>,
     /// Time since this node started.
@@ -81,6 +98,7 @@
     let due_ms = STORE_READ_AGE_MS.saturating_add(rank.saturating_mul(STORE_READ_STEP_MS));
     match state.age_ms {
         _ if state.failed_ms.is_some_and(|ago_ms| ago_ms < pause_ms) => StoreRead::Skip,
+        None if waits_for_peers(state) => StoreRead::Skip,
         None => StoreRead::Immediate,
         Some(_) if state.is_behind => StoreRead::Immediate,
         // A store that has just failed may not answer; a long poll would then block for all of its
@@ -93,6 +111,18 @@
     }
 }
 
+/// Whether a node without a configuration leaves it to its peers to send one.
+fn waits_for_peers(state: &ConfirmationState) -> bool {
+    match state.rank_among_known {
+        Some(rank) if rank < START_READERS => false,
+        rank => {
+            let rank = u64::try_from(rank.unwrap_or_default()).unwrap_or(u64::MAX);
+            let steps_ms = (rank.saturating_mul(START_READ_STEP_MS)).min(MAX_START_READ_STEPS_MS);
+            state.running_ms < START_READ_UPTIME_MS + steps_ms
+        }
+    }
+}
+
 /// Whether the startup period is over, in which a node may not have heard its peers.
 #[must_use]
 pub(crate) fn has_started_up(running_ms: u64) -> bool {
--- a/src/gateway/confirmation/tests.rs
+++ b/src/gateway/confirmation/tests.rs
@@ -48,6 +48,7 @@
         ConfirmationState {
             age_ms: was_confirmed.then(|| now.since(self.in_force.confirmed_at)),
             rank: rank::rank_in_domain(&self.peers, self.contact.availability(now), now),
+            rank_among_known: Some(rank::rank_among_known(&self.peers)),
             failed_ms: self.contact.failed_ms(now),
             running_ms: now.since(self.started_at),
             is_behind: self.in_force.is_behind(),
@@ -386,3 +387,37 @@
         assert!(simulation.is_fresh(&simulation.nodes[7]));
     }
 }
+
+/// A node that has just started and has no configuration.
+fn starting(rank_among_known: Option<usize>, running_ms: u64) -> ConfirmationState {
+    ConfirmationState {
+        age_ms: None,
+        rank: 0,
+        rank_among_known,
+        failed_ms: None,
+        running_ms,
+        is_behind: false,
+        is_outdated: false,
+    }
+}
+
+/// Guards against reads of the store that grow with the nodes: of hundreds that start together in one
+/// failure domain, two read the configuration at once.
+#[test]
+fn few_of_the_nodes_that_start_together_read_the_store() {
+    let reads = |running_ms: u64| {
+        (0..200)
+            .filter(|rank| next_read(&starting(Some(*rank), running_ms)) == StoreRead::Immediate)
+            .count()
+    };
+    assert_eq!(reads(100), 2);
+    assert_eq!(reads(1_400), 2);
+}
+
+/// Guards against a node that never serves because no peer sends it a configuration.
+#[test]
+fn node_without_helpful_peers_reads_its_first_configuration_from_the_store() {
+    assert_eq!(next_read(&starting(Some(200), 3_500)), StoreRead::Immediate);
+    assert_eq!(next_read(&starting(None, 1_500)), StoreRead::Immediate);
+    assert_eq!(next_read(&starting(None, 100)), StoreRead::Skip);
+}
