--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,8 +1,12 @@
 //! The membership table: which nodes there are, which of them are alive, and their groups.
 
+mod division;
+
 use std::net::SocketAddr;
 
-use super::groups::{GroupPosition, Groups};
+use division::Division;
+
+use super::groups::GroupPosition;
 use super::lease::Holder;
 use super::messages::{Heartbeat, Member, Status};
 use super::rank;
@@ -70,55 +74,6 @@
     division: Option<Division>,
 }
 
-/// The groups of the known nodes.
-#[derive(Debug)]
-struct Division {
-    /// This node's group.
-    own_group: usize,
-    group_count: usize,
-    /// Group and index of each peer, sorted.
-    by_group: Vec<(usize, usize)>,
-    /// Incarnation and index of each peer, sorted.
-    by_incarnation: Vec<(u64, usize)>,
-}
-
-impl Division {
-    fn new(own_position: GroupPosition, peers: &[Peer]) -> Self {
-        let positions = peers.iter().map(|peer| peer.position);
-        let groups = Groups::divide(positions.chain([own_position]));
-        let mut by_group: Vec<(usize, usize)> = (peers.iter().enumerate())
-            .map(|(index, peer)| (groups.group_of(peer.position), index))
-            .collect();
-        by_group.sort_unstable();
-        let mut by_incarnation: Vec<(u64, usize)> = (peers.iter().enumerate())
-            .map(|(index, peer)| (peer.member.incarnation, index))
-            .collect();
-        by_incarnation.sort_unstable();
-        Self {
-            own_group: groups.group_of(own_position),
-            group_count: groups.count(),
-            by_group,
-            by_incarnation,
-        }
-    }
-
-    /// Returns the indices of the peers in a group.
-    fn peers_of(&self, group: usize) -> impl Iterator<Item = usize> {
-        let first = self
-            .by_group
-            .partition_point(|(other, _index)| *other < group);
-        (self.by_group[first..].iter())
-            .take_while(move |(other, _index)| *other == group)
-            .map(|(_group, index)| *index)
-    }
-
-    fn find(&self, incarnation: u64) -> Option<usize> {
-        let found =
-            (self.by_incarnation).binary_search_by_key(&incarnation, |(peer, _index)| *peer);
-        found.ok().map(|place| self.by_incarnation[place].1)
-    }
-}
-
 impl Peers {
     /// Creates the table of a node that knows no peer yet.
     #[must_use]
@@ -260,7 +215,7 @@
             let Some(index) = division.find(*incarnation) else {
                 continue;
             };
-            let is_mate = division.by_group.binary_search(&(own_group, index)).is_ok();
+            let is_mate = division.is_in_group(index, own_group);
             self.by_name[index].is_suspected |= !is_mate;
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -105,15 +105,25 @@
             .retain(|heard| now.since(heard.heard_at) < SILENT_MS + SILENT_REPORT_MS);
     }
 
+    /// Returns whether this node hears at least half of its group, itself included.
+    ///
+    /// A node that has just been resumed, or whose link is cut, hears nobody. If it reported the others
+    /// silent, all groups would stop sending them callers.
+    fn hears_half(&self, now: TimeMs) -> bool {
+        let is_heard = |heard: &&HeardStatus| now.since(heard.heard_at) < SILENT_MS;
+        self.heard.iter().filter(is_heard).count() * 2 >= self.heard.len()
+    }
+
     /// Returns the report on this group to the others.
     pub fn take_report(&mut self, now: TimeMs) -> GroupReport {
         let lists_alive = now.since(self.listed_alive_at) >= ALIVE_INTERVAL_MS;
+        let hears_half = self.hears_half(now);
         let mut report = GroupReport::default();
         for heard in &mut self.heard {
             let incarnation = heard.status.incarnation;
             let silent_ms = now.since(heard.heard_at);
             if silent_ms >= SILENT_MS {
-                report.silent.push(incarnation);
+                report.silent.extend(hears_half.then_some(incarnation));
                 continue;
             }
             if lists_alive {
--- a/src/gateway/relay/tests.rs
+++ b/src/gateway/relay/tests.rs
@@ -60,10 +60,15 @@
 fn silent_node_is_reported_until_all_have_removed_it() {
     let mut relay = Relay::default();
     relay.record(&status(7, 1, 1), TimeMs(10_000));
-    assert_eq!(relay.take_report(TimeMs(10_900)).silent, [] as [u64; 0]);
-    assert_eq!(relay.take_report(TimeMs(11_000)).silent, [7]);
-    relay.remove_silent(TimeMs(15_000));
-    assert_eq!(relay.take_report(TimeMs(15_000)), GroupReport::default());
+    let mut silent_at = |now_ms: u64| {
+        relay.record(&status(8, now_ms, 1), TimeMs(now_ms));
+        relay.remove_silent(TimeMs(now_ms));
+        relay.take_report(TimeMs(now_ms)).silent
+    };
+    assert_eq!(silent_at(10_900), [] as [u64; 0]);
+    assert_eq!(silent_at(11_000), [7]);
+    assert_eq!(silent_at(14_900), [7]);
+    assert_eq!(silent_at(15_000), [] as [u64; 0]);
 }
 
 /// Guards against limits and strikes that seem new again at each hop.
@@ -84,3 +89,19 @@
     let report = relay.take_report(TimeMs(10_250));
     assert_eq!(report.statuses[0].strikes[0].age_ms, 550);
 }
+
+/// Guards against a group that all others stop using because its speaker was frozen: it hears nobody
+/// at the moment at which it goes on.
+#[test]
+fn node_that_hears_less_than_half_of_its_group_reports_nobody_silent() {
+    let mut relay = Relay::default();
+    for incarnation in 1..=9 {
+        relay.record(&status(incarnation, 1, 1), TimeMs(10_000));
+    }
+    relay.record(&status(1, 2, 1), TimeMs(13_000));
+    assert_eq!(relay.take_report(TimeMs(13_000)).silent, [] as [u64; 0]);
+    for incarnation in 2..=5 {
+        relay.record(&status(incarnation, 2, 1), TimeMs(13_100));
+    }
+    assert_eq!(relay.take_report(TimeMs(13_200)).silent, [6, 7, 8, 9]);
+}
--- a/src/gateway/relay/tests/fleet.rs
+++ b/src/gateway/relay/tests/fleet.rs
@@ -25,6 +25,8 @@
     relay: Relay,
     sequence: u64,
     version: u64,
+    /// Highest version in the status of any node.
+    seen_version: u64,
     is_down: bool,
 }
 
@@ -51,6 +53,7 @@
                 relay: Relay::default(),
                 sequence: 0,
                 version: 1,
+                seen_version: 1,
                 is_down: false,
             }
         });
@@ -105,6 +108,7 @@
         match datagram {
             Datagram::Heartbeat(heartbeat) => {
                 node.peers.record_heartbeat(&heartbeat, now);
+                node.record_version(&heartbeat.status);
                 node.relay.record(&heartbeat.status, now);
             }
             Datagram::Report(report) => {
@@ -179,6 +183,10 @@
 }
 
 impl Node {
+    fn record_version(&mut self, status: &Status) {
+        self.seen_version = self.seen_version.max(status.configuration_version);
+    }
+
     fn heartbeat(&mut self, interval_ms: u64) -> Heartbeat {
         self.sequence += 1;
         let mut heartbeat = heartbeat(&self.member.name, 0);
@@ -198,7 +206,7 @@
     assert_eq!(unknown, [] as [u64; 0]);
     for status in &report.statuses {
         if node.peers.record_status(status) {
-            node.version = node.version.max(status.configuration_version);
+            node.record_version(status);
         }
     }
 }
@@ -252,7 +260,8 @@
 fn changed_status_reaches_all_nodes_within_one_and_a_half_seconds() {
     let mut fleet = Fleet::start(200);
     fleet.nodes[77].version = 2;
-    let took_ms = fleet.run_until(|fleet| fleet.nodes.iter().all(|node| node.version == 2));
+    fleet.nodes[77].seen_version = 2;
+    let took_ms = fleet.run_until(|fleet| fleet.nodes.iter().all(|node| node.seen_version == 2));
     assert!(took_ms <= 1_500, "{took_ms} ms");
 }
 
