bug: The accounts of a group include nodes that have just died, and go to the nodes that are elected next

Cause: a speaker repeated the usage of live nodes only, and sent it to the strongest nodes, while the election takes those that the store answers first. A successor of the holder that was no keeper would not learn what a node served that died with the holder: a window short by that node's part.

--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -211,10 +211,13 @@
         }
     }
 
-    /// Returns the rates that a peer last reported.
-    pub fn rates_of(&self, incarnation: u64) -> &[Rates] {
+    /// Returns the rates that a peer last reported; nothing if they are no longer valid.
+    pub fn current_rates_of(&self, incarnation: u64, now: TimeMs) -> &[Rates] {
         let found = (self.peers).binary_search_by_key(&incarnation, |(peer, _at, _rates)| *peer);
-        found.map_or(&[], |index| &self.peers[index].2)
+        match found.map(|index| &self.peers[index]) {
+            Ok((_peer, at, rates)) if now.since(*at) < PEER_RATES_TTL_MS => rates,
+            _ => &[],
+        }
     }
 
     /// Returns the load of all nodes on a pool, extrapolated from the nodes with current rates to
--- a/src/gateway/gossip/statements.rs
+++ b/src/gateway/gossip/statements.rs
@@ -4,8 +4,10 @@
 
 use super::heartbeat_interval_ms;
 use crate::gateway::clock;
+use crate::gateway::demand::DemandTracker;
 use crate::gateway::messages::{Account, Heartbeat, Member, Status};
 use crate::gateway::state::Gateway;
+use crate::gateway::usage::UsageCounts;
 use crate::time::TimeMs;
 
 /// Builds this node's heartbeat, without engine speeds.
@@ -67,19 +69,39 @@
 
 /// Builds the accounts of the nodes of this group, for the nodes that may perform the duties.
 pub(super) fn build_accounts(node: &Gateway, now: TimeMs) -> Vec<Account> {
-    let own = Account {
-        incarnation: node.incarnation,
-        usage: node.usage.lock().own_rows(),
-        demand: node.demands.lock().own_rates(now),
+    let heard: Vec<u64> = node.relay.lock().heard_incarnations().collect();
+    accounts(
+        &heard,
+        &node.usage.lock(),
+        &node.demands.lock(),
+        node.incarnation,
+        now,
+    )
+}
+
+/// Returns the accounts of the nodes heard, this one included.
+///
+/// Idle nodes are included: the load of the fleet is extrapolated from the nodes that report any. So
+/// are nodes that have just died: a node that takes over the duties reports what they served too.
+fn accounts(
+    heard: &[u64],
+    usage: &UsageCounts,
+    demands: &DemandTracker,
+    own: u64,
+    now: TimeMs,
+) -> Vec<Account> {
+    let demand_of = |incarnation: u64| match incarnation {
+        _ if incarnation == own => demands.own_rates(now),
+        _ => demands.current_rates_of(incarnation, now).to_vec(),
     };
-    let mates = node.peers.lock().live_group_incarnations(now);
-    let usage = node.usage.lock();
-    let demands = node.demands.lock();
-    // Idle nodes are included: the load of the fleet is extrapolated from the nodes that report any.
-    let accounts = mates.into_iter().map(|incarnation| Account {
-        incarnation,
-        usage: usage.rows_of(incarnation),
-        demand: demands.rates_of(incarnation).to_vec(),
-    });
-    accounts.chain([own]).collect()
+    (heard.iter())
+        .map(|incarnation| Account {
+            incarnation: *incarnation,
+            usage: usage.rows_of(*incarnation),
+            demand: demand_of(*incarnation),
+        })
+        .collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -152,7 +152,7 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct Heartbeat {
     pub member: Member,
-    /// A random live member, which spreads the membership to all nodes.
+    /// A random live member, which spreads the membership to nodes that missed it.
     pub introduced: Option<Member>,
     pub status: Status,
     /// The store's era.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -182,17 +182,6 @@
             .collect()
     }
 
-    /// Returns the incarnations of the live peers of this node's group.
-    pub fn live_group_incarnations(&mut self, now: TimeMs) -> Vec<u64> {
-        let group = self.division().own_group;
-        let mates: Vec<usize> = self.division().peers_of(group).collect();
-        (mates.into_iter())
-            .map(|index| &self.by_name[index])
-            .filter(|peer| is_live(peer, now))
-            .map(|peer| peer.member.incarnation)
-            .collect()
-    }
-
     /// Records the peers that their group reported alive; returns the unknown ones.
     pub fn record_alive(&mut self, alive: &[u64], now: TimeMs) -> Vec<u64> {
         let mut unknown = Vec::new();
@@ -305,7 +294,12 @@
         let mut eligible: Vec<&Peer> = (self.active(now))
             .filter(|peer| peer.store != StoreAvailability::Failing)
             .collect();
-        eligible.sort_by(|a, b| rank::cmp_election(&a.member, &b.member));
+        // As in the election, nodes that the store answers come first.
+        eligible.sort_by(|a, b| {
+            let is_answered = |peer: &Peer| peer.store == StoreAvailability::Answering;
+            (is_answered(b).cmp(&is_answered(a)))
+                .then_with(|| rank::cmp_election(&a.member, &b.member))
+        });
         let is_holder = |peer: &&&Peer| {
             holder.is_some_and(|holder| holder.incarnation == peer.member.incarnation)
         };
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -59,9 +59,9 @@
 
 /// Largest number of nodes at which a bucket uses the operators' tolerance.
 ///
-/// In a larger fleet, usage reports take longer. A node that is cut off is detected only after
-/// three missed heartbeats, which are infrequent there (3.5 s at 195 nodes); until then it admits
-/// requests as if it could hear every peer.
+/// In a larger fleet, usage reports pass through the groups and take longer. A node that is cut off
+/// notices only after some seconds that other groups are silent; until then it admits requests as if
+/// it could hear every peer.
 const MAX_TOLERANCE_NODES: u32 = 30;
 
 /// A request that costs at most this fraction of its team's burst is small.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Returns the incarnations of the nodes heard in this group, silent ones included until their
+    /// silence is no longer reported.
+    pub fn heard_incarnations(&self) -> impl Iterator<Item = u64> {
+        self.heard.iter().map(|heard| heard.status.incarnation)
+    }
+
     /// Removes nodes that have been silent for too long to be reported.
     pub fn remove_silent(&mut self, now: TimeMs) {
         self.heard
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -594,8 +594,8 @@
 
     /// Replaces the load that a peer reported before.
     ///
-    /// Only upstreams in the old or new report of the peer are updated: with 87 nodes and 140
-    /// upstreams some 170 heartbeats arrive per second.
+    /// Only upstreams in the old or new report of the peer are updated: some hundred heartbeats
+    /// arrive per second, and there may be thousands of upstreams.
     pub fn set_peer_loads(&mut self, peer: u64, loads: &[(u64, Load)]) {
         let found = self
             .by_peer
