--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -248,8 +248,7 @@
 /// arrives late or from two speakers has no further effect.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub(crate) struct GroupReport {
-    /// Incarnations of the nodes that sent a heartbeat since the last report that lists them; empty
-    /// in most reports.
+    /// Incarnations of the nodes that the speaker hears; empty in most reports.
     pub alive: Vec<u64>,
     /// Incarnations of the nodes that are suspected to be down.
     pub silent: Vec<u64>,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 
 /// Heartbeat intervals of a peer after which it is suspected to be down, for large fleets.
 ///
-/// Heartbeats of a large group are half a second apart, and reports on other groups come less often.
+/// Heartbeats of a full group are 0.4 s apart, and lists of the live nodes of other groups 0.8 s.
 /// A peer that counted as down between two of them would repeatedly drop out of the division of
 /// limits and of the election of the node that reads the store for all.
 const SILENCE_TIMEOUT_INTERVALS: u64 = 3;
