bug: The end of a substitute is no word on the caller's id unless it is an answer

Cause: a node that reaches neither home nor witness of an idempotent call runs it under an id of its own, with what the search left of the deadline, and sent that id's refusal as the answer to a request that carried the caller's id.

The new test brings the same about without chance: nodes that hear nobody, upstreams that refuse, a call under another node's id.

Change: requests/substitute.rs decides whether a substitute may run (not past the deadline) and what its end says of the caller's id (unknown, unless it is an answer); responses name the caller's id with anything but tokens and answers; whole answers, streams and service calls share it. The log names both ids; teaselline_substitutes_total counts.

Why it works: the only ends that reach the caller under its own id are those of home, witness or successor; a substitute's refusal can't be one any more by construction of the response.

Test: partitions::refusal_of_a_substitute_is_unknown_under_the_callers_id failed on (told not_run), passes now.

--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -14,8 +14,7 @@
 use crate::document::Document;
 use crate::document::checked::Team;
 use crate::node::{CallerGuard, Node, NodeDependencies};
-use crate::requests::core::Phase;
-use crate::requests::outcome::UnknownReason;
+use crate::requests::substitute::may_substitute;
 use crate::requests::{Call, Outcome, RequestFollower, RequestId, Step, Work};
 use crate::time::TimeMs;
 
@@ -73,21 +72,24 @@
     ///
     /// If no node knows the state of an idempotent call's id, the call runs on this node under a
     /// new id, because the home of the original id may have refused that id as not run.
-    pub async fn follow(self, node: &Arc<Node>) -> (RequestId, RequestFollower<NodeDependencies>) {
+    pub async fn follow(self, node: &Arc<Node>) -> RequestFollower<NodeDependencies> {
         if let Some(key) = self.key {
             return keyed::follow(node, key, self.call).await;
         }
-        let follow = |id, call| RequestFollower::new(Arc::clone(&node.core), id, Some(call), 0);
-        if !self.call.idempotent || node.core.is_home(&self.id) {
-            return (self.id, follow(self.id, self.call));
+        let core = &node.core;
+        let follow = |id, call| RequestFollower::new(Arc::clone(core), id, Some(call), 0);
+        if !self.call.idempotent || core.is_home(&self.id) {
+            return follow(self.id, self.call);
         }
         let mut under_own_id = follow(self.id, self.call.clone());
-        let unanswered = Step::End(Outcome::Unknown(UnknownReason::NoAnswer));
-        if *under_own_id.peek().await != unanswered || node.core.phase() != Phase::Serving {
-            return (self.id, under_own_id);
+        let first = under_own_id.peek().await;
+        if !may_substitute(&self.call, first, core.phase(), core.clock.now()) {
+            return under_own_id;
         }
-        let id = node.mint_here(&self.call.team);
-        (id, follow(id, self.call))
+        let substitute = node.mint_here(&self.call.team);
+        log::info!(id:% = self.id, substitute:% = substitute; "no node answers for an idempotent call; it runs here under a substitute id");
+        metrics::counter!("teaselline_substitutes_total").increment(1);
+        follow(substitute, self.call).in_place_of(self.id)
     }
 }
 
@@ -98,13 +100,12 @@
     match check(context).await {
         Ok((identified, is_streamed)) => {
             let caller = node.track_caller();
-            let (id, mut follow) = identified.follow(&node).await;
-            let response = if is_streamed {
-                respond_stream(follow, id, caller).await
+            let mut follow = identified.follow(&node).await;
+            if is_streamed {
+                respond_stream(follow, caller).await
             } else {
-                respond_whole(&mut follow, id).await
-            };
-            with_id(response, &id)
+                respond_whole(&mut follow).await
+            }
         }
         Err(refusal) if is_named => refusal.response_to_named(),
         Err(refusal) => refusal.response(),
@@ -188,16 +189,18 @@
 /// Responds with a request's answer as a stream; the first step decides the status.
 pub(super) async fn respond_stream(
     mut follow: RequestFollower<NodeDependencies>,
-    id: RequestId,
     caller: CallerGuard,
 ) -> Response<Body> {
-    match follow.next().await {
+    let first = follow.next().await;
+    let id = follow.id_of(&first);
+    let response = match first {
         Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
         Step::OtherCall => Refusal::OtherCall.response_to_named(),
         Step::End(outcome) if !outcome.is_answer() => refusal::outcome(&id, &outcome),
         Step::Elsewhere => running(id),
-        first => sse::stream(first, follow, id, caller),
-    }
+        first => sse::stream(first, follow, caller),
+    };
+    with_id(response, &id)
 }
 
 /// Tells the caller to request the answer from another node, because this one is stopping.
@@ -213,19 +216,20 @@
 /// Responds with the whole answer of a request once it has ended.
 pub(super) async fn respond_whole(
     follow: &mut RequestFollower<NodeDependencies>,
-    id: RequestId,
 ) -> Response<Body> {
     let (text, last) = follow.read_to_end().await;
-    match last {
+    let id = follow.id_of(&last);
+    let response = match last {
         Step::End(outcome) => ended(id, &text, &outcome),
         Step::NoSuchRequest => Refusal::NoSuchRequest.response_to_named(),
         Step::OtherCall | Step::Tokens(_) => Refusal::OtherCall.response_to_named(),
         Step::Elsewhere => running(id),
-    }
+    };
+    with_id(response, &id)
 }
 
 /// Returns the response for a request that has ended.
-pub(super) fn ended(id: RequestId, text: &str, outcome: &Outcome) -> Response<Body> {
+fn ended(id: RequestId, text: &str, outcome: &Outcome) -> Response<Body> {
     match outcome {
         Outcome::Completed { tokens, finish } => {
             let answer = WholeAnswer {
@@ -252,7 +256,7 @@
 }
 
 /// Adds the request id to a response, for a caller that has to ask again.
-pub(super) fn with_id(mut response: Response<Body>, id: &RequestId) -> Response<Body> {
+fn with_id(mut response: Response<Body>, id: &RequestId) -> Response<Body> {
     if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
         response.headers_mut().insert(REQUEST_ID, value);
     }
--- a/src/entry/keyed.rs
+++ b/src/entry/keyed.rs
@@ -37,9 +37,9 @@
     node: &Arc<Node>,
     key: ClaimKey,
     call: Call,
-) -> (RequestId, RequestFollower<NodeDependencies>) {
+) -> RequestFollower<NodeDependencies> {
     let follow = |id| RequestFollower::new(Arc::clone(&node.core), id, Some(call.clone()), 0);
-    let ended_as = |id, outcome| (id, follow(id).with_outcome(outcome));
+    let ended_as = |id: RequestId, outcome| follow(id).with_outcome(outcome);
     let mut ask = ClaimRequest {
         key,
         call: call.clone(),
@@ -48,7 +48,7 @@
     let mut round = 0;
     loop {
         let holder = match node.claim(&ask).await {
-            ClaimResult::Won(id) => return (id, follow(id)),
+            ClaimResult::Won(id) => return follow(id),
             ClaimResult::NotRun(id, not_run) => return ended_as(id, Outcome::NotRun(not_run)),
             ClaimResult::Unknown(id, doubt) => return ended_as(id, Outcome::Unknown(doubt)),
             ClaimResult::Lost(holder) => holder,
@@ -56,7 +56,7 @@
         let mut following = follow(holder);
         let first = following.peek().await;
         match action_after_lost_claim(&holder, first, round, node.core.clock.now()) {
-            HolderAction::Answer => return (holder, following),
+            HolderAction::Answer => return following,
             HolderAction::Unknown(doubt) => return ended_as(holder, Outcome::Unknown(doubt)),
             HolderAction::Supersede => ask.supersedes = Some(holder),
         }
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -5,7 +5,7 @@
 use gotham::helpers::http::Body;
 use http::Response;
 
-use super::completions::{IdentifiedCall, deadline, identify, respond_whole, with_id};
+use super::completions::{IdentifiedCall, deadline, identify, respond_whole};
 use super::refusal::Refusal;
 use super::routes::RequestContext;
 use super::{authorize, keyed, parsing};
@@ -22,8 +22,8 @@
     match check(context).await {
         Ok(identified) => {
             let _caller = node.track_caller();
-            let (id, mut follow) = identified.follow(&node).await;
-            with_id(respond_whole(&mut follow, id).await, &id)
+            let mut follow = identified.follow(&node).await;
+            respond_whole(&mut follow).await
         }
         Err(refusal) if is_named => refusal.response_to_named(),
         Err(refusal) => refusal.response(),
--- a/src/entry/sse.rs
+++ b/src/entry/sse.rs
@@ -37,7 +37,6 @@
 pub(super) fn stream<L: Dependencies>(
     first: Step,
     mut follow: RequestFollower<L>,
-    id: RequestId,
     caller: CallerGuard,
 ) -> Response<Body> {
     let events = async_stream::stream! {
@@ -49,7 +48,7 @@
         while step != Step::Elsewhere {
             let is_last = !matches!(step, Step::Tokens(_));
             let mut out = Vec::with_capacity(capacity_bytes(&step));
-            write_step(&mut out, &step, &id);
+            write_step(&mut out, &step, &follow.id_of(&step));
             yield Ok::<_, Infallible>(Frame::data(Bytes::from(out)));
             if is_last {
                 break;
--- a/src/entry/state.rs
+++ b/src/entry/state.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use serde::Serialize;
 
-use super::completions::{respond_stream, respond_whole, with_id};
+use super::completions::{respond_stream, respond_whole};
 use super::refusal::{Refusal, json};
 use super::routes::RequestContext;
 use super::{authorize, parsing};
@@ -25,12 +25,11 @@
         Ok((id, from)) => {
             let caller = context.node.track_caller();
             let mut follow = RequestFollower::new(Arc::clone(&context.node.core), id, None, from);
-            let response = if wants_events(&context.headers) || from > 0 {
-                respond_stream(follow, id, caller).await
+            if wants_events(&context.headers) || from > 0 {
+                respond_stream(follow, caller).await
             } else {
-                respond_whole(&mut follow, id).await
-            };
-            with_id(response, &id)
+                respond_whole(&mut follow).await
+            }
         }
         Err(refusal) => refusal.response_to_named(),
     }
--- a/src/requests/follower.rs
+++ b/src/requests/follower.rs
@@ -14,6 +14,7 @@
 use super::record::Reading;
 use super::records::Entry;
 use super::settlement::SettleResult;
+use super::substitute;
 use super::{Call, Outcome, Record, RequestId};
 use crate::node::messages::{Item, Reply, Request};
 
@@ -43,6 +44,8 @@
 pub struct RequestFollower<L: Dependencies> {
     core: Arc<Core<L>>,
     id: RequestId,
+    /// The id that the caller sent, if the call runs under another one.
+    caller_id: Option<RequestId>,
     call: Option<Call>,
     position: u64,
     source: Source<L>,
@@ -80,6 +83,7 @@
         Self {
             core,
             id,
+            caller_id: None,
             call,
             position,
             source: Source::None,
@@ -95,6 +99,28 @@
         self
     }
 
+    /// Sets the id that the caller sent, in whose place the call runs under this follower's id.
+    #[must_use]
+    pub fn in_place_of(mut self, caller_id: RequestId) -> Self {
+        self.caller_id = Some(caller_id);
+        self
+    }
+
+    /// Returns the id that a step is about: the id of the run for tokens and answers, and the id
+    /// that the caller sent for anything else.
+    #[must_use]
+    pub fn id_of(&self, step: &Step) -> RequestId {
+        let is_of_run = match step {
+            Step::Tokens(_) | Step::Elsewhere => true,
+            Step::End(outcome) => outcome.is_answer(),
+            Step::NoSuchRequest | Step::OtherCall => false,
+        };
+        match self.caller_id {
+            Some(caller_id) if !is_of_run => caller_id,
+            _ => self.id,
+        }
+    }
+
     /// Waits for the next step without consuming it.
     pub async fn peek(&mut self) -> &Step {
         let step = self.next().await;
@@ -109,11 +135,23 @@
         let ended = self.core.shutdown_token.clone();
         tokio::select! {
             biased;
-            step = self.step() => step,
+            step = self.step() => self.under_caller_id(step),
             () = ended.cancelled() => Step::Elsewhere,
         }
     }
 
+    /// Converts the end of a substitute to what it says of the caller's id.
+    fn under_caller_id(&self, step: Step) -> Step {
+        let (Some(caller_id), Step::End(outcome)) = (self.caller_id, &step) else {
+            return step;
+        };
+        let told = substitute::outcome_under_caller_id(outcome.clone());
+        if told != *outcome {
+            log::info!(id:% = caller_id, substitute:% = self.id, outcome:? = outcome; "a substitute ended without an answer; the outcome under the caller's id is unknown");
+        }
+        Step::End(told)
+    }
+
     async fn step(&mut self) -> Step {
         loop {
             let step = match &mut self.source {
--- a/tests/integration/partitions.rs
+++ b/tests/integration/partitions.rs
@@ -1,7 +1,9 @@
 //! Nodes that cannot hear each other.
 
+use std::sync::Arc;
+
 use http::{Method, StatusCode};
-use serde_json::Value;
+use serde_json::{Value, json};
 
 use teaselline::keys::Incarnation;
 use teaselline::node::dependencies::PeerProtocol as FleetProtocol;
@@ -10,10 +12,11 @@
 use teaselline::requests::id::{IdFields, IdKey};
 use teaselline::requests::{Call, Outcome, TeamTag, Work};
 use teaselline::time::Clock;
+use teaselline_stand_ins::site::Upstream;
 
 use crate::BINARY;
 use crate::fleet::{Client, Fleet, FleetSettings};
-use crate::process::Cut;
+use crate::process::{Cut, Process};
 use crate::trial;
 
 /// Digits of an id that name its home.
@@ -108,6 +111,59 @@
     // Cause: an id taken for the only one under which a call may run, though it may run again.
     let fleet = Fleet::start(FleetSettings::new(BINARY)).await.unwrap();
     let client = Client::new(trial::TOKEN).with_patience_ms(60_000);
+    let (id, alone) = isolate(&fleet, &client).await;
+    let headers = [("request-id", id.as_str())];
+    let path = "/v1/services/tracking/deposits";
+    let answer = client.send(Method::POST, alone.callers, path, &headers, "keg 11");
+    let answer = answer.await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(!fleet.site.history().has_run(&id));
+    let named = answer.headers["request-id"].to_str().unwrap();
+    assert!(fleet.site.history().has_run(named));
+}
+
+// Guards against an idempotent call that is told `not_run` and answered under the same id: the node
+// that refused it had run it under a substitute id, and the home of the caller's id runs it still.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_of_a_substitute_is_unknown_under_the_callers_id() {
+    let fleet = Fleet::start(FleetSettings::new(BINARY)).await.unwrap();
+    let client = Client::new(trial::TOKEN).with_patience_ms(60_000);
+    let (id, alone) = isolate(&fleet, &client).await;
+    for (_host, upstream) in fleet.site.upstreams() {
+        match &*upstream {
+            Upstream::Service(service) => service.change(|knobs| knobs.draining = true),
+            Upstream::Engine(engine) => engine.change(|knobs| knobs.draining = true),
+        }
+    }
+    let completion = |stream: bool| {
+        json!({ "model": trial::MODEL, "prompt": "keg 12", "max_tokens": 4, "stream": stream })
+            .to_string()
+    };
+    let calls = [
+        ("/v1/services/tracking/deposits", "keg 12".to_owned()),
+        ("/v1/completions", completion(false)),
+        ("/v1/completions", completion(true)),
+    ];
+    for (path, body) in calls {
+        let headers = [("request-id", id.as_str())];
+        let answer = client.send(Method::POST, alone.callers, path, &headers, body.clone());
+        let answer = answer.await.unwrap();
+        let refusal: Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!(refusal["outcome"], "unknown", "{path} {body}: {refusal}");
+        assert_eq!(refusal["id"], id.as_str(), "{path} {body}: {refusal}");
+        assert_eq!(answer.headers["request-id"], id.as_str(), "{path} {body}");
+    }
+    let log = alone.log();
+    let substituted = log.iter().filter(|line| line.contains("substitute id"));
+    assert!(
+        substituted.clone().all(|line| line.contains(&id)),
+        "{log:?}"
+    );
+    assert_eq!(substituted.count(), 3, "{log:?}");
+}
+
+/// Lets no node hear another; returns an id, and a node that is neither its home nor its witness.
+async fn isolate(fleet: &Fleet, client: &Client) -> (String, Arc<Process>) {
     let id = client.id(fleet.node(0).callers).await.unwrap();
     // The witness of the id may go on with the call under it; this is about a third node.
     let second = client.id(fleet.node(1).callers).await.unwrap();
@@ -120,13 +176,5 @@
         node.cut_off(HEARS_NOTHING);
         node.reset_connections();
     }
-    let alone = fleet.node(third);
-    let headers = [("request-id", id.as_str())];
-    let path = "/v1/services/tracking/deposits";
-    let answer = client.send(Method::POST, alone.callers, path, &headers, "keg 11");
-    let answer = answer.await.unwrap();
-    assert_eq!(answer.status, StatusCode::OK);
-    assert!(!fleet.site.history().has_run(&id));
-    let named = answer.headers["request-id"].to_str().unwrap();
-    assert!(fleet.site.history().has_run(named));
+    (id, fleet.node(third))
 }
