bug: A report that the witness missed is part of the next one

What callers saw: after a node and its streams' hosts are lost at once, streams begin at position 0 on another host although most of their answer had been generated (second check of crashes::streams_that_lose_node_and_host_go_on_from_the_standbys_position).

Cause: a home counted tokens as reported when their report was queued, and the witness ignores a report that would leave a gap. After one failed call to the witness all later reports of its streams were ignored until their end.

Change: requests/standby_progress.rs; the next report starts at the last acknowledged position, one at a time, rarer after losses. Lines at debug level name each report and each continuation; RUST_LOG prints the nodes' logs in the tests of moving streams; a lost attempt of a non-idempotent stream is logged with the state of its host.

--- a/src/requests.rs
+++ b/src/requests.rs
@@ -18,6 +18,7 @@
 pub mod records;
 pub mod service_call;
 pub mod settlement;
+mod standby_progress;
 pub mod substitute;
 pub mod suspects;
 pub mod witness;
--- a/src/requests/completion.rs
+++ b/src/requests/completion.rs
@@ -17,6 +17,7 @@
 };
 use super::outcome::{Failure, Finish, UnknownReason};
 use super::record::{Order, Place};
+use super::standby_progress::StandbyProgress;
 use super::suspects::{QuarantineEnd, StartPermission, has_passed};
 use super::{Outcome, Record, Verdict, Work};
 use crate::keys::HostKey;
@@ -41,12 +42,6 @@
 /// Delay before the next host selection while no host is eligible for the stream.
 const NO_ROUTE_DELAY_MS: u64 = 100;
 
-/// Interval between the updates that send new tokens to the witness.
-///
-/// The witness needs the tokens only if home and upstream are lost together; otherwise the upstream
-/// still holds the tokens that have not been sent.
-const REPORT_INTERVAL_TOKENS: u64 = 64;
-
 /// Runs a record to its outcome; returns `None` when another node has taken it over.
 pub(super) async fn run<L: Dependencies>(
     core: Arc<Core<L>>,
@@ -61,7 +56,7 @@
         record,
         authority,
         tried: Tried::default(),
-        reported_position: 0,
+        standby: StandbyProgress::default(),
         active: None,
         next: None,
         failed: None,
@@ -94,8 +89,7 @@
     /// One timer for the whole run: arming one for each token costs more than processing the token.
     deadline: Pin<Box<Sleep>>,
     tried: Tried,
-    /// Position up to which the witness has received the answer.
-    reported_position: u64,
+    standby: StandbyProgress,
     active: Option<Attempt<Events<L>>>,
     /// The attempt that replaces the active one once it streams.
     next: Option<Attempt<Events<L>>>,
@@ -444,6 +438,8 @@
         match self.authority {
             Authority::Reader => Flow::End(Outcome::Unknown(UnknownReason::HomeGone)),
             _ if !self.record.call.idempotent => {
+                let state = (self.core.blackboard).with_host(place.host, |row| row.state);
+                log::info!(id:% = self.record.id, attempt = place.attempt, address:% = place.address, host_state:? = state, progress:? = self.record.progress(), stop_requested = self.resume_on.is_some(), error:? = self.failed.as_ref().map(|failed| &failed.error); "the attempt of a non-idempotent stream was lost");
                 Flow::End(Outcome::Unknown(UnknownReason::UpstreamLost))
             }
             _ => Flow::Continue,
@@ -606,17 +602,23 @@
     }
 
     fn report_progress(&mut self) {
-        if self.record.next_position() >= self.reported_position + REPORT_INTERVAL_TOKENS {
-            self.report_to_witness();
+        if let Some(from) = self.standby.due_from(self.record.next_position()) {
+            self.send_to_standby(from);
         }
     }
 
-    /// Sends the witness the request's place and the tokens since the last update.
+    /// Sends the witness the request's place and the tokens that it lacks.
     fn report_to_witness(&mut self) {
-        let from = self.reported_position;
-        self.reported_position = self.record.next_position();
-        let update = WitnessUpdate::Store(self.record.copy(from));
-        drop(self.core.send_to_witness(&self.record.id, update));
+        let from = self.standby.unacknowledged_from();
+        self.send_to_standby(from);
+    }
+
+    fn send_to_standby(&mut self, from: u64) {
+        let copy = self.record.copy(from);
+        let end = copy.chunk.end();
+        log::debug!(id:% = self.record.id, from = from, end = end; "reporting progress to the witness");
+        let reply = (self.core).send_to_witness(&self.record.id, WitnessUpdate::Store(copy));
+        self.standby.record_sent(end, reply);
     }
 }
 
--- a/src/requests/settlement.rs
+++ b/src/requests/settlement.rs
@@ -140,6 +140,7 @@
             .records
             .insert_if_absent(Record::from_copy(copy, self.clock.now()));
         if let (true, Some(authority)) = (new, authority) {
+            log::debug!(id:% = copy.id, authority:? = authority, position = record.next_position(); "continuing a request from its home's reports");
             self.start(Arc::clone(&record), authority);
         }
         SettleResult::Local(record)
--- a/tests/moving/crashes.rs
+++ b/tests/moving/crashes.rs
@@ -66,6 +66,35 @@
     }
 }
 
+// Guards against a standby that ignores all further tokens of a stream since it missed some: the peers
+// of a node cannot be reached while its streams go on, and are reached again before node and hosts are
+// lost at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_whose_reports_were_lost_go_on_from_the_standbys_position() {
+    let mut trial = Trial::start(3).await;
+    let running = begin(&trial.caller(), long_streams(0.0).calls());
+    trial.until_streaming(STREAMS).await;
+    let standbys = || trial.nodes.iter().skip(1);
+    standbys().for_each(|node| node.refuse_peers(true));
+    trial.until_position(STREAMS, 200).await;
+    standbys().for_each(|node| node.refuse_peers(false));
+    trial.until_position(STREAMS, 600).await;
+    trial.nodes[0].crash();
+    let reclaim = Reclaim::Domain("otaru-vault".to_owned());
+    trial.site.cloud.announce_reclaim(&reclaim, 0);
+    let seen = running.await.expect("callers do not panic");
+    let tally = trial.check(&seen);
+    assert!(!tally.is_broken(), "{tally:?}");
+    assert_eq!(tally.answered, STREAMS as u64, "{tally:?}");
+    let history = trial.site.history();
+    let restarted = history.ran.iter().filter(|ran| ran.number > 1);
+    let restarted = restarted.filter_map(|ran| ran.stream.as_ref());
+    assert!(restarted.clone().count() > 0, "no stream was restarted");
+    for stream in restarted {
+        assert!(stream.position > 0, "{stream:?}");
+    }
+}
+
 // Guards against losing a stream although its host's reclaim was announced: a failure domain gets
 // notice, one node crashes while it moves its streams, and no other node can complete the moves.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/tests/support/stage.rs
+++ b/tests/support/stage.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::LevelFilter;
 use teaselline::blackboard::HostState;
 use teaselline::client::caller::Caller;
 use teaselline::document::Document;
 use teaselline::keys::HostKey;
+use teaselline::telemetry::{Output, init_logging};
 use teaselline_stand_ins::history::History;
 use teaselline_stand_ins::site::Site;
 
@@ -57,6 +59,7 @@
     ///
     /// If one cannot be started.
     pub async fn without_nodes(drain_timeout_ms: u64) -> io::Result<Self> {
+        print_logs();
         let document = Document::parse(DOCUMENT).map_err(io::Error::other)?;
         let site = Site::start(site_settings(&document)).await?;
         Ok(Self {
@@ -148,6 +151,14 @@
     }
 }
 
+/// Prints the logs of the nodes from the level in `RUST_LOG` on, if it is set.
+fn print_logs() {
+    let level = std::env::var("RUST_LOG").ok();
+    if let Some(level) = level.and_then(|level| level.parse::<LevelFilter>().ok()) {
+        init_logging(level, Output::Stderr);
+    }
+}
+
 /// A caller that knows these nodes.
 pub fn caller_of(nodes: &[RuntimeNode]) -> Arc<Caller> {
     let urls: Vec<_> = nodes
