bug: Attempts on hosts under notice are replaced whatever the retry budget holds

What callers saw: 2 to 12 of 60 accepted streams end as failed (retry_budget) after a node and the hosts of a domain are lost at once, though other hosts run and the deadline is far.

Cause: each lost stream asks the team's budget for another attempt; one whose tokens the node does not hold may not overdraw it. The budget bounds repeats against upstreams that fail, and a reclaimed host is no such failure.

Change: RetryPurpose says what another attempt is for; Replace (host under notice) is neither bounded nor charged; the host gets no further attempt, so that it can't run away. An accepted request that ends without its answer is logged at info level with its reason.

The two tests of the budget can't be built without the change.

--- a/src/requests/core.rs
+++ b/src/requests/core.rs
@@ -240,9 +240,23 @@
     /// Records the outcome of a request here and at its witness.
     pub fn finish(&self, record: &Record, outcome: Outcome) {
         let name = outcome.name();
+        let loss = match &outcome {
+            Outcome::Unknown(_) | Outcome::Failed(_) => Some(format!("{outcome:?}")),
+            Outcome::Completed { .. }
+            | Outcome::Answered { .. }
+            | Outcome::NotRun(_)
+            | Outcome::Cancelled => None,
+        };
         if record.end(outcome, self.clock.now()) {
             metrics::counter!("teaselline_requests_ended_total", "outcome" => name).increment(1);
-            log::debug!(id:% = record.id, team = record.call.team.as_str(), outcome = name; "request ended");
+            match loss {
+                Some(loss) => {
+                    log::info!(id:% = record.id, team = record.call.team.as_str(), outcome = loss.as_str(), attempts = record.attempts(), position = record.next_position(); "an accepted request ended without its answer");
+                }
+                None => {
+                    log::debug!(id:% = record.id, team = record.call.team.as_str(), outcome = name; "request ended");
+                }
+            }
             // The witness holds a record of the first attempt and regards the request as possibly
             // running.
             if record.attempts() > 0 {
--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -10,11 +10,11 @@
 use super::outcome::{Failure, Reason, UnknownReason};
 use super::record::Place;
 use super::{Outcome, Record, Work};
-use crate::blackboard::ActiveConfiguration;
+use crate::blackboard::{ActiveConfiguration, HostState};
 use crate::document::checked::LatencyClass;
 use crate::keys::{DomainKey, HostKey, PoolKey, TeamKey};
 use crate::node::messages::WitnessUpdate;
-use crate::retries::{RetryDecision, RetryDenial, RetryRequest};
+use crate::retries::{RetryDecision, RetryDenial, RetryPurpose, RetryRequest};
 use crate::routing::cache::PromptEstimate;
 use crate::routing::candidates::Requirement;
 use crate::routing::chain::{PromptBlocks, prompt_tokens};
@@ -201,11 +201,26 @@
             error: &failed.error,
             delivery: delivery(record),
             attempts: failed.count,
-            has_delivered_tokens: record.next_position() > 0,
+            purpose: self.retry_purpose(record, failed.host),
             deadline_ms: record.call.deadline_ms,
             expected_ms: 0,
         };
-        self.budgets.may_retry(team, pool, &request, now)
+        let decision = self.budgets.may_retry(team, pool, &request, now);
+        if let RetryDecision::No(denial) = decision
+            && record.is_dispatched()
+        {
+            log::info!(id:% = record.id, denial:? = denial, purpose:? = request.purpose, error:% = failed.error, host:? = failed.host, failures = failed.count, position = record.next_position(); "a retry was denied");
+        }
+        decision
+    }
+
+    /// Returns what another attempt is for, after one on a host has failed.
+    fn retry_purpose(&self, record: &Record, host: HostKey) -> RetryPurpose {
+        match self.blackboard.with_host(host, |row| row.state) {
+            Some(HostState::Leaving { .. }) => RetryPurpose::Replace,
+            _ if record.next_position() > 0 => RetryPurpose::Resume,
+            Some(HostState::Live) | None => RetryPurpose::Repeat,
+        }
     }
 
     /// Records a success on a host, which adds to the retry budget.
@@ -260,7 +275,7 @@
                 .upstreams
                 .with(place.host, |row| row.health.record_failure(now));
         }
-        log::info!(error:% = error, address:% = place.address; "upstream call failed");
+        log::info!(error:% = error, address:% = place.address, attempt = place.attempt; "upstream call failed");
     }
 
     /// Records an answer in the health state of a host.
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -10,7 +10,7 @@
 pub mod strikes;
 
 pub use budget::{
-    RetryBudget, RetryBudgets, RetryDecision, RetryDenial, RetryPolicy, RetryRequest,
+    RetryBudget, RetryBudgets, RetryDecision, RetryDenial, RetryPolicy, RetryPurpose, RetryRequest,
 };
 pub use hedge::{HedgeRequest, LatencyQuantile, hedge_at};
 pub use quarantine::{
--- a/src/retries/budget.rs
+++ b/src/retries/budget.rs
@@ -38,6 +38,24 @@
     }
 }
 
+/// What another attempt of a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryPurpose {
+    /// It repeats an attempt from which the caller has received nothing.
+    Repeat,
+    /// It resumes a stream of which the caller holds a part.
+    ///
+    /// It can overdraw the budget, because refusing it would lose an accepted request. The overdraft
+    /// reduces the retries of requests that have received nothing yet.
+    Resume,
+    /// It replaces an attempt on a host that the platform has reclaimed.
+    ///
+    /// It is neither bounded by the budget nor charged to it. The budget protects upstreams that
+    /// fail; a reclaimed host gets no further attempt, so no request can be replaced more often than
+    /// hosts are reclaimed under it.
+    Replace,
+}
+
 /// A request whose attempt failed.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryRequest<'a> {
@@ -47,12 +65,8 @@
     pub delivery: Delivery,
     /// Attempts made so far, the failed one included.
     pub attempts: u32,
-    /// Whether the attempt had delivered tokens when its upstream was lost.
-    ///
-    /// Such a stream resumes from its position, and its caller holds a partial answer. It can
-    /// overdraw the budget, because refusing it would lose an accepted request. The overdraft
-    /// reduces the retries of requests that have received nothing yet.
-    pub has_delivered_tokens: bool,
+    /// What another attempt is for.
+    pub purpose: RetryPurpose,
     /// The request's deadline.
     pub deadline_ms: TimeMs,
     /// Expected duration of another attempt.
@@ -118,6 +132,7 @@
             _ if request.delivery == Delivery::AtMostOnce && !request.error.is_not_started() => {
                 RetryDecision::No(RetryDenial::MayHaveRun)
             }
+            _ if request.purpose == RetryPurpose::Replace => RetryDecision::Now,
             _ if request.attempts >= policy.max_attempts => {
                 RetryDecision::No(RetryDenial::AttemptsExhausted)
             }
@@ -159,7 +174,7 @@
             // The loss of many streams at once overdraws the budget without bound here; each
             // request does so at most `max_attempts` times, and only after its upstream had been
             // serving it.
-            _ if request.has_delivered_tokens => Some(now),
+            _ if request.purpose == RetryPurpose::Resume => Some(now),
             // Only one retry at a time may wait for the minimum rate. If more were reserved,
             // requests would queue for a broken pool until their deadlines.
             balance if balance >= 0.0 && policy.min_retries_per_second > 0.0 => {
--- a/src/retries/budget/tests.rs
+++ b/src/retries/budget/tests.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 
-use super::{RetryBudget, RetryDecision, RetryDenial, RetryPolicy, RetryRequest};
+use super::{RetryBudget, RetryDecision, RetryDenial, RetryPolicy, RetryPurpose, RetryRequest};
 use crate::time::TimeMs;
 use crate::upstreams::{Delivery, LostCause, NotRunReason, UpstreamError};
 
@@ -14,7 +14,7 @@
         error,
         delivery: Delivery::Repeatable,
         attempts: 1,
-        has_delivered_tokens: false,
+        purpose: RetryPurpose::Repeat,
         deadline_ms: TimeMs(1_000_000),
         expected_ms: 1_000,
     }
@@ -71,7 +71,7 @@
     for error in [&LOST, &rejected] {
         let once = RetryRequest {
             delivery: Delivery::AtMostOnce,
-            has_delivered_tokens: true,
+            purpose: RetryPurpose::Resume,
             ..retry_request(error)
         };
         let retry = budget.may_retry(&policy, &once, TimeMs(0));
@@ -125,7 +125,7 @@
     let policy = RetryPolicy::default();
     let mut budget = RetryBudget::new(TimeMs(0));
     let stream = RetryRequest {
-        has_delivered_tokens: true,
+        purpose: RetryPurpose::Resume,
         ..retry_request(&LOST)
     };
     for _ in 0..40 {
@@ -141,3 +141,39 @@
     let denied = budget.may_retry(&policy, &last, TimeMs(0));
     assert_eq!(denied, RetryDecision::No(RetryDenial::AttemptsExhausted));
 }
+
+// Guards against accepted streams that fail although other hosts run: a failure domain is reclaimed
+// before its streams have a token here, and the budget is spent after the first ten of them.
+#[test]
+fn attempts_on_reclaimed_hosts_are_replaced_whatever_the_budget_holds() {
+    let policy = RetryPolicy::default();
+    let mut budget = RetryBudget::new(TimeMs(0));
+    let replace = RetryRequest {
+        purpose: RetryPurpose::Replace,
+        attempts: policy.max_attempts,
+        ..retry_request(&LOST)
+    };
+    for _ in 0..400 {
+        assert_eq!(
+            budget.may_retry(&policy, &replace, TimeMs(0)),
+            RetryDecision::Now
+        );
+    }
+    let repeat = retry_request(&NOT_RUN);
+    let charged_to_nobody = budget.may_retry(&policy, &repeat, TimeMs(0));
+    assert_eq!(charged_to_nobody, RetryDecision::Now);
+}
+
+// Guards against a second run of a call that must not run twice, where its host was reclaimed.
+#[test]
+fn non_idempotent_attempt_on_a_reclaimed_host_is_not_replaced() {
+    let policy = RetryPolicy::default();
+    let mut budget = RetryBudget::new(TimeMs(0));
+    let once = RetryRequest {
+        delivery: Delivery::AtMostOnce,
+        purpose: RetryPurpose::Replace,
+        ..retry_request(&LOST)
+    };
+    let denied = budget.may_retry(&policy, &once, TimeMs(0));
+    assert_eq!(denied, RetryDecision::No(RetryDenial::MayHaveRun));
+}
