bug: A busy node stops streams that may not run twice earlier

What callers saw: 1 to 7 of 100 streams end as unknown in a wave of reclaims on a busy machine (waves::two_domains_at_once_with_two_seconds_notice_lose_nothing).

Cause: a stop was ordered 350 ms before the host's end. On a busy node each of its steps waits for processor time; timers of the nodes fired 230 to 640 ms late in these plays.

Evidence: plays beside 40 busy processes, two at once, with the new lines: 2 of 5 that came to the reclaim failed (1 and 2 streams); all three had a warmed target, no transfer, and a stop on its way as the host went (its call ended "outcome unknown" 246 ms after the host's end).

Change: node/lateness.rs measures how late timers fire; such streams are stopped four steps of it earlier, transfers given up by then; a stream that is left to finish in place must be expected to finish while it can still be stopped.

--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 mod handler;
 pub mod hosts;
+mod lateness;
 pub mod messages;
 pub mod placement_control;
 mod run;
--- a/src/node/stream_moves.rs
+++ b/src/node/stream_moves.rs
@@ -6,6 +6,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Node;
+use super::lateness::Lateness;
 use crate::blackboard::{ActiveConfiguration, HostRow, HostState};
 use crate::keys::HostKey;
 use crate::membership::Member;
@@ -28,16 +29,25 @@
 
 /// Plans moves and issues the orders that are due, until `shutdown`.
 pub(super) async fn control(node: Arc<Node>, shutdown: CancellationToken) {
+    let mut lateness = Lateness::default();
     loop {
         let now = node.core.clock.now();
+        let settings = Settings {
+            step_delay_ms: lateness.delay_ms(now),
+            ..Settings::default()
+        };
         let pause_ms = match node.core.blackboard.active_configuration() {
-            Some(in_force) => PlanInput::collect(&node, &in_force).issue_due_orders(&node, now),
+            Some(in_force) => {
+                PlanInput::collect(&node, &in_force).issue_due_orders(&node, settings, now)
+            }
             None => IDLE_INTERVAL_MS,
         };
         tokio::select! {
             () = shutdown.cancelled() => return,
             () = node.notices_changed.notified() => {}
-            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
+            () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {
+                lateness.record(now.after(pause_ms), node.core.clock.now());
+            }
         }
     }
 }
@@ -104,7 +114,7 @@
     }
 
     /// Plans and issues the orders that are due; returns the delay until the next plan.
-    fn issue_due_orders(&self, node: &Node, now: TimeMs) -> u64 {
+    fn issue_due_orders(&self, node: &Node, settings: Settings, now: TimeMs) -> u64 {
         if self.streams.is_empty() {
             return IDLE_INTERVAL_MS;
         }
@@ -115,7 +125,7 @@
             notices: &self.notices,
             streams: &self.streams,
             targets: &self.targets,
-            settings: Settings::default(),
+            settings,
         };
         let plan = plan(&view, now);
         for StreamMove { stream, action } in &plan.moves {
@@ -123,6 +133,7 @@
                 issue_if_due(record, *action, now);
             }
         }
+        log::debug!(streams = self.streams.len(), step_delay_ms = settings.step_delay_ms; "planned the streams on hosts under notice");
         let starts = plan
             .moves
             .iter()
@@ -161,6 +172,7 @@
             start_at_ms,
             ..
         } if start_at_ms <= now => {
+            log::debug!(id:% = record.id; "ordering to stop a stream");
             record.order(Order::Resume { target });
         }
         Move::Recompute {
--- a/src/reclaim/planner.rs
+++ b/src/reclaim/planner.rs
@@ -27,6 +27,10 @@
 /// In a live migration the stream keeps generating on its source during the import.
 const LIVE_MIGRATION_MIN_MS: u64 = 100;
 
+/// Steps of a stop that wait for processor time on a busy node: the order reaches the task of the
+/// stream, the task calls the engine, and it reads the engine's reply and the end of the stream.
+const STOP_STEPS: u64 = 4;
+
 /// The schedule of one export and import.
 #[derive(Clone, Copy, Debug)]
 struct ExportTimes {
@@ -209,10 +213,23 @@
         if stream.idempotent {
             return notice.leave_at_ms;
         }
-        let lead_ms = self.view.settings.switch_lead_ms;
+        let lead_ms = self.switch_lead_ms(stream);
         TimeMs(self.end_ms(notice).0.saturating_sub(lead_ms))
     }
 
+    /// Returns how long before the end of its host a stream starts on its target at the latest.
+    ///
+    /// A stream that is not idempotent has to be stopped first. A busy node takes longer to do so,
+    /// and a stop that is not confirmed when the host is gone leaves the stream `unknown`.
+    fn switch_lead_ms(&self, stream: &StreamOnHost) -> u64 {
+        let settings = self.view.settings;
+        if stream.idempotent {
+            settings.switch_lead_ms
+        } else {
+            settings.switch_lead_ms + STOP_STEPS * settings.step_delay_ms
+        }
+    }
+
     fn finish_in_place(&mut self, undecided: Vec<usize>) -> Vec<usize> {
         let (finish, others) = undecided
             .into_iter()
@@ -233,7 +250,11 @@
         };
         let remaining = f64::from(stream.remaining_tokens_max) * (1.0 + FINISH_ESTIMATE_MARGIN);
         let needed_ms = duration_ms(remaining, stream.tokens_per_second);
-        runs && needed_ms < self.now.until(self.end_ms(notice))
+        // If a stream that is not idempotent falls behind the estimate, it must still be stopped.
+        let end_ms = self
+            .end_ms(notice)
+            .min(self.migration_deadline_ms(stream, notice));
+        runs && needed_ms < self.now.until(end_ms)
     }
 
     /// Returns the rank of a stream for exports; a higher rank is planned first.
@@ -451,7 +472,7 @@
         );
         let end_ms = self.view.notice(stream.host).map(|n| self.end_ms(n));
         let left_ms = end_ms.map_or(0, |end_ms| self.now.until(end_ms));
-        let switch_in_ms = left_ms.saturating_sub(self.view.settings.switch_lead_ms);
+        let switch_in_ms = left_ms.saturating_sub(self.switch_lead_ms(stream));
         let compute_ms = self.compute_ms(stream, target_index);
         let busy_ms = self.capacity.compute_ms(target_index);
         match compute_ms {
--- a/src/reclaim/tests.rs
+++ b/src/reclaim/tests.rs
@@ -52,6 +52,15 @@
 }
 
 fn actions(notices: &[Notice], streams: &[StreamOnHost], targets: &[Target]) -> Vec<Move> {
+    actions_under(Settings::default(), notices, streams, targets)
+}
+
+fn actions_under(
+    settings: Settings,
+    notices: &[Notice],
+    streams: &[StreamOnHost],
+    targets: &[Target],
+) -> Vec<Move> {
     let view = ReclaimView {
         node: Incarnation(7),
         node_rank: 0,
@@ -59,7 +68,7 @@
         notices,
         streams,
         targets,
-        settings: Settings::default(),
+        settings,
     };
     let plan = plan(&view, NOW);
     plan.moves.iter().map(|decided| decided.action).collect()
@@ -326,3 +335,56 @@
         assert!(matches!(repeatable, Move::Export { .. }), "{repeatable:?}");
     }
 }
+
+// Guards against a non-idempotent stream that ends as unknown: its node is busy, and the engine's
+// confirmation that the stream has stopped arrives when the host is gone.
+#[test]
+fn busy_node_stops_non_idempotent_streams_earlier() {
+    let stream = |idempotent| StreamOnHost {
+        idempotent,
+        progress: Progress::Warmed { target: HostKey(2) },
+        ..stream(0, 4_000, 2_000)
+    };
+    // Slow links, so that no cache is exported.
+    let slow_link = |target: Target| Target {
+        kv_bytes_per_second: 1.0,
+        ..target
+    };
+    let start_at = |step_delay_ms, idempotent| {
+        let settings = Settings {
+            step_delay_ms,
+            ..Settings::default()
+        };
+        let targets = [slow_link(target(2, 1, 4))];
+        let moves = actions_under(settings, &[notice(2_000)], &[stream(idempotent)], &targets);
+        match moves[0] {
+            Move::Resume { start_at_ms, .. } | Move::Recompute { start_at_ms, .. } => start_at_ms,
+            other => panic!("expected the stream to start elsewhere: {other:?}"),
+        }
+    };
+    let unhurried = start_at(0, false);
+    assert_eq!(unhurried, NOW.after(2_000 - 350));
+    assert_eq!(start_at(100, false), NOW.after(2_000 - 350 - 400));
+    assert_eq!(start_at(600, false), NOW);
+    assert_eq!(start_at(600, true), unhurried);
+}
+
+// Guards against a non-idempotent stream that is left to finish on its host, falls behind its estimate
+// and cannot be stopped any more.
+#[test]
+fn finish_is_expected_while_a_stop_is_possible() {
+    let settings = Settings::default();
+    let stream = |idempotent| StreamOnHost {
+        idempotent,
+        tokens_per_second: 1_000.0,
+        ..stream(0, 4_000, 1_000)
+    };
+    let needed_ms = 1_100;
+    let action = |idempotent, spare_ms| {
+        let notice = notice(needed_ms + settings.leave_margin_ms + spare_ms);
+        actions(&[notice], &[stream(idempotent)], &[target(2, 1, 4)])[0]
+    };
+    assert_eq!(action(true, 50), Move::Finish);
+    assert_ne!(action(false, 50), Move::Finish);
+    assert_eq!(action(false, settings.switch_lead_ms + 50), Move::Finish);
+}
--- a/src/reclaim/view.rs
+++ b/src/reclaim/view.rs
@@ -146,6 +146,8 @@
     /// How long before the end of the source a warmed stream starts on its target, so that the
     /// first token arrives in time.
     pub switch_lead_ms: u64,
+    /// How long each step of a stop waits on this node at present, because the node is busy.
+    pub step_delay_ms: u64,
 }
 
 impl Default for Settings {
@@ -156,6 +158,7 @@
             export_overhead_ms: 20,
             stall_max_ms: 900,
             switch_lead_ms: 150,
+            step_delay_ms: 0,
         }
     }
 }
