bug: A claim whose team or host is no longer known does not run again

What callers would see: a deposit paid on each host of a service (test: 3 hosts), the call told failed (retry_budget). No caller has reported it; found by reading Core::may_retry.

Cause: without a team in the configuration, or a host in the list, there is no retry budget, and the decision was "retry now", also for a call that may have run and must not run twice. That rule stood inside the budget.

Change: decide_without_budget; the rule is one function for both ways.

--- a/src/requests/dispatch.rs
+++ b/src/requests/dispatch.rs
@@ -194,9 +194,6 @@
     /// Returns whether a request may be retried after a failed attempt.
     pub(super) fn may_retry(&self, record: &Record, failed: &FailedAttempt) -> RetryDecision {
         let now = self.clock.now();
-        let Some((team, pool)) = self.budget_key(record, failed.host) else {
-            return RetryDecision::Now;
-        };
         let request = RetryRequest {
             error: &failed.error,
             delivery: delivery(record),
@@ -205,7 +202,10 @@
             deadline_ms: record.call.deadline_ms,
             expected_ms: 0,
         };
-        let decision = self.budgets.may_retry(team, pool, &request, now);
+        let decision = match self.budget_key(record, failed.host) {
+            Some((team, pool)) => self.budgets.may_retry(team, pool, &request, now),
+            None => request.decide_without_budget(),
+        };
         if let RetryDecision::No(denial) = decision
             && record.is_dispatched()
         {
--- a/src/retries/budget.rs
+++ b/src/retries/budget.rs
@@ -73,6 +73,27 @@
     pub expected_ms: u64,
 }
 
+impl RetryRequest<'_> {
+    /// Decides on another attempt where no budget applies, because the team or the host of the failed
+    /// one is no longer known.
+    ///
+    /// A configuration without the team, or a platform's list without the host, does not make it safe
+    /// to run a request twice.
+    #[must_use]
+    pub fn decide_without_budget(&self) -> RetryDecision {
+        if self.may_not_run_again() {
+            RetryDecision::No(RetryDenial::MayHaveRun)
+        } else {
+            RetryDecision::Now
+        }
+    }
+
+    /// Returns whether the failed attempt may have run and the request must not run twice.
+    fn may_not_run_again(&self) -> bool {
+        self.delivery == Delivery::AtMostOnce && !self.error.is_not_started()
+    }
+}
+
 /// The decision on a retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryDecision {
@@ -129,9 +150,7 @@
     ) -> RetryDecision {
         self.refill(policy, now);
         match self.earliest_attempt(policy, request, now) {
-            _ if request.delivery == Delivery::AtMostOnce && !request.error.is_not_started() => {
-                RetryDecision::No(RetryDenial::MayHaveRun)
-            }
+            _ if request.may_not_run_again() => RetryDecision::No(RetryDenial::MayHaveRun),
             _ if request.purpose == RetryPurpose::Replace => RetryDecision::Now,
             _ if request.attempts >= policy.max_attempts => {
                 RetryDecision::No(RetryDenial::AttemptsExhausted)
--- a/src/retries/budget/tests.rs
+++ b/src/retries/budget/tests.rs
@@ -177,3 +177,22 @@
     let denied = budget.may_retry(&policy, &once, TimeMs(0));
     assert_eq!(denied, RetryDecision::No(RetryDenial::MayHaveRun));
 }
+
+// Guards against a payment that is made twice: its connection broke, and its team was removed from the
+// configuration, or its host from the platform's list, while it ran.
+#[test]
+fn unknown_team_or_host_permits_no_second_run() {
+    let once = RetryRequest {
+        delivery: Delivery::AtMostOnce,
+        ..retry_request(&LOST)
+    };
+    let denied = RetryDecision::No(RetryDenial::MayHaveRun);
+    assert_eq!(once.decide_without_budget(), denied);
+    let not_started = RetryRequest {
+        error: &NOT_RUN,
+        ..once
+    };
+    assert_eq!(not_started.decide_without_budget(), RetryDecision::Now);
+    let repeatable = retry_request(&LOST);
+    assert_eq!(repeatable.decide_without_budget(), RetryDecision::Now);
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod ids;
 mod keys;
 mod partitions;
+mod reconfigured;
 mod refusals;
 mod resends;
 mod stops;
