--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -230,6 +230,12 @@
         arrivals.iter().map(|arrival| arrival.at_ms).collect()
     }
 
+    /// The requests that reached it, whether they ran or not.
+    #[must_use]
+    pub fn arrived_requests(&self) -> Vec<Arrival> {
+        self.core.arrivals.lock().clone()
+    }
+
     /// Most requests of one node that reached it from half a second after it had asked that node for rest until the end
     /// of that rest; `node_of` tells by a request's id which node got it.
     #[must_use]
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limited;
 mod metered;
+mod repeats;
 mod rests;
 mod rollouts;
 mod said_leaving;
