feature: Repeats that the budget allows and denies are counted

Cause: a refusal for want of repeat budget read like one for want of an upstream, so that neither logs nor metrics could tell whether a restarted node spends again, or nodes divide the budget by different counts. Change: teaselline_repeats_total by pool and outcome, teaselline_repeat_budget_nodes, and a line at level debug with the count of nodes and the node's uptime. No decision changes.

--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -153,20 +153,24 @@
             }
             Ok(choice)
         }
-        false => {
-            let budget = node.repeat_budget();
-            if node
-                .repeats
-                .lock()
-                .get_or_default(&plan.pool)
-                .try_take(&budget, now)
-            {
-                Ok(choice)
-            } else {
-                Err(attempts.final_refusal(plan, now))
-            }
-        }
+        false if takes_repeat(node, &plan.pool, now) => Ok(choice),
+        false => Err(attempts.final_refusal(plan, now)),
+    }
+}
+
+/// Takes one repeat out of the pool's repeat budget; returns whether one was left.
+fn takes_repeat(node: &Gateway, pool: &str, now: TimeMs) -> bool {
+    let budget = node.repeat_budget();
+    let is_taken = (node.repeats.lock())
+        .get_or_default(pool)
+        .try_take(&budget, now);
+    let outcome = if is_taken { "sent" } else { "over_budget" };
+    metrics::counter!("teaselline_repeats_total", "pool" => pool.to_owned(), "outcome" => outcome)
+        .increment(1);
+    if !is_taken {
+        log::debug!(event = "repeat_over_budget", pool, nodes = budget.nodes, uptime_ms = node.uptime_ms(now); "a failed request is not sent to another upstream: the repeat budget is used up");
     }
+    is_taken
 }
 
 /// Counts a request that no upstream accepts at present toward the demand on its pool.
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -122,6 +122,7 @@
 fn publish_limits(node: &Gateway, now: TimeMs) {
     let catalog = node.catalog();
     let budget = node.repeat_budget();
+    gauge!("teaselline_repeat_budget_nodes").set(f64::from(budget.nodes));
     let mut repeats = node.repeats.lock();
     for pool in &catalog.pools {
         let left = repeats.get_or_default(&pool.name).remaining(&budget, now);
