bug: A node's repeats stay within the budget over restarts, joins and departures

Callers saw, while upstreams of a service failed or refused and nodes restarted, more sends to second upstreams than the operators allow, which is load on upstreams that can't bear it. Cause: the window of what a node has spent was in the memory of its process, so that each start, planned or not, had its whole share of the fixed part again. Nodes that left or stopped gave their share to the others at once, while what they had spent still counted; a step of the window was forgotten up to its length early. Change: until a node has run for a whole window it repeats at most 15 in 100 of the ratio of its own requests, out of the quarter of the budget that no other node uses, and nothing of the fixed part. That bound holds for any number of starts in a window without asking anybody, as the requests of all starts together are the pool's. The fixed part is divided by the most nodes known in the window; stopping peers count. New decision tests for restarts at 1, 9 and 985 nodes, departures, joins, replacements and the early step; each fails with its part of the change taken out.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -321,13 +321,13 @@
         }
     }
 
-    /// Returns the number of known nodes that are not stopping, this one included.
+    /// Returns the number of known nodes, this one included.
     ///
     /// Peers without a heartbeat count too: a node that has just started has heard from few of the
-    /// others and would otherwise claim the whole of a shared budget.
+    /// others and would otherwise claim the whole of a shared budget. So do stopping peers, which
+    /// still spend their share on the requests that they finish.
     pub fn known_nodes(&self) -> u32 {
-        let others = self.by_name.iter().filter(|peer| !peer.is_stopping).count();
-        u32::try_from(others + 1).unwrap_or(u32::MAX)
+        u32::try_from(self.by_name.len() + 1).unwrap_or(u32::MAX)
     }
 
     /// Returns how many nodes have ever sent a heartbeat and how many are live, this one included.
--- a/src/gateway/repeat_budget/tests.rs
+++ b/src/gateway/repeat_budget/tests.rs
@@ -6,6 +6,7 @@
         window_ms: 10_000,
         slack: 50.0,
         nodes,
+        started_at: TimeMs(0),
     }
 }
 
@@ -53,3 +54,156 @@
     assert!(is_too_late(100, 150.0));
     assert!(!is_too_late(200, 150.0));
 }
+
+/// Interval between two calls of each simulated node.
+const CALL_INTERVAL_MS: u64 = 100;
+
+/// A fleet whose requests all fail, so that each node spends all repeats that it may.
+struct FailingFleet {
+    /// The nodes by name; `None` while one is down.
+    nodes: Vec<Option<(RepeatBudget, Repeats)>>,
+    /// Nodes that each node counts.
+    known: u32,
+    requests_at_ms: Vec<u64>,
+    repeats_at_ms: Vec<u64>,
+}
+
+impl FailingFleet {
+    fn running(nodes: u32) -> Self {
+        let node = Some((budget(nodes), Repeats::default()));
+        Self {
+            nodes: vec![node; nodes as usize],
+            known: nodes,
+            requests_at_ms: Vec::new(),
+            repeats_at_ms: Vec::new(),
+        }
+    }
+
+    fn start(&mut self, name: usize, now: TimeMs) {
+        let budget = RepeatBudget {
+            started_at: now,
+            ..budget(self.known)
+        };
+        self.nodes[name] = Some((budget, Repeats::default()));
+    }
+
+    /// Calls every node and lets it repeat as often as its budget allows.
+    fn call(&mut self, now: TimeMs) {
+        for (budget, repeats) in self.nodes.iter_mut().flatten() {
+            budget.nodes = self.known;
+            repeats.record_request(budget, now);
+            self.requests_at_ms.push(now.0);
+            while repeats.try_take(budget, now) {
+                self.repeats_at_ms.push(now.0);
+            }
+        }
+    }
+
+    /// Checks the budget of all nodes together in every window.
+    fn check(&self) {
+        let budget = budget(1);
+        let count = |times_ms: &[u64], end_ms: u64| {
+            let start_ms = end_ms - budget.window_ms;
+            let after = times_ms.partition_point(|at_ms| *at_ms <= end_ms);
+            num::to_f64((after - times_ms.partition_point(|at_ms| *at_ms <= start_ms)) as u64)
+        };
+        let ends_ms = (self.repeats_at_ms.iter()).filter(|at_ms| **at_ms > 2 * budget.window_ms);
+        for end_ms in ends_ms {
+            let requests = [0, budget.window_ms / 2, budget.window_ms]
+                .map(|earlier_ms| count(&self.requests_at_ms, end_ms - earlier_ms));
+            let requests = requests.into_iter().fold(0.0, f64::max);
+            let allowed = budget.ratio * requests + budget.slack;
+            let repeats = count(&self.repeats_at_ms, *end_ms);
+            assert!(
+                repeats <= allowed,
+                "{repeats} of {allowed} until {end_ms} ms"
+            );
+        }
+    }
+}
+
+/// Guards against restarted nodes that spend their share of the budget once more: all at once, one
+/// after the other, and again and again.
+#[test]
+fn repeats_of_restarting_nodes_stay_within_the_budget() {
+    for nodes in [1, 9, 985] {
+        for restart_every_ms in [700, 3_500, 9_900, 10_100] {
+            for is_rolling in [false, true] {
+                let mut fleet = FailingFleet::running(nodes);
+                let names = nodes as usize;
+                let mut restarts = 0;
+                for now in (20_000..60_000).step_by(CALL_INTERVAL_MS as usize) {
+                    let now = TimeMs(now);
+                    if now.0 > 30_000 && now.0 % restart_every_ms < CALL_INTERVAL_MS {
+                        match is_rolling {
+                            true => fleet.start(restarts % names, now),
+                            false => (0..names).for_each(|name| fleet.start(name, now)),
+                        }
+                        restarts += 1;
+                    }
+                    fleet.call(now);
+                }
+                assert!(restarts > 0);
+                fleet.check();
+            }
+        }
+    }
+}
+
+/// Guards against nodes that take over the share of nodes which have left, while what those have
+/// spent still counts in the window.
+#[test]
+fn share_of_nodes_that_left_is_unused_until_their_window_is_over() {
+    let mut fleet = FailingFleet::running(12);
+    // With few requests the fixed part is most of the budget.
+    for now in (20_000..60_000).step_by(2_000) {
+        if now == 34_000 {
+            fleet.nodes.truncate(2);
+            fleet.known = 2;
+        }
+        fleet.call(TimeMs(now));
+    }
+    fleet.check();
+}
+
+/// Guards against nodes that join or replace others and add a share to those that are in use.
+#[test]
+fn repeats_of_joining_and_replacing_nodes_stay_within_the_budget() {
+    let mut fleet = FailingFleet::running(6);
+    for now in (20_000..60_000).step_by(CALL_INTERVAL_MS as usize) {
+        if now > 30_000 && now % 1_500 == 0 {
+            fleet.nodes.push(None);
+            fleet.known += 1;
+            let newest = fleet.nodes.len() - 1;
+            fleet.start(newest, TimeMs(now));
+            fleet.nodes[newest - 6] = None;
+        }
+        fleet.call(TimeMs(now));
+    }
+    fleet.check();
+}
+
+/// Guards against a repeat that is forgotten before a whole window has passed.
+#[test]
+fn repeat_counts_for_a_whole_window() {
+    let mut repeats = Repeats::default();
+    let budget = budget(1);
+    let spent = drain(&mut repeats, &budget, TimeMs(20_499));
+    assert!(spent > 0);
+    assert_eq!(drain(&mut repeats, &budget, TimeMs(30_498)), 0);
+}
+
+#[test]
+fn node_in_its_first_window_repeats_only_a_small_part_of_its_requests() {
+    let mut repeats = Repeats::default();
+    let budget = RepeatBudget {
+        started_at: TimeMs(20_000),
+        ..budget(1)
+    };
+    assert_eq!(drain(&mut repeats, &budget, TimeMs(20_100)), 0);
+    for step in 0..100 {
+        repeats.record_request(&budget, TimeMs(20_100 + step));
+    }
+    assert_eq!(drain(&mut repeats, &budget, TimeMs(20_300)), 3);
+    assert!(drain(&mut repeats, &budget, TimeMs(30_000)) > 10);
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -298,6 +298,7 @@
             window_ms: bounds.retry_window_ms,
             slack: bounds.retry_slack,
             nodes: self.peers.lock().known_nodes(),
+            started_at: self.started_at,
         }
     }
 
