test: What an upstream said is forgotten with its announcement, listed as red

Cause: not mended here; what an upstream states in answers is kept in the entry of its announcement. Change: a test with real processes (upstreams say in answers that they leave, their announcement lapses for 2 s and returns), and three decision tests: the statement, the rest, limit and health, and an older read that brings a removed upstream back. Stand-in upstreams may stop announcing themselves.

--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -426,3 +426,97 @@
     let same = Change::Present(announced("a", "pool", "d"));
     assert!(table.apply(same, true, TimeMs(5_000)).is_some());
 }
+
+/// The gate's answer to a request to the upstream with this id; `None` without an entry.
+fn admitted(table: &mut UpstreamTable, id: &str, now: TimeMs) -> Option<Result<(), Closed>> {
+    let key = table.find(id)?;
+    table
+        .get_mut(key)
+        .map(|upstream: &mut Upstream| upstream.admit(now))
+}
+
+/// Guards against requests to an upstream that has stated that it leaves, after its announcement
+/// expired in an outage of the store and it has announced itself again.
+#[test]
+fn statement_of_leaving_outlasts_an_expired_announcement() {
+    for store_was_away in [true, false] {
+        let mut table = table(&["a"]);
+        let tag = announced("a", "pool", "d").tag();
+        assert!(table.apply_leaving_report(tag).is_some());
+        table.apply(removed("a"), store_was_away, TimeMs(10_000));
+        table.evict_removed(TimeMs(12_000));
+        assert!(table.find("a").is_none());
+        let mut again = announced("a", "pool", "d");
+        again.sequence = 5;
+        table.apply(Change::Present(again), store_was_away, TimeMs(13_000));
+        let admitted = admitted(&mut table, "a", TimeMs(13_000));
+        assert_eq!(admitted, Some(Err(Closed::Leaving)));
+        assert_eq!(table.leaving_unannounced(), [tag], "peers are told again");
+    }
+}
+
+/// Guards against an older read of the store that brings an upstream back after its announcement was
+/// removed, whether or not its entry was evicted.
+#[test]
+fn older_read_does_not_bring_a_removed_upstream_back() {
+    for is_evicted in [true, false] {
+        let mut table = UpstreamTable::default();
+        let present = |sequence| Change::Present(announced_start("a", 100, sequence));
+        table.apply(present(7), false, TimeMs(1));
+        table.apply(removed("a"), false, TimeMs(2));
+        if is_evicted {
+            table.evict_removed(TimeMs(3));
+        }
+        for sequence in [6, 7] {
+            assert!(table.is_known(&present(sequence)));
+            table.apply(present(sequence), false, TimeMs(4));
+            let admitted = admitted(&mut table, "a", TimeMs(4));
+            assert_ne!(admitted, Some(Ok(())), "{sequence} {is_evicted}");
+        }
+        table.apply(present(8), false, TimeMs(5));
+        assert_eq!(admitted(&mut table, "a", TimeMs(5)), Some(Ok(())));
+    }
+}
+
+/// Guards against a herd on upstreams that had asked for rest, named a limit or failed, as soon as
+/// their expired announcements are back.
+#[test]
+fn rest_limit_and_health_outlast_an_expired_announcement() {
+    let mut table = table(&["a"]);
+    let upstream = |table: &UpstreamTable| {
+        let key = table.find("a").expect("there");
+        table.get(key).expect("there").clone()
+    };
+    let key = table.find("a").expect("there");
+    let known = table.get_mut(key).expect("there");
+    known.send_gate.backoff.record(30_000, TimeMs(9_000));
+    known.health.record_unreachable(TimeMs(9_000));
+    known.health.record_unreachable(TimeMs(9_000));
+    let health = known.health;
+    table.apply(removed("a"), true, TimeMs(10_000));
+    table.evict_removed(TimeMs(12_000));
+    table.apply(
+        Change::Present(announced("a", "pool", "d")),
+        true,
+        TimeMs(13_000),
+    );
+    assert_eq!(upstream(&table).health, health);
+    let closed = upstream(&table).send_gate.closed_reason(TimeMs(13_000));
+    assert_eq!(closed, Some(Closed::Resting));
+}
+
+/// Guards against a restarted upstream that gets no requests because its former start had stated
+/// that it leaves.
+#[test]
+fn restarted_upstream_does_not_inherit_the_statement_of_leaving() {
+    let mut table = UpstreamTable::default();
+    let first = announced_start("a", 100, 7);
+    table.apply(Change::Present(first.clone()), false, TimeMs(1));
+    assert!(table.apply_leaving_report(first.tag()).is_some());
+    table.apply(removed("a"), true, TimeMs(10_000));
+    table.evict_removed(TimeMs(12_000));
+    let restarted = Change::Present(announced_start("a", 13_000, 1));
+    table.apply(restarted, true, TimeMs(13_000));
+    let admitted = admitted(&mut table, "a", TimeMs(13_000));
+    assert_eq!(admitted, Some(Ok(())));
+}
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -115,6 +115,7 @@
     /// Requests that reached it, whether they ran or not.
     arrivals: Mutex<Vec<Arrival>>,
     has_crashed: Mutex<bool>,
+    is_announcing: Mutex<bool>,
 }
 
 /// What an upstream is.
@@ -161,6 +162,7 @@
             leaving: Mutex::default(),
             arrivals: Mutex::default(),
             has_crashed: Mutex::default(),
+            is_announcing: Mutex::new(true),
         });
         let accepting = Arc::clone(&core);
         let serve = tokio::spawn(async move {
@@ -179,7 +181,9 @@
                 if *beating.has_crashed.lock() {
                     return;
                 }
-                beating.announce();
+                if *beating.is_announcing.lock() {
+                    beating.announce();
+                }
             }
         });
         Ok(Self { core, serve, beat })
@@ -291,6 +295,16 @@
         self.core.store.put("keyed.servers", &self.core.id, "");
     }
 
+    /// Stops announcing itself, so that its announcement lapses, or starts again; it goes on answering.
+    pub fn set_announcing(&self, is_announcing: bool) {
+        *self.core.is_announcing.lock() = is_announcing;
+        if is_announcing {
+            self.core.announce();
+        } else {
+            self.lapse();
+        }
+    }
+
     /// Whether a request has crashed it.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
--- a/tests/platform/said_leaving.rs
+++ b/tests/platform/said_leaving.rs
@@ -15,6 +15,9 @@
 /// Duration for which arrivals are counted afterwards.
 const OBSERVATION: Duration = Duration::from_secs(2);
 
+/// Time for which an announcement lapses: all nodes have read it and evicted the upstream.
+const LAPSE: Duration = Duration::from_secs(2);
+
 /// Returns how many requests reach each upstream after `DRAIN_LIMIT`.
 async fn count_late_arrivals<const N: usize>(leaving: [&Upstream; N]) -> [usize; N] {
     tokio::time::sleep(DRAIN_LIMIT + TRANSIT_ALLOWANCE).await;
@@ -71,3 +74,26 @@
     assert_eq!(late, [0; 2]);
     load.end().await;
 }
+
+/// Guards against requests to an upstream that leaves by its responses, after its announcement lapsed and it announced itself again.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_leaving_by_its_responses_receives_nothing_after_its_announcement_lapsed() {
+    let deployment = deployment(3, 2).await;
+    let load = Load::start(&deployment);
+    let leaving = busiest_of_each_service(&deployment).await;
+    for upstream in leaving {
+        upstream.say_leaving(Some("1"));
+    }
+    tokio::time::sleep(DRAIN_LIMIT).await;
+    for upstream in leaving {
+        upstream.say_leaving(None);
+        upstream.set_announcing(false);
+    }
+    tokio::time::sleep(LAPSE).await;
+    for upstream in leaving {
+        upstream.set_announcing(true);
+    }
+    let late = count_late_arrivals(leaving).await;
+    assert_eq!(late, [0; 2]);
+    load.end().await;
+}
