bug: What an upstream said that it leaves outlasts its announcement

Callers' requests reached upstreams that had said in an answer that they leave: such an upstream drops what it still runs when it exits. Cause: the statement, with rest, limit and health, was kept in the entry of the announcement. An announcement that lapsed (an outage of the store, a silence) took the entry with it, and one that came back got a new, open one. An announcement that stated it was forgotten the same way when an older read brought back the record before it. A peer's report on an upstream without an entry was dropped. Change: upstreams/departed.rs keeps what is known of a start without an entry for 60 s, by its tag, so that a restarted upstream inherits nothing; a returning entry takes it over: the statement, the rest, the limit, the health, and a last announcement that it leaves against records no newer. Reports on unknown starts are kept too. upstream_leaving_kept says when an announcement contradicts the statement. The check of departures against a restored store moves there unchanged. The red test older_read_does_not_bring_a_removed_upstream_back is replaced: it also asked that a removed upstream which never said that it leaves stays away from an equal record. A reading from an earlier position replays the removal and the record after it in order, so the same record rightly brings it back; nothing in it tells the two apart. In its place two tests, stricter on the rule (the next announcement of that start doesn't open it either): older_read_does_not_undo_a_statement_of_leaving and ..._an_announcement_of_leaving.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -12,7 +12,7 @@
 use super::snapshot::Snapshot;
 use super::state::{Gateway, Recipients};
 use super::store_contact::StoreAvailability;
-use super::upstreams::{Announcement, Change};
+use super::upstreams::{Announcement, Change, Phase, Upstream};
 use super::view_refresh::{self, ViewState};
 use super::{clock, confirmation, handover, rank};
 use crate::platform::store::{KeyedRecord, Records, StoreError, Topic};
@@ -363,12 +363,26 @@
         // An announcement with only a new sequence number is still applied: later ones are ordered
         // by that number.
         if !is_known || matches!(change, Change::Present(_)) {
-            table.apply(change, was_away, now);
+            let key = table.apply(change, was_away, now);
+            if let Some(upstream) = key.and_then(|key| table.get(key))
+                && !is_known
+            {
+                log_contradiction(upstream);
+            }
         }
     }
     effective
 }
 
+/// Logs an announcement of an upstream that had stated in its answers that it is leaving.
+fn log_contradiction(upstream: &Upstream) {
+    if upstream.send_gate.is_leaving() && upstream.announcement.phase == Phase::Ready {
+        let id = upstream.announcement.id.as_str();
+        let is_removed = upstream.is_removed;
+        log::info!(event = "upstream_leaving_kept", upstream = id, is_removed; "the announcement changed of an upstream that had stated that it is leaving; it still gets no requests");
+    }
+}
+
 /// Logs a change at info level only on the node that read it from the store, since every other node
 /// would repeat the line.
 fn log_change(change: &Change, origin: Origin) {
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -76,7 +76,7 @@
             configuration_sync::apply_confirmation(node, &confirmation, now);
         }
         Message::Limit(told) => apply_limit(node, &told, now),
-        Message::Leaving(upstream) => apply_leaving(node, upstream),
+        Message::Leaving(upstream) => apply_leaving(node, upstream, now),
         Message::Strike(strike) => {
             node.strikes.lock().record(strike, now);
         }
@@ -128,8 +128,8 @@
     }
 }
 
-fn apply_leaving(node: &Gateway, upstream: u64) {
-    if let Some(upstream) = node.upstreams.lock().apply_leaving_report(upstream) {
+fn apply_leaving(node: &Gateway, upstream: u64, now: TimeMs) {
+    if let Some(upstream) = node.upstreams.lock().apply_leaving_report(upstream, now) {
         let id = upstream.announcement.id.as_str();
         log::debug!(event = "upstream_leaving_heard", upstream = id; "a peer reported that an upstream is leaving");
     }
@@ -196,7 +196,7 @@
         apply_limit(node, told, now);
     }
     for upstream in &status.leaving {
-        apply_leaving(node, *upstream);
+        apply_leaving(node, *upstream, now);
     }
     if let Some((end, token)) = status.lease {
         let name = node.peers.lock().name_of(incarnation).map(str::to_owned);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,11 +1,14 @@
 //! The table of known upstreams: announcements, load and health of each.
 
+mod departed;
+
 use std::net::SocketAddr;
 
 use bincode::{Decode, Encode};
 use tokio_util::sync::CancellationToken;
 use twox_hash::XxHash3_64;
 
+use self::departed::{Departed, DepartedStarts};
 use super::health::Health;
 use super::send_gate::{Closed, SendGate};
 use super::throttle::{Change as LimitChange, LimitReport, Sharers};
@@ -240,25 +243,12 @@
     by_id: Vec<(String, UpstreamKey)>,
     /// Sorted by tag.
     by_tag: Vec<(u64, UpstreamKey)>,
-    /// Starts that have left and were evicted from the arena, sorted by tag.
-    departed: Vec<Departed>,
+    /// What is known of starts without an entry in the arena.
+    departed: DepartedStarts,
     /// The load reported by each peer, sorted by the peer's incarnation.
     by_peer: Vec<(u64, Vec<(UpstreamKey, Load)>)>,
 }
 
-/// A start of an upstream that has left.
-#[derive(Clone, Copy, Debug)]
-struct Departed {
-    tag: u64,
-    /// Sequence number of the last announcement.
-    sequence: u64,
-    at: TimeMs,
-}
-
-/// How long a departed start is remembered. A store that is restored from a backup some seconds old
-/// may hold its announcement again.
-const DEPARTED_RETENTION_MS: u64 = 60_000;
-
 #[derive(Debug)]
 struct Slot {
     generation: u32,
@@ -329,8 +319,8 @@
 
     /// Whether an announcement was written before its upstream left.
     fn predates_departure(&self, announced: &Announcement) -> bool {
-        let found = (self.departed).binary_search_by_key(&announced.tag(), |departed| departed.tag);
-        found.is_ok_and(|index| announced.sequence <= self.departed[index].sequence)
+        let departed = self.departed.get(announced.tag());
+        departed.is_some_and(|departed| departed.has_left && !departed.precedes(announced))
     }
 
     /// Whether an announcement lacks a start time although most of its pool announce one.
@@ -376,7 +366,7 @@
         }
     }
 
-    fn upsert(&mut self, announcement: Announcement) -> UpstreamKey {
+    fn upsert(&mut self, mut announcement: Announcement) -> UpstreamKey {
         if let Some(key) = self.find(&announcement.id)
             && let Some(upstream) = self.get_mut(key)
         {
@@ -392,6 +382,10 @@
         }
         let id = announcement.id.clone();
         let tag = announcement.tag();
+        let departed = self.departed.take(tag).unwrap_or_default();
+        if departed.is_leaving && !departed.precedes(&announcement) {
+            announcement.phase = Phase::Leaving;
+        }
         let key = self.insert(Upstream {
             announcement,
             tag,
@@ -401,8 +395,8 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             awaiting_since: None,
-            health: Health::default(),
-            send_gate: SendGate::default(),
+            health: departed.health,
+            send_gate: departed.send_gate,
         });
         let index = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(index, (id, key));
@@ -453,21 +447,13 @@
         if gone.is_empty() {
             return;
         }
-        (self.departed).retain(|departed| now.since(departed.at) < DEPARTED_RETENTION_MS);
         for key in &gone {
             let index = key.index as usize;
             if let Some(upstream) = self.arena[index].upstream.take() {
                 self.start_time_count -= usize::from(upstream.announcement.born_ms.is_some());
                 self.free_slots.push(index);
-                // An upstream whose announcement only expired may return with the same
-                // announcement.
-                if upstream.grace_until == TimeMs(0) {
-                    self.record_departed(Departed {
-                        tag: upstream.tag,
-                        sequence: upstream.announcement.sequence,
-                        at: now,
-                    });
-                }
+                self.departed
+                    .record(upstream.tag, Departed::from(&upstream), now);
             }
         }
         // `gone` is sorted, because the arena is iterated in key order.
@@ -476,14 +462,6 @@
         self.by_tag.retain(|(_tag, key)| !is_gone(key));
     }
 
-    fn record_departed(&mut self, departed: Departed) {
-        let found = (self.departed).binary_search_by_key(&departed.tag, |known| known.tag);
-        match found {
-            Ok(index) => self.departed[index] = departed,
-            Err(index) => self.departed.insert(index, departed),
-        }
-    }
-
     /// Returns the announcements of all present upstreams, sorted by id.
     pub fn announcements_by_id(&self) -> impl Iterator<Item = &Announcement> {
         (self.by_id.iter())
@@ -518,8 +496,15 @@
     }
 
     /// Records a peer's report that an upstream leaves; returns the upstream if that is new.
-    pub fn apply_leaving_report(&mut self, tag: u64) -> Option<&Upstream> {
-        let upstream = self.get_mut(self.find_tag(tag)?)?;
+    ///
+    /// A report on an upstream without an entry is kept: its announcement may have expired, or may
+    /// not have been read yet.
+    pub fn apply_leaving_report(&mut self, tag: u64, now: TimeMs) -> Option<&Upstream> {
+        let Some(key) = self.find_tag(tag) else {
+            self.departed.record_leaving(tag, now);
+            return None;
+        };
+        let upstream = self.get_mut(key)?;
         upstream.send_gate.record_leaving().then_some(&*upstream)
     }
 
