feature: A node notices and logs that it reaches no upstream of a pool

Cause: nothing told a node that is cut off from all upstreams from one whose upstreams have crashed one by one; readiness, logs and metrics were the same. Change: reach.rs decides per pool: lost when connecting failed at two upstreams within 3 s without contact to any in between (at the only one where there is one); regained with a new connection, not with a response on an old one. No request is routed otherwise yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -43,6 +43,8 @@
 mod provisioning;
 mod quota;
 mod rank;
+mod reach;
+mod reach_probe;
 mod recent_changes;
 mod refusal;
 mod relay;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -11,6 +11,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use super::clock;
 use super::upstreams::UpstreamKey;
 use crate::time::TimeMs;
 
@@ -103,6 +104,21 @@
         Some(kept.remove(newest).channel)
     }
 
+    /// Opens a connection to an upstream and keeps it for reuse.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn open_idle(
+        &self,
+        upstream: UpstreamKey,
+        address: SocketAddr,
+    ) -> Result<(), ConnectError> {
+        let Connection { sender, .. } = connect(address).await?;
+        self.keep(upstream, sender, None, clock::now());
+        Ok(())
+    }
+
     /// Returns a connection to the pool after its response has been read to the end.
     pub fn keep(
         &self,
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -1,5 +1,6 @@
 //! Sends a request to upstreams, one after another, within its deadline and repeat budget.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 use crate::gateway::request_head::Prompt;
 use crate::gateway::rollout::{RoutingContext, VersionFilter};
 use crate::gateway::state::Gateway;
+use crate::gateway::upstreams::UpstreamKey;
 use crate::platform::headers::{self, ResponseHead, UpstreamHeaders};
 use crate::time::TimeMs;
 
@@ -262,20 +264,10 @@
             configuration_age_ms: now.since(node.in_force.read().confirmed_at),
         },
     );
-    let may_repeat = plan.route().is_repeatable();
     // The upstream may have closed a reused connection; the request is then sent on a new one.
     let mut sent = None;
     while sent.is_none() {
-        let opened = node
-            .channels
-            .open(key, address, may_repeat, clock::now())
-            .await;
-        let mut channel = opened.map_err(|error| {
-            if let Some(upstream) = node.upstreams.lock().get_mut(key) {
-                upstream.health.record_unreachable(clock::now());
-            }
-            SendError::NotRun("unreachable", error.to_string())
-        })?;
+        let mut channel = open_channel(node, plan, key, address).await?;
         pending.sent_at = clock::now();
         let request = build_request(plan, &id, choice, resume_after, pending.sent_at);
         let Some(request) = request else {
@@ -330,6 +322,36 @@
     classify_response(node, plan, pending, sender, response)
 }
 
+/// Returns a connection to an upstream, and records whether a new one could be opened.
+async fn open_channel(
+    node: &Gateway,
+    plan: &Plan,
+    upstream: UpstreamKey,
+    address: SocketAddr,
+) -> Result<Connection, SendError> {
+    let may_repeat = plan.route().is_repeatable();
+    let opened = node
+        .channels
+        .open(upstream, address, may_repeat, clock::now())
+        .await;
+    let now = clock::now();
+    match opened {
+        Ok(channel) => {
+            if !channel.is_reused {
+                node.record_connected(&plan.pool, now);
+            }
+            Ok(channel)
+        }
+        Err(error) => {
+            if let Some(upstream) = node.upstreams.lock().get_mut(upstream) {
+                upstream.health.record_unreachable(now);
+            }
+            node.record_unreachable(&plan.pool, upstream, now);
+            Err(SendError::NotRun("unreachable", error.to_string()))
+        }
+    }
+}
+
 /// Counts a send by its kind, separately for upstreams that have announced a rate limit.
 fn count_send(attempts: &Attempts, resume_after: Option<u64>, is_limited: bool) {
     let kind = match (attempts.sends(), resume_after) {
@@ -350,6 +372,10 @@
     response: Response<Incoming>,
 ) -> Result<UpstreamResponse, SendError> {
     let now = clock::now();
+    node.reach
+        .lock()
+        .get_or_default(&plan.pool)
+        .record_response();
     let answer = headers::read_response_head(response.headers());
     let status = response.status();
     // After an address is reassigned, a different upstream answers on it; its headers do not
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -5,6 +5,7 @@
 use metrics::gauge;
 
 use super::num;
+use super::reach;
 use super::state::Gateway;
 use super::store_contact::StoreAvailability;
 use super::upstreams::{Phase, Upstream};
@@ -103,6 +104,8 @@
             gauge!("teaselline_upstreams", "pool" => pool.name.clone(), "state" => state.label())
                 .set(num::to_f64(count as u64));
         }
+        gauge!("teaselline_pool_reached", "pool" => pool.name.clone())
+            .set(reach::level(node.reach.lock().get(&pool.name)));
         let limited = of_pool()
             .filter(|upstream| upstream.send_gate.throttle.limit_per_s().is_some())
             .count();
--- /dev/null
+++ b/src/gateway/reach/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use crate::gateway::upstreams::tests::announced;
+use crate::gateway::upstreams::{Change as UpstreamChange, UpstreamTable};
+
+/// The number of upstreams of the pool in these tests.
+const KNOWN: usize = 18;
+
+fn keys() -> Vec<UpstreamKey> {
+    let mut table = UpstreamTable::default();
+    let ids = ["a", "b", "c"];
+    let applied = ids.map(|id| {
+        let present = UpstreamChange::Present(announced(id, "pool", "d"));
+        table.apply(present, false, TimeMs(1)).expect("known")
+    });
+    applied.to_vec()
+}
+
+fn lost(at: TimeMs) -> PoolReach {
+    let mut reach = PoolReach::default();
+    let keys = keys();
+    assert_eq!(reach.record_unreachable(keys[0], KNOWN, at), None);
+    let change = reach.record_unreachable(keys[1], KNOWN, at);
+    assert_eq!(change, Some(Change::Lost));
+    reach
+}
+
+/// Guards against a node that goes on trying one upstream after another although it reaches none.
+#[test]
+fn pool_is_lost_when_two_upstreams_are_unreachable_without_contact_in_between() {
+    let reach = lost(TimeMs(10_000));
+    assert!(reach.is_lost());
+}
+
+/// Guards against a node that sends its requests away because one upstream has crashed.
+#[test]
+fn one_unreachable_upstream_or_failures_with_contact_in_between_lose_no_pool() {
+    let keys = keys();
+    let mut reach = PoolReach::default();
+    for at in 0..5 {
+        let now = TimeMs(10_000 + at * 100);
+        assert_eq!(reach.record_unreachable(keys[0], KNOWN, now), None);
+    }
+    reach.record_response();
+    let now = TimeMs(11_000);
+    assert_eq!(reach.record_unreachable(keys[1], KNOWN, now), None);
+    assert_eq!(reach.record_connected(now), None);
+    assert_eq!(reach.record_unreachable(keys[2], KNOWN, now), None);
+    let later = TimeMs(11_000 + FAILURE_TTL_MS);
+    assert_eq!(reach.record_unreachable(keys[0], KNOWN, later), None);
+    assert!(!reach.is_lost());
+}
+
+#[test]
+fn pool_with_one_upstream_is_lost_with_it() {
+    let mut reach = PoolReach::default();
+    let change = reach.record_unreachable(keys()[0], 1, TimeMs(10_000));
+    assert_eq!(change, Some(Change::Lost));
+}
+
+/// Guards against requests on connections that live on while new ones are refused, which would end
+/// the loss at each response.
+#[test]
+fn response_does_not_end_the_loss_of_a_pool() {
+    let mut reach = lost(TimeMs(10_000));
+    reach.record_response();
+    assert!(reach.is_lost());
+    let change = reach.record_connected(TimeMs(12_500));
+    assert_eq!(change, Some(Change::Regained { after_ms: 2_500 }));
+}
+
+/// Guards against a link that heals for a moment.
+#[test]
+fn regained_pool_is_lost_again_with_the_first_failure() {
+    let mut reach = lost(TimeMs(10_000));
+    reach.record_connected(TimeMs(20_000));
+    let change = reach.record_unreachable(keys()[2], KNOWN, TimeMs(20_600));
+    assert_eq!(change, Some(Change::Lost));
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,10 @@
 
 use super::shutdown::Shutdown;
 use super::state::Gateway;
-use super::{announcements, caller_listener, clock, configuration_sync, duties, endpoints, gossip};
+use super::{
+    announcements, caller_listener, clock, configuration_sync, duties, endpoints, gossip,
+    reach_probe,
+};
 use crate::platform::settings::{self, SettingsError};
 
 /// How long connections may take to close once all requests have ended.
@@ -105,6 +108,7 @@
     tokio::spawn(configuration_sync::sync_configuration(Arc::clone(&node)));
     tokio::spawn(configuration_sync::request_confirmations(Arc::clone(&node)));
     tokio::spawn(announcements::sync_upstreams(Arc::clone(&node)));
+    tokio::spawn(reach_probe::run(Arc::clone(&node)));
     let duties = tokio::spawn(duties::run(Arc::clone(&node)));
     let inbound = tokio::spawn(caller_listener::serve(
         callers,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::pool_map::PoolMap;
 use super::prefixes::Prefixes;
 use super::quota::Quotas;
+use super::reach::{Change as ReachChange, PoolReach};
 use super::recent_changes::RecentChanges;
 use super::relay::Relay;
 use super::repeat_budget::{RepeatBudget, Repeats};
@@ -33,7 +34,7 @@
 use super::shutdown::Shutdown;
 use super::store_contact::{StoreAvailability, StoreContact};
 use super::strikes::Strikes;
-use super::upstreams::{UpstreamTable, tag};
+use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
 use crate::platform::store::{self, Store, StoreError};
@@ -67,6 +68,8 @@
     pub demands: Mutex<DemandTracker>,
     pub quotas: Mutex<Quotas>,
     pub repeats: Mutex<PoolMap<Repeats>>,
+    /// Whether this node reaches the upstreams of each pool.
+    pub reach: Mutex<PoolMap<PoolReach>>,
     pub strikes: Mutex<Strikes>,
     pub rollouts: Mutex<Rollouts>,
     pub usage: Mutex<UsageCounts>,
@@ -161,6 +164,7 @@
             demands: Mutex::default(),
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
+            reach: Mutex::default(),
             strikes: Mutex::default(),
             rollouts: Mutex::default(),
             usage: Mutex::new(UsageCounts::new(
@@ -302,6 +306,32 @@
         }
     }
 
+    /// Records that no connection to an upstream of a pool could be opened.
+    pub fn record_unreachable(&self, pool: &str, upstream: UpstreamKey, now: TimeMs) {
+        let known = self.upstreams.lock().accepting_count(pool, now);
+        let change = {
+            let mut reach = self.reach.lock();
+            (reach.get_or_default(pool)).record_unreachable(upstream, known, now)
+        };
+        log_reach_change(pool, change);
+    }
+
+    /// Records that an upstream of a pool accepted a connection.
+    pub fn record_connected(&self, pool: &str, now: TimeMs) {
+        let change = {
+            let mut reach = self.reach.lock();
+            reach.get_or_default(pool).record_connected(now)
+        };
+        log_reach_change(pool, change);
+    }
+
+    /// Returns the pools that this node does not reach.
+    pub fn unreached_pools(&self) -> Vec<String> {
+        let reach = self.reach.lock();
+        let lost = reach.iter().filter(|(_pool, reach)| reach.is_lost());
+        lost.map(|(pool, _reach)| pool.to_owned()).collect()
+    }
+
     /// Returns the speed of a pool's engines: measured by this node, else by its peers, else a
     /// default.
     pub fn pace(&self, pool: &str, now: TimeMs) -> Pace {
@@ -367,6 +397,18 @@
     }
 }
 
+fn log_reach_change(pool: &str, change: Option<ReachChange>) {
+    match change {
+        Some(ReachChange::Lost) => {
+            log::warn!(event = "pool_unreached", pool; "this node reaches no upstream of the pool");
+        }
+        Some(ReachChange::Regained { after_ms }) => {
+            log::info!(event = "pool_reached", pool, after_ms; "this node reaches upstreams of the pool again");
+        }
+        None => {}
+    }
+}
+
 /// Guard of a request in progress.
 #[derive(Debug)]
 pub(crate) struct InFlight {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -462,6 +462,22 @@
         self.by_tag.retain(|(_tag, key)| !is_gone(key));
     }
 
+    /// Returns the number of a pool's upstreams that accept requests.
+    pub fn accepting_count(&self, pool: &str, now: TimeMs) -> usize {
+        self.accepting(pool, now).count()
+    }
+
+    /// Iterates over a pool's upstreams that accept requests.
+    pub fn accepting(
+        &self,
+        pool: &str,
+        now: TimeMs,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.iter().filter(move |(_key, upstream)| {
+            upstream.announcement.pool == pool && upstream.accepts_requests(now)
+        })
+    }
+
     /// Returns the announcements of all present upstreams, sorted by id.
     pub fn announcements_by_id(&self) -> impl Iterator<Item = &Announcement> {
         (self.by_id.iter())
