bug: A node that reaches no upstream has a peer send its callers' requests

Cause: a node counted as able to serve by what it knew. Readiness and the directory asked for the configuration and a list of upstreams; each request tried four connects of 400 ms on its own. Change: the first failed connect has another upstream tried at once; a lost pool is told to peers by a datagram and in statuses, and the directory leaves the node out unless no node reaches all pools. Requests that no upstream has received go to a ready peer that reaches the pool, drawn by capacity, over h2 with bincode, with id, key, deadline and the counts; streams too. Never a second time after they may have run, never on from a peer. The node takes its requests back over a second after it connects again, and failures at upstreams for which its link was to blame are forgotten. If no peer reaches the pool, it tries as before. Evidence: seven tests with nodes in one process, links that refuse or hang, a peer that is lost, peers that lack reach too, callers that leave, charges, and a link that heals; decision tests.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 mod endpoints;
 mod events;
 mod exchange;
+mod forwarding;
 mod fragments;
 mod gauges;
 mod gossip;
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -151,6 +151,11 @@
         });
     }
 
+    /// Closes the idle connections to these upstreams.
+    pub fn close_idle_to(&self, is_closed: impl Fn(UpstreamKey) -> bool) {
+        self.idle.lock().retain(|(key, _kept)| !is_closed(*key));
+    }
+
     /// Closes connections that exceeded their idle time, and those to upstreams that `is_known`
     /// rejects.
     pub fn close_idle(&self, is_known: impl Fn(UpstreamKey) -> bool, now: TimeMs) {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -16,20 +16,27 @@
     pub address: SocketAddr,
     /// Whether the node is in the caller's failure domain.
     pub is_in_caller_domain: bool,
+    /// Whether the node reaches upstreams of all pools.
+    pub reaches_all_pools: bool,
     /// Requests per second that the node can handle.
     pub capacity_per_s: f64,
 }
 
 /// Returns the addresses for one answer.
 ///
-/// Uses nodes of the caller's failure domain, or of all domains if that one has too few. `draw`
-/// returns a uniformly distributed number from 0 to 1 for each node.
+/// Uses nodes of the caller's failure domain, or of all domains if that one has too few. Nodes that
+/// do not reach a pool are left out, unless no node reaches all of them. `draw` returns a uniformly
+/// distributed number from 0 to 1 for each node.
 #[must_use]
 pub(crate) fn addresses(
     candidates: &[Candidate],
     max_addresses: usize,
     mut draw: impl FnMut() -> f64,
 ) -> Vec<SocketAddr> {
+    let any_reaches_all = (candidates.iter()).any(|candidate| candidate.reaches_all_pools);
+    let candidates: Vec<&Candidate> = (candidates.iter())
+        .filter(|candidate| candidate.reaches_all_pools || !any_reaches_all)
+        .collect();
     let near = candidates
         .iter()
         .filter(|candidate| candidate.is_in_caller_domain);
@@ -39,7 +46,7 @@
         .map(|candidate| {
             (
                 draw() / candidate.capacity_per_s.max(f64::MIN_POSITIVE),
-                candidate,
+                *candidate,
             )
         })
         .collect();
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -4,6 +4,7 @@
     Candidate {
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         is_in_caller_domain,
+        reaches_all_pools: true,
         capacity_per_s,
     }
 }
@@ -71,3 +72,40 @@
     assert_eq!(addresses(&candidates, 64, || 0.99).len(), 2);
     assert_eq!(addresses(&[], 64, || 0.5), []);
 }
+
+/// Guards against callers that go on connecting to nodes that reach no upstream, and against a
+/// directory that is empty when the upstreams themselves are gone.
+#[test]
+fn nodes_that_do_not_reach_a_pool_are_left_out_unless_no_node_reaches_all() {
+    let mut candidates: Vec<Candidate> = (0..6).map(|port| candidate(port, true, 160.0)).collect();
+    for candidate in &mut candidates[..4] {
+        candidate.reaches_all_pools = false;
+    }
+    let ports = |candidates: &[Candidate]| {
+        let mut ports: Vec<u16> = (addresses(candidates, 64, draws()).iter())
+            .map(SocketAddr::port)
+            .collect();
+        ports.sort_unstable();
+        ports
+    };
+    assert_eq!(ports(&candidates), [4, 5]);
+    for candidate in &mut candidates {
+        candidate.reaches_all_pools = false;
+    }
+    assert_eq!(ports(&candidates), [0, 1, 2, 3, 4, 5]);
+}
+
+/// Guards against a failure domain whose nodes all lost their links and are still its callers' only
+/// addresses.
+#[test]
+fn callers_of_a_domain_without_reach_get_nodes_of_other_domains() {
+    let mut candidates: Vec<Candidate> = (0..8)
+        .map(|port| candidate(port, port < 4, 160.0))
+        .collect();
+    for candidate in &mut candidates[..4] {
+        candidate.reaches_all_pools = false;
+    }
+    let returned = addresses(&candidates, 64, draws());
+    assert_eq!(returned.len(), 4);
+    assert!(returned.iter().all(|address| address.port() >= 4));
+}
--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -143,15 +143,17 @@
 
 /// Returns the addresses of nodes that accept requests, for a caller in `failure_domain`.
 fn ready_addresses(node: &Gateway, failure_domain: &str, now: TimeMs) -> Vec<SocketAddr> {
+    let own_reaches_all = node.unreached_pools().is_empty();
     let peers = node.peers.lock();
     let ready = peers.active(now).filter(|peer| peer.is_ready);
-    let own = node.is_ready(now).then(|| peers.own());
+    let own = (node.is_ready(now)).then(|| (peers.own(), own_reaches_all));
     let candidates: Vec<Candidate> = ready
-        .map(|peer| &peer.member)
+        .map(|peer| (&peer.member, peer.reaches_all_pools()))
         .chain(own)
-        .map(|member| Candidate {
+        .map(|(member, reaches_all_pools)| Candidate {
             address: member.caller_address,
             is_in_caller_domain: member.failure_domain == failure_domain,
+            reaches_all_pools,
             capacity_per_s: member.capacity_per_s,
         })
         .collect();
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod dispatch;
+mod forward;
 mod request_log;
 mod stream;
 mod upstream_request;
@@ -11,7 +12,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use futures::Stream;
+use futures::{Stream, StreamExt};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{Either, Full, StreamBody};
@@ -19,10 +20,12 @@
 
 use self::admission::Plan;
 use self::attempts::Attempts;
+use self::dispatch::Unsent;
 use self::request_log::RequestLog;
 use self::stream::StreamInterrupted;
 use self::upstream_response::UpstreamResponse;
 use super::clock;
+use super::forwarding::ForwardedRequest;
 use super::refusal::Refusal;
 use super::state::Gateway;
 use crate::platform::headers;
@@ -44,20 +47,25 @@
     // and hides the other one. The connection is closed after such a request, so that no request
     // hidden inside its body is ever read.
     let closes_connection = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let answered = match admission::admit(&node, parts, body, received_at, &mut request_log).await {
+    let executed = match admission::admit(&node, parts, body, received_at, &mut request_log).await {
         Ok(plan) => execute(&node, plan, &mut request_log).await,
         Err(refusal) => Err(refusal),
     };
-    let mut response = match answered {
-        Ok(CallerResponse::Whole(response)) => {
+    let mut response = match executed {
+        Ok(Executed::Whole(response)) => {
             request_log.finish_answered(response.status(), clock::now());
             response.map(|body| Either::Left(Full::new(body)))
         }
-        Ok(CallerResponse::Stream(stream)) => {
-            let stream = *stream;
+        Ok(Executed::Stream(stream)) => {
             let head = stream.head();
-            let events = stream::forward(Arc::clone(&node), stream, request_log, in_flight);
-            head.map(|()| Either::Right(StreamBody::new(events)))
+            let events = stream::forward(Arc::clone(&node), *stream, request_log, in_flight);
+            head.map(|()| Either::Right(StreamBody::new(events.left_stream())))
+        }
+        Ok(Executed::Forwarded(stream)) => {
+            request_log.record_first_event(clock::now());
+            let head = stream.head();
+            let events = forward::relay(*stream, request_log, in_flight);
+            head.map(|()| Either::Right(StreamBody::new(events.right_stream())))
         }
         Err(refusal) => {
             request_log.finish_refused(&refusal, clock::now());
@@ -73,51 +81,132 @@
     response
 }
 
-/// The response that a caller receives.
-enum CallerResponse {
+/// Handles a request that a peer forwarded and returns its response.
+///
+/// # Errors
+///
+/// The reason why the request has no response of an upstream.
+pub(crate) async fn answer_forwarded(
+    node: &Arc<Gateway>,
+    request: ForwardedRequest,
+) -> Result<
+    CallerResponse<impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>> + use<>>,
+    Refusal,
+> {
+    let received_at = clock::now();
+    let in_flight = node.track_request();
+    let mut request_log = RequestLog::of_forwarded(&request.node, received_at);
+    let mut attempts = Attempts::of_forwarded(request.is_counted);
+    let executed = match admission::admit_forwarded(node, request, received_at, &mut request_log) {
+        Ok(plan) => execute_here(node, &Arc::new(plan), &mut attempts, &mut request_log).await,
+        Err(refusal) => Err(Unsent::Refused(refusal)),
+    };
+    match executed {
+        Ok(Local::Whole(response)) => {
+            request_log.finish_answered(response.status(), clock::now());
+            Ok(CallerResponse::Whole(response))
+        }
+        Ok(Local::Stream(stream)) => {
+            let head = stream.head();
+            let events = stream::forward(Arc::clone(node), *stream, request_log, in_flight);
+            Ok(CallerResponse::Stream(head, events))
+        }
+        Err(unsent) => {
+            let refusal = unsent.refusal();
+            request_log.finish_refused(&refusal, clock::now());
+            Err(refusal)
+        }
+    }
+}
+
+/// The response that a caller receives: complete, or its head and a stream of events.
+pub(crate) enum CallerResponse<S> {
+    Whole(Response<Bytes>),
+    Stream(Response<()>, S),
+}
+
+/// The response to a request that this node or a peer sent to an upstream.
+enum Executed {
     Whole(Response<Bytes>),
     /// A stream whose first events have been received.
     Stream(Box<stream::OpenStream>),
+    /// A stream of a peer.
+    Forwarded(Box<forward::ForwardedStream>),
 }
 
-/// Sends a request until an upstream answers it or another send is not allowed.
+/// Sends a request to an upstream, or hands it to a peer if this node does not reach its pool.
 async fn execute(
     node: &Arc<Gateway>,
     plan: Plan,
     request_log: &mut RequestLog,
-) -> Result<CallerResponse, Refusal> {
-    let mut attempts = Attempts::default();
+) -> Result<Executed, Refusal> {
     let plan = Arc::new(plan);
+    let mut attempts = Attempts::default();
+    let mut serves_itself = node.serves_itself(&plan.pool, plan.draw, clock::now());
+    loop {
+        if !serves_itself {
+            match forward::forward(node, &plan, &mut attempts, request_log).await {
+                Some(forwarded) => {
+                    if forwarded.is_err() {
+                        plan.refund_quota(node, &attempts, clock::now());
+                    }
+                    return forwarded;
+                }
+                None => attempts.keep_here(),
+            }
+        }
+        match execute_here(node, &plan, &mut attempts, request_log).await {
+            Ok(Local::Whole(response)) => return Ok(Executed::Whole(response)),
+            Ok(Local::Stream(stream)) => return Ok(Executed::Stream(stream)),
+            Err(Unsent::Refused(refusal)) => return Err(refusal),
+            Err(Unsent::Unreached(_refusal)) => serves_itself = false,
+        }
+    }
+}
+
+/// The response to a request that this node sent to an upstream.
+enum Local {
+    Whole(Response<Bytes>),
+    /// A stream whose first events have been received.
+    Stream(Box<stream::OpenStream>),
+}
+
+/// Sends a request until an upstream answers it or another send is not allowed.
+async fn execute_here(
+    node: &Arc<Gateway>,
+    plan: &Arc<Plan>,
+    attempts: &mut Attempts,
+    request_log: &mut RequestLog,
+) -> Result<Local, Unsent> {
     // The 5xx response of the previous upstream, returned if no other upstream answers.
     let mut failed_response: Option<Response<Bytes>> = None;
     loop {
-        let sent = dispatch::send(node, &plan, &mut attempts, None, request_log).await;
+        let sent = dispatch::send(node, plan, attempts, None, request_log).await;
         let upstream_response = match (sent, failed_response) {
             (Ok(upstream_response), _) => upstream_response,
-            (Err(_refusal), Some(failed)) => return Ok(CallerResponse::Whole(failed)),
-            (Err(refusal), None) => {
-                plan.refund_quota(node, &attempts, clock::now());
-                return Err(refusal);
+            (Err(_unsent), Some(failed)) => return Ok(Local::Whole(failed)),
+            (Err(Unsent::Refused(refusal)), None) => {
+                plan.refund_quota(node, attempts, clock::now());
+                return Err(refusal.into());
             }
+            (Err(unreached), None) => return Err(unreached),
         };
         failed_response = None;
         let is_stream = plan.route().is_stream && upstream_response.status() == StatusCode::OK;
         if is_stream {
-            match stream::open_stream(node, &plan, &mut attempts, upstream_response, request_log)
-                .await
-            {
-                Some(open_stream) => return Ok(CallerResponse::Stream(Box::new(open_stream))),
-                None if plan.may_repeat(&attempts) => continue,
-                None => return Err(attempts.final_refusal(&plan, clock::now())),
+            match stream::open_stream(node, plan, attempts, upstream_response, request_log).await {
+                Some(open_stream) => return Ok(Local::Stream(Box::new(open_stream))),
+                None if plan.may_repeat(attempts) => continue,
+                None => return Err(attempts.final_refusal(plan, clock::now()).into()),
             }
         }
-        match read_whole(node, &plan, &mut attempts, upstream_response, request_log).await {
-            Some(response) if is_failure(&response) && plan.may_repeat(&attempts) => {
+        match read_whole(node, plan, attempts, upstream_response, request_log).await {
+            Some(response) if is_failure(&response) && plan.may_repeat(attempts) => {
                 failed_response = Some(response);
             }
-            Some(response) => return Ok(CallerResponse::Whole(response)),
-            None if plan.may_repeat(&attempts) => {}
-            None => return Err(attempts.final_refusal(&plan, clock::now())),
+            Some(response) => return Ok(Local::Whole(response)),
+            None if plan.may_repeat(attempts) => {}
+            None => return Err(attempts.final_refusal(plan, clock::now()).into()),
         }
     }
 }
@@ -157,3 +246,6 @@
     );
     response
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -13,9 +13,10 @@
 use super::request_log::RequestLog;
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
+use crate::gateway::forwarding::{self, ForwardedRequest};
 use crate::gateway::quota::{self, Admission};
 use crate::gateway::refusal::Refusal;
-use crate::gateway::request_head::RequestHead;
+use crate::gateway::request_head::{Malformed, RequestHead};
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes;
 use crate::gateway::upstreams::tag;
@@ -86,6 +87,15 @@
     }
 }
 
+/// The head of a request that the configuration allows.
+struct Checked {
+    head: RequestHead,
+    catalog: Arc<Catalog>,
+    route: RouteKey,
+    team: Option<TeamKey>,
+    deadline: TimeMs,
+}
+
 /// Checks a request against the configuration and quotas and reads its body.
 ///
 /// # Errors
@@ -98,6 +108,55 @@
     received_at: TimeMs,
     request_log: &mut RequestLog,
 ) -> Result<Plan, Refusal> {
+    let checked = check(node, &parts, received_at, request_log)?;
+    let max_bytes = checked.catalog.limits.max_body_bytes;
+    let body = read_body(body, max_bytes, checked.deadline).await?;
+    let mut plan = plan(node, parts, checked, body)?;
+    if let Some(team) = plan.team() {
+        plan.charge = charge(node, team, &plan.head, clock::now())?;
+    }
+    Ok(plan)
+}
+
+/// Checks a request that a peer forwarded against the configuration.
+///
+/// The peer has charged the team's quota, and has told it to all nodes.
+///
+/// # Errors
+///
+/// The refusal to return to the peer if the request is not admitted.
+pub(super) fn admit_forwarded(
+    node: &Gateway,
+    request: ForwardedRequest,
+    received_at: TimeMs,
+    request_log: &mut RequestLog,
+) -> Result<Plan, Refusal> {
+    let (parts, body) = forwarded_parts(request).ok_or(Malformed::Forwarded)?;
+    let checked = check(node, &parts, received_at, request_log)?;
+    plan(node, parts, checked, body)
+}
+
+/// Returns the head and the body of a forwarded request; `None` if they are not valid HTTP.
+fn forwarded_parts(request: ForwardedRequest) -> Option<(Parts, Bytes)> {
+    let (mut parts, ()) = http::Request::new(()).into_parts();
+    parts.method = Method::from_bytes(request.method.as_bytes()).ok()?;
+    parts.uri = request.uri.parse().ok()?;
+    parts.headers = forwarding::decode_headers(&request.headers)?;
+    headers::restore_caller_headers(
+        &mut parts.headers,
+        request.key.as_deref(),
+        request.time_left_ms,
+    );
+    Some((parts, Bytes::from(request.body)))
+}
+
+/// Checks the head of a request against the configuration in force.
+fn check(
+    node: &Gateway,
+    parts: &Parts,
+    received_at: TimeMs,
+    request_log: &mut RequestLog,
+) -> Result<Checked, Refusal> {
     let head = headers::read_request_head(&parts.headers)?;
     request_log.set_request_id(&head.id);
     let settings = node.settings();
@@ -108,8 +167,7 @@
     let is_fresh = in_force.is_fresh(settings.bounds.revoke_ms, received_at);
     let configuration_age_ms = received_at.since(in_force.confirmed_at);
     let catalog = in_force.catalog;
-    let path = parts.uri.path();
-    let route = catalog.route_of(&head.host, path);
+    let route = catalog.route_of(&head.host, parts.uri.path());
     let (route, team) = match route.map(|key| (key, catalog.route(key))) {
         // A stale configuration may lack routes and API keys that were added since.
         _ if !is_fresh && catalog.has_teams() => return Err(Refusal::StaleConfiguration),
@@ -130,16 +188,29 @@
     if !node.accepts_request(found.is_stream, clock::now()) {
         return Err(Refusal::Stopping);
     }
-    let body = read_body(body, catalog.limits.max_body_bytes, deadline).await?;
-    let content_hash = strikes::content_hash(path, head.key.as_deref(), &body);
-    let now = clock::now();
-    if node.strikes.lock().is_blocked(content_hash, now) {
+    Ok(Checked {
+        head,
+        catalog,
+        route,
+        team,
+        deadline,
+    })
+}
+
+/// Plans a request whose body has been read.
+fn plan(node: &Gateway, parts: Parts, checked: Checked, body: Bytes) -> Result<Plan, Refusal> {
+    let Checked {
+        head,
+        catalog,
+        route,
+        team,
+        deadline,
+    } = checked;
+    let found = catalog.route(route);
+    let content_hash = strikes::content_hash(parts.uri.path(), head.key.as_deref(), &body);
+    if node.strikes.lock().is_blocked(content_hash, clock::now()) {
         return Err(Refusal::Breaking);
     }
-    let charge = match team {
-        Some(team) => charge(node, catalog.team(team), &head, now)?,
-        None => 0.0,
-    };
     let priority = team.and_then(|team| catalog.team(team).priority);
     let priority = priority.unwrap_or(found.priority);
     let draw = tag(&head.id);
@@ -161,7 +232,7 @@
             .min(LOWEST_URGENCY),
         content_hash,
         draw,
-        charge,
+        charge: 0.0,
         head,
         route,
         team,
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -10,6 +10,10 @@
 /// Each costs up to a connect timeout; after 4 the remaining ones are as unlikely to accept it.
 const MAX_UNDELIVERED: usize = 4;
 
+/// The same for a request that a peer forwarded: this node may be cut off as well, and the peer asks
+/// another one.
+const MAX_UNDELIVERED_FORWARDED: usize = 2;
+
 /// `Retry-After` of a pool that refused a non-streaming call: a slot is free again within a few
 /// tens of milliseconds.
 const PLAIN_RETRY_MS: u64 = 80;
@@ -30,9 +34,39 @@
     undelivered: usize,
     /// Whether the request has been counted as one of its pool's requests.
     is_counted: bool,
+    /// Whether this node has to send the request itself.
+    is_kept_here: bool,
+    /// Whether a peer forwarded the request.
+    is_forwarded: bool,
 }
 
 impl Attempts {
+    /// Returns the attempts for a request that a peer forwarded; `is_counted` states whether the peer
+    /// has counted it as one of its pool's requests.
+    pub fn of_forwarded(is_counted: bool) -> Self {
+        Self {
+            is_counted,
+            is_kept_here: true,
+            is_forwarded: true,
+            ..Self::default()
+        }
+    }
+
+    /// Records that no peer can send the request in place of this node.
+    pub fn keep_here(&mut self) {
+        self.is_kept_here = true;
+    }
+
+    /// Whether a peer may be asked to send the request: no upstream has received it.
+    pub fn may_forward(&self) -> bool {
+        !self.is_kept_here && self.sends == 0
+    }
+
+    /// Whether the request has been counted as one of its pool's requests.
+    pub fn is_counted(&self) -> bool {
+        self.is_counted
+    }
+
     /// Returns the number of upstreams that may have executed the request.
     pub fn executions(&self) -> u32 {
         self.executions
@@ -79,7 +113,12 @@
 
     /// Returns whether so many upstreams did not accept the request that it is given up.
     pub fn has_too_many_undelivered(&self) -> bool {
-        self.undelivered >= MAX_UNDELIVERED
+        let max_undelivered = if self.is_forwarded {
+            MAX_UNDELIVERED_FORWARDED
+        } else {
+            MAX_UNDELIVERED
+        };
+        self.undelivered >= max_undelivered
     }
 
     /// Returns the refusal for a request that is not sent again.
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -22,6 +22,8 @@
 use crate::gateway::connections::Connection;
 use crate::gateway::demand::EngineRequest;
 use crate::gateway::health::Outcome;
+use crate::gateway::reach;
+use crate::gateway::reach_probe;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::repeat_budget;
 use crate::gateway::request_head::Prompt;
@@ -41,20 +43,44 @@
     MayHaveRun(&'static str, String),
 }
 
+/// Why a request was not sent, or not sent once more.
+pub(super) enum Unsent {
+    /// The caller gets this refusal.
+    Refused(Refusal),
+    /// This node does not reach the pool. The caller gets this refusal unless a peer reaches it.
+    Unreached(Refusal),
+}
+
+impl From<Refusal> for Unsent {
+    fn from(refusal: Refusal) -> Self {
+        Self::Refused(refusal)
+    }
+}
+
+impl Unsent {
+    /// Returns the refusal for the caller if no peer sends the request.
+    pub fn refusal(self) -> Refusal {
+        match self {
+            Self::Refused(refusal) | Self::Unreached(refusal) => refusal,
+        }
+    }
+}
+
 /// Sends a request until an upstream answers it.
 ///
 /// With `resume_after`, the upstream is asked to resume the stream after the event of that id.
 ///
 /// # Errors
 ///
-/// The refusal to return to the caller if no further upstream may be tried.
+/// The refusal to return to the caller if no further upstream may be tried, or that this node does
+/// not reach the pool and no upstream has received the request.
 pub(super) async fn send(
     node: &Arc<Gateway>,
     plan: &Plan,
     attempts: &mut Attempts,
     resume_after: Option<u64>,
     request_log: &mut RequestLog,
-) -> Result<UpstreamResponse, Refusal> {
+) -> Result<UpstreamResponse, Unsent> {
     loop {
         let now = clock::now();
         let choice = select_upstream(node, plan, attempts, now)?;
@@ -74,7 +100,10 @@
         attempts.exclude(choice.upstream);
         request_log.record_failed_attempt(reason, &detail, now);
         if attempts.executions() > 0 && !plan.may_repeat(attempts) {
-            return Err(attempts.final_refusal(plan, now));
+            return Err(attempts.final_refusal(plan, now).into());
+        }
+        if attempts.may_forward() && node.is_unreached(&plan.pool) {
+            return Err(Unsent::Unreached(attempts.final_refusal(plan, now)));
         }
     }
 }
@@ -324,7 +353,7 @@
 
 /// Returns a connection to an upstream, and records whether a new one could be opened.
 async fn open_channel(
-    node: &Gateway,
+    node: &Arc<Gateway>,
     plan: &Plan,
     upstream: UpstreamKey,
     address: SocketAddr,
@@ -346,7 +375,10 @@
             if let Some(upstream) = node.upstreams.lock().get_mut(upstream) {
                 upstream.health.record_unreachable(now);
             }
-            node.record_unreachable(&plan.pool, upstream, now);
+            let change = node.record_unreachable(&plan.pool, upstream, now);
+            if change == Some(reach::Change::Suspected) {
+                tokio::spawn(reach_probe::probe(Arc::clone(node), plan.pool.clone()));
+            }
             Err(SendError::NotRun("unreachable", error.to_string()))
         }
     }
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -79,6 +79,10 @@
     team: Option<String>,
     configuration_version: u64,
     upstream: String,
+    /// The peer that this node last asked to send the request.
+    forwarded_to: String,
+    /// The node that received the request from the caller, if that was another one.
+    forwarded_by: Option<String>,
     inputs: SelectionInputs,
     sends: u32,
     first_ms: Option<u64>,
@@ -101,6 +105,8 @@
             team: None,
             configuration_version: 0,
             upstream: String::new(),
+            forwarded_to: String::new(),
+            forwarded_by: None,
             inputs: SelectionInputs::default(),
             sends: 0,
             first_ms: None,
@@ -111,6 +117,15 @@
         }
     }
 
+    /// Returns the log of a request that the node `by` received from the caller.
+    ///
+    /// That node counts the request and measures its times; this one only logs its end.
+    pub fn of_forwarded(by: &str, received_at: TimeMs) -> Self {
+        let mut request_log = Self::new(received_at);
+        request_log.forwarded_by = Some(by.to_owned());
+        request_log
+    }
+
     pub fn request_id(&self) -> Option<&str> {
         self.request_id.as_deref()
     }
@@ -123,7 +138,9 @@
     pub fn set_route(&mut self, route: &Route, label: String, team: Option<&str>) {
         route.name.clone_into(&mut self.route);
         let kind = if route.is_stream { "stream" } else { "plain" };
-        self.measures = Some(Measures::new(label, kind));
+        if self.forwarded_by.is_none() {
+            self.measures = Some(Measures::new(label, kind));
+        }
         self.team = team.map(str::to_owned);
     }
 
@@ -143,6 +160,11 @@
         self.sends += 1;
     }
 
+    /// Records that a peer is asked to send the request.
+    pub fn record_forward(&mut self, peer: &str) {
+        peer.clone_into(&mut self.forwarded_to);
+    }
+
     /// Logs and counts a failed attempt, whether or not another one follows.
     pub fn record_failed_attempt(&self, reason: &'static str, detail: &str, now: TimeMs) {
         metrics::counter!("teaselline_attempts_failed_total", "reason" => reason).increment(1);
@@ -202,8 +224,10 @@
 
     fn finish(&mut self, outcome: &'static str, reason: &str, now: TimeMs) {
         self.is_finished = true;
-        metrics::counter!("teaselline_requests_total", "outcome" => outcome, "reason" => reason.to_owned())
-            .increment(1);
+        if self.forwarded_by.is_none() {
+            metrics::counter!("teaselline_requests_total", "outcome" => outcome, "reason" => reason.to_owned())
+                .increment(1);
+        }
         let took_ms = now.since(self.received_at);
         if let Some(measures) = &self.measures {
             measures.answer.record(num::to_f64(took_ms));
@@ -216,6 +240,8 @@
             route = self.route.as_str(),
             team = self.team.as_deref().unwrap_or_default(),
             upstream = self.upstream.as_str(),
+            forwarded_to = self.forwarded_to.as_str(),
+            forwarded_by = self.forwarded_by.as_deref().unwrap_or_default(),
             expected_ms = self.inputs.expected_ms,
             upstream_running = self.inputs.running,
             upstream_slots = self.inputs.slots,
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the stream was interrupted before its end: {reason}")]
 pub(crate) struct StreamInterrupted {
-    reason: &'static str,
+    pub reason: &'static str,
 }
 
 /// A stream whose first events have been received.
@@ -291,8 +291,9 @@
             request_log.record_failed_attempt("not_resumed", status.as_str(), clock::now());
             None
         }
-        Err(refusal) => {
-            request_log.record_failed_attempt("not_resumed", refusal.reason(), clock::now());
+        Err(unsent) => {
+            let reason = unsent.refusal().reason();
+            request_log.record_failed_attempt("not_resumed", reason, clock::now());
             None
         }
     }
--- /dev/null
+++ b/src/gateway/forwarding/server.rs
@@ -0,0 +1,84 @@
+//! Sends the requests that peers forward to upstreams.
+
+use std::sync::Arc;
+
+use futures::{Stream, StreamExt};
+use http_body::Frame;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use super::{ForwardItem, ForwardReply, ForwardedHead, ForwardedRequest, Forwarding, fleet_key};
+use crate::gateway::exchange::{self, CallerResponse};
+use crate::gateway::state::Gateway;
+use crate::keys::Incarnation;
+use crate::peers::{Handler, HandlerResponse, Server};
+
+/// Batches of events that wait for a peer that reads slowly.
+const MAX_WAITING_BATCHES: usize = 16;
+
+/// Handles the requests that peers forward.
+#[derive(Debug)]
+struct ForwardHandler {
+    node: Arc<Gateway>,
+}
+
+/// Serves peers until `end` is cancelled.
+pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, end: CancellationToken) {
+    let server = Server::new(fleet_key(node.settings().store_address));
+    let handler = Arc::new(ForwardHandler { node });
+    server.serve(listener, handler, end).await;
+}
+
+impl Handler for ForwardHandler {
+    type Protocol = Forwarding;
+
+    async fn handle(
+        &self,
+        from: Incarnation,
+        request: ForwardedRequest,
+    ) -> HandlerResponse<Forwarding> {
+        log::debug!(peer:% = from, node = request.node.as_str(); "received a forwarded request");
+        match exchange::answer_forwarded(&self.node, request).await {
+            Ok(CallerResponse::Whole(response)) => {
+                let head = ForwardedHead::new(response.status(), response.headers());
+                HandlerResponse::Reply(ForwardReply::Whole(head, response.into_body().into()))
+            }
+            Ok(CallerResponse::Stream(head, events)) => {
+                let head = ForwardedHead::new(head.status(), head.headers());
+                let (sender, receiver) = mpsc::channel(MAX_WAITING_BATCHES);
+                tokio::spawn(send_events(events, sender));
+                HandlerResponse::Stream(ForwardReply::Stream(head), receiver)
+            }
+            Err(refusal) => HandlerResponse::Reply(ForwardReply::refused(&refusal)),
+        }
+    }
+}
+
+/// Sends a stream's events and its end; a stream that is interrupted has no end.
+///
+/// The stream is dropped as soon as the peer disconnects, so that the upstream stops its work.
+async fn send_events<E>(
+    events: impl Stream<Item = Result<Frame<bytes::Bytes>, E>>,
+    sender: mpsc::Sender<ForwardItem>,
+) {
+    let mut events = std::pin::pin!(events);
+    loop {
+        let next = tokio::select! {
+            () = sender.closed() => return,
+            next = events.next() => next,
+        };
+        let item = match next {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(bytes) => ForwardItem::Events(bytes.into()),
+                Err(_trailers) => continue,
+            },
+            Some(Err(_interrupted)) => return,
+            None => ForwardItem::End,
+        };
+        let is_end = item == ForwardItem::End;
+        if sender.send(item).await.is_err() || is_end {
+            return;
+        }
+    }
+}
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -77,6 +77,7 @@
         }
         Message::Limit(told) => apply_limit(node, &told, now),
         Message::Leaving(upstream) => apply_leaving(node, upstream, now),
+        Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
         Message::Strike(strike) => {
             node.strikes.lock().record(strike, now);
         }
--- a/src/gateway/gossip/statements.rs
+++ b/src/gateway/gossip/statements.rs
@@ -7,6 +7,7 @@
 use crate::gateway::demand::DemandTracker;
 use crate::gateway::messages::{Account, Heartbeat, Member, Status};
 use crate::gateway::state::Gateway;
+use crate::gateway::upstreams::tag;
 use crate::gateway::usage::UsageCounts;
 use crate::time::TimeMs;
 
@@ -64,6 +65,11 @@
         strikes: node.strikes.lock().blocked_strikes(now),
         limits,
         leaving,
+        unreached: node
+            .unreached_pools()
+            .iter()
+            .map(|pool| tag(pool))
+            .collect(),
     }
 }
 
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -93,6 +93,12 @@
         self.pause(now);
     }
 
+    /// Forgets failures for which this node's own link was to blame, and ends a pause for them.
+    pub fn forgive_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.paused_until = TimeMs(0);
+    }
+
     fn pause(&mut self, now: TimeMs) {
         let doublings = (self.consecutive_failures - FAILURES_BEFORE_PAUSE).min(4);
         let pause_ms = (FIRST_PAUSE_MS << doublings).min(MAX_PAUSE_MS);
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -71,6 +71,8 @@
     Limit(LimitReport),
     /// The tag of an upstream that stated in a response that it is leaving.
     Leaving(u64),
+    /// The pools that a node does not reach, after a change.
+    Unreached(UnreachedPools),
     /// A part of a message that exceeds a datagram.
     Fragment(Fragment),
     /// A message that the recipient applies and sends to the other nodes of its group.
@@ -112,6 +114,7 @@
             Self::Strike(_) => "strike",
             Self::Limit(_) => "limit",
             Self::Leaving(_) => "leaving",
+            Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
         }
@@ -202,6 +205,19 @@
     pub limits: Vec<LimitReport>,
     /// Upstreams that stated in responses, but not in their announcements, that they are leaving.
     pub leaving: Vec<u64>,
+    /// Tags of the pools whose upstreams the node does not reach.
+    pub unreached: Vec<u64>,
+}
+
+/// The pools that a node does not reach.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct UnreachedPools {
+    /// Incarnation of the node.
+    pub incarnation: u64,
+    /// See [`Status::sequence`].
+    pub sequence: u64,
+    /// Tags of the pools.
+    pub pools: Vec<u64>,
 }
 
 impl Status {
@@ -237,6 +253,7 @@
             || self.observed != other.observed
             || self.decided != other.decided
             || self.leaving != other.leaving
+            || self.unreached != other.unreached
             || strikes(self) != strikes(other)
             || limits(self) != limits(other)
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 
 use super::groups::GroupPosition;
 use super::lease::Holder;
-use super::messages::{Heartbeat, Member, Status};
+use super::messages::{Heartbeat, Member, Status, UnreachedPools};
 use super::rank;
 use super::relay::ALIVE_INTERVAL_MS;
 use super::store_contact::StoreAvailability;
@@ -58,12 +58,22 @@
     pub is_ready: bool,
     pub is_stopping: bool,
     pub store: StoreAvailability,
+    /// Tags of the pools whose upstreams the peer does not reach.
+    unreached: Vec<u64>,
     /// The peer's time of day minus this node's monotonic clock at its last heartbeat; `None`
     /// without a heartbeat, at a peer of another group.
     pub time_of_day_offset_ms: Option<i128>,
     position: GroupPosition,
 }
 
+/// A peer that may send a request in place of this node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ForwardTarget {
+    pub incarnation: u64,
+    pub name: String,
+    pub address: SocketAddr,
+}
+
 /// All peers of this node, sorted by name.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -168,6 +178,48 @@
         is_newer
     }
 
+    /// Records a peer's change of the pools that it reaches, unless a newer one is known.
+    pub fn record_unreached(&mut self, unreached: &UnreachedPools) {
+        let Some(index) = self.division().find(unreached.incarnation) else {
+            return;
+        };
+        let peer = &mut self.by_name[index];
+        if unreached.sequence > peer.sequence {
+            peer.sequence = unreached.sequence;
+            peer.unreached.clone_from(&unreached.pools);
+        }
+    }
+
+    /// Selects a ready peer that reaches a pool, in proportion to the peers' capacity; `None` if no
+    /// such peer is left besides those `tried`.
+    ///
+    /// `draw` is uniform from 0 to 1.
+    pub fn forward_target(
+        &self,
+        pool: u64,
+        tried: &[u64],
+        draw: f64,
+        now: TimeMs,
+    ) -> Option<ForwardTarget> {
+        let eligible: Vec<&Member> = (self.active(now))
+            .filter(|peer| peer.is_ready && !peer.unreached.contains(&pool))
+            .map(|peer| &peer.member)
+            .filter(|member| !tried.contains(&member.incarnation))
+            .collect();
+        let capacity_per_s: f64 = eligible.iter().map(|member| member.capacity_per_s).sum();
+        let mut left_per_s = draw * capacity_per_s;
+        let selected = eligible.iter().find(|member| {
+            left_per_s -= member.capacity_per_s;
+            left_per_s <= 0.0
+        });
+        let member = selected.or(eligible.last())?;
+        Some(ForwardTarget {
+            incarnation: member.incarnation,
+            name: member.name.clone(),
+            address: member.gossip_address,
+        })
+    }
+
     /// Returns the name of the peer with this incarnation.
     pub fn name_of(&mut self, incarnation: u64) -> Option<&str> {
         let index = self.division().find(incarnation)?;
@@ -427,6 +479,7 @@
             is_ready: false,
             is_stopping: false,
             store: StoreAvailability::NotCalled,
+            unreached: Vec::new(),
             time_of_day_offset_ms: None,
             position,
         }
@@ -443,6 +496,12 @@
         self.is_ready = status.is_ready;
         self.is_stopping = status.is_stopping;
         self.store = status.store;
+        self.unreached.clone_from(&status.unreached);
+    }
+
+    /// Whether the peer reaches the upstreams of all pools.
+    pub fn reaches_all_pools(&self) -> bool {
+        self.unreached.is_empty()
     }
 }
 
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -151,3 +151,51 @@
     peers.record_heartbeat(&stopping, TimeMs(1_000));
     assert_eq!(peers.known_nodes(), 4);
 }
+
+fn ready_heartbeat(name: &str, unreached: &[u64]) -> Heartbeat {
+    let mut heartbeat = heartbeat(name, 0);
+    heartbeat.status.is_ready = true;
+    heartbeat.status.unreached = unreached.to_vec();
+    heartbeat
+}
+
+/// Guards against a request that is handed to a node which does not reach its pool either, is not
+/// ready, or was asked before.
+#[test]
+fn request_is_forwarded_only_to_ready_peers_that_reach_its_pool() {
+    const POOL: u64 = 7;
+    let mut peers = Peers::new(member("a", 1));
+    let now = TimeMs(1_000);
+    let target = |peers: &Peers, tried: &[u64]| {
+        let target = peers.forward_target(POOL, tried, 0.5, now);
+        target.map(|target| target.name)
+    };
+    assert_eq!(target(&peers, &[]), None);
+    peers.record_heartbeat(&heartbeat("b", 0), now);
+    peers.record_heartbeat(&ready_heartbeat("c", &[POOL]), now);
+    assert_eq!(target(&peers, &[]), None);
+    peers.record_heartbeat(&ready_heartbeat("d", &[POOL + 1]), now);
+    assert_eq!(target(&peers, &[]).as_deref(), Some("d"));
+    let tried = peers.forward_target(POOL, &[], 0.5, now).expect("a peer");
+    assert_eq!(target(&peers, &[tried.incarnation]), None);
+}
+
+/// Guards against a late report that a peer reaches a pool again, or does not.
+#[test]
+fn older_report_of_unreached_pools_is_ignored() {
+    const POOL: u64 = 7;
+    let mut peers = Peers::new(member("a", 1));
+    let now = TimeMs(1_000);
+    let mut heartbeat = ready_heartbeat("b", &[]);
+    heartbeat.status.sequence = 9;
+    peers.record_heartbeat(&heartbeat, now);
+    let report = |sequence| UnreachedPools {
+        incarnation: heartbeat.status.incarnation,
+        sequence,
+        pools: vec![POOL],
+    };
+    peers.record_unreached(&report(8));
+    assert!(peers.forward_target(POOL, &[], 0.5, now).is_some());
+    peers.record_unreached(&report(10));
+    assert!(peers.forward_target(POOL, &[], 0.5, now).is_none());
+}
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -14,13 +14,16 @@
 /// Time after which a failure to connect no longer counts.
 const FAILURE_TTL_MS: u64 = 3_000;
 
-/// Time after a pool is regained in which one failure loses it again. A link may work for a moment
-/// only.
+/// Time over which a node that reaches a pool again takes back its requests. A link may work for a
+/// moment only.
 const RETURN_MS: u64 = 1_000;
 
 /// A change of whether this node reaches a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Change {
+    /// The first failure since the last contact. A connection to another upstream tells whether the
+    /// pool is lost.
+    Suspected,
     Lost,
     Regained {
         /// For how long the pool was unreached.
@@ -45,6 +48,12 @@
         self.lost_at.is_some()
     }
 
+    /// Whether this node sends a request with this uniform draw to the pool itself, rather than
+    /// through a peer that reaches the pool.
+    pub fn serves_itself(&self, draw: u64, now: TimeMs) -> bool {
+        !self.is_lost() && now.since(self.regained_at) > draw % RETURN_MS
+    }
+
     /// Records that no connection to an upstream could be opened; `known` is the number of the
     /// pool's upstreams that accept requests.
     pub fn record_unreachable(
@@ -54,6 +63,7 @@
         now: TimeMs,
     ) -> Option<Change> {
         (self.failed).retain(|(_upstream, at)| now.since(*at) < FAILURE_TTL_MS);
+        let is_first = self.failed.is_empty();
         match (self.failed).binary_search_by_key(&upstream, |(failed, _at)| *failed) {
             Ok(index) => self.failed[index].1 = now,
             Err(index) => self.failed.insert(index, (upstream, now)),
@@ -65,11 +75,20 @@
             MIN_FAILED_UPSTREAMS
         };
         let is_lost = self.failed.len() >= needed.min(known.max(1));
-        if self.is_lost() || !is_lost {
-            return None;
+        match is_lost {
+            _ if self.is_lost() => None,
+            true => {
+                self.lost_at = Some(now);
+                Some(Change::Lost)
+            }
+            false => is_first.then_some(Change::Suspected),
         }
-        self.lost_at = Some(now);
-        Some(Change::Lost)
+    }
+
+    /// Whether connecting to an upstream failed since the last contact to the pool.
+    pub fn has_failed(&self, upstream: UpstreamKey) -> bool {
+        let found = (self.failed).binary_search_by_key(&upstream, |(failed, _at)| *failed);
+        found.is_ok()
     }
 
     /// Records that an upstream accepted a connection.
--- a/src/gateway/reach_probe.rs
+++ b/src/gateway/reach_probe.rs
@@ -24,12 +24,17 @@
     }
 }
 
-/// Connects to one upstream of a pool; a connection that opens is kept for requests.
-async fn probe(node: Arc<Gateway>, pool: String) {
+/// Connects to one upstream of a pool, if possible to one that has not failed; a connection that
+/// opens is kept for requests.
+pub(crate) async fn probe(node: Arc<Gateway>, pool: String) {
     let upstream = {
         let upstreams = node.upstreams.lock();
-        let accepting = upstreams.accepting(&pool, clock::now());
-        let chosen = accepting.choose(&mut rand::rng());
+        let reach = node.reach.lock();
+        let has_failed = |key| reach.get(&pool).is_some_and(|reach| reach.has_failed(key));
+        let accepting = || upstreams.accepting(&pool, clock::now());
+        let untried = accepting().filter(|(key, _upstream)| !has_failed(*key));
+        let chosen = untried.choose(&mut rand::rng());
+        let chosen = chosen.or_else(|| accepting().choose(&mut rand::rng()));
         chosen.map(|(key, upstream)| (key, upstream.announcement.address))
     };
     let Some((key, address)) = upstream else {
@@ -38,7 +43,8 @@
     match node.channels.open_idle(key, address).await {
         Ok(()) => node.record_connected(&pool, clock::now()),
         Err(error) => {
-            log::debug!(pool = pool.as_str(), error:err = error; "still no connection to an upstream of an unreached pool");
+            node.record_unreachable(&pool, key, clock::now());
+            log::debug!(pool = pool.as_str(), error:err = error; "cannot connect to an upstream of a pool that may be unreached");
         }
     }
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -39,6 +39,8 @@
     AtUpstreamLimit { limited_per_s: f64 },
     #[error("the pool's upstreams rest, the first of them for {left_ms} ms more")]
     UpstreamsResting { left_ms: u64 },
+    #[error("a peer that reaches the pool refused the request")]
+    RefusedByPeer { retry_after_ms: Option<u64> },
     #[error("it cannot be answered in time")]
     Saturated { retry_after_ms: u64 },
     #[error("it was not sent in time")]
@@ -78,6 +80,7 @@
             | Self::NoUpstream { .. }
             | Self::AtUpstreamLimit { .. }
             | Self::UpstreamsResting { .. }
+            | Self::RefusedByPeer { .. }
             | Self::Saturated { .. }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             // The request has run, and another run would do harm.
@@ -99,6 +102,7 @@
                 let wait_ms = num::round_to_u64(1_000.0 / limited_per_s.max(f64::MIN_POSITIVE));
                 Some(wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS))
             }
+            Self::RefusedByPeer { retry_after_ms } => *retry_after_ms,
             Self::UpstreamsResting { left_ms } => Some(MIN_RETRY_MS.max(*left_ms)),
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(TRANSIENT_RETRY_MS)
@@ -109,6 +113,24 @@
         }
     }
 
+    /// Whether the request may have run.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Breaking | Self::NoAnswer | Self::AnswerTimeout)
+    }
+
+    /// Whether the reason holds at this node only, so that another one may serve the request.
+    pub fn is_served_elsewhere(&self) -> bool {
+        matches!(
+            self,
+            Self::NoConfiguration
+                | Self::StaleConfiguration
+                | Self::NoRoute
+                | Self::UnknownKey
+                | Self::Stopping
+                | Self::NoUpstream { .. }
+        )
+    }
+
     /// Returns the values behind a decision by the team's limit.
     pub fn shortfall(&self) -> Option<&Shortfall> {
         match self {
@@ -133,6 +155,7 @@
             Self::NoUpstream { .. } => "no_upstream",
             Self::AtUpstreamLimit { .. } => "at_upstream_limit",
             Self::UpstreamsResting { .. } => "upstreams_resting",
+            Self::RefusedByPeer { .. } => "refused_by_peer",
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -74,6 +74,8 @@
     Tokens,
     #[error("expected each part of the prompt as a hexadecimal id, a colon and a number of tokens")]
     Parts,
+    #[error("the request that a peer forwarded is not valid HTTP")]
+    Forwarded,
     #[error("expected a number in the header {0}")]
     Number(HeaderName),
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,6 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
+use super::forwarding::server as forwarding_server;
 use super::shutdown::Shutdown;
 use super::state::Gateway;
 use super::{
@@ -87,6 +88,8 @@
         address: read.gossip_listen,
         source,
     })?;
+    // Peers know this address; datagrams use the same port.
+    let forwarded = listen(read.gossip_listen).await?;
     let (node, messages) = Gateway::new(read, rand::rng().random());
     log::info!(
         event = "started",
@@ -109,6 +112,11 @@
     tokio::spawn(configuration_sync::request_confirmations(Arc::clone(&node)));
     tokio::spawn(announcements::sync_upstreams(Arc::clone(&node)));
     tokio::spawn(reach_probe::run(Arc::clone(&node)));
+    tokio::spawn(forwarding_server::serve(
+        forwarded,
+        Arc::clone(&node),
+        end.clone(),
+    ));
     let duties = tokio::spawn(duties::run(Arc::clone(&node)));
     let inbound = tokio::spawn(caller_listener::serve(
         callers,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,9 +15,10 @@
 use super::confirmation;
 use super::connections::ConnectionPool;
 use super::demand::DemandTracker;
+use super::forwarding::{self, Forwarding};
 use super::fragments::Reassembly;
 use super::lease::{Holder, Lease};
-use super::messages::{Member, Message};
+use super::messages::{Member, Message, UnreachedPools};
 use super::pace::{EngineModel, Pace, PeerPaces};
 use super::peers::Peers;
 use super::pool_map::PoolMap;
@@ -37,6 +38,7 @@
 use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
+use crate::peers::Connections;
 use crate::platform::store::{self, Store, StoreError};
 use crate::time::TimeMs;
 
@@ -80,6 +82,8 @@
     pub reassembly: Mutex<Reassembly>,
     pub lease: Mutex<Lease>,
     pub channels: ConnectionPool,
+    /// Connections to peers that send requests in place of this node.
+    pub forwarding: Connections<Forwarding>,
     /// Routes that have metric labels of their own.
     pub route_labels: Mutex<RouteLabels>,
     /// Number of requests in progress.
@@ -176,6 +180,7 @@
             reassembly: Mutex::default(),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: ConnectionPool::default(),
+            forwarding: forwarding::connections(settings.store_address, incarnation),
             route_labels: Mutex::default(),
             in_flight: AtomicUsize::new(0),
             stop: Mutex::new(None),
@@ -307,13 +312,19 @@
     }
 
     /// Records that no connection to an upstream of a pool could be opened.
-    pub fn record_unreachable(&self, pool: &str, upstream: UpstreamKey, now: TimeMs) {
+    pub fn record_unreachable(
+        &self,
+        pool: &str,
+        upstream: UpstreamKey,
+        now: TimeMs,
+    ) -> Option<ReachChange> {
         let known = self.upstreams.lock().accepting_count(pool, now);
         let change = {
             let mut reach = self.reach.lock();
             (reach.get_or_default(pool)).record_unreachable(upstream, known, now)
         };
-        log_reach_change(pool, change);
+        self.apply_reach_change(pool, change);
+        change
     }
 
     /// Records that an upstream of a pool accepted a connection.
@@ -322,7 +333,49 @@
             let mut reach = self.reach.lock();
             reach.get_or_default(pool).record_connected(now)
         };
-        log_reach_change(pool, change);
+        self.apply_reach_change(pool, change);
+    }
+
+    /// Notifies the peers that this node has lost or regained a pool, and drops what the loss of its
+    /// link says of the pool's upstreams.
+    fn apply_reach_change(&self, pool: &str, change: Option<ReachChange>) {
+        match change {
+            None | Some(ReachChange::Suspected) => return,
+            Some(ReachChange::Lost) => {
+                log::warn!(event = "pool_unreached", pool; "this node reaches no upstream of the pool; peers send its requests");
+                let upstreams = self.upstreams.lock();
+                self.channels.close_idle_to(|key| {
+                    let upstream = upstreams.get(key);
+                    upstream.is_some_and(|upstream| upstream.announcement.pool == pool)
+                });
+            }
+            Some(ReachChange::Regained { after_ms }) => {
+                log::info!(event = "pool_reached", pool, after_ms; "this node reaches upstreams of the pool again; it takes back its requests gradually");
+                self.upstreams.lock().forgive_failures(pool);
+            }
+        }
+        self.broadcast(Message::Unreached(UnreachedPools {
+            incarnation: self.incarnation,
+            sequence: self.next_status_sequence(),
+            pools: self
+                .unreached_pools()
+                .iter()
+                .map(|pool| tag(pool))
+                .collect(),
+        }));
+    }
+
+    /// Whether this node does not reach a pool.
+    pub fn is_unreached(&self, pool: &str) -> bool {
+        let reach = self.reach.lock();
+        reach.get(pool).is_some_and(PoolReach::is_lost)
+    }
+
+    /// Whether this node sends a request with this uniform draw to a pool itself; see
+    /// [`PoolReach::serves_itself`].
+    pub fn serves_itself(&self, pool: &str, draw: u64, now: TimeMs) -> bool {
+        let reach = self.reach.lock();
+        (reach.get(pool)).is_none_or(|reach| reach.serves_itself(draw, now))
     }
 
     /// Returns the pools that this node does not reach.
@@ -397,18 +450,6 @@
     }
 }
 
-fn log_reach_change(pool: &str, change: Option<ReachChange>) {
-    match change {
-        Some(ReachChange::Lost) => {
-            log::warn!(event = "pool_unreached", pool; "this node reaches no upstream of the pool");
-        }
-        Some(ReachChange::Regained { after_ms }) => {
-            log::info!(event = "pool_reached", pool, after_ms; "this node reaches upstreams of the pool again");
-        }
-        None => {}
-    }
-}
-
 /// Guard of a request in progress.
 #[derive(Debug)]
 pub(crate) struct InFlight {
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -467,6 +467,14 @@
         self.accepting(pool, now).count()
     }
 
+    /// Forgets the failures of a pool's upstreams for which this node's own link was to blame.
+    pub fn forgive_failures(&mut self, pool: &str) {
+        let upstreams = self.arena.iter_mut();
+        (upstreams.filter_map(|slot| slot.upstream.as_mut()))
+            .filter(|upstream| upstream.announcement.pool == pool)
+            .for_each(|upstream| upstream.health.forgive_failures());
+    }
+
     /// Iterates over a pool's upstreams that accept requests.
     pub fn accepting(
         &self,
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -178,6 +178,19 @@
     forwarded
 }
 
+/// Restores the caller's headers that are not forwarded to upstreams: its API key and the time that
+/// is left to it.
+pub(crate) fn restore_caller_headers(
+    headers: &mut HeaderMap,
+    key: Option<&str>,
+    time_left_ms: u64,
+) {
+    if let Some(key) = key {
+        set(headers, AUTHORIZATION, &format!("Bearer {key}"));
+    }
+    headers.insert(DEADLINE, HeaderValue::from(time_left_ms));
+}
+
 /// Sets the headers that are specific to one upstream.
 pub(crate) fn set_upstream_headers(headers: &mut HeaderMap, added: &UpstreamHeaders<'_>) {
     set(headers, EXPECTED_UPSTREAM, added.upstream_id);
