feature: Brittle upstreams are not made to refuse until they fall over

Cause: from today servers may say in all their answers how many requests a second they can refuse before they fall over (Server-Brittle). Nothing read it; nodes tried full upstreams as often as callers came. Change: the adapter reads the header (several values: the lowest; no number: zero). refusal_allowance.rs decides: an upstream that seems to have room, by the load of all nodes, gets requests freely; one without room, or one that refused within a second, only as often as this node's share of a quarter of the number allows. The gate before each send and the choice ask it. Nodes begin with levels spread by hash, so that they do not try at the same moment. Stand-in upstreams have places, say that they are brittle and fall over.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,6 +48,7 @@
 mod reach_probe;
 mod recent_changes;
 mod refusal;
+pub(crate) mod refusal_allowance;
 mod relay;
 mod repeat_budget;
 pub(crate) mod request_head;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -198,7 +198,7 @@
 ) -> Vec<(UpstreamKey, &'a Upstream)> {
     let mut candidates: Vec<(UpstreamKey, &Upstream)> = (table.iter())
         .filter(|(_key, upstream)| serves_pool(upstream, ask, now))
-        .filter(|(_key, upstream)| upstream.send_gate.closed_reason(now).is_none())
+        .filter(|(_key, upstream)| upstream.closed_reason(now).is_none())
         .collect();
     if let VersionFilter::Few { most, .. } = ask.versions {
         // Sorted by hash, so that all nodes select the same canary upstreams.
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -454,7 +454,8 @@
     }
 }
 
-/// Applies the rate limit, backoff and leaving notice that a response carries about its upstream.
+/// Applies the rate limit, brittleness, backoff and leaving notice that a response carries about its
+/// upstream.
 fn record_upstream_state(
     plan: &Plan,
     upstream_request: &UpstreamRequest,
@@ -465,6 +466,12 @@
     if let Some(stated) = answer.proven_limit(&plan.head.id) {
         upstream_request.record_limit(stated, now);
     }
+    if let Some(stated) = answer.proven_brittleness(&plan.head.id) {
+        upstream_request.record_brittleness(stated, now);
+    }
+    if answer.is_not_executed && status == StatusCode::SERVICE_UNAVAILABLE {
+        upstream_request.record_refusal(now);
+    }
     if answer.is_leaving {
         upstream_request.record_leaving();
     }
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -8,12 +8,14 @@
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
 use crate::gateway::messages::Message;
+use crate::gateway::num;
+use crate::gateway::refusal_allowance::{Change as BrittlenessChange, StatedBrittleness};
 use crate::gateway::rollout::Answer;
 use crate::gateway::send_gate::Closed;
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes::Strike;
 use crate::gateway::throttle::{Change, StatedLimit};
-use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, tag};
+use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
 
 /// A request that has been sent to an upstream, counted as load there until it is dropped.
@@ -157,6 +159,36 @@
         }
     }
 
+    /// Records what an answer states of the upstream's brittleness.
+    pub fn record_brittleness(&self, stated: StatedBrittleness, now: TimeMs) {
+        let nodes = self.node.peers.lock().known_nodes();
+        let draw = num::to_f64(spread_bits(self.node.incarnation ^ self.upstream_tag) >> 32)
+            / num::to_f64(u64::from(u32::MAX));
+        let mut upstreams = self.node.upstreams.lock();
+        let Some(upstream) = upstreams.get_mut(self.upstream) else {
+            return;
+        };
+        let refusals = &mut upstream.send_gate.refusals;
+        let change = refusals.record_statement(stated, nodes, draw, self.sent_at, now);
+        let id = upstream.announcement.id.as_str();
+        match change {
+            Some(BrittlenessChange::Began { refusals_per_s }) => {
+                log::info!(event = "upstream_brittle", upstream = id, refusals_per_s, nodes; "an upstream falls over if it has to refuse more requests a second; while it is full it gets few");
+            }
+            Some(BrittlenessChange::Ended) => {
+                log::info!(event = "upstream_brittle_ended", upstream = id; "an upstream no longer states that it is brittle");
+            }
+            None => {}
+        }
+    }
+
+    /// Records that the upstream refused the request for want of room.
+    pub fn record_refusal(&self, now: TimeMs) {
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.send_gate.refusals.record_refusal(now);
+        }
+    }
+
     /// Records that the upstream answered without asking this node to back off.
     pub fn record_accepted(&self) {
         if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
--- a/src/gateway/send_gate.rs
+++ b/src/gateway/send_gate.rs
@@ -5,6 +5,7 @@
 //! meantime; the check before the send applies these too.
 
 use super::backoff::RequestedBackoff;
+use super::refusal_allowance::RefusalAllowance;
 use super::throttle::Throttle;
 use crate::time::TimeMs;
 
@@ -15,6 +16,8 @@
     pub throttle: Throttle,
     /// Backoff that the upstream has requested.
     pub backoff: RequestedBackoff,
+    /// Refusals that the upstream may still be made to give, if it is brittle.
+    pub refusals: RefusalAllowance,
     /// Whether the upstream has announced its shutdown. The same incarnation does not return.
     is_leaving: bool,
 }
@@ -28,6 +31,8 @@
     Resting,
     /// This node's share of the upstream's limit is used up.
     AtLimit,
+    /// The upstream is brittle, has no room, and must not be made to refuse more.
+    Full,
     /// The upstream is no longer known.
     Gone,
 }
@@ -39,6 +44,7 @@
             Self::Leaving => "upstream_leaving",
             Self::Resting => "upstream_resting",
             Self::AtLimit => "upstream_not_taking",
+            Self::Full => "upstream_full",
             Self::Gone => "upstream_gone",
         }
     }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -175,13 +175,28 @@
     ///
     /// Returns the reason if the upstream accepts no request of this node now.
     pub fn admit(&mut self, now: TimeMs) -> Result<(), Closed> {
-        if self.accepts_requests(now) {
-            self.send_gate.admit(now)
-        } else {
-            Err(Closed::Leaving)
+        // The load includes the request itself.
+        let others = self.running().saturating_sub(1);
+        match self.accepts_requests(now) {
+            false => Err(Closed::Leaving),
+            true if !self.bears_a_refusal(others, now) => Err(Closed::Full),
+            true => self.send_gate.admit(now),
         }
     }
 
+    /// Returns the reason why the upstream admits no request now; `None` if it admits one.
+    pub fn closed_reason(&self, now: TimeMs) -> Option<Closed> {
+        let is_full = !self.bears_a_refusal(self.running(), now);
+        let closed = self.send_gate.closed_reason(now);
+        closed.or(is_full.then_some(Closed::Full))
+    }
+
+    /// Whether a request may be sent although the upstream may refuse it; `others` run there.
+    fn bears_a_refusal(&self, others: u32, now: TimeMs) -> bool {
+        let slots = self.announcement.slots;
+        self.send_gate.refusals.admits(others, slots, now)
+    }
+
     /// Whether the platform is reclaiming the host of the upstream.
     pub fn is_being_reclaimed(&self) -> bool {
         self.announcement.is_reclaimable && self.announcement.leaves_in_ms.is_some()
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway::backoff::StatedBackoff;
 use crate::gateway::num;
+use crate::gateway::refusal_allowance::StatedBrittleness;
 use crate::gateway::request_head::{Malformed, Prompt, PromptPart, RequestHead};
 use crate::gateway::throttle::StatedLimit;
 
@@ -31,6 +32,8 @@
 const COPY_FROM: HeaderName = HeaderName::from_static("kv-fetch");
 /// Requests per second that an overloaded server accepts from all nodes together.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Refusals in a second for want of room with which a brittle server falls over.
+const SERVER_BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 /// Present in all responses of a server that is shutting down.
 const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -251,6 +254,8 @@
     pub is_encoded: bool,
     /// Request rate limit that the response states.
     pub limit: StatedLimit,
+    /// Brittleness that the response states.
+    pub brittleness: StatedBrittleness,
     /// Backoff that the response states; it applies only to rejections that may request one.
     pub backoff: StatedBackoff,
     /// Whether the upstream is draining and about to shut down.
@@ -275,6 +280,7 @@
         idle_timeout_ms: timeout_s.map(|seconds| seconds * 1_000),
         is_encoded: headers.contains_key(CONTENT_ENCODING),
         limit: read_limit(headers),
+        brittleness: read_brittleness(headers),
         backoff: read_backoff(headers),
         is_leaving: read_leaving(headers),
     }
@@ -293,6 +299,20 @@
     }
 }
 
+/// Returns the stated brittleness; of several values the lowest applies.
+///
+/// An invalid value counts as zero: a server that falls over serves nobody, whereas one that is
+/// spared only loses what it would have refused.
+fn read_brittleness(headers: &HeaderMap) -> StatedBrittleness {
+    let parsed = numbers(headers, &SERVER_BRITTLE);
+    if let Some(value) = parsed.unreadable {
+        log::warn!(event = "upstream_brittle_unreadable", brittle = value; "the brittleness header of an upstream contains an invalid number; the upstream counts as bearing no refusals");
+        return StatedBrittleness::RefusalsPerS(0.0);
+    }
+    let lowest = parsed.numbers.into_iter().reduce(f64::min);
+    lowest.map_or(StatedBrittleness::Unstated, StatedBrittleness::RefusalsPerS)
+}
+
 /// Returns the requested backoff; of several values the longest applies.
 fn read_backoff(headers: &HeaderMap) -> StatedBackoff {
     let parsed = numbers(headers, &RETRY_AFTER);
@@ -374,6 +394,14 @@
         let is_proven = self.is_sealed && self.is_response_to(request_id);
         (is_proven || self.limit != StatedLimit::Unstated).then_some(self.limit)
     }
+
+    /// Returns the stated brittleness, or `None` if the response proves nothing about it.
+    #[must_use]
+    pub(crate) fn proven_brittleness(&self, request_id: &str) -> Option<StatedBrittleness> {
+        let is_proven = self.is_sealed && self.is_response_to(request_id);
+        let is_stated = self.brittleness != StatedBrittleness::Unstated;
+        (is_proven || is_stated).then_some(self.brittleness)
+    }
 }
 
 /// Returns the headers of an upstream's response that are forwarded to the caller.
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -217,6 +217,26 @@
     }
 }
 
+#[test]
+fn lowest_valid_brittleness_applies() {
+    let brittleness = |lines: &[&str]| {
+        let pairs: Vec<_> = (lines.iter())
+            .map(|line| ("server-brittle", *line))
+            .collect();
+        read_response_head(&headers(&pairs)).brittleness
+    };
+    assert_eq!(brittleness(&[]), StatedBrittleness::Unstated);
+    assert_eq!(brittleness(&["12"]), StatedBrittleness::RefusalsPerS(12.0));
+    assert_eq!(
+        brittleness(&["5", "3"]),
+        StatedBrittleness::RefusalsPerS(3.0)
+    );
+    for unreadable in ["", "some", "-1", "NaN"] {
+        let none = StatedBrittleness::RefusalsPerS(0.0);
+        assert_eq!(brittleness(&[unreadable]), none, "{unreadable}");
+    }
+}
+
 #[test]
 fn upstream_is_leaving_unless_the_header_is_absent_or_zero() {
     let leaves = |lines: &[&str]| {
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -23,6 +23,12 @@
 /// A rest that an upstream asks for binds a node this long after the answer.
 const REST_BEGINS_MS: u64 = 500;
 
+/// How long an upstream that has fallen over resets its channels.
+const FALLEN_MS: u64 = 1_500;
+
+/// The span in which a brittle upstream counts what it refuses.
+const BRITTLE_SPAN_MS: u64 = 1_000;
+
 /// A body that holds this crashes the upstream that runs it.
 pub const KILLER: &str = "kill-the-upstream";
 
@@ -116,6 +122,14 @@
     arrivals: Mutex<Vec<Arrival>>,
     has_crashed: Mutex<bool>,
     is_announcing: Mutex<bool>,
+    /// How many requests it runs at once; it refuses others. None: as many as come.
+    places: Mutex<Option<usize>>,
+    running: Mutex<usize>,
+    /// It falls over when it refuses more requests than this in a second.
+    brittle: Mutex<Option<usize>>,
+    refused_at_ms: Mutex<Vec<u64>>,
+    /// When it fell over, in Unix milliseconds.
+    falls_at_ms: Mutex<Vec<u64>>,
 }
 
 /// What an upstream is.
@@ -163,6 +177,11 @@
             arrivals: Mutex::default(),
             has_crashed: Mutex::default(),
             is_announcing: Mutex::new(true),
+            places: Mutex::default(),
+            running: Mutex::default(),
+            brittle: Mutex::default(),
+            refused_at_ms: Mutex::default(),
+            falls_at_ms: Mutex::default(),
         });
         let accepting = Arc::clone(&core);
         let serve = tokio::spawn(async move {
@@ -295,6 +314,23 @@
         self.core.store.put("keyed.servers", &self.core.id, "");
     }
 
+    /// Has it run so many requests at once from now on and refuse others; it announces as many slots.
+    pub fn limit_places(&self, places: usize) {
+        *self.core.places.lock() = Some(places);
+        self.core.announce();
+    }
+
+    /// Has it say in all its answers that it falls over when it refuses more than this in a second.
+    pub fn become_brittle(&self, refusals: usize) {
+        *self.core.brittle.lock() = Some(refusals);
+    }
+
+    /// When it fell over, in Unix milliseconds.
+    #[must_use]
+    pub fn falls_at_ms(&self) -> Vec<u64> {
+        self.core.falls_at_ms.lock().clone()
+    }
+
     /// Stops announcing itself, so that its announcement lapses, or starts again; it goes on answering.
     pub fn set_announcing(&self, is_announcing: bool) {
         *self.core.is_announcing.lock() = is_announcing;
@@ -320,6 +356,17 @@
     }
 }
 
+/// A place that a request holds while it runs.
+struct Place<'a> {
+    core: &'a Core,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        *self.core.running.lock() -= 1;
+    }
+}
+
 #[derive(Debug)]
 struct Received {
     method: String,
@@ -346,7 +393,7 @@
         };
         let value = serde_json::json!({
             "service": self.service, "address": self.address.lock().to_string(), "zone": self.zone,
-            "version": self.version, "slots": 64, "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
+            "version": self.version, "slots": self.places.lock().unwrap_or(64), "state": *self.state.lock(), "coldRemainingMs": 0, "seq": seq,
             "born": *self.born_ms.lock(),
         });
         let overwritten = self.overwritten.lock().clone();
@@ -357,7 +404,7 @@
     async fn channel(&self, mut socket: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = receive(&mut socket, &mut buffer).await? {
-            if *self.has_crashed.lock() {
+            if *self.has_crashed.lock() || self.is_fallen() {
                 return reset(socket);
             }
             self.note_arrival(&request);
@@ -407,6 +454,17 @@
             socket.write_all(head.as_bytes()).await?;
             return Ok(true);
         }
+        let Some(_place) = self.take_place() else {
+            if self.falls_by_refusal() {
+                return Ok(false);
+            }
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
+                self.said_lines(),
+            );
+            socket.write_all(head.as_bytes()).await?;
+            return Ok(true);
+        };
         let place = self.begin(request, id);
         let number = {
             let mut requests = self.requests.lock();
@@ -508,7 +566,37 @@
     fn said_lines(&self) -> String {
         let limit = line("server-limit", self.limit.lock().as_deref());
         let leaving = line("server-leaving", self.leaving.lock().as_deref());
-        limit + &leaving
+        let brittle = self.brittle.lock().map(|refusals| refusals.to_string());
+        limit + &leaving + &line("server-brittle", brittle.as_deref())
+    }
+
+    /// Takes a place until the returned guard is dropped; none if all are taken.
+    fn take_place(&self) -> Option<Place<'_>> {
+        let mut running = self.running.lock();
+        let is_full = (*self.places.lock()).is_some_and(|places| *running >= places);
+        (!is_full).then(|| {
+            *running += 1;
+            Place { core: self }
+        })
+    }
+
+    fn is_fallen(&self) -> bool {
+        let falls_at_ms = self.falls_at_ms.lock();
+        (falls_at_ms.last()).is_some_and(|at_ms| now_ms() < at_ms + FALLEN_MS)
+    }
+
+    /// Counts a refusal for want of a place; tells whether it falls over by it.
+    fn falls_by_refusal(&self) -> bool {
+        let now = now_ms();
+        let mut refused_at_ms = self.refused_at_ms.lock();
+        refused_at_ms.retain(|at_ms| *at_ms + BRITTLE_SPAN_MS > now);
+        refused_at_ms.push(now);
+        let is_fall = (*self.brittle.lock()).is_some_and(|most| refused_at_ms.len() > most);
+        if is_fall {
+            refused_at_ms.clear();
+            self.falls_at_ms.lock().push(now);
+        }
+        is_fall
     }
 
     fn begin(&self, request: &Received, id: &str) -> usize {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! Runs nodes as separate processes against stand-ins of the operators' platform.
 
 mod answers;
+mod brittle;
 mod calm;
 mod configuration;
 mod duties;
