bug: Sends to a full brittle upstream are charged before their answers

Cause: only refusals were charged, so that many requests at once could pass the gate before the first refusal came back. Change: a send without room is charged at once, a refusal as well; the nodes use half of the stated number. Measured: refusal_allowance::tests::sends_without_room_are_charged_before_their_answers; the test with processes passes as before.

--- a/src/gateway/refusal_allowance.rs
+++ b/src/gateway/refusal_allowance.rs
@@ -2,16 +2,17 @@
 //!
 //! A brittle upstream falls over when it has to refuse too many requests in a second for want of
 //! room. All nodes together must stay below the number that it states. Each node sends freely to an
-//! upstream that seems to have room, and otherwise only as often as its share of that number allows;
-//! a refusal shows that there is no room. The load of the peers is known some hundred milliseconds
-//! late, so refusals that were not expected are charged too.
+//! upstream that seems to have room, and otherwise only as often as its share of that number allows.
+//! A send without room is charged at once, since others may follow before its answer arrives. Each
+//! refusal is charged as well, since the load of the peers is known some hundred milliseconds late
+//! and requests are refused where there seemed to be room.
 
 use super::num;
 use crate::time::TimeMs;
 
 /// Fraction of the stated number that the nodes use together; the remainder is for nodes that have
 /// not heard of it yet, and for tries of several nodes that fall into the same second.
-const USED_FRACTION: f64 = 0.25;
+const USED_FRACTION: f64 = 0.5;
 
 /// Fraction of an upstream's slots below which it seems to have room.
 const ROOM_FRACTION: f64 = 0.9;
@@ -93,9 +94,20 @@
 
     /// Records that the upstream refused a request for want of room.
     pub fn record_refusal(&mut self, now: TimeMs) {
+        self.charge(now);
+        self.refused_at = now;
+    }
+
+    fn charge(&mut self, now: TimeMs) {
         self.level = self.level(now) - 1.0;
         self.refilled_at = now;
-        self.refused_at = now;
+    }
+
+    /// Charges a request that is sent now to an upstream with this many running requests and slots.
+    pub fn record_sent(&mut self, running: u32, slots: u32, now: TimeMs) {
+        if self.stated.is_some() && !self.has_room(running, slots, now) {
+            self.charge(now);
+        }
     }
 
     /// Whether a request may be sent now to an upstream with this many running requests and slots.
--- a/src/gateway/refusal_allowance/tests.rs
+++ b/src/gateway/refusal_allowance/tests.rs
@@ -28,6 +28,7 @@
             for now in (10_000..40_000).step_by(10) {
                 for allowance in &mut fleet {
                     if allowance.admits(SLOTS, SLOTS, TimeMs(now)) {
+                        allowance.record_sent(SLOTS, SLOTS, TimeMs(now));
                         allowance.record_refusal(TimeMs(now));
                         refused_at_ms.push(now);
                     }
@@ -88,3 +89,16 @@
     assert_eq!(late, Some(Change::Ended));
     assert!(allowance.admits(SLOTS * 2, SLOTS, TimeMs(10_050)));
 }
+
+/// Guards against many requests at once to a full upstream, before the first of them is refused.
+#[test]
+fn sends_without_room_are_charged_before_their_answers() {
+    let mut allowance = brittle(4.0, 1, 1.0);
+    let now = TimeMs(10_000);
+    let mut sent = 0;
+    while allowance.admits(SLOTS, SLOTS, now) {
+        allowance.record_sent(SLOTS, SLOTS, now);
+        sent += 1;
+    }
+    assert_eq!(sent, 1);
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -177,26 +177,26 @@
     pub fn admit(&mut self, now: TimeMs) -> Result<(), Closed> {
         // The load includes the request itself.
         let others = self.running().saturating_sub(1);
-        match self.accepts_requests(now) {
-            false => Err(Closed::Leaving),
-            true if !self.bears_a_refusal(others, now) => Err(Closed::Full),
-            true => self.send_gate.admit(now),
+        let slots = self.announcement.slots;
+        if !self.accepts_requests(now) {
+            return Err(Closed::Leaving);
+        }
+        if !self.send_gate.refusals.admits(others, slots, now) {
+            return Err(Closed::Full);
         }
+        self.send_gate.admit(now)?;
+        self.send_gate.refusals.record_sent(others, slots, now);
+        Ok(())
     }
 
     /// Returns the reason why the upstream admits no request now; `None` if it admits one.
     pub fn closed_reason(&self, now: TimeMs) -> Option<Closed> {
-        let is_full = !self.bears_a_refusal(self.running(), now);
+        let slots = self.announcement.slots;
+        let is_full = !(self.send_gate.refusals).admits(self.running(), slots, now);
         let closed = self.send_gate.closed_reason(now);
         closed.or(is_full.then_some(Closed::Full))
     }
 
-    /// Whether a request may be sent although the upstream may refuse it; `others` run there.
-    fn bears_a_refusal(&self, others: u32, now: TimeMs) -> bool {
-        let slots = self.announcement.slots;
-        self.send_gate.refusals.admits(others, slots, now)
-    }
-
     /// Whether the platform is reclaiming the host of the upstream.
     pub fn is_being_reclaimed(&self) -> bool {
         self.announcement.is_reclaimable && self.announcement.leaves_in_ms.is_some()
