refactor: A broken stream of a peer is logged, and a late forward is refused as late

Cause: reading the change; an error of a peer's stream was dropped without a line, and a request that two peers declined after its deadline was told no upstream. Change: a debug line; the refusal is the one that any unsent request gets. Measured: nothing but the tests of exchange, which pass.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,4 +1,5 @@
-//! The request path: admits a caller's request, forwards it to an upstream and returns the response.
+//! The request path: admits a caller's request, sends it to an upstream or hands it to a peer, and
+//! returns the response.
 
 mod admission;
 mod attempts;
--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -11,7 +11,7 @@
 
 use super::Executed;
 use super::admission::Plan;
-use super::attempts::{Attempts, retry_after_ms};
+use super::attempts::Attempts;
 use super::request_log::RequestLog;
 use super::stream::StreamInterrupted;
 use crate::gateway::clock;
@@ -97,10 +97,7 @@
             }
         }
     }
-    (!tried.is_empty()).then(|| {
-        let retry_after_ms = retry_after_ms(plan);
-        Err(Refusal::NoUpstream { retry_after_ms })
-    })
+    (!tried.is_empty()).then(|| Err(attempts.final_refusal(plan, clock::now())))
 }
 
 fn forwarded_request(node: &Gateway, plan: &Plan, attempts: &Attempts) -> ForwardedRequest {
@@ -180,7 +177,10 @@
                     yield Frame::data(Bytes::from(events));
                 }
                 Some(Ok(ForwardItem::End)) => break,
-                Some(Err(_)) | None => {
+                ended => {
+                    if let Some(Err(error)) = ended {
+                        log::debug!(error:err = error; "a stream that a peer forwards broke off");
+                    }
                     let reason = "peer_failed";
                     request_log.finish_interrupted(reason, clock::now());
                     Err(StreamInterrupted { reason })?;
--- a/src/gateway/forwarding/server.rs
+++ b/src/gateway/forwarding/server.rs
@@ -73,6 +73,7 @@
                 Ok(bytes) => ForwardItem::Events(bytes.into()),
                 Err(_trailers) => continue,
             },
+            // The stream has logged why.
             Some(Err(_interrupted)) => return,
             None => ForwardItem::End,
         };
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -311,7 +311,8 @@
         }
     }
 
-    /// Records that no connection to an upstream of a pool could be opened.
+    /// Records that no connection to an upstream of a pool could be opened; returns the change that
+    /// this makes to the pool's reach, if any.
     pub fn record_unreachable(
         &self,
         pool: &str,
