bug: A node repeats as usual at the first start of the installation

Callers of a new installation would have lost requests and streams at their first failure for ten seconds. Cause: held back each start, also the first of the whole installation, which has no former process that could have spent any repeats. Change: the record of repeats is complete where the platform says that the whole system starts for the first time.

--- a/src/gateway/repeat_budget.rs
+++ b/src/gateway/repeat_budget.rs
@@ -6,17 +6,18 @@
 //!
 //! The budget holds over any window, also if nodes restart, join or leave in it. A node does not
 //! know what its former process has spent in the present window; until that window is over it uses
-//! a part of the budget that no node uses otherwise, and earns it by its own requests only. A share
-//! that grows because nodes left is used only after the window in which they could spend theirs.
+//! a part of the budget that no node uses otherwise, and earns it by its own requests only. At the
+//! first start of the whole installation there was no former process. A share that grows because
+//! nodes left is used only after the window in which they could spend theirs.
 
 use super::num;
 use crate::time::TimeMs;
 
-/// Fraction of the budget that a node uses once it has run for a whole window; the remainder is for
+/// Fraction of the budget that a node uses once its record covers a whole window; the remainder is for
 /// nodes that have not, and allows for requests that reach their upstream late.
 const USED_FRACTION: f64 = 0.75;
 
-/// Fraction of the budget per request that a node uses before it has run for a whole window.
+/// Fraction of the budget per request that a node uses before that.
 const STARTUP_FRACTION: f64 = 0.15;
 
 /// Number of steps of a sliding window.
@@ -32,14 +33,15 @@
     pub slack: f64,
     /// Nodes that share the budget.
     pub nodes: u32,
-    /// When this node started.
-    pub started_at: TimeMs,
+    /// Since when this node's record of its repeats is complete: its start, or zero if it had no
+    /// former process that could have spent any.
+    pub recorded_since: TimeMs,
 }
 
 impl RepeatBudget {
     /// Whether this node's own record covers the whole window that ends now.
     fn is_recorded(&self, now: TimeMs) -> bool {
-        now.since(self.started_at) >= self.window_ms
+        now.since(self.recorded_since) >= self.window_ms
     }
 
     fn step_ms(&self) -> u64 {
--- a/src/gateway/repeat_budget/tests.rs
+++ b/src/gateway/repeat_budget/tests.rs
@@ -6,7 +6,7 @@
         window_ms: 10_000,
         slack: 50.0,
         nodes,
-        started_at: TimeMs(0),
+        recorded_since: TimeMs(0),
     }
 }
 
@@ -81,7 +81,7 @@
 
     fn start(&mut self, name: usize, now: TimeMs) {
         let budget = RepeatBudget {
-            started_at: now,
+            recorded_since: now,
             ..budget(self.known)
         };
         self.nodes[name] = Some((budget, Repeats::default()));
@@ -201,7 +201,7 @@
 fn node_in_its_first_window_repeats_only_a_small_part_of_its_requests() {
     let mut repeats = Repeats::default();
     let budget = RepeatBudget {
-        started_at: TimeMs(20_000),
+        recorded_since: TimeMs(20_000),
         ..budget(1)
     };
     assert_eq!(drain(&mut repeats, &budget, TimeMs(20_100)), 0);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -70,6 +70,8 @@
     pub demands: Mutex<DemandTracker>,
     pub quotas: Mutex<Quotas>,
     pub repeats: Mutex<PoolMap<Repeats>>,
+    /// See [`RepeatBudget::recorded_since`].
+    repeats_recorded_since: TimeMs,
     /// Whether this node reaches the upstreams of each pool.
     pub reach: Mutex<PoolMap<PoolReach>>,
     pub strikes: Mutex<Strikes>,
@@ -168,6 +170,11 @@
             demands: Mutex::default(),
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
+            repeats_recorded_since: if settings.is_first_start {
+                TimeMs(0)
+            } else {
+                started_at
+            },
             reach: Mutex::default(),
             strikes: Mutex::default(),
             rollouts: Mutex::default(),
@@ -307,7 +314,7 @@
             window_ms: bounds.retry_window_ms,
             slack: bounds.retry_slack,
             nodes: self.peers.lock().known_nodes(),
-            started_at: self.started_at,
+            recorded_since: self.repeats_recorded_since,
         }
     }
 
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -151,11 +151,24 @@
         let mut child = self.child.lock();
         drop(child.kill());
         drop(child.wait());
+        self.end_first_start()?;
         *child = spawn(&self.launch.binary, &self.settings_file(), &self.log)?;
         *self.started_at.lock() = Instant::now();
         Ok(())
     }
 
+    /// Says in its settings, as the platform does, that the installation has started before.
+    fn end_first_start(&self) -> io::Result<()> {
+        let file = self.settings_file();
+        let text = fs::read_to_string(&file)?;
+        // Tests also write settings that cannot be read.
+        let Ok(mut settings) = serde_json::from_str::<serde_json::Value>(&text) else {
+            return Ok(());
+        };
+        settings["bootstrap"] = false.into();
+        fs::write(&file, settings.to_string())
+    }
+
     /// What it has logged.
     #[must_use]
     pub fn log(&self) -> Vec<String> {
