--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -152,9 +152,10 @@
     assert_eq!(peers.known_nodes(), 4);
 }
 
-fn ready_heartbeat(name: &str, unreached: &[u64]) -> Heartbeat {
+fn reaching_heartbeat(name: &str, incarnation: u64, unreached: &[u64]) -> Heartbeat {
     let mut heartbeat = heartbeat(name, 0);
-    heartbeat.status.is_ready = true;
+    heartbeat.member.incarnation = incarnation;
+    heartbeat.status.incarnation = incarnation;
     heartbeat.status.unreached = unreached.to_vec();
     heartbeat
 }
@@ -171,13 +172,14 @@
         target.map(|target| target.name)
     };
     assert_eq!(target(&peers, &[]), None);
-    peers.record_heartbeat(&heartbeat("b", 0), now);
-    peers.record_heartbeat(&ready_heartbeat("c", &[POOL]), now);
+    let mut unready = reaching_heartbeat("b", 2, &[]);
+    unready.status.is_ready = false;
+    peers.record_heartbeat(&unready, now);
+    peers.record_heartbeat(&reaching_heartbeat("c", 3, &[POOL]), now);
     assert_eq!(target(&peers, &[]), None);
-    peers.record_heartbeat(&ready_heartbeat("d", &[POOL + 1]), now);
+    peers.record_heartbeat(&reaching_heartbeat("d", 4, &[POOL + 1]), now);
     assert_eq!(target(&peers, &[]).as_deref(), Some("d"));
-    let tried = peers.forward_target(POOL, &[], 0.5, now).expect("a peer");
-    assert_eq!(target(&peers, &[tried.incarnation]), None);
+    assert_eq!(target(&peers, &[4]), None);
 }
 
 /// Guards against a late report that a peer reaches a pool again, or does not.
@@ -186,7 +188,7 @@
     const POOL: u64 = 7;
     let mut peers = Peers::new(member("a", 1));
     let now = TimeMs(1_000);
-    let mut heartbeat = ready_heartbeat("b", &[]);
+    let mut heartbeat = reaching_heartbeat("b", 2, &[]);
     heartbeat.status.sequence = 9;
     peers.record_heartbeat(&heartbeat, now);
     let report = |sequence| UnreachedPools {
