test: Upstreams state that they leave before their announcement lapses; limits are used up at once

Its nodes' logs have no upstream_leaving_said for desk-0: no request reached it in the 2 s in which its answers stated it, so nobody could know, which the rule allows. In the same run ..._receives_nothing_until_it_restarts got 1 request (its logs were not kept; likely the same, not shown), explained::refusal_by_the_limit_of_a_team_is_explained and metered::remaining_limit_of_a_team_is_a_metric found a team of 20 calls a second below its limit: calls one after the other take 50 ms and more there, which the limit gains back. Change: the first two wait for an answer with the statement, the last two send their calls at once. Each check stays.

--- a/tests/platform/explained.rs
+++ b/tests/platform/explained.rs
@@ -1,5 +1,6 @@
 //! Explains failed requests from their ids and the logs alone.
 
+use futures::future::join_all;
 use teaselline::telemetry::explain::{RequestTimeline, explain};
 use teaselline_stand_ins::operators::deployment::{KEYS, asked};
 use teaselline_stand_ins::operators::{Deployment, Fault, Node};
@@ -27,17 +28,20 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refusal_by_the_limit_of_a_team_is_explained() {
     let deployment = deployment(2, 1).await;
-    let mut refused = None;
-    for place in 0..60 {
+    // All at once: calls one after the other may take as long as the limit needs to recover.
+    let calls = (0..60).map(|place| {
         let mut call = asked(&format!("refused-{place}"), "once");
         KEYS[1].clone_into(&mut call.key);
-        if send(&deployment, place % 2, &call).await.status() == Some(429) {
-            refused = Some(call.id);
-            break;
-        }
-    }
-    let id = refused.expect("the team has a limit of 20 at once");
-    let story = story_of(&deployment, &id).await;
+        call
+    });
+    let calls: Vec<_> = calls.collect();
+    let sent = calls.iter().enumerate();
+    let ended = join_all(sent.map(|(place, call)| send(&deployment, place % 2, call))).await;
+    let refused = calls.iter().zip(ended);
+    let refused = refused.filter(|(_call, ended)| ended.status() == Some(429));
+    let refused: Vec<_> = refused.map(|(call, _ended)| call.id.clone()).collect();
+    let id = refused.first().expect("the team has a limit of 20 at once");
+    let story = story_of(&deployment, id).await;
     assert_eq!(field(&story, "request_ended", "outcome"), Some("refused"));
     assert_eq!(field(&story, "request_ended", "reason"), Some("over_limit"));
     assert_eq!(field(&story, "request_ended", "team"), Some("studio"));
--- a/tests/platform/metered.rs
+++ b/tests/platform/metered.rs
@@ -1,5 +1,6 @@
 //! Metrics of a node's requests and state.
 
+use futures::future::join_all;
 use teaselline_stand_ins::operators::Node;
 use teaselline_stand_ins::operators::deployment::{KEYS, asked, get};
 
@@ -96,11 +97,14 @@
 async fn remaining_limit_of_a_team_is_a_metric() {
     let deployment = deployment(1, 1).await;
     let node = &deployment.nodes[0];
-    for place in 0..18 {
+    // All at once: calls one after the other may take as long as the limit needs to recover.
+    let calls = (0..18).map(|place| {
         let mut call = asked(&format!("limit-{place}"), "once");
         KEYS[1].clone_into(&mut call.key);
-        send(&deployment, 0, &call).await;
-    }
+        call
+    });
+    let calls: Vec<_> = calls.collect();
+    join_all(calls.iter().map(|call| send(&deployment, 0, call))).await;
     let left = value(node, r#"teaselline_limit_left_part{team="studio"}"#).await;
     assert!(left.is_some_and(|left| left < 0.9), "{left:?}");
 }
--- a/tests/platform/said_leaving.rs
+++ b/tests/platform/said_leaving.rs
@@ -30,6 +30,16 @@
     counts
 }
 
+/// Has an upstream state in its responses that it leaves, and waits until it has answered with that.
+async fn say_leaving(upstream: &Upstream) {
+    upstream.say_leaving(Some("1"));
+    let before = upstream.arrivals().len();
+    eventually("a response states that the upstream leaves", async || {
+        upstream.arrivals().len() > before
+    })
+    .await;
+}
+
 async fn busiest_of_each_service(deployment: &Deployment) -> [&Upstream; 2] {
     [
         busiest(deployment, "desk").await,
@@ -44,7 +54,7 @@
     let load = Load::start(&deployment);
     let leaving = busiest_of_each_service(&deployment).await;
     for upstream in leaving {
-        upstream.say_leaving(Some("1"));
+        say_leaving(upstream).await;
     }
     let late = count_late_arrivals(leaving).await;
     assert_eq!(late, [0; 2]);
@@ -68,7 +78,7 @@
     let leaving = busiest_of_each_service(&deployment).await;
     for (upstream, fault) in leaving.into_iter().zip([Fault::Sheds, Fault::Fails]) {
         upstream.set(fault);
-        upstream.say_leaving(Some("1"));
+        say_leaving(upstream).await;
     }
     let late = count_late_arrivals(leaving).await;
     assert_eq!(late, [0; 2]);
@@ -82,7 +92,7 @@
     let load = Load::start(&deployment);
     let leaving = busiest_of_each_service(&deployment).await;
     for upstream in leaving {
-        upstream.say_leaving(Some("1"));
+        say_leaving(upstream).await;
     }
     tokio::time::sleep(DRAIN_LIMIT).await;
     for upstream in leaving {
