bug: A pool is lost only after 300 ms without contact

Change: no contact for 300 ms from the first failure; until then others are tried each 100 ms. A request that three upstreams did not accept goes to a peer while it is open whether the pool is lost. Decision tests say the time; that of the loss by two failures at one moment was of the faulty rule and now has the failures 300 ms apart, a new one has upstreams that crash together.

--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -111,6 +111,11 @@
         self.undelivered += 1;
     }
 
+    /// Whether the request is given up if one more upstream does not accept it.
+    pub fn is_nearly_undeliverable(&self) -> bool {
+        self.undelivered + 1 >= MAX_UNDELIVERED
+    }
+
     /// Returns whether so many upstreams did not accept the request that it is given up.
     pub fn has_too_many_undelivered(&self) -> bool {
         let max_undelivered = if self.is_forwarded {
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -102,7 +102,8 @@
         if attempts.executions() > 0 && !plan.may_repeat(attempts) {
             return Err(attempts.final_refusal(plan, now).into());
         }
-        if attempts.may_forward() && node.is_unreached(&plan.pool) {
+        let is_suspected = attempts.is_nearly_undeliverable() && node.is_suspected(&plan.pool);
+        if attempts.may_forward() && (is_suspected || node.is_unreached(&plan.pool)) {
             return Err(Unsent::Unreached(attempts.final_refusal(plan, now)));
         }
     }
@@ -377,7 +378,7 @@
             }
             let change = node.record_unreachable(&plan.pool, upstream, now);
             if change == Some(reach::Change::Suspected) {
-                tokio::spawn(reach_probe::probe(Arc::clone(node), plan.pool.clone()));
+                tokio::spawn(reach_probe::examine(Arc::clone(node), plan.pool.clone()));
             }
             Err(SendError::NotRun("unreachable", error.to_string()))
         }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -11,6 +11,10 @@
 /// until the pool counts as unreached. One may have crashed.
 const MIN_FAILED_UPSTREAMS: usize = 2;
 
+/// Time without contact, from the first such failure, until the pool counts as unreached. If many
+/// upstreams crash together, several refuse connections within milliseconds while others work.
+const MIN_LOSS_MS: u64 = 300;
+
 /// Time after which a failure to connect no longer counts.
 const FAILURE_TTL_MS: u64 = 3_000;
 
@@ -36,6 +40,8 @@
 pub(crate) struct PoolReach {
     /// Upstreams to which connecting failed since the last contact, and when; sorted by upstream.
     failed: Vec<(UpstreamKey, TimeMs)>,
+    /// When the first of them failed.
+    suspected_at: TimeMs,
     /// When the pool was lost; `None` while it is reached.
     lost_at: Option<TimeMs>,
     /// When the pool was last regained; zero if it never was lost.
@@ -74,7 +80,11 @@
         } else {
             MIN_FAILED_UPSTREAMS
         };
-        let is_lost = self.failed.len() >= needed.min(known.max(1));
+        if is_first {
+            self.suspected_at = now;
+        }
+        let is_lost = self.failed.len() >= needed.min(known.max(1))
+            && now.since(self.suspected_at) >= MIN_LOSS_MS;
         match is_lost {
             _ if self.is_lost() => None,
             true => {
@@ -85,6 +95,11 @@
         }
     }
 
+    /// Whether connecting failed since the last contact to the pool, and the pool is not lost yet.
+    pub fn is_suspected(&self) -> bool {
+        !self.failed.is_empty() && !self.is_lost()
+    }
+
     /// Whether connecting to an upstream failed since the last contact to the pool.
     pub fn has_failed(&self, upstream: UpstreamKey) -> bool {
         let found = (self.failed).binary_search_by_key(&upstream, |(failed, _at)| *failed);
--- a/src/gateway/reach/tests.rs
+++ b/src/gateway/reach/tests.rs
@@ -18,7 +18,8 @@
 fn lost(at: TimeMs) -> PoolReach {
     let mut reach = PoolReach::default();
     let keys = keys();
-    let change = reach.record_unreachable(keys[0], KNOWN, at);
+    let first = TimeMs(at.0 - MIN_LOSS_MS);
+    let change = reach.record_unreachable(keys[0], KNOWN, first);
     assert_eq!(change, Some(Change::Suspected));
     let change = reach.record_unreachable(keys[1], KNOWN, at);
     assert_eq!(change, Some(Change::Lost));
@@ -55,7 +56,9 @@
 #[test]
 fn pool_with_one_upstream_is_lost_with_it() {
     let mut reach = PoolReach::default();
-    let change = reach.record_unreachable(keys()[0], 1, TimeMs(10_000));
+    let only = keys()[0];
+    reach.record_unreachable(only, 1, TimeMs(10_000));
+    let change = reach.record_unreachable(only, 1, TimeMs(10_000 + MIN_LOSS_MS));
     assert_eq!(change, Some(Change::Lost));
 }
 
@@ -85,7 +88,9 @@
     assert_eq!(serving(&reach, 20_000), 0);
     assert_eq!(serving(&reach, 20_500), 500);
     assert_eq!(serving(&reach, 21_000), 1_000);
-    let change = reach.record_unreachable(keys()[2], KNOWN, TimeMs(20_600));
+    reach.record_unreachable(keys()[2], KNOWN, TimeMs(20_600));
+    let later = TimeMs(20_600 + MIN_LOSS_MS);
+    let change = reach.record_unreachable(keys()[2], KNOWN, later);
     assert_eq!(change, Some(Change::Lost));
 }
 
@@ -97,8 +102,30 @@
     let now = TimeMs(10_000);
     let change = reach.record_unreachable(keys[0], KNOWN, now);
     assert_eq!(change, Some(Change::Suspected));
+    assert!(reach.is_suspected());
     assert!(reach.has_failed(keys[0]) && !reach.has_failed(keys[1]));
     assert_eq!(reach.record_unreachable(keys[0], KNOWN, now), None);
-    let change = reach.record_unreachable(keys[1], KNOWN, now);
+    let change = reach.record_unreachable(keys[1], KNOWN, now.after(MIN_LOSS_MS));
     assert_eq!(change, Some(Change::Lost));
+    assert!(!reach.is_suspected());
+}
+
+/// Guards against nodes that take their pool for lost, and send their requests to each other, when a
+/// quarter of its upstreams crash and refuse connections at once.
+#[test]
+fn upstreams_that_crash_together_do_not_lose_a_pool_that_others_serve() {
+    let keys = keys();
+    let mut reach = PoolReach::default();
+    for at in 0..50 {
+        let now = TimeMs(10_000 + at * 100);
+        for key in &keys {
+            assert_ne!(
+                reach.record_unreachable(*key, KNOWN, now),
+                Some(Change::Lost)
+            );
+        }
+        reach.record_response();
+        reach.record_unreachable(keys[0], KNOWN, now.after(50));
+        assert_eq!(reach.record_connected(now.after(60)), None);
+    }
 }
--- a/src/gateway/reach_probe.rs
+++ b/src/gateway/reach_probe.rs
@@ -14,6 +14,9 @@
 /// Interval between two attempts to connect to an upstream of an unreached pool.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Interval between two such attempts while it is open whether a pool is lost.
+const EXAMINATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Connects to the upstreams of unreached pools until the process exits.
 pub(crate) async fn run(node: Arc<Gateway>) {
     loop {
@@ -24,9 +27,18 @@
     }
 }
 
+/// Finds out whether a pool is lost, after a first failure: connects to its upstreams until one
+/// accepts a connection or the pool counts as lost.
+pub(crate) async fn examine(node: Arc<Gateway>, pool: String) {
+    while node.is_suspected(&pool) {
+        probe(Arc::clone(&node), pool.clone()).await;
+        tokio::time::sleep(EXAMINATION_INTERVAL).await;
+    }
+}
+
 /// Connects to one upstream of a pool, if possible to one that has not failed; a connection that
 /// opens is kept for requests.
-pub(crate) async fn probe(node: Arc<Gateway>, pool: String) {
+async fn probe(node: Arc<Gateway>, pool: String) {
     let upstream = {
         let upstreams = node.upstreams.lock();
         let reach = node.reach.lock();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -379,6 +379,12 @@
         reach.get(pool).is_some_and(PoolReach::is_lost)
     }
 
+    /// Whether it is open if this node has lost a pool; see [`PoolReach::is_suspected`].
+    pub fn is_suspected(&self, pool: &str) -> bool {
+        let reach = self.reach.lock();
+        reach.get(pool).is_some_and(PoolReach::is_suspected)
+    }
+
     /// Whether this node sends a request with this uniform draw to a pool itself; see
     /// [`PoolReach::serves_itself`].
     pub fn serves_itself(&self, pool: &str, draw: u64, now: TimeMs) -> bool {
