feature: Logs name software versions and what a stream takes up

No line told an upstream's software version, whether a request takes a stream up, or why a broken stream did not go on; crossings of versions could only be found by joining the nodes' lines with the operators' log.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -396,6 +396,7 @@
             event = "upstream_changed",
             upstream = announced.id.as_str(),
             pool = announced.pool.as_str(),
+            version = announced.version.as_str(),
             failure_domain = announced.failure_domain.as_str(),
             phase:? = announced.phase,
             reclaimable = announced.is_reclaimable,
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -158,7 +158,7 @@
     request_log: &mut RequestLog,
 ) -> Result<Checked, Refusal> {
     let head = headers::read_request_head(&parts.headers)?;
-    request_log.set_request_id(&head.id);
+    request_log.set_head(&head);
     let settings = node.settings();
     let in_force = node.in_force.read().clone();
     if !in_force.is_known() {
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -283,6 +283,7 @@
     count_send(attempts, resume_after, pending.limit_per_s.is_some());
     request_log.record_send(
         &id,
+        &pending.version,
         SelectionInputs {
             expected_ms: choice.expected_ms,
             running: choice.running,
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -8,6 +8,7 @@
 use crate::gateway::num;
 use crate::gateway::quota::Shortfall;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::request_head::RequestHead;
 use crate::time::TimeMs;
 
 /// The inputs of the last upstream selection.
@@ -79,6 +80,14 @@
     team: Option<String>,
     configuration_version: u64,
     upstream: String,
+    /// Software version of that upstream; empty if not announced.
+    upstream_version: String,
+    /// Software version of the upstream that sent the first event of a stream.
+    first_version: Option<String>,
+    /// The event after which the caller resumes a stream.
+    resume_after: Option<u64>,
+    /// The request that brought the first event of the stream that the caller resumes.
+    resumes: Option<String>,
     /// The peer that this node last asked to send the request.
     forwarded_to: String,
     /// The node that received the request from the caller, if that was another one.
@@ -105,6 +114,10 @@
             team: None,
             configuration_version: 0,
             upstream: String::new(),
+            upstream_version: String::new(),
+            first_version: None,
+            resume_after: None,
+            resumes: None,
             forwarded_to: String::new(),
             forwarded_by: None,
             inputs: SelectionInputs::default(),
@@ -130,8 +143,11 @@
         self.request_id.as_deref()
     }
 
-    pub fn set_request_id(&mut self, id: &str) {
-        self.request_id = Some(id.to_owned());
+    /// Sets the request's id, and which stream it resumes, if any.
+    pub fn set_head(&mut self, head: &RequestHead) {
+        self.request_id = Some(head.id.clone());
+        self.resume_after = head.resume_after;
+        self.resumes.clone_from(&head.resumes);
     }
 
     /// Sets the request's route; `label` is its metric label.
@@ -151,8 +167,9 @@
     }
 
     /// Records a send to an upstream.
-    pub fn record_send(&mut self, upstream: &str, inputs: SelectionInputs) {
+    pub fn record_send(&mut self, upstream: &str, version: &str, inputs: SelectionInputs) {
         upstream.clone_into(&mut self.upstream);
+        version.clone_into(&mut self.upstream_version);
         if let Some(measures) = &self.measures {
             measures.expected.record(inputs.expected_ms);
         }
@@ -173,6 +190,10 @@
             request_id = self.request_id.as_deref().unwrap_or_default(),
             route = self.route.as_str(),
             upstream = self.upstream.as_str(),
+            upstream_version = self.upstream_version.as_str(),
+            first_version = self.first_version.as_deref(),
+            resume_after = self.resume_after,
+            resumes = self.resumes.as_deref(),
             expected_ms = self.inputs.expected_ms,
             upstream_running = self.inputs.running,
             upstream_slots = self.inputs.slots,
@@ -189,6 +210,7 @@
     pub fn record_first_event(&mut self, now: TimeMs) {
         let first_ms = now.since(self.received_at);
         self.first_ms = Some(first_ms);
+        self.first_version = (!self.upstream.is_empty()).then(|| self.upstream_version.clone());
         self.last_event_at = now;
         if let Some(measures) = &self.measures {
             measures.first_token.record(num::to_f64(first_ms));
@@ -240,6 +262,10 @@
             route = self.route.as_str(),
             team = self.team.as_deref().unwrap_or_default(),
             upstream = self.upstream.as_str(),
+            upstream_version = self.upstream_version.as_str(),
+            first_version = self.first_version.as_deref(),
+            resume_after = self.resume_after,
+            resumes = self.resumes.as_deref(),
             forwarded_to = self.forwarded_to.as_str(),
             forwarded_by = self.forwarded_by.as_deref().unwrap_or_default(),
             expected_ms = self.inputs.expected_ms,
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -278,7 +278,14 @@
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
     // Closing the old connection first makes its upstream stop work whose result is unused.
     drop(upstream_stream);
-    if !plan.may_repeat(attempts) || reason == "late" {
+    let not_resumed = match reason {
+        "late" => Some("deadline"),
+        _ if !plan.route().is_repeatable() => Some("not_resumable"),
+        _ if !plan.may_repeat(attempts) => Some("attempts_used"),
+        _ => None,
+    };
+    if let Some(detail) = not_resumed {
+        request_log.record_failed_attempt("not_resumed", detail, clock::now());
         return None;
     }
     match dispatch::send(node, plan, attempts, after, request_log).await {
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -41,6 +41,8 @@
     /// Tag of the request's route.
     route: u64,
     pool: String,
+    /// Software version of the upstream when the request was sent; empty if not announced.
+    pub version: String,
     /// Expected response time; compares the versions of a rollout in the pool.
     expected_ms: f64,
 }
@@ -66,6 +68,7 @@
             is_read_speed_sample: choice.copied_tokens == 0 && choice.running * 2 < choice.slots,
             route: tag(&plan.route().name),
             pool: plan.pool.clone(),
+            version: upstream.announcement.version.clone(),
             expected_ms: match plan.head.prompt {
                 Some(_) => choice.expected_ms,
                 // The only estimate for non-streaming calls comes from the upstream itself, which
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -18,6 +18,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received of a stream to be resumed.
     pub resume_after: Option<u64>,
+    /// Id of the request that brought the first event of that stream, if the caller states it.
+    pub resumes: Option<String>,
 }
 
 /// The token counts of a generation and the parts of its prompt.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,6 +18,8 @@
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
 const PROMPT_PARTS: HeaderName = HeaderName::from_static("prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the request that brought the first event of a stream that the caller resumes.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Seal with which a server proves that it produced the response.
 const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
 const TEAM: HeaderName = HeaderName::from_static("tenant");
@@ -84,6 +86,7 @@
         key: read_key(headers),
         prompt: read_prompt(headers)?,
         resume_after: number(headers, &LAST_EVENT_ID)?,
+        resumes: text(headers, &RESUMES).map(str::to_owned),
     })
 }
 
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -19,6 +19,7 @@
         ("token-count", "1460,80"),
         ("prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
         ("last-event-id", "12"),
+        ("resumes", "77aa"),
     ]
 }
 
@@ -29,6 +30,7 @@
     assert_eq!(call.time_left_ms, Some(12_000));
     assert_eq!(call.key.as_deref(), Some("k1"));
     assert_eq!(call.resume_after, Some(12));
+    assert_eq!(call.resumes.as_deref(), Some("77aa"));
     let prompt = call.prompt.expect("a prompt");
     assert_eq!((prompt.input_tokens, prompt.max_output_tokens), (1_460, 80));
     assert_eq!(prompt.shared_tokens(), 1_210);
--- a/tests/platform/explained.rs
+++ b/tests/platform/explained.rs
@@ -71,6 +71,28 @@
     );
 }
 
+/// Guards against streams of which no line says which versions they came from and what they take up.
+#[tokio::test(flavor = "multi_thread")]
+async fn resumed_stream_is_explained_with_its_versions() {
+    let deployment = deployment(1, 1).await;
+    deployment.upstreams[1].set(Fault::BreaksOff);
+    let mut call = asked("taken-up", "stream-on");
+    call.extra = "Resumes: begun\r\nLast-Event-Id: 1\r\n".to_owned();
+    send(&deployment, 0, &call).await;
+    let story = story_of(&deployment, "taken-up").await;
+    for event in ["attempt_failed", "request_ended"] {
+        assert_eq!(field(&story, event, "upstream_version"), Some("v1"));
+        assert_eq!(field(&story, event, "resumes"), Some("begun"));
+    }
+    assert_eq!(field(&story, "request_ended", "first_version"), Some("v1"));
+    let not_resumed = (story.steps.iter()).any(|step| {
+        step.fields
+            .get("reason")
+            .is_some_and(|reason| reason == "not_resumed")
+    });
+    assert!(not_resumed, "{story}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn response_timeout_is_explained() {
     let deployment = deployment(1, 1).await;
