test: Upstreams of two versions whose events do not fit together, listed as red

Stand-ins write their version into what they send when they go on with a stream that another version began, so that a caller's answer is not whole.

--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -16,7 +16,7 @@
 use super::cloud::Cloud;
 use super::node::{Launch, Node};
 use super::store::{Door, OpenDoor, Store};
-use super::upstream::{Run, Upstream, UpstreamSettings};
+use super::upstream::{Run, Upstream, UpstreamSettings, is_misfit};
 use crate::proxy::{ProxySettings, TcpProxy};
 
 /// The host that callers name.
@@ -244,6 +244,14 @@
         addresses.map(str::to_owned).collect()
     }
 
+    /// The runs that went on with a stream that another software version began.
+    #[must_use]
+    pub fn misfits(&self) -> Vec<Run> {
+        let runs = self.runs.lock();
+        let misfits = (0..runs.len()).filter(|place| is_misfit(&runs, *place));
+        misfits.map(|place| runs[place].clone()).collect()
+    }
+
     /// What upstreams ran of a request.
     #[must_use]
     pub fn runs_of(&self, request: &str) -> Vec<Run> {
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -50,6 +50,8 @@
     Sheds,
     /// It breaks streams off within their third event, and plain answers within their body.
     BreaksOff,
+    /// It breaks streams that begin there off within their third event, and none that go on there.
+    BreaksBegunStreams,
     /// It answers without a length and resets the channel in the middle.
     UnframedReset,
 }
@@ -59,6 +61,8 @@
 pub struct Run {
     /// The upstream.
     pub upstream: String,
+    /// The version of its software.
+    pub version: String,
     /// The request's id.
     pub request: String,
     /// Path and query.
@@ -67,6 +71,8 @@
     pub team: Option<String>,
     /// The event behind which it went on.
     pub resumed_after: Option<u64>,
+    /// The request that brought the first event of the stream that the caller takes up, as it named it.
+    pub resumes: Option<String>,
     /// The upstream's address from which it was told to copy what it lacks of the prompt.
     pub copied_from: Option<String>,
     /// When, in Unix milliseconds.
@@ -75,6 +81,16 @@
     pub left_at_ms: Option<u64>,
 }
 
+/// Whether the run of this place goes on with a stream that another software version began.
+#[must_use]
+pub fn is_misfit(runs: &[Run], place: usize) -> bool {
+    let run = &runs[place];
+    let begun_by = run.resumes.as_ref().unwrap_or(&run.request);
+    let mut earlier = runs[..place].iter().rev();
+    let began = earlier.find(|one| one.request == *begun_by && one.resumed_after.is_none());
+    run.resumed_after.is_some() && began.is_some_and(|began| began.version != run.version)
+}
+
 /// A request that reached an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Arrival {
@@ -534,13 +550,24 @@
                 .and_then(|text| text.parse::<u64>().ok())
         };
         let after = number("last-event-id").unwrap_or(0);
+        let is_misfit = is_misfit(&self.runs.lock(), place);
         let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
         socket
             .write_all(self.head("200 OK", id, extra).as_bytes())
             .await?;
         for event in after + 1..=10 {
-            let text = format!("id: {event}\ndata: {event} of {id}\n\n");
-            if fault == Fault::BreaksOff && event == 3 {
+            // What two versions write does not fit together.
+            let text = if is_misfit {
+                format!("id: {event}\ndata: {event} of {id} by {}\n\n", self.version)
+            } else {
+                format!("id: {event}\ndata: {event} of {id}\n\n")
+            };
+            let breaks_off = match fault {
+                Fault::BreaksOff => true,
+                Fault::BreaksBegunStreams => after == 0,
+                _ => false,
+            };
+            if breaks_off && event == 3 {
                 let half = &text[..text.len() / 2];
                 socket.write_all(chunk(half).as_bytes()).await?;
                 return Ok(false);
@@ -603,12 +630,14 @@
         let mut runs = self.runs.lock();
         runs.push(Run {
             upstream: self.id.clone(),
+            version: self.version.clone(),
             request: id.to_owned(),
             path: request.path.clone(),
             team: request.header("tenant").map(str::to_owned),
             resumed_after: request
                 .header("last-event-id")
                 .and_then(|text| text.parse().ok()),
+            resumes: request.header("resumes").map(str::to_owned),
             copied_from: request.header("kv-fetch").map(str::to_owned),
             at_ms: now_ms(),
             left_at_ms: None,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,3 +17,4 @@
 mod store;
 mod store_copy;
 mod support;
+mod versions;
--- /dev/null
+++ b/tests/platform/versions.rs
@@ -0,0 +1,189 @@
+//! Upstreams of several software versions in one service: a stream goes on only at the version that began it.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use nix::sys::signal::Signal;
+use teaselline_stand_ins::operators::deployment::{KEYS, asked};
+use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Fault};
+
+use super::support::{deployment, eventually, send};
+
+/// Streams of one test.
+const STREAMS: usize = 24;
+
+/// Concurrent streams at a node that spread over all upstreams.
+const AT_ONE_NODE: usize = 8;
+
+/// Time within which a stream that cannot go on ends; a small part of its deadline.
+const AT_ONCE: Duration = Duration::from_millis(800);
+
+/// Starts `nodes` nodes, two upstreams of v1 and `new` upstreams of v2 that all nodes know.
+async fn deployment_of_two_versions(nodes: usize, new: usize) -> Deployment {
+    let mut deployment = deployment(nodes, 2).await;
+    for place in 0..new {
+        let id = format!("pool-new-{place}");
+        (deployment.add_upstream_of("pool", &id, "v2").await).expect("a port is free");
+    }
+    eventually("all upstreams receive streams from all nodes", async || {
+        for node in 0..nodes {
+            let begun = deployment.runs.lock().len();
+            let calls = (0..AT_ONE_NODE)
+                .map(|number| asked(&format!("warm-{node}-{begun}-{number}"), "stream-on"));
+            let calls: Vec<Asked> = calls.collect();
+            join_all(calls.iter().map(|call| send(&deployment, node, call))).await;
+        }
+        let runs = deployment.runs.lock();
+        let is_known_to = |node: usize| {
+            let prefix = format!("warm-{node}-");
+            let mut of_node = runs.iter().filter(|run| run.request.starts_with(&prefix));
+            of_node.any(|run| run.version == "v2")
+        };
+        (0..nodes).all(is_known_to)
+    })
+    .await;
+    deployment
+}
+
+fn set_pool(deployment: &Deployment, fault: Fault) {
+    let pool = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
+    pool.for_each(|upstream| upstream.set(fault));
+}
+
+/// Returns the id of the last whole event of an answer that was cut.
+fn last_event(ended: &Ended) -> Option<u64> {
+    let events = ended.body().split_inclusive("\n\n");
+    let whole = events.filter(|event| event.ends_with("\n\n"));
+    let ids = whole.filter_map(|event| event.split_once("id: "));
+    ids.filter_map(|(_before, id)| id.lines().next()?.parse().ok())
+        .last()
+}
+
+/// Returns the request that takes a stream up behind an event.
+fn take_up(id: &str, begun_by: &str, after: u64) -> Asked {
+    let mut call = asked(id, "stream-on");
+    call.extra = format!("Resumes: {begun_by}\r\nLast-Event-Id: {after}\r\n");
+    call
+}
+
+/// Guards against one answer whose events come from two software versions, after an upstream broke the stream off.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_goes_on_only_at_the_version_that_began_it() {
+    let deployment = deployment_of_two_versions(2, 2).await;
+    set_pool(&deployment, Fault::BreaksBegunStreams);
+    let calls: Vec<Asked> = (0..STREAMS)
+        .map(|number| asked(&format!("broken-{number}"), "stream-on"))
+        .collect();
+    let sent = calls.iter().enumerate();
+    let ended = join_all(sent.map(|(place, call)| send(&deployment, place % 2, call))).await;
+    assert_eq!(deployment.misfits(), Vec::new());
+    let whole = ended.iter().filter(|one| one.status() == Some(200)).count();
+    assert_eq!(
+        whole, STREAMS,
+        "an upstream of each version was left: {ended:?}"
+    );
+}
+
+/// Guards against a stream that waits for its deadline, or goes on at another version, once no upstream of its own is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_stream_ends_at_once_without_an_upstream_of_its_version() {
+    let deployment = deployment_of_two_versions(1, 2).await;
+    set_pool(&deployment, Fault::BreaksBegunStreams);
+    let old = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
+    let old: Vec<_> = old.filter(|one| !one.id().contains("new")).collect();
+    old[0].drain();
+    eventually("a stream begins at the last upstream of v1", async || {
+        let id = format!("last-{}", deployment.runs.lock().len());
+        let started = Instant::now();
+        let ended = send(&deployment, 0, &asked(&id, "stream-on")).await;
+        let runs = deployment.runs_of(&id);
+        let is_last = runs[0].upstream == old[1].id();
+        if is_last {
+            assert_eq!(ended.status(), None, "{ended:?} {runs:?}");
+            assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+        }
+        is_last
+    })
+    .await;
+    assert_eq!(deployment.misfits(), Vec::new());
+}
+
+/// Guards against streams that a caller takes up at other nodes and that go on there at another software version, after
+/// the node that knew their version was killed; and against streams that are refused although it still serves.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_taken_up_after_its_node_was_killed_goes_on_at_its_version() {
+    let deployment = deployment_of_two_versions(4, 2).await;
+    let calls: Vec<Asked> = (0..STREAMS)
+        .map(|number| asked(&format!("begun-{number}"), "stream-on"))
+        .collect();
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        let killed = deployment.nodes[0].signal(Signal::SIGKILL);
+        killed.expect("the node runs");
+    };
+    let sent = join_all(calls.iter().map(|call| send(&deployment, 0, call)));
+    let (ended, ()) = tokio::join!(sent, kill);
+    let cut = calls.iter().zip(&ended);
+    let cut: Vec<Asked> = cut
+        .filter_map(|(call, ended)| {
+            let after = last_event(ended)?;
+            Some(take_up(&format!("up-{}", call.id), &call.id, after))
+        })
+        .collect();
+    assert!(
+        cut.len() > STREAMS / 2,
+        "the node was killed within the streams: {ended:?}"
+    );
+    let sent = cut.iter().enumerate();
+    let ended = join_all(sent.map(|(place, call)| send(&deployment, 1 + place % 3, call))).await;
+    assert_eq!(deployment.misfits(), Vec::new());
+    let gone_on = ended.iter().filter(|one| one.status() == Some(200)).count();
+    assert!(
+        gone_on * 2 >= cut.len(),
+        "{gone_on} of {}: {ended:?}",
+        cut.len()
+    );
+}
+
+/// Guards against streams that nobody knows, or that another team began, and that go on at any version.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_streams_are_refused_at_once_while_two_versions_serve() {
+    let deployment = deployment_of_two_versions(2, 2).await;
+    send(&deployment, 0, &asked("known", "stream-on")).await;
+    let mut of_other_team = take_up("other-team", "known", 3);
+    KEYS[1].clone_into(&mut of_other_team.key);
+    let mut unnamed = asked("unnamed", "stream-on");
+    unnamed.extra = "Last-Event-Id: 3\r\n".to_owned();
+    let long = "x".repeat(2_000);
+    let unknown = [
+        take_up("never-begun", "nobody", 3),
+        take_up("empty", "", 3),
+        take_up("long", &long, 3),
+        of_other_team,
+        unnamed,
+    ];
+    for (place, call) in unknown.iter().enumerate() {
+        let started = Instant::now();
+        let ended = send(&deployment, place % 2, call).await;
+        assert_eq!(ended.status(), Some(503), "{call:?}: {ended:?}");
+        assert!(started.elapsed() < AT_ONCE, "{:?}", started.elapsed());
+        assert!(deployment.runs_of(&call.id).is_empty(), "{call:?}");
+    }
+    let known = send(&deployment, 1, &take_up("taken-up", "known", 3)).await;
+    assert_eq!(known.status(), Some(200), "{known:?}");
+    assert_eq!(deployment.misfits(), Vec::new());
+}
+
+/// Guards against streams that are refused although all upstreams have had the same version for as long as streams last.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_stream_goes_on_while_one_version_has_served_alone() {
+    let deployment = deployment(2, 2).await;
+    let started = Instant::now();
+    let ended = send(&deployment, 0, &take_up("sole-version", "nobody", 3)).await;
+    assert_eq!(
+        ended.status(),
+        Some(200),
+        "{ended:?} after {:?}",
+        started.elapsed()
+    );
+}
