bug: A broken stream goes on only at the software version that began it

The resend of a broken stream used the criteria of a new request, so it went to any version, and during a roll-out always to another one.

The attempt that brings the first event now binds the request to its upstream's version. The choice and the refusals derived from it look at that version only, before a roll-out's filter. With none left the stream ends at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -65,6 +65,7 @@
 mod sources;
 mod state;
 mod store_contact;
+mod streams;
 mod strikes;
 pub(crate) mod throttle;
 pub(crate) mod upstreams;
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -173,6 +173,14 @@
     sum.map(|limited_per_s| Backpressure::Limited { limited_per_s })
 }
 
+/// Whether an upstream is left that serves the pool and version of the request and has not received it, regardless of
+/// its backpressure.
+#[must_use]
+pub(crate) fn is_any_left(table: &UpstreamTable, ask: &Criteria<'_>, now: TimeMs) -> bool {
+    (table.iter())
+        .any(|(key, upstream)| serves_pool(upstream, ask, now) && !ask.excluded.contains(&key))
+}
+
 /// Whether an upstream serves the pool and version of the request, regardless of its backpressure.
 fn serves_pool(upstream: &Upstream, ask: &Criteria<'_>, now: TimeMs) -> bool {
     upstream.announcement.pool == ask.pool
@@ -183,6 +191,7 @@
 fn matches_version(upstream: &Upstream, ask: &Criteria<'_>) -> bool {
     match ask.versions {
         VersionFilter::Any => true,
+        VersionFilter::Begun(version) => upstream.version() == version,
         VersionFilter::Without(version) => upstream.announcement.version != version,
         VersionFilter::Only(version) | VersionFilter::Few { version, .. } => {
             upstream.announcement.version == version
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::admission::Plan;
 use crate::gateway::refusal::Refusal;
+use crate::gateway::streams::VersionTag;
 use crate::gateway::upstreams::UpstreamKey;
 use crate::time::TimeMs;
 
@@ -38,6 +39,8 @@
     is_kept_here: bool,
     /// Whether a peer forwarded the request.
     is_forwarded: bool,
+    /// The version that sent the first event of the stream; `None` until one has.
+    begun_version: Option<VersionTag>,
 }
 
 impl Attempts {
@@ -86,6 +89,16 @@
         self.executions += 1;
     }
 
+    /// Records the version that sent the first event of the stream: only it may send further ones.
+    pub fn bind(&mut self, version: VersionTag) {
+        self.begun_version = Some(version);
+    }
+
+    /// Returns the only version that may receive the request; `None` while it may be any.
+    pub fn begun_version(&self) -> Option<VersionTag> {
+        self.begun_version
+    }
+
     /// Excludes an upstream from further attempts.
     pub fn exclude(&mut self, upstream: UpstreamKey) {
         self.excluded.push(upstream);
@@ -126,6 +139,13 @@
         self.undelivered >= max_undelivered
     }
 
+    /// Returns the refusal for a stream of whose version no upstream is left.
+    pub fn version_gone(&self) -> Refusal {
+        Refusal::StreamVersionGone {
+            may_have_run: self.executions > 0,
+        }
+    }
+
     /// Returns the refusal for a request that is not sent again.
     pub fn final_refusal(&self, plan: &Plan, now: TimeMs) -> Refusal {
         let is_late = now >= plan.deadline;
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -29,6 +29,7 @@
 use crate::gateway::request_head::Prompt;
 use crate::gateway::rollout::{RoutingContext, VersionFilter};
 use crate::gateway::state::Gateway;
+use crate::gateway::streams::VersionTag;
 use crate::gateway::upstreams::UpstreamKey;
 use crate::platform::headers::{self, ResponseHead, UpstreamHeaders};
 use crate::time::TimeMs;
@@ -127,6 +128,10 @@
         return Err(Refusal::Breaking);
     }
     let settings = node.settings();
+    let begun_version = attempts.begun_version();
+    if begun_version.is_some_and(|version| !may_resume_at(node, &plan.pool, version, now)) {
+        return Err(attempts.version_gone());
+    }
     let moment = rollout_context(node, plan, attempts, now);
     let pace = node.pace(&plan.pool, now);
     let choice = {
@@ -137,9 +142,11 @@
             prompt: plan.head.prompt.as_ref(),
             failure_domain: &settings.failure_domain,
             excluded: attempts.excluded(),
-            versions: rollout.map_or(VersionFilter::Any, |(moment, rollout)| {
-                rollout.versions(moment)
-            }),
+            versions: match (begun_version, rollout) {
+                (Some(version), _) => VersionFilter::Begun(version),
+                (None, Some((moment, rollout))) => rollout.versions(moment),
+                (None, None) => VersionFilter::Any,
+            },
             pace,
             copy_tokens_per_ms: plan.copy_tokens_per_ms(),
             may_repeat: plan.route().is_repeatable(),
@@ -148,6 +155,9 @@
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
         let choice = choose::choose(&upstreams, &prefixes, &ask, now);
+        if begun_version.is_some() && !choose::is_any_left(&upstreams, &ask, now) {
+            return Err(attempts.version_gone());
+        }
         choice.ok_or_else(|| choose::backpressure(&upstreams, &ask, now))
     };
     let choice = match choice {
@@ -190,6 +200,13 @@
     }
 }
 
+/// Whether a roll-out lets a stream go on at the version that began it.
+fn may_resume_at(node: &Gateway, pool: &str, version: VersionTag, now: TimeMs) -> bool {
+    let day_ms = node.agreed_time_of_day(now).0;
+    let mut rollouts = node.rollouts.lock();
+    (rollouts.get_mut(pool)).is_none_or(|rollout| rollout.admits_resumption(version, day_ms))
+}
+
 /// Takes one repeat out of the pool's repeat budget; returns whether one was left.
 fn takes_repeat(node: &Gateway, pool: &str, now: TimeMs) -> bool {
     let budget = node.repeat_budget();
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -21,6 +21,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
 use crate::gateway::state::{Gateway, InFlight};
+use crate::gateway::streams::VersionTag;
 use crate::platform::headers;
 use crate::time::TimeMs;
 
@@ -182,6 +183,8 @@
                     took_ms,
                 );
             }
+            let version = &upstream_stream.context.upstream_request.version;
+            attempts.bind(VersionTag::of(version));
             upstream_response::count_usage(node, plan, now);
             request_log.record_first_event(now);
             return Some(OpenStream {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -47,6 +47,8 @@
     NotSentInTime,
     #[error("it has broken several upstreams")]
     Breaking,
+    #[error("no upstream is left of the software version that began the stream")]
+    StreamVersionGone { may_have_run: bool },
     #[error("an upstream gave no usable answer")]
     NoAnswer,
     #[error("an upstream did not answer in time")]
@@ -85,7 +87,12 @@
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             // The request has run, and another run would do harm.
             Self::Breaking => StatusCode::INTERNAL_SERVER_ERROR,
-            Self::NoAnswer => StatusCode::BAD_GATEWAY,
+            Self::StreamVersionGone {
+                may_have_run: false,
+            } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoAnswer | Self::StreamVersionGone { may_have_run: true } => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::AnswerTimeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -115,7 +122,13 @@
 
     /// Whether the request may have run.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Self::Breaking | Self::NoAnswer | Self::AnswerTimeout)
+        matches!(
+            self,
+            Self::Breaking
+                | Self::NoAnswer
+                | Self::AnswerTimeout
+                | Self::StreamVersionGone { may_have_run: true }
+        )
     }
 
     /// Whether the reason holds at this node only, so that another one may serve the request.
@@ -159,6 +172,7 @@
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
+            Self::StreamVersionGone { .. } => "stream_version_gone",
             Self::NoAnswer => "no_answer",
             Self::AnswerTimeout => "answer_timeout",
         }
--- a/src/gateway/rollout.rs
+++ b/src/gateway/rollout.rs
@@ -15,6 +15,7 @@
 
 use super::log_position::LogPosition;
 use super::num;
+use super::streams::VersionTag;
 use super::upstreams::tag;
 use super::verdict::{self, LatencyBaseline, Seen, Verdict};
 use crate::time::TimeMs;
@@ -110,6 +111,8 @@
     Without(&'a str),
     /// Only this version.
     Only(&'a str),
+    /// Only the version that began the stream.
+    Begun(VersionTag),
     /// At most `most` upstreams of this version, which receive their eventual load.
     Few {
         version: &'a str,
@@ -260,6 +263,23 @@
         }
     }
 
+    /// Whether a stream may go on at the version that began it, also at one that gets no new requests.
+    ///
+    /// A stream that goes on at the new version counts as one of the requests that it may receive.
+    pub fn admits_resumption(&mut self, version: VersionTag, day_ms: u64) -> bool {
+        let is_new = version == VersionTag::of(&self.order.target);
+        let since_ms = day_ms.saturating_sub(self.decided.since_day_ms);
+        match self.decided.stage {
+            Stage::Succeeded => is_new || since_ms >= STOPPED_UPSTREAM_TTL_MS,
+            _ if !is_new => true,
+            Stage::RolledBack => false,
+            Stage::Observing | Stage::Moving => {
+                self.credit_requests -= 1.0;
+                verdict::verdict(&self.sum()) != Verdict::Bad
+            }
+        }
+    }
+
     /// Whether this request goes to the new version.
     fn sends_canary(&mut self, moment: &RoutingContext) -> bool {
         // A retried request has failed elsewhere, and its own fault would count against the new
--- a/src/gateway/rollout/tests.rs
+++ b/src/gateway/rollout/tests.rs
@@ -369,3 +369,60 @@
         "a further order starts a roll-out"
     );
 }
+
+/// Guards against begun streams that cross versions, or go to a version that was found bad or has stopped.
+#[test]
+fn begun_stream_goes_on_at_its_version_until_that_is_rejected_or_stopped() {
+    let [old, new] = ["v1", "v2"].map(VersionTag::of);
+    let admits = |stage: Stage, version, since_ms| {
+        let mut rollout = Rollout::new(order(7), DAY);
+        rollout.decided.stage = stage;
+        rollout.admits_resumption(version, DAY + since_ms)
+    };
+    for stage in [Stage::Observing, Stage::Moving] {
+        assert!(admits(stage, old, 0));
+        assert!(admits(stage, new, 0));
+    }
+    assert!(admits(Stage::RolledBack, old, 0));
+    assert!(!admits(Stage::RolledBack, new, 0));
+    assert!(admits(Stage::Succeeded, new, 0));
+    assert!(!admits(Stage::Succeeded, old, 0));
+    assert!(admits(Stage::Succeeded, old, STOPPED_UPSTREAM_TTL_MS));
+}
+
+/// Guards against streams that go on at the new version beside its share of the requests.
+#[test]
+fn begun_streams_at_the_new_version_are_counted_as_its_requests() {
+    let mut rollout = Rollout::new(order(7), DAY);
+    for _stream in 0..10 {
+        assert!(rollout.admits_resumption(VersionTag::of("v2"), DAY));
+    }
+    let share = canary_share(&moment(DAY, 0));
+    let requests = (0..100_u64).filter(|number| {
+        let versions = rollout.versions(&moment(DAY, *number));
+        matches!(versions, VersionFilter::Few { .. })
+    });
+    assert_eq!(
+        requests.count(),
+        0,
+        "{share} of 100 requests are fewer than ten"
+    );
+}
+
+/// Guards against a bad version that gets streams until the duty holder has decided.
+#[test]
+fn begun_stream_does_not_go_on_at_a_version_whose_answers_are_bad() {
+    let mut rollout = Rollout::new(order(7), DAY);
+    for is_new in [false, true] {
+        for _answer in 0..200 {
+            rollout.record(&Answer {
+                route: ROUTE,
+                is_new,
+                took_ms: (!is_new).then_some(10),
+                expected_ms: 10.0,
+            });
+        }
+    }
+    assert!(!rollout.admits_resumption(VersionTag::of("v2"), DAY));
+    assert!(rollout.admits_resumption(VersionTag::of("v1"), DAY));
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -11,6 +11,7 @@
 use self::departed::{Departed, DepartedStarts};
 use super::health::Health;
 use super::send_gate::{Closed, SendGate};
+use super::streams::VersionTag;
 use super::throttle::{Change as LimitChange, LimitReport, Sharers};
 use crate::time::TimeMs;
 
@@ -159,6 +160,11 @@
 }
 
 impl Upstream {
+    /// Returns its software version.
+    pub fn version(&self) -> VersionTag {
+        VersionTag::of(&self.announcement.version)
+    }
+
     /// Whether the upstream may get new requests.
     pub fn accepts_requests(&self, now: TimeMs) -> bool {
         match self.announcement.phase {
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -66,13 +66,20 @@
     call
 }
 
+/// Returns a stream whose content differs from that of all others: one content that breaks three upstreams is blocked.
+fn stream(id: &str) -> Asked {
+    let mut call = asked(id, "stream-on");
+    id.clone_into(&mut call.body);
+    call
+}
+
 /// Guards against one answer whose events come from two software versions, after an upstream broke the stream off.
 #[tokio::test(flavor = "multi_thread")]
 async fn broken_stream_goes_on_only_at_the_version_that_began_it() {
     let deployment = deployment_of_two_versions(2, 2).await;
     set_pool(&deployment, Fault::BreaksBegunStreams);
     let calls: Vec<Asked> = (0..STREAMS)
-        .map(|number| asked(&format!("broken-{number}"), "stream-on"))
+        .map(|number| stream(&format!("broken-{number}")))
         .collect();
     let sent = calls.iter().enumerate();
     let ended = join_all(sent.map(|(place, call)| send(&deployment, place % 2, call))).await;
@@ -95,7 +102,7 @@
     eventually("a stream begins at the last upstream of v1", async || {
         let id = format!("last-{}", deployment.runs.lock().len());
         let started = Instant::now();
-        let ended = send(&deployment, 0, &asked(&id, "stream-on")).await;
+        let ended = send(&deployment, 0, &stream(&id)).await;
         let runs = deployment.runs_of(&id);
         let is_last = runs[0].upstream == old[1].id();
         if is_last {
