bug: A stream that its caller takes up goes on only at the version that began it

Each start of a resumable stream is recorded at three peers by a hash of the request's id, in other failure domains, before its first event is forwarded. A node at which a stream is taken up asks eight peers in the same order, again each 60 ms, three times. It goes on in the pool and at the version that began it. An unknown stream goes on only if one version has served alone for 60 s, by a view that is current and without gaps, this node's or a peer's, and no view refutes that; else it is refused at once. A node that stops hands its records on; a take-up that a peer sends keeps its binding.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -99,7 +99,10 @@
     let mut request_log = RequestLog::of_forwarded(&request.node, received_at);
     let mut attempts = Attempts::of_forwarded(request.is_counted);
     let executed = match admission::admit_forwarded(node, request, received_at, &mut request_log) {
-        Ok(plan) => execute_here(node, &Arc::new(plan), &mut attempts, &mut request_log).await,
+        Ok(plan) => {
+            attempts.bind_to(plan.begun);
+            execute_here(node, &Arc::new(plan), &mut attempts, &mut request_log).await
+        }
         Err(refusal) => Err(Unsent::Refused(refusal)),
     };
     match executed {
@@ -143,6 +146,7 @@
 ) -> Result<Executed, Refusal> {
     let plan = Arc::new(plan);
     let mut attempts = Attempts::default();
+    attempts.bind_to(plan.begun);
     let mut serves_itself = node.serves_itself(&plan.pool, plan.draw, clock::now());
     loop {
         if !serves_itself {
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -18,6 +18,7 @@
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::{Malformed, RequestHead};
 use crate::gateway::state::Gateway;
+use crate::gateway::streams::{self, Origin, VersionTag};
 use crate::gateway::strikes;
 use crate::gateway::upstreams::tag;
 use crate::platform::headers;
@@ -50,6 +51,8 @@
     pub content_hash: u64,
     /// Hash of the request id, uniform; spreads requests over pools, upstreams and versions.
     pub draw: u64,
+    /// What the stream is bound to that the request takes up; `None` if it begins one.
+    pub begun: Option<Origin>,
     /// Units that the request consumes from its team's quota.
     charge: f64,
 }
@@ -70,6 +73,25 @@
         self.route().is_repeatable() && attempts.executions() < self.route().max_upstreams
     }
 
+    /// Binds the request to the pool and version that began its stream.
+    fn bind(&mut self, origin: Origin) {
+        let mut targets = self.catalog.route(self.route).targets.iter();
+        let pool = targets.find(|(target, _weight)| tag(target) == origin.pool);
+        if let Some((pool, _weight)) = pool {
+            self.pool.clone_from(pool);
+        }
+        self.begun = Some(origin);
+    }
+
+    /// Returns where a stream begins whose first event an upstream of this version sent.
+    pub fn origin_at(&self, version: VersionTag) -> Origin {
+        Origin {
+            pool: tag(&self.pool),
+            version,
+            team: self.team().map(|team| tag(&team.name)),
+        }
+    }
+
     /// Returns the rate at which engines of the pool copy KV cache from each other, in tokens per
     /// millisecond; `None` if they cannot.
     pub fn copy_tokens_per_ms(&self) -> Option<f64> {
@@ -115,6 +137,17 @@
     if let Some(team) = plan.team() {
         plan.charge = charge(node, team, &plan.head, clock::now())?;
     }
+    match streams::bind(node, &plan.head, plan.route(), plan.team(), &plan.pool).await {
+        Ok(None) => {}
+        Ok(Some(begun)) => {
+            request_log.record_begun(begun);
+            plan.bind(begun.origin);
+        }
+        Err(refusal) => {
+            plan.refund_quota(node, &Attempts::default(), clock::now());
+            return Err(refusal);
+        }
+    }
     Ok(plan)
 }
 
@@ -131,9 +164,14 @@
     received_at: TimeMs,
     request_log: &mut RequestLog,
 ) -> Result<Plan, Refusal> {
+    let begun = request.begun;
     let (parts, body) = forwarded_parts(request).ok_or(Malformed::Forwarded)?;
     let checked = check(node, &parts, received_at, request_log)?;
-    plan(node, parts, checked, body)
+    let mut plan = plan(node, parts, checked, body)?;
+    if let Some(origin) = begun {
+        plan.bind(origin);
+    }
+    Ok(plan)
 }
 
 /// Returns the head and the body of a forwarded request; `None` if they are not valid HTTP.
@@ -232,6 +270,7 @@
             .min(LOWEST_URGENCY),
         content_hash,
         draw,
+        begun: None,
         charge: 0.0,
         head,
         route,
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::admission::Plan;
 use crate::gateway::refusal::Refusal;
-use crate::gateway::streams::VersionTag;
+use crate::gateway::streams::{Origin, VersionTag};
 use crate::gateway::upstreams::UpstreamKey;
 use crate::time::TimeMs;
 
@@ -94,6 +94,11 @@
         self.begun_version = Some(version);
     }
 
+    /// Binds the request to the version that began the stream that it takes up, if it takes one up.
+    pub fn bind_to(&mut self, begun: Option<Origin>) {
+        self.begun_version = begun.map(|origin| origin.version);
+    }
+
     /// Returns the only version that may receive the request; `None` while it may be any.
     pub fn begun_version(&self) -> Option<VersionTag> {
         self.begun_version
--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -110,6 +110,7 @@
         body: plan.body.to_vec(),
         time_left_ms: clock::now().until(plan.deadline),
         is_counted: attempts.is_counted(),
+        begun: plan.begun,
     }
 }
 
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -9,6 +9,7 @@
 use crate::gateway::quota::Shortfall;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::RequestHead;
+use crate::gateway::streams::Begun;
 use crate::time::TimeMs;
 
 /// The inputs of the last upstream selection.
@@ -88,6 +89,8 @@
     resume_after: Option<u64>,
     /// The request that brought the first event of the stream that the caller resumes.
     resumes: Option<String>,
+    /// How it is known where that stream began.
+    begun_by: Option<&'static str>,
     /// The peer that this node last asked to send the request.
     forwarded_to: String,
     /// The node that received the request from the caller, if that was another one.
@@ -118,6 +121,7 @@
             first_version: None,
             resume_after: None,
             resumes: None,
+            begun_by: None,
             forwarded_to: String::new(),
             forwarded_by: None,
             inputs: SelectionInputs::default(),
@@ -166,6 +170,11 @@
         self.inputs.configuration_age_ms = age_ms;
     }
 
+    /// Records how it is known where the stream began that the request takes up.
+    pub fn record_begun(&mut self, begun: Begun) {
+        self.begun_by = Some(begun.source.as_str());
+    }
+
     /// Records a send to an upstream.
     pub fn record_send(&mut self, upstream: &str, version: &str, inputs: SelectionInputs) {
         upstream.clone_into(&mut self.upstream);
@@ -194,6 +203,7 @@
             first_version = self.first_version.as_deref(),
             resume_after = self.resume_after,
             resumes = self.resumes.as_deref(),
+            begun_by = self.begun_by,
             expected_ms = self.inputs.expected_ms,
             upstream_running = self.inputs.running,
             upstream_slots = self.inputs.slots,
@@ -266,6 +276,7 @@
             first_version = self.first_version.as_deref(),
             resume_after = self.resume_after,
             resumes = self.resumes.as_deref(),
+            begun_by = self.begun_by,
             forwarded_to = self.forwarded_to.as_str(),
             forwarded_by = self.forwarded_by.as_deref().unwrap_or_default(),
             expected_ms = self.inputs.expected_ms,
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -21,7 +21,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
 use crate::gateway::state::{Gateway, InFlight};
-use crate::gateway::streams::VersionTag;
+use crate::gateway::streams::{self, StreamKey, VersionTag};
 use crate::platform::headers;
 use crate::time::TimeMs;
 
@@ -184,7 +184,9 @@
                 );
             }
             let version = &upstream_stream.context.upstream_request.version;
-            attempts.bind(VersionTag::of(version));
+            let version = VersionTag::of(version);
+            attempts.bind(version);
+            record_start(node, plan, version, now);
             upstream_response::count_usage(node, plan, now);
             request_log.record_first_event(now);
             return Some(OpenStream {
@@ -214,6 +216,22 @@
     None
 }
 
+/// Records where a resumable stream began, also under the request that its caller names when it takes the stream up.
+fn record_start(node: &Arc<Gateway>, plan: &Plan, version: VersionTag, now: TimeMs) {
+    if !plan.route().is_repeatable() {
+        return;
+    }
+    let origin = plan.origin_at(version);
+    let resumed = plan
+        .head
+        .resumes
+        .as_deref()
+        .filter(|_id| plan.begun.is_some());
+    for id in [Some(plan.head.id.as_str()), resumed].into_iter().flatten() {
+        streams::record_start(node, StreamKey::of(id), origin, now);
+    }
+}
+
 /// Forwards a stream to the caller until its end, resuming it at other upstreams as needed.
 pub(super) fn forward(
     node: Arc<Gateway>,
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -19,7 +19,8 @@
 use crate::gateway::reach_probe;
 use crate::gateway::state::Gateway;
 use crate::gateway::store_contact::StoreAvailability;
-use crate::gateway::upstreams::{Announcement, Change, Phase};
+use crate::gateway::streams::{Origin, StreamKey, VersionTag};
+use crate::gateway::upstreams::{Announcement, Change, Phase, tag};
 use crate::platform::{documents, settings};
 
 /// Interval at which a node counts as heard; longer than a test.
@@ -371,6 +372,30 @@
     assert_eq!(ended.status(), Some(200), "{ended:?}");
 }
 
+/// Guards against a peer that chooses the version anew for a stream that it sends in place of another node.
+#[tokio::test(flavor = "multi_thread")]
+async fn forwarded_resumption_stays_bound_to_the_version_that_began_its_stream() {
+    let upstreams = Upstreams::start().await;
+    let (cut, _whole) = cut_and_whole(&upstreams, Link::Refuses).await;
+    cut.notice("pool", "stream-on").await;
+    for (version, status) in [("v1", 200), ("v0", 503)] {
+        let begun = format!("begun-{version}");
+        let origin = Origin {
+            pool: tag("pool"),
+            version: VersionTag::of(version),
+            team: Some(tag("archive")),
+        };
+        let key = StreamKey::of(&begun);
+        (cut.node.stream_origins.lock()).record(key, origin, clock::now());
+        let id = format!("up-{version}");
+        let mut call = asked(&id, "stream-on");
+        call.extra = format!("Resumes: {begun}\r\nLast-Event-Id: 3\r\n");
+        let ended = call.send(cut.callers).await;
+        assert_eq!(ended.status(), Some(status), "{version}: {ended:?}");
+        assert_eq!(upstreams.runs_of(&id).len(), usize::from(status == 200));
+    }
+}
+
 async fn eventually(mut holds: impl FnMut() -> bool) {
     let until = tokio::time::Instant::now() + PATIENCE;
     while !holds() {
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -14,6 +14,7 @@
 use http::{HeaderMap, StatusCode};
 
 use super::refusal::Refusal;
+use super::streams::Origin;
 use crate::keys::Incarnation;
 use crate::peers::{Connections, FleetKey, Protocol, Settings};
 
@@ -35,6 +36,8 @@
     pub time_left_ms: u64,
     /// Whether the node that received the request has counted it as one of its pool's requests.
     pub is_counted: bool,
+    /// What the stream is bound to that the request takes up.
+    pub begun: Option<Origin>,
 }
 
 /// The first message in response to a [`ForwardedRequest`].
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -140,6 +140,8 @@
     }
     drop(quotas);
     let blocked = node.strikes.lock().blocked_contents(now);
+    let streams = node.stream_origins.lock().len();
+    gauge!("teaselline_streams_known").set(num::to_f64(streams as u64));
     gauge!("teaselline_contents_blocked").set(num::to_f64(blocked as u64));
 }
 
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -11,6 +11,7 @@
 use crate::gateway::quota::AdmittedTotal;
 use crate::gateway::rollout::Decision;
 use crate::gateway::state::{Gateway, Recipients};
+use crate::gateway::streams;
 use crate::gateway::throttle::LimitReport;
 use crate::time::TimeMs;
 
@@ -77,6 +78,16 @@
         }
         Message::Limit(told) => apply_limit(node, &told, now),
         Message::Leaving(upstream) => apply_leaving(node, upstream, now),
+        Message::StreamsBegan(starts) => {
+            let mut origins = node.stream_origins.lock();
+            for (key, origin) in starts {
+                origins.record(key, origin, now);
+            }
+        }
+        Message::QueryStream(query) => streams::answer(node, &query, from, now),
+        Message::StreamStated(key, statement) => {
+            streams::apply_statement(node, key, statement, from);
+        }
         Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
         Message::Strike(strike) => {
             node.strikes.lock().record(strike, now);
--- a/src/gateway/groups.rs
+++ b/src/gateway/groups.rs
@@ -34,6 +34,11 @@
         self.failure_domain == other.failure_domain
     }
 
+    /// Returns the hash of its failure domain.
+    pub fn domain(self) -> u64 {
+        self.failure_domain
+    }
+
     /// Returns the rank of the node for a key in rendezvous hashing.
     pub fn rank_for(self, key: u64) -> u64 {
         spread_bits(self.node ^ key)
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -19,6 +19,7 @@
 use super::rollout::{Decision, Observation};
 use super::snapshot::Page;
 use super::store_contact::StoreAvailability;
+use super::streams::{Origin, Query, Statement, StreamKey};
 use super::strikes::{AgedStrike, Strike};
 use super::throttle::LimitReport;
 use super::upstreams::{Change, Load};
@@ -71,6 +72,12 @@
     Limit(LimitReport),
     /// The tag of an upstream that stated in a response that it is leaving.
     Leaving(u64),
+    /// Where streams began, for the peers that keep it.
+    StreamsBegan(Vec<(StreamKey, Origin)>),
+    /// Asks a peer where a stream began.
+    QueryStream(Query),
+    /// The answer to that, with the stream that the question named.
+    StreamStated(Option<StreamKey>, Statement),
     /// The pools that a node does not reach, after a change.
     Unreached(UnreachedPools),
     /// A part of a message that exceeds a datagram.
@@ -114,6 +121,9 @@
             Self::Strike(_) => "strike",
             Self::Limit(_) => "limit",
             Self::Leaving(_) => "leaving",
+            Self::StreamsBegan(_) => "streams_began",
+            Self::QueryStream(_) => "query_stream",
+            Self::StreamStated(..) => "stream_stated",
             Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -499,6 +499,11 @@
         self.unreached.clone_from(&status.unreached);
     }
 
+    /// Returns its position in the order by which nodes are divided and selected.
+    pub fn position(&self) -> GroupPosition {
+        self.position
+    }
+
     /// Whether the peer reaches the upstreams of all pools.
     pub fn reaches_all_pools(&self) -> bool {
         self.unreached.is_empty()
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -49,6 +49,8 @@
     Breaking,
     #[error("no upstream is left of the software version that began the stream")]
     StreamVersionGone { may_have_run: bool },
+    #[error("it is not known which software version began the stream")]
+    StreamUnknown { retry_after_ms: Option<u64> },
     #[error("an upstream gave no usable answer")]
     NoAnswer,
     #[error("an upstream did not answer in time")]
@@ -84,12 +86,13 @@
             | Self::UpstreamsResting { .. }
             | Self::RefusedByPeer { .. }
             | Self::Saturated { .. }
+            | Self::StreamUnknown { .. }
+            | Self::StreamVersionGone {
+                may_have_run: false,
+            }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
             // The request has run, and another run would do harm.
             Self::Breaking => StatusCode::INTERNAL_SERVER_ERROR,
-            Self::StreamVersionGone {
-                may_have_run: false,
-            } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoAnswer | Self::StreamVersionGone { may_have_run: true } => {
                 StatusCode::BAD_GATEWAY
             }
@@ -109,7 +112,9 @@
                 let wait_ms = num::round_to_u64(1_000.0 / limited_per_s.max(f64::MIN_POSITIVE));
                 Some(wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS))
             }
-            Self::RefusedByPeer { retry_after_ms } => *retry_after_ms,
+            Self::RefusedByPeer { retry_after_ms } | Self::StreamUnknown { retry_after_ms } => {
+                *retry_after_ms
+            }
             Self::UpstreamsResting { left_ms } => Some(MIN_RETRY_MS.max(*left_ms)),
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(TRANSIENT_RETRY_MS)
@@ -173,6 +178,7 @@
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
             Self::StreamVersionGone { .. } => "stream_version_gone",
+            Self::StreamUnknown { .. } => "stream_unknown",
             Self::NoAnswer => "no_answer",
             Self::AnswerTimeout => "answer_timeout",
         }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use super::forwarding::server as forwarding_server;
 use super::shutdown::Shutdown;
 use super::state::Gateway;
+use super::streams;
 use super::{
     announcements, caller_listener, clock, configuration_sync, duties, endpoints, gossip,
     reach_probe,
@@ -164,6 +165,7 @@
     };
     *node.stop.lock() = Some(stop);
     node.stopping.cancel();
+    streams::hand_over(node, clock::now());
     while !stop.is_complete(in_flight(), clock::now()) {
         tokio::time::sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -34,6 +34,7 @@
 use super::settings::NodeSettings;
 use super::shutdown::Shutdown;
 use super::store_contact::{StoreAvailability, StoreContact};
+use super::streams::{Origins, WaitingQueries};
 use super::strikes::Strikes;
 use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
@@ -70,12 +71,16 @@
     pub demands: Mutex<DemandTracker>,
     pub quotas: Mutex<Quotas>,
     pub repeats: Mutex<PoolMap<Repeats>>,
-    /// See [`RepeatBudget::recorded_since`].
-    repeats_recorded_since: TimeMs,
+    /// Since when this node has observed the installation; zero at the installation's first start.
+    pub observing_since: TimeMs,
     /// Whether this node reaches the upstreams of each pool.
     pub reach: Mutex<PoolMap<PoolReach>>,
     pub strikes: Mutex<Strikes>,
     pub rollouts: Mutex<Rollouts>,
+    /// Where streams began that this node or its peers forward.
+    pub stream_origins: Mutex<Origins>,
+    /// Requests that wait for what peers state on the streams that they take up.
+    pub stream_queries: Mutex<WaitingQueries>,
     pub usage: Mutex<UsageCounts>,
     pub peers: Mutex<Peers>,
     /// Statuses to be reported to other groups, and reports of theirs.
@@ -170,7 +175,7 @@
             demands: Mutex::default(),
             quotas: Mutex::new(Quotas::new(settings.bounds.limit_window, clock::now())),
             repeats: Mutex::default(),
-            repeats_recorded_since: if settings.is_first_start {
+            observing_since: if settings.is_first_start {
                 TimeMs(0)
             } else {
                 started_at
@@ -178,6 +183,8 @@
             reach: Mutex::default(),
             strikes: Mutex::default(),
             rollouts: Mutex::default(),
+            stream_origins: Mutex::default(),
+            stream_queries: Mutex::default(),
             usage: Mutex::new(UsageCounts::new(
                 incarnation,
                 settings.bounds.usage_window_ms,
@@ -314,7 +321,7 @@
             window_ms: bounds.retry_window_ms,
             slack: bounds.retry_slack,
             nodes: self.peers.lock().known_nodes(),
-            recorded_since: self.repeats_recorded_since,
+            recorded_since: self.observing_since,
         }
     }
 
--- /dev/null
+++ b/src/gateway/streams/holders.rs
@@ -0,0 +1,66 @@
+//! Selects the peers that keep a stream's start, and those that are asked for it.
+//!
+//! All nodes order their live peers in the same way for a stream: by failure domain in turn and by rendezvous hash
+//! within each turn. The node that records a start and the one that asks for it may see different peers alive, so more
+//! peers are asked than hold it.
+
+use std::net::SocketAddr;
+
+use super::origins::StreamKey;
+use crate::gateway::peers::{Peer, Peers};
+use crate::time::TimeMs;
+
+/// Peers that keep the start of a stream, beside the node that forwards it.
+///
+/// Of the nodes that survive the loss of half of all, all but an eighth of the lost ones' streams are still known.
+const HOLDERS: usize = 3;
+
+/// Peers that are asked where a stream began.
+const ASKED: usize = 8;
+
+/// Returns the addresses of the peers that are to keep the start of a stream; in other failure domains if there are any.
+#[must_use]
+pub(super) fn holders(peers: &Peers, key: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
+    let ordered = ordered(peers.active(now), key);
+    let elsewhere = ordered.iter().filter(|peer| !peers.is_neighbour(peer));
+    let neighbours = ordered.iter().filter(|peer| peers.is_neighbour(peer));
+    addresses(elsewhere.chain(neighbours).copied(), HOLDERS)
+}
+
+/// Returns the addresses of the peers that are asked where a stream began.
+///
+/// A node that has not heard any peer yet asks those that it knows.
+#[must_use]
+pub(super) fn asked(peers: &Peers, key: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
+    let mut ordered_peers = ordered(peers.active(now), key);
+    if ordered_peers.is_empty() {
+        ordered_peers = ordered(peers.iter(), key);
+    }
+    addresses(ordered_peers.into_iter(), ASKED)
+}
+
+fn addresses<'a>(peers: impl Iterator<Item = &'a Peer>, most: usize) -> Vec<SocketAddr> {
+    let addresses = peers.map(|peer| peer.member.gossip_address);
+    addresses.take(most).collect()
+}
+
+/// Orders peers for a stream: the first of each failure domain, then the second of each, and so on.
+fn ordered<'a>(peers: impl Iterator<Item = &'a Peer>, key: StreamKey) -> Vec<&'a Peer> {
+    let mut ranked: Vec<(u64, u64, &Peer)> = peers
+        .map(|peer| {
+            let position = peer.position();
+            (position.domain(), position.rank_for(key.hash()), peer)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|(domain, rank, _peer)| (*domain, *rank));
+    let domains = ranked.chunk_by(|a, b| a.0 == b.0);
+    let mut turns: Vec<(usize, u64, &Peer)> = domains
+        .flat_map(|domain| domain.iter().enumerate())
+        .map(|(turn, (_domain, rank, peer))| (turn, *rank, *peer))
+        .collect();
+    turns.sort_unstable_by_key(|(turn, rank, _peer)| (*turn, *rank));
+    turns.into_iter().map(|(_turn, _rank, peer)| peer).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -488,6 +488,18 @@
         self.accepting(pool, now).count()
     }
 
+    /// Returns the versions of a pool's starts that are known or have departed within `span_ms`, sorted.
+    pub fn recent_versions(&self, pool: &str, span_ms: u64, now: TimeMs) -> Vec<VersionTag> {
+        let known = (self.iter())
+            .filter(|(_key, upstream)| upstream.announcement.pool == pool)
+            .map(|(_key, upstream)| upstream.version());
+        let departed = self.departed.versions(tag(pool), span_ms, now);
+        let mut versions: Vec<VersionTag> = known.chain(departed).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        versions
+    }
+
     /// Forgets the failures of a pool's upstreams for which this node's own link was to blame.
     pub fn forgive_failures(&mut self, pool: &str) {
         let upstreams = self.arena.iter_mut();
--- a/src/gateway/upstreams/departed.rs
+++ b/src/gateway/upstreams/departed.rs
@@ -5,9 +5,10 @@
 //! both were forgotten with the entry, an upstream that leaves or rests would get requests again
 //! from all nodes as soon as its announcement is back.
 
-use super::{Announcement, Phase, Upstream};
+use super::{Announcement, Phase, Upstream, tag};
 use crate::gateway::health::Health;
 use crate::gateway::send_gate::SendGate;
+use crate::gateway::streams::VersionTag;
 use crate::time::TimeMs;
 
 /// How long a departed start is remembered. A store that is restored from a backup some seconds old
@@ -20,6 +21,9 @@
 /// What is known of a start of an upstream without an entry in the table.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Departed {
+    /// Tag of its pool; zero if no announcement was read.
+    pool: u64,
+    version: VersionTag,
     /// Sequence number of the last announcement; zero if none was read.
     sequence: u64,
     /// Whether the last announcement stated that the upstream leaves.
@@ -33,6 +37,8 @@
 impl From<&Upstream> for Departed {
     fn from(upstream: &Upstream) -> Self {
         Self {
+            pool: tag(&upstream.announcement.pool),
+            version: upstream.version(),
             sequence: upstream.announcement.sequence,
             is_leaving: upstream.announcement.phase == Phase::Leaving,
             has_left: upstream.grace_until == TimeMs(0),
@@ -63,6 +69,18 @@
         Some(&self.by_tag[index].1)
     }
 
+    /// Iterates over the versions of a pool's starts that have departed within `span_ms`.
+    pub fn versions(
+        &self,
+        pool: u64,
+        span_ms: u64,
+        now: TimeMs,
+    ) -> impl Iterator<Item = VersionTag> {
+        (self.by_tag.iter())
+            .filter(move |(_tag, departed, at)| departed.pool == pool && now.since(*at) < span_ms)
+            .map(|(_tag, departed, _at)| departed.version)
+    }
+
     /// Records a start whose entry was evicted.
     pub fn record(&mut self, tag: u64, departed: Departed, now: TimeMs) {
         self.remove_expired(now);
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -554,3 +554,26 @@
     let admitted = admitted(&mut table, "a", TimeMs(13_000));
     assert_eq!(admitted, Some(Ok(())));
 }
+
+/// Guards against streams that go on at the only version that is left although another one has just served beside it.
+#[test]
+fn version_of_departed_upstreams_is_remembered_for_a_while() {
+    let mut table = UpstreamTable::default();
+    for (id, pool, version) in [
+        ("a", "pool", "v1"),
+        ("b", "pool", "v2"),
+        ("c", "other", "v3"),
+    ] {
+        let mut one = announced(id, pool, "d");
+        version.clone_into(&mut one.version);
+        table.apply(Change::Present(one), false, TimeMs(1));
+    }
+    let mut both = ["v1", "v2"].map(VersionTag::of);
+    both.sort_unstable();
+    assert_eq!(table.recent_versions("pool", 1_000, TimeMs(2)), both);
+    table.apply(removed("a"), false, TimeMs(10));
+    table.evict_removed(TimeMs(10));
+    assert_eq!(table.recent_versions("pool", 1_000, TimeMs(1_009)), both);
+    let left = [VersionTag::of("v2")];
+    assert_eq!(table.recent_versions("pool", 1_000, TimeMs(1_010)), left);
+}
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -29,6 +29,8 @@
     pub assembler: SnapshotAssembler,
     /// When the last page arrived; zero if none did.
     pub last_page_at: TimeMs,
+    /// Since when no change can have been missed; zero if none was since the first read.
+    pub complete_since: TimeMs,
     /// Whether this node has read the list of nodes from the store.
     pub knows_nodes: bool,
 }
@@ -55,6 +57,13 @@
         }
     }
 
+    /// Records that changes before a read may have been missed.
+    fn note_gap(&mut self, read_at: TimeMs) {
+        if self.is_known() {
+            self.complete_since = read_at;
+        }
+    }
+
     /// Records that the announcements have been read up to a position.
     pub fn advance_to(&mut self, end: LogPosition, read_at: TimeMs) {
         self.end = self.end.max(end);
@@ -71,6 +80,7 @@
         if end.era < self.end.era {
             return;
         }
+        self.note_gap(read_at);
         self.end = end;
         self.read_at = read_at;
         self.known_end = self.known_end.max(end);
--- a/src/gateway/view/tests.rs
+++ b/src/gateway/view/tests.rs
@@ -65,3 +65,17 @@
     view.advance_to(LogPosition { era: 2, offset: 30 }, TimeMs(3));
     assert_eq!(view.end, LogPosition { era: 2, offset: 30 });
 }
+
+/// Guards against a view that counts as complete although records were deleted before this node read them.
+#[test]
+fn table_read_anew_is_complete_only_from_then_on() {
+    let mut view = UpstreamsView::default();
+    view.note_snapshot(at(5), TimeMs(1_000));
+    assert_eq!(
+        view.complete_since,
+        TimeMs(0),
+        "the first read leaves no gap"
+    );
+    view.note_snapshot(at(9), TimeMs(4_000));
+    assert_eq!(view.complete_since, TimeMs(4_000));
+}
