bug: Cached blocks are copied between engines of one software version only

What two versions write does not fit together; a copy of prompt memory from an engine of another version was ordered like any other during a release.

The source of a copy has the version of the engine that reads it. The new test orders the copy from v1 to v2 without the change: its last step, with the version made equal, gives the same source.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -115,7 +115,9 @@
         }
         let choice = match ask.prompt {
             Some(prompt) => {
-                let source = sources.iter().find(|source| source.upstream != key);
+                let mut sources = sources.iter();
+                let source = sources
+                    .find(|source| source.upstream != key && source.version == upstream.version());
                 let estimate = CacheEstimate {
                     missing_share: missing_share(prompt, key, preferred_engines, prefixes, now),
                     copy: ask.copy_tokens_per_ms.zip(source.copied()),
--- a/src/gateway/choose/tests/versions.rs
+++ b/src/gateway/choose/tests/versions.rs
@@ -45,3 +45,28 @@
     assert_eq!(choose(&table, &Prefixes::default(), &ask, NOW), None);
     assert!(!is_any_left(&table, &ask, NOW));
 }
+
+/// Guards against an engine that is told to copy cached blocks that another software version wrote.
+#[test]
+fn prefix_is_copied_from_engines_of_the_same_version_only() {
+    let mut table = UpstreamTable::default();
+    for (id, version) in [("a", "v1"), ("b", "v2"), ("c", "v2")] {
+        let mut engine = announced(id, "engines", "d");
+        version.clone_into(&mut engine.version);
+        engine.slots = 64;
+        table.apply(Change::Present(engine), false, NOW);
+    }
+    let old = table.find("a").expect("upstream is in the table");
+    let mut prefixes = Prefixes::default();
+    prefixes.record(5, old, NOW);
+    let leaving = table.get_mut(old).expect("upstream is in the table");
+    leaving.announcement.phase = Phase::Leaving;
+    let prompt = prompt(5);
+    let ask = ask_with_copies(&prompt);
+    let choice = choose(&table, &prefixes, &ask, NOW).expect("an upstream is available");
+    assert_ne!(choice.source.map(|source| source.upstream), Some(old));
+    let leaving = table.get_mut(old).expect("upstream is in the table");
+    "v2".clone_into(&mut leaving.announcement.version);
+    let choice = choose(&table, &prefixes, &ask, NOW).expect("an upstream is available");
+    assert_eq!(choice.source.map(|source| source.upstream), Some(old));
+}
--- a/src/gateway/sources.rs
+++ b/src/gateway/sources.rs
@@ -12,6 +12,7 @@
 
 use super::choose::Criteria;
 use super::prefixes::Prefixes;
+use super::streams::VersionTag;
 use super::upstreams::{Upstream, UpstreamKey, UpstreamTable, tag};
 use crate::time::TimeMs;
 
@@ -31,6 +32,8 @@
     pub address: SocketAddr,
     /// Hash of its failure domain; see [`failure_domain_hash`].
     pub failure_domain: u64,
+    /// Only engines of the same version read what it has cached.
+    pub version: VersionTag,
 }
 
 /// Returns the engines from which the prompt's shared prefix can be copied, the most likely first.
@@ -73,6 +76,7 @@
             upstream: key,
             address: upstream.announcement.address,
             failure_domain: failure_domain_hash(upstream),
+            version: upstream.version(),
         })
         .collect()
 }
