bug: An announcement with another software version is another start

Found by reading: an upstream restarted in place as another version, under its id and without a start time, with a sequence number that goes on, counted as the same start. Its entry then spoke for streams that the earlier start had begun. The announcement now retires the entry, as a new start time does.

--- a/src/gateway/streams/binding.rs
+++ b/src/gateway/streams/binding.rs
@@ -1,6 +1,6 @@
 //! Decides at which version a stream goes on that a caller takes up.
 
-use super::origins::{Origin, STREAM_MEMORY_MS, StreamKey};
+use super::origins::{Origin, StreamKey};
 use super::queries::{self, Stated, Statement};
 use super::version::VersionTag;
 use crate::gateway::catalog::{Route, Team};
@@ -14,6 +14,10 @@
 /// Age of the view of the upstreams up to which it shows all versions that serve.
 const MAX_VIEW_AGE_MS: u64 = 1_500;
 
+/// How long a version must have served alone to have begun all streams that are taken up: longer than a stream and its
+/// caller's pause last.
+const SOLE_VERSION_MS: u64 = 30_000;
+
 /// Longest id of a request that a caller may take up.
 const MAX_ID_BYTES: usize = 256;
 
@@ -144,7 +148,7 @@
 pub(super) struct VersionsView {
     /// Tag of the pool.
     pub pool: u64,
-    /// Versions that serve or have served for as long as a stream is remembered, sorted.
+    /// Versions that serve or have served for as long as streams last, sorted.
     pub versions: Vec<VersionTag>,
     /// Whether the view is current and has been complete all that time.
     pub is_proof: bool,
@@ -169,10 +173,10 @@
     let observed_since = node.observing_since.max(complete_since);
     let is_current = age_ms.is_some_and(|age_ms| age_ms <= MAX_VIEW_AGE_MS);
     let is_long_enough =
-        observed_since == TimeMs(0) || now.since(observed_since) >= STREAM_MEMORY_MS;
+        observed_since == TimeMs(0) || now.since(observed_since) >= SOLE_VERSION_MS;
     VersionsView {
         pool: tag(pool),
-        versions: (node.upstreams.lock()).recent_versions(pool, STREAM_MEMORY_MS, now),
+        versions: (node.upstreams.lock()).recent_versions(pool, SOLE_VERSION_MS, now),
         is_proof: is_current && is_long_enough,
     }
 }
--- a/src/gateway/streams/origins.rs
+++ b/src/gateway/streams/origins.rs
@@ -9,7 +9,7 @@
 use crate::time::TimeMs;
 
 /// How long a stream's start is kept: longer than a stream, its caller's pauses and its resumptions take together.
-pub(super) const STREAM_MEMORY_MS: u64 = 60_000;
+const STREAM_MEMORY_MS: u64 = 60_000;
 
 /// Most starts that a node keeps, some 60 bytes each; the oldest are dropped first.
 const MAX_ORIGINS: usize = 16_384;
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -91,6 +91,11 @@
         match (self.born_ms, next.born_ms) {
             (Some(known_ms), Some(born_ms)) if born_ms < known_ms => Recency::Stale,
             (known_ms, born_ms) if known_ms != born_ms => Recency::Restarted,
+            // A start keeps its version. An announcement that names another one comes from a later
+            // start; streams that the known start began must not go on there.
+            _ if next.sequence >= self.sequence && self.version != next.version => {
+                Recency::Restarted
+            }
             _ if next.sequence >= self.sequence => Recency::Newer,
             // Without a start time, only a sequence number that begins again indicates a restart.
             (None, _) if is_removed => Recency::Restarted,
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -577,3 +577,23 @@
     let left = [VersionTag::of("v2")];
     assert_eq!(table.recent_versions("pool", 1_000, TimeMs(1_010)), left);
 }
+
+/// Guards against a restart under the same id that is taken for the same start, with another version of the software.
+#[test]
+fn announcement_with_another_version_is_another_start() {
+    let mut table = UpstreamTable::default();
+    let announcement = |version: &str, sequence| {
+        let mut one = announced("a", "pool", "d");
+        version.clone_into(&mut one.version);
+        one.sequence = sequence;
+        Change::Present(one)
+    };
+    let first = (table.apply(announcement("v1", 5), false, TimeMs(1))).expect("it is added");
+    let restarted = table.get(first).expect("it is known").restarted.clone();
+    let second = (table.apply(announcement("v2", 6), false, TimeMs(2))).expect("it is added");
+    assert_ne!(first, second);
+    assert!(restarted.is_cancelled(), "what the first start ran is lost");
+    let version = |key| table.get(key).map(Upstream::version);
+    assert_eq!(version(first), Some(VersionTag::of("v1")));
+    assert_eq!(version(second), Some(VersionTag::of("v2")));
+}
