test: The soak replaces upstreams by other versions, and callers take streams up

With releases, upstreams of one service are replaced one by one by the next versions beside all other faults, and callers take up a resumable stream that was cut, up to twice, at any node, naming the request that began it. More than two streams that go on at another version break the soak, and so does an answer that holds what does not fit. Random numbers of their own: the faults of other seeds stay as they are. A seeded run of 12 s is part of the tests.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -44,6 +44,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Has the store come back from copies meanwhile."),
         )
+        .arg(
+            Arg::new("releases")
+                .long("releases")
+                .action(ArgAction::SetTrue)
+                .help("Has upstreams of several versions serve and callers take up streams."),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
@@ -70,6 +76,7 @@
             span: Duration::from_secs(number("seconds")),
             nodes,
             has_drills: matches.get_flag("drills"),
+            has_releases: matches.get_flag("releases"),
         };
         match soak::run(settings).await {
             Ok(outcome) => {
--- a/stand_ins/src/operators/caller.rs
+++ b/stand_ins/src/operators/caller.rs
@@ -69,6 +69,19 @@
         }
     }
 
+    /// The id of the last whole event of a stream that was cut.
+    #[must_use]
+    pub fn last_event(&self) -> Option<u64> {
+        let Self::Cut { received } = self else {
+            return None;
+        };
+        let events = received.split_inclusive("\n\n");
+        let whole = events.filter(|event| event.ends_with("\n\n"));
+        let ids = whole.filter_map(|event| event.rsplit_once("id: "));
+        ids.filter_map(|(_before, id)| id.lines().next()?.parse().ok())
+            .last()
+    }
+
     /// Whether the answer says that the request has not run.
     #[must_use]
     pub fn says_not_run(&self) -> bool {
@@ -77,6 +90,24 @@
 }
 
 impl Asked {
+    /// The request that takes this stream up behind an event, under an id of its own.
+    #[must_use]
+    pub fn take_up(&self, id: &str, after: u64) -> Self {
+        Self {
+            id: id.to_owned(),
+            extra: format!("Resumes: {}\r\nLast-Event-Id: {after}\r\n", self.id),
+            ..self.clone()
+        }
+    }
+
+    /// The event behind which it takes a stream up; zero if it begins one.
+    #[must_use]
+    pub fn resumes_after(&self) -> u64 {
+        let after = self.extra.split_once("Last-Event-Id: ");
+        let after = after.and_then(|(_before, after)| after.lines().next()?.parse().ok());
+        after.unwrap_or(0)
+    }
+
     /// The request as it is sent.
     #[must_use]
     pub fn text(&self) -> String {
--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -5,6 +5,7 @@
 pub mod checks;
 mod drills;
 mod faults;
+mod releases;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -19,9 +20,10 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-use self::checks::{check_calls, check_duties, check_limited, check_revoked};
+use self::checks::{check_calls, check_duties, check_limited, check_revoked, check_versions};
 use self::drills::Drills;
 use self::faults::Faults;
+use self::releases::Releases;
 use super::caller::{Asked, Ended};
 use super::deployment::{Deployment, DeploymentSettings, KEYS, asked};
 use super::upstream::Upstream;
@@ -34,6 +36,9 @@
 /// Pause of a caller between two calls.
 const PAUSE: Duration = Duration::from_millis(25);
 
+/// How often a caller takes a stream up that was cut.
+const MOST_TAKE_UPS: usize = 2;
+
 /// After the last fault, nodes serve again within this, as operators expect of a recovery.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -50,6 +55,8 @@
     pub nodes: usize,
     /// The store comes back from copies meanwhile.
     pub has_drills: bool,
+    /// Upstreams of several versions serve side by side, and callers take up streams that were cut.
+    pub has_releases: bool,
 }
 
 /// What upstreams name from shortly before the last fault on, in requests a second, and what may reach each of them
@@ -109,9 +116,12 @@
         .collect();
     for caller in 0..CALLERS {
         let rng = SmallRng::seed_from_u64(settings.seed ^ (caller as u64) << 32);
-        callers.spawn(call_on(caller, rng, nodes.clone(), Arc::clone(&called)));
+        let history = Arc::clone(&called);
+        let takes_up = settings.has_releases;
+        callers.spawn(call_on(caller, rng, nodes.clone(), history, takes_up));
     }
     let mut faults = Faults::new(settings.seed);
+    let mut releases = (settings.has_releases).then(|| Releases::new(settings.seed));
     let mut drills = settings.has_drills.then(|| Drills::new(settings.seed));
     let until = Instant::now() + settings.span;
     let mut limited = Vec::new();
@@ -123,6 +133,9 @@
         outcome.faults.push(fault);
         let drill = drills.as_mut().and_then(|drills| drills.step(&deployment));
         outcome.faults.extend(drill);
+        if let Some(releases) = &mut releases {
+            outcome.faults.extend(releases.step(&mut deployment).await?);
+        }
         tokio::time::sleep(faults.pause()).await;
         outcome.broken.extend(faults.restart_ended(&deployment)?);
         faults.undo_due(&deployment)?;
@@ -148,6 +161,7 @@
     let runs = deployment.runs.lock().clone();
     outcome.broken.extend(saying.broken(&deployment, &called));
     check_calls(&called, &runs, &mut outcome);
+    check_versions(&deployment, &mut outcome);
     check_revoked(&called, &runs, faults.revoked_at_ms, &mut outcome);
     check_duties(
         &deployment.cloud.calls(),
@@ -175,6 +189,7 @@
     mut rng: SmallRng,
     nodes: Vec<SocketAddr>,
     history: Arc<Mutex<Vec<Called>>>,
+    takes_up: bool,
 ) {
     for number in 0.. {
         let route = ["once", "again", "stream", "stream-on"][rng.random_range(0..4)];
@@ -184,18 +199,40 @@
             KEYS[1].clone_into(&mut asked.key);
         }
         let node = rng.random_range(0..nodes.len());
-        let sent_at_ms = now_ms();
-        let ended = asked.send(nodes[node]).await;
-        history.lock().push(Called {
-            asked,
-            node,
-            sent_at_ms,
-            ended,
-        });
+        let mut last_event = call(asked.clone(), node, nodes[node], &history).await;
+        let is_resumable = asked.path.starts_with("/stream-on");
+        let begun = asked;
+        for attempt in 0..MOST_TAKE_UPS {
+            let Some(after) = last_event.filter(|_after| takes_up && is_resumable) else {
+                break;
+            };
+            let next = begun.take_up(&format!("{}-up{attempt}", begun.id), after);
+            let node = rng.random_range(0..nodes.len());
+            last_event = call(next, node, nodes[node], &history).await.or(last_event);
+        }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
+/// Sends a call, keeps how it ended, and gives the last event of a stream that was cut.
+async fn call(
+    asked: Asked,
+    node: usize,
+    address: SocketAddr,
+    history: &Mutex<Vec<Called>>,
+) -> Option<u64> {
+    let sent_at_ms = now_ms();
+    let ended = asked.send(address).await;
+    let last_event = ended.last_event();
+    history.lock().push(Called {
+        asked,
+        node,
+        sent_at_ms,
+        ended,
+    });
+    last_event
+}
+
 /// What is seen of the first node that does not serve again; none if all do.
 async fn not_recovered(deployment: &Deployment, revoked_at_ms: Option<u64>) -> Option<String> {
     let until = Instant::now() + RECOVERY;
--- a/stand_ins/src/operators/soak/checks.rs
+++ b/stand_ins/src/operators/soak/checks.rs
@@ -57,9 +57,22 @@
     }
 }
 
+/// Streams that may hold events of two versions.
+const MOST_MISFITS: usize = 2;
+
+/// Checks that streams went on at the version that began them.
+pub(super) fn check_versions(deployment: &Deployment, outcome: &mut Outcome) {
+    let misfits = deployment.misfits();
+    if misfits.len() > MOST_MISFITS {
+        outcome
+            .broken
+            .push(format!("streams went on at another version: {misfits:?}"));
+    }
+}
+
 fn is_own(asked: &Asked, body: &str) -> bool {
     if asked.path.starts_with("/stream") {
-        let whole: String = (1..=10)
+        let whole: String = (asked.resumes_after() + 1..=10)
             .map(|event| format!("id: {event}\ndata: {event} of {}\n\n", asked.id))
             .collect::<Vec<_>>()
             .concat();
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -230,6 +230,18 @@
         &self.core.id
     }
 
+    /// The version of its software.
+    #[must_use]
+    pub fn version(&self) -> &str {
+        &self.core.version
+    }
+
+    /// Whether it has announced that it leaves.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        *self.core.state.lock() == "draining"
+    }
+
     /// Where it listens, or is announced to.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -5,7 +5,7 @@
 use futures::future::join_all;
 use nix::sys::signal::Signal;
 use teaselline_stand_ins::operators::deployment::{KEYS, asked};
-use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Fault};
+use teaselline_stand_ins::operators::{Asked, Deployment, Fault};
 
 use super::support::{deployment, eventually, send};
 
@@ -50,20 +50,9 @@
     pool.for_each(|upstream| upstream.set(fault));
 }
 
-/// Returns the id of the last whole event of an answer that was cut.
-fn last_event(ended: &Ended) -> Option<u64> {
-    let events = ended.body().split_inclusive("\n\n");
-    let whole = events.filter(|event| event.ends_with("\n\n"));
-    let ids = whole.filter_map(|event| event.split_once("id: "));
-    ids.filter_map(|(_before, id)| id.lines().next()?.parse().ok())
-        .last()
-}
-
 /// Returns the request that takes a stream up behind an event.
 fn take_up(id: &str, begun_by: &str, after: u64) -> Asked {
-    let mut call = asked(id, "stream-on");
-    call.extra = format!("Resumes: {begun_by}\r\nLast-Event-Id: {after}\r\n");
-    call
+    asked(begun_by, "stream-on").take_up(id, after)
 }
 
 /// Returns a stream whose content differs from that of all others: one content that breaks three upstreams is blocked.
@@ -133,8 +122,8 @@
     let cut = calls.iter().zip(&ended);
     let cut: Vec<Asked> = cut
         .filter_map(|(call, ended)| {
-            let after = last_event(ended)?;
-            Some(take_up(&format!("up-{}", call.id), &call.id, after))
+            let after = ended.last_event()?;
+            Some(call.take_up(&format!("up-{}", call.id), after))
         })
         .collect();
     assert!(
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -5,13 +5,21 @@
 
 use teaselline_stand_ins::operators::soak::{self, SoakSettings};
 
-async fn soak(seed: u64, seconds: u64, nodes: usize, has_drills: bool) {
+/// What comes beside the faults of a seed.
+#[derive(Clone, Copy, Default)]
+struct Beside {
+    drills: bool,
+    releases: bool,
+}
+
+async fn soak(seed: u64, seconds: u64, nodes: usize, beside: Beside) {
     let settings = SoakSettings {
         binary: Path::new(env!("CARGO_BIN_EXE_teaselline")),
         seed,
         span: Duration::from_secs(seconds),
         nodes,
-        has_drills,
+        has_drills: beside.drills,
+        has_releases: beside.releases,
     };
     let outcome = soak::run(settings).await.expect("the installation starts");
     assert!(
@@ -28,17 +36,31 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak_breaks_no_guarantee() {
-    soak(1, 8, 3, false).await;
+    soak(1, 8, 3, Beside::default()).await;
 }
 
 /// Guards against broken guarantees when the store is restored from backups.
 #[tokio::test(flavor = "multi_thread")]
 async fn short_soak_with_store_restores_breaks_no_guarantee() {
-    soak(2, 10, 4, true).await;
+    let beside = Beside {
+        drills: true,
+        ..Beside::default()
+    };
+    soak(2, 10, 4, beside).await;
 }
 
 /// Guards against a node that does not serve again after the last fault.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_nodes_serve_again_after_the_faults_of_seed_3303() {
-    soak(3_303, 12, 4, false).await;
+    soak(3_303, 12, 4, Beside::default()).await;
+}
+
+/// Guards against streams that hold events of two software versions, in one answer or over their callers' tries.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_soak_with_releases_breaks_no_guarantee() {
+    let beside = Beside {
+        releases: true,
+        ..Beside::default()
+    };
+    soak(51, 12, 4, beside).await;
 }
