bug: A peer that sees several versions refutes that one has served alone

A node whose view is up to 1.5 s old could let an unknown stream go on although a peer that it asked had already seen the second version: the peer's answer did not say so. Found on reading the diff.

--- a/src/gateway/streams/binding.rs
+++ b/src/gateway/streams/binding.rs
@@ -113,6 +113,7 @@
     if own.is_some() {
         return Found {
             own,
+            is_complete: true,
             ..Found::default()
         };
     }
@@ -155,11 +156,12 @@
 }
 
 impl VersionsView {
-    /// Returns the only version that has served, if this view proves that.
-    pub fn proven_sole_version(&self) -> Option<VersionTag> {
+    /// Returns what this node states to a peer on a stream that it does not know.
+    pub fn statement(&self) -> Statement {
         match self.versions.as_slice() {
-            [version] if self.is_proof => Some(*version),
-            _ => None,
+            [version] if self.is_proof => Statement::SoleVersion(*version),
+            [] | [_] => Statement::Unknown,
+            _ => Statement::SeveralVersions,
         }
     }
 }
@@ -188,7 +190,7 @@
 fn decide(found: &Found, team: Option<u64>, view: &VersionsView) -> Option<Begun> {
     let stated = found.stated.iter().find_map(|statement| match statement {
         Statement::Began(origin) => Some(*origin),
-        Statement::SoleVersion(_) | Statement::Unknown => None,
+        Statement::SoleVersion(_) | Statement::SeveralVersions | Statement::Unknown => None,
     });
     match (found.own, stated) {
         (Some(origin), _) if origin.team == team => Some(Begun {
@@ -210,18 +212,18 @@
     }
 }
 
-/// Returns the only version that has served the pool, if this node or a peer knows it for sure.
+/// Returns the only version that has served the pool, if this node or a peer knows it for sure and none refutes it.
 fn sole_version(stated: &[Statement], view: &VersionsView) -> Option<VersionTag> {
     let [seen] = view.versions.as_slice() else {
         return None;
     };
-    let mut claims = stated.iter().filter_map(|statement| match statement {
-        Statement::SoleVersion(version) => Some(version),
-        Statement::Began(_) | Statement::Unknown => None,
+    let is_refuted = stated.iter().any(|statement| match statement {
+        Statement::SoleVersion(version) => version != seen,
+        Statement::SeveralVersions => true,
+        Statement::Began(_) | Statement::Unknown => false,
     });
-    let is_contradicted = claims.clone().any(|version| version != seen);
-    let is_proven = view.is_proof || claims.next().is_some();
-    (is_proven && !is_contradicted).then_some(*seen)
+    let is_proven = view.is_proof || stated.contains(&Statement::SoleVersion(*seen));
+    (is_proven && !is_refuted).then_some(*seen)
 }
 
 #[cfg(test)]
--- a/src/gateway/streams/binding/tests.rs
+++ b/src/gateway/streams/binding/tests.rs
@@ -82,6 +82,8 @@
     assert_eq!(decided(&vouched, &view(&["v2"], false)), None);
     assert_eq!(decided(&vouched, &view(&["v1", "v2"], false)), None);
     assert_eq!(decided(&contradicted, &view(&["v1"], true)), None);
+    let newer = stated(&[Statement::SeveralVersions]);
+    assert_eq!(decided(&newer, &view(&["v1"], true)), None);
     assert_eq!(decided(&unknown, &view(&["v1", "v2"], true)), None);
     assert_eq!(decided(&vouched, &view(&[], true)), None);
 }
@@ -92,3 +94,13 @@
     assert!(!is_valid_id(""));
     assert!(!is_valid_id(&"x".repeat(MAX_ID_BYTES + 1)));
 }
+
+#[test]
+fn node_vouches_for_a_sole_version_only_by_a_view_that_proves_it() {
+    let sole = Statement::SoleVersion(version("v1"));
+    assert_eq!(view(&["v1"], true).statement(), sole);
+    assert_eq!(view(&["v1"], false).statement(), Statement::Unknown);
+    assert_eq!(view(&[], true).statement(), Statement::Unknown);
+    let several = Statement::SeveralVersions;
+    assert_eq!(view(&["v1", "v2"], false).statement(), several);
+}
--- a/src/gateway/streams/holders.rs
+++ b/src/gateway/streams/holders.rs
@@ -12,7 +12,7 @@
 
 /// Peers that keep the start of a stream, beside the node that forwards it.
 ///
-/// Of the nodes that survive the loss of half of all, all but an eighth of the lost ones' streams are still known.
+/// After the loss of half of all nodes, seven eighths of the streams of the lost ones are still known.
 const HOLDERS: usize = 3;
 
 /// Peers that are asked where a stream began.
--- a/src/gateway/streams/queries.rs
+++ b/src/gateway/streams/queries.rs
@@ -44,6 +44,8 @@
     Began(Origin),
     /// The peer does not know the stream, but only this version has served the pool for as long as streams last.
     SoleVersion(VersionTag),
+    /// The peer does not know the stream, and several versions serve the pool or have just served it.
+    SeveralVersions,
     Unknown,
 }
 
@@ -124,11 +126,7 @@
 pub(crate) fn answer(node: &Gateway, query: &Query, from: SocketAddr, now: TimeMs) {
     let known = (query.key).and_then(|key| node.stream_origins.lock().get(key, now));
     let statement = known.map_or_else(
-        || {
-            let view = binding::view(node, &query.pool, now);
-            let version = view.proven_sole_version();
-            version.map_or(Statement::Unknown, Statement::SoleVersion)
-        },
+        || binding::view(node, &query.pool, now).statement(),
         Statement::Began,
     );
     let message = Message::StreamStated(query.key, statement);
