--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -99,6 +99,7 @@
             "model",
             "prompt-prefix",
             "request-attempt-id",
+            "resumes",
             "token-count",
             "x-kept"
         ]
