bug: A team cannot overwrite where another team's stream began

A request that names another team's stream goes on where one version has served alone, and recorded that stream's start again for its own team; its caller would then have been refused once a second version served. Found on reading the diff; the new test was not run without the change.

--- a/src/gateway/streams/origins.rs
+++ b/src/gateway/streams/origins.rs
@@ -53,9 +53,12 @@
 
 impl Origins {
     /// Records where a stream began.
+    ///
+    /// A record of another team stays: otherwise a team that names a foreign stream would cut off its caller from it.
     pub fn record(&mut self, key: StreamKey, origin: Origin, now: TimeMs) {
         self.remove_expired(now);
         match self.find(key) {
+            Ok(index) if self.by_key[index].1.team != origin.team => return,
             Ok(index) => self.by_key[index] = (key, origin, now),
             Err(index) => self.by_key.insert(index, (key, origin, now)),
         }
--- a/src/gateway/streams/origins/tests.rs
+++ b/src/gateway/streams/origins/tests.rs
@@ -50,3 +50,19 @@
     assert_eq!(origins.get(key(9), later), None);
     assert_eq!(origins.get(key(10), later), Some(origin("v1")));
 }
+
+/// Guards against a team that overwrites the start of another team's stream by naming it.
+#[test]
+fn start_of_another_teams_stream_is_not_overwritten() {
+    let mut origins = Origins::default();
+    origins.record(key(1), origin("v1"), NOW);
+    let foreign = Origin {
+        team: Some(3),
+        ..origin("v2")
+    };
+    origins.record(key(1), foreign, NOW.after(1));
+    assert_eq!(origins.get(key(1), NOW.after(2)), Some(origin("v1")));
+    let expired = NOW.after(STREAM_MEMORY_MS);
+    origins.record(key(1), foreign, expired);
+    assert_eq!(origins.get(key(1), expired), Some(foreign));
+}
