--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -179,10 +179,12 @@
                 }
                 Some(Ok(ForwardItem::End)) => break,
                 ended => {
-                    if let Some(Err(error)) = ended {
-                        log::debug!(error:err = error; "a stream that a peer forwards broke off");
-                    }
+                    let detail = match ended {
+                        Some(Err(error)) => error.to_string(),
+                        _ => "the stream has no end".to_owned(),
+                    };
                     let reason = "peer_failed";
+                    request_log.record_failed_attempt(reason, &detail, clock::now());
                     request_log.finish_interrupted(reason, clock::now());
                     Err(StreamInterrupted { reason })?;
                 }
--- a/src/gateway/gossip/transport.rs
+++ b/src/gateway/gossip/transport.rs
@@ -63,6 +63,7 @@
         vec![encoded]
     } else {
         let fragments = fragments::split(&encoded, rand::rng().random());
+        log::info!(event = "large_message_sent", kind = message.kind(), bytes = encoded.len(), recipients = addresses.len(); "sent peers a message that exceeds a datagram");
         if fragments.is_empty() {
             log::error!(bytes = encoded.len(), kind = message.kind(); "dropped a message to peers that exceeds the largest size");
         }
--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -322,11 +322,12 @@
         let settings = self.settings;
         let monitored = Arc::clone(&liveness);
         tokio::spawn(async move {
-            tokio::select! {
-                _ = connection => {}
-                () = monitored.monitor(ping_pong, &settings) => {}
-                () = monitored.closed() => {}
-            }
+            let cause = tokio::select! {
+                _ = connection => "ended",
+                () = monitored.monitor(ping_pong, &settings) => monitored.end_cause(),
+                () = monitored.closed() => "unverified",
+            };
+            log_end(address, cause, &monitored);
             monitored.close();
         });
         Ok(Connection {
@@ -356,6 +357,14 @@
     }
 }
 
+/// Logs the end of a connection while streams are open on it.
+fn log_end(peer: SocketAddr, cause: &str, liveness: &Liveness) {
+    let streams = liveness.uses();
+    if streams > 0 {
+        log::warn!(event = "peer_connection_ended", peer:% = peer, cause, streams; "a connection to a peer ended while streams were open on it");
+    }
+}
+
 impl Slot {
     fn new(address: SocketAddr, max_streams: u32) -> Self {
         Self {
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -70,6 +70,11 @@
         self.closed.cancel();
     }
 
+    /// Returns the number of users, which is that of the open streams.
+    pub(super) fn uses(&self) -> usize {
+        self.use_count.load(SeqCst)
+    }
+
     pub(super) fn is_closed(&self) -> bool {
         self.closed.is_cancelled()
     }
@@ -83,6 +88,15 @@
         self.is_silent.load(SeqCst)
     }
 
+    /// Returns why the monitor ended the connection, for logs.
+    pub(super) fn end_cause(&self) -> &'static str {
+        if self.is_silent() {
+            "silent"
+        } else {
+            "idle_or_failed"
+        }
+    }
+
     /// Returns whether the peer is alive, waiting at most `timeout_ms` for the pong of a ping.
     ///
     /// No ping is sent if bytes were received within the last `verify_after_idle_ms`.
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -209,6 +209,9 @@
         let Ok(local) = socket.local_addr() else {
             return;
         };
+        let Ok(peer) = socket.peer_addr() else {
+            return;
+        };
         let receiver = self.server.advertised_address.unwrap_or(local);
         // Without `TCP_NODELAY` replies are delayed by pending acknowledgements. A failure to set
         // it affects latency only, so it is ignored.
@@ -241,7 +244,10 @@
                     Some(Ok(stream)) => stream,
                     Some(Err(_)) | None => break,
                 },
-                () = &mut monitor => break,
+                () = &mut monitor => {
+                    log_end(peer, &liveness);
+                    break;
+                }
                 () = shutdown.cancelled(), if !is_draining => {
                     is_draining = true;
                     connection.graceful_shutdown();
@@ -360,6 +366,15 @@
 }
 
 /// Reads a request's body; fails if it is larger than a message may be.
+/// Logs that the monitor ended a connection while streams are open on it.
+fn log_end(peer: SocketAddr, liveness: &Liveness) {
+    let streams = liveness.uses();
+    if streams > 0 {
+        let cause = liveness.end_cause();
+        log::warn!(event = "peer_connection_ended", peer:% = peer, cause, streams; "a connection of a peer ended while streams were open on it");
+    }
+}
+
 async fn read_body(mut body: RecvStream) -> Result<Bytes, StatusCode> {
     let mut whole = BytesMut::new();
     while let Some(chunk) = body.data().await {
