--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -8,6 +8,7 @@
 use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::upstream::UpstreamSettings;
 use teaselline_stand_ins::operators::{Fault, Run, Store, Upstream as StandIn};
+use teaselline_stand_ins::proxy::{ProxySettings, TcpProxy};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -23,6 +24,8 @@
 use crate::gateway::upstreams::{Announcement, Change, Phase, tag};
 use crate::platform::{documents, settings};
 
+mod paths;
+
 /// Interval at which a node counts as heard; longer than a test.
 const HEARTBEAT_INTERVAL_MS: u64 = 600_000;
 
@@ -162,8 +165,29 @@
 
 impl TestNode {
     async fn start(name: &str, upstreams: &Upstreams, link: Link) -> Self {
-        let (callers, caller_address) = bind().await;
         let (peers, peer_address) = bind().await;
+        Self::start_at(name, upstreams, link, peers, peer_address).await
+    }
+
+    /// Starts a node that reaches the upstreams and that peers reach through a proxy.
+    async fn start_behind_proxy(name: &str, upstreams: &Upstreams) -> (Self, TcpProxy) {
+        let (peers, own_address) = bind().await;
+        let proxy = TcpProxy::start(ProxySettings::new(own_address)).await;
+        let proxy = proxy.expect("a port is free");
+        let address = proxy.address();
+        let node = Self::start_at(name, upstreams, Link::Works, peers, address).await;
+        (node, proxy)
+    }
+
+    /// Starts a node whose peers connect to `peer_address`.
+    async fn start_at(
+        name: &str,
+        upstreams: &Upstreams,
+        link: Link,
+        peers: TcpListener,
+        peer_address: SocketAddr,
+    ) -> Self {
+        let (callers, caller_address) = bind().await;
         let text = format!(
             r#"{{
                 "node": "{name}", "ip": "127.0.0.1", "zone": "zone-0", "region": "r",
@@ -237,7 +261,14 @@
 }
 
 fn configure(node: &Gateway) {
-    let document = document(1).to_string();
+    configure_with(node, |_document| {});
+}
+
+/// Activates the document after a change of it.
+fn configure_with(node: &Gateway, change: impl FnOnce(&mut serde_json::Value)) {
+    let mut document = document(1);
+    change(&mut document);
+    let document = document.to_string();
     let catalog = documents::parse(document.as_bytes()).expect("the document is valid");
     let mut in_force = node.in_force.write();
     in_force.catalog = Arc::new(catalog);
--- /dev/null
+++ b/src/gateway/exchange/tests/paths.rs
@@ -0,0 +1,138 @@
+//! Requests that a peer sends while the path between the two nodes fails.
+
+use serde_json::json;
+use teaselline_stand_ins::operators::{Asked, Ended};
+use teaselline_stand_ins::proxy::Direction;
+
+use super::*;
+
+/// Time for which nothing passes between two nodes. Links that are filled by other traffic delay
+/// everything by seconds.
+const SILENCE: Duration = Duration::from_millis(3_000);
+
+/// Time that a caller waits, and the timeout of routes.
+const DEADLINE_MS: u64 = 10_000;
+
+/// A node that does not reach the upstreams, one that does, and the path from the former to the latter.
+struct Pair {
+    cut: TestNode,
+    _whole: TestNode,
+    path: TcpProxy,
+}
+
+impl Pair {
+    async fn start(upstreams: &Upstreams) -> Self {
+        let cut = TestNode::start("cut", upstreams, Link::Refuses).await;
+        let (whole, path) = TestNode::start_behind_proxy("whole", upstreams).await;
+        for node in [&cut, &whole] {
+            configure_with(&node.node, |document| {
+                for route in document["routes"].as_array_mut().into_iter().flatten() {
+                    route["timeoutMs"] = json!(DEADLINE_MS);
+                }
+            });
+        }
+        cut.hear(&whole);
+        whole.hear(&cut);
+        let pair = Self {
+            cut,
+            _whole: whole,
+            path,
+        };
+        // Requests that come first establish the connection between the nodes.
+        for (pool, route) in [("desk", "again"), ("pool", "stream-on")] {
+            pair.cut.notice(pool, route).await;
+            patient(&format!("warm-{route}"), route)
+                .send(pair.cut.callers)
+                .await;
+        }
+        pair
+    }
+
+    /// Sends a request and makes the path silent towards the caller once an upstream has begun it.
+    async fn send_into_silence(&self, upstreams: &Upstreams, id: &str, route: &str) -> Ended {
+        let (id, route) = (id.to_owned(), route.to_owned());
+        let callers = self.cut.callers;
+        self.set_silent(true);
+        let request = {
+            let call = patient(&id, &route);
+            tokio::spawn(async move { call.send(callers).await })
+        };
+        eventually(|| !upstreams.runs_of(&id).is_empty()).await;
+        tokio::time::sleep(SILENCE).await;
+        self.set_silent(false);
+        request.await.expect("the request ends")
+    }
+
+    fn set_silent(&self, silent: bool) {
+        self.path.change(|knobs| {
+            knobs.to_caller = Direction {
+                silent,
+                ..Direction::default()
+            };
+        });
+    }
+}
+
+fn patient(id: &str, route: &str) -> Asked {
+    Asked {
+        deadline_ms: DEADLINE_MS,
+        ..asked(id, route)
+    }
+}
+
+/// Guards against answers that are thrown away because the path between two nodes was silent for longer than a timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_a_peer_arrives_after_seconds_of_silence_between_the_nodes() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    for route in ["once", "stream", "stream-on"] {
+        let id = format!("silent-{route}");
+        let ended = pair.send_into_silence(&upstreams, &id, route).await;
+        assert_eq!(ended.status(), Some(200), "{route}: {ended:?}");
+        assert_eq!(upstreams.runs_of(&id).len(), 1, "{route}");
+    }
+}
+
+/// Guards against answers on their way that are thrown away because the connection does not answer the ping before another request.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_of_a_peer_arrives_although_other_requests_find_the_path_silent() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    let callers = pair.cut.callers;
+    let others = tokio::spawn(async move {
+        for number in 0..20 {
+            asked(&format!("other-{number}"), "again")
+                .send(callers)
+                .await;
+        }
+    });
+    let ended = pair.send_into_silence(&upstreams, "beside", "stream").await;
+    assert_eq!(ended.status(), Some(200), "{ended:?}");
+    others.abort();
+}
+
+/// Guards against a node that waits for a silent peer longer than its caller does.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_at_a_silent_peer_ends_at_its_deadline() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    for route in ["once", "stream"] {
+        pair.set_silent(true);
+        let call = Asked {
+            deadline_ms: 1_500,
+            ..asked(&format!("late-{route}"), route)
+        };
+        let ended = tokio::time::timeout(PATIENCE, call.send(pair.cut.callers)).await;
+        let ended = ended.expect("the request ends");
+        assert_ne!(ended.status(), Some(200), "{route}: {ended:?}");
+        eventually(|| {
+            pair.cut
+                .node
+                .in_flight
+                .load(std::sync::atomic::Ordering::Relaxed)
+                == 0
+        })
+        .await;
+        pair.set_silent(false);
+    }
+}
--- a/src/gateway/forwarding/server.rs
+++ b/src/gateway/forwarding/server.rs
@@ -25,7 +25,9 @@
 
 /// Serves peers until `end` is cancelled.
 pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, end: CancellationToken) {
-    let server = Server::new(fleet_key(node.settings().store_address));
+    let settings = node.settings();
+    let server = Server::new(fleet_key(settings.store_address))
+        .with_advertised_address(settings.gossip_listen);
     let handler = Arc::new(ForwardHandler { node });
     server.serve(listener, handler, end).await;
 }
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -347,6 +347,29 @@
     assert_eq!(node.handler.handled.load(SeqCst), 2);
 }
 
+#[tokio::test]
+async fn unanswered_ping_before_a_call_does_not_end_the_open_streams() {
+    // Guards against streams that end because another request found their connection silent.
+    let settings = Settings {
+        verify_after_idle_ms: 20,
+        ..Settings::default().with_connect_timeout_ms(200)
+    };
+    let (_node, address, flow) = start_node_behind_proxy(settings).await;
+    let connections = pool(key()).with_settings(settings);
+    let opened = connections.open(address, TestRequest::Count(500_000), TIMEOUT_MS);
+    let (_, mut items) = opened.await.unwrap();
+    assert_eq!(items.next().await.unwrap().unwrap(), 0);
+    flow.send(false).unwrap();
+    tokio::time::sleep(Duration::from_millis(40)).await;
+    let error = echo(&connections, address, "").await.unwrap_err();
+    assert!(error.is_not_sent(), "{error:?}");
+    flow.send(true).unwrap();
+    for expected in 1..500_000 {
+        assert_eq!(items.next().await.unwrap().unwrap(), expected);
+    }
+    assert!(items.next().await.is_none());
+}
+
 #[tokio::test]
 async fn connection_to_a_restarted_peer_is_reopened() {
     let first = start_node().await;
--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -6,8 +6,16 @@
 use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::store::Door;
 
+use super::metered::value;
 use super::support::{deployment, eventually, send};
 
+/// Routes of a large document, which takes some 800 kB.
+const MANY_ROUTES: usize = 4_000;
+
+/// Bytes that a node may send its peers for one change: 0.4 of what a link of 10 Mbit/s carries in
+/// the two seconds in which a change has to be active.
+const MAX_SENT_BYTES: f64 = 1_000_000.0;
+
 #[tokio::test(flavor = "multi_thread")]
 async fn new_version_is_active_on_all_nodes_within_1500_ms() {
     let deployment = deployment(2, 1).await;
@@ -144,3 +152,39 @@
         assert_eq!(new.status(), Some(200), "{new:?}");
     }
 }
+
+/// Guards against links that a large document fills, so that answers wait behind it: each peer was sent the whole of it several times.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_document_leaves_most_of_each_link_to_callers() {
+    let deployment = deployment(8, 1).await;
+    let sent = async |node: usize| {
+        let series = "teaselline_datagram_bytes_sent_total{kind=\"confirmation\"}";
+        value(&deployment.nodes[node], series).await.unwrap_or(0.0)
+    };
+    let mut before = Vec::new();
+    for node in 0..8 {
+        before.push(sent(node).await);
+    }
+    let mut large = document(2);
+    let routes = large["routes"].as_array_mut().expect("there are routes");
+    let last = routes.last().cloned().expect("there is a route");
+    routes.extend((0..MANY_ROUTES).map(|number| {
+        let mut route = last.clone();
+        route["name"] = json!(format!("idle-{number}"));
+        route["pathPrefix"] = json!(format!("/idle-{:x}/", number * 7_919 % 65_521));
+        route
+    }));
+    deployment.configure(&large);
+    for node in 0..8 {
+        eventually("all nodes activate the document", async || {
+            let version = value(&deployment.nodes[node], "teaselline_configuration_version").await;
+            version.is_some_and(|version| version >= 2.0)
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for (node, before) in before.into_iter().enumerate() {
+        let bytes = sent(node).await - before;
+        assert!(bytes <= MAX_SENT_BYTES, "node {node} sent {bytes} bytes");
+    }
+}
--- a/tests/platform/metered.rs
+++ b/tests/platform/metered.rs
@@ -7,7 +7,7 @@
 use super::support::{deployment, eventually, send};
 
 /// Returns the value of the first series whose line starts with `series`.
-async fn value(node: &Node, series: &str) -> Option<f64> {
+pub async fn value(node: &Node, series: &str) -> Option<f64> {
     let answer = get(node.metrics(), "/metrics").await;
     let mut lines = answer.body().lines();
     let line = lines.find(|line| line.starts_with(series))?;
