bug: A silent path between two nodes takes no further request, and what is on its way still arrives

Cause: one timeout served two decisions, whether to use a connection for a new request and whether to give up what it carries. A silence says nothing of the latter: the bytes of a link that is full arrive later. Change: a connection that is silent or does not answer a ping is retired; it takes no request, and ends when its last stream has ended. A handed-on answer ends at its request's deadline, which the relay of streams now keeps as well; 30 s of silence free what a lost node leaves behind. The role serve keeps its 2,000 ms for streams (it has witnesses that take over), but no ping of another request ends them any more.

--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -3,6 +3,8 @@
 //! Only requests that no upstream has received are handed on. Once a peer may have sent the request
 //! to an upstream, nobody sends it again.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::Stream;
 use http::{HeaderMap, Response};
@@ -22,6 +24,7 @@
 use crate::gateway::state::{Gateway, InFlight};
 use crate::gateway::upstreams::tag;
 use crate::peers::{Items, PeerError};
+use crate::time::TimeMs;
 
 /// Peers that are asked to take a request.
 const MAX_PEERS: usize = 2;
@@ -30,6 +33,8 @@
 pub(super) struct ForwardedStream {
     headers: HeaderMap,
     items: Items<Forwarding>,
+    /// When the caller's request ends, whatever the peer does.
+    deadline: TimeMs,
 }
 
 impl ForwardedStream {
@@ -39,6 +44,26 @@
         *response.headers_mut() = self.headers.clone();
         response
     }
+
+    /// Waits for the next part, at most until the request's deadline.
+    async fn next(&mut self) -> NextItem {
+        let left = Duration::from_millis(clock::now().until(self.deadline));
+        match tokio::time::timeout(left, self.items.next()).await {
+            Ok(Some(Ok(ForwardItem::Events(events)))) => NextItem::Events(Bytes::from(events)),
+            Ok(Some(Ok(ForwardItem::End))) => NextItem::End,
+            Ok(Some(Err(error))) => NextItem::Broken("peer_failed", error.to_string()),
+            Ok(None) => NextItem::Broken("peer_failed", "the stream has no end".to_owned()),
+            Err(_elapsed) => NextItem::Broken("late", String::new()),
+        }
+    }
+}
+
+/// The next part of a stream that a peer forwards.
+enum NextItem {
+    Events(Bytes),
+    End,
+    /// The stream ends early, for this reason with this detail.
+    Broken(&'static str, String),
 }
 
 /// What became of a request that one peer was asked to take.
@@ -76,7 +101,7 @@
         let request = forwarded_request(node, plan, attempts);
         let left_ms = now.until(plan.deadline);
         let replied = node.forwarding.open(target.address, request, left_ms).await;
-        let taken = taken(replied);
+        let taken = taken(replied, plan.deadline);
         count(&taken);
         match taken {
             Taken::Executed(executed) => {
@@ -115,7 +140,7 @@
 }
 
 /// Interprets a peer's reply.
-fn taken(replied: Result<(ForwardReply, Items<Forwarding>), PeerError>) -> Taken {
+fn taken(replied: Result<(ForwardReply, Items<Forwarding>), PeerError>, deadline: TimeMs) -> Taken {
     let (reply, items) = match replied {
         Ok(replied) => replied,
         Err(error) if error.is_not_handled() => return Taken::Declined(error.to_string()),
@@ -128,7 +153,11 @@
         },
         ForwardReply::Stream(head) => match head.decode() {
             Some((_status, headers)) => {
-                let stream = ForwardedStream { headers, items };
+                let stream = ForwardedStream {
+                    headers,
+                    items,
+                    deadline,
+                };
                 Taken::Executed(Executed::Forwarded(Box::new(stream)))
             }
             None => Taken::MayHaveRun("the peer's reply is not valid HTTP".to_owned()),
@@ -170,20 +199,15 @@
     in_flight: InFlight,
 ) -> impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>> {
     async_stream::try_stream! {
-        let mut items = stream.items;
+        let mut stream = stream;
         loop {
-            match items.next().await {
-                Some(Ok(ForwardItem::Events(events))) => {
+            match stream.next().await {
+                NextItem::Events(events) => {
                     request_log.record_event(clock::now());
-                    yield Frame::data(Bytes::from(events));
+                    yield Frame::data(events);
                 }
-                Some(Ok(ForwardItem::End)) => break,
-                ended => {
-                    let detail = match ended {
-                        Some(Err(error)) => error.to_string(),
-                        _ => "the stream has no end".to_owned(),
-                    };
-                    let reason = "peer_failed";
+                NextItem::End => break,
+                NextItem::Broken(reason, detail) => {
                     request_log.record_failed_attempt(reason, &detail, clock::now());
                     request_log.finish_interrupted(reason, clock::now());
                     Err(StreamInterrupted { reason })?;
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -273,7 +273,14 @@
     let mut in_force = node.in_force.write();
     in_force.catalog = Arc::new(catalog);
     in_force.record_peer_version(1);
-    in_force.confirm(LogPosition::default().after(1), clock::now());
+    drop(in_force);
+    confirm(node);
+}
+
+/// Confirms the configuration, as the store would.
+fn confirm(node: &Gateway) {
+    let end = LogPosition::default().after(1);
+    node.in_force.write().confirm(end, clock::now());
 }
 
 /// Two nodes: one with this link to the upstreams, and one that reaches them.
--- a/src/gateway/exchange/tests/paths.rs
+++ b/src/gateway/exchange/tests/paths.rs
@@ -8,7 +8,7 @@
 
 /// Time for which nothing passes between two nodes. Links that are filled by other traffic delay
 /// everything by seconds.
-const SILENCE: Duration = Duration::from_millis(3_000);
+const SILENCE: Duration = Duration::from_secs(3);
 
 /// Time that a caller waits, and the timeout of routes.
 const DEADLINE_MS: u64 = 10_000;
@@ -16,7 +16,7 @@
 /// A node that does not reach the upstreams, one that does, and the path from the former to the latter.
 struct Pair {
     cut: TestNode,
-    _whole: TestNode,
+    whole: TestNode,
     path: TcpProxy,
 }
 
@@ -33,25 +33,22 @@
         }
         cut.hear(&whole);
         whole.hear(&cut);
-        let pair = Self {
-            cut,
-            _whole: whole,
-            path,
-        };
-        // Requests that come first establish the connection between the nodes.
+        let pair = Self { cut, whole, path };
         for (pool, route) in [("desk", "again"), ("pool", "stream-on")] {
             pair.cut.notice(pool, route).await;
-            patient(&format!("warm-{route}"), route)
-                .send(pair.cut.callers)
-                .await;
         }
         pair
     }
 
-    /// Sends a request and makes the path silent towards the caller once an upstream has begun it.
+    /// Sends a request over an established connection on which nothing returns for a while.
     async fn send_into_silence(&self, upstreams: &Upstreams, id: &str, route: &str) -> Ended {
         let (id, route) = (id.to_owned(), route.to_owned());
         let callers = self.cut.callers;
+        for node in [&self.cut, &self.whole] {
+            confirm(&node.node);
+        }
+        let first = asked(&format!("before-{id}"), "again").send(callers).await;
+        assert_eq!(first.status(), Some(200), "{first:?}");
         self.set_silent(true);
         let request = {
             let call = patient(&id, &route);
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -21,6 +21,10 @@
 /// Timeout for connecting to a peer. Peers answer within some milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
+/// Silence of a peer after which the answers that it sends end. Each ends by its request's deadline
+/// before; this bound frees what a lost node leaves behind.
+const LOSS_TIMEOUT_MS: u64 = 30_000;
+
 /// A caller's request that a peer sends to an upstream in place of the node that received it.
 #[derive(Clone, Debug, Encode, Decode)]
 pub(crate) struct ForwardedRequest {
@@ -137,8 +141,15 @@
 
 /// Creates the connections over which a node of the installation with this store forwards requests.
 pub(crate) fn connections(store: SocketAddr, incarnation: u64) -> Connections<Forwarding> {
-    let settings = Settings::default().with_connect_timeout_ms(CONNECT_TIMEOUT_MS);
-    Connections::new(fleet_key(store), Incarnation(incarnation)).with_settings(settings)
+    Connections::new(fleet_key(store), Incarnation(incarnation))
+        .with_settings(connection_settings())
+}
+
+/// Returns the limits and timeouts of these connections, which are the same at both ends.
+fn connection_settings() -> Settings {
+    Settings::default()
+        .with_connect_timeout_ms(CONNECT_TIMEOUT_MS)
+        .with_loss_timeout_ms(LOSS_TIMEOUT_MS)
 }
 
 /// Returns the key that the nodes of the installation with this store share.
--- a/src/gateway/forwarding/server.rs
+++ b/src/gateway/forwarding/server.rs
@@ -8,7 +8,10 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::{ForwardItem, ForwardReply, ForwardedHead, ForwardedRequest, Forwarding, fleet_key};
+use super::{
+    ForwardItem, ForwardReply, ForwardedHead, ForwardedRequest, Forwarding, connection_settings,
+    fleet_key,
+};
 use crate::gateway::exchange::{self, CallerResponse};
 use crate::gateway::state::Gateway;
 use crate::keys::Incarnation;
@@ -27,6 +30,7 @@
 pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, end: CancellationToken) {
     let settings = node.settings();
     let server = Server::new(fleet_key(settings.store_address))
+        .with_settings(connection_settings())
         .with_advertised_address(settings.gossip_listen);
     let handler = Arc::new(ForwardHandler { node });
     server.serve(listener, handler, end).await;
--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -1,4 +1,4 @@
-//! The client: one pooled connection per peer.
+//! The client: one pooled connection per peer, and those before it whose streams are still open.
 
 use std::fmt;
 use std::marker::PhantomData;
@@ -256,7 +256,7 @@
             {
                 return Ok((connection, use_guard));
             }
-            connection.liveness.close();
+            connection.liveness.retire();
         }
         Err(NotSent::Unresponsive)
     }
@@ -325,7 +325,7 @@
             let cause = tokio::select! {
                 _ = connection => "ended",
                 () = monitored.monitor(ping_pong, &settings) => monitored.end_cause(),
-                () = monitored.closed() => "unverified",
+                () = monitored.closed() => "closed",
             };
             log_end(address, cause, &monitored);
             monitored.close();
@@ -379,7 +379,7 @@
         let connection = self.connection.lock();
         connection
             .as_ref()
-            .filter(|connection| !connection.liveness.is_closed())
+            .filter(|connection| connection.liveness.takes_requests())
             .cloned()
     }
 
--- a/src/peers/keepalive.rs
+++ b/src/peers/keepalive.rs
@@ -1,4 +1,5 @@
-//! The decision when to ping a silent peer and when to close its connection.
+//! The decision when to ping a silent peer, when to send it no further request and when to close its
+//! connection.
 
 /// Number of checks of a used connection within the silence timeout.
 const CHECKS_PER_TIMEOUT: u64 = 8;
@@ -10,6 +11,7 @@
 #[derive(Debug)]
 pub(super) struct Keepalive {
     silence_timeout_ms: u64,
+    loss_timeout_ms: u64,
     last_check_ms: u64,
     last_read_ms: u64,
     silent_ms: u64,
@@ -26,14 +28,17 @@
     Wait(u64),
     /// Ping the peer and check again after this many milliseconds.
     Ping(u64),
+    /// Send no further request on the connection and check again after this many milliseconds.
+    Retire(u64),
     /// Close the connection.
     Close,
 }
 
 impl Keepalive {
-    pub(super) fn new(silence_timeout_ms: u64) -> Self {
+    pub(super) fn new(silence_timeout_ms: u64, loss_timeout_ms: u64) -> Self {
         Self {
             silence_timeout_ms,
+            loss_timeout_ms,
             last_check_ms: 0,
             last_read_ms: 0,
             silent_ms: 0,
@@ -69,7 +74,8 @@
         self.is_pinged &= self.silent_ms > 0;
         match self.silent_ms {
             _ if !is_used => Action::Idle,
-            ms if ms >= self.silence_timeout_ms => Action::Close,
+            ms if ms >= self.loss_timeout_ms => Action::Close,
+            ms if ms >= self.silence_timeout_ms => Action::Retire(check_interval_ms),
             ms if ms >= CHECKS_BEFORE_PING * check_interval_ms && !self.is_pinged => {
                 self.is_pinged = true;
                 Action::Ping(check_interval_ms)
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -31,6 +31,7 @@
     use_count: AtomicUsize,
     ping_requested: AtomicBool,
     is_silent: AtomicBool,
+    is_retired: AtomicBool,
     state_changed: Notify,
     pong_received: Notify,
     closed: CancellationToken,
@@ -50,6 +51,7 @@
             use_count: AtomicUsize::new(0),
             ping_requested: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
+            is_retired: AtomicBool::new(false),
             state_changed: Notify::new(),
             pong_received: Notify::new(),
             closed: CancellationToken::new(),
@@ -83,6 +85,21 @@
         self.closed.cancelled().await;
     }
 
+    /// Keeps the connection only for its open streams.
+    ///
+    /// A path that is silent may deliver what is on its way. Closing the connection would end all
+    /// streams on it because of one request that found it silent.
+    pub(super) fn retire(&self) {
+        if !self.is_retired.swap(true, SeqCst) {
+            self.state_changed.notify_one();
+        }
+    }
+
+    /// Returns whether the connection takes further requests.
+    pub(super) fn takes_requests(&self) -> bool {
+        !self.is_closed() && !self.is_retired.load(SeqCst)
+    }
+
     /// Returns whether the connection was closed because the peer stopped responding.
     pub(super) fn is_silent(&self) -> bool {
         self.is_silent.load(SeqCst)
@@ -93,7 +110,7 @@
         if self.is_silent() {
             "silent"
         } else {
-            "idle_or_failed"
+            "unused_or_failed"
         }
     }
 
@@ -124,16 +141,23 @@
 
     /// Monitors the peer; returns when the connection should be closed.
     pub(super) async fn monitor(&self, mut ping_pong: PingPong, settings: &Settings) {
-        let mut keepalive = Keepalive::new(settings.silence_timeout_ms);
+        let mut keepalive = Keepalive::new(settings.silence_timeout_ms, settings.loss_timeout_ms);
         let mut is_ping_pending = false;
         loop {
             let is_used = self.use_count.load(SeqCst) > 0;
+            if !is_used && self.is_retired.load(SeqCst) {
+                return;
+            }
             let last_read_ms = self.last_read_ms.load(Relaxed);
             let action = keepalive.check(self.now_ms(), last_read_ms, is_used);
             let (should_ping, wait_ms) = match action {
                 Action::Idle => (false, settings.idle_timeout_ms),
                 Action::Wait(wait_ms) => (false, wait_ms),
                 Action::Ping(wait_ms) => (true, wait_ms),
+                Action::Retire(wait_ms) => {
+                    self.retire();
+                    (false, wait_ms)
+                }
                 Action::Close => {
                     self.is_silent.store(true, SeqCst);
                     return;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -235,7 +235,8 @@
         let ping_pong = connection
             .ping_pong()
             .expect("`ping_pong` is taken once per connection");
-        let monitor = liveness.monitor(ping_pong, &settings);
+        let monitored = settings.for_accepted();
+        let monitor = liveness.monitor(ping_pong, &monitored);
         tokio::pin!(monitor);
         let mut is_draining = false;
         loop {
--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -5,8 +5,11 @@
 pub struct Settings {
     /// Timeout for connecting, including the HTTP/2 handshake.
     pub connect_timeout_ms: u64,
-    /// Silence of a peer after which its connection is closed while streams are open.
+    /// Silence of a peer after which its connection takes no further request while streams are open.
     pub silence_timeout_ms: u64,
+    /// Silence of a peer after which the open streams of its connection end; at least
+    /// `silence_timeout_ms`.
+    pub loss_timeout_ms: u64,
     /// Silence of a connection after which it is verified by a ping before a request is sent.
     pub verify_after_idle_ms: u64,
     /// Time without streams after which a connection is closed.
@@ -22,6 +25,7 @@
         Self {
             connect_timeout_ms: 1_000,
             silence_timeout_ms: 2_000,
+            loss_timeout_ms: 2_000,
             verify_after_idle_ms: 500,
             idle_timeout_ms: 60_000,
             max_streams: 16_384,
@@ -42,6 +46,14 @@
     #[must_use]
     pub fn with_silence_timeout_ms(mut self, silence_timeout_ms: u64) -> Self {
         self.silence_timeout_ms = silence_timeout_ms;
+        self.loss_timeout_ms = silence_timeout_ms;
+        self
+    }
+
+    /// Sets the silence after which open streams end, for protocols whose requests have deadlines.
+    #[must_use]
+    pub fn with_loss_timeout_ms(mut self, loss_timeout_ms: u64) -> Self {
+        self.loss_timeout_ms = loss_timeout_ms.max(self.silence_timeout_ms);
         self
     }
 
@@ -51,4 +63,12 @@
         self.max_streams = max_streams;
         self
     }
+
+    /// Returns the settings for an accepted connection, which takes requests for as long as it is open.
+    pub(super) fn for_accepted(self) -> Self {
+        Self {
+            silence_timeout_ms: self.loss_timeout_ms,
+            ..self
+        }
+    }
 }
