bug: Configuration documents no longer fill the links between nodes

Callers' answers waited seconds behind documents: each peer that lacked a version was sent the whole text (828 kB with 4,250 routes) by datagrams, by each node that it asked, again each 400 ms, without a bound at the sender.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -14,6 +14,7 @@
 pub(crate) mod catalog;
 mod choose;
 mod clock;
+mod configuration;
 mod configuration_sync;
 mod confirmation;
 mod connections;
--- a/src/gateway/active_configuration.rs
+++ b/src/gateway/active_configuration.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ActiveConfiguration {
     pub catalog: std::sync::Arc<Catalog>,
-    /// The encoded document of the catalog, for peers that missed it.
+    /// The packed document of the catalog, for peers that missed it.
     pub document: Bytes,
     /// Position up to which the operators' records have been applied; the start of an era if none
     /// have been.
@@ -52,7 +52,8 @@
     pub version: u64,
     /// Time since the store held no records beyond `end`.
     pub age_ms: u64,
-    /// The peer's configuration document, if the requester has not read as far and it is not too large.
+    /// The peer's packed configuration document, if the requester has not read as far and it is not
+    /// too large.
     pub document: Option<Vec<u8>>,
     /// The rollouts ordered by operators; sent only with the document.
     pub orders: Vec<Order>,
@@ -193,7 +194,7 @@
     }
 }
 
-/// Largest configuration document sent to a peer; peers read a larger one from the store.
+/// Largest packed configuration document sent to a peer; peers read a larger one from the store.
 ///
 /// If all nodes read each changed document from the store, its calls and bytes would grow with the
 /// nodes.
--- /dev/null
+++ b/src/gateway/configuration.rs
@@ -0,0 +1,3 @@
+//! How configuration documents travel between nodes.
+
+pub(crate) mod packed;
--- a/src/gateway/configuration_sync.rs
+++ b/src/gateway/configuration_sync.rs
@@ -1,6 +1,7 @@
 //! Keeps the operators' configuration current: reads it from the store and asks peers to confirm
 //! it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 
 use super::active_configuration::{Confirmation, ConfirmationRequest};
 use super::clock;
+use super::configuration::packed;
 use super::confirmation::{self, ConfirmationState, LONG_POLL_MS, StoreRead};
 use super::log_position::LogPosition;
 use super::messages::Message;
@@ -60,6 +62,10 @@
     loop {
         tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         let now = clock::now();
+        // Another answer would only share the link with the one that is on its way.
+        if node.reassembly.lock().is_receiving(now) {
+            continue;
+        }
         let state = confirmation_state(&node, now);
         if !confirmation::should_ask_peer(&state) {
             queries.reset();
@@ -151,15 +157,48 @@
         let confirmation = in_force.confirmation(&ConfirmationRequest::default(), clock::now());
         confirmation.map(|confirmation| confirmation.with_orders(node.rollouts.lock().orders()))
     };
-    if let Some(confirmation) = confirmation {
-        node.send_message(Recipients::SameDomain, Message::Confirmation(confirmation));
+    let Some(confirmation) = confirmation else {
+        return;
+    };
+    let now = clock::now();
+    let neighbours = node.peers.lock().same_domain_addresses(now).len();
+    let document_bytes = confirmation.document.as_ref().map_or(0, Vec::len);
+    (node.document_bandwidth.lock()).take(document_bytes * neighbours, now);
+    node.send_message(Recipients::SameDomain, Message::Confirmation(confirmation));
+}
+
+/// Answers a peer that asks whether the configuration is current.
+///
+/// An answer with the document is given as the budget for documents allows. A peer that gets none
+/// asks again, another node at first.
+pub(crate) fn answer_request(
+    node: &Gateway,
+    request: &ConfirmationRequest,
+    from: SocketAddr,
+    now: TimeMs,
+) {
+    let confirmation = node.in_force.read().confirmation(request, now);
+    let Some(confirmation) = confirmation else {
+        return;
+    };
+    let document_bytes = confirmation.document.as_ref().map_or(0, Vec::len);
+    if document_bytes > 0 && !(node.document_bandwidth.lock()).try_take(document_bytes, now) {
+        log::debug!(peer:% = from; "the budget for documents is used up; the request of the peer for the configuration is not answered");
+        return;
     }
+    let confirmation = confirmation.with_orders(node.rollouts.lock().orders());
+    node.send_message(
+        Recipients::Address(from),
+        Message::Confirmation(confirmation),
+    );
 }
 
 /// Applies a peer's confirmation, with its document and rollout orders.
 pub(crate) fn apply_confirmation(node: &Gateway, confirmation: &Confirmation, now: TimeMs) {
-    if let Some(document) = &confirmation.document {
-        apply_document(node, document);
+    if let Some(packed) = &confirmation.document
+        && confirmation.version > node.catalog().version
+    {
+        apply_packed(node, packed);
     }
     for order in &confirmation.orders {
         apply_order(node, order.clone());
@@ -198,8 +237,23 @@
     }
 }
 
-/// Activates a configuration if its version is higher; versions never decrease.
+/// Activates a configuration that a peer sent.
+fn apply_packed(node: &Gateway, packed: &[u8]) {
+    match packed::unpack(packed) {
+        Ok(text) => activate(node, &text, || Bytes::copy_from_slice(packed)),
+        Err(error) => {
+            log::error!(event = "configuration_rejected", error:err = error; "a peer's configuration cannot be unpacked; the previous one stays active");
+        }
+    }
+}
+
+/// Activates a configuration that the store returned.
 fn apply_document(node: &Gateway, text: &[u8]) {
+    activate(node, text, || packed::pack(text));
+}
+
+/// Activates a configuration if its version is higher; versions never decrease.
+fn activate(node: &Gateway, text: &[u8], pack: impl FnOnce() -> Bytes) {
     match documents::parse(text) {
         Ok(catalog) => {
             let mut in_force = node.in_force.write();
@@ -214,7 +268,7 @@
                     "activated a configuration"
                 );
                 in_force.catalog = Arc::new(catalog);
-                in_force.document = Bytes::copy_from_slice(text);
+                in_force.document = pack();
             }
         }
         Err(error) => {
--- a/src/gateway/fragments.rs
+++ b/src/gateway/fragments.rs
@@ -17,6 +17,9 @@
 /// Time after which an incomplete message is dropped.
 const REASSEMBLY_TIMEOUT_MS: u64 = 2_000;
 
+/// Time since the last fragment after which no further one is expected.
+const RECEIVING_TIMEOUT_MS: u64 = 400;
+
 /// Most incomplete messages of all peers; the oldest is dropped first.
 const MAX_INCOMPLETE: usize = 4;
 
@@ -57,6 +60,7 @@
 pub(crate) struct Reassembly {
     /// Oldest first.
     incomplete: Vec<Incomplete>,
+    last_fragment_at: TimeMs,
 }
 
 #[derive(Debug)]
@@ -71,6 +75,7 @@
     /// Adds a fragment; returns the encoded message if it is complete.
     pub fn add(&mut self, from: SocketAddr, fragment: Fragment, now: TimeMs) -> Option<Vec<u8>> {
         (self.incomplete).retain(|message| now.since(message.since) < REASSEMBLY_TIMEOUT_MS);
+        self.last_fragment_at = now;
         let count = usize::from(fragment.count);
         let index = usize::from(fragment.index);
         if index >= count || count > MAX_MESSAGE_BYTES.div_ceil(FRAGMENT_BYTES) {
@@ -87,6 +92,11 @@
         })
     }
 
+    /// Whether a message is arriving.
+    pub fn is_receiving(&self, now: TimeMs) -> bool {
+        !self.incomplete.is_empty() && now.since(self.last_fragment_at) < RECEIVING_TIMEOUT_MS
+    }
+
     /// Returns the index of a message among the incomplete ones.
     fn place(&mut self, from: SocketAddr, message: u64, count: usize, now: TimeMs) -> usize {
         let found = (self.incomplete.iter())
--- a/src/gateway/fragments/tests.rs
+++ b/src/gateway/fragments/tests.rs
@@ -27,6 +27,22 @@
     }
 }
 
+/// Guards against a node that asks for a message again while most of it is on its way.
+#[test]
+fn message_counts_as_arriving_until_its_fragments_stop() {
+    let mut fragments = split(&vec![1; 100_000], 7);
+    let last = fragments.pop().expect("two fragments");
+    let mut reassembly = Reassembly::default();
+    assert!(!reassembly.is_receiving(TimeMs(1)));
+    for fragment in fragments {
+        reassembly.add(sender(1), fragment, TimeMs(1_000));
+    }
+    assert!(reassembly.is_receiving(TimeMs(1_399)));
+    assert!(!reassembly.is_receiving(TimeMs(1_400)));
+    reassembly.add(sender(1), last, TimeMs(1_500));
+    assert!(!reassembly.is_receiving(TimeMs(1_500)));
+}
+
 #[test]
 fn message_without_its_last_fragment_is_dropped_after_the_timeout() {
     let mut fragments = split(&vec![1; 100_000], 7);
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -61,13 +61,8 @@
         Message::Upstreams(news) => announcements::apply_peer_changes(node, news, from, now),
         Message::QueryUpstreams(asked) => handover::answer_request(node, &asked, from, now),
         Message::UpstreamsPage(page) => handover::apply_page(node, page, from, now),
-        Message::QueryConfirmation(question) => {
-            let confirmation = node.in_force.read().confirmation(&question, now);
-            if let Some(confirmation) = confirmation {
-                let confirmation = confirmation.with_orders(node.rollouts.lock().orders());
-                let answer = Message::Confirmation(confirmation);
-                node.send_message(Recipients::Address(from), answer);
-            }
+        Message::QueryConfirmation(request) => {
+            configuration_sync::answer_request(node, &request, from, now);
         }
         Message::Decided(decided) => apply_decided(node, &decided),
         Message::Observed(incarnation, observed) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -59,6 +59,8 @@
     pub upstreams_view: Mutex<UpstreamsView>,
     /// Bandwidth budget for answers to peers that request announcements.
     pub answer_bandwidth: Mutex<BandwidthLimiter>,
+    /// Bandwidth budget for configuration documents that peers are sent.
+    pub document_bandwidth: Mutex<BandwidthLimiter>,
     /// Recent changes of upstreams, for peers that missed them.
     pub recent_changes: Mutex<RecentChanges>,
     pub store_contact: Mutex<StoreContact>,
@@ -167,6 +169,7 @@
             upstreams: Mutex::default(),
             upstreams_view: Mutex::default(),
             answer_bandwidth: Mutex::new(BandwidthLimiter::for_link(settings.link_mbps)),
+            document_bandwidth: Mutex::new(BandwidthLimiter::for_link(settings.link_mbps)),
             recent_changes: Mutex::default(),
             store_contact: Mutex::default(),
             prefixes: Mutex::default(),
