--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -113,7 +113,7 @@
     tokio::spawn(configuration_sync::request_confirmations(Arc::clone(&node)));
     tokio::spawn(announcements::sync_upstreams(Arc::clone(&node)));
     tokio::spawn(reach_probe::run(Arc::clone(&node)));
-    tokio::spawn(forwarding_server::serve(
+    let forwarded = tokio::spawn(forwarding_server::serve(
         forwarded,
         Arc::clone(&node),
         end.clone(),
@@ -139,9 +139,10 @@
         }
     }
     stop(&node, end).await;
-    let ended =
-        tokio::time::timeout(Duration::from_millis(CONNECTION_CLOSE_TIMEOUT_MS), inbound).await;
-    if ended.is_err() {
+    // Answers for peers' callers are sent whole as well before the process exits.
+    let closed = futures::future::join(inbound, forwarded);
+    let close_timeout = Duration::from_millis(CONNECTION_CLOSE_TIMEOUT_MS);
+    if tokio::time::timeout(close_timeout, closed).await.is_err() {
         log::warn!(event = "requests_cut", in_flight = node.in_flight.load(Ordering::Relaxed); "the grace period ended; requests in progress are cut off");
     }
     duties.abort();
