refactor: Team quotas apart by bucket, parameters and reports

quota.rs held four jobs: admission, the parameters of a bucket, one team's bucket, and the reports among nodes. Each has a file now; a bucket keeps its totals private and answers what is reported. No change of behaviour; no test changed.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -14,56 +14,18 @@
 //! its rate, its burst and a small tolerance. The window, the rate and the burst determine the
 //! bucket parameters.
 
-use bincode::{Decode, Encode};
+mod bucket;
+mod parameters;
+mod reports;
 
+use self::bucket::Bucket;
+use self::parameters::{BucketParameters, damping_fraction};
+pub(crate) use self::reports::AdmittedTotal;
 use super::catalog::{Team, Unit};
 use super::num;
 use super::settings::LimitWindow;
 use crate::time::TimeMs;
 
-/// Time constant for averaging a peer's admission rate; it spans several reports.
-const RATE_AVERAGING_MS: f64 = 400.0;
-
-/// Longest time for which a silent peer's usage is extrapolated from its rate.
-///
-/// This is about the propagation delay of a report within a group.
-const MAX_EXTRAPOLATION_MS: u64 = 150;
-
-/// Fraction of the operators' tolerance that is granted to the team.
-///
-/// The remainder covers what nodes admit before they receive each other's reports.
-const TEAM_TOLERANCE_FRACTION: f64 = 0.4;
-
-/// Fraction of a window's allowance beyond the rate that the bucket holds as burst capacity.
-///
-/// The remaining fraction is added to the refill rate over the window. A bucket that holds the
-/// whole allowance and is refilled at the rate alone keeps rejecting a team that slightly exceeds
-/// its rate, although each window allows another burst.
-const BURST_FRACTION: f64 = 0.5;
-
-/// A team whose bucket level is at or below this fraction of its capacity is near its limit.
-///
-/// The bucket of a team that stays within its rate is full except for single requests.
-const NEAR_LIMIT_FRACTION: f64 = 0.85;
-
-/// Time until an admission is known to all groups by their reports.
-const GROUP_REPORT_DELAY_MS: f64 = 1_000.0;
-
-/// Fraction of the operators' tolerance that a team may spend until the groups' reports arrive. The
-/// totals of a team that spends faster are collected and sent to all nodes.
-const UNREPORTED_TOLERANCE_FRACTION: f64 = 0.2;
-
-/// Time for which a node repeats the total of a team after its last admission, for peers that missed
-/// a report.
-const REPORT_RETENTION_MS: u64 = 2_000;
-
-/// Largest number of nodes at which a bucket uses the operators' tolerance.
-///
-/// In a larger fleet, usage reports pass through the groups and take longer. A node that is cut off
-/// notices only after some seconds that other groups are silent; until then it admits requests as if
-/// it could hear every peer.
-const MAX_TOLERANCE_NODES: u32 = 30;
-
 /// A request that costs at most this fraction of its team's burst is small.
 ///
 /// A short call costs a hundredth of the tokens of a long report.
@@ -77,19 +39,6 @@
 /// reports. The refill pays the overdraft back.
 const SMALL_OVERDRAFT_FRACTION: f64 = 0.25;
 
-/// Below this fraction of the capacity, a bucket admits a fraction of the requests that falls with
-/// its level.
-///
-/// Many nodes spend the same limit before they receive each other's reports. If each node admitted
-/// every request until its bucket was empty, the admissions of a team at several times its limit
-/// would oscillate between all nodes and none, and exceed the limit. Damping brings the admission
-/// rate close to the refill rate. The fraction is smaller for few nodes, whose reports arrive
-/// sooner, and zero up to [`MAX_UNDAMPED_NODES`] nodes.
-const DAMPING_FRACTION: f64 = 0.65;
-
-/// Largest number of nodes whose buckets are not damped.
-const MAX_UNDAMPED_NODES: f64 = 9.0;
-
 /// Upper bound of the retry delay that a rejected caller is given.
 const MAX_RETRY_AFTER_MS: u64 = 3_000;
 
@@ -115,36 +64,6 @@
     }
 }
 
-/// Capacity and refill rate of a team's bucket.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct BucketParameters {
-    capacity: f64,
-    rate_per_s: f64,
-}
-
-impl BucketParameters {
-    /// Returns parameters that keep each window within rate, burst and a fraction of the tolerance.
-    ///
-    /// Without a window, and with more than [`MAX_TOLERANCE_NODES`] nodes, only the burst and the
-    /// rate apply.
-    fn new(window: Option<LimitWindow>, rate_per_s: f64, burst: f64, nodes: u32) -> Self {
-        // In a large fleet, admissions that are not reported yet use up the whole tolerance.
-        let Some(window) = window.filter(|_window| nodes <= MAX_TOLERANCE_NODES) else {
-            return Self {
-                capacity: burst,
-                rate_per_s,
-            };
-        };
-        let window_s = num::to_f64(window.window_ms) / 1_000.0;
-        let team_tolerance = window.tolerance(rate_per_s, burst) * TEAM_TOLERANCE_FRACTION;
-        let beyond_rate = burst + team_tolerance;
-        Self {
-            capacity: beyond_rate * BURST_FRACTION,
-            rate_per_s: rate_per_s + beyond_rate * (1.0 - BURST_FRACTION) / window_s,
-        }
-    }
-}
-
 /// Result of checking a request against its team's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Admission {
@@ -169,11 +88,6 @@
     pub retry_after_ms: u64,
 }
 
-/// Returns the fraction of the capacity below which a bucket is damped, by number of nodes.
-fn damping_fraction(nodes: u32) -> f64 {
-    DAMPING_FRACTION * (1.0 - MAX_UNDAMPED_NODES / f64::from(nodes.max(1))).max(0.0)
-}
-
 /// Returns the cost of a request in the limit's unit; `tokens` is its token count, if known.
 #[must_use]
 pub(crate) fn cost(unit: Unit, tokens: Option<u64>) -> f64 {
@@ -183,16 +97,6 @@
     }
 }
 
-/// What a node has admitted of one team since its start.
-#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
-pub(crate) struct AdmittedTotal {
-    /// The team's tag.
-    pub team: u64,
-    /// The total before the recent admissions.
-    pub base: f64,
-    pub total: f64,
-}
-
 /// Token buckets of all teams.
 #[derive(Debug)]
 pub(crate) struct Quotas {
@@ -208,40 +112,6 @@
     share: f64,
 }
 
-#[derive(Clone, Debug)]
-struct Bucket {
-    team: u64,
-    level: f64,
-    refilled_at: TimeMs,
-    /// Total cost that this node has admitted since its start.
-    own_total: f64,
-    /// Part of `own_total` that was reported to the team's collector.
-    reported_total: f64,
-    /// The total before the admissions of the present and the previous retention period.
-    base_total: f64,
-    /// The total at the start of the present retention period, and that time.
-    period_total: f64,
-    period_at: TimeMs,
-    /// Time of this node's last admission.
-    admitted_at: TimeMs,
-    /// Accumulated admission fraction while the bucket is damped; 1.0 admits one request.
-    admission_credit: f64,
-    /// Totals by incarnation that this node last relayed as the team's collector.
-    relayed_totals: Vec<(u64, AdmittedTotal)>,
-    /// Sorted by the peer's incarnation.
-    peers: Vec<PeerUsage>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct PeerUsage {
-    incarnation: u64,
-    /// See [`AdmittedTotal::base`].
-    base: f64,
-    total: f64,
-    reported_at: TimeMs,
-    rate_per_ms: f64,
-}
-
 impl Quotas {
     /// Creates the buckets of a node that starts now; they start empty and fill up.
     ///
@@ -332,122 +202,11 @@
         }
     }
 
-    /// Returns what this node has admitted of each team with recent admissions, for its peers.
-    pub fn recent_totals(&self, now: TimeMs) -> Vec<AdmittedTotal> {
-        (self.buckets.iter())
-            .filter(|bucket| bucket.own_total != 0.0)
-            .filter(|bucket| now.since(bucket.admitted_at) < REPORT_RETENTION_MS)
-            .map(Bucket::own_admitted)
-            .collect()
-    }
-
-    /// Returns the totals, by incarnation, that a team's collector has to relay to all nodes.
-    ///
-    /// These are the totals that changed since the last call; none while the team is far from its
-    /// limit or spends slowly, where a delay of reports does no harm.
-    pub fn take_changed_totals(
-        &mut self,
-        team: &Team,
-        own: u64,
-        now: TimeMs,
-    ) -> Vec<(u64, AdmittedTotal)> {
-        let tolerance = self.tolerance(team);
-        let Some((bucket, parameters)) = self.refilled(team, now) else {
-            return Vec::new();
-        };
-        let is_far = bucket.level > parameters.capacity * NEAR_LIMIT_FRACTION;
-        let unreported = bucket.peer_rate_per_ms() * GROUP_REPORT_DELAY_MS;
-        if is_far || unreported < tolerance * UNREPORTED_TOLERANCE_FRACTION {
-            return Vec::new();
-        }
-        let peers = bucket.peers.iter().map(|peer| {
-            let admitted = AdmittedTotal {
-                team: bucket.team,
-                base: peer.base,
-                total: peer.total,
-            };
-            (peer.incarnation, admitted)
-        });
-        let mut all: Vec<(u64, AdmittedTotal)> =
-            peers.chain([(own, bucket.own_admitted())]).collect();
-        all.sort_unstable_by_key(|(incarnation, _admitted)| *incarnation);
-        let relayed = std::mem::take(&mut bucket.relayed_totals);
-        let is_changed = |(incarnation, admitted): &&(u64, AdmittedTotal)| {
-            let found = relayed.binary_search_by_key(incarnation, |(peer, _admitted)| *peer);
-            found.is_ok_and(|index| relayed[index].1 != *admitted) || found.is_err()
-        };
-        let changed = all.iter().filter(is_changed).copied().collect();
-        bucket.relayed_totals = all;
-        changed
-    }
-
-    /// Returns this node's total for the team's collector if it grew since the last call.
-    pub fn take_unreported_total(&mut self, team: &Team, now: TimeMs) -> Option<AdmittedTotal> {
-        team.rate_per_s?;
-        let bucket = self.bucket(team, now);
-        let is_new = bucket.own_total > bucket.reported_total;
-        bucket.reported_total = bucket.own_total;
-        is_new.then(|| bucket.own_admitted())
-    }
-
     /// Returns the tags of the teams that have used the service since this node started.
     pub fn active_teams(&self) -> impl Iterator<Item = u64> {
         self.buckets.iter().map(|bucket| bucket.team)
     }
 
-    /// Returns the operators' tolerance for a team, in units of the limit.
-    fn tolerance(&self, team: &Team) -> f64 {
-        let window = self.window.zip(team.rate_per_s);
-        window.map_or(0.0, |(window, rate_per_s)| {
-            window.tolerance(rate_per_s, team.burst)
-        })
-    }
-
-    /// Records that a peer was heard; returns whether it had been heard before.
-    pub fn record_contact(&mut self, incarnation: u64, now: TimeMs) -> bool {
-        let found = (self.heard).binary_search_by_key(&incarnation, |(heard, _at)| *heard);
-        match found {
-            Ok(place) => self.heard[place].1 = now,
-            Err(place) => self.heard.insert(place, (incarnation, now)),
-        }
-        found.is_ok()
-    }
-
-    /// Deducts what a peer has admitted since its last report.
-    ///
-    /// `totals` count from the peer's start; `teams` are the teams of the catalog.
-    pub fn record_peer(
-        &mut self,
-        incarnation: u64,
-        totals: &[AdmittedTotal],
-        teams: &[Team],
-        now: TimeMs,
-    ) {
-        let was_heard = self.record_contact(incarnation, now);
-        for admitted in totals {
-            let Some(team) = teams.iter().find(|team| team.tag == admitted.team) else {
-                continue;
-            };
-            // Refills the bucket before the peer's total is deducted: a full bucket discards what
-            // it gains before the report. A refill after the deduction, over the whole time since
-            // the last request, would restore what peers have just used.
-            if let Some((bucket, _parameters)) = self.refilled(team, now) {
-                bucket.deduct_peer_total(incarnation, admitted, was_heard, now);
-            }
-        }
-    }
-
-    /// Removes peers without a report within `forget_ms`.
-    pub fn forget_peers(&mut self, forget_ms: u64, now: TimeMs) {
-        self.heard
-            .retain(|(_incarnation, at)| now.since(*at) < forget_ms);
-        for bucket in &mut self.buckets {
-            bucket
-                .peers
-                .retain(|peer| now.since(peer.reported_at) < forget_ms);
-        }
-    }
-
     /// Returns the bucket parameters for the peers that this node knows; `None` without a limit.
     fn parameters(&self, team: &Team) -> Option<BucketParameters> {
         let nodes = u32::try_from(self.heard.len() + 1).unwrap_or(u32::MAX);
@@ -478,20 +237,7 @@
             let level = self.parameters(team).map_or(0.0, |parameters| {
                 (parameters.rate_per_s * filled_s).min(parameters.capacity)
             });
-            let bucket = Bucket {
-                team: team.tag,
-                level,
-                refilled_at: now,
-                own_total: 0.0,
-                reported_total: 0.0,
-                base_total: 0.0,
-                period_total: 0.0,
-                period_at: TimeMs(0),
-                admitted_at: TimeMs(0),
-                admission_credit: 0.0,
-                relayed_totals: Vec::new(),
-                peers: Vec::new(),
-            };
+            let bucket = Bucket::new(team.tag, level, now);
             self.buckets.insert(place, bucket);
             place
         });
@@ -499,108 +245,5 @@
     }
 }
 
-impl Bucket {
-    /// Whether this request is one of the given fraction of requests to admit.
-    fn admits_fraction(&mut self, part: f64) -> bool {
-        if part >= 1.0 {
-            return true;
-        }
-        self.admission_credit += part;
-        let is_admitted = self.admission_credit >= 1.0;
-        if is_admitted {
-            self.admission_credit -= 1.0;
-        }
-        is_admitted
-    }
-
-    /// Deducts what this node admits.
-    fn deduct_own(&mut self, cost: f64, now: TimeMs) {
-        let period_ms = now.since(self.period_at);
-        if period_ms >= REPORT_RETENTION_MS {
-            let is_old = period_ms >= REPORT_RETENTION_MS * 2;
-            self.base_total = if is_old {
-                self.own_total
-            } else {
-                self.period_total
-            };
-            self.period_total = self.own_total;
-            self.period_at = now;
-        }
-        self.level -= cost;
-        self.own_total += cost;
-        self.admitted_at = now;
-    }
-
-    fn refill(&mut self, rate_per_s: f64, capacity: f64, now: TimeMs) {
-        let gained = rate_per_s * num::to_f64(now.since(self.refilled_at)) / 1_000.0;
-        self.level = (self.level + gained).min(capacity);
-        self.refilled_at = now;
-    }
-
-    fn own_admitted(&self) -> AdmittedTotal {
-        AdmittedTotal {
-            team: self.team,
-            base: self.base_total,
-            total: self.own_total,
-        }
-    }
-
-    /// Returns the rate at which the peers admit, as of their last reports.
-    fn peer_rate_per_ms(&self) -> f64 {
-        self.peers.iter().map(|peer| peer.rate_per_ms).sum()
-    }
-
-    /// Returns the estimated cost that peers have admitted since their last reports.
-    fn extrapolated_usage(&self, now: TimeMs) -> f64 {
-        let parts = self.peers.iter().map(|peer| {
-            let silent_ms = now.since(peer.reported_at).min(MAX_EXTRAPOLATION_MS);
-            peer.rate_per_ms * num::to_f64(silent_ms)
-        });
-        parts.sum()
-    }
-
-    fn deduct_peer_total(
-        &mut self,
-        incarnation: u64,
-        admitted: &AdmittedTotal,
-        was_heard: bool,
-        now: TimeMs,
-    ) {
-        let total = admitted.total;
-        let found = self
-            .peers
-            .binary_search_by_key(&incarnation, |peer| peer.incarnation);
-        match found {
-            Ok(place) => {
-                let peer = &mut self.peers[place];
-                // A late, older report adds nothing.
-                let gained = (total - peer.total).max(0.0);
-                let passed_ms = num::to_f64(now.since(peer.reported_at).max(1));
-                let weight = (passed_ms / RATE_AVERAGING_MS).min(1.0);
-                peer.rate_per_ms += weight * (gained / passed_ms - peer.rate_per_ms);
-                peer.total += gained;
-                peer.base = peer.base.max(admitted.base);
-                peer.reported_at = now;
-                self.level -= gained;
-            }
-            Err(place) => {
-                let peer = PeerUsage {
-                    incarnation,
-                    base: admitted.base,
-                    total,
-                    reported_at: now,
-                    rate_per_ms: 0.0,
-                };
-                self.peers.insert(place, peer);
-                // A new peer's total may predate the contact with it and is ignored. Of a known peer
-                // that had not reported the team lately, only the recent part is certain to be new.
-                if was_heard {
-                    self.level -= total - admitted.base;
-                }
-            }
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
