--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -1,4 +1,8 @@
+use std::net::SocketAddr;
+
 use super::*;
+use crate::gateway::send_gate::Closed;
+use crate::gateway::streams::VersionTag;
 
 pub(in crate::gateway) fn announced(id: &str, pool: &str, domain: &str) -> Announcement {
     Announcement {
