refactor: Two retry delays of one name are told apart

OTHER_NODE_RETRY_MS stood in refusal.rs (20 ms, a node that stops) and in streams/binding.rs (250 ms, peers that have not stated anything on a stream). Values are as they were.

--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -65,8 +65,8 @@
 const MIN_RETRY_MS: u64 = 50;
 const MAX_RETRY_MS: u64 = 3_000;
 
-/// Retry delay for a caller that only has to choose another node.
-const OTHER_NODE_RETRY_MS: u64 = 20;
+/// Retry delay for a caller of a node that stops; the other nodes accept the request at once.
+const STOPPING_RETRY_MS: u64 = 20;
 
 impl Refusal {
     /// Returns the HTTP status for the caller.
@@ -119,8 +119,7 @@
             Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
                 Some(TRANSIENT_RETRY_MS)
             }
-            // Another node accepts the request at once.
-            Self::Stopping => Some(OTHER_NODE_RETRY_MS),
+            Self::Stopping => Some(STOPPING_RETRY_MS),
             _ => None,
         }
     }
--- a/src/gateway/streams/binding.rs
+++ b/src/gateway/streams/binding.rs
@@ -21,8 +21,8 @@
 /// Longest id of a request that a caller may take up.
 const MAX_ID_BYTES: usize = 256;
 
-/// Retry delay for a caller whose stream another node may know.
-const OTHER_NODE_RETRY_MS: u64 = 250;
+/// Retry delay for a caller whose stream a peer may know that has not stated anything on it.
+const ORIGIN_UNKNOWN_RETRY_MS: u64 = 250;
 
 /// What a stream that a caller takes up is bound to, and how that is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,7 +82,7 @@
     let known = bound.map_or("unknown", |begun| begun.source.as_str());
     metrics::counter!("teaselline_streams_taken_up_total", "known" => known).increment(1);
     let Some(begun) = bound else {
-        let retry_after_ms = (!found.is_complete).then_some(OTHER_NODE_RETRY_MS);
+        let retry_after_ms = (!found.is_complete).then_some(ORIGIN_UNKNOWN_RETRY_MS);
         return Err(Refusal::StreamUnknown { retry_after_ms });
     };
     let mut targets = route.targets.iter();
