--- a/src/gateway/choose/tests/held_back.rs
+++ b/src/gateway/choose/tests/held_back.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::gateway::throttle::StatedLimit;
+use crate::gateway::limits::throttle::StatedLimit;
 
 /// Makes a plain upstream request a backoff.
 fn request_backoff(table: &mut UpstreamTable, id: &str, backoff_ms: u64) -> UpstreamKey {
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -14,7 +14,7 @@
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
 use crate::gateway::forwarding::{self, ForwardedRequest};
-use crate::gateway::quota::{self, Admission};
+use crate::gateway::limits::quota::{self, Admission};
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::{Malformed, RequestHead};
 use crate::gateway::state::Gateway;
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -5,8 +5,8 @@
 
 use crate::gateway::catalog::Route;
 use crate::gateway::clock;
+use crate::gateway::limits::quota::Shortfall;
 use crate::gateway::num;
-use crate::gateway::quota::Shortfall;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::RequestHead;
 use crate::gateway::streams::Begun;
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -7,14 +7,14 @@
 use super::admission::Plan;
 use crate::gateway::choose::Choice;
 use crate::gateway::health::Outcome;
+use crate::gateway::limits::refusal_allowance::{Change as BrittlenessChange, StatedBrittleness};
+use crate::gateway::limits::send_gate::Closed;
+use crate::gateway::limits::throttle::{Change, StatedLimit};
 use crate::gateway::messages::Message;
 use crate::gateway::num;
-use crate::gateway::refusal_allowance::{Change as BrittlenessChange, StatedBrittleness};
 use crate::gateway::rollout::Answer;
-use crate::gateway::send_gate::Closed;
 use crate::gateway::state::Gateway;
 use crate::gateway::strikes::Strike;
-use crate::gateway::throttle::{Change, StatedLimit};
 use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -18,11 +18,11 @@
 use transport::{send, send_to, send_to_all};
 
 use super::clock;
+use super::limits::throttle::Sharers;
 use super::messages::Message;
 use super::peers::PEER_EXPIRY_MS;
 use super::relay::{self, ALIVE_INTERVAL_MS, REPORT_INTERVAL_MS};
 use super::state::{Gateway, Outgoing};
-use super::throttle::Sharers;
 use super::upstreams::tag;
 use crate::time::TimeMs;
 
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -7,12 +7,12 @@
 use crate::gateway::fragments::MAX_MESSAGE_BYTES;
 use crate::gateway::handover;
 use crate::gateway::lease::Holder;
+use crate::gateway::limits::quota::AdmittedTotal;
+use crate::gateway::limits::throttle::LimitReport;
 use crate::gateway::messages::{Account, GroupReport, Heartbeat, Message, Status};
-use crate::gateway::quota::AdmittedTotal;
 use crate::gateway::rollout::Decision;
 use crate::gateway::state::{Gateway, Recipients};
 use crate::gateway::streams;
-use crate::gateway::throttle::LimitReport;
 use crate::time::TimeMs;
 
 /// Most member records in one answer: some ten kilobytes.
--- a/src/gateway/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -21,9 +21,9 @@
 use self::bucket::Bucket;
 use self::parameters::{BucketParameters, damping_fraction};
 pub(crate) use self::reports::AdmittedTotal;
-use super::catalog::{Team, Unit};
-use super::num;
-use super::settings::LimitWindow;
+use crate::gateway::catalog::{Team, Unit};
+use crate::gateway::num;
+use crate::gateway::settings::LimitWindow;
 use crate::time::TimeMs;
 
 /// A request that costs at most this fraction of its team's burst is small.
--- a/src/gateway/refusal_allowance.rs
+++ b/src/gateway/limits/refusal_allowance.rs
@@ -7,7 +7,7 @@
 //! refusal is charged as well, since the load of the peers is known some hundred milliseconds late
 //! and requests are refused where there seemed to be room.
 
-use super::num;
+use crate::gateway::num;
 use crate::time::TimeMs;
 
 /// Fraction of the stated number that the nodes use together; the remainder is for nodes that have
--- a/src/gateway/send_gate/tests.rs
+++ b/src/gateway/limits/send_gate/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::gateway::throttle::StatedLimit;
+use crate::gateway::limits::throttle::StatedLimit;
 
 /// Guards against sending a request to an upstream that requested a backoff after it was chosen.
 #[test]
--- a/src/gateway/throttle.rs
+++ b/src/gateway/limits/throttle.rs
@@ -8,8 +8,8 @@
 
 use bincode::{Decode, Encode};
 
-use super::num;
-use super::upstreams::spread_bits;
+use crate::gateway::num;
+use crate::gateway::upstreams::spread_bits;
 use crate::time::TimeMs;
 
 /// Cap on a sender's credit, as the time in seconds in which its rate supplies it; at least one
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -13,15 +13,15 @@
 use super::active_configuration::{Confirmation, ConfirmationRequest};
 use super::demand::Rates;
 use super::fragments::Fragment;
+use super::limits::quota::AdmittedTotal;
+use super::limits::throttle::LimitReport;
 use super::log_position::LogPosition;
 use super::pace::Pace;
-use super::quota::AdmittedTotal;
 use super::rollout::{Decision, Observation};
 use super::snapshot::Page;
 use super::store_contact::StoreAvailability;
 use super::streams::{Origin, Query, Statement, StreamKey};
 use super::strikes::{AgedStrike, Strike};
-use super::throttle::LimitReport;
 use super::upstreams::{Change, Load};
 use super::usage::UsageRow;
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -385,13 +385,13 @@
     /// Returns how many nodes have ever sent a heartbeat and how many are live, this one included.
     ///
     /// Stopping peers are not counted.
-    pub fn visibility(&self, now: TimeMs) -> super::quota::FleetVisibility {
+    pub fn visibility(&self, now: TimeMs) -> super::limits::quota::FleetVisibility {
         let serving = self.by_name.iter().filter(|peer| !peer.is_stopping);
         let known = serving
             .filter(|peer| peer.last_heartbeat_at > TimeMs(0))
             .count();
         let heard = self.active(now).count();
-        super::quota::FleetVisibility {
+        super::limits::quota::FleetVisibility {
             known: u32::try_from(known + 1).unwrap_or(u32::MAX),
             heard: u32::try_from(heard + 1).unwrap_or(u32::MAX),
         }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -3,8 +3,8 @@
 use http::StatusCode;
 use thiserror::Error;
 
+use super::limits::quota::Shortfall;
 use super::num;
-use super::quota::Shortfall;
 use super::request_head::Malformed;
 
 /// Reason why a request ends without an upstream's answer.
--- a/src/gateway/upstreams/departed.rs
+++ b/src/gateway/upstreams/departed.rs
@@ -7,7 +7,7 @@
 
 use super::{Announcement, Phase, Upstream, tag};
 use crate::gateway::health::Health;
-use crate::gateway::send_gate::SendGate;
+use crate::gateway::limits::send_gate::SendGate;
 use crate::gateway::streams::VersionTag;
 use crate::time::TimeMs;
 
--- a/src/gateway/upstreams/reports.rs
+++ b/src/gateway/upstreams/reports.rs
@@ -1,7 +1,7 @@
 //! What nodes report to each other of upstreams: loads, stated limits and departures.
 
 use super::{Load, Phase, Upstream, UpstreamTable};
-use crate::gateway::throttle::{Change as LimitChange, LimitReport, Sharers};
+use crate::gateway::limits::throttle::{Change as LimitChange, LimitReport, Sharers};
 use crate::time::TimeMs;
 
 impl UpstreamTable {
--- a/src/gateway/upstreams/tests.rs
+++ b/src/gateway/upstreams/tests.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use super::*;
-use crate::gateway::send_gate::Closed;
+use crate::gateway::limits::send_gate::Closed;
 use crate::gateway::streams::VersionTag;
 
 pub(in crate::gateway) fn announced(id: &str, pool: &str, domain: &str) -> Announcement {
--- a/src/gateway/upstreams/upstream.rs
+++ b/src/gateway/upstreams/upstream.rs
@@ -5,8 +5,8 @@
 
 use super::announcement::{Announcement, Phase};
 use crate::gateway::health::Health;
+use crate::gateway::limits::send_gate::{Closed, SendGate};
 use crate::gateway::num;
-use crate::gateway::send_gate::{Closed, SendGate};
 use crate::gateway::streams::VersionTag;
 use crate::time::TimeMs;
 
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,11 +8,11 @@
 };
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
-use crate::gateway::backoff::StatedBackoff;
+use crate::gateway::limits::backoff::StatedBackoff;
+use crate::gateway::limits::refusal_allowance::StatedBrittleness;
+use crate::gateway::limits::throttle::StatedLimit;
 use crate::gateway::num;
-use crate::gateway::refusal_allowance::StatedBrittleness;
 use crate::gateway::request_head::{Malformed, Prompt, PromptPart, RequestHead};
-use crate::gateway::throttle::StatedLimit;
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
