--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -48,7 +48,6 @@
 mod recent_changes;
 mod refusal;
 mod relay;
-mod repeat_budget;
 pub(crate) mod request_head;
 pub(crate) mod rollout;
 mod rollout_decisions;
--- a/src/gateway/repeat_budget.rs
+++ b/src/gateway/limits/repeat_budget.rs
@@ -10,7 +10,7 @@
 //! first start of the whole installation there was no former process. A share that grows because
 //! nodes left is used only after the window in which they could spend theirs.
 
-use super::num;
+use crate::gateway::num;
 use crate::time::TimeMs;
 
 /// Fraction of the budget that a node uses once its record covers a whole window; the remainder is for
