--- a/src/requests/completion/moves.rs
+++ b/src/requests/completion/moves.rs
@@ -5,7 +5,9 @@
 
 use tokio::sync::oneshot;
 
-use super::{Attempt, Events, Flow, ImportResult, Run, offer, start_stream};
+use super::events::offer;
+use super::starts::start_stream;
+use super::{Attempt, Events, Flow, ImportResult, Run};
 use crate::blackboard::{HostRow, HostState};
 use crate::keys::HostKey;
 use crate::reclaim::Progress;
