--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -1,107 +1,34 @@
 //! An upstream: it announces itself in the store, answers plain calls and streams, and fails as
 //! it is told. It writes its answers byte by byte itself, since most of its faults are not HTTP.
 
+mod answers;
+mod crash;
+mod fault;
+mod history;
+mod places;
+mod wire;
+
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
+pub use self::crash::{BadPart, ChannelEnd, Crash, CrashPoint};
+pub use self::fault::{Fault, Framing, KILLER};
+pub use self::history::{Arrival, Run, is_misfit};
 use super::store::Store;
-use crate::server::{accept_one, listen, now_ms};
+use crate::server::{listen, now_ms};
 
 /// Between two announcements.
 const BEAT_MS: u64 = 400;
 
-/// Work of a plain call, and between two events of a stream.
-const WORK_MS: u64 = 10;
-
 /// A rest that an upstream asks for binds a node this long after the answer.
 const REST_BEGINS_MS: u64 = 500;
 
-/// How long an upstream that has fallen over resets its channels.
-const FALLEN_MS: u64 = 1_500;
-
-/// The span in which a brittle upstream counts what it refuses.
-const BRITTLE_SPAN_MS: u64 = 1_000;
-
-/// A body that holds this crashes the upstream that runs it.
-pub const KILLER: &str = "kill-the-upstream";
-
-/// How an upstream answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Fault {
-    /// As it should.
-    #[default]
-    None,
-    /// It runs each second request and resets the channel without an answer.
-    LosesAnswers,
-    /// It sends a second answer some milliseconds after each.
-    AnswersTwice,
-    /// It runs requests and never answers.
-    Silent,
-    /// It answers with a failure.
-    Fails,
-    /// It does not run requests and says so.
-    Sheds,
-    /// It breaks streams off within their third event, and plain answers within their body.
-    BreaksOff,
-    /// It breaks streams that begin there off within their third event, and none that go on there.
-    BreaksBegunStreams,
-    /// It answers without a length and resets the channel in the middle.
-    UnframedReset,
-}
-
-/// A request that an upstream began to run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Run {
-    /// The upstream.
-    pub upstream: String,
-    /// The version of its software.
-    pub version: String,
-    /// The request's id.
-    pub request: String,
-    /// Path and query.
-    pub path: String,
-    /// The team that it was told.
-    pub team: Option<String>,
-    /// The event behind which it went on.
-    pub resumed_after: Option<u64>,
-    /// The request that brought the first event of the stream that the caller takes up, as it named it.
-    pub resumes: Option<String>,
-    /// The upstream's address from which it was told to copy what it lacks of the prompt.
-    pub copied_from: Option<String>,
-    /// When, in Unix milliseconds.
-    pub at_ms: u64,
-    /// When its channel was closed before the answer was out.
-    pub left_at_ms: Option<u64>,
-}
-
-/// Whether the run of this place goes on with a stream that another software version began.
-#[must_use]
-pub fn is_misfit(runs: &[Run], place: usize) -> bool {
-    let run = &runs[place];
-    let begun_by = run.resumes.as_ref().unwrap_or(&run.request);
-    let mut earlier = runs[..place].iter().rev();
-    let began = earlier.find(|one| one.request == *begun_by && one.resumed_after.is_none());
-    run.resumed_after.is_some() && began.is_some_and(|began| began.version != run.version)
-}
-
-/// A request that reached an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Arrival {
-    /// The request's id.
-    pub request: String,
-    /// When, in Unix milliseconds.
-    pub at_ms: u64,
-    /// The rest in milliseconds that was asked of whom it turned away, if it did.
-    pub rest_ms: Option<u64>,
-}
-
 /// An upstream; dropping it crashes it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -146,6 +73,16 @@
     refused_at_ms: Mutex<Vec<u64>>,
     /// When it fell over, in Unix milliseconds.
     falls_at_ms: Mutex<Vec<u64>>,
+    framing: Mutex<Framing>,
+    /// Parts of prompts on which it crashes, and how.
+    bad_parts: Mutex<Vec<BadPart>>,
+    crash_by_part: Mutex<Crash>,
+    crashes: watch::Sender<Crash>,
+    /// When it crashed, other than for good, in Unix milliseconds.
+    crashed_at_ms: Mutex<Vec<u64>>,
+    is_down: Mutex<bool>,
+    /// Starts under a new id after the first.
+    starts: Mutex<u64>,
 }
 
 /// What an upstream is.
@@ -198,16 +135,15 @@
             brittle: Mutex::default(),
             refused_at_ms: Mutex::default(),
             falls_at_ms: Mutex::default(),
+            framing: Mutex::default(),
+            bad_parts: Mutex::default(),
+            crash_by_part: Mutex::default(),
+            crashes: watch::Sender::default(),
+            crashed_at_ms: Mutex::default(),
+            is_down: Mutex::default(),
+            starts: Mutex::default(),
         });
-        let accepting = Arc::clone(&core);
-        let serve = tokio::spawn(async move {
-            let mut channels = JoinSet::new();
-            while !*accepting.has_crashed.lock() {
-                let socket = accept_one(&listener).await;
-                let core = Arc::clone(&accepting);
-                channels.spawn(async move { drop(core.channel(socket).await) });
-            }
-        });
+        let serve = tokio::spawn(crash::serve(Arc::clone(&core), listener));
         core.announce();
         let beating = Arc::clone(&core);
         let beat = tokio::spawn(async move {
@@ -224,12 +160,24 @@
         Ok(Self { core, serve, beat })
     }
 
-    /// Its id.
+    /// The id of its first start.
     #[must_use]
     pub fn id(&self) -> &str {
         &self.core.id
     }
 
+    /// The id of its newest start.
+    #[must_use]
+    pub fn start_id(&self) -> String {
+        self.core.start_id()
+    }
+
+    /// The failure domain in which it stands.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        &self.core.zone
+    }
+
     /// The version of its software.
     #[must_use]
     pub fn version(&self) -> &str {
@@ -239,7 +187,7 @@
     /// Whether it has announced that it leaves.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        *self.core.state.lock() == "draining"
+        self.core.is_draining()
     }
 
     /// Where it listens, or is announced to.
@@ -324,11 +272,35 @@
 
     /// Starts again under its id: its count begins anew, and what it ran is gone without a sign.
     pub fn restart(&self) {
-        let mut born_ms = self.core.born_ms.lock();
-        *born_ms = now_ms().max(*born_ms + 1);
-        drop(born_ms);
-        *self.core.announced.lock() = 0;
-        self.core.announce();
+        self.core.begin_count();
+    }
+
+    /// Has it crash as it begins to write an answer to a request with one of these parts, other than the last.
+    pub fn crash_on(&self, bad_parts: &[BadPart], crash: Crash) {
+        *self.core.crash_by_part.lock() = crash;
+        bad_parts.clone_into(&mut self.core.bad_parts.lock());
+    }
+
+    /// Crashes it now; it starts again after a while.
+    pub fn crash(&self, crash: Crash) {
+        self.core.crash(crash);
+    }
+
+    /// When it crashed, other than for good, in Unix milliseconds.
+    #[must_use]
+    pub fn crashed_at_ms(&self) -> Vec<u64> {
+        self.core.crashed_at_ms.lock().clone()
+    }
+
+    /// Whether it is down between a crash and the next start.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        *self.core.is_down.lock()
+    }
+
+    /// Changes how the end of its answers is told.
+    pub fn frame(&self, framing: Framing) {
+        *self.core.framing.lock() = framing;
     }
 
     /// Has something else stand under its key from now on, as another writer may put it there.
@@ -339,7 +311,7 @@
 
     /// Removes its announcement, as the store does after silence.
     pub fn lapse(&self) {
-        self.core.store.put("keyed.servers", &self.core.id, "");
+        self.core.lapse();
     }
 
     /// Has it run so many requests at once from now on and refuse others; it announces as many slots.
@@ -380,40 +352,40 @@
     fn drop(&mut self) {
         self.serve.abort();
         self.beat.abort();
-        self.core.store.put("keyed.servers", &self.core.id, "");
+        self.core.lapse();
     }
 }
 
-/// A place that a request holds while it runs.
-struct Place<'a> {
-    core: &'a Core,
-}
+impl Core {
+    /// The id of the newest start.
+    fn start_id(&self) -> String {
+        match *self.starts.lock() {
+            0 => self.id.clone(),
+            starts => format!("{}-start{starts}", self.id),
+        }
+    }
 
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        *self.core.running.lock() -= 1;
+    fn is_draining(&self) -> bool {
+        *self.state.lock() == "draining"
     }
-}
 
-#[derive(Debug)]
-struct Received {
-    method: String,
-    path: String,
-    headers: Vec<(String, String)>,
-    body: Vec<u8>,
-}
+    fn lapse(&self) {
+        self.store.put("keyed.servers", &self.start_id(), "");
+    }
 
-impl Received {
-    fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.headers.iter();
-        headers
-            .find(|(given, _value)| given.eq_ignore_ascii_case(name))
-            .map(|(_name, value)| value.as_str())
+    /// Begins the announcements of a start.
+    fn begin_count(&self) {
+        let mut born_ms = self.born_ms.lock();
+        *born_ms = now_ms().max(*born_ms + 1);
+        drop(born_ms);
+        *self.announced.lock() = 0;
+        self.announce();
     }
-}
 
-impl Core {
     fn announce(&self) {
+        if *self.is_down.lock() {
+            return;
+        }
         let seq = {
             let mut announced = self.announced.lock();
             *announced += 1;
@@ -426,302 +398,6 @@
         });
         let overwritten = self.overwritten.lock().clone();
         let value = overwritten.unwrap_or_else(|| value.to_string());
-        self.store.put("keyed.servers", &self.id, &value);
-    }
-
-    async fn channel(&self, mut socket: TcpStream) -> io::Result<()> {
-        let mut buffer = Vec::new();
-        while let Some(request) = receive(&mut socket, &mut buffer).await? {
-            if *self.has_crashed.lock() || self.is_fallen() {
-                return reset(socket);
-            }
-            self.note_arrival(&request);
-            if !self.answer(&mut socket, &request).await? {
-                return reset(socket);
-            }
-        }
-        Ok(())
-    }
-
-    fn note_arrival(&self, request: &Received) {
-        let is_turned_away = *self.fault.lock() == Fault::Sheds;
-        let asked = self
-            .rest
-            .lock()
-            .as_deref()
-            .and_then(|rest| rest.parse().ok());
-        let asked = asked.and_then(|rest_s| Duration::try_from_secs_f64(rest_s).ok());
-        let asked = asked.and_then(|rest| u64::try_from(rest.as_millis()).ok());
-        let id = request.header("request-attempt-id").unwrap_or_default();
-        self.arrivals.lock().push(Arrival {
-            request: id.to_owned(),
-            at_ms: now_ms(),
-            rest_ms: asked.filter(|_rest_ms| is_turned_away),
-        });
-    }
-
-    /// Answers a request; tells whether the channel stays open.
-    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<bool> {
-        let id = request.header("request-attempt-id").unwrap_or_default();
-        let is_other = request
-            .header("expect-instance")
-            .is_some_and(|expected| expected != self.id);
-        let fault = *self.fault.lock();
-        if is_other {
-            socket
-                .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
-                .await?;
-            return Ok(true);
-        }
-        if fault == Fault::Sheds {
-            let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}{}content-length: 0\r\n\r\n",
-                self.said_lines(),
-                line("retry-after", self.rest.lock().as_deref()),
-            );
-            socket.write_all(head.as_bytes()).await?;
-            return Ok(true);
-        }
-        let Some(_place) = self.take_place() else {
-            if self.falls_by_refusal() {
-                return Ok(false);
-            }
-            let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
-                self.said_lines(),
-            );
-            socket.write_all(head.as_bytes()).await?;
-            return Ok(true);
-        };
-        let place = self.begin(request, id);
-        let number = {
-            let mut requests = self.requests.lock();
-            *requests += 1;
-            *requests
-        };
-        if request
-            .body
-            .windows(KILLER.len())
-            .any(|part| part == KILLER.as_bytes())
-        {
-            *self.has_crashed.lock() = true;
-            return Ok(false);
-        }
-        let worked = self.work(socket, place, WORK_MS).await?;
-        match fault {
-            _ if !worked => Ok(false),
-            Fault::Silent => {
-                self.work(socket, place, 60_000).await?;
-                Ok(false)
-            }
-            Fault::LosesAnswers if number.is_multiple_of(2) => Ok(false),
-            Fault::Fails => {
-                let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
-                socket.write_all(format!("{head}fail").as_bytes()).await?;
-                Ok(true)
-            }
-            _ if request.path.contains("stream") => {
-                self.stream(socket, request, place, fault).await
-            }
-            Fault::BreaksOff => {
-                let head = self.head("200 OK", id, "content-length: 40\r\n");
-                socket.write_all(format!("{head}half").as_bytes()).await?;
-                Ok(false)
-            }
-            Fault::UnframedReset => {
-                let head = self.head("200 OK", id, "");
-                socket.write_all(format!("{head}half").as_bytes()).await?;
-                tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
-                Ok(false)
-            }
-            _ => {
-                let body = format!("{} {} for {id}", request.method, request.path);
-                let length = format!("content-length: {}\r\n", body.len());
-                let answer = format!("{}{body}", self.head("200 OK", id, &length));
-                socket.write_all(answer.as_bytes()).await?;
-                if fault == Fault::AnswersTwice {
-                    tokio::time::sleep(Duration::from_millis(3)).await;
-                    socket.write_all(answer.as_bytes()).await?;
-                }
-                Ok(true)
-            }
-        }
-    }
-
-    async fn stream(
-        &self,
-        socket: &mut TcpStream,
-        request: &Received,
-        place: usize,
-        fault: Fault,
-    ) -> io::Result<bool> {
-        let id = request.header("request-attempt-id").unwrap_or_default();
-        let number = |name| {
-            request
-                .header(name)
-                .and_then(|text| text.parse::<u64>().ok())
-        };
-        let after = number("last-event-id").unwrap_or(0);
-        let is_misfit = is_misfit(&self.runs.lock(), place);
-        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-        socket
-            .write_all(self.head("200 OK", id, extra).as_bytes())
-            .await?;
-        for event in after + 1..=10 {
-            // What two versions write does not fit together.
-            let text = if is_misfit {
-                format!("id: {event}\ndata: {event} of {id} by {}\n\n", self.version)
-            } else {
-                format!("id: {event}\ndata: {event} of {id}\n\n")
-            };
-            let breaks_off = match fault {
-                Fault::BreaksOff => true,
-                Fault::BreaksBegunStreams => after == 0,
-                _ => false,
-            };
-            if breaks_off && event == 3 {
-                let half = &text[..text.len() / 2];
-                socket.write_all(chunk(half).as_bytes()).await?;
-                return Ok(false);
-            }
-            socket.write_all(chunk(&text).as_bytes()).await?;
-            if !self.work(socket, place, WORK_MS * 3).await? {
-                return Ok(false);
-            }
-        }
-        socket.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
-    }
-
-    fn head(&self, status: &str, id: &str, extra: &str) -> String {
-        format!(
-            "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{}{extra}\r\n",
-            self.id,
-            self.said_lines()
-        )
-    }
-
-    /// What all its answers say of it.
-    fn said_lines(&self) -> String {
-        let limit = line("server-limit", self.limit.lock().as_deref());
-        let leaving = line("server-leaving", self.leaving.lock().as_deref());
-        let brittle = self.brittle.lock().map(|refusals| refusals.to_string());
-        limit + &leaving + &line("server-brittle", brittle.as_deref())
-    }
-
-    /// Takes a place until the returned guard is dropped; none if all are taken.
-    fn take_place(&self) -> Option<Place<'_>> {
-        let mut running = self.running.lock();
-        let is_full = (*self.places.lock()).is_some_and(|places| *running >= places);
-        (!is_full).then(|| {
-            *running += 1;
-            Place { core: self }
-        })
-    }
-
-    fn is_fallen(&self) -> bool {
-        let falls_at_ms = self.falls_at_ms.lock();
-        (falls_at_ms.last()).is_some_and(|at_ms| now_ms() < at_ms + FALLEN_MS)
-    }
-
-    /// Counts a refusal for want of a place; tells whether it falls over by it.
-    fn falls_by_refusal(&self) -> bool {
-        let now = now_ms();
-        let mut refused_at_ms = self.refused_at_ms.lock();
-        refused_at_ms.retain(|at_ms| *at_ms + BRITTLE_SPAN_MS > now);
-        refused_at_ms.push(now);
-        let is_fall = (*self.brittle.lock()).is_some_and(|most| refused_at_ms.len() > most);
-        if is_fall {
-            refused_at_ms.clear();
-            self.falls_at_ms.lock().push(now);
-        }
-        is_fall
-    }
-
-    fn begin(&self, request: &Received, id: &str) -> usize {
-        let mut runs = self.runs.lock();
-        runs.push(Run {
-            upstream: self.id.clone(),
-            version: self.version.clone(),
-            request: id.to_owned(),
-            path: request.path.clone(),
-            team: request.header("tenant").map(str::to_owned),
-            resumed_after: request
-                .header("last-event-id")
-                .and_then(|text| text.parse().ok()),
-            resumes: request.header("resumes").map(str::to_owned),
-            copied_from: request.header("kv-fetch").map(str::to_owned),
-            at_ms: now_ms(),
-            left_at_ms: None,
-        });
-        runs.len() - 1
-    }
-
-    /// Works for a while; tells whether the channel was still open at the end.
-    async fn work(&self, socket: &mut TcpStream, place: usize, work_ms: u64) -> io::Result<bool> {
-        let mut byte = [0];
-        let closed = tokio::time::timeout(Duration::from_millis(work_ms), socket.peek(&mut byte));
-        let is_closed = match closed.await {
-            Err(_elapsed) => false,
-            Ok(Ok(length)) => length == 0,
-            Ok(Err(_error)) => true,
-        };
-        if is_closed {
-            self.runs.lock()[place].left_at_ms = Some(now_ms());
-        }
-        Ok(!is_closed)
-    }
-}
-
-/// A line of a head; nothing without a value.
-fn line(name: &str, value: Option<&str>) -> String {
-    value.map_or_else(String::new, |value| format!("{name}: {value}\r\n"))
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-fn reset(socket: TcpStream) -> io::Result<()> {
-    // Closing with nothing to linger for sends a reset.
-    socket.set_zero_linger()?;
-    drop(socket);
-    Ok(())
-}
-
-/// Reads one request; none at the end of the channel.
-async fn receive(socket: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Option<Received>> {
-    let end = loop {
-        if let Some(end) = buffer.windows(4).position(|part| part == b"\r\n\r\n") {
-            break end;
-        }
-        if socket.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-    buffer.drain(..end + 4);
-    let mut lines = head.lines();
-    let mut first = lines.next().unwrap_or_default().split(' ');
-    let headers: Vec<(String, String)> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_owned(), value.trim().to_owned()))
-        .collect();
-    let mut request = Received {
-        method: first.next().unwrap_or_default().to_owned(),
-        path: first.next().unwrap_or_default().to_owned(),
-        headers,
-        body: Vec::new(),
-    };
-    let length = request
-        .header("content-length")
-        .and_then(|text| text.parse().ok());
-    let length: usize = length.unwrap_or(0);
-    while buffer.len() < length {
-        if socket.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
+        self.store.put("keyed.servers", &self.start_id(), &value);
     }
-    request.body = buffer.drain(..length).collect();
-    Ok(Some(request))
 }
