refactor: Plainer names and order in the quotas and the table of upstreams

Positions in sorted vectors are named index, the damped fraction fraction; a constant stands at the top.

--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -3,8 +3,8 @@
 //! Each node keeps a complete bucket for each team. It deducts its own admissions at once and the
 //! admissions of its peers when their reports arrive, in heartbeats and in the reports of groups.
 //! Where a team spends so fast that those would come too late, a node collects its totals and sends
-//! them to all nodes. A bucket may become negative and then admits
-//! nothing until it is refilled, which pays back what was admitted before the reports arrived.
+//! them to all nodes. A bucket may become negative and then admits nothing until it is refilled,
+//! which pays back what was admitted before the reports arrived.
 //!
 //! A node that has lost contact with some of its peers does not know what they admit. It then
 //! refills its bucket only by the share of the nodes that it can hear. Every partition does the
@@ -232,16 +232,16 @@
         let found = self
             .buckets
             .binary_search_by_key(&team.tag, |bucket| bucket.team);
-        let place = found.unwrap_or_else(|place| {
+        let index = found.unwrap_or_else(|index| {
             let filled_s = num::to_f64(now.since(self.started_at)) / 1_000.0;
             let level = self.parameters(team).map_or(0.0, |parameters| {
                 (parameters.rate_per_s * filled_s).min(parameters.capacity)
             });
             let bucket = Bucket::new(team.tag, level, now);
-            self.buckets.insert(place, bucket);
-            place
+            self.buckets.insert(index, bucket);
+            index
         });
-        &mut self.buckets[place]
+        &mut self.buckets[index]
     }
 }
 
--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -19,7 +19,9 @@
 /// A team's bucket.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
+    /// The team's tag.
     pub team: u64,
+    /// What may be spent, in units of the limit; negative if the bucket was overdrawn.
     pub level: f64,
     refilled_at: TimeMs,
     /// Total cost that this node has admitted since its start.
@@ -71,12 +73,12 @@
         }
     }
 
-    /// Whether this request is one of the given fraction of requests to admit.
-    pub fn admits_fraction(&mut self, part: f64) -> bool {
-        if part >= 1.0 {
+    /// Counts one request; whether it belongs to the fraction of requests that are admitted.
+    pub fn admits_fraction(&mut self, fraction: f64) -> bool {
+        if fraction >= 1.0 {
             return true;
         }
-        self.admission_credit += part;
+        self.admission_credit += fraction;
         let is_admitted = self.admission_credit >= 1.0;
         if is_admitted {
             self.admission_credit -= 1.0;
@@ -144,8 +146,8 @@
             .peers
             .binary_search_by_key(&incarnation, |peer| peer.incarnation);
         match found {
-            Ok(place) => {
-                let peer = &mut self.peers[place];
+            Ok(index) => {
+                let peer = &mut self.peers[index];
                 // A late, older report adds nothing.
                 let gained = (total - peer.total).max(0.0);
                 let passed_ms = num::to_f64(now.since(peer.reported_at).max(1));
@@ -156,7 +158,7 @@
                 peer.reported_at = now;
                 self.level -= gained;
             }
-            Err(place) => {
+            Err(index) => {
                 let peer = PeerUsage {
                     incarnation,
                     base: admitted.base,
@@ -164,7 +166,7 @@
                     reported_at: now,
                     rate_per_ms: 0.0,
                 };
-                self.peers.insert(place, peer);
+                self.peers.insert(index, peer);
                 // A new peer's total may predate the contact with it and is ignored. Of a known peer
                 // that had not reported the team lately, only the recent part is certain to be new.
                 if was_heard {
--- a/src/gateway/limits/quota/reports.rs
+++ b/src/gateway/limits/quota/reports.rs
@@ -76,8 +76,8 @@
     pub fn record_contact(&mut self, incarnation: u64, now: TimeMs) -> bool {
         let found = (self.heard).binary_search_by_key(&incarnation, |(heard, _at)| *heard);
         match found {
-            Ok(place) => self.heard[place].1 = now,
-            Err(place) => self.heard.insert(place, (incarnation, now)),
+            Ok(index) => self.heard[index].1 = now,
+            Err(index) => self.heard.insert(index, (incarnation, now)),
         }
         found.is_ok()
     }
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -15,6 +15,18 @@
 pub(crate) use self::upstream::{Load, Upstream};
 use crate::time::TimeMs;
 
+/// How long an upstream keeps getting requests after its announcement expired during a store
+/// outage.
+///
+/// The store removes announcements that could not be renewed in time; a live upstream announces
+/// itself again within about two seconds. Dropping all upstreams at once would leave none to serve
+/// requests for that time.
+///
+/// A removal may also be a real departure, after which an upstream must get no new request beyond
+/// 2,000 ms. The grace period plus the time until this node reads the removal, up to 550 ms, stays
+/// below that bound.
+pub(crate) const EXPIRY_GRACE_MS: u64 = 1_200;
+
 /// Identifies one start of an upstream in the table. Keys are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct UpstreamKey {
@@ -46,18 +58,6 @@
     upstream: Option<Upstream>,
 }
 
-/// How long an upstream keeps getting requests after its announcement expired during a store
-/// outage.
-///
-/// The store removes announcements that could not be renewed in time; a live upstream announces
-/// itself again within about two seconds. Dropping all upstreams at once would leave none to serve
-/// requests for that time.
-///
-/// A removal may also be a real departure, after which an upstream must get no new request beyond
-/// 2,000 ms. The grace period plus the time until this node reads the removal, up to 550 ms, stays
-/// below that bound.
-pub(crate) const EXPIRY_GRACE_MS: u64 = 1_200;
-
 impl UpstreamTable {
     /// Applies a change; returns the key if the upstream is in the table afterwards.
     ///
