bug: Reports to a standby go on as soon as its outage ends

What callers saw: after an outage of the standbys, and a later loss of node and hosts at once, streams begin at position 0 on another host although the standbys had been reachable again for seconds (crashes::streams_whose_reports_were_lost_go_on_from_the_standbys_position, 1 of 3 plays at once).

Cause: after a lost report the next one is due 128 tokens later, then 256, 512, counted by each stream in its own tokens. Whether the witness is reached again is not asked: a stream whose third report is lost reports at 448 tokens, then not before 960. The class: an outage of a peer, tracked by each request and counted in its own progress.

Evidence: reports of a play in the log (RUST_LOG=debug): 64 and 192 lost in all 60 streams, the next at 448, 2.3 s after the standbys could be reached again and 1.5 s before the crash. A new test with a longer outage (until 500 tokens, crash at 700) failed 3 of 3 plays without this change, at position 0. The listed test itself did not fail here without it (11 of 11 plays passed, load average 2 to 16), so that the play that was listed is explained by this cause and not shown: a stream that is 184 to 248 tokens ahead of the slowest one loses its third report as well.

Change: the queue of a witness keeps the requests whose reports were lost, probes the witness with one empty message each 250 ms, and tells them when it replies again; they send what it lacks with their next token. A witness that is gone closes the replies as before, and reports to it become rare as before. The body of the listed test moved into a function with its numbers as arguments; its checks are the same.

Unit tests of standby_progress and witness_queues: the three new ones failed before, 46 of requests:: pass.

--- a/src/requests/standby_progress.rs
+++ b/src/requests/standby_progress.rs
@@ -3,6 +3,8 @@
 //! The witness appends a report to the tokens that it holds and ignores one that would leave a gap.
 //! A lost report is therefore part of the next one: otherwise all later reports would be ignored,
 //! and after a loss of home and upstream the answer would be computed again from its start.
+//!
+//! A report that was lost in an outage of the witness is due again as soon as the witness is reached.
 
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
@@ -27,6 +29,8 @@
     pending: Option<oneshot::Receiver<bool>>,
     /// Consecutive lost reports.
     losses: u32,
+    /// Whether the newest report was lost in an outage of the witness that has ended.
+    is_overdue: bool,
 }
 
 impl StandbyProgress {
@@ -38,17 +42,22 @@
         // a constant interval a long answer would be sent over and over again.
         let doublings = self.losses.min(MAX_INTERVAL_DOUBLINGS);
         let is_due = position >= self.sent + (REPORT_INTERVAL_TOKENS << doublings);
-        (is_due && self.pending.is_none()).then_some(from)
+        ((is_due || self.is_overdue) && self.pending.is_none()).then_some(from)
     }
 
     /// Returns the position from which the witness lacks the answer.
     pub fn unacknowledged_from(&mut self) -> u64 {
         match self.pending.as_mut().map(oneshot::Receiver::try_recv) {
-            Some(Ok(_)) => {
+            Some(Ok(true)) => {
                 self.acknowledged = self.sent;
                 self.losses = 0;
                 self.pending = None;
             }
+            Some(Ok(false)) => {
+                self.is_overdue = true;
+                self.losses = 0;
+                self.pending = None;
+            }
             Some(Err(TryRecvError::Closed)) => {
                 self.losses += 1;
                 self.pending = None;
@@ -58,9 +67,11 @@
         self.acknowledged
     }
 
-    /// Records a report of the answer up to `end`, and where its reply arrives.
+    /// Records a report of the answer up to `end`, and where its reply arrives: `true` once the
+    /// witness holds it, `false` if it was lost and the witness is reached again.
     pub fn record_sent(&mut self, end: u64, reply: oneshot::Receiver<bool>) {
         self.sent = end;
+        self.is_overdue = false;
         self.pending = Some(reply);
     }
 }
--- a/src/requests/standby_progress/tests.rs
+++ b/src/requests/standby_progress/tests.rs
@@ -64,3 +64,19 @@
     let next = 100_000 + REPORT_INTERVAL_TOKENS;
     assert_eq!(progress.due_from(next), Some(100_000));
 }
+
+// Guards against reports that stay rare after the witness can be reached again.
+#[test]
+fn lost_report_is_sent_again_once_its_witness_is_reached_again() {
+    let mut progress = StandbyProgress::default();
+    for end in [70, 300, 900] {
+        drop(report(&mut progress, end));
+        assert_eq!(progress.unacknowledged_from(), 0);
+    }
+    report(&mut progress, 2_000).send(false).unwrap();
+    assert_eq!(progress.due_from(2_001), Some(0));
+    report(&mut progress, 2_001).send(true).unwrap();
+    let next = 2_001 + REPORT_INTERVAL_TOKENS;
+    assert_eq!(progress.due_from(next - 1), None);
+    assert_eq!(progress.due_from(next), Some(2_001));
+}
--- a/src/requests/witness_queues.rs
+++ b/src/requests/witness_queues.rs
@@ -2,6 +2,10 @@
 //!
 //! While one message is in transit, new updates wait for the next one, so the number of messages
 //! depends on the round-trip time and not on the number of requests.
+//!
+//! During an outage of a witness one empty message at a time probes it for all requests whose
+//! reports were lost. Requests that found out one by one would each learn of the end of the outage
+//! late, and send their reports again and again until then.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +29,7 @@
 /// Time without updates after which a witness's queue is closed.
 const IDLE_TIMEOUT_MS: u64 = 30_000;
 
-/// Delay before unacknowledged outcomes are sent again.
+/// Delay before unacknowledged outcomes are sent again, and between two probes of a witness.
 const RESEND_DELAY_MS: u64 = 250;
 
 /// Consecutive unanswered messages after which unacknowledged outcomes are dropped.
@@ -59,6 +63,10 @@
 
     /// Queues an update for a witness; the receiver gets the reply, and closes without one if the
     /// witness does not reply.
+    ///
+    /// The receiver of a report of progress stays open while the witness does not reply. It gets
+    /// `false` if the report was lost and the witness replies again, and closes once the witness
+    /// is gone.
     pub fn send(&self, witness: Incarnation, update: WitnessUpdate) -> oneshot::Receiver<bool> {
         let (reply, receiver) = oneshot::channel();
         let mut entry = QueuedUpdate { update, reply };
@@ -100,13 +108,20 @@
     mut queue: mpsc::Receiver<QueuedUpdate>,
 ) {
     let mut unacknowledged = UnacknowledgedOutcomes::default();
+    let mut lost = LostReports::default();
     loop {
-        let first = tokio::time::timeout(unacknowledged.receive_timeout(), queue.recv()).await;
-        let batch = match first {
+        lost.remove_abandoned();
+        let has_more_to_send = !unacknowledged.is_empty() || !lost.is_empty();
+        let timeout = receive_timeout(has_more_to_send);
+        let batch = match tokio::time::timeout(timeout, queue.recv()).await {
             Ok(Some(first)) => collect_batch(first, &mut queue).await,
-            Err(_) if !unacknowledged.is_empty() => Vec::new(),
+            Err(_) if has_more_to_send => Vec::new(),
             Ok(None) | Err(_) => return,
         };
+        let reports: Vec<_> = batch
+            .iter()
+            .map(|queued| is_report(&queued.update))
+            .collect();
         let (new, replies): (Vec<_>, Vec<_>) = batch
             .into_iter()
             .map(|queued| (queued.update, queued.reply))
@@ -118,6 +133,7 @@
         {
             Ok(Reply::Consents(consents)) => {
                 unacknowledged.clear();
+                lost.reply();
                 let consents = consents.into_iter().skip(resent);
                 for (reply, consent) in replies.into_iter().zip(consents) {
                     if reply.send(consent).is_err() {
@@ -125,8 +141,60 @@
                     }
                 }
             }
-            Err(Unreachable::Silent) => unacknowledged.record_failure(),
-            Ok(_) | Err(Unreachable::Gone) => unacknowledged.clear(),
+            Err(Unreachable::Silent) => {
+                unacknowledged.record_failure();
+                lost.add(replies.into_iter().zip(reports));
+            }
+            Ok(_) | Err(Unreachable::Gone) => {
+                unacknowledged.clear();
+                lost = LostReports::default();
+            }
+        }
+    }
+}
+
+/// Returns whether an update reports the progress of a running request.
+fn is_report(update: &WitnessUpdate) -> bool {
+    !update.needs_reply() && !update.has_outcome()
+}
+
+/// Returns how long to wait for the next update.
+fn receive_timeout(has_more_to_send: bool) -> Duration {
+    Duration::from_millis(if has_more_to_send {
+        RESEND_DELAY_MS
+    } else {
+        IDLE_TIMEOUT_MS
+    })
+}
+
+/// Requests whose reports were lost, which wait until the witness is reached again.
+#[derive(Debug, Default)]
+struct LostReports {
+    replies: Vec<oneshot::Sender<bool>>,
+}
+
+impl LostReports {
+    fn is_empty(&self) -> bool {
+        self.replies.is_empty()
+    }
+
+    /// Adds the replies of those updates that are reports, and drops the others.
+    fn add(&mut self, replies: impl Iterator<Item = (oneshot::Sender<bool>, bool)>) {
+        let reports = replies.filter(|(_reply, is_report)| *is_report);
+        self.replies.extend(reports.map(|(reply, _)| reply));
+    }
+
+    /// Removes requests that have ended or have sent another report.
+    fn remove_abandoned(&mut self) {
+        self.replies.retain(|reply| !reply.is_closed());
+    }
+
+    /// Tells the requests that the witness is reached again.
+    fn reply(&mut self) {
+        for reply in self.replies.drain(..) {
+            if reply.send(false).is_err() {
+                log::trace!("request no longer waits for its witness");
+            }
         }
     }
 }
@@ -146,15 +214,6 @@
         self.outcomes.is_empty()
     }
 
-    /// Returns how long to wait for the next update.
-    fn receive_timeout(&self) -> Duration {
-        Duration::from_millis(if self.is_empty() {
-            IDLE_TIMEOUT_MS
-        } else {
-            RESEND_DELAY_MS
-        })
-    }
-
     /// Returns the number of unacknowledged outcomes, and a message of these followed by the new
     /// updates.
     fn prepend_to(&mut self, new: Vec<WitnessUpdate>) -> (usize, Vec<WitnessUpdate>) {
--- a/src/requests/witness_queues/tests.rs
+++ b/src/requests/witness_queues/tests.rs
@@ -76,6 +76,17 @@
 }
 
 fn ended(sequence: u32) -> WitnessUpdate {
+    let record = dispatched(sequence);
+    let body = b"paid".to_vec();
+    record.end(Outcome::Answered { status: 200, body }, TimeMs(1));
+    WitnessUpdate::Store(record.copy(0))
+}
+
+fn report(sequence: u32) -> WitnessUpdate {
+    WitnessUpdate::Store(dispatched(sequence).copy(0))
+}
+
+fn dispatched(sequence: u32) -> Record {
     let call = Call {
         team: "pubs".to_owned(),
         idempotent: false,
@@ -89,9 +100,7 @@
     };
     let record = Record::new(id(sequence), call);
     record.begin_attempt(HostKey(1), ([127, 0, 0, 1], 9).into());
-    let body = b"paid".to_vec();
-    record.end(Outcome::Answered { status: 200, body }, TimeMs(1));
-    WitnessUpdate::Store(record.copy(0))
+    record
 }
 
 /// Returns the number of outcomes in each message received.
@@ -136,3 +145,31 @@
         [WitnessUpdate::Store(_), WitnessUpdate::RuleOut(_)]
     ));
 }
+
+// Guards against requests that learn of the end of their witness's outage only by their own next
+// report.
+#[tokio::test]
+async fn lost_report_gets_its_reply_once_the_witness_is_reached_again() {
+    let witness = Arc::new(Witness::default());
+    *witness.lost_replies.lock() = 3;
+    let queues = WitnessQueues::<TestLinks>::new(Arc::clone(&witness));
+    let reply = queues.send(WITNESS, report(1));
+    assert_eq!(reply.await, Ok(false));
+    let received: Vec<_> = witness.received.lock().iter().map(Vec::len).collect();
+    assert_eq!(received, [1, 0, 0, 0]);
+}
+
+// Guards against messages to a witness that cannot be reached, for requests that have ended.
+#[tokio::test]
+async fn witness_is_not_probed_once_no_request_waits_for_it() {
+    let witness = Arc::new(Witness::default());
+    *witness.lost_replies.lock() = u32::MAX;
+    let queues = WitnessQueues::<TestLinks>::new(Arc::clone(&witness));
+    let reply = queues.send(WITNESS, report(1));
+    tokio::time::sleep(Duration::from_millis(3 * RESEND_DELAY_MS)).await;
+    drop(reply);
+    let probed = witness.received.lock().len();
+    assert!(probed > 1, "{probed}");
+    tokio::time::sleep(Duration::from_millis(3 * RESEND_DELAY_MS)).await;
+    assert!(witness.received.lock().len() <= probed + 1);
+}
--- a/tests/moving/crashes.rs
+++ b/tests/moving/crashes.rs
@@ -71,14 +71,26 @@
 // lost at once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn streams_whose_reports_were_lost_go_on_from_the_standbys_position() {
+    check_streams_with_lost_reports(200, 600).await;
+}
+
+// Guards against reports that stay rare after an outage of the standbys has ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_whose_standbys_were_away_for_long_go_on_from_the_standbys_position() {
+    check_streams_with_lost_reports(500, 700).await;
+}
+
+/// Makes a node's peers unreachable until its streams have come to `reached_at`, and loses the node
+/// and a domain of hosts when they have come to `lost_at`; no stream may restart at position 0.
+async fn check_streams_with_lost_reports(reached_at: u64, lost_at: u64) {
     let mut trial = Trial::start(3).await;
     let running = begin(&trial.caller(), long_streams(0.0).calls());
     trial.until_streaming(STREAMS).await;
     let standbys = || trial.nodes.iter().skip(1);
     standbys().for_each(|node| node.refuse_peers(true));
-    trial.until_position(STREAMS, 200).await;
+    trial.until_position(STREAMS, reached_at).await;
     standbys().for_each(|node| node.refuse_peers(false));
-    trial.until_position(STREAMS, 600).await;
+    trial.until_position(STREAMS, lost_at).await;
     trial.nodes[0].crash();
     let reclaim = Reclaim::Domain("otaru-vault".to_owned());
     trial.site.cloud.announce_reclaim(&reclaim, 0);
