--- /dev/null
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -0,0 +1,28 @@
+//! How an upstream answers, and what crashes it.
+
+/// A body that holds this crashes the upstream that runs it.
+pub const KILLER: &str = "kill-the-upstream";
+
+/// How an upstream answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// As it should.
+    #[default]
+    None,
+    /// It runs each second request and resets the channel without an answer.
+    LosesAnswers,
+    /// It sends a second answer some milliseconds after each.
+    AnswersTwice,
+    /// It runs requests and never answers.
+    Silent,
+    /// It answers with a failure.
+    Fails,
+    /// It does not run requests and says so.
+    Sheds,
+    /// It breaks streams off within their third event, and plain answers within their body.
+    BreaksOff,
+    /// It breaks streams that begin there off within their third event, and none that go on there.
+    BreaksBegunStreams,
+    /// It answers without a length and resets the channel in the middle.
+    UnframedReset,
+}
