test: A stand-in upstream crashes on a part of a prompt and starts again

An upstream crashes as it begins to write an answer to a request whose prompt holds a bad part that is not the last, possibly on one model or path only. A crash ends all channels, by a reset or an orderly end, before the head, before the body or inside it (for streams inside the first event); the address refuses channels until the next start, under a new id or the same. Answers and streams can end with their channel, with neither a length nor chunks. An upstream can also be crashed without a request. Runs and arrivals keep the parts, runs also when they crashed their upstream.

--- a/stand_ins/src/operators/soak/drills.rs
+++ b/stand_ins/src/operators/soak/drills.rs
@@ -91,7 +91,7 @@
 
 fn lapse_gone(deployment: &Deployment) {
     for id in deployment.store.keys("keyed.servers") {
-        if deployment.upstream(&id).is_none() {
+        if !(deployment.upstreams.iter()).any(|one| one.start_id() == id) {
             deployment.store.put("keyed.servers", &id, "");
         }
     }
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -2,6 +2,7 @@
 //! it is told. It writes its answers byte by byte itself, since most of its faults are not HTTP.
 
 mod answers;
+mod crash;
 mod fault;
 mod history;
 mod places;
@@ -13,12 +14,14 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
-pub use self::fault::{Fault, KILLER};
+pub use self::crash::{BadPart, ChannelEnd, Crash, CrashPoint};
+pub use self::fault::{Fault, Framing, KILLER};
 pub use self::history::{Arrival, Run, is_misfit};
 use super::store::Store;
-use crate::server::{accept_one, listen, now_ms};
+use crate::server::{listen, now_ms};
 
 /// Between two announcements.
 const BEAT_MS: u64 = 400;
@@ -70,6 +73,16 @@
     refused_at_ms: Mutex<Vec<u64>>,
     /// When it fell over, in Unix milliseconds.
     falls_at_ms: Mutex<Vec<u64>>,
+    framing: Mutex<Framing>,
+    /// Parts of prompts on which it crashes, and how.
+    bad_parts: Mutex<Vec<BadPart>>,
+    crash_by_part: Mutex<Crash>,
+    crashes: watch::Sender<Crash>,
+    /// When it crashed, other than for good, in Unix milliseconds.
+    crashed_at_ms: Mutex<Vec<u64>>,
+    is_down: Mutex<bool>,
+    /// Starts under a new id after the first.
+    starts: Mutex<u64>,
 }
 
 /// What an upstream is.
@@ -122,16 +135,15 @@
             brittle: Mutex::default(),
             refused_at_ms: Mutex::default(),
             falls_at_ms: Mutex::default(),
+            framing: Mutex::default(),
+            bad_parts: Mutex::default(),
+            crash_by_part: Mutex::default(),
+            crashes: watch::Sender::default(),
+            crashed_at_ms: Mutex::default(),
+            is_down: Mutex::default(),
+            starts: Mutex::default(),
         });
-        let accepting = Arc::clone(&core);
-        let serve = tokio::spawn(async move {
-            let mut channels = JoinSet::new();
-            while !*accepting.has_crashed.lock() {
-                let socket = accept_one(&listener).await;
-                let core = Arc::clone(&accepting);
-                channels.spawn(async move { drop(core.channel(socket).await) });
-            }
-        });
+        let serve = tokio::spawn(crash::serve(Arc::clone(&core), listener));
         core.announce();
         let beating = Arc::clone(&core);
         let beat = tokio::spawn(async move {
@@ -148,12 +160,24 @@
         Ok(Self { core, serve, beat })
     }
 
-    /// Its id.
+    /// The id of its first start.
     #[must_use]
     pub fn id(&self) -> &str {
         &self.core.id
     }
 
+    /// The id of its newest start.
+    #[must_use]
+    pub fn start_id(&self) -> String {
+        self.core.start_id()
+    }
+
+    /// The failure domain in which it stands.
+    #[must_use]
+    pub fn zone(&self) -> &str {
+        &self.core.zone
+    }
+
     /// The version of its software.
     #[must_use]
     pub fn version(&self) -> &str {
@@ -163,7 +187,7 @@
     /// Whether it has announced that it leaves.
     #[must_use]
     pub fn is_draining(&self) -> bool {
-        *self.core.state.lock() == "draining"
+        self.core.is_draining()
     }
 
     /// Where it listens, or is announced to.
@@ -248,11 +272,35 @@
 
     /// Starts again under its id: its count begins anew, and what it ran is gone without a sign.
     pub fn restart(&self) {
-        let mut born_ms = self.core.born_ms.lock();
-        *born_ms = now_ms().max(*born_ms + 1);
-        drop(born_ms);
-        *self.core.announced.lock() = 0;
-        self.core.announce();
+        self.core.begin_count();
+    }
+
+    /// Has it crash as it begins to write an answer to a request with one of these parts, other than the last.
+    pub fn crash_on(&self, bad_parts: &[BadPart], crash: Crash) {
+        *self.core.crash_by_part.lock() = crash;
+        bad_parts.clone_into(&mut self.core.bad_parts.lock());
+    }
+
+    /// Crashes it now; it starts again after a while.
+    pub fn crash(&self, crash: Crash) {
+        self.core.crash(crash);
+    }
+
+    /// When it crashed, other than for good, in Unix milliseconds.
+    #[must_use]
+    pub fn crashed_at_ms(&self) -> Vec<u64> {
+        self.core.crashed_at_ms.lock().clone()
+    }
+
+    /// Whether it is down between a crash and the next start.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        *self.core.is_down.lock()
+    }
+
+    /// Changes how the end of its answers is told.
+    pub fn frame(&self, framing: Framing) {
+        *self.core.framing.lock() = framing;
     }
 
     /// Has something else stand under its key from now on, as another writer may put it there.
@@ -263,7 +311,7 @@
 
     /// Removes its announcement, as the store does after silence.
     pub fn lapse(&self) {
-        self.core.store.put("keyed.servers", &self.core.id, "");
+        self.core.lapse();
     }
 
     /// Has it run so many requests at once from now on and refuse others; it announces as many slots.
@@ -304,12 +352,40 @@
     fn drop(&mut self) {
         self.serve.abort();
         self.beat.abort();
-        self.core.store.put("keyed.servers", &self.core.id, "");
+        self.core.lapse();
     }
 }
 
 impl Core {
+    /// The id of the newest start.
+    fn start_id(&self) -> String {
+        match *self.starts.lock() {
+            0 => self.id.clone(),
+            starts => format!("{}-start{starts}", self.id),
+        }
+    }
+
+    fn is_draining(&self) -> bool {
+        *self.state.lock() == "draining"
+    }
+
+    fn lapse(&self) {
+        self.store.put("keyed.servers", &self.start_id(), "");
+    }
+
+    /// Begins the announcements of a start.
+    fn begin_count(&self) {
+        let mut born_ms = self.born_ms.lock();
+        *born_ms = now_ms().max(*born_ms + 1);
+        drop(born_ms);
+        *self.announced.lock() = 0;
+        self.announce();
+    }
+
     fn announce(&self) {
+        if *self.is_down.lock() {
+            return;
+        }
         let seq = {
             let mut announced = self.announced.lock();
             *announced += 1;
@@ -322,6 +398,6 @@
         });
         let overwritten = self.overwritten.lock().clone();
         let value = overwritten.unwrap_or_else(|| value.to_string());
-        self.store.put("keyed.servers", &self.id, &value);
+        self.store.put("keyed.servers", &self.start_id(), &value);
     }
 }
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -5,27 +5,44 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
-use super::wire::{Received, chunk, line, receive, reset};
-use super::{Arrival, Core, Fault, KILLER, Run, is_misfit};
+use super::wire::{After, Received, chunk, line, receive};
+use super::{Arrival, ChannelEnd, Core, Crash, CrashPoint, Fault, Framing, KILLER, Run, is_misfit};
 use crate::server::now_ms;
 
 /// Work of a plain call, and between two events of a stream.
 const WORK_MS: u64 = 10;
 
+const RESET: After = After::Ends(ChannelEnd::Reset);
+
 impl Core {
-    pub(super) async fn channel(&self, mut socket: TcpStream) -> io::Result<()> {
+    /// Answers the requests of a channel until it ends or the upstream crashes.
+    pub(super) async fn channel(
+        &self,
+        mut socket: TcpStream,
+        mut crashes: watch::Receiver<Crash>,
+    ) -> io::Result<()> {
+        let end = tokio::select! {
+            end = self.requests(&mut socket) => end?,
+            _ = crashes.changed() => crashes.borrow().channels,
+        };
+        end.apply(socket)
+    }
+
+    /// Answers the requests of a channel; returns how it is ended.
+    async fn requests(&self, socket: &mut TcpStream) -> io::Result<ChannelEnd> {
         let mut buffer = Vec::new();
-        while let Some(request) = receive(&mut socket, &mut buffer).await? {
+        while let Some(request) = receive(socket, &mut buffer).await? {
             if *self.has_crashed.lock() || self.is_fallen() {
-                return reset(socket);
+                return Ok(ChannelEnd::Reset);
             }
             self.note_arrival(&request);
-            if !self.answer(&mut socket, &request).await? {
-                return reset(socket);
+            if let After::Ends(end) = self.answer(socket, &request).await? {
+                return Ok(end);
             }
         }
-        Ok(())
+        Ok(ChannelEnd::Orderly)
     }
 
     fn note_arrival(&self, request: &Received) {
@@ -42,21 +59,22 @@
             request: id.to_owned(),
             at_ms: now_ms(),
             rest_ms: asked.filter(|_rest_ms| is_turned_away),
+            parts: request.parts(),
         });
     }
 
-    /// Answers a request; tells whether the channel stays open.
-    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<bool> {
+    /// Answers a request; returns what becomes of the channel.
+    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<After> {
         let id = request.header("request-attempt-id").unwrap_or_default();
         let is_other = request
             .header("expect-instance")
-            .is_some_and(|expected| expected != self.id);
+            .is_some_and(|expected| expected != self.start_id());
         let fault = *self.fault.lock();
         if is_other {
             socket
                 .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
                 .await?;
-            return Ok(true);
+            return Ok(After::Stays);
         }
         if fault == Fault::Sheds {
             let head = format!(
@@ -65,18 +83,18 @@
                 line("retry-after", self.rest.lock().as_deref()),
             );
             socket.write_all(head.as_bytes()).await?;
-            return Ok(true);
+            return Ok(After::Stays);
         }
         let Some(_place) = self.take_place() else {
             if self.falls_by_refusal() {
-                return Ok(false);
+                return Ok(RESET);
             }
             let head = format!(
                 "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
                 self.said_lines(),
             );
             socket.write_all(head.as_bytes()).await?;
-            return Ok(true);
+            return Ok(After::Stays);
         };
         let place = self.begin(request, id);
         let number = {
@@ -90,20 +108,23 @@
             .any(|part| part == KILLER.as_bytes())
         {
             *self.has_crashed.lock() = true;
-            return Ok(false);
+            return Ok(RESET);
         }
         let worked = self.work(socket, place, WORK_MS).await?;
+        if let Some(crash) = self.crash_of(request) {
+            return self.crash_at(socket, request, place, crash).await;
+        }
         match fault {
-            _ if !worked => Ok(false),
+            _ if !worked => Ok(RESET),
             Fault::Silent => {
                 self.work(socket, place, 60_000).await?;
-                Ok(false)
+                Ok(RESET)
             }
-            Fault::LosesAnswers if number.is_multiple_of(2) => Ok(false),
+            Fault::LosesAnswers if number.is_multiple_of(2) => Ok(RESET),
             Fault::Fails => {
                 let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
                 socket.write_all(format!("{head}fail").as_bytes()).await?;
-                Ok(true)
+                Ok(After::Stays)
             }
             _ if request.path.contains("stream") => {
                 self.stream(socket, request, place, fault).await
@@ -111,24 +132,23 @@
             Fault::BreaksOff => {
                 let head = self.head("200 OK", id, "content-length: 40\r\n");
                 socket.write_all(format!("{head}half").as_bytes()).await?;
-                Ok(false)
+                Ok(RESET)
             }
             Fault::UnframedReset => {
                 let head = self.head("200 OK", id, "");
                 socket.write_all(format!("{head}half").as_bytes()).await?;
                 tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
-                Ok(false)
+                Ok(RESET)
             }
             _ => {
-                let body = format!("{} {} for {id}", request.method, request.path);
-                let length = format!("content-length: {}\r\n", body.len());
-                let answer = format!("{}{body}", self.head("200 OK", id, &length));
+                let framing = *self.framing.lock();
+                let answer = self.whole_answer(request, framing);
                 socket.write_all(answer.as_bytes()).await?;
                 if fault == Fault::AnswersTwice {
                     tokio::time::sleep(Duration::from_millis(3)).await;
                     socket.write_all(answer.as_bytes()).await?;
                 }
-                Ok(true)
+                Ok(framing.after())
             }
         }
     }
@@ -139,7 +159,7 @@
         request: &Received,
         place: usize,
         fault: Fault,
-    ) -> io::Result<bool> {
+    ) -> io::Result<After> {
         let id = request.header("request-attempt-id").unwrap_or_default();
         let number = |name| {
             request
@@ -148,10 +168,9 @@
         };
         let after = number("last-event-id").unwrap_or(0);
         let is_misfit = is_misfit(&self.runs.lock(), place);
-        let extra = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
-        socket
-            .write_all(self.head("200 OK", id, extra).as_bytes())
-            .await?;
+        let framing = *self.framing.lock();
+        let head = self.head("200 OK", id, framing.stream_lines());
+        socket.write_all(head.as_bytes()).await?;
         for event in after + 1..=10 {
             // What two versions write does not fit together.
             let text = if is_misfit {
@@ -166,22 +185,66 @@
             };
             if breaks_off && event == 3 {
                 let half = &text[..text.len() / 2];
-                socket.write_all(chunk(half).as_bytes()).await?;
-                return Ok(false);
+                socket.write_all(framing.piece(half).as_bytes()).await?;
+                return Ok(RESET);
             }
-            socket.write_all(chunk(&text).as_bytes()).await?;
+            socket.write_all(framing.piece(&text).as_bytes()).await?;
             if !self.work(socket, place, WORK_MS * 3).await? {
-                return Ok(false);
+                return Ok(RESET);
             }
         }
-        socket.write_all(b"0\r\n\r\n").await?;
-        Ok(true)
+        socket.write_all(framing.stream_end().as_bytes()).await?;
+        Ok(framing.after())
+    }
+
+    /// Sends what comes before a crash, and crashes.
+    async fn crash_at(
+        &self,
+        socket: &mut TcpStream,
+        request: &Received,
+        place: usize,
+        crash: Crash,
+    ) -> io::Result<After> {
+        if crash.point != CrashPoint::BeforeHead {
+            let answer = self.begun_answer(request);
+            let (head, rest) = answer.split_once("\r\n\r\n").unwrap_or_default();
+            let sent = match crash.point {
+                CrashPoint::InsideBody => &rest[..rest.len() / 2],
+                CrashPoint::BeforeHead | CrashPoint::BeforeBody => "",
+            };
+            let sent = format!("{head}\r\n\r\n{sent}");
+            socket.write_all(sent.as_bytes()).await?;
+        }
+        self.runs.lock()[place].crashed_at_ms = Some(now_ms());
+        self.crash(crash);
+        Ok(After::Ends(crash.channels))
+    }
+
+    /// An answer up to the end of its body, or of its first event.
+    fn begun_answer(&self, request: &Received) -> String {
+        let framing = *self.framing.lock();
+        if !request.path.contains("stream") {
+            return self.whole_answer(request, framing);
+        }
+        let id = request.header("request-attempt-id").unwrap_or_default();
+        let after: Option<u64> = (request.header("last-event-id")).and_then(|id| id.parse().ok());
+        let number = after.unwrap_or(0) + 1;
+        let head = self.head("200 OK", id, framing.stream_lines());
+        let event = format!("id: {number}\ndata: {number} of {id}\n\n");
+        head + &framing.piece(&event)
+    }
+
+    fn whole_answer(&self, request: &Received, framing: Framing) -> String {
+        let id = request.header("request-attempt-id").unwrap_or_default();
+        let body = format!("{} {} for {id}", request.method, request.path);
+        let head = self.head("200 OK", id, &framing.whole_lines(&body));
+        head + &framing.whole_body(&body)
     }
 
     fn head(&self, status: &str, id: &str, extra: &str) -> String {
         format!(
             "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{}{extra}\r\n",
-            self.id,
+            self.start_id(),
             self.said_lines()
         )
     }
@@ -197,7 +260,7 @@
     fn begin(&self, request: &Received, id: &str) -> usize {
         let mut runs = self.runs.lock();
         runs.push(Run {
-            upstream: self.id.clone(),
+            upstream: self.start_id(),
             version: self.version.clone(),
             request: id.to_owned(),
             path: request.path.clone(),
@@ -209,6 +272,8 @@
             copied_from: request.header("kv-fetch").map(str::to_owned),
             at_ms: now_ms(),
             left_at_ms: None,
+            parts: request.parts(),
+            crashed_at_ms: None,
         });
         runs.len() - 1
     }
@@ -228,3 +293,51 @@
         Ok(!is_closed)
     }
 }
+
+impl Framing {
+    fn whole_lines(self, body: &str) -> String {
+        match self {
+            Self::Usual => format!("content-length: {}\r\n", body.len()),
+            Self::Chunked => String::from("transfer-encoding: chunked\r\n"),
+            Self::ChannelEnd => String::from("connection: close\r\n"),
+        }
+    }
+
+    fn whole_body(self, body: &str) -> String {
+        match self {
+            Self::Usual | Self::ChannelEnd => body.to_owned(),
+            Self::Chunked => self.piece(body) + self.stream_end(),
+        }
+    }
+
+    fn stream_lines(self) -> &'static str {
+        match self {
+            Self::Usual | Self::Chunked => {
+                "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n"
+            }
+            Self::ChannelEnd => "content-type: text/event-stream\r\nconnection: close\r\n",
+        }
+    }
+
+    /// A piece of a stream.
+    fn piece(self, text: &str) -> String {
+        match self {
+            Self::Usual | Self::Chunked => chunk(text),
+            Self::ChannelEnd => text.to_owned(),
+        }
+    }
+
+    fn stream_end(self) -> &'static str {
+        match self {
+            Self::Usual | Self::Chunked => "0\r\n\r\n",
+            Self::ChannelEnd => "",
+        }
+    }
+
+    fn after(self) -> After {
+        match self {
+            Self::Usual | Self::Chunked => After::Stays,
+            Self::ChannelEnd => After::Ends(ChannelEnd::Orderly),
+        }
+    }
+}
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -26,3 +26,15 @@
     /// It answers without a length and resets the channel in the middle.
     UnframedReset,
 }
+
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length, that of a stream by its last chunk.
+    #[default]
+    Usual,
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the channel.
+    ChannelEnd,
+}
--- a/stand_ins/src/operators/upstream/history.rs
+++ b/stand_ins/src/operators/upstream/history.rs
@@ -23,6 +23,10 @@
     pub at_ms: u64,
     /// When its channel was closed before the answer was out.
     pub left_at_ms: Option<u64>,
+    /// The ids of its prompt's parts.
+    pub parts: Vec<String>,
+    /// When it crashed its upstream by a part of its prompt.
+    pub crashed_at_ms: Option<u64>,
 }
 
 /// Whether the run of this place goes on with a stream that another software version began.
@@ -44,4 +48,6 @@
     pub at_ms: u64,
     /// The rest in milliseconds that was asked of whom it turned away, if it did.
     pub rest_ms: Option<u64>,
+    /// The ids of its prompt's parts.
+    pub parts: Vec<String>,
 }
--- a/stand_ins/src/operators/upstream/wire.rs
+++ b/stand_ins/src/operators/upstream/wire.rs
@@ -5,6 +5,17 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
+use super::ChannelEnd;
+
+/// What becomes of a channel after an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum After {
+    /// It takes the next request.
+    Stays,
+    /// It ends.
+    Ends(ChannelEnd),
+}
+
 #[derive(Debug)]
 pub(super) struct Received {
     pub method: String,
@@ -14,6 +25,13 @@
 }
 
 impl Received {
+    /// The ids of its prompt's parts.
+    pub fn parts(&self) -> Vec<String> {
+        let parts = self.header("prompt-prefix").unwrap_or_default().split(',');
+        let ids = parts.filter_map(|part| part.split_once(':'));
+        ids.map(|(id, _tokens)| id.trim().to_owned()).collect()
+    }
+
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
         headers
@@ -31,13 +49,6 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-pub(super) fn reset(socket: TcpStream) -> io::Result<()> {
-    // Closing with nothing to linger for sends a reset.
-    socket.set_zero_linger()?;
-    drop(socket);
-    Ok(())
-}
-
 /// Reads one request; none at the end of the channel.
 pub(super) async fn receive(
     socket: &mut TcpStream,
--- a/stand_ins/src/server.rs
+++ b/stand_ins/src/server.rs
@@ -19,7 +19,7 @@
     task::{JoinHandle, JoinSet},
 };
 
-const BACKLOG: u32 = 4096;
+pub(crate) const BACKLOG: u32 = 4096;
 const MAX_BODY_BYTES: usize = 64 << 20;
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 
@@ -159,13 +159,18 @@
 
 /// A listener with a backlog that thousands of callers at once do not overflow.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    bind(address)?.listen(BACKLOG)
+}
+
+/// A socket that is bound and doesn't listen yet.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    Ok(socket)
 }
 
 /// The next connection, without delayed writes.
