--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod calm;
 mod configuration;
+mod crashing_parts;
 mod duties;
 mod explained;
 mod input;
