--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -1,6 +1,7 @@
 //! A randomized soak: real processes under load, faults from outside in series that overlap, and
 //! checks of the promises from what callers and upstreams see.
 
+mod callers;
 mod calm;
 pub mod checks;
 mod drills;
@@ -15,17 +16,18 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use self::callers::call_on;
 use self::checks::{check_calls, check_duties, check_limited, check_revoked, check_versions};
 use self::drills::Drills;
 use self::faults::Faults;
 use self::releases::Releases;
 use super::caller::{Asked, Ended};
-use super::deployment::{Deployment, DeploymentSettings, KEYS, asked};
+use super::deployment::{Deployment, DeploymentSettings, asked};
 use super::upstream::Upstream;
 use crate::proxy::TcpProxy;
 use crate::server::now_ms;
@@ -33,12 +35,6 @@
 /// Callers that ask one call after the other.
 const CALLERS: usize = 12;
 
-/// Pause of a caller between two calls.
-const PAUSE: Duration = Duration::from_millis(25);
-
-/// How often a caller takes a stream up that was cut.
-const MOST_TAKE_UPS: usize = 2;
-
 /// After the last fault, nodes serve again within this, as operators expect of a recovery.
 const RECOVERY: Duration = Duration::from_secs(12);
 
@@ -184,55 +180,6 @@
     limited.map(|one| one.id().to_owned()).collect()
 }
 
-async fn call_on(
-    caller: usize,
-    mut rng: SmallRng,
-    nodes: Vec<SocketAddr>,
-    history: Arc<Mutex<Vec<Called>>>,
-    takes_up: bool,
-) {
-    for number in 0.. {
-        let route = ["once", "again", "stream", "stream-on"][rng.random_range(0..4)];
-        let mut asked = asked(&format!("c{caller}-{number}"), route);
-        // The second team is limited and its key is taken away some time.
-        if rng.random_bool(0.3) {
-            KEYS[1].clone_into(&mut asked.key);
-        }
-        let node = rng.random_range(0..nodes.len());
-        let mut last_event = call(asked.clone(), node, nodes[node], &history).await;
-        let is_resumable = asked.path.starts_with("/stream-on");
-        let begun = asked;
-        for attempt in 0..MOST_TAKE_UPS {
-            let Some(after) = last_event.filter(|_after| takes_up && is_resumable) else {
-                break;
-            };
-            let next = begun.take_up(&format!("{}-up{attempt}", begun.id), after);
-            let node = rng.random_range(0..nodes.len());
-            last_event = call(next, node, nodes[node], &history).await.or(last_event);
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-/// Sends a call, keeps how it ended, and gives the last event of a stream that was cut.
-async fn call(
-    asked: Asked,
-    node: usize,
-    address: SocketAddr,
-    history: &Mutex<Vec<Called>>,
-) -> Option<u64> {
-    let sent_at_ms = now_ms();
-    let ended = asked.send(address).await;
-    let last_event = ended.last_event();
-    history.lock().push(Called {
-        asked,
-        node,
-        sent_at_ms,
-        ended,
-    });
-    last_event
-}
-
 /// What is seen of the first node that does not serve again; none if all do.
 async fn not_recovered(deployment: &Deployment, revoked_at_ms: Option<u64>) -> Option<String> {
     let until = Instant::now() + RECOVERY;
