test: A node cut off for a while hands requests on over silent and slow paths, and all are answered

Each request that ran is answered, and each other one is refused as not run.

Processes can't be cut off so: nodes share one table of upstreams and connect from one address, so no stand-in can tell their connections apart before they are established.

--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -24,6 +24,7 @@
 use crate::gateway::upstreams::{Announcement, Change, Phase, tag};
 use crate::platform::{documents, settings};
 
+mod cuts;
 mod paths;
 
 /// Interval at which a node counts as heard; longer than a test.
