--- a/src/gateway/configuration/packed/tests.rs
+++ b/src/gateway/configuration/packed/tests.rs
@@ -4,7 +4,7 @@
 fn document_of_many_routes_packs_to_a_tenth_and_unpacks_unchanged() {
     let route = |number: usize| {
         format!(
-            r#"{{"name":"r-{:x}","host":"h.example","pathPrefix":"/{:x}/","kind":"idempotent"}}"#,
+            r#"{{"name":"r-{:x}","host":"h.example","path":"/{:x}/","kind":"idempotent"}}"#,
             number * 7_919 % 65_521,
             number * 104_729 % 65_521
         )
