feature: Failed attempts say under which parts of the prompt an upstream broke

The logs could not tell a part of prompts that crashes each upstream from the loss of a failure domain: attempt_failed named neither the parts of the prompt nor the upstream's failure domain, and did not say which failures count as crashes of the upstream.

attempt_failed now carries model, parts (those that other requests may share), upstream_domain, first_ms and is_crash. Nothing else uses that decision yet; the routing of requests is unchanged.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -17,6 +17,7 @@
 mod configuration_sync;
 mod confirmation;
 mod connections;
+mod crashes;
 mod demand;
 mod directory;
 mod duties;
--- /dev/null
+++ b/src/gateway/crashes.rs
@@ -0,0 +1,3 @@
+//! Detection of requests, and of parts of prompts, that crash the upstreams that run them.
+
+pub(crate) mod breaks;
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -283,14 +283,9 @@
     let target = {
         let upstreams = node.upstreams.lock();
         let upstream = upstreams.get(key);
-        upstream.map(|upstream| {
-            (
-                upstream.announcement.address,
-                upstream.announcement.id.clone(),
-            )
-        })
+        upstream.map(|upstream| upstream.announcement.clone())
     };
-    let Some((address, id)) = target else {
+    let Some(target) = target else {
         return Err(SendError::NotRun("upstream_gone", String::new()));
     };
     let now = clock::now();
@@ -299,8 +294,7 @@
     };
     count_send(attempts, resume_after, pending.limit_per_s.is_some());
     request_log.record_send(
-        &id,
-        &pending.version,
+        &target,
         SelectionInputs {
             expected_ms: choice.expected_ms,
             running: choice.running,
@@ -315,9 +309,9 @@
     // The upstream may have closed a reused connection; the request is then sent on a new one.
     let mut sent = None;
     while sent.is_none() {
-        let mut channel = open_channel(node, plan, key, address).await?;
+        let mut channel = open_channel(node, plan, key, target.address).await?;
         pending.sent_at = clock::now();
-        let request = build_request(plan, &id, choice, resume_after, pending.sent_at);
+        let request = build_request(plan, &target.id, choice, resume_after, pending.sent_at);
         let Some(request) = request else {
             return Err(SendError::NotRun("unsendable", String::new()));
         };
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -5,11 +5,13 @@
 
 use crate::gateway::catalog::Route;
 use crate::gateway::clock;
+use crate::gateway::crashes::breaks;
 use crate::gateway::num;
 use crate::gateway::quota::Shortfall;
 use crate::gateway::refusal::Refusal;
-use crate::gateway::request_head::RequestHead;
+use crate::gateway::request_head::{Prompt, RequestHead};
 use crate::gateway::streams::Begun;
+use crate::gateway::upstreams::Announcement;
 use crate::time::TimeMs;
 
 /// The inputs of the last upstream selection.
@@ -83,6 +85,12 @@
     upstream: String,
     /// Software version of that upstream; empty if not announced.
     upstream_version: String,
+    /// Failure domain of that upstream.
+    upstream_domain: String,
+    /// The model that the request names.
+    model: Option<String>,
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    parts: Option<String>,
     /// Software version of the upstream that sent the first event of a stream.
     first_version: Option<String>,
     /// The event after which the caller resumes a stream.
@@ -118,6 +126,9 @@
             configuration_version: 0,
             upstream: String::new(),
             upstream_version: String::new(),
+            upstream_domain: String::new(),
+            model: None,
+            parts: None,
             first_version: None,
             resume_after: None,
             resumes: None,
@@ -152,6 +163,8 @@
         self.request_id = Some(head.id.clone());
         self.resume_after = head.resume_after;
         self.resumes.clone_from(&head.resumes);
+        self.model = head.prompt.as_ref().map(|prompt| prompt.model.clone());
+        self.parts = head.prompt.as_ref().map(shared_part_ids);
     }
 
     /// Sets the request's route; `label` is its metric label.
@@ -176,9 +189,10 @@
     }
 
     /// Records a send to an upstream.
-    pub fn record_send(&mut self, upstream: &str, version: &str, inputs: SelectionInputs) {
-        upstream.clone_into(&mut self.upstream);
-        version.clone_into(&mut self.upstream_version);
+    pub fn record_send(&mut self, upstream: &Announcement, inputs: SelectionInputs) {
+        self.upstream.clone_from(&upstream.id);
+        self.upstream_version.clone_from(&upstream.version);
+        (self.upstream_domain).clone_from(&upstream.failure_domain);
         if let Some(measures) = &self.measures {
             measures.expected.record(inputs.expected_ms);
         }
@@ -200,6 +214,10 @@
             route = self.route.as_str(),
             upstream = self.upstream.as_str(),
             upstream_version = self.upstream_version.as_str(),
+            upstream_domain = self.upstream_domain.as_str(),
+            model = self.model.as_deref(),
+            parts = self.parts.as_deref(),
+            is_crash = breaks::is_crash(reason),
             first_version = self.first_version.as_deref(),
             resume_after = self.resume_after,
             resumes = self.resumes.as_deref(),
@@ -209,6 +227,7 @@
             upstream_slots = self.inputs.slots,
             upstreams_age_ms = self.inputs.upstreams_age_ms,
             send = self.sends,
+            first_ms = self.first_ms,
             after_ms = now.since(self.received_at),
             reason,
             detail;
@@ -303,6 +322,14 @@
     }
 }
 
+/// Returns the ids of the parts of a prompt that other requests may share, separated by commas.
+fn shared_part_ids(prompt: &Prompt) -> String {
+    let ids: Vec<String> = (prompt.shared_parts().iter())
+        .map(|part| format!("{:x}", part.id))
+        .collect();
+    ids.join(",")
+}
+
 impl Drop for RequestLog {
     /// A response that is dropped before its end means that the caller disconnected.
     fn drop(&mut self) {
--- a/src/gateway/request_head.rs
+++ b/src/gateway/request_head.rs
@@ -50,13 +50,16 @@
         }
     }
 
+    /// Returns the parts that other requests may share.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let parts = self.parts.split_last();
+        parts.map_or(&[], |(_own, shared)| shared)
+    }
+
     /// Returns the number of tokens in the parts that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self
-            .parts
-            .split_last()
-            .map_or(&[][..], |(_own, shared)| shared);
-        shared.iter().map(|part| part.tokens).sum()
+        let shared = self.shared_parts().iter();
+        shared.map(|part| part.tokens).sum()
     }
 
     /// Returns the number of tokens in the part that belongs to this request only.
