test: A part of prompts crashes one upstream after the other, over simulated nodes

Nodes, upstreams and callers are simulated without network: datagrams take up to 120 ms, one in twenty is lost, an upstream that ends takes all that runs there.

--- /dev/null
+++ b/src/gateway/crashes/tests/simulation.rs
@@ -0,0 +1,639 @@
+//! Simulated nodes, upstreams and callers; datagrams are delayed and some are lost.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use super::judge::{Asked, Break, Judge, Known};
+use crate::time::TimeMs;
+
+/// Time within which a node is back in touch, in the operators' bounds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Start of a simulated day.
+const START_MS: u64 = 1_000_000;
+
+/// Time before the first impairment.
+const CALM_MS: u64 = 20_000;
+
+/// Time from the begin of an answer to the crash of its upstream under a bad part.
+const CRASH_MS: u64 = 80;
+
+/// Time from the begin of an answer after which a request has gone on.
+const WENT_ON_MS: u64 = 1_000;
+
+/// Time after which a crashed upstream is back.
+const DOWN_MS: u64 = 3_000;
+
+/// Share of the datagrams that are lost.
+const LOSS: f64 = 0.05;
+
+/// Most a datagram takes.
+const MAX_DELAY_MS: u64 = 120;
+
+const STATUS_INTERVAL_MS: u64 = 500;
+/// Interval at which a quarter of the nodes does what is due.
+const TICK_INTERVAL_MS: u64 = 50;
+/// Groups of nodes that are due one after the other.
+const TICK_GROUPS: usize = 4;
+const DOMAINS: u64 = 4;
+const TEAM: u64 = 77;
+const FIRST: u64 = 1;
+const BAD: u64 = 2;
+const OTHER_BAD: u64 = 3;
+const IN_OTHER_MODEL: u64 = 4;
+
+/// The prompts of the requests that crash upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Prompts {
+    /// The second part of three is bad; sound requests share the first.
+    BadSecond,
+    /// The first part of two is bad.
+    BadFirst,
+    /// Two bad second parts, used in turn.
+    TwoBad,
+    /// The first part of two is bad; in another model it is sound.
+    BadInOneModel,
+    /// The same request each time; sound ones share all its parts.
+    SameWhole,
+}
+
+/// Upstreams that end without a bad part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Losses {
+    None,
+    Domain,
+    TwoDomains,
+    All,
+    OneByOne,
+    SameUpstream,
+}
+
+/// The course of a simulated day.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Course {
+    pub prompts: Prompts,
+    pub losses: Losses,
+    /// Mean interval of requests with a bad part; zero for none.
+    pub bad_interval_ms: u64,
+    /// Mean interval of the sound requests that share a part with the bad ones.
+    pub sound_interval_ms: u64,
+    /// Upstreams that one request may be sent to.
+    pub max_attempts: u32,
+    /// Longest wait of a request at an upstream before its answer begins.
+    pub wait_ms: u64,
+    pub has_cuts_and_starts: bool,
+    pub end_s: u64,
+}
+
+impl Default for Course {
+    fn default() -> Self {
+        Self {
+            prompts: Prompts::BadSecond,
+            losses: Losses::None,
+            bad_interval_ms: 600,
+            sound_interval_ms: 250,
+            max_attempts: 3,
+            wait_ms: 600,
+            has_cuts_and_starts: false,
+            end_s: 80,
+        }
+    }
+}
+
+impl Course {
+    pub fn of_losses(losses: Losses) -> Self {
+        Self {
+            losses,
+            bad_interval_ms: 0,
+            ..Self::default()
+        }
+    }
+}
+
+/// Requests sent, and those whose answer began.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Begun {
+    sent: u32,
+    begun: u32,
+}
+
+impl Begun {
+    pub fn share(self) -> f64 {
+        match self.sent {
+            0 => 1.0,
+            sent => f64::from(self.begun) / f64::from(sent),
+        }
+    }
+}
+
+/// What a simulated day came to.
+#[derive(Clone, Copy, Debug)]
+#[expect(dead_code, reason = "fields that only the printed line shows")]
+pub(super) struct Outcome {
+    pub nodes: usize,
+    /// Upstreams that crashed under a bad part.
+    pub bad_crashes: usize,
+    /// Requests with a bad part that a node in touch sent later than `CONTACT_MS` after the fifth
+    /// crash under that part; the most of any part.
+    pub late_sends: u32,
+    /// Sound requests that share a part with the bad ones, before the first impairment.
+    pub calm: Begun,
+    /// The same from twice `CONTACT_MS` after the fifth crash on, or after the last if there are fewer.
+    pub later: Begun,
+    /// Sound requests that were blocked at any time.
+    pub blocked_requests: u32,
+    /// Datagrams of one report or more, over all nodes.
+    pub reports: u64,
+}
+
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Crashes its upstreams; the subject that is bad.
+    Bad(u64),
+    /// Shares a part with the bad ones.
+    Related,
+    Unrelated,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    asked: Asked,
+    kind: Kind,
+    node: usize,
+    upstream: usize,
+    tag: u64,
+    arrived_at: TimeMs,
+    sent_at: TimeMs,
+    attempts: u32,
+    has_gone_on: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Upstream {
+    tag: u64,
+    is_up: bool,
+}
+
+enum Event {
+    Arrive(Kind),
+    Begin(u64),
+    Crash(usize),
+    WentOn(u64),
+    End(u64),
+    Notice(u64, Break),
+    Deliver(usize, usize, Rc<<Known as Judge>::Report>),
+    Up(usize),
+    Status,
+    Tick,
+    Lose(u32),
+    Cut,
+    Start,
+}
+
+struct Simulation {
+    course: Course,
+    random: SmallRng,
+    now: TimeMs,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    next: u64,
+    nodes: Vec<Known>,
+    /// Until when each node is out of touch, the time to get back included.
+    away_until: Vec<TimeMs>,
+    cut_until: Vec<TimeMs>,
+    upstreams: Vec<Upstream>,
+    running: BTreeMap<u64, Running>,
+    crashes: BTreeMap<u64, Vec<TimeMs>>,
+    sends: Vec<(u64, TimeMs, bool)>,
+    related: Vec<(TimeMs, bool)>,
+    blocked_requests: u32,
+    reports: u64,
+    last_impairment: TimeMs,
+}
+
+/// Plays a course and returns what it came to.
+pub(super) fn run(course: &Course, nodes: usize) -> Outcome {
+    let mut simulation = Simulation::new(*course, nodes);
+    simulation.play();
+    simulation.outcome()
+}
+
+impl Simulation {
+    fn new(course: Course, nodes: usize) -> Self {
+        let upstreams = (nodes / 3).clamp(16, 200);
+        let mut simulation = Self {
+            course,
+            random: SmallRng::seed_from_u64(nodes as u64 * 1_000 + 7),
+            now: TimeMs(START_MS),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next: 0,
+            nodes: (0..nodes)
+                .map(|index| Known::new(index as u64, nodes))
+                .collect(),
+            away_until: vec![TimeMs(0); nodes],
+            cut_until: vec![TimeMs(0); nodes],
+            upstreams: Vec::new(),
+            running: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            sends: Vec::new(),
+            related: Vec::new(),
+            blocked_requests: 0,
+            reports: 0,
+            last_impairment: TimeMs(START_MS),
+        };
+        for _ in 0..upstreams {
+            let tag = simulation.number();
+            simulation.upstreams.push(Upstream { tag, is_up: true });
+        }
+        simulation
+    }
+
+    fn number(&mut self) -> u64 {
+        self.random.random()
+    }
+
+    fn after(&mut self, delay_ms: u64, event: Event) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now.0 + delay_ms, self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    fn play(&mut self) {
+        self.after(0, Event::Arrive(Kind::Related));
+        self.after(0, Event::Arrive(Kind::Unrelated));
+        self.after(0, Event::Status);
+        self.after(0, Event::Tick);
+        if self.course.bad_interval_ms > 0 {
+            self.after(CALM_MS, Event::Arrive(Kind::Bad(self.bad())));
+        }
+        if self.course.losses != Losses::None {
+            self.after(CALM_MS, Event::Lose(0));
+        }
+        if self.course.has_cuts_and_starts {
+            self.after(CALM_MS - 1_000, Event::Cut);
+            self.after(CALM_MS + 15_000, Event::Start);
+        }
+        let end = START_MS + self.course.end_s * 1_000;
+        while let Some(Reverse((at, id))) = self.queue.pop() {
+            if at > end {
+                return;
+            }
+            self.now = TimeMs(at);
+            let event = self.events.remove(&id);
+            self.handle(event.expect("each queued event is kept"));
+        }
+    }
+
+    fn bad(&self) -> u64 {
+        match self.course.prompts {
+            Prompts::BadSecond | Prompts::TwoBad => BAD,
+            Prompts::BadFirst | Prompts::BadInOneModel | Prompts::SameWhole => FIRST,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(kind) => self.arrive(kind),
+            Event::Begin(id) => self.begin(id),
+            Event::Crash(upstream) => self.crash(upstream, 0.0),
+            Event::WentOn(id) => self.went_on(id),
+            Event::End(id) => self.end(id),
+            Event::Notice(id, broken) => self.notice(id, &broken),
+            Event::Deliver(from, to, report) => self.deliver(from, to, &report),
+            Event::Up(upstream) => {
+                let tag = self.number();
+                self.upstreams[upstream] = Upstream { tag, is_up: true };
+            }
+            Event::Status => self.status(),
+            Event::Tick => self.tick(),
+            Event::Lose(step) => self.lose(step),
+            Event::Cut => self.cut(),
+            Event::Start => self.start(),
+        }
+    }
+
+    fn arrive(&mut self, kind: Kind) {
+        let mean_ms = match kind {
+            Kind::Bad(_) => self.course.bad_interval_ms,
+            Kind::Related => self.course.sound_interval_ms,
+            Kind::Unrelated => 50,
+        };
+        let draw: f64 = self.random.random_range(0.05..2.0);
+        let (next, delay_ms) = (self.next_kind(kind), scaled(mean_ms, draw));
+        self.after(delay_ms.max(1), Event::Arrive(next));
+        let running = Running {
+            asked: self.asked(kind),
+            kind,
+            node: self.random.random_range(0..self.nodes.len()),
+            upstream: 0,
+            tag: 0,
+            arrived_at: self.now,
+            sent_at: self.now,
+            attempts: 0,
+            has_gone_on: false,
+        };
+        self.send(running);
+    }
+
+    fn next_kind(&self, kind: Kind) -> Kind {
+        match (self.course.prompts, kind) {
+            (Prompts::TwoBad, Kind::Bad(BAD)) => Kind::Bad(OTHER_BAD),
+            (Prompts::TwoBad, Kind::Bad(_)) => Kind::Bad(BAD),
+            _ => kind,
+        }
+    }
+
+    fn asked(&mut self, kind: Kind) -> Asked {
+        let content = self.number();
+        let session = 1_000 + self.random.random_range(0..40);
+        let parts = match (kind, self.course.prompts) {
+            (Kind::Bad(bad), Prompts::BadSecond | Prompts::TwoBad) => vec![FIRST, bad],
+            (Kind::Bad(_), Prompts::BadFirst | Prompts::BadInOneModel) => vec![FIRST],
+            (Kind::Related, Prompts::BadFirst) => vec![OTHER_BAD],
+            (Kind::Related, Prompts::BadInOneModel) => vec![IN_OTHER_MODEL],
+            (Kind::Bad(_) | Kind::Related, Prompts::SameWhole) => vec![FIRST, BAD],
+            (Kind::Related, _) => vec![FIRST, session],
+            (Kind::Unrelated, _) => vec![500, 2_000 + session],
+        };
+        let is_same = matches!(kind, Kind::Bad(_)) && self.course.prompts == Prompts::SameWhole;
+        Asked {
+            content: if is_same { 9 } else { content },
+            parts,
+            team: TEAM,
+        }
+    }
+
+    /// Sends a request to an upstream unless it is blocked at its node.
+    fn send(&mut self, mut request: Running) {
+        let is_blocked = self.nodes[request.node].blocks(&request.asked, self.now);
+        if is_blocked && !matches!(request.kind, Kind::Bad(_)) {
+            self.blocked_requests += 1;
+        }
+        let up: Vec<usize> = (0..self.upstreams.len())
+            .filter(|index| self.upstreams[*index].is_up)
+            .collect();
+        if is_blocked || up.is_empty() || request.attempts >= self.course.max_attempts {
+            self.finish(&request, false);
+            return;
+        }
+        let upstream = up[self.random.random_range(0..up.len())];
+        request.upstream = upstream;
+        request.tag = self.upstreams[upstream].tag;
+        request.sent_at = self.now;
+        request.attempts += 1;
+        if let Kind::Bad(bad) = request.kind {
+            let is_in_touch = self.away_until[request.node] <= self.now;
+            self.sends.push((bad, self.now, is_in_touch));
+        }
+        let id = self.next;
+        self.running.insert(id, request);
+        let wait_ms = self.random.random_range(50..self.course.wait_ms);
+        self.after(wait_ms, Event::Begin(id));
+    }
+
+    fn finish(&mut self, request: &Running, has_begun: bool) {
+        let is_in_touch = self.away_until[request.node] <= self.now;
+        if request.kind == Kind::Related && is_in_touch {
+            self.related.push((request.arrived_at, has_begun));
+        }
+    }
+
+    fn begin(&mut self, id: u64) {
+        let Some(request) = self.running.get(&id) else {
+            return;
+        };
+        if let Kind::Bad(bad) = request.kind {
+            let upstream = request.upstream;
+            let crashes = self.crashes.entry(bad).or_default();
+            crashes.push(self.now);
+            self.after(CRASH_MS, Event::Crash(upstream));
+            return;
+        }
+        let request = request.clone();
+        self.finish(&request, true);
+        self.after(WENT_ON_MS, Event::WentOn(id));
+        let lasts_ms = self.random.random_range(WENT_ON_MS..6_000);
+        self.after(lasts_ms, Event::End(id));
+    }
+
+    /// Ends an upstream; its nodes notice it at once, or only by its restart.
+    fn crash(&mut self, upstream: usize, unnoticed_share: f64) {
+        if !self.upstreams[upstream].is_up {
+            return;
+        }
+        self.upstreams[upstream].is_up = false;
+        self.last_impairment = self.now;
+        self.after(DOWN_MS, Event::Up(upstream));
+        let broken: Vec<u64> = (self.running.iter())
+            .filter(|(_id, request)| request.upstream == upstream)
+            .map(|(id, _request)| *id)
+            .collect();
+        for id in broken {
+            let delay_ms = if self.random.random_bool(unnoticed_share) {
+                self.random.random_range(500..DOWN_MS)
+            } else {
+                self.random.random_range(0..20)
+            };
+            let request = &self.running[&id];
+            let broken = Break {
+                upstream: request.tag,
+                address: upstream as u64,
+                domain: upstream as u64 % DOMAINS,
+                sent_at: request.sent_at,
+                has_gone_on: request.has_gone_on,
+            };
+            self.after(delay_ms, Event::Notice(id, broken));
+        }
+    }
+
+    fn notice(&mut self, id: u64, broken: &Break) {
+        let Some(request) = self.running.remove(&id) else {
+            return;
+        };
+        let reports = self.nodes[request.node].crashed(&request.asked, broken, self.now);
+        self.broadcast(request.node, reports);
+        let has_begun = !matches!(request.kind, Kind::Bad(_)) && request.has_gone_on;
+        if !has_begun {
+            self.send(request);
+        }
+    }
+
+    fn went_on(&mut self, id: u64) {
+        let Some(request) = self.running.get_mut(&id) else {
+            return;
+        };
+        if !self.upstreams[request.upstream].is_up {
+            return;
+        }
+        request.has_gone_on = true;
+        let request = request.clone();
+        let reports = self.nodes[request.node].went_on(&request.asked, self.now);
+        self.broadcast(request.node, reports);
+    }
+
+    fn end(&mut self, id: u64) {
+        let is_up = |request: &Running| self.upstreams[request.upstream].is_up;
+        if !self.running.get(&id).is_some_and(is_up) {
+            return;
+        }
+        if let Some(request) = self.running.remove(&id) {
+            let reports = self.nodes[request.node].ended(&request.asked, self.now);
+            self.broadcast(request.node, reports);
+        }
+    }
+
+    fn broadcast(&mut self, from: usize, reports: Vec<<Known as Judge>::Report>) {
+        for report in reports {
+            self.reports += 1;
+            let report = Rc::new(report);
+            for to in (0..self.nodes.len()).filter(|to| *to != from) {
+                if self.random.random_bool(LOSS) {
+                    continue;
+                }
+                let delay_ms = self.random.random_range(1..MAX_DELAY_MS);
+                self.after(delay_ms, Event::Deliver(from, to, Rc::clone(&report)));
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: usize, to: usize, report: &<Known as Judge>::Report) {
+        if self.cut_until[from] <= self.now && self.cut_until[to] <= self.now {
+            self.nodes[to].receive(report, self.now);
+        }
+    }
+
+    /// Has each node hear the statuses of two others.
+    fn status(&mut self) {
+        self.after(STATUS_INTERVAL_MS, Event::Status);
+        for to in 0..self.nodes.len() {
+            for _ in 0..2 {
+                let from = self.random.random_range(0..self.nodes.len());
+                let reports = self.nodes[from].repeated(self.now);
+                for report in reports {
+                    self.deliver(from, to, &report);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.after(TICK_INTERVAL_MS, Event::Tick);
+        let group = usize::try_from(self.now.0 / TICK_INTERVAL_MS).unwrap_or(0) % TICK_GROUPS;
+        for node in (group..self.nodes.len()).step_by(TICK_GROUPS) {
+            let reports = self.nodes[node].tick(self.now);
+            self.broadcast(node, reports);
+        }
+    }
+
+    fn lose(&mut self, step: u32) {
+        let next_ms = match self.course.losses {
+            Losses::None => return,
+            Losses::Domain | Losses::TwoDomains => {
+                self.lose_domain(u64::from(step));
+                2_000
+            }
+            Losses::All => {
+                (0..self.upstreams.len()).for_each(|upstream| self.crash(upstream, 0.1));
+                1_000
+            }
+            Losses::OneByOne => {
+                let upstream = self.random.random_range(0..self.upstreams.len());
+                self.crash(upstream, 0.0);
+                1_500
+            }
+            Losses::SameUpstream => {
+                self.crash(0, 0.0);
+                DOWN_MS + 1_000
+            }
+        };
+        let last_step = match self.course.losses {
+            Losses::None | Losses::Domain | Losses::All => 0,
+            Losses::TwoDomains => 1,
+            Losses::OneByOne => 30,
+            Losses::SameUpstream => 12,
+        };
+        if step < last_step {
+            self.after(next_ms, Event::Lose(step + 1));
+        }
+    }
+
+    fn lose_domain(&mut self, domain: u64) {
+        let of_domain = |index: &usize| *index as u64 % DOMAINS == domain;
+        let lost: Vec<usize> = (0..self.upstreams.len()).filter(of_domain).collect();
+        for upstream in lost {
+            self.crash(upstream, 0.1);
+        }
+    }
+
+    /// Cuts a fifth of the nodes from the others, until the bad parts are blocked elsewhere.
+    fn cut(&mut self) {
+        let until = self.now.after(15_000);
+        for node in 0..self.nodes.len() / 5 {
+            self.cut_until[node] = until;
+            self.away_until[node] = until.after(CONTACT_MS);
+        }
+    }
+
+    /// Starts a fifth of the nodes again.
+    fn start(&mut self) {
+        let count = self.nodes.len();
+        for node in count - count / 5..count {
+            self.nodes[node] = Known::new(node as u64, count);
+            self.away_until[node] = self.now.after(CONTACT_MS);
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        let fifth_of = |crashes: &Vec<TimeMs>| crashes.get(4).or(crashes.last()).copied();
+        let fifths: BTreeMap<u64, TimeMs> = (self.crashes.iter())
+            .filter_map(|(bad, crashes)| fifth_of(crashes).map(|at| (*bad, at)))
+            .collect();
+        let late_sends = fifths.iter().map(|(bad, fifth)| {
+            let has_five = self.crashes[bad].len() >= 5;
+            let is_late = |sent: &&(u64, TimeMs, bool)| {
+                has_five && sent.0 == *bad && sent.2 && sent.1 > fifth.after(CONTACT_MS)
+            };
+            self.sends.iter().filter(is_late).count()
+        });
+        let from = fifths
+            .values()
+            .max()
+            .copied()
+            .unwrap_or(self.last_impairment);
+        let calm_end = TimeMs(START_MS + CALM_MS - 1_000);
+        Outcome {
+            nodes: self.nodes.len(),
+            bad_crashes: self.crashes.values().map(Vec::len).sum(),
+            late_sends: u32::try_from(late_sends.max().unwrap_or(0)).unwrap_or(u32::MAX),
+            calm: self.begun_between(TimeMs(START_MS), calm_end),
+            later: self.begun_between(from.after(2 * CONTACT_MS), TimeMs(u64::MAX)),
+            blocked_requests: self.blocked_requests,
+            reports: self.reports,
+        }
+    }
+
+    fn begun_between(&self, from: TimeMs, to: TimeMs) -> Begun {
+        let of_span = (self.related.iter()).filter(|(at, _begun)| *at >= from && *at < to);
+        of_span.fold(Begun::default(), |sum, (_at, has_begun)| Begun {
+            sent: sum.sent + 1,
+            begun: sum.begun + u32::from(*has_begun),
+        })
+    }
+}
+
+fn scaled(value_ms: u64, factor: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "intervals are small and positive"
+    )]
+    let scaled = (value_ms as f64 * factor) as u64;
+    scaled
+}
