bug: A part of prompts crashed one upstream after the other

Cause: crashes were counted under the hash of path, key and body only, so that requests with one bad part never met. Crashes after the head of a response were counted in part (not body_broken, ended_within_event, ended_empty, upstream_restarted), and a block ended after a minute though its requests came.

Change: src/gateway/crashes/ takes the place of strikes.rs. A crash names the content and the shared parts of the prompt (by team, route and model), the upstream's start, address and domain, and goes to all nodes. A content is blocked at the third upstream, as before. A part is blocked after three independent crashes (other upstreams; another domain or sent after the earlier crash; at most two of one content), at two addresses or more, under two contents or more, in two rounds or more, with no answer that went on since; after five if an answer went on in the minute before. Nodes tell each other of answers that went on under suspected parts, by delays that keep the tellers few. Of several parts that qualify the last is blocked, and what a blocked subject explains counts against no other. Blocks are repeated in each status, live for ten minutes after the last refused request, and end when an answer goes on. Refused: 500 (reason breaking_part), before the quota is charged.

The six tests of losses without a bad part and of a whole request that comes again block nothing at any size.

The tests of strikes.rs are in crashes/tests.rs and subjects/tests.rs. Where strikes were reported one by one, one block is reported: the count of 3 in reported_strikes_keep_their_age became 1 block with its age; the expiry check is the same. The bound is checked over 16 teams, since one team has a bound of its own with a test.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -67,7 +67,6 @@
 mod state;
 mod store_contact;
 mod streams;
-mod strikes;
 pub(crate) mod throttle;
 pub(crate) mod upstreams;
 pub(crate) mod usage;
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -1,10 +1,12 @@
-//! Bad parts of prompts, and losses without any, over many simulated nodes.
+//! Crashes at one node; bad parts of prompts, and losses without any, over many simulated nodes.
 
 mod judge;
 mod simulation;
 
 use simulation::{Course, Losses, Outcome, Prompts, run};
 
+use super::*;
+
 /// Numbers of nodes of the simulated installations.
 const SIZES: [usize; 4] = [9, 60, 195, 985];
 
@@ -151,3 +153,148 @@
 fn upstream_that_crashes_again_and_again_blocks_nothing() {
     nothing_is_blocked(&Course::of_losses(Losses::SameUpstream));
 }
+
+fn crash(content: u64, upstream: u64) -> Crash {
+    Crash {
+        subjects: Subjects::new(content, content % 16, []),
+        upstream,
+        address: upstream,
+        domain: upstream,
+        ran_ms: 10,
+    }
+}
+
+fn record(crashes: &mut Crashes, crash: Crash, at_ms: u64) -> bool {
+    crashes.record(crash, TimeMs(at_ms), TimeMs(at_ms))
+}
+
+fn is_blocked(crashes: &mut Crashes, content: u64, now_ms: u64) -> bool {
+    let subjects = Subjects::new(content, content % 16, []);
+    crashes.refusal(&subjects, TimeMs(now_ms)) == Some(Blame::Content)
+}
+
+/// Guards against a request that crashes all upstreams of a pool.
+///
+/// The request crashes the upstream that runs it, and its caller retries it on any node. Crashes
+/// must be counted by request content, and shared among the nodes, since each node sees only some
+/// of them.
+#[test]
+fn request_that_crashed_three_upstreams_is_blocked() {
+    let mut crashes = Crashes::default();
+    assert!(record(&mut crashes, crash(1, 10), 1_000));
+    assert!(record(&mut crashes, crash(1, 11), 1_100));
+    assert!(!is_blocked(&mut crashes, 1, 1_200));
+    assert!(record(&mut crashes, crash(1, 12), 1_200));
+    assert!(is_blocked(&mut crashes, 1, 1_200));
+    assert!(!is_blocked(&mut crashes, 2, 1_300));
+}
+
+#[test]
+fn each_upstream_counts_once() {
+    let mut crashes = Crashes::default();
+    for _ in 0..5 {
+        record(&mut crashes, crash(1, 10), 1_000);
+    }
+    assert!(!is_blocked(&mut crashes, 1, 1_000));
+}
+
+#[test]
+fn answer_clears_the_crashes_of_a_request() {
+    let mut crashes = Crashes::default();
+    for upstream in 0..3 {
+        record(&mut crashes, crash(1, upstream), 1_000);
+    }
+    crashes.record_answer(&Subjects::new(1, 1, []), TimeMs(1_001));
+    assert!(!is_blocked(&mut crashes, 1, 1_002));
+    record(&mut crashes, crash(1, 20), 1_003);
+    assert!(!is_blocked(&mut crashes, 1, 1_004));
+}
+
+#[test]
+fn crashes_expire_and_are_bounded() {
+    let mut crashes = Crashes::default();
+    for content in 0..5_000 {
+        record(&mut crashes, crash(content, 1), 1_000);
+    }
+    assert_eq!(crashes.len(), MAX_CRASHES);
+    assert_eq!(crashes.dropped(), 5_000 - MAX_CRASHES as u64);
+    record(&mut crashes, crash(1, 1), 1_000 + RETENTION_MS);
+    assert_eq!(crashes.len(), 1);
+}
+
+/// Guards against one team's crashes that push out all others.
+#[test]
+fn crashes_of_one_team_are_bounded() {
+    let mut crashes = Crashes::default();
+    record(&mut crashes, crash(1, 1), 1_000);
+    for content in 0..5_000 {
+        record(&mut crashes, crash(content * 16, 1), 1_001);
+    }
+    assert_eq!(crashes.len(), MAX_CRASHES_PER_TEAM + 1);
+}
+
+#[test]
+fn reported_blocks_keep_their_age() {
+    let (mut source, mut restarted) = (Crashes::default(), Crashes::default());
+    for upstream in 0..3 {
+        record(&mut source, crash(1, upstream), 1_000);
+    }
+    record(&mut source, crash(2, 0), 1_000);
+    let reported = source.reported_blocks(TimeMs(31_000));
+    assert_eq!(reported.len(), 1);
+    assert_eq!(reported[0].age_ms, 30_000);
+    for block in &reported {
+        restarted.record_block(*block, 0.5, 9, TimeMs(31_000));
+    }
+    // Without the age, reports among restarting nodes would keep the block for good.
+    assert!(
+        restarted
+            .reported_blocks(TimeMs(1_000 + RETENTION_MS))
+            .is_empty()
+    );
+    assert!(is_blocked(&mut restarted, 1, 31_000));
+}
+
+/// Guards against a block that ends while its requests still come.
+#[test]
+fn refused_requests_renew_a_block() {
+    let mut crashes = Crashes::default();
+    for upstream in 0..3 {
+        record(&mut crashes, crash(1, upstream), 1_000);
+    }
+    for step in 1..10 {
+        assert!(is_blocked(&mut crashes, 1, step * (RETENTION_MS - 1)));
+    }
+    assert!(!is_blocked(&mut crashes, 1, 10 * RETENTION_MS));
+}
+
+#[test]
+fn answer_that_went_on_lifts_the_block_of_its_part() {
+    let mut crashes = Crashes::default();
+    let of_part = |content| Subjects::new(content, 1, [5]);
+    for id in 1..=3 {
+        let under_part = Crash {
+            subjects: of_part(id),
+            ..crash(id, id)
+        };
+        record(&mut crashes, under_part, id * 500);
+    }
+    let now = TimeMs(1_500 + SETTLE_MS);
+    assert_eq!(crashes.refusal(&of_part(9), now), Some(Blame::Part));
+    let told = crashes.record_sound(&of_part(8), now.after(1));
+    assert_eq!(told.len(), 1);
+    assert_eq!(crashes.refusal(&of_part(9), now.after(2)), None);
+}
+
+#[test]
+fn few_nodes_report_a_sound_part_early() {
+    let early = |nodes: usize| {
+        let draws =
+            (0..nodes).map(|index| num::to_f64(index as u64 + 1) / num::to_f64(nodes as u64));
+        draws
+            .filter(|draw| tell_delay_ms(*draw, nodes) < 100)
+            .count()
+    };
+    assert!(early(9) <= 3);
+    assert!(early(985) <= 9);
+}
--- a/src/gateway/crashes/tests/judge.rs
+++ b/src/gateway/crashes/tests/judge.rs
@@ -1,11 +1,14 @@
 //! What the simulated nodes know of crashes, and what they tell each other.
 
-use crate::gateway::strikes::{AgedStrike, Strike, Strikes};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::gateway::crashes::subjects::Subjects;
+use crate::gateway::crashes::{AgedBlock, AgedSound, Crash, Crashes};
 use crate::time::TimeMs;
 
 /// The subjects of a request.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "strikes are blamed on whole contents only")]
 pub(super) struct Asked {
     pub content: u64,
     pub parts: Vec<u64>,
@@ -14,7 +17,6 @@
 
 /// An upstream that broke under a request.
 #[derive(Clone, Copy, Debug)]
-#[expect(dead_code, reason = "strikes are blamed on whole contents only")]
 pub(super) struct Break {
     pub upstream: u64,
     pub address: u64,
@@ -51,60 +53,86 @@
     fn tick(&mut self, now: TimeMs) -> Vec<Self::Report>;
 }
 
-/// The knowledge that the gateway's nodes have.
-pub(super) type Known = Strikes;
+/// What a simulated node knows.
+pub(super) struct Known {
+    crashes: Crashes,
+    random: SmallRng,
+    nodes: usize,
+}
 
 #[derive(Debug)]
 pub(super) enum Report {
-    New(Strike),
-    Again(AgedStrike),
+    Crash(Crash),
+    Sound(AgedSound),
+    Block(AgedBlock),
+}
+
+fn subjects(asked: &Asked) -> Subjects {
+    Subjects::new(asked.content, asked.team, asked.parts.iter().copied())
 }
 
-impl Judge for Strikes {
+fn sound(told: Vec<AgedSound>) -> Vec<Report> {
+    told.into_iter().map(Report::Sound).collect()
+}
+
+impl Judge for Known {
     type Report = Report;
 
-    fn new(_node: u64, _nodes: usize) -> Self {
-        Self::default()
+    fn new(node: u64, nodes: usize) -> Self {
+        Self {
+            crashes: Crashes::default(),
+            random: SmallRng::seed_from_u64(node),
+            nodes,
+        }
     }
 
     fn blocks(&mut self, asked: &Asked, now: TimeMs) -> bool {
-        self.is_blocked(asked.content, now)
+        self.crashes.refusal(&subjects(asked), now).is_some()
     }
 
     fn crashed(&mut self, asked: &Asked, broken: &Break, now: TimeMs) -> Vec<Report> {
-        let strike = Strike {
-            content: asked.content,
+        let subjects = subjects(asked);
+        let crash = Crash {
+            subjects: if broken.has_gone_on {
+                subjects.without_parts()
+            } else {
+                subjects
+            },
             upstream: broken.upstream,
+            address: broken.address,
+            domain: broken.domain,
+            ran_ms: now.since(broken.sent_at),
         };
-        let is_new = self.record(strike, now);
-        is_new.then_some(Report::New(strike)).into_iter().collect()
+        let is_new = self.crashes.record(crash, now, now);
+        is_new.then_some(Report::Crash(crash)).into_iter().collect()
     }
 
-    fn went_on(&mut self, _asked: &Asked, _now: TimeMs) -> Vec<Report> {
-        Vec::new()
+    fn went_on(&mut self, asked: &Asked, now: TimeMs) -> Vec<Report> {
+        sound(self.crashes.record_sound(&subjects(asked), now))
     }
 
-    fn ended(&mut self, asked: &Asked, _now: TimeMs) -> Vec<Report> {
-        self.clear(asked.content);
-        Vec::new()
+    fn ended(&mut self, asked: &Asked, now: TimeMs) -> Vec<Report> {
+        sound(self.crashes.record_answer(&subjects(asked), now))
     }
 
     fn receive(&mut self, report: &Report, now: TimeMs) {
+        let draw = self.random.random();
         match report {
-            Report::New(strike) => {
-                self.record(*strike, now);
+            Report::Crash(crash) => {
+                (self.crashes).record_reported(*crash, draw, self.nodes, now);
             }
-            Report::Again(strike) => self.record_aged(*strike, now),
+            Report::Sound(told) => self.crashes.record_told(*told, now),
+            Report::Block(told) => self.crashes.record_block(*told, draw, self.nodes, now),
         }
     }
 
     fn repeated(&self, now: TimeMs) -> Vec<Report> {
-        (self.blocked_strikes(now).into_iter())
-            .map(Report::Again)
-            .collect()
+        let blocks = self.crashes.reported_blocks(now).into_iter();
+        blocks.map(Report::Block).collect()
     }
 
-    fn tick(&mut self, _now: TimeMs) -> Vec<Report> {
-        Vec::new()
+    fn tick(&mut self, now: TimeMs) -> Vec<Report> {
+        self.crashes.judge_if_due(now);
+        sound(self.crashes.take_due(now))
     }
 }
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -13,13 +13,13 @@
 use super::request_log::RequestLog;
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
+use crate::gateway::crashes::subjects::{self, Subjects};
 use crate::gateway::forwarding::{self, ForwardedRequest};
 use crate::gateway::quota::{self, Admission};
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::{Malformed, RequestHead};
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::{self, Origin, VersionTag};
-use crate::gateway::strikes;
 use crate::gateway::upstreams::tag;
 use crate::platform::headers;
 use crate::time::TimeMs;
@@ -47,8 +47,8 @@
     pub deadline: TimeMs,
     /// 0 is served first, 9 last.
     pub urgency: u8,
-    /// Hash of path, API key and body.
-    pub content_hash: u64,
+    /// What a crash under the request may be blamed on.
+    pub subjects: Subjects,
     /// Hash of the request id, uniform; spreads requests over pools, upstreams and versions.
     pub draw: u64,
     /// What the stream is bound to that the request takes up; `None` if it begins one.
@@ -245,9 +245,13 @@
         deadline,
     } = checked;
     let found = catalog.route(route);
-    let content_hash = strikes::content_hash(parts.uri.path(), head.key.as_deref(), &body);
-    if node.strikes.lock().is_blocked(content_hash, clock::now()) {
-        return Err(Refusal::Breaking);
+    let team_tag = team.map_or(0, |team| catalog.team(team).tag);
+    let content = subjects::content_hash(parts.uri.path(), head.key.as_deref(), &body);
+    let judged = head.prompt.as_ref().into_iter();
+    let judged = judged.flat_map(|prompt| subjects::parts(prompt, team_tag, tag(&found.name)));
+    let subjects = Subjects::new(content, team_tag, judged);
+    if let Some(blame) = node.crashes.lock().refusal(&subjects, clock::now()) {
+        return Err(blame.into());
     }
     let priority = team.and_then(|team| catalog.team(team).priority);
     let priority = priority.unwrap_or(found.priority);
@@ -268,7 +272,7 @@
             .saturating_mul(URGENCY_PER_PRIORITY)
             .saturating_add(1)
             .min(LOWEST_URGENCY),
-        content_hash,
+        subjects,
         draw,
         begun: None,
         charge: 0.0,
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -124,8 +124,8 @@
     if now >= plan.deadline || attempts.has_too_many_undelivered() {
         return Err(attempts.final_refusal(plan, now));
     }
-    if node.strikes.lock().is_blocked(plan.content_hash, now) {
-        return Err(Refusal::Breaking);
+    if let Some(blame) = node.crashes.lock().refusal(&plan.subjects, now) {
+        return Err(blame.into());
     }
     let settings = node.settings();
     let begun_version = attempts.begun_version();
@@ -325,6 +325,7 @@
         let answer = tokio::time::timeout(timeout, answer);
         let Some(answered) = pending.unless_restarted(answer).await else {
             attempts.record_send();
+            pending.record_crash(&plan.subjects, clock::now());
             return Err(SendError::MayHaveRun("upstream_restarted", String::new()));
         };
         match answered {
@@ -341,7 +342,7 @@
             }
             Ok(Err(error)) => {
                 attempts.record_send();
-                pending.record_broken(plan.content_hash, clock::now());
+                pending.record_failure("broken", &plan.subjects, clock::now());
                 return Err(SendError::MayHaveRun(
                     "broken",
                     error.into_error().to_string(),
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -280,6 +280,7 @@
                 .increment(1);
         }
         let took_ms = now.since(self.received_at);
+        let is_blocked = matches!(reason, "breaking" | "breaking_part");
         if let Some(measures) = &self.measures {
             measures.answer.record(num::to_f64(took_ms));
         }
@@ -292,6 +293,8 @@
             team = self.team.as_deref().unwrap_or_default(),
             upstream = self.upstream.as_str(),
             upstream_version = self.upstream_version.as_str(),
+            model = self.model.as_deref().filter(|_model| is_blocked),
+            parts = self.parts.as_deref().filter(|_parts| is_blocked),
             first_version = self.first_version.as_deref(),
             resume_after = self.resume_after,
             resumes = self.resumes.as_deref(),
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -17,6 +17,8 @@
 use super::upstream_response::{self, ResponseContext, UpstreamResponse};
 use crate::gateway::attempt_timeouts;
 use crate::gateway::clock;
+use crate::gateway::crashes::reports;
+use crate::gateway::crashes::subjects::Subjects;
 use crate::gateway::events::{Events, Splitter, StreamError};
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
@@ -53,6 +55,10 @@
 /// Fewest pauses between events whose mean is a usable measure of the engine's speed.
 const MIN_PAUSES: u64 = 4;
 
+/// Time from the first event after which an answer has gone on: an upstream that crashes under a part
+/// of the prompt does so as it begins to write.
+const SOUND_AFTER_MS: u64 = 1_000;
+
 /// The stream of one upstream.
 struct UpstreamStream {
     body: Incoming,
@@ -62,6 +68,8 @@
     first_events_at: TimeMs,
     /// Id of the last event in the first batch.
     first_batch_last_id: Option<u64>,
+    /// Whether the stream has gone on for a while, which speaks for the parts of its prompt.
+    has_gone_on: bool,
 }
 
 /// The result of waiting for the next events of a stream.
@@ -82,6 +90,27 @@
             splitter: Splitter::after(after),
             first_events_at: TimeMs(0),
             first_batch_last_id: None,
+            has_gone_on: false,
+        }
+    }
+
+    /// Records once that the stream has gone on for a while.
+    fn record_progress(&mut self, node: &Gateway, plan: &Plan, now: TimeMs) {
+        if self.first_events_at == TimeMs(0) {
+            self.first_events_at = now;
+        }
+        if !self.has_gone_on && now.since(self.first_events_at) >= SOUND_AFTER_MS {
+            self.has_gone_on = true;
+            reports::record_sound(node, &plan.subjects, now);
+        }
+    }
+
+    /// Returns what a crash under the stream may be blamed on: no part once it has gone on.
+    fn blamed_subjects(&self, plan: &Plan) -> Subjects {
+        if self.has_gone_on {
+            plan.subjects.without_parts()
+        } else {
+            plan.subjects
         }
     }
 
@@ -201,16 +230,7 @@
         NextEvents::Broken(reason) => reason,
         NextEvents::DeadlineExceeded => "late",
     };
-    match reason {
-        "stream_broken" => upstream_stream
-            .context
-            .upstream_request
-            .record_broken(plan.content_hash, now),
-        _ => upstream_stream
-            .context
-            .upstream_request
-            .record_outcome(Outcome::Broken, now),
-    }
+    (upstream_stream.context.upstream_request).record_failure(reason, &plan.subjects, now);
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
     request_log.record_failed_attempt(reason, "before the first event", now);
     None
@@ -246,7 +266,9 @@
             let timeout_ms = attempt_timeouts::event_gap_timeout_ms(plan.route());
             let reason = match upstream_stream.next(timeout_ms, plan.deadline).await {
                 NextEvents::Events(events) => {
-                    request_log.record_event(clock::now());
+                    let now = clock::now();
+                    request_log.record_event(now);
+                    upstream_stream.record_progress(&node, &plan, now);
                     yield Frame::data(events.bytes);
                     continue;
                 }
@@ -280,16 +302,9 @@
     request_log: &mut RequestLog,
 ) -> Option<UpstreamStream> {
     let now = clock::now();
-    match reason {
-        "stream_broken" => upstream_stream
-            .context
-            .upstream_request
-            .record_broken(plan.content_hash, now),
-        "late" => {}
-        _ => upstream_stream
-            .context
-            .upstream_request
-            .record_outcome(Outcome::Broken, now),
+    if reason != "late" {
+        let subjects = upstream_stream.blamed_subjects(plan);
+        (upstream_stream.context.upstream_request).record_failure(reason, &subjects, now);
     }
     request_log.record_failed_attempt(reason, "within the stream", now);
     let after = upstream_stream
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -6,6 +6,8 @@
 
 use super::admission::Plan;
 use crate::gateway::choose::Choice;
+use crate::gateway::crashes::subjects::Subjects;
+use crate::gateway::crashes::{Crash, breaks, reports};
 use crate::gateway::health::Outcome;
 use crate::gateway::messages::Message;
 use crate::gateway::num;
@@ -13,7 +15,6 @@
 use crate::gateway::rollout::Answer;
 use crate::gateway::send_gate::Closed;
 use crate::gateway::state::Gateway;
-use crate::gateway::strikes::Strike;
 use crate::gateway::throttle::{Change, StatedLimit};
 use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
@@ -25,6 +26,10 @@
     pub upstream: UpstreamKey,
     /// Identifies the incarnation of the upstream that received the request.
     upstream_tag: u64,
+    /// Tag of the upstream's address.
+    address: u64,
+    /// Tag of the upstream's failure domain.
+    domain: u64,
     /// Cancelled when that upstream is known to have restarted.
     restarted: CancellationToken,
     /// The upstream's rate limit in requests per second over all nodes, if it announces one.
@@ -59,6 +64,8 @@
             node: Arc::clone(node),
             upstream: choice.upstream,
             upstream_tag: upstream.tag,
+            address: tag(&upstream.announcement.address.to_string()),
+            domain: tag(&upstream.announcement.failure_domain),
             restarted: upstream.restarted.clone(),
             limit_per_s: upstream.send_gate.throttle.limit_per_s(),
             sent_at: now,
@@ -262,16 +269,24 @@
         }
     }
 
-    /// Records a broken connection and notifies the peers: the request may have crashed the upstream.
-    pub fn record_broken(&self, content_hash: u64, now: TimeMs) {
+    /// Records an attempt that failed, and notifies the peers if it may have crashed the upstream.
+    pub fn record_failure(&self, reason: &str, subjects: &Subjects, now: TimeMs) {
         self.record_outcome(Outcome::Broken, now);
-        let strike = Strike {
-            content: content_hash,
+        if breaks::is_crash(reason) {
+            self.record_crash(subjects, now);
+        }
+    }
+
+    /// Records a crash of the upstream and notifies the peers: the request may have caused it.
+    pub fn record_crash(&self, subjects: &Subjects, now: TimeMs) {
+        let crash = Crash {
+            subjects: *subjects,
             upstream: self.upstream_tag,
+            address: self.address,
+            domain: self.domain,
+            ran_ms: now.since(self.sent_at),
         };
-        if self.node.strikes.lock().record(strike, now) {
-            self.node.broadcast(Message::Strike(strike));
-        }
+        reports::record_crash(&self.node, crash, now);
     }
 }
 
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 
@@ -13,6 +13,7 @@
 use super::request_log::RequestLog;
 use super::upstream_request::UpstreamRequest;
 use crate::gateway::clock;
+use crate::gateway::crashes::reports;
 use crate::gateway::health::Outcome;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
@@ -70,12 +71,10 @@
         let whole = Limited::new(body, MAX_BODY_BYTES).collect();
         let whole = tokio::time::timeout(left, whole);
         let Some(whole) = context.upstream_request.unless_restarted(whole).await else {
+            let (reason, now) = ("upstream_restarted", clock::now());
             attempts.exclude(context.upstream_request.upstream);
-            request_log.record_failed_attempt(
-                "upstream_restarted",
-                "within the body",
-                clock::now(),
-            );
+            context.upstream_request.record_crash(&plan.subjects, now);
+            request_log.record_failed_attempt(reason, "within the body", now);
             return None;
         };
         let now = clock::now();
@@ -87,11 +86,14 @@
                 Some(body.to_bytes())
             }
             Ok(Err(error)) => {
-                context
-                    .upstream_request
-                    .record_outcome(Outcome::Broken, now);
+                let reason = if error.is::<LengthLimitError>() {
+                    "body_too_long"
+                } else {
+                    "body_broken"
+                };
+                (context.upstream_request).record_failure(reason, &plan.subjects, now);
                 attempts.exclude(context.upstream_request.upstream);
-                request_log.record_failed_attempt("body_broken", &error.to_string(), now);
+                request_log.record_failed_attempt(reason, &error.to_string(), now);
                 None
             }
             Err(_elapsed) => {
@@ -127,7 +129,7 @@
             self.upstream_request.record_outcome(outcome, now);
         }
         if !status.is_server_error() {
-            node.strikes.lock().clear(plan.content_hash);
+            reports::record_answer(node, &plan.subjects, now);
         }
         keep_connection(node, &self.upstream_request, self.sender, &self.answer);
     }
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -139,10 +139,15 @@
         }
     }
     drop(quotas);
-    let blocked = node.strikes.lock().blocked_contents(now);
+    let (blocked, crashes, dropped) = {
+        let crashes = node.crashes.lock();
+        (crashes.blocked_count(now), crashes.len(), crashes.dropped())
+    };
     let streams = node.stream_origins.lock().len();
     gauge!("teaselline_streams_known").set(num::to_f64(streams as u64));
     gauge!("teaselline_contents_blocked").set(num::to_f64(blocked as u64));
+    gauge!("teaselline_crashes_known").set(num::to_f64(crashes as u64));
+    gauge!("teaselline_crashes_dropped").set(num::to_f64(dropped));
 }
 
 fn flag(is_set: bool) -> f64 {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -18,6 +18,7 @@
 use transport::{send, send_to, send_to_all};
 
 use super::clock;
+use super::crashes::reports as crash_reports;
 use super::messages::Message;
 use super::peers::PEER_EXPIRY_MS;
 use super::relay::{self, ALIVE_INTERVAL_MS, REPORT_INTERVAL_MS};
@@ -109,6 +110,7 @@
             _tick = ticks.tick() => {
                 let now = clock::now();
                 divide_limits(&node, now);
+                crash_reports::send_due(&node, now);
                 send_admitted_totals(&node, &socket, now).await;
                 send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
                 send_reports_if_due(&node, &socket, &mut schedule, now).await;
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::announcements;
 use crate::gateway::configuration_sync;
+use crate::gateway::crashes::reports as crash_reports;
 use crate::gateway::fragments::MAX_MESSAGE_BYTES;
 use crate::gateway::handover;
 use crate::gateway::lease::Holder;
@@ -89,9 +90,8 @@
             streams::apply_statement(node, key, statement, from);
         }
         Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
-        Message::Strike(strike) => {
-            node.strikes.lock().record(strike, now);
-        }
+        Message::Crash(crash) => crash_reports::apply_crash(node, crash, now),
+        Message::Sound(told) => crash_reports::apply_sound(node, &told, now),
         Message::Fragment(fragment) => {
             let complete = node.reassembly.lock().add(from, fragment, now);
             if let Some(encoded) = complete {
@@ -201,9 +201,7 @@
     for decided in &status.decided {
         apply_decided(node, decided);
     }
-    for remembered in &status.strikes {
-        (node.strikes.lock()).record_aged(*remembered, now);
-    }
+    crash_reports::apply_blocks(node, &status.blocks, now);
     for told in &status.limits {
         apply_limit(node, told, now);
     }
--- a/src/gateway/gossip/statements.rs
+++ b/src/gateway/gossip/statements.rs
@@ -62,7 +62,7 @@
         lease,
         observed,
         decided,
-        strikes: node.strikes.lock().blocked_strikes(now),
+        blocks: node.crashes.lock().reported_blocks(now),
         limits,
         leaving,
         unreached: node
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -11,6 +11,7 @@
 use bincode::{Decode, Encode};
 
 use super::active_configuration::{Confirmation, ConfirmationRequest};
+use super::crashes::{AgedBlock, AgedSound, Crash};
 use super::demand::Rates;
 use super::fragments::Fragment;
 use super::log_position::LogPosition;
@@ -20,7 +21,6 @@
 use super::snapshot::Page;
 use super::store_contact::StoreAvailability;
 use super::streams::{Origin, Query, Statement, StreamKey};
-use super::strikes::{AgedStrike, Strike};
 use super::throttle::LimitReport;
 use super::upstreams::{Change, Load};
 use super::usage::UsageRow;
@@ -67,7 +67,10 @@
     Decided(Decision),
     /// The incarnation of a node and its rollout observations since its start.
     Observed(u64, Vec<Observation>),
-    Strike(Strike),
+    /// An upstream crashed under a request of the sender.
+    Crash(Crash),
+    /// Parts of prompts under which answers went on though upstreams crashed under them.
+    Sound(Vec<AgedSound>),
     /// The rate limit that an upstream stated to a node.
     Limit(LimitReport),
     /// The tag of an upstream that stated in a response that it is leaving.
@@ -118,7 +121,8 @@
             Self::Confirmation(_) => "confirmation",
             Self::Decided(_) => "decided",
             Self::Observed(..) => "observed",
-            Self::Strike(_) => "strike",
+            Self::Crash(_) => "crash",
+            Self::Sound(_) => "sound",
             Self::Limit(_) => "limit",
             Self::Leaving(_) => "leaving",
             Self::StreamsBegan(_) => "streams_began",
@@ -209,8 +213,8 @@
     pub observed: Vec<Observation>,
     /// The rollout decisions, if the node holds the duties.
     pub decided: Vec<Decision>,
-    /// Upstreams that crashed under requests that are now blocked.
-    pub strikes: Vec<AgedStrike>,
+    /// Contents and parts of prompts that are blocked since upstreams crashed under them.
+    pub blocks: Vec<AgedBlock>,
     /// Rate limits that upstreams stated recently.
     pub limits: Vec<LimitReport>,
     /// Upstreams that stated in responses, but not in their announcements, that they are leaving.
@@ -234,8 +238,9 @@
     /// Returns the status as of `later_ms` after it was built.
     #[must_use]
     pub fn aged(mut self, later_ms: u64) -> Self {
-        for strike in &mut self.strikes {
-            strike.age_ms += later_ms;
+        for block in &mut self.blocks {
+            block.age_ms += later_ms;
+            block.idle_ms += later_ms;
         }
         for limit in &mut self.limits {
             limit.age_ms += later_ms;
@@ -246,9 +251,10 @@
     /// Whether two statuses differ in more than their sequence numbers and the age of what they
     /// report.
     pub fn is_changed_from(&self, other: &Self) -> bool {
-        let strikes = |status: &Self| {
-            let strikes = status.strikes.iter().map(|aged| aged.strike);
-            strikes.collect::<Vec<_>>()
+        let blocks = |status: &Self| {
+            let mut blocks: Vec<u64> = status.blocks.iter().map(|block| block.subject).collect();
+            blocks.sort_unstable();
+            blocks
         };
         let limits = |status: &Self| {
             let limits = (status.limits.iter()).map(|limit| (limit.upstream, limit.limit_per_s));
@@ -264,7 +270,7 @@
             || self.decided != other.decided
             || self.leaving != other.leaving
             || self.unreached != other.unreached
-            || strikes(self) != strikes(other)
+            || blocks(self) != blocks(other)
             || limits(self) != limits(other)
     }
 }
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -3,6 +3,7 @@
 use http::StatusCode;
 use thiserror::Error;
 
+use super::crashes::Blame;
 use super::num;
 use super::quota::Shortfall;
 use super::request_head::Malformed;
@@ -47,6 +48,8 @@
     NotSentInTime,
     #[error("it has broken several upstreams")]
     Breaking,
+    #[error("a part of its prompt has broken several upstreams")]
+    BreakingPart,
     #[error("no upstream is left of the software version that began the stream")]
     StreamVersionGone { may_have_run: bool },
     #[error("it is not known which software version began the stream")]
@@ -68,6 +71,15 @@
 /// Retry delay for a caller that only has to choose another node.
 const OTHER_NODE_RETRY_MS: u64 = 20;
 
+impl From<Blame> for Refusal {
+    fn from(blame: Blame) -> Self {
+        match blame {
+            Blame::Content => Self::Breaking,
+            Blame::Part => Self::BreakingPart,
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the HTTP status for the caller.
     pub fn status(&self) -> StatusCode {
@@ -91,8 +103,8 @@
                 may_have_run: false,
             }
             | Self::NotSentInTime => StatusCode::SERVICE_UNAVAILABLE,
-            // The request has run, and another run would do harm.
-            Self::Breaking => StatusCode::INTERNAL_SERVER_ERROR,
+            // A request of its content or part has run, and another run would do harm.
+            Self::Breaking | Self::BreakingPart => StatusCode::INTERNAL_SERVER_ERROR,
             Self::NoAnswer | Self::StreamVersionGone { may_have_run: true } => {
                 StatusCode::BAD_GATEWAY
             }
@@ -130,6 +142,7 @@
         matches!(
             self,
             Self::Breaking
+                | Self::BreakingPart
                 | Self::NoAnswer
                 | Self::AnswerTimeout
                 | Self::StreamVersionGone { may_have_run: true }
@@ -177,6 +190,7 @@
             Self::Saturated { .. } => "saturated",
             Self::NotSentInTime => "not_sent_in_time",
             Self::Breaking => "breaking",
+            Self::BreakingPart => "breaking_part",
             Self::StreamVersionGone { .. } => "stream_version_gone",
             Self::StreamUnknown { .. } => "stream_unknown",
             Self::NoAnswer => "no_answer",
--- a/src/gateway/relay/tests.rs
+++ b/src/gateway/relay/tests.rs
@@ -71,23 +71,21 @@
     assert_eq!(silent_at(15_000), [] as [u64; 0]);
 }
 
-/// Guards against limits and strikes that seem new again at each hop.
+/// Guards against limits and blocks that seem new again at each hop.
 #[test]
-fn reported_strike_has_aged_since_it_was_heard() {
-    use crate::gateway::strikes::{AgedStrike, Strike};
-    let strike = Strike {
-        content: 1,
-        upstream: 2,
-    };
-    let mut struck = status(7, 1, 1);
-    struck.strikes = vec![AgedStrike {
-        strike,
+fn reported_block_has_aged_since_it_was_heard() {
+    use crate::gateway::crashes::AgedBlock;
+    let mut blocking = status(7, 1, 1);
+    blocking.blocks = vec![AgedBlock {
+        subject: 1,
         age_ms: 300,
+        idle_ms: 200,
     }];
     let mut relay = Relay::default();
-    relay.record(&struck, TimeMs(10_000));
+    relay.record(&blocking, TimeMs(10_000));
     let report = relay.take_report(TimeMs(10_250));
-    assert_eq!(report.statuses[0].strikes[0].age_ms, 550);
+    assert_eq!(report.statuses[0].blocks[0].age_ms, 550);
+    assert_eq!(report.statuses[0].blocks[0].idle_ms, 450);
 }
 
 /// Guards against a group that all others stop using because its speaker was frozen: it hears nobody
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use super::clock;
 use super::confirmation;
 use super::connections::ConnectionPool;
+use super::crashes::Crashes;
 use super::demand::DemandTracker;
 use super::forwarding::{self, Forwarding};
 use super::fragments::Reassembly;
@@ -35,7 +36,6 @@
 use super::shutdown::Shutdown;
 use super::store_contact::{StoreAvailability, StoreContact};
 use super::streams::{Origins, WaitingQueries};
-use super::strikes::Strikes;
 use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
@@ -75,7 +75,8 @@
     pub observing_since: TimeMs,
     /// Whether this node reaches the upstreams of each pool.
     pub reach: Mutex<PoolMap<PoolReach>>,
-    pub strikes: Mutex<Strikes>,
+    /// Crashes of upstreams and what is blocked for them.
+    pub crashes: Mutex<Crashes>,
     pub rollouts: Mutex<Rollouts>,
     /// Where streams began that this node or its peers forward.
     pub stream_origins: Mutex<Origins>,
@@ -181,7 +182,7 @@
                 started_at
             },
             reach: Mutex::default(),
-            strikes: Mutex::default(),
+            crashes: Mutex::default(),
             rollouts: Mutex::default(),
             stream_origins: Mutex::default(),
             stream_queries: Mutex::default(),
