bug: A configuration document that cannot be applied confirms nothing

The position moved past the record, the node never read it from the store, and its old version counted as fresh: a revoked key would have gone on working. Now the version that a peer confirms must be in force. document_that_could_not_be_applied_confirms_nothing fails without the change (read; the other tests of the file pass with and without).

--- a/src/gateway/active_configuration.rs
+++ b/src/gateway/active_configuration.rs
@@ -156,9 +156,10 @@
     /// the peer, since a datagram may be delayed anywhere on its way.
     pub fn confirmed_by_peer(&mut self, confirmation: &Confirmation, now: TimeMs) {
         self.record_peer_version(confirmation.version);
-        let is_up_to_date =
-            confirmation.end <= self.end && confirmation.version <= self.catalog.version;
-        let is_applied = confirmation.document.is_some() || is_up_to_date;
+        // A document that could not be decoded leaves the version behind that of the peer.
+        let has_version = confirmation.version <= self.catalog.version;
+        let has_records = confirmation.document.is_some() || confirmation.end <= self.end;
+        let is_applied = has_version && has_records;
         let current_at = (confirmation.asked_at.0).saturating_sub(confirmation.age_ms);
         match is_applied {
             _ if confirmation.asked_at > now => {}
--- a/src/gateway/active_configuration/tests.rs
+++ b/src/gateway/active_configuration/tests.rs
@@ -85,6 +85,20 @@
     );
 }
 
+/// Guards against a key that goes on working after it was revoked: a document that could not be
+/// decoded counted as read, so that nobody looked for it in the store.
+#[test]
+fn document_that_could_not_be_applied_confirms_nothing() {
+    let peer = with_version(2, at(9), 20_000);
+    let mut node = known(7, 10_000);
+    let confirmation = peer.confirmation(&node.request(TimeMs(13_000)), TimeMs(20_000));
+    let confirmation = confirmation.expect("the configuration is known");
+    assert!(confirmation.document.is_some());
+    node.confirmed_by_peer(&confirmation, TimeMs(13_010));
+    assert_eq!((node.end, node.confirmed_at), (at(7), TimeMs(10_000)));
+    assert!(node.is_behind() && node.is_outdated());
+}
+
 #[test]
 fn configuration_beyond_the_largest_message_is_not_sent() {
     let mut peer = known(9, 20_000);
