test: Streams of a peer go on after silence within them, and end at their deadline

The review of LOST found that the tests of silence began it before the first event, so that the relay of a stream was not entered.

--- a/src/gateway/exchange/tests/paths.rs
+++ b/src/gateway/exchange/tests/paths.rs
@@ -3,6 +3,7 @@
 use serde_json::json;
 use teaselline_stand_ins::operators::{Asked, Ended};
 use teaselline_stand_ins::proxy::Direction;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
 
@@ -90,6 +91,68 @@
     }
 }
 
+/// Sends a request on a connection of its own and reads until its first event; returns the connection and what was read.
+async fn begin_stream(callers: SocketAddr, call: &Asked) -> (TcpStream, String) {
+    let mut socket = TcpStream::connect(callers).await.expect("the node listens");
+    socket
+        .write_all(call.text().as_bytes())
+        .await
+        .expect("it is sent");
+    let mut received = String::new();
+    while !received.contains("id: 1\n") {
+        read_some(&mut socket, &mut received).await;
+    }
+    (socket, received)
+}
+
+/// Reads what has arrived; returns how many bytes that is, zero at the end of the connection.
+async fn read_some(socket: &mut TcpStream, received: &mut String) -> usize {
+    let mut buffer = [0; 4_096];
+    let read = tokio::time::timeout(PATIENCE, socket.read(&mut buffer)).await;
+    let length = read.expect("something arrives in time").unwrap_or(0);
+    received.push_str(&String::from_utf8_lossy(&buffer[..length]));
+    length
+}
+
+/// Guards against a stream that is cut in the middle because nothing came from the peer for longer than a timeout.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_peer_goes_on_after_seconds_of_silence_within_it() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    let call = patient("midway", "stream");
+    let (mut socket, mut received) = begin_stream(pair.cut.callers, &call).await;
+    pair.set_silent(true);
+    tokio::time::sleep(SILENCE).await;
+    pair.set_silent(false);
+    while !received.contains("\r\n0\r\n") {
+        let length = read_some(&mut socket, &mut received).await;
+        assert!(length > 0, "the stream was cut: {received}");
+    }
+    assert!(received.contains("id: 10\n"), "{received}");
+}
+
+/// Guards against a stream of a silent peer that is kept open for longer than its caller waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_peer_that_falls_silent_ends_at_its_deadline() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    let call = Asked {
+        deadline_ms: 1_500,
+        ..asked("midway-late", "stream")
+    };
+    let (mut socket, mut received) = begin_stream(pair.cut.callers, &call).await;
+    pair.set_silent(true);
+    while read_some(&mut socket, &mut received).await > 0 {}
+    assert!(!received.contains("\r\n0\r\n"), "{received}");
+    let in_flight = || {
+        pair.cut
+            .node
+            .in_flight
+            .load(std::sync::atomic::Ordering::Relaxed)
+    };
+    eventually(|| in_flight() == 0).await;
+}
+
 /// Guards against answers on their way that are thrown away because the connection does not answer the ping before another request.
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_of_a_peer_arrives_although_other_requests_find_the_path_silent() {
