bug: Only the node that reads for its domain sends a new configuration, paced

Change: a node sends a new version unasked only if it ranks first in its domain, to one neighbour after the other out of the budget for documents, and stops after 3 s or when a newer version is active; whether a message is arriving is judged by message. The fragments of one push are no longer interleaved over all neighbours, where a slow push was complete at nobody within the 2 s of reassembly. The packing is done before the lock on the configuration is taken.

--- a/src/gateway/bandwidth.rs
+++ b/src/gateway/bandwidth.rs
@@ -46,13 +46,6 @@
         self.available_bytes -= num::to_f64(bytes as u64);
         true
     }
-
-    /// Deducts the bytes of a message that is sent in any case.
-    pub fn take(&mut self, bytes: usize, now: TimeMs) {
-        if !self.try_take(bytes, now) {
-            self.available_bytes -= num::to_f64(bytes as u64);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/src/gateway/configuration_sync.rs
+++ b/src/gateway/configuration_sync.rs
@@ -9,7 +9,7 @@
 
 use super::active_configuration::{Confirmation, ConfirmationRequest};
 use super::clock;
-use super::configuration::packed;
+use super::configuration::{packed, push};
 use super::confirmation::{self, ConfirmationState, LONG_POLL_MS, StoreRead};
 use super::log_position::LogPosition;
 use super::messages::Message;
@@ -103,7 +103,7 @@
     }
 }
 
-async fn read_newest(node: &Gateway) -> Result<(), StoreError> {
+async fn read_newest(node: &Arc<Gateway>) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.read_latest(Topic::Configuration).await?;
     let is_new_era = {
@@ -120,7 +120,7 @@
     Ok(())
 }
 
-async fn read_next(node: &Gateway, from: LogPosition, wait_ms: u64) -> Result<(), StoreError> {
+async fn read_next(node: &Arc<Gateway>, from: LogPosition, wait_ms: u64) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let records = node.store.read(Topic::Configuration, from, wait_ms).await?;
     for (place, body) in records.from.following().zip(&records.bodies) {
@@ -150,21 +150,21 @@
 }
 
 /// Sends the configuration just read to the peers of this failure domain, which do not poll the
-/// store. A peer that misses the message notices when it asks.
-fn send_to_domain(node: &Gateway) {
+/// store, if this node is the one that reads it for them. A peer that misses the message notices when
+/// it asks.
+fn send_to_domain(node: &Arc<Gateway>) {
+    let now = clock::now();
+    if confirmation_state(node, now).rank > 0 {
+        return;
+    }
     let confirmation = {
         let in_force = node.in_force.read();
-        let confirmation = in_force.confirmation(&ConfirmationRequest::default(), clock::now());
+        let confirmation = in_force.confirmation(&ConfirmationRequest::default(), now);
         confirmation.map(|confirmation| confirmation.with_orders(node.rollouts.lock().orders()))
     };
-    let Some(confirmation) = confirmation else {
-        return;
-    };
-    let now = clock::now();
-    let neighbours = node.peers.lock().same_domain_addresses(now).len();
-    let document_bytes = confirmation.document.as_ref().map_or(0, Vec::len);
-    (node.document_bandwidth.lock()).take(document_bytes * neighbours, now);
-    node.send_message(Recipients::SameDomain, Message::Confirmation(confirmation));
+    if let Some(confirmation) = confirmation {
+        tokio::spawn(push::send_to_domain(Arc::clone(node), confirmation));
+    }
 }
 
 /// Answers a peer that asks whether the configuration is current.
@@ -255,7 +255,9 @@
 /// Activates a configuration if its version is higher; versions never decrease.
 fn activate(node: &Gateway, text: &[u8], pack: impl FnOnce() -> Bytes) {
     match documents::parse(text) {
+        Ok(catalog) if catalog.version <= node.catalog().version => {}
         Ok(catalog) => {
+            let document = pack();
             let mut in_force = node.in_force.write();
             let before = in_force.catalog.version;
             if catalog.version > before {
@@ -268,7 +270,7 @@
                     "activated a configuration"
                 );
                 in_force.catalog = Arc::new(catalog);
-                in_force.document = pack();
+                in_force.document = document;
             }
         }
         Err(error) => {
--- a/src/gateway/fragments.rs
+++ b/src/gateway/fragments.rs
@@ -60,7 +60,6 @@
 pub(crate) struct Reassembly {
     /// Oldest first.
     incomplete: Vec<Incomplete>,
-    last_fragment_at: TimeMs,
 }
 
 #[derive(Debug)]
@@ -68,6 +67,7 @@
     from: SocketAddr,
     message: u64,
     since: TimeMs,
+    last_fragment_at: TimeMs,
     parts: Vec<Option<Vec<u8>>>,
 }
 
@@ -75,7 +75,6 @@
     /// Adds a fragment; returns the encoded message if it is complete.
     pub fn add(&mut self, from: SocketAddr, fragment: Fragment, now: TimeMs) -> Option<Vec<u8>> {
         (self.incomplete).retain(|message| now.since(message.since) < REASSEMBLY_TIMEOUT_MS);
-        self.last_fragment_at = now;
         let count = usize::from(fragment.count);
         let index = usize::from(fragment.index);
         if index >= count || count > MAX_MESSAGE_BYTES.div_ceil(FRAGMENT_BYTES) {
@@ -83,6 +82,7 @@
             return None;
         }
         let place = self.place(from, fragment.message, count, now);
+        self.incomplete[place].last_fragment_at = now;
         let parts = &mut self.incomplete[place].parts;
         *parts.get_mut(index)? = Some(fragment.bytes);
         let is_complete = parts.iter().all(Option::is_some);
@@ -94,7 +94,8 @@
 
     /// Whether a message is arriving.
     pub fn is_receiving(&self, now: TimeMs) -> bool {
-        !self.incomplete.is_empty() && now.since(self.last_fragment_at) < RECEIVING_TIMEOUT_MS
+        (self.incomplete.iter())
+            .any(|message| now.since(message.last_fragment_at) < RECEIVING_TIMEOUT_MS)
     }
 
     /// Returns the index of a message among the incomplete ones.
@@ -109,6 +110,7 @@
                 from,
                 message,
                 since: now,
+                last_fragment_at: now,
                 parts: vec![None; count],
             });
             self.incomplete.len() - 1
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -366,7 +366,6 @@
     }
 }
 
-/// Reads a request's body; fails if it is larger than a message may be.
 /// Logs that the monitor ended a connection while streams are open on it.
 fn log_end(peer: SocketAddr, liveness: &Liveness) {
     let streams = liveness.uses();
@@ -376,6 +375,7 @@
     }
 }
 
+/// Reads a request's body; fails if it is larger than a message may be.
 async fn read_body(mut body: RecvStream) -> Result<Bytes, StatusCode> {
     let mut whole = BytesMut::new();
     while let Some(chunk) = body.data().await {
--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -42,7 +42,7 @@
         self
     }
 
-    /// Sets the silence after which a connection with open streams is closed.
+    /// Sets both timeouts of silence: a connection with open streams is closed after it.
     #[must_use]
     pub fn with_silence_timeout_ms(mut self, silence_timeout_ms: u64) -> Self {
         self.silence_timeout_ms = silence_timeout_ms;
