test: Broken connections to upstreams that run on block sound parts

A connection that breaks counts as a crash of its upstream, whatever broke it. A way to fix it: an answer of the same start of the upstream to a request sent after the break takes the crash back, told to the peers like an answer that went on.

Beside it, judging looks only at parts with enough crashes, and nothing is marked as explained while nothing is blocked.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -393,10 +393,12 @@
             candidates.extend(parts.map(|(position, part)| (part, position)));
         }
         candidates.sort_unstable();
-        candidates.dedup();
-        let bad = candidates.into_iter().filter_map(|(part, position)| {
-            let pieces = self.pieces(part)?;
-            Some((position, pieces, part))
+        let often = (candidates.chunk_by(|one, other| one == other))
+            .filter(|crashes| crashes.len() >= evidence::PIECES_TO_BLOCK)
+            .filter_map(|crashes| crashes.first());
+        let bad = often.filter_map(|(part, position)| {
+            let pieces = self.pieces(*part)?;
+            Some((*position, pieces, *part))
         });
         bad.max().map(|(_position, pieces, part)| (part, pieces))
     }
@@ -421,6 +423,12 @@
 
     /// Marks the crashes of upstreams that ran another request with a blocked subject.
     fn mark_explained(&mut self) {
+        if self.blocks.is_empty() {
+            for known in &mut self.recorded {
+                known.is_explained = false;
+            }
+            return;
+        }
         let by_part: Vec<u64> = (self.recorded.iter())
             .filter(|known| {
                 known
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -149,6 +149,16 @@
     nothing_is_blocked(&Course::of_losses(Losses::OneByOne));
 }
 
+/// Guards against connections that break for the network's sake and count as crashes.
+#[test]
+fn broken_connections_to_upstreams_that_run_on_block_nothing() {
+    nothing_is_blocked(&Course {
+        max_attempts: 2,
+        end_s: 40,
+        ..Course::of_losses(Losses::Resets)
+    });
+}
+
 #[test]
 fn upstream_that_crashes_again_and_again_blocks_nothing() {
     nothing_is_blocked(&Course::of_losses(Losses::SameUpstream));
--- a/src/gateway/crashes/tests/judge.rs
+++ b/src/gateway/crashes/tests/judge.rs
@@ -38,6 +38,9 @@
     /// Records a crash under a request of this node; returns what all nodes are told.
     fn crashed(&mut self, asked: &Asked, broken: &Break, now: TimeMs) -> Vec<Self::Report>;
 
+    /// Records that an upstream answers a request; returns what all nodes are told.
+    fn answered(&mut self, upstream: u64, sent_at: TimeMs, now: TimeMs) -> Vec<Self::Report>;
+
     /// Records that an answer went on; returns what all nodes are told.
     fn went_on(&mut self, asked: &Asked, now: TimeMs) -> Vec<Self::Report>;
 
@@ -107,6 +110,10 @@
         is_new.then_some(Report::Crash(crash)).into_iter().collect()
     }
 
+    fn answered(&mut self, _upstream: u64, _sent_at: TimeMs, _now: TimeMs) -> Vec<Report> {
+        Vec::new()
+    }
+
     fn went_on(&mut self, asked: &Asked, now: TimeMs) -> Vec<Report> {
         sound(self.crashes.record_sound(&subjects(asked), now))
     }
--- a/src/gateway/crashes/tests/simulation.rs
+++ b/src/gateway/crashes/tests/simulation.rs
@@ -34,6 +34,9 @@
 /// Most a datagram takes.
 const MAX_DELAY_MS: u64 = 120;
 
+/// Share of the requests whose connections break while connections are impaired.
+const RESET_SHARE: f64 = 0.5;
+
 const STATUS_INTERVAL_MS: u64 = 500;
 /// Interval at which a quarter of the nodes does what is due.
 const TICK_INTERVAL_MS: u64 = 50;
@@ -70,6 +73,8 @@
     All,
     OneByOne,
     SameUpstream,
+    /// Connections break, upstreams run on.
+    Resets,
 }
 
 /// The course of a simulated day.
@@ -186,6 +191,7 @@
     WentOn(u64),
     End(u64),
     Notice(u64, Break),
+    Reset(u64),
     Deliver(usize, usize, Rc<<Known as Judge>::Report>),
     Up(usize),
     Status,
@@ -305,6 +311,7 @@
             Event::WentOn(id) => self.went_on(id),
             Event::End(id) => self.end(id),
             Event::Notice(id, broken) => self.notice(id, &broken),
+            Event::Reset(id) => self.reset(id),
             Event::Deliver(from, to, report) => self.deliver(from, to, &report),
             Event::Up(upstream) => {
                 let tag = self.number();
@@ -393,6 +400,10 @@
         }
         let id = self.next;
         self.running.insert(id, request);
+        let is_reset = self.course.losses == Losses::Resets && self.now.0 > START_MS + CALM_MS;
+        if is_reset && self.random.random_bool(RESET_SHARE) {
+            self.after(20, Event::Reset(id));
+        }
         let wait_ms = self.random.random_range(50..self.course.wait_ms);
         self.after(wait_ms, Event::Begin(id));
     }
@@ -408,6 +419,9 @@
         let Some(request) = self.running.get(&id) else {
             return;
         };
+        if !self.upstreams[request.upstream].is_up {
+            return;
+        }
         if let Kind::Bad(bad) = request.kind {
             let upstream = request.upstream;
             let crashes = self.crashes.entry(bad).or_default();
@@ -415,7 +429,12 @@
             self.after(CRASH_MS, Event::Crash(upstream));
             return;
         }
+        if request.tag != self.upstreams[request.upstream].tag {
+            return;
+        }
         let request = request.clone();
+        let reports = self.nodes[request.node].answered(request.tag, request.sent_at, self.now);
+        self.broadcast(request.node, reports);
         self.finish(&request, true);
         self.after(WENT_ON_MS, Event::WentOn(id));
         let lasts_ms = self.random.random_range(WENT_ON_MS..6_000);
@@ -441,17 +460,20 @@
                 self.random.random_range(0..20)
             };
             let request = &self.running[&id];
-            let broken = Break {
-                upstream: request.tag,
-                address: upstream as u64,
-                domain: upstream as u64 % DOMAINS,
-                sent_at: request.sent_at,
-                has_gone_on: request.has_gone_on,
-            };
+            let broken = break_of(request);
             self.after(delay_ms, Event::Notice(id, broken));
         }
     }
 
+    /// Breaks the connection of a request whose upstream runs on.
+    fn reset(&mut self, id: u64) {
+        let Some(request) = self.running.get(&id) else {
+            return;
+        };
+        let broken = break_of(request);
+        self.notice(id, &broken);
+    }
+
     fn notice(&mut self, id: u64, broken: &Break) {
         let Some(request) = self.running.remove(&id) else {
             return;
@@ -533,7 +555,7 @@
 
     fn lose(&mut self, step: u32) {
         let next_ms = match self.course.losses {
-            Losses::None => return,
+            Losses::None | Losses::Resets => return,
             Losses::Domain | Losses::TwoDomains => {
                 self.lose_domain(u64::from(step));
                 2_000
@@ -553,7 +575,7 @@
             }
         };
         let last_step = match self.course.losses {
-            Losses::None | Losses::Domain | Losses::All => 0,
+            Losses::None | Losses::Resets | Losses::Domain | Losses::All => 0,
             Losses::TwoDomains => 1,
             Losses::OneByOne => 30,
             Losses::SameUpstream => 12,
@@ -627,6 +649,16 @@
     }
 }
 
+fn break_of(request: &Running) -> Break {
+    Break {
+        upstream: request.tag,
+        address: request.upstream as u64,
+        domain: request.upstream as u64 % DOMAINS,
+        sent_at: request.sent_at,
+        has_gone_on: request.has_gone_on,
+    }
+}
+
 fn scaled(value_ms: u64, factor: f64) -> u64 {
     #[expect(
         clippy::cast_possible_truncation,
