bug: Parts of prompts are blamed only if their upstream has ended

Now a break of a request with parts is verified: 20 ms later the node connects to the upstream, as it does for reach; one that accepts runs on, and no part is blamed. The connection is kept for reuse. The whole content is blamed as before. Beside it, found in the review: of parts that qualify, one under which answers went on is blamed last (bad_part_before_a_sound_one_is_blamed), and only a 2xx answer whose end is framed speaks for its parts.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -16,6 +16,7 @@
 pub(crate) mod reports;
 mod sound;
 pub(crate) mod subjects;
+pub(crate) mod verification;
 
 use bincode::{Decode, Encode};
 
@@ -112,6 +113,15 @@
     }
 }
 
+/// Evidence that is enough to block a part.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    /// Independent crashes.
+    pieces: usize,
+    /// Whether an answer under the part went on shortly before the first of them.
+    was_sound: bool,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Block {
     subject: Subject,
@@ -396,15 +406,17 @@
         let often = (candidates.chunk_by(|one, other| one == other))
             .filter(|crashes| crashes.len() >= evidence::PIECES_TO_BLOCK)
             .filter_map(|crashes| crashes.first());
+        // A part under which answers went on is blamed only where no other one qualifies.
         let bad = often.filter_map(|(part, position)| {
-            let pieces = self.pieces(*part)?;
-            Some((*position, pieces, *part))
+            let evidence = self.evidence(*part)?;
+            Some((!evidence.was_sound, *position, evidence.pieces, *part))
         });
-        bad.max().map(|(_position, pieces, part)| (part, pieces))
+        bad.max()
+            .map(|(_is_unproved, _position, pieces, part)| (part, pieces))
     }
 
-    /// Returns the pieces of evidence against a part, if they are enough to block it.
-    fn pieces(&self, part: Subject) -> Option<usize> {
+    /// Returns the evidence against a part, if it is enough to block it.
+    fn evidence(&self, part: Subject) -> Option<Evidence> {
         let sound_at = self.sound.at(part);
         let crashes: Vec<&Recorded> = (self.recorded.iter())
             .filter(|known| !known.is_explained && known.crash.subjects.contains(part))
@@ -418,7 +430,7 @@
             evidence::PIECES_TO_BLOCK
         };
         let pieces = evidence::pieces(&crashes);
-        (pieces >= needed).then_some(pieces)
+        (pieces >= needed).then_some(Evidence { pieces, was_sound })
     }
 
     /// Marks the crashes of upstreams that ran another request with a blocked subject.
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -296,6 +296,25 @@
     assert_eq!(crashes.refusal(&of_part(9), now.after(2)), None);
 }
 
+/// Guards against a sound part that is blamed because it stands behind the bad one.
+#[test]
+fn bad_part_before_a_sound_one_is_blamed() {
+    let (bad, sound) = (5, 6);
+    let mut crashes = Crashes::default();
+    crashes.record_sound(&Subjects::new(100, 1, [sound]), TimeMs(100));
+    for id in 1..=6 {
+        let under_both = Crash {
+            subjects: Subjects::new(id, 1, [bad, sound]),
+            ..crash(id, id)
+        };
+        record(&mut crashes, under_both, id * 500);
+    }
+    let now = TimeMs(3_000 + SETTLE_MS);
+    let blame = crashes.refusal(&Subjects::new(9, 1, [bad]), now);
+    assert_eq!(blame, Some(Blame::Part));
+    assert_eq!(crashes.refusal(&Subjects::new(8, 1, [sound]), now), None);
+}
+
 #[test]
 fn few_nodes_report_a_sound_part_early() {
     let early = |nodes: usize| {
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -7,7 +7,8 @@
 use super::admission::Plan;
 use crate::gateway::choose::Choice;
 use crate::gateway::crashes::subjects::Subjects;
-use crate::gateway::crashes::{Crash, breaks, reports};
+use crate::gateway::crashes::verification::{self, Broken};
+use crate::gateway::crashes::{breaks, reports};
 use crate::gateway::health::Outcome;
 use crate::gateway::limits::refusal_allowance::{Change as BrittlenessChange, StatedBrittleness};
 use crate::gateway::limits::send_gate::Closed;
@@ -273,20 +274,24 @@
     pub fn record_failure(&self, reason: &str, subjects: &Subjects, now: TimeMs) {
         self.record_outcome(Outcome::Broken, now);
         if breaks::is_crash(reason) {
-            self.record_crash(subjects, now);
+            verification::record_break(&self.node, self.broken(subjects), now);
         }
     }
 
-    /// Records a crash of the upstream and notifies the peers: the request may have caused it.
+    /// Records that the upstream has ended and notifies the peers: the request may have caused it.
     pub fn record_crash(&self, subjects: &Subjects, now: TimeMs) {
-        let crash = Crash {
+        reports::record_crash(&self.node, self.broken(subjects).crash(now), now);
+    }
+
+    fn broken(&self, subjects: &Subjects) -> Broken {
+        Broken {
             subjects: *subjects,
+            key: self.upstream,
             upstream: self.upstream_tag,
             address: self.address,
             domain: self.domain,
-            ran_ms: now.since(self.sent_at),
-        };
-        reports::record_crash(&self.node, crash, now);
+            sent_at: self.sent_at,
+        }
     }
 }
 
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -43,7 +44,10 @@
 
     /// Splits the response into its body and the context that is kept until the body ends.
     pub fn into_stream(self) -> (Incoming, ResponseContext) {
+        let headers = self.response.headers();
         let context = ResponseContext {
+            is_end_framed: headers.contains_key(CONTENT_LENGTH)
+                || headers.contains_key(TRANSFER_ENCODING),
             upstream_request: self.upstream_request,
             sender: self.sender,
             answer: self.answer,
@@ -113,6 +117,9 @@
     pub upstream_request: UpstreamRequest,
     sender: SendRequest<Full<Bytes>>,
     answer: ResponseHead,
+    /// Whether the end of the body shows that it is whole; a body that ends with its connection may
+    /// have been cut by a crash.
+    is_end_framed: bool,
 }
 
 impl ResponseContext {
@@ -128,7 +135,7 @@
         if !plan.route().is_stream || status.is_server_error() {
             self.upstream_request.record_outcome(outcome, now);
         }
-        if !status.is_server_error() {
+        if status.is_success() && self.is_end_framed {
             reports::record_answer(node, &plan.subjects, now);
         }
         keep_connection(node, &self.upstream_request, self.sender, &self.answer);
--- a/tests/platform/crashing_parts/losses.rs
+++ b/tests/platform/crashing_parts/losses.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use teaselline_stand_ins::operators::upstream::{ChannelEnd, Crash, CrashPoint};
-use teaselline_stand_ins::operators::{Deployment, Upstream};
+use teaselline_stand_ins::operators::{Deployment, Fault, Upstream};
 
 use super::play::{Callers, Kind, Seen, Share, kind};
 use crate::support::{deployment, now_ms};
@@ -110,3 +110,17 @@
     });
     assert_nothing_is_blocked(&seen.await);
 }
+
+/// Guards against blame on the parts of requests whose connections upstreams reset although they run on.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_running_upstreams_break_off_block_no_shared_part() {
+    let seen = under_load(async |deployment| {
+        for fault in [Fault::BreaksOff, Fault::None] {
+            for upstream in &deployment.upstreams {
+                upstream.set(fault);
+            }
+            tokio::time::sleep(Duration::from_secs(3)).await;
+        }
+    });
+    assert_nothing_is_blocked(&seen.await);
+}
