bug: An upstream behind a proxy that closes what it accepts has ended

The verification of a break took an accepted connection for a running upstream. The new connection now has to stay open for 50 ms.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -19,6 +19,9 @@
 /// takes one; an upstream that has not answered by then is unreachable or refuses connections.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Time for which a new connection has to stay open to show that its upstream runs.
+const ACCEPTED_FOR: Duration = Duration::from_millis(50);
+
 /// Idle time of a connection whose upstream states no idle timeout.
 const DEFAULT_IDLE_MS: u64 = 3_000;
 
@@ -119,6 +122,22 @@
         Ok(())
     }
 
+    /// Returns whether an upstream accepts a connection and leaves it open for a while; the connection
+    /// is kept for reuse.
+    ///
+    /// A proxy before an upstream accepts a connection and closes it once the upstream does not.
+    pub async fn accepts(&self, upstream: UpstreamKey, address: SocketAddr) -> bool {
+        let Ok(Connection { sender, .. }) = connect(address).await else {
+            return false;
+        };
+        tokio::time::sleep(ACCEPTED_FOR).await;
+        let is_open = !sender.is_closed();
+        if is_open {
+            self.keep(upstream, sender, None, clock::now());
+        }
+        is_open
+    }
+
     /// Returns a connection to the pool after its response has been read to the end.
     pub fn keep(
         &self,
--- a/src/gateway/crashes/verification.rs
+++ b/src/gateway/crashes/verification.rs
@@ -66,8 +66,7 @@
 
 async fn verify(node: Arc<Gateway>, mut broken: Broken, address: SocketAddr) {
     tokio::time::sleep(SETTLE).await;
-    let opened = node.channels.open_idle(broken.key, address).await;
-    if opened.is_ok() {
+    if node.channels.accepts(broken.key, address).await {
         log::debug!(event = "upstream_runs_on", address:% = address; "an upstream whose connection broke accepts connections; no part of the prompt is blamed");
         broken.subjects = broken.subjects.without_parts();
     }
