bug: A part that is blocked on one route needs one crash on another

The subjects of one part and team now have their upper half in common; once one is blocked, the first crash under another, which no answer speaks for, blocks it as well. Other teams' subjects are not related.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -330,6 +330,12 @@
         self.find(subject).is_ok()
     }
 
+    /// Whether the same part is blocked on another route or model; one crash is enough then.
+    fn is_blocked_elsewhere(&self, part: Subject) -> bool {
+        let mut blocks = self.blocks.iter().map(|block| block.subject);
+        blocks.any(|blocked| blocked != part && subjects::is_same_part(blocked, part))
+    }
+
     fn find(&self, subject: Subject) -> Result<usize, usize> {
         (self.blocks).binary_search_by_key(&subject, |block| block.subject)
     }
@@ -404,7 +410,10 @@
         }
         candidates.sort_unstable();
         let often = (candidates.chunk_by(|one, other| one == other))
-            .filter(|crashes| crashes.len() >= evidence::PIECES_TO_BLOCK)
+            .filter(|crashes| {
+                crashes.len() >= evidence::PIECES_TO_BLOCK
+                    || self.is_blocked_elsewhere(crashes[0].0)
+            })
             .filter_map(|crashes| crashes.first());
         // A part under which answers went on is blamed only where no other one qualifies.
         let bad = often.filter_map(|(part, position)| {
@@ -424,6 +433,10 @@
             .collect();
         let first_at = crashes.first()?.at;
         let was_sound = sound_at.is_some_and(|at| first_at.since(at) < SOUND_BEFORE_MS);
+        if !was_sound && self.is_blocked_elsewhere(part) {
+            let pieces = evidence::upstreams(&crashes);
+            return Some(Evidence { pieces, was_sound });
+        }
         let needed = if was_sound {
             evidence::PIECES_TO_BLOCK_SOUND
         } else {
--- a/src/gateway/crashes/subjects.rs
+++ b/src/gateway/crashes/subjects.rs
@@ -10,6 +10,9 @@
 /// Most parts of a prompt that are judged; further ones are blamed for nothing.
 pub(crate) const MAX_PARTS_JUDGED: usize = 8;
 
+/// The bits of a part's subject that do not depend on route and model.
+const UPPER_HALF: u64 = 0xffff_ffff_0000_0000;
+
 /// Identifies a content or a part among the nodes.
 pub(crate) type Subject = u64;
 
@@ -64,19 +67,23 @@
 /// Returns the parts of a prompt that are judged.
 ///
 /// A part is one subject for each team, route and model: no team can have another's blocked, and a
-/// part that is bad in one model goes on in the others.
+/// part that is bad in one model goes on in the others. The subjects of one part and team have their
+/// upper half in common.
 pub(crate) fn parts(prompt: &Prompt, team: u64, route: u64) -> impl Iterator<Item = Subject> {
     let model = prompt.model.as_bytes();
     (prompt.shared_parts().iter()).map(move |part| {
-        hash(&[
-            &team.to_le_bytes(),
-            &route.to_le_bytes(),
-            model,
-            &part.id.to_le_bytes(),
-        ])
+        let (team, id) = (team.to_le_bytes(), part.id.to_le_bytes());
+        let of_part = hash(&[&team, &id]);
+        let of_scope = hash(&[&team, &route.to_le_bytes(), model, &id]);
+        (of_part & UPPER_HALF) | (of_scope & !UPPER_HALF)
     })
 }
 
+/// Whether two subjects are one part of one team, on other routes or models.
+pub(super) fn is_same_part(one: Subject, other: Subject) -> bool {
+    one & UPPER_HALF == other & UPPER_HALF
+}
+
 fn hash(fields: &[&[u8]]) -> Subject {
     let mut hasher = XxHash3_64::new();
     for field in fields {
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -315,6 +315,30 @@
     assert_eq!(crashes.refusal(&Subjects::new(8, 1, [sound]), now), None);
 }
 
+/// Guards against a part that crashes upstreams anew on each route that it comes on.
+#[test]
+fn part_that_is_blocked_on_one_route_is_blocked_on_another_at_its_first_crash() {
+    let (here, elsewhere, other) = (0x5_0000_0001, 0x5_0000_0002, 0x6_0000_0002);
+    let mut crashes = Crashes::default();
+    let under = |part, id| Crash {
+        subjects: Subjects::new(id, 1, [part]),
+        ..crash(id, id)
+    };
+    for id in 1..=3 {
+        record(&mut crashes, under(here, id), id * 500);
+    }
+    let blocked_at = TimeMs(1_500 + SETTLE_MS);
+    let refusal =
+        |crashes: &mut Crashes, part, now| crashes.refusal(&Subjects::new(99, 1, [part]), now);
+    assert_eq!(refusal(&mut crashes, here, blocked_at), Some(Blame::Part));
+    assert_eq!(refusal(&mut crashes, elsewhere, blocked_at), None);
+    record(&mut crashes, under(elsewhere, 10), 3_000);
+    record(&mut crashes, under(other, 11), 3_000);
+    let later = TimeMs(3_000 + SETTLE_MS);
+    assert_eq!(refusal(&mut crashes, elsewhere, later), Some(Blame::Part));
+    assert_eq!(refusal(&mut crashes, other, later), None);
+}
+
 #[test]
 fn few_nodes_report_a_sound_part_early() {
     let early = |nodes: usize| {
