--- a/src/gateway/configuration/packed/tests.rs
+++ b/src/gateway/configuration/packed/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 #[test]
-fn document_of_many_routes_packs_to_a_tenth_and_unpacks_unchanged() {
+fn document_of_many_routes_packs_to_a_fifth_and_unpacks_unchanged() {
     let route = |number: usize| {
         format!(
             r#"{{"name":"r-{:x}","host":"h.example","path":"/{:x}/","kind":"idempotent"}}"#,
