bug: Answers without length speak for their parts if their upstream runs on

Cause: since the verification of breaks an answer that ends with its connection spoke for no part, so that a sound first part was blamed where half of the upstreams answer so. Now it speaks at once where nothing is suspected, and under suspicion if its upstream still accepts connections.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -330,6 +330,15 @@
         self.find(subject).is_ok()
     }
 
+    /// Whether an upstream crashed under a part of a request, or one is blocked.
+    pub fn is_suspected(&self, subjects: &Subjects) -> bool {
+        let crashes =
+            |part| (self.recorded.iter()).any(|known| known.crash.subjects.contains(part));
+        subjects
+            .parts()
+            .any(|part| self.is_blocked(part) || crashes(part))
+    }
+
     /// Whether the same part is blocked on another route or model; one crash is enough then.
     fn is_blocked_elsewhere(&self, part: Subject) -> bool {
         let mut blocks = self.blocks.iter().map(|block| block.subject);
--- a/src/gateway/crashes/subjects.rs
+++ b/src/gateway/crashes/subjects.rs
@@ -46,6 +46,12 @@
         self.parts.into_iter().filter(|part| *part != 0)
     }
 
+    /// Whether there are parts.
+    #[must_use]
+    pub fn has_parts(&self) -> bool {
+        self.parts().next().is_some()
+    }
+
     /// Returns the same without parts.
     #[must_use]
     pub fn without_parts(&self) -> Self {
--- a/src/gateway/crashes/verification.rs
+++ b/src/gateway/crashes/verification.rs
@@ -49,27 +49,48 @@
 /// Records a break as a crash; the parts of its prompt are blamed only if the upstream no longer
 /// accepts connections.
 pub(crate) fn record_break(node: &Arc<Gateway>, broken: Broken, now: TimeMs) {
-    let address = {
-        let upstreams = node.upstreams.lock();
-        upstreams
-            .get(broken.key)
-            .map(|upstream| upstream.announcement.address)
-    };
-    let has_parts = broken.subjects.parts().next().is_some();
-    match address {
-        Some(address) if has_parts => {
+    match address_of(node, broken.key) {
+        Some(address) if broken.subjects.has_parts() => {
             tokio::spawn(verify(Arc::clone(node), broken, address));
         }
         _ => reports::record_crash(node, broken.crash(now), now),
     }
 }
 
+/// Records an answer that ended with its connection. Where a crash may have cut it, which matters
+/// only under suspicion, it speaks for its parts if the upstream still accepts connections.
+pub(crate) fn record_unframed_answer(node: &Arc<Gateway>, answered: Broken, now: TimeMs) {
+    if !node.crashes.lock().is_suspected(&answered.subjects) {
+        reports::record_answer(node, &answered.subjects, now);
+        return;
+    }
+    let Some(address) = address_of(node, answered.key) else {
+        return;
+    };
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        if runs(&node, answered.key, address).await {
+            reports::record_answer(&node, &answered.subjects, now);
+        }
+    });
+}
+
 async fn verify(node: Arc<Gateway>, mut broken: Broken, address: SocketAddr) {
-    tokio::time::sleep(SETTLE).await;
-    if node.channels.accepts(broken.key, address).await {
+    if runs(&node, broken.key, address).await {
         log::debug!(event = "upstream_runs_on", address:% = address; "an upstream whose connection broke accepts connections; no part of the prompt is blamed");
         broken.subjects = broken.subjects.without_parts();
     }
     let now = clock::now();
     reports::record_crash(&node, broken.crash(now), now);
 }
+
+fn address_of(node: &Gateway, upstream: UpstreamKey) -> Option<SocketAddr> {
+    let upstreams = node.upstreams.lock();
+    let upstream = upstreams.get(upstream);
+    upstream.map(|upstream| upstream.announcement.address)
+}
+
+async fn runs(node: &Gateway, upstream: UpstreamKey, address: SocketAddr) -> bool {
+    tokio::time::sleep(SETTLE).await;
+    node.channels.accepts(upstream, address).await
+}
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -283,6 +283,11 @@
         reports::record_crash(&self.node, self.broken(subjects).crash(now), now);
     }
 
+    /// Records an answer whose end was that of its connection.
+    pub fn record_unframed_answer(&self, subjects: &Subjects, now: TimeMs) {
+        verification::record_unframed_answer(&self.node, self.broken(subjects), now);
+    }
+
     fn broken(&self, subjects: &Subjects) -> Broken {
         Broken {
             subjects: *subjects,
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -135,8 +135,10 @@
         if !plan.route().is_stream || status.is_server_error() {
             self.upstream_request.record_outcome(outcome, now);
         }
-        if status.is_success() && self.is_end_framed {
-            reports::record_answer(node, &plan.subjects, now);
+        match status.is_success() {
+            true if self.is_end_framed => reports::record_answer(node, &plan.subjects, now),
+            true => (self.upstream_request).record_unframed_answer(&plan.subjects, now),
+            false => {}
         }
         keep_connection(node, &self.upstream_request, self.sender, &self.answer);
     }
