--- a/tests/platform/said_leaving.rs
+++ b/tests/platform/said_leaving.rs
@@ -30,12 +30,13 @@
     counts
 }
 
-/// Has an upstream state in its responses that it leaves, and waits until it has answered with that.
-async fn say_leaving(upstream: &Upstream) {
+/// Has an upstream state in its responses that it leaves, and waits until a node has read that.
+async fn say_leaving(deployment: &Deployment, upstream: &Upstream) {
+    let id = format!("\"{}\"", upstream.id());
+    let states_it = |line: &String| line.contains("upstream_leaving_said") && line.contains(&id);
     upstream.say_leaving(Some("1"));
-    let before = upstream.arrivals().len();
     eventually("a response states that the upstream leaves", async || {
-        upstream.arrivals().len() > before
+        (deployment.nodes.iter()).any(|node| node.log().iter().any(states_it))
     })
     .await;
 }
@@ -54,7 +55,7 @@
     let load = Load::start(&deployment);
     let leaving = busiest_of_each_service(&deployment).await;
     for upstream in leaving {
-        say_leaving(upstream).await;
+        say_leaving(&deployment, upstream).await;
     }
     let late = count_late_arrivals(leaving).await;
     assert_eq!(late, [0; 2]);
@@ -78,7 +79,7 @@
     let leaving = busiest_of_each_service(&deployment).await;
     for (upstream, fault) in leaving.into_iter().zip([Fault::Sheds, Fault::Fails]) {
         upstream.set(fault);
-        say_leaving(upstream).await;
+        say_leaving(&deployment, upstream).await;
     }
     let late = count_late_arrivals(leaving).await;
     assert_eq!(late, [0; 2]);
@@ -92,7 +93,7 @@
     let load = Load::start(&deployment);
     let leaving = busiest_of_each_service(&deployment).await;
     for upstream in leaving {
-        say_leaving(upstream).await;
+        say_leaving(&deployment, upstream).await;
     }
     tokio::time::sleep(DRAIN_LIMIT).await;
     for upstream in leaving {
