bug: A block of a part that was sound lets one request a second through

A part that crashes each upstream has no answer, so that a trial for parts that had one costs the bound nothing.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -47,6 +47,10 @@
 /// An answer that went on this long before the first crash speaks for a part.
 const SOUND_BEFORE_MS: u64 = 60_000;
 
+/// Interval at which a node lets one request through a block of a part under which answers went on
+/// before. A part that crashes each upstream has none.
+const TRIAL_INTERVAL_MS: u64 = 1_000;
+
 /// Upper bound of the delay of a report on a part that crashed at another node but is sound here.
 const TELL_DELAY_MS: f64 = 400.0;
 
@@ -127,6 +131,8 @@
     subject: Subject,
     at: TimeMs,
     last_seen: TimeMs,
+    /// When a request was last let through.
+    tried_at: TimeMs,
 }
 
 /// A change of a subject's state, for the log.
@@ -265,12 +271,26 @@
                 && now.since(self.blocks[index].last_seen) < RETENTION_MS
             {
                 self.blocks[index].last_seen = now;
+                if blame == Blame::Part && self.begins_trial(index, now) {
+                    continue;
+                }
                 return Some(blame);
             }
         }
         None
     }
 
+    /// Whether a request may show that a blocked part is sound after all.
+    fn begins_trial(&mut self, index: usize, now: TimeMs) -> bool {
+        let block = &mut self.blocks[index];
+        let was_sound = self.sound.at(block.subject).is_some();
+        let is_due = was_sound && now.since(block.tried_at) >= TRIAL_INTERVAL_MS;
+        if is_due {
+            block.tried_at = now;
+        }
+        is_due
+    }
+
     /// Judges the parts of the latest crashes, once the reports on them have arrived.
     pub fn judge_if_due(&mut self, now: TimeMs) {
         if self.judge_at.is_none_or(|judge_at| now < judge_at) {
@@ -362,6 +382,7 @@
                     subject,
                     at,
                     last_seen,
+                    tried_at: at,
                 };
                 self.blocks.insert(index, block);
                 self.drop_oldest_block();
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -339,6 +339,31 @@
     assert_eq!(refusal(&mut crashes, other, later), None);
 }
 
+/// Guards against a sound part that is blamed once and stays blocked for as long as its requests come.
+#[test]
+fn block_of_a_part_that_was_sound_lets_one_request_through_each_second() {
+    let mut crashes = Crashes::default();
+    let of_part = |content, part| Subjects::new(content, 1, [part]);
+    let (was_sound, never_sound) = (5 << 32, 6 << 32);
+    crashes.record_sound(&of_part(100, was_sound), TimeMs(1));
+    for id in 1..=6 {
+        for part in [was_sound, never_sound] {
+            let under_part = Crash {
+                subjects: of_part(id + part, part),
+                ..crash(id + part, id + part)
+            };
+            record(&mut crashes, under_part, id * 500);
+        }
+    }
+    let blocked_at = 3_000 + SETTLE_MS;
+    let mut passed = |part, now_ms| crashes.refusal(&of_part(9, part), TimeMs(now_ms)).is_none();
+    assert!(!passed(was_sound, blocked_at));
+    assert!(!passed(was_sound, blocked_at + TRIAL_INTERVAL_MS - 1));
+    assert!(passed(was_sound, blocked_at + TRIAL_INTERVAL_MS));
+    assert!(!passed(was_sound, blocked_at + TRIAL_INTERVAL_MS + 1));
+    assert!(!passed(never_sound, blocked_at + 10 * TRIAL_INTERVAL_MS));
+}
+
 #[test]
 fn few_nodes_report_a_sound_part_early() {
     let early = |nodes: usize| {
