--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -7,9 +7,9 @@
 //! went on since.
 //!
 //! A crash takes all requests at its upstream, and a bad part comes with sound ones. Nodes tell each
-//! other of answers that went on under suspected parts, which clears them; and of several parts that
-//! may explain the same crashes the last is blamed, which the fewest requests share. What a blocked
-//! subject explains is held against no other.
+//! other of answers that went on under suspected parts, which clears them. Of several parts that may
+//! explain the same crashes one under which no answer went on is blamed first, and of these the last,
+//! which the fewest requests share. What a blocked subject explains is held against no other.
 
 pub(crate) mod breaks;
 mod evidence;
