feature: Log what requests are charged, and compare it with the limits

Change: request_ended has charged, charge_refunded and window_allowance; teaselline charges sums them over sliding windows and all nodes.

--- a/src/client/commands.rs
+++ b/src/client/commands.rs
@@ -130,6 +130,13 @@
     Ok(())
 }
 
+fn charges(window_ms: u64, logs: &[Input]) -> Result<(), CommandError> {
+    let text = read_logs(logs)?;
+    let charges = telemetry::charges::aggregate(&text, window_ms);
+    write!(io::stdout(), "{charges}")?;
+    Ok(())
+}
+
 /// Prints the timeline of a request.
 fn explain(id: &str, logs: &[Input]) -> Result<(), CommandError> {
     let text = read_logs(logs)?;
@@ -158,6 +165,7 @@
         Action::Request { client, request } => send(client, request).await,
         Action::Explain { id, logs } => explain(&id, &logs),
         Action::Losses { span_ms, logs } => losses(span_ms, &logs),
+        Action::Charges { window_ms, logs } => charges(window_ms, &logs),
         Action::Completions { shell } => {
             generate::completions(shell, &mut io::stdout());
             Ok(())
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -153,7 +153,7 @@
             match forward::forward(node, &plan, &mut attempts, request_log).await {
                 Some(forwarded) => {
                     if forwarded.is_err() {
-                        plan.refund_quota(node, &attempts, clock::now());
+                        plan.refund_quota(node, &attempts, request_log, clock::now());
                     }
                     return forwarded;
                 }
@@ -191,7 +191,7 @@
             (Ok(upstream_response), _) => upstream_response,
             (Err(_unsent), Some(failed)) => return Ok(Local::Whole(failed)),
             (Err(Unsent::Refused(refusal)), None) => {
-                plan.refund_quota(node, attempts, clock::now());
+                plan.refund_quota(node, attempts, request_log, clock::now());
                 return Err(refusal.into());
             }
             (Err(unreached), None) => return Err(unreached),
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use super::attempts::Attempts;
-use super::request_log::RequestLog;
+use super::request_log::{Charge, RequestLog};
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
 use crate::gateway::crashes::subjects::{self, Subjects};
@@ -100,11 +100,18 @@
     }
 
     /// Returns the request's charge to its team's quota if no upstream may have executed it.
-    pub fn refund_quota(&self, node: &Gateway, attempts: &Attempts, now: TimeMs) {
+    pub fn refund_quota(
+        &self,
+        node: &Gateway,
+        attempts: &Attempts,
+        request_log: &mut RequestLog,
+        now: TimeMs,
+    ) {
         if let Some(team) = self.team()
             && attempts.executions() == 0
         {
             node.quotas.lock().refund(team, self.charge, now);
+            request_log.record_refund();
         }
     }
 }
@@ -135,7 +142,10 @@
     let body = read_body(body, max_bytes, checked.deadline).await?;
     let mut plan = plan(node, parts, checked, body)?;
     if let Some(team) = plan.team() {
-        plan.charge = charge(node, team, &plan.head, clock::now())?;
+        let cost = charge(node, team, &plan.head, clock::now())?;
+        let window = node.settings().bounds.limit_window;
+        request_log.record_charge(Charge::new(cost, team, window));
+        plan.charge = cost;
     }
     match streams::bind(node, &plan.head, plan.route(), plan.team(), &plan.pool).await {
         Ok(None) => {}
@@ -144,7 +154,7 @@
             plan.bind(begun.origin);
         }
         Err(refusal) => {
-            plan.refund_quota(node, &Attempts::default(), clock::now());
+            plan.refund_quota(node, &Attempts::default(), request_log, clock::now());
             return Err(refusal);
         }
     }
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -3,13 +3,14 @@
 use http::StatusCode;
 use metrics::{Histogram, Key, Label, Metadata};
 
-use crate::gateway::catalog::Route;
+use crate::gateway::catalog::{Route, Team};
 use crate::gateway::clock;
 use crate::gateway::crashes::breaks;
 use crate::gateway::limits::quota::Shortfall;
 use crate::gateway::num;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::{Prompt, RequestHead};
+use crate::gateway::settings::LimitWindow;
 use crate::gateway::streams::Begun;
 use crate::gateway::upstreams::Announcement;
 use crate::time::TimeMs;
@@ -35,6 +36,28 @@
     pub configuration_age_ms: u64,
 }
 
+/// What a request was charged to its team's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Charge {
+    /// In units of the limit.
+    cost: f64,
+    /// Units that the operators tolerate in a window; `None` without a limit or a window.
+    window_allowance: Option<f64>,
+    is_refunded: bool,
+}
+
+impl Charge {
+    pub fn new(cost: f64, team: &Team, window: Option<LimitWindow>) -> Self {
+        let limited = window.zip(team.rate_per_s);
+        Self {
+            cost,
+            window_allowance: limited
+                .map(|(window, rate_per_s)| window.allowance(rate_per_s, team.burst)),
+            is_refunded: false,
+        }
+    }
+}
+
 /// The histograms of a request's route, looked up once because a stream has many events.
 struct Measures {
     first_token: Histogram,
@@ -112,6 +135,8 @@
     retry_after_ms: Option<u64>,
     /// The quota state that refused the request, if the team's quota did.
     shortfall: Option<Shortfall>,
+    /// What this node charged to the team's limit.
+    charge: Option<Charge>,
     is_finished: bool,
 }
 
@@ -141,6 +166,7 @@
             last_event_at: received_at,
             retry_after_ms: None,
             shortfall: None,
+            charge: None,
             is_finished: false,
         }
     }
@@ -183,6 +209,18 @@
         self.inputs.configuration_age_ms = age_ms;
     }
 
+    /// Records what the request was charged to its team's limit.
+    pub fn record_charge(&mut self, charge: Charge) {
+        self.charge = Some(charge);
+    }
+
+    /// Records that the charge was returned because the request did not run.
+    pub fn record_refund(&mut self) {
+        if let Some(charge) = &mut self.charge {
+            charge.is_refunded = true;
+        }
+    }
+
     /// Records how it is known where the stream began that the request takes up.
     pub fn record_begun(&mut self, begun: Begun) {
         self.begun_by = Some(begun.source.as_str());
@@ -317,6 +355,9 @@
             limit_level = self.shortfall.map(|shortfall| shortfall.level),
             limit_capacity = self.shortfall.map(|shortfall| shortfall.capacity),
             limit_rate_per_s = self.shortfall.map(|shortfall| shortfall.rate_per_s),
+            charged = self.charge.map(|charge| charge.cost),
+            charge_refunded = self.charge.map(|charge| charge.is_refunded),
+            window_allowance = self.charge.and_then(|charge| charge.window_allowance),
             nodes_known = self.shortfall.map(|shortfall| shortfall.visibility.known),
             nodes_heard = self.shortfall.map(|shortfall| shortfall.visibility.heard),
             configuration_version = self.configuration_version;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -66,6 +66,12 @@
         let window_s = num::to_f64(self.window_ms) / 1_000.0;
         self.overshoot * (rate_per_s * window_s + burst) + self.slack
     }
+
+    /// Returns the most that may be used in a window, tolerance included, in units of the quota.
+    pub fn allowance(&self, rate_per_s: f64, burst: f64) -> f64 {
+        let window_s = num::to_f64(self.window_ms) / 1_000.0;
+        rate_per_s * window_s + burst + self.tolerance(rate_per_s, burst)
+    }
 }
 
 /// The operators' bounds on the behaviour of the system.
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -39,6 +39,7 @@
         .subcommand(request())
         .subcommand(explain())
         .subcommand(losses())
+        .subcommand(charges())
         .subcommand(generate())
 }
 
@@ -241,6 +242,18 @@
         .arg(logs())
 }
 
+fn charges() -> Command {
+    Command::new("charges")
+        .about("Compares what teams were charged, in the logs of any number of nodes, with what a window allows.")
+        .arg(
+            flag("window-ms", "TEASELLINE_WINDOW_MS", REQUEST)
+                .value_name("MS")
+                .default_value("8000")
+                .help("Sums the charges of each team over sliding windows of this length. If log lines were rate limited, charges are missing."),
+        )
+        .arg(logs())
+}
+
 fn logs() -> Arg {
     Arg::new("logs")
         .value_name("FILE")
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -91,6 +91,13 @@
         /// The logs; never empty.
         logs: Vec<Input>,
     },
+    /// Compare charges with limits from logs.
+    Charges {
+        /// Length of the sliding windows, in ms.
+        window_ms: u64,
+        /// The logs; never empty.
+        logs: Vec<Input>,
+    },
     /// Write completions for a shell.
     Completions {
         /// The shell.
@@ -292,6 +299,10 @@
             span_ms: reader.integer("span-ms", 1..=86_400_000),
             logs: reader.files("logs"),
         },
+        "charges" => Action::Charges {
+            window_ms: reader.integer("window-ms", 1..=86_400_000),
+            logs: reader.files("logs"),
+        },
         "request" => Action::Request {
             client: client(&mut reader),
             request: request(&mut reader)?,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,6 @@
 //! Log output, metrics of control traffic and analysis of log records.
 
+pub mod charges;
 pub mod control;
 pub mod explain;
 mod limits;
