--- a/src/telemetry/charges.rs
+++ b/src/telemetry/charges.rs
@@ -96,21 +96,21 @@
     }
     let windows = by_team.into_iter();
     charges.windows = windows
-        .filter_map(|(team, charges)| worst_window(team, charges, window_ms.max(1)))
+        .filter_map(|(team, charges)| worst_window(&team, charges, window_ms.max(1)))
         .collect();
     (charges.windows).sort_by(|a, b| b.used_fraction().total_cmp(&a.used_fraction()));
     charges
 }
 
 /// Returns the window with the highest used fraction among those that start at a charge.
-fn worst_window(team: String, mut charges: Vec<Charge>, window_ms: u64) -> Option<WorstWindow> {
+fn worst_window(team: &str, mut charges: Vec<Charge>, window_ms: u64) -> Option<WorstWindow> {
     charges.sort_by_key(|charge| charge.at_ms);
     let windows = charges.iter().enumerate().map(|(first, charge)| {
         let end_ms = charge.at_ms + window_ms;
         let last = charges.partition_point(|charge| charge.at_ms < end_ms);
         let inside = &charges[first..last];
         WorstWindow {
-            team: team.clone(),
+            team: team.to_owned(),
             start_ms: charge.at_ms,
             used: inside.iter().map(|charge| charge.cost).sum(),
             allowed: inside
