--- a/src/gateway/limits/quota/tests.rs
+++ b/src/gateway/limits/quota/tests.rs
@@ -1,5 +1,6 @@
 mod fleet;
 mod reports;
+mod surge;
 mod windows;
 
 use super::*;
