feature: Refusals name the node's part of the limit

limit_share and limit_credit tell a node that has spent its part from a fleet that has spent the limit. No logic changed.

--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -355,6 +355,8 @@
             limit_level = self.shortfall.map(|shortfall| shortfall.level),
             limit_capacity = self.shortfall.map(|shortfall| shortfall.capacity),
             limit_rate_per_s = self.shortfall.map(|shortfall| shortfall.rate_per_s),
+            limit_share = self.shortfall.map(|shortfall| shortfall.share),
+            limit_credit = self.shortfall.map(|shortfall| shortfall.credit),
             charged = self.charge.map(|charge| charge.cost),
             charge_refunded = self.charge.map(|charge| charge.is_refunded),
             window_allowance = self.charge.and_then(|charge| charge.window_allowance),
--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -1,10 +1,12 @@
 //! Token buckets that enforce each team's limit across all nodes.
 //!
-//! Each node keeps a complete bucket for each team. It deducts its own admissions at once and the
-//! admissions of its peers when their reports arrive, in heartbeats and in the reports of groups.
-//! Where a team spends so fast that those would come too late, a node collects its totals and sends
-//! them to all nodes. A bucket may become negative and then admits nothing until it is refilled,
-//! which pays back what was admitted before the reports arrived.
+//! Each node keeps a copy of each team's bucket, from which it deducts its own admissions at once and
+//! those of its peers when their reports arrive, in heartbeats and in the reports of groups. Where a team
+//! spends so fast that those would come late, a node collects its totals and sends them to all nodes.
+//!
+//! Reports arrive after the fact, so that the copies alone bound nothing: all nodes would spend the same
+//! remainder. Each node therefore spends its own part of the limit ([`allotment`]), and borrows little
+//! beyond it while the copy shows that the team is within its limit.
 //!
 //! A node that has lost contact with some of its peers does not know what they admit. It then
 //! refills its bucket only by the share of the nodes that it can hear. Every partition does the
@@ -69,8 +71,12 @@
     pub level: f64,
     /// Level of a full bucket.
     pub capacity: f64,
-    /// Refill rate on this node.
+    /// Refill rate of the nodes in contact.
     pub rate_per_s: f64,
+    /// Fraction of that which is this node's part.
+    pub share: f64,
+    /// What this node may spend of its part, in units of the limit; negative if it borrowed.
+    pub credit: f64,
     /// Nodes that share the limit.
     pub visibility: FleetVisibility,
     /// Time until the bucket has room again.
@@ -151,6 +157,8 @@
             level: bucket.level,
             capacity: parameters.capacity,
             rate_per_s: parameters.rate_per_s,
+            share: bucket.allotment.share(),
+            credit: bucket.allotment.credit(),
             visibility,
             retry_after_ms: retry_after_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS),
         })
--- a/src/gateway/limits/quota/allotment.rs
+++ b/src/gateway/limits/quota/allotment.rs
@@ -145,6 +145,16 @@
         self.mean_cost = Some(mean + (cost - mean) * COST_WEIGHT);
     }
 
+    /// Returns the fraction of the limit that is this node's.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// Returns what this node may spend, in units of the limit.
+    pub fn credit(&self) -> f64 {
+        self.credit
+    }
+
     /// Returns the fraction of the limit that is the peers'.
     pub fn peers_share(&self) -> f64 {
         1.0 - self.share
