--- a/src/gateway/limits/quota/allotment.rs
+++ b/src/gateway/limits/quota/allotment.rs
@@ -108,14 +108,8 @@
             reported += 1;
         }
         others += idle_per_ms * f64::from(visibility.heard.saturating_sub(reported));
-        let total = own + others;
-        // What no node uses: the nodes that admit have half of it, all nodes the other half.
-        let unused = (rate_per_s / 1_000.0 - total).max(0.0);
-        let by_rate = own * (1.0 + unused / (2.0 * total.max(f64::MIN_POSITIVE)));
-        let by_node = unused * equal_share(visibility) / 2.0;
-        let share = (by_rate + by_node) / (total + unused).max(f64::MIN_POSITIVE);
-        let most = self.grown_share(passed_ms, visibility);
-        self.share = share.min(most);
+        let share = fair_share(own, others, rate_per_s / 1_000.0, visibility);
+        self.share = share.min(self.grown_share(passed_ms, visibility));
     }
 
     /// Returns the largest share that this node may have `passed_ms` after the last update.
@@ -214,3 +208,19 @@
 fn equal_share(visibility: FleetVisibility) -> f64 {
     1.0 / f64::from(visibility.heard.max(1))
 }
+
+/// Returns the share of a node that admits `own_per_ms` of a limit beside its peers' `others_per_ms`.
+///
+/// What no node uses goes half to the nodes that admit, by their rates, and half to all alike.
+fn fair_share(
+    own_per_ms: f64,
+    others_per_ms: f64,
+    limit_per_ms: f64,
+    visibility: FleetVisibility,
+) -> f64 {
+    let total = (own_per_ms + others_per_ms).max(f64::MIN_POSITIVE);
+    let unused = (limit_per_ms - total).max(0.0);
+    let by_rate = own_per_ms * (1.0 + unused / (2.0 * total));
+    let by_node = unused * equal_share(visibility) / 2.0;
+    (by_rate + by_node) / (total + unused)
+}
