docs: What shares add up to, how fast they grow, and what they cost

Read as a newcomer: the module said that the parts always add up to the limit, and that a share grows by its own size in three seconds; it doubles after some two, and peers hear of growth late. Comments and pages only.

--- a/src/gateway/limits/quota/allotment.rs
+++ b/src/gateway/limits/quota/allotment.rs
@@ -1,7 +1,8 @@
 //! One node's part of a team's limit, which it may spend before its peers hear of it.
 //!
-//! The parts of all nodes add up to the limit, so that the limit holds whatever is offered and however
-//! late reports are. The parts follow what the nodes admit: a node that spends less than its part
+//! The parts of all nodes add up to the limit while the nodes know the same rates. A node that grows
+//! exceeds that until its peers have heard of it, which the bound on growth limits; the operators'
+//! tolerance covers it. The parts follow what the nodes admit: a node that spends less than its part
 //! leaves the remainder to the others. While reports show that the team is within its limit, a node may
 //! borrow some requests from the others' parts.
 
@@ -17,7 +18,7 @@
 /// Share of an idle node, as a fraction of an equal share, so that it can spend when its callers return.
 const IDLE_FRACTION: f64 = 0.1;
 
-/// Shortest time in which a share grows by its own size.
+/// Time constant of the fastest growth of a share, which doubles after about two seconds.
 ///
 /// Until the peers hear of the growth and give way, the shares add up to more than the limit.
 const GROWTH_MS: f64 = 3_000.0;
