--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -1,9 +1,11 @@
 //! Crashes at one node; bad parts of prompts, and losses without any, over many simulated nodes.
 
+mod course;
 mod judge;
 mod simulation;
 
-use simulation::{Course, Losses, Outcome, Prompts, run};
+use course::{Course, Losses, Outcome, Prompts};
+use simulation::run;
 
 use super::*;
 
