bug: Answers without end no longer fill a node's memory

Change: the answers that a node reads share 24 MB beyond the first 64 KB of each. A head without end and an event without end were bounded before; tests now show it. The stand-in of an upstream learns three faults.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,6 +2,7 @@
 //! returns the response.
 
 mod admission;
+mod answer_memory;
 mod attempts;
 mod dispatch;
 mod forward;
@@ -20,6 +21,7 @@
 use hyper::body::{Frame, Incoming};
 
 use self::admission::Plan;
+pub(crate) use self::answer_memory::AnswerMemory;
 use self::attempts::Attempts;
 use self::dispatch::Unsent;
 use self::request_log::RequestLog;
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 
 use super::admission::Plan;
+use super::answer_memory::UnreadBody;
 use super::attempts::Attempts;
 use super::request_log::RequestLog;
 use super::upstream_request::UpstreamRequest;
@@ -21,9 +22,6 @@
 use crate::platform::headers::ResponseHead;
 use crate::time::TimeMs;
 
-/// Upper bound of a non-streaming response body.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// The head of an upstream's response and its unread body.
 #[derive(Debug)]
 pub(super) struct UpstreamResponse {
@@ -72,8 +70,7 @@
             estimated_start(context.upstream_request.sent_at, clock::now()),
         );
         let left = Duration::from_millis(clock::now().until(plan.deadline));
-        let whole = Limited::new(body, MAX_BODY_BYTES).collect();
-        let whole = tokio::time::timeout(left, whole);
+        let whole = tokio::time::timeout(left, node.answer_memory.collect(body));
         let Some(whole) = context.upstream_request.unless_restarted(whole).await else {
             let (reason, now) = ("upstream_restarted", clock::now());
             attempts.exclude(context.upstream_request.upstream);
@@ -87,15 +84,14 @@
             Ok(Ok(body)) => {
                 request_log.record_first_event(now);
                 context.finish(node, status, plan, now);
-                Some(body.to_bytes())
+                Some(body)
             }
             Ok(Err(error)) => {
-                let reason = if error.is::<LengthLimitError>() {
-                    "body_too_long"
-                } else {
-                    "body_broken"
-                };
-                (context.upstream_request).record_failure(reason, &plan.subjects, now);
+                let reason = error.reason();
+                // The upstream of an answer that found no memory may be sound.
+                if !matches!(error, UnreadBody::NoMemory) {
+                    (context.upstream_request).record_failure(reason, &plan.subjects, now);
+                }
                 attempts.exclude(context.upstream_request.upstream);
                 request_log.record_failed_attempt(reason, &error.to_string(), now);
                 None
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use super::connections::ConnectionPool;
 use super::crashes::Crashes;
 use super::demand::DemandTracker;
+use super::exchange::AnswerMemory;
 use super::forwarding::{self, Forwarding};
 use super::fragments::Reassembly;
 use super::lease::{Holder, Lease};
@@ -92,6 +93,8 @@
     pub reassembly: Mutex<Reassembly>,
     pub lease: Mutex<Lease>,
     pub channels: ConnectionPool,
+    /// Memory that whole answers of upstreams take up while they are read.
+    pub answer_memory: AnswerMemory,
     /// Connections to peers that send requests in place of this node.
     pub forwarding: Connections<Forwarding>,
     /// Routes that have metric labels of their own.
@@ -202,6 +205,7 @@
             reassembly: Mutex::default(),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: ConnectionPool::default(),
+            answer_memory: AnswerMemory::default(),
             forwarding: forwarding::connections(settings.store_address, incarnation),
             route_labels: Mutex::default(),
             in_flight: AtomicUsize::new(0),
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -108,6 +108,12 @@
             .join(format!("{}.json", self.launch.name))
     }
 
+    /// The id of its process.
+    #[must_use]
+    pub fn process_id(&self) -> u32 {
+        self.child.lock().id()
+    }
+
     /// Sends it a signal.
     ///
     /// # Errors
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -14,6 +14,9 @@
 /// Work of a plain call, and between two events of a stream.
 const WORK_MS: u64 = 10;
 
+/// Bytes that an endless answer writes at a time.
+const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
+
 const RESET: After = After::Ends(ChannelEnd::Reset);
 
 impl Core {
@@ -126,6 +129,16 @@
                 socket.write_all(format!("{head}fail").as_bytes()).await?;
                 Ok(After::Stays)
             }
+            Fault::EndlessBytes => self.endless(socket, place, "", "!").await,
+            Fault::EndlessHead => {
+                let begin = format!("HTTP/1.1 200 OK\r\nrequest-attempt-id: {id}\r\n");
+                self.endless(socket, place, &begin, "filler: filler\r\n")
+                    .await
+            }
+            Fault::EndlessBody => {
+                let head = self.head("200 OK", id, "connection: close\r\n");
+                self.endless(socket, place, &head, "filler ").await
+            }
             _ if request.path.contains("stream") => {
                 self.stream(socket, request, place, fault).await
             }
@@ -153,6 +166,23 @@
         }
     }
 
+    /// Sends `begin`, then `filler` again and again until the channel is closed.
+    async fn endless(
+        &self,
+        socket: &mut TcpStream,
+        place: usize,
+        begin: &str,
+        filler: &str,
+    ) -> io::Result<After> {
+        let block = filler.repeat(ENDLESS_BLOCK_BYTES / filler.len());
+        let mut written = socket.write_all(begin.as_bytes()).await;
+        while written.is_ok() {
+            written = socket.write_all(block.as_bytes()).await;
+        }
+        self.runs.lock()[place].left_at_ms = Some(now_ms());
+        Ok(RESET)
+    }
+
     async fn stream(
         &self,
         socket: &mut TcpStream,
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -25,6 +25,12 @@
     BreaksBegunStreams,
     /// It answers without a length and resets the channel in the middle.
     UnframedReset,
+    /// It sends bytes that are no answer until the channel is closed.
+    EndlessBytes,
+    /// It sends lines of a head until the channel is closed.
+    EndlessHead,
+    /// It sends a body without a length until the channel is closed.
+    EndlessBody,
 }
 
 /// How the end of an answer is told.
--- /dev/null
+++ b/tests/platform/endless.rs
@@ -0,0 +1,95 @@
+//! Upstreams that send bytes that are no answer until the node closes the connection.
+
+use std::time::Duration;
+
+use teaselline_stand_ins::operators::deployment::asked;
+use teaselline_stand_ins::operators::{Deployment, Fault};
+
+use super::support::{deployment, eventually, send};
+
+/// Requests under way at once.
+const CALLS: usize = 24;
+
+/// Most memory that the node may gain, half of the smallest host that operators name.
+const MAX_GAINED_KB: u64 = 80 * 1024;
+
+/// Latest time after the end of a request by which the upstream sees its connection closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most memory that the node's process has held, in kilobytes.
+fn peak_kb(deployment: &Deployment) -> u64 {
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
+    let status = status.expect("the node runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+    peak.and_then(|peak| peak.parse().ok())
+        .expect("the process has a peak")
+}
+
+/// Sends calls to upstreams with this fault; each has to fail, and no connection may stay open.
+async fn endless_answers_end(fault: Fault, route: &str) {
+    let deployment = deployment(1, 2).await;
+    send(&deployment, 0, &asked("before", route)).await;
+    let before_kb = peak_kb(&deployment);
+    for upstream in &deployment.upstreams {
+        upstream.set(fault);
+    }
+    let calls = (0..CALLS).map(|place| {
+        let call = asked(&format!("endless-{place}"), route);
+        let node = deployment.nodes[0].callers();
+        async move { call.send(node).await }
+    });
+    for ended in futures::future::join_all(calls).await {
+        assert_ne!(ended.status(), Some(200), "{fault:?}, {route}: {ended:?}");
+    }
+    let gained_kb = peak_kb(&deployment).saturating_sub(before_kb);
+    assert!(
+        gained_kb <= MAX_GAINED_KB,
+        "{fault:?}, {route}: {gained_kb} kB"
+    );
+    let is_closed = async || {
+        let runs = (0..CALLS).flat_map(|place| deployment.runs_of(&format!("endless-{place}")));
+        runs.into_iter().all(|run| run.left_at_ms.is_some())
+    };
+    let closed = tokio::time::timeout(
+        CLOSE_TIMEOUT,
+        eventually("connections stay open", is_closed),
+    );
+    assert!(closed.await.is_ok(), "{fault:?}, {route}: open connections");
+    for upstream in &deployment.upstreams {
+        upstream.set(Fault::None);
+    }
+    eventually("the node serves again", async || {
+        send(&deployment, 0, &asked("after", route)).await.status() == Some(200)
+    })
+    .await;
+}
+
+/// Guards against a node that reads until its memory is full where an upstream sends bytes without end in place of a head.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bytes_in_place_of_a_head_end_the_attempt() {
+    endless_answers_end(Fault::EndlessBytes, "once").await;
+    endless_answers_end(Fault::EndlessBytes, "stream").await;
+}
+
+/// Guards against a node that reads until its memory is full where a head does not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_head_ends_the_attempt() {
+    endless_answers_end(Fault::EndlessHead, "once").await;
+    endless_answers_end(Fault::EndlessHead, "stream").await;
+}
+
+/// Guards against a node whose memory is filled by bodies that do not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_bodies_stay_within_the_nodes_memory() {
+    endless_answers_end(Fault::EndlessBody, "once").await;
+    endless_answers_end(Fault::EndlessBody, "again").await;
+}
+
+/// Guards against a node whose memory is filled by an event that does not end.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_event_ends_the_stream() {
+    endless_answers_end(Fault::EndlessBody, "stream").await;
+    endless_answers_end(Fault::EndlessBody, "stream-on").await;
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod crashing_parts;
 mod duties;
+mod endless;
 mod explained;
 mod input;
 mod leaving;
