feature: The owner of a team's limit leases credit to the nodes

Cause: each node spent its own part of a team's limit, so that requests larger than a part were refused at a third of the limit. Change: the node that collects a team's totals grants credit on request; nodes spend it at once, ask ahead, wait at most 60 ms, and fall back to their parts if it does not answer. New folder limits/credit; two messages; fields of request_ended, events, metrics and gauges.

--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -6,6 +6,7 @@
 use crate::gateway::catalog::{Route, Team};
 use crate::gateway::clock;
 use crate::gateway::crashes::breaks;
+use crate::gateway::limits::credit::CreditSource;
 use crate::gateway::limits::quota::Shortfall;
 use crate::gateway::num;
 use crate::gateway::refusal::Refusal;
@@ -137,6 +138,8 @@
     shortfall: Option<Shortfall>,
     /// What this node charged to the team's limit.
     charge: Option<Charge>,
+    /// What decided on the charge, and for how long the request waited for it.
+    credit: Option<(CreditSource, u64)>,
     is_finished: bool,
 }
 
@@ -167,6 +170,7 @@
             retry_after_ms: None,
             shortfall: None,
             charge: None,
+            credit: None,
             is_finished: false,
         }
     }
@@ -214,6 +218,11 @@
         self.charge = Some(charge);
     }
 
+    /// Records what decided on the charge, and for how long the request waited for it.
+    pub fn record_credit(&mut self, source: CreditSource, wait_ms: u64) {
+        self.credit = Some((source, wait_ms));
+    }
+
     /// Records that the charge was returned because the request did not run.
     pub fn record_refund(&mut self) {
         if let Some(charge) = &mut self.charge {
@@ -359,6 +368,8 @@
             limit_credit = self.shortfall.map(|shortfall| shortfall.credit),
             charged = self.charge.map(|charge| charge.cost),
             charge_refunded = self.charge.map(|charge| charge.is_refunded),
+            credit_source = self.credit.map(|(source, _wait_ms)| source.as_str()),
+            credit_wait_ms = self.credit.map(|(_source, wait_ms)| wait_ms),
             window_allowance = self.charge.and_then(|charge| charge.window_allowance),
             nodes_known = self.shortfall.map(|shortfall| shortfall.visibility.known),
             nodes_heard = self.shortfall.map(|shortfall| shortfall.visibility.heard),
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -139,6 +139,7 @@
         }
     }
     drop(quotas);
+    publish_credit(node, now);
     let (blocked, crashes, dropped) = {
         let crashes = node.crashes.lock();
         (crashes.blocked_count(now), crashes.len(), crashes.dropped())
@@ -150,6 +151,19 @@
     gauge!("teaselline_crashes_dropped").set(num::to_f64(dropped));
 }
 
+fn publish_credit(node: &Gateway, now: TimeMs) {
+    let catalog = node.catalog();
+    let credit = node.credit.lock();
+    for team in &catalog.teams {
+        let Some(standing) = credit.leases.standing(team.tag, now) else {
+            continue;
+        };
+        gauge!("teaselline_credit_held", "team" => team.name.clone()).set(standing.held);
+        gauge!("teaselline_credit_outstanding", "team" => team.name.clone())
+            .set(standing.outstanding.unwrap_or(0.0));
+    }
+}
+
 fn flag(is_set: bool) -> f64 {
     f64::from(u8::from(is_set))
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,6 +19,7 @@
 
 use super::clock;
 use super::crashes::reports as crash_reports;
+use super::limits::credit;
 use super::limits::throttle::Sharers;
 use super::messages::Message;
 use super::peers::PEER_EXPIRY_MS;
@@ -110,6 +111,7 @@
             _tick = ticks.tick() => {
                 let now = clock::now();
                 divide_limits(&node, now);
+                credit::update(&node, now);
                 crash_reports::send_due(&node, now);
                 send_admitted_totals(&node, &socket, now).await;
                 send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use crate::gateway::announcements;
+use crate::gateway::catalog::Team;
 use crate::gateway::configuration_sync;
 use crate::gateway::crashes::reports as crash_reports;
 use crate::gateway::fragments::MAX_MESSAGE_BYTES;
 use crate::gateway::handover;
 use crate::gateway::lease::Holder;
+use crate::gateway::limits::credit;
 use crate::gateway::limits::quota::AdmittedTotal;
 use crate::gateway::limits::throttle::LimitReport;
 use crate::gateway::messages::{Account, GroupReport, Heartbeat, Message, Status};
@@ -85,6 +87,8 @@
             streams::apply_statement(node, key, statement, from);
         }
         Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
+        Message::CreditAsk(ask) => credit::apply_ask(node, ask, from, now),
+        Message::CreditGrant(grant) => credit::apply_grant(node, grant, from, now),
         Message::Crash(crash) => crash_reports::apply_crash(node, crash, now),
         Message::Sound(told) => crash_reports::apply_sound(node, &told, now),
         Message::Fragment(fragment) => {
@@ -113,14 +117,26 @@
 
 fn apply_admitted(node: &Gateway, totals: &[(u64, AdmittedTotal)], now: TimeMs) {
     let catalog = node.catalog();
-    let mut quotas = node.quotas.lock();
     for (incarnation, total) in totals {
         if *incarnation != node.incarnation {
-            quotas.record_peer(*incarnation, &[*total], &catalog.teams, now);
+            record_admitted(node, *incarnation, &[*total], &catalog.teams, now);
         }
     }
 }
 
+/// Deducts what a peer has admitted since its last report.
+fn record_admitted(
+    node: &Gateway,
+    incarnation: u64,
+    totals: &[AdmittedTotal],
+    teams: &[Team],
+    now: TimeMs,
+) {
+    let mut credit = node.credit.lock();
+    let mut quotas = node.quotas.lock();
+    (credit.leases).record_peer(incarnation, totals, teams, &mut quotas, now);
+}
+
 fn apply_decided(node: &Gateway, decided: &Decision) {
     if node.rollouts.lock().apply_decision(decided) {
         log::info!(event = "rollout_stage", order:% = decided.order, stage:? = decided.stage; "a rollout entered another stage");
@@ -189,7 +205,7 @@
     (node.in_force.write()).record_peer_version(status.configuration_version);
     (node.upstreams.lock()).set_peer_loads(incarnation, &status.loads);
     let catalog = node.catalog();
-    (node.quotas.lock()).record_peer(incarnation, &status.admitted, &catalog.teams, now);
+    record_admitted(node, incarnation, &status.admitted, &catalog.teams, now);
     if !status.observed.is_empty() {
         (node.rollouts.lock()).record_observations(incarnation, status.observed.clone());
     }
--- /dev/null
+++ b/src/gateway/limits/credit/tests/grants.rs
@@ -0,0 +1,435 @@
+//! Decisions of one owner and one node on single messages.
+
+use super::*;
+use crate::gateway::limits::credit::wire::InvalidAmount;
+use crate::gateway::limits::quota::Admission;
+
+const OWNER: u64 = 1;
+const NODE: u64 = 2;
+const RATE_PER_S: f64 = 1_000_000.0;
+
+/// An owner and a node that serve a team of two nodes.
+struct Pair {
+    team: Team,
+    owner: (CreditLeases, Quotas),
+    node: (CreditLeases, Quotas),
+}
+
+impl Pair {
+    fn new(team: Team) -> Self {
+        let start = |incarnation| {
+            let mut quotas = Quotas::new(Some(WINDOW), incarnation, TimeMs(0));
+            quotas.set_visibility(visibility(2));
+            quotas.record_contact(OWNER + NODE - incarnation, at(0));
+            (CreditLeases::new(incarnation, at(0)), quotas)
+        };
+        Self {
+            team,
+            owner: start(OWNER),
+            node: start(NODE),
+        }
+    }
+
+    fn arrive(&mut self, cost: f64, now: TimeMs) -> (Arrival, Option<CreditAsk>) {
+        let (leases, quotas) = &mut self.node;
+        let (_ticket, arrival) = leases.arrive(&self.team, cost, quotas, now);
+        (arrival, leases.next_ask(&self.team, quotas, now))
+    }
+
+    fn answer(&mut self, ask: CreditAsk, now: TimeMs) -> Option<CreditGrant> {
+        let ask = CheckedAsk::try_from(ask).expect("valid amounts");
+        let (leases, quotas) = &mut self.owner;
+        leases.answer(&ask, &self.team, quotas, 0.5, now)
+    }
+
+    fn apply(&mut self, grant: CreditGrant, now: TimeMs) -> Option<Vec<(Ticket, Verdict)>> {
+        let grant = CheckedGrant::try_from(grant).expect("valid amounts");
+        let (leases, quotas) = &mut self.node;
+        leases.apply_grant(&grant, &self.team, quotas, now)
+    }
+
+    fn update(&mut self, teams: &[Team], now: TimeMs) {
+        let (leases, quotas) = &mut self.owner;
+        leases.update(teams, |_team| true, quotas, now);
+        let (leases, quotas) = &mut self.node;
+        leases.update(teams, |_team| false, quotas, now);
+    }
+
+    fn outstanding(&self, now: TimeMs) -> f64 {
+        let standing = self.owner.0.standing(self.team.tag, now);
+        standing
+            .and_then(|standing| standing.outstanding)
+            .unwrap_or(0.0)
+    }
+
+    fn held(&self, now: TimeMs) -> f64 {
+        let standing = self.node.0.standing(self.team.tag, now);
+        standing.map_or(0.0, |standing| standing.held)
+    }
+}
+
+/// Returns whether the verdicts admit `count` requests and nothing else.
+fn admits(settled: Option<&[(Ticket, Verdict)]>, count: usize) -> bool {
+    let settled = settled.unwrap_or_default();
+    settled.len() == count
+        && settled
+            .iter()
+            .all(|(_ticket, verdict)| *verdict == Verdict::Admitted)
+}
+
+#[test]
+fn request_waits_for_one_answer_and_is_admitted() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let (arrival, ask) = pair.arrive(8_000.0, at(0));
+    assert_eq!(arrival, Arrival::Waits);
+    let grant = pair.answer(ask.expect("an ask"), at(2)).expect("a grant");
+    assert!((grant.granted - 8_000.0).abs() < 1.0, "{grant:?}");
+    assert!(admits(pair.apply(grant, at(4)).as_deref(), 1));
+}
+
+#[test]
+fn requests_that_arrive_during_an_ask_share_the_next_one() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let first = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    assert_eq!(pair.arrive(3_000.0, at(1)).1, None);
+    assert_eq!(pair.arrive(2_000.0, at(1)).1, None);
+    let grant = pair.answer(first, at(2)).expect("a grant");
+    // Small ones first: the credit for the first request covers the two later ones.
+    assert!(admits(pair.apply(grant, at(4)).as_deref(), 2));
+    let (leases, quotas) = &mut pair.node;
+    let second = leases.next_ask(&pair.team, quotas, at(4)).expect("an ask");
+    assert!((second.waiting - 8_000.0).abs() < 1.0, "{second:?}");
+    let grant = pair.answer(second, at(6)).expect("a grant");
+    assert!(admits(pair.apply(grant, at(8)).as_deref(), 1));
+}
+
+/// Guards against granting the credit of a lost answer a second time.
+#[test]
+fn repeated_ask_gets_the_same_grant() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let first = pair.answer(ask, at(2)).expect("a grant");
+    let (leases, _quotas) = &mut pair.node;
+    assert_eq!(leases.repeat_ask(&pair.team, at(10)), None);
+    assert_eq!(leases.repeat_ask(&pair.team, at(20)), Some(ask));
+    assert_eq!(pair.answer(ask, at(22)), Some(first));
+    assert!((pair.outstanding(at(22)) - 8_000.0).abs() < 1.0);
+}
+
+/// Guards against credit that is added twice, or by an answer to an ask that the node has replaced.
+#[test]
+fn grant_for_another_ask_than_the_last_is_ignored() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    assert!(pair.apply(grant, at(4)).is_some());
+    assert_eq!(pair.apply(grant, at(5)), None);
+    let older = CreditGrant {
+        sequence: grant.sequence - 1,
+        ..grant
+    };
+    assert_eq!(pair.apply(older, at(6)), None);
+    assert!(pair.held(at(6)) < 1.0);
+}
+
+/// Guards against an ask that overtook a newer one and restores credit that was spent.
+#[test]
+fn ask_that_arrives_after_a_newer_one_is_not_answered() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let older = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let newer = pair.arrive(8_000.0, at(70)).1.expect("an ask");
+    assert!(pair.answer(newer, at(72)).is_some());
+    assert_eq!(pair.answer(older, at(73)), None);
+}
+
+/// Guards against an owner that takes the asks of a node that has forgotten the team for late ones.
+#[test]
+fn node_that_comes_back_to_a_team_is_answered() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let teams = [pair.team.clone()];
+    for now_ms in [0, 100, 200] {
+        let ask = pair.arrive(8_000.0, at(now_ms)).1.expect("an ask");
+        let grant = pair.answer(ask, at(now_ms + 2)).expect("a grant");
+        pair.apply(grant, at(now_ms + 4));
+    }
+    let (leases, quotas) = &mut pair.node;
+    leases.update(&teams, |_team| false, quotas, at(200 + LEASE_MS));
+    assert_eq!(
+        pair.node.0.standing(pair.team.tag, at(200 + LEASE_MS)),
+        None
+    );
+    let ask = pair.arrive(8_000.0, at(201 + LEASE_MS)).1.expect("an ask");
+    assert!(pair.answer(ask, at(201 + LEASE_MS)).is_some());
+}
+
+/// Guards against an owner that, once thawed, refuses for what its successor granted meanwhile.
+#[test]
+fn thawed_owner_bears_no_more_debt_than_grants_cause() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let teams = [pair.team.clone()];
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    pair.apply(grant, at(4));
+    let total = AdmittedTotal {
+        team: pair.team.tag,
+        base: 8_000.0,
+        total: 3.0 * RATE_PER_S,
+    };
+    pair.owner.1.record_peer(NODE, &[total], &teams, at(3_000));
+    let ask = pair.arrive(8_000.0, at(3_010)).1.expect("an ask");
+    let grant = pair.answer(ask, at(3_012)).expect("an answer");
+    assert!(grant.available >= -RATE_PER_S / 2.0, "{grant:?}");
+}
+
+/// Guards against a node that was frozen and spends credit that the owner has granted anew.
+#[test]
+fn lease_counts_from_when_the_ask_was_sent() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(500)).expect("a grant");
+    // The node is frozen between sending the ask and reading the answer.
+    assert_eq!(pair.apply(grant, at(LEASE_MS)), Some(Vec::new()));
+    assert!(pair.held(at(LEASE_MS)) <= 0.0);
+    assert!(pair.outstanding(at(LEASE_MS)) > 0.0);
+    let teams = [pair.team.clone()];
+    pair.update(&teams, at(500 + LEASE_MS));
+    assert!(pair.outstanding(at(500 + LEASE_MS)) <= 0.0);
+}
+
+/// Guards against usage that is deducted both as reported and as outstanding.
+#[test]
+fn reported_usage_reduces_the_outstanding_credit() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    pair.apply(grant, at(4));
+    let total = pair.node.1.own_total(&pair.team, at(5)).expect("a total");
+    let (leases, quotas) = &mut pair.owner;
+    let before = quotas.fleet_bucket(&pair.team, at(6));
+    let teams = [pair.team.clone()];
+    leases.record_peer(NODE, &[total], &teams, quotas, at(6));
+    assert_eq!(quotas.fleet_bucket(&pair.team, at(6)), before);
+    assert!(pair.outstanding(at(6)) < 1.0);
+}
+
+/// Guards against an owner that is asked for each request of a team far beyond its limit.
+#[test]
+fn denial_refuses_locally_until_its_end() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let (leases, quotas) = &mut pair.owner;
+    while leases.admit_owned(&pair.team, 8_000.0, quotas, at(0)) == Verdict::Admitted {}
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a denial");
+    assert!(grant.quiet_ms > 0 && grant.granted <= 0.0, "{grant:?}");
+    let settled = pair.apply(grant, at(4)).expect("a decision");
+    assert!(matches!(settled[..], [(_, Verdict::Refused(_))]));
+    let (arrival, ask) = pair.arrive(8_000.0, at(5));
+    assert!(matches!(arrival, Arrival::Decided(Verdict::Refused(_))));
+    assert_eq!(ask, None);
+    let (arrival, ask) = pair.arrive(8_000.0, at(4 + grant.quiet_ms));
+    assert_eq!((arrival, ask.is_some()), (Arrival::Waits, true));
+}
+
+/// Guards against requests that wait one after the other for an owner that does not answer.
+#[test]
+fn silent_owner_is_probed_and_no_request_waits_for_it() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let (leases, quotas) = &mut pair.node;
+    let (ticket, _waits) = leases.arrive(&pair.team, 8_000.0, quotas, at(0));
+    let asked = leases.next_ask(&pair.team, quotas, at(0));
+    assert!(asked.is_some());
+    let settled = leases.give_up(&pair.team, ticket, at(ANSWER_TIMEOUT_MS));
+    assert_eq!(settled, [(ticket, Verdict::Unanswered)]);
+    let mut probes = 0;
+    for now_ms in ANSWER_TIMEOUT_MS..ANSWER_TIMEOUT_MS + 1_000 {
+        let (arrival, ask) = pair.arrive(100.0, at(now_ms));
+        assert_eq!(arrival, Arrival::Decided(Verdict::Unanswered));
+        probes += usize::from(ask.is_some());
+    }
+    assert!((3..=4).contains(&probes), "{probes}");
+    let late = pair.arrive(100.0, at(2_000)).1.expect("a probe");
+    let grant = pair.answer(late, at(2_002)).expect("an answer");
+    pair.apply(grant, at(2_004));
+    assert_eq!(pair.arrive(8_000.0, at(2_005)).0, Arrival::Waits);
+}
+
+/// Guards against a new owner that grants what its predecessor's leases still hold.
+#[test]
+fn new_owner_withholds_what_may_be_out_for_one_lease() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let teams = [pair.team.clone()];
+    for step in 1..=20_u32 {
+        let total = AdmittedTotal {
+            team: pair.team.tag,
+            base: 0.0,
+            total: f64::from(step) * 100_000.0,
+        };
+        let now = at(u64::from(step) * 200);
+        pair.owner.1.record_peer(NODE, &[total], &teams, now);
+        pair.update(&teams, now);
+    }
+    let available = |pair: &mut Pair, now| {
+        let ask = pair.arrive(1.0, now).1.expect("an ask");
+        let grant = pair.answer(ask, now).expect("an answer");
+        pair.apply(grant, now);
+        let level = pair
+            .owner
+            .1
+            .fleet_bucket(&pair.team, now)
+            .expect("a bucket");
+        level.level - grant.available
+    };
+    let withheld = available(&mut pair, at(4_000));
+    assert!(withheld > 50_000.0, "{withheld}");
+    pair.update(&teams, at(4_900));
+    let later = available(&mut pair, at(4_000 + LEASE_MS));
+    assert!(later < 10.0, "{later}");
+}
+
+/// Guards against credit of a team that was removed from the configuration.
+#[test]
+fn removed_team_loses_its_credit_and_its_ledger() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    pair.update(&[], at(3));
+    assert_eq!(pair.owner.0.standing(pair.team.tag, at(3)), None);
+    assert_eq!(pair.node.0.standing(pair.team.tag, at(3)), None);
+    assert_eq!(pair.apply(grant, at(4)), None);
+}
+
+/// Guards against credit of the former limit at a node after the limit was lowered.
+#[test]
+fn held_credit_falls_with_the_limit() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = CreditGrant {
+        granted: 108_000.0,
+        ..pair.answer(ask, at(2)).expect("a grant")
+    };
+    pair.apply(grant, at(4));
+    pair.team = team(RATE_PER_S / 10.0);
+    pair.arrive(1.0, at(5));
+    assert!(pair.held(at(5)) <= 10_000.0, "{}", pair.held(at(5)));
+}
+
+/// Guards against state that grows with the number of configured teams.
+#[test]
+fn state_holds_only_teams_in_use() {
+    let teams: Vec<Team> = (0..1_400)
+        .map(|number| Team {
+            tag: number,
+            ..team(RATE_PER_S)
+        })
+        .collect();
+    let mut pair = Pair::new(teams[7].clone());
+    for now_ms in (0..5_000).step_by(100) {
+        pair.team = teams[usize::from(now_ms < 2_500)].clone();
+        if let (_arrival, Some(ask)) = pair.arrive(8_000.0, at(now_ms)) {
+            let grant = pair.answer(ask, at(now_ms)).expect("a grant");
+            pair.apply(grant, at(now_ms));
+        }
+        pair.update(&teams, at(now_ms));
+    }
+    let in_use = |leases: &CreditLeases| {
+        let standings = teams
+            .iter()
+            .filter_map(|team| leases.standing(team.tag, at(5_000)));
+        standings.count()
+    };
+    assert_eq!((in_use(&pair.owner.0), in_use(&pair.node.0)), (1, 1));
+}
+
+/// Guards against amounts in a datagram that would make a level infinite or not a number.
+#[test]
+fn messages_with_invalid_amounts_are_rejected() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    for amount in [f64::NAN, f64::INFINITY, -1.0] {
+        let admitted = AdmittedTotal {
+            team: ask.team,
+            base: 0.0,
+            total: amount,
+        };
+        let asks = [
+            CreditAsk {
+                held: amount,
+                ..ask
+            },
+            CreditAsk {
+                ahead: amount,
+                ..ask
+            },
+            CreditAsk {
+                waiting: amount,
+                ..ask
+            },
+            CreditAsk {
+                least_cost: amount,
+                ..ask
+            },
+            CreditAsk {
+                admitted: Some(admitted),
+                ..ask
+            },
+        ];
+        for ask in asks {
+            assert_eq!(CheckedAsk::try_from(ask), Err(InvalidAmount), "{ask:?}");
+        }
+        let granted = CreditGrant {
+            granted: amount,
+            ..grant
+        };
+        assert_eq!(CheckedGrant::try_from(granted), Err(InvalidAmount));
+    }
+}
+
+/// Guards against a limit of zero that admits, and a huge one that overflows.
+#[test]
+fn extreme_limits_neither_admit_without_end_nor_refuse_all() {
+    let mut none = Pair::new(team(0.0));
+    let mut admitted = 0.0;
+    for now_ms in 0..4_000 {
+        let (leases, quotas) = &mut none.owner;
+        let verdict = leases.admit_owned(&none.team, 8_000.0, quotas, at(now_ms));
+        admitted += 8_000.0 * f64::from(u8::from(verdict == Verdict::Admitted));
+    }
+    assert!(admitted <= WINDOW.allowance(0.0, 0.0), "{admitted}");
+    let mut huge = Pair::new(team(1e18));
+    let ask = huge.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = huge.answer(ask, at(2)).expect("a grant");
+    assert!(admits(huge.apply(grant, at(4)).as_deref(), 1));
+}
+
+/// Guards against messages that exceed a datagram's share of a small link.
+#[test]
+fn messages_take_few_bytes() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let ask = pair.arrive(8_000.0, at(0)).1.expect("an ask");
+    let grant = pair.answer(ask, at(2)).expect("a grant");
+    pair.apply(grant, at(4));
+    let later = pair.arrive(8_000.0, at(100)).1.expect("an ask");
+    let config = bincode::config::standard();
+    let ask_bytes = bincode::encode_to_vec(later, config)
+        .expect("an encoding")
+        .len();
+    let grant_bytes = bincode::encode_to_vec(grant, config)
+        .expect("an encoding")
+        .len();
+    assert!(ask_bytes <= 100, "{ask_bytes}");
+    assert!(grant_bytes <= 60, "{grant_bytes}");
+}
+
+/// Guards against a node that loses its owner and spends its part on top of what it leased.
+#[test]
+fn leased_spending_uses_up_the_own_part_and_leaves_no_debt() {
+    let team = team(RATE_PER_S);
+    let mut quotas = Quotas::new(Some(WINDOW), 1, TimeMs(0));
+    quotas.set_visibility(visibility(2));
+    quotas.charge_leased(&team, RATE_PER_S, at(0));
+    let small = quotas.admit(&team, 8_000.0, visibility(2), at(0));
+    assert!(matches!(small, Admission::Over(_)), "{small:?}");
+    let later = quotas.admit(&team, 8_000.0, visibility(2), at(500));
+    assert_eq!(later, Admission::Admitted);
+}
--- /dev/null
+++ b/src/gateway/limits/credit/waiting.rs
@@ -0,0 +1,355 @@
+//! Admits requests by leased credit, and passes asks and grants between the nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng as _;
+use tokio::sync::oneshot;
+
+use super::holder::RESEND_MS;
+use super::{ANSWER_TIMEOUT_MS, Arrival, CheckedAsk, CheckedGrant, CreditAsk, CreditGrant};
+use super::{CreditLeases, OwnershipChange, Ticket, Verdict};
+use crate::gateway::catalog::Team;
+use crate::gateway::clock;
+use crate::gateway::limits::quota::{Admission, FleetVisibility};
+use crate::gateway::messages::Message;
+use crate::gateway::num;
+use crate::gateway::state::{Gateway, Recipients};
+use crate::time::TimeMs;
+
+/// The leases of a node and the requests that wait for credit.
+#[derive(Debug)]
+pub(crate) struct Credit {
+    pub leases: CreditLeases,
+    waiters: Vec<(Ticket, oneshot::Sender<Verdict>)>,
+}
+
+/// What decided on a request of a team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CreditSource {
+    /// The team has no limit, or this node knows no other.
+    Undivided,
+    /// This node is the team's owner.
+    Owned,
+    /// Credit that was at hand.
+    Held,
+    /// An earlier denial of the owner.
+    Denied,
+    /// The owner's answer.
+    Asked,
+    /// This node's own part, as the owner did not answer.
+    Fallback,
+}
+
+/// The decision on a request, and how it was taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Decision {
+    pub admission: Admission,
+    pub source: CreditSource,
+    /// Time for which the request waited for credit.
+    pub wait_ms: u64,
+}
+
+impl CreditSource {
+    /// Returns the source as a log field and metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Undivided => "undivided",
+            Self::Owned => "owned",
+            Self::Held => "held",
+            Self::Denied => "denied",
+            Self::Asked => "asked",
+            Self::Fallback => "fallback",
+        }
+    }
+
+    /// Whether the charge was taken from credit that this node holds.
+    fn is_leased(self) -> bool {
+        matches!(self, Self::Held | Self::Asked)
+    }
+}
+
+impl Credit {
+    /// Creates the state of a node that holds no credit.
+    pub fn new(incarnation: u64, now: TimeMs) -> Self {
+        Self {
+            leases: CreditLeases::new(incarnation, now),
+            waiters: Vec::new(),
+        }
+    }
+
+    fn register(&mut self, ticket: Ticket) -> oneshot::Receiver<Verdict> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.push((ticket, sender));
+        receiver
+    }
+
+    /// Passes verdicts on; returns the tickets of admitted requests whose callers have left.
+    fn deliver(&mut self, settled: &[(Ticket, Verdict)]) -> Vec<Ticket> {
+        let mut abandoned = Vec::new();
+        for (ticket, verdict) in settled {
+            let position = self
+                .waiters
+                .iter()
+                .position(|(waiter, _sender)| waiter == ticket);
+            let sender = position.map(|index| self.waiters.swap_remove(index).1);
+            let is_received = sender.is_some_and(|sender| sender.send(*verdict).is_ok());
+            if !is_received && *verdict == Verdict::Admitted {
+                abandoned.push(*ticket);
+            }
+        }
+        abandoned
+    }
+}
+
+/// Decides on a request of a team; waits at most once for the team's owner.
+pub(crate) async fn admit(node: &Gateway, team: &Team, cost: f64, now: TimeMs) -> Decision {
+    let (visibility, owner) = {
+        let peers = node.peers.lock();
+        (peers.visibility(now), peers.quota_collector(team.tag, now))
+    };
+    if team.rate_per_s.is_none() || visibility.known <= 1 {
+        let admission = node.quotas.lock().admit(team, cost, visibility, now);
+        return Decision::at_once(admission, CreditSource::Undivided);
+    }
+    node.quotas.lock().set_visibility(visibility);
+    let Some(owner) = owner else {
+        let verdict = {
+            let mut credit = node.credit.lock();
+            let mut quotas = node.quotas.lock();
+            credit.leases.admit_owned(team, cost, &mut quotas, now)
+        };
+        let admission = admission(node, team, cost, verdict, visibility, now);
+        return Decision::at_once(admission, CreditSource::Owned);
+    };
+    let (arrival, ticket, receiver, ask) = {
+        let mut credit = node.credit.lock();
+        let mut quotas = node.quotas.lock();
+        let (ticket, arrival) = credit.leases.arrive(team, cost, &mut quotas, now);
+        let is_waiting = arrival == Arrival::Waits;
+        let receiver = is_waiting.then(|| credit.register(ticket));
+        let ask = credit.leases.next_ask(team, &mut quotas, now);
+        (arrival, ticket, receiver, ask)
+    };
+    send_ask(node, owner, ask);
+    let (verdict, source) = match (arrival, receiver) {
+        (Arrival::Decided(verdict), _) => (verdict, source_at_once(verdict)),
+        (Arrival::Waits, Some(receiver)) => {
+            let verdict = wait(node, team, owner, ticket, receiver, now).await;
+            (verdict, source_after_wait(verdict))
+        }
+        (Arrival::Waits, None) => (Verdict::Unanswered, CreditSource::Fallback),
+    };
+    let end = clock::now();
+    let wait_ms = end.since(now);
+    metrics::histogram!("teaselline_credit_wait_ms").record(num::to_f64(wait_ms));
+    Decision {
+        admission: admission(node, team, cost, verdict, visibility, end),
+        source,
+        wait_ms,
+    }
+}
+
+impl Decision {
+    fn at_once(admission: Admission, source: CreditSource) -> Self {
+        Self {
+            admission,
+            source,
+            wait_ms: 0,
+        }
+    }
+}
+
+fn source_at_once(verdict: Verdict) -> CreditSource {
+    match verdict {
+        Verdict::Admitted => CreditSource::Held,
+        Verdict::Refused(_) => CreditSource::Denied,
+        Verdict::Unanswered => CreditSource::Fallback,
+    }
+}
+
+fn source_after_wait(verdict: Verdict) -> CreditSource {
+    match verdict {
+        Verdict::Admitted | Verdict::Refused(_) => CreditSource::Asked,
+        Verdict::Unanswered => CreditSource::Fallback,
+    }
+}
+
+/// Returns the admission for a verdict; without an answer the node's own part decides.
+fn admission(
+    node: &Gateway,
+    team: &Team,
+    cost: f64,
+    verdict: Verdict,
+    visibility: FleetVisibility,
+    now: TimeMs,
+) -> Admission {
+    let mut quotas = node.quotas.lock();
+    match verdict {
+        Verdict::Admitted => Admission::Admitted,
+        Verdict::Refused(shortage) => {
+            Admission::Over(quotas.credit_shortfall(team, &shortage, visibility, now))
+        }
+        Verdict::Unanswered => {
+            metrics::counter!("teaselline_credit_fallbacks_total").increment(1);
+            quotas.admit(team, cost, visibility, now)
+        }
+    }
+}
+
+/// Waits for the verdict on a request and repeats the ask, which may have been lost.
+async fn wait(
+    node: &Gateway,
+    team: &Team,
+    owner: SocketAddr,
+    ticket: Ticket,
+    mut receiver: oneshot::Receiver<Verdict>,
+    since: TimeMs,
+) -> Verdict {
+    let interval = Duration::from_millis(RESEND_MS);
+    loop {
+        match tokio::time::timeout(interval, &mut receiver).await {
+            Ok(Ok(verdict)) => return verdict,
+            Ok(Err(_closed)) => return Verdict::Unanswered,
+            Err(_elapsed) if clock::now().since(since) >= ANSWER_TIMEOUT_MS => {
+                give_up(node, team, owner, ticket);
+                return receiver.try_recv().unwrap_or(Verdict::Unanswered);
+            }
+            Err(_elapsed) => {
+                let ask = (node.credit.lock().leases).repeat_ask(team, clock::now());
+                send_ask(node, owner, ask);
+            }
+        }
+    }
+}
+
+fn give_up(node: &Gateway, team: &Team, owner: SocketAddr, ticket: Ticket) {
+    let mut credit = node.credit.lock();
+    let was_unanswered = credit.leases.is_unanswered(team.tag);
+    let settled = credit.leases.give_up(team, ticket, clock::now());
+    credit.deliver(&settled);
+    if !was_unanswered && credit.leases.is_unanswered(team.tag) {
+        log::info!(event = "credit_owner_silent", team = team.name.as_str(), owner:% = owner; "the owner of a team's limit does not answer; this node spends its own part");
+    }
+}
+
+fn send_ask(node: &Gateway, owner: SocketAddr, ask: Option<CreditAsk>) {
+    if let Some(ask) = ask {
+        metrics::counter!("teaselline_credit_asks_total").increment(1);
+        node.send_message(Recipients::Address(owner), Message::CreditAsk(ask));
+    }
+}
+
+/// Answers a peer's ask for credit.
+pub(crate) fn apply_ask(node: &Gateway, ask: CreditAsk, from: SocketAddr, now: TimeMs) {
+    let checked = match CheckedAsk::try_from(ask) {
+        Ok(checked) => checked,
+        Err(error) => {
+            log::warn!(event = "credit_message_rejected", peer:% = from, error:err = error; "dropped an ask for credit");
+            return;
+        }
+    };
+    let catalog = node.catalog();
+    let found = catalog.teams.iter().find(|team| team.tag == ask.team);
+    let Some(team) = found.filter(|team| team.rate_per_s.is_some()) else {
+        log::debug!(peer:% = from, team = ask.team; "dropped an ask for credit of a team without a limit here");
+        return;
+    };
+    let visibility = node.peers.lock().visibility(now);
+    let (grant, is_new) = {
+        let mut credit = node.credit.lock();
+        let mut quotas = node.quotas.lock();
+        quotas.set_visibility(visibility);
+        let is_new = !credit.leases.has_ledger(team.tag);
+        let draw = rand::rng().random_range(0.0..1.0);
+        let grant = (credit.leases).answer(&checked, team, &mut quotas, draw, now);
+        (grant, is_new)
+    };
+    if is_new {
+        log_taken(&team.name);
+    }
+    if let Some(grant) = grant {
+        let is_denied = grant.quiet_ms > 0;
+        let name = if is_denied { "denied" } else { "granted" };
+        metrics::counter!("teaselline_credit_grants_total", "result" => name).increment(1);
+        node.send_message(Recipients::Address(from), Message::CreditGrant(grant));
+    }
+}
+
+fn log_taken(team: &str) {
+    log::info!(event = "credit_ownership_taken", team; "this node grants the credit of a team's limit");
+}
+
+/// Applies the answer of a team's owner.
+pub(crate) fn apply_grant(node: &Gateway, grant: CreditGrant, from: SocketAddr, now: TimeMs) {
+    let checked = match CheckedGrant::try_from(grant) {
+        Ok(checked) => checked,
+        Err(error) => {
+            log::warn!(event = "credit_message_rejected", peer:% = from, error:err = error; "dropped a grant of credit");
+            return;
+        }
+    };
+    let catalog = node.catalog();
+    let found = catalog.teams.iter().find(|team| team.tag == grant.team);
+    let Some(team) = found.filter(|team| team.rate_per_s.is_some()) else {
+        log::debug!(peer:% = from, team = grant.team; "dropped credit of a team without a limit here");
+        return;
+    };
+    let owner = node.peers.lock().quota_collector(team.tag, now);
+    let ask = {
+        let mut credit = node.credit.lock();
+        let mut quotas = node.quotas.lock();
+        let was_unanswered = credit.leases.is_unanswered(team.tag);
+        let Some(settled) = credit.leases.apply_grant(&checked, team, &mut quotas, now) else {
+            metrics::counter!("teaselline_credit_grants_ignored_total").increment(1);
+            return;
+        };
+        if was_unanswered && !credit.leases.is_unanswered(team.tag) {
+            log::info!(event = "credit_owner_answers", team = team.name.as_str(), owner:% = from; "the owner of a team's limit answers; this node spends leased credit");
+        }
+        let abandoned = credit.deliver(&settled);
+        if !abandoned.is_empty() {
+            log::debug!(team = team.name.as_str(), count = abandoned.len(); "callers left before the owner's answer; their requests stay charged");
+        }
+        credit.leases.next_ask(team, &mut quotas, now)
+    };
+    if let Some(owner) = owner {
+        send_ask(node, owner, ask);
+    }
+}
+
+/// Returns the cost of a request that did not run to the credit that it was charged to.
+pub(crate) fn refund(node: &Gateway, team: &Team, cost: f64, source: CreditSource, now: TimeMs) {
+    node.quotas.lock().refund(team, cost, now);
+    if source.is_leased() {
+        node.credit.lock().leases.refund(team, cost, now);
+    }
+}
+
+/// Removes what has ended and logs which teams this node has begun or ceased to own.
+pub(crate) fn update(node: &Gateway, now: TimeMs) {
+    let catalog = node.catalog();
+    let peers = node.peers.lock();
+    let changes = {
+        let mut credit = node.credit.lock();
+        credit
+            .waiters
+            .retain(|(_ticket, sender)| !sender.is_closed());
+        let is_owner = |team| peers.quota_collector(team, now).is_none();
+        let mut quotas = node.quotas.lock();
+        let leases = &mut credit.leases;
+        leases.update(&catalog.teams, is_owner, &mut quotas, now)
+    };
+    drop(peers);
+    for change in changes {
+        let (OwnershipChange::Taken { team } | OwnershipChange::Lost { team }) = change;
+        let found = catalog.teams.iter().find(|known| known.tag == team);
+        let name = found.map_or("", |known| known.name.as_str());
+        match change {
+            OwnershipChange::Taken { .. } => log_taken(name),
+            OwnershipChange::Lost { .. } => {
+                log::info!(event = "credit_ownership_lost", team = name; "another node grants the credit of a team's limit");
+            }
+        }
+    }
+}
--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -18,11 +18,13 @@
 
 mod allotment;
 mod bucket;
+mod leased;
 mod parameters;
 mod rate;
 mod reports;
 
 use self::bucket::Bucket;
+pub(crate) use self::leased::{CreditShortage, FleetBucket};
 use self::parameters::BucketParameters;
 pub(crate) use self::reports::AdmittedTotal;
 use crate::gateway::catalog::{Team, Unit};
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -14,6 +14,7 @@
 use super::crashes::{AgedBlock, AgedSound, Crash};
 use super::demand::Rates;
 use super::fragments::Fragment;
+use super::limits::credit::{CreditAsk, CreditGrant};
 use super::limits::quota::AdmittedTotal;
 use super::limits::throttle::LimitReport;
 use super::log_position::LogPosition;
@@ -87,6 +88,10 @@
     Fragment(Fragment),
     /// A message that the recipient applies and sends to the other nodes of its group.
     Forward(Box<Message>),
+    /// Asks the owner of a team's limit for credit.
+    CreditAsk(CreditAsk),
+    /// The owner's answer to that.
+    CreditGrant(CreditGrant),
 }
 
 impl Message {
@@ -131,6 +136,8 @@
             Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
+            Self::CreditAsk(_) => "credit_ask",
+            Self::CreditGrant(_) => "credit_grant",
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
 use super::forwarding::{self, Forwarding};
 use super::fragments::Reassembly;
 use super::lease::{Holder, Lease};
+use super::limits::credit::Credit;
 use super::limits::quota::Quotas;
 use super::limits::repeat_budget::{RepeatBudget, Repeats};
 use super::messages::{Member, Message, UnreachedPools};
@@ -72,6 +73,8 @@
     /// Demand on each pool of engines.
     pub demands: Mutex<DemandTracker>,
     pub quotas: Mutex<Quotas>,
+    /// Leases of the teams' limits; locked before `quotas`.
+    pub credit: Mutex<Credit>,
     pub repeats: Mutex<PoolMap<Repeats>>,
     /// Since when this node has observed the installation; zero at the installation's first start.
     pub observing_since: TimeMs,
@@ -182,6 +185,7 @@
                 incarnation,
                 clock::now(),
             )),
+            credit: Mutex::new(Credit::new(incarnation, started_at)),
             repeats: Mutex::default(),
             observing_since: if settings.is_first_start {
                 TimeMs(0)
