test: Credit between two nodes that exchange datagrams, and a round trip of 10 ms

Cause: the shell that passes asks and grants ran in no test. Change: two gateways on loopback: a grant, a silent owner, a refund. Teams are found by binary search at each update.

--- a/src/gateway/limits/credit.rs
+++ b/src/gateway/limits/credit.rs
@@ -203,17 +203,14 @@
         quotas: &mut Quotas,
         now: TimeMs,
     ) -> Vec<OwnershipChange> {
-        let is_limited = |tag: u64| {
-            let found = teams.iter().find(|team| team.tag == tag);
-            found.is_some_and(|team| team.rate_per_s.is_some())
-        };
+        let limited = limited_by_tag(teams);
         self.holders
-            .retain(|holder| is_limited(holder.team) && !holder.is_idle(now));
+            .retain(|holder| find(&limited, holder.team).is_some() && !holder.is_idle(now));
         self.detect_freeze(now);
         self.updated_at = now;
         let mut changes = Vec::new();
         for ledger in &mut self.ledgers {
-            if let Some(team) = teams.iter().find(|team| team.tag == ledger.team) {
+            if let Some(team) = find(&limited, ledger.team) {
                 ledger.remove_ended(team, quotas, now);
             }
             let team = ledger.team;
@@ -225,7 +222,7 @@
             }
         }
         self.ledgers
-            .retain(|ledger| is_limited(ledger.team) && !ledger.is_idle(now));
+            .retain(|ledger| find(&limited, ledger.team).is_some() && !ledger.is_idle(now));
         changes
     }
 
@@ -285,5 +282,18 @@
     }
 }
 
+/// Returns the teams with a limit, sorted by tag.
+fn limited_by_tag(teams: &[Team]) -> Vec<&Team> {
+    let limited = teams.iter().filter(|team| team.rate_per_s.is_some());
+    let mut limited: Vec<&Team> = limited.collect();
+    limited.sort_unstable_by_key(|team| team.tag);
+    limited
+}
+
+fn find<'a>(by_tag: &[&'a Team], tag: u64) -> Option<&'a Team> {
+    let found = by_tag.binary_search_by_key(&tag, |team| team.tag);
+    found.ok().map(|index| by_tag[index])
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/limits/credit/tests.rs
+++ b/src/gateway/limits/credit/tests.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod grants;
 mod load;
+mod nodes;
 
 use super::*;
 use crate::gateway::catalog::Unit;
--- a/src/gateway/limits/credit/tests/load.rs
+++ b/src/gateway/limits/credit/tests/load.rs
@@ -116,6 +116,19 @@
     limit_holds_and_is_used(&course(985, 2.0, &[20.0, 1.0]));
 }
 
+/// Guards against grants that depend on a short way to the owner.
+#[test]
+fn round_trip_of_ten_milliseconds_neither_refuses_nor_exceeds() {
+    limit_holds_and_is_used(&Course {
+        one_way_ms: 5,
+        ..course(60, 7.5, &[0.2, 0.04, 0.003])
+    });
+    is_admitted(&Course {
+        one_way_ms: 5,
+        ..conformant(60, &[0.1, 5.0], Spread::Clumped)
+    });
+}
+
 /// Guards against refusing small requests more often than large ones.
 #[test]
 fn small_requests_are_refused_no_more_often_than_large_ones() {
