feature: Nodes borrow again of a team's limit what their peers have heard of

Cause: a node whose callers arrive at once may borrow beyond its part of a limit only as much as the whole fleet may spend unheard, and pays it back out of its own part; its part grows by time alone, as fast as reports that are seconds late permit. A team within its limit whose callers prefer few nodes was rejected there, also with reports 50 ms late.

Change: a reported total carries the sender's round of reports. A node enters the next round when half of its reporting peers are in its own, so that rounds last as long as reports take, by content and without clocks. While the level is high at the start of two rounds in a row, what a node's credit lacked at the start of the previous round is restored (the peers have deducted it from the level), and its share may double. By time alone shares grow more slowly than before (4 s in place of 3 s), as rounds take over. A new round alone is no change of a status and is not relayed.

A team that no other node reports has no rounds and grows by time alone.

--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -21,6 +21,7 @@
 mod parameters;
 mod rate;
 mod reports;
+mod rounds;
 
 use self::bucket::Bucket;
 use self::parameters::BucketParameters;
--- a/src/gateway/limits/quota/allotment.rs
+++ b/src/gateway/limits/quota/allotment.rs
@@ -4,7 +4,8 @@
 //! exceeds that until its peers have heard of it, which the bound on growth limits; the operators'
 //! tolerance covers it. The parts follow what the nodes admit: a node that spends less than its part
 //! leaves the remainder to the others. While reports show that the team is within its limit, a node may
-//! borrow some requests from the others' parts.
+//! borrow some requests from the others' parts, and again in each round of reports: what its peers have
+//! heard of need not be paid back.
 
 use super::FleetVisibility;
 use super::parameters::BucketParameters;
@@ -18,10 +19,15 @@
 /// Share of an idle node, as a fraction of an equal share, so that it can spend when its callers return.
 const IDLE_FRACTION: f64 = 0.1;
 
-/// Time constant of the fastest growth of a share, which doubles after about two seconds.
+/// Time constant of the fastest growth of a share within a round of reports.
 ///
 /// Until the peers hear of the growth and give way, the shares add up to more than the limit.
-const GROWTH_MS: f64 = 3_000.0;
+const GROWTH_MS: f64 = 4_000.0;
+
+/// Growth of a share, as a fraction, that a new round of reports allows a team within its limit.
+///
+/// The peers have heard of the growth in the previous round and have given way.
+const ROUND_GROWTH: f64 = 1.0;
 
 /// Share that a node may take at once, as a fraction of an equal share.
 const RETURN_FRACTION: f64 = 0.5;
@@ -54,6 +60,10 @@
     updated_at: TimeMs,
     /// What this node may spend, in units of the limit; negative if it borrowed.
     credit: f64,
+    /// What the credit lacked of this node's part of the level at the start of the round of reports.
+    missing: f64,
+    /// Growth of the share that the present round of reports still allows, as a fraction.
+    round_growth: f64,
     own_rate: AverageRate,
     /// What this node admitted since the last update of its share.
     unrated: f64,
@@ -75,6 +85,8 @@
             share,
             updated_at: now,
             credit: share * level,
+            missing: 0.0,
+            round_growth: 0.0,
             own_rate: AverageRate::new(now),
             unrated: 0.0,
             mean_cost: None,
@@ -82,7 +94,12 @@
         }
     }
 
-    /// Adapts the share to the rates at which this node and its peers admit, if an update is due.
+    /// Returns whether the share has to be updated.
+    pub fn is_update_due(&self, now: TimeMs) -> bool {
+        now.since(self.updated_at) >= UPDATE_INTERVAL_MS
+    }
+
+    /// Adapts the share to the rates at which this node and its peers admit.
     ///
     /// `peers` are the rates of the peers that have reported the team; `rate_per_s` is the limit's.
     pub fn update_share(
@@ -93,9 +110,6 @@
         now: TimeMs,
     ) {
         let passed_ms = now.since(self.updated_at);
-        if passed_ms < UPDATE_INTERVAL_MS {
-            return;
-        }
         self.updated_at = now;
         let idle_per_ms = rate_per_s / 1_000.0 * equal_share(visibility) * IDLE_FRACTION;
         // Without the last interval: the peers' rates are as old.
@@ -111,6 +125,7 @@
         others += idle_per_ms * f64::from(visibility.heard.saturating_sub(reported));
         let share = fair_share(own, others, rate_per_s / 1_000.0, visibility);
         self.share = share.min(self.grown_share(passed_ms, visibility));
+        self.round_growth = 0.0;
     }
 
     /// Returns the largest share that this node may have `passed_ms` after the last update.
@@ -118,7 +133,20 @@
         // A team that was idle does not gain by it.
         let passed_ms = num::to_f64(passed_ms.min(2 * UPDATE_INTERVAL_MS));
         let from = (self.share).max(equal_share(visibility) * RETURN_FRACTION);
-        from * (1.0 + passed_ms / GROWTH_MS)
+        from * (1.0 + passed_ms / GROWTH_MS + self.round_growth)
+    }
+
+    /// Starts a round of reports that show this level.
+    ///
+    /// The peers have heard of what the credit lacked at the start of the previous round and have deducted
+    /// it from the level. If the team is within its limit, it need not be paid back.
+    pub fn enter_round(&mut self, level: f64, is_within_limit: bool) {
+        let missing = (self.share * level - self.credit).max(0.0);
+        let is_forgiven = f64::from(u8::from(is_within_limit));
+        let forgiven = missing.min(self.missing) * is_forgiven;
+        self.credit += forgiven;
+        self.missing = missing - forgiven;
+        self.round_growth = ROUND_GROWTH * is_forgiven;
     }
 
     /// Adds this node's part of what the fleet gained in `passed_ms`.
--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -2,7 +2,8 @@
 
 use super::allotment::Allotment;
 use super::parameters::BucketParameters;
-use super::rate::AverageRate;
+use super::rate::{AverageRate, IDLE_AFTER_MS};
+use super::rounds::next_round;
 use super::{AdmittedTotal, FleetVisibility};
 use crate::gateway::num;
 use crate::time::TimeMs;
@@ -45,6 +46,10 @@
     admission_credit: f64,
     /// Totals by incarnation that this node last relayed as the team's collector.
     relayed_totals: Vec<(u64, AdmittedTotal)>,
+    /// This node's round of reports.
+    round: u32,
+    /// Whether each request could borrow, by the level, when this round began.
+    was_level_high: bool,
     /// What this node may spend of the level before its peers hear of it.
     pub allotment: Allotment,
     /// Sorted by the peer's incarnation.
@@ -58,6 +63,8 @@
     /// See [`AdmittedTotal::base`].
     base: f64,
     total: f64,
+    /// The latest round of reports in which the peer was.
+    round: u32,
     reported_at: TimeMs,
     rate: AverageRate,
 }
@@ -77,6 +84,8 @@
             admitted_at: TimeMs(0),
             admission_credit: 0.0,
             relayed_totals: Vec::new(),
+            round: 0,
+            was_level_high: false,
             allotment: Allotment::new(seed, level, visibility, now),
             peers: Vec::new(),
         }
@@ -102,7 +111,7 @@
     pub fn has_room(&mut self, cost: f64, burst: f64, parameters: &BucketParameters) -> bool {
         self.allotment.record_asked(cost);
         let level = self.level;
-        let full_level = parameters.capacity * self.allotment.peers_share() * DAMPING_FRACTION;
+        let full_level = self.undamped_level(parameters);
         match self.allotment.is_small(cost) {
             _ if self.allotment.has_credit(level, parameters) => true,
             true => (self.allotment).may_borrow(level, burst * SMALL_OVERDRAFT_FRACTION),
@@ -113,6 +122,11 @@
         }
     }
 
+    /// Returns the level from which on each request may borrow.
+    fn undamped_level(&self, parameters: &BucketParameters) -> f64 {
+        parameters.capacity * self.allotment.peers_share() * DAMPING_FRACTION
+    }
+
     /// Returns the time in ms until the bucket and this node's part of it have room for a request.
     pub fn wait_ms(&self, cost: f64, parameters: &BucketParameters) -> f64 {
         let missing = (cost.min(parameters.capacity) - self.level).max(0.0);
@@ -156,18 +170,37 @@
     ) {
         let passed_ms = now.since(self.refilled_at);
         let gained = parameters.rate_per_s * num::to_f64(passed_ms) / 1_000.0;
-        let rates = self.peers.iter().map(|peer| peer.rate);
-        (self.allotment).update_share(rates, parameters.rate_per_s, visibility, now);
+        if self.allotment.is_update_due(now) {
+            let rates = self.peers.iter().map(|peer| peer.rate);
+            (self.allotment).update_share(rates, parameters.rate_per_s, visibility, now);
+            self.enter_next_round(parameters, now);
+        }
         (self.allotment).refill(self.level, parameters, passed_ms);
         self.level = (self.level + gained).min(parameters.capacity);
         self.refilled_at = now;
     }
 
+    /// Enters the next round of reports if the peers have reported the present one.
+    fn enter_next_round(&mut self, parameters: &BucketParameters, now: TimeMs) {
+        let is_recent = |peer: &&PeerUsage| now.since(peer.reported_at) < IDLE_AFTER_MS;
+        let reporting = self.peers.iter().filter(is_recent);
+        let rounds = reporting.map(|peer| peer.round).collect();
+        let Some(round) = next_round(self.round, rounds) else {
+            return;
+        };
+        let is_level_high = self.level > self.undamped_level(parameters);
+        let is_within_limit = is_level_high && self.was_level_high;
+        self.allotment.enter_round(self.level, is_within_limit);
+        self.was_level_high = is_level_high;
+        self.round = round;
+    }
+
     fn own_admitted(&self) -> AdmittedTotal {
         AdmittedTotal {
             team: self.team,
             base: self.base_total,
             total: self.own_total,
+            round: self.round,
         }
     }
 
@@ -196,6 +229,7 @@
                 peer.rate.record(gained, now);
                 peer.total += gained;
                 peer.base = peer.base.max(admitted.base);
+                peer.round = peer.round.max(admitted.round);
                 peer.reported_at = now;
                 self.level -= gained;
             }
@@ -204,6 +238,7 @@
                     incarnation,
                     base: admitted.base,
                     total,
+                    round: admitted.round,
                     reported_at: now,
                     rate: AverageRate::new(now),
                 };
@@ -236,6 +271,7 @@
                 team: self.team,
                 base: peer.base,
                 total: peer.total,
+                round: peer.round,
             };
             (peer.incarnation, admitted)
         });
@@ -245,7 +281,8 @@
         let relayed = std::mem::take(&mut self.relayed_totals);
         let is_changed = |(incarnation, admitted): &&(u64, AdmittedTotal)| {
             let found = relayed.binary_search_by_key(incarnation, |(peer, _admitted)| *peer);
-            found.is_ok_and(|index| relayed[index].1 != *admitted) || found.is_err()
+            found.is_ok_and(|index| relayed[index].1.total.total_cmp(&admitted.total).is_ne())
+                || found.is_err()
         };
         let changed = all.iter().filter(is_changed).copied().collect();
         self.relayed_totals = all;
--- a/src/gateway/limits/quota/rate.rs
+++ b/src/gateway/limits/quota/rate.rs
@@ -7,7 +7,7 @@
 const AVERAGING_MS: f64 = 3_000.0;
 
 /// Time without a report after which a node counts as idle.
-const IDLE_AFTER_MS: u64 = 3_000;
+pub(super) const IDLE_AFTER_MS: u64 = 3_000;
 
 /// Exponentially weighted average of the growth of a total.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/limits/quota/reports.rs
+++ b/src/gateway/limits/quota/reports.rs
@@ -26,6 +26,8 @@
     /// The total before the recent admissions.
     pub base: f64,
     pub total: f64,
+    /// The round of reports in which the sender is; see [`rounds`](super::rounds).
+    pub round: u32,
 }
 
 impl Quotas {
--- a/src/gateway/limits/quota/tests.rs
+++ b/src/gateway/limits/quota/tests.rs
@@ -1,5 +1,6 @@
 mod fleet;
 mod reports;
+mod rounds;
 mod surge;
 mod windows;
 
@@ -38,6 +39,7 @@
         team: tag("archive"),
         base: 0.0,
         total,
+        round: 0,
     }
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -256,6 +256,11 @@
             blocks.sort_unstable();
             blocks
         };
+        // A new round of reports alone is no news: it travels with the next admissions.
+        let admitted = |status: &Self| {
+            let totals = (status.admitted.iter()).map(|one| (one.team, one.base, one.total));
+            totals.collect::<Vec<_>>()
+        };
         let limits = |status: &Self| {
             let limits = (status.limits.iter()).map(|limit| (limit.upstream, limit.limit_per_s));
             limits.collect::<Vec<_>>()
@@ -264,7 +269,6 @@
             != (other.is_ready, other.is_stopping, other.store)
             || self.configuration_version != other.configuration_version
             || self.loads != other.loads
-            || self.admitted != other.admitted
             || self.lease != other.lease
             || self.observed != other.observed
             || self.decided != other.decided
@@ -272,6 +276,7 @@
             || self.unreached != other.unreached
             || blocks(self) != blocks(other)
             || limits(self) != limits(other)
+            || admitted(self) != admitted(other)
     }
 }
 
