--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -22,6 +22,7 @@
 mod parameters;
 mod rate;
 mod reports;
+mod rounds;
 
 use self::bucket::Bucket;
 pub(crate) use self::leased::{CreditShortage, FleetBucket};
