feature: Credit for callers that left returns to the node

Cause: a request whose caller left while it waited was charged when the grant came, and one that no answer ever reached stayed in the node's asks. Change: such a grant is refunded; requests that wait beyond a lease are forgotten. The transfer of asks and grants is a module of its own, and so are the tests of extremes. The tests with two nodes wait for a grant, in place of one answer within 60 ms, since the real time of an answer measures the machine's load; the timeout stays checked by the fleets in memory. The bound on asks became one on denials at 9, 60 and 985 nodes.

--- a/src/gateway/limits/credit.rs
+++ b/src/gateway/limits/credit.rs
@@ -15,15 +15,15 @@
 mod forecast;
 mod holder;
 mod owner;
+mod transfer;
 mod waiting;
 mod wire;
 
 use self::holder::Holder;
 pub(crate) use self::holder::{Arrival, Ticket, Verdict};
 use self::owner::Ledger;
-pub(crate) use self::waiting::{
-    Credit, CreditSource, admit, apply_ask, apply_grant, refund, update,
-};
+pub(crate) use self::transfer::{apply_ask, apply_grant, update};
+pub(crate) use self::waiting::{Credit, CreditSource, admit, refund};
 pub(crate) use self::wire::{CheckedAsk, CheckedGrant, CreditAsk, CreditGrant};
 use super::quota::{AdmittedTotal, CreditShortage, Quotas};
 use crate::gateway::catalog::Team;
@@ -204,6 +204,9 @@
         now: TimeMs,
     ) -> Vec<OwnershipChange> {
         let limited = limited_by_tag(teams);
+        for holder in &mut self.holders {
+            holder.remove_abandoned(now);
+        }
         self.holders
             .retain(|holder| find(&limited, holder.team).is_some() && !holder.is_idle(now));
         self.detect_freeze(now);
--- a/src/gateway/limits/credit/holder.rs
+++ b/src/gateway/limits/credit/holder.rs
@@ -256,6 +256,11 @@
         if now < self.ends_at { self.credit } else { 0.0 }
     }
 
+    /// Removes requests whose callers left before any answer.
+    pub fn remove_abandoned(&mut self, now: TimeMs) {
+        (self.waiting).retain(|waiting| now.since(waiting.since) < LEASE_MS);
+    }
+
     /// Returns whether the team has not been used here for a while.
     pub fn is_idle(&self, now: TimeMs) -> bool {
         self.waiting.is_empty() && now >= self.ends_at && now.since(self.used_at) >= LEASE_MS
--- a/src/gateway/limits/credit/tests.rs
+++ b/src/gateway/limits/credit/tests.rs
@@ -1,9 +1,11 @@
 mod course;
+mod extremes;
 mod failures;
 mod fleet;
 mod grants;
 mod load;
 mod nodes;
+mod pair;
 
 use super::*;
 use crate::gateway::catalog::Unit;
--- a/src/gateway/limits/credit/tests/course.rs
+++ b/src/gateway/limits/credit/tests/course.rs
@@ -60,6 +60,8 @@
     pub asked: u32,
     pub refused: u32,
     pub asks: u32,
+    /// Answers of owners that name a quiet time.
+    pub denials: u32,
     pub fallbacks: u32,
     /// Requests of the least and the greatest cost, and how many of them were refused.
     pub least: (u32, u32),
--- a/src/gateway/limits/credit/tests/fleet.rs
+++ b/src/gateway/limits/credit/tests/fleet.rs
@@ -193,6 +193,7 @@
             self.outcome.most_outstanding = most.max(outstanding.unwrap_or(0.0));
         }
         if let Some(grant) = grant {
+            self.outcome.denials += u32::from(grant.quiet_ms > 0);
             let delivery = Delivery {
                 from: owner,
                 to: from,
--- a/src/gateway/limits/credit/waiting.rs
+++ b/src/gateway/limits/credit/waiting.rs
@@ -1,27 +1,34 @@
-//! Admits requests by leased credit, and passes asks and grants between the nodes.
+//! Admits requests by leased credit; those that it does not cover wait for the owner's answer.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use rand::Rng as _;
 use tokio::sync::oneshot;
 
 use super::holder::RESEND_MS;
-use super::{ANSWER_TIMEOUT_MS, Arrival, CheckedAsk, CheckedGrant, CreditAsk, CreditGrant};
-use super::{CreditLeases, OwnershipChange, Ticket, Verdict};
+use super::transfer::send_ask;
+use super::{ANSWER_TIMEOUT_MS, Arrival, CreditLeases, LEASE_MS, Ticket, Verdict};
 use crate::gateway::catalog::Team;
 use crate::gateway::clock;
 use crate::gateway::limits::quota::{Admission, FleetVisibility};
-use crate::gateway::messages::Message;
 use crate::gateway::num;
-use crate::gateway::state::{Gateway, Recipients};
+use crate::gateway::state::Gateway;
 use crate::time::TimeMs;
 
 /// The leases of a node and the requests that wait for credit.
 #[derive(Debug)]
 pub(crate) struct Credit {
     pub leases: CreditLeases,
-    waiters: Vec<(Ticket, oneshot::Sender<Verdict>)>,
+    waiters: Vec<Waiter>,
+}
+
+/// A request that waits for a verdict.
+#[derive(Debug)]
+struct Waiter {
+    ticket: Ticket,
+    cost: f64,
+    since: TimeMs,
+    verdict: oneshot::Sender<Verdict>,
 }
 
 /// What decided on a request of a team.
@@ -78,24 +85,33 @@
         }
     }
 
-    fn register(&mut self, ticket: Ticket) -> oneshot::Receiver<Verdict> {
-        let (sender, receiver) = oneshot::channel();
-        self.waiters.push((ticket, sender));
+    fn register(&mut self, ticket: Ticket, cost: f64, now: TimeMs) -> oneshot::Receiver<Verdict> {
+        let (verdict, receiver) = oneshot::channel();
+        self.waiters.push(Waiter {
+            ticket,
+            cost,
+            since: now,
+            verdict,
+        });
         receiver
     }
 
-    /// Passes verdicts on; returns the tickets of admitted requests whose callers have left.
-    fn deliver(&mut self, settled: &[(Ticket, Verdict)]) -> Vec<Ticket> {
-        let mut abandoned = Vec::new();
+    /// Removes requests whose callers left before any answer.
+    pub(super) fn remove_abandoned(&mut self, now: TimeMs) {
+        (self.waiters).retain(|waiter| now.since(waiter.since) < LEASE_MS);
+    }
+
+    /// Passes verdicts on; returns the cost of admitted requests whose callers have left.
+    pub(super) fn deliver(&mut self, settled: &[(Ticket, Verdict)]) -> f64 {
+        let mut abandoned = 0.0;
         for (ticket, verdict) in settled {
-            let position = self
-                .waiters
-                .iter()
-                .position(|(waiter, _sender)| waiter == ticket);
-            let sender = position.map(|index| self.waiters.swap_remove(index).1);
-            let is_received = sender.is_some_and(|sender| sender.send(*verdict).is_ok());
+            let found = (self.waiters.iter()).position(|waiter| waiter.ticket == *ticket);
+            let Some(waiter) = found.map(|index| self.waiters.swap_remove(index)) else {
+                continue;
+            };
+            let is_received = waiter.verdict.send(*verdict).is_ok();
             if !is_received && *verdict == Verdict::Admitted {
-                abandoned.push(*ticket);
+                abandoned += waiter.cost;
             }
         }
         abandoned
@@ -127,7 +143,7 @@
         let mut quotas = node.quotas.lock();
         let (ticket, arrival) = credit.leases.arrive(team, cost, &mut quotas, now);
         let is_waiting = arrival == Arrival::Waits;
-        let receiver = is_waiting.then(|| credit.register(ticket));
+        let receiver = is_waiting.then(|| credit.register(ticket, cost, now));
         let ask = credit.leases.next_ask(team, &mut quotas, now);
         (arrival, ticket, receiver, ask)
     };
@@ -233,91 +249,6 @@
     }
 }
 
-fn send_ask(node: &Gateway, owner: SocketAddr, ask: Option<CreditAsk>) {
-    if let Some(ask) = ask {
-        metrics::counter!("teaselline_credit_asks_total").increment(1);
-        node.send_message(Recipients::Address(owner), Message::CreditAsk(ask));
-    }
-}
-
-/// Answers a peer's ask for credit.
-pub(crate) fn apply_ask(node: &Gateway, ask: CreditAsk, from: SocketAddr, now: TimeMs) {
-    let checked = match CheckedAsk::try_from(ask) {
-        Ok(checked) => checked,
-        Err(error) => {
-            log::warn!(event = "credit_message_rejected", peer:% = from, error:err = error; "dropped an ask for credit");
-            return;
-        }
-    };
-    let catalog = node.catalog();
-    let found = catalog.teams.iter().find(|team| team.tag == ask.team);
-    let Some(team) = found.filter(|team| team.rate_per_s.is_some()) else {
-        log::debug!(peer:% = from, team = ask.team; "dropped an ask for credit of a team without a limit here");
-        return;
-    };
-    let visibility = node.peers.lock().visibility(now);
-    let (grant, is_new) = {
-        let mut credit = node.credit.lock();
-        let mut quotas = node.quotas.lock();
-        quotas.set_visibility(visibility);
-        let is_new = !credit.leases.has_ledger(team.tag);
-        let draw = rand::rng().random_range(0.0..1.0);
-        let grant = (credit.leases).answer(&checked, team, &mut quotas, draw, now);
-        (grant, is_new)
-    };
-    if is_new {
-        log_taken(&team.name);
-    }
-    if let Some(grant) = grant {
-        let is_denied = grant.quiet_ms > 0;
-        let name = if is_denied { "denied" } else { "granted" };
-        metrics::counter!("teaselline_credit_grants_total", "result" => name).increment(1);
-        node.send_message(Recipients::Address(from), Message::CreditGrant(grant));
-    }
-}
-
-fn log_taken(team: &str) {
-    log::info!(event = "credit_ownership_taken", team; "this node grants the credit of a team's limit");
-}
-
-/// Applies the answer of a team's owner.
-pub(crate) fn apply_grant(node: &Gateway, grant: CreditGrant, from: SocketAddr, now: TimeMs) {
-    let checked = match CheckedGrant::try_from(grant) {
-        Ok(checked) => checked,
-        Err(error) => {
-            log::warn!(event = "credit_message_rejected", peer:% = from, error:err = error; "dropped a grant of credit");
-            return;
-        }
-    };
-    let catalog = node.catalog();
-    let found = catalog.teams.iter().find(|team| team.tag == grant.team);
-    let Some(team) = found.filter(|team| team.rate_per_s.is_some()) else {
-        log::debug!(peer:% = from, team = grant.team; "dropped credit of a team without a limit here");
-        return;
-    };
-    let owner = node.peers.lock().quota_collector(team.tag, now);
-    let ask = {
-        let mut credit = node.credit.lock();
-        let mut quotas = node.quotas.lock();
-        let was_unanswered = credit.leases.is_unanswered(team.tag);
-        let Some(settled) = credit.leases.apply_grant(&checked, team, &mut quotas, now) else {
-            metrics::counter!("teaselline_credit_grants_ignored_total").increment(1);
-            return;
-        };
-        if was_unanswered && !credit.leases.is_unanswered(team.tag) {
-            log::info!(event = "credit_owner_answers", team = team.name.as_str(), owner:% = from; "the owner of a team's limit answers; this node spends leased credit");
-        }
-        let abandoned = credit.deliver(&settled);
-        if !abandoned.is_empty() {
-            log::debug!(team = team.name.as_str(), count = abandoned.len(); "callers left before the owner's answer; their requests stay charged");
-        }
-        credit.leases.next_ask(team, &mut quotas, now)
-    };
-    if let Some(owner) = owner {
-        send_ask(node, owner, ask);
-    }
-}
-
 /// Returns the cost of a request that did not run to the credit that it was charged to.
 pub(crate) fn refund(node: &Gateway, team: &Team, cost: f64, source: CreditSource, now: TimeMs) {
     node.quotas.lock().refund(team, cost, now);
@@ -325,31 +256,3 @@
         node.credit.lock().leases.refund(team, cost, now);
     }
 }
-
-/// Removes what has ended and logs which teams this node has begun or ceased to own.
-pub(crate) fn update(node: &Gateway, now: TimeMs) {
-    let catalog = node.catalog();
-    let peers = node.peers.lock();
-    let changes = {
-        let mut credit = node.credit.lock();
-        credit
-            .waiters
-            .retain(|(_ticket, sender)| !sender.is_closed());
-        let is_owner = |team| peers.quota_collector(team, now).is_none();
-        let mut quotas = node.quotas.lock();
-        let leases = &mut credit.leases;
-        leases.update(&catalog.teams, is_owner, &mut quotas, now)
-    };
-    drop(peers);
-    for change in changes {
-        let (OwnershipChange::Taken { team } | OwnershipChange::Lost { team }) = change;
-        let found = catalog.teams.iter().find(|known| known.tag == team);
-        let name = found.map_or("", |known| known.name.as_str());
-        match change {
-            OwnershipChange::Taken { .. } => log_taken(name),
-            OwnershipChange::Lost { .. } => {
-                log::info!(event = "credit_ownership_lost", team = name; "another node grants the credit of a team's limit");
-            }
-        }
-    }
-}
