--- a/src/gateway/limits/credit/tests/extremes.rs
+++ b/src/gateway/limits/credit/tests/extremes.rs
@@ -70,6 +70,7 @@
             team: ask.team,
             base: 0.0,
             total: amount,
+            round: 0,
         };
         let asks = [
             CreditAsk {
--- a/src/gateway/limits/credit/tests/grants.rs
+++ b/src/gateway/limits/credit/tests/grants.rs
@@ -100,6 +100,7 @@
         team: pair.team.tag,
         base: 8_000.0,
         total: 3.0 * RATE_PER_S,
+        round: 0,
     };
     pair.owner.1.record_peer(NODE, &[total], &teams, at(3_000));
     let ask = pair.arrive(8_000.0, at(3_010)).1.expect("an ask");
@@ -200,6 +201,7 @@
             team: pair.team.tag,
             base: 0.0,
             total: f64::from(step) * 100_000.0,
+            round: 0,
         };
         let now = at(u64::from(step) * 200);
         pair.owner.1.record_peer(NODE, &[total], &teams, now);
