bug: A restarted speaker is known to the other groups again

Cause: a node that is asked for member records answered with those of its peers, not with its own. The speaker of a group that restarts is first reported to the other groups by itself, and they ask whom the report came from: nobody named it until another node spoke for the group. Change: a node names its own record. Measured: the new test fails without the change by reading (own record missing in the answer); 171 tests of limits and peers pass with it.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -267,7 +267,7 @@
             .get_or_insert_with(|| Division::new(own, peers))
     }
 
-    /// Returns the member records of these incarnations, as far as they are known.
+    /// Returns the member records of these incarnations, this node's included, as far as they are known.
     pub fn members(&mut self, incarnations: &[u64]) -> Vec<Member> {
         let found: Vec<usize> = {
             let division = self.division();
@@ -275,9 +275,9 @@
                 .filter_map(|incarnation| division.find(*incarnation))
                 .collect()
         };
-        (found.into_iter())
-            .map(|index| self.by_name[index].member.clone())
-            .collect()
+        let peers = found.into_iter().map(|index| &self.by_name[index].member);
+        let own = Some(&self.own).filter(|own| incarnations.contains(&own.incarnation));
+        peers.chain(own).cloned().collect()
     }
 
     /// Returns the number of groups into which the known nodes are divided.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -201,3 +201,13 @@
     peers.record_unreached(&report(10));
     assert!(peers.forward_target(POOL, &[], 0.5, now).is_none());
 }
+
+/// Guards against a restarted speaker of a group that the other groups do not get to know, since only it reports on
+/// its group.
+#[test]
+fn node_that_is_asked_for_its_own_record_names_it() {
+    let own = member("a", 7);
+    let mut peers = Peers::new(own.clone());
+    peers.add_member(member("b", 8), TimeMs(0));
+    assert_eq!(peers.members(&[7, 8, 9]), [member("b", 8), own]);
+}
