bug: A restarted node no longer counts what was admitted before its start as debt

Cause: of the first total that a known peer reports of a team, its recent part (up to 4 s) is deducted. A node that has just started hears of its peers by the lists of its group before their totals; it deducted up to 4 s of what the whole fleet had admitted, from a bucket that is empty at the start as it is. Change: of the recent part counts the fraction that fell into the node's own time.

--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -21,7 +21,7 @@
 
 /// Time for which a node repeats the total of a team after its last admission, for peers that missed
 /// a report.
-const REPORT_RETENTION_MS: u64 = 2_000;
+pub(super) const REPORT_RETENTION_MS: u64 = 2_000;
 
 /// A team's bucket.
 #[derive(Clone, Debug)]
@@ -209,12 +209,15 @@
         self.peers.iter().map(|peer| peer.rate.per_ms).sum()
     }
 
-    /// Deducts what a peer has admitted since its last report; `was_heard` states whether the peer was known before.
+    /// Deducts what a peer has admitted since its last report.
+    ///
+    /// `observed_fraction` is the part of the recent admissions, from 0 to 1, that this node counts in the first report of a
+    /// peer.
     pub fn deduct_peer_total(
         &mut self,
         incarnation: u64,
         admitted: &AdmittedTotal,
-        was_heard: bool,
+        observed_fraction: f64,
         now: TimeMs,
     ) {
         let total = admitted.total;
@@ -245,9 +248,7 @@
                 self.peers.insert(index, peer);
                 // A new peer's total may predate the contact with it and is ignored. Of a known peer
                 // that had not reported the team lately, only the recent part is certain to be new.
-                if was_heard {
-                    self.level -= total - admitted.base;
-                }
+                self.level -= (total - admitted.base).max(0.0) * observed_fraction;
             }
         }
     }
--- a/src/gateway/limits/quota/reports.rs
+++ b/src/gateway/limits/quota/reports.rs
@@ -3,7 +3,9 @@
 use bincode::{Decode, Encode};
 
 use super::Quotas;
+use super::bucket::REPORT_RETENTION_MS;
 use crate::gateway::catalog::Team;
+use crate::gateway::num;
 use crate::time::TimeMs;
 
 /// A team whose bucket level is at or below this fraction of its capacity is near its limit.
@@ -18,6 +20,9 @@
 /// totals of a team that spends faster are collected and sent to all nodes.
 const UNREPORTED_TOLERANCE_FRACTION: f64 = 0.2;
 
+/// Longest time that the recent part of a total spans: the present and the previous retention period.
+const RECENT_MS: u64 = REPORT_RETENTION_MS * 2;
+
 /// What a node has admitted of one team since its start.
 #[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct AdmittedTotal {
@@ -95,6 +100,11 @@
         now: TimeMs,
     ) {
         let was_heard = self.record_contact(incarnation, now);
+        let observed_fraction = if was_heard {
+            self.observed_fraction(now)
+        } else {
+            0.0
+        };
         for admitted in totals {
             let Some(team) = teams.iter().find(|team| team.tag == admitted.team) else {
                 continue;
@@ -103,11 +113,19 @@
             // it gains before the report. A refill after the deduction, over the whole time since
             // the last request, would restore what peers have just used.
             if let Some((bucket, _parameters)) = self.refilled(team, now) {
-                bucket.deduct_peer_total(incarnation, admitted, was_heard, now);
+                bucket.deduct_peer_total(incarnation, admitted, observed_fraction, now);
             }
         }
     }
 
+    /// Returns the part of its peers' recent admissions, from 0 to 1, that fell into this node's time.
+    ///
+    /// The bucket is empty at the start, as if all that was admitted before had been deducted.
+    fn observed_fraction(&self, now: TimeMs) -> f64 {
+        let age_ms = num::to_f64(now.since(self.started_at));
+        (age_ms / num::to_f64(RECENT_MS)).min(1.0)
+    }
+
     /// Removes peers without a report within `forget_ms`.
     pub fn forget_peers(&mut self, forget_ms: u64, now: TimeMs) {
         self.heard
--- a/src/gateway/limits/quota/tests/reports.rs
+++ b/src/gateway/limits/quota/tests/reports.rs
@@ -25,6 +25,19 @@
     assert!(matches!(refused, Admission::Over(_)));
 }
 
+/// Guards against a restarted node that rejects a team within its limit since it deducts what its peers admitted
+/// before its start.
+#[test]
+fn node_that_has_just_started_deducts_little_of_what_was_admitted_before() {
+    let team = team(1_000.0, 1_000.0);
+    let mut quotas = Quotas::new(None, 1, at(0));
+    for peer in 0..100 {
+        quotas.record_contact(peer, at(200));
+        quotas.record_peer(peer, &[recent(20.0)], std::slice::from_ref(&team), at(200));
+    }
+    assert_eq!(quotas.admit(&team, 10.0, ALL, at(500)), Admission::Admitted);
+}
+
 #[test]
 fn late_report_is_not_deducted_twice() {
     let team = team(1_000.0, 10_000.0);
