--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -14,6 +14,7 @@
 use super::crashes::{AgedBlock, AgedSound, Crash};
 use super::demand::Rates;
 use super::fragments::Fragment;
+use super::limits::credit::{CreditAsk, CreditGrant};
 use super::limits::quota::AdmittedTotal;
 use super::limits::throttle::LimitReport;
 use super::log_position::LogPosition;
@@ -87,6 +88,10 @@
     Fragment(Fragment),
     /// A message that the recipient applies and sends to the other nodes of its group.
     Forward(Box<Message>),
+    /// Asks the owner of a team's limit for credit.
+    CreditAsk(CreditAsk),
+    /// The owner's answer to that.
+    CreditGrant(CreditGrant),
 }
 
 impl Message {
@@ -131,6 +136,8 @@
             Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
+            Self::CreditAsk(_) => "credit_ask",
+            Self::CreditGrant(_) => "credit_grant",
         }
     }
 }
@@ -256,6 +263,11 @@
             blocks.sort_unstable();
             blocks
         };
+        // A new round of reports alone is no news: it travels with the next admissions.
+        let admitted = |status: &Self| {
+            let totals = (status.admitted.iter()).map(|one| (one.team, one.base, one.total));
+            totals.collect::<Vec<_>>()
+        };
         let limits = |status: &Self| {
             let limits = (status.limits.iter()).map(|limit| (limit.upstream, limit.limit_per_s));
             limits.collect::<Vec<_>>()
@@ -264,7 +276,6 @@
             != (other.is_ready, other.is_stopping, other.store)
             || self.configuration_version != other.configuration_version
             || self.loads != other.loads
-            || self.admitted != other.admitted
             || self.lease != other.lease
             || self.observed != other.observed
             || self.decided != other.decided
@@ -272,6 +283,7 @@
             || self.unreached != other.unreached
             || blocks(self) != blocks(other)
             || limits(self) != limits(other)
+            || admitted(self) != admitted(other)
     }
 }
 
