bug: A node that hears its peers again keeps its part of a limit only

Cause: the share of a node follows the nodes that it hears each 200 ms. A node that had lost contact with its peers, by a freeze, counted as alone; until the next update it held the whole limit beside its peers, and refused its callers as soon as their reports had the bucket below zero, since a lone node spends nothing below zero.

Change: the share is updated at once when the number of nodes heard differs from that of the last update.

--- a/src/gateway/limits/quota/allotment.rs
+++ b/src/gateway/limits/quota/allotment.rs
@@ -58,6 +58,8 @@
     /// Fraction of the limit that is this node's.
     share: f64,
     updated_at: TimeMs,
+    /// Nodes that shared the limit at the last update.
+    heard: u32,
     /// What this node may spend, in units of the limit; negative if it borrowed.
     credit: f64,
     /// What the credit lacked of this node's part of the level at the start of the round of reports.
@@ -84,6 +86,7 @@
         Self {
             share,
             updated_at: now,
+            heard: visibility.heard,
             credit: share * level,
             missing: 0.0,
             round_growth: 0.0,
@@ -94,9 +97,9 @@
         }
     }
 
-    /// Returns whether the share has to be updated.
-    pub fn is_update_due(&self, now: TimeMs) -> bool {
-        now.since(self.updated_at) >= UPDATE_INTERVAL_MS
+    /// Returns whether the share has to be updated; at once if other nodes share the limit.
+    pub fn is_update_due(&self, visibility: FleetVisibility, now: TimeMs) -> bool {
+        self.heard != visibility.heard || now.since(self.updated_at) >= UPDATE_INTERVAL_MS
     }
 
     /// Adapts the share to the rates at which this node and its peers admit.
@@ -111,6 +114,7 @@
     ) {
         let passed_ms = now.since(self.updated_at);
         self.updated_at = now;
+        self.heard = visibility.heard;
         let idle_per_ms = rate_per_s / 1_000.0 * equal_share(visibility) * IDLE_FRACTION;
         // Without the last interval: the peers' rates are as old.
         let own = self.own_rate.recent_per_ms(now).max(idle_per_ms);
--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -170,7 +170,7 @@
     ) {
         let passed_ms = now.since(self.refilled_at);
         let gained = parameters.rate_per_s * num::to_f64(passed_ms) / 1_000.0;
-        if self.allotment.is_update_due(now) {
+        if self.allotment.is_update_due(visibility, now) {
             let rates = self.peers.iter().map(|peer| peer.rate);
             (self.allotment).update_share(rates, parameters.rate_per_s, visibility, now);
             self.enter_next_round(parameters, now);
--- a/src/gateway/limits/quota/tests.rs
+++ b/src/gateway/limits/quota/tests.rs
@@ -133,6 +133,24 @@
     assert!(admitted >= 90_000.0 / 9.0 * 0.9, "{admitted}");
 }
 
+/// Guards against a node that keeps the whole limit for itself once it hears its peers again.
+///
+/// A node is frozen and forgets its peers. When it goes on, it counts as alone until their datagrams arrive.
+#[test]
+fn node_that_hears_its_peers_again_spends_its_part_at_once() {
+    let team = team(1_000.0, 4_000.0);
+    let teams = std::slice::from_ref(&team);
+    let mut quotas = long_running();
+    quotas.admit(&team, 100.0, ALL, at(0));
+    let fleet = FleetVisibility { known: 4, heard: 4 };
+    for peer in 1..4 {
+        quotas.record_contact(peer, at(10));
+        quotas.record_peer(peer, &[recent(1_600.0)], teams, at(10));
+    }
+    let admitted = drain(&mut quotas, &team, 100.0, fleet, at(20));
+    assert!((500.0..=1_100.0).contains(&admitted), "{admitted}");
+}
+
 #[test]
 fn cost_depends_on_the_unit() {
     let tokens = Unit::Tokens {
