test: Soak with teams at and above their limits while nodes are killed and frozen

Cause: no test with processes held a team's limit in both directions while the nodes that count for it fail.

From the upstreams' record it checks each team's use of each window against rate, burst and the operators' tolerance, and from the callers' answers that the team at half is refused as over its limit less than once in 1,000. A broken bound comes with the nodes' lines. What comes beside the faults is a list in place of one flag each; the random numbers of the other seeds are as before.

--- a/examples/local_site/platform.rs
+++ b/examples/local_site/platform.rs
@@ -47,6 +47,7 @@
         upstreams: UPSTREAMS,
         grace_s: 6,
         usage_window_s: 1.0,
+        has_quota_window: false,
         is_proxied: false,
     })
     .await?;
--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use teaselline_stand_ins::operators::soak::{self, SoakSettings};
+use teaselline_stand_ins::operators::soak::{self, Beside, SoakSettings};
 
 fn command() -> Command {
     Command::new("soak")
@@ -56,6 +56,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Has parts of prompts crash upstreams and some callers keep their channels."),
         )
+        .arg(
+            Arg::new("teams-at-limits")
+                .long("teams-at-limits")
+                .action(ArgAction::SetTrue)
+                .help("Has teams run at and above their limits while nodes are killed and frozen."),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
@@ -74,6 +80,14 @@
         .cloned()
         .unwrap_or_default();
     let nodes = matches.get_one::<usize>("nodes").copied().unwrap_or(4);
+    let flags = [
+        ("drills", Beside::Drills),
+        ("releases", Beside::Releases),
+        ("bad-parts", Beside::BadParts),
+        ("teams-at-limits", Beside::TeamsAtLimits),
+    ];
+    let set = (flags.into_iter()).filter(|(flag, _beside)| matches.get_flag(flag));
+    let beside: Vec<Beside> = set.map(|(_flag, beside)| beside).collect();
     let mut is_broken = false;
     for seed in number("seed")..number("seed") + number("runs") {
         let settings = SoakSettings {
@@ -81,9 +95,7 @@
             seed,
             span: Duration::from_secs(number("seconds")),
             nodes,
-            has_drills: matches.get_flag("drills"),
-            has_releases: matches.get_flag("releases"),
-            has_bad_parts: matches.get_flag("bad-parts"),
+            beside: &beside,
         };
         match soak::run(settings).await {
             Ok(outcome) => {
@@ -92,6 +104,9 @@
                     outcome.broken.len(),
                     outcome.ended
                 );
+                for team in &outcome.teams {
+                    println!("  {team}");
+                }
                 if !outcome.broken.is_empty() {
                     is_broken = true;
                     println!("  faults:\n    {}", outcome.faults.join("\n    "));
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -25,6 +25,14 @@
 pub const KEYS: [&str; 2] = ["key-archive", "key-studio"];
 /// The names of the teams.
 pub const TEAMS: [&str; 2] = ["archive", "studio"];
+/// The names of further teams, with one limit each, in requests a second; the burst is that of one second.
+pub const LIMITED_TEAMS: [&str; 3] = ["half", "full", "far"];
+pub(super) const LIMIT_PER_S: f64 = 20.0;
+
+/// The window in which operators measure limits, and what they tolerate beyond one: a fraction of it and some requests.
+pub(super) const QUOTA_WINDOW_S: f64 = 4.0;
+pub(super) const QUOTA_OVERSHOOT: f64 = 0.1;
+pub(super) const QUOTA_SLACK: f64 = 20.0;
 
 /// Between two looks whether something has come about.
 const LOOK: Duration = Duration::from_millis(20);
@@ -73,6 +81,8 @@
     pub grace_s: u64,
     /// Windows of usage, in seconds.
     pub usage_window_s: f64,
+    /// Limits of teams are measured over a window; otherwise nodes know rates and bursts alone.
+    pub has_quota_window: bool,
     /// Leads what nodes say to the store, to upstreams and to callers through proxies.
     pub is_proxied: bool,
 }
@@ -128,6 +138,7 @@
                 cloud: deployment.cloud.address(),
                 grace_s: settings.grace_s,
                 usage_window_s: settings.usage_window_s,
+                has_quota_window: settings.has_quota_window,
                 folder: deployment.folder.path().to_owned(),
             };
             deployment.doors.push(door);
@@ -295,6 +306,12 @@
     Ipv4Addr::new(127, process, installation, host)
 }
 
+/// The key of one of the further teams.
+#[must_use]
+pub fn key_of(team: &str) -> String {
+    format!("key-{team}")
+}
+
 /// A version of the configuration.
 #[must_use]
 pub fn document(version: u64) -> Value {
@@ -306,6 +323,12 @@
             "public": false, "sticky": false, "resumable": resumable, "gapAimMs": 300,
         })
     };
+    let limited = |name: &str| {
+        json!({
+            "name": name, "apiKeys": [key_of(name)], "unit": "requests",
+            "ratePerS": LIMIT_PER_S, "burst": LIMIT_PER_S,
+        })
+    };
     json!({
         "version": version,
         "routes": [
@@ -323,6 +346,9 @@
         "tenants": [
             {"name": TEAMS[0], "apiKeys": [KEYS[0]], "unit": "requests", "ratePerS": 10_000, "burst": 10_000},
             {"name": TEAMS[1], "apiKeys": [KEYS[1]], "unit": "requests", "ratePerS": 20, "burst": 20},
+            limited(LIMITED_TEAMS[0]),
+            limited(LIMITED_TEAMS[1]),
+            limited(LIMITED_TEAMS[2]),
         ],
     })
 }
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -12,6 +12,8 @@
 use nix::unistd::Pid;
 use parking_lot::Mutex;
 
+use super::deployment::{QUOTA_OVERSHOOT, QUOTA_SLACK, QUOTA_WINDOW_S};
+
 /// Ports are the same for all nodes; each has an address of its own.
 const CALLERS_PORT: u16 = 8_221;
 const READINESS_PORT: u16 = 8_224;
@@ -42,6 +44,8 @@
     pub grace_s: u64,
     /// Windows of usage, in seconds.
     pub usage_window_s: f64,
+    /// Limits of teams are measured over a window.
+    pub has_quota_window: bool,
     /// The folder for its settings file.
     pub folder: PathBuf,
 }
@@ -218,7 +222,7 @@
     let zones: serde_json::Map<_, _> = (launch.zones.iter())
         .map(|zone| (zone.clone(), "r".into()))
         .collect();
-    serde_json::json!({
+    let mut settings = serde_json::json!({
         "node": launch.name, "role": "gateway", "class": "front", "ip": launch.ip.to_string(),
         "zone": launch.zone, "region": "r", "zones": zones,
         "listen": {
@@ -233,5 +237,12 @@
         },
         "platform": {"address": launch.store.to_string()},
         "cloud": {"address": launch.cloud.to_string()},
-    })
+    });
+    if launch.has_quota_window {
+        let bounds = &mut settings["bounds"];
+        bounds["quotaWindowS"] = QUOTA_WINDOW_S.into();
+        bounds["quotaOvershoot"] = QUOTA_OVERSHOOT.into();
+        bounds["quotaSlack"] = QUOTA_SLACK.into();
+    }
+    settings
 }
--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -8,6 +8,7 @@
 mod drills;
 mod faults;
 mod releases;
+mod teams;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -28,6 +29,7 @@
 use self::drills::Drills;
 use self::faults::Faults;
 use self::releases::Releases;
+use self::teams::Teams;
 use super::caller::{Asked, Ended};
 use super::deployment::{Deployment, DeploymentSettings, asked};
 use super::upstream::Upstream;
@@ -54,12 +56,27 @@
     pub span: Duration,
     /// Nodes.
     pub nodes: usize,
+    /// What comes beside the faults.
+    pub beside: &'a [Beside],
+}
+
+/// What comes beside the faults of a seed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beside {
     /// The store comes back from copies meanwhile.
-    pub has_drills: bool,
+    Drills,
     /// Upstreams of several versions serve side by side, and callers take up streams that were cut.
-    pub has_releases: bool,
+    Releases,
     /// Parts of prompts crash the upstreams that begin to answer requests with them.
-    pub has_bad_parts: bool,
+    BadParts,
+    /// Further teams run at and above their limits while several nodes at once are killed or frozen.
+    TeamsAtLimits,
+}
+
+impl SoakSettings<'_> {
+    fn has(&self, beside: Beside) -> bool {
+        self.beside.contains(&beside)
+    }
 }
 
 /// What upstreams name from shortly before the last fault on, in requests a second, and what may reach each of them
@@ -81,6 +98,8 @@
     pub faults: Vec<String>,
     /// Promises that were broken.
     pub broken: Vec<String>,
+    /// What the teams at their limits used and were refused.
+    pub teams: Vec<String>,
 }
 
 /// A call and how it ended.
@@ -108,6 +127,7 @@
         upstreams: 3,
         grace_s: 6,
         usage_window_s: 1.0,
+        has_quota_window: settings.has(Beside::TeamsAtLimits),
         is_proxied: true,
     })
     .await?;
@@ -117,27 +137,22 @@
     let nodes: Vec<SocketAddr> = (deployment.caller_proxies.iter())
         .map(TcpProxy::address)
         .collect();
-    for caller in 0..CALLERS {
-        let rng = SmallRng::seed_from_u64(settings.seed ^ (caller as u64) << 32);
-        let history = Arc::clone(&called);
-        let habits = Habits {
-            takes_up: settings.has_releases,
-            has_prompts: settings.has_bad_parts,
-        };
-        callers.spawn(call_on(caller, rng, nodes.clone(), history, habits));
-    }
-    let mut bad_parts = (settings.has_bad_parts).then(|| BadParts::new(settings.seed));
+    call_throughout(&settings, &nodes, &called, &mut callers);
+    let mut bad_parts = settings
+        .has(Beside::BadParts)
+        .then(|| BadParts::new(settings.seed));
     if let Some(bad_parts) = &mut bad_parts {
         bad_parts.step(&deployment);
-        for caller in 0..BAD_CALLERS {
-            let rng = SmallRng::seed_from_u64(!settings.seed ^ (caller as u64) << 32);
-            let history = Arc::clone(&called);
-            callers.spawn(call_with_bad_parts(caller, rng, nodes.clone(), history));
-        }
     }
+    let mut teams = (settings.has(Beside::TeamsAtLimits))
+        .then(|| Teams::start(settings.seed, &nodes, &mut callers));
     let mut faults = Faults::new(settings.seed);
-    let mut releases = (settings.has_releases).then(|| Releases::new(settings.seed));
-    let mut drills = settings.has_drills.then(|| Drills::new(settings.seed));
+    let mut releases = settings
+        .has(Beside::Releases)
+        .then(|| Releases::new(settings.seed));
+    let mut drills = settings
+        .has(Beside::Drills)
+        .then(|| Drills::new(settings.seed));
     let until = Instant::now() + settings.span;
     let mut limited = Vec::new();
     while Instant::now() < until {
@@ -146,6 +161,8 @@
         }
         let fault = faults.next(&mut deployment).await?;
         outcome.faults.push(fault);
+        let hit = (teams.as_mut()).and_then(|teams| teams.step(&mut faults, &deployment));
+        outcome.faults.extend(hit);
         let drill = drills.as_mut().and_then(|drills| drills.step(&deployment));
         outcome.faults.extend(drill);
         if let Some(releases) = &mut releases {
@@ -181,8 +198,12 @@
     check_limited(&deployment, &limited, binds_ms, heard_ms, &mut outcome);
     let called = std::mem::take(&mut *called.lock());
     let runs = deployment.runs.lock().clone();
-    outcome.broken.extend(saying.broken(&deployment, &called));
+    let of_teams = teams.as_ref().map(Teams::called).unwrap_or_default();
+    (outcome.broken).extend(saying.broken(&deployment, &[called.as_slice(), &of_teams].concat()));
     check_calls(&called, &runs, &mut outcome);
+    if let Some(teams) = &teams {
+        teams.check(&deployment, &runs, &mut outcome);
+    }
     if let Some(bad_parts) = &bad_parts {
         outcome.faults.extend(bad_parts.told(&deployment));
         outcome.broken.extend(bad_parts.broken(&deployment));
@@ -197,6 +218,30 @@
     Ok(outcome)
 }
 
+/// Starts the callers that ask without end.
+fn call_throughout(
+    settings: &SoakSettings<'_>,
+    nodes: &[SocketAddr],
+    called: &Arc<Mutex<Vec<Called>>>,
+    callers: &mut JoinSet<()>,
+) {
+    for caller in 0..CALLERS {
+        let rng = SmallRng::seed_from_u64(settings.seed ^ (caller as u64) << 32);
+        let history = Arc::clone(called);
+        let habits = Habits {
+            takes_up: settings.has(Beside::Releases),
+            has_prompts: settings.has(Beside::BadParts),
+        };
+        callers.spawn(call_on(caller, rng, nodes.to_vec(), history, habits));
+    }
+    let bad_callers = BAD_CALLERS * usize::from(settings.has(Beside::BadParts));
+    for caller in 0..bad_callers {
+        let rng = SmallRng::seed_from_u64(!settings.seed ^ (caller as u64) << 32);
+        let history = Arc::clone(called);
+        callers.spawn(call_with_bad_parts(caller, rng, nodes.to_vec(), history));
+    }
+}
+
 /// Has one upstream of each service name a limit; gives their ids.
 fn limit_one_of_each_service(deployment: &Deployment) -> Vec<String> {
     let upstreams = deployment.upstreams.iter();
--- a/stand_ins/src/operators/soak/faults.rs
+++ b/stand_ins/src/operators/soak/faults.rs
@@ -155,6 +155,16 @@
         Ok(format!("{fault} ({for_ms} ms)"))
     }
 
+    /// Kills or freezes several nodes at once.
+    pub fn hit_nodes(&mut self, rng: &mut SmallRng, deployment: &Deployment, hit: usize) -> String {
+        let signal = [Signal::SIGKILL, Signal::SIGSTOP][rng.random_range(0..2)];
+        let until = Instant::now() + Duration::from_millis(rng.random_range(500..4_000));
+        let first = rng.random_range(0..deployment.nodes.len());
+        let places = (first..first + hit).map(|place| place % deployment.nodes.len());
+        let hit = places.map(|place| self.signal(deployment, place, signal, until));
+        hit.collect::<Vec<_>>().join(", ")
+    }
+
     fn signal(
         &mut self,
         deployment: &Deployment,
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -25,6 +25,7 @@
         upstreams,
         grace_s: 6,
         usage_window_s: 1.0,
+        has_quota_window: false,
         is_proxied: false,
     };
     Deployment::start(settings)
