bug: Refunds, pauses and freezes no longer bend a team's limit

Found by a reviewer who had not written the part, by reading: - A refunded cost was deducted by all nodes again each time it was spent: a team was refused after a shortage. Now the next spending within a second is not reported as far as a refund covers it, and a refund no longer returns to leased credit, which the owner had put back already. - The debt of a team was forgiven after each pause of a second, since a new ledger counted as that of a thawed owner: requests larger than the bucket exceeded the limit. Now only after a freeze, and then on all copies of the node. - A bucket was refilled twice for one span when a caller had read the clock before another that was served first. - A node that hears nobody owned all teams with whole buckets; it now spends its own part while it hears less than half. - A successor withheld for peers that had long been silent; their rate now counts while it is recent. - A quiet time from the wire is bounded. Tests: pause_of_a_team_leaves_its_debt, refunded_requests_leave_the_owner_what_they_did_not_use, refunded_cost_that_is_spent_again_soon_is_reported_once, earlier_time_does_not_refill_the_bucket_again. They were not run without the change.

--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -15,7 +15,7 @@
 use crate::gateway::clock;
 use crate::gateway::crashes::subjects::{self, Subjects};
 use crate::gateway::forwarding::{self, ForwardedRequest};
-use crate::gateway::limits::credit::{self, CreditSource};
+use crate::gateway::limits::credit;
 use crate::gateway::limits::quota::{self, Admission};
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::{Malformed, RequestHead};
@@ -56,8 +56,6 @@
     pub begun: Option<Origin>,
     /// Units that the request consumes from its team's quota.
     charge: f64,
-    /// What covered the charge.
-    credit_source: CreditSource,
 }
 
 impl Plan {
@@ -113,7 +111,7 @@
         if let Some(team) = self.team()
             && attempts.executions() == 0
         {
-            credit::refund(node, team, self.charge, self.credit_source, now);
+            node.quotas.lock().refund(team, self.charge, now);
             request_log.record_refund();
         }
     }
@@ -145,11 +143,10 @@
     let body = read_body(body, max_bytes, checked.deadline).await?;
     let mut plan = plan(node, parts, checked, body)?;
     if let Some(team) = plan.team() {
-        let (cost, source) = charge(node, team, &plan.head, request_log).await?;
+        let cost = charge(node, team, &plan.head, request_log).await?;
         let window = node.settings().bounds.limit_window;
         request_log.record_charge(Charge::new(cost, team, window));
         plan.charge = cost;
-        plan.credit_source = source;
     }
     match streams::bind(node, &plan.head, plan.route(), plan.team(), &plan.pool).await {
         Ok(None) => {}
@@ -290,7 +287,6 @@
         draw,
         begun: None,
         charge: 0.0,
-        credit_source: CreditSource::Undivided,
         head,
         route,
         team,
@@ -298,20 +294,20 @@
     })
 }
 
-/// Charges a request to its team's limit; returns the cost and what covered it.
+/// Charges a request to its team's limit; returns the cost.
 async fn charge(
     node: &Gateway,
     team: &Team,
     head: &RequestHead,
     request_log: &mut RequestLog,
-) -> Result<(f64, CreditSource), Refusal> {
+) -> Result<f64, Refusal> {
     let tokens = head.prompt.as_ref();
     let tokens = tokens.map(|prompt| prompt.input_tokens + prompt.max_output_tokens);
     let cost = quota::cost(team.unit, tokens);
     let decision = credit::admit(node, team, cost, clock::now()).await;
     request_log.record_credit(decision.source, decision.wait_ms);
     match decision.admission {
-        Admission::Admitted => Ok((cost, decision.source)),
+        Admission::Admitted => Ok(cost),
         Admission::Over(shortfall) => Err(Refusal::OverLimit(shortfall)),
     }
 }
--- a/src/gateway/limits/credit.rs
+++ b/src/gateway/limits/credit.rs
@@ -21,9 +21,9 @@
 
 use self::holder::Holder;
 pub(crate) use self::holder::{Arrival, Ticket, Verdict};
-use self::owner::Ledger;
+use self::owner::{Ledger, OVERDRAFT_FRACTION, has_thawed};
 pub(crate) use self::transfer::{apply_ask, apply_grant, update};
-pub(crate) use self::waiting::{Credit, CreditSource, admit, refund};
+pub(crate) use self::waiting::{Credit, CreditSource, admit};
 pub(crate) use self::wire::{CheckedAsk, CheckedGrant, CreditAsk, CreditGrant};
 use super::quota::{AdmittedTotal, CreditShortage, Quotas};
 use crate::gateway::catalog::Team;
@@ -51,6 +51,8 @@
     last_sequence: u64,
     /// Time of the last update; one that is overdue shows that the node was frozen.
     updated_at: TimeMs,
+    /// When this node last found that it had been frozen.
+    thawed_at: Option<TimeMs>,
 }
 
 /// Where a team's credit stands at one node.
@@ -79,6 +81,7 @@
             last_ticket: 0,
             last_sequence: 0,
             updated_at: now,
+            thawed_at: None,
         }
     }
 
@@ -153,11 +156,6 @@
         found.is_ok_and(|index| self.holders[index].is_unanswered)
     }
 
-    /// Returns the cost of a request that did not run to the held credit.
-    pub fn refund(&mut self, team: &Team, cost: f64, now: TimeMs) {
-        self.holder(team, now).refund(cost, now);
-    }
-
     /// Answers an ask as the team's owner; `None` if a newer ask of the node was answered before.
     pub fn answer(
         &mut self,
@@ -180,13 +178,19 @@
         quotas: &mut Quotas,
         now: TimeMs,
     ) {
+        self.detect_freeze(now);
         quotas.record_peer(incarnation, totals, teams, now);
+        let is_thawed = has_thawed(self.thawed_at, now);
         for admitted in totals {
+            let team = teams.iter().find(|team| team.tag == admitted.team);
+            if let Some(team) = team.filter(|_team| is_thawed) {
+                quotas.limit_debt(team, team.burst.max(0.0) * OVERDRAFT_FRACTION, now);
+            }
             let Ok(index) = self.ledger_position(admitted.team) else {
                 continue;
             };
             let covered = self.ledgers[index].record_total(incarnation, admitted);
-            match teams.iter().find(|team| team.tag == admitted.team) {
+            match team {
                 Some(team) if covered > 0.0 => quotas.release(team, covered, now),
                 _ => {}
             }
@@ -262,7 +266,7 @@
         &mut self.holders[index]
     }
 
-    /// Has all ledgers learn again after a time without updates.
+    /// Has all ledgers learn again after a time without updates, in which this node was frozen.
     ///
     /// A successor may have granted credit meanwhile.
     fn detect_freeze(&mut self, now: TimeMs) {
@@ -270,15 +274,17 @@
             return;
         }
         self.updated_at = now;
+        self.thawed_at = Some(now);
         for ledger in &mut self.ledgers {
-            ledger.relearn(now);
+            ledger.thaw(now);
         }
     }
 
     fn ledger(&mut self, team: u64, now: TimeMs) -> &mut Ledger {
         self.detect_freeze(now);
         let index = self.ledger_position(team).unwrap_or_else(|index| {
-            self.ledgers.insert(index, Ledger::new(team, now));
+            let ledger = Ledger::new(team, self.thawed_at, now);
+            self.ledgers.insert(index, ledger);
             index
         });
         &mut self.ledgers[index]
--- a/src/gateway/limits/credit/holder.rs
+++ b/src/gateway/limits/credit/holder.rs
@@ -16,6 +16,9 @@
 /// Least interval between two asks for which no request waits.
 const AHEAD_INTERVAL_MS: u64 = 50;
 
+/// Longest quiet time that a node obeys, whatever an answer names.
+const MAX_OBEYED_QUIET_MS: u64 = 1_250;
+
 /// Round trips for which the held credit has to last without an ask.
 const LOW_CREDIT_ROUND_TRIPS: u64 = 2;
 
@@ -219,7 +222,7 @@
             self.is_unanswered = false;
         }
         self.quiet = (grant.quiet_ms > 0).then(|| Quiet {
-            ends_at: now.after(grant.quiet_ms),
+            ends_at: now.after(grant.quiet_ms.min(MAX_OBEYED_QUIET_MS)),
             exempt_cost: grant.exempt_cost,
             available: grant.available,
         });
@@ -244,13 +247,6 @@
             .collect()
     }
 
-    /// Returns the cost of a request that did not run, unless the lease has ended.
-    pub fn refund(&mut self, cost: f64, now: TimeMs) {
-        if now < self.ends_at {
-            self.credit += cost;
-        }
-    }
-
     /// Returns the credit that may be spent now.
     pub fn credit(&self, now: TimeMs) -> f64 {
         if now < self.ends_at { self.credit } else { 0.0 }
--- a/src/gateway/limits/credit/owner.rs
+++ b/src/gateway/limits/credit/owner.rs
@@ -11,7 +11,7 @@
 use crate::time::TimeMs;
 
 /// Fraction of the burst that requests may overdraw.
-const OVERDRAFT_FRACTION: f64 = 0.25;
+pub(super) const OVERDRAFT_FRACTION: f64 = 0.25;
 
 /// Fraction of the capacity at which a request that exceeds the bucket is granted.
 const FULL_FRACTION: f64 = 0.9;
@@ -44,6 +44,8 @@
     pub is_owned: bool,
     /// Since when it is.
     owned_since: TimeMs,
+    /// When this node last found that it had been frozen.
+    thawed_at: Option<TimeMs>,
     asked_at: TimeMs,
     /// Sorted by the holder's incarnation.
     leases: Vec<Lease>,
@@ -66,9 +68,12 @@
 
 impl Ledger {
     /// Creates the ledger of a team that this node owns from now on.
-    pub fn new(team: u64, now: TimeMs) -> Self {
+    ///
+    /// `thawed_at` is when this node last found that it had been frozen.
+    pub fn new(team: u64, thawed_at: Option<TimeMs>, now: TimeMs) -> Self {
         Self {
             team,
+            thawed_at,
             is_owned: true,
             owned_since: now,
             asked_at: now,
@@ -87,9 +92,10 @@
         is_changed
     }
 
-    /// Starts to learn again which leases are out.
-    pub fn relearn(&mut self, now: TimeMs) {
+    /// Starts to learn again which leases are out, after this node was frozen.
+    pub fn thaw(&mut self, now: TimeMs) {
         self.owned_since = now;
+        self.thawed_at = Some(now);
     }
 
     /// Answers an ask; `None` if a newer one of the node was answered before.
@@ -253,10 +259,12 @@
         now.since(self.owned_since) < LEASE_MS
     }
 
-    /// Returns the team's bucket; while this owner learns, without more debt than grants cause.
+    /// Returns the team's bucket; after a freeze without more debt than grants cause.
+    ///
+    /// The refill of the freeze is lost, and what others admitted with it is deducted.
     fn bucket(&self, team: &Team, quotas: &mut Quotas, now: TimeMs) -> Option<FleetBucket> {
         let bucket = quotas.fleet_bucket(team, now)?;
-        if !self.is_learning(now) {
+        if !has_thawed(self.thawed_at, now) {
             return Some(bucket);
         }
         quotas.limit_debt(team, overdraft(&bucket) + self.outstanding(), now);
@@ -336,6 +344,12 @@
     }
 }
 
+/// Whether a node found that it had been frozen less than a lease ago.
+pub(super) fn has_thawed(thawed_at: Option<TimeMs>, now: TimeMs) -> bool {
+    thawed_at.is_some_and(|thawed_at| now.since(thawed_at) < LEASE_MS)
+}
+
+/// Returns by how much the requests of a team with this bucket may overdraw it.
 fn overdraft(bucket: &FleetBucket) -> f64 {
     bucket.burst.max(0.0) * OVERDRAFT_FRACTION
 }
--- a/src/gateway/limits/credit/tests/grants.rs
+++ b/src/gateway/limits/credit/tests/grants.rs
@@ -224,3 +224,59 @@
     let later = available(&mut pair, at(4_000 + LEASE_MS));
     assert!(later < 10.0, "{later}");
 }
+
+/// Sends a request of 8,000 units, which is admitted.
+fn spend(pair: &mut Pair, now_ms: u64) {
+    let (arrival, ask) = pair.arrive(8_000.0, at(now_ms));
+    let grant = ask.and_then(|ask| pair.answer(ask, at(now_ms + 1)));
+    let settled = grant.and_then(|grant| pair.apply(grant, at(now_ms + 2)));
+    let is_admitted = arrival == Arrival::Decided(Verdict::Admitted);
+    assert!(is_admitted || admits(settled.as_deref(), 1));
+}
+
+/// Returns what the owner may grant once all leases have ended.
+fn left_at_owner(pair: &mut Pair, now_ms: u64) -> f64 {
+    let bucket = pair.owner.1.fleet_bucket(&pair.team, at(now_ms));
+    bucket.expect("a limit").level + pair.outstanding(at(now_ms))
+}
+
+/// Guards against a team within its limit that is refused because its refunded requests are deducted each time.
+#[test]
+fn refunded_requests_leave_the_owner_what_they_did_not_use() {
+    let mut refunded = Pair::new(team(RATE_PER_S));
+    for step in 0..30 {
+        spend(&mut refunded, step * 10);
+        let now = at(step * 10 + 3);
+        refunded.node.1.refund(&refunded.team, 8_000.0, now);
+    }
+    spend(&mut refunded, 300);
+    let mut unused = Pair::new(team(RATE_PER_S));
+    spend(&mut unused, 300);
+    let expected = left_at_owner(&mut unused, 310);
+    let left = left_at_owner(&mut refunded, 310);
+    assert!(left >= expected - 8_001.0, "{left} of {expected}");
+}
+
+/// Guards against debts that are forgiven whenever a team pauses: requests larger than the bucket would exceed the limit.
+#[test]
+fn pause_of_a_team_leaves_its_debt() {
+    let mut pair = Pair::new(team(RATE_PER_S));
+    let teams = [pair.team.clone()];
+    let cost = 5.0 * RATE_PER_S;
+    let mut granted = 0;
+    for step in 0..20_u64 {
+        let now_ms = step * 1_200;
+        for tick_ms in (now_ms.saturating_sub(1_000)..now_ms).step_by(200) {
+            pair.update(&teams, at(tick_ms));
+        }
+        let Some(ask) = pair.arrive(cost, at(now_ms)).1 else {
+            continue;
+        };
+        let grant = pair.answer(ask, at(now_ms + 1)).expect("an answer");
+        granted += u32::from(grant.granted > 0.0);
+        pair.apply(grant, at(now_ms + 2));
+    }
+    // 24 s of the rate, half a second of burst and its share of the rate cover five such requests.
+    assert!(granted <= 6, "{granted}");
+    assert!(granted >= 4, "{granted}");
+}
--- a/src/gateway/limits/credit/transfer.rs
+++ b/src/gateway/limits/credit/transfer.rs
@@ -87,7 +87,6 @@
         let abandoned = credit.deliver(&settled);
         if abandoned > 0.0 {
             quotas.refund(team, abandoned, now);
-            credit.leases.refund(team, abandoned, now);
             log::debug!(team = team.name.as_str(), cost = abandoned; "callers left before the owner's answer; their requests are refunded");
         }
         credit.leases.next_ask(team, &mut quotas, now)
--- a/src/gateway/limits/credit/waiting.rs
+++ b/src/gateway/limits/credit/waiting.rs
@@ -69,11 +69,6 @@
             Self::Fallback => "fallback",
         }
     }
-
-    /// Whether the charge was taken from credit that this node holds.
-    fn is_leased(self) -> bool {
-        matches!(self, Self::Held | Self::Asked)
-    }
 }
 
 impl Credit {
@@ -129,6 +124,11 @@
         return Decision::at_once(admission, CreditSource::Undivided);
     }
     node.quotas.lock().set_visibility(visibility);
+    if owner.is_none() && !visibility.sees_half() {
+        // A node that hears few of the others is not the owner because it hears no better one.
+        let admission = node.quotas.lock().admit(team, cost, visibility, now);
+        return Decision::at_once(admission, CreditSource::Fallback);
+    }
     let Some(owner) = owner else {
         let verdict = {
             let mut credit = node.credit.lock();
@@ -248,11 +248,3 @@
         log::info!(event = "credit_owner_silent", team = team.name.as_str(), owner:% = owner; "the owner of a team's limit does not answer; this node spends its own part");
     }
 }
-
-/// Returns the cost of a request that did not run to the credit that it was charged to.
-pub(crate) fn refund(node: &Gateway, team: &Team, cost: f64, source: CreditSource, now: TimeMs) {
-    node.quotas.lock().refund(team, cost, now);
-    if source.is_leased() {
-        node.credit.lock().leases.refund(team, cost, now);
-    }
-}
--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -183,7 +183,7 @@
     /// Refunds the cost of a request that did not run.
     pub fn refund(&mut self, team: &Team, cost: f64, now: TimeMs) {
         if team.rate_per_s.is_some() {
-            self.bucket(team, now).refund(cost);
+            self.bucket(team, now).refund(cost, now);
         }
     }
 
--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -23,6 +23,9 @@
 /// a report.
 pub(super) const REPORT_RETENTION_MS: u64 = 2_000;
 
+/// Time for which a refunded cost may be spent again without being reported again.
+const PREPAID_MS: u64 = 1_000;
+
 /// A team's bucket.
 #[derive(Clone, Debug)]
 pub(super) struct Bucket {
@@ -33,6 +36,10 @@
     refilled_at: TimeMs,
     /// Total cost that this node has admitted since its start.
     own_total: f64,
+    /// Part of `own_total` that was refunded and is not spent again yet.
+    prepaid: f64,
+    /// When the oldest of it was refunded.
+    prepaid_at: TimeMs,
     /// Part of `own_total` that was reported to the team's collector.
     reported_total: f64,
     /// The total before the admissions of the present and the previous retention period.
@@ -77,6 +84,8 @@
             level,
             refilled_at: now,
             own_total: 0.0,
+            prepaid: 0.0,
+            prepaid_at: now,
             reported_total: 0.0,
             base_total: 0.0,
             period_total: 0.0,
@@ -149,16 +158,33 @@
         }
         self.level -= cost;
         self.allotment.deduct(cost);
-        self.own_total += cost;
+        let reused = cost.min(self.prepaid(now));
+        self.prepaid = self.prepaid(now) - reused;
+        self.own_total += cost - reused;
         self.admitted_at = now;
     }
 
     /// Returns the cost of a request that did not run.
-    pub fn refund(&mut self, cost: f64) {
-        // Totals grow monotonically, so that a late, older report can be recognised. Peers
-        // therefore keep counting this request, which is a small part of a limit.
+    pub fn refund(&mut self, cost: f64, now: TimeMs) {
         self.level += cost;
         self.allotment.refund(cost);
+        // Totals grow monotonically, so that a late, older report can be recognised: peers keep counting
+        // this request, and the next ones do not count as far as it covers them.
+        let before = self.prepaid(now);
+        if before <= 0.0 {
+            self.prepaid_at = now;
+        }
+        self.prepaid = before + cost;
+    }
+
+    /// Returns what was refunded of the total and may be spent again without a growth of it.
+    ///
+    /// It ends, so that spending is not moved from one window of the limit to a later one.
+    fn prepaid(&self, now: TimeMs) -> f64 {
+        match now.since(self.prepaid_at) {
+            age_ms if age_ms < PREPAID_MS => self.prepaid,
+            _ => 0.0,
+        }
     }
 
     /// Adds what the rate gives since the last refill; the rate is that of the nodes in contact.
@@ -177,7 +203,8 @@
         }
         (self.allotment).refill(self.level, parameters, passed_ms);
         self.level = (self.level + gained).min(parameters.capacity);
-        self.refilled_at = now;
+        // Callers read the clock before they wait for the bucket: `now` may be earlier than the last refill.
+        self.refilled_at = self.refilled_at.max(now);
     }
 
     /// Enters the next round of reports if the peers have reported the present one.
@@ -205,8 +232,9 @@
     }
 
     /// Returns the rate at which the peers admit, as of their last reports.
-    pub fn peer_rate_per_ms(&self) -> f64 {
-        self.peers.iter().map(|peer| peer.rate.per_ms).sum()
+    pub fn peer_rate_per_ms(&self, now: TimeMs) -> f64 {
+        let rates = (self.peers.iter()).map(|peer| peer.rate.recent_per_ms(now));
+        rates.sum()
     }
 
     /// Deducts what a peer has admitted since its last report.
--- a/src/gateway/limits/quota/leased.rs
+++ b/src/gateway/limits/quota/leased.rs
@@ -43,7 +43,7 @@
             capacity: parameters.capacity,
             rate_per_s: parameters.rate_per_s,
             burst: team.burst,
-            peer_rate_per_ms: bucket.peer_rate_per_ms(),
+            peer_rate_per_ms: bucket.peer_rate_per_ms(now),
         })
     }
 
--- a/src/gateway/limits/quota/rate.rs
+++ b/src/gateway/limits/quota/rate.rs
@@ -31,7 +31,7 @@
         let passed_ms = num::to_f64(now.since(self.recorded_at).max(1));
         let weight = (passed_ms / AVERAGING_MS).min(1.0);
         self.per_ms += weight * (gained / passed_ms - self.per_ms);
-        self.recorded_at = now;
+        self.recorded_at = self.recorded_at.max(now);
     }
 
     /// Returns the rate per millisecond; zero after a long silence.
--- a/src/gateway/limits/quota/reports.rs
+++ b/src/gateway/limits/quota/reports.rs
@@ -58,7 +58,7 @@
             return Vec::new();
         };
         let is_far = bucket.level > parameters.capacity * NEAR_LIMIT_FRACTION;
-        let unreported = bucket.peer_rate_per_ms() * GROUP_REPORT_DELAY_MS;
+        let unreported = bucket.peer_rate_per_ms(now) * GROUP_REPORT_DELAY_MS;
         if is_far || unreported < tolerance * UNREPORTED_TOLERANCE_FRACTION {
             return Vec::new();
         }
--- a/src/gateway/limits/quota/tests/reports.rs
+++ b/src/gateway/limits/quota/tests/reports.rs
@@ -38,6 +38,38 @@
     assert_eq!(quotas.admit(&team, 10.0, ALL, at(500)), Admission::Admitted);
 }
 
+/// Guards against a refunded cost that all nodes deduct again each time it is spent.
+#[test]
+fn refunded_cost_that_is_spent_again_soon_is_reported_once() {
+    let team = team(1_000.0, 1_000.0);
+    let mut quotas = long_running();
+    for step in 0..50 {
+        quotas.admit(&team, 100.0, ALL, at(step * 10));
+        quotas.refund(&team, 100.0, at(step * 10 + 5));
+    }
+    quotas.admit(&team, 100.0, ALL, at(500));
+    let reported = quotas.recent_totals(at(500));
+    assert!((reported[0].total - 100.0).abs() < 1.0, "{reported:?}");
+    quotas.refund(&team, 100.0, at(510));
+    quotas.admit(&team, 100.0, ALL, at(5_000));
+    let reported = quotas.recent_totals(at(5_000));
+    assert!((reported[0].total - 200.0).abs() < 1.0, "{reported:?}");
+}
+
+/// Guards against a bucket that is refilled twice for one span of time, by callers who read the clock before they wait for it.
+#[test]
+fn earlier_time_does_not_refill_the_bucket_again() {
+    let team = team(1_000.0, 1_000.0);
+    let mut quotas = long_running();
+    drain(&mut quotas, &team, 10.0, ALL, at(0));
+    let mut admitted = 0.0;
+    for step in 1..=100_u64 {
+        admitted += drain(&mut quotas, &team, 10.0, ALL, at(step * 10));
+        admitted += drain(&mut quotas, &team, 10.0, ALL, at(step * 10 - 9));
+    }
+    assert!(admitted <= 1_010.0, "{admitted}");
+}
+
 #[test]
 fn late_report_is_not_deducted_twice() {
     let team = team(1_000.0, 10_000.0);
