--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -7,11 +7,11 @@
 //! engine that lacks a prefix copies it from one that has it.
 
 use super::num;
-use super::pace::Pace;
 use super::prefixes::Prefixes;
 use super::request_head::Prompt;
 use super::rollout::VersionFilter;
 use super::sources::{self, Source};
+use super::speed::pace::Pace;
 use super::upstreams::{Upstream, UpstreamKey, UpstreamTable, spread_bits};
 use crate::time::TimeMs;
 
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::gateway::health::Outcome;
-use crate::gateway::pace::EngineModel;
 use crate::gateway::request_head::PromptPart;
+use crate::gateway::speed::pace::EngineModel;
 use crate::gateway::upstreams::tests::announced;
 use crate::gateway::upstreams::{Change, Load, Phase, tag};
 
--- a/src/gateway/provisioning.rs
+++ b/src/gateway/provisioning.rs
@@ -2,9 +2,9 @@
 
 use super::catalog::{Catalog, Pool};
 use super::clock;
-use super::need::{self, Peak};
 use super::pool_map::PoolMap;
 use super::sizing::{self, DomainUpstreams, Order, OrderHistory};
+use super::speed::need::{self, Peak};
 use super::state::Gateway;
 use crate::platform::cloud::{CallOutcome, Cloud, LeaseHolder};
 use crate::time::TimeMs;
--- a/src/gateway/sources/tests.rs
+++ b/src/gateway/sources/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
-use crate::gateway::pace::EngineModel;
 use crate::gateway::request_head::{Prompt, PromptPart};
+use crate::gateway::speed::pace::EngineModel;
 use crate::gateway::upstreams::Change;
 use crate::gateway::upstreams::tests::announced;
 
--- a/src/gateway/need.rs
+++ b/src/gateway/speed/need.rs
@@ -4,10 +4,10 @@
 //! time to first token, and the cache memory of active prompts. Each follows from the load and the
 //! learned speed of the engines.
 
-use super::catalog::{Catalog, Engine};
-use super::demand::Rates;
-use super::num;
 use super::pace::Pace;
+use crate::gateway::catalog::{Catalog, Engine};
+use crate::gateway::demand::Rates;
+use crate::gateway::num;
 use crate::time::TimeMs;
 
 /// Planned load as a multiple of the mean: requests arrive in bursts and unevenly over engines.
--- a/src/gateway/pace.rs
+++ b/src/gateway/speed/pace.rs
@@ -9,9 +9,9 @@
 use bincode::{Decode, Encode};
 
 use super::least_squares::{Prior, RecursiveLeastSquares};
-use super::num;
-use super::peers::PEER_EXPIRY_MS;
-use super::upstreams::tag;
+use crate::gateway::num;
+use crate::gateway::peers::PEER_EXPIRY_MS;
+use crate::gateway::upstreams::tag;
 use crate::time::TimeMs;
 
 /// Prior of the time to first token of an empty prompt, in ms: deployed engines need 20 to 60.
