feature: Each engine has a speed of its own

Cause: one model of a pool served for each of its engines, while engines of a pool differ; slower ones got no less work, and sizing counted each as the mean one. A node sees one engine too seldom to learn it alone.

Change: each start of an upstream has a time factor on its pool's model, from decayed sums of expected and measured times that nodes state in heartbeats and speakers state for their groups. Totals replace totals, so that a lost, late or doubled statement and a new speaker change nothing lasting. The choice, the check for too late and sizing use it; plain upstreams have one too.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -6,6 +6,9 @@
 //! same engine for a prefix without coordination, by rendezvous hashing of prefix and upstream. An
 //! engine that lacks a prefix copies it from one that has it.
 
+mod plain;
+
+use self::plain::PlainPool;
 use super::num;
 use super::prefixes::Prefixes;
 use super::request_head::Prompt;
@@ -32,12 +35,6 @@
 /// Penalty of an upstream all of whose recent requests failed; it scales with the failure share.
 const FAILURE_PENALTY_MS: f64 = 3_000.0;
 
-/// Expected time of a plain call until an upstream of the pool has answered once.
-const DEFAULT_PLAIN_CALL_MS: f64 = 30.0;
-
-/// Concurrent requests assumed for a plain service that announces no slot count.
-const DEFAULT_PLAIN_SLOTS: u32 = 4;
-
 /// Penalty of a call into another failure domain, in addition to the network delay.
 const OTHER_DOMAIN_PENALTY_MS: f64 = 2.0;
 
@@ -84,6 +81,11 @@
     pub slots: u32,
     /// Requests that the upstream runs now.
     pub running: u32,
+    /// Time that the upstream takes as a multiple of its pool's mean one; part of `expected_ms`.
+    pub time_factor: f64,
+    /// Time expected of the pool's mean upstream, if what this request takes is a measure of the
+    /// upstream's speed.
+    pub pool_expected_ms: Option<f64>,
 }
 
 /// Returns the upstream with the lowest expected time to answer, copies and penalties included.
@@ -107,7 +109,7 @@
         .map(|prompt| preferred_engines(&candidates, prompt));
     let preferred_engines = preferred_engines.unwrap_or_default();
     let sources = sources::copy_sources(table, prefixes, ask, now);
-    let fastest_answer_ms = fastest_answer_ms(&candidates, ask);
+    let plain_pool = PlainPool::of(&candidates, ask);
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
         if any_usable && !is_usable(upstream) {
@@ -124,15 +126,12 @@
                 };
                 estimate_engine(key, upstream, prompt, estimate, &ask.pace)
             }
-            None => estimate_plain(
-                key,
-                upstream,
-                upstream.health.expected_ms(fastest_answer_ms, now),
-            ),
+            None => plain_pool.estimate(key, upstream, now),
         };
         let penalty_ms = penalty_ms(upstream, ask, now) + jitter_ms(ask.draw, upstream.tag);
-        let copied = num::to_f64(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
-        let score = choice.expected_ms + penalty_ms + copied * COPY_COST_FACTOR;
+        let pool_read_ms = num::to_f64(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
+        let read_ms = pool_read_ms * choice.time_factor;
+        let score = choice.expected_ms + penalty_ms + read_ms * COPY_COST_FACTOR;
         if best.is_none_or(|(lowest, _choice)| score < lowest) {
             best = Some((score, choice));
         }
@@ -220,14 +219,6 @@
     candidates
 }
 
-/// Returns the mean answer time of the fastest upstream for a plain call, in milliseconds.
-fn fastest_answer_ms(candidates: &[(UpstreamKey, &Upstream)], ask: &Criteria<'_>) -> f64 {
-    // The answer time of engines is estimated from their `Pace` instead.
-    let plain_candidates = candidates.iter().filter(|_candidate| ask.prompt.is_none());
-    let took_ms = plain_candidates.filter_map(|(_key, upstream)| upstream.health.mean_answer_ms());
-    took_ms.reduce(f64::min).unwrap_or(DEFAULT_PLAIN_CALL_MS)
-}
-
 /// Returns the two preferred upstreams of the prompt's shared prefix, in order, the same on all
 /// nodes.
 fn preferred_engines(
@@ -289,36 +280,21 @@
     let queue_ms = pace.held_ms * queued / f64::from(slots);
     let read_ms = waiting_tokens / pace.read_tokens_per_ms;
     let batch_ms = pace.crowding_ms * f64::from(running);
+    let pool_expected_ms = pace.first_ms + batch_ms + read_ms + queue_ms;
+    let time_factor = upstream.speed.factor();
+    // The pool's model learns from the same requests.
+    let is_sample = pace.is_learned && copied_tokens <= 0.0 && running * 2 < slots;
     Choice {
         upstream: key,
-        expected_ms: pace.first_ms + batch_ms + read_ms + copy_ms + queue_ms,
+        expected_ms: pool_expected_ms * time_factor + copy_ms,
         unread_tokens: num::round_to_u64(unread_tokens),
         waiting_tokens: num::round_to_u64(waiting_tokens),
         source: copy.map(|(_tokens_per_ms, source)| source),
         copied_tokens: num::round_to_u64(copied_tokens),
         slots,
         running,
-    }
-}
-
-fn estimate_plain(key: UpstreamKey, upstream: &Upstream, took_ms: f64) -> Choice {
-    let slots = match upstream.announcement.slots {
-        0 => DEFAULT_PLAIN_SLOTS,
-        slots => slots,
-    };
-    let running = upstream.running();
-    // Answers slow down under load; a request beyond the last slot also queues for one.
-    let load_factor = 1.0 + f64::from(running) / f64::from(slots);
-    let queue_factor = f64::from((running + 1).saturating_sub(slots)) / f64::from(slots);
-    Choice {
-        upstream: key,
-        expected_ms: took_ms * (load_factor + queue_factor),
-        unread_tokens: 0,
-        waiting_tokens: 0,
-        source: None,
-        copied_tokens: 0,
-        slots,
-        running,
+        time_factor,
+        pool_expected_ms: is_sample.then_some(pool_expected_ms),
     }
 }
 
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -297,6 +297,7 @@
         &target,
         SelectionInputs {
             expected_ms: choice.expected_ms,
+            upstream_speed: choice.time_factor,
             running: choice.running,
             slots: choice.slots,
             unread_tokens: choice.unread_tokens,
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -20,6 +20,8 @@
 pub(super) struct SelectionInputs {
     /// Expected time until the first token or the response.
     pub expected_ms: f64,
+    /// Time that the upstream takes as a multiple of its pool's mean one, as it was known.
+    pub upstream_speed: f64,
     /// Requests of all nodes at the upstream.
     pub running: u32,
     /// Requests that the upstream executes concurrently.
@@ -342,6 +344,7 @@
             expected_ms = self.inputs.expected_ms,
             upstream_running = self.inputs.running,
             upstream_slots = self.inputs.slots,
+            upstream_speed = self.inputs.upstream_speed,
             unread_tokens = self.inputs.unread_tokens,
             copied_tokens = self.inputs.copied_tokens,
             upstream_limit_per_s = self.inputs.limit_per_s,
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -204,6 +204,7 @@
                     .is_read_speed_sample
             {
                 let upstream_request = &upstream_stream.context.upstream_request;
+                upstream_request.record_speed(took_ms);
                 let mut engines = node.engine_models.lock();
                 let model = engines.get_or_default(&plan.pool);
                 model.record_first_token(
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -242,6 +242,7 @@
             usage: Vec::new(),
             paces: Vec::new(),
             demand: Vec::new(),
+            speeds: Vec::new(),
         };
         (self.node.peers.lock()).record_heartbeat(&heartbeat, clock::now());
     }
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -51,6 +51,8 @@
     pub version: String,
     /// Expected response time; compares the versions of a rollout in the pool.
     expected_ms: f64,
+    /// See [`Choice::pool_expected_ms`].
+    pool_expected_ms: Option<f64>,
 }
 
 impl UpstreamRequest {
@@ -83,6 +85,7 @@
                 // may be slow; with 1.0 a rollout compares the durations themselves.
                 None => 1.0,
             },
+            pool_expected_ms: choice.pool_expected_ms,
         })
     }
 
@@ -146,6 +149,16 @@
         }
     }
 
+    /// Records in the upstream's speed how long its first token or its plain answer took.
+    pub fn record_speed(&self, took_ms: u64) {
+        let Some(expected_ms) = self.pool_expected_ms else {
+            return;
+        };
+        if let Some(upstream) = self.node.upstreams.lock().get_mut(self.upstream) {
+            upstream.speed.record(expected_ms, num::to_f64(took_ms));
+        }
+    }
+
     /// Applies the rate limit that the upstream states and sends a change of it to the peers.
     pub fn record_limit(&self, stated: StatedLimit, now: TimeMs) {
         let mut upstreams = self.node.upstreams.lock();
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -11,6 +11,9 @@
 use super::upstreams::{Phase, Upstream};
 use crate::time::TimeMs;
 
+/// Quantiles of the speeds of a pool's upstreams, in percent, with their labels.
+const SPEED_QUANTILES: [(&str, usize); 3] = [("0.1", 10), ("0.5", 50), ("0.9", 90)];
+
 /// The state of an upstream as this node sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -116,6 +119,14 @@
             .count();
         gauge!("teaselline_upstreams_resting", "pool" => pool.name.clone())
             .set(num::to_f64(resting as u64));
+        let mut time_factors: Vec<f64> =
+            of_pool().map(|upstream| upstream.speed.factor()).collect();
+        time_factors.sort_by(f64::total_cmp);
+        for (label, quantile) in SPEED_QUANTILES {
+            let factor = quantile_of(&time_factors, quantile);
+            gauge!("teaselline_upstream_speed", "pool" => pool.name.clone(), "quantile" => label)
+                .set(factor);
+        }
         let running: u32 = of_pool().map(|upstream| upstream.own_load.running).sum();
         gauge!("teaselline_requests_at_upstreams", "pool" => pool.name.clone())
             .set(f64::from(running));
@@ -150,6 +161,12 @@
     gauge!("teaselline_crashes_dropped").set(num::to_f64(dropped));
 }
 
+/// Returns a quantile of sorted time factors, in percent; that of the mean upstream without any.
+fn quantile_of(sorted: &[f64], percent: usize) -> f64 {
+    let index = sorted.len().saturating_sub(1) * percent / 100;
+    sorted.get(index).copied().unwrap_or(1.0)
+}
+
 fn flag(is_set: bool) -> f64 {
     f64::from(u8::from(is_set))
 }
--- a/src/gateway/gauges/tests.rs
+++ b/src/gateway/gauges/tests.rs
@@ -36,3 +36,13 @@
         assert_eq!(State::of(upstream, NOW).label(), id);
     }
 }
+
+#[test]
+fn speed_quantiles_are_those_of_the_upstreams() {
+    let time_factors = [0.4, 0.5, 0.9, 1.1, 2.0];
+    let quantiles = SPEED_QUANTILES.map(|(_label, percent)| quantile_of(&time_factors, percent));
+    for (quantile, expected) in quantiles.into_iter().zip([0.4, 0.9, 1.1]) {
+        assert!((quantile - expected).abs() < f64::EPSILON, "{quantiles:?}");
+    }
+    assert!((quantile_of(&[], 50) - 1.0).abs() < f64::EPSILON);
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,6 +2,7 @@
 
 mod discovery;
 mod receive;
+mod speeds;
 mod statements;
 mod transport;
 
@@ -23,6 +24,7 @@
 use super::messages::Message;
 use super::peers::PEER_EXPIRY_MS;
 use super::relay::{self, ALIVE_INTERVAL_MS, REPORT_INTERVAL_MS};
+use super::speed::relative::Scope;
 use super::state::{Gateway, Outgoing};
 use super::upstreams::tag;
 use crate::time::TimeMs;
@@ -37,7 +39,7 @@
 /// second.
 const HEARTBEAT_INTERVAL_PER_PEER_MS: u64 = 12;
 
-/// Interval between two heartbeats that carry engine speeds.
+/// Interval between two heartbeats that carry engine speeds, and between two statements on those of a group.
 ///
 /// The speeds change over tens of seconds and, at a node with few requests, take as many bytes as the
 /// rest of a heartbeat.
@@ -63,6 +65,7 @@
 struct Schedule {
     heartbeat: Timer,
     paces: Timer,
+    group_speeds: Timer,
     report: Timer,
     accounts: Timer,
 }
@@ -115,6 +118,7 @@
                 send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
                 send_reports_if_due(&node, &socket, &mut schedule, now).await;
                 send_accounts_if_due(&node, &socket, &mut schedule, now).await;
+                speeds::send_if_due(&node, &socket, &mut schedule.group_speeds, now).await;
             }
             () = node.stopping.cancelled(), if !was_stopping => {
                 was_stopping = true;
@@ -143,6 +147,7 @@
     let mut heartbeat = statements::build_heartbeat(node, now);
     if schedule.paces.try_start(PACES_INTERVAL_MS, now) {
         heartbeat.paces = node.learned_paces();
+        heartbeat.speeds = (node.upstreams.lock()).take_speed_rows(Scope::Node, &[]);
     }
     node.relay.lock().record(&heartbeat.status, now);
     let addresses = node.peers.lock().group_addresses();
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::speeds;
 use crate::gateway::announcements;
 use crate::gateway::configuration_sync;
 use crate::gateway::crashes::reports as crash_reports;
@@ -93,6 +94,7 @@
                 handle_datagram(node, &encoded, from, now);
             }
         }
+        Message::GroupSpeeds(stated) => speeds::apply_of_group(node, &stated),
         Message::Forward(message) if matches!(*message, Message::Forward(_)) => {
             log::debug!(peer:% = from; "dropped a message that was to be forwarded twice");
         }
@@ -157,6 +159,7 @@
     for (pool, pace) in &heartbeat.paces {
         (node.peer_paces.lock()).record(incarnation, *pool, *pace, now);
     }
+    speeds::apply_own(node, heartbeat);
     apply_status(node, &heartbeat.status, now);
 }
 
--- a/src/gateway/gossip/statements.rs
+++ b/src/gateway/gossip/statements.rs
@@ -26,6 +26,7 @@
         usage: node.usage.lock().own_rows(),
         paces: Vec::new(),
         demand: node.demands.lock().own_rates(now),
+        speeds: Vec::new(),
     }
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -20,6 +20,7 @@
 use super::rollout::{Decision, Observation};
 use super::snapshot::Page;
 use super::speed::pace::Pace;
+use super::speed::sums::SpeedRow;
 use super::store_contact::StoreAvailability;
 use super::streams::{Origin, Query, Statement, StreamKey};
 use super::upstreams::{Change, Load};
@@ -87,6 +88,8 @@
     Fragment(Fragment),
     /// A message that the recipient applies and sends to the other nodes of its group.
     Forward(Box<Message>),
+    /// The speed of upstreams as another group measured it.
+    GroupSpeeds(GroupSpeeds),
 }
 
 impl Message {
@@ -131,6 +134,7 @@
             Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
+            Self::GroupSpeeds(_) => "group_speeds",
         }
     }
 }
@@ -186,6 +190,8 @@
     pub paces: Vec<(u64, Pace)>,
     /// Demand on engines at this node, by pool.
     pub demand: Vec<Rates>,
+    /// Measured times of upstreams with news; most heartbeats omit them.
+    pub speeds: Vec<SpeedRow>,
 }
 
 /// The part of a heartbeat that the nodes of all groups need.
@@ -289,6 +295,16 @@
     pub statuses: Vec<Status>,
 }
 
+/// Measured times of upstreams, summed over the nodes of the speaker's group.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct GroupSpeeds {
+    /// Incarnation of the speaker.
+    pub speaker: u64,
+    /// See [`Status::sequence`].
+    pub sequence: u64,
+    pub rows: Vec<SpeedRow>,
+}
+
 /// The usage and demand at one node.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct Account {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -294,6 +294,28 @@
             .collect()
     }
 
+    /// Returns the incarnations of a node's group, its own included, sorted; `None` if the node is
+    /// unknown.
+    pub fn group_of(&mut self, incarnation: u64) -> Option<Vec<u64>> {
+        let is_own = incarnation == self.own.incarnation;
+        let own_group = self.division().own_group;
+        let division = self.division();
+        let group = match division.find(incarnation) {
+            _ if is_own => own_group,
+            Some(index) => division.group_of(index)?,
+            None => return None,
+        };
+        let indices: Vec<usize> = division.peers_of(group).collect();
+        let peers = indices.into_iter().map(|index| &self.by_name[index]);
+        let own = (group == own_group).then_some(self.own.incarnation);
+        let mut group: Vec<u64> = peers
+            .map(|peer| peer.member.incarnation)
+            .chain(own)
+            .collect();
+        group.sort_unstable();
+        Some(group)
+    }
+
     /// Whether this node reports on its group to the others: it ranks first in the group.
     pub fn is_speaker(&mut self, own_reach: StoreAvailability, now: TimeMs) -> bool {
         let group = self.division().own_group;
--- a/src/gateway/peers/division.rs
+++ b/src/gateway/peers/division.rs
@@ -41,6 +41,12 @@
         self.by_group.binary_search(&(group, index)).is_ok()
     }
 
+    /// Returns the group of the peer at an index.
+    pub fn group_of(&self, index: usize) -> Option<usize> {
+        let found = (self.by_group.iter()).find(|(_group, other)| *other == index);
+        found.map(|(group, _index)| *group)
+    }
+
     /// Returns the indices of the peers in a group.
     pub fn peers_of(&self, group: usize) -> impl Iterator<Item = usize> {
         let first = self
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -32,6 +32,7 @@
         usage: Vec::new(),
         paces: Vec::new(),
         demand: Vec::new(),
+        speeds: Vec::new(),
     }
 }
 
--- a/src/gateway/provisioning.rs
+++ b/src/gateway/provisioning.rs
@@ -239,12 +239,15 @@
     let least = need::min_engines(&load, &pace, &engine, &targets, most);
     let least = {
         let upstreams = node.upstreams.lock();
-        let limits_per_s = (upstreams.iter())
-            .filter(|(_key, upstream)| upstream.announcement.pool == pool.name)
-            .filter(|(_key, upstream)| upstream.accepts_requests(now))
-            .filter_map(|(_key, upstream)| {
-                upstream.send_gate.min_limit_per_s(scaling.startup_ms, now)
-            });
+        let current = || {
+            (upstreams.iter().map(|(_key, upstream)| upstream))
+                .filter(|upstream| upstream.announcement.pool == pool.name)
+                .filter(|upstream| upstream.accepts_requests(now))
+        };
+        let time_factors = current().map(|upstream| upstream.speed.factor());
+        let least = need::min_engines_with_speeds(least, time_factors, most);
+        let limits_per_s = current()
+            .filter_map(|upstream| upstream.send_gate.min_limit_per_s(scaling.startup_ms, now));
         need::min_engines_with_limits(least, load.rates.requests_per_s, limits_per_s, most)
     };
     log::debug!(event = "need_worked_out", pool = pool.name.as_str(), least, load:? = load, pace:? = pace; "computed the need of a pool from its load");
--- a/src/gateway/speed/need.rs
+++ b/src/gateway/speed/need.rs
@@ -129,6 +129,27 @@
     least.saturating_add(missing).min(most)
 }
 
+/// Returns the number of engines needed, at most `most`, if the current engines take these multiples
+/// of the time of the pool's mean engine.
+///
+/// `least` mean engines suffice. Engines that are ordered or released count as the current ones do
+/// on average.
+#[must_use]
+pub(crate) fn min_engines_with_speeds(
+    least: u32,
+    time_factors: impl Iterator<Item = f64>,
+    most: u32,
+) -> u32 {
+    let (count, speed) = time_factors.fold((0.0, 0.0), |(count, speed), time_factor| {
+        (count + 1.0, speed + 1.0 / time_factor)
+    });
+    if count == 0.0 {
+        return least;
+    }
+    let needed = num::round_to_u64(f64::from(least) * count / speed);
+    u32::try_from(needed).unwrap_or(u32::MAX).clamp(1, most)
+}
+
 /// Tracks the highest need of the last `PEAK_WINDOW_MS`.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Peak {
--- a/src/gateway/speed/need/tests.rs
+++ b/src/gateway/speed/need/tests.rs
@@ -99,3 +99,26 @@
     assert_eq!(need(&[0.0; 30]), 20);
     assert_eq!(min_engines_with_limits(1, 0.0, [0.0].into_iter(), 20), 2);
 }
+
+/// Guards against a fleet that is too small because its engines are slower than the mean of the
+/// requests that the model was learned from.
+#[test]
+fn engines_count_by_their_speed() {
+    let needed =
+        |time_factors: &[f64]| min_engines_with_speeds(10, time_factors.iter().copied(), 24);
+    assert_eq!(needed(&[]), 10);
+    assert_eq!(needed(&[1.0; 8]), 10);
+    assert_eq!(needed(&[2.0; 8]), 20);
+    assert_eq!(needed(&[4.0; 8]), 24);
+    assert_eq!(needed(&[0.5; 8]), 5);
+    assert_eq!(needed(&[0.55, 1.2, 0.55, 1.2]), 8);
+}
+
+#[test]
+fn small_differences_in_speed_change_no_need() {
+    let time_factors = [0.97, 1.04, 1.02, 0.99];
+    assert_eq!(
+        min_engines_with_speeds(10, time_factors.into_iter(), 24),
+        10
+    );
+}
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -4,6 +4,7 @@
 mod departed;
 mod queries;
 mod reports;
+pub(crate) mod speeds;
 mod upstream;
 
 use tokio_util::sync::CancellationToken;
@@ -13,6 +14,7 @@
 pub(crate) use self::announcement::{Announcement, Change, Phase};
 use self::departed::{Departed, DepartedStarts};
 pub(crate) use self::upstream::{Load, Upstream};
+use crate::gateway::speed::relative::RelativeSpeed;
 use crate::time::TimeMs;
 
 /// How long an upstream keeps getting requests after its announcement expired during a store
@@ -165,6 +167,7 @@
             awaiting_since: None,
             health: departed.health,
             send_gate: departed.send_gate,
+            speed: RelativeSpeed::default(),
         });
         let index = self.by_id.partition_point(|(other, _key)| *other < id);
         self.by_id.insert(index, (id, key));
--- a/src/gateway/upstreams/upstream.rs
+++ b/src/gateway/upstreams/upstream.rs
@@ -7,6 +7,7 @@
 use crate::gateway::health::Health;
 use crate::gateway::limits::send_gate::{Closed, SendGate};
 use crate::gateway::num;
+use crate::gateway::speed::relative::RelativeSpeed;
 use crate::gateway::streams::VersionTag;
 use crate::time::TimeMs;
 
@@ -50,6 +51,8 @@
     pub health: Health,
     /// Whether the upstream admits this node's requests, as stated in its responses.
     pub send_gate: SendGate,
+    /// How much longer than its pool's mean upstream it takes.
+    pub speed: RelativeSpeed,
 }
 
 impl Upstream {
