bug: A version's slowness is not taken for its engines' speed

Cause: roll-outs compared the versions' times with expectations that held each engine's own factor, so that a slower version would have passed for slow engines.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -88,6 +88,15 @@
     pub pool_expected_ms: Option<f64>,
 }
 
+impl Choice {
+    /// Returns the expected time without what is known of the upstream's own speed.
+    ///
+    /// Versions are compared by it: a version that is slower must not count as slow engines.
+    pub fn expected_of_pool_ms(&self) -> f64 {
+        self.expected_ms / self.time_factor
+    }
+}
+
 /// Returns the upstream with the lowest expected time to answer, copies and penalties included.
 ///
 /// An upstream that is paused or silent is chosen only if there are no others.
--- a/src/gateway/choose/tests/speeds.rs
+++ b/src/gateway/choose/tests/speeds.rs
@@ -149,9 +149,21 @@
         choice.expect("an engine is available").expected_ms
     };
     let before_ms = expected(&table);
+    let of_pool_ms = |table: &UpstreamTable| {
+        let choice = choose(
+            table,
+            &Prefixes::default(),
+            &ask("engines", Some(&prompt), &[]),
+            NOW,
+        );
+        choice
+            .expect("an engine is available")
+            .expected_of_pool_ms()
+    };
     state_factor(&mut table, "e0", 2.0);
     let ratio = expected(&table) / before_ms;
     assert!((1.9..2.0).contains(&ratio), "{ratio}");
+    assert!((of_pool_ms(&table) / before_ms - 1.0).abs() < 0.001);
 }
 
 /// Guards against the model of a pool that is still a guess passing for the speed of engines.
