--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -1,11 +1,13 @@
 use super::*;
 use crate::gateway::health::Outcome;
-use crate::gateway::pace::EngineModel;
 use crate::gateway::request_head::PromptPart;
+use crate::gateway::speed::pace::EngineModel;
 use crate::gateway::upstreams::tests::announced;
 use crate::gateway::upstreams::{Change, Load, Phase, tag};
 
 mod held_back;
+mod plain_servers;
+mod speeds;
 mod versions;
 mod wave;
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -18,9 +18,10 @@
 use super::limits::quota::AdmittedTotal;
 use super::limits::throttle::LimitReport;
 use super::log_position::LogPosition;
-use super::pace::Pace;
 use super::rollout::{Decision, Observation};
 use super::snapshot::Page;
+use super::speed::pace::Pace;
+use super::speed::sums::SpeedRow;
 use super::store_contact::StoreAvailability;
 use super::streams::{Origin, Query, Statement, StreamKey};
 use super::upstreams::{Change, Load};
@@ -92,6 +93,8 @@
     CreditAsk(CreditAsk),
     /// The owner's answer to that.
     CreditGrant(CreditGrant),
+    /// The speed of upstreams as another group measured it.
+    GroupSpeeds(GroupSpeeds),
 }
 
 impl Message {
@@ -138,6 +141,7 @@
             Self::Forward(_) => "forward",
             Self::CreditAsk(_) => "credit_ask",
             Self::CreditGrant(_) => "credit_grant",
+            Self::GroupSpeeds(_) => "group_speeds",
         }
     }
 }
@@ -193,6 +197,8 @@
     pub paces: Vec<(u64, Pace)>,
     /// Demand on engines at this node, by pool.
     pub demand: Vec<Rates>,
+    /// Measured times of upstreams with news; most heartbeats omit them.
+    pub speeds: Vec<SpeedRow>,
 }
 
 /// The part of a heartbeat that the nodes of all groups need.
@@ -301,6 +307,16 @@
     pub statuses: Vec<Status>,
 }
 
+/// Measured times of upstreams, summed over the nodes of the speaker's group.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub(crate) struct GroupSpeeds {
+    /// Incarnation of the speaker.
+    pub speaker: u64,
+    /// See [`Status::sequence`].
+    pub sequence: u64,
+    pub rows: Vec<SpeedRow>,
+}
+
 /// The usage and demand at one node.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) struct Account {
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -32,6 +32,7 @@
         usage: Vec::new(),
         paces: Vec::new(),
         demand: Vec::new(),
+        speeds: Vec::new(),
     }
 }
 
@@ -211,3 +212,21 @@
     peers.add_member(member("b", 8), TimeMs(0));
     assert_eq!(peers.members(&[7, 8, 9]), [member("b", 8), own]);
 }
+
+#[test]
+fn group_of_a_node_holds_its_mates_and_itself() {
+    let mut peers = Peers::new(member("own", 100));
+    for incarnation in 0..40 {
+        let mut peer = member(&format!("n{incarnation}"), incarnation);
+        if incarnation >= 20 {
+            "e".clone_into(&mut peer.failure_domain);
+        }
+        peers.add_member(peer, TimeMs(1));
+    }
+    let own: Vec<u64> = (0..20).chain([100]).collect();
+    let other: Vec<u64> = (20..40).collect();
+    assert_eq!(peers.group_of(100), Some(own.clone()));
+    assert_eq!(peers.group_of(3), Some(own));
+    assert_eq!(peers.group_of(33), Some(other));
+    assert_eq!(peers.group_of(77), None);
+}
