bug: Fast engines release no engines from a pool

Cause: the need, already capped and worked out from cache memory and slots as well, was divided by the speed of the current engines; fast engines took away engines that were needed, even when the cap bound.

Change: engines that are slower on average add engines, rounded up; faster ones take none away.

--- a/src/gateway/speed/need.rs
+++ b/src/gateway/speed/need.rs
@@ -33,6 +33,10 @@
 /// and starts with an empty cache.
 const PEAK_WINDOW_MS: u64 = 20_000;
 
+/// Mean time factor of the current engines from which on they count as slower: below it, the factors
+/// are as likely noise.
+const MIN_SLOWER: f64 = 1.02;
+
 /// Latency targets of a pool.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Targets {
@@ -133,7 +137,7 @@
 /// of the time of the pool's mean engine.
 ///
 /// `least` mean engines suffice. Engines that are ordered or released count as the current ones do
-/// on average.
+/// on average. Faster engines do not reduce the need: they have no more cache memory or slots.
 #[must_use]
 pub(crate) fn min_engines_with_speeds(
     least: u32,
@@ -143,11 +147,13 @@
     let (count, speed) = time_factors.fold((0.0, 0.0), |(count, speed), time_factor| {
         (count + 1.0, speed + 1.0 / time_factor)
     });
-    if count == 0.0 {
+    let mean_factor = if count > 0.0 { count / speed } else { 1.0 };
+    if mean_factor < MIN_SLOWER {
         return least;
     }
-    let needed = num::round_to_u64(f64::from(least) * count / speed);
-    u32::try_from(needed).unwrap_or(u32::MAX).clamp(1, most)
+    let needed = num::round_to_u64((f64::from(least) * mean_factor).ceil());
+    let needed = u32::try_from(needed).unwrap_or(u32::MAX);
+    needed.min(most).max(least)
 }
 
 /// Tracks the highest need of the last `PEAK_WINDOW_MS`.
