bug: Plain calls follow each node's own answer times again

Cause: one mean over all routes made a server with long calls look slow, load counted in the measured time and again in the choice, and a recovered server was avoided on all nodes for minutes.

Change: plain upstreams have no shared factor: no samples, no rows; they are chosen exactly as before the factors.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -8,7 +8,7 @@
 
 mod plain;
 
-use self::plain::PlainPool;
+use self::plain::{estimate_plain, fastest_answer_ms};
 use super::num;
 use super::prefixes::Prefixes;
 use super::request_head::Prompt;
@@ -81,10 +81,11 @@
     pub slots: u32,
     /// Requests that the upstream runs now.
     pub running: u32,
-    /// Time that the upstream takes as a multiple of its pool's mean one; part of `expected_ms`.
+    /// Time that the engine takes as a multiple of its pool's mean one, part of `expected_ms`; 1 for a
+    /// plain upstream.
     pub time_factor: f64,
-    /// Time expected of the pool's mean upstream, if what this request takes is a measure of the
-    /// upstream's speed.
+    /// Time expected of the pool's mean engine, if what this request takes is a measure of the
+    /// engine's speed.
     pub pool_expected_ms: Option<f64>,
 }
 
@@ -118,7 +119,7 @@
         .map(|prompt| preferred_engines(&candidates, prompt));
     let preferred_engines = preferred_engines.unwrap_or_default();
     let sources = sources::copy_sources(table, prefixes, ask, now);
-    let plain_pool = PlainPool::of(&candidates, ask);
+    let fastest_answer_ms = fastest_answer_ms(&candidates, ask);
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
         if any_usable && !is_usable(upstream) {
@@ -135,7 +136,11 @@
                 };
                 estimate_engine(key, upstream, prompt, estimate, &ask.pace)
             }
-            None => plain_pool.estimate(key, upstream, now),
+            None => estimate_plain(
+                key,
+                upstream,
+                upstream.health.expected_ms(fastest_answer_ms, now),
+            ),
         };
         let penalty_ms = penalty_ms(upstream, ask, now) + jitter_ms(ask.draw, upstream.tag);
         let pool_read_ms = num::to_f64(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -6,7 +6,6 @@
 use crate::gateway::upstreams::{Change, Load, Phase, tag};
 
 mod held_back;
-mod plain_servers;
 mod speeds;
 mod versions;
 mod wave;
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    /// Records in the upstream's speed how long its first token or its plain answer took.
+    /// Records in the engine's speed how long its first token took.
     pub fn record_speed(&self, took_ms: u64) {
         let Some(expected_ms) = self.pool_expected_ms else {
             return;
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -131,10 +131,6 @@
         if !plan.route().is_stream || status.is_server_error() {
             self.upstream_request.record_outcome(outcome, now);
         }
-        let is_plain = plan.head.prompt.is_none() && !plan.route().is_stream;
-        if is_plain && status.is_success() {
-            self.upstream_request.record_speed(took_ms);
-        }
         match status.is_success() {
             true if self.is_end_framed => reports::record_answer(node, &plan.subjects, now),
             true => (self.upstream_request).record_unframed_answer(&plan.subjects, now),
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -24,8 +24,8 @@
 /// Half-life of the failure share, so that an upstream that gets no requests is tried again.
 const FAILURE_HALF_LIFE_MS: f64 = 3_000.0;
 
-/// Half-life, without new answers, of the difference between an upstream's answer time and its usual
-/// one.
+/// Half-life, without new answers, of the difference between an upstream's answer time and that of
+/// the fastest.
 ///
 /// Without the decay, an upstream that was slow at its last answer would get no requests while
 /// others are fast, and its recovery would go unnoticed.
@@ -116,14 +116,12 @@
         self.failure_share * 0.5_f64.powf(age_ms / FAILURE_HALF_LIFE_MS)
     }
 
-    /// Returns the expected answer time in milliseconds.
-    ///
-    /// `usual_ms` is that of the pool's fastest upstream, times what the fleet knows of this one's
-    /// speed.
-    pub fn expected_ms(&self, usual_ms: f64, now: TimeMs) -> f64 {
+    /// Returns the expected answer time in milliseconds; `fastest_ms` is that of the pool's fastest
+    /// upstream.
+    pub fn expected_ms(&self, fastest_ms: f64, now: TimeMs) -> f64 {
         let age_ms = super::num::to_f64(now.since(self.answered_at));
-        let excess_ms = self.mean_answer_ms.unwrap_or(usual_ms) - usual_ms;
-        usual_ms + excess_ms * 0.5_f64.powf(age_ms / ANSWER_TIME_HALF_LIFE_MS)
+        let excess_ms = self.mean_answer_ms.unwrap_or(fastest_ms) - fastest_ms;
+        fastest_ms + excess_ms * 0.5_f64.powf(age_ms / ANSWER_TIME_HALF_LIFE_MS)
     }
 
     /// Returns the mean answer time in milliseconds; `None` before the first answer.
