bug: A copy counts whole in the expected time of the pool

Cause: the expected time, copy included, was divided by the engine's factor; the copy does not depend on it, so that versions were judged by a wrong time.

Change: the choice holds the pool's time plus the copy as a field of its own.

Result: expected_time_of_the_pool_holds_the_copy_whole and the other tests of choose pass.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -87,15 +87,10 @@
     /// Time expected of the pool's mean engine, if what this request takes is a measure of the
     /// engine's speed.
     pub pool_expected_ms: Option<f64>,
-}
-
-impl Choice {
-    /// Returns the expected time without what is known of the upstream's own speed.
+    /// The expected time without what is known of the engine's own speed, a copy included.
     ///
     /// Versions are compared by it: a version that is slower must not count as slow engines.
-    pub fn expected_of_pool_ms(&self) -> f64 {
-        self.expected_ms / self.time_factor
-    }
+    pub expected_of_pool_ms: f64,
 }
 
 /// Returns the upstream with the lowest expected time to answer, copies and penalties included.
@@ -310,6 +305,7 @@
         running,
         time_factor,
         pool_expected_ms: is_sample.then_some(pool_expected_ms),
+        expected_of_pool_ms: pool_expected_ms + copy_ms,
     }
 }
 
--- a/src/gateway/choose/plain.rs
+++ b/src/gateway/choose/plain.rs
@@ -30,9 +30,10 @@
     // Answers slow down under load; a request beyond the last slot also queues for one.
     let load_factor = 1.0 + f64::from(running) / f64::from(slots);
     let queue_factor = f64::from((running + 1).saturating_sub(slots)) / f64::from(slots);
+    let expected_ms = took_ms * (load_factor + queue_factor);
     Choice {
         upstream: key,
-        expected_ms: took_ms * (load_factor + queue_factor),
+        expected_ms,
         unread_tokens: 0,
         waiting_tokens: 0,
         source: None,
@@ -41,5 +42,6 @@
         running,
         time_factor: 1.0,
         pool_expected_ms: None,
+        expected_of_pool_ms: expected_ms,
     }
 }
--- a/src/gateway/choose/tests/speeds.rs
+++ b/src/gateway/choose/tests/speeds.rs
@@ -156,9 +156,7 @@
             &ask("engines", Some(&prompt), &[]),
             NOW,
         );
-        choice
-            .expect("an engine is available")
-            .expected_of_pool_ms()
+        choice.expect("an engine is available").expected_of_pool_ms
     };
     state_factor(&mut table, "e0", 2.0);
     let ratio = expected(&table) / before_ms;
@@ -166,6 +164,35 @@
     assert!((of_pool_ms(&table) / before_ms - 1.0).abs() < 0.001);
 }
 
+/// Guards against a version being judged by a copy that passes for shorter or longer than it is: a
+/// copy takes the same time whatever the speed of its target.
+#[test]
+fn expected_time_of_the_pool_holds_the_copy_whole() {
+    let mut table = table(1);
+    let prompt = prompt(1);
+    let estimate = |table: &UpstreamTable| {
+        let key = table.find("e0").expect("engine is known");
+        let engine = table.get(key).expect("engine is known");
+        let source = Source {
+            upstream: key,
+            address: engine.announcement.address,
+            version: engine.version(),
+            failure_domain: sources::failure_domain_hash(engine),
+        };
+        let estimate = CacheEstimate {
+            missing_share: 1.0,
+            copy: Some((10.0, source)),
+        };
+        estimate_engine(key, engine, &prompt, estimate, &default_pace())
+    };
+    let before = estimate(&table);
+    assert!(before.copied_tokens > 0);
+    state_factor(&mut table, "e0", 2.0);
+    let after = estimate(&table);
+    assert!(after.expected_ms > before.expected_ms);
+    assert!((after.expected_of_pool_ms - before.expected_of_pool_ms).abs() < 0.001);
+}
+
 /// Guards against the model of a pool that is still a guess passing for the speed of engines.
 #[test]
 fn request_before_the_pool_is_learned_measures_no_engine() {
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -80,7 +80,7 @@
             pool: plan.pool.clone(),
             version: upstream.announcement.version.clone(),
             expected_ms: match plan.head.prompt {
-                Some(_) => choice.expected_of_pool_ms(),
+                Some(_) => choice.expected_of_pool_ms,
                 // The only estimate for non-streaming calls comes from the upstream itself, which
                 // may be slow; with 1.0 a rollout compares the durations themselves.
                 None => 1.0,
