bug: Sums of a speaker that restarted are dropped

Cause: the row of a speaker's old incarnation, which is in no group any more, stayed beside its successor's, which holds the same requests.

Change: every 2 s, with the ageing, rows of groups are dropped whose sender is no known member.

--- a/src/gateway/gossip/speeds.rs
+++ b/src/gateway/gossip/speeds.rs
@@ -46,7 +46,8 @@
 }
 
 fn age(node: &Gateway, elapsed_ms: u64) {
-    for change in node.upstreams.lock().age_speeds(elapsed_ms) {
+    let members = node.peers.lock().incarnations();
+    for change in node.upstreams.lock().age_speeds(elapsed_ms, &members) {
         log::info!(
             event = "upstream_speed_learned",
             upstream = change.upstream.as_str(),
--- a/src/gateway/gossip/speeds/tests.rs
+++ b/src/gateway/gossip/speeds/tests.rs
@@ -77,6 +77,22 @@
     assert!((factor(&node.upstreams.lock()) - 1.0).abs() < f64::EPSILON);
 }
 
+/// Guards against counting a group's requests twice, from its speaker and from that speaker before it
+/// restarted.
+#[test]
+fn speeds_of_a_speaker_that_restarted_are_dropped() {
+    let node = node();
+    apply_of_group(&node, &group_speeds(3));
+    age(&node, 2_000);
+    assert!(factor(&node.upstreams.lock()) > 1.8);
+    let mut restarted = heartbeat("n3", 0);
+    restarted.member = member("n3", 1_003);
+    restarted.status.incarnation = 1_003;
+    node.peers.lock().record_heartbeat(&restarted, NOW);
+    age(&node, 2_000);
+    assert!((factor(&node.upstreams.lock()) - 1.0).abs() < f64::EPSILON);
+}
+
 #[test]
 fn speeds_in_a_heartbeat_are_used() {
     let node = node();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -226,6 +226,16 @@
         Some(self.by_name[index].member.name.as_str())
     }
 
+    /// Returns the incarnations of all known nodes, this one's included, sorted.
+    pub fn incarnations(&self) -> Vec<u64> {
+        let own = std::iter::once(self.own.incarnation);
+        let mut all: Vec<u64> = (self.iter().map(|peer| peer.member.incarnation))
+            .chain(own)
+            .collect();
+        all.sort_unstable();
+        all
+    }
+
     /// Returns the incarnations of the peers without a recent heartbeat.
     pub fn silent_incarnations(&self, now: TimeMs) -> Vec<u64> {
         (self.by_name.iter())
--- a/src/gateway/speed/relative.rs
+++ b/src/gateway/speed/relative.rs
@@ -174,6 +174,15 @@
         self.update();
     }
 
+    /// Drops the sums of groups whose speaker is no member any more: its successor states them too.
+    ///
+    /// `members` holds the incarnations of all nodes, sorted.
+    pub fn drop_former_speakers(&mut self, members: &[u64]) {
+        (self.reports).retain(|report| {
+            report.scope == Scope::Node || members.binary_search(&report.incarnation).is_ok()
+        });
+    }
+
     /// Reduces the weight of all requests to a share; returns the standing if it changed.
     pub fn decay(&mut self, kept_share: f32) -> Option<Standing> {
         self.own.decay(kept_share);
--- a/src/gateway/upstreams/speeds.rs
+++ b/src/gateway/upstreams/speeds.rs
@@ -55,11 +55,15 @@
         dropped_count
     }
 
-    /// Lets the requests in all sums age; returns the upstreams whose standing changed.
-    pub fn age_speeds(&mut self, elapsed_ms: u64) -> Vec<StandingChange> {
+    /// Lets the requests in all sums age and drops those of speakers that are no members any more;
+    /// returns the upstreams whose standing changed.
+    ///
+    /// `members` holds the incarnations of all nodes, sorted.
+    pub fn age_speeds(&mut self, elapsed_ms: u64, members: &[u64]) -> Vec<StandingChange> {
         let kept_share = kept_share(elapsed_ms);
         let upstreams = (self.arena.iter_mut()).filter_map(|slot| slot.upstream.as_mut());
         let changes = upstreams.filter_map(|upstream| {
+            upstream.speed.drop_former_speakers(members);
             let standing = upstream.speed.decay(kept_share)?;
             Some(StandingChange {
                 upstream: upstream.announcement.id.clone(),
--- a/src/gateway/upstreams/speeds/tests/fleet.rs
+++ b/src/gateway/upstreams/speeds/tests/fleet.rs
@@ -145,8 +145,10 @@
     /// Lets each node state its sums to its group, and the first node of each group those of the
     /// group to the others.
     fn exchange_statements(&mut self) {
+        let mut members = self.groups.concat();
+        members.sort_unstable();
         for table in &mut self.tables {
-            table.age_speeds(STATEMENT_INTERVAL_MS);
+            table.age_speeds(STATEMENT_INTERVAL_MS, &members);
         }
         for group in 0..self.groups.len() {
             let members = self.groups[group].clone();
