bug: A standing fades with its requests, and rows without any are not stated

Cause: a standing below the learned weight stayed for ever; the upstreams' lock was held while changes were logged, since the guard lived through the loop; a row of weight 0 (an expected time out of bounds, a mate that changed its group) raised speed_rows_dropped at sound peers.

Change: a standing returns to usual below five requests; the changes are taken first, then logged; rows below the least weight are not stated.

The lock has no test of its own.

--- a/src/gateway/gossip/speeds.rs
+++ b/src/gateway/gossip/speeds.rs
@@ -47,7 +47,8 @@
 
 fn age(node: &Gateway, elapsed_ms: u64) {
     let members = node.peers.lock().incarnations();
-    for change in node.upstreams.lock().age_speeds(elapsed_ms, &members) {
+    let changes = node.upstreams.lock().age_speeds(elapsed_ms, &members);
+    for change in changes {
         log::info!(
             event = "upstream_speed_learned",
             upstream = change.upstream.as_str(),
--- a/src/gateway/speed/relative.rs
+++ b/src/gateway/speed/relative.rs
@@ -16,12 +16,15 @@
 /// say little of the speed.
 const MAX_DEVIATION: f64 = 2.0;
 
-/// Weight below which the sums of a sender are dropped.
-const MIN_WEIGHT: f32 = 0.05;
+/// Weight below which the sums of a sender are dropped, and not stated.
+pub(crate) const MIN_WEIGHT: f32 = 0.05;
 
 /// Requests from which on an upstream counts as learned.
 const LEARNED_WEIGHT: f32 = 15.0;
 
+/// Requests below which a standing is forgotten.
+const FORGOTTEN_WEIGHT: f32 = 5.0;
+
 /// Time factor from which on an upstream is much slower than its pool; a much faster one takes the
 /// inverse.
 const MUCH_SLOWER: f64 = 1.5;
@@ -191,12 +194,13 @@
         }
         (self.reports).retain(|report| report.sums.weight() >= MIN_WEIGHT);
         self.update();
-        let is_learned = self.total().weight() >= LEARNED_WEIGHT;
-        let standing = self.standing.at(self.factor);
-        let is_changed = is_learned && standing != self.standing;
-        if is_changed {
-            self.standing = standing;
-        }
+        let standing = match self.total().weight() {
+            weight if weight >= LEARNED_WEIGHT => self.standing.at(self.factor),
+            weight if weight < FORGOTTEN_WEIGHT => Standing::Usual,
+            _ => self.standing,
+        };
+        let is_changed = standing != self.standing;
+        self.standing = standing;
         is_changed.then_some(standing)
     }
 
--- a/src/gateway/speed/relative/tests.rs
+++ b/src/gateway/speed/relative/tests.rs
@@ -108,6 +108,17 @@
     assert_eq!(speed.decay(0.99), Some(Standing::Faster));
 }
 
+/// Guards against an upstream that is called no more passing for slow for ever, so that its next slow
+/// time is not logged.
+#[test]
+fn standing_returns_to_usual_once_when_the_requests_fade() {
+    let mut speed = RelativeSpeed::default();
+    speed.apply(&sender(1, Scope::Node, 1), sums(100.0, 3.0));
+    let changes = (0..12).filter_map(|_half_life| speed.decay(0.5));
+    let changes: Vec<Standing> = changes.collect();
+    assert_eq!(changes, [Standing::Slower, Standing::Usual]);
+}
+
 #[test]
 fn few_requests_change_no_standing() {
     let mut speed = RelativeSpeed::default();
--- a/src/gateway/upstreams/speeds.rs
+++ b/src/gateway/upstreams/speeds.rs
@@ -2,7 +2,9 @@
 
 use super::UpstreamTable;
 use crate::gateway::num;
-use crate::gateway::speed::relative::{HALF_LIFE_MS, RelativeSpeed, Scope, Sender, Standing};
+use crate::gateway::speed::relative::{
+    HALF_LIFE_MS, MIN_WEIGHT, RelativeSpeed, Scope, Sender, Standing,
+};
 use crate::gateway::speed::sums::{SpeedRow, Sums};
 
 /// Most rows in one statement; each takes 21 bytes. Rows beyond it follow in the next one.
@@ -34,6 +36,7 @@
         untold.sort_unstable_by_key(|(count, tag, _speed)| (std::cmp::Reverse(*count), *tag));
         (untold.into_iter().take(MAX_ROWS))
             .map(|(_count, tag, speed)| speed.take_row(scope, group, tag))
+            .filter(|row| row.weight >= MIN_WEIGHT)
             .collect()
     }
 
--- a/src/gateway/upstreams/speeds/tests.rs
+++ b/src/gateway/upstreams/speeds/tests.rs
@@ -179,6 +179,32 @@
     }
 }
 
+/// Guards against warnings of faulty peers about rows of sound ones without requests: of an expected
+/// time out of bounds, or of a mate that is in another group now.
+#[test]
+fn rows_without_requests_are_not_stated() {
+    let mut table = UpstreamTable::default();
+    let engine = announced("e", "engines", "d");
+    let row = SpeedRow {
+        upstream: engine.tag(),
+        weight: 50.0,
+        expected_ms: 5_000.0,
+        took_ms: 9_000.0,
+    };
+    let key = table.apply(Change::Present(engine), false, TimeMs(1));
+    let engine = key.and_then(|key| table.get_mut(key));
+    engine.expect("engine is new").speed.record(1.0e9, 1.0e9);
+    let mate = Sender {
+        incarnation: 2,
+        scope: Scope::Node,
+        sequence: 1,
+        group: &[1, 2],
+    };
+    assert_eq!(table.apply_speed_rows(&mate, &[row]), 0);
+    assert_eq!(table.take_speed_rows(Scope::Node, &[]), []);
+    assert_eq!(table.take_speed_rows(Scope::Group, &[1]), []);
+}
+
 #[test]
 fn absurd_rows_are_dropped_and_unknown_engines_ignored() {
     let mut table = UpstreamTable::default();
