bug: Equal engines keep the preference for the own domain

Cause: the noise of the factors of equal engines, some percent of the expected time, outweighed the penalty of another failure domain.

Change: the choice takes a factor as 1 within two standard errors for its weight, and within 0.05.

Result: equal_engines_keep_the_preference_for_the_own_domain fails with the plain factor and passes with this one, as do the other tests of speed, choose, gossip and peers; clippy is clean.

--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -291,7 +291,7 @@
     let read_ms = waiting_tokens / pace.read_tokens_per_ms;
     let batch_ms = pace.crowding_ms * f64::from(running);
     let pool_expected_ms = pace.first_ms + batch_ms + read_ms + queue_ms;
-    let time_factor = upstream.speed.factor();
+    let time_factor = upstream.speed.distinct_factor();
     // The pool's model learns from the same requests.
     let is_sample = pace.is_learned && copied_tokens <= 0.0 && running * 2 < slots;
     Choice {
--- a/src/gateway/choose/tests/speeds.rs
+++ b/src/gateway/choose/tests/speeds.rs
@@ -250,3 +250,33 @@
             .all(|choice| choice.pool_expected_ms.is_none())
     );
 }
+
+/// Guards against the noise of equal engines outweighing the preference for the own failure domain:
+/// requests whose times scatter by a fifth, of few to many at each engine.
+#[test]
+fn equal_engines_keep_the_preference_for_the_own_domain() {
+    let mut rng = SmallRng::seed_from_u64(11);
+    let prompt = prompt_of(4_500);
+    for requests in [1, 5, 20, 100, 400] {
+        for _trial in 0..40 {
+            let mut table = UpstreamTable::default();
+            for (id, domain) in [("far", "other"), ("near", "d")] {
+                let engine = announced(id, "engines", domain);
+                let key = table.apply(Change::Present(engine), false, NOW);
+                let engine = key.and_then(|key| table.get_mut(key));
+                let engine = engine.expect("engine is new");
+                for _request in 0..requests {
+                    let took_ms = rng.random_range(80.0..120.0);
+                    engine.speed.record(100.0, took_ms);
+                }
+            }
+            let ask = Criteria {
+                draw: rng.random(),
+                ..ask("engines", Some(&prompt), &[])
+            };
+            let choice = choose(&table, &Prefixes::default(), &ask, NOW);
+            let chosen = choice.expect("an engine is available").upstream;
+            assert_eq!(Some(chosen), table.find("near"), "{requests} requests");
+        }
+    }
+}
--- a/src/gateway/speed/relative.rs
+++ b/src/gateway/speed/relative.rs
@@ -25,6 +25,15 @@
 /// Requests below which a standing is forgotten.
 const FORGOTTEN_WEIGHT: f32 = 5.0;
 
+/// Standard deviation of one request's measured time, as a part of the expected one.
+const REQUEST_DEVIATION: f64 = 0.3;
+
+/// Standard errors within which a factor is as likely noise.
+const NOISE_ERRORS: f64 = 2.0;
+
+/// Least difference of a factor from 1 that is no noise: the models of nodes differ, too.
+const MIN_DIFFERENCE: f64 = 0.05;
+
 /// Time factor from which on an upstream is much slower than its pool; a much faster one takes the
 /// inverse.
 const MUCH_SLOWER: f64 = 1.5;
@@ -143,6 +152,18 @@
         self.factor
     }
 
+    /// Returns the factor by which upstreams are told apart: 1 while the difference may be noise.
+    ///
+    /// Noise would otherwise outweigh small preferences, such as that for the own failure domain.
+    pub fn distinct_factor(&self) -> f64 {
+        let weight = f64::from(self.total().weight());
+        let noise = NOISE_ERRORS * REQUEST_DEVIATION / weight.max(1.0).sqrt();
+        match (self.factor - 1.0).abs() {
+            difference if difference < noise.max(MIN_DIFFERENCE) => 1.0,
+            _ => self.factor,
+        }
+    }
+
     /// Records a request of this node, and what the pool's model expected of it.
     pub fn record(&mut self, expected_ms: f64, took_ms: f64) {
         if !(expected_ms > 0.0 && took_ms >= 0.0) {
