--- a/src/limits.rs
+++ b/src/limits.rs
@@ -5,6 +5,7 @@
 //! of the fleet's capacity. `docs/design/limits.md` gives the reasons.
 
 pub mod admission;
+pub mod fair_order;
 pub mod gate;
 pub mod queue;
 pub mod report;
--- a/src/limits/admission.rs
+++ b/src/limits/admission.rs
@@ -1,5 +1,6 @@
 //! Decides which requests of a pool start, wait or are refused at this node.
 
+use super::fair_order::VirtualTime;
 use super::queue::{Ticket, Waiting};
 use super::report::{DemandReport, PeerReports, ReportSource, TeamDemand, TeamTag};
 use super::shares::{ShareClaim, max_min_split};
@@ -48,9 +49,8 @@
     // Slots that this node can use: its parts of all teams' shares and of the unclaimed capacity.
     own_slots: f64,
     running: u32,
-    // Virtual time: the largest start tag of the started requests, in milliseconds of this node's
-    // slots.
-    virtual_time_ms: f64,
+    // In milliseconds of this node's slots.
+    virtual_time: VirtualTime,
     next_ticket: u64,
 }
 
@@ -65,7 +65,7 @@
             peers: PeerReports::default(),
             own_slots: 0.0,
             running: 0,
-            virtual_time_ms: 0.0,
+            virtual_time: VirtualTime::default(),
             next_ticket: 0,
         }
     }
@@ -253,22 +253,18 @@
     }
 
     /// Sets the start tag of a team's next request, if none is waiting.
-    ///
-    /// An idle team accumulates no credit: its tag is at least the current virtual time.
     fn set_start_tag(&mut self, index: usize) {
-        let virtual_time_ms = self.virtual_time_ms;
         let team = &mut self.teams[index];
         if team.queue.is_empty() {
-            team.start_tag_ms = team.finish_tag_ms.max(virtual_time_ms);
+            team.flow.activate(self.virtual_time);
         }
     }
 
     /// Charges a request to its team, by start-time fair queueing weighted by the teams' slots.
     fn start(&mut self, index: usize, request: AdmissionRequest) {
         let team = &mut self.teams[index];
-        self.virtual_time_ms = self.virtual_time_ms.max(team.start_tag_ms);
-        team.finish_tag_ms = team.start_tag_ms + request.expected_hold_ms / team.entitled_slots;
-        team.start_tag_ms = team.finish_tag_ms;
+        let work_ms = request.expected_hold_ms;
+        (team.flow).charge(&mut self.virtual_time, work_ms, team.entitled_slots);
         team.running += 1;
         team.running_interactive += u32::from(request.priority >= MIN_INTERACTIVE_PRIORITY);
         self.running += 1;
@@ -294,12 +290,12 @@
     fn next_team(&self) -> Option<usize> {
         let heads = self.teams.iter().enumerate().filter_map(|(index, team)| {
             let head = team.queue.head()?;
-            let behind_ms = self.virtual_time_ms - team.start_tag_ms;
+            let behind_ms = team.flow.lag(self.virtual_time);
             let is_deferrable =
                 head.request.priority < MIN_INTERACTIVE_PRIORITY && behind_ms < MAX_BATCH_LAG_MS;
             let is_above_share = f64::from(team.running) >= team.entitled_slots.max(1.0);
             let room = self.has_room(is_deferrable);
-            room.then_some(((is_above_share, is_deferrable), team.start_tag_ms, index))
+            room.then_some(((is_above_share, is_deferrable), team.flow.start_tag(), index))
         });
         let next = heads.min_by(|left, right| {
             let group = left.0.cmp(&right.0);
--- a/src/limits/queue.rs
+++ b/src/limits/queue.rs
@@ -1,4 +1,4 @@
-//! The queue of one team's waiting requests at this node.
+//! The queue of one team's waiting requests at this node, for any kind of request.
 
 use std::collections::VecDeque;
 
@@ -12,23 +12,51 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
 
+/// A request that can wait in a [`Queue`].
+pub trait Queueable {
+    /// Returns the priority from 0 to 9, higher first.
+    fn priority(&self) -> u8;
+
+    /// Returns the latest start with which the request is still of use to its caller.
+    fn latest_start(&self) -> TimeMs;
+}
+
+impl Queueable for AdmissionRequest {
+    fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    fn latest_start(&self) -> TimeMs {
+        self.latest_start_ms
+    }
+}
+
 /// A waiting request.
 #[derive(Clone, Copy, Debug)]
-pub struct Waiting {
+pub struct Waiting<R = AdmissionRequest> {
     /// Identifies the request.
     pub ticket: Ticket,
     /// The request to be admitted.
-    pub request: AdmissionRequest,
+    pub request: R,
 }
 
 /// Waiting requests, ordered by descending priority, then by age.
-#[derive(Clone, Debug, Default)]
-pub struct Queue {
-    by_priority: [VecDeque<Waiting>; PRIORITIES],
+#[derive(Clone, Debug)]
+pub struct Queue<R = AdmissionRequest> {
+    by_priority: [VecDeque<Waiting<R>>; PRIORITIES],
     length: u32,
 }
 
-impl Queue {
+impl<R> Default for Queue<R> {
+    fn default() -> Self {
+        Self {
+            by_priority: std::array::from_fn(|_priority| VecDeque::new()),
+            length: 0,
+        }
+    }
+}
+
+impl<R: Queueable> Queue<R> {
     /// Returns the number of waiting requests.
     #[must_use]
     pub fn len(&self) -> u32 {
@@ -50,19 +78,19 @@
     }
 
     /// Adds a request after the others of its priority.
-    pub fn push(&mut self, waiting: Waiting) {
-        self.by_priority[priority_index(waiting.request.priority)].push_back(waiting);
+    pub fn push(&mut self, waiting: Waiting<R>) {
+        self.by_priority[priority_index(waiting.request.priority())].push_back(waiting);
         self.length += 1;
     }
 
     /// Returns the request that starts next.
     #[must_use]
-    pub fn head(&self) -> Option<&Waiting> {
+    pub fn head(&self) -> Option<&Waiting<R>> {
         self.by_priority.iter().rev().find_map(VecDeque::front)
     }
 
     /// Removes and returns the request that starts next.
-    pub fn pop(&mut self) -> Option<Waiting> {
+    pub fn pop(&mut self) -> Option<Waiting<R>> {
         let mut queues = self.by_priority.iter_mut().rev();
         let taken = queues.find_map(VecDeque::pop_front)?;
         self.length -= 1;
@@ -83,12 +111,12 @@
     }
 
     /// Removes the requests that are past their latest start and passes each to `on_expired`.
-    pub fn drain_expired(&mut self, now: TimeMs, mut on_expired: impl FnMut(Waiting)) {
+    pub fn drain_expired(&mut self, now: TimeMs, mut on_expired: impl FnMut(&Waiting<R>)) {
         for queue in &mut self.by_priority {
             queue.retain(|waiting| {
-                let in_time = waiting.request.latest_start_ms >= now;
+                let in_time = waiting.request.latest_start() >= now;
                 if !in_time {
-                    on_expired(*waiting);
+                    on_expired(waiting);
                     self.length -= 1;
                 }
                 in_time
--- a/src/limits/team.rs
+++ b/src/limits/team.rs
@@ -1,6 +1,7 @@
 //! State and demand of one team at this node.
 
 use super::TeamLimit;
+use super::fair_order::Flow;
 use super::queue::Queue;
 use crate::time::TimeMs;
 
@@ -27,9 +28,8 @@
     pub(super) share_slots: f64,
     // This node's part if the demand of the team and of this node were unlimited.
     pub(super) entitled_slots: f64,
-    // Finish tag of the team's last request and start tag of its next one, in virtual time.
-    pub(super) finish_tag_ms: f64,
-    pub(super) start_tag_ms: f64,
+    // Order among the teams, in milliseconds of this node's slots.
+    pub(super) flow: Flow,
     // Moving average of the time that a request holds its slot.
     pub(super) mean_hold_ms: f64,
     // Exponentially decayed number of refused requests.
@@ -51,8 +51,7 @@
             running_interactive: 0,
             share_slots: 0.0,
             entitled_slots: MIN_TEAM_SLOTS,
-            finish_tag_ms: 0.0,
-            start_tag_ms: 0.0,
+            flow: Flow::default(),
             mean_hold_ms: 0.0,
             recent_refusals: 0.0,
             refusals_as_of_ms: TimeMs::default(),
