test: Requests at a pool that other nodes have filled, with a node and upstreams

Cause: the decisions were played without a network; nothing showed that the request path keeps them. Change: one node in the process with stand-in upstreams whose load a peer reports: a request above its share is refused as not run, a waiting one is sent when the engines have room, refused when its node stops, and not sent once its caller has left. The correction of the speed pauses without engines, and a report with demand that is no rate is passed over; both with a test. A node follows a peer's report of a shortage that it does not see itself, with a test.

--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -26,6 +26,7 @@
 
 mod cuts;
 mod paths;
+mod shortage;
 
 /// Interval at which a node counts as heard; longer than a test.
 const HEARTBEAT_INTERVAL_MS: u64 = 600_000;
--- a/src/gateway/scheduling.rs
+++ b/src/gateway/scheduling.rs
@@ -221,7 +221,7 @@
             DemandReport {
                 source: Source::Group(group),
                 pool,
-                nodes: nodes + 1,
+                nodes: nodes.saturating_add(1),
                 kinds: demand::sum_by_kind(own.iter().chain(others)),
             }
         };
--- a/src/gateway/scheduling/demand.rs
+++ b/src/gateway/scheduling/demand.rs
@@ -141,7 +141,10 @@
 
 impl PeerDemand {
     /// Stores a report in place of the previous one from the same source.
-    pub fn record(&mut self, report: DemandReport, now: TimeMs) {
+    ///
+    /// Kinds whose demand is no rate are dropped: one of them would make the whole division void.
+    pub fn record(&mut self, mut report: DemandReport, now: TimeMs) {
+        (report.kinds).retain(|demand| (0.0..f32::INFINITY).contains(&demand.tokens_per_s));
         let received = Heard {
             received_at: now,
             report,
@@ -162,7 +165,8 @@
 
     /// Returns the number of nodes that the valid reports cover.
     pub fn node_count(&self) -> u32 {
-        self.heard.iter().map(|heard| heard.report.nodes).sum()
+        let nodes = self.heard.iter().map(|heard| heard.report.nodes);
+        nodes.fold(0, u32::saturating_add)
     }
 
     /// Returns the demand that the valid reports state, by report.
@@ -177,7 +181,8 @@
             let heard = self.heard.iter().map(|heard| &heard.report);
             heard.filter(|report| matches!(report.source, Source::Node(_)))
         };
-        let nodes = of_group().map(|report| report.nodes).sum();
+        let nodes = of_group().map(|report| report.nodes);
+        let nodes = nodes.fold(0, u32::saturating_add);
         (nodes, of_group().flat_map(|report| &report.kinds))
     }
 }
@@ -189,7 +194,7 @@
     peers: &PeerDemand,
     known_nodes: u32,
 ) -> Vec<KindDemand> {
-    let reporting_nodes = f64::from(peers.node_count() + 1);
+    let reporting_nodes = f64::from(peers.node_count()) + 1.0;
     let extrapolation = (f64::from(known_nodes) / reporting_nodes).max(1.0);
     let mut sum = sum_by_kind(own.iter().chain(peers.kinds()));
     for demand in &mut sum {
--- a/src/gateway/scheduling/room.rs
+++ b/src/gateway/scheduling/room.rs
@@ -128,7 +128,12 @@
 
 impl Pacer {
     /// Follows the backlog while requests are held back.
+    ///
+    /// Without an engine that takes requests there is no backlog to follow.
     pub fn update(&mut self, room: &Room, target_ms: f64, now: TimeMs) {
+        if room.read_tokens_per_s <= 0.0 {
+            return;
+        }
         let passed_ms = num::to_f64(now.since(self.updated_at).min(MAX_UPDATE_MS));
         self.updated_at = now;
         let change = Self::slack(room, target_ms).max(-1.0) * passed_ms / CORRECTION_MS;
--- a/src/gateway/scheduling/tests/decisions.rs
+++ b/src/gateway/scheduling/tests/decisions.rs
@@ -6,7 +6,7 @@
 };
 use crate::gateway::scheduling::queue::{Arrival, Reason};
 use crate::gateway::scheduling::retry_after::retry_after_ms;
-use crate::gateway::scheduling::room::{EngineLoad, Room};
+use crate::gateway::scheduling::room::{EngineLoad, Pacer, Room};
 use crate::gateway::scheduling::{Entry, PoolScheduler, PoolView};
 use crate::limits::TeamTag;
 use crate::time::TimeMs;
@@ -246,6 +246,38 @@
     assert_eq!(fleet_demand(&own, &peers, 4), [demand(1, 1, 400.0)]);
 }
 
+/// Guards against a malformed report that makes each fraction of the division not a number.
+#[test]
+fn report_with_demand_that_is_no_rate_leaves_the_others() {
+    let mut peers = PeerDemand::default();
+    let report = DemandReport {
+        source: Source::Node(2),
+        pool: 0,
+        nodes: u32::MAX,
+        kinds: vec![
+            demand(1, 1, f32::NAN),
+            demand(1, 3, -1.0),
+            demand(2, 1, 5.0),
+        ],
+    };
+    peers.record(report, TimeMs(0));
+    assert_eq!(fleet_demand(&[], &peers, 1), [demand(2, 1, 5.0)]);
+}
+
+/// Guards against a surge of starts when engines come back after none took requests.
+#[test]
+fn speed_is_not_corrected_without_engines() {
+    let mut pacer = Pacer::default();
+    let none = Room::of(std::iter::empty());
+    for step in 0..100 {
+        pacer.update(&none, TARGET_MS, TimeMs(1_000 + step * 50));
+    }
+    let room = view(0.0).room;
+    let before = Pacer::default().startable_tokens_per_s(&room, TARGET_MS);
+    let after = pacer.startable_tokens_per_s(&room, TARGET_MS);
+    assert!((after - before).abs() < 1e-6, "{before} {after}");
+}
+
 #[test]
 fn retry_after_grows_with_the_overload_and_is_spread() {
     let least = retry_after_ms(2.0, 0, 60_000);
--- a/stand_ins/src/operators/caller.rs
+++ b/stand_ins/src/operators/caller.rs
@@ -90,6 +90,15 @@
 }
 
 impl Asked {
+    /// The same with a prompt of so many tokens, none of which others share.
+    #[must_use]
+    pub fn with_prompt(self, tokens: u64) -> Self {
+        Self {
+            extra: format!("{}Model: m\r\nToken-Count: {tokens},20\r\n", self.extra),
+            ..self
+        }
+    }
+
     /// The request that takes this stream up behind an event, under an id of its own.
     #[must_use]
     pub fn take_up(&self, id: &str, after: u64) -> Self {
