--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,5 +1,6 @@
 //! Sends and receives the datagrams between nodes.
 
+mod demand;
 mod discovery;
 mod receive;
 mod statements;
@@ -116,7 +117,7 @@
                 send_heartbeat_if_due(&node, &socket, &mut schedule, now).await;
                 send_reports_if_due(&node, &socket, &mut schedule, now).await;
                 send_accounts_if_due(&node, &socket, &mut schedule, now).await;
-                send_demand_if_due(&node, &socket, &mut schedule, now).await;
+                demand::send_if_due(&node, &socket, &mut schedule, now).await;
             }
             () = node.stopping.cancelled(), if !was_stopping => {
                 was_stopping = true;
@@ -210,45 +211,6 @@
     }
 }
 
-/// Sends the demand on pools that are short of room: this node's to its group, and the group's to
-/// the others if this node is its speaker.
-async fn send_demand_if_due(
-    node: &Gateway,
-    socket: &UdpSocket,
-    schedule: &mut Schedule,
-    now: TimeMs,
-) {
-    if !(schedule.demand).try_start(heartbeat_interval_ms(node), now) {
-        return;
-    }
-    let own = (node.scheduling.lock()).own_reports(node.incarnation, now);
-    if own.is_empty() {
-        return;
-    }
-    let (addresses, carriers, group) = {
-        let reach = node.store_reach(now);
-        let mut peers = node.peers.lock();
-        let speaks = peers.group_count() > 1 && peers.is_speaker(reach, now);
-        let carriers = if speaks {
-            peers.carriers(now)
-        } else {
-            Vec::new()
-        };
-        (peers.group_addresses(), carriers, peers.group_id())
-    };
-    for report in own {
-        send_to(socket, &Message::Demand(report), &addresses).await;
-    }
-    if carriers.is_empty() {
-        return;
-    }
-    let of_group = (node.scheduling.lock()).group_reports(group, now);
-    for report in of_group {
-        let message = Message::Forward(Box::new(Message::Demand(report)));
-        send_to(socket, &message, &carriers).await;
-    }
-}
-
 /// Sends admitted totals to the teams' collectors, and to all nodes where this node is the collector.
 ///
 /// Within a single group the heartbeats carry them fast enough.
--- a/src/gateway/scheduling.rs
+++ b/src/gateway/scheduling.rs
@@ -7,6 +7,7 @@
 //! short queue ([`queue`]). `docs/design/shortage.md` gives the reasons.
 
 pub(crate) mod allocation;
+mod collect;
 pub(crate) mod demand;
 pub(crate) mod gate;
 pub(crate) mod queue;
--- a/src/gateway/scheduling/gate.rs
+++ b/src/gateway/scheduling/gate.rs
@@ -6,17 +6,14 @@
 use tokio::sync::oneshot;
 use tokio::time::MissedTickBehavior;
 
-use super::allocation::{TeamWeight, Weights};
+use super::collect;
 use super::demand::{DemandReport, Kind};
-use super::room::{Change, EngineLoad, Room};
+use super::room::Change;
 use super::{Arrival, Entry, PoolScheduler, PoolView, Reason, Refused, WaitEnd};
-use crate::gateway::catalog::{Catalog, Unit};
 use crate::gateway::clock;
-use crate::gateway::need;
 use crate::gateway::num;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
-use crate::limits::TeamTag;
 use crate::limits::queue::Ticket;
 use crate::time::TimeMs;
 
@@ -131,7 +128,7 @@
         })
     }
 
-    fn refresh(&mut self, pool: &str, view: &PoolView, now: TimeMs) {
+    pub(super) fn refresh(&mut self, pool: &str, view: &PoolView, now: TimeMs) {
         let gate = self.gate_mut(pool);
         if let Some(change) = gate.scheduler.refresh(view, now) {
             gate.log_change(change);
@@ -149,7 +146,7 @@
     }
 
     /// Removes the pools that the configuration no longer has and starts what waits for them.
-    fn retain(&mut self, is_known: impl Fn(&str) -> bool, now: TimeMs) {
+    pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool, now: TimeMs) {
         for gate in &mut self.gates {
             if !is_known(&gate.pool) {
                 let ended = gate.scheduler.release(now);
@@ -254,59 +251,6 @@
         if node.is_stopping() {
             node.scheduling.lock().stop(now);
         }
-        refresh_all(&node, now);
+        collect::refresh_all(&node, now);
     }
 }
-
-fn refresh_all(node: &Gateway, now: TimeMs) {
-    let catalog = node.catalog();
-    for pool in catalog.pools.iter().filter(|pool| pool.engine.is_some()) {
-        if let Some(view) = pool_view(node, &catalog, &pool.name, now) {
-            (node.scheduling.lock()).refresh(&pool.name, &view, now);
-        }
-    }
-    let is_known = |pool: &str| {
-        let is_engine = |pool: &crate::gateway::catalog::Pool| pool.engine.is_some();
-        catalog.pool(pool).is_some_and(is_engine) && need::targets(&catalog, pool).is_some()
-    };
-    node.scheduling.lock().retain(is_known, now);
-}
-
-/// Returns what this node knows of a pool; `None` if no route to it has a target.
-fn pool_view(node: &Gateway, catalog: &Catalog, pool: &str, now: TimeMs) -> Option<PoolView> {
-    let targets = need::targets(catalog, pool)?;
-    let pace = node.pace(pool, now);
-    let room = {
-        let upstreams = node.upstreams.lock();
-        let open = (upstreams.iter()).filter(|(_key, upstream)| {
-            upstream.announcement.pool == pool
-                && upstream.accepts_requests(now)
-                && upstream.closed_reason(now).is_none()
-                && !upstream.health.is_paused(now)
-                && !upstream.is_unresponsive(now)
-        });
-        Room::of(open.map(|(_key, upstream)| EngineLoad {
-            read_tokens_per_ms: pace.read_tokens_per_ms,
-            unread_tokens: upstream.unread_tokens(),
-            running: upstream.running(),
-            slots: upstream.announcement.slots,
-        }))
-    };
-    Some(PoolView {
-        room,
-        target_ms: targets.first_ms,
-        known_nodes: node.peers.lock().known_nodes(),
-        weights: weights(catalog),
-    })
-}
-
-/// Returns the weights of teams: their limits in tokens; a team without one gets the mean.
-fn weights(catalog: &Catalog) -> Weights {
-    Weights::new(catalog.teams.iter().filter_map(|team| match team.unit {
-        Unit::Tokens { .. } => Some(TeamWeight {
-            team: TeamTag::of(&team.name),
-            weight: team.rate_per_s?,
-        }),
-        Unit::Requests => None,
-    }))
-}
