--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,5 +1,6 @@
 //! Sends and receives the datagrams between nodes.
 
+mod demand;
 mod discovery;
 mod receive;
 mod speeds;
@@ -69,6 +70,7 @@
     group_speeds: Timer,
     report: Timer,
     accounts: Timer,
+    demand: Timer,
 }
 
 /// Time of the last message of one kind; zero before the first.
@@ -121,6 +123,7 @@
                 send_reports_if_due(&node, &socket, &mut schedule, now).await;
                 send_accounts_if_due(&node, &socket, &mut schedule, now).await;
                 speeds::send_if_due(&node, &socket, &mut schedule.group_speeds, now).await;
+                demand::send_if_due(&node, &socket, &mut schedule, now).await;
             }
             () = node.stopping.cancelled(), if !was_stopping => {
                 was_stopping = true;
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -90,6 +90,7 @@
         Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
         Message::CreditAsk(ask) => credit::apply_ask(node, ask, from, now),
         Message::CreditGrant(grant) => credit::apply_grant(node, grant, from, now),
+        Message::Demand(report) => node.scheduling.lock().record_report(report, now),
         Message::Crash(crash) => crash_reports::apply_crash(node, crash, now),
         Message::Sound(told) => crash_reports::apply_sound(node, &told, now),
         Message::Fragment(fragment) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -33,6 +33,7 @@
 use super::rollout::Standing;
 use super::rollouts::Rollouts;
 use super::route_labels::RouteLabels;
+use super::scheduling::gate::Schedulers;
 use super::settings::NodeSettings;
 use super::shutdown::Shutdown;
 use super::speed::pace::{EngineModel, Pace, PeerPaces};
@@ -77,6 +78,8 @@
     /// Leases of the teams' limits; locked before `quotas`.
     pub credit: Mutex<Credit>,
     pub repeats: Mutex<PoolMap<Repeats>>,
+    /// Which requests start while a pool of engines is short of room.
+    pub scheduling: Mutex<Schedulers>,
     /// Since when this node has observed the installation; zero at the installation's first start.
     pub observing_since: TimeMs,
     /// Whether this node reaches the upstreams of each pool.
@@ -190,6 +193,7 @@
             )),
             credit: Mutex::new(Credit::new(incarnation, started_at)),
             repeats: Mutex::default(),
+            scheduling: Mutex::default(),
             observing_since: if settings.is_first_start {
                 TimeMs(0)
             } else {
