--- a/src/gateway/scheduling/collect.rs
+++ b/src/gateway/scheduling/collect.rs
@@ -4,7 +4,7 @@
 use super::allocation::{TeamWeight, Weights};
 use super::room::{EngineLoad, Room};
 use crate::gateway::catalog::{Catalog, Pool, Unit};
-use crate::gateway::need;
+use crate::gateway::speed::need;
 use crate::gateway::state::Gateway;
 use crate::limits::TeamTag;
 use crate::time::TimeMs;
@@ -38,7 +38,7 @@
                 && !upstream.is_unresponsive(now)
         });
         Room::of(open.map(|(_key, upstream)| EngineLoad {
-            read_tokens_per_ms: pace.read_tokens_per_ms,
+            read_tokens_per_ms: pace.read_tokens_per_ms / upstream.speed.factor(),
             unread_tokens: upstream.unread_tokens(),
             running: upstream.running(),
             slots: upstream.announcement.slots,
