--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -277,7 +277,7 @@
     choice: &Choice,
     request_log: &mut RequestLog,
 ) -> Result<bool, Refusal> {
-    if plan.head.prompt.is_none() {
+    if plan.head.prompt.is_none() || !node.scheduling.lock().is_on() {
         return Ok(false);
     }
     let pace = node.pace(&plan.pool, clock::now());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -69,11 +69,13 @@
 
 /// Runs a node until the process receives SIGTERM.
 ///
+/// With `order_when_short`, requests are put in one order while a pool of engines is short of room.
+///
 /// # Errors
 ///
 /// If the settings are invalid, an address cannot be listened on, or signal handlers or the metrics
 /// recorder cannot be installed.
-pub async fn run(settings_file: &Path) -> Result<(), GatewayError> {
+pub async fn run(settings_file: &Path, order_when_short: bool) -> Result<(), GatewayError> {
     // Handlers come first: until they are installed a signal ends the process.
     let mut terminate = signal(SignalKind::terminate()).map_err(GatewayError::Signals)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(GatewayError::Signals)?;
@@ -114,7 +116,10 @@
     tokio::spawn(configuration_sync::request_confirmations(Arc::clone(&node)));
     tokio::spawn(announcements::sync_upstreams(Arc::clone(&node)));
     tokio::spawn(reach_probe::run(Arc::clone(&node)));
-    tokio::spawn(scheduling::gate::run(Arc::clone(&node)));
+    if order_when_short {
+        node.scheduling.lock().switch_on();
+        tokio::spawn(scheduling::gate::run(Arc::clone(&node)));
+    }
     let forwarded = tokio::spawn(forwarding_server::serve(
         forwarded,
         Arc::clone(&node),
--- a/src/gateway/scheduling/gate.rs
+++ b/src/gateway/scheduling/gate.rs
@@ -77,9 +77,10 @@
     pub scheduler: &'a PoolScheduler,
 }
 
-/// The scheduling of all pools of engines.
+/// The scheduling of all pools of engines; off until it is switched on.
 #[derive(Debug, Default)]
 pub(crate) struct Schedulers {
+    is_on: bool,
     /// Sorted by tag.
     gates: Vec<Gate>,
 }
@@ -92,9 +93,21 @@
 }
 
 impl Schedulers {
+    /// Switches the scheduling on.
+    pub fn switch_on(&mut self) {
+        self.is_on = true;
+    }
+
+    /// Whether the scheduling is switched on.
+    pub fn is_on(&self) -> bool {
+        self.is_on
+    }
+
     /// Counts a request toward the demand on its pool, whether it is served or not.
     pub fn record_demand(&mut self, pool: &str, kind: Kind, tokens: f64, now: TimeMs) {
-        (self.gate_mut(pool).scheduler).record_demand(kind, tokens, now);
+        if self.is_on {
+            (self.gate_mut(pool).scheduler).record_demand(kind, tokens, now);
+        }
     }
 
     /// Stores a peer's report; one on a pool that this node does not know is dropped.
@@ -129,6 +142,9 @@
     }
 
     pub(super) fn refresh(&mut self, pool: &str, view: &PoolView, now: TimeMs) {
+        if !self.is_on {
+            return;
+        }
         let gate = self.gate_mut(pool);
         if let Some(change) = gate.scheduler.refresh(view, now) {
             gate.log_change(change);
--- a/src/main.rs
+++ b/src/main.rs
@@ -46,7 +46,10 @@
     telemetry::init_logging(settings.log_level, output);
     match settings.action {
         Action::Serve(settings) => serve(*settings),
-        Action::Gateway { settings_file } => run_gateway(&settings_file),
+        Action::Gateway {
+            settings_file,
+            order_when_short,
+        } => run_gateway(&settings_file, order_when_short),
         action => run_command(action),
     }
 }
@@ -67,11 +70,11 @@
 /// Runs a gateway on a single thread.
 ///
 /// Its host provides a fraction of one core, where a second thread would only add wake-ups.
-fn run_gateway(settings_file: &Path) -> ExitCode {
+fn run_gateway(settings_file: &Path, order_when_short: bool) -> ExitCode {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime
-            .block_on(gateway::run(settings_file))
+            .block_on(gateway::run(settings_file, order_when_short))
             .map_err(ServeError::Gateway),
         Err(error) => Err(ServeError::Runtime(error)),
     };
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -61,6 +61,10 @@
                 .value_hint(ValueHint::FilePath)
                 .help("Reads the platform's settings for this node from this file, and reloads them when it changes."),
         )
+        .arg(
+            switch("order-when-short", "TEASELLINE_ORDER_WHEN_SHORT", LIMITS)
+                .help("Puts requests in one order over all nodes while a pool of engines has less room than callers ask for: by the teams' limits, then by urgency. Off by default, while findings of its review are open; give it to all nodes."),
+        )
 }
 
 fn serve_addresses() -> Vec<Arg> {
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -36,6 +36,8 @@
     Gateway {
         /// File with the platform's settings for the node.
         settings_file: PathBuf,
+        /// Put requests in one order while a pool of engines is short of room.
+        order_when_short: bool,
     },
     /// Validate a document without a node.
     ConfigCheck {
@@ -282,6 +284,7 @@
             settings_file: PathBuf::from(
                 reader.text("settings", "the file with the platform's settings"),
             ),
+            order_when_short: matches.get_flag("order-when-short"),
         },
         "status" => Action::Status {
             client: client(&mut reader),
--- a/src/options/tests.rs
+++ b/src/options/tests.rs
@@ -150,3 +150,17 @@
     let secret = super::Secret::new("team-archive-sample");
     assert!(!format!("{secret:?}").contains("archive"));
 }
+
+#[test]
+fn requests_are_ordered_when_short_only_if_the_gateway_is_told_to() {
+    let is_ordered = |given: &[&str]| match settings(given).unwrap().action {
+        Action::Gateway {
+            order_when_short, ..
+        } => order_when_short,
+        other => panic!("the action is gateway, not {other:?}"),
+    };
+    let bare = ["teaselline", "gateway", "--settings", "node.json"];
+    assert!(!is_ordered(&bare));
+    let with_switch = [&bare[..], &["--order-when-short"]].concat();
+    assert!(is_ordered(&with_switch));
+}
