feature: No request waits for room past its caller's deadline

Cause: a request whose deadline is before its target waited until the target. Change: it is due at the earlier of the two. Not run with this change: the played loads (scheduling::tests::load, failures), the rest of the suite; nor the new test without the change.

--- a/src/gateway/scheduling/queue.rs
+++ b/src/gateway/scheduling/queue.rs
@@ -59,7 +59,7 @@
         if self.is_deferred {
             self.arrival.deadline
         } else {
-            self.arrival.target_at
+            self.arrival.target_at.min(self.arrival.deadline)
         }
     }
 }
--- a/src/gateway/scheduling/tests/decisions.rs
+++ b/src/gateway/scheduling/tests/decisions.rs
@@ -286,3 +286,19 @@
     assert!(retry_after_ms(4.0, 0, 60_000) > least);
     assert!(retry_after_ms(8.0, u64::MAX, 900) <= 300);
 }
+
+/// Guards against requests that wait although their callers have given up.
+#[test]
+fn request_with_a_deadline_before_its_target_waits_until_the_deadline_at_most() {
+    let now = TimeMs(1_000);
+    let (mut scheduler, arrival) = short_with_backlog(now);
+    let impatient = Arrival {
+        deadline: now.after(300),
+        ..arrival
+    };
+    assert!(matches!(scheduler.enter(impatient, now), Entry::Wait(_)));
+    scheduler.refresh(&view(450.0), now.after(250));
+    let ended = scheduler.poll(now.after(250));
+    assert_eq!(ended.len(), 1);
+    assert_eq!(ended[0].result, Err(Reason::TooLate));
+}
