--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -19,6 +19,7 @@
 use super::limits::throttle::LimitReport;
 use super::log_position::LogPosition;
 use super::rollout::{Decision, Observation};
+use super::scheduling::demand::DemandReport;
 use super::snapshot::Page;
 use super::speed::pace::Pace;
 use super::speed::sums::SpeedRow;
@@ -95,6 +96,8 @@
     CreditGrant(CreditGrant),
     /// The speed of upstreams as another group measured it.
     GroupSpeeds(GroupSpeeds),
+    /// What callers ask of a pool that is short of room, at one node or the nodes of one group.
+    Demand(DemandReport),
 }
 
 impl Message {
@@ -142,6 +145,7 @@
             Self::CreditAsk(_) => "credit_ask",
             Self::CreditGrant(_) => "credit_grant",
             Self::GroupSpeeds(_) => "group_speeds",
+            Self::Demand(_) => "demand",
         }
     }
 }
