--- a/src/gateway/limits/credit/tests/nodes.rs
+++ b/src/gateway/limits/credit/tests/nodes.rs
@@ -79,12 +79,6 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     }
-
-    fn held(&self) -> f64 {
-        let credit = self.node.credit.lock();
-        let standing = credit.leases.standing(self.team().tag, clock::now());
-        standing.map_or(0.0, |standing| standing.held)
-    }
 }
 
 /// Returns the team's owner and the other node, once they hear each other and have credit to grant.
