--- a/src/gateway/limits/quota/rounds.rs
+++ b/src/gateway/limits/quota/rounds.rs
@@ -2,7 +2,7 @@
 //!
 //! Each report carries the round of its sender. A node enters the next round when half of its peers have
 //! reported that they are in its own, which they enter after they heard of the round before. What a node
-//! spent two rounds ago is therefore known to the peers, and what they spent then is known to the node,
+//! spent two rounds ago is therefore known to half of the peers, and what they spent then is known to the node,
 //! whether reports take 50 ms or 2 s. No clocks are compared.
 
 /// Returns the round that follows `own` if half of the peers are in that round or later.
--- a/src/gateway/scheduling.rs
+++ b/src/gateway/scheduling.rs
@@ -1,6 +1,6 @@
 //! Decides which requests start while a pool of engines has less room than callers ask for.
 //!
-//! Inactive while a pool has room: every request starts at once. While a pool is short, its room is
+//! Active where a setting asks for it, and only while a pool is short: else every request starts at once. Its room is
 //! divided among teams by weighted max-min fairness and among a team's urgencies
 //! ([`allocation`]); each node starts that fraction of the requests of a kind that it receives, and
 //! refuses the others at once. Requests that may start but that every engine would delay wait in a
