--- a/review/drill/src/client.rs
+++ b/review/drill/src/client.rs
@@ -14,6 +14,8 @@
     /// The status, if an answer came whole.
     pub status: Option<u16>,
     pub body: String,
+    /// Whether the node closes the channel behind the answer.
+    closes: bool,
 }
 
 pub struct Ask<'a> {
@@ -41,21 +43,34 @@
 
     /// Sends the request on a new channel and waits for its end.
     pub async fn send(&self, node: SocketAddr) -> Ended {
+        self.send_on(&mut None, node).await
+    }
+
+    /// Sends the request on a kept channel, or on a new one where there is none.
+    pub async fn send_on(&self, kept: &mut Option<TcpStream>, node: SocketAddr) -> Ended {
         let lost = Ended {
             status: None,
             body: String::new(),
+            closes: true,
         };
         let patience = Duration::from_millis(self.deadline_ms + 200);
+        let channel = kept.take();
         let exchange = async {
-            let mut socket = TcpStream::connect(node).await.ok()?;
+            let mut socket = match channel {
+                Some(socket) => socket,
+                None => TcpStream::connect(node).await.ok()?,
+            };
             socket.write_all(self.text().as_bytes()).await.ok()?;
-            read_answer(&mut socket).await
+            let ended = read_answer(&mut socket).await?;
+            Some((ended, socket))
         };
-        tokio::time::timeout(patience, exchange)
-            .await
-            .ok()
-            .flatten()
-            .unwrap_or(lost)
+        match tokio::time::timeout(patience, exchange).await {
+            Ok(Some((ended, socket))) => {
+                *kept = (!ended.closes).then_some(socket);
+                ended
+            }
+            _ => lost,
+        }
     }
 }
 
@@ -111,5 +126,6 @@
     Some(Ended {
         status: Some(status),
         body: String::from_utf8_lossy(&body).into_owned(),
+        closes: head.contains("connection: close"),
     })
 }
--- a/review/drill/src/main.rs
+++ b/review/drill/src/main.rs
@@ -2,6 +2,7 @@
 
 #![recursion_limit = "512"]
 
+mod blocked;
 mod client;
 mod killer;
 mod late_copies;
@@ -15,6 +16,7 @@
 
 use killer::Trouble;
 use record::Record;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// A script may run for 120 seconds.
 const LONGEST: Duration = Duration::from_secs(112);
@@ -47,6 +49,7 @@
     let program = Path::new("target/release/teaselline");
     let chosen = async {
         match case.as_str() {
+            "blocked" => blocked::run(program, &record, has_trouble).await,
             "late-copies" => late_copies::run(program, &record, has_trouble).await,
             "killer" => {
                 killer::run(
@@ -80,8 +83,11 @@
         }
     };
     // Dropping what runs ends all processes.
-    let verdict = tokio::time::timeout(LONGEST, chosen).await;
-    let verdict = verdict.unwrap_or(Ok(Verdict::CouldNotRun));
+    let verdict = tokio::select! {
+        verdict = chosen => verdict,
+        () = tokio::time::sleep(LONGEST) => Ok(Verdict::CouldNotRun),
+        () = told_to_stop() => Ok(Verdict::CouldNotRun),
+    };
     match verdict {
         Ok(Verdict::Held) => {
             record.note("the rule held");
@@ -98,3 +104,16 @@
         }
     }
 }
+
+/// Waits until the script is interrupted.
+async fn told_to_stop() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = tokio::signal::ctrl_c() => {}
+            }
+        }
+        Err(_) => std::future::pending().await,
+    }
+}
