--- a/review/drill/src/blocked.rs
+++ b/review/drill/src/blocked.rs
@@ -149,6 +149,7 @@
                 id: &id,
                 body: "reel 1934-117",
                 deadline_ms: 1_000,
+                extra: "",
             };
             let ended = ask.send_on(&mut caller.channel, node.front()).await;
             self.record.note(&format!(
--- a/review/drill/src/client.rs
+++ b/review/drill/src/client.rs
@@ -24,6 +24,8 @@
     pub id: &'a str,
     pub body: &'a str,
     pub deadline_ms: u64,
+    /// Further header lines, each with its line end.
+    pub extra: &'a str,
 }
 
 impl Ask<'_> {
@@ -34,9 +36,10 @@
             id,
             body,
             deadline_ms,
+            extra,
         } = self;
         format!(
-            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Attempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+            "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Attempt-Id: {id}\r\nDeadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n{extra}\r\n{body}",
             body.len()
         )
     }
--- a/review/drill/src/killer.rs
+++ b/review/drill/src/killer.rs
@@ -134,6 +134,7 @@
             id: &id,
             body: KILLER,
             deadline_ms: 1_000,
+            extra: "",
         };
         let ended = ask.send(node.front()).await;
         self.record
--- a/review/drill/src/late_copies.rs
+++ b/review/drill/src/late_copies.rs
@@ -132,6 +132,7 @@
                     id: &id,
                     body: "reel 1934-117",
                     deadline_ms: 1_000,
+                    extra: "",
                 };
                 let ended = ask.send(front).await;
                 record.note(&format!("client gets {:?} for {id}", ended.status));
--- a/review/drill/src/main.rs
+++ b/review/drill/src/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod server;
 mod site;
+mod template;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -50,6 +51,7 @@
     let chosen = async {
         match case.as_str() {
             "blocked" => blocked::run(program, &record, has_trouble).await,
+            "template" => template::run(program, &record, has_trouble).await,
             "late-copies" => late_copies::run(program, &record, has_trouble).await,
             "killer" => {
                 killer::run(
--- a/review/drill/src/server.rs
+++ b/review/drill/src/server.rs
@@ -295,6 +295,9 @@
             self.crash(&own, id);
             std::future::pending::<()>().await;
         }
+        if !request.header("prompt-prefix").is_empty() {
+            return stream(&own, id);
+        }
         let body = format!("{} {} for {id}", request.method, request.path);
         format!(
             "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: 3e1b.{own}\r\nKeep-Alive: timeout=5\r\nContent-Length: {}\r\n\r\n{body}",
@@ -337,6 +340,18 @@
     }
 }
 
+/// A whole stream of three events.
+fn stream(own: &str, id: &str) -> String {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: {id}\r\nServer-Seal: 3e1b.{own}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let events = (1..=3).map(|event| format!("id: {event}\ndata: {event} of {id}\n\n"));
+    let chunks: String = events
+        .map(|event| format!("{:x}\r\n{event}\r\n", event.len()))
+        .collect();
+    format!("{head}{chunks}0\r\n\r\n")
+}
+
 fn new_id() -> String {
     format!("i-{:010x}", rand::rng().random::<u64>() & 0xff_ffff_ffff)
 }
--- a/review/drill/src/site.rs
+++ b/review/drill/src/site.rs
@@ -293,6 +293,29 @@
     config
 }
 
+/// The same with a service of engines and a route of streams.
+pub fn config_with_streams(version: u64) -> Value {
+    let mut config = config(version);
+    let route = json!({
+        "name": "r-caption", "host": HOST, "pathPrefix": "/lohu930/", "kind": "streaming", "timeoutMs": 12000,
+        "targetLatencyMs": 500, "priority": 2, "service": ENGINES, "maxAttempts": 1, "public": false,
+        "sticky": true, "resumable": false, "gapAimMs": 300,
+    });
+    if let Some(routes) = config["routes"].as_array_mut() {
+        routes.push(route);
+    }
+    let engines = json!({
+        "name": ENGINES, "healthPath": "/health", "maxConnections": 370, "protocol": "h1", "tls": false,
+        "engine": {"slots": 64, "kvCapacity": 730_938, "kvTokenBytes": 18432, "linkMbps": 88000.0, "moves": true,
+            "backups": true, "stride": 4, "most": 12, "pinMs": 4000.0, "holdMs": 2000.0, "handleS": 5.0,
+            "models": [{"name": "m"}]},
+    });
+    if let Some(services) = config["services"].as_array_mut() {
+        services.push(engines);
+    }
+    config
+}
+
 /// The configuration of a small deployment, with the routes of the Kitagawa sheet.
 pub fn config(version: u64) -> Value {
     let plain = |name: &str, prefix: &str, kind: &str, attempts: u64| {
