--- a/review/drill/src/client.rs
+++ b/review/drill/src/client.rs
@@ -13,7 +13,6 @@
 pub struct Ended {
     /// The status, if an answer came whole.
     pub status: Option<u16>,
-    pub body: String,
     /// Whether the node closes the channel behind the answer.
     closes: bool,
 }
@@ -53,7 +52,6 @@
     pub async fn send_on(&self, kept: &mut Option<TcpStream>, node: SocketAddr) -> Ended {
         let lost = Ended {
             status: None,
-            body: String::new(),
             closes: true,
         };
         let patience = Duration::from_millis(self.deadline_ms + 200);
@@ -128,7 +126,6 @@
     }
     Some(Ended {
         status: Some(status),
-        body: String::from_utf8_lossy(&body).into_owned(),
         closes: head.contains("connection: close"),
     })
 }
--- a/review/drill/src/record.rs
+++ b/review/drill/src/record.rs
@@ -21,10 +21,6 @@
         })
     }
 
-    pub fn now_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
     pub fn note(&self, line: &str) {
         let at = self.start.elapsed().as_secs_f64();
         let _ = writeln!(self.file.lock(), "{at:9.3} {line}");
--- a/review/drill/src/server.rs
+++ b/review/drill/src/server.rs
@@ -28,7 +28,6 @@
 pub struct Run {
     pub request: String,
     pub server: String,
-    pub at_ms: u64,
 }
 
 #[derive(Clone, Copy)]
@@ -284,7 +283,6 @@
         self.shared.runs.lock().push(Run {
             request: id.to_owned(),
             server: own.clone(),
-            at_ms: self.shared.record.now_ms(),
         });
         tokio::time::sleep(Duration::from_millis(self.shape.work_ms)).await;
         if request
--- a/review/drill/src/site.rs
+++ b/review/drill/src/site.rs
@@ -71,11 +71,6 @@
         let _ = kill(Pid::from_raw(self.pid()), signal);
     }
 
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -96,12 +91,6 @@
         let address = (self.ip, self.ports.readiness).into();
         client::get(address, "/api/ready").await == Some(200)
     }
-
-    pub fn log_lines(&self, part: &str) -> Vec<String> {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
-        let lines = text.lines().filter(|line| line.contains(part));
-        lines.map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Node {
