feature: A failed attempt's log line names the request that the response belongs to

Whether a refusal that counted as 'not run' belonged to the call could not be told from the logs: a line had the status only. The detail now says which request the response names (own, none, other) and whether its connection was new or reused. The id of a response is decoded as missing, stated or ambiguous, as several different ids name nobody.

--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -8,7 +8,6 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
 use super::admission::Plan;
 use super::attempts::{Attempts, retry_after_ms};
@@ -33,7 +32,7 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::VersionTag;
 use crate::gateway::upstreams::UpstreamKey;
-use crate::platform::headers::{self, ResponseHead, UpstreamHeaders};
+use crate::platform::headers::{self, NamedRequest, ResponseHead, UpstreamHeaders};
 use crate::time::TimeMs;
 
 /// Why one send gave no usable response.
@@ -382,7 +381,7 @@
             return Err(SendError::MayHaveRun("upstream_restarted", String::new()));
         };
         match answered {
-            Ok(Ok(response)) => sent = Some((channel.sender, response)),
+            Ok(Ok(response)) => sent = Some((channel, response)),
             Ok(Err(mut error)) if error.message().is_some() => {
                 drop(error.take_message());
                 pending.cancel_send(clock::now());
@@ -412,10 +411,10 @@
     if let Some(part) = plan.head.prompt.as_ref().and_then(Prompt::shared) {
         node.prefixes.lock().record(part.id, key, clock::now());
     }
-    let Some((sender, response)) = sent else {
+    let Some((channel, response)) = sent else {
         return Err(SendError::NotRun("channel_closed", String::new()));
     };
-    classify_response(node, plan, pending, sender, response)
+    classify_response(node, plan, pending, channel, response)
 }
 
 /// Returns a connection to an upstream, and records whether a new one could be opened.
@@ -467,9 +466,10 @@
     node: &Arc<Gateway>,
     plan: &Plan,
     upstream_request: UpstreamRequest,
-    sender: SendRequest<Full<Bytes>>,
+    channel: Connection,
     response: Response<Incoming>,
 ) -> Result<UpstreamResponse, SendError> {
+    let Connection { sender, is_reused } = channel;
     let now = clock::now();
     node.reach
         .lock()
@@ -482,11 +482,12 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         record_upstream_state(plan, &upstream_request, status, &answer, now);
     }
-    let is_own = answer.is_response_to(&plan.head.id);
+    let named = answer.named_request(&plan.head.id);
+    let detail = || response_detail(status, named, is_reused);
     match status {
         StatusCode::MISDIRECTED_REQUEST => {
             upstream_request.record_outcome(Outcome::Refused, now);
-            Err(SendError::NotRun("other_upstream", status.to_string()))
+            Err(SendError::NotRun("other_upstream", detail()))
         }
         _ if answer.is_not_executed => {
             let outcome = match answer.requested_backoff_ms(status) {
@@ -495,17 +496,17 @@
             };
             upstream_request.record_outcome(outcome, now);
             keep_connection(node, &upstream_request, sender, &answer);
-            Err(SendError::NotRun("not_run", status.to_string()))
+            Err(SendError::NotRun("not_run", detail()))
         }
         // The response belongs to an earlier request on the connection; whether this request was
         // executed is unknown.
-        _ if !is_own => {
+        _ if named != NamedRequest::Own => {
             upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("other_answer", status.to_string()))
+            Err(SendError::MayHaveRun("other_answer", detail()))
         }
         _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
             upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("unproved_answer", status.to_string()))
+            Err(SendError::MayHaveRun("unproved_answer", detail()))
         }
         _ => {
             if answer.requested_backoff_ms(status).is_none() {
@@ -521,6 +522,13 @@
     }
 }
 
+/// Describes a response that gives no answer, for the log.
+fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
+    let named = named.as_str();
+    let connection = if is_reused { "reused" } else { "new" };
+    format!("{status}, names request: {named}, connection: {connection}")
+}
+
 /// Applies the rate limit, brittleness, backoff and leaving notice that a response carries about its
 /// upstream.
 fn record_upstream_state(
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -236,6 +236,35 @@
         .collect()
 }
 
+/// Id of the answered request as a response states it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum EchoedId {
+    Missing,
+    Stated(String),
+    /// Different ids, or one that is not text.
+    Ambiguous,
+}
+
+/// Which request a response names, as seen by a request that was sent on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NamedRequest {
+    Own,
+    Unnamed,
+    Other,
+}
+
+impl NamedRequest {
+    /// Returns the value as it appears in logs.
+    #[must_use]
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Unnamed => "none",
+            Self::Other => "other",
+        }
+    }
+}
+
 /// Decoded head of an upstream's response.
 #[expect(
     clippy::struct_excessive_bools,
@@ -243,8 +272,8 @@
 )]
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct ResponseHead {
-    /// Id of the answered request, if the response names it.
-    pub request_id: Option<String>,
+    /// Id of the answered request.
+    pub request_id: EchoedId,
     /// Whether the response has the upstream's seal.
     pub is_sealed: bool,
     /// Whether the upstream states that it did not execute the request.
@@ -274,7 +303,7 @@
         .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
         .find_map(rounded_number);
     ResponseHead {
-        request_id: text(headers, &REQUEST_ID).map(str::to_owned),
+        request_id: read_echoed_id(headers),
         is_sealed: headers.contains_key(SERVER_SEAL),
         is_not_executed: headers.contains_key(NOT_EXECUTED),
         is_closing: connection_options(headers)
@@ -289,6 +318,18 @@
     }
 }
 
+/// Returns the id of the answered request; equal ones count as one.
+fn read_echoed_id(headers: &HeaderMap) -> EchoedId {
+    let mut ids = headers.get_all(REQUEST_ID).iter();
+    let Some(first) = ids.next() else {
+        return EchoedId::Missing;
+    };
+    match first.to_str() {
+        Ok(id) if ids.all(|other| other == first) => EchoedId::Stated(id.to_owned()),
+        _ => EchoedId::Ambiguous,
+    }
+}
+
 /// Returns the stated rate limit; of several values the lowest applies.
 fn read_limit(headers: &HeaderMap) -> StatedLimit {
     let parsed = numbers(headers, &SERVER_LIMIT);
@@ -369,10 +410,20 @@
 }
 
 impl ResponseHead {
+    /// Returns which request the response names, as seen by the request with this id.
+    #[must_use]
+    pub(crate) fn named_request(&self, request_id: &str) -> NamedRequest {
+        match &self.request_id {
+            EchoedId::Missing => NamedRequest::Unnamed,
+            EchoedId::Stated(id) if id == request_id => NamedRequest::Own,
+            EchoedId::Stated(_) | EchoedId::Ambiguous => NamedRequest::Other,
+        }
+    }
+
     /// Whether the response names this request id.
     #[must_use]
     pub(crate) fn is_response_to(&self, request_id: &str) -> bool {
-        self.request_id.as_deref() == Some(request_id)
+        self.named_request(request_id) == NamedRequest::Own
     }
 
     /// Returns the requested backoff in milliseconds, if the status is 503.
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -144,7 +144,7 @@
         ("keep-alive", "timeout=5, max=10"),
         ("connection", "Close"),
     ]));
-    assert_eq!(response.request_id.as_deref(), Some("9c41"));
+    assert_eq!(response.request_id, EchoedId::Stated("9c41".to_owned()));
     assert!(
         response.is_sealed
             && response.is_closing
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod fault;
 mod history;
+mod late_copy;
 mod places;
 mod wire;
 
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use super::late_copy::LateCopy;
 use super::wire::{After, Received, chunk, line, receive};
 use super::{Arrival, ChannelEnd, Core, Crash, CrashPoint, Fault, Framing, KILLER, Run, is_misfit};
 use crate::server::now_ms;
@@ -36,11 +37,18 @@
     /// Answers the requests of a channel; returns how it is ended.
     async fn requests(&self, socket: &mut TcpStream) -> io::Result<ChannelEnd> {
         let mut buffer = Vec::new();
+        let mut late_copy = LateCopy::default();
         while let Some(request) = receive(socket, &mut buffer).await? {
             if *self.has_crashed.lock() || self.is_fallen() {
                 return Ok(ChannelEnd::Reset);
             }
             self.note_arrival(&request);
+            if self
+                .refuse_or_repeat(socket, &request, &mut late_copy)
+                .await?
+            {
+                continue;
+            }
             if let After::Ends(end) = self.answer(socket, &request).await? {
                 return Ok(end);
             }
@@ -74,29 +82,21 @@
             .is_some_and(|expected| expected != self.start_id());
         let fault = *self.fault.lock();
         if is_other {
-            socket
-                .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
-                .await?;
+            let answer = self.misdirection(request);
+            socket.write_all(answer.as_bytes()).await?;
             return Ok(After::Stays);
         }
         if fault == Fault::Sheds {
-            let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}{}content-length: 0\r\n\r\n",
-                self.said_lines(),
-                line("retry-after", self.rest.lock().as_deref()),
-            );
-            socket.write_all(head.as_bytes()).await?;
+            let answer = self.refusal(request);
+            socket.write_all(answer.as_bytes()).await?;
             return Ok(After::Stays);
         }
         let Some(_place) = self.take_place() else {
             if self.falls_by_refusal() {
                 return Ok(RESET);
             }
-            let head = format!(
-                "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 0\r\n\r\n",
-                self.said_lines(),
-            );
-            socket.write_all(head.as_bytes()).await?;
+            let answer = self.refusal(request);
+            socket.write_all(answer.as_bytes()).await?;
             return Ok(After::Stays);
         };
         let place = self.begin(request, id);
@@ -280,7 +280,7 @@
     }
 
     /// What all its answers say of it.
-    fn said_lines(&self) -> String {
+    pub(super) fn said_lines(&self) -> String {
         let limit = line("server-limit", self.limit.lock().as_deref());
         let leaving = line("server-leaving", self.leaving.lock().as_deref());
         let brittle = self.brittle.lock().map(|refusals| refusals.to_string());
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -13,6 +13,11 @@
     LosesAnswers,
     /// It sends a second answer some milliseconds after each.
     AnswersTwice,
+    /// It does not run the first request of a channel, says so, and says it again where the next answer is due; it runs
+    /// that request.
+    RepeatsRefusals,
+    /// The same with the answer of an upstream that the request does not name.
+    RepeatsMisdirection,
     /// It runs requests and never answers.
     Silent,
     /// It answers with a failure.
--- /dev/null
+++ b/stand_ins/src/operators/upstream/late_copy.rs
@@ -0,0 +1,61 @@
+//! A refusal of one request that an upstream sends again where the answer to the next one is due.
+
+use std::io;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::wire::{Received, line};
+use super::{Core, Fault};
+
+/// The refusal of a channel's first request, until its copy has been sent.
+#[derive(Debug, Default)]
+pub(super) struct LateCopy {
+    refusal: Option<String>,
+}
+
+impl Core {
+    /// Refuses a request, or sends the copy of the last refusal; returns whether the request is refused.
+    pub(super) async fn refuse_or_repeat(
+        &self,
+        socket: &mut TcpStream,
+        request: &Received,
+        late_copy: &mut LateCopy,
+    ) -> io::Result<bool> {
+        if let Some(copy) = late_copy.refusal.take() {
+            socket.write_all(copy.as_bytes()).await?;
+            return Ok(false);
+        }
+        let fault = *self.fault.lock();
+        let refusal = match fault {
+            Fault::RepeatsRefusals => self.refusal(request),
+            Fault::RepeatsMisdirection => self.misdirection(request),
+            _ => return Ok(false),
+        };
+        socket.write_all(refusal.as_bytes()).await?;
+        late_copy.refusal = Some(refusal);
+        Ok(true)
+    }
+
+    /// The answer to a request that it does not run for want of room.
+    pub(super) fn refusal(&self, request: &Received) -> String {
+        format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{}not-executed: 1\r\n{}{}content-length: 0\r\n\r\n",
+            echoed_id(request),
+            self.said_lines(),
+            line("retry-after", self.rest.lock().as_deref()),
+        )
+    }
+
+    /// The answer to a request that names another upstream.
+    pub(super) fn misdirection(&self, request: &Received) -> String {
+        format!(
+            "HTTP/1.1 421 Misdirected Request\r\n{}not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+            echoed_id(request),
+        )
+    }
+}
+
+fn echoed_id(request: &Received) -> String {
+    line("request-attempt-id", request.header("request-attempt-id"))
+}
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -15,7 +15,7 @@
 }
 
 /// Asserts that a request ran at most once, and never if its response says that it has not run.
-fn assert_at_most_once(deployment: &Deployment, id: &str, ended: &Ended) {
+pub fn assert_at_most_once(deployment: &Deployment, id: &str, ended: &Ended) {
     let runs = deployment.runs_of(id).len();
     assert!(runs <= 1, "{id} ran {runs} times");
     assert!(
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod explained;
 mod input;
+mod late_copies;
 mod leaving;
 mod limited;
 mod metered;
