bug: A late copy of another call's refusal no longer counts as the answer

Cause: classify_response believed 421 and Not-Executed before it compared the response's id with the request's. A copy of an earlier refusal on a kept connection therefore showed that a call had not run which the upstream was running. Its rate limit, brittleness and backoff were applied anew as well.

Change: whose response it is decides first. One that names another request, or several, shows nothing of this one. One without an id counts on a new connection only.

--- a/src/gateway/crashes/breaks/tests.rs
+++ b/src/gateway/crashes/breaks/tests.rs
@@ -28,6 +28,7 @@
         "body_too_long",
         "not_run",
         "other_answer",
+        "unnamed_answer",
         "other_upstream",
         "unproved_answer",
         "events_missing",
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -477,14 +477,21 @@
         .record_response();
     let answer = headers::read_response_head(response.headers());
     let status = response.status();
-    // After an address is reassigned, a different upstream answers on it; its headers do not
-    // describe the selected one.
-    if status != StatusCode::MISDIRECTED_REQUEST {
-        record_upstream_state(plan, &upstream_request, status, &answer, now);
-    }
     let named = answer.named_request(&plan.head.id);
     let detail = || response_detail(status, named, is_reused);
+    if is_about_request(named, is_reused) {
+        record_upstream_state(plan, &upstream_request, status, &answer, now);
+    }
+    if answer.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
+        upstream_request.record_leaving();
+    }
     match status {
+        // A late copy of the response to another request. The response to this one may follow on the
+        // connection, which is closed.
+        _ if !is_about_request(named, is_reused) => {
+            upstream_request.record_outcome(Outcome::Broken, now);
+            Err(SendError::MayHaveRun("other_answer", detail()))
+        }
         StatusCode::MISDIRECTED_REQUEST => {
             upstream_request.record_outcome(Outcome::Refused, now);
             Err(SendError::NotRun("other_upstream", detail()))
@@ -498,11 +505,9 @@
             keep_connection(node, &upstream_request, sender, &answer);
             Err(SendError::NotRun("not_run", detail()))
         }
-        // The response belongs to an earlier request on the connection; whether this request was
-        // executed is unknown.
         _ if named != NamedRequest::Own => {
             upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("other_answer", detail()))
+            Err(SendError::MayHaveRun("unnamed_answer", detail()))
         }
         _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
             upstream_request.record_outcome(Outcome::Broken, now);
@@ -522,6 +527,17 @@
     }
 }
 
+/// Whether a response is one to the request that was just sent on its connection.
+///
+/// A response without an id shows that only as the first one of a connection: on another, it may be a late copy.
+fn is_about_request(named: NamedRequest, is_reused: bool) -> bool {
+    match named {
+        NamedRequest::Own => true,
+        NamedRequest::Unnamed => !is_reused,
+        NamedRequest::Other => false,
+    }
+}
+
 /// Describes a response that gives no answer, for the log.
 fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
     let named = named.as_str();
@@ -529,8 +545,10 @@
     format!("{status}, names request: {named}, connection: {connection}")
 }
 
-/// Applies the rate limit, brittleness, backoff and leaving notice that a response carries about its
-/// upstream.
+/// Applies the rate limit, brittleness and backoff that a response to the request states for its upstream.
+///
+/// After an address is reassigned, a different upstream answers on it; its headers do not describe
+/// the selected one.
 fn record_upstream_state(
     plan: &Plan,
     upstream_request: &UpstreamRequest,
@@ -538,6 +556,9 @@
     answer: &ResponseHead,
     now: TimeMs,
 ) {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
     if let Some(stated) = answer.proven_limit(&plan.head.id) {
         upstream_request.record_limit(stated, now);
     }
@@ -547,9 +568,6 @@
     if answer.is_not_executed && status == StatusCode::SERVICE_UNAVAILABLE {
         upstream_request.record_refusal(now);
     }
-    if answer.is_leaving {
-        upstream_request.record_leaving();
-    }
     if let Some(rest_ms) = answer.requested_backoff_ms(status) {
         upstream_request.record_backoff(rest_ms, now);
     }
@@ -590,3 +608,6 @@
     headers::set_upstream_headers(request.headers_mut(), &added);
     (added.time_left_ms > 0).then_some(request)
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -253,6 +253,27 @@
     }
 }
 
+#[test]
+fn response_names_the_one_request_whose_id_it_echoes() {
+    let named = |ids: &[&str]| {
+        let pairs: Vec<_> = (ids.iter()).map(|id| ("request-attempt-id", *id)).collect();
+        read_response_head(&headers(&pairs)).named_request("r1")
+    };
+    assert_eq!(named(&["r1"]), NamedRequest::Own);
+    assert_eq!(named(&["r1", "r1"]), NamedRequest::Own);
+    assert_eq!(named(&[]), NamedRequest::Unnamed);
+    for ids in [
+        &["r0"][..],
+        &[""],
+        &["r1", "r0"],
+        &["r0", "r1"],
+        &["r1, r0"],
+        &["R1"],
+    ] {
+        assert_eq!(named(ids), NamedRequest::Other, "{ids:?}");
+    }
+}
+
 #[test]
 fn only_a_sealed_response_to_the_request_proves_that_no_limit_is_stated() {
     let response =
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::late_copy::LateCopy;
+use super::late_copy::{LateCopy, misdirection};
 use super::wire::{After, Received, chunk, line, receive};
 use super::{Arrival, ChannelEnd, Core, Crash, CrashPoint, Fault, Framing, KILLER, Run, is_misfit};
 use crate::server::now_ms;
@@ -82,7 +82,7 @@
             .is_some_and(|expected| expected != self.start_id());
         let fault = *self.fault.lock();
         if is_other {
-            let answer = self.misdirection(request);
+            let answer = misdirection(request);
             socket.write_all(answer.as_bytes()).await?;
             return Ok(After::Stays);
         }
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -16,8 +16,9 @@
     /// It does not run the first request of a channel, says so, and says it again where the next answer is due; it runs
     /// that request.
     RepeatsRefusals,
-    /// The same with the answer of an upstream that the request does not name.
-    RepeatsMisdirection,
+    /// It answers the first request of a channel, and says where the next answer is due that this request named another
+    /// upstream.
+    MisdirectsLate,
     /// It runs requests and never answers.
     Silent,
     /// It answers with a failure.
--- a/stand_ins/src/operators/upstream/late_copy.rs
+++ b/stand_ins/src/operators/upstream/late_copy.rs
@@ -1,4 +1,4 @@
-//! A refusal of one request that an upstream sends again where the answer to the next one is due.
+//! A refusal of one request that an upstream sends where the answer to the next one is due.
 
 use std::io;
 
@@ -8,14 +8,14 @@
 use super::wire::{Received, line};
 use super::{Core, Fault};
 
-/// The refusal of a channel's first request, until its copy has been sent.
+/// The refusal of a channel's first request that has still to be sent.
 #[derive(Debug, Default)]
 pub(super) struct LateCopy {
     refusal: Option<String>,
 }
 
 impl Core {
-    /// Refuses a request, or sends the copy of the last refusal; returns whether the request is refused.
+    /// Refuses a request, or sends the late refusal of the one before; returns whether the request is refused.
     pub(super) async fn refuse_or_repeat(
         &self,
         socket: &mut TcpStream,
@@ -27,14 +27,19 @@
             return Ok(false);
         }
         let fault = *self.fault.lock();
-        let refusal = match fault {
-            Fault::RepeatsRefusals => self.refusal(request),
-            Fault::RepeatsMisdirection => self.misdirection(request),
-            _ => return Ok(false),
-        };
-        socket.write_all(refusal.as_bytes()).await?;
-        late_copy.refusal = Some(refusal);
-        Ok(true)
+        match fault {
+            Fault::RepeatsRefusals => {
+                let refusal = self.refusal(request);
+                socket.write_all(refusal.as_bytes()).await?;
+                late_copy.refusal = Some(refusal);
+                Ok(true)
+            }
+            Fault::MisdirectsLate => {
+                late_copy.refusal = Some(misdirection(request));
+                Ok(false)
+            }
+            _ => Ok(false),
+        }
     }
 
     /// The answer to a request that it does not run for want of room.
@@ -46,14 +51,14 @@
             line("retry-after", self.rest.lock().as_deref()),
         )
     }
+}
 
-    /// The answer to a request that names another upstream.
-    pub(super) fn misdirection(&self, request: &Received) -> String {
-        format!(
-            "HTTP/1.1 421 Misdirected Request\r\n{}not-executed: 1\r\ncontent-length: 0\r\n\r\n",
-            echoed_id(request),
-        )
-    }
+/// The answer to a request that names another upstream.
+pub(super) fn misdirection(request: &Received) -> String {
+    format!(
+        "HTTP/1.1 421 Misdirected Request\r\n{}not-executed: 1\r\ncontent-length: 0\r\n\r\n",
+        echoed_id(request),
+    )
 }
 
 fn echoed_id(request: &Received) -> String {
--- a/tests/platform/late_copies.rs
+++ b/tests/platform/late_copies.rs
@@ -36,10 +36,10 @@
     assert_calls_run_at_most_once(Fault::RepeatsRefusals).await;
 }
 
-/// Guards against the same with a late copy of the answer that the call names another upstream.
+/// Guards against the same with a late answer that another call named another upstream.
 #[tokio::test(flavor = "multi_thread")]
-async fn late_copy_of_a_misdirection_does_not_show_that_the_next_call_has_not_run() {
-    assert_calls_run_at_most_once(Fault::RepeatsMisdirection).await;
+async fn late_misdirection_does_not_show_that_the_next_call_has_not_run() {
+    assert_calls_run_at_most_once(Fault::MisdirectsLate).await;
 }
 
 /// Guards against a backoff that begins anew with each late copy of the refusal that asked for it.
