bug: Streams can be taken up after all nodes were lost, and never at another version

Cause: what binds a stream was known only to nodes, all of which may be gone; and a statement of the settings was believed that the store could refute.

Evidence: tests/platform/versions.rs with real processes, all killed, two versions.

A node that starts reads the records (all nodes of one group, else two of each failure domain, which the others ask). What was not written yet stays unknown and is refused. Until the records are read a stream is not called unknown to peers, and its refusal carries a Retry-After. A first start counts only if the store holds no record.

--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -83,6 +83,8 @@
                 origins.record(key, origin, now);
             }
         }
+        Message::StreamsToArchive(starts) => streams::accept_to_pass_on(node, &starts),
+        Message::StreamsToWrite(starts) => streams::accept_to_write(node, &starts),
         Message::QueryStream(query) => streams::answer(node, &query, from, now),
         Message::StreamStated(key, statement) => {
             streams::apply_statement(node, key, statement, from);
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -24,7 +24,7 @@
 use super::speed::pace::Pace;
 use super::speed::sums::SpeedRow;
 use super::store_contact::StoreAvailability;
-use super::streams::{Origin, Query, Statement, StreamKey};
+use super::streams::{Origin, Query, Start, Statement, StreamKey};
 use super::upstreams::{Change, Load};
 use super::usage::UsageRow;
 
@@ -98,6 +98,10 @@
     GroupSpeeds(GroupSpeeds),
     /// What callers ask of a pool that is short of room, at one node or the nodes of one group.
     Demand(DemandReport),
+    /// Where streams began, for the speaker of the sender's group, which passes it on.
+    StreamsToArchive(Vec<Start>),
+    /// Where streams began, for the node that writes it to the store.
+    StreamsToWrite(Vec<Start>),
 }
 
 impl Message {
@@ -146,6 +150,8 @@
             Self::CreditGrant(_) => "credit_grant",
             Self::GroupSpeeds(_) => "group_speeds",
             Self::Demand(_) => "demand",
+            Self::StreamsToArchive(_) => "streams_to_archive",
+            Self::StreamsToWrite(_) => "streams_to_write",
         }
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -84,6 +84,15 @@
     division: Option<Division>,
 }
 
+/// The node that does something for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ActingNode {
+    /// This node.
+    Own,
+    /// The node that receives datagrams on this address.
+    Peer(SocketAddr),
+}
+
 impl Peers {
     /// Creates the table of a node that knows no peer yet.
     #[must_use]
@@ -339,13 +348,38 @@
 
     /// Whether this node reports on its group to the others: it ranks first in the group.
     pub fn is_speaker(&mut self, own_reach: StoreAvailability, now: TimeMs) -> bool {
+        self.speaker(own_reach, now) == ActingNode::Own
+    }
+
+    /// Returns the node that ranks first in this node's group.
+    pub fn speaker(&mut self, own_reach: StoreAvailability, now: TimeMs) -> ActingNode {
         let group = self.division().own_group;
         let mates: Vec<usize> = self.division().peers_of(group).collect();
-        let own = (own_reach, &self.own);
-        (mates.into_iter())
+        let live = (mates.into_iter())
             .map(|index| &self.by_name[index])
-            .filter(|peer| is_live(peer, now) && !peer.is_stopping)
-            .all(|peer| rank::cmp_rank(own, (peer.store, &peer.member)).is_lt())
+            .filter(|peer| is_live(peer, now) && !peer.is_stopping);
+        self.first_ranked(live, own_reach)
+    }
+
+    /// Returns the node that ranks first of all.
+    pub fn first_node(&self, own_reach: StoreAvailability, now: TimeMs) -> ActingNode {
+        self.first_ranked(self.active(now), own_reach)
+    }
+
+    fn first_ranked<'a>(
+        &self,
+        peers: impl Iterator<Item = &'a Peer>,
+        own_reach: StoreAvailability,
+    ) -> ActingNode {
+        let first = peers.min_by(|a, b| rank::cmp_rank((a.store, &a.member), (b.store, &b.member)));
+        match first {
+            Some(peer)
+                if rank::cmp_rank((peer.store, &peer.member), (own_reach, &self.own)).is_le() =>
+            {
+                ActingNode::Peer(peer.member.gossip_address)
+            }
+            _ => ActingNode::Own,
+        }
     }
 
     /// Returns the address of one node of each other group, which passes on this group's reports.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -115,6 +115,9 @@
     tokio::spawn(configuration_sync::sync_configuration(Arc::clone(&node)));
     tokio::spawn(configuration_sync::request_confirmations(Arc::clone(&node)));
     tokio::spawn(announcements::sync_upstreams(Arc::clone(&node)));
+    tokio::spawn(streams::read_archive(Arc::clone(&node)));
+    tokio::spawn(streams::pass_starts_on(Arc::clone(&node)));
+    tokio::spawn(streams::write_starts(Arc::clone(&node)));
     tokio::spawn(reach_probe::run(Arc::clone(&node)));
     if order_when_short {
         node.scheduling.lock().switch_on();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,7 +38,7 @@
 use super::shutdown::Shutdown;
 use super::speed::pace::{EngineModel, Pace, PeerPaces};
 use super::store_contact::{StoreAvailability, StoreContact};
-use super::streams::{Origins, WaitingQueries};
+use super::streams::{Origins, StreamArchive, UnwrittenStarts, WaitingQueries, WaitingStarts};
 use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
@@ -89,6 +89,12 @@
     pub rollouts: Mutex<Rollouts>,
     /// Where streams began that this node or its peers forward.
     pub stream_origins: Mutex<Origins>,
+    /// Starts of streams of this node's group, for the node that writes them to the store.
+    pub starts_to_pass_on: Mutex<WaitingStarts>,
+    /// Starts of streams that this node is to write to the store.
+    pub unwritten_starts: Mutex<UnwrittenStarts>,
+    /// Starts of streams that the store held when this node started.
+    pub stream_archive: Mutex<StreamArchive>,
     /// Requests that wait for what peers state on the streams that they take up.
     pub stream_queries: Mutex<WaitingQueries>,
     pub usage: Mutex<UsageCounts>,
@@ -203,6 +209,9 @@
             crashes: Mutex::default(),
             rollouts: Mutex::default(),
             stream_origins: Mutex::default(),
+            starts_to_pass_on: Mutex::default(),
+            unwritten_starts: Mutex::default(),
+            stream_archive: Mutex::default(),
             stream_queries: Mutex::default(),
             usage: Mutex::new(UsageCounts::new(
                 incarnation,
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -6,14 +6,21 @@
 //! The node that forwards the first event may be lost before the caller comes back, to any other node. Each start of a
 //! resumable stream is therefore recorded at some peers, selected by a hash of the request's id (`holders`), which keep
 //! it for a while (`origins`). A node at which a caller takes a stream up asks them (`queries`) and decides by what they
-//! state (`binding`).
+//! state (`binding`). All nodes may be lost at once, so the starts are written to the platform's store as well
+//! (`archiving`), from which nodes read them when they start (`archive`).
 
+mod archive;
+mod archiving;
 mod binding;
 mod holders;
 mod origins;
 mod queries;
 mod version;
 
+pub(crate) use archive::{Start, StreamArchive, UnwrittenStarts, WaitingStarts};
+pub(crate) use archiving::{
+    accept_to_pass_on, accept_to_write, pass_starts_on, read_archive, write_starts,
+};
 pub(crate) use binding::{Begun, bind};
 pub(crate) use origins::{Origin, Origins, StreamKey};
 pub(crate) use queries::{
--- a/src/gateway/streams/binding.rs
+++ b/src/gateway/streams/binding.rs
@@ -38,6 +38,8 @@
     Own,
     /// A peer recorded it.
     Peer,
+    /// The platform's store held it when this node started.
+    Store,
     /// Only one version has served the pool for as long as streams last.
     SoleVersion,
 }
@@ -48,6 +50,7 @@
         match self {
             Self::Own => "own",
             Self::Peer => "peer",
+            Self::Store => "store",
             Self::SoleVersion => "sole_version",
         }
     }
@@ -102,14 +105,15 @@
 /// What this node and its peers state on one stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Found {
-    own: Option<Origin>,
+    /// What this node has recorded or read.
+    own: Option<(Origin, Source)>,
     stated: Vec<Statement>,
     /// Whether all peers that may know have stated something.
     is_complete: bool,
 }
 
 async fn find(node: &Gateway, key: StreamKey, pool: &str) -> Found {
-    let own = node.stream_origins.lock().get(key, clock::now());
+    let own = queries::recorded(node, key, clock::now());
     if own.is_some() {
         return Found {
             own,
@@ -137,10 +141,12 @@
         statements,
         is_complete,
     } = queries::ask(node, key, pool).await;
+    // The store's records may have arrived meanwhile.
+    let own = key.and_then(|key| queries::recorded(node, key, clock::now()));
     Found {
-        own: None,
+        own,
         stated: statements,
-        is_complete,
+        is_complete: is_complete && !node.stream_archive.lock().is_unread(),
     }
 }
 
@@ -166,13 +172,23 @@
     }
 }
 
+/// Returns since when this node has observed the upstreams; zero if it started with the installation.
+///
+/// Settings may still state a first start after all nodes were lost; the store's records refute that.
+fn observing_since(node: &Gateway) -> TimeMs {
+    match node.observing_since {
+        TimeMs(0) if !node.stream_archive.lock().shows_first_start() => node.started_at,
+        since => since,
+    }
+}
+
 /// Returns this node's view of the versions of a pool.
 pub(super) fn view(node: &Gateway, pool: &str, now: TimeMs) -> VersionsView {
     let (age_ms, complete_since) = {
         let view = node.upstreams_view.lock();
         (view.age_ms(now), view.complete_since)
     };
-    let observed_since = node.observing_since.max(complete_since);
+    let observed_since = observing_since(node).max(complete_since);
     let is_current = age_ms.is_some_and(|age_ms| age_ms <= MAX_VIEW_AGE_MS);
     let is_long_enough =
         observed_since == TimeMs(0) || now.since(observed_since) >= SOLE_VERSION_MS;
@@ -193,10 +209,7 @@
         Statement::SoleVersion(_) | Statement::SeveralVersions | Statement::Unknown => None,
     });
     match (found.own, stated) {
-        (Some(origin), _) if origin.team == team => Some(Begun {
-            origin,
-            source: Source::Own,
-        }),
+        (Some((origin, source)), _) if origin.team == team => Some(Begun { origin, source }),
         (None, Some(origin)) if origin.team == team => Some(Begun {
             origin,
             source: Source::Peer,
--- a/src/gateway/streams/binding/tests.rs
+++ b/src/gateway/streams/binding/tests.rs
@@ -41,7 +41,7 @@
 fn known_stream_is_bound_to_the_version_that_began_it() {
     let both = view(&["v1", "v2"], true);
     let own = Found {
-        own: Some(origin("v1")),
+        own: Some((origin("v1"), Source::Own)),
         ..Found::default()
     };
     assert_eq!(decided(&own, &both), Some((version("v1"), Source::Own)));
@@ -55,10 +55,13 @@
 #[test]
 fn stream_of_another_team_counts_as_unknown() {
     let of_other = Found {
-        own: Some(Origin {
-            team: Some(8),
-            ..origin("v1")
-        }),
+        own: Some((
+            Origin {
+                team: Some(8),
+                ..origin("v1")
+            },
+            Source::Own,
+        )),
         ..Found::default()
     };
     assert_eq!(decided(&of_other, &view(&["v1", "v2"], true)), None);
--- a/src/gateway/streams/holders.rs
+++ b/src/gateway/streams/holders.rs
@@ -8,6 +8,7 @@
 
 use super::origins::StreamKey;
 use crate::gateway::peers::{Peer, Peers};
+use crate::gateway::rank;
 use crate::time::TimeMs;
 
 /// Peers that keep the start of a stream, beside the node that forwards it.
@@ -18,6 +19,9 @@
 /// Peers that are asked where a stream began.
 const ASKED: usize = 8;
 
+/// Of the nodes that have read the store's records, those that are asked beside them.
+const READERS_ASKED: usize = 2;
+
 /// Returns the addresses of the peers that are to keep the start of a stream; in other failure domains if there are any.
 #[must_use]
 pub(super) fn holders(peers: &Peers, key: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
@@ -39,6 +43,16 @@
     addresses(ordered_peers.into_iter(), ASKED)
 }
 
+/// Returns the addresses of nodes that have read the store's records at their start, that of this failure domain first.
+#[must_use]
+pub(super) fn archive_readers(peers: &Peers, now: TimeMs) -> Vec<SocketAddr> {
+    let own_domain = &peers.own().failure_domain;
+    let mut readers = rank::first_of_each_domain(peers, now);
+    readers.sort_by_key(|member| member.failure_domain != *own_domain);
+    let addresses = readers.iter().map(|member| member.gossip_address);
+    addresses.take(READERS_ASKED).collect()
+}
+
 fn addresses<'a>(peers: impl Iterator<Item = &'a Peer>, most: usize) -> Vec<SocketAddr> {
     let addresses = peers.map(|peer| peer.member.gossip_address);
     addresses.take(most).collect()
--- a/src/gateway/streams/queries.rs
+++ b/src/gateway/streams/queries.rs
@@ -8,7 +8,9 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::binding;
+use super::archive::StreamArchive;
+use super::archiving;
+use super::binding::{self, Source};
 use super::holders;
 use super::origins::{Origin, StreamKey};
 use super::version::VersionTag;
@@ -88,7 +90,7 @@
     }
 }
 
-/// Records where a stream began, here and at peers; called before its first event is forwarded.
+/// Records where a stream began, here, at peers and in the store; called before its first event is forwarded.
 ///
 /// A caller that takes the stream up comes to any node, at times because this one is gone.
 pub(crate) fn record_start(node: &Arc<Gateway>, key: StreamKey, origin: Origin, now: TimeMs) {
@@ -98,6 +100,17 @@
         let message = Message::StreamsBegan(vec![(key, origin)]);
         node.send_message(Recipients::Address(address), message);
     }
+    archiving::submit(node, (key, origin), now);
+}
+
+/// Returns where a stream began, if this node recorded it or the store held it when this node started.
+pub(super) fn recorded(node: &Gateway, key: StreamKey, now: TimeMs) -> Option<(Origin, Source)> {
+    let own = node.stream_origins.lock().get(key, now);
+    let own = own.map(|origin| (origin, Source::Own));
+    own.or_else(|| {
+        let archived = node.stream_archive.lock().get(key);
+        archived.map(|origin| (origin, Source::Store))
+    })
 }
 
 /// Hands the starts that this node keeps to the peers that are asked for them once it has stopped.
@@ -123,8 +136,16 @@
 }
 
 /// Answers a peer's question where a stream began.
+///
+/// A node that has still to read the store's records does not answer on a stream that it does not know: the peer would
+/// take it for one that nobody knows.
 pub(crate) fn answer(node: &Gateway, query: &Query, from: SocketAddr, now: TimeMs) {
-    let known = (query.key).and_then(|key| node.stream_origins.lock().get(key, now));
+    let known = (query.key).and_then(|key| recorded(node, key, now));
+    let known = known.map(|(origin, _source)| origin);
+    if known.is_none() && query.key.is_some() && node.stream_archive.lock().is_unread() {
+        log::debug!(peer:% = from; "did not answer a peer about a stream: the store's records are still to be read");
+        return;
+    }
     let statement = known.map_or_else(
         || binding::view(node, &query.pool, now).statement(),
         Statement::Began,
@@ -146,7 +167,22 @@
 /// Asks peers where a stream began, until one knows, all have answered or the last round has ended.
 pub(super) async fn ask(node: &Gateway, key: Option<StreamKey>, pool: &str) -> Stated {
     let order = key.unwrap_or_else(|| StreamKey::of(pool));
-    let mut silent = holders::asked(&node.peers.lock(), order, clock::now());
+    let mut silent = {
+        let reads_itself = !matches!(*node.stream_archive.lock(), StreamArchive::ReadElsewhere);
+        let peers = node.peers.lock();
+        let now = clock::now();
+        let mut asked = holders::asked(&peers, order, now);
+        if !reads_itself {
+            let readers = holders::archive_readers(&peers, now);
+            asked.extend(
+                readers
+                    .into_iter()
+                    .filter(|reader| !asked.contains(reader))
+                    .collect::<Vec<_>>(),
+            );
+        }
+        asked
+    };
     let mut answers = node.stream_queries.lock().register(key);
     let mut stated = Stated::default();
     for _round in 0..MAX_ROUNDS {
--- a/src/gateway/view_refresh.rs
+++ b/src/gateway/view_refresh.rs
@@ -42,7 +42,7 @@
 const MAX_LATE_STEPS_MS: u64 = 900;
 
 /// Nodes of a failure domain that read everything from the store when all nodes start.
-const START_READERS: usize = 2;
+pub(crate) const START_READERS: usize = 2;
 
 /// Uptime after which a node that has not learned of any peers reads as if it were alone.
 const NO_PEERS_UPTIME_MS: u64 = 1_500;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -49,6 +49,8 @@
     Nodes,
     /// Lease and reports of the duties that only the lease holder performs.
     Duties,
+    /// Where streams began, for nodes that start after all of them were lost.
+    Streams,
 }
 
 impl Topic {
@@ -59,6 +61,7 @@
             Self::Upstreams => "upstreams",
             Self::Nodes => "nodes",
             Self::Duties => "duties",
+            Self::Streams => "streams",
         }
     }
 
@@ -80,6 +83,7 @@
             Self::Upstreams => "keyed.servers",
             Self::Nodes => "keyed.status",
             Self::Duties => "duties",
+            Self::Streams => "streams",
         }
     }
 }
@@ -400,6 +404,32 @@
         self.append(topic, &record, None).await
     }
 
+    /// Deletes the records of a topic before a position.
+    ///
+    /// # Errors
+    ///
+    /// If the store does not respond, rejects the call, or has another era than the position.
+    pub async fn trim(&self, topic: Topic, before: LogPosition) -> Result<(), StoreError> {
+        let name = topic.name();
+        let offset = before.offset;
+        let path = format!("/api/log-trim?topic={name}&part=0&before={offset}");
+        if before.era != self.era() {
+            return Err(StoreError::EraMismatch { era: self.era() });
+        }
+        let call = Call {
+            method: Method::POST,
+            path: &path,
+            headers: Vec::new(),
+            body: Bytes::new(),
+            timeout_ms: CALL_TIMEOUT_MS,
+        };
+        let (response, _era) = self.call("trim", call).await?;
+        match response.status {
+            StatusCode::OK => Ok(()),
+            status => Err(StoreError::Refused { status }),
+        }
+    }
+
     async fn get(
         &self,
         name: &'static str,
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -158,10 +158,19 @@
     ///
     /// If the program cannot be run.
     pub fn restart(&self) -> io::Result<()> {
+        self.end_first_start()?;
+        self.restart_with_old_settings()
+    }
+
+    /// Starts it again with settings that still say what they said at its last start.
+    ///
+    /// # Errors
+    ///
+    /// If the program cannot be run.
+    pub fn restart_with_old_settings(&self) -> io::Result<()> {
         let mut child = self.child.lock();
         drop(child.kill());
         drop(child.wait());
-        self.end_first_start()?;
         *child = spawn(&self.launch.binary, &self.settings_file(), &self.log)?;
         *self.started_at.lock() = Instant::now();
         Ok(())
--- a/stand_ins/src/operators/store.rs
+++ b/stand_ins/src/operators/store.rs
@@ -211,6 +211,18 @@
         Ok(offset)
     }
 
+    /// Deletes the records of a topic before an offset.
+    fn trim(&self, name: &str, before: u64) {
+        let mut topics = self.topics.lock();
+        let Some(topic) = topics.get_mut(name) else {
+            return;
+        };
+        let before = before.clamp(topic.first, topic.end());
+        let count = usize::try_from(before - topic.first).unwrap_or(usize::MAX);
+        topic.records.drain(..count);
+        topic.first = before;
+    }
+
     async fn read(&self, name: &str, from: u64, wait: Duration) -> Response<Full<Bytes>> {
         let mut changes = self.changed.subscribe();
         let until = tokio::time::Instant::now() + wait;
@@ -303,6 +315,10 @@
                     }
                 }
             }
+            ("POST", ["api", "log-trim"]) => {
+                self.shared.trim(&name, call.query("before"));
+                Ok(ok(&json!({})))
+            }
             _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
         }
     }
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -27,6 +27,9 @@
 /// Between two announcements.
 const BEAT_MS: u64 = 400;
 
+/// Usual pause between two events of a stream.
+const EVENT_PAUSE_MS: u64 = 30;
+
 /// A rest that an upstream asks for binds a node this long after the answer.
 const REST_BEGINS_MS: u64 = 500;
 
@@ -75,6 +78,8 @@
     /// When it fell over, in Unix milliseconds.
     falls_at_ms: Mutex<Vec<u64>>,
     framing: Mutex<Framing>,
+    /// Between two events of a stream.
+    event_pause_ms: Mutex<u64>,
     /// Parts of prompts on which it crashes, and how.
     bad_parts: Mutex<Vec<BadPart>>,
     crash_by_part: Mutex<Crash>,
@@ -137,6 +142,7 @@
             refused_at_ms: Mutex::default(),
             falls_at_ms: Mutex::default(),
             framing: Mutex::default(),
+            event_pause_ms: Mutex::new(EVENT_PAUSE_MS),
             bad_parts: Mutex::default(),
             crash_by_part: Mutex::default(),
             crashes: watch::Sender::default(),
@@ -311,6 +317,11 @@
         *self.core.framing.lock() = framing;
     }
 
+    /// Changes how long it pauses between two events of a stream.
+    pub fn pause_between_events(&self, pause_ms: u64) {
+        *self.core.event_pause_ms.lock() = pause_ms;
+    }
+
     /// Has something else stand under its key from now on, as another writer may put it there.
     pub fn overwrite(&self, value: &str) {
         *self.core.overwritten.lock() = Some(value.to_owned());
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -12,7 +12,7 @@
 use super::{Arrival, ChannelEnd, Core, Crash, CrashPoint, Fault, Framing, KILLER, Run, is_misfit};
 use crate::server::now_ms;
 
-/// Work of a plain call, and between two events of a stream.
+/// Work of a plain call, and before the first event of a stream.
 const WORK_MS: u64 = 10;
 
 /// Bytes that an endless answer writes at a time.
@@ -219,7 +219,8 @@
                 return Ok(RESET);
             }
             socket.write_all(framing.piece(&text).as_bytes()).await?;
-            if !self.work(socket, place, WORK_MS * 3).await? {
+            let pause_ms = *self.event_pause_ms.lock();
+            if !self.work(socket, place, pause_ms).await? {
                 return Ok(RESET);
             }
         }
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -1,11 +1,12 @@
 //! Upstreams of several software versions in one service: a stream goes on only at the version that began it.
 
+use std::io;
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use nix::sys::signal::Signal;
 use teaselline_stand_ins::operators::deployment::{KEYS, asked};
-use teaselline_stand_ins::operators::{Asked, Deployment, Fault};
+use teaselline_stand_ins::operators::{Asked, Deployment, Fault, Node};
 
 use super::support::{deployment, eventually, send};
 
@@ -15,6 +16,12 @@
 /// Concurrent streams at a node that spread over all upstreams.
 const AT_ONE_NODE: usize = 8;
 
+/// Pause between two events of a stream that is cut by a kill of all nodes.
+const LONG_PAUSE_MS: u64 = 200;
+
+/// Time from the start of such streams to the kill.
+const KILLED_AFTER: Duration = Duration::from_millis(1_100);
+
 /// Time within which a stream that cannot go on ends; a small part of its deadline.
 const AT_ONCE: Duration = Duration::from_millis(800);
 
@@ -141,6 +148,93 @@
     );
 }
 
+/// Begins streams at all nodes, kills all nodes within them, and returns the requests that take them up.
+async fn streams_cut_by_a_kill_of_all_nodes(deployment: &Deployment) -> Vec<Asked> {
+    let pool = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
+    pool.for_each(|upstream| upstream.pause_between_events(LONG_PAUSE_MS));
+    let calls: Vec<Asked> = (0..STREAMS)
+        .map(|number| stream(&format!("begun-{number}")))
+        .collect();
+    let kill = async {
+        tokio::time::sleep(KILLED_AFTER).await;
+        for node in &deployment.nodes {
+            node.signal(Signal::SIGKILL).expect("the node runs");
+        }
+    };
+    let sent = calls.iter().enumerate();
+    let sent = sent.map(|(place, call)| send(deployment, place % deployment.nodes.len(), call));
+    let (ended, ()) = tokio::join!(join_all(sent), kill);
+    let cut = calls.iter().zip(&ended);
+    let cut: Vec<Asked> = cut
+        .filter_map(|(call, ended)| {
+            let after = ended.last_event()?;
+            let mut up = call.take_up(&format!("up-{}", call.id), after);
+            up.body.clone_from(&call.body);
+            Some(up)
+        })
+        .collect();
+    assert!(cut.len() > STREAMS / 2, "the kill cut streams: {ended:?}");
+    cut
+}
+
+/// Takes streams up at all nodes; returns how many went on.
+async fn take_all_up(deployment: &Deployment, cut: &[Asked]) -> usize {
+    let sent = cut.iter().enumerate();
+    let sent = sent.map(|(place, call)| send(deployment, place % deployment.nodes.len(), call));
+    let ended = join_all(sent).await;
+    ended.iter().filter(|one| one.status() == Some(200)).count()
+}
+
+/// Guards against streams that nobody can take up, or that go on at another software version, since all nodes that
+/// knew their version were killed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_taken_up_after_all_nodes_were_killed_go_on_at_their_version() {
+    let deployment = deployment_of_two_versions(3, 2).await;
+    let cut = streams_cut_by_a_kill_of_all_nodes(&deployment).await;
+    for node in &deployment.nodes {
+        node.restart().expect("the node restarts");
+    }
+    for place in 0..deployment.nodes.len() {
+        assert!(deployment.wait_until_ready(place).await);
+    }
+    let gone_on = take_all_up(&deployment, &cut).await;
+    assert_eq!(deployment.misfits(), Vec::new());
+    assert!(gone_on * 2 >= cut.len(), "{gone_on} of {}", cut.len());
+    let unknown = send(&deployment, 0, &take_up("never-begun", "nobody", 3)).await;
+    assert_eq!(unknown.status(), Some(503), "{unknown:?}");
+}
+
+/// Kills all nodes within streams of two versions, removes the upstreams of the older one, starts the nodes again with
+/// `restart`, and asserts that none of the streams goes on at another version.
+async fn assert_no_stream_changes_its_version(restart: impl Fn(&Node) -> io::Result<()>) {
+    let mut deployment = deployment_of_two_versions(3, 2).await;
+    let cut = streams_cut_by_a_kill_of_all_nodes(&deployment).await;
+    (deployment.upstreams).retain(|one| !one.id().starts_with("pool") || one.version() == "v2");
+    for node in &deployment.nodes {
+        restart(node).expect("the node restarts");
+    }
+    for place in 0..deployment.nodes.len() {
+        assert!(deployment.wait_until_ready(place).await);
+    }
+    take_all_up(&deployment, &cut).await;
+    assert_eq!(deployment.misfits(), Vec::new());
+    let unknown = send(&deployment, 0, &take_up("never-begun", "nobody", 3)).await;
+    assert_eq!(unknown.status(), Some(503), "{unknown:?}");
+}
+
+/// Guards against streams that go on at the only version that is left after all nodes were killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_version_that_left_while_all_nodes_were_down_are_refused() {
+    assert_no_stream_changes_its_version(Node::restart).await;
+}
+
+/// Guards against the same where settings that still state the first start of the installation make nodes believe that
+/// no other version has served.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_version_that_left_are_refused_though_settings_state_a_first_start() {
+    assert_no_stream_changes_its_version(Node::restart_with_old_settings).await;
+}
+
 /// Guards against streams that nobody knows, or that another team began, and that go on at any version.
 #[tokio::test(flavor = "multi_thread")]
 async fn unknown_streams_are_refused_at_once_while_two_versions_serve() {
