bug: An answer without a length and without a body no longer counts as whole

Evidence: gateway::exchange::tests::heads cuts answers at each byte, closed or reset, on new and kept connections, behind a 100 (Continue), through a peer, and of streams that are taken up. Within the head no byte gives a success: the HTTP library reports the end as an error. Directly behind the head of an answer that is framed by the end of its connection, a 200 with content-length: 0 went to callers of calls, also through a peer.

Cause: an answer that stops there leaves the same bytes as an empty one, and only streams were asked for a body.

Change: such a success counts as cut. A call that may repeat goes to another upstream; one that may run once ends with 502 and is not sent again. HEAD, 204 and 205 have no body.

--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -25,6 +25,7 @@
 use crate::platform::{documents, settings};
 
 mod cuts;
+mod heads;
 mod paths;
 mod shortage;
 
@@ -106,6 +107,11 @@
 
     /// Writes the upstreams into a node's table.
     async fn announce_to(&self, node: &Gateway, link: Link, sequence: u64) {
+        self.announce_start_to(node, link, 1, sequence).await;
+    }
+
+    /// Writes the upstreams into a node's table as they started at `born_ms`.
+    async fn announce_start_to(&self, node: &Gateway, link: Link, born_ms: u64, sequence: u64) {
         for stand_in in &self.stand_ins {
             let address = match link {
                 Link::Works => stand_in.address(),
@@ -117,7 +123,7 @@
             let announced = Announcement {
                 pool: service.to_owned(),
                 id,
-                born_ms: Some(1),
+                born_ms: Some(born_ms),
                 sequence,
                 version: "v1".to_owned(),
                 address,
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -54,6 +54,9 @@
     }
 
     /// Reads the whole body; returns `None` if it is incomplete, too large or late.
+    ///
+    /// An empty body of a success that ends with its connection counts as incomplete: an upstream that stops after its head
+    /// leaves the same bytes.
     pub async fn collect(
         self,
         node: &Gateway,
@@ -81,6 +84,13 @@
         let now = clock::now();
         context.upstream_request.record_first_token();
         match whole {
+            Ok(Ok(body)) if body.is_empty() && context.awaits_body(&plan.method, status) => {
+                let (reason, now) = ("ended_empty", clock::now());
+                attempts.exclude(context.upstream_request.upstream);
+                (context.upstream_request).record_failure(reason, &plan.subjects, now);
+                request_log.record_failed_attempt(reason, "no length, and no body", now);
+                None
+            }
             Ok(Ok(body)) => {
                 request_log.record_first_event(now);
                 context.finish(node, status, plan, now);
@@ -119,6 +129,13 @@
 }
 
 impl ResponseContext {
+    /// Whether nothing but a body can show that the response was not cut off after its head.
+    fn awaits_body(&self, method: &Method, status: StatusCode) -> bool {
+        let has_no_body = method == Method::HEAD
+            || matches!(status, StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT);
+        status.is_success() && !self.is_end_framed && !has_no_body
+    }
+
     /// Records the outcome of a body that was read to its end and makes its connection reusable.
     pub fn finish(self, node: &Gateway, status: StatusCode, plan: &Plan, now: TimeMs) {
         let took_ms = now.since(self.upstream_request.sent_at);
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod crash;
+mod cut;
 mod fault;
 mod history;
 mod late_copy;
@@ -19,6 +20,7 @@
 use tokio::task::JoinHandle;
 
 pub use self::crash::{BadPart, ChannelEnd, Crash, CrashPoint};
+pub use self::cut::AnswerCut;
 pub use self::fault::{Fault, Framing, KILLER};
 pub use self::history::{Arrival, Run, is_misfit};
 use super::store::Store;
@@ -78,6 +80,7 @@
     /// When it fell over, in Unix milliseconds.
     falls_at_ms: Mutex<Vec<u64>>,
     framing: Mutex<Framing>,
+    answer_cut: Mutex<Option<AnswerCut>>,
     /// Between two events of a stream.
     event_pause_ms: Mutex<u64>,
     /// Parts of prompts on which it crashes, and how.
@@ -142,6 +145,7 @@
             refused_at_ms: Mutex::default(),
             falls_at_ms: Mutex::default(),
             framing: Mutex::default(),
+            answer_cut: Mutex::default(),
             event_pause_ms: Mutex::new(EVENT_PAUSE_MS),
             bad_parts: Mutex::default(),
             crash_by_part: Mutex::default(),
@@ -317,6 +321,11 @@
         *self.core.framing.lock() = framing;
     }
 
+    /// Has its answers end early from now on, or not.
+    pub fn cut_answers(&self, cut: Option<AnswerCut>) {
+        *self.core.answer_cut.lock() = cut;
+    }
+
     /// Changes how long it pauses between two events of a stream.
     pub fn pause_between_events(&self, pause_ms: u64) {
         *self.core.event_pause_ms.lock() = pause_ms;
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -117,6 +117,10 @@
         if let Some(crash) = self.crash_of(request) {
             return self.crash_at(socket, request, place, crash).await;
         }
+        let cut = *self.answer_cut.lock();
+        if let Some(cut) = cut {
+            return self.cut_answer(socket, request, cut).await;
+        }
         match fault {
             _ if !worked => Ok(RESET),
             Fault::Silent => {
@@ -252,7 +256,7 @@
     }
 
     /// An answer up to the end of its body, or of its first event.
-    fn begun_answer(&self, request: &Received) -> String {
+    pub(super) fn begun_answer(&self, request: &Received) -> String {
         let framing = *self.framing.lock();
         if !request.path.contains("stream") {
             return self.whole_answer(request, framing);
