refactor: What a response shows of a request is decided in a module of its own

dispatch.rs held the choice, the send and the reading of the response (620 lines). The last is classification.rs now, with its test. A failed deletion of old starts of streams is logged at info.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod answer_memory;
 mod attempts;
+mod classification;
 mod dispatch;
 mod forward;
 mod request_log;
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -5,22 +5,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::Request;
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use super::admission::Plan;
 use super::attempts::{Attempts, retry_after_ms};
+use super::classification::{self, SendError};
 use super::request_log::{RequestLog, SelectionInputs};
 use super::upstream_request::UpstreamRequest;
-use super::upstream_response::{UpstreamResponse, keep_connection};
+use super::upstream_response::UpstreamResponse;
 use crate::gateway::attempt_timeouts;
 use crate::gateway::choose::{self, Backpressure, Choice, Criteria};
 use crate::gateway::clock;
 use crate::gateway::connections::Connection;
 use crate::gateway::demand::EngineRequest;
 use crate::gateway::health::Outcome;
-use crate::gateway::limits::backoff::StatedBackoff;
 use crate::gateway::limits::repeat_budget;
 use crate::gateway::num;
 use crate::gateway::reach;
@@ -32,19 +31,9 @@
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::VersionTag;
 use crate::gateway::upstreams::UpstreamKey;
-use crate::platform::headers::{self, NamedRequest, ResponseHead, UpstreamHeaders};
+use crate::platform::headers::{self, UpstreamHeaders};
 use crate::time::TimeMs;
 
-/// Why one send gave no usable response.
-///
-/// The fields are the reason that is logged and its detail.
-enum SendError {
-    /// The request did not reach the upstream, or the upstream reported that it did not execute it.
-    NotRun(&'static str, String),
-    /// The upstream may have executed the request.
-    MayHaveRun(&'static str, String),
-}
-
 /// Why a request was not sent, or not sent once more.
 pub(super) enum Unsent {
     /// The caller gets this refusal.
@@ -414,7 +403,7 @@
     let Some((channel, response)) = sent else {
         return Err(SendError::NotRun("channel_closed", String::new()));
     };
-    classify_response(node, plan, pending, channel, response)
+    classification::classify(node, plan, pending, channel, response)
 }
 
 /// Returns a connection to an upstream, and records whether a new one could be opened.
@@ -461,124 +450,6 @@
     metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
 }
 
-/// Checks that a response belongs to the request and proves that the upstream executed it.
-fn classify_response(
-    node: &Arc<Gateway>,
-    plan: &Plan,
-    upstream_request: UpstreamRequest,
-    channel: Connection,
-    response: Response<Incoming>,
-) -> Result<UpstreamResponse, SendError> {
-    let Connection { sender, is_reused } = channel;
-    let now = clock::now();
-    node.reach
-        .lock()
-        .get_or_default(&plan.pool)
-        .record_response();
-    let answer = headers::read_response_head(response.headers());
-    let status = response.status();
-    let named = answer.named_request(&plan.head.id);
-    let detail = || response_detail(status, named, is_reused);
-    if is_about_request(named, is_reused) {
-        record_upstream_state(plan, &upstream_request, status, &answer, now);
-    }
-    if answer.is_leaving && status != StatusCode::MISDIRECTED_REQUEST {
-        upstream_request.record_leaving();
-    }
-    match status {
-        // A late copy of the response to another request. The response to this one may follow on the
-        // connection, which is closed.
-        _ if !is_about_request(named, is_reused) => {
-            upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("other_answer", detail()))
-        }
-        StatusCode::MISDIRECTED_REQUEST => {
-            upstream_request.record_outcome(Outcome::Refused, now);
-            Err(SendError::NotRun("other_upstream", detail()))
-        }
-        _ if answer.is_not_executed => {
-            let outcome = match answer.requested_backoff_ms(status) {
-                Some(_rest_ms) => Outcome::Resting,
-                None => Outcome::Refused,
-            };
-            upstream_request.record_outcome(outcome, now);
-            keep_connection(node, &upstream_request, sender, &answer);
-            Err(SendError::NotRun("not_run", detail()))
-        }
-        _ if named != NamedRequest::Own => {
-            upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("unnamed_answer", detail()))
-        }
-        _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
-            upstream_request.record_outcome(Outcome::Broken, now);
-            Err(SendError::MayHaveRun("unproved_answer", detail()))
-        }
-        _ => {
-            if answer.requested_backoff_ms(status).is_none() {
-                upstream_request.record_accepted();
-            }
-            Ok(UpstreamResponse {
-                response,
-                answer,
-                upstream_request,
-                sender,
-            })
-        }
-    }
-}
-
-/// Whether a response is one to the request that was just sent on its connection.
-///
-/// A response without an id shows that only as the first one of a connection: on another, it may be a late copy.
-fn is_about_request(named: NamedRequest, is_reused: bool) -> bool {
-    match named {
-        NamedRequest::Own => true,
-        NamedRequest::Unnamed => !is_reused,
-        NamedRequest::Other => false,
-    }
-}
-
-/// Describes a response that gives no answer, for the log.
-fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
-    let named = named.as_str();
-    let connection = if is_reused { "reused" } else { "new" };
-    format!("{status}, names request: {named}, connection: {connection}")
-}
-
-/// Applies the rate limit, brittleness and backoff that a response to the request states for its upstream.
-///
-/// After an address is reassigned, a different upstream answers on it; its headers do not describe
-/// the selected one.
-fn record_upstream_state(
-    plan: &Plan,
-    upstream_request: &UpstreamRequest,
-    status: StatusCode,
-    answer: &ResponseHead,
-    now: TimeMs,
-) {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return;
-    }
-    if let Some(stated) = answer.proven_limit(&plan.head.id) {
-        upstream_request.record_limit(stated, now);
-    }
-    if let Some(stated) = answer.proven_brittleness(&plan.head.id) {
-        upstream_request.record_brittleness(stated, now);
-    }
-    if answer.is_not_executed && status == StatusCode::SERVICE_UNAVAILABLE {
-        upstream_request.record_refusal(now);
-    }
-    if let Some(rest_ms) = answer.requested_backoff_ms(status) {
-        upstream_request.record_backoff(rest_ms, now);
-    }
-    match answer.backoff {
-        StatedBackoff::ForMs(rest_ms) if status != StatusCode::SERVICE_UNAVAILABLE => {
-            log::debug!(event = "upstream_rest_passed_over", status = status.as_u16(), rest_ms; "ignored a Retry-After header on a response with a status other than 503");
-        }
-        _ => {}
-    }
-}
-
 /// Returns how long to wait for the response head, in milliseconds.
 fn head_timeout_ms(plan: &Plan, attempts: &Attempts, now: TimeMs) -> u64 {
     let is_last = attempts.executions() + 1 >= plan.route().max_upstreams;
@@ -608,6 +479,3 @@
     headers::set_upstream_headers(request.headers_mut(), &added);
     (added.time_left_ms > 0).then_some(request)
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/gateway/streams/archiving.rs
+++ b/src/gateway/streams/archiving.rs
@@ -147,7 +147,7 @@
         return;
     };
     if let Err(error) = node.store.trim(Topic::Streams, before).await {
-        log::debug!(error:err = error, before:% = before; "deleting old starts of streams failed; the store deletes them later");
+        log::info!(event = "stream_starts_not_deleted", error:err = error, before:% = before; "deleting old starts of streams failed; the store deletes them later");
     }
 }
 
