test: The peer that sends cut requests keeps a confirmed configuration

Trace: from some 5 s on all answers were 503 no_upstream, since only the callers' node had its configuration confirmed; the peer declined requests once its own was older than revokeMs.

--- a/src/gateway/exchange/tests/heads.rs
+++ b/src/gateway/exchange/tests/heads.rs
@@ -82,7 +82,7 @@
     }
 
     async fn send(&self, id: &str, route: &str) -> Ended {
-        confirm(&self.nodes[0].node);
+        self.nodes.iter().for_each(|node| confirm(&node.node));
         differing(asked(id, route))
             .send(self.nodes[0].callers)
             .await
