bug: Old starts of streams are deleted from the store

Records stayed until the store's own time was over. The client sends a body, the stand-in takes nothing else, and a test holds both. Nothing is asked for while no record precedes the one that is kept.

--- a/src/gateway/streams/archive.rs
+++ b/src/gateway/streams/archive.rs
@@ -109,6 +109,7 @@
             .drain(..count)
             .next_back()
             .map(|(_at, place)| place)
+            .filter(|place| !place.is_start())
     }
 }
 
--- a/src/gateway/streams/archive/tests.rs
+++ b/src/gateway/streams/archive/tests.rs
@@ -75,6 +75,13 @@
 fn records_are_deleted_once_they_are_of_no_use() {
     let mut unwritten = UnwrittenStarts::default();
     let written_at = TimeMs(1_000_000);
+    unwritten.record_written(place(0), written_at);
+    assert_eq!(
+        unwritten.due_trim(written_at.after(RECORD_USE_MS)),
+        None,
+        "nothing precedes it"
+    );
+    let written_at = written_at.after(RECORD_USE_MS);
     unwritten.record_written(place(5), written_at);
     unwritten.record_written(place(6), written_at.after(1));
     unwritten.record_written(place(9), written_at.after(20_000));
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,7 +11,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{HeaderName, Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::http::{Call, CallError, Client, PlatformResponse};
@@ -210,6 +210,13 @@
     end: u64,
 }
 
+#[derive(Debug, Serialize)]
+struct RawTrim {
+    topic: &'static str,
+    part: u64,
+    before: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct RawFirst {
     first: u64,
@@ -410,17 +417,22 @@
     ///
     /// If the store does not respond, rejects the call, or has another era than the position.
     pub async fn trim(&self, topic: Topic, before: LogPosition) -> Result<(), StoreError> {
-        let name = topic.name();
-        let offset = before.offset;
-        let path = format!("/api/log-trim?topic={name}&part=0&before={offset}");
         if before.era != self.era() {
             return Err(StoreError::EraMismatch { era: self.era() });
         }
+        let deleted = RawTrim {
+            topic: topic.name(),
+            part: 0,
+            before: before.offset,
+        };
+        let body = serde_json::to_vec(&deleted).map_err(|_not_json| StoreError::Malformed {
+            problem: "the records to delete cannot be encoded",
+        })?;
         let call = Call {
             method: Method::POST,
-            path: &path,
+            path: "/api/log-trim",
             headers: Vec::new(),
-            body: Bytes::new(),
+            body: body.into(),
             timeout_ms: CALL_TIMEOUT_MS,
         };
         let (response, _era) = self.call("trim", call).await?;
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -62,3 +62,27 @@
         let _keyed = KeyedRecord::read(at(4), bytes);
     }
 }
+
+/// Guards against records of no use that stay until the store's own time is over: it names what to delete in the body.
+#[tokio::test]
+async fn trimmed_records_are_deleted() {
+    let stand_in = teaselline_stand_ins::operators::Store::default();
+    let door = stand_in.open().expect("a port is free");
+    let store = Store::new(door.address());
+    let mut last = LogPosition::default();
+    for record in [b"a", b"b", b"c"] {
+        let appended = store.append(Topic::Streams, record, None).await;
+        last = appended.expect("the store takes records");
+    }
+    store
+        .trim(Topic::Streams, last)
+        .await
+        .expect("the store deletes records");
+    assert_eq!(stand_in.first("streams"), 2);
+    let later = LogPosition {
+        era: last.era + 1,
+        ..last
+    };
+    assert!(store.trim(Topic::Streams, later).await.is_err());
+    assert_eq!(stand_in.first("streams"), 2);
+}
--- a/stand_ins/src/operators/store.rs
+++ b/stand_ins/src/operators/store.rs
@@ -13,6 +13,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use parking_lot::Mutex;
+use serde::Deserialize;
 use serde_json::json;
 use tokio::sync::watch;
 
@@ -64,6 +65,13 @@
     }
 }
 
+/// The records to delete, as callers name them.
+#[derive(Debug, Deserialize)]
+struct Trim {
+    topic: String,
+    before: u64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Topic {
     first: u64,
@@ -188,6 +196,12 @@
         topic.records.clear();
     }
 
+    /// The offset of the oldest record that a topic still has.
+    #[must_use]
+    pub fn first(&self, topic: &str) -> u64 {
+        (self.shared.topics.lock().get(topic)).map_or(0, |topic| topic.first)
+    }
+
     /// How many records a topic has had.
     #[must_use]
     pub fn end(&self, topic: &str) -> u64 {
@@ -315,10 +329,13 @@
                     }
                 }
             }
-            ("POST", ["api", "log-trim"]) => {
-                self.shared.trim(&name, call.query("before"));
-                Ok(ok(&json!({})))
-            }
+            ("POST", ["api", "log-trim"]) => match call.json::<Trim>() {
+                Ok(trim) => {
+                    self.shared.trim(&trim.topic, trim.before);
+                    Ok(ok(&json!({})))
+                }
+                Err(_malformed) => Ok(error(StatusCode::BAD_REQUEST, "the body can't be read")),
+            },
             _ => Ok(error(StatusCode::NOT_FOUND, "no such call")),
         }
     }
