--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -257,14 +257,16 @@
     /// Sends requests until the node has noticed that it does not reach a pool.
     async fn notice(&self, pool: &str, route: &str) {
         let until = tokio::time::Instant::now() + PATIENCE;
+        let mut ended = None;
         for number in 0.. {
             if self.node.is_unreached(pool) {
                 return;
             }
-            assert!(tokio::time::Instant::now() < until, "the loss is noticed");
-            asked(&format!("n-{route}-{number}"), route)
-                .send(self.callers)
-                .await;
+            let is_in_time = tokio::time::Instant::now() < until;
+            assert!(is_in_time, "the loss is noticed: {number} sent, {ended:?}");
+            confirm(&self.node);
+            let call = asked(&format!("n-{route}-{number}"), route);
+            ended = Some(call.send(self.callers).await);
         }
     }
 }
