--- a/src/gateway/confirmation.rs
+++ b/src/gateway/confirmation.rs
@@ -7,7 +7,7 @@
 //! datagrams.
 //!
 //! The age of a peer's confirmation is the time since the request plus the age that the peer
-//! states, each measured on one clock. A datagram delayed at a slow link, or a node frozen in
+//! states, each taken from one clock. A datagram delayed at a slow link, or a node frozen in
 //! between, makes the confirmation older, never newer than it is.
 
 use super::peer_queries::QUERY_INTERVAL_MS;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -84,7 +84,7 @@
     division: Option<Division>,
 }
 
-/// The node that does something for others.
+/// The node that ranks first and acts for the others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ActingNode {
     /// This node.
--- a/src/gateway/streams/archive.rs
+++ b/src/gateway/streams/archive.rs
@@ -51,12 +51,12 @@
         self.starts.drain(..count).collect()
     }
 
-    /// Puts starts back that were taken last.
-    fn put_back(&mut self, starts: Vec<Start>) {
+    /// Puts starts back that were taken last; returns how many were dropped for want of room.
+    fn put_back(&mut self, starts: Vec<Start>) -> usize {
         for start in starts.into_iter().rev() {
             self.starts.push_front(start);
         }
-        self.drop_surplus();
+        self.drop_surplus()
     }
 
     fn drop_surplus(&mut self) -> usize {
@@ -86,9 +86,14 @@
         self.waiting.take(MAX_STARTS_PER_RECORD)
     }
 
-    /// Puts back the starts of a record that may not have been written.
-    pub fn put_back(&mut self, starts: Vec<Start>) {
-        self.waiting.put_back(starts);
+    /// Puts back the starts of a record that may not have been written; returns how many were dropped for want of room.
+    pub fn put_back(&mut self, starts: Vec<Start>) -> usize {
+        self.waiting.put_back(starts)
+    }
+
+    /// Whether the starts that wait fill a record.
+    pub fn fills_record(&self) -> bool {
+        self.waiting.starts.len() >= MAX_STARTS_PER_RECORD
     }
 
     /// Records where a record was written.
@@ -113,6 +118,28 @@
     }
 }
 
+/// The starts read from the store's records so far, the oldest first.
+#[derive(Debug, Default)]
+pub(super) struct ReadStarts {
+    starts: VecDeque<Start>,
+    has_records: bool,
+}
+
+impl ReadStarts {
+    /// Adds the starts of the next record, and drops the oldest ones if there are too many.
+    pub fn add(&mut self, record: Vec<Start>) {
+        self.has_records = true;
+        self.starts.extend(record);
+        let surplus = self.starts.len().saturating_sub(MAX_READ);
+        self.starts.drain(..surplus);
+    }
+
+    /// Whether the store held any record.
+    pub fn has_records(&self) -> bool {
+        self.has_records
+    }
+}
+
 /// The starts that the store held when this node started.
 #[derive(Debug, Default)]
 pub(crate) enum StreamArchive {
@@ -130,14 +157,10 @@
 }
 
 impl StreamArchive {
-    /// Creates the archive from the records of the store, the oldest first.
-    pub fn of_records(records: Vec<Vec<Start>>) -> Self {
-        let has_records = !records.is_empty();
-        let newest_first = records
-            .into_iter()
-            .rev()
-            .flat_map(|record| record.into_iter().rev());
-        let mut starts: Vec<Start> = newest_first.take(MAX_READ).collect();
+    /// Creates the archive from the store's records.
+    pub(super) fn of_records(records: ReadStarts) -> Self {
+        let has_records = records.has_records;
+        let mut starts: Vec<Start> = records.starts.into_iter().rev().collect();
         // The sort is stable, so that of several starts with one key the newest remains.
         starts.sort_by_key(|(key, _origin)| *key);
         starts.dedup_by_key(|(key, _origin)| *key);
--- a/src/gateway/streams/archive/tests.rs
+++ b/src/gateway/streams/archive/tests.rs
@@ -10,6 +10,14 @@
     (StreamKey::of(id), origin)
 }
 
+fn read(records: Vec<Vec<Start>>) -> ReadStarts {
+    let mut read = ReadStarts::default();
+    for record in records {
+        read.add(record);
+    }
+    read
+}
+
 fn place(offset: u64) -> LogPosition {
     LogPosition { era: 1, offset }
 }
@@ -105,7 +113,7 @@
         vec![start("a", "v1"), start("b", "v1")],
         vec![start("a", "v2")],
     ];
-    let archive = StreamArchive::of_records(records);
+    let archive = StreamArchive::of_records(read(records));
     let version = |id| archive.get(StreamKey::of(id)).map(|origin| origin.version);
     assert_eq!(version("a"), Some(VersionTag::of("v2")));
     assert_eq!(version("b"), Some(VersionTag::of("v1")));
@@ -115,12 +123,29 @@
 /// Guards against a node that believes in a first start though streams have begun before.
 #[test]
 fn only_an_empty_store_shows_a_first_start() {
-    assert!(StreamArchive::of_records(Vec::new()).shows_first_start());
-    assert!(!StreamArchive::of_records(vec![Vec::new()]).shows_first_start());
+    let shows_first_start = |records| StreamArchive::of_records(read(records)).shows_first_start();
+    assert!(shows_first_start(Vec::new()));
+    assert!(!shows_first_start(vec![Vec::new()]));
     assert!(!StreamArchive::Unread.shows_first_start());
     assert!(!StreamArchive::ReadElsewhere.shows_first_start());
-    let mut read = StreamArchive::of_records(vec![vec![start("a", "v1")]]);
-    read.remove_expired(READ_USE_MS);
-    assert_eq!(read.get(StreamKey::of("a")), None);
-    assert!(!read.shows_first_start());
+    let mut expired = StreamArchive::of_records(read(vec![vec![start("a", "v1")]]));
+    expired.remove_expired(READ_USE_MS);
+    assert_eq!(expired.get(StreamKey::of("a")), None);
+    assert!(!expired.shows_first_start());
+}
+
+/// Guards against a node whose memory grows with what the store holds.
+#[test]
+fn newest_starts_are_kept_when_the_store_holds_too_many() {
+    let mut records = ReadStarts::default();
+    let first = start("first", "v1");
+    records.add(vec![first]);
+    let others: Vec<Start> = (0..MAX_READ)
+        .map(|id| start(&id.to_string(), "v1"))
+        .collect();
+    records.add(others.clone());
+    assert_eq!(records.starts.len(), MAX_READ);
+    let archive = StreamArchive::of_records(records);
+    assert_eq!(archive.get(first.0), None);
+    assert_eq!(archive.get(others[0].0), Some(others[0].1));
 }
--- a/src/gateway/streams/archiving.rs
+++ b/src/gateway/streams/archiving.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::archive::{self, Start, StreamArchive};
+use super::archive::{self, ReadStarts, Start, StreamArchive};
 use crate::gateway::clock;
 use crate::gateway::log_position::LogPosition;
 use crate::gateway::messages::Message;
@@ -99,10 +99,13 @@
 pub(crate) async fn write_starts(node: Arc<Gateway>) {
     loop {
         let starts = node.unwritten_starts.lock().take();
-        let mut delay_ms = WRITE_INTERVAL_MS;
-        if !starts.is_empty() && !write_record(&node, starts).await {
-            delay_ms = RETRY_DELAY_MS;
-        }
+        let is_written = starts.is_empty() || write_record(&node, starts).await;
+        let is_behind = node.unwritten_starts.lock().fills_record();
+        let delay_ms = match (is_written, is_behind) {
+            (false, _) => RETRY_DELAY_MS,
+            (true, true) => 0,
+            (true, false) => WRITE_INTERVAL_MS,
+        };
         trim(&node).await;
         let uptime_ms = node.uptime_ms(clock::now());
         node.stream_archive.lock().remove_expired(uptime_ms);
@@ -130,7 +133,8 @@
         }
         Err(error) => {
             log::debug!(error:err = error; "writing the starts of streams failed; retrying");
-            unwritten.put_back(starts);
+            let dropped = unwritten.put_back(starts);
+            report_dropped(dropped);
             false
         }
     }
@@ -139,13 +143,13 @@
 /// Deletes old records, if this node ranks first of all.
 async fn trim(node: &Gateway) {
     let now = clock::now();
-    let reach = node.store_reach(now);
-    if rank::rank(&node.peers.lock(), reach, now) > 0 {
-        return;
-    }
     let Some(before) = node.unwritten_starts.lock().due_trim(now) else {
         return;
     };
+    let reach = node.store_reach(now);
+    if node.peers.lock().first_node(reach, now) != ActingNode::Own {
+        return;
+    }
     if let Err(error) = node.store.trim(Topic::Streams, before).await {
         log::info!(event = "stream_starts_not_deleted", error:err = error, before:% = before; "deleting old starts of streams failed; the store deletes them later");
     }
@@ -185,24 +189,25 @@
     Some(is_reader || peers.group_count() == 1)
 }
 
-fn install(node: &Gateway, records: Vec<Vec<Start>>) {
-    let has_records = !records.is_empty();
-    if has_records && node.settings().is_first_start {
+fn install(node: &Gateway, records: ReadStarts) {
+    if records.has_records() && node.settings().is_first_start {
         log::warn!(event = "first_start_refuted"; "the settings state that the installation starts for the first time, but the store holds starts of streams; they count as wrong");
     }
     let archive = StreamArchive::of_records(records);
     *node.stream_archive.lock() = archive;
 }
 
-async fn read_records(node: &Gateway) -> Result<Vec<Vec<Start>>, StoreError> {
-    let mut records = Vec::new();
+async fn read_records(node: &Gateway) -> Result<ReadStarts, StoreError> {
+    let mut records = ReadStarts::default();
     let mut from = LogPosition::default();
     loop {
         let read = node.store.read(Topic::Streams, from, 0).await;
         node.record_store_era(clock::now());
         match read {
             Ok(read) => {
-                records.extend(decoded(&read));
+                for record in decoded(&read) {
+                    records.add(record);
+                }
                 if read.next() >= read.end || read.bodies.is_empty() {
                     return Ok(records);
                 }
--- a/src/gateway/streams/queries.rs
+++ b/src/gateway/streams/queries.rs
@@ -164,25 +164,27 @@
     (node.stream_queries.lock()).deliver(key, from, statement);
 }
 
+/// Returns the peers that may know a stream: those that record it and, unless this node has read the store's records
+/// itself, some that have.
+fn peers_to_ask(node: &Gateway, order: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
+    let is_read_elsewhere = matches!(*node.stream_archive.lock(), StreamArchive::ReadElsewhere);
+    let peers = node.peers.lock();
+    let mut addresses = holders::asked(&peers, order, now);
+    if is_read_elsewhere {
+        let readers = holders::archive_readers(&peers, now);
+        let others = readers
+            .into_iter()
+            .filter(|reader| !addresses.contains(reader));
+        let others: Vec<SocketAddr> = others.collect();
+        addresses.extend(others);
+    }
+    addresses
+}
+
 /// Asks peers where a stream began, until one knows, all have answered or the last round has ended.
 pub(super) async fn ask(node: &Gateway, key: Option<StreamKey>, pool: &str) -> Stated {
     let order = key.unwrap_or_else(|| StreamKey::of(pool));
-    let mut silent = {
-        let reads_itself = !matches!(*node.stream_archive.lock(), StreamArchive::ReadElsewhere);
-        let peers = node.peers.lock();
-        let now = clock::now();
-        let mut asked = holders::asked(&peers, order, now);
-        if !reads_itself {
-            let readers = holders::archive_readers(&peers, now);
-            asked.extend(
-                readers
-                    .into_iter()
-                    .filter(|reader| !asked.contains(reader))
-                    .collect::<Vec<_>>(),
-            );
-        }
-        asked
-    };
+    let mut silent = peers_to_ask(node, order, clock::now());
     let mut answers = node.stream_queries.lock().register(key);
     let mut stated = Stated::default();
     for _round in 0..MAX_ROUNDS {
--- a/src/placement/hosts.rs
+++ b/src/placement/hosts.rs
@@ -325,7 +325,7 @@
     }
 
     fn add(&mut self, host: &Host, sign: f64) {
-        // Without a forecast, capacity is measured in hosts.
+        // Without a forecast, capacity is counted in hosts.
         let shares = self.demand.map_or((1.0, 1.0), |(lead, keep)| {
             let share_of = |demand| self.inventory.capacity_of(host, demand);
             (share_of(&lead), share_of(&keep))
--- a/src/routing/cache.rs
+++ b/src/routing/cache.rs
@@ -2,7 +2,7 @@
 //!
 //! Requests that this node sends are recorded immediately. Cache events arrive late and with gaps,
 //! and the cached-token counts that engines report correct the remaining errors. Every entry is an
-//! estimate with an age, which is measured in blocks that the engine has stored since.
+//! estimate with an age, which is counted in blocks that the engine has stored since.
 
 mod shard;
 
