--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -19,13 +19,22 @@
 
 /// Starts a deployment with `nodes` nodes and `upstreams` upstreams per service.
 pub async fn deployment(nodes: usize, upstreams: usize) -> Deployment {
+    start(nodes, upstreams, false).await
+}
+
+/// The same with the window over which operators judge the limits of teams.
+pub async fn deployment_with_limits(nodes: usize, upstreams: usize) -> Deployment {
+    start(nodes, upstreams, true).await
+}
+
+async fn start(nodes: usize, upstreams: usize, has_quota_window: bool) -> Deployment {
     let settings = DeploymentSettings {
         binary: Path::new(env!("CARGO_BIN_EXE_teaselline")),
         nodes,
         upstreams,
         grace_s: 6,
         usage_window_s: 1.0,
-        has_quota_window: false,
+        has_quota_window,
         is_proxied: false,
     };
     Deployment::start(settings)
--- a/tests/platform/versions.rs
+++ b/tests/platform/versions.rs
@@ -5,10 +5,10 @@
 
 use futures::future::join_all;
 use nix::sys::signal::Signal;
-use teaselline_stand_ins::operators::deployment::{KEYS, asked};
+use teaselline_stand_ins::operators::deployment::{KEYS, LIMITED_TEAMS, asked, key_of};
 use teaselline_stand_ins::operators::{Asked, Deployment, Fault, Node};
 
-use super::support::{deployment, eventually, send};
+use super::support::{deployment, deployment_with_limits, eventually, send};
 
 /// Streams of one test.
 const STREAMS: usize = 24;
@@ -16,6 +16,9 @@
 /// Concurrent streams at a node that spread over all upstreams.
 const AT_ONE_NODE: usize = 8;
 
+/// Streams of a team, as many as its limit lets it begin in a second.
+const STREAMS_OF_LIMITED_TEAM: usize = 20;
+
 /// Pause between two events of a stream that is cut by a kill of all nodes.
 const LONG_PAUSE_MS: u64 = 200;
 
@@ -27,7 +30,12 @@
 
 /// Starts `nodes` nodes, two upstreams of v1 and `new` upstreams of v2 that all nodes know.
 async fn deployment_of_two_versions(nodes: usize, new: usize) -> Deployment {
-    let mut deployment = deployment(nodes, 2).await;
+    add_second_version(deployment(nodes, 2).await, new).await
+}
+
+/// Adds `new` upstreams of v2, and waits until all nodes know them.
+async fn add_second_version(mut deployment: Deployment, new: usize) -> Deployment {
+    let nodes = deployment.nodes.len();
     for place in 0..new {
         let id = format!("pool-new-{place}");
         (deployment.add_upstream_of("pool", &id, "v2").await).expect("a port is free");
@@ -150,11 +158,16 @@
 
 /// Begins streams at all nodes, kills all nodes within them, and returns the requests that take them up.
 async fn streams_cut_by_a_kill_of_all_nodes(deployment: &Deployment) -> Vec<Asked> {
-    let pool = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
-    pool.for_each(|upstream| upstream.pause_between_events(LONG_PAUSE_MS));
     let calls: Vec<Asked> = (0..STREAMS)
         .map(|number| stream(&format!("begun-{number}")))
         .collect();
+    cut_by_a_kill_of_all_nodes(deployment, &calls).await
+}
+
+/// The same for these streams.
+async fn cut_by_a_kill_of_all_nodes(deployment: &Deployment, calls: &[Asked]) -> Vec<Asked> {
+    let pool = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
+    pool.for_each(|upstream| upstream.pause_between_events(LONG_PAUSE_MS));
     let kill = async {
         tokio::time::sleep(KILLED_AFTER).await;
         for node in &deployment.nodes {
@@ -173,7 +186,10 @@
             Some(up)
         })
         .collect();
-    assert!(cut.len() > STREAMS / 2, "the kill cut streams: {ended:?}");
+    assert!(
+        cut.len() * 2 > calls.len(),
+        "the kill cut streams: {ended:?}"
+    );
     cut
 }
 
@@ -204,6 +220,30 @@
     assert_eq!(unknown.status(), Some(503), "{unknown:?}");
 }
 
+/// Guards against streams of a team within its limit that are refused as over it, since all nodes that knew what it
+/// had used were killed at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_team_within_its_limit_are_taken_up_after_all_nodes_were_killed() {
+    let limited = deployment_with_limits(3, 2).await;
+    let deployment = add_second_version(limited, 2).await;
+    let calls = (0..STREAMS_OF_LIMITED_TEAM).map(|number| {
+        let mut call = stream(&format!("limited-{number}"));
+        call.key = key_of(LIMITED_TEAMS[0]);
+        call
+    });
+    let calls: Vec<Asked> = calls.collect();
+    let cut = cut_by_a_kill_of_all_nodes(&deployment, &calls).await;
+    for node in &deployment.nodes {
+        node.restart().expect("the node restarts");
+    }
+    for place in 0..deployment.nodes.len() {
+        assert!(deployment.wait_until_ready(place).await);
+    }
+    let gone_on = take_all_up(&deployment, &cut).await;
+    assert_eq!(deployment.misfits(), Vec::new());
+    assert!(gone_on * 2 >= cut.len(), "{gone_on} of {}", cut.len());
+}
+
 /// Kills all nodes within streams of two versions, removes the upstreams of the older one, starts the nodes again with
 /// `restart`, and asserts that none of the streams goes on at another version.
 async fn assert_no_stream_changes_its_version(restart: impl Fn(&Node) -> io::Result<()>) {
