test: Refused connections go to a socket that is bound and does not listen

The tests of the exchange took a port that had been free a moment ago for one that refuses connections. Another test of the same run may be given that port, so that its listener answers in place of a refusal. The socket is now held, bound and without a queue, for as long as the upstreams of the test exist.

--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -9,7 +9,7 @@
 use teaselline_stand_ins::operators::upstream::UpstreamSettings;
 use teaselline_stand_ins::operators::{Fault, Run, Store, Upstream as StandIn};
 use teaselline_stand_ins::proxy::{ProxySettings, TcpProxy};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::gateway::caller_listener;
@@ -64,6 +64,8 @@
     /// Does not accept the connections that fill its queue.
     hanging: TcpListener,
     _queued: Vec<TcpStream>,
+    /// Holds an address without listening on it, so that connections are refused.
+    refusing: TcpSocket,
 }
 
 impl Upstreams {
@@ -90,6 +92,7 @@
             runs,
             hanging,
             _queued: queued,
+            refusing: refusing_socket(),
         }
     }
 
@@ -106,16 +109,16 @@
     }
 
     /// Writes the upstreams into a node's table.
-    async fn announce_to(&self, node: &Gateway, link: Link, sequence: u64) {
-        self.announce_start_to(node, link, 1, sequence).await;
+    fn announce_to(&self, node: &Gateway, link: Link, sequence: u64) {
+        self.announce_start_to(node, link, 1, sequence);
     }
 
     /// Writes the upstreams into a node's table as they started at `born_ms`.
-    async fn announce_start_to(&self, node: &Gateway, link: Link, born_ms: u64, sequence: u64) {
+    fn announce_start_to(&self, node: &Gateway, link: Link, born_ms: u64, sequence: u64) {
         for stand_in in &self.stand_ins {
             let address = match link {
                 Link::Works => stand_in.address(),
-                Link::Refuses => refusing_address().await,
+                Link::Refuses => self.refusing.local_addr().expect("it is bound"),
                 Link::Hangs => self.hanging.local_addr().expect("it listens"),
             };
             let id = stand_in.id().to_owned();
@@ -142,7 +145,7 @@
 
 /// Returns a listener whose queue of connections is full, and the connections that fill it.
 async fn hanging_listener() -> (TcpListener, Vec<TcpStream>) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    let socket = TcpSocket::new_v4().expect("a socket");
     socket
         .bind(([127, 0, 0, 1], 0).into())
         .expect("a free port");
@@ -156,13 +159,12 @@
     (listener, queued)
 }
 
-/// Returns an address on which nothing listens.
-async fn refusing_address() -> SocketAddr {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await;
-    listener
-        .expect("a free port")
-        .local_addr()
-        .expect("it listens")
+/// Returns a socket that is bound and does not listen. A port that was only free a moment ago may be that of another test.
+fn refusing_socket() -> TcpSocket {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    let address = ([127, 0, 0, 1], 0).into();
+    socket.bind(address).expect("a free port");
+    socket
 }
 
 async fn bind() -> (TcpListener, SocketAddr) {
@@ -211,7 +213,7 @@
         let incarnation = u64::from(peer_address.port());
         let node = Gateway::new(read, incarnation).0;
         configure(&node);
-        upstreams.announce_to(&node, link, 1).await;
+        upstreams.announce_to(&node, link, 1);
         let end = CancellationToken::new();
         tokio::spawn(caller_listener::serve(
             callers,
@@ -413,7 +415,7 @@
     let upstreams = Upstreams::start().await;
     let (cut, whole) = cut_and_whole(&upstreams, Link::Refuses).await;
     cut.notice("desk", "again").await;
-    upstreams.announce_to(&cut.node, Link::Works, 2).await;
+    upstreams.announce_to(&cut.node, Link::Works, 2);
     eventually(|| !cut.node.is_unreached("desk")).await;
     whole.forwarding.abort();
     tokio::time::sleep(Duration::from_millis(1_200)).await;
--- a/src/gateway/exchange/tests/cuts.rs
+++ b/src/gateway/exchange/tests/cuts.rs
@@ -70,7 +70,7 @@
                 let link = links[self.rng.random_range(0..links.len())];
                 self.sequence += 1;
                 let sequence = self.sequence;
-                upstreams.announce_to(&self.cut.node, link, sequence).await;
+                upstreams.announce_to(&self.cut.node, link, sequence);
             }
             1 => {
                 let silence_ms = self.rng.random_range(300..MAX_SILENCE_MS);
--- a/src/gateway/exchange/tests/heads.rs
+++ b/src/gateway/exchange/tests/heads.rs
@@ -95,9 +95,7 @@
         let starts_before = self.starts.fetch_add(1, Ordering::Relaxed);
         let born_ms = starts_before + 2;
         let upstreams = &self.upstreams;
-        upstreams
-            .announce_start_to(&reaching.node, Link::Works, born_ms, born_ms)
-            .await;
+        upstreams.announce_start_to(&reaching.node, Link::Works, born_ms, born_ms);
         for stand_in in &upstreams.stand_ins {
             stand_in.cut_answers(None);
         }
@@ -225,9 +223,7 @@
     let mut ran = 0;
     for after_bytes in 0..MAX_ANSWER_BYTES {
         let born_ms = u64::try_from(after_bytes).expect("it is small") + 2;
-        (site.upstreams)
-            .announce_start_to(&node.node, Link::Works, born_ms, born_ms)
-            .await;
+        (site.upstreams).announce_start_to(&node.node, Link::Works, born_ms, born_ms);
         for stand_in in &site.upstreams.stand_ins {
             stand_in.cut_answers(Some(AnswerCut {
                 after_bytes,
