bug: A request whose answers are lost at upstreams that run on is no longer refused for good

Cause: a reset counted as a crash without a check of whether the upstream runs on, unless the request had prompt parts; three of them block the content at all nodes. A whole answer lifts the block at the node that gives it and was told to nobody. The class: evidence against a request is shared and unchecked, evidence for it is checked and kept by one.

A whole answer to a suspected content is told to the peers once for each crash.

The stand-in that a request crashes accepted one more connection after its crash, so that it seemed to run on and a fourth was taken down; a process that has ended accepts none.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -203,12 +203,21 @@
     /// Records a whole answer to a request; returns what to report to the peers.
     pub fn record_answer(&mut self, subjects: &Subjects, now: TimeMs) -> Vec<AgedSound> {
         let content = subjects.content;
-        let is_suspected = |known: &Recorded| known.crash.subjects.content == content;
-        if self.recorded.iter().any(is_suspected) {
+        let told = self.sound.told(content);
+        let is_suspected = (self.recorded.iter()).any(|known| {
+            known.crash.subjects.content == content && told.is_none_or(|told| told < known.at)
+        });
+        let mut reports = Vec::new();
+        if is_suspected || self.is_blocked(content) {
             self.sound.record_told(content, now);
+            reports.push(AgedSound {
+                subject: content,
+                age_ms: 0,
+            });
         }
         self.lift_if_sound(content);
-        self.record_sound(subjects, now)
+        reports.extend(self.record_sound(subjects, now));
+        reports
     }
 
     /// Records an answer that went on; returns what to report to the peers.
--- a/src/gateway/crashes/tests.rs
+++ b/src/gateway/crashes/tests.rs
@@ -222,6 +222,25 @@
     assert!(!is_blocked(&mut crashes, 1, 1_004));
 }
 
+/// Guards against a request that one node has seen answered and all others refuse for good.
+#[test]
+fn answer_at_one_node_clears_the_request_at_all_nodes() {
+    let (mut answering, mut other) = (Crashes::default(), Crashes::default());
+    for upstream in 0..3 {
+        for node in [&mut answering, &mut other] {
+            record(node, crash(1, upstream), 1_000);
+        }
+    }
+    let reports = answering.record_answer(&Subjects::new(1, 1, []), TimeMs(1_001));
+    assert!(is_blocked(&mut other, 1, 1_002));
+    for report in reports {
+        other.record_told(report, TimeMs(1_003));
+    }
+    assert!(!is_blocked(&mut other, 1, 1_004));
+    let repeated = answering.record_answer(&Subjects::new(1, 1, []), TimeMs(1_005));
+    assert!(repeated.is_empty(), "it is reported once");
+}
+
 #[test]
 fn crashes_expire_and_are_bounded() {
     let mut crashes = Crashes::default();
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -69,7 +69,7 @@
     leaving: Mutex<Option<String>>,
     /// Requests that reached it, whether they ran or not.
     arrivals: Mutex<Vec<Arrival>>,
-    has_crashed: Mutex<bool>,
+    has_crashed: watch::Sender<bool>,
     is_announcing: Mutex<bool>,
     /// How many requests it runs at once; it refuses others. None: as many as come.
     places: Mutex<Option<usize>>,
@@ -137,7 +137,7 @@
             rest: Mutex::default(),
             leaving: Mutex::default(),
             arrivals: Mutex::default(),
-            has_crashed: Mutex::default(),
+            has_crashed: watch::Sender::default(),
             is_announcing: Mutex::new(true),
             places: Mutex::default(),
             running: Mutex::default(),
@@ -160,7 +160,7 @@
         let beat = tokio::spawn(async move {
             loop {
                 tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
-                if *beating.has_crashed.lock() {
+                if *beating.has_crashed.borrow() {
                     return;
                 }
                 if *beating.is_announcing.lock() {
@@ -372,7 +372,7 @@
     /// Whether a request has crashed it.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
-        *self.core.has_crashed.lock()
+        *self.core.has_crashed.borrow()
     }
 }
 
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -11,6 +11,8 @@
     None,
     /// It runs each second request and resets the channel without an answer.
     LosesAnswers,
+    /// It runs each request, resets the channel without an answer, and accepts further channels.
+    LosesAllAnswers,
     /// It sends a second answer some milliseconds after each.
     AnswersTwice,
     /// It does not run the first request of a channel, says so, and says it again where the next answer is due; it runs
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -205,6 +205,28 @@
     assert_eq!(crashed(), 3);
 }
 
+/// Guards against a sound request that is refused for good: upstreams that run on reset its connections, and each reset
+/// counts as a crash of its upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_whose_answers_are_lost_is_sent_again_once_answers_arrive() {
+    let deployment = deployment(3, 6).await;
+    let lost = async |place: usize, id: String| {
+        let mut call = asked(&id, "once");
+        "the same body".clone_into(&mut call.body);
+        send(&deployment, place % 3, &call).await.status()
+    };
+    set_fault_on_all(&deployment, Fault::LosesAllAnswers);
+    for place in 0..9 {
+        assert_eq!(lost(place, format!("lost-{place}")).await, Some(502));
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+    set_fault_on_all(&deployment, Fault::None);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for place in 0..12 {
+        assert_eq!(lost(place, format!("sound-{place}")).await, Some(200));
+    }
+}
+
 /// Guards against holding a call until its caller gives up: an upstream runs the call and never
 /// responds, and only the caller's deadline ends the wait, not the timeout of the route.
 #[tokio::test(flavor = "multi_thread")]
