test: Real upstream processes are stopped and continued beside changes of the configuration

The soak pauses nodes, never upstreams, and a stand-in that pauses in its own code stops reading only. Here each upstream is a process that gets SIGSTOP and SIGCONT: its kernel goes on accepting connections and data, so that a request whose sender has given up is read and run after the wake. Beside it: overlapping spells, spells of a whole service, announcements that lapse meanwhile, idle channels closed after 0.4 to 2.2 s (some without a Keep-Alive header), full upstreams that refuse, late copies of answers and refusals, changes of the idle timeout, of route timeouts and of routes' services, callers that keep channels and give up.

--- a/stand_ins/src/operators.rs
+++ b/stand_ins/src/operators.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod node;
 pub mod soak;
+pub mod standstill;
 pub mod store;
 pub mod upstream;
 
--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -100,6 +100,8 @@
     pub broken: Vec<String>,
     /// What the teams at their limits used and were refused.
     pub teams: Vec<String>,
+    /// The nodes' log lines of attempts that failed, where they are kept.
+    pub failed_attempts: Vec<String>,
 }
 
 /// A call and how it ended.
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -24,6 +24,7 @@
 pub use self::fault::{Fault, Framing, KILLER};
 pub use self::history::{Arrival, Run, is_misfit};
 use super::store::Store;
+use crate::chance::Chance;
 use crate::server::{listen, now_ms};
 
 /// Between two announcements.
@@ -90,6 +91,10 @@
     /// When it crashed, other than for good, in Unix milliseconds.
     crashed_at_ms: Mutex<Vec<u64>>,
     is_down: Mutex<bool>,
+    /// Has it repeat this share of its answers where the next one is due.
+    late_copies: Mutex<Option<(Chance, f64)>>,
+    /// It closes channels that were idle for so long.
+    idle_ms: Mutex<Option<u64>>,
     /// Starts under a new id after the first.
     starts: Mutex<u64>,
 }
@@ -152,6 +157,8 @@
             crashes: watch::Sender::default(),
             crashed_at_ms: Mutex::default(),
             is_down: Mutex::default(),
+            late_copies: Mutex::default(),
+            idle_ms: Mutex::default(),
             starts: Mutex::default(),
         });
         let serve = tokio::spawn(crash::serve(Arc::clone(&core), listener));
@@ -275,6 +282,16 @@
         counts.max().unwrap_or(0)
     }
 
+    /// Has it repeat a share of its answers and refusals where the next one is due.
+    pub fn repeat_late(&self, share: f64, seed: u64) {
+        *self.core.late_copies.lock() = Some((Chance::new(seed), share));
+    }
+
+    /// Has it close channels that were idle for so long, and say so in whole seconds, if there are any.
+    pub fn close_idle_after(&self, idle_ms: u64) {
+        *self.core.idle_ms.lock() = Some(idle_ms);
+    }
+
     /// Announces that it leaves; it goes on answering.
     pub fn drain(&self) {
         *self.core.state.lock() = "draining";
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -18,6 +18,9 @@
 /// Bytes that an endless answer writes at a time.
 const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
 
+/// Longer than any test.
+const FOREVER_MS: u64 = 3_600_000;
+
 const RESET: After = After::Ends(ChannelEnd::Reset);
 
 impl Core {
@@ -38,7 +41,7 @@
     async fn requests(&self, socket: &mut TcpStream) -> io::Result<ChannelEnd> {
         let mut buffer = Vec::new();
         let mut late_copy = LateCopy::default();
-        while let Some(request) = receive(socket, &mut buffer).await? {
+        while let Some(request) = self.next_request(socket, &mut buffer).await? {
             if *self.has_crashed.lock() || self.is_fallen() {
                 return Ok(ChannelEnd::Reset);
             }
@@ -49,13 +52,27 @@
             {
                 continue;
             }
-            if let After::Ends(end) = self.answer(socket, &request).await? {
+            let after = self.answer(socket, &request).await?;
+            if let After::Ends(end) = after {
                 return Ok(end);
             }
+            self.keep_copy(&request, after, &mut late_copy);
         }
         Ok(ChannelEnd::Orderly)
     }
 
+    /// Reads one request; none at the end of the channel, or when it was idle for too long.
+    async fn next_request(
+        &self,
+        socket: &mut TcpStream,
+        buffer: &mut Vec<u8>,
+    ) -> io::Result<Option<Received>> {
+        let idle_ms = *self.idle_ms.lock();
+        let patience = Duration::from_millis(idle_ms.unwrap_or(FOREVER_MS));
+        let received = tokio::time::timeout(patience, receive(socket, buffer));
+        received.await.unwrap_or(Ok(None))
+    }
+
     fn note_arrival(&self, request: &Received) {
         let is_turned_away = *self.fault.lock() == Fault::Sheds;
         let asked = self
@@ -89,7 +106,7 @@
         if fault == Fault::Sheds {
             let answer = self.refusal(request);
             socket.write_all(answer.as_bytes()).await?;
-            return Ok(After::Stays);
+            return Ok(After::Refused);
         }
         let Some(_place) = self.take_place() else {
             if self.falls_by_refusal() {
@@ -97,7 +114,7 @@
             }
             let answer = self.refusal(request);
             socket.write_all(answer.as_bytes()).await?;
-            return Ok(After::Stays);
+            return Ok(After::Refused);
         };
         let place = self.begin(request, id);
         let number = {
@@ -128,6 +145,11 @@
                 Ok(RESET)
             }
             Fault::LosesAnswers if number.is_multiple_of(2) => Ok(RESET),
+            Fault::RunsAndRefuses(status) => {
+                let head = self.head(status, id, "content-length: 4\r\n");
+                socket.write_all(format!("{head}full").as_bytes()).await?;
+                Ok(After::Stays)
+            }
             Fault::Fails => {
                 let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
                 socket.write_all(format!("{head}fail").as_bytes()).await?;
@@ -269,6 +291,16 @@
         head + &framing.piece(&event)
     }
 
+    /// An answer up to its end, that of a stream with one event.
+    pub(super) fn copied_answer(&self, request: &Received) -> String {
+        let begun = self.begun_answer(request);
+        if request.path.contains("stream") {
+            let framing = *self.framing.lock();
+            return begun + framing.stream_end();
+        }
+        begun
+    }
+
     fn whole_answer(&self, request: &Received, framing: Framing) -> String {
         let id = request.header("request-attempt-id").unwrap_or_default();
         let body = format!("{} {} for {id}", request.method, request.path);
@@ -289,7 +321,11 @@
         let limit = line("server-limit", self.limit.lock().as_deref());
         let leaving = line("server-leaving", self.leaving.lock().as_deref());
         let brittle = self.brittle.lock().map(|refusals| refusals.to_string());
-        limit + &leaving + &line("server-brittle", brittle.as_deref())
+        let idle_s = self.idle_ms.lock().map(|idle_ms| idle_ms / 1_000);
+        let idle = idle_s.filter(|seconds| *seconds > 0);
+        let idle = idle.map(|seconds| format!("timeout={seconds}"));
+        let brittle = line("server-brittle", brittle.as_deref());
+        limit + &leaving + &brittle + &line("keep-alive", idle.as_deref())
     }
 
     fn begin(&self, request: &Received, id: &str) -> usize {
--- a/stand_ins/src/operators/upstream/history.rs
+++ b/stand_ins/src/operators/upstream/history.rs
@@ -1,7 +1,9 @@
 //! What upstreams ran and what reached them.
 
+use serde::{Deserialize, Serialize};
+
 /// A request that an upstream began to run.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Run {
     /// The upstream.
     pub upstream: String,
--- a/stand_ins/src/operators/upstream/late_copy.rs
+++ b/stand_ins/src/operators/upstream/late_copy.rs
@@ -1,20 +1,33 @@
-//! A refusal of one request that an upstream sends where the answer to the next one is due.
+//! A copy of what one request got that an upstream sends where the answer to the next one is due.
 
 use std::io;
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use super::wire::{Received, line};
+use super::wire::{After, Received, line};
 use super::{Core, Fault};
 
-/// The refusal of a channel's first request that has still to be sent.
+/// What the last request of a channel got, if it has still to be sent once more.
 #[derive(Debug, Default)]
 pub(super) struct LateCopy {
-    refusal: Option<String>,
+    text: Option<String>,
 }
 
 impl Core {
+    /// Keeps a copy of what a request got, if chance has it so.
+    pub(super) fn keep_copy(&self, request: &Received, after: After, late_copy: &mut LateCopy) {
+        let chance = self.late_copies.lock();
+        let is_kept = (chance.as_ref()).is_some_and(|(chance, share)| chance.happens(*share));
+        if is_kept {
+            late_copy.text = match after {
+                After::Refused => Some(self.refusal(request)),
+                After::Stays => Some(self.copied_answer(request)),
+                After::Ends(_end) => None,
+            };
+        }
+    }
+
     /// Refuses a request, or sends the late refusal of the one before; returns whether the request is refused.
     pub(super) async fn refuse_or_repeat(
         &self,
@@ -22,7 +35,7 @@
         request: &Received,
         late_copy: &mut LateCopy,
     ) -> io::Result<bool> {
-        if let Some(copy) = late_copy.refusal.take() {
+        if let Some(copy) = late_copy.text.take() {
             socket.write_all(copy.as_bytes()).await?;
             return Ok(false);
         }
@@ -31,11 +44,11 @@
             Fault::RepeatsRefusals => {
                 let refusal = self.refusal(request);
                 socket.write_all(refusal.as_bytes()).await?;
-                late_copy.refusal = Some(refusal);
+                late_copy.text = Some(refusal);
                 Ok(true)
             }
             Fault::MisdirectsLate => {
-                late_copy.refusal = Some(misdirection(request));
+                late_copy.text = Some(misdirection(request));
                 Ok(false)
             }
             _ => Ok(false),
--- a/stand_ins/src/operators/upstream/wire.rs
+++ b/stand_ins/src/operators/upstream/wire.rs
@@ -12,6 +12,8 @@
 pub(super) enum After {
     /// It takes the next request.
     Stays,
+    /// The same; the upstream was full and did not run the last one.
+    Refused,
     /// It ends.
     Ends(ChannelEnd),
 }
