bug: A refusal's status alone no longer promises a caller that its call has not run

An upstream's 503, 429 or 408 without the statement that it did not execute the request went to the caller as it was, and its 421 had the request sent to another upstream. A call that may run once and had run was answered 503 (REFUSED), or, by a 421, ran at a second upstream (TWICE).

Found by an audit of the places that conclude "not run", not in the record: its lines are of attempts that failed, and a status that was passed on left none.

Such a response is now an attempt that failed, reason unproved_refusal, after which the request may have run: a request that may be repeated goes to another upstream, any other ends with 502. The upstream's backoff, if it asks for one, is kept as before.

refusals::status_of_an_upstream_does_not_show_that_a_call_has_not_run failed before ("once-0 ran, but its response says that it has not: 503") and passes now, with the tests of answers, late copies, rests and leaving.

--- a/src/gateway/exchange/classification.rs
+++ b/src/gateway/exchange/classification.rs
@@ -61,7 +61,7 @@
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("other_answer", detail()))
         }
-        StatusCode::MISDIRECTED_REQUEST => {
+        StatusCode::MISDIRECTED_REQUEST if answer.is_not_executed => {
             upstream_request.record_outcome(Outcome::Refused, now);
             Err(SendError::NotRun("other_upstream", detail()))
         }
@@ -78,6 +78,16 @@
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("unnamed_answer", detail()))
         }
+        // To the caller, the status would be a promise that this response does not give.
+        _ if promises_not_run(status) => {
+            let outcome = match answer.requested_backoff_ms(status) {
+                Some(_rest_ms) => Outcome::Resting,
+                None => Outcome::Failed,
+            };
+            upstream_request.record_outcome(outcome, now);
+            keep_connection(node, &upstream_request, sender, &answer);
+            Err(SendError::MayHaveRun("unproved_refusal", detail()))
+        }
         _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("unproved_answer", detail()))
@@ -107,6 +117,17 @@
     }
 }
 
+/// Whether a status promises a caller that its request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Describes a response that gives no answer, for the log.
 fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
     let named = named.as_str();
