bug: An answer that denies its own run no longer has its call sent again

A response with a status of a request that has run (2xx, an upstream's own 500 or 504) and the statement that it was not executed was taken for not run: a call that may run once went to a second upstream (TWICE), or was answered 503 (REFUSED). The two contradict each other, and only one of the two readings can break a promise.

Such a response now shows nothing: reason contradictory_answer, after which the request may have run.

refusals::answer_that_denies_its_run_does_not_have_the_call_sent_again failed before ("once-0 ran 2 times") and passes now.

--- a/src/gateway/crashes/breaks/tests.rs
+++ b/src/gateway/crashes/breaks/tests.rs
@@ -32,6 +32,7 @@
         "other_upstream",
         "unproved_answer",
         "unproved_refusal",
+        "contradictory_answer",
         "events_missing",
         "event_too_long",
         "not_resumed",
--- a/src/gateway/exchange/classification.rs
+++ b/src/gateway/exchange/classification.rs
@@ -65,6 +65,10 @@
             upstream_request.record_outcome(Outcome::Refused, now);
             Err(SendError::NotRun("other_upstream", detail()))
         }
+        _ if answer.is_not_executed && shows_run(status) => {
+            upstream_request.record_outcome(Outcome::Broken, now);
+            Err(SendError::MayHaveRun("contradictory_answer", detail()))
+        }
         _ if answer.is_not_executed => {
             let outcome = match answer.requested_backoff_ms(status) {
                 Some(_rest_ms) => Outcome::Resting,
@@ -128,6 +132,15 @@
     )
 }
 
+/// Whether a status is one of a request that has run, whatever else the response states.
+fn shows_run(status: StatusCode) -> bool {
+    let is_own_failure = matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR | StatusCode::GATEWAY_TIMEOUT
+    );
+    status.is_success() || is_own_failure
+}
+
 /// Describes a response that gives no answer, for the log.
 fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
     let named = named.as_str();
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -150,6 +150,11 @@
                 socket.write_all(format!("{head}full").as_bytes()).await?;
                 Ok(After::Stays)
             }
+            Fault::RunsAndDenies(status) => {
+                let head = self.head(status, id, "not-executed: 1\r\ncontent-length: 4\r\n");
+                socket.write_all(format!("{head}work").as_bytes()).await?;
+                Ok(After::Stays)
+            }
             Fault::Fails => {
                 let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
                 socket.write_all(format!("{head}fail").as_bytes()).await?;
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -25,6 +25,8 @@
     Fails,
     /// It runs requests and answers with this status of a refusal, without saying that it has not run them.
     RunsAndRefuses(&'static str),
+    /// It runs requests, answers with this status, and says that it has not run them.
+    RunsAndDenies(&'static str),
     /// It does not run requests and says so.
     Sheds,
     /// It breaks streams off within their third event, and plain answers within their body.
--- a/tests/platform/refusals.rs
+++ b/tests/platform/refusals.rs
@@ -14,14 +14,11 @@
     "421 Misdirected Request",
 ];
 
-/// Sends a call on a route while all upstreams run what they refuse.
-async fn call_beside(
-    deployment: &Deployment,
-    id: &str,
-    route: &str,
-    status: &'static str,
-) -> Ended {
-    let fault = Fault::RunsAndRefuses(status);
+/// Statuses of answers to requests that have run.
+const ANSWERS: [&str; 3] = ["200 OK", "500 Internal Server Error", "504 Gateway Timeout"];
+
+/// Sends a call on a route while all upstreams have a fault.
+async fn call_beside(deployment: &Deployment, id: &str, route: &str, fault: Fault) -> Ended {
     deployment.upstreams.iter().for_each(|one| one.set(fault));
     send(deployment, 0, &asked(id, route)).await
 }
@@ -33,7 +30,24 @@
     for (number, status) in PROMISES.into_iter().enumerate() {
         for route in ["once", "stream"] {
             let id = format!("{route}-{number}");
-            let ended = call_beside(&deployment, &id, route, status).await;
+            let fault = Fault::RunsAndRefuses(status);
+            let ended = call_beside(&deployment, &id, route, fault).await;
+            assert_at_most_once(&deployment, &id, &ended);
+            assert_eq!(deployment.runs_of(&id).len(), 1, "{status}");
+            assert_eq!(ended.status(), Some(502), "{status}: {ended:?}");
+        }
+    }
+}
+
+/// Guards against a call that runs twice, since an answer to it says that it has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_that_denies_its_run_does_not_have_the_call_sent_again() {
+    let deployment = deployment(1, 2).await;
+    for (number, status) in ANSWERS.into_iter().enumerate() {
+        for route in ["once", "stream"] {
+            let id = format!("{route}-{number}");
+            let fault = Fault::RunsAndDenies(status);
+            let ended = call_beside(&deployment, &id, route, fault).await;
             assert_at_most_once(&deployment, &id, &ended);
             assert_eq!(deployment.runs_of(&id).len(), 1, "{status}");
             assert_eq!(ended.status(), Some(502), "{status}: {ended:?}");
