bug: A connection that is put back unused is kept no longer than its upstream keeps it

A call opens a connection and is then held back by its upstream's limit, rest or shutdown. A later call could be sent while the upstream closed it for idleness; one that may run once then ends with 502.

Such a connection now keeps the idle time that it had.

Both tests of gateway::connections failed with the old bookkeeping ("the connection is kept beyond its time") and pass now.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -53,13 +53,21 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
+    /// Its idle time, if it was kept idle and has carried no request since.
+    idle: Option<IdleTime>,
+}
+
+/// The time for which a connection is idle, as its upstream counts it too.
+#[derive(Clone, Copy, Debug)]
+struct IdleTime {
+    since: TimeMs,
+    expires_at: TimeMs,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
-    channel: Connection,
-    idle_since: TimeMs,
-    expires_at: TimeMs,
+    sender: SendRequest<Full<Bytes>>,
+    time: IdleTime,
 }
 
 /// Idle connections by upstream.
@@ -99,12 +107,24 @@
             .binary_search_by_key(&upstream, |(key, _kept)| *key)
             .ok()?;
         let kept = &mut idle[index].1;
-        kept.retain(|idle| !idle.channel.sender.is_closed() && now < idle.expires_at);
+        kept.retain(|idle| !idle.sender.is_closed() && now < idle.time.expires_at);
         let newest = kept.iter().rposition(|idle| {
-            idle.channel.sender.is_ready()
-                && (may_repeat || now.since(idle.idle_since) < MAX_ONCE_IDLE_MS)
+            idle.sender.is_ready() && (may_repeat || now.since(idle.time.since) < MAX_ONCE_IDLE_MS)
         })?;
-        Some(kept.remove(newest).channel)
+        let IdleConnection { sender, time } = kept.remove(newest);
+        Some(Connection {
+            sender,
+            is_reused: true,
+            idle: Some(time),
+        })
+    }
+
+    /// Returns a connection that was opened and has carried no request to the pool.
+    ///
+    /// Its upstream has counted its idle time on.
+    pub fn put_back(&self, upstream: UpstreamKey, connection: Connection, now: TimeMs) {
+        let time = connection.idle.unwrap_or_else(|| idle_time(None, now));
+        self.keep_until(upstream, connection.sender, time);
     }
 
     /// Opens a connection to an upstream and keeps it for reuse.
@@ -146,10 +166,10 @@
         idle_timeout_ms: Option<u64>,
         now: TimeMs,
     ) {
-        let keep_ms = match idle_timeout_ms {
-            Some(timeout_ms) => timeout_ms.saturating_sub(IDLE_MARGIN_MS),
-            None => DEFAULT_IDLE_MS,
-        };
+        self.keep_until(upstream, sender, idle_time(idle_timeout_ms, now));
+    }
+
+    fn keep_until(&self, upstream: UpstreamKey, sender: SendRequest<Full<Bytes>>, time: IdleTime) {
         let mut idle = self.idle.lock();
         let found = idle.binary_search_by_key(&upstream, |(key, _kept)| *key);
         let index = found.unwrap_or_else(|index| {
@@ -160,14 +180,7 @@
         if kept.len() >= MAX_IDLE_PER_UPSTREAM {
             kept.remove(0);
         }
-        kept.push(IdleConnection {
-            channel: Connection {
-                sender,
-                is_reused: true,
-            },
-            idle_since: now,
-            expires_at: now.after(keep_ms),
-        });
+        kept.push(IdleConnection { sender, time });
     }
 
     /// Closes the idle connections to these upstreams.
@@ -180,12 +193,24 @@
     pub fn close_idle(&self, is_known: impl Fn(UpstreamKey) -> bool, now: TimeMs) {
         let mut idle = self.idle.lock();
         for (_key, kept) in idle.iter_mut() {
-            kept.retain(|idle| !idle.channel.sender.is_closed() && now < idle.expires_at);
+            kept.retain(|idle| !idle.sender.is_closed() && now < idle.time.expires_at);
         }
         idle.retain(|(key, kept)| !kept.is_empty() && is_known(*key));
     }
 }
 
+/// Returns the idle time of a connection whose response was read to its end at `now`.
+fn idle_time(idle_timeout_ms: Option<u64>, now: TimeMs) -> IdleTime {
+    let keep_ms = match idle_timeout_ms {
+        Some(timeout_ms) => timeout_ms.saturating_sub(IDLE_MARGIN_MS),
+        None => DEFAULT_IDLE_MS,
+    };
+    IdleTime {
+        since: now,
+        expires_at: now.after(keep_ms),
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let socket = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
@@ -210,5 +235,9 @@
     Ok(Connection {
         sender,
         is_reused: false,
+        idle: None,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/exchange/classification.rs
+++ b/src/gateway/exchange/classification.rs
@@ -38,7 +38,9 @@
     channel: Connection,
     response: Response<Incoming>,
 ) -> Result<UpstreamResponse, SendError> {
-    let Connection { sender, is_reused } = channel;
+    let Connection {
+        sender, is_reused, ..
+    } = channel;
     let now = clock::now();
     node.reach
         .lock()
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -358,8 +358,7 @@
         };
         let timeout = Duration::from_millis(head_timeout_ms(plan, attempts, pending.sent_at));
         if let Err(closed) = pending.begin_send(pending.sent_at) {
-            let Connection { sender, .. } = channel;
-            (node.channels).keep(key, sender, None, pending.sent_at);
+            (node.channels).put_back(key, channel, pending.sent_at);
             return Err(SendError::NotRun(closed.reason(), String::new()));
         }
         let answer = channel.sender.try_send_request(request);
