--- a/examples/standstill.rs
+++ b/examples/standstill.rs
@@ -98,12 +98,16 @@
         outcome.broken.len(),
         outcome.ended
     );
-    let mut attempts: BTreeMap<String, usize> = BTreeMap::new();
+    let mut attempts: BTreeMap<String, Vec<u64>> = BTreeMap::new();
     for line in &outcome.failed_attempts {
-        *attempts.entry(reason_and_detail(line)).or_default() += 1;
+        let (attempt, after_ms) = reason_and_time(line);
+        attempts.entry(attempt).or_default().push(after_ms);
     }
-    for (attempt, count) in attempts {
-        println!("  {count} attempts failed: {attempt}");
+    for (attempt, mut after_ms) in attempts {
+        after_ms.sort_unstable();
+        let count = after_ms.len();
+        let median_ms = after_ms[count / 2];
+        println!("  {count} attempts failed after {median_ms} ms at the median: {attempt}");
     }
     if !outcome.broken.is_empty() {
         println!("  spells:\n    {}", outcome.faults.join("\n    "));
@@ -111,9 +115,10 @@
     }
 }
 
-/// What a log line says of why an attempt failed.
-fn reason_and_detail(line: &str) -> String {
+/// What a log line says of why an attempt failed, and after how many milliseconds.
+fn reason_and_time(line: &str) -> (String, u64) {
     let line: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
     let text = |field: &str| line[field].as_str().unwrap_or_default().to_owned();
-    format!("{}, {}", text("reason"), text("detail"))
+    let attempt = format!("{}, {}", text("reason"), text("detail"));
+    (attempt, line["after_ms"].as_u64().unwrap_or(0))
 }
