--- a/src/gateway/exchange/classification.rs
+++ b/src/gateway/exchange/classification.rs
@@ -38,7 +38,9 @@
     channel: Connection,
     response: Response<Incoming>,
 ) -> Result<UpstreamResponse, SendError> {
-    let Connection { sender, is_reused } = channel;
+    let Connection {
+        sender, is_reused, ..
+    } = channel;
     let now = clock::now();
     node.reach
         .lock()
@@ -61,10 +63,14 @@
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("other_answer", detail()))
         }
-        StatusCode::MISDIRECTED_REQUEST => {
+        StatusCode::MISDIRECTED_REQUEST if answer.is_not_executed => {
             upstream_request.record_outcome(Outcome::Refused, now);
             Err(SendError::NotRun("other_upstream", detail()))
         }
+        _ if answer.is_not_executed && shows_run(status) => {
+            upstream_request.record_outcome(Outcome::Broken, now);
+            Err(SendError::MayHaveRun("contradictory_answer", detail()))
+        }
         _ if answer.is_not_executed => {
             let outcome = match answer.requested_backoff_ms(status) {
                 Some(_rest_ms) => Outcome::Resting,
@@ -78,6 +84,16 @@
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("unnamed_answer", detail()))
         }
+        // To the caller, the status would be a promise that this response does not give.
+        _ if promises_not_run(status) => {
+            let outcome = match answer.requested_backoff_ms(status) {
+                Some(_rest_ms) => Outcome::Resting,
+                None => Outcome::Failed,
+            };
+            upstream_request.record_outcome(outcome, now);
+            keep_connection(node, &upstream_request, sender, &answer);
+            Err(SendError::MayHaveRun("unproved_refusal", detail()))
+        }
         _ if status.is_success() && (!answer.is_sealed || answer.is_encoded) => {
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("unproved_answer", detail()))
@@ -107,6 +123,26 @@
     }
 }
 
+/// Whether a status promises a caller that its request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Whether a status is one of a request that has run, whatever else the response states.
+fn shows_run(status: StatusCode) -> bool {
+    let is_own_failure = matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR | StatusCode::GATEWAY_TIMEOUT
+    );
+    status.is_success() || is_own_failure
+}
+
 /// Describes a response that gives no answer, for the log.
 fn response_detail(status: StatusCode, named: NamedRequest, is_reused: bool) -> String {
     let named = named.as_str();
