bug: An announcement with huge names, numbers or port 0 reached the peers and the table as it was

One entry under the key of a sound upstream with a 'born' or 'seq' near 2^64 makes each later announcement of the upstream itself count as an older one that arrived late: it stays out of use. Port 0, and addresses that no connection leads to, count as upstreams.

Cause: the decoded values were taken as they are; only the whole record was limited. Class: an entry is checked alone, and not for what peers and later entries do with it.

Change: ids and names of at most 255 bytes without control characters, numbers of at most 2^53 - 1 (which all writers of JSON state exactly), an address with a port that is neither unspecified nor multicast. What does not hold is passed over, logged and counted as before; the entry under that key counts as gone until the next sound one.

An entry whose 'born' lies in the future but below 2^53 still shadows the upstream until it starts anew.

--- a/src/platform/upstreams.rs
+++ b/src/platform/upstreams.rs
@@ -14,6 +14,18 @@
 /// several milliseconds at each read.
 const MAX_RECORD_BYTES: usize = 64 * 1024;
 
+/// Longest accepted id or name, the length of the longest key of the store.
+///
+/// Announcements are sent to all peers, many in one message; some with longer names would make it
+/// exceed the largest message.
+const MAX_NAME_BYTES: usize = 255;
+
+/// Largest accepted time or sequence number, the largest integer that all JSON writers state exactly.
+///
+/// Later announcements under the same id are ordered by these numbers. After an excessive one, all
+/// announcements of the upstream itself would count as late arrivals.
+const MAX_NUMBER: u64 = (1 << 53) - 1;
+
 /// Reason why a record is not a valid announcement; another writer may have written it.
 #[derive(Debug, Error)]
 pub(crate) enum AnnouncementError {
@@ -28,6 +40,26 @@
     /// The state is unknown.
     #[error("an upstream's record has an unknown state")]
     State,
+    /// The id or a name is too long, or contains control characters.
+    #[error(
+        "the `{field}` of an upstream's record exceeds {MAX_NAME_BYTES} bytes or contains control characters"
+    )]
+    Name {
+        /// The field, or `id` for the key of the record.
+        field: &'static str,
+    },
+    /// A time or sequence number is too large.
+    #[error("the `{field}` of an upstream's record exceeds {MAX_NUMBER}")]
+    Number {
+        /// The field.
+        field: &'static str,
+    },
+    /// No connection can lead to the address.
+    #[error("an upstream's record has the address {address}, to which no connection leads")]
+    Address {
+        /// The address.
+        address: SocketAddr,
+    },
     /// The record exceeds the size limit.
     #[error("an upstream's record has {bytes} bytes, more than the limit of {MAX_RECORD_BYTES}")]
     TooLong {
@@ -69,7 +101,7 @@
 ///
 /// # Errors
 ///
-/// If the record is too long, is not JSON with the expected fields, or has an unknown state.
+/// If the record is too long, is not JSON with the expected fields, or has a value out of range.
 pub(crate) fn parse(id: &str, text: &[u8]) -> Result<Announcement, AnnouncementError> {
     if text.len() > MAX_RECORD_BYTES {
         let bytes = text.len();
@@ -85,6 +117,7 @@
         field: ".".to_owned(),
         source,
     })?;
+    check(id, &raw)?;
     let phase = match raw.state.as_str() {
         "ready" => Phase::Ready,
         "draining" => Phase::Leaving,
@@ -106,5 +139,34 @@
     })
 }
 
+/// Checks the values that peers and later announcements depend on.
+fn check(id: &str, raw: &RawServer) -> Result<(), AnnouncementError> {
+    let names = [
+        ("id", id),
+        ("service", &raw.service),
+        ("version", &raw.version),
+        ("zone", &raw.zone),
+    ];
+    if let Some((field, _name)) = names.into_iter().find(|(_field, name)| !is_name(name)) {
+        return Err(AnnouncementError::Name { field });
+    }
+    let numbers = [("seq", raw.seq), ("born", raw.born.unwrap_or_default())];
+    let excessive = numbers
+        .into_iter()
+        .find(|(_field, value)| *value > MAX_NUMBER);
+    if let Some((field, _value)) = excessive {
+        return Err(AnnouncementError::Number { field });
+    }
+    let address = raw.address;
+    if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
+        return Err(AnnouncementError::Address { address });
+    }
+    Ok(())
+}
+
+fn is_name(text: &str) -> bool {
+    text.len() <= MAX_NAME_BYTES && !text.chars().any(char::is_control)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/platform/upstreams/tests.rs
+++ b/src/platform/upstreams/tests.rs
@@ -88,6 +88,70 @@
     }
 }
 
+/// Guards against nodes that end, or stop following the upstreams, over one odd record.
+#[test]
+fn odd_records_are_rejected() {
+    let nested = format!("{}{}", "[".repeat(30_000), "]".repeat(30_000));
+    let cut_nesting = "[".repeat(65_000);
+    let digits = "9".repeat(400);
+    let long = "n".repeat(MAX_NAME_BYTES + 1);
+    for (valid, odd) in [
+        ("\"s1\"", nested.as_str()),
+        ("\"s1\"", cut_nesting.as_str()),
+        ("s1", long.as_str()),
+        ("d1", long.as_str()),
+        ("v1", long.as_str()),
+        ("v1", "v\\n1"),
+        ("v1", "v\\u00001"),
+        ("\"slots\":64", "\"slots\":-1"),
+        ("\"slots\":64", "\"slots\":1e999"),
+        ("\"slots\":64", "\"slots\":4294967296"),
+        ("\"slots\":64", "\"slots\":64,\"slots\":64"),
+        ("\"seq\":4", &format!("\"seq\":{digits}")),
+        ("\"seq\":4", "\"seq\":18446744073709551616"),
+        ("\"seq\":4", "\"seq\":18446744073709551615"),
+        ("\"seq\":4", "\"seq\":4,\"born\":9007199254740992"),
+        ("\"seq\":4", "\"seq\":4,\"leaves_ms\":1e999"),
+        ("\"seq\":4", "\"seq\":4,\"leaves_ms\":NaN"),
+        ("10.128.0.9:8080", "10.128.0.9:0"),
+        ("10.128.0.9:8080", "10.128.0.9:65536"),
+        ("10.128.0.9:8080", "10.128.0.9:99999"),
+        ("10.128.0.9:8080", "10.128.0.9"),
+        ("10.128.0.9:8080", "0.0.0.0:8080"),
+        ("10.128.0.9:8080", "[::]:8080"),
+        ("10.128.0.9:8080", "224.0.0.1:8080"),
+        ("10.128.0.9:8080", "[fe80::1%eth0]:8080"),
+    ] {
+        let text = READY.replace(valid, odd);
+        assert_ne!(text, READY);
+        parse("i-1", text.as_bytes()).expect_err(&text);
+    }
+    for text in ["null", "[]", "7", "\"ready\"", "{", "{}"] {
+        parse("i-1", text.as_bytes()).expect_err(text);
+    }
+    for id in [long.as_str(), "line\nbreak", "zero\0"] {
+        parse(id, READY.as_bytes()).expect_err(id);
+    }
+}
+
+/// Guards against sound upstreams that get no requests over a field that nobody reads, or over the
+/// largest values that are allowed.
+#[test]
+fn odd_values_of_unused_fields_are_ignored() {
+    let nested = format!("{}{}", "[".repeat(30_000), "]".repeat(30_000));
+    let digits = "9".repeat(400);
+    for value in [nested.as_str(), digits.as_str(), "1e999", "-1", "null"] {
+        let text = READY.replace("\"seq\":4", &format!("\"seq\":4,\"other\":{value}"));
+        parse("i-1", text.as_bytes()).expect(value);
+    }
+    let text = READY
+        .replace("\"slots\":64", "\"slots\":4294967295")
+        .replace("\"seq\":4", "\"seq\":9007199254740991,\"leaves_ms\":1e308")
+        .replace("v1", &"v".repeat(MAX_NAME_BYTES));
+    let announcement = parse("i-1", text.as_bytes()).expect("valid");
+    assert_eq!(announcement.leaves_in_ms, Some(u64::MAX));
+}
+
 #[test]
 fn error_names_the_invalid_field() {
     let text = READY.replace("10.128.0.9:8080", "somewhere");
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -143,6 +143,59 @@
     assert_all_run(&deployment);
 }
 
+/// Guards against an upstream that stays out of use after another writer's odd entry under its key.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_is_used_again_after_an_odd_entry_under_its_key() {
+    let deployment = deployment(2, 1).await;
+    for (case, (sound, odd)) in [
+        ("\"desk\"", "[[[["),
+        ("127.0.0.1:9", "127.0.0.1:0"),
+        ("1771804498245", "18446744073709551615"),
+        ("1771804498245", "9223372036854775807"),
+        ("\"seq\":4", "\"seq\":18446744073709551615"),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let text = SOUND.replace(sound, odd);
+        deployment.store.put(SERVERS, "desk-0", &text);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        for node in 0..2 {
+            let mut place = 0;
+            eventually("the upstream receives calls again", async || {
+                place += 1;
+                let call = format!("case-{case}-{node}-{place}");
+                send(&deployment, node, &asked(&call, "once")).await;
+                !deployment.runs_of(&call).is_empty()
+            })
+            .await;
+        }
+    }
+    assert_all_run(&deployment);
+}
+
+/// Guards against peers that get no changes any more, because odd announcements among them make a message too long.
+#[tokio::test(flavor = "multi_thread")]
+async fn announcements_with_huge_names_do_not_exceed_the_largest_message() {
+    let mut deployment = deployment(3, 1).await;
+    for place in 0..60 {
+        let zone = format!("\"zone\":\"{}\"", "z".repeat(60_000));
+        let text = SOUND.replace("\"zone\":\"zone-0\"", &zone);
+        let text = text.replace("desk", "other");
+        let key = format!("huge-{place}");
+        deployment.store.put(SERVERS, &key, &text);
+    }
+    eventually_followed(&mut deployment, "desk-beside").await;
+    for node in &deployment.nodes {
+        let log = node.log();
+        let dropped = log
+            .iter()
+            .filter(|line| line.contains("exceeds the largest"));
+        assert_eq!(dropped.collect::<Vec<_>>(), Vec::<&String>::new());
+    }
+    assert_all_run(&deployment);
+}
+
 /// Guards against logs that grow with each read of an odd entry, and pages that end a list early.
 #[tokio::test(flavor = "multi_thread")]
 async fn thousands_of_odd_announcements_are_logged_once_and_the_others_followed() {
