bug: One odd item in a page of the store's newest records kept all others from being read

What callers saw: the page that lists the newest record of each key was decoded as one document. One item with a number such as 1e999, nesting beyond 128 levels, or a key that is no UTF-8 made the whole page unreadable, at each read: a node that starts has no upstreams, and one that has to read all anew stays behind. A truncated page whose last item has no key counted as the last page: all upstreams of later pages would have been removed from the table. A page that repeats was asked for without end.

Cause: the list depended on its oddest entry.

Change: items are kept as they are written and decoded one by one, bytes that are no text are replaced, and reading goes on after the last key of a page; a truncated page that leads no further is an error, never a whole list.

Whether the operators' store would send such an item is not known: it states values in base64, and what it does with keys that are no text is not on its page.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,6 +12,7 @@
 use http::{HeaderName, Method, StatusCode};
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use super::http::{Call, CallError, Client, PlatformResponse};
@@ -191,13 +192,20 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct RawNewest {
-    items: Vec<serde_json::Value>,
+struct RawNewest<'a> {
+    /// Each item is decoded by itself: another writer's may be odd.
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     truncated: bool,
     end: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct RawKey {
+    key: String,
+}
+
 #[derive(Debug, Deserialize)]
 struct RawItem {
     key: String,
@@ -317,7 +325,9 @@
                 let status = response.status;
                 return Err(StoreError::Refused { status });
             }
-            let page: RawNewest = json(&response, "not a page of records")?;
+            // A key that is not text must not prevent the use of the other records.
+            let text = String::from_utf8_lossy(&response.body);
+            let page: RawNewest<'_> = decode(&text, response.status, "not a page of records")?;
             // Later pages may contain records appended after the first page was created.
             if after.is_empty() {
                 newest.end = LogPosition {
@@ -325,18 +335,21 @@
                     offset: page.end,
                 };
             }
-            let last = page.items.last().and_then(|item| item.get("key"));
-            let last = last.and_then(|key| key.as_str()).map(str::to_owned);
-            // A malformed record must not prevent the use of the others.
+            let next = page.last_key();
             for item in page.items {
                 match KeyedRecord::from_page_item(era, item) {
                     Ok(item) => newest.items.push(item),
                     Err(error) => topic.report_malformed("", &error),
                 }
             }
-            match last {
-                Some(last) if page.truncated => after = last,
-                _ => return Ok(newest),
+            match next {
+                _ if !page.truncated => return Ok(newest),
+                Some(next) if next != after => after = next,
+                // A part of the records must not count as all of them.
+                _ => {
+                    let problem = "a truncated page has no key to continue after";
+                    return Err(StoreError::Malformed { problem });
+                }
             }
         }
     }
@@ -504,12 +517,30 @@
     response: &PlatformResponse,
     problem: &'static str,
 ) -> Result<T, StoreError> {
-    serde_json::from_slice(&response.body).map_err(|error| {
-        log::warn!(error:err = error, status = response.status.as_u16(); "cannot decode a response of the store");
+    let text = String::from_utf8_lossy(&response.body);
+    decode(&text, response.status, problem)
+}
+
+fn decode<'a, T: Deserialize<'a>>(
+    text: &'a str,
+    status: StatusCode,
+    problem: &'static str,
+) -> Result<T, StoreError> {
+    serde_json::from_str(text).map_err(|error| {
+        log::warn!(error:err = error, status = status.as_u16(); "cannot decode a response of the store");
         StoreError::Malformed { problem }
     })
 }
 
+impl RawNewest<'_> {
+    /// Returns the key of the last item that has one.
+    fn last_key(&self) -> Option<String> {
+        let items = self.items.iter().rev();
+        let mut keys = items.filter_map(|item| serde_json::from_str::<RawKey>(item.get()).ok());
+        keys.next().map(|item| item.key)
+    }
+}
+
 /// Decodes a response with records: two offsets, then each record after its length prefix.
 fn read_records(from: LogPosition, mut body: Bytes) -> Result<Records, StoreError> {
     if body.len() < OFFSETS_BYTES {
@@ -568,9 +599,9 @@
 
 impl KeyedRecord {
     /// Decodes an item of a page that the store returned in an era.
-    fn from_page_item(era: u64, raw: serde_json::Value) -> Result<Self, StoreError> {
+    fn from_page_item(era: u64, raw: &RawValue) -> Result<Self, StoreError> {
         let raw: RawItem =
-            serde_json::from_value(raw).map_err(|_not_an_item| StoreError::Malformed {
+            serde_json::from_str(raw.get()).map_err(|_not_an_item| StoreError::Malformed {
                 problem: "an item has no key or no value",
             })?;
         let value = BASE64
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -86,3 +86,62 @@
     assert!(store.trim(Topic::Streams, later).await.is_err());
     assert_eq!(stand_in.first("streams"), 2);
 }
+
+/// A page with two sound items, one before and one after an odd item.
+fn page_with(odd: &[u8], truncated: bool) -> Bytes {
+    let mut page = BytesMut::new();
+    page.put_slice(br#"{"items":[{"key":"a","value":"YQ==","offset":1},"#);
+    page.put_slice(odd);
+    page.put_slice(br#",{"key":"z","value":"eg==","offset":3}],"truncated":"#);
+    page.put_slice(if truncated { b"true" } else { b"false" });
+    page.put_slice(br#","end":4}"#);
+    page.freeze()
+}
+
+async fn read_page(page: Bytes) -> Result<LatestRecords, StoreError> {
+    let stand_in = teaselline_stand_ins::operators::Store::default();
+    let door = stand_in.open().expect("a port is free");
+    stand_in.answer_newest_with(page);
+    Store::new(door.address())
+        .read_latest(Topic::Upstreams)
+        .await
+}
+
+/// Guards against a node that reads no record at all because one item of a page is odd.
+#[tokio::test]
+async fn odd_item_of_a_page_spoils_no_other() {
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd_items: [&[u8]; 9] = [
+        b"null",
+        b"7",
+        b"1e999",
+        nested.as_bytes(),
+        br#"{"key":"m","value":7,"offset":2}"#,
+        br#"{"key":"m","value":"no base64","offset":2}"#,
+        br#"{"key":"m","value":"bQ==","offset":1e999}"#,
+        br#"{"key":"m","value":"bQ==","offset":-1}"#,
+        b"{\"key\":7,\"value\":\"\xff\xfe\",\"offset\":2}",
+    ];
+    for odd in odd_items {
+        let case = String::from_utf8_lossy(&odd[..odd.len().min(60)]).into_owned();
+        let read = read_page(page_with(odd, false)).await;
+        let items = read.expect(&case).items;
+        let keys: Vec<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        assert_eq!(keys, ["a", "z"], "{case}");
+    }
+}
+
+/// Guards against a node that takes a part of the records for all of them, and upstreams for gone.
+#[tokio::test]
+async fn truncated_page_without_a_key_to_continue_after_is_an_error() {
+    let without_keys = br#"{"items":[7],"truncated":true,"end":4}"#;
+    assert!(
+        read_page(Bytes::from_static(without_keys)).await.is_err(),
+        "a page without keys"
+    );
+    // The store answers with the same page again, which would never end.
+    assert!(
+        read_page(page_with(b"7", true)).await.is_err(),
+        "a page that repeats"
+    );
+}
