bug: Each read of all keys logged all odd records again

What operators saw: records that cannot be decoded stay in the store, and each read of all keys logged them again, on each node that reads; beyond 120 lines a second a process leaves out lines of any other kind, so that some thousand odd entries hide what else happens. Seen: 120 lines of one node for 40 odd entries after three reads.

Cause: a line for each read instead of each change. Change: the store's client remembers for at most 8,192 keys which reason was logged; a record is logged again once it was sound, gone or odd in another way. All are counted in teaselline_records_malformed_total as before.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -111,7 +111,7 @@
 async fn read_all(node: &Gateway) -> Result<(), StoreError> {
     let asked_at = clock::now();
     let newest = node.store.read_latest(Topic::Upstreams).await?;
-    let read = newest.items.iter().map(decode_change);
+    let read = newest.items.iter().map(|item| decode_change(node, item));
     let announced: Vec<Announcement> = (read)
         .filter_map(|change| match change {
             Change::Present(announced) => Some(announced),
@@ -153,7 +153,7 @@
             node.recent_changes.lock().record(full, now);
         }
         let changes = step.to.following().zip(bodies);
-        let changes = changes.filter_map(|(place, body)| decode_record(place, body.clone()));
+        let changes = changes.filter_map(|(place, body)| decode_record(node, place, body.clone()));
         let changes: Vec<Change> = changes.collect();
         let sent = is_ahead.then(|| changes.clone());
         let effective = apply_changes(node, changes, Origin::Store, was_away, now);
@@ -163,18 +163,18 @@
     node.recent_changes.lock().record(step, now);
 }
 
-fn decode_record(place: LogPosition, body: bytes::Bytes) -> Option<Change> {
+fn decode_record(node: &Gateway, place: LogPosition, body: bytes::Bytes) -> Option<Change> {
     match KeyedRecord::read(place, body) {
-        Ok(item) => Some(decode_change(&item)),
+        Ok(item) => Some(decode_change(node, &item)),
         Err(error) => {
-            Topic::Upstreams.report_malformed("", &error);
+            node.store.report_malformed(Topic::Upstreams, "", &error);
             None
         }
     }
 }
 
 /// Decodes the announcement in one record.
-fn decode_change(item: &KeyedRecord) -> Change {
+fn decode_change(node: &Gateway, item: &KeyedRecord) -> Change {
     let id = item.key.clone();
     let Some(value) = &item.value else {
         return Change::Removed { id };
@@ -182,7 +182,8 @@
     match upstreams::parse(&item.key, value) {
         Ok(announced) => Change::Present(announced),
         Err(error) => {
-            Topic::Upstreams.report_malformed(&item.key, &error);
+            node.store
+                .report_malformed(Topic::Upstreams, &item.key, &error);
             Change::Unreadable { id }
         }
     }
@@ -350,11 +351,15 @@
         let change = match change {
             Change::Present(announced) if table.lacks_start_time(&announced) => {
                 let reason = "it does not say when it started, as its pool does";
-                Topic::Upstreams.report_malformed(&announced.id, &reason);
+                node.store
+                    .report_malformed(Topic::Upstreams, &announced.id, &reason);
                 Change::Unreadable { id: announced.id }
             }
             change => change,
         };
+        if !matches!(change, Change::Unreadable { .. }) {
+            node.store.record_sound(Topic::Upstreams, change.id());
+        }
         let is_known = table.is_known(&change);
         if !is_known {
             log_change(&change, origin);
--- a/src/gateway/configuration_sync.rs
+++ b/src/gateway/configuration_sync.rs
@@ -126,7 +126,9 @@
     for (place, body) in records.from.following().zip(&records.bodies) {
         match KeyedRecord::read(place, body.clone()) {
             Ok(item) => apply_item(node, &item),
-            Err(error) => Topic::Configuration.report_malformed("", &error),
+            Err(error) => node
+                .store
+                .report_malformed(Topic::Configuration, "", &error),
         }
     }
     let next = records.next();
@@ -215,7 +217,9 @@
         _ if item.key == CONFIGURATION_KEY => apply_document(node, text),
         Some(pool) => match rollouts::parse(pool, item.position, text) {
             Ok(order) => apply_order(node, order),
-            Err(error) => Topic::Configuration.report_malformed(&item.key, &error),
+            Err(error) => node
+                .store
+                .report_malformed(Topic::Configuration, &item.key, &error),
         },
         None => {}
     }
@@ -274,7 +278,8 @@
             }
         }
         Err(error) => {
-            Topic::Configuration.report_malformed(CONFIGURATION_KEY, &error);
+            node.store
+                .report_malformed(Topic::Configuration, CONFIGURATION_KEY, &error);
             log::error!(event = "configuration_rejected", error:err = error; "a configuration cannot be decoded; the previous one stays active");
         }
     }
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -187,9 +187,9 @@
                         }
                         Ok(_longer) => {
                             let reason = "more follows than a record holds";
-                            Topic::Duties.report_malformed("", &reason);
+                            node.store.report_malformed(Topic::Duties, "", &reason);
                         }
-                        Err(error) => Topic::Duties.report_malformed("", &error),
+                        Err(error) => node.store.report_malformed(Topic::Duties, "", &error),
                     }
                 }
                 from = records.next();
--- a/src/gateway/gossip/discovery.rs
+++ b/src/gateway/gossip/discovery.rs
@@ -93,9 +93,10 @@
             }
             Ok(_other) => {
                 let reason = "it is not the record of the node that its key names";
-                Topic::Nodes.report_malformed(&item.key, &reason);
+                node.store
+                    .report_malformed(Topic::Nodes, &item.key, &reason);
             }
-            Err(error) => Topic::Nodes.report_malformed(&item.key, &error),
+            Err(error) => node.store.report_malformed(Topic::Nodes, &item.key, &error),
         }
     }
     true
--- a/src/gateway/streams/archiving.rs
+++ b/src/gateway/streams/archiving.rs
@@ -205,7 +205,7 @@
         node.record_store_era(clock::now());
         match read {
             Ok(read) => {
-                for record in decoded(&read) {
+                for record in decoded(node, &read) {
                     records.add(record);
                 }
                 if read.next() >= read.end || read.bodies.is_empty() {
@@ -224,13 +224,13 @@
     }
 }
 
-fn decoded(read: &Records) -> Vec<Vec<Start>> {
+fn decoded(node: &Gateway, read: &Records) -> Vec<Vec<Start>> {
     let bodies = read.bodies.iter();
     bodies
         .filter_map(|body| match archive::decode(body) {
             Ok(starts) => Some(starts),
             Err(error) => {
-                Topic::Streams.report_malformed("", &error);
+                node.store.report_malformed(Topic::Streams, "", &error);
                 None
             }
         })
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,6 +8,7 @@
 pub(crate) mod documents;
 pub(crate) mod headers;
 pub(crate) mod http;
+mod malformed_records;
 pub(crate) mod rollouts;
 pub(crate) mod settings;
 pub(crate) mod store;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,12 +10,14 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::{HeaderName, Method, StatusCode};
+use parking_lot::Mutex;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use thiserror::Error;
 
 use super::http::{Call, CallError, Client, PlatformResponse};
+use super::malformed_records::{MalformedRecords, Reporting};
 use crate::gateway::log_position::LogPosition;
 
 /// Timeout of a call without long polling; it takes 4 ms, and about 250 ms on a slow store.
@@ -56,7 +58,7 @@
 
 impl Topic {
     /// Value of the `topic` key in logs and metrics.
-    fn label(self) -> &'static str {
+    pub(super) fn label(self) -> &'static str {
         match self {
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
@@ -66,17 +68,6 @@
         }
     }
 
-    /// Counts and logs a record that cannot be decoded; another writer may have written it.
-    pub fn report_malformed(self, key: &str, error: &impl Display) {
-        metrics::counter!("teaselline_records_malformed_total", "topic" => self.label())
-            .increment(1);
-        let mut reason = error.to_string();
-        // The reason may quote the invalid value, which can be as long as the record.
-        let end = reason.floor_char_boundary(MAX_REASON_BYTES);
-        reason.truncate(end);
-        log::warn!(event = "record_malformed", topic = self.label(), key, reason = reason.as_str(); "skipped a record that cannot be decoded");
-    }
-
     /// Name of the topic in the store.
     fn name(self) -> &'static str {
         match self {
@@ -241,6 +232,7 @@
     client: Client,
     /// Highest era seen in a response; zero before the first one.
     era: AtomicU64,
+    malformed: Mutex<MalformedRecords>,
 }
 
 impl Store {
@@ -250,9 +242,36 @@
         Self {
             client: Client::new(address),
             era: AtomicU64::new(0),
+            malformed: Mutex::default(),
+        }
+    }
+
+    /// Counts a record that cannot be decoded, and logs it unless it was logged before; another writer
+    /// may have written it.
+    pub fn report_malformed(&self, topic: Topic, key: &str, error: &impl Display) {
+        let label = topic.label();
+        metrics::counter!("teaselline_records_malformed_total", "topic" => label).increment(1);
+        let mut reason = error.to_string();
+        // The reason may quote the invalid value, which can be as long as the record.
+        let end = reason.floor_char_boundary(MAX_REASON_BYTES);
+        reason.truncate(end);
+        let reporting = self.malformed.lock().report(topic, key, &reason);
+        match reporting {
+            Reporting::Log => {
+                log::warn!(event = "record_malformed", topic = label, key, reason = reason.as_str(); "skipped a record that cannot be decoded");
+            }
+            Reporting::LeftOut { is_first: true } => {
+                log::warn!(event = "records_malformed_left_out", topic = label, key; "too many records cannot be decoded; further ones are counted and not logged");
+            }
+            Reporting::Known | Reporting::LeftOut { is_first: false } => {}
         }
     }
 
+    /// Records that the record under a key could be decoded, or that the key is gone.
+    pub fn record_sound(&self, topic: Topic, key: &str) {
+        self.malformed.lock().record_sound(topic, key);
+    }
+
     /// Number of times that the store was restored from a backup, according to the responses so far.
     ///
     /// A restore loses the latest writes, and the store assigns their offsets again.
@@ -339,7 +358,7 @@
             for item in page.items {
                 match KeyedRecord::from_page_item(era, item) {
                     Ok(item) => newest.items.push(item),
-                    Err(error) => topic.report_malformed("", &error),
+                    Err(error) => self.report_malformed(topic, "", &error),
                 }
             }
             match next {
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -18,6 +18,12 @@
 /// Entries beyond which a test would only repeat itself; a page of the store holds 500.
 const MANY: usize = 5_000;
 
+/// Entries whose lines are fewer than what a node may log at once.
+const FEW: usize = 40;
+
+/// An entry that names no upstream.
+const ODD: &str = "{\"service\":[[[[";
+
 /// Odd announcements: another text, or a sound one with a part replaced.
 fn odd_announcements() -> Vec<String> {
     let deep = format!("{}{}", "[".repeat(30_000), "]".repeat(30_000));
@@ -196,31 +202,56 @@
     assert_all_run(&deployment);
 }
 
-/// Guards against logs that grow with each read of an odd entry, and pages that end a list early.
+/// Guards against a list that ends early, or a node that falls behind, over thousands of odd announcements.
 #[tokio::test(flavor = "multi_thread")]
-async fn thousands_of_odd_announcements_are_logged_once_and_the_others_followed() {
+async fn sound_announcements_beside_thousands_of_odd_ones_are_followed() {
     let mut deployment = deployment(3, 1).await;
     for place in 0..MANY {
         let key = format!("a-{place}");
-        deployment.store.put(SERVERS, &key, "{\"service\":[[[[");
+        deployment.store.put(SERVERS, &key, ODD);
     }
     eventually_followed(&mut deployment, "desk-before").await;
-    for _round in 0..3 {
-        deployment.store.put(SERVERS, "a-0", "{\"service\":[[[[[");
-        deployment.store.forget_history(SERVERS);
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-    }
+    have_all_read_again(&deployment).await;
     eventually_followed(&mut deployment, "desk-with-many").await;
     assert_all_run(&deployment);
+}
+
+/// Guards against logs that grow with each read of an odd entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_announcements_are_logged_once_however_often_they_are_read() {
+    let deployment = deployment(3, 1).await;
+    for place in 0..FEW {
+        let key = format!("a-{place}");
+        deployment.store.put(SERVERS, &key, ODD);
+    }
+    for _round in 0..3 {
+        have_all_read_again(&deployment).await;
+    }
+    deployment.store.put(SERVERS, "a-0", "{}");
+    eventually(
+        "an entry that is odd in another way is logged",
+        async || {
+            let lines: usize = deployment.nodes.iter().map(malformed_lines).sum();
+            lines > FEW
+        },
+    )
+    .await;
     for node in &deployment.nodes {
         let lines = malformed_lines(node);
         assert!(
-            lines <= MANY + 1,
-            "{lines} lines of one node for {MANY} odd entries"
+            lines <= FEW + 1,
+            "{lines} lines of one node for {FEW} odd entries"
         );
     }
 }
 
+/// Has the store forget records that no node has read, so that the readers read all keys again.
+async fn have_all_read_again(deployment: &Deployment) {
+    deployment.store.put(SERVERS, "a-0", ODD);
+    deployment.store.forget_history(SERVERS);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+}
+
 /// Guards against nodes that end over another writer's records in the other topics that they read.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_records_of_other_topics_are_passed_over() {
