bug: Excessive numbers of headers overflowed sums and products

Cause: numbers from outside in plain arithmetic. Class: a number trusted before it is checked. Change: a request that states more than 2^32 tokens is rejected as one whose number cannot be read (400), a longer idle time counts as the longest.

Evidence: platform::headers::tests::excessive_numbers_are_rejected_or_limited, red before, green after.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -70,6 +70,10 @@
     HeaderName::from_static("proxy-authorization"),
 ];
 
+/// Most tokens that a prompt, an answer or a part may state. Sums over the parts of a prompt and over all
+/// requests at an upstream stay representable.
+const MAX_TOKENS: u64 = 1 << 32;
+
 /// Decodes the headers of a caller's request.
 ///
 /// # Errors
@@ -104,15 +108,15 @@
         return Ok(None);
     };
     let (input, output) = tokens.split_once(',').ok_or(Malformed::Tokens)?;
-    let input_tokens = rounded_number(input).ok_or(Malformed::Tokens)?;
-    let max_output_tokens = rounded_number(output).ok_or(Malformed::Tokens)?;
+    let input_tokens = token_count(input).ok_or(Malformed::Tokens)?;
+    let max_output_tokens = token_count(output).ok_or(Malformed::Tokens)?;
     let parts = text(headers, &PROMPT_PARTS).unwrap_or_default();
     let parts = parts.split(',').filter(|part| !part.is_empty());
     Ok(Some(Prompt {
         model: text(headers, &MODEL).unwrap_or_default().to_owned(),
         input_tokens,
         max_output_tokens,
-        expected_output_tokens: number(headers, &LENGTH_HINT)?,
+        expected_output_tokens: number(headers, &LENGTH_HINT)?.map(|tokens| tokens.min(MAX_TOKENS)),
         parts: parts.map(read_part).collect::<Result<_, _>>()?,
     }))
 }
@@ -121,7 +125,7 @@
     let (id, tokens) = part.trim().split_once(':').ok_or(Malformed::Parts)?;
     Ok(PromptPart {
         id: u64::from_str_radix(id, 16).map_err(|_not_hexadecimal| Malformed::Parts)?,
-        tokens: rounded_number(tokens).ok_or(Malformed::Parts)?,
+        tokens: token_count(tokens).ok_or(Malformed::Parts)?,
     })
 }
 
@@ -141,6 +145,11 @@
     })
 }
 
+/// Parses a number of tokens that is not excessive.
+fn token_count(text: &str) -> Option<u64> {
+    rounded_number(text).filter(|tokens| *tokens <= MAX_TOKENS)
+}
+
 fn number(headers: &HeaderMap, name: &HeaderName) -> Result<Option<u64>, Malformed> {
     match text(headers, name) {
         None => Ok(None),
@@ -309,7 +318,7 @@
         is_closing: connection_options(headers)
             .iter()
             .any(|option| option == "close"),
-        idle_timeout_ms: timeout_s.map(|seconds| seconds * 1_000),
+        idle_timeout_ms: timeout_s.map(|seconds| seconds.saturating_mul(1_000)),
         is_encoded: headers.contains_key(CONTENT_ENCODING),
         limit: read_limit(headers),
         brittleness: read_brittleness(headers),
--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -288,3 +288,24 @@
         assert_eq!(response(pairs), Some(StatedLimit::PerS(2.0)));
     }
 }
+
+/// Guards against sums and products of stated numbers that end a request in a debug build, and wrap in a release build.
+#[test]
+fn excessive_numbers_are_rejected_or_limited() {
+    let with = |name: &'static str, value: &str| {
+        let mut given = headers(&request_headers());
+        let value = HeaderValue::from_str(value).expect("a value");
+        given.insert(HeaderName::from_static(name), value);
+        read_request_head(&given).map(|_head| ())
+    };
+    for number in ["18446744073709551615", "1e300", "inf"] {
+        let parts = format!("5c1e07a2:{number},91bd3f06:{number},e4402b7d:250");
+        assert_eq!(with("prompt-prefix", &parts), Err(Malformed::Parts));
+        let tokens = format!("{number},80");
+        assert_eq!(with("token-count", &tokens), Err(Malformed::Tokens));
+        let tokens = format!("80,{number}");
+        assert_eq!(with("token-count", &tokens), Err(Malformed::Tokens));
+        let kept = headers(&[("keep-alive", &format!("timeout={number}"))]);
+        assert_eq!(read_response_head(&kept).idle_timeout_ms, Some(u64::MAX));
+    }
+}
