bug: Excessive numbers of a configuration ended the loop that accepts callers

What callers saw: with an idleTimeoutMs near 2^64 a node accepts no caller any more (debug build: 'attempt to multiply with overflow' in caller_listener ends its task; a release build takes a wrapped time); with scaling.max near 2^32 the duties end in sizing. The operators' store accepts only valid configurations; whether it takes such numbers is not known.

Change: durations, counts, tokens and weights are limited where the document is decoded, to values beyond which they have no effect, so that no sum over them overflows.

Evidence: odd_entries::calls_succeed_under_a_configuration_with_excessive_numbers, real processes, debug build: red before (panics in sizing.rs and caller_listener.rs), green after; 7 of 7 tests of odd_entries green.

--- a/src/platform/documents.rs
+++ b/src/platform/documents.rs
@@ -17,6 +17,16 @@
 /// Bytes per millisecond on a link of one megabit per second.
 const BYTES_PER_MS_PER_MBPS: f64 = 125.0;
 
+/// Longest duration that has an effect, one day. Points in time and sums of durations stay representable.
+const MAX_DURATION_MS: u64 = 86_400_000;
+
+/// Largest number of upstreams, slots or tokens that has an effect. Sums over all domains, upstreams or
+/// targets stay representable.
+const MAX_UPSTREAMS: u32 = 100_000;
+const MAX_SLOTS: u32 = 1_000_000;
+const MAX_TOKENS: u64 = 1 << 50;
+const MAX_WEIGHT: u64 = 1 << 50;
+
 /// Reason why a configuration document is rejected.
 #[derive(Debug, Error)]
 pub(crate) enum DocumentError {
@@ -192,7 +202,7 @@
         let single = raw.service.map(|service| (service, 1));
         let split = raw.traffic_split.into_iter();
         let mut targets: Vec<(String, u64)> = split
-            .map(|share| (share.service, num::round_to_u64(share.weight * 1_000.0)))
+            .map(|share| (share.service, share_weight(share.weight)))
             .filter(|(_service, weight)| *weight > 0)
             .collect();
         if targets.is_empty() {
@@ -201,7 +211,7 @@
         if targets.is_empty() {
             return Err(DocumentError::NoTarget { route: raw.name });
         }
-        let timeout_ms = num::round_to_u64(raw.timeout_ms);
+        let timeout_ms = duration_ms(raw.timeout_ms);
         Ok(Self {
             name: raw.name,
             host: raw.host.to_ascii_lowercase(),
@@ -214,8 +224,8 @@
             is_stream: raw.kind == "streaming",
             is_resumable: raw.kind == "streaming" && raw.resumable,
             timeout_ms,
-            target_ms: raw.target_latency_ms.map_or(timeout_ms, num::round_to_u64),
-            gap_target_ms: raw.gap_aim_ms.map(num::round_to_u64),
+            target_ms: raw.target_latency_ms.map_or(timeout_ms, duration_ms),
+            gap_target_ms: raw.gap_aim_ms.map(duration_ms),
             priority: priority(raw.priority),
             max_upstreams: raw.max_attempts.unwrap_or(1).max(1),
             is_public: raw.public,
@@ -230,15 +240,15 @@
             name: raw.name,
             max_connections: raw.max_connections.unwrap_or(usize::MAX),
             engine: raw.engine.map(|engine| Engine {
-                slots: engine.slots.max(1),
-                cache_tokens: num::round_to_u64(engine.kv_capacity),
+                slots: engine.slots.clamp(1, MAX_SLOTS),
+                cache_tokens: num::round_to_u64(engine.kv_capacity).min(MAX_TOKENS),
                 copy_tokens_per_ms: (engine.kv_token_bytes > 0.0 && engine.link_mbps > 0.0)
                     .then(|| engine.link_mbps * BYTES_PER_MS_PER_MBPS / engine.kv_token_bytes),
             }),
             scaling: raw.scaling.map(|scaling| Scaling {
-                min_upstreams: scaling.min,
-                max_upstreams: scaling.max,
-                startup_ms: num::round_to_u64(scaling.boot_s * 1_000.0),
+                min_upstreams: scaling.min.min(MAX_UPSTREAMS),
+                max_upstreams: scaling.max.min(MAX_UPSTREAMS),
+                startup_ms: duration_ms(scaling.boot_s * 1_000.0),
                 reclaimable_price: scaling.spot_price,
                 domain_prices: scaling.zone_prices.into_iter().collect(),
             }),
@@ -250,7 +260,8 @@
     fn from(raw: RawTenant) -> Self {
         let default_tokens = raw
             .plain_tokens
-            .map_or(DEFAULT_PLAIN_TOKENS, num::round_to_u64);
+            .map_or(DEFAULT_PLAIN_TOKENS, num::round_to_u64)
+            .min(MAX_TOKENS);
         Self {
             tag: tag(&raw.name),
             name: raw.name,
@@ -271,12 +282,24 @@
         Self {
             max_header_bytes: raw.max_header_bytes.unwrap_or(defaults.max_header_bytes),
             max_body_bytes: raw.max_body_bytes.unwrap_or(defaults.max_body_bytes),
-            header_timeout_ms: raw.header_timeout_ms.unwrap_or(defaults.header_timeout_ms),
-            idle_timeout_ms: raw.idle_timeout_ms.unwrap_or(defaults.idle_timeout_ms),
+            header_timeout_ms: (raw.header_timeout_ms)
+                .map_or(defaults.header_timeout_ms, |ms| ms.min(MAX_DURATION_MS)),
+            idle_timeout_ms: (raw.idle_timeout_ms)
+                .map_or(defaults.idle_timeout_ms, |ms| ms.min(MAX_DURATION_MS)),
         }
     }
 }
 
+/// Rounds a duration, and limits it to the longest one that has an effect.
+fn duration_ms(value_ms: f64) -> u64 {
+    num::round_to_u64(value_ms).min(MAX_DURATION_MS)
+}
+
+/// Returns the weight of a share in thousandths, limited likewise.
+fn share_weight(weight: f64) -> u64 {
+    num::round_to_u64(weight * 1_000.0).min(MAX_WEIGHT)
+}
+
 fn priority(value: f64) -> u8 {
     u8::try_from(num::round_to_u64(value)).unwrap_or(u8::MAX)
 }
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use nix::sys::signal::Signal;
-use teaselline_stand_ins::operators::deployment::asked;
+use serde_json::json;
+use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::{Deployment, Node};
 
 use super::support::{deployment, eventually, send};
@@ -252,6 +253,53 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
 }
 
+/// Guards against nodes that end, or refuse all, over a number of a configuration that no sum or point in time holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_succeed_under_a_configuration_with_excessive_numbers() {
+    let deployment = deployment(2, 2).await;
+    let mut excessive = document(2);
+    for route in 0..4 {
+        let route = &mut excessive["routes"][route];
+        for field in ["timeoutMs", "targetLatencyMs", "gapAimMs", "priority"] {
+            route[field] = json!(1e308);
+        }
+        route["maxAttempts"] = json!(u32::MAX);
+        let target = json!({ "service": route["service"], "weight": 1e308 });
+        route["trafficSplit"] = json!([target, target]);
+    }
+    for service in 0..2 {
+        let service = &mut excessive["services"][service];
+        service["maxConnections"] = json!(u64::MAX);
+        service["scaling"] = json!({
+            "min": u32::MAX, "max": u32::MAX, "bootS": 1e308, "spotPrice": 1e308,
+            "zonePrices": { "zone-0": 1e308, "zone-1": 1e308 },
+        });
+        service["engine"] = json!({
+            "slots": u32::MAX, "kvCapacity": 1e308, "kvTokenBytes": 1e308, "linkMbps": 1e308,
+        });
+    }
+    excessive["tenants"][0]["ratePerS"] = json!(1e308);
+    excessive["tenants"][0]["burst"] = json!(1e308);
+    for field in ["headerTimeoutMs", "idleTimeoutMs"] {
+        excessive["limits"][field] = json!(u64::MAX);
+    }
+    deployment.configure(&excessive);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for node in 0..2 {
+        for route in ["once", "again", "stream", "stream-on"] {
+            let call = asked(&format!("{route}-{node}"), route);
+            let ended = send(&deployment, node, &call).await;
+            assert_all_run(&deployment);
+            assert_eq!(ended.status(), Some(200), "{route}: {ended:?}");
+        }
+    }
+    let log = deployment.nodes[0].log();
+    let is_active = log
+        .iter()
+        .any(|line| line.contains("configuration_changed") && line.contains("\"version\":2"));
+    assert!(is_active, "the configuration was not activated");
+}
+
 /// Guards against nodes that end over another writer's records in the other topics that they read.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_records_of_other_topics_are_passed_over() {
