bug: Callers that leave no longer end the other answers of the same peer

Callers would see streams cut in the middle of their 200 whose peer and path are sound. Once 1,024 replies or items of a connection between two nodes had come for streams that were cancelled more than a second before (or with fifty others at once), h2 closed the connection with ENHANCE_YOUR_CALM, and all streams on it ended. The count is kept over all of a connection's time and never falls; one between two nodes lives for as long as requests pass at least each minute. Callers leave, and deadlines pass while a path is slow, so that replies come late. Change: the limit, which protects from hostile servers, is off for connections that a node opens; their peers prove that they hold the fleet's key. Only fifty cancelled streams are remembered at a time, as before, so that no memory grows. It holds for the role serve too. Evidence: late_replies_to_cancelled_calls_do_not_end_the_open_streams, 1,200 calls whose replies wait in the network. Red before: GoAway(b"too_many_internal_resets", ENHANCE_YOUR_CALM, Library); green now. Accepted connections keep the limit: there it counts requests that arrive after their stream was refused, not shown to be reached.

--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -310,6 +310,9 @@
             .initial_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .data_frame_budget(MAX_SMALL_FRAME_OVERHEAD_BYTES)
+            // Counts what arrives for cancelled streams, over all of a connection's time, and then closes it with all
+            // streams on it. Replies that come after their caller left are no error of the peer.
+            .max_local_error_reset_streams(None)
             .initial_max_send_streams(self.settings.max_streams as usize)
             .enable_push(false);
         let (send_request, mut connection) = builder
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use bincode::{Decode, Encode};
+use futures::future::join_all;
+use teaselline_stand_ins::proxy::{Direction, ProxySettings, TcpProxy};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -119,6 +121,14 @@
 
 async fn start_node_with(advertised: Option<SocketAddr>, settings: Settings) -> Node {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    start_node_on(listener, advertised, settings)
+}
+
+fn start_node_on(
+    listener: TcpListener,
+    advertised: Option<SocketAddr>,
+    settings: Settings,
+) -> Node {
     let address = listener.local_addr().unwrap();
     let handler = Arc::new(TestHandler::default());
     let shutdown = CancellationToken::new();
@@ -370,6 +380,50 @@
     assert_eq!(node.handler.counting.load(SeqCst), 1);
 }
 
+/// More calls than may end early by default over all of a connection's time.
+const CANCELLED_CALLS: usize = 1_200;
+
+#[tokio::test]
+async fn late_replies_to_cancelled_calls_do_not_end_the_open_streams() {
+    // Guards against answers that are cut because many other callers of the same peer have left: each reply that comes
+    // later counts as an error of the connection.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let proxy = TcpProxy::start(ProxySettings::new(listener.local_addr().unwrap()));
+    let proxy = proxy.await.unwrap();
+    let settings = Settings {
+        verify_after_idle_ms: TIMEOUT_MS,
+        ..Settings::default().with_silence_timeout_ms(TIMEOUT_MS)
+    };
+    let node = start_node_on(listener, Some(proxy.address()), settings);
+    let connections = pool(key()).with_settings(settings);
+    let opened = connections.open(proxy.address(), TestRequest::Quiet, TIMEOUT_MS);
+    let (_, mut items) = opened.await.unwrap();
+    let set_silent = |silent| {
+        proxy.change(|knobs| {
+            knobs.to_caller = Direction {
+                silent,
+                ..Direction::default()
+            };
+        });
+    };
+    set_silent(true);
+    let late = || TestRequest::Echo("late".to_owned());
+    let calls = (0..CANCELLED_CALLS).map(|_| connections.call(proxy.address(), late(), 3_000));
+    for called in join_all(calls).await {
+        assert!(called.unwrap_err().is_timed_out());
+    }
+    eventually(|| node.handler.handled.load(SeqCst) == CANCELLED_CALLS + 1).await;
+    // `h2` remembers a cancelled stream for a second.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    set_silent(false);
+    // Its reply comes behind the late ones on the same connection.
+    let after = echo(&connections, proxy.address(), "after").await;
+    assert_eq!(after.unwrap(), "after");
+    let next = tokio::time::timeout(Duration::from_millis(200), items.next()).await;
+    assert!(next.is_err(), "the stream ended: {next:?}");
+    assert_eq!(node.handler.counting.load(SeqCst), 1);
+}
+
 #[tokio::test]
 async fn connection_to_a_restarted_peer_is_reopened() {
     let first = start_node().await;
