bug: The last output of an upstream that has restarted is still read

Callers of requests that may run once got 502, or their stream was cut, although the upstream had sent the whole answer: a node that hears of the upstream's restart (from peers or the store) ended the wait at once, whatever waited in the socket. A node that gets no processor time reads datagrams and sockets in any order, and a link that is full delivers the answer behind the news. Class: news is acted on before what has already come is read. The check is for upstreams that crash behind a partition and reset no connection; it has no need to be instant for requests that may not be repeated. Change: output of a restarted upstream is awaited for 500 ms more, for each part, where the request may not be repeated. Those that may be repeated are sent elsewhere at once, as before. Evidence: answer_on_its_way_arrives_although_its_upstream_has_restarted (a call and a stream), red before: 502 no_answer; green now. request_whose_upstream_restarted_behind_a_partition_ends_soon passed before and passes.

--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -27,6 +27,7 @@
 mod cuts;
 mod heads;
 mod paths;
+mod restarts;
 mod shortage;
 
 /// Interval at which a node counts as heard; longer than a test.
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -1,6 +1,7 @@
 //! A request at an upstream: counted as load there until it ends, and its outcome recorded.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +21,11 @@
 use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
 
+/// Time for which the output of an upstream that has restarted is still awaited, where the request may not be repeated.
+///
+/// A node that gets no processor time hears of the restart before it reads what the upstream had sent.
+const LAST_OUTPUT_MS: u64 = 500;
+
 /// A request that has been sent to an upstream, counted as load there until it is dropped.
 #[derive(Debug)]
 pub(super) struct UpstreamRequest {
@@ -33,6 +39,8 @@
     domain: u64,
     /// Cancelled when that upstream is known to have restarted.
     restarted: CancellationToken,
+    /// For how long its output is still awaited then.
+    last_output_ms: u64,
     /// The upstream's rate limit in requests per second over all nodes, if it announces one.
     pub limit_per_s: Option<f64>,
     pub sent_at: TimeMs,
@@ -70,6 +78,10 @@
             address: tag(&upstream.announcement.address.to_string()),
             domain: tag(&upstream.announcement.failure_domain),
             restarted: upstream.restarted.clone(),
+            last_output_ms: match plan.route().is_repeatable() {
+                true => 0,
+                false => LAST_OUTPUT_MS,
+            },
             limit_per_s: upstream.send_gate.throttle.limit_per_s(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
@@ -109,17 +121,21 @@
         }
     }
 
-    /// Awaits output of the upstream; returns `None` if the upstream restarts meanwhile, since the
-    /// request is lost then.
+    /// Awaits output of the upstream; returns `None` if the upstream restarts meanwhile and sends
+    /// nothing more, since the request is lost then.
     ///
     /// An upstream that crashes behind a network partition resets no connection. Without this check
     /// its requests wait for their timeout, and those that may execute only once for their whole
     /// deadline.
     pub async fn unless_restarted<T>(&self, awaited: impl Future<Output = T>) -> Option<T> {
+        let lost = async {
+            self.restarted.cancelled().await;
+            tokio::time::sleep(Duration::from_millis(self.last_output_ms)).await;
+        };
         tokio::select! {
             biased;
             outcome = awaited => Some(outcome),
-            () = self.restarted.cancelled() => None,
+            () = lost => None,
         }
     }
 
