--- a/src/gateway/exchange/tests/paths.rs
+++ b/src/gateway/exchange/tests/paths.rs
@@ -6,6 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use super::*;
+use crate::time::TimeMs;
 
 /// Time for which nothing passes between two nodes. Links that are filled by other traffic delay
 /// everything by seconds.
@@ -131,6 +132,38 @@
     assert!(received.contains("id: 10\n"), "{received}");
 }
 
+/// Guards against a stream of a peer that is cut while a configuration spreads: nothing passes between the nodes, neither has the
+/// configuration confirmed, idle limits change, and the upstream leaves once it has ended its run.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_of_a_peer_outlasts_a_late_configuration_and_its_upstream() {
+    let upstreams = Upstreams::start().await;
+    let pair = Pair::start(&upstreams).await;
+    let call = patient("spread", "stream");
+    let (mut socket, mut received) = begin_stream(pair.cut.callers, &call).await;
+    pair.set_silent(true);
+    for node in [&pair.cut.node, &pair.whole.node] {
+        configure_with(node, |document| {
+            document["limits"]["idleTimeoutMs"] = json!(500);
+            document["limits"]["headerTimeoutMs"] = json!(500);
+        });
+        node.in_force.write().confirmed_at = TimeMs(1);
+        assert!(!node.is_ready(clock::now()));
+    }
+    tokio::time::sleep(SILENCE / 2).await;
+    for stand_in in &upstreams.stand_ins {
+        let id = stand_in.id().to_owned();
+        let mut table = pair.whole.node.upstreams.lock();
+        table.apply(Change::Removed { id }, false, clock::now());
+    }
+    tokio::time::sleep(SILENCE / 2).await;
+    pair.set_silent(false);
+    while !received.contains("\r\n0\r\n") {
+        let length = read_some(&mut socket, &mut received).await;
+        assert!(length > 0, "the stream was cut: {received}");
+    }
+    assert!(received.contains("id: 10\n"), "{received}");
+}
+
 /// Guards against a stream of a silent peer that is kept open for longer than its caller waits.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_of_a_peer_that_falls_silent_ends_at_its_deadline() {
