bug: A node that stood still reads its answers before it takes them for missing

Streams that may be resumed ran twice, at a second upstream, although their first one had sent everything: a node that was stopped for 1.9 s ran its timers (head of a response, pause between events) before it read its sockets, took each stream for silent and sent it elsewhere, all at once, out of the budget of repeats. Where no attempt or no budget is left, the same breaks the stream off. Cause: the wait for a response polls its connection's task through a channel; that task has not read the socket yet when the timer fires. keepalive.rs and lease.rs allow for pauses of their own node; the request path did not. Class: a timer is acted on before what came meanwhile is read. Change: patience::within leaves 50 to 250 ms for reading, as long as the timer fired late, before an output counts as missing; used for the head of a response and between events. A node that runs without pauses waits as long as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 pub(crate) mod log_position;
 mod messages;
 pub(crate) mod num;
+mod patience;
 mod peer_queries;
 mod peers;
 mod pool_map;
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::limits::repeat_budget;
 use crate::gateway::num;
+use crate::gateway::patience;
 use crate::gateway::reach;
 use crate::gateway::reach_probe;
 use crate::gateway::refusal::Refusal;
@@ -363,7 +364,7 @@
             return Err(SendError::NotRun(closed.reason(), String::new()));
         }
         let answer = channel.sender.try_send_request(request);
-        let answer = tokio::time::timeout(timeout, answer);
+        let answer = patience::within(timeout, answer);
         let Some(answered) = pending.unless_restarted(answer).await else {
             attempts.record_send();
             pending.record_crash(&plan.subjects, clock::now());
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -22,6 +22,7 @@
 use crate::gateway::events::{Events, Splitter, StreamError};
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
+use crate::gateway::patience;
 use crate::gateway::state::{Gateway, InFlight};
 use crate::gateway::streams::{self, StreamKey, VersionTag};
 use crate::platform::headers;
@@ -139,7 +140,7 @@
         loop {
             let left_ms = clock::now().until(deadline);
             let wait_ms = timeout_ms.min(left_ms);
-            let frame = tokio::time::timeout(Duration::from_millis(wait_ms), self.body.frame());
+            let frame = patience::within(Duration::from_millis(wait_ms), self.body.frame());
             let Some(frame) = self.context.upstream_request.unless_restarted(frame).await else {
                 return NextEvents::Broken("upstream_restarted");
             };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod duties;
 mod endless;
 mod explained;
+mod frozen;
 mod input;
 mod late_copies;
 mod leaving;
