bug: An unknown stream goes on only by a table that is newer than the take-up

Cause: a take-up of a stream that nobody knows goes on if one version has served alone, and a table up to 1.5 s old counted as proof of that. A stream begins at a new version within half a second of its announcement. The same class: a peer's word by a table of that age, a past counted from the start of the process rather than from the first table, and answers of peers to an earlier question.

Now the table must reach the end of a read of the announcements that began after the take-up arrived: by the first node of the failure domain on request, by one more peer, else by this node. Concurrent requests share a read. An announcement is in the store before a stream begins at its upstream, so such a table holds the version that began it; no age or time of day decides.

Evidence: tests/platform/out_of_step.rs, real processes. Price of the reads: not measured.

--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -38,11 +38,8 @@
             }
             view_refresh::Step::AskPeer => handover::request_missing(&node, &mut queries, now),
             view_refresh::Step::ReadStore => {
-                let read = read(&node).await;
-                node.record_store_call(&read, clock::now());
-                if let Err(error) = read {
-                    log::debug!(error:err = error; "reading the announcements of upstreams failed; retrying");
-                }
+                let mut latest = node.latest_read.lock().await;
+                *latest = read(&node, NothingNew::IsSent).await.or(*latest);
             }
         }
         tokio::time::sleep(Duration::from_millis(LOOK_INTERVAL_MS)).await;
@@ -74,8 +71,71 @@
     }
 }
 
-async fn read(node: &Gateway) -> Result<(), StoreError> {
+/// A read of the announcements from the store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LatestRead {
+    /// When it began.
+    began_at: TimeMs,
+    /// The end of the announcements at that time or later.
+    end: LogPosition,
+}
+
+/// Whether peers are told of a read that brought nothing new, which shows them that their tables are current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NothingNew {
+    IsSent,
+    IsNotSent,
+}
+
+/// Reads all announcements that the store holds now; returns their end, or `None` if the store does not answer.
+///
+/// The clock of a node that stood still, and a peer's word on the time of its read, do not show that a table is newer
+/// than an event; a read that began after the event does. Calls at the same time share one read.
+pub(crate) async fn read_to_end(node: &Gateway) -> Option<LogPosition> {
+    let called_at = clock::now();
+    let mut latest = node.latest_read.lock().await;
+    let end = match *latest {
+        Some(read) if read.began_at > called_at => read.end,
+        _ => {
+            let read = read(node, NothingNew::IsNotSent).await?;
+            *latest = Some(read);
+            read.end
+        }
+    };
+    loop {
+        let before = node.upstreams_view.lock().end;
+        if before >= end {
+            return Some(end);
+        }
+        read(node, NothingNew::IsNotSent).await?;
+        if node.upstreams_view.lock().end == before {
+            return None;
+        }
+    }
+}
+
+async fn read(node: &Gateway, nothing_new: NothingNew) -> Option<LatestRead> {
+    let began_at = clock::now();
     let from = node.upstreams_view.lock().end;
+    let read = read_from(node, from).await;
+    node.record_store_call(&read, clock::now());
+    match read {
+        Ok(end) => {
+            let has_news = node.upstreams_view.lock().end > from;
+            if !from.is_start() && (has_news || nothing_new == NothingNew::IsSent) {
+                broadcast_changes(node, from, clock::now());
+            }
+            Some(LatestRead { began_at, end })
+        }
+        Err(error) => {
+            log::debug!(error:err = error; "reading the announcements of upstreams failed");
+            None
+        }
+    }
+}
+
+/// Reads the announcements from a position on; returns the end of all that the store holds.
+async fn read_from(node: &Gateway, from: LogPosition) -> Result<LogPosition, StoreError> {
     let asked_at = clock::now();
     if from.is_start() {
         return read_all(node).await;
@@ -90,8 +150,7 @@
                 TimeMs(0)
             };
             record_read(node, to, records.end, read_at);
-            broadcast_changes(node, from, clock::now());
-            Ok(())
+            Ok(records.end)
         }
         Err(StoreError::Deleted { first }) => {
             log::info!(event = "history_lost", topic = "upstreams", from:% = from, first; "records were deleted from the store before this node read them; reading the whole table");
@@ -108,7 +167,7 @@
     view.is_ahead &= to < end;
 }
 
-async fn read_all(node: &Gateway) -> Result<(), StoreError> {
+async fn read_all(node: &Gateway) -> Result<LogPosition, StoreError> {
     let asked_at = clock::now();
     let newest = node.store.read_latest(Topic::Upstreams).await?;
     let read = newest.items.iter().map(decode_change);
@@ -118,19 +177,20 @@
             Change::Removed { .. } | Change::Unreadable { .. } => None,
         })
         .collect();
+    let end = newest.end;
     let snapshot = Snapshot {
         announced,
-        end: newest.end,
+        end,
         read_at: asked_at,
     };
     install_snapshot(node, snapshot, clock::now());
-    Ok(())
+    Ok(end)
 }
 
 pub(super) fn install_snapshot(node: &Gateway, snapshot: Snapshot, now: TimeMs) {
     let was_away = node.store_was_away(now);
     (node.upstreams.lock()).replace(snapshot.announced, was_away, now);
-    (node.upstreams_view.lock()).note_snapshot(snapshot.end, snapshot.read_at);
+    (node.upstreams_view.lock()).note_snapshot(snapshot.end, snapshot.read_at, now);
 }
 
 /// Applies records and keeps the changes, grouped into steps of one message to peers each.
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -1,6 +1,7 @@
 //! Applies the datagrams of peers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::speeds;
 use crate::gateway::announcements;
@@ -23,7 +24,7 @@
 const MAX_ANSWERED_MEMBERS: usize = 100;
 
 /// Decodes and applies a datagram, or a message that came in fragments.
-pub(super) fn handle_datagram(node: &Gateway, datagram: &[u8], from: SocketAddr, now: TimeMs) {
+pub(super) fn handle_datagram(node: &Arc<Gateway>, datagram: &[u8], from: SocketAddr, now: TimeMs) {
     let config = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
     match bincode::decode_from_slice::<Message, _>(datagram, config) {
         Ok((message, _length)) => {
@@ -38,7 +39,7 @@
     }
 }
 
-fn apply(node: &Gateway, message: Message, from: SocketAddr, now: TimeMs) {
+fn apply(node: &Arc<Gateway>, message: Message, from: SocketAddr, now: TimeMs) {
     if let Some((era, age_ms)) = message.era() {
         node.record_era(era, age_ms, now);
     }
@@ -85,10 +86,8 @@
         }
         Message::StreamsToArchive(starts) => streams::accept_to_pass_on(node, &starts),
         Message::StreamsToWrite(starts) => streams::accept_to_write(node, &starts),
-        Message::QueryStream(query) => streams::answer(node, &query, from, now),
-        Message::StreamStated(key, statement) => {
-            streams::apply_statement(node, key, statement, from);
-        }
+        Message::QueryStream(query) => streams::answer(node, query, from, now),
+        Message::StreamStated(answer) => streams::apply_answer(node, answer, from),
         Message::Unreached(unreached) => node.peers.lock().record_unreached(&unreached),
         Message::CreditAsk(ask) => credit::apply_ask(node, ask, from, now),
         Message::CreditGrant(grant) => credit::apply_grant(node, grant, from, now),
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -24,7 +24,7 @@
 use super::speed::pace::Pace;
 use super::speed::sums::SpeedRow;
 use super::store_contact::StoreAvailability;
-use super::streams::{Origin, Query, Start, Statement, StreamKey};
+use super::streams::{Answer, Origin, Query, Start, StreamKey};
 use super::upstreams::{Change, Load};
 use super::usage::UsageRow;
 
@@ -82,8 +82,8 @@
     StreamsBegan(Vec<(StreamKey, Origin)>),
     /// Asks a peer where a stream began.
     QueryStream(Query),
-    /// The answer to that, with the stream that the question named.
-    StreamStated(Option<StreamKey>, Statement),
+    /// The answer to that.
+    StreamStated(Answer),
     /// The pools that a node does not reach, after a change.
     Unreached(UnreachedPools),
     /// A part of a message that exceeds a datagram.
@@ -142,7 +142,7 @@
             Self::Leaving(_) => "leaving",
             Self::StreamsBegan(_) => "streams_began",
             Self::QueryStream(_) => "query_stream",
-            Self::StreamStated(..) => "stream_stated",
+            Self::StreamStated(_) => "stream_stated",
             Self::Unreached(_) => "unreached",
             Self::Fragment(_) => "fragment",
             Self::Forward(_) => "forward",
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::active_configuration::ActiveConfiguration;
+use super::announcements::LatestRead;
 use super::bandwidth::BandwidthLimiter;
 use super::catalog::Catalog;
 use super::clock;
@@ -60,6 +61,8 @@
     pub in_force: RwLock<ActiveConfiguration>,
     pub upstreams: Mutex<UpstreamTable>,
     pub upstreams_view: Mutex<UpstreamsView>,
+    /// The latest read of the announcements by this node; locked while one is in progress.
+    pub latest_read: tokio::sync::Mutex<Option<LatestRead>>,
     /// Bandwidth budget for answers to peers that request announcements.
     pub answer_bandwidth: Mutex<BandwidthLimiter>,
     /// Bandwidth budget for configuration documents that peers are sent.
@@ -184,6 +187,7 @@
             )),
             upstreams: Mutex::default(),
             upstreams_view: Mutex::default(),
+            latest_read: tokio::sync::Mutex::default(),
             answer_bandwidth: Mutex::new(BandwidthLimiter::for_link(settings.link_mbps)),
             document_bandwidth: Mutex::new(BandwidthLimiter::for_link(settings.link_mbps)),
             recent_changes: Mutex::default(),
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -24,6 +24,6 @@
 pub(crate) use binding::{Begun, bind};
 pub(crate) use origins::{Origin, Origins, StreamKey};
 pub(crate) use queries::{
-    Query, Statement, WaitingQueries, answer, apply_statement, hand_over, record_start,
+    Answer, Query, WaitingQueries, answer, apply_answer, hand_over, record_start,
 };
 pub(crate) use version::VersionTag;
--- a/src/gateway/streams/binding/tests.rs
+++ b/src/gateway/streams/binding/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::log_position::tests::at;
 
 const TEAM: Option<u64> = Some(7);
 const POOL: u64 = 3;
@@ -15,26 +16,49 @@
     }
 }
 
-fn view(versions: &[&str], is_proof: bool) -> VersionsView {
+/// Position that this node has read up to.
+const READ_TO: u64 = 40;
+
+/// Position at which this node's own observation began.
+const OBSERVED_FROM: u64 = 20;
+
+fn view(versions: &[&str], has_observed: bool) -> VersionsView {
     let mut versions: Vec<VersionTag> = versions.iter().map(|name| version(name)).collect();
     versions.sort_unstable();
     VersionsView {
         pool: POOL,
         versions,
-        is_proof,
+        has_observed,
+        read_to: at(READ_TO),
+        complete_from: at(OBSERVED_FROM),
+    }
+}
+
+/// An answer of a peer that has read as far as this node and not since the question.
+fn answered(statement: Statement) -> Answer {
+    Answer {
+        statement,
+        read_to: at(READ_TO),
+        confirmed_end: None,
+        number: 1,
     }
 }
 
+/// What peers stated to a node that has read the announcements for the request.
 fn stated(statements: &[Statement]) -> Found {
     Found {
         own: None,
-        stated: statements.to_vec(),
+        answers: statements.iter().copied().map(answered).collect(),
+        read_end: Some(at(READ_TO)),
         is_complete: true,
     }
 }
 
 fn decided(found: &Found, view: &VersionsView) -> Option<(VersionTag, Source)> {
-    decide(found, TEAM, view).map(|begun| (begun.origin.version, begun.source))
+    match decide(found, TEAM, view) {
+        Decision::Bound(begun) => Some((begun.origin.version, begun.source)),
+        Decision::Unconfirmed | Decision::Unknown => None,
+    }
 }
 
 #[test]
@@ -62,7 +86,7 @@
             },
             Source::Own,
         )),
-        ..Found::default()
+        ..stated(&[])
     };
     assert_eq!(decided(&of_other, &view(&["v1", "v2"], true)), None);
     let sole = Some((version("v1"), Source::SoleVersion));
@@ -107,3 +131,63 @@
     let several = Statement::SeveralVersions;
     assert_eq!(view(&["v1", "v2"], false).statement(), several);
 }
+
+/// Guards against a table that is older than the stream: a server of another version may have joined since it was read.
+#[test]
+fn sole_version_is_believed_only_by_a_read_that_began_after_the_take_up() {
+    let seen = view(&["v1"], true);
+    let unread = Found {
+        read_end: None,
+        ..stated(&[Statement::Unknown])
+    };
+    assert_eq!(decide(&unread, TEAM, &seen), Decision::Unconfirmed);
+    let vouched = Found {
+        read_end: None,
+        ..stated(&[Statement::SoleVersion(version("v1"))])
+    };
+    assert_eq!(decide(&vouched, TEAM, &seen), Decision::Unconfirmed);
+    let confirmed = |end| Found {
+        answers: vec![Answer {
+            confirmed_end: Some(end),
+            ..answered(Statement::SoleVersion(version("v1")))
+        }],
+        ..unread.clone()
+    };
+    let sole = Some((version("v1"), Source::SoleVersion));
+    assert_eq!(decided(&confirmed(at(READ_TO)), &seen), sole);
+    let news_on_the_way = confirmed(at(READ_TO + 1));
+    assert_eq!(decide(&news_on_the_way, TEAM, &seen), Decision::Unconfirmed);
+    let of_restored_store = confirmed(LogPosition {
+        era: at(0).era + 1,
+        offset: 1,
+    });
+    assert_eq!(
+        decide(&of_restored_store, TEAM, &seen),
+        Decision::Unconfirmed
+    );
+}
+
+/// Guards against a peer's word on a past that ends before this node's own observation begins: a version may have come
+/// and gone between them.
+#[test]
+fn peer_vouches_only_up_to_the_position_that_it_has_read() {
+    let young = view(&["v1"], false);
+    let vouched_to = |read_to| Found {
+        answers: vec![Answer {
+            read_to: at(read_to),
+            ..answered(Statement::SoleVersion(version("v1")))
+        }],
+        ..stated(&[])
+    };
+    let sole = Some((version("v1"), Source::SoleVersion));
+    assert_eq!(decided(&vouched_to(OBSERVED_FROM), &young), sole);
+    assert_eq!(decided(&vouched_to(OBSERVED_FROM - 1), &young), None);
+}
+
+#[test]
+fn upstreams_are_observed_for_as_long_as_streams_last() {
+    let now = TimeMs(100_000);
+    assert!(has_observed(TimeMs(0), now));
+    assert!(has_observed(TimeMs(now.0 - SOLE_VERSION_MS), now));
+    assert!(!has_observed(TimeMs(now.0 - SOLE_VERSION_MS + 1), now));
+}
--- a/src/gateway/streams/holders.rs
+++ b/src/gateway/streams/holders.rs
@@ -22,6 +22,9 @@
 /// Of the nodes that have read the store's records, those that are asked beside them.
 const READERS_ASKED: usize = 2;
 
+/// Peers that are asked, one after the other, to read the announcements of upstreams.
+const CONFIRMERS: usize = 2;
+
 /// Returns the addresses of the peers that are to keep the start of a stream; in other failure domains if there are any.
 #[must_use]
 pub(super) fn holders(peers: &Peers, key: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
@@ -46,11 +49,23 @@
 /// Returns the addresses of nodes that have read the store's records at their start, that of this failure domain first.
 #[must_use]
 pub(super) fn archive_readers(peers: &Peers, now: TimeMs) -> Vec<SocketAddr> {
+    first_of_domains(peers, READERS_ASKED, now)
+}
+
+/// Returns the addresses of the peers that read the announcements for nodes that must not go by an older table.
+///
+/// If each node read them itself, a fault under many streams would bring as many calls to the store as there are nodes.
+#[must_use]
+pub(super) fn confirmers(peers: &Peers, now: TimeMs) -> Vec<SocketAddr> {
+    first_of_domains(peers, CONFIRMERS, now)
+}
+
+fn first_of_domains(peers: &Peers, most: usize, now: TimeMs) -> Vec<SocketAddr> {
     let own_domain = &peers.own().failure_domain;
     let mut readers = rank::first_of_each_domain(peers, now);
     readers.sort_by_key(|member| member.failure_domain != *own_domain);
     let addresses = readers.iter().map(|member| member.gossip_address);
-    addresses.take(READERS_ASKED).collect()
+    addresses.take(most).collect()
 }
 
 fn addresses<'a>(peers: impl Iterator<Item = &'a Peer>, most: usize) -> Vec<SocketAddr> {
--- a/src/gateway/streams/holders/tests.rs
+++ b/src/gateway/streams/holders/tests.rs
@@ -128,3 +128,21 @@
     assert_eq!(asked(&peers, key, STARTED).len(), 3);
     assert_eq!(holders(&peers, key, STARTED), Vec::new());
 }
+
+/// Guards against one call to the store a node when many nodes have streams taken up at once.
+#[test]
+fn few_nodes_read_the_announcements_for_all() {
+    for (nodes, domains) in [(1, 1), (2, 1), (9, 4), (60, 4), (985, 8)] {
+        let mut readers: Vec<SocketAddr> = (0..nodes.min(60))
+            .flat_map(|own| confirmers(&peers_of(own, nodes, domains, &[], STARTED), STARTED))
+            .collect();
+        readers.sort_unstable();
+        readers.dedup();
+        assert!(
+            readers.len() <= 2 * domains,
+            "{nodes} nodes: {}",
+            readers.len()
+        );
+        assert_eq!(readers.is_empty(), nodes == 1);
+    }
+}
--- a/src/gateway/streams/queries.rs
+++ b/src/gateway/streams/queries.rs
@@ -14,9 +14,10 @@
 use super::holders;
 use super::origins::{Origin, StreamKey};
 use super::version::VersionTag;
-use crate::gateway::clock;
+use crate::gateway::log_position::LogPosition;
 use crate::gateway::messages::Message;
 use crate::gateway::state::{Gateway, Recipients};
+use crate::gateway::{announcements, clock};
 use crate::time::TimeMs;
 
 /// Interval after which a peer that has not answered is asked again; an answer takes a few milliseconds.
@@ -25,6 +26,12 @@
 /// How often a peer is asked before its answer is not waited for any longer.
 const MAX_ROUNDS: usize = 3;
 
+/// Longest wait for this node's own read of the announcements; the store answers within some milliseconds.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for that at a peer, whose answer is not waited for any longer.
+const PEER_READ_TIMEOUT: Duration = Duration::from_millis(180);
+
 /// Answers that may wait for a request to read them.
 const MAX_WAITING_ANSWERS: usize = 32;
 
@@ -38,13 +45,30 @@
     pub key: Option<StreamKey>,
     /// Pool that the request would go to if it began a stream.
     pub pool: String,
+    /// Random number of the question, which its answers repeat: an answer to an earlier one may be older than the stream.
+    pub number: u64,
+    /// Whether the peer is to read the announcements before it answers that it knows one version.
+    pub is_confirmation_asked: bool,
+}
+
+/// A peer's answer to a [`Query`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub(crate) struct Answer {
+    pub statement: Statement,
+    /// Position up to which the peer's table holds all announcements.
+    pub read_to: LogPosition,
+    /// End of the announcements at a time after the question; `None` if the peer has not read them since.
+    pub confirmed_end: Option<LogPosition>,
+    /// Number of the question.
+    pub number: u64,
 }
 
 /// What a peer states on a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
 pub(crate) enum Statement {
     Began(Origin),
-    /// The peer does not know the stream, but only this version has served the pool for as long as streams last.
+    /// The peer does not know the stream, but by its table only this version has served the pool for as long as streams
+    /// last.
     SoleVersion(VersionTag),
     /// The peer does not know the stream, and several versions serve the pool or have just served it.
     SeveralVersions,
@@ -54,38 +78,51 @@
 /// What the peers that were asked have stated.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Stated {
-    pub statements: Vec<Statement>,
+    pub answers: Vec<Answer>,
     /// Whether all of them have answered, or one of them knows the stream.
     pub is_complete: bool,
 }
 
+impl Stated {
+    /// Whether no further answer can show that only one version has served.
+    fn is_settled(&self) -> bool {
+        self.answers.iter().any(|answer| {
+            let is_decided = matches!(
+                answer.statement,
+                Statement::Began(_) | Statement::SeveralVersions
+            );
+            is_decided || answer.confirmed_end.is_some()
+        })
+    }
+}
+
 /// The requests of this node that wait for answers of peers.
 #[derive(Debug, Default)]
 pub(crate) struct WaitingQueries {
     waiting: Vec<WaitingQuery>,
 }
 
-/// A request that waits for answers about one stream.
+/// A request that waits for answers to one question.
 #[derive(Debug)]
 struct WaitingQuery {
-    key: Option<StreamKey>,
-    answers: mpsc::Sender<(SocketAddr, Statement)>,
+    number: u64,
+    answers: mpsc::Sender<(SocketAddr, Answer)>,
 }
 
 impl WaitingQueries {
-    fn register(&mut self, key: Option<StreamKey>) -> mpsc::Receiver<(SocketAddr, Statement)> {
+    fn register(&mut self, number: u64) -> mpsc::Receiver<(SocketAddr, Answer)> {
         self.waiting.retain(|query| !query.answers.is_closed());
         let (answers, receiver) = mpsc::channel(MAX_WAITING_ANSWERS);
-        self.waiting.push(WaitingQuery { key, answers });
+        self.waiting.push(WaitingQuery { number, answers });
         receiver
     }
 
-    /// Passes an answer on to all requests that take up this stream.
-    fn deliver(&self, key: Option<StreamKey>, from: SocketAddr, statement: Statement) {
-        for query in self.waiting.iter().filter(|query| query.key == key) {
-            if let Err(error) = query.answers.try_send((from, statement)) {
-                log::debug!(peer:% = from, error:% = error; "dropped a peer's answer about a stream: the request no longer reads answers");
-            }
+    /// Passes an answer on to the request that asked.
+    fn deliver(&self, from: SocketAddr, answer: Answer) {
+        let mut waiting = self.waiting.iter();
+        let query = waiting.find(|query| query.number == answer.number);
+        if let Some(Err(error)) = query.map(|query| query.answers.try_send((from, answer))) {
+            log::debug!(peer:% = from, error:% = error; "dropped a peer's answer about a stream: the request no longer reads answers");
         }
     }
 }
@@ -136,37 +173,92 @@
 }
 
 /// Answers a peer's question where a stream began.
-///
-/// A node that has still to read the store's records does not answer on a stream that it does not know: the peer would
-/// take it for one that nobody knows.
-pub(crate) fn answer(node: &Gateway, query: &Query, from: SocketAddr, now: TimeMs) {
-    let known = (query.key).and_then(|key| recorded(node, key, now));
-    let known = known.map(|(origin, _source)| origin);
-    if known.is_none() && query.key.is_some() && node.stream_archive.lock().is_unread() {
+pub(crate) fn answer(node: &Arc<Gateway>, query: Query, from: SocketAddr, now: TimeMs) {
+    let Some(statement) = statement(node, &query, now) else {
         log::debug!(peer:% = from; "did not answer a peer about a stream: the store's records are still to be read");
         return;
+    };
+    let is_settled = matches!(statement, Statement::Began(_) | Statement::SeveralVersions);
+    if query.is_confirmation_asked && !is_settled {
+        tokio::spawn(answer_after_read(Arc::clone(node), query, from));
+        return;
     }
-    let statement = known.map_or_else(
-        || binding::view(node, &query.pool, now).statement(),
-        Statement::Began,
-    );
-    let message = Message::StreamStated(query.key, statement);
-    node.send_message(Recipients::Address(from), message);
+    send_answer(node, &query, statement, None, from);
 }
 
-/// Applies a peer's answer.
-pub(crate) fn apply_statement(
+/// Answers a peer by the announcements that the store holds now, unless the store does not answer.
+async fn answer_after_read(node: Arc<Gateway>, query: Query, from: SocketAddr) {
+    let read = announcements::read_to_end(&node);
+    let Ok(Some(end)) = tokio::time::timeout(PEER_READ_TIMEOUT, read).await else {
+        log::debug!(peer:% = from; "did not answer a peer about a stream: the announcements cannot be read");
+        return;
+    };
+    if let Some(statement) = statement(&node, &query, clock::now()) {
+        send_answer(&node, &query, statement, Some(end), from);
+    }
+}
+
+fn send_answer(
     node: &Gateway,
-    key: Option<StreamKey>,
+    query: &Query,
     statement: Statement,
-    from: SocketAddr,
+    confirmed_end: Option<LogPosition>,
+    to: SocketAddr,
 ) {
-    (node.stream_queries.lock()).deliver(key, from, statement);
+    let answer = Answer {
+        statement,
+        read_to: node.upstreams_view.lock().end,
+        confirmed_end,
+        number: query.number,
+    };
+    node.send_message(Recipients::Address(to), Message::StreamStated(answer));
+}
+
+/// Returns what this node states on a stream.
+///
+/// A node that has still to read the store's records states nothing on a stream that it does not know: the peer would
+/// take it for one that nobody knows.
+fn statement(node: &Gateway, query: &Query, now: TimeMs) -> Option<Statement> {
+    let known = (query.key).and_then(|key| recorded(node, key, now));
+    match known {
+        Some((origin, _source)) => Some(Statement::Began(origin)),
+        None if query.key.is_some() && node.stream_archive.lock().is_unread() => None,
+        None => Some(binding::view(node, &query.pool, now).statement()),
+    }
+}
+
+/// Applies a peer's answer.
+pub(crate) fn apply_answer(node: &Gateway, answer: Answer, from: SocketAddr) {
+    node.stream_queries.lock().deliver(from, answer);
+}
+
+/// Reads the announcements; returns their end at a time after the call, or `None` if the store does not answer in time.
+pub(super) async fn read_announcements(node: &Gateway) -> Option<LogPosition> {
+    let read = announcements::read_to_end(node);
+    tokio::time::timeout(READ_TIMEOUT, read)
+        .await
+        .ok()
+        .flatten()
+}
+
+/// A question to peers.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Question<'a> {
+    /// `None` for a stream that its caller does not name.
+    pub key: Option<StreamKey>,
+    /// Pool that the request would go to if it began a stream.
+    pub pool: &'a str,
+    /// Whether this node has observed the upstreams for as long as streams last.
+    pub has_observed: bool,
 }
 
 /// Returns the peers that may know a stream: those that record it and, unless this node has read the store's records
-/// itself, some that have.
-fn peers_to_ask(node: &Gateway, order: StreamKey, now: TimeMs) -> Vec<SocketAddr> {
+/// itself, some that have. Nobody knows a stream without a name; peers state which versions they have observed.
+fn peers_to_ask(node: &Gateway, question: &Question<'_>, now: TimeMs) -> Vec<SocketAddr> {
+    if question.key.is_none() && question.has_observed {
+        return Vec::new();
+    }
+    let order = (question.key).unwrap_or_else(|| StreamKey::of(question.pool));
     let is_read_elsewhere = matches!(*node.stream_archive.lock(), StreamArchive::ReadElsewhere);
     let peers = node.peers.lock();
     let mut addresses = holders::asked(&peers, order, now);
@@ -182,33 +274,47 @@
 }
 
 /// Asks peers where a stream began, until one knows, all have answered or the last round has ended.
-pub(super) async fn ask(node: &Gateway, key: Option<StreamKey>, pool: &str) -> Stated {
-    let order = key.unwrap_or_else(|| StreamKey::of(pool));
-    let mut silent = peers_to_ask(node, order, clock::now());
-    let mut answers = node.stream_queries.lock().register(key);
+///
+/// One more peer in each round is asked to confirm what it states by a read, until one has.
+pub(super) async fn ask(node: &Gateway, question: Question<'_>) -> Stated {
+    let now = clock::now();
+    let mut silent = peers_to_ask(node, &question, now);
+    let confirmers = holders::confirmers(&node.peers.lock(), now);
+    let number = rand::random();
+    let mut answers = node.stream_queries.lock().register(number);
     let mut stated = Stated::default();
-    for _round in 0..MAX_ROUNDS {
+    for round in 0..MAX_ROUNDS {
+        let confirmers = &confirmers[..confirmers.len().min(round + 1)];
+        if !stated.is_settled() {
+            let others = confirmers
+                .iter()
+                .filter(|address| !silent.contains(address));
+            let others: Vec<SocketAddr> = others.copied().collect();
+            silent.extend(others);
+        }
         for address in &silent {
             let query = Query {
-                key,
-                pool: pool.to_owned(),
+                key: question.key,
+                pool: question.pool.to_owned(),
+                number,
+                is_confirmation_asked: confirmers.contains(address),
             };
             node.send_message(Recipients::Address(*address), Message::QueryStream(query));
         }
         let round_end = Instant::now() + ASK_INTERVAL;
         while !silent.is_empty()
-            && let Ok(Some((from, statement))) =
+            && let Ok(Some((from, answer))) =
                 tokio::time::timeout_at(round_end, answers.recv()).await
         {
             if silent.contains(&from) {
                 silent.retain(|address| *address != from);
-                stated.statements.push(statement);
+                stated.answers.push(answer);
             }
-            if matches!(statement, Statement::Began(_)) {
+            if matches!(answer.statement, Statement::Began(_)) {
                 silent.clear();
             }
         }
     }
-    stated.is_complete = silent.is_empty() && !stated.statements.is_empty();
+    stated.is_complete = silent.is_empty() && !stated.answers.is_empty();
     stated
 }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -29,8 +29,12 @@
     pub assembler: SnapshotAssembler,
     /// When the last page arrived; zero if none did.
     pub last_page_at: TimeMs,
-    /// Since when no change can have been missed; zero if none was since the first read.
+    /// When the first table was known completely; zero if none was.
+    pub first_known_at: TimeMs,
+    /// Since when no change can have been missed; zero if none was since the first table.
     pub complete_since: TimeMs,
+    /// Position from which on no change can have been missed.
+    pub complete_from: LogPosition,
     /// Whether this node has read the list of nodes from the store.
     pub knows_nodes: bool,
 }
@@ -57,11 +61,14 @@
         }
     }
 
-    /// Records that changes before a read may have been missed.
-    fn note_gap(&mut self, read_at: TimeMs) {
+    /// Records that changes before a position may have been missed, which this node has reached by now.
+    fn note_gap(&mut self, end: LogPosition, now: TimeMs) {
         if self.is_known() {
-            self.complete_since = read_at;
+            self.complete_since = now;
+        } else {
+            self.first_known_at = now;
         }
+        self.complete_from = end;
     }
 
     /// Records that the announcements have been read up to a position.
@@ -76,11 +83,11 @@
     /// The snapshot may be older than changes that peers sent in the meantime and that it
     /// overwrote. Unless reading resumes at its own position, an upstream that left in between
     /// would get requests again.
-    pub fn note_snapshot(&mut self, end: LogPosition, read_at: TimeMs) {
+    pub fn note_snapshot(&mut self, end: LogPosition, read_at: TimeMs, now: TimeMs) {
         if end.era < self.end.era {
             return;
         }
-        self.note_gap(read_at);
+        self.note_gap(end, now);
         self.end = end;
         self.read_at = read_at;
         self.known_end = self.known_end.max(end);
--- a/src/gateway/view/tests.rs
+++ b/src/gateway/view/tests.rs
@@ -46,7 +46,7 @@
     view.advance_to(at(10), TimeMs(1));
     view.buffer(news(20, 30));
     view.buffer(news(60, 70));
-    view.note_snapshot(at(50), TimeMs(3));
+    view.note_snapshot(at(50), TimeMs(3), TimeMs(3));
     assert_eq!(view.next_pending(), None);
     assert_eq!(view.gap_end(), Some(at(60)));
 }
@@ -70,12 +70,20 @@
 #[test]
 fn table_read_anew_is_complete_only_from_then_on() {
     let mut view = UpstreamsView::default();
-    view.note_snapshot(at(5), TimeMs(1_000));
+    view.note_snapshot(at(5), TimeMs(1_000), TimeMs(1_000));
     assert_eq!(
         view.complete_since,
         TimeMs(0),
         "the first read leaves no gap"
     );
-    view.note_snapshot(at(9), TimeMs(4_000));
-    assert_eq!(view.complete_since, TimeMs(4_000));
+    assert_eq!(
+        (view.first_known_at, view.complete_from),
+        (TimeMs(1_000), at(5))
+    );
+    view.note_snapshot(at(9), TimeMs(4_000), TimeMs(4_300));
+    assert_eq!(
+        (view.complete_since, view.complete_from),
+        (TimeMs(4_300), at(9)),
+        "a peer's word on the time of its read does not count"
+    );
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod limited;
 mod metered;
+mod out_of_step;
 mod repeats;
 mod rests;
 mod rollouts;
