--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod limited;
 mod metered;
 mod odd_entries;
+mod out_of_step;
 mod refusals;
 mod repeats;
 mod rests;
