bug: A silent upstream is left only for something better

`stream_silent` at 1,200 ms was followed within the same millisecond by `not_resumed`, `attempts_used`.

Cause: silence was taken for loss and acted on, the old connection closed, before it was asked whether another send was allowed and useful. The same held for the response head and the first event.

Now `silence::decide` is asked when a timeout has passed, and again every 100 ms: a request leaves its upstream only if an attempt and budget are left and another upstream of its version is not paused, silent or unresponsive; a stream leaves at the usual timeout only for one that has given a sign of life in the second half of the silence, and after half as long again for one that has given none. Within a stream the other upstream must also accept a connection before the old one is closed, and what came meanwhile is read first. Looking spends nothing: the roll-out is asked as a copy, the budget is read and not taken. An upstream with a silent stream gets new requests only if no other is usable, until it is heard again. Plain calls are still given up for their callers to repeat them, unless all upstreams are doubtful. A line `silent_upstream_kept` and a counter say why a request stays.

--- a/src/gateway/attempt_timeouts.rs
+++ b/src/gateway/attempt_timeouts.rs
@@ -38,6 +38,11 @@
 /// Callers give up after eight such gaps; half of that leaves time to resume at another upstream.
 const GAP_TIMEOUT_TARGETS: u64 = 4;
 
+/// Timeout of a stream whose other upstreams have given no sign of life either, as a multiple of the usual one.
+///
+/// To move costs a second prefill, for nothing if all upstreams stand still; callers wait longer than this.
+const UNPROVEN_TIMEOUT_FACTOR: f64 = 1.5;
+
 /// Timeout between two events on routes without a gap target.
 const DEFAULT_GAP_TIMEOUT_MS: u64 = 1_500;
 
@@ -77,5 +82,14 @@
     }
 }
 
+/// Returns the timeout, in milliseconds, after which a request leaves for an upstream that has given no sign of life.
+#[must_use]
+pub(crate) fn unproven_timeout_ms(route: &Route, timeout_ms: u64) -> u64 {
+    match route.is_stream {
+        true => num::round_to_u64(num::to_f64(timeout_ms) * UNPROVEN_TIMEOUT_FACTOR),
+        false => timeout_ms,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/attempt_timeouts/tests.rs
+++ b/src/gateway/attempt_timeouts/tests.rs
@@ -52,5 +52,9 @@
     assert!(response_head_timeout_ms(&stream, false, 9_000) < caller_ms);
     assert!(first_event_timeout_ms(&stream, false) < caller_ms);
     assert!(event_gap_timeout_ms(&stream) < caller_ms);
+    let gap_ms = event_gap_timeout_ms(&stream);
+    assert!(unproven_timeout_ms(&stream, gap_ms) < caller_ms);
+    let head_ms = response_head_timeout_ms(&stream, false, 9_000);
+    assert!(unproven_timeout_ms(&stream, head_ms) < caller_ms);
     assert_eq!(first_event_timeout_ms(&stream, true), u64::MAX);
 }
--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -59,10 +59,23 @@
     pub copy_tokens_per_ms: Option<f64>,
     /// Whether the request is safe to run more than once.
     pub may_repeat: bool,
+    /// Since when an upstream must have given a sign of life to be preferred; `None` if that does not matter.
+    pub alive_since: Option<TimeMs>,
     /// Uniformly distributed random number; breaks ties differently on nodes that see equal loads.
     pub draw: u64,
 }
 
+/// What is known of whether an upstream would take a request up at once; the best last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Standing {
+    /// It is paused or silent.
+    Doubtful,
+    /// Nothing speaks against it.
+    Unproven,
+    /// It has given a sign of life lately, which matters to a request that leaves a silent upstream.
+    Alive,
+}
+
 /// The chosen upstream with the estimates behind the choice.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Choice {
@@ -81,6 +94,8 @@
     pub slots: u32,
     /// Requests that the upstream runs now.
     pub running: u32,
+    /// What speaks for it.
+    pub standing: Standing,
     /// Time that the engine takes as a multiple of its pool's mean one, part of `expected_ms`; 1 for a
     /// plain upstream.
     pub time_factor: f64,
@@ -95,7 +110,8 @@
 
 /// Returns the upstream with the lowest expected time to answer, copies and penalties included.
 ///
-/// An upstream that is paused or silent is chosen only if there are no others.
+/// An upstream that is paused or silent is chosen only if there are no others, and one without a sign of life since the
+/// silence that a request leaves only if none has given one.
 #[must_use]
 pub(crate) fn choose(
     table: &UpstreamTable,
@@ -104,11 +120,10 @@
     now: TimeMs,
 ) -> Option<Choice> {
     let candidates = candidates(table, ask, now);
-    let is_usable =
-        |upstream: &Upstream| !upstream.health.is_paused(now) && !upstream.is_unresponsive(now);
-    let any_usable = candidates
+    let standings = candidates
         .iter()
-        .any(|(_key, upstream)| is_usable(upstream));
+        .map(|(_key, upstream)| standing(upstream, ask, now));
+    let best_standing = standings.max()?;
     let preferred_engines = ask
         .prompt
         .map(|prompt| preferred_engines(&candidates, prompt));
@@ -117,10 +132,10 @@
     let fastest_answer_ms = fastest_answer_ms(&candidates, ask);
     let mut best: Option<(f64, Choice)> = None;
     for (key, upstream) in candidates {
-        if any_usable && !is_usable(upstream) {
+        if standing(upstream, ask, now) < best_standing {
             continue;
         }
-        let choice = match ask.prompt {
+        let mut choice = match ask.prompt {
             Some(prompt) => {
                 let mut sources = sources.iter();
                 let source = sources
@@ -137,6 +152,7 @@
                 upstream.health.expected_ms(fastest_answer_ms, now),
             ),
         };
+        choice.standing = best_standing;
         let penalty_ms = penalty_ms(upstream, ask, now) + jitter_ms(ask.draw, upstream.tag);
         let pool_read_ms = num::to_f64(choice.copied_tokens) / ask.pace.read_tokens_per_ms;
         let read_ms = pool_read_ms * choice.time_factor;
@@ -149,6 +165,16 @@
     best.map(|(_score, choice)| choice)
 }
 
+/// Returns what is known of an upstream; `Alive` only for a request that leaves a silent one.
+fn standing(upstream: &Upstream, ask: &Criteria<'_>, now: TimeMs) -> Standing {
+    let is_alive = (ask.alive_since).is_some_and(|since| upstream.contact.is_heard_since(since));
+    match upstream.is_usable(now) {
+        true if is_alive => Standing::Alive,
+        true => Standing::Unproven,
+        false => Standing::Doubtful,
+    }
+}
+
 /// Backpressure that keeps a pool's upstreams from getting a request that they could serve.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Backpressure {
@@ -303,6 +329,7 @@
         copied_tokens: num::round_to_u64(copied_tokens),
         slots,
         running,
+        standing: Standing::Unproven,
         time_factor,
         pool_expected_ms: is_sample.then_some(pool_expected_ms),
         expected_of_pool_ms: pool_expected_ms + copy_ms,
--- a/src/gateway/choose/plain.rs
+++ b/src/gateway/choose/plain.rs
@@ -1,6 +1,6 @@
 //! Expected answer times of plain services, as this node has measured them.
 
-use super::{Choice, Criteria};
+use super::{Choice, Criteria, Standing};
 use crate::gateway::upstreams::{Upstream, UpstreamKey};
 
 /// Expected time of a plain call until an upstream of the pool has answered once.
@@ -40,6 +40,7 @@
         copied_tokens: 0,
         slots,
         running,
+        standing: Standing::Unproven,
         time_factor: 1.0,
         pool_expected_ms: None,
         expected_of_pool_ms: expected_ms,
--- a/src/gateway/choose/tests.rs
+++ b/src/gateway/choose/tests.rs
@@ -50,6 +50,7 @@
         pace: default_pace(),
         copy_tokens_per_ms: None,
         may_repeat: false,
+        alive_since: None,
         draw: 7,
     }
 }
@@ -371,3 +372,49 @@
     );
     assert_eq!(chosen(NOW.after(20_000)), ["p0", "p1", "p2"]);
 }
+
+/// Guards against a request that leaves a silent upstream for one that stands still as well.
+#[test]
+fn request_that_leaves_a_silent_upstream_prefers_one_that_is_alive() {
+    let mut table = table(4);
+    let alive = table.find("p2").expect("upstream is in the table");
+    let upstream = table.get_mut(alive).expect("upstream is in the table");
+    upstream.own_load.running = 3;
+    upstream.contact.record_heard(NOW);
+    let chosen = |alive_since| {
+        let ask = Criteria {
+            alive_since,
+            ..ask("plain", None, &[])
+        };
+        choose(&table, &Prefixes::default(), &ask, NOW).expect("an upstream is available")
+    };
+    assert_ne!(chosen(None).upstream, alive, "it is the most loaded");
+    let since = TimeMs(NOW.0 - 1);
+    assert_eq!(chosen(Some(since)).upstream, alive);
+    assert_eq!(chosen(Some(since)).standing, Standing::Alive);
+    assert_eq!(chosen(Some(NOW)).standing, Standing::Unproven);
+}
+
+/// Guards against requests that are sent to an upstream at which another one waits in vain.
+#[test]
+fn upstream_with_a_silent_stream_gets_no_request_while_others_are_usable() {
+    let mut table = table(4);
+    let silent = table.find("p1").expect("upstream is in the table");
+    for id in ["p0", "p2", "p3"] {
+        let key = table.find(id).expect("upstream is in the table");
+        table.get_mut(key).expect("it is there").own_load.running = 5;
+    }
+    let ask = ask("plain", None, &[]);
+    let chosen = |table: &UpstreamTable| {
+        let choice = choose(table, &Prefixes::default(), &ask, NOW);
+        choice.expect("an upstream is available").upstream
+    };
+    assert_eq!(chosen(&table), silent);
+    let upstream = table.get_mut(silent).expect("it is there");
+    upstream.own_load.running = 1;
+    upstream.contact.record_silent(NOW);
+    assert_ne!(chosen(&table), silent);
+    let upstream = table.get_mut(silent).expect("it is there");
+    upstream.contact.record_heard(NOW.after(1));
+    assert_eq!(chosen(&table), silent);
+}
--- a/src/gateway/choose/tests/wave.rs
+++ b/src/gateway/choose/tests/wave.rs
@@ -79,6 +79,7 @@
             copy_tokens_per_ms: copies.then_some(COPY_TOKENS_PER_MS),
 
             may_repeat: false,
+            alive_since: None,
             draw,
         };
         let choice =
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -107,6 +107,17 @@
         Some(kept.remove(newest).channel)
     }
 
+    /// Whether an idle connection to an upstream is open.
+    pub fn has_idle(&self, upstream: UpstreamKey, now: TimeMs) -> bool {
+        let idle = self.idle.lock();
+        let found = idle.binary_search_by_key(&upstream, |(key, _kept)| *key);
+        found.is_ok_and(|index| {
+            let kept = &idle[index].1;
+            kept.iter()
+                .any(|idle| idle.channel.sender.is_ready() && now < idle.expires_at)
+        })
+    }
+
     /// Opens a connection to an upstream and keeps it for reuse.
     ///
     /// # Errors
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -280,6 +280,15 @@
         None
     }
 
+    /// Whether a request would be refused, without a trial; records nothing.
+    pub fn is_any_blocked(&self, subjects: &Subjects, now: TimeMs) -> bool {
+        let mut all = std::iter::once(subjects.content).chain(subjects.parts());
+        all.any(|subject| {
+            let found = self.find(subject).ok();
+            found.is_some_and(|index| now.since(self.blocks[index].last_seen) < RETENTION_MS)
+        })
+    }
+
     /// Whether a request may show that a blocked part is sound after all.
     fn begins_trial(&mut self, index: usize, now: TimeMs) -> bool {
         let block = &mut self.blocks[index];
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,12 +2,14 @@
 //! returns the response.
 
 mod admission;
+mod alternatives;
 mod answer_memory;
 mod attempts;
 mod classification;
 mod dispatch;
 mod forward;
 mod request_log;
+mod silence;
 mod stream;
 mod upstream_request;
 mod upstream_response;
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -51,6 +51,8 @@
     is_forwarded: bool,
     /// The version that sent the first event of the stream; `None` until one has.
     begun_version: Option<VersionTag>,
+    /// Since when an upstream must have given a sign of life to be preferred; set once the request has left a silent one.
+    alive_since: Option<TimeMs>,
 }
 
 impl Attempts {
@@ -121,6 +123,16 @@
         self.begun_version
     }
 
+    /// Prefers upstreams that have given a sign of life since then: the request leaves a silent one.
+    pub fn prefer_alive(&mut self, since: TimeMs) {
+        self.alive_since = Some(since);
+    }
+
+    /// Returns since when an upstream must have given a sign of life to be preferred, if the request has left a silent one.
+    pub fn alive_since(&self) -> Option<TimeMs> {
+        self.alive_since
+    }
+
     /// Excludes an upstream from further attempts.
     pub fn exclude(&mut self, upstream: UpstreamKey) {
         self.excluded.push(upstream);
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -9,9 +9,11 @@
 use http_body_util::Full;
 
 use super::admission::Plan;
+use super::alternatives::{Remaining, Stays, Waiting};
 use super::attempts::{Attempts, retry_after_ms};
 use super::classification::{self, SendError};
 use super::request_log::{RequestLog, SelectionInputs};
+use super::silence::{self, Silence};
 use super::upstream_request::UpstreamRequest;
 use super::upstream_response::UpstreamResponse;
 use crate::gateway::attempt_timeouts;
@@ -28,6 +30,8 @@
 use crate::gateway::request_head::Prompt;
 use crate::gateway::rollout::{RoutingContext, VersionFilter};
 use crate::gateway::scheduling::{Arrival, gate};
+use crate::gateway::settings::NodeSettings;
+use crate::gateway::speed::pace::Pace;
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::VersionTag;
 use crate::gateway::upstreams::UpstreamKey;
@@ -135,19 +139,12 @@
         let mut rollouts = node.rollouts.lock();
         let rollout = moment.as_ref().zip(rollouts.get_mut(&plan.pool));
         let ask = Criteria {
-            pool: &plan.pool,
-            prompt: plan.head.prompt.as_ref(),
-            failure_domain: &settings.failure_domain,
-            excluded: attempts.excluded(),
             versions: match (begun_version, rollout) {
                 (Some(version), _) => VersionFilter::Begun(version),
                 (None, Some((moment, rollout))) => rollout.versions(moment),
                 (None, None) => VersionFilter::Any,
             },
-            pace,
-            copy_tokens_per_ms: plan.copy_tokens_per_ms(),
-            may_repeat: plan.route().is_repeatable(),
-            draw: plan.draw,
+            ..criteria(plan, attempts, &settings, pace)
         };
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
@@ -197,6 +194,27 @@
     }
 }
 
+/// Returns what a request asks of its next upstream, apart from the version.
+pub(super) fn criteria<'a>(
+    plan: &'a Plan,
+    attempts: &'a Attempts,
+    settings: &'a NodeSettings,
+    pace: Pace,
+) -> Criteria<'a> {
+    Criteria {
+        pool: &plan.pool,
+        prompt: plan.head.prompt.as_ref(),
+        failure_domain: &settings.failure_domain,
+        excluded: attempts.excluded(),
+        versions: VersionFilter::Any,
+        pace,
+        copy_tokens_per_ms: plan.copy_tokens_per_ms(),
+        may_repeat: plan.route().is_repeatable(),
+        alive_since: attempts.alive_since(),
+        draw: plan.draw,
+    }
+}
+
 /// Whether a roll-out lets a stream go on at the version that began it.
 fn may_resume_at(node: &Gateway, pool: &str, version: VersionTag, now: TimeMs) -> bool {
     let day_ms = node.agreed_time_of_day(now).0;
@@ -231,7 +249,7 @@
 /// Collects the inputs that decide which versions may receive a request.
 ///
 /// Returns `None` while no rollout runs in the request's pool.
-fn rollout_context(
+pub(super) fn rollout_context(
     node: &Gateway,
     plan: &Plan,
     attempts: &Attempts,
@@ -356,22 +374,24 @@
         let Some(request) = request else {
             return Err(SendError::NotRun("unsendable", String::new()));
         };
-        let timeout = Duration::from_millis(head_timeout_ms(plan, attempts, pending.sent_at));
         if let Err(closed) = pending.begin_send(pending.sent_at) {
             let Connection { sender, .. } = channel;
             (node.channels).keep(key, sender, None, pending.sent_at);
             return Err(SendError::NotRun(closed.reason(), String::new()));
         }
         let answer = channel.sender.try_send_request(request);
-        let answer = tokio::time::timeout(timeout, answer);
+        let answer = await_head(node, plan, attempts, &pending, answer, request_log);
         let Some(answered) = pending.unless_restarted(answer).await else {
             attempts.record_send();
             pending.record_crash(&plan.subjects, clock::now());
             return Err(SendError::MayHaveRun("upstream_restarted", String::new()));
         };
         match answered {
-            Ok(Ok(response)) => sent = Some((channel, response)),
-            Ok(Err(mut error)) if error.message().is_some() => {
+            Some(Ok(response)) => {
+                pending.contact.record_heard(clock::now());
+                sent = Some((channel, response));
+            }
+            Some(Err(mut error)) if error.message().is_some() => {
                 drop(error.take_message());
                 pending.cancel_send(clock::now());
                 if !channel.is_reused {
@@ -381,7 +401,7 @@
                     ));
                 }
             }
-            Ok(Err(error)) => {
+            Some(Err(error)) => {
                 attempts.record_send();
                 pending.record_failure("broken", &plan.subjects, clock::now());
                 return Err(SendError::MayHaveRun(
@@ -389,9 +409,11 @@
                     error.into_error().to_string(),
                 ));
             }
-            Err(_elapsed) => {
+            None => {
+                let now = clock::now();
                 attempts.record_send();
-                pending.record_outcome(Outcome::Broken, clock::now());
+                attempts.prefer_alive(silence::proof_since(pending.sent_at, now));
+                pending.record_outcome(Outcome::Broken, now);
                 return Err(SendError::MayHaveRun("silent", String::new()));
             }
         }
@@ -427,13 +449,7 @@
             Ok(channel)
         }
         Err(error) => {
-            if let Some(upstream) = node.upstreams.lock().get_mut(upstream) {
-                upstream.health.record_unreachable(now);
-            }
-            let change = node.record_unreachable(&plan.pool, upstream, now);
-            if change == Some(reach::Change::Suspected) {
-                tokio::spawn(reach_probe::examine(Arc::clone(node), plan.pool.clone()));
-            }
+            record_unreachable(node, plan, upstream);
             Err(SendError::NotRun("unreachable", error.to_string()))
         }
     }
@@ -450,10 +466,87 @@
     metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
 }
 
-/// Returns how long to wait for the response head, in milliseconds.
-fn head_timeout_ms(plan: &Plan, attempts: &Attempts, now: TimeMs) -> u64 {
+/// Awaits the answer to a request that has been sent; returns `None` once it is given up for a better upstream, for its
+/// caller to send it again, or at its deadline.
+async fn await_head<T>(
+    node: &Arc<Gateway>,
+    plan: &Plan,
+    attempts: &Attempts,
+    pending: &UpstreamRequest,
+    answer: impl Future<Output = T>,
+    request_log: &RequestLog,
+) -> Option<T> {
     let is_last = attempts.executions() + 1 >= plan.route().max_upstreams;
-    attempt_timeouts::response_head_timeout_ms(plan.route(), is_last, now.until(plan.deadline))
+    let left_ms = pending.sent_at.until(plan.deadline);
+    let timeout_ms = attempt_timeouts::response_head_timeout_ms(plan.route(), is_last, left_ms);
+    let last_ms = attempt_timeouts::response_head_timeout_ms(plan.route(), true, left_ms);
+    let silence = Silence {
+        give_up_after_ms: (!plan.route().is_stream).then_some(last_ms),
+        ..Silence::new(plan.route(), pending.sent_at, timeout_ms)
+    };
+    let waiting = Waiting {
+        node,
+        plan,
+        attempts,
+        remaining: if is_last {
+            Remaining::NoAttempt
+        } else {
+            Remaining::Attempts
+        },
+    };
+    let mut answer = std::pin::pin!(answer);
+    let mut stays = Stays::default();
+    let mut wait_ms = timeout_ms;
+    loop {
+        let wait = Duration::from_millis(wait_ms);
+        if let Ok(answered) = tokio::time::timeout(wait, &mut answer).await {
+            return Some(answered);
+        }
+        let left_ms = clock::now().until(plan.deadline);
+        let leaves = waiting.leaves(pending, &silence, &mut stays, request_log);
+        if left_ms == 0 || leaves.is_some() {
+            return None;
+        }
+        wait_ms = silence::ASK_AGAIN_MS.min(left_ms);
+    }
+}
+
+/// Whether a connection to an upstream is open or can be opened; one that is opened is kept.
+pub(super) async fn is_connected(node: &Arc<Gateway>, plan: &Plan, upstream: UpstreamKey) -> bool {
+    if node.channels.has_idle(upstream, clock::now()) {
+        return true;
+    }
+    let address = {
+        let upstreams = node.upstreams.lock();
+        let upstream = upstreams.get(upstream);
+        upstream.map(|upstream| upstream.announcement.address)
+    };
+    let Some(address) = address else {
+        return false;
+    };
+    match node.channels.open_idle(upstream, address).await {
+        Ok(()) => {
+            node.record_connected(&plan.pool, clock::now());
+            true
+        }
+        Err(error) => {
+            record_unreachable(node, plan, upstream);
+            log::debug!(pool = plan.pool.as_str(), error:err = error; "cannot connect to an upstream to which a stream would move");
+            false
+        }
+    }
+}
+
+/// Records that no connection to an upstream could be opened, and finds out whether its pool is lost.
+fn record_unreachable(node: &Arc<Gateway>, plan: &Plan, upstream: UpstreamKey) {
+    let now = clock::now();
+    if let Some(upstream) = node.upstreams.lock().get_mut(upstream) {
+        upstream.health.record_unreachable(now);
+    }
+    let change = node.record_unreachable(&plan.pool, upstream, now);
+    if change == Some(reach::Change::Suspected) {
+        tokio::spawn(reach_probe::examine(Arc::clone(node), plan.pool.clone()));
+    }
 }
 
 /// Builds the upstream request; returns `None` once the deadline has passed.
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -297,6 +297,22 @@
         );
     }
 
+    /// Logs and counts that the request stays at an upstream that has been silent for a while.
+    pub fn record_stay(&self, reason: &'static str, silent_ms: u64, now: TimeMs) {
+        metrics::counter!("teaselline_silences_total", "reason" => reason).increment(1);
+        log::info!(
+            event = "silent_upstream_kept",
+            request_id = self.request_id.as_deref().unwrap_or_default(),
+            route = self.route.as_str(),
+            upstream = self.upstream.as_str(),
+            send = self.sends,
+            after_ms = now.since(self.received_at),
+            silent_ms,
+            reason;
+            "a request stays at a silent upstream: nothing better is to be had"
+        );
+    }
+
     /// Records the arrival of the first event or of the complete response.
     pub fn record_first_event(&mut self, now: TimeMs) {
         let first_ms = now.since(self.received_at);
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -11,9 +11,11 @@
 use thiserror::Error;
 
 use super::admission::Plan;
+use super::alternatives::{Remaining, Stays, Waiting};
 use super::attempts::Attempts;
 use super::dispatch;
 use super::request_log::RequestLog;
+use super::silence::{self, Silence};
 use super::upstream_response::{self, ResponseContext, UpstreamResponse};
 use crate::gateway::attempt_timeouts;
 use crate::gateway::clock;
@@ -59,6 +61,9 @@
 /// of the prompt does so as it begins to write.
 const SOUND_AFTER_MS: u64 = 1_000;
 
+/// Reason for leaving an upstream that has been silent for too long.
+const SILENT: &str = "stream_silent";
+
 /// The stream of one upstream.
 struct UpstreamStream {
     body: Incoming,
@@ -68,6 +73,8 @@
     first_events_at: TimeMs,
     /// Id of the last event in the first batch.
     first_batch_last_id: Option<u64>,
+    /// Since when another upstream must have given a sign of life, if the request leaves this one for its silence.
+    alive_since: Option<TimeMs>,
     /// Whether the stream has gone on for a while, which speaks for the parts of its prompt.
     has_gone_on: bool,
 }
@@ -77,6 +84,8 @@
     Events(Events),
     Ended,
     Broken(&'static str),
+    /// Nothing has come for as long as was waited.
+    Silent,
     /// The deadline of the whole request has passed.
     DeadlineExceeded,
 }
@@ -90,6 +99,7 @@
             splitter: Splitter::after(after),
             first_events_at: TimeMs(0),
             first_batch_last_id: None,
+            alive_since: None,
             has_gone_on: false,
         }
     }
@@ -135,6 +145,37 @@
         }
     }
 
+    /// Waits for the next events, and leaves a silent upstream only for something better.
+    async fn next_unless_better(
+        &mut self,
+        waiting: Waiting<'_>,
+        timeout_ms: u64,
+        request_log: &RequestLog,
+    ) -> NextEvents {
+        let Waiting { plan, .. } = waiting;
+        let silence = Silence::new(plan.route(), clock::now(), timeout_ms);
+        let mut stays = Stays::default();
+        let mut wait_ms = timeout_ms;
+        loop {
+            match self.next(wait_ms, plan.deadline).await {
+                NextEvents::Silent => {}
+                next => return next,
+            }
+            wait_ms = silence::ASK_AGAIN_MS;
+            let upstream_request = &self.context.upstream_request;
+            let choice = waiting.leaves(upstream_request, &silence, &mut stays, request_log);
+            if let Some(choice) = choice
+                && waiting.is_connected(&choice).await
+            {
+                // It may have gone on in the meantime.
+                let next = self.next(0, plan.deadline).await;
+                let alive_since = silence::proof_since(silence.since, clock::now());
+                self.alive_since = matches!(next, NextEvents::Silent).then_some(alive_since);
+                return next;
+            }
+        }
+    }
+
     async fn next(&mut self, timeout_ms: u64, deadline: TimeMs) -> NextEvents {
         loop {
             let left_ms = clock::now().until(deadline);
@@ -151,8 +192,10 @@
                 }
                 Ok(None) => return NextEvents::Ended,
                 Err(_elapsed) if wait_ms >= left_ms => return NextEvents::DeadlineExceeded,
-                Err(_elapsed) => return NextEvents::Broken("stream_silent"),
+                Err(_elapsed) => return NextEvents::Silent,
             };
+            let contact = &self.context.upstream_request.contact;
+            contact.record_heard(clock::now());
             let Ok(bytes) = frame.into_data() else {
                 continue;
             };
@@ -181,7 +224,19 @@
     let mut upstream_stream = UpstreamStream::new(upstream_response, plan.head.resume_after);
     let is_last = attempts.executions() + 1 >= plan.route().max_upstreams;
     let timeout_ms = attempt_timeouts::first_event_timeout_ms(plan.route(), is_last);
-    let next = upstream_stream.next(timeout_ms, plan.deadline).await;
+    let waiting = Waiting {
+        node,
+        plan,
+        attempts,
+        remaining: if is_last {
+            Remaining::NoAttempt
+        } else {
+            Remaining::Attempts
+        },
+    };
+    let next = (upstream_stream)
+        .next_unless_better(waiting, timeout_ms, request_log)
+        .await;
     let now = clock::now();
     upstream_stream
         .context
@@ -229,10 +284,14 @@
         }
         NextEvents::Ended => "ended_empty",
         NextEvents::Broken(reason) => reason,
+        NextEvents::Silent => SILENT,
         NextEvents::DeadlineExceeded => "late",
     };
     (upstream_stream.context.upstream_request).record_failure(reason, &plan.subjects, now);
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
+    if let Some(since) = upstream_stream.alive_since {
+        attempts.prefer_alive(since);
+    }
     request_log.record_failed_attempt(reason, "before the first event", now);
     None
 }
@@ -265,7 +324,13 @@
         yield Frame::data(first.bytes);
         loop {
             let timeout_ms = attempt_timeouts::event_gap_timeout_ms(plan.route());
-            let reason = match upstream_stream.next(timeout_ms, plan.deadline).await {
+            let remaining = if plan.may_repeat(&attempts) {
+                Remaining::Attempts
+            } else {
+                Remaining::NoAttempt
+            };
+            let waiting = Waiting { node: &node, plan: &plan, attempts: &attempts, remaining };
+            let reason = match upstream_stream.next_unless_better(waiting, timeout_ms, &request_log).await {
                 NextEvents::Events(events) => {
                     let now = clock::now();
                     request_log.record_event(now);
@@ -281,6 +346,7 @@
                     break;
                 }
                 NextEvents::Broken(reason) => reason,
+                NextEvents::Silent => SILENT,
                 NextEvents::DeadlineExceeded => "late",
             };
             let next = resume(&node, &plan, &mut attempts, upstream_stream, reason, &mut request_log).await;
@@ -313,6 +379,9 @@
         .last_id()
         .or(plan.head.resume_after);
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
+    if let Some(since) = upstream_stream.alive_since {
+        attempts.prefer_alive(since);
+    }
     // Closing the old connection first makes its upstream stop work whose result is unused.
     drop(upstream_stream);
     let not_resumed = match reason {
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -28,6 +28,7 @@
 mod heads;
 mod paths;
 mod shortage;
+mod silences;
 
 /// Interval at which a node counts as heard; longer than a test.
 const HEARTBEAT_INTERVAL_MS: u64 = 600_000;
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -17,7 +17,7 @@
 use crate::gateway::num;
 use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
-use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
+use crate::gateway::upstreams::{Contact, Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
 
 /// A request that has been sent to an upstream, counted as load there until it is dropped.
@@ -33,6 +33,8 @@
     domain: u64,
     /// Cancelled when that upstream is known to have restarted.
     restarted: CancellationToken,
+    /// The signs of life of that incarnation.
+    pub contact: Contact,
     /// The upstream's rate limit in requests per second over all nodes, if it announces one.
     pub limit_per_s: Option<f64>,
     pub sent_at: TimeMs,
@@ -70,6 +72,7 @@
             address: tag(&upstream.announcement.address.to_string()),
             domain: tag(&upstream.announcement.failure_domain),
             restarted: upstream.restarted.clone(),
+            contact: upstream.contact.clone(),
             limit_per_s: upstream.send_gate.throttle.limit_per_s(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
--- a/src/gateway/sources/tests.rs
+++ b/src/gateway/sources/tests.rs
@@ -37,6 +37,7 @@
         versions: crate::gateway::rollout::VersionFilter::Any,
         copy_tokens_per_ms: Some(597.0),
         may_repeat: false,
+        alive_since: None,
         draw: 0,
     };
     let sources = copy_sources(table, prefixes, &ask, NOW);
--- a/src/gateway/upstreams.rs
+++ b/src/gateway/upstreams.rs
@@ -1,6 +1,7 @@
 //! The table of known upstreams: how entries are added, found, replaced and evicted.
 
 mod announcement;
+mod contact;
 mod departed;
 mod queries;
 mod reports;
@@ -12,6 +13,7 @@
 
 use self::announcement::Recency;
 pub(crate) use self::announcement::{Announcement, Change, Phase};
+pub(crate) use self::contact::Contact;
 use self::departed::{Departed, DepartedStarts};
 pub(crate) use self::upstream::{Load, Upstream};
 use crate::gateway::speed::relative::RelativeSpeed;
@@ -165,6 +167,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             awaiting_since: None,
+            contact: Contact::default(),
             health: departed.health,
             send_gate: departed.send_gate,
             speed: RelativeSpeed::default(),
--- a/src/gateway/upstreams/upstream.rs
+++ b/src/gateway/upstreams/upstream.rs
@@ -4,6 +4,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::announcement::{Announcement, Phase};
+use super::contact::Contact;
 use crate::gateway::health::Health;
 use crate::gateway::limits::send_gate::{Closed, SendGate};
 use crate::gateway::num;
@@ -48,6 +49,8 @@
     pub peer_load: Load,
     /// When this node began to wait for a response; `None` if no response is outstanding.
     pub awaiting_since: Option<TimeMs>,
+    /// When it last gave a sign of life.
+    pub contact: Contact,
     pub health: Health,
     /// Whether the upstream admits this node's requests, as stated in its responses.
     pub send_gate: SendGate,
@@ -118,6 +121,12 @@
         (self.awaiting_since).is_some_and(|since| now.since(since) > allowed_ms)
     }
 
+    /// Whether it is expected to take a request up at once: it is neither paused nor silent.
+    pub fn is_usable(&self, now: TimeMs) -> bool {
+        let is_kept_waiting = self.own_load.running > 0 && self.contact.is_silent();
+        !self.health.is_paused(now) && !self.is_unresponsive(now) && !is_kept_waiting
+    }
+
     /// Records that a request was sent.
     pub fn record_sent(&mut self, now: TimeMs) {
         self.awaiting_since.get_or_insert(now);
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -83,6 +83,8 @@
     answer_cut: Mutex<Option<AnswerCut>>,
     /// Between two events of a stream.
     event_pause_ms: Mutex<u64>,
+    /// Until when it stands still, in Unix milliseconds.
+    still_until_ms: Mutex<u64>,
     /// Parts of prompts on which it crashes, and how.
     bad_parts: Mutex<Vec<BadPart>>,
     crash_by_part: Mutex<Crash>,
@@ -147,6 +149,7 @@
             framing: Mutex::default(),
             answer_cut: Mutex::default(),
             event_pause_ms: Mutex::new(EVENT_PAUSE_MS),
+            still_until_ms: Mutex::default(),
             bad_parts: Mutex::default(),
             crash_by_part: Mutex::default(),
             crashes: watch::Sender::default(),
@@ -331,6 +334,12 @@
         *self.core.event_pause_ms.lock() = pause_ms;
     }
 
+    /// Has it stand still from now on for a while and go on: it neither reads nor writes meanwhile, while its host accepts
+    /// connections and what is sent.
+    pub fn stand_still(&self, still_ms: u64) {
+        *self.core.still_until_ms.lock() = now_ms() + still_ms;
+    }
+
     /// Has something else stand under its key from now on, as another writer may put it there.
     pub fn overwrite(&self, value: &str) {
         *self.core.overwritten.lock() = Some(value.to_owned());
@@ -397,6 +406,13 @@
         *self.state.lock() == "draining"
     }
 
+    /// Waits while it stands still.
+    async fn wait_while_still(&self) {
+        let until_ms = *self.still_until_ms.lock();
+        let left_ms = until_ms.saturating_sub(now_ms());
+        tokio::time::sleep(Duration::from_millis(left_ms)).await;
+    }
+
     fn lapse(&self) {
         self.store.put("keyed.servers", &self.start_id(), "");
     }
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -39,6 +39,7 @@
         let mut buffer = Vec::new();
         let mut late_copy = LateCopy::default();
         while let Some(request) = receive(socket, &mut buffer).await? {
+            self.wait_while_still().await;
             if *self.has_crashed.lock() || self.is_fallen() {
                 return Ok(ChannelEnd::Reset);
             }
@@ -317,7 +318,9 @@
     async fn work(&self, socket: &mut TcpStream, place: usize, work_ms: u64) -> io::Result<bool> {
         let mut byte = [0];
         let closed = tokio::time::timeout(Duration::from_millis(work_ms), socket.peek(&mut byte));
-        let is_closed = match closed.await {
+        let closed = closed.await;
+        self.wait_while_still().await;
+        let is_closed = match closed {
             Err(_elapsed) => false,
             Ok(Ok(length)) => length == 0,
             Ok(Err(_error)) => true,
