--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -29,6 +29,7 @@
 mod paths;
 mod restarts;
 mod shortage;
+mod silences;
 
 /// Interval at which a node counts as heard; longer than a test.
 const HEARTBEAT_INTERVAL_MS: u64 = 600_000;
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -18,7 +18,7 @@
 use crate::gateway::num;
 use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
-use crate::gateway::upstreams::{Phase, Upstream, UpstreamKey, spread_bits, tag};
+use crate::gateway::upstreams::{Contact, Phase, Upstream, UpstreamKey, spread_bits, tag};
 use crate::time::TimeMs;
 
 /// Time for which the output of an upstream that has restarted is still awaited, where the request may not be repeated.
@@ -41,6 +41,8 @@
     restarted: CancellationToken,
     /// For how long its output is still awaited then.
     last_output_ms: u64,
+    /// The signs of life of that incarnation.
+    pub contact: Contact,
     /// The upstream's rate limit in requests per second over all nodes, if it announces one.
     pub limit_per_s: Option<f64>,
     pub sent_at: TimeMs,
@@ -82,6 +84,7 @@
                 true => 0,
                 false => LAST_OUTPUT_MS,
             },
+            contact: upstream.contact.clone(),
             limit_per_s: upstream.send_gate.throttle.limit_per_s(),
             sent_at: now,
             unread_tokens: choice.unread_tokens,
