--- a/stand_ins/src/operators/standstill/upstream_process.rs
+++ b/stand_ins/src/operators/standstill/upstream_process.rs
@@ -68,7 +68,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Told {
     Listens(SocketAddr),
-    Ran(Run),
+    Ran(Box<Run>),
 }
 
 /// Serves as an upstream until the standard input ends, if the environment tells this process to; otherwise returns at
@@ -111,7 +111,7 @@
         let new = runs.lock()[told..].to_vec();
         told += new.len();
         for run in new {
-            tell(&Told::Ran(run))?;
+            tell(&Told::Ran(Box::new(run)))?;
         }
         tokio::time::sleep(LOOK).await;
     }
@@ -230,7 +230,7 @@
         for line in BufReader::new(out).lines().map_while(Result::ok) {
             match serde_json::from_str(&line) {
                 Ok(Told::Listens(address)) => drop(listens.send(address)),
-                Ok(Told::Ran(run)) => runs.lock().push(run),
+                Ok(Told::Ran(run)) => runs.lock().push(*run),
                 // Other lines are those of the program that carries it.
                 Err(_not_told) => {}
             }
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -145,20 +145,14 @@
                 Ok(RESET)
             }
             Fault::LosesAnswers if number.is_multiple_of(2) => Ok(RESET),
-            Fault::RunsAndRefuses(status) => {
-                let head = self.head(status, id, "content-length: 4\r\n");
-                socket.write_all(format!("{head}full").as_bytes()).await?;
-                Ok(After::Stays)
-            }
+            Fault::RunsAndRefuses(status) => self.failure(socket, id, status, "").await,
             Fault::RunsAndDenies(status) => {
-                let head = self.head(status, id, "not-executed: 1\r\ncontent-length: 4\r\n");
-                socket.write_all(format!("{head}work").as_bytes()).await?;
-                Ok(After::Stays)
+                self.failure(socket, id, status, "not-executed: 1\r\n")
+                    .await
             }
             Fault::Fails => {
-                let head = self.head("500 Internal Server Error", id, "content-length: 4\r\n");
-                socket.write_all(format!("{head}fail").as_bytes()).await?;
-                Ok(After::Stays)
+                self.failure(socket, id, "500 Internal Server Error", "")
+                    .await
             }
             Fault::EndlessBytes => self.endless(socket, place, "", "!").await,
             Fault::EndlessHead => {
@@ -197,6 +191,19 @@
         }
     }
 
+    /// Sends a whole answer with this status and further lines in its head.
+    async fn failure(
+        &self,
+        socket: &mut TcpStream,
+        id: &str,
+        status: &str,
+        lines: &str,
+    ) -> io::Result<After> {
+        let head = self.head(status, id, &format!("{lines}content-length: 4\r\n"));
+        socket.write_all(format!("{head}fail").as_bytes()).await?;
+        Ok(After::Stays)
+    }
+
     /// Sends `begin`, then `filler` again and again until the channel is closed.
     async fn endless(
         &self,
