--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -80,9 +80,10 @@
             address: tag(&upstream.announcement.address.to_string()),
             domain: tag(&upstream.announcement.failure_domain),
             restarted: upstream.restarted.clone(),
-            last_output_ms: match plan.route().is_repeatable() {
-                true => 0,
-                false => LAST_OUTPUT_MS,
+            last_output_ms: if plan.route().is_repeatable() {
+                0
+            } else {
+                LAST_OUTPUT_MS
             },
             contact: upstream.contact.clone(),
             limit_per_s: upstream.send_gate.throttle.limit_per_s(),
