bug: A 421 shows by itself that its upstream has not run the request

A late copy of a 421 is still told apart first, by the id that it names, or by naming none on a connection that has carried others.

The test of promises without proof no longer lists 421.

--- a/src/gateway/exchange/classification.rs
+++ b/src/gateway/exchange/classification.rs
@@ -63,7 +63,8 @@
             upstream_request.record_outcome(Outcome::Broken, now);
             Err(SendError::MayHaveRun("other_answer", detail()))
         }
-        StatusCode::MISDIRECTED_REQUEST if answer.is_not_executed => {
+        // The status itself states that this upstream is another one and has not run the request.
+        StatusCode::MISDIRECTED_REQUEST => {
             upstream_request.record_outcome(Outcome::Refused, now);
             Err(SendError::NotRun("other_upstream", detail()))
         }
@@ -128,7 +129,6 @@
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
             | StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
     )
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -21,6 +21,9 @@
 /// Longer than any test.
 const FOREVER_MS: u64 = 3_600_000;
 
+/// The answer of an upstream that has taken over the address of another.
+const BARE_MISDIRECTION: &[u8] = b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+
 const RESET: After = After::Ends(ChannelEnd::Reset);
 
 impl Core {
@@ -104,6 +107,10 @@
             socket.write_all(answer.as_bytes()).await?;
             return Ok(After::Stays);
         }
+        if fault == Fault::Misdirects {
+            socket.write_all(BARE_MISDIRECTION).await?;
+            return Ok(After::Stays);
+        }
         if fault == Fault::Sheds {
             let answer = self.refusal(request);
             socket.write_all(answer.as_bytes()).await?;
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -31,6 +31,8 @@
     RunsAndDenies(&'static str),
     /// It does not run requests and says so.
     Sheds,
+    /// It runs no request and answers that it is another upstream, with the status alone.
+    Misdirects,
     /// It breaks streams off within their third event, and plain answers within their body.
     BreaksOff,
     /// It breaks streams that begin there off within their third event, and none that go on there.
