--- a/src/gateway/attempt_timeouts.rs
+++ b/src/gateway/attempt_timeouts.rs
@@ -85,9 +85,10 @@
 /// Returns the timeout, in milliseconds, after which a request leaves for an upstream that has given no sign of life.
 #[must_use]
 pub(crate) fn unproven_timeout_ms(route: &Route, timeout_ms: u64) -> u64 {
-    match route.is_stream {
-        true => num::round_to_u64(num::to_f64(timeout_ms) * UNPROVEN_TIMEOUT_FACTOR),
-        false => timeout_ms,
+    if route.is_stream {
+        num::round_to_u64(num::to_f64(timeout_ms) * UNPROVEN_TIMEOUT_FACTOR)
+    } else {
+        timeout_ms
     }
 }
 
