--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -22,7 +22,7 @@
 const FOREVER_MS: u64 = 3_600_000;
 
 /// The answer of an upstream that has taken over the address of another.
-const BARE_MISDIRECTION: &[u8] = b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
+const BARE_MISDIRECTION: &str = "HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
 
 const RESET: After = After::Ends(ChannelEnd::Reset);
 
@@ -95,26 +95,32 @@
         });
     }
 
-    /// Answers a request; returns what becomes of the channel.
-    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<After> {
-        let id = request.header("request-attempt-id").unwrap_or_default();
+    /// Answers a request that is for another upstream, or that a fault keeps from running; `None` for any other.
+    async fn turn_away(
+        &self,
+        socket: &mut TcpStream,
+        request: &Received,
+        fault: Fault,
+    ) -> io::Result<Option<After>> {
         let is_other = request
             .header("expect-instance")
             .is_some_and(|expected| expected != self.start_id());
+        let (answer, after) = match fault {
+            _ if is_other => (misdirection(request), After::Stays),
+            Fault::Misdirects => (BARE_MISDIRECTION.to_owned(), After::Stays),
+            Fault::Sheds => (self.refusal(request), After::Refused),
+            _ => return Ok(None),
+        };
+        socket.write_all(answer.as_bytes()).await?;
+        Ok(Some(after))
+    }
+
+    /// Answers a request; returns what becomes of the channel.
+    async fn answer(&self, socket: &mut TcpStream, request: &Received) -> io::Result<After> {
+        let id = request.header("request-attempt-id").unwrap_or_default();
         let fault = *self.fault.lock();
-        if is_other {
-            let answer = misdirection(request);
-            socket.write_all(answer.as_bytes()).await?;
-            return Ok(After::Stays);
-        }
-        if fault == Fault::Misdirects {
-            socket.write_all(BARE_MISDIRECTION).await?;
-            return Ok(After::Stays);
-        }
-        if fault == Fault::Sheds {
-            let answer = self.refusal(request);
-            socket.write_all(answer.as_bytes()).await?;
-            return Ok(After::Refused);
+        if let Some(after) = self.turn_away(socket, request, fault).await? {
+            return Ok(after);
         }
         let Some(_place) = self.take_place() else {
             if self.falls_by_refusal() {
