bug: A kill of all nodes forgot which requests crash upstreams

Cause: blocks were kept in memory and told by datagrams alone. Class: what must outlast all nodes was not in the platform's store.

Change: the node that ranks first writes all blocks, at most 256, to one key of a topic of its own when they change, and once a minute while there are any; nodes that start read it as they read the starts of streams (few of them where there are several groups) and tell the others as before. With each block goes when an answer last went on under it, so that the trials of a part that was sound go on. Blocks expire as in memory; nothing is written while nothing was ever blocked. Crashes that have not led to a block are still forgotten.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -11,6 +11,8 @@
 //! explain the same crashes one under which no answer went on is blamed first, and of these the last,
 //! which the fewest requests share. What a blocked subject explains is held against no other.
 
+mod archive;
+pub(crate) mod archiving;
 pub(crate) mod breaks;
 mod evidence;
 pub(crate) mod reports;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,7 +21,7 @@
 use super::state::Gateway;
 use super::streams;
 use super::{
-    announcements, caller_listener, clock, configuration_sync, duties, endpoints, gossip,
+    announcements, caller_listener, clock, configuration_sync, crashes, duties, endpoints, gossip,
     reach_probe,
 };
 use crate::platform::settings::{self, SettingsError};
@@ -118,6 +118,7 @@
     tokio::spawn(streams::read_archive(Arc::clone(&node)));
     tokio::spawn(streams::pass_starts_on(Arc::clone(&node)));
     tokio::spawn(streams::write_starts(Arc::clone(&node)));
+    tokio::spawn(crashes::archiving::keep_blocks(Arc::clone(&node)));
     tokio::spawn(reach_probe::run(Arc::clone(&node)));
     if order_when_short {
         node.scheduling.lock().switch_on();
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use archive::{Start, StreamArchive, UnwrittenStarts, WaitingStarts};
 pub(crate) use archiving::{
-    accept_to_pass_on, accept_to_write, pass_starts_on, read_archive, write_starts,
+    accept_to_pass_on, accept_to_write, pass_starts_on, read_archive, reads_archive, write_starts,
 };
 pub(crate) use binding::{Begun, bind};
 pub(crate) use origins::{Origin, Origins, StreamKey};
--- a/src/gateway/streams/archiving.rs
+++ b/src/gateway/streams/archiving.rs
@@ -179,7 +179,7 @@
 }
 
 /// Whether this node is one of those that read the archive; `None` until it has learned of the others.
-fn reads_archive(node: &Gateway, now: TimeMs) -> Option<bool> {
+pub(crate) fn reads_archive(node: &Gateway, now: TimeMs) -> Option<bool> {
     let knows_nodes = node.upstreams_view.lock().knows_nodes;
     if !knows_nodes {
         return (node.uptime_ms(now) >= NO_PEERS_UPTIME_MS).then_some(true);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -54,6 +54,8 @@
     Duties,
     /// Where streams began, for nodes that start after all of them were lost.
     Streams,
+    /// What is blocked because upstreams crashed under it, for the same case; a keyed topic.
+    Blocks,
 }
 
 impl Topic {
@@ -65,6 +67,7 @@
             Self::Nodes => "nodes",
             Self::Duties => "duties",
             Self::Streams => "streams",
+            Self::Blocks => "blocks",
         }
     }
 
@@ -76,6 +79,7 @@
             Self::Nodes => "keyed.status",
             Self::Duties => "duties",
             Self::Streams => "streams",
+            Self::Blocks => "keyed.blocks",
         }
     }
 }
