bug: A stream leaves a silent upstream only with a repeat in hand

A stream now takes its repeat before it closes the old connection, and the send that follows uses it. A head that is awaited does the same. A stream that finds the budget used up waits on. Beside it: a deadline that has passed no longer marks the upstream as silent (calls with short deadlines could make a sound upstream doubtful to others), and the preference for upstreams with a sign of life ends once the stream goes on.

--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -53,6 +53,8 @@
     begun_version: Option<VersionTag>,
     /// Since when an upstream must have given a sign of life to be preferred; set once the request has left a silent one.
     alive_since: Option<TimeMs>,
+    /// Whether a repeat has been taken out of the budget and not been sent yet.
+    holds_repeat: bool,
 }
 
 impl Attempts {
@@ -128,6 +130,21 @@
         self.alive_since = Some(since);
     }
 
+    /// Ends that preference: the upstream that the request was sent to has gone on.
+    pub fn forget_silence(&mut self) {
+        self.alive_since = None;
+    }
+
+    /// Records that a repeat of this request has been taken out of the budget and not been sent yet.
+    pub fn hold_repeat(&mut self) {
+        self.holds_repeat = true;
+    }
+
+    /// Returns whether a repeat has been taken out of the budget before; the next one has to be taken anew.
+    pub fn use_held_repeat(&mut self) -> bool {
+        std::mem::take(&mut self.holds_repeat)
+    }
+
     /// Returns since when an upstream must have given a sign of life to be preferred, if the request has left a silent one.
     pub fn alive_since(&self) -> Option<TimeMs> {
         self.alive_since
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -190,6 +190,7 @@
             }
             Ok(choice)
         }
+        false if attempts.use_held_repeat() => Ok(choice),
         false if takes_repeat(node, &plan.pool, now) => Ok(choice),
         false => Err(attempts.final_refusal(plan, now)),
     }
@@ -224,7 +225,7 @@
 }
 
 /// Takes one repeat out of the pool's repeat budget; returns whether one was left.
-fn takes_repeat(node: &Gateway, pool: &str, now: TimeMs) -> bool {
+pub(super) fn takes_repeat(node: &Gateway, pool: &str, now: TimeMs) -> bool {
     let budget = node.repeat_budget();
     let is_taken = (node.repeats.lock())
         .get_or_default(pool)
@@ -471,7 +472,7 @@
 async fn await_head<T>(
     node: &Arc<Gateway>,
     plan: &Plan,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     pending: &UpstreamRequest,
     answer: impl Future<Output = T>,
     request_log: &RequestLog,
@@ -484,16 +485,6 @@
         give_up_after_ms: (!plan.route().is_stream).then_some(last_ms),
         ..Silence::new(plan.route(), pending.sent_at, timeout_ms)
     };
-    let waiting = Waiting {
-        node,
-        plan,
-        attempts,
-        remaining: if is_last {
-            Remaining::NoAttempt
-        } else {
-            Remaining::Attempts
-        },
-    };
     let mut answer = std::pin::pin!(answer);
     let mut stays = Stays::default();
     let mut wait_ms = timeout_ms;
@@ -502,11 +493,31 @@
         if let Ok(answered) = patience::within(wait, &mut answer).await {
             return Some(answered);
         }
-        let left_ms = clock::now().until(plan.deadline);
-        let leaves = waiting.leaves(pending, &silence, &mut stays, request_log);
-        if left_ms == 0 || leaves.is_some() {
+        let now = clock::now();
+        let left_ms = now.until(plan.deadline);
+        if left_ms == 0 {
             return None;
         }
+        let waiting = Waiting {
+            node,
+            plan,
+            attempts,
+            remaining: if is_last {
+                Remaining::NoAttempt
+            } else {
+                Remaining::Attempts
+            },
+        };
+        let leaves = waiting.leaves(pending, &silence, &mut stays, request_log);
+        match leaves {
+            // A plain call that is not sent again is given up for its caller to send it again.
+            Some(_choice) if !plan.route().is_stream => return None,
+            Some(_choice) if takes_repeat(node, &plan.pool, now) => {
+                attempts.hold_repeat();
+                return None;
+            }
+            _ => {}
+        }
         wait_ms = silence::ASK_AGAIN_MS.min(left_ms);
     }
 }
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -169,10 +169,18 @@
                 && waiting.is_connected(&choice).await
             {
                 // It may have gone on in the meantime.
-                let next = self.next(0, plan.deadline).await;
-                let alive_since = silence::proof_since(silence.since, clock::now());
-                self.alive_since = matches!(next, NextEvents::Silent).then_some(alive_since);
-                return next;
+                match self.next(0, plan.deadline).await {
+                    // Streams that leave one upstream at once compete for what is left of the budget.
+                    NextEvents::Silent
+                        if dispatch::takes_repeat(waiting.node, &plan.pool, clock::now()) =>
+                    {
+                        let alive_since = silence::proof_since(silence.since, clock::now());
+                        self.alive_since = Some(alive_since);
+                        return NextEvents::Silent;
+                    }
+                    NextEvents::Silent => {}
+                    next => return next,
+                }
             }
         }
     }
@@ -292,6 +300,7 @@
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
     if let Some(since) = upstream_stream.alive_since {
         attempts.prefer_alive(since);
+        attempts.hold_repeat();
     }
     request_log.record_failed_attempt(reason, "before the first event", now);
     None
@@ -336,6 +345,7 @@
                     let now = clock::now();
                     request_log.record_event(now);
                     upstream_stream.record_progress(&node, &plan, now);
+                    attempts.forget_silence();
                     yield Frame::data(events.bytes);
                     continue;
                 }
@@ -382,6 +392,7 @@
     attempts.exclude(upstream_stream.context.upstream_request.upstream);
     if let Some(since) = upstream_stream.alive_since {
         attempts.prefer_alive(since);
+        attempts.hold_repeat();
     }
     // Closing the old connection first makes its upstream stop work whose result is unused.
     drop(upstream_stream);
--- a/src/gateway/exchange/tests/silences.rs
+++ b/src/gateway/exchange/tests/silences.rs
@@ -17,6 +17,9 @@
 /// Requests that have earned repeats before.
 const EARLIER_REQUESTS: usize = 400;
 
+/// Streams that stand still together.
+const STREAMS_AT_ONCE: usize = 24;
+
 /// Events of a stream.
 const EVENTS: usize = 10;
 
@@ -39,6 +42,16 @@
     test_node
 }
 
+/// Takes repeats out of the budget until one is left.
+fn leave_one_repeat(node: &Gateway) {
+    let budget = node.repeat_budget();
+    let mut repeats = node.repeats.lock();
+    let repeats = repeats.get_or_default("pool");
+    while repeats.remaining(&budget, clock::now()) >= 2.0 {
+        assert!(repeats.try_take(&budget, clock::now()));
+    }
+}
+
 /// Sends a stream without waiting for its end.
 fn ask(test_node: &TestNode, id: &str) -> tokio::task::JoinHandle<Ended> {
     let asked = Asked {
@@ -105,6 +118,33 @@
     assert_kept(&test_node, &upstreams, "no budget left").await;
 }
 
+/// Guards against streams that leave one silent upstream at once, of which all but the first find the budget used up.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_streams_beyond_the_repeat_budget_wait_for_their_upstream() {
+    let upstreams = Upstreams::start().await;
+    let test_node = start(&upstreams, 3).await;
+    let ids: Vec<String> = (0..STREAMS_AT_ONCE).map(|n| format!("crowd-{n}")).collect();
+    for stand_in in &upstreams.stand_ins {
+        stand_in.pause_between_events(60);
+    }
+    let requests: Vec<_> = ids.iter().map(|id| ask(&test_node, id)).collect();
+    eventually(|| ids.iter().all(|id| upstreams.runs_of(id).len() == 1)).await;
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    leave_one_repeat(&test_node.node);
+    let begun_at = |id: &String| upstreams.runs_of(id)[0].upstream.clone();
+    let silent = begun_at(&ids[0]);
+    let crowd = ids.iter().filter(|id| begun_at(id) == silent).count();
+    assert!(crowd > 2, "{crowd} streams at {silent}");
+    let mut stand_ins = upstreams.stand_ins.iter();
+    let stand_in = stand_ins.find(|stand_in| stand_in.id() == silent);
+    stand_in
+        .expect("it began there")
+        .stand_still(2 * SILENCE_MS);
+    for (id, request) in ids.iter().zip(requests) {
+        assert_whole(&request.await.expect("the request ends"), id);
+    }
+}
+
 /// Guards against a stream that is broken off for a silence because no other upstream has its version.
 #[tokio::test(flavor = "multi_thread")]
 async fn silent_stream_without_an_upstream_of_its_version_waits_for_its_own() {
