bug: Refused requests of a peer no longer end its other answers after a thousand

Frames that arrive for requests that were refused or cancelled are counted over a connection's whole life, and the connection is closed at 1,024. It is 1,048,576 now; a host that sends nothing else is still cut off.

--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -37,6 +37,10 @@
 /// streams.
 const MAX_CANCELLED_STREAMS: usize = 16_384;
 
+/// Frames of refused or cancelled requests after which a connection is closed, with all other answers on it. A peer of a busy node
+/// causes some for as long as its connection lasts; a host that sends nothing else is cut off.
+const MAX_REFUSED_STREAMS: usize = 1_048_576;
+
 /// Delay before the next accept after an error, such as the exhaustion of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -225,6 +229,8 @@
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .max_concurrent_streams(settings.max_streams)
             .max_pending_accept_reset_streams(MAX_CANCELLED_STREAMS)
+            // Counts over all of a connection's time what arrives for requests that were refused or cancelled.
+            .max_local_error_reset_streams(Some(MAX_REFUSED_STREAMS))
             .max_header_list_size(MAX_HEADER_BYTES);
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
         let handshake =
