--- a/src/gateway/crashes/verification.rs
+++ b/src/gateway/crashes/verification.rs
@@ -19,6 +19,9 @@
 /// any order.
 const SETTLE: Duration = Duration::from_millis(20);
 
+/// Time in which an upstream that has restarted at once announces its new start, and nodes read that.
+const RESTART_NEWS: Duration = Duration::from_millis(1_500);
+
 /// A request whose connection broke, and the upstream that ran it.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Broken {
@@ -75,7 +78,7 @@
 }
 
 async fn verify(node: Arc<Gateway>, broken: Broken, address: SocketAddr) {
-    if runs(&node, broken.key, address).await {
+    if runs(&node, broken.key, address).await && !restarts_soon(&node, broken.key).await {
         log::debug!(event = "upstream_runs_on", address:% = address; "an upstream whose connection broke accepts connections; its request is not blamed");
         return;
     }
@@ -83,6 +86,22 @@
     reports::record_crash(&node, broken.crash(now), now);
 }
 
+/// Waits for the news of a restart, which may come after its address accepts connections again.
+async fn restarts_soon(node: &Gateway, upstream: UpstreamKey) -> bool {
+    let restarted = {
+        let upstreams = node.upstreams.lock();
+        upstreams
+            .get(upstream)
+            .map(|upstream| upstream.restarted.clone())
+    };
+    match restarted {
+        Some(restarted) => tokio::time::timeout(RESTART_NEWS, restarted.cancelled())
+            .await
+            .is_ok(),
+        None => true,
+    }
+}
+
 /// Returns the address of a start of an upstream; `None` if that start is known to have ended.
 fn running_address(node: &Gateway, upstream: UpstreamKey) -> Option<SocketAddr> {
     let upstreams = node.upstreams.lock();
