--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -30,6 +30,14 @@
     Done,
 }
 
+/// Whether a repeat has been taken out of the budget and not been sent yet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum RepeatInHand {
+    #[default]
+    None,
+    Taken,
+}
+
 /// The attempts made for one request.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -54,7 +62,7 @@
     /// Since when an upstream must have given a sign of life to be preferred; set once the request has left a silent one.
     alive_since: Option<TimeMs>,
     /// Whether a repeat has been taken out of the budget and not been sent yet.
-    holds_repeat: bool,
+    repeat: RepeatInHand,
 }
 
 impl Attempts {
@@ -137,12 +145,12 @@
 
     /// Records that a repeat of this request has been taken out of the budget and not been sent yet.
     pub fn hold_repeat(&mut self) {
-        self.holds_repeat = true;
+        self.repeat = RepeatInHand::Taken;
     }
 
     /// Returns whether a repeat has been taken out of the budget before; the next one has to be taken anew.
     pub fn use_held_repeat(&mut self) -> bool {
-        std::mem::take(&mut self.holds_repeat)
+        std::mem::take(&mut self.repeat) == RepeatInHand::Taken
     }
 
     /// Returns since when an upstream must have given a sign of life to be preferred, if the request has left a silent one.
