--- a/src/gateway/exchange/alternatives.rs
+++ b/src/gateway/exchange/alternatives.rs
@@ -6,6 +6,7 @@
 
 use super::admission::Plan;
 use super::attempts::Attempts;
+use super::connecting;
 use super::dispatch;
 use super::request_log::RequestLog;
 use super::silence::{self, Alternative, Decision, Silence};
@@ -63,7 +64,7 @@
 
     /// Whether a connection to the other upstream is open or can be opened.
     pub async fn is_connected(&self, choice: &Choice) -> bool {
-        dispatch::is_connected(self.node, self.plan, choice.upstream).await
+        connecting::is_connected(self.node, self.plan, choice.upstream).await
     }
 
     /// Returns why this node may not send the request to another upstream, if it may not.
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -1,32 +1,26 @@
 //! Sends a request to upstreams, one after another, within its deadline and repeat budget.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
 
 use super::admission::Plan;
-use super::alternatives::{Remaining, Stays, Waiting};
 use super::attempts::{Attempts, retry_after_ms};
 use super::classification::{self, SendError};
+use super::connecting::open_channel;
+use super::head_wait::await_head;
 use super::request_log::{RequestLog, SelectionInputs};
-use super::silence::{self, Silence};
+use super::silence;
 use super::upstream_request::UpstreamRequest;
 use super::upstream_response::UpstreamResponse;
-use crate::gateway::attempt_timeouts;
 use crate::gateway::choose::{self, Backpressure, Choice, Criteria};
 use crate::gateway::clock;
-use crate::gateway::connections::Connection;
 use crate::gateway::demand::EngineRequest;
 use crate::gateway::health::Outcome;
 use crate::gateway::limits::repeat_budget;
 use crate::gateway::num;
-use crate::gateway::patience;
-use crate::gateway::reach;
-use crate::gateway::reach_probe;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::request_head::Prompt;
 use crate::gateway::rollout::{RoutingContext, VersionFilter};
@@ -35,7 +29,6 @@
 use crate::gateway::speed::pace::Pace;
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::VersionTag;
-use crate::gateway::upstreams::UpstreamKey;
 use crate::platform::headers::{self, UpstreamHeaders};
 use crate::time::TimeMs;
 
@@ -429,33 +422,6 @@
     classification::classify(node, plan, pending, channel, response)
 }
 
-/// Returns a connection to an upstream, and records whether a new one could be opened.
-async fn open_channel(
-    node: &Arc<Gateway>,
-    plan: &Plan,
-    upstream: UpstreamKey,
-    address: SocketAddr,
-) -> Result<Connection, SendError> {
-    let may_repeat = plan.route().is_repeatable();
-    let opened = node
-        .channels
-        .open(upstream, address, may_repeat, clock::now())
-        .await;
-    let now = clock::now();
-    match opened {
-        Ok(channel) => {
-            if !channel.is_reused {
-                node.record_connected(&plan.pool, now);
-            }
-            Ok(channel)
-        }
-        Err(error) => {
-            record_unreachable(node, plan, upstream);
-            Err(SendError::NotRun("unreachable", error.to_string()))
-        }
-    }
-}
-
 /// Counts a send by its kind, separately for upstreams that have announced a rate limit.
 fn count_send(attempts: &Attempts, resume_after: Option<u64>, is_limited: bool) {
     let kind = match (attempts.sends(), resume_after) {
@@ -467,99 +433,6 @@
     metrics::counter!("teaselline_sends_total", "kind" => kind, "limited" => limited).increment(1);
 }
 
-/// Awaits the answer to a request that has been sent; returns `None` once it is given up for a better upstream, for its
-/// caller to send it again, or at its deadline.
-async fn await_head<T>(
-    node: &Arc<Gateway>,
-    plan: &Plan,
-    attempts: &mut Attempts,
-    pending: &UpstreamRequest,
-    answer: impl Future<Output = T>,
-    request_log: &RequestLog,
-) -> Option<T> {
-    let is_last = attempts.executions() + 1 >= plan.route().max_upstreams;
-    let left_ms = pending.sent_at.until(plan.deadline);
-    let timeout_ms = attempt_timeouts::response_head_timeout_ms(plan.route(), is_last, left_ms);
-    let last_ms = attempt_timeouts::response_head_timeout_ms(plan.route(), true, left_ms);
-    let silence = Silence {
-        give_up_after_ms: (!plan.route().is_stream).then_some(last_ms),
-        ..Silence::new(plan.route(), pending.sent_at, timeout_ms)
-    };
-    let mut answer = std::pin::pin!(answer);
-    let mut stays = Stays::default();
-    let mut wait_ms = timeout_ms;
-    loop {
-        let wait = Duration::from_millis(wait_ms);
-        if let Ok(answered) = patience::within(wait, &mut answer).await {
-            return Some(answered);
-        }
-        let now = clock::now();
-        let left_ms = now.until(plan.deadline);
-        if left_ms == 0 {
-            return None;
-        }
-        let waiting = Waiting {
-            node,
-            plan,
-            attempts,
-            remaining: if is_last {
-                Remaining::NoAttempt
-            } else {
-                Remaining::Attempts
-            },
-        };
-        let leaves = waiting.leaves(pending, &silence, &mut stays, request_log);
-        match leaves {
-            // A plain call that is not sent again is given up for its caller to send it again.
-            Some(_choice) if !plan.route().is_stream => return None,
-            Some(_choice) if takes_repeat(node, &plan.pool, now) => {
-                attempts.hold_repeat();
-                return None;
-            }
-            _ => {}
-        }
-        wait_ms = silence::ASK_AGAIN_MS.min(left_ms);
-    }
-}
-
-/// Whether a connection to an upstream is open or can be opened; one that is opened is kept.
-pub(super) async fn is_connected(node: &Arc<Gateway>, plan: &Plan, upstream: UpstreamKey) -> bool {
-    if node.channels.has_idle(upstream, clock::now()) {
-        return true;
-    }
-    let address = {
-        let upstreams = node.upstreams.lock();
-        let upstream = upstreams.get(upstream);
-        upstream.map(|upstream| upstream.announcement.address)
-    };
-    let Some(address) = address else {
-        return false;
-    };
-    match node.channels.open_idle(upstream, address).await {
-        Ok(()) => {
-            node.record_connected(&plan.pool, clock::now());
-            true
-        }
-        Err(error) => {
-            record_unreachable(node, plan, upstream);
-            log::debug!(pool = plan.pool.as_str(), error:err = error; "cannot connect to an upstream to which a stream would move");
-            false
-        }
-    }
-}
-
-/// Records that no connection to an upstream could be opened, and finds out whether its pool is lost.
-fn record_unreachable(node: &Arc<Gateway>, plan: &Plan, upstream: UpstreamKey) {
-    let now = clock::now();
-    if let Some(upstream) = node.upstreams.lock().get_mut(upstream) {
-        upstream.health.record_unreachable(now);
-    }
-    let change = node.record_unreachable(&plan.pool, upstream, now);
-    if change == Some(reach::Change::Suspected) {
-        tokio::spawn(reach_probe::examine(Arc::clone(node), plan.pool.clone()));
-    }
-}
-
 /// Builds the upstream request; returns `None` once the deadline has passed.
 fn build_request(
     plan: &Plan,
