refactor: Topics, errors and records of the store are modules beside its client

store.rs held calls, topics, errors, and the decoding of records and pages in 647 lines. The client keeps the calls (390 lines); what it returns and how that is decoded has a module, so have the topics and the errors.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,21 +2,25 @@
 //!
 //! A keyed topic retains the latest record of each key.
 
+mod error;
+mod records;
+mod topic;
+
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD as BASE64;
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use http::{HeaderName, Method, StatusCode};
 use parking_lot::Mutex;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::{Deserialize, Serialize};
-use serde_json::value::RawValue;
-use thiserror::Error;
 
-use super::http::{Call, CallError, Client, PlatformResponse};
+pub(crate) use self::error::{StoreError, shows_store_available};
+pub(crate) use self::records::{KeyedRecord, LatestRecords, Records};
+use self::records::{LENGTH_BYTES, RawNewest, read_records};
+pub(crate) use self::topic::{CONFIGURATION_KEY, Topic};
+use super::http::{Call, Client, PlatformResponse};
 use super::malformed_records::{MalformedRecords, Reporting};
 use crate::gateway::log_position::LogPosition;
 
@@ -29,185 +33,12 @@
 /// Header of all responses: number of times that the store was restored from a backup.
 const ERA: HeaderName = HeaderName::from_static("store-era");
 
-/// Size of the length prefix of each record.
-const LENGTH_BYTES: usize = 4;
-
-/// Size of the two offsets at the start of a response with records.
-const OFFSETS_BYTES: usize = 16;
-
 /// Maximum kilobytes of records in one response.
 const READ_KB: u32 = 1_024;
 
 /// Maximum length of the logged reason for skipping a record.
 const MAX_REASON_BYTES: usize = 200;
 
-/// Topics of the store that this program uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Topic {
-    /// The operators' configuration, a keyed topic.
-    Configuration,
-    /// Announcements of upstreams, a keyed topic.
-    Upstreams,
-    /// Announcements of this system's nodes, a keyed topic.
-    Nodes,
-    /// Lease and reports of the duties that only the lease holder performs.
-    Duties,
-    /// Where streams began, for nodes that start after all of them were lost.
-    Streams,
-    /// What is blocked because upstreams crashed under it, for the same case; a keyed topic.
-    Blocks,
-}
-
-impl Topic {
-    /// Value of the `topic` key in logs and metrics.
-    pub(super) fn label(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Upstreams => "upstreams",
-            Self::Nodes => "nodes",
-            Self::Duties => "duties",
-            Self::Streams => "streams",
-            Self::Blocks => "blocks",
-        }
-    }
-
-    /// Name of the topic in the store.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "keyed.op",
-            Self::Upstreams => "keyed.servers",
-            Self::Nodes => "keyed.status",
-            Self::Duties => "duties",
-            Self::Streams => "streams",
-            Self::Blocks => "keyed.blocks",
-        }
-    }
-}
-
-/// Key of the operators' configuration within [`Topic::Configuration`].
-pub(crate) const CONFIGURATION_KEY: &str = "config";
-
-/// Reason why a call to the store failed.
-#[derive(Debug, Error)]
-pub(crate) enum StoreError {
-    /// No response arrived.
-    #[error(transparent)]
-    Call(#[from] CallError),
-    /// The store rejected the call, which had no effect.
-    #[error("the store rejected the call with status {status}")]
-    Refused {
-        /// HTTP status of the response.
-        status: StatusCode,
-    },
-    /// The requested records have been deleted.
-    #[error("records before offset {first} have been deleted")]
-    Deleted {
-        /// Offset of the first retained record.
-        first: u64,
-    },
-    /// The end of the partition differs from the position that the append expected.
-    #[error("the partition ends at {end}")]
-    EndMismatch {
-        /// Current end of the partition.
-        end: LogPosition,
-    },
-    /// The response belongs to another era than the request, or to one that has ended since.
-    ///
-    /// The store was restored from a backup in between.
-    #[error("the store responded in era {era}, which differs from the era of the call")]
-    EraMismatch {
-        /// Era of the response.
-        era: u64,
-    },
-    /// The response or a record does not have the expected format.
-    #[error("malformed store data: {problem}")]
-    Malformed {
-        /// Description of the problem.
-        problem: &'static str,
-    },
-}
-
-impl StoreError {
-    /// Whether the call certainly had no effect and will not have one later.
-    pub fn is_without_effect(&self) -> bool {
-        matches!(
-            self,
-            Self::Refused { .. }
-                | Self::EndMismatch { .. }
-                | Self::Deleted { .. }
-                | Self::Call(CallError::Connect { .. })
-        )
-    }
-}
-
-/// Whether the outcome of a call shows that the store processes calls of this node.
-pub(crate) fn shows_store_available<T>(called: &Result<T, StoreError>) -> bool {
-    match called {
-        Ok(_) => true,
-        Err(error) => matches!(
-            error,
-            StoreError::Deleted { .. }
-                | StoreError::EndMismatch { .. }
-                | StoreError::EraMismatch { .. }
-        ),
-    }
-}
-
-/// Consecutive records of a partition.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Records {
-    /// Position of the first record of `bodies`.
-    pub from: LogPosition,
-    /// End of the partition.
-    pub end: LogPosition,
-    pub bodies: Vec<Bytes>,
-}
-
-impl Records {
-    /// Position after the last record of `bodies`.
-    pub fn next(&self) -> LogPosition {
-        self.from.after(self.bodies.len())
-    }
-}
-
-/// A record of a keyed topic; a record without a value deletes the key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct KeyedRecord {
-    /// Position of the record in its partition.
-    pub position: LogPosition,
-    pub key: String,
-    pub value: Option<Bytes>,
-}
-
-/// Latest record of each key, and the position from which to continue reading.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct LatestRecords {
-    pub items: Vec<KeyedRecord>,
-    pub end: LogPosition,
-}
-
-#[derive(Debug, Deserialize)]
-struct RawNewest<'a> {
-    /// Each item is decoded by itself: another writer's may be odd.
-    #[serde(borrow)]
-    items: Vec<&'a RawValue>,
-    #[serde(default)]
-    truncated: bool,
-    end: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct RawKey {
-    key: String,
-}
-
-#[derive(Debug, Deserialize)]
-struct RawItem {
-    key: String,
-    value: String,
-    offset: u64,
-}
-
 #[derive(Debug, Deserialize)]
 struct RawEnd {
     end: u64,
@@ -555,93 +386,5 @@
     })
 }
 
-impl RawNewest<'_> {
-    /// Returns the key of the last item that has one.
-    fn last_key(&self) -> Option<String> {
-        let items = self.items.iter().rev();
-        let mut keys = items.filter_map(|item| serde_json::from_str::<RawKey>(item.get()).ok());
-        keys.next().map(|item| item.key)
-    }
-}
-
-/// Decodes a response with records: two offsets, then each record after its length prefix.
-fn read_records(from: LogPosition, mut body: Bytes) -> Result<Records, StoreError> {
-    if body.len() < OFFSETS_BYTES {
-        let problem = "the offsets are missing";
-        return Err(StoreError::Malformed { problem });
-    }
-    let end = LogPosition {
-        offset: body.get_u64(),
-        ..from
-    };
-    let _first = body.get_u64();
-    let mut bodies = Vec::new();
-    while body.len() >= LENGTH_BYTES {
-        let length = usize::try_from(body.get_u32()).unwrap_or(usize::MAX);
-        if length > body.len() {
-            let problem = "a record is shorter than its length";
-            return Err(StoreError::Malformed { problem });
-        }
-        bodies.push(body.split_to(length));
-    }
-    if body.is_empty() {
-        return Ok(Records { from, end, bodies });
-    }
-    let problem = "bytes follow the last record";
-    Err(StoreError::Malformed { problem })
-}
-
-impl KeyedRecord {
-    /// Decodes a record of a keyed topic: the length of the key, the key, and the value.
-    ///
-    /// # Errors
-    ///
-    /// If the record is shorter than its key length, or the key is not UTF-8.
-    pub fn read(position: LogPosition, mut record: Bytes) -> Result<Self, StoreError> {
-        let malformed = StoreError::Malformed {
-            problem: "a keyed record is cut short",
-        };
-        if record.is_empty() {
-            return Err(malformed);
-        }
-        let length = usize::from(record.get_u8());
-        if length > record.len() {
-            return Err(malformed);
-        }
-        let key = record.split_to(length);
-        let key = std::str::from_utf8(&key).map_err(|_not_text| StoreError::Malformed {
-            problem: "a key is not text",
-        })?;
-        Ok(Self {
-            position,
-            key: key.to_owned(),
-            value: (!record.is_empty()).then_some(record),
-        })
-    }
-}
-
-impl KeyedRecord {
-    /// Decodes an item of a page that the store returned in an era.
-    fn from_page_item(era: u64, raw: &RawValue) -> Result<Self, StoreError> {
-        let raw: RawItem =
-            serde_json::from_str(raw.get()).map_err(|_not_an_item| StoreError::Malformed {
-                problem: "an item has no key or no value",
-            })?;
-        let value = BASE64
-            .decode(raw.value)
-            .map_err(|_not_base64| StoreError::Malformed {
-                problem: "a value is not base64",
-            })?;
-        Ok(Self {
-            position: LogPosition {
-                era,
-                offset: raw.offset,
-            },
-            key: raw.key,
-            value: (!value.is_empty()).then(|| value.into()),
-        })
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/platform/store/tests.rs
+++ b/src/platform/store/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::gateway::log_position::tests::at;
+use crate::platform::http::CallError;
 
 fn body(end: u64, records: &[&[u8]]) -> Bytes {
     let mut body = BytesMut::new();
