--- a/src/platform/headers/tests.rs
+++ b/src/platform/headers/tests.rs
@@ -1,4 +1,8 @@
+use super::response::EchoedId;
 use super::*;
+use crate::gateway::limits::backoff::StatedBackoff;
+use crate::gateway::limits::refusal_allowance::StatedBrittleness;
+use crate::gateway::limits::throttle::StatedLimit;
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
     let mut headers = HeaderMap::new();
