--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -1,18 +1,23 @@
 //! Keeps the table of upstreams current: reads announcements from the store and sends changes to
 //! peers.
 
-use std::net::SocketAddr;
+mod changes;
+mod peer_changes;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use self::changes::{Origin, apply_changes};
+pub(crate) use self::peer_changes::apply_peer_changes;
+use self::peer_changes::broadcast_changes;
+pub(super) use self::peer_changes::{build_messages, read_at, read_at_day_ms};
 use super::log_position::LogPosition;
-use super::messages::{Message, UpstreamChanges};
 use super::peer_queries::PeerQueries;
 use super::recent_changes::{ChangeBatch, MAX_CHANGES_PER_MESSAGE};
 use super::snapshot::Snapshot;
-use super::state::{Gateway, Recipients};
+use super::state::Gateway;
 use super::store_contact::StoreAvailability;
-use super::upstreams::{Announcement, Change, Phase, Upstream};
+use super::upstreams::{Announcement, Change};
 use super::view_refresh::{self, ViewState};
 use super::{clock, confirmation, handover, rank};
 use crate::platform::store::{KeyedRecord, Records, StoreError, Topic};
@@ -249,231 +254,5 @@
     }
 }
 
-/// Sends the changes since a position to the peers of this failure domain, and to one node of each
-/// other failure domain, which forwards them to its own.
-fn broadcast_changes(node: &Gateway, since: LogPosition, now: TimeMs) {
-    let steps = node.recent_changes.lock().batches_to_send(since, now);
-    for news in build_messages(node, steps, now) {
-        let handed_on = UpstreamChanges {
-            is_relayed: true,
-            ..news.clone()
-        };
-        node.send_message(Recipients::SameDomain, Message::Upstreams(news));
-        node.send_message(
-            Recipients::OtherDomainLeaders,
-            Message::Upstreams(handed_on),
-        );
-    }
-}
-
-/// Builds one message per step, or one message without changes if there are no steps.
-pub(super) fn build_messages(
-    node: &Gateway,
-    mut steps: Vec<ChangeBatch>,
-    now: TimeMs,
-) -> Vec<UpstreamChanges> {
-    let (end, read_at) = {
-        let view = node.upstreams_view.lock();
-        (view.end, view.read_at)
-    };
-    if steps.is_empty() {
-        steps.push(ChangeBatch {
-            from: end,
-            to: end,
-            changes: Vec::new(),
-        });
-    }
-    let read_at_day_ms = read_at_day_ms(node, read_at, now);
-    let store_was_away = node.store_was_away(now);
-    let news = steps.into_iter().map(|step| UpstreamChanges {
-        from: step.from,
-        to: step.to,
-        changes: step.changes,
-        read_at_day_ms: read_at_day_ms.filter(|_day_ms| step.to >= end),
-        store_was_away,
-        is_relayed: false,
-    });
-    news.collect()
-}
-
-/// Returns when this node had read all announcements, in Unix milliseconds of the time of day that
-/// most nodes agree on; `None` if it never did.
-pub(super) fn read_at_day_ms(node: &Gateway, read_at: TimeMs, now: TimeMs) -> Option<u64> {
-    let day_ms = node.agreed_time_of_day(now).0;
-    (read_at > TimeMs(0)).then(|| day_ms.saturating_sub(now.since(read_at)))
-}
-
-/// Converts the time at which a peer read the store to this node's clock.
-///
-/// A message may wait for seconds at the link of a small host. If it counted as read on arrival,
-/// this node would not read the store itself, and upstreams that left in the meantime would keep
-/// getting requests. A time of day ahead of this node's counts as now.
-#[must_use]
-pub(super) fn read_at(read_at_day_ms: u64, day_now: TimeMs, now: TimeMs) -> TimeMs {
-    let age_ms = day_now.0.saturating_sub(read_at_day_ms);
-    TimeMs(now.0.saturating_sub(age_ms))
-}
-
-/// Applies a peer's message about changed announcements.
-pub(crate) fn apply_peer_changes(
-    node: &Gateway,
-    news: UpstreamChanges,
-    from: SocketAddr,
-    now: TimeMs,
-) {
-    if news.is_relayed {
-        let sent = UpstreamChanges {
-            is_relayed: false,
-            ..news.clone()
-        };
-        node.send_message(Recipients::SameDomain, Message::Upstreams(sent));
-    }
-    let (end, has_pending, is_known) = {
-        let mut view = node.upstreams_view.lock();
-        view.known_end = view.known_end.max(news.to);
-        (view.end, !view.pending.is_empty(), view.is_known())
-    };
-    match end {
-        // This node has read beyond the message.
-        _ if end > news.to => {}
-        // The store was restored from a backup, and the previous table is still in use until the
-        // new one is read. Upstreams that leave in the meantime must be removed without that delay.
-        _ if end.is_start() && is_known => {
-            let changes = news.changes.clone();
-            node.upstreams_view.lock().buffer(news);
-            apply_changes(node, changes, Origin::Peer, true, now);
-        }
-        // This node has no table yet to apply the changes to.
-        _ if end.is_start() => {}
-        _ if end < news.from => {
-            node.upstreams_view.lock().buffer(news);
-            // The first message behind a gap triggers a request at once; if its answer is lost, the
-            // periodic check asks again.
-            if !has_pending {
-                handover::send_request(node, from);
-            }
-        }
-        _ => {
-            apply_next(node, news, now);
-            while let Some(pending) = next_pending(node) {
-                apply_next(node, pending, now);
-            }
-        }
-    }
-}
-
-fn next_pending(node: &Gateway) -> Option<UpstreamChanges> {
-    node.upstreams_view.lock().next_pending()
-}
-
-/// Applies a message that starts at or before the end of what this node has read.
-fn apply_next(node: &Gateway, news: UpstreamChanges, now: TimeMs) {
-    let end = node.upstreams_view.lock().end;
-    let read_at = (news.read_at_day_ms)
-        .map(|day_ms| read_at(day_ms, node.agreed_time_of_day(now), now))
-        .unwrap_or_default();
-    node.store_contact.lock().record_peer_read(read_at);
-    let was_away = news.store_was_away || node.store_was_away(now);
-    // The step keeps all changes of the message. A change that this node already knew, because its
-    // table was ahead of its position, can still be new to a peer that asks this node.
-    let step = ChangeBatch {
-        from: end,
-        to: news.to,
-        changes: news.changes.clone(),
-    };
-    apply_changes(node, news.changes, Origin::Peer, was_away, now);
-    node.recent_changes.lock().record(step, now);
-    node.upstreams_view.lock().advance_to(news.to, read_at);
-}
-
-/// The source of a change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Origin {
-    Store,
-    /// A peer, which has read the change from the store and logged it.
-    Peer,
-}
-
-/// Applies changes; returns those that had an effect.
-///
-/// `was_away` states that the store has just recovered from an outage, so that a removal may only
-/// be an expired announcement.
-fn apply_changes(
-    node: &Gateway,
-    changes: Vec<Change>,
-    origin: Origin,
-    was_away: bool,
-    now: TimeMs,
-) -> Vec<Change> {
-    let mut table = node.upstreams.lock();
-    let mut effective = Vec::new();
-    for change in changes {
-        let change = match change {
-            Change::Present(announced) if table.lacks_start_time(&announced) => {
-                let reason = "it does not say when it started, as its pool does";
-                node.store
-                    .report_malformed(Topic::Upstreams, &announced.id, &reason);
-                Change::Unreadable { id: announced.id }
-            }
-            change => change,
-        };
-        if !matches!(change, Change::Unreadable { .. }) {
-            node.store.record_sound(Topic::Upstreams, change.id());
-        }
-        let is_known = table.is_known(&change);
-        if !is_known {
-            log_change(&change, origin);
-            effective.push(change.clone());
-        }
-        // An announcement with only a new sequence number is still applied: later ones are ordered
-        // by that number.
-        if !is_known || matches!(change, Change::Present(_)) {
-            let key = table.apply(change, was_away, now);
-            if let Some(upstream) = key.and_then(|key| table.get(key))
-                && !is_known
-            {
-                log_contradiction(upstream);
-            }
-        }
-    }
-    effective
-}
-
-/// Logs an announcement of an upstream that had stated in its answers that it is leaving.
-fn log_contradiction(upstream: &Upstream) {
-    if upstream.send_gate.is_leaving() && upstream.announcement.phase == Phase::Ready {
-        let id = upstream.announcement.id.as_str();
-        let is_removed = upstream.is_removed;
-        log::info!(event = "upstream_leaving_kept", upstream = id, is_removed; "the announcement changed of an upstream that had stated that it is leaving; it still gets no requests");
-    }
-}
-
-/// Logs a change at info level only on the node that read it from the store, since every other node
-/// would repeat the line.
-fn log_change(change: &Change, origin: Origin) {
-    let level = match origin {
-        Origin::Store => log::Level::Info,
-        Origin::Peer => log::Level::Debug,
-    };
-    match change {
-        Change::Present(announced) => log::log!(
-            level,
-            event = "upstream_changed",
-            upstream = announced.id.as_str(),
-            pool = announced.pool.as_str(),
-            version = announced.version.as_str(),
-            failure_domain = announced.failure_domain.as_str(),
-            phase:? = announced.phase,
-            reclaimable = announced.is_reclaimable,
-            leaves_in_ms:? = announced.leaves_in_ms,
-            born_ms:? = announced.born_ms;
-            "an upstream announced a change"
-        ),
-        Change::Removed { id } | Change::Unreadable { id } => {
-            log::log!(level, event = "upstream_removed", upstream = id.as_str(); "an upstream's announcement is gone");
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway/announcements/tests.rs
+++ b/src/gateway/announcements/tests.rs
@@ -1,6 +1,9 @@
+use std::net::SocketAddr;
+
 use super::super::view_refresh::SELF_READ_AGE_MS;
 use super::*;
 use crate::gateway::log_position::tests::at;
+use crate::gateway::messages::UpstreamChanges;
 
 /// Guards against requests to an upstream three seconds after it has announced that it leaves.
 ///
