--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,5 +1,8 @@
 //! The shared state of one node, updated by collectors and read by the request path and the duties.
 
+mod paces;
+mod pool_reach;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -24,11 +27,11 @@
 use super::limits::credit::Credit;
 use super::limits::quota::Quotas;
 use super::limits::repeat_budget::{RepeatBudget, Repeats};
-use super::messages::{Member, Message, UnreachedPools};
+use super::messages::{Member, Message};
 use super::peers::Peers;
 use super::pool_map::PoolMap;
 use super::prefixes::Prefixes;
-use super::reach::{Change as ReachChange, PoolReach};
+use super::reach::PoolReach;
 use super::recent_changes::RecentChanges;
 use super::relay::Relay;
 use super::rollout::Standing;
@@ -37,10 +40,10 @@
 use super::scheduling::gate::Schedulers;
 use super::settings::NodeSettings;
 use super::shutdown::Shutdown;
-use super::speed::pace::{EngineModel, Pace, PeerPaces};
+use super::speed::pace::{EngineModel, PeerPaces};
 use super::store_contact::{StoreAvailability, StoreContact};
 use super::streams::{Origins, StreamArchive, UnwrittenStarts, WaitingQueries, WaitingStarts};
-use super::upstreams::{UpstreamKey, UpstreamTable, tag};
+use super::upstreams::UpstreamTable;
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
 use crate::peers::Connections;
@@ -358,105 +361,6 @@
         }
     }
 
-    /// Records that no connection to an upstream of a pool could be opened; returns the change that
-    /// this makes to the pool's reach, if any.
-    pub fn record_unreachable(
-        &self,
-        pool: &str,
-        upstream: UpstreamKey,
-        now: TimeMs,
-    ) -> Option<ReachChange> {
-        let known = self.upstreams.lock().accepting_count(pool, now);
-        let change = {
-            let mut reach = self.reach.lock();
-            (reach.get_or_default(pool)).record_unreachable(upstream, known, now)
-        };
-        self.apply_reach_change(pool, change);
-        change
-    }
-
-    /// Records that an upstream of a pool accepted a connection.
-    pub fn record_connected(&self, pool: &str, now: TimeMs) {
-        let change = {
-            let mut reach = self.reach.lock();
-            reach.get_or_default(pool).record_connected(now)
-        };
-        self.apply_reach_change(pool, change);
-    }
-
-    /// Notifies the peers that this node has lost or regained a pool, and drops what the loss of its
-    /// link says of the pool's upstreams.
-    fn apply_reach_change(&self, pool: &str, change: Option<ReachChange>) {
-        match change {
-            None | Some(ReachChange::Suspected) => return,
-            Some(ReachChange::Lost) => {
-                log::warn!(event = "pool_unreached", pool; "this node reaches no upstream of the pool; peers send its requests");
-                let upstreams = self.upstreams.lock();
-                self.channels.close_idle_to(|key| {
-                    let upstream = upstreams.get(key);
-                    upstream.is_some_and(|upstream| upstream.announcement.pool == pool)
-                });
-            }
-            Some(ReachChange::Regained { after_ms }) => {
-                log::info!(event = "pool_reached", pool, after_ms; "this node reaches upstreams of the pool again; it takes back its requests gradually");
-                self.upstreams.lock().forgive_failures(pool);
-            }
-        }
-        self.broadcast(Message::Unreached(UnreachedPools {
-            incarnation: self.incarnation,
-            sequence: self.next_status_sequence(),
-            pools: self
-                .unreached_pools()
-                .iter()
-                .map(|pool| tag(pool))
-                .collect(),
-        }));
-    }
-
-    /// Whether this node does not reach a pool.
-    pub fn is_unreached(&self, pool: &str) -> bool {
-        let reach = self.reach.lock();
-        reach.get(pool).is_some_and(PoolReach::is_lost)
-    }
-
-    /// Whether it is open if this node has lost a pool; see [`PoolReach::is_suspected`].
-    pub fn is_suspected(&self, pool: &str) -> bool {
-        let reach = self.reach.lock();
-        reach.get(pool).is_some_and(PoolReach::is_suspected)
-    }
-
-    /// Whether this node sends a request with this uniform draw to a pool itself; see
-    /// [`PoolReach::serves_itself`].
-    pub fn serves_itself(&self, pool: &str, draw: u64, now: TimeMs) -> bool {
-        let reach = self.reach.lock();
-        (reach.get(pool)).is_none_or(|reach| reach.serves_itself(draw, now))
-    }
-
-    /// Returns the pools that this node does not reach.
-    pub fn unreached_pools(&self) -> Vec<String> {
-        let reach = self.reach.lock();
-        let lost = reach.iter().filter(|(_pool, reach)| reach.is_lost());
-        lost.map(|(pool, _reach)| pool.to_owned()).collect()
-    }
-
-    /// Returns the speed of a pool's engines: measured by this node, else by its peers, else a
-    /// default.
-    pub fn pace(&self, pool: &str, now: TimeMs) -> Pace {
-        let own = self.engine_models.lock().get_or_default(pool).pace();
-        if own.is_learned {
-            return own;
-        }
-        let learned = self.peer_paces.lock().median(pool, None, now);
-        learned.unwrap_or(own)
-    }
-
-    /// Returns the speed of a pool's engines over all nodes' measurements; `None` without any.
-    pub fn fleet_pace(&self, pool: &str, now: TimeMs) -> Option<Pace> {
-        let own = self.engine_models.lock().get_or_default(pool).pace();
-        let own = own.is_learned.then_some(own);
-        self.peer_paces.lock().median(pool, own, now)
-    }
-
     /// Counts the upstreams of a pool that accept work, separately for `version` and all others.
     pub fn availability_by_version(&self, pool: &str, version: &str, now: TimeMs) -> Standing {
         let mut standing = Standing::default();
@@ -474,15 +378,6 @@
         standing
     }
 
-    /// Returns this node's measured engine speeds by the tag of the pool, for its peers.
-    pub fn learned_paces(&self) -> Vec<(u64, Pace)> {
-        let engines = self.engine_models.lock();
-        let paces = engines
-            .iter()
-            .map(|(pool, model)| (tag(pool), model.pace()));
-        paces.filter(|(_pool, pace)| pace.is_learned).collect()
-    }
-
     /// Returns the fleet's median time of day, in Unix milliseconds.
     pub fn agreed_time_of_day(&self, now: TimeMs) -> TimeMs {
         self.peers
