bug: A stopping node cut answers that callers and peers read slowly

A caller that reads an answer of 12 MB slowly while its node gets SIGTERM got 2.8 MB and the end of its connection, with 15 s of the grace left.

Cause: a request counted as in flight until the HTTP library had taken over the rest of its answer, not until it was written. The stopping node then found nothing in flight, closed its connections and exited 300 ms later. The same at the peers' server: a whole answer for another node's caller counted as done when it was returned, a stream when its last event was in the channel before the connection. A request that was read in the moment in which the node began to close its connections had the same 300 ms.

Change: a caller's request is in flight until the connection's buffer was flushed behind its answer, or the connection ended (gateway/unwritten.rs); a peer's request until the connection has written the bytes of its answer (in_flight.rs, peers/sending.rs). Once it closes connections, the node waits for requests in flight until the grace ends; connections without a request get 300 ms as before. `requests_cut` is logged only if a request is in flight. Stand-ins can send long answers.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -64,6 +64,7 @@
 mod state;
 mod store_contact;
 mod streams;
+mod unwritten;
 pub(crate) mod upstreams;
 pub(crate) mod usage;
 mod verdict;
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -8,11 +8,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::exchange;
 use super::state::Gateway;
+use super::unwritten::{CallerSocket, Unwritten, UnwrittenAnswer};
 
 /// Delay after a failed accept, mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -52,11 +54,22 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!(error:err = error; "cannot set TCP_NODELAY on a caller's connection");
     }
+    serve_connection(socket, node, graceful);
+}
+
+/// Serves the requests of one connection until it ends or `graceful` shuts down.
+pub(super) fn serve_connection<S>(socket: S, node: &Arc<Gateway>, graceful: &GracefulShutdown)
+where
+    S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+{
     let limits = node.catalog().limits;
+    let unwritten = Arc::new(Unwritten::default());
+    let socket = CallerSocket::new(socket, Arc::clone(&unwritten));
     let handler_node = Arc::clone(node);
     let service = service_fn(move |request| {
         let node = Arc::clone(&handler_node);
-        async move { Ok::<_, Infallible>(exchange::answer(node, request).await) }
+        let answer = UnwrittenAnswer::new(node.track_request(), &unwritten);
+        async move { Ok::<_, Infallible>(exchange::answer(node, request, answer).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -36,18 +36,19 @@
 use super::forwarding::ForwardedRequest;
 use super::refusal::Refusal;
 use super::state::Gateway;
+use super::unwritten::UnwrittenAnswer;
 use crate::platform::headers;
 
 /// The body of a response to a caller: complete, or a stream of events.
 pub(crate) type AnswerBody<S> = Either<Full<Bytes>, StreamBody<S>>;
 
-/// Handles one request of a caller and returns its response.
+/// Handles one request of a caller and returns its response, which holds the guard.
 pub(crate) async fn answer(
     node: Arc<Gateway>,
     request: Request<Incoming>,
+    unwritten: UnwrittenAnswer,
 ) -> Response<AnswerBody<impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>>>> {
     let received_at = clock::now();
-    let in_flight = node.track_request();
     let mut request_log = RequestLog::new(received_at);
     let (parts, body) = request.into_parts();
     // Request smuggling: if a request has both `Transfer-Encoding` and `Content-Length`, the bytes
@@ -62,23 +63,25 @@
     let mut response = match executed {
         Ok(Executed::Whole(response)) => {
             request_log.finish_answered(response.status(), clock::now());
-            response.map(|body| Either::Left(Full::new(body)))
+            response.map(|body| Either::Left(Full::new(unwritten.held_by(body))))
         }
         Ok(Executed::Stream(stream)) => {
             let head = stream.head();
-            let events = stream::forward(Arc::clone(&node), *stream, request_log, in_flight);
-            head.map(|()| Either::Right(StreamBody::new(events.left_stream())))
+            let events = stream::forward(Arc::clone(&node), *stream, request_log);
+            let events = unwritten.held_by_events(events.left_stream());
+            head.map(|()| Either::Right(StreamBody::new(events)))
         }
         Ok(Executed::Forwarded(stream)) => {
             request_log.record_first_event(clock::now());
             let head = stream.head();
-            let events = forward::relay(*stream, request_log, in_flight);
-            head.map(|()| Either::Right(StreamBody::new(events.right_stream())))
+            let events = forward::relay(*stream, request_log);
+            let events = unwritten.held_by_events(events.right_stream());
+            head.map(|()| Either::Right(StreamBody::new(events)))
         }
         Err(refusal) => {
             request_log.finish_refused(&refusal, clock::now());
             refusal_response(&refusal, request_log.request_id())
-                .map(|body| Either::Left(Full::new(body)))
+                .map(|body| Either::Left(Full::new(unwritten.held_by(body))))
         }
     };
     let is_malformed = response.status() == StatusCode::BAD_REQUEST;
@@ -102,7 +105,6 @@
     Refusal,
 > {
     let received_at = clock::now();
-    let in_flight = node.track_request();
     let mut request_log = RequestLog::of_forwarded(&request.node, received_at);
     let mut attempts = Attempts::of_forwarded(request.is_counted);
     let executed = match admission::admit_forwarded(node, request, received_at, &mut request_log) {
@@ -119,7 +121,7 @@
         }
         Ok(Local::Stream(stream)) => {
             let head = stream.head();
-            let events = stream::forward(Arc::clone(node), *stream, request_log, in_flight);
+            let events = stream::forward(Arc::clone(node), *stream, request_log);
             Ok(CallerResponse::Stream(head, events))
         }
         Err(unsent) => {
--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -21,7 +21,7 @@
     self, ForwardItem, ForwardReply, ForwardedHead, ForwardedRequest, Forwarding,
 };
 use crate::gateway::refusal::Refusal;
-use crate::gateway::state::{Gateway, InFlight};
+use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
 use crate::peers::{Items, PeerError};
 use crate::time::TimeMs;
@@ -196,7 +196,6 @@
 pub(super) fn relay(
     stream: ForwardedStream,
     mut request_log: RequestLog,
-    in_flight: InFlight,
 ) -> impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>> {
     async_stream::try_stream! {
         let mut stream = stream;
@@ -215,6 +214,5 @@
             }
         }
         request_log.finish_answered(http::StatusCode::OK, clock::now());
-        drop(in_flight);
     }
 }
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -25,7 +25,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
 use crate::gateway::patience;
-use crate::gateway::state::{Gateway, InFlight};
+use crate::gateway::state::Gateway;
 use crate::gateway::streams::{self, StreamKey, VersionTag};
 use crate::platform::headers;
 use crate::time::TimeMs;
@@ -327,7 +327,6 @@
     node: Arc<Gateway>,
     open_stream: OpenStream,
     mut request_log: RequestLog,
-    in_flight: InFlight,
 ) -> impl Stream<Item = Result<Frame<Bytes>, StreamInterrupted>> {
     async_stream::try_stream! {
         let OpenStream { plan, mut upstream_stream, mut attempts, first, .. } = open_stream;
@@ -366,7 +365,6 @@
             }
             upstream_stream = next.ok_or(StreamInterrupted { reason })?;
         }
-        drop(in_flight);
     }
 }
 
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -30,6 +30,7 @@
 mod restarts;
 mod shortage;
 mod silences;
+mod unread;
 
 /// Interval at which a node counts as heard; longer than a test.
 const HEARTBEAT_INTERVAL_MS: u64 = 600_000;
--- a/src/gateway/forwarding/server.rs
+++ b/src/gateway/forwarding/server.rs
@@ -31,7 +31,8 @@
     let settings = node.settings();
     let server = Server::new(fleet_key(settings.store_address))
         .with_settings(connection_settings())
-        .with_advertised_address(settings.gossip_listen);
+        .with_advertised_address(settings.gossip_listen)
+        .with_request_count(Arc::clone(&node.in_flight));
     let handler = Arc::new(ForwardHandler { node });
     server.serve(listener, handler, end).await;
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -26,12 +27,12 @@
 };
 use crate::platform::settings::{self, SettingsError};
 
-/// How long connections may take to close once all requests have ended.
-const CONNECTION_CLOSE_TIMEOUT_MS: u64 = 300;
-
 /// Interval between two checks whether a stopping node may exit.
 const STOP_POLL_INTERVAL_MS: u64 = 100;
 
+/// Interval between two checks whether a node exits although connections are open.
+const CLOSE_POLL_INTERVAL_MS: u64 = 50;
+
 /// Interval between two reads of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL_MS: u64 = 2_000;
 
@@ -149,13 +150,10 @@
             }
         }
     }
-    stop(&node, end).await;
+    let stop = stop(&node, end).await;
     // Answers for peers' callers are sent whole as well before the process exits.
     let closed = futures::future::join(inbound, forwarded);
-    let close_timeout = Duration::from_millis(CONNECTION_CLOSE_TIMEOUT_MS);
-    if tokio::time::timeout(close_timeout, closed).await.is_err() {
-        log::warn!(event = "requests_cut", in_flight = node.in_flight.load(Ordering::Relaxed); "the grace period ended; requests in progress are cut off");
-    }
+    close_connections(&node, stop, closed).await;
     duties.abort();
     log::info!(event = "stopped"; "the node stopped");
     Ok(())
@@ -168,7 +166,7 @@
 
 /// Withdraws the node from the directory and serves requests until none is left or the grace
 /// period ends.
-async fn stop(node: &Gateway, end: CancellationToken) {
+async fn stop(node: &Gateway, end: CancellationToken) -> Shutdown {
     let in_flight = || node.in_flight.load(Ordering::Relaxed);
     log::info!(event = "stopping", in_flight = in_flight(); "the node received a stop signal; it serves requests until none is left or the grace period ends");
     let stop = Shutdown {
@@ -182,6 +180,27 @@
         tokio::time::sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
     }
     end.cancel();
+    stop
+}
+
+/// Waits until all connections have closed, or the requests on them have ended or the grace period.
+async fn close_connections(node: &Gateway, stop: Shutdown, closed: impl Future) {
+    let closing_since = clock::now();
+    let poll_interval = Duration::from_millis(CLOSE_POLL_INTERVAL_MS);
+    let mut closed = pin!(closed);
+    while tokio::time::timeout(poll_interval, &mut closed)
+        .await
+        .is_err()
+    {
+        let in_flight = node.in_flight.load(Ordering::Relaxed);
+        if !stop.ends_connections(in_flight, closing_since, clock::now()) {
+            continue;
+        }
+        if in_flight > 0 {
+            log::warn!(event = "requests_cut", in_flight; "the grace period ended; requests in progress are cut off");
+        }
+        return;
+    }
 }
 
 /// Applies changed settings; invalid ones are rejected and the previous settings stay in force.
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -26,6 +26,9 @@
 /// within 1.5 s.
 const CALL_RESERVE_MS: u64 = 2_500;
 
+/// How long connections may take to close once all requests have ended.
+const CONNECTION_CLOSE_TIMEOUT_MS: u64 = 300;
+
 /// Progress of a node's shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Shutdown {
@@ -47,9 +50,20 @@
 
     /// Whether the node exits now.
     pub fn is_complete(&self, in_flight: usize, now: TimeMs) -> bool {
-        let since_ms = now.since(self.requested_at);
-        let is_grace_over = since_ms + GRACE_MARGIN_MS >= self.grace_ms;
-        is_grace_over || (in_flight == 0 && since_ms >= MIN_STAY_MS)
+        let is_idle = in_flight == 0 && now.since(self.requested_at) >= MIN_STAY_MS;
+        is_idle || self.is_grace_over(now)
+    }
+
+    /// Whether the node exits now although connections that it closes since `closing_since` are open.
+    ///
+    /// A request that was read as the node began to close them is served within the grace period.
+    pub fn ends_connections(&self, in_flight: usize, closing_since: TimeMs, now: TimeMs) -> bool {
+        let is_close_over = now.since(closing_since) >= CONNECTION_CLOSE_TIMEOUT_MS;
+        is_close_over && (in_flight == 0 || self.is_grace_over(now))
+    }
+
+    fn is_grace_over(&self, now: TimeMs) -> bool {
+        now.since(self.requested_at) + GRACE_MARGIN_MS >= self.grace_ms
     }
 }
 
--- a/src/gateway/shutdown/tests.rs
+++ b/src/gateway/shutdown/tests.rs
@@ -47,3 +47,19 @@
     assert!(!stop().is_complete(3, TimeMs(8_000)));
     assert!(stop().is_complete(3, TimeMs(8_500)));
 }
+
+/// Guards against a request that is cut because it was read as the node began to close its connections.
+#[test]
+fn request_read_while_connections_close_is_served() {
+    let closing_since = TimeMs(4_500);
+    assert!(!stop().ends_connections(1, closing_since, TimeMs(4_900)));
+    assert!(stop().ends_connections(1, closing_since, TimeMs(8_500)));
+}
+
+#[test]
+fn connections_without_requests_are_left_after_the_time_for_closing() {
+    let closing_since = TimeMs(4_500);
+    assert!(!stop().ends_connections(0, closing_since, TimeMs(4_700)));
+    assert!(stop().ends_connections(0, closing_since, TimeMs(4_800)));
+    assert!(!stop().ends_connections(3, TimeMs(8_400), TimeMs(8_500)));
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,6 +43,7 @@
 use super::upstreams::{UpstreamKey, UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
+use crate::in_flight::InFlight;
 use crate::peers::Connections;
 use crate::platform::store::{self, Store, StoreError};
 use crate::time::TimeMs;
@@ -114,8 +115,8 @@
     pub forwarding: Connections<Forwarding>,
     /// Routes that have metric labels of their own.
     pub route_labels: Mutex<RouteLabels>,
-    /// Number of requests in progress.
-    pub in_flight: AtomicUsize,
+    /// Number of requests in progress, whose answers are not yet written.
+    pub in_flight: Arc<AtomicUsize>,
     /// Set when the node begins to stop.
     pub stop: Mutex<Option<Shutdown>>,
     /// Cancelled when `stop` is set, to wake waiting tasks.
@@ -229,7 +230,7 @@
             answer_memory: AnswerMemory::default(),
             forwarding: forwarding::connections(settings.store_address, incarnation),
             route_labels: Mutex::default(),
-            in_flight: AtomicUsize::new(0),
+            in_flight: Arc::default(),
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
@@ -496,22 +497,7 @@
     }
 
     /// Counts a request as in progress until the returned guard is dropped.
-    pub fn track_request(self: &Arc<Self>) -> InFlight {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight {
-            node: Arc::clone(self),
-        }
-    }
-}
-
-/// Guard of a request in progress.
-#[derive(Debug)]
-pub(crate) struct InFlight {
-    node: Arc<Gateway>,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.node.in_flight.fetch_sub(1, Ordering::Relaxed);
+    pub fn track_request(&self) -> InFlight {
+        InFlight::new(&self.in_flight)
     }
 }
--- a/src/peers/sending.rs
+++ b/src/peers/sending.rs
@@ -1,11 +1,14 @@
 //! Sending of replies and items under HTTP/2 flow control.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use h2::{Reason, SendStream};
 use tokio::sync::mpsc;
 
 use super::codec;
 use super::traffic::KindTraffic;
+use crate::in_flight::{self, InFlight};
 
 /// Size at which batched items are sent.
 const BATCH_BYTES: usize = 16 * 1024;
@@ -17,7 +20,7 @@
 pub(super) struct CallerDisconnected;
 
 pub(super) async fn send_items<T: bincode::Encode>(
-    sending: &mut SendStream<Bytes>,
+    sending: &mut Sending<'_>,
     mut items: mpsc::Receiver<T>,
     mut frames: BytesMut,
     traffic: &KindTraffic,
@@ -26,21 +29,21 @@
     loop {
         tokio::select! {
             biased;
-            _ = std::future::poll_fn(|cx| sending.poll_reset(cx)) => return,
+            _ = std::future::poll_fn(|cx| sending.stream.poll_reset(cx)) => return,
             _ = items.recv_many(&mut batch, BATCH_ITEMS) => {}
         }
         let is_last = batch.is_empty();
         for item in batch.drain(..) {
             if let Err(error) = codec::encode_frame(&item, &mut frames) {
                 log::error!(kind = traffic.kind, cause:err = error; "encoding an item failed; the stream is reset");
-                sending.send_reset(Reason::INTERNAL_ERROR);
+                sending.stream.send_reset(Reason::INTERNAL_ERROR);
                 return;
             }
             traffic.record_sent(1, 0);
             if frames.len() >= BATCH_BYTES {
                 let chunk = frames.split().freeze();
                 traffic.record_sent(0, chunk.len());
-                if send(sending, chunk, false).await.is_err() {
+                if sending.send(chunk, false).await.is_err() {
                     return;
                 }
             }
@@ -49,36 +52,50 @@
         traffic.record_sent(0, chunk.len());
         if is_last {
             // A disconnect at the end of the stream needs no handling.
-            let _ = send(sending, chunk, true).await;
+            let _ = sending.send(chunk, true).await;
             return;
         }
-        if !chunk.is_empty() && send(sending, chunk, false).await.is_err() {
+        if !chunk.is_empty() && sending.send(chunk, false).await.is_err() {
             return;
         }
     }
 }
 
-/// Sends bytes as flow control permits; fails if the caller resets the stream or disconnects.
-pub(super) async fn send(
-    sending: &mut SendStream<Bytes>,
-    mut bytes: Bytes,
-    end_of_stream: bool,
-) -> Result<(), CallerDisconnected> {
-    while sending.capacity() < bytes.len() {
-        sending.reserve_capacity(bytes.len());
-        // A reset by the caller also completes this future.
-        let granted = std::future::poll_fn(|cx| sending.poll_capacity(cx)).await;
-        let granted = match granted {
-            Some(Ok(granted)) => granted.min(bytes.len()),
-            Some(Err(_)) | None => return Err(CallerDisconnected),
-        };
-        if granted < bytes.len() {
-            let part = bytes.split_to(granted);
-            sending
-                .send_data(part, false)
-                .map_err(|_reset| CallerDisconnected)?;
+/// One response, whose request counts as in flight until all its bytes are written to the connection.
+pub(super) struct Sending<'a> {
+    stream: SendStream<Bytes>,
+    in_flight: &'a Arc<InFlight>,
+}
+
+impl<'a> Sending<'a> {
+    pub(super) fn new(stream: SendStream<Bytes>, in_flight: &'a Arc<InFlight>) -> Self {
+        Self { stream, in_flight }
+    }
+
+    /// Sends bytes as flow control permits; fails if the caller resets the stream or disconnects.
+    pub(super) async fn send(
+        &mut self,
+        bytes: Bytes,
+        end_of_stream: bool,
+    ) -> Result<(), CallerDisconnected> {
+        // Flow control grants bytes that the connection writes later.
+        let mut bytes = in_flight::holding(bytes, Arc::clone(self.in_flight));
+        while self.stream.capacity() < bytes.len() {
+            self.stream.reserve_capacity(bytes.len());
+            // A reset by the caller also completes this future.
+            let granted = std::future::poll_fn(|cx| self.stream.poll_capacity(cx)).await;
+            let granted = match granted {
+                Some(Ok(granted)) => granted.min(bytes.len()),
+                Some(Err(_)) | None => return Err(CallerDisconnected),
+            };
+            if granted < bytes.len() {
+                let part = bytes.split_to(granted);
+                self.stream
+                    .send_data(part, false)
+                    .map_err(|_reset| CallerDisconnected)?;
+            }
         }
+        let sent = self.stream.send_data(bytes, end_of_stream);
+        sent.map_err(|_reset| CallerDisconnected)
     }
-    let sent = sending.send_data(bytes, end_of_stream);
-    sent.map_err(|_reset| CallerDisconnected)
 }
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -17,10 +18,11 @@
 use super::credentials::{self, Credentials};
 use super::key::{FleetKey, Tag};
 use super::liveness::{Liveness, MeteredSocket};
-use super::sending::{send, send_items};
+use super::sending::{Sending, send_items};
 use super::settings::Settings;
 use super::traffic::{KindTraffic, Traffic};
 use super::{Protocol, codec};
+use crate::in_flight::InFlight;
 use crate::keys::Incarnation;
 use crate::time::Clock;
 
@@ -89,6 +91,7 @@
     settings: Settings,
     traffic: Arc<Traffic>,
     advertised_address: Option<SocketAddr>,
+    request_count: Arc<AtomicUsize>,
 }
 
 /// Serves peers on `listener` until `shutdown`, with default settings.
@@ -111,6 +114,7 @@
             settings: Settings::default(),
             traffic: Arc::default(),
             advertised_address: None,
+            request_count: Arc::default(),
         }
     }
 
@@ -142,6 +146,13 @@
         self
     }
 
+    /// Sets the count of requests in progress, which includes those whose answers are not yet written.
+    #[must_use]
+    pub fn with_request_count(mut self, request_count: Arc<AtomicUsize>) -> Self {
+        self.request_count = request_count;
+        self
+    }
+
     /// Serves peers on `listener` until `shutdown`, then waits for the open streams to complete.
     ///
     /// The handler must end unbounded streams. Dropping the returned future closes all connections
@@ -297,13 +308,17 @@
             refuse(&mut respond, StatusCode::SERVICE_UNAVAILABLE, proof);
             return;
         };
+        let in_flight = Arc::new(InFlight::new(&self.server.request_count));
         let answered = tokio::select! {
             biased;
             _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return,
             answered = self.answer(credentials, body) => answered,
         };
         match answered {
-            Ok((answer, traffic)) => self.send_reply(answer, &traffic, &tag, &mut respond).await,
+            Ok((answer, traffic)) => {
+                self.send_reply(answer, &traffic, &tag, &mut respond, &in_flight)
+                    .await;
+            }
             Err(status) => refuse(&mut respond, status, proof),
         }
     }
@@ -347,6 +362,7 @@
         traffic: &KindTraffic,
         tag: &Tag,
         respond: &mut SendResponse<Bytes>,
+        in_flight: &Arc<InFlight>,
     ) {
         let (reply, items) = match answer {
             HandlerResponse::Reply(reply) => (reply, None),
@@ -360,11 +376,12 @@
         }
         let head = response_head(StatusCode::OK, Some((&self.server.key, tag)));
         // From here on an error means that the caller has disconnected, so it is not reported.
-        let Ok(mut sending) = respond.send_response(head, false) else {
+        let Ok(stream) = respond.send_response(head, false) else {
             return;
         };
+        let mut sending = Sending::new(stream, in_flight);
         traffic.record_sent(1, frames.len());
-        let sent = send(&mut sending, frames.split().freeze(), items.is_none()).await;
+        let sent = (sending.send(frames.split().freeze(), items.is_none())).await;
         match items {
             Some(items) if sent.is_ok() => send_items(&mut sending, items, frames, traffic).await,
             _ => {}
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -84,6 +84,8 @@
     answer_cut: Mutex<Option<AnswerCut>>,
     /// Between two events of a stream.
     event_pause_ms: Mutex<u64>,
+    /// Bytes of filler in each whole answer and in each event.
+    filler_bytes: Mutex<usize>,
     /// Until when it stands still, in Unix milliseconds.
     still_until_ms: Mutex<u64>,
     /// Parts of prompts on which it crashes, and how.
@@ -154,6 +156,7 @@
             framing: Mutex::default(),
             answer_cut: Mutex::default(),
             event_pause_ms: Mutex::new(EVENT_PAUSE_MS),
+            filler_bytes: Mutex::default(),
             still_until_ms: Mutex::default(),
             bad_parts: Mutex::default(),
             crash_by_part: Mutex::default(),
@@ -351,6 +354,11 @@
         *self.core.event_pause_ms.lock() = pause_ms;
     }
 
+    /// Adds so many bytes to each whole answer and to each event from now on.
+    pub fn fill_answers(&self, filler_bytes: usize) {
+        *self.core.filler_bytes.lock() = filler_bytes;
+    }
+
     /// Has it stand still from now on for a while and go on: it neither reads nor writes meanwhile, while its host accepts
     /// connections and what is sent.
     pub fn stand_still(&self, still_ms: u64) {
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -259,7 +259,7 @@
             let text = if is_misfit {
                 format!("id: {event}\ndata: {event} of {id} by {}\n\n", self.version)
             } else {
-                format!("id: {event}\ndata: {event} of {id}\n\n")
+                format!("id: {event}\ndata: {event} of {id}{}\n\n", self.filler())
             };
             let breaks_off = match fault {
                 Fault::BreaksOff => true,
@@ -330,11 +330,16 @@
 
     fn whole_answer(&self, request: &Received, framing: Framing) -> String {
         let id = request.header("request-attempt-id").unwrap_or_default();
-        let body = format!("{} {} for {id}", request.method, request.path);
+        let filler = self.filler();
+        let body = format!("{} {} for {id}{filler}", request.method, request.path);
         let head = self.head("200 OK", id, &framing.whole_lines(&body));
         head + &framing.whole_body(&body)
     }
 
+    fn filler(&self) -> String {
+        "x".repeat(*self.filler_bytes.lock())
+    }
+
     fn head(&self, status: &str, id: &str, extra: &str) -> String {
         format!(
             "HTTP/1.1 {status}\r\nrequest-attempt-id: {id}\r\nserver-seal: s.{}\r\n{}{extra}\r\n",
