bug: A request behind a peer's GOAWAY counts as not handled and is sent again

Callers saw 502 for a call that may run once, although no upstream ever got it: the peer to which it was handed on ended the connection as the request was sent. While another stream kept such a connection open, every further request to the peer failed.

Cause: h2 reports a GOAWAY without the last stream that it names, so that all errors of ended connections counted as "may have run"; and a connection took requests until it was closed, which its open streams put off.

Change: the asking side reads the frames of the peer (peers/goaway.rs). A stream above the last one of a GOAWAY is `Refusal::Unread`, which is not handled; `forward` sends the request to the same peer over another connection. A connection that its peer ends takes no further request, and one that refuses a stream is replaced within the call. An end without GOAWAY, and streams up to the last one, still count as possibly run.

The tests failed before: - call_behind_a_goaway_of_its_peer_is_answered: left: (Some(502), 0), right: (Some(200), 1) - request_behind_a_goaway_counts_as_not_handled: Broken(GoAway(b"", NO_ERROR, Remote)) - connection_that_its_peer_ends_takes_no_further_request: NotSent(Closing) They pass now, with the tests that passed before and guard the bounds of the change (request_of_an_ended_connection_may_have_been_handled_without_proof, call_on_a_connection_that_ends_without_a_word_is_not_sent_again, request_of_a_refused_stream_counts_as_not_handled).

--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -3,6 +3,7 @@
 //! Only requests that no upstream has received are handed on. Once a peer may have sent the request
 //! to an upstream, nobody sends it again.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -98,9 +99,7 @@
         let Some(target) = target else { break };
         tried.push(target.incarnation);
         request_log.record_forward(&target.name);
-        let request = forwarded_request(node, plan, attempts);
-        let left_ms = now.until(plan.deadline);
-        let replied = node.forwarding.open(target.address, request, left_ms).await;
+        let replied = ask(node, plan, attempts, target.address).await;
         let taken = taken(replied, plan.deadline);
         count(&taken);
         match taken {
@@ -125,6 +124,30 @@
     (!tried.is_empty()).then(|| Err(attempts.final_refusal(plan, clock::now())))
 }
 
+/// Asks a peer to take a request; over another connection if it ended the first one unread.
+async fn ask(
+    node: &Gateway,
+    plan: &Plan,
+    attempts: &Attempts,
+    peer: SocketAddr,
+) -> Result<(ForwardReply, Items<Forwarding>), PeerError> {
+    match send(node, plan, attempts, peer).await {
+        Err(error) if error.is_unread() => send(node, plan, attempts, peer).await,
+        replied => replied,
+    }
+}
+
+async fn send(
+    node: &Gateway,
+    plan: &Plan,
+    attempts: &Attempts,
+    peer: SocketAddr,
+) -> Result<(ForwardReply, Items<Forwarding>), PeerError> {
+    let request = forwarded_request(node, plan, attempts);
+    let left_ms = clock::now().until(plan.deadline);
+    node.forwarding.open(peer, request, left_ms).await
+}
+
 fn forwarded_request(node: &Gateway, plan: &Plan, attempts: &Attempts) -> ForwardedRequest {
     ForwardedRequest {
         node: node.settings().name.clone(),
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -25,6 +25,7 @@
 use crate::platform::{documents, settings};
 
 mod cuts;
+mod endings;
 mod heads;
 mod paths;
 mod restarts;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -10,6 +10,7 @@
 mod connections;
 mod credentials;
 mod error;
+mod goaway;
 mod items;
 mod keepalive;
 mod key;
@@ -20,7 +21,7 @@
 mod traffic;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use bincode::{Decode, Encode};
 
--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use h2::SendStream;
 use h2::client::{ResponseFuture, SendRequest};
 use http::{Method, Request, StatusCode, Uri};
 use parking_lot::{Mutex, RwLock};
@@ -40,6 +41,9 @@
 /// of the peer would fail at once.
 const MAX_SMALL_FRAME_OVERHEAD_BYTES: usize = 256 * 1024 * 1024;
 
+/// Connections to one peer that a request tries, the first of which may be about to end.
+const MAX_CONNECTIONS_TRIED: usize = 2;
+
 /// A pool of connections to peers, opened on first use and closed when idle.
 pub struct Connections<P> {
     key: FleetKey,
@@ -68,6 +72,14 @@
     liveness: Arc<Liveness>,
 }
 
+/// A stream whose request has no body yet.
+struct OpenedStream {
+    liveness: Arc<Liveness>,
+    response: ResponseFuture,
+    sending: SendStream<Bytes>,
+    tag: Tag,
+}
+
 /// A request that may have been sent to the peer.
 struct SentRequest {
     response: ResponseFuture,
@@ -164,19 +176,21 @@
         let slot = self.slot(to);
         let permit = Arc::clone(&slot.permits).acquire_owned().await;
         let permit = permit.map_err(|_closed| NotSent::TooManyStreams)?;
-        let (mut connection, use_guard) = self.verified_connection(&slot).await?;
-        let (request, tag) = self.signed_head(to, kind, &body);
-        let (response, mut sending) = connection
-            .send_request
-            .send_request(request, false)
-            .map_err(|_unsent| NotSent::Closing)?;
+        let (opened, use_guard) = self.open_stream(&slot, kind, &body).await?;
         let traffic = self.traffic.kind(kind);
         traffic.record_sent(1, body.len());
+        let OpenedStream {
+            liveness,
+            response,
+            mut sending,
+            tag,
+        } = opened;
         // An error here also ends the response, which reports a more specific error.
         let _ = sending.send_data(body, true);
         let guard = StreamGuard {
-            liveness: connection.liveness,
+            liveness,
             traffic,
+            stream: response.stream_id().as_u32(),
             _use: use_guard,
             _permit: permit,
         };
@@ -187,6 +201,32 @@
         })
     }
 
+    /// Opens a stream for a request; on another connection if the first one is about to end.
+    async fn open_stream(
+        &self,
+        slot: &Slot,
+        kind: &str,
+        body: &[u8],
+    ) -> Result<(OpenedStream, UseGuard), NotSent> {
+        for _ in 0..MAX_CONNECTIONS_TRIED {
+            let (mut connection, use_guard) = self.verified_connection(slot).await?;
+            let (request, tag) = self.signed_head(slot.address, kind, body);
+            match connection.send_request.send_request(request, false) {
+                Ok((response, sending)) => {
+                    let opened = OpenedStream {
+                        liveness: connection.liveness,
+                        response,
+                        sending,
+                        tag,
+                    };
+                    return Ok((opened, use_guard));
+                }
+                Err(_unsent) => connection.liveness.retire(),
+            }
+        }
+        Err(NotSent::Closing)
+    }
+
     async fn reply(&self, sent: SentRequest) -> Result<(P::Reply, Items<P>), PeerError> {
         let SentRequest {
             response,
@@ -195,7 +235,7 @@
         } = sent;
         let response = match response.await {
             Ok(response) => response,
-            Err(error) => return Err(guard.error(error)),
+            Err(error) => return Err(guard.unanswered_error(error)),
         };
         let status = response.status();
         let is_authenticated =
@@ -246,7 +286,7 @@
             connect_timeout_ms,
             ..
         } = self.settings;
-        for _ in 0..2 {
+        for _ in 0..MAX_CONNECTIONS_TRIED {
             let connection = self.connection(slot).await?;
             let use_guard = connection.liveness.acquire();
             if connection
@@ -304,7 +344,8 @@
         socket.set_nodelay(true).map_err(connect_error)?;
         let liveness = Liveness::new();
         let metered_socket =
-            MeteredSocket::new(socket, Arc::clone(&liveness), Arc::clone(&self.traffic));
+            MeteredSocket::new(socket, Arc::clone(&liveness), Arc::clone(&self.traffic))
+                .reading_goaway();
         let mut builder = h2::client::Builder::new();
         builder
             .initial_window_size(STREAM_WINDOW_BYTES)
--- a/src/peers/error.rs
+++ b/src/peers/error.rs
@@ -85,6 +85,9 @@
     /// The peer's HTTP/2 layer refused the stream.
     #[error("the peer's HTTP/2 layer refused the stream")]
     StreamRefused,
+    /// The peer ended the connection and said that it had not read the request.
+    #[error("the peer ended the connection before it read the request")]
+    Unread,
 }
 
 impl PeerError {
@@ -106,6 +109,13 @@
         matches!(self, Self::TimedOut { .. })
     }
 
+    /// Returns whether the peer ended the connection before it read the request, which another
+    /// connection may carry.
+    #[must_use]
+    pub fn is_unread(&self) -> bool {
+        matches!(self, Self::Refused(Refusal::Unread))
+    }
+
     /// Returns whether the peer rejected this node's credentials, so that retries are futile.
     #[must_use]
     pub fn is_refused_credentials(&self) -> bool {
@@ -117,7 +127,9 @@
     /// Maps a remote `REFUSED_STREAM`, which guarantees an unprocessed stream, to a refusal.
     ///
     /// `GOAWAY` gives no such guarantee here: `h2` also reports it for streams that the peer had
-    /// accepted before the connection closed.
+    /// accepted before the connection closed. The connection's [`Liveness`] tells them apart.
+    ///
+    /// [`Liveness`]: super::liveness::Liveness
     fn from(error: h2::Error) -> Self {
         let refused = error.reason() == Some(h2::Reason::REFUSED_STREAM);
         if refused && error.is_remote() && error.is_reset() {
--- a/src/peers/items.rs
+++ b/src/peers/items.rs
@@ -10,7 +10,7 @@
 
 use super::Protocol;
 use super::codec;
-use super::error::PeerError;
+use super::error::{PeerError, Refusal};
 use super::liveness::{Liveness, UseGuard};
 use super::traffic::KindTraffic;
 
@@ -19,11 +19,25 @@
 pub(super) struct StreamGuard {
     pub liveness: Arc<Liveness>,
     pub traffic: Arc<KindTraffic>,
+    /// The stream's id within its connection.
+    pub stream: u32,
     pub _use: UseGuard,
     pub _permit: tokio::sync::OwnedSemaphorePermit,
 }
 
 impl StreamGuard {
+    /// Converts the error of a stream that has not been answered.
+    ///
+    /// Only the peer's own word proves that it has not read the request: a connection may end
+    /// without it just as well after the request has run.
+    pub(super) fn unanswered_error(&self, error: h2::Error) -> PeerError {
+        if self.liveness.is_unread(self.stream) {
+            PeerError::Refused(Refusal::Unread)
+        } else {
+            self.error(error)
+        }
+    }
+
     /// Converts a stream error to [`PeerError::Silent`] if the peer stopped responding.
     pub(super) fn error(&self, error: h2::Error) -> PeerError {
         if self.liveness.is_silent() {
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{
-    AtomicBool, AtomicU64, AtomicUsize,
+    AtomicBool, AtomicU32, AtomicU64, AtomicUsize,
     Ordering::{Relaxed, SeqCst},
 };
 use std::task::{Context, Poll};
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::goaway::GoAwayScan;
 use super::keepalive::{Action, Keepalive};
 use super::settings::Settings;
 use super::traffic::Traffic;
@@ -32,6 +33,8 @@
     ping_requested: AtomicBool,
     is_silent: AtomicBool,
     is_retired: AtomicBool,
+    /// Last stream that the peer may have read; all may have been while it has named none.
+    last_stream: AtomicU32,
     state_changed: Notify,
     pong_received: Notify,
     closed: CancellationToken,
@@ -52,6 +55,7 @@
             ping_requested: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             is_retired: AtomicBool::new(false),
+            last_stream: AtomicU32::new(u32::MAX),
             state_changed: Notify::new(),
             pong_received: Notify::new(),
             closed: CancellationToken::new(),
@@ -95,6 +99,17 @@
         }
     }
 
+    /// Records that the peer ends the connection and has read no stream above this one.
+    fn record_goaway(&self, last_stream: u32) {
+        self.last_stream.fetch_min(last_stream, SeqCst);
+        self.retire();
+    }
+
+    /// Returns whether the peer has said that it has not read this stream and will not.
+    pub(super) fn is_unread(&self, stream: u32) -> bool {
+        stream > self.last_stream.load(SeqCst)
+    }
+
     /// Returns whether the connection takes further requests.
     pub(super) fn takes_requests(&self) -> bool {
         !self.is_closed() && !self.is_retired.load(SeqCst)
@@ -205,6 +220,8 @@
     socket: T,
     liveness: Arc<Liveness>,
     traffic: Arc<Traffic>,
+    /// Reads the frames of an accepting side; those of an asking side begin with a preface.
+    goaway: Option<GoAwayScan>,
     sent_bytes_metric: metrics::Counter,
     received_bytes_metric: metrics::Counter,
 }
@@ -216,11 +233,30 @@
             socket,
             liveness,
             traffic,
+            goaway: None,
             sent_bytes_metric: metrics::counter!("teaselline_peer_wire_sent_bytes_total"),
             received_bytes_metric: metrics::counter!("teaselline_peer_wire_received_bytes_total"),
         }
     }
 
+    /// Reads from the peer's frames which streams it says it has not read.
+    pub(super) fn reading_goaway(mut self) -> Self {
+        self.goaway = Some(GoAwayScan::default());
+        self
+    }
+
+    fn count_received(&mut self, received: &[u8]) {
+        let bytes = received.len() as u64;
+        self.traffic.wire_received_bytes.fetch_add(bytes, Relaxed);
+        self.received_bytes_metric.increment(bytes);
+        let now_ms = self.liveness.now_ms().max(NEVER + 1);
+        self.liveness.last_read_ms.store(now_ms, Relaxed);
+        let goaway = self.goaway.as_mut();
+        if let Some(last_stream) = goaway.and_then(|scan| scan.read(received)) {
+            self.liveness.record_goaway(last_stream);
+        }
+    }
+
     fn count_sent(&self, written: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = written {
             let counter = &self.traffic.wire_sent_bytes;
@@ -238,13 +274,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.socket).poll_read(cx, buf);
-        let bytes = buf.filled().len() - before;
-        if bytes > 0 {
-            let counter = &self.traffic.wire_received_bytes;
-            counter.fetch_add(bytes as u64, Relaxed);
-            self.received_bytes_metric.increment(bytes as u64);
-            let now_ms = self.liveness.now_ms().max(NEVER + 1);
-            self.liveness.last_read_ms.store(now_ms, Relaxed);
+        let received = &buf.filled()[before..];
+        if !received.is_empty() {
+            self.count_received(received);
         }
         read
     }
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -16,6 +16,9 @@
 use super::*;
 use crate::keys::Incarnation;
 
+mod endings;
+pub(crate) mod raw;
+
 const CALLER: Incarnation = Incarnation(7);
 const TIMEOUT_MS: u64 = 10_000;
 
