bug: An idle connection that its accepting side ends still answers what was sent on it

Callers saw 502 for a call that may run once, although no upstream ever got it, where the request was sent to a peer in the moment in which the peer closed the connection as idle.

Cause: both sides of a connection closed it after the same idle time, and the accepting side dropped it at once, with what was on its way.

Change: the accepting side ends an idle connection with a graceful GOAWAY and answers what the peer sends before it has read that; it closes the connection at the latest after `loss_timeout_ms` without streams, as for a lost peer. It waits twice the idle time of the asking side, so that the asking side, which knows when it sends, is first. A node that shuts down ends its connections in the same way.

The test failed before: request_under_way_is_answered_although_its_connection_was_idle: Broken(Io(BrokenPipe, "stream closed because of a broken pipe")). It passes now with 55 others of peers:: and exchange::tests::endings. No fault: request_under_way_is_answered_although_the_node_shuts_down passed before the change, too.

--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -363,12 +363,12 @@
         let ping_pong = connection
             .ping_pong()
             .expect("`ping_pong` is taken once per connection");
-        let settings = self.settings;
+        let timeouts = self.settings.asking();
         let monitored = Arc::clone(&liveness);
         tokio::spawn(async move {
             let cause = tokio::select! {
                 _ = connection => "ended",
-                () = monitored.monitor(ping_pong, &settings) => monitored.end_cause(),
+                () = monitored.monitor(ping_pong, &timeouts) => monitored.end_cause(),
                 () = monitored.closed() => "closed",
             };
             log_end(address, cause, &monitored);
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -17,7 +17,7 @@
 
 use super::goaway::GoAwayScan;
 use super::keepalive::{Action, Keepalive};
-use super::settings::Settings;
+use super::settings::MonitorTimeouts;
 use super::traffic::Traffic;
 
 /// The last read time before the first read; smaller than that of any read.
@@ -32,7 +32,7 @@
     use_count: AtomicUsize,
     ping_requested: AtomicBool,
     is_silent: AtomicBool,
-    is_retired: AtomicBool,
+    retired: CancellationToken,
     /// Last stream that the peer may have read; all may have been while it has named none.
     last_stream: AtomicU32,
     state_changed: Notify,
@@ -54,7 +54,7 @@
             use_count: AtomicUsize::new(0),
             ping_requested: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
-            is_retired: AtomicBool::new(false),
+            retired: CancellationToken::new(),
             last_stream: AtomicU32::new(u32::MAX),
             state_changed: Notify::new(),
             pong_received: Notify::new(),
@@ -94,11 +94,21 @@
     /// A path that is silent may deliver what is on its way. Closing the connection would end all
     /// streams on it because of one request that found it silent.
     pub(super) fn retire(&self) {
-        if !self.is_retired.swap(true, SeqCst) {
+        if !self.is_retired() {
+            self.retired.cancel();
             self.state_changed.notify_one();
         }
     }
 
+    fn is_retired(&self) -> bool {
+        self.retired.is_cancelled()
+    }
+
+    /// Waits until the connection takes no further request.
+    pub(super) async fn retired(&self) {
+        self.retired.cancelled().await;
+    }
+
     /// Records that the peer ends the connection and has read no stream above this one.
     fn record_goaway(&self, last_stream: u32) {
         self.last_stream.fetch_min(last_stream, SeqCst);
@@ -112,7 +122,7 @@
 
     /// Returns whether the connection takes further requests.
     pub(super) fn takes_requests(&self) -> bool {
-        !self.is_closed() && !self.is_retired.load(SeqCst)
+        !self.is_closed() && !self.is_retired()
     }
 
     /// Returns whether the connection was closed because the peer stopped responding.
@@ -155,18 +165,20 @@
     }
 
     /// Monitors the peer; returns when the connection should be closed.
-    pub(super) async fn monitor(&self, mut ping_pong: PingPong, settings: &Settings) {
-        let mut keepalive = Keepalive::new(settings.silence_timeout_ms, settings.loss_timeout_ms);
+    ///
+    /// A connection is retired before it is closed for want of streams. What is sent on it meanwhile
+    /// keeps it open.
+    pub(super) async fn monitor(&self, mut ping_pong: PingPong, timeouts: &MonitorTimeouts) {
+        let mut keepalive = Keepalive::new(timeouts.silence_timeout_ms, timeouts.loss_timeout_ms);
         let mut is_ping_pending = false;
         loop {
-            let is_used = self.use_count.load(SeqCst) > 0;
-            if !is_used && self.is_retired.load(SeqCst) {
-                return;
-            }
+            let is_retired = self.is_retired();
+            let is_used = self.uses() > 0;
             let last_read_ms = self.last_read_ms.load(Relaxed);
             let action = keepalive.check(self.now_ms(), last_read_ms, is_used);
             let (should_ping, wait_ms) = match action {
-                Action::Idle => (false, settings.idle_timeout_ms),
+                Action::Idle if is_retired => (false, timeouts.close_delay_ms),
+                Action::Idle => (false, timeouts.idle_timeout_ms),
                 Action::Wait(wait_ms) => (false, wait_ms),
                 Action::Ping(wait_ms) => (true, wait_ms),
                 Action::Retire(wait_ms) => {
@@ -193,8 +205,11 @@
                     }
                 }
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {
-                    if action == Action::Idle && self.use_count.load(SeqCst) == 0 {
-                        return;
+                    match action {
+                        Action::Idle if self.uses() > 0 => {}
+                        Action::Idle if is_retired => return,
+                        Action::Idle => self.retire(),
+                        _ => {}
                     }
                 }
             }
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -223,27 +223,25 @@
         let liveness = Liveness::new();
         let traffic = Arc::clone(&self.server.traffic);
         let metered_socket = MeteredSocket::new(socket, Arc::clone(&liveness), traffic);
-        let mut builder = h2::server::Builder::new();
-        builder
-            .initial_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .max_concurrent_streams(settings.max_streams)
-            .max_pending_accept_reset_streams(MAX_CANCELLED_STREAMS)
-            // Counts over all of a connection's time what arrives for requests that were refused or cancelled.
-            .max_local_error_reset_streams(Some(MAX_REFUSED_STREAMS))
-            .max_header_list_size(MAX_HEADER_BYTES);
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
-        let handshake =
-            tokio::time::timeout(connect_timeout, builder.handshake(metered_socket)).await;
+        let handshake = h2_builder(&settings).handshake(metered_socket);
+        let handshake = tokio::time::timeout(connect_timeout, handshake).await;
         let Ok(Ok(mut connection)) = handshake else {
             return;
         };
         let ping_pong = connection
             .ping_pong()
             .expect("`ping_pong` is taken once per connection");
-        let monitored = settings.for_accepted();
-        let monitor = liveness.monitor(ping_pong, &monitored);
+        let timeouts = settings.accepted();
+        let monitor = liveness.monitor(ping_pong, &timeouts);
         tokio::pin!(monitor);
+        let retired = async {
+            tokio::select! {
+                () = liveness.retired() => {}
+                () = shutdown.cancelled() => liveness.retire(),
+            }
+        };
+        tokio::pin!(retired);
         let mut is_draining = false;
         loop {
             let (request, respond) = tokio::select! {
@@ -255,8 +253,9 @@
                     log_end(peer, &liveness);
                     break;
                 }
-                () = shutdown.cancelled(), if !is_draining => {
+                () = &mut retired, if !is_draining => {
                     is_draining = true;
+                    // Answers what the peer sends before it reads that the connection ends.
                     connection.graceful_shutdown();
                     continue;
                 }
@@ -372,6 +371,19 @@
     }
 }
 
+fn h2_builder(settings: &Settings) -> h2::server::Builder {
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(settings.max_streams)
+        .max_pending_accept_reset_streams(MAX_CANCELLED_STREAMS)
+        // Counts over all of a connection's time what arrives for requests that were refused or cancelled.
+        .max_local_error_reset_streams(Some(MAX_REFUSED_STREAMS))
+        .max_header_list_size(MAX_HEADER_BYTES);
+    builder
+}
+
 /// Logs that the monitor ended a connection while streams are open on it.
 fn log_end(peer: SocketAddr, liveness: &Liveness) {
     let streams = liveness.uses();
--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -1,5 +1,9 @@
 //! Limits and timeouts of connections between nodes.
 
+/// Idle time of an accepted connection in units of the asking side's, which knows when it sends and
+/// ends its connections first.
+const ACCEPTED_IDLE_FACTOR: u64 = 2;
+
 /// Limits and timeouts of connections between nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -12,7 +16,7 @@
     pub loss_timeout_ms: u64,
     /// Silence of a connection after which it is verified by a ping before a request is sent.
     pub verify_after_idle_ms: u64,
-    /// Time without streams after which a connection is closed.
+    /// Time without streams after which the asking side closes a connection.
     pub idle_timeout_ms: u64,
     /// Maximum number of concurrent streams to one peer and, separately, from all peers.
     pub max_streams: u32,
@@ -64,11 +68,37 @@
         self
     }
 
-    /// Returns the settings for an accepted connection, which takes requests for as long as it is open.
-    pub(super) fn for_accepted(self) -> Self {
-        Self {
+    /// Returns the timeouts of the asking side of a connection.
+    pub(super) fn asking(&self) -> MonitorTimeouts {
+        MonitorTimeouts {
+            silence_timeout_ms: self.silence_timeout_ms,
+            loss_timeout_ms: self.loss_timeout_ms,
+            idle_timeout_ms: self.idle_timeout_ms,
+            close_delay_ms: 0,
+        }
+    }
+
+    /// Returns the timeouts of an accepted connection.
+    ///
+    /// It takes requests whatever its silence, and those that were sent before the peer has read
+    /// that it ends.
+    pub(super) fn accepted(&self) -> MonitorTimeouts {
+        MonitorTimeouts {
             silence_timeout_ms: self.loss_timeout_ms,
-            ..self
+            loss_timeout_ms: self.loss_timeout_ms,
+            idle_timeout_ms: self.idle_timeout_ms.saturating_mul(ACCEPTED_IDLE_FACTOR),
+            close_delay_ms: self.loss_timeout_ms,
         }
     }
 }
+
+/// The timeouts after which one side of a connection acts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct MonitorTimeouts {
+    pub silence_timeout_ms: u64,
+    pub loss_timeout_ms: u64,
+    /// Time without streams after which the connection takes no further request.
+    pub idle_timeout_ms: u64,
+    /// Time without streams for which it stays open then.
+    pub close_delay_ms: u64,
+}
--- a/src/peers/tests/endings.rs
+++ b/src/peers/tests/endings.rs
@@ -3,6 +3,19 @@
 use super::raw::{Ending, end_at_first_request};
 use super::*;
 
+/// Time without streams after which connections end here.
+const IDLE_TIMEOUT_MS: u64 = 50;
+
+/// A connection that has been idle for so long has been ended by each of its sides.
+const LONG_IDLE: Duration = Duration::from_millis(6 * IDLE_TIMEOUT_MS);
+
+fn without_pings() -> Settings {
+    Settings {
+        verify_after_idle_ms: TIMEOUT_MS,
+        ..Settings::default().with_silence_timeout_ms(TIMEOUT_MS)
+    }
+}
+
 /// Sends a request to a peer that ends its connection like this.
 async fn error_of(ending: Ending) -> PeerError {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -15,6 +28,68 @@
     echo(&pool(key()), address, "").await.unwrap_err()
 }
 
+/// Sends a request on an open connection on which nothing passes while `ending` acts on the node.
+async fn echo_while(
+    settings: Settings,
+    ending: impl AsyncFnOnce(&Node),
+) -> (Node, Result<String, PeerError>) {
+    let (node, address, flow) = start_node_behind_proxy(settings).await;
+    let connections = pool(key()).with_settings(without_pings());
+    echo(&connections, address, "before").await.unwrap();
+    flow.send(false).unwrap();
+    let call = echo(&connections, address, "under way");
+    let resume = async {
+        ending(&node).await;
+        flow.send(true).unwrap();
+    };
+    let (called, ()) = tokio::join!(call, resume);
+    (node, called)
+}
+
+/// Guards against a request that is lost because the accepting side ends an idle connection while it is under way.
+#[tokio::test]
+async fn request_under_way_is_answered_although_its_connection_was_idle() {
+    let settings = Settings {
+        idle_timeout_ms: IDLE_TIMEOUT_MS,
+        ..without_pings()
+    };
+    let (node, called) = echo_while(settings, async |_node| {
+        tokio::time::sleep(LONG_IDLE).await;
+    })
+    .await;
+    assert_eq!(called.unwrap(), "under way");
+    assert_eq!(node.handler.handled.load(SeqCst), 2);
+}
+
+/// Guards against a request that is lost because the node shuts down while it is under way.
+#[tokio::test]
+async fn request_under_way_is_answered_although_the_node_shuts_down() {
+    let (node, called) = echo_while(without_pings(), async |node| {
+        node.shutdown.cancel();
+        tokio::time::sleep(LONG_IDLE).await;
+    })
+    .await;
+    assert_eq!(called.unwrap(), "under way");
+    assert_eq!(node.handler.handled.load(SeqCst), 2);
+    node.done.await.unwrap();
+}
+
+/// Guards against a connection of a lost peer that is kept for good because the peer does not read that it ends.
+#[tokio::test]
+async fn idle_connection_of_a_lost_peer_ends() {
+    let settings = Settings {
+        idle_timeout_ms: IDLE_TIMEOUT_MS,
+        ..Settings::default().with_silence_timeout_ms(IDLE_TIMEOUT_MS)
+    };
+    let (node, address, flow) = start_node_behind_proxy(settings).await;
+    let connections = pool(key()).with_settings(without_pings());
+    echo(&connections, address, "").await.unwrap();
+    flow.send(false).unwrap();
+    node.shutdown.cancel();
+    let ended = tokio::time::timeout(Duration::from_secs(20), node.done).await;
+    ended.expect("the connection ends").unwrap();
+}
+
 /// Guards against a request that counts as possibly run although its peer says that it has not read it.
 #[tokio::test]
 async fn request_behind_a_goaway_counts_as_not_handled() {
@@ -55,3 +130,13 @@
     let next = tokio::time::timeout(Duration::from_millis(200), items.next()).await;
     assert!(next.is_err(), "the stream ended: {next:?}");
 }
+
+/// Guards against accepting sides that end connections on which their peers are about to send.
+#[test]
+fn asking_side_ends_idle_connections_first() {
+    let settings = Settings::default();
+    let call_ms = settings.verify_after_idle_ms + settings.connect_timeout_ms;
+    let (asking, accepted) = (settings.asking(), settings.accepted());
+    assert!(accepted.idle_timeout_ms >= asking.idle_timeout_ms + call_ms);
+    assert!(accepted.close_delay_ms >= call_ms);
+}
