bug: The asking side no longer ends an idle connection as a request is sent on it

Callers saw 502 for a call that may run once, although it never left the node: its connection to the peer was ended as idle by the node itself in the same moment.

Cause: the monitor closed an unused connection without a mark, while a request that had got it from the pool counted it as used only afterwards.

Change: a connection is retired before the monitor looks whether it is used, and a request counts it as used before it looks whether the connection takes requests (`acquire_for_request`).

--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -288,7 +288,9 @@
         } = self.settings;
         for _ in 0..MAX_CONNECTIONS_TRIED {
             let connection = self.connection(slot).await?;
-            let use_guard = connection.liveness.acquire();
+            let Some(use_guard) = connection.liveness.acquire_for_request() else {
+                continue;
+            };
             if connection
                 .liveness
                 .verify(verify_after_idle_ms, connect_timeout_ms)
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Marks the connection as used for a further request; `None` if it takes none.
+    ///
+    /// The monitor retires a connection before it looks whether it is used. A use that finds the
+    /// connection in service is therefore seen before the connection is closed.
+    pub(super) fn acquire_for_request(self: &Arc<Self>) -> Option<UseGuard> {
+        let use_guard = self.acquire();
+        self.takes_requests().then_some(use_guard)
+    }
+
     pub(super) fn close(&self) {
         self.closed.cancel();
     }
@@ -330,3 +339,6 @@
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/peers/tests/endings.rs
+++ b/src/peers/tests/endings.rs
@@ -140,3 +140,28 @@
     assert!(accepted.idle_timeout_ms >= asking.idle_timeout_ms + call_ms);
     assert!(accepted.close_delay_ms >= call_ms);
 }
+
+/// Calls of one pool, each of which finds its connection idle or about to end.
+async fn echo_at_the_idle_timeout(address: SocketAddr, pool_number: u64) -> Result<(), PeerError> {
+    let settings = Settings {
+        idle_timeout_ms: 1,
+        ..without_pings()
+    };
+    let connections = pool(key()).with_settings(settings);
+    for call in 0..150_u64 {
+        let pause_us = 200 + (call * 37 + pool_number * 131) % 1_900;
+        tokio::time::sleep(Duration::from_micros(pause_us)).await;
+        echo(&connections, address, "").await?;
+    }
+    Ok(())
+}
+
+/// Guards against requests that are lost because the asking side ends an idle connection as it sends on it.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_while_their_connections_become_idle() {
+    let node = start_node().await;
+    let callers = (0..8).map(|number| tokio::spawn(echo_at_the_idle_timeout(node.address, number)));
+    for called in join_all(callers).await {
+        called.unwrap().unwrap();
+    }
+}
