--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{
-    AtomicBool, AtomicU64, AtomicUsize,
+    AtomicBool, AtomicU32, AtomicU64, AtomicUsize,
     Ordering::{Relaxed, SeqCst},
 };
 use std::task::{Context, Poll};
@@ -15,8 +15,9 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::goaway::GoAwayScan;
 use super::keepalive::{Action, Keepalive};
-use super::settings::Settings;
+use super::settings::MonitorTimeouts;
 use super::traffic::Traffic;
 
 /// The last read time before the first read; smaller than that of any read.
@@ -31,7 +32,9 @@
     use_count: AtomicUsize,
     ping_requested: AtomicBool,
     is_silent: AtomicBool,
-    is_retired: AtomicBool,
+    retired: CancellationToken,
+    /// Last stream that the peer may have read; all may have been while it has named none.
+    last_stream: AtomicU32,
     state_changed: Notify,
     pong_received: Notify,
     closed: CancellationToken,
@@ -51,7 +54,8 @@
             use_count: AtomicUsize::new(0),
             ping_requested: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
-            is_retired: AtomicBool::new(false),
+            retired: CancellationToken::new(),
+            last_stream: AtomicU32::new(u32::MAX),
             state_changed: Notify::new(),
             pong_received: Notify::new(),
             closed: CancellationToken::new(),
@@ -68,6 +72,15 @@
         }
     }
 
+    /// Marks the connection as used for a further request; `None` if it takes none.
+    ///
+    /// The monitor retires a connection before it looks whether it is used. A use that finds the
+    /// connection in service is therefore seen before the connection is closed.
+    pub(super) fn acquire_for_request(self: &Arc<Self>) -> Option<UseGuard> {
+        let use_guard = self.acquire();
+        self.takes_requests().then_some(use_guard)
+    }
+
     pub(super) fn close(&self) {
         self.closed.cancel();
     }
@@ -90,14 +103,35 @@
     /// A path that is silent may deliver what is on its way. Closing the connection would end all
     /// streams on it because of one request that found it silent.
     pub(super) fn retire(&self) {
-        if !self.is_retired.swap(true, SeqCst) {
+        if !self.is_retired() {
+            self.retired.cancel();
             self.state_changed.notify_one();
         }
     }
 
+    fn is_retired(&self) -> bool {
+        self.retired.is_cancelled()
+    }
+
+    /// Waits until the connection takes no further request.
+    pub(super) async fn retired(&self) {
+        self.retired.cancelled().await;
+    }
+
+    /// Records that the peer ends the connection and has read no stream above this one.
+    fn record_goaway(&self, last_stream: u32) {
+        self.last_stream.fetch_min(last_stream, SeqCst);
+        self.retire();
+    }
+
+    /// Returns whether the peer has said that it has not read this stream and will not.
+    pub(super) fn is_unread(&self, stream: u32) -> bool {
+        stream > self.last_stream.load(SeqCst)
+    }
+
     /// Returns whether the connection takes further requests.
     pub(super) fn takes_requests(&self) -> bool {
-        !self.is_closed() && !self.is_retired.load(SeqCst)
+        !self.is_closed() && !self.is_retired()
     }
 
     /// Returns whether the connection was closed because the peer stopped responding.
@@ -140,18 +174,20 @@
     }
 
     /// Monitors the peer; returns when the connection should be closed.
-    pub(super) async fn monitor(&self, mut ping_pong: PingPong, settings: &Settings) {
-        let mut keepalive = Keepalive::new(settings.silence_timeout_ms, settings.loss_timeout_ms);
+    ///
+    /// A connection is retired before it is closed for want of streams. What is sent on it meanwhile
+    /// keeps it open.
+    pub(super) async fn monitor(&self, mut ping_pong: PingPong, timeouts: &MonitorTimeouts) {
+        let mut keepalive = Keepalive::new(timeouts.silence_timeout_ms, timeouts.loss_timeout_ms);
         let mut is_ping_pending = false;
         loop {
-            let is_used = self.use_count.load(SeqCst) > 0;
-            if !is_used && self.is_retired.load(SeqCst) {
-                return;
-            }
+            let is_retired = self.is_retired();
+            let is_used = self.uses() > 0;
             let last_read_ms = self.last_read_ms.load(Relaxed);
             let action = keepalive.check(self.now_ms(), last_read_ms, is_used);
             let (should_ping, wait_ms) = match action {
-                Action::Idle => (false, settings.idle_timeout_ms),
+                Action::Idle if is_retired => (false, timeouts.close_delay_ms),
+                Action::Idle => (false, timeouts.idle_timeout_ms),
                 Action::Wait(wait_ms) => (false, wait_ms),
                 Action::Ping(wait_ms) => (true, wait_ms),
                 Action::Retire(wait_ms) => {
@@ -178,8 +214,11 @@
                     }
                 }
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {
-                    if action == Action::Idle && self.use_count.load(SeqCst) == 0 {
-                        return;
+                    match action {
+                        Action::Idle if self.uses() > 0 => {}
+                        Action::Idle if is_retired => return,
+                        Action::Idle => self.retire(),
+                        _ => {}
                     }
                 }
             }
@@ -205,6 +244,8 @@
     socket: T,
     liveness: Arc<Liveness>,
     traffic: Arc<Traffic>,
+    /// Reads the frames of an accepting side; those of an asking side begin with a preface.
+    goaway: Option<GoAwayScan>,
     sent_bytes_metric: metrics::Counter,
     received_bytes_metric: metrics::Counter,
 }
@@ -216,11 +257,30 @@
             socket,
             liveness,
             traffic,
+            goaway: None,
             sent_bytes_metric: metrics::counter!("teaselline_peer_wire_sent_bytes_total"),
             received_bytes_metric: metrics::counter!("teaselline_peer_wire_received_bytes_total"),
         }
     }
 
+    /// Reads from the peer's frames which streams it says it has not read.
+    pub(super) fn reading_goaway(mut self) -> Self {
+        self.goaway = Some(GoAwayScan::default());
+        self
+    }
+
+    fn count_received(&mut self, received: &[u8]) {
+        let bytes = received.len() as u64;
+        self.traffic.wire_received_bytes.fetch_add(bytes, Relaxed);
+        self.received_bytes_metric.increment(bytes);
+        let now_ms = self.liveness.now_ms().max(NEVER + 1);
+        self.liveness.last_read_ms.store(now_ms, Relaxed);
+        let goaway = self.goaway.as_mut();
+        if let Some(last_stream) = goaway.and_then(|scan| scan.read(received)) {
+            self.liveness.record_goaway(last_stream);
+        }
+    }
+
     fn count_sent(&self, written: &Poll<io::Result<usize>>) {
         if let Poll::Ready(Ok(bytes)) = written {
             let counter = &self.traffic.wire_sent_bytes;
@@ -238,13 +298,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.socket).poll_read(cx, buf);
-        let bytes = buf.filled().len() - before;
-        if bytes > 0 {
-            let counter = &self.traffic.wire_received_bytes;
-            counter.fetch_add(bytes as u64, Relaxed);
-            self.received_bytes_metric.increment(bytes as u64);
-            let now_ms = self.liveness.now_ms().max(NEVER + 1);
-            self.liveness.last_read_ms.store(now_ms, Relaxed);
+        let received = &buf.filled()[before..];
+        if !received.is_empty() {
+            self.count_received(received);
         }
         read
     }
@@ -283,3 +339,6 @@
         Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
