--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -13,8 +13,10 @@
 
 mod archive;
 pub(crate) mod archiving;
+mod blocks;
 pub(crate) mod breaks;
 mod evidence;
+mod judgement;
 pub(crate) mod reports;
 mod sound;
 pub(crate) mod subjects;
@@ -22,6 +24,7 @@
 
 use bincode::{Decode, Encode};
 
+use blocks::Block;
 use sound::SoundStarts;
 use subjects::{Subject, Subjects};
 
@@ -119,24 +122,6 @@
     }
 }
 
-/// Evidence that is enough to block a part.
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    /// Independent crashes.
-    pieces: usize,
-    /// Whether an answer under the part went on shortly before the first of them.
-    was_sound: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Block {
-    subject: Subject,
-    at: TimeMs,
-    last_seen: TimeMs,
-    /// When a request was last let through.
-    tried_at: TimeMs,
-}
-
 /// A change of a subject's state, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Change {
@@ -254,103 +239,6 @@
         self.sound.take_due(now)
     }
 
-    /// Records a block that a peer reports; plans to contradict it if the subject is sound here.
-    pub fn record_block(&mut self, told: AgedBlock, draw: f64, nodes: usize, now: TimeMs) {
-        if told.idle_ms >= RETENTION_MS {
-            return;
-        }
-        let at = TimeMs(now.0.saturating_sub(told.age_ms));
-        if self.sound.at(told.subject).is_some_and(|sound| sound > at) {
-            let due_at = now.after(tell_delay_ms(draw, nodes));
-            self.sound.plan_again(told.subject, due_at);
-            return;
-        }
-        let last_seen = TimeMs(now.0.saturating_sub(told.idle_ms));
-        let subject = told.subject;
-        if self.block(subject, at, last_seen) {
-            self.changes.push(Change::Heard { subject });
-        }
-    }
-
-    /// Returns what a request is refused for, if it is blocked. A refused request renews the block.
-    pub fn refusal(&mut self, subjects: &Subjects, now: TimeMs) -> Option<Blame> {
-        self.judge_if_due(now);
-        let content = std::iter::once((subjects.content, Blame::Content));
-        let parts = subjects.parts().map(|part| (part, Blame::Part));
-        for (subject, blame) in content.chain(parts) {
-            if let Ok(index) = self.find(subject)
-                && now.since(self.blocks[index].last_seen) < RETENTION_MS
-            {
-                self.blocks[index].last_seen = now;
-                if blame == Blame::Part && self.begins_trial(index, now) {
-                    continue;
-                }
-                return Some(blame);
-            }
-        }
-        None
-    }
-
-    /// Whether a request would be refused, without a trial; records nothing.
-    pub fn is_any_blocked(&self, subjects: &Subjects, now: TimeMs) -> bool {
-        let mut all = std::iter::once(subjects.content).chain(subjects.parts());
-        all.any(|subject| {
-            let found = self.find(subject).ok();
-            found.is_some_and(|index| now.since(self.blocks[index].last_seen) < RETENTION_MS)
-        })
-    }
-
-    /// Whether a request may show that a blocked part is sound after all.
-    fn begins_trial(&mut self, index: usize, now: TimeMs) -> bool {
-        let block = &mut self.blocks[index];
-        let was_sound = self.sound.at(block.subject).is_some();
-        let is_due = was_sound && now.since(block.tried_at) >= TRIAL_INTERVAL_MS;
-        if is_due {
-            block.tried_at = now;
-        }
-        is_due
-    }
-
-    /// Judges the parts of the latest crashes, once the reports on them have arrived.
-    pub fn judge_if_due(&mut self, now: TimeMs) {
-        if self.judge_at.is_none_or(|judge_at| now < judge_at) {
-            return;
-        }
-        self.judge_at = None;
-        self.expire(now);
-        while let Some((subject, pieces)) = self.worst_part() {
-            self.block(subject, now, now);
-            let blame = Blame::Part;
-            self.changes.push(Change::Blocked {
-                subject,
-                blame,
-                pieces,
-            });
-        }
-    }
-
-    /// Returns the blocks that peers are told repeatedly, so that a node that starts knows them.
-    pub fn reported_blocks(&self, now: TimeMs) -> Vec<AgedBlock> {
-        let mut reported: Vec<AgedBlock> = (self.blocks.iter())
-            .map(|block| AgedBlock {
-                subject: block.subject,
-                age_ms: now.since(block.at),
-                idle_ms: now.since(block.last_seen),
-            })
-            .filter(|block| block.idle_ms < RETENTION_MS)
-            .collect();
-        reported.sort_unstable_by_key(|block| block.idle_ms);
-        reported.truncate(MAX_REPORTED_BLOCKS);
-        reported
-    }
-
-    /// Returns the number of blocked subjects.
-    pub fn blocked_count(&self, now: TimeMs) -> usize {
-        let blocks = self.blocks.iter();
-        let live = blocks.filter(|block| now.since(block.last_seen) < RETENTION_MS);
-        live.count()
-    }
-
     /// Returns the number of crashes that are kept.
     pub fn len(&self) -> usize {
         self.recorded.len()
@@ -366,10 +254,6 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn is_blocked(&self, subject: Subject) -> bool {
-        self.find(subject).is_ok()
-    }
-
     /// Whether an upstream crashed under a part of a request, or one is blocked.
     pub fn is_suspected(&self, subjects: &Subjects) -> bool {
         let crashes =
@@ -379,155 +263,6 @@
             .any(|part| self.is_blocked(part) || crashes(part))
     }
 
-    /// Whether the same part is blocked on another route or model; one crash is enough then.
-    fn is_blocked_elsewhere(&self, part: Subject) -> bool {
-        let mut blocks = self.blocks.iter().map(|block| block.subject);
-        blocks.any(|blocked| blocked != part && subjects::is_same_part(blocked, part))
-    }
-
-    fn find(&self, subject: Subject) -> Result<usize, usize> {
-        (self.blocks).binary_search_by_key(&subject, |block| block.subject)
-    }
-
-    /// Blocks a subject; returns whether it was not blocked before.
-    fn block(&mut self, subject: Subject, at: TimeMs, last_seen: TimeMs) -> bool {
-        match self.find(subject) {
-            Ok(index) => {
-                let block = &mut self.blocks[index];
-                block.last_seen = block.last_seen.max(last_seen);
-                false
-            }
-            Err(index) => {
-                let block = Block {
-                    subject,
-                    at,
-                    last_seen,
-                    tried_at: at,
-                };
-                self.blocks.insert(index, block);
-                self.drop_oldest_block();
-                self.mark_explained();
-                true
-            }
-        }
-    }
-
-    fn drop_oldest_block(&mut self) {
-        if self.blocks.len() <= MAX_BLOCKS {
-            return;
-        }
-        let oldest = self.blocks.iter().map(|block| block.last_seen).min();
-        self.blocks.retain(|block| Some(block.last_seen) != oldest);
-        self.dropped += 1;
-    }
-
-    /// Ends the block of a subject under which an answer went on later.
-    fn lift_if_sound(&mut self, subject: Subject) {
-        let Ok(index) = self.find(subject) else {
-            return;
-        };
-        let blocked_at = self.blocks[index].at;
-        if self.sound.at(subject).is_some_and(|at| at > blocked_at) {
-            self.blocks.remove(index);
-            self.changes.push(Change::Cleared { subject });
-            self.mark_explained();
-        }
-    }
-
-    fn judge_content(&mut self, content: Subject, now: TimeMs) {
-        let sound_at = self.sound.at(content);
-        let crashes: Vec<&Recorded> = (self.recorded.iter())
-            .filter(|known| known.crash.subjects.content == content)
-            .filter(|known| sound_at.is_none_or(|sound_at| known.at > sound_at))
-            .collect();
-        let pieces = evidence::upstreams(&crashes);
-        if pieces >= evidence::PIECES_TO_BLOCK && self.block(content, now, now) {
-            let blame = Blame::Content;
-            self.changes.push(Change::Blocked {
-                subject: content,
-                blame,
-                pieces,
-            });
-        }
-    }
-
-    /// Returns the part that the unexplained crashes show to be bad, and its pieces of evidence.
-    fn worst_part(&self) -> Option<(Subject, usize)> {
-        let mut candidates: Vec<(Subject, usize)> = Vec::new();
-        for known in self.recorded.iter().filter(|known| !known.is_explained) {
-            let parts = known.crash.subjects.parts().enumerate();
-            candidates.extend(parts.map(|(position, part)| (part, position)));
-        }
-        candidates.sort_unstable();
-        let often = (candidates.chunk_by(|one, other| one == other))
-            .filter(|crashes| {
-                crashes.len() >= evidence::PIECES_TO_BLOCK
-                    || self.is_blocked_elsewhere(crashes[0].0)
-            })
-            .filter_map(|crashes| crashes.first());
-        // A part under which answers went on is blamed only where no other one qualifies.
-        let bad = often.filter_map(|(part, position)| {
-            let evidence = self.evidence(*part)?;
-            Some((!evidence.was_sound, *position, evidence.pieces, *part))
-        });
-        bad.max()
-            .map(|(_is_unproved, _position, pieces, part)| (part, pieces))
-    }
-
-    /// Returns the evidence against a part, if it is enough to block it.
-    fn evidence(&self, part: Subject) -> Option<Evidence> {
-        let sound_at = self.sound.at(part);
-        let crashes: Vec<&Recorded> = (self.recorded.iter())
-            .filter(|known| !known.is_explained && known.crash.subjects.contains(part))
-            .filter(|known| sound_at.is_none_or(|sound_at| known.at > sound_at))
-            .collect();
-        let first_at = crashes.first()?.at;
-        let was_sound = sound_at.is_some_and(|at| first_at.since(at) < SOUND_BEFORE_MS);
-        if !was_sound && self.is_blocked_elsewhere(part) {
-            let pieces = evidence::upstreams(&crashes);
-            return Some(Evidence { pieces, was_sound });
-        }
-        let needed = if was_sound {
-            evidence::PIECES_TO_BLOCK_SOUND
-        } else {
-            evidence::PIECES_TO_BLOCK
-        };
-        let pieces = evidence::pieces(&crashes);
-        (pieces >= needed).then_some(Evidence { pieces, was_sound })
-    }
-
-    /// Marks the crashes of upstreams that ran another request with a blocked subject.
-    fn mark_explained(&mut self) {
-        if self.blocks.is_empty() {
-            for known in &mut self.recorded {
-                known.is_explained = false;
-            }
-            return;
-        }
-        let by_part: Vec<u64> = (self.recorded.iter())
-            .filter(|known| {
-                known
-                    .crash
-                    .subjects
-                    .parts()
-                    .any(|part| self.is_blocked(part))
-            })
-            .map(|known| known.crash.upstream)
-            .collect();
-        let by_content: Vec<(u64, Subject)> = (self.recorded.iter())
-            .map(|known| (known.crash.upstream, known.crash.subjects.content))
-            .filter(|(_upstream, content)| self.is_blocked(*content))
-            .collect();
-        for known in &mut self.recorded {
-            let crash = known.crash;
-            let is_other = |(upstream, content): &(u64, Subject)| {
-                *upstream == crash.upstream && *content != crash.subjects.content
-            };
-            known.is_explained =
-                by_part.contains(&crash.upstream) || by_content.iter().any(is_other);
-        }
-    }
-
     fn expire(&mut self, now: TimeMs) {
         (self.recorded).retain(|known| now.since(known.at) < RETENTION_MS);
         (self.blocks).retain(|block| now.since(block.last_seen) < RETENTION_MS);
