bug: Kept connections of callers followed the limits under which they were accepted

A connection is kept under an idle timeout of 500 ms, which rises to 60 s; its caller, who knows the longer one, sends a request 1.6 s later and gets neither an answer nor a refusal. Where the timeout falls, kept connections stay open for twice the old one, also after further requests. A request whose first bytes arrive in time is cut if its head ends beyond the timeout. headerTimeoutMs was read and never used.

Cause: the HTTP library's timeout for heads was set once, as the connection was accepted, and runs from the end of an answer to the end of the next head.

Change: a connection records its phase (gateway/caller_connection.rs, which takes over gateway/unwritten.rs); a pure function decides by phase, limits and time when it is closed (gateway/caller_timeouts.rs): idle after twice the idle timeout, within a head after twice the header timeout, never during an answer. The longer of the limits in force now and those in force at the last request applies, since a caller may know either. After a pause of the process it reads before it closes (patience).

--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -1,30 +1,31 @@
 //! Accepts callers' connections and closes them gracefully.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::caller_connection::{CallerConnection, CallerSocket};
+use super::caller_timeouts::Phase;
+use super::catalog::CallerLimits;
+use super::clock;
 use super::exchange;
+use super::patience;
 use super::state::Gateway;
-use super::unwritten::{CallerSocket, Unwritten, UnwrittenAnswer};
 
 /// Delay after a failed accept, mostly caused by a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// A connection may stay idle for this multiple of the configured idle timeout.
-///
-/// Callers reuse connections that have been idle for up to four fifths of the configured timeout.
-/// The longer timeout here prevents a connection from being closed while a request is on its way.
-const IDLE_TIMEOUT_FACTOR: u64 = 2;
-
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -63,25 +64,92 @@
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
     let limits = node.catalog().limits;
-    let unwritten = Arc::new(Unwritten::default());
-    let socket = CallerSocket::new(socket, Arc::clone(&unwritten));
-    let handler_node = Arc::clone(node);
+    let connection = Arc::new(CallerConnection::new(clock::now()));
+    let socket = CallerSocket::new(socket, Arc::clone(&connection));
+    let (handler_node, handler_connection) = (Arc::clone(node), Arc::clone(&connection));
     let service = service_fn(move |request| {
         let node = Arc::clone(&handler_node);
-        let answer = UnwrittenAnswer::new(node.track_request(), &unwritten);
+        let answer = handler_connection.begin_answer(node.track_request());
         async move { Ok::<_, Infallible>(exchange::answer(node, request, answer).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(
-            limits.idle_timeout_ms * IDLE_TIMEOUT_FACTOR,
-        ))
+    let served = http1::Builder::new()
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
-    let connection = graceful.watch(connection);
+    let served = graceful.watch(served);
+    let node = Arc::clone(node);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        if let Err(error) = run(served, &connection, &node).await {
             log::debug!(error:err = error; "a caller's connection ended with an error");
         }
     });
 }
+
+/// How a phase of a connection ended.
+enum PhaseEnd {
+    NextPhase,
+    ConnectionEnded(Result<(), hyper::Error>),
+    TimedOut,
+}
+
+/// Runs a connection until it ends or its caller takes longer than the limits allow.
+async fn run(
+    served: impl Future<Output = Result<(), hyper::Error>>,
+    connection: &CallerConnection,
+    node: &Gateway,
+) -> Result<(), hyper::Error> {
+    let mut served = pin!(served);
+    let mut limits_at_request = node.catalog().limits;
+    loop {
+        let phase = connection.phase();
+        match run_phase(served.as_mut(), connection, phase, limits_at_request, node).await {
+            PhaseEnd::NextPhase if phase.is_idle() => limits_at_request = node.catalog().limits,
+            PhaseEnd::NextPhase => {}
+            PhaseEnd::ConnectionEnded(ended) => return ended,
+            PhaseEnd::TimedOut => {
+                log::debug!(
+                    "closed a caller's connection that was idle or whose request did not arrive in time"
+                );
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Runs a connection until its phase changes.
+async fn run_phase(
+    mut served: Pin<&mut impl Future<Output = Result<(), hyper::Error>>>,
+    connection: &CallerConnection,
+    phase: Phase,
+    limits_at_request: CallerLimits,
+    node: &Gateway,
+) -> PhaseEnd {
+    loop {
+        let end = phase_end(served.as_mut(), connection, phase);
+        let Some(closes_at) = phase.closes_at(limits_at_request, node.catalog().limits) else {
+            return end.await;
+        };
+        let left_ms = clock::now().until(closes_at);
+        if left_ms == 0 {
+            return PhaseEnd::TimedOut;
+        }
+        // The limits may change while the connection waits, and are then read again.
+        if let Ok(end) = patience::within(Duration::from_millis(left_ms), end).await {
+            return end;
+        }
+    }
+}
+
+/// Polls a connection until it ends or is no longer in `phase`.
+async fn phase_end(
+    mut served: Pin<&mut impl Future<Output = Result<(), hyper::Error>>>,
+    connection: &CallerConnection,
+    phase: Phase,
+) -> PhaseEnd {
+    poll_fn(|cx| match served.as_mut().poll(cx) {
+        Poll::Ready(ended) => Poll::Ready(PhaseEnd::ConnectionEnded(ended)),
+        Poll::Pending if connection.phase() != phase => Poll::Ready(PhaseEnd::NextPhase),
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -32,11 +32,11 @@
 use self::request_log::RequestLog;
 use self::stream::StreamInterrupted;
 use self::upstream_response::UpstreamResponse;
+use super::caller_connection::UnwrittenAnswer;
 use super::clock;
 use super::forwarding::ForwardedRequest;
 use super::refusal::Refusal;
 use super::state::Gateway;
-use super::unwritten::UnwrittenAnswer;
 use crate::platform::headers;
 
 /// The body of a response to a caller: complete, or a stream of events.
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -26,6 +26,7 @@
 
 mod cuts;
 mod heads;
+mod limits;
 mod paths;
 mod restarts;
 mod shortage;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod brittle;
+mod caller_limits;
 mod calm;
 mod configuration;
 mod crashing_parts;
