--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -27,6 +27,7 @@
 mod cuts;
 mod endings;
 mod heads;
+mod limits;
 mod paths;
 mod restarts;
 mod shortage;
