bug: A peer ended handed-on requests by its own configuration's time limit

A node that does not reach a pool hands a request to a peer; the route's timeout is 10 s in the node's configuration and 400 ms in the peer's newer one. A stream that may not be resumed was cut after 400 ms, in the middle; a call that had run got 502.

Cause: the peer computed the deadline anew, as for a caller: the shorter of the time left in the message and its own timeout. The node that admitted the request had promised its caller the time of its own configuration.

Change: a peer takes over the time left (exchange/admission.rs). A key or route that the peer knows to be gone is refused as before.

The tests failed before: call_of_a_peer_has_the_time_that_its_node_admitted_it_with: left: Some(502), right: Some(200), no_answer stream_of_a_peer_has_the_time_that_its_node_admitted_it_with: Cut, left: None, right: Some(200) Passed before, and guard the change: request_ends_by_the_shorter_timeout_of_the_node_that_admitted_it, peer_refuses_a_request_whose_key_it_knows_to_be_revoked, peer_refuses_a_request_whose_route_it_knows_to_be_removed.

--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -174,7 +174,8 @@
 
 /// Checks a request that a peer forwarded against the configuration.
 ///
-/// The peer has charged the team's quota, and has told it to all nodes.
+/// The peer has charged the team's quota, and has told it to all nodes. It has promised its caller the time
+/// that is left; the route's timeout may differ in the configuration of this node.
 ///
 /// # Errors
 ///
@@ -186,8 +187,12 @@
     request_log: &mut RequestLog,
 ) -> Result<Plan, Refusal> {
     let begun = request.begun;
+    let deadline = received_at.after(request.time_left_ms);
     let (parts, body) = forwarded_parts(request).ok_or(Malformed::Forwarded)?;
-    let checked = check(node, &parts, received_at, request_log)?;
+    let checked = Checked {
+        deadline,
+        ..check(node, &parts, received_at, request_log)?
+    };
     let mut plan = plan(node, parts, checked, body)?;
     if let Some(origin) = begun {
         plan.bind(origin);
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -31,6 +31,7 @@
 mod restarts;
 mod shortage;
 mod silences;
+mod time_limits;
 mod unread;
 
 /// Interval at which a node counts as heard; longer than a test.
