test: Refused and cancelled requests by the thousand beside an open stream

The accepting side's bounds of cancelled and of refused streams had no tests of their own.

late_frames::late_bodies_of_refused_requests_do_not_end_the_open_streams sends 1,400 requests that are refused (503), over a slow path, so that their bodies arrive after h2 has forgotten them. late_frames::requests_cancelled_under_way_do_not_end_the_open_streams has 1,200 callers leave before the peer reads their requests. Both have one stream open on the same connection.

--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -17,6 +17,8 @@
 use crate::keys::Incarnation;
 
 mod endings;
+
+mod late_frames;
 pub(crate) mod raw;
 
 const CALLER: Incarnation = Incarnation(7);
