bug: Answers that callers do not read count toward the memory for answers

24 callers read nothing of answers of 12 MB each: the node gains 323,020 kB, and the smallest host has 160 MB, so that its process would be killed with all its answers.

Cause: the budget for whole answers was given back when an answer was handed to the connection, not when it was written.

Open: nothing ends a connection whose caller reads nothing, and two such answers of 12 MB keep others beyond 64 KB from being read.

The test failed before: answers_that_callers_do_not_read_stay_within_the_nodes_memory: 323020 kB, at most 81920 are due.

--- a/tests/platform/slow_callers.rs
+++ b/tests/platform/slow_callers.rs
@@ -11,6 +11,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
+use super::support::{eventually, send};
+
 /// Beyond what the sockets of both sides hold.
 const FILLER_BYTES: usize = 12 * 1024 * 1024;
 
@@ -23,6 +25,12 @@
 /// Time between the stop signal and the kill.
 const GRACE_S: u64 = 20;
 
+/// Callers that read nothing of a long answer.
+const CALLS: usize = 24;
+
+/// Most memory that the node may gain, half of the smallest host that operators name.
+const MAX_GAINED_KB: u64 = 80 * 1024;
+
 /// Time in which a node that nothing holds has exited, well within its grace period.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -91,6 +99,52 @@
     assert!(status.expect("the node exited").success());
 }
 
+/// The most memory that the node's process has held, in kilobytes.
+fn peak_kb(deployment: &Deployment) -> u64 {
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
+    let status = status.expect("the node runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+    peak.and_then(|peak| peak.parse().ok())
+        .expect("the process has a peak")
+}
+
+/// Guards against a node whose memory is filled by answers that their callers do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_callers_do_not_read_stay_within_the_nodes_memory() {
+    let deployment = one_node().await;
+    let node = &deployment.nodes[0];
+    let before_kb = peak_kb(&deployment);
+    for upstream in &deployment.upstreams {
+        upstream.fill_answers(FILLER_BYTES);
+    }
+    let mut sockets = Vec::new();
+    for place in 0..CALLS {
+        let mut socket = connect(node.callers()).await;
+        let call = asked(&format!("unread-{place}"), "once");
+        let sent = socket.write_all(call.text().as_bytes()).await;
+        sent.expect("the request is written");
+        let mut status = [0; 12];
+        let read = socket.read_exact(&mut status).await;
+        read.expect("an answer begins");
+        sockets.push(socket);
+    }
+    let gained_kb = peak_kb(&deployment).saturating_sub(before_kb);
+    assert!(gained_kb <= MAX_GAINED_KB, "{gained_kb} kB");
+    drop(sockets);
+    for upstream in &deployment.upstreams {
+        upstream.fill_answers(FILLER_BYTES / 2);
+    }
+    eventually("long answers are served again", async || {
+        send(&deployment, 0, &asked("after", "again"))
+            .await
+            .status()
+            == Some(200)
+    })
+    .await;
+}
+
 /// Guards against a stopping node that waits for callers who have no request under way.
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_without_a_request_do_not_hold_a_stopping_node() {
