test: Slow nodes read what waits in their sockets before they act on timers

Looked for: a node that is merely slow takes an answer for missing that waits in its socket.

- patience: a timeout of zero ends only after the sockets were polled once;
- silences: a stream stays at a silent upstream that goes on while its node, on one thread, connects to another and is then busy for 500 ms;

--- a/src/gateway/exchange/tests/silences.rs
+++ b/src/gateway/exchange/tests/silences.rs
@@ -14,6 +14,12 @@
 /// A silence that does not end within a test.
 const ENDLESS_MS: u64 = 60_000;
 
+/// A silence that ends after a stream has begun to look for another upstream, 1,800 ms after its last event.
+const STILL_UNTIL_BUSY_MS: u64 = 2_000;
+
+/// Time for which a node's thread is busy, until after the end of that silence.
+const BUSY: Duration = Duration::from_millis(500);
+
 /// Requests that have earned repeats before.
 const EARLIER_REQUESTS: usize = 400;
 
@@ -211,3 +217,50 @@
     assert_whole(&ended, "no other is reachable");
     assert_eq!(upstreams.runs_of("unreached").len(), 1);
 }
+
+/// Accepts one connection and then keeps this node's thread busy until events of the silent upstream wait in its socket.
+async fn be_busy_from_the_first_connection(listener: std::net::TcpListener) -> std::net::TcpStream {
+    loop {
+        if let Ok((connection, _address)) = listener.accept() {
+            std::thread::sleep(BUSY);
+            return connection;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Guards against a stream that leaves an upstream that has gone on, since a busy node acts before it reads.
+#[tokio::test]
+async fn silent_stream_stays_if_it_has_gone_on_while_another_upstream_was_connected() {
+    let elsewhere = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let started = elsewhere.spawn(Upstreams::start()).await;
+    let upstreams = started.expect("they start");
+    let test_node = start(&upstreams, 3).await;
+    let (request, begun_at) = begin(&test_node, &upstreams, "busy").await;
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
+    listener.set_nonblocking(true).expect("it is a socket");
+    let address = listener.local_addr().expect("it is bound");
+    {
+        let mut table = test_node.node.upstreams.lock();
+        for stand_in in (upstreams.stand_ins.iter()).filter(|stand_in| stand_in.id() != begun_at) {
+            let key = table.find(stand_in.id()).expect("it is announced");
+            let upstream = table.get_mut(key).expect("it is announced");
+            upstream.announcement.address = address;
+        }
+    }
+    let busy = tokio::spawn(be_busy_from_the_first_connection(listener));
+    for stand_in in &upstreams.stand_ins {
+        stand_in.stand_still(STILL_UNTIL_BUSY_MS);
+    }
+    let ended = request.await.expect("the request ends");
+    assert!(
+        busy.is_finished(),
+        "the node has connected to another upstream"
+    );
+    assert_whole(&ended, "it has gone on");
+    elsewhere.shutdown_background();
+}
--- a/src/gateway/patience/tests.rs
+++ b/src/gateway/patience/tests.rs
@@ -1,3 +1,7 @@
+use std::io::Write;
+
+use tokio::io::AsyncReadExt;
+
 use super::*;
 
 /// What a busy machine may add.
@@ -35,3 +39,28 @@
         assert_eq!(time_for_reading(ms(late_ms)), ms(reading_ms), "{late_ms}");
     }
 }
+
+/// Returns output that a task of its own reads from a socket, as the task of a connection does, and the socket's other end.
+async fn read_from_a_socket() -> (tokio::sync::oneshot::Receiver<u8>, std::net::TcpStream) {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let writer = std::net::TcpStream::connect(address).expect("it listens");
+    let (mut reader, _address) = listener.accept().await.expect("it is connected");
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    tokio::spawn(async move {
+        let read = reader.read_u8().await.expect("a byte is written");
+        sender.send(read).expect("it is awaited");
+    });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    (receiver, writer)
+}
+
+/// Guards against output that a busy node takes for missing while it waits in a socket, since its timer fired nearly on time.
+#[tokio::test]
+async fn output_that_waits_in_a_socket_counts_although_the_timer_was_not_late() {
+    let (receiver, mut writer) = read_from_a_socket().await;
+    writer.write_all(&[7]).expect("it is connected");
+    let output = within(Duration::ZERO, receiver).await;
+    assert_eq!(output, Ok(Ok(7)));
+}
