bug: Answers of a restarted upstream are read before they count as lost, after a pause of the node

What callers see: a stream that may not be resumed is cut in the middle of its 200 although its upstream goes on sending; a request that may run once gets 502. It takes a restart of the upstream and a node that stands still for more than 500 ms.

Cause: what an upstream had sent before its restart is awaited for 500 ms by a bare timer. A stopped process leaves epoll_wait with EINTR, which the runtime takes for a poll without events, and the timers that are due fire before the sockets are read.

--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -16,6 +16,7 @@
 use crate::gateway::limits::throttle::{Change, StatedLimit};
 use crate::gateway::messages::Message;
 use crate::gateway::num;
+use crate::gateway::patience;
 use crate::gateway::rollout::Answer;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::{Contact, Phase, Upstream, UpstreamKey, spread_bits, tag};
@@ -132,15 +133,14 @@
     /// its requests wait for their timeout, and those that may execute only once for their whole
     /// deadline.
     pub async fn unless_restarted<T>(&self, awaited: impl Future<Output = T>) -> Option<T> {
-        let lost = async {
-            self.restarted.cancelled().await;
-            tokio::time::sleep(Duration::from_millis(self.last_output_ms)).await;
-        };
+        tokio::pin!(awaited);
         tokio::select! {
             biased;
-            outcome = awaited => Some(outcome),
-            () = lost => None,
+            outcome = &mut awaited => return Some(outcome),
+            () = self.restarted.cancelled() => {}
         }
+        let last_output = Duration::from_millis(self.last_output_ms);
+        patience::within(last_output, awaited).await.ok()
     }
 
     /// Records that the first token arrived, so that the prompt has been read.
--- a/tests/platform/frozen.rs
+++ b/tests/platform/frozen.rs
@@ -32,6 +32,9 @@
 /// Time after which a node has read a record of the store.
 const READ: Duration = Duration::from_millis(500);
 
+/// Longer than what an upstream had sent before it restarted is awaited.
+const FROZEN_AFTER_RESTART: Duration = Duration::from_millis(750);
+
 type Call = (String, JoinHandle<Ended>);
 
 /// Sends streams on these routes and returns them once all of them run.
@@ -122,6 +125,20 @@
     }
 }
 
+/// Guards against answers that are cut since a node that stood still acts on a restart of their upstream before it reads what has come.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_frozen_node_arrive_whole_although_their_upstream_has_restarted() {
+    let deployment = deployment(1, 2).await;
+    let node = &deployment.nodes[0];
+    let calls = begin_long_streams(&deployment, "restarted", &["stream"]).await;
+    state_restarts(&deployment);
+    tokio::time::sleep(READ).await;
+    node.signal(Signal::SIGSTOP).expect("the node runs");
+    tokio::time::sleep(FROZEN_AFTER_RESTART).await;
+    node.signal(Signal::SIGCONT).expect("the node runs");
+    assert_whole_from_one_upstream(&deployment, calls).await;
+}
+
 /// Guards against answers that are cut since a slow node acts on a restart of their upstream before it reads what has come.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_a_slow_node_arrive_whole_although_their_upstream_has_restarted() {
