bug: A path that was silent for 30 s no longer cuts answers for which callers still wait

Callers of routes whose timeout exceeds 30 s saw answers of a peer cut, or 502, after 30 s without a byte between the two nodes, although the path came back before their deadline.

Cause: a constant bound of silence ended a connection between nodes with all its streams, whatever time their callers had left.

Change: a protocol states how long the caller of a request waits (`Protocol::time_left_ms`; the time left of a forwarded request, none in role `serve`, which stays as it was). Both sides keep the deadlines of the open streams (peers/deadlines.rs); a silent connection is closed after its loss timeout and the last of these deadlines. What a lost node leaves behind is freed then. The decision is in keepalive.rs.

The test failed before: silences::stream_within_its_deadline_outlasts_a_silent_path: the stream ended: Ok(Some(Err(Silent))). Now: 65 tests of peers:: and exchange::tests::endings pass.

--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -21,8 +21,8 @@
 /// Timeout for connecting to a peer. Peers answer within some milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
 
-/// Silence of a peer after which the answers that it sends end. Each ends by its request's deadline
-/// before; this bound frees what a lost node leaves behind.
+/// Silence of a peer after which the answers that it sends end once no caller waits for one any
+/// more. This bound frees what a lost node leaves behind.
 const LOSS_TIMEOUT_MS: u64 = 30_000;
 
 /// A caller's request that a peer sends to an upstream in place of the node that received it.
@@ -88,6 +88,10 @@
     fn kind(_request: &ForwardedRequest) -> &'static str {
         "forward"
     }
+
+    fn time_left_ms(request: &ForwardedRequest) -> Option<u64> {
+        Some(request.time_left_ms)
+    }
 }
 
 impl ForwardedHead {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod connections;
 mod credentials;
+mod deadlines;
 mod error;
 mod goaway;
 mod items;
@@ -47,4 +48,11 @@
     ///
     /// The name must consist of lower-case letters, digits and `_`.
     fn kind(request: &Self::Request) -> &'static str;
+
+    /// Returns the time for which the caller waits for the last item; `None` if it has no bound.
+    ///
+    /// A silent connection is kept for as long as a caller waits for one of its streams.
+    fn time_left_ms(_request: &Self::Request) -> Option<u64> {
+        None
+    }
 }
--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -176,7 +176,10 @@
         let slot = self.slot(to);
         let permit = Arc::clone(&slot.permits).acquire_owned().await;
         let permit = permit.map_err(|_closed| NotSent::TooManyStreams)?;
-        let (opened, use_guard) = self.open_stream(&slot, kind, &body).await?;
+        let (opened, mut use_guard) = self.open_stream(&slot, kind, &body).await?;
+        if let Some(time_left_ms) = P::time_left_ms(request) {
+            use_guard.wait_for_ms(time_left_ms);
+        }
         let traffic = self.traffic.kind(kind);
         traffic.record_sent(1, body.len());
         let OpenedStream {
--- a/src/peers/keepalive.rs
+++ b/src/peers/keepalive.rs
@@ -47,7 +47,11 @@
         }
     }
 
-    /// Returns the next action, given the last read time and whether the connection is used.
+    /// Returns the next action, given the last read time, whether the connection is used and the
+    /// latest deadline of its streams, or zero.
+    ///
+    /// A path that was silent for longer than the loss timeout may deliver an answer, for which a
+    /// caller still waits, so that the connection is closed only after its last deadline.
     ///
     /// An unused connection is not pinged: pinging each of 339 connections twice a second would
     /// exceed a node's budget for control traffic.
@@ -56,7 +60,13 @@
     /// socket. Comparing clock times would then fail all streams of a resumed node at once. The
     /// silence is therefore accumulated over checks, and a late check adds at most the silence of
     /// two checks: between the ping and the closing there are always several reads for the answer.
-    pub(super) fn check(&mut self, now_ms: u64, last_read_ms: u64, is_used: bool) -> Action {
+    pub(super) fn check(
+        &mut self,
+        now_ms: u64,
+        last_read_ms: u64,
+        is_used: bool,
+        deadline_ms: u64,
+    ) -> Action {
         let was_idle = std::mem::replace(&mut self.is_idle, !is_used);
         let check_interval_ms = (self.silence_timeout_ms / CHECKS_PER_TIMEOUT).max(1);
         let since_check_ms = now_ms
@@ -74,7 +84,7 @@
         self.is_pinged &= self.silent_ms > 0;
         match self.silent_ms {
             _ if !is_used => Action::Idle,
-            ms if ms >= self.loss_timeout_ms => Action::Close,
+            ms if ms >= self.loss_timeout_ms && now_ms >= deadline_ms => Action::Close,
             ms if ms >= self.silence_timeout_ms => Action::Retire(check_interval_ms),
             ms if ms >= CHECKS_BEFORE_PING * check_interval_ms && !self.is_pinged => {
                 self.is_pinged = true;
--- a/src/peers/liveness.rs
+++ b/src/peers/liveness.rs
@@ -11,10 +11,12 @@
 use std::time::{Duration, Instant};
 
 use h2::{Ping, PingPong};
+use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use super::deadlines::Deadlines;
 use super::goaway::GoAwayScan;
 use super::keepalive::{Action, Keepalive};
 use super::settings::MonitorTimeouts;
@@ -30,6 +32,7 @@
     /// When bytes were last received; [`NEVER`] before the first ones.
     last_read_ms: AtomicU64,
     use_count: AtomicUsize,
+    deadlines: Mutex<Deadlines>,
     ping_requested: AtomicBool,
     is_silent: AtomicBool,
     retired: CancellationToken,
@@ -44,6 +47,8 @@
 #[derive(Debug)]
 pub(super) struct UseGuard {
     liveness: Arc<Liveness>,
+    /// When the caller of the stream stops to wait, if the protocol says so.
+    deadline_ms: Option<u64>,
 }
 
 impl Liveness {
@@ -52,6 +57,7 @@
             start: Instant::now(),
             last_read_ms: AtomicU64::new(NEVER),
             use_count: AtomicUsize::new(0),
+            deadlines: Mutex::default(),
             ping_requested: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             retired: CancellationToken::new(),
@@ -69,6 +75,7 @@
         }
         UseGuard {
             liveness: Arc::clone(self),
+            deadline_ms: None,
         }
     }
 
@@ -184,7 +191,8 @@
             let is_retired = self.is_retired();
             let is_used = self.uses() > 0;
             let last_read_ms = self.last_read_ms.load(Relaxed);
-            let action = keepalive.check(self.now_ms(), last_read_ms, is_used);
+            let deadline_ms = self.deadlines.lock().latest_ms();
+            let action = keepalive.check(self.now_ms(), last_read_ms, is_used, deadline_ms);
             let (should_ping, wait_ms) = match action {
                 Action::Idle if is_retired => (false, timeouts.close_delay_ms),
                 Action::Idle => (false, timeouts.idle_timeout_ms),
@@ -230,8 +238,25 @@
     }
 }
 
+impl UseGuard {
+    /// Keeps the connection, however silent, for as long as the caller waits for the stream.
+    pub(super) fn wait_for_ms(&mut self, time_left_ms: u64) {
+        let deadline_ms = self.liveness.now_ms().saturating_add(time_left_ms);
+        self.remove_deadline();
+        self.liveness.deadlines.lock().insert(deadline_ms);
+        self.deadline_ms = Some(deadline_ms);
+    }
+
+    fn remove_deadline(&mut self) {
+        if let Some(deadline_ms) = self.deadline_ms.take() {
+            self.liveness.deadlines.lock().remove(deadline_ms);
+        }
+    }
+}
+
 impl Drop for UseGuard {
     fn drop(&mut self) {
+        self.remove_deadline();
         if self.liveness.use_count.fetch_sub(1, SeqCst) == 1 {
             self.liveness.state_changed.notify_one();
         }
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -16,7 +16,7 @@
 
 use super::credentials::{self, Credentials};
 use super::key::{FleetKey, Tag};
-use super::liveness::{Liveness, MeteredSocket};
+use super::liveness::{Liveness, MeteredSocket, UseGuard};
 use super::sending::{send, send_items};
 use super::settings::Settings;
 use super::traffic::{KindTraffic, Traffic};
@@ -261,11 +261,11 @@
                 }
             };
             let shared = Arc::clone(&self);
-            let use_guard = liveness.acquire();
+            let mut use_guard = liveness.acquire();
             // The task ends with the connection, because `h2` then reports the stream as reset.
             tokio::spawn(async move {
-                let _use_guard = use_guard;
-                shared.handle_stream(receiver, request, respond).await;
+                let handling = shared.handle_stream(receiver, request, respond, &mut use_guard);
+                handling.await;
             });
         }
     }
@@ -276,6 +276,7 @@
         receiver: SocketAddr,
         request: Request<RecvStream>,
         mut respond: SendResponse<Bytes>,
+        use_guard: &mut UseGuard,
     ) {
         let (head, body) = request.into_parts();
         let now = self.server.clock.now();
@@ -299,7 +300,7 @@
         let answered = tokio::select! {
             biased;
             _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return,
-            answered = self.answer(credentials, body) => answered,
+            answered = self.answer(credentials, body, use_guard) => answered,
         };
         match answered {
             Ok((answer, traffic)) => self.send_reply(answer, &traffic, &tag, &mut respond).await,
@@ -311,8 +312,13 @@
         &self,
         credentials: Credentials,
         body: RecvStream,
+        use_guard: &mut UseGuard,
     ) -> Result<(HandlerResponse<H::Protocol>, Arc<KindTraffic>), StatusCode> {
         let received = self.receive(credentials, body).await?;
+        let time_left_ms = <H::Protocol as Protocol>::time_left_ms(&received.request);
+        if let Some(time_left_ms) = time_left_ms {
+            use_guard.wait_for_ms(time_left_ms);
+        }
         let answer = self.handler.handle(received.from, received.request).await;
         Ok((answer, received.traffic))
     }
--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -11,8 +11,8 @@
     pub connect_timeout_ms: u64,
     /// Silence of a peer after which its connection takes no further request while streams are open.
     pub silence_timeout_ms: u64,
-    /// Silence of a peer after which the open streams of its connection end; at least
-    /// `silence_timeout_ms`.
+    /// Silence of a peer after which the open streams of its connection end, once the deadline of
+    /// each has passed; at least `silence_timeout_ms`.
     pub loss_timeout_ms: u64,
     /// Silence of a connection after which it is verified by a ping before a request is sent.
     pub verify_after_idle_ms: u64,
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -20,6 +20,7 @@
 
 mod late_frames;
 pub(crate) mod raw;
+mod silences;
 
 const CALLER: Incarnation = Incarnation(7);
 const TIMEOUT_MS: u64 = 10_000;
@@ -29,6 +30,10 @@
     Echo(String),
     Count(u64),
     Quiet,
+    /// Quiet, for a caller that waits at most for so long.
+    QuietFor {
+        time_left_ms: u64,
+    },
     Hang,
 }
 
@@ -43,10 +48,17 @@
         match request {
             TestRequest::Echo(_) => "echo",
             TestRequest::Count(_) => "count",
-            TestRequest::Quiet => "quiet",
+            TestRequest::Quiet | TestRequest::QuietFor { .. } => "quiet",
             TestRequest::Hang => "hang",
         }
     }
+
+    fn time_left_ms(request: &TestRequest) -> Option<u64> {
+        match request {
+            TestRequest::QuietFor { time_left_ms } => Some(*time_left_ms),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -90,7 +102,7 @@
                 });
                 HandlerResponse::Stream("counting".to_owned(), receiver)
             }
-            TestRequest::Quiet => {
+            TestRequest::Quiet | TestRequest::QuietFor { .. } => {
                 let (sender, receiver) = mpsc::channel(16);
                 let counting = Arc::clone(&self.counting);
                 counting.fetch_add(1, SeqCst);
