test: Whole answers that their callers do not read fill a node's memory

Cause: `AnswerMemory` counts an answer until the node has read it, and not until its caller has. Not mended: a budget that is held until then has other long answers refused after their run while callers read slowly, so that it needs a bound for slow callers, too.

The stand-in upstream can send answers of a given length.

--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -182,6 +182,12 @@
             _ if request.path.contains("stream") => {
                 self.stream(socket, request, place, fault).await
             }
+            Fault::LongAnswers(body_bytes) => {
+                let head = self.head("200 OK", id, &format!("content-length: {body_bytes}\r\n"));
+                socket.write_all(head.as_bytes()).await?;
+                socket.write_all(&vec![b'a'; body_bytes]).await?;
+                Ok(After::Stays)
+            }
             Fault::BreaksOff => {
                 let head = self.head("200 OK", id, "content-length: 40\r\n");
                 socket.write_all(format!("{head}half").as_bytes()).await?;
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -39,6 +39,8 @@
     BreaksBegunStreams,
     /// It answers without a length and resets the channel in the middle.
     UnframedReset,
+    /// It answers plain requests whole, with a body of so many bytes.
+    LongAnswers(usize),
     /// It sends bytes that are no answer until the channel is closed.
     EndlessBytes,
     /// It sends lines of a head until the channel is closed.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -21,6 +21,7 @@
 mod rests;
 mod rollouts;
 mod said_leaving;
+mod slow_callers;
 mod store;
 mod store_copy;
 mod support;
