--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -94,6 +94,10 @@
 
 /// The timeouts after which one side of a connection acts.
 #[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 pub(super) struct MonitorTimeouts {
     pub silence_timeout_ms: u64,
     pub loss_timeout_ms: u64,
