--- a/src/peers/settings.rs
+++ b/src/peers/settings.rs
@@ -11,8 +11,8 @@
     pub connect_timeout_ms: u64,
     /// Silence of a peer after which its connection takes no further request while streams are open.
     pub silence_timeout_ms: u64,
-    /// Silence of a peer after which the open streams of its connection end; at least
-    /// `silence_timeout_ms`.
+    /// Silence of a peer after which the open streams of its connection end, once the deadline of
+    /// each has passed; at least `silence_timeout_ms`.
     pub loss_timeout_ms: u64,
     /// Silence of a connection after which it is verified by a ping before a request is sent.
     pub verify_after_idle_ms: u64,
@@ -94,6 +94,10 @@
 
 /// The timeouts after which one side of a connection acts.
 #[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 pub(super) struct MonitorTimeouts {
     pub silence_timeout_ms: u64,
     pub loss_timeout_ms: u64,
