bug: A follower asks a silent home again instead of giving its answer up

What callers see (role serve): `unknown` (home_gone) for a call that must run once, some 4 s after the path to its home fell silent, although the home runs it and answers in time; the end of a stream that may be repeated, in its middle, after 3 s of silence between all nodes. Cause: "nobody has an answer at this moment" served two decisions, which node to ask next and when to stop asking. A silent home counted like one whose process has ended. Class: an answer that exists is thrown away because a path was silent. Change: requests/follower/patience.rs decides whether home and witness are asked again: only if the home is silent, until the call's deadline; a call that may be repeated waits for half of the time left, and without a token not at all (it may run at the asked node). Peers that refuse or break connections are told from silent ones (`Unreachable::Refusing`, `PeerError::is_silence`; a connection that ends as it is verified is `Closing`, not `Unresponsive`), so that a home whose process has ended is given up as soon as before. Connections still end their streams after 2,000 ms of silence; the request no longer ends with them.

Test support: the trial's document takes the service's time limit as an argument, 2,000 ms by default as before; `read`, `start` and their constants in streams.rs are shared with silences.rs. No existing check was changed.

--- a/src/node/claims.rs
+++ b/src/node/claims.rs
@@ -45,7 +45,7 @@
             match self.core.peers.call(claimer, request).await {
                 Ok(Reply::Claimed(claimed)) => return with_silent_claimer(claimed, is_uncertain),
                 Ok(_) | Err(Unreachable::Gone) => {}
-                Err(Unreachable::Silent) => is_uncertain = true,
+                Err(Unreachable::Refusing | Unreachable::Silent) => is_uncertain = true,
             }
         }
         let not_run = log_unavailable();
--- a/src/node/collect_hosts.rs
+++ b/src/node/collect_hosts.rs
@@ -111,7 +111,7 @@
         let request = Request::Notices(notices.to_vec());
         match node.core.peers.call(peer, request).await {
             Ok(_) | Err(Unreachable::Gone) => return,
-            Err(Unreachable::Silent) => {
+            Err(Unreachable::Refusing | Unreachable::Silent) => {
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             }
         }
--- a/src/node/dependencies.rs
+++ b/src/node/dependencies.rs
@@ -118,6 +118,11 @@
 }
 
 fn unreachable(error: &PeerError, peer: Incarnation) -> Unreachable {
-    log::info!(error:% = error, peer:% = peer; "a call to a peer failed; the peer counts as silent");
-    Unreachable::Silent
+    let unreachable = if error.is_silence() {
+        Unreachable::Silent
+    } else {
+        Unreachable::Refusing
+    };
+    log::info!(error:% = error, peer:% = peer, unreachable:?; "a call to a peer failed");
+    unreachable
 }
--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -246,6 +246,7 @@
             connect_timeout_ms,
             ..
         } = self.settings;
+        let mut failure = NotSent::Closing;
         for _ in 0..2 {
             let connection = self.connection(slot).await?;
             let use_guard = connection.liveness.acquire();
@@ -256,9 +257,14 @@
             {
                 return Ok((connection, use_guard));
             }
+            if connection.liveness.is_closed() && !connection.liveness.is_silent() {
+                failure = NotSent::Closing;
+            } else {
+                failure = NotSent::Unresponsive;
+            }
             connection.liveness.retire();
         }
-        Err(NotSent::Unresponsive)
+        Err(failure)
     }
 
     async fn connection(&self, slot: &Slot) -> Result<Connection, NotSent> {
--- a/src/peers/error.rs
+++ b/src/peers/error.rs
@@ -106,6 +106,20 @@
         matches!(self, Self::TimedOut { .. })
     }
 
+    /// Returns whether nothing was heard from the peer, rather than a refusal or the end of a connection.
+    #[must_use]
+    pub fn is_silence(&self) -> bool {
+        match self {
+            Self::TimedOut { .. } | Self::Silent => true,
+            Self::NotSent(NotSent::Connect(kind)) => *kind != io::ErrorKind::ConnectionRefused,
+            Self::NotSent(not_sent) => matches!(
+                not_sent,
+                NotSent::ConnectTimedOut { .. } | NotSent::Unresponsive | NotSent::TooManyStreams
+            ),
+            _ => false,
+        }
+    }
+
     /// Returns whether the peer rejected this node's credentials, so that retries are futile.
     #[must_use]
     pub fn is_refused_credentials(&self) -> bool {
--- a/src/peers/tests.rs
+++ b/src/peers/tests.rs
@@ -380,6 +380,29 @@
     assert_eq!(node.handler.counting.load(SeqCst), 1);
 }
 
+#[tokio::test]
+async fn host_that_ends_connections_is_told_from_a_silent_one() {
+    // Guards against callers who wait for a node whose process has ended, as for one that may come back.
+    let settings = Settings::default().with_connect_timeout_ms(200);
+    let connections = pool(key()).with_settings(settings);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let ending = listener.local_addr().unwrap();
+    let accepting = tokio::spawn(async move {
+        while let Ok((socket, _)) = listener.accept().await {
+            drop(socket);
+        }
+    });
+    let ended = echo(&connections, ending, "").await.unwrap_err();
+    assert!(!ended.is_silence(), "{ended:?}");
+    accepting.abort();
+    assert!(accepting.await.unwrap_err().is_cancelled());
+    let refused = echo(&connections, ending, "").await.unwrap_err();
+    assert!(!refused.is_silence(), "{refused:?}");
+    let unread = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let silent = echo(&connections, unread.local_addr().unwrap(), "").await;
+    assert!(silent.as_ref().unwrap_err().is_silence(), "{silent:?}");
+}
+
 /// More calls than may end early by default over all of a connection's time.
 const CANCELLED_CALLS: usize = 1_200;
 
--- a/src/requests/dependencies.rs
+++ b/src/requests/dependencies.rs
@@ -12,6 +12,9 @@
     /// The incarnation is known to be gone for good.
     #[error("the peer is gone")]
     Gone,
+    /// The connection was refused or broken; the peer may have received the request.
+    #[error("the peer refuses or breaks connections")]
+    Refusing,
     /// The peer did not reply; it may have received the request.
     #[error("the peer does not answer")]
     Silent,
--- a/src/requests/follower.rs
+++ b/src/requests/follower.rs
@@ -2,10 +2,15 @@
 //!
 //! The node that a caller is connected to may not be the one that runs the request. If the source
 //! breaks, the next one is read from the position reached, so that the caller gets one complete
-//! stream: first the home, then the witness.
+//! stream: first the home, then the witness. Where none of them has an answer and the home is merely
+//! silent, they are asked again.
+
+mod patience;
 
 use std::sync::Arc;
 
+use self::patience::{HomePath, Unanswered};
+
 use super::Chunk;
 use super::core::{Authority, Core, REFUSAL_RETRY_MS};
 use super::dependencies::{Dependencies, ItemStream, Peers, Unreachable};
@@ -17,6 +22,7 @@
 use super::substitute;
 use super::{Call, Outcome, Record, RequestId};
 use crate::node::messages::{Item, Reply, Request};
+use crate::time::TimeMs;
 
 /// Number of attempts to reach home and witness before the caller gets `unknown`.
 const MAX_ROUNDS: u32 = 3;
@@ -50,6 +56,9 @@
     position: u64,
     source: Source<L>,
     failures: u32,
+    home: HomePath,
+    /// When nobody had an answer first, since the last token.
+    unanswered_since_ms: Option<TimeMs>,
     /// The next step, if it has already been read.
     peeked: Option<Step>,
 }
@@ -88,6 +97,8 @@
             position,
             source: Source::None,
             failures: 0,
+            home: HomePath::Reached,
+            unanswered_since_ms: None,
             peeked: None,
         }
     }
@@ -178,8 +189,13 @@
                 Some(Step::Tokens(chunk)) => {
                     self.position += chunk.len();
                     self.failures = 0;
+                    self.unanswered_since_ms = None;
                     return Step::Tokens(chunk);
                 }
+                Some(Step::End(outcome)) if self.asks_again(&outcome) => {
+                    self.source = Source::None;
+                    sleep_ms(RETRY_DELAY_STEP_MS).await;
+                }
                 Some(last) => return last,
                 None => self.on_source_failed().await,
             }
@@ -198,6 +214,27 @@
         }
     }
 
+    /// Returns whether nobody but a silent home can have the answer, and there is time to ask it again.
+    fn asks_again(&mut self, outcome: &Outcome) -> bool {
+        if !matches!(
+            outcome,
+            Outcome::Unknown(UnknownReason::HomeGone | UnknownReason::NoAnswer)
+        ) {
+            return false;
+        }
+        let now = self.core.clock.now();
+        let unanswered = Unanswered {
+            home: self.home,
+            is_repeatable: self.is_repeatable(),
+            position: self.position,
+            since_ms: *self.unanswered_since_ms.get_or_insert(now),
+            deadline_ms: self.call.as_ref().map(|call| call.deadline_ms),
+        };
+        let asks_again = unanswered.asks_again(now);
+        log::info!(id:% = self.id, home:? = self.home, position = self.position, asks_again; "nobody has an answer to a followed request");
+        asks_again
+    }
+
     /// Returns the chunk if it starts at the caller's position.
     fn if_in_order(&self, chunk: Chunk) -> Option<Chunk> {
         (chunk.from == self.position).then_some(chunk)
@@ -208,14 +245,14 @@
         self.source = Source::None;
         self.failures += 1;
         let delay_ms = u64::from(self.failures.saturating_sub(1).min(10)) * RETRY_DELAY_STEP_MS;
-        tokio::time::sleep(std::time::Duration::from_millis(delay_ms)).await;
+        sleep_ms(delay_ms).await;
     }
 
     async fn find(&mut self) -> Found<L> {
         let rounds = if self.is_repeatable() { 1 } else { MAX_ROUNDS };
         for round in 0..rounds {
             if round > 0 {
-                tokio::time::sleep(std::time::Duration::from_millis(RETRY_DELAY_STEP_MS)).await;
+                sleep_ms(RETRY_DELAY_STEP_MS).await;
             }
             match self.open_at_home().await {
                 Found::NoAnswer => {}
@@ -235,7 +272,8 @@
         Found::NoAnswer
     }
 
-    async fn open_at_home(&self) -> Found<L> {
+    async fn open_at_home(&mut self) -> Found<L> {
+        self.home = HomePath::Reached;
         if self.core.is_home(&self.id) {
             return self.submit_here();
         }
@@ -248,7 +286,13 @@
             Some(call) => Request::Submit { id, call, from },
             None => Request::Attach { id, from },
         };
-        self.open(self.id.home, request).await
+        if self.may_run_instead_of(self.id.home) {
+            self.home = HomePath::Silent;
+            return Found::NoAnswer;
+        }
+        let opened = self.core.peers.open(self.id.home, request).await;
+        self.home = home_path(&opened);
+        found(opened)
     }
 
     /// Requests settlement from the witness, or settles the request here if this node may.
@@ -312,20 +356,51 @@
     }
 
     async fn open(&self, to: crate::keys::Incarnation, request: Request) -> Found<L> {
-        // A call that may also run here does not wait for a silent node. Otherwise nodes that are
-        // partitioned from all others would answer no call in time.
-        if self.is_repeatable() && self.core.peers.is_unresponsive(to) {
+        if self.may_run_instead_of(to) {
             return Found::NoAnswer;
         }
-        match self.core.peers.open(to, request).await {
-            Ok((Reply::Stream, items)) => Found::Source(Source::There(items)),
-            Ok((Reply::NoSuchRequest, _)) => Found::Last(Step::NoSuchRequest),
-            Ok((Reply::OtherCall, _)) => Found::Last(Step::OtherCall),
-            Ok(_) | Err(Unreachable::Gone | Unreachable::Silent) => Found::NoAnswer,
+        found(self.core.peers.open(to, request).await)
+    }
+
+    /// Returns whether a node is not asked, because the call may also run elsewhere.
+    ///
+    /// Otherwise nodes that are partitioned from all others would answer no call in time. Once nobody
+    /// had an answer, suspected nodes are asked as well.
+    fn may_run_instead_of(&self, node: crate::keys::Incarnation) -> bool {
+        self.is_repeatable()
+            && self.unanswered_since_ms.is_none()
+            && self.core.peers.is_unresponsive(node)
+    }
+}
+
+/// The reply of a peer and the items after it.
+type Opened<L> = Result<(Reply, <<L as Dependencies>::Peers as Peers>::Items), Unreachable>;
+
+fn found<L: Dependencies>(opened: Opened<L>) -> Found<L> {
+    match opened {
+        Ok((Reply::Stream, items)) => Found::Source(Source::There(items)),
+        Ok((Reply::NoSuchRequest, _)) => Found::Last(Step::NoSuchRequest),
+        Ok((Reply::OtherCall, _)) => Found::Last(Step::OtherCall),
+        Ok(_) | Err(Unreachable::Gone | Unreachable::Refusing | Unreachable::Silent) => {
+            Found::NoAnswer
+        }
+    }
+}
+
+fn home_path<T>(opened: &Result<(Reply, T), Unreachable>) -> HomePath {
+    match opened {
+        Ok((Reply::WrongNode, _)) | Err(Unreachable::Gone | Unreachable::Refusing) => {
+            HomePath::Lost
         }
+        Ok(_) => HomePath::Reached,
+        Err(Unreachable::Silent) => HomePath::Silent,
     }
 }
 
+async fn sleep_ms(delay_ms: u64) {
+    tokio::time::sleep(std::time::Duration::from_millis(delay_ms)).await;
+}
+
 /// Returns the refusal of a call for which no node is available as witness.
 #[must_use]
 pub fn no_witness() -> Outcome {
--- a/src/requests/handover.rs
+++ b/src/requests/handover.rs
@@ -323,7 +323,9 @@
             match self.peers.call(successor, request.clone()).await {
                 Ok(Reply::Done) => return HandoverReply::Accepted,
                 Ok(_) | Err(Unreachable::Gone) => return reply,
-                Err(Unreachable::Silent) => reply = HandoverReply::Uncertain,
+                Err(Unreachable::Refusing | Unreachable::Silent) => {
+                    reply = HandoverReply::Uncertain;
+                }
             }
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
         }
--- a/src/requests/witness_queues.rs
+++ b/src/requests/witness_queues.rs
@@ -141,7 +141,7 @@
                     }
                 }
             }
-            Err(Unreachable::Silent) => {
+            Err(Unreachable::Refusing | Unreachable::Silent) => {
                 unacknowledged.record_failure();
                 lost.add(replies.into_iter().zip(reports));
             }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,6 +24,7 @@
 mod reconfigured;
 mod refusals;
 mod resends;
+mod silences;
 mod stops;
 mod streams;
 
--- a/tests/integration/streams.rs
+++ b/tests/integration/streams.rs
@@ -18,20 +18,21 @@
 
 const PATIENCE_MS: u64 = 60_000;
 /// Tokens of each answer; with ten milliseconds between them, nodes die in the middle of it.
-const TOKENS: u64 = 150;
+pub const TOKENS: u64 = 150;
 /// Tokens after which a node is killed.
 const KILLED_AFTER: usize = 20;
-const PROMPT: &str = "Šariš, 42 sudov: zosúlaďte zálohy.";
+pub const PROMPT: &str = "Šariš, 42 sudov: zosúlaďte zálohy.";
 
 /// What came of one connection.
 #[derive(Debug, Default)]
-struct Read {
-    tokens: Vec<TokenData>,
-    is_whole: bool,
+pub struct Read {
+    pub tokens: Vec<TokenData>,
+    pub is_whole: bool,
 }
 
 impl Read {
-    fn text(&self) -> String {
+    /// The text of its tokens.
+    pub fn text(&self) -> String {
         let texts = self.tokens.iter().map(|token| token.token.as_str());
         texts.collect()
     }
@@ -39,7 +40,11 @@
 
 /// Asks a node for a stream and reads it to its end, or until it breaks; `after` is called once so
 /// many tokens have come.
-async fn read(request: http::request::Builder, body: String, mut after: impl FnMut(usize)) -> Read {
+pub async fn read(
+    request: http::request::Builder,
+    body: String,
+    mut after: impl FnMut(usize),
+) -> Read {
     let request = request
         .header("accept", "text/event-stream")
         .header("authorization", format!("Bearer {}", trial::TOKEN))
@@ -64,7 +69,7 @@
     read
 }
 
-fn start(at: SocketAddr, id: &str, idempotent: &str) -> (http::request::Builder, String) {
+pub fn start(at: SocketAddr, id: &str, idempotent: &str) -> (http::request::Builder, String) {
     let request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{at}/v1/completions"))
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -41,6 +41,8 @@
     pub nodes: usize,
     /// The deadline of calls.
     pub deadline_ms: u64,
+    /// How long a call to a plain service may take.
+    pub service_timeout_ms: u64,
     /// How long a planned stop may take.
     pub drain_timeout_ms: u64,
 }
@@ -52,6 +54,7 @@
             binary: binary.into(),
             nodes: 3,
             deadline_ms: 10_000,
+            service_timeout_ms: trial::SERVICE_TIMEOUT_MS,
             drain_timeout_ms: 10_000,
         }
     }
@@ -76,7 +79,7 @@
     ///
     /// If a part cannot be started or the fleet does not get ready.
     pub async fn start(settings: FleetSettings) -> io::Result<Self> {
-        let text = trial::document(settings.deadline_ms);
+        let text = trial::document_with(settings.deadline_ms, settings.service_timeout_ms);
         let document = Document::parse(&text).map_err(io::Error::other)?;
         let site = Site::start(site_settings(&document)).await?;
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
--- a/tests/support/trial.rs
+++ b/tests/support/trial.rs
@@ -22,8 +22,16 @@
 /// The region of all of them.
 pub const REGION: &str = "bratislava";
 
+/// How long a call to a plain service may take, where a trial says nothing else.
+pub const SERVICE_TIMEOUT_MS: u64 = 2_000;
+
 /// The document, in which calls of the default latency class are given up after `deadline_ms`.
 pub fn document(deadline_ms: u64) -> String {
+    document_with(deadline_ms, SERVICE_TIMEOUT_MS)
+}
+
+/// The document, in which a plain service may take `service_timeout_ms` for a call.
+pub fn document_with(deadline_ms: u64, service_timeout_ms: u64) -> String {
     let hosts = |count: u32| {
         let hosts = DOMAINS.map(|name| json!({ "failure_domain": name, "count": count }));
         Value::from(hosts.to_vec())
@@ -31,7 +39,7 @@
     let service = |name: &str, idempotent: bool| {
         json!({
             "name": name,
-            "kind": { "service": { "idempotent": idempotent, "timeout_ms": 2_000 } },
+            "kind": { "service": { "idempotent": idempotent, "timeout_ms": service_timeout_ms } },
             "hosts": hosts(1),
             "host_classes": ["small"],
         })
