test: A frozen owner of a limit refuses a team within it

The owner's refill of the freeze is cut off at the capacity, what others spent meanwhile is deducted in full, and the floor after a thaw (a quarter of the burst) is the level at which nothing is granted.

--- a/src/gateway/limits/credit/tests/failures.rs
+++ b/src/gateway/limits/credit/tests/failures.rs
@@ -64,6 +64,25 @@
     );
 }
 
+/// Guards against a team within its limit that is refused by an owner which lost the refill of its freeze.
+#[test]
+fn frozen_owner_refuses_no_team_within_its_limit() {
+    for nodes in [4, NODES] {
+        for seed in 1..=8 {
+            is_admitted(&Course {
+                duration_ms: COURSE_MS,
+                faults: Faults {
+                    owner_silent: (4_000, 7_000),
+                    successor: (4_000 + NOTICED_MS, 7_500),
+                    ..Faults::default()
+                },
+                seed,
+                ..conformant(nodes, &[0.02], Spread::Even)
+            });
+        }
+    }
+}
+
 /// Guards against an owner whose grants do not arrive while its own view shows nothing wrong.
 #[test]
 fn nodes_that_receive_no_grants_spend_their_parts() {
