--- a/src/peers/connections.rs
+++ b/src/peers/connections.rs
@@ -289,6 +289,7 @@
             connect_timeout_ms,
             ..
         } = self.settings;
+        let mut failure = NotSent::Closing;
         for _ in 0..MAX_CONNECTIONS_TRIED {
             let connection = self.connection(slot).await?;
             let Some(use_guard) = connection.liveness.acquire_for_request() else {
@@ -301,9 +302,14 @@
             {
                 return Ok((connection, use_guard));
             }
+            if connection.liveness.is_closed() && !connection.liveness.is_silent() {
+                failure = NotSent::Closing;
+            } else {
+                failure = NotSent::Unresponsive;
+            }
             connection.liveness.retire();
         }
-        Err(NotSent::Unresponsive)
+        Err(failure)
     }
 
     async fn connection(&self, slot: &Slot) -> Result<Connection, NotSent> {
