bug: Blocked parts of prompts are tested by single requests, one for all nodes

What callers see: three requests of a new prompt template crash one upstream each, every one for what is in its own body. All later requests of the template get 500 for as long as any comes.

Cause: no request was let through the block of a part under which no answer is known, and each refused one renews the block. Found by reading: the trials of parts that were sound, one a second at each node, never reached an upstream either: a request was judged at its admission, which used up the trial, and again before its send, which refused it.

Change: crashes/trials.rs decides on one schedule for all nodes (12, 48, 192 s after the block; 1, 4, 16 s where answers went on before). The first node is drawn, twice as many may each 500 ms, and nodes tell each other of a trial as it begins (Message::Trials). A request whose own content crashed an upstream tests nothing. A trial begins as its request is about to be sent. Parts that were sound are no longer let through at each node: at 985 nodes, once trials reach upstreams, a part that has gone bad would have cost up to 985 upstreams a second.

The tests failed before: crashing_parts::templates: "none of 200 sound requests of the template was answered after 3 crashes"; trials::block_of_a_part_that_is_new_is_tested_and_lifted: "a request is let through" (no request in 30 s).

block_of_a_part_that_was_sound_lets_one_request_through_each_second has another name, since the interval grows; it asserts all that it did, and two times more.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -10,6 +10,9 @@
 //! other of answers that went on under suspected parts, which clears them. Of several parts that may
 //! explain the same crashes one under which no answer went on is blamed first, and of these the last,
 //! which the fewest requests share. What a blocked subject explains is held against no other.
+//!
+//! A blocked part is tested by single requests at growing intervals (`trials`), and the first answer
+//! lifts its block: the requests that crashed may each have had a reason of its own.
 
 mod archive;
 pub(crate) mod archiving;
@@ -20,6 +23,7 @@
 pub(crate) mod reports;
 mod sound;
 pub(crate) mod subjects;
+pub(crate) mod trials;
 pub(crate) mod verification;
 
 use bincode::{Decode, Encode};
@@ -27,6 +31,7 @@
 use blocks::Block;
 use sound::SoundStarts;
 use subjects::{Subject, Subjects};
+use trials::Seat;
 
 use super::num;
 use crate::time::TimeMs;
@@ -52,10 +57,6 @@
 /// An answer that went on this long before the first crash speaks for a part.
 const SOUND_BEFORE_MS: u64 = 60_000;
 
-/// Interval at which a node lets one request through a block of a part under which answers went on
-/// before. A part that crashes each upstream has none.
-const TRIAL_INTERVAL_MS: u64 = 1_000;
-
 /// Upper bound of the delay of a report on a part that crashed at another node but is sound here.
 const TELL_DELAY_MS: f64 = 400.0;
 
@@ -137,6 +138,10 @@
     Cleared {
         subject: Subject,
     },
+    /// A request of this node is let through the block.
+    Tested {
+        subject: Subject,
+    },
 }
 
 /// The crashes of all nodes, and what is blocked for them.
@@ -147,6 +152,9 @@
     /// Sorted by subject.
     blocks: Vec<Block>,
     sound: SoundStarts,
+    seat: Seat,
+    /// Subjects whose blocks requests of this node test, and which peers are not yet told.
+    begun_trials: Vec<Subject>,
     /// When the parts of the latest crashes are judged.
     judge_at: Option<TimeMs>,
     /// Changes that are not yet logged.
@@ -168,7 +176,9 @@
         }
         self.make_room(crash.subjects.team);
         let index = self.recorded.partition_point(|known| known.at <= at);
-        self.recorded.insert(index, Recorded::new(crash, at));
+        let recorded = Recorded::new(crash, at);
+        self.record_trials_of(&crash, recorded.sent_at());
+        self.recorded.insert(index, recorded);
         self.mark_explained();
         self.judge_content(crash.subjects.content, now);
         self.judge_at.get_or_insert(now.after(SETTLE_MS));
--- a/src/gateway/crashes/archive.rs
+++ b/src/gateway/crashes/archive.rs
@@ -94,7 +94,11 @@
             if let Some(sound_age_ms) = sound_age_ms {
                 self.sound.record_told(block.subject, ago(*sound_age_ms));
             }
-            restored += usize::from(self.block(block.subject, ago(block.age_ms), last_seen));
+            let is_new = self.block(block.subject, ago(block.age_ms), last_seen);
+            if is_new {
+                self.record_trial(block.subject, now);
+            }
+            restored += usize::from(is_new);
         }
         restored
     }
--- a/src/gateway/crashes/blocks.rs
+++ b/src/gateway/crashes/blocks.rs
@@ -2,8 +2,7 @@
 
 use super::subjects::{Subject, Subjects};
 use super::{
-    AgedBlock, Blame, Change, Crashes, MAX_BLOCKS, MAX_REPORTED_BLOCKS, RETENTION_MS,
-    TRIAL_INTERVAL_MS, tell_delay_ms,
+    AgedBlock, Blame, Change, Crashes, MAX_BLOCKS, MAX_REPORTED_BLOCKS, RETENTION_MS, tell_delay_ms,
 };
 use crate::time::TimeMs;
 
@@ -13,7 +12,8 @@
     pub subject: Subject,
     pub at: TimeMs,
     pub last_seen: TimeMs,
-    /// When a request was last let through.
+    /// When a request of any node was last let through, as far as this node knows; at first, when
+    /// this node learned of the block.
     pub tried_at: TimeMs,
 }
 
@@ -32,47 +32,54 @@
         let last_seen = TimeMs(now.0.saturating_sub(told.idle_ms));
         let subject = told.subject;
         if self.block(subject, at, last_seen) {
+            self.record_trial(subject, now);
             self.changes.push(Change::Heard { subject });
         }
     }
 
-    /// Returns what a request is refused for, if it is blocked. A refused request renews the block.
+    /// Returns what a request that is about to be sent is refused for. One that is let through a
+    /// block begins a trial; one that is refused renews the block.
     pub fn refusal(&mut self, subjects: &Subjects, now: TimeMs) -> Option<Blame> {
+        let refusal = self.refusal_for_now(subjects, now);
+        if refusal.is_none() {
+            let blocked = self.blocked_parts(subjects, now);
+            self.begin_trials(&blocked, now);
+        }
+        refusal
+    }
+
+    /// Returns the same before a request is about to be sent: no trial begins.
+    pub fn refusal_for_now(&mut self, subjects: &Subjects, now: TimeMs) -> Option<Blame> {
         self.judge_if_due(now);
-        let content = std::iter::once((subjects.content, Blame::Content));
-        let parts = subjects.parts().map(|part| (part, Blame::Part));
-        for (subject, blame) in content.chain(parts) {
-            if let Ok(index) = self.find(subject)
-                && now.since(self.blocks[index].last_seen) < RETENTION_MS
-            {
-                self.blocks[index].last_seen = now;
-                if blame == Blame::Part && self.begins_trial(index, now) {
-                    continue;
-                }
-                return Some(blame);
-            }
+        if let Some(index) = self.find_live(subjects.content, now) {
+            self.blocks[index].last_seen = now;
+            return Some(Blame::Content);
+        }
+        let blocked = self.blocked_parts(subjects, now);
+        for index in &blocked {
+            self.blocks[*index].last_seen = now;
         }
-        None
+        let is_refused = !blocked.is_empty() && !self.may_test(subjects, &blocked, now);
+        is_refused.then_some(Blame::Part)
+    }
+
+    /// Returns the indices of the blocks of a request's parts.
+    fn blocked_parts(&self, subjects: &Subjects, now: TimeMs) -> Vec<usize> {
+        let parts = subjects.parts();
+        parts.filter_map(|part| self.find_live(part, now)).collect()
+    }
+
+    /// Returns the index of a block that has not expired.
+    fn find_live(&self, subject: Subject, now: TimeMs) -> Option<usize> {
+        let index = self.find(subject).ok()?;
+        let is_live = now.since(self.blocks[index].last_seen) < RETENTION_MS;
+        is_live.then_some(index)
     }
 
     /// Whether a request would be refused, without a trial; records nothing.
     pub fn is_any_blocked(&self, subjects: &Subjects, now: TimeMs) -> bool {
         let mut all = std::iter::once(subjects.content).chain(subjects.parts());
-        all.any(|subject| {
-            let found = self.find(subject).ok();
-            found.is_some_and(|index| now.since(self.blocks[index].last_seen) < RETENTION_MS)
-        })
-    }
-
-    /// Whether a request may show that a blocked part is sound after all.
-    pub(super) fn begins_trial(&mut self, index: usize, now: TimeMs) -> bool {
-        let block = &mut self.blocks[index];
-        let was_sound = self.sound.at(block.subject).is_some();
-        let is_due = was_sound && now.since(block.tried_at) >= TRIAL_INTERVAL_MS;
-        if is_due {
-            block.tried_at = now;
-        }
-        is_due
+        all.any(|subject| self.find_live(subject, now).is_some())
     }
 
     /// Returns the blocks that peers are told repeatedly, so that a node that starts knows them.
--- a/src/gateway/crashes/reports.rs
+++ b/src/gateway/crashes/reports.rs
@@ -2,8 +2,9 @@
 
 use rand::Rng;
 
-use super::subjects::Subjects;
-use super::{AgedBlock, AgedSound, Change, Crash, Crashes};
+use super::subjects::{Subject, Subjects};
+use super::trials::Seat;
+use super::{AgedBlock, AgedSound, Blame, Change, Crash, Crashes};
 use crate::gateway::messages::Message;
 use crate::gateway::state::Gateway;
 use crate::time::TimeMs;
@@ -28,9 +29,41 @@
     tell(node, told);
 }
 
+/// Lets a request of this node that is about to be sent pass the blocks; returns whether it tests
+/// one, of which the peers are notified.
+///
+/// # Errors
+///
+/// What the request is refused for.
+pub(crate) fn pass_blocks(node: &Gateway, subjects: &Subjects, now: TimeMs) -> Result<bool, Blame> {
+    let (refusal, trials) = update(node, |crashes| {
+        (crashes.refusal(subjects, now), crashes.take_trials())
+    });
+    if let Some(blame) = refusal {
+        return Err(blame);
+    }
+    let is_trial = !trials.is_empty();
+    if is_trial {
+        node.broadcast(Message::Trials(trials));
+    }
+    Ok(is_trial)
+}
+
+/// Applies a peer's report of requests that test blocks.
+pub(crate) fn apply_trials(node: &Gateway, subjects: &[Subject], now: TimeMs) {
+    update(node, |crashes| {
+        for subject in subjects {
+            crashes.record_trial(*subject, now);
+        }
+    });
+}
+
 /// Judges the latest crashes and sends the reports that are due.
 pub(crate) fn send_due(node: &Gateway, now: TimeMs) {
+    let nodes = node.peers.lock().known_nodes() as usize;
+    let own = node.incarnation;
     let told = update(node, |crashes| {
+        crashes.set_seat(Seat { own, nodes });
         crashes.judge_if_due(now);
         crashes.take_due(now)
     });
@@ -101,6 +134,9 @@
         Change::Heard { subject } => {
             log::info!(event = "subject_block_heard", subject = format!("{subject:x}"); "a peer blocks a content or a part of prompts under which upstreams crashed");
         }
+        Change::Tested { subject } => {
+            log::info!(event = "subject_tested", subject = format!("{subject:x}"); "a request is let through the block of a part; an answer lifts the block");
+        }
         Change::Cleared { subject } => {
             log::info!(event = "subject_cleared", subject = format!("{subject:x}"); "an answer went on under a blocked content or part; requests with it are sent again");
         }
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -271,7 +271,7 @@
     let judged = head.prompt.as_ref().into_iter();
     let judged = judged.flat_map(|prompt| subjects::parts(prompt, team_tag, tag(&found.name)));
     let subjects = Subjects::new(content, team_tag, judged);
-    if let Some(blame) = node.crashes.lock().refusal(&subjects, clock::now()) {
+    if let Some(blame) = (node.crashes.lock()).refusal_for_now(&subjects, clock::now()) {
         return Err(blame.into());
     }
     let priority = team.and_then(|team| catalog.team(team).priority);
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -38,6 +38,14 @@
     Taken,
 }
 
+/// Whether a request that no upstream has run yet tests the block of a part.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Trial {
+    #[default]
+    None,
+    Begun,
+}
+
 /// The attempts made for one request.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
@@ -63,6 +71,7 @@
     alive_since: Option<TimeMs>,
     /// Whether a repeat has been taken out of the budget and not been sent yet.
     repeat: RepeatInHand,
+    trial: Trial,
 }
 
 impl Attempts {
@@ -116,6 +125,17 @@
     /// Records that an upstream may have executed the request.
     pub fn record_execution(&mut self) {
         self.executions += 1;
+        self.trial = Trial::None;
+    }
+
+    /// Records that the request tests the block of a part.
+    pub fn begin_trial(&mut self) {
+        self.trial = Trial::Begun;
+    }
+
+    /// Whether the request tests the block of a part, and no upstream has run it yet.
+    pub fn is_trial(&self) -> bool {
+        self.trial == Trial::Begun
     }
 
     /// Records the version that sent the first event of the stream: only it may send further ones.
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -17,6 +17,7 @@
 use super::upstream_response::UpstreamResponse;
 use crate::gateway::choose::{self, Backpressure, Choice, Criteria};
 use crate::gateway::clock;
+use crate::gateway::crashes::reports;
 use crate::gateway::demand::EngineRequest;
 use crate::gateway::health::Outcome;
 use crate::gateway::limits::repeat_budget;
@@ -80,6 +81,7 @@
         {
             continue;
         }
+        pass_blocks(node, plan, attempts)?;
         let sent = send_once(node, plan, attempts, &choice, resume_after, request_log).await;
         let now = clock::now();
         let (reason, detail) = match sent {
@@ -105,6 +107,19 @@
     }
 }
 
+/// Lets the request pass the blocks of its parts. One that tests a block goes on doing so until an
+/// upstream may have run it.
+///
+/// # Errors
+///
+/// The refusal if other requests have begun to test the block meanwhile.
+fn pass_blocks(node: &Gateway, plan: &Plan, attempts: &mut Attempts) -> Result<(), Refusal> {
+    if !attempts.is_trial() && reports::pass_blocks(node, &plan.subjects, clock::now())? {
+        attempts.begin_trial();
+    }
+    Ok(())
+}
+
 /// Selects the next upstream and takes a repeat out of the repeat budget if one is needed.
 ///
 /// # Errors
@@ -119,7 +134,10 @@
     if now >= plan.deadline || attempts.has_too_many_undelivered() {
         return Err(attempts.final_refusal(plan, now));
     }
-    if let Some(blame) = node.crashes.lock().refusal(&plan.subjects, now) {
+    let refusal = || (node.crashes.lock()).refusal_for_now(&plan.subjects, now);
+    if !attempts.is_trial()
+        && let Some(blame) = refusal()
+    {
         return Err(blame.into());
     }
     let settings = node.settings();
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -94,6 +94,7 @@
         Message::Demand(report) => node.scheduling.lock().record_report(report, now),
         Message::Crash(crash) => crash_reports::apply_crash(node, crash, now),
         Message::Sound(told) => crash_reports::apply_sound(node, &told, now),
+        Message::Trials(subjects) => crash_reports::apply_trials(node, &subjects, now),
         Message::Fragment(fragment) => {
             let complete = node.reassembly.lock().add(from, fragment, now);
             if let Some(encoded) = complete {
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -11,6 +11,7 @@
 use bincode::{Decode, Encode};
 
 use super::active_configuration::{Confirmation, ConfirmationRequest};
+use super::crashes::subjects::Subject;
 use super::crashes::{AgedBlock, AgedSound, Crash};
 use super::demand::Rates;
 use super::fragments::Fragment;
@@ -102,6 +103,8 @@
     StreamsToArchive(Vec<Start>),
     /// Where streams began, for the node that writes it to the store.
     StreamsToWrite(Vec<Start>),
+    /// Blocked parts that a request of the sender tests.
+    Trials(Vec<Subject>),
 }
 
 impl Message {
@@ -138,6 +141,7 @@
             Self::Observed(..) => "observed",
             Self::Crash(_) => "crash",
             Self::Sound(_) => "sound",
+            Self::Trials(_) => "trials",
             Self::Limit(_) => "limit",
             Self::Leaving(_) => "leaving",
             Self::StreamsBegan(_) => "streams_began",
--- a/tests/platform/crashing_parts.rs
+++ b/tests/platform/crashing_parts.rs
@@ -3,6 +3,7 @@
 mod kills;
 mod losses;
 mod play;
+mod templates;
 
 use teaselline_stand_ins::operators::upstream::{BadPart, ChannelEnd, Crash, CrashPoint, Framing};
 
