--- a/src/gateway/crashes/tests/simulation.rs
+++ b/src/gateway/crashes/tests/simulation.rs
@@ -1,5 +1,10 @@
 //! Simulated nodes, upstreams and callers; datagrams are delayed and some are lost.
 
+mod impairments;
+mod outcome;
+mod prompts;
+mod reports;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
@@ -194,13 +199,6 @@
         }
     }
 
-    fn bad(&self) -> u64 {
-        match self.course.prompts {
-            Prompts::BadSecond | Prompts::TwoBad => BAD,
-            Prompts::BadFirst | Prompts::BadInOneModel | Prompts::SameWhole => FIRST,
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive(kind) => self.arrive(kind),
@@ -246,34 +244,6 @@
         self.send(running);
     }
 
-    fn next_kind(&self, kind: Kind) -> Kind {
-        match (self.course.prompts, kind) {
-            (Prompts::TwoBad, Kind::Bad(BAD)) => Kind::Bad(OTHER_BAD),
-            (Prompts::TwoBad, Kind::Bad(_)) => Kind::Bad(BAD),
-            _ => kind,
-        }
-    }
-
-    fn asked(&mut self, kind: Kind) -> Asked {
-        let content = self.number();
-        let session = (SESSIONS + self.random.random_range(0..40)) << 32;
-        let parts = match (kind, self.course.prompts) {
-            (Kind::Bad(bad), Prompts::BadSecond | Prompts::TwoBad) => vec![FIRST, bad],
-            (Kind::Bad(_), Prompts::BadFirst | Prompts::BadInOneModel) => vec![FIRST],
-            (Kind::Related, Prompts::BadFirst) => vec![OTHER_BAD],
-            (Kind::Related, Prompts::BadInOneModel) => vec![IN_OTHER_MODEL],
-            (Kind::Bad(_) | Kind::Related, Prompts::SameWhole) => vec![FIRST, BAD],
-            (Kind::Related, _) => vec![FIRST, session],
-            (Kind::Unrelated, _) => vec![UNRELATED, UNRELATED + session],
-        };
-        let is_same = matches!(kind, Kind::Bad(_)) && self.course.prompts == Prompts::SameWhole;
-        Asked {
-            content: if is_same { 9 } else { content },
-            parts,
-            team: TEAM,
-        }
-    }
-
     /// Sends a request to an upstream unless it is blocked at its node.
     fn send(&mut self, mut request: Running) {
         let is_blocked = self.nodes[request.node].blocks(&request.asked, self.now);
@@ -337,42 +307,6 @@
         self.after(lasts_ms, Event::End(id));
     }
 
-    /// Ends an upstream; its nodes notice it at once, or only by its restart.
-    fn crash(&mut self, upstream: usize, unnoticed_share: f64) {
-        if !self.upstreams[upstream].is_up {
-            return;
-        }
-        self.upstreams[upstream].is_up = false;
-        self.last_impairment = self.now;
-        self.after(DOWN_MS, Event::Up(upstream));
-        let broken: Vec<u64> = (self.running.iter())
-            .filter(|(_id, request)| request.upstream == upstream)
-            .map(|(id, _request)| *id)
-            .collect();
-        for id in broken {
-            let delay_ms = if self.random.random_bool(unnoticed_share) {
-                self.random.random_range(500..DOWN_MS)
-            } else {
-                self.random.random_range(0..20)
-            };
-            let request = &self.running[&id];
-            let broken = break_of(request);
-            self.after(delay_ms, Event::Notice(id, broken));
-        }
-    }
-
-    /// Breaks the connection of a request whose upstream runs on.
-    fn reset(&mut self, id: u64) {
-        let Some(request) = self.running.get(&id) else {
-            return;
-        };
-        let broken = Break {
-            runs_on: true,
-            ..break_of(request)
-        };
-        self.notice(id, &broken);
-    }
-
     fn notice(&mut self, id: u64, broken: &Break) {
         let Some(request) = self.running.remove(&id) else {
             return;
@@ -408,144 +342,6 @@
             self.broadcast(request.node, reports);
         }
     }
-
-    fn broadcast(&mut self, from: usize, reports: Vec<<Known as Judge>::Report>) {
-        for report in reports {
-            self.reports += 1;
-            let report = Rc::new(report);
-            for to in (0..self.nodes.len()).filter(|to| *to != from) {
-                if self.random.random_bool(LOSS) {
-                    continue;
-                }
-                let delay_ms = self.random.random_range(1..MAX_DELAY_MS);
-                self.after(delay_ms, Event::Deliver(from, to, Rc::clone(&report)));
-            }
-        }
-    }
-
-    fn deliver(&mut self, from: usize, to: usize, report: &<Known as Judge>::Report) {
-        if self.cut_until[from] <= self.now && self.cut_until[to] <= self.now {
-            self.nodes[to].receive(report, self.now);
-        }
-    }
-
-    /// Has each node hear the statuses of two others.
-    fn status(&mut self) {
-        self.after(STATUS_INTERVAL_MS, Event::Status);
-        for to in 0..self.nodes.len() {
-            for _ in 0..2 {
-                let from = self.random.random_range(0..self.nodes.len());
-                let reports = self.nodes[from].repeated(self.now);
-                for report in reports {
-                    self.deliver(from, to, &report);
-                }
-            }
-        }
-    }
-
-    fn tick(&mut self) {
-        self.after(TICK_INTERVAL_MS, Event::Tick);
-        let group = usize::try_from(self.now.0 / TICK_INTERVAL_MS).unwrap_or(0) % TICK_GROUPS;
-        for node in (group..self.nodes.len()).step_by(TICK_GROUPS) {
-            let reports = self.nodes[node].tick(self.now);
-            self.broadcast(node, reports);
-        }
-    }
-
-    fn lose(&mut self, step: u32) {
-        let next_ms = match self.course.losses {
-            Losses::None | Losses::Resets => return,
-            Losses::Domain | Losses::TwoDomains => {
-                self.lose_domain(u64::from(step));
-                2_000
-            }
-            Losses::All => {
-                (0..self.upstreams.len()).for_each(|upstream| self.crash(upstream, 0.1));
-                1_000
-            }
-            Losses::OneByOne => {
-                let upstream = self.random.random_range(0..self.upstreams.len());
-                self.crash(upstream, 0.0);
-                1_500
-            }
-            Losses::SameUpstream => {
-                self.crash(0, 0.0);
-                DOWN_MS + 1_000
-            }
-        };
-        let last_step = match self.course.losses {
-            Losses::None | Losses::Resets | Losses::Domain | Losses::All => 0,
-            Losses::TwoDomains => 1,
-            Losses::OneByOne => 30,
-            Losses::SameUpstream => 12,
-        };
-        if step < last_step {
-            self.after(next_ms, Event::Lose(step + 1));
-        }
-    }
-
-    fn lose_domain(&mut self, domain: u64) {
-        let of_domain = |index: &usize| *index as u64 % DOMAINS == domain;
-        let lost: Vec<usize> = (0..self.upstreams.len()).filter(of_domain).collect();
-        for upstream in lost {
-            self.crash(upstream, 0.1);
-        }
-    }
-
-    /// Cuts a fifth of the nodes from the others, until the bad parts are blocked elsewhere.
-    fn cut(&mut self) {
-        let until = self.now.after(15_000);
-        for node in 0..self.nodes.len() / 5 {
-            self.cut_until[node] = until;
-            self.away_until[node] = until.after(CONTACT_MS);
-        }
-    }
-
-    /// Starts a fifth of the nodes again.
-    fn start(&mut self) {
-        let count = self.nodes.len();
-        for node in count - count / 5..count {
-            self.nodes[node] = Known::new(node as u64, count);
-            self.away_until[node] = self.now.after(CONTACT_MS);
-        }
-    }
-
-    fn outcome(&self) -> Outcome {
-        let fifth_of = |crashes: &Vec<TimeMs>| crashes.get(4).or(crashes.last()).copied();
-        let fifths: BTreeMap<u64, TimeMs> = (self.crashes.iter())
-            .filter_map(|(bad, crashes)| fifth_of(crashes).map(|at| (*bad, at)))
-            .collect();
-        let late_sends = fifths.iter().map(|(bad, fifth)| {
-            let has_five = self.crashes[bad].len() >= 5;
-            let is_late = |sent: &&(u64, TimeMs, bool)| {
-                has_five && sent.0 == *bad && sent.2 && sent.1 > fifth.after(CONTACT_MS)
-            };
-            self.sends.iter().filter(is_late).count()
-        });
-        let from = fifths
-            .values()
-            .max()
-            .copied()
-            .unwrap_or(self.last_impairment);
-        let calm_end = TimeMs(START_MS + CALM_MS - 1_000);
-        Outcome {
-            nodes: self.nodes.len(),
-            bad_crashes: self.crashes.values().map(Vec::len).sum(),
-            late_sends: u32::try_from(late_sends.max().unwrap_or(0)).unwrap_or(u32::MAX),
-            calm: self.begun_between(TimeMs(START_MS), calm_end),
-            later: self.begun_between(from.after(2 * CONTACT_MS), TimeMs(u64::MAX)),
-            blocked_requests: self.blocked_requests,
-            reports: self.reports,
-        }
-    }
-
-    fn begun_between(&self, from: TimeMs, to: TimeMs) -> Begun {
-        let of_span = (self.related.iter()).filter(|(at, _begun)| *at >= from && *at < to);
-        of_span.fold(Begun::default(), |sum, (_at, has_begun)| Begun {
-            sent: sum.sent + 1,
-            begun: sum.begun + u32::from(*has_begun),
-        })
-    }
 }
 
 fn break_of(request: &Running) -> Break {
