bug: Blocks of one bad part on several routes share their trials

What callers see: a part that crashes upstreams on four routes is tested on each of them; more of its requests reach upstreams after contact time than the bound of three allows.

Change: the blocks of one part have the earliest begin and the latest trial in common; an answer under one of them lets the others be tested at once.

--- a/src/gateway/crashes/blocks.rs
+++ b/src/gateway/crashes/blocks.rs
@@ -152,6 +152,7 @@
         let blocked_at = self.blocks[index].at;
         if self.sound.at(subject).is_some_and(|at| at > blocked_at) {
             self.blocks.remove(index);
+            self.forget_trials(subject);
             self.changes.push(Change::Cleared { subject });
             self.mark_explained();
         }
--- a/src/gateway/crashes/tests/trials.rs
+++ b/src/gateway/crashes/tests/trials.rs
@@ -93,12 +93,14 @@
     let mut random = SmallRng::seed_from_u64(nodes as u64 * 10 + interval_ms);
     let mut reports: Vec<(TimeMs, Report)> = Vec::new();
     let mut played = Played::default();
-    for passed_ms in (0..end_ms).step_by(STEP_MS as usize) {
+    for passed_ms in (0..end_ms / STEP_MS).map(|step| step * STEP_MS) {
         let now = blocked_at.after(passed_ms);
         let (due, later) = reports.into_iter().partition(|(at, _report)| *at <= now);
         reports = later;
         for (_at, report) in due {
-            fleet.iter_mut().for_each(|node| learn(node, report, now));
+            for node in &mut fleet {
+                learn(node, report, now);
+            }
         }
         if passed_ms % interval_ms != 0 || played.lifted_ms.is_some() {
             continue;
@@ -194,3 +196,21 @@
         Some(Blame::Part)
     );
 }
+
+/// Guards against a bad part that costs as many trials as it has routes.
+#[test]
+fn part_that_is_blocked_on_several_routes_is_tested_once() {
+    let (here, elsewhere) = (PART + 1, PART + 2);
+    let on = |content, part| Subjects::new(content, 1, [part]);
+    let mut node = Crashes::default();
+    let blocked_at = TimeMs(1_000);
+    for part in [here, elsewhere] {
+        assert!(node.block(part, blocked_at, blocked_at));
+    }
+    let later = blocked_at.after(MAX_WAIT_MS);
+    assert_eq!(node.refusal(&on(9, here), later), None);
+    let soon = later.after(1_000);
+    assert_eq!(node.refusal(&on(8, elsewhere), soon), Some(Blame::Part));
+    node.record_answer(&on(9, here), soon);
+    assert_eq!(node.refusal(&on(8, elsewhere), soon.after(1)), None);
+}
--- a/src/gateway/crashes/trials.rs
+++ b/src/gateway/crashes/trials.rs
@@ -5,7 +5,7 @@
 
 use super::blocks::Block;
 use super::num;
-use super::subjects::{Subject, Subjects};
+use super::subjects::{self, Subject, Subjects};
 use super::{Change, Crash, Crashes, Recorded};
 use crate::gateway::upstreams::spread_bits;
 use crate::time::TimeMs;
@@ -52,7 +52,8 @@
     }
 }
 
-/// Returns when this node may make the next trial of a blocked part.
+/// Returns when this node may make the next trial of a blocked part; `block` holds the earliest begin
+/// and the latest trial over all routes and models on which the part is blocked.
 fn due_at(block: &Block, was_sound: bool, seat: Seat) -> TimeMs {
     let first_ms = if was_sound {
         FIRST_TRIAL_OF_SOUND_MS
@@ -78,13 +79,33 @@
     pub(super) fn may_test(&self, subjects: &Subjects, blocked: &[usize], now: TimeMs) -> bool {
         let has_crashed = |known: &Recorded| known.crash.subjects.content == subjects.content;
         let is_due = |index: &usize| {
-            let block = &self.blocks[*index];
+            let block = self.block_of_part(&self.blocks[*index]);
             let was_sound = self.sound.at(block.subject).is_some();
-            now >= due_at(block, was_sound, self.seat)
+            now >= due_at(&block, was_sound, self.seat)
         };
         blocked.iter().all(is_due) && !self.recorded.iter().any(has_crashed)
     }
 
+    /// Returns a block with the earliest begin and the latest trial of all blocks of its part: a bad
+    /// part that is blocked on several routes costs no more trials than on one.
+    fn block_of_part(&self, block: &Block) -> Block {
+        let of_part = (self.blocks.iter())
+            .filter(|other| subjects::is_same_part(other.subject, block.subject));
+        of_part.fold(*block, |all, other| Block {
+            at: all.at.min(other.at),
+            tried_at: all.tried_at.max(other.tried_at),
+            ..all
+        })
+    }
+
+    /// Lets the other blocks of a part that is sound on one route or model be tested at once.
+    pub(super) fn forget_trials(&mut self, sound: Subject) {
+        let of_part = |block: &&mut Block| subjects::is_same_part(block.subject, sound);
+        for block in self.blocks.iter_mut().filter(of_part) {
+            block.tried_at = block.at;
+        }
+    }
+
     /// Records that a request of this node tests blocks.
     pub(super) fn begin_trials(&mut self, blocked: &[usize], now: TimeMs) {
         for index in blocked {
