--- a/tests/platform/frozen.rs
+++ b/tests/platform/frozen.rs
@@ -32,6 +32,12 @@
 /// Time after which a node has read a record of the store.
 const READ: Duration = Duration::from_millis(500);
 
+/// Time after which calls have reached their upstreams.
+const SENT: Duration = Duration::from_millis(100);
+
+/// Time after which upstreams that stand still answer the calls of a node that is frozen by then.
+const ANSWERED_AFTER_MS: u64 = 630;
+
 /// Longer than what an upstream had sent before it restarted is awaited.
 const FROZEN_AFTER_RESTART: Duration = Duration::from_millis(750);
 
@@ -151,3 +157,33 @@
         assert_whole_from_one_upstream(&deployment, calls).await;
     }
 }
+
+/// Guards against calls that may run once and get 502 since a node that stood still acts on a restart of their upstream before it reads
+/// the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_of_a_frozen_node_are_answered_although_their_upstream_has_restarted() {
+    let deployment = deployment(1, 2).await;
+    let node = &deployment.nodes[0];
+    for upstream in &deployment.upstreams {
+        upstream.stand_still(ANSWERED_AFTER_MS);
+    }
+    let callers = node.callers();
+    let calls: Vec<Call> = (0..STREAMS)
+        .map(|place| {
+            let id = format!("restarted-once-{place}");
+            let call = asked(&id, "once");
+            (id, tokio::spawn(async move { call.send(callers).await }))
+        })
+        .collect();
+    tokio::time::sleep(SENT).await;
+    state_restarts(&deployment);
+    tokio::time::sleep(READ).await;
+    node.signal(Signal::SIGSTOP).expect("the node runs");
+    tokio::time::sleep(FROZEN_AFTER_RESTART).await;
+    node.signal(Signal::SIGCONT).expect("the node runs");
+    for (id, call) in calls {
+        let ended = call.await.expect("the call does not panic");
+        assert_eq!(ended.status(), Some(200), "{id}: {ended:?}");
+        assert_eq!(deployment.runs_of(&id).len(), 1, "{id}");
+    }
+}
