bug: Answers that have run are no longer thrown away because other callers read slowly

The limit would have cut callers that read steadily below some 45 kB/s, since a socket counts as writable again only once a third of its buffer is free (read, not run).

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -31,8 +31,6 @@
     open: usize,
     /// The answers that the connection's buffer holds to their ends.
     buffered: Vec<InFlight>,
-    /// Since when the caller takes no bytes although some wait for it.
-    unread_since: Option<TimeMs>,
 }
 
 impl CallerConnection {
@@ -43,26 +41,19 @@
                 phase: Phase::Idle { since: now },
                 open: 0,
                 buffered: Vec::new(),
-                unread_since: None,
             }),
         }
     }
 
     /// Returns what the connection waits for.
     pub fn phase(&self) -> Phase {
-        let state = self.state.lock();
-        match state.phase {
-            Phase::Answer { .. } => Phase::Answer {
-                unread_since: state.unread_since,
-            },
-            phase => phase,
-        }
+        self.state.lock().phase
     }
 
     /// Records a request whose head has been read; it is in flight until its answer is written.
     pub fn begin_answer(self: &Arc<Self>, in_flight: InFlight) -> UnwrittenAnswer {
         let mut state = self.state.lock();
-        state.phase = Phase::Answer { unread_since: None };
+        state.phase = Phase::Answer;
         state.open += 1;
         UnwrittenAnswer {
             in_flight: Some(in_flight),
@@ -77,15 +68,6 @@
         }
     }
 
-    /// Records whether the caller's side of the connection took bytes.
-    fn record_write(&self, written: &Poll<io::Result<usize>>, now: TimeMs) {
-        let mut state = self.state.lock();
-        match written {
-            Poll::Pending => drop(state.unread_since.get_or_insert(now)),
-            Poll::Ready(_) => state.unread_since = None,
-        }
-    }
-
     /// Records that the connection's buffer is empty.
     fn record_flush(&self, now: TimeMs) {
         let mut state = self.state.lock();
@@ -164,9 +146,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
-        self.connection.record_write(&written, clock::now());
-        written
+        Pin::new(&mut self.socket).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -174,9 +154,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
-        self.connection.record_write(&written, clock::now());
-        written
+        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -108,7 +108,7 @@
             PhaseEnd::ConnectionEnded(ended) => return ended,
             PhaseEnd::TimedOut => {
                 log::debug!(
-                    "closed a caller's connection that was idle, or whose caller sent or read nothing in time"
+                    "closed a caller's connection that was idle or whose request did not arrive in time"
                 );
                 return Ok(());
             }
--- a/src/gateway/caller_timeouts.rs
+++ b/src/gateway/caller_timeouts.rs
@@ -9,10 +9,6 @@
 /// The longer timeout here prevents a connection from being closed while a request is on its way.
 const TIMEOUT_FACTOR: u64 = 2;
 
-/// A connection whose caller reads nothing of an answer for this long is closed; its answer holds memory
-/// that others need.
-const UNREAD_TIMEOUT_MS: u64 = 30_000;
-
 /// What a caller's connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -20,8 +16,8 @@
     Idle { since: TimeMs },
     /// The rest of a request's head, whose first byte has arrived.
     Head { since: TimeMs },
-    /// The end of an answer, of which the caller takes no more bytes since `unread_since`.
-    Answer { unread_since: Option<TimeMs> },
+    /// The end of an answer.
+    Answer,
 }
 
 impl Phase {
@@ -40,9 +36,7 @@
         let (since, timeout_ms) = match self {
             Self::Idle { since } => (since, longer(|limits| limits.idle_timeout_ms)),
             Self::Head { since } => (since, longer(|limits| limits.header_timeout_ms)),
-            Self::Answer { unread_since } => {
-                return unread_since.map(|since| since.after(UNREAD_TIMEOUT_MS));
-            }
+            Self::Answer => return None,
         };
         Some(since.after(timeout_ms.saturating_mul(TIMEOUT_FACTOR)))
     }
--- a/src/gateway/exchange/answer_memory.rs
+++ b/src/gateway/exchange/answer_memory.rs
@@ -1,18 +1,14 @@
-//! The memory that whole answers of upstreams take up until their callers have read them.
+//! The memory that whole answers of upstreams take up while they are read.
 //!
 //! A faulty upstream may send a body without end. One answer may be long, but many long ones at once
-//! would exceed the memory of a small host, so that they share a budget of the node. So would long ones
-//! that wait for callers who read slowly.
+//! would exceed the memory of a small host, so that they share a budget of the node.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::BodyExt;
 
-use crate::in_flight;
-
 /// Largest body of one answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -26,7 +22,7 @@
 /// The bytes that the answers of one node hold beyond their exempt parts.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerMemory {
-    held_bytes: Arc<AtomicUsize>,
+    held_bytes: AtomicUsize,
 }
 
 /// Why a body was not read to its end.
@@ -35,8 +31,8 @@
     /// The body exceeds the bound of one answer.
     #[error("the body is longer than {MAX_ANSWER_BYTES} bytes")]
     TooLong,
-    /// The answers that are being read or written take up all memory meant for them.
-    #[error("the answers that are being read or written hold {SHARED_BYTES} bytes")]
+    /// The answers that are being read take up all memory meant for them.
+    #[error("the answers that are being read hold {SHARED_BYTES} bytes")]
     NoMemory,
     /// The connection broke, or the body is not valid HTTP.
     #[error(transparent)]
@@ -55,7 +51,7 @@
 }
 
 impl AnswerMemory {
-    /// Reads a body to its end; what it holds of the memory is given back once the bytes are dropped.
+    /// Reads a body to its end.
     ///
     /// # Errors
     ///
@@ -65,7 +61,10 @@
         B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
         let mut body = body;
-        let mut held = self.hold();
+        let mut held = Held {
+            memory: self,
+            bytes: 0,
+        };
         // One growing buffer would hold twice what is counted while it is copied.
         let mut parts: Vec<Bytes> = Vec::new();
         let mut length = 0;
@@ -79,19 +78,7 @@
             // The data is a slice of a larger buffer, which it would keep.
             parts.push(Bytes::copy_from_slice(&data));
         }
-        let whole = joined(parts, length);
-        match held.bytes {
-            0 => Ok(whole),
-            _ => Ok(in_flight::holding(whole, held)),
-        }
-    }
-
-    /// Returns the share of an answer of which nothing has been read.
-    fn hold(&self) -> Held {
-        Held {
-            all_held_bytes: Arc::clone(&self.held_bytes),
-            bytes: 0,
-        }
+        Ok(joined(parts, length))
     }
 }
 
@@ -108,19 +95,19 @@
 
 /// What one answer holds of the shared memory; dropping it gives it back.
 #[derive(Debug)]
-struct Held {
-    all_held_bytes: Arc<AtomicUsize>,
+struct Held<'a> {
+    memory: &'a AnswerMemory,
     bytes: usize,
 }
 
-impl Held {
+impl Held<'_> {
     fn grow_to(&mut self, answer_bytes: usize) -> Result<(), UnreadBody> {
         if answer_bytes > MAX_ANSWER_BYTES {
             return Err(UnreadBody::TooLong);
         }
         let wanted = answer_bytes.saturating_sub(EXEMPT_BYTES);
         let more = wanted - self.bytes;
-        let before = self.all_held_bytes.fetch_add(more, Ordering::Relaxed);
+        let before = self.memory.held_bytes.fetch_add(more, Ordering::Relaxed);
         self.bytes = wanted;
         match before + more {
             held if held > SHARED_BYTES && more > 0 => Err(UnreadBody::NoMemory),
@@ -129,9 +116,9 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for Held<'_> {
     fn drop(&mut self) {
-        (self.all_held_bytes).fetch_sub(self.bytes, Ordering::Relaxed);
+        (self.memory.held_bytes).fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -112,7 +112,7 @@
     pub reassembly: Mutex<Reassembly>,
     pub lease: Mutex<Lease>,
     pub channels: ConnectionPool,
-    /// Memory that whole answers of upstreams take up until they are written.
+    /// Memory that whole answers of upstreams take up while they are read.
     pub answer_memory: AnswerMemory,
     /// Connections to peers that send requests in place of this node.
     pub forwarding: Connections<Forwarding>,
