bug: A peer's test of a part on another route counts

Change: the report counts for all blocks of the part, whatever their route or model. The test failed before: test_of_a_part_on_another_route_of_a_peer_counts: left: None, right: Some(Part).

--- a/src/gateway/crashes/archive.rs
+++ b/src/gateway/crashes/archive.rs
@@ -96,7 +96,7 @@
             }
             let is_new = self.block(block.subject, ago(block.age_ms), last_seen);
             if is_new {
-                self.record_trial(block.subject, now);
+                self.record_learned(block.subject, now);
             }
             restored += usize::from(is_new);
         }
--- a/src/gateway/crashes/blocks.rs
+++ b/src/gateway/crashes/blocks.rs
@@ -32,7 +32,7 @@
         let last_seen = TimeMs(now.0.saturating_sub(told.idle_ms));
         let subject = told.subject;
         if self.block(subject, at, last_seen) {
-            self.record_trial(subject, now);
+            self.record_learned(subject, now);
             self.changes.push(Change::Heard { subject });
         }
     }
--- a/src/gateway/crashes/tests/trials.rs
+++ b/src/gateway/crashes/tests/trials.rs
@@ -214,3 +214,19 @@
     node.record_answer(&on(9, here), soon);
     assert_eq!(node.refusal(&on(8, elsewhere), soon.after(1)), None);
 }
+
+/// Guards against a bad part that each node tests that does not block it on the route of a peer's test.
+#[test]
+fn test_of_a_part_on_another_route_of_a_peer_counts() {
+    let (here, elsewhere) = (PART + 1, PART + 2);
+    let mut node = Crashes::default();
+    let blocked_at = TimeMs(1_000);
+    assert!(node.block(here, blocked_at, blocked_at));
+    let later = blocked_at.after(MAX_WAIT_MS);
+    node.record_trial(elsewhere, later);
+    let of_part = Subjects::new(9, 1, [here]);
+    assert_eq!(
+        node.refusal(&of_part, later.after(1_000)),
+        Some(Blame::Part)
+    );
+}
--- a/src/gateway/crashes/trials.rs
+++ b/src/gateway/crashes/trials.rs
@@ -122,11 +122,20 @@
         std::mem::take(&mut self.begun_trials)
     }
 
-    /// Records that a request of a peer tests a block.
+    /// Records that a request of a peer tests a block, on whatever route or model this node blocks the
+    /// part.
     pub fn record_trial(&mut self, subject: Subject, at: TimeMs) {
+        let of_part = |block: &&mut Block| subjects::is_same_part(block.subject, subject);
+        for block in self.blocks.iter_mut().filter(of_part) {
+            block.tried_at = block.tried_at.max(at);
+        }
+    }
+
+    /// Records that this node has just learned of a block, which peers may have tested.
+    pub(super) fn record_learned(&mut self, subject: Subject, now: TimeMs) {
         if let Ok(index) = self.find(subject) {
             let block = &mut self.blocks[index];
-            block.tried_at = block.tried_at.max(at);
+            block.tried_at = block.tried_at.max(now);
         }
     }
 
