test: An upstream of the stand-in sends any part of an answer without end

Cause: three faults of the stand-in sent bytes without end, in pieces of 16 KB only, in place of a head, as lines of a head and as a body. An informational head, a chunk extension, trailers and events without meaning could not be sent, nor small or slow pieces. Change: one fault names the part that does not end, the size of a piece and the pause between two.

--- a/stand_ins/src/operators.rs
+++ b/stand_ins/src/operators.rs
@@ -15,4 +15,4 @@
 pub use deployment::Deployment;
 pub use node::Node;
 pub use store::Store;
-pub use upstream::{Fault, Run, Upstream};
+pub use upstream::{Endless, EndlessPart, Fault, Run, Upstream};
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -21,7 +21,7 @@
 
 pub use self::crash::{BadPart, ChannelEnd, Crash, CrashPoint};
 pub use self::cut::AnswerCut;
-pub use self::fault::{Fault, Framing, KILLER};
+pub use self::fault::{Endless, EndlessPart, Fault, Framing, KILLER};
 pub use self::history::{Arrival, Run, is_misfit};
 use super::store::Store;
 use crate::chance::Chance;
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -9,15 +9,14 @@
 
 use super::late_copy::{LateCopy, misdirection};
 use super::wire::{After, Received, chunk, line, receive};
-use super::{Arrival, ChannelEnd, Core, Crash, CrashPoint, Fault, Framing, KILLER, Run, is_misfit};
+use super::{
+    Arrival, ChannelEnd, Core, Crash, CrashPoint, Endless, Fault, Framing, KILLER, Run, is_misfit,
+};
 use crate::server::now_ms;
 
 /// Work of a plain call, and before the first event of a stream.
 const WORK_MS: u64 = 10;
 
-/// Bytes that an endless answer writes at a time.
-const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
-
 /// Longer than any test.
 const FOREVER_MS: u64 = 3_600_000;
 
@@ -169,16 +168,7 @@
                 self.failure(socket, id, "500 Internal Server Error", "")
                     .await
             }
-            Fault::EndlessBytes => self.endless(socket, place, "", "!").await,
-            Fault::EndlessHead => {
-                let begin = format!("HTTP/1.1 200 OK\r\nrequest-attempt-id: {id}\r\n");
-                self.endless(socket, place, &begin, "filler: filler\r\n")
-                    .await
-            }
-            Fault::EndlessBody => {
-                let head = self.head("200 OK", id, "connection: close\r\n");
-                self.endless(socket, place, &head, "filler ").await
-            }
+            Fault::Endless(endless) => self.endless(socket, id, place, endless).await,
             _ if request.path.contains("stream") => {
                 self.stream(socket, request, place, fault).await
             }
@@ -219,18 +209,34 @@
         Ok(After::Stays)
     }
 
-    /// Sends `begin`, then `filler` again and again until the channel is closed.
+    /// Sends an answer that does not end until the channel is closed.
     async fn endless(
         &self,
         socket: &mut TcpStream,
+        id: &str,
         place: usize,
-        begin: &str,
-        filler: &str,
+        endless: Endless,
     ) -> io::Result<After> {
-        let block = filler.repeat(ENDLESS_BLOCK_BYTES / filler.len());
+        let Endless {
+            part,
+            piece_bytes,
+            pause_ms,
+        } = endless;
+        let head_lines = part.head_lines();
+        let head = head_lines.map_or_else(String::new, |lines| self.head("200 OK", id, lines));
+        let filler = part.filler();
+        let block = filler.repeat(piece_bytes / filler.len() + 2);
+        let mut from = 0;
+        let begin = head + part.begin();
         let mut written = socket.write_all(begin.as_bytes()).await;
         while written.is_ok() {
-            written = socket.write_all(block.as_bytes()).await;
+            written = socket
+                .write_all(&block.as_bytes()[from..from + piece_bytes])
+                .await;
+            from = (from + piece_bytes) % filler.len();
+            if pause_ms > 0 {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
         }
         self.runs.lock()[place].left_at_ms = Some(now_ms());
         Ok(RESET)
