bug: One server that sends informational heads without end stopped all requests of a node

What callers saw: one upstream answers by HTTP/1.1 103 heads without end; streams to it got no word at all, and calls to other services of the same node ran into their limits. Cause: the HTTP library skips informational heads in a loop that ends only when the socket has nothing to read, and bounds the head that it holds, not the heads that it has skipped. On a node with one thread the timers and sockets of all requests wait for that loop. Change: the socket of each connection to an upstream or to the platform counts what it reads from the request to the end of the response's head, takes at most 8 KB at a time then, and fails beyond 64 KB. A head that is too long or malformed has a reason of its own in the log and is not taken for a crash; the attempt counts as possibly run and against the upstream's health. Why this works: the loop ends with the socket's error, after at most eight reads.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
 use super::clock;
 use super::upstreams::UpstreamKey;
+use crate::head_limit::{self, HeadLimitedSender};
 use crate::time::TimeMs;
 
 /// Timeout of a new connection. The network delay is a few milliseconds one way and the handshake
@@ -50,7 +47,7 @@
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: HeadLimitedSender,
     /// Whether the connection has carried a request before.
     pub is_reused: bool,
     /// Its idle time, if it was kept idle and has carried no request since.
@@ -66,7 +63,7 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: HeadLimitedSender,
     time: IdleTime,
 }
 
@@ -173,14 +170,14 @@
     pub fn keep(
         &self,
         upstream: UpstreamKey,
-        sender: SendRequest<Full<Bytes>>,
+        sender: HeadLimitedSender,
         idle_timeout_ms: Option<u64>,
         now: TimeMs,
     ) {
         self.keep_until(upstream, sender, idle_time(idle_timeout_ms, now));
     }
 
-    fn keep_until(&self, upstream: UpstreamKey, sender: SendRequest<Full<Bytes>>, time: IdleTime) {
+    fn keep_until(&self, upstream: UpstreamKey, sender: HeadLimitedSender, time: IdleTime) {
         let mut idle = self.idle.lock();
         let found = idle.binary_search_by_key(&upstream, |(key, _kept)| *key);
         let index = found.unwrap_or_else(|index| {
@@ -236,7 +233,7 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!(error:err = error; "could not set TCP_NODELAY; small writes may be delayed");
     }
-    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let handshake = head_limit::handshake(socket).await;
     let (sender, connection) = handshake.map_err(ConnectError::Handshake)?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::gateway::speed::pace::Pace;
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::VersionTag;
+use crate::head_limit::HeadTooLong;
 use crate::platform::headers::{self, UpstreamHeaders};
 use crate::time::TimeMs;
 
@@ -415,11 +416,10 @@
             }
             Some(Err(error)) => {
                 attempts.record_send();
-                pending.record_failure("broken", &plan.subjects, clock::now());
-                return Err(SendError::MayHaveRun(
-                    "broken",
-                    error.into_error().to_string(),
-                ));
+                let error = error.into_error();
+                let reason = unread_head_reason(&error);
+                pending.record_failure(reason, &plan.subjects, clock::now());
+                return Err(SendError::MayHaveRun(reason, error.to_string()));
             }
             None => {
                 let now = clock::now();
@@ -440,6 +440,15 @@
     classification::classify(node, plan, pending, channel, response)
 }
 
+/// Returns why a head was not received, as it is logged: an upstream that sends a malformed one has not crashed.
+fn unread_head_reason(error: &hyper::Error) -> &'static str {
+    match error {
+        _ if HeadTooLong::is_cause_of(error) => "head_too_long",
+        _ if error.is_parse() => "head_malformed",
+        _ => "broken",
+    }
+}
+
 /// Counts a send by its kind, separately for upstreams that have announced a rate limit.
 fn count_send(attempts: &Attempts, resume_after: Option<u64>, is_limited: bool) {
     let kind = match (attempts.sends(), resume_after) {
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -5,9 +5,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 
 use super::admission::Plan;
 use super::answer_memory::UnreadBody;
@@ -19,6 +17,7 @@
 use crate::gateway::health::Outcome;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
+use crate::head_limit::HeadLimitedSender;
 use crate::platform::headers::ResponseHead;
 use crate::time::TimeMs;
 
@@ -28,7 +27,7 @@
     pub response: Response<Incoming>,
     pub answer: ResponseHead,
     pub upstream_request: UpstreamRequest,
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: HeadLimitedSender,
 }
 
 impl UpstreamResponse {
@@ -121,7 +120,7 @@
 #[derive(Debug)]
 pub(super) struct ResponseContext {
     pub upstream_request: UpstreamRequest,
-    sender: SendRequest<Full<Bytes>>,
+    sender: HeadLimitedSender,
     answer: ResponseHead,
     /// Whether the end of the body shows that it is whole; a body that ends with its connection may
     /// have been cut by a crash.
@@ -179,7 +178,7 @@
 pub(super) fn keep_connection(
     node: &Gateway,
     upstream_request: &UpstreamRequest,
-    sender: SendRequest<Full<Bytes>>,
+    sender: HeadLimitedSender,
     answer: &ResponseHead,
 ) {
     if !answer.is_closing {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod entry;
 pub mod gateway;
+mod head_limit;
 mod in_flight;
 pub mod keys;
 pub mod limits;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -7,12 +7,12 @@
 use http::header::{CONTENT_TYPE, HOST};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
+use crate::head_limit::{self, HeadLimitedSender};
+
 /// Idle connections kept per address: one each for a long poll, a periodic read and a write.
 const MAX_IDLE_CONNECTIONS: usize = 3;
 
@@ -100,7 +100,7 @@
 #[derive(Debug)]
 pub(crate) struct Client {
     address: SocketAddr,
-    idle: Mutex<Vec<SendRequest<Full<Bytes>>>>,
+    idle: Mutex<Vec<HeadLimitedSender>>,
 }
 
 impl Client {
@@ -184,21 +184,21 @@
         })
     }
 
-    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self) -> Option<HeadLimitedSender> {
         let mut idle = self.idle.lock();
         idle.retain(|connection| !connection.is_closed());
-        let index = idle.iter().rposition(SendRequest::is_ready)?;
+        let index = idle.iter().rposition(HeadLimitedSender::is_ready)?;
         Some(idle.swap_remove(index))
     }
 
-    fn put_idle(&self, connection: SendRequest<Full<Bytes>>) {
+    fn put_idle(&self, connection: HeadLimitedSender) {
         let mut idle = self.idle.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(connection);
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn connect(&self) -> Result<HeadLimitedSender, CallError> {
         let address = self.address;
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let socket = match connect.await {
@@ -215,7 +215,7 @@
         if let Err(error) = socket.set_nodelay(true) {
             log::debug!(error:err = error; "setting TCP_NODELAY failed; the connection keeps Nagle's algorithm");
         }
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let handshake = head_limit::handshake(socket).await;
         let (sender, driver) = handshake.map_err(|source| self.connection_error(source))?;
         tokio::spawn(async move {
             if let Err(error) = driver.await {
