--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -1,11 +1,17 @@
 //! State of one request on a node: the answer so far, its place, its outcome and its readers.
 
+mod copy;
+mod order;
+
 use std::sync::Arc;
 
 use bincode::{Decode, Encode};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+pub use self::copy::Copy;
+pub use self::order::Order;
+
 use super::{Assembler, Call, Chunk, Outcome, RequestId, Verdict};
 use crate::keys::HostKey;
 use crate::reclaim::Progress;
@@ -45,39 +51,6 @@
     Pending,
 }
 
-/// An order to the task that runs a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Stop the request and end it as cancelled.
-    Cancel,
-    /// Continue on the target, which recomputes the prompt and the tokens so far.
-    Recompute {
-        /// The target.
-        target: HostKey,
-    },
-    /// Stop the stream first, then continue on the target, which recomputes the prompt and the
-    /// tokens so far.
-    Resume {
-        /// The target.
-        target: HostKey,
-    },
-    /// Compute the prompt and the tokens so far into the target's prefix cache, and stay on the
-    /// host.
-    Warm {
-        /// The target.
-        target: HostKey,
-    },
-    /// Move to another host together with the KV cache.
-    Export {
-        /// The target.
-        target: HostKey,
-        /// Whether the stream continues on its host meanwhile, from the exported cache.
-        is_live: bool,
-    },
-    /// Stop the task so that another node can take over; the record stays.
-    HandOver,
-}
-
 /// State of one request on this node.
 #[derive(Debug)]
 pub struct Record {
@@ -112,60 +85,7 @@
     progress: Progress,
 }
 
-/// Copy of a record that nodes exchange.
-#[derive(Clone, Debug, PartialEq, Encode, Decode)]
-pub struct Copy {
-    /// Request id.
-    pub id: RequestId,
-    /// The call.
-    pub call: Call,
-    /// The answer from some position on.
-    pub chunk: Chunk,
-    /// The place of the running attempt.
-    pub place: Option<Place>,
-    /// Number of attempts so far.
-    pub attempts: u32,
-    /// Whether an attempt may have started.
-    pub dispatched: bool,
-    /// The outcome, if the request has ended.
-    pub outcome: Option<Outcome>,
-}
-
-impl Copy {
-    /// Drops the call's content and the answer; keeps the outcome.
-    pub fn drop_content(&mut self) {
-        self.call.drop_content();
-        self.chunk = Chunk::default();
-        self.outcome = self.outcome.take().map(Outcome::without_answer);
-    }
-}
-
 impl Record {
-    /// Returns the record without its call's content and its answer.
-    ///
-    /// A task that already holds the complete record continues with it.
-    #[must_use]
-    pub fn without_content(&self) -> Self {
-        let mut call = Call::clone(&self.call);
-        call.drop_content();
-        let state = self.state.lock();
-        let remaining = State {
-            outcome: state.outcome.clone().map(Outcome::without_answer),
-            ended_at_ms: state.ended_at_ms,
-            attempts: state.attempts,
-            may_have_started: state.may_have_started,
-            ..State::default()
-        };
-        Self {
-            id: self.id,
-            call: Arc::new(call),
-            fingerprint: self.fingerprint,
-            state: Mutex::new(remaining),
-            changed: Notify::new(),
-            ordered: Notify::new(),
-        }
-    }
-
     /// Returns whether the answer is still held.
     #[must_use]
     pub fn has_answer(&self) -> bool {
@@ -190,49 +110,6 @@
         }
     }
 
-    /// Creates a record from another node's copy; `now` is the end time if the copy has an outcome.
-    #[must_use]
-    pub fn from_copy(copy: &Copy, now: TimeMs) -> Self {
-        let record = Self::new(copy.id, copy.call.clone());
-        record.merge(copy, now);
-        record
-    }
-
-    /// Merges the newer state of another node's copy.
-    pub fn merge(&self, copy: &Copy, now: TimeMs) {
-        let mut state = self.state.lock();
-        if state.outcome.is_some() {
-            return;
-        }
-        state
-            .answer
-            .extend_from(copy.chunk.from, copy.chunk.tokens());
-        state.may_have_started = state.may_have_started.max(u32::from(copy.dispatched));
-        if copy.attempts >= state.attempts {
-            state.attempts = copy.attempts;
-            state.place = copy.place;
-        }
-        state.outcome.clone_from(&copy.outcome);
-        state.ended_at_ms = copy.outcome.as_ref().map(|_outcome| now);
-        drop(state);
-        self.changed.notify_waiters();
-    }
-
-    /// Returns a copy of the record, with its answer from `from` on.
-    #[must_use]
-    pub fn copy(&self, from: u64) -> Copy {
-        let state = self.state.lock();
-        Copy {
-            id: self.id,
-            call: Call::clone(&self.call),
-            chunk: Chunk::new(from, state.answer.tokens_from(from)),
-            place: state.place,
-            attempts: state.attempts,
-            dispatched: state.may_have_started > 0,
-            outcome: state.outcome.clone(),
-        }
-    }
-
     /// Opens the next attempt on a host.
     ///
     /// From here on the request counts as dispatched; [`Record::attempt_not_started`] reverts that
@@ -439,28 +316,6 @@
     pub fn set_progress(&self, progress: Progress) {
         self.state.lock().progress = progress;
     }
-
-    /// Sends an order to the task that runs the request; a newer order replaces a pending one other
-    /// than `Cancel`.
-    pub fn order(&self, order: Order) {
-        let mut state = self.state.lock();
-        state.order = match state.order {
-            Some(Order::Cancel) => Some(Order::Cancel),
-            _ => Some(order),
-        };
-        drop(state);
-        self.ordered.notify_one();
-    }
-
-    /// Waits for an order; called only by the task that runs the request.
-    pub async fn next_order(&self) -> Order {
-        loop {
-            if let Some(order) = self.state.lock().order.take() {
-                return order;
-            }
-            self.ordered.notified().await;
-        }
-    }
 }
 
 #[cfg(test)]
