bug: A stopping node passes on calls that it cuts at its exit

Cause: `Shutdown::accepts` knew neither the route's time limit nor the caller's. It took calls until 2.5 s before the end of the grace and streams for 2.5 s, by the usual limits of some deployments' routes.

Evidence: `late_in_the_grace::call_that_cannot_end_before_the_exit_is_refused_as_not_run` (the real binary, limits of its own, seen in force by a call of 3.5 s).

Change: a request is accepted if its deadline comes before the last answers have to be written (a third of the margin before the exit). Within 3 s of the signal one that may be repeated is judged by the longest that requests of its route took in the last one to two minutes (`durations.rs`), so that streams with long limits are still served. A request that may run once is judged by its deadline alone: a refusal sends its caller to another node, a cut leaves it without a word. The margin is a tenth of a grace of less than 6 s: with 1 s a node left 0.4 s after the signal. It polls no longer than until its exit.

It works since whoever is accepted by its deadline has its answer or its 504 by then, whatever the upstream does.

Changed tests. `leaving::stopping_node_refuses_streams_that_it_cannot_complete` brings a limit of 4 s: with its 2.5 s the stream at 2.7 s would end 0.2 s before the exit, so that it can be completed; with 4 s it cannot, and the assertions are the same.

The stand-in gets `Upstream::work_for`.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 mod crashes;
 mod demand;
 mod directory;
+mod durations;
 mod duties;
 mod endpoints;
 mod events;
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -249,7 +249,7 @@
     request_log.set_configuration(catalog.version, configuration_age_ms);
     let left_ms = head.time_left_ms.unwrap_or(found.timeout_ms);
     let deadline = received_at.after(left_ms.min(found.timeout_ms));
-    if !node.accepts_request(found.is_stream, clock::now()) {
+    if !node.may_send(found, deadline, clock::now()) {
         return Err(Refusal::Stopping);
     }
     Ok(Checked {
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -139,6 +139,10 @@
     /// Records the outcome of a body that was read to its end and makes its connection reusable.
     pub fn finish(self, node: &Gateway, status: StatusCode, plan: &Plan, now: TimeMs) {
         let took_ms = now.since(self.upstream_request.sent_at);
+        if status.is_success() {
+            let route = tag(&plan.route().name);
+            node.durations.lock().record(route, took_ms, now);
+        }
         let outcome = match status {
             _ if self.answer.requested_backoff_ms(status).is_some() => Outcome::Resting,
             _ if status.is_server_error() => Outcome::Failed,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -177,7 +177,8 @@
     node.stopping.cancel();
     streams::hand_over(node, clock::now());
     while !stop.is_complete(in_flight(), clock::now()) {
-        tokio::time::sleep(Duration::from_millis(STOP_POLL_INTERVAL_MS)).await;
+        let wait_ms = STOP_POLL_INTERVAL_MS.min(stop.left_ms(clock::now()));
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
     end.cancel();
     stop
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -1,9 +1,9 @@
 //! Requests that a node accepts while it shuts down, and the time at which it exits.
 //!
-//! A request that is accepted late in the grace period is cut off when the platform kills the
-//! process, and its caller cannot know whether it ran. Callers keep arriving for as long as they
+//! A request that is sent to an upstream late in the grace period is cut off when the platform kills
+//! the process, and its caller cannot know whether it ran. Callers keep arriving for as long as they
 //! cache a directory answer. A node that shuts down therefore keeps answering, and rejects the
-//! requests that it could not finish.
+//! requests that it could not finish: their callers send them to another node at once.
 
 use crate::time::TimeMs;
 
@@ -14,21 +14,30 @@
 const MIN_STAY_MS: u64 = 3_500;
 
 /// Part of the grace period that is reserved for closing channels before the platform kills the
-/// process.
+/// process; a tenth of a short one.
 const GRACE_MARGIN_MS: u64 = 600;
+const SHORTEST_MARGINS_PER_GRACE: u64 = 10;
 
-/// Time for which streams are accepted.
-///
-/// The longest usual streams, of 120 events, take about 4 s.
-const ACCEPT_STREAMS_MS: u64 = 2_500;
+/// The last answers get a third of that margin before the exit to reach their callers.
+const LAST_ANSWERS_PER_MARGIN: u64 = 3;
 
-/// Time before the end of the grace period from which plain calls are rejected; they time out
-/// within 1.5 s.
-const CALL_RESERVE_MS: u64 = 2_500;
+/// Time for which requests that may be repeated are judged by what others of their route took: the
+/// platform tolerates that these are cut.
+const TRUSTS_DURATIONS_MS: u64 = 3_000;
 
 /// How long connections may take to close once all requests have ended.
 const CONNECTION_CLOSE_TIMEOUT_MS: u64 = 300;
 
+/// What is known of the time at which a request will have ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Outlook {
+    /// When it ends at the latest.
+    pub deadline: TimeMs,
+    /// The longest that requests of its route have taken of late; `None` if that is unknown, or the request may not be
+    /// repeated.
+    pub longest_ms: Option<u64>,
+}
+
 /// Progress of a node's shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Shutdown {
@@ -38,14 +47,22 @@
 }
 
 impl Shutdown {
-    /// Whether this node still accepts a request that it has just read.
-    pub fn accepts(&self, is_stream: bool, now: TimeMs) -> bool {
-        let since_ms = now.since(self.requested_at);
-        match is_stream {
-            true if self.grace_ms < ACCEPT_STREAMS_MS * 2 => since_ms < self.grace_ms / 2,
-            true => since_ms < ACCEPT_STREAMS_MS,
-            false => since_ms + CALL_RESERVE_MS < self.grace_ms,
-        }
+    /// Whether this node still sends a request to an upstream: its answer comes before the exit.
+    ///
+    /// A request that may run once is judged by its deadline alone, since nobody may send it again after a cut.
+    pub fn accepts(&self, outlook: &Outlook, now: TimeMs) -> bool {
+        let end = match outlook.longest_ms {
+            Some(longest_ms) if now.since(self.requested_at) < TRUSTS_DURATIONS_MS => {
+                now.after(longest_ms).min(outlook.deadline)
+            }
+            _ => outlook.deadline,
+        };
+        end <= self.last_answers_at()
+    }
+
+    /// Returns the time until the grace period is over but for its margin.
+    pub fn left_ms(&self, now: TimeMs) -> u64 {
+        now.until(self.exit_at())
     }
 
     /// Whether the node exits now.
@@ -63,7 +80,22 @@
     }
 
     fn is_grace_over(&self, now: TimeMs) -> bool {
-        now.since(self.requested_at) + GRACE_MARGIN_MS >= self.grace_ms
+        now >= self.exit_at()
+    }
+
+    fn margin_ms(&self) -> u64 {
+        GRACE_MARGIN_MS.min(self.grace_ms / SHORTEST_MARGINS_PER_GRACE)
+    }
+
+    fn exit_at(&self) -> TimeMs {
+        let stay_ms = self.grace_ms.saturating_sub(self.margin_ms());
+        self.requested_at.after(stay_ms)
+    }
+
+    /// When the last answers have to be written.
+    fn last_answers_at(&self) -> TimeMs {
+        let left_ms = self.margin_ms() / LAST_ANSWERS_PER_MARGIN;
+        TimeMs(self.exit_at().0.saturating_sub(left_ms))
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,12 +14,13 @@
 use super::active_configuration::ActiveConfiguration;
 use super::announcements::LatestRead;
 use super::bandwidth::BandwidthLimiter;
-use super::catalog::Catalog;
+use super::catalog::{Catalog, Route};
 use super::clock;
 use super::confirmation;
 use super::connections::ConnectionPool;
 use super::crashes::Crashes;
 use super::demand::DemandTracker;
+use super::durations::RouteDurations;
 use super::exchange::AnswerMemory;
 use super::forwarding::{self, Forwarding};
 use super::fragments::Reassembly;
@@ -39,11 +40,11 @@
 use super::route_labels::RouteLabels;
 use super::scheduling::gate::Schedulers;
 use super::settings::NodeSettings;
-use super::shutdown::Shutdown;
+use super::shutdown::{Outlook, Shutdown};
 use super::speed::pace::{EngineModel, PeerPaces};
 use super::store_contact::{StoreAvailability, StoreContact};
 use super::streams::{Origins, StreamArchive, UnwrittenStarts, WaitingQueries, WaitingStarts};
-use super::upstreams::UpstreamTable;
+use super::upstreams::{UpstreamTable, tag};
 use super::usage::UsageCounts;
 use super::view::UpstreamsView;
 use crate::in_flight::InFlight;
@@ -116,6 +117,8 @@
     pub answer_memory: AnswerMemory,
     /// Connections to peers that send requests in place of this node.
     pub forwarding: Connections<Forwarding>,
+    /// How long requests took of late.
+    pub durations: Mutex<RouteDurations>,
     /// Routes that have metric labels of their own.
     pub route_labels: Mutex<RouteLabels>,
     /// Number of requests in progress, whose answers are not yet written.
@@ -232,6 +235,7 @@
             channels: ConnectionPool::default(),
             answer_memory: AnswerMemory::default(),
             forwarding: forwarding::connections(settings.store_address, incarnation),
+            durations: Mutex::default(),
             route_labels: Mutex::default(),
             in_flight: Arc::default(),
             stop: Mutex::new(None),
@@ -281,10 +285,20 @@
         now.since(self.started_at)
     }
 
-    /// Returns whether a request that has just been read is handled, also while the node is stopping.
-    pub fn accepts_request(&self, is_stream: bool, now: TimeMs) -> bool {
-        let stop = *self.stop.lock();
-        stop.is_none_or(|stop| stop.accepts(is_stream, now))
+    /// Returns whether a request of this route may be sent now, also while the node is stopping.
+    pub fn may_send(&self, route: &Route, deadline: TimeMs, now: TimeMs) -> bool {
+        let Some(stop) = *self.stop.lock() else {
+            return true;
+        };
+        let longest_ms = match route.is_repeatable() {
+            true => self.durations.lock().longest_ms(tag(&route.name), now),
+            false => None,
+        };
+        let outlook = Outlook {
+            deadline,
+            longest_ms,
+        };
+        stop.accepts(&outlook, now)
     }
 
     /// Records the result of a call to the store.
--- a/stand_ins/src/operators/upstream.rs
+++ b/stand_ins/src/operators/upstream.rs
@@ -30,6 +30,9 @@
 /// Between two announcements.
 const BEAT_MS: u64 = 400;
 
+/// Usual work of a plain call, and before the first event of a stream.
+const WORK_MS: u64 = 10;
+
 /// Usual pause between two events of a stream.
 const EVENT_PAUSE_MS: u64 = 30;
 
@@ -82,6 +85,8 @@
     falls_at_ms: Mutex<Vec<u64>>,
     framing: Mutex<Framing>,
     answer_cut: Mutex<Option<AnswerCut>>,
+    /// Work of a plain call, and before the first event of a stream.
+    work_ms: Mutex<u64>,
     /// Between two events of a stream.
     event_pause_ms: Mutex<u64>,
     /// Bytes of filler in each whole answer and in each event.
@@ -155,6 +160,7 @@
             falls_at_ms: Mutex::default(),
             framing: Mutex::default(),
             answer_cut: Mutex::default(),
+            work_ms: Mutex::new(WORK_MS),
             event_pause_ms: Mutex::new(EVENT_PAUSE_MS),
             filler_bytes: Mutex::default(),
             still_until_ms: Mutex::default(),
@@ -349,6 +355,11 @@
         *self.core.answer_cut.lock() = cut;
     }
 
+    /// Changes how long it works on a plain call, and before the first event of a stream.
+    pub fn work_for(&self, work_ms: u64) {
+        *self.core.work_ms.lock() = work_ms;
+    }
+
     /// Changes how long it pauses between two events of a stream.
     pub fn pause_between_events(&self, pause_ms: u64) {
         *self.core.event_pause_ms.lock() = pause_ms;
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -14,8 +14,8 @@
 };
 use crate::server::now_ms;
 
-/// Work of a plain call, and before the first event of a stream.
-const WORK_MS: u64 = 10;
+/// Before an answer breaks off.
+const BREAK_AFTER_MS: u64 = 10;
 
 /// Longer than any test.
 const FOREVER_MS: u64 = 3_600_000;
@@ -143,7 +143,8 @@
             self.has_crashed.send_replace(true);
             return Ok(RESET);
         }
-        let worked = self.work(socket, place, WORK_MS).await?;
+        let work_ms = *self.work_ms.lock();
+        let worked = self.work(socket, place, work_ms).await?;
         if let Some(crash) = self.crash_of(request) {
             return self.crash_at(socket, request, place, crash).await;
         }
@@ -180,7 +181,7 @@
             Fault::UnframedReset => {
                 let head = self.head("200 OK", id, "");
                 socket.write_all(format!("{head}half").as_bytes()).await?;
-                tokio::time::sleep(Duration::from_millis(WORK_MS)).await;
+                tokio::time::sleep(Duration::from_millis(BREAK_AFTER_MS)).await;
                 Ok(RESET)
             }
             _ => {
--- /dev/null
+++ b/tests/platform/late_in_the_grace.rs
@@ -0,0 +1,105 @@
+//! Requests that reach a stopping node, or are sent on by it, late in its grace.
+
+use std::path::Path;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use teaselline_stand_ins::operators::deployment::{DeploymentSettings, asked, document};
+use teaselline_stand_ins::operators::{Asked, Deployment, Ended};
+use tokio::task::JoinSet;
+
+use super::support::{eventually, send};
+
+/// Longer than the time limits of the document that a deployment starts with.
+const WORK_MS: u64 = 3_500;
+
+/// Time limit of the route and of each call.
+const LIMIT_MS: u64 = 6_000;
+
+const GRACE_S: u64 = 8;
+
+/// Interval between two calls.
+const CALL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Calls that are sent from the stop signal until the node has ended.
+const CALLS: usize = 150;
+
+/// A deployment whose routes have this time limit, and whose upstreams work for `work_ms` on each request.
+async fn slow_deployment(nodes: usize, grace_s: u64, limit_ms: u64, work_ms: u64) -> Deployment {
+    let settings = DeploymentSettings {
+        binary: Path::new(env!("CARGO_BIN_EXE_teaselline")),
+        nodes,
+        upstreams: 1,
+        grace_s,
+        usage_window_s: 1.0,
+        has_quota_window: false,
+        is_proxied: false,
+    };
+    let deployment = Deployment::start(settings).await;
+    let deployment = deployment.expect("all nodes become ready");
+    let mut next = document(2);
+    for route in next["routes"].as_array_mut().expect("there are routes") {
+        route["timeoutMs"] = limit_ms.into();
+    }
+    for upstream in &deployment.upstreams {
+        upstream.work_for(WORK_MS);
+    }
+    deployment.configure(&next);
+    eventually("a call takes longer than the limit before", async || {
+        let id = format!("in-force-{}", deployment.runs.lock().len());
+        send(&deployment, 0, &limited(&id, "once", limit_ms))
+            .await
+            .status()
+            == Some(200)
+    })
+    .await;
+    for upstream in &deployment.upstreams {
+        upstream.work_for(work_ms);
+    }
+    deployment
+}
+
+fn limited(id: &str, route: &str, limit_ms: u64) -> Asked {
+    Asked {
+        deadline_ms: limit_ms,
+        ..asked(id, route)
+    }
+}
+
+/// Guards against calls that a stopping node passes on although its exit comes before their time limit: they are cut while
+/// they run.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_that_cannot_end_before_the_exit_is_refused_as_not_run() {
+    let deployment = slow_deployment(1, GRACE_S, LIMIT_MS, WORK_MS).await;
+    let node = deployment.nodes[0].callers();
+    deployment.nodes[0]
+        .signal(Signal::SIGTERM)
+        .expect("the node runs");
+    let mut calls = JoinSet::new();
+    for place in 0..CALLS {
+        let id = format!("late-{place}");
+        calls.spawn(async move { (limited(&id, "once", LIMIT_MS).send(node).await, id) });
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    let ended = calls.join_all().await;
+    let with = |matches: &dyn Fn(&Ended, &str) -> bool| {
+        let matching = ended.iter().filter(|(ended, id)| matches(ended, id));
+        matching.map(|(_ended, id)| id.as_str()).collect::<Vec<_>>()
+    };
+    let has_run = |id: &str| !deployment.runs_of(id).is_empty();
+    let cut = with(&|ended, id| has_run(id) && ended.status().is_none());
+    let answered = with(&|ended, _id| ended.status() == Some(200));
+    let refused = with(&|ended, _id| ended.says_not_run());
+    let betrayed = with(&|ended, id| has_run(id) && ended.says_not_run());
+    let counts = format!(
+        "{} answered, {} refused as not run, {} passed on and cut: {cut:?}",
+        answered.len(),
+        refused.len(),
+        cut.len()
+    );
+    eprintln!("{counts}");
+    assert!(cut.is_empty(), "{counts}");
+    assert!(betrayed.is_empty(), "{betrayed:?}");
+    assert!(answered.len() >= 10, "{counts}");
+    assert!(!refused.is_empty(), "{counts}");
+}
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -10,6 +10,9 @@
 
 use super::support::{deployment, eventually, send};
 
+/// A time limit that ends after the exit of a node that was told to stop 2.7 s before.
+const LONG_LIMIT_MS: u64 = 4_000;
+
 /// Guards against requests to an upstream two seconds after it announced that it leaves: the store
 /// refuses one node, which misses the announcement if it relies on its own reads of the store alone.
 #[tokio::test(flavor = "multi_thread")]
@@ -71,10 +74,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn stopping_node_refuses_streams_that_it_cannot_complete() {
     let deployment = deployment(1, 1).await;
+    let mut next = document(2);
+    for route in next["routes"].as_array_mut().expect("there are routes") {
+        route["timeoutMs"] = json!(LONG_LIMIT_MS);
+    }
+    deployment.configure(&next);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let long = |id: &str| Asked {
+        deadline_ms: LONG_LIMIT_MS,
+        ..asked(id, "stream")
+    };
     // An open stream keeps the node from exiting before its grace period ends.
     deployment.upstreams[1].set(teaselline_stand_ins::operators::Fault::Silent);
     let node = deployment.nodes[0].callers();
-    let keeping = tokio::spawn(async move { asked("keeping", "stream").send(node).await });
+    let keeping = long("keeping");
+    let keeping = tokio::spawn(async move { keeping.send(node).await });
     eventually("the stream runs", async || {
         !deployment.runs_of("keeping").is_empty()
     })
@@ -83,7 +97,7 @@
         .signal(Signal::SIGTERM)
         .expect("the node runs");
     tokio::time::sleep(Duration::from_millis(2_700)).await;
-    let late = send(&deployment, 0, &asked("late", "stream")).await;
+    let late = send(&deployment, 0, &long("late")).await;
     if late != teaselline_stand_ins::operators::Ended::Refused {
         assert!(late.says_not_run(), "{late:?}");
     }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod frozen;
 mod input;
 mod late_copies;
+mod late_in_the_grace;
 mod leaving;
 mod limited;
 mod metered;
