bug: A long answer of a peer reaches its caller in parts

What callers saw: a node that does not reach a pool hands a call to a peer; the call runs and its answer has 10 MB. The caller gets 502 (no_answer), and the answer is thrown away. Cause: up to 16 MB are taken from an upstream, and a whole answer goes back to the node as one message, of at most 8 MB. Change: a peer sends an answer beyond 1 MB as a head and parts of 64 KB, by the messages of a stream; the node that relays it keeps its status. Up to 1 MB it stays one message, so that the copy that encoding makes is bounded as well. Why it works: the parts go as fast as the caller reads them, and a stream without its end is already told from a whole one. No message changes its form: a node of the code before takes the reply as a stream, and answers 200 whatever status the long answer has.

--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::Stream;
-use http::{HeaderMap, Response};
+use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Frame;
 use rand::Rng;
 
@@ -30,8 +30,9 @@
 /// Peers that are asked to take a request.
 const MAX_PEERS: usize = 2;
 
-/// An event stream that a peer forwards.
+/// An event stream, or a long answer in parts, that a peer forwards.
 pub(super) struct ForwardedStream {
+    status: StatusCode,
     headers: HeaderMap,
     items: Items<Forwarding>,
     /// When the caller's request ends, whatever the peer does.
@@ -42,6 +43,7 @@
     /// Returns the response head for the caller.
     pub fn head(&self) -> Response<()> {
         let mut response = Response::new(());
+        *response.status_mut() = self.status;
         *response.headers_mut() = self.headers.clone();
         response
     }
@@ -175,8 +177,9 @@
             None => Taken::MayHaveRun("the peer's reply is not valid HTTP".to_owned()),
         },
         ForwardReply::Stream(head) => match head.decode() {
-            Some((_status, headers)) => {
+            Some((status, headers)) => {
                 let stream = ForwardedStream {
+                    status,
                     headers,
                     items,
                     deadline,
@@ -236,6 +239,6 @@
                 }
             }
         }
-        request_log.finish_answered(http::StatusCode::OK, clock::now());
+        request_log.finish_answered(stream.status, clock::now());
     }
 }
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -28,6 +28,7 @@
 mod endings;
 mod heads;
 mod limits;
+mod long_answers;
 mod paths;
 mod restarts;
 mod shortage;
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -49,7 +49,7 @@
 pub(crate) enum ForwardReply {
     /// A complete response of an upstream.
     Whole(ForwardedHead, Vec<u8>),
-    /// The head of an event stream, which follows as [`ForwardItem`]s.
+    /// The head of an event stream or of a long response, which follows as [`ForwardItem`]s.
     Stream(ForwardedHead),
     /// The request has not run and will not run under this message.
     NotRun {
@@ -69,7 +69,7 @@
     headers: Vec<(String, Vec<u8>)>,
 }
 
-/// A part of a forwarded event stream. A stream without its end was interrupted.
+/// A part of a forwarded event stream or long response. One without its end was interrupted.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub(crate) enum ForwardItem {
     Events(Vec<u8>),
--- a/src/gateway/forwarding/server.rs
+++ b/src/gateway/forwarding/server.rs
@@ -1,8 +1,11 @@
 //! Sends the requests that peers forward to upstreams.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 
-use futures::{Stream, StreamExt};
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream};
+use http::Response;
 use http_body::Frame;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -20,6 +23,13 @@
 /// Batches of events that wait for a peer that reads slowly.
 const MAX_WAITING_BATCHES: usize = 16;
 
+/// Longest body that goes to a peer within one message, which is a further copy of it. Messages have a
+/// bound that is below the one of an answer.
+const MAX_WHOLE_BYTES: usize = 1024 * 1024;
+
+/// Length of the parts in which a longer one goes.
+const PART_BYTES: usize = 64 * 1024;
+
 /// Handles the requests that peers forward.
 #[derive(Debug)]
 struct ForwardHandler {
@@ -47,26 +57,48 @@
     ) -> HandlerResponse<Forwarding> {
         log::debug!(peer:% = from, node = request.node.as_str(); "received a forwarded request");
         match exchange::answer_forwarded(&self.node, request).await {
+            Ok(CallerResponse::Whole(response)) if response.body().len() > MAX_WHOLE_BYTES => {
+                in_parts(response)
+            }
             Ok(CallerResponse::Whole(response)) => {
                 let head = ForwardedHead::new(response.status(), response.headers());
                 HandlerResponse::Reply(ForwardReply::Whole(head, response.into_body().into()))
             }
             Ok(CallerResponse::Stream(head, events)) => {
                 let head = ForwardedHead::new(head.status(), head.headers());
-                let (sender, receiver) = mpsc::channel(MAX_WAITING_BATCHES);
-                tokio::spawn(send_events(events, sender));
-                HandlerResponse::Stream(ForwardReply::Stream(head), receiver)
+                streamed(head, events)
             }
             Err(refusal) => HandlerResponse::Reply(ForwardReply::refused(&refusal)),
         }
     }
 }
 
+/// Returns a reply whose body follows in parts, as fast as the peer reads them.
+fn streamed<E: Send + 'static>(
+    head: ForwardedHead,
+    parts: impl Stream<Item = Result<Frame<Bytes>, E>> + Send + 'static,
+) -> HandlerResponse<Forwarding> {
+    let (sender, receiver) = mpsc::channel(MAX_WAITING_BATCHES);
+    tokio::spawn(send_events(parts, sender));
+    HandlerResponse::Stream(ForwardReply::Stream(head), receiver)
+}
+
+/// Returns the reply with a complete response that is too long for one message.
+fn in_parts(response: Response<Bytes>) -> HandlerResponse<Forwarding> {
+    let head = ForwardedHead::new(response.status(), response.headers());
+    let body = response.into_body();
+    let parts = (0..body.len()).step_by(PART_BYTES).map(move |from| {
+        let to = body.len().min(from + PART_BYTES);
+        Ok::<_, Infallible>(Frame::data(body.slice(from..to)))
+    });
+    streamed(head, stream::iter(parts))
+}
+
 /// Sends a stream's events and its end; a stream that is interrupted has no end.
 ///
 /// The stream is dropped as soon as the peer disconnects, so that the upstream stops its work.
 async fn send_events<E>(
-    events: impl Stream<Item = Result<Frame<bytes::Bytes>, E>>,
+    events: impl Stream<Item = Result<Frame<Bytes>, E>>,
     sender: mpsc::Sender<ForwardItem>,
 ) {
     let mut events = std::pin::pin!(events);
