bug: Bytes that complete no event put no time limit of a stream off

What callers saw: a stream at an upstream whose event does not end, or that sends one event again and again, heard nothing before its own limit, and a resumable one did not leave for a sound upstream.

Cause: UpstreamStream::next waited anew for each frame, so that each piece of an event that did not end began the wait again, and a frame that was ready won over a timer of 0 ms. A body's channel takes no part in the runtime's budget, so that a loop over ready frames neither yields nor sees its timers.

Change: one wait lasts over all frames until an event is complete. Behind the deadline LateReading takes only what came during a pause of this process; so does a stream that a peer forwards.

Evidence, real binary, timeouts of routes 8,000 ms, pieces of 1 byte each 20 ms: - stream_leaves_an_upstream_whose_event_does_not_end: red before (three streams of three 504 answer_timeout), green now. - stream_leaves_an_upstream_that_repeats_one_event: red before (three of three cut behind event 1), green now. - ready_frames_put_no_timeout_off: red where FairBody passes on without the budget (read for all of its 5 s), green with it.

--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -21,6 +21,7 @@
 use crate::gateway::forwarding::{
     self, ForwardItem, ForwardReply, ForwardedHead, ForwardedRequest, Forwarding,
 };
+use crate::gateway::patience::LateReading;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstreams::tag;
@@ -36,6 +37,7 @@
     items: Items<Forwarding>,
     /// When the caller's request ends, whatever the peer does.
     deadline: TimeMs,
+    late_reading: LateReading,
 }
 
 impl ForwardedStream {
@@ -50,6 +52,11 @@
     async fn next(&mut self) -> NextItem {
         let left = Duration::from_millis(clock::now().until(self.deadline));
         match tokio::time::timeout(left, self.items.next()).await {
+            Ok(Some(Ok(ForwardItem::Events(_))))
+                if self.late_reading.is_over(self.deadline, clock::now()) =>
+            {
+                NextItem::Broken("late", String::new())
+            }
             Ok(Some(Ok(ForwardItem::Events(events)))) => NextItem::Events(Bytes::from(events)),
             Ok(Some(Ok(ForwardItem::End))) => NextItem::End,
             Ok(Some(Err(error))) => NextItem::Broken("peer_failed", error.to_string()),
@@ -180,6 +187,7 @@
                     headers,
                     items,
                     deadline,
+                    late_reading: LateReading::default(),
                 };
                 Taken::Executed(Executed::Forwarded(Box::new(stream)))
             }
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -17,6 +17,7 @@
 use super::request_log::RequestLog;
 use super::silence::{self, Silence};
 use super::upstream_response::{self, ResponseContext, UpstreamResponse};
+use crate::fair_body::FairBody;
 use crate::gateway::attempt_timeouts;
 use crate::gateway::clock;
 use crate::gateway::crashes::reports;
@@ -24,9 +25,10 @@
 use crate::gateway::events::{Events, Splitter, StreamError};
 use crate::gateway::health::Outcome;
 use crate::gateway::num;
-use crate::gateway::patience;
+use crate::gateway::patience::{self, LateReading};
 use crate::gateway::state::Gateway;
 use crate::gateway::streams::{self, StreamKey, VersionTag};
+use crate::gateway::upstreams::Contact;
 use crate::platform::headers;
 use crate::time::TimeMs;
 
@@ -67,9 +69,10 @@
 
 /// The stream of one upstream.
 struct UpstreamStream {
-    body: Incoming,
+    body: FairBody<Incoming>,
     context: ResponseContext,
     splitter: Splitter,
+    late_reading: LateReading,
     /// When the first events arrived; zero until then.
     first_events_at: TimeMs,
     /// Id of the last event in the first batch.
@@ -98,6 +101,7 @@
             body,
             context,
             splitter: Splitter::after(after),
+            late_reading: LateReading::default(),
             first_events_at: TimeMs(0),
             first_batch_last_id: None,
             alive_since: None,
@@ -185,35 +189,53 @@
         }
     }
 
+    /// Waits for the next complete events; bytes that complete none put neither limit off.
     async fn next(&mut self, timeout_ms: u64, deadline: TimeMs) -> NextEvents {
-        loop {
-            let left_ms = clock::now().until(deadline);
-            let wait_ms = timeout_ms.min(left_ms);
-            let frame = patience::within(Duration::from_millis(wait_ms), self.body.frame());
-            let Some(frame) = self.context.upstream_request.unless_restarted(frame).await else {
-                return NextEvents::Broken("upstream_restarted");
-            };
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_error))) => return NextEvents::Broken("stream_broken"),
-                Ok(None) if self.splitter.is_within_event() => {
-                    return NextEvents::Broken("ended_within_event");
-                }
-                Ok(None) => return NextEvents::Ended,
-                Err(_elapsed) if wait_ms >= left_ms => return NextEvents::DeadlineExceeded,
-                Err(_elapsed) => return NextEvents::Silent,
-            };
-            let contact = &self.context.upstream_request.contact;
-            contact.record_heard(clock::now());
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
-            match self.splitter.push(&bytes) {
-                Ok(Some(events)) => return NextEvents::Events(events),
-                Ok(None) => {}
-                Err(StreamError::TooLong) => return NextEvents::Broken("event_too_long"),
-                Err(StreamError::MissingEvent) => return NextEvents::Broken("events_missing"),
+        let left_ms = clock::now().until(deadline);
+        let wait_ms = timeout_ms.min(left_ms);
+        let upstream_request = &self.context.upstream_request;
+        let events = read_events(
+            &mut self.body,
+            &mut self.splitter,
+            &upstream_request.contact,
+        );
+        let events = patience::within(Duration::from_millis(wait_ms), events);
+        match upstream_request.unless_restarted(events).await {
+            None => NextEvents::Broken("upstream_restarted"),
+            Some(Ok(NextEvents::Events(_)))
+                if self.late_reading.is_over(deadline, clock::now()) =>
+            {
+                NextEvents::DeadlineExceeded
             }
+            Some(Ok(next)) => next,
+            Some(Err(_elapsed)) if wait_ms >= left_ms => NextEvents::DeadlineExceeded,
+            Some(Err(_elapsed)) => NextEvents::Silent,
+        }
+    }
+}
+
+/// Reads until events are complete or the stream ends. Dropping the future loses no bytes.
+async fn read_events(
+    body: &mut FairBody<Incoming>,
+    splitter: &mut Splitter,
+    contact: &Contact,
+) -> NextEvents {
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(_error)) => return NextEvents::Broken("stream_broken"),
+            None if splitter.is_within_event() => return NextEvents::Broken("ended_within_event"),
+            None => return NextEvents::Ended,
+        };
+        contact.record_heard(clock::now());
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        match splitter.push(&bytes) {
+            Ok(Some(events)) => return NextEvents::Events(events),
+            Ok(None) => {}
+            Err(StreamError::TooLong) => return NextEvents::Broken("event_too_long"),
+            Err(StreamError::MissingEvent) => return NextEvents::Broken("events_missing"),
         }
     }
 }
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -14,6 +14,7 @@
 use super::attempts::Attempts;
 use super::request_log::RequestLog;
 use super::upstream_request::UpstreamRequest;
+use crate::fair_body::FairBody;
 use crate::gateway::clock;
 use crate::gateway::crashes::reports;
 use crate::gateway::health::Outcome;
@@ -41,7 +42,7 @@
     }
 
     /// Splits the response into its body and the context that is kept until the body ends.
-    pub fn into_stream(self) -> (Incoming, ResponseContext) {
+    pub fn into_stream(self) -> (FairBody<Incoming>, ResponseContext) {
         let headers = self.response.headers();
         let context = ResponseContext {
             is_end_framed: headers.contains_key(CONTENT_LENGTH)
@@ -50,7 +51,7 @@
             sender: self.sender,
             answer: self.answer,
         };
-        (self.response.into_body(), context)
+        (FairBody::new(self.response.into_body()), context)
     }
 
     /// Reads the whole body; returns `None` if it is incomplete, too large or late.
--- a/src/gateway/patience.rs
+++ b/src/gateway/patience.rs
@@ -8,6 +8,8 @@
 use tokio::time::Instant;
 use tokio::time::error::Elapsed;
 
+use crate::time::TimeMs;
+
 /// Lateness of a timer from which this process counts as having been paused.
 const MIN_LATE: Duration = Duration::from_millis(50);
 
@@ -32,6 +34,26 @@
     tokio::time::timeout(time_for_reading(late), awaited).await
 }
 
+/// Until when what comes behind a time limit is still read, where several outputs are read one after the other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct LateReading {
+    /// Set when the limit was first seen to have passed.
+    until: Option<TimeMs>,
+}
+
+impl LateReading {
+    /// Whether the limit has passed, and with it the time for reading what came during a pause of this process.
+    pub fn is_over(&mut self, limit: TimeMs, now: TimeMs) -> bool {
+        if now < limit {
+            return false;
+        }
+        let reading = time_for_reading(Duration::from_millis(now.since(limit)));
+        let reading_ms = u64::try_from(reading.as_millis()).unwrap_or(0);
+        let until = *self.until.get_or_insert(now.after(reading_ms));
+        now > until
+    }
+}
+
 /// Returns how long to read before an output counts as missing, by how late the timer fired.
 fn time_for_reading(late: Duration) -> Duration {
     if late < MIN_LATE {
--- a/src/gateway/patience/tests.rs
+++ b/src/gateway/patience/tests.rs
@@ -64,3 +64,23 @@
     let output = within(Duration::ZERO, receiver).await;
     assert_eq!(output, Ok(Ok(7)));
 }
+
+/// Guards against streams that outlast their limit because their upstream always has something ready.
+#[test]
+fn reading_behind_a_limit_ends() {
+    let mut reading = LateReading::default();
+    let limit = TimeMs(1_000);
+    assert!(!reading.is_over(limit, TimeMs(999)));
+    assert!(!reading.is_over(limit, TimeMs(1_001)));
+    assert!(reading.is_over(limit, TimeMs(1_002)));
+}
+
+/// Guards against answers that are cut because this process was paused until their limit had passed.
+#[test]
+fn what_came_during_a_pause_is_read_behind_the_limit() {
+    let mut reading = LateReading::default();
+    let limit = TimeMs(1_000);
+    assert!(!reading.is_over(limit, TimeMs(2_000)));
+    assert!(!reading.is_over(limit, TimeMs(2_250)));
+    assert!(reading.is_over(limit, TimeMs(2_251)));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coordination;
 pub mod document;
 pub mod entry;
+mod fair_body;
 pub mod gateway;
 mod in_flight;
 pub mod keys;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod crashing_parts;
 mod duties;
 mod endless;
+mod endless_events;
 mod explained;
 mod frozen;
 mod input;
