--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod duties;
 mod endless;
 mod endless_heads;
+mod endless_events;
 mod explained;
 mod frozen;
 mod input;
