bug: A request whose upstreams go dark as they crash was never refused

Cause: a crash was counted only when a connection ended or the upstream restarted under its id while the request waited. A request that was given up for silence left no trace, and a start under a new id was not held against the one before. Only the whole content is blamed. Of the dark upstreams of one failure domain that were known at once one counts, so that retries that meet one lost domain block nothing sound. Peers are told by a message of its own, which nodes of an earlier version drop.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -21,6 +21,7 @@
 mod evidence;
 mod judgement;
 pub(crate) mod reports;
+pub(crate) mod silent;
 mod sound;
 pub(crate) mod subjects;
 pub(crate) mod trials;
@@ -29,6 +30,7 @@
 use bincode::{Decode, Encode};
 
 use blocks::Block;
+use silent::SilentRequests;
 use sound::SoundStarts;
 use subjects::{Subject, Subjects};
 use trials::Seat;
@@ -100,10 +102,20 @@
     Part,
 }
 
+/// How a crash was noticed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// The connection of the request broke, or its upstream restarted meanwhile.
+    Seen,
+    /// The upstream fell silent, and another start followed at its address.
+    Dark,
+}
+
 /// A crash with its time.
 #[derive(Clone, Copy, Debug)]
 struct Recorded {
     crash: Crash,
+    kind: Kind,
     at: TimeMs,
     /// Whether a blocked subject crashed the upstream.
     is_explained: bool,
@@ -113,6 +125,7 @@
     fn new(crash: Crash, at: TimeMs) -> Self {
         Self {
             crash,
+            kind: Kind::Seen,
             at,
             is_explained: false,
         }
@@ -152,6 +165,7 @@
     /// Sorted by subject.
     blocks: Vec<Block>,
     sound: SoundStarts,
+    silent: SilentRequests,
     seat: Seat,
     /// Subjects whose blocks requests of this node test, and which peers are not yet told.
     begun_trials: Vec<Subject>,
@@ -166,6 +180,15 @@
 impl Crashes {
     /// Records a crash of this node or of a peer; returns whether it is new.
     pub fn record(&mut self, crash: Crash, at: TimeMs, now: TimeMs) -> bool {
+        self.record_as(crash, Kind::Seen, at, now)
+    }
+
+    /// Records a crash that the next start at a silent upstream's address shows; returns whether it is new.
+    pub fn record_dark(&mut self, crash: Crash, now: TimeMs) -> bool {
+        self.record_as(crash, Kind::Dark, now, now)
+    }
+
+    fn record_as(&mut self, crash: Crash, kind: Kind, at: TimeMs, now: TimeMs) -> bool {
         self.expire(now);
         let is_known = self.recorded.iter().any(|known| {
             known.crash.upstream == crash.upstream
@@ -176,7 +199,10 @@
         }
         self.make_room(crash.subjects.team);
         let index = self.recorded.partition_point(|known| known.at <= at);
-        let recorded = Recorded::new(crash, at);
+        let recorded = Recorded {
+            kind,
+            ..Recorded::new(crash, at)
+        };
         self.record_trials_of(&crash, recorded.sent_at());
         self.recorded.insert(index, recorded);
         self.mark_explained();
--- a/src/gateway/crashes/evidence.rs
+++ b/src/gateway/crashes/evidence.rs
@@ -1,6 +1,6 @@
 //! Decides whether the crashes under one subject show that it is bad.
 
-use super::Recorded;
+use super::{Kind, Recorded};
 use crate::time::TimeMs;
 
 /// Pieces of evidence that block a subject.
@@ -24,9 +24,23 @@
 /// Time by which reports of peers may come late, so that crashes seem to follow one another.
 const ORDER_MARGIN_MS: u64 = 250;
 
-/// Returns the number of upstreams that crashed.
+/// Returns the number of upstreams that crashed; of those of one failure domain that were dark at once, one counts.
 pub(super) fn upstreams(crashes: &[&Recorded]) -> usize {
-    distinct(crashes, |recorded| recorded.crash.upstream)
+    let is_dark = |recorded: &&&Recorded| recorded.kind == Kind::Dark;
+    let seen: Vec<&Recorded> = (crashes.iter().copied())
+        .filter(|recorded| recorded.kind == Kind::Seen)
+        .collect();
+    let mut dark: Vec<&Recorded> = Vec::new();
+    for recorded in crashes.iter().filter(is_dark) {
+        let others = seen.iter().chain(&dark);
+        if others
+            .copied()
+            .all(|earlier| is_independent(recorded, earlier))
+        {
+            dark.push(recorded);
+        }
+    }
+    distinct(&seen, |recorded| recorded.crash.upstream) + dark.len()
 }
 
 /// Returns the pieces of evidence in the crashes under a part; none if they do not show that the
--- a/src/gateway/crashes/reports.rs
+++ b/src/gateway/crashes/reports.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use super::silent;
 use super::subjects::{Subject, Subjects};
 use super::trials::Seat;
 use super::{AgedBlock, AgedSound, Blame, Change, Crash, Crashes};
@@ -17,6 +18,14 @@
     }
 }
 
+/// Records a crash of a silent upstream under a request of this node and notifies the peers.
+pub(super) fn record_dark_crash(node: &Gateway, crash: Crash, now: TimeMs) {
+    let is_new = update(node, |crashes| crashes.record_dark(crash, now));
+    if is_new {
+        node.broadcast(Message::DarkCrash(crash));
+    }
+}
+
 /// Records a whole answer to a request of this node.
 pub(crate) fn record_answer(node: &Gateway, subjects: &Subjects, now: TimeMs) {
     let told = update(node, |crashes| crashes.record_answer(subjects, now));
@@ -60,6 +69,7 @@
 
 /// Judges the latest crashes and sends the reports that are due.
 pub(crate) fn send_due(node: &Gateway, now: TimeMs) {
+    silent::judge(node, now);
     let nodes = node.peers.lock().known_nodes() as usize;
     let own = node.incarnation;
     let told = update(node, |crashes| {
@@ -78,6 +88,11 @@
     });
 }
 
+/// Applies a peer's report of a crash of a silent upstream.
+pub(crate) fn apply_dark_crash(node: &Gateway, crash: Crash, now: TimeMs) {
+    update(node, |crashes| crashes.record_dark(crash, now));
+}
+
 /// Applies a peer's report of answers that went on.
 pub(crate) fn apply_sound(node: &Gateway, told: &[AgedSound], now: TimeMs) {
     update(node, |crashes| {
--- /dev/null
+++ b/src/gateway/crashes/silent/tests.rs
@@ -0,0 +1,122 @@
+//! Tests of what the starts at a silent upstream's address show.
+
+use super::*;
+use crate::gateway::crashes::Blame;
+
+const CONTENT: u64 = 77;
+
+/// Time from a request's send to its giving up.
+const GIVES_UP_MS: u64 = 1_000;
+
+/// A request with the content that was sent to this start at `sent_ms`.
+fn given_up(upstream: u64, domain: u64, sent_ms: u64) -> SilentRequest {
+    let port = u16::try_from(upstream).expect("a small number");
+    SilentRequest {
+        subjects: Subjects::new(CONTENT, 1, [5, 6]),
+        upstream,
+        domain,
+        address: ([10, 0, 0, 1], port).into(),
+        sent_at: TimeMs(sent_ms),
+        given_up_at: TimeMs(sent_ms + GIVES_UP_MS),
+        contact: Contact::default(),
+    }
+}
+
+fn start(tag: u64) -> StartAtAddress {
+    StartAtAddress {
+        tag,
+        is_leaving: false,
+    }
+}
+
+/// Records a silent request whose upstream's address starts again at `restart_ms`.
+fn lose(crashes: &mut Crashes, request: SilentRequest, restart_ms: u64) {
+    let starts = [(request.address, vec![start(request.upstream + 100)])];
+    let now = TimeMs(restart_ms);
+    crashes.record_given_up(request);
+    for crash in crashes.silent.take_crashed(&starts, now) {
+        crashes.record_dark(crash, now);
+    }
+}
+
+fn is_refused(crashes: &mut Crashes, now_ms: u64) -> bool {
+    let subjects = Subjects::new(CONTENT, 1, []);
+    crashes.refusal(&subjects, TimeMs(now_ms)) == Some(Blame::Content)
+}
+
+#[test]
+fn next_start_at_the_address_shows_the_crash_of_a_silent_one() {
+    let request = given_up(1, 1, 0);
+    let late = TimeMs(GIVES_UP_MS + MAX_WAIT_MS);
+    assert_eq!(request.fate(&[], TimeMs(2_000)), Fate::Silent);
+    assert_eq!(request.fate(&[start(1)], TimeMs(2_000)), Fate::Silent);
+    assert_eq!(
+        request.fate(&[start(1), start(9)], TimeMs(4_000)),
+        Fate::Crashed
+    );
+    assert_eq!(request.fate(&[start(9)], TimeMs(4_000)), Fate::Crashed);
+    assert_eq!(request.fate(&[start(1)], late), Fate::Unknown);
+}
+
+/// Guards against a crash that is read from the restart of an upstream that was only slow, or left in order.
+#[test]
+fn upstream_that_was_heard_again_or_left_has_not_crashed() {
+    let request = given_up(1, 1, 0);
+    let left = StartAtAddress {
+        is_leaving: true,
+        ..start(1)
+    };
+    assert_eq!(
+        request.fate(&[left, start(9)], TimeMs(4_000)),
+        Fate::Unknown
+    );
+    request.contact.record_heard(TimeMs(1_500));
+    assert_eq!(request.fate(&[start(9)], TimeMs(4_000)), Fate::Unknown);
+}
+
+/// Guards against a request that takes down one upstream after the other because their crashes end no connection.
+#[test]
+fn content_under_which_three_upstreams_went_dark_is_refused() {
+    let mut crashes = Crashes::default();
+    for round in 0..3 {
+        assert!(!is_refused(&mut crashes, round * 4_000));
+        lose(
+            &mut crashes,
+            given_up(round + 1, 1, round * 4_000),
+            round * 4_000 + 3_200,
+        );
+    }
+    assert!(is_refused(&mut crashes, 12_000));
+}
+
+/// Guards against a sound request that is refused for good because its retries met one lost failure domain.
+#[test]
+fn upstreams_of_one_domain_that_were_dark_at_once_count_once() {
+    let mut crashes = Crashes::default();
+    for round in 0..3 {
+        lose(
+            &mut crashes,
+            given_up(round + 1, 1, round * GIVES_UP_MS),
+            4_500 + round,
+        );
+    }
+    assert!(!is_refused(&mut crashes, 5_000));
+    lose(&mut crashes, given_up(4, 2, 3_000), 5_000);
+    assert!(!is_refused(&mut crashes, 5_500));
+}
+
+/// Guards against parts that sound requests share, blamed for upstreams that other requests took down.
+#[test]
+fn dark_upstreams_block_no_part() {
+    let mut crashes = Crashes::default();
+    for round in 0..6 {
+        let request = SilentRequest {
+            subjects: Subjects::new(CONTENT + round, 1, [5, 6]),
+            ..given_up(round + 1, round, round * 4_000)
+        };
+        lose(&mut crashes, request, round * 4_000 + 3_200);
+        crashes.judge_if_due(TimeMs(round * 4_000 + 3_900));
+    }
+    let other = Subjects::new(CONTENT + 20, 1, [5, 6]);
+    assert_eq!(crashes.refusal(&other, TimeMs(40_000)), None);
+}
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -19,7 +19,6 @@
 use crate::gateway::clock;
 use crate::gateway::crashes::reports;
 use crate::gateway::demand::EngineRequest;
-use crate::gateway::health::Outcome;
 use crate::gateway::limits::repeat_budget;
 use crate::gateway::num;
 use crate::gateway::refusal::Refusal;
@@ -425,7 +424,7 @@
                 let now = clock::now();
                 attempts.record_send();
                 attempts.prefer_alive(silence::proof_since(pending.sent_at, now));
-                pending.record_outcome(Outcome::Broken, now);
+                pending.record_failure("silent", &plan.subjects, now);
                 return Err(SendError::MayHaveRun("silent", String::new()));
             }
         }
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -9,7 +9,7 @@
 use crate::gateway::choose::Choice;
 use crate::gateway::crashes::subjects::Subjects;
 use crate::gateway::crashes::verification::{self, Broken};
-use crate::gateway::crashes::{breaks, reports};
+use crate::gateway::crashes::{breaks, reports, silent};
 use crate::gateway::health::Outcome;
 use crate::gateway::limits::refusal_allowance::{Change as BrittlenessChange, StatedBrittleness};
 use crate::gateway::limits::send_gate::Closed;
@@ -306,8 +306,14 @@
     /// Records an attempt that failed, and notifies the peers if it may have crashed the upstream.
     pub fn record_failure(&self, reason: &str, subjects: &Subjects, now: TimeMs) {
         self.record_outcome(Outcome::Broken, now);
-        if breaks::is_crash(reason) {
-            verification::record_break(&self.node, self.broken(subjects), now);
+        match reason {
+            _ if breaks::is_crash(reason) => {
+                verification::record_break(&self.node, self.broken(subjects), now);
+            }
+            _ if breaks::is_silence(reason) => {
+                silent::record_given_up(&self.node, self.broken(subjects), &self.contact, now);
+            }
+            _ => {}
         }
     }
 
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -107,10 +107,9 @@
                 None
             }
             Err(_elapsed) => {
-                context
-                    .upstream_request
-                    .record_outcome(Outcome::Broken, now);
-                request_log.record_failed_attempt("body_timeout", "", now);
+                let reason = "body_timeout";
+                (context.upstream_request).record_failure(reason, &plan.subjects, now);
+                request_log.record_failed_attempt(reason, "", now);
                 None
             }
         }
--- a/src/gateway/gossip/receive.rs
+++ b/src/gateway/gossip/receive.rs
@@ -93,6 +93,7 @@
         Message::CreditGrant(grant) => credit::apply_grant(node, grant, from, now),
         Message::Demand(report) => node.scheduling.lock().record_report(report, now),
         Message::Crash(crash) => crash_reports::apply_crash(node, crash, now),
+        Message::DarkCrash(crash) => crash_reports::apply_dark_crash(node, crash, now),
         Message::Sound(told) => crash_reports::apply_sound(node, &told, now),
         Message::Trials(subjects) => crash_reports::apply_trials(node, &subjects, now),
         Message::Fragment(fragment) => {
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -105,6 +105,8 @@
     StreamsToWrite(Vec<Start>),
     /// Blocked parts that a request of the sender tests.
     Trials(Vec<Subject>),
+    /// An upstream that had fallen silent under a request of the sender has crashed.
+    DarkCrash(Crash),
 }
 
 impl Message {
@@ -140,6 +142,7 @@
             Self::Decided(_) => "decided",
             Self::Observed(..) => "observed",
             Self::Crash(_) => "crash",
+            Self::DarkCrash(_) => "dark_crash",
             Self::Sound(_) => "sound",
             Self::Trials(_) => "trials",
             Self::Limit(_) => "limit",
--- a/stand_ins/src/operators/upstream/answers.rs
+++ b/stand_ins/src/operators/upstream/answers.rs
@@ -36,6 +36,9 @@
             end = self.requests(&mut socket) => end?,
             _ = crashes.changed() => crashes.borrow().channels,
         };
+        if end == ChannelEnd::None {
+            std::future::pending::<()>().await;
+        }
         end.apply(socket)
     }
 
--- a/stand_ins/src/operators/upstream/crash.rs
+++ b/stand_ins/src/operators/upstream/crash.rs
@@ -71,6 +71,8 @@
     Reset,
     /// By an orderly end.
     Orderly,
+    /// Not before the next start: the host is dark.
+    None,
 }
 
 /// A crash and the start after it.
@@ -110,8 +112,20 @@
         }
         let crash = *crashes.borrow_and_update();
         let address = listener.local_addr();
-        drop(listener);
         let Ok(address) = address else { return };
+        if crash.channels == ChannelEnd::None {
+            core.stay_down(crash).await;
+            channels.shutdown().await;
+            drop(listener);
+            let reserved = reserve(address).await;
+            let Ok(started) = reserved.listen(BACKLOG) else {
+                return;
+            };
+            listener = started;
+            core.start_again(crash.keeps_id);
+            continue;
+        }
+        drop(listener);
         let reserved = reserve(address).await;
         let ends = async { while channels.join_next().await.is_some() {} };
         drop(tokio::time::timeout(CHANNELS_END, ends).await);
--- a/tests/platform/crashing_parts.rs
+++ b/tests/platform/crashing_parts.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts that crash each upstream that begins to answer a request with them.
 
+mod dark;
 mod kills;
 mod losses;
 mod play;
