bug: A stopping node does not ask again before it sends a request

A call whose head is read before SIGTERM and whose body comes after it was passed on, and cut at the exit.

Cause: whether a stopping node takes a request was asked when its head was read. Body, charge, binding of a stream, connecting and a repeat come later.

Change: `dispatch::send` asks before it selects an upstream, and `send_once` once the connection is open, each time anew. What has not run is refused as `stopping` (its charge is returned, as for other refusals), what may have run as `no_answer`. A request does not leave a silent upstream for a send that would be refused (`silent_upstream_kept`, reason `stopping`).

--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -84,6 +84,11 @@
         self.route().is_repeatable() && attempts.executions() < self.route().max_upstreams
     }
 
+    /// Returns whether the request may be sent now, also while the node is stopping.
+    pub fn may_send(&self, node: &Gateway, now: TimeMs) -> bool {
+        node.may_send(self.route(), self.deadline, now)
+    }
+
     /// Binds the request to the pool and version that began its stream.
     fn bind(&mut self, origin: Origin) {
         let mut targets = self.catalog.route(self.route).targets.iter();
--- a/src/gateway/exchange/alternatives.rs
+++ b/src/gateway/exchange/alternatives.rs
@@ -76,6 +76,9 @@
         if self.attempts.has_too_many_undelivered() {
             return Some("undelivered");
         }
+        if !plan.may_send(node, now) {
+            return Some("stopping");
+        }
         if node.crashes.lock().is_any_blocked(&plan.subjects, now) {
             return Some("blocked");
         }
--- a/src/gateway/exchange/attempts.rs
+++ b/src/gateway/exchange/attempts.rs
@@ -225,6 +225,14 @@
         }
     }
 
+    /// Returns the refusal for a request that this node does not send any more because it stops.
+    pub fn stopped(&self) -> Refusal {
+        match self.executions {
+            0 => Refusal::Stopping,
+            _ => Refusal::NoAnswer,
+        }
+    }
+
     /// Returns the refusal for a request that is not sent again.
     pub fn final_refusal(&self, plan: &Plan, now: TimeMs) -> Refusal {
         let is_late = now >= plan.deadline;
--- a/src/gateway/exchange/dispatch.rs
+++ b/src/gateway/exchange/dispatch.rs
@@ -73,6 +73,9 @@
 ) -> Result<UpstreamResponse, Unsent> {
     loop {
         let now = clock::now();
+        if !plan.may_send(node, now) {
+            return Err(attempts.stopped().into());
+        }
         let choice = select_upstream(node, plan, attempts, now)?;
         let is_new = resume_after.is_none() && plan.begun.is_none();
         if is_new
@@ -387,6 +390,11 @@
         let Some(request) = request else {
             return Err(SendError::NotRun("unsendable", String::new()));
         };
+        // Connecting may have taken a while.
+        if !plan.may_send(node, pending.sent_at) {
+            (node.channels).put_back(key, channel, pending.sent_at);
+            return Err(SendError::NotRun("stopping", String::new()));
+        }
         if let Err(closed) = pending.begin_send(pending.sent_at) {
             (node.channels).put_back(key, channel, pending.sent_at);
             return Err(SendError::NotRun(closed.reason(), String::new()));
--- a/tests/platform/late_in_the_grace.rs
+++ b/tests/platform/late_in_the_grace.rs
@@ -6,6 +6,8 @@
 use nix::sys::signal::Signal;
 use teaselline_stand_ins::operators::deployment::{DeploymentSettings, asked, document};
 use teaselline_stand_ins::operators::{Asked, Deployment, Ended};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 use super::support::{eventually, send};
@@ -103,3 +105,47 @@
     assert!(answered.len() >= 10, "{counts}");
     assert!(!refused.is_empty(), "{counts}");
 }
+
+/// A time limit that no grace of these tests covers.
+const BEYOND_GRACE_MS: u64 = 20_000;
+
+/// A grace after which a node ends within a test.
+const SHORT_GRACE_S: u64 = 4;
+
+/// Reads until the connection ends.
+async fn read_rest(socket: &mut TcpStream) -> String {
+    let mut received = Vec::new();
+    let read = socket.read_to_end(&mut received).await;
+    if let Err(error) = read {
+        received.extend_from_slice(format!(" {error}").as_bytes());
+    }
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// Guards against calls whose head is read before the stop signal and whose body comes after it: they are passed on
+/// although they cannot end before the exit.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_whose_body_comes_after_the_stop_signal_is_refused_as_not_run() {
+    let deployment = slow_deployment(1, SHORT_GRACE_S, BEYOND_GRACE_MS, BEYOND_GRACE_MS / 2).await;
+    let mut socket = TcpStream::connect(deployment.nodes[0].callers())
+        .await
+        .expect("the node listens");
+    let call = Asked {
+        body: "late".to_owned(),
+        ..limited("late-body", "once", BEYOND_GRACE_MS)
+    };
+    let text = call.text();
+    let (head, body) = text.split_at(text.len() - call.body.len());
+    let sent = socket.write_all(head.as_bytes()).await;
+    sent.expect("the head is written");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    deployment.nodes[0]
+        .signal(Signal::SIGTERM)
+        .expect("the node runs");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let sent = socket.write_all(body.as_bytes()).await;
+    sent.expect("the body is written");
+    let received = read_rest(&mut socket).await;
+    assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
+    assert_eq!(deployment.runs_of("late-body"), []);
+}
