bug: A stopping node hands a request to a peer whose answer it cannot relay

A node that does not reach a pool hands its callers' requests to a peer. Stopping, it handed on what its exit would cut.

Cause: `forward::forward` did not ask whether the node may still send the request, and nothing else on that path does.

Change: the node asks before each peer, and before it sends once more what a peer has not read.

--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -78,7 +78,7 @@
     MayHaveRun(String),
 }
 
-/// Hands a request to peers that reach its pool, one after the other.
+/// Hands a request to peers that reach its pool, one after the other, while this node can relay an answer.
 ///
 /// Returns `None` if no peer reaches the pool: then the upstreams are gone, not the links of this
 /// node.
@@ -91,6 +91,9 @@
     let mut tried = Vec::new();
     while tried.len() < MAX_PEERS {
         let now = clock::now();
+        if !plan.may_send(node, now) {
+            return Some(Err(attempts.stopped()));
+        }
         let target = {
             let draw = rand::rng().random();
             let peers = node.peers.lock();
@@ -132,7 +135,9 @@
     peer: SocketAddr,
 ) -> Result<(ForwardReply, Items<Forwarding>), PeerError> {
     match send(node, plan, attempts, peer).await {
-        Err(error) if error.is_unread() => send(node, plan, attempts, peer).await,
+        Err(error) if error.is_unread() && plan.may_send(node, clock::now()) => {
+            send(node, plan, attempts, peer).await
+        }
         replied => replied,
     }
 }
--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -32,6 +32,7 @@
 mod restarts;
 mod shortage;
 mod silences;
+mod stopping;
 mod time_limits;
 mod unread;
 
