bug: A stopping node closes connections of requests under way without a word

A call that an upstream still works on when the grace ends got a closed connection: its caller cannot tell it from a lost node.

Cause: at the exit `close_connections` returned and the process ended; nothing answered what was left.

Change: a third of the margin before the exit (200 ms with a grace of 6 s or more) `last_answers` is cancelled: requests without an answer end as `no_answer` (502) if they were sent to an upstream or a peer, as `stopping` (503) if they were not; peers are told the same of what they handed on. A send that an upstream turned away counts as sent, which is the careful word. The event `last_answers` says how many were under way. Streams whose events have begun end at the exit, as before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,6 +21,7 @@
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use http::header::CONNECTION;
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -38,6 +39,7 @@
 use super::refusal::Refusal;
 use super::state::Gateway;
 use crate::platform::headers;
+use crate::time::TimeMs;
 
 /// The body of a response to a caller: complete, or a stream of events.
 pub(crate) type AnswerBody<S> = Either<Full<Bytes>, StreamBody<S>>;
@@ -56,10 +58,9 @@
     // and hides the other one. The connection is closed after such a request, so that no request
     // hidden inside its body is ever read.
     let closes_connection = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let executed = match admission::admit(&node, parts, body, received_at, &mut request_log).await {
-        Ok(plan) => execute(&node, plan, &mut request_log).await,
-        Err(refusal) => Err(refusal),
-    };
+    let serving = serve(&node, parts, body, received_at, &mut request_log);
+    let executed = until_last_answers(&node, serving).await;
+    let executed = executed.unwrap_or_else(|| Err(request_log.last_refusal()));
     let mut response = match executed {
         Ok(Executed::Whole(response)) => {
             request_log.finish_answered(response.status(), clock::now());
@@ -92,6 +93,27 @@
     response
 }
 
+/// Awaits the result for a request; `None` if the node exits before it comes.
+async fn until_last_answers<T>(node: &Gateway, result: impl Future<Output = T>) -> Option<T> {
+    tokio::select! {
+        biased;
+        result = result => Some(result),
+        () = node.last_answers.cancelled() => None,
+    }
+}
+
+/// Admits a caller's request and sends it to an upstream or a peer.
+async fn serve(
+    node: &Arc<Gateway>,
+    parts: Parts,
+    body: Incoming,
+    received_at: TimeMs,
+    request_log: &mut RequestLog,
+) -> Result<Executed, Refusal> {
+    let plan = admission::admit(node, parts, body, received_at, request_log).await?;
+    execute(node, plan, request_log).await
+}
+
 /// Handles a request that a peer forwarded and returns its response.
 ///
 /// # Errors
@@ -110,7 +132,10 @@
     let executed = match admission::admit_forwarded(node, request, received_at, &mut request_log) {
         Ok(plan) => {
             attempts.bind_to(plan.begun);
-            execute_here(node, &Arc::new(plan), &mut attempts, &mut request_log).await
+            let plan = Arc::new(plan);
+            let executing = execute_here(node, &plan, &mut attempts, &mut request_log);
+            let executed = until_last_answers(node, executing).await;
+            executed.unwrap_or_else(|| Err(request_log.last_refusal().into()))
         }
         Err(refusal) => Err(Unsent::Refused(refusal)),
     };
--- a/src/gateway/exchange/request_log.rs
+++ b/src/gateway/exchange/request_log.rs
@@ -333,6 +333,15 @@
         }
     }
 
+    /// Returns the refusal for a request that is under way when its node exits.
+    pub fn last_refusal(&self) -> Refusal {
+        if self.sends == 0 && self.forwarded_to.is_empty() {
+            Refusal::Stopping
+        } else {
+            Refusal::NoAnswer
+        }
+    }
+
     pub fn finish_answered(&mut self, status: StatusCode, now: TimeMs) {
         self.finish("answered", status.as_str(), now);
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -166,7 +166,7 @@
 
 /// Withdraws the node from the directory and serves requests until none is left or the grace
 /// period ends.
-async fn stop(node: &Gateway, end: CancellationToken) -> Shutdown {
+async fn stop(node: &Arc<Gateway>, end: CancellationToken) -> Shutdown {
     let in_flight = || node.in_flight.load(Ordering::Relaxed);
     log::info!(event = "stopping", in_flight = in_flight(); "the node received a stop signal; it serves requests until none is left or the grace period ends");
     let stop = Shutdown {
@@ -175,6 +175,7 @@
     };
     *node.stop.lock() = Some(stop);
     node.stopping.cancel();
+    tokio::spawn(request_last_answers(Arc::clone(node), stop));
     streams::hand_over(node, clock::now());
     while !stop.is_complete(in_flight(), clock::now()) {
         let wait_ms = STOP_POLL_INTERVAL_MS.min(stop.left_ms(clock::now()));
@@ -184,6 +185,15 @@
     stop
 }
 
+/// Has the requests that are still under way answered shortly before the exit.
+async fn request_last_answers(node: Arc<Gateway>, stop: Shutdown) {
+    let left_ms = stop.answers_left_ms(clock::now());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
+    let in_flight = node.in_flight.load(Ordering::Relaxed);
+    log::info!(event = "last_answers", in_flight; "the node exits soon; callers whose requests are under way are told whether these may have run");
+    node.last_answers.cancel();
+}
+
 /// Waits until all connections have closed, or the requests on them have ended or the grace period.
 async fn close_connections(node: &Gateway, stop: Shutdown, closed: impl Future) {
     let closing_since = clock::now();
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -60,6 +60,11 @@
         end <= self.last_answers_at()
     }
 
+    /// Returns the time until the last answers have to be written.
+    pub fn answers_left_ms(&self, now: TimeMs) -> u64 {
+        now.until(self.last_answers_at())
+    }
+
     /// Returns the time until the grace period is over but for its margin.
     pub fn left_ms(&self, now: TimeMs) -> u64 {
         now.until(self.exit_at())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -127,6 +127,8 @@
     pub stop: Mutex<Option<Shutdown>>,
     /// Cancelled when `stop` is set, to wake waiting tasks.
     pub stopping: CancellationToken,
+    /// Cancelled when the node has to answer all callers before its exit.
+    pub last_answers: CancellationToken,
     /// Readiness at the last check, to log changes.
     pub was_ready: AtomicBool,
     /// Sequence number of this node's last status.
@@ -240,6 +242,7 @@
             in_flight: Arc::default(),
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
+            last_answers: CancellationToken::new(),
             was_ready: AtomicBool::new(false),
             status_sequence: AtomicU64::new(0),
             era: Mutex::default(),
@@ -290,9 +293,10 @@
         let Some(stop) = *self.stop.lock() else {
             return true;
         };
-        let longest_ms = match route.is_repeatable() {
-            true => self.durations.lock().longest_ms(tag(&route.name), now),
-            false => None,
+        let longest_ms = if route.is_repeatable() {
+            self.durations.lock().longest_ms(tag(&route.name), now)
+        } else {
+            None
         };
         let outlook = Outlook {
             deadline,
--- a/tests/platform/late_in_the_grace.rs
+++ b/tests/platform/late_in_the_grace.rs
@@ -149,3 +149,28 @@
     assert!(received.starts_with("HTTP/1.1 503 "), "{received:?}");
     assert_eq!(deployment.runs_of("late-body"), []);
 }
+
+/// Guards against a connection that a stopping node closes without a word while an upstream works on its request.
+#[tokio::test(flavor = "multi_thread")]
+async fn call_under_way_at_the_exit_is_answered_that_it_may_have_run() {
+    let deployment = slow_deployment(1, SHORT_GRACE_S, BEYOND_GRACE_MS, BEYOND_GRACE_MS / 2).await;
+    let node = deployment.nodes[0].callers();
+    let calls = ["once", "again", "stream", "stream-on"].map(|route| {
+        let id = format!("under-way-{route}");
+        tokio::spawn(async move { (limited(&id, route, BEYOND_GRACE_MS).send(node).await, id) })
+    });
+    eventually("all calls run", async || {
+        (deployment.runs.lock().iter())
+            .filter(|run| run.request.starts_with("under-way"))
+            .count()
+            == calls.len()
+    })
+    .await;
+    deployment.nodes[0]
+        .signal(Signal::SIGTERM)
+        .expect("the node runs");
+    for call in calls {
+        let (ended, id) = call.await.expect("the call does not panic");
+        assert_eq!(ended.status(), Some(502), "{id}: {ended:?}");
+    }
+}
