--- a/src/gateway/exchange/tests.rs
+++ b/src/gateway/exchange/tests.rs
@@ -33,6 +33,7 @@
 mod restarts;
 mod shortage;
 mod silences;
+mod stopping;
 mod time_limits;
 mod unread;
 
