bug: The gateway looks at each byte of an event once

What callers saw: with one upstream whose event does not end, in pieces of a few bytes, streams had no word at their limit.

Cause: event_length looked at all pending bytes from the start at each piece, up to 1 MB, so that the work grew with the square of an event's length. The decoder of role serve remembered how far it had looked: two parsers of one format.

Change: EventScanner finds the ends of events for both. Where lines are empty at the start of an event the decoder of role serve may now see an event without fields in place of a longer one; both are skipped. Events are no longer split off one by one to be copied.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,6 +1,8 @@
 //! Splits a byte stream of server-sent events into complete events and checks their ids.
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+
+use crate::event_boundary::EventScanner;
 
 /// Upper bound of one event; model engines send no longer ones.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -26,6 +28,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Splitter {
     pending: BytesMut,
+    scanner: EventScanner,
     last_id: Option<u64>,
 }
 
@@ -34,8 +37,8 @@
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
         Self {
-            pending: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -61,17 +64,20 @@
         self.pending.extend_from_slice(bytes);
         let mut complete = BytesMut::new();
         let mut first_id = None;
-        while let Some(length) = event_length(&self.pending) {
-            let event = self.pending.split_to(length);
-            let id = event_id(&event);
+        while let Some(length) = self.scanner.event_length(&self.pending) {
+            let event = &self.pending[..length];
+            let id = event_id(event);
+            let is_known = matches!((id, self.last_id), (Some(id), Some(last)) if id <= last);
             match (id, self.last_id) {
-                (Some(id), Some(last)) if id <= last => continue,
                 (Some(id), Some(last)) if id > last + 1 => return Err(StreamError::MissingEvent),
-                (Some(id), _) => self.last_id = Some(id),
-                (None, _) => {}
+                (Some(id), _) if !is_known => self.last_id = Some(id),
+                _ => {}
+            }
+            if !is_known {
+                first_id = first_id.or(id);
+                complete.extend_from_slice(event);
             }
-            first_id = first_id.or(id);
-            complete.extend_from_slice(&event);
+            self.pending.advance(length);
         }
         if self.pending.len() > MAX_EVENT_BYTES {
             return Err(StreamError::TooLong);
@@ -84,22 +90,6 @@
     }
 }
 
-/// Returns the length of the first complete event, its final empty line included.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if (line.is_empty() || line == b"\r") && index > 0 {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
 /// Returns the number in an event's `id` field, if it has one.
 fn event_id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/src/gateway/events/tests.rs
+++ b/src/gateway/events/tests.rs
@@ -53,6 +53,20 @@
     assert_eq!(splitter.push(&long), Err(StreamError::TooLong));
 }
 
+/// Guards against work that grows with the square of an event's length: a long event comes in pieces of one byte.
+#[test]
+fn long_event_in_small_pieces_costs_one_look_at_each_byte() {
+    let begun_at = std::time::Instant::now();
+    let mut splitter = Splitter::default();
+    for _byte in 0..MAX_EVENT_BYTES {
+        assert_eq!(splitter.push(&Bytes::from_static(b"x")), Ok(None));
+    }
+    let end = splitter.push(&Bytes::from_static(b"x"));
+    assert_eq!(end, Err(StreamError::TooLong));
+    // A look at all pending bytes for each piece is half a million million steps.
+    assert!(begun_at.elapsed() < std::time::Duration::from_secs(60));
+}
+
 proptest::proptest! {
     /// The same complete events result, in the same order, from any segmentation of the bytes.
     #[test]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coordination;
 pub mod document;
 pub mod entry;
+mod event_boundary;
 mod fair_body;
 pub mod gateway;
 mod in_flight;
--- a/src/upstreams/sse.rs
+++ b/src/upstreams/sse.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use super::wire::{EngineEvent, Finish};
+use crate::event_boundary::EventScanner;
 
 /// Largest accepted event.
 ///
@@ -30,8 +31,7 @@
 pub struct Decoder {
     attempt: Arc<str>,
     buffer: BytesMut,
-    // Number of bytes at the front of `buffer` that contain no event separator.
-    scanned: usize,
+    scanner: EventScanner,
 }
 
 #[derive(Deserialize)]
@@ -70,7 +70,7 @@
         Self {
             attempt,
             buffer: BytesMut::new(),
-            scanned: 0,
+            scanner: EventScanner::default(),
         }
     }
 
@@ -87,37 +87,20 @@
     ///
     /// If an event is too large or its data cannot be decoded.
     pub fn next_event(&mut self) -> Result<Option<EngineEvent>, DecodeError> {
-        while let Some((length, separator)) = find_separator(&self.buffer, self.scanned) {
+        while let Some(length) = self.scanner.event_length(&self.buffer) {
             let decoded = decode(&self.attempt, &self.buffer[..length]);
-            self.buffer.advance(length + separator);
-            self.scanned = 0;
+            self.buffer.advance(length);
             if let Some(event) = decoded? {
                 return Ok(Some(event));
             }
         }
-        self.scanned = self.buffer.len();
-        if self.scanned > EVENT_LIMIT_BYTES {
+        if self.buffer.len() > EVENT_LIMIT_BYTES {
             return Err(DecodeError::TooLarge);
         }
         Ok(None)
     }
 }
 
-/// Returns the length of the first event and of its separator.
-fn find_separator(buffer: &[u8], scanned: usize) -> Option<(usize, usize)> {
-    // The separator may start in bytes that were already scanned.
-    let mut from = scanned.saturating_sub(3);
-    while let Some(offset) = buffer[from..].iter().position(|byte| *byte == b'\n') {
-        let newline = from + offset;
-        match &buffer[newline + 1..] {
-            [b'\n', ..] => return Some((newline, 2)),
-            [b'\r', b'\n', ..] => return Some((newline, 3)),
-            _ => from = newline + 1,
-        }
-    }
-    None
-}
-
 fn decode(stream_attempt: &Arc<str>, event: &[u8]) -> Result<Option<EngineEvent>, DecodeError> {
     let mut kind: &[u8] = b"message";
     let mut data = Cow::Borrowed(&[][..]);
--- a/tests/platform/endless_events.rs
+++ b/tests/platform/endless_events.rs
@@ -1,11 +1,39 @@
 //! Upstreams whose streams send bytes or events without end.
 
-use std::time::Duration;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use teaselline_stand_ins::operators::caller::parse;
 use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Endless, EndlessPart, Fault};
 
-use super::support::{Load, deployment, eventually};
+use super::support::{Load, deployment, eventually, send};
+
+/// Streams that are sent at once.
+const STREAMS: usize = 20;
+
+/// Time limit of a stream.
+const LIMIT_MS: u64 = 1_500;
+
+/// Latest time after its limit by which a stream has ended; the machine may be busy.
+const END_TIMEOUT_MS: u128 = 300;
+
+/// Most memory that the node may gain, half of the smallest host that operators name.
+const MAX_GAINED_KB: u64 = 80 * 1024;
+
+/// The most memory that the node's process has held, in kilobytes.
+fn peak_kb(deployment: &Deployment) -> u64 {
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
+    let status = status.expect("the node runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+    peak.and_then(|peak| peak.parse().ok())
+        .expect("the process has a peak")
+}
 
 /// Has the first upstream of streams send so.
 fn break_first(deployment: &Deployment, endless: Endless) {
@@ -14,6 +42,120 @@
     first.set(Fault::Endless(endless));
 }
 
+/// Sends streams at once; returns how each ended and how long it took.
+async fn stream_at_once(deployment: &Deployment, route: &str) -> Vec<(Ended, u128)> {
+    let streams = (0..STREAMS).map(|place| {
+        let stream = Asked {
+            deadline_ms: LIMIT_MS,
+            extra: "Connection: close\r\n".to_owned(),
+            ..asked(&format!("endless-{place}"), route)
+        };
+        read_to_the_end(stream.text(), deployment.nodes[0].callers())
+    });
+    futures::future::join_all(streams).await
+}
+
+/// Sends a request and reads all that comes back, which is looked at in the end only: so many bytes come that it would take long.
+async fn read_to_the_end(text: String, node: SocketAddr) -> (Ended, u128) {
+    let begun_at = Instant::now();
+    let mut received = Vec::new();
+    let reading = async {
+        let mut socket = TcpStream::connect(node).await?;
+        socket.write_all(text.as_bytes()).await?;
+        socket.read_to_end(&mut received).await
+    };
+    let patience = Duration::from_millis(2 * LIMIT_MS);
+    // An answer that is cut may end with an error.
+    let _cut = tokio::time::timeout(patience, reading).await;
+    let took_ms = begun_at.elapsed().as_millis();
+    let cut = || Ended::Cut {
+        received: String::from_utf8_lossy(&received).into_owned(),
+    };
+    (parse(&received).unwrap_or_else(cut), took_ms)
+}
+
+/// Whether bytes of a body had come.
+fn is_begun(received: &str) -> bool {
+    let body = received.split_once("\r\n\r\n");
+    body.is_some_and(|(_head, body)| !body.is_empty())
+}
+
+/// Sends streams to a node of whose two upstreams one sends so; each gets a word by its limit, and other requests are answered.
+async fn streams_end_by_their_limits(endless: Endless) {
+    let deployment = deployment(1, 2).await;
+    send(&deployment, 0, &asked("before", "stream")).await;
+    let before_kb = peak_kb(&deployment);
+    break_first(&deployment, endless);
+    let others = tokio::spawn(call_others(deployment.nodes[0].callers()));
+    for (ended, took_ms) in stream_at_once(&deployment, "stream").await {
+        let is_begun = matches!(&ended, Ended::Cut { received } if is_begun(received));
+        assert!(
+            ended.status().is_some() || is_begun,
+            "{endless:?}: no word after {took_ms} ms"
+        );
+        assert!(
+            took_ms <= u128::from(LIMIT_MS) + END_TIMEOUT_MS,
+            "{endless:?}: {took_ms} ms"
+        );
+    }
+    let slowest_ms = others.await.expect("all calls are answered");
+    assert!(
+        slowest_ms <= u128::from(LIMIT_MS),
+        "{endless:?}: a call took {slowest_ms} ms"
+    );
+    let gained_kb = peak_kb(&deployment).saturating_sub(before_kb);
+    assert!(gained_kb <= MAX_GAINED_KB, "{endless:?}: {gained_kb} kB");
+    let closed = async || {
+        let runs = (0..STREAMS).flat_map(|place| deployment.runs_of(&format!("endless-{place}")));
+        runs.into_iter()
+            .filter(|run| run.upstream == "pool-0")
+            .all(|run| run.left_at_ms.is_some())
+    };
+    eventually("connections stay open", closed).await;
+}
+
+/// Calls an upstream of another service for as long as streams may last; returns how long the slowest call took.
+async fn call_others(node: SocketAddr) -> u128 {
+    let until = Instant::now() + Duration::from_millis(LIMIT_MS);
+    let mut slowest_ms = 0;
+    for number in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        let begun_at = Instant::now();
+        let ended = asked(&format!("other-{number}"), "once").send(node).await;
+        assert_eq!(ended.status(), Some(200), "{ended:?}");
+        slowest_ms = slowest_ms.max(begun_at.elapsed().as_millis());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    slowest_ms
+}
+
+const PIECES: [(usize, u64); 4] = [(1, 0), (64, 0), (64 * 1024, 0), (1, 5)];
+
+async fn all_pieces_end(part: EndlessPart) {
+    for (piece_bytes, pause_ms) in PIECES {
+        streams_end_by_their_limits(Endless {
+            part,
+            piece_bytes,
+            pause_ms,
+        })
+        .await;
+    }
+}
+
+/// Guards against a time limit that ready bytes put off: they complete no event, and the caller hears nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn event_without_end_ends_by_the_limit() {
+    all_pieces_end(EndlessPart::EventLine).await;
+}
+
+/// Guards against work that grows with the square of an event's length where each chunk is a frame of a few bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn event_without_end_in_small_chunks_ends_by_the_limit() {
+    all_pieces_end(EndlessPart::Chunks).await;
+}
+
 /// Sends resumable streams to a node of whose two upstreams one sends so; each goes on at the other one and is whole.
 async fn streams_leave(part: EndlessPart, reasons: &[&str]) {
     let deployment = deployment(1, 2).await;
