bug: Answers that have run wait for memory in place of being thrown away

What callers saw: one upstream of ten sends bodies that stop after 12 MB; calls that the other nine answer with 200 KB get 502 (body_no_memory) after they have run. Cause: whole answers share 24 MB beyond 64 KB each, and whichever grows next beyond them was ended, not whoever holds most. A stated length is reserved as a whole, read into one buffer, and refused at once above 16 MB. Small parts are gathered in blocks. Who still waits at the deadline ends as body_no_memory, without blame for its upstream. Why it works: faulty bodies fill the share of their upstream, not that of others; the holder of the 16 MB never waits again, and while any answer waits there is one, so that some answer can always go on. The memory given back is read from the shares in place of the counter.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod alternatives;
 mod answer_memory;
+mod answer_shares;
 mod attempts;
 mod classification;
 mod connecting;
--- a/src/gateway/exchange/answer_memory.rs
+++ b/src/gateway/exchange/answer_memory.rs
@@ -1,28 +1,39 @@
 //! The memory that whole answers of upstreams take up while they are read.
 //!
-//! A faulty upstream may send a body without end. One answer may be long, but many long ones at once
-//! would exceed the memory of a small host, so that they share a budget of the node.
-
-use std::sync::atomic::{AtomicUsize, Ordering};
+//! A faulty upstream may send a body without end, or stop within one. One answer may be long, but many
+//! long ones at once would exceed the memory of a small host, so that they share a budget of the node.
+//! An answer that finds no room is not read on until there is some; its connection holds the upstream.
 
 use bytes::{Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use super::answer_shares::{AnswerId, AnswerShares, LONGEST_BYTES, Reservation};
 
 /// Largest body of one answer.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = LONGEST_BYTES;
 
-/// Part of each answer that is read whatever the others hold, so that short answers are not lost
+/// Part of each answer that is read whatever the others hold, so that short answers do not wait
 /// beside long ones.
 const EXEMPT_BYTES: usize = 64 * 1024;
 
-/// Bytes that all answers of the node may hold beyond their exempt parts.
-const SHARED_BYTES: usize = 24 * 1024 * 1024;
+/// Least that an answer of unknown length reserves at a time.
+const LEAST_STEP_BYTES: usize = 64 * 1024;
+
+/// Largest buffer into which parts of an answer of unknown length are gathered.
+const MAX_BLOCK_BYTES: usize = 64 * 1024;
+
+/// Least of such a buffer.
+const MIN_BLOCK_BYTES: usize = 1024;
 
 /// The bytes that the answers of one node hold beyond their exempt parts.
 #[derive(Debug, Default)]
 pub(crate) struct AnswerMemory {
-    held_bytes: AtomicUsize,
+    shares: Mutex<AnswerShares>,
+    /// Wakes the answers that wait for room.
+    has_left: Notify,
 }
 
 /// Why a body was not read to its end.
@@ -31,9 +42,6 @@
     /// The body exceeds the bound of one answer.
     #[error("the body is longer than {MAX_ANSWER_BYTES} bytes")]
     TooLong,
-    /// The answers that are being read take up all memory meant for them.
-    #[error("the answers that are being read hold {SHARED_BYTES} bytes")]
-    NoMemory,
     /// The connection broke, or the body is not valid HTTP.
     #[error(transparent)]
     Broken(hyper::Error),
@@ -44,81 +52,162 @@
     pub fn reason(&self) -> &'static str {
         match self {
             Self::TooLong => "body_too_long",
-            Self::NoMemory => "body_no_memory",
             Self::Broken(_error) => "body_broken",
         }
     }
 }
 
 impl AnswerMemory {
-    /// Reads a body to its end.
+    /// Begins to read an answer of the upstream with this tag.
+    pub fn begin(&self, upstream: u64) -> Reading<'_> {
+        Reading {
+            memory: self,
+            id: self.shares.lock().enter(upstream),
+            reserved_bytes: 0,
+        }
+    }
+}
+
+/// An answer that is being read; dropping it gives back what it has reserved.
+#[derive(Debug)]
+pub(crate) struct Reading<'a> {
+    memory: &'a AnswerMemory,
+    id: AnswerId,
+    reserved_bytes: usize,
+}
+
+impl Reading<'_> {
+    /// Whether the answer is not read on because others hold the memory.
+    pub fn is_waiting(&self) -> bool {
+        self.memory.shares.lock().is_waiting(self.id)
+    }
+
+    /// Returns the bytes that all answers of the node have reserved.
+    pub fn reserved_by_all_bytes(&self) -> usize {
+        self.memory.shares.lock().reserved_bytes()
+    }
+
+    /// Reads a body to its end, once there is room for it.
     ///
     /// # Errors
     ///
-    /// If the body is too long for itself or beside the others, or breaks.
-    pub async fn collect<B>(&self, body: B) -> Result<Bytes, UnreadBody>
+    /// If the body is too long or breaks.
+    pub async fn collect<B>(&mut self, body: B) -> Result<Bytes, UnreadBody>
     where
         B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
     {
         let mut body = body;
-        let mut held = Held {
-            memory: self,
-            bytes: 0,
-        };
-        // One growing buffer would hold twice what is counted while it is copied.
-        let mut parts: Vec<Bytes> = Vec::new();
-        let mut length = 0;
+        let mut whole = Blocks::default();
+        if let Some(length) = body.size_hint().exact() {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            self.grow_to(length, |needed| needed).await?;
+            whole = Blocks::of_length(length);
+        }
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(UnreadBody::Broken)?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
-            length += data.len();
-            held.grow_to(length)?;
-            // The data is a slice of a larger buffer, which it would keep.
-            parts.push(Bytes::copy_from_slice(&data));
+            let needed = whole.length + data.len();
+            self.grow_to(needed, step).await?;
+            whole.push(&data);
         }
-        Ok(joined(parts, length))
+        Ok(whole.joined())
     }
-}
 
-fn joined(mut parts: Vec<Bytes>, length: usize) -> Bytes {
-    if parts.len() == 1 {
-        return parts.swap_remove(0);
+    /// Waits until the answer may hold so many bytes; `step` tells from what it lacks how much is reserved.
+    async fn grow_to(
+        &mut self,
+        answer_bytes: usize,
+        step: impl FnOnce(usize) -> usize,
+    ) -> Result<(), UnreadBody> {
+        if answer_bytes > MAX_ANSWER_BYTES {
+            return Err(UnreadBody::TooLong);
+        }
+        let needed = answer_bytes.saturating_sub(EXEMPT_BYTES);
+        if needed > self.reserved_bytes {
+            let reserved = step(needed);
+            self.reserve(reserved).await;
+        }
+        Ok(())
     }
-    let mut whole = BytesMut::with_capacity(length);
-    for part in parts {
-        whole.extend_from_slice(&part);
+
+    async fn reserve(&mut self, bytes: usize) {
+        if self.memory.shares.lock().reserve(self.id, bytes) == Reservation::Waits {
+            metrics::counter!("teaselline_answers_held_back_total").increment(1);
+        }
+        // The grant may have let others go on.
+        self.memory.has_left.notify_waiters();
+        loop {
+            let has_left = self.memory.has_left.notified();
+            tokio::pin!(has_left);
+            // One that leaves between the question and the wait wakes this answer as well.
+            has_left.as_mut().enable();
+            if !self.is_waiting() {
+                break;
+            }
+            has_left.await;
+        }
+        self.reserved_bytes = bytes;
     }
-    whole.freeze()
 }
 
-/// What one answer holds of the shared memory; dropping it gives it back.
-#[derive(Debug)]
-struct Held<'a> {
-    memory: &'a AnswerMemory,
-    bytes: usize,
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.memory.shares.lock().leave(self.id);
+        self.memory.has_left.notify_waiters();
+    }
 }
 
-impl Held<'_> {
-    fn grow_to(&mut self, answer_bytes: usize) -> Result<(), UnreadBody> {
-        if answer_bytes > MAX_ANSWER_BYTES {
-            return Err(UnreadBody::TooLong);
+/// Returns what an answer of unknown length reserves if it needs so many bytes.
+fn step(needed: usize) -> usize {
+    let reserved = needed.max(LEAST_STEP_BYTES).next_power_of_two();
+    reserved.min(MAX_ANSWER_BYTES)
+}
+
+/// What has been read of a body. Its parts are slices of larger buffers, which they would keep, and may have some bytes each.
+#[derive(Debug, Default)]
+struct Blocks {
+    blocks: Vec<BytesMut>,
+    length: usize,
+}
+
+impl Blocks {
+    /// Returns the single block of a body of this length.
+    fn of_length(length: usize) -> Self {
+        Self {
+            blocks: vec![BytesMut::with_capacity(length)],
+            length: 0,
         }
-        let wanted = answer_bytes.saturating_sub(EXEMPT_BYTES);
-        let more = wanted - self.bytes;
-        let before = self.memory.held_bytes.fetch_add(more, Ordering::Relaxed);
-        self.bytes = wanted;
-        match before + more {
-            held if held > SHARED_BYTES && more > 0 => Err(UnreadBody::NoMemory),
-            _ => Ok(()),
+    }
+
+    fn push(&mut self, data: &[u8]) {
+        let room = self
+            .blocks
+            .last()
+            .map_or(0, |last| last.capacity() - last.len());
+        let (within, beyond) = data.split_at(room.min(data.len()));
+        if let Some(last) = self.blocks.last_mut() {
+            last.extend_from_slice(within);
+        }
+        self.length += data.len();
+        if !beyond.is_empty() {
+            let block_bytes = self.length.clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+            let mut block = BytesMut::with_capacity(block_bytes.max(beyond.len()));
+            block.extend_from_slice(beyond);
+            self.blocks.push(block);
         }
     }
-}
 
-impl Drop for Held<'_> {
-    fn drop(&mut self) {
-        (self.memory.held_bytes).fetch_sub(self.bytes, Ordering::Relaxed);
+    fn joined(mut self) -> Bytes {
+        if self.blocks.len() == 1 {
+            return self.blocks.swap_remove(0).freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.length);
+        for block in self.blocks {
+            whole.extend_from_slice(&block);
+        }
+        whole.freeze()
     }
 }
 
--- a/src/gateway/exchange/upstream_request.rs
+++ b/src/gateway/exchange/upstream_request.rs
@@ -33,7 +33,7 @@
     node: Arc<Gateway>,
     pub upstream: UpstreamKey,
     /// Identifies the incarnation of the upstream that received the request.
-    upstream_tag: u64,
+    pub upstream_tag: u64,
     /// Tag of the upstream's address.
     address: u64,
     /// Tag of the upstream's failure domain.
--- a/src/gateway/exchange/upstream_response.rs
+++ b/src/gateway/exchange/upstream_response.rs
@@ -10,7 +10,6 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::admission::Plan;
-use super::answer_memory::UnreadBody;
 use super::attempts::Attempts;
 use super::request_log::RequestLog;
 use super::upstream_request::UpstreamRequest;
@@ -73,7 +72,8 @@
             estimated_start(context.upstream_request.sent_at, clock::now()),
         );
         let left = Duration::from_millis(clock::now().until(plan.deadline));
-        let whole = tokio::time::timeout(left, node.answer_memory.collect(body));
+        let mut reading = (node.answer_memory).begin(context.upstream_request.upstream_tag);
+        let whole = tokio::time::timeout(left, reading.collect(body));
         let Some(whole) = context.upstream_request.unless_restarted(whole).await else {
             let (reason, now) = ("upstream_restarted", clock::now());
             attempts.exclude(context.upstream_request.upstream);
@@ -98,14 +98,18 @@
             }
             Ok(Err(error)) => {
                 let reason = error.reason();
-                // The upstream of an answer that found no memory may be sound.
-                if !matches!(error, UnreadBody::NoMemory) {
-                    (context.upstream_request).record_failure(reason, &plan.subjects, now);
-                }
+                (context.upstream_request).record_failure(reason, &plan.subjects, now);
                 attempts.exclude(context.upstream_request.upstream);
                 request_log.record_failed_attempt(reason, &error.to_string(), now);
                 None
             }
+            // The upstream of an answer that waited for memory may be sound.
+            Err(_elapsed) if reading.is_waiting() => {
+                let bytes = reading.reserved_by_all_bytes();
+                let detail = format!("the answers that are being read hold {bytes} bytes");
+                request_log.record_failed_attempt("body_no_memory", &detail, now);
+                None
+            }
             Err(_elapsed) => {
                 context
                     .upstream_request
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod late_copies;
 mod leaving;
 mod limited;
+mod long_answers;
 mod metered;
 mod odd_entries;
 mod out_of_step;
