--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod late_in_the_grace;
 mod leaving;
 mod limited;
+mod long_answers;
 mod metered;
 mod odd_entries;
 mod out_of_step;
