bug: A chunk's size without end stopped all requests of a node

What callers saw: an upstream sends a sound head, and then zeros before the size of a chunk, or spaces after it, without end. Requests to it got no word by their own limits. Cause: the library reads the size of a chunk in a loop that ends only when the socket has nothing to read, and nothing counts its zeros and spaces. Hypotheses: the loop of the library (holds); the event splitter (no event comes, so it does not run); a starved test process (the node's log said that it noticed 20 of 20 callers that had left 6 s after the requests began). Change: the socket lets other tasks of its thread go on after eight reads or 8 KB, in heads and bodies, and reads at most 8 KB at a time. Why this works: a turn of a connection is short, so that timers run and the request's own limit ends what no one counts. Tests: endless_framing, one_upstream_of_ten_with_endless_heads_is_left, platform::http::tests::endless_heads_end_a_call.

--- a/src/head_limit.rs
+++ b/src/head_limit.rs
@@ -1,10 +1,11 @@
 //! Bounds what a server sends before the end of its response's head, informational heads included.
 //!
-//! The HTTP library skips informational heads in a loop that ends only when no bytes are there. A server that sends
-//! them without end would keep the thread, and with it the timers and sockets of all other requests.
+//! The HTTP library skips informational heads, and the framing of a body, in loops that end only when no bytes are
+//! there. A server that sends them without end would keep the thread, and with it the timers and sockets of all other
+//! requests. The socket therefore lets other tasks go on after some reads, whatever is read.
 
 use std::io::{self, IoSlice};
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
@@ -19,7 +20,14 @@
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use self::turn::Turn;
+
+mod turn;
+
 /// Size of the read buffer of a connection, and of the longest accepted head of a response.
+///
+/// Ten thousand open streams use as many connections; this bound keeps a node within its memory
+/// limit when servers send faster than callers read.
 pub(crate) const CONNECTION_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Most bytes of one response that are read before the end of its head, informational heads included.
@@ -27,7 +35,7 @@
 /// The body may begin in the last bytes that are read.
 const MAX_BYTES_BEFORE_HEAD_END: usize = 2 * CONNECTION_BUFFER_BYTES;
 
-/// Most bytes that one read takes before the end of a head.
+/// Most bytes that one read takes, so that turns are short where each byte costs much.
 const MAX_READ_BYTES: usize = 8 * 1024;
 
 /// A server has sent more than is accepted before the end of its response's head.
@@ -45,7 +53,7 @@
         while let Some(error) = cause {
             let inner = error.downcast_ref::<io::Error>();
             let inner = inner.and_then(io::Error::get_ref);
-            if inner.is_some_and(|inner| inner.is::<HeadTooLong>()) {
+            if inner.is_some_and(<dyn std::error::Error + Send + Sync>::is::<HeadTooLong>) {
                 return true;
             }
             cause = error.source();
@@ -79,15 +87,13 @@
         }
     }
 
-    /// Returns how many bytes may be read next; `None` without a bound.
-    fn may_read_bytes(&self) -> Option<usize> {
+    /// Returns how many bytes may be read next; none if the head does not end.
+    fn may_read_bytes(&self) -> usize {
         match self.phase {
-            Phase::Head { read_bytes } => Some(
-                MAX_BYTES_BEFORE_HEAD_END
-                    .saturating_sub(read_bytes)
-                    .min(MAX_READ_BYTES),
-            ),
-            Phase::Body => None,
+            Phase::Head { read_bytes } => MAX_BYTES_BEFORE_HEAD_END
+                .saturating_sub(read_bytes)
+                .min(MAX_READ_BYTES),
+            Phase::Body => MAX_READ_BYTES,
         }
     }
 
@@ -193,6 +199,7 @@
 pub(crate) struct HeadLimitedSocket<S> {
     socket: S,
     state: Arc<Mutex<State>>,
+    turn: Turn,
 }
 
 impl<S> HeadLimitedSocket<S> {
@@ -205,6 +212,7 @@
         Self {
             socket,
             state: Arc::new(Mutex::new(state)),
+            turn: Turn::default(),
         }
     }
 
@@ -214,6 +222,23 @@
     }
 }
 
+impl<S: AsyncRead + Unpin> HeadLimitedSocket<S> {
+    /// Reads up to `max_bytes`; returns how many bytes were read.
+    fn poll_read_up_to(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        max_bytes: usize,
+    ) -> Poll<io::Result<usize>> {
+        let length = max_bytes.min(buf.remaining());
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(length));
+        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
+        let read_bytes = part.filled().len();
+        buf.advance(read_bytes);
+        Poll::Ready(Ok(read_bytes))
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for HeadLimitedSocket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -221,17 +246,18 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let may_read_bytes = self.state.lock().may_read_bytes();
-        let Some(may_read_bytes) = may_read_bytes else {
-            return Pin::new(&mut self.socket).poll_read(cx, buf);
-        };
         if may_read_bytes == 0 {
             return Poll::Ready(Err(io::Error::other(HeadTooLong)));
         }
-        let length = may_read_bytes.min(buf.remaining());
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(length));
-        ready!(Pin::new(&mut self.socket).poll_read(cx, &mut part))?;
-        let read_bytes = part.filled().len();
-        buf.advance(read_bytes);
+        if self.turn.end_if_over() {
+            return pin!(tokio::task::yield_now()).poll(cx).map(Ok);
+        }
+        let Poll::Ready(read_bytes) = self.poll_read_up_to(cx, buf, may_read_bytes) else {
+            self.turn.end();
+            return Poll::Pending;
+        };
+        let read_bytes = read_bytes?;
+        self.turn.record_read(read_bytes);
         self.state.lock().record_read(read_bytes);
         Poll::Ready(Ok(()))
     }
@@ -274,4 +300,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/head_limit/tests.rs
+++ b/src/head_limit/tests.rs
@@ -1,9 +1,18 @@
 //! Tests of the bound on what comes before the end of a head.
 
+use std::error::Error;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf};
 
 use super::{CONNECTION_BUFFER_BYTES, HeadLimitedSender, HeadTooLong, handshake};
 
@@ -67,3 +76,179 @@
         assert_eq!(answered.0.len(), body_bytes);
     }
 }
+
+/// Latest time after which a request has to end that is given [`REQUEST_TIMEOUT`].
+const END_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Timeout of a request whose response does not end.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// A socket that always has bytes to read, after the head of a response.
+#[derive(Debug)]
+struct AlwaysReady {
+    head: &'static [u8],
+    filler: &'static [u8],
+    is_asked: bool,
+    /// Further reads that find nothing between the head and the rest.
+    pauses: u32,
+    reader: Option<Waker>,
+}
+
+impl AsyncRead for AlwaysReady {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if !self.is_asked {
+            self.reader = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        let head = std::mem::take(&mut self.head);
+        if head.is_empty() && self.pauses > 0 {
+            self.pauses -= 1;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let piece = if head.is_empty() { self.filler } else { head };
+        let length = piece.len().min(buf.remaining());
+        buf.put_slice(&piece[..length]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for AlwaysReady {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.is_asked = true;
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+        Poll::Ready(Ok(buf.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Whether a request on a thread of its own ends by its timeout while a socket has always bytes to read.
+fn ends_by_its_timeout(head: &'static [u8], filler: &'static [u8]) -> bool {
+    let (ended, has_ended) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build();
+        let exchange = async {
+            let socket = AlwaysReady {
+                head,
+                filler,
+                is_asked: false,
+                pauses: 10,
+                reader: None,
+            };
+            let (mut sender, connection) = handshake(socket).await.expect("the socket is open");
+            tokio::spawn(connection);
+            let response = sender.send_request(request()).await;
+            response.expect("a response").collect().await.is_ok()
+        };
+        let exchange = async { tokio::time::timeout(REQUEST_TIMEOUT, exchange).await };
+        let is_timed_out = runtime.expect("a runtime").block_on(exchange).is_err();
+        let received = ended.send(is_timed_out);
+        assert!(received.is_ok(), "the request ended after the test");
+    });
+    has_ended.recv_timeout(END_TIMEOUT) == Ok(true)
+}
+
+/// Guards against framing without end that keeps the thread, so that no timeout ends the request.
+#[test]
+fn endless_framing_lets_timers_run() {
+    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    const SPACES: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4";
+    assert!(ends_by_its_timeout(HEAD, &[b'0'; 4096]), "zeros");
+    assert!(ends_by_its_timeout(HEAD, b"0"), "single zeros");
+    assert!(ends_by_its_timeout(SPACES, &[b' '; 4096]), "spaces");
+}
+
+/// Whether an error was caused by a head that was too long.
+pub(crate) fn is_head_too_long(error: &(dyn Error + 'static)) -> bool {
+    let causes = std::iter::successors(Some(error), |error| (*error).source());
+    causes
+        .filter_map(|error| error.downcast_ref::<hyper::Error>())
+        .any(HeadTooLong::is_cause_of)
+}
+
+/// A server on threads of its own, which end with their connections.
+#[derive(Debug)]
+pub(crate) struct StandIn {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+impl StandIn {
+    /// Starts a server that sends these bytes for each request; it reads a request's body after its answer.
+    pub fn answering(answer: Vec<u8>) -> Self {
+        Self::start(move |socket| socket.write_all(&answer))
+    }
+
+    fn start(answer: impl Fn(&mut TcpStream) -> io::Result<()> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let connections = Arc::new(AtomicUsize::new(0));
+        let accepted = Arc::clone(&connections);
+        let answer = Arc::new(answer);
+        std::thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                accepted.fetch_add(1, Ordering::Relaxed);
+                let answer = Arc::clone(&answer);
+                std::thread::spawn(move || serve_all(socket, &*answer));
+            }
+        });
+        Self {
+            address,
+            connections,
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many connections were opened.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Returns a request to the server.
+    pub fn request(&self) -> Request<Full<Bytes>> {
+        let request = Request::builder().uri(format!("http://{}/", self.address));
+        request.body(Full::default()).expect("a request")
+    }
+}
+
+/// Answers each request on a connection; bytes without the beginning of one are the rest of the one before.
+fn serve_all(mut socket: TcpStream, answer: &impl Fn(&mut TcpStream) -> io::Result<()>) {
+    let mut request = vec![0; 64 * 1024];
+    while let Ok(length @ 1..) = socket.read(&mut request) {
+        if request[..length].starts_with(b"GET ") && answer(&mut socket).is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts a server that answers each request by informational heads without end.
+pub(crate) fn endless_informational_heads() -> StandIn {
+    let heads = "HTTP/1.1 103 Early Hints\r\nfiller: filler\r\n\r\n".repeat(1500);
+    StandIn::start(move |socket| {
+        loop {
+            socket.write_all(heads.as_bytes())?;
+        }
+    })
+}
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -225,3 +225,6 @@
         Ok(sender)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/stand_ins/src/operators/upstream/fault.rs
+++ b/stand_ins/src/operators/upstream/fault.rs
@@ -79,6 +79,10 @@
     Headers,
     /// Heads with a status of 103 before the answer.
     InformationalHeads,
+    /// The zeros before the size of a chunk.
+    ChunkSize,
+    /// The spaces after the size of a chunk.
+    ChunkSizeSpaces,
     /// An extension of a chunk.
     ChunkExtension,
     /// The trailers.
@@ -108,9 +112,10 @@
             | Self::HeaderValue
             | Self::Headers
             | Self::InformationalHeads => None,
-            Self::ChunkExtension | Self::Trailers | Self::Chunks => {
-                Some("transfer-encoding: chunked\r\n")
+            Self::ChunkSize | Self::ChunkSizeSpaces | Self::ChunkExtension | Self::Trailers => {
+                Some("content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n")
             }
+            Self::Chunks => Some("transfer-encoding: chunked\r\n"),
             Self::BodyWithLength => Some("content-length: 1000000000000\r\n"),
             Self::Body => Some("connection: close\r\n"),
             Self::EventLine | Self::Comments | Self::RepeatedEvents | Self::Events => {
@@ -125,11 +130,13 @@
             Self::StatusLine => "HTTP/1.1 200 ",
             Self::HeaderValue => "HTTP/1.1 200 OK\r\nfiller: ",
             Self::Headers => "HTTP/1.1 200 OK\r\n",
+            Self::ChunkSizeSpaces => "4",
             Self::ChunkExtension => "4;",
             Self::Trailers => "4\r\nfull\r\n0\r\n",
             Self::EventLine => "data: ",
             Self::NoAnswer
             | Self::InformationalHeads
+            | Self::ChunkSize
             | Self::Body
             | Self::BodyWithLength
             | Self::Chunks
@@ -143,6 +150,8 @@
     pub(super) fn filler(self) -> &'static str {
         match self {
             Self::NoAnswer => "!",
+            Self::ChunkSize => "0",
+            Self::ChunkSizeSpaces => " ",
             Self::StatusLine | Self::HeaderValue | Self::ChunkExtension => "filler",
             Self::Headers | Self::Trailers => "filler: filler\r\n",
             Self::InformationalHeads => "HTTP/1.1 103 Early Hints\r\nfiller: filler\r\n\r\n",
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -11,13 +11,13 @@
 const CALLS: usize = 24;
 
 /// Most memory that the node may gain, half of the smallest host that operators name.
-const MAX_GAINED_KB: u64 = 80 * 1024;
+pub const MAX_GAINED_KB: u64 = 80 * 1024;
 
 /// Latest time after the end of a request by which the upstream sees its connection closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The most memory that the node's process has held, in kilobytes.
-fn peak_kb(deployment: &Deployment) -> u64 {
+pub fn peak_kb(deployment: &Deployment) -> u64 {
     let status =
         std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
     let status = status.expect("the node runs");
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod crashing_parts;
 mod duties;
 mod endless;
+mod endless_framing;
 mod endless_heads;
 mod explained;
 mod frozen;
