bug: Informational heads without end held up a node of the role serve

What callers saw: an engine, a server of the platform, or a node that sends HTTP/1.1 103 heads without end holds up the thread of the one who reads them. Red on the code before (the limits of the socket switched off): 20 calls of upstreams::http each timed out after 5.5 s, a call of coordination::http and a request of client::http after 5 s each. Cause: as in the role gateway: the library skips informational heads in a loop that ends only when the socket has nothing to read. Change: one client for the three, head_limit::PooledClient, whose connector wraps the socket in HeadLimitedSocket. The connection's receipt comes with the response's extensions and is taken out there. Heads are at most 32 KB in all three. Why this works: the loop ends with the socket's error, or with its turn. If a connection is reused before the receipt of an empty response is recorded, the next head lacks its bound and ends by its turn and timeout. Result: the three tests are green; large bodies on one kept connection and an early response of 8 MB to a request of 8 MB are read whole.

--- a/src/client/http.rs
+++ b/src/client/http.rs
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioExecutor;
 use thiserror::Error;
 
+use crate::head_limit::PooledClient;
+
 /// Timeout for connecting; the round trip to a node takes a few milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Maximum length of a buffered response body.
@@ -75,7 +77,7 @@
 /// HTTP client with a pool of connections to nodes.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: PooledClient,
 }
 
 impl Default for HttpClient {
@@ -91,7 +93,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let client = PooledClient::new(&mut Client::builder(TokioExecutor::new()), connector);
         Self { client }
     }
 
--- a/src/coordination/http.rs
+++ b/src/coordination/http.rs
@@ -16,6 +16,7 @@
 use serde::de::DeserializeOwned;
 use url::Url;
 
+use crate::head_limit::PooledClient;
 use crate::telemetry::control::{self, Destination};
 
 #[cfg(test)]
@@ -132,7 +133,7 @@
 /// A JSON client of one server.
 #[derive(Clone, Debug)]
 pub struct JsonClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: PooledClient,
     base: Url,
     peer: String,
     response_timeout_ms: u64,
@@ -145,12 +146,12 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_millis(IDLE_CONNECTION_MS))
-            .build(connector);
+            .pool_idle_timeout(Duration::from_millis(IDLE_CONNECTION_MS));
         Self {
-            client,
+            client: PooledClient::new(&mut builder, connector),
             peer: base.authority().to_owned(),
             base,
             response_timeout_ms: RESPONSE_TIMEOUT_MS,
--- a/src/head_limit.rs
+++ b/src/head_limit.rs
@@ -20,8 +20,10 @@
 use thiserror::Error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+pub(crate) use self::pooled::PooledClient;
 use self::turn::Turn;
 
+mod pooled;
 mod turn;
 
 /// Size of the read buffer of a connection, and of the longest accepted head of a response.
--- a/src/upstreams/http.rs
+++ b/src/upstreams/http.rs
@@ -14,12 +14,8 @@
 
 use super::Delivery;
 use super::error::{LostCause, UpstreamError};
+use crate::head_limit::PooledClient;
 
-/// Size of the read and write buffer of one connection, and of the largest accepted response head.
-///
-/// Ten thousand open streams use as many connections; this bound keeps a node within its memory
-/// limit when upstreams send faster than callers read.
-const CONNECTION_BUFFER_BYTES: usize = 32 * 1024;
 /// Maximum number of idle pooled connections per upstream.
 const IDLE_CONNECTIONS_PER_UPSTREAM: usize = 16;
 /// Below the usual idle timeouts of servers, so that servers rarely close a connection in use.
@@ -55,8 +51,8 @@
 /// Sends requests over pooled or new connections.
 #[derive(Clone, Debug)]
 pub(super) struct HttpClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    unpooled: Client<HttpConnector, Full<Bytes>>,
+    pooled: PooledClient,
+    unpooled: PooledClient,
     pub(super) timeouts: CallTimeouts,
 }
 
@@ -138,20 +134,23 @@
     Ok(request.body(Full::new(body))?)
 }
 
-fn client(patience: CallTimeouts, idle_connections: usize) -> Client<HttpConnector, Full<Bytes>> {
+fn client(patience: CallTimeouts, idle_connections: usize) -> PooledClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(Duration::from_millis(patience.connect_timeout_ms)));
     connector.set_keepalive(Some(KEEPALIVE_TIME));
     connector.set_keepalive_interval(Some(KEEPALIVE_INTERVAL));
     connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
-    Client::builder(TokioExecutor::new())
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(idle_connections)
-        .http1_max_buf_size(CONNECTION_BUFFER_BYTES)
         // By default the client resends a request when a reused connection closes. Only the request
         // core may decide to run a request again.
-        .retry_canceled_requests(false)
-        .build(connector)
+        .retry_canceled_requests(false);
+    PooledClient::new(&mut builder, connector)
 }
+
+#[cfg(test)]
+mod tests;
