--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod duties;
 mod endless;
 mod endless_events;
+mod endless_framing;
 mod endless_heads;
 mod explained;
 mod frozen;
