bug: A woken node refuses no team for what others admitted in its pause

Callers saw: for about a second after a node goes on from SIGSTOP or a paused host, a team at 0.9 or half of its limit is refused as over it, by that node and, where it owns the limit, at the nodes that ask it. Cause: the copy of the bucket is full when the node stops, so that the refill of the pause is cut off at the capacity; then all that others admitted out of that refill is deducted. Only the bound of the debt (a quarter of the burst) ended it, which is where the overdraft is used up, so that nothing was granted. Change: limits/quota/pause.rs. A node that was frozen records the pause; each copy puts back what is deducted in the next lease, less what its grants cover, as far as that refill was missed, once, up to half of the capacity. The refill counts at the whole rate: who is heard after a wake says nothing about the pause. A copy that begins after the pause starts with it. The pause is recorded before any request of a woken node is decided. The bound of the debt applies after credit is released, no longer before. Changed test code: the simulated course has a time at which callers begin, 0 for all others.

--- a/src/gateway/limits/credit.rs
+++ b/src/gateway/limits/credit.rs
@@ -93,10 +93,8 @@
         quotas: &mut Quotas,
         now: TimeMs,
     ) -> Verdict {
-        match self
-            .ledger(team.tag, now)
-            .try_spend(team, cost, quotas, now)
-        {
+        self.detect_freeze(quotas, now);
+        match (self.ledger(team.tag, now)).try_spend(team, cost, quotas, now) {
             None => Verdict::Admitted,
             Some(available) => Verdict::Refused(CreditShortage {
                 cost,
@@ -115,6 +113,7 @@
         quotas: &mut Quotas,
         now: TimeMs,
     ) -> (Ticket, Arrival) {
+        self.detect_freeze(quotas, now);
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
         let holder = self.holder(team, now);
@@ -165,8 +164,8 @@
         draw: f64,
         now: TimeMs,
     ) -> Option<CreditGrant> {
-        self.ledger(team.tag, now)
-            .answer(ask, team, quotas, draw, now)
+        self.detect_freeze(quotas, now);
+        (self.ledger(team.tag, now)).answer(ask, team, quotas, draw, now)
     }
 
     /// Deducts what a peer has admitted since its last report, from its credit as far as that covers it.
@@ -178,21 +177,23 @@
         quotas: &mut Quotas,
         now: TimeMs,
     ) {
-        self.detect_freeze(now);
+        self.detect_freeze(quotas, now);
         quotas.record_peer(incarnation, totals, teams, now);
         let is_thawed = has_thawed(self.thawed_at, now);
         for admitted in totals {
-            let team = teams.iter().find(|team| team.tag == admitted.team);
-            if let Some(team) = team.filter(|_team| is_thawed) {
-                quotas.limit_debt(team, team.burst.max(0.0) * OVERDRAFT_FRACTION, now);
-            }
-            let Ok(index) = self.ledger_position(admitted.team) else {
+            let Some(team) = teams.iter().find(|team| team.tag == admitted.team) else {
                 continue;
             };
-            let covered = self.ledgers[index].record_total(incarnation, admitted);
-            match team {
-                Some(team) if covered > 0.0 => quotas.release(team, covered, now),
-                _ => {}
+            let ledger = self.ledger_position(admitted.team).ok();
+            let covered = ledger.map_or(0.0, |index| {
+                self.ledgers[index].record_total(incarnation, admitted)
+            });
+            if covered > 0.0 {
+                quotas.release(team, covered, now);
+            }
+            if is_thawed {
+                quotas.restore_missed(team, now);
+                quotas.limit_debt(team, team.burst.max(0.0) * OVERDRAFT_FRACTION, now);
             }
         }
     }
@@ -213,7 +214,7 @@
         }
         self.holders
             .retain(|holder| find(&limited, holder.team).is_some() && !holder.is_idle(now));
-        self.detect_freeze(now);
+        self.detect_freeze(quotas, now);
         self.updated_at = now;
         let mut changes = Vec::new();
         for ledger in &mut self.ledgers {
@@ -269,10 +270,11 @@
     /// Has all ledgers learn again after a time without updates, in which this node was frozen.
     ///
     /// A successor may have granted credit meanwhile.
-    fn detect_freeze(&mut self, now: TimeMs) {
+    pub fn detect_freeze(&mut self, quotas: &mut Quotas, now: TimeMs) {
         if now.since(self.updated_at) < LEASE_MS {
             return;
         }
+        quotas.thaw(self.updated_at, now);
         self.updated_at = now;
         self.thawed_at = Some(now);
         for ledger in &mut self.ledgers {
@@ -281,7 +283,6 @@
     }
 
     fn ledger(&mut self, team: u64, now: TimeMs) -> &mut Ledger {
-        self.detect_freeze(now);
         let index = self.ledger_position(team).unwrap_or_else(|index| {
             let ledger = Ledger::new(team, self.thawed_at, now);
             self.ledgers.insert(index, ledger);
--- a/src/gateway/limits/credit/owner.rs
+++ b/src/gateway/limits/credit/owner.rs
@@ -261,12 +261,13 @@
 
     /// Returns the team's bucket; after a freeze without more debt than grants cause.
     ///
-    /// The refill of the freeze is lost, and what others admitted with it is deducted.
+    /// What others admitted with the refill of the freeze is put back.
     fn bucket(&self, team: &Team, quotas: &mut Quotas, now: TimeMs) -> Option<FleetBucket> {
         let bucket = quotas.fleet_bucket(team, now)?;
         if !has_thawed(self.thawed_at, now) {
             return Some(bucket);
         }
+        quotas.restore_missed(team, now);
         quotas.limit_debt(team, overdraft(&bucket) + self.outstanding(), now);
         quotas.fleet_bucket(team, now)
     }
--- a/src/gateway/limits/credit/tests/course.rs
+++ b/src/gateway/limits/credit/tests/course.rs
@@ -48,6 +48,8 @@
     pub is_conformant: bool,
     pub one_way_ms: u64,
     pub duration_ms: u64,
+    /// When the callers begin.
+    pub begins_at_ms: u64,
     pub faults: Faults,
     pub seed: u64,
 }
--- a/src/gateway/limits/credit/tests/failures.rs
+++ b/src/gateway/limits/credit/tests/failures.rs
@@ -83,6 +83,33 @@
     }
 }
 
+/// Guards against a second burst at an owner that was frozen while a team that had been idle spent its first.
+#[test]
+fn frozen_owner_grants_no_second_burst() {
+    for nodes in [4, NODES] {
+        for begins_at_ms in [5_200, 6_000, 6_500, 6_800] {
+            for times in [2.0, 7.5] {
+                for seed in 1..=2 {
+                    let course = Course {
+                        duration_ms: COURSE_MS,
+                        begins_at_ms,
+                        faults: Faults {
+                            owner_silent: (4_000, 7_000),
+                            successor: (4_000 + NOTICED_MS, 7_500),
+                            ..Faults::default()
+                        },
+                        seed,
+                        ..course(nodes, times, &[0.2, 0.04, 0.003])
+                    };
+                    let (outcome, team) = Fleet::new(course.clone()).run();
+                    let used = outcome.used_fraction(&team, 0);
+                    assert!(used <= MAX_USED_FRACTION, "{course:?}: {used} used");
+                }
+            }
+        }
+    }
+}
+
 /// Guards against an owner whose grants do not arrive while its own view shows nothing wrong.
 #[test]
 fn nodes_that_receive_no_grants_spend_their_parts() {
--- a/src/gateway/limits/credit/tests/fleet.rs
+++ b/src/gateway/limits/credit/tests/fleet.rs
@@ -292,6 +292,9 @@
         let due = self.course.times * rate_per_s / mean_cost / 1_000.0;
         let requests =
             num::round_to_u64(due.floor()) + u64::from(self.rng.random_bool(due.fract()));
+        if now_ms < self.course.begins_at_ms {
+            return;
+        }
         if now_ms.is_multiple_of(CLUMP_MS) {
             self.clump = self.rng.random_range(0..self.course.nodes);
         }
--- a/src/gateway/limits/credit/tests/load.rs
+++ b/src/gateway/limits/credit/tests/load.rs
@@ -30,6 +30,7 @@
         is_conformant: false,
         one_way_ms: 2,
         duration_ms: DURATION_MS,
+        begins_at_ms: 0,
         faults: Faults::default(),
         seed: nodes as u64,
     }
--- a/src/gateway/limits/credit/waiting.rs
+++ b/src/gateway/limits/credit/waiting.rs
@@ -123,7 +123,7 @@
         let admission = node.quotas.lock().admit(team, cost, visibility, now);
         return Decision::at_once(admission, CreditSource::Undivided);
     }
-    node.quotas.lock().set_visibility(visibility);
+    update_view(node, visibility, now);
     if owner.is_none() && !visibility.sees_half() {
         // A node that hears few of the others is not the owner because it hears no better one.
         let admission = node.quotas.lock().admit(team, cost, visibility, now);
@@ -166,6 +166,14 @@
     }
 }
 
+/// Has the buckets know the nodes that share the limits, and whether this node was frozen before.
+fn update_view(node: &Gateway, visibility: FleetVisibility, now: TimeMs) {
+    let mut credit = node.credit.lock();
+    let mut quotas = node.quotas.lock();
+    credit.leases.detect_freeze(&mut quotas, now);
+    quotas.set_visibility(visibility);
+}
+
 impl Decision {
     fn at_once(admission: Admission, source: CreditSource) -> Self {
         Self {
--- a/src/gateway/limits/quota.rs
+++ b/src/gateway/limits/quota.rs
@@ -20,6 +20,7 @@
 mod bucket;
 mod leased;
 mod parameters;
+mod pause;
 mod rate;
 mod reports;
 mod rounds;
@@ -27,6 +28,7 @@
 use self::bucket::Bucket;
 pub(crate) use self::leased::{CreditShortage, FleetBucket};
 use self::parameters::BucketParameters;
+use self::pause::Pause;
 pub(crate) use self::reports::AdmittedTotal;
 use crate::gateway::catalog::{Team, Unit};
 use crate::gateway::num;
@@ -108,6 +110,8 @@
     heard: Vec<(u64, TimeMs)>,
     /// Nodes that share the limits, as of the last update of this node's contacts.
     visibility: FleetVisibility,
+    /// The last time in which this node was frozen; `None` before the first.
+    pause: Option<Pause>,
     /// Differs between nodes.
     seed: u64,
 }
@@ -125,6 +129,7 @@
             started_at,
             heard: Vec::new(),
             visibility: FleetVisibility { known: 1, heard: 1 },
+            pause: None,
             seed,
         }
     }
@@ -142,14 +147,10 @@
         visibility: FleetVisibility,
         now: TimeMs,
     ) -> Admission {
-        let Some(rate_per_s) = team.rate_per_s else {
+        self.set_visibility(visibility);
+        let Some((bucket, parameters)) = self.refilled(team, now) else {
             return Admission::Admitted;
         };
-        self.set_visibility(visibility);
-        let parameters = BucketParameters::new(self.window, rate_per_s, team.burst)
-            .with_share(visibility.share());
-        let bucket = self.bucket(team, now);
-        bucket.refill(&parameters, visibility, now);
         if bucket.has_room(cost, team.burst, &parameters) {
             bucket.deduct_own(cost, now);
             return Admission::Admitted;
@@ -201,9 +202,19 @@
     /// Returns a team's bucket, refilled until now; `None` without a limit.
     fn refilled(&mut self, team: &Team, now: TimeMs) -> Option<(&mut Bucket, BucketParameters)> {
         let visibility = self.visibility;
-        let parameters = self.parameters(team)?.with_share(visibility.share());
+        let pause = self.pause;
+        let whole = self.parameters(team)?;
+        let parameters = whole.with_share(visibility.share());
         let bucket = self.bucket(team, now);
-        bucket.refill(&parameters, visibility, now);
+        match pause {
+            Some(pause) if bucket.thawed_at != Some(pause.ended_at) => {
+                bucket.refill(&parameters, visibility, pause.began_at);
+                let due = bucket.level + whole.rate_per_s * pause.rest_s(bucket.refilled_at);
+                bucket.refill(&parameters, visibility, now);
+                bucket.thaw((due - bucket.level).max(0.0), pause.ended_at);
+            }
+            _ => bucket.refill(&parameters, visibility, now),
+        }
         Some((bucket, parameters))
     }
 
@@ -216,7 +227,10 @@
             let level = self.parameters(team).map_or(0.0, |parameters| {
                 (parameters.rate_per_s * filled_s).min(parameters.capacity)
             });
-            let bucket = Bucket::new(team.tag, level, self.seed, self.visibility, now);
+            // What peers admitted in a pause is deducted also from a copy that begins after it.
+            let pause = self.pause.filter(|pause| pause.is_recent(now));
+            let since = pause.map_or(now, |pause| pause.began_at);
+            let bucket = Bucket::new(team.tag, level, self.seed, self.visibility, since);
             self.buckets.insert(index, bucket);
             index
         });
--- a/src/gateway/limits/quota/bucket.rs
+++ b/src/gateway/limits/quota/bucket.rs
@@ -2,6 +2,7 @@
 
 use super::allotment::Allotment;
 use super::parameters::BucketParameters;
+use super::pause::Missed;
 use super::rate::{AverageRate, IDLE_AFTER_MS};
 use super::rounds::next_round;
 use super::{AdmittedTotal, FleetVisibility};
@@ -33,7 +34,7 @@
     pub team: u64,
     /// What may be spent, in units of the limit; negative if the bucket was overdrawn.
     pub level: f64,
-    refilled_at: TimeMs,
+    pub refilled_at: TimeMs,
     /// Total cost that this node has admitted since its start.
     own_total: f64,
     /// Part of `own_total` that was refunded and is not spent again yet.
@@ -59,6 +60,10 @@
     was_level_high: bool,
     /// What this node may spend of the level before its peers hear of it.
     pub allotment: Allotment,
+    /// What the last pause of this node gave the team and this copy lacks.
+    pub missed: Missed,
+    /// The end of the last pause that this copy knows.
+    pub thawed_at: Option<TimeMs>,
     /// Sorted by the peer's incarnation.
     peers: Vec<PeerUsage>,
 }
@@ -96,6 +101,8 @@
             round: 0,
             was_level_high: false,
             allotment: Allotment::new(seed, level, visibility, now),
+            missed: Missed::default(),
+            thawed_at: None,
             peers: Vec::new(),
         }
     }
@@ -207,6 +214,18 @@
         self.refilled_at = self.refilled_at.max(now);
     }
 
+    /// Records the end of a pause, the refill of which this copy lacks.
+    pub fn thaw(&mut self, missed: f64, ended_at: TimeMs) {
+        self.missed = Missed::new(missed);
+        self.thawed_at = Some(ended_at);
+    }
+
+    /// Deducts what a peer admitted.
+    fn deduct_peer(&mut self, admitted: f64) {
+        self.level -= admitted;
+        self.missed.deduct(admitted);
+    }
+
     /// Enters the next round of reports if the peers have reported the present one.
     fn enter_next_round(&mut self, parameters: &BucketParameters, now: TimeMs) {
         let is_recent = |peer: &&PeerUsage| now.since(peer.reported_at) < IDLE_AFTER_MS;
@@ -262,7 +281,7 @@
                 peer.base = peer.base.max(admitted.base);
                 peer.round = peer.round.max(admitted.round);
                 peer.reported_at = now;
-                self.level -= gained;
+                self.deduct_peer(gained);
             }
             Err(index) => {
                 let peer = PeerUsage {
@@ -276,10 +295,11 @@
                 self.peers.insert(index, peer);
                 // A new peer's total may predate the contact with it and is ignored. Of a known peer
                 // that had not reported the team lately, only the recent part is certain to be new.
-                self.level -= (total - admitted.base).max(0.0) * observed_fraction;
+                self.deduct_peer((total - admitted.base).max(0.0) * observed_fraction);
             }
         }
     }
+
     /// Returns this node's total if it has admitted within the retention period.
     pub fn recent_total(&self, now: TimeMs) -> Option<AdmittedTotal> {
         let is_recent = self.own_total != 0.0 && now.since(self.admitted_at) < REPORT_RETENTION_MS;
--- a/src/gateway/limits/quota/leased.rs
+++ b/src/gateway/limits/quota/leased.rs
@@ -58,13 +58,13 @@
     pub fn release(&mut self, team: &Team, credit: f64, now: TimeMs) {
         if let Some((bucket, parameters)) = self.refilled(team, now) {
             bucket.level = (bucket.level + credit).min(parameters.capacity);
+            bucket.missed.release(credit);
         }
     }
 
     /// Raises the level to `-debt` if it is lower.
     ///
-    /// A node that was frozen has lost what was refilled meanwhile, and then deducts all that others
-    /// admitted with it.
+    /// A node that was frozen does not know all that was refilled and granted meanwhile.
     pub fn limit_debt(&mut self, team: &Team, debt: f64, now: TimeMs) {
         if let Some((bucket, _parameters)) = self.refilled(team, now) {
             bucket.level = bucket.level.max(-debt);
--- a/src/gateway/limits/quota/tests.rs
+++ b/src/gateway/limits/quota/tests.rs
@@ -1,4 +1,5 @@
 mod fleet;
+mod pause;
 mod reports;
 mod rounds;
 mod surge;
