bug: Comments and events without an id put no silence of a stream off

What callers saw: a resumable stream at an upstream that sends comments only stayed there until its limit and was cut, beside a sound one.

Cause: whatever completed an event counted as progress. A comment says that the server lives, not that the stream goes on.

Change: Quiet keeps the silence over what has no id, which is forwarded as before; time for which the caller is written to is no silence, and something better is looked for at the usual interval. Routes that may not be resumed go on to their limit, as before.

--- a/src/fair_body.rs
+++ b/src/fair_body.rs
@@ -28,10 +28,10 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        let budget = ready!(coop::poll_proceed(context));
-        let frame = Pin::new(&mut self.body).poll_frame(context);
+        let budget = ready!(coop::poll_proceed(cx));
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
         if frame.is_ready() {
             budget.made_progress();
         }
--- a/src/fair_body/tests.rs
+++ b/src/fair_body/tests.rs
@@ -15,7 +15,7 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        _context: &mut Context<'_>,
+        _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(b"x")))))
     }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -15,6 +15,20 @@
     pub last_id: Option<u64>,
 }
 
+impl Events {
+    /// Returns these events and those that follow them.
+    #[must_use]
+    pub fn followed_by(self, next: &Self) -> Self {
+        let mut bytes = BytesMut::from(&*self.bytes);
+        bytes.extend_from_slice(&next.bytes);
+        Self {
+            bytes: bytes.freeze(),
+            first_id: self.first_id.or(next.first_id),
+            last_id: next.last_id.or(self.last_id),
+        }
+    }
+}
+
 /// Why a stream is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamError {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod forward;
 mod head_wait;
+mod quiet;
 mod request_log;
 mod silence;
 mod stream;
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -11,9 +11,10 @@
 use thiserror::Error;
 
 use super::admission::Plan;
-use super::alternatives::{Remaining, Stays, Waiting};
+use super::alternatives::{Remaining, Waiting};
 use super::attempts::Attempts;
 use super::dispatch;
+use super::quiet::Quiet;
 use super::request_log::RequestLog;
 use super::silence::{self, Silence};
 use super::upstream_response::{self, ResponseContext, UpstreamResponse};
@@ -79,6 +80,8 @@
     first_batch_last_id: Option<u64>,
     /// Since when another upstream must have given a sign of life, if the request leaves this one for its silence.
     alive_since: Option<TimeMs>,
+    /// The silence that lasts while what is no event of the stream is forwarded.
+    quiet: Option<Quiet>,
     /// Whether the stream has gone on for a while, which speaks for the parts of its prompt.
     has_gone_on: bool,
 }
@@ -105,6 +108,7 @@
             first_events_at: TimeMs(0),
             first_batch_last_id: None,
             alive_since: None,
+            quiet: None,
             has_gone_on: false,
         }
     }
@@ -158,34 +162,57 @@
         request_log: &RequestLog,
     ) -> NextEvents {
         let Waiting { plan, .. } = waiting;
-        let silence = Silence::new(plan.route(), clock::now(), timeout_ms);
-        let mut stays = Stays::default();
-        let mut wait_ms = timeout_ms;
+        let now = clock::now();
+        let mut quiet = match self.quiet.take() {
+            Some(quiet) => quiet.resumed(now),
+            None => Quiet::new(timeout_ms, now),
+        };
+        let silence = Silence::new(plan.route(), quiet.since, timeout_ms);
         loop {
-            match self.next(wait_ms, plan.deadline).await {
-                NextEvents::Silent => {}
+            let wait_ms = quiet.wait_ms(clock::now());
+            let mut unnumbered = match self.next(wait_ms, plan.deadline).await {
+                NextEvents::Silent => None,
+                NextEvents::Events(events) if events.first_id.is_none() => Some(events),
                 next => return next,
-            }
-            wait_ms = silence::ASK_AGAIN_MS;
-            let upstream_request = &self.context.upstream_request;
-            let choice = waiting.leaves(upstream_request, &silence, &mut stays, request_log);
-            if let Some(choice) = choice
-                && waiting.is_connected(&choice).await
-            {
-                // It may have gone on in the meantime.
-                match self.next(0, plan.deadline).await {
-                    // Streams that leave one upstream at once compete for what is left of the budget.
-                    NextEvents::Silent
-                        if dispatch::takes_repeat(waiting.node, &plan.pool, clock::now()) =>
-                    {
-                        let alive_since = silence::proof_since(silence.since, clock::now());
-                        self.alive_since = Some(alive_since);
-                        return NextEvents::Silent;
+            };
+            let now = clock::now();
+            let is_due = quiet.wait_ms(now) == 0;
+            if is_due {
+                quiet.record_asked(now);
+                let upstream_request = &self.context.upstream_request;
+                let stays = &mut quiet.stays;
+                let choice = waiting.leaves(upstream_request, &silence, stays, request_log);
+                if let Some(choice) = choice
+                    && waiting.is_connected(&choice).await
+                {
+                    // It may have gone on in the meantime.
+                    match self.next(0, plan.deadline).await {
+                        NextEvents::Events(events) if events.first_id.is_some() => {
+                            return NextEvents::Events(events);
+                        }
+                        // Streams that leave one upstream at once compete for what is left of the budget.
+                        NextEvents::Silent | NextEvents::Events(_)
+                            if dispatch::takes_repeat(waiting.node, &plan.pool, clock::now()) =>
+                        {
+                            let alive_since = silence::proof_since(silence.since, clock::now());
+                            self.alive_since = Some(alive_since);
+                            return NextEvents::Silent;
+                        }
+                        NextEvents::Silent => {}
+                        NextEvents::Events(events) => {
+                            unnumbered = Some(match unnumbered {
+                                Some(before) => before.followed_by(&events),
+                                None => events,
+                            });
+                        }
+                        next => return next,
                     }
-                    NextEvents::Silent => {}
-                    next => return next,
                 }
             }
+            if let Some(events) = unnumbered {
+                self.quiet = Some(quiet.paused(clock::now()));
+                return NextEvents::Events(events);
+            }
         }
     }
 
