--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -226,6 +226,7 @@
     /// Records a whole answer to a request; returns what to report to the peers.
     pub fn record_answer(&mut self, subjects: &Subjects, now: TimeMs) -> Vec<AgedSound> {
         let content = subjects.content;
+        self.silent.forget(content);
         let told = self.sound.told(content);
         let is_suspected = (self.recorded.iter()).any(|known| {
             known.crash.subjects.content == content && told.is_none_or(|told| told < known.at)
--- a/src/gateway/crashes/breaks.rs
+++ b/src/gateway/crashes/breaks.rs
@@ -20,7 +20,7 @@
 
 /// Returns whether an attempt was given up for this reason while its upstream may have been silent.
 pub(crate) fn is_silence(reason: &str) -> bool {
-    matches!(reason, "silent" | "stream_silent" | "body_timeout" | "late")
+    matches!(reason, "silent" | "stream_silent" | "late")
 }
 
 #[cfg(test)]
--- a/src/gateway/crashes/evidence.rs
+++ b/src/gateway/crashes/evidence.rs
@@ -24,19 +24,23 @@
 /// Time by which reports of peers may come late, so that crashes seem to follow one another.
 const ORDER_MARGIN_MS: u64 = 250;
 
-/// Returns the number of upstreams that crashed; of those of one failure domain that were dark at once, one counts.
+/// Returns the number of upstreams that crashed; of those that were dark at once, one counts.
+///
+/// Each of several lost failure domains may have taken an upstream at which a retry of a sound request waited.
 pub(super) fn upstreams(crashes: &[&Recorded]) -> usize {
-    let is_dark = |recorded: &&&Recorded| recorded.kind == Kind::Dark;
     let seen: Vec<&Recorded> = (crashes.iter().copied())
         .filter(|recorded| recorded.kind == Kind::Seen)
         .collect();
     let mut dark: Vec<&Recorded> = Vec::new();
-    for recorded in crashes.iter().filter(is_dark) {
-        let others = seen.iter().chain(&dark);
-        if others
-            .copied()
-            .all(|earlier| is_independent(recorded, earlier))
-        {
+    for recorded in crashes
+        .iter()
+        .filter(|recorded| recorded.kind == Kind::Dark)
+    {
+        let mut others = seen.iter().chain(&dark);
+        let is_apart = others.all(|earlier| {
+            recorded.crash.upstream != earlier.crash.upstream && follows(recorded, earlier.at)
+        });
+        if is_apart {
             dark.push(recorded);
         }
     }
--- a/src/gateway/crashes/silent.rs
+++ b/src/gateway/crashes/silent.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use super::reports;
-use super::subjects::Subjects;
+use super::subjects::{Subject, Subjects};
 use super::verification::Broken;
 use super::{Crash, Crashes};
 use crate::gateway::state::Gateway;
@@ -99,6 +99,12 @@
         self.waiting.push(request);
     }
 
+    /// Removes the requests with a content under which an answer went on.
+    pub fn forget(&mut self, content: Subject) {
+        self.waiting
+            .retain(|request| request.subjects.content != content);
+    }
+
     /// Returns the addresses of the silent upstreams.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         let mut addresses: Vec<SocketAddr> =
@@ -148,7 +154,8 @@
         let upstreams = node.upstreams.lock();
         let upstream = upstreams.get(broken.key);
         upstream
-            .filter(|upstream| upstream.tag == broken.upstream && !is_leaving(upstream))
+            .filter(|upstream| upstream.tag == broken.upstream && !upstream.is_removed)
+            .filter(|upstream| !is_leaving(upstream))
             .map(|upstream| upstream.announcement.address)
     };
     let Some(address) = address else { return };
--- a/src/gateway/exchange/answer_memory.rs
+++ b/src/gateway/exchange/answer_memory.rs
@@ -112,6 +112,7 @@
             self.grow_to(needed, step).await?;
             whole.push(&data);
         }
+        self.memory.shares.lock().record_whole(self.id);
         Ok(whole.joined())
     }
 
--- a/src/gateway/exchange/answer_shares.rs
+++ b/src/gateway/exchange/answer_shares.rs
@@ -14,6 +14,9 @@
 /// Bytes that all other answers may reserve.
 pub(super) const COMMON_BYTES: usize = 12 * 1024 * 1024;
 
+/// Most upstreams whose long answers are known not to have ended.
+const MAX_UNFINISHED: usize = 256;
+
 /// Identifies an answer; later ones are greater.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct AnswerId(u64);
@@ -34,6 +37,8 @@
     common_bytes: usize,
     /// Bytes that it waits for.
     wanted_bytes: Option<usize>,
+    /// Whether it has been read to its end.
+    is_whole: bool,
 }
 
 /// What the answers of a node have reserved.
@@ -44,6 +49,8 @@
     longest: Option<AnswerId>,
     common_bytes: usize,
     bytes_by_upstream: BTreeMap<u64, usize>,
+    /// How often answers of an upstream have held the whole bound and not ended; sorted by its tag.
+    unfinished: Vec<(u64, u32)>,
     last_id: u64,
 }
 
@@ -56,6 +63,7 @@
             upstream,
             common_bytes: 0,
             wanted_bytes: None,
+            is_whole: false,
         };
         self.shares.insert(id, share);
         id
@@ -64,13 +72,44 @@
     /// Gives back what an answer has reserved, and lets others go on.
     pub fn leave(&mut self, id: AnswerId) {
         self.release(id);
-        self.shares.remove(&id);
+        let share = self.shares.remove(&id);
         if self.longest == Some(id) {
             self.longest = None;
+            if let Some(share) = share {
+                self.record_longest(&share);
+            }
         }
         self.let_go_on();
     }
 
+    /// Records that an answer has been read to its end.
+    pub fn record_whole(&mut self, id: AnswerId) {
+        if let Some(share) = self.shares.get_mut(&id) {
+            share.is_whole = true;
+        }
+    }
+
+    /// Records how an answer left that had reserved its whole bound.
+    fn record_longest(&mut self, share: &Share) {
+        let found = (self.unfinished).binary_search_by_key(&share.upstream, |(tag, _count)| *tag);
+        match found {
+            Ok(index) if share.is_whole => {
+                self.unfinished.remove(index);
+            }
+            Ok(index) => self.unfinished[index].1 += 1,
+            Err(_absent) if share.is_whole => {}
+            Err(index) => self.unfinished.insert(index, (share.upstream, 1)),
+        }
+        if self.unfinished.len() > MAX_UNFINISHED {
+            self.unfinished.clear();
+        }
+    }
+
+    fn unfinished_of(&self, upstream: u64) -> u32 {
+        let found = (self.unfinished).binary_search_by_key(&upstream, |(tag, _count)| *tag);
+        found.map_or(0, |index| self.unfinished[index].1)
+    }
+
     /// Raises what an answer has reserved to `bytes`, if it may.
     pub fn reserve(&mut self, id: AnswerId, bytes: usize) -> Reservation {
         if self.longest == Some(id) {
@@ -100,7 +139,8 @@
         self.common_bytes + self.longest.map_or(0, |_id| LONGEST_BYTES)
     }
 
-    /// Grants what waiting answers may reserve, those of upstreams that hold least first.
+    /// Grants what waiting answers may reserve, those of upstreams first whose long answers have ended, and of these of
+    /// the ones that hold least.
     fn let_go_on(&mut self) {
         for id in self.waiting() {
             self.try_common(id);
@@ -123,11 +163,14 @@
 
     fn waiting(&self) -> Vec<AnswerId> {
         let waiting = (self.shares.iter()).filter(|(_id, share)| share.wanted_bytes.is_some());
-        let mut ranked: Vec<(usize, AnswerId)> = waiting
-            .map(|(id, share)| (self.held_by(share.upstream), *id))
+        let mut ranked: Vec<(u32, usize, AnswerId)> = waiting
+            .map(|(id, share)| {
+                let held_bytes = self.held_by(share.upstream);
+                (self.unfinished_of(share.upstream), held_bytes, *id)
+            })
             .collect();
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_bytes, id)| id).collect()
+        ranked.into_iter().map(|(.., id)| id).collect()
     }
 
     fn held_by(&self, upstream: u64) -> usize {
--- a/src/gateway/exchange/answer_shares/tests.rs
+++ b/src/gateway/exchange/answer_shares/tests.rs
@@ -61,6 +61,37 @@
     assert_eq!(shares.reserved_bytes(), 0);
 }
 
+/// Guards against an upstream whose bodies stop one after the other in the place of the longest answer, while whole ones of others wait.
+#[test]
+fn upstream_whose_long_answers_do_not_end_goes_on_last() {
+    let mut shares = AnswerShares::default();
+    let stopped = shares.enter(FAULTY);
+    assert_eq!(shares.reserve(stopped, LONGEST_BYTES), Reservation::Granted);
+    let next_stopped = shares.enter(FAULTY);
+    assert_eq!(
+        shares.reserve(next_stopped, LONGEST_BYTES),
+        Reservation::Waits
+    );
+    let sound: Vec<AnswerId> = (0..4).map(|_| shares.enter(SOUND)).collect();
+    for id in &sound {
+        assert_eq!(shares.reserve(*id, MIB), Reservation::Granted);
+    }
+    for id in &sound {
+        assert_eq!(shares.reserve(*id, 2 * MIB), Reservation::Waits);
+    }
+    shares.leave(stopped);
+    assert!(
+        shares.is_waiting(next_stopped),
+        "a faulty body goes on first"
+    );
+    for id in sound {
+        assert!(!shares.is_waiting(id), "a sound answer waits for itself");
+        shares.record_whole(id);
+        shares.leave(id);
+    }
+    assert!(!shares.is_waiting(next_stopped));
+}
+
 /// Guards against an upstream with many bodies that keeps the long answers of others waiting.
 #[test]
 fn upstream_that_holds_least_goes_on_first() {
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -192,7 +192,12 @@
                         }
                         // Streams that leave one upstream at once compete for what is left of the budget.
                         NextEvents::Silent | NextEvents::Events(_)
-                            if dispatch::takes_repeat(waiting.node, &plan.pool, clock::now()) =>
+                            if plan.may_send(waiting.node, clock::now())
+                                && dispatch::takes_repeat(
+                                    waiting.node,
+                                    &plan.pool,
+                                    clock::now(),
+                                ) =>
                         {
                             let alive_since = silence::proof_since(silence.since, clock::now());
                             self.alive_since = Some(alive_since);
--- a/tests/platform/crashing_parts/dark.rs
+++ b/tests/platform/crashing_parts/dark.rs
@@ -12,7 +12,7 @@
 /// Time for which an upstream is dark.
 const DARK_MS: u64 = 3_000;
 
-/// Interval between two retries of the request, longer than an upstream is dark.
+/// Pause between the end of a retry and the next one; with its time limit longer than an upstream is dark.
 const RETRY_INTERVAL: Duration = Duration::from_millis(2_700);
 
 /// Time limit of a retry.
