refactor: The stream of an upstream and the choice of one are modules of their own

Change: exchange/selection.rs chooses the next upstream, exchange/upstream_stream.rs reads one upstream's stream; code is moved, not changed.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,10 +13,12 @@
 mod head_wait;
 mod quiet;
 mod request_log;
+mod selection;
 mod silence;
 mod stream;
 mod upstream_request;
 mod upstream_response;
+mod upstream_stream;
 
 use std::sync::Arc;
 
--- a/src/gateway/exchange/alternatives.rs
+++ b/src/gateway/exchange/alternatives.rs
@@ -7,8 +7,8 @@
 use super::admission::Plan;
 use super::attempts::Attempts;
 use super::connecting;
-use super::dispatch;
 use super::request_log::RequestLog;
+use super::selection;
 use super::silence::{self, Alternative, Decision, Silence};
 use super::upstream_request::UpstreamRequest;
 use crate::gateway::choose::{self, Choice, Criteria};
@@ -99,7 +99,7 @@
         let mut excluded = attempts.excluded().to_vec();
         excluded.push(silent);
         let settings = node.settings();
-        let moment = dispatch::rollout_context(node, plan, attempts, now);
+        let moment = selection::rollout_context(node, plan, attempts, now);
         // A copy, since a roll-out counts the requests that it is asked for.
         let mut rollout = node.rollouts.lock().get_mut(&plan.pool).cloned();
         let versions = match (attempts.begun_version(), &mut rollout, &moment) {
@@ -116,7 +116,7 @@
             excluded: &excluded,
             versions,
             alive_since: Some(proof_since),
-            ..dispatch::criteria(plan, attempts, &settings, node.pace(&plan.pool, now))
+            ..selection::criteria(plan, attempts, &settings, node.pace(&plan.pool, now))
         };
         let upstreams = node.upstreams.lock();
         let prefixes = node.prefixes.lock();
--- a/src/gateway/exchange/head_wait.rs
+++ b/src/gateway/exchange/head_wait.rs
@@ -6,8 +6,8 @@
 use super::admission::Plan;
 use super::alternatives::{Remaining, Stays, Waiting};
 use super::attempts::Attempts;
-use super::dispatch;
 use super::request_log::RequestLog;
+use super::selection;
 use super::silence::{self, Silence};
 use super::upstream_request::UpstreamRequest;
 use crate::gateway::attempt_timeouts;
@@ -60,7 +60,7 @@
         match leaves {
             // A plain call that is not sent again is given up for its caller to send it again.
             Some(_choice) if !plan.route().is_stream => return None,
-            Some(_choice) if dispatch::takes_repeat(node, &plan.pool, now) => {
+            Some(_choice) if selection::takes_repeat(node, &plan.pool, now) => {
                 attempts.hold_repeat();
                 return None;
             }
