--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -3,30 +3,16 @@
 use std::time::Duration;
 
 use teaselline_stand_ins::operators::deployment::asked;
-use teaselline_stand_ins::operators::{Deployment, Endless, EndlessPart, Fault};
+use teaselline_stand_ins::operators::{Endless, EndlessPart, Fault};
 
-use super::support::{deployment, eventually, send};
+use super::support::{MAX_GAINED_KB, deployment, eventually, peak_kb, send};
 
 /// Requests under way at once.
 const CALLS: usize = 24;
 
-/// Most memory that the node may gain, half of the smallest host that operators name.
-pub const MAX_GAINED_KB: u64 = 80 * 1024;
-
 /// Latest time after the end of a request by which the upstream sees its connection closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The most memory that the node's process has held, in kilobytes.
-pub fn peak_kb(deployment: &Deployment) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
-    let status = status.expect("the node runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-    peak.and_then(|peak| peak.parse().ok())
-        .expect("the process has a peak")
-}
-
 /// Sends calls to upstreams with this fault; each has to fail, and no connection may stay open.
 async fn endless_answers_end(part: EndlessPart, route: &str) {
     let deployment = deployment(1, 2).await;
--- a/tests/platform/endless_events.rs
+++ b/tests/platform/endless_events.rs
@@ -10,7 +10,7 @@
 use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Endless, EndlessPart, Fault};
 
-use super::support::{Load, deployment, eventually, send};
+use super::support::{Load, MAX_GAINED_KB, deployment, eventually, peak_kb, send};
 
 /// Streams that are sent at once.
 const STREAMS: usize = 20;
@@ -21,20 +21,6 @@
 /// Latest time after its limit by which a stream has ended: a node that sees the limit late reads for up to 250 ms more.
 const END_TIMEOUT_MS: u128 = 500;
 
-/// Most memory that the node may gain, half of the smallest host that operators name.
-const MAX_GAINED_KB: u64 = 80 * 1024;
-
-/// The most memory that the node's process has held, in kilobytes.
-fn peak_kb(deployment: &Deployment) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
-    let status = status.expect("the node runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-    peak.and_then(|peak| peak.parse().ok())
-        .expect("the process has a peak")
-}
-
 /// Has the first upstream of streams send so.
 fn break_first(deployment: &Deployment, endless: Endless) {
     let mut pool = (deployment.upstreams.iter()).filter(|one| one.id().starts_with("pool"));
--- a/tests/platform/endless_heads.rs
+++ b/tests/platform/endless_heads.rs
@@ -5,8 +5,7 @@
 use teaselline_stand_ins::operators::deployment::asked;
 use teaselline_stand_ins::operators::{Deployment, Ended, Endless, EndlessPart, Fault};
 
-use super::endless::{MAX_GAINED_KB, peak_kb};
-use super::support::{deployment, eventually, send};
+use super::support::{MAX_GAINED_KB, deployment, eventually, peak_kb, send};
 
 /// Requests under way at the faulty upstream at once.
 const REQUESTS_AT_ONCE: usize = 20;
--- a/tests/platform/long_answers.rs
+++ b/tests/platform/long_answers.rs
@@ -6,7 +6,7 @@
 use teaselline_stand_ins::operators::deployment::{asked, document};
 use teaselline_stand_ins::operators::{Asked, Deployment, Ended, Endless, EndlessPart, Fault};
 
-use super::support::{deployment, eventually, send};
+use super::support::{MAX_GAINED_KB, deployment, eventually, peak_kb, send};
 
 /// Upstreams of the service, one of them faulty.
 const UPSTREAMS: usize = 10;
@@ -20,9 +20,6 @@
 /// Longer than what a node reads of each answer whatever others hold.
 const SOUND_BYTES: usize = 200 * 1024;
 
-/// Most memory that the node may gain, half of the smallest host that operators name.
-const MAX_GAINED_KB: u64 = 80 * 1024;
-
 /// A body that stops after its first piece and stays open.
 const STOPPED: Endless = Endless {
     part: EndlessPart::Body,
@@ -37,17 +34,6 @@
     pause_ms: 20,
 };
 
-/// The most memory that the node's process has held, in kilobytes.
-fn peak_kb(deployment: &Deployment) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
-    let status = status.expect("the node runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-    peak.and_then(|peak| peak.parse().ok())
-        .expect("the process has a peak")
-}
-
 fn call(id: &str) -> Asked {
     Asked {
         deadline_ms: TIMEOUT_MS,
--- a/tests/platform/slow_callers.rs
+++ b/tests/platform/slow_callers.rs
@@ -11,7 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-use super::support::{eventually, send};
+use super::support::{MAX_GAINED_KB, eventually, peak_kb, send};
 
 /// Beyond what the sockets of both sides hold.
 const FILLER_BYTES: usize = 12 * 1024 * 1024;
@@ -28,9 +28,6 @@
 /// Callers that read nothing of a long answer.
 const CALLS: usize = 24;
 
-/// Most memory that the node may gain, half of the smallest host that operators name.
-const MAX_GAINED_KB: u64 = 80 * 1024;
-
 /// Time in which a node that nothing holds has exited, well within its grace period.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -99,17 +96,6 @@
     assert!(status.expect("the node exited").success());
 }
 
-/// The most memory that the node's process has held, in kilobytes.
-fn peak_kb(deployment: &Deployment) -> u64 {
-    let status =
-        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
-    let status = status.expect("the node runs");
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
-    peak.and_then(|peak| peak.parse().ok())
-        .expect("the process has a peak")
-}
-
 /// Guards against a node whose memory is filled by answers that their callers do not read.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_callers_do_not_read_stay_within_the_nodes_memory() {
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -42,6 +42,20 @@
         .expect("all nodes become ready")
 }
 
+/// Most memory that the node may gain, half of the smallest host that operators name.
+pub const MAX_GAINED_KB: u64 = 80 * 1024;
+
+/// The most memory that the node's process has held, in kilobytes.
+pub fn peak_kb(deployment: &Deployment) -> u64 {
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", deployment.nodes[0].process_id()));
+    let status = status.expect("the node runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+    peak.and_then(|peak| peak.parse().ok())
+        .expect("the process has a peak")
+}
+
 /// Sends a call to the node at index `node`.
 pub async fn send(deployment: &Deployment, node: usize, asked: &Asked) -> Ended {
     asked.send(deployment.nodes[node].callers()).await
