--- a/src/gateway/crashes/silent.rs
+++ b/src/gateway/crashes/silent.rs
@@ -39,7 +39,7 @@
 
 /// What is known of the upstream of a request that was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fate {
+pub(crate) enum UpstreamState {
     /// It has crashed.
     Crashed,
     /// It runs or has left in order, or it is too late to tell.
@@ -58,14 +58,16 @@
 
 impl SilentRequest {
     /// Decides what became of the upstream, by the starts that are known at its address.
-    pub fn fate(&self, starts: &[StartAtAddress], now: TimeMs) -> Fate {
+    pub fn upstream_state(&self, starts: &[StartAtAddress], now: TimeMs) -> UpstreamState {
         let has_left = (starts.iter()).any(|start| start.tag == self.upstream && start.is_leaving);
         let has_next = starts.iter().any(|start| start.tag != self.upstream);
         match () {
-            () if has_left || self.contact.is_heard_since(self.given_up_at) => Fate::Unknown,
-            () if has_next => Fate::Crashed,
-            () if now.since(self.given_up_at) >= MAX_WAIT_MS => Fate::Unknown,
-            () => Fate::Silent,
+            () if has_left || self.contact.is_heard_since(self.given_up_at) => {
+                UpstreamState::Unknown
+            }
+            () if has_next => UpstreamState::Crashed,
+            () if now.since(self.given_up_at) >= MAX_WAIT_MS => UpstreamState::Unknown,
+            () => UpstreamState::Silent,
         }
     }
 
@@ -83,7 +85,7 @@
     }
 }
 
-/// The requests of this node that wait for the fate of their upstreams.
+/// The requests of this node that wait until it shows what became of their upstreams.
 #[derive(Debug, Default)]
 pub(super) struct SilentRequests {
     /// In the order in which they were given up.
@@ -114,7 +116,7 @@
         addresses
     }
 
-    /// Removes the requests whose upstreams' fate is decided; returns the crashes.
+    /// Removes the requests of whose upstreams this has shown; returns the crashes.
     ///
     /// `starts` are the known starts at the addresses, sorted by address.
     pub fn take_crashed(
@@ -127,11 +129,11 @@
             let found =
                 starts.binary_search_by_key(&request.address, |(address, _starts)| *address);
             let at_address = found.map_or(&[][..], |index| &starts[index].1);
-            let fate = request.fate(at_address, now);
-            if fate == Fate::Crashed {
+            let state = request.upstream_state(at_address, now);
+            if state == UpstreamState::Crashed {
                 crashed.push(request.crash(now));
             }
-            fate == Fate::Silent
+            state == UpstreamState::Silent
         });
         crashed
     }
--- a/src/gateway/crashes/silent/tests.rs
+++ b/src/gateway/crashes/silent/tests.rs
@@ -48,14 +48,26 @@
 fn next_start_at_the_address_shows_the_crash_of_a_silent_one() {
     let request = given_up(1, 1, 0);
     let late = TimeMs(GIVES_UP_MS + MAX_WAIT_MS);
-    assert_eq!(request.fate(&[], TimeMs(2_000)), Fate::Silent);
-    assert_eq!(request.fate(&[start(1)], TimeMs(2_000)), Fate::Silent);
     assert_eq!(
-        request.fate(&[start(1), start(9)], TimeMs(4_000)),
-        Fate::Crashed
+        request.upstream_state(&[], TimeMs(2_000)),
+        UpstreamState::Silent
+    );
+    assert_eq!(
+        request.upstream_state(&[start(1)], TimeMs(2_000)),
+        UpstreamState::Silent
+    );
+    assert_eq!(
+        request.upstream_state(&[start(1), start(9)], TimeMs(4_000)),
+        UpstreamState::Crashed
+    );
+    assert_eq!(
+        request.upstream_state(&[start(9)], TimeMs(4_000)),
+        UpstreamState::Crashed
+    );
+    assert_eq!(
+        request.upstream_state(&[start(1)], late),
+        UpstreamState::Unknown
     );
-    assert_eq!(request.fate(&[start(9)], TimeMs(4_000)), Fate::Crashed);
-    assert_eq!(request.fate(&[start(1)], late), Fate::Unknown);
 }
 
 /// Guards against a crash that is read from the restart of an upstream that was only slow, or left in order.
@@ -67,11 +79,14 @@
         ..start(1)
     };
     assert_eq!(
-        request.fate(&[left, start(9)], TimeMs(4_000)),
-        Fate::Unknown
+        request.upstream_state(&[left, start(9)], TimeMs(4_000)),
+        UpstreamState::Unknown
     );
     request.contact.record_heard(TimeMs(1_500));
-    assert_eq!(request.fate(&[start(9)], TimeMs(4_000)), Fate::Unknown);
+    assert_eq!(
+        request.upstream_state(&[start(9)], TimeMs(4_000)),
+        UpstreamState::Unknown
+    );
 }
 
 /// Guards against a request that takes down one upstream after the other because their crashes end no connection.
--- a/src/gateway/durations.rs
+++ b/src/gateway/durations.rs
@@ -1,7 +1,5 @@
 //! How long requests of each route took of late, from their send to the end of their answer.
 
-use std::collections::HashMap;
-
 use crate::time::TimeMs;
 
 /// A duration is forgotten after one to two of these spans.
@@ -11,24 +9,44 @@
 #[derive(Debug, Default)]
 pub(crate) struct RouteDurations {
     span_began: TimeMs,
-    /// By the tag of the route.
-    longest_ms: HashMap<u64, u64>,
-    longest_before_ms: HashMap<u64, u64>,
+    longest: LongestByRoute,
+    longest_before: LongestByRoute,
+}
+
+/// The longest duration of each route in milliseconds, sorted by the route's tag.
+#[derive(Debug, Default)]
+struct LongestByRoute(Vec<(u64, u64)>);
+
+impl LongestByRoute {
+    fn record(&mut self, route: u64, took_ms: u64) {
+        match self
+            .0
+            .binary_search_by_key(&route, |(tag, _longest_ms)| *tag)
+        {
+            Ok(index) => self.0[index].1 = took_ms.max(self.0[index].1),
+            Err(index) => self.0.insert(index, (route, took_ms)),
+        }
+    }
+
+    fn get(&self, route: u64) -> Option<u64> {
+        let found = self
+            .0
+            .binary_search_by_key(&route, |(tag, _longest_ms)| *tag);
+        found.ok().map(|index| self.0[index].1)
+    }
 }
 
 impl RouteDurations {
     /// Records a request of this route that was answered.
     pub fn record(&mut self, route: u64, took_ms: u64, now: TimeMs) {
         self.forget(now);
-        let longest_ms = self.longest_ms.entry(route).or_default();
-        *longest_ms = took_ms.max(*longest_ms);
+        self.longest.record(route, took_ms);
     }
 
     /// Returns the longest duration of late; `None` if no request of the route was answered.
     pub fn longest_ms(&mut self, route: u64, now: TimeMs) -> Option<u64> {
         self.forget(now);
-        let now_ms = self.longest_ms.get(&route);
-        now_ms.max(self.longest_before_ms.get(&route)).copied()
+        self.longest.get(route).max(self.longest_before.get(route))
     }
 
     fn forget(&mut self, now: TimeMs) {
@@ -36,9 +54,9 @@
         if age_ms < SPAN_MS {
             return;
         }
-        self.longest_before_ms = std::mem::take(&mut self.longest_ms);
+        self.longest_before = std::mem::take(&mut self.longest);
         if age_ms >= 2 * SPAN_MS {
-            self.longest_before_ms.clear();
+            self.longest_before = LongestByRoute::default();
         }
         self.span_began = now;
     }
--- a/src/head_limit/pooled.rs
+++ b/src/head_limit/pooled.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::TryFutureExt;
 use futures::future::MapOk;
+// The trait of connectors, which `gotham` exports.
 use gotham::tower_service::Service;
 use http::{Request, Response, Uri};
 use http_body_util::Full;
