--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -78,3 +78,10 @@
     let beside = [Beside::TeamsAtLimits];
     soak(57, 8, 4, &beside).await;
 }
+
+/// Guards against requests to an upstream that has asked for rest, beside teams at their limits.
+#[tokio::test(flavor = "multi_thread")]
+async fn soak_with_teams_at_their_limits_of_seed_9751_breaks_no_guarantee() {
+    let beside = [Beside::TeamsAtLimits];
+    soak(9_751, 6, 4, &beside).await;
+}
