test: Crowds of callers that do not behave, red by name

Callers that the operators do not control ended a process: it ran out of memory. The new test target `unruly` starts nodes as processes on a host with lowered limits, in both roles, and sends crowds to each listener that callers reach: bodies that stop one byte short, whole, in pieces, in large chunks, in chunks of one byte, trickling; bodies far over the limit, announced or just sent; whole bodies at slow upstreams; heads without end; connections that stay open; bodies on many HTTP/2 streams. It checks that the process lives, that VmHWM stays within the memory of its host, that its sockets leave the 200 descriptors of files, and that an ordinary request is answered beside the crowd. No times, no shares; one test at a time.

--- a/examples/local_site/platform.rs
+++ b/examples/local_site/platform.rs
@@ -49,6 +49,7 @@
         usage_window_s: 1.0,
         has_quota_window: false,
         is_proxied: false,
+        host: None,
     })
     .await?;
     println!("started {NODES} nodes before {UPSTREAMS} engines and {UPSTREAMS} plain upstreams");
--- a/stand_ins/src/operators.rs
+++ b/stand_ins/src/operators.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod cloud;
+pub mod crowd;
 pub mod deployment;
 pub mod node;
 pub mod soak;
@@ -12,7 +13,8 @@
 
 pub use caller::{Asked, Ended};
 pub use cloud::Cloud;
+pub use crowd::{Crowd, Member};
 pub use deployment::Deployment;
-pub use node::Node;
+pub use node::{HostLimits, Node};
 pub use store::Store;
 pub use upstream::{Endless, EndlessPart, Fault, Run, Upstream};
--- a/stand_ins/src/operators/deployment.rs
+++ b/stand_ins/src/operators/deployment.rs
@@ -14,7 +14,7 @@
 
 use super::caller::{Asked, Ended};
 use super::cloud::Cloud;
-use super::node::{Launch, Node};
+use super::node::{HostLimits, Launch, Node};
 use super::store::{Door, OpenDoor, Store};
 use super::upstream::{Run, Upstream, UpstreamSettings, is_misfit};
 use crate::proxy::{ProxySettings, TcpProxy};
@@ -85,6 +85,8 @@
     pub has_quota_window: bool,
     /// Leads what nodes say to the store, to upstreams and to callers through proxies.
     pub is_proxied: bool,
+    /// What each node's host allows; otherwise the settings do not say so.
+    pub host: Option<HostLimits>,
 }
 
 impl Deployment {
@@ -139,6 +141,7 @@
                 grace_s: settings.grace_s,
                 usage_window_s: settings.usage_window_s,
                 has_quota_window: settings.has_quota_window,
+                host: settings.host,
                 folder: deployment.folder.path().to_owned(),
             };
             deployment.doors.push(door);
--- a/stand_ins/src/operators/node.rs
+++ b/stand_ins/src/operators/node.rs
@@ -23,6 +23,15 @@
 /// Between two looks at a process.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// What the host of a node allows its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Memory, in megabytes; nothing here enforces it.
+    pub memory_mb: u64,
+    /// Open descriptors; the system refuses further ones.
+    pub max_descriptors: u64,
+}
+
 /// What a node is started with.
 #[derive(Clone, Debug)]
 pub struct Launch {
@@ -46,6 +55,8 @@
     pub usage_window_s: f64,
     /// Limits of teams are measured over a window.
     pub has_quota_window: bool,
+    /// What its host allows; otherwise the settings do not say so.
+    pub host: Option<HostLimits>,
     /// The folder for its settings file.
     pub folder: PathBuf,
 }
@@ -71,7 +82,7 @@
         let file = launch.folder.join(format!("{}.json", launch.name));
         fs::write(&file, settings(&launch).to_string())?;
         let log = Arc::new(Mutex::new(Vec::new()));
-        let child = spawn(&launch.binary, &file, &log)?;
+        let child = spawn(&launch, &file, &log)?;
         Ok(Self {
             launch,
             child: Mutex::new(child),
@@ -171,7 +182,7 @@
         let mut child = self.child.lock();
         drop(child.kill());
         drop(child.wait());
-        *child = spawn(&self.launch.binary, &self.settings_file(), &self.log)?;
+        *child = spawn(&self.launch, &self.settings_file(), &self.log)?;
         *self.started_at.lock() = Instant::now();
         Ok(())
     }
@@ -204,8 +215,8 @@
     }
 }
 
-fn spawn(binary: &Path, settings: &Path, log: &Arc<Mutex<Vec<String>>>) -> io::Result<Child> {
-    let mut child = Command::new(binary)
+fn spawn(launch: &Launch, settings: &Path, log: &Arc<Mutex<Vec<String>>>) -> io::Result<Child> {
+    let mut child = command(&launch.binary, launch.host)
         .arg("gateway")
         .arg("--settings")
         .arg(settings)
@@ -222,6 +233,18 @@
     Ok(child)
 }
 
+/// Returns the command that runs a program with the descriptors that its host allows.
+#[must_use]
+pub fn command(binary: &Path, host: Option<HostLimits>) -> Command {
+    let Some(host) = host else {
+        return Command::new(binary);
+    };
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {}; exec \"$0\" \"$@\"", host.max_descriptors);
+    command.arg("-c").arg(script).arg(binary);
+    command
+}
+
 fn follow(out: impl io::Read + Send + 'static, log: Arc<Mutex<Vec<String>>>) {
     std::thread::spawn(move || {
         for line in BufReader::new(out).lines().map_while(Result::ok) {
@@ -253,6 +276,12 @@
         "platform": {"address": launch.store.to_string()},
         "cloud": {"address": launch.cloud.to_string()},
     });
+    if let Some(host) = launch.host {
+        settings["limits"] = serde_json::json!({
+            "cpuShare": 0.25, "cores": 1, "linkMbps": 1000.0,
+            "memoryMb": host.memory_mb, "maxFds": host.max_descriptors,
+        });
+    }
     if launch.has_quota_window {
         let bounds = &mut settings["bounds"];
         bounds["quotaWindowS"] = QUOTA_WINDOW_S.into();
--- a/stand_ins/src/operators/soak.rs
+++ b/stand_ins/src/operators/soak.rs
@@ -131,6 +131,7 @@
         usage_window_s: 1.0,
         has_quota_window: settings.has(Beside::TeamsAtLimits),
         is_proxied: true,
+        host: None,
     })
     .await?;
     let mut outcome = Outcome::default();
--- a/stand_ins/src/operators/standstill.rs
+++ b/stand_ins/src/operators/standstill.rs
@@ -69,6 +69,7 @@
         usage_window_s: 1.0,
         has_quota_window: false,
         is_proxied: false,
+        host: None,
     })
     .await?;
     let mut rng = SmallRng::seed_from_u64(settings.seed);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -8,6 +8,7 @@
 #[path = "../support/fleet.rs"]
 mod fleet;
 #[path = "../support/process.rs"]
+#[expect(dead_code, reason = "tests of crowds read what a process uses")]
 mod process;
 #[path = "../support/schedules.rs"]
 mod schedules;
--- a/tests/platform/late_in_the_grace.rs
+++ b/tests/platform/late_in_the_grace.rs
@@ -36,6 +36,7 @@
         usage_window_s: 1.0,
         has_quota_window: false,
         is_proxied: false,
+        host: None,
     };
     let deployment = Deployment::start(settings).await;
     let deployment = deployment.expect("all nodes become ready");
--- a/tests/platform/slow_callers.rs
+++ b/tests/platform/slow_callers.rs
@@ -40,6 +40,7 @@
         usage_window_s: 1.0,
         has_quota_window: false,
         is_proxied: false,
+        host: None,
     };
     let started = Deployment::start(settings).await;
     started.expect("the node becomes ready")
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -36,6 +36,7 @@
         usage_window_s: 1.0,
         has_quota_window,
         is_proxied: false,
+        host: None,
     };
     Deployment::start(settings)
         .await
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 use teaselline::client::http::{BufferedResponse, HttpClient, HttpError};
 use teaselline::document::Document;
+use teaselline_stand_ins::operators::HostLimits;
 use teaselline_stand_ins::site::Site;
 
 use super::deployment::site_settings;
@@ -45,6 +46,10 @@
     pub service_timeout_ms: u64,
     /// How long a planned stop may take.
     pub drain_timeout_ms: u64,
+    /// What each node's host allows; otherwise nodes are started with the defaults.
+    pub host: Option<HostLimits>,
+    /// Further settings of each node, as names and values of its environment.
+    pub environment: &'static [(&'static str, &'static str)],
 }
 
 impl FleetSettings {
@@ -56,6 +61,8 @@
             deadline_ms: 10_000,
             service_timeout_ms: trial::SERVICE_TIMEOUT_MS,
             drain_timeout_ms: 10_000,
+            host: None,
+            environment: &[],
         }
     }
 }
@@ -134,6 +141,8 @@
             index,
             seeds,
             drain_timeout_ms: self.settings.drain_timeout_ms,
+            host: self.settings.host,
+            environment: self.settings.environment,
         };
         Process::start(&launch).await
     }
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -11,6 +11,7 @@
 use parking_lot::Mutex;
 use serde_json::Value;
 use teaselline::keys::Incarnation;
+use teaselline_stand_ins::operators::{HostLimits, node};
 use teaselline_stand_ins::proxy::{Direction, ProxySettings, TcpProxy, UdpProxy};
 use teaselline_stand_ins::site::Site;
 
@@ -63,6 +64,10 @@
     pub seeds: &'a [SocketAddr],
     /// How long its planned stop may take.
     pub drain_timeout_ms: u64,
+    /// What its host allows; otherwise it is started with the defaults.
+    pub host: Option<HostLimits>,
+    /// Further settings, as names and values of its environment.
+    pub environment: &'a [(&'a str, &'a str)],
 }
 
 impl Process {
@@ -151,6 +156,11 @@
         self.signal("TERM");
     }
 
+    /// The id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.lock().id()
+    }
+
     /// Whether the process has ended.
     pub fn has_ended(&self) -> bool {
         matches!(self.child.lock().try_wait(), Ok(Some(_)))
@@ -234,10 +244,11 @@
 fn command(launch: &Launch<'_>) -> Command {
     let site = launch.site;
     let seeds: Vec<_> = launch.seeds.iter().map(ToString::to_string).collect();
-    let mut command = Command::new(launch.binary);
+    let mut command = node::command(launch.binary, launch.host);
     command
         .arg("serve")
         .env_clear()
+        .envs(launch.environment.iter().copied())
         .env("TEASELLINE_FLEET_KEY", launch.fleet_key)
         .args(["--listen", &format!("{}:0", launch.ip)])
         .args(["--name", &format!("entry-{}", launch.index)])
