bug: Callers' requests and connections share one account of the host's memory and descriptors

What callers saw: the process of their node ended, out of memory, and all requests on it; or no answer, since a crowd held all descriptors. Cause: each body and head was bounded, their sum and the number of connections by nothing; a body was kept until its caller's time limit was over, or while upstreams worked.

Now `src/resources/` charges what arrives to one account by `memoryMb` and `maxFds`, and decides without clocks or sockets who goes: the request that has been arriving the longest, never one that has arrived to its end. That works since an ordinary request arrives within moments, and a crowd that stands still or trickles grows old. A granted request waits until those that go have given back their bytes. A request's state is held apart from its connection (19 KB without a request before). What a peer hands on is charged as well. A caller that is still sending reads its refusal: what it sends is dropped for a second.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -4,23 +4,42 @@
 //! caller that reads slowly may stay there for seconds, and a node that exits meanwhile cuts it.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
+use http_body::Body;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
 
 use super::caller_timeouts::Phase;
 use super::clock;
 use crate::in_flight::{self, InFlight};
+use crate::resources::{self, ArrivalError, Evicted, Place};
 use crate::time::TimeMs;
 
+/// A head of at most this size is part of what each connection takes.
+const SHORT_HEAD_BYTES: usize = 8 * 1024;
+
+/// The HTTP library doubles its buffer as a head grows.
+const BUFFERS_PER_HEAD: usize = 2;
+
+/// How long a caller that is still sending may take to read the refusal and close the connection.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes that one read of such a connection drops.
+const DROPPED_BYTES: usize = 8 * 1024;
+
 /// What one connection does, as its socket and its requests record it.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
+    place: Arc<Place>,
     state: Mutex<State>,
 }
 
@@ -31,20 +50,35 @@
     open: usize,
     /// The answers that the connection's buffer holds to their ends.
     buffered: Vec<InFlight>,
+    /// Bytes of the head that is being read or was read last.
+    head_bytes: usize,
+    /// Bytes that the place is charged with for it.
+    charged_bytes: usize,
+    /// Whether the body of the last request has not been read to its end.
+    has_unread_body: bool,
 }
 
 impl CallerConnection {
     /// Creates the state of a connection that has been accepted.
-    pub fn new(now: TimeMs) -> Self {
+    pub fn new(place: Place, now: TimeMs) -> Self {
         Self {
+            place: Arc::new(place),
             state: Mutex::new(State {
                 phase: Phase::Idle { since: now },
                 open: 0,
                 buffered: Vec::new(),
+                head_bytes: 0,
+                charged_bytes: 0,
+                has_unread_body: false,
             }),
         }
     }
 
+    /// Waits until the connection has to be closed for others.
+    pub async fn evicted(&self) {
+        self.place.evicted().await;
+    }
+
     /// Returns what the connection waits for.
     pub fn phase(&self) -> Phase {
         self.state.lock().phase
@@ -61,11 +95,26 @@
         }
     }
 
-    fn record_read(&self, now: TimeMs) {
+    /// Records bytes that were read, and charges a long head to the place.
+    fn record_read(&self, bytes: usize, now: TimeMs) -> Result<(), Evicted> {
         let mut state = self.state.lock();
-        if let Phase::Idle { .. } = state.phase {
-            state.phase = Phase::Head { since: now };
+        match state.phase {
+            Phase::Idle { .. } => {
+                state.phase = Phase::Head { since: now };
+                state.head_bytes = bytes;
+                self.place.arrive(now);
+            }
+            Phase::Head { .. } => state.head_bytes += bytes,
+            Phase::Answer => return Ok(()),
+        }
+        let long_bytes = state.head_bytes.saturating_sub(SHORT_HEAD_BYTES);
+        let due_bytes = long_bytes.saturating_mul(BUFFERS_PER_HEAD);
+        let more_bytes = due_bytes.saturating_sub(state.charged_bytes);
+        if more_bytes > 0 {
+            self.place.add(more_bytes)?;
+            state.charged_bytes = due_bytes;
         }
+        Ok(())
     }
 
     /// Records that the connection's buffer is empty.
@@ -78,10 +127,32 @@
         state.buffered.clear();
         if state.open == 0 {
             state.phase = Phase::Idle { since: now };
+            self.place.release(std::mem::take(&mut state.charged_bytes));
+            self.place.keep(now);
         }
     }
 }
 
+/// The body of a caller's request that has not been read.
+#[derive(Debug)]
+pub(crate) struct RequestBody {
+    body: Incoming,
+    connection: Arc<CallerConnection>,
+}
+
+impl RequestBody {
+    /// Reads the body to its end.
+    ///
+    /// # Errors
+    ///
+    /// If the body is longer than `max_bytes`, breaks off, or has to go for others.
+    pub async fn read(self, max_bytes: usize) -> Result<Bytes, ArrivalError> {
+        let whole = resources::read_body(self.body, &self.connection.place, max_bytes).await?;
+        self.connection.state.lock().has_unread_body = false;
+        Ok(whole)
+    }
+}
+
 /// Guard of a request, which counts as in flight until its answer is written or the connection ends.
 #[derive(Debug)]
 pub(crate) struct UnwrittenAnswer {
@@ -90,6 +161,15 @@
 }
 
 impl UnwrittenAnswer {
+    /// Returns the body of the request that is answered.
+    pub fn body(&self, body: Incoming) -> RequestBody {
+        self.connection.state.lock().has_unread_body = !body.is_end_stream();
+        RequestBody {
+            body,
+            connection: Arc::clone(&self.connection),
+        }
+    }
+
     /// Returns the body of the answer, which holds the guard.
     pub fn held_by(self, body: Bytes) -> Bytes {
         in_flight::holding(body, self)
@@ -116,12 +196,30 @@
 pub(crate) struct CallerSocket<S> {
     socket: S,
     connection: Arc<CallerConnection>,
+    linger: Linger,
+}
+
+/// What remains of a connection that is being closed.
+#[derive(Debug)]
+enum Linger {
+    /// It is not closed yet.
+    Open,
+    /// Its last answer is being passed on.
+    Closing,
+    /// What its caller still sends is read until this time.
+    ///
+    /// Closing a connection with unread bytes resets it, and the caller may never see the answer.
+    Reading(Pin<Box<Sleep>>),
 }
 
 impl<S> CallerSocket<S> {
     /// Creates the socket of a connection.
     pub fn new(socket: S, connection: Arc<CallerConnection>) -> Self {
-        Self { socket, connection }
+        Self {
+            socket,
+            connection,
+            linger: Linger::Open,
+        }
     }
 }
 
@@ -133,14 +231,36 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        if buf.filled().len() > before {
-            self.connection.record_read(clock::now());
+        let read_bytes = buf.filled().len() - before;
+        if read_bytes > 0 {
+            let recorded = self.connection.record_read(read_bytes, clock::now());
+            recorded.map_err(io::Error::other)?;
         }
         Poll::Ready(Ok(()))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for CallerSocket<S> {
+impl<S: AsyncRead + Unpin> CallerSocket<S> {
+    /// Reads and drops what the caller sends until it closes the connection or the time is over.
+    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let Linger::Reading(until) = &mut self.linger else {
+            return Poll::Ready(());
+        };
+        let mut dropped = [MaybeUninit::uninit(); DROPPED_BYTES];
+        loop {
+            if until.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(());
+            }
+            let mut buf = ReadBuf::uninit(&mut dropped);
+            match ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {}
+                _ => return Poll::Ready(()),
+            }
+        }
+    }
+}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for CallerSocket<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -168,6 +288,16 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+        if matches!(self.linger, Linger::Open) {
+            self.linger = Linger::Closing;
+        }
+        if matches!(self.linger, Linger::Closing) {
+            ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
+            if !self.connection.state.lock().has_unread_body {
+                return Poll::Ready(Ok(()));
+            }
+            self.linger = Linger::Reading(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
+        }
+        self.poll_drain(cx).map(Ok)
     }
 }
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -22,9 +22,10 @@
 use super::exchange;
 use super::patience;
 use super::state::Gateway;
+use crate::resources::Accepting;
 
-/// Delay after a failed accept, mostly caused by a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection whose request was refused for others may take to end.
+const EVICTED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -32,22 +33,15 @@
 /// Serves callers until `end` is cancelled, then lets open connections finish their requests.
 pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, end: CancellationToken) {
     let graceful = GracefulShutdown::new();
+    let mut accepting = Accepting::new(listener);
     loop {
-        let accepted = tokio::select! {
+        let (socket, _from) = tokio::select! {
             () = end.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        let socket = match accepted {
-            Ok((socket, _from)) => socket,
-            Err(error) => {
-                log::warn!(error:err = error; "cannot accept a caller's connection; retrying");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
+            accepted = accepting.next() => accepted,
         };
         serve_one(socket, &node, &graceful);
     }
-    drop(listener);
+    drop(accepting);
     graceful.shutdown().await;
 }
 
@@ -63,8 +57,11 @@
 where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
+    let Some(place) = node.callers.open(clock::now()) else {
+        return;
+    };
     let limits = node.catalog().limits;
-    let connection = Arc::new(CallerConnection::new(clock::now()));
+    let connection = Arc::new(CallerConnection::new(place, clock::now()));
     let socket = CallerSocket::new(socket, Arc::clone(&connection));
     let (handler_node, handler_connection) = (Arc::clone(node), Arc::clone(&connection));
     let service = service_fn(move |request| {
@@ -90,6 +87,8 @@
     NextPhase,
     ConnectionEnded(Result<(), hyper::Error>),
     TimedOut,
+    /// Others need its place.
+    Evicted,
 }
 
 /// Runs a connection until it ends or its caller takes longer than the limits allow.
@@ -106,6 +105,13 @@
             PhaseEnd::NextPhase if phase.is_idle() => limits_at_request = node.catalog().limits,
             PhaseEnd::NextPhase => {}
             PhaseEnd::ConnectionEnded(ended) => return ended,
+            PhaseEnd::Evicted if phase.is_answered() => {
+                return end_within(EVICTED_TIMEOUT, served).await;
+            }
+            PhaseEnd::Evicted => {
+                log::debug!("closed a caller's connection for others");
+                return Ok(());
+            }
             PhaseEnd::TimedOut => {
                 log::debug!(
                     "closed a caller's connection that was idle or whose request did not arrive in time"
@@ -125,7 +131,7 @@
     node: &Gateway,
 ) -> PhaseEnd {
     loop {
-        let end = phase_end(served.as_mut(), connection, phase);
+        let end = or_evicted(connection, phase_end(served.as_mut(), connection, phase));
         let Some(closes_at) = phase.closes_at(limits_at_request, node.catalog().limits) else {
             return end.await;
         };
@@ -140,6 +146,28 @@
     }
 }
 
+/// Awaits the end of a phase, or that the connection has to be closed for others.
+async fn or_evicted(
+    connection: &CallerConnection,
+    end: impl Future<Output = PhaseEnd>,
+) -> PhaseEnd {
+    tokio::select! {
+        biased;
+        end = end => end,
+        () = connection.evicted() => PhaseEnd::Evicted,
+    }
+}
+
+/// Runs a connection whose request has been refused until it ends, or the time is over.
+async fn end_within(
+    timeout: Duration,
+    served: impl Future<Output = Result<(), hyper::Error>>,
+) -> Result<(), hyper::Error> {
+    tokio::time::timeout(timeout, served)
+        .await
+        .unwrap_or(Ok(()))
+}
+
 /// Polls a connection until it ends or is no longer in `phase`.
 async fn phase_end(
     mut served: Pin<&mut impl Future<Output = Result<(), hyper::Error>>>,
--- a/src/gateway/caller_timeouts.rs
+++ b/src/gateway/caller_timeouts.rs
@@ -26,6 +26,11 @@
         matches!(self, Self::Idle { .. })
     }
 
+    /// Whether a request has been read and is not yet answered.
+    pub fn is_answered(self) -> bool {
+        matches!(self, Self::Answer)
+    }
+
     /// Returns when the connection is closed unless its phase changes; `None` if never.
     ///
     /// A caller may know the limits that were in force when its last request arrived, or those in force
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -37,7 +37,7 @@
 use self::request_log::RequestLog;
 use self::stream::StreamInterrupted;
 use self::upstream_response::UpstreamResponse;
-use super::caller_connection::UnwrittenAnswer;
+use super::caller_connection::{RequestBody, UnwrittenAnswer};
 use super::clock;
 use super::forwarding::ForwardedRequest;
 use super::refusal::Refusal;
@@ -62,9 +62,12 @@
     // and hides the other one. The connection is closed after such a request, so that no request
     // hidden inside its body is ever read.
     let closes_connection = parts.headers.contains_key(http::header::TRANSFER_ENCODING);
-    let serving = serve(&node, parts, body, received_at, &mut request_log);
+    // The request's state is larger than that of its connection, which is kept when the request has ended.
+    let body = unwritten.body(body);
+    let serving = Box::pin(serve(&node, parts, body, received_at, &mut request_log));
     let executed = until_last_answers(&node, serving).await;
     let executed = executed.unwrap_or_else(|| Err(request_log.last_refusal()));
+    let is_evicted = matches!(executed, Err(Refusal::NoMemory));
     let mut response = match executed {
         Ok(Executed::Whole(response)) => {
             request_log.finish_answered(response.status(), clock::now());
@@ -74,14 +77,14 @@
             let head = stream.head();
             let events = stream::forward(Arc::clone(&node), *stream, request_log);
             let events = unwritten.held_by_events(events.left_stream());
-            head.map(|()| Either::Right(StreamBody::new(events)))
+            head.map(|()| Either::Right(StreamBody::new(Box::pin(events))))
         }
         Ok(Executed::Forwarded(stream)) => {
             request_log.record_first_event(clock::now());
             let head = stream.head();
             let events = forward::relay(*stream, request_log);
             let events = unwritten.held_by_events(events.right_stream());
-            head.map(|()| Either::Right(StreamBody::new(events)))
+            head.map(|()| Either::Right(StreamBody::new(Box::pin(events))))
         }
         Err(refusal) => {
             request_log.finish_refused(&refusal, clock::now());
@@ -90,7 +93,7 @@
         }
     };
     let is_malformed = response.status() == StatusCode::BAD_REQUEST;
-    if closes_connection || is_malformed || node.is_stopping() {
+    if closes_connection || is_malformed || is_evicted || node.is_stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -110,7 +113,7 @@
 async fn serve(
     node: &Arc<Gateway>,
     parts: Parts,
-    body: Incoming,
+    body: RequestBody,
     received_at: TimeMs,
     request_log: &mut RequestLog,
 ) -> Result<Executed, Refusal> {
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -6,11 +6,10 @@
 use bytes::Bytes;
 use http::request::Parts;
 use http::{HeaderMap, Method, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
 
 use super::attempts::Attempts;
 use super::request_log::{Charge, RequestLog};
+use crate::gateway::caller_connection::RequestBody;
 use crate::gateway::catalog::{Catalog, Route, RouteKey, Team, TeamKey};
 use crate::gateway::clock;
 use crate::gateway::crashes::subjects::{self, Subjects};
@@ -25,6 +24,7 @@
 use crate::gateway::upstreams::tag;
 use crate::limits::TeamTag;
 use crate::platform::headers;
+use crate::resources::{self, ArrivalError};
 use crate::time::TimeMs;
 
 /// Distance between the urgencies of two adjacent priorities.
@@ -149,7 +149,7 @@
 pub(super) async fn admit(
     node: &Gateway,
     parts: Parts,
-    body: Incoming,
+    body: RequestBody,
     received_at: TimeMs,
     request_log: &mut RequestLog,
 ) -> Result<Plan, Refusal> {
@@ -194,6 +194,8 @@
     let begun = request.begun;
     let deadline = received_at.after(request.time_left_ms);
     let (parts, body) = forwarded_parts(request).ok_or(Malformed::Forwarded)?;
+    let place = node.callers.begin(received_at);
+    let body = resources::hold_whole(body, place).map_err(|_full| Refusal::NoMemory)?;
     let checked = Checked {
         deadline,
         ..check(node, &parts, received_at, request_log)?
@@ -206,7 +208,7 @@
 }
 
 /// Returns the head and the body of a forwarded request; `None` if they are not valid HTTP.
-fn forwarded_parts(request: ForwardedRequest) -> Option<(Parts, Bytes)> {
+fn forwarded_parts(request: ForwardedRequest) -> Option<(Parts, Vec<u8>)> {
     let (mut parts, ()) = http::Request::new(()).into_parts();
     parts.method = Method::from_bytes(request.method.as_bytes()).ok()?;
     parts.uri = request.uri.parse().ok()?;
@@ -216,7 +218,7 @@
         request.key.as_deref(),
         request.time_left_ms,
     );
-    Some((parts, Bytes::from(request.body)))
+    Some((parts, request.body))
 }
 
 /// Checks the head of a request against the configuration in force.
@@ -332,13 +334,17 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: TimeMs) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: RequestBody,
+    max_bytes: usize,
+    deadline: TimeMs,
+) -> Result<Bytes, Refusal> {
     let left = Duration::from_millis(clock::now().until(deadline));
-    let whole = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(left, whole).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong { max_bytes }),
-        Ok(Err(_broken)) => Err(Refusal::BodyBroken),
+    match tokio::time::timeout(left, body.read(max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ArrivalError::TooLong)) => Err(Refusal::BodyTooLong { max_bytes }),
+        Ok(Err(ArrivalError::Broken)) => Err(Refusal::BodyBroken),
+        Ok(Err(ArrivalError::Evicted(_evicted))) => Err(Refusal::NoMemory),
         Err(_elapsed) => Err(Refusal::BodyTimeout),
     }
 }
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -86,6 +86,9 @@
     gauge!("teaselline_fencing_token").set(token.map_or(0.0, |token| num::to_f64(token.number())));
     let in_flight = node.in_flight.load(std::sync::atomic::Ordering::Relaxed);
     gauge!("teaselline_requests_in_flight").set(num::to_f64(in_flight as u64));
+    let (connections, bytes) = node.callers.held();
+    gauge!("teaselline_callers_connections").set(num::to_f64(connections as u64));
+    gauge!("teaselline_callers_bytes").set(num::to_f64(bytes as u64));
 }
 
 fn publish_peers(node: &Gateway, now: TimeMs) {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -23,6 +23,8 @@
     BodyTimeout,
     #[error("the body broke off")]
     BodyBroken,
+    #[error("the memory for callers' requests is full")]
+    NoMemory,
     #[error("no configuration is known yet")]
     NoConfiguration,
     #[error("the configuration may have changed unseen")]
@@ -102,7 +104,8 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OverLimit(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfiguration
+            Self::NoMemory
+            | Self::NoConfiguration
             | Self::StaleConfiguration
             | Self::Stopping
             | Self::NoUpstream { .. }
@@ -142,9 +145,10 @@
                 *retry_after_ms
             }
             Self::UpstreamsResting { left_ms } => Some(MIN_RETRY_MS.max(*left_ms)),
-            Self::NoConfiguration | Self::StaleConfiguration | Self::NotSentInTime => {
-                Some(TRANSIENT_RETRY_MS)
-            }
+            Self::NoMemory
+            | Self::NoConfiguration
+            | Self::StaleConfiguration
+            | Self::NotSentInTime => Some(TRANSIENT_RETRY_MS),
             Self::Stopping => Some(STOPPING_RETRY_MS),
             _ => None,
         }
@@ -166,7 +170,8 @@
     pub fn is_served_elsewhere(&self) -> bool {
         matches!(
             self,
-            Self::NoConfiguration
+            Self::NoMemory
+                | Self::NoConfiguration
                 | Self::StaleConfiguration
                 | Self::NoRoute
                 | Self::UnknownKey
@@ -190,6 +195,7 @@
             Self::BodyTooLong { .. } => "body_too_long",
             Self::BodyTimeout => "body_timeout",
             Self::BodyBroken => "body_broken",
+            Self::NoMemory => "no_memory",
             Self::NoConfiguration => "no_configuration",
             Self::StaleConfiguration => "stale_configuration",
             Self::NoRoute => "no_route",
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -220,6 +220,7 @@
         Ok(read) if read == *node.settings() => {}
         Ok(read) => {
             log::info!(event = "settings_reloaded"; "applied changed settings");
+            node.callers.set_shares(read.host.callers());
             *node.settings.write() = Arc::new(read);
         }
         Err(error) => {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::num;
+use crate::resources::HostLimits;
 
 /// The settings of one node and of its installation.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,6 +28,8 @@
     pub processor_cores: f64,
     /// Bandwidth of the host's network link.
     pub link_mbps: f64,
+    /// What the host allows the process.
+    pub host: HostLimits,
     /// Whether this is the first start of the whole installation.
     pub is_first_start: bool,
     pub store_address: SocketAddr,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -50,6 +50,7 @@
 use crate::in_flight::InFlight;
 use crate::peers::Connections;
 use crate::platform::store::{self, Store, StoreError};
+use crate::resources::CallerAccount;
 use crate::time::TimeMs;
 
 /// Capacity of the queue of messages to peers; a full queue indicates a fault in a sender.
@@ -121,6 +122,8 @@
     pub durations: Mutex<RouteDurations>,
     /// Routes that have metric labels of their own.
     pub route_labels: Mutex<RouteLabels>,
+    /// Memory and connections that callers hold.
+    pub callers: Arc<CallerAccount>,
     /// Number of requests in progress, whose answers are not yet written.
     pub in_flight: Arc<AtomicUsize>,
     /// Set when the node begins to stop.
@@ -239,6 +242,7 @@
             forwarding: forwarding::connections(settings.store_address, incarnation),
             durations: Mutex::default(),
             route_labels: Mutex::default(),
+            callers: CallerAccount::new(settings.host.callers()),
             in_flight: Arc::default(),
             stop: Mutex::new(None),
             stopping: CancellationToken::new(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod platform;
 pub mod reclaim;
 pub mod requests;
+mod resources;
 pub mod retries;
 pub mod routing;
 pub mod telemetry;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -10,6 +10,9 @@
 use thiserror::Error;
 
 use crate::gateway::settings::{Bounds, LimitWindow, NodeSettings};
+use crate::resources::HostLimits;
+
+const BYTES_PER_MB: usize = 1024 * 1024;
 
 /// Reason why the settings are rejected.
 #[derive(Debug, Error, Diagnostic)]
@@ -71,6 +74,8 @@
     cpu_share: f64,
     cores: f64,
     link_mbps: f64,
+    memory_mb: usize,
+    max_fds: usize,
 }
 
 impl Default for RawLimits {
@@ -79,6 +84,8 @@
             cpu_share: 0.25,
             cores: 1.0,
             link_mbps: 1_000.0,
+            memory_mb: 260,
+            max_fds: 4_100,
         }
     }
 }
@@ -194,6 +201,10 @@
             metrics_listen: SocketAddr::new(raw.ip, last_port),
             processor_cores: raw.limits.cpu_share * raw.limits.cores,
             link_mbps: raw.limits.link_mbps,
+            host: HostLimits {
+                memory_bytes: raw.limits.memory_mb.saturating_mul(BYTES_PER_MB),
+                max_descriptors: raw.limits.max_fds,
+            },
             is_first_start: raw.bootstrap,
             store_address: raw.platform.address,
             cloud_address: raw.cloud.map(|cloud| cloud.address),
--- a/tests/operations_page.rs
+++ b/tests/operations_page.rs
@@ -30,6 +30,7 @@
     let mut text = String::new();
     sources(&root.join("src/gateway"), &mut text);
     sources(&root.join("src/platform"), &mut text);
+    sources(&root.join("src/resources"), &mut text);
     text
 }
 
