bug: Directory, readiness and metrics bound their connections and heads

Cause: the endpoints accepted without a bound, read heads of up to 408 KB, and closed nothing; a failed accept was tried again at once, with a log line each.

Each endpoint now has an account of its own by `maxFds`: the slowest or longest kept connection goes for a new one. Heads have 8 KB and 30 s. Failed accepts wait 20 ms and are logged once in 10 s.

--- a/src/gateway/endpoints.rs
+++ b/src/gateway/endpoints.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gotham::helpers::http::Body;
 use gotham::helpers::http::response::create_response;
@@ -14,7 +15,7 @@
 use http::{Response, StatusCode, Uri};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +28,7 @@
     FAILURE_DOMAIN_PARAMETER, MAX_ADDRESSES, METRICS_PATH, READY_PATH, RESOLVE_PATH,
     encode_addresses,
 };
+use crate::resources::{Accepting, CallerAccount, Place};
 use crate::time::TimeMs;
 
 /// How long callers cache an answer of the directory.
@@ -35,6 +37,12 @@
 /// an entry for three times its lifetime.
 const DIRECTORY_TTL_MS: u64 = 2_000;
 
+/// Longest time until the head of a request has arrived, since the connection or the last answer.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest head of a request, the least that the HTTP library allows.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
 /// The state that all handlers share.
 #[derive(Clone, Debug)]
 struct HandlerState {
@@ -48,23 +56,36 @@
 pub(crate) async fn serve(listener: TcpListener, node: Arc<Gateway>, metrics: PrometheusHandle) {
     let router = Arc::new(router());
     let shared = HandlerState { node, metrics };
+    let callers = CallerAccount::new(shared.node.settings().host.endpoint());
+    let mut accepting = Accepting::new(listener);
     loop {
-        match listener.accept().await {
-            Ok((socket, from)) => serve_one(socket, from, &router, &shared),
-            Err(error) => log::warn!(error:err = error; "cannot accept a connection"),
+        let (socket, from) = accepting.next().await;
+        callers.set_shares(shared.node.settings().host.endpoint());
+        if let Some(place) = callers.open(clock::now()) {
+            serve_one(socket, from, place, &router, &shared);
         }
     }
 }
 
-fn serve_one(socket: TcpStream, from: SocketAddr, router: &Arc<Router>, shared: &HandlerState) {
+fn serve_one(
+    socket: TcpStream,
+    from: SocketAddr,
+    place: Place,
+    router: &Arc<Router>,
+    shared: &HandlerState,
+) {
     let router = Arc::clone(router);
     let shared = shared.clone();
+    let place = Arc::new(place);
+    let request_place = Arc::clone(&place);
     let service = service_fn(move |request| {
         let mut state = State::from_request(request, from);
         state.put(shared.clone());
         let router = Arc::clone(&router);
+        let place = Arc::clone(&request_place);
         async move {
             let answered = call_handler(router, AssertUnwindSafe(state)).await;
+            place.keep(clock::now());
             Ok::<_, Infallible>(answered.unwrap_or_else(|error| {
                 log::error!(error:% = error; "an endpoint handler failed; the response is a 500");
                 let mut response = Response::new(Body::default());
@@ -74,8 +95,16 @@
         }
     });
     tokio::spawn(async move {
-        let served = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-        if let Err(error) = served.await {
+        let served = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(socket), service);
+        let ended = tokio::select! {
+            ended = served => ended,
+            () = place.evicted() => Ok(()),
+        };
+        if let Err(error) = ended {
             log::debug!(error:err = error; "a connection to the node's endpoints ended with an error");
         }
     });
