bug: The role serve bounds what callers send, over HTTP/1 and HTTP/2

What callers saw: the process ended, out of memory, and a body that stops short had no word and no end. Cause: `serve` read bodies without a time limit and kept them without a bound on their sum; HTTP/2 let 200 streams of one connection do so; at its bound on connections it accepted no one, so that who stands there first keeps all others out.

Now connections and bodies are places of the same account as the gateway's, each HTTP/2 request one of its own. `--memory-mb`, `--max-descriptors` and `--body-read-timeout-ms` set it; a refusal is 503 `no_memory` or 408 `body_timeout`. Flow control of HTTP/2 holds 256 KB a connection.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -6,6 +6,7 @@
 pub mod accept;
 mod audit;
 mod authorize;
+mod caller;
 mod completions;
 mod connection;
 mod console;
--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,15 +19,16 @@
 use hyper::service::service_fn;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 
+use super::caller::Caller;
 use super::connection::{Connection, builders};
 use super::routes::SharedData;
 use crate::node::Node;
+use crate::resources::{Accepting, CallerAccount, CallerShares, HostLimits};
 
-/// Delay after a failed `accept`, which mostly means that file descriptors are exhausted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long a connection that is closed for others may take for the response to a request that was refused.
+const EVICTED_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Limits of the callers' interface.
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +41,27 @@
     pub max_header_bytes: usize,
     /// Timeout for receiving the headers of a request.
     pub header_read_timeout_ms: u64,
+    /// Timeout for receiving the body of a request.
+    pub body_read_timeout_ms: u64,
+    /// Memory of the host that the process may use.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may have open.
+    pub max_descriptors: usize,
+}
+
+impl HttpLimits {
+    /// Returns what callers may hold together.
+    fn shares(&self) -> CallerShares {
+        let host = HostLimits {
+            memory_bytes: self.memory_bytes,
+            max_descriptors: self.max_descriptors,
+        };
+        let shares = host.callers();
+        CallerShares {
+            max_connections: shares.max_connections.min(self.max_connections),
+            ..shares
+        }
+    }
 }
 
 /// Serves callers until `shutdown`, then lets open connections finish their requests.
@@ -51,25 +74,24 @@
     let router = Arc::new(super::routes::router());
     let builders = Arc::new(builders(limits));
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
+    let account = CallerAccount::new(limits.shares());
+    let mut accepting = Accepting::new(listener);
     loop {
-        let permit = tokio::select! {
-            () = shutdown.cancelled() => break,
-            permit = Arc::clone(&permits).acquire_owned() => permit,
-        };
         let (socket, peer) = tokio::select! {
             () = shutdown.cancelled() => break,
-            accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    log::warn!(error:% = error; "accepting a connection failed; retrying after a delay");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                }
-            },
+            accepted = accepting.next() => accepted,
+        };
+        let Some(caller) = Caller::accept(&account, node.core.clock) else {
+            continue;
         };
         disable_nagle(&socket);
-        let service = router_service(Arc::clone(&router), Arc::clone(&node), peer, limits);
+        let service = router_service(
+            Arc::clone(&router),
+            Arc::clone(&node),
+            Arc::clone(&caller),
+            peer,
+            limits,
+        );
         let connection = Connection {
             socket,
             builders: Arc::clone(&builders),
@@ -77,15 +99,25 @@
             watcher: graceful.watcher(),
             shutdown: shutdown.clone(),
         };
-        tokio::spawn(async move {
-            connection.serve(service).await;
-            drop(permit);
-        });
+        tokio::spawn(until_evicted(caller, connection.serve(service)));
     }
-    drop(listener);
+    drop(accepting);
     graceful.shutdown().await;
 }
 
+/// Serves a connection until it ends, or has to be closed for others.
+///
+/// A request of it that is refused for others gets some time for its response.
+async fn until_evicted(caller: Arc<Caller>, served: impl Future<Output = ()>) {
+    let mut served = pin!(served);
+    tokio::select! {
+        () = served.as_mut() => return,
+        () = caller.evicted() => {}
+    }
+    // It has ended or is closed with the time.
+    drop(tokio::time::timeout(EVICTED_TIMEOUT, served).await);
+}
+
 /// Disables Nagle's algorithm, because tokens are small and must be sent without delay.
 fn disable_nagle(socket: &TcpStream) {
     if let Err(error) = socket.set_nodelay(true) {
@@ -96,6 +128,7 @@
 fn router_service(
     router: Arc<Router>,
     node: Arc<Node>,
+    caller: Arc<Caller>,
     peer: SocketAddr,
     limits: HttpLimits,
 ) -> impl hyper::service::Service<
@@ -105,20 +138,22 @@
     Future = impl Future<Output = Result<Response<Body>, Infallible>> + Send + 'static,
 > {
     service_fn(move |request: Request<Incoming>| {
+        let open = caller.begin(&request);
         let mut state = State::from_request(request, peer);
         state.put(SharedData {
             node: Arc::clone(&node),
             limits,
+            arrival: open.arrival(),
         });
         let router = Arc::clone(&router);
         async move {
             let answered = call_handler(router, AssertUnwindSafe(state)).await;
-            Ok(answered.unwrap_or_else(|error| {
+            Ok(open.held_by(answered.unwrap_or_else(|error| {
                 log::error!(error:% = error; "a request handler failed; responding with status 500");
                 let mut response = Response::new(Body::default());
                 *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
                 response
-            }))
+            })))
         }
     })
 }
--- /dev/null
+++ b/src/entry/caller.rs
@@ -0,0 +1,123 @@
+//! The place of one connection in the account of callers, and of the requests on it.
+
+use std::sync::Arc;
+
+use gotham::helpers::http::Body;
+use http::{Request, Response, Version};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use crate::resources::{CallerAccount, Evicted, Place};
+use crate::time::{Clock, TimeMs};
+
+/// One connection of a caller.
+#[derive(Debug)]
+pub(super) struct Caller {
+    account: Arc<CallerAccount>,
+    place: Arc<Place>,
+    clock: Clock,
+    /// Requests whose responses are not yet passed on.
+    open: Mutex<usize>,
+}
+
+impl Caller {
+    /// Creates the state of a connection that was accepted; `None` if it cannot be served.
+    pub fn accept(account: &Arc<CallerAccount>, clock: Clock) -> Option<Arc<Self>> {
+        let place = account.open(clock.now())?;
+        Some(Arc::new(Self {
+            account: Arc::clone(account),
+            place: Arc::new(place),
+            clock,
+            open: Mutex::new(0),
+        }))
+    }
+
+    /// Waits until the connection has to be closed for others.
+    pub async fn evicted(&self) {
+        self.place.evicted().await;
+    }
+
+    /// Records a request whose head has been read.
+    pub fn begin(self: &Arc<Self>, request: &Request<Incoming>) -> OpenRequest {
+        let now = self.clock.now();
+        self.count_begun(now);
+        let place = if request.version() == Version::HTTP_2 {
+            Arc::new(self.account.begin(now))
+        } else {
+            Arc::clone(&self.place)
+        };
+        OpenRequest {
+            caller: Arc::clone(self),
+            place,
+        }
+    }
+
+    fn count_begun(&self, now: TimeMs) {
+        let mut open = self.open.lock();
+        if *open == 0 {
+            self.place.arrive(now);
+        }
+        *open += 1;
+    }
+
+    fn count_ended(&self) {
+        let mut open = self.open.lock();
+        *open -= 1;
+        if *open == 0 {
+            self.place.keep(self.clock.now());
+        }
+    }
+}
+
+/// A request of a connection, until its response has been passed on.
+#[derive(Debug)]
+pub(super) struct OpenRequest {
+    caller: Arc<Caller>,
+    place: Arc<Place>,
+}
+
+impl OpenRequest {
+    /// Returns what the request's body is charged to.
+    pub fn arrival(&self) -> Arrival {
+        Arrival {
+            connection: Arc::clone(&self.caller),
+            place: Arc::clone(&self.place),
+        }
+    }
+
+    /// Returns the response with the request held until it has been passed on.
+    pub fn held_by(self, response: Response<Body>) -> Response<Body> {
+        response.map(|body| {
+            Body::new(body.map_frame(move |frame| {
+                let _held = &self;
+                frame
+            }))
+        })
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.caller.count_ended();
+    }
+}
+
+/// The place to which the body of a request is charged.
+#[derive(Clone, Debug)]
+pub(super) struct Arrival {
+    connection: Arc<Caller>,
+    pub place: Arc<Place>,
+}
+
+impl Arrival {
+    /// Records that the request has arrived to its end.
+    ///
+    /// # Errors
+    ///
+    /// If the request has to go for others.
+    pub fn finish(&self) -> Result<(), Evicted> {
+        self.connection.place.serve()?;
+        self.place.serve()
+    }
+}
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -123,7 +123,7 @@
     let team = authorize::team(document, &context.headers)?;
     let idempotent = parsing::idempotent(&context.headers)?.unwrap_or(true);
     let given = parsing::request_id(&context.headers)?;
-    let body = parsing::read(context.body, context.limits.max_body_bytes).await?;
+    let body = parsing::read(context.body, context.limits).await?;
     let raw: RawCompletion =
         serde_json::from_slice(&body).map_err(|_malformed| Refusal::BodyMalformed)?;
     let max_tokens = raw.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
--- a/src/entry/connection.rs
+++ b/src/entry/connection.rs
@@ -33,6 +33,15 @@
 /// Interval between keep-alive pings on an HTTP/2 connection.
 const HTTP2_KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(10);
 
+/// What one stream of an HTTP/2 connection may send before it is read.
+const HTTP2_STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// What all streams of an HTTP/2 connection may send before it is read.
+const HTTP2_CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// What a stream of an HTTP/2 connection holds of an answer that its caller does not read.
+const HTTP2_SEND_BUFFER_BYTES: usize = 64 * 1024;
+
 /// The connection builders of both HTTP versions.
 #[derive(Clone, Debug)]
 pub(super) struct Builders {
@@ -72,6 +81,9 @@
     http2
         .timer(TokioTimer::new())
         .keep_alive_interval(Some(HTTP2_KEEP_ALIVE_INTERVAL))
+        .initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(HTTP2_SEND_BUFFER_BYTES)
         .max_header_list_size(u32::try_from(limits.max_header_bytes).unwrap_or(u32::MAX));
     Builders { http1, http2 }
 }
--- a/src/entry/connection/tests.rs
+++ b/src/entry/connection/tests.rs
@@ -38,6 +38,9 @@
             max_body_bytes: 1_024,
             max_header_bytes: 8_192,
             header_read_timeout_ms: 10_000,
+            body_read_timeout_ms: 10_000,
+            memory_bytes: 64 * 1024 * 1024,
+            max_descriptors: 1_024,
         };
         let graceful = GracefulShutdown::new();
         let connection = Connection {
--- a/src/entry/console.rs
+++ b/src/entry/console.rs
@@ -39,7 +39,7 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     };
-    let body = match parsing::read(context.body, context.limits.max_body_bytes).await {
+    let body = match parsing::read(context.body, context.limits).await {
         Ok(body) => body,
         Err(refusal) => return refusal.response(),
     };
--- a/src/entry/operators.rs
+++ b/src/entry/operators.rs
@@ -113,7 +113,7 @@
         Ok(operator) => operator,
         Err(refusal) => return refusal.response(),
     };
-    let body = match parsing::read(context.body, context.limits.max_body_bytes).await {
+    let body = match parsing::read(context.body, context.limits).await {
         Ok(body) => body,
         Err(refusal) => return refusal.response(),
     };
--- a/src/entry/parsing.rs
+++ b/src/entry/parsing.rs
@@ -1,12 +1,17 @@
 //! Reads request bodies up to a maximum size and parses headers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::HeaderMap;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body::Body as _;
 
+use super::accept::HttpLimits;
+use super::caller::Arrival;
 use super::refusal::Refusal;
 use crate::requests::RequestId;
+use crate::resources::{self, ArrivalError};
 
 /// Header with the request's id.
 pub(super) const REQUEST_ID: &str = "request-id";
@@ -20,16 +25,40 @@
 /// Header with the last position received; the stream resumes after it.
 const LAST_EVENT_ID: &str = "last-event-id";
 
-/// Reads a complete body.
+/// The body of a request, as far as it has arrived.
+#[derive(Debug)]
+pub(super) struct RequestBody {
+    body: Body,
+    arrival: Arrival,
+}
+
+impl RequestBody {
+    /// Creates the body of a request whose head has been read.
+    pub fn new(body: Body, arrival: Arrival) -> Self {
+        if body.is_end_stream() && arrival.finish().is_err() {
+            log::debug!("a request without a body came on a connection that is being closed");
+        }
+        Self { body, arrival }
+    }
+}
+
+/// Reads a complete body within the limits on its size and its time.
 ///
 /// A truncated body is an error and is never passed on as a shorter body: a ledger that lost its
 /// end would be reconciled as if it were complete.
-pub(super) async fn read(body: Body, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::BodyTruncated),
-    }
+pub(super) async fn read(body: RequestBody, limits: HttpLimits) -> Result<Bytes, Refusal> {
+    let RequestBody { body, arrival } = body;
+    let timeout = Duration::from_millis(limits.body_read_timeout_ms);
+    let reading = resources::read_body(body, &arrival.place, limits.max_body_bytes);
+    let read = tokio::time::timeout(timeout, reading).await;
+    let body = match read.map_err(|_elapsed| Refusal::BodyTimeout)? {
+        Ok(body) => body,
+        Err(ArrivalError::TooLong) => return Err(Refusal::BodyTooLarge),
+        Err(ArrivalError::Broken) => return Err(Refusal::BodyTruncated),
+        Err(ArrivalError::Evicted(_evicted)) => return Err(Refusal::NoMemory),
+    };
+    arrival.finish().map_err(|_evicted| Refusal::NoMemory)?;
+    Ok(body)
 }
 
 /// Returns the request id in the headers, if there is one.
--- a/src/entry/refusal.rs
+++ b/src/entry/refusal.rs
@@ -25,6 +25,10 @@
     BodyTooLarge,
     #[error("the body ended before it was whole")]
     BodyTruncated,
+    #[error("the body did not arrive in time")]
+    BodyTimeout,
+    #[error("the memory for callers' requests is full")]
+    NoMemory,
     #[error("the body is not valid JSON of the expected form, in UTF-8")]
     BodyMalformed,
     #[error("a header has a value that is not understood")]
@@ -57,7 +61,8 @@
             Self::BodyTruncated | Self::BodyMalformed | Self::InvalidHeader | Self::OutOfRange => {
                 StatusCode::BAD_REQUEST
             }
-            Self::NotConfigured => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NotConfigured | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -68,6 +73,8 @@
             Self::OtherCall => "id_in_use",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTruncated => "body_cut",
+            Self::BodyTimeout => "body_timeout",
+            Self::NoMemory => "no_memory",
             Self::BodyMalformed => "body_malformed",
             Self::InvalidHeader => "header",
             Self::NoSuchTarget => "no_such_target",
@@ -89,6 +96,8 @@
             Self::NoToken
             | Self::BodyTooLarge
             | Self::BodyTruncated
+            | Self::BodyTimeout
+            | Self::NoMemory
             | Self::NoSuchTarget
             | Self::NotConfigured
                 if is_named =>
@@ -116,10 +125,15 @@
             outcome,
             reason: self.reason(),
             message: self.to_string(),
-            retry_after_ms: (self == Self::NotConfigured).then_some(RETRY_DELAY_MS),
+            retry_after_ms: self.retry_after_ms(),
         };
         json(self.status(), &body)
     }
+
+    /// Returns the retry delay for the caller; `None` if a retry does not help.
+    fn retry_after_ms(self) -> Option<u64> {
+        matches!(self, Self::NotConfigured | Self::NoMemory).then_some(RETRY_DELAY_MS)
+    }
 }
 
 /// Returns a JSON response.
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -10,6 +10,8 @@
 use http::{HeaderMap, Response, Uri};
 
 use super::accept::HttpLimits;
+use super::caller::Arrival;
+use super::parsing::RequestBody;
 use super::{audit, completions, console, entries, operators, services, state};
 use crate::node::Node;
 
@@ -18,6 +20,7 @@
 pub(super) struct SharedData {
     pub node: Arc<Node>,
     pub limits: HttpLimits,
+    pub arrival: Arrival,
 }
 
 impl StateData for SharedData {}
@@ -29,7 +32,7 @@
     pub limits: HttpLimits,
     pub headers: HeaderMap,
     pub uri: Uri,
-    pub body: Body,
+    pub body: RequestBody,
 }
 
 impl RequestContext {
@@ -113,12 +116,13 @@
     R: Future<Output = Response<Body>>,
 {
     let shared = SharedData::take_from(&mut state);
+    let body = Body::take_from(&mut state);
     let context = RequestContext {
         node: shared.node,
         limits: shared.limits,
         headers: HeaderMap::take_from(&mut state),
         uri: Uri::take_from(&mut state),
-        body: Body::take_from(&mut state),
+        body: RequestBody::new(body, shared.arrival),
     };
     let response = handler(context).await;
     Ok((state, response))
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -61,9 +61,7 @@
     // A caller may mark a call non-idempotent, but cannot make a call idempotent that operators
     // have configured as non-idempotent.
     let idempotent = configured && stated.unwrap_or(true);
-    let body = parsing::read(context.body, context.limits.max_body_bytes)
-        .await?
-        .to_vec();
+    let body = parsing::read(context.body, context.limits).await?.to_vec();
     let key = keyed::key(&context.headers, &team.name, idempotent)?;
     let id = identify(&context.node, given, &team.name)?;
     let now = context.node.core.clock.now();
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -383,5 +383,8 @@
         max_body_bytes: settings.max_body_bytes,
         max_header_bytes: settings.max_header_bytes,
         header_read_timeout_ms: settings.header_read_timeout_ms,
+        body_read_timeout_ms: settings.body_read_timeout_ms,
+        memory_bytes: settings.memory_mb.saturating_mul(1024 * 1024),
+        max_descriptors: settings.max_descriptors,
     }
 }
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -158,6 +158,18 @@
             .value_name("MILLISECONDS")
             .default_value("10000")
             .help("Closes a connection whose request headers take longer than this to arrive."),
+        flag("body-read-timeout-ms", "TEASELLINE_BODY_READ_TIMEOUT_MS", LIMITS)
+            .value_name("MILLISECONDS")
+            .default_value("60000")
+            .help("Rejects a request whose body takes longer than this to arrive."),
+        flag("memory-mb", "TEASELLINE_MEMORY_MB", LIMITS)
+            .value_name("MEGABYTES")
+            .default_value("2048")
+            .help("Keeps what callers send within a sixth of this much memory, and their connections within an eighth."),
+        flag("max-descriptors", "TEASELLINE_MAX_DESCRIPTORS", LIMITS)
+            .value_name("COUNT")
+            .default_value("65536")
+            .help("Gives callers three eighths of this many descriptors, less 200 for files."),
         flag("drain-timeout-ms", "TEASELLINE_DRAIN_TIMEOUT_MS", LIMITS)
             .value_name("MILLISECONDS")
             .default_value("30000")
--- a/src/options/serve.rs
+++ b/src/options/serve.rs
@@ -26,6 +26,13 @@
 /// Minimum for the header read timeout.
 const MIN_HEADER_READ_TIMEOUT_MS: u64 = 100;
 
+/// Minimum of the memory, in megabytes.
+const MIN_MEMORY_MB: u64 = 32;
+/// Maximum of the memory: one tebibyte, in megabytes.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+/// Accepted range of the descriptors.
+const DESCRIPTORS: RangeInclusive<u64> = 256..=10_000_000;
+
 /// Accepted range of the log's retention: one minute to one year.
 const LOG_RETENTION_RANGE_MS: RangeInclusive<u64> = 60_000..=365 * 24 * 60 * 60 * 1_000;
 
@@ -72,6 +79,12 @@
     pub max_header_bytes: usize,
     /// Time limit for reading the request headers.
     pub header_read_timeout_ms: u64,
+    /// Time limit for reading a request body.
+    pub body_read_timeout_ms: u64,
+    /// Memory of the host that the process may use, in megabytes.
+    pub memory_mb: usize,
+    /// Descriptors that the process may have open.
+    pub max_descriptors: usize,
     /// Time limit for draining requests at a graceful shutdown.
     pub drain_timeout_ms: u64,
 }
@@ -108,6 +121,9 @@
             max_body_bytes: 4 << 20,
             max_header_bytes: 16_384,
             header_read_timeout_ms: 10_000,
+            body_read_timeout_ms: 60_000,
+            memory_mb: 2_048,
+            max_descriptors: 65_536,
             drain_timeout_ms: 30_000,
         }
     }
@@ -204,6 +220,21 @@
         self
     }
 
+    /// Sets the time limit for reading request bodies.
+    #[must_use]
+    pub fn with_body_read_timeout_ms(mut self, body_read_timeout_ms: u64) -> Self {
+        self.body_read_timeout_ms = body_read_timeout_ms;
+        self
+    }
+
+    /// Sets the memory and the descriptors that the host allows.
+    #[must_use]
+    pub fn with_host(mut self, memory_mb: usize, max_descriptors: usize) -> Self {
+        self.memory_mb = memory_mb;
+        self.max_descriptors = max_descriptors;
+        self
+    }
+
     /// Sets the time limit for draining at a graceful shutdown.
     #[must_use]
     pub fn with_drain_timeout_ms(mut self, drain_timeout_ms: u64) -> Self {
@@ -269,10 +300,16 @@
         let header_read = MIN_HEADER_READ_TIMEOUT_MS..=MAX_TIMEOUT_MS;
         let max_body_bytes = reader.integer_usize("max-body-bytes", body);
         let max_header_bytes = reader.integer_usize("max-header-bytes", header);
+        let memory_mb = reader.integer_usize("memory-mb", MIN_MEMORY_MB..=MAX_MEMORY_MB);
+        let max_descriptors = reader.integer_usize("max-descriptors", DESCRIPTORS);
         self.with_threads(reader.integer_usize("threads", 1..=MAX_THREADS))
             .with_max_connections(reader.integer_usize("max-connections", 1..=MAX_CONNECTIONS))
             .with_max_bytes(max_body_bytes, max_header_bytes)
-            .with_header_read_timeout_ms(reader.integer("header-read-timeout-ms", header_read))
+            .with_header_read_timeout_ms(
+                reader.integer("header-read-timeout-ms", header_read.clone()),
+            )
+            .with_body_read_timeout_ms(reader.integer("body-read-timeout-ms", header_read))
+            .with_host(memory_mb, max_descriptors)
             .with_drain_timeout_ms(reader.integer("drain-timeout-ms", 0..=MAX_TIMEOUT_MS))
     }
 }
