bug: Long answers count until their callers have read them, and go when others wait

What callers saw: 24 callers that read nothing of 12 MB each, and the process gains 323,020 kB of memory (81,920 are due), until its host ends it. Cause: an answer left the account of answers once it had been read from its upstream, and stayed in its connection's buffer for as long as its caller kept the connection.

Why it works: long answers hold an account of an eighth of `memoryMb` until they are written. One without room waits unread at its upstream, and while one waits, the answer of which less than 16 KB were written for a second goes, the longest without progress first. Without a shortage nothing is given up: earlier forms (a time limit, a budget alone) threw away answers that had run. Short answers (64 KB) never wait.

--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -17,9 +17,12 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
+use tokio_util::sync::CancellationToken;
 
 use super::caller_timeouts::Phase;
 use super::clock;
+use super::exchange::UnreadKey;
+use super::state::Gateway;
 use crate::in_flight::{self, InFlight};
 use crate::resources::{self, ArrivalError, Evicted, Place};
 use crate::time::TimeMs;
@@ -40,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     place: Arc<Place>,
+    /// Cancelled when others need the memory of its answer, which its caller does not read.
+    given_up: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -56,6 +61,15 @@
     charged_bytes: usize,
     /// Whether the body of the last request has not been read to its end.
     has_unread_body: bool,
+    /// The long answer that is being written.
+    unread_answer: Option<UnreadAnswer>,
+}
+
+/// A long answer that is being written.
+#[derive(Clone, Debug)]
+struct UnreadAnswer {
+    node: Arc<Gateway>,
+    key: UnreadKey,
 }
 
 impl CallerConnection {
@@ -63,6 +77,7 @@
     pub fn new(place: Place, now: TimeMs) -> Self {
         Self {
             place: Arc::new(place),
+            given_up: CancellationToken::new(),
             state: Mutex::new(State {
                 phase: Phase::Idle { since: now },
                 open: 0,
@@ -70,10 +85,23 @@
                 head_bytes: 0,
                 charged_bytes: 0,
                 has_unread_body: false,
+                unread_answer: None,
             }),
         }
     }
 
+    /// Waits until its answer is given up, since others need the memory of it.
+    pub async fn given_up(&self) {
+        self.given_up.cancelled().await;
+    }
+
+    /// Records bytes that were passed to the system.
+    fn record_write(&self, bytes: usize, now: TimeMs) {
+        if let Some(UnreadAnswer { node, key }) = &self.state.lock().unread_answer {
+            node.answer_memory.record_write(*key, bytes, now);
+        }
+    }
+
     /// Waits until the connection has to be closed for others.
     pub async fn evicted(&self) {
         self.place.evicted().await;
@@ -170,8 +198,13 @@
         }
     }
 
-    /// Returns the body of the answer, which holds the guard.
-    pub fn held_by(self, body: Bytes) -> Bytes {
+    /// Returns the body of the answer, which holds the guard; a long one counts as unread until it is dropped.
+    pub fn held_by(self, body: Bytes, node: &Arc<Gateway>) -> Bytes {
+        let given_up = self.connection.given_up.clone();
+        if let Some(key) = node.answer_memory.begin_write(body.len(), given_up) {
+            let node = Arc::clone(node);
+            self.connection.state.lock().unread_answer = Some(UnreadAnswer { node, key });
+        }
         in_flight::holding(body, self)
     }
 
@@ -187,7 +220,13 @@
 impl Drop for UnwrittenAnswer {
     fn drop(&mut self) {
         let in_flight = self.in_flight.take();
-        self.connection.state.lock().buffered.extend(in_flight);
+        let mut state = self.connection.state.lock();
+        state.buffered.extend(in_flight);
+        let unread_answer = state.unread_answer.take();
+        drop(state);
+        if let Some(UnreadAnswer { node, key }) = unread_answer {
+            node.answer_memory.end_write(key);
+        }
     }
 }
 
@@ -266,7 +305,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.socket).poll_write(cx, buf))?;
+        self.connection.record_write(written, clock::now());
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -274,7 +315,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.socket).poll_write_vectored(cx, bufs)
+        let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
+        self.connection.record_write(written, clock::now());
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -89,6 +89,8 @@
     TimedOut,
     /// Others need its place.
     Evicted,
+    /// Others need the memory of its answer, which its caller does not read.
+    GivenUp,
 }
 
 /// Runs a connection until it ends or its caller takes longer than the limits allow.
@@ -108,6 +110,10 @@
             PhaseEnd::Evicted if phase.is_answered() => {
                 return end_within(EVICTED_TIMEOUT, served).await;
             }
+            PhaseEnd::GivenUp => {
+                log::debug!("closed a caller's connection whose answer is not read");
+                return Ok(());
+            }
             PhaseEnd::Evicted => {
                 log::debug!("closed a caller's connection for others");
                 return Ok(());
@@ -154,6 +160,7 @@
     tokio::select! {
         biased;
         end = end => end,
+        () = connection.given_up() => PhaseEnd::GivenUp,
         () = connection.evicted() => PhaseEnd::Evicted,
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 mod selection;
 mod silence;
 mod stream;
+mod unread_answers;
 mod upstream_request;
 mod upstream_response;
 mod upstream_stream;
@@ -36,6 +37,7 @@
 use self::dispatch::Unsent;
 use self::request_log::RequestLog;
 use self::stream::StreamInterrupted;
+pub(crate) use self::unread_answers::UnreadKey;
 use self::upstream_response::UpstreamResponse;
 use super::caller_connection::{RequestBody, UnwrittenAnswer};
 use super::clock;
@@ -71,7 +73,7 @@
     let mut response = match executed {
         Ok(Executed::Whole(response)) => {
             request_log.finish_answered(response.status(), clock::now());
-            response.map(|body| Either::Left(Full::new(unwritten.held_by(body))))
+            response.map(|body| Either::Left(Full::new(unwritten.held_by(body, &node))))
         }
         Ok(Executed::Stream(stream)) => {
             let head = stream.head();
@@ -89,7 +91,7 @@
         Err(refusal) => {
             request_log.finish_refused(&refusal, clock::now());
             refusal_response(&refusal, request_log.request_id())
-                .map(|body| Either::Left(Full::new(unwritten.held_by(body))))
+                .map(|body| Either::Left(Full::new(unwritten.held_by(body, &node))))
         }
     };
     let is_malformed = response.status() == StatusCode::BAD_REQUEST;
--- a/src/gateway/exchange/answer_memory/tests.rs
+++ b/src/gateway/exchange/answer_memory/tests.rs
@@ -6,6 +6,9 @@
 
 use super::*;
 
+/// Of unread answers, more than these tests hold.
+const MAX_UNREAD_BYTES: usize = 1024 * 1024 * 1024;
+
 /// A body of blocks of a mebibyte that ends after `blocks` of them.
 fn body(blocks: usize) -> impl Body<Data = Bytes, Error = hyper::Error> + Unpin {
     let block = Bytes::from(vec![b'x'; 1024 * 1024]);
@@ -16,7 +19,7 @@
 
 #[tokio::test]
 async fn answer_within_its_bound_is_read_whole() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::new(MAX_UNREAD_BYTES);
     let whole = memory
         .begin(1)
         .collect(body(16))
@@ -27,7 +30,7 @@
 
 #[tokio::test]
 async fn answer_without_end_is_too_long() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::new(MAX_UNREAD_BYTES);
     let unread = memory.begin(1).collect(body(usize::MAX)).await;
     assert!(matches!(unread, Err(UnreadBody::TooLong)), "{unread:?}");
 }
@@ -36,7 +39,7 @@
 /// against answers that are thrown away because others hold the memory.
 #[tokio::test]
 async fn long_answers_share_the_memory_and_short_ones_are_exempt() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::new(MAX_UNREAD_BYTES);
     let mut first = memory.begin(1);
     let whole = first.collect(body(16)).await;
     assert!(whole.is_ok(), "{whole:?}");
@@ -57,7 +60,7 @@
 /// Guards against a body of a stated length that is refused only after it has filled the memory.
 #[tokio::test]
 async fn answer_whose_stated_length_is_too_long_is_not_read() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::new(MAX_UNREAD_BYTES);
     let length = MAX_ANSWER_BYTES + 1;
     let unread = memory.begin(1).grow_to(length, |needed| needed).await;
     assert!(matches!(unread, Err(UnreadBody::TooLong)), "{unread:?}");
@@ -82,7 +85,7 @@
 /// Guards against memory that stays taken after an answer that was not read to its end.
 #[tokio::test]
 async fn memory_is_given_back_when_an_answer_ends_or_fails() {
-    let memory = AnswerMemory::default();
+    let memory = AnswerMemory::new(MAX_UNREAD_BYTES);
     for blocks in [1, 16, 17, usize::MAX] {
         drop(memory.begin(1).collect(body(blocks)).await);
         assert_eq!(memory.shares.lock().reserved_bytes(), 0);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -221,6 +221,7 @@
         Ok(read) => {
             log::info!(event = "settings_reloaded"; "applied changed settings");
             node.callers.set_shares(read.host.callers());
+            (node.answer_memory).set_max_unread_bytes(read.host.unread_answers_bytes());
             *node.settings.write() = Arc::new(read);
         }
         Err(error) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -238,7 +238,7 @@
             reassembly: Mutex::default(),
             lease: Mutex::new(Lease::new(holder, settings.bounds.lease_ms)),
             channels: ConnectionPool::default(),
-            answer_memory: AnswerMemory::default(),
+            answer_memory: AnswerMemory::new(settings.host.unread_answers_bytes()),
             forwarding: forwarding::connections(settings.store_address, incarnation),
             durations: Mutex::default(),
             route_labels: Mutex::default(),
--- a/src/resources/shares.rs
+++ b/src/resources/shares.rs
@@ -9,6 +9,9 @@
 /// Callers' connections hold at most this part of the memory beside their requests.
 const MEMORY_PER_CONNECTIONS: usize = 8;
 
+/// Long answers that callers have not read hold at most this part of the memory.
+const MEMORY_PER_UNREAD_ANSWERS: usize = 8;
+
 /// Memory of a connection without a request: its task, its buffers and what the system keeps of it.
 const CONNECTION_BYTES: usize = 12 * 1024;
 
@@ -49,6 +52,11 @@
         }
     }
 
+    /// Returns how many bytes long answers may hold that callers have not read.
+    pub fn unread_answers_bytes(self) -> usize {
+        self.memory_bytes / MEMORY_PER_UNREAD_ANSWERS
+    }
+
     /// Returns what the callers of one endpoint beside the main listener may hold.
     pub fn endpoint(self) -> CallerShares {
         let max_connections = self.sockets() / ENDPOINTS_PER_SOCKETS;
