bug: Streams whose callers do not read them end at their deadline

Cause: a stream looks at its deadline when it is asked for its next event; the HTTP library does not ask while the connection takes no bytes. The connection and its place at the upstream stayed for as long as the caller kept them, and a connection that is served never goes for a new one.

Now the connection of a stream is closed one second after the stream's deadline, where a stream that is read ends by itself; and a connection goes for a new one when its answer is a second over its deadline.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -2,15 +2,19 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::resources::{CallerAccount, Evicted, Place};
+use crate::resources::{self, ArrivalError, CallerAccount, Evicted, Place};
 use crate::time::{Clock, TimeMs};
 
+/// Callers resume answers for as long as they are kept.
+const NO_DEADLINE: TimeMs = TimeMs(u64::MAX);
+
 /// One connection of a caller.
 #[derive(Debug)]
 pub(super) struct Caller {
@@ -107,17 +111,28 @@
 #[derive(Clone, Debug)]
 pub(super) struct Arrival {
     connection: Arc<Caller>,
-    pub place: Arc<Place>,
+    place: Arc<Place>,
 }
 
 impl Arrival {
+    /// Reads the body of the request to its end.
+    ///
+    /// # Errors
+    ///
+    /// If the body is longer than `max_bytes`, breaks off, or has to go for others.
+    pub async fn read(&self, body: Body, max_bytes: usize) -> Result<Bytes, ArrivalError> {
+        let body = resources::read_body(body, &self.place, max_bytes, NO_DEADLINE).await?;
+        self.finish()?;
+        Ok(body)
+    }
+
     /// Records that the request has arrived to its end.
     ///
     /// # Errors
     ///
     /// If the request has to go for others.
     pub fn finish(&self) -> Result<(), Evicted> {
-        self.connection.place.serve()?;
-        self.place.serve()
+        self.connection.place.serve(NO_DEADLINE)?;
+        self.place.serve(NO_DEADLINE)
     }
 }
--- a/src/entry/parsing.rs
+++ b/src/entry/parsing.rs
@@ -11,7 +11,7 @@
 use super::caller::Arrival;
 use super::refusal::Refusal;
 use crate::requests::RequestId;
-use crate::resources::{self, ArrivalError};
+use crate::resources::ArrivalError;
 
 /// Header with the request's id.
 pub(super) const REQUEST_ID: &str = "request-id";
@@ -49,16 +49,14 @@
 pub(super) async fn read(body: RequestBody, limits: HttpLimits) -> Result<Bytes, Refusal> {
     let RequestBody { body, arrival } = body;
     let timeout = Duration::from_millis(limits.body_read_timeout_ms);
-    let reading = resources::read_body(body, &arrival.place, limits.max_body_bytes);
-    let read = tokio::time::timeout(timeout, reading).await;
-    let body = match read.map_err(|_elapsed| Refusal::BodyTimeout)? {
-        Ok(body) => body,
-        Err(ArrivalError::TooLong) => return Err(Refusal::BodyTooLarge),
-        Err(ArrivalError::Broken) => return Err(Refusal::BodyTruncated),
-        Err(ArrivalError::Evicted(_evicted)) => return Err(Refusal::NoMemory),
-    };
-    arrival.finish().map_err(|_evicted| Refusal::NoMemory)?;
-    Ok(body)
+    let reading = arrival.read(body, limits.max_body_bytes);
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(ArrivalError::TooLong)) => Err(Refusal::BodyTooLarge),
+        Ok(Err(ArrivalError::Broken)) => Err(Refusal::BodyTruncated),
+        Ok(Err(ArrivalError::Evicted(_evicted))) => Err(Refusal::NoMemory),
+        Err(_elapsed) => Err(Refusal::BodyTimeout),
+    }
 }
 
 /// Returns the request id in the headers, if there is one.
--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -133,7 +133,7 @@
                 self.place.arrive(now);
             }
             Phase::Head { .. } => state.head_bytes += bytes,
-            Phase::Answer => return Ok(()),
+            Phase::Answer | Phase::Stream { .. } => return Ok(()),
         }
         let long_bytes = state.head_bytes.saturating_sub(SHORT_HEAD_BYTES);
         let due_bytes = long_bytes.saturating_mul(BUFFERS_PER_HEAD);
@@ -169,13 +169,14 @@
 }
 
 impl RequestBody {
-    /// Reads the body to its end.
+    /// Reads the body to its end; the request is of no use after `deadline`.
     ///
     /// # Errors
     ///
     /// If the body is longer than `max_bytes`, breaks off, or has to go for others.
-    pub async fn read(self, max_bytes: usize) -> Result<Bytes, ArrivalError> {
-        let whole = resources::read_body(self.body, &self.connection.place, max_bytes).await?;
+    pub async fn read(self, max_bytes: usize, deadline: TimeMs) -> Result<Bytes, ArrivalError> {
+        let place = &self.connection.place;
+        let whole = resources::read_body(self.body, place, max_bytes, deadline).await?;
         self.connection.state.lock().has_unread_body = false;
         Ok(whole)
     }
@@ -208,8 +209,13 @@
         in_flight::holding(body, self)
     }
 
-    /// Returns the events of the answer, which hold the guard.
-    pub fn held_by_events<T>(self, events: impl Stream<Item = T>) -> impl Stream<Item = T> {
+    /// Returns the events of the answer, which hold the guard; they are of no use after `deadline`.
+    pub fn held_by_events<T>(
+        self,
+        events: impl Stream<Item = T>,
+        deadline: TimeMs,
+    ) -> impl Stream<Item = T> {
+        self.connection.state.lock().phase = Phase::Stream { deadline };
         events.map(move |event| {
             let _held = &self;
             event
--- a/src/gateway/caller_timeouts.rs
+++ b/src/gateway/caller_timeouts.rs
@@ -9,6 +9,10 @@
 /// The longer timeout here prevents a connection from being closed while a request is on its way.
 const TIMEOUT_FACTOR: u64 = 2;
 
+/// A stream ends at its deadline by itself, with a word in the log; one that its caller does not read is closed this much
+/// later.
+const STREAM_MARGIN_MS: u64 = 1_000;
+
 /// What a caller's connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -18,6 +22,8 @@
     Head { since: TimeMs },
     /// The end of an answer.
     Answer,
+    /// The end of a stream, which is of no use after its deadline.
+    Stream { deadline: TimeMs },
 }
 
 impl Phase {
@@ -28,7 +34,7 @@
 
     /// Whether a request has been read and is not yet answered.
     pub fn is_answered(self) -> bool {
-        matches!(self, Self::Answer)
+        matches!(self, Self::Answer | Self::Stream { .. })
     }
 
     /// Returns when the connection is closed unless its phase changes; `None` if never.
@@ -41,6 +47,7 @@
         let (since, timeout_ms) = match self {
             Self::Idle { since } => (since, longer(|limits| limits.idle_timeout_ms)),
             Self::Head { since } => (since, longer(|limits| limits.header_timeout_ms)),
+            Self::Stream { deadline } => return Some(deadline.after(STREAM_MARGIN_MS)),
             Self::Answer => return None,
         };
         Some(since.after(timeout_ms.saturating_mul(TIMEOUT_FACTOR)))
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -77,15 +77,17 @@
         }
         Ok(Executed::Stream(stream)) => {
             let head = stream.head();
+            let deadline = stream.deadline();
             let events = stream::forward(Arc::clone(&node), *stream, request_log);
-            let events = unwritten.held_by_events(events.left_stream());
+            let events = unwritten.held_by_events(events.left_stream(), deadline);
             head.map(|()| Either::Right(StreamBody::new(Box::pin(events))))
         }
         Ok(Executed::Forwarded(stream)) => {
             request_log.record_first_event(clock::now());
             let head = stream.head();
+            let deadline = stream.deadline();
             let events = forward::relay(*stream, request_log);
-            let events = unwritten.held_by_events(events.right_stream());
+            let events = unwritten.held_by_events(events.right_stream(), deadline);
             head.map(|()| Either::Right(StreamBody::new(Box::pin(events))))
         }
         Err(refusal) => {
--- a/src/gateway/exchange/admission.rs
+++ b/src/gateway/exchange/admission.rs
@@ -195,7 +195,7 @@
     let deadline = received_at.after(request.time_left_ms);
     let (parts, body) = forwarded_parts(request).ok_or(Malformed::Forwarded)?;
     let place = node.callers.begin(received_at);
-    let body = resources::hold_whole(body, place).map_err(|_full| Refusal::NoMemory)?;
+    let body = resources::hold_whole(body, place, deadline).map_err(|_full| Refusal::NoMemory)?;
     let checked = Checked {
         deadline,
         ..check(node, &parts, received_at, request_log)?
@@ -340,7 +340,7 @@
     deadline: TimeMs,
 ) -> Result<Bytes, Refusal> {
     let left = Duration::from_millis(clock::now().until(deadline));
-    match tokio::time::timeout(left, body.read(max_bytes)).await {
+    match tokio::time::timeout(left, body.read(max_bytes, deadline)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(ArrivalError::TooLong)) => Err(Refusal::BodyTooLong { max_bytes }),
         Ok(Err(ArrivalError::Broken)) => Err(Refusal::BodyBroken),
--- a/src/gateway/exchange/forward.rs
+++ b/src/gateway/exchange/forward.rs
@@ -50,6 +50,11 @@
         response
     }
 
+    /// Returns when the stream ends, whatever the peer does.
+    pub fn deadline(&self) -> TimeMs {
+        self.deadline
+    }
+
     /// Waits for the next part, at most until the request's deadline.
     async fn next(&mut self) -> NextItem {
         let left = Duration::from_millis(clock::now().until(self.deadline));
--- a/src/gateway/exchange/stream.rs
+++ b/src/gateway/exchange/stream.rs
@@ -47,6 +47,11 @@
         *response.headers_mut() = self.headers.clone();
         response
     }
+
+    /// Returns when the stream ends, whatever its upstream does.
+    pub fn deadline(&self) -> TimeMs {
+        self.plan.deadline
+    }
 }
 
 /// Waits for a stream's first events; returns `None` if the stream fails before them.
--- a/src/resources/account.rs
+++ b/src/resources/account.rs
@@ -169,14 +169,14 @@
         self.account.state.lock().ledger.arrive(self.key, now);
     }
 
-    /// Records that the request has arrived to its end.
+    /// Records that the request has arrived to its end; nothing waits for its answer after `deadline`.
     ///
     /// # Errors
     ///
     /// If the request has to go.
-    pub fn serve(&self) -> Result<(), Evicted> {
+    pub fn serve(&self, deadline: TimeMs) -> Result<(), Evicted> {
         let mut state = self.account.state.lock();
-        state.ledger.serve(self.key);
+        state.ledger.serve(self.key, deadline);
         if state.ledger.is_leaving(self.key) {
             return Err(Evicted);
         }
--- a/src/resources/account/tests.rs
+++ b/src/resources/account/tests.rs
@@ -33,7 +33,7 @@
     let second = account.begin(TimeMs(1));
     assert_eq!(first.add(LARGE_BYTES), Ok(()));
     assert_eq!(second.add(2 * LARGE_BYTES), Ok(()));
-    assert_eq!(first.serve(), Err(Evicted));
+    assert_eq!(first.serve(TimeMs(1_000)), Err(Evicted));
 }
 
 #[tokio::test]
@@ -41,7 +41,7 @@
     let account = CallerAccount::new(SHARES);
     let served = [account.open(TimeMs(0)), account.open(TimeMs(0))];
     for place in served.iter().flatten() {
-        assert_eq!(place.serve(), Ok(()));
+        assert_eq!(place.serve(TimeMs(1_000)), Ok(()));
     }
     assert!(account.open(TimeMs(10)).is_none());
     drop(served);
--- a/src/resources/arrival.rs
+++ b/src/resources/arrival.rs
@@ -10,6 +10,7 @@
 use super::account::{Evicted, Place};
 use crate::fair_body::FairBody;
 use crate::in_flight;
+use crate::time::TimeMs;
 
 /// Size of the blocks into which a body is gathered; a shorter one has a block of its length.
 ///
@@ -64,6 +65,8 @@
 
 /// Reads a body to its end; the place is charged with it until the last part of it is dropped.
 ///
+/// Nothing waits for the request's answer after `deadline`.
+///
 /// The bytes are copied, since those of the HTTP library are parts of larger buffers.
 ///
 /// # Errors
@@ -73,6 +76,7 @@
     body: B,
     place: &Arc<Place>,
     max_bytes: usize,
+    deadline: TimeMs,
 ) -> Result<Bytes, ArrivalError>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -95,7 +99,7 @@
             arriving.push(&data).await?;
         }
     }
-    arriving.finish().await
+    arriving.finish(deadline).await
 }
 
 /// Returns the whole body of a request, with which the place is charged until the last part of it is dropped.
@@ -103,9 +107,9 @@
 /// # Errors
 ///
 /// If there is no room for it.
-pub(crate) fn hold_whole(body: Vec<u8>, place: Place) -> Result<Bytes, Evicted> {
+pub(crate) fn hold_whole(body: Vec<u8>, place: Place, deadline: TimeMs) -> Result<Bytes, Evicted> {
     place.add(body.capacity())?;
-    place.serve()?;
+    place.serve(deadline)?;
     let held = HeldBytes {
         bytes: body.capacity(),
         place: Arc::new(place),
@@ -196,13 +200,13 @@
     }
 
     /// Returns the body as a whole, for which it is copied once more if it has several blocks.
-    async fn finish(mut self) -> Result<Bytes, ArrivalError> {
+    async fn finish(mut self, deadline: TimeMs) -> Result<Bytes, ArrivalError> {
         if self.blocks.len() > 1 {
             self.grow_to(self.length).await?;
         }
         let whole = self.blocks.pop().unwrap_or_default();
         self.held.shrink_to(whole.capacity());
-        self.held.place.serve()?;
+        self.held.place.serve(deadline)?;
         Ok(in_flight::holding(Bytes::from(whole), self.held))
     }
 }
--- a/src/resources/arrival/tests.rs
+++ b/src/resources/arrival/tests.rs
@@ -6,10 +6,11 @@
 
 use super::*;
 use crate::resources::{CallerAccount, HostLimits};
-use crate::time::TimeMs;
 
 const MAX_BYTES: usize = 200_000;
 
+const DEADLINE: TimeMs = TimeMs(1_000);
+
 fn account() -> Arc<CallerAccount> {
     let host = HostLimits {
         memory_bytes: 64 * 1024 * 1024,
@@ -43,7 +44,13 @@
     for length in [0, 1, 4_096, 4_097, 16_384, 16_385, 99_000, MAX_BYTES] {
         let sent = bytes(length);
         let place = Arc::new(account.begin(TimeMs(0)));
-        let announced = read_body(Full::new(Bytes::from(sent.clone())), &place, MAX_BYTES).await;
+        let announced = read_body(
+            Full::new(Bytes::from(sent.clone())),
+            &place,
+            MAX_BYTES,
+            DEADLINE,
+        )
+        .await;
         assert_eq!(announced.as_deref(), Ok(sent.as_slice()), "{length}");
         let (_connections, held_bytes) = account.held();
         assert!(
@@ -52,7 +59,7 @@
         );
         drop(announced);
         for part_bytes in [1, 1_000, 70_000] {
-            let chunked = read_body(in_parts(&sent, part_bytes), &place, MAX_BYTES).await;
+            let chunked = read_body(in_parts(&sent, part_bytes), &place, MAX_BYTES, DEADLINE).await;
             assert_eq!(chunked.as_deref(), Ok(sent.as_slice()), "{length}");
         }
         assert_eq!(account.held().1, 0, "{length}");
@@ -64,9 +71,15 @@
     let account = account();
     let place = Arc::new(account.begin(TimeMs(0)));
     let sent = bytes(MAX_BYTES + 1);
-    let announced = read_body(Full::new(Bytes::from(sent.clone())), &place, MAX_BYTES).await;
+    let announced = read_body(
+        Full::new(Bytes::from(sent.clone())),
+        &place,
+        MAX_BYTES,
+        DEADLINE,
+    )
+    .await;
     assert_eq!(announced, Err(ArrivalError::TooLong));
-    let chunked = read_body(in_parts(&sent, 1_000), &place, MAX_BYTES).await;
+    let chunked = read_body(in_parts(&sent, 1_000), &place, MAX_BYTES, DEADLINE).await;
     assert_eq!(chunked, Err(ArrivalError::TooLong));
     assert_eq!(account.held().1, 0);
 }
@@ -81,7 +94,7 @@
         begun,
         stream::pending(),
     )));
-    let reading = read_body(body, &place, MAX_BYTES);
+    let reading = read_body(body, &place, MAX_BYTES, DEADLINE);
     tokio::pin!(reading);
     assert!(futures::poll!(reading.as_mut()).is_pending());
     let later = account.begin(TimeMs(1));
--- a/src/resources/ledger.rs
+++ b/src/resources/ledger.rs
@@ -12,6 +12,9 @@
 /// An ordinary request has arrived after this time, even over a slow network.
 const SLOW_ARRIVAL_MS: u64 = 1_000;
 
+/// An answer whose caller reads it has been written at its deadline, or this much later.
+const OVERDUE_MS: u64 = 1_000;
+
 /// Connections that are being closed count beside the open ones, up to this part of their bound.
 const CLOSING_DIVISOR: usize = 4;
 
@@ -24,8 +27,8 @@
 enum Standing {
     /// Its request has not arrived to its end, since its first byte or since the connection was accepted.
     Arriving { since: TimeMs },
-    /// Its request has arrived and is served; it may have run, so that it stays.
-    Serving,
+    /// Its request has arrived and is served; it may have run, so that it stays until its deadline.
+    Serving { deadline: TimeMs },
     /// Its connection waits for a further request.
     Kept { since: TimeMs },
     /// It has to go, and gives back what it holds once it has noticed.
@@ -99,9 +102,9 @@
         self.set_standing(key, Standing::Arriving { since: now });
     }
 
-    /// Records that a request has arrived to its end.
-    pub fn serve(&mut self, key: EntryKey) {
-        self.set_standing(key, Standing::Serving);
+    /// Records that a request has arrived to its end; nothing waits for its answer after `deadline`.
+    pub fn serve(&mut self, key: EntryKey, deadline: TimeMs) {
+        self.set_standing(key, Standing::Serving { deadline });
     }
 
     /// Records that a connection waits for its next request.
@@ -213,7 +216,10 @@
         arriving.min().map(|(_since, key)| key)
     }
 
-    /// Returns the connection that goes for a new one: one whose request arrives slowly, then the one kept the longest.
+    /// Returns the connection that goes for a new one.
+    ///
+    /// That is one whose request arrives slowly, then the one kept the longest, then one whose caller has not read
+    /// its answer by the deadline.
     fn connection_to_close(&self, now: TimeMs) -> Option<EntryKey> {
         let connections = || self.entries.iter().filter(|entry| entry.is_connection);
         let arriving = connections().filter_map(|entry| match entry.standing {
@@ -224,10 +230,18 @@
             Standing::Kept { since } => Some((since, entry.key)),
             _ => None,
         });
-        match (arriving.min(), kept.min()) {
-            (Some((since, key)), _) if now.since(since) >= SLOW_ARRIVAL_MS => Some(key),
-            (_, Some((_since, key))) | (Some((_since, key)), None) => Some(key),
-            (None, None) => None,
+        let overdue = connections().filter_map(|entry| match entry.standing {
+            Standing::Serving { deadline } if now.since(deadline) >= OVERDUE_MS => {
+                Some((deadline, entry.key))
+            }
+            _ => None,
+        });
+        match (arriving.min(), kept.min(), overdue.min()) {
+            (Some((since, key)), ..) if now.since(since) >= SLOW_ARRIVAL_MS => Some(key),
+            (_, Some((_since, key)), _)
+            | (_, None, Some((_since, key)))
+            | (Some((_since, key)), None, None) => Some(key),
+            (None, None, None) => None,
         }
     }
 
--- a/src/resources/ledger/tests.rs
+++ b/src/resources/ledger/tests.rs
@@ -11,6 +11,8 @@
 
 const LARGE_BYTES: usize = 100 * KB;
 
+const DEADLINE: TimeMs = TimeMs(8_000);
+
 fn open(ledger: &mut Ledger, now_ms: u64) -> EntryKey {
     let opened = ledger.open(SHARES, TimeMs(now_ms));
     opened.expect("there is room").0
@@ -64,7 +66,7 @@
 fn served_requests_stay_and_newcomers_are_refused() {
     let mut ledger = Ledger::default();
     for key in fill(&mut ledger) {
-        ledger.serve(key);
+        ledger.serve(key, DEADLINE);
     }
     let late = ledger.begin(TimeMs(5_000));
     assert_eq!(ledger.grow(late, LARGE_BYTES, SHARES), Growth::Refused);
@@ -75,7 +77,7 @@
 fn small_request_has_room_beside_large_ones_that_are_served() {
     let mut ledger = Ledger::default();
     for key in fill(&mut ledger) {
-        ledger.serve(key);
+        ledger.serve(key, DEADLINE);
     }
     arriving(&mut ledger, 5_000, 16 * KB);
 }
@@ -97,7 +99,7 @@
     let silent = open(&mut ledger, 2);
     for _place in 2..8 {
         let served = open(&mut ledger, 3);
-        ledger.serve(served);
+        ledger.serve(served, DEADLINE);
     }
     let opened = ledger.open(SHARES, TimeMs(5_000));
     assert_eq!(opened.and_then(|(_key, victim)| victim), Some(silent));
@@ -112,7 +114,7 @@
     ledger.keep(kept, TimeMs(1));
     for _place in 2..8 {
         let served = open(&mut ledger, 3);
-        ledger.serve(served);
+        ledger.serve(served, DEADLINE);
     }
     let opened = ledger.open(SHARES, TimeMs(5_000));
     assert_eq!(opened.and_then(|(_key, victim)| victim), Some(kept));
@@ -124,11 +126,25 @@
     let mut ledger = Ledger::default();
     for _place in 0..8 {
         let served = open(&mut ledger, 0);
-        ledger.serve(served);
+        ledger.serve(served, DEADLINE);
     }
     assert_eq!(ledger.open(SHARES, TimeMs(5_000)), None);
 }
 
+/// Guards against answers that callers do not read, which keep their connections for good.
+#[test]
+fn overdue_connection_goes_when_all_others_are_served() {
+    let mut ledger = Ledger::default();
+    let first = open(&mut ledger, 0);
+    ledger.serve(first, TimeMs(4_000));
+    for _place in 1..8 {
+        let served = open(&mut ledger, 0);
+        ledger.serve(served, DEADLINE);
+    }
+    let opened = ledger.open(SHARES, TimeMs(5_000));
+    assert_eq!(opened.and_then(|(_key, victim)| victim), Some(first));
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Step {
     Open,
@@ -170,7 +186,7 @@
                         ledger.grow(key, bytes, SHARES);
                     }
                 }
-                Step::Serve(place) => if let Some(key) = at(place) { ledger.serve(key) },
+                Step::Serve(place) => if let Some(key) = at(place) { ledger.serve(key, DEADLINE) },
                 Step::Keep(place) => if let Some(key) = at(place) { ledger.keep(key, now) },
                 Step::Release(place, bytes) => if let Some(key) = at(place) { ledger.release(key, bytes) },
                 Step::Close(place) => if place < keys.len() { ledger.close(keys.remove(place)) },
--- a/stand_ins/src/operators/crowd.rs
+++ b/stand_ins/src/operators/crowd.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinSet;
 
 /// Longest time that one member sends; a node that does not read holds its sender.
@@ -22,6 +22,8 @@
     pub piece_bytes: usize,
     /// Bytes that it sends afterwards, one at a time, until its connection ends.
     pub trickle: Option<Trickle>,
+    /// The size of its receive buffer; otherwise the system chooses it.
+    pub receive_buffer_bytes: Option<u32>,
 }
 
 /// A byte that is sent again and again.
@@ -41,6 +43,7 @@
             piece_bytes: bytes.len().max(1),
             bytes,
             trickle: None,
+            receive_buffer_bytes: None,
         }
     }
 
@@ -53,6 +56,16 @@
         }
     }
 
+    /// The same with a receive buffer of so many bytes.
+    #[must_use]
+    pub fn receiving_into(self, receive_buffer_bytes: u32) -> Self {
+        let receive_buffer_bytes = Some(receive_buffer_bytes);
+        Self {
+            receive_buffer_bytes,
+            ..self
+        }
+    }
+
     /// The same with a byte that follows again and again.
     #[must_use]
     pub fn then_trickling(self, byte: u8, pause: Duration) -> Self {
@@ -99,7 +112,11 @@
 
 /// Connects and sends what a member sends; `None` if the node takes no connection.
 async fn send(node: SocketAddr, member: &Member) -> Option<TcpStream> {
-    let mut socket = TcpStream::connect(node).await.ok()?;
+    let socket = TcpSocket::new_v4().ok()?;
+    if let Some(bytes) = member.receive_buffer_bytes {
+        socket.set_recv_buffer_size(bytes).ok()?;
+    }
+    let mut socket = socket.connect(node).await.ok()?;
     for piece in member.bytes.chunks(member.piece_bytes) {
         if socket.write_all(piece).await.is_err() {
             break;
--- a/tests/unruly/main.rs
+++ b/tests/unruly/main.rs
@@ -22,6 +22,7 @@
 mod served_bodies;
 mod served_connections;
 mod served_http2;
+mod streams;
 mod support;
 
 /// The nodes' binary.
