--- a/src/entry/accept.rs
+++ b/src/entry/accept.rs
@@ -96,6 +96,7 @@
             socket,
             builders: Arc::clone(&builders),
             first_bytes_timeout: Duration::from_millis(limits.header_read_timeout_ms),
+            unread_body: caller.unread_body(),
             watcher: graceful.watcher(),
             shutdown: shutdown.clone(),
         };
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{Request, Response, Version};
+use http_body::Body as _;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
-use crate::resources::{self, ArrivalError, CallerAccount, Evicted, Place};
+use crate::resources::{self, ArrivalError, CallerAccount, Evicted, Place, UnreadBody};
 use crate::time::{Clock, TimeMs};
 
 /// Callers resume answers for as long as they are kept.
@@ -21,6 +22,7 @@
     account: Arc<CallerAccount>,
     place: Arc<Place>,
     clock: Clock,
+    unread_body: UnreadBody,
     /// Requests whose responses are not yet passed on.
     open: Mutex<usize>,
 }
@@ -33,10 +35,16 @@
             account: Arc::clone(account),
             place: Arc::new(place),
             clock,
+            unread_body: UnreadBody::default(),
             open: Mutex::new(0),
         }))
     }
 
+    /// Returns whether the body of the last request on an HTTP/1 connection has not been read to its end.
+    pub fn unread_body(&self) -> UnreadBody {
+        self.unread_body.clone()
+    }
+
     /// Waits until the connection has to be closed for others.
     pub async fn evicted(&self) {
         self.place.evicted().await;
@@ -46,6 +54,7 @@
     pub fn begin(self: &Arc<Self>, request: &Request<Incoming>) -> OpenRequest {
         let now = self.clock.now();
         self.count_begun(now);
+        self.unread_body.begin(!request.body().is_end_stream());
         let place = if request.version() == Version::HTTP_2 {
             Arc::new(self.account.begin(now))
         } else {
@@ -132,6 +141,7 @@
     ///
     /// If the request has to go for others.
     pub fn finish(&self) -> Result<(), Evicted> {
+        self.connection.unread_body.end();
         self.connection.place.serve(NO_DEADLINE)?;
         self.place.serve(NO_DEADLINE)
     }
--- a/src/entry/connection.rs
+++ b/src/entry/connection.rs
@@ -20,6 +20,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::accept::HttpLimits;
+use crate::resources::{LingeringSocket, UnreadBody};
 
 /// First bytes of an HTTP/2 connection; no HTTP/1 method served here starts with them.
 const HTTP2_PREFIX: [u8; 3] = *b"PRI";
@@ -55,6 +56,8 @@
     pub builders: Arc<Builders>,
     /// Timeout for the connection's first bytes.
     pub first_bytes_timeout: Duration,
+    /// Whether the body of its last request has not been read to its end.
+    pub unread_body: UnreadBody,
     /// Shuts the connection down after its open requests.
     pub watcher: Watcher,
     /// Closes the connection before its first request.
@@ -118,7 +121,7 @@
     where
         S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>,
     {
-        let socket = TokioIo::new(self.socket);
+        let socket = TokioIo::new(LingeringSocket::new(self.socket, self.unread_body));
         let served = self.builders.http1.serve_connection(socket, answer);
         Ok(self.watcher.watch(served).await?)
     }
--- a/src/entry/connection/tests.rs
+++ b/src/entry/connection/tests.rs
@@ -16,6 +16,7 @@
 
 use super::{Connection, builders};
 use crate::entry::HttpLimits;
+use crate::resources::UnreadBody;
 
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 /// Length 0, type 4 (SETTINGS), no flags, stream 0.
@@ -47,6 +48,7 @@
             socket,
             builders: Arc::new(builders(limits)),
             first_bytes_timeout,
+            unread_body: UnreadBody::default(),
             watcher: graceful.watcher(),
             shutdown,
         };
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 mod bandwidth;
 mod caller_connection;
 mod caller_listener;
+mod caller_socket;
 mod caller_timeouts;
 pub(crate) mod catalog;
 mod choose;
--- a/src/gateway/caller_connection.rs
+++ b/src/gateway/caller_connection.rs
@@ -3,28 +3,20 @@
 //! The HTTP library drops an answer once it holds the rest of it in its own buffer. The answer of a
 //! caller that reads slowly may stay there for seconds, and a node that exits meanwhile cuts it.
 
-use std::io;
-use std::mem::MaybeUninit;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt};
 use http_body::Body;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::Sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::caller_timeouts::Phase;
-use super::clock;
 use super::exchange::UnreadKey;
 use super::state::Gateway;
 use crate::in_flight::{self, InFlight};
-use crate::resources::{self, ArrivalError, Evicted, Place};
+use crate::resources::{self, ArrivalError, Evicted, Place, UnreadBody};
 use crate::time::TimeMs;
 
 /// A head of at most this size is part of what each connection takes.
@@ -33,16 +25,12 @@
 /// The HTTP library doubles its buffer as a head grows.
 const BUFFERS_PER_HEAD: usize = 2;
 
-/// How long a caller that is still sending may take to read the refusal and close the connection.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Bytes that one read of such a connection drops.
-const DROPPED_BYTES: usize = 8 * 1024;
-
 /// What one connection does, as its socket and its requests record it.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     place: Arc<Place>,
+    /// Whether the body of the last request has not been read to its end.
+    unread_body: UnreadBody,
     /// Cancelled when others need the memory of its answer, which its caller does not read.
     given_up: CancellationToken,
     state: Mutex<State>,
@@ -59,8 +47,6 @@
     head_bytes: usize,
     /// Bytes that the place is charged with for it.
     charged_bytes: usize,
-    /// Whether the body of the last request has not been read to its end.
-    has_unread_body: bool,
     /// The long answer that is being written.
     unread_answer: Option<UnreadAnswer>,
 }
@@ -77,6 +63,7 @@
     pub fn new(place: Place, now: TimeMs) -> Self {
         Self {
             place: Arc::new(place),
+            unread_body: UnreadBody::default(),
             given_up: CancellationToken::new(),
             state: Mutex::new(State {
                 phase: Phase::Idle { since: now },
@@ -84,19 +71,23 @@
                 buffered: Vec::new(),
                 head_bytes: 0,
                 charged_bytes: 0,
-                has_unread_body: false,
                 unread_answer: None,
             }),
         }
     }
 
+    /// Returns whether the body of the last request has not been read to its end.
+    pub fn unread_body(&self) -> UnreadBody {
+        self.unread_body.clone()
+    }
+
     /// Waits until its answer is given up, since others need the memory of it.
     pub async fn given_up(&self) {
         self.given_up.cancelled().await;
     }
 
     /// Records bytes that were passed to the system.
-    fn record_write(&self, bytes: usize, now: TimeMs) {
+    pub fn record_write(&self, bytes: usize, now: TimeMs) {
         if let Some(UnreadAnswer { node, key }) = &self.state.lock().unread_answer {
             node.answer_memory.record_write(*key, bytes, now);
         }
@@ -124,7 +115,7 @@
     }
 
     /// Records bytes that were read, and charges a long head to the place.
-    fn record_read(&self, bytes: usize, now: TimeMs) -> Result<(), Evicted> {
+    pub fn record_read(&self, bytes: usize, now: TimeMs) -> Result<(), Evicted> {
         let mut state = self.state.lock();
         match state.phase {
             Phase::Idle { .. } => {
@@ -146,7 +137,7 @@
     }
 
     /// Records that the connection's buffer is empty.
-    fn record_flush(&self, now: TimeMs) {
+    pub fn record_flush(&self, now: TimeMs) {
         let mut state = self.state.lock();
         if state.buffered.is_empty() {
             return;
@@ -177,7 +168,7 @@
     pub async fn read(self, max_bytes: usize, deadline: TimeMs) -> Result<Bytes, ArrivalError> {
         let place = &self.connection.place;
         let whole = resources::read_body(self.body, place, max_bytes, deadline).await?;
-        self.connection.state.lock().has_unread_body = false;
+        self.connection.unread_body.end();
         Ok(whole)
     }
 }
@@ -192,7 +183,7 @@
 impl UnwrittenAnswer {
     /// Returns the body of the request that is answered.
     pub fn body(&self, body: Incoming) -> RequestBody {
-        self.connection.state.lock().has_unread_body = !body.is_end_stream();
+        self.connection.unread_body.begin(!body.is_end_stream());
         RequestBody {
             body,
             connection: Arc::clone(&self.connection),
@@ -235,118 +226,3 @@
         }
     }
 }
-
-/// The socket of a caller's connection, which the HTTP library flushes once its buffer is empty.
-#[derive(Debug)]
-pub(crate) struct CallerSocket<S> {
-    socket: S,
-    connection: Arc<CallerConnection>,
-    linger: Linger,
-}
-
-/// What remains of a connection that is being closed.
-#[derive(Debug)]
-enum Linger {
-    /// It is not closed yet.
-    Open,
-    /// Its last answer is being passed on.
-    Closing,
-    /// What its caller still sends is read until this time.
-    ///
-    /// Closing a connection with unread bytes resets it, and the caller may never see the answer.
-    Reading(Pin<Box<Sleep>>),
-}
-
-impl<S> CallerSocket<S> {
-    /// Creates the socket of a connection.
-    pub fn new(socket: S, connection: Arc<CallerConnection>) -> Self {
-        Self {
-            socket,
-            connection,
-            linger: Linger::Open,
-        }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for CallerSocket<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.socket).poll_read(cx, buf))?;
-        let read_bytes = buf.filled().len() - before;
-        if read_bytes > 0 {
-            let recorded = self.connection.record_read(read_bytes, clock::now());
-            recorded.map_err(io::Error::other)?;
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<S: AsyncRead + Unpin> CallerSocket<S> {
-    /// Reads and drops what the caller sends until it closes the connection or the time is over.
-    fn poll_drain(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        let Linger::Reading(until) = &mut self.linger else {
-            return Poll::Ready(());
-        };
-        let mut dropped = [MaybeUninit::uninit(); DROPPED_BYTES];
-        loop {
-            if until.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(());
-            }
-            let mut buf = ReadBuf::uninit(&mut dropped);
-            match ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buf)) {
-                Ok(()) if !buf.filled().is_empty() => {}
-                _ => return Poll::Ready(()),
-            }
-        }
-    }
-}
-
-impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for CallerSocket<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.socket).poll_write(cx, buf))?;
-        self.connection.record_write(written, clock::now());
-        Poll::Ready(Ok(written))
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let written = ready!(Pin::new(&mut self.socket).poll_write_vectored(cx, bufs))?;
-        self.connection.record_write(written, clock::now());
-        Poll::Ready(Ok(written))
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.socket).poll_flush(cx))?;
-        self.connection.record_flush(clock::now());
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if matches!(self.linger, Linger::Open) {
-            self.linger = Linger::Closing;
-        }
-        if matches!(self.linger, Linger::Closing) {
-            ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
-            if !self.connection.state.lock().has_unread_body {
-                return Poll::Ready(Ok(()));
-            }
-            self.linger = Linger::Reading(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
-        }
-        self.poll_drain(cx).map(Ok)
-    }
-}
--- a/src/gateway/caller_listener.rs
+++ b/src/gateway/caller_listener.rs
@@ -15,7 +15,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::caller_connection::{CallerConnection, CallerSocket};
+use super::caller_connection::CallerConnection;
+use super::caller_socket::CallerSocket;
 use super::caller_timeouts::Phase;
 use super::catalog::CallerLimits;
 use super::clock;
--- a/src/resources.rs
+++ b/src/resources.rs
@@ -8,10 +8,12 @@
 mod account;
 mod arrival;
 mod ledger;
+mod linger;
 mod log_pace;
 mod shares;
 
 pub(crate) use self::accepting::Accepting;
 pub(crate) use self::account::{CallerAccount, Evicted, Place};
 pub(crate) use self::arrival::{ArrivalError, hold_whole, read_body};
+pub(crate) use self::linger::{LingeringSocket, UnreadBody};
 pub(crate) use self::shares::{CallerShares, HostLimits};
--- a/tests/unruly/served_bodies.rs
+++ b/tests/unruly/served_bodies.rs
@@ -1,6 +1,8 @@
 //! Bodies at the role `serve`.
 
 use teaselline_stand_ins::operators::{Crowd, HostLimits, Member};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use super::support::{Usage, alone, chunks, one_served_node, ordinary_served_request_is_answered};
 use crate::trial;
@@ -108,3 +110,21 @@
 async fn served_chunked_bodies_over_the_limit_stay_within_memory() {
     crowd_is_borne(CALLERS, |_place| chunked(OVER_LIMIT_BYTES, 50_000)).await;
 }
+
+/// Guards against a refusal that its caller never reads because its connection is reset.
+#[tokio::test]
+async fn served_refusal_reaches_a_caller_that_is_still_sending() {
+    let _alone = alone().await;
+    let fleet = one_served_node(HOST, SETTINGS).await;
+    let node = fleet.node(0).callers;
+    for _attempt in 0..20 {
+        let mut bytes = head(&format!("Content-Length: {OVER_LIMIT_BYTES}"));
+        bytes.resize(bytes.len() + OVER_LIMIT_BYTES, b' ');
+        let mut socket = TcpStream::connect(node).await.expect("the node listens");
+        let sent = socket.write_all(&bytes).await;
+        let mut status = [0; 12];
+        let read = socket.read_exact(&mut status).await;
+        assert!(read.is_ok(), "sent: {sent:?}, read: {read:?}");
+        assert_eq!(&status, b"HTTP/1.1 413");
+    }
+}
