bug: Responses of the role serve keep their stated length

What callers saw: since responses of `serve` came in chunks, without Content-Length. Cause: the response holds its request's place through a combinator that states no length. The body is now a type of its own that passes the length on.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,12 +1,13 @@
 //! The place of one connection in the account of callers, and of the requests on it.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{Request, Response, Version};
-use http_body::Body as _;
-use http_body_util::BodyExt;
+use http_body::{Body as _, Frame, SizeHint};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 
@@ -102,14 +103,40 @@
     /// Returns the response with the request held until it has been passed on.
     pub fn held_by(self, response: Response<Body>) -> Response<Body> {
         response.map(|body| {
-            Body::new(body.map_frame(move |frame| {
-                let _held = &self;
-                frame
-            }))
+            Body::new(HeldBody {
+                body,
+                _request: self,
+            })
         })
     }
 }
 
+/// The body of a response, which holds its request until it is dropped.
+struct HeldBody {
+    body: Body,
+    _request: OpenRequest,
+}
+
+impl http_body::Body for HeldBody {
+    type Data = <Body as http_body::Body>::Data;
+    type Error = <Body as http_body::Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.caller.count_ended();
