--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -165,7 +165,7 @@
         flag("memory-mb", "TEASELLINE_MEMORY_MB", LIMITS)
             .value_name("MEGABYTES")
             .default_value("2048")
-            .help("Keeps what callers send within a sixth of this much memory, and their connections within an eighth."),
+            .help("Keeps what callers send within an eighth of this much memory, and their connections within another."),
         flag("max-descriptors", "TEASELLINE_MAX_DESCRIPTORS", LIMITS)
             .value_name("COUNT")
             .default_value("65536")
--- a/src/resources/shares.rs
+++ b/src/resources/shares.rs
@@ -4,7 +4,7 @@
 const FILE_DESCRIPTORS: usize = 200;
 
 /// Callers' requests hold at most this part of the memory.
-const MEMORY_PER_REQUESTS: usize = 6;
+const MEMORY_PER_REQUESTS: usize = 8;
 
 /// Callers' connections hold at most this part of the memory beside their requests.
 const MEMORY_PER_CONNECTIONS: usize = 8;
