--- a/review/stands-2/src/bin/dark_crash.rs
+++ b/review/stands-2/src/bin/dark_crash.rs
@@ -14,7 +14,7 @@
 use teaselline_stand_ins::operators::{Run, Upstream};
 
 const NODES: u8 = 3;
-const SERVERS: usize = 6;
+const SERVERS: usize = 9;
 
 /// The bounds of the route, of the kind `reel-damage-report`.
 const OBJECTIVE_MS: u64 = 800;
